--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -1,7 +1,7 @@
 //! The smallest front door: one gateway, one backend, one request.
 
-use mintcart::api::*;
-use mintcart::brain::Brain;
+use applewall::api::*;
+use applewall::brain::Brain;
 
 fn main() {
     let second = 1_000_000_000;
--- a/src/bin/mintcart-simhost.rs
+++ b/src/bin/applewall-simhost.rs
@@ -6,9 +6,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use mintcart::api::Event;
-use mintcart::brain::Brain;
-use mintcart::wire::{self, Facts, Line};
+use applewall::api::Event;
+use applewall::brain::Brain;
+use applewall::wire::{self, Facts, Line};
 use serde_json::Value;
 
 struct Instance {
@@ -102,7 +102,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("mintcart-simhost: {reason}");
+            eprintln!("applewall-simhost: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! mintcart decides, for one gateway of a shared API, what to admit, what to refuse and where to send.
+//! applewall decides, for one gateway of a shared API, what to admit, what to refuse and where to send.
 //!
 //! [`brain::Brain`] is the decision module; [`api`] is all it sees and all it says. [`wire`] translates
 //! the bench's dialect and is not needed when the library is embedded.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small stage for the module alone: settings, a clock and shorthand for events.
 #![allow(dead_code)]
 
-use mintcart::api::*;
-use mintcart::brain::Brain;
+use applewall::api::*;
+use applewall::brain::Brain;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000_000_000;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use applewall::api::*;
 use common::*;
-use mintcart::api::*;
 
 fn fleet() -> Vec<Member> {
     (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use applewall::api::*;
 use common::*;
-use mintcart::api::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 struct Open {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -5,8 +5,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 
+use applewall::api::*;
 use common::*;
-use mintcart::api::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 const GATEWAYS: u32 = 160;
