--- /dev/null
+++ b/src/net/answer.rs
@@ -0,0 +1,42 @@
+//! What a service client gets: the served body unchanged, a nack, or a failure.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// The single final answer to a command.
+#[derive(Debug)]
+pub enum Answer {
+    /// The body of an instance's 200, and its type.
+    Served(Bytes, Option<HeaderValue>),
+    /// Refused: trying again is harmless, after so many nanoseconds.
+    Nack {
+        /// 429 where nothing was sent on, else 503.
+        status: StatusCode,
+        /// 0: no advice.
+        retry_after: u64,
+    },
+    /// Failed, no promise.
+    Failed(StatusCode, &'static str),
+}
+
+impl From<Answer> for Response<Full<Bytes>> {
+    fn from(answer: Answer) -> Self {
+        let (status, body, header) = match answer {
+            Answer::Served(body, kind) => (StatusCode::OK, body, kind.map(|k| (CONTENT_TYPE, k))),
+            Answer::Nack { status, retry_after } => {
+                // Rounded up: a client must not come back before the module asked it to.
+                let ms = retry_after.div_ceil(1_000_000);
+                let text = format!("{}.{:03}", ms / 1000, ms % 1000);
+                let advice = HeaderValue::try_from(text).ok().filter(|_| ms > 0);
+                (status, Bytes::new(), advice.map(|a| (RETRY_AFTER, a)))
+            }
+            Answer::Failed(status, reason) => (status, Bytes::from_static(reason.as_bytes()), None),
+        };
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        response.headers_mut().extend(header);
+        response
+    }
+}
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,60 @@
+//! The module's clock: nanoseconds that only advance, and Unix time brought onto them.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Where the module's clock stands at the start: far from 0, so that earlier moments can be told.
+const START: u64 = 1_000_000_000_000_000;
+
+/// The module's clock.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+    unix_ms: u64,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix_ms: unix.as_millis() as u64 }
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> u64 {
+        self.at(Instant::now())
+    }
+
+    /// A moment of the system's monotonic clock.
+    pub fn at(&self, instant: Instant) -> u64 {
+        START + instant.saturating_duration_since(self.origin).as_nanos() as u64
+    }
+
+    /// The system's moment for one of ours.
+    pub fn instant(&self, at: u64) -> Instant {
+        self.origin + Duration::from_nanos(at.saturating_sub(START))
+    }
+
+    /// Brings a Unix time in milliseconds onto this clock; 0 means long ago. What lies before the clock's
+    /// beginning is its beginning: known, and long past.
+    pub fn from_unix(&self, unix_ms: u64) -> Option<u64> {
+        let since = i128::from(unix_ms) - i128::from(self.unix_ms);
+        let at = i128::from(START) + since * 1_000_000;
+        (unix_ms > 0).then(|| u64::try_from(at.max(1)).unwrap_or(u64::MAX))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unix_times_keep_their_distance_from_now() {
+        let clock = Clock { origin: Instant::now(), unix_ms: 1_700_000_000_000 };
+        assert_eq!(clock.from_unix(1_700_000_000_000), Some(START));
+        assert_eq!(clock.from_unix(1_699_999_998_500), Some(START - 1_500_000_000));
+        assert_eq!(clock.from_unix(1_700_000_000_250), Some(START + 250_000_000));
+        // 0 is no time; before our beginning is not 'long ago', which the module reads as unknown.
+        assert_eq!(clock.from_unix(0), None);
+        assert_eq!(clock.from_unix(5), Some(1));
+    }
+}
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,367 @@
+//! The engine: the one task that owns the module, its timers and all commands that are open.
+//!
+//! It takes what its queue holds, lets the module decide, carries that out, and sleeps till the next timer. It
+//! never waits for anything else, so whoever waits for room in the queue gets it.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, RequestId};
+use applewall::brain::Brain;
+use applewall::wire::Facts;
+use hyper::StatusCode;
+use tokio::sync::{mpsc, oneshot};
+
+use super::accept::budget;
+use super::answer::Answer;
+use super::clock::Clock;
+use super::command::{Command, Passed};
+use super::config::Config;
+use super::instance::{Attempt, Ended, Fleet};
+use super::name_table::Entry;
+use super::peers::Peers;
+
+/// Messages taken from the queue at one go.
+const GO: usize = 128;
+/// By which an attempt ends before its service client gives up: the answer has to get there in time.
+const ATTEMPT_MARGIN: u64 = 20_000_000;
+/// By which the last-resort answer comes before that.
+const LAST_MARGIN: u64 = 8_000_000;
+/// Between closings of connections that have been idle for long.
+const SWEEP: u64 = 500_000_000;
+/// Between lines of figures.
+const FIGURES: u64 = 10_000_000_000;
+
+/// What reaches the engine.
+pub enum Message {
+    /// A command was taken.
+    Command(Command),
+    /// The service client of the command with this serial left.
+    Left(RequestId, u64),
+    /// An attempt ended.
+    Ended(Ended),
+    /// News of the name table.
+    Table(ListKind, Vec<Entry>),
+    /// A peer's datagram.
+    Peer { from: u32, text: String },
+}
+
+/// A command that is open: unanswered, or with an attempt still out.
+struct Open {
+    serial: u64,
+    /// Gone once the command is answered or its service client left.
+    reply: Option<oneshot::Sender<Answer>>,
+    passed: Arc<Passed>,
+    /// When the service client gives up, on the module's clock.
+    deadline: u64,
+    attempts: u32,
+    /// The attempt that is out; dropping the sender cancels it.
+    out: Option<(u32, Option<oneshot::Sender<()>>)>,
+}
+
+/// Counts since the last line of figures.
+#[derive(Default)]
+struct Figures {
+    commands: u64,
+    served: u64,
+    nacks: u64,
+    failed: u64,
+    left: u64,
+    attempts: u64,
+    last_resort: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Sweep,
+    Figures,
+}
+
+/// See the module's page.
+pub struct Engine {
+    brain: Brain,
+    facts: Arc<Facts>,
+    clock: Clock,
+    fleet: Fleet,
+    peers: Option<Arc<Peers>>,
+    open: HashMap<RequestId, Open>,
+    /// Commands without an answer, by the time of the last-resort answer.
+    last_resorts: BTreeSet<(u64, RequestId)>,
+    timers: BinaryHeap<Reverse<(u64, Due)>>,
+    /// Events that follow from carrying out actions.
+    events: VecDeque<Event>,
+    now: u64,
+    figures: Figures,
+}
+
+impl Engine {
+    /// One that has decided from the known name table alone; attempts report to the queue.
+    pub fn new(
+        config: &Config,
+        clock: Clock,
+        peers: Option<Arc<Peers>>,
+        queue: mpsc::Sender<Message>,
+    ) -> Self {
+        let now = clock.now();
+        let facts = config.facts.clone();
+        let mut engine = Engine {
+            brain: Brain::new(facts.settings.clone(), config.seed, now),
+            fleet: Fleet::new(&facts, budget(config.sockets), queue),
+            facts,
+            clock,
+            peers,
+            open: HashMap::new(),
+            last_resorts: BTreeSet::new(),
+            timers: [Due::Sweep, Due::Figures].map(|due| Reverse((now, due))).into(),
+            events: VecDeque::new(),
+            now,
+            figures: Figures::default(),
+        };
+        let known = config.known.entries(&engine.facts, &clock);
+        engine.take(Message::Table(ListKind::Cached, known));
+        engine
+    }
+
+    /// Runs for as long as anything can reach it.
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+        let mut batch = Vec::with_capacity(GO);
+        let sleep = tokio::time::sleep(Duration::ZERO);
+        tokio::pin!(sleep);
+        loop {
+            let next = self.next();
+            let next = self.clock.instant(next).into();
+            if sleep.deadline() != next {
+                sleep.as_mut().reset(next);
+            }
+            tokio::select! {
+                biased;
+                taken = inbox.recv_many(&mut batch, GO) => if taken == 0 { return },
+                () = &mut sleep => {}
+            }
+            // One moment for all that is taken at one go: what waited here together came together.
+            self.now = self.clock.now();
+            batch.drain(..).for_each(|message| self.take(message));
+            self.fall_due();
+        }
+    }
+
+    /// When something falls due next.
+    fn next(&self) -> u64 {
+        let timer = self.timers.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+        self.last_resorts.first().map_or(timer, |(at, _)| timer.min(*at))
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Command(command) => self.command(command),
+            Message::Left(id, serial) => {
+                if self.open.get(&id).is_some_and(|o| o.serial == serial && o.reply.is_some()) {
+                    self.figures.left += 1;
+                    self.leave(id);
+                }
+            }
+            Message::Ended(ended) => self.ended(ended),
+            Message::Table(kind, entries) => {
+                self.fleet.update(kind, &entries);
+                self.event(Event::Members(kind, entries.into_iter().map(|e| e.member).collect()));
+            }
+            Message::Peer { from, text } => self.event(Event::Peer { from, text }),
+        }
+    }
+
+    fn fall_due(&mut self) {
+        while let Some((_, id)) = self.last_resorts.first().copied().filter(|(at, _)| *at <= self.now) {
+            // The module owes an answer and has not given it: should never happen, and is counted.
+            self.figures.last_resort += 1;
+            super::log(format_args!("last-resort answer to {:016x}", id.0));
+            self.answer(id, Answer::Failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+            self.leave(id);
+        }
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
+            let Some(Reverse((_, due))) = self.timers.pop() else { return };
+            match due {
+                Due::Module(token) => self.event(Event::Timer(token)),
+                Due::Sweep => {
+                    self.fleet.sweep();
+                    self.timers.push(Reverse((self.now + SWEEP, due)));
+                }
+                Due::Figures => {
+                    self.tell_figures();
+                    self.timers.push(Reverse((self.now + FIGURES, due)));
+                }
+            }
+        }
+    }
+
+    fn tell_figures(&mut self) {
+        let Figures { commands, served, nacks, failed, left, attempts, last_resort } =
+            std::mem::take(&mut self.figures);
+        if commands + last_resort > 0 {
+            super::log(format_args!(
+                "figures: commands={commands} served={served} nacks={nacks} failed={failed} left={left} \
+                 attempts={attempts} last_resort={last_resort} open={} idle={}",
+                self.open.len(),
+                self.fleet.idle()
+            ));
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        self.figures.commands += 1;
+        let Command { request, serial, deadline, passed, reply } = command;
+        let id = request.id;
+        if self.open.contains_key(&id) {
+            // Two with one id would be two attempts of one request to an instance.
+            self.figures.failed += 1;
+            let _ = reply.send(Answer::Failed(StatusCode::CONFLICT, "a command with this id is open"));
+            return;
+        }
+        let deadline = self.clock.at(deadline);
+        let reply = Some(reply);
+        self.open.insert(id, Open { serial, reply, passed, deadline, attempts: 0, out: None });
+        self.last_resorts.insert((deadline.saturating_sub(LAST_MARGIN), id));
+        self.event(Event::Request(request));
+    }
+
+    /// The service client needs no answer any more.
+    fn leave(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.reply = None;
+            self.last_resorts.remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
+        }
+        self.event(Event::ClientLeft(id));
+        self.forget(id);
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let Ended { request: id, number, backend, outcome, latency, load, served } = ended;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        // A late result of an attempt that is over already.
+        if open.out.as_ref().is_none_or(|(out, _)| *out != number) {
+            return;
+        }
+        open.out = None;
+        if let Some((body, kind)) = served {
+            self.answer(id, Answer::Served(body, kind));
+        }
+        let latency = latency.as_nanos() as u64;
+        self.finished(id, number, backend, outcome, latency, load);
+        self.forget(id);
+    }
+
+    fn finished(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        backend: BackendId,
+        outcome: Outcome,
+        latency: u64,
+        load: Vec<f64>,
+    ) {
+        let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
+        self.event(Event::Finished(Finished {
+            request,
+            attempt,
+            backend,
+            outcome,
+            latency,
+            closed,
+            cost: 0.0,
+            load,
+        }));
+    }
+
+    /// Gives the one answer to a command, if it is still owed.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(reply) = open.reply.take() else { return };
+        self.last_resorts.remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
+        match answer {
+            Answer::Served(..) => self.figures.served += 1,
+            Answer::Nack { .. } => self.figures.nacks += 1,
+            Answer::Failed(..) => self.figures.failed += 1,
+        }
+        // A service client that left meanwhile is told of by its own message.
+        let _ = reply.send(answer);
+        self.forget(id);
+    }
+
+    /// Drops a command that is answered and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_none()) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Lets the module see an event, and what follows from it.
+    fn event(&mut self, event: Event) {
+        self.events.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.brain.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Cancel { request, attempt } => {
+                let out = self.open.get_mut(&request).and_then(|o| o.out.as_mut());
+                if let Some((_, cancel)) = out.filter(|(number, _)| *number == attempt) {
+                    *cancel = None;
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                let tried = self.open.get(&request).is_some_and(|o| o.attempts > 0);
+                let status =
+                    if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
+                self.answer(request, Answer::Nack { status, retry_after });
+            }
+            Action::Fail(request) => {
+                self.answer(request, Answer::Failed(StatusCode::BAD_GATEWAY, "no answer from an instance"));
+            }
+            Action::Timer { after, token } => {
+                self.timers.push(Reverse((self.now + after, Due::Module(token))));
+            }
+            Action::Close(backend) => self.fleet.close(&backend),
+            Action::Tell { peer, text } => {
+                self.peers.iter().for_each(|peers| peers.tell(peer, &text));
+            }
+            Action::Log(line) => super::log(format_args!("module: {line}")),
+            // The name table is always followed; probes and counts are not asked for by this module.
+            Action::Watch(_) | Action::Fetch | Action::Probe(_) | Action::Count { .. } => {}
+        }
+    }
+
+    fn send(&mut self, request: RequestId, backend: BackendId, timeout: u64) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let number = open.attempts;
+        open.attempts += 1;
+        let most = self.facts.settings.max_attempts;
+        let last = open.deadline.saturating_sub(ATTEMPT_MARGIN);
+        let until = if timeout == 0 { last } else { last.min(self.now + timeout) };
+        // Whatever the module asks for: one attempt at a time, no more than allowed, none after its time.
+        let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
+        let attempt = Attempt {
+            request,
+            number,
+            backend,
+            passed: open.passed.clone(),
+            until: self.clock.instant(until),
+        };
+        let started = if may { self.fleet.start(attempt) } else { Err(attempt) };
+        match started {
+            Ok(cancel) => {
+                self.figures.attempts += 1;
+                open.out = Some((number, Some(cancel)));
+            }
+            Err(Attempt { backend, .. }) => {
+                self.finished(request, number, backend, Outcome::NotSent, 0, Vec::new())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/instance.rs
@@ -0,0 +1,445 @@
+//! Instances (limit servers): their connections, and the attempts made on them.
+//!
+//! hyper's connection is driven by hand, in the attempt's own task: nothing is sent twice behind our back, a
+//! connection closes the moment its attempt is dropped, and an attempt costs no second task.
+
+use std::collections::HashMap;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use applewall::api::{BackendId, ListKind, LoadField, MemberState, Outcome, RequestId};
+use applewall::wire::Facts;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
+use hyper::client::conn::http1;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
+
+use super::command::Passed;
+use super::engine::Message;
+use super::name_table::Entry;
+use super::BODY_MOST;
+
+/// Part of the instance's idle limit after which we close a connection ourselves: crossing it is a reset.
+const IDLE_PART: f64 = 0.6;
+/// By which the last send to a draining instance comes before the rule's limit.
+const DRAIN_MARGIN: Duration = Duration::from_millis(100);
+
+/// Drives a connection while some work goes on over it; `None` if it ended with the work undone.
+pub async fn drive<I, B, F>(connection: &mut http1::Connection<I, B>, work: F) -> Option<F::Output>
+where
+    I: Read + Write + Unpin,
+    B: Body + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    F: Future,
+{
+    let mut work = pin!(work);
+    poll_fn(|cx| {
+        if let Poll::Ready(done) = work.as_mut().poll(cx) {
+            return Poll::Ready(Some(done));
+        }
+        let ended = Pin::new(&mut *connection).poll(cx).is_ready();
+        match work.as_mut().poll(cx) {
+            Poll::Ready(done) => Poll::Ready(Some(done)),
+            Poll::Pending if ended => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+/// A stream that counts what is written: the evidence on whether a request can have arrived.
+struct Counted {
+    stream: TokioIo<TcpStream>,
+    written: Arc<AtomicU64>,
+}
+
+impl Counted {
+    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = poll {
+            self.written.fetch_add(n as u64, Ordering::Relaxed);
+        }
+        poll
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(poll)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count(poll)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection to an instance; its place in the budget comes back when it is dropped.
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: http1::Connection<Counted, Full<Bytes>>,
+    written: Arc<AtomicU64>,
+    endpoint: SocketAddr,
+    since: Instant,
+    place: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Lets the connection notice what has happened to it; false if it can't take a request.
+    async fn usable(&mut self) -> bool {
+        let (sender, driver) = (&mut self.sender, &mut self.driver);
+        poll_fn(|cx| {
+            let ended = Pin::new(&mut *driver).poll(cx).is_ready();
+            Poll::Ready(!ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
+        })
+        .await
+    }
+
+    /// Closes it and gives its place on.
+    fn close(self) -> OwnedSemaphorePermit {
+        self.place
+    }
+}
+
+/// What an attempt starts with: an idle connection, or a place for a new one.
+enum Pooled {
+    Idle(Connection),
+    Place(OwnedSemaphorePermit),
+}
+
+/// What is known of an instance, and its idle connections.
+struct State {
+    endpoint: SocketAddr,
+    /// Since when it is to get nothing new.
+    drained: Option<Instant>,
+    idle: Vec<Connection>,
+}
+
+/// One instance.
+pub struct Instance {
+    state: Mutex<State>,
+}
+
+impl Instance {
+    fn state(&self) -> MutexGuard<'_, State> {
+        // Nothing panics while it holds the lock; if it did, the state would still be whole.
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// Limits on connections to instances.
+struct Limits {
+    dial: Duration,
+    idle: Duration,
+    stop_sending: Duration,
+}
+
+/// All instances that the name table has named.
+pub struct Fleet {
+    instances: HashMap<BackendId, Arc<Instance>>,
+    places: Arc<Semaphore>,
+    limits: Arc<Limits>,
+    load_fields: Arc<[LoadField]>,
+    queue: mpsc::Sender<Message>,
+}
+
+/// An attempt that is to be made.
+pub struct Attempt {
+    pub request: RequestId,
+    pub number: u32,
+    pub backend: BackendId,
+    pub passed: Arc<Passed>,
+    /// When it is given up.
+    pub until: Instant,
+}
+
+/// How an attempt ended; its connection is idle or closed by now.
+#[derive(Debug)]
+pub struct Ended {
+    pub request: RequestId,
+    pub number: u32,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    pub latency: Duration,
+    pub load: Vec<f64>,
+    /// The answer, where it was served.
+    pub served: Option<(Bytes, Option<HeaderValue>)>,
+}
+
+impl Fleet {
+    /// None yet, and room for so many connections; attempts report to the queue.
+    pub fn new(facts: &Facts, places: usize, queue: mpsc::Sender<Message>) -> Self {
+        let limits = Limits {
+            dial: Duration::from_nanos(facts.dial_timeout),
+            idle: Duration::from_nanos(facts.conn_idle).mul_f64(IDLE_PART),
+            stop_sending: Duration::from_nanos(facts.stop_sending).saturating_sub(DRAIN_MARGIN),
+        };
+        Fleet {
+            instances: HashMap::new(),
+            places: Arc::new(Semaphore::new(places)),
+            limits: Arc::new(limits),
+            load_fields: facts.settings.load_fields.as_slice().into(),
+            queue,
+        }
+    }
+
+    /// Takes in news of the name table.
+    pub fn update(&mut self, kind: ListKind, entries: &[Entry]) {
+        let now = Instant::now();
+        if kind != ListKind::Delta {
+            // What a whole list leaves out is gone; what it names is put right below.
+            for instance in self.instances.values() {
+                instance.state().drained.get_or_insert(now);
+            }
+        }
+        for Entry { member, endpoint } in entries {
+            let ready = member.state == MemberState::Ready;
+            let instance = self.instances.entry(member.backend.clone()).or_insert_with(|| {
+                let state = State { endpoint: *endpoint, drained: None, idle: Vec::new() };
+                Arc::new(Instance { state: Mutex::new(state) })
+            });
+            let mut state = instance.state();
+            state.endpoint = *endpoint;
+            state.drained = if ready { None } else { Some(state.drained.unwrap_or(now)) };
+            state.idle.retain(|c| ready && c.endpoint == *endpoint);
+        }
+        // Attempts that are out hold their instance by themselves.
+        self.instances.retain(|_, i| i.state().drained.is_none_or(|since| since == now));
+    }
+
+    /// Closes idle connections to one instance.
+    pub fn close(&self, backend: &BackendId) {
+        self.instances.get(backend).into_iter().for_each(|i| i.state().idle.clear());
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn sweep(&self) {
+        for instance in self.instances.values() {
+            instance.state().idle.retain(|c| c.since.elapsed() < self.limits.idle);
+        }
+    }
+
+    /// Idle connections.
+    pub fn idle(&self) -> usize {
+        self.instances.values().map(|i| i.state().idle.len()).sum()
+    }
+
+    /// A place for a new connection; where all are taken, the connection that has been idle longest goes.
+    fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = self.places.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        let oldest = |i: &&Arc<Instance>| i.state().idle.first().map(|c| c.since);
+        let longest = self.instances.values().filter(|i| oldest(i).is_some()).min_by_key(oldest)?;
+        drop(longest.state().idle.remove(0));
+        self.places.clone().try_acquire_owned().ok()
+    }
+
+    /// Starts an attempt in a task of its own, which reports once. Dropping what comes back cancels it.
+    pub fn start(&self, attempt: Attempt) -> Result<oneshot::Sender<()>, Attempt> {
+        let Some(instance) = self.instances.get(&attempt.backend) else { return Err(attempt) };
+        let idle = instance.state().idle.pop();
+        let pooled = idle.map(Pooled::Idle).or_else(|| self.place().map(Pooled::Place));
+        let Some(pooled) = pooled else { return Err(attempt) };
+        let (cancel, cancelled) = oneshot::channel();
+        let (instance, limits, fields) = (instance.clone(), self.limits.clone(), self.load_fields.clone());
+        let queue = self.queue.clone();
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let Attempt { request, number, backend, passed, until } = attempt;
+            // Whichever ends first drops the others, and a connection in use with them: it is closed before
+            // the report, so that nothing else of the request can go out while it is open.
+            let result = tokio::select! {
+                biased;
+                result = make(&instance, &limits, pooled, &passed, until) => result,
+                _ = cancelled => Err(Outcome::Cancelled),
+                () = tokio::time::sleep_until(until.into()) => Err(Outcome::TimedOut),
+            };
+            let mut ended = Ended {
+                request,
+                number,
+                backend,
+                outcome: Outcome::TimedOut,
+                latency: started.elapsed(),
+                load: Vec::new(),
+                served: None,
+            };
+            match result {
+                Ok((status, headers, body)) => {
+                    ended.outcome = outcome(status, &headers);
+                    ended.load = load(&headers, &fields);
+                    let kind = headers.get(CONTENT_TYPE).cloned();
+                    ended.served = (ended.outcome == Outcome::Ok).then_some((body, kind));
+                }
+                Err(outcome) => ended.outcome = outcome,
+            }
+            let _ = queue.send(Message::Ended(ended)).await;
+        });
+        Ok(cancel)
+    }
+}
+
+/// What an answer says: only its mark proves that the request never ran.
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let unprocessed = || headers.get("x-unprocessed").is_some_and(|v| v.as_bytes() == b"1");
+    match status.as_u16() {
+        200 => Outcome::Ok,
+        503 | 504 if unprocessed() => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// The load report in the order of the settings; empty where there is none or it is garbage.
+fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
+    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else { return Vec::new() };
+    let value = |field: &LoadField| {
+        let name = match field {
+            LoadField::Utilization => "util",
+            LoadField::Outstanding => "inflight",
+            LoadField::Other => return Some(0.0),
+        };
+        let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
+        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v: &f64| v.is_finite())
+    };
+    fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+}
+
+/// Makes one attempt on a connection; an error is how it ended without an answer.
+async fn make(
+    instance: &Instance,
+    limits: &Limits,
+    pooled: Pooled,
+    passed: &Passed,
+    until: Instant,
+) -> Result<(StatusCode, HeaderMap, Bytes), Outcome> {
+    let mut connection = match pooled {
+        Pooled::Idle(mut connection) => match connection.usable().await {
+            true => connection,
+            // It ended while idle, and nothing was written on it: its place goes to a new one.
+            false => dial(instance, limits, connection.close()).await?,
+        },
+        Pooled::Place(place) => dial(instance, limits, place).await?,
+    };
+    // A drain may have been told while the attempt dialled.
+    if instance.state().drained.is_some_and(|since| since.elapsed() > limits.stop_sending) {
+        return Err(Outcome::Full);
+    }
+    let request = request(passed, connection.endpoint, until).ok_or(Outcome::NotSent)?;
+    let before = connection.written.load(Ordering::Relaxed);
+    let sender = &mut connection.sender;
+    let exchange = async {
+        let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+        let body = Limited::new(body, BODY_MOST).collect().await.ok()?;
+        Some((parts.status, parts.headers, body.to_bytes()))
+    };
+    let Some(answer) = drive(&mut connection.driver, exchange).await.flatten() else {
+        // Not a byte was written: it never ran. Otherwise it may have: part of it may have been the whole.
+        let written = connection.written.load(Ordering::Relaxed) > before;
+        return Err(if written { Outcome::Reset } else { Outcome::NoConnection });
+    };
+    if connection.usable().await {
+        connection.since = Instant::now();
+        let mut state = instance.state();
+        if state.drained.is_none() && state.endpoint == connection.endpoint {
+            state.idle.push(connection);
+        }
+    }
+    Ok(answer)
+}
+
+/// Opens a connection, within the dial's time.
+async fn dial(
+    instance: &Instance,
+    limits: &Limits,
+    place: OwnedSemaphorePermit,
+) -> Result<Connection, Outcome> {
+    let endpoint = instance.state().endpoint;
+    let dialled = tokio::time::timeout(limits.dial, TcpStream::connect(endpoint)).await;
+    let Ok(Ok(stream)) = dialled else { return Err(Outcome::NoConnection) };
+    let _ = stream.set_nodelay(true);
+    let written = Arc::new(AtomicU64::new(0));
+    let counted = Counted { stream: TokioIo::new(stream), written: written.clone() };
+    let (sender, driver) = http1::handshake(counted).await.map_err(|_| Outcome::NoConnection)?;
+    let mut connection = Connection { sender, driver, written, endpoint, since: Instant::now(), place };
+    match connection.usable().await {
+        true => Ok(connection),
+        false => Err(Outcome::NoConnection),
+    }
+}
+
+/// The request as it goes to an instance.
+fn request(passed: &Passed, endpoint: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
+    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let host = passed.host.clone().or_else(|| HeaderValue::try_from(endpoint.to_string()).ok())?;
+    let mut request = Request::builder()
+        .method(passed.method.clone())
+        .uri(passed.target.clone())
+        .header(HOST, host)
+        .header("x-correlation-id", &passed.id)
+        .header("x-time-left-ms", left);
+    if let Some(kind) = &passed.content_type {
+        request = request.header(CONTENT_TYPE, kind);
+    }
+    request.body(Full::new(passed.body.clone())).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_mark_proves_that_a_request_never_ran() {
+        let mark = |value: &'static str| {
+            HeaderMap::from_iter([("x-unprocessed".parse().unwrap(), HeaderValue::from_static(value))])
+        };
+        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("1")), Outcome::Full);
+        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &mark("1")), Outcome::Full);
+        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("0")), Outcome::Error);
+        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")), Outcome::Error);
+        assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Ok);
+    }
+
+    #[test]
+    fn load_reports_are_read_by_name_and_garbage_is_none() {
+        let read = |text: &'static str| {
+            let headers =
+                HeaderMap::from_iter([("x-backend-load".parse().unwrap(), HeaderValue::from_static(text))]);
+            load(&headers, &[LoadField::Utilization, LoadField::Outstanding])
+        };
+        assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
+        for garbage in ["", "util", "util=,inflight=1", "util=NaN,inflight=1", "util=0.5"] {
+            assert!(read(garbage).is_empty(), "{garbage}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,63 @@
+//! The real ingress: sockets round the decision module, by stage of a request.
+//!
+//! `accept` takes connections of service clients, `command` reads a request into the module's terms, `engine`
+//! owns the module and all that is open, `instance` carries out attempts, `answer` writes what comes of it.
+//! `name_table` follows discovery, `peers` carries datagrams, `shutdown` leads the way out. All of them reach
+//! the engine by its queue only.
+
+pub mod accept;
+pub mod answer;
+pub mod clock;
+pub mod command;
+pub mod config;
+pub mod engine;
+pub mod instance;
+pub mod name_table;
+pub mod peers;
+pub mod shutdown;
+
+use std::fmt::Arguments;
+use std::io::Write;
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, watch};
+
+/// Bodies hold this at most, in both directions.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Messages that wait for the engine at most; senders wait for room, or drop what may be lost.
+const QUEUE: usize = 1024;
+
+/// Writes one line for the operators; a closed standard error must not end the program.
+pub fn log(line: Arguments) {
+    let _ = writeln!(std::io::stderr(), "applewall: {line}");
+}
+
+/// Runs the ingress until it is told to stop and all that it took is answered.
+pub fn serve(config: config::Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(run(config))
+}
+
+async fn run(config: config::Config) -> Result<(), String> {
+    // First of all: a SIGTERM that comes early must not kill.
+    let signals = shutdown::Signals::new()?;
+    let clock = clock::Clock::start();
+    let (queue, inbox) = mpsc::channel(QUEUE);
+    let peers = peers::Peers::bind(&config).await?.map(Arc::new);
+    let listener = accept::bind(config.listen)?;
+    let engine = engine::Engine::new(&config, clock, peers.clone(), queue.clone());
+    let (stage, stages) = watch::channel(shutdown::Stage::Serving);
+    log(format_args!("serving {}", config.summary()));
+    let mut engine = tokio::spawn(engine.run(inbox));
+    if let Some(peers) = peers {
+        tokio::spawn(peers.listen(queue.clone()));
+    }
+    tokio::spawn(name_table::follow(config.discovery, config.facts.clone(), clock, queue.clone()));
+    tokio::spawn(signals.lead(stage));
+    let door = accept::Door::new(&config, queue, stages);
+    tokio::select! {
+        () = door.serve(listener) => Ok(log(format_args!("stopped"))),
+        // A panic of the module ends the program: nothing could be answered without it.
+        ended = &mut engine => Err(format!("the engine stopped: {ended:?}")),
+    }
+}
--- /dev/null
+++ b/src/net/name_table.rs
@@ -0,0 +1,172 @@
+//! The name table: discovery's list, taken whole at first and followed by a watch.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use applewall::api::{ListKind, Member, MemberState};
+use applewall::wire::Facts;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::clock::Clock;
+use super::engine::Message;
+use super::instance::drive;
+
+/// How long a watch asks to wait.
+const WAIT: Duration = Duration::from_secs(5);
+/// By which an answer may come later than asked for.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// First and longest wait after an error; it doubles.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// A list holds this at most: bounds memory against a discovery gone wild.
+const LIST_MOST: usize = 4 * 1024 * 1024;
+
+/// One answer of discovery, also the form of `known` in the configuration.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Answer {
+    pub rev: u64,
+    #[serde(default)]
+    pub all: bool,
+    /// Read one by one: a malformed entry must not take the others with it.
+    #[serde(default)]
+    pub targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    pod_group: Option<i64>,
+    state: String,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+/// One instance as the name table has it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub member: Member,
+    pub endpoint: SocketAddr,
+}
+
+impl Answer {
+    /// The entries in the module's terms; what is malformed is left out and said so.
+    pub fn entries(&self, facts: &Facts, clock: &Clock) -> Vec<Entry> {
+        let read = |value: &Value| match entry(value, facts, clock) {
+            Ok(entry) => Some(entry),
+            Err(reason) => {
+                super::log(format_args!("name table: an entry of revision {} left out: {reason}", self.rev));
+                None
+            }
+        };
+        self.targets.iter().filter_map(read).collect()
+    }
+}
+
+fn entry(value: &Value, facts: &Facts, clock: &Clock) -> Result<Entry, String> {
+    let target = Target::deserialize(value).map_err(|e| e.to_string())?;
+    let state = match target.state.as_str() {
+        "in_service" => MemberState::Ready,
+        "terminating" => MemberState::Draining,
+        "terminated" => MemberState::Gone,
+        other => return Err(format!("unknown state '{other}'")),
+    };
+    let member = Member {
+        backend: target.uid.into(),
+        scale: target.capacity_hint,
+        started: clock.from_unix(target.boot_ms),
+        zone: facts.zone(&target.az),
+        cell: target.pod_group.unwrap_or(-1),
+        state,
+    };
+    Ok(Entry { member, endpoint: target.endpoint })
+}
+
+/// Follows the name table for as long as the engine lives.
+pub async fn follow(discovery: SocketAddr, facts: Arc<Facts>, clock: Clock, queue: mpsc::Sender<Message>) {
+    let mut backoff = BACKOFF.0;
+    let mut lost = false;
+    loop {
+        let reason = match watch(discovery, &facts, &clock, &queue, &mut backoff, &mut lost).await {
+            Ok(()) => return,
+            Err(reason) => reason,
+        };
+        // Once a loss, however many tries it takes to get back.
+        if !std::mem::replace(&mut lost, true) {
+            super::log(format_args!("name table: lost discovery {discovery}: {reason}"));
+        }
+        tokio::time::sleep(backoff).await;
+        backoff = (backoff * 2).min(BACKOFF.1);
+    }
+}
+
+/// One connection's worth of following: the whole list, then each watch at once after the last answer.
+/// Ends well when the engine is gone.
+async fn watch(
+    discovery: SocketAddr,
+    facts: &Facts,
+    clock: &Clock,
+    queue: &mpsc::Sender<Message>,
+    backoff: &mut Duration,
+    lost: &mut bool,
+) -> Result<(), String> {
+    let late = |_| "no answer in time".to_string();
+    let stream = timeout(PATIENCE, TcpStream::connect(discovery)).await.map_err(late)?;
+    let stream = stream.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (mut sender, mut connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let mut rev = None;
+    loop {
+        let (path, wait) = match rev {
+            None => ("/v1/servers".to_string(), Duration::ZERO),
+            Some(rev) => (format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()), WAIT),
+        };
+        let call = async {
+            sender.ready().await.map_err(|e| e.to_string())?;
+            let request =
+                Request::builder().method(Method::GET).uri(path).header(HOST, discovery.to_string());
+            let request = request.body(Full::<Bytes>::default()).map_err(|e| e.to_string())?;
+            let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
+            Ok::<_, String>((status, body.map_err(|e| e.to_string())?.to_bytes()))
+        };
+        let answered = timeout(wait + PATIENCE, drive(&mut connection, call)).await.map_err(late)?;
+        let (status, body) = answered.ok_or("the connection ended")??;
+        if status != StatusCode::OK {
+            return Err(format!("status {status}"));
+        }
+        let answer: Answer = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+        if rev.is_none() && !answer.all {
+            return Err("asked for the whole list, got changes".to_string());
+        }
+        if std::mem::take(lost) {
+            super::log(format_args!("name table: discovery is back, revision {}", answer.rev));
+        }
+        *backoff = BACKOFF.0;
+        rev = Some(answer.rev);
+        let kind = if answer.all { ListKind::Full } else { ListKind::Delta };
+        if answer.all || !answer.targets.is_empty() {
+            let entries = answer.entries(facts, clock);
+            if queue.send(Message::Table(kind, entries)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/peers.rs
@@ -0,0 +1,69 @@
+//! Datagrams between ingresses: small, late or lost, and only of senders that the configuration names.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use super::config::Config;
+use super::engine::Message;
+
+/// Bytes of a datagram at most; a longer one breaks the protocol.
+const MOST: usize = 256;
+/// Wait after an error of the socket, so that a lasting one does not spin.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// The socket for datagrams and the addresses at its other end.
+pub struct Peers {
+    socket: UdpSocket,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+    me: usize,
+}
+
+impl Peers {
+    /// Binds the socket, where the configuration names one and the settings allow messages.
+    pub async fn bind(config: &Config) -> Result<Option<Self>, String> {
+        let settings = &config.facts.settings;
+        let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else { return Ok(None) };
+        let socket = UdpSocket::bind(address).await.map_err(|e| format!("peer_listen {address}: {e}"))?;
+        let (peers, me) = (config.peers.clone(), settings.me as usize);
+        Ok(Some(Peers { socket, peers, all: config.peers_all, me }))
+    }
+
+    /// Sends text to one peer, or to all; what the socket has no room for is lost, as datagrams may be.
+    pub fn tell(&self, peer: Option<u32>, text: &str) {
+        if text.len() > MOST {
+            return;
+        }
+        let send = |to: &SocketAddr| {
+            let _ = self.socket.try_send_to(text.as_bytes(), *to);
+        };
+        match (peer, &self.all) {
+            (Some(number), _) => self.peers.get(number as usize).into_iter().for_each(send),
+            (None, Some(all)) => send(all),
+            (None, None) => {
+                let others = self.peers.iter().enumerate().filter(|(i, _)| *i != self.me);
+                others.for_each(|(_, to)| send(to));
+            }
+        }
+    }
+
+    /// Takes datagrams in; garbage, strangers and what the queue has no room for are dropped.
+    pub async fn listen(self: Arc<Self>, queue: mpsc::Sender<Message>) {
+        let mut buffer = [0; MOST + 1];
+        loop {
+            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            let from = self.peers.iter().position(|p| *p == sender).filter(|p| *p != self.me);
+            let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MOST);
+            if let (Some(from), Some(text)) = (from, text) {
+                let _ = queue.try_send(Message::Peer { from: from as u32, text: text.to_string() });
+            }
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -59,11 +59,32 @@
 pub struct Facts {
     /// What the module is told.
     pub settings: Settings,
+    /// An idle connection to a backend is closed after this.
+    pub conn_idle: u64,
+    /// A connection not up within this is given up.
+    pub dial_timeout: u64,
+    /// Nothing new goes to a backend this long after it was told to drain.
+    pub stop_sending: u64,
     classes: HashMap<String, usize>,
     plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
 }
 
+impl Facts {
+    /// Index of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+    /// Index of a plan.
+    pub fn plan(&self, name: &str) -> Option<usize> {
+        self.plans.get(name).copied()
+    }
+    /// Number of a zone; one that the settings do not name is no gateway's own.
+    pub fn zone(&self, name: &str) -> u32 {
+        self.zones.get(name).copied().unwrap_or(u32::MAX - 1)
+    }
+}
+
 #[derive(Deserialize)]
 struct WireFacts {
     areas: Vec<String>,
@@ -133,6 +154,8 @@
     cold_ns: u64,
     overload_factor: f64,
     fall_ns: u64,
+    #[serde(default = "half_second")]
+    stop_sending_within_ns: u64,
 }
 
 #[derive(Deserialize)]
@@ -143,6 +166,10 @@
     peer_messages: bool,
     second_copies: bool,
     may_cancel: bool,
+    #[serde(default = "ten_seconds")]
+    conn_idle_ns: u64,
+    #[serde(default = "half_second")]
+    dial_timeout_ns: u64,
 }
 
 #[derive(Deserialize)]
@@ -159,7 +186,16 @@
     1.0
 }
 
-fn facts(value: &Value) -> Result<Facts, String> {
+fn half_second() -> u64 {
+    500_000_000
+}
+
+fn ten_seconds() -> u64 {
+    10_000_000_000
+}
+
+/// Reads the settings object.
+pub fn facts(value: &Value) -> Result<Facts, String> {
     let wire = WireFacts::deserialize(value).map_err(|e| format!("facts: {e}"))?;
     let zones: HashMap<String, u32> = wire.areas.iter().cloned().zip(0..).collect();
     let class = |c: &WireClass| {
@@ -226,6 +262,9 @@
     };
     Ok(Facts {
         settings,
+        conn_idle: wire.permissions.conn_idle_ns,
+        dial_timeout: wire.permissions.dial_timeout_ns,
+        stop_sending: wire.obligations.stop_sending_within_ns,
         classes: wire.classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
         plans: wire.tariffs.iter().map(|p| p.name.clone()).zip(0..).collect(),
         zones,
@@ -331,7 +370,7 @@
             backend: BackendId::from(f.text(2, "backend")?),
             scale: f.num_or_0(1, "scale")?,
             started: (started > 0).then_some(started),
-            zone: facts.zones.get(f.text(4, "region_part")?).copied().unwrap_or(u32::MAX - 1),
+            zone: facts.zone(f.text(4, "region_part")?),
             cell,
             state,
         })
