--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Build, test, lint and run; `make check` is what CI calls.
+MODULE := src/brain.rs
+MOST := 990
+
+.PHONY: build test lint lines check run clean
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --all-targets --locked -- -D warnings
+
+lines:
+	@lines=$$(grep -cv '^[[:space:]]*$$' $(MODULE)); \
+	if [ $$lines -gt $(MOST) ]; then echo "$(MODULE): $$lines non-blank lines, $(MOST) at most"; exit 1; fi
+	@if grep -nE '^.{111,}$$' $(MODULE); then echo "$(MODULE): lines over 110 columns"; exit 1; fi
+
+check: lines lint test
+
+# Needs GW_CONFIG: the path of a configuration (see README.md).
+run: build
+	target/release/applewall serve
+
+clean:
+	cargo clean
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -34,16 +34,18 @@
     sockets.saturating_sub(RESERVE) / 2
 }
 
-/// Listens.
-pub fn bind(address: SocketAddr) -> Result<TcpListener, String> {
-    let listen = || -> io::Result<TcpListener> {
+/// Listens; where the port was left open, the address is put right.
+pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
+    let told = *address;
+    let mut listen = || -> io::Result<TcpListener> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         // The address is ours again right after a restart.
         socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
+        socket.bind(told)?;
+        *address = socket.local_addr()?;
         socket.listen(BACKLOG)
     };
-    listen().map_err(|e| format!("cannot listen on {address}: {e}"))
+    listen().map_err(|e| format!("cannot listen on {told}: {e}"))
 }
 
 /// The door and its budget of connections.
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -36,7 +36,7 @@
 
     /// Brings a Unix time in milliseconds onto this clock; 0 means long ago. What lies before the clock's
     /// beginning is its beginning: known, and long past.
-    pub fn from_unix(&self, unix_ms: u64) -> Option<u64> {
+    pub fn of_unix(&self, unix_ms: u64) -> Option<u64> {
         let since = i128::from(unix_ms) - i128::from(self.unix_ms);
         let at = i128::from(START) + since * 1_000_000;
         (unix_ms > 0).then(|| u64::try_from(at.max(1)).unwrap_or(u64::MAX))
@@ -50,11 +50,11 @@
     #[test]
     fn unix_times_keep_their_distance_from_now() {
         let clock = Clock { origin: Instant::now(), unix_ms: 1_700_000_000_000 };
-        assert_eq!(clock.from_unix(1_700_000_000_000), Some(START));
-        assert_eq!(clock.from_unix(1_699_999_998_500), Some(START - 1_500_000_000));
-        assert_eq!(clock.from_unix(1_700_000_000_250), Some(START + 250_000_000));
+        assert_eq!(clock.of_unix(1_700_000_000_000), Some(START));
+        assert_eq!(clock.of_unix(1_699_999_998_500), Some(START - 1_500_000_000));
+        assert_eq!(clock.of_unix(1_700_000_000_250), Some(START + 250_000_000));
         // 0 is no time; before our beginning is not 'long ago', which the module reads as unknown.
-        assert_eq!(clock.from_unix(0), None);
-        assert_eq!(clock.from_unix(5), Some(1));
+        assert_eq!(clock.of_unix(0), None);
+        assert_eq!(clock.of_unix(5), Some(1));
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -75,8 +75,9 @@
 
     /// One line on what is described.
     pub fn summary(&self) -> String {
+        let datagrams = self.peer_listen.map_or(String::new(), |at| format!(", datagrams on {at}"));
         format!(
-            "{} on {}, discovery {}, {} known instances, {} peers, {} descriptors",
+            "{} on {}{datagrams}, discovery {}, {} known instances, {} peers, {} descriptors",
             self.name,
             self.listen,
             self.discovery,
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -108,7 +108,8 @@
 /// A connection to an instance; its place in the budget comes back when it is dropped.
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: http1::Connection<Counted, Full<Bytes>>,
+    /// On the heap: it is large, and moves between the pool and its attempts.
+    driver: Box<http1::Connection<Counted, Full<Bytes>>>,
     written: Arc<AtomicU64>,
     endpoint: SocketAddr,
     since: Instant,
@@ -120,7 +121,7 @@
     async fn usable(&mut self) -> bool {
         let (sender, driver) = (&mut self.sender, &mut self.driver);
         poll_fn(|cx| {
-            let ended = Pin::new(&mut *driver).poll(cx).is_ready();
+            let ended = Pin::new(&mut **driver).poll(cx).is_ready();
             Poll::Ready(!ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
         })
         .await
@@ -391,6 +392,7 @@
     let written = Arc::new(AtomicU64::new(0));
     let counted = Counted { stream: TokioIo::new(stream), written: written.clone() };
     let (sender, driver) = http1::handshake(counted).await.map_err(|_| Outcome::NoConnection)?;
+    let driver = Box::new(driver);
     let mut connection = Connection { sender, driver, written, endpoint, since: Instant::now(), place };
     match connection.usable().await {
         true => Ok(connection),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,13 +38,13 @@
     runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(run(config))
 }
 
-async fn run(config: config::Config) -> Result<(), String> {
+async fn run(mut config: config::Config) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
     let clock = clock::Clock::start();
     let (queue, inbox) = mpsc::channel(QUEUE);
-    let peers = peers::Peers::bind(&config).await?.map(Arc::new);
-    let listener = accept::bind(config.listen)?;
+    let peers = peers::Peers::bind(&mut config).await?.map(Arc::new);
+    let listener = accept::bind(&mut config.listen)?;
     let engine = engine::Engine::new(&config, clock, peers.clone(), queue.clone());
     let (stage, stages) = watch::channel(shutdown::Stage::Serving);
     log(format_args!("serving {}", config.summary()));
@@ -56,7 +56,10 @@
     tokio::spawn(signals.lead(stage));
     let door = accept::Door::new(&config, queue, stages);
     tokio::select! {
-        () = door.serve(listener) => Ok(log(format_args!("stopped"))),
+        () = door.serve(listener) => {
+            log(format_args!("stopped"));
+            Ok(())
+        }
         // A panic of the module ends the program: nothing could be answered without it.
         ended = &mut engine => Err(format!("the engine stopped: {ended:?}")),
     }
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -89,7 +89,7 @@
     let member = Member {
         backend: target.uid.into(),
         scale: target.capacity_hint,
-        started: clock.from_unix(target.boot_ms),
+        started: clock.of_unix(target.boot_ms),
         zone: facts.zone(&target.az),
         cell: target.pod_group.unwrap_or(-1),
         state,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -24,11 +24,14 @@
 }
 
 impl Peers {
-    /// Binds the socket, where the configuration names one and the settings allow messages.
-    pub async fn bind(config: &Config) -> Result<Option<Self>, String> {
-        let settings = &config.facts.settings;
+    /// Binds the socket, where the configuration names one and the settings allow messages; where the port was
+    /// left open, the address is put right.
+    pub async fn bind(config: &mut Config) -> Result<Option<Self>, String> {
+        let settings = config.facts.clone();
+        let settings = &settings.settings;
         let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else { return Ok(None) };
         let socket = UdpSocket::bind(address).await.map_err(|e| format!("peer_listen {address}: {e}"))?;
+        config.peer_listen = socket.local_addr().ok();
         let (peers, me) = (config.peers.clone(), settings.me as usize);
         Ok(Some(Peers { socket, peers, all: config.peers_all, me }))
     }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 /// New connections keep coming for 0.2 to 0.4 s after SIGTERM; they are served for a little longer.
-const LEAVING: Duration = Duration::from_millis(500);
+const LEAVING: Duration = Duration::from_millis(600);
 /// After that, what was taken has the longest deadline to be answered; then the program ends in any case.
 pub const CLOSING: Duration = Duration::from_millis(3_100);
 
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,72 @@
+//! The command line and the configuration: what is wrong ends the program with one plain line.
+
+use std::process::{Command, Output};
+
+fn run(arguments: &[&str], config: Option<(&str, &str)>) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_applewall"));
+    command.args(arguments).env_clear();
+    if let Some((name, text)) = config {
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+        std::fs::write(&path, text).unwrap();
+        command.env("GW_CONFIG", path);
+    }
+    command.output().unwrap()
+}
+
+fn fails(out: Output, reason: &str) {
+    let text = String::from_utf8(out.stderr).unwrap();
+    assert!(!out.status.success() && text.lines().count() == 1 && text.contains(reason), "{reason}: {text}");
+}
+
+/// The configuration of the exchanges, with addresses and one part changed.
+fn config(from: &str, to: &str) -> String {
+    let text = include_str!("exchanges/config.json").replace(from, to);
+    ["@discovery", "@peer0", "@peer1", "@s1"].iter().fold(text, |t, name| t.replace(name, "127.0.0.1:9"))
+}
+
+#[test]
+fn says_its_version_and_checks_a_configuration() {
+    let version = run(&["version"], None);
+    assert_eq!(version.stdout, format!("applewall {}\n", env!("CARGO_PKG_VERSION")).into_bytes());
+    let check = run(&["check"], Some(("good", &config("", ""))));
+    let text = String::from_utf8(check.stdout).unwrap();
+    assert!(check.status.success() && text.starts_with("n0 on 127.0.0.1:0, datagrams on "), "{text}");
+}
+
+#[test]
+fn wrong_words_end_with_one_plain_line() {
+    let cases: [(&[&str], &str); 5] = [
+        (&[], "usage: "),
+        (&["dance"], "unknown sub-command 'dance'"),
+        (&["serve", "twice"], "unexpected argument"),
+        (&["--loud"], "invalid option '--loud'"),
+        (&["serve"], "GW_CONFIG is not set"),
+    ];
+    for (arguments, reason) in cases {
+        fails(run(arguments, None), reason);
+    }
+}
+
+#[test]
+fn a_wrong_configuration_ends_with_one_plain_line() {
+    let cases = [
+        ("\"settings\"", "\"other\"", "missing field `settings`"),
+        ("\"name\": \"n0\"", "\"name\": 0", "expected a string"),
+        ("8c1f30d27a5be964", "xyz", "seed: 'xyz' is not hex digits"),
+        ("\"sockets\": 1024", "\"sockets\": 3", "3 descriptors are too few"),
+        ("127.0.0.1:0", "nowhere", "invalid socket address"),
+        ("retryable", "sometimes", "unknown idempotency 'sometimes'"),
+        ("\"name\": \"n0\"", "", "GW_CONFIG: "),
+    ];
+    for (i, (from, to, reason)) in cases.into_iter().enumerate() {
+        fails(run(&["serve"], Some((&format!("bad{i}"), &config(from, to)))), reason);
+    }
+}
+
+#[test]
+fn an_address_that_cannot_be_had_ends_with_one_plain_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = config("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{address}\""));
+    fails(run(&["serve"], Some(("taken", &text))), &format!("cannot listen on {address}"));
+}
--- /dev/null
+++ b/tests/exchanges.rs
@@ -0,0 +1,236 @@
+//! Recorded exchanges, played against the real program over loopback; what it says is compared.
+//!
+//! An exchange is a text file of steps, one a line, done in order:
+//!
+//! - `set KEY VALUE`: changes the configuration (`tests/exchanges/config.json`), by a JSON pointer;
+//! - `start`: starts the program; `known` names instance `s1`, which listens already;
+//! - `deaf NAME`: that party no longer listens;
+//! - `NAME accept FROM`: NAME is the next connection that comes in at FROM (`s1`, `discovery`);
+//! - `NAME connect`: NAME is a new connection of a service client;
+//! - `NAME sends`: the lines below that start with `| ` go out, each with CRLF (`|=TEXT` is a body
+//!   with its length before it, `|*N TEXT` one of N times TEXT; @NAME stands for an address);
+//! - `NAME gets`: one whole message, or the end of the connection, is read and noted;
+//! - `NAME ends`: the connection is closed from here;
+//! - `NAME throws TEXT`, `NAME catches`: a datagram from `peer0`, `peer1` or `stranger`, or to them;
+//! - `log TEXT`: reads the log up to a line with that in it; `term`: SIGTERM; `exit`: notes how it ended.
+//!
+//! Nothing waits for a time: each step waits for bytes, and gives up after far longer than any step takes.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+use serde_json::Value;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const DATAGRAMS: [&str; 3] = ["peer0", "peer1", "stranger"];
+
+#[derive(Default)]
+struct Stage {
+    listeners: HashMap<String, TcpListener>,
+    streams: HashMap<String, BufReader<TcpStream>>,
+    sockets: HashMap<String, UdpSocket>,
+    addresses: HashMap<String, SocketAddr>,
+    config: Value,
+    program: Option<(Child, Receiver<String>)>,
+    notes: String,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some((child, _)) = &mut self.program {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Stage {
+    fn new() -> Self {
+        let mut stage = Stage::default();
+        for name in ["s1", "discovery"] {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            stage.addresses.insert(name.into(), listener.local_addr().unwrap());
+            stage.listeners.insert(name.into(), listener);
+        }
+        for name in DATAGRAMS {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            socket.set_read_timeout(Some(PATIENCE)).unwrap();
+            stage.addresses.insert(name.into(), socket.local_addr().unwrap());
+            stage.sockets.insert(name.into(), socket);
+        }
+        stage.config = serde_json::from_str(include_str!("exchanges/config.json")).unwrap();
+        stage
+    }
+
+    fn with_addresses(&self, text: &str) -> String {
+        let names = self.addresses.iter();
+        names.fold(text.to_string(), |t, (name, a)| t.replace(&format!("@{name}"), &a.to_string()))
+    }
+
+    fn without_addresses(&self, text: String) -> String {
+        let names = self.addresses.iter();
+        names.fold(text, |t, (name, a)| t.replace(&a.to_string(), &format!("@{name}")))
+    }
+
+    fn start(&mut self) {
+        let name = std::thread::current().name().unwrap().replace(':', "-");
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+        std::fs::write(&path, self.with_addresses(&self.config.to_string())).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_applewall"))
+            .arg("serve")
+            .env_clear()
+            .env("GW_CONFIG", path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (line, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        // By a thread, since a pipe has no time-out.
+        std::thread::spawn(move || lines.map_while(Result::ok).all(|l| line.send(l).is_ok()));
+        self.program = Some((child, log));
+        let line = self.log("serving n0 on ");
+        let address = |key: &str| {
+            let (_, rest) = line.split_once(key).unwrap();
+            rest.split([',', ' ']).next().unwrap().parse().unwrap()
+        };
+        self.addresses.insert("ingress".into(), address("n0 on "));
+        self.addresses.insert("peer_listen".into(), address("datagrams on "));
+    }
+
+    fn log(&mut self, text: &str) -> String {
+        let (_, log) = self.program.as_mut().unwrap();
+        let next = || log.recv_timeout(PATIENCE).ok();
+        std::iter::from_fn(next)
+            .find(|l| l.contains(text))
+            .unwrap_or_else(|| panic!("no '{text}' in the log"))
+    }
+
+    fn connected(&mut self, name: &str, stream: TcpStream) {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        self.streams.insert(name.into(), BufReader::new(stream));
+    }
+
+    /// One message, its body after its head; what changes from run to run is masked.
+    fn get(&mut self, name: &str) -> String {
+        let stream = self.streams.get_mut(name).unwrap_or_else(|| panic!("no {name}"));
+        let (mut text, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            match stream.read_line(&mut line) {
+                Ok(0) => return "  (end)\n".into(),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return "  (end)\n".into(),
+                Err(e) => panic!("{name}: {e}"),
+                Ok(_) => {}
+            }
+            let line = line.trim_end();
+            let (header, value) = line.split_once(": ").unwrap_or_default();
+            match header {
+                "" if line.is_empty() => break,
+                "content-length" => length = value.parse().unwrap(),
+                _ => {}
+            }
+            match header {
+                "date" | "x-time-left-ms" => writeln!(text, "  {header}: (masked)").unwrap(),
+                _ => writeln!(text, "  {line}").unwrap(),
+            }
+        }
+        let mut body = vec![0; length];
+        stream.read_exact(&mut body).unwrap();
+        match length {
+            0 => {}
+            1..200 => writeln!(text, "\n  {}", String::from_utf8(body).unwrap()).unwrap(),
+            _ => writeln!(text, "\n  (a body of {length} bytes)").unwrap(),
+        }
+        text
+    }
+
+    fn step(&mut self, step: &str, lines: &[&str]) {
+        let words: Vec<&str> = step.split(' ').collect();
+        match words[..] {
+            ["set", pointer, ..] => {
+                let value = self.with_addresses(&words[2..].join(" "));
+                *self.config.pointer_mut(pointer).unwrap() = serde_json::from_str(&value).unwrap();
+            }
+            ["start"] => self.start(),
+            ["deaf", name] => drop(self.listeners.remove(name)),
+            [name, "accept", from] => {
+                let (stream, _) = self.listeners[from].accept().unwrap();
+                self.connected(name, stream);
+            }
+            [name, "connect"] => {
+                let stream = TcpStream::connect(self.addresses["ingress"]).unwrap();
+                self.connected(name, stream);
+            }
+            [name, "sends"] => {
+                let mut text = String::new();
+                for line in lines.iter().map(|line| self.with_addresses(line)) {
+                    let many = line.strip_prefix("|*").and_then(|l| l.split_once(' '));
+                    let many = many.map(|(n, part)| part.repeat(n.parse().unwrap()));
+                    match many.as_deref().or(line.strip_prefix("|=")) {
+                        Some(body) => text += &format!("Content-Length: {}\r\n\r\n{body}", body.len()),
+                        None => text += &format!("{}\r\n", line.strip_prefix("| ").unwrap_or_default()),
+                    }
+                }
+                self.streams.get_mut(name).unwrap().get_mut().write_all(text.as_bytes()).unwrap();
+            }
+            [name, "gets"] => {
+                let got = self.get(name);
+                let got = self.without_addresses(got);
+                writeln!(self.notes, "{name} gets\n{got}").unwrap();
+            }
+            [name, "ends"] => drop(self.streams.remove(name)),
+            [name, "throws", ..] => {
+                let to = self.addresses["peer_listen"];
+                self.sockets[name].send_to(words[2..].join(" ").as_bytes(), to).unwrap();
+            }
+            [name, "catches"] => {
+                let mut buffer = [0; 2048];
+                let (length, from) = self.sockets[name].recv_from(&mut buffer).unwrap();
+                assert!(length <= 256 && from == self.addresses["peer_listen"]);
+                writeln!(self.notes, "{name} catches a datagram\n").unwrap();
+            }
+            ["log", ..] => {
+                let line = self.log(&words[1..].join(" "));
+                let masked = self.without_addresses(line);
+                writeln!(self.notes, "log\n  {masked}\n").unwrap();
+            }
+            ["term"] => {
+                let id = self.program.as_ref().unwrap().0.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+            }
+            ["exit"] => {
+                let status = self.program.as_mut().unwrap().0.wait().unwrap();
+                writeln!(self.notes, "exit\n  {status}\n").unwrap();
+            }
+            _ => panic!("unknown step '{step}'"),
+        }
+    }
+}
+
+fn play(name: &str) {
+    let path = format!("{}/tests/exchanges/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).unwrap();
+    let lines: Vec<&str> = text.lines().filter(|l| !l.starts_with('#') && !l.is_empty()).collect();
+    let mut stage = Stage::new();
+    let steps = (0..lines.len()).filter(|i| !lines[*i].starts_with('|'));
+    for i in steps {
+        let more = lines[i + 1..].iter().take_while(|l| l.starts_with('|')).count();
+        stage.step(lines[i], &lines[i + 1..][..more]);
+    }
+    insta::assert_snapshot!(name, stage.notes);
+}
+
+macro_rules! exchanges {
+    ($($name:ident),* $(,)?) => { $(#[test] fn $name() { play(stringify!($name)); })* };
+}
+
+exchanges! {
+    served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
+    peers, stopping, crowded, large,
+}
