--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -24,6 +24,8 @@
 const BACKLOG: u32 = 1024;
 /// A connection that says nothing for this long is closed: a silent service client holds no place for ever.
 const QUIET: Duration = Duration::from_secs(75);
+/// The same once half of the places are taken: silent ones must not crowd out those that ask.
+const QUIET_CROWDED: Duration = Duration::from_secs(5);
 /// Wait after an error of `accept`, so that a lasting one does not spin.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Descriptors for all that is not a connection of a service client or to an instance.
@@ -109,12 +111,14 @@
     fn serve_connection(&self, stream: TcpStream, place: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
         // The last places are for saying no: a connection that is not accepted would only hang.
-        let shed = self.places.available_permits() < self.most / 8;
+        let left = self.places.available_permits();
+        let shed = left < self.most / 8;
+        let quiet = if left < self.most / 2 { QUIET_CROWDED } else { QUIET };
         let used = Arc::new(AtomicBool::new(false));
         let commands = Commands { gate: self.gate.clone(), shed, used: used.clone() };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(QUIET)
+            .header_read_timeout(quiet)
             .max_buf_size(BODY_MOST)
             .serve_connection(TokioIo::new(stream), TowerToHyperService::new(commands));
         let mut stages = self.stages.clone();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -117,3 +117,14 @@
         })
     }
 }
+
+#[cfg(test)]
+impl Config {
+    /// The configuration of the recorded exchanges, where nothing listens.
+    pub fn sample() -> Self {
+        let text = include_str!("../../tests/exchanges/config.json").replace("@discovery", "127.0.0.1:9");
+        let text = text.replace("@peer0", "127.0.0.1:9").replace("@peer1", "127.0.0.1:9");
+        let file: File = serde_json::from_str(&text.replace("@s1", "127.0.0.1:9")).expect("well-formed");
+        file.try_into().expect("complete")
+    }
+}
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -115,7 +115,7 @@
             peers,
             open: HashMap::new(),
             last_resorts: BTreeSet::new(),
-            timers: [Due::Sweep, Due::Figures].map(|due| Reverse((now, due))).into(),
+            timers: [Reverse((now, Due::Sweep)), Reverse((now + FIGURES, Due::Figures))].into(),
             events: VecDeque::new(),
             now,
             figures: Figures::default(),
@@ -365,3 +365,99 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use applewall::api::Request;
+    use hyper::{Method, Uri};
+    use tokio::sync::oneshot::Receiver;
+
+    const ID: RequestId = RequestId(7);
+
+    fn engine() -> (Engine, mpsc::Receiver<Message>) {
+        let (queue, inbox) = mpsc::channel(8);
+        (Engine::new(&Config::sample(), Clock::start(), None, queue), inbox)
+    }
+
+    /// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
+    fn command(engine: &mut Engine) -> Receiver<Answer> {
+        let request = Request {
+            id: ID,
+            class: 0,
+            plan: 0,
+            customer: "c".into(),
+            units: 1.0,
+            left: 1_000_000_000,
+            repeat: false,
+            spread: 1,
+            first: 0,
+        };
+        let passed = Arc::new(Passed {
+            method: Method::GET,
+            target: Uri::from_static("/api"),
+            host: None,
+            id: "0000000000000007".parse().expect("a value"),
+            content_type: None,
+            body: Default::default(),
+        });
+        let (reply, answer) = oneshot::channel();
+        let deadline = engine.clock.instant(engine.now + request.left);
+        engine.take(Message::Command(Command { request, serial: 1, deadline, passed, reply }));
+        assert!(engine.open[&ID].out.is_some());
+        answer
+    }
+
+    fn ended(number: u32, outcome: Outcome) -> Message {
+        let served = (outcome == Outcome::Ok).then(|| ("body".into(), None));
+        let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
+        Message::Ended(Ended { request: ID, number, backend, outcome, latency, load: Vec::new(), served })
+    }
+
+    #[tokio::test]
+    async fn a_command_that_the_module_leaves_open_gets_the_last_resort_answer() {
+        let (mut engine, _inbox) = engine();
+        let mut answer = command(&mut engine);
+        engine.now += 1_000_000_000 - LAST_MARGIN;
+        engine.fall_due();
+        assert!(matches!(answer.try_recv(), Ok(Answer::Failed(StatusCode::GATEWAY_TIMEOUT, _))));
+        assert_eq!(engine.figures.last_resort, 1);
+        // Its attempt is called off, and once that is told nothing is left of it.
+        assert!(matches!(engine.open[&ID].out, Some((0, None))));
+        engine.take(ended(0, Outcome::Cancelled));
+        assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    }
+
+    #[tokio::test]
+    async fn a_late_result_of_an_ended_attempt_is_dropped() {
+        let (mut engine, _inbox) = engine();
+        let mut answer = command(&mut engine);
+        engine.take(ended(0, Outcome::TimedOut));
+        assert!(matches!(engine.open[&ID].out, Some((1, Some(_)))));
+        engine.take(ended(0, Outcome::Ok));
+        assert!(answer.try_recv().is_err());
+        engine.take(ended(1, Outcome::Ok));
+        assert!(matches!(answer.try_recv(), Ok(Answer::Served(..))));
+        assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    }
+
+    #[tokio::test]
+    async fn a_command_never_has_two_attempts_out() {
+        let (mut engine, _inbox) = engine();
+        let _answer = command(&mut engine);
+        engine.act(Action::Send { request: ID, backend: "s-1".into(), timeout: 0 });
+        assert!(matches!(engine.open[&ID].out, Some((0, Some(_)))));
+        assert_eq!(engine.figures.attempts, 1);
+    }
+
+    #[tokio::test]
+    async fn only_the_service_client_of_that_command_can_leave_it() {
+        let (mut engine, _inbox) = engine();
+        let _answer = command(&mut engine);
+        engine.take(Message::Left(ID, 2));
+        assert!(engine.open[&ID].reply.is_some());
+        engine.take(Message::Left(ID, 1));
+        assert!(engine.open[&ID].reply.is_none());
+        assert_eq!(engine.figures.left, 1);
+    }
+}
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -444,4 +444,58 @@
             assert!(read(garbage).is_empty(), "{garbage}");
         }
     }
+
+    fn passed() -> Passed {
+        Passed {
+            method: hyper::Method::GET,
+            target: "/api".parse().unwrap(),
+            host: None,
+            id: HeaderValue::from_static("0000000000000007"),
+            content_type: None,
+            body: Bytes::new(),
+        }
+    }
+
+    #[tokio::test]
+    async fn a_drain_told_while_an_attempt_dials_keeps_it_from_being_written() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = listener.local_addr().unwrap();
+        let second = Duration::from_secs(1);
+        let limits = Limits { dial: 30 * second, idle: second, stop_sending: second };
+        let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
+        let drained = Instant::now().checked_sub(2 * second);
+        let instance = Instance { state: Mutex::new(State { endpoint, drained, idle: Vec::new() }) };
+        let made = make(&instance, &limits, place, &passed(), Instant::now() + 30 * second).await;
+        assert!(matches!(made, Err(Outcome::Full)));
+        // The connection came up, and ended without a byte.
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await.unwrap();
+        assert!(bytes.is_empty());
+    }
+
+    #[tokio::test]
+    async fn without_a_place_an_attempt_is_not_sent_and_places_come_back() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = listener.local_addr().unwrap();
+        let (queue, mut inbox) = mpsc::channel(8);
+        let facts = super::super::config::Config::sample().facts;
+        let mut fleet = Fleet::new(&facts, 1, queue);
+        let member =
+            applewall::api::Member { backend: "s-1".into(), state: MemberState::Ready, ..Default::default() };
+        fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
+        let attempt = |number| Attempt {
+            request: RequestId(7),
+            number,
+            backend: "s-1".into(),
+            passed: Arc::new(passed()),
+            until: Instant::now() + Duration::from_secs(30),
+        };
+        let cancel = fleet.start(attempt(0)).ok().unwrap();
+        assert!(fleet.start(attempt(1)).is_err());
+        drop(cancel);
+        let Some(Message::Ended(ended)) = inbox.recv().await else { panic!("no report") };
+        assert_eq!((ended.number, ended.outcome), (0, Outcome::Cancelled));
+        assert!(fleet.start(attempt(1)).is_ok());
+    }
 }
