--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -128,7 +128,10 @@
 
     async fn answer(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
         let (parts, body) = request.into_parts();
-        let mut read = match read(&self.facts, &parts.method, &parts.headers) {
+        let Some(id) = parts.headers.get("x-correlation-id").cloned() else {
+            return Answer::Failed(StatusCode::BAD_REQUEST, "no X-Correlation-Id");
+        };
+        let mut read = match read(&self.facts, &parts.method, &id, &parts.headers) {
             Ok(read) => read,
             Err(reason) => return Answer::Failed(StatusCode::BAD_REQUEST, reason),
         };
@@ -142,9 +145,6 @@
             },
         };
         read.left = deadline.saturating_duration_since(Instant::now()).as_nanos() as u64;
-        let Some(id) = parts.headers.get("x-correlation-id").cloned() else {
-            return Answer::Failed(StatusCode::BAD_REQUEST, "no X-Correlation-Id");
-        };
         let passed = Passed {
             method: parts.method,
             target: origin(parts.uri),
@@ -186,16 +186,22 @@
 }
 
 /// Reads the headers; the error is a plain reason for the service client.
-fn read(facts: &Facts, method: &Method, headers: &HeaderMap) -> Result<api::Request, &'static str> {
+fn read(
+    facts: &Facts,
+    method: &Method,
+    id: &HeaderValue,
+    headers: &HeaderMap,
+) -> Result<api::Request, &'static str> {
     if method != Method::GET && method != Method::POST {
         return Err("the method is neither GET nor POST");
     }
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let hex = |name: &str| {
-        let text = text(name).filter(|t| t.len() == 16 && t.bytes().all(|b| b.is_ascii_hexdigit()))?;
-        u64::from_str_radix(text, 16).ok()
+    let hex = |value: &HeaderValue| {
+        let digits =
+            value.to_str().ok().filter(|t| t.len() == 16 && t.bytes().all(|b| b.is_ascii_hexdigit()));
+        digits.and_then(|t| u64::from_str_radix(t, 16).ok())
     };
-    let id = hex("x-correlation-id").ok_or("X-Correlation-Id is not 16 hex digits")?;
+    let id = hex(id).ok_or("X-Correlation-Id is not 16 hex digits")?;
     let class = text("x-service-class").and_then(|c| facts.class(c)).ok_or("unknown X-Service-Class")?;
     let plan = text("x-contract").and_then(|p| facts.plan(p)).ok_or("unknown X-Contract")?;
     let customer = hex("x-client-id")
