--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -204,9 +204,8 @@
     let id = hex(id).ok_or("X-Correlation-Id is not 16 hex digits")?;
     let class = text("x-service-class").and_then(|c| facts.class(c)).ok_or("unknown X-Service-Class")?;
     let plan = text("x-contract").and_then(|p| facts.plan(p)).ok_or("unknown X-Contract")?;
-    let customer = hex("x-client-id")
-        .filter(|c| *c < CUSTOMERS)
-        .ok_or("X-Client-Id is not a number of 16 hex digits")?;
+    let customer = headers.get("x-client-id").and_then(hex).filter(|c| *c < CUSTOMERS);
+    let customer = customer.ok_or("X-Client-Id is not a number of 16 hex digits")?;
     let left = text("x-time-left-ms").and_then(|t| t.parse::<u64>().ok());
     let left = left.ok_or("X-Time-Left-Ms is not a whole number")?.saturating_mul(1_000_000);
     let metering = text("x-metering").unwrap_or_default();
