--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -29,6 +29,8 @@
 const ATTEMPT_MARGIN: u64 = 20_000_000;
 /// By which the last-resort answer comes before that.
 const LAST_MARGIN: u64 = 8_000_000;
+/// By which the engine may wake late before that counts as a gap in the program's own clock.
+const STALL: u64 = 30_000_000;
 /// Between closings of connections that have been idle for long.
 const SWEEP: u64 = 500_000_000;
 /// Between lines of figures.
@@ -93,7 +95,11 @@
     timers: BinaryHeap<Reverse<(u64, Due)>>,
     /// Events that follow from carrying out actions.
     events: VecDeque<Event>,
+    /// Kept for its room.
+    actions: Vec<Action>,
     now: u64,
+    /// How long commands that are taken before the second moment may have waited unseen.
+    stall: (u64, u64),
     figures: Figures,
 }
 
@@ -117,7 +123,9 @@
             last_resorts: BTreeSet::new(),
             timers: [Reverse((now, Due::Sweep)), Reverse((now + FIGURES, Due::Figures))].into(),
             events: VecDeque::new(),
+            actions: Vec::new(),
             now,
+            stall: (0, 0),
             figures: Figures::default(),
         };
         let known = config.known.entries(&engine.facts, &clock);
@@ -131,8 +139,8 @@
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
         loop {
-            let next = self.next();
-            let next = self.clock.instant(next).into();
+            let due = self.next();
+            let next = self.clock.instant(due).into();
             if sleep.deadline() != next {
                 sleep.as_mut().reset(next);
             }
@@ -142,12 +150,22 @@
                 () = &mut sleep => {}
             }
             // One moment for all that is taken at one go: what waited here together came together.
-            self.now = self.clock.now();
+            self.wake(self.clock.now(), due);
             batch.drain(..).for_each(|message| self.take(message));
             self.fall_due();
         }
     }
 
+    /// Goes on at `now`, where something was due. If that is long past, the program stood still: what is taken
+    /// right after may have waited in the kernel for as long as nothing was done here, and its service client
+    /// has counted that time.
+    fn wake(&mut self, now: u64, due: u64) {
+        if now.saturating_sub(due) > STALL {
+            self.stall = (now - self.now, now + STALL);
+        }
+        self.now = now;
+    }
+
     /// When something falls due next.
     fn next(&self) -> u64 {
         let timer = self.timers.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
@@ -211,7 +229,7 @@
 
     fn command(&mut self, command: Command) {
         self.figures.commands += 1;
-        let Command { request, serial, deadline, passed, reply } = command;
+        let Command { mut request, serial, deadline, passed, reply } = command;
         let id = request.id;
         if self.open.contains_key(&id) {
             // Two with one id would be two attempts of one request to an instance.
@@ -219,7 +237,9 @@
             let _ = reply.send(Answer::Failed(StatusCode::CONFLICT, "a command with this id is open"));
             return;
         }
-        let deadline = self.clock.at(deadline);
+        let waited = if self.now <= self.stall.1 { self.stall.0 } else { 0 };
+        let deadline = self.clock.at(deadline).saturating_sub(waited);
+        request.left = request.left.saturating_sub(waited);
         let reply = Some(reply);
         self.open.insert(id, Open { serial, reply, passed, deadline, attempts: 0, out: None });
         self.last_resorts.insert((deadline.saturating_sub(LAST_MARGIN), id));
@@ -248,30 +268,15 @@
             self.answer(id, Answer::Served(body, kind));
         }
         let latency = latency.as_nanos() as u64;
-        self.finished(id, number, backend, outcome, latency, load);
+        let finished = self.finished(id, number, backend, outcome);
+        self.event(Event::Finished(Finished { latency, load, ..finished }));
         self.forget(id);
     }
 
-    fn finished(
-        &mut self,
-        request: RequestId,
-        attempt: u32,
-        backend: BackendId,
-        outcome: Outcome,
-        latency: u64,
-        load: Vec<f64>,
-    ) {
+    /// The module's news of an attempt.
+    fn finished(&self, request: RequestId, attempt: u32, backend: BackendId, outcome: Outcome) -> Finished {
         let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
-        self.event(Event::Finished(Finished {
-            request,
-            attempt,
-            backend,
-            outcome,
-            latency,
-            closed,
-            cost: 0.0,
-            load,
-        }));
+        Finished { request, attempt, backend, outcome, latency: 0, closed, cost: 0.0, load: Vec::new() }
     }
 
     /// Gives the one answer to a command, if it is still owed.
@@ -299,11 +304,12 @@
     /// Lets the module see an event, and what follows from it.
     fn event(&mut self, event: Event) {
         self.events.push_back(event);
-        let mut actions = Vec::new();
+        let mut actions = std::mem::take(&mut self.actions);
         while let Some(event) = self.events.pop_front() {
             self.brain.handle(self.now, event, &mut actions);
             actions.drain(..).for_each(|action| self.act(action));
         }
+        self.actions = actions;
     }
 
     fn act(&mut self, action: Action) {
@@ -360,7 +366,9 @@
                 open.out = Some((number, Some(cancel)));
             }
             Err(Attempt { backend, .. }) => {
-                self.finished(request, number, backend, Outcome::NotSent, 0, Vec::new())
+                // Told once all that the module has just decided is carried out.
+                let finished = self.finished(request, number, backend, Outcome::NotSent);
+                self.events.push_back(Event::Finished(finished));
             }
         }
     }
@@ -428,6 +436,17 @@
         assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
     }
 
+    #[tokio::test]
+    async fn time_that_the_program_stood_still_comes_off_a_command_taken_after_it() {
+        let (mut engine, _inbox) = engine();
+        let (before, due) = (engine.now, engine.now + 60_000_000);
+        engine.wake(due + STALL, due);
+        assert_eq!(engine.stall, (0, 0));
+        engine.wake(before + 500_000_000, due);
+        let _answer = command(&mut engine);
+        assert_eq!(engine.open[&ID].deadline, engine.now + 1_000_000_000 - (440_000_000 - STALL));
+    }
+
     #[tokio::test]
     async fn a_late_result_of_an_ended_attempt_is_dropped() {
         let (mut engine, _inbox) = engine();
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -156,6 +156,11 @@
         if rev.is_none() && !answer.all {
             return Err("asked for the whole list, got changes".to_string());
         }
+        // Discovery began anew: changes since a revision that it does not know are no changes to our list.
+        if !answer.all && rev.is_some_and(|rev| answer.rev < rev) {
+            rev = None;
+            continue;
+        }
         if std::mem::take(lost) {
             super::log(format_args!("name table: discovery is back, revision {}", answer.rev));
         }
