Close what is due to close before it is used again; test outcomes by evidence

Its age is now checked when it is taken. Instances that drain or are left out of a whole list go at once, with their idle connections.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -68,7 +68,7 @@
     }
 
     /// Serves until the program is to end and all that was taken is answered.
-    pub async fn serve(mut self, listener: TcpListener) {
+    pub async fn serve(self, listener: TcpListener) {
         let mut stages = self.stages.clone();
         tokio::select! {
             () = self.accept(&listener) => {}
@@ -83,7 +83,7 @@
         }
     }
 
-    async fn accept(&mut self, listener: &TcpListener) {
+    async fn accept(&self, listener: &TcpListener) {
         loop {
             // No place: the next connection waits in the backlog until one is given back.
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
@@ -126,6 +126,7 @@
             let _place = place;
             let mut connection = pin!(connection);
             tokio::select! {
+                biased;
                 _ = connection.as_mut() => return,
                 _ = stages.wait_for(|s| *s == Stage::Closing) => {}
             }
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -233,10 +233,10 @@
             let mut state = instance.state();
             state.endpoint = *endpoint;
             state.drained = if ready { None } else { Some(state.drained.unwrap_or(now)) };
-            state.idle.retain(|c| ready && c.endpoint == *endpoint);
+            state.idle.retain(|c| c.endpoint == *endpoint);
         }
-        // Attempts that are out hold their instance by themselves.
-        self.instances.retain(|_, i| i.state().drained.is_none_or(|since| since == now));
+        // With it go its idle connections; attempts that are out hold it by themselves, and read that it drains.
+        self.instances.retain(|_, instance| instance.state().drained.is_none());
     }
 
     /// Closes idle connections to one instance.
@@ -244,10 +244,14 @@
         self.instances.get(backend).into_iter().for_each(|i| i.state().idle.clear());
     }
 
+    fn fresh(&self, connection: &Connection) -> bool {
+        connection.since.elapsed() < self.limits.idle
+    }
+
     /// Closes connections that have been idle for long.
     pub fn sweep(&self) {
         for instance in self.instances.values() {
-            instance.state().idle.retain(|c| c.since.elapsed() < self.limits.idle);
+            instance.state().idle.retain(|c| self.fresh(c));
         }
     }
 
@@ -270,7 +274,8 @@
     /// Starts an attempt in a task of its own, which reports once. Dropping what comes back cancels it.
     pub fn start(&self, attempt: Attempt) -> Result<oneshot::Sender<()>, Attempt> {
         let Some(instance) = self.instances.get(&attempt.backend) else { return Err(attempt) };
-        let idle = instance.state().idle.pop();
+        // One that has been idle for long may be crossed by its end from over there, even before a sweep.
+        let idle = instance.state().idle.pop().filter(|c| self.fresh(c));
         let pooled = idle.map(Pooled::Idle).or_else(|| self.place().map(Pooled::Place));
         let Some(pooled) = pooled else { return Err(attempt) };
         let (cancel, cancelled) = oneshot::channel();
@@ -456,17 +461,29 @@
         }
     }
 
-    #[tokio::test]
-    async fn a_drain_told_while_an_attempt_dials_keeps_it_from_being_written() {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let endpoint = listener.local_addr().unwrap();
+    /// One attempt at an address, on an instance told to drain at some moment; given up after far longer than it
+    /// takes.
+    async fn attempt(endpoint: SocketAddr, drained: Option<Instant>) -> Option<Outcome> {
         let second = Duration::from_secs(1);
-        let limits = Limits { dial: 30 * second, idle: second, stop_sending: second };
+        let limits = Limits { dial: 20 * second, idle: second, stop_sending: second };
         let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
-        let drained = Instant::now().checked_sub(2 * second);
         let instance = Instance { state: Mutex::new(State { endpoint, drained, idle: Vec::new() }) };
-        let made = make(&instance, &limits, place, &passed(), Instant::now() + 30 * second).await;
-        assert!(matches!(made, Err(Outcome::Full)));
+        let (passed, until) = (passed(), Instant::now() + 20 * second);
+        let made = make(&instance, &limits, place, &passed, until);
+        tokio::time::timeout(20 * second, made).await.expect("an end").err()
+    }
+
+    async fn listen() -> (tokio::net::TcpListener, SocketAddr) {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = listener.local_addr().unwrap();
+        (listener, endpoint)
+    }
+
+    #[tokio::test]
+    async fn a_drain_told_while_an_attempt_dials_keeps_it_from_being_written() {
+        let (listener, endpoint) = listen().await;
+        let long_ago = Instant::now().checked_sub(Duration::from_secs(2));
+        assert_eq!(attempt(endpoint, long_ago).await, Some(Outcome::Full));
         // The connection came up, and ended without a byte.
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = Vec::new();
@@ -474,10 +491,23 @@
         assert!(bytes.is_empty());
     }
 
+    #[tokio::test]
+    async fn what_was_written_may_have_run_and_what_found_no_connection_never_did() {
+        let (listener, endpoint) = listen().await;
+        let breaks = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let read = tokio::io::AsyncReadExt::read(&mut stream, &mut [0; 1024]).await.unwrap();
+            assert!(read > 0);
+        };
+        let (outcome, ()) = tokio::join!(attempt(endpoint, None), breaks);
+        assert_eq!(outcome, Some(Outcome::Reset));
+        drop(listener);
+        assert_eq!(attempt(endpoint, None).await, Some(Outcome::NoConnection));
+    }
+
     #[tokio::test]
     async fn without_a_place_an_attempt_is_not_sent_and_places_come_back() {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let endpoint = listener.local_addr().unwrap();
+        let (_listener, endpoint) = listen().await;
         let (queue, mut inbox) = mpsc::channel(8);
         let facts = super::super::config::Config::sample().facts;
         let mut fleet = Fleet::new(&facts, 1, queue);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -160,8 +160,11 @@
             ["start"] => self.start(),
             ["deaf", name] => drop(self.listeners.remove(name)),
             [name, "accept", from] => {
-                let (stream, _) = self.listeners[from].accept().unwrap();
-                self.connected(name, stream);
+                let (listener, (came, accepted)) = (self.listeners[from].try_clone().unwrap(), channel());
+                // By a thread, since accepting has no time-out.
+                std::thread::spawn(move || came.send(listener.accept().unwrap().0));
+                let stream = accepted.recv_timeout(PATIENCE);
+                self.connected(name, stream.unwrap_or_else(|_| panic!("nothing came in for {name}")));
             }
             [name, "connect"] => {
                 let stream = TcpStream::connect(self.addresses["ingress"]).unwrap();
