--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -84,13 +84,20 @@
     }
 
     async fn accept(&self, listener: &TcpListener) {
+        let mut failing = false;
         loop {
             // No place: the next connection waits in the backlog until one is given back.
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
             match listener.accept().await {
-                Ok((stream, _)) => self.serve_connection(stream, place),
+                Ok((stream, _)) => {
+                    failing = false;
+                    self.serve_connection(stream, place);
+                }
                 Err(e) => {
-                    super::log(format_args!("accept: {e}"));
+                    // Once a spell: a lasting error must not flood the log.
+                    if !std::mem::replace(&mut failing, true) {
+                        super::log(format_args!("accept: {e}"));
+                    }
                     tokio::time::sleep(PAUSE).await;
                 }
             }
