--- a/src/brain.rs
+++ b/src/brain.rs
@@ -409,9 +409,10 @@
                 return false;
             }
         }
-        // A share of the attempts out at once, rounded at random: one each would be many together.
-        let share = f64::from(plan.open) * own / demand.max(1e-9);
-        plan.open == 0 || f64::from(customer.out) + self.rng.random::<f64>() < share
+        // What others have out is their demand for as long as a request of this kind takes; rounded at
+        // random. Guards against a share of less than one each, which refuses those that have nothing out.
+        let others = (demand - own).max(0.0) * self.usual(self.kind(r.class, r.units));
+        plan.open == 0 || f64::from(customer.out) + others + self.rng.random::<f64>() < f64::from(plan.open)
     }
 
     /// Guard against a backlog that grows faster than the ladder moves (a surge, servers lost at once): work
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -195,6 +195,33 @@
     assert!(target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some());
 }
 
+/// A share of the cap for each gateway is less than one each here: it refused a third of what came to a
+/// customer with nothing out anywhere.
+#[test]
+fn open_limits_leave_room_for_a_customer_with_nothing_out() {
+    let mut set = settings();
+    // Just busy enough for the gateways to tell each other, and within the quota.
+    (set.plans[0].open, set.plans[0].rate) = (2, 6.8);
+    let door = |me: u32| Stage::new(Settings { me, ..set.clone() }, 21 + u64::from(me), &fleet());
+    let mut doors: Vec<Stage> = (0..3).map(door).collect();
+    let mut refusals = 0;
+    for turn in 0..90 {
+        let me = turn % 3;
+        let (id, actions) = doors[me].ask(SAFE, 0, "c", 1.0);
+        refusals += u32::from(refused(&actions));
+        if let Some(to) = target(&actions) {
+            doors[me].end(id, 0, &to, Outcome::Ok, 20);
+        }
+        doors.iter_mut().for_each(|d| drop(d.pass(150 * MS)));
+        for text in std::mem::take(&mut doors[me].told) {
+            for to in (0..3).filter(|to| *to != me) {
+                doors[to].give(Event::Peer { from: me as u32, text: text.clone() });
+            }
+        }
+    }
+    assert_eq!(refusals, 0);
+}
+
 #[test]
 fn settled_units_replace_the_guess() {
     let passes = |cost: f64| {
