Reload at SIGHUP: follow the file's new discovery instead of dying

Cause: src/net/shutdown.rs handled SIGTERM and SIGINT only, so the default action of SIGHUP ended the program.

Now SIGHUP is handled from the start. The file is read again; a discovery that it did not name before goes before GW_DISCOVERY and is followed at once, by a connection of its own and the whole list first. A bad file is one log line. The exchange 'reload' fails without the change.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,4 +1,5 @@
-//! What the ingress is told: GW_CONFIG, with GW_NAME, GW_LISTEN and GW_DISCOVERY over it.
+//! What the ingress is told: GW_CONFIG, with GW_NAME, GW_LISTEN and GW_DISCOVERY over it; and the same file read
+//! again at SIGHUP.
 
 use std::env;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 use applewall::wire::{self, Facts};
 use serde::Deserialize;
 use serde_json::Value;
+use tokio::sync::watch;
 
 use super::name_table::Answer;
 
@@ -43,6 +45,9 @@
 
 /// All that the ingress is told.
 pub struct Config {
+    path: String,
+    /// What the file says of discovery, where a variable may say otherwise.
+    told: SocketAddr,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -61,8 +66,8 @@
     /// Reads the file that GW_CONFIG names; the other variables go before what it says.
     pub fn from_env() -> Result<Self, String> {
         let path = env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
-        let mut file: File = serde_json::from_str(&text).map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
+        let mut file = read(&path)?;
+        let told = file.discovery;
         let address = |name: &str, told: SocketAddr| match env::var(name) {
             Ok(text) => text.parse().map_err(|_| format!("{name}: '{text}' is no address with a port")),
             Err(_) => Ok(told),
@@ -70,7 +75,8 @@
         file.listen = address("GW_LISTEN", file.listen)?;
         file.discovery = address("GW_DISCOVERY", file.discovery)?;
         file.name = env::var("GW_NAME").unwrap_or(file.name);
-        file.try_into().map_err(|e| format!("GW_CONFIG: {path}: {e}"))
+        let config: Config = file.try_into().map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
+        Ok(Config { path, told, ..config })
     }
 
     /// One line on what is described.
@@ -104,6 +110,8 @@
             hex => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: '{hex}' is not hex digits"))?,
         };
         Ok(Config {
+            path: String::new(),
+            told: file.discovery,
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
@@ -118,6 +126,43 @@
     }
 }
 
+fn read(path: &str) -> Result<File, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("GW_CONFIG: {path}: {e}"))
+}
+
+/// The file, to be read again while the program runs: its `discovery` is followed, all else holds until the next
+/// start.
+pub struct Source {
+    path: String,
+    told: SocketAddr,
+    discovery: watch::Sender<SocketAddr>,
+}
+
+impl Source {
+    /// The file that a configuration came from, and the address of discovery in force.
+    pub fn new(config: &Config) -> (Self, watch::Receiver<SocketAddr>) {
+        let (discovery, follower) = watch::channel(config.discovery);
+        (Source { path: config.path.clone(), told: config.told, discovery }, follower)
+    }
+
+    /// Reads the file again. What is wrong with it, as where it is only half written, changes nothing.
+    pub fn reload(&mut self) {
+        let discovery = match read(&self.path).and_then(Config::try_from) {
+            Ok(config) => config.discovery,
+            Err(reason) => {
+                return super::log(format_args!("reload: {reason}; all stays as it was"));
+            }
+        };
+        // GW_DISCOVERY goes before what the file said at the start, not before what it was changed to.
+        if std::mem::replace(&mut self.told, discovery) == discovery {
+            return super::log(format_args!("reload: discovery is as it was"));
+        }
+        super::log(format_args!("reload: discovery is now {discovery}"));
+        self.discovery.send_replace(discovery);
+    }
+}
+
 #[cfg(test)]
 impl Config {
     /// The configuration of the recorded exchanges, where nothing listens.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -52,8 +52,9 @@
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
-    tokio::spawn(name_table::follow(config.discovery, config.facts.clone(), clock, queue.clone()));
-    tokio::spawn(signals.lead(stage));
+    let (source, discovery) = config::Source::new(&config);
+    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, queue.clone()));
+    tokio::spawn(signals.lead(stage, source));
     let door = accept::Door::new(&config, queue, stages);
     tokio::select! {
         () = door.serve(listener) => {
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::clock::Clock;
@@ -97,12 +97,30 @@
     Ok(Entry { member, endpoint: target.endpoint })
 }
 
-/// Follows the name table for as long as the engine lives.
-pub async fn follow(discovery: SocketAddr, facts: Arc<Facts>, clock: Clock, queue: mpsc::Sender<Message>) {
+/// Follows the name table for as long as the engine lives, at the address that is in force.
+pub async fn follow(
+    mut discovery: watch::Receiver<SocketAddr>,
+    facts: Arc<Facts>,
+    clock: Clock,
+    queue: mpsc::Sender<Message>,
+) {
+    loop {
+        let address = *discovery.borrow_and_update();
+        // A new address drops the old one's connection, its watch and its revision, also while that one is lost.
+        tokio::select! {
+            biased;
+            Ok(()) = discovery.changed() => {}
+            () = follow_one(address, &facts, &clock, &queue) => return,
+        }
+    }
+}
+
+/// Follows the name table at one address.
+async fn follow_one(discovery: SocketAddr, facts: &Facts, clock: &Clock, queue: &mpsc::Sender<Message>) {
     let mut backoff = BACKOFF.0;
     let mut lost = false;
     loop {
-        let reason = match watch(discovery, &facts, &clock, &queue, &mut backoff, &mut lost).await {
+        let reason = match follow_connection(discovery, facts, clock, queue, &mut backoff, &mut lost).await {
             Ok(()) => return,
             Err(reason) => reason,
         };
@@ -117,7 +135,7 @@
 
 /// One connection's worth of following: the whole list, then each watch at once after the last answer.
 /// Ends well when the engine is gone.
-async fn watch(
+async fn follow_connection(
     discovery: SocketAddr,
     facts: &Facts,
     clock: &Clock,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,14 +5,16 @@
 //! - `set KEY VALUE`: changes the configuration (`tests/exchanges/config.json`), by a JSON pointer;
 //! - `start`: starts the program; `known` names instance `s1`, which listens already;
 //! - `deaf NAME`: that party no longer listens;
-//! - `NAME accept FROM`: NAME is the next connection that comes in at FROM (`s1`, `discovery`);
+//! - `NAME accept FROM`: NAME is the next connection that comes in at FROM (`s1`, `discovery`, `discovery2`);
 //! - `NAME connect`: NAME is a new connection of a service client;
 //! - `NAME sends`: the lines below that start with `| ` go out, each with CRLF (`|=TEXT` is a body
 //!   with its length before it, `|*N TEXT` one of N times TEXT; @NAME stands for an address);
 //! - `NAME gets`: one whole message, or the end of the connection, is read and noted;
 //! - `NAME ends`: the connection is closed from here;
 //! - `NAME throws TEXT`, `NAME catches`: a datagram from `peer0`, `peer1` or `stranger`, or to them;
-//! - `log TEXT`: reads the log up to a line with that in it; `term`: SIGTERM; `exit`: notes how it ended.
+//! - `log TEXT`: reads the log up to a line with that in it; `exit`: notes how it ended;
+//! - `term`: SIGTERM; `hup`: the configuration as set by now replaces the file, then SIGHUP; `hup TEXT`: the file
+//!   holds that text instead.
 //!
 //! Nothing waits for a time: each step waits for bytes, and gives up after far longer than any step takes.
 
@@ -52,7 +54,7 @@
 impl Stage {
     fn new() -> Self {
         let mut stage = Stage::default();
-        for name in ["s1", "discovery"] {
+        for name in ["s1", "discovery", "discovery2"] {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             stage.addresses.insert(name.into(), listener.local_addr().unwrap());
             stage.listeners.insert(name.into(), listener);
@@ -68,8 +70,12 @@
     }
 
     fn with_addresses(&self, text: &str) -> String {
-        let names = self.addresses.iter();
-        names.fold(text.to_string(), |t, (name, a)| t.replace(&format!("@{name}"), &a.to_string()))
+        // The longest names first: one may begin with another.
+        let mut names: Vec<_> = self.addresses.iter().collect();
+        names.sort_by_key(|(name, _)| std::cmp::Reverse(name.len()));
+        names
+            .into_iter()
+            .fold(text.to_string(), |t, (name, a)| t.replace(&format!("@{name}"), &a.to_string()))
     }
 
     fn without_addresses(&self, text: String) -> String {
@@ -77,14 +83,26 @@
         names.fold(text, |t, (name, a)| t.replace(&a.to_string(), &format!("@{name}")))
     }
 
-    fn start(&mut self) {
+    /// Writes the configuration file, and says where.
+    fn write(&self, text: &str) -> std::path::PathBuf {
         let name = std::thread::current().name().unwrap().replace(':', "-");
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
-        std::fs::write(&path, self.with_addresses(&self.config.to_string())).unwrap();
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.program.as_ref().unwrap().0.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    fn start(&mut self) {
+        let path = self.write(&self.with_addresses(&self.config.to_string()));
         let mut child = Command::new(env!("CARGO_BIN_EXE_applewall"))
             .arg("serve")
             .env_clear()
             .env("GW_CONFIG", path)
+            .env("GW_DISCOVERY", self.addresses["discovery"].to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -200,12 +218,16 @@
             }
             ["log", ..] => {
                 let line = self.log(&words[1..].join(" "));
-                let masked = self.without_addresses(line);
+                let masked = self.without_addresses(line).replace(env!("CARGO_TARGET_TMPDIR"), "@files");
                 writeln!(self.notes, "log\n  {masked}\n").unwrap();
             }
-            ["term"] => {
-                let id = self.program.as_ref().unwrap().0.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+            ["term"] => self.signal("-TERM"),
+            ["hup", ..] => {
+                self.write(&match words.len() {
+                    1 => self.with_addresses(&self.config.to_string()),
+                    _ => words[1..].join(" "),
+                });
+                self.signal("-HUP");
             }
             ["exit"] => {
                 let status = self.program.as_mut().unwrap().0.wait().unwrap();
@@ -235,5 +257,5 @@
 
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
-    peers, stopping, crowded, large,
+    peers, stopping, crowded, large, reload,
 }
