Serve an answer only if it is whole by its own framing, on a connection proven idle

Checked by tests, each of which fails without its guard: hyper served a 200 without a length once the connection ended, took equal lengths twice and a length beside a coding, read 64 KiB of a 3 GB answer before giving up, and let a head grow to 400 KB. A second copy that the kernel held but the reactor had not told of was taken for the next request's answer: `usable()` polled hyper, whose read returns without a system call while the reactor says nothing (src/net/instance.rs).

Now the head of an answer is judged before its body is read, and the socket itself is looked at before a connection is used again. Figures in load reports that are negative or absurd are none; they never spoilt a good answer.

--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -6,9 +6,11 @@
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::{pin, Pin};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -19,10 +21,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
@@ -33,6 +36,10 @@
 
 /// Part of the instance's idle limit after which we close a connection ourselves: crossing it is a reset.
 const IDLE_PART: f64 = 0.6;
+/// The head of an answer, and what is read ahead of a body, hold this at most.
+const HEAD_MOST: usize = 16 * 1024;
+/// What a figure in a load report can be; all else is no figure.
+const SANE: RangeInclusive<f64> = 0.0..=1e6;
 /// By which the last send to a draining instance comes before the rule's limit.
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 
@@ -60,28 +67,46 @@
     .await
 }
 
-/// A stream that counts what is written: the evidence on whether a request can have arrived.
-struct Counted {
+/// What an attempt shares with the stream under its connection.
+#[derive(Default)]
+struct Watch {
+    /// Bytes written: the evidence on whether a request can have arrived.
+    written: AtomicU64,
+    /// Look at the socket itself with the next read.
+    look: AtomicBool,
+}
+
+/// A stream that is watched.
+struct Watched {
     stream: TokioIo<TcpStream>,
-    written: Arc<AtomicU64>,
+    watch: Arc<Watch>,
 }
 
-impl Counted {
+impl Watched {
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = poll {
-            self.written.fetch_add(n as u64, Ordering::Relaxed);
+            self.watch.written.fetch_add(n as u64, Ordering::Relaxed);
         }
         poll
     }
 }
 
-impl Read for Counted {
+impl Read for Watched {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        if self.watch.look.swap(false, Ordering::Relaxed) {
+            // The reactor may not have told yet of what the kernel holds. On an idle connection, that is the
+            // connection's end or nobody's answer, which would be taken for the next request's.
+            match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+                Ok(_) => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
+            }
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
-impl Write for Counted {
+impl Write for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(poll)
@@ -109,20 +134,22 @@
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     /// On the heap: it is large, and moves between the pool and its attempts.
-    driver: Box<http1::Connection<Counted, Full<Bytes>>>,
-    written: Arc<AtomicU64>,
+    driver: Box<http1::Connection<Watched, Full<Bytes>>>,
+    watch: Arc<Watch>,
     endpoint: SocketAddr,
     since: Instant,
     place: OwnedSemaphorePermit,
 }
 
 impl Connection {
-    /// Lets the connection notice what has happened to it; false if it can't take a request.
+    /// Lets the connection notice what has happened to it, by the socket itself; false if it can't take a request.
     async fn usable(&mut self) -> bool {
-        let (sender, driver) = (&mut self.sender, &mut self.driver);
+        self.watch.look.store(true, Ordering::Relaxed);
+        let (sender, driver, watch) = (&mut self.sender, &mut self.driver, &self.watch);
         poll_fn(|cx| {
             let ended = Pin::new(&mut **driver).poll(cx).is_ready();
-            Poll::Ready(!ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
+            let looked = !watch.look.load(Ordering::Relaxed);
+            Poll::Ready(looked && !ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
         })
         .await
     }
@@ -153,6 +180,10 @@
 }
 
 impl Instance {
+    fn new(endpoint: SocketAddr) -> Self {
+        Instance { state: Mutex::new(State { endpoint, drained: None, idle: Vec::new() }) }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         // Nothing panics while it holds the lock; if it did, the state would still be whole.
         self.state.lock().unwrap_or_else(|e| e.into_inner())
@@ -226,10 +257,10 @@
         }
         for Entry { member, endpoint } in entries {
             let ready = member.state == MemberState::Ready;
-            let instance = self.instances.entry(member.backend.clone()).or_insert_with(|| {
-                let state = State { endpoint: *endpoint, drained: None, idle: Vec::new() };
-                Arc::new(Instance { state: Mutex::new(state) })
-            });
+            let instance = self
+                .instances
+                .entry(member.backend.clone())
+                .or_insert_with(|| Arc::new(Instance::new(*endpoint)));
             let mut state = instance.state();
             state.endpoint = *endpoint;
             state.drained = if ready { None } else { Some(state.drained.unwrap_or(now)) };
@@ -326,6 +357,25 @@
     }
 }
 
+/// True where an answer says itself where it ends, within what a body may hold. One that ends with its connection
+/// may have been cut off, and one that says it in two ways hides something.
+fn framed(status: StatusCode, headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).into_iter();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).into_iter();
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        return false;
+    }
+    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
+        (Some(length), None, None, None) => {
+            length.to_str().ok().and_then(|l| l.parse().ok()).is_some_and(|l: usize| l <= BODY_MOST)
+        }
+        (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        // These have no body.
+        (None, None, None, None) => [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status),
+        _ => false,
+    }
+}
+
 /// The load report in the order of the settings; empty where there is none or it is garbage.
 fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
     let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else { return Vec::new() };
@@ -336,7 +386,7 @@
             LoadField::Other => return Some(0.0),
         };
         let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
-        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v: &f64| v.is_finite())
+        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v| SANE.contains(v))
     };
     fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
 }
@@ -362,16 +412,20 @@
         return Err(Outcome::Full);
     }
     let request = request(passed, connection.endpoint, until).ok_or(Outcome::NotSent)?;
-    let before = connection.written.load(Ordering::Relaxed);
+    let before = connection.watch.written.load(Ordering::Relaxed);
     let sender = &mut connection.sender;
     let exchange = async {
         let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+        if !framed(parts.status, &parts.headers) {
+            return None;
+        }
         let body = Limited::new(body, BODY_MOST).collect().await.ok()?;
         Some((parts.status, parts.headers, body.to_bytes()))
     };
     let Some(answer) = drive(&mut connection.driver, exchange).await.flatten() else {
-        // Not a byte was written: it never ran. Otherwise it may have: part of it may have been the whole.
-        let written = connection.written.load(Ordering::Relaxed) > before;
+        // Not a byte was written: it never ran. Otherwise it may have: part of it may have been the whole. A spoilt
+        // answer ends here too, and its connection with it.
+        let written = connection.watch.written.load(Ordering::Relaxed) > before;
         return Err(if written { Outcome::Reset } else { Outcome::NoConnection });
     };
     if connection.usable().await {
@@ -394,11 +448,12 @@
     let dialled = tokio::time::timeout(limits.dial, TcpStream::connect(endpoint)).await;
     let Ok(Ok(stream)) = dialled else { return Err(Outcome::NoConnection) };
     let _ = stream.set_nodelay(true);
-    let written = Arc::new(AtomicU64::new(0));
-    let counted = Counted { stream: TokioIo::new(stream), written: written.clone() };
-    let (sender, driver) = http1::handshake(counted).await.map_err(|_| Outcome::NoConnection)?;
+    let watch = Arc::new(Watch::default());
+    let watched = Watched { stream: TokioIo::new(stream), watch: watch.clone() };
+    let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(watched).await;
+    let (sender, driver) = handshake.map_err(|_| Outcome::NoConnection)?;
     let driver = Box::new(driver);
-    let mut connection = Connection { sender, driver, written, endpoint, since: Instant::now(), place };
+    let mut connection = Connection { sender, driver, watch, endpoint, since: Instant::now(), place };
     match connection.usable().await {
         true => Ok(connection),
         false => Err(Outcome::NoConnection),
@@ -424,6 +479,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     #[test]
     fn only_the_mark_proves_that_a_request_never_ran() {
@@ -445,7 +501,9 @@
             load(&headers, &[LoadField::Utilization, LoadField::Outstanding])
         };
         assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
-        for garbage in ["", "util", "util=,inflight=1", "util=NaN,inflight=1", "util=0.5"] {
+        let garbage =
+            ["", "util", "util=,inflight=1", "util=NaN,inflight=1", "util=0.5", "util=-1,inflight=1"];
+        for garbage in garbage.into_iter().chain(["util=0.5,inflight=1e300", "util=inf,inflight=1"]) {
             assert!(read(garbage).is_empty(), "{garbage}");
         }
     }
@@ -462,16 +520,98 @@
         }
     }
 
+    fn limits() -> Limits {
+        let second = Duration::from_secs(1);
+        Limits { dial: 20 * second, idle: second, stop_sending: second }
+    }
+
     /// One attempt at an address, on an instance told to drain at some moment; given up after far longer than it
     /// takes.
     async fn attempt(endpoint: SocketAddr, drained: Option<Instant>) -> Option<Outcome> {
-        let second = Duration::from_secs(1);
-        let limits = Limits { dial: 20 * second, idle: second, stop_sending: second };
+        let limits = limits();
         let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
-        let instance = Instance { state: Mutex::new(State { endpoint, drained, idle: Vec::new() }) };
-        let (passed, until) = (passed(), Instant::now() + 20 * second);
+        let instance = Instance::new(endpoint);
+        instance.state().drained = drained;
+        let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
         let made = make(&instance, &limits, place, &passed, until);
-        tokio::time::timeout(20 * second, made).await.expect("an end").err()
+        tokio::time::timeout(Duration::from_secs(20), made).await.expect("an end").err()
+    }
+
+    /// One attempt that gets this for an answer; the rest of what the instance would see of the connection.
+    async fn answered(answer: &str) -> Option<Outcome> {
+        let (listener, endpoint) = listen().await;
+        let answers = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            stream
+        };
+        // The connection stays open at its other end.
+        let (outcome, _stream) = tokio::join!(attempt(endpoint, None), answers);
+        outcome
+    }
+
+    #[tokio::test]
+    async fn an_answer_counts_only_if_it_is_whole_by_its_own_framing() {
+        let ok = "HTTP/1.1 200 OK\r\n";
+        let good = [
+            "Content-Length: 4\r\n\r\nfine",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+            "X-Backend-Load: util=many\r\nContent-Length: 4\r\n\r\nfine",
+            "Content-Length: 4\r\n\r\nfine and more than belongs to it",
+        ];
+        for rest in good {
+            assert_eq!(answered(&format!("{ok}{rest}")).await, None, "{rest}");
+        }
+        let ahead = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        assert_eq!(answered(&format!("{ahead}{ok}{}", good[0])).await, None);
+        let spoilt = [
+            "\r\nno length, and no end",
+            "Content-Length: 4\r\nContent-Length: 4\r\n\r\nfine",
+            "Content-Length: 4\r\nContent-Length: 5\r\n\r\nfine",
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+            "Content-Length: -4\r\n\r\nfine",
+            "Content-Length: 3000000000\r\n\r\nand so on",
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nfine\r\n0\r\n\r\n",
+            "Transfer-Encoding: gzip\r\n\r\nfine",
+            "no header\r\n\r\n",
+        ];
+        for rest in spoilt {
+            assert_eq!(answered(&format!("{ok}{rest}")).await, Some(Outcome::Reset), "{rest}");
+        }
+        let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n";
+        assert_eq!(answered(switched).await, Some(Outcome::Reset));
+        assert_eq!(answered(&format!("{ok}X: {}", "x".repeat(HEAD_MOST))).await, Some(Outcome::Reset));
+        assert_eq!(answered("noise").await, Some(Outcome::Reset));
+    }
+
+    #[tokio::test]
+    async fn what_comes_on_an_idle_connection_is_no_answer_to_the_next_request() {
+        let (listener, endpoint) = listen().await;
+        let (limits, instance) = (limits(), Instance::new(endpoint));
+        let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
+        let pool = Arc::new(Semaphore::new(1));
+        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let serve = async |body: &str| {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            stream.write_all(answer(body).as_bytes()).await.unwrap();
+            stream
+        };
+        let place = Pooled::Place(pool.clone().try_acquire_owned().unwrap());
+        let first = make(&instance, &limits, place, &passed, until);
+        let (_, stream) = tokio::join!(first, serve("first"));
+        // A second copy, which the reactor has not seen: nothing is awaited between.
+        assert!(stream.try_write(answer("first").as_bytes()).unwrap() > 0);
+        let idle = instance.state().idle.pop().unwrap();
+        let second = make(&instance, &limits, Pooled::Idle(idle), &passed, until);
+        let served = async { tokio::join!(second, serve("second")).0 };
+        let second = tokio::time::timeout(Duration::from_secs(20), served).await.expect("a new connection");
+        assert_eq!(second.ok().unwrap().2, "second");
+        // The one place went from the old connection to the new one.
+        assert_eq!(pool.available_permits(), 0);
+        instance.state().idle.clear();
+        assert_eq!(pool.available_permits(), 1);
     }
 
     async fn listen() -> (tokio::net::TcpListener, SocketAddr) {
@@ -488,7 +628,7 @@
         // The connection came up, and ended without a byte.
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = Vec::new();
-        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await.unwrap();
+        stream.read_to_end(&mut bytes).await.unwrap();
         assert!(bytes.is_empty());
     }
 
@@ -497,7 +637,7 @@
         let (listener, endpoint) = listen().await;
         let breaks = async {
             let (mut stream, _) = listener.accept().await.unwrap();
-            let read = tokio::io::AsyncReadExt::read(&mut stream, &mut [0; 1024]).await.unwrap();
+            let read = stream.read(&mut [0; 1024]).await.unwrap();
             assert!(read > 0);
         };
         let (outcome, ()) = tokio::join!(attempt(endpoint, None), breaks);
