Forget customers and backends that are gone; strike out by repeated breaks

Seen: a test with 3000 newcomers ended with 3031 entries kept, 30 s after the last of them. Cause: src/brain.rs forgets a customer once its stores are full, but the ceiling's store of a plan without one only ever falls; three of the four plans have none. Backends were never forgotten at all, and each choice goes through all of them. Now both level off; a new backend takes the number of one that is gone and that nothing held names.

Each break kept an instance out of use for 0.5 s and more, so the others got its load and timed out. Now the third break in a row without an answer strikes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,6 +59,7 @@
 const LEAST: f64 = 0.02; // Weight that the sickest backend keeps: trials by chance, of all together.
 const SILENCE: (f64, f64) = (6.0, 0.25); // Answers overdue, and s of silence, that make a backend suspect.
 const STRIKE: (f64, f64) = (0.5, 4.0); // s; first and longest time out of use after a time-out or break.
+const BREAKS: u32 = 2; // Broken connections in a row, without an answer, that strike no backend out.
 const COLD_MARGIN: f64 = 0.7; // Part of the cold budget that is used: chance and others need the rest.
 const RETRY: (f64, f64, f64, f64) = (0.2, 0.4, 3.0, 20.0); // A request; saved: s, least, most.
 const WINDOW_SHARE: f64 = 0.9; // Share of a key's memory that is used: sends take time to arrive.
@@ -651,6 +652,8 @@
             }
             // Silent, down or restarting: what comes back may be cold; the list says so seconds later.
             Outcome::TimedOut if b.last_ok >= out.sent => {}
+            // A break or two are the connections' own, or spoilt answers: one that is down refuses the next.
+            Outcome::Reset if b.strikes < BREAKS => b.strikes += 1,
             Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
                 b.out_until = now + (STRIKE.0 * f64::from(1u32 << b.strikes.min(3))).min(STRIKE.1);
                 b.strikes += 1;
@@ -696,19 +699,19 @@
             return actions.extend(self.set.subscribe.then_some(again));
         }
         for b in self.backends.iter_mut().filter(|_| kind != ListKind::Delta) {
-            b.ready = false;
+            (b.ready, b.gone) = (false, true);
         }
         let labels = self.set.classes.len() + self.set.plans.len();
-        for m in entries {
+        // The known ones first: a newcomer must not get the number of one that is named further on.
+        let (known, new): (Vec<_>, _) = entries.iter().partition(|m| self.numbers.contains_key(&m.backend));
+        for m in known.into_iter().chain(new) {
             let told = m.started.map_or(f64::NEG_INFINITY, secs);
             // A backend that turns up later than the first list is taken to have just started.
             let new = if self.listed && m.started.is_none() { now } else { told };
-            let number = *self.numbers.entry(m.backend.clone()).or_insert_with(|| {
-                self.backends.push(Backend::new(m.clone(), new, labels));
-                self.backends.len() - 1
-            });
+            let number = self.numbers.get(&m.backend).copied();
+            let number = number.unwrap_or_else(|| self.enrol(Backend::new(m.clone(), new, labels)));
             let b = &mut self.backends[number];
-            b.ready = m.state == MemberState::Ready;
+            (b.ready, b.gone) = (m.state == MemberState::Ready, m.state == MemberState::Gone);
             if told > b.cold_from {
                 b.cold_from = told;
                 (b.slowness, b.strikes) = (1.0, 0);
@@ -719,6 +722,21 @@
         (self.watch_wait, self.listed) = (WATCH_WAIT, true);
     }
 
+    /// Gives a new backend its number: that of one that is gone and that nothing held names, else one more.
+    /// Guards against a list of all that ever were, which every choice would go through.
+    fn enrol(&mut self, new: Backend) -> usize {
+        let named = |i: usize| self.held.values().any(|h| h.tried.contains(&i));
+        let free = |i: &usize| self.backends[*i].gone && self.backends[*i].out.is_empty() && !named(*i);
+        let number = (0..self.backends.len()).find(free).unwrap_or(self.backends.len());
+        self.numbers.retain(|_, n| *n != number);
+        self.numbers.insert(new.member.backend.clone(), number);
+        match self.backends.get_mut(number) {
+            Some(old) => *old = new,
+            None => self.backends.push(new),
+        }
+        number
+    }
+
     fn tick(&mut self, now: f64, actions: &mut Vec<Action>) {
         actions.push(Action::Timer { after: nanos(INTERVAL), token: TICK });
         let out = self.out(now);
@@ -756,8 +774,11 @@
             self.customers.retain(|_, c| {
                 let plan = c.plan.map(|p| &plans[p]);
                 plan.into_iter().for_each(|p| c.fill(now, p));
-                let full =
-                    |p: &Plan| c.store >= p.burst && c.ceiling * f64::from(c.spread) >= p.ceiling_burst;
+                // A plan without a rate or a ceiling never fills what its requests take from it.
+                let full = |p: &Plan| {
+                    let ceiling = c.ceiling * f64::from(c.spread) >= p.ceiling_burst * (1.0 - 1e-9);
+                    (p.rate <= 0.0 || c.store >= p.burst) && (p.ceiling_rate <= 0.0 || ceiling)
+                };
                 c.out > 0 || now - c.seen < FORGET || plan.is_some_and(|p| !full(p))
             });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,8 @@
 pub(crate) struct Backend {
     pub member: Member,
     pub ready: bool,
+    /// The list no longer names it, or as gone.
+    pub gone: bool,
     pub cold_from: f64,
     pub out: Vec<Out>,
     pub slowness: f64,
@@ -260,6 +262,14 @@
 }
 
 impl Brain {
+    /// How much is kept, in entries of all kinds: levels off however many come and go.
+    pub fn kept(&self) -> usize {
+        let outs: usize = self.backends.iter().map(|b| b.out.len() + b.lately.len()).sum();
+        let peers: usize = self.customers.values().map(|c| c.peers.len()).sum();
+        let names = self.numbers.len() + self.backends.len() + self.customers.len() + self.untold.len();
+        names + outs + peers + self.held.len() + self.heard.len()
+    }
+
     /// One that has seen nothing.
     pub(crate) fn blank(set: Settings, rng: SmallRng) -> Self {
         Brain {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -360,3 +360,56 @@
     let waits: Vec<u64> = waits.collect();
     assert!(!waits.is_empty() && waits.iter().all(|w| (50 * MS..=2 * S).contains(w)), "{waits:?}");
 }
+
+#[test]
+fn broken_connections_strike_a_backend_out_only_if_nothing_else_comes_of_it() {
+    let mut stage = Stage::new(settings(), 3, &fleet());
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 60);
+    // Share of what goes to b0, where so many connections in a row break before each answer.
+    let mut share = |broken: u32| {
+        let (mut to_b0, mut row) = (0, 0);
+        for _ in 0..600 {
+            let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
+            let to = target(&actions).expect("sent");
+            let at_b0 = &*to == "b0";
+            to_b0 += u32::from(at_b0);
+            row = if at_b0 { (row + 1) % (broken + 1) } else { row };
+            let how = if at_b0 && row > 0 { Outcome::Reset } else { Outcome::Ok };
+            for action in stage.end(id, 0, &to, how, 5) {
+                if let Action::Send { backend, .. } = action {
+                    stage.end(id, 1, &backend, Outcome::Ok, 5);
+                }
+            }
+            stage.pass(10 * MS);
+        }
+        to_b0
+    };
+    let (once, often) = (share(1), share(5));
+    assert!(once > 20, "{once} of 600 for one whose connections break now and then");
+    assert!(often < once / 2, "{often} of 600 for one that hardly answers, {once} before");
+}
+
+#[test]
+fn what_is_kept_comes_back_to_its_size_after_thousands_of_newcomers() {
+    let mut set = settings();
+    set.plans[0].rate = 1e3;
+    let mut stage = Stage::new(set, 5, &fleet());
+    let mut newcomers = |many: u32| {
+        for i in 0..many {
+            // Each backend is replaced in turn by one under a new id.
+            let mut list = fleet();
+            list[(i % 6) as usize].backend = format!("new{}-{i}", stage.now).as_str().into();
+            stage.give(Event::Members(ListKind::Full, list.into()));
+            let (id, actions) = stage.ask(SAFE, (i % 2) as usize, &format!("c{}-{i}", stage.now), 1.0);
+            if let Some(to) = target(&actions) {
+                stage.end(id, 0, &to, Outcome::Ok, 20);
+            }
+            stage.pass(20 * MS);
+        }
+        stage.pass(30 * S);
+        stage.brain.kept()
+    };
+    let few = newcomers(20);
+    let many = newcomers(3000);
+    assert!(many <= few + 10, "{many} entries kept after thousands, {few} after a few");
+}
