Bound what others have out by what they send on, not by what clients ask again

Cause: src/brain.rs took others' demand for what they have out. Demand counts each try, and a refused client asks again, mostly through another ingress, so refusals led to refusals.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,7 @@
 const SHORT: (f64, f64) = (0.2, 0.5); // Share of the store below which one is short, above which no longer.
 const NEWS: f64 = 1.6; // Change of a told demand that is worth telling at once: beyond chance.
 const WORD: (f64, f64) = (6.0, 20.0); // s; a word on a short customer is repeated, and trusted for as long.
+const ASKED_AGAIN: f64 = 3.0; // Asked over sent on beyond which others' demand is clients coming again.
 const GRANT: f64 = 0.5; // Part of the ceiling's slack that a round of grants may have in flight.
 const FORGET: f64 = 10.0; // s; customers not seen for longer may be forgotten once their stores are full.
 const CUSTOMERS: usize = 8192; // Customers kept at most: bounds memory under floods of customers seen once.
@@ -412,7 +413,11 @@
         }
         // What others have out is their demand for as long as a request of this kind takes; rounded at
         // random. Guards against a share of less than one each, which refuses those that have nothing out.
-        let others = (demand - own).max(0.0) * self.usual(self.kind(r.class, r.units));
+        // What they say they send on bounds it: a refused client asks again, at once and elsewhere.
+        let asked = (demand - own).max(0.0);
+        let sent = customer.theirs.read(now, MEMORY.0);
+        let others = if customer.word(now).is_some() { asked } else { asked.min(sent * ASKED_AGAIN) };
+        let others = others * self.usual(self.kind(r.class, r.units));
         plan.open == 0 || f64::from(customer.out) + others + self.rng.random::<f64>() < f64::from(plan.open)
     }
 
@@ -958,6 +963,7 @@
                 (before.sent, before.asked) = (sent, asked);
                 before.demand.add(now, more, MEMORY.0);
                 c.demand.add(now, more, MEMORY.0);
+                c.theirs.add(now, used, MEMORY.0);
                 if new && c.keepers.len() == c.spread as usize {
                     c.store = c.store.min(level * plan.burst);
                 } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,8 @@
     /// Demand that came through this gateway, and all that is known here.
     pub own: Meter,
     pub demand: Meter,
+    /// What others sent on, as far as they tell.
+    pub theirs: Meter,
     /// Units sent on and asked for in this life.
     pub sent: f64,
     pub asked: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use applewall::api::*;
+use applewall::mail;
 use common::*;
 
 fn fleet() -> Vec<Member> {
@@ -222,6 +223,39 @@
     assert_eq!(refusals, 0);
 }
 
+/// Clients that others refuse ask again and again: what they ask is not what is out.
+#[test]
+fn open_limits_count_what_others_send_on_and_not_what_they_refuse() {
+    let mut set = settings();
+    (set.plans[0].open, set.plans[0].rate) = (2, 60.0);
+    let mut stage = Stage::new(set, 31, &fleet());
+    // Answers take 100 ms.
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 100);
+    let mut refusals = |sent_too: bool| {
+        let mut refusals = 0;
+        for turn in 0..100u32 {
+            // Another gateway is asked for 40 units a second.
+            let asked = mail::units_code(f64::from(turn) * 2.0);
+            let sent = if sent_too { asked } else { 0 };
+            let name = mail::fingerprint(if sent_too { "sent" } else { "refused" });
+            let told = mail::Record::Use { plan: 0, first: 0, spread: 3, sent, asked, level: 1.0 };
+            for text in mail::write(7, &[(name, told)]) {
+                stage.give(Event::Peer { from: 1, text });
+            }
+            let (id, actions) = stage.ask(SAFE, 0, if sent_too { "sent" } else { "refused" }, 1.0);
+            refusals += u32::from(refused(&actions));
+            if let Some(to) = target(&actions) {
+                stage.end(id, 0, &to, Outcome::Ok, 100);
+            }
+            stage.pass(50 * MS);
+        }
+        refusals
+    };
+    let (sent, refused) = (refusals(true), refusals(false));
+    assert!(sent > 50, "{sent} of 100 refused where others have the limit out");
+    assert_eq!(refused, 0, "refused where others have nothing out");
+}
+
 #[test]
 fn settled_units_replace_the_guess() {
     let passes = |cost: f64| {
