Close silent connections before clients hold all the connections they may

The node's figures hold only a part of the tries as commands. `ss` showed 126 connections to one node: the third of the descriptors that clients hold at most, nearly all asked once and silent. With nothing left to open, clients turned requests away themselves, and no newcomer came to make src/net/accept.rs close one: it did so only beyond that third.

Now the longest silent go from three quarters of the third on. A connection that has just come up is not taken for a silent one: its first command is on its way.

The new test of the door fails without the change.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
@@ -28,6 +28,8 @@
 /// A head has to be whole this long after the connection came up or the last answer went out: those that are silent,
 /// or slower, hold no place for ever.
 const HEAD: Duration = Duration::from_millis(2_500);
+/// A new connection is not taken for a silent one before this: its first command is on its way.
+const GRACE: Duration = Duration::from_millis(250);
 /// A head, and what is read ahead of a body, hold this at most.
 const HEAD_MOST: usize = 16 * 1024;
 /// How long, and for how many bytes, a connection stays open for the service client to read why it is closed.
@@ -77,6 +79,7 @@
     places: Arc<Semaphore>,
     seats: Arc<Seats>,
     budget: Budget,
+    shedding: AtomicBool,
 }
 
 impl Door {
@@ -91,7 +94,14 @@
             bodies: Arc::new(Semaphore::new(config.memory / BODIES_PART)),
         };
         let places = Arc::new(Semaphore::new(budget.clients + budget.spare));
-        Door { gate: Arc::new(gate), stages, places, seats: Arc::default(), budget }
+        Door {
+            gate: Arc::new(gate),
+            stages,
+            places,
+            seats: Arc::default(),
+            budget,
+            shedding: AtomicBool::new(false),
+        }
     }
 
     /// Serves until the program is to end and all that was taken is answered.
@@ -115,7 +125,7 @@
         loop {
             // No place at all: the longest silent goes, for whoever waits in the backlog.
             if self.places.available_permits() == 0 {
-                self.seats.make_room();
+                self.seats.make_room(Duration::ZERO);
             }
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
             match listener.accept().await {
@@ -147,10 +157,22 @@
 
     fn serve_connection(&self, stream: TcpStream, place: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
-        // The spare places are for saying no, where nobody silent can go instead: a connection that is not
-        // accepted would only hang.
-        let crowded = self.places.available_permits() < self.budget.spare;
-        let shed = crowded && !self.seats.make_room();
+        let taken = self.budget.clients + self.budget.spare - self.places.available_permits();
+        // Service clients that hold all that they may open no more, and would have to turn requests away: the
+        // silent go before that. Nobody silent left, the spare places are for saying no: a connection that is
+        // not accepted would only hang.
+        let room = taken > self.budget.clients * 3 / 4 && self.seats.make_room(GRACE);
+        let crowded = taken > self.budget.clients;
+        let shed = crowded && !room;
+        // Once a spell: it ends when there is room again.
+        if shed && !self.shedding.swap(true, Ordering::Relaxed) {
+            let most = self.budget.clients;
+            super::log(format_args!(
+                "crowded: {most} connections with a command open; turning newcomers away"
+            ));
+        } else if !crowded {
+            self.shedding.store(false, Ordering::Relaxed);
+        }
         let seat = self.seats.sit(place);
         let commands = Commands { gate: self.gate.clone(), shed, seat: seat.clone() };
         let mut connection = http1::Builder::new()
@@ -211,25 +233,55 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::seats::Seat;
     use super::*;
 
-    #[tokio::test]
-    async fn where_all_that_have_a_place_ask_the_next_one_is_told_no_at_once() {
+    fn door() -> Door {
         let mut config = Config::sample();
         config.sockets = 64;
-        let (queue, _inbox) = mpsc::channel(8);
-        let (_stage, stages) = watch::channel(Stage::Serving);
-        let door = Door::new(&config, queue, stages);
-        let busy: Vec<_> = (0..door.budget.clients)
-            .map(|_| door.seats.sit(door.places.clone().try_acquire_owned().expect("a place")))
-            .collect();
+        let (queue, _) = mpsc::channel(8);
+        let (stage, stages) = watch::channel(Stage::Serving);
+        // Whoever leads through the stages does so for as long as the program runs.
+        std::mem::forget(stage);
+        Door::new(&config, queue, stages)
+    }
+
+    impl Door {
+        fn sit(&self, many: usize) -> Vec<Arc<Seat>> {
+            let place = || self.places.clone().try_acquire_owned().expect("a place");
+            (0..many).map(|_| self.seats.sit(place())).collect()
+        }
+
+        /// The other end of a new connection.
+        async fn connection(&self) -> TcpStream {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+            let client = TcpStream::connect(listener.local_addr().expect("an address"));
+            let (client, accepted) = tokio::join!(client, listener.accept());
+            let place = self.places.clone().try_acquire_owned().expect("a place");
+            self.serve_connection(accepted.expect("a connection").0, place);
+            client.expect("a connection")
+        }
+    }
+
+    #[tokio::test]
+    async fn the_silent_go_before_service_clients_hold_all_that_they_may() {
+        let door = door();
+        let mut silent = door.sit(door.budget.clients * 3 / 4);
+        silent[1].begin();
+        silent[1].wait();
+        let _client = door.connection().await;
+        // The first ones are as new as that one: who has asked, and is silent, goes before them.
+        let gone = silent.remove(1);
+        let gone = tokio::time::timeout(Duration::from_secs(30), gone.go.notified()).await;
+        assert!(gone.is_ok(), "all that sit may stay until there is no place left");
+    }
+
+    #[tokio::test]
+    async fn where_all_that_have_a_place_ask_the_next_one_is_told_no_at_once() {
+        let door = door();
+        let busy = door.sit(door.budget.clients);
         busy.iter().for_each(|seat| seat.begin());
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let client = TcpStream::connect(listener.local_addr().expect("an address"));
-        let (client, accepted) = tokio::join!(client, listener.accept());
-        let place = door.places.clone().try_acquire_owned().expect("a spare place");
-        door.serve_connection(accepted.expect("a connection").0, place);
-        let (mut client, mut answer) = (client.expect("a connection"), String::new());
+        let (mut client, mut answer) = (door.connection().await, String::new());
         client.write_all(b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n").await.expect("written");
         client.read_to_string(&mut answer).await.expect("an answer and the end");
         assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("retry-after: 0.200\r\n"), "{answer}");
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
@@ -33,7 +34,7 @@
         waiting.turn += 1;
         let turn = waiting.turn;
         self.turn.store(turn, Ordering::Relaxed);
-        waiting.seats.insert((self.asked(), turn), Arc::downgrade(self));
+        waiting.seats.insert((self.asked(), turn), (Arc::downgrade(self), Instant::now()));
     }
 
     /// It waits no more.
@@ -82,8 +83,8 @@
 #[derive(Default)]
 struct Waiting {
     turn: u64,
-    /// By whether a command ever came, then by when the wait began.
-    seats: BTreeMap<(bool, u64), Weak<Seat>>,
+    /// By whether a command ever came, then by when the wait began; and that moment.
+    seats: BTreeMap<(bool, u64), (Weak<Seat>, Instant)>,
 }
 
 /// All connections that wait for a command.
@@ -114,10 +115,17 @@
     }
 
     /// Tells the connection to go that has been silent for longest: one that never asked, else one whose last
-    /// command is longest ago. False where none waits.
-    pub fn make_room(&self) -> bool {
-        let first = self.lock().seats.pop_first();
-        let Some(seat) = first.and_then(|(_, seat)| seat.upgrade()) else { return false };
+    /// command is longest ago. The first command of a new one may be on its way: for a while those that asked go
+    /// before it. False where none waits.
+    pub fn make_room(&self, grace: Duration) -> bool {
+        let mut waiting = self.lock();
+        let Some((first, (_, since))) = waiting.seats.first_key_value() else { return false };
+        let new = !first.0 && since.elapsed() < grace;
+        let asked = waiting.seats.range((true, 0)..).next().filter(|_| new);
+        let key = *asked.map_or(first, |(key, _)| key);
+        let gone = waiting.seats.remove(&key);
+        drop(waiting);
+        let Some(seat) = gone.and_then(|(seat, _)| seat.upgrade()) else { return false };
         seat.turn.store(0, Ordering::Relaxed);
         seat.go.notify_one();
         true
@@ -139,11 +147,15 @@
         }
         asked_early.wait();
         asked_late.wait();
-        for seat in [silent_early, silent_late, asked_early, asked_late] {
-            assert!(seats.make_room());
+        let (none, long) = (Duration::ZERO, Duration::from_secs(3600));
+        // In the end, a new one that has not asked stays for longer than one that has.
+        for (seat, grace) in
+            [(silent_early, none), (asked_early, long), (silent_late, none), (asked_late, long)]
+        {
+            assert!(seats.make_room(grace));
             seat.go.notified().await;
         }
-        assert!(!seats.make_room());
+        assert!(!seats.make_room(long));
         assert_eq!(places.available_permits(), 4);
         drop(asks);
         assert_eq!(places.available_permits(), 5);
