Workspace, the operator's INI file, structured logs, and queue types of their own

Need: the subsystems to come stand on these. src/net was a circle of eight files, settings were the platform's JSON alone, and the log was plain text only.

Change: Cargo workspace with crates/operator (rust-ini keeps doubles so they can be refused, serde types, garde ranges, schemars schema from the same types; humantime, bytesize, ipnet for units), crates/pace with its settings, crates/standins. The types that cross the queue moved to message.rs; budget, listing, connection and reply are files of their own, so imports run one way. tracing in place of our own line writer: the same text, or JSON by the operator's file.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --workspace --locked
 
 lint:
-	cargo fmt --check
-	cargo clippy --all-targets --locked -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 lines:
 	@lines=$$(grep -cv '^[[:space:]]*$$' $(MODULE)); \
--- /dev/null
+++ b/crates/pace/src/lib.rs
@@ -0,0 +1,5 @@
+//! Slow peers.
+
+mod settings;
+
+pub use settings::{BulkheadSettings, Settings};
--- /dev/null
+++ b/crates/pace/src/settings.rs
@@ -0,0 +1,143 @@
+//! What operators may set: sections `[pace]` and `[bulkheads]` of their file.
+
+use applewall_operator::{number, Networks, Size, Span, Switch};
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+/// `[pace]`: least rates and limits on what may wait. Rates are bytes a second.
+#[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Settings {
+    /// Off: nothing of this section holds.
+    pub enabled: Switch,
+    /// How often transfers that go on are looked at.
+    #[garde(dive, custom(between(10, 1_000)))]
+    pub tick: Span,
+    /// The rate of a transfer is what it moved within this.
+    #[garde(dive, custom(between(100, 60_000)))]
+    pub window: Span,
+    /// No transfer to a service client is judged before it is this old.
+    #[garde(dive)]
+    pub grace: Span,
+    /// Least rate of an answer going out, while nothing is short.
+    pub out_least: Size,
+    /// The same where all places or all waiting bytes are taken; it rises in between.
+    pub out_least_full: Size,
+    /// Share of places or of waiting bytes from which the least rate rises.
+    #[garde(range(min = 0.0, max = 0.99))]
+    #[serde(deserialize_with = "number")]
+    pub pressure_from: f64,
+    /// Bytes of answers that all service clients together may leave waiting.
+    #[garde(custom(size_between(64 << 10, 1 << 40)))]
+    pub waiting: Size,
+    /// What the kernel may hold of one connection's answers; it takes up to twice that for its own accounts.
+    #[garde(custom(size_between(4 << 10, 16 << 20)))]
+    pub send_buffer: Size,
+    /// Unsent bytes in the kernel below which more are written.
+    #[garde(custom(size_between(1 << 10, 16 << 20)))]
+    pub not_sent: Size,
+    /// A body of a command has to be whole this long after its head.
+    #[garde(dive, custom(between(100, 60_000)))]
+    pub upload_time: Span,
+    /// A silence inside an answer of an instance, or inside a body, from which it counts as stalled.
+    #[garde(dive, custom(between(20, 60_000)))]
+    pub pause: Span,
+    /// An incoming transfer is not judged by its rate before it has been seen for this long.
+    #[garde(dive)]
+    pub forecast_after: Span,
+    /// An incoming transfer is given up only where so many times its rate would not do.
+    #[garde(range(min = 1.0, max = 100.0))]
+    #[serde(deserialize_with = "number")]
+    pub forecast_slack: f64,
+    /// An attempt is given up only while its command has this much time left: another has to fit.
+    #[garde(dive)]
+    pub retry_room: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            enabled: Switch(false),
+            tick: Span::millis(50),
+            window: Span::millis(1_000),
+            grace: Span::millis(300),
+            out_least: Size(1 << 10),
+            out_least_full: Size(16 << 10),
+            pressure_from: 0.5,
+            waiting: Size(3 << 20),
+            send_buffer: Size(16 << 10),
+            not_sent: Size(8 << 10),
+            upload_time: Span::millis(2_000),
+            pause: Span::millis(400),
+            forecast_after: Span::millis(150),
+            forecast_slack: 4.0,
+            retry_room: Span::millis(150),
+        }
+    }
+}
+
+/// `[bulkheads]`: what one customer or one set of addresses may hold at most.
+#[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct BulkheadSettings {
+    /// Off: nothing of this section holds.
+    pub enabled: Switch,
+    /// Share of the places for open commands that one customer may hold.
+    #[garde(range(min = 0.01, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub customer_places: f64,
+    /// Share of the waiting bytes that one customer may hold.
+    #[garde(range(min = 0.01, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub customer_waiting: f64,
+    /// Share of the connections that one set of addresses may hold.
+    #[garde(range(min = 0.01, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub peer_places: f64,
+    /// Share of the waiting bytes that one set of addresses may hold.
+    #[garde(range(min = 0.01, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub peer_waiting: f64,
+    /// IPv4 addresses that agree in so many bits are one set.
+    #[garde(range(min = 8, max = 32))]
+    #[serde(deserialize_with = "number")]
+    pub ipv4_prefix: u8,
+    /// The same for IPv6.
+    #[garde(range(min = 16, max = 128))]
+    #[serde(deserialize_with = "number")]
+    pub ipv6_prefix: u8,
+    /// Networks that carry many customers, such as a front: no set of addresses there is bounded.
+    pub exempt: Networks,
+}
+
+impl Default for BulkheadSettings {
+    fn default() -> Self {
+        BulkheadSettings {
+            enabled: Switch(false),
+            customer_places: 0.25,
+            customer_waiting: 0.25,
+            peer_places: 0.5,
+            peer_waiting: 0.5,
+            ipv4_prefix: 24,
+            ipv6_prefix: 56,
+            exempt: Networks::default(),
+        }
+    }
+}
+
+fn between(least: u64, most: u64) -> impl FnOnce(&Span, &()) -> garde::Result {
+    move |time, ()| match (Span::millis(least)..=Span::millis(most)).contains(time) {
+        true => Ok(()),
+        false => Err(garde::Error::new(format!("not between {least}ms and {most}ms"))),
+    }
+}
+
+fn size_between(least: u64, most: u64) -> impl FnOnce(&Size, &()) -> garde::Result {
+    move |size, ()| match (least..=most).contains(&size.0) {
+        true => Ok(()),
+        false => Err(garde::Error::new(format!("not between {least} and {most} bytes"))),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,29 +1,39 @@
 //! The ingress as a program: reads the command line and starts.
 
+mod logs;
 mod net;
+mod operator;
 
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: applewall serve | check | version | help";
+const USAGE: &str = "usage: applewall serve | check [--operator FILE] | schema | version | help";
 
 enum Call {
     Serve,
     Check,
+    Schema,
     Version,
     Help,
 }
 
-fn call() -> Result<Call, String> {
+/// The sub-command, and the operator's own file.
+fn call() -> Result<(Call, Option<String>), String> {
     use lexopt::prelude::*;
     let mut parser = lexopt::Parser::from_env();
-    let mut call = None;
+    let (mut call, mut operator) = (None, None);
     while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
         let next = match arg {
             Long("help") | Short('h') => Call::Help,
+            Long("operator") if operator.is_none() => {
+                let file = parser.value().and_then(|v| v.string()).map_err(|e| e.to_string())?;
+                operator = Some(file);
+                continue;
+            }
             Long("version") | Short('V') => Call::Version,
             Value(word) if call.is_none() => match word.to_str() {
                 Some("serve") => Call::Serve,
                 Some("check") => Call::Check,
+                Some("schema") => Call::Schema,
                 Some("version") => Call::Version,
                 Some("help") => Call::Help,
                 _ => return Err(format!("unknown sub-command '{}'; {USAGE}", word.to_string_lossy())),
@@ -32,14 +42,28 @@
         };
         call = Some(next);
     }
-    call.ok_or_else(|| USAGE.to_string())
+    Ok((call.ok_or_else(|| USAGE.to_string())?, operator))
 }
 
 fn run() -> Result<(), String> {
-    match call()? {
-        Call::Serve => net::serve(net::config::Config::from_env()?),
+    let (call, file) = call()?;
+    let operator = || operator::Operator::read(file.as_deref());
+    match call {
+        Call::Serve => {
+            let operator = operator()?;
+            logs::start(operator.log.format);
+            net::serve(net::config::Config::from_env()?, operator, file.clone())
+        }
         Call::Check => {
+            let operator = operator()?;
             println!("{}", net::config::Config::from_env()?.summary());
+            if let Some(file) = &file {
+                println!("{file}: {} on", operator.summary());
+            }
+            Ok(())
+        }
+        Call::Schema => {
+            println!("{}", operator::Operator::schema());
             Ok(())
         }
         Call::Version => {
@@ -48,7 +72,7 @@
         }
         Call::Help => {
             println!("{USAGE}\n\nserve    run the ingress that GW_CONFIG describes, until SIGTERM");
-            println!("check    read GW_CONFIG and say what it describes\nversion  print the version");
+            println!("check    read GW_CONFIG and say what it describes\nschema   print the JSON Schema of the operator's file\nversion  print the version");
             Ok(())
         }
     }
@@ -58,7 +82,9 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            net::log(format_args!("{reason}"));
+            // Before the operator's file is read, text is the form of the log.
+            logs::start(logs::Form::Text);
+            tracing::error!("{reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -16,10 +16,11 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 
+use super::budget::Budget;
 use super::command::{Commands, Gate};
 use super::config::Config;
-use super::engine::Message;
 use super::framing::Guarded;
+use super::message::Message;
 use super::seats::Seats;
 use super::shutdown::{Stage, CLOSING};
 
@@ -38,26 +39,6 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Part of the memory that the bodies of waiting commands may hold together.
 const BODIES_PART: usize = 8;
-/// Descriptors for all that is not a connection of a service client or to an instance.
-const RESERVE: usize = 32;
-
-/// Descriptors that connections may hold, of all that the process may.
-pub struct Budget {
-    /// Service clients that are served: a third of all is what they hold at most for their requests.
-    pub clients: usize,
-    /// Further ones: for saying no, while the silent ones go.
-    pub spare: usize,
-    pub instances: usize,
-}
-
-impl Budget {
-    /// Each open command has one attempt out at most, so instances get no less than service clients.
-    pub fn new(sockets: usize) -> Self {
-        let (clients, spare) = (sockets.div_ceil(3), sockets / 16);
-        Budget { clients, spare, instances: sockets.saturating_sub(RESERVE + clients + spare).max(1) }
-    }
-}
-
 /// Listens; where the port was left open, the address is put right.
 pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
     let told = *address;
@@ -116,7 +97,7 @@
         drop(listener);
         let all = self.places.acquire_many((self.budget.clients + self.budget.spare) as u32);
         if tokio::time::timeout(CLOSING, all).await.is_err() {
-            super::log(format_args!("ended with connections still open"));
+            tracing::warn!("ended with connections still open");
         }
     }
 
@@ -136,7 +117,7 @@
                 Err(e) => {
                     // Once a spell: a lasting error must not flood the log.
                     if !std::mem::replace(&mut failing, true) {
-                        super::log(format_args!("accept: {e}"));
+                        tracing::warn!("accept: {e}");
                     }
                     tokio::time::sleep(PAUSE).await;
                 }
@@ -167,9 +148,7 @@
         // Once a spell: it ends when there is room again.
         if shed && !self.shedding.swap(true, Ordering::Relaxed) {
             let most = self.budget.clients;
-            super::log(format_args!(
-                "crowded: {most} connections with a command open; turning newcomers away"
-            ));
+            tracing::warn!("crowded: {most} connections with a command open; turning newcomers away");
         } else if !crowded {
             self.shedding.store(false, Ordering::Relaxed);
         }
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,21 @@
+//! How the descriptors of the process are dealt out.
+
+/// Descriptors for all that is not a connection of a service client or to an instance.
+const RESERVE: usize = 32;
+
+/// Descriptors that connections may hold, of all that the process may.
+pub struct Budget {
+    /// Service clients that are served: a third of all is what they hold at most for their requests.
+    pub clients: usize,
+    /// Further ones: for saying no, while the silent ones go.
+    pub spare: usize,
+    pub instances: usize,
+}
+
+impl Budget {
+    /// Each open command has one attempt out at most, so instances get no less than service clients.
+    pub fn new(sockets: usize) -> Self {
+        let (clients, spare) = (sockets.div_ceil(3), sockets / 16);
+        Budget { clients, spare, instances: sockets.saturating_sub(RESERVE + clients + spare).max(1) }
+    }
+}
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -16,11 +16,11 @@
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tower::Service;
 
 use super::answer::Answer;
-use super::engine::Message;
+use super::message::{Command, Message, Passed};
 use super::seats::Seat;
 use super::shutdown::Stage;
 use super::BODY_MOST;
@@ -33,29 +33,6 @@
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
-/// What passes on to an instance unchanged.
-pub struct Passed {
-    pub method: Method,
-    pub target: Uri,
-    pub host: Option<HeaderValue>,
-    pub id: HeaderValue,
-    pub content_type: Option<HeaderValue>,
-    pub body: Bytes,
-    /// The body's share of what all may hold; none where it is empty.
-    pub _held: Option<OwnedSemaphorePermit>,
-}
-
-/// A command on its way to the engine.
-pub struct Command {
-    pub request: api::Request,
-    /// Tells this command from another that a service client gave the same id.
-    pub serial: u64,
-    /// When the service client gives it up.
-    pub deadline: Instant,
-    pub passed: Arc<Passed>,
-    pub reply: oneshot::Sender<Answer>,
-}
-
 /// What all connections share.
 pub struct Gate {
     pub facts: Arc<Facts>,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -10,7 +10,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
-use super::name_table::Answer;
+use super::listing::Answer;
+use crate::operator::Operator;
 
 /// The configuration file; the settings are read by [`wire::facts`].
 #[derive(Deserialize)]
@@ -141,28 +142,53 @@
     path: String,
     told: SocketAddr,
     discovery: watch::Sender<SocketAddr>,
+    /// The operator's own file, if there is one, and what it said when it was last good.
+    operator: (Option<String>, watch::Sender<Arc<Operator>>),
 }
 
 impl Source {
-    /// The file that a configuration came from, and the address of discovery in force.
-    pub fn new(config: &Config) -> (Self, watch::Receiver<SocketAddr>) {
+    /// The files that a configuration came from, the address of discovery and the operator's settings in force.
+    pub fn new(
+        config: &Config,
+        operator: Operator,
+        file: Option<String>,
+    ) -> (Self, watch::Receiver<SocketAddr>, watch::Receiver<Arc<Operator>>) {
         let (discovery, follower) = watch::channel(config.discovery);
-        (Source { path: config.path.clone(), told: config.told, discovery }, follower)
+        let (settings, settings_follower) = watch::channel(Arc::new(operator));
+        let (path, told) = (config.path.clone(), config.told);
+        (Source { path, told, discovery, operator: (file, settings) }, follower, settings_follower)
     }
 
-    /// Reads the file again. What is wrong with it, as where it is only half written, changes nothing.
+    /// Reads both files again. What is wrong with one, as where it is only half written, changes nothing that it
+    /// tells.
     pub fn reload(&mut self) {
+        self.reload_operator();
+        self.reload_discovery();
+    }
+
+    fn reload_operator(&self) {
+        let (Some(file), settings) = &self.operator else { return };
+        match Operator::read(Some(file)) {
+            Ok(read) => {
+                tracing::info!("reload: {file}: {} on", read.summary());
+                settings.send_replace(Arc::new(read));
+            }
+            Err(reason) => tracing::warn!("reload: {reason}; all stays as it was"),
+        }
+    }
+
+    fn reload_discovery(&mut self) {
         let discovery = match read(&self.path).and_then(Config::try_from) {
             Ok(config) => config.discovery,
             Err(reason) => {
-                return super::log(format_args!("reload: {reason}; all stays as it was"));
+                return tracing::warn!("reload: {reason}; all stays as it was");
             }
         };
         // GW_DISCOVERY goes before what the file said at the start, not before what it was changed to.
         if std::mem::replace(&mut self.told, discovery) == discovery {
-            return super::log(format_args!("reload: discovery is as it was"));
+            return tracing::info!("reload: discovery is as it was");
         }
-        super::log(format_args!("reload: discovery is now {discovery}"));
+        tracing::info!("reload: discovery is now {discovery}");
         self.discovery.send_replace(discovery);
     }
 }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -14,13 +14,12 @@
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use super::accept::Budget;
 use super::answer::Answer;
+use super::budget::Budget;
 use super::clock::Clock;
-use super::command::{Command, Passed};
 use super::config::Config;
-use super::instance::{Attempt, Ended, Fleet};
-use super::name_table::Entry;
+use super::instance::{Attempt, Fleet};
+use super::message::{Command, Ended, Message, Passed};
 use super::peers::Peers;
 
 /// Messages taken from the queue at one go.
@@ -36,20 +35,6 @@
 /// Between lines of figures.
 const FIGURES: u64 = 10_000_000_000;
 
-/// What reaches the engine.
-pub enum Message {
-    /// A command was taken.
-    Command(Command),
-    /// The service client of the command with this serial left.
-    Left(RequestId, u64),
-    /// An attempt ended.
-    Ended(Ended),
-    /// News of the name table.
-    Table(ListKind, Vec<Entry>),
-    /// A peer's datagram.
-    Peer { from: u32, text: String },
-}
-
 /// A command that is open: unanswered, or with an attempt still out.
 struct Open {
     serial: u64,
@@ -194,7 +179,7 @@
         while let Some((_, id)) = self.last_resorts.first().copied().filter(|(at, _)| *at <= self.now) {
             // The module owes an answer and has not given it: should never happen, and is counted.
             self.figures.last_resort += 1;
-            super::log(format_args!("last-resort answer to {:016x}", id.0));
+            tracing::error!("last-resort answer to {:016x}", id.0);
             self.answer(id, Answer::Failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
             self.leave(id);
         }
@@ -218,12 +203,19 @@
         let Figures { commands, served, nacks, failed, left, attempts, last_resort } =
             std::mem::take(&mut self.figures);
         if commands + last_resort > 0 {
-            super::log(format_args!(
-                "figures: commands={commands} served={served} nacks={nacks} failed={failed} left={left} \
-                 attempts={attempts} last_resort={last_resort} open={} idle={}",
-                self.open.len(),
-                self.fleet.idle()
-            ));
+            let (open, idle) = (self.open.len(), self.fleet.idle());
+            tracing::info!(
+                commands,
+                served,
+                nacks,
+                failed,
+                left,
+                attempts,
+                last_resort,
+                open,
+                idle,
+                "figures"
+            );
         }
     }
 
@@ -337,7 +329,7 @@
             Action::Tell { peer, text } => {
                 self.peers.iter().for_each(|peers| peers.tell(peer, &text));
             }
-            Action::Log(line) => super::log(format_args!("module: {line}")),
+            Action::Log(line) => tracing::info!("module: {line}"),
             // The name table is always followed; probes and counts are not asked for by this module.
             Action::Watch(_) | Action::Fetch | Action::Probe(_) | Action::Count { .. } => {}
         }
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -4,162 +4,34 @@
 //! connection closes the moment its attempt is dropped, and an attempt costs no second task.
 
 use std::collections::HashMap;
-use std::future::{poll_fn, Future};
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
-use std::pin::{pin, Pin};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use applewall::api::{BackendId, ListKind, LoadField, MemberState, Outcome, RequestId};
 use applewall::wire::Facts;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
-use super::command::Passed;
-use super::engine::Message;
-use super::name_table::Entry;
+use super::connection::{drive, Connection, Watch, Watched};
+use super::message::{Ended, Entry, Message, Passed};
+use super::reply::{framed, load, outcome};
 use super::BODY_MOST;
 
 /// Part of the instance's idle limit after which we close a connection ourselves: crossing it is a reset.
 const IDLE_PART: f64 = 0.6;
 /// The head of an answer, and what is read ahead of a body, hold this at most.
 const HEAD_MOST: usize = 16 * 1024;
-/// What a figure in a load report can be; all else is no figure.
-const SANE: RangeInclusive<f64> = 0.0..=1e6;
 /// By which the last send to a draining instance comes before the rule's limit.
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 
-/// Drives a connection while some work goes on over it; `None` if it ended with the work undone.
-pub async fn drive<I, B, F>(connection: &mut http1::Connection<I, B>, work: F) -> Option<F::Output>
-where
-    I: Read + Write + Unpin,
-    B: Body + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    F: Future,
-{
-    let mut work = pin!(work);
-    poll_fn(|cx| {
-        if let Poll::Ready(done) = work.as_mut().poll(cx) {
-            return Poll::Ready(Some(done));
-        }
-        let ended = Pin::new(&mut *connection).poll(cx).is_ready();
-        match work.as_mut().poll(cx) {
-            Poll::Ready(done) => Poll::Ready(Some(done)),
-            Poll::Pending if ended => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
-        }
-    })
-    .await
-}
-
-/// What an attempt shares with the stream under its connection.
-#[derive(Default)]
-struct Watch {
-    /// Bytes written: the evidence on whether a request can have arrived.
-    written: AtomicU64,
-    /// Look at the socket itself with the next read.
-    look: AtomicBool,
-}
-
-/// A stream that is watched.
-struct Watched {
-    stream: TokioIo<TcpStream>,
-    watch: Arc<Watch>,
-}
-
-impl Watched {
-    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = poll {
-            self.watch.written.fetch_add(n as u64, Ordering::Relaxed);
-        }
-        poll
-    }
-}
-
-impl Read for Watched {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        if self.watch.look.swap(false, Ordering::Relaxed) {
-            // The reactor may not have told yet of what the kernel holds. On an idle connection, that is the
-            // connection's end or nobody's answer, which would be taken for the next request's.
-            match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-                Ok(_) => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
-            }
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl Write for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(poll)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context,
-        bufs: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(poll)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
-/// A connection to an instance; its place in the budget comes back when it is dropped.
-struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    /// On the heap: it is large, and moves between the pool and its attempts.
-    driver: Box<http1::Connection<Watched, Full<Bytes>>>,
-    watch: Arc<Watch>,
-    endpoint: SocketAddr,
-    since: Instant,
-    place: OwnedSemaphorePermit,
-}
-
-impl Connection {
-    /// Lets the connection notice what has happened to it, by the socket itself; false if it can't take a request.
-    async fn usable(&mut self) -> bool {
-        self.watch.look.store(true, Ordering::Relaxed);
-        let (sender, driver, watch) = (&mut self.sender, &mut self.driver, &self.watch);
-        poll_fn(|cx| {
-            let ended = Pin::new(&mut **driver).poll(cx).is_ready();
-            let looked = !watch.look.load(Ordering::Relaxed);
-            Poll::Ready(looked && !ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
-        })
-        .await
-    }
-
-    /// Closes it and gives its place on.
-    fn close(self) -> OwnedSemaphorePermit {
-        self.place
-    }
-}
-
 /// What an attempt starts with: an idle connection, or a place for a new one.
 enum Pooled {
     Idle(Connection),
@@ -216,19 +88,6 @@
     pub until: Instant,
 }
 
-/// How an attempt ended; its connection is idle or closed by now.
-#[derive(Debug)]
-pub struct Ended {
-    pub request: RequestId,
-    pub number: u32,
-    pub backend: BackendId,
-    pub outcome: Outcome,
-    pub latency: Duration,
-    pub load: Vec<f64>,
-    /// The answer, where it was served.
-    pub served: Option<(Bytes, Option<HeaderValue>)>,
-}
-
 impl Fleet {
     /// None yet, and room for so many connections; attempts report to the queue.
     pub fn new(facts: &Facts, places: usize, queue: mpsc::Sender<Message>) -> Self {
@@ -347,50 +206,6 @@
     }
 }
 
-/// What an answer says: only its mark proves that the request never ran.
-fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    let unprocessed = || headers.get("x-unprocessed").is_some_and(|v| v.as_bytes() == b"1");
-    match status.as_u16() {
-        200 => Outcome::Ok,
-        503 | 504 if unprocessed() => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
-/// True where an answer says itself where it ends, within what a body may hold. One that ends with its connection
-/// may have been cut off, and one that says it in two ways hides something.
-fn framed(status: StatusCode, headers: &HeaderMap) -> bool {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).into_iter();
-    let mut codings = headers.get_all(TRANSFER_ENCODING).into_iter();
-    if status == StatusCode::SWITCHING_PROTOCOLS {
-        return false;
-    }
-    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
-        (Some(length), None, None, None) => {
-            length.to_str().ok().and_then(|l| l.parse().ok()).is_some_and(|l: usize| l <= BODY_MOST)
-        }
-        (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
-        // These have no body.
-        (None, None, None, None) => [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status),
-        _ => false,
-    }
-}
-
-/// The load report in the order of the settings; empty where there is none or it is garbage.
-fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
-    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else { return Vec::new() };
-    let value = |field: &LoadField| {
-        let name = match field {
-            LoadField::Utilization => "util",
-            LoadField::Outstanding => "inflight",
-            LoadField::Other => return Some(0.0),
-        };
-        let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
-        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v| SANE.contains(v))
-    };
-    fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
-}
-
 /// Makes one attempt on a connection; an error is how it ended without an answer.
 async fn make(
     instance: &Instance,
@@ -481,33 +296,6 @@
     use super::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-    #[test]
-    fn only_the_mark_proves_that_a_request_never_ran() {
-        let mark = |value: &'static str| {
-            HeaderMap::from_iter([("x-unprocessed".parse().unwrap(), HeaderValue::from_static(value))])
-        };
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("1")), Outcome::Full);
-        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &mark("1")), Outcome::Full);
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("0")), Outcome::Error);
-        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")), Outcome::Error);
-        assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Ok);
-    }
-
-    #[test]
-    fn load_reports_are_read_by_name_and_garbage_is_none() {
-        let read = |text: &'static str| {
-            let headers =
-                HeaderMap::from_iter([("x-backend-load".parse().unwrap(), HeaderValue::from_static(text))]);
-            load(&headers, &[LoadField::Utilization, LoadField::Outstanding])
-        };
-        assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
-        let garbage =
-            ["", "util", "util=,inflight=1", "util=NaN,inflight=1", "util=0.5", "util=-1,inflight=1"];
-        for garbage in garbage.into_iter().chain(["util=0.5,inflight=1e300", "util=inf,inflight=1"]) {
-            assert!(read(garbage).is_empty(), "{garbage}");
-        }
-    }
-
     fn passed() -> Passed {
         Passed {
             method: hyper::Method::GET,
--- /dev/null
+++ b/src/net/message.rs
@@ -0,0 +1,70 @@
+//! What crosses the engine's queue. Knows none of those that send or take it, so imports run one way.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use applewall::api::{self, BackendId, ListKind, Member, Outcome, RequestId};
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
+
+use super::answer::Answer;
+
+/// What reaches the engine.
+pub enum Message {
+    /// A command was taken.
+    Command(Command),
+    /// The service client of the command with this serial left.
+    Left(RequestId, u64),
+    /// An attempt ended.
+    Ended(Ended),
+    /// News of the name table.
+    Table(ListKind, Vec<Entry>),
+    /// A peer's datagram.
+    Peer { from: u32, text: String },
+}
+
+/// What passes on to an instance unchanged.
+pub struct Passed {
+    pub method: Method,
+    pub target: Uri,
+    pub host: Option<HeaderValue>,
+    pub id: HeaderValue,
+    pub content_type: Option<HeaderValue>,
+    pub body: Bytes,
+    /// The body's share of what all may hold; none where it is empty.
+    pub _held: Option<OwnedSemaphorePermit>,
+}
+
+/// A command on its way to the engine.
+pub struct Command {
+    pub request: api::Request,
+    /// Tells this command from another that a service client gave the same id.
+    pub serial: u64,
+    /// When the service client gives it up.
+    pub deadline: Instant,
+    pub passed: Arc<Passed>,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// How an attempt ended; its connection is idle or closed by now.
+#[derive(Debug)]
+pub struct Ended {
+    pub request: RequestId,
+    pub number: u32,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    pub latency: Duration,
+    pub load: Vec<f64>,
+    /// The answer, where it was served.
+    pub served: Option<(Bytes, Option<HeaderValue>)>,
+}
+
+/// One instance as the name table has it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub member: Member,
+    pub endpoint: SocketAddr,
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,40 +8,40 @@
 
 pub mod accept;
 pub mod answer;
+pub mod budget;
 pub mod clock;
 pub mod command;
 pub mod config;
+pub mod connection;
 pub mod engine;
 pub mod framing;
 pub mod instance;
+pub mod listing;
+pub mod message;
 pub mod name_table;
 pub mod peers;
+pub mod reply;
 pub mod seats;
 pub mod shutdown;
 
-use std::fmt::Arguments;
-use std::io::Write;
 use std::sync::Arc;
 
 use tokio::sync::{mpsc, watch};
 
+use crate::operator::Operator;
+
 /// Bodies hold this at most, in both directions.
 pub const BODY_MOST: usize = 64 * 1024;
 /// Messages that wait for the engine at most; senders wait for room, or drop what may be lost.
 const QUEUE: usize = 1024;
 
-/// Writes one line for the operators; a closed standard error must not end the program.
-pub fn log(line: Arguments) {
-    let _ = writeln!(std::io::stderr(), "applewall: {line}");
-}
-
 /// Runs the ingress until it is told to stop and all that it took is answered.
-pub fn serve(config: config::Config) -> Result<(), String> {
+pub fn serve(config: config::Config, operator: Operator, file: Option<String>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(run(config))
+    runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(run(config, operator, file))
 }
 
-async fn run(mut config: config::Config) -> Result<(), String> {
+async fn run(mut config: config::Config, operator: Operator, file: Option<String>) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
     let clock = clock::Clock::start();
@@ -50,18 +50,18 @@
     let listener = accept::bind(&mut config.listen)?;
     let engine = engine::Engine::new(&config, clock, peers.clone(), queue.clone());
     let (stage, stages) = watch::channel(shutdown::Stage::Serving);
-    log(format_args!("serving {}", config.summary()));
+    tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox));
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
-    let (source, discovery) = config::Source::new(&config);
+    let (source, discovery, _operator) = config::Source::new(&config, operator, file);
     tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, queue.clone()));
     tokio::spawn(signals.lead(stage, source));
     let door = accept::Door::new(&config, queue, stages);
     tokio::select! {
         () = door.serve(listener) => {
-            log(format_args!("stopped"));
+            tracing::info!("stopped");
             Ok(())
         }
         // A panic of the module ends the program: nothing could be answered without it.
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall::api::{ListKind, Member, MemberState};
+use applewall::api::ListKind;
 use applewall::wire::Facts;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,15 +12,14 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::clock::Clock;
-use super::engine::Message;
-use super::instance::drive;
+use super::connection::drive;
+use super::listing::Answer;
+use super::message::Message;
 
 /// How long a watch asks to wait.
 const WAIT: Duration = Duration::from_secs(5);
@@ -31,72 +30,6 @@
 /// A list holds this at most: bounds memory against a discovery gone wild.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
-/// One answer of discovery, also the form of `known` in the configuration.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Answer {
-    pub rev: u64,
-    #[serde(default)]
-    pub all: bool,
-    /// Read one by one: a malformed entry must not take the others with it.
-    #[serde(default)]
-    pub targets: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    pod_group: Option<i64>,
-    state: String,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: u64,
-}
-
-/// One instance as the name table has it.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    pub member: Member,
-    pub endpoint: SocketAddr,
-}
-
-impl Answer {
-    /// The entries in the module's terms; what is malformed is left out and said so.
-    pub fn entries(&self, facts: &Facts, clock: &Clock) -> Vec<Entry> {
-        let read = |value: &Value| match entry(value, facts, clock) {
-            Ok(entry) => Some(entry),
-            Err(reason) => {
-                super::log(format_args!("name table: an entry of revision {} left out: {reason}", self.rev));
-                None
-            }
-        };
-        self.targets.iter().filter_map(read).collect()
-    }
-}
-
-fn entry(value: &Value, facts: &Facts, clock: &Clock) -> Result<Entry, String> {
-    let target = Target::deserialize(value).map_err(|e| e.to_string())?;
-    let state = match target.state.as_str() {
-        "in_service" => MemberState::Ready,
-        "terminating" => MemberState::Draining,
-        "terminated" => MemberState::Gone,
-        other => return Err(format!("unknown state '{other}'")),
-    };
-    let member = Member {
-        backend: target.uid.into(),
-        scale: target.capacity_hint,
-        started: clock.of_unix(target.boot_ms),
-        zone: facts.zone(&target.az),
-        cell: target.pod_group.unwrap_or(-1),
-        state,
-    };
-    Ok(Entry { member, endpoint: target.endpoint })
-}
-
 /// Follows the name table for as long as the engine lives, at the address that is in force.
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
@@ -126,7 +59,7 @@
         };
         // Once a loss, however many tries it takes to get back.
         if !std::mem::replace(&mut lost, true) {
-            super::log(format_args!("name table: lost discovery {discovery}: {reason}"));
+            tracing::warn!("name table: lost discovery {discovery}: {reason}");
         }
         tokio::time::sleep(backoff).await;
         backoff = (backoff * 2).min(BACKOFF.1);
@@ -180,7 +113,7 @@
             continue;
         }
         if std::mem::take(lost) {
-            super::log(format_args!("name table: discovery is back, revision {}", answer.rev));
+            tracing::info!("name table: discovery is back, revision {}", answer.rev);
         }
         *backoff = BACKOFF.0;
         rev = Some(answer.rev);
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::config::Config;
-use super::engine::Message;
+use super::message::Message;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
 const MOST: usize = 256;
--- /dev/null
+++ b/src/net/reply.rs
@@ -0,0 +1,89 @@
+//! How an instance's answer is read: what it proves, whether it is whole, and its load report.
+
+use std::ops::RangeInclusive;
+
+use applewall::api::{LoadField, Outcome};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::StatusCode;
+
+use super::BODY_MOST;
+
+/// What a figure in a load report can be; all else is no figure.
+const SANE: RangeInclusive<f64> = 0.0..=1e6;
+
+/// What an answer says: only its mark proves that the request never ran.
+pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let unprocessed = || headers.get("x-unprocessed").is_some_and(|v| v.as_bytes() == b"1");
+    match status.as_u16() {
+        200 => Outcome::Ok,
+        503 | 504 if unprocessed() => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// True where an answer says itself where it ends, within what a body may hold. One that ends with its connection
+/// may have been cut off, and one that says it in two ways hides something.
+pub fn framed(status: StatusCode, headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).into_iter();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).into_iter();
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        return false;
+    }
+    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
+        (Some(length), None, None, None) => {
+            length.to_str().ok().and_then(|l| l.parse().ok()).is_some_and(|l: usize| l <= BODY_MOST)
+        }
+        (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        // These have no body.
+        (None, None, None, None) => [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status),
+        _ => false,
+    }
+}
+
+/// The load report in the order of the settings; empty where there is none or it is garbage.
+pub fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
+    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else { return Vec::new() };
+    let value = |field: &LoadField| {
+        let name = match field {
+            LoadField::Utilization => "util",
+            LoadField::Outstanding => "inflight",
+            LoadField::Other => return Some(0.0),
+        };
+        let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
+        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v| SANE.contains(v))
+    };
+    fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::HeaderValue;
+
+    #[test]
+    fn only_the_mark_proves_that_a_request_never_ran() {
+        let mark = |value: &'static str| {
+            HeaderMap::from_iter([("x-unprocessed".parse().unwrap(), HeaderValue::from_static(value))])
+        };
+        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("1")), Outcome::Full);
+        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &mark("1")), Outcome::Full);
+        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("0")), Outcome::Error);
+        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")), Outcome::Error);
+        assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Ok);
+    }
+
+    #[test]
+    fn load_reports_are_read_by_name_and_garbage_is_none() {
+        let read = |text: &'static str| {
+            let headers =
+                HeaderMap::from_iter([("x-backend-load".parse().unwrap(), HeaderValue::from_static(text))]);
+            load(&headers, &[LoadField::Utilization, LoadField::Outstanding])
+        };
+        assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
+        let garbage =
+            ["", "util", "util=,inflight=1", "util=NaN,inflight=1", "util=0.5", "util=-1,inflight=1"];
+        for garbage in garbage.into_iter().chain(["util=0.5,inflight=1e300", "util=inf,inflight=1"]) {
+            assert!(read(garbage).is_empty(), "{garbage}");
+        }
+    }
+}
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -51,7 +51,7 @@
                 _ = self.hup.recv() => source.reload(),
             }
         }
-        super::log(format_args!("told to stop; answering what was taken"));
+        tracing::info!("told to stop; answering what was taken");
         stage.send_replace(Stage::Leaving);
         tokio::time::sleep(LEAVING).await;
         stage.send_replace(Stage::Closing);
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,61 @@
+//! The operator's own file, as this program takes it: a section for each subsystem, all off by default.
+
+use applewall_operator as ini;
+use applewall_pace as pace;
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::logs;
+
+/// All sections.
+#[derive(Clone, Debug, Default, Deserialize, Validate, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// The log.
+    #[garde(skip)]
+    pub log: Log,
+    /// Slow peers: least rates, and limits on what may wait.
+    #[garde(dive)]
+    pub pace: pace::Settings,
+    /// What one customer or one set of addresses may hold at most.
+    #[garde(dive)]
+    pub bulkheads: pace::BulkheadSettings,
+}
+
+/// `[log]`
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// `text` or `json`.
+    pub format: logs::Form,
+}
+
+impl Operator {
+    /// Reads the file; without one, all is off.
+    ///
+    /// # Errors
+    ///
+    /// One line with file, section and key.
+    pub fn read(path: Option<&str>) -> Result<Self, String> {
+        let Some(path) = path else { return Ok(Operator::default()) };
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+        ini::read(&text).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// The published schema of the file.
+    pub fn schema() -> String {
+        ini::schema::<Operator>()
+    }
+
+    /// What is on, in a few words for `check`.
+    pub fn summary(&self) -> String {
+        let on = [("pace", self.pace.enabled.0), ("bulkheads", self.bulkheads.enabled.0)];
+        let on: Vec<&str> = on.iter().filter(|(_, on)| *on).map(|(name, _)| *name).collect();
+        if on.is_empty() {
+            "nothing".to_string()
+        } else {
+            on.join(", ")
+        }
+    }
+}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -70,3 +70,50 @@
     let text = config("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{address}\""));
     fails(run(&["serve"], Some(("taken", &text))), &format!("cannot listen on {address}"));
 }
+
+#[test]
+fn the_shipped_operator_files_will_do() {
+    for (file, on) in [("applewall.ini", "nothing on"), ("applewall.recommended.ini", "pace, bulkheads on")] {
+        let path = format!("{}/deploy/{file}", env!("CARGO_MANIFEST_DIR"));
+        let check = run(&["check", "--operator", &path], Some((file, &config("", ""))));
+        let text = String::from_utf8(check.stdout).unwrap();
+        assert!(check.status.success() && text.contains(on), "{file}: {text}");
+    }
+    let schema = String::from_utf8(run(&["schema"], None).stdout).unwrap();
+    assert!(schema.contains("\"bulkheads\"") && schema.contains("\"out_least\""), "{schema}");
+}
+
+#[test]
+fn a_wrong_operator_file_ends_with_one_line_that_says_where() {
+    let cases = [
+        ("[pacing]", "[pacing] unknown section; there are: log, pace, bulkheads"),
+        ("[pace]\nspeed = 5", "[pace] speed: unknown key; there are: enabled, tick,"),
+        ("[pace]\ntick = 5ms", "[pace] tick: not between 10ms and 1000ms"),
+        ("[pace]\nout_least = 5 stone", "[pace] out_least: '5 stone' is no size such as 64KiB"),
+        ("[bulkheads]\nipv4_prefix = 33", "[bulkheads] ipv4_prefix: greater than 32"),
+        ("[log]\nformat = xml", "[log] format: unknown variant `xml`"),
+    ];
+    for (i, (text, reason)) in cases.into_iter().enumerate() {
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("bad{i}.ini"));
+        std::fs::write(&path, text).unwrap();
+        let path = path.to_str().unwrap();
+        for word in ["serve", "check"] {
+            let out = run(&[word, "--operator", path], Some((&format!("good{i}"), &config("", ""))));
+            fails(out, &format!("{path}: {reason}"));
+        }
+    }
+    fails(run(&["check", "--operator", "/nowhere.ini"], None), "/nowhere.ini: ");
+}
+
+#[test]
+fn the_log_is_json_where_the_operator_asks_for_it() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = config("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{address}\""));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("json.ini");
+    std::fs::write(&path, "[log]\nformat = json\n").unwrap();
+    let out = run(&["serve", "--operator", path.to_str().unwrap()], Some(("json", &text)));
+    let line: serde_json::Value = serde_json::from_slice(&out.stderr).unwrap();
+    assert_eq!(line["level"], "ERROR");
+    assert!(line["message"].as_str().unwrap().starts_with(&format!("cannot listen on {address}")));
+}
