Slow peers: judge by stillness and distance, distrust after cuts, tests on the real program

An attempt that may not be given up waits without a timer. Tests: sockets in virtual time, and the real program among stopped readers, trickles, stalls, bursts, slow bodies, SIGTERM and reload.

--- a/crates/pace/src/account.rs
+++ b/crates/pace/src/account.rs
@@ -79,6 +79,23 @@
         }
     }
 
+    /// How much fits under one limit.
+    pub fn room(&self, holder: Holder, limit: Full) -> u64 {
+        let held = |held: Option<&u64>| held.copied().unwrap_or(0);
+        match limit {
+            Full::Total => self.limit.saturating_sub(self.total),
+            Full::Customer => {
+                self.per_customer.saturating_sub(held(holder.customer.and_then(|c| self.customers.get(&c))))
+            }
+            Full::Peer => self.per_peer.saturating_sub(held(holder.peer.and_then(|p| self.peers.get(&p)))),
+        }
+    }
+
+    /// What is held on behalf of a set of addresses.
+    pub fn of_peer(&self, peer: IpNet) -> u64 {
+        self.peers.get(&peer).copied().unwrap_or(0)
+    }
+
     /// What is held now.
     pub fn total(&self) -> u64 {
         self.total
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -27,7 +27,7 @@
 pub use fair::FairClock;
 pub use floor::Floor;
 pub use incoming::{Incoming, Verdict};
-pub use outgoing::{Cut, Id, Need, Outgoing, Why};
+pub use outgoing::{Cut, Id, Moved, Need, Outgoing, Why};
 pub use rate::Window;
 pub use settings::{BulkheadSettings, Settings};
 pub use tally::{Counts, Reason, Row, Tally};
--- a/crates/pace/src/settings.rs
+++ b/crates/pace/src/settings.rs
@@ -21,6 +21,10 @@
     /// No transfer to a service client is judged before it is this old.
     #[garde(dive)]
     pub grace: Span,
+    /// The same where room has to be made: somebody has to go, and the worst goes first. The rate is then taken over
+    /// this time too, so it should be longer than the round trip to distant clients.
+    #[garde(dive)]
+    pub room_grace: Span,
     /// Least rate of an answer going out, while nothing is short.
     pub out_least: Size,
     /// The same where all places or all waiting bytes are taken; it rises in between.
@@ -29,9 +33,10 @@
     #[garde(range(min = 0.0, max = 0.99))]
     #[serde(deserialize_with = "number")]
     pub pressure_from: f64,
-    /// Bytes of answers that all service clients together may leave waiting.
-    #[garde(custom(size_between(64 << 10, 1 << 40)))]
-    pub waiting: Size,
+    /// Bytes of answers that all service clients together may leave waiting; where it is not set, a fifth of the
+    /// memory.
+    #[garde(inner(custom(size_between(64 << 10, 1 << 40))))]
+    pub waiting: Option<Size>,
     /// What the kernel may hold of one connection's answers; it takes up to twice that for its own accounts.
     #[garde(custom(size_between(4 << 10, 16 << 20)))]
     pub send_buffer: Size,
@@ -56,6 +61,16 @@
     pub retry_room: Span,
 }
 
+/// Where the operator does not say what may wait: the memory by this.
+const WAITING_PART: u64 = 5;
+
+impl Settings {
+    /// Bytes that may wait, of so many bytes of memory.
+    pub fn waiting(&self, memory: u64) -> u64 {
+        self.waiting.map_or(memory / WAITING_PART, |size| size.0)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
@@ -63,10 +78,11 @@
             tick: Span::millis(50),
             window: Span::millis(1_000),
             grace: Span::millis(300),
+            room_grace: Span::millis(200),
             out_least: Size(1 << 10),
             out_least_full: Size(16 << 10),
             pressure_from: 0.5,
-            waiting: Size(3 << 20),
+            waiting: None,
             send_buffer: Size(16 << 10),
             not_sent: Size(8 << 10),
             upload_time: Span::millis(2_000),
@@ -101,6 +117,9 @@
     #[garde(range(min = 0.01, max = 1.0))]
     #[serde(deserialize_with = "number")]
     pub peer_waiting: f64,
+    /// For so long, each connection that was cut for its pace takes a place from its set of addresses, down to one.
+    #[garde(dive)]
+    pub distrust: Span,
     /// IPv4 addresses that agree in so many bits are one set.
     #[garde(range(min = 8, max = 32))]
     #[serde(deserialize_with = "number")]
@@ -121,6 +140,7 @@
             customer_waiting: 0.25,
             peer_places: 0.5,
             peer_waiting: 0.5,
+            distrust: Span::millis(10_000),
             ipv4_prefix: 24,
             ipv6_prefix: 56,
             exempt: Networks::default(),
--- a/crates/pace/src/socket/kernel.rs
+++ b/crates/pace/src/socket/kernel.rs
@@ -34,6 +34,24 @@
     Ok(u64::try_from(bytes).unwrap_or(0))
 }
 
+/// The round trip to the other end as the kernel reckons it, in nanoseconds; 0 where it does not tell.
+pub fn round_trip(socket: BorrowedFd) -> u64 {
+    // SAFETY: all fields are numbers, for which zeroes are a value.
+    let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut length = std::mem::size_of::<libc::tcp_info>() as libc::socklen_t;
+    // SAFETY: the descriptor is open while it is borrowed; the kernel writes no more than `length` bytes into `info`.
+    let done = unsafe {
+        let (level, name) = (libc::IPPROTO_TCP, libc::TCP_INFO);
+        libc::getsockopt(socket.as_raw_fd(), level, name, (&raw mut info).cast(), &raw mut length)
+    };
+    // Told in microseconds.
+    if done < 0 {
+        0
+    } else {
+        u64::from(info.tcpi_rtt) * 1_000
+    }
+}
+
 /// Makes the connection end with a reset when it is closed, and what the kernel still holds go at once: a reader that
 /// takes nothing would keep it there for minutes after the close.
 pub fn reset_at_close(socket: BorrowedFd) {
--- a/crates/pace/src/socket/pacer.rs
+++ b/crates/pace/src/socket/pacer.rs
@@ -10,8 +10,8 @@
 
 use super::kernel;
 use crate::{
-    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Need, Networked, Outgoing, Reason,
-    Row, Settings, Tally,
+    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Moved, Need, Networked, Outgoing,
+    Reason, Row, Settings, Tally,
 };
 
 /// A tick may be this late, in nanoseconds, before the time beyond counts as one in which the program stood still.
@@ -92,13 +92,19 @@
 }
 
 impl Pacer {
-    /// None yet, with room for so many connections; `now` is nanoseconds of a clock that only advances.
-    pub fn new(settings: &Settings, bulkheads: &BulkheadSettings, places: usize, now: u64) -> Arc<Self> {
+    /// None yet, with room for so many connections in a program that has so many bytes of memory; `now` is
+    /// nanoseconds of a clock that only advances.
+    pub fn new(
+        settings: &Settings,
+        bulkheads: &BulkheadSettings,
+        (places, memory): (usize, u64),
+        now: u64,
+    ) -> Arc<Self> {
         let state = State {
             clock: FairClock::new(now + settings.tick.nanos(), SLACK),
             looked: 0,
             next: 0,
-            outgoing: Outgoing::new(settings, bulkheads),
+            outgoing: Outgoing::new(settings, bulkheads, memory),
             connections: HashMap::new(),
             customers: Bulkheads::new(bulkheads, places),
             peers: Bulkheads::new(bulkheads, places),
@@ -122,6 +128,7 @@
     /// go: it only tells, the connection's owner closes it.
     pub fn join(
         self: &Arc<Self>,
+        now: u64,
         address: IpAddr,
         socket: impl Fn(&mut dyn FnMut(BorrowedFd)) + Send + 'static,
         cut: impl Fn() + Send + 'static,
@@ -131,7 +138,8 @@
         let mut state = self.state();
         state.next += 1;
         let (id, written) = (state.next, Arc::new(AtomicU64::new(0)));
-        let placed = state.peers.enter(holder).is_ok();
+        let fair = state.clock.now(now);
+        let placed = state.peers.enter(fair, holder).is_ok();
         if !placed {
             state.tally.note(holder, Reason::PeerPlaces, 0, 0);
         }
@@ -151,10 +159,11 @@
     /// # Errors
     ///
     /// Where it holds its share of places already.
-    pub fn enter(&self, customer: u64) -> Result<(), Full> {
+    pub fn enter(&self, now: u64, customer: u64) -> Result<(), Full> {
         let holder = Holder { customer: Some(customer), peer: None };
         let mut state = self.state();
-        let entered = state.customers.enter(holder);
+        let fair = state.clock.now(now);
+        let entered = state.customers.enter(fair, holder);
         if entered.is_err() {
             state.tally.note(holder, Reason::CustomerPlaces, 0, 0);
         }
@@ -175,14 +184,16 @@
         let mut state = self.state();
         let State { clock, outgoing, connections, .. } = &mut *state;
         let Some(connection) = connections.get(&id) else { return Ok(()) };
-        let (fair, moved) = (clock.now(now), connection.moved());
+        let (fair, moved) = (clock.now(now), connection.moved(false));
+        // What was delivered since the last look belongs to the answer before this one.
+        outgoing.progress(fair, id, moved);
         let Err(full) = outgoing.begin(fair, id, holder, bytes, moved) else { return Ok(()) };
         state.look(now, APART);
         // The look alone may have found room.
         let again = state.outgoing.begin(fair, id, holder, bytes, moved);
         let Err(full) = again.map_err(|_| full) else { return Ok(()) };
         let cuts = state.outgoing.make_room(fair, Need::Bytes(holder, full, bytes));
-        state.carry_out(cuts);
+        state.carry_out(fair, cuts);
         let begun = state.outgoing.begin(fair, id, holder, bytes, moved);
         begun.inspect_err(|full| state.tally.note(holder, Reason::NoRoom(*full), bytes, 0))
     }
@@ -203,7 +214,7 @@
         let fair = state.clock.now(now);
         let cuts = state.outgoing.make_room(fair, Need::Place);
         let found = !cuts.is_empty();
-        state.carry_out(cuts);
+        state.carry_out(fair, cuts);
         found
     }
 
@@ -215,7 +226,7 @@
         state.look(now, 0);
         let fair = state.clock.now(now);
         let cuts = state.outgoing.judge(fair, places);
-        state.carry_out(cuts);
+        state.carry_out(fair, cuts);
     }
 
     /// Something happened that is to be counted.
@@ -233,13 +244,16 @@
 }
 
 impl Connection {
-    /// Bytes written and bytes delivered. Where the kernel does not tell, what is written is taken for delivered:
-    /// nobody is cut for what is not known.
-    fn moved(&self) -> (u64, u64) {
+    /// What is known of its bytes. Where the kernel does not tell, what is written is taken for delivered: nobody is
+    /// cut for what is not known. The round trip is asked for only where it is `wanted`: it costs as much again.
+    fn moved(&self, wanted: bool) -> Moved {
         let written = self.written.load(Ordering::Relaxed);
-        let mut waiting = 0;
-        (self.socket)(&mut |socket| waiting = kernel::unacknowledged(socket).unwrap_or(0));
-        (written, written.saturating_sub(waiting))
+        let (mut waiting, mut round_trip) = (0, 0);
+        (self.socket)(&mut |socket| {
+            waiting = kernel::unacknowledged(socket).unwrap_or(0);
+            round_trip = if wanted { kernel::round_trip(socket) } else { 0 };
+        });
+        Moved { written, delivered: written.saturating_sub(waiting), round_trip }
     }
 }
 
@@ -252,13 +266,15 @@
         let fair = self.clock.now(now);
         for id in self.outgoing.ids() {
             if let Some(connection) = self.connections.get(&id) {
-                self.outgoing.progress(fair, id, connection.moved());
+                self.outgoing.progress(fair, id, connection.moved(true));
             }
         }
     }
 
-    fn carry_out(&mut self, cuts: Vec<Cut>) {
+    fn carry_out(&mut self, fair: u64, cuts: Vec<Cut>) {
         for cut in cuts {
+            // Who is cut comes back at once, more often than not.
+            self.peers.distrust(fair, Holder { customer: None, peer: cut.holder.peer });
             self.tally.note(cut.holder, Reason::Cut(cut.why), cut.waiting, cut.age);
             if let Some(connection) = self.connections.get(&cut.id) {
                 (connection.socket)(&mut |socket| kernel::reset_at_close(socket));
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -164,8 +164,14 @@
     /// The longest silent goes; where nobody is silent, the worst of those that do not read what they asked for.
     fn make_room(&self, grace: Duration) -> bool {
         let now = self.gate.clock.now();
-        let slow = || self.pacers.borrow().as_ref().is_some_and(|pacer| pacer.make_place(now));
-        self.seats.make_room(grace, now) || slow()
+        let pacer = self.pacers.borrow().clone();
+        // Before a newcomer whose first command is on its way.
+        if let Some(pacer) = pacer {
+            if self.seats.make_room_of(GRACE, now, false) || pacer.make_place(now) {
+                return true;
+            }
+        }
+        self.seats.make_room(grace, now)
     }
 
     fn serve_connection(&self, stream: TcpStream, address: SocketAddr, place: OwnedSemaphorePermit) {
@@ -176,7 +182,10 @@
             // SAFETY: the ticket goes into `Guarded`, which drops it before the stream and never moves the stream
             // out without dropping it.
             let socket = unsafe { lend(&stream) };
-            (pacer.clone(), pacer.join(address.ip(), socket, move || told.notify_one()))
+            (
+                pacer.clone(),
+                pacer.join(self.gate.clock.now(), address.ip(), socket, move || told.notify_one()),
+            )
         });
         let taken = self.budget.clients + self.budget.spare - self.places.available_permits();
         // Service clients that hold all that they may open no more, and would have to turn requests away: the
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -178,7 +178,7 @@
         *customer = Some(number);
         // Before its body is read: what is refused need not be held.
         let _entered = match &seat.paced {
-            Some(paced) if paced.pacer.enter(number).is_err() => return nack(),
+            Some(paced) if paced.pacer.enter(self.clock.now(), number).is_err() => return nack(),
             Some(paced) => Some(Entered(&paced.pacer, number)),
             None => None,
         };
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -276,15 +276,21 @@
         loop {
             let next = match transfer.verdict(self.clock.now()) {
                 Verdict::Wait(next) => next,
-                // Nothing is gained by giving up: it may yet come.
-                _ if !self.may_give_up(due) => self.clock.at(due.until),
+                // Nothing is gained by giving up: it may yet come, until the attempt's own time is up.
+                _ if !self.may_give_up(due) => u64::MAX,
                 verdict => {
                     let stalled = verdict == Verdict::Stalled;
                     self.note(if stalled { Reason::InStalled } else { Reason::InHopeless });
                     return None;
                 }
             };
-            match tokio::time::timeout_at(self.clock.instant(next).into(), body.frame()).await {
+            let frame = async {
+                match next {
+                    u64::MAX => Ok(body.frame().await),
+                    next => tokio::time::timeout_at(self.clock.instant(next).into(), body.frame()).await,
+                }
+            };
+            match frame.await {
                 Ok(None) => return Some(whole.freeze()),
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame.ok()?.into_data() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -52,7 +52,7 @@
     let (source, discovery, operator) = config::Source::new(&config, operator, file);
     let budget = budget::Budget::new(config.sockets);
     let places = budget.places();
-    let pacers = pace::lead(operator, clock, places.clone(), budget.clients);
+    let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
     let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone());
     let (stage, stages) = watch::channel(shutdown::Stage::Serving);
     tracing::info!("serving {}", config.summary());
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -16,19 +16,19 @@
 pub type Pacers = watch::Receiver<Option<Arc<Pacer>>>;
 
 /// Follows the operator's settings. A new pacer holds for connections that come after it; those of the one before stay
-/// with that until they close.
+/// with that until they close. `size` is how many connections are served at most, and the bytes of memory.
 pub fn lead(
     mut operator: watch::Receiver<Arc<Operator>>,
     clock: Clock,
     places: Arc<Semaphore>,
-    clients: usize,
+    size: (usize, u64),
 ) -> Pacers {
     let first = operator.borrow_and_update().clone();
-    let (pacers, follower) = watch::channel(pacer(&first, clock, &places, clients));
+    let (pacers, follower) = watch::channel(pacer(&first, clock, &places, size));
     tokio::spawn(async move {
         while operator.changed().await.is_ok() {
             let settings = operator.borrow_and_update().clone();
-            pacers.send_replace(pacer(&settings, clock, &places, clients));
+            pacers.send_replace(pacer(&settings, clock, &places, size));
         }
         // The last one holds for as long as the program runs.
         pacers.closed().await;
@@ -44,12 +44,17 @@
     follower
 }
 
-fn pacer(settings: &Operator, clock: Clock, places: &Arc<Semaphore>, clients: usize) -> Option<Arc<Pacer>> {
+fn pacer(
+    settings: &Operator,
+    clock: Clock,
+    places: &Arc<Semaphore>,
+    size: (usize, u64),
+) -> Option<Arc<Pacer>> {
     if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
         return None;
     }
-    let pacer = Pacer::new(&settings.pace, &settings.bulkheads, clients, clock.now());
-    tokio::spawn(tick(Arc::downgrade(&pacer), clock, places.clone(), clients));
+    let pacer = Pacer::new(&settings.pace, &settings.bulkheads, size, clock.now());
+    tokio::spawn(tick(Arc::downgrade(&pacer), clock, places.clone(), size.0));
     Some(pacer)
 }
 
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -146,6 +146,11 @@
     /// before it. One whose answer is still on its way, at this moment of its pacer's clock, is not silent: told to
     /// go, it would first write on, for as long as its reader likes. False where none waits.
     pub fn make_room(&self, grace: Duration, now: u64) -> bool {
+        self.make_room_of(grace, now, true)
+    }
+
+    /// The same; new ones only where they may go too.
+    pub fn make_room_of(&self, grace: Duration, now: u64, new_ones: bool) -> bool {
         let idle = |seat: &Weak<Seat>| {
             let seat = seat.upgrade()?;
             let going = seat.paced.as_ref().is_some_and(|p| p.pacer.is_going(now, p.id));
@@ -161,6 +166,9 @@
         let Some(first) = silent((false, 0)) else { return false };
         let new = !first.0 .0 && first.2.elapsed() < grace;
         let asked = if new { silent((true, 0)) } else { None };
+        if new && asked.is_none() && !new_ones {
+            return false;
+        }
         let (key, seat, _) = asked.unwrap_or(first);
         waiting.seats.remove(&key);
         drop(waiting);
--- /dev/null
+++ b/tests/slow_peers.rs
@@ -0,0 +1,232 @@
+//! Slow peers, against the real program: each test waits for what has to happen, and for no time.
+
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use applewall_standins::clients::{connect, request, Slow, SlowSeen};
+use applewall_standins::daemon::{Daemon, Setting};
+use applewall_standins::discovery::{target, Discovery};
+use applewall_standins::http::{self, Kind, Message};
+use applewall_standins::instance::{Instance, Manner, Script};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Far longer than anything here takes.
+const PATIENCE: Duration = Duration::from_secs(60);
+const ON: &str = "[pace]\nenabled = on\n[bulkheads]\nenabled = on\npeer_places = 1.0\n";
+
+struct World {
+    daemon: Daemon,
+    instances: Vec<Instance>,
+    _discovery: Discovery,
+}
+
+async fn world(name: &str, sockets: usize, operator: &str, scripts: Vec<Script>) -> World {
+    let mut instances = Vec::new();
+    for script in scripts {
+        instances.push(Instance::start(script).await.unwrap());
+    }
+    let entry = |(i, instance): (usize, &Instance)| target(&format!("s-{i}"), instance.address, "in_service");
+    let known: Vec<_> = instances.iter().enumerate().map(entry).collect();
+    let discovery = Discovery::start(known.clone()).await.unwrap();
+    let setting = Setting {
+        sockets,
+        memory_mb: 32,
+        operator: Some(operator.to_string()),
+        discovery: discovery.address,
+        known,
+        rate: 1_000.0,
+    };
+    let (program, folder) =
+        (Path::new(env!("CARGO_BIN_EXE_applewall")), Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let daemon = Daemon::start(program, folder, name, &setting).unwrap();
+    World { daemon, instances, _discovery: discovery }
+}
+
+fn script(body: usize, odd: Option<(u32, Manner)>) -> Script {
+    let work = (Duration::from_millis(1), Duration::from_millis(2));
+    Script { work, body, odd, ..Script::default() }
+}
+
+impl World {
+    async fn connect(&self) -> TcpStream {
+        connect(self.daemon.address, [127, 0, 0, 1].into(), None).await.unwrap()
+    }
+
+    /// Asks on a connection of its own until it is served, as a healthy client does when it is refused.
+    async fn served(&self, id: u64) -> Message {
+        let again = async {
+            for round in 0u64.. {
+                let mut stream = self.connect().await;
+                let text = request(id << 20 | round, id, Duration::from_secs(3), 0);
+                stream.write_all(text.as_bytes()).await.unwrap();
+                // Where all places are taken, a connection may be closed before its command was read.
+                let Ok(Some(answer)) = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await else {
+                    continue;
+                };
+                match answer.first.0.as_str() {
+                    "200" => {
+                        assert!(answer.body.starts_with(format!("{:016x}", id << 20 | round).as_bytes()));
+                        return answer;
+                    }
+                    "429" | "503" => assert!(answer.header("retry-after").is_some()),
+                    other => panic!("status {other}"),
+                }
+            }
+            unreachable!()
+        };
+        tokio::time::timeout(PATIENCE, again).await.expect("never served")
+    }
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "never: {what}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn three_hundred_readers_that_stop_keep_nobody_out_and_are_cut() {
+    let world = world("stops", 256, ON, vec![script(60_000, None)]).await;
+    let seen = Arc::new(SlowSeen::default());
+    let slow = Slow {
+        to: world.daemon.address,
+        many: 300,
+        within: Duration::from_millis(50),
+        step: None,
+        back: Duration::from_millis(20),
+        time: PATIENCE,
+        receive: 4_096,
+        upload: 0,
+    };
+    let slow = tokio::spawn(slow.play(seen.clone()));
+    until("80 connections", || seen.connections.load(Ordering::Relaxed) >= 80).await;
+    // Served while they come, and while they come back for more.
+    for id in 1..=20 {
+        assert_eq!(world.served(id).await.body.len(), 60_000);
+    }
+    until("100 cut", || seen.ended.load(Ordering::Relaxed) >= 100).await;
+    assert!(world.daemon.descriptors() <= 256);
+    assert!(world.daemon.peak_memory() < 32 << 20, "{} bytes", world.daemon.peak_memory());
+    slow.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_cannot_be_whole_in_time_is_given_up_and_made_elsewhere() {
+    for (name, manner) in [
+        ("trickle", Manner::Trickle),
+        ("body", Manner::TrickleBody),
+        ("head", Manner::HeadOnly),
+        ("last", Manner::AllButOne),
+    ] {
+        let odd = Some((4, manner));
+        let scripts = vec![script(30_000, odd), Script { seed: 2, ..script(30_000, odd) }];
+        let quick = ON.replace("enabled = on\n[bulk", "enabled = on\npause = 80ms\n[bulk");
+        let world = world(name, 256, &quick, scripts).await;
+        // Every fourth answer comes badly, of both: each command is tried again until it is served whole.
+        for id in 1..=8 {
+            assert_eq!(world.served(id).await.body.len(), 30_000, "{name}");
+        }
+        let sum = |count: fn(&Instance) -> u64| world.instances.iter().map(count).sum::<u64>();
+        let given_up = |i: &Instance| i.seen.given_up.load(Ordering::Relaxed);
+        until(name, || sum(given_up) >= 1).await;
+        // Each of these was closed before the next attempt went out: what was asked for is answered or given up.
+        let (asked, answered) = (
+            |i: &Instance| i.seen.requests.load(Ordering::Relaxed),
+            |i: &Instance| i.seen.answers.load(Ordering::Relaxed) + i.seen.given_up.load(Ordering::Relaxed),
+        );
+        until("all accounted for", || sum(asked) == sum(answered)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_after_a_pause_and_chunks_are_waited_for() {
+    for (name, manner) in [("burst", Manner::Burst(Duration::from_millis(200))), ("chunks", Manner::Chunks)] {
+        let world = world(name, 256, ON, vec![script(8_000, Some((1, manner)))]).await;
+        for id in 1..=3 {
+            assert_eq!(world.served(id).await.body.len(), 8_000, "{name}");
+        }
+        let seen = &world.instances[0].seen;
+        assert_eq!(
+            (seen.requests.load(Ordering::Relaxed), seen.given_up.load(Ordering::Relaxed)),
+            (3, 0),
+            "{name}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_stalls_is_turned_away_and_a_large_one_that_comes_is_not() {
+    let world = world("upload", 256, ON, vec![script(64, None)]).await;
+    let (mut stalls, mut comes) = (world.connect().await, world.connect().await);
+    for (stream, id) in [(&mut stalls, 1), (&mut comes, 2)] {
+        let head = request(id, id, Duration::from_secs(3), 65_536);
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&[b'.'; 1_000]).await.unwrap();
+    }
+    comes.write_all(&vec![b'.'; 64_536]).await.unwrap();
+    let served = http::read(&mut comes, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    assert_eq!(served.first.0, "200");
+    let answer = http::read(&mut stalls, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    assert_eq!((answer.first.0.as_str(), answer.closes()), ("408", true));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn told_to_stop_in_the_middle_of_it_all_it_answers_what_it_took_and_ends() {
+    let scripts = vec![script(60_000, Some((2, Manner::TrickleBody))), script(60_000, None)];
+    let mut world = world("term", 256, ON, scripts).await;
+    let seen = Arc::new(SlowSeen::default());
+    let slow = Slow {
+        to: world.daemon.address,
+        many: 60,
+        within: Duration::ZERO,
+        step: Some(Duration::from_millis(100)),
+        back: PATIENCE,
+        time: PATIENCE,
+        receive: 4_096,
+        upload: 0,
+    };
+    let slow = tokio::spawn(slow.play(seen.clone()));
+    until("20 answers under way", || seen.began.load(Ordering::Relaxed) >= 20).await;
+    let mut stream = world.connect().await;
+    stream.write_all(request(7, 7, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
+    let instances = &world.instances;
+    let requests = || instances.iter().map(|i| i.seen.requests.load(Ordering::Relaxed)).sum::<u64>();
+    until("it was taken", || requests() > 20).await;
+    world.daemon.signal(15);
+    let answer = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    assert!(["200", "503"].contains(&answer.first.0.as_str()), "{}", answer.first.0);
+    let status = world.daemon.wait(PATIENCE).expect("it does not end");
+    assert!(status.success(), "{status}");
+    slow.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_operators_file_is_followed_at_a_reload_and_a_wrong_one_changes_nothing() {
+    let world = world("reload", 256, "[pace]\nenabled = off\n", vec![script(64, None)]).await;
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reload.ini");
+    let told = |text: &str| world.daemon.log().iter().any(|line| line.contains(text));
+    std::fs::write(&file, "[pace]\nenabled = on\n[bulkheads]\nenabled = on\npeer_places = 0.01\n").unwrap();
+    world.daemon.signal(1);
+    until("it is on", || told("pace, bulkheads on")).await;
+    // One place for all of 127.0.0.0/24: the first one has it, the second is told no at once.
+    let mut first = world.connect().await;
+    first.write_all(request(1, 1, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
+    let answer = http::read(&mut first, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    assert_eq!(answer.first.0, "200");
+    std::fs::write(&file, "[bulkheads]\nenabled = perhaps\n").unwrap();
+    world.daemon.signal(1);
+    until("it is refused", || {
+        told("[bulkheads] enabled: 'perhaps' is neither on nor off; all stays as it was")
+    })
+    .await;
+    let mut second = world.connect().await;
+    second.write_all(request(2, 1, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
+    let answer = http::read(&mut second, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    assert_eq!((answer.first.0.as_str(), answer.closes()), ("503", true));
+}
