--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULE := src/brain.rs
 MOST := 990
 
-.PHONY: build test lint lines check run clean
+.PHONY: build test lint lines check run clean measure-slow-peers measure-registry
 
 build:
 	cargo build --release --locked
@@ -25,5 +25,14 @@
 run: build
 	target/release/applewall serve
 
+# Measurements: the machine to themselves, the verdict in the last line, status 0 only where the goal holds.
+measure-slow-peers:
+	cargo build --release --locked --workspace
+	target/release/measure-slow-peers
+
+measure-registry:
+	cargo build --release --locked --workspace
+	target/release/measure-registry
+
 clean:
 	cargo clean
--- /dev/null
+++ b/crates/consul/src/settings.rs
@@ -0,0 +1,64 @@
+//! `[consul]` of the operator's file.
+
+use applewall_operator::{Networks, Span, Switch};
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+/// `[consul]`: a roster in a Consul-style store, behind a registry and before discovery.
+#[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Settings {
+    /// Off: it is not asked.
+    #[garde(custom(with_agent(&self.agent)))]
+    pub enabled: Switch,
+    /// The agent on this machine, address and port.
+    pub agent: Option<std::net::SocketAddr>,
+    /// Keys that begin with this are members; the rest of the key is the member's id.
+    #[garde(length(min = 1, max = 512), custom(plain))]
+    pub prefix: String,
+    /// A file that holds the token that goes with each call. Read again at each connection.
+    pub token_file: Option<String>,
+    /// Networks that members may listen in; none: any.
+    pub allowed: Networks,
+    /// How long a blocking read waits. A read that is stuck is noticed this and `patience` later.
+    #[garde(dive)]
+    pub wait: Span,
+    /// How much later than its wait an answer may come.
+    #[garde(dive)]
+    pub patience: Span,
+    /// The longest wait after a failure.
+    #[garde(dive)]
+    pub backoff: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            enabled: Switch(false),
+            agent: None,
+            prefix: "applewall/members/".into(),
+            token_file: None,
+            allowed: Networks::default(),
+            wait: Span::millis(10_000),
+            patience: Span::millis(500),
+            backoff: Span::millis(1_000),
+        }
+    }
+}
+
+fn with_agent(agent: &Option<std::net::SocketAddr>) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
+    move |enabled, ()| match enabled.0 && agent.is_none() {
+        true => Err(garde::Error::new("on, but no agent is named")),
+        false => Ok(()),
+    }
+}
+
+/// It goes into a path as it is.
+fn plain(prefix: &str, (): &()) -> garde::Result {
+    match prefix.bytes().all(|b| b.is_ascii_alphanumeric() || b"._/-".contains(&b)) {
+        true => Ok(()),
+        false => Err(garde::Error::new("holds more than letters, digits and . _ / -")),
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`read`]. Reads no file and no clock.
 
 mod units;
+mod value;
 
 use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
@@ -16,6 +17,8 @@
 use serde::de::value::Error as Refused;
 use serde::de::{DeserializeOwned, IntoDeserializer};
 
+use value::Value;
+
 pub use units::{number, Networks, Size, Span, Switch};
 
 /// Why a file is refused: where, and what would do.
@@ -79,7 +82,7 @@
     serde_json::to_string_pretty(&schemars::schema_for!(T)).unwrap_or_default()
 }
 
-type Sections = BTreeMap<String, BTreeMap<String, String>>;
+type Sections = BTreeMap<String, BTreeMap<String, Value>>;
 
 fn sections(text: &str) -> Result<Sections, Error> {
     let ini = Ini::load_from_str(text)
@@ -101,7 +104,7 @@
         let keys = section.insert(BTreeMap::new());
         for (key, value) in properties.iter() {
             // Which of the two was meant? The last one would silently win.
-            if keys.insert(key.to_string(), value.to_string()).is_some() {
+            if keys.insert(key.to_string(), Value(value.to_string())).is_some() {
                 return Err(Error::at(&format!("{name}.{key}"), "the key comes twice"));
             }
         }
@@ -153,20 +156,30 @@
         part: f64,
         #[garde(skip)]
         known: Networks,
+        #[garde(inner(range(min = 5)))]
+        #[serde(deserialize_with = "maybe")]
+        most: Option<u32>,
+        #[garde(skip)]
+        keep: Option<Size>,
+    }
+
+    fn maybe<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Option<u32>, D::Error> {
+        number(from).map(Some)
     }
 
     impl Default for Door {
         fn default() -> Self {
             let (wait, known) = (Span::millis(250), Networks::default());
-            Door { open: Switch(false), wait, room: Size(4096), part: 0.5, known }
+            Door { open: Switch(false), wait, room: Size(4096), part: 0.5, known, most: None, keep: None }
         }
     }
 
     #[test]
     fn what_is_said_holds_and_all_else_keeps_its_default() {
-        let text = "; ours\n[door]\nopen = on\nwait = 1s 500ms\nroom = 64KiB\nknown = 10.0.0.0/8, ::1\n";
+        let text = "; ours\n[door]\nopen = on\nwait = 1s 500ms\nroom = 64KiB\nknown = 10.0.0.0/8, ::1\nmost = 9\nkeep = 2KiB\n";
         let File { door } = read(text).unwrap();
         assert_eq!((door.open.0, door.wait, door.room.0, door.part), (true, Span::millis(1500), 65536, 0.5));
+        assert_eq!((door.most, door.keep), (Some(9), Some(Size(2048))));
         assert!(door.known.contains("10.1.2.3".parse().unwrap()));
         assert!(!door.known.contains("11.1.2.3".parse().unwrap()));
         assert_eq!(read::<File>("").unwrap().door.room.0, 4096);
@@ -176,12 +189,16 @@
     fn what_is_wrong_is_one_line_with_its_place() {
         let cases = [
             ("[dor]\nopen = on", "[dor] unknown section; there are: door"),
-            ("[door]\nopn = on", "[door] opn: unknown key; there are: open, wait, room, part, known"),
+            (
+                "[door]\nopn = on",
+                "[door] opn: unknown key; there are: open, wait, room, part, known, most, keep",
+            ),
             ("[door]\nopen = maybe", "[door] open: 'maybe' is neither on nor off"),
             ("[door]\nwait = 5", "[door] wait: '5' is no time such as 250ms or 2s"),
             ("[door]\nwait = 5 parsecs", "[door] wait: '5 parsecs' is no time such as 250ms or 2s"),
             ("[door]\nroom = 64 furlongs", "[door] room: '64 furlongs' is no size such as 64KiB"),
             ("[door]\npart = half", "[door] part: 'half' is no number: invalid float literal"),
+            ("[door]\nmost = 4", "[door] most: lower than 5"),
             ("[door]\npart = 1.5", "[door] part: greater than 1"),
             ("[door]\npart = NaN", "[door] part: 'NaN' is no finite number"),
             (
--- /dev/null
+++ b/crates/roster/src/follow.rs
@@ -0,0 +1,348 @@
+//! The course of a watch, as a state machine: what to do next, from what happened.
+//!
+//! One at a time: connect, read the whole list once (or resume from where the last watch got to), watch from the next
+//! revision, and prove at every `probe` that the watch lives. A watch that says nothing is found by a proof that does
+//! not come back within `patience`, without reading the list: the registry answers a progress request from memory.
+//!
+//! A fleet must not stampede a registry that comes back. Only a compaction, or a registry that began anew, calls for
+//! a full read; all others resume, which costs the registry what changed. Waits before a reconnect are drawn evenly up
+//! to a bound that doubles ("full jitter", Brooker 2015), and a full read after a compaction waits for a draw of its
+//! own, since a compaction hits every ingress in the same moment; the very first read of a life does not wait.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Times of the course, in nanoseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Between proofs that the watch lives.
+    pub probe: u64,
+    /// How long an answer may take.
+    pub patience: u64,
+    /// The first bound on the wait before a reconnect, and the last one.
+    pub backoff: (u64, u64),
+    /// The bound on the wait before a full read that many need at once.
+    pub spread: u64,
+}
+
+/// Why a connection is given up, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It broke, or never came up.
+    Broke,
+    /// Nothing came back in time.
+    Silent,
+    /// The registry said something that does not follow.
+    Confused,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The connection is up.
+    Connected,
+    /// The whole list was read, at this revision of this cluster.
+    Read {
+        /// The cluster.
+        cluster: u64,
+        /// The revision.
+        revision: u64,
+    },
+    /// The watch was accepted.
+    Watching,
+    /// The watch told something up to a revision: news, or a proof that there are none.
+    Told {
+        /// The cluster.
+        cluster: u64,
+        /// Up to which all is told.
+        revision: u64,
+    },
+    /// A part of an answer that is split came; the rest is on its way.
+    Part,
+    /// The revision to resume from is compacted.
+    Compacted,
+    /// The connection broke.
+    Broke,
+    /// Time passed; comes when [`Follow::due`] says so, or at any time.
+    Tick,
+}
+
+/// What to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Drop what there is and connect to the endpoint of this number, counted round.
+    Connect {
+        /// The endpoint.
+        endpoint: usize,
+    },
+    /// Read the whole list.
+    Read,
+    /// Watch from this revision on.
+    Watch {
+        /// The first revision that is wanted.
+        from: u64,
+    },
+    /// Ask for a proof that the watch lives.
+    Probe,
+    /// Drop the connection; another one follows.
+    Drop {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Not before this time.
+    Waiting(u64),
+    Connecting(u64),
+    /// Connected; the read waits for its turn.
+    Turn(u64),
+    Reading(u64),
+    /// The watch is asked for.
+    Asking(u64),
+    /// It lives; the next proof is asked for at this time.
+    Live(u64),
+    /// A proof was asked for, and has to come by this time.
+    Probed(u64),
+}
+
+/// One registry's watch.
+#[derive(Debug)]
+pub struct Follow {
+    pace: Pace,
+    stage: Stage,
+    endpoint: usize,
+    /// Cluster and revision up to which all is known.
+    position: Option<(u64, u64)>,
+    /// The next read is one of many.
+    spread: bool,
+    bound: u64,
+    rng: SmallRng,
+}
+
+impl Follow {
+    /// Begins at once, at the endpoint that its seed draws: a fleet starts evenly. `position` is where an earlier life
+    /// got to, if a snapshot tells it.
+    pub fn new(pace: Pace, seed: u64, position: Option<(u64, u64)>) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let endpoint = rng.random_range(0..1 << 16);
+        Follow {
+            pace,
+            stage: Stage::Waiting(0),
+            endpoint,
+            position,
+            spread: false,
+            bound: pace.backoff.0,
+            rng,
+        }
+    }
+
+    /// When a [`Event::Tick`] is due, if nothing happens before.
+    pub fn due(&self) -> u64 {
+        match self.stage {
+            Stage::Waiting(at)
+            | Stage::Connecting(at)
+            | Stage::Turn(at)
+            | Stage::Reading(at)
+            | Stage::Asking(at)
+            | Stage::Live(at)
+            | Stage::Probed(at) => at,
+        }
+    }
+
+    /// True while a watch lives, as far as is known.
+    pub fn live(&self) -> bool {
+        matches!(self.stage, Stage::Live(_) | Stage::Probed(_))
+    }
+
+    /// Something happened; what to do about it, in order.
+    pub fn on(&mut self, now: u64, event: Event) -> Vec<Act> {
+        let late = now.saturating_add(self.pace.patience);
+        match (event, self.stage) {
+            (Event::Tick, Stage::Waiting(at)) if now >= at => {
+                self.stage = Stage::Connecting(late);
+                vec![Act::Connect { endpoint: self.endpoint }]
+            }
+            (Event::Tick, Stage::Turn(at)) if now >= at => {
+                self.stage = Stage::Reading(late);
+                vec![Act::Read]
+            }
+            (Event::Tick, Stage::Live(at)) if now >= at => {
+                self.stage = Stage::Probed(late);
+                vec![Act::Probe]
+            }
+            (
+                Event::Tick,
+                Stage::Connecting(at) | Stage::Reading(at) | Stage::Asking(at) | Stage::Probed(at),
+            ) if now >= at => self.drop(now, Reason::Silent),
+            (Event::Tick, _) => Vec::new(),
+            (Event::Connected, Stage::Connecting(_)) => match self.position {
+                Some((_, revision)) => self.watch(now, revision),
+                None => self.read(now),
+            },
+            (Event::Read { cluster, revision }, Stage::Reading(_)) => {
+                self.position = Some((cluster, revision));
+                self.watch(now, revision)
+            }
+            (Event::Watching, Stage::Asking(_)) => {
+                // Proven by the acceptance; the bound on waits falls back once a watch lives.
+                self.bound = self.pace.backoff.0;
+                self.stage = Stage::Live(now.saturating_add(self.pace.probe));
+                Vec::new()
+            }
+            (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => match self.position {
+                Some((held, before)) if held == cluster => {
+                    self.position = Some((cluster, revision.max(before)));
+                    self.stage = Stage::Live(now.saturating_add(self.pace.probe));
+                    Vec::new()
+                }
+                // Behind one address stands another cluster now.
+                _ => self.anew(now),
+            },
+            (Event::Part, Stage::Live(_) | Stage::Probed(_)) => {
+                self.stage = Stage::Probed(late);
+                Vec::new()
+            }
+            (Event::Compacted, Stage::Asking(_) | Stage::Live(_) | Stage::Probed(_)) => {
+                // Everybody's was, in the same moment.
+                (self.position, self.spread) = (None, true);
+                self.read(now)
+            }
+            (Event::Broke, Stage::Waiting(_)) => Vec::new(),
+            (Event::Broke, _) => self.drop(now, Reason::Broke),
+            // Late news of something that was given up, or of nothing that was asked for.
+            (Event::Told { .. } | Event::Part | Event::Compacted | Event::Watching, Stage::Waiting(_)) => {
+                Vec::new()
+            }
+            _ => self.drop(now, Reason::Confused),
+        }
+    }
+
+    /// The list that is held turned out to be of no use: it is read anew.
+    pub fn gap(&mut self, now: u64) -> Vec<Act> {
+        self.anew(now)
+    }
+
+    fn anew(&mut self, now: u64) -> Vec<Act> {
+        self.position = None;
+        self.spread = true;
+        self.drop(now, Reason::Confused)
+    }
+
+    fn read(&mut self, now: u64) -> Vec<Act> {
+        if std::mem::take(&mut self.spread) {
+            let wait = self.rng.random_range(0..=self.pace.spread);
+            self.stage = Stage::Turn(now.saturating_add(wait));
+            return Vec::new();
+        }
+        self.stage = Stage::Reading(now.saturating_add(self.pace.patience));
+        vec![Act::Read]
+    }
+
+    fn watch(&mut self, now: u64, revision: u64) -> Vec<Act> {
+        self.stage = Stage::Asking(now.saturating_add(self.pace.patience));
+        vec![Act::Watch { from: revision.saturating_add(1) }]
+    }
+
+    fn drop(&mut self, now: u64, reason: Reason) -> Vec<Act> {
+        // A watch that lived and went silent or broke is taken up elsewhere at once: the budget for a drain runs.
+        let wait = match self.live() {
+            true => 0,
+            false => self.rng.random_range(0..=self.bound),
+        };
+        if !self.live() {
+            self.bound = (self.bound * 2).min(self.pace.backoff.1);
+        }
+        self.endpoint = self.endpoint.wrapping_add(1);
+        self.stage = Stage::Waiting(now.saturating_add(wait));
+        vec![Act::Drop { reason }]
+    }
+
+    /// Calls a second that one ingress puts on the registry while nothing changes.
+    pub fn calls_a_second(pace: &Pace) -> f64 {
+        1e9 / pace.probe as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: u64 = 1_000_000;
+    const PACE: Pace =
+        Pace { probe: 100 * MS, patience: 150 * MS, backoff: (20 * MS, 1_000 * MS), spread: 300 * MS };
+
+    fn live() -> Follow {
+        let mut follow = Follow::new(PACE, 1, None);
+        assert!(matches!(follow.on(0, Event::Tick)[..], [Act::Connect { .. }]));
+        assert_eq!(follow.on(1, Event::Connected), [Act::Read]);
+        assert_eq!(follow.on(2, Event::Read { cluster: 9, revision: 41 }), [Act::Watch { from: 42 }]);
+        assert!(follow.on(3, Event::Watching).is_empty() && follow.live());
+        follow
+    }
+
+    #[test]
+    fn a_silent_watch_is_found_and_resumed_well_inside_the_budget_without_a_read() {
+        let mut follow = live();
+        follow.on(50 * MS, Event::Told { cluster: 9, revision: 45 });
+        // The stall begins right after; a drain is written right after that.
+        let dropped = loop {
+            let now = follow.due();
+            match follow.on(now, Event::Tick)[..] {
+                [Act::Probe] => {}
+                [Act::Drop { reason: Reason::Silent }] => break now,
+                ref other => panic!("{other:?}"),
+            }
+        };
+        assert!(dropped - 50 * MS <= 250 * MS);
+        let before = follow.endpoint;
+        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Connect { endpoint: before }]);
+        assert_eq!(follow.on(dropped, Event::Connected), [Act::Watch { from: 46 }]);
+    }
+
+    #[test]
+    fn a_compaction_leads_to_one_read_whose_time_is_drawn() {
+        let waits: Vec<u64> = (0..300)
+            .map(|seed| {
+                let mut follow = live();
+                follow.rng = SmallRng::seed_from_u64(seed);
+                assert!(follow.on(0, Event::Compacted).is_empty());
+                assert!(follow.on(0, Event::Tick).is_empty() || follow.due() >= 150 * MS);
+                let due = follow.due();
+                assert_eq!(follow.on(due, Event::Tick), [Act::Read]);
+                due
+            })
+            .collect();
+        // Spread evenly: no tenth of the time holds more than a fifth of a fleet of 300.
+        for part in 0..10 {
+            let of = |due: &&u64| (30 * MS * part..30 * MS * (part + 1)).contains(*due);
+            assert!(waits.iter().filter(of).count() < 60);
+        }
+    }
+
+    #[test]
+    fn waits_grow_to_their_bound_and_other_endpoints_are_tried() {
+        let mut follow = Follow::new(PACE, 3, None);
+        let (mut now, mut seen, mut longest) = (0, std::collections::BTreeSet::new(), 0);
+        for _ in 0..40 {
+            now = now.max(follow.due());
+            let [Act::Connect { endpoint }] = follow.on(now, Event::Tick)[..] else { panic!() };
+            seen.insert(endpoint % 3);
+            assert!(matches!(follow.on(now, Event::Broke)[..], [Act::Drop { reason: Reason::Broke }]));
+            longest = longest.max(follow.due() - now);
+        }
+        assert_eq!(seen.len(), 3);
+        assert!((500 * MS..=1_000 * MS).contains(&longest), "{longest}");
+    }
+
+    #[test]
+    fn another_cluster_behind_the_same_address_is_read_anew() {
+        let mut follow = live();
+        let acts = follow.on(10, Event::Told { cluster: 8, revision: 3 });
+        assert_eq!(acts, [Act::Drop { reason: Reason::Confused }]);
+        follow.on(follow.due(), Event::Tick);
+        assert!(follow.on(20, Event::Connected).is_empty());
+        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,10 @@
 //! only. Small programs in `src/bin` start one each, so that a person can try the daemon by hand.
 
 pub mod clients;
+pub mod consul;
 pub mod daemon;
 pub mod discovery;
+pub mod etcd;
 pub mod http;
 pub mod instance;
+pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,12 +6,14 @@
 
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: applewall serve | check [--operator FILE] | schema | version | help";
+const USAGE: &str =
+    "usage: applewall serve | check [--operator FILE] | schema [operator | registry] | version | help";
 
 enum Call {
     Serve,
     Check,
-    Schema,
+    /// Of the operator's file, or of a registry's values.
+    Schema(bool),
     Version,
     Help,
 }
@@ -33,11 +35,16 @@
             Value(word) if call.is_none() => match word.to_str() {
                 Some("serve") => Call::Serve,
                 Some("check") => Call::Check,
-                Some("schema") => Call::Schema,
+                Some("schema") => Call::Schema(false),
                 Some("version") => Call::Version,
                 Some("help") => Call::Help,
                 _ => return Err(format!("unknown sub-command '{}'; {USAGE}", word.to_string_lossy())),
             },
+            Value(word)
+                if matches!(call, Some(Call::Schema(_))) && (word == "operator" || word == "registry") =>
+            {
+                Call::Schema(word == "registry")
+            }
             other => return Err(format!("{}; {USAGE}", other.unexpected())),
         };
         call = Some(next);
@@ -62,8 +69,9 @@
             }
             Ok(())
         }
-        Call::Schema => {
-            println!("{}", operator::Operator::schema());
+        Call::Schema(registry) => {
+            let schema = if registry { applewall_roster::schema() } else { operator::Operator::schema() };
+            println!("{schema}");
             Ok(())
         }
         Call::Version => {
@@ -72,7 +80,7 @@
         }
         Call::Help => {
             println!("{USAGE}\n\nserve    run the ingress that GW_CONFIG describes, until SIGTERM");
-            println!("check    read GW_CONFIG and say what it describes\nschema   print the JSON Schema of the operator's file\nversion  print the version");
+            println!("check    read GW_CONFIG and say what it describes\nschema   print the JSON Schema of the operator's file, or of a registry's values\nversion  print the version");
             Ok(())
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 pub mod name_table;
 pub mod pace;
 pub mod peers;
+pub mod registry;
 pub mod reply;
 pub mod seats;
 pub mod shutdown;
@@ -52,6 +53,7 @@
     let (source, discovery, operator) = config::Source::new(&config, operator, file);
     let budget = budget::Budget::new(config.sockets);
     let places = budget.places();
+    let table = registry::begin(&operator, &config, clock, queue.clone());
     let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
     let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone());
     let (stage, stages) = watch::channel(shutdown::Stage::Serving);
@@ -60,7 +62,7 @@
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
-    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, queue.clone()));
+    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, table));
     tokio::spawn(signals.lead(stage, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, stages);
     tokio::select! {
--- /dev/null
+++ b/src/net/registry.rs
@@ -0,0 +1,312 @@
+//! Registries beside discovery: all are sources of one roster, discovery behind the others, and what changes in it
+//! goes to the engine as news of the name table. Without a registry, discovery's news go there as they come.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use applewall::api::{ListKind, Member, MemberState};
+use applewall::wire::Facts;
+use applewall_etcd::News;
+use applewall_roster::snapshot::{Limits, Snapshot};
+use applewall_roster::{Change, Item, Roster, State, Took};
+use tokio::sync::{mpsc, watch, Notify};
+
+use super::clock::Clock;
+use super::config::Config;
+use super::message::{Entry, Message};
+use crate::operator::Operator;
+
+/// Sources of the roster.
+const REGISTRY: usize = 0;
+const CONSUL: usize = 1;
+const DISCOVERY: usize = 2;
+const SOURCES: usize = 3;
+/// Between snapshots, at least.
+const KEEP: Duration = Duration::from_secs(1);
+/// Between looks at how old what is held has become.
+const LOOK: Duration = Duration::from_millis(500);
+
+struct Held {
+    roster: Roster,
+    /// Entries of discovery as it told them, for what a roster's entry doesn't hold.
+    told: BTreeMap<String, Entry>,
+    /// What the engine was told.
+    sent: BTreeMap<String, Entry>,
+    /// Discovery's own count of its news: its revisions are the agent's business.
+    news: u64,
+    stale: bool,
+}
+
+/// What both sources tell, merged.
+struct Merge {
+    held: Mutex<Held>,
+    clock: Clock,
+    facts: Arc<Facts>,
+    changed: Notify,
+}
+
+impl Merge {
+    fn held(&self) -> MutexGuard<'_, Held> {
+        // Nothing panics while it holds the lock; if it did, the state would still be whole.
+        self.held.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// News of the registry; false where they do not follow on what is held.
+    fn take(&self, news: News) -> bool {
+        let now = self.clock.now();
+        let mut held = self.held();
+        let source = held.roster.source(REGISTRY);
+        let took = match news {
+            News::Full { cluster, revision, items } => source.full(now, cluster, revision, true, items),
+            News::Changes { cluster, revision, items } => source.changes(now, cluster, revision, items),
+        };
+        drop(held);
+        self.changed.notify_one();
+        took != Took::Gap
+    }
+
+    /// A whole list of a Consul-style store. It has no cluster's id; an index that goes back shows one that began anew.
+    fn listed(&self, news: applewall_consul::News) {
+        let now = self.clock.now();
+        let applewall_consul::News { index, consistent, items } = news;
+        self.held().roster.source(CONSUL).full(now, 0, index, consistent, items);
+        self.changed.notify_one();
+    }
+
+    /// News of discovery.
+    fn discovered(&self, kind: ListKind, entries: Vec<Entry>) {
+        let now = self.clock.now();
+        let mut held = self.held();
+        held.news += 1;
+        let revision = held.news;
+        let mut items = Vec::new();
+        for entry in entries {
+            let id = entry.member.backend.to_string();
+            let gone = entry.member.state == MemberState::Gone;
+            let read = (!gone).then(|| applewall_roster::Entry {
+                endpoint: entry.endpoint,
+                az: String::new(),
+                pod_group: entry.member.cell,
+                state: match entry.member.state {
+                    MemberState::Ready => State::InService,
+                    _ => State::Terminating,
+                },
+                capacity_hint: entry.member.scale,
+                // A later start is another life.
+                boot_ms: entry.member.started.unwrap_or(0),
+            });
+            let created = entry.member.started.unwrap_or(0);
+            items.push(Item { id: id.clone(), revision, created, entry: read });
+            held.told.insert(id, entry);
+        }
+        let source = held.roster.source(DISCOVERY);
+        match kind {
+            ListKind::Delta => source.changes(now, 0, revision, items),
+            _ => source.full(now, 0, revision, true, items),
+        };
+        drop(held);
+        self.changed.notify_one();
+    }
+
+    /// What changed, in the module's terms: who has gone first, so that another life of the same id is a newcomer.
+    fn changes(&self) -> (Vec<Entry>, Vec<Entry>) {
+        let now = self.clock.now();
+        let mut held = self.held();
+        let changes = held.roster.changes(now);
+        let stale = held.roster.stale(now);
+        if std::mem::replace(&mut held.stale, stale) != stale {
+            let ages = held
+                .roster
+                .ages(now)
+                .into_iter()
+                .map(|age| age.map_or(-1, |age| (age / 1_000_000_000) as i64));
+            let ages: Vec<i64> = ages.collect();
+            match stale {
+                true => {
+                    tracing::warn!("registry: no source is current, seconds ago {ages:?}; the list stays")
+                }
+                false => tracing::info!("registry: a source is current again"),
+            }
+        }
+        let (mut gone, mut put) = (Vec::new(), Vec::new());
+        for Change { id, entry, anew, source } in changes {
+            let before = held.sent.remove(&id);
+            let Some(entry) = entry else {
+                held.told.remove(&id);
+                gone.extend(before.map(ended));
+                continue;
+            };
+            // A birth that was seen is a start, where the entry does not tell a later one.
+            let born = before.as_ref().filter(|_| anew).map(|_| now);
+            gone.extend(before.filter(|_| anew).map(ended));
+            let told = held.told.get(&id).filter(|_| source == Some(DISCOVERY)).cloned();
+            let mut next = told.unwrap_or_else(|| self.entry(&id, &entry));
+            next.member.started = next.member.started.max(born);
+            held.sent.insert(id, next.clone());
+            put.push(next);
+        }
+        (gone, put)
+    }
+
+    fn entry(&self, id: &str, entry: &applewall_roster::Entry) -> Entry {
+        let member = Member {
+            backend: id.into(),
+            scale: entry.capacity_hint,
+            started: self.clock.of_unix(entry.boot_ms),
+            zone: self.facts.zone(&entry.az),
+            cell: entry.pod_group,
+            state: match entry.state {
+                State::InService => MemberState::Ready,
+                State::Terminating => MemberState::Draining,
+            },
+        };
+        Entry { member, endpoint: entry.endpoint }
+    }
+}
+
+fn ended(mut entry: Entry) -> Entry {
+    entry.member.state = MemberState::Gone;
+    entry
+}
+
+/// Stands between discovery's follower and the engine's queue, and follows the registry beside it.
+pub async fn merge(
+    operator: Arc<Operator>,
+    seed: u64,
+    known: Vec<Entry>,
+    facts: Arc<Facts>,
+    clock: Clock,
+    mut discovered: mpsc::Receiver<Message>,
+    queue: mpsc::Sender<Message>,
+) {
+    let settings = &operator.registry;
+    let believed = settings.believed.nanos();
+    let sent = known.iter().map(|entry| (entry.member.backend.to_string(), entry.clone())).collect();
+    let held =
+        Held { roster: Roster::new(SOURCES, believed), told: BTreeMap::new(), sent, news: 0, stale: false };
+    let merge = Merge { held: Mutex::new(held), clock, facts, changed: Notify::new() };
+    // The engine decides from these already: discovery's list as it last was, until it tells another.
+    merge.discovered(ListKind::Cached, known);
+    merge.held().roster.changes(clock.now());
+    let position = if settings.enabled.0 { restore(&merge, settings) } else { None };
+    let follow = async {
+        match settings.enabled.0 {
+            true => applewall_etcd::follow(settings, seed, position, |news| merge.take(news)).await,
+            false => std::future::pending().await,
+        }
+    };
+    let consul = async {
+        match operator.consul.enabled.0 {
+            true => applewall_consul::follow(&operator.consul, seed, |news| merge.listed(news)).await,
+            false => std::future::pending().await,
+        }
+    };
+    let discover = async {
+        while let Some(Message::Table(kind, entries)) = discovered.recv().await {
+            merge.discovered(kind, entries);
+        }
+        std::future::pending::<()>().await;
+    };
+    let tell = async {
+        let mut kept = std::time::Instant::now();
+        loop {
+            let _ = tokio::time::timeout(LOOK, merge.changed.notified()).await;
+            let (gone, put) = merge.changes();
+            for entries in [gone, put] {
+                if !entries.is_empty() && queue.send(Message::Table(ListKind::Delta, entries)).await.is_err()
+                {
+                    return;
+                }
+            }
+            if let Some(folder) = settings.snapshot.as_deref().filter(|_| kept.elapsed() >= KEEP) {
+                kept = std::time::Instant::now();
+                keep(&merge, folder);
+            }
+        }
+    };
+    tokio::select! {
+        () = follow => {}
+        () = consul => {}
+        () = discover => {}
+        () = tell => {}
+    }
+}
+
+fn path(folder: &str) -> PathBuf {
+    Path::new(folder).join("roster.snapshot")
+}
+
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Takes the last good list of an earlier life; where it got to. What is wrong with it is one line.
+fn restore(merge: &Merge, settings: &applewall_etcd::Settings) -> Option<(u64, u64)> {
+    let path = path(settings.snapshot.as_deref()?);
+    let bytes = match std::fs::read(&path) {
+        Ok(bytes) => bytes,
+        // The first start of all.
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
+        Err(e) => {
+            tracing::warn!("registry: snapshot {}: {e}", path.display());
+            return None;
+        }
+    };
+    let limits =
+        Limits { now_ms: unix_ms(), age_ms: settings.snapshot_age.nanos() / 1_000_000, cluster: None };
+    match Snapshot::read(&bytes, &limits) {
+        Ok(Snapshot { cluster, revision, members, .. }) => {
+            tracing::info!("registry: {} members of the snapshot, revision {revision}", members.len());
+            let item = |(id, entry)| Item { id, revision, created: 0, entry: Some(entry) };
+            let items = members.into_iter().map(item).collect();
+            merge.take(News::Full { cluster, revision, items });
+            // Resumed from there. Who was born when is not kept, so that a birth meanwhile shows as one.
+            Some((cluster, revision))
+        }
+        Err(reason) => {
+            tracing::warn!("registry: snapshot {} not used: {reason}", path.display());
+            None
+        }
+    }
+}
+
+/// Writes the last good list so that a crash at any moment leaves the old one or the new one.
+fn keep(merge: &Merge, folder: &str) {
+    let snapshot = {
+        let mut held = merge.held();
+        Snapshot::of(held.roster.source(REGISTRY), unix_ms())
+    };
+    let Some(snapshot) = snapshot else { return };
+    let (path, next) = (path(folder), Path::new(folder).join("roster.snapshot.next"));
+    let write = || {
+        use std::io::Write;
+        let mut file = std::fs::File::create(&next)?;
+        file.write_all(&snapshot.write())?;
+        file.sync_all()?;
+        std::fs::rename(&next, &path)
+    };
+    if let Err(e) = write() {
+        tracing::warn!("registry: snapshot {}: {e}", path.display());
+    }
+}
+
+/// Where news of discovery go: to the engine, or through the merge where a registry is on. What is on is decided at
+/// the start.
+pub fn begin(
+    operator: &watch::Receiver<Arc<Operator>>,
+    config: &Config,
+    clock: Clock,
+    queue: mpsc::Sender<Message>,
+) -> mpsc::Sender<Message> {
+    let operator = operator.borrow().clone();
+    if !operator.registry.enabled.0 && !operator.consul.enabled.0 {
+        return queue;
+    }
+    let (discovery, discovered) = mpsc::channel(16);
+    let (facts, known) = (config.facts.clone(), config.known.entries(&config.facts, &clock));
+    tokio::spawn(merge(operator, config.seed, known, facts, clock, discovered, queue));
+    discovery
+}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operator's own file, as this program takes it: a section for each subsystem, all off by default.
 
+use applewall_consul as consul;
+use applewall_etcd as etcd;
 use applewall_operator as ini;
 use applewall_pace as pace;
 use garde::Validate;
@@ -21,6 +23,12 @@
     /// What one customer or one set of addresses may hold at most.
     #[garde(dive)]
     pub bulkheads: pace::BulkheadSettings,
+    /// A roster in an etcd v3 registry.
+    #[garde(dive)]
+    pub registry: etcd::Settings,
+    /// A roster in a Consul-style store.
+    #[garde(dive)]
+    pub consul: consul::Settings,
 }
 
 /// `[log]`
@@ -50,7 +58,12 @@
 
     /// What is on, in a few words for `check`.
     pub fn summary(&self) -> String {
-        let on = [("pace", self.pace.enabled.0), ("bulkheads", self.bulkheads.enabled.0)];
+        let on = [
+            ("pace", self.pace.enabled.0),
+            ("bulkheads", self.bulkheads.enabled.0),
+            ("registry", self.registry.enabled.0),
+            ("consul", self.consul.enabled.0),
+        ];
         let on: Vec<&str> = on.iter().filter(|(_, on)| *on).map(|(name, _)| *name).collect();
         if on.is_empty() {
             "nothing".to_string()
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -80,17 +80,22 @@
         assert!(check.status.success() && text.contains(on), "{file}: {text}");
     }
     let schema = String::from_utf8(run(&["schema"], None).stdout).unwrap();
+    let values = String::from_utf8(run(&["schema", "registry"], None).stdout).unwrap();
+    assert!(values.contains("\"endpoint\"") && values.contains("\"terminating\""), "{values}");
     assert!(schema.contains("\"bulkheads\"") && schema.contains("\"out_least\""), "{schema}");
 }
 
 #[test]
 fn a_wrong_operator_file_ends_with_one_line_that_says_where() {
     let cases = [
-        ("[pacing]", "[pacing] unknown section; there are: log, pace, bulkheads"),
+        ("[pacing]", "[pacing] unknown section; there are: log, pace, bulkheads, registry, consul"),
         ("[pace]\nspeed = 5", "[pace] speed: unknown key; there are: enabled, tick,"),
         ("[pace]\ntick = 5ms", "[pace] tick: not between 10ms and 1000ms"),
         ("[pace]\nout_least = 5 stone", "[pace] out_least: '5 stone' is no size such as 64KiB"),
         ("[bulkheads]\nipv4_prefix = 33", "[bulkheads] ipv4_prefix: greater than 32"),
+        ("[registry]\nenabled = on", "[registry] enabled: on, but no endpoints are named"),
+        ("[registry]\nendpoints = db:2379", "[registry] endpoints: 'db:2379' is no address with a port"),
+        ("[consul]\nenabled = on", "[consul] enabled: on, but no agent is named"),
         ("[log]\nformat = xml", "[log] format: unknown variant `xml`"),
     ];
     for (i, (text, reason)) in cases.into_iter().enumerate() {
