Registry: members of a source's first list are not taken for newborn

Cause: with no known list, the module takes whoever turns up later than its first list for just started; a start by the registry alone was cold for 15 s. Change: who stands in a source's first whole list was there before this program.

--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -1,7 +1,7 @@
 //! Registries beside discovery: all are sources of one roster, discovery behind the others, and what changes in it
 //! goes to the engine as news of the name table. Without a registry, discovery's news go there as they come.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -34,6 +34,10 @@
     told: BTreeMap<String, Entry>,
     /// What the engine was told.
     sent: BTreeMap<String, Entry>,
+    /// Sources that told a whole list, and members of these first lists that were not told to the engine yet: they
+    /// were there before this program, and are not taken for newborn.
+    listed: [bool; SOURCES],
+    first: BTreeSet<String>,
     /// Discovery's own count of its news: its revisions are the agent's business.
     news: u64,
     stale: bool,
@@ -47,6 +51,15 @@
     changed: Notify,
 }
 
+impl Held {
+    /// A source told a whole list.
+    fn lists(&mut self, source: usize, items: &[Item]) {
+        if !std::mem::replace(&mut self.listed[source], true) {
+            self.first.extend(items.iter().map(|item| item.id.clone()));
+        }
+    }
+}
+
 impl Merge {
     fn held(&self) -> MutexGuard<'_, Held> {
         // Nothing panics while it holds the lock; if it did, the state would still be whole.
@@ -57,6 +70,9 @@
     fn take(&self, news: News) -> bool {
         let now = self.clock.now();
         let mut held = self.held();
+        if let News::Full { items, .. } = &news {
+            held.lists(REGISTRY, items);
+        }
         let source = held.roster.source(REGISTRY);
         let took = match news {
             News::Full { cluster, revision, items } => source.full(now, cluster, revision, true, items),
@@ -71,7 +87,10 @@
     fn listed(&self, news: applewall_consul::News) {
         let now = self.clock.now();
         let applewall_consul::News { index, consistent, items } = news;
-        self.held().roster.source(CONSUL).full(now, 0, index, consistent, items);
+        let mut held = self.held();
+        held.lists(CONSUL, &items);
+        held.roster.source(CONSUL).full(now, 0, index, consistent, items);
+        drop(held);
         self.changed.notify_one();
     }
 
@@ -143,7 +162,9 @@
             gone.extend(before.filter(|_| anew).map(ended));
             let told = held.told.get(&id).filter(|_| source == Some(DISCOVERY)).cloned();
             let mut next = told.unwrap_or_else(|| self.entry(&id, &entry));
-            next.member.started = next.member.started.max(born);
+            // On the module's clock, 1 is long past, and none is unknown.
+            let long_past = held.first.remove(&id).then_some(1);
+            next.member.started = next.member.started.or(long_past).max(born);
             held.sent.insert(id, next.clone());
             put.push(next);
         }
@@ -184,8 +205,15 @@
     let settings = &operator.registry;
     let believed = settings.believed.nanos();
     let sent = known.iter().map(|entry| (entry.member.backend.to_string(), entry.clone())).collect();
-    let held =
-        Held { roster: Roster::new(SOURCES, believed), told: BTreeMap::new(), sent, news: 0, stale: false };
+    let held = Held {
+        roster: Roster::new(SOURCES, believed),
+        told: BTreeMap::new(),
+        sent,
+        listed: [false; SOURCES],
+        first: BTreeSet::new(),
+        news: 0,
+        stale: false,
+    };
     let merge = Merge { held: Mutex::new(held), clock, facts, changed: Notify::new() };
     // The engine decides from these already: discovery's list as it last was, until it tells another.
     merge.discovered(ListKind::Cached, known);
