--- a/crates/roster/src/follow.rs
+++ b/crates/roster/src/follow.rs
@@ -118,9 +118,17 @@
     /// The next read is one of many.
     spread: bool,
     bound: u64,
+    /// When the watch lived last.
+    lived: Option<u64>,
     rng: SmallRng,
 }
 
+/// For so long after a watch lived, tries to get it back stay close together: a drain that is written meanwhile has
+/// its budget running. Later that is spent, and the registry is spared.
+const HURRY: u64 = 400_000_000;
+/// Times the first bound on a wait, while there is hurry.
+const HURRIED: u64 = 2;
+
 impl Follow {
     /// Begins at once, at the endpoint that its seed draws: a fleet starts evenly. `position` is where an earlier life
     /// got to, if a snapshot tells it.
@@ -134,6 +142,7 @@
             position,
             spread: false,
             bound: pace.backoff.0,
+            lived: None,
             rng,
         }
     }
@@ -188,11 +197,13 @@
             (Event::Watching, Stage::Asking(_)) => {
                 // Proven by the acceptance; the bound on waits falls back once a watch lives.
                 self.bound = self.pace.backoff.0;
+                self.lived = Some(now);
                 self.stage = Stage::Live(now.saturating_add(self.pace.probe));
                 Vec::new()
             }
             (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => match self.position {
                 Some((held, before)) if held == cluster => {
+                    self.lived = Some(now);
                     self.position = Some((cluster, revision.max(before)));
                     self.stage = Stage::Live(now.saturating_add(self.pace.probe));
                     Vec::new()
@@ -247,11 +258,13 @@
 
     fn drop(&mut self, now: u64, reason: Reason) -> Vec<Act> {
         // A watch that lived and went silent or broke is taken up elsewhere at once: the budget for a drain runs.
-        let wait = match self.live() {
-            true => 0,
-            false => self.rng.random_range(0..=self.bound),
+        let hurry = self.lived.is_some_and(|lived| now.saturating_sub(lived) < HURRY);
+        let wait = match (self.live(), hurry) {
+            (true, _) => 0,
+            (false, true) => self.rng.random_range(0..=self.pace.backoff.0 * HURRIED),
+            (false, false) => self.rng.random_range(0..=self.bound),
         };
-        if !self.live() {
+        if !self.live() && !hurry {
             self.bound = (self.bound * 2).min(self.pace.backoff.1);
         }
         self.endpoint = self.endpoint.wrapping_add(1);
@@ -321,6 +334,22 @@
         }
     }
 
+    #[test]
+    fn tries_stay_close_together_while_a_drain_has_its_budget_and_not_for_longer() {
+        let mut follow = live();
+        follow.on(10 * MS, Event::Broke);
+        let (mut now, mut waits) = (10 * MS, Vec::new());
+        while now < 3_000 * MS {
+            let due = follow.due().max(now + MS);
+            waits.push((now, due - now));
+            now = due;
+            follow.on(now, Event::Tick);
+            follow.on(now, Event::Broke);
+        }
+        assert!(waits.iter().all(|(at, wait)| *at >= HURRY || *wait <= 40 * MS), "{waits:?}");
+        assert!(waits.iter().any(|(_, wait)| *wait > 200 * MS), "{waits:?}");
+    }
+
     #[test]
     fn waits_grow_to_their_bound_and_other_endpoints_are_tried() {
         let mut follow = Follow::new(PACE, 3, None);
--- /dev/null
+++ b/crates/standins/src/bin/standin.rs
@@ -0,0 +1,150 @@
+//! One scripted peer, started by hand. Says where it listens, and ends by itself.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use applewall_standins::clients::{Slow, SlowSeen};
+use applewall_standins::consul::Agent;
+use applewall_standins::discovery::{target, Discovery};
+use applewall_standins::etcd::Registry;
+use applewall_standins::instance::{Instance, Manner, Script};
+
+const USAGE: &str =
+    "usage: standin instance [--body N] [--odd ONE_IN] [--manner NAME] | discovery ADDRESS... \
+    | etcd KEY=VALUE... | consul KEY=VALUE... | slow-readers ADDRESS [--many N]   [--seconds N]
+manners: trickle, trickle-body, head-only, all-but-one, burst, chunks";
+
+struct Call {
+    kind: String,
+    words: Vec<String>,
+    body: usize,
+    odd: Option<u32>,
+    manner: Manner,
+    many: usize,
+    time: Duration,
+}
+
+fn manner(name: &str) -> Result<Manner, String> {
+    Ok(match name {
+        "trickle" => Manner::Trickle,
+        "trickle-body" => Manner::TrickleBody,
+        "head-only" => Manner::HeadOnly,
+        "all-but-one" => Manner::AllButOne,
+        "burst" => Manner::Burst(Duration::from_millis(300)),
+        "chunks" => Manner::Chunks,
+        other => return Err(format!("unknown manner '{other}'")),
+    })
+}
+
+fn call() -> Result<Call, String> {
+    use lexopt::prelude::*;
+    let mut call = Call {
+        kind: String::new(),
+        words: Vec::new(),
+        body: 64,
+        odd: None,
+        manner: Manner::TrickleBody,
+        many: 100,
+        time: Duration::from_secs(600),
+    };
+    let mut parser = lexopt::Parser::from_env();
+    let text = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = parser.next().map_err(text)? {
+        match arg {
+            Long("body") => call.body = parser.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("odd") => call.odd = Some(parser.value().and_then(|v| v.parse()).map_err(text)?),
+            Long("manner") => call.manner = manner(&parser.value().and_then(|v| v.string()).map_err(text)?)?,
+            Long("many") => call.many = parser.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("seconds") => {
+                call.time = Duration::from_secs(parser.value().and_then(|v| v.parse()).map_err(text)?);
+            }
+            Value(word) if call.kind.is_empty() => call.kind = word.string().map_err(text)?,
+            Value(word) => call.words.push(word.string().map_err(text)?),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    Ok(call)
+}
+
+fn pairs(words: &[String]) -> Result<Vec<(&str, &str)>, String> {
+    words.iter().map(|w| w.split_once('=').ok_or(format!("'{w}' is no KEY=VALUE"))).collect()
+}
+
+async fn run(call: Call) -> Result<(), String> {
+    let text = |e: std::io::Error| e.to_string();
+    match call.kind.as_str() {
+        "instance" => {
+            let odd = call.odd.filter(|n| *n > 0).map(|one_in| (one_in, call.manner));
+            let instance =
+                Instance::start(Script { body: call.body, odd, ..Script::default() }).await.map_err(text)?;
+            println!("instance on {}", instance.address);
+            tokio::time::sleep(call.time).await;
+            println!("requests {}", instance.seen.requests.load(Ordering::Relaxed));
+        }
+        "discovery" => {
+            let entry = |(i, word): (usize, &String)| {
+                let address: SocketAddr = word.parse().map_err(|_| format!("'{word}' is no address"))?;
+                Ok::<_, String>(target(&format!("s-{i}"), address, "in_service"))
+            };
+            let list = call.words.iter().enumerate().map(entry).collect::<Result<_, _>>()?;
+            let discovery = Discovery::start(list).await.map_err(text)?;
+            println!("discovery on {}", discovery.address);
+            tokio::time::sleep(call.time).await;
+        }
+        "etcd" => {
+            let registry = Registry::new(1, 0);
+            for (key, value) in pairs(&call.words)? {
+                registry.put(key, value);
+            }
+            println!("etcd on {}", registry.listen().await.map_err(text)?);
+            tokio::time::sleep(call.time).await;
+            println!("reads {}", registry.calls.ranges.load(Ordering::Relaxed));
+        }
+        "consul" => {
+            let agent = Agent::start().await.map_err(text)?;
+            for (key, value) in pairs(&call.words)? {
+                agent.put(key, Some(value));
+            }
+            println!("consul on {}", agent.address);
+            tokio::time::sleep(call.time).await;
+        }
+        "slow-readers" => {
+            let to = call.words.first().and_then(|w| w.parse::<SocketAddr>().ok()).ok_or(USAGE)?;
+            if !to.ip().is_loopback() {
+                return Err("slow readers go to loopback only".to_string());
+            }
+            let seen = Arc::new(SlowSeen::default());
+            let slow = Slow {
+                to,
+                many: call.many,
+                within: Duration::from_millis(50),
+                step: Some(Duration::from_millis(100)),
+                back: Duration::from_millis(500),
+                time: call.time,
+                receive: 4_096,
+                upload: 0,
+            };
+            slow.play(seen.clone()).await;
+            println!("ended by the other side {}", seen.ended.load(Ordering::Relaxed));
+        }
+        _ => return Err(USAGE.to_string()),
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let result = call().and_then(|call| {
+        let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+        runtime.block_on(run(call))
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            eprintln!("standin: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
