--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/follow.rs
@@ -212,6 +212,27 @@
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 3);
 }
 
+#[tokio::test]
+async fn a_list_that_is_read_page_by_page_while_it_changes_is_of_one_revision() {
+    let registry = Registry::new(7, 0);
+    for i in 0..5_000u16 {
+        registry.put(&format!("/m/s-{i:04}"), &value(1 + i, "in_service"));
+    }
+    let writer = registry.clone();
+    let world = world(registry, 1, |_| ()).await;
+    // After the first page: one of the first goes, one of the last comes to be drained, and one is new.
+    world.until("reading", |_| writer.calls.ranges.load(Ordering::Relaxed) >= 1).await;
+    writer.delete("/m/s-0000");
+    writer.put("/m/s-4999", &value(5_000, "terminating"));
+    writer.put("/m/t", &value(6_000, "in_service"));
+    world
+        .until("all three", |list| {
+            list.len() == 5_000 && list.contains_key("t") && list.get("s-4999") == Some(&State::Terminating)
+        })
+        .await;
+    assert_eq!(world.births(), 5_001);
+}
+
 #[tokio::test]
 async fn a_token_goes_with_each_call() {
     let registry = Registry::new(7, 0);
--- a/crates/standins/src/etcd.rs
+++ b/crates/standins/src/etcd.rs
@@ -127,7 +127,7 @@
         let event = match value {
             Some(value) => {
                 let created = old.as_ref().map_or(revision, |old| old.create_revision);
-                let version = old.map_or(0, |old| old.version) + 1;
+                let version = old.as_ref().map_or(0, |old| old.version) + 1;
                 let kv = proto::KeyValue {
                     key: key.to_vec(),
                     create_revision: created,
@@ -137,12 +137,12 @@
                     lease: 0,
                 };
                 store.kvs.insert(key.to_vec(), kv.clone());
-                proto::Event { r#type: proto::EventType::Put as i32, kv: Some(kv), prev_kv: None }
+                proto::Event { r#type: proto::EventType::Put as i32, kv: Some(kv), prev_kv: old }
             }
             None => {
                 store.kvs.remove(key);
                 let kv = proto::KeyValue { key: key.to_vec(), mod_revision: revision, ..Default::default() };
-                proto::Event { r#type: proto::EventType::Delete as i32, kv: Some(kv), prev_kv: None }
+                proto::Event { r#type: proto::EventType::Delete as i32, kv: Some(kv), prev_kv: old }
             }
         };
         store.history.push(event);
@@ -171,7 +171,8 @@
             return Err(Status::out_of_range("etcdserver: mvcc: required revision has been compacted"));
         }
         let within = |key: &[u8]| within(key, &request.key, &request.range_end);
-        let all: Vec<_> = store.kvs.values().filter(|kv| within(&kv.key)).cloned().collect();
+        let at = if request.revision > 0 { request.revision } else { store.revision };
+        let all: Vec<_> = store.at(at).into_values().filter(|kv| within(&kv.key)).collect();
         let count = all.len();
         let limit = if request.limit > 0 { request.limit as usize } else { usize::MAX };
         let kvs: Vec<_> = all.into_iter().take(limit).collect();
@@ -201,7 +202,9 @@
                         kv.mod_revision >= next && within(&kv.key, &create.key, &create.range_end)
                     })
                 };
-                let events: Vec<_> = store.history.iter().filter(after).cloned().collect();
+                let mut events: Vec<_> = store.history.iter().filter(after).cloned().collect();
+                // Told only where it is asked for.
+                events.iter_mut().filter(|_| !create.prev_kv).for_each(|event| event.prev_kv = None);
                 let compacted = (next < store.compacted).then_some(store.compacted);
                 let header = store.header();
                 next = next.max(store.revision + 1);
@@ -261,6 +264,20 @@
         Some(proto::ResponseHeader { cluster_id, member_id: 1, revision, raft_term: 2 })
     }
 
+    /// The keys as they were at a revision: what each was before its first change after that.
+    fn at(&self, revision: i64) -> BTreeMap<Vec<u8>, proto::KeyValue> {
+        let mut kvs = self.kvs.clone();
+        let later = |event: &&proto::Event| event.kv.as_ref().is_some_and(|kv| kv.mod_revision > revision);
+        for event in self.history.iter().rev().filter(later) {
+            let Some(kv) = &event.kv else { continue };
+            match &event.prev_kv {
+                Some(before) => kvs.insert(kv.key.clone(), before.clone()),
+                None => kvs.remove(&kv.key),
+            };
+        }
+        kvs
+    }
+
     fn compact(&mut self, revision: i64) {
         if revision > self.compacted {
             self.compacted = revision;
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -20,7 +20,7 @@
 struct World {
     daemon: Daemon,
     instances: Vec<Instance>,
-    _discovery: Discovery,
+    discovery: Discovery,
 }
 
 async fn world(name: &str, sockets: usize, operator: &str, scripts: Vec<Script>) -> World {
@@ -42,7 +42,7 @@
     let (program, folder) =
         (Path::new(env!("CARGO_BIN_EXE_applewall")), Path::new(env!("CARGO_TARGET_TMPDIR")));
     let daemon = Daemon::start(program, folder, name, &setting).unwrap();
-    World { daemon, instances, _discovery: discovery }
+    World { daemon, instances, discovery }
 }
 
 fn script(body: usize, odd: Option<(u32, Manner)>) -> Script {
@@ -206,6 +206,37 @@
     slow.abort();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_in_the_middle_of_slow_readers_and_trickles_is_kept() {
+    let trickles = script(20_000, Some((4, Manner::TrickleBody)));
+    let world = world("drain", 256, ON, vec![trickles, script(20_000, None)]).await;
+    let seen = Arc::new(SlowSeen::default());
+    let slow = Slow {
+        to: world.daemon.address,
+        many: 100,
+        within: Duration::ZERO,
+        step: Some(Duration::from_millis(100)),
+        back: Duration::from_millis(50),
+        time: PATIENCE,
+        receive: 4_096,
+        upload: 0,
+    };
+    let slow = tokio::spawn(slow.play(seen.clone()));
+    until("50 answers under way", || seen.began.load(Ordering::Relaxed) >= 50).await;
+    let entry = |i: usize, state| target(&format!("s-{i}"), world.instances[i].address, state);
+    world.discovery.publish(vec![entry(0, "terminating"), entry(1, "in_service")]);
+    let asked = || world.instances[0].seen.requests.load(Ordering::Relaxed);
+    // From some moment on, 30 commands in a row leave it alone.
+    let (mut quiet, mut id) = (0, 100);
+    while quiet < 30 {
+        let before = asked();
+        id += 1;
+        world.served(id).await;
+        quiet = if asked() == before { quiet + 1 } else { 0 };
+    }
+    slow.abort();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_operators_file_is_followed_at_a_reload_and_a_wrong_one_changes_nothing() {
     let world = world("reload", 256, "[pace]\nenabled = off\n", vec![script(64, None)]).await;
