--- a/crates/pace/src/outgoing.rs
+++ b/crates/pace/src/outgoing.rs
@@ -7,7 +7,8 @@
 //!   was told before it and the service client can tell that it is not whole;
 //! - one whose answer has not one byte written yet: never, for the same reason as the first;
 //! - one on which a newer command was read while an answer still waits (a client that sends ahead): never, until that
-//!   command has its answer.
+//!   command has its answer. From then on both are one transfer, begun with the first: that the second can't be
+//!   written is the reader's doing, and whoever stops reading must not keep its place by sending ahead.
 
 use std::collections::BTreeMap;
 
@@ -128,20 +129,18 @@
     /// The limit that the answer would pass. Nothing is held then: make room and try again, or give a short answer
     /// in its place.
     pub fn begin(&mut self, now: u64, id: Id, holder: Holder, bytes: u64, moved: Moved) -> Result<(), Full> {
-        // An earlier answer still waits where the service client sends ahead: both are one transfer from here on.
         // Its command has no answer until this one has begun: it must not be cut to make room for itself.
         self.command(id);
-        let earlier = self.going.get(&id).map_or(0, |g| g.waiting);
         self.account.take(holder, bytes)?;
-        if let Some(going) = self.going.remove(&id) {
-            self.account.give(going.holder, going.waiting);
-            // No refusal: what was given back fits again where the holder is the same; another customer on the same
-            // connection takes over what waits before it, as far as its share allows.
-            let kept = self.account.take(holder, earlier).map_or(0, |()| earlier);
-            self.insert(now, id, holder, bytes + kept, moved);
+        let Some(going) = self.going.get_mut(&id) else {
+            self.insert(now, id, holder, bytes, moved);
             return Ok(());
-        }
-        self.insert(now, id, holder, bytes, moved);
+        };
+        // An earlier answer still waits: both are one transfer, which began with the first. What waits goes over to the
+        // holder of the second, as far as its share allows.
+        self.account.give(going.holder, going.waiting);
+        let kept = self.account.take(holder, going.waiting).map_or(0, |()| going.waiting);
+        (going.holder, going.waiting, going.owed) = (holder, kept + bytes, false);
         Ok(())
     }
 
@@ -170,6 +169,11 @@
         self.going.entry(id).and_modify(|g| g.owed = true);
     }
 
+    /// That command has its answer, one too short to be held.
+    pub fn answered(&mut self, id: Id) {
+        self.going.entry(id).and_modify(|g| g.owed = false);
+    }
+
     /// So many bytes of a connection were written and delivered by now. Once an answer is delivered whole, nothing
     /// waits any more.
     pub fn progress(&mut self, now: u64, id: Id, Moved { written, delivered, round_trip }: Moved) {
@@ -339,6 +343,24 @@
         assert!(out.account().is_empty());
     }
 
+    #[test]
+    fn one_that_stops_reading_does_not_keep_its_place_by_sending_ahead() {
+        for served in [true, false] {
+            let mut out = outgoing();
+            out.begin(0, 1, holder(1), 50_000, Moved::default()).unwrap();
+            out.progress(MS, 1, moved(20_000, 4_000));
+            out.command(1);
+            assert!(out.judge(5 * SECOND, 0.0).is_empty());
+            // Its second command has its answer, of which not a byte can be written.
+            match served {
+                true => out.begin(5 * SECOND, 1, holder(1), 1_000, moved(20_000, 4_000)).unwrap(),
+                false => out.answered(1),
+            }
+            assert_eq!(out.judge(5 * SECOND + MS, 0.0).len(), 1, "{served}");
+            assert!(out.account().is_empty());
+        }
+    }
+
     #[test]
     fn room_is_made_by_the_worst_offender_and_never_by_a_healthy_one() {
         let mut out = outgoing();
--- a/crates/pace/src/socket/pacer.rs
+++ b/crates/pace/src/socket/pacer.rs
@@ -154,6 +154,11 @@
         self.state().outgoing.command(id);
     }
 
+    /// That command has its answer, one too short to be held.
+    pub fn answered(&self, id: Id) {
+        self.state().outgoing.answered(id);
+    }
+
     /// A customer opens a command.
     ///
     /// # Errors
--- a/crates/roster/src/follow.rs
+++ b/crates/roster/src/follow.rs
@@ -120,12 +120,19 @@
     bound: u64,
     /// When the watch lived last.
     lived: Option<u64>,
+    /// Answers in a row whose revision lies before what is known.
+    behind: u32,
     rng: SmallRng,
 }
 
 /// For so long after a watch lived, tries to get it back stay close together: a drain that is written meanwhile has
 /// its budget running. Later that is spent, and the registry is spared.
 const HURRY: u64 = 400_000_000;
+/// So many answers in a row from before what is known are a registry that went back (restored from a copy), and no
+/// member that lags for a moment.
+const BEHIND: u32 = 3;
+/// A whole list may take so many times the patience of other answers.
+const LIST: u64 = 10;
 /// Times the first bound on a wait, while there is hurry.
 const HURRIED: u64 = 2;
 
@@ -143,6 +150,7 @@
             spread: false,
             bound: pace.backoff.0,
             lived: None,
+            behind: 0,
             rng,
         }
     }
@@ -173,10 +181,7 @@
                 self.stage = Stage::Connecting(late);
                 vec![Act::Connect { endpoint: self.endpoint }]
             }
-            (Event::Tick, Stage::Turn(at)) if now >= at => {
-                self.stage = Stage::Reading(late);
-                vec![Act::Read]
-            }
+            (Event::Tick, Stage::Turn(at)) if now >= at => self.reading(now),
             (Event::Tick, Stage::Live(at)) if now >= at => {
                 self.stage = Stage::Probed(late);
                 vec![Act::Probe]
@@ -203,6 +208,10 @@
             }
             (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => match self.position {
                 Some((held, before)) if held == cluster => {
+                    self.behind = if revision < before { self.behind + 1 } else { 0 };
+                    if self.behind >= BEHIND {
+                        return self.anew(now);
+                    }
                     self.lived = Some(now);
                     self.position = Some((cluster, revision.max(before)));
                     self.stage = Stage::Live(now.saturating_add(self.pace.probe));
@@ -236,7 +245,7 @@
     }
 
     fn anew(&mut self, now: u64) -> Vec<Act> {
-        self.position = None;
+        (self.position, self.behind) = (None, 0);
         self.spread = true;
         self.drop(now, Reason::Confused)
     }
@@ -247,7 +256,11 @@
             self.stage = Stage::Turn(now.saturating_add(wait));
             return Vec::new();
         }
-        self.stage = Stage::Reading(now.saturating_add(self.pace.patience));
+        self.reading(now)
+    }
+
+    fn reading(&mut self, now: u64) -> Vec<Act> {
+        self.stage = Stage::Reading(now.saturating_add(self.pace.patience.saturating_mul(LIST)));
         vec![Act::Read]
     }
 
@@ -365,6 +378,21 @@
         assert!((500 * MS..=1_000 * MS).contains(&longest), "{longest}");
     }
 
+    #[test]
+    fn a_registry_that_went_back_is_read_anew_and_a_member_that_lags_for_a_moment_is_not() {
+        let told = |revision| Event::Told { cluster: 9, revision };
+        let mut follow = live();
+        for revision in [50, 49, 49, 50, 49, 49] {
+            assert!(follow.on(10, told(revision)).is_empty());
+        }
+        assert_eq!(follow.on(11, told(7)), [Act::Drop { reason: Reason::Confused }]);
+        follow.on(follow.due(), Event::Tick);
+        assert!(follow.on(20, Event::Connected).is_empty());
+        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
+        // A whole list may take longer than a proof.
+        assert!(follow.on(follow.due() - 1, Event::Tick).is_empty());
+    }
+
     #[test]
     fn another_cluster_behind_the_same_address_is_read_anew() {
         let mut follow = live();
--- a/crates/roster/src/snapshot.rs
+++ b/crates/roster/src/snapshot.rs
@@ -72,9 +72,11 @@
 }
 
 impl Snapshot {
-    /// Of what a source holds, current at this moment; none before it was told anything.
-    pub fn of(source: &Source, at_ms: u64) -> Option<Self> {
+    /// Of what a source holds; `now` on its clock is `now_ms` in Unix time. None before the registry told this life
+    /// anything: a list that was only restored would grow younger with each start.
+    pub fn of(source: &Source, now: u64, now_ms: u64) -> Option<Self> {
         let (cluster, revision) = source.position()?;
+        let at_ms = now_ms.saturating_sub(source.age(now)? / 1_000_000);
         let members = source.entries().map(|(id, entry)| (id.to_string(), entry.clone())).collect();
         Some(Snapshot { cluster, revision, at_ms, members })
     }
@@ -149,6 +151,18 @@
         }
     }
 
+    #[test]
+    fn its_age_is_that_of_the_list_and_what_was_only_restored_is_not_written_again() {
+        const SECOND: u64 = 1_000_000_000;
+        let mut source = Source::default();
+        source.full(10 * SECOND, 7, 3, true, Vec::new());
+        assert_eq!(Snapshot::of(&source, 40 * SECOND, 1_000_000).map(|s| s.at_ms), Some(970_000));
+        let mut source = Source::default();
+        source.restored(7, 3, Vec::new());
+        assert_eq!((source.position(), source.age(0)), (Some((7, 3)), None));
+        assert_eq!(Snapshot::of(&source, 40 * SECOND, 1_000_000), None);
+    }
+
     #[test]
     fn what_is_old_or_foreign_is_refused_by_name() {
         let bytes = snapshot().write();
--- a/crates/roster/src/source.rs
+++ b/crates/roster/src/source.rs
@@ -87,6 +87,12 @@
         Took::News
     }
 
+    /// The list of an earlier life. It is held, and not known to be current: any source that is goes before it.
+    pub fn restored(&mut self, cluster: u64, revision: u64, items: Vec<Item>) {
+        self.full(0, cluster, revision, true, items);
+        self.current = None;
+    }
+
     /// Changes up to a revision, after all those told before. Items at revisions that are held already are replays
     /// and dropped one by one.
     pub fn changes(&mut self, now: u64, cluster: u64, revision: u64, items: Vec<Item>) -> Took {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod etcd;
 pub mod http;
 pub mod instance;
+pub mod wait;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -80,7 +80,8 @@
         }
         Call::Help => {
             println!("{USAGE}\n\nserve    run the ingress that GW_CONFIG describes, until SIGTERM");
-            println!("check    read GW_CONFIG and say what it describes\nschema   print the JSON Schema of the operator's file, or of a registry's values\nversion  print the version");
+            println!("check    read GW_CONFIG and say what it describes");
+            println!("schema   print the JSON Schema of the operator's file, or of a registry's values\nversion  print the version");
             Ok(())
         }
     }
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -42,6 +42,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Part of the memory that the bodies of waiting commands may hold together.
 const BODIES_PART: usize = 8;
+
 /// Listens; where the port was left open, the address is put right.
 pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
     let told = *address;
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -146,11 +146,18 @@
     /// Takes an answer into account for as long as it waits to be read. Without room for it, and with nobody to blame
     /// for that, the command still gets its one final answer at once: a short one.
     fn hold(&self, seat: &Seat, customer: Option<u64>, answer: Answer) -> Answer {
-        let (Some(paced), Answer::Served(body, _)) = (&seat.paced, &answer) else { return answer };
+        let Some(paced) = &seat.paced else { return answer };
+        let Answer::Served(body, _) = &answer else {
+            paced.pacer.answered(paced.id);
+            return answer;
+        };
         let begun = paced.pacer.begin(self.clock.now(), paced.id, paced.holder(customer), body.len() as u64);
         match begun {
             Ok(()) => answer,
-            Err(_) => Answer::Failed(StatusCode::INSUFFICIENT_STORAGE, "no room for the answer"),
+            Err(_) => {
+                paced.pacer.answered(paced.id);
+                Answer::Failed(StatusCode::INSUFFICIENT_STORAGE, "no room for the answer")
+            }
         }
     }
 
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -84,7 +84,8 @@
             }
         }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if read.is_ready() && self.watch.armed.swap(false, Ordering::Relaxed) {
+        let armed = self.watch.armed.load(Ordering::Relaxed);
+        if armed && read.is_ready() && self.watch.armed.swap(false, Ordering::Relaxed) {
             self.watch.began.notify_one();
         }
         read
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -54,6 +54,7 @@
     let budget = budget::Budget::new(config.sockets);
     let places = budget.places();
     let table = registry::begin(&operator, &config, clock, queue.clone());
+    let merged = !table.same_channel(&queue);
     let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
     let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone());
     let (stage, stages) = watch::channel(shutdown::Stage::Serving);
@@ -62,7 +63,7 @@
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
-    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, table));
+    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, table, merged));
     tokio::spawn(signals.lead(stage, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, stages);
     tokio::select! {
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -30,12 +30,14 @@
 /// A list holds this at most: bounds memory against a discovery gone wild.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
-/// Follows the name table for as long as the engine lives, at the address that is in force.
+/// Follows the name table for as long as the engine lives, at the address that is in force. `proofs`: answers without
+/// news go on too, as who merges sources has to know that this one is current.
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
     facts: Arc<Facts>,
     clock: Clock,
     queue: mpsc::Sender<Message>,
+    proofs: bool,
 ) {
     loop {
         let address = *discovery.borrow_and_update();
@@ -43,20 +45,27 @@
         tokio::select! {
             biased;
             Ok(()) = discovery.changed() => {}
-            () = follow_one(address, &facts, &clock, &queue) => return,
+            () = follow_one(address, &facts, &clock, &queue, proofs) => return,
         }
     }
 }
 
 /// Follows the name table at one address.
-async fn follow_one(discovery: SocketAddr, facts: &Facts, clock: &Clock, queue: &mpsc::Sender<Message>) {
+async fn follow_one(
+    discovery: SocketAddr,
+    facts: &Facts,
+    clock: &Clock,
+    queue: &mpsc::Sender<Message>,
+    proofs: bool,
+) {
     let mut backoff = BACKOFF.0;
     let mut lost = false;
     loop {
-        let reason = match follow_connection(discovery, facts, clock, queue, &mut backoff, &mut lost).await {
-            Ok(()) => return,
-            Err(reason) => reason,
-        };
+        let reason =
+            match follow_connection(discovery, facts, clock, queue, proofs, &mut backoff, &mut lost).await {
+                Ok(()) => return,
+                Err(reason) => reason,
+            };
         // Once a loss, however many tries it takes to get back.
         if !std::mem::replace(&mut lost, true) {
             tracing::warn!("name table: lost discovery {discovery}: {reason}");
@@ -73,6 +82,7 @@
     facts: &Facts,
     clock: &Clock,
     queue: &mpsc::Sender<Message>,
+    proofs: bool,
     backoff: &mut Duration,
     lost: &mut bool,
 ) -> Result<(), String> {
@@ -118,7 +128,7 @@
         *backoff = BACKOFF.0;
         rev = Some(answer.rev);
         let kind = if answer.all { ListKind::Full } else { ListKind::Delta };
-        if answer.all || !answer.targets.is_empty() {
+        if answer.all || !answer.targets.is_empty() || proofs {
             let entries = answer.entries(facts, clock);
             if queue.send(Message::Table(kind, entries)).await.is_err() {
                 return Ok(());
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -24,6 +24,8 @@
     size: (usize, u64),
 ) -> Pacers {
     let first = operator.borrow_and_update().clone();
+    // Nobody holds a place yet.
+    let places = (places.clone(), places.available_permits());
     let (pacers, follower) = watch::channel(pacer(&first, clock, &places, size));
     tokio::spawn(async move {
         while operator.changed().await.is_ok() {
@@ -47,7 +49,7 @@
 fn pacer(
     settings: &Operator,
     clock: Clock,
-    places: &Arc<Semaphore>,
+    places: &(Arc<Semaphore>, usize),
     size: (usize, u64),
 ) -> Option<Arc<Pacer>> {
     if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
@@ -59,8 +61,12 @@
 }
 
 /// Ticks for as long as anybody needs the pacer.
-async fn tick(pacer: std::sync::Weak<Pacer>, clock: Clock, places: Arc<Semaphore>, clients: usize) {
-    let all = places.available_permits();
+async fn tick(
+    pacer: std::sync::Weak<Pacer>,
+    clock: Clock,
+    (places, all): (Arc<Semaphore>, usize),
+    clients: usize,
+) {
     while let Some(pacer) = pacer.upgrade() {
         let time = pacer.settings().tick.0;
         let taken = all.saturating_sub(places.available_permits());
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -23,8 +23,8 @@
 const CONSUL: usize = 1;
 const DISCOVERY: usize = 2;
 const SOURCES: usize = 3;
-/// Between snapshots, at least.
-const KEEP: Duration = Duration::from_secs(1);
+/// Between snapshots, at least, and at most where nothing changed: their age has to be that of the list.
+const KEEP: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 /// Between looks at how old what is held has become.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -43,7 +43,7 @@
     stale: bool,
 }
 
-/// What both sources tell, merged.
+/// What all sources tell, merged.
 struct Merge {
     held: Mutex<Held>,
     clock: Clock,
@@ -203,7 +203,9 @@
     queue: mpsc::Sender<Message>,
 ) {
     let settings = &operator.registry;
-    let believed = settings.believed.nanos();
+    // A blocking read proves itself current only when it ends: it must not count as stale while it waits.
+    let consul_wait = if operator.consul.enabled.0 { operator.consul.wait.nanos() } else { 0 };
+    let believed = settings.believed.nanos().max(consul_wait.saturating_mul(2));
     let sent = known.iter().map(|entry| (entry.member.backend.to_string(), entry.clone())).collect();
     let held = Held {
         roster: Roster::new(SOURCES, believed),
@@ -238,7 +240,7 @@
         std::future::pending::<()>().await;
     };
     let tell = async {
-        let mut kept = std::time::Instant::now();
+        let (mut kept, mut position) = (std::time::Instant::now(), None);
         loop {
             let _ = tokio::time::timeout(LOOK, merge.changed.notified()).await;
             let (gone, put) = merge.changes();
@@ -248,9 +250,12 @@
                     return;
                 }
             }
-            if let Some(folder) = settings.snapshot.as_deref().filter(|_| kept.elapsed() >= KEEP) {
-                kept = std::time::Instant::now();
-                keep(&merge, folder);
+            let Some(folder) = &settings.snapshot else { continue };
+            let reached = merge.held().roster.source(REGISTRY).position();
+            let since = kept.elapsed();
+            if since >= KEEP.1 || since >= KEEP.0 && reached != position {
+                (kept, position) = (std::time::Instant::now(), reached);
+                keep(&merge, folder.clone()).await;
             }
         }
     };
@@ -289,8 +294,12 @@
         Ok(Snapshot { cluster, revision, members, .. }) => {
             tracing::info!("registry: {} members of the snapshot, revision {revision}", members.len());
             let item = |(id, entry)| Item { id, revision, created: 0, entry: Some(entry) };
-            let items = members.into_iter().map(item).collect();
-            merge.take(News::Full { cluster, revision, items });
+            let items: Vec<_> = members.into_iter().map(item).collect();
+            let mut held = merge.held();
+            held.lists(REGISTRY, &items);
+            held.roster.source(REGISTRY).restored(cluster, revision, items);
+            drop(held);
+            merge.changed.notify_one();
             // Resumed from there. Who was born when is not kept, so that a birth meanwhile shows as one.
             Some((cluster, revision))
         }
@@ -301,24 +310,26 @@
     }
 }
 
-/// Writes the last good list so that a crash at any moment leaves the old one or the new one.
-fn keep(merge: &Merge, folder: &str) {
-    let snapshot = {
-        let mut held = merge.held();
-        Snapshot::of(held.roster.source(REGISTRY), unix_ms())
-    };
+/// Writes the last good list so that a crash at any moment leaves the old one or the new one. On a thread of its own:
+/// a slow disk must not hold up commands.
+async fn keep(merge: &Merge, folder: String) {
+    let snapshot = Snapshot::of(merge.held().roster.source(REGISTRY), merge.clock.now(), unix_ms());
     let Some(snapshot) = snapshot else { return };
-    let (path, next) = (path(folder), Path::new(folder).join("roster.snapshot.next"));
-    let write = || {
-        use std::io::Write;
-        let mut file = std::fs::File::create(&next)?;
-        file.write_all(&snapshot.write())?;
-        file.sync_all()?;
-        std::fs::rename(&next, &path)
+    let (path, next) = (path(&folder), Path::new(&folder).join("roster.snapshot.next"));
+    let write = {
+        let path = path.clone();
+        move || {
+            use std::io::Write;
+            let mut file = std::fs::File::create(&next)?;
+            file.write_all(&snapshot.write())?;
+            file.sync_all()?;
+            std::fs::rename(&next, &path)
+        }
     };
-    if let Err(e) = write() {
-        tracing::warn!("registry: snapshot {}: {e}", path.display());
-    }
+    let written = tokio::task::spawn_blocking(move || {
+        write().map_err(|e| tracing::warn!("registry: snapshot {}: {e}", path.display()))
+    });
+    let _ = written.await;
 }
 
 /// Where news of discovery go: to the engine, or through the merge where a registry is on. What is on is decided at
