Large fleets: each ingress keeps to a part of the instances and knows them by kind of machine

The guard on the backlog refused 30 to 180 commands a second with the fleet half idle, since it took half of its figure from the commands out at one ingress, two or three by chance (late()). A test showed one weakness before it counted: where a whole part is down, 100 of 150 commands went on to it.

Change: rounds of ingresses deal the ready instances out evenly, in an order of their own by rendezvous hashing; parts of 12 at least, 8 ingresses for each instance at least, so that a small fleet has one part. The others weigh 0.002, more where less than half of the own part is usable; a cold instance is its part's alone, and its budget counts its part's warm ones. Latency is learnt by kind of machine besides (`model` in discovery's list). The pool alone says how much is out; the warm instances are counted once a choice, not once for each cold one.

--- a/src/api.rs
+++ b/src/api.rs
@@ -123,6 +123,8 @@
     pub plans: Vec<Plan>,
     /// The backend list must be subscribed to.
     pub subscribe: bool,
+    /// How many kinds of machine there are.
+    pub kinds: u32,
     /// The list's `scale` tells a backend's size.
     pub sized: bool,
     /// Names of the values in a load report.
@@ -178,6 +180,8 @@
     pub zone: u32,
     /// Its cell.
     pub cell: i64,
+    /// Its kind of machine, by number.
+    pub kind: u32,
     /// Its state.
     pub state: MemberState,
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,11 @@
 const HEALTH_MEMORY: f64 = 4.0; // Memory of a backend's outcomes by class and by plan, in that of rates.
 const PRIOR: f64 = 3.0; // Good outcomes taken for granted: one failure of a few says little.
 const FIT: f64 = 0.7; // Fitness below which a backend's failures are its own and no overload.
+const KIND_PRIOR: f64 = 10.0; // Answers that a kind of machine taken for usual counts for.
+const KIND_MOST: f64 = 200.0; // Answers that what is known of a kind of machine goes back.
+const SUBSET: (u32, u32) = (12, 8); // Least backends that a gateway keeps to, gateways that each has.
+const FAR: f64 = 0.002; // Weight of the other backends, and what of the own part has to be usable:
+const ABLE: f64 = 0.5; // what is missing to it goes to them.
 const LEAST: f64 = 0.02; // Weight that the sickest backend keeps: trials by chance, of all together.
 const SILENCE: (f64, f64) = (6.0, 0.25); // Answers overdue, and s of silence, that make a backend suspect.
 const STRIKE: (f64, f64) = (0.5, 4.0); // s; first and longest time out of use after a time-out or break.
@@ -286,6 +291,7 @@
                 ..Ladder::default()
             },
             latency: vec![(0.0, 0.0); settings.classes.len() * SIZES],
+            speeds: vec![(1.0, KIND_PRIOR); settings.kinds.max(1) as usize],
             retries: RETRY.2,
             next_pool: now + POOL_EVERY * rng.random::<f64>(),
             next_report: now,
@@ -485,7 +491,7 @@
         // What has just started knows too little of what is carried to call anything excess.
         let asked = if age < POOL_MEMORY { 0.0 } else { pooled(p.asked, 0.0) };
         let excess = asked / INTERVAL / (EXCESS.0 * self.carried).max(1e-9);
-        self.rng.random::<f64>() * excess.max(1.0).powf(EXCESS.1) * (own + pooled(p.out, own)) / 2.0 > limit
+        self.rng.random::<f64>() * excess.max(1.0).powf(EXCESS.1) * pooled(p.out, own) > limit
     }
 
     /// Work out that is not yet past its aim: beyond it is lost, and must not fill the backlog of all.
@@ -551,16 +557,31 @@
         self.set.cold_share + (1.0 - self.set.cold_share) * warm
     }
 
+    /// How many backends of this gateway's part are warm; none is taken for one.
+    fn warm(&self, now: f64) -> f64 {
+        let warm = |b: &&Backend| b.mine && b.ready && self.cold_share(b, now) >= 1.0;
+        self.backends.iter().filter(warm).count().max(1) as f64
+    }
+
     /// Chance that a cold backend gets this work: its budget in the window from this gateway, of what a warm
     /// one carries, less what it got, rounded at random: one request each would be many together.
-    fn cold_room(&self, b: &Backend, now: f64, share: f64, cost: f64) -> f64 {
+    fn cold_room(&self, b: &Backend, now: f64, share: f64, cost: f64, warm: f64) -> f64 {
         let window = secs(self.set.fall_window);
-        let warm = self.backends.iter().filter(|b| b.ready && self.cold_share(b, now) >= 1.0).count().max(1);
-        let carried = self.ladder.done.read(now, self.ladder.memory) / warm as f64;
+        let carried = self.ladder.done.read(now, self.ladder.memory) / warm;
         let spent: f64 = b.lately.iter().filter(|(t, _)| now - t < window).map(|l| l.1).sum();
         (COLD_MARGIN * self.set.fall_multiple * share * carried * window - spent) / cost
     }
 
+    /// Usual latency of a backend's kind of machine: in a large fleet too few answers come from each.
+    fn speed(&self, b: &Backend) -> f64 {
+        let kind = (b.member.kind as usize).min(self.speeds.len() - 1);
+        if self.tells_all(self.set.gateways) {
+            1.0
+        } else {
+            self.speeds[kind].0
+        }
+    }
+
     /// True where a backend gets hardly any work: silent, or struck out for a while that grows.
     fn suspect(&self, b: &Backend, now: f64) -> bool {
         // Many overdue at once tell as much as one for long. Could harm where a class slows at once.
@@ -576,17 +597,28 @@
         };
         let memory = HEALTH_MEMORY * self.ladder.memory;
         let mut rng = self.rng.clone();
-        let mut good: Vec<(f64, f64, usize)> = Vec::new();
-        for (i, b) in self.backends.iter().enumerate().filter(|(_, b)| b.ready && group(b)) {
-            let share = self.cold_share(b, now);
-            if share < 1.0 && self.cold_room(b, now, share, held.cost) < rng.random() {
+        let open = |b: &Backend| b.ready && group(b);
+        let sound = |(i, b): (usize, &Backend)| {
+            let sick = if self.suspect(b, now) { LEAST } else { b.fit(now, labels, memory) };
+            (i, sick, self.cold_share(b, now))
+        };
+        let open: Vec<_> = self.backends.iter().enumerate().filter(|(_, b)| open(b)).map(sound).collect();
+        // What of its own part a gateway can use: where that is little, it goes to the others too.
+        let own = open.iter().filter(|(i, ..)| self.backends[*i].mine);
+        let (able, own) = own.fold((0.0, 0.0), |(able, n), (_, sick, share)| (able + sick * share, n + 1.0));
+        let far = FAR.max(ABLE - able / f64::max(own, 1.0));
+        let warm = self.warm(now);
+        let mut good: Vec<(f64, f64, usize)> = Vec::with_capacity(open.len());
+        for (i, sick, share) in open {
+            let b = &self.backends[i];
+            if share < 1.0 && (!b.mine || self.cold_room(b, now, share, held.cost, warm) < rng.random()) {
                 continue;
             }
             let size = if self.set.sized && b.member.scale > 0.0 { b.member.scale } else { 1.0 };
             let zone = if b.member.zone == self.set.zone { 1.0 } else { CROSSING };
             let again = if held.tried.contains(&i) { 4.0 } else { 1.0 };
-            let sick = if self.suspect(b, now) { LEAST } else { b.fit(now, labels, memory) };
-            let fit = sick * size * share / (b.slowness * zone * again);
+            let far = if b.mine { 1.0 } else { far };
+            let fit = far * sick * size * share / (b.slowness * self.speed(b) * zone * again);
             let score = (b.load() + held.cost) / fit;
             let draw = -rng.random::<f64>().max(1e-12).ln() / fit;
             good.push((score, draw, i));
@@ -676,7 +708,8 @@
         let outs = &mut self.backends[number].out;
         let at = outs.iter().position(|o| o.request == f.request && o.attempt == f.attempt)?;
         let out = outs.remove(at);
-        let usual = self.usual(out.kind);
+        let usual = self.usual(out.kind) * self.speed(&self.backends[number]);
+        let kind = (self.backends[number].member.kind as usize).min(self.speeds.len() - 1);
         let b = &mut self.backends[number];
         if f.outcome == Outcome::Ok {
             self.ladder.done.add(now, out.cost, self.ladder.memory);
@@ -700,6 +733,10 @@
                 let part = if latency > *known && *answers > 0.0 { LATE_COST } else { 1.0 };
                 *known += (latency - *known) * part * LEARN_COST.max(1.0 / (*answers + 1.0));
                 *answers += 1.0;
+                let (speed, answers) = &mut self.speeds[kind];
+                *answers += 1.0;
+                *speed +=
+                    (latency / usual.max(1e-4) - 1.0).clamp(-0.9, 4.0) * *speed / (*answers).min(KIND_MOST);
                 let slowness = (latency / usual.max(1e-4)).clamp(0.1, 5.0);
                 b.slowness += (slowness - b.slowness) * LEARN * self.ladder.memory.sqrt();
             }
@@ -772,9 +809,25 @@
             }
             b.member = m.clone();
         }
+        self.deal();
         (self.watch_wait, self.listed) = (WATCH_WAIT, true);
     }
 
+    /// Deals the backends out in a large fleet: each gateway keeps to a part that it meets often enough to
+    /// know, and to its connections. Rounds of as many gateways as there are parts share all backends evenly,
+    /// each in an order of its own (rendezvous hashing), so that a change of the list moves few.
+    fn deal(&mut self) {
+        let large = !self.tells_all(self.set.gateways);
+        let mut ready: Vec<usize> = (0..self.backends.len()).filter(|i| self.backends[*i].ready).collect();
+        let parts = (ready.len() as u32 / SUBSET.0).min(self.set.gateways / SUBSET.1).max(1);
+        let parts = if large { parts as usize } else { 1 };
+        let (round, part) = (self.set.me / parts as u32, self.set.me as usize % parts);
+        ready.sort_by_cached_key(|i| mail::rank(fingerprint(&self.backends[*i].member.backend), round));
+        for (rank, i) in ready.iter().enumerate() {
+            self.backends[*i].mine = rank * parts / ready.len() == part;
+        }
+    }
+
     /// Gives a new backend its number: that of one that is gone and that nothing held names, else one more.
     /// Guards against a list of all that ever were, which every choice would go through.
     fn enrol(&mut self, new: Backend) -> usize {
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -29,6 +29,8 @@
     az: String,
     #[serde(default)]
     pod_group: Option<i64>,
+    #[serde(default)]
+    model: String,
     state: String,
     #[serde(default)]
     capacity_hint: f64,
@@ -64,6 +66,7 @@
         started: clock.of_unix(target.boot_ms),
         zone: facts.zone(&target.az),
         cell: target.pod_group.unwrap_or(-1),
+        kind: facts.kind(&target.model),
         state,
     };
     Ok(Entry { member, endpoint: target.endpoint })
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -178,6 +178,8 @@
             started: self.clock.of_unix(entry.boot_ms),
             zone: self.facts.zone(&entry.az),
             cell: entry.pod_group,
+            // Registries name no kind of machine: all count as one.
+            kind: 0,
             state: match entry.state {
                 State::InService => MemberState::Ready,
                 State::Terminating => MemberState::Draining,
--- a/src/post.rs
+++ b/src/post.rs
@@ -16,7 +16,7 @@
 const KEEPER_LAG: f64 = 0.5; // s; by which each further keeper waits for the ones before it to speak.
 const MAIL_SHARE: f64 = 0.5; // Share of the peers' receive limit that reports may use.
 const WORD_SHARE: f64 = 0.5; // Share of it that a keeper's words to whole sets may use, all keepers speaking.
-const WORD_SAVED: f64 = 5.0; // s of that share that may be saved up: a word goes to many at once.
+const WORD_SAVED: f64 = 10.0; // s of that share that may be saved up: a word goes to many at once.
 const UNTOLD: f64 = 0.3; // Share of the burst by which a peer's store may be off before its keeper tells it.
 const NEWS: f64 = 1.5; // Change of a told demand that is worth telling at once, in roots of counts: beyond chance.
 const LENT: (f64, f64) = (1.0, 3.0); // s of a peer's demand that the bank lends it, and s after which that is taken as lost.
@@ -34,7 +34,9 @@
         let age = now - w.at;
         let believed = (w.drained(w.store, age, p) + age * p.rate).min(p.burst);
         let off = (self.store - believed).abs() > UNTOLD * p.burst;
-        let other = ((demand * MEMORY.0).sqrt() - (w.demand * MEMORY.0).sqrt()).abs() > NEWS;
+        // A fall is told once it is over: it shows in the store until then.
+        let change = (demand * MEMORY.0).sqrt() - (w.demand * MEMORY.0).sqrt();
+        let other = change > NEWS || -change > NEWS && demand < pace.min(p.rate);
         age > KEEPER_LAG && (off || other || demand > p.rate && age > WORD.0)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,6 +197,8 @@
     pub ready: bool,
     /// The list no longer names it, or as gone.
     pub gone: bool,
+    /// Of the part of the backends that this gateway keeps to.
+    pub mine: bool,
     pub cold_from: f64,
     pub out: Vec<Out>,
     pub slowness: f64,
@@ -253,6 +255,8 @@
     pub(crate) held: BTreeMap<RequestId, Held>,
     /// Learned latency of each class and size, s, and how many answers taught it.
     pub(crate) latency: Vec<(f64, f64)>,
+    /// Learned latency of each kind of machine, as part of the usual one, and how many answers taught it.
+    pub(crate) speeds: Vec<(f64, f64)>,
     pub(crate) retries: f64,
     /// Of each peer: its incarnation.
     pub(crate) heard: BTreeMap<u32, u32>,
@@ -299,6 +303,7 @@
             numbers: BTreeMap::new(),
             held: BTreeMap::new(),
             latency: Vec::new(),
+            speeds: Vec::new(),
             retries: 0.0,
             heard: BTreeMap::new(),
             arrivals: Meter::default(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -68,6 +68,7 @@
     classes: HashMap<String, usize>,
     plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
+    kinds: HashMap<String, u32>,
 }
 
 impl Facts {
@@ -79,6 +80,10 @@
     pub fn plan(&self, name: &str) -> Option<usize> {
         self.plans.get(name).copied()
     }
+    /// Number of a kind of machine; those that the settings do not name are taken for the first.
+    pub fn kind(&self, name: &str) -> u32 {
+        self.kinds.get(name).copied().unwrap_or(0)
+    }
     /// Number of a zone; one that the settings do not name is no gateway's own.
     pub fn zone(&self, name: &str) -> u32 {
         self.zones.get(name).copied().unwrap_or(u32::MAX - 1)
@@ -88,6 +93,8 @@
 #[derive(Deserialize)]
 struct WireFacts {
     areas: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
     zone: String,
     me: u32,
     peers_total: u32,
@@ -198,6 +205,7 @@
 pub fn facts(value: &Value) -> Result<Facts, String> {
     let wire = WireFacts::deserialize(value).map_err(|e| format!("facts: {e}"))?;
     let zones: HashMap<String, u32> = wire.areas.iter().cloned().zip(0..).collect();
+    let kinds: HashMap<String, u32> = wire.host_types.iter().cloned().zip(0..).collect();
     let class = |c: &WireClass| {
         let repeats = match c.idempotency.as_str() {
             "retryable" => Repeats::Safe,
@@ -242,6 +250,7 @@
         me: wire.me,
         gateways: wire.peers_total,
         zone: zones.get(&wire.zone).copied().unwrap_or(u32::MAX),
+        kinds: kinds.len() as u32,
         classes: wire.classes.iter().map(class).collect::<Result<_, _>>()?,
         plans: wire.tariffs.iter().map(plan).collect(),
         subscribe: wire.discovery == "subscribe",
@@ -268,6 +277,7 @@
         classes: wire.classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
         plans: wire.tariffs.iter().map(|p| p.name.clone()).zip(0..).collect(),
         zones,
+        kinds,
     })
 }
 
@@ -372,6 +382,7 @@
             started: (started > 0).then_some(started),
             zone: facts.zone(f.text(4, "region_part")?),
             cell,
+            kind: f.at(0).as_str().map_or(0, |kind| facts.kind(kind)),
             state,
         })
     };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,6 +53,7 @@
         started: None,
         zone,
         cell: i64::from(zone),
+        kind: 0,
         state: MemberState::Ready,
     }
 }
