Example: a backend has a kind of machine

The example that embeds the module did not build since members tell their kind; found by clippy over all targets. Measured: clippy and all tests of the workspace pass.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -29,6 +29,7 @@
         started: None,
         zone: 0,
         cell: 0,
+        kind: 0,
         state: MemberState::Ready,
     };
     brain.handle(0, Event::Members(ListKind::Full, [backend].into()), &mut actions);
