Discovery in a large fleet: changes since the known list, waits apart; what is carried by what is there

At fault: follow_connection() (rev None at each connection), BACKOFF of 50 ms to 1 s.

Change: following begins with a watch after the known revision, and keeps its revision while discovery is only busy; a broken connection, a new address or a lower revision still fetch the whole list. Waits grow with the fleet (60 ms to 1 s at 3, 2 to 8 s at 100), are drawn apart, and first calls are spread over 10 ms an ingress. What is carried is learnt for each warm instance, so that a shrunken or cold list counts at once; the pooled backlog is 0.22 aims where it was 0.33.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,7 +65,7 @@
 const RETRY: (f64, f64, f64, f64) = (0.2, 0.4, 3.0, 20.0); // A request; saved: s, least, most.
 const WINDOW_SHARE: f64 = 0.9; // Share of a key's memory that is used: sends take time to arrive.
 const SECOND_TRY: f64 = 1.2; // Part of the aim after which one is given up: its answer then earns little.
-const BACKLOG: f64 = 0.33; // Work out that mean worth may add to, as part of what is carried within the aim.
+const BACKLOG: (f64, f64) = (0.33, 0.22); // Work out that mean worth may add to, in aims: own limit, pooled.
 const BACKLOG_MIN: (f64, f64) = (4.0, 2.8); // Least backlog of all, requests a backend: own limit, pooled.
 const CARRIED: f64 = 20.0; // s; memory of the most carried: longer than a choke, shorter than a lasting loss.
 const LOST: f64 = 0.5; // Part of work timed out that counts as carried: it may have run, or been lost.
@@ -470,12 +470,11 @@
         let ready = self.backends.iter().filter(|b| b.ready).count() as f64;
         let each = ready / f64::from(self.set.gateways.max(1));
         let aims = || self.set.classes.iter().map(|c| secs(c.aim));
-        let span =
-            (secs(self.set.classes[class].aim) * aims().fold(f64::INFINITY, f64::min)).sqrt() * BACKLOG;
+        let span = (secs(self.set.classes[class].aim) * aims().fold(f64::INFINITY, f64::min)).sqrt();
         let worth = (value / self.ladder.worth(now)).clamp(WORTH.0, WORTH.1);
         let (age, memory) = (now - self.born, self.ladder.memory);
         let carried = self.ladder.done.read(now, memory) / (1.0 - (-age / memory).exp()).max(0.1);
-        let limit = (carried * span * worth).max(BACKLOG_MIN.0 * each);
+        let limit = (carried * span * BACKLOG.0 * worth).max(BACKLOG_MIN.0 * each);
         if limit >= BACKLOG_OWN || self.tells_all(self.set.gateways) {
             return age > SOJOURN && self.out(now) > limit;
         }
@@ -483,14 +482,14 @@
         let (own, p) = (self.out(now), &self.told);
         let mixed = p.intervals > 0.0 && self.mixed.read(now, MEMORY.0) >= MIXED;
         let pooled = |part: f64, alone: f64| if mixed { part / p.intervals } else { alone };
-        let limit = (self.carried * span * worth).max(BACKLOG_MIN.1 * each);
+        let limit = (self.carries() * span * BACKLOG.1 * worth).max(BACKLOG_MIN.1 * each);
         // A share of what is asked alone would hold the backlog at the limit times asked over carried: where
         // clients come again, a flood that chokes backends. Guards against any demand beyond what is carried,
         // and its retries; the more there is, the less backlog is needed to keep backends busy. Could harm
         // where backends have just gained capacity, until the pool shows it, or lose much work of a class.
         // What has just started knows too little of what is carried to call anything excess.
         let asked = if age < POOL_MEMORY { 0.0 } else { pooled(p.asked, 0.0) };
-        let excess = asked / INTERVAL / (EXCESS.0 * self.carried).max(1e-9);
+        let excess = asked / INTERVAL / (EXCESS.0 * self.carries()).max(1e-9);
         self.rng.random::<f64>() * excess.max(1.0).powf(EXCESS.1) * pooled(p.out, own) > limit
     }
 
@@ -851,7 +850,8 @@
         self.told = self.told.times(kept);
         (self.pool.intervals, self.pool.out) = (self.pool.intervals + 1.0, self.pool.out + out);
         // What choked backends answer says too little of what they can carry: it is forgotten slowly.
-        let done = self.told.done / self.told.intervals.max(1.0) / INTERVAL;
+        self.strength = self.backends.iter().filter(|b| b.ready).map(|b| self.cold_share(b, now)).sum();
+        let done = self.told.done / self.told.intervals.max(1.0) / INTERVAL / self.strength.max(1.0);
         let rise = MEMORY.0.min(now - self.born).max(INTERVAL);
         let speed = if done > self.carried { rise } else { CARRIED };
         self.carried += (done - self.carried) * (INTERVAL / speed);
@@ -916,10 +916,16 @@
         seen
     }
 
+    /// What a gateway's part of the fleet carries, by how much of the fleet the list says is there and warm:
+    /// what was carried before tells of a loss too late.
+    fn carries(&self) -> f64 {
+        self.carried * self.strength
+    }
+
     /// How long what is out in the fleet takes at the pace it is known to carry, as part of the shortest aim.
     fn wait(&self) -> f64 {
         let aim = self.set.classes.iter().map(|c| secs(c.aim)).fold(f64::INFINITY, f64::min);
-        self.told.out / self.told.intervals.max(1.0) / self.carried.max(1e-9) / aim
+        self.told.out / self.told.intervals.max(1.0) / self.carries().max(1e-9) / aim
     }
 
     // ---- Peers --------------------------------------------------------------------------------------
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -63,7 +63,10 @@
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
-    tokio::spawn(name_table::follow(discovery, config.facts.clone(), clock, table, merged));
+    let known = &config.known;
+    let rev = (known.all && !known.targets.is_empty() && !merged).then_some(known.rev);
+    let start = name_table::Start { rev, seed: config.seed };
+    tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
     tokio::spawn(signals.lead(stage, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, stages);
     tokio::select! {
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -12,6 +12,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -25,53 +26,104 @@
 const WAIT: Duration = Duration::from_secs(5);
 /// By which an answer may come later than asked for.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// First and longest wait after an error; it doubles.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// First and longest wait after an error, for each ingress of the fleet: one discovery answers all of them, and one
+/// that is overbooked stays so while all ask again at once. It doubles, and is drawn from half to one and a half.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
+/// Least of these waits, for a fleet of a few.
+const LEAST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Over which the first calls of a fleet that starts together are spread, for each ingress.
+const SPREAD: Duration = Duration::from_millis(10);
 /// A list holds this at most: bounds memory against a discovery gone wild.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
+/// What following begins with.
+pub struct Start {
+    /// Revision of the whole list that an earlier life left, if there is one: what changed since is told in less than
+    /// the list, and every restart of a fleet would else fetch it as many times.
+    pub rev: Option<u64>,
+    /// For random waits.
+    pub seed: u64,
+}
+
 /// Follows the name table for as long as the engine lives, at the address that is in force. `proofs`: answers without
 /// news go on too, as who merges sources has to know that this one is current.
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
+    start: Start,
     facts: Arc<Facts>,
     clock: Clock,
     queue: mpsc::Sender<Message>,
     proofs: bool,
 ) {
+    let Start { mut rev, seed } = start;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    if rev.is_some() {
+        // Whoever has a list can wait a moment for those who started together with it.
+        tokio::time::sleep((SPREAD * facts.settings.gateways).mul_f64(rng.random())).await;
+    }
     loop {
         let address = *discovery.borrow_and_update();
         // A new address drops the old one's connection, its watch and its revision, also while that one is lost.
         tokio::select! {
             biased;
             Ok(()) = discovery.changed() => {}
-            () = follow_one(address, &facts, &clock, &queue, proofs) => return,
+            () = follow_one(address, &mut rev, &mut rng, &facts, &clock, &queue, proofs) => return,
         }
+        rev = None;
     }
 }
 
+/// First and longest wait after an error in a fleet of so many.
+fn waits(fleet: u32) -> (Duration, Duration) {
+    ((BACKOFF.0 * fleet).max(LEAST.0), (BACKOFF.1 * fleet).max(LEAST.1))
+}
+
 /// Follows the name table at one address.
 async fn follow_one(
     discovery: SocketAddr,
+    rev: &mut Option<u64>,
+    rng: &mut SmallRng,
     facts: &Facts,
     clock: &Clock,
     queue: &mpsc::Sender<Message>,
     proofs: bool,
 ) {
-    let mut backoff = BACKOFF.0;
+    let waits = waits(facts.settings.gateways);
+    let mut backoff = waits.0;
     let mut lost = false;
     loop {
-        let reason =
-            match follow_connection(discovery, facts, clock, queue, proofs, &mut backoff, &mut lost).await {
-                Ok(()) => return,
-                Err(reason) => reason,
-            };
+        let followed = follow_connection(discovery, rev, facts, clock, queue, proofs, &mut lost);
+        let Err(loss) = followed.await else { return };
+        let reason = match loss {
+            Loss::Busy(reason) => reason,
+            // Another discovery may be there next, and count its revisions anew.
+            Loss::Broken(reason) => {
+                *rev = None;
+                reason
+            }
+        };
         // Once a loss, however many tries it takes to get back.
         if !std::mem::replace(&mut lost, true) {
+            backoff = waits.0;
             tracing::warn!("name table: lost discovery {discovery}: {reason}");
         }
-        tokio::time::sleep(backoff).await;
-        backoff = (backoff * 2).min(BACKOFF.1);
+        // Never in step with the others, who lost it at the same moment.
+        tokio::time::sleep(backoff.mul_f64(rng.random_range(0.5..1.5))).await;
+        backoff = (backoff * 2).min(waits.1);
+    }
+}
+
+/// How discovery was lost.
+enum Loss {
+    /// It is there and does not answer in time, or says that it can't: what it told still holds.
+    Busy(String),
+    /// The connection is gone, or what came over it is no answer.
+    Broken(String),
+}
+
+impl From<String> for Loss {
+    fn from(reason: String) -> Self {
+        Loss::Broken(reason)
     }
 }
 
@@ -79,22 +131,21 @@
 /// Ends well when the engine is gone.
 async fn follow_connection(
     discovery: SocketAddr,
+    rev: &mut Option<u64>,
     facts: &Facts,
     clock: &Clock,
     queue: &mpsc::Sender<Message>,
     proofs: bool,
-    backoff: &mut Duration,
     lost: &mut bool,
-) -> Result<(), String> {
-    let late = |_| "no answer in time".to_string();
+) -> Result<(), Loss> {
+    let late = |_| Loss::Busy("no answer in time".to_string());
     let stream = timeout(PATIENCE, TcpStream::connect(discovery)).await.map_err(late)?;
     let stream = stream.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let (mut sender, mut connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-    let mut rev = None;
     loop {
-        let (path, wait) = match rev {
+        let (path, wait) = match *rev {
             None => ("/v1/servers".to_string(), Duration::ZERO),
             Some(rev) => (format!("/v1/servers?after={rev}&wait_ms={}", WAIT.as_millis()), WAIT),
         };
@@ -109,24 +160,23 @@
             Ok::<_, String>((status, body.map_err(|e| e.to_string())?.to_bytes()))
         };
         let answered = timeout(wait + PATIENCE, drive(&mut connection, call)).await.map_err(late)?;
-        let (status, body) = answered.ok_or("the connection ended")??;
+        let (status, body) = answered.ok_or_else(|| "the connection ended".to_string())??;
         if status != StatusCode::OK {
-            return Err(format!("status {status}"));
+            return Err(Loss::Busy(format!("status {status}")));
         }
         let answer: Answer = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
         if rev.is_none() && !answer.all {
-            return Err("asked for the whole list, got changes".to_string());
+            return Err(Loss::Broken("asked for the whole list, got changes".to_string()));
         }
         // Discovery began anew: changes since a revision that it does not know are no changes to our list.
         if !answer.all && rev.is_some_and(|rev| answer.rev < rev) {
-            rev = None;
+            *rev = None;
             continue;
         }
         if std::mem::take(lost) {
             tracing::info!("name table: discovery is back, revision {}", answer.rev);
         }
-        *backoff = BACKOFF.0;
-        rev = Some(answer.rev);
+        *rev = Some(answer.rev);
         let kind = if answer.all { ListKind::Full } else { ListKind::Delta };
         if answer.all || !answer.targets.is_empty() || proofs {
             let entries = answer.entries(facts, clock);
@@ -136,3 +186,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fleet_that_lost_its_discovery_asks_no_more_often_the_larger_it_is() {
+        assert_eq!(waits(3), (Duration::from_millis(60), Duration::from_secs(1)));
+        for fleet in [13, 30, 100, 1000] {
+            let (first, longest) = waits(fleet);
+            // Calls a second of all ingresses together: at once after a loss, and while it lasts.
+            let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
+            assert!(calls(first) <= 50.1 && calls(longest) <= 12.6, "{fleet} ingresses");
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,8 +265,10 @@
     pub(crate) pool: Evidence,
     pub(crate) told: Evidence,
     pub(crate) mixed: Meter,
-    /// Work that a gateway's part of the backends is known to carry, per s.
+    /// Work that a gateway's part of one warm backend is known to carry, per s, and how many warm ones all
+    /// that are ready come to.
     pub(crate) carried: f64,
+    pub(crate) strength: f64,
     pub(crate) next_pool: f64,
     /// Customers whose use the keepers have yet to be told.
     pub(crate) untold: VecDeque<u32>,
@@ -311,6 +313,7 @@
             told: Evidence::default(),
             mixed: Meter::default(),
             carried: 0.0,
+            strength: 0.0,
             next_pool: 0.0,
             untold: VecDeque::new(),
             next_report: 0.0,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -281,5 +281,5 @@
 
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
-    peers, stopping, crowded, large, reload, framing, slow_clients,
+    discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients,
 }
