--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -331,26 +331,32 @@
     assert!(whole <= 1 && shrunk >= 5, "{whole} of 15 refused by a whole fleet, {shrunk} by a quarter of it");
 }
 
-#[test]
-fn an_instance_that_refuses_a_connect_in_four_at_a_full_table_is_no_dead_one() {
-    let mut fleet = Fleet::of(GATEWAYS, 15, large(settings()), BACKENDS);
-    let (mut full, mut all) = (0u32, 0u32);
-    let end = |to: &BackendId, id: RequestId| match &**to {
-        "b0" if id.0.is_multiple_of(4) => (Outcome::NoConnection, 1),
-        _ => (Outcome::Ok, 60),
-    };
-    for step in 0..20 * SECOND {
+/// How many of eight requests a second at each gateway go to instance `b0`, and to all, from a second to another.
+fn sent_to_the_first(seed: u64, end: End, from: u64, to: u64) -> (u32, u32) {
+    let mut fleet = Fleet::of(GATEWAYS, seed, large(settings()), BACKENDS);
+    let (mut first, mut all) = (0, 0);
+    for step in 0..to * SECOND {
         for _ in 0..16 {
             let me = fleet.rng.random_range(0..GATEWAYS as usize);
             let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            if let Some(to) = target(&actions).filter(|_| step >= 4 * SECOND) {
+            if let Some(to) = target(&actions).filter(|_| step >= from * SECOND) {
                 all += 1;
-                full += u32::from(&*to == "b0");
+                first += u32::from(&*to == "b0");
             }
-            fleet.act(me, &actions, &end);
+            fleet.act(me, &actions, end);
         }
-        fleet.step(&end);
+        fleet.step(end);
     }
+    (first, all)
+}
+
+#[test]
+fn an_instance_that_refuses_a_connect_in_four_at_a_full_table_is_no_dead_one() {
+    let end = |to: &BackendId, id: RequestId| match &**to {
+        "b0" if id.0.is_multiple_of(4) => (Outcome::NoConnection, 1),
+        _ => (Outcome::Ok, 60),
+    };
+    let (full, all) = sent_to_the_first(15, &end, 4, 20);
     let fair = all / BACKENDS as u32;
     assert!(full * 5 >= fair * 2, "{full} sent to the one with a full table, {fair} is a fair share");
     assert!(full <= fair, "{full} sent to it, more than the fair share of {fair}");
@@ -358,24 +364,11 @@
 
 #[test]
 fn an_instance_that_fails_whatever_it_gets_is_found_though_each_meets_it_a_few_times_a_minute() {
-    let mut fleet = Fleet::of(GATEWAYS, 17, large(settings()), BACKENDS);
-    let (mut bad, mut all) = (0u32, 0u32);
     let end = |to: &BackendId, _: RequestId| match &**to {
         "b0" => (Outcome::Error, 5),
         _ => (Outcome::Ok, 60),
     };
-    for step in 0..30 * SECOND {
-        for _ in 0..16 {
-            let me = fleet.rng.random_range(0..GATEWAYS as usize);
-            let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            if let Some(to) = target(&actions).filter(|_| step >= 20 * SECOND) {
-                all += 1;
-                bad += u32::from(&*to == "b0");
-            }
-            fleet.act(me, &actions, &end);
-        }
-        fleet.step(&end);
-    }
+    let (bad, all) = sent_to_the_first(17, &end, 20, 30);
     let fair = all / BACKENDS as u32;
     assert!(bad * 2 <= fair, "{bad} sent to an instance that serves none, {fair} is a fair share");
 }
