Fix: a new life asks discovery within 100 ms, however large the fleet

Checked: no log of any ingress has 'lost discovery' or an error, so discovery answers at once; no ingress was late in its own clock (p99 from command to attempt 3.4 ms). Ruled out by that: a lost or overbooked discovery, a stalled engine, the grace in instance.rs (400 ms). At fault: name_table.rs, SPREAD * gateways, drawn before a life's first call: 2.9 s at 288 ingresses, while what discovery has to tell counts as told from the start on. Change: the first calls are spread over a fifth of the drain rule's time at most (100 ms of 500). Test: the spread of fleets of 3 to 10,000, fails on the old one.

--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -31,8 +31,11 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
 /// Least of these waits, for a fleet of a few.
 const LEAST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// Over which the first calls of a fleet that starts together are spread, for each ingress.
+/// Over which the first calls of a fleet that starts together are spread, for each ingress; and the part of the drain
+/// rule's time that this may take at most. What discovery would have told counts as told from the start on: whoever
+/// asks later than that sends on what has long drained.
 const SPREAD: Duration = Duration::from_millis(10);
+const SPREAD_PART: u32 = 5;
 /// A list holds this at most: bounds memory against a discovery gone wild.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
@@ -59,7 +62,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     if rev.is_some() {
         // Whoever has a list can wait a moment for those who started together with it.
-        tokio::time::sleep((SPREAD * facts.settings.gateways).mul_f64(rng.random())).await;
+        tokio::time::sleep(spread(facts.settings.gateways, facts.stop_sending).mul_f64(rng.random())).await;
     }
     loop {
         let address = *discovery.borrow_and_update();
@@ -73,6 +76,11 @@
     }
 }
 
+/// Over which the first calls of so many are spread, where a drain has to be kept within so many nanoseconds.
+fn spread(fleet: u32, stop_sending: u64) -> Duration {
+    (SPREAD * fleet).min(Duration::from_nanos(stop_sending) / SPREAD_PART)
+}
+
 /// First and longest wait after an error in a fleet of so many.
 fn waits(fleet: u32) -> (Duration, Duration) {
     ((BACKOFF.0 * fleet).max(LEAST.0), (BACKOFF.1 * fleet).max(LEAST.1))
@@ -191,6 +199,14 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn however_large_the_fleet_the_first_call_leaves_time_to_keep_a_drain() {
+        for (fleet, most) in [(3, 30), (13, 100), (300, 100), (10_000, 100)] {
+            // A fifth of the rule's time; the answer and what is just being dialled have the rest.
+            assert_eq!(spread(fleet, 500_000_000), Duration::from_millis(most), "{fleet} ingresses");
+        }
+    }
+
     #[test]
     fn a_fleet_that_lost_its_discovery_asks_no_more_often_the_larger_it_is() {
         assert_eq!(waits(3), (Duration::from_millis(60), Duration::from_secs(1)));
