A second address for operators: withhold instances, drain and back

Change: crates/control (grammar, ledger of withheld ids, stages of drain and stop), net/control.rs (a line each way, its own queue which the engine serves first, silent callers go), net/withheld.rs (the list as seen through the ledger), one owner of the stages in shutdown.rs; the module gets an event for an instance given back: cold, owed one request within its room. Nothing of it exists without operator or GW_OPERATOR. tokio-util's line codec (in the tree already) cuts lines. Three exchanges, three module tests, property tests of grammar and ledger, a full queue before an order.

--- /dev/null
+++ b/crates/control/src/call.rs
@@ -0,0 +1,110 @@
+//! One line each way: a call, and its answer.
+
+use std::fmt;
+
+/// Bytes of a call's line at most.
+pub const LINE_MOST: usize = 512;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Can this process serve?
+    Ready,
+    /// Leave an instance out.
+    Disable(String),
+    /// An instance may serve again.
+    Enable(String),
+    /// Drain.
+    Drain,
+    /// Back to work.
+    Undrain,
+}
+
+impl Call {
+    /// Reads a line, without its end.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it, for the caller.
+    pub fn read(line: &str) -> Result<Self, String> {
+        let mut words = line.split_ascii_whitespace();
+        let Some(name) = words.next() else { return Err("no call: the line is empty".to_string()) };
+        let mut id =
+            || words.next().map(str::to_string).ok_or(format!("{name}: which instance? An id is missing"));
+        let call = match name {
+            "READY" => Call::Ready,
+            "DISABLE" => Call::Disable(id()?),
+            "ENABLE" => Call::Enable(id()?),
+            "DRAIN" => Call::Drain,
+            "UNDRAIN" => Call::Undrain,
+            _ => {
+                let known = "READY, DISABLE ID, ENABLE ID, DRAIN, UNDRAIN";
+                return Err(format!("unknown call '{}'; known are {known}", printable(name)));
+            }
+        };
+        match words.next() {
+            None => Ok(call),
+            Some(word) => Err(format!("{name}: '{}' is one word too many", printable(word))),
+        }
+    }
+}
+
+/// The beginning of what a caller sent, fit for one line of an answer or a log.
+fn printable(word: &str) -> String {
+    word.chars().take(64).map(|c| if c.is_control() { '?' } else { c }).collect()
+}
+
+/// What a caller is told: one line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is so, with a word on what that means here; may be empty.
+    Done(String),
+    /// Nothing was changed, and why.
+    Error(String),
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Answer::Done(what) if what.is_empty() => f.write_str("done"),
+            Answer::Done(what) => write!(f, "done {what}"),
+            Answer::Error(why) => write!(f, "error {why}"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn calls_are_read_whole_or_not_at_all() {
+        assert_eq!(Call::read("READY"), Ok(Call::Ready));
+        assert_eq!(Call::read(" DISABLE  s-1 "), Ok(Call::Disable("s-1".into())));
+        assert_eq!(Call::read("ENABLE s-1"), Ok(Call::Enable("s-1".into())));
+        assert_eq!((Call::read("DRAIN"), Call::read("UNDRAIN")), (Ok(Call::Drain), Ok(Call::Undrain)));
+        for (line, why) in [
+            ("", "line is empty"),
+            (" \t", "line is empty"),
+            ("DISABLE", "id is missing"),
+            ("ENABLE s-1 s-2", "'s-2' is one word too many"),
+            ("DRAIN now", "'now' is one word too many"),
+            ("ready", "unknown call 'ready'"),
+            ("DRAIN\u{1b}[2J", "unknown call 'DRAIN?[2J'"),
+        ] {
+            let error = Call::read(line).unwrap_err();
+            assert!(error.contains(why), "{line:?}: {error}");
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn whatever_is_sent_the_answer_is_one_line(line in "\\PC{0,600}|[A-Z ]{0,20}[\\x00-\\x1f]{0,4}") {
+            if let Err(why) = Call::read(&line) {
+                let answer = Answer::Error(why).to_string();
+                prop_assert!(answer.starts_with("error ") && !answer.contains(['\n', '\r']));
+            }
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -276,6 +276,8 @@
 pub enum Event {
     /// News of the backend list.
     Members(ListKind, Arc<[Member]>),
+    /// The operators gave a backend back that they had withheld: it begins anew.
+    GivenBack(Member),
     /// A request came in.
     Request(Request),
     /// A streamed answer began.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -315,6 +315,7 @@
         self.last = now;
         match event {
             Event::Members(kind, entries) => self.members(now, kind, &entries, actions),
+            Event::GivenBack(member) => self.given_back(now, member, actions),
             Event::Request(request) => self.request(now, request, actions),
             Event::Finished(f) => self.finished(now, f, actions),
             Event::ClientLeft(id) => self.client_left(id, actions),
@@ -611,9 +612,15 @@
         let mut good: Vec<(f64, f64, usize)> = Vec::with_capacity(open.len());
         for (i, sick, share) in open {
             let b = &self.backends[i];
-            if share < 1.0 && (!b.mine || self.cold_room(b, now, share, held.cost, warm) < rng.random()) {
+            let mine = b.mine || b.owed;
+            if share < 1.0 && (!mine || self.cold_room(b, now, share, held.cost, warm) < rng.random()) {
                 continue;
             }
+            // Before all others, once: chance alone could pass one by for long that little traffic meets.
+            if b.owed {
+                self.rng = rng;
+                return Some(i);
+            }
             let size = if self.set.sized && b.member.scale > 0.0 { b.member.scale } else { 1.0 };
             let zone = if b.member.zone == self.set.zone { 1.0 } else { CROSSING };
             let again = if held.tried.contains(&i) { 4.0 } else { 1.0 };
@@ -651,6 +658,7 @@
         let timeout = if early { nanos(patience) } else { 0 };
         let b = &mut self.backends[backend];
         let Held { attempts: attempt, cost, class, plan, kind, .. } = *held;
+        b.owed = false;
         b.out.push(Out { request: id, attempt, sent: now, cost, class, plan, kind });
         if now - b.cold_from < secs(self.set.cold_time) {
             b.lately.push_back((now, cost));
@@ -813,6 +821,16 @@
         (self.watch_wait, self.listed) = (WATCH_WAIT, true);
     }
 
+    /// One that the operators withheld and give back: restarted, so cold, and owed work if it had any.
+    fn given_back(&mut self, now: f64, member: Member, actions: &mut Vec<Action>) {
+        let member = Member { started: Some(nanos(now)), ..member };
+        let number = self.numbers.get(&member.backend).copied();
+        self.members(now, ListKind::Delta, &[member], actions);
+        if let Some(b) = number.map(|n| &mut self.backends[n]) {
+            (b.owed, b.out_until) = (b.last_ok > 0.0, 0.0);
+        }
+    }
+
     /// Deals the backends out in a large fleet: each gateway keeps to a part that it meets often enough to
     /// know, and to its connections. Rounds of as many gateways as there are parts share all backends evenly,
     /// each in an order of its own (rendezvous hashing), so that a change of the list moves few.
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -24,8 +24,8 @@
 use super::framing::Guarded;
 use super::message::Message;
 use super::pace::Pacers;
-use super::seats::{Paced, Seats};
-use super::shutdown::{Stage, CLOSING};
+use super::seats::{Paced, Seat, Seats};
+use applewall_control::{Stage, CLOSING};
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
@@ -45,16 +45,17 @@
 
 /// Listens; where the port was left open, the address is put right.
 pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
-    let told = *address;
-    let mut listen = || -> io::Result<TcpListener> {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        // The address is ours again right after a restart.
-        socket.set_reuseaddr(true)?;
-        socket.bind(told)?;
-        *address = socket.local_addr()?;
-        socket.listen(BACKLOG)
-    };
-    listen().map_err(|e| format!("cannot listen on {told}: {e}"))
+    listen(address, BACKLOG).map_err(|e| format!("cannot listen on {address}: {e}"))
+}
+
+/// The same, with room for so many connections that are not accepted yet.
+pub fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // The address is ours again right after a restart.
+    socket.set_reuseaddr(true)?;
+    socket.bind(*address)?;
+    *address = socket.local_addr()?;
+    socket.listen(backlog)
 }
 
 /// The door and its budget of connections.
@@ -227,7 +228,7 @@
                 biased;
                 ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
                 () = seat.go.notified() => None,
-                _ = stages.wait_for(|s| *s == Stage::Closing) => None,
+                () = going(&mut stages, &seat) => None,
             };
             let ended = match ended {
                 Some(ended) => ended,
@@ -258,6 +259,24 @@
     }
 }
 
+/// Waits until the connection has to go, where it is idle. Drained, one that has not asked yet stays for its one
+/// command, and for as long as a head may take; one whose head is half here goes with the answer to that.
+async fn going(stages: &mut watch::Receiver<Stage>, seat: &Seat) {
+    loop {
+        let stage = *stages.borrow_and_update();
+        let idle = seat.asked() && !seat.halfway();
+        if stage == Stage::Closing || stage == Stage::Drained && idle {
+            return;
+        }
+        if stage == Stage::Drained {
+            // Its answer, or the time that a head has, ends it.
+            let _ = stages.wait_for(|s| *s != Stage::Drained).await;
+        } else if stages.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Says that nothing more comes, and passes over what still does: for a while, and not much of it.
 async fn linger(mut stream: TcpStream) {
     let (time, most) = LINGER;
@@ -279,7 +298,6 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::seats::Seat;
     use super::*;
 
     fn door() -> Door {
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tower::Service;
 
+use applewall_control::Stage;
 use applewall_pace::socket::Pacer;
 use applewall_pace::{Reason, Verdict};
 
@@ -26,7 +27,6 @@
 use super::clock::Clock;
 use super::message::{Command, Message, Passed};
 use super::seats::Seat;
-use super::shutdown::Stage;
 use super::BODY_MOST;
 
 /// What is told with a nack that the module had no part in: about as long as its own.
@@ -78,7 +78,11 @@
         if request.uri().path() == "/healthz" {
             // Listening and decided from the known name table: ready.
             self.seat.wait();
-            return Box::pin(ready(Ok(self.gate.finish(Response::default(), false))));
+            let mut reply = Reply::default();
+            if !self.gate.stages.borrow().healthy() {
+                *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            return Box::pin(ready(Ok(self.gate.finish(reply, false))));
         }
         let Commands { gate, shed, seat } = self.clone();
         Box::pin(async move {
@@ -163,7 +167,7 @@
 
     /// Closes the connection with its answer once the program is leaving.
     fn finish(&self, mut reply: Reply, close: bool) -> Reply {
-        if close || *self.stages.borrow() != Stage::Serving {
+        if close || self.stages.borrow().last_answers() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -19,6 +19,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    operator: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -52,6 +53,8 @@
     told: SocketAddr,
     pub name: String,
     pub listen: SocketAddr,
+    /// The operators' second address, where there is one.
+    pub operator: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -78,6 +81,10 @@
         };
         file.listen = address("GW_LISTEN", file.listen)?;
         file.discovery = address("GW_DISCOVERY", file.discovery)?;
+        file.operator = match (env::var("GW_OPERATOR"), file.operator) {
+            (Ok(_), told) => Some(address("GW_OPERATOR", told.unwrap_or(file.listen))?),
+            (Err(_), told) => told,
+        };
         file.name = env::var("GW_NAME").unwrap_or(file.name);
         let config: Config = file.try_into().map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
         Ok(Config { path, told, ..config })
@@ -86,8 +93,9 @@
     /// One line on what is described.
     pub fn summary(&self) -> String {
         let datagrams = self.peer_listen.map_or(String::new(), |at| format!(", datagrams on {at}"));
+        let operator = self.operator.map_or(String::new(), |at| format!(", operators on {at}"));
         format!(
-            "{} on {}{datagrams}, discovery {}, {} known instances, {} peers, {} descriptors",
+            "{} on {}{datagrams}{operator}, discovery {}, {} known instances, {} peers, {} descriptors",
             self.name,
             self.listen,
             self.discovery,
@@ -118,6 +126,7 @@
             told: file.discovery,
             name: file.name,
             listen: file.listen,
+            operator: file.operator,
             discovery: file.discovery,
             seed,
             sockets: file.limits.sockets,
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,219 @@
+//! The operators' second address: one line a connection, one line back, within a second whatever the load.
+//!
+//! Calls about instances go to the engine by a queue of their own, calls about the drain to the one who leads the
+//! stages. Nothing here decides.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use applewall_control::{Answer, Call, Stage, LINE_MOST};
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
+
+use super::accept;
+
+/// Callers held at once; their descriptors are in what the budget keeps back.
+const CALLERS: usize = 12;
+/// Callers that the kernel holds beyond these.
+const BACKLOG: u32 = 128;
+/// A caller that sent no whole call goes after this.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// An answer is owed in 1 s; what is not decided by then is told as that.
+const OWED: Duration = Duration::from_millis(800);
+/// A caller has this long to take its answer.
+const TAKING: Duration = Duration::from_secs(2);
+/// Wait after an error of `accept`, so that a lasting one does not spin.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Calls that wait for the engine: it empties this queue first.
+const QUEUE: usize = 16;
+
+/// What an operator wants of an instance.
+pub struct Order {
+    pub id: String,
+    /// Leave it out, or let it serve again.
+    pub withhold: bool,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// What an operator wants of the drain, for the one who leads the stages.
+pub struct Drain {
+    pub on: bool,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// Where calls go.
+#[derive(Clone)]
+pub struct Desk {
+    pub orders: mpsc::Sender<Order>,
+    pub drains: mpsc::Sender<Drain>,
+    pub stages: watch::Receiver<Stage>,
+    /// True once this process can serve.
+    pub ready: watch::Receiver<bool>,
+}
+
+/// The other ends of a desk's queues.
+pub struct Inboxes {
+    pub orders: mpsc::Receiver<Order>,
+    pub drains: mpsc::Receiver<Drain>,
+}
+
+/// The queues between the second address and those who carry out its calls.
+pub fn queues() -> (mpsc::Sender<Order>, mpsc::Sender<Drain>, Inboxes) {
+    let (orders, orders_in) = mpsc::channel(QUEUE);
+    let (drains, drains_in) = mpsc::channel(QUEUE);
+    (orders, drains, Inboxes { orders: orders_in, drains: drains_in })
+}
+
+/// Listens at the second address.
+pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
+    accept::listen(address, BACKLOG).map_err(|e| format!("operator: cannot listen on {address}: {e}"))
+}
+
+/// One caller, for as long as it has not said what it wants.
+struct Caller {
+    go: Notify,
+    heard: AtomicBool,
+}
+
+/// Serves callers for as long as the program runs.
+pub async fn serve(listener: TcpListener, desk: Desk) {
+    let callers: Arc<Mutex<VecDeque<Arc<Caller>>>> = Arc::default();
+    let mut failing = false;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Once a spell: a lasting error must not flood the log.
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!("operator: accept: {e}");
+                }
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        failing = false;
+        let caller = Arc::new(Caller { go: Notify::new(), heard: AtomicBool::new(false) });
+        {
+            let mut callers = lock(&callers);
+            // Guards against callers that hold a place with half a line: the longest silent goes, and none whose
+            // call is being carried out. Where all are, the newcomer waits no longer than their second.
+            if callers.len() >= CALLERS {
+                if let Some(i) = callers.iter().position(|c| !c.heard.load(Ordering::Relaxed)) {
+                    callers.remove(i).into_iter().for_each(|c| c.go.notify_one());
+                }
+            }
+            callers.push_back(caller.clone());
+        }
+        let (desk, callers) = (desk.clone(), callers.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                () = caller.go.notified() => {}
+                () = attend(stream, &caller, &desk) => {}
+            }
+            lock(&callers).retain(|c| !Arc::ptr_eq(c, &caller));
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // Nothing panics while it holds the lock; if it did, the state would still be whole.
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// One call, from its first byte to its answer.
+async fn attend(mut stream: TcpStream, caller: &Caller, desk: &Desk) {
+    let _ = stream.set_nodelay(true);
+    let line = match timeout(PATIENCE, read(&mut stream)).await {
+        Ok(Some(line)) => line,
+        // It left, or never said what it wants.
+        Ok(None) | Err(_) => return,
+    };
+    caller.heard.store(true, Ordering::Relaxed);
+    let answer = match line.and_then(|line| Call::read(&line)) {
+        Ok(call) => desk.carry_out(call).await,
+        Err(why) => Answer::Error(why),
+    };
+    let take = async {
+        stream.write_all(format!("{answer}\n").as_bytes()).await?;
+        stream.shutdown().await?;
+        // What came after the line is passed over: closing with it unread would take the answer along.
+        let mut rest = [0; 512];
+        while stream.read(&mut rest).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    };
+    let _ = timeout(TAKING, take).await;
+}
+
+/// The one line of a caller; none where it left without one.
+async fn read(stream: &mut TcpStream) -> Option<Result<String, String>> {
+    let (mut codec, mut bytes) =
+        (LinesCodec::new_with_max_length(LINE_MOST), BytesMut::with_capacity(LINE_MOST));
+    loop {
+        let ended = stream.read_buf(&mut bytes).await.ok()? == 0;
+        let line = if ended { codec.decode_eof(&mut bytes) } else { codec.decode(&mut bytes) };
+        match line {
+            Ok(Some(line)) => return Some(Ok(line)),
+            Ok(None) if ended => return None,
+            Ok(None) => {}
+            Err(LinesCodecError::MaxLineLengthExceeded) => {
+                return Some(Err(format!("the line is longer than {LINE_MOST} bytes")));
+            }
+            Err(LinesCodecError::Io(_)) => return Some(Err("the line is not UTF-8".to_string())),
+        }
+    }
+}
+
+impl Desk {
+    async fn carry_out(&self, call: Call) -> Answer {
+        let carried = timeout(OWED, async {
+            match call {
+                Call::Ready => self.ready(),
+                Call::Disable(id) => self.order(id, true).await,
+                Call::Enable(id) => self.order(id, false).await,
+                Call::Drain => self.drain(true).await,
+                Call::Undrain => self.drain(false).await,
+            }
+        });
+        let late = "not decided in time; it may still come into force, so ask again";
+        carried.await.unwrap_or_else(|_| Answer::Error(late.to_string()))
+    }
+
+    fn ready(&self) -> Answer {
+        let stage = *self.stages.borrow();
+        match (*self.ready.borrow(), stage.stops()) {
+            (_, true) => Answer::Error("this process was told to stop".to_string()),
+            (false, _) => {
+                Answer::Error("not yet: this process still takes over from the one before".to_string())
+            }
+            (true, _) => Answer::Done(stage.word().to_string()),
+        }
+    }
+
+    async fn order(&self, id: String, withhold: bool) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.orders.send(Order { id, withhold, reply }).await.is_err() {
+            return stopped();
+        }
+        answer.await.unwrap_or_else(|_| stopped())
+    }
+
+    async fn drain(&self, on: bool) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.drains.send(Drain { on, reply }).await.is_err() {
+            return stopped();
+        }
+        answer.await.unwrap_or_else(|_| stopped())
+    }
+}
+
+fn stopped() -> Answer {
+    Answer::Error("this process is about to end".to_string())
+}
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -18,10 +18,12 @@
 use super::budget::Budget;
 use super::clock::Clock;
 use super::config::Config;
+use super::control::Order;
 use super::instance::{Attempt, Fleet};
-use super::message::{Command, Ended, Message, Passed};
+use super::message::{Command, Ended, Entry, Message, Passed};
 use super::pace::{self, Pacers};
 use super::peers::Peers;
+use super::withheld::Withheld;
 
 /// Messages taken from the queue at one go.
 const GO: usize = 128;
@@ -88,6 +90,8 @@
     stall: (u64, u64),
     figures: Figures,
     pacers: Pacers,
+    /// Where there is a second address.
+    withheld: Option<Withheld>,
 }
 
 impl Engine {
@@ -116,6 +120,7 @@
             stall: (0, 0),
             figures: Figures::default(),
             pacers,
+            withheld: config.operator.map(|_| Withheld::default()),
         };
         let known = config.known.entries(&engine.facts, &clock);
         engine.take(Message::Table(ListKind::Cached, known));
@@ -123,7 +128,7 @@
     }
 
     /// Runs for as long as anything can reach it.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>, mut orders: mpsc::Receiver<Order>) {
         let mut batch = Vec::with_capacity(GO);
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
@@ -135,6 +140,11 @@
             }
             tokio::select! {
                 biased;
+                // Before all else: an operator's answer is owed within a second, whatever waits here.
+                Some(order) = orders.recv() => {
+                    self.wake(self.clock.now(), due);
+                    self.order(order);
+                }
                 taken = inbox.recv_many(&mut batch, GO) => if taken == 0 { return },
                 () = &mut sleep => {}
             }
@@ -171,7 +181,10 @@
                 }
             }
             Message::Ended(ended) => self.ended(ended),
-            Message::Table(kind, entries) => {
+            Message::Table(kind, mut entries) => {
+                if let Some(withheld) = &mut self.withheld {
+                    withheld.mask(kind, &mut entries);
+                }
                 self.fleet.update(kind, &entries);
                 self.event(Event::Members(kind, entries.into_iter().map(|e| e.member).collect()));
             }
@@ -179,6 +192,29 @@
         }
     }
 
+    /// Withholds an instance, or gives one back; answered once the module and the connections know.
+    fn order(&mut self, order: Order) {
+        let Order { id, withhold, reply } = order;
+        let Some(withheld) = &mut self.withheld else { return };
+        let ruling = withheld.order(&id, withhold);
+        let none_left = withheld.none_left();
+        if let Some(entry) = ruling.changed {
+            tracing::info!("operator: {id} {}", if withhold { "withheld" } else { "given back" });
+            let Entry { member, .. } = &entry;
+            let event = match withhold {
+                true => Event::Members(ListKind::Delta, [member.clone()].into()),
+                false => Event::GivenBack(member.clone()),
+            };
+            self.fleet.update(ListKind::Delta, &[entry]);
+            self.event(event);
+            if withhold && none_left {
+                tracing::warn!("operator: all instances are withheld; every command is nacked");
+            }
+        }
+        // A caller that left has had it carried out all the same.
+        let _ = reply.send(ruling.answer);
+    }
+
     fn fall_due(&mut self) {
         while let Some((_, id)) = self.last_resorts.first().copied().filter(|(at, _)| *at <= self.now) {
             // The module owes an answer and has not given it: should never happen, and is counted.
@@ -468,6 +504,34 @@
         assert_eq!(engine.figures.attempts, 1);
     }
 
+    /// Every place of the ordinary queue is taken before the engine runs at all; an order still comes first.
+    #[tokio::test]
+    async fn an_order_goes_before_a_full_queue() {
+        let (queue, inbox) = mpsc::channel(super::super::QUEUE);
+        let mut config = Config::sample();
+        config.operator = Some(config.listen);
+        let engine = Engine::new(&config, Clock::start(), None, pace::none(), queue.clone());
+        let told = |i: usize| {
+            let (id, state) = (format!("s-{}", i + 2).into(), applewall::api::MemberState::Ready);
+            let member = applewall::api::Member { backend: id, state, ..Default::default() };
+            Message::Table(ListKind::Delta, vec![Entry { member, endpoint: config.listen }])
+        };
+        (0..super::super::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
+        let (orders, orders_in) = mpsc::channel(1);
+        // Listed by the last message only: unknown while that still waits.
+        let (reply, answer) = oneshot::channel();
+        let id = format!("s-{}", super::super::QUEUE + 1);
+        assert!(orders.try_send(Order { id, withhold: true, reply }).is_ok());
+        tokio::select! {
+            biased;
+            () = engine.run(inbox, orders_in) => panic!("the queue has senders"),
+            answer = answer => {
+                let answer = answer.expect("an answer").to_string();
+                assert!(answer.starts_with("error no instance"), "{answer}");
+            }
+        }
+    }
+
     #[tokio::test]
     async fn only_the_service_client_of_that_command_can_leave_it() {
         let (mut engine, _inbox) = engine();
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -28,9 +28,16 @@
     coding: bool,
     /// A chunked body has begun: the connection closes with its answer, so no head is served after it.
     over: bool,
+    /// Some of a head has been read, and not its end.
+    inside: bool,
 }
 
 impl Heads {
+    /// True where part of a head has been read, and not its end.
+    pub fn halfway(&self) -> bool {
+        self.inside
+    }
+
     /// Takes in what was read; true where a head in it has both a length and a transfer coding.
     pub fn ambiguous(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() && !self.over {
@@ -42,6 +49,7 @@
             }
             let end = bytes.iter().position(|b| *b == b'\n');
             let part = &bytes[..end.unwrap_or(bytes.len())];
+            self.inside = true;
             self.line.extend_from_slice(&part[..part.len().min(KEPT - self.line.len())]);
             bytes = &bytes[part.len() + usize::from(end.is_some())..];
             if end.is_some() && self.line_ends() {
@@ -55,6 +63,7 @@
         let line = self.line.trim_ascii();
         if line.is_empty() {
             self.line.clear();
+            self.inside = false;
             self.over = self.coding;
             self.body = self.length.take().unwrap_or(0);
             return false;
@@ -103,6 +112,7 @@
         if self.heads.ambiguous(&buf.filled()[before..]) {
             self.seat.distrust();
         }
+        self.seat.reading(self.heads.halfway());
         Poll::Ready(Ok(()))
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod command;
 pub mod config;
 pub mod connection;
+pub mod control;
 pub mod engine;
 pub mod framing;
 pub mod instance;
@@ -25,6 +26,7 @@
 pub mod reply;
 pub mod seats;
 pub mod shutdown;
+pub mod withheld;
 
 use std::sync::Arc;
 
@@ -57,9 +59,20 @@
     let merged = !table.same_channel(&queue);
     let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
     let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone());
-    let (stage, stages) = watch::channel(shutdown::Stage::Serving);
+    let (stage, stages) = watch::channel(applewall_control::Stage::Serving);
+    let (orders, drains, inboxes) = control::queues();
+    let operators = config.operator.as_mut().map(control::bind).transpose()?;
     tracing::info!("serving {}", config.summary());
-    let mut engine = tokio::spawn(engine.run(inbox));
+    let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
+    let (_succession, succeeded) = watch::channel(false);
+    if let Some(listener) = operators {
+        let (told, ready) = watch::channel(true);
+        let desk = control::Desk { orders, drains, stages: stages.clone(), ready };
+        tokio::spawn(async move {
+            control::serve(listener, desk).await;
+            drop(told);
+        });
+    }
     if let Some(peers) = peers {
         tokio::spawn(peers.listen(queue.clone()));
     }
@@ -67,7 +80,7 @@
     let rev = (known.all && !known.targets.is_empty() && !merged).then_some(known.rev);
     let start = name_table::Start { rev, seed: config.seed };
     tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
-    tokio::spawn(signals.lead(stage, source));
+    tokio::spawn(signals.lead(stage, inboxes.drains, succeeded, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, stages);
     tokio::select! {
         () = door.serve(listener) => {
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -32,6 +32,7 @@
     turn: AtomicU64,
     asked: AtomicBool,
     unread: AtomicBool,
+    halfway: AtomicBool,
     distrusted: AtomicBool,
     /// Told when the connection has to go.
     pub go: Notify,
@@ -73,6 +74,16 @@
         self.asked.load(Ordering::Relaxed)
     }
 
+    /// Notes whether part of a head has been read, and not its end.
+    pub fn reading(&self, halfway: bool) {
+        self.halfway.store(halfway, Ordering::Relaxed);
+    }
+
+    /// True where a head is half here: its command is about to be taken.
+    pub fn halfway(&self) -> bool {
+        self.halfway.load(Ordering::Relaxed)
+    }
+
     /// The last answer left a body unread.
     pub fn leave_unread(&self) {
         self.unread.store(true, Ordering::Relaxed);
@@ -131,6 +142,7 @@
             turn: AtomicU64::new(0),
             asked: AtomicBool::new(false),
             unread: AtomicBool::new(false),
+            halfway: AtomicBool::new(false),
             distrusted: AtomicBool::new(false),
             go: Notify::new(),
             cut,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,28 +1,15 @@
-//! Signals. SIGTERM: keep taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the
-//! configuration again.
+//! Signals and the operators' drain: the one who leads through the stages (`applewall_control::Stages`). SIGTERM: keep
+//! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
 
-use std::time::Duration;
+use std::future::pending;
 
+use applewall_control::{Answer, Leave, Stage, Stages};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
 
 use super::config::Source;
-
-/// New connections keep coming for 0.2 to 0.4 s after SIGTERM; they are served for a little longer.
-const LEAVING: Duration = Duration::from_millis(600);
-/// After that, what was taken has the longest deadline to be answered; then the program ends in any case.
-pub const CLOSING: Duration = Duration::from_millis(3_100);
-
-/// How far the way out is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// All as usual.
-    Serving,
-    /// Told to stop: takes and answers, and closes each connection with its next answer.
-    Leaving,
-    /// Closes what is idle and ends with the last answer.
-    Closing,
-}
+use super::control::Drain;
 
 /// The signals that have a meaning here.
 pub struct Signals {
@@ -42,20 +29,62 @@
         })
     }
 
-    /// Reloads at each SIGHUP, until another signal leads through the stages.
-    pub async fn lead(mut self, stage: watch::Sender<Stage>, mut source: Source) {
+    /// Reloads at each SIGHUP, and leads through the stages for as long as the program runs.
+    pub async fn lead(
+        mut self,
+        stage: watch::Sender<Stage>,
+        mut drains: mpsc::Receiver<Drain>,
+        succeeded: watch::Receiver<bool>,
+        mut source: Source,
+    ) {
+        let (mut stages, origin) = (Stages::default(), Instant::now());
         loop {
+            let due = stages.due();
+            let next = async move {
+                match due {
+                    Some(due) => sleep_until(origin + due).await,
+                    None => pending().await,
+                }
+            };
+            let mut stop = false;
             tokio::select! {
-                _ = self.term.recv() => break,
-                _ = self.int.recv() => break,
+                _ = self.term.recv() => stop = true,
+                _ = self.int.recv() => stop = true,
                 _ = self.hup.recv() => source.reload(),
+                Some(Drain { on, reply }) = drains.recv() => {
+                    let now = origin.elapsed();
+                    let done = if on { stages.drain(now) } else { stages.undrain() };
+                    let word = stages.stage().word();
+                    // Once it is in force: an answer that overtook it would be a promise only.
+                    tell(&stage, &stages);
+                    let _ = reply.send(match done {
+                        Ok(()) => Answer::Done(word.to_string()),
+                        Err(why) => Answer::Error(why.to_string()),
+                    });
+                }
+                () = next => { stages.step(origin.elapsed()); }
+            }
+            if stop && !stages.stage().stops() {
+                tracing::info!("told to stop; answering what was taken");
+                stages.stop(
+                    origin.elapsed(),
+                    if *succeeded.borrow() { Leave::Succeeded } else { Leave::Alone },
+                );
             }
+            tell(&stage, &stages);
         }
-        tracing::info!("told to stop; answering what was taken");
-        stage.send_replace(Stage::Leaving);
-        tokio::time::sleep(LEAVING).await;
-        stage.send_replace(Stage::Closing);
-        // The stages end with their sender; it stays until the program does.
-        std::future::pending::<()>().await;
     }
 }
+
+/// Puts the present stage in force where it is new.
+fn tell(stage: &watch::Sender<Stage>, stages: &Stages) {
+    let now = stages.stage();
+    stage.send_if_modified(|before| {
+        let changed = *before != now;
+        if changed && !now.stops() {
+            tracing::info!("operator: {}", now.word());
+        }
+        *before = now;
+        changed
+    });
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -200,6 +200,8 @@
     /// Of the part of the backends that this gateway keeps to.
     pub mine: bool,
     pub cold_from: f64,
+    /// Given back by the operators after it was in use, and not used since.
+    pub owed: bool,
     pub out: Vec<Out>,
     pub slowness: f64,
     pub last_ok: f64,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -16,6 +16,9 @@
 //! - `NAME ends`: the connection is closed from here;
 //! - `NAME throws TEXT`, `NAME catches`: a datagram from `peer0`, `peer1` or `stranger`, or to them;
 //! - `log TEXT`: reads the log up to a line with that in it; `exit`: notes how it ended;
+//! - `operator LINE`: one call at the second address, and its answer; `operator-raw BYTES`: these bytes, with \r, \n,
+//!   \xHH and `*N TEXT` for N times TEXT; `operator-bytes`: one at a time; `NAME holds TEXT`: a caller that says so
+//!   much and stays; `NAME leaves BYTES`: one that is gone before its answer;
 //! - `term`: SIGTERM; `hup`: the configuration as set by now replaces the file, then SIGHUP; `hup TEXT`: the file
 //!   holds that text instead.
 //!
@@ -124,6 +127,9 @@
         };
         self.addresses.insert("ingress".into(), address("n0 on "));
         self.addresses.insert("peer_listen".into(), address("datagrams on "));
+        if line.contains("operators on ") {
+            self.addresses.insert("operator".into(), address("operators on "));
+        }
     }
 
     fn log(&mut self, text: &str) -> String {
@@ -178,6 +184,19 @@
         self.streams.get_mut(name).unwrap().get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// One call, with its answer up to the end of the connection.
+    fn call(&mut self, step: &str, bytes: &[u8], one_by_one: bool) {
+        let mut stream = TcpStream::connect(self.addresses["operator"]).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let pieces = if one_by_one { 1 } else { bytes.len().max(1) };
+        bytes.chunks(pieces).for_each(|piece| stream.write_all(piece).unwrap());
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        writeln!(self.notes, "{step}\n  {}\n", answer.trim_end_matches('\n')).unwrap();
+    }
+
     fn step(&mut self, step: &str, lines: &[&str]) {
         if let Some((name, rest)) = step.split_once('*').filter(|(name, _)| !name.contains(' ')) {
             let (many, rest) = rest.split_once(' ').unwrap();
@@ -188,7 +207,12 @@
         match words[..] {
             ["set", pointer, ..] => {
                 let value = self.with_addresses(&words[2..].join(" "));
-                *self.config.pointer_mut(pointer).unwrap() = serde_json::from_str(&value).unwrap();
+                let value = serde_json::from_str(&value).unwrap();
+                match self.config.pointer_mut(pointer) {
+                    Some(told) => *told = value,
+                    // At the top only.
+                    None => self.config[pointer.trim_start_matches('/')] = value,
+                }
             }
             ["start"] => self.start(),
             ["deaf", name] => drop(self.listeners.remove(name)),
@@ -245,6 +269,23 @@
                 let masked = self.without_addresses(line).replace(env!("CARGO_TARGET_TMPDIR"), "@files");
                 writeln!(self.notes, "log\n  {masked}\n").unwrap();
             }
+            ["operator", ..] => {
+                let line = format!("{}\n", words[1..].join(" "));
+                self.call(step, line.as_bytes(), false);
+            }
+            ["operator-raw" | "operator-bytes", ..] => {
+                let bytes = raw(&words[1..].join(" "));
+                self.call(step, &bytes, words[0] == "operator-bytes");
+            }
+            [name, "holds", ..] => {
+                let mut stream = TcpStream::connect(self.addresses["operator"]).unwrap();
+                stream.write_all(words[2..].join(" ").as_bytes()).unwrap();
+                self.connected(name, stream);
+            }
+            [_, "leaves", ..] => {
+                let mut stream = TcpStream::connect(self.addresses["operator"]).unwrap();
+                stream.write_all(&raw(&words[2..].join(" "))).unwrap();
+            }
             ["term"] => self.signal("-TERM"),
             ["hup", ..] => {
                 self.write(&match words.len() {
@@ -262,6 +303,31 @@
     }
 }
 
+/// Bytes as an exchange writes them.
+fn raw(text: &str) -> Vec<u8> {
+    let many = text.split_once('*').and_then(|(before, n)| Some((before, n.split_once(' ')?)));
+    let text = match many {
+        Some((before, (n, part))) => {
+            let (part, end) = part.split_at(part.find('\\').unwrap_or(part.len()));
+            format!("{before}{}{end}", part.repeat(n.parse().unwrap()))
+        }
+        None => text.to_string(),
+    };
+    let (mut bytes, mut chars) = (Vec::new(), text.chars());
+    while let Some(c) = chars.next() {
+        match (c, if c == '\\' { chars.next() } else { None }) {
+            ('\\', Some('r')) => bytes.push(b'\r'),
+            ('\\', Some('n')) => bytes.push(b'\n'),
+            ('\\', Some('x')) => {
+                let hex: String = chars.by_ref().take(2).collect();
+                bytes.push(u8::from_str_radix(&hex, 16).unwrap());
+            }
+            _ => bytes.extend(c.to_string().bytes()),
+        }
+    }
+    bytes
+}
+
 fn play(name: &str) {
     let path = format!("{}/tests/exchanges/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(path).unwrap();
@@ -281,5 +347,5 @@
 
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
-    discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients,
+    discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
 }
