Upgrade in place: a second process takes over listener, state and datagrams

Change: GW_FD (net/inherit.rs), the handover over a Unix socket (net/succession.rs), the module's state but for the requests it holds (keep.rs, postcard: it can say infinity and keeps the bytes few; rustix passes the datagram socket), the ledger's file (crates/control/state.rs), one accept queue, calls carried out by both.

--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -14,6 +14,7 @@
 
 /// The withheld ids.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Ledger {
     out: BTreeSet<Arc<str>>,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 mod call;
 mod ledger;
 mod stages;
+pub mod state;
 
 pub use call::{Answer, Call, LINE_MOST};
 pub use ledger::{Ledger, Unknown, MOST as LEDGER_MOST};
--- a/src/api.rs
+++ b/src/api.rs
@@ -4,6 +4,8 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// Identifies one client try while the gateway holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -156,7 +158,7 @@
 }
 
 /// What discovery says of a backend.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// Takes work.
     Ready,
@@ -168,7 +170,7 @@
 }
 
 /// One entry of the backend list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Member {
     /// The backend.
     pub backend: BackendId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod brain;
+mod keep;
 pub mod mail;
 mod post;
 mod state;
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -25,6 +25,7 @@
 use super::message::Message;
 use super::pace::Pacers;
 use super::seats::{Paced, Seat, Seats};
+use super::succession::{Role, Successor};
 use applewall_control::{Stage, CLOSING};
 
 /// Connections that the kernel holds for us at most.
@@ -40,6 +41,8 @@
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 512 * 1024);
 /// Wait after an error of `accept`, so that a lasting one does not spin.
 const PAUSE: Duration = Duration::from_millis(20);
+/// The same wait for the last answers where another process took over: the kill comes sooner after that.
+const ENDING: Duration = Duration::from_millis(800);
 /// Part of the memory that the bodies of waiting commands may hold together.
 const BODIES_PART: usize = 8;
 
@@ -60,6 +63,7 @@
 
 /// The door and its budget of connections.
 pub struct Door {
+    role: watch::Receiver<Role>,
     gate: Arc<Gate>,
     stages: watch::Receiver<Stage>,
     places: Arc<Semaphore>,
@@ -78,6 +82,7 @@
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
         stages: watch::Receiver<Stage>,
+        successor: Successor,
     ) -> Self {
         let budget = Budget::new(config.sockets);
         let gate = Gate {
@@ -87,8 +92,10 @@
             serials: AtomicU64::new(0),
             bodies: Arc::new(Semaphore::new(config.memory / BODIES_PART)),
             clock,
+            successor: successor.clone(),
         };
         Door {
+            role: successor.role,
             gate: Arc::new(gate),
             stages,
             places,
@@ -102,23 +109,40 @@
     /// Serves until the program is to end and all that was taken is answered.
     pub async fn serve(self, listener: TcpListener) {
         let mut stages = self.stages.clone();
+        let all = (self.budget.clients + self.budget.spare) as u32;
         tokio::select! {
             () = self.accept(&listener) => {}
             _ = stages.wait_for(|s| *s == Stage::Closing) => {}
+            () = self.emptied(all) => {}
+        }
+        let succeeded = *self.role.borrow() == Role::Succeeded;
+        if !succeeded {
+            // What the kernel has accepted counts as taken: none of it may be left behind.
+            self.accept_waiting(&listener).await;
         }
-        // What the kernel has accepted counts as taken: none of it may be left behind.
-        self.accept_waiting(&listener).await;
         drop(listener);
-        let all = self.places.acquire_many((self.budget.clients + self.budget.spare) as u32);
-        if tokio::time::timeout(CLOSING, all).await.is_err() {
+        let all = self.places.acquire_many(all);
+        if tokio::time::timeout(if succeeded { ENDING } else { CLOSING }, all).await.is_err() {
             tracing::warn!("ended with connections still open");
         }
     }
 
+    /// Ends once this process was told to stop, another took over, and no connection is left.
+    async fn emptied(&self, all: u32) {
+        let mut stages = self.stages.clone();
+        let _ = stages.wait_for(|s| *s == Stage::Staying).await;
+        let _ = self.places.acquire_many(all).await;
+    }
+
     async fn accept(&self, listener: &TcpListener) {
         let (mut failing, mut pacers) = (false, self.pacers.clone());
+        let mut role = self.role.clone();
         pacers.mark_changed();
         loop {
+            // Whoever comes is the other process's, for as long as that lives.
+            if role.wait_for(|r| *r != Role::Succeeded).await.is_err() {
+                return;
+            }
             if pacers.has_changed().unwrap_or(false) {
                 self.bound(listener, pacers.borrow_and_update().as_ref());
             }
@@ -127,7 +151,12 @@
                 self.make_room(Duration::ZERO);
             }
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = role.wait_for(|r| *r == Role::Succeeded) => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, address)) => {
                     failing = false;
                     self.serve_connection(stream, address, place);
@@ -308,7 +337,10 @@
         // Whoever leads through the stages does so for as long as the program runs.
         std::mem::forget(stage);
         let places = Budget::new(config.sockets).places();
-        Door::new(&config, Clock::start(), places, super::super::pace::none(), queue, stages)
+        let (role, follower) = watch::channel(Role::Sole);
+        std::mem::forget(role);
+        let successor = Successor { role: follower, last: Arc::default() };
+        Door::new(&config, Clock::start(), places, super::super::pace::none(), queue, stages, successor)
     }
 
     impl Door {
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -19,6 +19,15 @@
         Clock { origin: Instant::now(), unix_ms: unix.as_millis() as u64 }
     }
 
+    /// One that goes on with another process's, which stood at `now` a moment ago.
+    pub fn go_on(now: u64) -> Self {
+        let since = Duration::from_nanos(now.saturating_sub(START));
+        let start = Clock::start();
+        // A machine that has run for less than the other process can't be.
+        let origin = start.origin.checked_sub(since).unwrap_or(start.origin);
+        Clock { origin, unix_ms: start.unix_ms.saturating_sub(since.as_millis() as u64) }
+    }
+
     /// The present moment.
     pub fn now(&self) -> u64 {
         self.at(Instant::now())
@@ -47,6 +56,13 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_clock_goes_on_where_another_stood() {
+        let clock = Clock::go_on(START + 5_000_000_000);
+        assert!(clock.now() >= START + 5_000_000_000);
+        assert_eq!(clock.of_unix(clock.unix_ms + 5_000), Some(START + 5_000_000_000));
+    }
+
     #[test]
     fn unix_times_keep_their_distance_from_now() {
         let clock = Clock { origin: Instant::now(), unix_ms: 1_700_000_000_000 };
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -27,6 +27,7 @@
 use super::clock::Clock;
 use super::message::{Command, Message, Passed};
 use super::seats::Seat;
+use super::succession::Successor;
 use super::BODY_MOST;
 
 /// What is told with a nack that the module had no part in: about as long as its own.
@@ -47,6 +48,7 @@
     /// Bytes that all waiting bodies may hold together.
     pub bodies: Arc<Semaphore>,
     pub clock: Clock,
+    pub successor: Successor,
 }
 
 /// The service on one connection.
@@ -193,7 +195,10 @@
             Some(paced) => Some(Entered(&paced.pacer, number)),
             None => None,
         };
-        let deadline = arrived + Duration::from_nanos(read.left);
+        let mut deadline = arrived + Duration::from_nanos(read.left);
+        if let Some(last) = self.successor.last.get() {
+            deadline = deadline.min(*last);
+        }
         let (body, held) = match body.is_end_stream() {
             true => (Bytes::new(), None),
             false => {
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_control::{Answer, Call, Stage, LINE_MOST};
+use applewall_control::{Answer, Call, Ledger, Stage, LINE_MOST};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +18,8 @@
 use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
 
 use super::accept;
+use super::inherit::Place;
+use super::succession::{relay, Estate, Other};
 
 /// Callers held at once; their descriptors are in what the budget keeps back.
 const CALLERS: usize = 12;
@@ -34,12 +36,25 @@
 /// Calls that wait for the engine: it empties this queue first.
 const QUEUE: usize = 16;
 
+/// What the engine is to do before all else.
+pub enum Order {
+    /// What an operator wants of an instance.
+    Instance(Instance),
+    /// Hand all over that is the engine's.
+    HandOver(oneshot::Sender<Result<Estate, String>>),
+    /// The one that it was handed to has failed.
+    TakeBack,
+}
+
 /// What an operator wants of an instance.
-pub struct Order {
+pub struct Instance {
     pub id: String,
     /// Leave it out, or let it serve again.
     pub withhold: bool,
-    pub reply: oneshot::Sender<Answer>,
+    /// The other process knows the id, whatever this one's list says.
+    pub known: bool,
+    /// The answer, and the ledger as it is then.
+    pub reply: oneshot::Sender<(Answer, Ledger)>,
 }
 
 /// What an operator wants of the drain, for the one who leads the stages.
@@ -56,6 +71,12 @@
     pub stages: watch::Receiver<Stage>,
     /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
+    /// Where the ledger is kept, if it is.
+    pub place: Option<Place>,
+    /// The way to the process before or after this one.
+    pub other: Other,
+    /// One call about instances at a time: what is written last is what was decided last.
+    pub turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 /// The other ends of a desk's queues.
@@ -172,20 +193,37 @@
 }
 
 impl Desk {
+    /// Carries a call out here, and then in the other process where there is one.
     async fn carry_out(&self, call: Call) -> Answer {
+        let line = match &call {
+            Call::Ready => None,
+            Call::Disable(id) => Some(format!("DISABLE {id}")),
+            Call::Enable(id) => Some(format!("ENABLE {id}")),
+            Call::Drain => Some("DRAIN".to_string()),
+            Call::Undrain => Some("UNDRAIN".to_string()),
+        };
         let carried = timeout(OWED, async {
-            match call {
-                Call::Ready => self.ready(),
-                Call::Disable(id) => self.order(id, true).await,
-                Call::Enable(id) => self.order(id, false).await,
-                Call::Drain => self.drain(true).await,
-                Call::Undrain => self.drain(false).await,
+            let answer = self.carry_out_here(call, false).await;
+            if let (Answer::Done(_), Some(line)) = (&answer, line) {
+                relay(&self.other, line).await;
             }
+            answer
         });
         let late = "not decided in time; it may still come into force, so ask again";
         carried.await.unwrap_or_else(|_| Answer::Error(late.to_string()))
     }
 
+    /// Carries a call out in this process alone; `known`: the id is known to the other one.
+    pub async fn carry_out_here(&self, call: Call, known: bool) -> Answer {
+        match call {
+            Call::Ready => self.ready(),
+            Call::Disable(id) => self.order(id, true, known).await,
+            Call::Enable(id) => self.order(id, false, known).await,
+            Call::Drain => self.drain(true).await,
+            Call::Undrain => self.drain(false).await,
+        }
+    }
+
     fn ready(&self) -> Answer {
         let stage = *self.stages.borrow();
         match (*self.ready.borrow(), stage.stops()) {
@@ -197,12 +235,24 @@
         }
     }
 
-    async fn order(&self, id: String, withhold: bool) -> Answer {
+    async fn order(&self, id: String, withhold: bool, known: bool) -> Answer {
+        let _turn = self.turn.lock().await;
         let (reply, answer) = oneshot::channel();
-        if self.orders.send(Order { id, withhold, reply }).await.is_err() {
+        if self.orders.send(Order::Instance(Instance { id, withhold, known, reply })).await.is_err() {
             return stopped();
         }
-        answer.await.unwrap_or_else(|_| stopped())
+        let Ok((answer, ledger)) = answer.await else { return stopped() };
+        match (answer, &self.place) {
+            (Answer::Done(what), Some(place)) => match place.write(&ledger) {
+                Ok(()) => Answer::Done(what),
+                // In force, and handed over at an upgrade; only a process that finds nobody would not know.
+                Err(why) => {
+                    tracing::warn!("state: {why}");
+                    Answer::Done(format!("{what}; not written down: {why}"))
+                }
+            },
+            (answer, _) => answer,
+        }
     }
 
     async fn drain(&self, on: bool) -> Answer {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -11,6 +11,7 @@
 use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, RequestId};
 use applewall::brain::Brain;
 use applewall::wire::Facts;
+use applewall_control::Ledger;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,11 +19,12 @@
 use super::budget::Budget;
 use super::clock::Clock;
 use super::config::Config;
-use super::control::Order;
+use super::control::{self, Order};
 use super::instance::{Attempt, Fleet};
 use super::message::{Command, Ended, Entry, Message, Passed};
 use super::pace::{self, Pacers};
 use super::peers::Peers;
+use super::succession::Estate;
 use super::withheld::Withheld;
 
 /// Messages taken from the queue at one go.
@@ -70,6 +72,16 @@
     Figures,
 }
 
+/// What was before this process.
+pub enum Before {
+    /// Nothing that matters: there is no second address.
+    Nothing,
+    /// The ledger at most.
+    Ledger(Ledger),
+    /// All that another one handed over.
+    Estate(Estate),
+}
+
 /// See the module's page.
 pub struct Engine {
     brain: Brain,
@@ -92,6 +104,8 @@
     pacers: Pacers,
     /// Where there is a second address.
     withheld: Option<Withheld>,
+    /// Another process speaks to the peers.
+    handed: bool,
 }
 
 impl Engine {
@@ -102,6 +116,7 @@
         peers: Option<Arc<Peers>>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
+        before: Before,
     ) -> Self {
         let now = clock.now();
         let facts = config.facts.clone();
@@ -120,9 +135,23 @@
             stall: (0, 0),
             figures: Figures::default(),
             pacers,
-            withheld: config.operator.map(|_| Withheld::default()),
+            withheld: None,
+            handed: false,
+        };
+        let known = match before {
+            Before::Nothing => config.known.entries(&engine.facts, &clock),
+            Before::Ledger(ledger) => {
+                engine.withheld = Some(Withheld::new(ledger));
+                config.known.entries(&engine.facts, &clock)
+            }
+            Before::Estate(estate) => {
+                engine.withheld = Some(Withheld::new(estate.withheld));
+                if let Err(why) = engine.brain.take_over(&estate.module) {
+                    tracing::warn!("succession: the module begins anew: {why}");
+                }
+                estate.listed.into_iter().map(|(member, endpoint)| Entry { member, endpoint }).collect()
+            }
         };
-        let known = config.known.entries(&engine.facts, &clock);
         engine.take(Message::Table(ListKind::Cached, known));
         engine
     }
@@ -192,12 +221,40 @@
         }
     }
 
-    /// Withholds an instance, or gives one back; answered once the module and the connections know.
     fn order(&mut self, order: Order) {
-        let Order { id, withhold, reply } = order;
+        match order {
+            Order::Instance(order) => self.instance(order),
+            Order::HandOver(reply) => {
+                self.handed = true;
+                let _ = reply.send(self.hand_over());
+            }
+            Order::TakeBack => {
+                self.handed = false;
+                self.brain.take_back();
+            }
+        }
+    }
+
+    /// All that another process needs to go on from here.
+    fn hand_over(&mut self) -> Result<Estate, String> {
+        let module = self.brain.hand_over()?;
+        let (ledger, listed) = match &self.withheld {
+            Some(withheld) => {
+                let (ledger, listed) = withheld.parts();
+                (ledger.clone(), listed.map(|e| (e.member.clone(), e.endpoint)).collect())
+            }
+            None => Default::default(),
+        };
+        Ok(Estate { now: self.now, withheld: ledger, drained: false, listed, module })
+    }
+
+    /// Withholds an instance, or gives one back; answered once the module and the connections know.
+    fn instance(&mut self, order: control::Instance) {
+        let control::Instance { id, withhold, known, reply } = order;
         let Some(withheld) = &mut self.withheld else { return };
-        let ruling = withheld.order(&id, withhold);
+        let ruling = withheld.order(&id, withhold, known);
         let none_left = withheld.none_left();
+        let ledger = withheld.parts().0.clone();
         if let Some(entry) = ruling.changed {
             tracing::info!("operator: {id} {}", if withhold { "withheld" } else { "given back" });
             let Entry { member, .. } = &entry;
@@ -212,7 +269,7 @@
             }
         }
         // A caller that left has had it carried out all the same.
-        let _ = reply.send(ruling.answer);
+        let _ = reply.send((ruling.answer, ledger));
     }
 
     fn fall_due(&mut self) {
@@ -368,7 +425,7 @@
             }
             Action::Close(backend) => self.fleet.close(&backend),
             Action::Tell { peer, text } => {
-                self.peers.iter().for_each(|peers| peers.tell(peer, &text));
+                self.peers.iter().filter(|_| !self.handed).for_each(|peers| peers.tell(peer, &text));
             }
             Action::Log(line) => tracing::info!("module: {line}"),
             // The name table is always followed; probes and counts are not asked for by this module.
@@ -419,7 +476,7 @@
 
     fn engine() -> (Engine, mpsc::Receiver<Message>) {
         let (queue, inbox) = mpsc::channel(8);
-        (Engine::new(&Config::sample(), Clock::start(), None, pace::none(), queue), inbox)
+        (Engine::new(&Config::sample(), Clock::start(), None, pace::none(), queue, Before::Nothing), inbox)
     }
 
     /// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
@@ -508,9 +565,15 @@
     #[tokio::test]
     async fn an_order_goes_before_a_full_queue() {
         let (queue, inbox) = mpsc::channel(super::super::QUEUE);
-        let mut config = Config::sample();
-        config.operator = Some(config.listen);
-        let engine = Engine::new(&config, Clock::start(), None, pace::none(), queue.clone());
+        let config = Config::sample();
+        let engine = Engine::new(
+            &config,
+            Clock::start(),
+            None,
+            pace::none(),
+            queue.clone(),
+            Before::Ledger(Ledger::default()),
+        );
         let told = |i: usize| {
             let (id, state) = (format!("s-{}", i + 2).into(), applewall::api::MemberState::Ready);
             let member = applewall::api::Member { backend: id, state, ..Default::default() };
@@ -521,12 +584,13 @@
         // Listed by the last message only: unknown while that still waits.
         let (reply, answer) = oneshot::channel();
         let id = format!("s-{}", super::super::QUEUE + 1);
-        assert!(orders.try_send(Order { id, withhold: true, reply }).is_ok());
+        let order = control::Instance { id, withhold: true, known: false, reply };
+        assert!(orders.try_send(Order::Instance(order)).is_ok());
         tokio::select! {
             biased;
             () = engine.run(inbox, orders_in) => panic!("the queue has senders"),
             answer = answer => {
-                let answer = answer.expect("an answer").to_string();
+                let answer = answer.expect("an answer").0.to_string();
                 assert!(answer.starts_with("error no instance"), "{answer}");
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod engine;
 pub mod framing;
+pub mod inherit;
 pub mod instance;
 pub mod listing;
 pub mod message;
@@ -26,11 +27,12 @@
 pub mod reply;
 pub mod seats;
 pub mod shutdown;
+pub mod succession;
 pub mod withheld;
 
 use std::sync::Arc;
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::operator::Operator;
 
@@ -48,40 +50,79 @@
 async fn run(mut config: config::Config, operator: Operator, file: Option<String>) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
-    let clock = clock::Clock::start();
+    let inherited = inherit::named()?;
+    let place = inherited.is_some().then(|| inherit::Place::new(&config.name));
+    if place.is_some() {
+        // Two processes may be there at once, within the limits of one.
+        (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
+    }
+    let (stage, stages) = watch::channel(applewall_control::Stage::Serving);
+    let (orders, drains, inboxes) = control::queues();
+    let (ready, is_ready) = watch::channel(place.is_none());
+    let (other, others) = watch::channel(None);
+    let desk = control::Desk {
+        orders: orders.clone(),
+        drains,
+        stages: stages.clone(),
+        ready: is_ready,
+        place: place.clone(),
+        other: others,
+        turn: Arc::default(),
+    };
+    // Before all that takes its time: until then READY is answered with a no.
+    if let Some(listener) = config.operator.as_mut().map(control::bind).transpose()? {
+        tokio::spawn(control::serve(listener, desk.clone()));
+    }
+    let heritage = match &place {
+        Some(place) => succession::join(place).await,
+        None => None,
+    };
+    let (estate, link, datagrams) = heritage.map_or((None, None, None), succession::Heritage::parts);
+    let clock = estate.as_ref().map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
+    let drained = estate.as_ref().is_some_and(|e| e.drained);
+    let before = match (estate, &place) {
+        (Some(estate), _) => engine::Before::Estate(estate),
+        (None, Some(place)) => engine::Before::Ledger(place.read()),
+        (None, None) if config.operator.is_some() => engine::Before::Ledger(Default::default()),
+        (None, None) => engine::Before::Nothing,
+    };
     let (queue, inbox) = mpsc::channel(QUEUE);
-    let peers = peers::Peers::bind(&mut config).await?.map(Arc::new);
-    let listener = accept::bind(&mut config.listen)?;
+    let peers = peers::Peers::bind(&mut config, datagrams).await?.map(Arc::new);
+    let listener = match inherited {
+        Some(socket) => inherit::listener(socket, &mut config.listen)?,
+        None => accept::bind(&mut config.listen)?,
+    };
     let (source, discovery, operator) = config::Source::new(&config, operator, file);
     let budget = budget::Budget::new(config.sockets);
     let places = budget.places();
     let table = registry::begin(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
     let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
-    let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone());
-    let (stage, stages) = watch::channel(applewall_control::Stage::Serving);
-    let (orders, drains, inboxes) = control::queues();
-    let operators = config.operator.as_mut().map(control::bind).transpose()?;
+    let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone(), before);
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
-    let (_succession, succeeded) = watch::channel(false);
-    if let Some(listener) = operators {
-        let (told, ready) = watch::channel(true);
-        let desk = control::Desk { orders, drains, stages: stages.clone(), ready };
-        tokio::spawn(async move {
-            control::serve(listener, desk).await;
-            drop(told);
-        });
-    }
-    if let Some(peers) = peers {
-        tokio::spawn(peers.listen(queue.clone()));
+    let (role, roles) = watch::channel(succession::Role::Sole);
+    if let Some(peers) = &peers {
+        tokio::spawn(peers.clone().listen(queue.clone(), roles.clone()));
     }
     let known = &config.known;
     let rev = (known.all && !known.targets.is_empty() && !merged).then_some(known.rev);
     let start = name_table::Start { rev, seed: config.seed };
     tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
-    tokio::spawn(signals.lead(stage, inboxes.drains, succeeded, source));
-    let door = accept::Door::new(&config, clock, places, pacers, queue, stages);
+    let successor = succession::Successor { role: roles, last: Arc::default() };
+    tokio::spawn(signals.lead(stage, inboxes.drains, successor.clone(), drained, source));
+    let door = accept::Door::new(&config, clock, places, pacers, queue, stages, successor);
+    match place {
+        Some(place) => {
+            let (taken, all_taken) = oneshot::channel();
+            let succession = succession::Succession { place, role, other, desk, orders, peers };
+            tokio::spawn(succession.lead(link, taken));
+            let _ = all_taken.await;
+            ready.send_replace(true);
+        }
+        // Nobody else comes: the role stays what it is for as long as the program runs.
+        None => drop(tokio::spawn(async move { role.closed().await })),
+    }
     tokio::select! {
         () = door.serve(listener) => {
             tracing::info!("stopped");
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,14 +1,16 @@
 //! Datagrams between ingresses: small, late or lost, and only of senders that the configuration names.
 
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::config::Config;
 use super::message::Message;
+use super::succession::Role;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
 const MOST: usize = 256;
@@ -23,14 +25,29 @@
     me: usize,
 }
 
+impl AsFd for Peers {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.socket.as_fd()
+    }
+}
+
 impl Peers {
     /// Binds the socket, where the configuration names one and the settings allow messages; where the port was
     /// left open, the address is put right.
-    pub async fn bind(config: &mut Config) -> Result<Option<Self>, String> {
+    ///
+    /// `handed`: a socket that listens there already.
+    pub async fn bind(config: &mut Config, handed: Option<OwnedFd>) -> Result<Option<Self>, String> {
         let settings = config.facts.clone();
         let settings = &settings.settings;
         let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else { return Ok(None) };
-        let socket = UdpSocket::bind(address).await.map_err(|e| format!("peer_listen {address}: {e}"))?;
+        let told = |e: std::io::Error| format!("peer_listen {address}: {e}");
+        let socket = match handed {
+            None => UdpSocket::bind(address).await.map_err(told)?,
+            Some(socket) => {
+                let socket = std::net::UdpSocket::from(socket);
+                socket.set_nonblocking(true).and_then(|()| UdpSocket::from_std(socket)).map_err(told)?
+            }
+        };
         config.peer_listen = socket.local_addr().ok();
         let (peers, me) = (config.peers.clone(), settings.me as usize);
         Ok(Some(Peers { socket, peers, all: config.peers_all, me }))
@@ -55,10 +72,20 @@
     }
 
     /// Takes datagrams in; garbage, strangers and what the queue has no room for are dropped.
-    pub async fn listen(self: Arc<Self>, queue: mpsc::Sender<Message>) {
+    /// While another process has the socket, they are that one's.
+    pub async fn listen(self: Arc<Self>, queue: mpsc::Sender<Message>, mut role: watch::Receiver<Role>) {
         let mut buffer = [0; MOST + 1];
         loop {
-            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+            let ours = role.wait_for(|r| *r == Role::Sole).await.map(|_| ());
+            if ours.is_err() {
+                return;
+            }
+            let received = tokio::select! {
+                biased;
+                _ = role.changed() => continue,
+                received = self.socket.recv_from(&mut buffer) => received,
+            };
+            let Ok((length, sender)) = received else {
                 tokio::time::sleep(PAUSE).await;
                 continue;
             };
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -2,6 +2,7 @@
 //! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
 
 use std::future::pending;
+use std::time::Duration;
 
 use applewall_control::{Answer, Leave, Stage, Stages};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -10,6 +11,11 @@
 
 use super::config::Source;
 use super::control::Drain;
+use super::succession::{Role, Successor};
+
+/// After SIGTERM, with another process in place: by when what is still taken has to be answered. The kill comes 3.7 s
+/// after the signal, and takes what came in the meantime and has no answer.
+const LAST: Duration = Duration::from_millis(3_300);
 
 /// The signals that have a meaning here.
 pub struct Signals {
@@ -34,10 +40,16 @@
         mut self,
         stage: watch::Sender<Stage>,
         mut drains: mpsc::Receiver<Drain>,
-        succeeded: watch::Receiver<bool>,
+        successor: Successor,
+        drained: bool,
         mut source: Source,
     ) {
         let (mut stages, origin) = (Stages::default(), Instant::now());
+        if drained {
+            // As the process before was.
+            let _ = stages.drain(origin.elapsed());
+            tell(&stage, &stages);
+        }
         loop {
             let due = stages.due();
             let next = async move {
@@ -66,10 +78,11 @@
             }
             if stop && !stages.stage().stops() {
                 tracing::info!("told to stop; answering what was taken");
-                stages.stop(
-                    origin.elapsed(),
-                    if *succeeded.borrow() { Leave::Succeeded } else { Leave::Alone },
-                );
+                let succeeded = *successor.role.borrow() == Role::Succeeded;
+                if succeeded {
+                    let _ = successor.last.set(std::time::Instant::now() + LAST);
+                }
+                stages.stop(origin.elapsed(), if succeeded { Leave::Succeeded } else { Leave::Alone });
             }
             tell(&stage, &stages);
         }
--- a/src/net/withheld.rs
+++ b/src/net/withheld.rs
@@ -24,6 +24,16 @@
 }
 
 impl Withheld {
+    /// One that goes on with a ledger.
+    pub fn new(ledger: Ledger) -> Self {
+        Withheld { ledger, listed: HashMap::new() }
+    }
+
+    /// The ledger, and the list as discovery has it.
+    pub fn parts(&self) -> (&Ledger, impl Iterator<Item = &Entry>) {
+        (&self.ledger, self.listed.values())
+    }
+
     /// Takes in news of the list; an instance that is withheld goes on as one that terminates.
     pub fn mask(&mut self, kind: ListKind, entries: &mut [Entry]) {
         if matches!(kind, ListKind::Cached | ListKind::Full) {
@@ -42,12 +52,13 @@
         }
     }
 
-    /// Carries out an order as far as the ledger goes.
-    pub fn order(&mut self, id: &str, withhold: bool) -> Ruling {
+    /// Carries out an order as far as the ledger goes; `known`: the id is somebody's, whatever is listed here.
+    pub fn order(&mut self, id: &str, withhold: bool, known: bool) -> Ruling {
         let entry = self.listed.get(id).cloned();
+        let listed = known || entry.is_some();
         let ruled = match withhold {
-            true => self.ledger.withhold(id, entry.is_some()),
-            false => self.ledger.give_back(id, entry.is_some()),
+            true => self.ledger.withhold(id, listed),
+            false => self.ledger.give_back(id, listed),
         };
         let answer = match ruled {
             Ok(_) => {
@@ -59,9 +70,7 @@
                 };
                 Answer::Done(format!("{state}; {} withheld in all", self.ledger.len()))
             }
-            Err(_) if entry.is_some() => {
-                Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept"))
-            }
+            Err(_) if listed => Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept")),
             Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
         };
         // One that does not serve by the list's own word changes nothing, in or out.
@@ -102,17 +111,17 @@
         use MemberState::{Draining, Gone, Ready};
         let mut withheld = Withheld::default();
         states(&mut withheld, ListKind::Full, vec![entry("a", 1, Ready), entry("b", 2, Ready)]);
-        let ruling = withheld.order("a", true);
+        let ruling = withheld.order("a", true, false);
         assert_eq!(ruling.changed.unwrap().member.state, Draining);
         // Named again; gone and back at a new address; a whole list after discovery was lost, without it and with it.
         assert_eq!(states(&mut withheld, ListKind::Delta, vec![entry("a", 1, Ready)]), [Draining]);
         assert_eq!(states(&mut withheld, ListKind::Delta, vec![entry("a", 1, Gone)]), [Gone]);
         assert_eq!(states(&mut withheld, ListKind::Delta, vec![entry("a", 9, Ready)]), [Draining]);
         states(&mut withheld, ListKind::Full, vec![entry("b", 2, Ready)]);
-        assert!(matches!(withheld.order("a", true).answer, Answer::Done(_)));
+        assert!(matches!(withheld.order("a", true, false).answer, Answer::Done(_)));
         assert_eq!(states(&mut withheld, ListKind::Full, vec![entry("a", 9, Ready)]), [Draining]);
         // Out twice, back once, at the address that the list has now.
-        let back = withheld.order("a", false).changed.unwrap();
+        let back = withheld.order("a", false, false).changed.unwrap();
         assert_eq!((back.member.state, back.endpoint.port()), (Ready, 9));
         assert_eq!(states(&mut withheld, ListKind::Delta, vec![entry("a", 9, Ready)]), [Ready]);
     }
@@ -122,16 +131,16 @@
         let mut withheld = Withheld::default();
         states(&mut withheld, ListKind::Full, vec![entry("a", 1, MemberState::Ready)]);
         for on in [true, false] {
-            assert!(matches!(withheld.order("x", on).answer, Answer::Error(_)));
+            assert!(matches!(withheld.order("x", on, false).answer, Answer::Error(_)));
         }
-        let ruling = withheld.order("a", false);
+        let ruling = withheld.order("a", false, false);
         assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
         assert!(!withheld.none_left());
-        withheld.order("a", true);
+        withheld.order("a", true, false);
         assert!(withheld.none_left());
         // Left the list while out: still known, and back without a word to the module.
         states(&mut withheld, ListKind::Delta, vec![entry("a", 1, MemberState::Gone)]);
-        let ruling = withheld.order("a", false);
+        let ruling = withheld.order("a", false, false);
         assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
 
 use crate::api::{BackendId, Member, RequestId, Settings};
 
@@ -17,7 +18,7 @@
 }
 
 /// An exponentially forgetting rate.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Meter {
     pub rate: f64,
     pub at: f64,
@@ -33,7 +34,7 @@
 }
 
 /// One (plan, class) pair: the tier whose bucket a request draws on.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Tier {
     pub demand: Meter,
     pub value: f64,
@@ -43,7 +44,7 @@
 }
 
 /// Counts of outcomes, for the load index and the backlog: of one interval, or summed and aged.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Outcomes at sound backends.
     pub answers: f64,
@@ -103,7 +104,7 @@
 }
 
 /// The filter hierarchy, its history and its buckets.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Ladder {
     pub filter: usize,
     pub rates: Vec<f64>,
@@ -119,7 +120,7 @@
 }
 
 /// What a peer last told of a customer: totals (coded), and the demand that came through it.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct PeerUse {
     pub sent: u32,
     pub asked: u32,
@@ -129,7 +130,7 @@
 }
 
 /// A keeper's word on a customer: demand summed over the set, and when it was told.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Word {
     pub demand: f64,
     /// The store's level as told, units.
@@ -138,7 +139,7 @@
 }
 
 /// A customer's store as far as this gateway knows it.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub plan: Option<usize>,
     pub spread: u32,
@@ -180,6 +181,7 @@
 }
 
 /// An attempt that is out.
+#[derive(Clone)]
 pub(crate) struct Out {
     pub request: RequestId,
     pub attempt: u32,
@@ -191,7 +193,7 @@
 }
 
 /// A backend as this gateway sees it.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Backend {
     pub member: Member,
     pub ready: bool,
@@ -202,6 +204,8 @@
     pub cold_from: f64,
     /// Given back by the operators after it was in use, and not used since.
     pub owed: bool,
+    /// Another process has none of these.
+    #[serde(skip)]
     pub out: Vec<Out>,
     pub slowness: f64,
     pub last_ok: f64,
