Long answers are passed on as they come; a head's time counts from its first byte

Ruled out: the instances (err, full, t/o all 0), a lack of places (57 of 1,024 descriptors). Change: flow.rs, an answer passed on through a queue of a few pieces; read ahead up to 64 KiB, or 100 ms where its length is not told; Connection: close and HTTP/1.0 frame an answer; a break in it reaches the service client after what came before; the connection's own timer tells a slow head from silence, and a drain lets a head that is half here be answered.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -11,7 +11,7 @@
 
 use applewall_pace::socket::{kernel, lend, Pacer};
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -30,8 +30,8 @@
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
-/// A head has to be whole this long after the connection came up or the last answer went out: those that are silent,
-/// or slower, hold no place for ever.
+/// A head has to begin this long after the connection came up or the last answer went out, and to be whole this long
+/// after its first byte: those that are silent, or slower, hold no place for ever.
 const HEAD: Duration = Duration::from_millis(2_500);
 /// A new connection is not taken for a silent one before this: its first command is on its way.
 const GRACE: Duration = Duration::from_millis(250);
@@ -242,11 +242,8 @@
         };
         let seat = self.seats.sit(place, cut, paced);
         let commands = Commands { gate: self.gate.clone(), shed, seat: seat.clone() };
-        let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD)
-            .max_buf_size(HEAD_MOST)
-            .serve_connection(
+        let mut connection =
+            http1::Builder::new().header_read_timeout(None).max_buf_size(HEAD_MOST).serve_connection(
                 TokioIo::new(Guarded::new(stream, seat.clone(), ticket)),
                 TowerToHyperService::new(commands),
             );
@@ -257,6 +254,12 @@
                 biased;
                 ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
                 () = seat.go.notified() => None,
+                () = seat.silent(HEAD) => {
+                    if seat.halfway() {
+                        return;
+                    }
+                    None
+                }
                 () = going(&mut stages, &seat) => None,
             };
             let ended = match ended {
@@ -293,13 +296,17 @@
 async fn going(stages: &mut watch::Receiver<Stage>, seat: &Seat) {
     loop {
         let stage = *stages.borrow_and_update();
-        let idle = seat.asked() && !seat.halfway();
-        if stage == Stage::Closing || stage == Stage::Drained && idle {
+        let idle = match stage {
+            Stage::Closing => !seat.halfway(),
+            Stage::Drained => seat.asked() && !seat.halfway(),
+            _ => false,
+        };
+        if idle {
             return;
         }
-        if stage == Stage::Drained {
+        if matches!(stage, Stage::Closing | Stage::Drained) {
             // Its answer, or the time that a head has, ends it.
-            let _ = stages.wait_for(|s| *s != Stage::Drained).await;
+            let _ = stages.wait_for(|s| *s != stage).await;
         } else if stages.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -1,15 +1,29 @@
 //! What a service client gets: the served body unchanged, a nack, or a failure.
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+use super::flow::Flow;
+
+/// The body of a served answer.
+#[derive(Debug)]
+pub enum Content {
+    /// All of it is here.
+    Whole(Bytes),
+    /// It is passed on while it still comes.
+    Flow(Flow),
+}
+
+/// What goes out to a service client.
+pub type Reply = Response<Either<Full<Bytes>, Flow>>;
+
 /// The single final answer to a command.
 #[derive(Debug)]
 pub enum Answer {
     /// The body of an instance's 200, and its type.
-    Served(Bytes, Option<HeaderValue>),
+    Served(Content, Option<HeaderValue>),
     /// Refused: trying again is harmless, after so many nanoseconds.
     Nack {
         /// 429 where nothing was sent on, else 503.
@@ -21,7 +35,7 @@
     Failed(StatusCode, &'static str),
 }
 
-impl From<Answer> for Response<Full<Bytes>> {
+impl From<Answer> for Reply {
     fn from(answer: Answer) -> Self {
         let (status, body, header) = match answer {
             Answer::Served(body, kind) => (StatusCode::OK, body, kind.map(|k| (CONTENT_TYPE, k))),
@@ -30,11 +44,16 @@
                 let ms = retry_after.div_ceil(1_000_000);
                 let text = format!("{}.{:03}", ms / 1000, ms % 1000);
                 let advice = HeaderValue::try_from(text).ok().filter(|_| ms > 0);
-                (status, Bytes::new(), advice.map(|a| (RETRY_AFTER, a)))
+                (status, Content::Whole(Bytes::new()), advice.map(|a| (RETRY_AFTER, a)))
+            }
+            Answer::Failed(status, reason) => {
+                (status, Content::Whole(Bytes::from_static(reason.as_bytes())), None)
             }
-            Answer::Failed(status, reason) => (status, Bytes::from_static(reason.as_bytes()), None),
         };
-        let mut response = Response::new(Full::new(body));
+        let mut response = Response::new(match body {
+            Content::Whole(body) => Either::Left(Full::new(body)),
+            Content::Flow(flow) => Either::Right(flow),
+        });
         *response.status_mut() = status;
         response.headers_mut().extend(header);
         response
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -11,11 +11,11 @@
 use applewall::api::{self, RequestId};
 use applewall::wire::Facts;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, StatusCode, Uri};
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tower::Service;
 
@@ -23,7 +23,7 @@
 use applewall_pace::socket::Pacer;
 use applewall_pace::{Reason, Verdict};
 
-use super::answer::Answer;
+use super::answer::{Answer, Content, Reply};
 use super::clock::Clock;
 use super::message::{Command, Message, Passed};
 use super::seats::Seat;
@@ -60,8 +60,6 @@
     pub seat: Arc<Seat>,
 }
 
-type Reply = Response<Full<Bytes>>;
-
 impl Service<Request<Incoming>> for Commands {
     type Response = Reply;
     type Error = Infallible;
@@ -80,7 +78,7 @@
         if request.uri().path() == "/healthz" {
             // Listening and decided from the known name table: ready.
             self.seat.wait();
-            let mut reply = Reply::default();
+            let mut reply = Reply::new(Either::Left(Full::default()));
             if !self.gate.stages.borrow().healthy() {
                 *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
@@ -95,13 +93,17 @@
                 false if shed => nack(),
                 false => gate.answer(request, arrived, &seat, &mut customer, &mut body).await,
             };
-            let answer = gate.hold(&seat, customer, answer);
+            let mut answer = gate.hold(&seat, customer, answer);
             // What was not read would be read as the next head, or in vain; what comes after chunks is not guarded.
             let close = shed || body != Taken::Whole;
             if body == Taken::Unread {
                 seat.leave_unread();
             }
-            seat.wait();
+            match &mut answer {
+                // Not silent until it is through.
+                Answer::Served(Content::Flow(flow), _) => flow.keep(seat),
+                _ => seat.wait(),
+            }
             Ok(gate.finish(answer.into(), close))
         })
     }
@@ -153,7 +155,8 @@
     /// for that, the command still gets its one final answer at once: a short one.
     fn hold(&self, seat: &Seat, customer: Option<u64>, answer: Answer) -> Answer {
         let Some(paced) = &seat.paced else { return answer };
-        let Answer::Served(body, _) = &answer else {
+        // One that is passed on holds next to nothing here, however slowly it is read.
+        let Answer::Served(Content::Whole(body), _) = &answer else {
             paced.pacer.answered(paced.id);
             return answer;
         };
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -21,8 +21,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
-/// Drives a connection while some work goes on over it; `None` if it ended with the work undone.
-pub async fn drive<I, B, F>(connection: &mut http1::Connection<I, B>, work: F) -> Option<F::Output>
+/// Drives a connection while some work goes on over it; `None` if it ended with the work undone, and `on` does not say
+/// that what it brought until then is still being passed on.
+pub async fn drive<I, B, F>(
+    connection: &mut http1::Connection<I, B>,
+    work: F,
+    on: impl Fn() -> bool,
+) -> Option<F::Output>
 where
     I: Read + Write + Unpin,
     B: Body + 'static,
@@ -31,14 +36,15 @@
     F: Future,
 {
     let mut work = pin!(work);
+    let mut ended = false;
     poll_fn(|cx| {
         if let Poll::Ready(done) = work.as_mut().poll(cx) {
             return Poll::Ready(Some(done));
         }
-        let ended = Pin::new(&mut *connection).poll(cx).is_ready();
+        ended = ended || Pin::new(&mut *connection).poll(cx).is_ready();
         match work.as_mut().poll(cx) {
             Poll::Ready(done) => Poll::Ready(Some(done)),
-            Poll::Pending if ended => Poll::Ready(None),
+            Poll::Pending if ended && !on() => Poll::Ready(None),
             Poll::Pending => Poll::Pending,
         }
     })
@@ -55,6 +61,8 @@
     pub began: Notify,
     /// Look at the socket itself with the next read.
     pub look: AtomicBool,
+    /// An answer is passed on while it still comes: it may end after its connection.
+    pub passing: AtomicBool,
 }
 
 /// A stream that is watched.
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -35,6 +35,8 @@
 const LAST_MARGIN: u64 = 8_000_000;
 /// By which the engine may wake late before that counts as a gap in the program's own clock.
 const STALL: u64 = 30_000_000;
+/// Part of the memory that answers read ahead may hold together.
+const AHEAD_PART: usize = 8;
 /// Between closings of connections that have been idle for long.
 const SWEEP: u64 = 500_000_000;
 /// Between lines of figures.
@@ -119,10 +121,11 @@
         before: Before,
     ) -> Self {
         let now = clock.now();
+        let sizes = (Budget::new(config.sockets).instances, config.memory / AHEAD_PART);
         let facts = config.facts.clone();
         let mut engine = Engine {
             brain: Brain::new(facts.settings.clone(), config.seed, now),
-            fleet: Fleet::new(&facts, Budget::new(config.sockets).instances, clock, pacers.clone(), queue),
+            fleet: Fleet::new(&facts, sizes, clock, pacers.clone(), queue),
             facts,
             clock,
             peers,
@@ -467,6 +470,7 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::answer::Content;
     use super::*;
     use applewall::api::Request;
     use hyper::{Method, Uri};
@@ -509,7 +513,7 @@
     }
 
     fn ended(number: u32, outcome: Outcome) -> Message {
-        let served = (outcome == Outcome::Ok).then(|| ("body".into(), None));
+        let served = (outcome == Outcome::Ok).then(|| (Content::Whole("body".into()), None));
         let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
         Message::Ended(Ended { request: ID, number, backend, outcome, latency, load: Vec::new(), served })
     }
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -5,7 +5,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -13,7 +12,7 @@
 use applewall::api::{BackendId, ListKind, LoadField, MemberState, Outcome, RequestId};
 use applewall::wire::Facts;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
@@ -25,8 +24,10 @@
 use applewall_pace::socket::Pacer;
 use applewall_pace::{Holder, Incoming, Reason, Verdict};
 
+use super::answer::Content;
 use super::clock::Clock;
 use super::connection::{drive, Connection, Watch, Watched};
+use super::flow::{flow, Source};
 use super::message::{Ended, Entry, Message, Passed};
 use super::pace::Pacers;
 use super::reply::{framed, load, outcome};
@@ -36,6 +37,10 @@
 const IDLE_PART: f64 = 0.6;
 /// The head of an answer, and what is read ahead of a body, hold this at most.
 const HEAD_MOST: usize = 16 * 1024;
+/// An answer of unknown length is read ahead for so long: most are whole by then.
+const AHEAD: Duration = Duration::from_millis(100);
+/// An answer that is passed on may stand still for so long, on either side.
+const STALLED: Duration = Duration::from_secs(20);
 /// By which the last send to a draining instance comes before the rule's limit.
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 
@@ -88,6 +93,8 @@
     places: Arc<Semaphore>,
     limits: Arc<Limits>,
     load_fields: Arc<[LoadField]>,
+    /// Bytes that answers read ahead may hold together.
+    ahead: Arc<Semaphore>,
     clock: Clock,
     pacers: Pacers,
     queue: mpsc::Sender<Message>,
@@ -109,7 +116,7 @@
     /// None yet, and room for so many connections; attempts report to the queue.
     pub fn new(
         facts: &Facts,
-        places: usize,
+        (places, ahead): (usize, usize),
         clock: Clock,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
@@ -124,6 +131,7 @@
             places: Arc::new(Semaphore::new(places)),
             limits: Arc::new(limits),
             load_fields: facts.settings.load_fields.as_slice().into(),
+            ahead: Arc::new(Semaphore::new(ahead)),
             clock,
             pacers,
             queue,
@@ -198,17 +206,24 @@
         let queue = self.queue.clone();
         let pacer = self.pacers.borrow().as_ref().filter(|p| p.settings().enabled.0).cloned();
         let pacing = pacer.map(|pacer| Pacing { pacer, clock: self.clock });
+        let ahead = self.ahead.clone();
         tokio::spawn(async move {
             let started = Instant::now();
             let Attempt { request, number, backend, passed, until, again } = attempt;
             let due = Due { until, again };
+            let (begin, mut begun) = oneshot::channel();
+            let carried = Carried { pacing: pacing.as_ref(), ahead: &ahead, begin };
+            let made = make(&instance, &limits, carried, pooled, &passed, due);
+            tokio::pin!(made);
             // Whichever ends first drops the others, and a connection in use with them: it is closed before
             // the report, so that nothing else of the request can go out while it is open.
-            let result = tokio::select! {
+            let (result, goes_on) = tokio::select! {
                 biased;
-                result = make(&instance, &limits, pacing.as_ref(), pooled, &passed, due) => result,
-                _ = cancelled => Err(Outcome::Cancelled),
-                () = tokio::time::sleep_until(until.into()) => Err(Outcome::TimedOut),
+                result = &mut made => (result, false),
+                // From here on the answer is the service client's, however long it takes.
+                Ok(answer) = &mut begun => (Ok(answer), true),
+                _ = cancelled => (Err(Outcome::Cancelled), false),
+                () = tokio::time::sleep_until(until.into()) => (Err(Outcome::TimedOut), false),
             };
             let mut ended = Ended {
                 request,
@@ -228,7 +243,13 @@
                 }
                 Err(outcome) => ended.outcome = outcome,
             }
-            let _ = queue.send(Message::Ended(ended)).await;
+            let report = queue.send(Message::Ended(ended));
+            if goes_on {
+                // Both at once: the answer goes on while the engine's queue is full.
+                let _ = tokio::join!(report, made);
+            } else {
+                let _ = report.await;
+            }
         });
         Ok(cancel)
     }
@@ -266,10 +287,9 @@
         self.note(Reason::InStalled);
     }
 
-    /// Reads a body; none where it is spoilt, stalls or can't be whole in time.
-    async fn collect(&self, body: impl Body<Data = Bytes, Error = hyper::Error>, due: Due) -> Option<Bytes> {
+    /// Reads a body ahead; none where it is spoilt, stalls or can't be whole in time.
+    async fn collect(&self, body: &mut Answered, due: Due) -> Option<(Bytes, bool)> {
         let length = body.size_hint().exact();
-        let mut body = pin!(Limited::new(body, BODY_MOST));
         let (now, until) = (self.clock.now(), self.clock.at(due.until));
         let mut transfer = Incoming::new(self.pacer.settings(), now, until, length);
         let mut whole = BytesMut::with_capacity(length.unwrap_or(0) as usize);
@@ -291,11 +311,14 @@
                 }
             };
             match frame.await {
-                Ok(None) => return Some(whole.freeze()),
+                Ok(None) => return Some((whole.freeze(), true)),
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame.ok()?.into_data() {
                         transfer.arrive(self.clock.now(), data.len() as u64);
                         whole.extend_from_slice(&data);
+                        if whole.len() > BODY_MOST {
+                            return Some((whole.freeze(), false));
+                        }
                     }
                 }
                 // Time for another look.
@@ -305,15 +328,94 @@
     }
 }
 
+/// The body of an instance's answer.
+type Answered = hyper::body::Incoming;
+/// What an attempt comes to, where it comes to an answer.
+type Made = (StatusCode, HeaderMap, Content);
+
+/// How an answer is carried.
+struct Carried<'a> {
+    pacing: Option<&'a Pacing>,
+    ahead: &'a Arc<Semaphore>,
+    /// Told once an answer is passed on while it still comes.
+    begin: oneshot::Sender<Made>,
+}
+
+/// Reads a body ahead: what came, and whether that is all. One that does not say how long it is may be one whose first
+/// bytes count, so it is read ahead for a moment only.
+async fn read_ahead(body: &mut Answered) -> Option<(Bytes, bool)> {
+    let mut whole = BytesMut::new();
+    let moment = match body.size_hint().exact() {
+        Some(_) => Duration::MAX,
+        None => AHEAD,
+    };
+    let moment = tokio::time::sleep(moment);
+    tokio::pin!(moment);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut moment, if !whole.is_empty() => return Some((whole.freeze(), false)),
+        };
+        let Some(frame) = frame else { return Some((whole.freeze(), true)) };
+        if let Ok(data) = frame.ok()?.into_data() {
+            // Most answers are one piece, and that is passed on as it is.
+            if whole.is_empty() && body.is_end_stream() {
+                return Some((data, true));
+            }
+            whole.extend_from_slice(&data);
+            if whole.len() > BODY_MOST {
+                return Some((whole.freeze(), false));
+            }
+        }
+    }
+}
+
+/// One piece, where the body can't be read ahead.
+async fn first_piece(body: &mut Answered) -> Option<(Bytes, bool)> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            return Some((data, body.is_end_stream()));
+        }
+    }
+    Some((Bytes::new(), true))
+}
+
+/// Passes the rest of a body on; false where one of the two sides gave up.
+async fn pass_on(source: Source, first: Bytes, body: &mut Answered) -> bool {
+    if source.pass(first).await.is_err() {
+        return false;
+    }
+    loop {
+        // Guards against an instance that goes silent in the middle, and a service client that no longer reads: each
+        // would hold both connections for ever.
+        let Ok(frame) = tokio::time::timeout(STALLED, body.frame()).await else { return false };
+        match frame {
+            None => break,
+            Some(Err(_)) => return false,
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                match tokio::time::timeout(STALLED, source.pass(data)).await {
+                    Ok(Ok(())) => {}
+                    _ => return false,
+                }
+            }
+        }
+    }
+    source.end().await;
+    true
+}
+
 /// Makes one attempt on a connection; an error is how it ended without an answer.
 async fn make(
     instance: &Instance,
     limits: &Limits,
-    pacing: Option<&Pacing>,
+    carried: Carried<'_>,
     pooled: Pooled,
     passed: &Passed,
     due: Due,
-) -> Result<(StatusCode, HeaderMap, Bytes), Outcome> {
+) -> Result<Made, Outcome> {
+    let Carried { pacing, ahead, begin } = carried;
     let mut connection = match pooled {
         Pooled::Idle(mut connection) => match connection.usable().await {
             true => connection,
@@ -339,17 +441,37 @@
                 () = pacing.head_stalls(&watch, due) => return None,
             },
         };
-        let (parts, body) = answer.into_parts();
-        if !framed(parts.status, &parts.headers) {
+        let (parts, mut body) = answer.into_parts();
+        if !framed(parts.version, parts.status, &parts.headers) {
             return None;
         }
-        let body = match pacing {
-            None => Limited::new(body, BODY_MOST).collect().await.ok()?.to_bytes(),
-            Some(pacing) => pacing.collect(body, due).await?,
+        let length = body.size_hint().exact();
+        let good = outcome(parts.status, &parts.headers) == Outcome::Ok;
+        // One that says that it is larger than what is read ahead is passed on as it comes; so is one that would have
+        // to wait for room, which its service client's own reading gives it.
+        let room = length.unwrap_or(BODY_MOST as u64);
+        let room = (room <= BODY_MOST as u64).then(|| ahead.clone().try_acquire_many_owned(room as u32).ok());
+        let held = room.flatten();
+        let (first, all) = match (pacing, &held) {
+            (_, None) if good => first_piece(&mut body).await?,
+            (None, _) => read_ahead(&mut body).await?,
+            (Some(pacing), _) => pacing.collect(&mut body, due).await?,
         };
-        Some((parts.status, parts.headers, body))
+        if all || !good {
+            return Some((parts.status, parts.headers, Content::Whole(first)));
+        }
+        let (source, flow) = flow(length, held);
+        watch.passing.store(true, Ordering::Relaxed);
+        // Nobody waits for it where it was given up just now.
+        begin.send((parts.status, parts.headers.clone(), Content::Flow(flow))).ok()?;
+        let whole = pass_on(source, first, &mut body).await;
+        whole.then(|| (parts.status, parts.headers, Content::Whole(Bytes::new())))
     };
-    let Some(answer) = drive(&mut connection.driver, exchange).await.flatten() else {
+    let passing = connection.watch.clone();
+    let passing = || passing.passing.load(Ordering::Relaxed);
+    let driven = drive(&mut connection.driver, exchange, passing).await;
+    connection.watch.passing.store(false, Ordering::Relaxed);
+    let Some(answer) = driven.flatten() else {
         // Not a byte was written: it never ran. Otherwise it may have: part of it may have been the whole. A spoilt
         // answer ends here too, and one that was given up for its pace, and its connection with it: the module hears
         // of it as of any other break, once nothing of it is out.
@@ -434,7 +556,9 @@
         let instance = Instance::new(endpoint);
         instance.state().drained = drained;
         let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
-        let made = make(&instance, &limits, None, place, &passed, Due { until, again: None });
+        let (ahead, begin) = (Arc::new(Semaphore::new(1 << 20)), oneshot::channel().0);
+        let carried = Carried { pacing: None, ahead: &ahead, begin };
+        let made = make(&instance, &limits, carried, place, &passed, Due { until, again: None });
         tokio::time::timeout(Duration::from_secs(20), made).await.expect("an end").err()
     }
 
@@ -445,6 +569,9 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
             stream.write_all(answer.as_bytes()).await.unwrap();
+            if answer.contains("Connection: close") || answer.starts_with("HTTP/1.0") {
+                stream.shutdown().await.unwrap();
+            }
             stream
         };
         // The connection stays open at its other end.
@@ -464,6 +591,11 @@
         for rest in good {
             assert_eq!(answered(&format!("{ok}{rest}")).await, None, "{rest}");
         }
+        for head in ["HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n"] {
+            assert_eq!(answered(&format!("{head}\r\nup to the end")).await, None, "{head}");
+        }
+        let chunks = "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nfine\r\n0\r\nX-Trailer: x\r\n\r\n";
+        assert_eq!(answered(&format!("{ok}{chunks}")).await, None);
         let ahead = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
         assert_eq!(answered(&format!("{ahead}{ok}{}", good[0])).await, None);
         let spoilt = [
@@ -501,15 +633,17 @@
             stream
         };
         let place = Pooled::Place(pool.clone().try_acquire_owned().unwrap());
-        let first = make(&instance, &limits, None, place, &passed, due);
+        let ahead = Arc::new(Semaphore::new(1 << 20));
+        let carried = || Carried { pacing: None, ahead: &ahead, begin: oneshot::channel().0 };
+        let first = make(&instance, &limits, carried(), place, &passed, due);
         let (_, stream) = tokio::join!(first, serve("first"));
         // A second copy, which the reactor has not seen: nothing is awaited between.
         assert!(stream.try_write(answer("first").as_bytes()).unwrap() > 0);
         let idle = instance.state().idle.pop().unwrap();
-        let second = make(&instance, &limits, None, Pooled::Idle(idle), &passed, due);
+        let second = make(&instance, &limits, carried(), Pooled::Idle(idle), &passed, due);
         let served = async { tokio::join!(second, serve("second")).0 };
         let second = tokio::time::timeout(Duration::from_secs(20), served).await.expect("a new connection");
-        assert_eq!(second.ok().unwrap().2, "second");
+        assert!(matches!(second.ok().unwrap().2, Content::Whole(body) if body == "second"));
         // The one place went from the old connection to the new one.
         assert_eq!(pool.available_permits(), 0);
         instance.state().idle.clear();
@@ -553,7 +687,7 @@
         let (_listener, endpoint) = listen().await;
         let (queue, mut inbox) = mpsc::channel(8);
         let facts = super::super::config::Config::sample().facts;
-        let mut fleet = Fleet::new(&facts, 1, Clock::start(), super::super::pace::none(), queue);
+        let mut fleet = Fleet::new(&facts, (1, 0), Clock::start(), super::super::pace::none(), queue);
         let member =
             applewall::api::Member { backend: "s-1".into(), state: MemberState::Ready, ..Default::default() };
         fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Uri};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
-use super::answer::Answer;
+use super::answer::{Answer, Content};
 
 /// What reaches the engine.
 pub enum Message {
@@ -59,7 +59,7 @@
     pub latency: Duration,
     pub load: Vec<f64>,
     /// The answer, where it was served.
-    pub served: Option<(Bytes, Option<HeaderValue>)>,
+    pub served: Option<(Content, Option<HeaderValue>)>,
 }
 
 /// One instance as the name table has it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod connection;
 pub mod control;
 pub mod engine;
+pub mod flow;
 pub mod framing;
 pub mod inherit;
 pub mod instance;
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -167,7 +167,8 @@
             let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
             Ok::<_, String>((status, body.map_err(|e| e.to_string())?.to_bytes()))
         };
-        let answered = timeout(wait + PATIENCE, drive(&mut connection, call)).await.map_err(late)?;
+        let answered =
+            timeout(wait + PATIENCE, drive(&mut connection, call, || false)).await.map_err(late)?;
         let (status, body) = answered.ok_or_else(|| "the connection ended".to_string())??;
         if status != StatusCode::OK {
             return Err(Loss::Busy(format!("status {status}")));
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -33,6 +33,10 @@
     asked: AtomicBool,
     unread: AtomicBool,
     halfway: AtomicBool,
+    /// Something waits for room to be written.
+    blocked: AtomicBool,
+    /// When it was last heard, or answered, in nanoseconds since the seats were set up.
+    since: AtomicU64,
     distrusted: AtomicBool,
     /// Told when the connection has to go.
     pub go: Notify,
@@ -55,6 +59,7 @@
         waiting.turn += 1;
         let turn = waiting.turn;
         self.turn.store(turn, Ordering::Relaxed);
+        self.touch();
         waiting.seats.insert((self.asked(), turn), (Arc::downgrade(self), Instant::now()));
     }
 
@@ -76,7 +81,37 @@
 
     /// Notes whether part of a head has been read, and not its end.
     pub fn reading(&self, halfway: bool) {
-        self.halfway.store(halfway, Ordering::Relaxed);
+        if self.halfway.swap(halfway, Ordering::Relaxed) != halfway {
+            self.touch();
+        }
+    }
+
+    /// Notes whether something waits for room to be written.
+    pub fn writing(&self, blocked: bool) {
+        self.blocked.store(blocked, Ordering::Relaxed);
+    }
+
+    /// From here on its silence counts.
+    fn touch(&self) {
+        let since = self.seats.origin.elapsed().as_nanos() as u64;
+        self.since.store(since, Ordering::Relaxed);
+    }
+
+    /// Ends once the connection has been silent for so long, or half way through a head. The two are told apart: the
+    /// time of a head counts from its first byte.
+    pub async fn silent(&self, most: Duration) {
+        loop {
+            let since = self.since.load(Ordering::Relaxed);
+            tokio::time::sleep_until((self.seats.origin + Duration::from_nanos(since) + most).into()).await;
+            if self.since.load(Ordering::Relaxed) != since {
+                continue;
+            }
+            let waits = self.turn.load(Ordering::Relaxed) > 0;
+            if waits && !self.blocked.load(Ordering::Relaxed) {
+                return;
+            }
+            self.touch();
+        }
     }
 
     /// True where a head is half here: its command is about to be taken.
@@ -119,9 +154,15 @@
 }
 
 /// All connections that wait for a command.
-#[derive(Default)]
 pub struct Seats {
     waiting: Mutex<Waiting>,
+    origin: Instant,
+}
+
+impl Default for Seats {
+    fn default() -> Self {
+        Seats { waiting: Mutex::default(), origin: Instant::now() }
+    }
 }
 
 impl Seats {
@@ -143,6 +184,8 @@
             asked: AtomicBool::new(false),
             unread: AtomicBool::new(false),
             halfway: AtomicBool::new(false),
+            blocked: AtomicBool::new(false),
+            since: AtomicU64::new(0),
             distrusted: AtomicBool::new(false),
             go: Notify::new(),
             cut,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -170,8 +170,12 @@
                 _ => writeln!(text, "  {line}").unwrap(),
             }
         }
-        let mut body = vec![0; length];
-        stream.read_exact(&mut body).unwrap();
+        let mut body = Vec::new();
+        stream.take(length as u64).read_to_end(&mut body).unwrap();
+        if body.len() < length {
+            writeln!(text, "\n  (cut off after {} bytes)", body.len()).unwrap();
+            return text;
+        }
         match length {
             0 => {}
             1..200 => writeln!(text, "\n  {}", String::from_utf8(body).unwrap()).unwrap(),
