Tests of the upgrade; ceilings are filled up to the moment before they are handed over

Change: exchanges with two processes (taken over twice, calls to either, a head half read at SIGTERM, kept connections' last answers; a new process that dies before and after it took over, an old one's successor killed; a stale socket, a torn and a newer ledger), GW_FD that does not listen, the module's handover. Found by these: a store not asked for since long was filled after the handover, at the rate of whoever asked next, so a take-back gave 20 of 10 units; and a torn estate could bring numbers that are none into the module, so it carries a checksum (crc, by postcard's own feature).

--- a/src/keep.rs
+++ b/src/keep.rs
@@ -4,6 +4,7 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
+use crc::{Crc, CRC_32_ISCSI};
 use serde::{Deserialize, Serialize};
 
 use crate::api::BackendId;
@@ -15,6 +16,9 @@
 /// Part of a ceiling's fill that the one before keeps: none, but for a plan without a fill has no ceiling at all.
 const FILL_LEFT: f64 = 1e-3;
 
+/// What a torn estate differs in: a number that is none would be found only where it does harm.
+const CHECK: Crc<u32> = Crc::<u32>::new(&CRC_32_ISCSI);
+
 /// All that is handed on, in the module's own terms: moments are those of the clock, which has to go along.
 #[derive(Serialize, Deserialize)]
 struct Kept<'a> {
@@ -64,6 +68,7 @@
     ///
     /// What it keeps can't be written down.
     pub fn hand_over(&mut self) -> Result<Vec<u8>, String> {
+        self.fill_all();
         let left: Vec<f64> = self.customers.values().map(|c| c.ceiling * (1.0 - HANDED)).collect();
         self.customers.values_mut().for_each(|c| c.ceiling *= HANDED);
         let kept = Kept {
@@ -82,7 +87,7 @@
             evidence: (self.pool, self.told),
             carried: (self.carried, self.strength),
         };
-        let bytes = postcard::to_stdvec(&kept).map_err(|e| e.to_string());
+        let bytes = postcard::to_stdvec_crc32(&kept, CHECK.digest()).map_err(|e| e.to_string());
         for (c, left) in self.customers.values_mut().zip(left) {
             (c.ceiling, c.bank) = (left, c.bank.map(|_| 0.0));
         }
@@ -92,16 +97,28 @@
 
     /// The one that was to take over has failed: this one goes on by itself, with what it has left.
     pub fn take_back(&mut self) {
+        // What came in the meantime came to the other one.
+        self.fill_all();
         self.set.plans.iter_mut().for_each(|p| p.ceiling_rate /= FILL_LEFT);
     }
 
+    /// Brings every store up to the present moment: filled later, it would be at another's rate.
+    fn fill_all(&mut self) {
+        let plans = &self.set.plans;
+        for c in self.customers.values_mut() {
+            if let Some(plan) = c.plan.map(|p| &plans[p]) {
+                c.fill(self.last, plan);
+            }
+        }
+    }
+
     /// Goes on where another left off.
     ///
     /// # Errors
     ///
     /// What was handed on is not of this form, or of other settings; nothing is changed then.
     pub fn take_over(&mut self, bytes: &[u8]) -> Result<(), String> {
-        let kept: Kept = postcard::from_bytes(bytes).map_err(|e| e.to_string())?;
+        let kept: Kept = postcard::from_bytes_crc32(bytes, CHECK.digest()).map_err(|e| e.to_string())?;
         if kept.shape != self.shape() || !kept.whole(self) {
             return Err("it is of other settings".to_string());
         }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -47,6 +47,24 @@
     }
 }
 
+#[test]
+fn a_descriptor_that_does_not_listen_ends_with_one_plain_line() {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("inherits.json");
+    std::fs::write(&path, config("", "")).unwrap();
+    let program = env!("CARGO_BIN_EXE_applewall");
+    let cases = [
+        ("97", "", "descriptor 97 is no listening socket"),
+        ("7", "7</dev/null", "descriptor 7 is no listening socket"),
+        ("seven", "", "'seven' is no number"),
+        ("1", "", "'1' is no number"),
+    ];
+    for (number, redirection, reason) in cases {
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &format!("exec \"$0\" serve {redirection}"), program]);
+        fails(shell.env("GW_CONFIG", &path).env("GW_FD", number).output().unwrap(), reason);
+    }
+}
+
 #[test]
 fn a_wrong_configuration_ends_with_one_plain_line() {
     let cases = [
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -19,6 +19,13 @@
 //! - `operator LINE`: one call at the second address, and its answer; `operator-raw BYTES`: these bytes, with \r, \n,
 //!   \xHH and `*N TEXT` for N times TEXT; `operator-bytes`: one at a time; `NAME holds TEXT`: a caller that says so
 //!   much and stays; `NAME leaves BYTES`: one that is gone before its answer;
+//! - `inherit`: the clients' listening socket is held here, and each program started from now on inherits it as
+//!   descriptor 7 (`GW_FD`), with one folder for their `$TMPDIR`;
+//! - `upgrade`: starts one more program beside the one that runs, which is `old` from now on: `old term`, `old log TEXT`,
+//!   `old exit`, `old operator LINE`; `kill`: SIGKILL;
+//! - `NAME takes`: a connection to the Unix socket there that says what a new process says, and is handed the estate;
+//!   `NAME says TEXT`: a line on a connection;
+//! - `state TEXT`: the ledger's file; `ledger`: notes what is in it; `stale`: a Unix socket that nobody listens at;
 //! - `term`: SIGTERM; `hup`: the configuration as set by now replaces the file, then SIGHUP; `hup TEXT`: the file
 //!   holds that text instead.
 //!
@@ -48,15 +55,22 @@
     addresses: HashMap<String, SocketAddr>,
     config: Value,
     program: Option<(Child, Receiver<String>)>,
+    old: Option<(Child, Receiver<String>)>,
+    /// What each program inherits: the listening socket, and a folder.
+    inherited: Option<(TcpListener, std::path::PathBuf)>,
+    handed: HashMap<String, std::os::unix::net::UnixStream>,
     notes: String,
 }
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        if let Some((child, _)) = &mut self.program {
+        for (child, _) in [&mut self.program, &mut self.old].into_iter().flatten() {
             let _ = child.kill();
             let _ = child.wait();
         }
+        if let Some((_, folder)) = &self.inherited {
+            let _ = std::fs::remove_dir_all(folder);
+        }
     }
 }
 
@@ -101,15 +115,33 @@
     }
 
     fn signal(&self, signal: &str) {
-        let id = self.program.as_ref().unwrap().0.id().to_string();
+        Self::signal_to(self.program.as_ref().unwrap(), signal);
+    }
+
+    fn signal_to((child, _): &(Child, Receiver<String>), signal: &str) {
+        let id = child.id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
     fn start(&mut self) {
         let path = self.write(&self.with_addresses(&self.config.to_string()));
-        let mut child = Command::new(env!("CARGO_BIN_EXE_applewall"))
+        let program = env!("CARGO_BIN_EXE_applewall");
+        let mut command = match &self.inherited {
+            None => Command::new(program),
+            Some((listener, folder)) => {
+                // The shell moves what it has as its input to the descriptor.
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null", program]);
+                shell.stdin(std::os::fd::OwnedFd::from(listener.try_clone().unwrap()));
+                shell.env("GW_FD", "7").env("TMPDIR", folder);
+                shell
+            }
+        };
+        if self.inherited.is_none() {
+            command.env_clear();
+        }
+        let mut child = command
             .arg("serve")
-            .env_clear()
             .env("GW_CONFIG", path)
             .env("GW_DISCOVERY", self.addresses["discovery"].to_string())
             .stderr(Stdio::piped())
@@ -133,7 +165,10 @@
     }
 
     fn log(&mut self, text: &str) -> String {
-        let (_, log) = self.program.as_mut().unwrap();
+        Self::log_of(self.program.as_mut().unwrap(), text)
+    }
+
+    fn log_of((_, log): &mut (Child, Receiver<String>), text: &str) -> String {
         let next = || log.recv_timeout(PATIENCE).ok();
         std::iter::from_fn(next)
             .find(|l| l.contains(text))
@@ -190,7 +225,8 @@
 
     /// One call, with its answer up to the end of the connection.
     fn call(&mut self, step: &str, bytes: &[u8], one_by_one: bool) {
-        let mut stream = TcpStream::connect(self.addresses["operator"]).unwrap();
+        let to = if step.starts_with("old ") { "operator-old" } else { "operator" };
+        let mut stream = TcpStream::connect(self.addresses[to]).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
         let pieces = if one_by_one { 1 } else { bytes.len().max(1) };
@@ -257,7 +293,10 @@
                 let got = self.without_addresses(got);
                 writeln!(self.notes, "{name} gets\n{got}").unwrap();
             }
-            [name, "ends"] => drop(self.streams.remove(name)),
+            [name, "ends"] => {
+                self.handed.remove(name);
+                drop(self.streams.remove(name));
+            }
             [name, "throws", ..] => {
                 let to = self.addresses["peer_listen"];
                 self.sockets[name].send_to(words[2..].join(" ").as_bytes(), to).unwrap();
@@ -270,7 +309,10 @@
             }
             ["log", ..] => {
                 let line = self.log(&words[1..].join(" "));
-                let masked = self.without_addresses(line).replace(env!("CARGO_TARGET_TMPDIR"), "@files");
+                let mut masked = self.without_addresses(line).replace(env!("CARGO_TARGET_TMPDIR"), "@files");
+                if let Some((_, folder)) = &self.inherited {
+                    masked = masked.replace(folder.to_str().unwrap(), "@folder");
+                }
                 writeln!(self.notes, "log\n  {masked}\n").unwrap();
             }
             ["operator", ..] => {
@@ -290,6 +332,65 @@
                 let mut stream = TcpStream::connect(self.addresses["operator"]).unwrap();
                 stream.write_all(&raw(&words[2..].join(" "))).unwrap();
             }
+            ["inherit"] => {
+                let folder = std::env::temp_dir().join(format!(
+                    "applewall-{}-{}",
+                    std::process::id(),
+                    stem(&self.write("{}"))
+                ));
+                std::fs::create_dir_all(&folder).unwrap();
+                self.inherited = Some((TcpListener::bind("127.0.0.1:0").unwrap(), folder));
+            }
+            ["upgrade"] => {
+                self.old = self.program.take();
+                let before = self.addresses["operator"];
+                self.addresses.insert("operator-old".into(), before);
+                self.start();
+            }
+            ["kill"] => {
+                let (mut child, _) = self.program.take().unwrap();
+                child.kill().unwrap();
+                child.wait().unwrap();
+            }
+            ["old", "term"] => Self::signal_to(self.old.as_ref().unwrap(), "-TERM"),
+            ["old", "exit"] => {
+                let status = self.old.as_mut().unwrap().0.wait().unwrap();
+                writeln!(self.notes, "old exit\n  {status}\n").unwrap();
+            }
+            ["old", "log", ..] => {
+                let line = Self::log_of(self.old.as_mut().unwrap(), &words[2..].join(" "));
+                writeln!(self.notes, "old log\n  {line}\n").unwrap();
+            }
+            ["old", "operator", ..] => {
+                let line = format!("{}\n", words[2..].join(" "));
+                self.call(step, line.as_bytes(), false);
+            }
+            [name, "takes"] => {
+                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.sock");
+                let mut stream = std::os::unix::net::UnixStream::connect(path).unwrap();
+                stream.write_all(b"applewall succession 1\n").unwrap();
+                let mut head = [0; 8];
+                stream.read_exact(&mut head).unwrap();
+                assert_eq!(&head[..4], b"AWE1");
+                self.handed.insert(name.into(), stream);
+            }
+            [name, "says", ..] => {
+                let line = format!("{}\n", words[2..].join(" "));
+                self.handed.get_mut(name).unwrap().write_all(line.as_bytes()).unwrap();
+            }
+            ["state", ..] => {
+                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.state");
+                std::fs::write(path, words[1..].join(" ")).unwrap();
+            }
+            ["ledger"] => {
+                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.state");
+                let text = std::fs::read_to_string(path).unwrap();
+                writeln!(self.notes, "ledger\n  {text}\n").unwrap();
+            }
+            ["stale"] => {
+                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.sock");
+                drop(std::os::unix::net::UnixListener::bind(path).unwrap());
+            }
             ["term"] => self.signal("-TERM"),
             ["hup", ..] => {
                 self.write(&match words.len() {
@@ -307,6 +408,11 @@
     }
 }
 
+/// A name of its own for a test, by its file.
+fn stem(path: &std::path::Path) -> String {
+    path.file_stem().unwrap().to_str().unwrap().to_string()
+}
+
 /// Bytes as an exchange writes them.
 fn raw(text: &str) -> Vec<u8> {
     let many = text.split_once('*').and_then(|(before, n)| Some((before, n.split_once(' ')?)));
@@ -352,4 +458,5 @@
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
+    upgrade, upgrade_fails, heritage,
 }
