A process that takes its ceilings back starts customers it does not know as a new life does

Cause: the test of a failed successor let 20 of 10 units pass after a take-back. Seen: the customer was forgotten after FORGET (10 s) with its store full, and entered again as filled since this process was born, while the other may have spent it. At fault: keep.rs, take_back left `born` as it was. Change: take_back sets it to the present moment. Measured: 10 of 10 at once, and none for one not known here.

--- a/src/keep.rs
+++ b/src/keep.rs
@@ -97,8 +97,9 @@
 
     /// The one that was to take over has failed: this one goes on by itself, with what it has left.
     pub fn take_back(&mut self) {
-        // What came in the meantime came to the other one.
+        // What came in the meantime came to the other one; and whoever is not known here may have spent all there.
         self.fill_all();
+        self.born = self.last;
         self.set.plans.iter_mut().for_each(|p| p.ceiling_rate /= FILL_LEFT);
     }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -87,9 +87,13 @@
 fn one_whose_successor_failed_fills_its_ceilings_again() {
     let mut old = Stage::new(with_ceiling(), 1, &backends());
     old.ask_of(1, SAFE, 2, "c", 1.0);
-    old.pass(10 * S);
+    old.pass(5 * S);
     let _ = successor(&mut old, with_ceiling());
     old.brain.take_back();
+    // One that is not known here may have spent all that it had at the other.
+    old.pass(100 * MS);
+    let (_, unknown) = old.ask_of(1, SAFE, 2, "d", 1.0);
+    assert!(refused(&unknown));
     let first = passed(&mut old, 40, 2);
     old.pass(2 * S);
     let later = passed(&mut old, 40, 2);
