Net: what two processes share has a module of its own, so imports run one way

Need: control and succession imported each other, and peers imported succession, which imports it. Change: role.rs holds Role, Successor, Estate and the way to the other process; nothing else moved.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -24,8 +24,8 @@
 use super::framing::Guarded;
 use super::message::Message;
 use super::pace::Pacers;
+use super::role::{Role, Successor};
 use super::seats::{Paced, Seat, Seats};
-use super::succession::{Role, Successor};
 use applewall_control::{Stage, CLOSING};
 
 /// Connections that the kernel holds for us at most.
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -26,8 +26,8 @@
 use super::answer::{Answer, Content, Reply};
 use super::clock::Clock;
 use super::message::{Command, Message, Passed};
+use super::role::Successor;
 use super::seats::Seat;
-use super::succession::Successor;
 use super::BODY_MOST;
 
 /// What is told with a nack that the module had no part in: about as long as its own.
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -19,7 +19,7 @@
 
 use super::accept;
 use super::inherit::Place;
-use super::succession::{relay, Estate, Other};
+use super::role::{relay, Estate, Other};
 
 /// Callers held at once; their descriptors are in what the budget keeps back.
 const CALLERS: usize = 12;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -24,7 +24,7 @@
 use super::message::{Command, Ended, Entry, Message, Passed};
 use super::pace::{self, Pacers};
 use super::peers::Peers;
-use super::succession::Estate;
+use super::role::Estate;
 use super::withheld::Withheld;
 
 /// Messages taken from the queue at one go.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,7 +3,8 @@
 //! `accept` takes connections of service clients (`seats` knows which are silent, `framing` guards what they send),
 //! `command` reads a request into the module's terms, `engine`
 //! owns the module and all that is open, `instance` carries out attempts, `answer` writes what comes of it.
-//! `name_table` follows discovery, `peers` carries datagrams, `shutdown` leads the way out. All of them reach
+//! `name_table` follows discovery, `peers` carries datagrams, `shutdown` leads the way out, `control` hears the operators,
+//! `succession` hands over to another process. All of them reach
 //! the engine by its queue only.
 
 pub mod accept;
@@ -26,6 +27,7 @@
 pub mod peers;
 pub mod registry;
 pub mod reply;
+pub mod role;
 pub mod seats;
 pub mod shutdown;
 pub mod succession;
@@ -102,7 +104,7 @@
     let engine = engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone(), before);
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
-    let (role, roles) = watch::channel(succession::Role::Sole);
+    let (role, roles) = watch::channel(role::Role::Sole);
     if let Some(peers) = &peers {
         tokio::spawn(peers.clone().listen(queue.clone(), roles.clone()));
     }
@@ -110,7 +112,7 @@
     let rev = (known.all && !known.targets.is_empty() && !merged).then_some(known.rev);
     let start = name_table::Start { rev, seed: config.seed };
     tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
-    let successor = succession::Successor { role: roles, last: Arc::default() };
+    let successor = role::Successor { role: roles, last: Arc::default() };
     tokio::spawn(signals.lead(stage, inboxes.drains, successor.clone(), drained, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, stages, successor);
     match place {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -10,7 +10,7 @@
 
 use super::config::Config;
 use super::message::Message;
-use super::succession::Role;
+use super::role::Role;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
 const MOST: usize = 256;
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -11,7 +11,7 @@
 
 use super::config::Source;
 use super::control::Drain;
-use super::succession::{Role, Successor};
+use super::role::{Role, Successor};
 
 /// After SIGTERM, with another process in place: by when what is still taken has to be answered. The kill comes 3.7 s
 /// after the signal, and takes what came in the meantime and has no answer.
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -6,18 +6,15 @@
 use std::collections::HashMap;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
-use applewall::api::Member;
-use applewall_control::{Answer, Call, Ledger};
+use applewall_control::{Answer, Call};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
-use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest, Lines};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
@@ -27,6 +24,7 @@
 use super::control::{Desk, Order};
 use super::inherit::Place;
 use super::peers::Peers;
+use super::role::{Estate, Relayed, Role};
 
 /// What a successor says first: the form of all that follows, and its version.
 const HELLO: &str = "applewall succession 1";
@@ -38,41 +36,6 @@
 const STEP: Duration = Duration::from_secs(2);
 /// A successor that was handed the estate has so long to take over; then it has failed.
 const TAKING: Duration = Duration::from_secs(10);
-/// The other process has so long to carry out a call; then it counts as gone.
-const CALL: Duration = Duration::from_millis(400);
-
-/// Who this process is to the other one, if there is another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// All is this process's.
-    Sole,
-    /// The estate is handed out, and not taken over yet: clients are still this process's.
-    HandedOut,
-    /// The other one has taken over: this one answers what it has.
-    Succeeded,
-}
-
-/// What the rest of the program has to know of a process that takes over from this one.
-#[derive(Clone)]
-pub struct Successor {
-    pub role: watch::Receiver<Role>,
-    /// By when all has to be answered, once this process was told to stop and another took over.
-    pub last: Arc<OnceLock<Instant>>,
-}
-
-/// What one process hands another.
-#[derive(Serialize, Deserialize)]
-pub struct Estate {
-    /// The module's clock.
-    pub now: u64,
-    pub withheld: Ledger,
-    /// Draining or drained.
-    pub drained: bool,
-    /// The list, as discovery has it.
-    pub listed: Vec<(Member, SocketAddr)>,
-    /// What the module keeps.
-    pub module: Vec<u8>,
-}
 
 /// What a new process was handed, and its connection to the one before.
 pub struct Heritage {
@@ -151,24 +114,6 @@
     Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut ancillary, SendFlags::NOSIGNAL)?)
 }
 
-/// A call for the other process, and where its answer goes.
-pub struct Relayed {
-    call: String,
-    reply: oneshot::Sender<()>,
-}
-
-/// The way to the other process, while there is one.
-pub type Other = watch::Receiver<Option<mpsc::Sender<Relayed>>>;
-
-/// Lets the other process, if there is one, carry out what this one has; returns once it has, or is gone.
-pub async fn relay(other: &Other, call: String) {
-    let Some(link) = other.borrow().clone() else { return };
-    let (reply, answer) = oneshot::channel();
-    if link.send(Relayed { call, reply }).await.is_ok() {
-        let _ = timeout(CALL, answer).await;
-    }
-}
-
 /// This process's part in a succession, on either side of it.
 pub struct Succession {
     pub place: Place,
