--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -119,9 +119,13 @@
         Some(place) => {
             let (taken, all_taken) = oneshot::channel();
             let succession = succession::Succession { place, role, other, desk, orders, peers };
+            let took_over = link.is_some();
             tokio::spawn(succession.lead(link, taken));
             let _ = all_taken.await;
             ready.send_replace(true);
+            if took_over {
+                tracing::info!("succession: taken over from the process before; ready");
+            }
         }
         // Nobody else comes: the role stays what it is for as long as the program runs.
         None => drop(tokio::spawn(async move { role.closed().await })),
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -372,6 +372,8 @@
                 let mut head = [0; 8];
                 stream.read_exact(&mut head).unwrap();
                 assert_eq!(&head[..4], b"AWE1");
+                let length = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
+                stream.read_exact(&mut vec![0; length as usize]).unwrap();
                 self.handed.insert(name.into(), stream);
             }
             [name, "says", ..] => {
