--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -153,7 +153,7 @@
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
             let accepted = tokio::select! {
                 biased;
-                _ = role.wait_for(|r| *r == Role::Succeeded) => continue,
+                Ok(_) = role.wait_for(|r| *r == Role::Succeeded) => continue,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -225,6 +225,8 @@
                 _ = cancelled => (Err(Outcome::Cancelled), false),
                 () = tokio::time::sleep_until(until.into()) => (Err(Outcome::TimedOut), false),
             };
+            // One that began and was through at one go: what it brought waits in its flow.
+            let result = result.map(|whole| begun.try_recv().unwrap_or(whole));
             let mut ended = Ended {
                 request,
                 number,
@@ -682,6 +684,32 @@
         assert_eq!(attempt(endpoint, None).await, Some(Outcome::NoConnection));
     }
 
+    #[tokio::test]
+    async fn an_answer_that_begins_and_ends_at_one_go_is_passed_on_whole() {
+        let (listener, endpoint) = listen().await;
+        let (queue, mut inbox) = mpsc::channel(8);
+        let facts = super::super::config::Config::sample().facts;
+        // No room to read ahead: passed on from its first piece.
+        let mut fleet = Fleet::new(&facts, (1, 0), Clock::start(), super::super::pace::none(), queue);
+        let member =
+            applewall::api::Member { backend: "s-1".into(), state: MemberState::Ready, ..Default::default() };
+        fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
+        let until = Instant::now() + Duration::from_secs(30);
+        let (request, passed) = (RequestId(7), Arc::new(passed()));
+        let attempt = Attempt { request, number: 0, backend: "s-1".into(), passed, until, again: None };
+        let _cancel = fleet.start(attempt).ok().unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}4\r\nfine\r\n0\r\n\r\n").as_bytes()).await.unwrap();
+        let Some(Message::Ended(ended)) = inbox.recv().await else { panic!("no report") };
+        let body = match ended.served.expect("served").0 {
+            Content::Whole(body) => body,
+            Content::Flow(flow) => flow.collect().await.unwrap().to_bytes(),
+        };
+        assert_eq!(body, "fine");
+    }
+
     #[tokio::test]
     async fn without_a_place_an_attempt_is_not_sent_and_places_come_back() {
         let (_listener, endpoint) = listen().await;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -82,7 +82,7 @@
             }
             let received = tokio::select! {
                 biased;
-                _ = role.changed() => continue,
+                Ok(()) = role.changed() => continue,
                 received = self.socket.recv_from(&mut buffer) => received,
             };
             let Ok((length, sender)) = received else {
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -147,7 +147,10 @@
             self.link(BufReader::new(reading).lines(), writing).await;
             tracing::info!("succession: the process before has ended");
         }
-        let Some(mut listener) = listener else { return };
+        let Some(mut listener) = listener else {
+            // Nobody can take over; the role stays what it is, and its followers must not find it without an owner.
+            return self.role.closed().await;
+        };
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(STEP).await;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -21,6 +21,7 @@
 //!   much and stays; `NAME leaves BYTES`: one that is gone before its answer;
 //! - `inherit`: the clients' listening socket is held here, and each program started from now on inherits it as
 //!   descriptor 7 (`GW_FD`), with one folder for their `$TMPDIR`;
+//! - `nowhere`: that folder is gone;
 //! - `upgrade`: starts one more program beside the one that runs, which is `old` from now on: `old term`, `old log TEXT`,
 //!   `old exit`, `old operator LINE`; `kill`: SIGKILL;
 //! - `NAME takes`: a connection to the Unix socket there that says what a new process says, and is handed the estate;
@@ -234,6 +235,9 @@
         stream.shutdown(std::net::Shutdown::Write).unwrap();
         let mut answer = String::new();
         stream.read_to_string(&mut answer).unwrap();
+        if let Some((_, folder)) = &self.inherited {
+            answer = answer.replace(folder.to_str().unwrap(), "@folder");
+        }
         writeln!(self.notes, "{step}\n  {}\n", answer.trim_end_matches('\n')).unwrap();
     }
 
@@ -341,6 +345,7 @@
                 std::fs::create_dir_all(&folder).unwrap();
                 self.inherited = Some((TcpListener::bind("127.0.0.1:0").unwrap(), folder));
             }
+            ["nowhere"] => std::fs::remove_dir_all(&self.inherited.as_ref().unwrap().1).unwrap(),
             ["upgrade"] => {
                 self.old = self.program.take();
                 let before = self.addresses["operator"];
@@ -460,5 +465,5 @@
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
-    upgrade, upgrade_fails, heritage,
+    upgrade, upgrade_fails, heritage, nowhere,
 }
