A stop gives what was taken its whole deadline: times follow from the settings

Replayed with ends logged: the request was taken just before SIGTERM with 4.1 s left, the log says "ended with connections still open" 3.70 s after it. Checked and ruled out: bytes crossing a close, new connections at the closing listener: all others of those logs had their answers. At fault: crates/control/src/stages.rs CLOSING (3.1 s after 0.6 s) and src/net/shutdown.rs LAST, constants fitted to a longest deadline of 3 s. They now follow from the classes' longest deadline (Termination); what is taken more than 0.6 s after the signal is answered before the kill can come, also where no other process has taken over.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use call::{Answer, Call, LINE_MOST};
 pub use ledger::{Ledger, Unknown, MOST as LEDGER_MOST};
-pub use stages::{Leave, Stage, Stages, CLOSING, DRAINING, LEAVING, STAYING};
+pub use stages::{Leave, Stage, Stages, Termination, DRAINING, LEAVING};
--- a/crates/control/src/stages.rs
+++ b/crates/control/src/stages.rs
@@ -7,11 +7,62 @@
 pub const DRAINING: Duration = Duration::from_millis(500);
 /// New connections keep coming for 0.2 to 0.4 s after SIGTERM; they are served for a little longer.
 pub const LEAVING: Duration = Duration::from_millis(600);
-/// The same where another process has taken over: kept connections carry one last answer rather than be closed under
-/// a request, and there is time for that until shortly before the kill.
-pub const STAYING: Duration = Duration::from_millis(2_700);
-/// After [`LEAVING`], what was taken has the longest deadline to be answered; then the program ends in any case.
-pub const CLOSING: Duration = Duration::from_millis(3_100);
+/// The kill comes this long after SIGTERM and the longest deadline, of which no more than [`LONGEST`] counts.
+const KILL: Duration = Duration::from_millis(700);
+const LONGEST: Duration = Duration::from_secs(3);
+/// Before the kill: the last connection that another process's clients keep is told to close, the last answer to what
+/// came late goes out.
+const STAYING_MARGIN: Duration = Duration::from_secs(1);
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// The same with another process in place, which takes what is new from here: no hurry is worth a lost answer.
+const SUCCEEDED_MARGIN: Duration = Duration::from_millis(400);
+/// What is open has its own deadline to be answered, and so long on top to be written.
+const END_MARGIN: Duration = Duration::from_millis(300);
+
+/// How long each part of the way out may take, from SIGTERM on. All of it follows from the longest deadline that the
+/// settings give a class: a command that was taken just before SIGTERM has all of it, and is lost if the program ends
+/// before, while what the kill finds of it is not.
+#[derive(Clone, Copy, Debug)]
+pub struct Termination {
+    longest: Duration,
+}
+
+impl Termination {
+    /// Where no command waits for longer than this.
+    pub fn new(longest: Duration) -> Self {
+        Termination { longest }
+    }
+
+    /// The kill comes no sooner.
+    fn kill(self) -> Duration {
+        self.longest.min(LONGEST) + KILL
+    }
+
+    /// Connections are kept for so long.
+    pub fn keeps(self, how: Leave) -> Duration {
+        match how {
+            Leave::Alone => LEAVING,
+            Leave::Succeeded => self.kill().saturating_sub(STAYING_MARGIN),
+        }
+    }
+
+    /// What is taken from the first moment on has to be answered by the second one, however much time it has left: the
+    /// kill takes it otherwise.
+    pub fn late(self, how: Leave) -> (Duration, Duration) {
+        match how {
+            Leave::Alone => (LEAVING, self.kill() - ANSWER_MARGIN),
+            Leave::Succeeded => (Duration::ZERO, self.kill() - SUCCEEDED_MARGIN),
+        }
+    }
+
+    /// The program ends, whatever is still open: by then all that was taken is answered.
+    pub fn ends(self, how: Leave) -> Duration {
+        match how {
+            Leave::Alone => LEAVING + self.longest.max(LONGEST) + END_MARGIN,
+            Leave::Succeeded => self.kill() - SUCCEEDED_MARGIN / 2,
+        }
+    }
+}
 
 /// How far it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,15 +124,15 @@
 pub struct Stages {
     stage: Stage,
     due: Option<Duration>,
+    termination: Termination,
 }
 
-impl Default for Stages {
-    fn default() -> Self {
-        Stages { stage: Stage::Serving, due: None }
+impl Stages {
+    /// At work.
+    pub fn new(termination: Termination) -> Self {
+        Stages { stage: Stage::Serving, due: None, termination }
     }
-}
 
-impl Stages {
     /// The present one.
     pub fn stage(&self) -> Stage {
         self.stage
@@ -116,7 +167,7 @@
         if self.stage.stops() {
             return Err("this process was told to stop; there is no way back");
         }
-        *self = Stages::default();
+        *self = Stages::new(self.termination);
         Ok(())
     }
 
@@ -125,11 +176,11 @@
         if self.stage.stops() {
             return;
         }
-        let (stage, time) = match how {
-            Leave::Alone => (Stage::Leaving, LEAVING),
-            Leave::Succeeded => (Stage::Staying, STAYING),
+        let stage = match how {
+            Leave::Alone => Stage::Leaving,
+            Leave::Succeeded => Stage::Staying,
         };
-        (self.stage, self.due) = (stage, Some(now + time));
+        (self.stage, self.due) = (stage, Some(now + self.termination.keeps(how)));
     }
 
     /// Goes on where the time has come; true where that changed the stage.
@@ -148,55 +199,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const T: fn(u64) -> Duration = Duration::from_millis;
-
-    #[test]
-    fn a_drain_says_no_first_and_closes_later() {
-        let mut stages = Stages::default();
-        stages.drain(T(100)).unwrap();
-        assert!(!stages.stage().healthy() && !stages.stage().last_answers());
-        assert!(!stages.step(T(599)));
-        // The same call again does not begin anew.
-        stages.drain(T(550)).unwrap();
-        assert!(stages.step(T(600)));
-        assert_eq!((stages.stage(), stages.due()), (Stage::Drained, None));
-        assert!(stages.stage().last_answers());
-        stages.drain(T(900)).unwrap();
-        assert_eq!(stages.stage(), Stage::Drained);
-    }
-
-    #[test]
-    fn undrain_leads_back_from_each_stage_and_is_nothing_to_one_that_serves() {
-        for steps in 0..3 {
-            let mut stages = Stages::default();
-            if steps > 0 {
-                stages.drain(T(0)).unwrap();
-            }
-            if steps > 1 {
-                stages.step(T(500));
-            }
-            stages.undrain().unwrap();
-            assert_eq!(stages.stage(), Stage::Serving);
-            // What was due before the call does not come after it.
-            assert!(!stages.step(T(10_000)));
-        }
-    }
-
-    #[test]
-    fn a_stop_goes_before_a_drain_and_there_is_no_way_back() {
-        for (how, time) in [(Leave::Alone, 600), (Leave::Succeeded, 2_700)] {
-            let mut stages = Stages::default();
-            stages.drain(T(0)).unwrap();
-            stages.stop(T(100), how);
-            assert!(stages.stage().stops() && stages.stage().healthy());
-            assert!(stages.undrain().is_err() && stages.drain(T(200)).is_err());
-            stages.stop(T(300), Leave::Alone);
-            assert!(!stages.step(T(99 + time)));
-            assert!(stages.step(T(100 + time)));
-            assert_eq!(stages.stage(), Stage::Closing);
-        }
-    }
-}
+mod tests;
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use applewall_pace::socket::{kernel, lend, Pacer};
 use hyper::server::conn::http1;
@@ -24,9 +24,9 @@
 use super::framing::Guarded;
 use super::message::Message;
 use super::pace::Pacers;
-use super::role::{Role, Successor};
+use super::role::{Role, Stopping, Successor};
 use super::seats::{Paced, Seat, Seats};
-use applewall_control::{Stage, CLOSING};
+use applewall_control::Stage;
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
@@ -41,8 +41,6 @@
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 512 * 1024);
 /// Wait after an error of `accept`, so that a lasting one does not spin.
 const PAUSE: Duration = Duration::from_millis(20);
-/// The same wait for the last answers where another process took over: the kill comes sooner after that.
-const ENDING: Duration = Duration::from_millis(800);
 /// Part of the memory that the bodies of waiting commands may hold together.
 const BODIES_PART: usize = 8;
 
@@ -64,6 +62,7 @@
 /// The door and its budget of connections.
 pub struct Door {
     role: watch::Receiver<Role>,
+    stopping: Arc<OnceLock<Stopping>>,
     gate: Arc<Gate>,
     stages: watch::Receiver<Stage>,
     places: Arc<Semaphore>,
@@ -97,6 +96,7 @@
         };
         Door {
             role: successor.role,
+            stopping: successor.stopping,
             gate: Arc::new(gate),
             stages,
             places,
@@ -123,7 +123,8 @@
         }
         drop(listener);
         let all = self.places.acquire_many(all);
-        if tokio::time::timeout(if succeeded { ENDING } else { CLOSING }, all).await.is_err() {
+        let ends = self.stopping.get().map_or_else(Instant::now, |stopping| stopping.ends);
+        if tokio::time::timeout_at(ends.into(), all).await.is_err() {
             tracing::warn!("ended with connections still open");
         }
     }
@@ -347,7 +348,7 @@
         let places = Budget::new(config.sockets).places();
         let (role, follower) = watch::channel(Role::Sole);
         std::mem::forget(role);
-        let successor = Successor { role: follower, last: Arc::default() };
+        let successor = Successor { role: follower, stopping: Arc::default() };
         Door::new(
             &config,
             Clock::start(),
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -201,8 +201,10 @@
             None => None,
         };
         let mut deadline = arrived + Duration::from_nanos(read.left);
-        if let Some(last) = self.successor.last.get() {
-            deadline = deadline.min(*last);
+        if let Some((_, by)) =
+            self.successor.stopping.get().map(|s| s.late).filter(|(from, _)| arrived >= *from)
+        {
+            deadline = deadline.min(by);
         }
         let (body, held) = match body.is_end_stream() {
             true => (Bytes::new(), None),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -124,8 +124,10 @@
     }
     let start = name_table::Start { rev: rev.filter(|_| !merged), seed: config.seed, turn };
     tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
-    let successor = role::Successor { role: roles, last: Arc::default() };
-    tokio::spawn(signals.lead(stage, inboxes.drains, successor.clone(), drained, source));
+    let successor = role::Successor { role: roles, stopping: Arc::default() };
+    let longest = config.facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let termination = applewall_control::Termination::new(std::time::Duration::from_nanos(longest));
+    tokio::spawn(signals.lead(stage, inboxes.drains, (successor.clone(), termination), drained, source));
     let door = accept::Door::new(&config, clock, places, pacers, queue, (stages, is_listed), successor);
     match place {
         Some(place) => {
--- a/src/net/role.rs
+++ b/src/net/role.rs
@@ -29,8 +29,17 @@
 #[derive(Clone)]
 pub struct Successor {
     pub role: watch::Receiver<Role>,
-    /// By when all has to be answered, once this process was told to stop and another took over.
-    pub last: Arc<OnceLock<Instant>>,
+    /// Set once this process was told to stop.
+    pub stopping: Arc<OnceLock<Stopping>>,
+}
+
+/// The times of a stop, which are fixed the moment it is told.
+#[derive(Clone, Copy, Debug)]
+pub struct Stopping {
+    /// What is taken from here on has to be answered by the second moment.
+    pub late: (Instant, Instant),
+    /// When the program ends, whatever is still open.
+    pub ends: Instant,
 }
 
 /// What one process hands another.
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -2,20 +2,15 @@
 //! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
 
 use std::future::pending;
-use std::time::Duration;
 
-use applewall_control::{Answer, Leave, Stage, Stages};
+use applewall_control::{Answer, Leave, Stage, Stages, Termination};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
 use super::config::Source;
 use super::control::Drain;
-use super::role::{Role, Successor};
-
-/// After SIGTERM, with another process in place: by when what is still taken has to be answered. The kill comes 3.7 s
-/// after the signal, and takes what came in the meantime and has no answer.
-const LAST: Duration = Duration::from_millis(3_300);
+use super::role::{Role, Stopping, Successor};
 
 /// The signals that have a meaning here.
 pub struct Signals {
@@ -40,11 +35,11 @@
         mut self,
         stage: watch::Sender<Stage>,
         mut drains: mpsc::Receiver<Drain>,
-        successor: Successor,
+        (successor, termination): (Successor, Termination),
         drained: bool,
         mut source: Source,
     ) {
-        let (mut stages, origin) = (Stages::default(), Instant::now());
+        let (mut stages, origin) = (Stages::new(termination), Instant::now());
         if drained {
             // As the process before was.
             let _ = stages.drain(origin.elapsed());
@@ -79,10 +74,12 @@
             if stop && !stages.stage().stops() {
                 tracing::info!("told to stop; answering what was taken");
                 let succeeded = *successor.role.borrow() == Role::Succeeded;
-                if succeeded {
-                    let _ = successor.last.set(std::time::Instant::now() + LAST);
-                }
-                stages.stop(origin.elapsed(), if succeeded { Leave::Succeeded } else { Leave::Alone });
+                let how = if succeeded { Leave::Succeeded } else { Leave::Alone };
+                let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
+                let times = Stopping { late: (now + from, now + by), ends: now + termination.ends(how) };
+                // Before the stage is told: whoever sees it finds the times.
+                let _ = successor.stopping.set(times);
+                stages.stop(origin.elapsed(), how);
             }
             tell(&stage, &stages);
         }
