--- /dev/null
+++ b/src/net/engine/tests.rs
@@ -0,0 +1,143 @@
+use super::super::answer::Content;
+use super::*;
+use applewall::api::Request;
+use hyper::{Method, Uri};
+use tokio::sync::oneshot::Receiver;
+
+const ID: RequestId = RequestId(7);
+
+fn engine() -> (Engine, mpsc::Receiver<Message>) {
+    let (queue, inbox) = mpsc::channel(8);
+    (
+        Engine::new(&Config::sample(), Clock::start(), None, pace::none(), queue, (Before::Nothing, None)),
+        inbox,
+    )
+}
+
+/// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
+fn command(engine: &mut Engine) -> Receiver<Answer> {
+    let request = Request {
+        id: ID,
+        class: 0,
+        plan: 0,
+        customer: "c".into(),
+        units: 1.0,
+        left: 1_000_000_000,
+        repeat: false,
+        spread: 1,
+        first: 0,
+    };
+    let passed = Arc::new(Passed {
+        method: Method::GET,
+        target: Uri::from_static("/api"),
+        host: None,
+        id: "0000000000000007".parse().expect("a value"),
+        content_type: None,
+        body: Default::default(),
+        _held: None,
+    });
+    let (reply, answer) = oneshot::channel();
+    let deadline = engine.clock.instant(engine.now + request.left);
+    engine.take(Message::Command(Command { request, serial: 1, deadline, passed, reply }));
+    assert!(engine.open[&ID].out.is_some());
+    answer
+}
+
+fn ended(number: u32, outcome: Outcome) -> Message {
+    let served = (outcome == Outcome::Ok).then(|| (Content::Whole("body".into()), None));
+    let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
+    Message::Ended(Ended { request: ID, number, backend, outcome, latency, load: Vec::new(), served })
+}
+
+#[tokio::test]
+async fn a_command_that_the_module_leaves_open_gets_the_last_resort_answer() {
+    let (mut engine, _inbox) = engine();
+    let mut answer = command(&mut engine);
+    engine.now += 1_000_000_000 - LAST_MARGIN;
+    engine.fall_due();
+    assert!(matches!(answer.try_recv(), Ok(Answer::Failed(StatusCode::GATEWAY_TIMEOUT, _))));
+    assert_eq!(engine.figures.last_resort, 1);
+    // Its attempt is called off, and once that is told nothing is left of it.
+    assert!(matches!(engine.open[&ID].out, Some((0, None))));
+    engine.take(ended(0, Outcome::Cancelled));
+    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+}
+
+#[tokio::test]
+async fn time_that_the_program_stood_still_comes_off_a_command_taken_after_it() {
+    let (mut engine, _inbox) = engine();
+    let (before, due) = (engine.now, engine.now + 60_000_000);
+    engine.wake(due + STALL, due);
+    assert_eq!(engine.stall, (0, 0));
+    engine.wake(before + 500_000_000, due);
+    let _answer = command(&mut engine);
+    assert_eq!(engine.open[&ID].deadline, engine.now + 1_000_000_000 - (440_000_000 - STALL));
+}
+
+#[tokio::test]
+async fn a_late_result_of_an_ended_attempt_is_dropped() {
+    let (mut engine, _inbox) = engine();
+    let mut answer = command(&mut engine);
+    engine.take(ended(0, Outcome::TimedOut));
+    assert!(matches!(engine.open[&ID].out, Some((1, Some(_)))));
+    engine.take(ended(0, Outcome::Ok));
+    assert!(answer.try_recv().is_err());
+    engine.take(ended(1, Outcome::Ok));
+    assert!(matches!(answer.try_recv(), Ok(Answer::Served(..))));
+    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+}
+
+#[tokio::test]
+async fn a_command_never_has_two_attempts_out() {
+    let (mut engine, _inbox) = engine();
+    let _answer = command(&mut engine);
+    engine.act(Action::Send { request: ID, backend: "s-1".into(), timeout: 0 });
+    assert!(matches!(engine.open[&ID].out, Some((0, Some(_)))));
+    assert_eq!(engine.figures.attempts, 1);
+}
+
+/// Every place of the ordinary queue is taken before the engine runs at all; an order still comes first.
+#[tokio::test]
+async fn an_order_goes_before_a_full_queue() {
+    let (queue, inbox) = mpsc::channel(super::super::QUEUE);
+    let config = Config::sample();
+    let engine = Engine::new(
+        &config,
+        Clock::start(),
+        None,
+        pace::none(),
+        queue.clone(),
+        (Before::Ledger(Ledger::default()), None),
+    );
+    let told = |i: usize| {
+        let (id, state) = (format!("s-{}", i + 2).into(), applewall::api::MemberState::Ready);
+        let member = applewall::api::Member { backend: id, state, ..Default::default() };
+        Message::Table(ListKind::Delta, vec![Entry { member, endpoint: config.listen }])
+    };
+    (0..super::super::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
+    let (orders, orders_in) = mpsc::channel(1);
+    // Listed by the last message only: unknown while that still waits.
+    let (reply, answer) = oneshot::channel();
+    let id = format!("s-{}", super::super::QUEUE + 1);
+    let order = control::Instance { id, withhold: true, known: false, reply };
+    assert!(orders.try_send(Order::Instance(order)).is_ok());
+    tokio::select! {
+        biased;
+        () = engine.run(inbox, orders_in) => panic!("the queue has senders"),
+        answer = answer => {
+            let answer = answer.expect("an answer").0.to_string();
+            assert!(answer.starts_with("error no instance"), "{answer}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn only_the_service_client_of_that_command_can_leave_it() {
+    let (mut engine, _inbox) = engine();
+    let _answer = command(&mut engine);
+    engine.take(Message::Left(ID, 2));
+    assert!(engine.open[&ID].reply.is_some());
+    engine.take(Message::Left(ID, 1));
+    assert!(engine.open[&ID].reply.is_none());
+    assert_eq!(engine.figures.left, 1);
+}
