Name table: an agent that pushes is followed closely, and a drain binds at the first byte

Silence was noticed 5 + 2 s after the call, then came a wait of up to 1.5 s; after a reset 6 to 9 s at 300 ingresses (src/net/name_table.rs WAIT, PATIENCE, BACKOFF). Those waits spare a discovery that is shared; the settings say that here an agent on the own machine pushes. Change: where lists are pushed, a watch waits 3 s, silence is noticed 0.5 s after that, the first call of a connection asks without waiting and has 0.3 s, the first try after a loss comes at once. Where lists are subscribed to, and after a 503, all is as before. instance.rs: an attempt at an instance that drains is not begun at all; the 400 ms that were allowed from being told came on top of what the telling itself had taken.

--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -41,9 +41,6 @@
 const AHEAD: Duration = Duration::from_millis(100);
 /// An answer that is passed on may stand still for so long, on either side.
 const STALLED: Duration = Duration::from_secs(20);
-/// By which the last send to a draining instance comes before the rule's limit.
-const DRAIN_MARGIN: Duration = Duration::from_millis(100);
-
 /// What an attempt starts with: an idle connection, or a place for a new one.
 enum Pooled {
     Idle(Connection),
@@ -53,8 +50,8 @@
 /// What is known of an instance, and its idle connections.
 struct State {
     endpoint: SocketAddr,
-    /// Since when it is to get nothing new.
-    drained: Option<Instant>,
+    /// It is to get nothing new.
+    draining: bool,
     idle: Vec<Connection>,
 }
 
@@ -65,7 +62,7 @@
 
 impl Instance {
     fn new(endpoint: SocketAddr) -> Self {
-        Instance { state: Mutex::new(State { endpoint, drained: None, idle: Vec::new() }) }
+        Instance { state: Mutex::new(State { endpoint, draining: false, idle: Vec::new() }) }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -84,7 +81,6 @@
 struct Limits {
     dial: Duration,
     idle: Duration,
-    stop_sending: Duration,
 }
 
 /// All instances that the name table has named.
@@ -124,7 +120,6 @@
         let limits = Limits {
             dial: Duration::from_nanos(facts.dial_timeout),
             idle: Duration::from_nanos(facts.conn_idle).mul_f64(IDLE_PART),
-            stop_sending: Duration::from_nanos(facts.stop_sending).saturating_sub(DRAIN_MARGIN),
         };
         Fleet {
             instances: HashMap::new(),
@@ -140,11 +135,10 @@
 
     /// Takes in news of the name table.
     pub fn update(&mut self, kind: ListKind, entries: &[Entry]) {
-        let now = Instant::now();
         if kind != ListKind::Delta {
             // What a whole list leaves out is gone; what it names is put right below.
             for instance in self.instances.values() {
-                instance.state().drained.get_or_insert(now);
+                instance.state().draining = true;
             }
         }
         for Entry { member, endpoint } in entries {
@@ -155,11 +149,11 @@
                 .or_insert_with(|| Arc::new(Instance::new(*endpoint)));
             let mut state = instance.state();
             state.endpoint = *endpoint;
-            state.drained = if ready { None } else { Some(state.drained.unwrap_or(now)) };
+            state.draining = !ready;
             state.idle.retain(|c| c.endpoint == *endpoint);
         }
         // With it go its idle connections; attempts that are out hold it by themselves, and read that it drains.
-        self.instances.retain(|_, instance| instance.state().drained.is_none());
+        self.instances.retain(|_, instance| !instance.state().draining);
     }
 
     /// Closes idle connections to one instance.
@@ -426,8 +420,9 @@
         },
         Pooled::Place(place) => dial(instance, limits, place).await?,
     };
-    // A drain may have been told while the attempt dialled.
-    if instance.state().drained.is_some_and(|since| since.elapsed() > limits.stop_sending) {
+    // A drain may have been told while the attempt dialled. Nothing is between this look and the first byte; what the
+    // rule allows from the telling on is spent on the way from the agent to here.
+    if instance.state().draining {
         return Err(Outcome::Full);
     }
     let request = request(passed, connection.endpoint, due.until).ok_or(Outcome::NotSent)?;
@@ -483,7 +478,7 @@
     if connection.usable().await {
         connection.since = Instant::now();
         let mut state = instance.state();
-        if state.drained.is_none() && state.endpoint == connection.endpoint {
+        if !state.draining && state.endpoint == connection.endpoint {
             state.idle.push(connection);
         }
     }
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -15,16 +15,16 @@
 
 fn limits() -> Limits {
     let second = Duration::from_secs(1);
-    Limits { dial: 20 * second, idle: second, stop_sending: second }
+    Limits { dial: 20 * second, idle: second }
 }
 
-/// One attempt at an address, on an instance told to drain at some moment; given up after far longer than it
+/// One attempt at an address, on an instance that may have been told to drain; given up after far longer than it
 /// takes.
-async fn attempt(endpoint: SocketAddr, drained: Option<Instant>) -> Option<Outcome> {
+async fn attempt(endpoint: SocketAddr, draining: bool) -> Option<Outcome> {
     let limits = limits();
     let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
     let instance = Instance::new(endpoint);
-    instance.state().drained = drained;
+    instance.state().draining = draining;
     let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
     let (ahead, begin) = (Arc::new(Semaphore::new(1 << 20)), oneshot::channel().0);
     let carried = Carried { pacing: None, ahead: &ahead, begin };
@@ -45,7 +45,7 @@
         stream
     };
     // The connection stays open at its other end.
-    let (outcome, _stream) = tokio::join!(attempt(endpoint, None), answers);
+    let (outcome, _stream) = tokio::join!(attempt(endpoint, false), answers);
     outcome
 }
 
@@ -129,8 +129,7 @@
 #[tokio::test]
 async fn a_drain_told_while_an_attempt_dials_keeps_it_from_being_written() {
     let (listener, endpoint) = listen().await;
-    let long_ago = Instant::now().checked_sub(Duration::from_secs(2));
-    assert_eq!(attempt(endpoint, long_ago).await, Some(Outcome::Full));
+    assert_eq!(attempt(endpoint, true).await, Some(Outcome::Full));
     // The connection came up, and ended without a byte.
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut bytes = Vec::new();
@@ -146,10 +145,10 @@
         let read = stream.read(&mut [0; 1024]).await.unwrap();
         assert!(read > 0);
     };
-    let (outcome, ()) = tokio::join!(attempt(endpoint, None), breaks);
+    let (outcome, ()) = tokio::join!(attempt(endpoint, false), breaks);
     assert_eq!(outcome, Some(Outcome::Reset));
     drop(listener);
-    assert_eq!(attempt(endpoint, None).await, Some(Outcome::NoConnection));
+    assert_eq!(attempt(endpoint, false).await, Some(Outcome::NoConnection));
 }
 
 #[tokio::test]
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -15,7 +15,7 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::clock::Clock;
 use super::connection::drive;
@@ -23,15 +23,34 @@
 use super::message::Message;
 use super::turn::Turn;
 
-/// How long a watch asks to wait.
-const WAIT: Duration = Duration::from_secs(5);
-/// By which an answer may come later than asked for.
-const PATIENCE: Duration = Duration::from_secs(2);
-/// First and longest wait after an error, for each ingress of the fleet: one discovery answers all of them, and one
-/// that is overbooked stays so while all ask again at once. It doubles, and is drawn from half to one and a half.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
-/// Least of these waits, for a fleet of a few.
+/// Where lists are pushed, an agent on this very machine has them: a call costs nobody anything, and what the agent holds
+/// counts as told, whether it was asked or not. Silence counts too: what a watch misses counts as told 6 s after it
+/// fell silent. So a watch waits for `AGENT.watch`, silence is noticed `AGENT.patience` after that, and each further call
+/// has `AGENT.proof` from the connect on, one at once after the other: 3 + 0.5 + 0.3 s, which leaves room for eight more
+/// before 6 + 0.5 s. An agent that was silent and is back is asked within 0.3 s, of the 0.5 s that a drain has.
+const AGENT: Pace = Pace {
+    watch: Duration::from_secs(3),
+    patience: Duration::from_millis(500),
+    proof: Some(Duration::from_millis(300)),
+    backoff: (Duration::from_millis(25), Duration::from_millis(160)),
+    at_once: true,
+};
+/// The first call of a connection may take longer the longer discovery has been lost: one that is slow rather than silent
+/// is heard in the end.
+const SLOWER: u32 = 40;
+/// Where lists have to be subscribed to, one discovery answers all ingresses, and one that is overbooked stays so while
+/// all ask again at once: the waits after an error are for each ingress of the fleet, and silence waits for
+/// [`LATE_MOST`] at most, as the call has waited for seconds already.
+const SERVICE: Pace = Pace {
+    watch: Duration::from_secs(5),
+    patience: Duration::from_secs(2),
+    proof: None,
+    backoff: (Duration::from_millis(20), Duration::from_millis(80)),
+    at_once: false,
+};
+/// Least of the waits after an error of a service, for a fleet of a few.
 const LEAST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+const LATE_MOST: Duration = Duration::from_secs(1);
 /// Over which the first calls of a fleet that starts together are spread, for each ingress; and the part of the drain
 /// rule's time that this may take at most. What discovery would have told counts as told from the start on: whoever
 /// asks later than that sends on what has long drained.
@@ -63,7 +82,8 @@
 ) {
     let Start { mut rev, seed, turn } = start;
     let mut rng = SmallRng::seed_from_u64(seed);
-    let follower = Follower { facts, clock, queue, proofs, turn };
+    let pace = Pace::of(facts.settings.subscribe);
+    let follower = Follower { facts, clock, queue, proofs, turn, pace };
     if let Some(turn) = &follower.turn {
         turn.first().await;
     } else if rev.is_some() {
@@ -91,18 +111,53 @@
     (SPREAD * fleet).min(Duration::from_nanos(stop_sending) / SPREAD_PART)
 }
 
-/// First and longest wait after an error in a fleet of so many.
-fn waits(fleet: u32) -> (Duration, Duration) {
-    ((BACKOFF.0 * fleet).max(LEAST.0), (BACKOFF.1 * fleet).max(LEAST.1))
+/// How closely discovery is followed.
+#[derive(Clone, Copy)]
+struct Pace {
+    /// How long a watch asks to wait.
+    watch: Duration,
+    /// By which its answer may come later than that.
+    patience: Duration,
+    /// Within which the first call of a connection, which does not wait, has its answer, the connect included. None:
+    /// that call is a watch as any other.
+    proof: Option<Duration>,
+    /// First and longest wait after an error. It doubles, and is drawn from half to one and a half.
+    backoff: (Duration, Duration),
+    /// The first try after a loss comes at once.
+    at_once: bool,
 }
 
-/// What is left of such a wait after a call that stayed without an answer. It has waited for seconds already, and so will
-/// the next: to wait for as long as a large fleet does after a refusal would miss the drains of a discovery that is back.
-fn after(late: bool, backoff: Duration) -> Duration {
-    if late {
-        backoff.min(LEAST.1)
-    } else {
-        backoff
+impl Pace {
+    /// Which of the two it is comes from the settings.
+    fn of(subscribe: bool) -> Self {
+        if subscribe {
+            SERVICE
+        } else {
+            AGENT
+        }
+    }
+
+    /// The wait before the next try, in a fleet of so many, after so many others since the loss.
+    fn wait(&self, fleet: u32, loss: &Loss, tries: u32) -> Duration {
+        let doubled = |first: Duration, longest: Duration, times: u32| {
+            first.saturating_mul(1 << times.min(16)).min(longest)
+        };
+        // Whoever says that it is asked too much is spared, whoever else it serves.
+        if matches!(loss, Loss::TurnedAway(..)) || !self.at_once {
+            let (first, longest) = SERVICE.backoff;
+            let wait = doubled((first * fleet).max(LEAST.0), (longest * fleet).max(LEAST.1), tries);
+            return if matches!(loss, Loss::Late) { wait.min(LATE_MOST) } else { wait };
+        }
+        match (loss, tries) {
+            // The call itself has waited.
+            (Loss::Late, _) | (_, 0) => Duration::ZERO,
+            (_, tries) => doubled(self.backoff.0, self.backoff.1, tries - 1),
+        }
+    }
+
+    /// Within which the first call of a connection has its answer, where discovery has been lost for so long.
+    fn proof(&self, lost: Duration) -> Option<Duration> {
+        self.proof.map(|proof| (lost / SLOWER).clamp(proof, SERVICE.patience))
     }
 }
 
@@ -129,17 +184,17 @@
     queue: mpsc::Sender<Message>,
     proofs: bool,
     turn: Option<Arc<Turn>>,
+    pace: Pace,
 }
 
 impl Follower {
     /// Follows the name table at one address.
     async fn follow_one(&self, discovery: SocketAddr, rev: &mut Option<u64>, rng: &mut SmallRng) {
-        let waits = waits(self.facts.settings.gateways);
-        let mut backoff = waits.0;
-        let mut lost = false;
+        let (mut lost, mut tries) = (None, 0);
         loop {
             let Err(loss) = self.follow_connection(discovery, rev, &mut lost).await else { return };
-            let late = matches!(loss, Loss::Late);
+            tries = if lost.is_some() { tries + 1 } else { 0 };
+            let wait = self.pace.wait(self.facts.settings.gateways, &loss, tries);
             let (reason, turned_away, retry_after) = match loss {
                 Loss::Late => ("no answer in time".to_string(), false, None),
                 Loss::TurnedAway(reason, retry_after) => (reason, true, retry_after),
@@ -151,8 +206,8 @@
                 }
             };
             // Once a loss, however many tries it takes to get back.
-            if !std::mem::replace(&mut lost, true) {
-                backoff = waits.0;
+            if lost.is_none() {
+                lost = Some(Instant::now());
                 tracing::warn!("name table: lost discovery {discovery}: {reason}");
             }
             if let Some(turn) = &self.turn {
@@ -160,8 +215,7 @@
                 continue;
             }
             // Never in step with the others, who lost it at the same moment.
-            tokio::time::sleep(after(late, backoff).mul_f64(rng.random_range(0.5..1.5))).await;
-            backoff = (backoff * 2).min(waits.1);
+            tokio::time::sleep(wait.mul_f64(rng.random_range(0.5..1.5))).await;
         }
     }
 
@@ -171,19 +225,32 @@
         &self,
         discovery: SocketAddr,
         rev: &mut Option<u64>,
-        lost: &mut bool,
+        lost: &mut Option<Instant>,
     ) -> Result<(), Loss> {
-        let stream = timeout(PATIENCE, TcpStream::connect(discovery)).await.map_err(|_| Loss::Late)?;
+        // The fleet's turns have a pace of their own.
+        let mut proof = self.pace.proof(lost.map_or(Duration::ZERO, |since| since.elapsed()));
+        proof = proof.filter(|_| self.turn.is_none());
+        let proven = proof.map(|proof| Instant::now() + proof);
+        let connects = proof.unwrap_or(SERVICE.patience);
+        let stream = timeout(connects, TcpStream::connect(discovery)).await.map_err(|_| Loss::Late)?;
         let stream = stream.map_err(|e| e.to_string())?;
         let _ = stream.set_nodelay(true);
         let (mut sender, mut connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-        let watch = || self.turn.as_ref().map_or(WAIT, |turn| turn.watch());
+        let watch = || self.turn.as_ref().map_or(self.pace.watch, |turn| turn.watch());
+        let patience = if self.turn.is_some() { SERVICE.patience } else { self.pace.patience };
+        let mut proven = proven.into_iter();
         loop {
+            // The first call of a connection proves that discovery speaks, before one waits for what it has to say.
+            let first = proven.next();
             let (path, wait) = match *rev {
                 None => ("/v1/servers".to_string(), Duration::ZERO),
-                Some(rev) => (format!("/v1/servers?after={rev}&wait_ms={}", watch().as_millis()), watch()),
+                Some(rev) => {
+                    let wait = if first.is_some() { Duration::ZERO } else { watch() };
+                    (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait)
+                }
             };
+            let until = first.unwrap_or_else(|| Instant::now() + wait + patience);
             let call = async {
                 sender.ready().await.map_err(|e| e.to_string())?;
                 let request =
@@ -195,9 +262,8 @@
                 let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
                 Ok::<_, String>((status, told, body.map_err(|e| e.to_string())?.to_bytes()))
             };
-            let answered = timeout(wait + PATIENCE, drive(&mut connection, call, || false))
-                .await
-                .map_err(|_| Loss::Late)?;
+            let answered =
+                timeout_at(until, drive(&mut connection, call, || false)).await.map_err(|_| Loss::Late)?;
             let (status, told, body) = answered.ok_or_else(|| "the connection ended".to_string())??;
             if status != StatusCode::OK {
                 return Err(Loss::TurnedAway(format!("status {status}"), told));
@@ -211,7 +277,7 @@
                 *rev = None;
                 continue;
             }
-            if std::mem::take(lost) {
+            if lost.take().is_some() {
                 tracing::info!("name table: discovery is back, revision {}", answer.rev);
             }
             *rev = Some(answer.rev);
--- a/src/net/name_table/tests.rs
+++ b/src/net/name_table/tests.rs
@@ -8,24 +8,77 @@
     }
 }
 
+/// What a watch misses counts as told so long after it fell silent, or so long after the end of its wait.
+const SILENCE: (Duration, Duration) = (Duration::from_secs(6), Duration::from_secs(2));
+/// A drain has so long from there, of which attempts that are being written need next to nothing.
+const DRAIN: Duration = Duration::from_millis(500);
+
+fn broken() -> Loss {
+    Loss::Broken("reset".to_string())
+}
+
+fn busy() -> Loss {
+    Loss::TurnedAway("status 503".to_string(), None)
+}
+
 #[test]
-fn a_silent_discovery_is_asked_again_within_two_seconds_however_large_the_fleet() {
+fn a_silent_watch_is_opened_anew_before_what_it_missed_has_to_be_kept() {
+    let Pace { watch, patience, .. } = AGENT;
+    let call = AGENT.proof(Duration::ZERO).unwrap();
+    // Silent from the moment of the call, or from just before its answer: noticed either way by then.
+    let noticed = watch + patience;
+    let told = SILENCE.0.max(watch + SILENCE.1);
+    // The wait after it, and two further calls that stay silent, and then one that is answered at the last moment.
+    let heard = noticed + AGENT.wait(300, &Loss::Late, 0).mul_f64(1.5) + 3 * call;
+    assert!(heard < told, "{heard:?} of {told:?}");
+    // Where it fell silent right before the end of its wait, and counts from the call's own limit.
+    assert!(patience + 3 * call < SILENCE.1);
+}
+
+#[test]
+fn an_agent_that_is_back_is_asked_while_a_drain_can_be_kept() {
+    for fleet in [3, 300, 10_000] {
+        for tries in 0..20 {
+            // Silent for 8 s: it came back just after a call began.
+            let call = AGENT.proof(Duration::from_secs(8)).unwrap();
+            let wait = AGENT.wait(fleet, &Loss::Late, tries).mul_f64(1.5);
+            assert!(wait + call <= DRAIN * 3 / 5, "{fleet} ingresses, {tries} tries");
+            // Refused, and back just after that.
+            assert!(AGENT.wait(fleet, &broken(), tries).mul_f64(1.5) <= DRAIN / 2);
+        }
+        assert_eq!(AGENT.wait(fleet, &broken(), 0), Duration::ZERO, "the first try comes at once");
+    }
+    // It is not asked without a pause while it refuses.
+    assert!(AGENT.wait(3, &broken(), 1) >= Duration::from_millis(25));
+}
+
+#[test]
+fn one_that_is_slow_rather_than_silent_is_heard_in_the_end() {
+    assert_eq!(AGENT.proof(Duration::from_secs(60)), Some(Duration::from_millis(1500)));
+    assert_eq!(AGENT.proof(Duration::from_secs(600)), Some(Duration::from_secs(2)));
+}
+
+#[test]
+fn a_silent_service_is_asked_again_within_two_seconds_however_large_the_fleet() {
     for fleet in [3, 30, 300, 10_000] {
-        let (first, longest) = waits(fleet);
-        for backoff in [first, longest] {
-            assert!(after(true, backoff).mul_f64(1.5) <= Duration::from_millis(1500), "{fleet} ingresses");
-            assert_eq!(after(false, backoff), backoff, "a refusal spares discovery");
+        for tries in 0..20 {
+            let wait = SERVICE.wait(fleet, &Loss::Late, tries);
+            assert!(wait.mul_f64(1.5) <= Duration::from_millis(1500), "{fleet} ingresses");
+            assert!(SERVICE.wait(fleet, &broken(), tries) >= wait, "a refusal spares discovery");
         }
     }
 }
 
 #[test]
-fn a_fleet_that_lost_its_discovery_asks_no_more_often_the_larger_it_is() {
-    assert_eq!(waits(3), (Duration::from_millis(60), Duration::from_secs(1)));
-    for fleet in [13, 30, 100, 1000] {
-        let (first, longest) = waits(fleet);
-        // Calls a second of all ingresses together: at once after a loss, and while it lasts.
-        let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
-        assert!(calls(first) <= 50.1 && calls(longest) <= 12.6, "{fleet} ingresses");
+fn a_fleet_that_is_turned_away_asks_no_more_often_the_larger_it_is() {
+    let waits = |pace: Pace, fleet| (pace.wait(fleet, &busy(), 0), pace.wait(fleet, &busy(), 9));
+    for pace in [SERVICE, AGENT] {
+        assert_eq!(waits(pace, 3), (Duration::from_millis(60), Duration::from_secs(1)));
+        for fleet in [13, 30, 100, 1000] {
+            let (first, longest) = waits(pace, fleet);
+            // Calls a second of all ingresses together: at once after a loss, and while it lasts.
+            let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
+            assert!(calls(first) <= 50.1 && calls(longest) <= 12.6, "{fleet} ingresses");
+        }
     }
 }
