A keyed class's Idempotency-Key goes on to the instance, unchanged, with each attempt

At fault: src/net/instance.rs request(), which named the headers that go on and left this one out, so instances had nothing to drop repeats by. A keyed class without a key, or any with two, is now turned away with 400 and the reason. Test: exchange keyed (new): the first attempt breaks, the repeat carries the same key, the next command on that connection its own; without the mend no key is in what the instance gets.

--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use applewall::api::{self, RequestId};
+use applewall::api::{self, Repeats, RequestId};
 use applewall::wire::Facts;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full, Limited};
@@ -36,6 +36,8 @@
 const BODY: Duration = Duration::from_secs(2);
 const TOO_SLOW: &str = "the body came too slowly";
 const ID: &str = "x-correlation-id";
+/// What instances drop the repeats of a keyed class by (IETF draft-ietf-httpapi-idempotency-key-header).
+pub const KEY: &str = "idempotency-key";
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -248,6 +250,7 @@
             host: parts.headers.get(HOST).cloned(),
             id: parts.headers[ID].clone(),
             content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+            key: parts.headers.get(KEY).cloned(),
             body,
             _held: held,
         };
@@ -362,6 +365,13 @@
     let id = one(headers, ID).and_then(hex).ok_or("X-Correlation-Id is not 16 hex digits")?;
     let class = one(headers, "x-service-class").and_then(|c| facts.class(c));
     let class = class.ok_or("unknown X-Service-Class")?;
+    // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
+    match (headers.get_all(KEY).iter().count(), facts.settings.classes[class].repeats) {
+        (1, _) => {}
+        (0, Repeats::Keyed { .. }) => return Err("no Idempotency-Key, which this class is repeated by"),
+        (0, _) => {}
+        _ => return Err("Idempotency-Key comes twice"),
+    }
     let plan = one(headers, "x-contract").and_then(|p| facts.plan(p)).ok_or("unknown X-Contract")?;
     let customer = one(headers, "x-client-id").and_then(hex).filter(|c| *c < CUSTOMERS);
     let customer = customer.ok_or("X-Client-Id is not a number of 16 hex digits")?;
--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -33,6 +33,7 @@
         host: None,
         id: "0000000000000007".parse().expect("a value"),
         content_type: None,
+        key: None,
         body: Default::default(),
         _held: None,
     });
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -26,6 +26,7 @@
 
 use super::answer::Content;
 use super::clock::Clock;
+use super::command::KEY;
 use super::connection::{drive, Connection, Watch, Watched};
 use super::flow::{flow, Source};
 use super::message::{Ended, Entry, Message, Passed};
@@ -520,6 +521,9 @@
     if let Some(kind) = &passed.content_type {
         request = request.header(CONTENT_TYPE, kind);
     }
+    if let Some(key) = &passed.key {
+        request = request.header(KEY, key);
+    }
     request.body(Full::new(passed.body.clone())).ok()
 }
 
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -8,6 +8,7 @@
         host: None,
         id: HeaderValue::from_static("0000000000000007"),
         content_type: None,
+        key: None,
         body: Bytes::new(),
         _held: None,
     }
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -33,6 +33,8 @@
     pub host: Option<HeaderValue>,
     pub id: HeaderValue,
     pub content_type: Option<HeaderValue>,
+    /// The Idempotency-Key, where there is one.
+    pub key: Option<HeaderValue>,
     pub body: Bytes,
     /// The body's share of what all may hold; none where it is empty.
     pub _held: Option<OwnedSemaphorePermit>,
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -465,5 +465,5 @@
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
-    upgrade, upgrade_fails, heritage, nowhere, stopping_long,
+    upgrade, upgrade_fails, heritage, nowhere, stopping_long, keyed,
 }
