--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -160,12 +160,12 @@
     assert!(idle >= 50 && busy <= 30, "{idle} sent on while idle, {busy} while busy");
 }
 
-#[test]
-fn a_plan_of_two_attempts_at_once_is_not_sent_more_than_gains_where_answers_are_slow() {
+/// A customer that may have two attempts out at once, with answers of 200 ms: sent on, and of these while two were out.
+fn two_at_once(seed: u64) -> (u32, u32) {
     let slow = |_: &BackendId, _: RequestId| (Outcome::Ok, 200);
     let mut set = large(settings());
     (set.plans[0].rate, set.plans[0].burst, set.plans[0].open) = (12.0, 14.0, 2);
-    let mut fleet = Fleet::of(GATEWAYS, 7, set, BACKENDS);
+    let mut fleet = Fleet::of(GATEWAYS, seed, set, BACKENDS);
     let (mut ends, mut sent, mut beyond) = (Vec::new(), 0, 0);
     for step in 0..24 * SECOND {
         background(&mut fleet, &slow);
@@ -180,9 +180,23 @@
         }
         fleet.step(&slow);
     }
+    (sent, beyond)
+}
+
+#[test]
+fn a_plan_of_two_attempts_at_once_is_not_sent_more_than_gains_where_answers_are_slow() {
+    let (sent, beyond) = two_at_once(7);
     assert!(sent >= 60 && beyond * 5 <= sent * 2, "{beyond} of {sent} sent while two were out");
 }
 
+#[test]
+fn what_is_sent_while_all_of_a_plans_attempts_are_out_stays_a_tenth_of_what_is_asked() {
+    // Asked for: 11 a second, for 20 s, on each of six seeds.
+    let asked = 6 * 20 * 11;
+    let (sent, beyond) = (20..26).map(two_at_once).fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+    assert!(sent * 3 >= asked && beyond * 10 <= asked, "{beyond} of {sent} sent while two were out");
+}
+
 #[test]
 fn a_customer_that_calms_down_is_not_refused_by_an_old_word() {
     let (mut asked, mut sent) = (0, 0);
