A service client that left is found at once, by state, and nothing of it is sent on

Seen on reading, then caused by tests: (1) hyper stops looking for a connection's end once it holds a byte behind the command, so a client that sent more and closed was served on; (2) the word that a client left goes by try_send, and a full queue loses it (src/net/command.rs Waiting); (3) where the settings don't allow calling an attempt off, one that still dialled was written after its client had gone. Checked and ruled out: a client that closes or resets with nothing behind its command (exchange client_left). Change: while a command is whole and unanswered, framing reads on behind it (16 KiB kept for later, 512 KiB read at most) and finds the end; a command carries a weak handle of whoever waits for it, which the engine looks at when it takes the command and when an attempt ends, and the attempt right before its first byte.

--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -99,7 +99,7 @@
             };
             let mut answer = gate.hold(&seat, customer, answer);
             // What was not read would be read as the next head, or in vain; what comes after chunks is not guarded.
-            let close = shed || body != Taken::Whole;
+            let close = shed || body != Taken::Whole || seat.unread();
             if body == Taken::Unread {
                 seat.leave_unread();
             }
@@ -134,12 +134,14 @@
     serial: u64,
     queue: &'a mpsc::Sender<Message>,
     answered: bool,
+    /// See [`Passed::gone`].
+    _asker: Arc<()>,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            // A full queue loses this; the engine then finds out at the command's deadline.
+            // A full queue loses this; the engine then finds out by itself, before it sends the command on.
             let _ = self.queue.try_send(Message::Left(self.id, self.serial));
         }
     }
@@ -244,6 +246,11 @@
             }
         };
         read.left = deadline.saturating_duration_since(Instant::now()).as_nanos() as u64;
+        // From here on nothing of the command is read: what comes now is the next one's, or the client's end.
+        if *taken != Taken::Unread {
+            seat.answering();
+        }
+        let asker = Arc::new(());
         let passed = Passed {
             method: parts.method,
             target: origin(parts.uri),
@@ -253,6 +260,7 @@
             key: parts.headers.get(KEY).cloned(),
             body,
             _held: held,
+            asker: Arc::downgrade(&asker),
         };
         let (reply, answer) = oneshot::channel();
         let serial = self.serials.fetch_add(1, Ordering::Relaxed);
@@ -261,7 +269,7 @@
         if self.queue.try_send(Message::Command(command)).is_err() {
             return nack();
         }
-        let mut waiting = Waiting { id, serial, queue: &self.queue, answered: false };
+        let mut waiting = Waiting { id, serial, queue: &self.queue, answered: false, _asker: asker };
         let answer = answer.await;
         waiting.answered = true;
         answer.unwrap_or(Answer::Failed(StatusCode::INTERNAL_SERVER_ERROR, "the engine has stopped"))
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -345,6 +345,11 @@
         self.figures.commands += 1;
         let Command { mut request, serial, deadline, passed, reply } = command;
         let id = request.id;
+        // Whoever left while the command waited in the queue needs nothing of it.
+        if passed.gone() {
+            self.figures.left += 1;
+            return;
+        }
         if self.open.contains_key(&id) {
             // Two with one id would be two attempts of one request to an instance.
             self.figures.failed += 1;
@@ -386,6 +391,10 @@
         }
         if let Some((body, kind)) = served {
             self.answer(id, Answer::Served(body, kind));
+        } else if self.open.get(&id).is_some_and(|o| o.reply.is_some() && o.passed.gone()) {
+            // The word of it may still be on its way, or lost: no further attempt is made for nobody.
+            self.figures.left += 1;
+            self.leave(id);
         }
         let latency = latency.as_nanos() as u64;
         let finished = self.finished(id, number, backend, outcome);
--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -16,6 +16,15 @@
 
 /// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
 fn command(engine: &mut Engine) -> Receiver<Answer> {
+    let answer = command_of(engine, Arc::downgrade(&ASKER));
+    assert!(engine.open[&ID].out.is_some());
+    answer
+}
+
+/// One that stays.
+static ASKER: std::sync::LazyLock<Arc<()>> = std::sync::LazyLock::new(Arc::default);
+
+fn command_of(engine: &mut Engine, asker: std::sync::Weak<()>) -> Receiver<Answer> {
     let request = Request {
         id: ID,
         class: 0,
@@ -36,11 +45,11 @@
         key: None,
         body: Default::default(),
         _held: None,
+        asker,
     });
     let (reply, answer) = oneshot::channel();
     let deadline = engine.clock.instant(engine.now + request.left);
     engine.take(Message::Command(Command { request, serial: 1, deadline, passed, reply }));
-    assert!(engine.open[&ID].out.is_some());
     answer
 }
 
@@ -142,3 +151,34 @@
     assert!(engine.open[&ID].reply.is_none());
     assert_eq!(engine.figures.left, 1);
 }
+
+/// The word of it was lost, as where the queue was full: nothing but the state itself tells.
+#[tokio::test]
+async fn a_command_whose_service_client_left_in_the_queue_is_not_sent_on() {
+    let (mut engine, _inbox) = engine();
+    let asker = Arc::new(());
+    let told = Arc::downgrade(&asker);
+    drop(asker);
+    let _answer = command_of(&mut engine, told);
+    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    assert_eq!((engine.figures.attempts, engine.figures.left), (0, 1));
+    // Neither its quota nor its id is held.
+    let _answer = command(&mut engine);
+    assert_eq!(engine.figures.attempts, 1);
+}
+
+#[tokio::test]
+async fn no_further_attempt_is_made_for_a_service_client_that_left_unheard() {
+    let (mut engine, _inbox) = engine();
+    let asker = Arc::new(());
+    let _answer = command_of(&mut engine, Arc::downgrade(&asker));
+    assert_eq!(engine.figures.attempts, 1);
+    drop(asker);
+    // It never ran, so another attempt would be made for one who waits.
+    engine.take(ended(0, Outcome::NoConnection));
+    assert_eq!((engine.figures.attempts, engine.figures.left), (1, 1));
+    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    // Its word, late: nothing is left to take back.
+    engine.take(Message::Left(ID, 1));
+    assert_eq!(engine.figures.left, 1);
+}
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -18,6 +18,10 @@
 /// Bytes of a line that are kept: enough for either name and any length.
 const KEPT: usize = 48;
 
+/// Of what comes behind a command that has no answer yet, so much is kept for later, and so much is read at all. Read it
+/// has to be: the end of a connection lies behind it.
+const AHEAD: (usize, usize) = (16 * 1024, 512 * 1024);
+
 /// Follows the lines of heads, and passes over bodies of a given length.
 #[derive(Default)]
 pub struct Heads {
@@ -89,12 +93,37 @@
     pub stream: TcpStream,
     heads: Heads,
     seat: Arc<Seat>,
+    /// Read behind a command that had no answer yet, and how much of that was not kept.
+    ahead: Vec<u8>,
+    dropped: usize,
 }
 
 impl Guarded {
     /// A stream of which nothing has been read.
     pub fn new(stream: TcpStream, seat: Arc<Seat>, ticket: Option<Ticket>) -> Self {
-        Guarded { ticket, stream, heads: Heads::default(), seat }
+        Guarded { ticket, stream, heads: Heads::default(), seat, ahead: Vec::new(), dropped: 0 }
+    }
+
+    /// Reads on behind a command that has no answer yet; ready at the end of the connection only. hyper stops looking
+    /// for that end once it holds a byte of a next command, and a service client that went would be served on.
+    fn poll_end(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+        let mut piece = [0; 2048];
+        while self.dropped < AHEAD.1 {
+            let mut buf = ReadBuf::new(&mut piece);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
+            match buf.filled() {
+                [] => return Poll::Ready(Ok(())),
+                more if self.dropped == 0 && self.ahead.len() + more.len() <= AHEAD.0 => {
+                    self.ahead.extend_from_slice(more);
+                }
+                more => {
+                    // Not to be read as commands: the connection closes with its answer.
+                    self.dropped += more.len();
+                    self.seat.leave_unread();
+                }
+            }
+        }
+        Poll::Pending
     }
 
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -108,8 +137,21 @@
 
 impl AsyncRead for Guarded {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.seat.is_answering() {
+            return self.poll_end(cx);
+        }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if self.dropped > 0 {
+            // What was kept ends in the middle of something: for whoever reads, the connection ends before it.
+            return Poll::Ready(Ok(()));
+        }
+        if self.ahead.is_empty() {
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        } else {
+            let taken = self.ahead.len().min(buf.remaining());
+            buf.put_slice(&self.ahead[..taken]);
+            self.ahead.drain(..taken);
+        }
         if self.heads.ambiguous(&buf.filled()[before..]) {
             self.seat.distrust();
         }
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -426,6 +426,10 @@
     if instance.state().draining {
         return Err(Outcome::Full);
     }
+    // So may the service client have gone, and an attempt may not be called off where the settings don't allow it.
+    if passed.gone() {
+        return Err(Outcome::NotSent);
+    }
     let request = request(passed, connection.endpoint, due.until).ok_or(Outcome::NotSent)?;
     let before = connection.watch.written.load(Ordering::Relaxed);
     let (sender, watch) = (&mut connection.sender, connection.watch.clone());
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -11,9 +11,13 @@
         key: None,
         body: Bytes::new(),
         _held: None,
+        asker: Arc::downgrade(&ASKER),
     }
 }
 
+/// One that stays.
+static ASKER: std::sync::LazyLock<Arc<()>> = std::sync::LazyLock::new(Arc::default);
+
 fn limits() -> Limits {
     let second = Duration::from_secs(1);
     Limits { dial: 20 * second, idle: second }
@@ -22,11 +26,15 @@
 /// One attempt at an address, on an instance that may have been told to drain; given up after far longer than it
 /// takes.
 async fn attempt(endpoint: SocketAddr, draining: bool) -> Option<Outcome> {
+    attempt_of(passed(), endpoint, draining).await
+}
+
+async fn attempt_of(passed: Passed, endpoint: SocketAddr, draining: bool) -> Option<Outcome> {
     let limits = limits();
     let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
     let instance = Instance::new(endpoint);
     instance.state().draining = draining;
-    let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
+    let until = Instant::now() + Duration::from_secs(20);
     let (ahead, begin) = (Arc::new(Semaphore::new(1 << 20)), oneshot::channel().0);
     let carried = Carried { pacing: None, ahead: &ahead, begin };
     let made = make(&instance, &limits, carried, place, &passed, Due { until, again: None });
@@ -138,6 +146,17 @@
     assert!(bytes.is_empty());
 }
 
+#[tokio::test]
+async fn an_attempt_whose_service_client_left_while_it_dialled_is_not_written() {
+    let (listener, endpoint) = listen().await;
+    let gone = Passed { asker: std::sync::Weak::new(), ..passed() };
+    assert_eq!(attempt_of(gone, endpoint, false).await, Some(Outcome::NotSent));
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.unwrap();
+    assert!(bytes.is_empty());
+}
+
 #[tokio::test]
 async fn what_was_written_may_have_run_and_what_found_no_connection_never_did() {
     let (listener, endpoint) = listen().await;
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -1,7 +1,7 @@
 //! What crosses the engine's queue. Knows none of those that send or take it, so imports run one way.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use applewall::api::{self, BackendId, ListKind, Member, Outcome, RequestId};
@@ -38,6 +38,16 @@
     pub body: Bytes,
     /// The body's share of what all may hold; none where it is empty.
     pub _held: Option<OwnedSemaphorePermit>,
+    /// Held by whoever waits for the answer, for as long as that is awaited.
+    pub asker: Weak<()>,
+}
+
+impl Passed {
+    /// True once the service client has gone, or has its answer. State and no message, so that it can't be late or lost:
+    /// whoever is about to send the command on looks here.
+    pub fn gone(&self) -> bool {
+        self.asker.strong_count() == 0
+    }
 }
 
 /// A command on its way to the engine.
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -38,6 +38,8 @@
     /// When it was last heard, or answered, in nanoseconds since the seats were set up.
     since: AtomicU64,
     distrusted: AtomicBool,
+    /// A command of it has been read whole and has no answer yet.
+    answering: AtomicBool,
     /// Told when the connection has to go.
     pub go: Notify,
     /// Told when it has to go at once, with whatever still waits on it.
@@ -53,8 +55,19 @@
         self.stand_up();
     }
 
+    /// The command is whole: until its answer is known, what comes is not to be read as part of it.
+    pub fn answering(&self) {
+        self.answering.store(true, Ordering::Relaxed);
+    }
+
+    /// True between [`Seat::answering`] and [`Seat::wait`].
+    pub fn is_answering(&self) -> bool {
+        self.answering.load(Ordering::Relaxed)
+    }
+
     /// The answer is known: from now on the connection may have to go.
     pub fn wait(self: &Arc<Self>) {
+        self.answering.store(false, Ordering::Relaxed);
         let mut waiting = self.seats.lock();
         waiting.turn += 1;
         let turn = waiting.turn;
@@ -187,6 +200,7 @@
             blocked: AtomicBool::new(false),
             since: AtomicU64::new(0),
             distrusted: AtomicBool::new(false),
+            answering: AtomicBool::new(false),
             go: Notify::new(),
             cut,
             paced,
