--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -116,14 +116,12 @@
             _ = stages.wait_for(|s| *s == Stage::Closing) => {}
             () = self.emptied(all) => {}
         }
-        let succeeded = *self.role.borrow() == Role::Succeeded;
-        if !succeeded {
-            // What the kernel has accepted counts as taken: none of it may be left behind.
-            self.accept_waiting(&listener).await;
+        let ends = self.stopping.get().map_or_else(Instant::now, |stopping| stopping.ends);
+        match *self.role.borrow() {
+            Role::Succeeded => drop(listener),
+            _ => self.accept_waiting(listener, ends).await,
         }
-        drop(listener);
         let all = self.places.acquire_many(all);
-        let ends = self.stopping.get().map_or_else(Instant::now, |stopping| stopping.ends);
         if tokio::time::timeout_at(ends.into(), all).await.is_err() {
             tracing::warn!("ended with connections still open");
         }
@@ -174,15 +172,29 @@
         }
     }
 
-    async fn accept_waiting(&self, listener: &TcpListener) {
-        poll_fn(|cx| {
-            while let Poll::Ready(Ok((stream, address))) = listener.poll_accept(cx) {
-                let Ok(place) = self.places.clone().try_acquire_owned() else { break };
+    /// What the kernel has accepted counts as taken: none of it may be left behind with the listener. The kernel itself
+    /// is asked, as the reactor may not have told yet of the last ones; and whoever finds no place waits for one.
+    async fn accept_waiting(&self, listener: TcpListener, ends: Instant) {
+        let Ok(listener) = listener.into_std() else { return };
+        loop {
+            let (stream, address) = match listener.accept() {
+                Ok(accepted) => accepted,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) =>
+                {
+                    continue;
+                }
+                Err(_) => return,
+            };
+            if self.places.available_permits() == 0 {
+                self.make_room(Duration::ZERO);
+            }
+            let place = tokio::time::timeout_at(ends.into(), self.places.clone().acquire_owned());
+            let Ok(Ok(place)) = place.await else { return };
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
                 self.serve_connection(stream, address, place);
             }
-            Poll::Ready(())
-        })
-        .await;
+        }
     }
 
     /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
--- a/src/net/accept/tests.rs
+++ b/src/net/accept/tests.rs
@@ -66,3 +66,33 @@
     let spare = door.places.acquire_many(door.budget.spare as u32);
     drop(tokio::time::timeout(Duration::from_secs(30), spare).await.expect("in time").expect("open"));
 }
+
+/// Three that the kernel accepted, of which the reactor knows nothing: nothing is awaited in between.
+#[tokio::test]
+async fn whoever_came_before_the_listener_went_is_served_also_where_no_place_is_free_at_first() {
+    for crowded in [false, true] {
+        let door = door();
+        let mut address = "127.0.0.1:0".parse().expect("an address");
+        let listener = listen(&mut address, 16).expect("a listener");
+        let mut clients: Vec<_> =
+            (0..3).map(|_| std::net::TcpStream::connect(address).expect("accepted by the kernel")).collect();
+        let all = (door.budget.clients + door.budget.spare) as u32;
+        let held = crowded.then(|| door.places.clone().try_acquire_many_owned(all).expect("free"));
+        let ends = Instant::now() + Duration::from_secs(30);
+        let frees = async {
+            tokio::task::yield_now().await;
+            drop(held);
+        };
+        tokio::join!(door.accept_waiting(listener, ends), frees);
+        assert!(std::net::TcpStream::connect(address).is_err(), "the listener has gone");
+        for client in &mut clients {
+            let (mut stream, mut piece) = (client.try_clone().expect("a copy"), [0; 12]);
+            std::io::Write::write_all(client, b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").expect("open");
+            stream.set_nonblocking(true).expect("set");
+            let mut stream = TcpStream::from_std(stream).expect("a stream");
+            let read = tokio::time::timeout(Duration::from_secs(30), stream.read_exact(&mut piece));
+            read.await.expect("in time").expect("an answer, and no reset");
+            assert_eq!(&piece, b"HTTP/1.1 200");
+        }
+    }
+}
