A connection that comes up late carries no repeat whose key is forgotten, nor a command of a client that left

Seen on reading: the module decides on a repeat within 0.9 of its key's time, and the connection may then take all of the dial's time; with a short window the repeat was written after instances had forgotten the key, and ran twice. At fault: src/net/instance.rs make(), which looked at drains only between the dial and the first byte. The engine now tells an attempt by when a repeat has to be begun (0.95 of the window since the first attempt that may have run). Tests, with a listener whose backlog is full, so that the kernel tries again a second later: exchanges late_repeat and late_connection (a client that left while the settings allow no calling off); both write the command without the mend. fragile (new): eight ways in which an instance's answer can break, none sent again; it passes at the program before too.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use applewall_pace::socket::{kernel, lend, Pacer};
--- a/src/net/accept/tests.rs
+++ b/src/net/accept/tests.rs
@@ -86,7 +86,7 @@
         tokio::join!(door.accept_waiting(listener, ends), frees);
         assert!(std::net::TcpStream::connect(address).is_err(), "the listener has gone");
         for client in &mut clients {
-            let (mut stream, mut piece) = (client.try_clone().expect("a copy"), [0; 12]);
+            let (stream, mut piece) = (client.try_clone().expect("a copy"), [0; 12]);
             std::io::Write::write_all(client, b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").expect("open");
             stream.set_nonblocking(true).expect("set");
             let mut stream = TcpStream::from_std(stream).expect("a stream");
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, RequestId};
+use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, Repeats, RequestId};
 use applewall::brain::Brain;
 use applewall::wire::Facts;
 use applewall_control::Ledger;
@@ -34,6 +34,8 @@
 const ATTEMPT_MARGIN: u64 = 20_000_000;
 /// By which the last-resort answer comes before that.
 const LAST_MARGIN: u64 = 8_000_000;
+/// Part of a key's time in which a repeat is begun to be written: the rest is its way to the instance.
+const KNOWN: (u64, u64) = (19, 20);
 /// By which the engine may wake late before that counts as a gap in the program's own clock.
 const STALL: u64 = 30_000_000;
 /// Part of the memory that answers read ahead may hold together.
@@ -55,6 +57,9 @@
     attempts: u32,
     /// The attempt that is out; dropping the sender cancels it.
     out: Option<(u32, Option<oneshot::Sender<()>>)>,
+    /// When that one, or the last, was started; and the same of the first one that may have run.
+    sent: u64,
+    tainted: Option<u64>,
 }
 
 /// Counts since the last line of figures.
@@ -362,7 +367,17 @@
         let reply = Some(reply);
         self.open.insert(
             id,
-            Open { serial, reply, passed, deadline, class: request.class, attempts: 0, out: None },
+            Open {
+                serial,
+                reply,
+                passed,
+                deadline,
+                class: request.class,
+                attempts: 0,
+                out: None,
+                sent: 0,
+                tainted: None,
+            },
         );
         self.last_resorts.insert((deadline.saturating_sub(LAST_MARGIN), id));
         self.event(Event::Request(request));
@@ -386,6 +401,9 @@
             return;
         }
         open.out = None;
+        if !outcome.never_ran() {
+            open.tainted.get_or_insert(open.sent);
+        }
         if let Some(zones) = &mut self.zones {
             zones.ended(self.now, id, outcome);
         }
@@ -481,6 +499,12 @@
         let until = if timeout == 0 { last } else { last.min(self.now + timeout) };
         // Whatever the module asks for: one attempt at a time, no more than allowed, none after its time.
         let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
+        // What may have run goes out again only while instances know its key: a connection may come up late.
+        let write_by = match (self.facts.settings.classes[open.class].repeats, open.tainted) {
+            (Repeats::Keyed { window, .. }, Some(first)) => Some(first + window / KNOWN.1 * KNOWN.0),
+            _ => None,
+        };
+        open.sent = self.now;
         let zoned = self.zones.is_some().then(|| backend.clone());
         let attempt = Attempt {
             request,
@@ -488,6 +512,7 @@
             backend,
             passed: open.passed.clone(),
             until: self.clock.instant(until),
+            write_by: write_by.map(|by| self.clock.instant(by)),
             again: (number + 1 < most).then(|| self.clock.instant(last)),
         };
         let started = if may { self.fleet.start(attempt) } else { Err(attempt) };
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -105,6 +105,8 @@
     pub passed: Arc<Passed>,
     /// When it is given up.
     pub until: Instant,
+    /// From when on it may not be written any more.
+    pub write_by: Option<Instant>,
     /// Where another one may follow: by when that would have to end.
     pub again: Option<Instant>,
 }
@@ -204,8 +206,8 @@
         let ahead = self.ahead.clone();
         tokio::spawn(async move {
             let started = Instant::now();
-            let Attempt { request, number, backend, passed, until, again } = attempt;
-            let due = Due { until, again };
+            let Attempt { request, number, backend, passed, until, write_by, again } = attempt;
+            let due = Due { until, write_by, again };
             let (begin, mut begun) = oneshot::channel();
             let carried = Carried { pacing: pacing.as_ref(), ahead: &ahead, begin };
             let made = make(&instance, &limits, carried, pooled, &passed, due);
@@ -256,6 +258,7 @@
 #[derive(Clone, Copy)]
 struct Due {
     until: Instant,
+    write_by: Option<Instant>,
     again: Option<Instant>,
 }
 
@@ -427,7 +430,8 @@
         return Err(Outcome::Full);
     }
     // So may the service client have gone, and an attempt may not be called off where the settings don't allow it.
-    if passed.gone() {
+    // And the time of its key may be over, if it is a repeat.
+    if passed.gone() || due.write_by.is_some_and(|by| Instant::now() >= by) {
         return Err(Outcome::NotSent);
     }
     let request = request(passed, connection.endpoint, due.until).ok_or(Outcome::NotSent)?;
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -37,7 +37,7 @@
     let until = Instant::now() + Duration::from_secs(20);
     let (ahead, begin) = (Arc::new(Semaphore::new(1 << 20)), oneshot::channel().0);
     let carried = Carried { pacing: None, ahead: &ahead, begin };
-    let made = make(&instance, &limits, carried, place, &passed, Due { until, again: None });
+    let made = make(&instance, &limits, carried, place, &passed, Due { until, write_by: None, again: None });
     tokio::time::timeout(Duration::from_secs(20), made).await.expect("an end").err()
 }
 
@@ -102,7 +102,7 @@
     let (listener, endpoint) = listen().await;
     let (limits, instance) = (limits(), Instance::new(endpoint));
     let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
-    let due = Due { until, again: None };
+    let due = Due { until, write_by: None, again: None };
     let pool = Arc::new(Semaphore::new(1));
     let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     let serve = async |body: &str| {
@@ -183,7 +183,8 @@
     fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
     let until = Instant::now() + Duration::from_secs(30);
     let (request, passed) = (RequestId(7), Arc::new(passed()));
-    let attempt = Attempt { request, number: 0, backend: "s-1".into(), passed, until, again: None };
+    let attempt =
+        Attempt { request, number: 0, backend: "s-1".into(), passed, until, write_by: None, again: None };
     let _cancel = fleet.start(attempt).ok().unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
     assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
@@ -212,6 +213,7 @@
         backend: "s-1".into(),
         passed: Arc::new(passed()),
         until: Instant::now() + Duration::from_secs(30),
+        write_by: None,
         again: None,
     };
     let cancel = fleet.start(attempt(0)).ok().unwrap();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -6,6 +6,8 @@
 //! - `start`: starts the program; `known` names instance `s1`, which listens already;
 //! - `deaf NAME`: that party no longer listens;
 //! - `NAME accept FROM`: NAME is the next connection that comes in at FROM (`s1`, `discovery`, `discovery2`);
+//! - `NAME fills`: so many connect to NAME that the next one's does not come up; `NAME dialled`: somebody's waits for
+//!   that; `NAME frees`: those are taken and closed, so that the next one comes up once it is tried again;
 //! - `NAME connect`: NAME is a new connection of a service client;
 //! - `NAME asks ID`: a usual request with that id goes out; `NAME asks ID HEADER: VALUE`: with that header in place
 //!   of its own, or besides;
@@ -60,6 +62,8 @@
     /// What each program inherits: the listening socket, and a folder.
     inherited: Option<(TcpListener, std::path::PathBuf)>,
     handed: HashMap<String, std::os::unix::net::UnixStream>,
+    /// Connections that fill a listener.
+    fillers: Vec<TcpStream>,
     notes: String,
 }
 
@@ -267,6 +271,27 @@
                 let stream = accepted.recv_timeout(PATIENCE);
                 self.connected(name, stream.unwrap_or_else(|_| panic!("nothing came in for {name}")));
             }
+            [name, "fills"] => {
+                let connect =
+                    || TcpStream::connect_timeout(&self.addresses[name], Duration::from_millis(200)).ok();
+                self.fillers.extend(std::iter::from_fn(connect));
+            }
+            [name, "dialled"] => {
+                let port = format!("{:04X}", self.addresses[name].port());
+                let waits = |line: &str| {
+                    let fields: Vec<&str> = line.split_whitespace().collect();
+                    fields.len() > 3 && fields[2].ends_with(&format!(":{port}")) && fields[3] == "02"
+                };
+                while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(waits) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            }
+            [name, "frees"] => {
+                for filler in self.fillers.drain(..) {
+                    let (_, from) = self.listeners[name].accept().unwrap();
+                    assert_eq!(from, filler.local_addr().unwrap(), "one that was not there to fill");
+                }
+            }
             [name, "connect"] => {
                 let stream = TcpStream::connect(self.addresses["ingress"]).unwrap();
                 self.connected(name, stream);
@@ -466,5 +491,5 @@
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
     upgrade, upgrade_fails, heritage, nowhere, stopping_long, keyed,
-    client_left_behind_bytes,
+    client_left_behind_bytes, late_connection, late_repeat, fragile,
 }
