--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -182,3 +182,20 @@
     engine.take(Message::Left(ID, 1));
     assert_eq!(engine.figures.left, 1);
 }
+
+/// Attempts are numbered from 0 for each command: a result of the one that had the id before must not be taken for its own.
+#[tokio::test]
+async fn an_id_is_free_again_only_once_nothing_of_its_former_command_can_come() {
+    let (mut engine, _inbox) = engine();
+    let _answer = command(&mut engine);
+    engine.take(Message::Left(ID, 1));
+    // Its attempt is called off and has not ended.
+    let mut again = command_of(&mut engine, Arc::downgrade(&ASKER));
+    assert!(matches!(again.try_recv(), Ok(Answer::Failed(StatusCode::CONFLICT, _))));
+    engine.take(ended(0, Outcome::Ok));
+    assert!(engine.open.is_empty());
+    let mut again = command(&mut engine);
+    assert!(again.try_recv().is_err(), "the former one's answer is nobody's");
+    engine.take(ended(0, Outcome::Ok));
+    assert!(matches!(again.try_recv(), Ok(Answer::Served(..))));
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -491,5 +491,6 @@
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
     upgrade, upgrade_fails, heritage, nowhere, stopping_long, keyed,
-    client_left_behind_bytes, late_connection, late_repeat, fragile,
+    client_left_behind_bytes, late_connection, late_repeat, fragile, own_settings,
+    stopping_body,
 }
