--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -19,7 +19,7 @@
 use super::budget::Budget;
 use super::clock::Clock;
 use super::config::Config;
-use super::control::{self, Order};
+use super::control::Order;
 use super::instance::{Attempt, Fleet};
 use super::message::{Command, Ended, Entry, Message, Passed};
 use super::pace::{self, Pacers};
@@ -28,6 +28,11 @@
 use super::withheld::Withheld;
 use super::zoning::{self, Zoning};
 
+mod figures;
+mod orders;
+
+use figures::Figures;
+
 /// Messages taken from the queue at one go.
 const GO: usize = 128;
 /// By which an attempt ends before its service client gives up: the answer has to get there in time.
@@ -62,18 +67,6 @@
     tainted: Option<u64>,
 }
 
-/// Counts since the last line of figures.
-#[derive(Default)]
-struct Figures {
-    commands: u64,
-    served: u64,
-    nacks: u64,
-    failed: u64,
-    left: u64,
-    attempts: u64,
-    last_resort: u64,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
@@ -243,57 +236,6 @@
         }
     }
 
-    fn order(&mut self, order: Order) {
-        match order {
-            Order::Instance(order) => self.instance(order),
-            Order::HandOver(reply) => {
-                self.handed = true;
-                let _ = reply.send(self.hand_over());
-            }
-            Order::TakeBack => {
-                self.handed = false;
-                self.brain.take_back();
-            }
-        }
-    }
-
-    /// All that another process needs to go on from here.
-    fn hand_over(&mut self) -> Result<Estate, String> {
-        let module = self.brain.hand_over()?;
-        let (ledger, listed) = match &self.withheld {
-            Some(withheld) => {
-                let (ledger, listed) = withheld.parts();
-                (ledger.clone(), listed.map(|e| (e.member.clone(), e.endpoint)).collect())
-            }
-            None => Default::default(),
-        };
-        Ok(Estate { now: self.now, withheld: ledger, drained: false, listed, module })
-    }
-
-    /// Withholds an instance, or gives one back; answered once the module and the connections know.
-    fn instance(&mut self, order: control::Instance) {
-        let control::Instance { id, withhold, known, reply } = order;
-        let Some(withheld) = &mut self.withheld else { return };
-        let ruling = withheld.order(&id, withhold, known);
-        let none_left = withheld.none_left();
-        let ledger = withheld.parts().0.clone();
-        if let Some(entry) = ruling.changed {
-            tracing::info!("operator: {id} {}", if withhold { "withheld" } else { "given back" });
-            let Entry { member, .. } = &entry;
-            let event = match withhold {
-                true => Event::Members(ListKind::Delta, [member.clone()].into()),
-                false => Event::GivenBack(member.clone()),
-            };
-            self.fleet.update(ListKind::Delta, &[entry]);
-            self.event(event);
-            if withhold && none_left {
-                tracing::warn!("operator: all instances are withheld; every command is nacked");
-            }
-        }
-        // A caller that left has had it carried out all the same.
-        let _ = reply.send((ruling.answer, ledger));
-    }
-
     fn fall_due(&mut self) {
         while let Some((_, id)) = self.last_resorts.first().copied().filter(|(at, _)| *at <= self.now) {
             // The module owes an answer and has not given it: should never happen, and is counted.
@@ -326,26 +268,6 @@
         }
     }
 
-    fn tell_figures(&mut self) {
-        let Figures { commands, served, nacks, failed, left, attempts, last_resort } =
-            std::mem::take(&mut self.figures);
-        if commands + last_resort > 0 {
-            let (open, idle) = (self.open.len(), self.fleet.idle());
-            tracing::info!(
-                commands,
-                served,
-                nacks,
-                failed,
-                left,
-                attempts,
-                last_resort,
-                open,
-                idle,
-                "figures"
-            );
-        }
-    }
-
     fn command(&mut self, command: Command) {
         self.figures.commands += 1;
         let Command { mut request, serial, deadline, passed, reply } = command;
--- /dev/null
+++ b/src/net/engine/orders.rs
@@ -0,0 +1,61 @@
+//! What operators and another process ask of the engine: instances withheld and given back, and handing over.
+
+use applewall::api::{Event, ListKind};
+
+use super::super::control::{self, Order};
+use super::super::message::Entry;
+use super::super::role::Estate;
+use super::Engine;
+
+impl Engine {
+    pub(super) fn order(&mut self, order: Order) {
+        match order {
+            Order::Instance(order) => self.instance(order),
+            Order::HandOver(reply) => {
+                self.handed = true;
+                let _ = reply.send(self.hand_over());
+            }
+            Order::TakeBack => {
+                self.handed = false;
+                self.brain.take_back();
+            }
+        }
+    }
+
+    /// All that another process needs to go on from here.
+    fn hand_over(&mut self) -> Result<Estate, String> {
+        let module = self.brain.hand_over()?;
+        let (ledger, listed) = match &self.withheld {
+            Some(withheld) => {
+                let (ledger, listed) = withheld.parts();
+                (ledger.clone(), listed.map(|e| (e.member.clone(), e.endpoint)).collect())
+            }
+            None => Default::default(),
+        };
+        Ok(Estate { now: self.now, withheld: ledger, drained: false, listed, module })
+    }
+
+    /// Withholds an instance, or gives one back; answered once the module and the connections know.
+    fn instance(&mut self, order: control::Instance) {
+        let control::Instance { id, withhold, known, reply } = order;
+        let Some(withheld) = &mut self.withheld else { return };
+        let ruling = withheld.order(&id, withhold, known);
+        let none_left = withheld.none_left();
+        let ledger = withheld.parts().0.clone();
+        if let Some(entry) = ruling.changed {
+            tracing::info!("operator: {id} {}", if withhold { "withheld" } else { "given back" });
+            let Entry { member, .. } = &entry;
+            let event = match withhold {
+                true => Event::Members(ListKind::Delta, [member.clone()].into()),
+                false => Event::GivenBack(member.clone()),
+            };
+            self.fleet.update(ListKind::Delta, &[entry]);
+            self.event(event);
+            if withhold && none_left {
+                tracing::warn!("operator: all instances are withheld; every command is nacked");
+            }
+        }
+        // A caller that left has had it carried out all the same.
+        let _ = reply.send((ruling.answer, ledger));
+    }
+}
--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -1,4 +1,5 @@
 use super::super::answer::Content;
+use super::super::control;
 use super::*;
 use applewall::api::Request;
 use hyper::{Method, Uri};
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn passed() -> Passed {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod accept;
 pub mod answer;
+pub mod body;
 pub mod budget;
 pub mod clock;
 pub mod command;
