Succession: a new process that is gone before it hears the answer has failed like any other

At fault: src/net/succession.rs hand_over(): the answer to "taken over" was written with `?`, so a process that was gone by then left by another way out, past the look at whether this one is stopping: told to stop at that moment, it would have come back to life. Both ways are one now.

--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -223,8 +223,10 @@
         }
         self.role.send_replace(Role::Succeeded);
         tracing::info!("succession: a new process has taken over");
-        writing.write_all(b"yours\n").await.map_err(told)?;
-        self.link(lines, writing).await;
+        // One that is gone by now ended as any other that had taken over.
+        if writing.write_all(b"yours\n").await.is_ok() {
+            self.link(lines, writing).await;
+        }
         if self.desk.stages.borrow().stops() {
             // As it should be: this one ends, and must not come back to life in between.
             std::future::pending::<()>().await;
