--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -13,7 +13,7 @@
 use applewall_standins::wait::until;
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -32,9 +32,10 @@
     /// Connections of an earlier round never hear anything again, or are cut.
     round: u64,
     cut: u64,
-    /// No call is answered; no connection is taken.
+    /// No call is answered; connections are closed at once; none is taken, and the next one's does not come up.
     silent: bool,
     refuses: bool,
+    hangs: bool,
     /// The list comes over many lines; half of it comes, and then nothing.
     indented: bool,
     half: bool,
@@ -49,13 +50,23 @@
 
 impl Agent {
     async fn start(state: State) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(4).unwrap();
         let address = listener.local_addr().unwrap();
         let (state, follower) = watch::channel(state);
         let seen = Arc::new(Mutex::new((0, 0)));
         let counts = seen.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut hanging = follower.clone();
+            loop {
+                let _ = hanging.wait_for(|s| !s.hangs).await;
+                let taken = tokio::select! {
+                    biased;
+                    _ = hanging.wait_for(|s| s.hangs) => continue,
+                    taken = listener.accept() => taken,
+                };
+                let Ok((stream, _)) = taken else { return };
                 let (follower, counts) = (follower.clone(), counts.clone());
                 if follower.borrow().refuses {
                     continue;
@@ -310,6 +321,23 @@
     scene.kept(told).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn where_no_connection_to_the_agent_comes_up_for_eight_seconds() {
+    let scene = Scene::run().await;
+    let list = scene.list("terminating");
+    scene.agent.change(|s| (s.rev, s.targets, s.round, s.cut, s.hangs) = (6, list, 1, 1, true));
+    let mut fillers = Vec::new();
+    while let Ok(filler) = timeout(Duration::from_millis(200), TcpStream::connect(scene.agent.address)).await
+    {
+        fillers.push(filler.unwrap());
+    }
+    sleep(Duration::from_secs(8)).await;
+    drop(fillers);
+    let told = Instant::now();
+    scene.agent.change(|s| s.hangs = false);
+    scene.kept(told).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn after_a_reload_to_an_agent_that_is_silent_at_first() {
     let scene = Scene::run().await;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -15,7 +15,7 @@
 //! - `NAME sends`: the lines below that start with `| ` go out, each with CRLF (`|=TEXT` is a body
 //!   with its length before it, `|*N TEXT` one of N times TEXT; @NAME stands for an address);
 //! - `NAME gets`: one whole message, or the end of the connection, is read and noted;
-//! - `NAME ends`: the connection is closed from here;
+//! - `NAME ends`: the connection is closed from here; `NAME resets`: it is reset; `NAME shuts`: only what goes out ends;
 //! - `NAME throws TEXT`, `NAME catches`: a datagram from `peer0`, `peer1` or `stranger`, or to them;
 //! - `log TEXT`: reads the log up to a line with that in it; `exit`: notes how it ended;
 //! - `operator LINE`: one call at the second address, and its answer; `operator-raw BYTES`: these bytes, with \r, \n,
@@ -326,6 +326,13 @@
                 self.handed.remove(name);
                 drop(self.streams.remove(name));
             }
+            [name, "resets"] => {
+                let stream = self.streams.remove(name).unwrap().into_inner();
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            [name, "shuts"] => {
+                self.streams[name].get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+            }
             [name, "throws", ..] => {
                 let to = self.addresses["peer_listen"];
                 self.sockets[name].send_to(words[2..].join(" ").as_bytes(), to).unwrap();
