Name table: a malformed entry is told of with its place, once for as long as it stays as it is

Seen on reading: each answer of discovery wrote a line for each malformed entry, without saying which one. Now targets[I] and the uid, three lines an answer at most, and not again while the same is wrong. Exchange name_table: the second list repeats two faults and has a third; only that one is told of.

--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -1,5 +1,6 @@
 //! The form of discovery's list, in its answers and in the configuration's `known`.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use applewall::api::{Member, MemberState};
@@ -10,6 +11,10 @@
 use super::clock::Clock;
 use super::message::Entry;
 
+/// Malformed entries of an answer that are told of one by one, and of which it is kept that they were.
+const TOLD: usize = 3;
+const KEPT: usize = 1024;
+
 /// One answer of discovery, also the form of `known` in the configuration.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Answer {
@@ -41,14 +46,43 @@
 impl Answer {
     /// The entries in the module's terms; what is malformed is left out and said so.
     pub fn entries(&self, facts: &Facts, clock: &Clock) -> Vec<Entry> {
-        let read = |value: &Value| match entry(value, facts, clock) {
-            Ok(entry) => Some(entry),
-            Err(reason) => {
-                tracing::warn!("name table: an entry of revision {} left out: {reason}", self.rev);
-                None
+        self.entries_but(&mut HashSet::new(), facts, clock)
+    }
+
+    /// The same; what was said of the answers before is not said again for as long as it stays as it was.
+    pub fn entries_but(&self, said: &mut HashSet<String>, facts: &Facts, clock: &Clock) -> Vec<Entry> {
+        let (mut entries, mut wrong) = (Vec::with_capacity(self.targets.len()), HashSet::new());
+        let mut new = 0;
+        for (place, value) in self.targets.iter().enumerate() {
+            match entry(value, facts, clock) {
+                Ok(entry) => entries.push(entry),
+                Err(reason) => {
+                    let uid = value.get("uid").and_then(Value::as_str).unwrap_or("without a uid");
+                    // An agent's text, and so a line of the log, is as long as it likes.
+                    let uid: String = uid.escape_debug().take(40).collect();
+                    if !said.contains(&format!("{uid}: {reason}")) {
+                        new += 1;
+                        if new <= TOLD {
+                            tracing::warn!(
+                                "name table: revision {}: targets[{place}] ({uid}) left out: {reason}",
+                                self.rev
+                            );
+                        }
+                    }
+                    wrong.insert(format!("{uid}: {reason}"));
+                }
             }
-        };
-        self.targets.iter().filter_map(read).collect()
+        }
+        if new > TOLD {
+            tracing::warn!("name table: revision {}: {} more entries left out", self.rev, new - TOLD);
+        }
+        match self.all {
+            true => *said = wrong,
+            // Changes say nothing of what they leave out. Bounds what is kept of an agent gone wild.
+            false if said.len() + wrong.len() <= KEPT => said.extend(wrong),
+            false => {}
+        }
+        entries
     }
 }
 
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -1,5 +1,6 @@
 //! The name table: discovery's list, taken whole at first and followed by a watch.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -190,9 +191,11 @@
 impl Follower {
     /// Follows the name table at one address.
     async fn follow_one(&self, discovery: SocketAddr, rev: &mut Option<u64>, rng: &mut SmallRng) {
-        let (mut lost, mut tries) = (None, 0);
+        let (mut lost, mut tries, mut said) = (None, 0, HashSet::new());
         loop {
-            let Err(loss) = self.follow_connection(discovery, rev, &mut lost).await else { return };
+            let Err(loss) = self.follow_connection(discovery, rev, &mut lost, &mut said).await else {
+                return;
+            };
             tries = if lost.is_some() { tries + 1 } else { 0 };
             let wait = self.pace.wait(self.facts.settings.gateways, &loss, tries);
             let (reason, turned_away, retry_after) = match loss {
@@ -226,6 +229,7 @@
         discovery: SocketAddr,
         rev: &mut Option<u64>,
         lost: &mut Option<Instant>,
+        said: &mut HashSet<String>,
     ) -> Result<(), Loss> {
         // The fleet's turns have a pace of their own.
         let mut proof = self.pace.proof(lost.map_or(Duration::ZERO, |since| since.elapsed()));
@@ -284,7 +288,7 @@
             let kind = if answer.all { ListKind::Full } else { ListKind::Delta };
             let news = answer.all || !answer.targets.is_empty();
             if news || self.proofs {
-                let entries = answer.entries(&self.facts, &self.clock);
+                let entries = answer.entries_but(said, &self.facts, &self.clock);
                 if self.queue.send(Message::Table(kind, entries)).await.is_err() {
                     return Ok(());
                 }
