Seats: half heads go in their turn again; a flood of them had good clients' connections closed

What remains: a head that is half here may be cut where places are short; its client has no answer and asks again.

--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -220,13 +220,8 @@
 
     /// The same; new ones only where they may go too.
     pub fn make_room_of(&self, grace: Duration, now: u64, new_ones: bool) -> bool {
-        // One whose head is half here goes last: the rest is on its way, and whoever sent it would have no answer.
-        [false, true].into_iter().any(|halfway| self.make_room_among(grace, now, new_ones, halfway))
-    }
-
-    fn make_room_among(&self, grace: Duration, now: u64, new_ones: bool, halfway: bool) -> bool {
         let idle = |seat: &Weak<Seat>| {
-            let seat = seat.upgrade().filter(|seat| seat.halfway() == halfway)?;
+            let seat = seat.upgrade()?;
             let going = seat.paced.as_ref().is_some_and(|p| p.pacer.is_going(now, p.id));
             (!going).then_some(seat)
         };
@@ -252,14 +247,5 @@
     }
 }
 
-#[cfg(test)]
-impl Seats {
-    /// Of those that wait, how many have half a head.
-    pub fn halfway(&self) -> usize {
-        let seats: Vec<_> = self.lock().seats.values().filter_map(|(seat, _)| seat.upgrade()).collect();
-        seats.iter().filter(|seat| seat.halfway()).count()
-    }
-}
-
 #[cfg(test)]
 mod tests;
