--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -499,5 +499,5 @@
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
     upgrade, upgrade_fails, heritage, nowhere, stopping_long, keyed,
     client_left_behind_bytes, late_connection, late_repeat, fragile, own_settings,
-    stopping_body, upgrade_drain,
+    stopping_body, stopping_behind, upgrade_drain,
 }
--- /dev/null
+++ b/tests/floods.rs
@@ -0,0 +1,131 @@
+//! Floods of bad clients, each kind more than there are places: good clients beside them are served, memory stays flat,
+//! and all that was held comes back.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use applewall_standins::clients::{request, Healthy};
+use applewall_standins::daemon::{Daemon, Setting};
+use applewall_standins::discovery::{target, Discovery};
+use applewall_standins::instance::{Instance, Script};
+use applewall_standins::wait::until;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// For so long.
+const TIME: Duration = Duration::from_secs(5);
+/// Descriptors of the program, of which service clients may hold a third; and bad clients at once of each kind.
+const SOCKETS: usize = 256;
+const EACH: u64 = 100;
+/// What the smallest day allows, in bytes.
+const MEMORY: u64 = 32 << 20;
+
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// Connects and says nothing.
+    Silent,
+    /// Half a head.
+    HalfHead,
+    /// A command, more than is kept behind it, and gone.
+    MuchAndGone,
+    /// A body that never comes whole.
+    HalfBody,
+}
+
+async fn bad(to: SocketAddr, kind: Kind, number: u64, ends: Instant) {
+    let hold =
+        async |mut stream: TcpStream| while matches!(stream.read(&mut [0; 512]).await, Ok(n) if n > 0) {};
+    for round in 0u64.. {
+        let turn = async {
+            let Ok(mut stream) = TcpStream::connect(to).await else { return };
+            let id = 0xbad0_0000_0000_0000 | number << 32 | round;
+            let head = request(id, 1_000_000 + number, Duration::from_secs(3), 0);
+            let _ = match kind {
+                Kind::Silent => Ok(()),
+                Kind::HalfHead => stream.write_all(&head.as_bytes()[..40]).await,
+                Kind::MuchAndGone => stream.write_all((head + &"x".repeat(30_000)).as_bytes()).await,
+                Kind::HalfBody => {
+                    let head = request(id, 1_000_000 + number, Duration::from_secs(3), 60_000);
+                    stream.write_all((head + &"x".repeat(30_000)).as_bytes()).await
+                }
+            };
+            if !matches!(kind, Kind::MuchAndGone) {
+                hold(stream).await;
+            }
+            // Come back, but not without end: 400 commands a second are less than the limit servers bear.
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        };
+        if timeout_at(ends, turn).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn flood(kind: Kind) {
+    let mut instances = Vec::new();
+    for seed in 0..3 {
+        instances.push(Instance::start(Script { seed, ..Script::default() }).await.unwrap());
+    }
+    let list: Vec<_> =
+        (0..3).map(|i| target(&format!("s-{i}"), instances[i].address, "in_service")).collect();
+    let discovery = Discovery::start(list.clone()).await.unwrap();
+    let setting = Setting {
+        sockets: SOCKETS,
+        memory_mb: (MEMORY >> 20) as usize,
+        operator: None,
+        discovery: discovery.address,
+        known: list,
+        rate: 1000.0,
+    };
+    let folder = tempfile::tempdir().unwrap();
+    let daemon =
+        Daemon::start(Path::new(env!("CARGO_BIN_EXE_applewall")), folder.path(), "n0", &setting).unwrap();
+    let at_rest = daemon.descriptors();
+    let healthy = Healthy {
+        to: daemon.address,
+        from: [127, 0, 0, 1].into(),
+        rate: 40.0,
+        time: TIME,
+        fresh: 0.5,
+        customers: 10,
+        wanted: Duration::from_millis(800),
+        patience: Duration::from_secs(3),
+        seed: 5,
+    };
+    let ends = Instant::now() + TIME;
+    let bad: Vec<_> = (0..EACH).map(|n| tokio::spawn(bad(daemon.address, kind, n, ends))).collect();
+    let good = healthy.play().await;
+    for task in bad {
+        task.await.unwrap();
+    }
+    let told = format!("{kind:?}: {good:?}, {} bytes at the most", daemon.peak_memory());
+    // None is left without an answer, or with another's, and most are served. How many more is the machine's: commands
+    // of those that go at once are load too, until they have gone.
+    assert!(good.lost == 0 && good.wrong == 0 && good.failed == 0 && good.asked > 100, "{told}");
+    assert!(good.served * 2 >= good.asked, "{told}");
+    assert!(daemon.peak_memory() < MEMORY, "{told}");
+    until("what bad clients held comes back", || daemon.descriptors() <= at_rest + 16).await;
+    assert!(!daemon.log().iter().any(|line| line.contains("last-resort")), "{told}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_silent_connections() {
+    flood(Kind::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_half_heads() {
+    flood(Kind::HalfHead).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_much_sent_at_once_and_gone() {
+    flood(Kind::MuchAndGone).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_bodies_that_never_come_whole() {
+    flood(Kind::HalfBody).await;
+}
