Stand-ins: the query of a call is read in one place, by the agent, the rig's list and the drains alike

Cause: three copies of the same six lines, in crates/standins/src/discovery.rs, crates/rig/src/list.rs and tests/drains.rs. Change: http::Message::query; no assertion changed, nothing of the program.

--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -174,12 +174,7 @@
         let mut rng = SmallRng::seed_from_u64(self.seed ^ (ingress as u64) << 32 ^ number);
         let mut state = self.state.subscribe();
         while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-            let query = request.first.1.split_once('?').map_or("", |(_, query)| query);
-            let value = |name: &str| {
-                let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-                pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse::<u64>().ok())
-            };
-            let after = value("after");
+            let after = request.query("after");
             self.journal.note(What::Call { ingress, whole: after.is_none() });
             let _ = state.wait_for(|s| !s.faults.contains(&ListFault::Silent)).await;
             let faults = state.borrow().faults.clone();
@@ -199,7 +194,7 @@
                 continue;
             }
             let restored = state.borrow().restored;
-            if let (Some(after), Some(wait)) = (after, value("wait_ms")) {
+            if let (Some(after), Some(wait)) = (after, request.query("wait_ms")) {
                 let newer = state.wait_for(|s| s.rev > after || s.restored != restored);
                 let _ = tokio::time::timeout(Duration::from_millis(wait.min(60_000)), newer).await;
                 // What is silent by now says nothing of what it knows.
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -54,18 +54,13 @@
 async fn serve(mut stream: TcpStream, mut list: watch::Receiver<(u64, Vec<Value>)>) -> io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        let query = request.first.1.split_once('?').map_or("", |(_, query)| query);
-        let value = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse::<u64>().ok())
-        };
-        if let (Some(after), Some(wait)) = (value("after"), value("wait_ms")) {
+        if let (Some(after), Some(wait)) = (request.query("after"), request.query("wait_ms")) {
             let newer = list.wait_for(|(rev, _)| *rev > after);
             let _ = tokio::time::timeout(Duration::from_millis(wait.min(60_000)), newer).await;
         }
         let (rev, targets) = list.borrow_and_update().clone();
         // A watch that ran out without news has nothing to tell.
-        let news = value("after").is_none_or(|after| rev > after);
+        let news = request.query("after").is_none_or(|after| rev > after);
         let targets = if news { targets } else { Vec::new() };
         let body = json!({"rev": rev, "all": news, "targets": targets}).to_string();
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -24,6 +24,13 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// A whole number in a request's query.
+    pub fn query(&self, name: &str) -> Option<u64> {
+        let (_, query) = self.first.1.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find_map(|(n, value)| (n == name).then(|| value.parse().ok())?)
+    }
+
     /// True where the other side closes after it.
     pub fn closes(&self) -> bool {
         self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -96,13 +96,8 @@
 ) -> std::io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        let query = request.first.1.split_once('?').map_or("", |(_, query)| query);
-        let value = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse::<u64>().ok())
-        };
-        let after = value("after");
-        let wait = Duration::from_millis(value("wait_ms").unwrap_or(0));
+        let after = request.query("after");
+        let wait = Duration::from_millis(request.query("wait_ms").unwrap_or(0));
         if !wait.is_zero() {
             seen.lock().unwrap().0 += 1;
         }
