--- a/crates/consul/src/course.rs
+++ b/crates/consul/src/course.rs
@@ -51,19 +51,33 @@
     /// nanoseconds.
     pub fn new(wait_ms: u64, backoff: (u64, u64), seed: u64) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        Course { wait_ms, backoff, bound: backoff.0, index: 0, consistent: true, rng }
+        Course {
+            wait_ms,
+            backoff,
+            bound: backoff.0,
+            index: 0,
+            consistent: true,
+            rng,
+        }
     }
 
     /// The next question.
     pub fn ask(&mut self, now: u64) -> Ask {
         let extra = self.rng.random_range(0..=self.wait_ms / 16);
-        Ask { index: self.index, wait_ms: self.wait_ms + extra, stale: !self.consistent, at: now }
+        Ask {
+            index: self.index,
+            wait_ms: self.wait_ms + extra,
+            stale: !self.consistent,
+            at: now,
+        }
     }
 
     /// The answer to the last question: whether its list is to be taken, and whether it is consistent; none: it is not
     /// to be taken. The next question may be asked after so many nanoseconds.
     pub fn answered(&mut self, answer: Answer) -> (Option<bool>, u64) {
-        let Answer::List { index, led } = answer else { return (None, self.fail()) };
+        let Answer::List { index, led } = answer else {
+            return (None, self.fail());
+        };
         if !led && !self.consistent {
             // An agent that knows no leader has a list of any age: another look, and later.
             return (None, self.fail());
@@ -117,10 +131,19 @@
             longest = longest.max(course.answered(Answer::Failed).1);
         }
         assert!((4_000..=8_000).contains(&longest));
-        assert_eq!(course.answered(Answer::List { index: 41, led: false }).0, None);
+        assert_eq!(
+            course
+                .answered(Answer::List {
+                    index: 41,
+                    led: false
+                })
+                .0,
+            None
+        );
         // The index is kept: what is newer is told by the next answer.
         assert_eq!(course.ask(0).index, 40);
-        let waits: std::collections::BTreeSet<u64> = (0..100).map(|_| course.ask(0).wait_ms).collect();
+        let waits: std::collections::BTreeSet<u64> =
+            (0..100).map(|_| course.ask(0).wait_ms).collect();
         assert!(waits.len() > 20 && waits.iter().all(|w| (1_000..=1_062).contains(w)));
     }
 }
--- a/crates/consul/src/follow.rs
+++ b/crates/consul/src/follow.rs
@@ -65,9 +65,14 @@
 ///
 /// Dropping it drops the connection; lists are given in whole or not at all.
 pub async fn follow(settings: &Settings, seed: u64, mut take: impl FnMut(News)) {
-    let Some(agent) = settings.agent else { return std::future::pending().await };
-    let mut course =
-        Course::new(settings.wait.nanos() / 1_000_000, (BACKOFF, settings.backoff.nanos()), seed);
+    let Some(agent) = settings.agent else {
+        return std::future::pending().await;
+    };
+    let mut course = Course::new(
+        settings.wait.nanos() / 1_000_000,
+        (BACKOFF, settings.backoff.nanos()),
+        seed,
+    );
     let (start, mut lost, mut bad) = (Instant::now(), false, BTreeSet::new());
     let mut connection = None;
     loop {
@@ -86,8 +91,9 @@
             connection = Some(open);
             Ok::<_, String>(answer)
         };
-        let answer =
-            tokio::time::timeout(time, one).await.unwrap_or_else(|_| Err("no answer in time".into()));
+        let answer = tokio::time::timeout(time, one)
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".into()));
         let (list, answer) = match answer {
             Ok((index, led, pairs)) => (pairs, Answer::List { index, led }),
             Err(reason) => {
@@ -102,8 +108,15 @@
             if std::mem::take(&mut lost) {
                 tracing::info!("consul: it is back");
             }
-            let items = list.into_iter().filter_map(|pair| item(pair, settings, &mut bad)).collect();
-            take(News { index, consistent, items });
+            let items = list
+                .into_iter()
+                .filter_map(|pair| item(pair, settings, &mut bad))
+                .collect();
+            take(News {
+                index,
+                consistent,
+                items,
+            });
         }
         tokio::time::sleep(Duration::from_nanos(wait)).await;
     }
@@ -111,18 +124,29 @@
 
 async fn connect(agent: std::net::SocketAddr, settings: &Settings) -> Result<Connection, String> {
     let token = match &settings.token_file {
-        Some(file) => {
-            Some(std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?.trim().to_string())
-        }
+        Some(file) => Some(
+            std::fs::read_to_string(file)
+                .map_err(|e| format!("{file}: {e}"))?
+                .trim()
+                .to_string(),
+        ),
         None => None,
     };
-    let stream = TcpStream::connect(agent).await.map_err(|e| format!("{agent}: {e}"))?;
+    let stream = TcpStream::connect(agent)
+        .await
+        .map_err(|e| format!("{agent}: {e}"))?;
     let _ = stream.set_nodelay(true);
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
     let driver = tokio::spawn(async move {
         let _ = driver.await;
     });
-    Ok(Connection { sender, driver, token })
+    Ok(Connection {
+        sender,
+        driver,
+        token,
+    })
 }
 
 async fn get(
@@ -142,18 +166,33 @@
         request = request.header("x-consul-token", token);
     }
     // What is wrong with the token is not told: it is a secret.
-    let request =
-        request.body(Empty::new()).map_err(|_| "the call cannot be written; see token_file".to_string())?;
+    let request = request
+        .body(Empty::new())
+        .map_err(|_| "the call cannot be written; see token_file".to_string())?;
     connection.sender.ready().await.map_err(|e| e.to_string())?;
-    let answer = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let answer = connection
+        .sender
+        .send_request(request)
+        .await
+        .map_err(|e| e.to_string())?;
     let (status, headers) = (answer.status(), answer.headers().clone());
-    let body = Limited::new(answer.into_body(), MOST).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let body = Limited::new(answer.into_body(), MOST)
+        .collect()
+        .await
+        .map_err(|e| e.to_string())?
+        .to_bytes();
     let index = number(&headers, "x-consul-index").unwrap_or(0);
-    let led = headers.get("x-consul-knownleader").is_none_or(|v| v.as_bytes() == b"true");
+    let led = headers
+        .get("x-consul-knownleader")
+        .is_none_or(|v| v.as_bytes() == b"true");
     match status {
         // No key has the prefix.
         StatusCode::NOT_FOUND if index > 0 => Ok((index, led, Vec::new())),
-        StatusCode::OK => Ok((index, led, serde_json::from_slice(&body).map_err(|e| e.to_string())?)),
+        StatusCode::OK => Ok((
+            index,
+            led,
+            serde_json::from_slice(&body).map_err(|e| e.to_string())?,
+        )),
         status => Err(format!("status {status}")),
     }
 }
@@ -163,7 +202,11 @@
 }
 
 fn item(pair: Pair, settings: &Settings, bad: &mut BTreeSet<String>) -> Option<Item> {
-    let id = pair.key.strip_prefix(&settings.prefix).filter(|id| !id.is_empty())?.to_string();
+    let id = pair
+        .key
+        .strip_prefix(&settings.prefix)
+        .filter(|id| !id.is_empty())?
+        .to_string();
     let value = STANDARD.decode(pair.value.unwrap_or_default());
     let entry = match value {
         Ok(value) => Entry::read(&value, &settings.allowed).map_err(|e| e.to_string()),
@@ -177,5 +220,10 @@
         }
         Err(_) => {}
     }
-    Some(Item { id, revision: pair.modify_index, created: pair.create_index, entry: entry.ok() })
+    Some(Item {
+        id,
+        revision: pair.modify_index,
+        created: pair.create_index,
+        entry: entry.ok(),
+    })
 }
--- a/crates/consul/src/settings.rs
+++ b/crates/consul/src/settings.rs
@@ -48,7 +48,9 @@
     }
 }
 
-fn with_agent(agent: &Option<std::net::SocketAddr>) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
+fn with_agent(
+    agent: &Option<std::net::SocketAddr>,
+) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
     move |enabled, ()| match enabled.0 && agent.is_none() {
         true => Err(garde::Error::new("on, but no agent is named")),
         false => Ok(()),
@@ -57,8 +59,13 @@
 
 /// It goes into a path as it is.
 fn plain(prefix: &str, (): &()) -> garde::Result {
-    match prefix.bytes().all(|b| b.is_ascii_alphanumeric() || b"._/-".contains(&b)) {
+    match prefix
+        .bytes()
+        .all(|b| b.is_ascii_alphanumeric() || b"._/-".contains(&b))
+    {
         true => Ok(()),
-        false => Err(garde::Error::new("holds more than letters, digits and . _ / -")),
+        false => Err(garde::Error::new(
+            "holds more than letters, digits and . _ / -",
+        )),
     }
 }
--- a/crates/consul/tests/follow.rs
+++ b/crates/consul/tests/follow.rs
@@ -36,16 +36,28 @@
     let held = source.clone();
     let task = tokio::spawn(async move {
         follow(&settings, 1, |news| {
-            held.lock().unwrap().full(0, 0, news.index, news.consistent, news.items);
+            held.lock()
+                .unwrap()
+                .full(0, 0, news.index, news.consistent, news.items);
         })
         .await;
     });
-    World { agent, wire, source, task }
+    World {
+        agent,
+        wire,
+        source,
+        task,
+    }
 }
 
 impl World {
     fn list(&self) -> BTreeMap<String, State> {
-        self.source.lock().unwrap().entries().map(|(id, entry)| (id.to_string(), entry.state)).collect()
+        self.source
+            .lock()
+            .unwrap()
+            .entries()
+            .map(|(id, entry)| (id.to_string(), entry.state))
+            .collect()
     }
 
     async fn until(&self, what: &str, holds: impl Fn(&BTreeMap<String, State>) -> bool) {
@@ -54,7 +66,11 @@
                 tokio::time::sleep(Duration::from_millis(2)).await;
             }
         };
-        assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "never: {what}: {:?}", self.list());
+        assert!(
+            tokio::time::timeout(PATIENCE, wait).await.is_ok(),
+            "never: {what}: {:?}",
+            self.list()
+        );
     }
 }
 
@@ -76,11 +92,18 @@
     world.agent.put("x/other", Some(&value("in_service")));
     world.until("a", |list| list.len() == 1).await;
     world.agent.put("m/a", Some(&value("terminating")));
-    world.until("it drains", |list| list.get("a") == Some(&State::Terminating)).await;
+    world
+        .until("it drains", |list| {
+            list.get("a") == Some(&State::Terminating)
+        })
+        .await;
     world.agent.put("m/a", None);
     world.agent.put("m/bad", None);
     world.until("nobody", BTreeMap::is_empty).await;
-    assert!(world.agent.reads.load(Ordering::Relaxed) <= 8, "one read for each change, no more");
+    assert!(
+        world.agent.reads.load(Ordering::Relaxed) <= 8,
+        "one read for each change, no more"
+    );
 }
 
 #[tokio::test]
@@ -106,8 +129,14 @@
     world.agent.led(false);
     world.agent.put("m/d", Some(&value("in_service")));
     world.agent.led(true);
-    world.until("d once there is a leader", |list| list.len() == 3).await;
+    world
+        .until("d once there is a leader", |list| list.len() == 3)
+        .await;
     world.agent.begin_anew();
     world.agent.put("m/z", Some(&value("in_service")));
-    world.until("only what there is now", |list| list.len() == 1 && list.contains_key("z")).await;
+    world
+        .until("only what there is now", |list| {
+            list.len() == 1 && list.contains_key("z")
+        })
+        .await;
 }
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -28,9 +28,15 @@
     /// What is wrong with it, for the caller.
     pub fn read(line: &str) -> Result<Self, String> {
         let mut words = line.split_ascii_whitespace();
-        let Some(name) = words.next() else { return Err("no call: the line is empty".to_string()) };
-        let mut id =
-            || words.next().map(str::to_string).ok_or(format!("{name}: which instance? An id is missing"));
+        let Some(name) = words.next() else {
+            return Err("no call: the line is empty".to_string());
+        };
+        let mut id = || {
+            words
+                .next()
+                .map(str::to_string)
+                .ok_or(format!("{name}: which instance? An id is missing"))
+        };
         let call = match name {
             "READY" => Call::Ready,
             "DISABLE" => Call::Disable(id()?),
@@ -39,19 +45,28 @@
             "UNDRAIN" => Call::Undrain,
             _ => {
                 let known = "READY, DISABLE ID, ENABLE ID, DRAIN, UNDRAIN";
-                return Err(format!("unknown call '{}'; known are {known}", printable(name)));
+                return Err(format!(
+                    "unknown call '{}'; known are {known}",
+                    printable(name)
+                ));
             }
         };
         match words.next() {
             None => Ok(call),
-            Some(word) => Err(format!("{name}: '{}' is one word too many", printable(word))),
+            Some(word) => Err(format!(
+                "{name}: '{}' is one word too many",
+                printable(word)
+            )),
         }
     }
 }
 
 /// The beginning of what a caller sent, fit for one line of an answer or a log.
 fn printable(word: &str) -> String {
-    word.chars().take(64).map(|c| if c.is_control() { '?' } else { c }).collect()
+    word.chars()
+        .take(64)
+        .map(|c| if c.is_control() { '?' } else { c })
+        .collect()
 }
 
 /// What a caller is told: one line.
@@ -81,9 +96,15 @@
     #[test]
     fn calls_are_read_whole_or_not_at_all() {
         assert_eq!(Call::read("READY"), Ok(Call::Ready));
-        assert_eq!(Call::read(" DISABLE  s-1 "), Ok(Call::Disable("s-1".into())));
+        assert_eq!(
+            Call::read(" DISABLE  s-1 "),
+            Ok(Call::Disable("s-1".into()))
+        );
         assert_eq!(Call::read("ENABLE s-1"), Ok(Call::Enable("s-1".into())));
-        assert_eq!((Call::read("DRAIN"), Call::read("UNDRAIN")), (Ok(Call::Drain), Ok(Call::Undrain)));
+        assert_eq!(
+            (Call::read("DRAIN"), Call::read("UNDRAIN")),
+            (Ok(Call::Drain), Ok(Call::Undrain))
+        );
         for (line, why) in [
             ("", "line is empty"),
             (" \t", "line is empty"),
--- a/crates/control/src/stages.rs
+++ b/crates/control/src/stages.rs
@@ -130,7 +130,11 @@
 impl Stages {
     /// At work.
     pub fn new(termination: Termination) -> Self {
-        Stages { stage: Stage::Serving, due: None, termination }
+        Stages {
+            stage: Stage::Serving,
+            due: None,
+            termination,
+        }
     }
 
     /// The present one.
--- a/crates/control/src/stages/tests.rs
+++ b/crates/control/src/stages/tests.rs
@@ -56,14 +56,23 @@
     for longest in [200, 480, 1_000, 3_000, 4_110, 30_000] {
         let termination = Termination::new(T(longest));
         // The last connection that comes in the usual way, with all the time there is.
-        assert!(termination.ends(Leave::Alone) > LEAVING + T(longest), "{longest} ms");
+        assert!(
+            termination.ends(Leave::Alone) > LEAVING + T(longest),
+            "{longest} ms"
+        );
         let kill = T(longest.min(3_000) + 700);
         for how in [Leave::Alone, Leave::Succeeded] {
             let (from, by) = termination.late(how);
-            assert!(from <= T(700) && from < by && by < kill, "{longest} ms, {how:?}");
+            assert!(
+                from <= T(700) && from < by && by < kill,
+                "{longest} ms, {how:?}"
+            );
             assert!(by < termination.ends(how), "{longest} ms, {how:?}");
         }
         assert!(termination.ends(Leave::Succeeded) < kill, "{longest} ms");
-        assert!(termination.keeps(Leave::Succeeded) < termination.late(Leave::Succeeded).1, "{longest} ms");
+        assert!(
+            termination.keeps(Leave::Succeeded) < termination.late(Leave::Succeeded).1,
+            "{longest} ms"
+        );
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,7 +15,10 @@
 
 /// The text of the file.
 pub fn write(ledger: &Ledger) -> String {
-    let file = File { applewall_state: VERSION, withheld: ledger.clone() };
+    let file = File {
+        applewall_state: VERSION,
+        withheld: ledger.clone(),
+    };
     // Strings and a number: there is nothing that JSON can't say.
     serde_json::to_string(&file).unwrap_or_default()
 }
@@ -26,14 +29,19 @@
 ///
 /// It is torn, foreign or of a newer version; which of these.
 pub fn read(text: &str) -> Result<Ledger, String> {
-    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| format!("torn or foreign: {e}"))?;
-    match value.get("applewall_state").and_then(serde_json::Value::as_u64) {
+    let value: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| format!("torn or foreign: {e}"))?;
+    match value
+        .get("applewall_state")
+        .and_then(serde_json::Value::as_u64)
+    {
         None => Err("foreign: it has no 'applewall_state'".to_string()),
-        Some(version) if version > u64::from(VERSION) => {
-            Err(format!("of version {version}; {VERSION} is the newest that is known here"))
-        }
+        Some(version) if version > u64::from(VERSION) => Err(format!(
+            "of version {version}; {VERSION} is the newest that is known here"
+        )),
         Some(_) => {
-            let file: File = serde_json::from_value(value).map_err(|e| format!("torn or foreign: {e}"))?;
+            let file: File =
+                serde_json::from_value(value).map_err(|e| format!("torn or foreign: {e}"))?;
             Ok(file.withheld)
         }
     }
@@ -46,11 +54,17 @@
     #[test]
     fn what_is_written_is_read_and_all_else_is_told_apart() {
         let mut ledger = Ledger::default();
-        let _ = (ledger.withhold("s-1", true), ledger.withhold("s \"2\"", true));
+        let _ = (
+            ledger.withhold("s-1", true),
+            ledger.withhold("s \"2\"", true),
+        );
         let text = write(&ledger);
         assert_eq!(read(&text), Ok(ledger));
         for cut in 0..text.len() {
-            assert!(read(&text[..cut]).is_err_and(|e| e.contains("torn")), "{cut} bytes");
+            assert!(
+                read(&text[..cut]).is_err_and(|e| e.contains("torn")),
+                "{cut} bytes"
+            );
         }
         let wrong = [
             ("{}", "foreign"),
--- a/crates/etcd/src/calls.rs
+++ b/crates/etcd/src/calls.rs
@@ -53,7 +53,11 @@
     /// # Errors
     ///
     /// What the transport says; a token that can't go with a call.
-    pub async fn connect(to: SocketAddr, patience: Duration, token: Option<&str>) -> Result<Self, Status> {
+    pub async fn connect(
+        to: SocketAddr,
+        patience: Duration,
+        token: Option<&str>,
+    ) -> Result<Self, Status> {
         // A secret is not told, not even a wrong one.
         let token = token.map(|t| t.trim().parse()).transpose();
         let mut token: Option<AsciiMetadataValue> =
@@ -62,7 +66,10 @@
         let endpoint = Endpoint::from_shared(format!("http://{to}"));
         let endpoint = endpoint.map_err(|e| Status::internal(e.to_string()))?;
         let endpoint = endpoint.connect_timeout(patience).tcp_nodelay(true);
-        let channel = endpoint.connect().await.map_err(|e| Status::unavailable(e.to_string()))?;
+        let channel = endpoint
+            .connect()
+            .await
+            .map_err(|e| Status::unavailable(e.to_string()))?;
         Ok(Calls { channel, token })
     }
 
@@ -76,7 +83,9 @@
 
     async fn grpc(&self) -> Result<Grpc<Channel>, Status> {
         let mut grpc = Grpc::new(self.channel.clone()).max_decoding_message_size(MOST);
-        grpc.ready().await.map_err(|e| Status::unavailable(e.to_string()))?;
+        grpc.ready()
+            .await
+            .map_err(|e| Status::unavailable(e.to_string()))?;
         Ok(grpc)
     }
 
@@ -87,13 +96,25 @@
     ///
     /// What the registry says.
     pub async fn read(&self, prefix: &[u8]) -> Result<proto::RangeResponse, Status> {
-        let (mut whole, mut key, mut revision) = (proto::RangeResponse::default(), prefix.to_vec(), 0);
+        let (mut whole, mut key, mut revision) =
+            (proto::RangeResponse::default(), prefix.to_vec(), 0);
         loop {
             let range_end = proto::prefix_end(prefix);
-            let request = proto::RangeRequest { key, range_end, limit: PAGE, revision, serializable: false };
+            let request = proto::RangeRequest {
+                key,
+                range_end,
+                limit: PAGE,
+                revision,
+                serializable: false,
+            };
             let path = http::uri::PathAndQuery::from_static(proto::path::RANGE);
             let codec = ProstCodec::<proto::RangeRequest, proto::RangeResponse>::default();
-            let page = self.grpc().await?.unary(self.request(request), path, codec).await?.into_inner();
+            let page = self
+                .grpc()
+                .await?
+                .unary(self.request(request), path, codec)
+                .await?
+                .into_inner();
             if whole.header.is_none() {
                 revision = page.header.as_ref().map_or(0, |h| h.revision);
                 whole.header = page.header;
@@ -123,11 +144,19 @@
             fragment: true,
             ..Default::default()
         };
-        let create = proto::WatchRequest { request_union: Some(Union::Create(create)) };
-        up.try_send(create).map_err(|e| Status::internal(e.to_string()))?;
+        let create = proto::WatchRequest {
+            request_union: Some(Union::Create(create)),
+        };
+        up.try_send(create)
+            .map_err(|e| Status::internal(e.to_string()))?;
         let path = http::uri::PathAndQuery::from_static(proto::path::WATCH);
         let codec = ProstCodec::<proto::WatchRequest, proto::WatchResponse>::default();
-        let down = self.grpc().await?.streaming(self.request(Up(requests)), path, codec).await?.into_inner();
+        let down = self
+            .grpc()
+            .await?
+            .streaming(self.request(Up(requests)), path, codec)
+            .await?
+            .into_inner();
         Ok(Watch { up, down })
     }
 }
@@ -135,8 +164,9 @@
 impl Watch {
     /// Asks for a proof that the watch lives; where the connection takes none, its silence is found by itself.
     pub fn probe(&self) {
-        let progress =
-            proto::WatchRequest { request_union: Some(Union::Progress(proto::WatchProgressRequest {})) };
+        let progress = proto::WatchRequest {
+            request_union: Some(Union::Progress(proto::WatchProgressRequest {})),
+        };
         let _ = self.up.try_send(progress);
     }
 }
--- a/crates/etcd/src/follow.rs
+++ b/crates/etcd/src/follow.rs
@@ -141,12 +141,22 @@
             }
             Act::Read => {
                 let calls = self.calls.clone()?;
-                match tokio::time::timeout(left, calls.read(self.settings.prefix.as_bytes())).await {
+                match tokio::time::timeout(left, calls.read(self.settings.prefix.as_bytes())).await
+                {
                     Ok(Ok(read)) => {
                         let header = read.header.unwrap_or_default();
-                        let (cluster, revision) = (header.cluster_id, header.revision.max(0) as u64);
-                        let items = read.kvs.into_iter().filter_map(|kv| self.item(Some(kv), true)).collect();
-                        take(News::Full { cluster, revision, items });
+                        let (cluster, revision) =
+                            (header.cluster_id, header.revision.max(0) as u64);
+                        let items = read
+                            .kvs
+                            .into_iter()
+                            .filter_map(|kv| self.item(Some(kv), true))
+                            .collect();
+                        take(News::Full {
+                            cluster,
+                            revision,
+                            items,
+                        });
                         Some(Event::Read { cluster, revision })
                     }
                     Ok(Err(status)) => failed(self, Ok(status)),
@@ -156,7 +166,9 @@
             Act::Watch { from } => {
                 let calls = self.calls.clone()?;
                 self.parts.clear();
-                match tokio::time::timeout(left, calls.watch(self.settings.prefix.as_bytes(), from)).await {
+                match tokio::time::timeout(left, calls.watch(self.settings.prefix.as_bytes(), from))
+                    .await
+                {
                     Ok(Ok(watch)) => {
                         self.watch = Some(watch);
                         None
@@ -208,7 +220,10 @@
             return Some(Event::Compacted);
         }
         if message.canceled {
-            self.lose(&format!("the watch was cancelled: {}", message.cancel_reason));
+            self.lose(&format!(
+                "the watch was cancelled: {}",
+                message.cancel_reason
+            ));
             return Some(Event::Broke);
         }
         let header = message.header.unwrap_or_default();
@@ -231,18 +246,31 @@
         let items = std::mem::take(&mut self.parts);
         // The header may be ahead of the events that come with it: what is proven is what they reach, and a notice
         // without events proves its whole revision.
-        let reached = items.iter().map(|item| item.revision).max().unwrap_or(revision);
-        if !take(News::Changes { cluster, revision: reached, items }) {
+        let reached = items
+            .iter()
+            .map(|item| item.revision)
+            .max()
+            .unwrap_or(revision);
+        if !take(News::Changes {
+            cluster,
+            revision: reached,
+            items,
+        }) {
             return None;
         }
-        Some(Event::Told { cluster, revision: reached })
+        Some(Event::Told {
+            cluster,
+            revision: reached,
+        })
     }
 
     fn item(&mut self, kv: Option<proto::KeyValue>, put: bool) -> Option<Item> {
         let kv = kv?;
         let prefix = self.settings.prefix.as_bytes();
         // A key that is no text can't be a member's id, and one without the prefix was not asked for.
-        let id = String::from_utf8(kv.key.strip_prefix(prefix)?.to_vec()).ok().filter(|id| !id.is_empty())?;
+        let id = String::from_utf8(kv.key.strip_prefix(prefix)?.to_vec())
+            .ok()
+            .filter(|id| !id.is_empty())?;
         let entry = match put.then(|| Entry::read(&kv.value, &self.settings.allowed)) {
             None => None,
             Some(Ok(entry)) => {
@@ -258,7 +286,12 @@
             }
         };
         let revision = kv.mod_revision.max(0) as u64;
-        Some(Item { id, revision, created: kv.create_revision.max(0) as u64, entry })
+        Some(Item {
+            id,
+            revision,
+            created: kv.create_revision.max(0) as u64,
+            entry,
+        })
     }
 
     /// Once a loss, however many tries it takes to get back.
--- a/crates/etcd/src/settings.rs
+++ b/crates/etcd/src/settings.rs
@@ -12,7 +12,10 @@
 impl<'de> Deserialize<'de> for Endpoints {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
         let address = |part: &str| {
             part.parse().map_err(|_| {
                 serde::de::Error::custom(format_args!(
--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/follow.rs
@@ -50,12 +50,16 @@
         let take = |news: News| {
             let mut roster = held.lock().unwrap();
             let took = match news {
-                News::Full { cluster, revision, items } => {
-                    roster.source(0).full(0, cluster, revision, true, items)
-                }
-                News::Changes { cluster, revision, items } => {
-                    roster.source(0).changes(0, cluster, revision, items)
-                }
+                News::Full {
+                    cluster,
+                    revision,
+                    items,
+                } => roster.source(0).full(0, cluster, revision, true, items),
+                News::Changes {
+                    cluster,
+                    revision,
+                    items,
+                } => roster.source(0).changes(0, cluster, revision, items),
             };
             let mut told = told.lock().unwrap();
             for change in roster.changes(0) {
@@ -69,7 +73,13 @@
         };
         follow(&settings, 1, None, take).await;
     });
-    World { registry, wires, roster, heard, task }
+    World {
+        registry,
+        wires,
+        roster,
+        heard,
+        task,
+    }
 }
 
 fn value(port: u16, state: &str) -> String {
@@ -84,7 +94,11 @@
             }
         };
         let state = || self.heard.lock().unwrap().0.clone();
-        assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "never: {what}: {:?}", state());
+        assert!(
+            tokio::time::timeout(PATIENCE, wait).await.is_ok(),
+            "never: {what}: {:?}",
+            state()
+        );
     }
 
     fn births(&self) -> usize {
@@ -104,12 +118,23 @@
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/bad", "{}");
     registry.put("/other/x", &value(9, "in_service"));
-    let world = world(registry, 1, |s| s.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()])).await;
-    world.until("a", |list| list.len() == 1 && list.contains_key("a")).await;
+    let world = world(registry, 1, |s| {
+        s.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()])
+    })
+    .await;
+    world
+        .until("a", |list| list.len() == 1 && list.contains_key("a"))
+        .await;
     world.registry.put("/m/b", &value(2, "terminating"));
-    world.registry.put("/m/elsewhere", r#"{"endpoint":"192.0.2.1:80"}"#);
+    world
+        .registry
+        .put("/m/elsewhere", r#"{"endpoint":"192.0.2.1:80"}"#);
     world.registry.put("/m/bad", &value(3, "in_service"));
-    world.until("b and bad", |list| list.len() == 3 && list.get("b") == Some(&State::Terminating)).await;
+    world
+        .until("b and bad", |list| {
+            list.len() == 3 && list.get("b") == Some(&State::Terminating)
+        })
+        .await;
     // One that is there and turns bad is left out, and comes back when it is mended.
     world.registry.put("/m/a", "no JSON at all");
     world.until("without a", |list| list.len() == 2).await;
@@ -127,8 +152,12 @@
         // Removed and added again while nobody looks: one more life, however the news comes.
         world.registry.delete("/m/a");
         world.registry.put("/m/a", &value(1, "in_service"));
-        world.registry.put(&format!("/m/n{round}"), &value(100 + round, "in_service"));
-        world.until("the next", |list| list.len() == 2 + usize::from(round)).await;
+        world
+            .registry
+            .put(&format!("/m/n{round}"), &value(100 + round, "in_service"));
+        world
+            .until("the next", |list| list.len() == 2 + usize::from(round))
+            .await;
     }
     // 20 new ones, 20 lives more of a, and its first.
     assert_eq!(world.births(), 41);
@@ -148,7 +177,11 @@
     let last = world.registry.put("/m/c", &value(3, "in_service"));
     world.registry.compact(last);
     world.wires[0].refuse(false);
-    world.until("c in place of a", |list| list.len() == 2 && list.contains_key("c")).await;
+    world
+        .until("c in place of a", |list| {
+            list.len() == 2 && list.contains_key("c")
+        })
+        .await;
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 2);
     // The registry may also have told the watch that was cut, which nobody heard.
     assert!(world.registry.calls.compacted.load(Ordering::Relaxed) >= 1);
@@ -163,15 +196,39 @@
     for round in 0..6 {
         // What was left in the round before is closed by now: only the one in use falls silent.
         let up = |wire: &&Wire| wire.connections.1.load(Ordering::Relaxed) > 0;
-        world.until("one is in use", |_| world.wires.iter().filter(up).count() == 1).await;
-        world.wires.iter().filter(up).for_each(|wire| wire.silence(true));
-        let state = if round % 2 == 0 { "terminating" } else { "in_service" };
+        world
+            .until("one is in use", |_| {
+                world.wires.iter().filter(up).count() == 1
+            })
+            .await;
+        world
+            .wires
+            .iter()
+            .filter(up)
+            .for_each(|wire| wire.silence(true));
+        let state = if round % 2 == 0 {
+            "terminating"
+        } else {
+            "in_service"
+        };
         world.registry.put("/m/a", &value(1, state));
-        let wanted = if round % 2 == 0 { State::Terminating } else { State::InService };
-        world.until(state, |list| list.get("a") == Some(&wanted)).await;
+        let wanted = if round % 2 == 0 {
+            State::Terminating
+        } else {
+            State::InService
+        };
+        world
+            .until(state, |list| list.get("a") == Some(&wanted))
+            .await;
         world.wires.iter().for_each(|wire| wire.silence(false));
     }
-    assert_eq!((world.births(), world.registry.calls.ranges.load(Ordering::Relaxed)), (1, 1));
+    assert_eq!(
+        (
+            world.births(),
+            world.registry.calls.ranges.load(Ordering::Relaxed)
+        ),
+        (1, 1)
+    );
 }
 
 #[tokio::test]
@@ -191,7 +248,16 @@
     assert_eq!(world.births(), 40);
     world.registry.put("/m/s-2", &value(3, "in_service"));
     world.until("two", |list| list.len() == 2).await;
-    assert_eq!(world.roster.lock().unwrap().source(0).position().map(|p| p.0), Some(8));
+    assert_eq!(
+        world
+            .roster
+            .lock()
+            .unwrap()
+            .source(0)
+            .position()
+            .map(|p| p.0),
+        Some(8)
+    );
 }
 
 #[tokio::test]
@@ -221,13 +287,19 @@
     let writer = registry.clone();
     let world = world(registry, 1, |_| ()).await;
     // After the first page: one of the first goes, one of the last comes to be drained, and one is new.
-    world.until("reading", |_| writer.calls.ranges.load(Ordering::Relaxed) >= 1).await;
+    world
+        .until("reading", |_| {
+            writer.calls.ranges.load(Ordering::Relaxed) >= 1
+        })
+        .await;
     writer.delete("/m/s-0000");
     writer.put("/m/s-4999", &value(5_000, "terminating"));
     writer.put("/m/t", &value(6_000, "in_service"));
     world
         .until("all three", |list| {
-            list.len() == 5_000 && list.contains_key("t") && list.get("s-4999") == Some(&State::Terminating)
+            list.len() == 5_000
+                && list.contains_key("t")
+                && list.get("s-4999") == Some(&State::Terminating)
         })
         .await;
     assert_eq!(world.births(), 5_001);
@@ -240,9 +312,14 @@
     registry.put("/m/a", &value(1, "in_service"));
     let file = std::env::temp_dir().join(format!("applewall-token-{}", std::process::id()));
     std::fs::write(&file, "wrong\n").unwrap();
-    let world = world(registry, 1, |s| s.token_file = Some(file.to_str().unwrap().into())).await;
+    let world = world(registry, 1, |s| {
+        s.token_file = Some(file.to_str().unwrap().into())
+    })
+    .await;
     let tried = || world.wires[0].connections.0.load(Ordering::Relaxed) > 2;
-    world.until("three tries", |list| list.is_empty() && tried()).await;
+    world
+        .until("three tries", |list| list.is_empty() && tried())
+        .await;
     // The file is read again at each connection.
     std::fs::write(&file, "s3cret\n").unwrap();
     world.until("a", |list| list.len() == 1).await;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -49,10 +49,21 @@
 impl Error {
     /// At a path as serde and garde write it, `section.key`.
     fn at(path: &str, reason: impl fmt::Display) -> Self {
-        let mut parts = path.split('.').filter(|p| !p.is_empty()).map(str::to_string);
+        let mut parts = path
+            .split('.')
+            .filter(|p| !p.is_empty())
+            .map(str::to_string);
         // Several reasons of a library come in several lines; the log has one for each trouble.
-        let reason = reason.to_string().split_whitespace().collect::<Vec<_>>().join(" ");
-        Error { section: parts.next(), key: parts.next(), reason }
+        let reason = reason
+            .to_string()
+            .split_whitespace()
+            .collect::<Vec<_>>()
+            .join(" ");
+        Error {
+            section: parts.next(),
+            key: parts.next(),
+            reason,
+        }
     }
 }
 
@@ -72,7 +83,9 @@
             .map_err(|e| refused(&e))?;
     settings.validate().map_err(|report| {
         let first = report.iter().next();
-        first.map_or(Error::at("", &report), |(path, error)| Error::at(&path.to_string(), error))
+        first.map_or(Error::at("", &report), |(path, error)| {
+            Error::at(&path.to_string(), error)
+        })
     })?;
     Ok(settings)
 }
@@ -85,8 +98,12 @@
 type Sections = BTreeMap<String, BTreeMap<String, Value>>;
 
 fn sections(text: &str) -> Result<Sections, Error> {
-    let ini = Ini::load_from_str(text)
-        .map_err(|e| Error::at("", format_args!("line {}, column {}: {}", e.line, e.col, e.msg)))?;
+    let ini = Ini::load_from_str(text).map_err(|e| {
+        Error::at(
+            "",
+            format_args!("line {}, column {}: {}", e.line, e.col, e.msg),
+        )
+    })?;
     let mut sections = Sections::new();
     for (name, properties) in ini.iter() {
         let Some(name) = name else {
@@ -94,7 +111,10 @@
             match properties.iter().next() {
                 None => continue,
                 Some((key, _)) => {
-                    return Err(Error::at("", format_args!("{key}: stands before any section")))
+                    return Err(Error::at(
+                        "",
+                        format_args!("{key}: stands before any section"),
+                    ))
                 }
             }
         };
@@ -104,7 +124,10 @@
         let keys = section.insert(BTreeMap::new());
         for (key, value) in properties.iter() {
             // Which of the two was meant? The last one would silently win.
-            if keys.insert(key.to_string(), Value(value.to_string())).is_some() {
+            if keys
+                .insert(key.to_string(), Value(value.to_string()))
+                .is_some()
+            {
                 return Err(Error::at(&format!("{name}.{key}"), "the key comes twice"));
             }
         }
@@ -122,9 +145,10 @@
         let section = path.split('.').next().unwrap_or_default();
         return match section.is_empty() || section == name && !path.contains('.') {
             true => Error::at(name, format_args!("unknown section; there are: {expected}")),
-            false => {
-                Error::at(&format!("{section}.{name}"), format_args!("unknown key; there are: {expected}"))
-            }
+            false => Error::at(
+                &format!("{section}.{name}"),
+                format_args!("unknown key; there are: {expected}"),
+            ),
         };
     }
     Error::at(&path, text)
@@ -170,7 +194,15 @@
     impl Default for Door {
         fn default() -> Self {
             let (wait, known) = (Span::millis(250), Networks::default());
-            Door { open: Switch(false), wait, room: Size(4096), part: 0.5, known, most: None, keep: None }
+            Door {
+                open: Switch(false),
+                wait,
+                room: Size(4096),
+                part: 0.5,
+                known,
+                most: None,
+                keep: None,
+            }
         }
     }
 
@@ -178,7 +210,10 @@
     fn what_is_said_holds_and_all_else_keeps_its_default() {
         let text = "; ours\n[door]\nopen = on\nwait = 1s 500ms\nroom = 64KiB\nknown = 10.0.0.0/8, ::1\nmost = 9\nkeep = 2KiB\n";
         let File { door } = read(text).unwrap();
-        assert_eq!((door.open.0, door.wait, door.room.0, door.part), (true, Span::millis(1500), 65536, 0.5));
+        assert_eq!(
+            (door.open.0, door.wait, door.room.0, door.part),
+            (true, Span::millis(1500), 65536, 0.5)
+        );
         assert_eq!((door.most, door.keep), (Some(9), Some(Size(2048))));
         assert!(door.known.contains("10.1.2.3".parse().unwrap()));
         assert!(!door.known.contains("11.1.2.3".parse().unwrap()));
@@ -193,33 +228,65 @@
                 "[door]\nopn = on",
                 "[door] opn: unknown key; there are: open, wait, room, part, known, most, keep",
             ),
-            ("[door]\nopen = maybe", "[door] open: 'maybe' is neither on nor off"),
-            ("[door]\nwait = 5", "[door] wait: '5' is no time such as 250ms or 2s"),
-            ("[door]\nwait = 5 parsecs", "[door] wait: '5 parsecs' is no time such as 250ms or 2s"),
-            ("[door]\nroom = 64 furlongs", "[door] room: '64 furlongs' is no size such as 64KiB"),
-            ("[door]\npart = half", "[door] part: 'half' is no number: invalid float literal"),
+            (
+                "[door]\nopen = maybe",
+                "[door] open: 'maybe' is neither on nor off",
+            ),
+            (
+                "[door]\nwait = 5",
+                "[door] wait: '5' is no time such as 250ms or 2s",
+            ),
+            (
+                "[door]\nwait = 5 parsecs",
+                "[door] wait: '5 parsecs' is no time such as 250ms or 2s",
+            ),
+            (
+                "[door]\nroom = 64 furlongs",
+                "[door] room: '64 furlongs' is no size such as 64KiB",
+            ),
+            (
+                "[door]\npart = half",
+                "[door] part: 'half' is no number: invalid float literal",
+            ),
             ("[door]\nmost = 4", "[door] most: lower than 5"),
             ("[door]\npart = 1.5", "[door] part: greater than 1"),
-            ("[door]\npart = NaN", "[door] part: 'NaN' is no finite number"),
+            (
+                "[door]\npart = NaN",
+                "[door] part: 'NaN' is no finite number",
+            ),
             (
                 "[door]\nknown = 10.0.0.0/40",
                 "[door] known: '10.0.0.0/40' is no IP network such as 10.0.0.0/8",
             ),
-            ("[door]\nopen = on\nopen = off", "[door] open: the key comes twice"),
-            ("[door]\n[door]\nopen = off", "[door] the section comes twice"),
+            (
+                "[door]\nopen = on\nopen = off",
+                "[door] open: the key comes twice",
+            ),
+            (
+                "[door]\n[door]\nopen = off",
+                "[door] the section comes twice",
+            ),
             ("open = on", "open: stands before any section"),
             ("[door\nopen = on", "line "),
         ];
         for (text, reason) in cases {
             let error = read::<File>(text).unwrap_err().to_string();
-            assert!(error.starts_with(reason) && !error.contains('\n'), "{text:?} gave {error:?}");
+            assert!(
+                error.starts_with(reason) && !error.contains('\n'),
+                "{text:?} gave {error:?}"
+            );
         }
     }
 
     #[test]
     fn the_schema_names_sections_and_keys() {
         let schema = schema::<File>();
-        for word in ["\"door\"", "\"wait\"", "\"additionalProperties\": false", "pattern"] {
+        for word in [
+            "\"door\"",
+            "\"wait\"",
+            "\"additionalProperties\": false",
+            "pattern",
+        ] {
             assert!(schema.contains(word), "{word}: {schema}");
         }
     }
--- a/crates/operator/src/units.rs
+++ b/crates/operator/src/units.rs
@@ -23,10 +23,18 @@
 pub fn number<'de, D: Deserializer<'de>, T: FromStr<Err: Display>>(from: D) -> Result<T, D::Error> {
     let text = String::deserialize(from)?;
     // A range check lets NaN through: it is neither below nor above.
-    if text.trim().parse().is_ok_and(|number: f64| !number.is_finite()) {
-        return Err(D::Error::custom(format_args!("'{text}' is no finite number")));
+    if text
+        .trim()
+        .parse()
+        .is_ok_and(|number: f64| !number.is_finite())
+    {
+        return Err(D::Error::custom(format_args!(
+            "'{text}' is no finite number"
+        )));
     }
-    text.trim().parse().map_err(|e| D::Error::custom(format_args!("'{text}' is no number: {e}")))
+    text.trim()
+        .parse()
+        .map_err(|e| D::Error::custom(format_args!("'{text}' is no number: {e}")))
 }
 
 /// `on` or `off`.
@@ -38,7 +46,9 @@
         match String::deserialize(from)?.as_str() {
             "on" => Ok(Switch(true)),
             "off" => Ok(Switch(false)),
-            text => Err(D::Error::custom(format_args!("'{text}' is neither on nor off"))),
+            text => Err(D::Error::custom(format_args!(
+                "'{text}' is neither on nor off"
+            ))),
         }
     }
 }
@@ -107,12 +117,15 @@
 impl<'de> Deserialize<'de> for Networks {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
         let network = |part: &str| {
             let address = part.parse::<IpAddr>().map(IpNet::from);
-            address
-                .or_else(|_| part.parse())
-                .map_err(|_| D::Error::custom(format_args!("'{part}' is no IP network such as 10.0.0.0/8")))
+            address.or_else(|_| part.parse()).map_err(|_| {
+                D::Error::custom(format_args!("'{part}' is no IP network such as 10.0.0.0/8"))
+            })
         };
         parts.map(network).collect::<Result<_, _>>().map(Networks)
     }
--- a/crates/pace/src/account.rs
+++ b/crates/pace/src/account.rs
@@ -40,7 +40,15 @@
     /// Empty, with these limits.
     pub fn new(limit: u64, per_customer: u64, per_peer: u64) -> Self {
         let (customers, peers) = (HashMap::new(), HashMap::new());
-        Account { limit, per_customer, per_peer, total: 0, most: 0, customers, peers }
+        Account {
+            limit,
+            per_customer,
+            per_peer,
+            total: 0,
+            most: 0,
+            customers,
+            peers,
+        }
     }
 
     /// Takes so much, or nothing.
@@ -50,10 +58,16 @@
     /// The limit that it would pass; the narrowest first, since who passes it is the one to blame.
     pub fn take(&mut self, holder: Holder, amount: u64) -> Result<(), Full> {
         let held = |held: Option<&u64>| held.copied().unwrap_or(0).saturating_add(amount);
-        if holder.customer.is_some_and(|c| held(self.customers.get(&c)) > self.per_customer) {
+        if holder
+            .customer
+            .is_some_and(|c| held(self.customers.get(&c)) > self.per_customer)
+        {
             return Err(Full::Customer);
         }
-        if holder.peer.is_some_and(|p| held(self.peers.get(&p)) > self.per_peer) {
+        if holder
+            .peer
+            .is_some_and(|p| held(self.peers.get(&p)) > self.per_peer)
+        {
             return Err(Full::Peer);
         }
         if self.total.saturating_add(amount) > self.limit {
@@ -62,8 +76,14 @@
         self.total += amount;
         self.most = self.most.max(self.total);
         if amount > 0 {
-            holder.customer.into_iter().for_each(|c| *self.customers.entry(c).or_default() += amount);
-            holder.peer.into_iter().for_each(|p| *self.peers.entry(p).or_default() += amount);
+            holder
+                .customer
+                .into_iter()
+                .for_each(|c| *self.customers.entry(c).or_default() += amount);
+            holder
+                .peer
+                .into_iter()
+                .for_each(|p| *self.peers.entry(p).or_default() += amount);
         }
         Ok(())
     }
@@ -84,10 +104,12 @@
         let held = |held: Option<&u64>| held.copied().unwrap_or(0);
         match limit {
             Full::Total => self.limit.saturating_sub(self.total),
-            Full::Customer => {
-                self.per_customer.saturating_sub(held(holder.customer.and_then(|c| self.customers.get(&c))))
-            }
-            Full::Peer => self.per_peer.saturating_sub(held(holder.peer.and_then(|p| self.peers.get(&p)))),
+            Full::Customer => self
+                .per_customer
+                .saturating_sub(held(holder.customer.and_then(|c| self.customers.get(&c)))),
+            Full::Peer => self
+                .per_peer
+                .saturating_sub(held(holder.peer.and_then(|p| self.peers.get(&p)))),
         }
     }
 
--- a/crates/pace/src/bulkhead.rs
+++ b/crates/pace/src/bulkhead.rs
@@ -26,7 +26,12 @@
     /// By the operator's prefixes and exemptions.
     pub fn new(settings: &BulkheadSettings) -> Self {
         let (v4, v6) = (settings.ipv4_prefix, settings.ipv6_prefix);
-        Networked { v4, v6, exempt: settings.exempt.clone(), enabled: settings.enabled.0 }
+        Networked {
+            v4,
+            v6,
+            exempt: settings.exempt.clone(),
+            enabled: settings.enabled.0,
+        }
     }
 
     /// The set of an address; none where it is not bounded. An IPv4 address in IPv6 clothes is that IPv4 address:
@@ -59,7 +64,8 @@
             true => ((places as f64 * part) as u64).max(1),
             false => u64::MAX,
         };
-        let (per_customer, per_peer) = (share(settings.customer_places), share(settings.peer_places));
+        let (per_customer, per_peer) =
+            (share(settings.customer_places), share(settings.peer_places));
         Bulkheads {
             held: Account::new(u64::MAX, per_customer, per_peer),
             per_peer,
@@ -77,12 +83,18 @@
         let cut = self.cut.entry(peer).or_default();
         if *cut < self.per_peer.saturating_sub(1) {
             *cut += 1;
-            self.cuts.push_back((now.saturating_add(self.distrust), peer));
+            self.cuts
+                .push_back((now.saturating_add(self.distrust), peer));
         }
     }
 
     fn forget(&mut self, now: u64) {
-        while let Some((_, peer)) = self.cuts.front().copied().filter(|(until, _)| *until <= now) {
+        while let Some((_, peer)) = self
+            .cuts
+            .front()
+            .copied()
+            .filter(|(until, _)| *until <= now)
+        {
             self.cuts.pop_front();
             if let Some(left) = self.cut.get_mut(&peer) {
                 *left = left.saturating_sub(1);
@@ -100,7 +112,9 @@
     /// Whose share is taken.
     pub fn enter(&mut self, now: u64, holder: Holder) -> Result<(), Full> {
         self.forget(now);
-        let cut = holder.peer.and_then(|peer| Some((peer, *self.cut.get(&peer)?)));
+        let cut = holder
+            .peer
+            .and_then(|peer| Some((peer, *self.cut.get(&peer)?)));
         if cut.is_some_and(|(peer, cut)| self.held.of_peer(peer) + cut >= self.per_peer) {
             return Err(Full::Peer);
         }
@@ -124,30 +138,55 @@
 
     fn settings() -> BulkheadSettings {
         let exempt = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
-        BulkheadSettings { enabled: applewall_operator::Switch(true), exempt, ..BulkheadSettings::default() }
+        BulkheadSettings {
+            enabled: applewall_operator::Switch(true),
+            exempt,
+            ..BulkheadSettings::default()
+        }
     }
 
     #[test]
     fn addresses_of_a_set_count_together_and_exempt_ones_not_at_all() {
         let networked = Networked::new(&settings());
-        let of = |text: &str| networked.of(text.parse().unwrap()).map(|net| net.to_string());
+        let of = |text: &str| {
+            networked
+                .of(text.parse().unwrap())
+                .map(|net| net.to_string())
+        };
         assert_eq!(of("192.0.2.7").as_deref(), Some("192.0.2.0/24"));
         assert_eq!(of("::ffff:192.0.2.9").as_deref(), Some("192.0.2.0/24"));
-        assert_eq!(of("2001:db8:0:1ff::1").as_deref(), Some("2001:db8:0:100::/56"));
+        assert_eq!(
+            of("2001:db8:0:1ff::1").as_deref(),
+            Some("2001:db8:0:100::/56")
+        );
         assert_eq!(of("10.1.2.3"), None);
-        assert_eq!(Networked::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()), None);
+        assert_eq!(
+            Networked::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()),
+            None
+        );
     }
 
     #[test]
     fn those_that_were_cut_get_fewer_places_for_a_while_and_one_in_any_case() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let peer = |text: &str| Holder { customer: None, peer: Some(text.parse().unwrap()) };
+        let peer = |text: &str| Holder {
+            customer: None,
+            peer: Some(text.parse().unwrap()),
+        };
         let (cut, other) = (peer("192.0.2.0/24"), peer("198.51.100.0/24"));
         let enter = |bulkheads: &mut Bulkheads, now, holder| {
-            (0..8).take_while(|_| bulkheads.enter(now, holder).is_ok()).count()
+            (0..8)
+                .take_while(|_| bulkheads.enter(now, holder).is_ok())
+                .count()
         };
         (0..2).for_each(|_| bulkheads.distrust(0, cut));
-        assert_eq!((enter(&mut bulkheads, 1, cut), enter(&mut bulkheads, 1, other)), (2, 4));
+        assert_eq!(
+            (
+                enter(&mut bulkheads, 1, cut),
+                enter(&mut bulkheads, 1, other)
+            ),
+            (2, 4)
+        );
         (0..2).for_each(|_| bulkheads.leave(cut));
         // However many were cut: one place stays, and all come back when the time is over.
         (0..100).for_each(|_| bulkheads.distrust(1, cut));
@@ -161,10 +200,18 @@
     #[test]
     fn a_share_is_held_and_given_back() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let customer = |c| Holder { customer: Some(c), peer: None };
-        assert_eq!([1, 1, 1].map(|c| bulkheads.enter(0, customer(c))), [Ok(()), Ok(()), Err(Full::Customer)]);
+        let customer = |c| Holder {
+            customer: Some(c),
+            peer: None,
+        };
+        assert_eq!(
+            [1, 1, 1].map(|c| bulkheads.enter(0, customer(c))),
+            [Ok(()), Ok(()), Err(Full::Customer)]
+        );
         assert_eq!(bulkheads.enter(0, customer(2)), Ok(()));
-        [1, 1, 2].into_iter().for_each(|c| bulkheads.leave(customer(c)));
+        [1, 1, 2]
+            .into_iter()
+            .for_each(|c| bulkheads.leave(customer(c)));
         assert!(bulkheads.is_empty());
     }
 }
--- a/crates/pace/src/fair.rs
+++ b/crates/pace/src/fair.rs
@@ -15,12 +15,17 @@
 impl FairClock {
     /// Starts at `now`, with the first tick due at `due`; ticks may be late by `slack` (all in nanoseconds).
     pub fn new(due: u64, slack: u64) -> Self {
-        FairClock { skipped: 0, due, slack }
+        FairClock {
+            skipped: 0,
+            due,
+            slack,
+        }
     }
 
     /// The fair time at `now`; never runs back as long as `now` does not.
     pub fn now(&self, now: u64) -> u64 {
-        now.min(self.due.saturating_add(self.slack)).saturating_sub(self.skipped)
+        now.min(self.due.saturating_add(self.slack))
+            .saturating_sub(self.skipped)
     }
 
     /// A tick came at `now`, the next one is due at `due`; returns what was left out, in nanoseconds.
--- a/crates/pace/src/floor.rs
+++ b/crates/pace/src/floor.rs
@@ -13,12 +13,21 @@
     /// `least` up to a pressure of `from`, then rising evenly to `full` at a pressure of 1. A `full` below `least`
     /// is taken as `least`: the floor never falls with pressure.
     pub fn new(least: f64, full: f64, from: f64) -> Self {
-        Floor { least, full: full.max(least), from: from.clamp(0.0, 0.99), pressure: 0.0 }
+        Floor {
+            least,
+            full: full.max(least),
+            from: from.clamp(0.0, 0.99),
+            pressure: 0.0,
+        }
     }
 
     /// The pressure is this now: the greater share taken of what can run short.
     pub fn press(&mut self, pressure: f64) {
-        self.pressure = if pressure.is_finite() { pressure.clamp(0.0, 1.0) } else { 0.0 };
+        self.pressure = if pressure.is_finite() {
+            pressure.clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
     }
 
     /// The least rate in force.
--- a/crates/pace/src/incoming.rs
+++ b/crates/pace/src/incoming.rs
@@ -113,7 +113,9 @@
     }
 
     fn hopeless(&self, now: u64, left: u64) -> bool {
-        let Some(total) = self.total else { return false };
+        let Some(total) = self.total else {
+            return false;
+        };
         if self.seen < ARRIVALS || now.saturating_sub(self.started) < self.after {
             return false;
         }
@@ -142,7 +144,9 @@
             while let Some((_, bytes)) = next.next_if(|(at, _)| *at == ms) {
                 incoming.arrive(ms * MS, *bytes);
             }
-            if total.is_some_and(|t| incoming.done() >= t) || total.is_none() && next.peek().is_none() {
+            if total.is_some_and(|t| incoming.done() >= t)
+                || total.is_none() && next.peek().is_none()
+            {
                 return None;
             }
             match incoming.verdict(ms * MS) {
@@ -160,21 +164,39 @@
     #[test]
     fn a_trickle_is_given_up_within_a_few_arrivals() {
         let (ms, verdict) = play(Some(60_000), 1_500, &every(50, 1)).unwrap();
-        assert!(verdict == Verdict::Hopeless && ms <= 200, "{ms} {verdict:?}");
+        assert!(
+            verdict == Verdict::Hopeless && ms <= 200,
+            "{ms} {verdict:?}"
+        );
         // Also a very slow one, whose silences are shorter than the pause that is allowed.
         let (ms, verdict) = play(Some(60_000), 3_000, &every(390, 1)).unwrap();
-        assert!(verdict == Verdict::Hopeless && ms <= 1_600, "{ms} {verdict:?}");
+        assert!(
+            verdict == Verdict::Hopeless && ms <= 1_600,
+            "{ms} {verdict:?}"
+        );
         // And one that begins with a good part of it.
         let mut late = every(50, 1);
         late[0].1 = 40_000;
-        assert_eq!(play(Some(60_000), 1_500, &late).map(|(_, v)| v), Some(Verdict::Hopeless));
+        assert_eq!(
+            play(Some(60_000), 1_500, &late).map(|(_, v)| v),
+            Some(Verdict::Hopeless)
+        );
     }
 
     #[test]
     fn a_head_and_then_nothing_and_a_stall_at_the_last_byte_end_with_the_pause() {
-        assert_eq!(play(Some(60_000), 1_500, &[]), Some((400, Verdict::Stalled)));
-        assert_eq!(play(Some(60_000), 1_500, &[(20, 59_999)]), Some((420, Verdict::Stalled)));
-        assert_eq!(play(None, 1_500, &[(20, 59_999), (1_499, 1)]), Some((420, Verdict::Stalled)));
+        assert_eq!(
+            play(Some(60_000), 1_500, &[]),
+            Some((400, Verdict::Stalled))
+        );
+        assert_eq!(
+            play(Some(60_000), 1_500, &[(20, 59_999)]),
+            Some((420, Verdict::Stalled))
+        );
+        assert_eq!(
+            play(None, 1_500, &[(20, 59_999), (1_499, 1)]),
+            Some((420, Verdict::Stalled))
+        );
     }
 
     #[test]
@@ -196,10 +218,19 @@
         // A piece at once, a pause, and then the rest.
         assert_eq!(play(Some(60_000), 1_500, &[(0, 100), (390, 59_900)]), None);
         // Many bursts with pauses between.
-        let bursts = [(0, 9_000), (350, 9_000), (700, 9_000), (1_050, 9_000), (1_300, 24_000)];
+        let bursts = [
+            (0, 9_000),
+            (350, 9_000),
+            (700, 9_000),
+            (1_050, 9_000),
+            (1_300, 24_000),
+        ];
         assert_eq!(play(Some(60_000), 3_000, &bursts), None);
         // A burst that is read in many pieces counts as one arrival.
-        let pieces: Vec<_> = (0..20).map(|i| (i / 4, 50)).chain([(380, 59_000)]).collect();
+        let pieces: Vec<_> = (0..20)
+            .map(|i| (i / 4, 50))
+            .chain([(380, 59_000)])
+            .collect();
         assert_eq!(play(Some(60_000), 1_500, &pieces), None);
         // Nobody knows how much is left of these.
         assert_eq!(play(None, 1_500, &every(50, 1)[..20]), None);
--- a/crates/pace/src/outgoing.rs
+++ b/crates/pace/src/outgoing.rs
@@ -109,9 +109,21 @@
     /// None yet, in a program that has so many bytes of memory.
     pub fn new(settings: &Settings, bulkheads: &BulkheadSettings, memory: u64) -> Self {
         let limit = settings.waiting(memory);
-        let share = |part: f64| if bulkheads.enabled.0 { (limit as f64 * part) as u64 } else { u64::MAX };
-        let (customer, peer) = (share(bulkheads.customer_waiting), share(bulkheads.peer_waiting));
-        let (least, full) = (settings.out_least.0 as f64, settings.out_least_full.0 as f64);
+        let share = |part: f64| {
+            if bulkheads.enabled.0 {
+                (limit as f64 * part) as u64
+            } else {
+                u64::MAX
+            }
+        };
+        let (customer, peer) = (
+            share(bulkheads.customer_waiting),
+            share(bulkheads.peer_waiting),
+        );
+        let (least, full) = (
+            settings.out_least.0 as f64,
+            settings.out_least_full.0 as f64,
+        );
         Outgoing {
             going: BTreeMap::new(),
             account: Account::new(limit, customer, peer),
@@ -128,7 +140,14 @@
     ///
     /// The limit that the answer would pass. Nothing is held then: make room and try again, or give a short answer
     /// in its place.
-    pub fn begin(&mut self, now: u64, id: Id, holder: Holder, bytes: u64, moved: Moved) -> Result<(), Full> {
+    pub fn begin(
+        &mut self,
+        now: u64,
+        id: Id,
+        holder: Holder,
+        bytes: u64,
+        moved: Moved,
+    ) -> Result<(), Full> {
         // Its command has no answer until this one has begun: it must not be cut to make room for itself.
         self.command(id);
         self.account.take(holder, bytes)?;
@@ -139,14 +158,24 @@
         // An earlier answer still waits: both are one transfer, which began with the first. What waits goes over to the
         // holder of the second, as far as its share allows.
         self.account.give(going.holder, going.waiting);
-        let kept = self.account.take(holder, going.waiting).map_or(0, |()| going.waiting);
+        let kept = self
+            .account
+            .take(holder, going.waiting)
+            .map_or(0, |()| going.waiting);
         (going.holder, going.waiting, going.owed) = (holder, kept + bytes, false);
         Ok(())
     }
 
     fn insert(&mut self, now: u64, id: Id, holder: Holder, waiting: u64, moved: Moved) {
-        let Moved { written, delivered, round_trip } = moved;
-        let (window, short) = (Window::new(now, self.window), Window::new(now, self.room_grace));
+        let Moved {
+            written,
+            delivered,
+            round_trip,
+        } = moved;
+        let (window, short) = (
+            Window::new(now, self.window),
+            Window::new(now, self.room_grace),
+        );
         let (begun, owed, started, last) = (false, false, now, now);
         let going = Going {
             holder,
@@ -176,8 +205,19 @@
 
     /// So many bytes of a connection were written and delivered by now. Once an answer is delivered whole, nothing
     /// waits any more.
-    pub fn progress(&mut self, now: u64, id: Id, Moved { written, delivered, round_trip }: Moved) {
-        let Some(going) = self.going.get_mut(&id) else { return };
+    pub fn progress(
+        &mut self,
+        now: u64,
+        id: Id,
+        Moved {
+            written,
+            delivered,
+            round_trip,
+        }: Moved,
+    ) {
+        let Some(going) = self.going.get_mut(&id) else {
+            return;
+        };
         going.begun |= written > going.written;
         going.round_trip = going.round_trip.max(round_trip);
         let moved = delivered.saturating_sub(going.delivered);
@@ -212,7 +252,9 @@
             (age >= grace && going.may_cut() && rate < least).then_some((*id, why))
         };
         let slow: Vec<_> = self.going.iter_mut().filter_map(slow).collect();
-        slow.into_iter().filter_map(|(id, why)| self.cut(now, id, why)).collect()
+        slow.into_iter()
+            .filter_map(|(id, why)| self.cut(now, id, why))
+            .collect()
     }
 
     /// Makes room by cutting whoever holds the most bytes for the longest, one after another, until there is enough;
@@ -231,7 +273,13 @@
             let still = now.saturating_sub(going.last) >= STILL.max(2 * going.round_trip);
             let unhealthy = still || age >= grace && going.short.rate(now, age) < full;
             let may = unhealthy && going.may_cut() && concerns(going.holder);
-            may.then(|| (u128::from(going.waiting) * u128::from(age), *id, going.waiting))
+            may.then(|| {
+                (
+                    u128::from(going.waiting) * u128::from(age),
+                    *id,
+                    going.waiting,
+                )
+            })
         };
         let mut worst: Vec<_> = self.going.iter_mut().filter_map(offence).collect();
         worst.sort_unstable_by(|a, b| b.cmp(a));
@@ -250,13 +298,27 @@
         if room < enough {
             return Vec::new();
         }
-        chosen.into_iter().filter_map(|id| self.cut(now, id, Why::Room)).collect()
+        chosen
+            .into_iter()
+            .filter_map(|id| self.cut(now, id, Why::Room))
+            .collect()
     }
 
     fn cut(&mut self, now: u64, id: Id, why: Why) -> Option<Cut> {
-        let Going { holder, waiting, started, .. } = self.going.remove(&id)?;
+        let Going {
+            holder,
+            waiting,
+            started,
+            ..
+        } = self.going.remove(&id)?;
         self.account.give(holder, waiting);
-        Some(Cut { id, holder, why, waiting, age: now.saturating_sub(started) })
+        Some(Cut {
+            id,
+            holder,
+            why,
+            waiting,
+            age: now.saturating_sub(started),
+        })
     }
 
     /// True while an answer waits on the connection.
@@ -289,7 +351,11 @@
     const SECOND: u64 = 1_000 * MS;
 
     fn settings() -> Settings {
-        Settings { window: Span::millis(1_000), waiting: Some(Size(1 << 20)), ..Settings::default() }
+        Settings {
+            window: Span::millis(1_000),
+            waiting: Some(Size(1 << 20)),
+            ..Settings::default()
+        }
     }
 
     fn outgoing() -> Outgoing {
@@ -297,23 +363,36 @@
     }
 
     fn moved(written: u64, delivered: u64) -> Moved {
-        Moved { written, delivered, round_trip: 0 }
+        Moved {
+            written,
+            delivered,
+            round_trip: 0,
+        }
     }
 
     fn holder(customer: u64) -> Holder {
-        Holder { customer: Some(customer), peer: None }
+        Holder {
+            customer: Some(customer),
+            peer: None,
+        }
     }
 
     #[test]
     fn just_above_the_least_rate_is_never_cut_in_an_hour_and_just_below_is() {
         for (step, kept) in [(104, true), (98, false)] {
-            let settings = Settings { waiting: Some(Size(16 << 20)), ..settings() };
+            let settings = Settings {
+                waiting: Some(Size(16 << 20)),
+                ..settings()
+            };
             let mut out = Outgoing::new(&settings, &BulkheadSettings::default(), 0);
-            out.begin(0, 1, holder(1), 4 << 20, Moved::default()).unwrap();
+            out.begin(0, 1, holder(1), 4 << 20, Moved::default())
+                .unwrap();
             // A step each 100 ms: 1,040 or 980 bytes a second, where the least is 1,024.
             let cut = (1..=36_000).find(|i| {
                 out.progress(i * 100 * MS, 1, moved(4 << 20, i * step));
-                out.judge(i * 100 * MS, 0.0).first().is_some_and(|cut| cut.why == Why::Slow)
+                out.judge(i * 100 * MS, 0.0)
+                    .first()
+                    .is_some_and(|cut| cut.why == Why::Slow)
             });
             assert_eq!((cut.is_none(), out.is_going(1)), (kept, kept), "{step}");
         }
@@ -323,7 +402,8 @@
     fn one_that_stops_is_cut_and_one_whose_answer_was_not_begun_or_that_sent_ahead_is_not() {
         let mut out = outgoing();
         for id in 1..=3 {
-            out.begin(0, id, holder(id), 50_000, Moved::default()).unwrap();
+            out.begin(0, id, holder(id), 50_000, Moved::default())
+                .unwrap();
         }
         for id in 2..=3 {
             out.progress(MS, id, moved(20_000, 4_000));
@@ -331,14 +411,22 @@
         out.command(3);
         let cut = out.judge(5 * SECOND, 0.0);
         assert_eq!(
-            cut.iter().map(|c| (c.id, c.why, c.waiting)).collect::<Vec<_>>(),
+            cut.iter()
+                .map(|c| (c.id, c.why, c.waiting))
+                .collect::<Vec<_>>(),
             [(2, Why::Stopped, 46_000)]
         );
         assert_eq!(out.ids(), [1, 3]);
         // Its next answer begun, the one that sent ahead is like any other, and pays for both.
-        out.begin(5 * SECOND, 3, holder(3), 1_000, moved(20_000, 4_000)).unwrap();
+        out.begin(5 * SECOND, 3, holder(3), 1_000, moved(20_000, 4_000))
+            .unwrap();
         out.progress(5 * SECOND + MS, 3, moved(20_001, 4_000));
-        assert_eq!(out.judge(6 * SECOND, 0.0).first().map(|c| (c.id, c.waiting)), Some((3, 47_000)));
+        assert_eq!(
+            out.judge(6 * SECOND, 0.0)
+                .first()
+                .map(|c| (c.id, c.waiting)),
+            Some((3, 47_000))
+        );
         out.end(1);
         assert!(out.account().is_empty());
     }
@@ -347,13 +435,16 @@
     fn one_that_stops_reading_does_not_keep_its_place_by_sending_ahead() {
         for served in [true, false] {
             let mut out = outgoing();
-            out.begin(0, 1, holder(1), 50_000, Moved::default()).unwrap();
+            out.begin(0, 1, holder(1), 50_000, Moved::default())
+                .unwrap();
             out.progress(MS, 1, moved(20_000, 4_000));
             out.command(1);
             assert!(out.judge(5 * SECOND, 0.0).is_empty());
             // Its second command has its answer, of which not a byte can be written.
             match served {
-                true => out.begin(5 * SECOND, 1, holder(1), 1_000, moved(20_000, 4_000)).unwrap(),
+                true => out
+                    .begin(5 * SECOND, 1, holder(1), 1_000, moved(20_000, 4_000))
+                    .unwrap(),
                 false => out.answered(1),
             }
             assert_eq!(out.judge(5 * SECOND + MS, 0.0).len(), 1, "{served}");
@@ -365,16 +456,33 @@
     fn room_is_made_by_the_worst_offender_and_never_by_a_healthy_one() {
         let mut out = outgoing();
         // 1 is healthy and holds most; 2 and 3 stand still, 3 for longer.
-        for (at, id, bytes) in [(0, 3, 300_000), (SECOND / 2, 2, 300_000), (SECOND / 2, 1, 400_000)] {
-            out.begin(at, id, holder(id), bytes, Moved::default()).unwrap();
+        for (at, id, bytes) in [
+            (0, 3, 300_000),
+            (SECOND / 2, 2, 300_000),
+            (SECOND / 2, 1, 400_000),
+        ] {
+            out.begin(at, id, holder(id), bytes, Moved::default())
+                .unwrap();
             out.progress(at, id, moved(1, 1));
         }
         out.progress(SECOND, 1, moved(100_000, 100_000));
-        let full = out.begin(SECOND, 4, holder(4), 200_000, Moved::default()).unwrap_err();
+        let full = out
+            .begin(SECOND, 4, holder(4), 200_000, Moved::default())
+            .unwrap_err();
         let cut = out.make_room(SECOND, Need::Bytes(holder(4), full, 200_000));
-        assert_eq!(cut.iter().map(|c| (c.id, c.why)).collect::<Vec<_>>(), [(3, Why::Room)]);
-        out.begin(SECOND, 4, holder(4), 200_000, Moved::default()).unwrap();
-        assert_eq!(out.make_room(SECOND, Need::Place).iter().map(|c| c.id).collect::<Vec<_>>(), [2]);
+        assert_eq!(
+            cut.iter().map(|c| (c.id, c.why)).collect::<Vec<_>>(),
+            [(3, Why::Room)]
+        );
+        out.begin(SECOND, 4, holder(4), 200_000, Moved::default())
+            .unwrap();
+        assert_eq!(
+            out.make_room(SECOND, Need::Place)
+                .iter()
+                .map(|c| c.id)
+                .collect::<Vec<_>>(),
+            [2]
+        );
         // Nobody goes in vain: what is left keeps its rate, or is too young to be judged.
         assert!(out.make_room(SECOND, Need::Place).is_empty());
     }
@@ -383,20 +491,36 @@
     fn one_that_is_far_away_is_not_taken_for_one_that_stands_still() {
         for (round_trip, cut) in [(1, 1), (90 * MS, 0)] {
             let mut out = outgoing();
-            out.begin(0, 1, holder(1), 60_000, Moved::default()).unwrap();
-            out.progress(1, 1, Moved { written: 60_000, delivered: 4_000, round_trip });
+            out.begin(0, 1, holder(1), 60_000, Moved::default())
+                .unwrap();
+            out.progress(
+                1,
+                1,
+                Moved {
+                    written: 60_000,
+                    delivered: 4_000,
+                    round_trip,
+                },
+            );
             assert_eq!(out.make_room(100 * MS, Need::Place).len(), cut);
         }
     }
 
     #[test]
     fn one_customer_cannot_take_the_room_of_others() {
-        let shares = BulkheadSettings { enabled: Switch(true), ..BulkheadSettings::default() };
+        let shares = BulkheadSettings {
+            enabled: Switch(true),
+            ..BulkheadSettings::default()
+        };
         let mut out = Outgoing::new(&settings(), &shares, 0);
         for id in 1..=4 {
-            out.begin(0, id, holder(7), 65_536, Moved::default()).unwrap();
+            out.begin(0, id, holder(7), 65_536, Moved::default())
+                .unwrap();
         }
-        assert_eq!(out.begin(0, 5, holder(7), 65_536, Moved::default()), Err(Full::Customer));
+        assert_eq!(
+            out.begin(0, 5, holder(7), 65_536, Moved::default()),
+            Err(Full::Customer)
+        );
         assert_eq!(out.begin(0, 5, holder(8), 65_536, Moved::default()), Ok(()));
         (1..=5).for_each(|id| out.end(id));
         assert!(out.account().is_empty());
@@ -405,7 +529,8 @@
     #[test]
     fn the_least_rate_rises_with_pressure() {
         let mut out = outgoing();
-        out.begin(0, 1, holder(1), 100_000, Moved::default()).unwrap();
+        out.begin(0, 1, holder(1), 100_000, Moved::default())
+            .unwrap();
         out.progress(MS, 1, moved(50_000, 2_000));
         // 4,000 bytes a second by then: fine while there is room, not where places are all taken.
         assert!(out.judge(SECOND / 2, 0.4).is_empty());
--- a/crates/pace/src/rate.rs
+++ b/crates/pace/src/rate.rs
@@ -18,7 +18,11 @@
     /// An empty window of so many nanoseconds; the first bytes come no earlier than `now`.
     pub fn new(now: u64, window: u64) -> Self {
         let slot = (window / SLOTS as u64).max(1);
-        Window { slot, newest: now / slot, bytes: [0; SLOTS + 1] }
+        Window {
+            slot,
+            newest: now / slot,
+            bytes: [0; SLOTS + 1],
+        }
     }
 
     fn advance(&mut self, now: u64) {
--- a/crates/pace/src/settings.rs
+++ b/crates/pace/src/settings.rs
@@ -151,13 +151,17 @@
 fn between(least: u64, most: u64) -> impl FnOnce(&Span, &()) -> garde::Result {
     move |time, ()| match (Span::millis(least)..=Span::millis(most)).contains(time) {
         true => Ok(()),
-        false => Err(garde::Error::new(format!("not between {least}ms and {most}ms"))),
+        false => Err(garde::Error::new(format!(
+            "not between {least}ms and {most}ms"
+        ))),
     }
 }
 
 fn size_between(least: u64, most: u64) -> impl FnOnce(&Size, &()) -> garde::Result {
     move |size, ()| match (least..=most).contains(&size.0) {
         true => Ok(()),
-        false => Err(garde::Error::new(format!("not between {least} and {most} bytes"))),
+        false => Err(garde::Error::new(format!(
+            "not between {least} and {most} bytes"
+        ))),
     }
 }
--- a/crates/pace/src/socket/kernel.rs
+++ b/crates/pace/src/socket/kernel.rs
@@ -42,7 +42,13 @@
     // SAFETY: the descriptor is open while it is borrowed; the kernel writes no more than `length` bytes into `info`.
     let done = unsafe {
         let (level, name) = (libc::IPPROTO_TCP, libc::TCP_INFO);
-        libc::getsockopt(socket.as_raw_fd(), level, name, (&raw mut info).cast(), &raw mut length)
+        libc::getsockopt(
+            socket.as_raw_fd(),
+            level,
+            name,
+            (&raw mut info).cast(),
+            &raw mut length,
+        )
     };
     // Told in microseconds.
     if done < 0 {
--- a/crates/pace/src/socket/pacer.rs
+++ b/crates/pace/src/socket/pacer.rs
@@ -10,8 +10,8 @@
 
 use super::kernel;
 use crate::{
-    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Moved, Need, Networked, Outgoing,
-    Reason, Row, Settings, Tally,
+    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Moved, Need, Networked,
+    Outgoing, Reason, Row, Settings, Tally,
 };
 
 /// A tick may be this late, in nanoseconds, before the time beyond counts as one in which the program stood still.
@@ -58,7 +58,10 @@
         state.outgoing.end(self.id);
         state.connections.remove(&self.id);
         if self.placed {
-            state.peers.leave(Holder { customer: None, peer: self.peer });
+            state.peers.leave(Holder {
+                customer: None,
+                peer: self.peer,
+            });
         }
     }
 }
@@ -111,7 +114,11 @@
             tally: Tally::default(),
         };
         let networked = Networked::new(bulkheads);
-        Arc::new(Pacer { settings: settings.clone(), networked, state: Mutex::new(state) })
+        Arc::new(Pacer {
+            settings: settings.clone(),
+            networked,
+            state: Mutex::new(state),
+        })
     }
 
     /// The settings that it was made with.
@@ -134,7 +141,10 @@
         cut: impl Fn() + Send + 'static,
     ) -> Ticket {
         let peer = self.networked.of(address);
-        let holder = Holder { customer: None, peer };
+        let holder = Holder {
+            customer: None,
+            peer,
+        };
         let mut state = self.state();
         state.next += 1;
         let (id, written) = (state.next, Arc::new(AtomicU64::new(0)));
@@ -143,10 +153,19 @@
         if !placed {
             state.tally.note(holder, Reason::PeerPlaces, 0, 0);
         }
-        let connection =
-            Connection { socket: Box::new(socket), written: written.clone(), cut: Box::new(cut) };
+        let connection = Connection {
+            socket: Box::new(socket),
+            written: written.clone(),
+            cut: Box::new(cut),
+        };
         state.connections.insert(id, connection);
-        Ticket { pacer: self.clone(), id, peer, written, placed }
+        Ticket {
+            pacer: self.clone(),
+            id,
+            peer,
+            written,
+            placed,
+        }
     }
 
     /// A command was read on a connection.
@@ -165,7 +184,10 @@
     ///
     /// Where it holds its share of places already.
     pub fn enter(&self, now: u64, customer: u64) -> Result<(), Full> {
-        let holder = Holder { customer: Some(customer), peer: None };
+        let holder = Holder {
+            customer: Some(customer),
+            peer: None,
+        };
         let mut state = self.state();
         let fair = state.clock.now(now);
         let entered = state.customers.enter(fair, holder);
@@ -177,7 +199,10 @@
 
     /// That command is over.
     pub fn leave(&self, customer: u64) {
-        self.state().customers.leave(Holder { customer: Some(customer), peer: None });
+        self.state().customers.leave(Holder {
+            customer: Some(customer),
+            peer: None,
+        });
     }
 
     /// An answer of so many bytes is about to go out. Where there is no room for it, the worst offenders are cut.
@@ -187,17 +212,30 @@
     /// No room, and nobody to blame for it: a short answer has to go in its place.
     pub fn begin(&self, now: u64, id: Id, holder: Holder, bytes: u64) -> Result<(), Full> {
         let mut state = self.state();
-        let State { clock, outgoing, connections, .. } = &mut *state;
-        let Some(connection) = connections.get(&id) else { return Ok(()) };
+        let State {
+            clock,
+            outgoing,
+            connections,
+            ..
+        } = &mut *state;
+        let Some(connection) = connections.get(&id) else {
+            return Ok(());
+        };
         let (fair, moved) = (clock.now(now), connection.moved(false));
         // What was delivered since the last look belongs to the answer before this one.
         outgoing.progress(fair, id, moved);
-        let Err(full) = outgoing.begin(fair, id, holder, bytes, moved) else { return Ok(()) };
+        let Err(full) = outgoing.begin(fair, id, holder, bytes, moved) else {
+            return Ok(());
+        };
         state.look(now, APART);
         // The look alone may have found room.
         let again = state.outgoing.begin(fair, id, holder, bytes, moved);
-        let Err(full) = again.map_err(|_| full) else { return Ok(()) };
-        let cuts = state.outgoing.make_room(fair, Need::Bytes(holder, full, bytes));
+        let Err(full) = again.map_err(|_| full) else {
+            return Ok(());
+        };
+        let cuts = state
+            .outgoing
+            .make_room(fair, Need::Bytes(holder, full, bytes));
         state.carry_out(fair, cuts);
         let begun = state.outgoing.begin(fair, id, holder, bytes, moved);
         begun.inspect_err(|full| state.tally.note(holder, Reason::NoRoom(*full), bytes, 0))
@@ -256,9 +294,17 @@
         let (mut waiting, mut round_trip) = (0, 0);
         (self.socket)(&mut |socket| {
             waiting = kernel::unacknowledged(socket).unwrap_or(0);
-            round_trip = if wanted { kernel::round_trip(socket) } else { 0 };
+            round_trip = if wanted {
+                kernel::round_trip(socket)
+            } else {
+                0
+            };
         });
-        Moved { written, delivered: written.saturating_sub(waiting), round_trip }
+        Moved {
+            written,
+            delivered: written.saturating_sub(waiting),
+            round_trip,
+        }
     }
 }
 
@@ -279,8 +325,15 @@
     fn carry_out(&mut self, fair: u64, cuts: Vec<Cut>) {
         for cut in cuts {
             // Who is cut comes back at once, more often than not.
-            self.peers.distrust(fair, Holder { customer: None, peer: cut.holder.peer });
-            self.tally.note(cut.holder, Reason::Cut(cut.why), cut.waiting, cut.age);
+            self.peers.distrust(
+                fair,
+                Holder {
+                    customer: None,
+                    peer: cut.holder.peer,
+                },
+            );
+            self.tally
+                .note(cut.holder, Reason::Cut(cut.why), cut.waiting, cut.age);
             if let Some(connection) = self.connections.get(&cut.id) {
                 (connection.socket)(&mut |socket| kernel::reset_at_close(socket));
                 (connection.cut)();
--- a/crates/pace/src/tally.rs
+++ b/crates/pace/src/tally.rs
@@ -87,17 +87,32 @@
             Reason::CustomerPlaces => &mut counts.customer_places,
             Reason::PeerPlaces => &mut counts.peer_places,
         } += 1;
-        if holder == (Holder { customer: None, peer: None }) {
+        if holder
+            == (Holder {
+                customer: None,
+                peer: None,
+            })
+        {
             return;
         }
         if !self.rows.contains_key(&holder) && self.rows.len() >= ROWS {
-            let least = self.rows.values().min_by_key(|row| row.events).map(|row| row.holder);
+            let least = self
+                .rows
+                .values()
+                .min_by_key(|row| row.events)
+                .map(|row| row.holder);
             if let Some(least) = least {
                 self.rows.remove(&least);
             }
         }
         let row = self.rows.entry(holder);
-        let row = row.or_insert(Row { holder, events: 0, last: reason, waiting: 0, age: 0 });
+        let row = row.or_insert(Row {
+            holder,
+            events: 0,
+            last: reason,
+            waiting: 0,
+            age: 0,
+        });
         (row.events, row.last) = (row.events + 1, reason);
         (row.waiting, row.age) = (row.waiting.max(waiting), row.age.max(age));
     }
@@ -118,13 +133,22 @@
     #[test]
     fn the_table_names_the_worst_and_stays_small() {
         let mut tally = Tally::default();
-        let holder = |c| Holder { customer: Some(c), peer: None };
+        let holder = |c| Holder {
+            customer: Some(c),
+            peer: None,
+        };
         (0..3).for_each(|i| tally.note(holder(7), Reason::Cut(Why::Slow), 100 * i, 5));
         (0..1_000).for_each(|c| tally.note(holder(1_000 + c), Reason::CustomerPlaces, 0, 0));
         assert!(tally.rows.len() <= ROWS);
         let (counts, rows) = tally.take(2);
-        assert_eq!((counts.cut_slow, counts.customer_places, rows.len()), (3, 1_000, 2));
-        assert_eq!((rows[0].holder, rows[0].events, rows[0].waiting), (holder(7), 3, 200));
+        assert_eq!(
+            (counts.cut_slow, counts.customer_places, rows.len()),
+            (3, 1_000, 2)
+        );
+        assert_eq!(
+            (rows[0].holder, rows[0].events, rows[0].waiting),
+            (holder(7), 3, 200)
+        );
         assert_eq!(tally.take(2), (Counts::default(), Vec::new()));
     }
 }
--- a/crates/pace/tests/schedules.rs
+++ b/crates/pace/tests/schedules.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use applewall_operator::{Size, Span, Switch};
-use applewall_pace::{BulkheadSettings, Holder, Incoming, Moved, Need, Outgoing, Settings, Verdict, Why};
+use applewall_pace::{
+    BulkheadSettings, Holder, Incoming, Moved, Need, Outgoing, Settings, Verdict, Why,
+};
 use proptest::prelude::*;
 
 const MS: u64 = 1_000_000;
@@ -33,7 +35,11 @@
 }
 
 fn settings() -> Settings {
-    Settings { waiting: Some(Size(LIMIT)), window: Span::millis(800), ..Settings::default() }
+    Settings {
+        waiting: Some(Size(LIMIT)),
+        window: Span::millis(800),
+        ..Settings::default()
+    }
 }
 
 /// What a plain reader of the rules knows of one connection.
--- a/crates/pace/tests/sockets.rs
+++ b/crates/pace/tests/sockets.rs
@@ -28,16 +28,30 @@
 
 fn door(settings: Settings, bulkheads: BulkheadSettings) -> Door {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let settings = Settings { enabled: Switch(true), ..settings };
-    kernel::bound(&listener, settings.send_buffer.0 as usize, settings.not_sent.0 as u32).unwrap();
-    Door { listener, pacer: Pacer::new(&settings, &bulkheads, (8, 6 << 20), START) }
+    let settings = Settings {
+        enabled: Switch(true),
+        ..settings
+    };
+    kernel::bound(
+        &listener,
+        settings.send_buffer.0 as usize,
+        settings.not_sent.0 as u32,
+    )
+    .unwrap();
+    Door {
+        listener,
+        pacer: Pacer::new(&settings, &bulkheads, (8, 6 << 20), START),
+    }
 }
 
 impl Door {
     fn connect(&self, now: u64) -> Both {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         socket.set_recv_buffer_size(4_096).unwrap();
-        socket.connect(&self.listener.local_addr().unwrap().into()).unwrap();
+        socket
+            .connect(&self.listener.local_addr().unwrap().into())
+            .unwrap();
         let (ours, address) = self.listener.accept().unwrap();
         ours.set_nonblocking(true).unwrap();
         let (cuts, told) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
@@ -48,7 +62,12 @@
         let ticket = self.pacer.join(now, address.ip(), socket_of, move || {
             let _ = count.fetch_add(1, Ordering::Relaxed);
         });
-        Both { ticket, ours, theirs: socket.into(), cuts: told }
+        Both {
+            ticket,
+            ours,
+            theirs: socket.into(),
+            cuts: told,
+        }
     }
 }
 
@@ -68,8 +87,12 @@
     }
 
     fn begin(&mut self, door: &Door, now: u64, customer: u64, bytes: usize) -> Result<usize, Full> {
-        let holder = Holder { customer: Some(customer), peer: self.ticket.peer() };
-        door.pacer.begin(now, self.ticket.id(), holder, bytes as u64)?;
+        let holder = Holder {
+            customer: Some(customer),
+            peer: self.ticket.peer(),
+        };
+        door.pacer
+            .begin(now, self.ticket.id(), holder, bytes as u64)?;
         Ok(self.write(bytes))
     }
 
@@ -82,9 +105,15 @@
 fn what_the_kernel_holds_is_bounded_for_all_that_the_listener_accepts() {
     let door = door(Settings::default(), BulkheadSettings::default());
     let mut both = door.connect(START);
-    assert_eq!(SockRef::from(&both.ours).tcp_notsent_lowat().unwrap(), 8 << 10);
+    assert_eq!(
+        SockRef::from(&both.ours).tcp_notsent_lowat().unwrap(),
+        8 << 10
+    );
     // The kernel doubles what it is asked for.
-    assert_eq!(SockRef::from(&both.ours).send_buffer_size().unwrap(), 32 << 10);
+    assert_eq!(
+        SockRef::from(&both.ours).send_buffer_size().unwrap(),
+        32 << 10
+    );
     let taken = both.write(1 << 20);
     assert!(taken < 64 << 10, "{taken} bytes in the kernel");
     use std::os::fd::AsFd;
@@ -110,13 +139,24 @@
     }
     assert_eq!((stops.cut(), reads.cut()), (1, 0));
     // Its owner closes it, and the other side sees that the answer is not whole: a reset, not an end.
-    let Both { ticket, ours, mut theirs, .. } = stops;
+    let Both {
+        ticket,
+        ours,
+        mut theirs,
+        ..
+    } = stops;
     drop(ticket);
     drop(ours);
     let mut rest = Vec::new();
-    assert_eq!(theirs.read_to_end(&mut rest).unwrap_err().kind(), ErrorKind::ConnectionReset);
+    assert_eq!(
+        theirs.read_to_end(&mut rest).unwrap_err().kind(),
+        ErrorKind::ConnectionReset
+    );
     let (counts, rows, waiting, most) = door.pacer.report(5);
-    assert_eq!((counts.cut_stopped, rows.len(), rows[0].holder.customer), (1, 1, Some(1)));
+    assert_eq!(
+        (counts.cut_stopped, rows.len(), rows[0].holder.customer),
+        (1, 1, Some(1))
+    );
     assert!(waiting < 60_000 && most <= 120_000, "{waiting} {most}");
 }
 
@@ -128,7 +168,11 @@
     door.pacer.tick(START + 50 * MS, 1.0);
     door.pacer.tick(START + 2_050 * MS, 1.0);
     door.pacer.tick(START + 2_100 * MS, 1.0);
-    assert_eq!(both.cut(), 0, "the time in which nothing ran was held against it");
+    assert_eq!(
+        both.cut(),
+        0,
+        "the time in which nothing ran was held against it"
+    );
     // It does stand still: found in the time that did run.
     (43..80).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
     assert_eq!(both.cut(), 1);
@@ -138,8 +182,13 @@
 fn an_answer_that_was_not_begun_and_a_command_that_is_owed_are_never_cut() {
     let door = door(Settings::default(), BulkheadSettings::default());
     let (mut fresh, mut ahead) = (door.connect(START), door.connect(START));
-    let holder = Holder { customer: Some(1), peer: None };
-    door.pacer.begin(START, fresh.ticket.id(), holder, 60_000).unwrap();
+    let holder = Holder {
+        customer: Some(1),
+        peer: None,
+    };
+    door.pacer
+        .begin(START, fresh.ticket.id(), holder, 60_000)
+        .unwrap();
     ahead.begin(&door, START, 2, 60_000).unwrap();
     door.pacer.command(ahead.ticket.id());
     (1..200).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
@@ -152,9 +201,16 @@
 
 #[test]
 fn an_answer_without_room_takes_the_place_of_the_worst_or_is_told_no() {
-    let settings = Settings { waiting: Some(Size(128 << 10)), ..Settings::default() };
+    let settings = Settings {
+        waiting: Some(Size(128 << 10)),
+        ..Settings::default()
+    };
     let door = door(settings, BulkheadSettings::default());
-    let (mut a, mut b, mut c) = (door.connect(START), door.connect(START), door.connect(START));
+    let (mut a, mut b, mut c) = (
+        door.connect(START),
+        door.connect(START),
+        door.connect(START),
+    );
     a.begin(&door, START, 1, 60_000).unwrap();
     b.begin(&door, START + 10 * MS, 2, 60_000).unwrap();
     // Nobody is to blame yet.
@@ -170,8 +226,11 @@
 
 #[test]
 fn one_set_of_addresses_holds_its_share_and_less_after_cuts() {
-    let bulkheads =
-        BulkheadSettings { enabled: Switch(true), distrust: Span::millis(5_000), ..Default::default() };
+    let bulkheads = BulkheadSettings {
+        enabled: Switch(true),
+        distrust: Span::millis(5_000),
+        ..Default::default()
+    };
     let door = door(Settings::default(), bulkheads);
     let mut all: Vec<Both> = (0..5).map(|_| door.connect(START)).collect();
     let placed: Vec<bool> = all.iter().map(|both| both.ticket.placed()).collect();
--- a/crates/rig/src/bin/applewall-rig.rs
+++ b/crates/rig/src/bin/applewall-rig.rs
@@ -24,7 +24,12 @@
     let mut parser = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| format!("{e}; {USAGE}");
     let mut words = Vec::new();
-    let mut call = Call { file: PathBuf::new(), program: None, seed: None, out: None };
+    let mut call = Call {
+        file: PathBuf::new(),
+        program: None,
+        seed: None,
+        out: None,
+    };
     while let Some(arg) = parser.next().map_err(told)? {
         match arg {
             Long("program") => call.program = Some(parser.value().map_err(told)?.into()),
@@ -53,7 +58,8 @@
 }
 
 fn play(call: Call) -> Result<Played, String> {
-    let text = std::fs::read_to_string(&call.file).map_err(|e| format!("{}: {e}", call.file.display()))?;
+    let text =
+        std::fs::read_to_string(&call.file).map_err(|e| format!("{}: {e}", call.file.display()))?;
     let mut trial = Trial::read(&text).map_err(|e| format!("{}: {e}", call.file.display()))?;
     trial.trial.seed = call.seed.unwrap_or(trial.trial.seed);
     let program = call.program.map_or_else(run::program, Ok)?;
@@ -69,8 +75,10 @@
         trial.faults.len(),
         sizes.seed
     );
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
     let played = runtime.block_on(async {
         tokio::select! {
             played = run::play(trial, &program, scratch.path()) => played.map_err(|e| e.to_string()),
@@ -85,11 +93,17 @@
     let mut lines = Vec::new();
     journal::write(&played.lines, &mut lines).map_err(|e| e.to_string())?;
     write("journal.jsonl", &lines)?;
-    write("report.svg", report::svg(&played, &call.file.display().to_string())?.as_bytes())?;
+    write(
+        "report.svg",
+        report::svg(&played, &call.file.display().to_string())?.as_bytes(),
+    )?;
     for (i, log) in played.logs.iter().enumerate() {
         write(&format!("n{i}.log"), log.as_bytes())?;
     }
-    println!("journal, logs and the page: {}", out.join("report.svg").display());
+    println!(
+        "journal, logs and the page: {}",
+        out.join("report.svg").display()
+    );
     Ok(played)
 }
 
@@ -118,13 +132,20 @@
         f.attempts, f.opened_100ms, f.cold_worst, f.mail.0, f.mail.1
     );
     for (second, (asked, served)) in f.seconds.iter().enumerate() {
-        print!("{}{second}s {served}/{asked}", if second == 0 { "by second: " } else { ", " });
+        print!(
+            "{}{second}s {served}/{asked}",
+            if second == 0 { "by second: " } else { ", " }
+        );
     }
     println!(
         "\nrig late by {} ms at the worst; ingresses used {:.2} s of processor",
         played.late_ms, played.cost.0
     );
-    played.broken.iter().take(20).for_each(|line| println!("BROKEN {line}"));
+    played
+        .broken
+        .iter()
+        .take(20)
+        .for_each(|line| println!("BROKEN {line}"));
 }
 
 fn main() -> ExitCode {
@@ -140,7 +161,14 @@
                 println!("verdict none: the rig was late by {} ms", played.late_ms);
                 return ExitCode::from(NO_VERDICT);
             }
-            println!("verdict {}", if played.broken.is_empty() { "kept" } else { "broken" });
+            println!(
+                "verdict {}",
+                if played.broken.is_empty() {
+                    "kept"
+                } else {
+                    "broken"
+                }
+            );
             ExitCode::from(u8::from(!played.broken.is_empty()))
         }
     }
--- a/crates/rig/src/bin/measure-cold-start.rs
+++ b/crates/rig/src/bin/measure-cold-start.rs
@@ -26,8 +26,20 @@
 }
 
 const ROWS: [Row; 4] = [
-    Row { name: "no list", more: "", time: 4, cold: false, silent: 0.0 },
-    Row { name: "old list", more: "[ingress]\nknown = old\n", time: 4, cold: false, silent: 0.0 },
+    Row {
+        name: "no list",
+        more: "",
+        time: 4,
+        cold: false,
+        silent: 0.0,
+    },
+    Row {
+        name: "old list",
+        more: "[ingress]\nknown = old\n",
+        time: 4,
+        cold: false,
+        silent: 0.0,
+    },
     Row {
         name: "no list, service silent 3 s",
         more: "[faults]\nsilent = at 0s: list silent for 3s\n",
@@ -52,7 +64,10 @@
 fn play(program: &Path, turns: bool, row: &Row, size: usize, seed: u64) -> Result<Played, String> {
     let rate = rate(size);
     let turns = match turns {
-        true => format!("[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = {}\n", rate * 0.9),
+        true => format!(
+            "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = {}\n",
+            rate * 0.9
+        ),
         false => String::new(),
     };
     let text = format!(
@@ -72,17 +87,32 @@
     let most = (size as f64 / rate(size)) * LISTED.0 + LISTED.1 + row.silent * 2.0;
     // Where nothing changed, a watch of an old list is answered when it ends: none is missed by that.
     if row.more.contains("known") {
-        expect(f.whole == 0, format!("{} whole lists where changes do", f.whole));
+        expect(
+            f.whole == 0,
+            format!("{} whole lists where changes do", f.whole),
+        );
     } else {
-        expect(f.listed.len() == size, format!("{} of {size} have a list", f.listed.len()));
-        expect(last <= most, format!("the last list after {last:.2} s, {most:.2} s at most"));
+        expect(
+            f.listed.len() == size,
+            format!("{} of {size} have a list", f.listed.len()),
+        );
+        expect(
+            last <= most,
+            format!("the last list after {last:.2} s, {most:.2} s at most"),
+        );
         expect(f.whole <= size, format!("{} whole lists", f.whole));
     }
     let calls = 1.25 * rate(size) + 3.0;
-    expect(f.calls_1s as f64 <= calls, format!("{} calls in a second, {calls:.0} at most", f.calls_1s));
+    expect(
+        f.calls_1s as f64 <= calls,
+        format!("{} calls in a second, {calls:.0} at most", f.calls_1s),
+    );
     let end = f.seconds.len().saturating_sub(1);
     if row.cold {
-        expect(f.first_served.is_some_and(|at| at < 1.0), format!("first served {:?}", f.first_served));
+        expect(
+            f.first_served.is_some_and(|at| at < 1.0),
+            format!("first served {:?}", f.first_served),
+        );
     } else {
         let share = f.share_between(end.saturating_sub(2), end);
         expect(share >= STEADY, format!("{share:.3} in time at the end"));
@@ -109,18 +139,30 @@
 }
 
 fn measure() -> Result<Count, String> {
-    let Arguments { before, seeds, sizes } = Arguments::read(USAGE, &[24, 100, 200])?;
+    let Arguments {
+        before,
+        seeds,
+        sizes,
+    } = Arguments::read(USAGE, &[24, 100, 200])?;
     let program = run::program()?;
     println!(
         "| program | ingresses | start | seed | in time | first s | calls | away | whole | in 100 ms | last list s | dials | cold | |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!(
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
     let mut count = Count::default();
     for &size in &sizes {
         for row in &ROWS {
             for seed in 1..=seeds {
                 if let Some(before) = &before {
-                    tell("before", size, row, seed, &play(before, false, row, size, seed)?);
+                    tell(
+                        "before",
+                        size,
+                        row,
+                        seed,
+                        &play(before, false, row, size, seed)?,
+                    );
                 }
                 let played = play(&program, true, row, size, seed)?;
                 tell("now", size, row, seed, &played);
--- a/crates/rig/src/bin/measure-zones.rs
+++ b/crates/rig/src/bin/measure-zones.rs
@@ -59,16 +59,25 @@
 fn shown(played: &Played) -> Shown {
     let (at, lasts) = FAILS;
     let zone = |from: f64, to: f64| {
-        played.lines.iter().filter(move |l| l.at >= from && l.at < to).filter_map(|l| match l.what {
-            What::Attempt { instance, ingress, .. } if instance % ZONES == 0 => Some(ingress),
-            _ => None,
-        })
+        played
+            .lines
+            .iter()
+            .filter(move |l| l.at >= from && l.at < to)
+            .filter_map(|l| match l.what {
+                What::Attempt {
+                    instance, ingress, ..
+                } if instance % ZONES == 0 => Some(ingress),
+                _ => None,
+            })
     };
-    let into = (0..lasts as usize).map(|s| zone(at + s as f64, at + s as f64 + 1.0).count()).collect();
+    let into = (0..lasts as usize)
+        .map(|s| zone(at + s as f64, at + s as f64 + 1.0).count())
+        .collect();
     let paid: std::collections::BTreeSet<usize> = zone(at, at + lasts).collect();
     let usual = zone(at - 3.0, at).count() as f64 / 3.0;
     let end = at + lasts;
-    let back = (0..14).find(|s| zone(end + *s as f64, end + *s as f64 + 1.0).count() as f64 > 0.8 * usual);
+    let back =
+        (0..14).find(|s| zone(end + *s as f64, end + *s as f64 + 1.0).count() as f64 > 0.8 * usual);
     let told = |zone: &str| {
         let of = |log: &&String| log.contains(&format!("zones: {zone} left"));
         played.logs.iter().filter(of).count()
@@ -87,7 +96,11 @@
 }
 
 fn measure() -> Result<Count, String> {
-    let Arguments { before, seeds, sizes } = Arguments::read(USAGE, &[24, 100])?;
+    let Arguments {
+        before,
+        seeds,
+        sizes,
+    } = Arguments::read(USAGE, &[24, 100])?;
     let program = run::program()?;
     println!(
         "| program | ingresses | zone 0 | seed | requests into it, by second | paid | in time meanwhile, at the end | left | wrongly | full again, s | datagrams each a second | cold |"
@@ -130,7 +143,11 @@
                         && s.meanwhile >= SERVED
                         && if fails { into <= CANARIES } else { s.left == 0 };
                     count.missed += usize::from(!kept);
-                    played.broken.iter().take(5).for_each(|line| println!("BROKEN {line}"));
+                    played
+                        .broken
+                        .iter()
+                        .take(5)
+                        .for_each(|line| println!("BROKEN {line}"));
                 }
             }
         }
--- a/crates/rig/src/capacity.rs
+++ b/crates/rig/src/capacity.rs
@@ -53,13 +53,20 @@
 impl Life {
     /// One that starts now, or long ago.
     pub fn new(model: Model, started: f64) -> Self {
-        Life { model, started, lately: VecDeque::new(), fallen: false, worst: 0.0 }
+        Life {
+            model,
+            started,
+            lately: VecDeque::new(),
+            fallen: false,
+            worst: 0.0,
+        }
     }
 
     /// Work arrives, in requests; false where it has fallen over.
     pub fn arrive(&mut self, now: f64, requests: f64) -> bool {
         self.lately.push_back((now, requests));
-        self.lately.retain(|(at, _)| now - at < self.model.fall_window);
+        self.lately
+            .retain(|(at, _)| now - at < self.model.fall_window);
         let age = now - self.started;
         if age < self.model.cold_time {
             // By what it can do on the mean of the window: as a budget, a burst right after the start counts too.
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -43,7 +43,9 @@
     for line in lines {
         match line.what {
             // What is written on a connection of a dead process was taken by nobody.
-            What::Asked { request, ingress, .. } if !dead.contains(&ingress) => {
+            What::Asked {
+                request, ingress, ..
+            } if !dead.contains(&ingress) => {
                 asked.insert(request, ingress);
             }
             // Written on a connection that had ended, and nobody was there to take it anew.
@@ -87,23 +89,36 @@
     let mut broken = Vec::new();
     for line in lines {
         match line.what {
-            What::Attempt { request, instance, .. } => {
+            What::Attempt {
+                request, instance, ..
+            } => {
                 out.entry(request).or_default().push((instance, line.at));
             }
-            What::Over { request, instance, .. } => {
-                let Some(all) = out.get_mut(&request) else { continue };
-                let Some(at) = all.iter().position(|(i, _)| *i == instance) else { continue };
+            What::Over {
+                request, instance, ..
+            } => {
+                let Some(all) = out.get_mut(&request) else {
+                    continue;
+                };
+                let Some(at) = all.iter().position(|(i, _)| *i == instance) else {
+                    continue;
+                };
                 all.remove(at);
-                if let Some((other, since)) = all.iter().find(|(_, since)| line.at - since > GRACE) {
+                if let Some((other, since)) = all.iter().find(|(_, since)| line.at - since > GRACE)
+                {
                     let (long, both) = (line.at - since, (instance, other));
-                    broken.push(format!("request {request:x} is out at instances {both:?} for {long:.2} s"));
+                    broken.push(format!(
+                        "request {request:x} is out at instances {both:?} for {long:.2} s"
+                    ));
                 }
             }
             _ => {}
         }
     }
     let still = out.iter().filter(|(_, all)| all.len() > 1);
-    broken.extend(still.map(|(request, all)| format!("request {request:x} stays out {} times", all.len())));
+    broken.extend(
+        still.map(|(request, all)| format!("request {request:x} stays out {} times", all.len())),
+    );
     broken
 }
 
@@ -113,11 +128,18 @@
     let mut broken = Vec::new();
     for line in lines {
         match line.what {
-            What::Told { ingress, instance } => drop(told.entry((ingress, instance)).or_insert(line.at)),
+            What::Told { ingress, instance } => {
+                drop(told.entry((ingress, instance)).or_insert(line.at))
+            }
             // A new life was told nothing yet.
             What::Started { ingress, .. } => told.retain(|(i, _), _| *i != ingress),
-            What::Attempt { ingress, instance, .. } => {
-                if let Some(at) = told.get(&(ingress, instance)).filter(|at| line.at - **at > within) {
+            What::Attempt {
+                ingress, instance, ..
+            } => {
+                if let Some(at) = told
+                    .get(&(ingress, instance))
+                    .filter(|at| line.at - **at > within)
+                {
                     let late = line.at - at;
                     broken.push(format!(
                         "ingress {ingress} sent to instance {instance} {late:.2} s after its drain"
@@ -147,14 +169,17 @@
             What::Opened { instance, .. } => (instance, model.dial / model.work),
             _ => continue,
         };
-        let Some(life) = lives.get_mut(&instance) else { continue };
+        let Some(life) = lives.get_mut(&instance) else {
+            continue;
+        };
         if !life.arrive(line.at, requests) {
             broken.entry(instance).or_insert(line.at);
         }
         worst = worst.max(life.worst);
     }
-    let told =
-        |(instance, at)| format!("cold instance {instance} got more than pushes it over, at {at:.1} s");
+    let told = |(instance, at)| {
+        format!("cold instance {instance} got more than pushes it over, at {at:.1} s")
+    };
     (worst, broken.into_iter().map(told).collect())
 }
 
@@ -168,10 +193,14 @@
     let mut broken = BTreeMap::new();
     for line in lines {
         match line.what {
-            What::Asked { request, customer, .. } => drop(whose.insert(request, customer)),
+            What::Asked {
+                request, customer, ..
+            } => drop(whose.insert(request, customer)),
             What::Attempt { request, .. } => {
                 // The first attempt alone draws on the store.
-                let Some(customer) = whose.remove(&request) else { continue };
+                let Some(customer) = whose.remove(&request) else {
+                    continue;
+                };
                 let (store, at) = stores.entry(customer).or_insert((most, line.at));
                 (*store, *at) = ((*store + (line.at - *at) * rate).min(most) - 1.0, line.at);
                 if *store < -slack - 0.15 * rate {
@@ -181,14 +210,17 @@
             _ => {}
         }
     }
-    let told = |(customer, store)| format!("customer {customer}: its ceiling's store fell to {store:.1}");
+    let told =
+        |(customer, store)| format!("customer {customer}: its ceiling's store fell to {store:.1}");
     broken.into_iter().map(told).collect()
 }
 
 /// No process ends by itself.
 pub fn crashes(lines: &[Line]) -> Vec<String> {
     let crash = |line: &Line| match &line.what {
-        What::Crashed { ingress, status } => Some(format!("ingress {ingress} ended by itself: {status}")),
+        What::Crashed { ingress, status } => {
+            Some(format!("ingress {ingress} ended by itself: {status}"))
+        }
         What::Fell { instance } => Some(format!("cold instance {instance} fell over")),
         _ => None,
     };
@@ -197,14 +229,21 @@
 
 /// By how many milliseconds the rig itself was late at the worst; where it was too late, the trial says nothing.
 pub fn lateness(lines: &[Line]) -> u64 {
-    let late = |line: &Line| if let What::Late { ms } = line.what { Some(ms) } else { None };
+    let late = |line: &Line| {
+        if let What::Late { ms } = line.what {
+            Some(ms)
+        } else {
+            None
+        }
+    };
     lines.iter().filter_map(late).max().unwrap_or(0)
 }
 
 /// The most of a kind within so many seconds, by what they are counted for.
 fn most_within(times: &BTreeMap<usize, Vec<f64>>, span: f64) -> usize {
     let worst = |times: &Vec<f64>| {
-        let within = |(i, at): (usize, &f64)| times[i..].iter().take_while(|t| **t < at + span).count();
+        let within =
+            |(i, at): (usize, &f64)| times[i..].iter().take_while(|t| **t < at + span).count();
         times.iter().enumerate().map(within).max().unwrap_or(0)
     };
     times.values().map(worst).max().unwrap_or(0)
@@ -269,12 +308,16 @@
 
 /// The figures of a journal.
 pub fn figures(lines: &[Line], rules: &Rules) -> Figures {
-    let mut figures = Figures { cold_worst: cold(lines, &rules.model).0, ..Figures::default() };
+    let mut figures = Figures {
+        cold_worst: cold(lines, &rules.model).0,
+        ..Figures::default()
+    };
     let mut asked: BTreeMap<u64, f64> = BTreeMap::new();
     let (mut calls, mut opened, mut attempts) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
     let mut listed: BTreeSet<usize> = BTreeSet::new();
-    let note =
-        |times: &mut BTreeMap<usize, Vec<f64>>, of: usize, at: f64| times.entry(of).or_default().push(at);
+    let note = |times: &mut BTreeMap<usize, Vec<f64>>, of: usize, at: f64| {
+        times.entry(of).or_default().push(at)
+    };
     for line in lines {
         match line.what {
             What::Asked { request, .. } => {
@@ -303,7 +346,13 @@
                 figures.calls += 1;
                 note(&mut calls, 0, line.at);
             }
-            What::Listed { ingress, whole, status, bytes, .. } => {
+            What::Listed {
+                ingress,
+                whole,
+                status,
+                bytes,
+                ..
+            } => {
                 figures.list_bytes += bytes;
                 if status == 200 {
                     figures.whole += usize::from(whole);
@@ -338,35 +387,84 @@
     use super::*;
     use crate::capacity::tests::MODEL;
 
-    const RULES: Rules =
-        Rules { model: MODEL, drain: 0.55, ceiling: (1.0, 3.0, 0.5), wanted: 0.8, late_ms: 100 };
+    const RULES: Rules = Rules {
+        model: MODEL,
+        drain: 0.55,
+        ceiling: (1.0, 3.0, 0.5),
+        wanted: 0.8,
+        late_ms: 100,
+    };
 
     fn journal(all: &[(f64, What)]) -> Vec<Line> {
-        all.iter().map(|(at, what)| Line { at: *at, what: what.clone() }).collect()
+        all.iter()
+            .map(|(at, what)| Line {
+                at: *at,
+                what: what.clone(),
+            })
+            .collect()
     }
 
     fn asked(request: u64) -> What {
-        What::Asked { request, ingress: 0, customer: 5 }
+        What::Asked {
+            request,
+            ingress: 0,
+            customer: 5,
+        }
     }
 
     fn attempt(request: u64) -> What {
-        What::Attempt { request, instance: 2, ingress: 0 }
+        What::Attempt {
+            request,
+            instance: 2,
+            ingress: 0,
+        }
     }
 
     fn over(request: u64) -> What {
-        What::Over { request, instance: 2, ingress: 0 }
+        What::Over {
+            request,
+            instance: 2,
+            ingress: 0,
+        }
     }
 
     /// A journal with nothing wrong: every checker is quiet on it, and each test below adds one break.
     fn sound() -> Vec<(f64, What)> {
         vec![
-            (0.0, What::Started { ingress: 0, known: None }),
-            (0.0, What::Life { instance: 2, cold: true }),
-            (0.1, What::Listed { ingress: 0, whole: true, status: 200, bytes: 100, rev: 1 }),
+            (
+                0.0,
+                What::Started {
+                    ingress: 0,
+                    known: None,
+                },
+            ),
+            (
+                0.0,
+                What::Life {
+                    instance: 2,
+                    cold: true,
+                },
+            ),
+            (
+                0.1,
+                What::Listed {
+                    ingress: 0,
+                    whole: true,
+                    status: 200,
+                    bytes: 100,
+                    rev: 1,
+                },
+            ),
             (0.2, asked(1)),
             (0.2, attempt(1)),
             (0.3, over(1)),
-            (0.3, What::Final { request: 1, status: Some(200) }),
+            (
+                0.3,
+                What::Final {
+                    request: 1,
+                    status: Some(200),
+                },
+            ),
         ]
     }
 
@@ -378,35 +476,89 @@
     fn a_sound_journal_breaks_no_rule_and_its_figures_are_right() {
         assert_eq!(broken_by(&[]), Vec::<String>::new());
         let figures = figures(&journal(&sound()), &RULES);
-        assert_eq!((figures.asked, figures.in_time, figures.whole, figures.attempts), (1, 1, 1, 1));
+        assert_eq!(
+            (
+                figures.asked,
+                figures.in_time,
+                figures.whole,
+                figures.attempts
+            ),
+            (1, 1, 1, 1)
+        );
         assert_eq!((figures.first_served, figures.share()), (Some(0.3), 1.0));
         assert!(figures.cold_worst > 0.0 && figures.cold_worst < 0.1);
     }
 
     #[test]
     fn a_request_without_an_answer_and_one_with_two_are_found() {
-        let none = broken_by(&[(1.0, asked(2)), (4.0, What::Final { request: 2, status: None })]);
+        let none = broken_by(&[
+            (1.0, asked(2)),
+            (
+                4.0,
+                What::Final {
+                    request: 2,
+                    status: None,
+                },
+            ),
+        ]);
         assert!(none.len() == 1 && none[0].contains("no answer"), "{none:?}");
-        let two = broken_by(&[(1.0, What::Final { request: 1, status: Some(429) })]);
-        assert!(two.len() == 1 && two[0].contains("two final answers"), "{two:?}");
+        let two = broken_by(&[(
+            1.0,
+            What::Final {
+                request: 1,
+                status: Some(429),
+            },
+        )]);
+        assert!(
+            two.len() == 1 && two[0].contains("two final answers"),
+            "{two:?}"
+        );
         // What a killed process had taken is not held against it.
-        let lost = (4.0, What::Final { request: 2, status: None });
-        assert!(broken_by(&[(1.0, asked(2)), (1.1, What::Killed { ingress: 0 }), lost.clone()]).is_empty());
+        let lost = (
+            4.0,
+            What::Final {
+                request: 2,
+                status: None,
+            },
+        );
+        assert!(broken_by(&[
+            (1.0, asked(2)),
+            (1.1, What::Killed { ingress: 0 }),
+            lost.clone()
+        ])
+        .is_empty());
         // Nor what a stopped one has, or gets meanwhile; what it gets once it goes on is owed, as is another's.
         let stopped = |ingress, on| What::Stopped { ingress, on };
         assert!(broken_by(&[(1.0, asked(2)), (1.1, stopped(0, true)), lost.clone()]).is_empty());
         assert!(broken_by(&[(1.0, stopped(0, true)), (1.1, asked(2)), lost.clone()]).is_empty());
-        let on = [(1.0, stopped(0, true)), (1.1, stopped(0, false)), (1.2, asked(2)), lost.clone()];
+        let on = [
+            (1.0, stopped(0, true)),
+            (1.1, stopped(0, false)),
+            (1.2, asked(2)),
+            lost.clone(),
+        ];
         assert_eq!(broken_by(&on).len(), 1);
-        assert_eq!(broken_by(&[(1.0, asked(2)), (1.1, stopped(1, true)), lost]).len(), 1);
+        assert_eq!(
+            broken_by(&[(1.0, asked(2)), (1.1, stopped(1, true)), lost]).len(),
+            1
+        );
     }
 
     #[test]
     fn two_attempts_out_at_once_are_found_and_one_after_the_other_are_none() {
-        let elsewhere = What::Attempt { request: 2, instance: 3, ingress: 0 };
-        assert!(broken_by(&[(1.0, attempt(2)), (1.1, over(2)), (1.2, elsewhere.clone())]).is_empty());
+        let elsewhere = What::Attempt {
+            request: 2,
+            instance: 3,
+            ingress: 0,
+        };
+        assert!(
+            broken_by(&[(1.0, attempt(2)), (1.1, over(2)), (1.2, elsewhere.clone())]).is_empty()
+        );
         let both = [(1.0, attempt(2)), (1.1, elsewhere)];
-        assert!(broken_by(&[&both[..], &[(1.12, over(2))]].concat()).is_empty(), "seen late by a moment");
+        assert!(
+            broken_by(&[&both[..], &[(1.12, over(2))]].concat()).is_empty(),
+            "seen late by a moment"
+        );
         let two = broken_by(&[&both[..], &[(1.2, over(2))]].concat());
         assert!(two.len() == 1 && two[0].contains("for 0.10 s"), "{two:?}");
         assert_eq!(broken_by(&both).len(), 1, "both stay out");
@@ -414,45 +566,92 @@
 
     #[test]
     fn a_send_long_after_a_drain_is_found_but_none_of_a_new_life() {
-        let told = (1.0, What::Told { ingress: 0, instance: 2 });
+        let told = (
+            1.0,
+            What::Told {
+                ingress: 0,
+                instance: 2,
+            },
+        );
         assert!(broken_by(&[told.clone(), (1.5, attempt(2))]).is_empty());
         let late = broken_by(&[told.clone(), (1.6, attempt(2))]);
-        assert!(late.len() == 1 && late[0].contains("after its drain"), "{late:?}");
-        let again = (1.5, What::Started { ingress: 0, known: None });
+        assert!(
+            late.len() == 1 && late[0].contains("after its drain"),
+            "{late:?}"
+        );
+        let again = (
+            1.5,
+            What::Started {
+                ingress: 0,
+                known: None,
+            },
+        );
         assert!(broken_by(&[told, again, (1.6, attempt(2))]).is_empty());
     }
 
     #[test]
     fn a_cold_instance_that_gets_too_much_is_found_and_a_warm_one_may_have_it() {
         let flood: Vec<_> = (10..60)
-            .flat_map(|i| [(1.0 + i as f64 / 100.0, attempt(i)), (1.0 + i as f64 / 100.0, over(i))])
+            .flat_map(|i| {
+                [
+                    (1.0 + i as f64 / 100.0, attempt(i)),
+                    (1.0 + i as f64 / 100.0, over(i)),
+                ]
+            })
             .collect();
         let found = broken_by(&flood);
-        assert!(found.len() == 1 && found[0].contains("pushes it over"), "{found:?}");
-        let warm = [&[(0.9, What::Life { instance: 2, cold: false })][..], &flood].concat();
+        assert!(
+            found.len() == 1 && found[0].contains("pushes it over"),
+            "{found:?}"
+        );
+        let warm = [
+            &[(
+                0.9,
+                What::Life {
+                    instance: 2,
+                    cold: false,
+                },
+            )][..],
+            &flood,
+        ]
+        .concat();
         assert!(broken_by(&warm).is_empty());
     }
 
     #[test]
     fn a_customer_beyond_its_ceiling_is_found() {
         let sent = |many: u64| -> Vec<_> {
-            (10..10 + many).flat_map(|i| [(1.0, asked(i)), (1.0, attempt(i)), (1.0, over(i))]).collect()
+            (10..10 + many)
+                .flat_map(|i| [(1.0, asked(i)), (1.0, attempt(i)), (1.0, over(i))])
+                .collect()
         };
         assert!(ceilings(&journal(&sent(3)), RULES.ceiling).is_empty());
         let found = ceilings(&journal(&sent(4)), RULES.ceiling);
-        assert!(found.len() == 1 && found[0].contains("customer 5"), "{found:?}");
+        assert!(
+            found.len() == 1 && found[0].contains("customer 5"),
+            "{found:?}"
+        );
     }
 
     #[test]
     fn a_process_that_ends_by_itself_and_an_instance_that_falls_are_found() {
-        let crashed = What::Crashed { ingress: 0, status: "exit status: 1".into() };
-        assert_eq!(broken_by(&[(1.0, crashed), (1.0, What::Fell { instance: 2 })]).len(), 2);
+        let crashed = What::Crashed {
+            ingress: 0,
+            status: "exit status: 1".into(),
+        };
+        assert_eq!(
+            broken_by(&[(1.0, crashed), (1.0, What::Fell { instance: 2 })]).len(),
+            2
+        );
     }
 
     #[test]
     fn the_worst_span_is_found_wherever_it_lies() {
         let times = BTreeMap::from([(1, vec![0.0, 0.5, 0.55, 0.59, 1.4]), (2, vec![0.0, 0.01])]);
-        assert_eq!((most_within(&times, 0.1), most_within(&times, 0.01)), (3, 1));
+        assert_eq!(
+            (most_within(&times, 0.1), most_within(&times, 0.01)),
+            (3, 1)
+        );
         let late = journal(&[(1.0, What::Late { ms: 7 }), (2.0, What::Late { ms: 30 })]);
         assert_eq!(lateness(&late), 30);
     }
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -85,15 +85,24 @@
         let (one, other) = (ingress(), ingress());
         if let Some(wait) = self.once(one, customer, first, spread).await {
             if rng.random_bool(self.habits.again) {
-                tokio::time::sleep(wait.max(Duration::from_millis(20)).mul_f64(rng.random_range(1.0..1.5)))
-                    .await;
+                tokio::time::sleep(
+                    wait.max(Duration::from_millis(20))
+                        .mul_f64(rng.random_range(1.0..1.5)),
+                )
+                .await;
                 let _ = self.once(other, customer, first, spread).await;
             }
         }
     }
 
     /// One request; where it is refused, when to come again.
-    async fn once(&self, ingress: usize, customer: u64, first: usize, spread: usize) -> Option<Duration> {
+    async fn once(
+        &self,
+        ingress: usize,
+        customer: u64,
+        first: usize,
+        spread: usize,
+    ) -> Option<Duration> {
         let request = self.ids.fetch_add(1, Ordering::Relaxed);
         let patience = self.habits.patience;
         let text = format!(
@@ -114,7 +123,9 @@
         let status = answer.as_ref().and_then(|a| a.first.0.parse().ok());
         self.journal.note(What::Final { request, status });
         let refused = matches!(status, Some(429 | 503));
-        let wait = answer.as_ref().and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
+        let wait = answer
+            .as_ref()
+            .and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
         refused.then(|| Duration::from_secs_f64(wait.unwrap_or(0.05).clamp(0.0, 60.0)))
     }
 
@@ -146,7 +157,11 @@
             let answer = match stream.write_all(text.as_bytes()).await {
                 Ok(()) => {
                     if !std::mem::replace(asked, true) {
-                        self.journal.note(What::Asked { request, ingress, customer });
+                        self.journal.note(What::Asked {
+                            request,
+                            ingress,
+                            customer,
+                        });
                     }
                     http::read(&mut stream, &mut Vec::new(), Kind::Answer).await
                 }
--- a/crates/rig/src/faces.rs
+++ b/crates/rig/src/faces.rs
@@ -54,18 +54,26 @@
     pub fn lead(self, real: Vec<SocketAddr>, net: &Net, per_s: f64, seed: u64, journal: &Journal) {
         let (sockets, real) = (Arc::new(self.sockets), Arc::new(real));
         for (to, socket) in sockets.iter().cloned().enumerate() {
-            let intake = Arc::new(Intake { taken: AtomicU64::new(0), dropped: AtomicU64::new(0) });
+            let intake = Arc::new(Intake {
+                taken: AtomicU64::new(0),
+                dropped: AtomicU64::new(0),
+            });
             tokio::spawn(tell(to, intake.clone(), journal.clone()));
             let (sockets, real, net) = (sockets.clone(), real.clone(), net.clone());
             tokio::spawn(async move {
                 let mut rng = SmallRng::seed_from_u64(seed ^ (to as u64) << 32);
-                let links: Vec<_> =
-                    (0..real.len()).map(|from| net.link(Part::Ingress(from), Part::Ingress(to))).collect();
+                let links: Vec<_> = (0..real.len())
+                    .map(|from| net.link(Part::Ingress(from), Part::Ingress(to)))
+                    .collect();
                 let (mut saved, mut at) = (per_s, Instant::now());
                 let mut buffer = [0; 2048];
                 loop {
-                    let Ok((length, sender)) = socket.recv_from(&mut buffer).await else { continue };
-                    let Some(from) = real.iter().position(|r| *r == sender) else { continue };
+                    let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+                        continue;
+                    };
+                    let Some(from) = real.iter().position(|r| *r == sender) else {
+                        continue;
+                    };
                     let condition = links[from].now();
                     let copies = 1 + usize::from(rng.random_bool(condition.twice));
                     for _ in 0..copies {
@@ -80,9 +88,14 @@
                         }
                         saved -= 1.0;
                         intake.taken.fetch_add(1, Ordering::Relaxed);
-                        let length = if rng.random_bool(condition.torn) { length / 2 } else { length };
+                        let length = if rng.random_bool(condition.torn) {
+                            length / 2
+                        } else {
+                            length
+                        };
                         let late = condition.delay + condition.spread.mul_f64(rng.random());
-                        let (face, text, to) = (sockets[from].clone(), buffer[..length].to_vec(), real[to]);
+                        let (face, text, to) =
+                            (sockets[from].clone(), buffer[..length].to_vec(), real[to]);
                         if late.is_zero() {
                             let _ = face.try_send_to(&text, to);
                             continue;
@@ -105,7 +118,11 @@
         let taken = intake.taken.swap(0, Ordering::Relaxed);
         let dropped = intake.dropped.swap(0, Ordering::Relaxed);
         if taken + dropped > 0 {
-            journal.note(What::Mail { ingress, taken, dropped });
+            journal.note(What::Mail {
+                ingress,
+                taken,
+                dropped,
+            });
         }
     }
 }
@@ -125,9 +142,18 @@
         let b = UdpSocket::bind((local(), 0)).await.expect("b");
         let real = vec![a.local_addr().expect("a"), b.local_addr().expect("b")];
         faces.lead(real, &net, 40.0, 1, &Journal::begin());
-        let cut = Condition { silent: true, ..Condition::default() };
+        let cut = Condition {
+            silent: true,
+            ..Condition::default()
+        };
         let (from, to) = ([Part::Ingress(1)].into(), [Part::Ingress(0)].into());
-        net.set(Rule { name: "cut".into(), from, to, both: false, condition: cut });
+        net.set(Rule {
+            name: "cut".into(),
+            from,
+            to,
+            both: false,
+            condition: cut,
+        });
         let mut buffer = [0; 16];
         b.send_to(b"lost", known[0]).await.expect("sent");
         a.send_to(b"hears", known[1]).await.expect("sent");
--- a/crates/rig/src/fault.rs
+++ b/crates/rig/src/fault.rs
@@ -65,9 +65,17 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Kind {
     /// Links between two sets, one way or both.
-    Link { from: Set, to: Set, both: bool, condition: Condition },
+    Link {
+        from: Set,
+        to: Set,
+        both: bool,
+        condition: Condition,
+    },
     /// Processes killed; started again after a while with what they know, or not at all.
-    Kill { who: Set, again: Option<(Duration, Known)> },
+    Kill {
+        who: Set,
+        again: Option<(Duration, Known)>,
+    },
     /// Processes stopped, and continued at the fault's end.
     Stop { who: Set },
     /// Something of the list service.
@@ -124,7 +132,9 @@
 
 impl<'a> Words<'a> {
     fn next(&mut self, what: &str) -> Result<&'a str, String> {
-        self.0.next().ok_or_else(|| format!("{what} is missing at the end"))
+        self.0
+            .next()
+            .ok_or_else(|| format!("{what} is missing at the end"))
     }
 
     fn expect(&mut self, word: &str) -> Result<(), String> {
@@ -145,7 +155,8 @@
 
     fn span(&mut self) -> Result<Duration, String> {
         let word = self.next("a time")?;
-        humantime::parse_duration(word).map_err(|_| format!("'{word}' is no time such as 250ms or 2s"))
+        humantime::parse_duration(word)
+            .map_err(|_| format!("'{word}' is no time such as 250ms or 2s"))
     }
 
     fn share(&mut self) -> Result<f64, String> {
@@ -187,7 +198,12 @@
                     "<->" => true,
                     other => return Err(format!("'{other}' is neither -> nor <->")),
                 };
-                Ok(Kind::Link { from, to: self.set()?, both, condition: self.condition()? })
+                Ok(Kind::Link {
+                    from,
+                    to: self.set()?,
+                    both,
+                    condition: self.condition()?,
+                })
             }
             "kill" => {
                 let who = self.set()?;
@@ -211,7 +227,9 @@
             "list" => match self.next("what the list service does")? {
                 "silent" => Ok(Kind::List(ListFault::Silent)),
                 "breaks" => Ok(Kind::List(ListFault::Breaks(self.share()?))),
-                "goes" => self.expect("back").map(|()| Kind::List(ListFault::GoesBack)),
+                "goes" => self
+                    .expect("back")
+                    .map(|()| Kind::List(ListFault::GoesBack)),
                 "turns" => {
                     self.expect("away")?;
                     Ok(Kind::List(ListFault::TurnsAway(self.share()?)))
@@ -227,8 +245,9 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        let (when, what) =
-            text.split_once(": ").ok_or("a fault is 'at TIME: ...' or 'when N listed: ...'")?;
+        let (when, what) = text
+            .split_once(": ")
+            .ok_or("a fault is 'at TIME: ...' or 'when N listed: ...'")?;
         let mut words = Words(when.split_whitespace().peekable());
         let when = match words.next("when it comes")? {
             "at" => When::At(words.span()?),
@@ -250,7 +269,9 @@
         };
         match words.0.next() {
             Some(word) => Err(format!("'{word}' is too much")),
-            None => Ok(Fault { raw: Raw { when, kind, lasts } }),
+            None => Ok(Fault {
+                raw: Raw { when, kind, lasts },
+            }),
         }
     }
 }
@@ -262,13 +283,36 @@
     #[test]
     fn faults_are_read_as_they_are_written_and_what_is_wrong_is_named() {
         let read = |text: &str| text.parse::<Fault>();
-        let cut = read("at 2s: link ingress:zone=0 <-> list silent loss 0.3 delay 1s for 3s").expect("a cut");
-        assert_eq!((cut.when, cut.lasts), (When::At(Duration::from_secs(2)), Some(Duration::from_secs(3))));
-        let Kind::Link { both: true, condition, .. } = cut.kind else { panic!("{cut:?}") };
-        assert!(condition.silent && condition.loss == 0.3 && condition.delay == Duration::from_secs(1));
-        let kill = read("when 12 listed: kill ingress:0.7 and start after 200ms old").expect("a kill");
+        let cut = read("at 2s: link ingress:zone=0 <-> list silent loss 0.3 delay 1s for 3s")
+            .expect("a cut");
+        assert_eq!(
+            (cut.when, cut.lasts),
+            (
+                When::At(Duration::from_secs(2)),
+                Some(Duration::from_secs(3))
+            )
+        );
+        let Kind::Link {
+            both: true,
+            condition,
+            ..
+        } = cut.kind
+        else {
+            panic!("{cut:?}")
+        };
+        assert!(
+            condition.silent && condition.loss == 0.3 && condition.delay == Duration::from_secs(1)
+        );
+        let kill =
+            read("when 12 listed: kill ingress:0.7 and start after 200ms old").expect("a kill");
         assert_eq!(kill.when, When::Listed(12));
-        assert!(matches!(kill.kind, Kind::Kill { again: Some((_, Known::Old)), .. }));
+        assert!(matches!(
+            kill.kind,
+            Kind::Kill {
+                again: Some((_, Known::Old)),
+                ..
+            }
+        ));
         for (wrong, why) in [
             ("kill ingress:1", "a fault is"),
             ("at two: kill ingress:1", "'two' is no time"),
--- a/crates/rig/src/inject.rs
+++ b/crates/rig/src/inject.rs
@@ -18,8 +18,14 @@
 
 /// What strangers send: words as peers write them, of a service that is busy and of one just started that asks; one cut
 /// short, one of no use, bytes that are no text, one too long.
-const FOREIGN: [&[u8]; 6] =
-    [b"T1 6 0 99 500", b"T1 1 0 - 0", b"T1 6", b"\0\0", b"\xff\xfe\xfd", &[b'x'; 300]];
+const FOREIGN: [&[u8]; 6] = [
+    b"T1 6 0 99 500",
+    b"T1 1 0 - 0",
+    b"T1 6",
+    b"\0\0",
+    b"\xff\xfe\xfd",
+    &[b'x'; 300],
+];
 /// Between a stranger's datagrams to one ingress.
 const FOREIGN_EVERY: Duration = Duration::from_millis(50);
 
@@ -27,15 +33,28 @@
     async fn when(&self, when: When) {
         let distinct = |lines: &[Line]| {
             let listed = lines.iter().filter_map(|l| match l.what {
-                What::Listed { ingress, status: 200, .. } => Some(ingress),
+                What::Listed {
+                    ingress,
+                    status: 200,
+                    ..
+                } => Some(ingress),
                 _ => None,
             });
             listed.collect::<BTreeSet<_>>().len()
         };
-        let served = |l: &&Line| matches!(l.what, What::Final { status: Some(200), .. });
+        let served = |l: &&Line| {
+            matches!(
+                l.what,
+                What::Final {
+                    status: Some(200),
+                    ..
+                }
+            )
+        };
         match when {
             When::At(at) => {
-                tokio::time::sleep(at.saturating_sub(Duration::from_secs_f64(self.journal.now()))).await;
+                tokio::time::sleep(at.saturating_sub(Duration::from_secs_f64(self.journal.now())))
+                    .await;
             }
             When::Listed(many) => {
                 while self.journal.look(distinct) < many {
@@ -43,7 +62,11 @@
                 }
             }
             When::Served(many) => {
-                while self.journal.look(|lines| lines.iter().filter(served).count()) < many {
+                while self
+                    .journal
+                    .look(|lines| lines.iter().filter(served).count())
+                    < many
+                {
                     tokio::time::sleep(LOOK).await;
                 }
             }
@@ -54,7 +77,10 @@
         let fault: Fault = self.trial.faults[&name].clone();
         let mut rng = SmallRng::seed_from_u64(seed);
         self.when(fault.when).await;
-        self.journal.note(What::Fault { name: name.clone(), on: true });
+        self.journal.note(What::Fault {
+            name: name.clone(),
+            on: true,
+        });
         let end = self.clone().set(&name, &fault.kind, &mut rng).await;
         if let Some(lasts) = fault.lasts {
             tokio::time::sleep(lasts).await;
@@ -64,20 +90,52 @@
     }
 
     /// Sets a fault; what ends it is returned.
-    async fn set(self: Arc<Self>, name: &str, kind: &Kind, rng: &mut SmallRng) -> Box<dyn FnOnce() + Send> {
+    async fn set(
+        self: Arc<Self>,
+        name: &str,
+        kind: &Kind,
+        rng: &mut SmallRng,
+    ) -> Box<dyn FnOnce() + Send> {
         let this = self.clone();
         let ingresses = |set: &Set, rng: &mut SmallRng| -> Vec<usize> {
             let parts = set.draw(self.layout, rng).into_iter();
-            parts.filter_map(|p| if let Part::Ingress(i) = p { Some(i) } else { None }).collect()
+            parts
+                .filter_map(|p| {
+                    if let Part::Ingress(i) = p {
+                        Some(i)
+                    } else {
+                        None
+                    }
+                })
+                .collect()
         };
         let instances = |set: &Set, rng: &mut SmallRng| -> Vec<usize> {
             let parts = set.draw(self.layout, rng).into_iter();
-            parts.filter_map(|p| if let Part::Instance(i) = p { Some(i) } else { None }).collect()
+            parts
+                .filter_map(|p| {
+                    if let Part::Instance(i) = p {
+                        Some(i)
+                    } else {
+                        None
+                    }
+                })
+                .collect()
         };
         match kind {
-            Kind::Link { from, to, both, condition } => {
+            Kind::Link {
+                from,
+                to,
+                both,
+                condition,
+            } => {
                 let (from, to) = (from.draw(self.layout, rng), to.draw(self.layout, rng));
-                let rule = Rule { name: name.to_string(), from, to, both: *both, condition: *condition };
+                let rule = Rule {
+                    name: name.to_string(),
+                    from,
+                    to,
+                    both: *both,
+                    condition: *condition,
+                };
                 self.net.set(rule);
                 let name = name.to_string();
                 Box::new(move || this.net.clear(&name))
@@ -97,7 +155,10 @@
                     tokio::time::sleep(*after).await;
                     for i in who {
                         if let Err(e) = self.start_ingress(i, *known) {
-                            self.journal.note(What::Crashed { ingress: i, status: e.to_string() });
+                            self.journal.note(What::Crashed {
+                                ingress: i,
+                                status: e.to_string(),
+                            });
                         }
                     }
                 }
@@ -107,12 +168,18 @@
                 let who = ingresses(who, rng);
                 for i in &who {
                     self.lock_ingresses()[*i].signal(libc::SIGSTOP);
-                    self.journal.note(What::Stopped { ingress: *i, on: true });
+                    self.journal.note(What::Stopped {
+                        ingress: *i,
+                        on: true,
+                    });
                 }
                 Box::new(move || {
                     for i in &who {
                         // Told first: what it answers from then on is owed.
-                        this.journal.note(What::Stopped { ingress: *i, on: false });
+                        this.journal.note(What::Stopped {
+                            ingress: *i,
+                            on: false,
+                        });
                         this.lock_ingresses()[*i].signal(libc::SIGCONT);
                     }
                 })
@@ -144,21 +211,26 @@
             Kind::Fails { who } => {
                 let who = instances(who, rng);
                 let set = move |world: &World, fails| {
-                    who.iter().for_each(|i| world.lock_instances()[*i].fails(fails))
+                    who.iter()
+                        .for_each(|i| world.lock_instances()[*i].fails(fails))
                 };
                 set(&self, true);
                 Box::new(move || set(&this, false))
             }
             Kind::Foreign { who } => {
-                let doors: Vec<SocketAddr> =
-                    ingresses(who, rng).iter().map(|i| self.lock_ingresses()[*i].seat.peer_listen).collect();
+                let doors: Vec<SocketAddr> = ingresses(who, rng)
+                    .iter()
+                    .map(|i| self.lock_ingresses()[*i].seat.peer_listen)
+                    .collect();
                 let stranger = tokio::spawn(foreign(doors));
                 Box::new(move || stranger.abort())
             }
             Kind::Mute { who } => {
                 let who = instances(who, rng);
-                let set =
-                    move |world: &World, mute| who.iter().for_each(|i| world.lock_instances()[*i].mute(mute));
+                let set = move |world: &World, mute| {
+                    who.iter()
+                        .for_each(|i| world.lock_instances()[*i].mute(mute))
+                };
                 set(&self, true);
                 Box::new(move || set(&this, false))
             }
@@ -174,7 +246,9 @@
 
 /// Sends these doors what no peer sent, from an address that is no peer's, until it is ended.
 async fn foreign(doors: Vec<SocketAddr>) {
-    let Ok(socket) = UdpSocket::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await else { return };
+    let Ok(socket) = UdpSocket::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await else {
+        return;
+    };
     for text in FOREIGN.iter().cycle() {
         for door in &doors {
             let _ = socket.send_to(text, door).await;
--- a/crates/rig/src/instance.rs
+++ b/crates/rig/src/instance.rs
@@ -44,7 +44,11 @@
 
 impl Drop for Out<'_> {
     fn drop(&mut self) {
-        self.0.journal.note(What::Over { request: self.1, instance: self.0.number, ingress: self.2 });
+        self.0.journal.note(What::Over {
+            request: self.1,
+            instance: self.0.number,
+            ingress: self.2,
+        });
     }
 }
 
@@ -52,7 +56,10 @@
     /// One that has just started, or long ago.
     pub fn start(number: usize, model: Model, cold: bool, journal: &Journal) -> Arc<Self> {
         let started = if cold { journal.now() } else { LONG_AGO };
-        journal.note(What::Life { instance: number, cold });
+        journal.note(What::Life {
+            instance: number,
+            cold,
+        });
         Arc::new(Instance {
             number,
             model,
@@ -75,14 +82,20 @@
     /// Begins a new life, cold.
     pub fn restart(&self) {
         *self.life() = Life::new(self.model, self.journal.now());
-        self.journal.note(What::Life { instance: self.number, cold: true });
-        self.lives.send_modify(|life| *life = Some(life.map_or(0, |l| l + 1)));
+        self.journal.note(What::Life {
+            instance: self.number,
+            cold: true,
+        });
+        self.lives
+            .send_modify(|life| *life = Some(life.map_or(0, |l| l + 1)));
     }
 
     /// Ends.
     pub fn end(&self) {
         if self.lives.send_replace(None).is_some() {
-            self.journal.note(What::Died { instance: self.number });
+            self.journal.note(What::Died {
+                instance: self.number,
+            });
         }
     }
 
@@ -104,7 +117,9 @@
     fn arrives(&self, requests: f64) -> bool {
         let stands = self.life().arrive(self.journal.now(), requests);
         if !stands && self.up() {
-            self.journal.note(What::Fell { instance: self.number });
+            self.journal.note(What::Fell {
+                instance: self.number,
+            });
             self.lives.send_replace(None);
         }
         stands
@@ -114,7 +129,10 @@
     pub async fn serve(self: Arc<Self>, mut stream: DuplexStream, ingress: usize) {
         let mut lives = self.lives.subscribe();
         let life = *lives.borrow_and_update();
-        self.journal.note(What::Opened { instance: self.number, ingress });
+        self.journal.note(What::Opened {
+            instance: self.number,
+            ingress,
+        });
         self.connections.fetch_add(1, Ordering::Relaxed);
         let _counted = Counted(&self.connections);
         if life.is_none() || !self.arrives(self.model.dial / self.model.work) {
@@ -130,18 +148,28 @@
         let mut rest = Vec::new();
         let mut dial = self.model.dial;
         while let Some(request) = http::read(stream, &mut rest, Kind::Request).await? {
-            let Some(id) = request.header("x-correlation-id").and_then(|id| u64::from_str_radix(id, 16).ok())
+            let Some(id) = request
+                .header("x-correlation-id")
+                .and_then(|id| u64::from_str_radix(id, 16).ok())
             else {
-                stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await?;
+                stream
+                    .write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+                    .await?;
                 continue;
             };
-            self.journal.note(What::Attempt { request: id, instance: self.number, ingress });
+            self.journal.note(What::Attempt {
+                request: id,
+                instance: self.number,
+                ingress,
+            });
             let _out = Out(self, id, ingress);
             if !self.arrives(1.0) {
                 return Ok(());
             }
             if self.fails.load(Ordering::Relaxed) {
-                stream.write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n").await?;
+                stream
+                    .write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+                    .await?;
                 continue;
             }
             let full = self.connections.load(Ordering::Relaxed) > self.model.connections;
@@ -171,7 +199,9 @@
     }
 
     async fn work(&self, dial: f64) {
-        let Ok(_core) = self.cores.acquire().await else { return };
+        let Ok(_core) = self.cores.acquire().await else {
+            return;
+        };
         let takes = self.life().takes(self.journal.now()) * (1.0 + dial / self.model.work);
         tokio::time::sleep(Duration::from_secs_f64(takes)).await;
         if self.mute.load(Ordering::Relaxed) {
--- a/crates/rig/src/journal.rs
+++ b/crates/rig/src/journal.rs
@@ -10,15 +10,27 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum What {
     /// A client has written a request to an ingress.
-    Asked { request: u64, ingress: usize, customer: u64 },
+    Asked {
+        request: u64,
+        ingress: usize,
+        customer: u64,
+    },
     /// The client has the final answer, or none by its deadline.
     Final { request: u64, status: Option<u16> },
     /// The client could not reach the ingress at all: nothing was taken.
     Unreached { request: u64, ingress: usize },
     /// A request has arrived whole at a limit server.
-    Attempt { request: u64, instance: usize, ingress: usize },
+    Attempt {
+        request: u64,
+        instance: usize,
+        ingress: usize,
+    },
     /// That attempt is over: its answer was written, or its connection ended.
-    Over { request: u64, instance: usize, ingress: usize },
+    Over {
+        request: u64,
+        instance: usize,
+        ingress: usize,
+    },
     /// An ingress opened a connection to a limit server.
     Opened { instance: usize, ingress: usize },
     /// A limit server starts, cold, or is there from long ago.
@@ -30,7 +42,13 @@
     /// The list service was called.
     Call { ingress: usize, whole: bool },
     /// The list service answered; a status other than 200 turns the caller away.
-    Listed { ingress: usize, whole: bool, status: u16, bytes: usize, rev: u64 },
+    Listed {
+        ingress: usize,
+        whole: bool,
+        status: u16,
+        bytes: usize,
+        rev: u64,
+    },
     /// An ingress was told by a list that an instance drains or is gone.
     Told { ingress: usize, instance: usize },
     /// A process of an ingress was started, with a known list of this revision if it has one.
@@ -46,7 +64,11 @@
     /// A fault begins, or ends.
     Fault { name: String, on: bool },
     /// Datagrams that an ingress took in, and that came beyond what it takes in, in the last second.
-    Mail { ingress: usize, taken: u64, dropped: u64 },
+    Mail {
+        ingress: usize,
+        taken: u64,
+        dropped: u64,
+    },
     /// The rig itself woke up late by so many milliseconds.
     Late { ms: u64 },
 }
@@ -70,7 +92,10 @@
 impl Journal {
     /// Begins now.
     pub fn begin() -> Self {
-        Journal { began: Instant::now(), lines: Arc::default() }
+        Journal {
+            began: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     /// Seconds since it began.
@@ -129,8 +154,21 @@
     #[test]
     fn what_is_written_is_read_again_and_a_torn_line_is_named() {
         let lines = vec![
-            Line { at: 0.5, what: What::Asked { request: 7, ingress: 1, customer: 9 } },
-            Line { at: 0.75, what: What::Final { request: 7, status: Some(200) } },
+            Line {
+                at: 0.5,
+                what: What::Asked {
+                    request: 7,
+                    ingress: 1,
+                    customer: 9,
+                },
+            },
+            Line {
+                at: 0.75,
+                what: What::Final {
+                    request: 7,
+                    status: Some(200),
+                },
+            },
         ];
         let mut text = Vec::new();
         write(&lines, &mut text).expect("written");
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -62,7 +62,9 @@
 
 /// Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
 }
 
 /// The id that lists have for an instance.
@@ -152,7 +154,10 @@
         let mut saved = self.saved.lock().unwrap_or_else(|e| e.into_inner());
         let now = self.journal.now();
         let most = List::at_once(self.bears);
-        *saved = ((saved.0 + (now - saved.1) * self.bears.calls_per_s).min(most), now);
+        *saved = (
+            (saved.0 + (now - saved.1) * self.bears.calls_per_s).min(most),
+            now,
+        );
         let may = saved.0 >= 1.0;
         saved.0 -= f64::from(u8::from(may));
         may
@@ -175,15 +180,38 @@
         let mut state = self.state.subscribe();
         while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
             let after = request.query("after");
-            self.journal.note(What::Call { ingress, whole: after.is_none() });
-            let _ = state.wait_for(|s| !s.faults.contains(&ListFault::Silent)).await;
+            self.journal.note(What::Call {
+                ingress,
+                whole: after.is_none(),
+            });
+            let _ = state
+                .wait_for(|s| !s.faults.contains(&ListFault::Silent))
+                .await;
             let faults = state.borrow().faults.clone();
             let share = |of: fn(&ListFault) -> f64| faults.iter().map(of).fold(0.0, f64::max);
-            let away = share(|f| if let ListFault::TurnsAway(share) = f { *share } else { 0.0 });
-            let breaks = share(|f| if let ListFault::Breaks(share) = f { *share } else { 0.0 });
+            let away = share(|f| {
+                if let ListFault::TurnsAway(share) = f {
+                    *share
+                } else {
+                    0.0
+                }
+            });
+            let breaks = share(|f| {
+                if let ListFault::Breaks(share) = f {
+                    *share
+                } else {
+                    0.0
+                }
+            });
             if !self.bears() || rng.random_bool(away) {
                 tokio::time::sleep(self.bears.turned_after).await;
-                let listed = What::Listed { ingress, whole: after.is_none(), status: 503, bytes: 0, rev: 0 };
+                let listed = What::Listed {
+                    ingress,
+                    whole: after.is_none(),
+                    status: 503,
+                    bytes: 0,
+                    rev: 0,
+                };
                 self.journal.note(listed);
                 let retry = match self.bears.retry_after {
                     Duration::ZERO => String::new(),
@@ -198,18 +226,35 @@
                 let newer = state.wait_for(|s| s.rev > after || s.restored != restored);
                 let _ = tokio::time::timeout(Duration::from_millis(wait.min(60_000)), newer).await;
                 // What is silent by now says nothing of what it knows.
-                let _ = state.wait_for(|s| !s.faults.contains(&ListFault::Silent)).await;
+                let _ = state
+                    .wait_for(|s| !s.faults.contains(&ListFault::Silent))
+                    .await;
             }
             let now = state.borrow_and_update().clone();
             let whole = after.is_none_or(|after| after > now.rev || now.restored != restored);
             let after = after.filter(|_| !whole).unwrap_or(0);
-            let news = |e: &&Entry| if whole { e.state.is_some() } else { e.rev > after };
-            let targets: Vec<Value> =
-                now.entries.iter().filter(news).map(|e| target(e, &endpoints)).collect();
+            let news = |e: &&Entry| {
+                if whole {
+                    e.state.is_some()
+                } else {
+                    e.rev > after
+                }
+            };
+            let targets: Vec<Value> = now
+                .entries
+                .iter()
+                .filter(news)
+                .map(|e| target(e, &endpoints))
+                .collect();
             let body = json!({"rev": now.rev, "all": whole, "targets": targets}).to_string();
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             if rng.random_bool(breaks) {
-                stream.write_all(&answer.as_bytes()[..answer.len() / 2]).await?;
+                stream
+                    .write_all(&answer.as_bytes()[..answer.len() / 2])
+                    .await?;
                 return Ok(());
             }
             stream.write_all(answer.as_bytes()).await?;
@@ -219,10 +264,19 @@
     }
 
     fn told(&self, ingress: usize, now: &State, whole: bool, after: u64, bytes: usize) {
-        self.journal.note(What::Listed { ingress, whole, status: 200, bytes, rev: now.rev });
+        self.journal.note(What::Listed {
+            ingress,
+            whole,
+            status: 200,
+            bytes,
+            rev: now.rev,
+        });
         let news = now.entries.iter().filter(|e| whole || e.rev > after);
         for entry in news.filter(|e| e.state != Some("in_service")) {
-            self.journal.note(What::Told { ingress, instance: entry.instance });
+            self.journal.note(What::Told {
+                ingress,
+                instance: entry.instance,
+            });
         }
     }
 }
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -26,15 +26,22 @@
 
     fn parse(mut parser: lexopt::Parser, sizes: &[usize]) -> Result<Self, lexopt::Error> {
         use lexopt::prelude::*;
-        let mut all = Arguments { before: None, seeds: 20, sizes: sizes.to_vec() };
+        let mut all = Arguments {
+            before: None,
+            seeds: 20,
+            sizes: sizes.to_vec(),
+        };
         while let Some(arg) = parser.next()? {
             match arg {
                 Long("before") => all.before = Some(parser.value()?.into()),
                 Long("seeds") => all.seeds = parser.value()?.parse()?,
                 Long("sizes") => {
                     let text = parser.value()?.string()?;
-                    all.sizes =
-                        text.split(',').map(|n| n.to_string().into()).map(size).collect::<Result<_, _>>()?;
+                    all.sizes = text
+                        .split(',')
+                        .map(|n| n.to_string().into())
+                        .map(size)
+                        .collect::<Result<_, _>>()?;
                 }
                 other => return Err(other.unexpected()),
             }
@@ -65,7 +72,11 @@
             eprintln!("{reason}");
             ExitCode::FAILURE
         }
-        Ok(Count { plays, missed, none }) => {
+        Ok(Count {
+            plays,
+            missed,
+            none,
+        }) => {
             let kept = missed == 0 && plays > 0;
             let word = if kept { "kept" } else { "missed" };
             println!("verdict {word}: {plays} trials judged, {missed} missed, {none} that the machine could not play");
@@ -84,10 +95,19 @@
             let parser = lexopt::Parser::from_args(args.iter().copied());
             Arguments::parse(parser, &[24]).map_err(|e| e.to_string())
         };
-        let all = read(&["--seeds", "3", "--sizes", "24,100", "--before", "old"]).expect("arguments");
-        assert_eq!((all.seeds, all.sizes, all.before), (3, vec![24, 100], Some("old".into())));
+        let all =
+            read(&["--seeds", "3", "--sizes", "24,100", "--before", "old"]).expect("arguments");
+        assert_eq!(
+            (all.seeds, all.sizes, all.before),
+            (3, vec![24, 100], Some("old".into()))
+        );
         assert_eq!(read(&[]).expect("defaults").sizes, [24]);
-        for wrong in [&["--sizes", "24,x"][..], &["--seeds", "x"], &["--seed", "3"], &["--before"]] {
+        for wrong in [
+            &["--sizes", "24,x"][..],
+            &["--seeds", "x"],
+            &["--seed", "3"],
+            &["--before"],
+        ] {
             assert!(read(wrong).is_err(), "{wrong:?}");
         }
     }
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -78,24 +78,32 @@
 
 impl Default for Net {
     fn default() -> Self {
-        Net { rules: watch::channel(Arc::default()).0 }
+        Net {
+            rules: watch::channel(Arc::default()).0,
+        }
     }
 }
 
 impl Net {
     /// One more rule is in force.
     pub fn set(&self, rule: Rule) {
-        self.rules.send_modify(|rules| Arc::make_mut(rules).push(rule));
+        self.rules
+            .send_modify(|rules| Arc::make_mut(rules).push(rule));
     }
 
     /// A fault's rules are in force no longer.
     pub fn clear(&self, name: &str) {
-        self.rules.send_modify(|rules| Arc::make_mut(rules).retain(|rule| rule.name != name));
+        self.rules
+            .send_modify(|rules| Arc::make_mut(rules).retain(|rule| rule.name != name));
     }
 
     /// One way of a link.
     pub fn link(&self, from: Part, to: Part) -> Link {
-        Link { rules: self.rules.subscribe(), from, to }
+        Link {
+            rules: self.rules.subscribe(),
+            from,
+            to,
+        }
     }
 }
 
@@ -130,20 +138,54 @@
     use super::*;
 
     fn rule(name: &str, both: bool, condition: Condition) -> Rule {
-        let (from, to) = ([Part::Ingress(1)].into(), [Part::List, Part::Ingress(2)].into());
-        Rule { name: name.to_string(), from, to, both, condition }
+        let (from, to) = (
+            [Part::Ingress(1)].into(),
+            [Part::List, Part::Ingress(2)].into(),
+        );
+        Rule {
+            name: name.to_string(),
+            from,
+            to,
+            both,
+            condition,
+        }
     }
 
     #[test]
     fn a_rule_holds_on_its_way_alone_and_rules_add_up_until_they_are_cleared() {
         let net = Net::default();
-        let (there, back) = (net.link(Part::Ingress(1), Part::List), net.link(Part::List, Part::Ingress(1)));
-        net.set(rule("late", false, Condition { delay: AGAIN, loss: 0.5, ..Condition::default() }));
-        assert_eq!((there.now().delay, back.now().delay), (AGAIN, Duration::ZERO));
-        net.set(rule("cut", true, Condition { silent: true, loss: 0.5, ..Condition::default() }));
+        let (there, back) = (
+            net.link(Part::Ingress(1), Part::List),
+            net.link(Part::List, Part::Ingress(1)),
+        );
+        net.set(rule(
+            "late",
+            false,
+            Condition {
+                delay: AGAIN,
+                loss: 0.5,
+                ..Condition::default()
+            },
+        ));
+        assert_eq!(
+            (there.now().delay, back.now().delay),
+            (AGAIN, Duration::ZERO)
+        );
+        net.set(rule(
+            "cut",
+            true,
+            Condition {
+                silent: true,
+                loss: 0.5,
+                ..Condition::default()
+            },
+        ));
         assert!(there.now().silent && back.now().silent && there.now().loss == 0.75);
         net.clear("late");
-        assert_eq!((there.now().delay, there.now().silent), (Duration::ZERO, true));
+        assert_eq!(
+            (there.now().delay, there.now().silent),
+            (Duration::ZERO, true)
+        );
         net.clear("cut");
         assert_eq!(back.now(), Condition::default());
     }
--- a/crates/rig/src/parts.rs
+++ b/crates/rig/src/parts.rs
@@ -68,7 +68,10 @@
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        text.split('+').map(|term| term.trim().parse()).collect::<Result<_, _>>().map(Set)
+        text.split('+')
+            .map(|term| term.trim().parse())
+            .collect::<Result<_, _>>()
+            .map(Set)
     }
 }
 
@@ -77,13 +80,19 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let (kind, which) = text.split_once(':').unwrap_or((text, "all"));
-        let which = || which.parse::<Which>().map_err(|()| format!("'{text}' names no set of parts"));
+        let which = || {
+            which
+                .parse::<Which>()
+                .map_err(|()| format!("'{text}' names no set of parts"))
+        };
         match kind {
             "clients" => Ok(Term::Clients),
             "list" => Ok(Term::List),
             "ingress" => Ok(Term::Ingress(which()?)),
             "instance" => Ok(Term::Instance(which()?)),
-            _ => Err(format!("'{text}' is none of clients, list, ingress:..., instance:...")),
+            _ => Err(format!(
+                "'{text}' is none of clients, list, ingress:..., instance:..."
+            )),
         }
     }
 }
@@ -100,7 +109,11 @@
         } else if let Some((from, to)) = text.split_once('-') {
             Ok(Which::Range(number(from)?, number(to)?))
         } else if text.contains('.') {
-            text.parse().ok().filter(|s| (0.0..=1.0).contains(s)).map(Which::Share).ok_or(())
+            text.parse()
+                .ok()
+                .filter(|s| (0.0..=1.0).contains(s))
+                .map(Which::Share)
+                .ok_or(())
         } else {
             number(text).map(|n| Which::Range(n, n))
         }
@@ -112,8 +125,14 @@
         let all: Vec<usize> = (0..many).collect();
         match self {
             Which::All => all,
-            Which::Range(from, to) => all.into_iter().filter(|i| (from..=to).contains(i)).collect(),
-            Which::Zone(zone) => all.into_iter().filter(|i| i % zones.max(1) == zone).collect(),
+            Which::Range(from, to) => all
+                .into_iter()
+                .filter(|i| (from..=to).contains(i))
+                .collect(),
+            Which::Zone(zone) => all
+                .into_iter()
+                .filter(|i| i % zones.max(1) == zone)
+                .collect(),
             Which::Share(share) => {
                 let mut all = all;
                 all.shuffle(rng);
@@ -130,12 +149,16 @@
         let term = |term: &Term| match term {
             Term::Clients => vec![Part::Client],
             Term::List => vec![Part::List],
-            Term::Ingress(which) => {
-                which.draw(layout.ingresses, layout.zones, rng).into_iter().map(Part::Ingress).collect()
-            }
-            Term::Instance(which) => {
-                which.draw(layout.instances, layout.zones, rng).into_iter().map(Part::Instance).collect()
-            }
+            Term::Ingress(which) => which
+                .draw(layout.ingresses, layout.zones, rng)
+                .into_iter()
+                .map(Part::Ingress)
+                .collect(),
+            Term::Instance(which) => which
+                .draw(layout.instances, layout.zones, rng)
+                .into_iter()
+                .map(Part::Instance)
+                .collect(),
         };
         self.0.iter().flat_map(term).collect()
     }
@@ -147,19 +170,37 @@
     use rand::rngs::SmallRng;
     use rand::SeedableRng;
 
-    const LAYOUT: Layout = Layout { ingresses: 10, instances: 6, zones: 3 };
+    const LAYOUT: Layout = Layout {
+        ingresses: 10,
+        instances: 6,
+        zones: 3,
+    };
 
     #[test]
     fn sets_mean_the_parts_that_they_name_and_shares_are_drawn_by_the_seed() {
         let draw = |text: &str, seed| {
-            text.parse::<Set>().expect("a set").draw(LAYOUT, &mut SmallRng::seed_from_u64(seed))
+            text.parse::<Set>()
+                .expect("a set")
+                .draw(LAYOUT, &mut SmallRng::seed_from_u64(seed))
         };
-        assert_eq!(draw("instance:zone=1", 1), [1, 4].map(Part::Instance).into());
-        assert_eq!(draw("ingress:8-20+list", 1), [Part::Ingress(8), Part::Ingress(9), Part::List].into());
+        assert_eq!(
+            draw("instance:zone=1", 1),
+            [1, 4].map(Part::Instance).into()
+        );
+        assert_eq!(
+            draw("ingress:8-20+list", 1),
+            [Part::Ingress(8), Part::Ingress(9), Part::List].into()
+        );
         assert_eq!(draw("ingress:0.7", 1).len(), 7);
         assert_eq!(draw("ingress:0.7", 1), draw("ingress:0.7", 1));
         assert!((2..9).any(|seed| draw("ingress:0.7", seed) != draw("ingress:0.7", 1)));
-        for wrong in ["", "ingresses", "ingress:x", "instance:1.5", "ingress:zone=a"] {
+        for wrong in [
+            "",
+            "ingresses",
+            "ingress:x",
+            "instance:1.5",
+            "ingress:zone=a",
+        ] {
             assert!(wrong.parse::<Set>().is_err(), "{wrong}");
         }
     }
--- a/crates/rig/src/pipe.rs
+++ b/crates/rig/src/pipe.rs
@@ -72,7 +72,10 @@
 pub fn abort(stream: TcpStream) {
     // A linger of nothing: what is unsent is dropped, and the other side hears of a reset.
     if let Ok(stream) = stream.into_std() {
-        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        let linger = libc::linger {
+            l_onoff: 1,
+            l_linger: 0,
+        };
         let size = std::mem::size_of::<libc::linger>() as libc::socklen_t;
         let fd = std::os::fd::AsRawFd::as_raw_fd(&stream);
         // SAFETY: the descriptor is open for as long as `stream` lives, and the option is of the size told.
@@ -123,14 +126,25 @@
 
     fn rule(condition: Condition) -> Rule {
         let (from, to) = ([Part::Ingress(0)].into(), [Part::List].into());
-        Rule { name: "f".into(), from, to, both: true, condition }
+        Rule {
+            name: "f".into(),
+            from,
+            to,
+            both: true,
+            condition,
+        }
     }
 
     async fn pair(net: &Net) -> (TcpStream, DuplexStream) {
         let listener = listen([127, 0, 0, 1].into()).await.expect("a listener");
-        let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connects");
+        let client = TcpStream::connect(listener.local_addr().expect("an address"))
+            .await
+            .expect("connects");
         let (stream, _) = listener.accept().await.expect("accepts");
-        let (there, back) = (net.link(Part::Ingress(0), Part::List), net.link(Part::List, Part::Ingress(0)));
+        let (there, back) = (
+            net.link(Part::Ingress(0), Part::List),
+            net.link(Part::List, Part::Ingress(0)),
+        );
         (client, to_server(stream, there, back, 3))
     }
 
@@ -141,7 +155,10 @@
         let mut byte = [0; 1];
         client.write_all(b"a").await.expect("written");
         server.read_exact(&mut byte).await.expect("passes");
-        net.set(rule(Condition { silent: true, ..Condition::default() }));
+        net.set(rule(Condition {
+            silent: true,
+            ..Condition::default()
+        }));
         client.write_all(b"b").await.expect("written");
         tokio::select! {
             biased;
@@ -151,7 +168,10 @@
         net.clear("f");
         server.read_exact(&mut byte).await.expect("passes later");
         assert_eq!(&byte, b"b");
-        net.set(rule(Condition { reset: true, ..Condition::default() }));
+        net.set(rule(Condition {
+            reset: true,
+            ..Condition::default()
+        }));
         let end = client.read(&mut byte).await;
         assert!(end.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionReset));
     }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -51,7 +51,14 @@
     /// One that does not run yet; its files go into a folder of its own under `folder`.
     pub fn new(seat: Seat, program: &Path, folder: &Path) -> Self {
         let folder = folder.join(format!("n{}", seat.number));
-        Ingress { seat, program: program.into(), folder, child: None, lives: 0, stopped: false }
+        Ingress {
+            seat,
+            program: program.into(),
+            folder,
+            child: None,
+            lives: 0,
+            stopped: false,
+        }
     }
 
     /// Starts a process with this known list.
@@ -66,22 +73,34 @@
         self.lives += 1;
         let config = self.folder.join("config.json");
         std::fs::write(&config, self.configuration(rev, known).to_string())?;
-        let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"))?;
         let mut command = Command::new(&self.program);
-        command.arg("serve").env_clear().env("GW_CONFIG", &config).env("TMPDIR", &tmp);
+        command
+            .arg("serve")
+            .env_clear()
+            .env("GW_CONFIG", &config)
+            .env("TMPDIR", &tmp);
         if let Some(text) = &self.seat.operator {
             let file = self.folder.join("operator.ini");
             std::fs::write(&file, text)?;
             command.arg("--operator").arg(&file);
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
         // SAFETY: prctl is async-signal-safe and takes plain numbers. Guards against processes that outlive a rig
         // that was itself killed; those of one that ends by itself are ended by `drop`.
         unsafe {
-            command.pre_exec(|| match libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) {
-                0 => Ok(()),
-                _ => Err(io::Error::last_os_error()),
-            });
+            command.pre_exec(
+                || match libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) {
+                    0 => Ok(()),
+                    _ => Err(io::Error::last_os_error()),
+                },
+            );
         }
         self.child = Some(command.spawn()?);
         Ok(())
@@ -101,7 +120,9 @@
 
     /// Kills it, and waits for its end; nothing where it does not run.
     pub fn kill(&mut self) {
-        let Some(mut child) = self.child.take() else { return };
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
         let _ = child.kill();
         let _ = child.wait();
         self.stopped = false;
@@ -136,7 +157,10 @@
         let cpu = stat.split_whitespace().next()?.parse::<u64>().ok()? as f64 / 1e9;
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
-        Some((cpu, peak.split_whitespace().next()?.parse::<u64>().ok()? * 1024))
+        Some((
+            cpu,
+            peak.split_whitespace().next()?.parse::<u64>().ok()? * 1024,
+        ))
     }
 
     fn configuration(&self, rev: u64, known: &[Value]) -> Value {
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -39,7 +39,10 @@
         &faults,
         &[
             (BLUE, counted(|w| matches!(w, What::Call { .. }))),
-            (RED, counted(|w| matches!(w, What::Listed { status: 503, .. }))),
+            (
+                RED,
+                counted(|w| matches!(w, What::Listed { status: 503, .. })),
+            ),
         ],
     )?;
     bars(
@@ -48,8 +51,30 @@
         end,
         &faults,
         &[
-            (GREEN, counted(|w| matches!(w, What::Final { status: Some(200), .. }))),
-            (RED, counted(|w| matches!(w, What::Final { status: Some(429 | 503), .. }))),
+            (
+                GREEN,
+                counted(|w| {
+                    matches!(
+                        w,
+                        What::Final {
+                            status: Some(200),
+                            ..
+                        }
+                    )
+                }),
+            ),
+            (
+                RED,
+                counted(|w| {
+                    matches!(
+                        w,
+                        What::Final {
+                            status: Some(429 | 503),
+                            ..
+                        }
+                    )
+                }),
+            ),
         ],
     )?;
     load(&parts[3], played, end, &faults)?;
@@ -76,7 +101,10 @@
 
 fn columns(lines: &[Line], end: f64, kind: fn(&What) -> bool) -> Vec<f64> {
     let mut columns = vec![0.0; (end / COLUMN) as usize + 1];
-    lines.iter().filter(|l| kind(&l.what)).for_each(|l| columns[(l.at / COLUMN) as usize] += 1.0);
+    lines
+        .iter()
+        .filter(|l| kind(&l.what))
+        .for_each(|l| columns[(l.at / COLUMN) as usize] += 1.0);
     columns
 }
 
@@ -102,9 +130,14 @@
         .x_label_area_size(22)
         .y_label_area_size(40)
         .build_cartesian_2d(0.0..end, 0.0..most)?;
-    chart.configure_mesh().disable_x_mesh().light_line_style(WHITE).draw()?;
-    let shade =
-        |(from, to): &(f64, f64)| Rectangle::new([(*from, 0.0), (*to, most)], BLACK.mix(0.08).filled());
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .light_line_style(WHITE)
+        .draw()?;
+    let shade = |(from, to): &(f64, f64)| {
+        Rectangle::new([(*from, 0.0), (*to, most)], BLACK.mix(0.08).filled())
+    };
     chart.draw_series(faults.iter().map(shade))?;
     Ok(chart)
 }
@@ -116,11 +149,21 @@
     faults: &[(f64, f64)],
     series: &[(RGBColor, Vec<f64>)],
 ) -> Drawn {
-    let most = series.iter().flat_map(|(_, c)| c).copied().fold(1.0, f64::max) * 1.05;
+    let most = series
+        .iter()
+        .flat_map(|(_, c)| c)
+        .copied()
+        .fold(1.0, f64::max)
+        * 1.05;
     let mut chart = chart(area, caption, end, most, faults).map_err(|e| e.to_string())?;
     for (color, columns) in series {
-        let points = columns.iter().enumerate().map(|(i, n)| (i as f64 * COLUMN, *n));
-        chart.draw_series(LineSeries::new(points, color)).map_err(|e| e.to_string())?;
+        let points = columns
+            .iter()
+            .enumerate()
+            .map(|(i, n)| (i as f64 * COLUMN, *n));
+        chart
+            .draw_series(LineSeries::new(points, color))
+            .map_err(|e| e.to_string())?;
     }
     Ok(())
 }
@@ -128,35 +171,58 @@
 /// A line for each ingress: grey while it runs, from its first list on blue, red marks where it was killed.
 fn lives(area: &Area, played: &Played, end: f64, faults: &[(f64, f64)]) -> Drawn {
     let many = played.layout.ingresses as f64;
-    let mut chart =
-        chart(area, "ingresses: running, listed, killed", end, many, faults).map_err(|e| e.to_string())?;
+    let mut chart = chart(
+        area,
+        "ingresses: running, listed, killed",
+        end,
+        many,
+        faults,
+    )
+    .map_err(|e| e.to_string())?;
     let mut since: BTreeMap<usize, (f64, Option<f64>)> = BTreeMap::new();
     let mut spans = Vec::new();
     let mut marks = Vec::new();
     for line in &played.lines {
         match line.what {
             What::Started { ingress, .. } => drop(since.insert(ingress, (line.at, None))),
-            What::Listed { ingress, status: 200, .. } => {
+            What::Listed {
+                ingress,
+                status: 200,
+                ..
+            } => {
                 if let Some((_, listed)) = since.get_mut(&ingress) {
                     listed.get_or_insert(line.at);
                 }
             }
             What::Killed { ingress } | What::Crashed { ingress, .. } => {
                 marks.push((line.at, ingress as f64 + 0.5));
-                spans.extend(since.remove(&ingress).map(|(from, listed)| (ingress, from, listed, line.at)));
+                spans.extend(
+                    since
+                        .remove(&ingress)
+                        .map(|(from, listed)| (ingress, from, listed, line.at)),
+                );
             }
             _ => {}
         }
     }
-    spans.extend(since.into_iter().map(|(ingress, (from, listed))| (ingress, from, listed, end)));
+    spans.extend(
+        since
+            .into_iter()
+            .map(|(ingress, (from, listed))| (ingress, from, listed, end)),
+    );
     for (ingress, from, listed, to) in spans {
         let y = ingress as f64 + 0.5;
         let known = listed.unwrap_or(to);
         let line = |a, b, style: ShapeStyle| PathElement::new([(a, y), (b, y)], style);
-        let both = [line(from, known, BLACK.mix(0.3).into()), line(known, to, BLUE.into())];
+        let both = [
+            line(from, known, BLACK.mix(0.3).into()),
+            line(known, to, BLUE.into()),
+        ];
         chart.draw_series(both).map_err(|e| e.to_string())?;
     }
-    chart.draw_series(marks.iter().map(|at| Circle::new(*at, 2, RED.filled()))).map_err(|e| e.to_string())?;
+    chart
+        .draw_series(marks.iter().map(|at| Circle::new(*at, 2, RED.filled())))
+        .map_err(|e| e.to_string())?;
     Ok(())
 }
 
@@ -166,7 +232,9 @@
     let warm = played.rules.model.cores as f64 / played.rules.model.work;
     for line in &played.lines {
         if let What::Attempt { instance, .. } = line.what {
-            let columns = loads.entry(instance).or_insert_with(|| vec![0.0; end as usize + 1]);
+            let columns = loads
+                .entry(instance)
+                .or_insert_with(|| vec![0.0; end as usize + 1]);
             columns[line.at as usize] += 1.0 / warm;
         }
     }
@@ -174,9 +242,14 @@
     let caption = "each limit server: requests a second, over what it can do warm";
     let mut chart = chart(area, caption, end, most, faults).map_err(|e| e.to_string())?;
     for (i, columns) in loads.values().enumerate() {
-        let points = columns.iter().enumerate().map(|(s, load)| (s as f64 + 0.5, *load));
+        let points = columns
+            .iter()
+            .enumerate()
+            .map(|(s, load)| (s as f64 + 0.5, *load));
         let color = Palette99::pick(i).mix(0.7);
-        chart.draw_series(LineSeries::new(points, color)).map_err(|e| e.to_string())?;
+        chart
+            .draw_series(LineSeries::new(points, color))
+            .map_err(|e| e.to_string())?;
     }
     Ok(())
 }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -88,8 +88,10 @@
     let world = World::build(trial, program, folder).await?;
     world.clone().begin()?;
     let asking = {
-        let (trial, ready) =
-            (&world.trial, (world.trial.trial.ready * world.layout.ingresses as f64) as usize);
+        let (trial, ready) = (
+            &world.trial,
+            (world.trial.trial.ready * world.layout.ingresses as f64) as usize,
+        );
         let wait = async {
             while world.lock_ready().len() < ready {
                 tokio::time::sleep(LOOK).await;
@@ -103,7 +105,11 @@
             again: trial.traffic.again,
             patience: trial.traffic.patience.0,
         };
-        let doors = world.lock_ingresses().iter().map(|i| i.seat.listen).collect();
+        let doors = world
+            .lock_ingresses()
+            .iter()
+            .map(|i| i.seat.listen)
+            .collect();
         let clients = Clients::new(habits, doors, &world.net, &world.journal);
         tokio::spawn(clients.play(trial.trial.time.0, trial.trial.seed ^ 0xc11e))
     };
@@ -118,9 +124,13 @@
 /// What is wrong with the trial, or what the system says.
 pub fn play_text(text: &str, program: &Path) -> Result<Played, String> {
     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(play(Trial::read(text)?, program, folder.path())).map_err(|e| e.to_string())
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    runtime
+        .block_on(play(Trial::read(text)?, program, folder.path()))
+        .map_err(|e| e.to_string())
 }
 
 impl World {
@@ -165,8 +175,14 @@
         loop {
             tokio::time::sleep(LOOK).await;
             let mut all = self.lock_ingresses();
-            for (ingress, status) in all.iter_mut().filter_map(|i| Some((i.seat.number, i.ended()?))) {
-                self.journal.note(What::Crashed { ingress, status: status.to_string() });
+            for (ingress, status) in all
+                .iter_mut()
+                .filter_map(|i| Some((i.seat.number, i.ended()?)))
+            {
+                self.journal.note(What::Crashed {
+                    ingress,
+                    status: status.to_string(),
+                });
             }
         }
     }
@@ -198,12 +214,17 @@
 async fn healthy(door: SocketAddr) -> bool {
     let ask = async {
         let mut stream = TcpStream::connect(door).await?;
-        stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n").await?;
+        stream
+            .write_all(b"GET /healthz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+            .await?;
         let mut head = [0; 12];
         stream.read_exact(&mut head).await?;
         Ok::<_, io::Error>(&head == b"HTTP/1.1 200")
     };
-    matches!(tokio::time::timeout(Duration::from_secs(1), ask).await, Ok(Ok(true)))
+    matches!(
+        tokio::time::timeout(Duration::from_secs(1), ask).await,
+        Ok(Ok(true))
+    )
 }
 
 /// Writes down by how much a sleep of the rig ends late, where that is worth a line.
@@ -228,7 +249,13 @@
 pub fn program() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let folders = own.ancestors().skip(1).take(2);
-    let found = folders.map(|folder| folder.join("applewall")).find(|path| path.is_file());
-    found
-        .ok_or_else(|| format!("no program 'applewall' beside {}; build it first: make build", own.display()))
+    let found = folders
+        .map(|folder| folder.join("applewall"))
+        .find(|path| path.is_file());
+    found.ok_or_else(|| {
+        format!(
+            "no program 'applewall' beside {}; build it first: make build",
+            own.display()
+        )
+    })
 }
--- a/crates/rig/src/trial.rs
+++ b/crates/rig/src/trial.rs
@@ -67,7 +67,14 @@
 
 impl Default for Sizes {
     fn default() -> Self {
-        Sizes { seed: 1, time: Span::millis(8_000), ingresses: 3, instances: 10, zones: 3, ready: 0.0 }
+        Sizes {
+            seed: 1,
+            time: Span::millis(8_000),
+            ingresses: 3,
+            instances: 10,
+            zones: 3,
+            ready: 0.0,
+        }
     }
 }
 
@@ -81,7 +88,9 @@
 
 impl Default for Start {
     fn default() -> Self {
-        Start { known: "none".to_string() }
+        Start {
+            known: "none".to_string(),
+        }
     }
 }
 
@@ -155,7 +164,12 @@
 
 impl Default for Service {
     fn default() -> Self {
-        Service { calls_per_s: 0.0, turned_after: None, retry_after: None, ballast: 0 }
+        Service {
+            calls_per_s: 0.0,
+            turned_after: None,
+            retry_after: None,
+            ballast: 0,
+        }
     }
 }
 
@@ -219,7 +233,11 @@
     /// One line with section and key.
     pub fn read(text: &str) -> Result<Self, String> {
         let trial: Trial = applewall_operator::read(text).map_err(|e| e.to_string())?;
-        trial.ingress.known.parse::<crate::fault::Known>().map_err(|e| format!("[ingress] known: {e}"))?;
+        trial
+            .ingress
+            .known
+            .parse::<crate::fault::Known>()
+            .map_err(|e| format!("[ingress] known: {e}"))?;
         if let Some(key) = trial.operator.keys().find(|key| !key.contains('.')) {
             return Err(format!("[operator] {key}: is no section.key"));
         }
@@ -236,9 +254,14 @@
         let mut sections: BTreeMap<&str, String> = BTreeMap::new();
         for (key, value) in &self.operator {
             let (section, key) = key.split_once('.')?;
-            sections.entry(section).or_default().push_str(&format!("{key} = {value}\n"));
+            sections
+                .entry(section)
+                .or_default()
+                .push_str(&format!("{key} = {value}\n"));
         }
-        let text = sections.iter().map(|(section, keys)| format!("[{section}]\n{keys}"));
+        let text = sections
+            .iter()
+            .map(|(section, keys)| format!("[{section}]\n{keys}"));
         (!self.operator.is_empty()).then(|| text.collect())
     }
 }
@@ -252,14 +275,30 @@
         let text = "[trial]\ningresses = 24\n[ingress]\nknown = old\n[list]\ncalls_per_s = 20\n\
                     [operator]\nlog.format = json\n[faults]\ncut = at 1s: link ingress:all -> list silent for 2s\n";
         let trial = Trial::read(text).expect("a trial");
-        assert_eq!((trial.trial.ingresses, trial.trial.instances, trial.faults.len()), (24, 10, 1));
-        assert_eq!(trial.operator_file().as_deref(), Some("[log]\nformat = json\n"));
+        assert_eq!(
+            (
+                trial.trial.ingresses,
+                trial.trial.instances,
+                trial.faults.len()
+            ),
+            (24, 10, 1)
+        );
+        assert_eq!(
+            trial.operator_file().as_deref(),
+            Some("[log]\nformat = json\n")
+        );
         for (wrong, why) in [
             ("[trial]\ningresses = 0\n", "[trial] ingresses"),
             ("[trial]\nsize = 3\n", "[trial] size"),
             ("[ingress]\nknown = some\n", "[ingress] known: 'some'"),
-            ("[faults]\ncut = at 1s: eat list\n", "[faults] cut: 'eat' is no fault"),
-            ("[operator]\nformat = json\n", "[operator] format: is no section.key"),
+            (
+                "[faults]\ncut = at 1s: eat list\n",
+                "[faults] cut: 'eat' is no fault",
+            ),
+            (
+                "[operator]\nformat = json\n",
+                "[operator] format: is no section.key",
+            ),
         ] {
             let told = Trial::read(wrong).expect_err(wrong);
             assert!(told.contains(why), "{told}");
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -47,22 +47,43 @@
 }
 
 impl World {
-    pub(crate) async fn build(trial: Trial, program: &Path, folder: &Path) -> io::Result<Arc<Self>> {
+    pub(crate) async fn build(
+        trial: Trial,
+        program: &Path,
+        folder: &Path,
+    ) -> io::Result<Arc<Self>> {
         let sizes = &trial.trial;
-        let layout = Layout { ingresses: sizes.ingresses, instances: sizes.instances, zones: sizes.zones };
+        let layout = Layout {
+            ingresses: sizes.ingresses,
+            instances: sizes.instances,
+            zones: sizes.zones,
+        };
         let (net, journal) = (Net::default(), Journal::begin());
         // Addresses of loopback that no other rig on this machine uses at the same time.
         static PLAYED: AtomicU32 = AtomicU32::new(0);
-        let id = std::process::id().wrapping_mul(8).wrapping_add(PLAYED.fetch_add(1, Ordering::Relaxed));
+        let id = std::process::id()
+            .wrapping_mul(8)
+            .wrapping_add(PLAYED.fetch_add(1, Ordering::Relaxed));
         let base = [64 + (id >> 6 & 63) as u8, (id & 63) as u8 * 4];
-        let at = |i: usize| IpAddr::from([127, base[0], base[1] + (i / 250) as u8, (i % 250 + 1) as u8]);
+        let at =
+            |i: usize| IpAddr::from([127, base[0], base[1] + (i / 250) as u8, (i % 250 + 1) as u8]);
         // The daemon's own addresses are apart from the faces: no listener of the rig takes a port there.
         let own = |i: usize, port| {
-            (IpAddr::from([127, base[0], base[1] + 2 + (i / 250) as u8, (i % 250 + 1) as u8]), port)
+            (
+                IpAddr::from([
+                    127,
+                    base[0],
+                    base[1] + 2 + (i / 250) as u8,
+                    (i % 250 + 1) as u8,
+                ]),
+                port,
+            )
         };
         let faces = Faces::bind((0..layout.ingresses).map(at)).await?;
         let peers = faces.addresses()?;
-        let real: Vec<SocketAddr> = (0..layout.ingresses).map(|i| own(i, PEERS).into()).collect();
+        let real: Vec<SocketAddr> = (0..layout.ingresses)
+            .map(|i| own(i, PEERS).into())
+            .collect();
         faces.lead(real.clone(), &net, 40.0, sizes.seed, &journal);
         let servers = &trial.list;
         let span = |span: &Option<applewall_operator::Span>| span.map_or(Duration::ZERO, |s| s.0);
@@ -89,14 +110,24 @@
                 zones: (zones[i % layout.zones].clone(), zones),
                 operator: operator.clone(),
                 quota: (trial.traffic.quota, 2.0 * trial.traffic.quota),
-                ceiling: (ceiling, 2.0 * ceiling, if ceiling > 0.0 { (0.2 * ceiling).max(1.0) } else { 0.0 }),
+                ceiling: (
+                    ceiling,
+                    2.0 * ceiling,
+                    if ceiling > 0.0 {
+                        (0.2 * ceiling).max(1.0)
+                    } else {
+                        0.0
+                    },
+                ),
                 cold: (model.cold_share, model.cold_time),
                 fall: (model.fall_multiple, model.fall_window),
             };
             discovery.push(listener);
             ingresses.push(Ingress::new(seat, program, folder));
         }
-        let endpoints: Vec<Endpoints> = (0..layout.ingresses).map(|_| Endpoints::default()).collect();
+        let endpoints: Vec<Endpoints> = (0..layout.ingresses)
+            .map(|_| Endpoints::default())
+            .collect();
         let mut world = World {
             layout,
             model,
@@ -118,7 +149,11 @@
         for _ in 0..ballast {
             world.add_ballast();
         }
-        world.old = world.endpoints.iter().map(|e| world.list.whole(e)).collect();
+        world.old = world
+            .endpoints
+            .iter()
+            .map(|e| world.list.whole(e))
+            .collect();
         let world = Arc::new(world);
         for (ingress, listener) in discovery.into_iter().enumerate() {
             let this = world.clone();
@@ -129,7 +164,12 @@
 
     fn address(&self, ingress: usize) -> IpAddr {
         let part = (ingress / 250) as u8;
-        IpAddr::from([127, self.base[0], self.base[1] + part, (ingress % 250 + 1) as u8])
+        IpAddr::from([
+            127,
+            self.base[0],
+            self.base[1] + part,
+            (ingress % 250 + 1) as u8,
+        ])
     }
 
     pub(crate) fn lock_ingresses(&self) -> std::sync::MutexGuard<'_, Vec<Ingress>> {
@@ -156,12 +196,17 @@
         for ingress in 0..self.layout.ingresses {
             let listener = pipe::listen(self.address(ingress)).await?;
             let address = listener.local_addr()?;
-            self.endpoints[ingress].lock().unwrap_or_else(|e| e.into_inner()).push(address);
+            self.endpoints[ingress]
+                .lock()
+                .unwrap_or_else(|e| e.into_inner())
+                .push(address);
             let (instance, net) = (instance.clone(), self.net.clone());
             let seed = self.trial.trial.seed ^ (number as u64) << 40 ^ (ingress as u64) << 20;
             tokio::spawn(async move {
                 for turn in 0u64.. {
-                    let Ok((stream, _)) = listener.accept().await else { return };
+                    let Ok((stream, _)) = listener.accept().await else {
+                        return;
+                    };
                     let (there, back) = (
                         net.link(Part::Ingress(ingress), Part::Instance(number)),
                         net.link(Part::Instance(number), Part::Ingress(ingress)),
@@ -196,7 +241,9 @@
 
     async fn lead_list(self: Arc<Self>, ingress: usize, listener: TcpListener) {
         for turn in 0u64.. {
-            let Ok((stream, _)) = listener.accept().await else { return };
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
             let (there, back) = (
                 self.net.link(Part::Ingress(ingress), Part::List),
                 self.net.link(Part::List, Part::Ingress(ingress)),
