--- a/crates/roster/src/entry.rs
+++ b/crates/roster/src/entry.rs
@@ -24,7 +24,10 @@
 pub struct Entry {
     /// Where it listens: an IP address with a port. Names are not looked up.
     #[garde(skip)]
-    #[schemars(with = "String", regex(pattern = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$"))]
+    #[schemars(
+        with = "String",
+        regex(pattern = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$")
+    )]
     pub endpoint: SocketAddr,
     /// Its zone.
     #[serde(default)]
@@ -84,11 +87,16 @@
         entry.validate().map_err(first)?;
         let address = entry.endpoint.ip().to_canonical();
         if address.is_unspecified() || address.is_multicast() || entry.endpoint.port() == 0 {
-            return Err(Refused(format!("endpoint: nobody listens at {}", entry.endpoint)));
+            return Err(Refused(format!(
+                "endpoint: nobody listens at {}",
+                entry.endpoint
+            )));
         }
         // A mistaken entry must not send traffic elsewhere.
         if !allowed.0.is_empty() && !allowed.contains(address) {
-            return Err(Refused(format!("endpoint: {address} is outside the allowed networks")));
+            return Err(Refused(format!(
+                "endpoint: {address} is outside the allowed networks"
+            )));
         }
         Ok(entry)
     }
@@ -109,8 +117,14 @@
         let schema = jsonschema::validator_for(&schema).unwrap();
         let cases = [
             (r#"{"endpoint":"10.1.0.18:8443"}"#, true),
-            (r#"{"endpoint":"[2001:db8::1]:80","az":"a","pod_group":3,"state":"terminating"}"#, true),
-            (r#"{"endpoint":"10.1.0.18:8443","capacity_hint":1.5,"boot_ms":1700000000000}"#, true),
+            (
+                r#"{"endpoint":"[2001:db8::1]:80","az":"a","pod_group":3,"state":"terminating"}"#,
+                true,
+            ),
+            (
+                r#"{"endpoint":"10.1.0.18:8443","capacity_hint":1.5,"boot_ms":1700000000000}"#,
+                true,
+            ),
             (r#"{"az":"a"}"#, false),
             (r#"{"endpoint":"db.internal:80"}"#, false),
             (r#"{"endpoint":"10.1.0.18:8443","state":"resting"}"#, false),
@@ -122,7 +136,11 @@
         for (text, good) in cases {
             let read = Entry::read(text.as_bytes(), &Networks::default());
             assert_eq!(read.is_ok(), good, "{text}: {read:?}");
-            assert_eq!(schema.is_valid(&serde_json::from_str(text).unwrap()), good, "schema: {text}");
+            assert_eq!(
+                schema.is_valid(&serde_json::from_str(text).unwrap()),
+                good,
+                "schema: {text}"
+            );
         }
         assert!(Entry::read(b"not JSON", &Networks::default()).is_err());
     }
@@ -132,15 +150,22 @@
         let allowed = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
         let read = |endpoint: &str| {
             let text = format!(r#"{{"endpoint":"{endpoint}"}}"#);
-            Entry::read(text.as_bytes(), &allowed).map(|e| e.endpoint.port()).map_err(|e| e.to_string())
+            Entry::read(text.as_bytes(), &allowed)
+                .map(|e| e.endpoint.port())
+                .map_err(|e| e.to_string())
         };
         assert_eq!(read("10.9.8.7:1"), Ok(1));
         assert_eq!(read("[::ffff:10.9.8.7]:1"), Ok(1));
         for endpoint in ["192.0.2.1:1", "[::ffff:192.0.2.1]:1", "[2001:db8::1]:1"] {
-            assert!(read(endpoint).unwrap_err().contains("outside the allowed networks"));
+            assert!(read(endpoint)
+                .unwrap_err()
+                .contains("outside the allowed networks"));
         }
         for endpoint in ["0.0.0.0:1", "224.0.0.1:1", "10.0.0.1:0"] {
-            assert!(read(endpoint).unwrap_err().contains("nobody listens"), "{endpoint}");
+            assert!(
+                read(endpoint).unwrap_err().contains("nobody listens"),
+                "{endpoint}"
+            );
         }
     }
 }
--- a/crates/roster/src/follow.rs
+++ b/crates/roster/src/follow.rs
@@ -179,7 +179,9 @@
         match (event, self.stage) {
             (Event::Tick, Stage::Waiting(at)) if now >= at => {
                 self.stage = Stage::Connecting(late);
-                vec![Act::Connect { endpoint: self.endpoint }]
+                vec![Act::Connect {
+                    endpoint: self.endpoint,
+                }]
             }
             (Event::Tick, Stage::Turn(at)) if now >= at => self.reading(now),
             (Event::Tick, Stage::Live(at)) if now >= at => {
@@ -206,20 +208,26 @@
                 self.stage = Stage::Live(now.saturating_add(self.pace.probe));
                 Vec::new()
             }
-            (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => match self.position {
-                Some((held, before)) if held == cluster => {
-                    self.behind = if revision < before { self.behind + 1 } else { 0 };
-                    if self.behind >= BEHIND {
-                        return self.anew(now);
+            (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => {
+                match self.position {
+                    Some((held, before)) if held == cluster => {
+                        self.behind = if revision < before {
+                            self.behind + 1
+                        } else {
+                            0
+                        };
+                        if self.behind >= BEHIND {
+                            return self.anew(now);
+                        }
+                        self.lived = Some(now);
+                        self.position = Some((cluster, revision.max(before)));
+                        self.stage = Stage::Live(now.saturating_add(self.pace.probe));
+                        Vec::new()
                     }
-                    self.lived = Some(now);
-                    self.position = Some((cluster, revision.max(before)));
-                    self.stage = Stage::Live(now.saturating_add(self.pace.probe));
-                    Vec::new()
+                    // Behind one address stands another cluster now.
+                    _ => self.anew(now),
                 }
-                // Behind one address stands another cluster now.
-                _ => self.anew(now),
-            },
+            }
             (Event::Part, Stage::Live(_) | Stage::Probed(_)) => {
                 self.stage = Stage::Probed(late);
                 Vec::new()
@@ -232,9 +240,10 @@
             (Event::Broke, Stage::Waiting(_)) => Vec::new(),
             (Event::Broke, _) => self.drop(now, Reason::Broke),
             // Late news of something that was given up, or of nothing that was asked for.
-            (Event::Told { .. } | Event::Part | Event::Compacted | Event::Watching, Stage::Waiting(_)) => {
-                Vec::new()
-            }
+            (
+                Event::Told { .. } | Event::Part | Event::Compacted | Event::Watching,
+                Stage::Waiting(_),
+            ) => Vec::new(),
             _ => self.drop(now, Reason::Confused),
         }
     }
@@ -266,12 +275,16 @@
 
     fn watch(&mut self, now: u64, revision: u64) -> Vec<Act> {
         self.stage = Stage::Asking(now.saturating_add(self.pace.patience));
-        vec![Act::Watch { from: revision.saturating_add(1) }]
+        vec![Act::Watch {
+            from: revision.saturating_add(1),
+        }]
     }
 
     fn drop(&mut self, now: u64, reason: Reason) -> Vec<Act> {
         // A watch that lived and went silent or broke is taken up elsewhere at once: the budget for a drain runs.
-        let hurry = self.lived.is_some_and(|lived| now.saturating_sub(lived) < HURRY);
+        let hurry = self
+            .lived
+            .is_some_and(|lived| now.saturating_sub(lived) < HURRY);
         let wait = match (self.live(), hurry) {
             (true, _) => 0,
             (false, true) => self.rng.random_range(0..=self.pace.backoff.0 * HURRIED),
@@ -296,14 +309,30 @@
     use super::*;
 
     const MS: u64 = 1_000_000;
-    const PACE: Pace =
-        Pace { probe: 100 * MS, patience: 150 * MS, backoff: (20 * MS, 1_000 * MS), spread: 300 * MS };
+    const PACE: Pace = Pace {
+        probe: 100 * MS,
+        patience: 150 * MS,
+        backoff: (20 * MS, 1_000 * MS),
+        spread: 300 * MS,
+    };
 
     fn live() -> Follow {
         let mut follow = Follow::new(PACE, 1, None);
-        assert!(matches!(follow.on(0, Event::Tick)[..], [Act::Connect { .. }]));
+        assert!(matches!(
+            follow.on(0, Event::Tick)[..],
+            [Act::Connect { .. }]
+        ));
         assert_eq!(follow.on(1, Event::Connected), [Act::Read]);
-        assert_eq!(follow.on(2, Event::Read { cluster: 9, revision: 41 }), [Act::Watch { from: 42 }]);
+        assert_eq!(
+            follow.on(
+                2,
+                Event::Read {
+                    cluster: 9,
+                    revision: 41
+                }
+            ),
+            [Act::Watch { from: 42 }]
+        );
         assert!(follow.on(3, Event::Watching).is_empty() && follow.live());
         follow
     }
@@ -311,20 +340,34 @@
     #[test]
     fn a_silent_watch_is_found_and_resumed_well_inside_the_budget_without_a_read() {
         let mut follow = live();
-        follow.on(50 * MS, Event::Told { cluster: 9, revision: 45 });
+        follow.on(
+            50 * MS,
+            Event::Told {
+                cluster: 9,
+                revision: 45,
+            },
+        );
         // The stall begins right after; a drain is written right after that.
         let dropped = loop {
             let now = follow.due();
             match follow.on(now, Event::Tick)[..] {
                 [Act::Probe] => {}
-                [Act::Drop { reason: Reason::Silent }] => break now,
+                [Act::Drop {
+                    reason: Reason::Silent,
+                }] => break now,
                 ref other => panic!("{other:?}"),
             }
         };
         assert!(dropped - 50 * MS <= 250 * MS);
         let before = follow.endpoint;
-        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Connect { endpoint: before }]);
-        assert_eq!(follow.on(dropped, Event::Connected), [Act::Watch { from: 46 }]);
+        assert_eq!(
+            follow.on(follow.due(), Event::Tick),
+            [Act::Connect { endpoint: before }]
+        );
+        assert_eq!(
+            follow.on(dropped, Event::Connected),
+            [Act::Watch { from: 46 }]
+        );
     }
 
     #[test]
@@ -359,7 +402,12 @@
             follow.on(now, Event::Tick);
             follow.on(now, Event::Broke);
         }
-        assert!(waits.iter().all(|(at, wait)| *at >= HURRY || *wait <= 40 * MS), "{waits:?}");
+        assert!(
+            waits
+                .iter()
+                .all(|(at, wait)| *at >= HURRY || *wait <= 40 * MS),
+            "{waits:?}"
+        );
         assert!(waits.iter().any(|(_, wait)| *wait > 200 * MS), "{waits:?}");
     }
 
@@ -369,9 +417,16 @@
         let (mut now, mut seen, mut longest) = (0, std::collections::BTreeSet::new(), 0);
         for _ in 0..40 {
             now = now.max(follow.due());
-            let [Act::Connect { endpoint }] = follow.on(now, Event::Tick)[..] else { panic!() };
+            let [Act::Connect { endpoint }] = follow.on(now, Event::Tick)[..] else {
+                panic!()
+            };
             seen.insert(endpoint % 3);
-            assert!(matches!(follow.on(now, Event::Broke)[..], [Act::Drop { reason: Reason::Broke }]));
+            assert!(matches!(
+                follow.on(now, Event::Broke)[..],
+                [Act::Drop {
+                    reason: Reason::Broke
+                }]
+            ));
             longest = longest.max(follow.due() - now);
         }
         assert_eq!(seen.len(), 3);
@@ -380,12 +435,20 @@
 
     #[test]
     fn a_registry_that_went_back_is_read_anew_and_a_member_that_lags_for_a_moment_is_not() {
-        let told = |revision| Event::Told { cluster: 9, revision };
+        let told = |revision| Event::Told {
+            cluster: 9,
+            revision,
+        };
         let mut follow = live();
         for revision in [50, 49, 49, 50, 49, 49] {
             assert!(follow.on(10, told(revision)).is_empty());
         }
-        assert_eq!(follow.on(11, told(7)), [Act::Drop { reason: Reason::Confused }]);
+        assert_eq!(
+            follow.on(11, told(7)),
+            [Act::Drop {
+                reason: Reason::Confused
+            }]
+        );
         follow.on(follow.due(), Event::Tick);
         assert!(follow.on(20, Event::Connected).is_empty());
         assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
@@ -396,8 +459,19 @@
     #[test]
     fn another_cluster_behind_the_same_address_is_read_anew() {
         let mut follow = live();
-        let acts = follow.on(10, Event::Told { cluster: 8, revision: 3 });
-        assert_eq!(acts, [Act::Drop { reason: Reason::Confused }]);
+        let acts = follow.on(
+            10,
+            Event::Told {
+                cluster: 8,
+                revision: 3,
+            },
+        );
+        assert_eq!(
+            acts,
+            [Act::Drop {
+                reason: Reason::Confused
+            }]
+        );
         follow.on(follow.due(), Event::Tick);
         assert!(follow.on(20, Event::Connected).is_empty());
         assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
--- a/crates/roster/src/merge.rs
+++ b/crates/roster/src/merge.rs
@@ -71,7 +71,11 @@
 
     /// What changed since the last call; ids in order, each once.
     pub fn changes(&mut self, now: u64) -> Vec<Change> {
-        let fresh: Vec<bool> = self.sources.iter().map(|source| self.is_fresh(source, now)).collect();
+        let fresh: Vec<bool> = self
+            .sources
+            .iter()
+            .map(|source| self.is_fresh(source, now))
+            .collect();
         let mut ids = BTreeSet::new();
         for (number, source) in self.sources.iter_mut().enumerate() {
             ids.append(&mut source.take_changed());
@@ -86,8 +90,13 @@
 
     fn change(&mut self, id: String) -> Option<Change> {
         let holds = |want: bool| {
-            let of = self.sources.iter().enumerate().filter(|(n, _)| self.fresh[*n] == want);
-            of.filter_map(|(n, source)| source.held(&id).map(|held| (n, held))).next()
+            let of = self
+                .sources
+                .iter()
+                .enumerate()
+                .filter(|(n, _)| self.fresh[*n] == want);
+            of.filter_map(|(n, source)| source.held(&id).map(|held| (n, held)))
+                .next()
         };
         let now = holds(true).or_else(|| holds(false));
         let now = now.map(|(number, held)| (held.entry.clone(), (number, held.life)));
@@ -97,8 +106,11 @@
             (Some((entry, life)), Some((old, old_life))) => {
                 // Lives are counted by each source for itself: told by another source, a member that stayed where it
                 // was is the same.
-                let same =
-                    if life.0 == old_life.0 { life.1 == old_life.1 } else { entry.endpoint == old.endpoint };
+                let same = if life.0 == old_life.0 {
+                    life.1 == old_life.1
+                } else {
+                    entry.endpoint == old.endpoint
+                };
                 (!same || entry != old).then_some(!same)
             }
             (Some(_), None) => Some(true),
@@ -109,17 +121,27 @@
             None => self.told.remove(&id),
         };
         let source = now.as_ref().map(|(_, (source, _))| *source);
-        changed.map(|anew| Change { id, entry: now.map(|(entry, _)| entry), anew, source })
+        changed.map(|anew| Change {
+            id,
+            entry: now.map(|(entry, _)| entry),
+            anew,
+            source,
+        })
     }
 
     /// All members as they were told.
     pub fn members(&self) -> impl Iterator<Item = (&str, &Entry)> {
-        self.told.iter().map(|(id, (entry, _))| (id.as_str(), entry))
+        self.told
+            .iter()
+            .map(|(id, (entry, _))| (id.as_str(), entry))
     }
 
     /// Members that take work.
     pub fn in_service(&self) -> usize {
-        self.told.values().filter(|(entry, _)| entry.state == State::InService).count()
+        self.told
+            .values()
+            .filter(|(entry, _)| entry.state == State::InService)
+            .count()
     }
 }
 
@@ -137,11 +159,19 @@
             capacity_hint: 0.0,
             boot_ms: 0,
         };
-        Item { id: id.to_string(), revision, created: 1, entry: Some(entry) }
+        Item {
+            id: id.to_string(),
+            revision,
+            created: 1,
+            entry: Some(entry),
+        }
     }
 
     fn ports(roster: &Roster) -> Vec<u16> {
-        roster.members().map(|(_, entry)| entry.endpoint.port()).collect()
+        roster
+            .members()
+            .map(|(_, entry)| entry.endpoint.port())
+            .collect()
     }
 
     #[test]
@@ -152,12 +182,20 @@
             9,
             1,
             true,
-            vec![item("a", 1, 2, State::InService), item("b", 1, 3, State::InService)],
+            vec![
+                item("a", 1, 2, State::InService),
+                item("b", 1, 3, State::InService),
+            ],
         );
         assert_eq!((roster.changes(0).len(), ports(&roster)), (2, vec![2, 3]));
-        roster.source(0).full(10, 8, 1, true, vec![item("a", 1, 1, State::Terminating)]);
+        roster
+            .source(0)
+            .full(10, 8, 1, true, vec![item("a", 1, 1, State::Terminating)]);
         let changes = roster.changes(10);
-        assert_eq!((changes.len(), changes[0].anew, ports(&roster)), (1, true, vec![1, 3]));
+        assert_eq!(
+            (changes.len(), changes[0].anew, ports(&roster)),
+            (1, true, vec![1, 3])
+        );
         // The first one is lost for long, the second one is current: it decides.
         roster.source(1).progress(105, 9, 5);
         roster.changes(120);
@@ -171,13 +209,35 @@
     #[test]
     fn a_drain_is_no_new_life_and_a_birth_at_the_same_place_is() {
         let mut roster = Roster::new(1, 100);
-        roster.source(0).full(0, 9, 1, true, vec![item("a", 1, 1, State::InService)]);
+        roster
+            .source(0)
+            .full(0, 9, 1, true, vec![item("a", 1, 1, State::InService)]);
         assert!(roster.changes(0)[0].anew);
-        roster.source(0).changes(1, 9, 2, vec![item("a", 2, 1, State::Terminating)]);
+        roster
+            .source(0)
+            .changes(1, 9, 2, vec![item("a", 2, 1, State::Terminating)]);
         let changes = roster.changes(1);
-        assert_eq!((changes.len(), changes[0].anew, roster.in_service()), (1, false, 0));
-        let again = Item { created: 4, ..item("a", 4, 1, State::Terminating) };
-        roster.source(0).changes(2, 9, 4, vec![Item { entry: None, revision: 3, ..again.clone() }, again]);
+        assert_eq!(
+            (changes.len(), changes[0].anew, roster.in_service()),
+            (1, false, 0)
+        );
+        let again = Item {
+            created: 4,
+            ..item("a", 4, 1, State::Terminating)
+        };
+        roster.source(0).changes(
+            2,
+            9,
+            4,
+            vec![
+                Item {
+                    entry: None,
+                    revision: 3,
+                    ..again.clone()
+                },
+                again,
+            ],
+        );
         assert!(roster.changes(2)[0].anew);
         assert!(roster.changes(3).is_empty());
     }
--- a/crates/roster/src/snapshot.rs
+++ b/crates/roster/src/snapshot.rs
@@ -49,7 +49,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         match self {
             Unusable::Foreign => f.write_str("it is no snapshot of a roster"),
-            Unusable::Version(version) => write!(f, "it has version {version}, this program reads {VERSION}"),
+            Unusable::Version(version) => {
+                write!(f, "it has version {version}, this program reads {VERSION}")
+            }
             Unusable::Torn => f.write_str("it is torn: its length or checksum is wrong"),
             Unusable::Old(ms) => write!(f, "it is too old: {} s", ms / 1_000),
             Unusable::Ahead(ms) => write!(f, "it is from the future: by {} s", ms / 1_000),
@@ -77,14 +79,26 @@
     pub fn of(source: &Source, now: u64, now_ms: u64) -> Option<Self> {
         let (cluster, revision) = source.position()?;
         let at_ms = now_ms.saturating_sub(source.age(now)? / 1_000_000);
-        let members = source.entries().map(|(id, entry)| (id.to_string(), entry.clone())).collect();
-        Some(Snapshot { cluster, revision, at_ms, members })
+        let members = source
+            .entries()
+            .map(|(id, entry)| (id.to_string(), entry.clone()))
+            .collect();
+        Some(Snapshot {
+            cluster,
+            revision,
+            at_ms,
+            members,
+        })
     }
 
     /// Its bytes.
     pub fn write(&self) -> Vec<u8> {
         let body = serde_json::to_vec(self).unwrap_or_default();
-        let head = format!("{MAGIC} {VERSION} {:08x} {}\n", crc32fast::hash(&body), body.len());
+        let head = format!(
+            "{MAGIC} {VERSION} {:08x} {}\n",
+            crc32fast::hash(&body),
+            body.len()
+        );
         [head.as_bytes(), &body].concat()
     }
 
@@ -94,18 +108,31 @@
     ///
     /// Why they are not used.
     pub fn read(bytes: &[u8], limits: &Limits) -> Result<Self, Unusable> {
-        let end = bytes.iter().take(128).position(|b| *b == b'\n').ok_or(Unusable::Foreign)?;
+        let end = bytes
+            .iter()
+            .take(128)
+            .position(|b| *b == b'\n')
+            .ok_or(Unusable::Foreign)?;
         let head = std::str::from_utf8(&bytes[..end]).map_err(|_| Unusable::Foreign)?;
         let mut words = head.split(' ');
         if words.next() != Some(MAGIC) {
             return Err(Unusable::Foreign);
         }
-        let version: u32 = words.next().and_then(|w| w.parse().ok()).ok_or(Unusable::Foreign)?;
+        let version: u32 = words
+            .next()
+            .and_then(|w| w.parse().ok())
+            .ok_or(Unusable::Foreign)?;
         if version != VERSION {
             return Err(Unusable::Version(version));
         }
-        let sum = words.next().and_then(|w| u32::from_str_radix(w, 16).ok()).ok_or(Unusable::Torn)?;
-        let length: usize = words.next().and_then(|w| w.parse().ok()).ok_or(Unusable::Torn)?;
+        let sum = words
+            .next()
+            .and_then(|w| u32::from_str_radix(w, 16).ok())
+            .ok_or(Unusable::Torn)?;
+        let length: usize = words
+            .next()
+            .and_then(|w| w.parse().ok())
+            .ok_or(Unusable::Torn)?;
         let body = &bytes[end + 1..];
         if length > MOST || body.len() != length || crc32fast::hash(body) != sum {
             return Err(Unusable::Torn);
@@ -131,11 +158,20 @@
 
     fn snapshot() -> Snapshot {
         let entry = Entry::read(br#"{"endpoint":"10.0.0.1:80"}"#, &Default::default()).unwrap();
-        Snapshot { cluster: 7, revision: 3, at_ms: 1_000_000, members: [("a".to_string(), entry)].into() }
+        Snapshot {
+            cluster: 7,
+            revision: 3,
+            at_ms: 1_000_000,
+            members: [("a".to_string(), entry)].into(),
+        }
     }
 
     fn limits(now_ms: u64) -> Limits {
-        Limits { now_ms, age_ms: 60_000, cluster: Some(7) }
+        Limits {
+            now_ms,
+            age_ms: 60_000,
+            cluster: Some(7),
+        }
     }
 
     #[test]
@@ -156,7 +192,10 @@
         const SECOND: u64 = 1_000_000_000;
         let mut source = Source::default();
         source.full(10 * SECOND, 7, 3, true, Vec::new());
-        assert_eq!(Snapshot::of(&source, 40 * SECOND, 1_000_000).map(|s| s.at_ms), Some(970_000));
+        assert_eq!(
+            Snapshot::of(&source, 40 * SECOND, 1_000_000).map(|s| s.at_ms),
+            Some(970_000)
+        );
         let mut source = Source::default();
         source.restored(7, 3, Vec::new());
         assert_eq!((source.position(), source.age(0)), (Some((7, 3)), None));
@@ -169,8 +208,20 @@
         let read = |bytes: &[u8], limits| Snapshot::read(bytes, &limits).unwrap_err();
         assert_eq!(read(&bytes, limits(2_000_000)), Unusable::Old(1_000_000));
         assert_eq!(read(&bytes, limits(900_000)), Unusable::Ahead(100_000));
-        assert_eq!(read(&bytes, Limits { cluster: Some(8), ..limits(1_000_000) }), Unusable::Cluster(7));
+        assert_eq!(
+            read(
+                &bytes,
+                Limits {
+                    cluster: Some(8),
+                    ..limits(1_000_000)
+                }
+            ),
+            Unusable::Cluster(7)
+        );
         assert_eq!(read(b"{}\n", limits(0)), Unusable::Foreign);
-        assert_eq!(read(b"applewall-roster 2 0 0\n", limits(0)), Unusable::Version(2));
+        assert_eq!(
+            read(b"applewall-roster 2 0 0\n", limits(0)),
+            Unusable::Version(2)
+        );
     }
 }
--- a/crates/roster/src/source.rs
+++ b/crates/roster/src/source.rs
@@ -104,7 +104,10 @@
         }
         let before = self.revision;
         (self.revision, self.current) = (revision, Some(now));
-        items.into_iter().filter(|item| item.revision > before).for_each(|item| self.put(item, false));
+        items
+            .into_iter()
+            .filter(|item| item.revision > before)
+            .for_each(|item| self.put(item, false));
         Took::News
     }
 
@@ -121,7 +124,12 @@
     }
 
     fn put(&mut self, item: Item, anew: bool) {
-        let Item { id, revision, created, entry } = item;
+        let Item {
+            id,
+            revision,
+            created,
+            entry,
+        } = item;
         let held = self.held.get(&id);
         let Some(entry) = entry else {
             if self.held.remove(&id).is_some() {
@@ -130,15 +138,25 @@
             return;
         };
         // Another address, or removed and added again however quickly: another life.
-        let same_life = held.filter(|h| !anew && h.created == created && h.entry.endpoint == entry.endpoint);
+        let same_life =
+            held.filter(|h| !anew && h.created == created && h.entry.endpoint == entry.endpoint);
         // A registry that began anew counts from the start, but a member that stayed where it was has not restarted.
         let stayed = held.filter(|h| anew && h.entry.endpoint == entry.endpoint);
         let life = same_life.or(stayed).map(|h| h.life).unwrap_or_else(|| {
             self.lives += 1;
             self.lives
         });
-        let put = Held { entry, revision, created, life };
-        if self.held.get(&id).is_none_or(|held| held.entry != put.entry || held.life != put.life) {
+        let put = Held {
+            entry,
+            revision,
+            created,
+            life,
+        };
+        if self
+            .held
+            .get(&id)
+            .is_none_or(|held| held.entry != put.entry || held.life != put.life)
+        {
             self.changed.insert(id.clone());
         }
         self.held.insert(id, put);
@@ -156,7 +174,9 @@
 
     /// What is held, by id.
     pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
-        self.held.iter().map(|(id, held)| (id.as_str(), &held.entry))
+        self.held
+            .iter()
+            .map(|(id, held)| (id.as_str(), &held.entry))
     }
 
     pub(crate) fn held(&self, id: &str) -> Option<&Held> {
@@ -185,7 +205,12 @@
             capacity_hint: 0.0,
             boot_ms: 0,
         };
-        Item { id: id.to_string(), revision, created, entry: port.map(entry) }
+        Item {
+            id: id.to_string(),
+            revision,
+            created,
+            entry: port.map(entry),
+        }
     }
 
     fn changed(source: &mut Source) -> Vec<String> {
@@ -195,13 +220,25 @@
     #[test]
     fn who_is_missing_from_a_full_list_has_gone_and_replays_change_nothing() {
         let mut source = Source::default();
-        source.full(0, 1, 10, true, vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))]);
+        source.full(
+            0,
+            1,
+            10,
+            true,
+            vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
+        );
         assert_eq!(changed(&mut source), ["a", "b"]);
         source.full(1, 1, 12, true, vec![item("a", 5, 5, Some(1))]);
         assert_eq!(changed(&mut source), ["b"]);
         // b's removal again, and news older than the list.
-        assert_eq!(source.changes(2, 1, 12, vec![item("b", 11, 0, None)]), Took::News);
-        assert_eq!(source.changes(2, 1, 11, vec![item("a", 11, 5, Some(9))]), Took::Old);
+        assert_eq!(
+            source.changes(2, 1, 12, vec![item("b", 11, 0, None)]),
+            Took::News
+        );
+        assert_eq!(
+            source.changes(2, 1, 11, vec![item("a", 11, 5, Some(9))]),
+            Took::Old
+        );
         assert!(changed(&mut source).is_empty());
         assert_eq!(source.position(), Some((1, 12)));
     }
@@ -213,7 +250,12 @@
         let life = |source: &Source| source.held("a").map(|h| h.life);
         let first = life(&source);
         // Both within one answer.
-        source.changes(1, 1, 12, vec![item("a", 11, 0, None), item("a", 12, 12, Some(1))]);
+        source.changes(
+            1,
+            1,
+            12,
+            vec![item("a", 11, 0, None), item("a", 12, 12, Some(1))],
+        );
         let second = life(&source);
         assert!(second > first && changed(&mut source) == ["a"]);
         source.changes(2, 1, 13, vec![item("a", 13, 12, Some(2))]);
@@ -227,17 +269,32 @@
     #[test]
     fn a_registry_that_began_anew_is_recognised_and_a_slow_follower_is_not_taken_for_one() {
         let mut source = Source::default();
-        source.full(0, 1, 100, true, vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))]);
+        source.full(
+            0,
+            1,
+            100,
+            true,
+            vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
+        );
         changed(&mut source);
         assert_eq!(source.full(1, 1, 90, false, vec![]), Took::Old);
         assert_eq!(source.full(1, 2, 200, false, vec![]), Took::Old);
         assert_eq!(source.changes(1, 2, 200, vec![]), Took::Gap);
         assert_eq!(source.progress(1, 1, 99), Took::Old);
         // Restored from a copy: revisions went back, a stayed where it was and b is gone.
-        assert_eq!(source.full(2, 1, 7, true, vec![item("a", 3, 3, Some(1))]), Took::News);
-        assert_eq!((changed(&mut source), source.position()), (vec!["b".to_string()], Some((1, 7))));
+        assert_eq!(
+            source.full(2, 1, 7, true, vec![item("a", 3, 3, Some(1))]),
+            Took::News
+        );
+        assert_eq!(
+            (changed(&mut source), source.position()),
+            (vec!["b".to_string()], Some((1, 7)))
+        );
         // Another cluster altogether.
-        assert_eq!(source.full(3, 2, 1, true, vec![item("a", 1, 1, Some(1))]), Took::News);
+        assert_eq!(
+            source.full(3, 2, 1, true, vec![item("a", 1, 1, Some(1))]),
+            Took::News
+        );
         assert!(changed(&mut source).is_empty());
         assert_eq!(source.age(10), Some(7));
     }
--- a/crates/roster/tests/exhaustive.rs
+++ b/crates/roster/tests/exhaustive.rs
@@ -72,7 +72,12 @@
 
 impl World {
     fn new() -> Self {
-        let pace = Pace { probe: 100 * MS, patience: 150 * MS, backoff: (MS, 10 * MS), spread: 10 * MS };
+        let pace = Pace {
+            probe: 100 * MS,
+            patience: 150 * MS,
+            backoff: (MS, 10 * MS),
+            spread: 10 * MS,
+        };
         let mut world = World {
             revision: 1,
             compacted: 0,
@@ -100,8 +105,16 @@
             self.revision += 1;
             let created = self.live.get("a").map_or(self.revision, |old| old.created);
             // Another port each time would hide births: the address stays, only the capacity changes.
-            let entry = put.then(|| Entry { capacity_hint: self.revision as f64, ..entry(1) });
-            let item = Item { id: "a".into(), revision: self.revision, created, entry };
+            let entry = put.then(|| Entry {
+                capacity_hint: self.revision as f64,
+                ..entry(1)
+            });
+            let item = Item {
+                id: "a".into(),
+                revision: self.revision,
+                created,
+                entry,
+            };
             match put {
                 true => drop(self.live.insert("a".into(), item.clone())),
                 false => drop(self.live.remove("a")),
@@ -116,7 +129,10 @@
                 Act::Connect { .. } => self.wire = [Message::Connected].into(),
                 Act::Read => {
                     let items = self.live.values().cloned().collect();
-                    self.wire.push_back(Message::Read { revision: self.revision, items });
+                    self.wire.push_back(Message::Read {
+                        revision: self.revision,
+                        items,
+                    });
                 }
                 Act::Watch { from } => {
                     self.watch = Some(from);
@@ -141,10 +157,18 @@
             self.watch = None;
             return self.wire.push_back(Message::Compacted);
         }
-        let items: Vec<Item> = self.history.iter().filter(|item| item.revision >= from).cloned().collect();
+        let items: Vec<Item> = self
+            .history
+            .iter()
+            .filter(|item| item.revision >= from)
+            .cloned()
+            .collect();
         if !items.is_empty() {
             self.watch = Some(self.revision + 1);
-            self.wire.push_back(Message::Changes { revision: self.revision, items });
+            self.wire.push_back(Message::Changes {
+                revision: self.revision,
+                items,
+            });
         }
     }
 
@@ -159,17 +183,40 @@
             }
             Some(Message::Connected) => self.follow.on(self.now, Event::Connected),
             Some(Message::Read { revision, items }) => {
-                self.roster.source(0).full(self.now, 7, revision, true, items);
-                self.follow.on(self.now, Event::Read { cluster: 7, revision })
+                self.roster
+                    .source(0)
+                    .full(self.now, 7, revision, true, items);
+                self.follow.on(
+                    self.now,
+                    Event::Read {
+                        cluster: 7,
+                        revision,
+                    },
+                )
             }
             Some(Message::Watching) => self.follow.on(self.now, Event::Watching),
             Some(Message::Proof { revision }) => {
                 self.roster.source(0).progress(self.now, 7, revision);
-                self.follow.on(self.now, Event::Told { cluster: 7, revision })
+                self.follow.on(
+                    self.now,
+                    Event::Told {
+                        cluster: 7,
+                        revision,
+                    },
+                )
             }
             Some(Message::Changes { revision, items }) => {
-                assert_eq!(self.roster.source(0).changes(self.now, 7, revision, items), Took::News);
-                self.follow.on(self.now, Event::Told { cluster: 7, revision })
+                assert_eq!(
+                    self.roster.source(0).changes(self.now, 7, revision, items),
+                    Took::News
+                );
+                self.follow.on(
+                    self.now,
+                    Event::Told {
+                        cluster: 7,
+                        revision,
+                    },
+                )
             }
             Some(Message::Compacted) => self.follow.on(self.now, Event::Compacted),
         };
@@ -184,7 +231,9 @@
     }
 
     fn settled(&self) -> bool {
-        self.wire.is_empty() && self.follow.live() && self.watch.is_some_and(|next| next > self.revision)
+        self.wire.is_empty()
+            && self.follow.live()
+            && self.watch.is_some_and(|next| next > self.revision)
     }
 }
 
@@ -201,7 +250,9 @@
             Step::Write => world.write(*kinds.next().unwrap()),
             Step::Compact => {
                 world.compacted = world.revision;
-                world.history.retain(|item| item.revision >= world.compacted);
+                world
+                    .history
+                    .retain(|item| item.revision >= world.compacted);
             }
             Step::Break => {
                 world.watch = None;
@@ -220,11 +271,17 @@
         world.deliver();
     }
     assert!(world.settled(), "it never follows again: {steps:?}");
-    let live: BTreeMap<_, _> =
-        world.live.iter().map(|(id, i)| (id.clone(), i.entry.clone().unwrap())).collect();
+    let live: BTreeMap<_, _> = world
+        .live
+        .iter()
+        .map(|(id, i)| (id.clone(), i.entry.clone().unwrap()))
+        .collect();
     assert_eq!(world.heard, live, "{steps:?}");
     // The first life, and one at most for each write.
-    assert!(world.births <= 1 + steps.iter().filter(|s| **s == Step::Write).count(), "{steps:?}");
+    assert!(
+        world.births <= 1 + steps.iter().filter(|s| **s == Step::Write).count(),
+        "{steps:?}"
+    );
 }
 
 /// All orders of what is left of each step.
@@ -248,7 +305,12 @@
     const KINDS: [Kind; 3] = [Kind::Put, Kind::Delete, Kind::Again];
     let mut played = 0;
     for deliveries in [0, 2] {
-        let mut left = [(Step::Write, 3), (Step::Compact, 1), (Step::Break, 2), (Step::Deliver, deliveries)];
+        let mut left = [
+            (Step::Write, 3),
+            (Step::Compact, 1),
+            (Step::Break, 2),
+            (Step::Deliver, deliveries),
+        ];
         orders(&mut left, &mut Vec::new(), &mut |steps| {
             for i in 0..27 {
                 play(steps, &[KINDS[i % 3], KINDS[i / 3 % 3], KINDS[i / 9]]);
--- a/crates/roster/tests/schedules.rs
+++ b/crates/roster/tests/schedules.rs
@@ -66,11 +66,20 @@
             endpoint: ([127, 0, 0, 1], port).into(),
             az: String::new(),
             pod_group: -1,
-            state: if drains { State::Terminating } else { State::InService },
+            state: if drains {
+                State::Terminating
+            } else {
+                State::InService
+            },
             capacity_hint: 0.0,
             boot_ms: 0,
         });
-        let item = Item { id: id.clone(), revision: self.revision, created, entry };
+        let item = Item {
+            id: id.clone(),
+            revision: self.revision,
+            created,
+            entry,
+        };
         match item.entry.is_some() {
             true => drop(self.live.insert(id, item.clone())),
             false => drop(self.live.remove(&id)),
@@ -84,12 +93,19 @@
     }
 
     fn since(&self, revision: u64) -> Vec<Item> {
-        self.history.iter().filter(|item| item.revision > revision).cloned().collect()
+        self.history
+            .iter()
+            .filter(|item| item.revision > revision)
+            .cloned()
+            .collect()
     }
 }
 
 fn held(source: &Source) -> BTreeMap<String, Entry> {
-    source.entries().map(|(id, entry)| (id.to_string(), entry.clone())).collect()
+    source
+        .entries()
+        .map(|(id, entry)| (id.to_string(), entry.clone()))
+        .collect()
 }
 
 proptest! {
--- a/crates/standins/src/bin/measure-registry.rs
+++ b/crates/standins/src/bin/measure-registry.rs
@@ -38,8 +38,13 @@
     Down,
 }
 
-const TROUBLES: [Trouble; 5] =
-    [Trouble::None, Trouble::Cut, Trouble::Silent, Trouble::Compacted, Trouble::Down];
+const TROUBLES: [Trouble; 5] = [
+    Trouble::None,
+    Trouble::Cut,
+    Trouble::Silent,
+    Trouble::Compacted,
+    Trouble::Down,
+];
 
 struct Options {
     program: PathBuf,
@@ -49,7 +54,11 @@
 
 fn options() -> Result<Options, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut options = Options { program: "target/release/applewall".into(), rounds: 20, seed: 7 };
+    let mut options = Options {
+        program: "target/release/applewall".into(),
+        rounds: 20,
+        seed: 7,
+    };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
@@ -67,7 +76,10 @@
 }
 
 fn value(instance: &Instance, state: &str) -> String {
-    format!(r#"{{"endpoint":"{}","az":"a","pod_group":0,"state":"{state}"}}"#, instance.address)
+    format!(
+        r#"{{"endpoint":"{}","az":"a","pod_group":0,"state":"{state}"}}"#,
+        instance.address
+    )
 }
 
 async fn measure(options: &Options) -> std::io::Result<bool> {
@@ -75,11 +87,18 @@
     let mut instances = Vec::new();
     for number in 0..INSTANCES {
         let work = (Duration::from_millis(2), Duration::from_millis(6));
-        let script = Script { seed: number as u64, work, ..Script::default() };
+        let script = Script {
+            seed: number as u64,
+            work,
+            ..Script::default()
+        };
         instances.push(Instance::start(script).await?);
     }
     for (i, instance) in instances.iter().enumerate() {
-        registry.put(&format!("/applewall/members/s-{i}"), &value(instance, "in_service"));
+        registry.put(
+            &format!("/applewall/members/s-{i}"),
+            &value(instance, "in_service"),
+        );
     }
     let mut wires = Vec::new();
     for _ in 0..MEMBERS {
@@ -104,7 +123,9 @@
     let begun = Instant::now();
     while registry.calls.watches.load(Ordering::Relaxed) == 0 {
         if begun.elapsed() > Duration::from_secs(20) {
-            return Err(std::io::Error::other("the daemon does not follow the registry"));
+            return Err(std::io::Error::other(
+                "the daemon does not follow the registry",
+            ));
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -130,7 +151,10 @@
     let (mut worst, mut late) = (Duration::ZERO, 0);
     for trouble in TROUBLES {
         let (reads, watches) = (&registry.calls.ranges, &registry.calls.watches);
-        let before = (reads.load(Ordering::Relaxed), watches.load(Ordering::Relaxed));
+        let before = (
+            reads.load(Ordering::Relaxed),
+            watches.load(Ordering::Relaxed),
+        );
         let mut times = Vec::new();
         for _ in 0..options.rounds {
             let number = rng.random_range(0..INSTANCES);
@@ -180,7 +204,8 @@
             watches.load(Ordering::Relaxed) - before.1,
         );
     }
-    let probes = registry.calls.progress.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
+    let probes =
+        registry.calls.progress.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
     let outcomes = load.await.map_err(std::io::Error::other)?;
     let good = late == 0 && outcomes.lost == 0 && outcomes.wrong == 0;
     println!(
@@ -205,7 +230,8 @@
             return ExitCode::from(2);
         }
     };
-    let result = tokio::runtime::Runtime::new().and_then(|runtime| runtime.block_on(measure(&options)));
+    let result =
+        tokio::runtime::Runtime::new().and_then(|runtime| runtime.block_on(measure(&options)));
     match result {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/standins/src/bin/measure-service.rs
+++ b/crates/standins/src/bin/measure-service.rs
@@ -29,8 +29,11 @@
 
 fn options() -> Result<Options, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut options =
-        Options { program: "target/release/applewall".into(), time: Duration::from_secs(12), seed: 7 };
+    let mut options = Options {
+        program: "target/release/applewall".into(),
+        time: Duration::from_secs(12),
+        seed: 7,
+    };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
@@ -58,10 +61,18 @@
 async fn world(options: &Options, name: &str, body: usize) -> std::io::Result<World> {
     let mut instances = Vec::new();
     for number in 0..INSTANCES {
-        instances
-            .push(Instance::start(Script { seed: options.seed + number, body, ..Script::default() }).await?);
+        instances.push(
+            Instance::start(Script {
+                seed: options.seed + number,
+                body,
+                ..Script::default()
+            })
+            .await?,
+        );
     }
-    let entry = |(i, instance): (usize, &Instance)| target(&format!("s-{i}"), instance.address, "in_service");
+    let entry = |(i, instance): (usize, &Instance)| {
+        target(&format!("s-{i}"), instance.address, "in_service")
+    };
     let known: Vec<_> = instances.iter().enumerate().map(entry).collect();
     let discovery = Discovery::start(known.clone()).await?;
     let setting = Setting {
@@ -72,16 +83,31 @@
         known,
         rate: 50.0,
     };
-    let folder = std::env::temp_dir().join(format!("measure-service-{}-{name}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("measure-service-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
-    let inherited = Inherited { listener: std::net::TcpListener::bind("127.0.0.1:0")?, folder };
-    Ok(World { setting, inherited, _instances: instances, _discovery: discovery })
+    let inherited = Inherited {
+        listener: std::net::TcpListener::bind("127.0.0.1:0")?,
+        folder,
+    };
+    Ok(World {
+        setting,
+        inherited,
+        _instances: instances,
+        _discovery: discovery,
+    })
 }
 
 impl World {
     fn start(&self, options: &Options, name: &str) -> std::io::Result<Daemon> {
         let folder = &self.inherited.folder;
-        Daemon::start_with(&options.program, folder, name, &self.setting, Some(&self.inherited))
+        Daemon::start_with(
+            &options.program,
+            folder,
+            name,
+            &self.setting,
+            Some(&self.inherited),
+        )
     }
 }
 
@@ -93,7 +119,9 @@
 
 /// One call: its answer, and how long that took.
 async fn call(daemon: &Daemon, line: &str) -> std::io::Result<(String, Duration)> {
-    let to = daemon.operators.ok_or_else(|| std::io::Error::other("no second address"))?;
+    let to = daemon
+        .operators
+        .ok_or_else(|| std::io::Error::other("no second address"))?;
     let began = Instant::now();
     let mut stream = TcpStream::connect(to).await?;
     stream.write_all(format!("{line}\n").as_bytes()).await?;
@@ -162,7 +190,13 @@
     let daemon = world.start(options, "calm")?;
     let outcomes = healthy(options, daemon.address).play().await;
     let (memory, cpu) = (daemon.peak_memory(), daemon.cpu());
-    Ok(Row { outcomes, operators: Operators::default(), memory, cpu, note: String::new() })
+    Ok(Row {
+        outcomes,
+        operators: Operators::default(),
+        memory,
+        cpu,
+        note: String::new(),
+    })
 }
 
 async fn upgrade(options: &Options) -> std::io::Result<Row> {
@@ -201,7 +235,13 @@
         ready.as_millis(),
         took.as_millis()
     );
-    Ok(Row { outcomes, operators, memory, cpu: cpu + new.cpu(), note })
+    Ok(Row {
+        outcomes,
+        operators,
+        memory,
+        cpu: cpu + new.cpu(),
+        note,
+    })
 }
 
 async fn drain(options: &Options) -> std::io::Result<Row> {
@@ -215,7 +255,9 @@
             operators.call(&daemon, line).await;
             let expected = if step % 2 == 0 { "503" } else { "200" };
             let mut stream = TcpStream::connect(daemon.address).await?;
-            stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await?;
+            stream
+                .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .await?;
             let mut answer = String::new();
             stream.read_to_string(&mut answer).await?;
             operators.wrong += u32::from(answer.split(' ').nth(1) != Some(expected));
@@ -225,7 +267,13 @@
     let (outcomes, work) = tokio::join!(play, work);
     work?;
     let note = "drained and back twice".to_string();
-    Ok(Row { outcomes, operators, memory: daemon.peak_memory(), cpu: daemon.cpu(), note })
+    Ok(Row {
+        outcomes,
+        operators,
+        memory: daemon.peak_memory(),
+        cpu: daemon.cpu(),
+        note,
+    })
 }
 
 /// Long answers at once: how many came whole, and the daemon's peak memory.
@@ -238,7 +286,9 @@
         let to = daemon.address;
         readers.spawn(async move {
             let mut stream = connect(to, [127, 0, 0, 1].into(), None).await?;
-            stream.write_all(request(i + 1, i, Duration::from_secs(3), 0).as_bytes()).await?;
+            stream
+                .write_all(request(i + 1, i, Duration::from_secs(3), 0).as_bytes())
+                .await?;
             let (mut buffer, mut read, mut body) = (vec![0; 65_536], Vec::new(), None);
             loop {
                 let n = stream.read(&mut buffer).await?;
@@ -249,7 +299,9 @@
                     Some(body) => *body += n,
                     None => {
                         read.extend_from_slice(&buffer[..n]);
-                        let Some(end) = read.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
+                        let Some(end) = read.windows(4).position(|w| w == b"\r\n\r\n") else {
+                            continue;
+                        };
                         if !read.starts_with(b"HTTP/1.1 200 ") {
                             return Ok(false);
                         }
@@ -284,7 +336,15 @@
         ("drain", drain(options).await?),
     ];
     for (name, row) in rows {
-        let Outcomes { asked, served, refused, failed, lost: gone, wrong: mixed, .. } = &row.outcomes;
+        let Outcomes {
+            asked,
+            served,
+            refused,
+            failed,
+            lost: gone,
+            wrong: mixed,
+            ..
+        } = &row.outcomes;
         println!(
             "| {name} | {:.3} | {served} | {refused} | {failed} | {gone} | {:.1} | {} | {:.1} | {:.3} | {} |",
             row.outcomes.share(),
@@ -309,7 +369,11 @@
     );
     peak = peak.max(memory);
     let limit = (MEMORY_MB as u64) << 20;
-    let good = lost == 0 && wrong == 0 && slowest < Duration::from_secs(1) && whole == LONG.0 && peak < limit;
+    let good = lost == 0
+        && wrong == 0
+        && slowest < Duration::from_secs(1)
+        && whole == LONG.0
+        && peak < limit;
     println!(
         "{}: {lost} commands lost or failed, slowest call {:.1} ms of 1,000, {wrong} wrong, {whole} of {} long answers, \
          peak {:.1} of {MEMORY_MB} MB",
--- a/crates/standins/src/bin/measure-slow-peers.rs
+++ b/crates/standins/src/bin/measure-slow-peers.rs
@@ -71,12 +71,36 @@
 }
 
 const CASES: [Case; 6] = [
-    Case { name: "calm", slow: 0, odd: None },
-    Case { name: "100 slow readers", slow: 100, odd: None },
-    Case { name: "300 slow readers", slow: 300, odd: None },
-    Case { name: "one instance trickles", slow: 0, odd: Some((1, 1)) },
-    Case { name: "one answer in ten trickles", slow: 0, odd: Some((10, INSTANCES as usize)) },
-    Case { name: "both: 300, one in ten", slow: 300, odd: Some((10, INSTANCES as usize)) },
+    Case {
+        name: "calm",
+        slow: 0,
+        odd: None,
+    },
+    Case {
+        name: "100 slow readers",
+        slow: 100,
+        odd: None,
+    },
+    Case {
+        name: "300 slow readers",
+        slow: 300,
+        odd: None,
+    },
+    Case {
+        name: "one instance trickles",
+        slow: 0,
+        odd: Some((1, 1)),
+    },
+    Case {
+        name: "one answer in ten trickles",
+        slow: 0,
+        odd: Some((10, INSTANCES as usize)),
+    },
+    Case {
+        name: "both: 300, one in ten",
+        slow: 300,
+        odd: Some((10, INSTANCES as usize)),
+    },
 ];
 
 struct Row {
@@ -94,7 +118,13 @@
         let odd = case.odd.filter(|(_, many)| (number as usize) < *many);
         let odd = odd.map(|(one_in, _)| (one_in, Manner::TrickleBody));
         instances.push(
-            Instance::start(Script { seed: seed + number, body: BODY, odd, ..Script::default() }).await?,
+            Instance::start(Script {
+                seed: seed + number,
+                body: BODY,
+                odd,
+                ..Script::default()
+            })
+            .await?,
         );
     }
     let list: Vec<_> = instances
@@ -105,8 +135,14 @@
     let discovery = Discovery::start(list.clone()).await?;
     let memory_mb = if sockets < 1_024 { 32 } else { 192 };
     let operator = options.operator.clone();
-    let setting =
-        Setting { sockets, memory_mb, operator, discovery: discovery.address, known: list, rate: 50.0 };
+    let setting = Setting {
+        sockets,
+        memory_mb,
+        operator,
+        discovery: discovery.address,
+        known: list,
+        rate: 50.0,
+    };
     let name = format!("measure-{}-{sockets}-{seed}", std::process::id());
     let daemon = Daemon::start(&options.program, &std::env::temp_dir(), &name, &setting)?;
     let healthy = Healthy {
@@ -162,9 +198,21 @@
     for run in 0..options.runs {
         for sockets in [1_024, 256] {
             let mut calm = 0.0;
-            for case in CASES.iter().filter(|case| case.name.contains(&options.case)) {
+            for case in CASES
+                .iter()
+                .filter(|case| case.name.contains(&options.case))
+            {
                 let row = play(options, case, sockets, options.seed + 100 * run).await?;
-                let Outcomes { latency, asked, served, refused, failed, lost, wrong, .. } = &row.outcomes;
+                let Outcomes {
+                    latency,
+                    asked,
+                    served,
+                    refused,
+                    failed,
+                    lost,
+                    wrong,
+                    ..
+                } = &row.outcomes;
                 let share = row.outcomes.share();
                 if case.slow == 0 && case.odd.is_none() {
                     calm = share;
@@ -199,7 +247,11 @@
         "{}: most under calm {:.3} ({}), {GOAL} allowed; peak {:.1} of 32 MB at 256 descriptors",
         if good { "kept" } else { "NOT KEPT" },
         worst.0,
-        if worst.1.is_empty() { "nowhere" } else { &worst.1 },
+        if worst.1.is_empty() {
+            "nowhere"
+        } else {
+            &worst.1
+        },
         peak as f64 / (1 << 20) as f64
     );
     Ok(good)
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -56,10 +56,13 @@
         match arg {
             Long("body") => call.body = parser.value().and_then(|v| v.parse()).map_err(text)?,
             Long("odd") => call.odd = Some(parser.value().and_then(|v| v.parse()).map_err(text)?),
-            Long("manner") => call.manner = manner(&parser.value().and_then(|v| v.string()).map_err(text)?)?,
+            Long("manner") => {
+                call.manner = manner(&parser.value().and_then(|v| v.string()).map_err(text)?)?
+            }
             Long("many") => call.many = parser.value().and_then(|v| v.parse()).map_err(text)?,
             Long("seconds") => {
-                call.time = Duration::from_secs(parser.value().and_then(|v| v.parse()).map_err(text)?);
+                call.time =
+                    Duration::from_secs(parser.value().and_then(|v| v.parse()).map_err(text)?);
             }
             Value(word) if call.kind.is_empty() => call.kind = word.string().map_err(text)?,
             Value(word) => call.words.push(word.string().map_err(text)?),
@@ -70,26 +73,47 @@
 }
 
 fn pairs(words: &[String]) -> Result<Vec<(&str, &str)>, String> {
-    words.iter().map(|w| w.split_once('=').ok_or(format!("'{w}' is no KEY=VALUE"))).collect()
+    words
+        .iter()
+        .map(|w| w.split_once('=').ok_or(format!("'{w}' is no KEY=VALUE")))
+        .collect()
 }
 
 async fn run(call: Call) -> Result<(), String> {
     let text = |e: std::io::Error| e.to_string();
     match call.kind.as_str() {
         "instance" => {
-            let odd = call.odd.filter(|n| *n > 0).map(|one_in| (one_in, call.manner));
-            let instance =
-                Instance::start(Script { body: call.body, odd, ..Script::default() }).await.map_err(text)?;
+            let odd = call
+                .odd
+                .filter(|n| *n > 0)
+                .map(|one_in| (one_in, call.manner));
+            let instance = Instance::start(Script {
+                body: call.body,
+                odd,
+                ..Script::default()
+            })
+            .await
+            .map_err(text)?;
             println!("instance on {}", instance.address);
             tokio::time::sleep(call.time).await;
-            println!("requests {}", instance.seen.requests.load(Ordering::Relaxed));
+            println!(
+                "requests {}",
+                instance.seen.requests.load(Ordering::Relaxed)
+            );
         }
         "discovery" => {
             let entry = |(i, word): (usize, &String)| {
-                let address: SocketAddr = word.parse().map_err(|_| format!("'{word}' is no address"))?;
+                let address: SocketAddr = word
+                    .parse()
+                    .map_err(|_| format!("'{word}' is no address"))?;
                 Ok::<_, String>(target(&format!("s-{i}"), address, "in_service"))
             };
-            let list = call.words.iter().enumerate().map(entry).collect::<Result<_, _>>()?;
+            let list = call
+                .words
+                .iter()
+                .enumerate()
+                .map(entry)
+                .collect::<Result<_, _>>()?;
             let discovery = Discovery::start(list).await.map_err(text)?;
             println!("discovery on {}", discovery.address);
             tokio::time::sleep(call.time).await;
@@ -112,7 +136,11 @@
             tokio::time::sleep(call.time).await;
         }
         "slow-readers" => {
-            let to = call.words.first().and_then(|w| w.parse::<SocketAddr>().ok()).ok_or(USAGE)?;
+            let to = call
+                .words
+                .first()
+                .and_then(|w| w.parse::<SocketAddr>().ok())
+                .ok_or(USAGE)?;
             if !to.ip().is_loopback() {
                 return Err("slow readers go to loopback only".to_string());
             }
@@ -128,7 +156,10 @@
                 upload: 0,
             };
             slow.play(seen.clone()).await;
-            println!("ended by the other side {}", seen.ended.load(Ordering::Relaxed));
+            println!(
+                "ended by the other side {}",
+                seen.ended.load(Ordering::Relaxed)
+            );
         }
         _ => return Err(USAGE.to_string()),
     }
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -73,7 +73,16 @@
     fn default() -> Self {
         // A minute is longer than any client waits, so the bounds are never wrong.
         let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("sound bounds");
-        Outcomes { latency, asked: 0, in_time: 0, served: 0, refused: 0, failed: 0, lost: 0, wrong: 0 }
+        Outcomes {
+            latency,
+            asked: 0,
+            in_time: 0,
+            served: 0,
+            refused: 0,
+            failed: 0,
+            lost: 0,
+            wrong: 0,
+        }
     }
 }
 
@@ -111,7 +120,10 @@
     /// Plays them, and returns when the last one has its answer or gave up.
     pub async fn play(self) -> Outcomes {
         let mut rng = SmallRng::seed_from_u64(self.seed);
-        let (outcomes, kept) = (Arc::new(Mutex::new(Outcomes::default())), Arc::new(Mutex::new(Vec::new())));
+        let (outcomes, kept) = (
+            Arc::new(Mutex::new(Outcomes::default())),
+            Arc::new(Mutex::new(Vec::new())),
+        );
         let (start, mut at) = (Instant::now(), Duration::ZERO);
         let mut tasks = Vec::new();
         let this = Arc::new(self);
@@ -121,7 +133,10 @@
             if at > this.time {
                 break;
             }
-            let (fresh, customer) = (rng.random_bool(this.fresh), rng.random_range(1..=this.customers));
+            let (fresh, customer) = (
+                rng.random_bool(this.fresh),
+                rng.random_range(1..=this.customers),
+            );
             let id = this.seed << 32 | number;
             let intended = start + at;
             tokio::time::sleep_until(intended).await;
@@ -129,7 +144,10 @@
             tasks.push(tokio::spawn(async move {
                 let one = this.one(id, customer, intended, fresh, &kept);
                 let result = tokio::time::timeout_at(intended + this.patience, one).await;
-                outcomes.lock().await.note(result.unwrap_or(Err(io::ErrorKind::TimedOut.into())), &this);
+                outcomes
+                    .lock()
+                    .await
+                    .note(result.unwrap_or(Err(io::ErrorKind::TimedOut.into())), &this);
             }));
         }
         for task in tasks {
@@ -150,7 +168,11 @@
         let left = self.patience.saturating_sub(intended.elapsed());
         let text = request(id, customer, left, 0);
         for again in [true, false] {
-            let pooled = if fresh || !again { None } else { kept.lock().await.pop() };
+            let pooled = if fresh || !again {
+                None
+            } else {
+                kept.lock().await.pop()
+            };
             let old = pooled.is_some();
             let mut stream = match pooled {
                 Some(stream) => stream,
--- a/crates/standins/src/consul.rs
+++ b/crates/standins/src/consul.rs
@@ -44,7 +44,11 @@
     pub async fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let store = watch::Sender::new(Store { index: 1, led: true, ..Store::default() });
+        let store = watch::Sender::new(Store {
+            index: 1,
+            led: true,
+            ..Store::default()
+        });
         let (lagging, reads) = (watch::Sender::new(None), Arc::new(AtomicU64::new(0)));
         let (follower, lag, count) = (store.subscribe(), lagging.subscribe(), reads.clone());
         tokio::spawn(async move {
@@ -55,7 +59,12 @@
                 });
             }
         });
-        Ok(Agent { address, store, lagging, reads })
+        Ok(Agent {
+            address,
+            store,
+            lagging,
+            reads,
+        })
     }
 
     /// Writes a key, or removes it.
@@ -65,8 +74,13 @@
             let index = store.index;
             match value {
                 Some(value) => {
-                    let created = store.pairs.get(key).map_or(index, |(_, created, _)| *created);
-                    store.pairs.insert(key.to_string(), (value.to_string(), created, index));
+                    let created = store
+                        .pairs
+                        .get(key)
+                        .map_or(index, |(_, created, _)| *created);
+                    store
+                        .pairs
+                        .insert(key.to_string(), (value.to_string(), created, index));
                 }
                 None => drop(store.pairs.remove(key)),
             }
@@ -75,12 +89,17 @@
 
     /// From now on, reads that may be stale are answered from what there is at this moment; or from the present again.
     pub fn lag(&self, lag: bool) {
-        self.lagging.send_replace(lag.then(|| self.store.borrow().clone()));
+        self.lagging
+            .send_replace(lag.then(|| self.store.borrow().clone()));
     }
 
     /// The store begins anew, empty, its index counted from the start.
     pub fn begin_anew(&self) {
-        self.store.send_replace(Store { index: 1, led: true, ..Store::default() });
+        self.store.send_replace(Store {
+            index: 1,
+            led: true,
+            ..Store::default()
+        });
     }
 
     /// Whether it knows a leader.
@@ -97,11 +116,24 @@
 ) -> io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        let (path, query) = request.first.1.split_once('?').unwrap_or((&request.first.1, ""));
+        let (path, query) = request
+            .first
+            .1
+            .split_once('?')
+            .unwrap_or((&request.first.1, ""));
         let prefix = path.strip_prefix("/v1/kv/").unwrap_or_default().to_string();
-        let value = |name: &str| query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name);
-        let index = value("index").and_then(|(_, v)| v.parse::<u64>().ok()).unwrap_or(0);
-        let wait = value("wait").and_then(|(_, v)| v.strip_suffix("ms")?.parse().ok()).unwrap_or(300_000);
+        let value = |name: &str| {
+            query
+                .split('&')
+                .filter_map(|p| p.split_once('='))
+                .find(|(n, _)| *n == name)
+        };
+        let index = value("index")
+            .and_then(|(_, v)| v.parse::<u64>().ok())
+            .unwrap_or(0);
+        let wait = value("wait")
+            .and_then(|(_, v)| v.strip_suffix("ms")?.parse().ok())
+            .unwrap_or(300_000);
         let stale = query.split('&').any(|part| part == "stale");
         let lagged = lagging.borrow().clone().filter(|_| stale);
         let list = match lagged {
@@ -113,7 +145,10 @@
             }
         };
         reads.fetch_add(1, Ordering::Relaxed);
-        let pairs = list.pairs.iter().filter(|(key, _)| key.starts_with(&prefix));
+        let pairs = list
+            .pairs
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix));
         let pairs: Vec<_> = pairs
             .map(|(key, (value, created, modified))| {
                 json!({"Key": key, "Value": STANDARD.encode(value), "CreateIndex": created,
--- a/crates/standins/src/daemon.rs
+++ b/crates/standins/src/daemon.rs
@@ -75,14 +75,23 @@
             Some(inherited) => {
                 // The shell moves what it has as its input to the descriptor, and becomes the daemon.
                 let mut shell = Command::new("/bin/sh");
-                shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"]).arg(program);
+                shell
+                    .args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"])
+                    .arg(program);
                 shell.stdin(std::os::fd::OwnedFd::from(inherited.listener.try_clone()?));
                 shell
             }
         };
-        command.arg("serve").env_clear().env("GW_CONFIG", &config).stderr(Stdio::piped());
+        command
+            .arg("serve")
+            .env_clear()
+            .env("GW_CONFIG", &config)
+            .stderr(Stdio::piped());
         if let Some(inherited) = inherited {
-            command.env("GW_FD", "7").env("TMPDIR", &inherited.folder).env("GW_OPERATOR", "127.0.0.1:0");
+            command
+                .env("GW_FD", "7")
+                .env("TMPDIR", &inherited.folder)
+                .env("GW_OPERATOR", "127.0.0.1:0");
         }
         let mut files = vec![config];
         if let Some(text) = &setting.operator {
@@ -93,26 +102,45 @@
         }
         let mut child = command.spawn()?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        let stderr = child.stderr.take().ok_or_else(|| io::Error::other("no standard error"))?;
-        let (told, address) = std::sync::mpsc::channel::<Option<(SocketAddr, Option<SocketAddr>)>>();
+        let stderr = child
+            .stderr
+            .take()
+            .ok_or_else(|| io::Error::other("no standard error"))?;
+        let (told, address) =
+            std::sync::mpsc::channel::<Option<(SocketAddr, Option<SocketAddr>)>>();
         let lines = log.clone();
         std::thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 if let Some((_, rest)) = line.split_once("serving n0 on ") {
-                    let first = |text: &str| text.split([',', ' ']).next().and_then(|a| a.parse().ok());
-                    let operators = rest.split_once("operators on ").and_then(|(_, rest)| first(rest));
+                    let first =
+                        |text: &str| text.split([',', ' ']).next().and_then(|a| a.parse().ok());
+                    let operators = rest
+                        .split_once("operators on ")
+                        .and_then(|(_, rest)| first(rest));
                     let _ = told.send(first(rest).map(|address| (address, operators)));
                 }
                 lines.lock().unwrap_or_else(|e| e.into_inner()).push(line);
             }
         });
         match address.recv_timeout(Duration::from_secs(20)).ok().flatten() {
-            Some((address, operators)) => Ok(Daemon { child, address, operators, log, files }),
+            Some((address, operators)) => Ok(Daemon {
+                child,
+                address,
+                operators,
+                log,
+                files,
+            }),
             None => {
                 let _ = child.kill();
                 let _ = child.wait();
-                let last = log.lock().unwrap_or_else(|e| e.into_inner()).last().cloned();
-                Err(io::Error::other(last.unwrap_or_else(|| "it said nothing".to_string())))
+                let last = log
+                    .lock()
+                    .unwrap_or_else(|e| e.into_inner())
+                    .last()
+                    .cloned();
+                Err(io::Error::other(
+                    last.unwrap_or_else(|| "it said nothing".to_string()),
+                ))
             }
         }
     }
@@ -124,24 +152,31 @@
 
     /// The most memory that it ever held, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .unwrap_or_default();
         let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        let kib = line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse::<u64>().ok());
+        let kib = line
+            .and_then(|l| l.split_whitespace().next())
+            .and_then(|n| n.parse::<u64>().ok());
         kib.unwrap_or(0) * 1024
     }
 
     /// Processor time that its threads used so far, by the scheduler's count in nanoseconds.
     pub fn cpu(&self) -> Duration {
-        let tasks =
-            std::fs::read_dir(format!("/proc/{}/task", self.child.id())).into_iter().flatten().flatten();
-        let used = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok());
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()))
+            .into_iter()
+            .flatten()
+            .flatten();
+        let used =
+            tasks.filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok());
         let used = used.filter_map(|text| text.split_whitespace().next()?.parse::<u64>().ok());
         Duration::from_nanos(used.sum())
     }
 
     /// Descriptors that it holds now.
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |entries| entries.count())
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .map_or(0, |entries| entries.count())
     }
 
     /// Sends it a signal by its number.
@@ -167,7 +202,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+        self.files
+            .iter()
+            .for_each(|file| drop(std::fs::remove_file(file)));
     }
 }
 
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -51,7 +51,10 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, mut list: watch::Receiver<(u64, Vec<Value>)>) -> io::Result<()> {
+async fn serve(
+    mut stream: TcpStream,
+    mut list: watch::Receiver<(u64, Vec<Value>)>,
+) -> io::Result<()> {
     let mut rest = Vec::new();
     while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
         if let (Some(after), Some(wait)) = (request.query("after"), request.query("wait_ms")) {
@@ -63,7 +66,10 @@
         let news = request.query("after").is_none_or(|after| rev > after);
         let targets = if news { targets } else { Vec::new() };
         let body = json!({"rev": rev, "all": news, "targets": targets}).to_string();
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
         stream.write_all(answer.as_bytes()).await?;
     }
     Ok(())
--- a/crates/standins/src/etcd.rs
+++ b/crates/standins/src/etcd.rs
@@ -62,8 +62,14 @@
 impl Registry {
     /// An empty one that compacts whatever is older than `keep` revisions at once; 0: it keeps all.
     pub fn new(cluster: u64, keep: i64) -> Self {
-        let store =
-            Store { cluster, revision: 1, compacted: 0, keep, kvs: BTreeMap::new(), history: Vec::new() };
+        let store = Store {
+            cluster,
+            revision: 1,
+            compacted: 0,
+            keep,
+            kvs: BTreeMap::new(),
+            history: Vec::new(),
+        };
         Registry {
             store: Arc::new(Mutex::new(store)),
             news: Arc::new(watch::Sender::new(1)),
@@ -115,8 +121,14 @@
     pub fn begin_anew(&self, cluster: u64) {
         let mut store = self.store();
         let keep = store.keep;
-        *store =
-            Store { cluster, revision: 1, compacted: 0, keep, kvs: BTreeMap::new(), history: Vec::new() };
+        *store = Store {
+            cluster,
+            revision: 1,
+            compacted: 0,
+            keep,
+            kvs: BTreeMap::new(),
+            history: Vec::new(),
+        };
     }
 
     fn change(&self, key: &[u8], value: Option<Vec<u8>>) -> i64 {
@@ -137,12 +149,24 @@
                     lease: 0,
                 };
                 store.kvs.insert(key.to_vec(), kv.clone());
-                proto::Event { r#type: proto::EventType::Put as i32, kv: Some(kv), prev_kv: old }
+                proto::Event {
+                    r#type: proto::EventType::Put as i32,
+                    kv: Some(kv),
+                    prev_kv: old,
+                }
             }
             None => {
                 store.kvs.remove(key);
-                let kv = proto::KeyValue { key: key.to_vec(), mod_revision: revision, ..Default::default() };
-                proto::Event { r#type: proto::EventType::Delete as i32, kv: Some(kv), prev_kv: old }
+                let kv = proto::KeyValue {
+                    key: key.to_vec(),
+                    mod_revision: revision,
+                    ..Default::default()
+                };
+                proto::Event {
+                    r#type: proto::EventType::Delete as i32,
+                    kv: Some(kv),
+                    prev_kv: old,
+                }
             }
         };
         store.history.push(event);
@@ -157,7 +181,10 @@
 
     fn allowed<T>(&self, request: &Request<T>) -> Result<(), Status> {
         let token = self.token.lock().unwrap_or_else(|e| e.into_inner()).clone();
-        let told = request.metadata().get("token").and_then(|t| t.to_str().ok());
+        let told = request
+            .metadata()
+            .get("token")
+            .and_then(|t| t.to_str().ok());
         match token.is_some() && told != token.as_deref() {
             true => Err(Status::unauthenticated("etcdserver: invalid auth token")),
             false => Ok(()),
@@ -168,15 +195,34 @@
         self.calls.ranges.fetch_add(1, Ordering::Relaxed);
         let store = self.store();
         if request.revision > 0 && request.revision < store.compacted {
-            return Err(Status::out_of_range("etcdserver: mvcc: required revision has been compacted"));
+            return Err(Status::out_of_range(
+                "etcdserver: mvcc: required revision has been compacted",
+            ));
         }
         let within = |key: &[u8]| within(key, &request.key, &request.range_end);
-        let at = if request.revision > 0 { request.revision } else { store.revision };
-        let all: Vec<_> = store.at(at).into_values().filter(|kv| within(&kv.key)).collect();
+        let at = if request.revision > 0 {
+            request.revision
+        } else {
+            store.revision
+        };
+        let all: Vec<_> = store
+            .at(at)
+            .into_values()
+            .filter(|kv| within(&kv.key))
+            .collect();
         let count = all.len();
-        let limit = if request.limit > 0 { request.limit as usize } else { usize::MAX };
+        let limit = if request.limit > 0 {
+            request.limit as usize
+        } else {
+            usize::MAX
+        };
         let kvs: Vec<_> = all.into_iter().take(limit).collect();
-        Ok(proto::RangeResponse { header: store.header(), more: kvs.len() < count, count: count as i64, kvs })
+        Ok(proto::RangeResponse {
+            header: store.header(),
+            more: kvs.len() < count,
+            count: count as i64,
+            kvs,
+        })
     }
 
     async fn watch(self, mut up: Streaming<proto::WatchRequest>, down: Down) -> Option<()> {
@@ -188,11 +234,17 @@
         };
         self.calls.watches.fetch_add(1, Ordering::Relaxed);
         let mut news = self.news.subscribe();
-        let created =
-            proto::WatchResponse { header: self.store().header(), created: true, ..Default::default() };
+        let created = proto::WatchResponse {
+            header: self.store().header(),
+            created: true,
+            ..Default::default()
+        };
         down.send(Ok(created)).await.ok()?;
-        let mut next =
-            if create.start_revision > 0 { create.start_revision } else { self.store().revision + 1 };
+        let mut next = if create.start_revision > 0 {
+            create.start_revision
+        } else {
+            self.store().revision + 1
+        };
         loop {
             let (events, compacted, header) = {
                 let store = self.store();
@@ -204,7 +256,10 @@
                 };
                 let mut events: Vec<_> = store.history.iter().filter(after).cloned().collect();
                 // Told only where it is asked for.
-                events.iter_mut().filter(|_| !create.prev_kv).for_each(|event| event.prev_kv = None);
+                events
+                    .iter_mut()
+                    .filter(|_| !create.prev_kv)
+                    .for_each(|event| event.prev_kv = None);
                 let compacted = (next < store.compacted).then_some(store.compacted);
                 let header = store.header();
                 next = next.max(store.revision + 1);
@@ -261,13 +316,23 @@
 impl Store {
     fn header(&self) -> Option<proto::ResponseHeader> {
         let (cluster_id, revision) = (self.cluster, self.revision);
-        Some(proto::ResponseHeader { cluster_id, member_id: 1, revision, raft_term: 2 })
+        Some(proto::ResponseHeader {
+            cluster_id,
+            member_id: 1,
+            revision,
+            raft_term: 2,
+        })
     }
 
     /// The keys as they were at a revision: what each was before its first change after that.
     fn at(&self, revision: i64) -> BTreeMap<Vec<u8>, proto::KeyValue> {
         let mut kvs = self.kvs.clone();
-        let later = |event: &&proto::Event| event.kv.as_ref().is_some_and(|kv| kv.mod_revision > revision);
+        let later = |event: &&proto::Event| {
+            event
+                .kv
+                .as_ref()
+                .is_some_and(|kv| kv.mod_revision > revision)
+        };
         for event in self.history.iter().rev().filter(later) {
             let Some(kv) = &event.kv else { continue };
             match &event.prev_kv {
@@ -281,7 +346,12 @@
     fn compact(&mut self, revision: i64) {
         if revision > self.compacted {
             self.compacted = revision;
-            self.history.retain(|event| event.kv.as_ref().is_some_and(|kv| kv.mod_revision >= revision));
+            self.history.retain(|event| {
+                event
+                    .kv
+                    .as_ref()
+                    .is_some_and(|kv| kv.mod_revision >= revision)
+            });
         }
     }
 }
@@ -313,10 +383,14 @@
 {
     Box::pin(async move {
         let service = tower::service_fn(move |request: Request<M>| {
-            let answer = registry.allowed(&request).and_then(|()| answer(&registry, request.into_inner()));
+            let answer = registry
+                .allowed(&request)
+                .and_then(|()| answer(&registry, request.into_inner()));
             std::future::ready(answer.map(Response::new))
         });
-        Ok(Grpc::new(ProstCodec::<A, M>::default()).unary(service, request).await)
+        Ok(Grpc::new(ProstCodec::<A, M>::default())
+            .unary(service, request)
+            .await)
     })
 }
 
@@ -335,21 +409,37 @@
             proto::path::RANGE => unary(registry, request, |r, m: proto::RangeRequest| r.range(&m)),
             proto::path::PUT => unary(registry, request, |r, m: proto::PutRequest| {
                 r.change(&m.key, Some(m.value));
-                Ok(proto::PutResponse { header: r.store().header() })
-            }),
-            proto::path::DELETE_RANGE => unary(registry, request, |r, m: proto::DeleteRangeRequest| {
-                let range = proto::RangeRequest { key: m.key, range_end: m.range_end, ..Default::default() };
-                let found = r.range(&range)?;
-                for kv in &found.kvs {
-                    r.change(&kv.key, None);
-                }
-                Ok(proto::DeleteRangeResponse { header: r.store().header(), deleted: found.count })
+                Ok(proto::PutResponse {
+                    header: r.store().header(),
+                })
             }),
+            proto::path::DELETE_RANGE => {
+                unary(registry, request, |r, m: proto::DeleteRangeRequest| {
+                    let range = proto::RangeRequest {
+                        key: m.key,
+                        range_end: m.range_end,
+                        ..Default::default()
+                    };
+                    let found = r.range(&range)?;
+                    for kv in &found.kvs {
+                        r.change(&kv.key, None);
+                    }
+                    Ok(proto::DeleteRangeResponse {
+                        header: r.store().header(),
+                        deleted: found.count,
+                    })
+                })
+            }
             proto::path::COMPACT => unary(registry, request, |r, m: proto::CompactionRequest| {
                 r.compact(m.revision);
-                Ok(proto::CompactionResponse { header: r.store().header() })
+                Ok(proto::CompactionResponse {
+                    header: r.store().header(),
+                })
             }),
-            _ => Box::pin(std::future::ready(Ok(Status::unimplemented("no such call").into_http()))),
+            _ => Box::pin(std::future::ready(Ok(Status::unimplemented(
+                "no such call",
+            )
+            .into_http()))),
         }
     }
 }
@@ -373,14 +463,15 @@
     fn call(&mut self, request: http::Request<Body>) -> Answered {
         let registry = self.0.clone();
         Box::pin(async move {
-            let service = tower::service_fn(move |request: Request<Streaming<proto::WatchRequest>>| {
-                let answer = registry.allowed(&request).map(|()| {
-                    let (down, answers) = mpsc::channel(64);
-                    tokio::spawn(registry.clone().watch(request.into_inner(), down));
-                    Response::new(ReceiverStream::new(answers))
+            let service =
+                tower::service_fn(move |request: Request<Streaming<proto::WatchRequest>>| {
+                    let answer = registry.allowed(&request).map(|()| {
+                        let (down, answers) = mpsc::channel(64);
+                        tokio::spawn(registry.clone().watch(request.into_inner(), down));
+                        Response::new(ReceiverStream::new(answers))
+                    });
+                    std::future::ready(answer)
                 });
-                std::future::ready(answer)
-            });
             let codec = ProstCodec::<proto::WatchResponse, proto::WatchRequest>::default();
             Ok(Grpc::new(codec).streaming(service, request).await)
         })
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -21,7 +21,10 @@
 impl Message {
     /// The first header of that name.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
     }
 
     /// A whole number in a request's query.
@@ -33,7 +36,8 @@
 
     /// True where the other side closes after it.
     pub fn closes(&self) -> bool {
-        self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
+        self.header("connection")
+            .is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -70,7 +74,10 @@
             n => rest.extend_from_slice(&piece[..n]),
         }
     };
-    let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     rest.drain(..head);
     while rest.len() < length {
         match stream.read(&mut piece).await? {
@@ -92,17 +99,35 @@
                 return Ok(None);
             };
             let part = |part: Option<&str>| part.unwrap_or_default().to_string();
-            ((part(request.method), part(request.path)), head, request.headers)
+            (
+                (part(request.method), part(request.path)),
+                head,
+                request.headers,
+            )
         }
         Kind::Answer => {
             let mut answer = httparse::Response::new(&mut headers);
             let httparse::Status::Complete(head) = answer.parse(bytes).map_err(wrong)? else {
                 return Ok(None);
             };
-            ((answer.code.unwrap_or(0).to_string(), String::new()), head, answer.headers)
+            (
+                (answer.code.unwrap_or(0).to_string(), String::new()),
+                head,
+                answer.headers,
+            )
         }
     };
     let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
-    let headers = headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
-    Ok(Some((Message { first, headers, body: Vec::new() }, head)))
+    let headers = headers
+        .iter()
+        .map(|h| (h.name.to_ascii_lowercase(), text(h.value)))
+        .collect();
+    Ok(Some((
+        Message {
+            first,
+            headers,
+            body: Vec::new(),
+        },
+        head,
+    )))
 }
--- a/crates/standins/src/instance.rs
+++ b/crates/standins/src/instance.rs
@@ -53,7 +53,14 @@
 impl Default for Script {
     fn default() -> Self {
         let work = (Duration::from_millis(20), Duration::from_millis(60));
-        Script { seed: 1, work, slots: 16, body: 64, odd: None, step: Duration::from_millis(50) }
+        Script {
+            seed: 1,
+            work,
+            slots: 16,
+            body: 64,
+            odd: None,
+            step: Duration::from_millis(50),
+        }
     }
 }
 
@@ -93,18 +100,25 @@
         let (shared, counts) = (script.clone(), seen.clone());
         tokio::spawn(async move {
             for number in 0u64.. {
-                let Ok((stream, _)) = listener.accept().await else { return };
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
                 let (script, seen, slots) = (shared.clone(), counts.clone(), slots.clone());
                 tokio::spawn(async move {
                     let _ = stream.set_nodelay(true);
                     seen.connections.fetch_add(1, Ordering::Relaxed);
-                    let rng = SmallRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(number));
+                    let rng =
+                        SmallRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(number));
                     let _ = serve(stream, rng, &script, &seen, &slots).await;
                     seen.connections.fetch_sub(1, Ordering::Relaxed);
                 });
             }
         });
-        Ok(Instance { address, seen, script })
+        Ok(Instance {
+            address,
+            seen,
+            script,
+        })
     }
 
     /// Changes the script for requests to come.
@@ -149,7 +163,11 @@
 
 /// The body names the request that it was made for, so that a client can tell whose answer it got.
 fn body(request: &Message, length: usize) -> Vec<u8> {
-    let mut body = request.header("x-correlation-id").unwrap_or_default().as_bytes().to_vec();
+    let mut body = request
+        .header("x-correlation-id")
+        .unwrap_or_default()
+        .as_bytes()
+        .to_vec();
     body.resize(length.max(body.len()), b'.');
     body
 }
@@ -190,7 +208,9 @@
         Manner::Chunks => {
             stream.write_all(head).await?;
             for byte in &body {
-                stream.write_all(&[b"1\r\n", std::slice::from_ref(byte), b"\r\n"].concat()).await?;
+                stream
+                    .write_all(&[b"1\r\n", std::slice::from_ref(byte), b"\r\n"].concat())
+                    .await?;
             }
             stream.write_all(b"0\r\n\r\n").await
         }
@@ -210,6 +230,8 @@
     let mut byte = [0];
     match stream.peek(&mut byte).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
-        _ => Err(io::Error::other("a request behind an answer that is not whole")),
+        _ => Err(io::Error::other(
+            "a request behind an answer that is not whole",
+        )),
     }
 }
--- a/crates/standins/src/wait.rs
+++ b/crates/standins/src/wait.rs
@@ -16,5 +16,8 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
-    assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "never: {what}");
+    assert!(
+        tokio::time::timeout(PATIENCE, wait).await.is_ok(),
+        "never: {what}"
+    );
 }
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -38,7 +38,11 @@
     pub async fn to(server: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (state, follower) = watch::channel(State { round: 0, silent: false, refused: false });
+        let (state, follower) = watch::channel(State {
+            round: 0,
+            silent: false,
+            refused: false,
+        });
         let connections = Arc::new((AtomicU64::new(0), AtomicUsize::new(0)));
         let counts = connections.clone();
         tokio::spawn(async move {
@@ -55,7 +59,11 @@
                 });
             }
         });
-        Ok(Wire { address, state, connections })
+        Ok(Wire {
+            address,
+            state,
+            connections,
+        })
     }
 
     /// Cuts all connections that are up.
@@ -74,7 +82,11 @@
     }
 }
 
-async fn pass(client: TcpStream, server: SocketAddr, mut state: watch::Receiver<State>) -> io::Result<()> {
+async fn pass(
+    client: TcpStream,
+    server: SocketAddr,
+    mut state: watch::Receiver<State>,
+) -> io::Result<()> {
     let round = state.borrow().round;
     let server = TcpStream::connect(server).await?;
     client.set_nodelay(true)?;
--- a/crates/standins/tests/etcd.rs
+++ b/crates/standins/tests/etcd.rs
@@ -12,16 +12,29 @@
     for i in 0..5 {
         client.put(format!("/m/s-{i}"), "{}", None).await.unwrap();
     }
-    let list = client.get("/m/", Some(GetOptions::new().with_prefix())).await.unwrap();
+    let list = client
+        .get("/m/", Some(GetOptions::new().with_prefix()))
+        .await
+        .unwrap();
     assert_eq!(
-        (list.count(), list.header().unwrap().cluster_id(), list.header().unwrap().revision()),
+        (
+            list.count(),
+            list.header().unwrap().cluster_id(),
+            list.header().unwrap().revision()
+        ),
         (5, 7, 6)
     );
-    let page = client.get("/m/", Some(GetOptions::new().with_prefix().with_limit(2))).await.unwrap();
+    let page = client
+        .get("/m/", Some(GetOptions::new().with_prefix().with_limit(2)))
+        .await
+        .unwrap();
     assert_eq!((page.kvs().len(), page.more(), page.count()), (2, true, 5));
 
     // From the past on: what happened since comes first.
-    let options = WatchOptions::new().with_prefix().with_start_revision(5).with_fragment();
+    let options = WatchOptions::new()
+        .with_prefix()
+        .with_start_revision(5)
+        .with_fragment();
     let mut stream = client.watch("/m/", Some(options)).await.unwrap();
     client.delete("/m/s-0", None).await.unwrap();
     let mut seen = Vec::new();
@@ -53,8 +66,13 @@
 async fn a_wire_that_is_cut_ends_a_watch_and_a_silent_one_holds_it() {
     let registry = Registry::new(7, 0);
     let wire = Wire::to(registry.listen().await.unwrap()).await.unwrap();
-    let mut client = Client::connect([wire.address.to_string()], None).await.unwrap();
-    let mut stream = client.watch("/m/", Some(WatchOptions::new().with_prefix())).await.unwrap();
+    let mut client = Client::connect([wire.address.to_string()], None)
+        .await
+        .unwrap();
+    let mut stream = client
+        .watch("/m/", Some(WatchOptions::new().with_prefix()))
+        .await
+        .unwrap();
     registry.put("/m/a", "1");
     while stream.message().await.unwrap().unwrap().events().is_empty() {}
     wire.silence(true);
--- a/crates/turns/src/roll.rs
+++ b/crates/turns/src/roll.rs
@@ -39,25 +39,45 @@
     /// As text.
     pub fn write(&self) -> String {
         let code = |bits: &[u8]| STANDARD_NO_PAD.encode(bits);
-        format!("{HEAD} {} {} {} {}", self.offset, self.latest, code(&self.started), code(&self.without))
+        format!(
+            "{HEAD} {} {} {} {}",
+            self.offset,
+            self.latest,
+            code(&self.started),
+            code(&self.without)
+        )
     }
 
     /// From text; nothing of one that is torn, foreign or of another version.
     pub fn read(text: &str) -> Option<Self> {
         let mut parts = text.strip_prefix(HEAD)?.strip_prefix(' ')?.split(' ');
         let mut number = || {
-            let digits = parts.next().filter(|p| !p.is_empty() && p.bytes().all(|b| b.is_ascii_digit()))?;
+            let digits = parts
+                .next()
+                .filter(|p| !p.is_empty() && p.bytes().all(|b| b.is_ascii_digit()))?;
             digits.parse::<u64>().ok()
         };
         let (offset, latest) = (number()?, number().filter(|ms| *ms <= LATEST)?);
-        let mut bits =
-            || STANDARD_NO_PAD.decode(parts.next()?).ok().filter(|b| b.len() <= SLICE as usize / 8);
+        let mut bits = || {
+            STANDARD_NO_PAD
+                .decode(parts.next()?)
+                .ok()
+                .filter(|b| b.len() <= SLICE as usize / 8)
+        };
         let (started, without) = (bits()?, bits()?);
         let whole = parts.next().is_none() && started.len() == without.len();
         let offset = u32::try_from(offset).ok().filter(|o| o % SLICE == 0)?;
         // Nobody lacks a list who has not started.
-        let sound = started.iter().zip(&without).all(|(all, part)| part & !all == 0);
-        (whole && sound).then_some(Muster { offset, latest, started, without })
+        let sound = started
+            .iter()
+            .zip(&without)
+            .all(|(all, part)| part & !all == 0);
+        (whole && sound).then_some(Muster {
+            offset,
+            latest,
+            started,
+            without,
+        })
     }
 }
 
@@ -94,7 +114,9 @@
         let bytes = vec![0; (fleet as usize).div_ceil(8)];
         let n = u64::from(fleet.max(1));
         // A step without a common part takes each place once.
-        let step = ((n as f64 * GOLDEN) as u64..).find(|step| gcd(*step, n) == 1).unwrap_or(1);
+        let step = ((n as f64 * GOLDEN) as u64..)
+            .find(|step| gcd(*step, n) == 1)
+            .unwrap_or(1);
         Roll {
             started: bytes.clone(),
             without: bytes,
@@ -154,7 +176,9 @@
                 news |= self.enter(peer, part & (1 << bit) != 0);
             }
         }
-        let own = self.started[word.offset as usize / 8..].iter().take(SLICE as usize / 8);
+        let own = self.started[word.offset as usize / 8..]
+            .iter()
+            .take(SLICE as usize / 8);
         let own: u32 = own.map(|byte| byte.count_ones()).sum();
         if news {
             self.still = 0;
@@ -175,21 +199,34 @@
         let slices = self.fleet.div_ceil(SLICE);
         self.slice = (self.slice + 1) % slices;
         let offset = self.slice * SLICE;
-        let (from, to) = (offset as usize / 8, self.started.len().min((offset + SLICE) as usize / 8));
-        let (mut started, mut without) = (self.started[from..to].to_vec(), self.without[from..to].to_vec());
+        let (from, to) = (
+            offset as usize / 8,
+            self.started.len().min((offset + SLICE) as usize / 8),
+        );
+        let (mut started, mut without) = (
+            self.started[from..to].to_vec(),
+            self.without[from..to].to_vec(),
+        );
         if let Some(bare) = own.filter(|_| (offset..offset + SLICE).contains(&self.me)) {
             let (byte, bit) = (self.me as usize / 8 - from, 1 << (self.me % 8));
             started[byte] |= bit;
             without[byte] |= if bare { bit } else { 0 };
         }
-        Muster { offset, latest: latest.min(LATEST), started, without }
+        Muster {
+            offset,
+            latest: latest.min(LATEST),
+            started,
+            without,
+        }
     }
 
     /// Peers on it, in order; whether each has no list.
     pub fn peers(&self) -> impl Iterator<Item = (u32, bool)> + '_ {
         let has = |bits: &[u8], peer: u32| bits[peer as usize / 8] & (1 << (peer % 8)) != 0;
         let there = move |peer: &u32| has(&self.started, *peer);
-        (0..self.fleet).filter(there).map(move |peer| (peer, has(&self.without, peer)))
+        (0..self.fleet)
+            .filter(there)
+            .map(move |peer| (peer, has(&self.without, peer)))
     }
 
     /// How many are on it, and how many of them have no list.
@@ -218,7 +255,11 @@
             for _ in 0..fleet.div_ceil(SLICE) {
                 let word = roll.word(Some(true), u64::MAX);
                 let text = word.write();
-                assert!(text.len() <= 256 && Muster::is(&text), "{fleet}: {} bytes", text.len());
+                assert!(
+                    text.len() <= 256 && Muster::is(&text),
+                    "{fleet}: {} bytes",
+                    text.len()
+                );
                 assert_eq!(Muster::read(&text).as_ref(), Some(&word));
                 other.hear(&word);
             }
@@ -234,9 +275,14 @@
         let early = peer.word(Some(false), 5);
         peer.enter(7, true);
         let late = peer.word(Some(false), 5);
-        [&late, &early, &late].into_iter().for_each(|word| roll.hear(word));
+        [&late, &early, &late]
+            .into_iter()
+            .for_each(|word| roll.hear(word));
         assert_eq!(roll.peers().collect::<Vec<_>>(), [(4, false), (7, true)]);
-        assert!(!roll.whole(), "the last one alone knew as much and brought nothing new");
+        assert!(
+            !roll.whole(),
+            "the last one alone knew as much and brought nothing new"
+        );
         roll.hear(&early);
         assert!(!roll.whole(), "one that knows less says nothing of it");
         roll.hear(&late);
@@ -269,11 +315,26 @@
         let mut roll = Roll::new(4, 0);
         // So far beyond that numbers of ingresses would begin anew.
         let last = u32::MAX / SLICE * SLICE;
-        let far = Muster { offset: last, latest: 0, started: vec![255; 80], without: vec![0; 80] };
+        let far = Muster {
+            offset: last,
+            latest: 0,
+            started: vec![255; 80],
+            without: vec![0; 80],
+        };
         roll.hear(&Muster::read(&far.write()).expect("well-formed"));
         assert_eq!(roll.counts(), (0, 0), "nobody from beyond all numbers");
-        roll.hear(&Muster { offset: 640, latest: 0, started: vec![255], without: vec![0] });
-        roll.hear(&Muster { offset: 0, latest: 0, started: vec![255; 80], without: vec![0; 80] });
+        roll.hear(&Muster {
+            offset: 640,
+            latest: 0,
+            started: vec![255],
+            without: vec![0],
+        });
+        roll.hear(&Muster {
+            offset: 0,
+            latest: 0,
+            started: vec![255; 80],
+            without: vec![0; 80],
+        });
         assert_eq!(roll.counts(), (3, 0), "nobody beyond the fleet");
     }
 }
--- a/crates/turns/src/settings.rs
+++ b/crates/turns/src/settings.rs
@@ -25,6 +25,10 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { enabled: Switch(false), calls_per_s: 100.0, ask_peers: 4 }
+        Settings {
+            enabled: Switch(false),
+            calls_per_s: 100.0,
+            ask_peers: 4,
+        }
     }
 }
--- a/crates/turns/src/turns.rs
+++ b/crates/turns/src/turns.rs
@@ -89,7 +89,14 @@
 
 impl Turns {
     /// One of a fleet of so many that starts now, with this list. `unix`: the Unix time of the caller's moment 0, s.
-    pub fn new(set: &Settings, (fleet, me): (u32, u32), list: List, seed: u64, now: f64, unix: f64) -> Self {
+    pub fn new(
+        set: &Settings,
+        (fleet, me): (u32, u32),
+        list: List,
+        seed: u64,
+        now: f64,
+        unix: f64,
+    ) -> Self {
         Turns {
             calls_per_s: set.calls_per_s,
             ask_peers: set.ask_peers,
@@ -132,7 +139,11 @@
             rev: self.list.rev(),
             current: matches!(self.list, List::Told(_)),
             busy: now - self.busy < BUSY,
-            starting: self.starting.iter().filter(|(_, at, _)| now - at < LATELY).count() as u32,
+            starting: self
+                .starting
+                .iter()
+                .filter(|(_, at, _)| now - at < LATELY)
+                .count() as u32,
         }
     }
 
@@ -151,7 +162,8 @@
         }
         let young = (word.age as f64) < LATELY * 10.0;
         if young {
-            self.starting.retain(|(peer, at, _)| *peer != from && now - at < LATELY);
+            self.starting
+                .retain(|(peer, at, _)| *peer != from && now - at < LATELY);
             self.starting.push((from, now, word.rev.is_some()));
             // One that has its list by now says no more which kind it is.
             if now - self.born < SPREAD.1 && !word.current {
@@ -189,7 +201,10 @@
     /// What it has of the roll, for a peer that asks: its own start's while that goes on, else whoever told it lately.
     pub fn muster(&mut self, now: f64) -> Muster {
         if self.spreads(now) {
-            return self.roll.word(Some(self.bare), ((self.origin + self.unix) * 1000.0).max(0.0) as u64);
+            return self.roll.word(
+                Some(self.bare),
+                ((self.origin + self.unix) * 1000.0).max(0.0) as u64,
+            );
         }
         let mut roll = Roll::new(self.fleet, self.me);
         for (peer, _, list) in self.starting.iter().filter(|(_, at, _)| now - at < LATELY) {
@@ -208,7 +223,12 @@
         let known = self.roll.counts().0;
         let to = match known {
             0 => (self.me + 1 + self.rng.random_range(0..self.fleet - 1)) % self.fleet,
-            _ => self.roll.peers().nth(self.rng.random_range(0..known) as usize)?.0,
+            _ => {
+                self.roll
+                    .peers()
+                    .nth(self.rng.random_range(0..known) as usize)?
+                    .0
+            }
         };
         Some((to, self.muster(now)))
     }
@@ -237,7 +257,10 @@
 
     /// How many of the fleet have started together with this one, as far as it can know from those it asked.
     pub fn together(&self) -> f64 {
-        let (n, asked) = (f64::from(self.fleet), f64::from(self.ask_peers.min(self.fleet - 1)));
+        let (n, asked) = (
+            f64::from(self.fleet),
+            f64::from(self.ask_peers.min(self.fleet - 1)),
+        );
         if asked == 0.0 {
             return 1.0;
         }
@@ -249,13 +272,24 @@
         let young = self.answers.iter().filter(|(_, young, _)| *young).count() as f64;
         // Each that starts asks so many peers: who hears h of them takes them for h * n / asked.
         // This one is among them.
-        let heard =
-            self.answers.iter().map(|(.., heard)| f64::from(heard.saturating_sub(1))).sum::<f64>() / answered;
+        let heard = self
+            .answers
+            .iter()
+            .map(|(.., heard)| f64::from(heard.saturating_sub(1)))
+            .sum::<f64>()
+            / answered;
         let own = self.starting.len() as f64;
-        let by_share = if self.answers.is_empty() { n } else { young / answered * n };
+        let by_share = if self.answers.is_empty() {
+            n
+        } else {
+            young / answered * n
+        };
         // Of those asked, who was silent may just not be up yet: half of them count as starting.
         let silent = (asked - self.answers.len() as f64).max(0.0) / 2.0 / asked * n;
-        by_share.max(heard.max(own - asked) * n / asked).max(silent).clamp(1.0, n)
+        by_share
+            .max(heard.max(own - asked) * n / asked)
+            .max(silent)
+            .clamp(1.0, n)
     }
 
     /// True while more words of peers could still change when its first turn is.
@@ -286,18 +320,32 @@
         // A kind that is known in whole has even steps of its own; of a part of it the rank says less than the place among
         // all does.
         let whole = self.roll.whole();
-        let of =
-            |kind: f64| if whole { (f64::from(self.roll.before(self.bare)) + 0.5) / kind } else { place };
+        let of = |kind: f64| {
+            if whole {
+                (f64::from(self.roll.before(self.bare)) + 0.5) / kind
+            } else {
+                place
+            }
+        };
         // Of the few that told at first, the share without a list says little.
         let doubt = if whole { 0.0 } else { 0.5 };
         let all = known + 1.0 + 2.0 * doubt;
         if self.bare {
-            let share = if without == known { 1.0 } else { (without + 1.0 + doubt) / all };
+            let share = if without == known {
+                1.0
+            } else {
+                (without + 1.0 + doubt) / all
+            };
             return of(without + 1.0) * share;
         }
-        let share = if without == 0.0 { 0.0 } else { (without + doubt) / all };
+        let share = if without == 0.0 {
+            0.0
+        } else {
+            (without + doubt) / all
+        };
         // Who knows that there is news goes before the others of its kind.
-        let news = matches!(self.list, List::Old(rev) if self.newest.is_some_and(|newest| newest > rev));
+        let news =
+            matches!(self.list, List::Old(rev) if self.newest.is_some_and(|newest| newest > rev));
         // Where callers are turned away, one that has a list leaves the service to the others for a window.
         let busy = without > 0.0 && matches!(self.list, List::Old(_)) && now - self.busy < BUSY;
         let place = of(known - without + 1.0) * if news && without > 0.0 { 0.5 } else { 1.0 };
@@ -319,7 +367,11 @@
         let lived = self.answers.iter().any(|(_, young, _)| !young);
         let some = lived && !self.roll.whole() || self.roll.whole() && known + 1 < self.fleet;
         let mixed = some || (1..=known).contains(&bare);
-        let waits = if mixed && self.whole() >= GATHER.1 { GATHER.0 } else { LISTEN };
+        let waits = if mixed && self.whole() >= GATHER.1 {
+            GATHER.0
+        } else {
+            LISTEN
+        };
         if window > 10.0 * LISTEN {
             self.origin + waits
         } else {
@@ -361,7 +413,13 @@
 
     /// The service turned this one away, broke off, or said nothing in time, so long after the call, s. The moment of
     /// the next call.
-    pub fn failed(&mut self, now: f64, waited: f64, turned_away: bool, retry_after: Option<f64>) -> f64 {
+    pub fn failed(
+        &mut self,
+        now: f64,
+        waited: f64,
+        turned_away: bool,
+        retry_after: Option<f64>,
+    ) -> f64 {
         self.failures = (self.failures + 1).min(16);
         if turned_away {
             self.busy = now;
@@ -379,13 +437,20 @@
         let guess = window < self.whole() && !self.roll.whole();
         let soon = if guess { SOON.1 } else { SOON.0 };
         if turned_away && self.list == List::None && self.failures <= soon && waited < HELD {
-            return now + LEAST + window * AGAIN * f64::from(self.failures) * self.rng.random::<f64>();
+            return now
+                + LEAST
+                + window * AGAIN * f64::from(self.failures) * self.rng.random::<f64>();
         }
         // Where it goes on, each comes less and less: without a list once in the whole fleet's window at the least, as
         // those with one leave the service to the others.
-        let most = if self.list == List::None { (self.whole() / window).max(1.0) } else { STRETCH };
+        let most = if self.list == List::None {
+            (self.whole() / window).max(1.0)
+        } else {
+            STRETCH
+        };
         let windows = f64::from(1u32 << (self.failures - 1)).min(most).floor();
-        self.slot(window, place, now + LEAST) + window * f64::from(self.rng.random_range(0..windows as u32))
+        self.slot(window, place, now + LEAST)
+            + window * f64::from(self.rng.random_range(0..windows as u32))
     }
 
     /// Begins anew with what it has: another service is named, to all of the fleet at about the same time.
--- a/crates/turns/src/word.rs
+++ b/crates/turns/src/word.rs
@@ -57,9 +57,19 @@
             }
             _ => return None,
         };
-        let starting: u32 = parts.next().filter(|p| p.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()?;
-        let word =
-            Word { asks: flags & 1 > 0, age, rev, current: flags & 2 > 0, busy: flags & 4 > 0, starting };
+        let starting: u32 = parts
+            .next()
+            .filter(|p| p.bytes().all(|b| b.is_ascii_digit()))?
+            .parse()
+            .ok()?;
+        let word = Word {
+            asks: flags & 1 > 0,
+            age,
+            rev,
+            current: flags & 2 > 0,
+            busy: flags & 4 > 0,
+            starting,
+        };
         parts.next().is_none().then_some(word)
     }
 }
@@ -78,7 +88,14 @@
             busy: true,
             starting: u32::MAX,
         };
-        let bare = Word { asks: false, age: 0, rev: None, current: false, busy: false, starting: 0 };
+        let bare = Word {
+            asks: false,
+            age: 0,
+            rev: None,
+            current: false,
+            busy: false,
+            starting: 0,
+        };
         for word in [full, bare] {
             let text = word.write();
             assert!(text.len() <= 256 && Word::is(&text), "{text}");
--- a/crates/turns/tests/fleets.rs
+++ b/crates/turns/tests/fleets.rs
@@ -73,7 +73,11 @@
 
     /// Words that one took in within a second, at the most.
     fn words(&self) -> usize {
-        self.words.values().map(|times| most(times, 1.0)).max().unwrap_or(0)
+        self.words
+            .values()
+            .map(|times| most(times, 1.0))
+            .max()
+            .unwrap_or(0)
     }
 
     fn last(&self) -> f64 {
@@ -84,7 +88,10 @@
 impl Play {
     fn run(self) -> Seen {
         let mut rng = SmallRng::seed_from_u64(self.seed);
-        let set = Settings { calls_per_s: self.calls_per_s, ..Settings::default() };
+        let set = Settings {
+            calls_per_s: self.calls_per_s,
+            ..Settings::default()
+        };
         let lives = (f64::from(self.fleet) * self.lived) as u32;
         let mut seen = Seen::default();
         // By the microsecond at which they come, and their number.
@@ -96,9 +103,24 @@
         born[..lives as usize].fill(-100.0);
         let mut fleet: Vec<Turns> = (0..self.fleet)
             .map(|me| {
-                let list = if me < lives { List::Told(9) } else { List::None };
-                let list = if me >= lives && rng.random_bool(self.old) { List::Old(7) } else { list };
-                Turns::new(&set, (self.fleet, me), list, rng.random(), born[me as usize], UNIX)
+                let list = if me < lives {
+                    List::Told(9)
+                } else {
+                    List::None
+                };
+                let list = if me >= lives && rng.random_bool(self.old) {
+                    List::Old(7)
+                } else {
+                    list
+                };
+                Turns::new(
+                    &set,
+                    (self.fleet, me),
+                    list,
+                    rng.random(),
+                    born[me as usize],
+                    UNIX,
+                )
             })
             .collect();
         let send = |rng: &mut SmallRng,
@@ -121,11 +143,16 @@
             for me in lives..self.fleet {
                 if born[me as usize] < now && !due.contains_key(&me) {
                     let (word, peers) = fleet[me as usize].hello(now);
-                    peers.into_iter().for_each(|to| send(&mut rng, &mut words, now, (me, to), word.write()));
+                    peers
+                        .into_iter()
+                        .for_each(|to| send(&mut rng, &mut words, now, (me, to), word.write()));
                     due.insert(me, None);
                 }
             }
-            while let Some(first) = words.first_entry().filter(|w| w.key().0 as f64 <= now * 1e6) {
+            while let Some(first) = words
+                .first_entry()
+                .filter(|w| w.key().0 as f64 <= now * 1e6)
+            {
                 let (from, to, text) = first.remove();
                 // Nobody is there yet.
                 if born[to as usize] >= now {
@@ -144,7 +171,12 @@
                 }
             }
             // Nobody passes the roll on later than that.
-            for me in due.keys().copied().take_while(|_| now < self.births + 2.1).collect::<Vec<_>>() {
+            for me in due
+                .keys()
+                .copied()
+                .take_while(|_| now < self.births + 2.1)
+                .collect::<Vec<_>>()
+            {
                 if let Some((to, roll)) = fleet[me as usize].spread(now) {
                     send(&mut rng, &mut words, now, (me, to), roll.write());
                 }
@@ -191,9 +223,21 @@
 
 #[test]
 fn a_fleet_that_is_all_cold_calls_within_its_budget_and_is_through_soon() {
-    for (fleet, calls_per_s) in [(3, 20.0), (24, 20.0), (100, 20.0), (300, 60.0), (1000, 200.0)] {
+    for (fleet, calls_per_s) in [
+        (3, 20.0),
+        (24, 20.0),
+        (100, 20.0),
+        (300, 60.0),
+        (1000, 200.0),
+    ] {
         for seed in 0..10 {
-            let seen = Play { fleet, calls_per_s, seed, ..ALL_COLD }.run();
+            let seen = Play {
+                fleet,
+                calls_per_s,
+                seed,
+                ..ALL_COLD
+            }
+            .run();
             let least = f64::from(fleet) / calls_per_s;
             assert_eq!(seen.listed.len(), fleet as usize, "all have their list");
             assert!(
@@ -215,12 +259,26 @@
     for (fleet, births) in [(24, 0.3), (100, 0.6), (300, 0.4)] {
         let calls_per_s = f64::from(fleet) / 5.0;
         for seed in 0..10 {
-            let seen = Play { fleet, calls_per_s, births, seed, ..ALL_COLD }.run();
+            let seen = Play {
+                fleet,
+                calls_per_s,
+                births,
+                seed,
+                ..ALL_COLD
+            }
+            .run();
             assert_eq!(seen.listed.len(), fleet as usize);
             let most = seen.most(1.0) as f64;
-            assert!(most <= 1.25 * calls_per_s + 3.0, "{fleet}, {seed}: {most} calls in a second");
+            assert!(
+                most <= 1.25 * calls_per_s + 3.0,
+                "{fleet}, {seed}: {most} calls in a second"
+            );
             // Each from its own birth: up to 37 of 24 and 97 of 100.
-            assert!(seen.turned_away <= 12, "{fleet}, {seed}: {} turned away", seen.turned_away);
+            assert!(
+                seen.turned_away <= 12,
+                "{fleet}, {seed}: {} turned away",
+                seen.turned_away
+            );
             // One turned away by those that called before they knew of the others comes again a window later.
             assert!(
                 seen.last() <= births + 2.1 * 5.0,
@@ -236,7 +294,15 @@
     for fleet in [1, 3, 30, 300, 1000] {
         for seed in 0..10 {
             let lived = 1.0 - 1.0 / f64::from(fleet) + 1e-9;
-            let seen = Play { fleet, lived, calls_per_s: 20.0, loss: 0.0, seed, ..ALL_COLD }.run();
+            let seen = Play {
+                fleet,
+                lived,
+                calls_per_s: 20.0,
+                loss: 0.0,
+                seed,
+                ..ALL_COLD
+            }
+            .run();
             assert_eq!(seen.listed.len(), 1);
             assert!(seen.last() <= 0.1, "{fleet}, {seed}: {} s", seen.last());
         }
@@ -246,7 +312,12 @@
 #[test]
 fn where_all_words_are_lost_the_whole_fleet_is_reckoned_with() {
     for seed in 0..10 {
-        let seen = Play { loss: 1.0, seed, ..ALL_COLD }.run();
+        let seen = Play {
+            loss: 1.0,
+            seed,
+            ..ALL_COLD
+        }
+        .run();
         assert!(
             seen.most(1.0) <= 66 && seen.last() <= 6.3,
             "{} in a second, {} s",
@@ -260,12 +331,23 @@
 fn whoever_has_no_list_goes_before_those_with_an_old_one() {
     let (mut without, mut with) = (Vec::new(), Vec::new());
     for seed in 0..10 {
-        let play = Play { old: 0.5, seed, ..ALL_COLD };
+        let play = Play {
+            old: 0.5,
+            seed,
+            ..ALL_COLD
+        };
         // Drawn as in the play.
         let mut rng = SmallRng::seed_from_u64(seed);
-        let old: Vec<bool> = (0..300).map(|_| (rng.random_bool(0.5), rng.random::<u64>()).0).collect();
+        let old: Vec<bool> = (0..300)
+            .map(|_| (rng.random_bool(0.5), rng.random::<u64>()).0)
+            .collect();
         for (me, at) in play.run().listed {
-            if old[me as usize] { &mut with } else { &mut without }.push(at);
+            if old[me as usize] {
+                &mut with
+            } else {
+                &mut without
+            }
+            .push(at);
         }
     }
     let mean = |times: &[f64]| times.iter().sum::<f64>() / times.len() as f64;
@@ -280,27 +362,55 @@
 #[test]
 fn a_service_that_bears_half_of_what_is_said_of_it_is_not_overrun() {
     for seed in 0..10 {
-        let seen = Play { bears: 0.5, seed, ..ALL_COLD }.run();
+        let seen = Play {
+            bears: 0.5,
+            seed,
+            ..ALL_COLD
+        }
+        .run();
         assert_eq!(seen.listed.len(), 300);
-        assert!(seen.turned_away <= 600, "{seed}: {} turned away", seen.turned_away);
+        assert!(
+            seen.turned_away <= 600,
+            "{seed}: {} turned away",
+            seen.turned_away
+        );
         // 10 s at the least.
         assert!(seen.last() <= 30.0, "{seed}: {} s", seen.last());
     }
 }
 
 #[test]
-fn a_service_that_was_silent_gets_no_flood_when_it_is_back_though_it_answers_all_it_holds_at_once() {
-    for (fleet, silent, held) in [(300, 10.0, false), (300, 10.0, true), (24, 3.0, true), (1000, 30.0, true)]
-    {
+fn a_service_that_was_silent_gets_no_flood_when_it_is_back_though_it_answers_all_it_holds_at_once()
+{
+    for (fleet, silent, held) in [
+        (300, 10.0, false),
+        (300, 10.0, true),
+        (24, 3.0, true),
+        (1000, 30.0, true),
+    ] {
         let calls_per_s = f64::from(fleet) / 5.0;
         for seed in 0..10 {
-            let seen = Play { fleet, calls_per_s, silent, held, seed, ..ALL_COLD }.run();
+            let seen = Play {
+                fleet,
+                calls_per_s,
+                silent,
+                held,
+                seed,
+                ..ALL_COLD
+            }
+            .run();
             assert_eq!(seen.listed.len(), fleet as usize);
             let most = seen.most(1.0) as f64;
-            assert!(most <= 1.25 * calls_per_s + 3.0, "{fleet}, {seed}: {most} calls in a second");
+            assert!(
+                most <= 1.25 * calls_per_s + 3.0,
+                "{fleet}, {seed}: {most} calls in a second"
+            );
             // One window, and the time that a call takes to give up.
             let last = seen.last() - silent;
-            assert!(last <= 1.25 * 5.0 + PATIENCE, "{fleet}, {seed}: the last list after {last} s more");
+            assert!(
+                last <= 1.25 * 5.0 + PATIENCE,
+                "{fleet}, {seed}: the last list after {last} s more"
+            );
         }
     }
 }
@@ -308,17 +418,33 @@
 #[test]
 fn seven_in_ten_that_start_again_are_reckoned_by_those_that_lived() {
     for seed in 0..10 {
-        let seen = Play { lived: 0.3, seed, ..ALL_COLD }.run();
-        assert!(seen.most(1.0) <= 78, "{seed}: {} calls in a second of 60", seen.most(1.0));
+        let seen = Play {
+            lived: 0.3,
+            seed,
+            ..ALL_COLD
+        }
+        .run();
+        assert!(
+            seen.most(1.0) <= 78,
+            "{seed}: {} calls in a second of 60",
+            seen.most(1.0)
+        );
         // The least is seven tenths of the window; the roll goes round in the first second.
         assert!(seen.last() <= 5.0, "{seed}: {} s", seen.last());
-        assert!(seen.words() <= 40, "{seed}: {} words taken in by one in a second", seen.words());
+        assert!(
+            seen.words() <= 40,
+            "{seed}: {} words taken in by one in a second",
+            seen.words()
+        );
     }
 }
 
 #[test]
 fn a_peer_that_lies_costs_one_call_or_a_wait_within_the_window_and_nothing_else() {
-    let set = Settings { calls_per_s: 20.0, ..Settings::default() };
+    let set = Settings {
+        calls_per_s: 20.0,
+        ..Settings::default()
+    };
     let wild = Word {
         asks: false,
         age: 0,
@@ -334,16 +460,28 @@
     }
     // The whole fleet's window, twice where the service is said to be busy.
     assert!(turns.first(0.1) <= 2.0 * 300.0 / 20.0);
-    assert_eq!(turns.list(), List::Old(5), "a peer's revision is not its own");
+    assert_eq!(
+        turns.list(),
+        List::Old(5),
+        "a peer's revision is not its own"
+    );
 }
 
 #[test]
 fn answers_to_peers_are_few_however_many_ask() {
     let set = Settings::default();
     let mut turns = Turns::new(&set, (1000, 0), List::Told(5), 3, 0.0, UNIX);
-    let asks = Word { asks: true, age: 0, rev: None, current: false, busy: false, starting: 0 };
-    let answered =
-        (1..1000).filter(|from| turns.hear(f64::from(*from) / 1000.0, *from, asks).is_some()).count();
+    let asks = Word {
+        asks: true,
+        age: 0,
+        rev: None,
+        current: false,
+        busy: false,
+        starting: 0,
+    };
+    let answered = (1..1000)
+        .filter(|from| turns.hear(f64::from(*from) / 1000.0, *from, asks).is_some())
+        .count();
     assert!(answered <= 10, "{answered} answers in a second");
 }
 
@@ -355,12 +493,30 @@
     let mut missed = 0;
     for fleet in [24, 100, 300, 1000] {
         let calls_per_s = f64::from(fleet) / 5.0;
-        let all = Play { fleet, calls_per_s, ..ALL_COLD };
+        let all = Play {
+            fleet,
+            calls_per_s,
+            ..ALL_COLD
+        };
         for (name, play) in [
             ("no list", all),
             ("half have an old list", Play { old: 0.5, ..all }),
-            ("no list, silent 3 s, then all that is held at once", Play { silent: 3.0, held: true, ..all }),
-            ("no list, words 0.3 lost and 1 s late", Play { loss: 0.3, late: 1.0, ..all }),
+            (
+                "no list, silent 3 s, then all that is held at once",
+                Play {
+                    silent: 3.0,
+                    held: true,
+                    ..all
+                },
+            ),
+            (
+                "no list, words 0.3 lost and 1 s late",
+                Play {
+                    loss: 0.3,
+                    late: 1.0,
+                    ..all
+                },
+            ),
             ("seven in ten, the others lived", Play { lived: 0.3, ..all }),
             ("no list, born over 0.6 s", Play { births: 0.6, ..all }),
         ] {
@@ -380,6 +536,9 @@
             missed += usize::from(most > more * calls_per_s + 3.0 || last > 1.25 * least + 0.5);
         }
     }
-    println!("turns {}: 24 rows of 20 seeds, {missed} missed", if missed == 0 { "kept" } else { "missed" });
+    println!(
+        "turns {}: 24 rows of 20 seeds, {missed} missed",
+        if missed == 0 { "kept" } else { "missed" }
+    );
     assert_eq!(missed, 0, "rows beyond their goal");
 }
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -35,7 +35,11 @@
 
     /// Scaled.
     pub fn times(self, part: f64) -> Sums {
-        Sums { good: self.good * part, failing: self.failing * part, dead: self.dead * part }
+        Sums {
+            good: self.good * part,
+            failing: self.failing * part,
+            dead: self.dead * part,
+        }
     }
 
     /// Added up.
--- a/crates/zones/src/settings.rs
+++ b/crates/zones/src/settings.rs
@@ -33,6 +33,12 @@
 impl Default for Settings {
     fn default() -> Self {
         let enabled = Switch(false);
-        Settings { enabled, leave_at: 0.5, most_out: 0.5, canaries_per_s: 4.0, return_per_s: 0.05 }
+        Settings {
+            enabled,
+            leave_at: 0.5,
+            most_out: 0.5,
+            canaries_per_s: 4.0,
+            return_per_s: 0.05,
+        }
     }
 }
--- a/crates/zones/src/verdict.rs
+++ b/crates/zones/src/verdict.rs
@@ -71,7 +71,14 @@
 impl Standing {
     /// In use.
     pub fn new(now: f64) -> Self {
-        Standing { phase: Phase::In, share: 1.0, since: now, hold: HOLD.0, failed: 0, tried: Sums::default() }
+        Standing {
+            phase: Phase::In,
+            share: 1.0,
+            since: now,
+            hold: HOLD.0,
+            failed: 0,
+            tried: Sums::default(),
+        }
     }
 
     /// Another phase begins.
@@ -105,17 +112,28 @@
                 && views[*j].fleet.bad() <= set.leave_at * WELL
         };
         let others = order.iter().any(well);
-        let out: u32 =
-            (0..views.len()).filter(|j| standings[*j].phase != Phase::In).map(|j| views[j].servers).sum();
-        let lately = standings.iter().any(|s| s.phase != Phase::In && now - s.since < DOMINO);
+        let out: u32 = (0..views.len())
+            .filter(|j| standings[*j].phase != Phase::In)
+            .map(|j| views[j].servers)
+            .sum();
+        let lately = standings
+            .iter()
+            .any(|s| s.phase != Phase::In && now - s.since < DOMINO);
         let s = &mut standings[i];
         let lives = |seen: &Sums, least| seen.all() >= least && seen.bad() < set.leave_at / 2.0;
         let own_good = lives(&view.own, OWN) && (view.fresh.all() < 1.0 || lives(&view.fresh, 1.0));
         // A zone that fails, alive, soon after another was left may bear what moved: refusing is the ladder's matter.
         let dead = view.fleet.dead / view.fleet.all().max(1e-9);
-        let bad = if lately && s.phase == Phase::In { dead } else { view.fleet.bad() };
-        let says =
-            pooled && view.voices >= voices && view.fleet.all() >= LEAST && bad >= set.leave_at && !own_good;
+        let bad = if lately && s.phase == Phase::In {
+            dead
+        } else {
+            view.fleet.bad()
+        };
+        let says = pooled
+            && view.voices >= voices
+            && view.fleet.all() >= LEAST
+            && bad >= set.leave_at
+            && !own_good;
         s.failed = if says { s.failed + 1 } else { 0 };
         let fails = s.failed >= IN_A_ROW;
         let room = f64::from(out + view.servers) <= set.most_out * f64::from(all);
@@ -125,7 +143,11 @@
                 let follows = mean.is_some_and(|mean| mean < FOLLOW.0) && !own_good;
                 if pooled && others && room && (fails || follows) {
                     s.turn(now, Phase::Out, 0.0);
-                    let told = if fails { "left, the fleet sees" } else { "left, as the fleet has; it sees" };
+                    let told = if fails {
+                        "left, the fleet sees"
+                    } else {
+                        "left, as the fleet has; it sees"
+                    };
                     lines.push((i, format!("{told} {}", shares(&view.fleet))));
                 } else if now - s.since > FORGIVEN {
                     s.hold = HOLD.0;
@@ -152,9 +174,14 @@
                     let hold = s.hold;
                     s.turn(now, Phase::Out, 0.0);
                     let told = shares(&view.fleet);
-                    lines.push((i, format!("fails again, left for {hold:.0} s at the least: {told}")));
+                    lines.push((
+                        i,
+                        format!("fails again, left for {hold:.0} s at the least: {told}"),
+                    ));
                 } else {
-                    s.share = (s.share + set.return_per_s * passed).min(together.max(s.share)).min(1.0);
+                    s.share = (s.share + set.return_per_s * passed)
+                        .min(together.max(s.share))
+                        .min(1.0);
                     if s.share >= 1.0 {
                         s.turn(now, Phase::In, 1.0);
                         lines.push((i, "in full use again".to_string()));
--- a/crates/zones/src/word.rs
+++ b/crates/zones/src/word.rs
@@ -70,7 +70,11 @@
             let mut fields = word.split(':');
             let zone = number(fields.next(), u64::from(u16::MAX))? as u16;
             let mut part = |most| Some(number(fields.next(), most)? as f64 / PARTS);
-            let sums = Sums { good: part(LIMIT)?, failing: part(LIMIT)?, dead: part(LIMIT)? };
+            let sums = Sums {
+                good: part(LIMIT)?,
+                failing: part(LIMIT)?,
+                dead: part(LIMIT)?,
+            };
             let share = part(PARTS as u64)?;
             // Twice the same zone is no word of ours.
             if fields.next().is_some() || parts.iter().any(|p| p.zone == zone) {
@@ -78,7 +82,11 @@
             }
             parts.push(Part { zone, sums, share });
         }
-        Some(Word { life, number: count, parts })
+        Some(Word {
+            life,
+            number: count,
+            parts,
+        })
     }
 }
 
@@ -88,14 +96,31 @@
 
     #[test]
     fn a_word_is_read_as_it_was_written_and_fits_a_datagram_however_many_zones_there_are() {
-        let part = |zone| Part { zone, sums: Sums { good: 12.5, failing: 0.125, dead: 3.0 }, share: 0.25 };
-        let word = Word { life: u32::MAX, number: 7, parts: (0..3).map(part).collect() };
+        let part = |zone| Part {
+            zone,
+            sums: Sums {
+                good: 12.5,
+                failing: 0.125,
+                dead: 3.0,
+            },
+            share: 0.25,
+        };
+        let word = Word {
+            life: u32::MAX,
+            number: 7,
+            parts: (0..3).map(part).collect(),
+        };
         assert_eq!(Word::read(&word.write()), Some(word.clone()));
-        let many = Word { parts: (0..500).map(part).collect(), ..word };
+        let many = Word {
+            parts: (0..500).map(part).collect(),
+            ..word
+        };
         let text = many.write();
         let read = Word::read(&text).expect("well-formed");
         assert!(
-            text.len() <= 256 && read.parts.len() >= 8 && read.parts[..] == many.parts[..read.parts.len()]
+            text.len() <= 256
+                && read.parts.len() >= 8
+                && read.parts[..] == many.parts[..read.parts.len()]
         );
     }
 
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -123,7 +123,9 @@
 
     /// Part of its usual traffic that a zone gets from this ingress now, canaries included: 0 to 1.
     pub fn share(&self, zone: usize) -> f64 {
-        let Some(standing) = self.standings.get(zone) else { return 1.0 };
+        let Some(standing) = self.standings.get(zone) else {
+            return 1.0;
+        };
         if standing.phase == Phase::In {
             return 1.0;
         }
@@ -141,11 +143,15 @@
             return;
         }
         // One that started again counts anew; of one life, only what is newer.
-        if self.heard.get(&from).is_some_and(|(_, last)| last.life == word.life && word.number <= last.number)
+        if self
+            .heard
+            .get(&from)
+            .is_some_and(|(_, last)| last.life == word.life && word.number <= last.number)
         {
             return;
         }
-        let bad = |part: &Part| part.sums.bad() > TROUBLE && part.sums.all() >= 1.0 || part.share < 1.0;
+        let bad =
+            |part: &Part| part.sums.bad() > TROUBLE && part.sums.all() >= 1.0 || part.share < 1.0;
         if word.parts.iter().any(bad) {
             self.trouble = now;
         }
@@ -168,12 +174,18 @@
                 self.trouble = now;
             }
         }
-        let lately: Vec<&Word> =
-            self.heard.values().filter(|(at, _)| now - at < LATELY).map(|(_, word)| word).collect();
+        let lately: Vec<&Word> = self
+            .heard
+            .values()
+            .filter(|(at, _)| now - at < LATELY)
+            .map(|(_, word)| word)
+            .collect();
         // Those of a small fleet are heard of more often than they can be lost; of a large one, a sample.
         let pooled = lately.len() as u32 >= QUORUM.min(self.fleet - 1) && now - self.born >= YOUNG;
         let view = |i: usize| {
-            let told = lately.iter().filter_map(|word| word.parts.iter().find(|p| p.zone as usize == i));
+            let told = lately
+                .iter()
+                .filter_map(|word| word.parts.iter().find(|p| p.zone as usize == i));
             let Held { fresh, own, .. } = self.held[i].clone();
             let no_use = |sums: &Sums| u32::from(sums.failing + sums.dead >= NO_USE);
             let (mut fleet, mut voices) = (fresh.most(VOICE), no_use(&fresh));
@@ -183,9 +195,16 @@
                 voices += no_use(&part.sums);
                 (shares, peers) = (shares + part.share, peers + 1.0);
             }
-            let mean =
-                (peers >= f64::from(QUORUM.min(self.fleet - 1)) && peers > 0.0).then(|| shares / peers);
-            View { servers: self.servers[i], fleet, voices, fresh, own, mean }
+            let mean = (peers >= f64::from(QUORUM.min(self.fleet - 1)) && peers > 0.0)
+                .then(|| shares / peers);
+            View {
+                servers: self.servers[i],
+                fleet,
+                voices,
+                fresh,
+                own,
+                mean,
+            }
         };
         let views: Vec<View> = (0..self.names.len()).map(view).collect();
         // Cut off from everybody, it sees each zone fail: its own trouble, and no ground to leave any.
@@ -200,13 +219,22 @@
             &views,
             &mut self.standings,
         );
-        let lines = lines.into_iter().map(|(i, text)| (self.names[i].clone(), text)).collect();
+        let lines = lines
+            .into_iter()
+            .map(|(i, text)| (self.names[i].clone(), text))
+            .collect();
         self.ticks += 1;
-        let pending =
-            views.iter().zip(&self.standings).any(|(v, s)| s.phase == Phase::In && v.fleet.bad() > TROUBLE);
+        let pending = views
+            .iter()
+            .zip(&self.standings)
+            .any(|(v, s)| s.phase == Phase::In && v.fleet.bad() > TROUBLE);
         let every = if pending { EVERY.0 } else { EVERY.1 };
-        let tells = self.fleet > 1 && now - self.trouble < QUIET && self.ticks.is_multiple_of(every);
-        Step { word: tells.then(|| self.word()), lines }
+        let tells =
+            self.fleet > 1 && now - self.trouble < QUIET && self.ticks.is_multiple_of(every);
+        Step {
+            word: tells.then(|| self.word()),
+            lines,
+        }
     }
 
     /// What it saw itself, to one peer drawn anew.
@@ -216,12 +244,23 @@
         let there = |i: &usize| self.servers[*i] > 0;
         let part = |i: usize| {
             let (held, standing) = (&self.held[i], &self.standings[i]);
-            Part { zone: i as u16, sums: held.fresh, share: standing.share }
+            Part {
+                zone: i as u16,
+                sums: held.fresh,
+                share: standing.share,
+            }
         };
         let mut parts: Vec<Part> = (0..self.names.len()).filter(there).map(part).collect();
         // What is worst goes first: there is room for some ten zones.
         parts.sort_by(|a, b| b.sums.bad().total_cmp(&a.sums.bad()));
-        (to, Word { life: self.life, number: self.number, parts })
+        (
+            to,
+            Word {
+                life: self.life,
+                number: self.number,
+                parts,
+            },
+        )
     }
 
     /// It was stopped, or its machine was: what it held is of another time, and so is its verdict, which it takes from the
--- a/crates/zones/tests/fleets.rs
+++ b/crates/zones/tests/fleets.rs
@@ -43,8 +43,13 @@
 impl Fleet {
     fn new(size: usize, rate: f64, seed: u64) -> Self {
         let names: Vec<String> = (0..ZONES).map(|z| format!("z{z}")).collect();
-        let set = Settings { most_out: 0.4, ..Settings::default() };
-        let doors = (0..size).map(|i| Fleet::door(&set, &names, size, i, seed, 0.0)).collect();
+        let set = Settings {
+            most_out: 0.4,
+            ..Settings::default()
+        };
+        let doors = (0..size)
+            .map(|i| Fleet::door(&set, &names, size, i, seed, 0.0))
+            .collect();
         Fleet {
             now: 0.0,
             doors,
@@ -62,14 +67,24 @@
     }
 
     fn door(set: &Settings, names: &[String], size: usize, i: usize, seed: u64, now: f64) -> Zones {
-        let mut door = Zones::new(set, names, size as u32, i as u32, seed ^ (i as u64) << 8, now);
+        let mut door = Zones::new(
+            set,
+            names,
+            size as u32,
+            i as u32,
+            seed ^ (i as u64) << 8,
+            now,
+        );
         door.list(names.iter().map(|n| (n.as_str(), SERVERS)));
         door
     }
 
     fn restart(&mut self, i: usize) {
         let names: Vec<String> = (0..ZONES).map(|z| format!("z{z}")).collect();
-        let set = Settings { most_out: 0.4, ..Settings::default() };
+        let set = Settings {
+            most_out: 0.4,
+            ..Settings::default()
+        };
         let seed = self.rng.random();
         self.doors[i] = Fleet::door(&set, &names, self.doors.len(), i, seed, self.now);
     }
@@ -81,14 +96,17 @@
         while self.now < end {
             self.now += STEP;
             let (now, second) = (self.now, self.now as usize);
-            self.sent.resize((second + 1).max(self.sent.len()), [0; ZONES]);
+            self.sent
+                .resize((second + 1).max(self.sent.len()), [0; ZONES]);
             for i in 0..self.doors.len() {
                 if self.stopped[i] > now || !self.rng.random_bool(self.rate * STEP) {
                     continue;
                 }
                 let weights: Vec<f64> = (0..ZONES).map(|z| self.doors[i].share(z)).collect();
                 let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
-                let zone = (0..ZONES).find(|z| (draw -= weights[*z], draw < 0.0).1).unwrap_or(0);
+                let zone = (0..ZONES)
+                    .find(|z| (draw -= weights[*z], draw < 0.0).1)
+                    .unwrap_or(0);
                 let instance = self.rng.random_range(0..SERVERS);
                 self.sent[second][zone] += 1;
                 let (after, saw) = match does(i, zone, instance) {
@@ -100,23 +118,40 @@
                 let at = key(&mut self.rng, now + after);
                 self.due.insert(at, (i, zone, instance, saw));
             }
-            while let Some(first) = self.due.first_entry().filter(|d| d.key().0 as f64 <= now * 1e6) {
+            while let Some(first) = self
+                .due
+                .first_entry()
+                .filter(|d| d.key().0 as f64 <= now * 1e6)
+            {
                 let (i, zone, instance, saw) = first.remove();
                 if self.stopped[i] <= now {
                     self.doors[i].saw(zone, instance, saw);
                 }
             }
-            while let Some(first) = self.words.first_entry().filter(|w| w.key().0 as f64 <= now * 1e6) {
+            while let Some(first) = self
+                .words
+                .first_entry()
+                .filter(|w| w.key().0 as f64 <= now * 1e6)
+            {
                 let (from, to, text) = first.remove();
                 if self.stopped[to] <= now {
                     self.doors[to].hear(now, from as u32, &Word::read(&text).expect("well-formed"));
                 }
             }
             if ((now / STEP).round() as u64).is_multiple_of(10) {
-                for i in (0..self.doors.len()).filter(|i| self.stopped[*i] <= now).collect::<Vec<_>>() {
+                for i in (0..self.doors.len())
+                    .filter(|i| self.stopped[*i] <= now)
+                    .collect::<Vec<_>>()
+                {
                     let step = self.doors[i].tick(now);
-                    self.lines.extend(step.lines.into_iter().map(|(zone, line)| (now, i, zone, line)));
-                    let Some((to, word)) = step.word else { continue };
+                    self.lines.extend(
+                        step.lines
+                            .into_iter()
+                            .map(|(zone, line)| (now, i, zone, line)),
+                    );
+                    let Some((to, word)) = step.word else {
+                        continue;
+                    };
                     self.told += 1;
                     let text = word.write();
                     assert!(text.len() <= 256);
@@ -131,7 +166,10 @@
     }
 
     fn out(&self, zone: usize) -> usize {
-        self.doors.iter().filter(|d| d.phase(zone) == Phase::Out).count()
+        self.doors
+            .iter()
+            .filter(|d| d.phase(zone) == Phase::Out)
+            .count()
     }
 }
 
@@ -151,7 +189,11 @@
             for seed in 0..5 {
                 let mut fleet = Fleet::new(size, rate(size), seed);
                 fleet.play(4.0, &zone_0(Does::Serves));
-                assert!(fleet.lines.is_empty() && fleet.told == 0, "{size}, {seed}: {:?}", fleet.lines);
+                assert!(
+                    fleet.lines.is_empty() && fleet.told == 0,
+                    "{size}, {seed}: {:?}",
+                    fleet.lines
+                );
                 fleet.play(first + 2.0, &zone_0(kind));
                 let out = fleet.out(0);
                 // At 300 each sees the zone once in three seconds, and hears of ten peers a second.
@@ -160,7 +202,11 @@
                     "{size}, {seed}: {out} left it 2 s after it showed"
                 );
                 fleet.play(4.0, &zone_0(kind));
-                assert!(fleet.out(0) * 100 >= size * 95, "{size}, {seed}: {} left it", fleet.out(0));
+                assert!(
+                    fleet.out(0) * 100 >= size * 95,
+                    "{size}, {seed}: {} left it",
+                    fleet.out(0)
+                );
                 assert_eq!((fleet.out(1), fleet.out(2)), (0, 0), "{size}, {seed}");
                 let sent = fleet.sent[fleet.sent.len() - 3][0];
                 // Each reckons its part of the canaries from its own traffic, which is little at 300.
@@ -187,9 +233,16 @@
         // 5 in 100 of its third a second.
         for second in 10..20 {
             let most = (0.05 * (second as f64 - 9.0) + 0.1) / 3.0 + 0.08;
-            assert!(share(second) <= most, "{size}, second {second}: {} of {most}", share(second));
+            assert!(
+                share(second) <= most,
+                "{size}, second {second}: {} of {most}",
+                share(second)
+            );
         }
-        assert!(fleet.doors.iter().all(|d| d.phase(0) == Phase::In), "{size}: all use it again");
+        assert!(
+            fleet.doors.iter().all(|d| d.phase(0) == Phase::In),
+            "{size}: all use it again"
+        );
         assert!(share(52) > 0.25, "{size}: {}", share(52));
     }
 }
@@ -202,9 +255,21 @@
             // Everything is late: the ladder's matter.
             &|_, _, _| Does::Slow,
             // One of seven in one zone.
-            &|_, zone, server| if (zone, server) == (0, 3) { Does::Silent } else { Does::Serves },
+            &|_, zone, server| {
+                if (zone, server) == (0, 3) {
+                    Does::Silent
+                } else {
+                    Does::Serves
+                }
+            },
             // One ingress is cut off from everybody, another from one zone.
-            &|i, zone, _| if i == 5 || (i, zone) == (6, 1) { Does::Silent } else { Does::Serves },
+            &|i, zone, _| {
+                if i == 5 || (i, zone) == (6, 1) {
+                    Does::Silent
+                } else {
+                    Does::Serves
+                }
+            },
         ] {
             let mut fleet = Fleet::new(24, 8.0, seed);
             fleet.play(15.0, does);
@@ -219,8 +284,17 @@
     for seed in 0..5 {
         let mut fleet = Fleet::new(24, 8.0, seed);
         fleet.play(4.0, &zone_0(Does::Serves));
-        fleet.play(10.0, &|i, zone, _| if zone == 0 && i < 12 { Does::Silent } else { Does::Serves });
-        let stayed = fleet.doors[12..].iter().filter(|d| d.phase(0) == Phase::In).count();
+        fleet.play(10.0, &|i, zone, _| {
+            if zone == 0 && i < 12 {
+                Does::Silent
+            } else {
+                Does::Serves
+            }
+        });
+        let stayed = fleet.doors[12..]
+            .iter()
+            .filter(|d| d.phase(0) == Phase::In)
+            .count();
         assert!(stayed >= 11, "{seed}: {stayed} of 12 that reach it use it");
     }
 }
@@ -230,12 +304,30 @@
     for seed in 0..5 {
         let mut fleet = Fleet::new(24, 8.0, seed);
         fleet.play(4.0, &zone_0(Does::Serves));
-        fleet.play(12.0, &|_, zone, _| if zone < 2 { Does::Silent } else { Does::Serves });
-        let most = fleet.doors.iter().map(|d| (0..ZONES).filter(|z| d.phase(*z) != Phase::In).count()).max();
-        assert_eq!(most, Some(1), "{seed}: a third of all servers at most, as 0.4 is set");
+        fleet.play(12.0, &|_, zone, _| {
+            if zone < 2 {
+                Does::Silent
+            } else {
+                Does::Serves
+            }
+        });
+        let most = fleet
+            .doors
+            .iter()
+            .map(|d| (0..ZONES).filter(|z| d.phase(*z) != Phase::In).count())
+            .max();
+        assert_eq!(
+            most,
+            Some(1),
+            "{seed}: a third of all servers at most, as 0.4 is set"
+        );
         let mut fleet = Fleet::new(24, 8.0, seed);
         fleet.play(10.0, &|_, _, _| Does::Silent);
-        assert!(fleet.lines.is_empty(), "{seed}: the whole region is lost: {:?}", fleet.lines);
+        assert!(
+            fleet.lines.is_empty(),
+            "{seed}: the whole region is lost: {:?}",
+            fleet.lines
+        );
     }
 }
 
@@ -247,10 +339,19 @@
     for _ in 0..15 {
         fleet.play(3.0, &zone_0(Does::Silent));
         fleet.play(3.0, &zone_0(Does::Serves));
-        back.push(fleet.lines.iter().filter(|(.., line)| line.starts_with("comes back")).count());
+        back.push(
+            fleet
+                .lines
+                .iter()
+                .filter(|(.., line)| line.starts_with("comes back"))
+                .count(),
+        );
     }
     let (early, late) = (back[4], back[14] - back[9]);
-    assert!(late < early, "returns of all ingresses in the first 30 s {early}, in the last {late}");
+    assert!(
+        late < early,
+        "returns of all ingresses in the first 30 s {early}, in the last {late}"
+    );
     let sent: u32 = fleet.sent[60..].iter().map(|s| s[0]).sum();
     assert!(sent < 30 * 20, "{sent} requests in the last 32 s");
 }
@@ -264,7 +365,11 @@
     fleet.play(5.0, &zone_0(Does::Silent));
     fleet.restart(4);
     fleet.play(7.0, &zone_0(Does::Silent));
-    assert_eq!(fleet.out(0), 24, "one that slept and one that started anew have left it too");
+    assert_eq!(
+        fleet.out(0),
+        24,
+        "one that slept and one that started anew have left it too"
+    );
     // It sleeps with the zone left, and wakes up when all use it: its old verdict holds nobody back.
     fleet.stopped[3] = 80.0;
     fleet.play(64.0, &zone_0(Does::Serves));
@@ -272,8 +377,15 @@
     assert!(others.clone().all(|(_, d)| d.phase(0) == Phase::In));
     let lines = fleet.lines.len();
     fleet.play(40.0, &zone_0(Does::Serves));
-    assert!(fleet.doors.iter().all(|d| d.phase(0) == Phase::In), "in use at all");
-    assert!(fleet.lines[lines..].iter().all(|(_, i, ..)| *i == 3), "{:?}", &fleet.lines[lines..]);
+    assert!(
+        fleet.doors.iter().all(|d| d.phase(0) == Phase::In),
+        "in use at all"
+    );
+    assert!(
+        fleet.lines[lines..].iter().all(|(_, i, ..)| *i == 3),
+        "{:?}",
+        &fleet.lines[lines..]
+    );
 }
 
 #[test]
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -15,7 +15,12 @@
             repeats: Repeats::Safe,
             stream: false,
         }],
-        plans: vec![Plan { rate: 10.0, burst: 20.0, price: 1.0, ..Plan::default() }],
+        plans: vec![Plan {
+            rate: 10.0,
+            burst: 20.0,
+            price: 1.0,
+            ..Plan::default()
+        }],
         max_attempts: 3,
         fall_multiple: 3.0,
         fall_window: second,
@@ -32,7 +37,11 @@
         kind: 0,
         state: MemberState::Ready,
     };
-    brain.handle(0, Event::Members(ListKind::Full, [backend].into()), &mut actions);
+    brain.handle(
+        0,
+        Event::Members(ListKind::Full, [backend].into()),
+        &mut actions,
+    );
     let request = Request {
         id: RequestId(1),
         class: 0,
--- a/src/api.rs
+++ b/src/api.rs
@@ -47,15 +47,28 @@
     /// True where a repeat of what may have run at `first` does no harm at `next`, as long as keys are kept.
     pub fn dropped_at(self, first: &Member, next: &Member) -> bool {
         match self {
-            Repeats::Keyed { scope: KeyScope::Zone, .. } => first.zone == next.zone,
-            Repeats::Keyed { scope: KeyScope::Cell, .. } => first.cell == next.cell,
+            Repeats::Keyed {
+                scope: KeyScope::Zone,
+                ..
+            } => first.zone == next.zone,
+            Repeats::Keyed {
+                scope: KeyScope::Cell,
+                ..
+            } => first.cell == next.cell,
             _ => true,
         }
     }
 
     /// True where the client may try again after an attempt that may have run.
     pub fn harmless(self) -> bool {
-        matches!(self, Repeats::Safe | Repeats::Keyed { scope: KeyScope::All, .. })
+        matches!(
+            self,
+            Repeats::Safe
+                | Repeats::Keyed {
+                    scope: KeyScope::All,
+                    ..
+                }
+        )
     }
 }
 
@@ -248,7 +261,10 @@
 impl Outcome {
     /// True where the outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+        matches!(
+            self,
+            Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+        )
     }
 }
 
--- a/src/bin/applewall-simhost.rs
+++ b/src/bin/applewall-simhost.rs
@@ -27,15 +27,22 @@
 
 impl Host {
     fn deliver(&mut self, who: u64, event: Event) -> Result<(), String> {
-        let instance = self.instances.get_mut(&who).ok_or_else(|| format!("no instance {who}"))?;
+        let instance = self
+            .instances
+            .get_mut(&who)
+            .ok_or_else(|| format!("no instance {who}"))?;
         let mut actions = Vec::new();
         let brain = &mut instance.brain;
         let now = self.now;
         match catch_unwind(AssertUnwindSafe(|| brain.handle(now, event, &mut actions))) {
-            Ok(()) => actions.iter().for_each(|a| wire::write_action(&mut self.reply, who, a)),
+            Ok(()) => actions
+                .iter()
+                .for_each(|a| wire::write_action(&mut self.reply, who, a)),
             Err(panic) => {
                 let words = panic.downcast_ref::<String>().map(String::as_str);
-                let words = words.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+                let words = words
+                    .or_else(|| panic.downcast_ref::<&str>().copied())
+                    .unwrap_or("panic");
                 wire::write_exception(&mut self.reply, who, words);
             }
         }
@@ -66,8 +73,12 @@
                 self.sheets.insert(sheet, entries.into());
             }
             Line::Event { who, fields } => {
-                let instance = self.instances.get(&who).ok_or_else(|| format!("no instance {who}"))?;
-                let event = wire::event(&instance.facts, &fields, |n| self.sheets.get(&n).cloned())?;
+                let instance = self
+                    .instances
+                    .get(&who)
+                    .ok_or_else(|| format!("no instance {who}"))?;
+                let event =
+                    wire::event(&instance.facts, &fields, |n| self.sheets.get(&n).cloned())?;
                 self.deliver(who, event)?;
             }
         }
@@ -82,13 +93,20 @@
     let mut text = Vec::new();
     for number in 1u64.. {
         text.clear();
-        let read = input.read_until(b'\n', &mut text).map_err(|e| format!("line {number}: {e}"))?;
+        let read = input
+            .read_until(b'\n', &mut text)
+            .map_err(|e| format!("line {number}: {e}"))?;
         if read == 0 {
             break;
         }
         let line = std::str::from_utf8(&text).map_err(|_| format!("line {number}: not UTF-8"))?;
-        if host.line(line.trim_end()).map_err(|e| format!("line {number}: {e}"))? {
-            let written = output.write_all(host.reply.as_bytes()).and_then(|()| output.flush());
+        if host
+            .line(line.trim_end())
+            .map_err(|e| format!("line {number}: {e}"))?
+        {
+            let written = output
+                .write_all(host.reply.as_bytes())
+                .and_then(|()| output.flush());
             written.map_err(|e| format!("standard output: {e}"))?;
             host.reply.clear();
         }
--- a/src/keep.rs
+++ b/src/keep.rs
@@ -53,7 +53,10 @@
             && self.speeds.len() == brain.speeds.len()
             && self.backends.iter().all(|b| b.health.len() == labels)
             && self.numbers.values().all(|n| *n < self.backends.len())
-            && self.customers.values().all(|c| customer(c) && (c.plan.is_none() || !c.keepers.is_empty()))
+            && self
+                .customers
+                .values()
+                .all(|c| customer(c) && (c.plan.is_none() || !c.keepers.is_empty()))
     }
 }
 
@@ -69,8 +72,14 @@
     /// What it keeps can't be written down.
     pub fn hand_over(&mut self) -> Result<Vec<u8>, String> {
         self.fill_all();
-        let left: Vec<f64> = self.customers.values().map(|c| c.ceiling * (1.0 - HANDED)).collect();
-        self.customers.values_mut().for_each(|c| c.ceiling *= HANDED);
+        let left: Vec<f64> = self
+            .customers
+            .values()
+            .map(|c| c.ceiling * (1.0 - HANDED))
+            .collect();
+        self.customers
+            .values_mut()
+            .for_each(|c| c.ceiling *= HANDED);
         let kept = Kept {
             shape: self.shape(),
             born: self.born,
@@ -91,7 +100,10 @@
         for (c, left) in self.customers.values_mut().zip(left) {
             (c.ceiling, c.bank) = (left, c.bank.map(|_| 0.0));
         }
-        self.set.plans.iter_mut().for_each(|p| p.ceiling_rate *= FILL_LEFT);
+        self.set
+            .plans
+            .iter_mut()
+            .for_each(|p| p.ceiling_rate *= FILL_LEFT);
         bytes
     }
 
@@ -100,7 +112,10 @@
         // What came in the meantime came to the other one; and whoever is not known here may have spent all there.
         self.fill_all();
         self.born = self.last;
-        self.set.plans.iter_mut().for_each(|p| p.ceiling_rate /= FILL_LEFT);
+        self.set
+            .plans
+            .iter_mut()
+            .for_each(|p| p.ceiling_rate /= FILL_LEFT);
     }
 
     /// Brings every store up to the present moment: filled later, it would be at another's rate.
@@ -119,7 +134,8 @@
     ///
     /// What was handed on is not of this form, or of other settings; nothing is changed then.
     pub fn take_over(&mut self, bytes: &[u8]) -> Result<(), String> {
-        let kept: Kept = postcard::from_bytes_crc32(bytes, CHECK.digest()).map_err(|e| e.to_string())?;
+        let kept: Kept =
+            postcard::from_bytes_crc32(bytes, CHECK.digest()).map_err(|e| e.to_string())?;
         if kept.shape != self.shape() || !kept.whole(self) {
             return Err("it is of other settings".to_string());
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! the bench's dialect and is not needed when the library is embedded.
 
 pub mod api;
+#[rustfmt::skip] // Formatted as it is cut into modules: in the default style it would pass its limit of lines.
 pub mod brain;
 mod keep;
 pub mod mail;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -26,10 +26,16 @@
 /// Starts the log; the first call holds for the life of the program.
 pub fn start(form: Form) {
     // A closed standard error must not end the program, and the library would print its own trouble there.
-    let builder = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
+    let builder = tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .log_internal_errors(false);
     let _ = match form {
         Form::Text => builder.event_format(Text).try_init(),
-        Form::Json => builder.json().flatten_event(true).with_target(false).try_init(),
+        Form::Json => builder
+            .json()
+            .flatten_event(true)
+            .with_target(false)
+            .try_init(),
     };
 }
 
@@ -45,7 +51,12 @@
         event.record(&mut line);
         match line.fields.is_empty() {
             true => writeln!(out, "applewall: {}", line.message),
-            false => writeln!(out, "applewall: {}: {}", line.message, line.fields.trim_end()),
+            false => writeln!(
+                out,
+                "applewall: {}: {}",
+                line.message,
+                line.fields.trim_end()
+            ),
         }
     }
 }
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -103,7 +103,10 @@
     if value < low {
         return 0;
     }
-    ((value / low).ln() / step.ln()).round().clamp(0.0, f64::from(codes - 2)) as u32 + 1
+    ((value / low).ln() / step.ln())
+        .round()
+        .clamp(0.0, f64::from(codes - 2)) as u32
+        + 1
 }
 
 fn log_value(code: u32, low: f64, step: f64) -> f64 {
@@ -117,13 +120,24 @@
 const MASS: (f64, f64) = (0.001, 1.005);
 
 fn push(text: &mut String, value: u32, digits: u32) {
-    text.extend((0..digits).rev().map(|i| char::from(DIGITS[(value >> (6 * i)) as usize & 63])));
+    text.extend(
+        (0..digits)
+            .rev()
+            .map(|i| char::from(DIGITS[(value >> (6 * i)) as usize & 63])),
+    );
 }
 
 fn push_body(text: &mut String, record: &Record) {
     let share = |s: f64| (s.clamp(0.0, 1.0) / STEP).round() as u32;
     match *record {
-        Record::Use { plan, first, spread, sent, asked, level } => {
+        Record::Use {
+            plan,
+            first,
+            spread,
+            sent,
+            asked,
+            level,
+        } => {
             push(text, plan.min(63) as u32, 1);
             push(text, first & WRAP, 2);
             push(text, spread & WRAP, 2);
@@ -136,7 +150,10 @@
             push(text, share((level + 1.0) / 2.0), 1);
         }
         Record::Grant(units) => push(text, (units * QUARTERS).round() as u32 & WRAP, 2),
-        Record::Pool(e) => e.parts().iter().for_each(|v| push(text, log_code(*v, MASS.0, MASS.1, 4096), 2)),
+        Record::Pool(e) => e
+            .parts()
+            .iter()
+            .for_each(|v| push(text, log_code(*v, MASS.0, MASS.1, 4096), 2)),
     }
 }
 
@@ -153,7 +170,10 @@
     let mut head = String::from(char::from(kind));
     push(&mut head, incarnation, 4);
     let most = (MOST - HEAD) / body.first().map_or(1, String::len);
-    let mut texts: Vec<String> = body.chunks(most).map(|c| head.clone() + &c.concat()).collect();
+    let mut texts: Vec<String> = body
+        .chunks(most)
+        .map(|c| head.clone() + &c.concat())
+        .collect();
     if texts.is_empty() {
         texts.push(head);
     }
@@ -183,7 +203,10 @@
                 asked: number(&b[7..9]),
                 level: level(b[9]),
             },
-            b'w' => Record::Word { demand: log_value(b[0], RATE.0, RATE.1), level: level(b[1]) },
+            b'w' => Record::Word {
+                demand: log_value(b[0], RATE.0, RATE.1),
+                level: level(b[1]),
+            },
             b'g' => Record::Grant(f64::from(number(b)) / QUARTERS),
             _ => Record::Pool(Evidence::from_parts(|i| {
                 log_value(number(&b[2 * i..2 * i + 2]), MASS.0, MASS.1)
--- a/src/main.rs
+++ b/src/main.rs
@@ -27,7 +27,10 @@
         let next = match arg {
             Long("help") | Short('h') => Call::Help,
             Long("operator") if operator.is_none() => {
-                let file = parser.value().and_then(|v| v.string()).map_err(|e| e.to_string())?;
+                let file = parser
+                    .value()
+                    .and_then(|v| v.string())
+                    .map_err(|e| e.to_string())?;
                 operator = Some(file);
                 continue;
             }
@@ -38,10 +41,16 @@
                 Some("schema") => Call::Schema(false),
                 Some("version") => Call::Version,
                 Some("help") => Call::Help,
-                _ => return Err(format!("unknown sub-command '{}'; {USAGE}", word.to_string_lossy())),
+                _ => {
+                    return Err(format!(
+                        "unknown sub-command '{}'; {USAGE}",
+                        word.to_string_lossy()
+                    ))
+                }
             },
             Value(word)
-                if matches!(call, Some(Call::Schema(_))) && (word == "operator" || word == "registry") =>
+                if matches!(call, Some(Call::Schema(_)))
+                    && (word == "operator" || word == "registry") =>
             {
                 Call::Schema(word == "registry")
             }
@@ -70,7 +79,11 @@
             Ok(())
         }
         Call::Schema(registry) => {
-            let schema = if registry { applewall_roster::schema() } else { operator::Operator::schema() };
+            let schema = if registry {
+                applewall_roster::schema()
+            } else {
+                operator::Operator::schema()
+            };
             println!("{schema}");
             Ok(())
         }
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -50,7 +50,11 @@
 
 /// The same, with room for so many connections that are not accepted yet.
 pub fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
     // The address is ours again right after a restart.
     socket.set_reuseaddr(true)?;
     socket.bind(*address)?;
@@ -115,7 +119,10 @@
             _ = stages.wait_for(|s| *s == Stage::Closing) => {}
             () = self.emptied(all) => {}
         }
-        let ends = self.stopping.get().map_or_else(Instant::now, |stopping| stopping.ends);
+        let ends = self
+            .stopping
+            .get()
+            .map_or_else(Instant::now, |stopping| stopping.ends);
         match *self.role.borrow() {
             Role::Succeeded => drop(listener),
             _ => self.accept_waiting(listener, ends).await,
@@ -149,7 +156,9 @@
             if self.places.available_permits() == 0 {
                 self.make_room(Duration::ZERO);
             }
-            let Ok(place) = self.places.clone().acquire_owned().await else { return };
+            let Ok(place) = self.places.clone().acquire_owned().await else {
+                return;
+            };
             let accepted = tokio::select! {
                 biased;
                 Ok(_) = role.wait_for(|r| *r == Role::Succeeded) => continue,
@@ -174,12 +183,17 @@
     /// What the kernel has accepted counts as taken: none of it may be left behind with the listener. The kernel itself
     /// is asked, as the reactor may not have told yet of the last ones; and whoever finds no place waits for one.
     async fn accept_waiting(&self, listener: TcpListener, ends: Instant) {
-        let Ok(listener) = listener.into_std() else { return };
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
         loop {
             let (stream, address) = match listener.accept() {
                 Ok(accepted) => accepted,
                 Err(e)
-                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) =>
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+                    ) =>
                 {
                     continue;
                 }
@@ -190,7 +204,10 @@
             }
             let place = tokio::time::timeout_at(ends.into(), self.places.clone().acquire_owned());
             let Ok(Ok(place)) = place.await else { return };
-            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            if let Ok(stream) = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream))
+            {
                 self.serve_connection(stream, address, place);
             }
         }
@@ -198,7 +215,9 @@
 
     /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
     fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
-        let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else { return };
+        let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else {
+            return;
+        };
         let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
         if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
             tracing::warn!("pace: cannot bound what the kernel holds of answers: {e}");
@@ -218,7 +237,12 @@
         self.seats.make_room(grace, now)
     }
 
-    fn serve_connection(&self, stream: TcpStream, address: SocketAddr, place: OwnedSemaphorePermit) {
+    fn serve_connection(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+        place: OwnedSemaphorePermit,
+    ) {
         let _ = stream.set_nodelay(true);
         let cut = Arc::new(Notify::new());
         let ticket = self.pacers.borrow().as_ref().map(|pacer| {
@@ -228,7 +252,9 @@
             let socket = unsafe { lend(&stream) };
             (
                 pacer.clone(),
-                pacer.join(self.gate.clock.now(), address.ip(), socket, move || told.notify_one()),
+                pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
+                    told.notify_one()
+                }),
             )
         });
         let taken = self.budget.clients + self.budget.spare - self.places.available_permits();
@@ -243,20 +269,33 @@
         // Once a spell: it ends when there is room again.
         if shed && placed && !self.shedding.swap(true, Ordering::Relaxed) {
             let most = self.budget.clients;
-            tracing::warn!("crowded: {most} connections with a command open; turning newcomers away");
+            tracing::warn!(
+                "crowded: {most} connections with a command open; turning newcomers away"
+            );
         } else if !crowded {
             self.shedding.store(false, Ordering::Relaxed);
         }
         let (paced, ticket) = match ticket {
-            Some((pacer, ticket)) => {
-                (Some(Paced { pacer, id: ticket.id(), peer: ticket.peer() }), Some(ticket))
-            }
+            Some((pacer, ticket)) => (
+                Some(Paced {
+                    pacer,
+                    id: ticket.id(),
+                    peer: ticket.peer(),
+                }),
+                Some(ticket),
+            ),
             None => (None, None),
         };
         let seat = self.seats.sit(place, cut, paced);
-        let commands = Commands { gate: self.gate.clone(), shed, seat: seat.clone() };
-        let mut connection =
-            http1::Builder::new().header_read_timeout(None).max_buf_size(HEAD_MOST).serve_connection(
+        let commands = Commands {
+            gate: self.gate.clone(),
+            shed,
+            seat: seat.clone(),
+        };
+        let mut connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(HEAD_MOST)
+            .serve_connection(
                 TokioIo::new(Guarded::new(stream, seat.clone(), ticket)),
                 TowerToHyperService::new(commands),
             );
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -39,16 +39,25 @@
     fn from(answer: Answer) -> Self {
         let (status, body, header) = match answer {
             Answer::Served(body, kind) => (StatusCode::OK, body, kind.map(|k| (CONTENT_TYPE, k))),
-            Answer::Nack { status, retry_after } => {
+            Answer::Nack {
+                status,
+                retry_after,
+            } => {
                 // Rounded up: a client must not come back before the module asked it to.
                 let ms = retry_after.div_ceil(1_000_000);
                 let text = format!("{}.{:03}", ms / 1000, ms % 1000);
                 let advice = HeaderValue::try_from(text).ok().filter(|_| ms > 0);
-                (status, Content::Whole(Bytes::new()), advice.map(|a| (RETRY_AFTER, a)))
-            }
-            Answer::Failed(status, reason) => {
-                (status, Content::Whole(Bytes::from_static(reason.as_bytes())), None)
+                (
+                    status,
+                    Content::Whole(Bytes::new()),
+                    advice.map(|a| (RETRY_AFTER, a)),
+                )
             }
+            Answer::Failed(status, reason) => (
+                status,
+                Content::Whole(Bytes::from_static(reason.as_bytes())),
+                None,
+            ),
         };
         let mut response = Response::new(match body {
             Content::Whole(body) => Either::Left(Full::new(body)),
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -37,11 +37,18 @@
     /// True while giving up is of use: another attempt fits, if the module wants one.
     fn may_give_up(&self, due: Due) -> bool {
         let room = self.pacer.settings().retry_room.0;
-        due.again.is_some_and(|again| again.saturating_duration_since(Instant::now()) >= room)
+        due.again
+            .is_some_and(|again| again.saturating_duration_since(Instant::now()) >= room)
     }
 
     fn note(&self, reason: Reason) {
-        self.pacer.note(Holder { customer: None, peer: None }, reason);
+        self.pacer.note(
+            Holder {
+                customer: None,
+                peer: None,
+            },
+            reason,
+        );
     }
 
     /// Ends once a head that has begun to come takes longer than the pause that is allowed inside an answer.
@@ -71,14 +78,20 @@
                 _ if !self.may_give_up(due) => u64::MAX,
                 verdict => {
                     let stalled = verdict == Verdict::Stalled;
-                    self.note(if stalled { Reason::InStalled } else { Reason::InHopeless });
+                    self.note(if stalled {
+                        Reason::InStalled
+                    } else {
+                        Reason::InHopeless
+                    });
                     return None;
                 }
             };
             let frame = async {
                 match next {
                     u64::MAX => Ok(body.frame().await),
-                    next => tokio::time::timeout_at(self.clock.instant(next).into(), body.frame()).await,
+                    next => {
+                        tokio::time::timeout_at(self.clock.instant(next).into(), body.frame()).await
+                    }
                 }
             };
             match frame.await {
@@ -117,7 +130,9 @@
             frame = body.frame() => frame,
             () = &mut moment, if !whole.is_empty() => return Some((whole.freeze(), false)),
         };
-        let Some(frame) = frame else { return Some((whole.freeze(), true)) };
+        let Some(frame) = frame else {
+            return Some((whole.freeze(), true));
+        };
         if let Ok(data) = frame.ok()?.into_data() {
             // Most answers are one piece, and that is passed on as it is.
             if whole.is_empty() && body.is_end_stream() {
@@ -149,12 +164,16 @@
     loop {
         // Guards against an instance that goes silent in the middle, and a service client that no longer reads: each
         // would hold both connections for ever.
-        let Ok(frame) = tokio::time::timeout(STALLED, body.frame()).await else { return false };
+        let Ok(frame) = tokio::time::timeout(STALLED, body.frame()).await else {
+            return false;
+        };
         match frame {
             None => break,
             Some(Err(_)) => return false,
             Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else { continue };
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
                 match tokio::time::timeout(STALLED, source.pass(data)).await {
                     Ok(Ok(())) => {}
                     _ => return false,
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -20,7 +20,11 @@
     /// Each open command has one attempt out at most, so instances get no less than service clients.
     pub fn new(sockets: usize) -> Self {
         let (clients, spare) = (sockets.div_ceil(3), sockets / 16);
-        Budget { clients, spare, instances: sockets.saturating_sub(RESERVE + clients + spare).max(1) }
+        Budget {
+            clients,
+            spare,
+            instances: sockets.saturating_sub(RESERVE + clients + spare).max(1),
+        }
     }
 
     /// The places of service clients, those for saying no among them.
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -15,8 +15,13 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), unix_ms: unix.as_millis() as u64 }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            origin: Instant::now(),
+            unix_ms: unix.as_millis() as u64,
+        }
     }
 
     /// One that goes on with another process's, which stood at `now` a moment ago.
@@ -25,7 +30,10 @@
         let start = Clock::start();
         // A machine that has run for less than the other process can't be.
         let origin = start.origin.checked_sub(since).unwrap_or(start.origin);
-        Clock { origin, unix_ms: start.unix_ms.saturating_sub(since.as_millis() as u64) }
+        Clock {
+            origin,
+            unix_ms: start.unix_ms.saturating_sub(since.as_millis() as u64),
+        }
     }
 
     /// The present moment.
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -90,12 +90,22 @@
         }
         let Commands { gate, shed, seat } = self.clone();
         Box::pin(async move {
-            let mut body = if request.body().is_end_stream() { Taken::Whole } else { Taken::Unread };
+            let mut body = if request.body().is_end_stream() {
+                Taken::Whole
+            } else {
+                Taken::Unread
+            };
             let mut customer = None;
             let answer = match seat.distrusted() {
-                true => Answer::Failed(StatusCode::BAD_REQUEST, "both Content-Length and Transfer-Encoding"),
+                true => Answer::Failed(
+                    StatusCode::BAD_REQUEST,
+                    "both Content-Length and Transfer-Encoding",
+                ),
                 false if shed => nack(),
-                false => gate.answer(request, arrived, &seat, &mut customer, &mut body).await,
+                false => {
+                    gate.answer(request, arrived, &seat, &mut customer, &mut body)
+                        .await
+                }
             };
             let mut answer = gate.hold(&seat, customer, answer);
             // What was not read would be read as the next head, or in vain; what comes after chunks is not guarded.
@@ -125,7 +135,10 @@
 /// Without the module: there is no room to ask it.
 fn nack() -> Answer {
     let retry_after = COME_BACK.as_nanos() as u64;
-    Answer::Nack { status: StatusCode::SERVICE_UNAVAILABLE, retry_after }
+    Answer::Nack {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        retry_after,
+    }
 }
 
 /// Tells the engine that the service client left, when the response future is dropped without an answer.
@@ -160,13 +173,20 @@
     /// Takes an answer into account for as long as it waits to be read. Without room for it, and with nobody to blame
     /// for that, the command still gets its one final answer at once: a short one.
     fn hold(&self, seat: &Seat, customer: Option<u64>, answer: Answer) -> Answer {
-        let Some(paced) = &seat.paced else { return answer };
+        let Some(paced) = &seat.paced else {
+            return answer;
+        };
         // One that is passed on holds next to nothing here, however slowly it is read.
         let Answer::Served(Content::Whole(body), _) = &answer else {
             paced.pacer.answered(paced.id);
             return answer;
         };
-        let begun = paced.pacer.begin(self.clock.now(), paced.id, paced.holder(customer), body.len() as u64);
+        let begun = paced.pacer.begin(
+            self.clock.now(),
+            paced.id,
+            paced.holder(customer),
+            body.len() as u64,
+        );
         match begun {
             Ok(()) => answer,
             Err(_) => {
@@ -179,7 +199,9 @@
     /// Closes the connection with its answer once the program is leaving.
     fn finish(&self, mut reply: Reply, close: bool) -> Reply {
         if close || self.stages.borrow().last_answers() {
-            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            reply
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
     }
@@ -205,8 +227,12 @@
             None => None,
         };
         let mut deadline = arrived + Duration::from_nanos(read.left);
-        if let Some((_, by)) =
-            self.successor.stopping.get().map(|s| s.late).filter(|(from, _)| arrived >= *from)
+        if let Some((_, by)) = self
+            .successor
+            .stopping
+            .get()
+            .map(|s| s.late)
+            .filter(|(from, _)| arrived >= *from)
         {
             deadline = deadline.min(by);
         }
@@ -218,8 +244,14 @@
                 if room > BODY_MOST as u64 {
                     return Answer::Failed(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
                 }
-                let Ok(held) = self.bodies.clone().try_acquire_many_owned(room as u32) else { return nack() };
-                let pacer = seat.paced.as_ref().map(|p| &p.pacer).filter(|p| p.settings().enabled.0);
+                let Ok(held) = self.bodies.clone().try_acquire_many_owned(room as u32) else {
+                    return nack();
+                };
+                let pacer = seat
+                    .paced
+                    .as_ref()
+                    .map(|p| &p.pacer)
+                    .filter(|p| p.settings().enabled.0);
                 let time = pacer.map_or(BODY, |p| p.settings().upload_time.0);
                 let until = deadline.min(arrived + time);
                 let collect = async {
@@ -230,7 +262,11 @@
                 };
                 match tokio::time::timeout_at(until.into(), collect).await {
                     Ok(Ok(body)) => {
-                        *taken = if length.is_some() { Taken::Whole } else { Taken::Chunks };
+                        *taken = if length.is_some() {
+                            Taken::Whole
+                        } else {
+                            Taken::Chunks
+                        };
                         (body, Some(held))
                     }
                     Ok(Err(answer)) => {
@@ -245,7 +281,9 @@
                 }
             }
         };
-        read.left = deadline.saturating_duration_since(Instant::now()).as_nanos() as u64;
+        read.left = deadline
+            .saturating_duration_since(Instant::now())
+            .as_nanos() as u64;
         // From here on nothing of the command is read: what comes now is the next one's, or the client's end.
         if *taken != Taken::Unread {
             seat.answering();
@@ -265,14 +303,29 @@
         let (reply, answer) = oneshot::channel();
         let serial = self.serials.fetch_add(1, Ordering::Relaxed);
         let id = read.id;
-        let command = Command { request: read, serial, deadline, passed: Arc::new(passed), reply };
+        let command = Command {
+            request: read,
+            serial,
+            deadline,
+            passed: Arc::new(passed),
+            reply,
+        };
         if self.queue.try_send(Message::Command(command)).is_err() {
             return nack();
         }
-        let mut waiting = Waiting { id, serial, queue: &self.queue, answered: false, _asker: asker };
+        let mut waiting = Waiting {
+            id,
+            serial,
+            queue: &self.queue,
+            answered: false,
+            _asker: asker,
+        };
         let answer = answer.await;
         waiting.answered = true;
-        answer.unwrap_or(Answer::Failed(StatusCode::INTERNAL_SERVER_ERROR, "the engine has stopped"))
+        answer.unwrap_or(Answer::Failed(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the engine has stopped",
+        ))
     }
 }
 
@@ -287,7 +340,8 @@
     ) -> Result<Bytes, Answer> {
         let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::new());
         let now = self.clock.now();
-        let mut transfer = applewall_pace::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
+        let mut transfer =
+            applewall_pace::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
         loop {
             let Verdict::Wait(next) = transfer.verdict(self.clock.now()) else {
                 return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
@@ -328,19 +382,30 @@
 fn origin(uri: Uri) -> Uri {
     match uri.scheme() {
         None => uri,
-        Some(_) => uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/")).into(),
+        Some(_) => uri
+            .path_and_query()
+            .cloned()
+            .unwrap_or_else(|| PathAndQuery::from_static("/"))
+            .into(),
     }
 }
 
 /// The one value of a header; none where it is missing, comes twice or is no text.
 fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut values = headers.get_all(name).into_iter();
-    values.next().filter(|_| values.next().is_none())?.to_str().ok()
+    values
+        .next()
+        .filter(|_| values.next().is_none())?
+        .to_str()
+        .ok()
 }
 
 /// Digits alone: no sign, no space.
 fn digits(text: &str) -> Option<u64> {
-    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+    text.bytes()
+        .all(|b| b.is_ascii_digit())
+        .then(|| text.parse().ok())
+        .flatten()
 }
 
 fn hex(text: &str) -> Option<u64> {
@@ -366,36 +431,56 @@
 
 /// Reads the headers; the error is a plain reason for the service client. Nothing that is read in doubt may be
 /// served, or charged to a customer.
-fn read(facts: &Facts, method: &Method, headers: &HeaderMap) -> Result<(api::Request, u64), &'static str> {
+fn read(
+    facts: &Facts,
+    method: &Method,
+    headers: &HeaderMap,
+) -> Result<(api::Request, u64), &'static str> {
     if method != Method::GET && method != Method::POST {
         return Err("the method is neither GET nor POST");
     }
-    let id = one(headers, ID).and_then(hex).ok_or("X-Correlation-Id is not 16 hex digits")?;
+    let id = one(headers, ID)
+        .and_then(hex)
+        .ok_or("X-Correlation-Id is not 16 hex digits")?;
     let class = one(headers, "x-service-class").and_then(|c| facts.class(c));
     let class = class.ok_or("unknown X-Service-Class")?;
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
-    match (headers.get_all(KEY).iter().count(), facts.settings.classes[class].repeats) {
+    match (
+        headers.get_all(KEY).iter().count(),
+        facts.settings.classes[class].repeats,
+    ) {
         (1, _) => {}
-        (0, Repeats::Keyed { .. }) => return Err("no Idempotency-Key, which this class is repeated by"),
+        (0, Repeats::Keyed { .. }) => {
+            return Err("no Idempotency-Key, which this class is repeated by")
+        }
         (0, _) => {}
         _ => return Err("Idempotency-Key comes twice"),
     }
-    let plan = one(headers, "x-contract").and_then(|p| facts.plan(p)).ok_or("unknown X-Contract")?;
-    let customer = one(headers, "x-client-id").and_then(hex).filter(|c| *c < CUSTOMERS);
+    let plan = one(headers, "x-contract")
+        .and_then(|p| facts.plan(p))
+        .ok_or("unknown X-Contract")?;
+    let customer = one(headers, "x-client-id")
+        .and_then(hex)
+        .filter(|c| *c < CUSTOMERS);
     let customer = customer.ok_or("X-Client-Id is not a number of 16 hex digits")?;
-    let left =
-        one(headers, "x-time-left-ms").and_then(digits).ok_or("X-Time-Left-Ms is not a whole number")?;
+    let left = one(headers, "x-time-left-ms")
+        .and_then(digits)
+        .ok_or("X-Time-Left-Ms is not a whole number")?;
     let settings = &facts.settings;
-    let set = one(headers, "x-metering").and_then(metering).filter(|[units, spread, first]| {
-        let n = settings.gateways.max(1);
-        (1..=settings.most_units.max(1.0) as u32).contains(units)
+    let set = one(headers, "x-metering")
+        .and_then(metering)
+        .filter(|[units, spread, first]| {
+            let n = settings.gateways.max(1);
+            (1..=settings.most_units.max(1.0) as u32).contains(units)
             && (1..=n).contains(spread)
             && *first < n
             // A set without this ingress: the customer's quota is not kept here.
             && (settings.me + n - first) % n < *spread
-    });
+        });
     let Some([units, spread, first]) = set else {
-        return Err("X-Metering does not name units, and a set with this ingress, within the settings");
+        return Err(
+            "X-Metering does not name units, and a set with this ingress, within the settings",
+        );
     };
     let request = api::Request {
         id: RequestId(id),
@@ -404,7 +489,9 @@
         customer: format!("{customer:016x}").into(),
         units: f64::from(units),
         // No try may wait for longer than its class: bounds what is held.
-        left: left.saturating_mul(1_000_000).min(settings.classes[class].deadline),
+        left: left
+            .saturating_mul(1_000_000)
+            .min(settings.classes[class].deadline),
         repeat: one(headers, "x-repeat") == Some("1"),
         spread,
         first,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -42,7 +42,10 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024, memory_mb: 192 }
+        Limits {
+            sockets: 1024,
+            memory_mb: 192,
+        }
     }
 }
 
@@ -76,7 +79,9 @@
         let mut file = read(&path)?;
         let told = file.discovery;
         let address = |name: &str, told: SocketAddr| match env::var(name) {
-            Ok(text) => text.parse().map_err(|_| format!("{name}: '{text}' is no address with a port")),
+            Ok(text) => text
+                .parse()
+                .map_err(|_| format!("{name}: '{text}' is no address with a port")),
             Err(_) => Ok(told),
         };
         file.listen = address("GW_LISTEN", file.listen)?;
@@ -86,14 +91,24 @@
             (Err(_), told) => told,
         };
         file.name = env::var("GW_NAME").unwrap_or(file.name);
-        let config: Config = file.try_into().map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
-        Ok(Config { path, told, ..config })
+        let config: Config = file
+            .try_into()
+            .map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
+        Ok(Config {
+            path,
+            told,
+            ..config
+        })
     }
 
     /// One line on what is described.
     pub fn summary(&self) -> String {
-        let datagrams = self.peer_listen.map_or(String::new(), |at| format!(", datagrams on {at}"));
-        let operator = self.operator.map_or(String::new(), |at| format!(", operators on {at}"));
+        let datagrams = self
+            .peer_listen
+            .map_or(String::new(), |at| format!(", datagrams on {at}"));
+        let operator = self
+            .operator
+            .map_or(String::new(), |at| format!(", operators on {at}"));
         format!(
             "{} on {}{datagrams}{operator}, discovery {}, {} known instances, {} peers, {} descriptors",
             self.name,
@@ -119,7 +134,8 @@
         }
         let seed = match file.seed.as_str() {
             "" => 0,
-            hex => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: '{hex}' is not hex digits"))?,
+            hex => u64::from_str_radix(hex, 16)
+                .map_err(|_| format!("seed: '{hex}' is not hex digits"))?,
         };
         Ok(Config {
             path: String::new(),
@@ -161,11 +177,24 @@
         config: &Config,
         operator: Operator,
         file: Option<String>,
-    ) -> (Self, watch::Receiver<SocketAddr>, watch::Receiver<Arc<Operator>>) {
+    ) -> (
+        Self,
+        watch::Receiver<SocketAddr>,
+        watch::Receiver<Arc<Operator>>,
+    ) {
         let (discovery, follower) = watch::channel(config.discovery);
         let (settings, settings_follower) = watch::channel(Arc::new(operator));
         let (path, told) = (config.path.clone(), config.told);
-        (Source { path, told, discovery, operator: (file, settings) }, follower, settings_follower)
+        (
+            Source {
+                path,
+                told,
+                discovery,
+                operator: (file, settings),
+            },
+            follower,
+            settings_follower,
+        )
     }
 
     /// Reads both files again. What is wrong with one, as where it is only half written, changes nothing that it
@@ -176,7 +205,9 @@
     }
 
     fn reload_operator(&self) {
-        let (Some(file), settings) = &self.operator else { return };
+        let (Some(file), settings) = &self.operator else {
+            return;
+        };
         match Operator::read(Some(file)) {
             Ok(read) => {
                 tracing::info!("reload: {file}: {} on", read.summary());
@@ -206,9 +237,13 @@
 impl Config {
     /// The configuration of the recorded exchanges, where nothing listens.
     pub fn sample() -> Self {
-        let text = include_str!("../../tests/exchanges/config.json").replace("@discovery", "127.0.0.1:9");
-        let text = text.replace("@peer0", "127.0.0.1:9").replace("@peer1", "127.0.0.1:9");
-        let file: File = serde_json::from_str(&text.replace("@s1", "127.0.0.1:9")).expect("well-formed");
+        let text =
+            include_str!("../../tests/exchanges/config.json").replace("@discovery", "127.0.0.1:9");
+        let text = text
+            .replace("@peer0", "127.0.0.1:9")
+            .replace("@peer1", "127.0.0.1:9");
+        let file: File =
+            serde_json::from_str(&text.replace("@s1", "127.0.0.1:9")).expect("well-formed");
         file.try_into().expect("complete")
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -81,7 +81,11 @@
 }
 
 impl Read for Watched {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: ReadBufCursor,
+    ) -> Poll<io::Result<()>> {
         if self.watch.look.swap(false, Ordering::Relaxed) {
             // The reactor may not have told yet of what the kernel holds. On an idle connection, that is the
             // connection's end or nobody's answer, which would be taken for the next request's.
@@ -101,7 +105,11 @@
 }
 
 impl Write for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(poll)
     }
