--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -91,12 +91,20 @@
 pub fn queues() -> (mpsc::Sender<Order>, mpsc::Sender<Drain>, Inboxes) {
     let (orders, orders_in) = mpsc::channel(QUEUE);
     let (drains, drains_in) = mpsc::channel(QUEUE);
-    (orders, drains, Inboxes { orders: orders_in, drains: drains_in })
+    (
+        orders,
+        drains,
+        Inboxes {
+            orders: orders_in,
+            drains: drains_in,
+        },
+    )
 }
 
 /// Listens at the second address.
 pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
-    accept::listen(address, BACKLOG).map_err(|e| format!("operator: cannot listen on {address}: {e}"))
+    accept::listen(address, BACKLOG)
+        .map_err(|e| format!("operator: cannot listen on {address}: {e}"))
 }
 
 /// One caller, for as long as it has not said what it wants.
@@ -122,14 +130,23 @@
             }
         };
         failing = false;
-        let caller = Arc::new(Caller { go: Notify::new(), heard: AtomicBool::new(false) });
+        let caller = Arc::new(Caller {
+            go: Notify::new(),
+            heard: AtomicBool::new(false),
+        });
         {
             let mut callers = lock(&callers);
             // Guards against callers that hold a place with half a line: the longest silent goes, and none whose
             // call is being carried out. Where all are, the newcomer waits no longer than their second.
             if callers.len() >= CALLERS {
-                if let Some(i) = callers.iter().position(|c| !c.heard.load(Ordering::Relaxed)) {
-                    callers.remove(i).into_iter().for_each(|c| c.go.notify_one());
+                if let Some(i) = callers
+                    .iter()
+                    .position(|c| !c.heard.load(Ordering::Relaxed))
+                {
+                    callers
+                        .remove(i)
+                        .into_iter()
+                        .for_each(|c| c.go.notify_one());
                 }
             }
             callers.push_back(caller.clone());
@@ -177,11 +194,17 @@
 
 /// The one line of a caller; none where it left without one.
 async fn read(stream: &mut TcpStream) -> Option<Result<String, String>> {
-    let (mut codec, mut bytes) =
-        (LinesCodec::new_with_max_length(LINE_MOST), BytesMut::with_capacity(LINE_MOST));
+    let (mut codec, mut bytes) = (
+        LinesCodec::new_with_max_length(LINE_MOST),
+        BytesMut::with_capacity(LINE_MOST),
+    );
     loop {
         let ended = stream.read_buf(&mut bytes).await.ok()? == 0;
-        let line = if ended { codec.decode_eof(&mut bytes) } else { codec.decode(&mut bytes) };
+        let line = if ended {
+            codec.decode_eof(&mut bytes)
+        } else {
+            codec.decode(&mut bytes)
+        };
         match line {
             Ok(Some(line)) => return Some(Ok(line)),
             Ok(None) if ended => return None,
@@ -212,7 +235,9 @@
             answer
         });
         let late = "not decided in time; it may still come into force, so ask again";
-        carried.await.unwrap_or_else(|_| Answer::Error(late.to_string()))
+        carried
+            .await
+            .unwrap_or_else(|_| Answer::Error(late.to_string()))
     }
 
     /// Carries a call out in this process alone; `known`: the id is known to the other one.
@@ -230,9 +255,9 @@
         let stage = *self.stages.borrow();
         match (*self.ready.borrow() && *self.listed.borrow(), stage.stops()) {
             (_, true) => Answer::Error("this process was told to stop".to_string()),
-            (false, _) => {
-                Answer::Error("not yet: this process still takes over from the one before".to_string())
-            }
+            (false, _) => Answer::Error(
+                "not yet: this process still takes over from the one before".to_string(),
+            ),
             (true, _) => Answer::Done(stage.word().to_string()),
         }
     }
@@ -240,10 +265,22 @@
     async fn order(&self, id: String, withhold: bool, known: bool) -> Answer {
         let _turn = self.turn.lock().await;
         let (reply, answer) = oneshot::channel();
-        if self.orders.send(Order::Instance(Instance { id, withhold, known, reply })).await.is_err() {
+        if self
+            .orders
+            .send(Order::Instance(Instance {
+                id,
+                withhold,
+                known,
+                reply,
+            }))
+            .await
+            .is_err()
+        {
             return stopped();
         }
-        let Ok((answer, ledger)) = answer.await else { return stopped() };
+        let Ok((answer, ledger)) = answer.await else {
+            return stopped();
+        };
         match (answer, &self.place) {
             (Answer::Done(what), Some(place)) => match place.write(&ledger) {
                 Ok(()) => Answer::Done(what),
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -124,7 +124,10 @@
         (before, zones): (Before, Option<Zoning>),
     ) -> Self {
         let now = clock.now();
-        let sizes = (Budget::new(config.sockets).instances, config.memory / AHEAD_PART);
+        let sizes = (
+            Budget::new(config.sockets).instances,
+            config.memory / AHEAD_PART,
+        );
         let facts = config.facts.clone();
         let mut engine = Engine {
             brain: Brain::new(facts.settings.clone(), config.seed, now),
@@ -134,7 +137,11 @@
             peers,
             open: HashMap::new(),
             last_resorts: BTreeSet::new(),
-            timers: [Reverse((now, Due::Sweep)), Reverse((now + FIGURES, Due::Figures))].into(),
+            timers: [
+                Reverse((now, Due::Sweep)),
+                Reverse((now + FIGURES, Due::Figures)),
+            ]
+            .into(),
             events: VecDeque::new(),
             actions: Vec::new(),
             now,
@@ -146,7 +153,9 @@
             handed: false,
         };
         if engine.zones.is_some() {
-            engine.timers.push(Reverse((now + zoning::EVERY, Due::Zones)));
+            engine
+                .timers
+                .push(Reverse((now + zoning::EVERY, Due::Zones)));
         }
         let known = match before {
             Before::Nothing => config.known.entries(&engine.facts, &clock),
@@ -159,7 +168,11 @@
                 if let Err(why) = engine.brain.take_over(&estate.module) {
                     tracing::warn!("succession: the module begins anew: {why}");
                 }
-                estate.listed.into_iter().map(|(member, endpoint)| Entry { member, endpoint }).collect()
+                estate
+                    .listed
+                    .into_iter()
+                    .map(|(member, endpoint)| Entry { member, endpoint })
+                    .collect()
             }
         };
         engine.take(Message::Table(ListKind::Cached, known));
@@ -167,7 +180,11 @@
     }
 
     /// Runs for as long as anything can reach it.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>, mut orders: mpsc::Receiver<Order>) {
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Message>,
+        mut orders: mpsc::Receiver<Order>,
+    ) {
         let mut batch = Vec::with_capacity(GO);
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
@@ -207,14 +224,20 @@
     /// When something falls due next.
     fn next(&self) -> u64 {
         let timer = self.timers.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
-        self.last_resorts.first().map_or(timer, |(at, _)| timer.min(*at))
+        self.last_resorts
+            .first()
+            .map_or(timer, |(at, _)| timer.min(*at))
     }
 
     fn take(&mut self, message: Message) {
         match message {
             Message::Command(command) => self.command(command),
             Message::Left(id, serial) => {
-                if self.open.get(&id).is_some_and(|o| o.serial == serial && o.reply.is_some()) {
+                if self
+                    .open
+                    .get(&id)
+                    .is_some_and(|o| o.serial == serial && o.reply.is_some())
+                {
                     self.figures.left += 1;
                     self.leave(id);
                 }
@@ -228,29 +251,53 @@
                 if let Some(zones) = &mut self.zones {
                     zones.listed(kind, &entries);
                 }
-                self.event(Event::Members(kind, entries.into_iter().map(|e| e.member).collect()));
+                self.event(Event::Members(
+                    kind,
+                    entries.into_iter().map(|e| e.member).collect(),
+                ));
             }
             Message::Peer { from, text }
-                if self.zones.as_mut().is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
+                if self
+                    .zones
+                    .as_mut()
+                    .is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
             Message::Peer { from, text } => self.event(Event::Peer { from, text }),
         }
     }
 
     fn fall_due(&mut self) {
-        while let Some((_, id)) = self.last_resorts.first().copied().filter(|(at, _)| *at <= self.now) {
+        while let Some((_, id)) = self
+            .last_resorts
+            .first()
+            .copied()
+            .filter(|(at, _)| *at <= self.now)
+        {
             // The module owes an answer and has not given it: should never happen, and is counted.
             self.figures.last_resort += 1;
             tracing::error!("last-resort answer to {:016x}", id.0);
-            self.answer(id, Answer::Failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+            self.answer(
+                id,
+                Answer::Failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            );
             self.leave(id);
         }
-        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
-            let Some(Reverse((_, due))) = self.timers.pop() else { return };
+        while self
+            .timers
+            .peek()
+            .is_some_and(|Reverse((at, _))| *at <= self.now)
+        {
+            let Some(Reverse((_, due))) = self.timers.pop() else {
+                return;
+            };
             match due {
                 Due::Module(token) => self.event(Event::Timer(token)),
                 Due::Zones => {
                     let peers = self.peers.as_deref().filter(|_| !self.handed);
-                    if let Some(shares) = self.zones.as_mut().and_then(|zones| zones.tick(self.now, peers)) {
+                    if let Some(shares) = self
+                        .zones
+                        .as_mut()
+                        .and_then(|zones| zones.tick(self.now, peers))
+                    {
                         self.event(Event::Shares(shares));
                     }
                     self.timers.push(Reverse((self.now + zoning::EVERY, due)));
@@ -270,7 +317,13 @@
 
     fn command(&mut self, command: Command) {
         self.figures.commands += 1;
-        let Command { mut request, serial, deadline, passed, reply } = command;
+        let Command {
+            mut request,
+            serial,
+            deadline,
+            passed,
+            reply,
+        } = command;
         let id = request.id;
         // Whoever left while the command waited in the queue needs nothing of it.
         if passed.gone() {
@@ -280,10 +333,17 @@
         if self.open.contains_key(&id) {
             // Two with one id would be two attempts of one request to an instance.
             self.figures.failed += 1;
-            let _ = reply.send(Answer::Failed(StatusCode::CONFLICT, "a command with this id is open"));
+            let _ = reply.send(Answer::Failed(
+                StatusCode::CONFLICT,
+                "a command with this id is open",
+            ));
             return;
         }
-        let waited = if self.now <= self.stall.1 { self.stall.0 } else { 0 };
+        let waited = if self.now <= self.stall.1 {
+            self.stall.0
+        } else {
+            0
+        };
         let deadline = self.clock.at(deadline).saturating_sub(waited);
         request.left = request.left.saturating_sub(waited);
         let reply = Some(reply);
@@ -301,7 +361,8 @@
                 tainted: None,
             },
         );
-        self.last_resorts.insert((deadline.saturating_sub(LAST_MARGIN), id));
+        self.last_resorts
+            .insert((deadline.saturating_sub(LAST_MARGIN), id));
         self.event(Event::Request(request));
     }
 
@@ -309,15 +370,26 @@
     fn leave(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             open.reply = None;
-            self.last_resorts.remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
+            self.last_resorts
+                .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
         }
         self.event(Event::ClientLeft(id));
         self.forget(id);
     }
 
     fn ended(&mut self, ended: Ended) {
-        let Ended { request: id, number, backend, outcome, latency, load, served } = ended;
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Ended {
+            request: id,
+            number,
+            backend,
+            outcome,
+            latency,
+            load,
+            served,
+        } = ended;
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
         // A late result of an attempt that is over already.
         if open.out.as_ref().is_none_or(|(out, _)| *out != number) {
             return;
@@ -331,28 +403,56 @@
         }
         if let Some((body, kind)) = served {
             self.answer(id, Answer::Served(body, kind));
-        } else if self.open.get(&id).is_some_and(|o| o.reply.is_some() && o.passed.gone()) {
+        } else if self
+            .open
+            .get(&id)
+            .is_some_and(|o| o.reply.is_some() && o.passed.gone())
+        {
             // The word of it may still be on its way, or lost: no further attempt is made for nobody.
             self.figures.left += 1;
             self.leave(id);
         }
         let latency = latency.as_nanos() as u64;
         let finished = self.finished(id, number, backend, outcome);
-        self.event(Event::Finished(Finished { latency, load, ..finished }));
+        self.event(Event::Finished(Finished {
+            latency,
+            load,
+            ..finished
+        }));
         self.forget(id);
     }
 
     /// The module's news of an attempt.
-    fn finished(&self, request: RequestId, attempt: u32, backend: BackendId, outcome: Outcome) -> Finished {
+    fn finished(
+        &self,
+        request: RequestId,
+        attempt: u32,
+        backend: BackendId,
+        outcome: Outcome,
+    ) -> Finished {
         let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
-        Finished { request, attempt, backend, outcome, latency: 0, closed, cost: 0.0, load: Vec::new() }
+        Finished {
+            request,
+            attempt,
+            backend,
+            outcome,
+            latency: 0,
+            closed,
+            cost: 0.0,
+            load: Vec::new(),
+        }
     }
 
     /// Gives the one answer to a command, if it is still owed.
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(reply) = open.reply.take() else { return };
-        self.last_resorts.remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let Some(reply) = open.reply.take() else {
+            return;
+        };
+        self.last_resorts
+            .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
         match answer {
             Answer::Served(..) => self.figures.served += 1,
             Answer::Nack { .. } => self.figures.nacks += 1,
@@ -365,7 +465,11 @@
 
     /// Drops a command that is answered and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_none()) {
+        if self
+            .open
+            .get(&id)
+            .is_some_and(|o| o.reply.is_none() && o.out.is_none())
+        {
             self.open.remove(&id);
         }
     }
@@ -383,28 +487,51 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Send {
+                request,
+                backend,
+                timeout,
+            } => self.send(request, backend, timeout),
             Action::Cancel { request, attempt } => {
                 let out = self.open.get_mut(&request).and_then(|o| o.out.as_mut());
                 if let Some((_, cancel)) = out.filter(|(number, _)| *number == attempt) {
                     *cancel = None;
                 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 let tried = self.open.get(&request).is_some_and(|o| o.attempts > 0);
-                let status =
-                    if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
-                self.answer(request, Answer::Nack { status, retry_after });
+                let status = if tried {
+                    StatusCode::SERVICE_UNAVAILABLE
+                } else {
+                    StatusCode::TOO_MANY_REQUESTS
+                };
+                self.answer(
+                    request,
+                    Answer::Nack {
+                        status,
+                        retry_after,
+                    },
+                );
             }
             Action::Fail(request) => {
-                self.answer(request, Answer::Failed(StatusCode::BAD_GATEWAY, "no answer from an instance"));
+                self.answer(
+                    request,
+                    Answer::Failed(StatusCode::BAD_GATEWAY, "no answer from an instance"),
+                );
             }
             Action::Timer { after, token } => {
-                self.timers.push(Reverse((self.now + after, Due::Module(token))));
+                self.timers
+                    .push(Reverse((self.now + after, Due::Module(token))));
             }
             Action::Close(backend) => self.fleet.close(&backend),
             Action::Tell { peer, text } => {
-                self.peers.iter().filter(|_| !self.handed).for_each(|peers| peers.tell(peer, &text));
+                self.peers
+                    .iter()
+                    .filter(|_| !self.handed)
+                    .for_each(|peers| peers.tell(peer, &text));
             }
             Action::Log(line) => tracing::info!("module: {line}"),
             // The name table is always followed; probes and counts are not asked for by this module.
@@ -413,17 +540,28 @@
     }
 
     fn send(&mut self, request: RequestId, backend: BackendId, timeout: u64) {
-        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(open) = self.open.get_mut(&request) else {
+            return;
+        };
         let number = open.attempts;
         open.attempts += 1;
         let most = self.facts.settings.max_attempts;
         let last = open.deadline.saturating_sub(ATTEMPT_MARGIN);
-        let until = if timeout == 0 { last } else { last.min(self.now + timeout) };
+        let until = if timeout == 0 {
+            last
+        } else {
+            last.min(self.now + timeout)
+        };
         // Whatever the module asks for: one attempt at a time, no more than allowed, none after its time.
         let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
         // What may have run goes out again only while instances know its key: a connection may come up late.
-        let write_by = match (self.facts.settings.classes[open.class].repeats, open.tainted) {
-            (Repeats::Keyed { window, .. }, Some(first)) => Some(first + window / KNOWN.1 * KNOWN.0),
+        let write_by = match (
+            self.facts.settings.classes[open.class].repeats,
+            open.tainted,
+        ) {
+            (Repeats::Keyed { window, .. }, Some(first)) => {
+                Some(first + window / KNOWN.1 * KNOWN.0)
+            }
             _ => None,
         };
         open.sent = self.now;
@@ -437,7 +575,11 @@
             write_by: write_by.map(|by| self.clock.instant(by)),
             again: (number + 1 < most).then(|| self.clock.instant(last)),
         };
-        let started = if may { self.fleet.start(attempt) } else { Err(attempt) };
+        let started = if may {
+            self.fleet.start(attempt)
+        } else {
+            Err(attempt)
+        };
         match started {
             Ok(cancel) => {
                 if let (Some(zones), Some(backend)) = (&mut self.zones, zoned) {
--- a/src/net/engine/figures.rs
+++ b/src/net/engine/figures.rs
@@ -16,8 +16,15 @@
 
 impl Engine {
     pub(super) fn tell_figures(&mut self) {
-        let Figures { commands, served, nacks, failed, left, attempts, last_resort } =
-            std::mem::take(&mut self.figures);
+        let Figures {
+            commands,
+            served,
+            nacks,
+            failed,
+            left,
+            attempts,
+            last_resort,
+        } = std::mem::take(&mut self.figures);
         if commands + last_resort > 0 {
             let (open, idle) = (self.open.len(), self.fleet.idle());
             tracing::info!(
--- a/src/net/engine/orders.rs
+++ b/src/net/engine/orders.rs
@@ -28,22 +28,41 @@
         let (ledger, listed) = match &self.withheld {
             Some(withheld) => {
                 let (ledger, listed) = withheld.parts();
-                (ledger.clone(), listed.map(|e| (e.member.clone(), e.endpoint)).collect())
+                (
+                    ledger.clone(),
+                    listed.map(|e| (e.member.clone(), e.endpoint)).collect(),
+                )
             }
             None => Default::default(),
         };
-        Ok(Estate { now: self.now, withheld: ledger, drained: false, listed, module })
+        Ok(Estate {
+            now: self.now,
+            withheld: ledger,
+            drained: false,
+            listed,
+            module,
+        })
     }
 
     /// Withholds an instance, or gives one back; answered once the module and the connections know.
     fn instance(&mut self, order: control::Instance) {
-        let control::Instance { id, withhold, known, reply } = order;
-        let Some(withheld) = &mut self.withheld else { return };
+        let control::Instance {
+            id,
+            withhold,
+            known,
+            reply,
+        } = order;
+        let Some(withheld) = &mut self.withheld else {
+            return;
+        };
         let ruling = withheld.order(&id, withhold, known);
         let none_left = withheld.none_left();
         let ledger = withheld.parts().0.clone();
         if let Some(entry) = ruling.changed {
-            tracing::info!("operator: {id} {}", if withhold { "withheld" } else { "given back" });
+            tracing::info!(
+                "operator: {id} {}",
+                if withhold { "withheld" } else { "given back" }
+            );
             let Entry { member, .. } = &entry;
             let event = match withhold {
                 true => Event::Members(ListKind::Delta, [member.clone()].into()),
--- a/src/net/engine/tests.rs
+++ b/src/net/engine/tests.rs
@@ -10,7 +10,14 @@
 fn engine() -> (Engine, mpsc::Receiver<Message>) {
     let (queue, inbox) = mpsc::channel(8);
     (
-        Engine::new(&Config::sample(), Clock::start(), None, pace::none(), queue, (Before::Nothing, None)),
+        Engine::new(
+            &Config::sample(),
+            Clock::start(),
+            None,
+            pace::none(),
+            queue,
+            (Before::Nothing, None),
+        ),
         inbox,
     )
 }
@@ -50,14 +57,28 @@
     });
     let (reply, answer) = oneshot::channel();
     let deadline = engine.clock.instant(engine.now + request.left);
-    engine.take(Message::Command(Command { request, serial: 1, deadline, passed, reply }));
+    engine.take(Message::Command(Command {
+        request,
+        serial: 1,
+        deadline,
+        passed,
+        reply,
+    }));
     answer
 }
 
 fn ended(number: u32, outcome: Outcome) -> Message {
     let served = (outcome == Outcome::Ok).then(|| (Content::Whole("body".into()), None));
     let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
-    Message::Ended(Ended { request: ID, number, backend, outcome, latency, load: Vec::new(), served })
+    Message::Ended(Ended {
+        request: ID,
+        number,
+        backend,
+        outcome,
+        latency,
+        load: Vec::new(),
+        served,
+    })
 }
 
 #[tokio::test]
@@ -66,7 +87,10 @@
     let mut answer = command(&mut engine);
     engine.now += 1_000_000_000 - LAST_MARGIN;
     engine.fall_due();
-    assert!(matches!(answer.try_recv(), Ok(Answer::Failed(StatusCode::GATEWAY_TIMEOUT, _))));
+    assert!(matches!(
+        answer.try_recv(),
+        Ok(Answer::Failed(StatusCode::GATEWAY_TIMEOUT, _))
+    ));
     assert_eq!(engine.figures.last_resort, 1);
     // Its attempt is called off, and once that is told nothing is left of it.
     assert!(matches!(engine.open[&ID].out, Some((0, None))));
@@ -82,7 +106,10 @@
     assert_eq!(engine.stall, (0, 0));
     engine.wake(before + 500_000_000, due);
     let _answer = command(&mut engine);
-    assert_eq!(engine.open[&ID].deadline, engine.now + 1_000_000_000 - (440_000_000 - STALL));
+    assert_eq!(
+        engine.open[&ID].deadline,
+        engine.now + 1_000_000_000 - (440_000_000 - STALL)
+    );
 }
 
 #[tokio::test]
@@ -102,7 +129,11 @@
 async fn a_command_never_has_two_attempts_out() {
     let (mut engine, _inbox) = engine();
     let _answer = command(&mut engine);
-    engine.act(Action::Send { request: ID, backend: "s-1".into(), timeout: 0 });
+    engine.act(Action::Send {
+        request: ID,
+        backend: "s-1".into(),
+        timeout: 0,
+    });
     assert!(matches!(engine.open[&ID].out, Some((0, Some(_)))));
     assert_eq!(engine.figures.attempts, 1);
 }
@@ -121,16 +152,34 @@
         (Before::Ledger(Ledger::default()), None),
     );
     let told = |i: usize| {
-        let (id, state) = (format!("s-{}", i + 2).into(), applewall::api::MemberState::Ready);
-        let member = applewall::api::Member { backend: id, state, ..Default::default() };
-        Message::Table(ListKind::Delta, vec![Entry { member, endpoint: config.listen }])
+        let (id, state) = (
+            format!("s-{}", i + 2).into(),
+            applewall::api::MemberState::Ready,
+        );
+        let member = applewall::api::Member {
+            backend: id,
+            state,
+            ..Default::default()
+        };
+        Message::Table(
+            ListKind::Delta,
+            vec![Entry {
+                member,
+                endpoint: config.listen,
+            }],
+        )
     };
     (0..super::super::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
     let (orders, orders_in) = mpsc::channel(1);
     // Listed by the last message only: unknown while that still waits.
     let (reply, answer) = oneshot::channel();
     let id = format!("s-{}", super::super::QUEUE + 1);
-    let order = control::Instance { id, withhold: true, known: false, reply };
+    let order = control::Instance {
+        id,
+        withhold: true,
+        known: false,
+        reply,
+    };
     assert!(orders.try_send(Order::Instance(order)).is_ok());
     tokio::select! {
         biased;
@@ -192,11 +241,17 @@
     engine.take(Message::Left(ID, 1));
     // Its attempt is called off and has not ended.
     let mut again = command_of(&mut engine, Arc::downgrade(&ASKER));
-    assert!(matches!(again.try_recv(), Ok(Answer::Failed(StatusCode::CONFLICT, _))));
+    assert!(matches!(
+        again.try_recv(),
+        Ok(Answer::Failed(StatusCode::CONFLICT, _))
+    ));
     engine.take(ended(0, Outcome::Ok));
     assert!(engine.open.is_empty());
     let mut again = command(&mut engine);
-    assert!(again.try_recv().is_err(), "the former one's answer is nobody's");
+    assert!(
+        again.try_recv().is_err(),
+        "the former one's answer is nobody's"
+    );
     engine.take(ended(0, Outcome::Ok));
     assert!(matches!(again.try_recv(), Ok(Answer::Served(..))));
 }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -50,7 +50,16 @@
 /// Both ends of an answer, and its length where it is known.
 pub fn flow(length: Option<u64>, held: Option<OwnedSemaphorePermit>) -> (Source, Flow) {
     let (source, pieces) = mpsc::channel(PIECES);
-    (Source(source), Flow { pieces, left: length, broken: false, seat: None, _held: held })
+    (
+        Source(source),
+        Flow {
+            pieces,
+            left: length,
+            broken: false,
+            seat: None,
+            _held: held,
+        },
+    )
 }
 
 impl Flow {
@@ -62,7 +71,9 @@
 
 impl fmt::Debug for Flow {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.debug_struct("Flow").field("left", &self.left).finish_non_exhaustive()
+        f.debug_struct("Flow")
+            .field("left", &self.left)
+            .finish_non_exhaustive()
     }
 }
 
@@ -76,10 +87,15 @@
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         Poll::Ready(match ready!(self.pieces.poll_recv(cx)) {
             Some(Some(piece)) => {
-                self.left = self.left.map(|left| left.saturating_sub(piece.len() as u64));
+                self.left = self
+                    .left
+                    .map(|left| left.saturating_sub(piece.len() as u64));
                 Some(Ok(Frame::data(piece)))
             }
             Some(None) => None,
@@ -94,6 +110,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -46,7 +46,9 @@
     pub fn ambiguous(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() && !self.over {
             if self.body > 0 {
-                let passed = bytes.len().min(usize::try_from(self.body).unwrap_or(usize::MAX));
+                let passed = bytes
+                    .len()
+                    .min(usize::try_from(self.body).unwrap_or(usize::MAX));
                 self.body -= passed as u64;
                 bytes = &bytes[passed..];
                 continue;
@@ -54,7 +56,8 @@
             let end = bytes.iter().position(|b| *b == b'\n');
             let part = &bytes[..end.unwrap_or(bytes.len())];
             self.inside = true;
-            self.line.extend_from_slice(&part[..part.len().min(KEPT - self.line.len())]);
+            self.line
+                .extend_from_slice(&part[..part.len().min(KEPT - self.line.len())]);
             bytes = &bytes[part.len() + usize::from(end.is_some())..];
             if end.is_some() && self.line_ends() {
                 return true;
@@ -101,7 +104,14 @@
 impl Guarded {
     /// A stream of which nothing has been read.
     pub fn new(stream: TcpStream, seat: Arc<Seat>, ticket: Option<Ticket>) -> Self {
-        Guarded { ticket, stream, heads: Heads::default(), seat, ahead: Vec::new(), dropped: 0 }
+        Guarded {
+            ticket,
+            stream,
+            heads: Heads::default(),
+            seat,
+            ahead: Vec::new(),
+            dropped: 0,
+        }
     }
 
     /// Reads on behind a command that has no answer yet; ready at the end of the connection only. hyper stops looking
@@ -136,7 +146,11 @@
 }
 
 impl AsyncRead for Guarded {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
         if self.seat.is_answering() {
             return self.poll_end(cx);
         }
@@ -161,7 +175,11 @@
 }
 
 impl AsyncWrite for Guarded {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(poll)
     }
--- a/src/net/framing/tests.rs
+++ b/src/net/framing/tests.rs
@@ -12,27 +12,45 @@
     };
     let both = "POST / HTTP/1.1\r\ncontent-LENGTH: 4\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n";
     assert!(found(both));
-    assert!(found("POST / HTTP/1.1\nTransfer-Encoding:chunked\nContent-Length:0\n\n"));
+    assert!(found(
+        "POST / HTTP/1.1\nTransfer-Encoding:chunked\nContent-Length:0\n\n"
+    ));
     // Behind another request in the same packet, with and without a body.
     assert!(found(&format!("GET / HTTP/1.1\r\n\r\n{both}")));
-    assert!(found(&format!("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc{both}")));
+    assert!(found(&format!(
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc{both}"
+    )));
     // One of them alone is fine, and bodies are not heads.
-    assert!(!found("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nContent-Length: 3\r\n"));
+    assert!(!found(
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nContent-Length: 3\r\n"
+    ));
     assert!(!found(
         "POST / HTTP/1.1\r\nContent-Length: 28\r\n\r\nTransfer-Encoding: chunked\r\nGET / HTTP/1.1\r\n\r\n"
     ));
-    assert!(!found(&format!("GET /{} HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "a".repeat(100))));
+    assert!(!found(&format!(
+        "GET /{} HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        "a".repeat(100)
+    )));
 }
 
 /// A stream with its other end, and a command on it that has no answer yet.
 async fn answering() -> (Guarded, Arc<Seat>, TcpStream) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (near, far) = tokio::join!(TcpStream::connect(listener.local_addr().unwrap()), listener.accept());
-    let place = Arc::new(tokio::sync::Semaphore::new(1)).try_acquire_owned().unwrap();
+    let (near, far) = tokio::join!(
+        TcpStream::connect(listener.local_addr().unwrap()),
+        listener.accept()
+    );
+    let place = Arc::new(tokio::sync::Semaphore::new(1))
+        .try_acquire_owned()
+        .unwrap();
     let seat = Arc::<super::super::seats::Seats>::default().sit(place, Arc::default(), None);
     seat.begin();
     seat.answering();
-    (Guarded::new(near.unwrap(), seat.clone(), None), seat, far.unwrap().0)
+    (
+        Guarded::new(near.unwrap(), seat.clone(), None),
+        seat,
+        far.unwrap().0,
+    )
 }
 
 #[tokio::test]
@@ -63,7 +81,11 @@
     assert_eq!(guarded.read(&mut [0; 64]).await.unwrap(), 0);
     assert!(seat.unread(), "the connection has to close with its answer");
     seat.wait();
-    assert_eq!(guarded.read(&mut [0; 64]).await.unwrap(), 0, "not even what was kept");
+    assert_eq!(
+        guarded.read(&mut [0; 64]).await.unwrap(),
+        0,
+        "not even what was kept"
+    );
 }
 
 #[tokio::test]
@@ -80,13 +102,17 @@
     // It never ends: what is not read holds the sender back, and no memory goes with it.
     while guarded.dropped < AHEAD.1 {
         let mut one = [0; 1];
-        let read = tokio::time::timeout(std::time::Duration::from_millis(10), guarded.read(&mut one));
+        let read =
+            tokio::time::timeout(std::time::Duration::from_millis(10), guarded.read(&mut one));
         assert!(read.await.is_err(), "no end, and no byte of it");
     }
     let (read, kept) = (guarded.dropped, guarded.ahead.capacity());
-    assert!(tokio::time::timeout(std::time::Duration::from_millis(10), guarded.read(&mut [0; 1]))
-        .await
-        .is_err());
+    assert!(tokio::time::timeout(
+        std::time::Duration::from_millis(10),
+        guarded.read(&mut [0; 1])
+    )
+    .await
+    .is_err());
     assert!(guarded.dropped == read && read <= AHEAD.1 + 2048 && kept <= 2 * AHEAD.0);
     drop(guarded);
     assert!(flood.await.unwrap() > AHEAD.1);
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -16,18 +16,22 @@
 
 /// The descriptor that GW_FD names, where it does.
 pub fn named() -> Result<Option<OwnedFd>, String> {
-    let Some(text) = env::var_os(VARIABLE) else { return Ok(None) };
+    let Some(text) = env::var_os(VARIABLE) else {
+        return Ok(None);
+    };
     let text = text.to_string_lossy();
     let number: Option<RawFd> = text.parse().ok().filter(|n| *n > 2);
-    let number =
-        number.ok_or_else(|| format!("{VARIABLE}: '{text}' is no number of an inherited descriptor"))?;
+    let number = number
+        .ok_or_else(|| format!("{VARIABLE}: '{text}' is no number of an inherited descriptor"))?;
     // SAFETY: only looked at, by calls that fail for a number that is no open descriptor.
     let looked = unsafe { BorrowedFd::borrow_raw(number) };
     match SockRef::from(&looked).is_listener() {
         // SAFETY: it is open, as was just seen, and nothing else in this program has it: it came with the start.
         Ok(true) => Ok(Some(unsafe { OwnedFd::from_raw_fd(number) })),
         Ok(false) => Err(format!("{VARIABLE}: descriptor {number} does not listen")),
-        Err(e) => Err(format!("{VARIABLE}: descriptor {number} is no listening socket: {e}")),
+        Err(e) => Err(format!(
+            "{VARIABLE}: descriptor {number} is no listening socket: {e}"
+        )),
     }
 }
 
@@ -52,8 +56,14 @@
     /// In `$TMPDIR`, named after the ingress.
     pub fn new(name: &str) -> Self {
         // The name is the platform's; as part of a file's name it may say nothing of folders.
-        let name = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
-        Place { folder: env::temp_dir(), name }
+        let name = name
+            .chars()
+            .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
+            .collect();
+        Place {
+            folder: env::temp_dir(),
+            name,
+        }
     }
 
     /// Where the process that serves listens for its successor.
@@ -63,7 +73,11 @@
 
     /// A name beside it that is this process's own.
     pub fn own_socket(&self) -> PathBuf {
-        self.folder.join(format!("applewall-{}.{}.sock", self.name, std::process::id()))
+        self.folder.join(format!(
+            "applewall-{}.{}.sock",
+            self.name,
+            std::process::id()
+        ))
     }
 
     fn state(&self) -> PathBuf {
@@ -79,15 +93,21 @@
             Ok(text) => state::read(&text),
         };
         read.unwrap_or_else(|why| {
-            tracing::warn!("state: {}: {why}; passed over, nothing is withheld", path.display());
+            tracing::warn!(
+                "state: {}: {why}; passed over, nothing is withheld",
+                path.display()
+            );
             Ledger::default()
         })
     }
 
     /// Writes the ledger: whole beside the old one, then in its place.
     pub fn write(&self, ledger: &Ledger) -> Result<(), String> {
-        let (path, new) =
-            (self.state(), self.folder.join(format!("applewall-{}.{}", self.name, std::process::id())));
+        let (path, new) = (
+            self.state(),
+            self.folder
+                .join(format!("applewall-{}.{}", self.name, std::process::id())),
+        );
         let written = std::fs::File::create(&new)
             .and_then(|mut file| file.write_all(state::write(ledger).as_bytes()))
             .and_then(|()| std::fs::rename(&new, &path));
--- a/src/net/instance.rs
+++ b/src/net/instance.rs
@@ -57,7 +57,13 @@
 
 impl Instance {
     fn new(endpoint: SocketAddr) -> Self {
-        Instance { state: Mutex::new(State { endpoint, draining: false, idle: Vec::new() }) }
+        Instance {
+            state: Mutex::new(State {
+                endpoint,
+                draining: false,
+                idle: Vec::new(),
+            }),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -144,12 +150,16 @@
             state.idle.retain(|c| c.endpoint == *endpoint);
         }
         // With it go its idle connections; attempts that are out hold it by themselves, and read that it drains.
-        self.instances.retain(|_, instance| !instance.state().draining);
+        self.instances
+            .retain(|_, instance| !instance.state().draining);
     }
 
     /// Closes idle connections to one instance.
     pub fn close(&self, backend: &BackendId) {
-        self.instances.get(backend).into_iter().for_each(|i| i.state().idle.clear());
+        self.instances
+            .get(backend)
+            .into_iter()
+            .for_each(|i| i.state().idle.clear());
     }
 
     fn fresh(&self, connection: &Connection) -> bool {
@@ -174,30 +184,68 @@
             return Some(place);
         }
         let oldest = |i: &&Arc<Instance>| i.state().idle.first().map(|c| c.since);
-        let longest = self.instances.values().filter(|i| oldest(i).is_some()).min_by_key(oldest)?;
+        let longest = self
+            .instances
+            .values()
+            .filter(|i| oldest(i).is_some())
+            .min_by_key(oldest)?;
         drop(longest.state().idle.remove(0));
         self.places.clone().try_acquire_owned().ok()
     }
 
     /// Starts an attempt in a task of its own, which reports once. Dropping what comes back cancels it.
     pub fn start(&self, attempt: Attempt) -> Result<oneshot::Sender<()>, Attempt> {
-        let Some(instance) = self.instances.get(&attempt.backend) else { return Err(attempt) };
+        let Some(instance) = self.instances.get(&attempt.backend) else {
+            return Err(attempt);
+        };
         // One that has been idle for long may be crossed by its end from over there, even before a sweep.
         let idle = instance.state().idle.pop().filter(|c| self.fresh(c));
-        let pooled = idle.map(Pooled::Idle).or_else(|| self.place().map(Pooled::Place));
-        let Some(pooled) = pooled else { return Err(attempt) };
+        let pooled = idle
+            .map(Pooled::Idle)
+            .or_else(|| self.place().map(Pooled::Place));
+        let Some(pooled) = pooled else {
+            return Err(attempt);
+        };
         let (cancel, cancelled) = oneshot::channel();
-        let (instance, limits, fields) = (instance.clone(), self.limits.clone(), self.load_fields.clone());
+        let (instance, limits, fields) = (
+            instance.clone(),
+            self.limits.clone(),
+            self.load_fields.clone(),
+        );
         let queue = self.queue.clone();
-        let pacer = self.pacers.borrow().as_ref().filter(|p| p.settings().enabled.0).cloned();
-        let pacing = pacer.map(|pacer| Pacing { pacer, clock: self.clock });
+        let pacer = self
+            .pacers
+            .borrow()
+            .as_ref()
+            .filter(|p| p.settings().enabled.0)
+            .cloned();
+        let pacing = pacer.map(|pacer| Pacing {
+            pacer,
+            clock: self.clock,
+        });
         let ahead = self.ahead.clone();
         tokio::spawn(async move {
             let started = Instant::now();
-            let Attempt { request, number, backend, passed, until, write_by, again } = attempt;
-            let due = Due { until, write_by, again };
+            let Attempt {
+                request,
+                number,
+                backend,
+                passed,
+                until,
+                write_by,
+                again,
+            } = attempt;
+            let due = Due {
+                until,
+                write_by,
+                again,
+            };
             let (begin, mut begun) = oneshot::channel();
-            let carried = Carried { pacing: pacing.as_ref(), ahead: &ahead, begin };
+            let carried = Carried {
+                pacing: pacing.as_ref(),
+                ahead: &ahead,
+                begin,
+            };
             let made = make(&instance, &limits, carried, pooled, &passed, due);
             tokio::pin!(made);
             // Whichever ends first drops the others, and a connection in use with them: it is closed before
@@ -262,7 +310,11 @@
     passed: &Passed,
     due: Due,
 ) -> Result<Made, Outcome> {
-    let Carried { pacing, ahead, begin } = carried;
+    let Carried {
+        pacing,
+        ahead,
+        begin,
+    } = carried;
     let mut connection = match pooled {
         Pooled::Idle(mut connection) => match connection.usable().await {
             true => connection,
@@ -303,7 +355,8 @@
         // One that says that it is larger than what is read ahead is passed on as it comes; so is one that would have
         // to wait for room, which its service client's own reading gives it.
         let room = length.unwrap_or(BODY_MOST as u64);
-        let room = (room <= BODY_MOST as u64).then(|| ahead.clone().try_acquire_many_owned(room as u32).ok());
+        let room = (room <= BODY_MOST as u64)
+            .then(|| ahead.clone().try_acquire_many_owned(room as u32).ok());
         let held = room.flatten();
         let (first, all) = match (pacing, &held) {
             (_, None) if good => first_piece(&mut body).await?,
@@ -316,7 +369,9 @@
         let (source, flow) = flow(length, held);
         watch.passing.store(true, Ordering::Relaxed);
         // Nobody waits for it where it was given up just now.
-        begin.send((parts.status, parts.headers.clone(), Content::Flow(flow))).ok()?;
+        begin
+            .send((parts.status, parts.headers.clone(), Content::Flow(flow)))
+            .ok()?;
         let whole = pass_on(source, first, &mut body).await;
         whole.then(|| (parts.status, parts.headers, Content::Whole(Bytes::new())))
     };
@@ -329,7 +384,11 @@
         // answer ends here too, and one that was given up for its pace, and its connection with it: the module hears
         // of it as of any other break, once nothing of it is out.
         let written = connection.watch.written.load(Ordering::Relaxed) > before;
-        return Err(if written { Outcome::Reset } else { Outcome::NoConnection });
+        return Err(if written {
+            Outcome::Reset
+        } else {
+            Outcome::NoConnection
+        });
     };
     if connection.usable().await {
         connection.since = Instant::now();
@@ -349,14 +408,29 @@
 ) -> Result<Connection, Outcome> {
     let endpoint = instance.state().endpoint;
     let dialled = tokio::time::timeout(limits.dial, TcpStream::connect(endpoint)).await;
-    let Ok(Ok(stream)) = dialled else { return Err(Outcome::NoConnection) };
+    let Ok(Ok(stream)) = dialled else {
+        return Err(Outcome::NoConnection);
+    };
     let _ = stream.set_nodelay(true);
     let watch = Arc::new(Watch::default());
-    let watched = Watched { stream: TokioIo::new(stream), watch: watch.clone() };
-    let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(watched).await;
+    let watched = Watched {
+        stream: TokioIo::new(stream),
+        watch: watch.clone(),
+    };
+    let handshake = http1::Builder::new()
+        .max_buf_size(HEAD_MOST)
+        .handshake(watched)
+        .await;
     let (sender, driver) = handshake.map_err(|_| Outcome::NoConnection)?;
     let driver = Box::new(driver);
-    let mut connection = Connection { sender, driver, watch, endpoint, since: Instant::now(), place };
+    let mut connection = Connection {
+        sender,
+        driver,
+        watch,
+        endpoint,
+        since: Instant::now(),
+        place,
+    };
     match connection.usable().await {
         true => Ok(connection),
         false => Err(Outcome::NoConnection),
@@ -366,7 +440,10 @@
 /// The request as it goes to an instance.
 fn request(passed: &Passed, endpoint: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
     let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-    let host = passed.host.clone().or_else(|| HeaderValue::try_from(endpoint.to_string()).ok())?;
+    let host = passed
+        .host
+        .clone()
+        .or_else(|| HeaderValue::try_from(endpoint.to_string()).ok())?;
     let mut request = Request::builder()
         .method(passed.method.clone())
         .uri(passed.target.clone())
--- a/src/net/instance/tests.rs
+++ b/src/net/instance/tests.rs
@@ -21,7 +21,10 @@
 
 fn limits() -> Limits {
     let second = Duration::from_secs(1);
-    Limits { dial: 20 * second, idle: second }
+    Limits {
+        dial: 20 * second,
+        idle: second,
+    }
 }
 
 /// One attempt at an address, on an instance that may have been told to drain; given up after far longer than it
@@ -37,9 +40,27 @@
     instance.state().draining = draining;
     let until = Instant::now() + Duration::from_secs(20);
     let (ahead, begin) = (Arc::new(Semaphore::new(1 << 20)), oneshot::channel().0);
-    let carried = Carried { pacing: None, ahead: &ahead, begin };
-    let made = make(&instance, &limits, carried, place, &passed, Due { until, write_by: None, again: None });
-    tokio::time::timeout(Duration::from_secs(20), made).await.expect("an end").err()
+    let carried = Carried {
+        pacing: None,
+        ahead: &ahead,
+        begin,
+    };
+    let made = make(
+        &instance,
+        &limits,
+        carried,
+        place,
+        &passed,
+        Due {
+            until,
+            write_by: None,
+            again: None,
+        },
+    );
+    tokio::time::timeout(Duration::from_secs(20), made)
+        .await
+        .expect("an end")
+        .err()
 }
 
 /// One attempt that gets this for an answer; the rest of what the instance would see of the connection.
@@ -71,8 +92,15 @@
     for rest in good {
         assert_eq!(answered(&format!("{ok}{rest}")).await, None, "{rest}");
     }
-    for head in ["HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n"] {
-        assert_eq!(answered(&format!("{head}\r\nup to the end")).await, None, "{head}");
+    for head in [
+        "HTTP/1.0 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+    ] {
+        assert_eq!(
+            answered(&format!("{head}\r\nup to the end")).await,
+            None,
+            "{head}"
+        );
     }
     let chunks = "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nfine\r\n0\r\nX-Trailer: x\r\n\r\n";
     assert_eq!(answered(&format!("{ok}{chunks}")).await, None);
@@ -90,11 +118,18 @@
         "no header\r\n\r\n",
     ];
     for rest in spoilt {
-        assert_eq!(answered(&format!("{ok}{rest}")).await, Some(Outcome::Reset), "{rest}");
+        assert_eq!(
+            answered(&format!("{ok}{rest}")).await,
+            Some(Outcome::Reset),
+            "{rest}"
+        );
     }
     let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n";
     assert_eq!(answered(switched).await, Some(Outcome::Reset));
-    assert_eq!(answered(&format!("{ok}X: {}", "x".repeat(HEAD_MOST))).await, Some(Outcome::Reset));
+    assert_eq!(
+        answered(&format!("{ok}X: {}", "x".repeat(HEAD_MOST))).await,
+        Some(Outcome::Reset)
+    );
     assert_eq!(answered("noise").await, Some(Outcome::Reset));
 }
 
@@ -103,9 +138,18 @@
     let (listener, endpoint) = listen().await;
     let (limits, instance) = (limits(), Instance::new(endpoint));
     let (passed, until) = (passed(), Instant::now() + Duration::from_secs(20));
-    let due = Due { until, write_by: None, again: None };
+    let due = Due {
+        until,
+        write_by: None,
+        again: None,
+    };
     let pool = Arc::new(Semaphore::new(1));
-    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let answer = |body: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
     let serve = async |body: &str| {
         let (mut stream, _) = listener.accept().await.unwrap();
         assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
@@ -114,15 +158,28 @@
     };
     let place = Pooled::Place(pool.clone().try_acquire_owned().unwrap());
     let ahead = Arc::new(Semaphore::new(1 << 20));
-    let carried = || Carried { pacing: None, ahead: &ahead, begin: oneshot::channel().0 };
+    let carried = || Carried {
+        pacing: None,
+        ahead: &ahead,
+        begin: oneshot::channel().0,
+    };
     let first = make(&instance, &limits, carried(), place, &passed, due);
     let (_, stream) = tokio::join!(first, serve("first"));
     // A second copy, which the reactor has not seen: nothing is awaited between.
     assert!(stream.try_write(answer("first").as_bytes()).unwrap() > 0);
     let idle = instance.state().idle.pop().unwrap();
-    let second = make(&instance, &limits, carried(), Pooled::Idle(idle), &passed, due);
+    let second = make(
+        &instance,
+        &limits,
+        carried(),
+        Pooled::Idle(idle),
+        &passed,
+        due,
+    );
     let served = async { tokio::join!(second, serve("second")).0 };
-    let second = tokio::time::timeout(Duration::from_secs(20), served).await.expect("a new connection");
+    let second = tokio::time::timeout(Duration::from_secs(20), served)
+        .await
+        .expect("a new connection");
     assert!(matches!(second.ok().unwrap().2, Content::Whole(body) if body == "second"));
     // The one place went from the old connection to the new one.
     assert_eq!(pool.available_permits(), 0);
@@ -150,8 +207,14 @@
 #[tokio::test]
 async fn an_attempt_whose_service_client_left_while_it_dialled_is_not_written() {
     let (listener, endpoint) = listen().await;
-    let gone = Passed { asker: std::sync::Weak::new(), ..passed() };
-    assert_eq!(attempt_of(gone, endpoint, false).await, Some(Outcome::NotSent));
+    let gone = Passed {
+        asker: std::sync::Weak::new(),
+        ..passed()
+    };
+    assert_eq!(
+        attempt_of(gone, endpoint, false).await,
+        Some(Outcome::NotSent)
+    );
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await.unwrap();
@@ -178,20 +241,41 @@
     let (queue, mut inbox) = mpsc::channel(8);
     let facts = super::super::config::Config::sample().facts;
     // No room to read ahead: passed on from its first piece.
-    let mut fleet = Fleet::new(&facts, (1, 0), Clock::start(), super::super::pace::none(), queue);
-    let member =
-        applewall::api::Member { backend: "s-1".into(), state: MemberState::Ready, ..Default::default() };
+    let mut fleet = Fleet::new(
+        &facts,
+        (1, 0),
+        Clock::start(),
+        super::super::pace::none(),
+        queue,
+    );
+    let member = applewall::api::Member {
+        backend: "s-1".into(),
+        state: MemberState::Ready,
+        ..Default::default()
+    };
     fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
     let until = Instant::now() + Duration::from_secs(30);
     let (request, passed) = (RequestId(7), Arc::new(passed()));
-    let attempt =
-        Attempt { request, number: 0, backend: "s-1".into(), passed, until, write_by: None, again: None };
+    let attempt = Attempt {
+        request,
+        number: 0,
+        backend: "s-1".into(),
+        passed,
+        until,
+        write_by: None,
+        again: None,
+    };
     let _cancel = fleet.start(attempt).ok().unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
     assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    stream.write_all(format!("{head}4\r\nfine\r\n0\r\n\r\n").as_bytes()).await.unwrap();
-    let Some(Message::Ended(ended)) = inbox.recv().await else { panic!("no report") };
+    stream
+        .write_all(format!("{head}4\r\nfine\r\n0\r\n\r\n").as_bytes())
+        .await
+        .unwrap();
+    let Some(Message::Ended(ended)) = inbox.recv().await else {
+        panic!("no report")
+    };
     let body = match ended.served.expect("served").0 {
         Content::Whole(body) => body,
         Content::Flow(flow) => flow.collect().await.unwrap().to_bytes(),
@@ -204,9 +288,18 @@
     let (_listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
     let facts = super::super::config::Config::sample().facts;
-    let mut fleet = Fleet::new(&facts, (1, 0), Clock::start(), super::super::pace::none(), queue);
-    let member =
-        applewall::api::Member { backend: "s-1".into(), state: MemberState::Ready, ..Default::default() };
+    let mut fleet = Fleet::new(
+        &facts,
+        (1, 0),
+        Clock::start(),
+        super::super::pace::none(),
+        queue,
+    );
+    let member = applewall::api::Member {
+        backend: "s-1".into(),
+        state: MemberState::Ready,
+        ..Default::default()
+    };
     fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
     let attempt = |number| Attempt {
         request: RequestId(7),
@@ -220,7 +313,9 @@
     let cancel = fleet.start(attempt(0)).ok().unwrap();
     assert!(fleet.start(attempt(1)).is_err());
     drop(cancel);
-    let Some(Message::Ended(ended)) = inbox.recv().await else { panic!("no report") };
+    let Some(Message::Ended(ended)) = inbox.recv().await else {
+        panic!("no report")
+    };
     assert_eq!((ended.number, ended.outcome), (0, Outcome::Cancelled));
     assert!(fleet.start(attempt(1)).is_ok());
 }
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -50,14 +50,22 @@
     }
 
     /// The same; what was said of the answers before is not said again for as long as it stays as it was.
-    pub fn entries_but(&self, said: &mut HashSet<String>, facts: &Facts, clock: &Clock) -> Vec<Entry> {
+    pub fn entries_but(
+        &self,
+        said: &mut HashSet<String>,
+        facts: &Facts,
+        clock: &Clock,
+    ) -> Vec<Entry> {
         let (mut entries, mut wrong) = (Vec::with_capacity(self.targets.len()), HashSet::new());
         let mut new = 0;
         for (place, value) in self.targets.iter().enumerate() {
             match entry(value, facts, clock) {
                 Ok(entry) => entries.push(entry),
                 Err(reason) => {
-                    let uid = value.get("uid").and_then(Value::as_str).unwrap_or("without a uid");
+                    let uid = value
+                        .get("uid")
+                        .and_then(Value::as_str)
+                        .unwrap_or("without a uid");
                     // An agent's text, and so a line of the log, is as long as it likes.
                     let uid: String = uid.escape_debug().take(40).collect();
                     if !said.contains(&format!("{uid}: {reason}")) {
@@ -74,7 +82,11 @@
             }
         }
         if new > TOLD {
-            tracing::warn!("name table: revision {}: {} more entries left out", self.rev, new - TOLD);
+            tracing::warn!(
+                "name table: revision {}: {} more entries left out",
+                self.rev,
+                new - TOLD
+            );
         }
         match self.all {
             true => *said = wrong,
@@ -103,5 +115,8 @@
         kind: facts.kind(&target.model),
         state,
     };
-    Ok(Entry { member, endpoint: target.endpoint })
+    Ok(Entry {
+        member,
+        endpoint: target.endpoint,
+    })
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -48,16 +48,30 @@
 const QUEUE: usize = 1024;
 
 /// Runs the ingress until it is told to stop and all that it took is answered.
-pub fn serve(config: config::Config, operator: Operator, file: Option<String>) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(run(config, operator, file))
+pub fn serve(
+    config: config::Config,
+    operator: Operator,
+    file: Option<String>,
+) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .map_err(|e| format!("cannot start the runtime: {e}"))?
+        .block_on(run(config, operator, file))
 }
 
-async fn run(mut config: config::Config, operator: Operator, file: Option<String>) -> Result<(), String> {
+async fn run(
+    mut config: config::Config,
+    operator: Operator,
+    file: Option<String>,
+) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
     let inherited = inherit::named()?;
-    let place = inherited.is_some().then(|| inherit::Place::new(&config.name));
+    let place = inherited
+        .is_some()
+        .then(|| inherit::Place::new(&config.name));
     if place.is_some() {
         // Two processes may be there at once, within the limits of one.
         (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
@@ -86,8 +100,11 @@
         Some(place) => succession::join(place).await,
         None => None,
     };
-    let (estate, link, datagrams) = heritage.map_or((None, None, None), succession::Heritage::parts);
-    let clock = estate.as_ref().map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
+    let (estate, link, datagrams) =
+        heritage.map_or((None, None, None), succession::Heritage::parts);
+    let clock = estate
+        .as_ref()
+        .map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
     let drained = estate.as_ref().is_some_and(|e| e.drained);
     let before = match (estate, &place) {
         (Some(estate), _) => engine::Before::Estate(estate),
@@ -96,7 +113,9 @@
         (None, None) => engine::Before::Nothing,
     };
     let (queue, inbox) = mpsc::channel(QUEUE);
-    let peers = peers::Peers::bind(&mut config, datagrams).await?.map(Arc::new);
+    let peers = peers::Peers::bind(&mut config, datagrams)
+        .await?
+        .map(Arc::new);
     let listener = match inherited {
         Some(socket) => inherit::listener(socket, &mut config.listen)?,
         None => accept::bind(&mut config.listen)?,
@@ -114,26 +133,83 @@
     let places = budget.places();
     let table = registry::begin(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
-    let pacers = pace::lead(operator, clock, places.clone(), (budget.clients, config.memory as u64));
-    let engine =
-        engine::Engine::new(&config, clock, peers.clone(), pacers.clone(), queue.clone(), (before, zones));
+    let pacers = pace::lead(
+        operator,
+        clock,
+        places.clone(),
+        (budget.clients, config.memory as u64),
+    );
+    let engine = engine::Engine::new(
+        &config,
+        clock,
+        peers.clone(),
+        pacers.clone(),
+        queue.clone(),
+        (before, zones),
+    );
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
     let (role, roles) = watch::channel(role::Role::Sole);
     if let Some(peers) = &peers {
-        tokio::spawn(peers.clone().listen(queue.clone(), roles.clone(), turn.clone()));
+        tokio::spawn(
+            peers
+                .clone()
+                .listen(queue.clone(), roles.clone(), turn.clone()),
+        );
     }
-    let start = name_table::Start { rev: rev.filter(|_| !merged), seed: config.seed, turn };
-    tokio::spawn(name_table::follow(discovery, start, config.facts.clone(), clock, table, merged));
-    let successor = role::Successor { role: roles, stopping: Arc::default() };
-    let longest = config.facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let start = name_table::Start {
+        rev: rev.filter(|_| !merged),
+        seed: config.seed,
+        turn,
+    };
+    tokio::spawn(name_table::follow(
+        discovery,
+        start,
+        config.facts.clone(),
+        clock,
+        table,
+        merged,
+    ));
+    let successor = role::Successor {
+        role: roles,
+        stopping: Arc::default(),
+    };
+    let longest = config
+        .facts
+        .settings
+        .classes
+        .iter()
+        .map(|c| c.deadline)
+        .max()
+        .unwrap_or(0);
     let termination = applewall_control::Termination::new(std::time::Duration::from_nanos(longest));
-    tokio::spawn(signals.lead(stage, inboxes.drains, (successor.clone(), termination), drained, source));
-    let door = accept::Door::new(&config, clock, places, pacers, queue, (stages, is_listed), successor);
+    tokio::spawn(signals.lead(
+        stage,
+        inboxes.drains,
+        (successor.clone(), termination),
+        drained,
+        source,
+    ));
+    let door = accept::Door::new(
+        &config,
+        clock,
+        places,
+        pacers,
+        queue,
+        (stages, is_listed),
+        successor,
+    );
     match place {
         Some(place) => {
             let (taken, all_taken) = oneshot::channel();
-            let succession = succession::Succession { place, role, other, desk, orders, peers };
+            let succession = succession::Succession {
+                place,
+                role,
+                other,
+                desk,
+                orders,
+                peers,
+            };
             let took_over = link.is_some();
             tokio::spawn(succession.lead(link, taken));
             let _ = all_taken.await;
--- a/src/net/name_table.rs
+++ b/src/net/name_table.rs
@@ -81,15 +81,29 @@
     queue: mpsc::Sender<Message>,
     proofs: bool,
 ) {
-    let Start { mut rev, seed, turn } = start;
+    let Start {
+        mut rev,
+        seed,
+        turn,
+    } = start;
     let mut rng = SmallRng::seed_from_u64(seed);
     let pace = Pace::of(facts.settings.subscribe);
-    let follower = Follower { facts, clock, queue, proofs, turn, pace };
+    let follower = Follower {
+        facts,
+        clock,
+        queue,
+        proofs,
+        turn,
+        pace,
+    };
     if let Some(turn) = &follower.turn {
         turn.first().await;
     } else if rev.is_some() {
         // Whoever has a list can wait a moment for those who started together with it.
-        let settings = (follower.facts.settings.gateways, follower.facts.stop_sending);
+        let settings = (
+            follower.facts.settings.gateways,
+            follower.facts.stop_sending,
+        );
         tokio::time::sleep(spread(settings.0, settings.1).mul_f64(rng.random())).await;
     }
     loop {
@@ -146,8 +160,16 @@
         // Whoever says that it is asked too much is spared, whoever else it serves.
         if matches!(loss, Loss::TurnedAway(..)) || !self.at_once {
             let (first, longest) = SERVICE.backoff;
-            let wait = doubled((first * fleet).max(LEAST.0), (longest * fleet).max(LEAST.1), tries);
-            return if matches!(loss, Loss::Late) { wait.min(LATE_MOST) } else { wait };
+            let wait = doubled(
+                (first * fleet).max(LEAST.0),
+                (longest * fleet).max(LEAST.1),
+                tries,
+            );
+            return if matches!(loss, Loss::Late) {
+                wait.min(LATE_MOST)
+            } else {
+                wait
+            };
         }
         match (loss, tries) {
             // The call itself has waited.
@@ -158,7 +180,8 @@
 
     /// Within which the first call of a connection has its answer, where discovery has been lost for so long.
     fn proof(&self, lost: Duration) -> Option<Duration> {
-        self.proof.map(|proof| (lost / SLOWER).clamp(proof, SERVICE.patience))
+        self.proof
+            .map(|proof| (lost / SLOWER).clamp(proof, SERVICE.patience))
     }
 }
 
@@ -193,7 +216,10 @@
     async fn follow_one(&self, discovery: SocketAddr, rev: &mut Option<u64>, rng: &mut SmallRng) {
         let (mut lost, mut tries, mut said) = (None, 0, HashSet::new());
         loop {
-            let Err(loss) = self.follow_connection(discovery, rev, &mut lost, &mut said).await else {
+            let Err(loss) = self
+                .follow_connection(discovery, rev, &mut lost, &mut said)
+                .await
+            else {
                 return;
             };
             tries = if lost.is_some() { tries + 1 } else { 0 };
@@ -232,17 +258,30 @@
         said: &mut HashSet<String>,
     ) -> Result<(), Loss> {
         // The fleet's turns have a pace of their own.
-        let mut proof = self.pace.proof(lost.map_or(Duration::ZERO, |since| since.elapsed()));
+        let mut proof = self
+            .pace
+            .proof(lost.map_or(Duration::ZERO, |since| since.elapsed()));
         proof = proof.filter(|_| self.turn.is_none());
         let proven = proof.map(|proof| Instant::now() + proof);
         let connects = proof.unwrap_or(SERVICE.patience);
-        let stream = timeout(connects, TcpStream::connect(discovery)).await.map_err(|_| Loss::Late)?;
+        let stream = timeout(connects, TcpStream::connect(discovery))
+            .await
+            .map_err(|_| Loss::Late)?;
         let stream = stream.map_err(|e| e.to_string())?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, mut connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-        let watch = || self.turn.as_ref().map_or(self.pace.watch, |turn| turn.watch());
-        let patience = if self.turn.is_some() { SERVICE.patience } else { self.pace.patience };
+        let (mut sender, mut connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| e.to_string())?;
+        let watch = || {
+            self.turn
+                .as_ref()
+                .map_or(self.pace.watch, |turn| turn.watch())
+        };
+        let patience = if self.turn.is_some() {
+            SERVICE.patience
+        } else {
+            self.pace.patience
+        };
         let mut proven = proven.into_iter();
         loop {
             // The first call of a connection proves that discovery speaks, before one waits for what it has to say.
@@ -250,31 +289,54 @@
             let (path, wait) = match *rev {
                 None => ("/v1/servers".to_string(), Duration::ZERO),
                 Some(rev) => {
-                    let wait = if first.is_some() { Duration::ZERO } else { watch() };
-                    (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait)
+                    let wait = if first.is_some() {
+                        Duration::ZERO
+                    } else {
+                        watch()
+                    };
+                    (
+                        format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()),
+                        wait,
+                    )
                 }
             };
             let until = first.unwrap_or_else(|| Instant::now() + wait + patience);
             let call = async {
                 sender.ready().await.map_err(|e| e.to_string())?;
-                let request =
-                    Request::builder().method(Method::GET).uri(path).header(HOST, discovery.to_string());
-                let request = request.body(Full::<Bytes>::default()).map_err(|e| e.to_string())?;
-                let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
+                let request = Request::builder()
+                    .method(Method::GET)
+                    .uri(path)
+                    .header(HOST, discovery.to_string());
+                let request = request
+                    .body(Full::<Bytes>::default())
+                    .map_err(|e| e.to_string())?;
+                let response = sender
+                    .send_request(request)
+                    .await
+                    .map_err(|e| e.to_string())?;
                 let status = response.status();
-                let told = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok()?.parse().ok());
-                let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
+                let told = response
+                    .headers()
+                    .get(RETRY_AFTER)
+                    .and_then(|v| v.to_str().ok()?.parse().ok());
+                let body = Limited::new(response.into_body(), LIST_MOST)
+                    .collect()
+                    .await;
                 Ok::<_, String>((status, told, body.map_err(|e| e.to_string())?.to_bytes()))
             };
-            let answered =
-                timeout_at(until, drive(&mut connection, call, || false)).await.map_err(|_| Loss::Late)?;
-            let (status, told, body) = answered.ok_or_else(|| "the connection ended".to_string())??;
+            let answered = timeout_at(until, drive(&mut connection, call, || false))
+                .await
+                .map_err(|_| Loss::Late)?;
+            let (status, told, body) =
+                answered.ok_or_else(|| "the connection ended".to_string())??;
             if status != StatusCode::OK {
                 return Err(Loss::TurnedAway(format!("status {status}"), told));
             }
             let answer: Answer = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
             if rev.is_none() && !answer.all {
-                return Err(Loss::Broken("asked for the whole list, got changes".to_string()));
+                return Err(Loss::Broken(
+                    "asked for the whole list, got changes".to_string(),
+                ));
             }
             // Discovery began anew: changes since a revision that it does not know are no changes to our list.
             if !answer.all && rev.is_some_and(|rev| answer.rev < rev) {
@@ -285,11 +347,20 @@
                 tracing::info!("name table: discovery is back, revision {}", answer.rev);
             }
             *rev = Some(answer.rev);
-            let kind = if answer.all { ListKind::Full } else { ListKind::Delta };
+            let kind = if answer.all {
+                ListKind::Full
+            } else {
+                ListKind::Delta
+            };
             let news = answer.all || !answer.targets.is_empty();
             if news || self.proofs {
                 let entries = answer.entries_but(said, &self.facts, &self.clock);
-                if self.queue.send(Message::Table(kind, entries)).await.is_err() {
+                if self
+                    .queue
+                    .send(Message::Table(kind, entries))
+                    .await
+                    .is_err()
+                {
                     return Ok(());
                 }
             }
--- a/src/net/name_table/tests.rs
+++ b/src/net/name_table/tests.rs
@@ -4,7 +4,11 @@
 fn however_large_the_fleet_the_first_call_leaves_time_to_keep_a_drain() {
     for (fleet, most) in [(2, 20), (3, 25), (300, 25), (10_000, 25)] {
         // A twentieth of the rule's time; a slow start, the answer and what is just being dialled have the rest.
-        assert_eq!(spread(fleet, 500_000_000), Duration::from_millis(most), "{fleet} ingresses");
+        assert_eq!(
+            spread(fleet, 500_000_000),
+            Duration::from_millis(most),
+            "{fleet} ingresses"
+        );
     }
 }
 
@@ -23,7 +27,9 @@
 
 #[test]
 fn a_silent_watch_is_opened_anew_before_what_it_missed_has_to_be_kept() {
-    let Pace { watch, patience, .. } = AGENT;
+    let Pace {
+        watch, patience, ..
+    } = AGENT;
     let call = AGENT.proof(Duration::ZERO).unwrap();
     // Silent from the moment of the call, or from just before its answer: noticed either way by then.
     let noticed = watch + patience;
@@ -42,11 +48,18 @@
             // Silent for 8 s: it came back just after a call began.
             let call = AGENT.proof(Duration::from_secs(8)).unwrap();
             let wait = AGENT.wait(fleet, &Loss::Late, tries).mul_f64(1.5);
-            assert!(wait + call <= DRAIN * 3 / 5, "{fleet} ingresses, {tries} tries");
+            assert!(
+                wait + call <= DRAIN * 3 / 5,
+                "{fleet} ingresses, {tries} tries"
+            );
             // Refused, and back just after that.
             assert!(AGENT.wait(fleet, &broken(), tries).mul_f64(1.5) <= DRAIN / 2);
         }
-        assert_eq!(AGENT.wait(fleet, &broken(), 0), Duration::ZERO, "the first try comes at once");
+        assert_eq!(
+            AGENT.wait(fleet, &broken(), 0),
+            Duration::ZERO,
+            "the first try comes at once"
+        );
     }
     // It is not asked without a pause while it refuses.
     assert!(AGENT.wait(3, &broken(), 1) >= Duration::from_millis(25));
@@ -54,8 +67,14 @@
 
 #[test]
 fn one_that_is_slow_rather_than_silent_is_heard_in_the_end() {
-    assert_eq!(AGENT.proof(Duration::from_secs(60)), Some(Duration::from_millis(1500)));
-    assert_eq!(AGENT.proof(Duration::from_secs(600)), Some(Duration::from_secs(2)));
+    assert_eq!(
+        AGENT.proof(Duration::from_secs(60)),
+        Some(Duration::from_millis(1500))
+    );
+    assert_eq!(
+        AGENT.proof(Duration::from_secs(600)),
+        Some(Duration::from_secs(2))
+    );
 }
 
 #[test]
@@ -63,8 +82,14 @@
     for fleet in [3, 30, 300, 10_000] {
         for tries in 0..20 {
             let wait = SERVICE.wait(fleet, &Loss::Late, tries);
-            assert!(wait.mul_f64(1.5) <= Duration::from_millis(1500), "{fleet} ingresses");
-            assert!(SERVICE.wait(fleet, &broken(), tries) >= wait, "a refusal spares discovery");
+            assert!(
+                wait.mul_f64(1.5) <= Duration::from_millis(1500),
+                "{fleet} ingresses"
+            );
+            assert!(
+                SERVICE.wait(fleet, &broken(), tries) >= wait,
+                "a refusal spares discovery"
+            );
         }
     }
 }
@@ -73,12 +98,18 @@
 fn a_fleet_that_is_turned_away_asks_no_more_often_the_larger_it_is() {
     let waits = |pace: Pace, fleet| (pace.wait(fleet, &busy(), 0), pace.wait(fleet, &busy(), 9));
     for pace in [SERVICE, AGENT] {
-        assert_eq!(waits(pace, 3), (Duration::from_millis(60), Duration::from_secs(1)));
+        assert_eq!(
+            waits(pace, 3),
+            (Duration::from_millis(60), Duration::from_secs(1))
+        );
         for fleet in [13, 30, 100, 1000] {
             let (first, longest) = waits(pace, fleet);
             // Calls a second of all ingresses together: at once after a loss, and while it lasts.
             let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
-            assert!(calls(first) <= 50.1 && calls(longest) <= 12.6, "{fleet} ingresses");
+            assert!(
+                calls(first) <= 50.1 && calls(longest) <= 12.6,
+                "{fleet} ingresses"
+            );
         }
     }
 }
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -78,7 +78,9 @@
 
 /// Tells the figures and the table of who was behind them; nothing where nothing happened.
 pub fn tell(pacers: &Pacers) {
-    let Some(pacer) = pacers.borrow().clone() else { return };
+    let Some(pacer) = pacers.borrow().clone() else {
+        return;
+    };
     let (counts, rows, waiting, waiting_most) = pacer.report(ROWS);
     if waiting_most == 0 && counts == applewall_pace::Counts::default() {
         return;
@@ -108,8 +110,17 @@
         peer_places,
         "pace"
     );
-    for Row { holder, events, last, waiting, age } in rows {
-        let customer = holder.customer.map_or("-".to_string(), |c| format!("{c:016x}"));
+    for Row {
+        holder,
+        events,
+        last,
+        waiting,
+        age,
+    } in rows
+    {
+        let customer = holder
+            .customer
+            .map_or("-".to_string(), |c| format!("{c:016x}"));
         let peer = holder.peer.map_or("-".to_string(), |p| p.to_string());
         let (last, ms) = (format!("{last:?}"), age / 1_000_000);
         tracing::info!(%customer, %peer, events, %last, waiting, ms, "pace: slow peer");
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -39,21 +39,34 @@
     /// left open, the address is put right.
     ///
     /// `handed`: a socket that listens there already.
-    pub async fn bind(config: &mut Config, handed: Option<OwnedFd>) -> Result<Option<Self>, String> {
+    pub async fn bind(
+        config: &mut Config,
+        handed: Option<OwnedFd>,
+    ) -> Result<Option<Self>, String> {
         let settings = config.facts.clone();
         let settings = &settings.settings;
-        let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else { return Ok(None) };
+        let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else {
+            return Ok(None);
+        };
         let told = |e: std::io::Error| format!("peer_listen {address}: {e}");
         let socket = match handed {
             None => UdpSocket::bind(address).await.map_err(told)?,
             Some(socket) => {
                 let socket = std::net::UdpSocket::from(socket);
-                socket.set_nonblocking(true).and_then(|()| UdpSocket::from_std(socket)).map_err(told)?
+                socket
+                    .set_nonblocking(true)
+                    .and_then(|()| UdpSocket::from_std(socket))
+                    .map_err(told)?
             }
         };
         config.peer_listen = socket.local_addr().ok();
         let (peers, me) = (config.peers.clone(), settings.me as usize);
-        Ok(Some(Peers { socket, peers, all: config.peers_all, me }))
+        Ok(Some(Peers {
+            socket,
+            peers,
+            all: config.peers_all,
+            me,
+        }))
     }
 
     /// Waits until the socket is known to take datagrams. Until the runtime has looked at it once, it is taken for full,
@@ -104,7 +117,11 @@
                 tokio::time::sleep(PAUSE).await;
                 continue;
             };
-            let from = self.peers.iter().position(|p| *p == sender).filter(|p| *p != self.me);
+            let from = self
+                .peers
+                .iter()
+                .position(|p| *p == sender)
+                .filter(|p| *p != self.me);
             if from.is_none() {
                 let now = tokio::time::Instant::now();
                 // Once a spell: anybody may send any number.
@@ -112,12 +129,20 @@
                     tracing::warn!("peers: datagrams of {sender}, which is no peer, are dropped");
                 }
             }
-            let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= MOST);
+            let text = std::str::from_utf8(&buffer[..length])
+                .ok()
+                .filter(|_| length <= MOST);
             if let (Some(from), Some(text)) = (from, text) {
-                if turn.as_ref().is_some_and(|turn| turn.hear(&self, from as u32, text, sender)) {
+                if turn
+                    .as_ref()
+                    .is_some_and(|turn| turn.hear(&self, from as u32, text, sender))
+                {
                     continue;
                 }
-                let _ = queue.try_send(Message::Peer { from: from as u32, text: text.to_string() });
+                let _ = queue.try_send(Message::Peer {
+                    from: from as u32,
+                    text: text.to_string(),
+                });
             }
         }
     }
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -75,8 +75,16 @@
         }
         let source = held.roster.source(REGISTRY);
         let took = match news {
-            News::Full { cluster, revision, items } => source.full(now, cluster, revision, true, items),
-            News::Changes { cluster, revision, items } => source.changes(now, cluster, revision, items),
+            News::Full {
+                cluster,
+                revision,
+                items,
+            } => source.full(now, cluster, revision, true, items),
+            News::Changes {
+                cluster,
+                revision,
+                items,
+            } => source.changes(now, cluster, revision, items),
         };
         drop(held);
         self.changed.notify_one();
@@ -86,10 +94,16 @@
     /// A whole list of a Consul-style store. It has no cluster's id; an index that goes back shows one that began anew.
     fn listed(&self, news: applewall_consul::News) {
         let now = self.clock.now();
-        let applewall_consul::News { index, consistent, items } = news;
+        let applewall_consul::News {
+            index,
+            consistent,
+            items,
+        } = news;
         let mut held = self.held();
         held.lists(CONSUL, &items);
-        held.roster.source(CONSUL).full(now, 0, index, consistent, items);
+        held.roster
+            .source(CONSUL)
+            .full(now, 0, index, consistent, items);
         drop(held);
         self.changed.notify_one();
     }
@@ -117,7 +131,12 @@
                 boot_ms: entry.member.started.unwrap_or(0),
             });
             let created = entry.member.started.unwrap_or(0);
-            items.push(Item { id: id.clone(), revision, created, entry: read });
+            items.push(Item {
+                id: id.clone(),
+                revision,
+                created,
+                entry: read,
+            });
             held.told.insert(id, entry);
         }
         let source = held.roster.source(DISCOVERY);
@@ -144,13 +163,21 @@
             let ages: Vec<i64> = ages.collect();
             match stale {
                 true => {
-                    tracing::warn!("registry: no source is current, seconds ago {ages:?}; the list stays")
+                    tracing::warn!(
+                        "registry: no source is current, seconds ago {ages:?}; the list stays"
+                    )
                 }
                 false => tracing::info!("registry: a source is current again"),
             }
         }
         let (mut gone, mut put) = (Vec::new(), Vec::new());
-        for Change { id, entry, anew, source } in changes {
+        for Change {
+            id,
+            entry,
+            anew,
+            source,
+        } in changes
+        {
             let before = held.sent.remove(&id);
             let Some(entry) = entry else {
                 held.told.remove(&id);
@@ -160,7 +187,11 @@
             // A birth that was seen is a start, where the entry does not tell a later one.
             let born = before.as_ref().filter(|_| anew).map(|_| now);
             gone.extend(before.filter(|_| anew).map(ended));
-            let told = held.told.get(&id).filter(|_| source == Some(DISCOVERY)).cloned();
+            let told = held
+                .told
+                .get(&id)
+                .filter(|_| source == Some(DISCOVERY))
+                .cloned();
             let mut next = told.unwrap_or_else(|| self.entry(&id, &entry));
             // On the module's clock, 1 is long past, and none is unknown.
             let long_past = held.first.remove(&id).then_some(1);
@@ -185,7 +216,10 @@
                 State::Terminating => MemberState::Draining,
             },
         };
-        Entry { member, endpoint: entry.endpoint }
+        Entry {
+            member,
+            endpoint: entry.endpoint,
+        }
     }
 }
 
@@ -206,9 +240,16 @@
 ) {
     let settings = &operator.registry;
     // A blocking read proves itself current only when it ends: it must not count as stale while it waits.
-    let consul_wait = if operator.consul.enabled.0 { operator.consul.wait.nanos() } else { 0 };
+    let consul_wait = if operator.consul.enabled.0 {
+        operator.consul.wait.nanos()
+    } else {
+        0
+    };
     let believed = settings.believed.nanos().max(consul_wait.saturating_mul(2));
-    let sent = known.iter().map(|entry| (entry.member.backend.to_string(), entry.clone())).collect();
+    let sent = known
+        .iter()
+        .map(|entry| (entry.member.backend.to_string(), entry.clone()))
+        .collect();
     let held = Held {
         roster: Roster::new(SOURCES, believed),
         told: BTreeMap::new(),
@@ -218,11 +259,20 @@
         news: 0,
         stale: false,
     };
-    let merge = Merge { held: Mutex::new(held), clock, facts, changed: Notify::new() };
+    let merge = Merge {
+        held: Mutex::new(held),
+        clock,
+        facts,
+        changed: Notify::new(),
+    };
     // The engine decides from these already: discovery's list as it last was, until it tells another.
     merge.discovered(ListKind::Cached, known);
     merge.held().roster.changes(clock.now());
-    let position = if settings.enabled.0 { restore(&merge, settings) } else { None };
+    let position = if settings.enabled.0 {
+        restore(&merge, settings)
+    } else {
+        None
+    };
     let follow = async {
         match settings.enabled.0 {
             true => applewall_etcd::follow(settings, seed, position, |news| merge.take(news)).await,
@@ -231,7 +281,9 @@
     };
     let consul = async {
         match operator.consul.enabled.0 {
-            true => applewall_consul::follow(&operator.consul, seed, |news| merge.listed(news)).await,
+            true => {
+                applewall_consul::follow(&operator.consul, seed, |news| merge.listed(news)).await
+            }
             false => std::future::pending().await,
         }
     };
@@ -247,12 +299,18 @@
             let _ = tokio::time::timeout(LOOK, merge.changed.notified()).await;
             let (gone, put) = merge.changes();
             for entries in [gone, put] {
-                if !entries.is_empty() && queue.send(Message::Table(ListKind::Delta, entries)).await.is_err()
+                if !entries.is_empty()
+                    && queue
+                        .send(Message::Table(ListKind::Delta, entries))
+                        .await
+                        .is_err()
                 {
                     return;
                 }
             }
-            let Some(folder) = &settings.snapshot else { continue };
+            let Some(folder) = &settings.snapshot else {
+                continue;
+            };
             let reached = merge.held().roster.source(REGISTRY).position();
             let since = kept.elapsed();
             if since >= KEEP.1 || since >= KEEP.0 && reached != position {
@@ -290,16 +348,34 @@
             return None;
         }
     };
-    let limits =
-        Limits { now_ms: unix_ms(), age_ms: settings.snapshot_age.nanos() / 1_000_000, cluster: None };
+    let limits = Limits {
+        now_ms: unix_ms(),
+        age_ms: settings.snapshot_age.nanos() / 1_000_000,
+        cluster: None,
+    };
     match Snapshot::read(&bytes, &limits) {
-        Ok(Snapshot { cluster, revision, members, .. }) => {
-            tracing::info!("registry: {} members of the snapshot, revision {revision}", members.len());
-            let item = |(id, entry)| Item { id, revision, created: 0, entry: Some(entry) };
+        Ok(Snapshot {
+            cluster,
+            revision,
+            members,
+            ..
+        }) => {
+            tracing::info!(
+                "registry: {} members of the snapshot, revision {revision}",
+                members.len()
+            );
+            let item = |(id, entry)| Item {
+                id,
+                revision,
+                created: 0,
+                entry: Some(entry),
+            };
             let items: Vec<_> = members.into_iter().map(item).collect();
             let mut held = merge.held();
             held.lists(REGISTRY, &items);
-            held.roster.source(REGISTRY).restored(cluster, revision, items);
+            held.roster
+                .source(REGISTRY)
+                .restored(cluster, revision, items);
             drop(held);
             merge.changed.notify_one();
             // Resumed from there. Who was born when is not kept, so that a birth meanwhile shows as one.
@@ -315,9 +391,16 @@
 /// Writes the last good list so that a crash at any moment leaves the old one or the new one. On a thread of its own:
 /// a slow disk must not hold up commands.
 async fn keep(merge: &Merge, folder: String) {
-    let snapshot = Snapshot::of(merge.held().roster.source(REGISTRY), merge.clock.now(), unix_ms());
+    let snapshot = Snapshot::of(
+        merge.held().roster.source(REGISTRY),
+        merge.clock.now(),
+        unix_ms(),
+    );
     let Some(snapshot) = snapshot else { return };
-    let (path, next) = (path(&folder), Path::new(&folder).join("roster.snapshot.next"));
+    let (path, next) = (
+        path(&folder),
+        Path::new(&folder).join("roster.snapshot.next"),
+    );
     let write = {
         let path = path.clone();
         move || {
@@ -347,7 +430,18 @@
         return queue;
     }
     let (discovery, discovered) = mpsc::channel(16);
-    let (facts, known) = (config.facts.clone(), config.known.entries(&config.facts, &clock));
-    tokio::spawn(merge(operator, config.seed, known, facts, clock, discovered, queue));
+    let (facts, known) = (
+        config.facts.clone(),
+        config.known.entries(&config.facts, &clock),
+    );
+    tokio::spawn(merge(
+        operator,
+        config.seed,
+        known,
+        facts,
+        clock,
+        discovered,
+        queue,
+    ));
     discovery
 }
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -14,7 +14,11 @@
 
 /// What an answer says: only its mark proves that the request never ran.
 pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    let unprocessed = || headers.get("x-unprocessed").is_some_and(|v| v.as_bytes() == b"1");
+    let unprocessed = || {
+        headers
+            .get("x-unprocessed")
+            .is_some_and(|v| v.as_bytes() == b"1")
+    };
     match status.as_u16() {
         200 => Outcome::Ok,
         503 | 504 if unprocessed() => Outcome::Full,
@@ -30,10 +34,17 @@
     if status == StatusCode::SWITCHING_PROTOCOLS {
         return false;
     }
-    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
-        (Some(length), None, None, None) => {
-            length.to_str().ok().and_then(|l| l.parse().ok()).is_some_and(|l: u64| l <= LENGTH_MOST)
-        }
+    match (
+        lengths.next(),
+        lengths.next(),
+        codings.next(),
+        codings.next(),
+    ) {
+        (Some(length), None, None, None) => length
+            .to_str()
+            .ok()
+            .and_then(|l| l.parse().ok())
+            .is_some_and(|l: u64| l <= LENGTH_MOST),
         (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
         // These have no body; HTTP/1.0 has no other way for one whose length is not known.
         (None, None, None, None) => {
@@ -47,13 +58,20 @@
 
 /// True where it says that its connection ends with it.
 fn closes(headers: &HeaderMap) -> bool {
-    let words = headers.get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
-    words.flat_map(|v| v.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
+    let words = headers
+        .get_all(CONNECTION)
+        .into_iter()
+        .filter_map(|v| v.to_str().ok());
+    words
+        .flat_map(|v| v.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case("close"))
 }
 
 /// The load report in the order of the settings; empty where there is none or it is garbage.
 pub fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
-    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else { return Vec::new() };
+    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else {
+        return Vec::new();
+    };
     let value = |field: &LoadField| {
         let name = match field {
             LoadField::Utilization => "util",
@@ -61,9 +79,16 @@
             LoadField::Other => return Some(0.0),
         };
         let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
-        parts.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok()).filter(|v| SANE.contains(v))
+        parts
+            .filter(|(n, _)| *n == name)
+            .find_map(|(_, v)| v.parse().ok())
+            .filter(|v| SANE.contains(v))
     };
-    fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+    fields
+        .iter()
+        .map(value)
+        .collect::<Option<_>>()
+        .unwrap_or_default()
 }
 
 #[cfg(test)]
--- a/src/net/role.rs
+++ b/src/net/role.rs
@@ -67,7 +67,9 @@
 
 /// Lets the other process, if there is one, carry out what this one has; returns once it has, or is gone.
 pub async fn relay(other: &Other, call: String) {
-    let Some(link) = other.borrow().clone() else { return };
+    let Some(link) = other.borrow().clone() else {
+        return;
+    };
     let (reply, answer) = oneshot::channel();
     if link.send(Relayed { call, reply }).await.is_ok() {
         let _ = timeout(CALL, answer).await;
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -21,7 +21,10 @@
 impl Paced {
     /// On whose behalf an answer to a customer is held here.
     pub fn holder(&self, customer: Option<u64>) -> Holder {
-        Holder { customer, peer: self.peer }
+        Holder {
+            customer,
+            peer: self.peer,
+        }
     }
 }
 
@@ -73,7 +76,9 @@
         let turn = waiting.turn;
         self.turn.store(turn, Ordering::Relaxed);
         self.touch();
-        waiting.seats.insert((self.asked(), turn), (Arc::downgrade(self), Instant::now()));
+        waiting
+            .seats
+            .insert((self.asked(), turn), (Arc::downgrade(self), Instant::now()));
     }
 
     /// It waits no more.
@@ -115,7 +120,10 @@
     pub async fn silent(&self, most: Duration) {
         loop {
             let since = self.since.load(Ordering::Relaxed);
-            tokio::time::sleep_until((self.seats.origin + Duration::from_nanos(since) + most).into()).await;
+            tokio::time::sleep_until(
+                (self.seats.origin + Duration::from_nanos(since) + most).into(),
+            )
+            .await;
             if self.since.load(Ordering::Relaxed) != since {
                 continue;
             }
@@ -174,7 +182,10 @@
 
 impl Default for Seats {
     fn default() -> Self {
-        Seats { waiting: Mutex::default(), origin: Instant::now() }
+        Seats {
+            waiting: Mutex::default(),
+            origin: Instant::now(),
+        }
     }
 }
 
@@ -222,7 +233,10 @@
     pub fn make_room_of(&self, grace: Duration, now: u64, new_ones: bool) -> bool {
         let idle = |seat: &Weak<Seat>| {
             let seat = seat.upgrade()?;
-            let going = seat.paced.as_ref().is_some_and(|p| p.pacer.is_going(now, p.id));
+            let going = seat
+                .paced
+                .as_ref()
+                .is_some_and(|p| p.pacer.is_going(now, p.id));
             (!going).then_some(seat)
         };
         let mut waiting = self.lock();
@@ -232,7 +246,9 @@
             };
             waiting.seats.range(from..).find_map(found)
         };
-        let Some(first) = silent((false, 0)) else { return false };
+        let Some(first) = silent((false, 0)) else {
+            return false;
+        };
         let new = !first.0 .0 && first.2.elapsed() < grace;
         let asked = if new { silent((true, 0)) } else { None };
         if new && asked.is_none() && !new_ones {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -74,9 +74,16 @@
             if stop && !stages.stage().stops() {
                 tracing::info!("told to stop; answering what was taken");
                 let succeeded = *successor.role.borrow() == Role::Succeeded;
-                let how = if succeeded { Leave::Succeeded } else { Leave::Alone };
+                let how = if succeeded {
+                    Leave::Succeeded
+                } else {
+                    Leave::Alone
+                };
                 let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
-                let times = Stopping { late: (now + from, now + by), ends: now + termination.ends(how) };
+                let times = Stopping {
+                    late: (now + from, now + by),
+                    ends: now + termination.ends(how),
+                };
                 // Before the stage is told: whoever sees it finds the times.
                 let _ = successor.stopping.set(times);
                 stages.stop(origin.elapsed(), how);
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -57,7 +57,10 @@
             return None;
         }
     };
-    match timeout(STEP, receive(stream)).await.unwrap_or_else(|_| Err("no answer in time".to_string())) {
+    match timeout(STEP, receive(stream))
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".to_string()))
+    {
         Ok(heritage) => Some(heritage),
         Err(why) => {
             tracing::warn!("succession: nothing taken over: {why}");
@@ -68,12 +71,17 @@
 
 async fn receive(mut stream: UnixStream) -> Result<Heritage, String> {
     let told = |e: io::Error| e.to_string();
-    stream.write_all(format!("{HELLO}\n").as_bytes()).await.map_err(told)?;
+    stream
+        .write_all(format!("{HELLO}\n").as_bytes())
+        .await
+        .map_err(told)?;
     let mut head = [0; 8];
     let (mut read, mut datagrams) = (0, None);
     while read < head.len() {
-        let (n, socket) =
-            stream.async_io(Interest::READABLE, || take(&stream, &mut head[read..])).await.map_err(told)?;
+        let (n, socket) = stream
+            .async_io(Interest::READABLE, || take(&stream, &mut head[read..]))
+            .await
+            .map_err(told)?;
         if n == 0 {
             return Err("the other process hung up".to_string());
         }
@@ -86,15 +94,25 @@
     }
     let mut bytes = vec![0; length];
     stream.read_exact(&mut bytes).await.map_err(told)?;
-    let estate = postcard::from_bytes(&bytes).map_err(|e| format!("the estate is not of this form: {e}"))?;
-    Ok(Heritage { estate, datagrams, link: stream })
+    let estate =
+        postcard::from_bytes(&bytes).map_err(|e| format!("the estate is not of this form: {e}"))?;
+    Ok(Heritage {
+        estate,
+        datagrams,
+        link: stream,
+    })
 }
 
 /// Reads bytes, and a descriptor that comes with them.
 fn take(stream: &UnixStream, into: &mut [u8]) -> io::Result<(usize, Option<OwnedFd>)> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
-    let got = recvmsg(stream, &mut [IoSliceMut::new(into)], &mut ancillary, RecvFlags::CMSG_CLOEXEC)?;
+    let got = recvmsg(
+        stream,
+        &mut [IoSliceMut::new(into)],
+        &mut ancillary,
+        RecvFlags::CMSG_CLOEXEC,
+    )?;
     let sockets = ancillary.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
         _ => None,
@@ -111,7 +129,12 @@
     if !sockets.is_empty() {
         ancillary.push(SendAncillaryMessage::ScmRights(&sockets));
     }
-    Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut ancillary, SendFlags::NOSIGNAL)?)
+    Ok(sendmsg(
+        stream,
+        &[IoSlice::new(bytes)],
+        &mut ancillary,
+        SendFlags::NOSIGNAL,
+    )?)
 }
 
 /// This process's part in a succession, on either side of it.
@@ -193,7 +216,8 @@
         let told = |e: io::Error| e.to_string();
         let mut hello = vec![0; HELLO.len() + 1];
         let said = timeout(STEP, stream.read_exact(&mut hello)).await;
-        said.map_err(|_| "it said nothing".to_string())?.map_err(told)?;
+        said.map_err(|_| "it said nothing".to_string())?
+            .map_err(told)?;
         if hello != format!("{HELLO}\n").as_bytes() {
             return Err("it speaks another version".to_string());
         }
@@ -201,7 +225,9 @@
         self.role.send_replace(Role::HandedOut);
         let (reply, estate) = oneshot::channel();
         let _ = self.orders.send(Order::HandOver(reply)).await;
-        let mut estate = estate.await.map_err(|_| "the engine has stopped".to_string())??;
+        let mut estate = estate
+            .await
+            .map_err(|_| "the engine has stopped".to_string())??;
         estate.drained = !self.desk.stages.borrow().healthy();
         let bytes = postcard::to_stdvec(&estate).map_err(|e| e.to_string())?;
         let mut head = [0; 8];
@@ -210,10 +236,15 @@
         let socket = self.peers.as_ref().map(|p| p.as_fd());
         let send = async {
             // So few bytes go in one piece, and the socket with them.
-            stream.async_io(Interest::WRITABLE, || give(&stream, &head, socket)).await.map_err(told)?;
+            stream
+                .async_io(Interest::WRITABLE, || give(&stream, &head, socket))
+                .await
+                .map_err(told)?;
             stream.write_all(&bytes).await.map_err(told)
         };
-        timeout(STEP, send).await.map_err(|_| "it takes nothing".to_string())??;
+        timeout(STEP, send)
+            .await
+            .map_err(|_| "it takes nothing".to_string())??;
         let (reading, mut writing) = stream.into_split();
         let mut lines = BufReader::new(reading).lines();
         match timeout(TAKING, lines.next_line()).await {
@@ -264,7 +295,11 @@
                         Ok(call) => self.desk.carry_out_here(call, true).await,
                         Err(why) => Answer::Error(why),
                     };
-                    if writing.write_all(format!("answer {number} {answer}\n").as_bytes()).await.is_err() {
+                    if writing
+                        .write_all(format!("answer {number} {answer}\n").as_bytes())
+                        .await
+                        .is_err()
+                    {
                         break;
                     }
                 }
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -49,11 +49,22 @@
         let settings = &config.facts.settings;
         let list = rev.map_or(List::None, List::Old);
         let now = clock.now() as f64 / SECOND;
-        let core = Turns::new(set, (settings.gateways, settings.me), list, config.seed, now, clock.unix());
+        let core = Turns::new(
+            set,
+            (settings.gateways, settings.me),
+            list,
+            config.seed,
+            now,
+            clock.unix(),
+        );
         match list {
-            List::None => tracing::info!("cold start: no list is known; not ready before there is one"),
+            List::None => {
+                tracing::info!("cold start: no list is known; not ready before there is one")
+            }
             List::Old(rev) => {
-                tracing::info!("cold start: ready with the known list, revision {rev}, not yet confirmed")
+                tracing::info!(
+                    "cold start: ready with the known list, revision {rev}, not yet confirmed"
+                )
             }
             List::Told(_) => {}
         }
@@ -96,7 +107,8 @@
         if let Some(peers) = &self.peers {
             peers.writable().await;
             let (word, whom) = self.core().hello(self.now());
-            whom.into_iter().for_each(|peer| peers.tell(Some(peer), &word.write()));
+            whom.into_iter()
+                .for_each(|peer| peers.tell(Some(peer), &word.write()));
             tokio::spawn(self.clone().spread(peers.clone()));
         }
         loop {
@@ -126,7 +138,9 @@
             if !self.core().spreads(now) {
                 let (all, without, whole) = self.core().start();
                 let known = if whole { "" } else { ", as far as is known" };
-                tracing::info!("cold start: {all} have started together, {without} without a list{known}");
+                tracing::info!(
+                    "cold start: {all} have started together, {without} without a list{known}"
+                );
                 return;
             }
             tokio::time::sleep(SPREAD_LOOK).await;
--- a/src/net/withheld.rs
+++ b/src/net/withheld.rs
@@ -26,7 +26,10 @@
 impl Withheld {
     /// One that goes on with a ledger.
     pub fn new(ledger: Ledger) -> Self {
-        Withheld { ledger, listed: HashMap::new() }
+        Withheld {
+            ledger,
+            listed: HashMap::new(),
+        }
     }
 
     /// The ledger, and the list as discovery has it.
@@ -70,23 +73,31 @@
                 };
                 Answer::Done(format!("{state}; {} withheld in all", self.ledger.len()))
             }
-            Err(_) if listed => Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept")),
+            Err(_) if listed => {
+                Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept"))
+            }
             Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
         };
         // One that does not serve by the list's own word changes nothing, in or out.
         let serves = |e: &Entry| e.member.state == MemberState::Ready;
-        let changed = entry.filter(|e| ruled == Ok(true) && serves(e)).map(|mut entry| {
-            if withhold {
-                entry.member.state = MemberState::Draining;
-            }
-            entry
-        });
+        let changed = entry
+            .filter(|e| ruled == Ok(true) && serves(e))
+            .map(|mut entry| {
+                if withhold {
+                    entry.member.state = MemberState::Draining;
+                }
+                entry
+            });
         Ruling { answer, changed }
     }
 
     /// True where instances are listed and all that would serve are withheld.
     pub fn none_left(&self) -> bool {
-        let mut serving = self.listed.values().filter(|e| e.member.state == MemberState::Ready).peekable();
+        let mut serving = self
+            .listed
+            .values()
+            .filter(|e| e.member.state == MemberState::Ready)
+            .peekable();
         serving.peek().is_some() && serving.all(|e| self.ledger.holds(&e.member.backend))
     }
 }
--- a/src/net/zoning.rs
+++ b/src/net/zoning.rs
@@ -51,7 +51,14 @@
             return None;
         }
         let settings = &facts.settings;
-        let core = Zones::new(set, &names, settings.gateways, settings.me, seed, now as f64 / SECOND);
+        let core = Zones::new(
+            set,
+            &names,
+            settings.gateways,
+            settings.me,
+            seed,
+            now as f64 / SECOND,
+        );
         let numbers = names.iter().filter_map(|name| core.number(name)).collect();
         tracing::info!("zones: {} of them are judged by the fleet", names.len());
         Some(Zoning {
@@ -75,7 +82,9 @@
         }
         for Entry { member, .. } in entries {
             // A zone that the settings do not name is judged by nobody.
-            let Some(zone) = self.numbers.get(member.zone as usize).copied() else { continue };
+            let Some(zone) = self.numbers.get(member.zone as usize).copied() else {
+                continue;
+            };
             match member.state {
                 MemberState::Gone => {
                     self.places.remove(&member.backend);
@@ -83,7 +92,10 @@
                 }
                 state => {
                     let number = self.next;
-                    let place = self.places.entry(member.backend.clone()).or_insert((zone, number));
+                    let place = self
+                        .places
+                        .entry(member.backend.clone())
+                        .or_insert((zone, number));
                     place.0 = zone;
                     self.next = self.next.wrapping_add(1);
                     match state {
@@ -103,13 +115,24 @@
     pub fn sent(&mut self, now: u64, request: RequestId, class: usize, backend: &BackendId) {
         if let Some((zone, instance)) = self.places.get(backend).copied() {
             let aim = self.aims.get(class).copied().unwrap_or(u64::MAX);
-            self.out.insert(request, Out { zone, instance, since: now, aim, told: false });
+            self.out.insert(
+                request,
+                Out {
+                    zone,
+                    instance,
+                    since: now,
+                    aim,
+                    told: false,
+                },
+            );
         }
     }
 
     /// It ended.
     pub fn ended(&mut self, now: u64, request: RequestId, outcome: Outcome) {
-        let Some(out) = self.out.remove(&request) else { return };
+        let Some(out) = self.out.remove(&request) else {
+            return;
+        };
         let late = now.saturating_sub(out.since) > out.aim;
         let saw = match outcome {
             Outcome::Ok if !late => Saw::Good,
@@ -156,7 +179,11 @@
         if let (Some(peers), Some((to, word))) = (peers, step.word) {
             peers.tell(Some(to), &word.write());
         }
-        let shares: Vec<f64> = self.numbers.iter().map(|zone| self.core.share(*zone)).collect();
+        let shares: Vec<f64> = self
+            .numbers
+            .iter()
+            .map(|zone| self.core.share(*zone))
+            .collect();
         (shares != self.shares).then(|| {
             self.shares = shares.clone();
             shares
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -54,7 +54,9 @@
     ///
     /// One line with file, section and key.
     pub fn read(path: Option<&str>) -> Result<Self, String> {
-        let Some(path) = path else { return Ok(Operator::default()) };
+        let Some(path) = path else {
+            return Ok(Operator::default());
+        };
         let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
         ini::read(&text).map_err(|e| format!("{path}: {e}"))
     }
@@ -74,7 +76,11 @@
             ("cold_start", self.cold_start.enabled.0),
             ("zones", self.zones.enabled.0),
         ];
-        let on: Vec<&str> = on.iter().filter(|(_, on)| *on).map(|(name, _)| *name).collect();
+        let on: Vec<&str> = on
+            .iter()
+            .filter(|(_, on)| *on)
+            .map(|(name, _)| *name)
+            .collect();
         if on.is_empty() {
             "nothing".to_string()
         } else {
--- a/src/post.rs
+++ b/src/post.rs
@@ -27,8 +27,12 @@
     /// `pace`: what may go through where few attempts may be out at once.
     fn news(&self, now: f64, p: &Plan, pace: f64) -> bool {
         let demand = self.demand.read(now, MEMORY.0);
-        let Some(w) = self.word.filter(|w| now - w.at < WORD.1 && w.demand > pace.min(p.rate)) else {
-            return demand > p.rate && self.store < SHORT.0 * p.burst || demand > pace && pace < p.rate;
+        let Some(w) = self
+            .word
+            .filter(|w| now - w.at < WORD.1 && w.demand > pace.min(p.rate))
+        else {
+            return demand > p.rate && self.store < SHORT.0 * p.burst
+                || demand > pace && pace < p.rate;
         };
         // What those who heard the word take the store for by now.
         let age = now - w.at;
@@ -45,16 +49,28 @@
         let (k, part) = (f64::from(self.spread), self.dealt / f64::from(self.spread));
         // What was granted beyond the part stays, from a bank only for as long as that counts it as lent: kept for
         // ever, what a bank lent one after another would come to far more than the ceiling's store.
-        let kept = if self.dealt < 1.0 { (-dt / LENT.1).exp() } else { 1.0 };
+        let kept = if self.dealt < 1.0 {
+            (-dt / LENT.1).exp()
+        } else {
+            1.0
+        };
         let over = (self.ceiling - p.ceiling_burst * part).max(0.0) * kept;
         let filled = (self.ceiling + dt * p.ceiling_rate * part).min(p.ceiling_burst * part + over);
         self.ceiling = filled;
         let Some(bank) = &mut self.bank else { return };
         // A part not used for as long as the ceiling takes to fill is full: the bank has what would run over.
         let full = p.ceiling_burst / p.ceiling_rate.max(1e-9);
-        let used = self.peers.values().filter(|u| now - u.demand.at < full).count();
+        let used = self
+            .peers
+            .values()
+            .filter(|u| now - u.demand.at < full)
+            .count();
         let rest = 1.0 - self.dealt * (used as f64 + 1.0).min(k) / k;
-        let lent: f64 = self.peers.values().map(|u| u.lent.read(now, LENT.1) * LENT.1).sum();
+        let lent: f64 = self
+            .peers
+            .values()
+            .map(|u| u.lent.read(now, LENT.1) * LENT.1)
+            .sum();
         let most = (p.ceiling_burst * (1.0 - self.dealt) - lent).max(0.0);
         *bank = (*bank + dt * p.ceiling_rate * rest).min(most);
     }
@@ -66,7 +82,10 @@
         let wanted = peer.demand.read(now, MEMORY.0) * LENT.0 + most_units;
         let amount = ((wanted - lent).min(*bank / 2.0) * 4.0).floor().max(0.0) / 4.0;
         *bank -= amount;
-        peer.lent = Meter { rate: (lent + amount) / LENT.1, at: now };
+        peer.lent = Meter {
+            rate: (lent + amount) / LENT.1,
+            at: now,
+        };
         Some(amount).filter(|a| *a > 0.0)
     }
 }
@@ -77,7 +96,12 @@
         f64::from(gateways.max(1) - 1) <= MAIL_SHARE * self.set.mail_per_s * REPORT_EVERY
     }
 
-    pub(crate) fn tell(&self, peer: Option<u32>, records: &[(u32, Record)], actions: &mut Vec<Action>) {
+    pub(crate) fn tell(
+        &self,
+        peer: Option<u32>,
+        records: &[(u32, Record)],
+        actions: &mut Vec<Action>,
+    ) {
         let texts = mail::write(self.incarnation, records);
         actions.extend(texts.into_iter().map(|text| Action::Tell { peer, text }));
     }
@@ -91,21 +115,41 @@
         let (large, spare) = (!self.tells_all(self.set.gateways), now - REPORT_EVERY / 2.0);
         self.next_report = self.next_report.max(now - REPORT_EVERY);
         while !large || self.next_report <= now {
-            let Some(fp) = self.untold.pop_front() else { break };
-            let Some(c) = self.customers.get_mut(&fp) else { continue };
+            let Some(fp) = self.untold.pop_front() else {
+                break;
+            };
+            let Some(c) = self.customers.get_mut(&fp) else {
+                continue;
+            };
             c.untold = false;
             let Some(plan) = c.plan else { continue };
             c.fill(now, &self.set.plans[plan]);
             let level = c.store / self.set.plans[plan].burst.max(1e-9);
-            let (first, spread, sent, asked) = (c.first, c.spread, units_code(c.sent), units_code(c.asked));
-            let record = Record::Use { plan, first, spread, sent, asked, level };
-            for (rank, keeper) in c.keepers.iter().enumerate().filter(|(_, k)| **k != self.set.me) {
+            let (first, spread, sent, asked) =
+                (c.first, c.spread, units_code(c.sent), units_code(c.asked));
+            let record = Record::Use {
+                plan,
+                first,
+                spread,
+                sent,
+                asked,
+                level,
+            };
+            for (rank, keeper) in c
+                .keepers
+                .iter()
+                .enumerate()
+                .filter(|(_, k)| **k != self.set.me)
+            {
                 if !large {
                     letters.entry(*keeper).or_default().push((fp, record));
                 } else if rank == 0 || c.dealt == 1.0 || self.next_report <= spare {
                     self.next_report += each;
                     let texts = mail::write(self.incarnation, &[(fp, record)]);
-                    actions.extend(texts.into_iter().map(|text| Action::Tell { peer: Some(*keeper), text }));
+                    actions.extend(texts.into_iter().map(|text| Action::Tell {
+                        peer: Some(*keeper),
+                        text,
+                    }));
                 }
             }
         }
@@ -120,9 +164,13 @@
     /// As a customer's keeper, tells its set that it is short, how far its demand goes, and when it no
     /// longer is. Each keeper waits for those before it, so one that is down or began anew is passed over.
     pub(crate) fn speak(&mut self, now: f64, fp: u32, actions: &mut Vec<Action>) {
-        let Some(plan) = self.customers.get(&fp).and_then(|c| c.plan) else { return };
+        let Some(plan) = self.customers.get(&fp).and_then(|c| c.plan) else {
+            return;
+        };
         let pace = self.pace(&self.set.plans[plan]);
-        let (plan, Some(c)) = (&self.set.plans[plan], self.customers.get_mut(&fp)) else { return };
+        let (plan, Some(c)) = (&self.set.plans[plan], self.customers.get_mut(&fp)) else {
+            return;
+        };
         if !c.keeps || c.keepers.len() >= c.spread as usize || plan.rate <= 0.0 {
             return;
         }
@@ -131,7 +179,11 @@
             c.due = None;
             return;
         }
-        let rank = c.keepers.iter().position(|k| *k == self.set.me).unwrap_or(0);
+        let rank = c
+            .keepers
+            .iter()
+            .position(|k| *k == self.set.me)
+            .unwrap_or(0);
         if now - *c.due.get_or_insert(now) < rank as f64 * KEEPER_LAG {
             return;
         }
@@ -142,7 +194,14 @@
         }
         self.next_word = self.next_word.max(now - WORD_SAVED) + f64::from(c.spread - 1) * each;
         let (demand, level) = (c.demand.read(now, MEMORY.0), c.store / plan.burst.max(1e-9));
-        (c.word, c.due) = (Some(Word { demand, store: c.store, at: now }), None);
+        (c.word, c.due) = (
+            Some(Word {
+                demand,
+                store: c.store,
+                at: now,
+            }),
+            None,
+        );
         let n = self.set.gateways.max(1);
         let set: Vec<u32> = (0..c.spread).map(|i| (c.first + i) % n).collect();
         for peer in set.into_iter().filter(|p| *p != self.set.me) {
@@ -154,7 +213,9 @@
     pub(crate) fn grant(&mut self, now: f64, actions: &mut Vec<Action>) {
         let mut grants = Vec::new();
         for (fp, c) in &mut self.customers {
-            let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else { continue };
+            let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else {
+                continue;
+            };
             if plan.ceiling_rate <= 0.0 || c.spread < 2 || c.dealt < 1.0 {
                 continue;
             }
@@ -162,9 +223,14 @@
             let k = f64::from(c.spread);
             let fair = plan.ceiling_rate / k;
             let keep = c.own.read(now, MEMORY.0) + self.set.most_units;
-            let rates = c.peers.iter().map(|(p, u)| (*p, u.demand.read(now, MEMORY.0)));
+            let rates = c
+                .peers
+                .iter()
+                .map(|(p, u)| (*p, u.demand.read(now, MEMORY.0)));
             let needy = rates.filter(|(_, rate)| *rate > 0.7 * fair);
-            let Some((peer, _)) = needy.max_by(|a, b| a.1.total_cmp(&b.1)) else { continue };
+            let Some((peer, _)) = needy.max_by(|a, b| a.1.total_cmp(&b.1)) else {
+                continue;
+            };
             let amount = (GRANT * plan.ceiling_slack / k).min(c.ceiling - keep);
             let amount = (amount * 4.0).floor() / 4.0;
             if amount > 0.0 {
@@ -188,16 +254,32 @@
         used: f64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(c) = self.customers.get_mut(&fp) else { return };
-        let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else { return };
+        let Some(c) = self.customers.get_mut(&fp) else {
+            return;
+        };
+        let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else {
+            return;
+        };
         if c.dealt == 1.0 || c.keepers[0] != self.set.me {
             return;
         }
         let (demand, here) = (c.demand.read(now, MEMORY.0), c.store / plan.burst.max(1e-9));
         let wrong = (level - here).abs() > UNTOLD;
-        let lent = (plan.ceiling_rate > 0.0).then(|| c.lend(now, from, used, self.set.most_units)).flatten();
+        let lent = (plan.ceiling_rate > 0.0)
+            .then(|| c.lend(now, from, used, self.set.most_units))
+            .flatten();
         if wrong && plan.rate > 0.0 {
-            self.tell(Some(from), &[(fp, Record::Word { demand, level: here })], actions);
+            self.tell(
+                Some(from),
+                &[(
+                    fp,
+                    Record::Word {
+                        demand,
+                        level: here,
+                    },
+                )],
+                actions,
+            );
         }
         if let Some(lent) = lent {
             self.tell(Some(from), &[(fp, Record::Grant(lent))], actions);
--- a/src/post/tests.rs
+++ b/src/post/tests.rs
@@ -3,11 +3,23 @@
 /// A plan of the site's figures: quota 20 units a second, ceiling 40 a second and 68 at once.
 fn plan() -> Plan {
     let (rate, burst) = (20.0, 30.0);
-    Plan { rate, burst, ceiling_rate: 40.0, ceiling_burst: 68.0, ..Plan::default() }
+    Plan {
+        rate,
+        burst,
+        ceiling_rate: 40.0,
+        ceiling_burst: 68.0,
+        ..Plan::default()
+    }
 }
 
 fn customer(spread: u32, bank: Option<f64>) -> Customer {
-    Customer { spread, dealt: 0.5, bank, keepers: vec![0, 1], ..Customer::default() }
+    Customer {
+        spread,
+        dealt: 0.5,
+        bank,
+        keepers: vec![0, 1],
+        ..Customer::default()
+    }
 }
 
 #[test]
@@ -21,8 +33,15 @@
         let (now, dt) = (f64::from(step) * 0.05, 0.05);
         let turn = step % (spread - 1);
         lender.fill_ceiling(now, dt, &plan);
-        parts.iter_mut().for_each(|part| part.fill_ceiling(now, dt, &plan));
-        lender.peers.entry(turn + 1).or_default().demand.add(now, 6.0, MEMORY.0);
+        parts
+            .iter_mut()
+            .for_each(|part| part.fill_ceiling(now, dt, &plan));
+        lender
+            .peers
+            .entry(turn + 1)
+            .or_default()
+            .demand
+            .add(now, 6.0, MEMORY.0);
         let lent = lender.lend(now, turn + 1, 0.0, 1.0).unwrap_or(0.0);
         parts[turn as usize].ceiling += lent;
         let all: f64 = parts.iter().map(|part| part.ceiling).sum();
@@ -33,7 +52,13 @@
 
 #[test]
 fn a_grant_of_a_small_set_stays() {
-    let (plan, mut part) = (plan(), Customer { ceiling: 40.0, ..customer(3, None) });
+    let (plan, mut part) = (
+        plan(),
+        Customer {
+            ceiling: 40.0,
+            ..customer(3, None)
+        },
+    );
     part.dealt = 1.0;
     part.fill_ceiling(60.0, 60.0, &plan);
     assert_eq!(part.ceiling, 40.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,7 +29,10 @@
         self.rate * (-(now - self.at).max(0.0) / memory).exp()
     }
     pub fn add(&mut self, now: f64, amount: f64, memory: f64) {
-        *self = Meter { rate: self.read(now, memory) + amount / memory, at: now };
+        *self = Meter {
+            rate: self.read(now, memory) + amount / memory,
+            at: now,
+        };
     }
 }
 
@@ -72,8 +75,20 @@
 
     /// The numbers, in order.
     pub fn parts(&self) -> [f64; Self::PARTS] {
-        let Evidence { answers, high, low, refused, timed_out, intervals, out, done, asked } = *self;
-        [answers, high, low, refused, timed_out, intervals, out, done, asked]
+        let Evidence {
+            answers,
+            high,
+            low,
+            refused,
+            timed_out,
+            intervals,
+            out,
+            done,
+            asked,
+        } = *self;
+        [
+            answers, high, low, refused, timed_out, intervals, out, done, asked,
+        ]
     }
 
     /// From the numbers, in order.
@@ -220,7 +235,11 @@
 impl Backend {
     /// Time without an answer while work is out.
     pub fn silence(&self, now: f64) -> f64 {
-        self.out.iter().map(|o| o.sent).reduce(f64::min).map_or(0.0, |oldest| now - oldest.max(self.last_ok))
+        self.out
+            .iter()
+            .map(|o| o.sent)
+            .reduce(f64::min)
+            .map_or(0.0, |oldest| now - oldest.max(self.last_ok))
     }
     pub fn load(&self) -> f64 {
         self.out.iter().map(|o| o.cost).sum()
@@ -296,7 +315,9 @@
 impl Brain {
     /// Mean latency over kinds of request, by their answers; none known is 0.
     pub(crate) fn mean(kinds: &[(f64, f64)]) -> f64 {
-        let (sum, known) = kinds.iter().fold((0.0, 0.0), |(sum, known), l| (sum + l.0 * l.1, known + l.1));
+        let (sum, known) = kinds
+            .iter()
+            .fold((0.0, 0.0), |(sum, known), l| (sum + l.0 * l.1, known + l.1));
         sum / f64::max(known, 1.0)
     }
 
@@ -313,9 +334,14 @@
 
     /// How much is kept, in entries of all kinds: levels off however many come and go.
     pub fn kept(&self) -> usize {
-        let outs: usize = self.backends.iter().map(|b| b.out.len() + b.lately.len()).sum();
+        let outs: usize = self
+            .backends
+            .iter()
+            .map(|b| b.out.len() + b.lately.len())
+            .sum();
         let peers: usize = self.customers.values().map(|c| c.peers.len()).sum();
-        let names = self.numbers.len() + self.backends.len() + self.customers.len() + self.untold.len();
+        let names =
+            self.numbers.len() + self.backends.len() + self.customers.len() + self.untold.len();
         names + outs + peers + self.held.len() + self.heard.len()
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,8 +8,8 @@
 use serde_json::{json, Value};
 
 use crate::api::{
-    Action, BackendId, Class, Event, Finished, KeyScope, ListKind, LoadField, Member, MemberState, Outcome,
-    Plan, Repeats, Request, RequestId, Settings,
+    Action, BackendId, Class, Event, Finished, KeyScope, ListKind, LoadField, Member, MemberState,
+    Outcome, Plan, Repeats, Request, RequestId, Settings,
 };
 
 /// One line of input.
@@ -222,7 +222,10 @@
                     "cell" => KeyScope::Cell,
                     other => return Err(format!("facts: unknown key_scope '{other}'")),
                 };
-                Repeats::Keyed { scope, window: c.dedup_window_ns }
+                Repeats::Keyed {
+                    scope,
+                    window: c.dedup_window_ns,
+                }
             }
             "fragile" => Repeats::Unsafe,
             other => return Err(format!("facts: unknown idempotency '{other}'")),
@@ -267,7 +270,11 @@
         fall_multiple: wire.obligations.overload_factor,
         fall_window: wire.obligations.fall_ns,
         max_attempts: wire.permissions.max_attempts,
-        max_retry_after: if wire.permissions.retry_after { wire.permissions.max_retry_after_ns } else { 0 },
+        max_retry_after: if wire.permissions.retry_after {
+            wire.permissions.max_retry_after_ns
+        } else {
+            0
+        },
         peer_messages: wire.permissions.peer_messages,
         second_copies: wire.permissions.second_copies,
         may_cancel: wire.permissions.may_cancel,
@@ -280,8 +287,18 @@
         conn_idle: wire.permissions.conn_idle_ns,
         dial_timeout: wire.permissions.dial_timeout_ns,
         stop_sending: wire.obligations.stop_sending_within_ns,
-        classes: wire.classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
-        plans: wire.tariffs.iter().map(|p| p.name.clone()).zip(0..).collect(),
+        classes: wire
+            .classes
+            .iter()
+            .map(|c| c.name.clone())
+            .zip(0..)
+            .collect(),
+        plans: wire
+            .tariffs
+            .iter()
+            .map(|p| p.name.clone())
+            .zip(0..)
+            .collect(),
         zones,
         kinds,
     })
@@ -295,7 +312,9 @@
         self.0.get(i).unwrap_or(&Value::Null)
     }
     fn int(&self, i: usize, name: &str) -> Result<u64, String> {
-        self.at(i).as_u64().ok_or_else(|| format!("'{name}' is not a whole number"))
+        self.at(i)
+            .as_u64()
+            .ok_or_else(|| format!("'{name}' is not a whole number"))
     }
     fn int_or_0(&self, i: usize, name: &str) -> Result<u64, String> {
         if self.at(i).is_null() {
@@ -307,23 +326,31 @@
         if self.at(i).is_null() {
             return Ok(0.0);
         }
-        self.at(i).as_f64().ok_or_else(|| format!("'{name}' is not a number"))
+        self.at(i)
+            .as_f64()
+            .ok_or_else(|| format!("'{name}' is not a number"))
     }
     fn text(&self, i: usize, name: &str) -> Result<&'a str, String> {
-        self.at(i).as_str().ok_or_else(|| format!("'{name}' is not text"))
+        self.at(i)
+            .as_str()
+            .ok_or_else(|| format!("'{name}' is not text"))
     }
     fn flag(&self, i: usize, name: &str) -> Result<bool, String> {
         if self.at(i).is_null() {
             return Ok(false);
         }
-        self.at(i).as_bool().ok_or_else(|| format!("'{name}' is not true or false"))
+        self.at(i)
+            .as_bool()
+            .ok_or_else(|| format!("'{name}' is not true or false"))
     }
     fn request(&self, i: usize) -> Result<RequestId, String> {
         let text = self.text(i, "job")?;
         if text.len() != 16 {
             return Err("'job' is not 16 hex digits".into());
         }
-        u64::from_str_radix(text, 16).map(RequestId).map_err(|_| "'job' is not 16 hex digits".into())
+        u64::from_str_radix(text, 16)
+            .map(RequestId)
+            .map_err(|_| "'job' is not 16 hex digits".into())
     }
     fn load(&self, i: usize) -> Result<Vec<f64>, String> {
         match self.at(i) {
@@ -333,7 +360,8 @@
                     if v.is_null() {
                         return Ok(0.0);
                     }
-                    v.as_f64().ok_or_else(|| "'usage' holds something that is not a number".to_string())
+                    v.as_f64()
+                        .ok_or_else(|| "'usage' holds something that is not a number".to_string())
                 };
                 row.iter().map(num).collect()
             }
@@ -345,10 +373,15 @@
 /// Reads one line; the error is a plain reason.
 pub fn parse_line(line: &str) -> Result<Line, String> {
     let value: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
-    let Value::Array(fields) = value else { return Err("not an array".into()) };
+    let Value::Array(fields) = value else {
+        return Err("not an array".into());
+    };
     let f = Fields(&fields);
     Ok(match f.text(0, "event name")? {
-        "Sync" => Line::Sync { now: f.int(1, "time_ns")?, seq: f.int(2, "round")? },
+        "Sync" => Line::Sync {
+            now: f.int(1, "time_ns")?,
+            seq: f.int(2, "round")?,
+        },
         "End" => Line::End,
         "Boot" => Line::Boot {
             who: f.int(1, "who")?,
@@ -359,19 +392,31 @@
                 .ok_or("'salt' is not a whole number")?,
             facts: Box::new(facts(f.at(3))?),
         },
-        "Down" => Line::Down { who: f.int(1, "who")? },
+        "Down" => Line::Down {
+            who: f.int(1, "who")?,
+        },
         "Inventory" => {
-            let Value::Array(entries) = f.at(2) else { return Err("'entries' is not an array".into()) };
-            Line::Inventory { sheet: f.int(1, "sheet")?, entries: entries.clone() }
+            let Value::Array(entries) = f.at(2) else {
+                return Err("'entries' is not an array".into());
+            };
+            Line::Inventory {
+                sheet: f.int(1, "sheet")?,
+                entries: entries.clone(),
+            }
         }
-        _ => Line::Event { who: f.int(1, "who")?, fields },
+        _ => Line::Event {
+            who: f.int(1, "who")?,
+            fields,
+        },
     })
 }
 
 /// Reads the entries of an inventory with one instance's zone names.
 pub fn members(facts: &Facts, entries: &[Value]) -> Result<Arc<[Member]>, String> {
     let member = |v: &Value| {
-        let Value::Array(row) = v else { return Err("an entry is not an array".to_string()) };
+        let Value::Array(row) = v else {
+            return Err("an entry is not an array".to_string());
+        };
         let f = Fields(row);
         let state = match f.text(5, "state")? {
             "Ready" => MemberState::Ready,
@@ -380,8 +425,11 @@
             other => return Err(format!("unknown state '{other}'")),
         };
         let started = f.int_or_0(3, "last_start_ns")?;
-        let cell =
-            if f.at(6).is_null() { -1 } else { f.at(6).as_i64().ok_or("'pod' is not a whole number")? };
+        let cell = if f.at(6).is_null() {
+            -1
+        } else {
+            f.at(6).as_i64().ok_or("'pod' is not a whole number")?
+        };
         Ok(Member {
             backend: BackendId::from(f.text(2, "backend")?),
             scale: f.num_or_0(1, "scale")?,
@@ -439,11 +487,20 @@
         "Demand" => {
             let class = f.text(9, "service")?;
             let plan = f.text(4, "tariff")?;
-            let left = f.at(5).as_i64().ok_or("'time_left_ns' is not a whole number")?;
+            let left = f
+                .at(5)
+                .as_i64()
+                .ok_or("'time_left_ns' is not a whole number")?;
             Event::Request(Request {
                 id: f.request(2)?,
-                class: *facts.classes.get(class).ok_or_else(|| format!("unknown class '{class}'"))?,
-                plan: *facts.plans.get(plan).ok_or_else(|| format!("unknown plan '{plan}'"))?,
+                class: *facts
+                    .classes
+                    .get(class)
+                    .ok_or_else(|| format!("unknown class '{class}'"))?,
+                plan: *facts
+                    .plans
+                    .get(plan)
+                    .ok_or_else(|| format!("unknown plan '{plan}'"))?,
                 customer: f.text(10, "holder")?.into(),
                 units: f.num_or_0(3, "price_units")?,
                 left: left.max(0) as u64,
@@ -452,7 +509,10 @@
                 first: whole(8, "first_door")?,
             })
         }
-        "Streaming" => Event::Started { request: f.request(2)?, attempt: f.int(3, "round_no")? as u32 },
+        "Streaming" => Event::Started {
+            request: f.request(2)?,
+            attempt: f.int(3, "round_no")? as u32,
+        },
         "Finished" => Event::Finished(Finished {
             request: f.request(2)?,
             attempt: f.int(3, "round_no")? as u32,
@@ -466,17 +526,28 @@
         "ClientLeft" => Event::ClientLeft(f.request(2)?),
         "Alarm" => {
             let cookie = f.text(2, "cookie")?;
-            Event::Timer(cookie.parse().map_err(|_| format!("'{cookie}' is no cookie of ours"))?)
+            Event::Timer(
+                cookie
+                    .parse()
+                    .map_err(|_| format!("'{cookie}' is no cookie of ours"))?,
+            )
         }
         "ProbeDone" => Event::Probed {
             backend: f.text(2, "backend")?.into(),
             ok: f.text(3, "status")? == "OK",
             load: f.load(5)?,
         },
-        "Datagram" => Event::Peer { from: f.int(2, "by")? as u32, text: f.text(3, "octets")?.to_string() },
+        "Datagram" => Event::Peer {
+            from: f.int(2, "by")? as u32,
+            text: f.text(3, "octets")?.to_string(),
+        },
         "Counted" => Event::Counted {
             name: f.text(2, "slot_name")?.to_string(),
-            total: if f.text(3, "status")? == "OK" { Some(f.num_or_0(4, "sum")?) } else { None },
+            total: if f.text(3, "status")? == "OK" {
+                Some(f.num_or_0(4, "sum")?)
+            } else {
+                None
+            },
         },
         other => return Err(format!("unknown event '{other}'")),
     })
@@ -486,19 +557,33 @@
 pub fn write_action(out: &mut String, who: u64, action: &Action) {
     let job = |r: &RequestId| format!("{:016x}", r.0);
     let line = match action {
-        Action::Send { request, backend, timeout } => {
+        Action::Send {
+            request,
+            backend,
+            timeout,
+        } => {
             // The commonest line, written without building a value; ids and names need no escapes.
             let name = Value::from(&**backend);
-            let _ = writeln!(out, "[\"Try\",{who},\"{:016x}\",{timeout},{name}]", request.0);
+            let _ = writeln!(
+                out,
+                "[\"Try\",{who},\"{:016x}\",{timeout},{name}]",
+                request.0
+            );
             return;
         }
         Action::Cancel { request, attempt } => json!(["Revoke", who, job(request), attempt]),
-        Action::Refuse { request, retry_after } => json!(["SayNo", who, job(request), retry_after]),
+        Action::Refuse {
+            request,
+            retry_after,
+        } => json!(["SayNo", who, job(request), retry_after]),
         Action::Fail(request) => json!(["EndFailed", who, job(request)]),
         Action::Timer { after, token } => json!(["Defer", who, after, token.to_string()]),
         Action::Probe(backend) => json!(["AskLoad", who, &**backend]),
         Action::Close(backend) => json!(["Release", who, &**backend]),
-        Action::Tell { peer: Some(peer), text } => json!(["MemoTo", who, peer, text]),
+        Action::Tell {
+            peer: Some(peer),
+            text,
+        } => json!(["MemoTo", who, peer, text]),
         Action::Tell { peer: None, text } => json!(["MemoTo", who, "all", text]),
         Action::Log(text) => json!(["JournalLine", who, text]),
         Action::Watch(on) => json!(["StreamChanges", who, on]),
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -17,12 +17,18 @@
         .spawn()
         .expect("the adapter starts");
     // The adapter may stop reading at a malformed line.
-    let _ = child.stdin.take().expect("piped").write_all(lines.join("\n").as_bytes());
+    let _ = child
+        .stdin
+        .take()
+        .expect("piped")
+        .write_all(lines.join("\n").as_bytes());
     child.wait_with_output().expect("the adapter ends")
 }
 
 fn lines(text: &[&str]) -> Vec<String> {
-    text.iter().map(|l| l.replace("FACTS", &FACTS.replace('\n', ""))).collect()
+    text.iter()
+        .map(|l| l.replace("FACTS", &FACTS.replace('\n', "")))
+        .collect()
 }
 
 #[test]
@@ -65,13 +71,31 @@
         (r#"["Alarm",3,"x"]"#, "no cookie of ours"),
         (r#"["Boot","3",7,{}]"#, "'who' is not a whole number"),
         (r#"["Boot",3,7,{}]"#, "facts: missing field"),
-        (r#"["Demand",3,"ff",1,"p",9,0,1,0,"r","c"]"#, "'job' is not 16 hex digits"),
-        (r#"["Demand",3,"00000000000000ff",1,"p",9,0,1,0,"z","c"]"#, "unknown class 'z'"),
+        (
+            r#"["Demand",3,"ff",1,"p",9,0,1,0,"r","c"]"#,
+            "'job' is not 16 hex digits",
+        ),
+        (
+            r#"["Demand",3,"00000000000000ff",1,"p",9,0,1,0,"z","c"]"#,
+            "unknown class 'z'",
+        ),
         (r#"["Discovery",3,"disk",1,9]"#, "no inventory 9"),
-        (r#"["Finished",3,"00000000000000ff",0,"s1","WHAT",5,true]"#, "unknown status 'WHAT'"),
+        (
+            r#"["Finished",3,"00000000000000ff",0,"s1","WHAT",5,true]"#,
+            "unknown status 'WHAT'",
+        ),
     ];
     for (line, reason) in inside {
-        fails(&[r#"["Sync",5,1]"#, r#"["Boot",3,7,FACTS]"#, line, r#"["End"]"#], 3, reason);
+        fails(
+            &[
+                r#"["Sync",5,1]"#,
+                r#"["Boot",3,7,FACTS]"#,
+                line,
+                r#"["End"]"#,
+            ],
+            3,
+            reason,
+        );
     }
 }
 
@@ -80,5 +104,8 @@
     let text = String::from_utf8(out.stderr).unwrap();
     assert!(!out.status.success());
     assert_eq!(text.lines().count(), 1, "{text}");
-    assert!(text.contains(&format!("line {number}: ")) && text.contains(reason), "{text} for {input:?}");
+    assert!(
+        text.contains(&format!("line {number}: ")) && text.contains(reason),
+        "{text} for {input:?}"
+    );
 }
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -22,7 +22,12 @@
     for class in &mut set.classes {
         (class.aim, class.deadline) = (800 * MS, 3 * S);
     }
-    Settings { cold_share: COLD_SHARE, fall_multiple: FALL.0, fall_window: 3 * S, ..set }
+    Settings {
+        cold_share: COLD_SHARE,
+        fall_multiple: FALL.0,
+        fall_window: 3 * S,
+        ..set
+    }
 }
 
 /// Cores of a backend: each request takes one for as long as it is cold.
@@ -47,10 +52,17 @@
 
     fn end(&self, to: &BackendId) -> (Outcome, u64) {
         let now = self.now.get() as f64 / S as f64;
-        self.sent.borrow_mut().entry(to.clone()).or_default().push(now);
+        self.sent
+            .borrow_mut()
+            .entry(to.clone())
+            .or_default()
+            .push(now);
         let mut busy = self.busy.borrow_mut();
         let cores = busy.entry(to.clone()).or_default();
-        let until = cores.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("some");
+        let until = cores
+            .iter_mut()
+            .min_by(|a, b| a.total_cmp(b))
+            .expect("some");
         *until = until.max(now) + CORES as f64 / CARRIES / self.share(now);
         (Outcome::Ok, ((*until - now) * 1e3) as u64)
     }
@@ -73,8 +85,13 @@
     let mut fleet = Fleet::of(gateways, seed, cold_settings(), 0);
     let world = World::default();
     world.started.set(fleet.now());
-    fleet.list = (0..backends).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
-    fleet.list.iter_mut().for_each(|m| m.started = Some(world.started.get()));
+    fleet.list = (0..backends)
+        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .collect();
+    fleet
+        .list
+        .iter_mut()
+        .for_each(|m| m.started = Some(world.started.get()));
     let list: std::sync::Arc<[Member]> = fleet.list.clone().into();
     for door in &mut fleet.doors {
         door.give(Event::Members(ListKind::Full, list.clone()));
@@ -106,7 +123,11 @@
     assert!(refused(&actions), "nobody is known");
     stage.give(Event::Members(ListKind::Full, list.into()));
     let (sent, refused) = stage.run(SAFE, 1, 25 * MS, S, Outcome::Ok, 60);
-    assert_eq!((sent, refused), (40, 0), "backends that started long ago are warm");
+    assert_eq!(
+        (sent, refused),
+        (40, 0),
+        "backends that started long ago are warm"
+    );
     // One more turns up later, and no word of when it started: taken for a newcomer.
     stage.give(Event::Members(ListKind::Delta, [member("b9", 0)].into()));
     let (mut new, mut all) = (0, 0);
@@ -127,21 +148,36 @@
         let each = 2.0 * CARRIES * backends as f64 / f64::from(gateways);
         let (sent, worst) = cold(gateways, backends, each, seed, 20);
         let bears = CARRIES * backends as f64;
-        assert!(f64::from(sent[0]) > 0.1 * bears, "{gateways}: {} in the first second", sent[0]);
+        assert!(
+            f64::from(sent[0]) > 0.1 * bears,
+            "{gateways}: {} in the first second",
+            sent[0]
+        );
         let tenth: u32 = sent[8..12].iter().sum();
-        assert!(f64::from(tenth) > 4.0 * 0.4 * bears, "{gateways}: {sent:?} sent on");
-        assert!(worst < 0.9, "{gateways}: {worst} of what pushes a cold backend over");
+        assert!(
+            f64::from(tenth) > 4.0 * 0.4 * bears,
+            "{gateways}: {sent:?} sent on"
+        );
+        assert!(
+            worst < 0.9,
+            "{gateways}: {worst} of what pushes a cold backend over"
+        );
     }
 }
 
 #[test]
 fn few_requests_at_each_of_many_gateways_use_what_cold_backends_bear() {
     // Slow answers of cold backends are no queue; and a part of a request is a chance of one, not of half of one.
-    for (gateways, each, seed, most) in [(24, 2.0, 1, 0.85), (100, 2.0, 2, 0.5), (300, 0.6, 3, 0.35)] {
+    for (gateways, each, seed, most) in
+        [(24, 2.0, 1, 0.85), (100, 2.0, 2, 0.5), (300, 0.6, 3, 0.35)]
+    {
         let (sent, worst) = cold(gateways, 20, each, seed, 12);
         let asked = f64::from(gateways) * each * 12.0;
         let sent = f64::from(sent.iter().sum::<u32>());
         assert!(sent > most * asked, "{gateways}: {sent} of {asked} sent on");
-        assert!(worst < 0.8, "{gateways}: {worst} of what pushes a cold backend over");
+        assert!(
+            worst < 0.8,
+            "{gateways}: {worst} of what pushes a cold backend over"
+        );
     }
 }
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -12,8 +12,11 @@
 
 /// Plays 24 ingresses and 12 limit servers with these settings.
 fn play(more: &str) -> Played {
-    let text =
-        if more.contains("[trial]") { more.to_string() } else { format!("[trial]\ntime = 5s\n{more}") };
+    let text = if more.contains("[trial]") {
+        more.to_string()
+    } else {
+        format!("[trial]\ntime = 5s\n{more}")
+    };
     let text = text.replace("[trial]\n", "[trial]\ningresses = 24\ninstances = 12\n");
     let played = play::play(&text);
     assert_eq!(played.broken, Vec::<String>::new(), "every rule is kept");
@@ -27,37 +30,69 @@
 
 /// All calls of one ingress at the list service with the time of its last start, in order.
 fn calls(played: &Played, whole: bool) -> usize {
-    played.lines.iter().filter(|l| matches!(l.what, What::Call { whole: w, .. } if w == whole)).count()
+    played
+        .lines
+        .iter()
+        .filter(|l| matches!(l.what, What::Call { whole: w, .. } if w == whole))
+        .count()
 }
 
 #[test]
 fn all_at_once_without_a_list_each_asks_for_one_whole_list_and_none_is_turned_away() {
     let played = play(TURNS);
-    assert_eq!((listed(&played), calls(&played, true), played.figures.turned_away), (24, 24, 0));
+    assert_eq!(
+        (
+            listed(&played),
+            calls(&played, true),
+            played.figures.turned_away
+        ),
+        (24, 24, 0)
+    );
     // Ready only with a list.
     for ingress in 0..24 {
         let of = |kind: &dyn Fn(&What) -> bool| played.lines.iter().position(|l| kind(&l.what));
         let told = of(&|w| matches!(w, What::Listed { ingress: i, .. } if *i == ingress));
         let ready = of(&|w| matches!(w, What::Ready { ingress: i } if *i == ingress));
-        assert!(told.is_some() && ready.is_none_or(|ready| Some(ready) > told), "ingress {ingress}");
+        assert!(
+            told.is_some() && ready.is_none_or(|ready| Some(ready) > told),
+            "ingress {ingress}"
+        );
     }
-    assert!(played.figures.in_time > 0, "warm limit servers serve from the first list on");
+    assert!(
+        played.figures.in_time > 0,
+        "warm limit servers serve from the first list on"
+    );
 }
 
 #[test]
 fn with_an_old_list_in_which_a_third_is_gone_nobody_asks_for_a_whole_one() {
-    let played =
-        play(&format!("{TURNS}[ingress]\nknown = old\n[faults]\ngone = at 0s: remove instance:0-3\n"));
+    let played = play(&format!(
+        "{TURNS}[ingress]\nknown = old\n[faults]\ngone = at 0s: remove instance:0-3\n"
+    ));
     assert_eq!(calls(&played, true), 0);
-    assert!(played.figures.share() > 0.5, "the others serve: {:?}", played.figures.seconds);
+    assert!(
+        played.figures.share() > 0.5,
+        "the others serve: {:?}",
+        played.figures.seconds
+    );
 }
 
 #[test]
 fn limit_servers_cold_too_are_not_pushed_over_and_serve_from_the_first_second_on() {
-    let played = play("[ingress]\nknown = old\n[instance]\ncold = on\n[traffic]\nrate = 20\nagain = 1\n");
+    let played =
+        play("[ingress]\nknown = old\n[instance]\ncold = on\n[traffic]\nrate = 20\nagain = 1\n");
     let figures = &played.figures;
-    assert!(figures.cold_worst < 1.0 && figures.cold_worst > 0.05, "{}", figures.cold_worst);
-    assert!(figures.in_time > 20, "{} of {} in time", figures.in_time, figures.asked);
+    assert!(
+        figures.cold_worst < 1.0 && figures.cold_worst > 0.05,
+        "{}",
+        figures.cold_worst
+    );
+    assert!(
+        figures.in_time > 20,
+        "{} of {} in time",
+        figures.in_time,
+        figures.asked
+    );
 }
 
 #[test]
@@ -65,9 +100,16 @@
     let away = "[faults]\naway = at 0s: list turns away 0.9 for 4s\n";
     let played = play(&format!("[trial]\ntime = 14s\n{TURNS}{away}"));
     assert_eq!(listed(&played), 24);
-    let during = played.lines.iter().filter(|l| l.at < 4.0 && matches!(l.what, What::Call { .. })).count();
+    let during = played
+        .lines
+        .iter()
+        .filter(|l| l.at < 4.0 && matches!(l.what, What::Call { .. }))
+        .count();
     // Half as much again as it bears.
-    assert!(during <= 120, "{during} calls while nine in ten are turned away");
+    assert!(
+        during <= 120,
+        "{during} calls while nine in ten are turned away"
+    );
 }
 
 #[test]
@@ -75,7 +117,11 @@
     let silent = "[ingress]\nknown = old\n[faults]\nsilent = at 0s: list silent for 10s\nnews = at 12s: restart instance:0\n";
     let played = play(&format!("[trial]\ntime = 18s\n{TURNS}{silent}"));
     assert!(listed(&played) > 12, "{} heard the news", listed(&played));
-    assert!(played.figures.share_between(1, 9) > 0.5, "served by the old list: {:?}", played.figures.seconds);
+    assert!(
+        played.figures.share_between(1, 9) > 0.5,
+        "served by the old list: {:?}",
+        played.figures.seconds
+    );
     assert_eq!(
         calls(&played, true),
         0,
@@ -88,7 +134,11 @@
     let breaks = "[faults]\nbreaks = at 0s: list breaks 0.5 for 3s\n";
     let played = play(&format!("[trial]\ntime = 8s\n{TURNS}{breaks}"));
     assert_eq!(listed(&played), 24);
-    let told = played.logs.iter().filter(|log| log.matches("lost discovery").count() > 4).count();
+    let told = played
+        .logs
+        .iter()
+        .filter(|log| log.matches("lost discovery").count() > 4)
+        .count();
     assert_eq!(told, 0, "a loss is told once, not for each try");
 }
 
@@ -120,18 +170,37 @@
                  two = at 7s: kill ingress:0.7 and start after 200ms old\n";
     let played = play(&format!("[trial]\ntime = 11s\n{TURNS}{twice}"));
     assert_eq!(listed(&played), 24);
-    let lives = played.lines.iter().filter(|l| matches!(l.what, What::Started { .. })).count();
+    let lives = played
+        .lines
+        .iter()
+        .filter(|l| matches!(l.what, What::Started { .. }))
+        .count();
     assert_eq!(lives, 24 + 17 + 17);
     // Whole lists: one for each life without any, and for those alone.
-    assert!(calls(&played, true) <= 24 + 17, "{} whole lists", calls(&played, true));
+    assert!(
+        calls(&played, true) <= 24 + 17,
+        "{} whole lists",
+        calls(&played, true)
+    );
     // Each of them has heard of all others that start with it, and how many of these have no list.
     for (all, without) in [(24, 24), (17, 17), (17, 0)] {
         let line = format!("cold start: {all} have started together, {without} without a list\n");
-        let told = played.logs.iter().map(|log| log.matches(&line).count()).sum::<usize>();
-        assert!(told * 10 >= all * 9, "{told} of {all} that start know of all, {without} without a list");
+        let told = played
+            .logs
+            .iter()
+            .map(|log| log.matches(&line).count())
+            .sum::<usize>();
+        assert!(
+            told * 10 >= all * 9,
+            "{told} of {all} that start know of all, {without} without a list"
+        );
     }
     let last = played.figures.share_between(9, 11);
-    assert!(last > 0.5, "back in service: {last}, {:?}", played.figures.seconds);
+    assert!(
+        last > 0.5,
+        "back in service: {last}, {:?}",
+        played.figures.seconds
+    );
 }
 
 #[test]
@@ -146,13 +215,18 @@
     for line in &played.lines {
         match line.what {
             What::Started { ingress, .. } => order.retain(|i| *i != ingress),
-            What::Call { ingress, .. } if line.at > 3.0 && !order.contains(&ingress) => order.push(ingress),
+            What::Call { ingress, .. } if line.at > 3.0 && !order.contains(&ingress) => {
+                order.push(ingress)
+            }
             _ => {}
         }
     }
     assert_eq!(order.len(), 24, "all call again: {order:?}");
     let bare = order[..12].iter().filter(|i| **i < 12).count();
-    assert!(bare >= 11, "{bare} of the first twelve have no list: {order:?}");
+    assert!(
+        bare >= 11,
+        "{bare} of the first twelve have no list: {order:?}"
+    );
     let line = "cold start: 24 have started together, 12 without a list\n";
     let told = played.logs.iter().filter(|log| log.contains(line)).count();
     assert!(told >= 22, "{told} know how many they are");
@@ -161,7 +235,8 @@
 #[test]
 fn one_stopped_in_the_middle_of_its_start_asks_when_it_goes_on() {
     // The list service is silent until after the stop: whoever is stopped has no list yet.
-    let stop = "[faults]\nsilent = at 0s: list silent for 2s\nstop = at 1s: stop ingress:3 for 3s\n";
+    let stop =
+        "[faults]\nsilent = at 0s: list silent for 2s\nstop = at 1s: stop ingress:3 for 3s\n";
     let played = play(&format!("[trial]\ntime = 9s\n{TURNS}{stop}"));
     assert_eq!(listed(&played), 24);
 }
@@ -170,7 +245,10 @@
 fn six_in_ten_replaced_while_the_list_service_is_silent_are_found_once_it_is_back() {
     let replaced = "[ingress]\nknown = old\n[faults]\nreplaced = at 1s: replace instance:0.6\n\
                     silent = at 0.5s: list silent for 4s\n";
-    let played = play(&format!("[trial]\ntime = 12s\n{TURNS}{}", replaced.replace("0.5s", "500ms")));
+    let played = play(&format!(
+        "[trial]\ntime = 12s\n{TURNS}{}",
+        replaced.replace("0.5s", "500ms")
+    ));
     let new = played.lines.iter().rev().find_map(|l| match l.what {
         What::Attempt { instance, .. } if instance >= 12 => Some(instance),
         _ => None,
@@ -182,10 +260,17 @@
 #[test]
 fn a_service_whose_revisions_go_back_is_read_anew_and_a_list_of_thousands_is_taken() {
     let back = "[faults]\nback = at 3s: list goes back\n";
-    let played = play(&format!("[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"));
+    let played = play(&format!(
+        "[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"
+    ));
     assert_eq!(listed(&played), 24);
     let old = played.lines.iter().rev().find_map(|l| match l.what {
-        What::Listed { ingress: 0, status: 200, rev, .. } => Some(rev),
+        What::Listed {
+            ingress: 0,
+            status: 200,
+            rev,
+            ..
+        } => Some(rev),
         _ => None,
     });
     assert_eq!(old, Some(1), "it follows the service at its new revisions");
@@ -198,11 +283,30 @@
     let bad = "[faults]\nforeign = at 0s: foreign ingress:all\ntorn = at 0s: link ingress:all -> ingress:all torn 0.5\n\
                again = at 2s: kill ingress:0-11 and start after 200ms none\n";
     let played = play(&format!("[trial]\ntime = 7s\n{TURNS}{bad}"));
-    assert_eq!((listed(&played), calls(&played, true), played.figures.turned_away), (24, 24 + 12, 0));
+    assert_eq!(
+        (
+            listed(&played),
+            calls(&played, true),
+            played.figures.turned_away
+        ),
+        (24, 24 + 12, 0)
+    );
     let told = |log: &String, of: &str| log.matches(of).count();
     for log in &played.logs {
-        assert!((1..=2).contains(&told(log, "which is no peer")), "a stranger is told of once a life: {log}");
-        assert!(told(log, "that cannot be read") <= 2, "torn words are told of once a life: {log}");
+        assert!(
+            (1..=2).contains(&told(log, "which is no peer")),
+            "a stranger is told of once a life: {log}"
+        );
+        assert!(
+            told(log, "that cannot be read") <= 2,
+            "torn words are told of once a life: {log}"
+        );
     }
-    assert!(played.logs.iter().any(|log| told(log, "that cannot be read") > 0), "some were torn");
+    assert!(
+        played
+            .logs
+            .iter()
+            .any(|log| told(log, "that cannot be read") > 0),
+        "some were torn"
+    );
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -15,22 +15,33 @@
 
 fn fails(out: Output, reason: &str) {
     let text = String::from_utf8(out.stderr).unwrap();
-    assert!(!out.status.success() && text.lines().count() == 1 && text.contains(reason), "{reason}: {text}");
+    assert!(
+        !out.status.success() && text.lines().count() == 1 && text.contains(reason),
+        "{reason}: {text}"
+    );
 }
 
 /// The configuration of the exchanges, with addresses and one part changed.
 fn config(from: &str, to: &str) -> String {
     let text = include_str!("exchanges/config.json").replace(from, to);
-    ["@discovery", "@peer0", "@peer1", "@s1"].iter().fold(text, |t, name| t.replace(name, "127.0.0.1:9"))
+    ["@discovery", "@peer0", "@peer1", "@s1"]
+        .iter()
+        .fold(text, |t, name| t.replace(name, "127.0.0.1:9"))
 }
 
 #[test]
 fn says_its_version_and_checks_a_configuration() {
     let version = run(&["version"], None);
-    assert_eq!(version.stdout, format!("applewall {}\n", env!("CARGO_PKG_VERSION")).into_bytes());
+    assert_eq!(
+        version.stdout,
+        format!("applewall {}\n", env!("CARGO_PKG_VERSION")).into_bytes()
+    );
     let check = run(&["check"], Some(("good", &config("", ""))));
     let text = String::from_utf8(check.stdout).unwrap();
-    assert!(check.status.success() && text.starts_with("n0 on 127.0.0.1:0, datagrams on "), "{text}");
+    assert!(
+        check.status.success() && text.starts_with("n0 on 127.0.0.1:0, datagrams on "),
+        "{text}"
+    );
 }
 
 #[test]
@@ -61,7 +72,14 @@
     for (number, redirection, reason) in cases {
         let mut shell = Command::new("/bin/sh");
         shell.args(["-c", &format!("exec \"$0\" serve {redirection}"), program]);
-        fails(shell.env("GW_CONFIG", &path).env("GW_FD", number).output().unwrap(), reason);
+        fails(
+            shell
+                .env("GW_CONFIG", &path)
+                .env("GW_FD", number)
+                .output()
+                .unwrap(),
+            reason,
+        );
     }
 }
 
@@ -71,13 +89,20 @@
         ("\"settings\"", "\"other\"", "missing field `settings`"),
         ("\"name\": \"n0\"", "\"name\": 0", "expected a string"),
         ("8c1f30d27a5be964", "xyz", "seed: 'xyz' is not hex digits"),
-        ("\"sockets\": 1024", "\"sockets\": 3", "3 descriptors are too few"),
+        (
+            "\"sockets\": 1024",
+            "\"sockets\": 3",
+            "3 descriptors are too few",
+        ),
         ("127.0.0.1:0", "nowhere", "invalid socket address"),
         ("retryable", "sometimes", "unknown idempotency 'sometimes'"),
         ("\"name\": \"n0\"", "", "GW_CONFIG: "),
     ];
     for (i, (from, to, reason)) in cases.into_iter().enumerate() {
-        fails(run(&["serve"], Some((&format!("bad{i}"), &config(from, to)))), reason);
+        fails(
+            run(&["serve"], Some((&format!("bad{i}"), &config(from, to)))),
+            reason,
+        );
     }
 }
 
@@ -85,22 +110,43 @@
 fn an_address_that_cannot_be_had_ends_with_one_plain_line() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap().to_string();
-    let text = config("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{address}\""));
-    fails(run(&["serve"], Some(("taken", &text))), &format!("cannot listen on {address}"));
+    let text = config(
+        "\"listen\": \"127.0.0.1:0\"",
+        &format!("\"listen\": \"{address}\""),
+    );
+    fails(
+        run(&["serve"], Some(("taken", &text))),
+        &format!("cannot listen on {address}"),
+    );
 }
 
 #[test]
 fn the_shipped_operator_files_will_do() {
-    for (file, on) in [("applewall.ini", "nothing on"), ("applewall.recommended.ini", "pace, bulkheads on")] {
+    for (file, on) in [
+        ("applewall.ini", "nothing on"),
+        ("applewall.recommended.ini", "pace, bulkheads on"),
+    ] {
         let path = format!("{}/deploy/{file}", env!("CARGO_MANIFEST_DIR"));
-        let check = run(&["check", "--operator", &path], Some((file, &config("", ""))));
+        let check = run(
+            &["check", "--operator", &path],
+            Some((file, &config("", ""))),
+        );
         let text = String::from_utf8(check.stdout).unwrap();
-        assert!(check.status.success() && text.contains(on), "{file}: {text}");
+        assert!(
+            check.status.success() && text.contains(on),
+            "{file}: {text}"
+        );
     }
     let schema = String::from_utf8(run(&["schema"], None).stdout).unwrap();
     let values = String::from_utf8(run(&["schema", "registry"], None).stdout).unwrap();
-    assert!(values.contains("\"endpoint\"") && values.contains("\"terminating\""), "{values}");
-    assert!(schema.contains("\"bulkheads\"") && schema.contains("\"out_least\""), "{schema}");
+    assert!(
+        values.contains("\"endpoint\"") && values.contains("\"terminating\""),
+        "{values}"
+    );
+    assert!(
+        schema.contains("\"bulkheads\"") && schema.contains("\"out_least\""),
+        "{schema}"
+    );
 }
 
 #[test]
@@ -124,22 +170,37 @@
         std::fs::write(&path, text).unwrap();
         let path = path.to_str().unwrap();
         for word in ["serve", "check"] {
-            let out = run(&[word, "--operator", path], Some((&format!("good{i}"), &config("", ""))));
+            let out = run(
+                &[word, "--operator", path],
+                Some((&format!("good{i}"), &config("", ""))),
+            );
             fails(out, &format!("{path}: {reason}"));
         }
     }
-    fails(run(&["check", "--operator", "/nowhere.ini"], None), "/nowhere.ini: ");
+    fails(
+        run(&["check", "--operator", "/nowhere.ini"], None),
+        "/nowhere.ini: ",
+    );
 }
 
 #[test]
 fn the_log_is_json_where_the_operator_asks_for_it() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap().to_string();
-    let text = config("\"listen\": \"127.0.0.1:0\"", &format!("\"listen\": \"{address}\""));
+    let text = config(
+        "\"listen\": \"127.0.0.1:0\"",
+        &format!("\"listen\": \"{address}\""),
+    );
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("json.ini");
     std::fs::write(&path, "[log]\nformat = json\n").unwrap();
-    let out = run(&["serve", "--operator", path.to_str().unwrap()], Some(("json", &text)));
+    let out = run(
+        &["serve", "--operator", path.to_str().unwrap()],
+        Some(("json", &text)),
+    );
     let line: serde_json::Value = serde_json::from_slice(&out.stderr).unwrap();
     assert_eq!(line["level"], "ERROR");
-    assert!(line["message"].as_str().unwrap().starts_with(&format!("cannot listen on {address}")));
+    assert!(line["message"]
+        .as_str()
+        .unwrap()
+        .starts_with(&format!("cannot listen on {address}")));
 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -28,12 +28,32 @@
 
     /// A fleet of so many gateways.
     pub fn of(gateways: u32, seed: u64, set: Settings, backends: usize) -> Self {
-        let list: Vec<Member> = (0..backends).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
-        let set = Settings { gateways, mail_per_s: 40.0, ..set };
-        let door = |me| Stage::new(Settings { me, ..set.clone() }, seed << 16 | u64::from(me), &list);
+        let list: Vec<Member> = (0..backends)
+            .map(|i| member(&format!("b{i}"), i as u32 % 3))
+            .collect();
+        let set = Settings {
+            gateways,
+            mail_per_s: 40.0,
+            ..set
+        };
+        let door = |me| {
+            Stage::new(
+                Settings { me, ..set.clone() },
+                seed << 16 | u64::from(me),
+                &list,
+            )
+        };
         let doors = (0..gateways).map(door).collect();
         let rng = SmallRng::seed_from_u64(seed);
-        Fleet { rng, set, list, doors, mail: VecDeque::new(), out: vec![], delivered: 0 }
+        Fleet {
+            rng,
+            set,
+            list,
+            doors,
+            mail: VecDeque::new(),
+            out: vec![],
+            delivered: 0,
+        }
     }
 
     pub fn now(&self) -> u64 {
@@ -41,7 +61,10 @@
     }
 
     pub fn restart(&mut self, me: usize) {
-        let set = Settings { me: me as u32, ..self.set.clone() };
+        let set = Settings {
+            me: me as u32,
+            ..self.set.clone()
+        };
         self.doors[me] = Stage::at(self.now(), set, self.rng.random(), &self.list);
         self.out.retain(|o| o.1 != me);
     }
@@ -54,10 +77,25 @@
         end: &dyn Fn(&BackendId, RequestId) -> (Outcome, u64),
     ) {
         for action in actions {
-            if let Action::Send { request, backend, .. } = action {
-                let attempt = self.out.iter().filter(|o| o.1 == me && o.2 == *request).count() as u32;
+            if let Action::Send {
+                request, backend, ..
+            } = action
+            {
+                let attempt = self
+                    .out
+                    .iter()
+                    .filter(|o| o.1 == me && o.2 == *request)
+                    .count() as u32;
                 let (how, ms) = end(backend, *request);
-                self.out.push((self.now() + ms * MS, me, *request, attempt, backend.clone(), how, ms));
+                self.out.push((
+                    self.now() + ms * MS,
+                    me,
+                    *request,
+                    attempt,
+                    backend.clone(),
+                    how,
+                    ms,
+                ));
             }
         }
     }
@@ -82,7 +120,9 @@
             }
         }
         while self.mail.front().is_some_and(|m| m.0 <= now) {
-            let Some((_, from, to, text)) = self.mail.pop_front() else { break };
+            let Some((_, from, to, text)) = self.mail.pop_front() else {
+                break;
+            };
             if self.rng.random::<f64>() > 0.05 {
                 self.delivered += 1;
                 self.doors[to as usize].give(Event::Peer { from, text });
@@ -98,7 +138,16 @@
 /// A part of a pool on the wire, from its nine numbers.
 pub fn pool(parts: [f64; 9]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
-    let code = |v: f64| if v < 0.001 { 0 } else { ((v / 0.001).ln() / 1.005f64.ln()).round() as usize + 1 };
+    let code = |v: f64| {
+        if v < 0.001 {
+            0
+        } else {
+            ((v / 0.001).ln() / 1.005f64.ln()).round() as usize + 1
+        }
+    };
     let digits = |v: &f64| [code(*v) >> 6, code(*v) & 63].map(|d| char::from(DIGITS[d]));
-    "pAAAAAAAAA".chars().chain(parts.iter().flat_map(digits)).collect()
+    "pAAAAAAAAA"
+        .chars()
+        .chain(parts.iter().flat_map(digits))
+        .collect()
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,15 +22,30 @@
         repeats,
         stream: false,
     };
-    let keyed = Repeats::Keyed { scope: KeyScope::Zone, window: 3 * S };
+    let keyed = Repeats::Keyed {
+        scope: KeyScope::Zone,
+        window: 3 * S,
+    };
     Settings {
         me: 0,
         gateways: 3,
         zone: 0,
         classes: vec![class(Repeats::Safe), class(keyed), class(Repeats::Unsafe)],
         plans: vec![
-            Plan { rate: 10.0, burst: 20.0, price: 1.0, over_cost: 0.5, ..Plan::default() },
-            Plan { rate: 1e6, burst: 1e6, price: 3.0, over_cost: 0.5, ..Plan::default() },
+            Plan {
+                rate: 10.0,
+                burst: 20.0,
+                price: 1.0,
+                over_cost: 0.5,
+                ..Plan::default()
+            },
+            Plan {
+                rate: 1e6,
+                burst: 1e6,
+                price: 3.0,
+                over_cost: 0.5,
+                ..Plan::default()
+            },
         ],
         cold_share: 0.2,
         cold_time: 15 * S,
@@ -77,8 +92,15 @@
 
     pub fn at(now: u64, settings: Settings, seed: u64, backends: &[Member]) -> Self {
         let brain = Brain::new(settings, seed, now);
-        let mut stage =
-            Stage { brain, now, timers: vec![], told: vec![], letters: vec![], other: vec![], next: 0 };
+        let mut stage = Stage {
+            brain,
+            now,
+            timers: vec![],
+            told: vec![],
+            letters: vec![],
+            other: vec![],
+            next: 0,
+        };
         stage.give(Event::Members(ListKind::Cached, backends.into()));
         stage
     }
@@ -118,7 +140,13 @@
         all
     }
 
-    pub fn ask(&mut self, class: usize, plan: usize, customer: &str, units: f64) -> (RequestId, Vec<Action>) {
+    pub fn ask(
+        &mut self,
+        class: usize,
+        plan: usize,
+        customer: &str,
+        units: f64,
+    ) -> (RequestId, Vec<Action>) {
         self.ask_of(3, class, plan, customer, units)
     }
 
@@ -193,7 +221,9 @@
             }
             for action in todo {
                 match action {
-                    Action::Send { request, backend, .. } => {
+                    Action::Send {
+                        request, backend, ..
+                    } => {
                         sent += u32::from(request == id);
                         let attempt = u32::from(request != id);
                         out.push((self.now + ms * MS, request, attempt, backend));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,8 +31,14 @@
     assert_eq!(refused, 0, "F0 admits all");
     // Answers far too late: overload.
     let (sent, refused) = stage.run(SAFE, 1, 5 * MS, 6 * S, Outcome::Ok, 450);
-    assert!(refused > sent / 10, "{refused} refused, {sent} sent under overload");
-    assert!(stage.other.iter().any(|a| matches!(a, Action::Log(l) if l.starts_with("ladder F"))));
+    assert!(
+        refused > sent / 10,
+        "{refused} refused, {sent} sent under overload"
+    );
+    assert!(stage
+        .other
+        .iter()
+        .any(|a| matches!(a, Action::Log(l) if l.starts_with("ladder F"))));
     stage.run(SAFE, 1, 5 * MS, 10 * S, Outcome::Ok, 60);
     let (_, refused) = stage.run(SAFE, 1, 5 * MS, 4 * S, Outcome::Ok, 60);
     assert_eq!(refused, 0, "back at F0");
@@ -70,7 +76,10 @@
         }
         stage.pass(5 * MS);
     }
-    assert!(lost[0] > 20 && lost[0] as f64 > 1.3 * lost[1] as f64, "{lost:?}");
+    assert!(
+        lost[0] > 20 && lost[0] as f64 > 1.3 * lost[1] as f64,
+        "{lost:?}"
+    );
 }
 
 #[test]
@@ -87,29 +96,58 @@
             out.push_back((stage.now + ms * MS, id, to, ms));
         }
         let now = stage.now;
-        for (_, id, to, ms) in out.iter().filter(|o| o.0 <= now).cloned().collect::<Vec<_>>() {
-            stage.end(id, 0, &to, if ms > 1000 { Outcome::TimedOut } else { Outcome::Ok }, ms);
+        for (_, id, to, ms) in out
+            .iter()
+            .filter(|o| o.0 <= now)
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            stage.end(
+                id,
+                0,
+                &to,
+                if ms > 1000 {
+                    Outcome::TimedOut
+                } else {
+                    Outcome::Ok
+                },
+                ms,
+            );
         }
         out.retain(|o| o.0 > now);
         stage.pass(10 * MS);
     }
     assert_eq!(refusals, 0);
-    assert!(out.iter().filter(|o| &*o.2 == "b0").count() <= 2, "the silent one gets single trials at most");
+    assert!(
+        out.iter().filter(|o| &*o.2 == "b0").count() <= 2,
+        "the silent one gets single trials at most"
+    );
 }
 
 #[test]
 fn a_customer_alone_is_held_to_its_quota() {
-    let mut stage = Stage::new(Settings { gateways: 1, ..settings() }, 5, &fleet());
+    let mut stage = Stage::new(
+        Settings {
+            gateways: 1,
+            ..settings()
+        },
+        5,
+        &fleet(),
+    );
     let first = passed(&mut stage, "hot");
     assert!(first > 0.3, "the store opens full: {first}");
     let steady = passed(&mut stage, "hot");
-    assert!((0.15..0.35).contains(&steady), "a quarter passes in the long run: {steady}");
+    assert!(
+        (0.15..0.35).contains(&steady),
+        "a quarter passes in the long run: {steady}"
+    );
 }
 
 #[test]
 fn demand_seen_only_through_peers_lowers_what_passes() {
-    let mut doors: Vec<Stage> =
-        (0..3).map(|me| Stage::new(Settings { me, ..settings() }, 6 + u64::from(me), &fleet())).collect();
+    let mut doors: Vec<Stage> = (0..3)
+        .map(|me| Stage::new(Settings { me, ..settings() }, 6 + u64::from(me), &fleet()))
+        .collect();
     let mut sent = [0u32; 2];
     for step in 0..2400 {
         for me in 0..3 {
@@ -121,13 +159,19 @@
             }
             for text in std::mem::take(&mut doors[me].told) {
                 for to in (0..3).filter(|to| *to != me) {
-                    doors[to].give(Event::Peer { from: me as u32, text: text.clone() });
+                    doors[to].give(Event::Peer {
+                        from: me as u32,
+                        text: text.clone(),
+                    });
                 }
             }
         }
     }
     // 1200 steps of 8 ms are 9.6 s: 96 units fill the store, and 20 were there.
-    assert!((80..=125).contains(&sent[1]), "{sent:?} passed for a quota of 96");
+    assert!(
+        (80..=125).contains(&sent[1]),
+        "{sent:?} passed for a quota of 96"
+    );
 }
 
 #[test]
@@ -135,13 +179,31 @@
     let run = |noise: &[&str]| {
         let mut stage = Stage::new(settings(), 8, &fleet());
         for text in noise {
-            assert!(stage.give(Event::Peer { from: 1, text: (*text).into() }).is_empty());
+            assert!(stage
+                .give(Event::Peer {
+                    from: 1,
+                    text: (*text).into()
+                })
+                .is_empty());
         }
-        stage.give(Event::Peer { from: 9, text: "wAAAAAAAAAzz".into() });
+        stage.give(Event::Peer {
+            from: 9,
+            text: "wAAAAAAAAAzz".into(),
+        });
         (passed(&mut stage, "hot"), stage.told.clone())
     };
-    let noise =
-        ["", "x", "u", "uAA", "uAAAA?", "uAAAAabc", "gAAAAabcdefgh", "qAAAA", "\u{1f600}", "u\u{e9}AAA"];
+    let noise = [
+        "",
+        "x",
+        "u",
+        "uAA",
+        "uAAAA?",
+        "uAAAAabc",
+        "gAAAAabcdefgh",
+        "qAAAA",
+        "\u{1f600}",
+        "u\u{e9}AAA",
+    ];
     assert_eq!(run(&[]), run(&noise));
 }
 
@@ -181,7 +243,11 @@
     let (_, actions) = stage.ask(SAFE, 0, "known", 1.0);
     assert!(target(&actions).is_some());
     assert!(stage.told.iter().all(|t| t.len() <= 256));
-    assert!(stage.told.len() < 300, "{} messages in 40 s", stage.told.len());
+    assert!(
+        stage.told.len() < 300,
+        "{} messages in 40 s",
+        stage.told.len()
+    );
 }
 
 #[test]
@@ -216,7 +282,10 @@
         doors.iter_mut().for_each(|d| drop(d.pass(150 * MS)));
         for text in std::mem::take(&mut doors[me].told) {
             for to in (0..3).filter(|to| *to != me) {
-                doors[to].give(Event::Peer { from: me as u32, text: text.clone() });
+                doors[to].give(Event::Peer {
+                    from: me as u32,
+                    text: text.clone(),
+                });
             }
         }
     }
@@ -238,7 +307,14 @@
             let asked = mail::units_code(f64::from(turn) * 2.0);
             let sent = if sent_too { asked } else { 0 };
             let name = mail::fingerprint(if sent_too { "sent" } else { "refused" });
-            let told = mail::Record::Use { plan: 0, first: 0, spread: 3, sent, asked, level: 1.0 };
+            let told = mail::Record::Use {
+                plan: 0,
+                first: 0,
+                spread: 3,
+                sent,
+                asked,
+                level: 1.0,
+            };
             for text in mail::write(7, &[(name, told)]) {
                 stage.give(Event::Peer { from: 1, text });
             }
@@ -252,7 +328,10 @@
         refusals
     };
     let (sent, refused) = (refusals(true), refusals(false));
-    assert!(sent > 50, "{sent} of 100 refused where others have the limit out");
+    assert!(
+        sent > 50,
+        "{sent} of 100 refused where others have the limit out"
+    );
     assert_eq!(refused, 0, "refused where others have nothing out");
 }
 
@@ -282,7 +361,12 @@
         }
         sent
     };
-    assert!(passes(3.0) * 2 < passes(1.0), "{} {}", passes(3.0), passes(1.0));
+    assert!(
+        passes(3.0) * 2 < passes(1.0),
+        "{} {}",
+        passes(3.0),
+        passes(1.0)
+    );
 }
 
 #[test]
@@ -292,7 +376,9 @@
     let mut stage = Stage::new(set, 13, &[]);
     let (_, actions) = stage.ask(SAFE, 1, "c", 1.0);
     assert!(refused(&actions), "nobody to send to");
-    assert!(stage.give(Event::Members(ListKind::Failed, [].into())).is_empty());
+    assert!(stage
+        .give(Event::Members(ListKind::Failed, [].into()))
+        .is_empty());
     assert!(stage.pass(2 * S).contains(&Action::Watch(true)));
 }
 
@@ -301,12 +387,23 @@
     let mut stage = Stage::new(settings(), 14, &fleet());
     let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
     let to = target(&actions).unwrap();
-    assert_eq!(stage.give(Event::ClientLeft(id)), [Action::Cancel { request: id, attempt: 0 }]);
+    assert_eq!(
+        stage.give(Event::ClientLeft(id)),
+        [Action::Cancel {
+            request: id,
+            attempt: 0
+        }]
+    );
     assert!(stage.give(Event::ClientLeft(id)).is_empty());
     assert!(stage.end(id, 0, &to, Outcome::Cancelled, 20).is_empty());
     assert!(stage.end(id, 0, &to, Outcome::Ok, 20).is_empty());
     assert!(stage.give(Event::Timer(77)).is_empty());
-    assert!(stage.give(Event::Started { request: id, attempt: 0 }).is_empty());
+    assert!(stage
+        .give(Event::Started {
+            request: id,
+            attempt: 0
+        })
+        .is_empty());
 }
 
 #[test]
@@ -324,8 +421,23 @@
             out.push((stage.now + ms * MS, id, to, ms));
         }
         let now = stage.now;
-        for (_, id, to, ms) in out.iter().filter(|o| o.0 <= now).cloned().collect::<Vec<_>>() {
-            stage.end(id, 0, &to, if ms > 1000 { Outcome::TimedOut } else { Outcome::Ok }, ms);
+        for (_, id, to, ms) in out
+            .iter()
+            .filter(|o| o.0 <= now)
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            stage.end(
+                id,
+                0,
+                &to,
+                if ms > 1000 {
+                    Outcome::TimedOut
+                } else {
+                    Outcome::Ok
+                },
+                ms,
+            );
         }
         out.retain(|o| o.0 > now);
         stage.pass(5 * MS);
@@ -347,10 +459,15 @@
             stage.pass(20 * MS);
             stage.end(id, 0, &to, Outcome::Ok, ms);
         }
-        (0..200).filter(|_| target(&stage.ask(SAFE, 1, "c", units).1).is_some()).count()
+        (0..200)
+            .filter(|_| target(&stage.ask(SAFE, 1, "c", units).1).is_some())
+            .count()
     };
     let (small, large) = (burst(1.0), burst(4.0));
-    assert!(small >= 2 * large, "{small} small ones of a burst sent, {large} large ones");
+    assert!(
+        small >= 2 * large,
+        "{small} small ones of a burst sent, {large} large ones"
+    );
 }
 
 #[test]
@@ -362,7 +479,13 @@
             _ => false,
         })
     };
-    for how in [Outcome::TimedOut, Outcome::Error, Outcome::Full, Outcome::NoConnection, Outcome::Reset] {
+    for how in [
+        Outcome::TimedOut,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::NoConnection,
+        Outcome::Reset,
+    ] {
         for class in [SAFE, KEYED, UNSAFE] {
             let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
             let mut stage = Stage::new(settings(), 47, &list);
@@ -373,7 +496,10 @@
                     let Some(to) = target(&actions) else { break };
                     actions = stage.end(id, attempt, &to, how, 300);
                 }
-                assert!(answered(&actions, id), "{how:?}, class {class}: {actions:?}");
+                assert!(
+                    answered(&actions, id),
+                    "{how:?}, class {class}: {actions:?}"
+                );
                 let told = |a: &Action| !matches!(a, Action::Refuse { retry_after: 0, .. });
                 assert!(actions.iter().all(told), "{actions:?}");
             }
@@ -386,13 +512,18 @@
     let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(settings(), 53, &list);
     stage.run(SAFE, 1, 20 * MS, 2 * S, Outcome::Ok, 60);
-    let refusals: Vec<Action> = (0..200).flat_map(|_| stage.ask(SAFE, 1, "c", 1.0).1).collect();
+    let refusals: Vec<Action> = (0..200)
+        .flat_map(|_| stage.ask(SAFE, 1, "c", 1.0).1)
+        .collect();
     let waits = refusals.iter().filter_map(|a| match a {
         Action::Refuse { retry_after, .. } => Some(*retry_after),
         _ => None,
     });
     let waits: Vec<u64> = waits.collect();
-    assert!(!waits.is_empty() && waits.iter().all(|w| (50 * MS..=2 * S).contains(w)), "{waits:?}");
+    assert!(
+        !waits.is_empty() && waits.iter().all(|w| (50 * MS..=2 * S).contains(w)),
+        "{waits:?}"
+    );
 }
 
 #[test]
@@ -408,7 +539,11 @@
             let at_b0 = &*to == "b0";
             to_b0 += u32::from(at_b0);
             row = if at_b0 { (row + 1) % (broken + 1) } else { row };
-            let how = if at_b0 && row > 0 { Outcome::Reset } else { Outcome::Ok };
+            let how = if at_b0 && row > 0 {
+                Outcome::Reset
+            } else {
+                Outcome::Ok
+            };
             for action in stage.end(id, 0, &to, how, 5) {
                 if let Action::Send { backend, .. } = action {
                     stage.end(id, 1, &backend, Outcome::Ok, 5);
@@ -419,8 +554,14 @@
         to_b0
     };
     let (once, often) = (share(1), share(5));
-    assert!(once > 20, "{once} of 600 for one whose connections break now and then");
-    assert!(often < once / 2, "{often} of 600 for one that hardly answers, {once} before");
+    assert!(
+        once > 20,
+        "{once} of 600 for one whose connections break now and then"
+    );
+    assert!(
+        often < once / 2,
+        "{often} of 600 for one that hardly answers, {once} before"
+    );
 }
 
 #[test]
@@ -434,7 +575,8 @@
             let mut list = fleet();
             list[(i % 6) as usize].backend = format!("new{}-{i}", stage.now).as_str().into();
             stage.give(Event::Members(ListKind::Full, list.into()));
-            let (id, actions) = stage.ask(SAFE, (i % 2) as usize, &format!("c{}-{i}", stage.now), 1.0);
+            let (id, actions) =
+                stage.ask(SAFE, (i % 2) as usize, &format!("c{}-{i}", stage.now), 1.0);
             if let Some(to) = target(&actions) {
                 stage.end(id, 0, &to, Outcome::Ok, 20);
             }
@@ -445,5 +587,8 @@
     };
     let few = newcomers(20);
     let many = newcomers(3000);
-    assert!(many <= few + 10, "{many} entries kept after thousands, {few} after a few");
+    assert!(
+        many <= few + 10,
+        "{many} entries kept after thousands, {few} after a few"
+    );
 }
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -80,7 +80,11 @@
                 });
             }
         });
-        Agent { address, state, seen }
+        Agent {
+            address,
+            state,
+            seen,
+        }
     }
 
     fn change(&self, change: impl FnOnce(&mut State)) {
@@ -102,16 +106,33 @@
             seen.lock().unwrap().0 += 1;
         }
         let news = |s: &State| after.is_none_or(|after| s.rev > after);
-        let _ = timeout(wait, state.wait_for(|s| s.round == round && !s.silent && news(s))).await;
+        let _ = timeout(
+            wait,
+            state.wait_for(|s| s.round == round && !s.silent && news(s)),
+        )
+        .await;
         // A connection of an earlier round, and a silent agent, say nothing more.
         let _ = state.wait_for(|s| s.round == round && !s.silent).await;
         let now = state.borrow_and_update().clone();
-        let targets = if news(&now) { now.targets.clone() } else { Vec::new() };
+        let targets = if news(&now) {
+            now.targets.clone()
+        } else {
+            Vec::new()
+        };
         let list = json!({"rev": now.rev, "all": news(&now), "targets": targets});
-        let body = if now.indented { serde_json::to_string_pretty(&list).unwrap() } else { list.to_string() };
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let body = if now.indented {
+            serde_json::to_string_pretty(&list).unwrap()
+        } else {
+            list.to_string()
+        };
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
         if now.half && news(&now) {
-            stream.write_all(&answer.as_bytes()[..answer.len() / 2]).await?;
+            stream
+                .write_all(&answer.as_bytes()[..answer.len() / 2])
+                .await?;
             seen.lock().unwrap().1 += 1;
             std::future::pending::<()>().await;
         }
@@ -137,7 +158,8 @@
                 let times = times.clone();
                 tokio::spawn(async move {
                     let mut rest = Vec::new();
-                    while let Ok(Some(_)) = http::read(&mut stream, &mut rest, Kind::Request).await {
+                    while let Ok(Some(_)) = http::read(&mut stream, &mut rest, Kind::Request).await
+                    {
                         times.lock().unwrap().push(Instant::now());
                         let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine";
                         if stream.write_all(answer).await.is_err() {
@@ -162,7 +184,9 @@
 /// A service client that asks again as soon as it has an answer.
 async fn ask(to: SocketAddr, client: u64) {
     for round in 0u64.. {
-        let Ok(mut stream) = TcpStream::connect(to).await else { return };
+        let Ok(mut stream) = TcpStream::connect(to).await else {
+            return;
+        };
         let mut rest = Vec::new();
         for number in 0u64..100 {
             let id = client << 48 | round << 16 | number;
@@ -195,15 +219,28 @@
     /// Servers and an agent; nothing runs yet.
     async fn set() -> Self {
         let (leaving, staying) = (Server::start().await, Server::start().await);
-        let agent = Agent::start(State { rev: 5, ..State::default() }).await;
-        let scene = Scene { agent, leaving, staying, folder: tempfile::tempdir().unwrap(), daemon: None };
+        let agent = Agent::start(State {
+            rev: 5,
+            ..State::default()
+        })
+        .await;
+        let scene = Scene {
+            agent,
+            leaving,
+            staying,
+            folder: tempfile::tempdir().unwrap(),
+            daemon: None,
+        };
         let list = scene.list("in_service");
         scene.agent.change(|s| s.targets = list);
         scene
     }
 
     fn list(&self, state: &str) -> Vec<Value> {
-        vec![target("s-1", self.leaving.address, state), target("s-2", self.staying.address, "in_service")]
+        vec![
+            target("s-1", self.leaving.address, state),
+            target("s-2", self.staying.address, "in_service"),
+        ]
     }
 
     /// Starts the program with a known list in which both are in service, and its service clients.
@@ -227,7 +264,9 @@
         let mut scene = Scene::set().await;
         scene.start();
         until("both serve and a watch waits", || {
-            scene.leaving.many() > 50 && scene.staying.many() > 50 && scene.agent.seen.lock().unwrap().0 > 0
+            scene.leaving.many() > 50
+                && scene.staying.many() > 50
+                && scene.agent.seen.lock().unwrap().0 > 0
         })
         .await;
         scene
@@ -238,7 +277,10 @@
         sleep_until(told + Duration::from_secs(2)).await;
         let last = self.leaving.last().expect("it was in use");
         let late = last.saturating_duration_since(told);
-        assert!(late <= GRACE, "the leaving server got a request {late:?} after it counted as told");
+        assert!(
+            late <= GRACE,
+            "the leaving server got a request {late:?} after it counted as told"
+        );
         let last = self.staying.last().expect("it was in use");
         assert!(last > told + GRACE, "no request came at all any more");
     }
@@ -269,7 +311,9 @@
     let scene = Scene::run().await;
     // What the agent has counts as told, whether a watch is open or not.
     let (told, list) = (Instant::now(), scene.list("terminating"));
-    scene.agent.change(|s| (s.rev, s.targets, s.round, s.cut) = (6, list, 1, 1));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.round, s.cut) = (6, list, 1, 1));
     scene.kept(told).await;
 }
 
@@ -277,17 +321,27 @@
 async fn while_its_watch_is_silent_for_ever() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
-    scene.agent.change(|s| (s.rev, s.targets, s.round) = (6, list, 1));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.round) = (6, list, 1));
     scene.kept(fell_silent + SILENCE).await;
-    assert!(scene.leaving.last().unwrap() > fell_silent, "it was told before its watch fell silent");
+    assert!(
+        scene.leaving.last().unwrap() > fell_silent,
+        "it was told before its watch fell silent"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn where_half_an_answer_comes_and_then_nothing() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
-    scene.agent.change(|s| (s.rev, s.targets, s.half) = (6, list, true));
-    until("the watch has half an answer", || scene.agent.seen.lock().unwrap().1 > 0).await;
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.half) = (6, list, true));
+    until("the watch has half an answer", || {
+        scene.agent.seen.lock().unwrap().1 > 0
+    })
+    .await;
     // Connections from now on hear all of it.
     scene.agent.change(|s| (s.round, s.half) = (1, false));
     scene.kept(fell_silent + SILENCE).await;
@@ -297,7 +351,9 @@
 async fn where_the_agent_is_gone_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    scene.agent.change(|s| (s.rev, s.targets, s.round, s.cut, s.refuses) = (6, list, 1, 1, true));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.round, s.cut, s.refuses) = (6, list, 1, 1, true));
     sleep(Duration::from_secs(8)).await;
     let told = Instant::now();
     scene.agent.change(|s| s.refuses = false);
@@ -308,7 +364,9 @@
 async fn where_the_agent_says_nothing_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    scene.agent.change(|s| (s.rev, s.targets, s.silent) = (6, list, true));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.silent) = (6, list, true));
     sleep(Duration::from_secs(8)).await;
     // What was called before stays without an answer.
     let told = Instant::now();
@@ -320,9 +378,15 @@
 async fn where_no_connection_to_the_agent_comes_up_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    scene.agent.change(|s| (s.rev, s.targets, s.round, s.cut, s.hangs) = (6, list, 1, 1, true));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.round, s.cut, s.hangs) = (6, list, 1, 1, true));
     let mut fillers = Vec::new();
-    while let Ok(filler) = timeout(Duration::from_millis(200), TcpStream::connect(scene.agent.address)).await
+    while let Ok(filler) = timeout(
+        Duration::from_millis(200),
+        TcpStream::connect(scene.agent.address),
+    )
+    .await
     {
         fillers.push(filler.unwrap());
     }
@@ -337,7 +401,13 @@
 async fn after_a_reload_to_an_agent_that_is_silent_at_first() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    let next = Agent::start(State { rev: 9, targets: list, silent: true, ..State::default() }).await;
+    let next = Agent::start(State {
+        rev: 9,
+        targets: list,
+        silent: true,
+        ..State::default()
+    })
+    .await;
     let file = scene.folder.path().join("n0.json");
     let mut config: Value = serde_json::from_str(&std::fs::read_to_string(&file).unwrap()).unwrap();
     config["discovery"] = next.address.to_string().into();
@@ -367,6 +437,8 @@
 async fn where_the_revision_goes_back() {
     let scene = Scene::run().await;
     let (told, list) = (Instant::now(), scene.list("terminating"));
-    scene.agent.change(|s| (s.rev, s.targets, s.round, s.cut) = (2, list, 1, 1));
+    scene
+        .agent
+        .change(|s| (s.rev, s.targets, s.round, s.cut) = (2, list, 1, 1));
     scene.kept(told).await;
 }
