--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -84,13 +84,17 @@
         let mut stage = Stage::default();
         for name in ["s1", "discovery", "discovery2"] {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            stage.addresses.insert(name.into(), listener.local_addr().unwrap());
+            stage
+                .addresses
+                .insert(name.into(), listener.local_addr().unwrap());
             stage.listeners.insert(name.into(), listener);
         }
         for name in DATAGRAMS {
             let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
             socket.set_read_timeout(Some(PATIENCE)).unwrap();
-            stage.addresses.insert(name.into(), socket.local_addr().unwrap());
+            stage
+                .addresses
+                .insert(name.into(), socket.local_addr().unwrap());
             stage.sockets.insert(name.into(), socket);
         }
         stage.config = serde_json::from_str(include_str!("exchanges/config.json")).unwrap();
@@ -101,14 +105,16 @@
         // The longest names first: one may begin with another.
         let mut names: Vec<_> = self.addresses.iter().collect();
         names.sort_by_key(|(name, _)| std::cmp::Reverse(name.len()));
-        names
-            .into_iter()
-            .fold(text.to_string(), |t, (name, a)| t.replace(&format!("@{name}"), &a.to_string()))
+        names.into_iter().fold(text.to_string(), |t, (name, a)| {
+            t.replace(&format!("@{name}"), &a.to_string())
+        })
     }
 
     fn without_addresses(&self, text: String) -> String {
         let names = self.addresses.iter();
-        names.fold(text, |t, (name, a)| t.replace(&a.to_string(), &format!("@{name}")))
+        names.fold(text, |t, (name, a)| {
+            t.replace(&a.to_string(), &format!("@{name}"))
+        })
     }
 
     /// Writes the configuration file, and says where.
@@ -125,7 +131,11 @@
 
     fn signal_to((child, _): &(Child, Receiver<String>), signal: &str) {
         let id = child.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        assert!(Command::new("kill")
+            .args([signal, &id])
+            .status()
+            .unwrap()
+            .success());
     }
 
     fn start(&mut self) {
@@ -163,9 +173,11 @@
             rest.split([',', ' ']).next().unwrap().parse().unwrap()
         };
         self.addresses.insert("ingress".into(), address("n0 on "));
-        self.addresses.insert("peer_listen".into(), address("datagrams on "));
+        self.addresses
+            .insert("peer_listen".into(), address("datagrams on "));
         if line.contains("operators on ") {
-            self.addresses.insert("operator".into(), address("operators on "));
+            self.addresses
+                .insert("operator".into(), address("operators on "));
         }
     }
 
@@ -188,13 +200,18 @@
 
     /// One message, its body after its head; what changes from run to run is masked.
     fn get(&mut self, name: &str) -> String {
-        let stream = self.streams.get_mut(name).unwrap_or_else(|| panic!("no {name}"));
+        let stream = self
+            .streams
+            .get_mut(name)
+            .unwrap_or_else(|| panic!("no {name}"));
         let (mut text, mut length) = (String::new(), 0);
         loop {
             let mut line = String::new();
             match stream.read_line(&mut line) {
                 Ok(0) => return "  (end)\n".into(),
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return "  (end)\n".into(),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => {
+                    return "  (end)\n".into()
+                }
                 Err(e) => panic!("{name}: {e}"),
                 Ok(_) => {}
             }
@@ -225,17 +242,28 @@
     }
 
     fn send(&mut self, name: &str, text: &str) {
-        self.streams.get_mut(name).unwrap().get_mut().write_all(text.as_bytes()).unwrap();
+        self.streams
+            .get_mut(name)
+            .unwrap()
+            .get_mut()
+            .write_all(text.as_bytes())
+            .unwrap();
     }
 
     /// One call, with its answer up to the end of the connection.
     fn call(&mut self, step: &str, bytes: &[u8], one_by_one: bool) {
-        let to = if step.starts_with("old ") { "operator-old" } else { "operator" };
+        let to = if step.starts_with("old ") {
+            "operator-old"
+        } else {
+            "operator"
+        };
         let mut stream = TcpStream::connect(self.addresses[to]).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
         let pieces = if one_by_one { 1 } else { bytes.len().max(1) };
-        bytes.chunks(pieces).for_each(|piece| stream.write_all(piece).unwrap());
+        bytes
+            .chunks(pieces)
+            .for_each(|piece| stream.write_all(piece).unwrap());
         stream.shutdown(std::net::Shutdown::Write).unwrap();
         let mut answer = String::new();
         stream.read_to_string(&mut answer).unwrap();
@@ -265,31 +293,47 @@
             ["start"] => self.start(),
             ["deaf", name] => drop(self.listeners.remove(name)),
             [name, "accept", from] => {
-                let (listener, (came, accepted)) = (self.listeners[from].try_clone().unwrap(), channel());
+                let (listener, (came, accepted)) =
+                    (self.listeners[from].try_clone().unwrap(), channel());
                 // By a thread, since accepting has no time-out.
                 std::thread::spawn(move || came.send(listener.accept().unwrap().0));
                 let stream = accepted.recv_timeout(PATIENCE);
-                self.connected(name, stream.unwrap_or_else(|_| panic!("nothing came in for {name}")));
+                self.connected(
+                    name,
+                    stream.unwrap_or_else(|_| panic!("nothing came in for {name}")),
+                );
             }
             [name, "fills"] => {
-                let connect =
-                    || TcpStream::connect_timeout(&self.addresses[name], Duration::from_millis(200)).ok();
+                let connect = || {
+                    TcpStream::connect_timeout(&self.addresses[name], Duration::from_millis(200))
+                        .ok()
+                };
                 self.fillers.extend(std::iter::from_fn(connect));
             }
             [name, "dialled"] => {
                 let port = format!("{:04X}", self.addresses[name].port());
                 let waits = |line: &str| {
                     let fields: Vec<&str> = line.split_whitespace().collect();
-                    fields.len() > 3 && fields[2].ends_with(&format!(":{port}")) && fields[3] == "02"
+                    fields.len() > 3
+                        && fields[2].ends_with(&format!(":{port}"))
+                        && fields[3] == "02"
                 };
-                while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(waits) {
+                while !std::fs::read_to_string("/proc/net/tcp")
+                    .unwrap()
+                    .lines()
+                    .any(waits)
+                {
                     std::thread::sleep(Duration::from_millis(5));
                 }
             }
             [name, "frees"] => {
                 for filler in self.fillers.drain(..) {
                     let (_, from) = self.listeners[name].accept().unwrap();
-                    assert_eq!(from, filler.local_addr().unwrap(), "one that was not there to fill");
+                    assert_eq!(
+                        from,
+                        filler.local_addr().unwrap(),
+                        "one that was not there to fill"
+                    );
                 }
             }
             [name, "connect"] => {
@@ -302,8 +346,12 @@
                     let many = line.strip_prefix("|*").and_then(|l| l.split_once(' '));
                     let many = many.map(|(n, part)| part.repeat(n.parse().unwrap()));
                     match many.as_deref().or(line.strip_prefix("|=")) {
-                        Some(body) => text += &format!("Content-Length: {}\r\n\r\n{body}", body.len()),
-                        None => text += &format!("{}\r\n", line.strip_prefix("| ").unwrap_or_default()),
+                        Some(body) => {
+                            text += &format!("Content-Length: {}\r\n\r\n{body}", body.len())
+                        }
+                        None => {
+                            text += &format!("{}\r\n", line.strip_prefix("| ").unwrap_or_default())
+                        }
                     }
                 }
                 self.send(name, &text);
@@ -312,7 +360,9 @@
                 let changed = words[3..].join(" ");
                 let mut head = USUAL.replace("@id", id);
                 if let Some((header, _)) = changed.split_once(": ") {
-                    let kept = head.lines().filter(|l| !l.starts_with(&format!("{header}: ")));
+                    let kept = head
+                        .lines()
+                        .filter(|l| !l.starts_with(&format!("{header}: ")));
                     head = kept.map(|l| format!("{l}\r\n")).collect::<String>() + &changed + "\r\n";
                 }
                 self.send(name, &(head + "\r\n"));
@@ -328,14 +378,21 @@
             }
             [name, "resets"] => {
                 let stream = self.streams.remove(name).unwrap().into_inner();
-                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
             }
             [name, "shuts"] => {
-                self.streams[name].get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+                self.streams[name]
+                    .get_ref()
+                    .shutdown(std::net::Shutdown::Write)
+                    .unwrap();
             }
             [name, "throws", ..] => {
                 let to = self.addresses["peer_listen"];
-                self.sockets[name].send_to(words[2..].join(" ").as_bytes(), to).unwrap();
+                self.sockets[name]
+                    .send_to(words[2..].join(" ").as_bytes(), to)
+                    .unwrap();
             }
             [name, "catches"] => {
                 let mut buffer = [0; 2048];
@@ -345,7 +402,9 @@
             }
             ["log", ..] => {
                 let line = self.log(&words[1..].join(" "));
-                let mut masked = self.without_addresses(line).replace(env!("CARGO_TARGET_TMPDIR"), "@files");
+                let mut masked = self
+                    .without_addresses(line)
+                    .replace(env!("CARGO_TARGET_TMPDIR"), "@files");
                 if let Some((_, folder)) = &self.inherited {
                     masked = masked.replace(folder.to_str().unwrap(), "@folder");
                 }
@@ -415,14 +474,28 @@
             }
             [name, "says", ..] => {
                 let line = format!("{}\n", words[2..].join(" "));
-                self.handed.get_mut(name).unwrap().write_all(line.as_bytes()).unwrap();
+                self.handed
+                    .get_mut(name)
+                    .unwrap()
+                    .write_all(line.as_bytes())
+                    .unwrap();
             }
             ["state", ..] => {
-                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.state");
+                let path = self
+                    .inherited
+                    .as_ref()
+                    .unwrap()
+                    .1
+                    .join("applewall-n0.state");
                 std::fs::write(path, words[1..].join(" ")).unwrap();
             }
             ["ledger"] => {
-                let path = self.inherited.as_ref().unwrap().1.join("applewall-n0.state");
+                let path = self
+                    .inherited
+                    .as_ref()
+                    .unwrap()
+                    .1
+                    .join("applewall-n0.state");
                 let text = std::fs::read_to_string(path).unwrap();
                 writeln!(self.notes, "ledger\n  {text}\n").unwrap();
             }
@@ -454,7 +527,9 @@
 
 /// Bytes as an exchange writes them.
 fn raw(text: &str) -> Vec<u8> {
-    let many = text.split_once('*').and_then(|(before, n)| Some((before, n.split_once(' ')?)));
+    let many = text
+        .split_once('*')
+        .and_then(|(before, n)| Some((before, n.split_once(' ')?)));
     let text = match many {
         Some((before, (n, part))) => {
             let (part, end) = part.split_at(part.find('\\').unwrap_or(part.len()));
@@ -480,11 +555,17 @@
 fn play(name: &str) {
     let path = format!("{}/tests/exchanges/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(path).unwrap();
-    let lines: Vec<&str> = text.lines().filter(|l| !l.starts_with('#') && !l.is_empty()).collect();
+    let lines: Vec<&str> = text
+        .lines()
+        .filter(|l| !l.starts_with('#') && !l.is_empty())
+        .collect();
     let mut stage = Stage::new();
     let steps = (0..lines.len()).filter(|i| !lines[*i].starts_with('|'));
     for i in steps {
-        let more = lines[i + 1..].iter().take_while(|l| l.starts_with('|')).count();
+        let more = lines[i + 1..]
+            .iter()
+            .take_while(|l| l.starts_with('|'))
+            .count();
         stage.step(lines[i], &lines[i + 1..][..more]);
     }
     insta::assert_snapshot!(name, stage.notes);
--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -28,7 +28,13 @@
 fn cost(gateways: u32, seed: u64) -> Cost {
     let backends = (gateways as usize * 3 / 5).max(9);
     let mut set = settings();
-    set.plans[0] = Plan { rate: 2.0, burst: 8.0, price: 1.0, over_cost: 0.5, ..Plan::default() };
+    set.plans[0] = Plan {
+        rate: 2.0,
+        burst: 8.0,
+        price: 1.0,
+        over_cost: 0.5,
+        ..Plan::default()
+    };
     let mut fleet = Fleet::of(gateways, seed, set, backends);
     let mut met = vec![BTreeSet::new(); gateways as usize];
     let (mut asked, mut bytes, mut spent) = (0u32, 0, 0.0);
@@ -67,7 +73,12 @@
         bytes: bytes as f64 / each,
         met: met.iter().map(|m| m.len() as f64).sum::<f64>() / f64::from(gateways),
         micros: spent * 1e6 / f64::from(asked),
-        kept: fleet.doors.iter().map(|d| d.brain.kept()).max().unwrap_or(0),
+        kept: fleet
+            .doors
+            .iter()
+            .map(|d| d.brain.kept())
+            .max()
+            .unwrap_or(0),
     }
 }
 
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -35,20 +35,29 @@
 }
 
 async fn bad(to: SocketAddr, kind: Kind, number: u64, ends: Instant) {
-    let hold =
-        async |mut stream: TcpStream| while matches!(stream.read(&mut [0; 512]).await, Ok(n) if n > 0) {};
+    let hold = async |mut stream: TcpStream| {
+        while matches!(stream.read(&mut [0; 512]).await, Ok(n) if n > 0) {}
+    };
     for round in 0u64.. {
         let turn = async {
-            let Ok(mut stream) = TcpStream::connect(to).await else { return };
+            let Ok(mut stream) = TcpStream::connect(to).await else {
+                return;
+            };
             let id = 0xbad0_0000_0000_0000 | number << 32 | round;
             let head = request(id, 1_000_000 + number, Duration::from_secs(3), 0);
             let _ = match kind {
                 Kind::Silent => Ok(()),
                 Kind::HalfHead => stream.write_all(&head.as_bytes()[..40]).await,
-                Kind::MuchAndGone => stream.write_all((head + &"x".repeat(30_000)).as_bytes()).await,
+                Kind::MuchAndGone => {
+                    stream
+                        .write_all((head + &"x".repeat(30_000)).as_bytes())
+                        .await
+                }
                 Kind::HalfBody => {
                     let head = request(id, 1_000_000 + number, Duration::from_secs(3), 60_000);
-                    stream.write_all((head + &"x".repeat(30_000)).as_bytes()).await
+                    stream
+                        .write_all((head + &"x".repeat(30_000)).as_bytes())
+                        .await
                 }
             };
             if !matches!(kind, Kind::MuchAndGone) {
@@ -66,10 +75,18 @@
 async fn flood(kind: Kind) {
     let mut instances = Vec::new();
     for seed in 0..3 {
-        instances.push(Instance::start(Script { seed, ..Script::default() }).await.unwrap());
+        instances.push(
+            Instance::start(Script {
+                seed,
+                ..Script::default()
+            })
+            .await
+            .unwrap(),
+        );
     }
-    let list: Vec<_> =
-        (0..3).map(|i| target(&format!("s-{i}"), instances[i].address, "in_service")).collect();
+    let list: Vec<_> = (0..3)
+        .map(|i| target(&format!("s-{i}"), instances[i].address, "in_service"))
+        .collect();
     let discovery = Discovery::start(list.clone()).await.unwrap();
     let setting = Setting {
         sockets: SOCKETS,
@@ -80,8 +97,13 @@
         rate: 1000.0,
     };
     let folder = tempfile::tempdir().unwrap();
-    let daemon =
-        Daemon::start(Path::new(env!("CARGO_BIN_EXE_applewall")), folder.path(), "n0", &setting).unwrap();
+    let daemon = Daemon::start(
+        Path::new(env!("CARGO_BIN_EXE_applewall")),
+        folder.path(),
+        "n0",
+        &setting,
+    )
+    .unwrap();
     let at_rest = daemon.descriptors();
     let healthy = Healthy {
         to: daemon.address,
@@ -95,19 +117,33 @@
         seed: 5,
     };
     let ends = Instant::now() + TIME;
-    let bad: Vec<_> = (0..EACH).map(|n| tokio::spawn(bad(daemon.address, kind, n, ends))).collect();
+    let bad: Vec<_> = (0..EACH)
+        .map(|n| tokio::spawn(bad(daemon.address, kind, n, ends)))
+        .collect();
     let good = healthy.play().await;
     for task in bad {
         task.await.unwrap();
     }
-    let told = format!("{kind:?}: {good:?}, {} bytes at the most", daemon.peak_memory());
+    let told = format!(
+        "{kind:?}: {good:?}, {} bytes at the most",
+        daemon.peak_memory()
+    );
     // None is left without an answer, or with another's, and most are served. How many more is the machine's: commands
     // of those that go at once are load too, until they have gone.
-    assert!(good.lost == 0 && good.wrong == 0 && good.failed == 0 && good.asked > 100, "{told}");
+    assert!(
+        good.lost == 0 && good.wrong == 0 && good.failed == 0 && good.asked > 100,
+        "{told}"
+    );
     assert!(good.served * 2 >= good.asked, "{told}");
     assert!(daemon.peak_memory() < MEMORY, "{told}");
-    until("what bad clients held comes back", || daemon.descriptors() <= at_rest + 16).await;
-    assert!(!daemon.log().iter().any(|line| line.contains("last-resort")), "{told}");
+    until("what bad clients held comes back", || {
+        daemon.descriptors() <= at_rest + 16
+    })
+    .await;
+    assert!(
+        !daemon.log().iter().any(|line| line.contains("last-resort")),
+        "{told}"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -37,7 +37,11 @@
     /// Spells an action out by hand: names of types and fields may change, their values may not.
     fn action(&mut self, action: &Action) {
         match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send {
+                request,
+                backend,
+                timeout,
+            } => {
                 self.number(1);
                 self.number(request.0);
                 self.text(backend);
@@ -48,7 +52,10 @@
                 self.number(request.0);
                 self.number(u64::from(*attempt));
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 self.number(3);
                 self.number(request.0);
                 self.number(*retry_after);
@@ -74,7 +81,9 @@
                 let figures: String = line.chars().filter(|c| c.is_ascii_digit()).collect();
                 self.text(&figures);
             }
-            Action::Probe(_) | Action::Close(_) | Action::Fetch | Action::Count { .. } => self.number(10),
+            Action::Probe(_) | Action::Close(_) | Action::Fetch | Action::Count { .. } => {
+                self.number(10)
+            }
         }
     }
 }
@@ -133,12 +142,27 @@
 }
 
 fn plans() -> Vec<Plan> {
-    let plan = |rate, burst, price| Plan { rate, burst, price, over_cost: 0.5, ..Plan::default() };
+    let plan = |rate, burst, price| Plan {
+        rate,
+        burst,
+        price,
+        over_cost: 0.5,
+        ..Plan::default()
+    };
     vec![
         plan(10.0, 20.0, 1.0),
         plan(1e6, 1e6, 3.0),
-        Plan { ceiling_rate: 20.0, ceiling_burst: 30.0, ceiling_slack: 4.0, ..plan(8.0, 12.0, 2.0) },
-        Plan { open: 3, over_worth: 0.9, ..plan(15.0, 30.0, 1.5) },
+        Plan {
+            ceiling_rate: 20.0,
+            ceiling_burst: 30.0,
+            ceiling_slack: 4.0,
+            ..plan(8.0, 12.0, 2.0)
+        },
+        Plan {
+            open: 3,
+            over_worth: 0.9,
+            ..plan(15.0, 30.0, 1.5)
+        },
     ]
 }
 
@@ -148,7 +172,11 @@
         kind: i % 2,
         cell: i64::from(i % 5),
         started: cold.filter(|(which, _)| *which == i).map(|(_, at)| at),
-        state: if draining.contains(&i) { MemberState::Draining } else { MemberState::Ready },
+        state: if draining.contains(&i) {
+            MemberState::Draining
+        } else {
+            MemberState::Ready
+        },
         ..member(&format!("b{i}"), i % 3)
     };
     (0..BACKENDS).map(one).collect()
@@ -169,8 +197,14 @@
             ..settings()
         };
         let now = 1000 * S;
-        let own = |me: u32| Settings { me, zone: me % 3, ..set.clone() };
-        let brains = (0..played).map(|me| Brain::new(own(me), seed + u64::from(me), now)).collect();
+        let own = |me: u32| Settings {
+            me,
+            zone: me % 3,
+            ..set.clone()
+        };
+        let brains = (0..played)
+            .map(|me| Brain::new(own(me), seed + u64::from(me), now))
+            .collect();
         let mut play = Play {
             rng: SmallRng::seed_from_u64(seed),
             set,
@@ -199,8 +233,14 @@
             self.digest.number(gateway as u64);
             self.digest.action(&action);
             match action {
-                Action::Timer { after, token } => self.timers.push((self.now + after, gateway, token)),
-                Action::Send { request, backend, timeout } => {
+                Action::Timer { after, token } => {
+                    self.timers.push((self.now + after, gateway, token))
+                }
+                Action::Send {
+                    request,
+                    backend,
+                    timeout,
+                } => {
                     self.counts[0] += 1;
                     self.fly(gateway, request, backend, timeout, weather);
                 }
@@ -213,7 +253,12 @@
                     let played = peer.filter(|to| *to < self.brains.len() as u32 && !lost);
                     let due = self.now + 5 * MS + late;
                     let from = gateway as u32;
-                    self.mail.extend(played.map(|to| Datagram { due, from, to, text }));
+                    self.mail.extend(played.map(|to| Datagram {
+                        due,
+                        from,
+                        to,
+                        text,
+                    }));
                 }
                 _ => {}
             }
@@ -229,7 +274,13 @@
         weather: Weather,
     ) {
         let of = |f: &&Flight| f.gateway == gateway && f.request == request;
-        let attempt = self.flights.iter().filter(of).map(|f| f.attempt + 1).max().unwrap_or(0);
+        let attempt = self
+            .flights
+            .iter()
+            .filter(of)
+            .map(|f| f.attempt + 1)
+            .max()
+            .unwrap_or(0);
         let draw = self.rng.random_range(0..100);
         let sick = weather.sick.is_some_and(|i| *backend == *format!("b{i}"));
         let mut bound = 0;
@@ -263,7 +314,15 @@
             _ => usual,
         };
         let due = self.now + latency;
-        self.flights.push(Flight { due, gateway, request, attempt, backend, outcome, latency });
+        self.flights.push(Flight {
+            due,
+            gateway,
+            request,
+            attempt,
+            backend,
+            outcome,
+            latency,
+        });
     }
 
     fn ask(&mut self, gateway: usize, weather: Weather) {
@@ -271,7 +330,12 @@
         let id = RequestId(self.next);
         let plan = self.rng.random_range(0..4usize);
         // One plan's customers come in through one gateway, one's through the played ones, the others through all.
-        let spread = [self.set.gateways, 1, self.brains.len() as u32, self.set.gateways][plan];
+        let spread = [
+            self.set.gateways,
+            1,
+            self.brains.len() as u32,
+            self.set.gateways,
+        ][plan];
         let request = Request {
             id,
             class: self.rng.random_range(0..3),
@@ -297,7 +361,11 @@
             outcome: flight.outcome,
             latency: flight.latency,
             closed: flight.outcome == Outcome::Ok,
-            cost: if self.rng.random_range(0..4) == 0 { 2.5 } else { 0.0 },
+            cost: if self.rng.random_range(0..4) == 0 {
+                2.5
+            } else {
+                0.0
+            },
             load: vec![],
         };
         self.give(flight.gateway, Event::Finished(finished), weather);
@@ -331,20 +399,40 @@
     /// One gateway hands over to a new process, which fails, hands over again, and is replaced.
     fn hand_over(&mut self, gateway: usize) {
         let _ = self.brains[gateway].hand_over().expect("written");
-        self.pass(300 * MS, Weather { demand: 30, ..Weather::default() });
+        self.pass(
+            300 * MS,
+            Weather {
+                demand: 30,
+                ..Weather::default()
+            },
+        );
         self.brains[gateway].take_back();
-        self.pass(300 * MS, Weather { demand: 30, ..Weather::default() });
+        self.pass(
+            300 * MS,
+            Weather {
+                demand: 30,
+                ..Weather::default()
+            },
+        );
         let bytes = self.brains[gateway].hand_over().expect("written");
         self.digest.number(bytes.len() as u64);
         self.digest.bytes(&bytes);
         let me = gateway as u32;
-        let set = Settings { me, zone: me % 3, ..self.set.clone() };
+        let set = Settings {
+            me,
+            zone: me % 3,
+            ..self.set.clone()
+        };
         let mut next = Brain::new(set, 77, self.now);
         next.take_over(&bytes).expect("read");
         self.brains[gateway] = next;
         self.timers.retain(|t| t.1 != gateway);
         self.flights.retain(|f| f.gateway != gateway);
-        self.give(gateway, Event::Members(ListKind::Full, list(None, &[]).into()), Weather::default());
+        self.give(
+            gateway,
+            Event::Members(ListKind::Full, list(None, &[]).into()),
+            Weather::default(),
+        );
     }
 
     /// Closes a section: its line is its hash and what was counted in it.
@@ -353,32 +441,74 @@
         let kept: usize = self.brains.iter().map(Brain::kept).sum();
         self.digest.number(kept as u64);
         let hash = std::mem::replace(&mut self.digest, Digest::new()).0;
-        let _ =
-            writeln!(lines, "{name} {hash:016x} sent {sent} refused {refused} failed {failed} told {told}");
+        let _ = writeln!(
+            lines,
+            "{name} {hash:016x} sent {sent} refused {refused} failed {failed} told {told}"
+        );
     }
 }
 
 /// All sections, for one size of fleet.
 fn play(name: &str, seed: u64, fleet: u32, played: u32, mail_per_s: f64, lines: &mut String) {
-    let usual = Weather { demand: 40, lost: 5, late_ms: 40, ..Weather::default() };
+    let usual = Weather {
+        demand: 40,
+        lost: 5,
+        late_ms: 40,
+        ..Weather::default()
+    };
     let mut play = Play::new(seed, fleet, played, mail_per_s);
     let mut section = |play: &mut Play, what: &str| play.section(&format!("{name} {what}"), lines);
     play.pass(4 * S, usual);
     section(&mut play, "calm");
     play.pass(
         4 * S,
-        Weather { error: 8, full: 5, timed_out: 5, reset: 4, no_connection: 4, leave: 10, ..usual },
+        Weather {
+            error: 8,
+            full: 5,
+            timed_out: 5,
+            reset: 4,
+            no_connection: 4,
+            leave: 10,
+            ..usual
+        },
     );
     section(&mut play, "faults");
-    play.pass(3 * S, Weather { sick: Some(4), slow_ms: 30, ..usual });
+    play.pass(
+        3 * S,
+        Weather {
+            sick: Some(4),
+            slow_ms: 30,
+            ..usual
+        },
+    );
     section(&mut play, "one backend fails");
-    play.pass(5 * S, Weather { demand: 250, slow_ms: 500, full: 10, timed_out: 10, ..usual });
+    play.pass(
+        5 * S,
+        Weather {
+            demand: 250,
+            slow_ms: 500,
+            full: 10,
+            timed_out: 10,
+            ..usual
+        },
+    );
     section(&mut play, "overload");
     play.pass(4 * S, usual);
     section(&mut play, "recovery");
     let started = play.now;
-    play.all(|| Event::Members(ListKind::Delta, list(Some((2, started)), &[0, 5])[..6].into()));
-    play.pass(3 * S, Weather { demand: 80, ..usual });
+    play.all(|| {
+        Event::Members(
+            ListKind::Delta,
+            list(Some((2, started)), &[0, 5])[..6].into(),
+        )
+    });
+    play.pass(
+        3 * S,
+        Weather {
+            demand: 80,
+            ..usual
+        },
+    );
     play.all(|| Event::Members(ListKind::Failed, [].into()));
     play.pass(S, usual);
     section(&mut play, "drain and slow start");
@@ -386,17 +516,44 @@
     let back = list(None, &[])[7].clone();
     play.give(1, Event::GivenBack(back), usual);
     play.give(2, Event::Shares(vec![0.25, 1.0]), usual);
-    play.pass(3 * S, Weather { demand: 60, ..usual });
+    play.pass(
+        3 * S,
+        Weather {
+            demand: 60,
+            ..usual
+        },
+    );
     section(&mut play, "full list, maintenance, zone shares");
-    play.pass(3 * S, Weather { lost: 60, late_ms: 900, demand: 90, ..usual });
+    play.pass(
+        3 * S,
+        Weather {
+            lost: 60,
+            late_ms: 900,
+            demand: 90,
+            ..usual
+        },
+    );
     section(&mut play, "lost and late datagrams");
     play.hand_over(1);
-    play.pass(3 * S, Weather { demand: 70, ..usual });
+    play.pass(
+        3 * S,
+        Weather {
+            demand: 70,
+            ..usual
+        },
+    );
     section(&mut play, "hand-over");
     // A gap in the clock, then customers never seen again until they are forgotten.
     play.now += 2 * S;
     play.pass(12 * S, Weather { demand: 2, ..usual });
-    play.pass(2 * S, Weather { demand: 120, slow_ms: 200, ..usual });
+    play.pass(
+        2 * S,
+        Weather {
+            demand: 120,
+            slow_ms: 200,
+            ..usual
+        },
+    );
     section(&mut play, "gap, forgetting, surge");
 }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -10,8 +10,19 @@
 /// The usual stage with a third plan: a ceiling of 5 units a second and 20 at once.
 fn with_ceiling() -> Settings {
     let mut settings = settings();
-    let plan = Plan { rate: 1e6, burst: 1e6, price: 1.0, over_cost: 0.5, ..Plan::default() };
-    settings.plans.push(Plan { ceiling_rate: 5.0, ceiling_burst: 20.0, ceiling_slack: 2.0, ..plan });
+    let plan = Plan {
+        rate: 1e6,
+        burst: 1e6,
+        price: 1.0,
+        over_cost: 0.5,
+        ..Plan::default()
+    };
+    settings.plans.push(Plan {
+        ceiling_rate: 5.0,
+        ceiling_burst: 20.0,
+        ceiling_slack: 2.0,
+        ..plan
+    });
     settings
 }
 
@@ -57,7 +68,10 @@
     old.pass(2 * S);
     new.pass(2 * S);
     let both = (passed(&mut old, 40, 2), passed(&mut new, 40, 2));
-    assert!(both.0 == 0 && (8..=12).contains(&both.1), "{both:?} of 10 that came since");
+    assert!(
+        both.0 == 0 && (8..=12).contains(&both.1),
+        "{both:?} of 10 that came since"
+    );
 }
 
 #[test]
@@ -65,7 +79,10 @@
     let mut old = Stage::new(settings(), 1, &backends());
     let spent = passed(&mut old, 200, 0);
     assert!((15..60).contains(&spent), "{spent}");
-    let cold = Member { started: Some(old.now), ..member("b9", 0) };
+    let cold = Member {
+        started: Some(old.now),
+        ..member("b9", 0)
+    };
     old.give(Event::Members(ListKind::Delta, [cold.clone()].into()));
     let (mut new, _) = successor(&mut old, settings());
     // Quota: 10 a second, asked 200 at once; one that begins anew lets 20 pass at once.
@@ -97,7 +114,10 @@
     let first = passed(&mut old, 40, 2);
     old.pass(2 * S);
     let later = passed(&mut old, 40, 2);
-    assert!((8..=12).contains(&first) && (8..=12).contains(&later), "{first}, {later} of 10 each");
+    assert!(
+        (8..=12).contains(&first) && (8..=12).contains(&later),
+        "{first}, {later} of 10 each"
+    );
 }
 
 #[test]
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -21,17 +21,31 @@
         let path = folder.path().join(name);
         std::fs::create_dir_all(path.parent().unwrap()).unwrap();
         std::fs::write(&path, text).unwrap();
-        assert!(Command::new("chmod").arg("+x").arg(&path).status().unwrap().success());
+        assert!(Command::new("chmod")
+            .arg("+x")
+            .arg(&path)
+            .status()
+            .unwrap()
+            .success());
     };
     let script = Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/test");
     write(".ci/test", &std::fs::read_to_string(script).unwrap());
     write("bin/cargo", CARGO);
-    list.into_iter().for_each(|text| write("KNOWN-RED.txt", text));
+    list.into_iter()
+        .for_each(|text| write("KNOWN-RED.txt", text));
     if e_fails {
         write("e-fails", "");
     }
-    let path = format!("{}:{}", folder.path().join("bin").display(), std::env::var("PATH").unwrap());
-    let out = Command::new("bash").arg(folder.path().join(".ci/test")).env("PATH", path).output().unwrap();
+    let path = format!(
+        "{}:{}",
+        folder.path().join("bin").display(),
+        std::env::var("PATH").unwrap()
+    );
+    let out = Command::new("bash")
+        .arg(folder.path().join(".ci/test"))
+        .env("PATH", path)
+        .output()
+        .unwrap();
     (out.status.success(), String::from_utf8(out.stdout).unwrap())
 }
 
@@ -50,29 +64,53 @@
     for e_fails in [false, true] {
         let (passed, said) = run(Some(list), e_fails);
         assert_eq!(passed, !e_fails, "{said}");
-        assert!(said.contains("cargo test --workspace --locked -- --exact --skip a --skip b::c\n"), "{said}");
-        assert!(said.contains("known red: a failed (the cause, issue 30)\n"), "{said}");
-        assert!(said.contains("known red: b::c failed (another, issue 31)\n"), "{said}");
+        assert!(
+            said.contains("cargo test --workspace --locked -- --exact --skip a --skip b::c\n"),
+            "{said}"
+        );
+        assert!(
+            said.contains("known red: a failed (the cause, issue 30)\n"),
+            "{said}"
+        );
+        assert!(
+            said.contains("known red: b::c failed (another, issue 31)\n"),
+            "{said}"
+        );
     }
 }
 
 #[test]
 fn one_that_passes_is_printed_as_passing() {
     let (passed, said) = run(Some("a|x|1\nb::cd|y|2\n"), false);
-    assert!(passed && said.contains("known red: b::cd passes; take it off KNOWN-RED.txt\n"), "{said}");
+    assert!(
+        passed && said.contains("known red: b::cd passes; take it off KNOWN-RED.txt\n"),
+        "{said}"
+    );
 }
 
 #[test]
 fn too_many_lines_a_line_that_says_too_little_and_a_test_that_is_not_there_fail() {
     let wrong = [
-        ("a|x|1\nb::c|x|1\nb::cd|x|1\ne|x|1\n", "KNOWN-RED.txt: 4 lines, 3 at most"),
-        ("a|x\n", "KNOWN-RED.txt: 'a|x' does not say test | cause | issue"),
-        ("|x|1\n", "KNOWN-RED.txt: '|x|1' does not say test | cause | issue"),
+        (
+            "a|x|1\nb::c|x|1\nb::cd|x|1\ne|x|1\n",
+            "KNOWN-RED.txt: 4 lines, 3 at most",
+        ),
+        (
+            "a|x\n",
+            "KNOWN-RED.txt: 'a|x' does not say test | cause | issue",
+        ),
+        (
+            "|x|1\n",
+            "KNOWN-RED.txt: '|x|1' does not say test | cause | issue",
+        ),
         // Part of a name is no name.
         ("b|x|1\n", "KNOWN-RED.txt: there is no test b"),
     ];
     for (list, why) in wrong {
         let (passed, said) = run(Some(list), false);
-        assert!(!passed && said.lines().last() == Some(why), "{list}: {said}");
+        assert!(
+            !passed && said.lines().last() == Some(why),
+            "{list}: {said}"
+        );
     }
 }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -16,7 +16,10 @@
 type End<'a> = &'a dyn Fn(&BackendId, RequestId) -> (Outcome, u64);
 
 fn large(set: Settings) -> Settings {
-    Settings { gateways: GATEWAYS, ..set }
+    Settings {
+        gateways: GATEWAYS,
+        ..set
+    }
 }
 
 /// Requests of many calm customers, 8 a second at each gateway.
@@ -58,7 +61,10 @@
         fleet.step(&well);
     }
     // The store of 20, three seconds of 10 each, and what is under way while the keeper learns and speaks.
-    assert!((35..=75).contains(&sent), "{sent} sent on for a quota of 50");
+    assert!(
+        (35..=75).contains(&sent),
+        "{sent} sent on for a quota of 50"
+    );
     let each = f64::from(fleet.delivered) / f64::from(GATEWAYS) / 6.0;
     assert!(each < 40.0, "{each} messages a second taken in by each");
 }
@@ -85,7 +91,10 @@
         }
         fleet.step(&well);
     }
-    assert!(sent * 10 >= asked * 9, "{sent} of {asked} sent on, inside the quota and far below the ceiling");
+    assert!(
+        sent * 10 >= asked * 9,
+        "{sent} of {asked} sent on, inside the quota and far below the ceiling"
+    );
 }
 
 #[test]
@@ -107,15 +116,27 @@
             fleet.step(&well);
         }
         assert!(least >= -4.0, "seed {seed}: the store fell to {least}");
-        assert!(sent >= 150, "seed {seed}: {sent} sent on of 240 that the ceiling allows");
+        assert!(
+            sent >= 150,
+            "seed {seed}: {sent} sent on of 240 that the ceiling allows"
+        );
     }
 }
 
 #[test]
 fn a_backlog_that_has_gone_tightens_no_ladder() {
-    let list: Vec<Member> = (0..BACKENDS).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
+    let list: Vec<Member> = (0..BACKENDS)
+        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .collect();
     let lines = |out: f64| {
-        let mut stage = Stage::new(Settings { mail_per_s: 40.0, ..large(settings()) }, 3, &list);
+        let mut stage = Stage::new(
+            Settings {
+                mail_per_s: 40.0,
+                ..large(settings())
+            },
+            3,
+            &list,
+        );
         for i in 0..40u32 {
             // All answers slow, a fifth timed out, five done an interval of ten; and this much out.
             stage.give(Event::Peer {
@@ -125,17 +146,30 @@
             stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
             stage.pass(100 * MS);
         }
-        stage.other.iter().filter(|a| format!("{a:?}").contains("ladder F")).count()
+        stage
+            .other
+            .iter()
+            .filter(|a| format!("{a:?}").contains("ladder F"))
+            .count()
     };
     assert!(lines(4.0) > 0, "a backlog of nearly two aims is overload");
-    assert_eq!(lines(0.5), 0, "what is late was sent long ago, and next to nothing waits");
+    assert_eq!(
+        lines(0.5),
+        0,
+        "what is late was sent long ago, and next to nothing waits"
+    );
 }
 
 #[test]
 fn what_pays_beyond_its_quota_waits_while_the_fleet_is_busy() {
-    let list: Vec<Member> = (0..BACKENDS).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
+    let list: Vec<Member> = (0..BACKENDS)
+        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .collect();
     let sent = |out: f64| {
-        let mut set = Settings { mail_per_s: 40.0, ..large(settings()) };
+        let mut set = Settings {
+            mail_per_s: 40.0,
+            ..large(settings())
+        };
         (set.plans[0].over_worth, set.plans[0].over_cost) = (0.3, 0.0);
         let mut stage = Stage::new(set, 3, &list);
         let mut sent = 0;
@@ -157,7 +191,10 @@
     };
     let (idle, busy) = (sent(0.3), sent(1.2));
     // A quota of ten a second for two seconds; thirty a second are asked for.
-    assert!(idle >= 50 && busy <= 30, "{idle} sent on while idle, {busy} while busy");
+    assert!(
+        idle >= 50 && busy <= 30,
+        "{idle} sent on while idle, {busy} while busy"
+    );
 }
 
 /// A customer that may have two attempts out at once, with answers of 200 ms: sent on, and of these while two were out.
@@ -186,15 +223,23 @@
 #[test]
 fn a_plan_of_two_attempts_at_once_is_not_sent_more_than_gains_where_answers_are_slow() {
     let (sent, beyond) = two_at_once(7);
-    assert!(sent >= 60 && beyond * 5 <= sent * 2, "{beyond} of {sent} sent while two were out");
+    assert!(
+        sent >= 60 && beyond * 5 <= sent * 2,
+        "{beyond} of {sent} sent while two were out"
+    );
 }
 
 #[test]
 fn what_is_sent_while_all_of_a_plans_attempts_are_out_stays_a_tenth_of_what_is_asked() {
     // Asked for: 11 a second, for 20 s, on each of six seeds.
     let asked = 6 * 20 * 11;
-    let (sent, beyond) = (20..26).map(two_at_once).fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
-    assert!(sent * 3 >= asked && beyond * 10 <= asked, "{beyond} of {sent} sent while two were out");
+    let (sent, beyond) = (20..26)
+        .map(two_at_once)
+        .fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+    assert!(
+        sent * 3 >= asked && beyond * 10 <= asked,
+        "{beyond} of {sent} sent while two were out"
+    );
 }
 
 #[test]
@@ -204,20 +249,34 @@
     for step in 0..14 * SECOND {
         background(&mut fleet, &well);
         let surging = (3 * SECOND..5 * SECOND).contains(&step);
-        let (a, s) = one(&mut fleet, &well, "calmer", if surging { 60.0 } else { 7.0 }, 75);
+        let (a, s) = one(
+            &mut fleet,
+            &well,
+            "calmer",
+            if surging { 60.0 } else { 7.0 },
+            75,
+        );
         // Words to a set of 75 are few: within four seconds there is one, where the store has a half again.
         if step >= 9 * SECOND {
             (asked, sent) = (asked + a, sent + s);
         }
         fleet.step(&well);
     }
-    assert!(sent * 10 >= asked * 9, "{sent} of {asked} sent on long after the surge");
+    assert!(
+        sent * 10 >= asked * 9,
+        "{sent} of {asked} sent on long after the surge"
+    );
 }
 
 /// A hundred stages that know so many backends; each backend's name ends in its number.
 fn stages(backends: usize) -> (Vec<Stage>, Vec<Member>) {
-    let list: Vec<Member> = (0..backends).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
-    let set = Settings { mail_per_s: 40.0, ..large(settings()) };
+    let list: Vec<Member> = (0..backends)
+        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .collect();
+    let set = Settings {
+        mail_per_s: 40.0,
+        ..large(settings())
+    };
     let stage = |me| Stage::new(Settings { me, ..set.clone() }, 90 + u64::from(me), &list);
     ((0..GATEWAYS).map(stage).collect(), list)
 }
@@ -248,8 +307,15 @@
         "{met} pairs of a gateway and a backend, 6,000 where all meet all"
     );
     for backend in &list {
-        let of = before.iter().filter(|r| r.contains(&backend.backend)).count();
-        assert!((15..=26).contains(&of), "{of} gateways for {}", backend.backend);
+        let of = before
+            .iter()
+            .filter(|r| r.contains(&backend.backend))
+            .count();
+        assert!(
+            (15..=26).contains(&of),
+            "{of} gateways for {}",
+            backend.backend
+        );
     }
     // One is gone and one is new: each gateway's part changes by a few.
     list[7].state = MemberState::Gone;
@@ -258,8 +324,15 @@
         stage.give(Event::Members(ListKind::Delta, news.clone()));
     }
     let after = reached(&mut stages, 150);
-    let new: usize = before.iter().zip(&after).map(|(b, a)| a.difference(b).count()).sum();
-    assert!(new <= 3 * GATEWAYS as usize, "{new} new pairs for one backend changed");
+    let new: usize = before
+        .iter()
+        .zip(&after)
+        .map(|(b, a)| a.difference(b).count())
+        .sum();
+    assert!(
+        new <= 3 * GATEWAYS as usize,
+        "{new} new pairs for one backend changed"
+    );
 }
 
 #[test]
@@ -274,21 +347,32 @@
         stage.pass(20 * MS);
         while let Some(backend) = to {
             let well = !own.contains(&backend);
-            let outcome = if well { Outcome::Ok } else { Outcome::NoConnection };
+            let outcome = if well {
+                Outcome::Ok
+            } else {
+                Outcome::NoConnection
+            };
             served += u32::from(well && i >= 50);
             to = target(&stage.end(id, attempt, &backend, outcome, 5));
             attempt += 1;
         }
         asked += u32::from(i >= 50);
     }
-    assert!(served * 10 >= asked * 7, "{served} of {asked} served while its whole part refuses connections");
+    assert!(
+        served * 10 >= asked * 7,
+        "{served} of {asked} served while its whole part refuses connections"
+    );
 }
 
 #[test]
 fn a_new_backend_is_known_by_its_kind_of_machine() {
     let mut list: Vec<Member> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
     list.iter_mut().skip(6).for_each(|m| m.kind = 1);
-    let set = Settings { kinds: 2, mail_per_s: 40.0, ..large(settings()) };
+    let set = Settings {
+        kinds: 2,
+        mail_per_s: 40.0,
+        ..large(settings())
+    };
     let mut stage = Stage::new(set, 5, &list);
     let took = |to: &str, fast: &[&str]| if fast.contains(&to) { 60 } else { 180 };
     let fast: Vec<String> = (0..6).chain([12]).map(|i| format!("b{i}")).collect();
@@ -312,19 +396,34 @@
     news[1].kind = 1;
     stage.give(Event::Members(ListKind::Delta, news.to_vec().into()));
     let [new_fast, new_slow] = play(&mut stage, 120);
-    assert!(new_fast >= 2 * new_slow, "{new_fast} to the new fast one, {new_slow} to the new slow one");
+    assert!(
+        new_fast >= 2 * new_slow,
+        "{new_fast} to the new fast one, {new_slow} to the new slow one"
+    );
 }
 
 #[test]
 fn a_loss_that_the_list_tells_counts_at_once_in_what_the_fleet_carries() {
-    let list: Vec<Member> = (0..BACKENDS).map(|i| member(&format!("b{i}"), i as u32 % 3)).collect();
+    let list: Vec<Member> = (0..BACKENDS)
+        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .collect();
     let refusals = |gone: usize| {
-        let mut stage = Stage::new(Settings { mail_per_s: 40.0, ..large(settings()) }, 3, &list);
+        let mut stage = Stage::new(
+            Settings {
+                mail_per_s: 40.0,
+                ..large(settings())
+            },
+            3,
+            &list,
+        );
         let mut refusals = 0;
         for i in 0..60u32 {
             // 9 a second carried by each gateway's part, and work for a fifth of the aim out.
             let part = pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, 15.0, 9.0, 9.0]);
-            stage.give(Event::Peer { from: 1 + i % 90, text: part });
+            stage.give(Event::Peer {
+                from: 1 + i % 90,
+                text: part,
+            });
             if i == 40 {
                 let mut news = list[..gone].to_vec();
                 news.iter_mut().for_each(|m| m.state = MemberState::Gone);
@@ -342,7 +441,10 @@
         refusals
     };
     let (whole, shrunk) = (refusals(0), refusals(45));
-    assert!(whole <= 1 && shrunk >= 5, "{whole} of 15 refused by a whole fleet, {shrunk} by a quarter of it");
+    assert!(
+        whole <= 1 && shrunk >= 5,
+        "{whole} of 15 refused by a whole fleet, {shrunk} by a quarter of it"
+    );
 }
 
 /// How many of eight requests a second at each gateway go to instance `b0`, and to all, from a second to another.
@@ -372,8 +474,14 @@
     };
     let (full, all) = sent_to_the_first(15, &end, 4, 20);
     let fair = all / BACKENDS as u32;
-    assert!(full * 5 >= fair * 2, "{full} sent to the one with a full table, {fair} is a fair share");
-    assert!(full <= fair, "{full} sent to it, more than the fair share of {fair}");
+    assert!(
+        full * 5 >= fair * 2,
+        "{full} sent to the one with a full table, {fair} is a fair share"
+    );
+    assert!(
+        full <= fair,
+        "{full} sent to it, more than the fair share of {fair}"
+    );
 }
 
 #[test]
@@ -384,5 +492,8 @@
     };
     let (bad, all) = sent_to_the_first(17, &end, 20, 30);
     let fair = all / BACKENDS as u32;
-    assert!(bad * 2 <= fair, "{bad} sent to an instance that serves none, {fair} is a fair share");
+    assert!(
+        bad * 2 <= fair,
+        "{bad} sent to an instance that serves none, {fair} is a fair share"
+    );
 }
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -15,7 +15,10 @@
         stage.pass(20 * MS);
         stage.end(id, 0, &to, Outcome::Ok, 20);
     }
-    let out = Member { state: MemberState::Draining, ..member("b0", 0) };
+    let out = Member {
+        state: MemberState::Draining,
+        ..member("b0", 0)
+    };
     stage.give(Event::Members(ListKind::Delta, [out].into()));
     for _ in 0..30 {
         let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
@@ -49,24 +52,39 @@
             stage.end(id, 0, &to, Outcome::Ok, 20);
         }
         // The room of a cold one is drawn: 50 a second meet it within some requests.
-        assert!(first.is_some_and(|i| i < 10), "seed {seed}: first at {first:?}");
+        assert!(
+            first.is_some_and(|i| i < 10),
+            "seed {seed}: first at {first:?}"
+        );
         let (cold, mean) = (f64::from(sent["b0"]), 150.0 / 8.0);
         // Cold throughout these 3 s: 0.2 to 0.36 of its capacity, all others warm.
-        assert!(cold < 0.7 * mean, "seed {seed}: {cold} of {mean} to the cold one");
+        assert!(
+            cold < 0.7 * mean,
+            "seed {seed}: {cold} of {mean} to the cold one"
+        );
     }
 }
 
 #[test]
 fn in_a_large_fleet_too_where_it_is_not_of_the_own_part() {
     // The site's own window: what a cold one bears is drawn from it.
-    let many = Settings { gateways: 300, me: 7, mail_per_s: 40.0, fall_window: 3 * S, ..settings() };
+    let many = Settings {
+        gateways: 300,
+        me: 7,
+        mail_per_s: 40.0,
+        fall_window: 3 * S,
+        ..settings()
+    };
     for seed in 0..20 {
         let mut stage = Stage::new(many.clone(), seed, &backends(48));
         // Whichever it meets: used once, so it was in use.
         let (id, actions) = stage.ask_of(300, SAFE, 1, "c", 1.0);
         let used = target(&actions).expect("sent");
         stage.end(id, 0, &used, Outcome::Ok, 20);
-        let out = Member { state: MemberState::Draining, ..member(&used, 0) };
+        let out = Member {
+            state: MemberState::Draining,
+            ..member(&used, 0)
+        };
         stage.give(Event::Members(ListKind::Delta, [out].into()));
         stage.pass(3 * S);
         stage.give(Event::GivenBack(member(&used, 0)));
@@ -87,7 +105,10 @@
 #[test]
 fn with_all_withheld_a_request_is_refused_at_once() {
     let mut stage = Stage::new(settings(), 1, &backends(1));
-    let out = Member { state: MemberState::Draining, ..member("b0", 0) };
+    let out = Member {
+        state: MemberState::Draining,
+        ..member("b0", 0)
+    };
     stage.give(Event::Members(ListKind::Delta, [out].into()));
     assert!(refused(&stage.ask(SAFE, 1, "c", 1.0).1));
 }
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -13,14 +13,19 @@
 /// Plays a trial's text with the program under test; where the machine was too slow, up to twice more.
 pub fn play(text: &str) -> Played {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
     let runtime = runtime.expect("a runtime");
     let mut last = None;
     for _ in 0..3 {
         let trial = Trial::read(text).expect("a trial");
         let folder = tempfile::tempdir().expect("a folder");
         let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
-        let played = runtime.block_on(run::play(trial, program, folder.path())).expect("played");
+        let played = runtime
+            .block_on(run::play(trial, program, folder.path()))
+            .expect("played");
         let valid = played.valid();
         last = Some(played);
         if valid {
--- a/tests/quota_at_scale.rs
+++ b/tests/quota_at_scale.rs
@@ -55,8 +55,14 @@
 }
 
 fn plans() -> Vec<Plan> {
-    let plan =
-        |rate, burst, open, price, over_cost| Plan { rate, burst, open, price, over_cost, ..Plan::default() };
+    let plan = |rate, burst, open, price, over_cost| Plan {
+        rate,
+        burst,
+        open,
+        price,
+        over_cost,
+        ..Plan::default()
+    };
     let mut plans = vec![
         plan(0.86, 4.0, 0, 0.45, 0.8),
         plan(2.1, 11.0, 0, 0.8, 0.0),
@@ -64,7 +70,11 @@
         plan(20.0, 24.0, 0, 1.4, 0.5),
     ];
     plans[1].over_worth = 0.3;
-    (plans[3].ceiling_rate, plans[3].ceiling_burst, plans[3].ceiling_slack) = (45.0, 55.0, 6.0);
+    (
+        plans[3].ceiling_rate,
+        plans[3].ceiling_burst,
+        plans[3].ceiling_slack,
+    ) = (45.0, 55.0, 6.0);
     plans
 }
 
@@ -250,8 +260,16 @@
                 seen.lost / seen.told.max(1e-9),
                 seen.kinds
             );
-            let names =
-                ["starter", "shop", "trader", "enterprise", "tr-full", "tr-heavy", "tr-surging", "tr-calm"];
+            let names = [
+                "starter",
+                "shop",
+                "trader",
+                "enterprise",
+                "tr-full",
+                "tr-heavy",
+                "tr-surging",
+                "tr-calm",
+            ];
             for (name, s) in names.iter().zip(seen.plans.iter().chain(&seen.traders)) {
                 println!(
                     "    {name:10} asked {:6.0}, sent {:.3}, of these beyond {:.3}; refused with room {:.3}",
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -19,26 +19,41 @@
     let mut instances = Vec::new();
     for seed in 0..many {
         let work = (Duration::from_millis(1), Duration::from_millis(2));
-        instances.push(Instance::start(Script { seed, work, ..Script::default() }).await.unwrap());
+        instances.push(
+            Instance::start(Script {
+                seed,
+                work,
+                ..Script::default()
+            })
+            .await
+            .unwrap(),
+        );
     }
     instances
 }
 
 fn value(instance: &Instance, state: &str) -> String {
-    format!(r#"{{"endpoint":"{}","az":"a","state":"{state}"}}"#, instance.address)
+    format!(
+        r#"{{"endpoint":"{}","az":"a","state":"{state}"}}"#,
+        instance.address
+    )
 }
 
 fn daemon(name: &str, operator: &str, discovery: &Discovery, known: Vec<Value>) -> Daemon {
     let setting = Setting {
         sockets: 256,
         memory_mb: 32,
-        operator: Some(format!("[registry]\nenabled = on\nprefix = /m/\n{operator}")),
+        operator: Some(format!(
+            "[registry]\nenabled = on\nprefix = /m/\n{operator}"
+        )),
         discovery: discovery.address,
         known,
         rate: 1_000.0,
     };
-    let (program, folder) =
-        (Path::new(env!("CARGO_BIN_EXE_applewall")), Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let (program, folder) = (
+        Path::new(env!("CARGO_BIN_EXE_applewall")),
+        Path::new(env!("CARGO_TARGET_TMPDIR")),
+    );
     Daemon::start(program, folder, name, &setting).unwrap()
 }
 
@@ -50,14 +65,26 @@
             ask(daemon, id).await;
         }
     };
-    assert!(tokio::time::timeout(PATIENCE, ask).await.is_ok(), "never asked: {:?}", daemon.log());
+    assert!(
+        tokio::time::timeout(PATIENCE, ask).await.is_ok(),
+        "never asked: {:?}",
+        daemon.log()
+    );
 }
 
 async fn ask(daemon: &Daemon, id: &mut u64) -> String {
     *id += 1;
-    let mut stream = connect(daemon.address, [127, 0, 0, 1].into(), None).await.unwrap();
-    stream.write_all(request(*id, *id % 50, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
-    let answer = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    let mut stream = connect(daemon.address, [127, 0, 0, 1].into(), None)
+        .await
+        .unwrap();
+    stream
+        .write_all(request(*id, *id % 50, Duration::from_secs(3), 0).as_bytes())
+        .await
+        .unwrap();
+    let answer = http::read(&mut stream, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
     answer.first.0
 }
 
@@ -71,7 +98,10 @@
     registry.put("/m/s-2", &value(&all[2], "in_service"));
     let wire = Wire::to(registry.listen().await.unwrap()).await.unwrap();
     let operator = format!("endpoints = {}\n", wire.address);
-    let (daemon, mut id) = (daemon("before", &operator, &discovery, vec![entry(0), entry(1)]), 0);
+    let (daemon, mut id) = (
+        daemon("before", &operator, &discovery, vec![entry(0), entry(1)]),
+        0,
+    );
     // Known to the registry alone, and to discovery alone.
     until_asked(&daemon, &mut id, &all[2]).await;
     until_asked(&daemon, &mut id, &all[1]).await;
@@ -89,11 +119,15 @@
     discovery.publish(vec![entry(1)]);
     let mut quiet = 0;
     while quiet < 50 {
-        let before =
-            (all[0].seen.requests.load(Ordering::Relaxed), all[2].seen.requests.load(Ordering::Relaxed));
+        let before = (
+            all[0].seen.requests.load(Ordering::Relaxed),
+            all[2].seen.requests.load(Ordering::Relaxed),
+        );
         ask(&daemon, &mut id).await;
-        let after =
-            (all[0].seen.requests.load(Ordering::Relaxed), all[2].seen.requests.load(Ordering::Relaxed));
+        let after = (
+            all[0].seen.requests.load(Ordering::Relaxed),
+            all[2].seen.requests.load(Ordering::Relaxed),
+        );
         quiet = if before == after { quiet + 1 } else { 0 };
     }
 }
@@ -108,12 +142,18 @@
     let folder: PathBuf = Path::new(env!("CARGO_TARGET_TMPDIR")).join("snapshots");
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
-    let operator = format!("endpoints = {}\nsnapshot = {}\n", wire.address, folder.display());
+    let operator = format!(
+        "endpoints = {}\nsnapshot = {}\n",
+        wire.address,
+        folder.display()
+    );
     let (first, mut id) = (daemon("keeps", &operator, &discovery, Vec::new()), 0);
     until_asked(&first, &mut id, &all[0]).await;
     let file = folder.join("roster.snapshot");
-    until("a snapshot", || std::fs::read(&file).is_ok_and(|bytes| bytes.windows(3).any(|w| w == b"s-0")))
-        .await;
+    until("a snapshot", || {
+        std::fs::read(&file).is_ok_and(|bytes| bytes.windows(3).any(|w| w == b"s-0"))
+    })
+    .await;
     drop(first);
     wire.refuse(true);
     wire.cut();
@@ -123,7 +163,12 @@
     let whole = std::fs::read(&file).unwrap();
     std::fs::write(&file, &whole[..whole.len() - 1]).unwrap();
     let third = daemon("torn", &operator, &discovery, Vec::new());
-    let told = || third.log().iter().any(|line| line.contains("not used: it is torn"));
+    let told = || {
+        third
+            .log()
+            .iter()
+            .any(|line| line.contains("not used: it is torn"))
+    };
     until("it is told", told).await;
     assert_ne!(ask(&third, &mut id).await, "200");
     // Back: followed again, and served.
--- a/tests/rig.rs
+++ b/tests/rig.rs
@@ -14,9 +14,17 @@
          [faults]\nmute = at 0s: mute instance:all\none = at 1s: kill ingress:all and start after 300ms old\n\
          two = at 2500ms: kill ingress:all\n",
     );
-    let kills = played.lines.iter().filter(|l| matches!(l.what, What::Killed { .. })).count();
+    let kills = played
+        .lines
+        .iter()
+        .filter(|l| matches!(l.what, What::Killed { .. }))
+        .count();
     assert_eq!(kills, 6);
-    let open = played.lines.iter().filter(|l| matches!(l.what, What::Final { status: None, .. })).count();
+    let open = played
+        .lines
+        .iter()
+        .filter(|l| matches!(l.what, What::Final { status: None, .. }))
+        .count();
     assert!(open > 20, "{open} requests ended with their process");
     assert_eq!(played.broken, Vec::<String>::new());
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -29,20 +29,39 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut set = settings();
     set.second_copies = copies;
-    set.classes[KEYED].repeats = Repeats::Keyed { scope, window: 3 * S };
+    set.classes[KEYED].repeats = Repeats::Keyed {
+        scope,
+        window: 3 * S,
+    };
     let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut state: Vec<bool> = vec![true; 6];
     let mut stage = Stage::new(set, seed, &list);
     let mut open: BTreeMap<RequestId, Open> = BTreeMap::new();
-    let zone = |b: &BackendId| list.iter().find(|m| m.backend == *b).map(|m| m.zone).unwrap();
+    let zone = |b: &BackendId| {
+        list.iter()
+            .find(|m| m.backend == *b)
+            .map(|m| m.zone)
+            .unwrap()
+    };
     for _ in 0..3000 {
         let mut actions = Vec::new();
         match rng.random_range(0..10) {
             0..=3 => {
                 let class = rng.random_range(0..3);
-                let (id, a) =
-                    stage.ask(class, rng.random_range(0..2), &format!("c{}", rng.random_range(0..9)), 1.0);
-                open.insert(id, Open { class, sends: vec![], deadline: stage.now + 2 * S });
+                let (id, a) = stage.ask(
+                    class,
+                    rng.random_range(0..2),
+                    &format!("c{}", rng.random_range(0..9)),
+                    1.0,
+                );
+                open.insert(
+                    id,
+                    Open {
+                        class,
+                        sends: vec![],
+                        deadline: stage.now + 2 * S,
+                    },
+                );
                 actions = a;
             }
             4..=7 => {
@@ -64,21 +83,37 @@
                 let i = rng.random_range(0..6usize);
                 state[i] = !state[i];
                 let mut m = list[i].clone();
-                m.state = if state[i] { MemberState::Ready } else { MemberState::Draining };
+                m.state = if state[i] {
+                    MemberState::Ready
+                } else {
+                    MemberState::Draining
+                };
                 actions = stage.give(Event::Members(ListKind::Delta, [m].into()));
             }
             _ => actions = stage.pass(rng.random_range(1..80) * MS),
         }
         // What the deadline does: every attempt still out ends as timed out.
-        let late: Vec<RequestId> = open.iter().filter(|o| o.1.deadline <= stage.now).map(|o| *o.0).collect();
-        check(&mut open, actions, &state, &list, scope, copies, stage.now, &zone);
+        let late: Vec<RequestId> = open
+            .iter()
+            .filter(|o| o.1.deadline <= stage.now)
+            .map(|o| *o.0)
+            .collect();
+        check(
+            &mut open, actions, &state, &list, scope, copies, stage.now, &zone,
+        );
         for id in late {
             let Some(o) = open.get_mut(&id) else { continue };
-            let i = o.sends.iter().position(|s| s.2.is_none()).expect("held with nothing out");
+            let i = o
+                .sends
+                .iter()
+                .position(|s| s.2.is_none())
+                .expect("held with nothing out");
             o.sends[i].2 = Some(Outcome::TimedOut);
             let to = o.sends[i].0.clone();
             let actions = stage.end(id, i as u32, &to, Outcome::TimedOut, 2000);
-            check(&mut open, actions, &state, &list, scope, copies, stage.now, &zone);
+            check(
+                &mut open, actions, &state, &list, scope, copies, stage.now, &zone,
+            );
             assert!(!open.contains_key(&id), "no final answer at the deadline");
         }
     }
@@ -97,12 +132,21 @@
 ) {
     for action in actions {
         match action {
-            Action::Send { request, backend, .. } => {
+            Action::Send {
+                request, backend, ..
+            } => {
                 let o = open.get_mut(&request).expect("sent after the final answer");
                 let at = list.iter().position(|m| m.backend == backend).unwrap();
                 assert!(state[at], "sent to a draining backend");
-                let ran: Vec<_> = o.sends.iter().filter(|s| !s.2.is_some_and(Outcome::never_ran)).collect();
-                assert!(copies || o.sends.iter().all(|s| s.2.is_some()), "two attempts out at once");
+                let ran: Vec<_> = o
+                    .sends
+                    .iter()
+                    .filter(|s| !s.2.is_some_and(Outcome::never_ran))
+                    .collect();
+                assert!(
+                    copies || o.sends.iter().all(|s| s.2.is_some()),
+                    "two attempts out at once"
+                );
                 match o.class {
                     UNSAFE => assert!(ran.is_empty(), "unsafe sent again though it may have run"),
                     KEYED => {
@@ -136,7 +180,11 @@
 #[test]
 fn answers_once_repeats_only_what_may_be_and_keeps_drains() {
     for seed in 0..40 {
-        play(seed, [KeyScope::All, KeyScope::Zone, KeyScope::Cell][seed as usize % 3], seed % 2 == 0);
+        play(
+            seed,
+            [KeyScope::All, KeyScope::Zone, KeyScope::Cell][seed as usize % 3],
+            seed % 2 == 0,
+        );
     }
 }
 
@@ -150,8 +198,11 @@
         (plan.rate, plan.burst) = (1000.0, 1000.0);
         (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack) = (rate, burst, slack);
         let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-        let start = |me: u32, now, seed| Stage::at(now, Settings { me, ..set.clone() }, seed, &list);
-        let mut doors: Vec<Stage> = (0..3).map(|me| start(me, 1000 * S, seed * 10 + u64::from(me))).collect();
+        let start =
+            |me: u32, now, seed| Stage::at(now, Settings { me, ..set.clone() }, seed, &list);
+        let mut doors: Vec<Stage> = (0..3)
+            .map(|me| start(me, 1000 * S, seed * 10 + u64::from(me)))
+            .collect();
         let mut store = burst;
         let mut passed = 0;
         for step in 0..3000 {
@@ -165,7 +216,10 @@
                     if rng.random::<f64>() < 0.9 && text.starts_with('q')
                         || text.starts_with('g') && to == busiest
                     {
-                        doors[to].give(Event::Peer { from: me as u32, text });
+                        doors[to].give(Event::Peer {
+                            from: me as u32,
+                            text,
+                        });
                     }
                 }
                 if rng.random::<f64>() < if me == busiest { 0.6 } else { 0.05 } {
@@ -182,7 +236,10 @@
                     doors[me] = start(me as u32, now, rng.random());
                 }
             }
-            assert!(store > -slack, "ceiling passed at step {step} of seed {seed}: {store}");
+            assert!(
+                store > -slack,
+                "ceiling passed at step {step} of seed {seed}: {store}"
+            );
         }
         assert!(passed > 100, "the ceiling lets work through");
     }
@@ -213,5 +270,8 @@
     }
     // A warm one carries a sixth; three times a share of 0.2 (and its ramp) of that is the bound.
     let bound = 3.0 * 0.27 * f64::from(all) / 5.0;
-    assert!(all > 80 && cold > 0 && f64::from(cold) <= bound, "{cold} of {all}, bound {bound}");
+    assert!(
+        all > 80 && cold > 0 && f64::from(cold) <= bound,
+        "{cold} of {all}, bound {bound}"
+    );
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -36,7 +36,10 @@
 fn a_quota_holds_over_a_hundred_gateways_that_each_see_a_request_in_seconds() {
     for seed in 0..3 {
         let sent = sent_on(seed, 45.0, false);
-        assert!((60.0..=160.0).contains(&sent), "{sent} sent on for a quota of 100");
+        assert!(
+            (60.0..=160.0).contains(&sent),
+            "{sent} sent on for a quota of 100"
+        );
     }
 }
 
@@ -44,7 +47,10 @@
 fn a_quota_holds_while_gateways_restart_one_after_the_other() {
     for seed in 3..5 {
         let sent = sent_on(seed, 45.0, true);
-        assert!((60.0..=200.0).contains(&sent), "{sent} sent on for a quota of 100");
+        assert!(
+            (60.0..=200.0).contains(&sent),
+            "{sent} sent on for a quota of 100"
+        );
     }
 }
 
@@ -79,7 +85,10 @@
     }
     // In its first second three times a share of 0.2 and its ramp of what a warm one carries, and chance.
     let bound = 3.0 * 0.27 * f64::from(all) / 11.0;
-    assert!(all > 300 && f64::from(cold) <= bound * 1.2, "{cold} of {all}, bound {bound}");
+    assert!(
+        all > 300 && f64::from(cold) <= bound * 1.2,
+        "{cold} of {all}, bound {bound}"
+    );
 }
 
 #[test]
@@ -87,7 +96,14 @@
     let refusals = |slow: bool| {
         let mut fleet = Fleet::new(13, settings(), 30);
         let end = move |_: &BackendId, id: RequestId| {
-            (Outcome::Ok, if slow || id.0.is_multiple_of(5) { 450 } else { 60 })
+            (
+                Outcome::Ok,
+                if slow || id.0.is_multiple_of(5) {
+                    450
+                } else {
+                    60
+                },
+            )
         };
         let (mut refused_late, mut asked_late) = (0u32, 0u32);
         for step in 0..500u32 {
@@ -103,8 +119,14 @@
         f64::from(refused_late) / f64::from(asked_late)
     };
     let (luck, overload) = (refusals(false), refusals(true));
-    assert!(luck < 0.05, "{luck} refused though one answer in five is slow");
-    assert!(overload > 0.1, "{overload} refused while every answer is late");
+    assert!(
+        luck < 0.05,
+        "{luck} refused though one answer in five is slow"
+    );
+    assert!(
+        overload > 0.1,
+        "{overload} refused while every answer is late"
+    );
 }
 
 #[test]
@@ -120,7 +142,10 @@
         fleet.step(&well);
     }
     let each = f64::from(fleet.delivered) / f64::from(GATEWAYS) / 10.0;
-    assert!(each > 1.0 && each < 40.0, "{each} messages a second taken in by each");
+    assert!(
+        each > 1.0 && each < 40.0,
+        "{each} messages a second taken in by each"
+    );
 }
 
 #[test]
@@ -137,12 +162,21 @@
             late += u32::from(sick && i >= 300);
             other += u32::from(&*to == "b0" && class == SAFE && i >= 300);
             stage.pass(10 * MS);
-            stage.end(id, 0, &to, if sick { Outcome::Error } else { Outcome::Ok }, if sick { 2 } else { 50 });
+            stage.end(
+                id,
+                0,
+                &to,
+                if sick { Outcome::Error } else { Outcome::Ok },
+                if sick { 2 } else { 50 },
+            );
         }
         stage.pass(5 * MS);
     }
     assert!(late < 25, "{late} of 450 sent to fail");
-    assert!(other > 20, "{other}: the class that works is still served there");
+    assert!(
+        other > 20,
+        "{other}: the class that works is still served there"
+    );
 }
 
 #[test]
@@ -157,7 +191,10 @@
     }
     // The gateway stands still, then finds its answers, all of them old.
     stage.now += 1500 * MS;
-    stage.timers.iter_mut().for_each(|t| t.0 = t.0.max(stage.now + MS));
+    stage
+        .timers
+        .iter_mut()
+        .for_each(|t| t.0 = t.0.max(stage.now + MS));
     for (id, to) in out {
         stage.end(id, 0, &to, Outcome::Ok, 1490);
     }
@@ -170,7 +207,10 @@
     let run = |noise: &[(u32, &str)]| {
         let mut fleet = Fleet::new(29, settings(), 6);
         for (from, text) in noise {
-            fleet.doors[0].give(Event::Peer { from: *from, text: (*text).into() });
+            fleet.doors[0].give(Event::Peer {
+                from: *from,
+                text: (*text).into(),
+            });
         }
         let mut sent = 0;
         for _ in 0..200 {
@@ -186,8 +226,13 @@
     // An impossible sender, its own number, another version's kind, a pool of nothing but failures in the
     // largest numbers that the format has, use of an unknown plan by an impossible set.
     let pool = format!("pAAAAAAAAA{}", "__".repeat(9));
-    let noise =
-        [(999, "wAAAAAAAAAzz"), (0, "uAAAA"), (3, "zAAAAAAAAAzz"), (4, &pool), (5, "uAAAAAAAAA______AAAA_")];
+    let noise = [
+        (999, "wAAAAAAAAAzz"),
+        (0, "uAAAA"),
+        (3, "zAAAAAAAAAzz"),
+        (4, &pool),
+        (5, "uAAAAAAAAA______AAAA_"),
+    ];
     assert_eq!(run(&[]), run(&noise));
 }
 
@@ -195,10 +240,16 @@
 fn about_ten_gateways_each_hold_a_backlog_limit_of_their_own() {
     // Incident i15c3ad: with nine gateways a share of a surge was refused where a bound was needed.
     let list: Vec<Member> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let set = Settings { gateways: 9, mail_per_s: 40.0, ..settings() };
+    let set = Settings {
+        gateways: 9,
+        mail_per_s: 40.0,
+        ..settings()
+    };
     let mut stage = Stage::new(set, 31, &list);
     stage.run(SAFE, 1, 100 * MS, 4 * S, Outcome::Ok, 60);
-    let sent = (0..60).filter(|_| target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some()).count();
+    let sent = (0..60)
+        .filter(|_| target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some())
+        .count();
     assert!((4..=10).contains(&sent), "{sent} of a surge of 60 sent");
 }
 
@@ -244,19 +295,32 @@
         }
         fleet.step(&end);
     }
-    assert!(timely >= 1250, "{timely} answers within the aim in 5 s, of {sent} sent; 2500 can be carried");
-    assert!(timely * 4 >= sent * 3, "{timely} of {sent} sent are answered within the aim");
+    assert!(
+        timely >= 1250,
+        "{timely} answers within the aim in 5 s, of {sent} sent; 2500 can be carried"
+    );
+    assert!(
+        timely * 4 >= sent * 3,
+        "{timely} of {sent} sent are answered within the aim"
+    );
 }
 
 #[test]
 fn a_ladder_is_not_held_shut_by_what_a_pool_remembers_of_a_flood() {
     // Issue 11: with next to nothing passing, the time-outs of the flood before were scaled up to enough.
     let list: Vec<Member> = (0..30).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let set = Settings { gateways: GATEWAYS, mail_per_s: 40.0, ..settings() };
+    let set = Settings {
+        gateways: GATEWAYS,
+        mail_per_s: 40.0,
+        ..settings()
+    };
     let mut stage = Stage::new(set, 43, &list);
     let mut hear = |parts: [f64; 9], times: u32| {
         for i in 0..times {
-            stage.give(Event::Peer { from: 1 + i % 100, text: pool(parts) });
+            stage.give(Event::Peer {
+                from: 1 + i % 100,
+                text: pool(parts),
+            });
             stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
             stage.pass(200 * MS);
         }
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -27,7 +27,9 @@
     for script in scripts {
         instances.push(Instance::start(script).await.unwrap());
     }
-    let entry = |(i, instance): (usize, &Instance)| target(&format!("s-{i}"), instance.address, "in_service");
+    let entry = |(i, instance): (usize, &Instance)| {
+        target(&format!("s-{i}"), instance.address, "in_service")
+    };
     let known: Vec<_> = instances.iter().enumerate().map(entry).collect();
     let discovery = Discovery::start(known.clone()).await.unwrap();
     let setting = Setting {
@@ -38,20 +40,33 @@
         known,
         rate: 1_000.0,
     };
-    let (program, folder) =
-        (Path::new(env!("CARGO_BIN_EXE_applewall")), Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let (program, folder) = (
+        Path::new(env!("CARGO_BIN_EXE_applewall")),
+        Path::new(env!("CARGO_TARGET_TMPDIR")),
+    );
     let daemon = Daemon::start(program, folder, name, &setting).unwrap();
-    World { daemon, instances, discovery }
+    World {
+        daemon,
+        instances,
+        discovery,
+    }
 }
 
 fn script(body: usize, odd: Option<(u32, Manner)>) -> Script {
     let work = (Duration::from_millis(1), Duration::from_millis(2));
-    Script { work, body, odd, ..Script::default() }
+    Script {
+        work,
+        body,
+        odd,
+        ..Script::default()
+    }
 }
 
 impl World {
     async fn connect(&self) -> TcpStream {
-        connect(self.daemon.address, [127, 0, 0, 1].into(), None).await.unwrap()
+        connect(self.daemon.address, [127, 0, 0, 1].into(), None)
+            .await
+            .unwrap()
     }
 
     /// Asks on a connection of its own until it is served, as a healthy client does when it is refused.
@@ -62,12 +77,15 @@
                 let text = request(id << 20 | round, id, Duration::from_secs(3), 0);
                 stream.write_all(text.as_bytes()).await.unwrap();
                 // Where all places are taken, a connection may be closed before its command was read.
-                let Ok(Some(answer)) = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await else {
+                let Ok(Some(answer)) = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await
+                else {
                     continue;
                 };
                 match answer.first.0.as_str() {
                     "200" => {
-                        assert!(answer.body.starts_with(format!("{:016x}", id << 20 | round).as_bytes()));
+                        assert!(answer
+                            .body
+                            .starts_with(format!("{:016x}", id << 20 | round).as_bytes()));
                         return answer;
                     }
                     "429" | "503" => assert!(answer.header("retry-after").is_some()),
@@ -76,7 +94,9 @@
             }
             unreachable!()
         };
-        tokio::time::timeout(PATIENCE, again).await.expect("never served")
+        tokio::time::timeout(PATIENCE, again)
+            .await
+            .expect("never served")
     }
 }
 
@@ -95,14 +115,21 @@
         upload: 0,
     };
     let slow = tokio::spawn(slow.play(seen.clone()));
-    until("80 connections", || seen.connections.load(Ordering::Relaxed) >= 80).await;
+    until("80 connections", || {
+        seen.connections.load(Ordering::Relaxed) >= 80
+    })
+    .await;
     // Served while they come, and while they come back for more.
     for id in 1..=20 {
         assert_eq!(world.served(id).await.body.len(), 60_000);
     }
     until("100 cut", || seen.ended.load(Ordering::Relaxed) >= 100).await;
     assert!(world.daemon.descriptors() <= 256);
-    assert!(world.daemon.peak_memory() < 32 << 20, "{} bytes", world.daemon.peak_memory());
+    assert!(
+        world.daemon.peak_memory() < 32 << 20,
+        "{} bytes",
+        world.daemon.peak_memory()
+    );
     slow.abort();
 }
 
@@ -115,7 +142,13 @@
         ("last", Manner::AllButOne),
     ] {
         let odd = Some((4, manner));
-        let scripts = vec![script(30_000, odd), Script { seed: 2, ..script(30_000, odd) }];
+        let scripts = vec![
+            script(30_000, odd),
+            Script {
+                seed: 2,
+                ..script(30_000, odd)
+            },
+        ];
         let quick = ON.replace("enabled = on\n[bulk", "enabled = on\npause = 80ms\n[bulk");
         let world = world(name, 256, &quick, scripts).await;
         // Every fourth answer comes badly, of both: each command is tried again until it is served whole.
@@ -128,7 +161,9 @@
         // Each of these was closed before the next attempt went out: what was asked for is answered or given up.
         let (asked, answered) = (
             |i: &Instance| i.seen.requests.load(Ordering::Relaxed),
-            |i: &Instance| i.seen.answers.load(Ordering::Relaxed) + i.seen.given_up.load(Ordering::Relaxed),
+            |i: &Instance| {
+                i.seen.answers.load(Ordering::Relaxed) + i.seen.given_up.load(Ordering::Relaxed)
+            },
         );
         until("all accounted for", || sum(asked) == sum(answered)).await;
     }
@@ -136,14 +171,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_burst_after_a_pause_and_chunks_are_waited_for() {
-    for (name, manner) in [("burst", Manner::Burst(Duration::from_millis(200))), ("chunks", Manner::Chunks)] {
+    for (name, manner) in [
+        ("burst", Manner::Burst(Duration::from_millis(200))),
+        ("chunks", Manner::Chunks),
+    ] {
         let world = world(name, 256, ON, vec![script(8_000, Some((1, manner)))]).await;
         for id in 1..=3 {
             assert_eq!(world.served(id).await.body.len(), 8_000, "{name}");
         }
         let seen = &world.instances[0].seen;
         assert_eq!(
-            (seen.requests.load(Ordering::Relaxed), seen.given_up.load(Ordering::Relaxed)),
+            (
+                seen.requests.load(Ordering::Relaxed),
+                seen.given_up.load(Ordering::Relaxed)
+            ),
             (3, 0),
             "{name}"
         );
@@ -160,15 +201,24 @@
         stream.write_all(&[b'.'; 1_000]).await.unwrap();
     }
     comes.write_all(&vec![b'.'; 64_536]).await.unwrap();
-    let served = http::read(&mut comes, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    let served = http::read(&mut comes, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!(served.first.0, "200");
-    let answer = http::read(&mut stalls, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    let answer = http::read(&mut stalls, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!((answer.first.0.as_str(), answer.closes()), ("408", true));
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn told_to_stop_in_the_middle_of_it_all_it_answers_what_it_took_and_ends() {
-    let scripts = vec![script(60_000, Some((2, Manner::TrickleBody))), script(60_000, None)];
+    let scripts = vec![
+        script(60_000, Some((2, Manner::TrickleBody))),
+        script(60_000, None),
+    ];
     let mut world = world("term", 256, ON, scripts).await;
     let seen = Arc::new(SlowSeen::default());
     let slow = Slow {
@@ -182,15 +232,33 @@
         upload: 0,
     };
     let slow = tokio::spawn(slow.play(seen.clone()));
-    until("20 answers under way", || seen.began.load(Ordering::Relaxed) >= 20).await;
+    until("20 answers under way", || {
+        seen.began.load(Ordering::Relaxed) >= 20
+    })
+    .await;
     let mut stream = world.connect().await;
-    stream.write_all(request(7, 7, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
+    stream
+        .write_all(request(7, 7, Duration::from_secs(3), 0).as_bytes())
+        .await
+        .unwrap();
     let instances = &world.instances;
-    let requests = || instances.iter().map(|i| i.seen.requests.load(Ordering::Relaxed)).sum::<u64>();
+    let requests = || {
+        instances
+            .iter()
+            .map(|i| i.seen.requests.load(Ordering::Relaxed))
+            .sum::<u64>()
+    };
     until("it was taken", || requests() > 20).await;
     world.daemon.signal(15);
-    let answer = http::read(&mut stream, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
-    assert!(["200", "503"].contains(&answer.first.0.as_str()), "{}", answer.first.0);
+    let answer = http::read(&mut stream, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
+    assert!(
+        ["200", "503"].contains(&answer.first.0.as_str()),
+        "{}",
+        answer.first.0
+    );
     let status = world.daemon.wait(PATIENCE).expect("it does not end");
     assert!(status.success(), "{status}");
     slow.abort();
@@ -212,9 +280,14 @@
         upload: 0,
     };
     let slow = tokio::spawn(slow.play(seen.clone()));
-    until("50 answers under way", || seen.began.load(Ordering::Relaxed) >= 50).await;
+    until("50 answers under way", || {
+        seen.began.load(Ordering::Relaxed) >= 50
+    })
+    .await;
     let entry = |i: usize, state| target(&format!("s-{i}"), world.instances[i].address, state);
-    world.discovery.publish(vec![entry(0, "terminating"), entry(1, "in_service")]);
+    world
+        .discovery
+        .publish(vec![entry(0, "terminating"), entry(1, "in_service")]);
     let asked = || world.instances[0].seen.requests.load(Ordering::Relaxed);
     // From some moment on, 30 commands in a row leave it alone.
     let (mut quiet, mut id) = (0, 100);
@@ -229,16 +302,32 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_operators_file_is_followed_at_a_reload_and_a_wrong_one_changes_nothing() {
-    let world = world("reload", 256, "[pace]\nenabled = off\n", vec![script(64, None)]).await;
+    let world = world(
+        "reload",
+        256,
+        "[pace]\nenabled = off\n",
+        vec![script(64, None)],
+    )
+    .await;
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reload.ini");
     let told = |text: &str| world.daemon.log().iter().any(|line| line.contains(text));
-    std::fs::write(&file, "[pace]\nenabled = on\n[bulkheads]\nenabled = on\npeer_places = 0.01\n").unwrap();
+    std::fs::write(
+        &file,
+        "[pace]\nenabled = on\n[bulkheads]\nenabled = on\npeer_places = 0.01\n",
+    )
+    .unwrap();
     world.daemon.signal(1);
     until("it is on", || told("pace, bulkheads on")).await;
     // One place for all of 127.0.0.0/24: the first one has it, the second is told no at once.
     let mut first = world.connect().await;
-    first.write_all(request(1, 1, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
-    let answer = http::read(&mut first, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    first
+        .write_all(request(1, 1, Duration::from_secs(3), 0).as_bytes())
+        .await
+        .unwrap();
+    let answer = http::read(&mut first, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!(answer.first.0, "200");
     std::fs::write(&file, "[bulkheads]\nenabled = perhaps\n").unwrap();
     world.daemon.signal(1);
@@ -247,7 +336,13 @@
     })
     .await;
     let mut second = world.connect().await;
-    second.write_all(request(2, 1, Duration::from_secs(3), 0).as_bytes()).await.unwrap();
-    let answer = http::read(&mut second, &mut Vec::new(), Kind::Answer).await.unwrap().unwrap();
+    second
+        .write_all(request(2, 1, Duration::from_secs(3), 0).as_bytes())
+        .await
+        .unwrap();
+    let answer = http::read(&mut second, &mut Vec::new(), Kind::Answer)
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!((answer.first.0.as_str(), answer.closes()), ("503", true));
 }
--- a/tests/zones_fleet.rs
+++ b/tests/zones_fleet.rs
@@ -11,11 +11,14 @@
 
 /// Plays 24 ingresses with these settings.
 fn play(seconds: u32, more: &str) -> Played {
-    let text = format!("[trial]\ningresses = 24\ninstances = 21\ntime = {seconds}s\n{ON}[faults]\n{more}\n");
+    let text = format!(
+        "[trial]\ningresses = 24\ninstances = 21\ntime = {seconds}s\n{ON}[faults]\n{more}\n"
+    );
     let played = play::play(&text);
     // Requests held up to their deadlines, and closings of 50 ms, are a matter of the machine's speed: `make measure-zones`
     // judges them.
-    let timed = |line: &&String| line.contains("by its deadline") || line.contains("is out at instances");
+    let timed =
+        |line: &&String| line.contains("by its deadline") || line.contains("is out at instances");
     let broken: Vec<&String> = played.broken.iter().filter(|line| !timed(line)).collect();
     assert_eq!(broken, Vec::<&String>::new(), "every other rule is kept");
     played
@@ -23,14 +26,19 @@
 
 /// Ingresses whose log has this of a zone.
 fn told(played: &Played, zone: &str, what: &str) -> usize {
-    let of = |log: &&String| log.lines().any(|l| l.contains(&format!("zones: {zone} ")) && l.contains(what));
+    let of = |log: &&String| {
+        log.lines()
+            .any(|l| l.contains(&format!("zones: {zone} ")) && l.contains(what))
+    };
     played.logs.iter().filter(of).count()
 }
 
 /// Attempts into a zone between these moments, s.
 fn into(played: &Played, zone: usize, from: f64, to: f64) -> usize {
     let of = |l: &&applewall_rig::journal::Line| {
-        l.at >= from && l.at < to && matches!(l.what, What::Attempt { instance, .. } if instance % 3 == zone)
+        l.at >= from
+            && l.at < to
+            && matches!(l.what, What::Attempt { instance, .. } if instance % 3 == zone)
     };
     played.lines.iter().filter(of).count()
 }
@@ -44,20 +52,48 @@
 fn a_zone_that_says_nothing_is_left_by_the_whole_fleet_and_comes_back() {
     // Accepts and never answers: what is sent there is seen there.
     let played = play(26, "dead = at 4s: mute instance:zone=0 for 6s");
-    assert!(told(&played, "z0", "left") >= 23, "{} left it", told(&played, "z0", "left"));
-    assert_eq!((told(&played, "z1", "left"), told(&played, "z2", "left")), (0, 0));
+    assert!(
+        told(&played, "z0", "left") >= 23,
+        "{} left it",
+        told(&played, "z0", "left")
+    );
+    assert_eq!(
+        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (0, 0)
+    );
     // A third is its usual part; from its third second on hardly any.
-    assert!(into(&played, 0, 7.0, 10.0) * 10 < all(&played, 7.0, 10.0), "canaries alone");
-    assert!(told(&played, "z0", "comes back") >= 20, "{}", told(&played, "z0", "comes back"));
-    assert!(into(&played, 0, 22.0, 26.0) > 4 * into(&played, 0, 7.0, 10.0), "and has traffic again");
+    assert!(
+        into(&played, 0, 7.0, 10.0) * 10 < all(&played, 7.0, 10.0),
+        "canaries alone"
+    );
+    assert!(
+        told(&played, "z0", "comes back") >= 20,
+        "{}",
+        told(&played, "z0", "comes back")
+    );
+    assert!(
+        into(&played, 0, 22.0, 26.0) > 4 * into(&played, 0, 7.0, 10.0),
+        "and has traffic again"
+    );
 }
 
 #[test]
 fn a_zone_that_answers_500_at_once_is_left_and_the_others_serve() {
     let played = play(12, "fails = at 4s: fails instance:zone=0");
-    assert!(told(&played, "z0", "left") >= 23, "{} left it", told(&played, "z0", "left"));
-    assert!(into(&played, 0, 8.0, 11.0) * 10 < all(&played, 8.0, 11.0), "canaries alone");
-    assert!(played.figures.share_between(8, 11) > 0.9, "{:?}", played.figures.seconds);
+    assert!(
+        told(&played, "z0", "left") >= 23,
+        "{} left it",
+        told(&played, "z0", "left")
+    );
+    assert!(
+        into(&played, 0, 8.0, 11.0) * 10 < all(&played, 8.0, 11.0),
+        "canaries alone"
+    );
+    assert!(
+        played.figures.share_between(8, 11) > 0.9,
+        "{:?}",
+        played.figures.seconds
+    );
 }
 
 #[test]
@@ -67,15 +103,29 @@
         "way = at 3s: link instance:zone=0 -> ingress:all silent",
     ] {
         let played = play(10, fault);
-        assert!(told(&played, "z0", "left") >= 23, "{fault}: {} left it", told(&played, "z0", "left"));
-        assert_eq!((told(&played, "z1", "left"), told(&played, "z2", "left")), (0, 0), "{fault}");
+        assert!(
+            told(&played, "z0", "left") >= 23,
+            "{fault}: {} left it",
+            told(&played, "z0", "left")
+        );
+        assert_eq!(
+            (told(&played, "z1", "left"), told(&played, "z2", "left")),
+            (0, 0),
+            "{fault}"
+        );
     }
 }
 
 #[test]
 fn cut_off_for_half_of_the_ingresses_the_other_half_stays() {
-    let played = play(12, "cut = at 3s: link ingress:0-11 <-> instance:zone=0 silent");
-    let stayed = played.logs[12..].iter().filter(|log| !log.contains("zones: z0 left")).count();
+    let played = play(
+        12,
+        "cut = at 3s: link ingress:0-11 <-> instance:zone=0 silent",
+    );
+    let stayed = played.logs[12..]
+        .iter()
+        .filter(|log| !log.contains("zones: z0 left"))
+        .count();
     assert!(stayed >= 10, "{stayed} of 12 that reach it stay");
     assert!(into(&played, 0, 8.0, 12.0) > 0);
 }
@@ -88,9 +138,15 @@
          lossy = at 3s: link ingress:all -> ingress:all loss 0.3 delay 300ms spread 700ms twice 0.1\n\
          crash = at 4s: kill ingress:0-2",
     );
-    let left = played.logs[3..].iter().filter(|log| log.contains("zones: z0 left")).count();
+    let left = played.logs[3..]
+        .iter()
+        .filter(|log| log.contains("zones: z0 left"))
+        .count();
     assert!(left >= 20, "{left} of 21 that live have left it");
-    assert_eq!((told(&played, "z1", "left"), told(&played, "z2", "left")), (0, 0));
+    assert_eq!(
+        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (0, 0)
+    );
 }
 
 #[test]
@@ -100,11 +156,19 @@
         30,
         "dead = at 3s: link ingress:all <-> instance:zone=0 silent for 4s\nstop = at 6s: stop ingress:5 for 10s",
     );
-    let again =
-        |log: &&String| log.matches("zones: z0 left").count() + log.matches("fails again").count() > 2;
-    assert_eq!(played.logs.iter().filter(again).count(), 0, "no verdict goes back and forth");
+    let again = |log: &&String| {
+        log.matches("zones: z0 left").count() + log.matches("fails again").count() > 2
+    };
+    assert_eq!(
+        played.logs.iter().filter(again).count(),
+        0,
+        "no verdict goes back and forth"
+    );
     assert!(into(&played, 0, 26.0, 30.0) > 0);
-    assert_eq!((told(&played, "z1", "left"), told(&played, "z2", "left")), (0, 0));
+    assert_eq!(
+        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (0, 0)
+    );
 }
 
 #[test]
@@ -116,10 +180,17 @@
          two = at 4s: link ingress:12-23 <-> instance:zone=1 silent for 8s",
     );
     for log in &played.logs {
-        let left = ["z0", "z1", "z2"].iter().filter(|z| log.contains(&format!("zones: {z} left"))).count();
+        let left = ["z0", "z1", "z2"]
+            .iter()
+            .filter(|z| log.contains(&format!("zones: {z} left")))
+            .count();
         assert!(left <= 1, "one of three at the most: {log}");
     }
-    assert!(played.figures.share_between(8, 11) > 0.5, "{:?}", played.figures.seconds);
+    assert!(
+        played.figures.share_between(8, 11) > 0.5,
+        "{:?}",
+        played.figures.seconds
+    );
 }
 
 #[test]
