Rig: a reference is not dropped, which the formatted statement made the compiler warn of

Cause: as a statement of its own, drop() of a reference is a warning; on one line before a comma it was none. Change: the entry is made without drop(). Result: clippy over the workspace is clean again.

--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -129,7 +129,7 @@
     for line in lines {
         match line.what {
             What::Told { ingress, instance } => {
-                drop(told.entry((ingress, instance)).or_insert(line.at))
+                told.entry((ingress, instance)).or_insert(line.at);
             }
             // A new life was told nothing yet.
             What::Started { ingress, .. } => told.retain(|(i, _), _| *i != ingress),
