Packages and programs are named for what they do

Cause: turns, zones, pace, roster, control, operator, rig and standins tell a newcomer nothing. Result: builds; no line of code differs but for the names.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 SEEDS := 20
 measure-cold-start:
 	cargo build --release --locked --workspace
-	@out=$$(cargo test --release --locked -p applewall-turns --test fleets -- --ignored --nocapture 2>&1); \
+	@out=$$(cargo test --release --locked -p applewall-startup-scheduler --test fleets -- --ignored --nocapture 2>&1); \
 	status=$$?; printf '%s\n' "$$out" | sed -n '/^|/p;/^turns/p;/^error/p'; \
 	target/release/measure-cold-start --seeds $(SEEDS) $(if $(BEFORE),--before $(BEFORE)) && exit $$status
 
@@ -54,8 +54,8 @@
 # A small trial of three real processes with faults, and a page on it (docs/rig.md).
 demo:
 	cargo build --locked -p applewall
-	cargo build --locked -p applewall-rig
-	target/debug/applewall-rig play crates/rig/trials/demo.ini
+	cargo build --locked -p applewall-fault-testbed
+	target/debug/applewall-fault-testbed play crates/fault-testbed/trials/demo.ini
 
 measure-large-fleet:
 	@out=$$(cargo test --release --locked --test fleet_cost -- --ignored --nocapture 2>&1); status=$$?; \
--- a/crates/consul/src/follow.rs
+++ b/crates/consul/src/follow.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use applewall_roster::{Entry, Item};
+use applewall_membership::{Entry, Item};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use bytes::Bytes;
--- a/crates/consul/tests/follow.rs
+++ b/crates/consul/tests/follow.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use applewall_consul::{follow, Settings};
-use applewall_operator::{Span, Switch};
-use applewall_roster::{Source, State};
-use applewall_standins::consul::Agent;
-use applewall_standins::wire::Wire;
+use applewall_fakes::consul::Agent;
+use applewall_fakes::wire::Wire;
+use applewall_membership::{Source, State};
+use applewall_operator_config::{Span, Switch};
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
--- a/crates/etcd/src/follow.rs
+++ b/crates/etcd/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use applewall_etcd_proto as proto;
-use applewall_roster::{Act, Entry, Event, Follow, Item, Pace, Reason};
+use applewall_membership::{Act, Entry, Event, Follow, Item, Pace, Reason};
 use tonic::Status;
 
 use crate::calls::{Calls, Watch};
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -1,6 +1,6 @@
 //! A roster's source in an etcd v3 registry.
 //!
-//! The course is [`applewall_roster::Follow`]'s, what the list means is [`applewall_roster::Source`]'s; here are the
+//! The course is [`applewall_membership::Follow`]'s, what the list means is [`applewall_membership::Source`]'s; here are the
 //! calls that carry it out. One connection, one watch, one call at a time; everything ends when [`follow`] is dropped.
 
 mod calls;
--- a/crates/etcd/src/settings.rs
+++ b/crates/etcd/src/settings.rs
@@ -1,6 +1,6 @@
 //! `[registry]` of the operator's file.
 
-use applewall_operator::{Networks, Span, Switch};
+use applewall_operator_config::{Networks, Span, Switch};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Deserializer};
--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/follow.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use applewall_etcd::{follow, Endpoints, News, Settings};
-use applewall_operator::{Networks, Span, Switch};
-use applewall_roster::{Roster, State, Took};
-use applewall_standins::etcd::Registry;
-use applewall_standins::wire::Wire;
+use applewall_fakes::etcd::Registry;
+use applewall_fakes::wire::Wire;
+use applewall_membership::{Roster, State, Took};
+use applewall_operator_config::{Networks, Span, Switch};
 use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(60);
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/fakes/src/bin/applewall-fake.rs
@@ -6,14 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_standins::clients::{Slow, SlowSeen};
-use applewall_standins::consul::Agent;
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::etcd::Registry;
-use applewall_standins::instance::{Instance, Manner, Script};
+use applewall_fakes::clients::{Slow, SlowSeen};
+use applewall_fakes::consul::Agent;
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::etcd::Registry;
+use applewall_fakes::instance::{Instance, Manner, Script};
 
 const USAGE: &str =
-    "usage: standin instance [--body N] [--odd ONE_IN] [--manner NAME] | discovery ADDRESS... \
+    "usage: applewall-fake instance [--body N] [--odd ONE_IN] [--manner NAME] | discovery ADDRESS... \
     | etcd KEY=VALUE... | consul KEY=VALUE... | slow-readers ADDRESS [--many N]   [--seconds N]
 manners: trickle, trickle-body, head-only, all-but-one, burst, chunks";
 
@@ -174,7 +174,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("standin: {reason}");
+            eprintln!("applewall-fake: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/crates/standins/src/bin/measure-registry.rs
+++ b/crates/fakes/src/bin/measure-registry.rs
@@ -11,12 +11,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_standins::clients::Healthy;
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::Discovery;
-use applewall_standins::etcd::Registry;
-use applewall_standins::instance::{Instance, Script};
-use applewall_standins::wire::Wire;
+use applewall_fakes::clients::Healthy;
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::Discovery;
+use applewall_fakes::etcd::Registry;
+use applewall_fakes::instance::{Instance, Script};
+use applewall_fakes::wire::Wire;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/standins/src/bin/measure-service.rs
+++ b/crates/fakes/src/bin/measure-service.rs
@@ -8,10 +8,10 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use applewall_standins::clients::{connect, request, Healthy, Outcomes};
-use applewall_standins::daemon::{Daemon, Inherited, Setting};
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::instance::{Instance, Script};
+use applewall_fakes::clients::{connect, request, Healthy, Outcomes};
+use applewall_fakes::daemon::{Daemon, Inherited, Setting};
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::instance::{Instance, Script};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/crates/standins/src/bin/measure-slow-peers.rs
+++ b/crates/fakes/src/bin/measure-slow-peers.rs
@@ -10,10 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_standins::clients::{Healthy, Outcomes, Slow, SlowSeen};
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::instance::{Instance, Manner, Script};
+use applewall_fakes::clients::{Healthy, Outcomes, Slow, SlowSeen};
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::instance::{Instance, Manner, Script};
 
 /// Points under calm that are allowed.
 const GOAL: f64 = 0.02;
--- a/crates/standins/tests/etcd.rs
+++ b/crates/fakes/tests/etcd.rs
@@ -1,7 +1,7 @@
 //! The registry's stand-in, driven with a client library that nobody here wrote: it speaks the protocol.
 
-use applewall_standins::etcd::Registry;
-use applewall_standins::wire::Wire;
+use applewall_fakes::etcd::Registry;
+use applewall_fakes::wire::Wire;
 use etcd_client::{Client, EventType, GetOptions, WatchOptions};
 
 #[tokio::test]
--- a/crates/rig/src/bin/applewall-rig.rs
+++ b/crates/fault-testbed/src/bin/applewall-fault-testbed.rs
@@ -3,11 +3,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use applewall_rig::run::{self, Played};
-use applewall_rig::trial::Trial;
-use applewall_rig::{journal, report};
+use applewall_fault_testbed::run::{self, Played};
+use applewall_fault_testbed::trial::Trial;
+use applewall_fault_testbed::{journal, report};
 
-const USAGE: &str = "usage: applewall-rig play FILE [--program PATH] [--seed N] [--out FOLDER] | schema | help\n\n\
+const USAGE: &str = "usage: applewall-fault-testbed play FILE [--program PATH] [--seed N] [--out FOLDER] | schema | help\n\n\
     status 0: every rule kept; 1: a rule broken, or what cannot be read; 3: the machine could not play the trial";
 /// The machine was too slow: no verdict.
 const NO_VERDICT: u8 = 3;
--- a/crates/rig/src/bin/measure-cold-start.rs
+++ b/crates/fault-testbed/src/bin/measure-cold-start.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use applewall_rig::measure::{verdict, Arguments, Count};
-use applewall_rig::run::{self, Played};
+use applewall_fault_testbed::measure::{verdict, Arguments, Count};
+use applewall_fault_testbed::run::{self, Played};
 
 const USAGE: &str = "usage: measure-cold-start [--before PROGRAM] [--seeds N] [--sizes 24,100,200]";
 /// Served within the time wanted once all have their list, warm.
--- a/crates/rig/src/bin/measure-zones.rs
+++ b/crates/fault-testbed/src/bin/measure-zones.rs
@@ -4,9 +4,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use applewall_rig::journal::What;
-use applewall_rig::measure::{verdict, Arguments, Count};
-use applewall_rig::run::{self, Played};
+use applewall_fault_testbed::journal::What;
+use applewall_fault_testbed::measure::{verdict, Arguments, Count};
+use applewall_fault_testbed::run::{self, Played};
 
 const USAGE: &str = "usage: measure-zones [--before PROGRAM] [--seeds N] [--sizes 24,100]";
 /// The zone fails from then on, s, and is back after so many more.
--- a/crates/rig/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_standins::http::{self, Kind};
+use applewall_fakes::http::{self, Kind};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::io::AsyncWriteExt;
--- a/crates/rig/src/instance.rs
+++ b/crates/fault-testbed/src/instance.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_standins::http::{self, Kind};
+use applewall_fakes::http::{self, Kind};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::{watch, Semaphore};
 
--- a/crates/rig/src/list.rs
+++ b/crates/fault-testbed/src/list.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use applewall_standins::http::{self, Kind};
+use applewall_fakes::http::{self, Kind};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
--- a/crates/rig/src/trial.rs
+++ b/crates/fault-testbed/src/trial.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use applewall_operator::{number, Span, Switch};
+use applewall_operator_config::{number, Span, Switch};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -232,7 +232,7 @@
     ///
     /// One line with section and key.
     pub fn read(text: &str) -> Result<Self, String> {
-        let trial: Trial = applewall_operator::read(text).map_err(|e| e.to_string())?;
+        let trial: Trial = applewall_operator_config::read(text).map_err(|e| e.to_string())?;
         trial
             .ingress
             .known
@@ -246,7 +246,7 @@
 
     /// The published schema of the file.
     pub fn schema() -> String {
-        applewall_operator::schema::<Trial>()
+        applewall_operator_config::schema::<Trial>()
     }
 
     /// The text of each ingress's operator's file, if it gets one.
--- a/crates/roster/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use applewall_operator::Networks;
+use applewall_operator_config::Networks;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- a/crates/roster/src/snapshot.rs
+++ b/crates/membership/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! The last good list as bytes: versioned, checksummed, bounded in age.
 //!
-//! Form: one line of text, `applewall-roster 1 CRC32 LENGTH`, and then so many bytes of JSON. What is torn, foreign,
+//! Form: one line of text, `applewall-membership 1 CRC32 LENGTH`, and then so many bytes of JSON. What is torn, foreign,
 //! too old or from another cluster is refused with its reason; nothing of it is used.
 
 use std::collections::BTreeMap;
@@ -10,7 +10,7 @@
 use crate::entry::Entry;
 use crate::source::Source;
 
-const MAGIC: &str = "applewall-roster";
+const MAGIC: &str = "applewall-membership";
 const VERSION: u32 = 1;
 /// A list holds no more bytes than this.
 const MOST: usize = 64 << 20;
@@ -220,7 +220,7 @@
         );
         assert_eq!(read(b"{}\n", limits(0)), Unusable::Foreign);
         assert_eq!(
-            read(b"applewall-roster 2 0 0\n", limits(0)),
+            read(b"applewall-membership 2 0 0\n", limits(0)),
             Unusable::Version(2)
         );
     }
--- a/crates/roster/tests/exhaustive.rs
+++ b/crates/membership/tests/exhaustive.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use applewall_roster::{Act, Entry, Event, Follow, Item, Pace, Roster, State, Took};
+use applewall_membership::{Act, Entry, Event, Follow, Item, Pace, Roster, State, Took};
 
 const MS: u64 = 1_000_000;
 
--- a/crates/roster/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use applewall_roster::{Entry, Item, Roster, Source, State, Took};
+use applewall_membership::{Entry, Item, Roster, Source, State, Took};
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
--- a/crates/pace/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
 
-use applewall_operator::Networks;
+use applewall_operator_config::Networks;
 use ipnet::IpNet;
 
 use crate::account::{Account, Full, Holder};
@@ -139,7 +139,7 @@
     fn settings() -> BulkheadSettings {
         let exempt = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
         BulkheadSettings {
-            enabled: applewall_operator::Switch(true),
+            enabled: applewall_operator_config::Switch(true),
             exempt,
             ..BulkheadSettings::default()
         }
--- a/crates/pace/src/outgoing.rs
+++ b/crates/slow-peer/src/outgoing.rs
@@ -345,7 +345,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use applewall_operator::{Size, Span, Switch};
+    use applewall_operator_config::{Size, Span, Switch};
 
     const MS: u64 = 1_000_000;
     const SECOND: u64 = 1_000 * MS;
--- a/crates/pace/src/settings.rs
+++ b/crates/slow-peer/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators may set: sections `[pace]` and `[bulkheads]` of their file.
 
-use applewall_operator::{number, Networks, Size, Span, Switch};
+use applewall_operator_config::{number, Networks, Size, Span, Switch};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
--- a/crates/pace/tests/schedules.rs
+++ b/crates/slow-peer/tests/schedules.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use applewall_operator::{Size, Span, Switch};
-use applewall_pace::{
+use applewall_operator_config::{Size, Span, Switch};
+use applewall_slow_peer::{
     BulkheadSettings, Holder, Incoming, Moved, Need, Outgoing, Settings, Verdict, Why,
 };
 use proptest::prelude::*;
@@ -174,7 +174,7 @@
     #[test]
     fn bulkheads(steps in prop::collection::vec((0u64..5, any::<bool>()), 1..200), places in 1usize..40) {
         let settings = BulkheadSettings { enabled: Switch(true), ..BulkheadSettings::default() };
-        let mut bulkheads = applewall_pace::Bulkheads::new(&settings, places);
+        let mut bulkheads = applewall_slow_peer::Bulkheads::new(&settings, places);
         let share = ((places as f64 * settings.customer_places) as u64).max(1);
         let mut held = BTreeMap::<u64, u64>::new();
         for (customer, enter) in steps {
--- a/crates/pace/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-use applewall_operator::{Size, Span, Switch};
-use applewall_pace::socket::{kernel, lend, Pacer, Ticket};
-use applewall_pace::{BulkheadSettings, Full, Holder, Settings};
+use applewall_operator_config::{Size, Span, Switch};
+use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
+use applewall_slow_peer::{BulkheadSettings, Full, Holder, Settings};
 use socket2::SockRef;
 
 const MS: u64 = 1_000_000;
--- a/crates/turns/src/settings.rs
+++ b/crates/startup-scheduler/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators may set: section `[cold_start]` of their file.
 
-use applewall_operator::{number, Switch};
+use applewall_operator_config::{number, Switch};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
--- a/crates/turns/tests/fleets.rs
+++ b/crates/startup-scheduler/tests/fleets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use applewall_turns::{List, Muster, Settings, Turns, Word};
+use applewall_startup_scheduler::{List, Muster, Settings, Turns, Word};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/zones/tests/fleets.rs
+++ b/crates/zone-failover/tests/fleets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use applewall_zones::{Phase, Saw, Settings, Word, Zones};
+use applewall_zone_failover::{Phase, Saw, Settings, Word, Zones};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/src/bin/applewall-simhost.rs
+++ b/src/bin/applewall-simulator-host.rs
@@ -120,7 +120,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("applewall-simhost: {reason}");
+            eprintln!("applewall-simulator-host: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -80,7 +80,7 @@
         }
         Call::Schema(registry) => {
             let schema = if registry {
-                applewall_roster::schema()
+                applewall_membership::schema()
             } else {
                 operator::Operator::schema()
             };
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_pace::socket::{kernel, lend, Pacer};
+use applewall_slow_peer::socket::{kernel, lend, Pacer};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -25,7 +25,7 @@
 use super::pace::Pacers;
 use super::role::{Role, Stopping, Successor};
 use super::seats::{Paced, Seat, Seats};
-use applewall_control::Stage;
+use applewall_admin::Stage;
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_pace::socket::Pacer;
-use applewall_pace::{Holder, Incoming, Reason, Verdict};
+use applewall_slow_peer::socket::Pacer;
+use applewall_slow_peer::{Holder, Incoming, Reason, Verdict};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
--- a/src/net/command.rs
+++ b/src/net/command.rs
@@ -19,9 +19,9 @@
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tower::Service;
 
-use applewall_control::Stage;
-use applewall_pace::socket::Pacer;
-use applewall_pace::{Reason, Verdict};
+use applewall_admin::Stage;
+use applewall_slow_peer::socket::Pacer;
+use applewall_slow_peer::{Reason, Verdict};
 
 use super::answer::{Answer, Content, Reply};
 use super::clock::Clock;
@@ -341,7 +341,7 @@
         let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::new());
         let now = self.clock.now();
         let mut transfer =
-            applewall_pace::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
+            applewall_slow_peer::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
         loop {
             let Verdict::Wait(next) = transfer.verdict(self.clock.now()) else {
                 return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_control::{Answer, Call, Ledger, Stage, LINE_MOST};
+use applewall_admin::{Answer, Call, Ledger, Stage, LINE_MOST};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -11,7 +11,7 @@
 use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, Repeats, RequestId};
 use applewall::brain::Brain;
 use applewall::wire::Facts;
-use applewall_control::Ledger;
+use applewall_admin::Ledger;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use applewall_pace::socket::Ticket;
+use applewall_slow_peer::socket::Ticket;
 
 use super::seats::Seat;
 
--- a/src/net/inherit.rs
+++ b/src/net/inherit.rs
@@ -7,7 +7,7 @@
 use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
 use std::path::PathBuf;
 
-use applewall_control::{state, Ledger};
+use applewall_admin::{state, Ledger};
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -76,7 +76,7 @@
         // Two processes may be there at once, within the limits of one.
         (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
     }
-    let (stage, stages) = watch::channel(applewall_control::Stage::Serving);
+    let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
     let (orders, drains, inboxes) = control::queues();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
@@ -182,7 +182,7 @@
         .map(|c| c.deadline)
         .max()
         .unwrap_or(0);
-    let termination = applewall_control::Termination::new(std::time::Duration::from_nanos(longest));
+    let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
     tokio::spawn(signals.lead(
         stage,
         inboxes.drains,
--- a/src/net/pace.rs
+++ b/src/net/pace.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use applewall_pace::socket::Pacer;
-use applewall_pace::Row;
+use applewall_slow_peer::socket::Pacer;
+use applewall_slow_peer::Row;
 use tokio::sync::{watch, Semaphore};
 
 use super::clock::Clock;
@@ -82,10 +82,10 @@
         return;
     };
     let (counts, rows, waiting, waiting_most) = pacer.report(ROWS);
-    if waiting_most == 0 && counts == applewall_pace::Counts::default() {
+    if waiting_most == 0 && counts == applewall_slow_peer::Counts::default() {
         return;
     }
-    let applewall_pace::Counts {
+    let applewall_slow_peer::Counts {
         cut_slow,
         cut_stopped,
         cut_room,
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -9,8 +9,8 @@
 use applewall::api::{ListKind, Member, MemberState};
 use applewall::wire::Facts;
 use applewall_etcd::News;
-use applewall_roster::snapshot::{Limits, Snapshot};
-use applewall_roster::{Change, Item, Roster, State, Took};
+use applewall_membership::snapshot::{Limits, Snapshot};
+use applewall_membership::{Change, Item, Roster, State, Took};
 use tokio::sync::{mpsc, watch, Notify};
 
 use super::clock::Clock;
@@ -118,7 +118,7 @@
         for entry in entries {
             let id = entry.member.backend.to_string();
             let gone = entry.member.state == MemberState::Gone;
-            let read = (!gone).then(|| applewall_roster::Entry {
+            let read = (!gone).then(|| applewall_membership::Entry {
                 endpoint: entry.endpoint,
                 az: String::new(),
                 pod_group: entry.member.cell,
@@ -202,7 +202,7 @@
         (gone, put)
     }
 
-    fn entry(&self, id: &str, entry: &applewall_roster::Entry) -> Entry {
+    fn entry(&self, id: &str, entry: &applewall_membership::Entry) -> Entry {
         let member = Member {
             backend: id.into(),
             scale: entry.capacity_hint,
--- a/src/net/role.rs
+++ b/src/net/role.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use applewall::api::Member;
-use applewall_control::Ledger;
+use applewall_admin::Ledger;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use applewall_pace::socket::Pacer;
-use applewall_pace::{Holder, Id};
+use applewall_slow_peer::socket::Pacer;
+use applewall_slow_peer::{Holder, Id};
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,9 +1,9 @@
-//! Signals and the operators' drain: the one who leads through the stages (`applewall_control::Stages`). SIGTERM: keep
+//! Signals and the operators' drain: the one who leads through the stages (`applewall_admin::Stages`). SIGTERM: keep
 //! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
 
 use std::future::pending;
 
-use applewall_control::{Answer, Leave, Stage, Stages, Termination};
+use applewall_admin::{Answer, Leave, Stage, Stages, Termination};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_control::{Answer, Call};
+use applewall_admin::{Answer, Call};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -1,11 +1,11 @@
-//! The fleet's turns at the list service, where the operators switched them on: the reckoning (`applewall_turns`) with the
+//! The fleet's turns at the list service, where the operators switched them on: the reckoning (`applewall_startup_scheduler`) with the
 //! program's clock, its datagrams, and whether there is a list to decide from.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use applewall_turns::{List, Muster, Turns, Word};
+use applewall_startup_scheduler::{List, Muster, Turns, Word};
 use tokio::sync::watch;
 
 use super::clock::Clock;
--- a/src/net/withheld.rs
+++ b/src/net/withheld.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use applewall::api::{BackendId, ListKind, MemberState};
-use applewall_control::{Answer, Ledger, LEDGER_MOST};
+use applewall_admin::{Answer, Ledger, LEDGER_MOST};
 
 use super::message::Entry;
 
--- a/src/net/zoning.rs
+++ b/src/net/zoning.rs
@@ -1,11 +1,11 @@
-//! What share of its traffic each zone gets, where the operators switched that on: the reckoning (`applewall_zones`) with
+//! What share of its traffic each zone gets, where the operators switched that on: the reckoning (`applewall_zone_failover`) with
 //! the engine's attempts, clock and datagrams.
 
 use std::collections::HashMap;
 
 use applewall::api::{BackendId, ListKind, MemberState, Outcome, RequestId};
 use applewall::wire::Facts;
-use applewall_zones::{Saw, Settings, Word, Zones};
+use applewall_zone_failover::{Saw, Settings, Word, Zones};
 
 use super::message::Entry;
 use super::peers::Peers;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,10 +2,10 @@
 
 use applewall_consul as consul;
 use applewall_etcd as etcd;
-use applewall_operator as ini;
-use applewall_pace as pace;
-use applewall_turns as turns;
-use applewall_zones as zones;
+use applewall_operator_config as ini;
+use applewall_slow_peer as pace;
+use applewall_startup_scheduler as turns;
+use applewall_zone_failover as zones;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -10,7 +10,7 @@
 "second_copies":false},"specifics":{},"tariffs":[{"name":"p"}],"unheard_of":{"of":1},"zone":"a"}"#;
 
 fn play(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_applewall-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_applewall-simulator-host"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -3,8 +3,8 @@
 
 mod play;
 
-use applewall_rig::journal::What;
-use applewall_rig::run::Played;
+use applewall_fault_testbed::journal::What;
+use applewall_fault_testbed::run::Played;
 
 /// Turns at 18 calls a second. The service itself turns nobody away: whether two calls come within its reach at once is
 /// the machine's doing, and `make measure-cold-start` counts that.
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -7,10 +7,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::target;
-use applewall_standins::http::{self, Kind};
-use applewall_standins::wait::until;
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::target;
+use applewall_fakes::http::{self, Kind};
+use applewall_fakes::wait::until;
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -5,11 +5,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use applewall_standins::clients::{request, Healthy};
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::instance::{Instance, Script};
-use applewall_standins::wait::until;
+use applewall_fakes::clients::{request, Healthy};
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::instance::{Instance, Script};
+use applewall_fakes::wait::until;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
 
-use applewall_rig::run::{self, Played};
-use applewall_rig::trial::Trial;
+use applewall_fault_testbed::run::{self, Played};
+use applewall_fault_testbed::trial::Trial;
 
 /// One trial at a time: each has the machine to itself, and its processes' time limits hold.
 static ALONE: Mutex<()> = Mutex::new(());
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -4,14 +4,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use applewall_standins::clients::{connect, request};
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::etcd::Registry;
-use applewall_standins::http::{self, Kind};
-use applewall_standins::instance::{Instance, Script};
-use applewall_standins::wait::{until, PATIENCE};
-use applewall_standins::wire::Wire;
+use applewall_fakes::clients::{connect, request};
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::etcd::Registry;
+use applewall_fakes::http::{self, Kind};
+use applewall_fakes::instance::{Instance, Script};
+use applewall_fakes::wait::{until, PATIENCE};
+use applewall_fakes::wire::Wire;
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 
--- a/tests/rig.rs
+++ b/tests/rig.rs
@@ -2,7 +2,7 @@
 
 mod play;
 
-use applewall_rig::journal::What;
+use applewall_fault_testbed::journal::What;
 use play::play;
 
 /// Requests that wait at a process end with it. Their ends may be written down by other threads before the kill's line
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_standins::clients::{connect, request, Slow, SlowSeen};
-use applewall_standins::daemon::{Daemon, Setting};
-use applewall_standins::discovery::{target, Discovery};
-use applewall_standins::http::{self, Kind, Message};
-use applewall_standins::instance::{Instance, Manner, Script};
-use applewall_standins::wait::{until, PATIENCE};
+use applewall_fakes::clients::{connect, request, Slow, SlowSeen};
+use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::http::{self, Kind, Message};
+use applewall_fakes::instance::{Instance, Manner, Script};
+use applewall_fakes::wait::{until, PATIENCE};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- a/tests/zones_fleet.rs
+++ b/tests/zones_fleet.rs
@@ -3,8 +3,8 @@
 
 mod play;
 
-use applewall_rig::journal::What;
-use applewall_rig::run::Played;
+use applewall_fault_testbed::journal::What;
+use applewall_fault_testbed::run::Played;
 
 /// 21 warm limit servers in three zones, of which the numbers by three are zone 0; eight requests a second at each.
 const ON: &str = "[ingress]\nknown = old\n[traffic]\nrate = 8\n[operator]\nzones.enabled = on\n";
@@ -35,7 +35,7 @@
 
 /// Attempts into a zone between these moments, s.
 fn into(played: &Played, zone: usize, from: f64, to: f64) -> usize {
-    let of = |l: &&applewall_rig::journal::Line| {
+    let of = |l: &&applewall_fault_testbed::journal::Line| {
         l.at >= from
             && l.at < to
             && matches!(l.what, What::Attempt { instance, .. } if instance % 3 == zone)
