The daemon's files lie by concern: server, upstream, discovery, engine, admin, lifecycle, config

Cause: 34 files in one flat folder, under words of the house. Change: src/net goes; each file lies in a folder named for its concern, under a name of the field.

--- a/src/net/control.rs
+++ b/src/admin/listener.rs
@@ -17,9 +17,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
 
-use super::accept;
-use super::inherit::Place;
-use super::role::{relay, Estate, Other};
+use crate::lifecycle::process_role::{relay, Estate, Other};
+use crate::lifecycle::shared_directory::Place;
+use crate::server::acceptor;
 
 /// Callers held at once; their descriptors are in what the budget keeps back.
 const CALLERS: usize = 12;
@@ -103,7 +103,7 @@
 
 /// Listens at the second address.
 pub fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
-    accept::listen(address, BACKLOG)
+    acceptor::listen(address, BACKLOG)
         .map_err(|e| format!("operator: cannot listen on {address}: {e}"))
 }
 
--- a/src/net/withheld.rs
+++ b/src/admin/maintenance.rs
@@ -6,7 +6,7 @@
 use applewall::api::{BackendId, ListKind, MemberState};
 use applewall_admin::{Answer, Ledger, LEDGER_MOST};
 
-use super::message::Entry;
+use crate::engine::message::Entry;
 
 /// The list and the ledger. Kept only where there is a second address.
 #[derive(Default)]
--- a/src/operator.rs
+++ b/src/config/operator.rs
@@ -10,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::logs;
+use crate::logging;
 
 /// All sections.
 #[derive(Clone, Debug, Default, Deserialize, Validate, JsonSchema)]
@@ -44,7 +44,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Log {
     /// `text` or `json`.
-    pub format: logs::Form,
+    pub format: logging::Form,
 }
 
 impl Operator {
--- a/src/net/config.rs
+++ b/src/config/platform.rs
@@ -10,8 +10,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
-use super::listing::Answer;
-use crate::operator::Operator;
+use crate::config::operator::Operator;
+use crate::discovery::endpoint_list::Answer;
 
 /// The configuration file; the settings are read by [`wire::facts`].
 #[derive(Deserialize)]
--- a/src/net/listing.rs
+++ b/src/discovery/endpoint_list.rs
@@ -8,8 +8,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::clock::Clock;
-use super::message::Entry;
+use crate::clock::Clock;
+use crate::engine::message::Entry;
 
 /// Malformed entries of an answer that are told of one by one, and of which it is kept that they were.
 const TOLD: usize = 3;
--- a/src/net/registry.rs
+++ b/src/discovery/registry.rs
@@ -13,10 +13,10 @@
 use applewall_membership::{Change, Item, Roster, State, Took};
 use tokio::sync::{mpsc, watch, Notify};
 
-use super::clock::Clock;
-use super::config::Config;
-use super::message::{Entry, Message};
-use crate::operator::Operator;
+use crate::clock::Clock;
+use crate::config::operator::Operator;
+use crate::config::platform::Config;
+use crate::engine::message::{Entry, Message};
 
 /// Sources of the roster.
 const REGISTRY: usize = 0;
--- a/src/net/turn.rs
+++ b/src/discovery/startup.rs
@@ -8,10 +8,10 @@
 use applewall_startup_scheduler::{List, Muster, Turns, Word};
 use tokio::sync::watch;
 
-use super::clock::Clock;
-use super::config::Config;
-use super::peers::Peers;
-use crate::operator::Operator;
+use crate::clock::Clock;
+use crate::config::operator::Operator;
+use crate::config::platform::Config;
+use crate::peer_socket::Peers;
 
 /// Nanoseconds of a second.
 const SECOND: f64 = 1e9;
--- a/src/net/name_table.rs
+++ b/src/discovery/watch.rs
@@ -18,11 +18,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::clock::Clock;
-use super::connection::drive;
-use super::listing::Answer;
-use super::message::Message;
-use super::turn::Turn;
+use crate::clock::Clock;
+use crate::discovery::endpoint_list::Answer;
+use crate::discovery::startup::Turn;
+use crate::engine::message::Message;
+use crate::upstream::connection::drive;
 
 /// Where lists are pushed, an agent on this very machine has them: a call costs nobody anything, and what the agent holds
 /// counts as told, whether it was asked or not. Silence counts too: what a watch misses counts as told 6 s after it
--- a/src/net/zoning.rs
+++ b/src/discovery/zone_failover.rs
@@ -7,8 +7,8 @@
 use applewall::wire::Facts;
 use applewall_zone_failover::{Saw, Settings, Word, Zones};
 
-use super::message::Entry;
-use super::peers::Peers;
+use crate::engine::message::Entry;
+use crate::peer_socket::Peers;
 
 /// Between judgements, ns.
 pub const EVERY: u64 = 100_000_000;
--- a/src/net/message.rs
+++ b/src/engine/message.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Uri};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
-use super::answer::{Answer, Content};
+use crate::server::response::{Answer, Content};
 
 /// What reaches the engine.
 pub enum Message {
--- a/src/net/engine.rs
+++ b/src/engine/mod.rs
@@ -15,20 +15,21 @@
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use super::answer::Answer;
-use super::budget::Budget;
-use super::clock::Clock;
-use super::config::Config;
-use super::control::Order;
-use super::instance::{Attempt, Fleet};
-use super::message::{Command, Ended, Entry, Message, Passed};
-use super::pace::{self, Pacers};
-use super::peers::Peers;
-use super::role::Estate;
-use super::withheld::Withheld;
-use super::zoning::{self, Zoning};
+use crate::admin::listener::Order;
+use crate::admin::maintenance::Withheld;
+use crate::clock::Clock;
+use crate::config::platform::Config;
+use crate::discovery::zone_failover::{self, Zoning};
+use crate::engine::message::{Command, Ended, Entry, Message, Passed};
+use crate::lifecycle::process_role::Estate;
+use crate::peer_socket::Peers;
+use crate::resource_budget::Budget;
+use crate::server::response::Answer;
+use crate::server::slow_peers::{self, Pacers};
+use crate::upstream::pool::{Attempt, Fleet};
 
 mod figures;
+pub mod message;
 mod orders;
 
 use figures::Figures;
@@ -155,7 +156,7 @@
         if engine.zones.is_some() {
             engine
                 .timers
-                .push(Reverse((now + zoning::EVERY, Due::Zones)));
+                .push(Reverse((now + zone_failover::EVERY, Due::Zones)));
         }
         let known = match before {
             Before::Nothing => config.known.entries(&engine.facts, &clock),
@@ -300,7 +301,8 @@
                     {
                         self.event(Event::Shares(shares));
                     }
-                    self.timers.push(Reverse((self.now + zoning::EVERY, due)));
+                    self.timers
+                        .push(Reverse((self.now + zone_failover::EVERY, due)));
                 }
                 Due::Sweep => {
                     self.fleet.sweep();
@@ -308,7 +310,7 @@
                 }
                 Due::Figures => {
                     self.tell_figures();
-                    pace::tell(&self.pacers);
+                    slow_peers::tell(&self.pacers);
                     self.timers.push(Reverse((self.now + FIGURES, due)));
                 }
             }
--- a/src/net/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -2,10 +2,10 @@
 
 use applewall::api::{Event, ListKind};
 
-use super::super::control::{self, Order};
-use super::super::message::Entry;
-use super::super::role::Estate;
 use super::Engine;
+use crate::admin::listener::{self, Order};
+use crate::engine::message::Entry;
+use crate::lifecycle::process_role::Estate;
 
 impl Engine {
     pub(super) fn order(&mut self, order: Order) {
@@ -45,8 +45,8 @@
     }
 
     /// Withholds an instance, or gives one back; answered once the module and the connections know.
-    fn instance(&mut self, order: control::Instance) {
-        let control::Instance {
+    fn instance(&mut self, order: listener::Instance) {
+        let listener::Instance {
             id,
             withhold,
             known,
--- a/src/net/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -1,6 +1,6 @@
-use super::super::answer::Content;
-use super::super::control;
 use super::*;
+use crate::admin::listener;
+use crate::server::response::Content;
 use applewall::api::Request;
 use hyper::{Method, Uri};
 use tokio::sync::oneshot::Receiver;
@@ -14,7 +14,7 @@
             &Config::sample(),
             Clock::start(),
             None,
-            pace::none(),
+            slow_peers::none(),
             queue,
             (Before::Nothing, None),
         ),
@@ -141,13 +141,13 @@
 /// Every place of the ordinary queue is taken before the engine runs at all; an order still comes first.
 #[tokio::test]
 async fn an_order_goes_before_a_full_queue() {
-    let (queue, inbox) = mpsc::channel(super::super::QUEUE);
+    let (queue, inbox) = mpsc::channel(crate::limits::QUEUE);
     let config = Config::sample();
     let engine = Engine::new(
         &config,
         Clock::start(),
         None,
-        pace::none(),
+        slow_peers::none(),
         queue.clone(),
         (Before::Ledger(Ledger::default()), None),
     );
@@ -169,12 +169,12 @@
             }],
         )
     };
-    (0..super::super::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
+    (0..crate::limits::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
     let (orders, orders_in) = mpsc::channel(1);
     // Listed by the last message only: unknown while that still waits.
     let (reply, answer) = oneshot::channel();
-    let id = format!("s-{}", super::super::QUEUE + 1);
-    let order = control::Instance {
+    let id = format!("s-{}", crate::limits::QUEUE + 1);
+    let order = listener::Instance {
         id,
         withhold: true,
         known: false,
--- a/src/net/succession.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -21,10 +21,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-use super::control::{Desk, Order};
-use super::inherit::Place;
-use super::peers::Peers;
-use super::role::{Estate, Relayed, Role};
+use crate::admin::listener::{Desk, Order};
+use crate::lifecycle::process_role::{Estate, Relayed, Role};
+use crate::lifecycle::shared_directory::Place;
+use crate::peer_socket::Peers;
 
 /// What a successor says first: the form of all that follows, and its version.
 const HELLO: &str = "applewall succession 1";
--- a/src/net/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -8,9 +8,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
-use super::config::Source;
-use super::control::Drain;
-use super::role::{Role, Stopping, Successor};
+use crate::admin::listener::Drain;
+use crate::config::platform::Source;
+use crate::lifecycle::process_role::{Role, Stopping, Successor};
 
 /// The signals that have a meaning here.
 pub struct Signals {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,18 @@
 //! The ingress as a program: reads the command line and starts.
 
-mod logs;
-mod net;
-mod operator;
+mod admin;
+mod clock;
+mod config;
+mod discovery;
+mod engine;
+mod lifecycle;
+mod limits;
+mod logging;
+mod peer_socket;
+mod resource_budget;
+mod serve;
+mod server;
+mod upstream;
 
 use std::process::ExitCode;
 
@@ -63,16 +73,20 @@
 
 fn run() -> Result<(), String> {
     let (call, file) = call()?;
-    let operator = || operator::Operator::read(file.as_deref());
+    let operator = || config::operator::Operator::read(file.as_deref());
     match call {
         Call::Serve => {
             let operator = operator()?;
-            logs::start(operator.log.format);
-            net::serve(net::config::Config::from_env()?, operator, file.clone())
+            logging::start(operator.log.format);
+            serve::serve(
+                config::platform::Config::from_env()?,
+                operator,
+                file.clone(),
+            )
         }
         Call::Check => {
             let operator = operator()?;
-            println!("{}", net::config::Config::from_env()?.summary());
+            println!("{}", config::platform::Config::from_env()?.summary());
             if let Some(file) = &file {
                 println!("{file}: {} on", operator.summary());
             }
@@ -82,7 +96,7 @@
             let schema = if registry {
                 applewall_membership::schema()
             } else {
-                operator::Operator::schema()
+                config::operator::Operator::schema()
             };
             println!("{schema}");
             Ok(())
@@ -105,7 +119,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             // Before the operator's file is read, text is the form of the log.
-            logs::start(logs::Form::Text);
+            logging::start(logging::Form::Text);
             tracing::error!("{reason}");
             ExitCode::FAILURE
         }
--- a/src/net/peers.rs
+++ b/src/peer_socket.rs
@@ -8,10 +8,10 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
-use super::config::Config;
-use super::message::Message;
-use super::role::Role;
-use super::turn::Turn;
+use crate::config::platform::Config;
+use crate::discovery::startup::Turn;
+use crate::engine::message::Message;
+use crate::lifecycle::process_role::Role;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
 const MOST: usize = 256;
--- a/src/net/mod.rs
+++ b/src/serve.rs
@@ -7,49 +7,22 @@
 //! `succession` hands over to another process. All of them reach
 //! the engine by its queue only.
 
-pub mod accept;
-pub mod answer;
-pub mod body;
-pub mod budget;
-pub mod clock;
-pub mod command;
-pub mod config;
-pub mod connection;
-pub mod control;
-pub mod engine;
-pub mod flow;
-pub mod framing;
-pub mod inherit;
-pub mod instance;
-pub mod listing;
-pub mod message;
-pub mod name_table;
-pub mod pace;
-pub mod peers;
-pub mod registry;
-pub mod reply;
-pub mod role;
-pub mod seats;
-pub mod shutdown;
-pub mod succession;
-pub mod turn;
-pub mod withheld;
-pub mod zoning;
-
 use std::sync::Arc;
 
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::operator::Operator;
-
-/// Bodies hold this at most, in both directions.
-pub const BODY_MOST: usize = 64 * 1024;
-/// Messages that wait for the engine at most; senders wait for room, or drop what may be lost.
-const QUEUE: usize = 1024;
+use crate::admin::listener as admin_listener;
+use crate::config::operator::Operator;
+use crate::config::platform;
+use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
+use crate::lifecycle::{hot_restart, process_role, shared_directory, shutdown};
+use crate::limits::QUEUE;
+use crate::server::{acceptor, slow_peers};
+use crate::{clock, engine, peer_socket, resource_budget};
 
 /// Runs the ingress until it is told to stop and all that it took is answered.
 pub fn serve(
-    config: config::Config,
+    config: platform::Config,
     operator: Operator,
     file: Option<String>,
 ) -> Result<(), String> {
@@ -62,27 +35,27 @@
 }
 
 async fn run(
-    mut config: config::Config,
+    mut config: platform::Config,
     operator: Operator,
     file: Option<String>,
 ) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
-    let inherited = inherit::named()?;
+    let inherited = shared_directory::named()?;
     let place = inherited
         .is_some()
-        .then(|| inherit::Place::new(&config.name));
+        .then(|| shared_directory::Place::new(&config.name));
     if place.is_some() {
         // Two processes may be there at once, within the limits of one.
         (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
     }
     let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
-    let (orders, drains, inboxes) = control::queues();
+    let (orders, drains, inboxes) = admin_listener::queues();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
     let (listed, is_listed) = watch::channel(false);
     let (other, others) = watch::channel(None);
-    let desk = control::Desk {
+    let desk = admin_listener::Desk {
         orders: orders.clone(),
         drains,
         stages: stages.clone(),
@@ -93,15 +66,20 @@
         turn: Arc::default(),
     };
     // Before all that takes its time: until then READY is answered with a no.
-    if let Some(listener) = config.operator.as_mut().map(control::bind).transpose()? {
-        tokio::spawn(control::serve(listener, desk.clone()));
+    if let Some(listener) = config
+        .operator
+        .as_mut()
+        .map(admin_listener::bind)
+        .transpose()?
+    {
+        tokio::spawn(admin_listener::serve(listener, desk.clone()));
     }
     let heritage = match &place {
-        Some(place) => succession::join(place).await,
+        Some(place) => hot_restart::join(place).await,
         None => None,
     };
     let (estate, link, datagrams) =
-        heritage.map_or((None, None, None), succession::Heritage::parts);
+        heritage.map_or((None, None, None), hot_restart::Heritage::parts);
     let clock = estate
         .as_ref()
         .map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
@@ -113,27 +91,28 @@
         (None, None) => engine::Before::Nothing,
     };
     let (queue, inbox) = mpsc::channel(QUEUE);
-    let peers = peers::Peers::bind(&mut config, datagrams)
+    let peers = peer_socket::Peers::bind(&mut config, datagrams)
         .await?
         .map(Arc::new);
     let listener = match inherited {
-        Some(socket) => inherit::listener(socket, &mut config.listen)?,
-        None => accept::bind(&mut config.listen)?,
+        Some(socket) => shared_directory::listener(socket, &mut config.listen)?,
+        None => acceptor::bind(&mut config.listen)?,
     };
     let known = &config.known;
     let rev = (known.all && !known.targets.is_empty()).then_some(known.rev);
-    let zones = zoning::Zoning::new(&operator.zones, &config.facts, config.seed, clock.now());
-    let turn = turn::Turn::new(&operator, &config, rev, clock, peers.clone());
+    let zones =
+        zone_failover::Zoning::new(&operator.zones, &config.facts, config.seed, clock.now());
+    let turn = startup::Turn::new(&operator, &config, rev, clock, peers.clone());
     listed.send_replace(turn.is_none() || rev.is_some());
     if let Some(turn) = &turn {
         tokio::spawn(turn.clone().tell(listed));
     }
-    let (source, discovery, operator) = config::Source::new(&config, operator, file);
-    let budget = budget::Budget::new(config.sockets);
+    let (source, discovery, operator) = platform::Source::new(&config, operator, file);
+    let budget = resource_budget::Budget::new(config.sockets);
     let places = budget.places();
     let table = registry::begin(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
-    let pacers = pace::lead(
+    let pacers = slow_peers::lead(
         operator,
         clock,
         places.clone(),
@@ -149,7 +128,7 @@
     );
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
-    let (role, roles) = watch::channel(role::Role::Sole);
+    let (role, roles) = watch::channel(process_role::Role::Sole);
     if let Some(peers) = &peers {
         tokio::spawn(
             peers
@@ -157,12 +136,12 @@
                 .listen(queue.clone(), roles.clone(), turn.clone()),
         );
     }
-    let start = name_table::Start {
+    let start = endpoint_watch::Start {
         rev: rev.filter(|_| !merged),
         seed: config.seed,
         turn,
     };
-    tokio::spawn(name_table::follow(
+    tokio::spawn(endpoint_watch::follow(
         discovery,
         start,
         config.facts.clone(),
@@ -170,7 +149,7 @@
         table,
         merged,
     ));
-    let successor = role::Successor {
+    let successor = process_role::Successor {
         role: roles,
         stopping: Arc::default(),
     };
@@ -190,7 +169,7 @@
         drained,
         source,
     ));
-    let door = accept::Door::new(
+    let door = acceptor::Door::new(
         &config,
         clock,
         places,
@@ -202,7 +181,7 @@
     match place {
         Some(place) => {
             let (taken, all_taken) = oneshot::channel();
-            let succession = succession::Succession {
+            let succession = hot_restart::Succession {
                 place,
                 role,
                 other,
--- a/src/net/accept.rs
+++ b/src/server/acceptor.rs
@@ -16,15 +16,15 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
-use super::budget::Budget;
-use super::clock::Clock;
-use super::command::{Commands, Gate};
-use super::config::Config;
-use super::framing::Guarded;
-use super::message::Message;
-use super::pace::Pacers;
-use super::role::{Role, Stopping, Successor};
-use super::seats::{Paced, Seat, Seats};
+use crate::clock::Clock;
+use crate::config::platform::Config;
+use crate::engine::message::Message;
+use crate::lifecycle::process_role::{Role, Stopping, Successor};
+use crate::resource_budget::Budget;
+use crate::server::connection_table::{Paced, Seat, Seats};
+use crate::server::framing::Guarded;
+use crate::server::request::{Commands, Gate};
+use crate::server::slow_peers::Pacers;
 use applewall_admin::Stage;
 
 /// Connections that the kernel holds for us at most.
--- a/src/net/accept/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -18,7 +18,7 @@
         &config,
         Clock::start(),
         places,
-        super::super::pace::none(),
+        crate::server::slow_peers::none(),
         queue,
         (stages, watch::channel(true).1),
         successor,
--- a/src/net/framing.rs
+++ b/src/server/framing.rs
@@ -13,7 +13,7 @@
 
 use applewall_slow_peer::socket::Ticket;
 
-use super::seats::Seat;
+use crate::server::connection_table::Seat;
 
 /// Bytes of a line that are kept: enough for either name and any length.
 const KEPT: usize = 48;
--- a/src/net/framing/tests.rs
+++ b/src/server/framing/tests.rs
@@ -43,7 +43,8 @@
     let place = Arc::new(tokio::sync::Semaphore::new(1))
         .try_acquire_owned()
         .unwrap();
-    let seat = Arc::<super::super::seats::Seats>::default().sit(place, Arc::default(), None);
+    let seat =
+        Arc::<crate::server::connection_table::Seats>::default().sit(place, Arc::default(), None);
     seat.begin();
     seat.answering();
     (
--- a/src/net/command.rs
+++ b/src/server/request.rs
@@ -23,12 +23,12 @@
 use applewall_slow_peer::socket::Pacer;
 use applewall_slow_peer::{Reason, Verdict};
 
-use super::answer::{Answer, Content, Reply};
-use super::clock::Clock;
-use super::message::{Command, Message, Passed};
-use super::role::Successor;
-use super::seats::Seat;
-use super::BODY_MOST;
+use crate::clock::Clock;
+use crate::engine::message::{Command, Message, Passed};
+use crate::lifecycle::process_role::Successor;
+use crate::limits::BODY_MOST;
+use crate::server::connection_table::Seat;
+use crate::server::response::{Answer, Content, Reply};
 
 /// What is told with a nack that the module had no part in: about as long as its own.
 const COME_BACK: Duration = Duration::from_millis(200);
--- a/src/net/answer.rs
+++ b/src/server/response.rs
@@ -5,7 +5,7 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use super::flow::Flow;
+use crate::server::streaming_body::Flow;
 
 /// The body of a served answer.
 #[derive(Debug)]
--- a/src/net/pace.rs
+++ b/src/server/slow_peers.rs
@@ -6,8 +6,8 @@
 use applewall_slow_peer::Row;
 use tokio::sync::{watch, Semaphore};
 
-use super::clock::Clock;
-use crate::operator::Operator;
+use crate::clock::Clock;
+use crate::config::operator::Operator;
 
 /// Rows of the table in the log, each time that figures are told.
 const ROWS: usize = 5;
--- a/src/net/flow.rs
+++ b/src/server/streaming_body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{mpsc, OwnedSemaphorePermit};
 
-use super::seats::Seat;
+use crate::server::connection_table::Seat;
 
 /// Pieces between the two sides at most.
 const PIECES: usize = 4;
--- a/src/net/body.rs
+++ b/src/upstream/body.rs
@@ -10,10 +10,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-use super::clock::Clock;
-use super::connection::Watch;
-use super::flow::Source;
-use super::BODY_MOST;
+use crate::clock::Clock;
+use crate::limits::BODY_MOST;
+use crate::server::streaming_body::Source;
+use crate::upstream::connection::Watch;
 
 /// An answer of unknown length is read ahead for so long: most are whole by then.
 const AHEAD: Duration = Duration::from_millis(100);
--- a/src/net/instance.rs
+++ b/src/upstream/pool.rs
@@ -21,16 +21,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
-use super::answer::Content;
-use super::body::{first_piece, pass_on, read_ahead, Due, Pacing};
-use super::clock::Clock;
-use super::command::KEY;
-use super::connection::{drive, Connection, Watch, Watched};
-use super::flow::flow;
-use super::message::{Ended, Entry, Message, Passed};
-use super::pace::Pacers;
-use super::reply::{framed, load, outcome};
-use super::BODY_MOST;
+use crate::clock::Clock;
+use crate::engine::message::{Ended, Entry, Message, Passed};
+use crate::limits::BODY_MOST;
+use crate::server::request::KEY;
+use crate::server::response::Content;
+use crate::server::slow_peers::Pacers;
+use crate::server::streaming_body::flow;
+use crate::upstream::body::{first_piece, pass_on, read_ahead, Due, Pacing};
+use crate::upstream::connection::{drive, Connection, Watch, Watched};
+use crate::upstream::response::{framed, load, outcome};
 
 /// Part of the instance's idle limit after which we close a connection ourselves: crossing it is a reset.
 const IDLE_PART: f64 = 0.6;
--- a/src/net/instance/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -239,13 +239,13 @@
 async fn an_answer_that_begins_and_ends_at_one_go_is_passed_on_whole() {
     let (listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let facts = super::super::config::Config::sample().facts;
+    let facts = crate::config::platform::Config::sample().facts;
     // No room to read ahead: passed on from its first piece.
     let mut fleet = Fleet::new(
         &facts,
         (1, 0),
         Clock::start(),
-        super::super::pace::none(),
+        crate::server::slow_peers::none(),
         queue,
     );
     let member = applewall::api::Member {
@@ -287,12 +287,12 @@
 async fn without_a_place_an_attempt_is_not_sent_and_places_come_back() {
     let (_listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let facts = super::super::config::Config::sample().facts;
+    let facts = crate::config::platform::Config::sample().facts;
     let mut fleet = Fleet::new(
         &facts,
         (1, 0),
         Clock::start(),
-        super::super::pace::none(),
+        crate::server::slow_peers::none(),
         queue,
     );
     let member = applewall::api::Member {
