--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run; `make check` is what CI calls.
-MODULE := src/brain.rs
+MODULE := src/decision.rs
 MOST := 990
 
 .PHONY: build test lint lines check run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -1,45 +1,45 @@
 //! The smallest front door: one gateway, one backend, one request.
 
 use applewall::api::*;
-use applewall::brain::Brain;
+use applewall::decision::DecisionPolicy;
 
 fn main() {
     let second = 1_000_000_000;
-    let settings = Settings {
-        gateways: 1,
+    let settings = PolicySettings {
+        node_count: 1,
         classes: vec![Class {
-            aim: second / 2,
-            deadline: 2 * second,
-            worth: 1.0,
-            late_worth: 0.0,
-            repeats: Repeats::Safe,
-            stream: false,
+            latency_objective_ns: second / 2,
+            deadline_ns: 2 * second,
+            priority_weight: 1.0,
+            late_weight_fraction: 0.0,
+            idempotency: Idempotency::Idempotent,
+            streaming: false,
         }],
         plans: vec![Plan {
-            rate: 10.0,
-            burst: 20.0,
-            price: 1.0,
+            quota_units_per_second: 10.0,
+            quota_burst_units: 20.0,
+            weight_multiplier: 1.0,
             ..Plan::default()
         }],
         max_attempts: 3,
-        fall_multiple: 3.0,
-        fall_window: second,
-        ..Settings::default()
+        overload_multiple: 3.0,
+        overload_window_ns: second,
+        ..PolicySettings::default()
     };
-    let mut brain = Brain::new(settings, 42, 0);
+    let mut brain = DecisionPolicy::new(settings, 42, 0);
     let mut actions = Vec::new();
-    let backend = Member {
-        backend: "backend-1".into(),
-        scale: 1.0,
-        started: None,
+    let backend = Endpoint {
+        id: "backend-1".into(),
+        weight: 1.0,
+        started_at_ns: None,
         zone: 0,
         cell: 0,
-        kind: 0,
-        state: MemberState::Ready,
+        machine_type: 0,
+        state: EndpointState::Ready,
     };
     brain.handle(
         0,
-        Event::Members(ListKind::Full, [backend].into()),
+        Event::EndpointUpdate(EndpointUpdateKind::Snapshot, [backend].into()),
         &mut actions,
     );
     let request = Request {
@@ -48,10 +48,10 @@
         plan: 0,
         customer: "customer-1".into(),
         units: 1.0,
-        left: 2 * second,
-        repeat: false,
-        spread: 1,
-        first: 0,
+        time_left_ns: 2 * second,
+        is_retry: false,
+        node_set_size: 1,
+        first_node: 0,
     };
     brain.handle(1_000_000, Event::Request(request), &mut actions);
     // A front door carries out each action: sends, answers, sets timers, and reports back as events.
--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -3,24 +3,24 @@
 
 use std::collections::HashMap;
 
-use applewall::api::{BackendId, ListKind, MemberState};
+use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind};
 use applewall_admin::{Answer, Ledger, LEDGER_MOST};
 
-use crate::engine::message::Entry;
+use crate::engine::message::EndpointEntry;
 
 /// The list and the ledger. Kept only where there is a second address.
 #[derive(Default)]
 pub struct Withheld {
     ledger: Ledger,
     /// Every id that the list names, as it does.
-    listed: HashMap<BackendId, Entry>,
+    listed: HashMap<EndpointId, EndpointEntry>,
 }
 
 /// What an order comes to.
 pub struct Ruling {
     pub answer: Answer,
     /// The entry that has to be taken in again, changed by it.
-    pub changed: Option<Entry>,
+    pub changed: Option<EndpointEntry>,
 }
 
 impl Withheld {
@@ -33,24 +33,27 @@
     }
 
     /// The ledger, and the list as discovery has it.
-    pub fn parts(&self) -> (&Ledger, impl Iterator<Item = &Entry>) {
+    pub fn parts(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
         (&self.ledger, self.listed.values())
     }
 
     /// Takes in news of the list; an instance that is withheld goes on as one that terminates.
-    pub fn mask(&mut self, kind: ListKind, entries: &mut [Entry]) {
-        if matches!(kind, ListKind::Cached | ListKind::Full) {
+    pub fn mask(&mut self, kind: EndpointUpdateKind, entries: &mut [EndpointEntry]) {
+        if matches!(
+            kind,
+            EndpointUpdateKind::Cached | EndpointUpdateKind::Snapshot
+        ) {
             self.listed.clear();
         }
         for entry in entries {
-            let id = &entry.member.backend;
-            if entry.member.state == MemberState::Gone {
+            let id = &entry.endpoint.id;
+            if entry.endpoint.state == EndpointState::Removed {
                 self.listed.remove(id);
                 continue;
             }
             self.listed.insert(id.clone(), entry.clone());
             if self.ledger.holds(id) {
-                entry.member.state = MemberState::Draining;
+                entry.endpoint.state = EndpointState::Draining;
             }
         }
     }
@@ -79,12 +82,12 @@
             Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
         };
         // One that does not serve by the list's own word changes nothing, in or out.
-        let serves = |e: &Entry| e.member.state == MemberState::Ready;
+        let serves = |e: &EndpointEntry| e.endpoint.state == EndpointState::Ready;
         let changed = entry
             .filter(|e| ruled == Ok(true) && serves(e))
             .map(|mut entry| {
                 if withhold {
-                    entry.member.state = MemberState::Draining;
+                    entry.endpoint.state = EndpointState::Draining;
                 }
                 entry
             });
@@ -96,9 +99,9 @@
         let mut serving = self
             .listed
             .values()
-            .filter(|e| e.member.state == MemberState::Ready)
+            .filter(|e| e.endpoint.state == EndpointState::Ready)
             .peekable();
-        serving.peek().is_some() && serving.all(|e| self.ledger.holds(&e.member.backend))
+        serving.peek().is_some() && serving.all(|e| self.ledger.holds(&e.endpoint.id))
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,9 @@
 //!
 //! Nothing here knows of a wire. All times and durations are nanoseconds of the caller's clock.
 
+use std::borrow::Borrow;
+use std::fmt;
+use std::ops::Deref;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -10,11 +13,82 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
-/// Name of a backend; says nothing of its zone, kind or age.
-pub type BackendId = Arc<str>;
+/// Declares an id that is a shared string.
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
 
-/// Name of a customer.
-pub type CustomerId = Arc<str>;
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Deref for $name {
+            type Target = str;
+
+            fn deref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                $name(text.into())
+            }
+        }
+
+        impl From<Arc<str>> for $name {
+            fn from(text: Arc<str>) -> Self {
+                $name(text)
+            }
+        }
+
+        impl From<$name> for Arc<str> {
+            fn from(id: $name) -> Self {
+                id.0
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&*self.0, formatter)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+string_id! {
+    /// Identifies an upstream endpoint; says nothing of its zone, machine type or age.
+    EndpointId
+}
+
+string_id! {
+    /// Identifies a customer, whose quota holds over all nodes together.
+    CustomerId
+}
 
 /// Which backends drop the repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,29 +103,29 @@
 
 /// What a class allows to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
+pub enum Idempotency {
     /// Any number of times, anywhere.
-    Safe,
+    Idempotent,
     /// Inside the group, within `window` of the first send that may have run.
-    Keyed {
+    IdempotencyKey {
         /// The group that drops repeats.
         scope: KeyScope,
         /// How long it remembers a key.
-        window: u64,
+        deduplication_window_ns: u64,
     },
     /// Never once it may have run.
-    Unsafe,
+    NonIdempotent,
 }
 
-impl Repeats {
+impl Idempotency {
     /// True where a repeat of what may have run at `first` does no harm at `next`, as long as keys are kept.
-    pub fn dropped_at(self, first: &Member, next: &Member) -> bool {
+    pub fn deduplicates_between(self, first: &Endpoint, next: &Endpoint) -> bool {
         match self {
-            Repeats::Keyed {
+            Idempotency::IdempotencyKey {
                 scope: KeyScope::Zone,
                 ..
             } => first.zone == next.zone,
-            Repeats::Keyed {
+            Idempotency::IdempotencyKey {
                 scope: KeyScope::Cell,
                 ..
             } => first.cell == next.cell,
@@ -60,11 +134,11 @@
     }
 
     /// True where the client may try again after an attempt that may have run.
-    pub fn harmless(self) -> bool {
+    pub fn client_may_retry(self) -> bool {
         matches!(
             self,
-            Repeats::Safe
-                | Repeats::Keyed {
+            Idempotency::Idempotent
+                | Idempotency::IdempotencyKey {
                     scope: KeyScope::All,
                     ..
                 }
@@ -76,40 +150,40 @@
 #[derive(Clone, Debug)]
 pub struct Class {
     /// Answering within this earns full worth.
-    pub aim: u64,
+    pub latency_objective_ns: u64,
     /// The client's whole wait.
-    pub deadline: u64,
+    pub deadline_ns: u64,
     /// Worth of a request.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Share of the worth paid past the aim.
-    pub late_worth: f64,
+    pub late_weight_fraction: f64,
     /// What may be repeated.
-    pub repeats: Repeats,
+    pub idempotency: Idempotency,
     /// The answer is a stream.
-    pub stream: bool,
+    pub streaming: bool,
 }
 
 /// One plan; its quota holds for each customer over all gateways together.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
     /// Units a second that fill a customer's store; 0: no such quota.
-    pub rate: f64,
+    pub quota_units_per_second: f64,
     /// Units the store holds at most.
-    pub burst: f64,
+    pub quota_burst_units: f64,
     /// Attempts a customer may have out at once; 0: no such quota.
-    pub open: u32,
+    pub max_concurrency: u32,
     /// Multiplier on worth.
-    pub price: f64,
+    pub weight_multiplier: f64,
     /// Share of the worth earned beyond the quota.
-    pub over_worth: f64,
+    pub over_quota_weight_fraction: f64,
     /// Share of the worth that sending beyond the quota costs.
-    pub over_cost: f64,
+    pub over_quota_penalty_fraction: f64,
     /// Units a second that fill the hard ceiling's store; 0: no ceiling.
-    pub ceiling_rate: f64,
+    pub ceiling_units_per_second: f64,
     /// Units the ceiling's store holds at most.
-    pub ceiling_burst: f64,
+    pub ceiling_burst_units: f64,
     /// Units by which the ceiling's store may fall below 0.
-    pub ceiling_slack: f64,
+    pub ceiling_slack_units: f64,
 }
 
 /// A value in a load report.
@@ -118,96 +192,96 @@
     /// Fraction of the processor in use.
     Utilization,
     /// Requests in hand.
-    Outstanding,
+    InFlight,
     /// A value this version does not use.
     Other,
 }
 
 /// What a gateway is told when it starts.
 #[derive(Clone, Debug, Default)]
-pub struct Settings {
+pub struct PolicySettings {
     /// This gateway's number.
-    pub me: u32,
+    pub node: u32,
     /// How many gateways there are.
-    pub gateways: u32,
-    /// This gateway's zone, in the numbering of [`Member::zone`].
+    pub node_count: u32,
+    /// This gateway's zone, in the numbering of [`Endpoint::zone`].
     pub zone: u32,
     /// Classes, in the order of [`Request::class`].
     pub classes: Vec<Class>,
     /// Plans, in the order of [`Request::plan`].
     pub plans: Vec<Plan>,
     /// The backend list must be subscribed to.
-    pub subscribe: bool,
+    pub watch_endpoints: bool,
     /// How many kinds of machine there are.
-    pub kinds: u32,
+    pub machine_type_count: u32,
     /// The list's `scale` tells a backend's size.
-    pub sized: bool,
+    pub weighted_endpoints: bool,
     /// Names of the values in a load report.
-    pub load_fields: Vec<LoadField>,
+    pub load_report_fields: Vec<LoadField>,
     /// Lowest share of its capacity at which a backend starts.
-    pub cold_share: f64,
+    pub slow_start_fraction: f64,
     /// A backend is warm after this at the latest.
-    pub cold_time: u64,
+    pub slow_start_ns: u64,
     /// Multiple of its capacity that pushes a cold backend over,
-    pub fall_multiple: f64,
+    pub overload_multiple: f64,
     /// when sent for this long.
-    pub fall_window: u64,
+    pub overload_window_ns: u64,
     /// Attempts for one request at most.
     pub max_attempts: u32,
     /// Longest wait a client will obey; 0: clients are not told to wait.
-    pub max_retry_after: u64,
+    pub max_retry_after_ns: u64,
     /// Gateways may send each other messages.
-    pub peer_messages: bool,
+    pub gossip_enabled: bool,
     /// Two attempts of a request may be out together.
-    pub second_copies: bool,
+    pub hedging_allowed: bool,
     /// Attempts may be cancelled.
-    pub may_cancel: bool,
+    pub cancellation_allowed: bool,
     /// Messages a second that a gateway takes in.
-    pub mail_per_s: f64,
+    pub gossip_messages_per_second: f64,
     /// Units are an estimate, settled by the first good answer.
-    pub cost_after: bool,
+    pub cost_settled_after_response: bool,
     /// Units of the largest request.
-    pub most_units: f64,
+    pub max_request_units: f64,
 }
 
 /// What discovery says of a backend.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum MemberState {
+pub enum EndpointState {
     /// Takes work.
     Ready,
     /// Wraps up; takes nothing new.
     Draining,
     /// Removed.
     #[default]
-    Gone,
+    Removed,
 }
 
 /// One entry of the backend list.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Member {
+pub struct Endpoint {
     /// The backend.
-    pub backend: BackendId,
+    pub id: EndpointId,
     /// A size to set against other backends' sizes.
-    pub scale: f64,
+    pub weight: f64,
     /// When it last started; `None`: long past.
-    pub started: Option<u64>,
+    pub started_at_ns: Option<u64>,
     /// Its zone.
     pub zone: u32,
     /// Its cell.
     pub cell: i64,
     /// Its kind of machine, by number.
-    pub kind: u32,
+    pub machine_type: u32,
     /// Its state.
-    pub state: MemberState,
+    pub state: EndpointState,
 }
 
 /// How a list of members is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListKind {
+pub enum EndpointUpdateKind {
     /// The whole list as an earlier life last saw it, possibly stale.
     Cached,
     /// The whole list.
-    Full,
+    Snapshot,
     /// Changed entries only.
     Delta,
     /// A call failed or the subscription dropped; the old list stays.
@@ -228,30 +302,30 @@
     /// Units it draws, perhaps a guess.
     pub units: f64,
     /// Time until the client gives this try up.
-    pub left: u64,
+    pub time_left_ns: u64,
     /// Marked by the client as a repeat.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// Number of gateways that the customer's requests come in through.
-    pub spread: u32,
+    pub node_set_size: u32,
     /// Number of the first of them.
-    pub first: u32,
+    pub first_node: u32,
 }
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// Served.
-    Ok,
+    Success,
     /// Answered with an error; may have run.
-    Error,
+    Failure,
     /// Turned away unseen.
-    Full,
+    Overloaded,
     /// No answer in time; may have run.
     TimedOut,
     /// No connection; never ran.
-    NoConnection,
+    ConnectFailed,
     /// The connection broke; may have run.
-    Reset,
+    ConnectionReset,
     /// Cancelled; may have run.
     Cancelled,
     /// Never sent.
@@ -260,77 +334,77 @@
 
 impl Outcome {
     /// True where the outcome proves that the attempt never ran.
-    pub fn never_ran(self) -> bool {
+    pub fn never_executed(self) -> bool {
         matches!(
             self,
-            Outcome::Full | Outcome::NoConnection | Outcome::NotSent
+            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent
         )
     }
 }
 
 /// The result of one attempt.
 #[derive(Clone, Debug)]
-pub struct Finished {
+pub struct AttemptResult {
     /// The request.
     pub request: RequestId,
     /// Number of the attempt, from 0 in the order sent.
     pub attempt: u32,
     /// Where it went.
-    pub backend: BackendId,
+    pub endpoint: EndpointId,
     /// How it ended.
     pub outcome: Outcome,
     /// Time since it was sent.
-    pub latency: u64,
+    pub latency_ns: u64,
     /// The request needs no further answer.
-    pub closed: bool,
+    pub request_complete: bool,
     /// Settled units, where they replace a guess.
-    pub cost: f64,
-    /// Load report, in the order of [`Settings::load_fields`]; may be empty.
-    pub load: Vec<f64>,
+    pub settled_units: f64,
+    /// Load report, in the order of [`PolicySettings::load_fields`]; may be empty.
+    pub load_report: Vec<f64>,
 }
 
 /// What a gateway sees.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// News of the backend list.
-    Members(ListKind, Arc<[Member]>),
+    EndpointUpdate(EndpointUpdateKind, Arc<[Endpoint]>),
     /// The operators gave a backend back that they had withheld: it begins anew.
-    GivenBack(Member),
+    ReturnedToService(Endpoint),
     /// Part of its usual work that each zone gets, by its number; zones beyond get all.
-    Shares(Vec<f64>),
+    ZoneTrafficShares(Vec<f64>),
     /// A request came in.
     Request(Request),
     /// A streamed answer began.
-    Started {
+    ResponseStarted {
         /// The request.
         request: RequestId,
         /// Number of the attempt.
         attempt: u32,
     },
     /// An attempt ended.
-    Finished(Finished),
+    AttemptFinished(AttemptResult),
     /// The client is gone; nothing more is owed.
-    ClientLeft(RequestId),
+    ClientDisconnected(RequestId),
     /// A timer fell due.
-    Timer(u64),
+    TimerExpired(u64),
     /// A probe came back.
-    Probed {
+    HealthChecked {
         /// The backend.
-        backend: BackendId,
+        endpoint: EndpointId,
         /// It answered.
-        ok: bool,
+        healthy: bool,
         /// Load report, may be empty.
-        load: Vec<f64>,
+        load_report: Vec<f64>,
     },
     /// A message from another gateway.
-    Peer {
+    PeerMessage {
         /// Its number.
         from: u32,
         /// What it said.
         text: String,
     },
     /// The counter service answered.
-    Counted {
+    CounterRead {
         /// Name of the figure.
         name: String,
         /// The total, where the call succeeded.
@@ -342,43 +416,43 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt; `timeout` 0: until the client gives up.
-    Send {
+    StartAttempt {
         /// The request.
         request: RequestId,
         /// Where to.
-        backend: BackendId,
+        endpoint: EndpointId,
         /// Time-out of the attempt.
-        timeout: u64,
+        timeout_ns: u64,
     },
     /// Stop waiting for an attempt.
-    Cancel {
+    CancelAttempt {
         /// The request.
         request: RequestId,
         /// Number of the attempt.
         attempt: u32,
     },
     /// Final answer: refused, trying again is harmless.
-    Refuse {
+    Reject {
         /// The request.
         request: RequestId,
         /// Advised wait; 0: none.
-        retry_after: u64,
+        retry_after_ns: u64,
     },
     /// Final answer: failed, no promise.
     Fail(RequestId),
     /// Ask for a timer.
-    Timer {
+    SetTimer {
         /// Time from now.
-        after: u64,
+        after_ns: u64,
         /// Comes back with the event.
         token: u64,
     },
     /// Ask a backend for its state.
-    Probe(BackendId),
+    HealthCheck(EndpointId),
     /// Close idle connections to a backend.
-    Close(BackendId),
+    CloseIdleConnections(EndpointId),
     /// Send text to one gateway, or to all.
-    Tell {
+    SendGossip {
         /// Its number; `None`: all.
         peer: Option<u32>,
         /// At most 256 bytes.
@@ -387,16 +461,16 @@
     /// A line for the operators.
     Log(String),
     /// Subscribe to the backend list, or stop.
-    Watch(bool),
+    WatchEndpoints(bool),
     /// Ask for the whole backend list once.
-    Fetch,
+    FetchEndpoints,
     /// Add to a figure of the counter service.
-    Count {
+    AddToCounter {
         /// Name of the figure.
         name: String,
         /// Amount to add.
         amount: f64,
         /// How long a new name lives.
-        ttl: u64,
+        ttl_ns: u64,
     },
 }
--- a/src/bin/applewall-simulator-host.rs
+++ b/src/bin/applewall-simulator-host.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 
 use applewall::api::Event;
-use applewall::brain::Brain;
-use applewall::wire::{self, Facts, Line};
+use applewall::decision::DecisionPolicy;
+use applewall::platform_settings::PlatformSettings;
+use applewall::simulator::protocol::{self, Line};
 use serde_json::Value;
 
 struct Instance {
-    brain: Brain,
-    facts: Box<Facts>,
+    brain: DecisionPolicy,
+    facts: Box<PlatformSettings>,
 }
 
 #[derive(Default)]
@@ -37,13 +38,13 @@
         match catch_unwind(AssertUnwindSafe(|| brain.handle(now, event, &mut actions))) {
             Ok(()) => actions
                 .iter()
-                .for_each(|a| wire::write_action(&mut self.reply, who, a)),
+                .for_each(|a| protocol::write_action(&mut self.reply, who, a)),
             Err(panic) => {
                 let words = panic.downcast_ref::<String>().map(String::as_str);
                 let words = words
                     .or_else(|| panic.downcast_ref::<&str>().copied())
                     .unwrap_or("panic");
-                wire::write_exception(&mut self.reply, who, words);
+                protocol::write_exception(&mut self.reply, who, words);
             }
         }
         Ok(())
@@ -51,7 +52,7 @@
 
     /// Takes one line in; true when the reply is complete.
     fn line(&mut self, text: &str) -> Result<bool, String> {
-        let line = wire::parse_line(text)?;
+        let line = protocol::parse_line(text)?;
         if self.seq.is_none() && !matches!(line, Line::Sync { .. }) {
             return Err("outside a batch".into());
         }
@@ -59,11 +60,11 @@
             Line::Sync { .. } if self.seq.is_some() => return Err("a batch inside a batch".into()),
             Line::Sync { now, seq } => (self.now, self.seq) = (now, Some(seq)),
             Line::End => {
-                wire::write_ready(&mut self.reply, self.seq.take().unwrap_or_default());
+                protocol::write_ready(&mut self.reply, self.seq.take().unwrap_or_default());
                 return Ok(true);
             }
             Line::Boot { who, seed, facts } => {
-                let brain = Brain::new(facts.settings.clone(), seed, self.now);
+                let brain = DecisionPolicy::new(facts.settings.clone(), seed, self.now);
                 self.instances.insert(who, Instance { brain, facts });
             }
             Line::Down { who } => {
@@ -78,7 +79,7 @@
                     .get(&who)
                     .ok_or_else(|| format!("no instance {who}"))?;
                 let event =
-                    wire::event(&instance.facts, &fields, |n| self.sheets.get(&n).cloned())?;
+                    protocol::event(&instance.facts, &fields, |n| self.sheets.get(&n).cloned())?;
                 self.deliver(who, event)?;
             }
         }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use applewall::wire::{self, Facts};
+use applewall::platform_settings::{self, PlatformSettings};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::watch;
@@ -13,7 +13,7 @@
 use crate::config::operator::Operator;
 use crate::discovery::endpoint_list::Answer;
 
-/// The configuration file; the settings are read by [`wire::facts`].
+/// The configuration file; the settings are read by [`platform_settings::facts`].
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -69,7 +69,7 @@
     pub peers_all: Option<SocketAddr>,
     /// The name table as an earlier life last had it.
     pub known: Answer,
-    pub facts: Arc<Facts>,
+    pub facts: Arc<PlatformSettings>,
 }
 
 impl Config {
@@ -125,7 +125,7 @@
     type Error = String;
 
     fn try_from(file: File) -> Result<Self, String> {
-        let facts = wire::facts(&file.settings)?;
+        let facts = platform_settings::facts(&file.settings)?;
         if file.limits.sockets < 64 {
             return Err(format!(
                 "limits.sockets: {} descriptors are too few, 64 at least",
--- a/src/brain.rs
+++ b/src/decision.rs
@@ -6,8 +6,8 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 use crate::api::*;
-use crate::mail::{self, fingerprint, units_between, Record};
-pub use crate::state::Brain;
+use crate::gossip::codec::{self, fingerprint, units_between, Record};
+pub use crate::state::DecisionPolicy;
 use crate::state::*;
 
 // ---- Constants: unit and reason beside each -----------------------------------------------------
@@ -47,7 +47,6 @@
 const LEARN: f64 = 0.1; // Weight of one answer in a backend's learned slowness: about ten answers of memory.
 const LEARN_COST: f64 = 0.01; // Weight of one answer in a learned latency, once a hundred are known.
 const LATE_COST: f64 = 0.3; // Part of that weight where the answer is the later one: waits are not work.
-const GUESS: f64 = 2.0; // Answers that what others of a class take counts for: the first few scatter widely.
 const CROSSING: f64 = 1.1; // Score of another zone's backends: mild, a crossing costs far less than a wait.
 const NEAR: f64 = 1.15; // Scores within this factor of the best are equal.
 const HEALTH_MEMORY: f64 = 4.0; // Memory of a backend's outcomes by class and by plan, in that of rates.
@@ -136,18 +135,19 @@
     }
 
     /// One monitor interval, judged by `seen`. Returns a line when the filter changed.
-    fn interval(&mut self, now: f64, seen: &Evidence, lag: f64) -> Option<String> {
+    fn interval(&mut self, now: f64, seen: &LoadStatistics, lag: f64) -> Option<String> {
         for t in &mut self.tiers {
             t.tokens = (t.tokens + t.fill * INTERVAL).min((t.fill * VOLUME).max(1.0));
         }
         // Of the answers proper: what is turned away or lost by some backends says nothing of the others.
-        let answered = seen.answers - seen.refused - seen.timed_out;
-        let low = seen.low * 2.0 >= answered;
+        let answered = seen.outcomes - seen.rejected - seen.timed_out;
+        let low = seen.fast * 2.0 >= answered;
         // A share of nothing is underload only while queues are short: it would cancel the latency.
         let sign = |over: bool, under: bool| i32::from(over) - i32::from(low && under && !over);
-        let share = |bad: f64| sign(bad > (FAILS * seen.answers).max(1.0), bad <= FAILS / 2.0 * seen.answers);
-        let index = share(seen.refused) + share(seen.timed_out) + sign(seen.high * 2.0 > answered, true);
-        self.tallies.push_back(Evidence::default());
+        let share = |bad: f64| sign(bad > (FAILS * seen.outcomes).max(1.0), bad <= FAILS / 2.0 *
+            seen.outcomes);
+        let index = share(seen.rejected) + share(seen.timed_out) + sign(seen.slow * 2.0 > answered, true);
+        self.tallies.push_back(LoadStatistics::default());
         self.index.push_back(index);
         if self.index.len() > H {
             self.index.pop_front();
@@ -203,26 +203,13 @@
     /// What this word's demand leaves of a store that nothing fills: it empties it, owed units fade.
     pub(crate) fn drained(&self, store: f64, time: f64, p: &Plan) -> f64 {
         match store {
-            s if s > 0.0 => (s - time * self.demand).max(-time * p.rate).min(s),
-            s => s * (-time / HORIZON).exp() - time * p.rate.min(self.demand),
+            s if s > 0.0 => (s - time * self.demand).max(-time * p.quota_units_per_second).min(s),
+            s => s * (-time / HORIZON).exp() - time * p.quota_units_per_second.min(self.demand),
         }
     }
 }
 
 impl Customer {
-    fn new(now: f64) -> Self {
-        Customer {
-            at: now,
-            seen: now,
-            since: now,
-            level: 1.0,
-            spread: 1,
-            dealt: 1.0,
-            luck: 1.0,
-            ..Customer::default()
-        }
-    }
-
     /// A keeper's word while it is trusted; a keeper goes by its own sums.
     fn word(&self, now: f64) -> Option<Word> {
         self.word.filter(|w| !self.keeps && now - w.at < WORD.1)
@@ -236,27 +223,17 @@
         }
         let dt = (now - self.at).max(0.0);
         self.at = now;
-        self.store = (self.store + dt * p.rate).min(p.burst);
+        self.store = (self.store + dt * p.quota_units_per_second).min(p.quota_burst_units);
         self.fill_ceiling(now, dt, p);
     }
 
     fn drain(&mut self, p: &Plan, units: f64, most: f64) {
-        self.store = (self.store - units).max(-(p.rate * DEBT).max(most));
+        self.store = (self.store - units).max(-(p.quota_units_per_second * DEBT).max(most));
     }
 }
 
 // ---- Backends -----------------------------------------------------------------------------------
 impl Backend {
-    /// One that nothing is known of but its entry in the list.
-    fn new(member: Member, cold_from: f64, labels: usize) -> Self {
-        Backend {
-            ready: member.state == MemberState::Ready,
-            slowness: 1.0,
-            health: vec![[Meter::default(); 2]; labels],
-            ..Backend { member, cold_from, ..Backend::default() }
-        }
-    }
-
     /// Share of work that a backend is fit for: by failures of the class and of the plan, squared. Guards
     /// against whatever fails one kind of request at some backends: silence, errors, false `full`. Could harm
     /// by chance failures of one seldom seen, hence the prior and the least weight.
@@ -270,30 +247,30 @@
 }
 
 // ---- Attempts -----------------------------------------------------------------------------------
-impl Brain {
+impl DecisionPolicy {
     /// A gateway that has just started.
-    pub fn new(settings: Settings, seed: u64, now: u64) -> Self {
+    pub fn new(settings: PolicySettings, seed: u64, now: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let now = secs(now);
-        Brain {
+        DecisionPolicy {
             born: now,
             incarnation: rng.random_range(0..1 << 24),
             ladder: Ladder {
                 tiers: vec![Tier::default(); settings.plans.len() * settings.classes.len()],
-                tallies: [Evidence::default()].into(),
+                tallies: [LoadStatistics::default()].into(),
                 rates: vec![0.0; FILTERS + 1],
                 memory: MEMORY.0,
                 ..Ladder::default()
             },
             latency: vec![(0.0, 0.0); settings.classes.len() * SIZES],
-            speeds: vec![(1.0, KIND_PRIOR); settings.kinds.max(1) as usize],
+            speeds: vec![(1.0, KIND_PRIOR); settings.machine_type_count.max(1) as usize],
             retries: RETRY.2,
             next_pool: now + POOL_EVERY * rng.random::<f64>(),
             next_report: now,
             next_word: now,
             next_sweep: now + FORGET,
             watch_wait: WATCH_WAIT,
-            ..Brain::blank(settings, rng)
+            ..DecisionPolicy::blank(settings, rng)
         }
     }
 
@@ -302,49 +279,31 @@
         let now = secs(now);
         if self.last == 0.0 {
             self.last = now;
-            actions.push(Action::Timer { after: nanos(INTERVAL), token: TICK });
-            actions.extend(self.set.subscribe.then_some(Action::Watch(true)));
+            actions.push(Action::SetTimer { after_ns: nanos(INTERVAL), token: TICK });
+            actions.extend(self.set.watch_endpoints.then_some(Action::WatchEndpoints(true)));
         }
         self.stalled = if now - self.last > STALL { now } else { self.stalled };
         self.last = now;
         match event {
-            Event::Members(kind, entries) => self.members(now, kind, &entries, actions),
-            Event::GivenBack(member) => self.given_back(now, member, actions),
-            Event::Shares(shares) => self.zones = shares,
+            Event::EndpointUpdate(kind, entries) => self.members(now, kind, &entries, actions),
+            Event::ReturnedToService(member) => self.given_back(now, member, actions),
+            Event::ZoneTrafficShares(shares) => self.zones = shares,
             Event::Request(request) => self.request(now, request, actions),
-            Event::Finished(f) => self.finished(now, f, actions),
-            Event::ClientLeft(id) => self.client_left(id, actions),
-            Event::Timer(TICK) => self.tick(now, actions),
-            Event::Timer(WATCH) => actions.push(Action::Watch(true)),
-            Event::Peer { from, text } => self.peer(now, from, &text, actions),
-            Event::Started { request, .. } => {
+            Event::AttemptFinished(f) => self.finished(now, f, actions),
+            Event::ClientDisconnected(id) => self.client_left(id, actions),
+            Event::TimerExpired(TICK) => self.tick(now, actions),
+            Event::TimerExpired(WATCH) => actions.push(Action::WatchEndpoints(true)),
+            Event::PeerMessage { from, text } => self.peer(now, from, &text, actions),
+            Event::ResponseStarted { request, .. } => {
                 self.held.entry(request).and_modify(|h| h.deadline = f64::INFINITY);
             }
-            Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } => {}
+            Event::TimerExpired(_) | Event::HealthChecked { .. } | Event::CounterRead { .. } => {}
         }
         if !self.untold.is_empty() && now >= self.next_report {
             self.report(now, actions);
         }
     }
 
-    /// Latency of a kind of request; while few of its answers are known, mostly that of its class or of all.
-    fn usual(&self, kind: usize) -> f64 {
-        let class = Brain::mean(&self.latency[kind / SIZES * SIZES..][..SIZES]);
-        let guess = if class > 0.0 { class } else { Brain::mean(&self.latency) };
-        let (own, known) = self.latency[kind];
-        (own * known + guess * GUESS) / (known + GUESS)
-    }
-
-    /// Cost of a kind of request, in requests of the mean, from learned latencies; before these, all alike.
-    fn cost(&self, kind: usize) -> f64 {
-        let mean = Brain::mean(&self.latency);
-        if mean > 0.0 {
-            (self.usual(kind) / mean).clamp(0.1, 10.0)
-        } else {
-            1.0
-        }
-    }
-
     fn request(&mut self, now: f64, r: Request, actions: &mut Vec<Action>) {
         let fp = fingerprint(&r.customer);
         self.arrivals.add(now, 1.0, MEMORY.0);
@@ -354,10 +313,12 @@
         self.demand(now, fp, &r, &plan);
         let within = self.within(now, fp, &r, &plan);
         // Beyond the quota only where the plan pays for it and nothing is short.
-        let idle = self.tells_all(self.set.gateways) || self.wait() < PAID;
-        let paid = plan.over_worth > plan.over_cost && self.ladder.filter == 0 && idle;
+        let idle = self.tells_all(self.set.node_count) || self.wait() < PAID;
+        let paid = plan.over_quota_weight_fraction > plan.over_quota_penalty_fraction && self.ladder.filter
+            == 0 && idle;
         let c = &self.customers[&fp];
-        let ceiling = plan.ceiling_rate <= 0.0 || c.ceiling + c.bank.unwrap_or(0.0) >= r.units * c.luck;
+        let ceiling = plan.ceiling_units_per_second <= 0.0 || c.ceiling + c.bank.unwrap_or(0.0) >= r.units
+            * c.luck;
         if !(within || paid) || !ceiling {
             return actions.push(self.refuse(r.id, r.class, AGAIN.0));
         }
@@ -365,8 +326,8 @@
         let cost = self.cost(kind);
         let class = &self.set.classes[r.class];
         let tier = r.plan * self.set.classes.len() + r.class;
-        let value = class.worth * plan.price * r.units.max(1e-3);
-        self.pool.asked += cost;
+        let value = class.priority_weight * plan.weight_multiplier * r.units.max(1e-3);
+        self.pool.requested += cost;
         let late = self.late(now, r.class, value / cost);
         if !self.ladder.admit(now, tier, cost, value, self.rng.random()) || late {
             return actions.push(self.refuse(r.id, r.class, AGAIN.1));
@@ -378,7 +339,7 @@
             plan: r.plan,
             units: r.units,
             charged: within,
-            deadline: now + secs(r.left),
+            deadline: now + secs(r.time_left_ns),
             sent: now,
             cost,
             ..Held::default()
@@ -389,7 +350,7 @@
         let customer = self.customers.get_mut(&fp).expect("entered by demand()");
         if within {
             if customer.word(now).is_none() {
-                customer.drain(&plan, r.units, self.set.most_units);
+                customer.drain(&plan, r.units, self.set.max_request_units);
             }
             customer.sent += r.units;
         }
@@ -406,8 +367,8 @@
 
     /// A refusal, and when to come back: as a part of the aim, while an answer can still be worth something.
     fn refuse(&self, request: RequestId, class: usize, part: f64) -> Action {
-        let wait = secs(self.set.classes[class].aim).min(secs(self.set.max_retry_after));
-        Action::Refuse { request, retry_after: nanos(wait * part) }
+        let wait = secs(self.set.classes[class].latency_objective_ns).min(secs(self.set.max_retry_after_ns));
+        Action::Reject { request, retry_after_ns: nanos(wait * part) }
     }
 
     /// The design's rule: refuse only while the estimated store is empty, with chance 1 - quota / demand.
@@ -418,9 +379,9 @@
         let demand = customer.demand.read(now, MEMORY.0).max(customer.word(now).map_or(0.0, |w| w.demand));
         let pace = if customer.dealt < 1.0 { self.pace(plan) } else { f64::INFINITY };
         let known = customer.keeps || customer.word(now).is_some();
-        let empty = plan.rate > 0.0 && customer.store < r.units;
-        if empty || known && pace < plan.rate {
-            let left = if empty { plan.rate + customer.store / HORIZON } else { pace };
+        let empty = plan.quota_units_per_second > 0.0 && customer.store < r.units;
+        if empty || known && pace < plan.quota_units_per_second {
+            let left = if empty { plan.quota_units_per_second + customer.store / HORIZON } else { pace };
             if self.rng.random::<f64>() >= left.min(pace) / demand.max(1e-9) {
                 return false;
             }
@@ -431,19 +392,21 @@
         let asked = (demand - own).max(0.0);
         let sent = customer.theirs.read(now, MEMORY.0);
         // Where a word is out, all let no more pass than the quota and what is left in the store.
-        let passed = (plan.rate + customer.store.max(0.0) / HORIZON).min(pace);
+        let passed = (plan.quota_units_per_second + customer.store.max(0.0) / HORIZON).min(pace);
         let most = if customer.word(now).is_some() { passed } else { sent * ASKED_AGAIN };
         let others = asked.min(most) * self.usual(self.kind(r.class, r.units));
-        plan.open == 0 || f64::from(customer.out) + others + self.rng.random::<f64>() < f64::from(plan.open)
+        plan.max_concurrency == 0 || f64::from(customer.out) + others + self.rng.random::<f64>() <
+            f64::from(plan.max_concurrency)
     }
 
     /// Pace at which a customer that may have few attempts out at once gains most: beyond it, more is lost by
     /// those that come while all are out than others earn. Guards a set that cannot see what is out now.
     pub(crate) fn pace(&self, plan: &Plan) -> f64 {
-        let open = f64::from(plan.open);
-        let wait = self.wait() * self.set.classes.iter().map(|c| secs(c.aim)).fold(f64::INFINITY, f64::min);
-        let latency = Brain::mean(&self.latency).max(wait);
-        if plan.open == 0 || latency <= 0.0 {
+        let open = f64::from(plan.max_concurrency);
+        let wait = self.wait() * self.set.classes.iter().map(|c|
+            secs(c.latency_objective_ns)).fold(f64::INFINITY, f64::min);
+        let latency = DecisionPolicy::mean(&self.latency).max(wait);
+        if plan.max_concurrency == 0 || latency <= 0.0 {
             return f64::INFINITY;
         }
         (open - CHANCE * open.sqrt()) / latency
@@ -454,14 +417,15 @@
     /// hence the floor and the first moments left free.
     fn late(&mut self, now: f64, class: usize, value: f64) -> bool {
         let ready = self.backends.iter().filter(|b| b.ready).count() as f64;
-        let each = ready / f64::from(self.set.gateways.max(1));
-        let aims = || self.set.classes.iter().map(|c| secs(c.aim));
-        let span = (secs(self.set.classes[class].aim) * aims().fold(f64::INFINITY, f64::min)).sqrt();
+        let each = ready / f64::from(self.set.node_count.max(1));
+        let aims = || self.set.classes.iter().map(|c| secs(c.latency_objective_ns));
+        let span = (secs(self.set.classes[class].latency_objective_ns) * aims().fold(f64::INFINITY,
+            f64::min)).sqrt();
         let worth = (value / self.ladder.worth(now)).clamp(WORTH.0, WORTH.1);
         let (age, memory) = (now - self.born, self.ladder.memory);
         let carried = self.ladder.done.read(now, memory) / (1.0 - (-age / memory).exp()).max(0.1);
         let limit = (carried * span * BACKLOG.0 * worth).max(BACKLOG_MIN.0 * each);
-        if limit >= BACKLOG_OWN || self.tells_all(self.set.gateways) {
+        if limit >= BACKLOG_OWN || self.tells_all(self.set.node_count) {
             return age > SOJOURN && self.out(now) > limit;
         }
         // A limit of few requests is passed by chance alone: the pool decides with it, and by a share.
@@ -474,43 +438,40 @@
         // and its retries; the more there is, the less backlog is needed to keep backends busy. Could harm
         // where backends have just gained capacity, until the pool shows it, or lose much work of a class.
         // What has just started knows too little of what is carried to call anything excess.
-        let asked = if age < secs(self.set.fall_window) { 0.0 } else { pooled(p.asked, 0.0) };
+        let asked = if age < secs(self.set.overload_window_ns) { 0.0 } else { pooled(p.requested, 0.0) };
         let excess = asked / INTERVAL / (EXCESS.0 * self.carries()).max(1e-9);
-        self.rng.random::<f64>() * excess.max(1.0).powf(EXCESS.1) * pooled(p.out, own) > limit
-    }
-
-    /// Work out that is not yet past its aim: beyond it is lost, and must not fill the backlog of all.
-    fn out(&self, now: f64) -> f64 {
-        let young = |h: &&Held| now - h.sent < secs(self.set.classes[h.class].aim);
-        self.held.values().filter(young).map(|h| h.cost).sum()
+        self.rng.random::<f64>() * excess.max(1.0).powf(EXCESS.1) * pooled(p.in_flight, own) > limit
     }
 
     /// Makes a customer known with its plan, its set and the keepers in it: all of a set where each can tell
     /// all others within the receive limit, else a few.
     fn enter(&mut self, now: f64, fp: u32, plan: usize, first: u32, spread: u32) {
-        let n = self.set.gateways.max(1);
+        let n = self.set.node_count.max(1);
         let k = spread.clamp(1, n);
         let all = self.tells_all(k);
         let customer = self.customers.entry(fp).or_insert_with(|| Customer::new(now));
         if customer.keepers.is_empty() || (customer.spread, customer.first) != (k, first) {
             (customer.spread, customer.first) = (k, first);
             customer.keepers = (0..k).map(|i| (first + i) % n).collect();
-            customer.keepers.sort_by_cached_key(|peer| mail::rank(fp, *peer));
+            customer.keepers.sort_by_cached_key(|peer| codec::rank(fp, *peer));
             customer.keepers.truncate(if all { k as usize } else { KEEPERS });
-            customer.keeps = customer.keepers.contains(&self.set.me);
+            customer.keeps = customer.keepers.contains(&self.set.node);
             customer.dealt = if customer.keepers.len() < k as usize { DEALT } else { 1.0 };
-            let lends = customer.dealt < 1.0 && customer.keepers[0] == self.set.me;
+            let lends = customer.dealt < 1.0 && customer.keepers[0] == self.set.node;
             customer.bank = lends.then(|| customer.bank.unwrap_or(0.0));
         }
         if customer.plan.is_none() {
             // The ceiling's part as filled since the start: an earlier life may have spent what was there.
             let (p, k) = (&self.set.plans[plan], f64::from(k));
-            (customer.plan, customer.at, customer.store) = (Some(plan), now, p.burst * customer.level);
-            let filled = ((now - self.born) * p.ceiling_rate).min(p.ceiling_burst);
+            (customer.plan, customer.at, customer.store) = (Some(plan), now, p.quota_burst_units *
+                customer.level);
+            let filled = ((now - self.born) * p.ceiling_units_per_second).min(p.ceiling_burst_units);
             // A life that kept the quota, where that fills no faster, left what the burst does not take.
-            let kept = p.rate > 0.0 && p.rate <= p.ceiling_rate && customer.dealt < 1.0;
-            let left = if kept { LEFT * (p.ceiling_burst - p.burst).max(0.0) } else { 0.0 };
-            customer.ceiling = (filled * customer.dealt + left).min(p.ceiling_burst * customer.dealt) / k;
+            let kept = p.quota_units_per_second > 0.0 && p.quota_units_per_second <=
+                p.ceiling_units_per_second && customer.dealt < 1.0;
+            let left = if kept { LEFT * (p.ceiling_burst_units - p.quota_burst_units).max(0.0) } else { 0.0 };
+            customer.ceiling = (filled * customer.dealt + left).min(p.ceiling_burst_units * customer.dealt)
+                / k;
             customer.bank = customer.bank.map(|_| filled * (1.0 - customer.dealt));
             customer.luck = if customer.dealt < 1.0 { self.rng.random() } else { 1.0 };
         }
@@ -518,19 +479,20 @@
 
     /// Notes a request in its customer's demand, and whether it is reported.
     fn demand(&mut self, now: f64, fp: u32, r: &Request, plan: &Plan) {
-        self.enter(now, fp, r.plan, r.first, r.spread);
+        self.enter(now, fp, r.plan, r.first_node, r.node_set_size);
         let customer = self.customers.get_mut(&fp).expect("just entered");
         customer.fill(now, plan);
         customer.seen = now;
-        if !r.repeat {
+        if !r.is_retry {
             customer.own.add(now, r.units, MEMORY.0);
             customer.demand.add(now, r.units, MEMORY.0);
         }
-        let busy = customer.store < BUSY.0 * plan.burst
-            || customer.demand.read(now, MEMORY.0) > BUSY.1 * plan.rate
+        let busy = customer.store < BUSY.0 * plan.quota_burst_units
+            || customer.demand.read(now, MEMORY.0) > BUSY.1 * plan.quota_units_per_second
             || !customer.keeps;
-        customer.asked += if r.repeat { 0.0 } else { r.units };
-        let tells = busy && plan.rate > 0.0 && customer.spread > 1 && self.set.peer_messages;
+        customer.asked += if r.is_retry { 0.0 } else { r.units };
+        let tells = busy && plan.quota_units_per_second > 0.0 && customer.spread > 1 &&
+            self.set.gossip_enabled;
         if tells && !std::mem::replace(&mut customer.untold, true) {
             self.untold.push_back(fp);
         }
@@ -543,9 +505,9 @@
         let ready = || self.backends.iter().filter(|b| b.ready);
         let strength: f64 = ready().filter(|b| b.mine).map(|b| self.cold_share(b, now)).sum();
         let part = ready().filter(|b| b.mine).count() as f64 / ready().count().max(1) as f64;
-        let aim = self.set.classes.iter().map(|c| secs(c.aim)).fold(f64::INFINITY, f64::min);
+        let aim = self.set.classes.iter().map(|c| secs(c.latency_objective_ns)).fold(f64::INFINITY, f64::min);
         let carried = self.ladder.done.read(now, self.ladder.memory) / strength.max(1e-9);
-        carried.max(CARRIES / aim / (f64::from(self.set.gateways) * part).max(1.0))
+        carried.max(CARRIES / aim / (f64::from(self.set.node_count) * part).max(1.0))
     }
 
     /// Room for this work at a cold backend: its budget in the window from this gateway, less what it got, by
@@ -553,12 +515,12 @@
     /// of a request drawn once a window: drawn with each request, many asked for would all pass. A life that
     /// has just begun knows nothing of an earlier one: most of its first window fills with time.
     fn cold_room(&self, i: usize, now: f64, share: f64, cost: f64, each: f64) -> f64 {
-        let (b, window) = (&self.backends[i], secs(self.set.fall_window));
+        let (b, window) = (&self.backends[i], secs(self.set.overload_window_ns));
         let known = (FIRST + (now - self.born.max(b.cold_from)) / window).min(1.0);
         // One that is owed work has to find room soon: all of its window, and a draw each interval.
         let (turn, part) = if b.owed { (INTERVAL, 2.0) } else { (window, known) };
-        let luck = mail::luck(i as u32, self.set.me, now / turn);
-        let budget = COLD_MARGIN * self.set.fall_multiple * share * each * window * part / cost;
+        let luck = codec::luck(i as u32, self.set.node, now / turn);
+        let budget = COLD_MARGIN * self.set.overload_multiple * share * each * window * part / cost;
         if budget < FEW.0 {
             return budget * FEW.1 - luck - b.lately.iter().filter(|(t, _)| now - t < window).count() as f64;
         }
@@ -568,8 +530,8 @@
 
     /// Usual latency of a backend's kind of machine: in a large fleet too few answers come from each.
     fn speed(&self, b: &Backend) -> f64 {
-        let kind = (b.member.kind as usize).min(self.speeds.len() - 1);
-        if self.tells_all(self.set.gateways) {
+        let kind = (b.member.machine_type as usize).min(self.speeds.len() - 1);
+        if self.tells_all(self.set.node_count) {
             1.0
         } else {
             self.speeds[kind].0
@@ -587,7 +549,8 @@
         let class = &self.set.classes[held.class];
         let labels = [held.class, self.set.classes.len() + held.plan];
         let group = |b: &Backend| {
-            held.tainted.is_none_or(|(i, _)| class.repeats.dropped_at(&self.backends[i].member, &b.member))
+            held.tainted.is_none_or(|(i, _)|
+                class.idempotency.deduplicates_between(&self.backends[i].member, &b.member))
         };
         let memory = HEALTH_MEMORY * self.ladder.memory;
         let mut rng = self.rng.clone();
@@ -618,7 +581,8 @@
             if left < 1.0 && rng.random::<f64>() >= left {
                 continue;
             }
-            let size = if self.set.sized && b.member.scale > 0.0 { b.member.scale } else { 1.0 };
+            let size = if self.set.weighted_endpoints && b.member.weight > 0.0 { b.member.weight } else {
+                1.0 };
             let zone = if b.member.zone == self.set.zone { 1.0 } else { CROSSING };
             let again = if held.tried.contains(&i) { 4.0 } else { 1.0 };
             let far = if b.mine { 1.0 } else { far };
@@ -645,48 +609,51 @@
         let Some(backend) = self.pick(now, held) else { return false };
         let class = &self.set.classes[held.class];
         let left = held.deadline - now;
-        let again = match class.repeats {
-            Repeats::Safe => true,
-            Repeats::Keyed { window, .. } => secs(class.aim) < secs(window) * WINDOW_SHARE,
-            Repeats::Unsafe => false,
+        let again = match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey { deduplication_window_ns: window, .. } =>
+                secs(class.latency_objective_ns) < secs(window) * WINDOW_SHARE,
+            Idempotency::NonIdempotent => false,
         };
-        let patience = (SECOND_TRY * secs(class.aim)).max(4.0 * self.usual(held.kind));
+        let patience = (SECOND_TRY * secs(class.latency_objective_ns)).max(4.0 * self.usual(held.kind));
         let early = again && held.attempts + 1 < self.set.max_attempts && patience * 1.5 <= left;
         let timeout = if early { nanos(patience) } else { 0 };
         let b = &mut self.backends[backend];
         let Held { attempts: attempt, cost, class, plan, kind, .. } = *held;
         b.owed = false;
         b.out.push(Out { request: id, attempt, sent: now, cost, class, plan, kind });
-        if now - b.cold_from < secs(self.set.cold_time) {
+        if now - b.cold_from < secs(self.set.slow_start_ns) {
             b.lately.push_back((now, cost));
         }
         held.attempts += 1;
         held.sent = now;
         held.tried.push(backend);
-        actions.push(Action::Send { request: id, backend: b.member.backend.clone(), timeout });
+        actions.push(Action::StartAttempt { request: id, endpoint: b.member.id.clone(), timeout_ns: timeout
+            });
         true
     }
 
-    fn finished(&mut self, now: f64, f: Finished, actions: &mut Vec<Action>) {
+    fn finished(&mut self, now: f64, f: AttemptResult, actions: &mut Vec<Action>) {
         let Some((backend, sent)) = self.outcome(now, &f) else { return };
         let Some(mut held) = self.held.remove(&f.request) else { return };
-        if self.set.cost_after && f.cost > 0.0 && held.charged {
+        if self.set.cost_settled_after_response && f.settled_units > 0.0 && held.charged {
             if let Some(c) = self.customers.get_mut(&held.customer) {
-                c.drain(&self.set.plans[held.plan], f.cost - held.units, self.set.most_units);
-                c.sent = (c.sent + f.cost - held.units).max(0.0);
+                c.drain(&self.set.plans[held.plan], f.settled_units - held.units, self.set.max_request_units);
+                c.sent = (c.sent + f.settled_units - held.units).max(0.0);
             }
         }
-        if f.closed || f.outcome == Outcome::Ok {
+        if f.request_complete || f.outcome == Outcome::Success {
             return self.close(&held);
         }
-        if !f.outcome.never_ran() {
+        if !f.outcome.never_executed() {
             held.tainted.get_or_insert((backend, sent));
         }
-        let repeats = self.set.classes[held.class].repeats;
+        let repeats = self.set.classes[held.class].idempotency;
         let may = match (repeats, held.tainted) {
-            (_, None) | (Repeats::Safe, _) => true,
-            (Repeats::Keyed { window, .. }, Some((_, first))) => now - first < secs(window) * WINDOW_SHARE,
-            (Repeats::Unsafe, Some(_)) => false,
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::IdempotencyKey { deduplication_window_ns: window, .. }, Some((_, first))) => now
+                - first < secs(window) * WINDOW_SHARE,
+            (Idempotency::NonIdempotent, Some(_)) => false,
         };
         let left = held.deadline - now;
         let room = held.attempts < self.set.max_attempts && left > self.usual(held.kind) / 2.0;
@@ -697,7 +664,7 @@
             }
         }
         self.close(&held);
-        actions.push(match held.tainted.is_none() || repeats.harmless() {
+        actions.push(match held.tainted.is_none() || repeats.client_may_retry() {
             true => self.refuse(f.request, held.class, AGAIN.0),
             false => Action::Fail(f.request),
         });
@@ -708,33 +675,33 @@
     }
 
     /// Books an outcome with its backend; returns which that is and when the attempt was sent.
-    fn outcome(&mut self, now: f64, f: &Finished) -> Option<(usize, f64)> {
-        let number = *self.numbers.get(&f.backend)?;
+    fn outcome(&mut self, now: f64, f: &AttemptResult) -> Option<(usize, f64)> {
+        let number = *self.numbers.get(&f.endpoint)?;
         let outs = &mut self.backends[number].out;
         let at = outs.iter().position(|o| o.request == f.request && o.attempt == f.attempt)?;
         let out = outs.remove(at);
         let usual = self.usual(out.kind) * self.speed(&self.backends[number]);
-        let kind = (self.backends[number].member.kind as usize).min(self.speeds.len() - 1);
+        let kind = (self.backends[number].member.machine_type as usize).min(self.speeds.len() - 1);
         let slow = self.cold_share(&self.backends[number], now).max(OWN_SLOW);
         let b = &mut self.backends[number];
-        if f.outcome == Outcome::Ok {
+        if f.outcome == Outcome::Success {
             self.ladder.done.add(now, out.cost, self.ladder.memory);
-            self.pool.done += out.cost;
+            self.pool.completed += out.cost;
         } else if f.outcome == Outcome::TimedOut {
             // Lost at a backend that fails, it is no lack of capacity; waiting at one that chokes, it is.
-            self.pool.done += out.cost * LOST;
+            self.pool.completed += out.cost * LOST;
         }
         // What is found after a gap in this gateway's own clock may have waited here: it says nothing.
         if self.stalled == now || f.outcome == Outcome::NotSent || f.outcome == Outcome::Cancelled {
             return Some((number, out.sent));
         }
-        let latency = secs(f.latency);
-        let strain = latency * slow / secs(self.set.classes[out.class].aim).max(1e-6);
+        let latency = secs(f.latency_ns);
+        let strain = latency * slow / secs(self.set.classes[out.class].latency_objective_ns).max(1e-6);
         let labels = [out.class, self.set.classes.len() + out.plan];
         let memory = HEALTH_MEMORY * self.ladder.memory;
         let sound = b.strikes == 0 && b.fit(now, labels, memory) > FIT;
         match f.outcome {
-            Outcome::Ok => {
+            Outcome::Success => {
                 let (known, answers) = &mut self.latency[out.kind];
                 let part = if latency > *known && *answers > 0.0 { LATE_COST } else { 1.0 };
                 *known += (latency - *known) * part * LEARN_COST.max(1.0 / (*answers + 1.0));
@@ -749,27 +716,28 @@
             // Silent, down or restarting: what comes back may be cold; the list says so seconds later.
             Outcome::TimedOut if b.last_ok >= out.sent => {}
             // A break or two are the connections' own, or spoilt answers: one that is down refuses the next.
-            Outcome::Reset if b.strikes < BREAKS => b.strikes += 1,
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset => {
+            Outcome::ConnectionReset if b.strikes < BREAKS => b.strikes += 1,
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {
                 b.out_until = now + (STRIKE.0 * f64::from(1u32 << b.strikes.min(3))).min(STRIKE.1);
                 b.strikes += 1;
             }
             _ => {}
         }
-        if matches!(f.outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+        if matches!(f.outcome, Outcome::Success | Outcome::Failure | Outcome::Overloaded) {
             (b.last_ok, b.strikes, b.out_until) = (now, 0, 0.0);
         }
-        let failed = usize::from(f.outcome != Outcome::Ok);
+        let failed = usize::from(f.outcome != Outcome::Success);
         labels.iter().for_each(|l| b.health[*l][failed].add(now, 1.0, memory));
         // One sick server is not overload: only sound backends count.
         if sound {
-            let mut seen = Evidence { answers: 1.0, ..Evidence::default() };
-            seen.refused = f64::from(u8::from(matches!(f.outcome, Outcome::Full | Outcome::NoConnection)));
+            let mut seen = LoadStatistics { outcomes: 1.0, ..LoadStatistics::default() };
+            seen.rejected = f64::from(u8::from(matches!(f.outcome, Outcome::Overloaded |
+                Outcome::ConnectFailed)));
             // A time-out of this gateway's own making, inside the aim, tells of one request's cost only.
             seen.timed_out = f64::from(u8::from(f.outcome == Outcome::TimedOut && strain >= 1.0));
-            if f.outcome == Outcome::Ok {
-                seen.high = f64::from(u8::from(strain > STRAIN.0));
-                seen.low = f64::from(u8::from(strain < STRAIN.1));
+            if f.outcome == Outcome::Success {
+                seen.slow = f64::from(u8::from(strain > STRAIN.0));
+                seen.fast = f64::from(u8::from(strain < STRAIN.1));
             }
             let tally = self.ladder.tallies.back_mut().expect("never empty");
             *tally = tally.plus(&seen, 1.0);
@@ -781,33 +749,34 @@
     fn client_left(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.held.remove(&id) else { return };
         self.close(&held);
-        for b in held.tried.iter().map(|i| &self.backends[*i]).filter(|_| self.set.may_cancel) {
+        for b in held.tried.iter().map(|i| &self.backends[*i]).filter(|_| self.set.cancellation_allowed) {
             for o in b.out.iter().filter(|o| o.request == id) {
-                actions.push(Action::Cancel { request: id, attempt: o.attempt });
+                actions.push(Action::CancelAttempt { request: id, attempt: o.attempt });
             }
         }
     }
 
-    fn members(&mut self, now: f64, kind: ListKind, entries: &[Member], actions: &mut Vec<Action>) {
-        if kind == ListKind::Failed {
-            let again = Action::Timer { after: nanos(self.watch_wait), token: WATCH };
+    fn members(&mut self, now: f64, kind: EndpointUpdateKind, entries: &[Endpoint], actions: &mut
+        Vec<Action>) {
+        if kind == EndpointUpdateKind::Failed {
+            let again = Action::SetTimer { after_ns: nanos(self.watch_wait), token: WATCH };
             self.watch_wait = (self.watch_wait * 2.0).min(8.0);
-            return actions.extend(self.set.subscribe.then_some(again));
+            return actions.extend(self.set.watch_endpoints.then_some(again));
         }
-        for b in self.backends.iter_mut().filter(|_| kind != ListKind::Delta) {
+        for b in self.backends.iter_mut().filter(|_| kind != EndpointUpdateKind::Delta) {
             (b.ready, b.gone) = (false, true);
         }
         let labels = self.set.classes.len() + self.set.plans.len();
         // The known ones first: a newcomer must not get the number of one that is named further on.
-        let (known, new): (Vec<_>, _) = entries.iter().partition(|m| self.numbers.contains_key(&m.backend));
+        let (known, new): (Vec<_>, _) = entries.iter().partition(|m| self.numbers.contains_key(&m.id));
         for m in known.into_iter().chain(new) {
-            let told = m.started.map_or(f64::NEG_INFINITY, secs);
+            let told = m.started_at_ns.map_or(f64::NEG_INFINITY, secs);
             // A backend that turns up later than the first list is taken to have just started.
-            let new = if self.listed && m.started.is_none() { now } else { told };
-            let number = self.numbers.get(&m.backend).copied();
+            let new = if self.listed && m.started_at_ns.is_none() { now } else { told };
+            let number = self.numbers.get(&m.id).copied();
             let number = number.unwrap_or_else(|| self.enrol(Backend::new(m.clone(), new, labels)));
             let b = &mut self.backends[number];
-            (b.ready, b.gone) = (m.state == MemberState::Ready, m.state == MemberState::Gone);
+            (b.ready, b.gone) = (m.state == EndpointState::Ready, m.state == EndpointState::Removed);
             if told > b.cold_from {
                 b.cold_from = told;
                 (b.slowness, b.strikes) = (1.0, 0);
@@ -818,14 +787,14 @@
         self.deal();
         self.watch_wait = WATCH_WAIT;
         // An empty list of an earlier life is none: what the first one names did not start with it.
-        self.listed |= kind == ListKind::Full || !entries.is_empty();
+        self.listed |= kind == EndpointUpdateKind::Snapshot || !entries.is_empty();
     }
 
     /// One that the operators withheld and give back: restarted, so cold, and owed work if it had any.
-    fn given_back(&mut self, now: f64, member: Member, actions: &mut Vec<Action>) {
-        let member = Member { started: Some(nanos(now)), ..member };
-        let number = self.numbers.get(&member.backend).copied();
-        self.members(now, ListKind::Delta, &[member], actions);
+    fn given_back(&mut self, now: f64, member: Endpoint, actions: &mut Vec<Action>) {
+        let member = Endpoint { started_at_ns: Some(nanos(now)), ..member };
+        let number = self.numbers.get(&member.id).copied();
+        self.members(now, EndpointUpdateKind::Delta, &[member], actions);
         if let Some(b) = number.map(|n| &mut self.backends[n]) {
             (b.owed, b.out_until) = (b.last_ok > 0.0, 0.0);
         }
@@ -835,12 +804,12 @@
     /// know, and to its connections. Rounds of as many gateways as there are parts share all backends evenly,
     /// each in an order of its own (rendezvous hashing), so that a change of the list moves few.
     fn deal(&mut self) {
-        let large = !self.tells_all(self.set.gateways);
+        let large = !self.tells_all(self.set.node_count);
         let mut ready: Vec<usize> = (0..self.backends.len()).filter(|i| self.backends[*i].ready).collect();
-        let parts = (ready.len() as u32 / SUBSET.0).min(self.set.gateways / SUBSET.1).max(1);
+        let parts = (ready.len() as u32 / SUBSET.0).min(self.set.node_count / SUBSET.1).max(1);
         let parts = if large { parts as usize } else { 1 };
-        let (round, part) = (self.set.me / parts as u32, self.set.me as usize % parts);
-        ready.sort_by_cached_key(|i| mail::rank(fingerprint(&self.backends[*i].member.backend), round));
+        let (round, part) = (self.set.node / parts as u32, self.set.node as usize % parts);
+        ready.sort_by_cached_key(|i| codec::rank(fingerprint(&self.backends[*i].member.id), round));
         for (rank, i) in ready.iter().enumerate() {
             self.backends[*i].mine = rank * parts / ready.len() == part;
         }
@@ -853,7 +822,7 @@
         let free = |i: &usize| self.backends[*i].gone && self.backends[*i].out.is_empty() && !named(*i);
         let number = (0..self.backends.len()).find(free).unwrap_or(self.backends.len());
         self.numbers.retain(|_, n| *n != number);
-        self.numbers.insert(new.member.backend.clone(), number);
+        self.numbers.insert(new.member.id.clone(), number);
         match self.backends.get_mut(number) {
             Some(old) => *old = new,
             None => self.backends.push(new),
@@ -862,36 +831,36 @@
     }
 
     fn tick(&mut self, now: f64, actions: &mut Vec<Action>) {
-        actions.push(Action::Timer { after: nanos(INTERVAL), token: TICK });
+        actions.push(Action::SetTimer { after_ns: nanos(INTERVAL), token: TICK });
         let out = self.out(now);
         let kept = (-INTERVAL / POOL_MEMORY).exp();
-        self.pool = self.pool.times(kept);
-        self.told = self.told.times(kept);
-        (self.pool.intervals, self.pool.out) = (self.pool.intervals + 1.0, self.pool.out + out);
+        self.pool = self.pool.scaled(kept);
+        self.told = self.told.scaled(kept);
+        (self.pool.intervals, self.pool.in_flight) = (self.pool.intervals + 1.0, self.pool.in_flight + out);
         // What choked backends answer says too little of what they can carry: it is forgotten slowly.
         self.strength = self.backends.iter().filter(|b| b.ready).map(|b| self.cold_share(b, now)).sum();
-        let done = self.told.done / self.told.intervals.max(1.0) / INTERVAL / self.strength.max(1.0);
+        let done = self.told.completed / self.told.intervals.max(1.0) / INTERVAL / self.strength.max(1.0);
         let rise = MEMORY.0.min(now - self.born).max(INTERVAL);
         let speed = if done > self.carried { rise } else { CARRIED };
         self.carried += (done - self.carried) * (INTERVAL / speed);
         let asked = self.arrivals.read(now, MEMORY.0);
         self.ladder.memory = (ENOUGH / asked.max(1e-9)).clamp(MEMORY.0, MEMORY.1);
         let seen = self.evidence(now);
-        let lag = if self.tells_all(self.set.gateways) { 0.0 } else { POOL_LAG };
+        let lag = if self.tells_all(self.set.node_count) { 0.0 } else { POOL_LAG };
         if let Some(line) = self.ladder.interval(now, &seen, lag) {
             self.logged += 1;
             actions.extend((self.logged <= LOG_LINES).then_some(Action::Log(line)));
         }
-        let window = secs(self.set.fall_window);
+        let window = secs(self.set.overload_window_ns);
         self.backends.iter_mut().for_each(|b| b.lately.retain(|(t, _)| now - t < window));
-        let peers = self.set.gateways.saturating_sub(1);
-        if self.set.peer_messages && peers > 0 && now >= self.next_pool {
+        let peers = self.set.node_count.saturating_sub(1);
+        if self.set.gossip_enabled && peers > 0 && now >= self.next_pool {
             self.next_pool = now + POOL_EVERY;
-            if !self.tells_all(self.set.gateways) {
+            if !self.tells_all(self.set.node_count) {
                 // Half of the pool goes to one peer, so that nothing is counted twice.
-                self.pool = self.pool.times(0.5);
-                let to = (self.set.me + 1 + self.rng.random_range(0..peers)) % self.set.gateways;
-                self.tell(Some(to), &[(0, Record::Pool(self.pool))], actions);
+                self.pool = self.pool.scaled(0.5);
+                let to = (self.set.node + 1 + self.rng.random_range(0..peers)) % self.set.node_count;
+                self.tell(Some(to), &[(0, Record::Statistics(self.pool))], actions);
             }
             self.grant(now, actions);
         }
@@ -903,10 +872,12 @@
                 plan.into_iter().for_each(|p| c.fill(now, p));
                 // A plan without a rate or a ceiling never fills what its requests take from it.
                 let full = |p: &Plan| {
-                    let bank = c.bank.is_none_or(|b| b >= p.ceiling_burst * (1.0 - c.dealt) * (1.0 - 1e-9));
-                    let part = p.ceiling_burst * c.dealt * (1.0 - 1e-9);
+                    let bank = c.bank.is_none_or(|b| b >= p.ceiling_burst_units * (1.0 - c.dealt) * (1.0 -
+                        1e-9));
+                    let part = p.ceiling_burst_units * c.dealt * (1.0 - 1e-9);
                     let ceiling = bank && c.ceiling * f64::from(c.spread) >= part;
-                    (p.rate <= 0.0 || c.store >= p.burst) && (p.ceiling_rate <= 0.0 || ceiling)
+                    (p.quota_units_per_second <= 0.0 || c.store >= p.quota_burst_units) &&
+                        (p.ceiling_units_per_second <= 0.0 || ceiling)
                 };
                 c.out > 0 || now - c.seen < FORGET || plan.is_some_and(|p| !full(p))
             });
@@ -916,21 +887,21 @@
     /// What the history says; what is missing to enough outcomes comes from the pool, which one gateway's
     /// bad luck does not move. Could lag by its memory, hence the longer sojourn; and hold a ladder shut
     /// by ratios from before, hence the bound on what it is scaled by.
-    fn evidence(&self, now: f64) -> Evidence {
-        let own = self.ladder.tallies.iter().fold(Evidence::default(), |sum, t| sum.plus(t, 1.0));
+    fn evidence(&self, now: f64) -> LoadStatistics {
+        let own = self.ladder.tallies.iter().fold(LoadStatistics::default(), |sum, t| sum.plus(t, 1.0));
         let told = &self.told;
-        if self.tells_all(self.set.gateways) {
+        if self.tells_all(self.set.node_count) {
             return own;
         }
-        if told.answers <= 0.0 || self.mixed.read(now, MEMORY.0) < MIXED {
-            return Evidence::default();
+        if told.outcomes <= 0.0 || self.mixed.read(now, MEMORY.0) < MIXED {
+            return LoadStatistics::default();
         }
-        let missing = (ENOUGH - own.answers).max(0.0);
-        let mut seen = own.plus(told, (missing / told.answers).min(ECHO));
+        let missing = (ENOUGH - own.outcomes).max(0.0);
+        let mut seen = own.plus(told, (missing / told.outcomes).min(ECHO));
         // What is out over what is carried is the wait of what is sent now (Little's law). Where it is short,
         // slow answers and time-outs tell of a backlog that has gone. Guards against tightening long after.
         if self.wait() < STRAIN.0 {
-            (seen.high, seen.timed_out, seen.low) = (0.0, 0.0, seen.answers);
+            (seen.slow, seen.timed_out, seen.fast) = (0.0, 0.0, seen.outcomes);
         }
         seen
     }
@@ -943,15 +914,15 @@
 
     /// How long what is out in the fleet takes at the pace it is known to carry, as part of the shortest aim.
     fn wait(&self) -> f64 {
-        let aim = self.set.classes.iter().map(|c| secs(c.aim)).fold(f64::INFINITY, f64::min);
-        self.told.out / self.told.intervals.max(1.0) / self.carries().max(1e-9) / aim
+        let aim = self.set.classes.iter().map(|c| secs(c.latency_objective_ns)).fold(f64::INFINITY, f64::min);
+        self.told.in_flight / self.told.intervals.max(1.0) / self.carries().max(1e-9) / aim
     }
 
     // ---- Peers --------------------------------------------------------------------------------------
     /// Takes in a peer's message; one that is malformed in any part changes nothing.
     fn peer(&mut self, now: f64, from: u32, text: &str, actions: &mut Vec<Action>) {
-        let Some((incarnation, records)) = mail::read(text) else { return };
-        if from >= self.set.gateways || from == self.set.me {
+        let Some((incarnation, records)) = codec::read(text) else { return };
+        if from >= self.set.node_count || from == self.set.node {
             return;
         }
         if self.heard.insert(from, incarnation).is_some_and(|known| known != incarnation) {
@@ -960,10 +931,10 @@
             uses.for_each(|u| (u.sent, u.asked) = (0, 0));
         }
         for (name, record) in records {
-            if let Record::Pool(part) = record {
+            if let Record::Statistics(part) = record {
                 // One part may not outweigh what is here by much: wild ones are cut.
                 let weight = (PART / part.intervals.max(1e-9)).min(1.0);
-                if part.high + part.low <= part.answers * 1.1 && part.intervals > 0.0 {
+                if part.slow + part.fast <= part.outcomes * 1.1 && part.intervals > 0.0 {
                     self.pool = self.pool.plus(&part, weight);
                     self.told = self.told.plus(&part, weight);
                     self.mixed.add(now, 1.0, MEMORY.0);
@@ -980,8 +951,9 @@
         if self.customers.len() >= CUSTOMERS && !self.customers.contains_key(&fp) {
             return;
         }
-        let n = self.set.gateways.max(1);
-        if let Record::Use { plan, first, spread, level, .. } = record {
+        let n = self.set.node_count.max(1);
+        if let Record::Usage { plan, first_node: first, node_set_size: spread, quota_level: level, .. } =
+            record {
             if plan >= self.set.plans.len() || first >= n || spread > n {
                 return;
             }
@@ -1002,23 +974,24 @@
         match (record, plan) {
             (Record::Grant(units), Some(plan)) => {
                 let most = if c.dealt < 1.0 { 1.0 - c.dealt } else { 1.0 / f64::from(c.spread) };
-                c.ceiling = (c.ceiling + units).min(plan.ceiling_burst * most);
+                c.ceiling = (c.ceiling + units).min(plan.ceiling_burst_units * most);
             }
-            (Record::Word { demand, level }, _) if plan.is_none() || c.keepers.contains(&from) => {
+            (Record::Aggregate { demand, quota_level: level }, _) if plan.is_none() ||
+                c.keepers.contains(&from) => {
                 c.word = Some(Word { demand, store: 0.0, at: now });
                 c.due = None;
                 match plan {
                     // A keeper that has summed for long goes by its own sums.
                     Some(_) if c.keeps && now - c.since > WORD.0 => {}
-                    Some(plan) => c.store = level * plan.burst,
+                    Some(plan) => c.store = level * plan.quota_burst_units,
                     None => c.level = level,
                 }
             }
-            (Record::Use { sent, asked, level, .. }, Some(plan)) => {
+            (Record::Usage { forwarded: sent, requested: asked, quota_level: level, .. }, Some(plan)) => {
                 c.seen = now;
                 let new = !c.peers.contains_key(&from);
                 let before = c.peers.entry(from).or_default();
-                let most = if new { self.set.most_units } else { f64::INFINITY };
+                let most = if new { self.set.max_request_units } else { f64::INFINITY };
                 let more = units_between(before.asked, asked).min(most);
                 let used = units_between(before.sent, sent).min(most);
                 (before.sent, before.asked) = (sent, asked);
@@ -1026,9 +999,9 @@
                 c.demand.add(now, more, MEMORY.0);
                 c.theirs.add(now, used, MEMORY.0);
                 if new && c.keepers.len() == c.spread as usize {
-                    c.store = c.store.min(level * plan.burst);
+                    c.store = c.store.min(level * plan.quota_burst_units);
                 } else {
-                    c.drain(plan, used, self.set.most_units);
+                    c.drain(plan, used, self.set.max_request_units);
                 }
                 self.correct(now, from, fp, level, used, actions);
             }
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -3,13 +3,13 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use applewall::api::{Member, MemberState};
-use applewall::wire::Facts;
+use applewall::api::{Endpoint, EndpointState};
+use applewall::platform_settings::PlatformSettings;
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::clock::Clock;
-use crate::engine::message::Entry;
+use crate::engine::message::EndpointEntry;
 
 /// Malformed entries of an answer that are told of one by one, and of which it is kept that they were.
 const TOLD: usize = 3;
@@ -45,7 +45,7 @@
 
 impl Answer {
     /// The entries in the module's terms; what is malformed is left out and said so.
-    pub fn entries(&self, facts: &Facts, clock: &Clock) -> Vec<Entry> {
+    pub fn entries(&self, facts: &PlatformSettings, clock: &Clock) -> Vec<EndpointEntry> {
         self.entries_but(&mut HashSet::new(), facts, clock)
     }
 
@@ -53,9 +53,9 @@
     pub fn entries_but(
         &self,
         said: &mut HashSet<String>,
-        facts: &Facts,
+        facts: &PlatformSettings,
         clock: &Clock,
-    ) -> Vec<Entry> {
+    ) -> Vec<EndpointEntry> {
         let (mut entries, mut wrong) = (Vec::with_capacity(self.targets.len()), HashSet::new());
         let mut new = 0;
         for (place, value) in self.targets.iter().enumerate() {
@@ -98,25 +98,25 @@
     }
 }
 
-fn entry(value: &Value, facts: &Facts, clock: &Clock) -> Result<Entry, String> {
+fn entry(value: &Value, facts: &PlatformSettings, clock: &Clock) -> Result<EndpointEntry, String> {
     let target = Target::deserialize(value).map_err(|e| e.to_string())?;
     let state = match target.state.as_str() {
-        "in_service" => MemberState::Ready,
-        "terminating" => MemberState::Draining,
-        "terminated" => MemberState::Gone,
+        "in_service" => EndpointState::Ready,
+        "terminating" => EndpointState::Draining,
+        "terminated" => EndpointState::Removed,
         other => return Err(format!("unknown state '{other}'")),
     };
-    let member = Member {
-        backend: target.uid.into(),
-        scale: target.capacity_hint,
-        started: clock.of_unix(target.boot_ms),
+    let member = Endpoint {
+        id: target.uid.into(),
+        weight: target.capacity_hint,
+        started_at_ns: clock.of_unix(target.boot_ms),
         zone: facts.zone(&target.az),
         cell: target.pod_group.unwrap_or(-1),
-        kind: facts.kind(&target.model),
+        machine_type: facts.kind(&target.model),
         state,
     };
-    Ok(Entry {
-        member,
-        endpoint: target.endpoint,
+    Ok(EndpointEntry {
+        endpoint: member,
+        address: target.endpoint,
     })
 }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use applewall::api::{ListKind, Member, MemberState};
-use applewall::wire::Facts;
+use applewall::api::{Endpoint, EndpointState, EndpointUpdateKind};
+use applewall::platform_settings::PlatformSettings;
 use applewall_etcd::News;
 use applewall_membership::snapshot::{Limits, Snapshot};
 use applewall_membership::{Change, Item, Roster, State, Took};
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::config::operator::Operator;
 use crate::config::platform::Config;
-use crate::engine::message::{Entry, Message};
+use crate::engine::message::{EndpointEntry, Message};
 
 /// Sources of the roster.
 const REGISTRY: usize = 0;
@@ -31,9 +31,9 @@
 struct Held {
     roster: Roster,
     /// Entries of discovery as it told them, for what a roster's entry doesn't hold.
-    told: BTreeMap<String, Entry>,
+    told: BTreeMap<String, EndpointEntry>,
     /// What the engine was told.
-    sent: BTreeMap<String, Entry>,
+    sent: BTreeMap<String, EndpointEntry>,
     /// Sources that told a whole list, and members of these first lists that were not told to the engine yet: they
     /// were there before this program, and are not taken for newborn.
     listed: [bool; SOURCES],
@@ -47,7 +47,7 @@
 struct Merge {
     held: Mutex<Held>,
     clock: Clock,
-    facts: Arc<Facts>,
+    facts: Arc<PlatformSettings>,
     changed: Notify,
 }
 
@@ -109,28 +109,28 @@
     }
 
     /// News of discovery.
-    fn discovered(&self, kind: ListKind, entries: Vec<Entry>) {
+    fn discovered(&self, kind: EndpointUpdateKind, entries: Vec<EndpointEntry>) {
         let now = self.clock.now();
         let mut held = self.held();
         held.news += 1;
         let revision = held.news;
         let mut items = Vec::new();
         for entry in entries {
-            let id = entry.member.backend.to_string();
-            let gone = entry.member.state == MemberState::Gone;
+            let id = entry.endpoint.id.to_string();
+            let gone = entry.endpoint.state == EndpointState::Removed;
             let read = (!gone).then(|| applewall_membership::Entry {
-                endpoint: entry.endpoint,
+                endpoint: entry.address,
                 az: String::new(),
-                pod_group: entry.member.cell,
-                state: match entry.member.state {
-                    MemberState::Ready => State::InService,
+                pod_group: entry.endpoint.cell,
+                state: match entry.endpoint.state {
+                    EndpointState::Ready => State::InService,
                     _ => State::Terminating,
                 },
-                capacity_hint: entry.member.scale,
+                capacity_hint: entry.endpoint.weight,
                 // A later start is another life.
-                boot_ms: entry.member.started.unwrap_or(0),
+                boot_ms: entry.endpoint.started_at_ns.unwrap_or(0),
             });
-            let created = entry.member.started.unwrap_or(0);
+            let created = entry.endpoint.started_at_ns.unwrap_or(0);
             items.push(Item {
                 id: id.clone(),
                 revision,
@@ -141,7 +141,7 @@
         }
         let source = held.roster.source(DISCOVERY);
         match kind {
-            ListKind::Delta => source.changes(now, 0, revision, items),
+            EndpointUpdateKind::Delta => source.changes(now, 0, revision, items),
             _ => source.full(now, 0, revision, true, items),
         };
         drop(held);
@@ -149,7 +149,7 @@
     }
 
     /// What changed, in the module's terms: who has gone first, so that another life of the same id is a newcomer.
-    fn changes(&self) -> (Vec<Entry>, Vec<Entry>) {
+    fn changes(&self) -> (Vec<EndpointEntry>, Vec<EndpointEntry>) {
         let now = self.clock.now();
         let mut held = self.held();
         let changes = held.roster.changes(now);
@@ -195,36 +195,36 @@
             let mut next = told.unwrap_or_else(|| self.entry(&id, &entry));
             // On the module's clock, 1 is long past, and none is unknown.
             let long_past = held.first.remove(&id).then_some(1);
-            next.member.started = next.member.started.or(long_past).max(born);
+            next.endpoint.started_at_ns = next.endpoint.started_at_ns.or(long_past).max(born);
             held.sent.insert(id, next.clone());
             put.push(next);
         }
         (gone, put)
     }
 
-    fn entry(&self, id: &str, entry: &applewall_membership::Entry) -> Entry {
-        let member = Member {
-            backend: id.into(),
-            scale: entry.capacity_hint,
-            started: self.clock.of_unix(entry.boot_ms),
+    fn entry(&self, id: &str, entry: &applewall_membership::Entry) -> EndpointEntry {
+        let member = Endpoint {
+            id: id.into(),
+            weight: entry.capacity_hint,
+            started_at_ns: self.clock.of_unix(entry.boot_ms),
             zone: self.facts.zone(&entry.az),
             cell: entry.pod_group,
             // Registries name no kind of machine: all count as one.
-            kind: 0,
+            machine_type: 0,
             state: match entry.state {
-                State::InService => MemberState::Ready,
-                State::Terminating => MemberState::Draining,
+                State::InService => EndpointState::Ready,
+                State::Terminating => EndpointState::Draining,
             },
         };
-        Entry {
-            member,
-            endpoint: entry.endpoint,
+        EndpointEntry {
+            endpoint: member,
+            address: entry.endpoint,
         }
     }
 }
 
-fn ended(mut entry: Entry) -> Entry {
-    entry.member.state = MemberState::Gone;
+fn ended(mut entry: EndpointEntry) -> EndpointEntry {
+    entry.endpoint.state = EndpointState::Removed;
     entry
 }
 
@@ -232,8 +232,8 @@
 pub async fn merge(
     operator: Arc<Operator>,
     seed: u64,
-    known: Vec<Entry>,
-    facts: Arc<Facts>,
+    known: Vec<EndpointEntry>,
+    facts: Arc<PlatformSettings>,
     clock: Clock,
     mut discovered: mpsc::Receiver<Message>,
     queue: mpsc::Sender<Message>,
@@ -248,7 +248,7 @@
     let believed = settings.believed.nanos().max(consul_wait.saturating_mul(2));
     let sent = known
         .iter()
-        .map(|entry| (entry.member.backend.to_string(), entry.clone()))
+        .map(|entry| (entry.endpoint.id.to_string(), entry.clone()))
         .collect();
     let held = Held {
         roster: Roster::new(SOURCES, believed),
@@ -266,7 +266,7 @@
         changed: Notify::new(),
     };
     // The engine decides from these already: discovery's list as it last was, until it tells another.
-    merge.discovered(ListKind::Cached, known);
+    merge.discovered(EndpointUpdateKind::Cached, known);
     merge.held().roster.changes(clock.now());
     let position = if settings.enabled.0 {
         restore(&merge, settings)
@@ -301,7 +301,7 @@
             for entries in [gone, put] {
                 if !entries.is_empty()
                     && queue
-                        .send(Message::Table(ListKind::Delta, entries))
+                        .send(Message::Table(EndpointUpdateKind::Delta, entries))
                         .await
                         .is_err()
                 {
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -51,7 +51,7 @@
         let now = clock.now() as f64 / SECOND;
         let core = Turns::new(
             set,
-            (settings.gateways, settings.me),
+            (settings.node_count, settings.node),
             list,
             config.seed,
             now,
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall::api::ListKind;
-use applewall::wire::Facts;
+use applewall::api::EndpointUpdateKind;
+use applewall::platform_settings::PlatformSettings;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
@@ -76,7 +76,7 @@
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
     start: Start,
-    facts: Arc<Facts>,
+    facts: Arc<PlatformSettings>,
     clock: Clock,
     queue: mpsc::Sender<Message>,
     proofs: bool,
@@ -87,7 +87,7 @@
         turn,
     } = start;
     let mut rng = SmallRng::seed_from_u64(seed);
-    let pace = Pace::of(facts.settings.subscribe);
+    let pace = Pace::of(facts.settings.watch_endpoints);
     let follower = Follower {
         facts,
         clock,
@@ -101,7 +101,7 @@
     } else if rev.is_some() {
         // Whoever has a list can wait a moment for those who started together with it.
         let settings = (
-            follower.facts.settings.gateways,
+            follower.facts.settings.node_count,
             follower.facts.stop_sending,
         );
         tokio::time::sleep(spread(settings.0, settings.1).mul_f64(rng.random())).await;
@@ -203,7 +203,7 @@
 
 /// What following needs at any address.
 struct Follower {
-    facts: Arc<Facts>,
+    facts: Arc<PlatformSettings>,
     clock: Clock,
     queue: mpsc::Sender<Message>,
     proofs: bool,
@@ -223,7 +223,7 @@
                 return;
             };
             tries = if lost.is_some() { tries + 1 } else { 0 };
-            let wait = self.pace.wait(self.facts.settings.gateways, &loss, tries);
+            let wait = self.pace.wait(self.facts.settings.node_count, &loss, tries);
             let (reason, turned_away, retry_after) = match loss {
                 Loss::Late => ("no answer in time".to_string(), false, None),
                 Loss::TurnedAway(reason, retry_after) => (reason, true, retry_after),
@@ -348,9 +348,9 @@
             }
             *rev = Some(answer.rev);
             let kind = if answer.all {
-                ListKind::Full
+                EndpointUpdateKind::Snapshot
             } else {
-                ListKind::Delta
+                EndpointUpdateKind::Delta
             };
             let news = answer.all || !answer.targets.is_empty();
             if news || self.proofs {
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -3,11 +3,11 @@
 
 use std::collections::HashMap;
 
-use applewall::api::{BackendId, ListKind, MemberState, Outcome, RequestId};
-use applewall::wire::Facts;
+use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind, Outcome, RequestId};
+use applewall::platform_settings::PlatformSettings;
 use applewall_zone_failover::{Saw, Settings, Word, Zones};
 
-use crate::engine::message::Entry;
+use crate::engine::message::EndpointEntry;
 use crate::peer_socket::Peers;
 
 /// Between judgements, ns.
@@ -32,8 +32,8 @@
     /// By the module's number of a zone, the core's.
     numbers: Vec<usize>,
     /// Where each instance is, and its number here.
-    places: HashMap<BackendId, (usize, u32)>,
-    ready: HashMap<BackendId, usize>,
+    places: HashMap<EndpointId, (usize, u32)>,
+    ready: HashMap<EndpointId, usize>,
     next: u32,
     out: HashMap<RequestId, Out>,
     aims: Vec<u64>,
@@ -45,7 +45,7 @@
 
 impl Zoning {
     /// None where it is switched off, or there is nothing to leave.
-    pub fn new(set: &Settings, facts: &Facts, seed: u64, now: u64) -> Option<Self> {
+    pub fn new(set: &Settings, facts: &PlatformSettings, seed: u64, now: u64) -> Option<Self> {
         let names = facts.zones();
         if !set.enabled.0 || names.len() < 2 {
             return None;
@@ -54,8 +54,8 @@
         let core = Zones::new(
             set,
             &names,
-            settings.gateways,
-            settings.me,
+            settings.node_count,
+            settings.node,
             seed,
             now as f64 / SECOND,
         );
@@ -68,39 +68,46 @@
             ready: HashMap::new(),
             next: 0,
             out: HashMap::new(),
-            aims: settings.classes.iter().map(|c| c.aim).collect(),
+            aims: settings
+                .classes
+                .iter()
+                .map(|c| c.latency_objective_ns)
+                .collect(),
             shares: vec![1.0; names.len()],
             told: false,
         })
     }
 
     /// News of the name table.
-    pub fn listed(&mut self, kind: ListKind, entries: &[Entry]) {
-        if kind != ListKind::Delta {
+    pub fn listed(&mut self, kind: EndpointUpdateKind, entries: &[EndpointEntry]) {
+        if kind != EndpointUpdateKind::Delta {
             self.places.clear();
             self.ready.clear();
         }
-        for Entry { member, .. } in entries {
+        for EndpointEntry {
+            endpoint: member, ..
+        } in entries
+        {
             // A zone that the settings do not name is judged by nobody.
             let Some(zone) = self.numbers.get(member.zone as usize).copied() else {
                 continue;
             };
             match member.state {
-                MemberState::Gone => {
-                    self.places.remove(&member.backend);
-                    self.ready.remove(&member.backend);
+                EndpointState::Removed => {
+                    self.places.remove(&member.id);
+                    self.ready.remove(&member.id);
                 }
                 state => {
                     let number = self.next;
                     let place = self
                         .places
-                        .entry(member.backend.clone())
+                        .entry(member.id.clone())
                         .or_insert((zone, number));
                     place.0 = zone;
                     self.next = self.next.wrapping_add(1);
                     match state {
-                        MemberState::Ready => drop(self.ready.insert(member.backend.clone(), zone)),
-                        _ => drop(self.ready.remove(&member.backend)),
+                        EndpointState::Ready => drop(self.ready.insert(member.id.clone(), zone)),
+                        _ => drop(self.ready.remove(&member.id)),
                     }
                 }
             }
@@ -112,7 +119,7 @@
     }
 
     /// An attempt is sent.
-    pub fn sent(&mut self, now: u64, request: RequestId, class: usize, backend: &BackendId) {
+    pub fn sent(&mut self, now: u64, request: RequestId, class: usize, backend: &EndpointId) {
         if let Some((zone, instance)) = self.places.get(backend).copied() {
             let aim = self.aims.get(class).copied().unwrap_or(u64::MAX);
             self.out.insert(
@@ -135,11 +142,11 @@
         };
         let late = now.saturating_sub(out.since) > out.aim;
         let saw = match outcome {
-            Outcome::Ok if !late => Saw::Good,
+            Outcome::Success if !late => Saw::Good,
             // An overdue one counted already.
-            Outcome::Ok if !out.told => Saw::Failing,
-            Outcome::Error => Saw::Failing,
-            Outcome::NoConnection | Outcome::Reset => Saw::Dead,
+            Outcome::Success if !out.told => Saw::Failing,
+            Outcome::Failure => Saw::Failing,
+            Outcome::ConnectFailed | Outcome::ConnectionReset => Saw::Dead,
             Outcome::TimedOut if !out.told => Saw::Failing,
             // Full: it lives, and its load is the ladder's matter. The rest is this ingress's own doing.
             _ => return,
--- a/src/engine/message.rs
+++ b/src/engine/message.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
-use applewall::api::{self, BackendId, ListKind, Member, Outcome, RequestId};
+use applewall::api::{self, Endpoint, EndpointId, EndpointUpdateKind, Outcome, RequestId};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
@@ -21,7 +21,7 @@
     /// An attempt ended.
     Ended(Ended),
     /// News of the name table.
-    Table(ListKind, Vec<Entry>),
+    Table(EndpointUpdateKind, Vec<EndpointEntry>),
     /// A peer's datagram.
     Peer { from: u32, text: String },
 }
@@ -66,7 +66,7 @@
 pub struct Ended {
     pub request: RequestId,
     pub number: u32,
-    pub backend: BackendId,
+    pub backend: EndpointId,
     pub outcome: Outcome,
     pub latency: Duration,
     pub load: Vec<f64>,
@@ -76,7 +76,7 @@
 
 /// One instance as the name table has it.
 #[derive(Clone, Debug)]
-pub struct Entry {
-    pub member: Member,
-    pub endpoint: SocketAddr,
+pub struct EndpointEntry {
+    pub endpoint: Endpoint,
+    pub address: SocketAddr,
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,9 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall::api::{Action, BackendId, Event, Finished, ListKind, Outcome, Repeats, RequestId};
-use applewall::brain::Brain;
-use applewall::wire::Facts;
+use applewall::api::{
+    Action, AttemptResult, EndpointId, EndpointUpdateKind, Event, Idempotency, Outcome, RequestId,
+};
+use applewall::decision::DecisionPolicy;
+use applewall::platform_settings::PlatformSettings;
 use applewall_admin::Ledger;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
@@ -20,7 +22,7 @@
 use crate::clock::Clock;
 use crate::config::platform::Config;
 use crate::discovery::zone_failover::{self, Zoning};
-use crate::engine::message::{Command, Ended, Entry, Message, Passed};
+use crate::engine::message::{Command, Ended, EndpointEntry, Message, Passed};
 use crate::lifecycle::process_role::Estate;
 use crate::peer_socket::Peers;
 use crate::resource_budget::Budget;
@@ -88,8 +90,8 @@
 
 /// See the module's page.
 pub struct Engine {
-    brain: Brain,
-    facts: Arc<Facts>,
+    brain: DecisionPolicy,
+    facts: Arc<PlatformSettings>,
     clock: Clock,
     fleet: Fleet,
     peers: Option<Arc<Peers>>,
@@ -131,7 +133,7 @@
         );
         let facts = config.facts.clone();
         let mut engine = Engine {
-            brain: Brain::new(facts.settings.clone(), config.seed, now),
+            brain: DecisionPolicy::new(facts.settings.clone(), config.seed, now),
             fleet: Fleet::new(&facts, sizes, clock, pacers.clone(), queue),
             facts,
             clock,
@@ -166,17 +168,20 @@
             }
             Before::Estate(estate) => {
                 engine.withheld = Some(Withheld::new(estate.withheld));
-                if let Err(why) = engine.brain.take_over(&estate.module) {
+                if let Err(why) = engine.brain.import_snapshot(&estate.module) {
                     tracing::warn!("succession: the module begins anew: {why}");
                 }
                 estate
                     .listed
                     .into_iter()
-                    .map(|(member, endpoint)| Entry { member, endpoint })
+                    .map(|(member, endpoint)| EndpointEntry {
+                        endpoint: member,
+                        address: endpoint,
+                    })
                     .collect()
             }
         };
-        engine.take(Message::Table(ListKind::Cached, known));
+        engine.take(Message::Table(EndpointUpdateKind::Cached, known));
         engine
     }
 
@@ -252,9 +257,9 @@
                 if let Some(zones) = &mut self.zones {
                     zones.listed(kind, &entries);
                 }
-                self.event(Event::Members(
+                self.event(Event::EndpointUpdate(
                     kind,
-                    entries.into_iter().map(|e| e.member).collect(),
+                    entries.into_iter().map(|e| e.endpoint).collect(),
                 ));
             }
             Message::Peer { from, text }
@@ -262,7 +267,7 @@
                     .zones
                     .as_mut()
                     .is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
-            Message::Peer { from, text } => self.event(Event::Peer { from, text }),
+            Message::Peer { from, text } => self.event(Event::PeerMessage { from, text }),
         }
     }
 
@@ -291,7 +296,7 @@
                 return;
             };
             match due {
-                Due::Module(token) => self.event(Event::Timer(token)),
+                Due::Module(token) => self.event(Event::TimerExpired(token)),
                 Due::Zones => {
                     let peers = self.peers.as_deref().filter(|_| !self.handed);
                     if let Some(shares) = self
@@ -299,7 +304,7 @@
                         .as_mut()
                         .and_then(|zones| zones.tick(self.now, peers))
                     {
-                        self.event(Event::Shares(shares));
+                        self.event(Event::ZoneTrafficShares(shares));
                     }
                     self.timers
                         .push(Reverse((self.now + zone_failover::EVERY, due)));
@@ -347,7 +352,7 @@
             0
         };
         let deadline = self.clock.at(deadline).saturating_sub(waited);
-        request.left = request.left.saturating_sub(waited);
+        request.time_left_ns = request.time_left_ns.saturating_sub(waited);
         let reply = Some(reply);
         self.open.insert(
             id,
@@ -375,7 +380,7 @@
             self.last_resorts
                 .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
         }
-        self.event(Event::ClientLeft(id));
+        self.event(Event::ClientDisconnected(id));
         self.forget(id);
     }
 
@@ -397,7 +402,7 @@
             return;
         }
         open.out = None;
-        if !outcome.never_ran() {
+        if !outcome.never_executed() {
             open.tainted.get_or_insert(open.sent);
         }
         if let Some(zones) = &mut self.zones {
@@ -416,9 +421,9 @@
         }
         let latency = latency.as_nanos() as u64;
         let finished = self.finished(id, number, backend, outcome);
-        self.event(Event::Finished(Finished {
-            latency,
-            load,
+        self.event(Event::AttemptFinished(AttemptResult {
+            latency_ns: latency,
+            load_report: load,
             ..finished
         }));
         self.forget(id);
@@ -429,19 +434,19 @@
         &self,
         request: RequestId,
         attempt: u32,
-        backend: BackendId,
+        backend: EndpointId,
         outcome: Outcome,
-    ) -> Finished {
+    ) -> AttemptResult {
         let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
-        Finished {
+        AttemptResult {
             request,
             attempt,
-            backend,
+            endpoint: backend,
             outcome,
-            latency: 0,
-            closed,
-            cost: 0.0,
-            load: Vec::new(),
+            latency_ns: 0,
+            request_complete: closed,
+            settled_units: 0.0,
+            load_report: Vec::new(),
         }
     }
 
@@ -489,20 +494,20 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send {
+            Action::StartAttempt {
                 request,
-                backend,
-                timeout,
+                endpoint: backend,
+                timeout_ns: timeout,
             } => self.send(request, backend, timeout),
-            Action::Cancel { request, attempt } => {
+            Action::CancelAttempt { request, attempt } => {
                 let out = self.open.get_mut(&request).and_then(|o| o.out.as_mut());
                 if let Some((_, cancel)) = out.filter(|(number, _)| *number == attempt) {
                     *cancel = None;
                 }
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
-                retry_after,
+                retry_after_ns: retry_after,
             } => {
                 let tried = self.open.get(&request).is_some_and(|o| o.attempts > 0);
                 let status = if tried {
@@ -524,12 +529,15 @@
                     Answer::Failed(StatusCode::BAD_GATEWAY, "no answer from an instance"),
                 );
             }
-            Action::Timer { after, token } => {
+            Action::SetTimer {
+                after_ns: after,
+                token,
+            } => {
                 self.timers
                     .push(Reverse((self.now + after, Due::Module(token))));
             }
-            Action::Close(backend) => self.fleet.close(&backend),
-            Action::Tell { peer, text } => {
+            Action::CloseIdleConnections(backend) => self.fleet.close(&backend),
+            Action::SendGossip { peer, text } => {
                 self.peers
                     .iter()
                     .filter(|_| !self.handed)
@@ -537,11 +545,14 @@
             }
             Action::Log(line) => tracing::info!("module: {line}"),
             // The name table is always followed; probes and counts are not asked for by this module.
-            Action::Watch(_) | Action::Fetch | Action::Probe(_) | Action::Count { .. } => {}
+            Action::WatchEndpoints(_)
+            | Action::FetchEndpoints
+            | Action::HealthCheck(_)
+            | Action::AddToCounter { .. } => {}
         }
     }
 
-    fn send(&mut self, request: RequestId, backend: BackendId, timeout: u64) {
+    fn send(&mut self, request: RequestId, backend: EndpointId, timeout: u64) {
         let Some(open) = self.open.get_mut(&request) else {
             return;
         };
@@ -558,12 +569,16 @@
         let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
         // What may have run goes out again only while instances know its key: a connection may come up late.
         let write_by = match (
-            self.facts.settings.classes[open.class].repeats,
+            self.facts.settings.classes[open.class].idempotency,
             open.tainted,
         ) {
-            (Repeats::Keyed { window, .. }, Some(first)) => {
-                Some(first + window / KNOWN.1 * KNOWN.0)
-            }
+            (
+                Idempotency::IdempotencyKey {
+                    deduplication_window_ns: window,
+                    ..
+                },
+                Some(first),
+            ) => Some(first + window / KNOWN.1 * KNOWN.0),
             _ => None,
         };
         open.sent = self.now;
@@ -593,7 +608,7 @@
             Err(Attempt { backend, .. }) => {
                 // Told once all that the module has just decided is carried out.
                 let finished = self.finished(request, number, backend, Outcome::NotSent);
-                self.events.push_back(Event::Finished(finished));
+                self.events.push_back(Event::AttemptFinished(finished));
             }
         }
     }
--- a/src/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -1,10 +1,10 @@
 //! What operators and another process ask of the engine: instances withheld and given back, and handing over.
 
-use applewall::api::{Event, ListKind};
+use applewall::api::{EndpointUpdateKind, Event};
 
 use super::Engine;
 use crate::admin::listener::{self, Order};
-use crate::engine::message::Entry;
+use crate::engine::message::EndpointEntry;
 use crate::lifecycle::process_role::Estate;
 
 impl Engine {
@@ -17,20 +17,20 @@
             }
             Order::TakeBack => {
                 self.handed = false;
-                self.brain.take_back();
+                self.brain.resume();
             }
         }
     }
 
     /// All that another process needs to go on from here.
     fn hand_over(&mut self) -> Result<Estate, String> {
-        let module = self.brain.hand_over()?;
+        let module = self.brain.export_snapshot()?;
         let (ledger, listed) = match &self.withheld {
             Some(withheld) => {
                 let (ledger, listed) = withheld.parts();
                 (
                     ledger.clone(),
-                    listed.map(|e| (e.member.clone(), e.endpoint)).collect(),
+                    listed.map(|e| (e.endpoint.clone(), e.address)).collect(),
                 )
             }
             None => Default::default(),
@@ -63,12 +63,14 @@
                 "operator: {id} {}",
                 if withhold { "withheld" } else { "given back" }
             );
-            let Entry { member, .. } = &entry;
+            let EndpointEntry {
+                endpoint: member, ..
+            } = &entry;
             let event = match withhold {
-                true => Event::Members(ListKind::Delta, [member.clone()].into()),
-                false => Event::GivenBack(member.clone()),
+                true => Event::EndpointUpdate(EndpointUpdateKind::Delta, [member.clone()].into()),
+                false => Event::ReturnedToService(member.clone()),
             };
-            self.fleet.update(ListKind::Delta, &[entry]);
+            self.fleet.update(EndpointUpdateKind::Delta, &[entry]);
             self.event(event);
             if withhold && none_left {
                 tracing::warn!("operator: all instances are withheld; every command is nacked");
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -39,10 +39,10 @@
         plan: 0,
         customer: "c".into(),
         units: 1.0,
-        left: 1_000_000_000,
-        repeat: false,
-        spread: 1,
-        first: 0,
+        time_left_ns: 1_000_000_000,
+        is_retry: false,
+        node_set_size: 1,
+        first_node: 0,
     };
     let passed = Arc::new(Passed {
         method: Method::GET,
@@ -56,7 +56,7 @@
         asker,
     });
     let (reply, answer) = oneshot::channel();
-    let deadline = engine.clock.instant(engine.now + request.left);
+    let deadline = engine.clock.instant(engine.now + request.time_left_ns);
     engine.take(Message::Command(Command {
         request,
         serial: 1,
@@ -68,7 +68,7 @@
 }
 
 fn ended(number: u32, outcome: Outcome) -> Message {
-    let served = (outcome == Outcome::Ok).then(|| (Content::Whole("body".into()), None));
+    let served = (outcome == Outcome::Success).then(|| (Content::Whole("body".into()), None));
     let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
     Message::Ended(Ended {
         request: ID,
@@ -118,9 +118,9 @@
     let mut answer = command(&mut engine);
     engine.take(ended(0, Outcome::TimedOut));
     assert!(matches!(engine.open[&ID].out, Some((1, Some(_)))));
-    engine.take(ended(0, Outcome::Ok));
+    engine.take(ended(0, Outcome::Success));
     assert!(answer.try_recv().is_err());
-    engine.take(ended(1, Outcome::Ok));
+    engine.take(ended(1, Outcome::Success));
     assert!(matches!(answer.try_recv(), Ok(Answer::Served(..))));
     assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
 }
@@ -129,10 +129,10 @@
 async fn a_command_never_has_two_attempts_out() {
     let (mut engine, _inbox) = engine();
     let _answer = command(&mut engine);
-    engine.act(Action::Send {
+    engine.act(Action::StartAttempt {
         request: ID,
-        backend: "s-1".into(),
-        timeout: 0,
+        endpoint: "s-1".into(),
+        timeout_ns: 0,
     });
     assert!(matches!(engine.open[&ID].out, Some((0, Some(_)))));
     assert_eq!(engine.figures.attempts, 1);
@@ -154,18 +154,18 @@
     let told = |i: usize| {
         let (id, state) = (
             format!("s-{}", i + 2).into(),
-            applewall::api::MemberState::Ready,
+            applewall::api::EndpointState::Ready,
         );
-        let member = applewall::api::Member {
-            backend: id,
+        let member = applewall::api::Endpoint {
+            id,
             state,
             ..Default::default()
         };
         Message::Table(
-            ListKind::Delta,
-            vec![Entry {
-                member,
-                endpoint: config.listen,
+            EndpointUpdateKind::Delta,
+            vec![EndpointEntry {
+                endpoint: member,
+                address: config.listen,
             }],
         )
     };
@@ -225,7 +225,7 @@
     assert_eq!(engine.figures.attempts, 1);
     drop(asker);
     // It never ran, so another attempt would be made for one who waits.
-    engine.take(ended(0, Outcome::NoConnection));
+    engine.take(ended(0, Outcome::ConnectFailed));
     assert_eq!((engine.figures.attempts, engine.figures.left), (1, 1));
     assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
     // Its word, late: nothing is left to take back.
@@ -245,13 +245,13 @@
         again.try_recv(),
         Ok(Answer::Failed(StatusCode::CONFLICT, _))
     ));
-    engine.take(ended(0, Outcome::Ok));
+    engine.take(ended(0, Outcome::Success));
     assert!(engine.open.is_empty());
     let mut again = command(&mut engine);
     assert!(
         again.try_recv().is_err(),
         "the former one's answer is nobody's"
     );
-    engine.take(ended(0, Outcome::Ok));
+    engine.take(ended(0, Outcome::Success));
     assert!(matches!(again.try_recv(), Ok(Answer::Served(..))));
 }
--- a/src/mail.rs
+++ b/src/gossip/codec.rs
@@ -3,7 +3,7 @@
 //! A message is a kind, four digits of the sender's incarnation and records of fixed width, in base 64. The
 //! kind names the format too: a gateway of another version finds no meaning in a kind it does not know.
 
-use crate::state::Evidence;
+use crate::state::LoadStatistics;
 
 const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 /// Bytes of a message at most.
@@ -20,40 +20,40 @@
 pub enum Record {
     /// A customer's use through the sender: all units sent on and asked for in this life (coded, wrapping),
     /// and the level of the store as the sender knows it, share of the burst, -1 to 1.
-    Use {
+    Usage {
         /// Number of the plan.
         plan: usize,
         /// The customer's set: its first gateway and how many.
-        first: u32,
+        first_node: u32,
         /// See `first`.
-        spread: u32,
+        node_set_size: u32,
         /// See [`units_code`].
-        sent: u32,
+        forwarded: u32,
         /// See [`units_code`].
-        asked: u32,
+        requested: u32,
         /// Share of the burst.
-        level: f64,
+        quota_level: f64,
     },
     /// What a customer's keeper has summed: demand in units a second, and the store's level.
-    Word {
+    Aggregate {
         /// Units a second.
         demand: f64,
         /// Share of the burst.
-        level: f64,
+        quota_level: f64,
     },
     /// Units of the ceiling handed over.
     Grant(f64),
     /// A part of the sender's pool of evidence.
-    Pool(Evidence),
+    Statistics(LoadStatistics),
 }
 
 impl Record {
     fn kind(&self) -> u8 {
         match self {
-            Record::Use { .. } => b'u',
-            Record::Word { .. } => b'w',
+            Record::Usage { .. } => b'u',
+            Record::Aggregate { .. } => b'w',
             Record::Grant(_) => b'g',
-            Record::Pool(_) => b'p',
+            Record::Statistics(_) => b'p',
         }
     }
 }
@@ -63,7 +63,7 @@
     match kind {
         b'u' => Some(10),
         b'w' | b'g' => Some(2),
-        b'p' => Some(2 * Evidence::PARTS),
+        b'p' => Some(2 * LoadStatistics::FIELD_COUNT),
         _ => None,
     }
 }
@@ -130,13 +130,13 @@
 fn push_body(text: &mut String, record: &Record) {
     let share = |s: f64| (s.clamp(0.0, 1.0) / STEP).round() as u32;
     match *record {
-        Record::Use {
+        Record::Usage {
             plan,
-            first,
-            spread,
-            sent,
-            asked,
-            level,
+            first_node: first,
+            node_set_size: spread,
+            forwarded: sent,
+            requested: asked,
+            quota_level: level,
         } => {
             push(text, plan.min(63) as u32, 1);
             push(text, first & WRAP, 2);
@@ -145,13 +145,16 @@
             push(text, asked, 2);
             push(text, share((level + 1.0) / 2.0), 1);
         }
-        Record::Word { demand, level } => {
+        Record::Aggregate {
+            demand,
+            quota_level: level,
+        } => {
             push(text, log_code(demand, RATE.0, RATE.1, 64), 1);
             push(text, share((level + 1.0) / 2.0), 1);
         }
         Record::Grant(units) => push(text, (units * QUARTERS).round() as u32 & WRAP, 2),
-        Record::Pool(e) => e
-            .parts()
+        Record::Statistics(e) => e
+            .to_array()
             .iter()
             .for_each(|v| push(text, log_code(*v, MASS.0, MASS.1, 4096), 2)),
     }
@@ -195,20 +198,20 @@
     let record = |r: &[u32]| {
         let b = &r[5..];
         let record = match kind {
-            b'u' => Record::Use {
+            b'u' => Record::Usage {
                 plan: b[0] as usize,
-                first: number(&b[1..3]),
-                spread: number(&b[3..5]),
-                sent: number(&b[5..7]),
-                asked: number(&b[7..9]),
-                level: level(b[9]),
+                first_node: number(&b[1..3]),
+                node_set_size: number(&b[3..5]),
+                forwarded: number(&b[5..7]),
+                requested: number(&b[7..9]),
+                quota_level: level(b[9]),
             },
-            b'w' => Record::Word {
+            b'w' => Record::Aggregate {
                 demand: log_value(b[0], RATE.0, RATE.1),
-                level: level(b[1]),
+                quota_level: level(b[1]),
             },
             b'g' => Record::Grant(f64::from(number(b)) / QUARTERS),
-            _ => Record::Pool(Evidence::from_parts(|i| {
+            _ => Record::Statistics(LoadStatistics::from_fn(|i| {
                 log_value(number(&b[2 * i..2 * i + 2]), MASS.0, MASS.1)
             })),
         };
--- /dev/null
+++ b/src/gossip/mod.rs
@@ -0,0 +1,3 @@
+//! What nodes tell each other about quotas and load.
+
+pub mod codec;
--- a/src/keep.rs
+++ b/src/keep.rs
@@ -7,7 +7,7 @@
 use crc::{Crc, CRC_32_ISCSI};
 use serde::{Deserialize, Serialize};
 
-use crate::api::BackendId;
+use crate::api::EndpointId;
 use crate::state::*;
 
 /// Part of what a ceiling's store holds that goes to the process that takes over; the other has the rest for what it
@@ -30,18 +30,18 @@
     ladder: Cow<'a, Ladder>,
     customers: Cow<'a, BTreeMap<u32, Customer>>,
     backends: Cow<'a, [Backend]>,
-    numbers: Cow<'a, BTreeMap<BackendId, usize>>,
+    numbers: Cow<'a, BTreeMap<EndpointId, usize>>,
     latency: Cow<'a, [(f64, f64)]>,
     speeds: Cow<'a, [(f64, f64)]>,
     heard: Cow<'a, BTreeMap<u32, u32>>,
     rates: (f64, Meter, Meter),
-    evidence: (Evidence, Evidence),
+    evidence: (LoadStatistics, LoadStatistics),
     carried: (f64, f64),
 }
 
 impl Kept<'_> {
     /// True where every number in it counts something that is there: what is read may be anything.
-    fn whole(&self, brain: &Brain) -> bool {
+    fn whole(&self, brain: &DecisionPolicy) -> bool {
         let labels = self.shape.0 + self.shape.1;
         let (ladder, own) = (&self.ladder, &brain.ladder);
         let customer = |c: &Customer| c.spread > 0 && c.plan.is_none_or(|p| p < self.shape.1);
@@ -60,9 +60,13 @@
     }
 }
 
-impl Brain {
+impl DecisionPolicy {
     fn shape(&self) -> (usize, usize, u32) {
-        (self.set.classes.len(), self.set.plans.len(), self.set.kinds)
+        (
+            self.set.classes.len(),
+            self.set.plans.len(),
+            self.set.machine_type_count,
+        )
     }
 
     /// Hands on what it keeps. From here on this one has only its part of each ceiling's store, and no fill.
@@ -70,7 +74,7 @@
     /// # Errors
     ///
     /// What it keeps can't be written down.
-    pub fn hand_over(&mut self) -> Result<Vec<u8>, String> {
+    pub fn export_snapshot(&mut self) -> Result<Vec<u8>, String> {
         self.fill_all();
         let left: Vec<f64> = self
             .customers
@@ -103,19 +107,19 @@
         self.set
             .plans
             .iter_mut()
-            .for_each(|p| p.ceiling_rate *= FILL_LEFT);
+            .for_each(|p| p.ceiling_units_per_second *= FILL_LEFT);
         bytes
     }
 
     /// The one that was to take over has failed: this one goes on by itself, with what it has left.
-    pub fn take_back(&mut self) {
+    pub fn resume(&mut self) {
         // What came in the meantime came to the other one; and whoever is not known here may have spent all there.
         self.fill_all();
         self.born = self.last;
         self.set
             .plans
             .iter_mut()
-            .for_each(|p| p.ceiling_rate /= FILL_LEFT);
+            .for_each(|p| p.ceiling_units_per_second /= FILL_LEFT);
     }
 
     /// Brings every store up to the present moment: filled later, it would be at another's rate.
@@ -133,7 +137,7 @@
     /// # Errors
     ///
     /// What was handed on is not of this form, or of other settings; nothing is changed then.
-    pub fn take_over(&mut self, bytes: &[u8]) -> Result<(), String> {
+    pub fn import_snapshot(&mut self, bytes: &[u8]) -> Result<(), String> {
         let kept: Kept =
             postcard::from_bytes_crc32(bytes, CHECK.digest()).map_err(|e| e.to_string())?;
         if kept.shape != self.shape() || !kept.whole(self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,16 @@
-//! applewall decides, for one gateway of a shared API, what to admit, what to refuse and where to send.
+//! applewall decides, for one node of an API ingress fleet, which requests to admit, which to reject and where to send
+//! them.
 //!
-//! [`brain::Brain`] is the decision module; [`api`] is all it sees and all it says. [`wire`] translates
-//! the bench's dialect and is not needed when the library is embedded.
+//! [`decision::DecisionPolicy`] is the decision policy; [`api`] holds everything that goes into it and comes out of it.
+//! [`platform_settings`] reads the platform's settings object. [`simulator`] translates the simulator's protocol and is
+//! not needed when the library is embedded.
 
 pub mod api;
 #[rustfmt::skip] // Formatted as it is cut into modules: in the default style it would pass its limit of lines.
-pub mod brain;
+pub mod decision;
+pub mod gossip;
 mod keep;
-pub mod mail;
+pub mod platform_settings;
 mod post;
+pub mod simulator;
 mod state;
-pub mod wire;
--- a/src/lifecycle/process_role.rs
+++ b/src/lifecycle/process_role.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall::api::Member;
+use applewall::api::Endpoint;
 use applewall_admin::Ledger;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -51,7 +51,7 @@
     /// Draining or drained.
     pub drained: bool,
     /// The list, as discovery has it.
-    pub listed: Vec<(Member, SocketAddr)>,
+    pub listed: Vec<(Endpoint, SocketAddr)>,
     /// What the module keeps.
     pub module: Vec<u8>,
 }
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -45,7 +45,7 @@
     ) -> Result<Option<Self>, String> {
         let settings = config.facts.clone();
         let settings = &settings.settings;
-        let Some(address) = config.peer_listen.filter(|_| settings.peer_messages) else {
+        let Some(address) = config.peer_listen.filter(|_| settings.gossip_enabled) else {
             return Ok(None);
         };
         let told = |e: std::io::Error| format!("peer_listen {address}: {e}");
@@ -60,7 +60,7 @@
             }
         };
         config.peer_listen = socket.local_addr().ok();
-        let (peers, me) = (config.peers.clone(), settings.me as usize);
+        let (peers, me) = (config.peers.clone(), settings.node as usize);
         Ok(Some(Peers {
             socket,
             peers,
--- a/src/post.rs
+++ b/src/post.rs
@@ -8,9 +8,9 @@
 use std::collections::BTreeMap;
 
 use crate::api::{Action, Plan};
-use crate::brain::{MEMORY, SHORT, WORD};
-use crate::mail::{self, units_code, Record};
-use crate::state::{Brain, Customer, Meter, Word};
+use crate::decision::{MEMORY, SHORT, WORD};
+use crate::gossip::codec::{self, units_code, Record};
+use crate::state::{Customer, DecisionPolicy, Meter, Word};
 
 const REPORT_EVERY: f64 = 0.2; // s; sets whose tell-all reports are slower than this have keepers.
 const KEEPER_LAG: f64 = 0.5; // s; by which each further keeper waits for the ones before it to speak.
@@ -29,19 +29,20 @@
         let demand = self.demand.read(now, MEMORY.0);
         let Some(w) = self
             .word
-            .filter(|w| now - w.at < WORD.1 && w.demand > pace.min(p.rate))
+            .filter(|w| now - w.at < WORD.1 && w.demand > pace.min(p.quota_units_per_second))
         else {
-            return demand > p.rate && self.store < SHORT.0 * p.burst
-                || demand > pace && pace < p.rate;
+            return demand > p.quota_units_per_second && self.store < SHORT.0 * p.quota_burst_units
+                || demand > pace && pace < p.quota_units_per_second;
         };
         // What those who heard the word take the store for by now.
         let age = now - w.at;
-        let believed = (w.drained(w.store, age, p) + age * p.rate).min(p.burst);
-        let off = (self.store - believed).abs() > UNTOLD * p.burst;
+        let believed =
+            (w.drained(w.store, age, p) + age * p.quota_units_per_second).min(p.quota_burst_units);
+        let off = (self.store - believed).abs() > UNTOLD * p.quota_burst_units;
         // A fall is told once it is over: it shows in the store until then.
         let change = (demand * MEMORY.0).sqrt() - (w.demand * MEMORY.0).sqrt();
-        let other = change > NEWS || -change > NEWS && demand < pace.min(p.rate);
-        age > KEEPER_LAG && (off || other || demand > p.rate && age > WORD.0)
+        let other = change > NEWS || -change > NEWS && demand < pace.min(p.quota_units_per_second);
+        age > KEEPER_LAG && (off || other || demand > p.quota_units_per_second && age > WORD.0)
     }
 
     /// Fills this gateway's part of the ceiling's store, and the bank where it is here.
@@ -54,12 +55,13 @@
         } else {
             1.0
         };
-        let over = (self.ceiling - p.ceiling_burst * part).max(0.0) * kept;
-        let filled = (self.ceiling + dt * p.ceiling_rate * part).min(p.ceiling_burst * part + over);
+        let over = (self.ceiling - p.ceiling_burst_units * part).max(0.0) * kept;
+        let filled = (self.ceiling + dt * p.ceiling_units_per_second * part)
+            .min(p.ceiling_burst_units * part + over);
         self.ceiling = filled;
         let Some(bank) = &mut self.bank else { return };
         // A part not used for as long as the ceiling takes to fill is full: the bank has what would run over.
-        let full = p.ceiling_burst / p.ceiling_rate.max(1e-9);
+        let full = p.ceiling_burst_units / p.ceiling_units_per_second.max(1e-9);
         let used = self
             .peers
             .values()
@@ -71,8 +73,8 @@
             .values()
             .map(|u| u.lent.read(now, LENT.1) * LENT.1)
             .sum();
-        let most = (p.ceiling_burst * (1.0 - self.dealt) - lent).max(0.0);
-        *bank = (*bank + dt * p.ceiling_rate * rest).min(most);
+        let most = (p.ceiling_burst_units * (1.0 - self.dealt) - lent).max(0.0);
+        *bank = (*bank + dt * p.ceiling_units_per_second * rest).min(most);
     }
 
     /// What the bank lends a peer that used so many units, of what it may soon need; a loss only wastes.
@@ -90,10 +92,11 @@
     }
 }
 
-impl Brain {
+impl DecisionPolicy {
     /// True where the receive limit lets each of so many gateways tell all the others often enough.
     pub(crate) fn tells_all(&self, gateways: u32) -> bool {
-        f64::from(gateways.max(1) - 1) <= MAIL_SHARE * self.set.mail_per_s * REPORT_EVERY
+        f64::from(gateways.max(1) - 1)
+            <= MAIL_SHARE * self.set.gossip_messages_per_second * REPORT_EVERY
     }
 
     pub(crate) fn tell(
@@ -102,8 +105,12 @@
         records: &[(u32, Record)],
         actions: &mut Vec<Action>,
     ) {
-        let texts = mail::write(self.incarnation, records);
-        actions.extend(texts.into_iter().map(|text| Action::Tell { peer, text }));
+        let texts = codec::write(self.incarnation, records);
+        actions.extend(
+            texts
+                .into_iter()
+                .map(|text| Action::SendGossip { peer, text }),
+        );
     }
 
     /// Tells the keepers of each customer that is untold what came in for it and went out: those of a small
@@ -111,8 +118,11 @@
     pub(crate) fn report(&mut self, now: f64, actions: &mut Vec<Action>) {
         let mut letters: BTreeMap<u32, Vec<(u32, Record)>> = BTreeMap::new();
         // So spaced that what all send is within their part of what all may receive.
-        let each = 1.0 / (MAIL_SHARE * self.set.mail_per_s).max(0.1);
-        let (large, spare) = (!self.tells_all(self.set.gateways), now - REPORT_EVERY / 2.0);
+        let each = 1.0 / (MAIL_SHARE * self.set.gossip_messages_per_second).max(0.1);
+        let (large, spare) = (
+            !self.tells_all(self.set.node_count),
+            now - REPORT_EVERY / 2.0,
+        );
         self.next_report = self.next_report.max(now - REPORT_EVERY);
         while !large || self.next_report <= now {
             let Some(fp) = self.untold.pop_front() else {
@@ -124,29 +134,29 @@
             c.untold = false;
             let Some(plan) = c.plan else { continue };
             c.fill(now, &self.set.plans[plan]);
-            let level = c.store / self.set.plans[plan].burst.max(1e-9);
+            let level = c.store / self.set.plans[plan].quota_burst_units.max(1e-9);
             let (first, spread, sent, asked) =
                 (c.first, c.spread, units_code(c.sent), units_code(c.asked));
-            let record = Record::Use {
+            let record = Record::Usage {
                 plan,
-                first,
-                spread,
-                sent,
-                asked,
-                level,
+                first_node: first,
+                node_set_size: spread,
+                forwarded: sent,
+                requested: asked,
+                quota_level: level,
             };
             for (rank, keeper) in c
                 .keepers
                 .iter()
                 .enumerate()
-                .filter(|(_, k)| **k != self.set.me)
+                .filter(|(_, k)| **k != self.set.node)
             {
                 if !large {
                     letters.entry(*keeper).or_default().push((fp, record));
                 } else if rank == 0 || c.dealt == 1.0 || self.next_report <= spare {
                     self.next_report += each;
-                    let texts = mail::write(self.incarnation, &[(fp, record)]);
-                    actions.extend(texts.into_iter().map(|text| Action::Tell {
+                    let texts = codec::write(self.incarnation, &[(fp, record)]);
+                    actions.extend(texts.into_iter().map(|text| Action::SendGossip {
                         peer: Some(*keeper),
                         text,
                     }));
@@ -171,7 +181,7 @@
         let (plan, Some(c)) = (&self.set.plans[plan], self.customers.get_mut(&fp)) else {
             return;
         };
-        if !c.keeps || c.keepers.len() >= c.spread as usize || plan.rate <= 0.0 {
+        if !c.keeps || c.keepers.len() >= c.spread as usize || plan.quota_units_per_second <= 0.0 {
             return;
         }
         c.fill(now, plan);
@@ -182,18 +192,21 @@
         let rank = c
             .keepers
             .iter()
-            .position(|k| *k == self.set.me)
+            .position(|k| *k == self.set.node)
             .unwrap_or(0);
         if now - *c.due.get_or_insert(now) < rank as f64 * KEEPER_LAG {
             return;
         }
         // What all keepers tell, all of a set take in: no more than their part of what all may receive.
-        let each = 1.0 / (WORD_SHARE * self.set.mail_per_s).max(0.1);
+        let each = 1.0 / (WORD_SHARE * self.set.gossip_messages_per_second).max(0.1);
         if self.next_word > now {
             return;
         }
         self.next_word = self.next_word.max(now - WORD_SAVED) + f64::from(c.spread - 1) * each;
-        let (demand, level) = (c.demand.read(now, MEMORY.0), c.store / plan.burst.max(1e-9));
+        let (demand, level) = (
+            c.demand.read(now, MEMORY.0),
+            c.store / plan.quota_burst_units.max(1e-9),
+        );
         (c.word, c.due) = (
             Some(Word {
                 demand,
@@ -202,10 +215,20 @@
             }),
             None,
         );
-        let n = self.set.gateways.max(1);
+        let n = self.set.node_count.max(1);
         let set: Vec<u32> = (0..c.spread).map(|i| (c.first + i) % n).collect();
-        for peer in set.into_iter().filter(|p| *p != self.set.me) {
-            self.tell(Some(peer), &[(fp, Record::Word { demand, level })], actions);
+        for peer in set.into_iter().filter(|p| *p != self.set.node) {
+            self.tell(
+                Some(peer),
+                &[(
+                    fp,
+                    Record::Aggregate {
+                        demand,
+                        quota_level: level,
+                    },
+                )],
+                actions,
+            );
         }
     }
 
@@ -216,13 +239,13 @@
             let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else {
                 continue;
             };
-            if plan.ceiling_rate <= 0.0 || c.spread < 2 || c.dealt < 1.0 {
+            if plan.ceiling_units_per_second <= 0.0 || c.spread < 2 || c.dealt < 1.0 {
                 continue;
             }
             c.fill(now, plan);
             let k = f64::from(c.spread);
-            let fair = plan.ceiling_rate / k;
-            let keep = c.own.read(now, MEMORY.0) + self.set.most_units;
+            let fair = plan.ceiling_units_per_second / k;
+            let keep = c.own.read(now, MEMORY.0) + self.set.max_request_units;
             let rates = c
                 .peers
                 .iter()
@@ -231,7 +254,7 @@
             let Some((peer, _)) = needy.max_by(|a, b| a.1.total_cmp(&b.1)) else {
                 continue;
             };
-            let amount = (GRANT * plan.ceiling_slack / k).min(c.ceiling - keep);
+            let amount = (GRANT * plan.ceiling_slack_units / k).min(c.ceiling - keep);
             let amount = (amount * 4.0).floor() / 4.0;
             if amount > 0.0 {
                 c.ceiling -= amount;
@@ -260,22 +283,25 @@
         let Some(plan) = c.plan.map(|p| &self.set.plans[p]) else {
             return;
         };
-        if c.dealt == 1.0 || c.keepers[0] != self.set.me {
+        if c.dealt == 1.0 || c.keepers[0] != self.set.node {
             return;
         }
-        let (demand, here) = (c.demand.read(now, MEMORY.0), c.store / plan.burst.max(1e-9));
+        let (demand, here) = (
+            c.demand.read(now, MEMORY.0),
+            c.store / plan.quota_burst_units.max(1e-9),
+        );
         let wrong = (level - here).abs() > UNTOLD;
-        let lent = (plan.ceiling_rate > 0.0)
-            .then(|| c.lend(now, from, used, self.set.most_units))
+        let lent = (plan.ceiling_units_per_second > 0.0)
+            .then(|| c.lend(now, from, used, self.set.max_request_units))
             .flatten();
-        if wrong && plan.rate > 0.0 {
+        if wrong && plan.quota_units_per_second > 0.0 {
             self.tell(
                 Some(from),
                 &[(
                     fp,
-                    Record::Word {
+                    Record::Aggregate {
                         demand,
-                        level: here,
+                        quota_level: here,
                     },
                 )],
                 actions,
--- a/src/post/tests.rs
+++ b/src/post/tests.rs
@@ -4,10 +4,10 @@
 fn plan() -> Plan {
     let (rate, burst) = (20.0, 30.0);
     Plan {
-        rate,
-        burst,
-        ceiling_rate: 40.0,
-        ceiling_burst: 68.0,
+        quota_units_per_second: rate,
+        quota_burst_units: burst,
+        ceiling_units_per_second: 40.0,
+        ceiling_burst_units: 68.0,
         ..Plan::default()
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -158,7 +158,7 @@
         .settings
         .classes
         .iter()
-        .map(|c| c.deadline)
+        .map(|c| c.deadline_ns)
         .max()
         .unwrap_or(0);
     let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -8,8 +8,8 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use applewall::api::{self, Repeats, RequestId};
-use applewall::wire::Facts;
+use applewall::api::{self, Idempotency, RequestId};
+use applewall::platform_settings::PlatformSettings;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -43,7 +43,7 @@
 
 /// What all connections share.
 pub struct Gate {
-    pub facts: Arc<Facts>,
+    pub facts: Arc<PlatformSettings>,
     pub queue: mpsc::Sender<Message>,
     pub stages: watch::Receiver<Stage>,
     /// There is a list to decide from.
@@ -226,7 +226,7 @@
             Some(paced) => Some(Entered(&paced.pacer, number)),
             None => None,
         };
-        let mut deadline = arrived + Duration::from_nanos(read.left);
+        let mut deadline = arrived + Duration::from_nanos(read.time_left_ns);
         if let Some((_, by)) = self
             .successor
             .stopping
@@ -281,7 +281,7 @@
                 }
             }
         };
-        read.left = deadline
+        read.time_left_ns = deadline
             .saturating_duration_since(Instant::now())
             .as_nanos() as u64;
         // From here on nothing of the command is read: what comes now is the next one's, or the client's end.
@@ -432,7 +432,7 @@
 /// Reads the headers; the error is a plain reason for the service client. Nothing that is read in doubt may be
 /// served, or charged to a customer.
 fn read(
-    facts: &Facts,
+    facts: &PlatformSettings,
     method: &Method,
     headers: &HeaderMap,
 ) -> Result<(api::Request, u64), &'static str> {
@@ -447,10 +447,10 @@
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
     match (
         headers.get_all(KEY).iter().count(),
-        facts.settings.classes[class].repeats,
+        facts.settings.classes[class].idempotency,
     ) {
         (1, _) => {}
-        (0, Repeats::Keyed { .. }) => {
+        (0, Idempotency::IdempotencyKey { .. }) => {
             return Err("no Idempotency-Key, which this class is repeated by")
         }
         (0, _) => {}
@@ -470,12 +470,12 @@
     let set = one(headers, "x-metering")
         .and_then(metering)
         .filter(|[units, spread, first]| {
-            let n = settings.gateways.max(1);
-            (1..=settings.most_units.max(1.0) as u32).contains(units)
+            let n = settings.node_count.max(1);
+            (1..=settings.max_request_units.max(1.0) as u32).contains(units)
             && (1..=n).contains(spread)
             && *first < n
             // A set without this ingress: the customer's quota is not kept here.
-            && (settings.me + n - first) % n < *spread
+            && (settings.node + n - first) % n < *spread
         });
     let Some([units, spread, first]) = set else {
         return Err(
@@ -489,12 +489,12 @@
         customer: format!("{customer:016x}").into(),
         units: f64::from(units),
         // No try may wait for longer than its class: bounds what is held.
-        left: left
+        time_left_ns: left
             .saturating_mul(1_000_000)
-            .min(settings.classes[class].deadline),
-        repeat: one(headers, "x-repeat") == Some("1"),
-        spread,
-        first,
+            .min(settings.classes[class].deadline_ns),
+        is_retry: one(headers, "x-repeat") == Some("1"),
+        node_set_size: spread,
+        first_node: first,
     };
     Ok((request, customer))
 }
--- /dev/null
+++ b/src/simulator/mod.rs
@@ -0,0 +1,3 @@
+//! The protocol of the simulator that plays decision policies in virtual time.
+
+pub mod protocol;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
 
-use crate::api::{BackendId, Member, RequestId, Settings};
+use crate::api::{Endpoint, EndpointId, EndpointState, PolicySettings, RequestId};
 
 /// Seconds of nanoseconds.
 pub(crate) fn secs(ns: u64) -> f64 {
@@ -48,73 +48,73 @@
 
 /// Counts of outcomes, for the load index and the backlog: of one interval, or summed and aged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Evidence {
+pub struct LoadStatistics {
     /// Outcomes at sound backends.
-    pub answers: f64,
+    pub outcomes: f64,
     /// Answers whose latency, set against the aim, is above the overload threshold.
-    pub high: f64,
+    pub slow: f64,
     /// Answers whose latency, set against the aim, is below the underload threshold.
-    pub low: f64,
+    pub fast: f64,
     /// Outcomes refused or unconnected.
-    pub refused: f64,
+    pub rejected: f64,
     /// Outcomes timed out.
     pub timed_out: f64,
     /// Intervals summed up.
     pub intervals: f64,
     /// Work out, summed over the intervals.
-    pub out: f64,
+    pub in_flight: f64,
     /// Work done, summed over the intervals.
-    pub done: f64,
+    pub completed: f64,
     /// Work asked for within quotas, summed over the intervals.
-    pub asked: f64,
+    pub requested: f64,
 }
 
-impl Evidence {
+impl LoadStatistics {
     /// Numbers in it.
-    pub const PARTS: usize = 9;
+    pub const FIELD_COUNT: usize = 9;
 
     /// The numbers, in order.
-    pub fn parts(&self) -> [f64; Self::PARTS] {
-        let Evidence {
-            answers,
-            high,
-            low,
-            refused,
+    pub fn to_array(self) -> [f64; Self::FIELD_COUNT] {
+        let LoadStatistics {
+            outcomes: answers,
+            slow: high,
+            fast: low,
+            rejected: refused,
             timed_out,
             intervals,
-            out,
-            done,
-            asked,
-        } = *self;
+            in_flight: out,
+            completed: done,
+            requested: asked,
+        } = self;
         [
             answers, high, low, refused, timed_out, intervals, out, done, asked,
         ]
     }
 
     /// From the numbers, in order.
-    pub fn from_parts(part: impl Fn(usize) -> f64) -> Self {
-        Evidence {
-            answers: part(0),
-            high: part(1),
-            low: part(2),
-            refused: part(3),
+    pub fn from_fn(part: impl Fn(usize) -> f64) -> Self {
+        LoadStatistics {
+            outcomes: part(0),
+            slow: part(1),
+            fast: part(2),
+            rejected: part(3),
             timed_out: part(4),
             intervals: part(5),
-            out: part(6),
-            done: part(7),
-            asked: part(8),
+            in_flight: part(6),
+            completed: part(7),
+            requested: part(8),
         }
     }
 
     /// This with a part of another added.
-    pub fn plus(&self, other: &Evidence, weight: f64) -> Self {
-        let (a, b) = (self.parts(), other.parts());
-        Evidence::from_parts(|i| a[i] + b[i] * weight)
+    pub fn plus(&self, other: &LoadStatistics, weight: f64) -> Self {
+        let (a, b) = (self.to_array(), other.to_array());
+        LoadStatistics::from_fn(|i| a[i] + b[i] * weight)
     }
 
     /// A part of it.
-    pub fn times(&self, weight: f64) -> Self {
-        Evidence::default().plus(self, weight)
+    pub fn scaled(&self, weight: f64) -> Self {
+        LoadStatistics::default().plus(self, weight)
     }
 }
 
@@ -125,7 +125,7 @@
     pub rates: Vec<f64>,
     pub focal: f64,
     pub index: VecDeque<i32>,
-    pub tallies: VecDeque<Evidence>,
+    pub tallies: VecDeque<LoadStatistics>,
     pub switched: f64,
     pub onset: Option<f64>,
     pub lag: f64,
@@ -195,6 +195,21 @@
     pub due: Option<f64>,
 }
 
+impl Customer {
+    pub(crate) fn new(now: f64) -> Self {
+        Customer {
+            at: now,
+            seen: now,
+            since: now,
+            level: 1.0,
+            spread: 1,
+            dealt: 1.0,
+            luck: 1.0,
+            ..Customer::default()
+        }
+    }
+}
+
 /// An attempt that is out.
 #[derive(Clone)]
 pub(crate) struct Out {
@@ -210,7 +225,7 @@
 /// A backend as this gateway sees it.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Backend {
-    pub member: Member,
+    pub member: Endpoint,
     pub ready: bool,
     /// The list no longer names it, or as gone.
     pub gone: bool,
@@ -233,6 +248,20 @@
 }
 
 impl Backend {
+    /// One that nothing is known of but its entry in the list.
+    pub(crate) fn new(member: Endpoint, cold_from: f64, labels: usize) -> Self {
+        Backend {
+            ready: member.state == EndpointState::Ready,
+            slowness: 1.0,
+            health: vec![[Meter::default(); 2]; labels],
+            ..Backend {
+                member,
+                cold_from,
+                ..Backend::default()
+            }
+        }
+    }
+
     /// Time without an answer while work is out.
     pub fn silence(&self, now: f64) -> f64 {
         self.out
@@ -267,8 +296,8 @@
 }
 
 /// The decisions of one gateway.
-pub struct Brain {
-    pub(crate) set: Settings,
+pub struct DecisionPolicy {
+    pub(crate) set: PolicySettings,
     pub(crate) rng: SmallRng,
     pub(crate) born: f64,
     pub(crate) listed: bool,
@@ -278,7 +307,7 @@
     pub(crate) backends: Vec<Backend>,
     /// Part of its usual work that each zone gets.
     pub(crate) zones: Vec<f64>,
-    pub(crate) numbers: BTreeMap<BackendId, usize>,
+    pub(crate) numbers: BTreeMap<EndpointId, usize>,
     pub(crate) held: BTreeMap<RequestId, Held>,
     /// Learned latency of each class and size, s, and how many answers taught it.
     pub(crate) latency: Vec<(f64, f64)>,
@@ -288,9 +317,9 @@
     /// Of each peer: its incarnation.
     pub(crate) heard: BTreeMap<u32, u32>,
     pub(crate) arrivals: Meter,
-    /// Evidence shared with peers, and the parts taken in lately.
-    pub(crate) pool: Evidence,
-    pub(crate) told: Evidence,
+    /// LoadStatistics shared with peers, and the parts taken in lately.
+    pub(crate) pool: LoadStatistics,
+    pub(crate) told: LoadStatistics,
     pub(crate) mixed: Meter,
     /// Work that a gateway's part of one warm backend is known to carry, per s, and how many warm ones all
     /// that are ready come to.
@@ -309,10 +338,41 @@
     pub(crate) logged: u32,
 }
 
+/// Answers that what others of a class take counts for: the first few scatter widely.
+const GUESS: f64 = 2.0;
+
 /// Sizes in units that latencies are learned for apart: few, so that each is seen.
 pub(crate) const SIZES: usize = 4;
 
-impl Brain {
+impl DecisionPolicy {
+    /// Latency of a kind of request; while few of its answers are known, mostly that of its class or of all.
+    pub(crate) fn usual(&self, kind: usize) -> f64 {
+        let class = DecisionPolicy::mean(&self.latency[kind / SIZES * SIZES..][..SIZES]);
+        let guess = if class > 0.0 {
+            class
+        } else {
+            DecisionPolicy::mean(&self.latency)
+        };
+        let (own, known) = self.latency[kind];
+        (own * known + guess * GUESS) / (known + GUESS)
+    }
+
+    /// Cost of a kind of request, in requests of the mean, from learned latencies; before these, all alike.
+    pub(crate) fn cost(&self, kind: usize) -> f64 {
+        let mean = DecisionPolicy::mean(&self.latency);
+        if mean > 0.0 {
+            (self.usual(kind) / mean).clamp(0.1, 10.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// Work out that is not yet past its aim: beyond it is lost, and must not fill the backlog of all.
+    pub(crate) fn out(&self, now: f64) -> f64 {
+        let young = |h: &&Held| now - h.sent < secs(self.set.classes[h.class].latency_objective_ns);
+        self.held.values().filter(young).map(|h| h.cost).sum()
+    }
+
     /// Mean latency over kinds of request, by their answers; none known is 0.
     pub(crate) fn mean(kinds: &[(f64, f64)]) -> f64 {
         let (sum, known) = kinds
@@ -323,8 +383,8 @@
 
     /// Share of its capacity that a backend has, by how long ago it started.
     pub(crate) fn cold_share(&self, b: &Backend, now: f64) -> f64 {
-        let warm = ((now - b.cold_from) / secs(self.set.cold_time).max(1e-9)).clamp(0.0, 1.0);
-        self.set.cold_share + (1.0 - self.set.cold_share) * warm
+        let warm = ((now - b.cold_from) / secs(self.set.slow_start_ns).max(1e-9)).clamp(0.0, 1.0);
+        self.set.slow_start_fraction + (1.0 - self.set.slow_start_fraction) * warm
     }
 
     /// What is learned of a request's latency goes by its class and its units: units often tell of its work.
@@ -333,7 +393,7 @@
     }
 
     /// How much is kept, in entries of all kinds: levels off however many come and go.
-    pub fn kept(&self) -> usize {
+    pub fn entry_count(&self) -> usize {
         let outs: usize = self
             .backends
             .iter()
@@ -346,8 +406,8 @@
     }
 
     /// One that has seen nothing.
-    pub(crate) fn blank(set: Settings, rng: SmallRng) -> Self {
-        Brain {
+    pub(crate) fn blank(set: PolicySettings, rng: SmallRng) -> Self {
+        DecisionPolicy {
             set,
             rng,
             born: 0.0,
@@ -364,8 +424,8 @@
             retries: 0.0,
             heard: BTreeMap::new(),
             arrivals: Meter::default(),
-            pool: Evidence::default(),
-            told: Evidence::default(),
+            pool: LoadStatistics::default(),
+            told: LoadStatistics::default(),
             mixed: Meter::default(),
             carried: 0.0,
             strength: 0.0,
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -9,8 +9,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use applewall::api::{BackendId, ListKind, LoadField, MemberState, Outcome, RequestId};
-use applewall::wire::Facts;
+use applewall::api::{
+    EndpointId, EndpointState, EndpointUpdateKind, LoadField, Outcome, RequestId,
+};
+use applewall::platform_settings::PlatformSettings;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Body;
@@ -22,7 +24,7 @@
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
-use crate::engine::message::{Ended, Entry, Message, Passed};
+use crate::engine::message::{Ended, EndpointEntry, Message, Passed};
 use crate::limits::BODY_MOST;
 use crate::server::request::KEY;
 use crate::server::response::Content;
@@ -80,7 +82,7 @@
 
 /// All instances that the name table has named.
 pub struct Fleet {
-    instances: HashMap<BackendId, Arc<Instance>>,
+    instances: HashMap<EndpointId, Arc<Instance>>,
     places: Arc<Semaphore>,
     limits: Arc<Limits>,
     load_fields: Arc<[LoadField]>,
@@ -95,7 +97,7 @@
 pub struct Attempt {
     pub request: RequestId,
     pub number: u32,
-    pub backend: BackendId,
+    pub backend: EndpointId,
     pub passed: Arc<Passed>,
     /// When it is given up.
     pub until: Instant,
@@ -108,7 +110,7 @@
 impl Fleet {
     /// None yet, and room for so many connections; attempts report to the queue.
     pub fn new(
-        facts: &Facts,
+        facts: &PlatformSettings,
         (places, ahead): (usize, usize),
         clock: Clock,
         pacers: Pacers,
@@ -122,7 +124,7 @@
             instances: HashMap::new(),
             places: Arc::new(Semaphore::new(places)),
             limits: Arc::new(limits),
-            load_fields: facts.settings.load_fields.as_slice().into(),
+            load_fields: facts.settings.load_report_fields.as_slice().into(),
             ahead: Arc::new(Semaphore::new(ahead)),
             clock,
             pacers,
@@ -131,18 +133,22 @@
     }
 
     /// Takes in news of the name table.
-    pub fn update(&mut self, kind: ListKind, entries: &[Entry]) {
-        if kind != ListKind::Delta {
+    pub fn update(&mut self, kind: EndpointUpdateKind, entries: &[EndpointEntry]) {
+        if kind != EndpointUpdateKind::Delta {
             // What a whole list leaves out is gone; what it names is put right below.
             for instance in self.instances.values() {
                 instance.state().draining = true;
             }
         }
-        for Entry { member, endpoint } in entries {
-            let ready = member.state == MemberState::Ready;
+        for EndpointEntry {
+            endpoint: member,
+            address: endpoint,
+        } in entries
+        {
+            let ready = member.state == EndpointState::Ready;
             let instance = self
                 .instances
-                .entry(member.backend.clone())
+                .entry(member.id.clone())
                 .or_insert_with(|| Arc::new(Instance::new(*endpoint)));
             let mut state = instance.state();
             state.endpoint = *endpoint;
@@ -155,7 +161,7 @@
     }
 
     /// Closes idle connections to one instance.
-    pub fn close(&self, backend: &BackendId) {
+    pub fn close(&self, backend: &EndpointId) {
         self.instances
             .get(backend)
             .into_iter()
@@ -274,7 +280,7 @@
                     ended.outcome = outcome(status, &headers);
                     ended.load = load(&headers, &fields);
                     let kind = headers.get(CONTENT_TYPE).cloned();
-                    ended.served = (ended.outcome == Outcome::Ok).then_some((body, kind));
+                    ended.served = (ended.outcome == Outcome::Success).then_some((body, kind));
                 }
                 Err(outcome) => ended.outcome = outcome,
             }
@@ -326,7 +332,7 @@
     // A drain may have been told while the attempt dialled. Nothing is between this look and the first byte; what the
     // rule allows from the telling on is spent on the way from the agent to here.
     if instance.state().draining {
-        return Err(Outcome::Full);
+        return Err(Outcome::Overloaded);
     }
     // So may the service client have gone, and an attempt may not be called off where the settings don't allow it.
     // And the time of its key may be over, if it is a repeat.
@@ -351,7 +357,7 @@
             return None;
         }
         let length = body.size_hint().exact();
-        let good = outcome(parts.status, &parts.headers) == Outcome::Ok;
+        let good = outcome(parts.status, &parts.headers) == Outcome::Success;
         // One that says that it is larger than what is read ahead is passed on as it comes; so is one that would have
         // to wait for room, which its service client's own reading gives it.
         let room = length.unwrap_or(BODY_MOST as u64);
@@ -385,9 +391,9 @@
         // of it as of any other break, once nothing of it is out.
         let written = connection.watch.written.load(Ordering::Relaxed) > before;
         return Err(if written {
-            Outcome::Reset
+            Outcome::ConnectionReset
         } else {
-            Outcome::NoConnection
+            Outcome::ConnectFailed
         });
     };
     if connection.usable().await {
@@ -409,7 +415,7 @@
     let endpoint = instance.state().endpoint;
     let dialled = tokio::time::timeout(limits.dial, TcpStream::connect(endpoint)).await;
     let Ok(Ok(stream)) = dialled else {
-        return Err(Outcome::NoConnection);
+        return Err(Outcome::ConnectFailed);
     };
     let _ = stream.set_nodelay(true);
     let watch = Arc::new(Watch::default());
@@ -421,7 +427,7 @@
         .max_buf_size(HEAD_MOST)
         .handshake(watched)
         .await;
-    let (sender, driver) = handshake.map_err(|_| Outcome::NoConnection)?;
+    let (sender, driver) = handshake.map_err(|_| Outcome::ConnectFailed)?;
     let driver = Box::new(driver);
     let mut connection = Connection {
         sender,
@@ -433,7 +439,7 @@
     };
     match connection.usable().await {
         true => Ok(connection),
-        false => Err(Outcome::NoConnection),
+        false => Err(Outcome::ConnectFailed),
     }
 }
 
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -120,17 +120,17 @@
     for rest in spoilt {
         assert_eq!(
             answered(&format!("{ok}{rest}")).await,
-            Some(Outcome::Reset),
+            Some(Outcome::ConnectionReset),
             "{rest}"
         );
     }
     let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n";
-    assert_eq!(answered(switched).await, Some(Outcome::Reset));
+    assert_eq!(answered(switched).await, Some(Outcome::ConnectionReset));
     assert_eq!(
         answered(&format!("{ok}X: {}", "x".repeat(HEAD_MOST))).await,
-        Some(Outcome::Reset)
+        Some(Outcome::ConnectionReset)
     );
-    assert_eq!(answered("noise").await, Some(Outcome::Reset));
+    assert_eq!(answered("noise").await, Some(Outcome::ConnectionReset));
 }
 
 #[tokio::test]
@@ -196,7 +196,7 @@
 #[tokio::test]
 async fn a_drain_told_while_an_attempt_dials_keeps_it_from_being_written() {
     let (listener, endpoint) = listen().await;
-    assert_eq!(attempt(endpoint, true).await, Some(Outcome::Full));
+    assert_eq!(attempt(endpoint, true).await, Some(Outcome::Overloaded));
     // The connection came up, and ended without a byte.
     let (mut stream, _) = listener.accept().await.unwrap();
     let mut bytes = Vec::new();
@@ -230,9 +230,9 @@
         assert!(read > 0);
     };
     let (outcome, ()) = tokio::join!(attempt(endpoint, false), breaks);
-    assert_eq!(outcome, Some(Outcome::Reset));
+    assert_eq!(outcome, Some(Outcome::ConnectionReset));
     drop(listener);
-    assert_eq!(attempt(endpoint, false).await, Some(Outcome::NoConnection));
+    assert_eq!(attempt(endpoint, false).await, Some(Outcome::ConnectFailed));
 }
 
 #[tokio::test]
@@ -248,12 +248,18 @@
         crate::server::slow_peers::none(),
         queue,
     );
-    let member = applewall::api::Member {
-        backend: "s-1".into(),
-        state: MemberState::Ready,
+    let member = applewall::api::Endpoint {
+        id: "s-1".into(),
+        state: EndpointState::Ready,
         ..Default::default()
     };
-    fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
+    fleet.update(
+        EndpointUpdateKind::Snapshot,
+        &[EndpointEntry {
+            endpoint: member,
+            address: endpoint,
+        }],
+    );
     let until = Instant::now() + Duration::from_secs(30);
     let (request, passed) = (RequestId(7), Arc::new(passed()));
     let attempt = Attempt {
@@ -295,12 +301,18 @@
         crate::server::slow_peers::none(),
         queue,
     );
-    let member = applewall::api::Member {
-        backend: "s-1".into(),
-        state: MemberState::Ready,
+    let member = applewall::api::Endpoint {
+        id: "s-1".into(),
+        state: EndpointState::Ready,
         ..Default::default()
     };
-    fleet.update(ListKind::Full, &[Entry { member, endpoint }]);
+    fleet.update(
+        EndpointUpdateKind::Snapshot,
+        &[EndpointEntry {
+            endpoint: member,
+            address: endpoint,
+        }],
+    );
     let attempt = |number| Attempt {
         request: RequestId(7),
         number,
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -20,9 +20,9 @@
             .is_some_and(|v| v.as_bytes() == b"1")
     };
     match status.as_u16() {
-        200 => Outcome::Ok,
-        503 | 504 if unprocessed() => Outcome::Full,
-        _ => Outcome::Error,
+        200 => Outcome::Success,
+        503 | 504 if unprocessed() => Outcome::Overloaded,
+        _ => Outcome::Failure,
     }
 }
 
@@ -75,7 +75,7 @@
     let value = |field: &LoadField| {
         let name = match field {
             LoadField::Utilization => "util",
-            LoadField::Outstanding => "inflight",
+            LoadField::InFlight => "inflight",
             LoadField::Other => return Some(0.0),
         };
         let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
--- a/src/upstream/response/tests.rs
+++ b/src/upstream/response/tests.rs
@@ -11,21 +11,21 @@
     };
     assert_eq!(
         outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("1")),
-        Outcome::Full
+        Outcome::Overloaded
     );
     assert_eq!(
         outcome(StatusCode::GATEWAY_TIMEOUT, &mark("1")),
-        Outcome::Full
+        Outcome::Overloaded
     );
     assert_eq!(
         outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("0")),
-        Outcome::Error
+        Outcome::Failure
     );
     assert_eq!(
         outcome(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")),
-        Outcome::Error
+        Outcome::Failure
     );
-    assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Ok);
+    assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Success);
 }
 
 #[test]
@@ -35,7 +35,7 @@
             "x-backend-load".parse().unwrap(),
             HeaderValue::from_static(text),
         )]);
-        load(&headers, &[LoadField::Utilization, LoadField::Outstanding])
+        load(&headers, &[LoadField::Utilization, LoadField::InFlight])
     };
     assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
     let garbage = [
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -17,15 +17,15 @@
 /// More than this multiple of what a cold backend can do, for so many seconds, pushes it over.
 const FALL: (f64, f64) = (2.5, 3.0);
 
-fn cold_settings() -> Settings {
+fn cold_settings() -> PolicySettings {
     let mut set = settings();
     for class in &mut set.classes {
-        (class.aim, class.deadline) = (800 * MS, 3 * S);
+        (class.latency_objective_ns, class.deadline_ns) = (800 * MS, 3 * S);
     }
-    Settings {
-        cold_share: COLD_SHARE,
-        fall_multiple: FALL.0,
-        fall_window: 3 * S,
+    PolicySettings {
+        slow_start_fraction: COLD_SHARE,
+        overload_multiple: FALL.0,
+        overload_window_ns: 3 * S,
         ..set
     }
 }
@@ -39,9 +39,9 @@
     now: Cell<u64>,
     started: Cell<u64>,
     /// When each core of a backend is through with what it has.
-    busy: RefCell<BTreeMap<BackendId, [f64; CORES]>>,
+    busy: RefCell<BTreeMap<EndpointId, [f64; CORES]>>,
     /// All sends, by backend.
-    sent: RefCell<BTreeMap<BackendId, Vec<f64>>>,
+    sent: RefCell<BTreeMap<EndpointId, Vec<f64>>>,
 }
 
 impl World {
@@ -50,7 +50,7 @@
         (COLD_SHARE + (1.0 - COLD_SHARE) * age / WARM_AFTER).min(1.0)
     }
 
-    fn end(&self, to: &BackendId) -> (Outcome, u64) {
+    fn end(&self, to: &EndpointId) -> (Outcome, u64) {
         let now = self.now.get() as f64 / S as f64;
         self.sent
             .borrow_mut()
@@ -64,7 +64,7 @@
             .min_by(|a, b| a.total_cmp(b))
             .expect("some");
         *until = until.max(now) + CORES as f64 / CARRIES / self.share(now);
-        (Outcome::Ok, ((*until - now) * 1e3) as u64)
+        (Outcome::Success, ((*until - now) * 1e3) as u64)
     }
 
     /// Most that any backend got in a window, as part of what pushes it over then.
@@ -91,16 +91,19 @@
     fleet
         .list
         .iter_mut()
-        .for_each(|m| m.started = Some(world.started.get()));
-    let list: std::sync::Arc<[Member]> = fleet.list.clone().into();
+        .for_each(|m| m.started_at_ns = Some(world.started.get()));
+    let list: std::sync::Arc<[Endpoint]> = fleet.list.clone().into();
     for door in &mut fleet.doors {
-        door.give(Event::Members(ListKind::Full, list.clone()));
+        door.give(Event::EndpointUpdate(
+            EndpointUpdateKind::Snapshot,
+            list.clone(),
+        ));
     }
     let mut served = vec![0; seconds as usize];
     let mut due = 0.0;
     for step in 0..seconds * S / STEP {
         world.now.set(fleet.now());
-        let end = |to: &BackendId, _: RequestId| world.end(to);
+        let end = |to: &EndpointId, _: RequestId| world.end(to);
         due += each * f64::from(gateways) * STEP as f64 / S as f64;
         while due >= 1.0 {
             due -= 1.0;
@@ -117,25 +120,31 @@
 
 #[test]
 fn what_the_first_list_names_after_none_did_not_start_with_it() {
-    let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(cold_settings(), 1, &[]);
     let (_, actions) = stage.ask(SAFE, 1, "early", 1.0);
     assert!(refused(&actions), "nobody is known");
-    stage.give(Event::Members(ListKind::Full, list.into()));
-    let (sent, refused) = stage.run(SAFE, 1, 25 * MS, S, Outcome::Ok, 60);
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Snapshot,
+        list.into(),
+    ));
+    let (sent, refused) = stage.run(SAFE, 1, 25 * MS, S, Outcome::Success, 60);
     assert_eq!(
         (sent, refused),
         (40, 0),
         "backends that started long ago are warm"
     );
     // One more turns up later, and no word of when it started: taken for a newcomer.
-    stage.give(Event::Members(ListKind::Delta, [member("b9", 0)].into()));
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        [member("b9", 0)].into(),
+    ));
     let (mut new, mut all) = (0, 0);
     for _ in 0..120 {
         let (id, actions) = stage.ask(SAFE, 1, "later", 1.0);
         let to = target(&actions).expect("six warm backends");
         (new, all) = (new + u32::from(&*to == "b9"), all + 1);
-        stage.end(id, 0, &to, Outcome::Ok, 60);
+        stage.end(id, 0, &to, Outcome::Success, 60);
         stage.pass(10 * MS);
     }
     assert!(new * 7 < all, "{new} of {all} to a newcomer of seven");
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -13,32 +13,35 @@
 /// Gateways with a lossy, late network between them and backends that answer after a while.
 pub struct Fleet {
     pub rng: SmallRng,
-    pub set: Settings,
-    pub list: Vec<Member>,
+    pub set: PolicySettings,
+    pub list: Vec<Endpoint>,
     pub doors: Vec<Stage>,
     pub mail: VecDeque<(u64, u32, u32, String)>,
-    pub out: Vec<(u64, usize, RequestId, u32, BackendId, Outcome, u64)>,
+    pub out: Vec<(u64, usize, RequestId, u32, EndpointId, Outcome, u64)>,
     pub delivered: u32,
 }
 
 impl Fleet {
-    pub fn new(seed: u64, set: Settings, backends: usize) -> Self {
+    pub fn new(seed: u64, set: PolicySettings, backends: usize) -> Self {
         Fleet::of(GATEWAYS, seed, set, backends)
     }
 
     /// A fleet of so many gateways.
-    pub fn of(gateways: u32, seed: u64, set: Settings, backends: usize) -> Self {
-        let list: Vec<Member> = (0..backends)
+    pub fn of(gateways: u32, seed: u64, set: PolicySettings, backends: usize) -> Self {
+        let list: Vec<Endpoint> = (0..backends)
             .map(|i| member(&format!("b{i}"), i as u32 % 3))
             .collect();
-        let set = Settings {
-            gateways,
-            mail_per_s: 40.0,
+        let set = PolicySettings {
+            node_count: gateways,
+            gossip_messages_per_second: 40.0,
             ..set
         };
         let door = |me| {
             Stage::new(
-                Settings { me, ..set.clone() },
+                PolicySettings {
+                    node: me,
+                    ..set.clone()
+                },
                 seed << 16 | u64::from(me),
                 &list,
             )
@@ -61,8 +64,8 @@
     }
 
     pub fn restart(&mut self, me: usize) {
-        let set = Settings {
-            me: me as u32,
+        let set = PolicySettings {
+            node: me as u32,
             ..self.set.clone()
         };
         self.doors[me] = Stage::at(self.now(), set, self.rng.random(), &self.list);
@@ -74,11 +77,13 @@
         &mut self,
         me: usize,
         actions: &[Action],
-        end: &dyn Fn(&BackendId, RequestId) -> (Outcome, u64),
+        end: &dyn Fn(&EndpointId, RequestId) -> (Outcome, u64),
     ) {
         for action in actions {
-            if let Action::Send {
-                request, backend, ..
+            if let Action::StartAttempt {
+                request,
+                endpoint: backend,
+                ..
             } = action
             {
                 let attempt = self
@@ -101,7 +106,7 @@
     }
 
     /// Moves the clock by a step: answers, messages (one in twenty lost), timers.
-    pub fn step(&mut self, end: &dyn Fn(&BackendId, RequestId) -> (Outcome, u64)) {
+    pub fn step(&mut self, end: &dyn Fn(&EndpointId, RequestId) -> (Outcome, u64)) {
         for me in 0..self.doors.len() {
             let actions = self.doors[me].pass(STEP);
             self.act(me, &actions, end);
@@ -125,14 +130,14 @@
             };
             if self.rng.random::<f64>() > 0.05 {
                 self.delivered += 1;
-                self.doors[to as usize].give(Event::Peer { from, text });
+                self.doors[to as usize].give(Event::PeerMessage { from, text });
             }
         }
     }
 }
 
-pub fn well(_: &BackendId, _: RequestId) -> (Outcome, u64) {
-    (Outcome::Ok, 60)
+pub fn well(_: &EndpointId, _: RequestId) -> (Outcome, u64) {
+    (Outcome::Success, 60)
 }
 
 /// A part of a pool on the wire, from its nine numbers.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,7 +4,7 @@
 pub mod fleet;
 
 use applewall::api::*;
-use applewall::brain::Brain;
+use applewall::decision::DecisionPolicy;
 
 pub const MS: u64 = 1_000_000;
 pub const S: u64 = 1_000_000_000;
@@ -13,69 +13,73 @@
 pub const KEYED: usize = 1;
 pub const UNSAFE: usize = 2;
 
-pub fn settings() -> Settings {
+pub fn settings() -> PolicySettings {
     let class = |repeats| Class {
-        aim: 500 * MS,
-        deadline: 2 * S,
-        worth: 1.0,
-        late_worth: 0.0,
-        repeats,
-        stream: false,
+        latency_objective_ns: 500 * MS,
+        deadline_ns: 2 * S,
+        priority_weight: 1.0,
+        late_weight_fraction: 0.0,
+        idempotency: repeats,
+        streaming: false,
     };
-    let keyed = Repeats::Keyed {
+    let keyed = Idempotency::IdempotencyKey {
         scope: KeyScope::Zone,
-        window: 3 * S,
+        deduplication_window_ns: 3 * S,
     };
-    Settings {
-        me: 0,
-        gateways: 3,
+    PolicySettings {
+        node: 0,
+        node_count: 3,
         zone: 0,
-        classes: vec![class(Repeats::Safe), class(keyed), class(Repeats::Unsafe)],
+        classes: vec![
+            class(Idempotency::Idempotent),
+            class(keyed),
+            class(Idempotency::NonIdempotent),
+        ],
         plans: vec![
             Plan {
-                rate: 10.0,
-                burst: 20.0,
-                price: 1.0,
-                over_cost: 0.5,
+                quota_units_per_second: 10.0,
+                quota_burst_units: 20.0,
+                weight_multiplier: 1.0,
+                over_quota_penalty_fraction: 0.5,
                 ..Plan::default()
             },
             Plan {
-                rate: 1e6,
-                burst: 1e6,
-                price: 3.0,
-                over_cost: 0.5,
+                quota_units_per_second: 1e6,
+                quota_burst_units: 1e6,
+                weight_multiplier: 3.0,
+                over_quota_penalty_fraction: 0.5,
                 ..Plan::default()
             },
         ],
-        cold_share: 0.2,
-        cold_time: 15 * S,
-        fall_multiple: 3.0,
-        fall_window: S,
+        slow_start_fraction: 0.2,
+        slow_start_ns: 15 * S,
+        overload_multiple: 3.0,
+        overload_window_ns: S,
         max_attempts: 3,
-        max_retry_after: 2 * S,
-        peer_messages: true,
-        may_cancel: true,
-        mail_per_s: 100.0,
-        most_units: 4.0,
-        ..Settings::default()
+        max_retry_after_ns: 2 * S,
+        gossip_enabled: true,
+        cancellation_allowed: true,
+        gossip_messages_per_second: 100.0,
+        max_request_units: 4.0,
+        ..PolicySettings::default()
     }
 }
 
-pub fn member(name: &str, zone: u32) -> Member {
-    Member {
-        backend: name.into(),
-        scale: 1.0,
-        started: None,
+pub fn member(name: &str, zone: u32) -> Endpoint {
+    Endpoint {
+        id: name.into(),
+        weight: 1.0,
+        started_at_ns: None,
         zone,
         cell: i64::from(zone),
-        kind: 0,
-        state: MemberState::Ready,
+        machine_type: 0,
+        state: EndpointState::Ready,
     }
 }
 
 /// One gateway with a clock; timers are kept and fall due as the clock moves.
 pub struct Stage {
-    pub brain: Brain,
+    pub brain: DecisionPolicy,
     pub now: u64,
     pub timers: Vec<(u64, u64)>,
     pub told: Vec<String>,
@@ -86,12 +90,12 @@
 }
 
 impl Stage {
-    pub fn new(settings: Settings, seed: u64, backends: &[Member]) -> Self {
+    pub fn new(settings: PolicySettings, seed: u64, backends: &[Endpoint]) -> Self {
         Stage::at(1000 * S, settings, seed, backends)
     }
 
-    pub fn at(now: u64, settings: Settings, seed: u64, backends: &[Member]) -> Self {
-        let brain = Brain::new(settings, seed, now);
+    pub fn at(now: u64, settings: PolicySettings, seed: u64, backends: &[Endpoint]) -> Self {
+        let brain = DecisionPolicy::new(settings, seed, now);
         let mut stage = Stage {
             brain,
             now,
@@ -101,7 +105,10 @@
             other: vec![],
             next: 0,
         };
-        stage.give(Event::Members(ListKind::Cached, backends.into()));
+        stage.give(Event::EndpointUpdate(
+            EndpointUpdateKind::Cached,
+            backends.into(),
+        ));
         stage
     }
 
@@ -112,8 +119,11 @@
         let mut rest = Vec::new();
         for action in actions {
             match action {
-                Action::Timer { after, token } => self.timers.push((self.now + after, token)),
-                Action::Tell { peer, text } => {
+                Action::SetTimer {
+                    after_ns: after,
+                    token,
+                } => self.timers.push((self.now + after, token)),
+                Action::SendGossip { peer, text } => {
                     self.told.push(text.clone());
                     self.letters.push((peer, text));
                 }
@@ -134,7 +144,7 @@
             }
             let (at, token) = self.timers.swap_remove(i);
             self.now = self.now.max(at);
-            all.extend(self.give(Event::Timer(token)));
+            all.extend(self.give(Event::TimerExpired(token)));
         }
         self.now = end;
         all
@@ -167,10 +177,10 @@
             plan,
             customer: customer.into(),
             units,
-            left: 2 * S,
-            repeat: false,
-            spread,
-            first: 0,
+            time_left_ns: 2 * S,
+            is_retry: false,
+            node_set_size: spread,
+            first_node: 0,
         };
         (id, self.give(Event::Request(request)))
     }
@@ -179,20 +189,20 @@
         &mut self,
         request: RequestId,
         attempt: u32,
-        to: &BackendId,
+        to: &EndpointId,
         how: Outcome,
         ms: u64,
     ) -> Vec<Action> {
-        let ok = how == Outcome::Ok;
-        self.give(Event::Finished(Finished {
+        let ok = how == Outcome::Success;
+        self.give(Event::AttemptFinished(AttemptResult {
             request,
             attempt,
-            backend: to.clone(),
+            endpoint: to.clone(),
             outcome: how,
-            latency: ms * MS,
-            closed: ok,
-            cost: 0.0,
-            load: vec![],
+            latency_ns: ms * MS,
+            request_complete: ok,
+            settled_units: 0.0,
+            load_report: vec![],
         }))
     }
 
@@ -207,7 +217,7 @@
         ms: u64,
     ) -> (u32, u32) {
         let (mut sent, mut refused) = (0, 0);
-        let mut out: Vec<(u64, RequestId, u32, BackendId)> = Vec::new();
+        let mut out: Vec<(u64, RequestId, u32, EndpointId)> = Vec::new();
         let end = self.now + time;
         let mut number = 0;
         while self.now < end {
@@ -221,14 +231,16 @@
             }
             for action in todo {
                 match action {
-                    Action::Send {
-                        request, backend, ..
+                    Action::StartAttempt {
+                        request,
+                        endpoint: backend,
+                        ..
                     } => {
                         sent += u32::from(request == id);
                         let attempt = u32::from(request != id);
                         out.push((self.now + ms * MS, request, attempt, backend));
                     }
-                    Action::Refuse { request, .. } => refused += u32::from(request == id),
+                    Action::Reject { request, .. } => refused += u32::from(request == id),
                     _ => {}
                 }
             }
@@ -241,13 +253,15 @@
     }
 }
 
-pub fn target(actions: &[Action]) -> Option<BackendId> {
+pub fn target(actions: &[Action]) -> Option<EndpointId> {
     actions.iter().find_map(|a| match a {
-        Action::Send { backend, .. } => Some(backend.clone()),
+        Action::StartAttempt {
+            endpoint: backend, ..
+        } => Some(backend.clone()),
         _ => None,
     })
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
