--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use applewall::api::*;
-use applewall::mail;
+use applewall::gossip::codec;
 use common::*;
 
-fn fleet() -> Vec<Member> {
+fn fleet() -> Vec<Endpoint> {
     (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect()
 }
 
@@ -17,7 +17,7 @@
         let (id, actions) = stage.ask(SAFE, 0, customer, 1.0);
         if let Some(to) = target(&actions) {
             sent += 1;
-            stage.end(id, 0, &to, Outcome::Ok, 20);
+            stage.end(id, 0, &to, Outcome::Success, 20);
         }
         stage.pass(25 * MS);
     }
@@ -27,10 +27,10 @@
 #[test]
 fn the_ladder_rises_settles_and_recovers() {
     let mut stage = Stage::new(settings(), 1, &fleet());
-    let (_, refused) = stage.run(SAFE, 1, 5 * MS, 4 * S, Outcome::Ok, 60);
+    let (_, refused) = stage.run(SAFE, 1, 5 * MS, 4 * S, Outcome::Success, 60);
     assert_eq!(refused, 0, "F0 admits all");
     // Answers far too late: overload.
-    let (sent, refused) = stage.run(SAFE, 1, 5 * MS, 6 * S, Outcome::Ok, 450);
+    let (sent, refused) = stage.run(SAFE, 1, 5 * MS, 6 * S, Outcome::Success, 450);
     assert!(
         refused > sent / 10,
         "{refused} refused, {sent} sent under overload"
@@ -39,8 +39,8 @@
         .other
         .iter()
         .any(|a| matches!(a, Action::Log(l) if l.starts_with("ladder F"))));
-    stage.run(SAFE, 1, 5 * MS, 10 * S, Outcome::Ok, 60);
-    let (_, refused) = stage.run(SAFE, 1, 5 * MS, 4 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 5 * MS, 10 * S, Outcome::Success, 60);
+    let (_, refused) = stage.run(SAFE, 1, 5 * MS, 4 * S, Outcome::Success, 60);
     assert_eq!(refused, 0, "back at F0");
 }
 
@@ -49,15 +49,18 @@
     // Found on the first incidents: the last latencies stood for ever once the last filter let nothing through.
     let mut stage = Stage::new(settings(), 2, &fleet());
     stage.run(SAFE, 1, 5 * MS, 15 * S, Outcome::TimedOut, 1500);
-    stage.run(SAFE, 1, 20 * MS, 15 * S, Outcome::Ok, 50);
-    let (sent, refused) = stage.run(SAFE, 1, 20 * MS, 4 * S, Outcome::Ok, 50);
+    stage.run(SAFE, 1, 20 * MS, 15 * S, Outcome::Success, 50);
+    let (sent, refused) = stage.run(SAFE, 1, 20 * MS, 4 * S, Outcome::Success, 50);
     assert!(sent > 190 && refused == 0, "{sent} sent, {refused} refused");
 }
 
 #[test]
 fn overload_sheds_the_cheap_plan_first() {
     let mut set = settings();
-    (set.plans[0].rate, set.plans[0].burst) = (1e6, 1e6);
+    (
+        set.plans[0].quota_units_per_second,
+        set.plans[0].quota_burst_units,
+    ) = (1e6, 1e6);
     let mut stage = Stage::new(set, 1, &fleet());
     let mut lost = [0, 0];
     let mut out = std::collections::VecDeque::new();
@@ -71,7 +74,7 @@
         // Half of what is asked can be served, in turn.
         if i % 2 == 0 {
             if let Some((sent, id, to)) = out.pop_front() {
-                stage.end(id, 0, &to, Outcome::Ok, (stage.now - sent) / MS);
+                stage.end(id, 0, &to, Outcome::Success, (stage.now - sent) / MS);
             }
         }
         stage.pass(5 * MS);
@@ -85,7 +88,7 @@
 #[test]
 fn one_sick_backend_is_not_overload() {
     let mut stage = Stage::new(settings(), 4, &fleet());
-    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Success, 60);
     let mut refusals = 0;
     let mut out = std::collections::VecDeque::new();
     for _ in 0..800 {
@@ -109,7 +112,7 @@
                 if ms > 1000 {
                     Outcome::TimedOut
                 } else {
-                    Outcome::Ok
+                    Outcome::Success
                 },
                 ms,
             );
@@ -127,8 +130,8 @@
 #[test]
 fn a_customer_alone_is_held_to_its_quota() {
     let mut stage = Stage::new(
-        Settings {
-            gateways: 1,
+        PolicySettings {
+            node_count: 1,
             ..settings()
         },
         5,
@@ -146,7 +149,16 @@
 #[test]
 fn demand_seen_only_through_peers_lowers_what_passes() {
     let mut doors: Vec<Stage> = (0..3)
-        .map(|me| Stage::new(Settings { me, ..settings() }, 6 + u64::from(me), &fleet()))
+        .map(|me| {
+            Stage::new(
+                PolicySettings {
+                    node: me,
+                    ..settings()
+                },
+                6 + u64::from(me),
+                &fleet(),
+            )
+        })
         .collect();
     let mut sent = [0u32; 2];
     for step in 0..2400 {
@@ -155,11 +167,11 @@
             let (id, actions) = doors[me].ask(SAFE, 0, "hot", 1.0);
             if let Some(to) = target(&actions) {
                 sent[usize::from(step >= 1200)] += 1;
-                doors[me].end(id, 0, &to, Outcome::Ok, 20);
+                doors[me].end(id, 0, &to, Outcome::Success, 20);
             }
             for text in std::mem::take(&mut doors[me].told) {
                 for to in (0..3).filter(|to| *to != me) {
-                    doors[to].give(Event::Peer {
+                    doors[to].give(Event::PeerMessage {
                         from: me as u32,
                         text: text.clone(),
                     });
@@ -180,13 +192,13 @@
         let mut stage = Stage::new(settings(), 8, &fleet());
         for text in noise {
             assert!(stage
-                .give(Event::Peer {
+                .give(Event::PeerMessage {
                     from: 1,
                     text: (*text).into()
                 })
                 .is_empty());
         }
-        stage.give(Event::Peer {
+        stage.give(Event::PeerMessage {
             from: 9,
             text: "wAAAAAAAAAzz".into(),
         });
@@ -211,7 +223,7 @@
 fn the_same_events_give_the_same_actions() {
     let run = |seed| {
         let mut stage = Stage::new(settings(), seed, &fleet());
-        let counts = stage.run(KEYED, 0, 7 * MS, 5 * S, Outcome::Ok, 90);
+        let counts = stage.run(KEYED, 0, 7 * MS, 5 * S, Outcome::Success, 90);
         (counts, stage.told, stage.timers)
     };
     assert_eq!(run(11), run(11));
@@ -223,11 +235,11 @@
     let mut stage = Stage::new(settings(), 9, &fleet());
     let (id, actions) = stage.ask(UNSAFE, 1, "c", 1.0);
     let first = target(&actions).unwrap();
-    let again = stage.end(id, 0, &first, Outcome::Full, 1);
+    let again = stage.end(id, 0, &first, Outcome::Overloaded, 1);
     let second = target(&again).unwrap();
     assert_ne!(first, second);
-    let third = target(&stage.end(id, 1, &second, Outcome::NoConnection, 1)).unwrap();
-    assert!(refused(&stage.end(id, 2, &third, Outcome::Full, 1)));
+    let third = target(&stage.end(id, 1, &second, Outcome::ConnectFailed, 1)).unwrap();
+    assert!(refused(&stage.end(id, 2, &third, Outcome::Overloaded, 1)));
 }
 
 #[test]
@@ -236,7 +248,7 @@
     for i in 0..20_000 {
         let (id, actions) = stage.ask(SAFE, 0, &format!("once-{i}"), 1.0);
         if let Some(to) = target(&actions) {
-            stage.end(id, 0, &to, Outcome::Ok, 20);
+            stage.end(id, 0, &to, Outcome::Success, 20);
         }
         stage.pass(2 * MS);
     }
@@ -253,12 +265,18 @@
 #[test]
 fn open_limits_are_honoured() {
     let mut set = settings();
-    set.plans[1].open = 3;
-    set.gateways = 1;
+    set.plans[1].max_concurrency = 3;
+    set.node_count = 1;
     let mut stage = Stage::new(set, 11, &fleet());
     let sent: Vec<_> = (0..5).map(|_| stage.ask(SAFE, 1, "c", 1.0)).collect();
     assert_eq!(sent.iter().filter(|s| target(&s.1).is_some()).count(), 3);
-    stage.end(sent[0].0, 0, &target(&sent[0].1).unwrap(), Outcome::Ok, 20);
+    stage.end(
+        sent[0].0,
+        0,
+        &target(&sent[0].1).unwrap(),
+        Outcome::Success,
+        20,
+    );
     assert!(target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some());
 }
 
@@ -268,8 +286,20 @@
 fn open_limits_leave_room_for_a_customer_with_nothing_out() {
     let mut set = settings();
     // Just busy enough for the gateways to tell each other, and within the quota.
-    (set.plans[0].open, set.plans[0].rate) = (2, 6.8);
-    let door = |me: u32| Stage::new(Settings { me, ..set.clone() }, 21 + u64::from(me), &fleet());
+    (
+        set.plans[0].max_concurrency,
+        set.plans[0].quota_units_per_second,
+    ) = (2, 6.8);
+    let door = |me: u32| {
+        Stage::new(
+            PolicySettings {
+                node: me,
+                ..set.clone()
+            },
+            21 + u64::from(me),
+            &fleet(),
+        )
+    };
     let mut doors: Vec<Stage> = (0..3).map(door).collect();
     let mut refusals = 0;
     for turn in 0..90 {
@@ -277,12 +307,12 @@
         let (id, actions) = doors[me].ask(SAFE, 0, "c", 1.0);
         refusals += u32::from(refused(&actions));
         if let Some(to) = target(&actions) {
-            doors[me].end(id, 0, &to, Outcome::Ok, 20);
+            doors[me].end(id, 0, &to, Outcome::Success, 20);
         }
         doors.iter_mut().for_each(|d| drop(d.pass(150 * MS)));
         for text in std::mem::take(&mut doors[me].told) {
             for to in (0..3).filter(|to| *to != me) {
-                doors[to].give(Event::Peer {
+                doors[to].give(Event::PeerMessage {
                     from: me as u32,
                     text: text.clone(),
                 });
@@ -296,32 +326,35 @@
 #[test]
 fn open_limits_count_what_others_send_on_and_not_what_they_refuse() {
     let mut set = settings();
-    (set.plans[0].open, set.plans[0].rate) = (2, 60.0);
+    (
+        set.plans[0].max_concurrency,
+        set.plans[0].quota_units_per_second,
+    ) = (2, 60.0);
     let mut stage = Stage::new(set, 31, &fleet());
     // Answers take 100 ms.
-    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 100);
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Success, 100);
     let mut refusals = |sent_too: bool| {
         let mut refusals = 0;
         for turn in 0..100u32 {
             // Another gateway is asked for 40 units a second.
-            let asked = mail::units_code(f64::from(turn) * 2.0);
+            let asked = codec::units_code(f64::from(turn) * 2.0);
             let sent = if sent_too { asked } else { 0 };
-            let name = mail::fingerprint(if sent_too { "sent" } else { "refused" });
-            let told = mail::Record::Use {
+            let name = codec::fingerprint(if sent_too { "sent" } else { "refused" });
+            let told = codec::Record::Usage {
                 plan: 0,
-                first: 0,
-                spread: 3,
-                sent,
-                asked,
-                level: 1.0,
+                first_node: 0,
+                node_set_size: 3,
+                forwarded: sent,
+                requested: asked,
+                quota_level: 1.0,
             };
-            for text in mail::write(7, &[(name, told)]) {
-                stage.give(Event::Peer { from: 1, text });
+            for text in codec::write(7, &[(name, told)]) {
+                stage.give(Event::PeerMessage { from: 1, text });
             }
             let (id, actions) = stage.ask(SAFE, 0, if sent_too { "sent" } else { "refused" }, 1.0);
             refusals += u32::from(refused(&actions));
             if let Some(to) = target(&actions) {
-                stage.end(id, 0, &to, Outcome::Ok, 100);
+                stage.end(id, 0, &to, Outcome::Success, 100);
             }
             stage.pass(50 * MS);
         }
@@ -339,22 +372,22 @@
 fn settled_units_replace_the_guess() {
     let passes = |cost: f64| {
         let mut set = settings();
-        (set.cost_after, set.gateways) = (true, 1);
+        (set.cost_settled_after_response, set.node_count) = (true, 1);
         let mut stage = Stage::new(set, 12, &fleet());
         let mut sent = 0;
         for _ in 0..200 {
             let (id, actions) = stage.ask(SAFE, 0, "c", 1.0);
             if let Some(backend) = target(&actions) {
                 sent += 1;
-                stage.give(Event::Finished(Finished {
+                stage.give(Event::AttemptFinished(AttemptResult {
                     request: id,
                     attempt: 0,
-                    backend,
-                    outcome: Outcome::Ok,
-                    latency: 20 * MS,
-                    closed: true,
-                    cost,
-                    load: vec![],
+                    endpoint: backend,
+                    outcome: Outcome::Success,
+                    latency_ns: 20 * MS,
+                    request_complete: true,
+                    settled_units: cost,
+                    load_report: vec![],
                 }));
             }
             stage.pass(20 * MS);
@@ -372,14 +405,14 @@
 #[test]
 fn subscribed_discovery_is_asked_for_and_asked_again() {
     let mut set = settings();
-    set.subscribe = true;
+    set.watch_endpoints = true;
     let mut stage = Stage::new(set, 13, &[]);
     let (_, actions) = stage.ask(SAFE, 1, "c", 1.0);
     assert!(refused(&actions), "nobody to send to");
     assert!(stage
-        .give(Event::Members(ListKind::Failed, [].into()))
+        .give(Event::EndpointUpdate(EndpointUpdateKind::Failed, [].into()))
         .is_empty());
-    assert!(stage.pass(2 * S).contains(&Action::Watch(true)));
+    assert!(stage.pass(2 * S).contains(&Action::WatchEndpoints(true)));
 }
 
 #[test]
@@ -388,18 +421,18 @@
     let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
     let to = target(&actions).unwrap();
     assert_eq!(
-        stage.give(Event::ClientLeft(id)),
-        [Action::Cancel {
+        stage.give(Event::ClientDisconnected(id)),
+        [Action::CancelAttempt {
             request: id,
             attempt: 0
         }]
     );
-    assert!(stage.give(Event::ClientLeft(id)).is_empty());
+    assert!(stage.give(Event::ClientDisconnected(id)).is_empty());
     assert!(stage.end(id, 0, &to, Outcome::Cancelled, 20).is_empty());
-    assert!(stage.end(id, 0, &to, Outcome::Ok, 20).is_empty());
-    assert!(stage.give(Event::Timer(77)).is_empty());
+    assert!(stage.end(id, 0, &to, Outcome::Success, 20).is_empty());
+    assert!(stage.give(Event::TimerExpired(77)).is_empty());
     assert!(stage
-        .give(Event::Started {
+        .give(Event::ResponseStarted {
             request: id,
             attempt: 0
         })
@@ -410,7 +443,7 @@
 fn requests_lost_by_backends_that_answer_the_rest_do_not_fill_the_backlog() {
     // Incident i68cf60: backends answered most requests at once and never answered some.
     let mut stage = Stage::new(settings(), 15, &fleet());
-    stage.run(SAFE, 1, 5 * MS, 3 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 5 * MS, 3 * S, Outcome::Success, 60);
     let mut out = Vec::new();
     let mut refusals = 0;
     for i in 0..800u64 {
@@ -434,7 +467,7 @@
                 if ms > 1000 {
                     Outcome::TimedOut
                 } else {
-                    Outcome::Ok
+                    Outcome::Success
                 },
                 ms,
             );
@@ -449,7 +482,7 @@
 fn work_that_grows_with_units_counts_as_much_against_the_backlog() {
     // Issue 11: requests of four units took seven times the work of one, and were costed and shed alike.
     let burst = |units: f64| {
-        let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+        let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
         let mut stage = Stage::new(settings(), 41, &list);
         for i in 0..800 {
             let units = if i % 2 == 0 { 1.0 } else { 4.0 };
@@ -457,7 +490,7 @@
             let to = target(&actions).expect("no reason to refuse");
             let ms = if units > 1.0 { 175 } else { 25 };
             stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Ok, ms);
+            stage.end(id, 0, &to, Outcome::Success, ms);
         }
         (0..200)
             .filter(|_| target(&stage.ask(SAFE, 1, "c", units).1).is_some())
@@ -475,19 +508,19 @@
     // Binding: no answer is held back so that the client comes less often.
     let answered = |actions: &[Action], id: RequestId| {
         actions.iter().any(|a| match a {
-            Action::Refuse { request, .. } | Action::Fail(request) => *request == id,
+            Action::Reject { request, .. } | Action::Fail(request) => *request == id,
             _ => false,
         })
     };
     for how in [
         Outcome::TimedOut,
-        Outcome::Error,
-        Outcome::Full,
-        Outcome::NoConnection,
-        Outcome::Reset,
+        Outcome::Failure,
+        Outcome::Overloaded,
+        Outcome::ConnectFailed,
+        Outcome::ConnectionReset,
     ] {
         for class in [SAFE, KEYED, UNSAFE] {
-            let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+            let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
             let mut stage = Stage::new(settings(), 47, &list);
             for _ in 0..60 {
                 let (id, mut actions) = stage.ask(class, 1, "c", 1.0);
@@ -500,7 +533,15 @@
                     answered(&actions, id),
                     "{how:?}, class {class}: {actions:?}"
                 );
-                let told = |a: &Action| !matches!(a, Action::Refuse { retry_after: 0, .. });
+                let told = |a: &Action| {
+                    !matches!(
+                        a,
+                        Action::Reject {
+                            retry_after_ns: 0,
+                            ..
+                        }
+                    )
+                };
                 assert!(actions.iter().all(told), "{actions:?}");
             }
         }
@@ -509,14 +550,17 @@
 
 #[test]
 fn a_refusal_under_load_says_when_to_come_back() {
-    let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(settings(), 53, &list);
-    stage.run(SAFE, 1, 20 * MS, 2 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 20 * MS, 2 * S, Outcome::Success, 60);
     let refusals: Vec<Action> = (0..200)
         .flat_map(|_| stage.ask(SAFE, 1, "c", 1.0).1)
         .collect();
     let waits = refusals.iter().filter_map(|a| match a {
-        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        Action::Reject {
+            retry_after_ns: retry_after,
+            ..
+        } => Some(*retry_after),
         _ => None,
     });
     let waits: Vec<u64> = waits.collect();
@@ -529,7 +573,7 @@
 #[test]
 fn broken_connections_strike_a_backend_out_only_if_nothing_else_comes_of_it() {
     let mut stage = Stage::new(settings(), 3, &fleet());
-    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Success, 60);
     // Share of what goes to b0, where so many connections in a row break before each answer.
     let mut share = |broken: u32| {
         let (mut to_b0, mut row) = (0, 0);
@@ -540,13 +584,16 @@
             to_b0 += u32::from(at_b0);
             row = if at_b0 { (row + 1) % (broken + 1) } else { row };
             let how = if at_b0 && row > 0 {
-                Outcome::Reset
+                Outcome::ConnectionReset
             } else {
-                Outcome::Ok
+                Outcome::Success
             };
             for action in stage.end(id, 0, &to, how, 5) {
-                if let Action::Send { backend, .. } = action {
-                    stage.end(id, 1, &backend, Outcome::Ok, 5);
+                if let Action::StartAttempt {
+                    endpoint: backend, ..
+                } = action
+                {
+                    stage.end(id, 1, &backend, Outcome::Success, 5);
                 }
             }
             stage.pass(10 * MS);
@@ -567,23 +614,26 @@
 #[test]
 fn what_is_kept_comes_back_to_its_size_after_thousands_of_newcomers() {
     let mut set = settings();
-    set.plans[0].rate = 1e3;
+    set.plans[0].quota_units_per_second = 1e3;
     let mut stage = Stage::new(set, 5, &fleet());
     let mut newcomers = |many: u32| {
         for i in 0..many {
             // Each backend is replaced in turn by one under a new id.
             let mut list = fleet();
-            list[(i % 6) as usize].backend = format!("new{}-{i}", stage.now).as_str().into();
-            stage.give(Event::Members(ListKind::Full, list.into()));
+            list[(i % 6) as usize].id = format!("new{}-{i}", stage.now).as_str().into();
+            stage.give(Event::EndpointUpdate(
+                EndpointUpdateKind::Snapshot,
+                list.into(),
+            ));
             let (id, actions) =
                 stage.ask(SAFE, (i % 2) as usize, &format!("c{}-{i}", stage.now), 1.0);
             if let Some(to) = target(&actions) {
-                stage.end(id, 0, &to, Outcome::Ok, 20);
+                stage.end(id, 0, &to, Outcome::Success, 20);
             }
             stage.pass(20 * MS);
         }
         stage.pass(30 * S);
-        stage.brain.kept()
+        stage.brain.entry_count()
     };
     let few = newcomers(20);
     let many = newcomers(3000);
--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -29,10 +29,10 @@
     let backends = (gateways as usize * 3 / 5).max(9);
     let mut set = settings();
     set.plans[0] = Plan {
-        rate: 2.0,
-        burst: 8.0,
-        price: 1.0,
-        over_cost: 0.5,
+        quota_units_per_second: 2.0,
+        quota_burst_units: 8.0,
+        weight_multiplier: 1.0,
+        over_quota_penalty_fraction: 0.5,
         ..Plan::default()
     };
     let mut fleet = Fleet::of(gateways, seed, set, backends);
@@ -40,7 +40,7 @@
     let (mut asked, mut bytes, mut spent) = (0u32, 0, 0.0);
     // One in nine asks for three times its quota, the others for half of it.
     let customers = (f64::from(gateways) * EACH / (1.0 + 6.0 / 8.0)) as u32;
-    let end = |_: &BackendId, id: RequestId| (Outcome::Ok, 60 + id.0 % 97);
+    let end = |_: &EndpointId, id: RequestId| (Outcome::Success, 60 + id.0 % 97);
     let mut attempts: HashMap<(usize, RequestId), u32> = HashMap::new();
     for _ in 0..SECONDS * S / STEP {
         let due = f64::from(gateways) * EACH * STEP as f64 / S as f64;
@@ -76,7 +76,7 @@
         kept: fleet
             .doors
             .iter()
-            .map(|d| d.brain.kept())
+            .map(|d| d.brain.entry_count())
             .max()
             .unwrap_or(0),
     }
--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -7,7 +7,7 @@
 use std::fmt::Write as _;
 
 use applewall::api::*;
-use applewall::brain::Brain;
+use applewall::decision::DecisionPolicy;
 use common::{member, settings, MS, S};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
@@ -37,24 +37,24 @@
     /// Spells an action out by hand: names of types and fields may change, their values may not.
     fn action(&mut self, action: &Action) {
         match action {
-            Action::Send {
+            Action::StartAttempt {
                 request,
-                backend,
-                timeout,
+                endpoint: backend,
+                timeout_ns: timeout,
             } => {
                 self.number(1);
                 self.number(request.0);
                 self.text(backend);
                 self.number(*timeout);
             }
-            Action::Cancel { request, attempt } => {
+            Action::CancelAttempt { request, attempt } => {
                 self.number(2);
                 self.number(request.0);
                 self.number(u64::from(*attempt));
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
-                retry_after,
+                retry_after_ns: retry_after,
             } => {
                 self.number(3);
                 self.number(request.0);
@@ -64,26 +64,30 @@
                 self.number(4);
                 self.number(request.0);
             }
-            Action::Timer { after, token } => {
+            Action::SetTimer {
+                after_ns: after,
+                token,
+            } => {
                 self.number(5);
                 self.number(*after);
                 self.number(*token);
             }
-            Action::Tell { peer, text } => {
+            Action::SendGossip { peer, text } => {
                 self.number(6);
                 self.number(peer.map_or(u64::MAX, u64::from));
                 self.text(text);
             }
-            Action::Watch(on) => self.number(if *on { 7 } else { 8 }),
+            Action::WatchEndpoints(on) => self.number(if *on { 7 } else { 8 }),
             // The wording of a log line may change; that there is one, and what is hashed of it, its figures, may not.
             Action::Log(line) => {
                 self.number(9);
                 let figures: String = line.chars().filter(|c| c.is_ascii_digit()).collect();
                 self.text(&figures);
             }
-            Action::Probe(_) | Action::Close(_) | Action::Fetch | Action::Count { .. } => {
-                self.number(10)
-            }
+            Action::HealthCheck(_)
+            | Action::CloseIdleConnections(_)
+            | Action::FetchEndpoints
+            | Action::AddToCounter { .. } => self.number(10),
         }
     }
 }
@@ -94,7 +98,7 @@
     gateway: usize,
     request: RequestId,
     attempt: u32,
-    backend: BackendId,
+    backend: EndpointId,
     outcome: Outcome,
     latency: u64,
 }
@@ -130,8 +134,8 @@
 
 struct Play {
     rng: SmallRng,
-    set: Settings,
-    brains: Vec<Brain>,
+    set: PolicySettings,
+    brains: Vec<DecisionPolicy>,
     now: u64,
     next: u64,
     timers: Vec<(u64, usize, u64)>,
@@ -143,39 +147,39 @@
 
 fn plans() -> Vec<Plan> {
     let plan = |rate, burst, price| Plan {
-        rate,
-        burst,
-        price,
-        over_cost: 0.5,
+        quota_units_per_second: rate,
+        quota_burst_units: burst,
+        weight_multiplier: price,
+        over_quota_penalty_fraction: 0.5,
         ..Plan::default()
     };
     vec![
         plan(10.0, 20.0, 1.0),
         plan(1e6, 1e6, 3.0),
         Plan {
-            ceiling_rate: 20.0,
-            ceiling_burst: 30.0,
-            ceiling_slack: 4.0,
+            ceiling_units_per_second: 20.0,
+            ceiling_burst_units: 30.0,
+            ceiling_slack_units: 4.0,
             ..plan(8.0, 12.0, 2.0)
         },
         Plan {
-            open: 3,
-            over_worth: 0.9,
+            max_concurrency: 3,
+            over_quota_weight_fraction: 0.9,
             ..plan(15.0, 30.0, 1.5)
         },
     ]
 }
 
-fn list(cold: Option<(u32, u64)>, draining: &[u32]) -> Vec<Member> {
-    let one = |i: u32| Member {
-        scale: 1.0 + f64::from(i % 3),
-        kind: i % 2,
+fn list(cold: Option<(u32, u64)>, draining: &[u32]) -> Vec<Endpoint> {
+    let one = |i: u32| Endpoint {
+        weight: 1.0 + f64::from(i % 3),
+        machine_type: i % 2,
         cell: i64::from(i % 5),
-        started: cold.filter(|(which, _)| *which == i).map(|(_, at)| at),
+        started_at_ns: cold.filter(|(which, _)| *which == i).map(|(_, at)| at),
         state: if draining.contains(&i) {
-            MemberState::Draining
+            EndpointState::Draining
         } else {
-            MemberState::Ready
+            EndpointState::Ready
         },
         ..member(&format!("b{i}"), i % 3)
     };
@@ -185,25 +189,25 @@
 impl Play {
     /// A fleet of so many gateways, of which the first `played` take part; the others are silent.
     fn new(seed: u64, fleet: u32, played: u32, mail_per_s: f64) -> Self {
-        let set = Settings {
-            gateways: fleet,
+        let set = PolicySettings {
+            node_count: fleet,
             plans: plans(),
-            kinds: 2,
-            sized: true,
-            subscribe: true,
-            mail_per_s,
-            cost_after: true,
-            max_retry_after: S,
+            machine_type_count: 2,
+            weighted_endpoints: true,
+            watch_endpoints: true,
+            gossip_messages_per_second: mail_per_s,
+            cost_settled_after_response: true,
+            max_retry_after_ns: S,
             ..settings()
         };
         let now = 1000 * S;
-        let own = |me: u32| Settings {
-            me,
+        let own = |me: u32| PolicySettings {
+            node: me,
             zone: me % 3,
             ..set.clone()
         };
         let brains = (0..played)
-            .map(|me| Brain::new(own(me), seed + u64::from(me), now))
+            .map(|me| DecisionPolicy::new(own(me), seed + u64::from(me), now))
             .collect();
         let mut play = Play {
             rng: SmallRng::seed_from_u64(seed),
@@ -217,8 +221,8 @@
             digest: Digest::new(),
             counts: [0; 4],
         };
-        play.all(|| Event::Members(ListKind::Cached, list(None, &[]).into()));
-        play.all(|| Event::Members(ListKind::Full, list(None, &[]).into()));
+        play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Cached, list(None, &[]).into()));
+        play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[]).into()));
         play
     }
 
@@ -233,20 +237,21 @@
             self.digest.number(gateway as u64);
             self.digest.action(&action);
             match action {
-                Action::Timer { after, token } => {
-                    self.timers.push((self.now + after, gateway, token))
-                }
-                Action::Send {
+                Action::SetTimer {
+                    after_ns: after,
+                    token,
+                } => self.timers.push((self.now + after, gateway, token)),
+                Action::StartAttempt {
                     request,
-                    backend,
-                    timeout,
+                    endpoint: backend,
+                    timeout_ns: timeout,
                 } => {
                     self.counts[0] += 1;
                     self.fly(gateway, request, backend, timeout, weather);
                 }
-                Action::Refuse { .. } => self.counts[1] += 1,
+                Action::Reject { .. } => self.counts[1] += 1,
                 Action::Fail(_) => self.counts[2] += 1,
-                Action::Tell { peer, text } => {
+                Action::SendGossip { peer, text } => {
                     self.counts[3] += 1;
                     let lost = self.rng.random_range(0..100) < weather.lost;
                     let late = self.rng.random_range(0..=weather.late_ms) * MS;
@@ -269,7 +274,7 @@
         &mut self,
         gateway: usize,
         request: RequestId,
-        backend: BackendId,
+        backend: EndpointId,
         timeout: u64,
         weather: Weather,
     ) {
@@ -289,17 +294,17 @@
             draw < bound
         };
         let outcome = if sick || within(weather.error) {
-            Outcome::Error
+            Outcome::Failure
         } else if within(weather.full) {
-            Outcome::Full
+            Outcome::Overloaded
         } else if within(weather.timed_out) {
             Outcome::TimedOut
         } else if within(weather.reset) {
-            Outcome::Reset
+            Outcome::ConnectionReset
         } else if within(weather.no_connection) {
-            Outcome::NoConnection
+            Outcome::ConnectFailed
         } else {
-            Outcome::Ok
+            Outcome::Success
         };
         let usual = (20 + self.rng.random_range(0..60) + weather.slow_ms) * MS;
         let latency = match outcome {
@@ -331,10 +336,10 @@
         let plan = self.rng.random_range(0..4usize);
         // One plan's customers come in through one gateway, one's through the played ones, the others through all.
         let spread = [
-            self.set.gateways,
+            self.set.node_count,
             1,
             self.brains.len() as u32,
-            self.set.gateways,
+            self.set.node_count,
         ][plan];
         let request = Request {
             id,
@@ -342,33 +347,33 @@
             plan,
             customer: format!("c{}-{plan}", self.rng.random_range(0..5)).into(),
             units: f64::from(self.rng.random_range(1..9u32)) / 2.0,
-            left: (500 + self.rng.random_range(0..1500)) * MS,
-            repeat: self.rng.random_range(0..10) == 0,
-            spread,
-            first: if plan == 1 { gateway as u32 } else { 0 },
+            time_left_ns: (500 + self.rng.random_range(0..1500)) * MS,
+            is_retry: self.rng.random_range(0..10) == 0,
+            node_set_size: spread,
+            first_node: if plan == 1 { gateway as u32 } else { 0 },
         };
         self.give(gateway, Event::Request(request), weather);
         if self.rng.random_range(0..100) < weather.leave {
-            self.give(gateway, Event::ClientLeft(id), weather);
+            self.give(gateway, Event::ClientDisconnected(id), weather);
         }
     }
 
     fn end(&mut self, flight: Flight, weather: Weather) {
-        let finished = Finished {
+        let finished = AttemptResult {
             request: flight.request,
             attempt: flight.attempt,
-            backend: flight.backend,
+            endpoint: flight.backend,
             outcome: flight.outcome,
-            latency: flight.latency,
-            closed: flight.outcome == Outcome::Ok,
-            cost: if self.rng.random_range(0..4) == 0 {
+            latency_ns: flight.latency,
+            request_complete: flight.outcome == Outcome::Success,
+            settled_units: if self.rng.random_range(0..4) == 0 {
                 2.5
             } else {
                 0.0
             },
-            load: vec![],
+            load_report: vec![],
         };
-        self.give(flight.gateway, Event::Finished(finished), weather);
+        self.give(flight.gateway, Event::AttemptFinished(finished), weather);
     }
 
     fn pass(&mut self, time: u64, weather: Weather) {
@@ -379,11 +384,11 @@
                     break;
                 }
                 let (_, gateway, token) = self.timers.swap_remove(i);
-                self.give(gateway, Event::Timer(token), weather);
+                self.give(gateway, Event::TimerExpired(token), weather);
             }
             while let Some(i) = self.mail.iter().position(|m| m.due <= self.now) {
                 let Datagram { from, to, text, .. } = self.mail.remove(i);
-                self.give(to as usize, Event::Peer { from, text }, weather);
+                self.give(to as usize, Event::PeerMessage { from, text }, weather);
             }
             while let Some(i) = self.flights.iter().position(|f| f.due <= self.now) {
                 let flight = self.flights.remove(i);
@@ -398,7 +403,7 @@
 
     /// One gateway hands over to a new process, which fails, hands over again, and is replaced.
     fn hand_over(&mut self, gateway: usize) {
-        let _ = self.brains[gateway].hand_over().expect("written");
+        let _ = self.brains[gateway].export_snapshot().expect("written");
         self.pass(
             300 * MS,
             Weather {
@@ -406,7 +411,7 @@
                 ..Weather::default()
             },
         );
-        self.brains[gateway].take_back();
+        self.brains[gateway].resume();
         self.pass(
             300 * MS,
             Weather {
@@ -414,23 +419,23 @@
                 ..Weather::default()
             },
         );
-        let bytes = self.brains[gateway].hand_over().expect("written");
+        let bytes = self.brains[gateway].export_snapshot().expect("written");
         self.digest.number(bytes.len() as u64);
         self.digest.bytes(&bytes);
         let me = gateway as u32;
-        let set = Settings {
-            me,
+        let set = PolicySettings {
+            node: me,
             zone: me % 3,
             ..self.set.clone()
         };
-        let mut next = Brain::new(set, 77, self.now);
-        next.take_over(&bytes).expect("read");
+        let mut next = DecisionPolicy::new(set, 77, self.now);
+        next.import_snapshot(&bytes).expect("read");
         self.brains[gateway] = next;
         self.timers.retain(|t| t.1 != gateway);
         self.flights.retain(|f| f.gateway != gateway);
         self.give(
             gateway,
-            Event::Members(ListKind::Full, list(None, &[]).into()),
+            Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[]).into()),
             Weather::default(),
         );
     }
@@ -438,7 +443,7 @@
     /// Closes a section: its line is its hash and what was counted in it.
     fn section(&mut self, name: &str, lines: &mut String) {
         let [sent, refused, failed, told] = std::mem::take(&mut self.counts);
-        let kept: usize = self.brains.iter().map(Brain::kept).sum();
+        let kept: usize = self.brains.iter().map(DecisionPolicy::entry_count).sum();
         self.digest.number(kept as u64);
         let hash = std::mem::replace(&mut self.digest, Digest::new()).0;
         let _ = writeln!(
@@ -497,8 +502,8 @@
     section(&mut play, "recovery");
     let started = play.now;
     play.all(|| {
-        Event::Members(
-            ListKind::Delta,
+        Event::EndpointUpdate(
+            EndpointUpdateKind::Delta,
             list(Some((2, started)), &[0, 5])[..6].into(),
         )
     });
@@ -509,13 +514,13 @@
             ..usual
         },
     );
-    play.all(|| Event::Members(ListKind::Failed, [].into()));
+    play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Failed, [].into()));
     play.pass(S, usual);
     section(&mut play, "drain and slow start");
-    play.all(|| Event::Members(ListKind::Full, list(None, &[])[3..].into()));
+    play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[])[3..].into()));
     let back = list(None, &[])[7].clone();
-    play.give(1, Event::GivenBack(back), usual);
-    play.give(2, Event::Shares(vec![0.25, 1.0]), usual);
+    play.give(1, Event::ReturnedToService(back), usual);
+    play.give(2, Event::ZoneTrafficShares(vec![0.25, 1.0]), usual);
     play.pass(
         3 * S,
         Weather {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -3,41 +3,44 @@
 mod common;
 
 use applewall::api::*;
-use applewall::brain::Brain;
+use applewall::decision::DecisionPolicy;
 use common::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 /// The usual stage with a third plan: a ceiling of 5 units a second and 20 at once.
-fn with_ceiling() -> Settings {
+fn with_ceiling() -> PolicySettings {
     let mut settings = settings();
     let plan = Plan {
-        rate: 1e6,
-        burst: 1e6,
-        price: 1.0,
-        over_cost: 0.5,
+        quota_units_per_second: 1e6,
+        quota_burst_units: 1e6,
+        weight_multiplier: 1.0,
+        over_quota_penalty_fraction: 0.5,
         ..Plan::default()
     };
     settings.plans.push(Plan {
-        ceiling_rate: 5.0,
-        ceiling_burst: 20.0,
-        ceiling_slack: 2.0,
+        ceiling_units_per_second: 5.0,
+        ceiling_burst_units: 20.0,
+        ceiling_slack_units: 2.0,
         ..plan
     });
     settings
 }
 
-fn backends() -> Vec<Member> {
+fn backends() -> Vec<Endpoint> {
     (0..4).map(|i| member(&format!("b{i}"), 0)).collect()
 }
 
 /// A process that goes on where another stands, and what it was handed.
-fn successor(stage: &mut Stage, settings: Settings) -> (Stage, Vec<u8>) {
-    let bytes = stage.brain.hand_over().expect("written");
-    let mut brain = Brain::new(settings.clone(), 99, stage.now);
-    brain.take_over(&bytes).expect("read");
+fn successor(stage: &mut Stage, settings: PolicySettings) -> (Stage, Vec<u8>) {
+    let bytes = stage.brain.export_snapshot().expect("written");
+    let mut brain = DecisionPolicy::new(settings.clone(), 99, stage.now);
+    brain.import_snapshot(&bytes).expect("read");
     let mut next = Stage::at(stage.now, settings, 99, &[]);
     next.brain = brain;
-    next.give(Event::Members(ListKind::Cached, backends().into()));
+    next.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Cached,
+        backends().into(),
+    ));
     (next, bytes)
 }
 
@@ -48,7 +51,7 @@
         let (id, actions) = stage.ask_of(1, SAFE, plan, "c", 1.0);
         if let Some(to) = target(&actions) {
             passed += 1;
-            stage.end(id, 0, &to, Outcome::Ok, 10);
+            stage.end(id, 0, &to, Outcome::Success, 10);
         }
     }
     passed
@@ -79,22 +82,28 @@
     let mut old = Stage::new(settings(), 1, &backends());
     let spent = passed(&mut old, 200, 0);
     assert!((15..60).contains(&spent), "{spent}");
-    let cold = Member {
-        started: Some(old.now),
+    let cold = Endpoint {
+        started_at_ns: Some(old.now),
         ..member("b9", 0)
     };
-    old.give(Event::Members(ListKind::Delta, [cold.clone()].into()));
+    old.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        [cold.clone()].into(),
+    ));
     let (mut new, _) = successor(&mut old, settings());
     // Quota: 10 a second, asked 200 at once; one that begins anew lets 20 pass at once.
     assert!(passed(&mut new, 20, 0) < 8);
     let (mut to_cold, asked) = (0, 400);
-    new.give(Event::Members(ListKind::Delta, [cold].into()));
+    new.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        [cold].into(),
+    ));
     for i in 0..asked {
         let (id, actions) = new.ask(SAFE, 1, &format!("d{i}"), 1.0);
         let Some(to) = target(&actions) else { continue };
         to_cold += u32::from(&*to == "b9");
         new.pass(5 * MS);
-        new.end(id, 0, &to, Outcome::Ok, 5);
+        new.end(id, 0, &to, Outcome::Success, 5);
     }
     // A fifth of the capacity at first: far less than its even share of 80.
     assert!(to_cold < 50, "{to_cold} of {asked} to a cold one");
@@ -106,7 +115,7 @@
     old.ask_of(1, SAFE, 2, "c", 1.0);
     old.pass(5 * S);
     let _ = successor(&mut old, with_ceiling());
-    old.brain.take_back();
+    old.brain.resume();
     // One that is not known here may have spent all that it had at the other.
     old.pass(100 * MS);
     let (_, unknown) = old.ask_of(1, SAFE, 2, "d", 1.0);
@@ -137,7 +146,7 @@
             }),
         }
         let mut stage = Stage::new(settings(), 3, &backends());
-        wrong += u32::from(stage.brain.take_over(&torn).is_err());
+        wrong += u32::from(stage.brain.import_snapshot(&torn).is_err());
         // Whatever it took over, it decides and goes on.
         stage.ask(SAFE, 0, "c", 1.0);
         stage.pass(300 * MS);
@@ -145,5 +154,5 @@
     assert_eq!(wrong, 2_000);
     // Of other settings: refused as a whole.
     let mut other = Stage::new(with_ceiling(), 3, &backends());
-    assert!(other.brain.take_over(&bytes).is_err());
+    assert!(other.brain.import_snapshot(&bytes).is_err());
 }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -13,11 +13,11 @@
 const SECOND: u64 = S / STEP;
 
 /// How an attempt ends, and after how many milliseconds.
-type End<'a> = &'a dyn Fn(&BackendId, RequestId) -> (Outcome, u64);
+type End<'a> = &'a dyn Fn(&EndpointId, RequestId) -> (Outcome, u64);
 
-fn large(set: Settings) -> Settings {
-    Settings {
-        gateways: GATEWAYS,
+fn large(set: PolicySettings) -> PolicySettings {
+    PolicySettings {
+        node_count: GATEWAYS,
         ..set
     }
 }
@@ -69,13 +69,17 @@
     assert!(each < 40.0, "{each} messages a second taken in by each");
 }
 
-/// Settings with a ceiling of twice the quota over the first plan.
-fn ceiling() -> Settings {
+/// PolicySettings with a ceiling of twice the quota over the first plan.
+fn ceiling() -> PolicySettings {
     let mut set = large(settings());
     let plan = &mut set.plans[0];
-    (plan.rate, plan.burst) = (10.0, 22.0);
-    (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack) = (20.0, 44.0, 4.0);
-    set.most_units = 1.0;
+    (plan.quota_units_per_second, plan.quota_burst_units) = (10.0, 22.0);
+    (
+        plan.ceiling_units_per_second,
+        plan.ceiling_burst_units,
+        plan.ceiling_slack_units,
+    ) = (20.0, 44.0, 4.0);
+    set.max_request_units = 1.0;
     set
 }
 
@@ -102,7 +106,10 @@
     for seed in 0..3 {
         // No quota in the way: the ceiling alone.
         let mut set = ceiling();
-        (set.plans[0].rate, set.plans[0].burst) = (1000.0, 1000.0);
+        (
+            set.plans[0].quota_units_per_second,
+            set.plans[0].quota_burst_units,
+        ) = (1000.0, 1000.0);
         let mut fleet = Fleet::of(GATEWAYS, seed, set, BACKENDS);
         let (mut store, mut sent, mut least) = (44.0f64, 0, f64::INFINITY);
         for step in 0..12 * SECOND {
@@ -125,13 +132,13 @@
 
 #[test]
 fn a_backlog_that_has_gone_tightens_no_ladder() {
-    let list: Vec<Member> = (0..BACKENDS)
+    let list: Vec<Endpoint> = (0..BACKENDS)
         .map(|i| member(&format!("b{i}"), i as u32 % 3))
         .collect();
     let lines = |out: f64| {
         let mut stage = Stage::new(
-            Settings {
-                mail_per_s: 40.0,
+            PolicySettings {
+                gossip_messages_per_second: 40.0,
                 ..large(settings())
             },
             3,
@@ -139,7 +146,7 @@
         );
         for i in 0..40u32 {
             // All answers slow, a fifth timed out, five done an interval of ten; and this much out.
-            stage.give(Event::Peer {
+            stage.give(Event::PeerMessage {
                 from: 1 + i % 90,
                 text: pool([25.0, 20.0, 0.0, 0.0, 5.0, 10.0, out * 10.0, 5.0, 9.0]),
             });
@@ -162,19 +169,22 @@
 
 #[test]
 fn what_pays_beyond_its_quota_waits_while_the_fleet_is_busy() {
-    let list: Vec<Member> = (0..BACKENDS)
+    let list: Vec<Endpoint> = (0..BACKENDS)
         .map(|i| member(&format!("b{i}"), i as u32 % 3))
         .collect();
     let sent = |out: f64| {
-        let mut set = Settings {
-            mail_per_s: 40.0,
+        let mut set = PolicySettings {
+            gossip_messages_per_second: 40.0,
             ..large(settings())
         };
-        (set.plans[0].over_worth, set.plans[0].over_cost) = (0.3, 0.0);
+        (
+            set.plans[0].over_quota_weight_fraction,
+            set.plans[0].over_quota_penalty_fraction,
+        ) = (0.3, 0.0);
         let mut stage = Stage::new(set, 3, &list);
         let mut sent = 0;
         for i in 0..40u32 {
-            stage.give(Event::Peer {
+            stage.give(Event::PeerMessage {
                 from: 1 + i % 90,
                 text: pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, out * 10.0, 5.0, 5.0]),
             });
@@ -182,7 +192,7 @@
                 let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 0, "beyond", 1.0);
                 if let Some(to) = target(&actions) {
                     sent += u32::from(i >= 20);
-                    stage.end(id, 0, &to, Outcome::Ok, 60);
+                    stage.end(id, 0, &to, Outcome::Success, 60);
                 }
             }
             stage.pass(100 * MS);
@@ -199,9 +209,13 @@
 
 /// A customer that may have two attempts out at once, with answers of 200 ms: sent on, and of these while two were out.
 fn two_at_once(seed: u64) -> (u32, u32) {
-    let slow = |_: &BackendId, _: RequestId| (Outcome::Ok, 200);
+    let slow = |_: &EndpointId, _: RequestId| (Outcome::Success, 200);
     let mut set = large(settings());
-    (set.plans[0].rate, set.plans[0].burst, set.plans[0].open) = (12.0, 14.0, 2);
+    (
+        set.plans[0].quota_units_per_second,
+        set.plans[0].quota_burst_units,
+        set.plans[0].max_concurrency,
+    ) = (12.0, 14.0, 2);
     let mut fleet = Fleet::of(GATEWAYS, seed, set, BACKENDS);
     let (mut ends, mut sent, mut beyond) = (Vec::new(), 0, 0);
     for step in 0..24 * SECOND {
@@ -269,27 +283,36 @@
 }
 
 /// A hundred stages that know so many backends; each backend's name ends in its number.
-fn stages(backends: usize) -> (Vec<Stage>, Vec<Member>) {
-    let list: Vec<Member> = (0..backends)
+fn stages(backends: usize) -> (Vec<Stage>, Vec<Endpoint>) {
+    let list: Vec<Endpoint> = (0..backends)
         .map(|i| member(&format!("b{i}"), i as u32 % 3))
         .collect();
-    let set = Settings {
-        mail_per_s: 40.0,
+    let set = PolicySettings {
+        gossip_messages_per_second: 40.0,
         ..large(settings())
     };
-    let stage = |me| Stage::new(Settings { me, ..set.clone() }, 90 + u64::from(me), &list);
+    let stage = |me| {
+        Stage::new(
+            PolicySettings {
+                node: me,
+                ..set.clone()
+            },
+            90 + u64::from(me),
+            &list,
+        )
+    };
     ((0..GATEWAYS).map(stage).collect(), list)
 }
 
 /// Where so many requests of each go, one after the other.
-fn reached(stages: &mut [Stage], each: u32) -> Vec<std::collections::BTreeSet<BackendId>> {
+fn reached(stages: &mut [Stage], each: u32) -> Vec<std::collections::BTreeSet<EndpointId>> {
     let mut reached = vec![std::collections::BTreeSet::new(); stages.len()];
     for (stage, reached) in stages.iter_mut().zip(&mut reached) {
         for _ in 0..each {
             let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
             let to = target(&actions).expect("a calm fleet");
             stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Ok, 60);
+            stage.end(id, 0, &to, Outcome::Success, 60);
             reached.insert(to);
         }
     }
@@ -307,21 +330,17 @@
         "{met} pairs of a gateway and a backend, 6,000 where all meet all"
     );
     for backend in &list {
-        let of = before
-            .iter()
-            .filter(|r| r.contains(&backend.backend))
-            .count();
-        assert!(
-            (15..=26).contains(&of),
-            "{of} gateways for {}",
-            backend.backend
-        );
+        let of = before.iter().filter(|r| r.contains(&backend.id)).count();
+        assert!((15..=26).contains(&of), "{of} gateways for {}", backend.id);
     }
     // One is gone and one is new: each gateway's part changes by a few.
-    list[7].state = MemberState::Gone;
-    let news: std::sync::Arc<[Member]> = [list[7].clone(), member("b60", 0)].into();
+    list[7].state = EndpointState::Removed;
+    let news: std::sync::Arc<[Endpoint]> = [list[7].clone(), member("b60", 0)].into();
     for stage in &mut stages {
-        stage.give(Event::Members(ListKind::Delta, news.clone()));
+        stage.give(Event::EndpointUpdate(
+            EndpointUpdateKind::Delta,
+            news.clone(),
+        ));
     }
     let after = reached(&mut stages, 150);
     let new: usize = before
@@ -348,9 +367,9 @@
         while let Some(backend) = to {
             let well = !own.contains(&backend);
             let outcome = if well {
-                Outcome::Ok
+                Outcome::Success
             } else {
-                Outcome::NoConnection
+                Outcome::ConnectFailed
             };
             served += u32::from(well && i >= 50);
             to = target(&stage.end(id, attempt, &backend, outcome, 5));
@@ -366,11 +385,11 @@
 
 #[test]
 fn a_new_backend_is_known_by_its_kind_of_machine() {
-    let mut list: Vec<Member> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    list.iter_mut().skip(6).for_each(|m| m.kind = 1);
-    let set = Settings {
-        kinds: 2,
-        mail_per_s: 40.0,
+    let mut list: Vec<Endpoint> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    list.iter_mut().skip(6).for_each(|m| m.machine_type = 1);
+    let set = PolicySettings {
+        machine_type_count: 2,
+        gossip_messages_per_second: 40.0,
         ..large(settings())
     };
     let mut stage = Stage::new(set, 5, &list);
@@ -383,7 +402,7 @@
             let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
             let Some(to) = target(&actions) else { continue };
             stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Ok, took(&to, &fast));
+            stage.end(id, 0, &to, Outcome::Success, took(&to, &fast));
             to_new[0] += u32::from(&*to == "b12");
             to_new[1] += u32::from(&*to == "b13");
         }
@@ -392,9 +411,12 @@
     play(&mut stage, 400);
     // Both are warm and were never met; what they are made of is all that tells them apart.
     let mut news = [member("b12", 0), member("b13", 1)];
-    (news[0].started, news[1].started) = (Some(1), Some(1));
-    news[1].kind = 1;
-    stage.give(Event::Members(ListKind::Delta, news.to_vec().into()));
+    (news[0].started_at_ns, news[1].started_at_ns) = (Some(1), Some(1));
+    news[1].machine_type = 1;
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        news.to_vec().into(),
+    ));
     let [new_fast, new_slow] = play(&mut stage, 120);
     assert!(
         new_fast >= 2 * new_slow,
@@ -404,13 +426,13 @@
 
 #[test]
 fn a_loss_that_the_list_tells_counts_at_once_in_what_the_fleet_carries() {
-    let list: Vec<Member> = (0..BACKENDS)
+    let list: Vec<Endpoint> = (0..BACKENDS)
         .map(|i| member(&format!("b{i}"), i as u32 % 3))
         .collect();
     let refusals = |gone: usize| {
         let mut stage = Stage::new(
-            Settings {
-                mail_per_s: 40.0,
+            PolicySettings {
+                gossip_messages_per_second: 40.0,
                 ..large(settings())
             },
             3,
@@ -420,20 +442,24 @@
         for i in 0..60u32 {
             // 9 a second carried by each gateway's part, and work for a fifth of the aim out.
             let part = pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, 15.0, 9.0, 9.0]);
-            stage.give(Event::Peer {
+            stage.give(Event::PeerMessage {
                 from: 1 + i % 90,
                 text: part,
             });
             if i == 40 {
                 let mut news = list[..gone].to_vec();
-                news.iter_mut().for_each(|m| m.state = MemberState::Gone);
-                stage.give(Event::Members(ListKind::Delta, news.into()));
+                news.iter_mut()
+                    .for_each(|m| m.state = EndpointState::Removed);
+                stage.give(Event::EndpointUpdate(
+                    EndpointUpdateKind::Delta,
+                    news.into(),
+                ));
             }
             for _ in 0..1 + i % 2 {
                 let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
                 refusals += u32::from((42..52).contains(&i) && refused(&actions));
                 if let Some(to) = target(&actions) {
-                    stage.end(id, 0, &to, Outcome::Ok, 60);
+                    stage.end(id, 0, &to, Outcome::Success, 60);
                 }
             }
             stage.pass(100 * MS);
@@ -468,9 +494,9 @@
 
 #[test]
 fn an_instance_that_refuses_a_connect_in_four_at_a_full_table_is_no_dead_one() {
-    let end = |to: &BackendId, id: RequestId| match &**to {
-        "b0" if id.0.is_multiple_of(4) => (Outcome::NoConnection, 1),
-        _ => (Outcome::Ok, 60),
+    let end = |to: &EndpointId, id: RequestId| match &**to {
+        "b0" if id.0.is_multiple_of(4) => (Outcome::ConnectFailed, 1),
+        _ => (Outcome::Success, 60),
     };
     let (full, all) = sent_to_the_first(15, &end, 4, 20);
     let fair = all / BACKENDS as u32;
@@ -486,9 +512,9 @@
 
 #[test]
 fn an_instance_that_fails_whatever_it_gets_is_found_though_each_meets_it_a_few_times_a_minute() {
-    let end = |to: &BackendId, _: RequestId| match &**to {
-        "b0" => (Outcome::Error, 5),
-        _ => (Outcome::Ok, 60),
+    let end = |to: &EndpointId, _: RequestId| match &**to {
+        "b0" => (Outcome::Failure, 5),
+        _ => (Outcome::Success, 60),
     };
     let (bad, all) = sent_to_the_first(17, &end, 20, 30);
     let fair = all / BACKENDS as u32;
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -13,24 +13,27 @@
         let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
         let to = target(&actions).expect("sent");
         stage.pass(20 * MS);
-        stage.end(id, 0, &to, Outcome::Ok, 20);
+        stage.end(id, 0, &to, Outcome::Success, 20);
     }
-    let out = Member {
-        state: MemberState::Draining,
+    let out = Endpoint {
+        state: EndpointState::Draining,
         ..member("b0", 0)
     };
-    stage.give(Event::Members(ListKind::Delta, [out].into()));
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        [out].into(),
+    ));
     for _ in 0..30 {
         let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
         let to = target(&actions).expect("sent");
         assert_ne!(&*to, "b0", "withheld");
         stage.pass(100 * MS);
-        stage.end(id, 0, &to, Outcome::Ok, 20);
+        stage.end(id, 0, &to, Outcome::Success, 20);
     }
-    stage.give(Event::GivenBack(member("b0", 0)));
+    stage.give(Event::ReturnedToService(member("b0", 0)));
 }
 
-fn backends(many: usize) -> Vec<Member> {
+fn backends(many: usize) -> Vec<Endpoint> {
     (0..many).map(|i| member(&format!("b{i}"), 0)).collect()
 }
 
@@ -39,7 +42,7 @@
     for seed in 0..20 {
         let mut stage = Stage::new(settings(), seed, &backends(8));
         given_back(&mut stage);
-        let mut sent: BTreeMap<BackendId, u32> = BTreeMap::new();
+        let mut sent: BTreeMap<EndpointId, u32> = BTreeMap::new();
         let mut first = None;
         for i in 0..150 {
             let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
@@ -49,7 +52,7 @@
             }
             *sent.entry(to.clone()).or_default() += 1;
             stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Ok, 20);
+            stage.end(id, 0, &to, Outcome::Success, 20);
         }
         // The room of a cold one is drawn: 50 a second meet it within some requests.
         assert!(
@@ -68,11 +71,11 @@
 #[test]
 fn in_a_large_fleet_too_where_it_is_not_of_the_own_part() {
     // The site's own window: what a cold one bears is drawn from it.
-    let many = Settings {
-        gateways: 300,
-        me: 7,
-        mail_per_s: 40.0,
-        fall_window: 3 * S,
+    let many = PolicySettings {
+        node_count: 300,
+        node: 7,
+        gossip_messages_per_second: 40.0,
+        overload_window_ns: 3 * S,
         ..settings()
     };
     for seed in 0..20 {
@@ -80,21 +83,24 @@
         // Whichever it meets: used once, so it was in use.
         let (id, actions) = stage.ask_of(300, SAFE, 1, "c", 1.0);
         let used = target(&actions).expect("sent");
-        stage.end(id, 0, &used, Outcome::Ok, 20);
-        let out = Member {
-            state: MemberState::Draining,
+        stage.end(id, 0, &used, Outcome::Success, 20);
+        let out = Endpoint {
+            state: EndpointState::Draining,
             ..member(&used, 0)
         };
-        stage.give(Event::Members(ListKind::Delta, [out].into()));
+        stage.give(Event::EndpointUpdate(
+            EndpointUpdateKind::Delta,
+            [out].into(),
+        ));
         stage.pass(3 * S);
-        stage.give(Event::GivenBack(member(&used, 0)));
+        stage.give(Event::ReturnedToService(member(&used, 0)));
         let mut met = false;
         // Three requests a second for 5 s.
         for _ in 0..15 {
             let (id, actions) = stage.ask_of(300, SAFE, 1, "c", 1.0);
             if let Some(to) = target(&actions) {
                 met |= to == used;
-                stage.end(id, 0, &to, Outcome::Ok, 20);
+                stage.end(id, 0, &to, Outcome::Success, 20);
             }
             stage.pass(333 * MS);
         }
@@ -105,10 +111,13 @@
 #[test]
 fn with_all_withheld_a_request_is_refused_at_once() {
     let mut stage = Stage::new(settings(), 1, &backends(1));
-    let out = Member {
-        state: MemberState::Draining,
+    let out = Endpoint {
+        state: EndpointState::Draining,
         ..member("b0", 0)
     };
-    stage.give(Event::Members(ListKind::Delta, [out].into()));
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        [out].into(),
+    ));
     assert!(refused(&stage.ask(SAFE, 1, "c", 1.0).1));
 }
--- a/tests/quota_at_scale.rs
+++ b/tests/quota_at_scale.rs
@@ -56,11 +56,11 @@
 
 fn plans() -> Vec<Plan> {
     let plan = |rate, burst, open, price, over_cost| Plan {
-        rate,
-        burst,
-        open,
-        price,
-        over_cost,
+        quota_units_per_second: rate,
+        quota_burst_units: burst,
+        max_concurrency: open,
+        weight_multiplier: price,
+        over_quota_penalty_fraction: over_cost,
         ..Plan::default()
     };
     let mut plans = vec![
@@ -69,11 +69,11 @@
         plan(7.2, 19.0, 0, 1.2, 0.8),
         plan(20.0, 24.0, 0, 1.4, 0.5),
     ];
-    plans[1].over_worth = 0.3;
+    plans[1].over_quota_weight_fraction = 0.3;
     (
-        plans[3].ceiling_rate,
-        plans[3].ceiling_burst,
-        plans[3].ceiling_slack,
+        plans[3].ceiling_units_per_second,
+        plans[3].ceiling_burst_units,
+        plans[3].ceiling_slack_units,
     ) = (45.0, 55.0, 6.0);
     plans
 }
@@ -84,7 +84,8 @@
 fn customers(gateways: u32, each: f64, rng: &mut SmallRng) -> Vec<Customer> {
     let mut all = Vec::new();
     for (plan, p) in plans().iter().enumerate() {
-        let many = (SHARES[plan] * each * f64::from(gateways) / (p.rate * 0.45)).round() as usize;
+        let many = (SHARES[plan] * each * f64::from(gateways) / (p.quota_units_per_second * 0.45))
+            .round() as usize;
         for i in 0..many.max(1) {
             let kind = rng.random::<f64>();
             let (calm, surge) = match kind {
@@ -106,7 +107,7 @@
                 surge,
                 until: 0.0,
                 next: rng.random_range(0.0..20.0),
-                store: p.burst,
+                store: p.quota_burst_units,
                 at: 0.0,
                 out: 0,
                 due: rng.random(),
@@ -119,9 +120,12 @@
 fn play(gateways: u32, each: f64, seed: u64) -> Seen {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut set = settings();
-    (set.plans, set.most_units) = (plans(), 1.0);
+    (set.plans, set.max_request_units) = (plans(), 1.0);
     set.classes.truncate(1);
-    (set.classes[0].aim, set.classes[0].deadline) = (800 * MS, 3 * S);
+    (
+        set.classes[0].latency_objective_ns,
+        set.classes[0].deadline_ns,
+    ) = (800 * MS, 3 * S);
     let mut fleet = Fleet::of(gateways, seed, set, (gateways as usize * 2 / 3).max(9));
     let mut customers = customers(gateways, each, &mut rng);
     let plans = plans();
@@ -153,7 +157,8 @@
                 c.until = now + rng.random_range(0.68..4.5);
                 c.next = now + rng.random_range(10.0..25.0);
             }
-            let rate = p.rate * c.calm * if now < c.until { c.surge } else { 1.0 };
+            let rate =
+                p.quota_units_per_second * c.calm * if now < c.until { c.surge } else { 1.0 };
             c.due += rate * STEP as f64 / S as f64;
             while c.due >= 1.0 {
                 c.due -= rng.random_range(0.5..1.5);
@@ -167,14 +172,15 @@
                     plan: c.plan,
                     customer: c.name.as_str().into(),
                     units: 1.0,
-                    left: 3 * S,
-                    repeat: false,
-                    spread: c.spread,
-                    first: c.first,
+                    time_left_ns: 3 * S,
+                    is_retry: false,
+                    node_set_size: c.spread,
+                    first_node: c.first,
                 };
                 let actions = fleet.doors[me as usize].give(Event::Request(request));
                 let sent = target(&actions).is_some();
-                c.store = (c.store + (now - c.at) * p.rate).min(p.burst);
+                c.store =
+                    (c.store + (now - c.at) * p.quota_units_per_second).min(p.quota_burst_units);
                 c.at = now;
                 let within = c.store >= 1.0;
                 if sent {
@@ -195,7 +201,8 @@
                         sum.asked += 1.0;
                         sum.sent += f64::from(u8::from(sent));
                         sum.beyond += f64::from(u8::from(sent && !within));
-                        sum.with_room += f64::from(u8::from(!sent && c.store > p.burst / 2.0));
+                        sum.with_room +=
+                            f64::from(u8::from(!sent && c.store > p.quota_burst_units / 2.0));
                     }
                 }
                 fleet.act(me as usize, &actions, &common::fleet::well);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,17 +10,17 @@
 
 struct Open {
     class: usize,
-    sends: Vec<(BackendId, u64, Option<Outcome>)>,
+    sends: Vec<(EndpointId, u64, Option<Outcome>)>,
     deadline: u64,
 }
 
 const OUTCOMES: [Outcome; 7] = [
-    Outcome::Ok,
-    Outcome::Error,
-    Outcome::Full,
+    Outcome::Success,
+    Outcome::Failure,
+    Outcome::Overloaded,
     Outcome::TimedOut,
-    Outcome::NoConnection,
-    Outcome::Reset,
+    Outcome::ConnectFailed,
+    Outcome::ConnectionReset,
     Outcome::Cancelled,
 ];
 
@@ -28,21 +28,16 @@
 fn play(seed: u64, scope: KeyScope, copies: bool) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut set = settings();
-    set.second_copies = copies;
-    set.classes[KEYED].repeats = Repeats::Keyed {
+    set.hedging_allowed = copies;
+    set.classes[KEYED].idempotency = Idempotency::IdempotencyKey {
         scope,
-        window: 3 * S,
+        deduplication_window_ns: 3 * S,
     };
-    let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut state: Vec<bool> = vec![true; 6];
     let mut stage = Stage::new(set, seed, &list);
     let mut open: BTreeMap<RequestId, Open> = BTreeMap::new();
-    let zone = |b: &BackendId| {
-        list.iter()
-            .find(|m| m.backend == *b)
-            .map(|m| m.zone)
-            .unwrap()
-    };
+    let zone = |b: &EndpointId| list.iter().find(|m| m.id == *b).map(|m| m.zone).unwrap();
     for _ in 0..3000 {
         let mut actions = Vec::new();
         match rng.random_range(0..10) {
@@ -72,7 +67,7 @@
                         let how = OUTCOMES[rng.random_range(0..OUTCOMES.len())];
                         o.sends[i].2 = Some(how);
                         let to = o.sends[i].0.clone();
-                        if how == Outcome::Ok {
+                        if how == Outcome::Success {
                             open.remove(id);
                         }
                         actions = stage.end(*id, i as u32, &to, how, 50);
@@ -84,11 +79,11 @@
                 state[i] = !state[i];
                 let mut m = list[i].clone();
                 m.state = if state[i] {
-                    MemberState::Ready
+                    EndpointState::Ready
                 } else {
-                    MemberState::Draining
+                    EndpointState::Draining
                 };
-                actions = stage.give(Event::Members(ListKind::Delta, [m].into()));
+                actions = stage.give(Event::EndpointUpdate(EndpointUpdateKind::Delta, [m].into()));
             }
             _ => actions = stage.pass(rng.random_range(1..80) * MS),
         }
@@ -124,24 +119,26 @@
     open: &mut BTreeMap<RequestId, Open>,
     actions: Vec<Action>,
     state: &[bool],
-    list: &[Member],
+    list: &[Endpoint],
     scope: KeyScope,
     copies: bool,
     now: u64,
-    zone: &dyn Fn(&BackendId) -> u32,
+    zone: &dyn Fn(&EndpointId) -> u32,
 ) {
     for action in actions {
         match action {
-            Action::Send {
-                request, backend, ..
+            Action::StartAttempt {
+                request,
+                endpoint: backend,
+                ..
             } => {
                 let o = open.get_mut(&request).expect("sent after the final answer");
-                let at = list.iter().position(|m| m.backend == backend).unwrap();
+                let at = list.iter().position(|m| m.id == backend).unwrap();
                 assert!(state[at], "sent to a draining backend");
                 let ran: Vec<_> = o
                     .sends
                     .iter()
-                    .filter(|s| !s.2.is_some_and(Outcome::never_ran))
+                    .filter(|s| !s.2.is_some_and(Outcome::never_executed))
                     .collect();
                 assert!(
                     copies || o.sends.iter().all(|s| s.2.is_some()),
@@ -163,9 +160,12 @@
                 o.sends.push((backend, now, None));
                 assert!(o.sends.len() <= 3, "too many attempts");
             }
-            Action::Refuse { request, .. } => {
+            Action::Reject { request, .. } => {
                 let o = open.remove(&request).expect("answered twice");
-                let ran = o.sends.iter().any(|s| !s.2.is_some_and(Outcome::never_ran));
+                let ran = o
+                    .sends
+                    .iter()
+                    .any(|s| !s.2.is_some_and(Outcome::never_executed));
                 let free = o.class == SAFE || o.class == KEYED && scope == KeyScope::All;
                 assert!(free || !ran, "refused though it may have run");
             }
@@ -195,11 +195,24 @@
         let mut set = settings();
         let (rate, burst, slack) = (16.0, 24.0, 4.0);
         let plan = &mut set.plans[0];
-        (plan.rate, plan.burst) = (1000.0, 1000.0);
-        (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack) = (rate, burst, slack);
-        let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-        let start =
-            |me: u32, now, seed| Stage::at(now, Settings { me, ..set.clone() }, seed, &list);
+        (plan.quota_units_per_second, plan.quota_burst_units) = (1000.0, 1000.0);
+        (
+            plan.ceiling_units_per_second,
+            plan.ceiling_burst_units,
+            plan.ceiling_slack_units,
+        ) = (rate, burst, slack);
+        let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+        let start = |me: u32, now, seed| {
+            Stage::at(
+                now,
+                PolicySettings {
+                    node: me,
+                    ..set.clone()
+                },
+                seed,
+                &list,
+            )
+        };
         let mut doors: Vec<Stage> = (0..3)
             .map(|me| start(me, 1000 * S, seed * 10 + u64::from(me)))
             .collect();
@@ -216,7 +229,7 @@
                     if rng.random::<f64>() < 0.9 && text.starts_with('q')
                         || text.starts_with('g') && to == busiest
                     {
-                        doors[to].give(Event::Peer {
+                        doors[to].give(Event::PeerMessage {
                             from: me as u32,
                             text,
                         });
@@ -228,7 +241,7 @@
                     if let Some(to) = target(&actions) {
                         store -= units;
                         passed += 1;
-                        doors[me].end(id, 0, &to, Outcome::Ok, 20);
+                        doors[me].end(id, 0, &to, Outcome::Success, 20);
                     }
                 }
                 if rng.random::<f64>() < 0.001 {
@@ -247,11 +260,14 @@
 
 #[test]
 fn a_cold_backend_gets_no_more_than_its_budget() {
-    let mut list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let mut list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(settings(), 3, &list);
-    stage.run(SAFE, 1, 10 * MS, 4 * S, Outcome::Ok, 60);
-    list[0].started = Some(stage.now);
-    stage.give(Event::Members(ListKind::Delta, list[..1].into()));
+    stage.run(SAFE, 1, 10 * MS, 4 * S, Outcome::Success, 60);
+    list[0].started_at_ns = Some(stage.now);
+    stage.give(Event::EndpointUpdate(
+        EndpointUpdateKind::Delta,
+        list[..1].into(),
+    ));
     let (mut cold, mut all) = (0, 0);
     let mut out = std::collections::VecDeque::new();
     let end = stage.now + S;
@@ -264,7 +280,7 @@
         }
         if out.len() > 12 {
             let (id, to) = out.pop_front().unwrap();
-            stage.end(id, 0, &to, Outcome::Ok, 120);
+            stage.end(id, 0, &to, Outcome::Success, 120);
         }
         stage.pass(10 * MS);
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -66,10 +66,13 @@
     let (mut cold, mut all) = (0u32, 0u32);
     for step in 0..500u64 {
         if step == 300 {
-            fleet.list[0].started = Some(fleet.now());
-            let news: std::sync::Arc<[Member]> = fleet.list[..1].into();
+            fleet.list[0].started_at_ns = Some(fleet.now());
+            let news: std::sync::Arc<[Endpoint]> = fleet.list[..1].into();
             for door in &mut fleet.doors {
-                door.give(Event::Members(ListKind::Delta, news.clone()));
+                door.give(Event::EndpointUpdate(
+                    EndpointUpdateKind::Delta,
+                    news.clone(),
+                ));
             }
         }
         for _ in 0..8 {
@@ -95,9 +98,9 @@
 fn one_gateways_bad_luck_is_no_overload_and_the_overload_of_all_is_seen_by_all() {
     let refusals = |slow: bool| {
         let mut fleet = Fleet::new(13, settings(), 30);
-        let end = move |_: &BackendId, id: RequestId| {
+        let end = move |_: &EndpointId, id: RequestId| {
             (
-                Outcome::Ok,
+                Outcome::Success,
                 if slow || id.0.is_multiple_of(5) {
                     450
                 } else {
@@ -151,7 +154,7 @@
 #[test]
 fn fast_errors_of_one_class_do_not_attract_its_work() {
     // Errors once counted as good health: a backend that fails one class at once looked the fastest of all.
-    let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(settings(), 19, &list);
     let (mut late, mut other) = (0, 0);
     for i in 0..1200u32 {
@@ -166,7 +169,11 @@
                 id,
                 0,
                 &to,
-                if sick { Outcome::Error } else { Outcome::Ok },
+                if sick {
+                    Outcome::Failure
+                } else {
+                    Outcome::Success
+                },
                 if sick { 2 } else { 50 },
             );
         }
@@ -181,9 +188,9 @@
 
 #[test]
 fn what_is_found_after_an_own_stall_says_nothing_of_backends() {
-    let list: Vec<Member> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
     let mut stage = Stage::new(settings(), 23, &list);
-    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Success, 60);
     let mut out = Vec::new();
     for _ in 0..12 {
         let (id, actions) = stage.ask(UNSAFE, 1, "c", 1.0);
@@ -196,9 +203,9 @@
         .iter_mut()
         .for_each(|t| t.0 = t.0.max(stage.now + MS));
     for (id, to) in out {
-        stage.end(id, 0, &to, Outcome::Ok, 1490);
+        stage.end(id, 0, &to, Outcome::Success, 1490);
     }
-    let (sent, refused) = stage.run(SAFE, 1, 10 * MS, 2 * S, Outcome::Ok, 60);
+    let (sent, refused) = stage.run(SAFE, 1, 10 * MS, 2 * S, Outcome::Success, 60);
     assert!(sent > 190 && refused == 0, "{sent} sent, {refused} refused");
 }
 
@@ -207,7 +214,7 @@
     let run = |noise: &[(u32, &str)]| {
         let mut fleet = Fleet::new(29, settings(), 6);
         for (from, text) in noise {
-            fleet.doors[0].give(Event::Peer {
+            fleet.doors[0].give(Event::PeerMessage {
                 from: *from,
                 text: (*text).into(),
             });
@@ -217,7 +224,7 @@
             let (id, actions) = fleet.doors[0].ask_of(GATEWAYS, SAFE, 1, "c", 1.0);
             if let Some(to) = target(&actions) {
                 sent += 1;
-                fleet.doors[0].end(id, 0, &to, Outcome::Ok, 60);
+                fleet.doors[0].end(id, 0, &to, Outcome::Success, 60);
             }
             fleet.doors[0].pass(20 * MS);
         }
@@ -239,14 +246,14 @@
 #[test]
 fn about_ten_gateways_each_hold_a_backlog_limit_of_their_own() {
     // Incident i15c3ad: with nine gateways a share of a surge was refused where a bound was needed.
-    let list: Vec<Member> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let set = Settings {
-        gateways: 9,
-        mail_per_s: 40.0,
+    let list: Vec<Endpoint> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let set = PolicySettings {
+        node_count: 9,
+        gossip_messages_per_second: 40.0,
         ..settings()
     };
     let mut stage = Stage::new(set, 31, &list);
-    stage.run(SAFE, 1, 100 * MS, 4 * S, Outcome::Ok, 60);
+    stage.run(SAFE, 1, 100 * MS, 4 * S, Outcome::Success, 60);
     let sent = (0..60)
         .filter(|_| target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some())
         .count();
@@ -257,11 +264,11 @@
 #[derive(Default)]
 struct Queues {
     now: Cell<u64>,
-    free: RefCell<HashMap<BackendId, u64>>,
+    free: RefCell<HashMap<EndpointId, u64>>,
 }
 
 impl Queues {
-    fn serve(&self, backend: &BackendId) -> (Outcome, u64) {
+    fn serve(&self, backend: &EndpointId) -> (Outcome, u64) {
         let mut free = self.free.borrow_mut();
         let free = free.entry(backend.clone()).or_default();
         let done = (*free).max(self.now.get()) + 60 * MS;
@@ -269,7 +276,7 @@
             return (Outcome::TimedOut, 1000);
         }
         *free = done;
-        (Outcome::Ok, (done - self.now.get()) / MS)
+        (Outcome::Success, (done - self.now.get()) / MS)
     }
 }
 
@@ -278,7 +285,7 @@
     // Issue 11: a share of the tries was refused, so the backlog grew with the demand.
     let queues = Queues::default();
     let mut fleet = Fleet::new(37, settings(), 30);
-    let end = |to: &BackendId, _: RequestId| queues.serve(to);
+    let end = |to: &EndpointId, _: RequestId| queues.serve(to);
     let (mut timely, mut sent) = (0u32, 0u32);
     for step in 0..400u32 {
         queues.now.set(fleet.now());
@@ -290,7 +297,7 @@
             if target(&actions).is_some() && step >= 150 {
                 let (.., how, ms) = fleet.out.last().expect("just sent");
                 sent += 1;
-                timely += u32::from(*how == Outcome::Ok && *ms <= 500);
+                timely += u32::from(*how == Outcome::Success && *ms <= 500);
             }
         }
         fleet.step(&end);
@@ -308,16 +315,16 @@
 #[test]
 fn a_ladder_is_not_held_shut_by_what_a_pool_remembers_of_a_flood() {
     // Issue 11: with next to nothing passing, the time-outs of the flood before were scaled up to enough.
-    let list: Vec<Member> = (0..30).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let set = Settings {
-        gateways: GATEWAYS,
-        mail_per_s: 40.0,
+    let list: Vec<Endpoint> = (0..30).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let set = PolicySettings {
+        node_count: GATEWAYS,
+        gossip_messages_per_second: 40.0,
         ..settings()
     };
     let mut stage = Stage::new(set, 43, &list);
     let mut hear = |parts: [f64; 9], times: u32| {
         for i in 0..times {
-            stage.give(Event::Peer {
+            stage.give(Event::PeerMessage {
                 from: 1 + i % 100,
                 text: pool(parts),
             });
