Tests: the bytes of every datagram between ingresses, committed and compared

Each kind of datagram (use, word, grant, pool; start and roll words; zone words) is committed as text, read to its fields and written again to the same bytes; how many beginnings of each are read as shorter ones, another version's head, and bad ones among good ones are held too, and so are the numbers of names, ranks and draws that ingresses agree on. src/net/peers.rs sends the text as it is: no envelope.

--- /dev/null
+++ b/tests/golden/mod.rs
@@ -0,0 +1,31 @@
+//! Bytes as version 0.2.0 wrote them before its names were changed, and the comparison with what is written now.
+#![allow(dead_code)]
+
+use std::path::{Path, PathBuf};
+
+/// Where a file is committed.
+pub fn path(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name)
+}
+
+/// A committed file; one that is missing has no bytes, so that nothing is equal to it.
+pub fn bytes(name: &str) -> Vec<u8> {
+    std::fs::read(path(name)).unwrap_or_default()
+}
+
+/// A committed file of text.
+pub fn text(name: &str) -> String {
+    String::from_utf8(bytes(name)).unwrap()
+}
+
+/// Fails where other bytes are written now, and leaves them beside the build.
+pub fn same(name: &str, written: &[u8]) {
+    let committed = bytes(name);
+    if committed.is_empty() || committed != written {
+        let now = std::env::temp_dir().join(format!("golden-{name}"));
+        std::fs::write(&now, written).unwrap();
+        let at = committed.iter().zip(written).take_while(|(a, b)| a == b).count();
+        let (length, now_length) = (committed.len(), written.len());
+        panic!("{name}: {now_length} bytes for {length}, other ones from byte {at} on: {}", now.display());
+    }
+}
--- /dev/null
+++ b/tests/golden_datagrams.rs
@@ -0,0 +1,249 @@
+//! Datagrams between ingresses, of every kind: read as what was meant, written again to the same bytes.
+
+mod common;
+mod golden;
+
+use applewall::api::{Event, Member};
+use applewall::brain::Brain;
+use applewall::mail::{self, Record};
+use applewall_turns as turns;
+use applewall_zones as zones;
+
+type Is = fn(&str) -> bool;
+/// The sender's incarnation, and its records by their names.
+type Message = (u32, Vec<(u32, Record)>);
+/// A zone's number, and its good, failing and dead sums and its share.
+type Zone = (u16, [f64; 4]);
+type Again = fn(&str) -> Option<String>;
+
+fn quota_again(text: &str) -> Option<String> {
+    let (incarnation, records) = mail::read(text)?;
+    let mut texts = mail::write(incarnation, &records);
+    // A message without records says only that its sender lives: it is written as one of the first kind.
+    assert!(texts.len() == 1 && (texts[0] == text || records.is_empty()), "{text} {texts:?}");
+    texts.pop()
+}
+
+/// Each kind's name, what tells it from the others, how it is read and written, and another version's head.
+const KINDS: [(&str, Is, Again, &str); 7] = [
+    ("use", |t| t.starts_with('u'), quota_again, "v"),
+    ("word", |t| t.starts_with('w'), quota_again, "W"),
+    ("grant", |t| t.starts_with('g'), quota_again, "G"),
+    ("pool", |t| t.starts_with('p'), quota_again, "q"),
+    ("start", turns::Word::is, |t| turns::Word::read(t).map(|w| w.write()), "T2"),
+    ("roll", turns::Muster::is, |t| turns::Muster::read(t).map(|w| w.write()), "R2"),
+    ("zones", zones::Word::is, |t| zones::Word::read(t).map(|w| w.write()), "Z2"),
+];
+
+/// The committed datagrams: their kind, how many of their beginnings are read as shorter ones, and the text.
+fn committed() -> Vec<(String, usize, String)> {
+    let text = golden::text("datagrams.txt");
+    let line = |line: &str| {
+        let mut parts = line.splitn(3, '\t').map(str::to_string);
+        let mut next = || parts.next().expect("three parts");
+        (next(), next().parse().expect("a number"), next())
+    };
+    text.lines().map(line).collect()
+}
+
+fn of_kind(kind: &str) -> Vec<String> {
+    committed().into_iter().filter(|line| line.0 == kind).map(|line| line.2).collect()
+}
+
+fn level(code: u32) -> f64 {
+    f64::from(code) / 63.0 * 2.0 - 1.0
+}
+
+/// What the quota datagrams were written from: values that their codes tell without loss.
+fn quota() -> Vec<Message> {
+    let used = |i: u32| Record::Use {
+        plan: (i % 64) as usize,
+        first: i * 131 % 4096,
+        spread: 4095 - i,
+        sent: i * 977 % 4096,
+        asked: 4095 - i * 5,
+        level: level(i * 3 % 64),
+    };
+    let demand = |code: i32| if code == 0 { 0.0 } else { 0.1 * 1.17f64.powi(code - 1) };
+    let mass = |code: usize| if code == 0 { 0.0 } else { 0.001 * 1.005f64.powi(code as i32 - 1) };
+    let pool = |shift: usize| mail_evidence(|i| mass(i * 455 + shift));
+    vec![
+        (0, vec![]),
+        (1, vec![(0x3fff_ffff, used(63))]),
+        // More than one message holds.
+        (0xff_ffff, (0..40).map(|i| (mail::fingerprint(&format!("customer {i}")), used(i))).collect()),
+        (
+            77,
+            [0, 1, 31, 62]
+                .map(|c| (c as u32 * 99, Record::Word { demand: demand(c), level: level(c as u32) }))
+                .into(),
+        ),
+        (78, vec![(5, Record::Grant(0.25)), (6, Record::Grant(1023.75))]),
+        (79, vec![(0, pool(0)), (0, pool(7)), (1, pool(454))]),
+    ]
+}
+
+fn mail_evidence(part: impl Fn(usize) -> f64) -> Record {
+    // The type of the sums has no public name: it is filled by way of a datagram that holds them.
+    let Some((_, records)) = mail::read(&format!("pAAAA{}", "A".repeat(23))) else { panic!("an empty pool") };
+    let Record::Pool(mut sums) = records[0].1 else { panic!("no pool") };
+    let fields = [
+        &mut sums.answers,
+        &mut sums.high,
+        &mut sums.low,
+        &mut sums.refused,
+        &mut sums.timed_out,
+        &mut sums.intervals,
+        &mut sums.out,
+        &mut sums.done,
+        &mut sums.asked,
+    ];
+    fields.into_iter().enumerate().for_each(|(i, field)| *field = part(i));
+    Record::Pool(sums)
+}
+
+fn numbers(record: &Record) -> Vec<f64> {
+    match *record {
+        Record::Use { plan, first, spread, sent, asked, level } => {
+            vec![plan as f64, first.into(), spread.into(), sent.into(), asked.into(), level]
+        }
+        Record::Word { demand, level } => vec![demand, level],
+        Record::Grant(units) => vec![units],
+        Record::Pool(sums) => sums.parts().into(),
+    }
+}
+
+fn starts() -> [turns::Word; 3] {
+    let word = turns::Word { asks: true, age: 0, rev: None, current: false, busy: false, starting: 0 };
+    let (rev, age) = (Some(1 << 53), 1 << 40);
+    [
+        word,
+        turns::Word { asks: false, age: 36_000, rev: Some(417), busy: true, starting: 3, ..word },
+        turns::Word { age, rev, current: true, busy: true, starting: u32::MAX, ..word },
+    ]
+}
+
+fn rolls() -> [turns::Muster; 2] {
+    let bits = |step: u32| (0..80).map(|i| (i * step) as u8).collect();
+    let (started, without): (Vec<u8>, Vec<u8>) = (bits(37), bits(74));
+    let without = started.iter().zip(&without).map(|(a, b)| a & b).collect();
+    [
+        turns::Muster { offset: 0, latest: 0, started: vec![0b101], without: vec![0b001] },
+        turns::Muster { offset: 1280, latest: 9_999_999_999_999, started, without },
+    ]
+}
+
+#[test]
+fn every_kind_is_read_and_written_again_to_the_same_bytes() {
+    let mut now = String::new();
+    for (kind, cuts, text) in committed() {
+        let (_, is, again, other) = *KINDS.iter().find(|k| k.0 == kind).expect("a known kind");
+        assert!(
+            text.len() <= 256 && KINDS.iter().filter(|k| (k.1)(&text)).count() == 1 && is(&text),
+            "{text}"
+        );
+        assert_eq!(again(&text).as_deref(), Some(&*text));
+        let read = (0..text.len()).filter(|end| again(&text[..*end]).is_some()).count();
+        assert_eq!(read, cuts, "beginnings of {text}");
+        let foreign = format!("{other}{}", &text[other.len()..]);
+        assert!(!is(&foreign) && KINDS.iter().all(|k| (k.2)(&foreign).is_none()), "{foreign}");
+        now += &format!("{kind}\t{read}\t{text}\n");
+    }
+    golden::same("datagrams.txt", now.as_bytes());
+}
+
+#[test]
+fn quota_datagrams_say_what_they_said() {
+    let written: Vec<String> =
+        quota().iter().flat_map(|(from, records)| mail::write(*from, records)).collect();
+    assert_eq!(written, ["use", "word", "grant", "pool"].map(of_kind).concat());
+    let mut written = written.iter();
+    for (from, mut expected) in quota() {
+        loop {
+            let (incarnation, records) = mail::read(written.next().unwrap()).unwrap();
+            assert_eq!(incarnation, from);
+            let rest = expected.split_off(records.len());
+            for (read, meant) in records.iter().zip(&expected) {
+                assert_eq!(read.0, meant.0);
+                let (read, meant) = (numbers(&read.1), numbers(&meant.1));
+                let close = |(a, b): (&f64, &f64)| (a - b).abs() <= b.abs() * 1e-9 + 1e-12;
+                assert!(
+                    read.len() == meant.len() && read.iter().zip(&meant).all(close),
+                    "{read:?} {meant:?}"
+                );
+            }
+            expected = rest;
+            if expected.is_empty() {
+                break;
+            }
+        }
+    }
+}
+
+#[test]
+fn start_and_zone_datagrams_say_what_they_said() {
+    for (text, meant) in of_kind("start").iter().zip(starts()) {
+        assert_eq!((turns::Word::read(text), meant.write()), (Some(meant), text.clone()));
+    }
+    for (text, meant) in of_kind("roll").iter().zip(rolls()) {
+        assert_eq!(meant.write(), *text);
+        assert_eq!(turns::Muster::read(text), Some(meant));
+    }
+    let read = of_kind("zones").iter().map(|t| zones::Word::read(t).unwrap()).collect::<Vec<_>>();
+    let parts = |word: &zones::Word| {
+        let part = |p: usize| &word.parts[p];
+        let all = (0..word.parts.len()).map(|p| (part(p).zone, part(p).sums, part(p).share));
+        all.map(|(zone, s, share)| (zone, [s.good, s.failing, s.dead, share])).collect::<Vec<_>>()
+    };
+    let meant: [(u32, u32, &[Zone]); 3] = [
+        (0, 0, &[]),
+        (3_735_928_559, 7, &[(0, [12.5, 0.125, 3.0, 0.25]), (65_535, [0.0, 0.0, 100_000.0, 1.0])]),
+        (u32::MAX, u32::MAX, &[(2, [0.001, 0.002, 0.003, 0.0])]),
+    ];
+    assert_eq!((of_kind("start").len(), of_kind("roll").len(), read.len()), (3, 2, meant.len()));
+    for (word, (life, number, all)) in read.iter().zip(meant) {
+        assert_eq!((word.life, word.number, &parts(word)[..]), (life, number, all));
+    }
+}
+
+/// What ingresses must agree on without a word: the number of a name, who sums whom, whose chance it is.
+#[test]
+fn names_ranks_and_draws_are_the_same_everywhere() {
+    let mut now = String::new();
+    for (i, name) in ["", "a", "s-1", "00000000b4d65521", "Kunde Ä"].into_iter().enumerate() {
+        let (print, peer) = (mail::fingerprint(name), i as u32 * 17);
+        let draw = mail::luck(print, peer, i as f64 * 1.25).to_bits();
+        now += &format!(
+            "{print} {} {draw:016x} {}\n",
+            mail::rank(print, peer),
+            mail::units_code(i as f64 * 1030.3)
+        );
+    }
+    golden::same("names.txt", now.as_bytes());
+    assert_eq!((mail::units_between(4090, 6), mail::units_between(6, 6)), (3.0, 0.0));
+}
+
+#[test]
+fn a_datagram_of_another_version_among_good_ones_changes_nothing() {
+    let members: Vec<Member> = (0..3).map(|i| common::member(&format!("b{i}"), 0)).collect();
+    let used = Record::Use { plan: 0, first: 0, spread: 3, sent: 8, asked: 80, level: 0.5 };
+    let [good]: [String; 1] = mail::write(9, &[(mail::fingerprint("customer 1"), used)]).try_into().unwrap();
+    let play = |foreign: bool, good: Option<&String>| {
+        let mut stage = common::Stage::new(common::settings(), 1, &members);
+        stage.ask(common::SAFE, 0, "customer 1", 1.0);
+        for (kind, _, text) in committed() {
+            let other = KINDS.iter().find(|k| k.0 == kind).unwrap().3;
+            let bad = format!("{other}{}", &text[other.len()..]);
+            for bad in [bad, format!("{text}="), text[..3].to_string(), String::new()] {
+                let actions = if foreign { stage.give(Event::Peer { from: 1, text: bad }) } else { vec![] };
+                assert_eq!(actions, []);
+            }
+            stage.give(Event::Peer { from: 1, text });
+            good.into_iter().for_each(|good| drop(stage.give(Event::Peer { from: 1, text: good.clone() })));
+        }
+        let brain: &mut Brain = &mut stage.brain;
+        (stage.told, brain.hand_over().unwrap())
+    };
+    assert!(play(true, Some(&good)) == play(false, Some(&good)), "the others");
+    assert!(play(false, Some(&good)) != play(false, None), "the good one says something");
+}
