Tests: the bytes that one process hands another, committed and compared

An older and a newer process meet at every upgrade in place, so the bytes between them outlive any renaming. Committed: what the module hands over after a short play, what one that took it over hands over at the same moment (the same but half of each ceiling's store, and the list's word on each backend), and what it decides from there on; the estate, and the lines and the frame round it. A decoder that shares no type with the program holds order and width of every field. Torn bytes, other settings, one field less, another hello and another mark are refused with the lines of today, and change nothing; one that finds another version starts with nothing. The play's figures come of exp and ln, so of the C library's last bits too.

--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -286,3 +286,6 @@
         (Some(self.estate), Some(self.link), self.datagrams)
     }
 }
+
+#[cfg(test)]
+mod golden;
--- /dev/null
+++ b/tests/golden_handover.rs
@@ -0,0 +1,296 @@
+//! What the decision module hands over, as bytes: of one short play, and of the one that takes over from it at once.
+
+mod common;
+mod golden;
+
+use std::collections::BTreeMap;
+
+use applewall::api::*;
+use applewall::brain::Brain;
+use applewall::mail::{self, fingerprint, Record};
+use applewall::wire;
+use common::{Stage, KEYED, MS, S, SAFE, UNSAFE};
+use crc::{Crc, CRC_32_ISCSI};
+use serde::{Deserialize, Serialize};
+
+const CHECK: Crc<u32> = Crc::<u32>::new(&CRC_32_ISCSI);
+
+type Meter = (f64, f64);
+type Sums = [f64; 9];
+
+/// The form, independent of the module's own types: order and width of all that is in it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Kept {
+    shape: (u32, u32, u32),
+    born: f64,
+    listed: bool,
+    incarnation: u32,
+    ladder: Ladder,
+    customers: BTreeMap<u32, Customer>,
+    backends: Vec<Backend>,
+    numbers: BTreeMap<String, u32>,
+    latency: Vec<(f64, f64)>,
+    speeds: Vec<(f64, f64)>,
+    heard: BTreeMap<u32, u32>,
+    rates: (f64, Meter, Meter),
+    evidence: [Sums; 2],
+    carried: (f64, f64),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Ladder {
+    filter: u32,
+    rates: Vec<f64>,
+    focal: f64,
+    index: Vec<i32>,
+    tallies: Vec<Sums>,
+    switched: f64,
+    onset: Option<f64>,
+    lag: f64,
+    done: Meter,
+    memory: f64,
+    tiers: Vec<(Meter, [f64; 4])>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Customer {
+    plan: Option<u32>,
+    spread_first: (u32, u32),
+    keepers: Vec<u32>,
+    keeps: bool,
+    store: f64,
+    ceiling: f64,
+    dealt: f64,
+    bank: Option<f64>,
+    luck: f64,
+    untold: bool,
+    at_seen_since: [f64; 3],
+    own_demand_theirs: [Meter; 3],
+    sent: f64,
+    asked: f64,
+    out: u32,
+    peers: BTreeMap<u32, (u32, u32, Meter, Meter)>,
+    level: f64,
+    word: Option<[f64; 3]>,
+    due: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Backend {
+    member: (String, f64, Option<u64>, u32, i64, u32, u32),
+    ready_gone_mine: [bool; 3],
+    cold_from: f64,
+    owed: bool,
+    slowness: f64,
+    last_ok: f64,
+    strikes: u32,
+    out_until: f64,
+    lately: Vec<(f64, f64)>,
+    health: Vec<[Meter; 2]>,
+}
+
+fn decode(bytes: &[u8]) -> Kept {
+    postcard::from_bytes_crc32(bytes, CHECK.digest()).expect("of this form")
+}
+
+fn encode(kept: &Kept) -> Vec<u8> {
+    postcard::to_stdvec_crc32(kept, CHECK.digest()).expect("written")
+}
+
+/// Twenty gateways, a plan with a ceiling, and two kinds of machine.
+fn settings() -> Settings {
+    let mut settings = Settings { gateways: 20, kinds: 2, subscribe: true, ..common::settings() };
+    let plan = Plan { rate: 1e6, burst: 1e6, price: 1.0, over_cost: 0.5, ..Plan::default() };
+    settings.plans.push(Plan { ceiling_rate: 5.0, ceiling_burst: 20.0, ceiling_slack: 2.0, ..plan });
+    settings
+}
+
+fn members() -> Vec<Member> {
+    let states = [MemberState::Ready, MemberState::Ready, MemberState::Ready, MemberState::Draining];
+    let of = |(i, state): (u32, MemberState)| Member {
+        started: [None, Some(999 * S), Some(5), None][i as usize],
+        kind: i % 2,
+        scale: 0.5 + f64::from(i),
+        cell: i64::from(i) - 1,
+        state,
+        ..common::member(&format!("b{i}"), i % 2)
+    };
+    (0..).zip(states).map(of).collect()
+}
+
+/// The play: all kinds of requests, of answers and of datagrams, and a backend that goes.
+fn play() -> Stage {
+    let mut stage = Stage::new(settings(), 7, &members());
+    let level = 0.25;
+    let (use_of, word) = (
+        |plan, spread, sent| Record::Use { plan, first: 0, spread, sent, asked: sent + 4, level },
+        Record::Word { demand: 7.0, level },
+    );
+    let told = [
+        (1, fingerprint("wide 47"), use_of(2, 20, 12)),
+        (2, fingerprint("far"), use_of(0, 3, 40)),
+        (1, fingerprint("told"), word),
+        (3, fingerprint("wide 47"), Record::Grant(1.5)),
+    ];
+    let how = [
+        Outcome::Ok,
+        Outcome::Ok,
+        Outcome::Error,
+        Outcome::TimedOut,
+        Outcome::Ok,
+        Outcome::Reset,
+        Outcome::Full,
+    ];
+    for round in 0..42u32 {
+        let i = round as usize;
+        let (class, plan, spread) = ([SAFE, KEYED, UNSAFE][i % 3], i / 3 % 3, [20, 3, 1][i / 9 % 3]);
+        let customer = ["wide 47", "near", "own"][i / 9 % 3];
+        let (id, actions) = stage.ask_of(spread, class, plan.max(i / 9 % 3), customer, f64::from(round % 4));
+        stage.pass(u64::from(round % 5) * 20 * MS);
+        if let Some(to) = common::target(&actions) {
+            stage.end(id, 0, &to, how[i % how.len()], 15 + u64::from(round * 7 % 40));
+        }
+        let (from, name, record) = told[i % 4];
+        for text in mail::write(40 + from, &[(name, record)]) {
+            stage.give(Event::Peer { from, text });
+        }
+    }
+    let Record::Pool(mut pool) = mail::read(&format!("pAAAA{}", "A".repeat(23))).expect("read").1[0].1 else {
+        panic!("no pool")
+    };
+    (pool.answers, pool.intervals, pool.out, pool.done) = (30.0, 4.0, 9.0, 20.0);
+    for from in [4, 5] {
+        stage.give(Event::Peer { from, text: mail::write(44, &[(0, Record::Pool(pool))]).remove(0) });
+    }
+    let gone = Member { state: MemberState::Gone, ..members()[1].clone() };
+    stage.give(Event::Members(ListKind::Delta, [gone].into()));
+    (0..8).for_each(|i| drop(stage.ask_of(1, SAFE, 1, &format!("late {i}"), 1.0)));
+    stage.give(Event::GivenBack(members()[2].clone()));
+    stage.pass(380 * MS);
+    stage
+}
+
+/// One that takes over at `now` as a new process does: the state first, then the list as it was handed.
+fn take_over(now: u64, bytes: &[u8]) -> Result<Stage, String> {
+    let mut stage = Stage::at(now, settings(), 99, &[]);
+    let mut brain = Brain::new(settings(), 99, now);
+    brain.take_over(bytes).map_err(|e| e.to_string())?;
+    stage.brain = brain;
+    stage.give(Event::Members(ListKind::Cached, members().into()));
+    Ok(stage)
+}
+
+const NOW: u64 = 1_002_000 * MS;
+
+#[test]
+fn a_play_is_handed_over_in_the_same_bytes() {
+    let mut stage = play();
+    assert_eq!(stage.now, NOW);
+    golden::same("handover.bin", &stage.brain.hand_over().expect("written"));
+}
+
+#[test]
+fn one_that_takes_over_hands_over_the_same_but_half_of_each_ceiling() {
+    let bytes = golden::bytes("handover.bin");
+    let again = take_over(NOW, &bytes).expect("read").brain.hand_over().expect("written");
+    golden::same("handover_again.bin", &again);
+    let (mut first, again) = (decode(&bytes), decode(&again));
+    for c in first.customers.values_mut() {
+        (c.ceiling, c.untold, c.out) = (c.ceiling * 0.5, false, 0);
+    }
+    for (b, m) in first.backends.iter_mut().zip(members()) {
+        let ready = m.state == MemberState::Ready;
+        // The list is of an earlier moment than the state.
+        (b.member.2, b.member.6) = (m.started, u32::from(!ready));
+        (b.ready_gone_mine[0], b.ready_gone_mine[1]) = (ready, false);
+    }
+    assert_eq!(first, again);
+}
+
+#[test]
+fn the_form_is_what_it_was() {
+    let bytes = golden::bytes("handover.bin");
+    let kept = decode(&bytes);
+    assert!(encode(&kept) == bytes, "no field is longer, shorter or elsewhere");
+    assert_eq!((kept.shape, kept.born, kept.listed, kept.incarnation), ((3, 3, 2), 1000.0, true, 928_794));
+    let names = ["wide 47", "near", "own", "told", "far"].map(fingerprint);
+    let known = |name| kept.customers.contains_key(name);
+    assert!(names.iter().all(known) && kept.customers.len() == names.len() + 8);
+    let [wide, near, _, told, far] = names.map(|name| &kept.customers[&name]);
+    assert_eq!(
+        (wide.plan, wide.spread_first, wide.sent, wide.asked, wide.out),
+        (Some(0), (20, 0), 14.0, 27.0, 3)
+    );
+    assert_eq!((wide.dealt, wide.bank.is_some(), wide.at_seen_since), (0.5, true, [1002.0, 1001.6, 1000.0]));
+    assert_eq!((wide.peers[&1].0, wide.peers[&1].1, far.peers[&2].0, far.peers[&2].1), (12, 16, 40, 44));
+    assert_eq!((near.keeps, &near.keepers[..], near.store, near.luck), (true, &[0, 2, 1][..], 1e6, 1.0));
+    assert_eq!(
+        (told.plan, told.word.map(|w| w[2]), told.level),
+        (None, Some(1001.52), 0.238_095_238_095_238_14)
+    );
+    let member = |i: usize| kept.backends[i].member.clone();
+    assert_eq!(member(0), ("b0".into(), 0.5, None, 0, -1, 0, 0));
+    assert_eq!(member(1), ("b1".into(), 1.5, Some(999 * S), 1, 0, 1, 2));
+    let states: Vec<_> = kept.backends.iter().map(|b| (b.ready_gone_mine, b.owed)).collect();
+    let (ready, gone, drains) = ([true, false, true], [false, true, true], [false, false, false]);
+    assert_eq!(states, [(ready, false), (gone, false), (ready, true), (drains, false)]);
+    assert_eq!((kept.backends[0].last_ok, kept.backends[2].cold_from), (1001.62, 1001.62));
+    assert!(kept.numbers.iter().map(|(name, n)| (&**name, *n)).eq([
+        ("b0", 0),
+        ("b1", 1),
+        ("b2", 2),
+        ("b3", 3)
+    ]));
+    assert!(kept.heard.into_iter().eq([(1, 41), (2, 42), (3, 43), (4, 44), (5, 44)]));
+    assert_eq!((kept.latency[0], kept.latency[5], kept.speeds[1]), ((0.015, 1.0), (0.049, 1.0), (1.0, 10.0)));
+    assert_eq!(kept.ladder.index, [-3, -3, -3, -3, -3, -3, 0, 0, -3, -3]);
+}
+
+#[test]
+fn it_goes_on_from_them_as_it_did() {
+    let mut stage = take_over(NOW, &golden::bytes("handover.bin")).expect("read");
+    let mut now = format!("{} kept\n", stage.brain.kept());
+    for i in 0..30usize {
+        let customer = ["wide 47", "near", "own", "told", "far", "new"][i % 6];
+        let (id, actions) = stage.ask_of([20, 3, 1][i % 3], i % 3, i / 6 % 3, customer, 1.0);
+        actions.iter().for_each(|a| wire::write_action(&mut now, i as u64, a));
+        if let Some(to) = common::target(&actions) {
+            stage.end(id, 0, &to, Outcome::Ok, 30);
+        }
+        stage.pass(50 * MS);
+    }
+    stage.letters.iter().for_each(|(to, text)| now += &format!("{to:?} {text}\n"));
+    golden::same("handover_goes_on.txt", now.as_bytes());
+}
+
+#[test]
+fn bytes_that_are_torn_or_of_another_version_are_refused_whole() {
+    let bytes = golden::bytes("handover.bin");
+    let kept = decode(&bytes);
+    let refused = |bytes: &[u8]| take_over(NOW, bytes).err().expect("refused");
+    let mut wide = kept.clone();
+    wide.shape.0 += 1;
+    let mut lost = kept.clone();
+    lost.numbers.insert("b0".into(), 99);
+    let mut keyless = kept.clone();
+    keyless.customers.values_mut().for_each(|c| c.spread_first.0 = 0);
+    for other in [wide, lost, keyless] {
+        assert_eq!(refused(&encode(&other)), "it is of other settings");
+    }
+    // A form with one field less, as an older process may have, and bytes that are none at all.
+    let shorter = postcard::to_stdvec_crc32(&(kept.shape, kept.born, kept.listed), CHECK.digest()).unwrap();
+    let mut flipped = bytes.clone();
+    flipped[bytes.len() / 2] ^= 1;
+    let end = "Hit the end of buffer, expected more data";
+    for (bytes, why) in [
+        (&shorter[..], end),
+        (&bytes[..0], end),
+        (&bytes[..bytes.len() / 2], end),
+        (&flipped, "Bad CRC while deserializing"),
+    ] {
+        assert_eq!(refused(bytes), why);
+    }
+    let mut untouched = Brain::new(settings(), 99, NOW);
+    let fresh = Brain::new(settings(), 99, NOW).hand_over().unwrap();
+    assert!(untouched.take_over(&flipped).is_err() && untouched.hand_over().unwrap() == fresh);
+}
