Tests: files on disk, registry values and admin answers, committed and compared

A new release reads what the one before left: the state file, the last list of a registry, and tools read the answers at the second address. Torn, foreign, older and newer files are refused with the lines of today; keys besides are passed over where they are today.

--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -351,3 +351,6 @@
     tokio::spawn(merge(operator, config.seed, known, facts, clock, discovered, queue));
     discovery
 }
+
+#[cfg(test)]
+mod golden;
--- a/tests/golden/mod.rs
+++ b/tests/golden/mod.rs
@@ -22,7 +22,7 @@
 pub fn same(name: &str, written: &[u8]) {
     let committed = bytes(name);
     if committed.is_empty() || committed != written {
-        let now = std::env::temp_dir().join(format!("golden-{name}"));
+        let now = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("golden-{name}"));
         std::fs::write(&now, written).unwrap();
         let at = committed.iter().zip(written).take_while(|(a, b)| a == b).count();
         let (length, now_length) = (committed.len(), written.len());
