--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -212,3 +212,6 @@
         file.try_into().expect("complete")
     }
 }
+
+#[cfg(test)]
+mod golden;
