--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -247,3 +247,6 @@
         file.try_into().expect("complete")
     }
 }
+
+#[cfg(test)]
+mod golden;
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -445,3 +445,6 @@
     ));
     discovery
 }
+
+#[cfg(test)]
+mod golden;
