--- a/crates/membership/src/snapshot.rs
+++ b/crates/membership/src/snapshot.rs
@@ -15,7 +15,7 @@
 use crate::entry::Entry;
 use crate::source::Source;
 
-const MAGIC: &str = "applewall-membership";
+const MAGIC: &str = "applewall-roster";
 const VERSION: u32 = 1;
 /// A list holds no more bytes than this.
 const MOST: usize = 64 << 20;
@@ -225,7 +225,7 @@
         );
         assert_eq!(read(b"{}\n", limits(0)), Unusable::Foreign);
         assert_eq!(
-            read(b"applewall-membership 2 0 0\n", limits(0)),
+            read(b"applewall-roster 2 0 0\n", limits(0)),
             Unusable::Version(2)
         );
     }
--- a/src/bin/applewall-simulator-host.rs
+++ b/src/bin/applewall-simulator-host.rs
@@ -69,7 +69,7 @@
                 return Ok(true);
             }
             Line::Boot { who, seed, facts } => {
-                let brain = DecisionPolicy::new(facts.settings.clone(), seed, self.now);
+                let brain = DecisionPolicy::new(facts.policy.clone(), seed, self.now);
                 self.instances.insert(who, Instance { brain, facts });
             }
             Line::Down { who } => {
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -456,3 +456,6 @@
     ));
     discovery
 }
+
+#[cfg(test)]
+mod golden;
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -46,7 +46,7 @@
         if !set.enabled.0 {
             return None;
         }
-        let settings = &config.facts.settings;
+        let settings = &config.facts.policy;
         let list = rev.map_or(List::None, List::Old);
         let now = clock.now() as f64 / SECOND;
         let core = Turns::new(
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -96,7 +96,7 @@
         turn,
     } = start;
     let mut rng = SmallRng::seed_from_u64(seed);
-    let pace = Pace::of(facts.settings.watch_endpoints);
+    let pace = Pace::of(facts.policy.watch_endpoints);
     let follower = Follower {
         facts,
         clock,
@@ -110,8 +110,8 @@
     } else if rev.is_some() {
         // Whoever has a list can wait a moment for those who started together with it.
         let settings = (
-            follower.facts.settings.node_count,
-            follower.facts.stop_sending,
+            follower.facts.policy.node_count,
+            follower.facts.drain_notice_ns,
         );
         tokio::time::sleep(spread(settings.0, settings.1).mul_f64(rng.random())).await;
     }
@@ -232,7 +232,7 @@
                 return;
             };
             tries = if lost.is_some() { tries + 1 } else { 0 };
-            let wait = self.pace.wait(self.facts.settings.node_count, &loss, tries);
+            let wait = self.pace.wait(self.facts.policy.node_count, &loss, tries);
             let (reason, turned_away, retry_after) = match loss {
                 Loss::Late => ("no answer in time".to_string(), false, None),
                 Loss::TurnedAway(reason, retry_after) => (reason, true, retry_after),
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -60,7 +60,7 @@
         if !set.enabled.0 || names.len() < 2 {
             return None;
         }
-        let settings = &facts.settings;
+        let settings = &facts.policy;
         let core = Zones::new(
             set,
             &names,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -142,7 +142,7 @@
         );
         let facts = config.facts.clone();
         let mut engine = Engine {
-            brain: DecisionPolicy::new(facts.settings.clone(), config.seed, now),
+            brain: DecisionPolicy::new(facts.policy.clone(), config.seed, now),
             fleet: Fleet::new(&facts, sizes, clock, pacers.clone(), queue),
             facts,
             clock,
@@ -567,7 +567,7 @@
         };
         let number = open.attempts;
         open.attempts += 1;
-        let most = self.facts.settings.max_attempts;
+        let most = self.facts.policy.max_attempts;
         let last = open.deadline.saturating_sub(ATTEMPT_MARGIN);
         let until = if timeout == 0 {
             last
@@ -578,7 +578,7 @@
         let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
         // What may have run goes out again only while instances know its key: a connection may come up late.
         let write_by = match (
-            self.facts.settings.classes[open.class].idempotency,
+            self.facts.policy.classes[open.class].idempotency,
             open.tainted,
         ) {
             (
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -326,3 +326,6 @@
         (Some(self.estate), Some(self.link), self.datagrams)
     }
 }
+
+#[cfg(test)]
+mod golden;
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -49,7 +49,7 @@
         handed: Option<OwnedFd>,
     ) -> Result<Option<Self>, String> {
         let settings = config.facts.clone();
-        let settings = &settings.settings;
+        let settings = &settings.policy;
         let Some(address) = config.peer_listen.filter(|_| settings.gossip_enabled) else {
             return Ok(None);
         };
--- a/src/platform_settings.rs
+++ b/src/platform_settings.rs
@@ -24,13 +24,13 @@
 #[derive(Debug)]
 pub struct PlatformSettings {
     /// What the module is told.
-    pub settings: PolicySettings,
+    pub policy: PolicySettings,
     /// An idle connection to a backend is closed after this.
-    pub conn_idle: u64,
+    pub idle_connection_timeout_ns: u64,
     /// A connection not up within this is given up.
-    pub dial_timeout: u64,
+    pub connect_timeout_ns: u64,
     /// Nothing new goes to a backend this long after it was told to drain.
-    pub stop_sending: u64,
+    pub drain_notice_ns: u64,
     classes: HashMap<String, usize>,
     plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
@@ -249,10 +249,10 @@
         max_request_units: wire.specifics.most_units,
     };
     Ok(PlatformSettings {
-        settings,
-        conn_idle: wire.permissions.conn_idle_ns,
-        dial_timeout: wire.permissions.dial_timeout_ns,
-        stop_sending: wire.obligations.stop_sending_within_ns,
+        policy: settings,
+        idle_connection_timeout_ns: wire.permissions.conn_idle_ns,
+        connect_timeout_ns: wire.permissions.dial_timeout_ns,
+        drain_notice_ns: wire.obligations.stop_sending_within_ns,
         classes: wire
             .classes
             .iter()
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -164,7 +164,7 @@
     };
     let longest = config
         .facts
-        .settings
+        .policy
         .classes
         .iter()
         .map(|c| c.deadline_ns)
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -456,7 +456,7 @@
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
     match (
         headers.get_all(KEY).iter().count(),
-        facts.settings.classes[class].idempotency,
+        facts.policy.classes[class].idempotency,
     ) {
         (1, _) => {}
         (0, Idempotency::IdempotencyKey { .. }) => {
@@ -475,7 +475,7 @@
     let left = one(headers, "x-time-left-ms")
         .and_then(digits)
         .ok_or("X-Time-Left-Ms is not a whole number")?;
-    let settings = &facts.settings;
+    let settings = &facts.policy;
     let set = one(headers, "x-metering")
         .and_then(metering)
         .filter(|[units, spread, first]| {
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -128,14 +128,14 @@
         queue: mpsc::Sender<Message>,
     ) -> Self {
         let limits = Limits {
-            dial: Duration::from_nanos(facts.dial_timeout),
-            idle: Duration::from_nanos(facts.conn_idle).mul_f64(IDLE_PART),
+            dial: Duration::from_nanos(facts.connect_timeout_ns),
+            idle: Duration::from_nanos(facts.idle_connection_timeout_ns).mul_f64(IDLE_PART),
         };
         Fleet {
             instances: HashMap::new(),
             places: Arc::new(Semaphore::new(places)),
             limits: Arc::new(limits),
-            load_fields: facts.settings.load_report_fields.as_slice().into(),
+            load_fields: facts.policy.load_report_fields.as_slice().into(),
             ahead: Arc::new(Semaphore::new(ahead)),
             clock,
             pacers,
