--- a/crates/fault-testbed/src/bin/applewall-fault-testbed.rs
+++ b/crates/fault-testbed/src/bin/applewall-fault-testbed.rs
@@ -1,76 +1,104 @@
-//! Plays a trial of many real processes of the daemon, for people: progress, verdict, figures and a page.
+//! Runs one trial of many real processes of the daemon and prints its figures and verdict; writes a page, the journal
+//! and the logs.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use applewall_fault_testbed::run::{self, Played};
-use applewall_fault_testbed::trial::Trial;
-use applewall_fault_testbed::{journal, report};
+use applewall_fault_testbed::report::{self, DrawError};
+use applewall_fault_testbed::run::{self, RunError, TrialOutcome};
+use applewall_fault_testbed::trial::{Trial, TrialError};
+use applewall_fault_testbed::{check::SecondCounts, journal};
 
 const USAGE: &str = "usage: applewall-fault-testbed play FILE [--program PATH] [--seed N] [--out FOLDER] | schema | help\n\n\
     status 0: every rule kept; 1: a rule broken, or what cannot be read; 3: the machine could not play the trial";
-/// The machine was too slow: no verdict.
+/// Exit status where the machine was too slow for a verdict.
 const NO_VERDICT: u8 = 3;
+/// Violations that are printed.
+const PRINTED_VIOLATIONS: usize = 20;
 
-struct Call {
+/// Arguments of `play`.
+#[derive(Default)]
+struct PlayArguments {
     file: PathBuf,
     program: Option<PathBuf>,
     seed: Option<u64>,
     out: Option<PathBuf>,
 }
 
-fn call() -> Result<Option<Call>, String> {
-    use lexopt::prelude::*;
+/// What the command line asks for.
+enum Command {
+    Play(PlayArguments),
+    Schema,
+    Help,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("{0}; {USAGE}")]
+    Arguments(#[from] lexopt::Error),
+    #[error("{USAGE}")]
+    Usage,
+    #[error("{}: {source}", path.display())]
+    File { path: PathBuf, source: io::Error },
+    #[error("{}: {source}", path.display())]
+    Trial { path: PathBuf, source: TrialError },
+    #[error(transparent)]
+    Run(#[from] RunError),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Draw(#[from] DrawError),
+    #[error("interrupted")]
+    Interrupted,
+}
+
+fn command() -> Result<Command, Error> {
+    use lexopt::Arg::{Long, Short, Value};
+    use lexopt::ValueExt as _;
     let mut parser = lexopt::Parser::from_env();
-    let told = |e: lexopt::Error| format!("{e}; {USAGE}");
-    let mut words = Vec::new();
-    let mut call = Call {
-        file: PathBuf::new(),
-        program: None,
-        seed: None,
-        out: None,
-    };
-    while let Some(arg) = parser.next().map_err(told)? {
-        match arg {
-            Long("program") => call.program = Some(parser.value().map_err(told)?.into()),
-            Long("out") => call.out = Some(parser.value().map_err(told)?.into()),
-            Long("seed") => call.seed = Some(parser.value().and_then(|v| v.parse()).map_err(told)?),
-            Long("help") | Short('h') => words.push("help".into()),
-            Value(word) => words.push(word),
-            other => return Err(told(other.unexpected())),
+    let mut positional = Vec::new();
+    let mut arguments = PlayArguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("program") => arguments.program = Some(parser.value()?.into()),
+            Long("out") => arguments.out = Some(parser.value()?.into()),
+            Long("seed") => arguments.seed = Some(parser.value()?.parse()?),
+            Long("help") | Short('h') => positional.push("help".into()),
+            Value(value) => positional.push(value),
+            other => return Err(other.unexpected().into()),
         }
     }
-    match &words[..] {
-        [word, file] if word == "play" => {
-            call.file = file.into();
-            Ok(Some(call))
-        }
-        [word] if word == "schema" => {
-            println!("{}", Trial::schema());
-            Ok(None)
+    match &positional[..] {
+        [name, file] if name == "play" => {
+            arguments.file = file.into();
+            Ok(Command::Play(arguments))
         }
-        [word] if word == "help" => {
-            println!("{USAGE}");
-            Ok(None)
-        }
-        _ => Err(USAGE.to_string()),
+        [name] if name == "schema" => Ok(Command::Schema),
+        [name] if name == "help" => Ok(Command::Help),
+        _ => Err(Error::Usage),
+    }
+}
+
+fn file_error(path: &Path) -> impl FnOnce(io::Error) -> Error + '_ {
+    move |source| Error::File {
+        path: path.to_path_buf(),
+        source,
     }
 }
 
-fn play(call: Call) -> Result<Played, String> {
-    let text =
-        std::fs::read_to_string(&call.file).map_err(|e| format!("{}: {e}", call.file.display()))?;
-    let mut trial = Trial::read(&text).map_err(|e| format!("{}: {e}", call.file.display()))?;
-    trial.trial.seed = call.seed.unwrap_or(trial.trial.seed);
-    let program = call.program.map_or_else(run::program, Ok)?;
-    let out = call.out.unwrap_or_else(|| PathBuf::from("target/rig"));
-    std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
-    let scratch = tempfile::tempdir().map_err(|e| e.to_string())?;
+fn play(arguments: PlayArguments) -> Result<TrialOutcome, Error> {
+    let file = &arguments.file;
+    let text = std::fs::read_to_string(file).map_err(file_error(file))?;
+    let mut trial = Trial::read(&text).map_err(|source| Error::Trial {
+        path: file.clone(),
+        source,
+    })?;
+    trial.trial.seed = arguments.seed.unwrap_or(trial.trial.seed);
+    let program = arguments.program.map_or_else(run::find_program, Ok)?;
+    let out = arguments.out.unwrap_or_else(|| "target/rig".into());
+    std::fs::create_dir_all(&out).map_err(file_error(&out))?;
+    let folder = tempfile::tempdir()?;
     let sizes = &trial.trial;
     println!(
         "{} ingresses, {} limit servers, {:?} of traffic, {} faults, seed {}",
@@ -82,99 +110,111 @@
     );
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
-        .build()
-        .map_err(|e| e.to_string())?;
-    let played = runtime.block_on(async {
+        .build()?;
+    let outcome = runtime.block_on(async {
         tokio::select! {
-            played = run::play(trial, &program, scratch.path()) => played.map_err(|e| e.to_string()),
-            // The processes go with the world that holds them.
-            _ = tokio::signal::ctrl_c() => Err("interrupted".to_string()),
+            outcome = run::run(trial, &program, folder.path()) => Ok(outcome?),
+            // The processes are killed with the environment, which the dropped run owns.
+            _ = tokio::signal::ctrl_c() => Err(Error::Interrupted),
         }
     })?;
+    write_results(&outcome, &file.display().to_string(), &out)?;
+    Ok(outcome)
+}
+
+/// Writes the journal, the page and the logs into a folder.
+fn write_results(outcome: &TrialOutcome, title: &str, out: &Path) -> Result<(), Error> {
     let write = |name: &str, text: &[u8]| {
         let path = out.join(name);
-        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))
+        std::fs::write(&path, text).map_err(file_error(&path))
     };
-    let mut lines = Vec::new();
-    journal::write(&played.lines, &mut lines).map_err(|e| e.to_string())?;
-    write("journal.jsonl", &lines)?;
-    write(
-        "report.svg",
-        report::svg(&played, &call.file.display().to_string())?.as_bytes(),
-    )?;
-    for (i, log) in played.logs.iter().enumerate() {
-        write(&format!("n{i}.log"), log.as_bytes())?;
+    let mut entries = Vec::new();
+    journal::write(&outcome.entries, &mut entries)?;
+    write("journal.jsonl", &entries)?;
+    write("report.svg", report::svg(outcome, title)?.as_bytes())?;
+    for (number, log) in outcome.logs.iter().enumerate() {
+        write(&format!("n{number}.log"), log.as_bytes())?;
     }
-    println!(
-        "journal, logs and the page: {}",
-        out.join("report.svg").display()
-    );
-    Ok(played)
+    let page = out.join("report.svg");
+    println!("journal, logs and the page: {}", page.display());
+    Ok(())
 }
 
-fn tell(played: &Played) {
-    let f = &played.figures;
+fn print_figures(outcome: &TrialOutcome) {
+    let metrics = &outcome.metrics;
     println!(
         "asked {}, served in time {:.3}, refused {}, unreached {}; first served after {:.2} s",
-        f.asked,
-        f.share(),
-        f.refused,
-        f.unreached,
-        f.first_served.unwrap_or(f64::NAN)
+        metrics.requests_sent,
+        metrics.served_in_time_fraction(),
+        metrics.refused,
+        metrics.connect_failures,
+        metrics.first_served_seconds.unwrap_or(f64::NAN)
     );
     println!(
         "list service: {} calls ({} turned away), {} whole lists, most in 100 ms {}, in 1 s {}; {} listed, last after {:.2} s",
-        f.calls,
-        f.turned_away,
-        f.whole,
-        f.calls_100ms,
-        f.calls_1s,
-        f.listed.len(),
-        f.listed.last().copied().unwrap_or(f64::NAN)
+        metrics.list_requests,
+        metrics.list_rejections,
+        metrics.full_lists,
+        metrics.max_list_requests_per_100ms,
+        metrics.max_list_requests_per_second,
+        metrics.first_list_seconds.len(),
+        metrics.first_list_seconds.last().copied().unwrap_or(f64::NAN)
     );
     println!(
         "limit servers: {} attempts, most connections at one in 100 ms {}, cold budget used {:.2}; datagrams {} taken, {} dropped",
-        f.attempts, f.opened_100ms, f.cold_worst, f.mail.0, f.mail.1
+        metrics.attempts,
+        metrics.max_connections_opened_per_100ms,
+        metrics.peak_warmup_overload,
+        metrics.datagrams.accepted,
+        metrics.datagrams.dropped
     );
-    for (second, (asked, served)) in f.seconds.iter().enumerate() {
-        print!(
-            "{}{second}s {served}/{asked}",
-            if second == 0 { "by second: " } else { ", " }
-        );
-    }
+    let second = |(second, counts): (usize, &SecondCounts)| {
+        format!("{second}s {}/{}", counts.served_in_time, counts.sent)
+    };
+    let seconds: Vec<String> = metrics.per_second.iter().enumerate().map(second).collect();
+    println!("by second: {}", seconds.join(", "));
     println!(
-        "\nrig late by {} ms at the worst; ingresses used {:.2} s of processor",
-        played.late_ms, played.cost.0
+        "testbed late by {} ms at the worst; ingresses used {:.2} s of processor",
+        outcome.scheduling_delay_ms, outcome.usage.cpu_seconds
     );
-    played
-        .broken
-        .iter()
-        .take(20)
-        .for_each(|line| println!("BROKEN {line}"));
+    for violation in outcome.violations.iter().take(PRINTED_VIOLATIONS) {
+        println!("BROKEN {violation}");
+    }
+}
+
+/// Prints the verdict; the exit status says the same.
+fn verdict(outcome: &TrialOutcome) -> ExitCode {
+    if !outcome.valid() {
+        let delay = outcome.scheduling_delay_ms;
+        println!("verdict none: the testbed was late by {delay} ms");
+        return ExitCode::from(NO_VERDICT);
+    }
+    let kept = outcome.violations.is_empty();
+    println!("verdict {}", if kept { "kept" } else { "broken" });
+    ExitCode::from(u8::from(!kept))
 }
 
 fn main() -> ExitCode {
-    match call().and_then(|call| call.map(play).transpose()) {
-        Err(reason) => {
-            eprintln!("{reason}");
-            ExitCode::FAILURE
+    let result = command().and_then(|command| match command {
+        Command::Play(arguments) => play(arguments).map(Some),
+        Command::Schema => {
+            println!("{}", Trial::schema());
+            Ok(None)
+        }
+        Command::Help => {
+            println!("{USAGE}");
+            Ok(None)
         }
+    });
+    match result {
         Ok(None) => ExitCode::SUCCESS,
-        Ok(Some(played)) => {
-            tell(&played);
-            if !played.valid() {
-                println!("verdict none: the rig was late by {} ms", played.late_ms);
-                return ExitCode::from(NO_VERDICT);
-            }
-            println!(
-                "verdict {}",
-                if played.broken.is_empty() {
-                    "kept"
-                } else {
-                    "broken"
-                }
-            );
-            ExitCode::from(u8::from(!played.broken.is_empty()))
+        Ok(Some(outcome)) => {
+            print_figures(&outcome);
+            verdict(&outcome)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/fault-testbed/src/bin/measure-cold-start.rs
+++ b/crates/fault-testbed/src/bin/measure-cold-start.rs
@@ -1,193 +1,191 @@
 //! Measures cold starts of many real processes: this program, and an earlier one beside it where it is named.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 use std::path::Path;
 use std::process::ExitCode;
 
-use applewall_fault_testbed::measure::{verdict, Arguments, Count};
-use applewall_fault_testbed::run::{self, Played};
+use applewall_fault_testbed::measure::{exit_code, measure, Arguments, Measurement, Missed, Run};
+use applewall_fault_testbed::run::TrialOutcome;
 
 const USAGE: &str = "usage: measure-cold-start [--before PROGRAM] [--seeds N] [--sizes 24,100,200]";
-/// Served within the time wanted once all have their list, warm.
-const STEADY: f64 = 0.95;
-/// The last list over the least time that the service's rate allows, and the time to get up.
-const LISTED: (f64, f64) = (1.25, 0.5);
+const DEFAULT_SIZES: [usize; 3] = [24, 100, 200];
+/// Variant of the program under test; the only one that is judged.
+const NOW: &str = "now";
+/// Fraction to be served in time once all have their list, with warm servers.
+const MIN_SERVED_FRACTION: f64 = 0.95;
+/// When the last list may come: the least time that the service's rate allows, times this,
+const LAST_LIST_FACTOR: f64 = 1.25;
+/// and the time that processes need to start, in seconds.
+const LAST_LIST_SECONDS: f64 = 0.5;
+/// Seconds in which the list service can send every ingress its list.
+const ALL_LISTS_SECONDS: f64 = 5.0;
 
 /// One row of the table.
 struct Row {
     name: &'static str,
     /// What it adds to the trial's file.
-    more: &'static str,
+    extra_settings: &'static str,
     /// Seconds of traffic, besides those that the service needs for all lists.
-    time: u64,
-    /// Limit servers are cold.
-    cold: bool,
-    /// Seconds for which the service is not there.
-    silent: f64,
+    seconds: u64,
+    /// Limit servers have to warm up.
+    cold_instances: bool,
+    /// Seconds for which the service is silent.
+    silent_seconds: f64,
 }
 
 const ROWS: [Row; 4] = [
     Row {
         name: "no list",
-        more: "",
-        time: 4,
-        cold: false,
-        silent: 0.0,
+        extra_settings: "",
+        seconds: 4,
+        cold_instances: false,
+        silent_seconds: 0.0,
     },
     Row {
         name: "old list",
-        more: "[ingress]\nknown = old\n",
-        time: 4,
-        cold: false,
-        silent: 0.0,
+        extra_settings: "[ingress]\nknown = old\n",
+        seconds: 4,
+        cold_instances: false,
+        silent_seconds: 0.0,
     },
     Row {
         name: "no list, service silent 3 s",
-        more: "[faults]\nsilent = at 0s: list silent for 3s\n",
-        time: 10,
-        cold: false,
-        silent: 3.0,
+        extra_settings: "[faults]\nsilent = at 0s: list silent for 3s\n",
+        seconds: 10,
+        cold_instances: false,
+        silent_seconds: 3.0,
     },
     Row {
         name: "old list, servers cold",
-        more: "[ingress]\nknown = old\n[instance]\ncold = on\n",
-        time: 6,
-        cold: true,
-        silent: 0.0,
+        extra_settings: "[ingress]\nknown = old\n[instance]\ncold = on\n",
+        seconds: 6,
+        cold_instances: true,
+        silent_seconds: 0.0,
     },
 ];
 
-/// Lists a second that the service gives: all ingresses have theirs after 5 s at the least.
-fn rate(size: usize) -> f64 {
-    size as f64 / 5.0
+impl Row {
+    fn starts_with_list(&self) -> bool {
+        self.extra_settings.contains("known")
+    }
 }
 
-fn play(program: &Path, turns: bool, row: &Row, size: usize, seed: u64) -> Result<Played, String> {
-    let rate = rate(size);
-    let turns = match turns {
-        true => format!(
-            "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = {}\n",
-            rate * 0.9
-        ),
-        false => String::new(),
-    };
-    let text = format!(
-        "[trial]\nseed = {seed}\ningresses = {size}\ninstances = 20\ntime = {}s\n[list]\ncalls_per_s = {rate}\n{turns}{}",
-        row.time + 6,
-        row.more
-    );
-    run::play_text(&text, program)
+/// Lists per second that the service sends.
+fn lists_per_second(size: usize) -> f64 {
+    size as f64 / ALL_LISTS_SECONDS
 }
 
-/// What breaks the goal in a trial with turns.
-fn misses(row: &Row, size: usize, played: &Played) -> Vec<String> {
-    let f = &played.figures;
-    let mut misses = played.broken.clone();
-    let mut expect = |holds: bool, what: String| misses.extend((!holds).then_some(what));
-    let last = f.listed.last().copied().unwrap_or(f64::INFINITY);
-    let most = (size as f64 / rate(size)) * LISTED.0 + LISTED.1 + row.silent * 2.0;
-    // Where nothing changed, a watch of an old list is answered when it ends: none is missed by that.
-    if row.more.contains("known") {
-        expect(
-            f.whole == 0,
-            format!("{} whole lists where changes do", f.whole),
-        );
+/// Goals that a trial missed, and rules that it broke.
+fn missed_goals(row: &Row, size: usize, outcome: &TrialOutcome) -> Vec<String> {
+    let metrics = &outcome.metrics;
+    let mut missed = outcome.violations.clone();
+    let mut expect = |met: bool, goal: String| missed.extend((!met).then_some(goal));
+    // Where nothing changed, a watch from an old list is answered when it times out: it does not count as late.
+    if row.starts_with_list() {
+        let goal = format!("{} whole lists where changes do", metrics.full_lists);
+        expect(metrics.full_lists == 0, goal);
     } else {
-        expect(
-            f.listed.len() == size,
-            format!("{} of {size} have a list", f.listed.len()),
-        );
-        expect(
-            last <= most,
-            format!("the last list after {last:.2} s, {most:.2} s at most"),
-        );
-        expect(f.whole <= size, format!("{} whole lists", f.whole));
+        let listed = metrics.first_list_seconds.len();
+        expect(listed == size, format!("{listed} of {size} have a list"));
+        let last = metrics.first_list_seconds.last().copied();
+        let last = last.unwrap_or(f64::INFINITY);
+        let most = (size as f64 / lists_per_second(size)) * LAST_LIST_FACTOR
+            + LAST_LIST_SECONDS
+            + row.silent_seconds * 2.0;
+        let goal = format!("the last list after {last:.2} s, {most:.2} s at most");
+        expect(last <= most, goal);
+        let goal = format!("{} whole lists", metrics.full_lists);
+        expect(metrics.full_lists <= size, goal);
     }
-    let calls = 1.25 * rate(size) + 3.0;
-    expect(
-        f.calls_1s as f64 <= calls,
-        format!("{} calls in a second, {calls:.0} at most", f.calls_1s),
-    );
-    let end = f.seconds.len().saturating_sub(1);
-    if row.cold {
-        expect(
-            f.first_served.is_some_and(|at| at < 1.0),
-            format!("first served {:?}", f.first_served),
-        );
+    let requests = metrics.max_list_requests_per_second;
+    let most = 1.25 * lists_per_second(size) + 3.0;
+    let goal = format!("{requests} calls in a second, {most:.0} at most");
+    expect(requests as f64 <= most, goal);
+    if row.cold_instances {
+        let first = metrics.first_served_seconds;
+        let goal = format!("first served {first:?}");
+        expect(first.is_some_and(|at| at < 1.0), goal);
     } else {
-        let share = f.share_between(end.saturating_sub(2), end);
-        expect(share >= STEADY, format!("{share:.3} in time at the end"));
+        let end = metrics.per_second.len().saturating_sub(1);
+        let served = metrics.served_in_time_fraction_between(end.saturating_sub(2), end);
+        let goal = format!("{served:.3} in time at the end");
+        expect(served >= MIN_SERVED_FRACTION, goal);
     }
-    misses
+    missed
 }
 
-fn tell(who: &str, size: usize, row: &Row, seed: u64, played: &Played) {
-    let f = &played.figures;
-    println!(
-        "| {who} | {size} | {} | {seed} | {:.3} | {:.2} | {} | {} | {} | {} | {:.2} | {} | {:.2} | {} |",
-        row.name,
-        f.share(),
-        f.first_served.unwrap_or(f64::NAN),
-        f.calls,
-        f.turned_away,
-        f.whole,
-        f.calls_100ms,
-        f.listed.last().copied().unwrap_or(f64::NAN),
-        f.opened_100ms,
-        f.cold_worst,
-        if played.valid() { "" } else { "no verdict" },
-    );
-}
+struct ColdStart;
+
+impl Measurement for ColdStart {
+    fn rows(&self) -> usize {
+        ROWS.len()
+    }
 
-fn measure() -> Result<Count, String> {
-    let Arguments {
-        before,
-        seeds,
-        sizes,
-    } = Arguments::read(USAGE, &[24, 100, 200])?;
-    let program = run::program()?;
-    println!(
-        "| program | ingresses | start | seed | in time | first s | calls | away | whole | in 100 ms | last list s | dials | cold | |"
-    );
-    println!(
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
-    );
-    let mut count = Count::default();
-    for &size in &sizes {
-        for row in &ROWS {
-            for seed in 1..=seeds {
-                if let Some(before) = &before {
-                    tell(
-                        "before",
-                        size,
-                        row,
-                        seed,
-                        &play(before, false, row, size, seed)?,
-                    );
-                }
-                let played = play(&program, true, row, size, seed)?;
-                tell("now", size, row, seed, &played);
-                if !played.valid() {
-                    count.none += 1;
-                    continue;
-                }
-                count.plays += 1;
-                let misses = misses(row, size, &played);
-                count.missed += usize::from(!misses.is_empty());
-                misses
-                    .iter()
-                    .take(5)
-                    .for_each(|miss| println!("MISSED {size}, {}, seed {seed}: {miss}", row.name));
-            }
+    fn variants<'a>(
+        &self,
+        program: &'a Path,
+        before: Option<&'a Path>,
+    ) -> Vec<(&'static str, &'a Path)> {
+        let before = before.map(|before| ("before", before));
+        before.into_iter().chain([(NOW, program)]).collect()
+    }
+
+    fn print_head(&self) {
+        println!("| program | ingresses | start | seed | in time | first s | calls | away | whole | in 100 ms | last list s | dials | cold | |");
+        println!(
+            "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+        );
+    }
+
+    fn trial(&self, run: &Run<'_>) -> String {
+        let Run { size, seed, .. } = *run;
+        let row = &ROWS[run.row];
+        let rate = lists_per_second(size);
+        let operator = match run.variant == NOW {
+            true => format!(
+                "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = {}\n",
+                rate * 0.9
+            ),
+            false => String::new(),
+        };
+        format!(
+            "[trial]\nseed = {seed}\ningresses = {size}\ninstances = 20\ntime = {}s\n[list]\ncalls_per_s = {rate}\n{operator}{}",
+            row.seconds + 6,
+            row.extra_settings
+        )
+    }
+
+    fn print(&self, run: &Run<'_>, outcome: &TrialOutcome) -> Option<Missed> {
+        let Run { size, seed, .. } = *run;
+        let (row, metrics) = (&ROWS[run.row], &outcome.metrics);
+        println!(
+            "| {} | {size} | {} | {seed} | {:.3} | {:.2} | {} | {} | {} | {} | {:.2} | {} | {:.2} | {} |",
+            run.variant,
+            row.name,
+            metrics.served_in_time_fraction(),
+            metrics.first_served_seconds.unwrap_or(f64::NAN),
+            metrics.list_requests,
+            metrics.list_rejections,
+            metrics.full_lists,
+            metrics.max_list_requests_per_100ms,
+            metrics.first_list_seconds.last().copied().unwrap_or(f64::NAN),
+            metrics.max_connections_opened_per_100ms,
+            metrics.peak_warmup_overload,
+            if outcome.valid() { "" } else { "no verdict" },
+        );
+        if run.variant != NOW {
+            return None;
         }
+        let goals = missed_goals(row, size, outcome);
+        let line = |goal: &String| format!("MISSED {size}, {}, seed {seed}: {goal}", row.name);
+        Some(Missed {
+            missed: !goals.is_empty(),
+            lines: goals.iter().map(line).collect(),
+        })
     }
-    Ok(count)
 }
 
 fn main() -> ExitCode {
-    verdict(measure())
+    let counts = Arguments::read(USAGE, &DEFAULT_SIZES)
+        .and_then(|arguments| measure(&ColdStart, &arguments));
+    exit_code(counts)
 }
--- a/crates/fault-testbed/src/bin/measure-zones.rs
+++ b/crates/fault-testbed/src/bin/measure-zones.rs
@@ -1,173 +1,227 @@
-//! Measures how a fleet of many real processes leaves a zone that fails, and comes back: on and off, and an earlier program
-//! beside them where it is named.
-
-#![expect(
-    clippy::excessive_nesting,
-    reason = "deep nesting is flattened as the module is reworked"
-)]
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! Measures how a fleet of many real processes leaves a zone that fails, and returns to it: with zone failover on and
+//! off, and an earlier program beside them where it is named.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::process::ExitCode;
 
-use applewall_fault_testbed::journal::What;
-use applewall_fault_testbed::measure::{verdict, Arguments, Count};
-use applewall_fault_testbed::run::{self, Played};
+use applewall_fault_testbed::journal::Event;
+use applewall_fault_testbed::measure::{exit_code, measure, Arguments, Measurement, Missed, Run};
+use applewall_fault_testbed::run::TrialOutcome;
 
 const USAGE: &str = "usage: measure-zones [--before PROGRAM] [--seeds N] [--sizes 24,100]";
-/// The zone fails from then on, s, and is back after so many more.
-const FAILS: (f64, f64) = (4.0, 5.0);
-/// Zones, and of one its limit servers.
+const DEFAULT_SIZES: [usize; 2] = [24, 100];
+/// Variant with zone failover; the only one that is judged.
+const ON: &str = "on";
+/// When the zone fails, in seconds; the traffic before it is the reference.
+const FAILURE_START: f64 = 4.0;
+/// How long it fails, in seconds.
+const FAILURE_SECONDS: f64 = 5.0;
+/// When it works again, in seconds.
+const FAILURE_END: f64 = FAILURE_START + FAILURE_SECONDS;
+/// Seconds of traffic.
+const TRIAL_SECONDS: f64 = 24.0;
 const ZONES: usize = 3;
-const SERVERS: usize = 7;
-/// Served in time meanwhile, from the second second on: the goal.
-const SERVED: f64 = 0.95;
-/// Requests a second into the zone from then on: what canaries may be.
-const CANARIES: f64 = 6.0;
-
-/// One way to fail.
-const ROWS: [(&str, &str); 4] = [
-    ("says nothing", "mute instance:zone=0"),
-    ("takes 2 s", "link instance:zone=0 -> ingress:all delay 2s"),
-    ("answers 500 at once", "fails instance:zone=0"),
-    ("one server says nothing", "mute instance:0"),
-];
+const INSTANCES_PER_ZONE: usize = 7;
+/// Requests per second of all ingresses.
+const FLEET_REQUESTS_PER_SECOND: f64 = 192.0;
+/// Goal: fraction served in time while the zone fails, from the second second on.
+const MIN_SERVED_FRACTION: f64 = 0.95;
+/// Goal: requests per second into the failed zone, from the third second on: what canary traffic may be.
+const MAX_CANARY_REQUESTS: f64 = 6.0;
+/// Fraction of the reference traffic that counts as full traffic.
+const FULL_TRAFFIC_FRACTION: f64 = 0.8;
+/// Seconds after the failure in which full traffic is looked for.
+const RETURN_SECONDS: usize = 14;
 
-fn play(program: &Path, on: bool, fault: &str, size: usize, seed: u64) -> Result<Played, String> {
-    let (at, lasts) = FAILS;
-    let each = 192.0 / size as f64;
-    let text = format!(
-        "[trial]\nseed = {seed}\ningresses = {size}\ninstances = {}\nzones = {ZONES}\ntime = 24s\n[ingress]\nknown = old\n\
-         [traffic]\nrate = {each}\n{}[faults]\nfails = at {at}s: {fault} for {lasts}s\n",
-        ZONES * SERVERS,
-        if on { "[operator]\nzones.enabled = on\n" } else { "" },
-    );
-    run::play_text(&text, program)
+/// A way to fail.
+struct Row {
+    name: &'static str,
+    fault: &'static str,
+    /// The whole zone fails, so that the fleet has to leave it.
+    zone_fails: bool,
 }
 
-/// What a play shows.
-struct Shown {
+const ROWS: [Row; 4] = [
+    Row {
+        name: "says nothing",
+        fault: "mute instance:zone=0",
+        zone_fails: true,
+    },
+    Row {
+        name: "takes 2 s",
+        fault: "link instance:zone=0 -> ingress:all delay 2s",
+        zone_fails: true,
+    },
+    Row {
+        name: "answers 500 at once",
+        fault: "fails instance:zone=0",
+        zone_fails: true,
+    },
+    Row {
+        name: "one server says nothing",
+        fault: "mute instance:0",
+        zone_fails: false,
+    },
+];
+
+/// What a trial shows of the failover.
+struct Failover {
     /// Attempts into the zone in each second of its failure.
-    into: Vec<usize>,
+    attempts_per_second: Vec<usize>,
     /// Ingresses that sent any of them.
-    paid: usize,
-    /// Served in time while it failed, and in the last three seconds.
-    meanwhile: f64,
-    late: f64,
-    /// Ingresses that left it, and any that left another.
+    affected_ingresses: usize,
+    /// Fraction served in time while it failed.
+    served_meanwhile: f64,
+    /// Fraction served in time in the last three seconds.
+    served_at_end: f64,
+    /// Ingresses that left it.
     left: usize,
-    wrong: usize,
-    /// Seconds of full traffic in the zone again after it was back; none: not within the play.
-    back: Option<usize>,
-    mail: f64,
+    /// Ingresses that left another zone.
+    left_wrongly: usize,
+    /// Seconds until full traffic in the zone after the failure; `None`: not within the trial.
+    returned_after: Option<usize>,
+    /// Datagrams per ingress and second.
+    datagrams_per_second: f64,
 }
 
-fn shown(played: &Played) -> Shown {
-    let (at, lasts) = FAILS;
-    let zone = |from: f64, to: f64| {
-        played
-            .lines
-            .iter()
-            .filter(move |l| l.at >= from && l.at < to)
-            .filter_map(|l| match l.what {
-                What::Attempt {
-                    instance, ingress, ..
-                } if instance % ZONES == 0 => Some(ingress),
-                _ => None,
-            })
+/// Ingresses of the attempts into the failing zone within a time, one by one.
+fn attempts_into_zone(
+    outcome: &TrialOutcome,
+    from: f64,
+    to: f64,
+) -> impl Iterator<Item = usize> + '_ {
+    let within = move |at: f64| at >= from && at < to;
+    let attempts = outcome.entries.iter();
+    let attempts = attempts.filter(move |entry| within(entry.at_seconds));
+    attempts.filter_map(|entry| match entry.event {
+        Event::AttemptArrived {
+            instance, ingress, ..
+        } if instance % ZONES == 0 => Some(ingress),
+        _ => None,
+    })
+}
+
+fn failover(outcome: &TrialOutcome) -> Failover {
+    let in_second = |start: f64| attempts_into_zone(outcome, start, start + 1.0).count();
+    let usual =
+        attempts_into_zone(outcome, FAILURE_START - 3.0, FAILURE_START).count() as f64 / 3.0;
+    let affected: BTreeSet<usize> =
+        attempts_into_zone(outcome, FAILURE_START, FAILURE_END).collect();
+    let full_traffic = |second: &usize| {
+        in_second(FAILURE_END + *second as f64) as f64 > FULL_TRAFFIC_FRACTION * usual
     };
-    let into = (0..lasts as usize)
-        .map(|s| zone(at + s as f64, at + s as f64 + 1.0).count())
-        .collect();
-    let paid: std::collections::BTreeSet<usize> = zone(at, at + lasts).collect();
-    let usual = zone(at - 3.0, at).count() as f64 / 3.0;
-    let end = at + lasts;
-    let back =
-        (0..14).find(|s| zone(end + *s as f64, end + *s as f64 + 1.0).count() as f64 > 0.8 * usual);
-    let told = |zone: &str| {
-        let of = |log: &&String| log.contains(&format!("zones: {zone} left"));
-        played.logs.iter().filter(of).count()
+    let left = |zone: &str| {
+        let line = format!("zones: {zone} left");
+        outcome
+            .logs
+            .iter()
+            .filter(|log| log.contains(&line))
+            .count()
     };
-    let f = &played.figures;
-    Shown {
-        into,
-        paid: paid.len(),
-        meanwhile: f.share_between(at as usize + 1, end as usize),
-        late: f.share_between(20, 23),
-        left: told("z0"),
-        wrong: told("z1") + told("z2"),
-        back,
-        mail: f.mail.0 as f64 / played.layout.ingresses as f64 / 24.0,
+    let metrics = &outcome.metrics;
+    let served =
+        |from: f64, to: f64| metrics.served_in_time_fraction_between(from as usize, to as usize);
+    Failover {
+        attempts_per_second: (0..FAILURE_SECONDS as usize)
+            .map(|second| in_second(FAILURE_START + second as f64))
+            .collect(),
+        affected_ingresses: affected.len(),
+        served_meanwhile: served(FAILURE_START + 1.0, FAILURE_END),
+        served_at_end: served(TRIAL_SECONDS - 4.0, TRIAL_SECONDS - 1.0),
+        left: left("z0"),
+        left_wrongly: left("z1") + left("z2"),
+        returned_after: (0..RETURN_SECONDS).find(full_traffic),
+        datagrams_per_second: metrics.datagrams.accepted as f64
+            / outcome.topology.ingresses as f64
+            / TRIAL_SECONDS,
+    }
+}
+
+impl Failover {
+    fn meets_goals(&self, row: &Row) -> bool {
+        let late: usize = self.attempts_per_second[2..].iter().sum();
+        let left_as_needed = match row.zone_fails {
+            true => late as f64 / 3.0 <= MAX_CANARY_REQUESTS,
+            false => self.left == 0,
+        };
+        self.left_wrongly == 0 && self.served_meanwhile >= MIN_SERVED_FRACTION && left_as_needed
     }
 }
 
-fn measure() -> Result<Count, String> {
-    let Arguments {
-        before,
-        seeds,
-        sizes,
-    } = Arguments::read(USAGE, &[24, 100])?;
-    let program = run::program()?;
-    println!(
-        "| program | ingresses | zone 0 | seed | requests into it, by second | paid | in time meanwhile, at the end | left | wrongly | full again, s | datagrams each a second | cold |"
-    );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-    let mut count = Count::default();
-    for &size in &sizes {
-        for (name, fault) in ROWS {
-            for seed in 1..=seeds {
-                let mut runs = vec![("on", &program, true), ("off", &program, false)];
-                runs.extend(before.as_ref().map(|before| ("before", before, false)));
-                for (who, program, on) in runs {
-                    let played = play(program, on, fault, size, seed)?;
-                    let s = shown(&played);
-                    let into: Vec<String> = s.into.iter().map(usize::to_string).collect();
-                    println!(
-                        "| {who} | {size} | {name} | {seed} | {} | {} | {:.3}, {:.3} | {} | {} | {} | {:.1} | {:.2} |",
-                        into.join(" "),
-                        s.paid,
-                        s.meanwhile,
-                        s.late,
-                        s.left,
-                        s.wrong,
-                        s.back.map_or("-".to_string(), |s| s.to_string()),
-                        s.mail,
-                        played.figures.cold_worst,
-                    );
-                    if !on {
-                        continue;
-                    }
-                    if !played.valid() {
-                        count.none += 1;
-                        continue;
-                    }
-                    count.plays += 1;
-                    let fails = !name.starts_with("one server");
-                    let into: f64 = s.into[2..].iter().sum::<usize>() as f64 / 3.0;
-                    let kept = played.broken.is_empty()
-                        && s.wrong == 0
-                        && s.meanwhile >= SERVED
-                        && if fails { into <= CANARIES } else { s.left == 0 };
-                    count.missed += usize::from(!kept);
-                    played
-                        .broken
-                        .iter()
-                        .take(5)
-                        .for_each(|line| println!("BROKEN {line}"));
-                }
-            }
-        }
+struct ZoneFailover;
+
+impl Measurement for ZoneFailover {
+    fn rows(&self) -> usize {
+        ROWS.len()
+    }
+
+    fn variants<'a>(
+        &self,
+        program: &'a Path,
+        before: Option<&'a Path>,
+    ) -> Vec<(&'static str, &'a Path)> {
+        let before = before.map(|before| ("before", before));
+        let variants = [(ON, program), ("off", program)];
+        variants.into_iter().chain(before).collect()
+    }
+
+    fn print_head(&self) {
+        println!(
+            "| program | ingresses | zone 0 | seed | requests into it, by second | paid | in time meanwhile, at the end | left | wrongly | full again, s | datagrams each a second | cold |"
+        );
+        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    }
+
+    fn trial(&self, run: &Run<'_>) -> String {
+        let Run { size, seed, .. } = *run;
+        let operator = match run.variant == ON {
+            true => "[operator]\nzones.enabled = on\n",
+            false => "",
+        };
+        format!(
+            "[trial]\nseed = {seed}\ningresses = {size}\ninstances = {}\nzones = {ZONES}\ntime = {TRIAL_SECONDS}s\n[ingress]\nknown = old\n\
+             [traffic]\nrate = {}\n{operator}[faults]\nfails = at {FAILURE_START}s: {} for {FAILURE_SECONDS}s\n",
+            ZONES * INSTANCES_PER_ZONE,
+            FLEET_REQUESTS_PER_SECOND / size as f64,
+            ROWS[run.row].fault,
+        )
+    }
+
+    fn print(&self, run: &Run<'_>, outcome: &TrialOutcome) -> Option<Missed> {
+        let (row, failover) = (&ROWS[run.row], failover(outcome));
+        let attempts = failover.attempts_per_second.iter();
+        let attempts: Vec<String> = attempts.map(usize::to_string).collect();
+        let returned = failover.returned_after;
+        println!(
+            "| {} | {} | {} | {} | {} | {} | {:.3}, {:.3} | {} | {} | {} | {:.1} | {:.2} |",
+            run.variant,
+            run.size,
+            row.name,
+            run.seed,
+            attempts.join(" "),
+            failover.affected_ingresses,
+            failover.served_meanwhile,
+            failover.served_at_end,
+            failover.left,
+            failover.left_wrongly,
+            returned.map_or("-".to_string(), |second| second.to_string()),
+            failover.datagrams_per_second,
+            outcome.metrics.peak_warmup_overload,
+        );
+        let violations = &outcome.violations;
+        (run.variant == ON).then(|| Missed {
+            missed: !violations.is_empty() || !failover.meets_goals(row),
+            lines: violations
+                .iter()
+                .map(|violation| format!("BROKEN {violation}"))
+                .collect(),
+        })
     }
-    Ok(count)
 }
 
 fn main() -> ExitCode {
-    verdict(measure())
+    let counts = Arguments::read(USAGE, &DEFAULT_SIZES)
+        .and_then(|arguments| measure(&ZoneFailover, &arguments));
+    exit_code(counts)
 }
--- a/crates/fault-testbed/src/capacity.rs
+++ b/crates/fault-testbed/src/capacity.rs
@@ -1,127 +1,103 @@
-//! What a limit server can do, warm and cold: no sockets, no clock; times are seconds of the caller's.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! What a limit server can process while it warms up and afterwards, and when overload makes it fail.
+//!
+//! Used by the fake limit servers and by the checkers, so that both judge by the same model. Does no I/O and reads no
+//! clock; times are seconds of the caller's.
 
 use std::collections::VecDeque;
 
 /// What every limit server of a trial is like.
 #[derive(Clone, Copy, Debug)]
-pub struct Model {
-    /// Requests in work at once.
+pub struct ServerModel {
+    /// Requests processed at once.
     pub cores: usize,
-    /// Requests in work or waiting; more are turned away.
-    pub room: usize,
+    /// Requests being processed or waiting; more are refused.
+    pub max_requests: usize,
     /// Seconds of one core that a request takes, warm.
-    pub work: f64,
+    pub request_seconds: f64,
     /// Seconds of one core that a new connection takes, warm.
-    pub dial: f64,
-    /// Connections that it holds; more are turned away.
-    pub connections: usize,
-    /// Share of its capacity at its start.
-    pub cold_share: f64,
+    pub connection_seconds: f64,
+    /// Open connections; requests on more are refused.
+    pub max_connections: usize,
+    /// Fraction of its capacity at its start.
+    pub slow_start_fraction: f64,
     /// Seconds until it is warm.
-    pub cold_time: f64,
-    /// Sent more than this multiple of what it can do,
-    pub fall_multiple: f64,
-    /// for so many seconds while it is cold, it falls over.
-    pub fall_window: f64,
+    pub warmup_seconds: f64,
+    /// Sent more than this multiple of what it can process,
+    pub overload_multiple: f64,
+    /// for so many seconds while it warms up, it fails.
+    pub overload_window_seconds: f64,
 }
 
-impl Model {
-    /// Share of its capacity this long after its start.
-    pub fn share(&self, age: f64) -> f64 {
-        (self.cold_share + (1.0 - self.cold_share) * (age / self.cold_time).max(0.0)).min(1.0)
+impl ServerModel {
+    /// Fraction of its capacity this long after its start.
+    pub fn capacity_fraction(&self, age_seconds: f64) -> f64 {
+        let warmed_up = (age_seconds / self.warmup_seconds).max(0.0);
+        (self.slow_start_fraction + (1.0 - self.slow_start_fraction) * warmed_up).min(1.0)
+    }
+
+    /// Requests per second that it can process this long after its start.
+    pub fn requests_per_second(&self, age_seconds: f64) -> f64 {
+        self.warm_requests_per_second() * self.capacity_fraction(age_seconds)
     }
 
-    /// Requests a second that it can do this long after its start.
-    pub fn bears(&self, age: f64) -> f64 {
-        self.cores as f64 / self.work * self.share(age)
+    /// Requests per second that it can process when warm.
+    pub fn warm_requests_per_second(&self) -> f64 {
+        self.cores as f64 / self.request_seconds
+    }
+
+    /// What a new connection costs, in requests.
+    pub fn connection_cost(&self) -> f64 {
+        self.connection_seconds / self.request_seconds
     }
 }
 
-/// One life of a limit server: what it was sent, and whether it still stands.
+/// Load on one incarnation of a limit server, and whether it has made it fail.
 #[derive(Clone, Debug)]
-pub struct Life {
-    model: Model,
-    /// When it started; long ago for one that is warm.
-    pub started: f64,
-    /// Arrivals of the last window, and their work in requests.
-    lately: VecDeque<(f64, f64)>,
-    fallen: bool,
-    /// The most of what pushes it over that it ever got, while cold.
-    pub worst: f64,
+pub struct OverloadTracker {
+    model: ServerModel,
+    started_at: f64,
+    /// Arrivals of the last window: time, and work in requests.
+    recent: VecDeque<(f64, f64)>,
+    failed: bool,
+    /// The highest fraction of what makes it fail that it got while warming up.
+    pub peak_overload: f64,
 }
 
-impl Life {
-    /// One that starts now, or long ago.
-    pub fn new(model: Model, started: f64) -> Self {
-        Life {
+impl OverloadTracker {
+    /// An incarnation that started at this time; one that started longer ago than the warm-up takes is warm.
+    pub fn new(model: ServerModel, started_at: f64) -> Self {
+        OverloadTracker {
             model,
-            started,
-            lately: VecDeque::new(),
-            fallen: false,
-            worst: 0.0,
+            started_at,
+            recent: VecDeque::new(),
+            failed: false,
+            peak_overload: 0.0,
         }
     }
 
-    /// Work arrives, in requests; false where it has fallen over.
+    /// Adds arriving work, in requests; false where the server has failed.
     pub fn arrive(&mut self, now: f64, requests: f64) -> bool {
-        self.lately.push_back((now, requests));
-        self.lately
-            .retain(|(at, _)| now - at < self.model.fall_window);
-        let age = now - self.started;
-        if age < self.model.cold_time {
-            // By what it can do on the mean of the window: as a budget, a burst right after the start counts too.
-            let since = (age - self.model.fall_window).max(0.0);
-            let bears = self.model.bears((since + age) / 2.0);
-            let got: f64 = self.lately.iter().map(|(_, r)| r).sum();
-            let part = got / (self.model.fall_multiple * bears * self.model.fall_window);
-            self.worst = self.worst.max(part);
-            self.fallen |= part > 1.0;
+        let window = self.model.overload_window_seconds;
+        self.recent.push_back((now, requests));
+        self.recent.retain(|(at, _)| now - at < window);
+        let age = now - self.started_at;
+        if age < self.model.warmup_seconds {
+            // By the mean capacity over the window: the budget covers a burst right after the start too.
+            let window_start = (age - window).max(0.0);
+            let capacity = self.model.requests_per_second((window_start + age) / 2.0);
+            let load: f64 = self.recent.iter().map(|(_, requests)| requests).sum();
+            let overload = load / (self.model.overload_multiple * capacity * window);
+            self.peak_overload = self.peak_overload.max(overload);
+            self.failed |= overload > 1.0;
         }
-        !self.fallen
+        !self.failed
     }
 
-    /// Seconds that a request's work takes now on one core.
-    pub fn takes(&self, now: f64) -> f64 {
-        self.model.work / self.model.share(now - self.started)
+    /// Seconds that a request takes now on one core.
+    pub fn request_seconds(&self, now: f64) -> f64 {
+        self.model.request_seconds / self.model.capacity_fraction(now - self.started_at)
     }
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-
-    /// What the crate's tests take limit servers for.
-    pub(crate) const MODEL: Model = Model {
-        cores: 2,
-        room: 40,
-        work: 0.08,
-        dial: 0.002,
-        connections: 200,
-        cold_share: 0.19,
-        cold_time: 15.0,
-        fall_multiple: 2.5,
-        fall_window: 3.0,
-    };
-
-    /// Whether a server that starts at 100 stands so many requests a second, from a second after that on.
-    fn stands(rate: f64, from: f64) -> bool {
-        let mut life = Life::new(MODEL, 100.0);
-        (0..(10.0 * rate) as u32).all(|i| life.arrive(100.0 + from + f64::from(i) / rate, 1.0))
-    }
-
-    #[test]
-    fn a_cold_server_stands_twice_what_it_can_do_and_no_five_times_that() {
-        let bears = MODEL.bears(0.0);
-        assert!((4.7..4.8).contains(&bears), "{bears}");
-        assert!(stands(2.0 * bears, 0.0) && !stands(4.5 * bears, 0.0));
-        // Ten seconds later it bears more, and warm it stands anything.
-        assert!(stands(4.5 * bears, 10.0) && stands(100.0, 15.0));
-        assert_eq!(MODEL.bears(20.0), 25.0);
-        assert!(Life::new(MODEL, 0.0).takes(0.0) > 5.0 * Life::new(MODEL, 0.0).takes(15.0));
-    }
-}
+pub(crate) mod tests;
--- /dev/null
+++ b/crates/fault-testbed/src/check/tests.rs
@@ -0,0 +1,282 @@
+use std::collections::BTreeMap;
+
+use super::metrics::max_within;
+use super::*;
+use crate::capacity::tests::MODEL;
+use crate::journal::Event;
+
+const SETTINGS: CheckerSettings = CheckerSettings {
+    model: MODEL,
+    drain_seconds: 0.55,
+    ceiling: Ceiling {
+        units_per_second: 1.0,
+        burst_units: 3.0,
+        tolerated_units: 0.5,
+    },
+    wanted_seconds: 0.8,
+    max_scheduling_delay_ms: 100,
+};
+
+fn journal(all: &[(f64, Event)]) -> Vec<Entry> {
+    all.iter()
+        .map(|(at_seconds, event)| Entry {
+            at_seconds: *at_seconds,
+            event: event.clone(),
+        })
+        .collect()
+}
+
+fn request_sent(request: u64) -> Event {
+    Event::RequestSent {
+        request,
+        ingress: 0,
+        customer: 5,
+    }
+}
+
+fn attempt(request: u64) -> Event {
+    Event::AttemptArrived {
+        request,
+        instance: 2,
+        ingress: 0,
+    }
+}
+
+fn ended(request: u64) -> Event {
+    Event::AttemptEnded {
+        request,
+        instance: 2,
+        ingress: 0,
+    }
+}
+
+/// A journal with nothing wrong: every checker is quiet on it, and each test below adds one break.
+fn sound() -> Vec<(f64, Event)> {
+    vec![
+        (
+            0.0,
+            Event::IngressStarted {
+                ingress: 0,
+                known: None,
+            },
+        ),
+        (
+            0.0,
+            Event::InstanceStarted {
+                instance: 2,
+                cold: true,
+            },
+        ),
+        (
+            0.1,
+            Event::ListResponse {
+                ingress: 0,
+                full: true,
+                status: 200,
+                bytes: 100,
+                revision: 1,
+            },
+        ),
+        (0.2, request_sent(1)),
+        (0.2, attempt(1)),
+        (0.3, ended(1)),
+        (
+            0.3,
+            Event::ResponseReceived {
+                request: 1,
+                status: Some(200),
+            },
+        ),
+    ]
+}
+
+fn violations_with(more: &[(f64, Event)]) -> Vec<String> {
+    violations(&journal(&[&sound()[..], more].concat()), &SETTINGS)
+}
+
+#[test]
+fn a_sound_journal_has_no_violations_and_the_expected_metrics() {
+    assert_eq!(violations_with(&[]), Vec::<String>::new());
+    let metrics = metrics(&journal(&sound()), &SETTINGS);
+    assert_eq!(
+        (
+            metrics.requests_sent,
+            metrics.served_in_time,
+            metrics.full_lists,
+            metrics.attempts
+        ),
+        (1, 1, 1, 1)
+    );
+    assert_eq!(
+        (
+            metrics.first_served_seconds,
+            metrics.served_in_time_fraction()
+        ),
+        (Some(0.3), 1.0)
+    );
+    assert!(metrics.peak_warmup_overload > 0.0 && metrics.peak_warmup_overload < 0.1);
+}
+
+/// The client of this request has no response by its deadline.
+fn unanswered(request: u64) -> Event {
+    Event::ResponseReceived {
+        request,
+        status: None,
+    }
+}
+
+#[test]
+fn requests_with_no_final_response_or_two_are_violations() {
+    let none = violations_with(&[(1.0, request_sent(2)), (4.0, unanswered(2))]);
+    assert!(none.len() == 1 && none[0].contains("no answer"), "{none:?}");
+    let second = Event::ResponseReceived {
+        request: 1,
+        status: Some(429),
+    };
+    let two = violations_with(&[(1.0, second)]);
+    assert!(
+        two.len() == 1 && two[0].contains("two final answers"),
+        "{two:?}"
+    );
+}
+
+#[test]
+fn requests_accepted_by_a_killed_or_suspended_process_need_no_response() {
+    let suspended = |ingress, suspended| Event::IngressSuspended { ingress, suspended };
+    let unanswered_after = |first: Event, second: Event| {
+        violations_with(&[(1.0, first), (1.1, second), (4.0, unanswered(2))])
+    };
+    let killed = Event::IngressKilled { ingress: 0 };
+    assert!(unanswered_after(request_sent(2), killed).is_empty());
+    // Neither what a suspended process had accepted nor what arrives meanwhile needs one.
+    assert!(unanswered_after(request_sent(2), suspended(0, true)).is_empty());
+    assert!(unanswered_after(suspended(0, true), request_sent(2)).is_empty());
+    // What arrives after it has continued does, and so does a request at another process.
+    let continued = violations_with(&[
+        (1.0, suspended(0, true)),
+        (1.1, suspended(0, false)),
+        (1.2, request_sent(2)),
+        (4.0, unanswered(2)),
+    ]);
+    assert_eq!(continued.len(), 1);
+    assert_eq!(
+        unanswered_after(request_sent(2), suspended(1, true)).len(),
+        1
+    );
+}
+
+#[test]
+fn overlapping_attempts_are_violations_and_consecutive_ones_are_not() {
+    let elsewhere = Event::AttemptArrived {
+        request: 2,
+        instance: 3,
+        ingress: 0,
+    };
+    assert!(
+        violations_with(&[(1.0, attempt(2)), (1.1, ended(2)), (1.2, elsewhere.clone())]).is_empty()
+    );
+    let both = [(1.0, attempt(2)), (1.1, elsewhere)];
+    assert!(
+        violations_with(&[&both[..], &[(1.12, ended(2))]].concat()).is_empty(),
+        "seen late by a moment"
+    );
+    let two = violations_with(&[&both[..], &[(1.2, ended(2))]].concat());
+    assert!(two.len() == 1 && two[0].contains("for 0.10 s"), "{two:?}");
+    assert_eq!(violations_with(&both).len(), 1, "both stay out");
+}
+
+#[test]
+fn a_request_long_after_a_drain_is_a_violation_unless_the_process_is_new() {
+    let listed = (
+        1.0,
+        Event::RemovalListed {
+            ingress: 0,
+            instance: 2,
+        },
+    );
+    assert!(violations_with(&[listed.clone(), (1.5, attempt(2))]).is_empty());
+    let late = violations_with(&[listed.clone(), (1.6, attempt(2))]);
+    assert!(
+        late.len() == 1 && late[0].contains("after its drain"),
+        "{late:?}"
+    );
+    let again = (
+        1.5,
+        Event::IngressStarted {
+            ingress: 0,
+            known: None,
+        },
+    );
+    assert!(violations_with(&[listed, again, (1.6, attempt(2))]).is_empty());
+}
+
+#[test]
+fn overload_of_a_warming_instance_is_a_violation_and_of_a_warm_one_is_not() {
+    let flood: Vec<_> = (10..60)
+        .flat_map(|i| {
+            [
+                (1.0 + i as f64 / 100.0, attempt(i)),
+                (1.0 + i as f64 / 100.0, ended(i)),
+            ]
+        })
+        .collect();
+    let found = violations_with(&flood);
+    assert!(
+        found.len() == 1 && found[0].contains("pushes it over"),
+        "{found:?}"
+    );
+    let warm = [
+        &[(
+            0.9,
+            Event::InstanceStarted {
+                instance: 2,
+                cold: false,
+            },
+        )][..],
+        &flood,
+    ]
+    .concat();
+    assert!(violations_with(&warm).is_empty());
+}
+
+#[test]
+fn requests_over_a_customers_ceiling_are_a_violation() {
+    let sent = |many: u64| -> Vec<_> {
+        (10..10 + many)
+            .flat_map(|i| [(1.0, request_sent(i)), (1.0, attempt(i)), (1.0, ended(i))])
+            .collect()
+    };
+    assert!(requests_over_ceiling(&journal(&sent(3)), SETTINGS.ceiling).is_empty());
+    let found = requests_over_ceiling(&journal(&sent(4)), SETTINGS.ceiling);
+    assert!(
+        found.len() == 1 && found[0].contains("customer 5"),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn an_exited_process_and_a_failed_instance_are_violations() {
+    let crashed = Event::IngressExited {
+        ingress: 0,
+        status: "exit status: 1".into(),
+    };
+    assert_eq!(
+        violations_with(&[
+            (1.0, crashed),
+            (1.0, Event::InstanceOverloaded { instance: 2 })
+        ])
+        .len(),
+        2
+    );
+}
+
+#[test]
+fn the_busiest_window_is_found_wherever_it_lies() {
+    let times = BTreeMap::from([(1, vec![0.0, 0.5, 0.55, 0.59, 1.4]), (2, vec![0.0, 0.01])]);
+    assert_eq!((max_within(&times, 0.1), max_within(&times, 0.01)), (3, 1));
+    let late = journal(&[
+        (1.0, Event::SchedulingDelay { ms: 7 }),
+        (2.0, Event::SchedulingDelay { ms: 30 }),
+    ]);
+    assert_eq!(scheduling_delay_ms(&late), 30);
+}
--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -1,70 +1,98 @@
-//! Clients of a trial: requests at times drawn ahead, at the ingresses of each customer's set; some come again.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The clients of a trial: requests at random times, to the ingresses of each customer; some refused ones are retried.
+//!
+//! Input: the behavior of the clients, the ingresses' addresses, a seed. Output: journal entries on each request.
+//! Invariant: requests are sent at times drawn ahead and never wait for responses.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use applewall_fakes::http::{self, Kind};
+use applewall_fakes::http::{self, Kind, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::journal::{Journal, What};
-use crate::net::Net;
-use crate::parts::Part;
+use crate::journal::{Event, Journal};
+use crate::network::Network;
+use crate::topology::Component;
+
+/// Step between the first ingresses of consecutive customers: a prime, so that they spread over all ingresses.
+const CUSTOMER_STRIDE: usize = 7919;
+/// Smallest wait before a retry, and its random extension: a client that a `Retry-After` of zero would make a loop.
+const MIN_RETRY_WAIT: Duration = Duration::from_millis(20);
+/// Wait before a retry where the response names none, in seconds.
+const DEFAULT_RETRY_SECONDS: f64 = 0.05;
+/// Longest wait before a retry, in seconds, whatever the response names.
+const MAX_RETRY_SECONDS: f64 = 60.0;
 
 /// What clients do.
 #[derive(Clone, Copy, Debug)]
-pub struct Habits {
-    /// Requests a second at each ingress on the mean, by a Poisson process.
-    pub rate: f64,
-    /// Customers, equally often.
+pub struct ClientBehavior {
+    /// Mean requests per second at each ingress, by a Poisson process.
+    pub requests_per_second: f64,
+    /// Number of customers; each request is of a random one.
     pub customers: u64,
-    /// Ingresses that each customer uses.
-    pub spread: usize,
-    /// Chance that a refused request comes again, once.
-    pub again: f64,
-    /// Given up after.
-    pub patience: Duration,
+    /// Number of ingresses that each customer uses.
+    pub ingresses_per_customer: usize,
+    /// Probability that a refused request is retried, once.
+    pub retry_probability: f64,
+    /// Time after which a client gives up on a response.
+    pub timeout: Duration,
 }
 
-/// The ingresses as clients reach them.
+/// The clients, and their idle connections.
 pub struct Clients {
-    habits: Habits,
-    doors: Vec<SocketAddr>,
-    kept: Vec<Mutex<Vec<TcpStream>>>,
-    net: Net,
+    behavior: ClientBehavior,
+    addresses: Vec<SocketAddr>,
+    /// By ingress.
+    idle_connections: Vec<Mutex<Vec<TcpStream>>>,
+    network: Network,
     journal: Journal,
-    ids: AtomicU64,
+    next_id: AtomicU64,
+}
+
+/// One request, as it is sent.
+struct Request {
+    id: u64,
+    customer: u64,
+    ingress: usize,
+    text: String,
+}
+
+/// A customer, and the ingresses that it uses: so many from a first one on.
+#[derive(Clone, Copy)]
+struct Customer {
+    id: u64,
+    first_ingress: usize,
+    ingresses: usize,
 }
 
 impl Clients {
-    /// Clients of these ingresses.
-    pub fn new(habits: Habits, doors: Vec<SocketAddr>, net: &Net, journal: &Journal) -> Arc<Self> {
-        let kept = doors.iter().map(|_| Mutex::default()).collect();
+    /// Clients of the ingresses at these addresses.
+    pub fn new(
+        behavior: ClientBehavior,
+        addresses: Vec<SocketAddr>,
+        network: &Network,
+        journal: &Journal,
+    ) -> Arc<Self> {
         Arc::new(Clients {
-            habits,
-            doors,
-            kept,
-            net: net.clone(),
+            behavior,
+            idle_connections: addresses.iter().map(|_| Mutex::default()).collect(),
+            addresses,
+            network: network.clone(),
             journal: journal.clone(),
-            ids: AtomicU64::new(1),
+            next_id: AtomicU64::new(1),
         })
     }
 
-    /// Asks for so long. Arrivals never wait for answers; returns once the last one is answered or given up.
-    pub async fn play(self: Arc<Self>, time: Duration, seed: u64) {
+    /// Sends requests for so long; returns once the last one is answered or given up.
+    pub async fn run(self: Arc<Self>, time: Duration, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let rate = self.habits.rate * self.doors.len() as f64;
+        let rate = self.behavior.requests_per_second * self.addresses.len() as f64;
         let begin = Instant::now();
         let (mut at, mut tasks) = (Duration::ZERO, tokio::task::JoinSet::new());
         loop {
@@ -74,122 +102,151 @@
                 break;
             }
             tokio::time::sleep_until(begin + at).await;
-            let one = SmallRng::seed_from_u64(rng.random());
-            tasks.spawn(self.clone().ask(one));
+            let request_rng = SmallRng::seed_from_u64(rng.random());
+            tasks.spawn(self.clone().request_with_retry(request_rng));
             while tasks.try_join_next().is_some() {}
         }
         while tasks.join_next().await.is_some() {}
     }
 
-    async fn ask(self: Arc<Self>, mut rng: SmallRng) {
-        let customer = rng.random_range(0..self.habits.customers.max(1));
-        let n = self.doors.len();
-        let spread = self.habits.spread.clamp(1, n);
-        let first = (customer as usize).wrapping_mul(7919) % n;
-        let mut ingress = || (first + rng.random_range(0..spread)) % n;
-        let (one, other) = (ingress(), ingress());
-        if let Some(wait) = self.once(one, customer, first, spread).await {
-            if rng.random_bool(self.habits.again) {
-                tokio::time::sleep(
-                    wait.max(Duration::from_millis(20))
-                        .mul_f64(rng.random_range(1.0..1.5)),
-                )
-                .await;
-                let _ = self.once(other, customer, first, spread).await;
-            }
+    async fn request_with_retry(self: Arc<Self>, mut rng: SmallRng) {
+        let id = rng.random_range(0..self.behavior.customers.max(1));
+        let count = self.addresses.len();
+        let customer = Customer {
+            id,
+            first_ingress: (id as usize).wrapping_mul(CUSTOMER_STRIDE) % count,
+            ingresses: self.behavior.ingresses_per_customer.clamp(1, count),
+        };
+        let mut ingress =
+            || (customer.first_ingress + rng.random_range(0..customer.ingresses)) % count;
+        let (first, retried) = (ingress(), ingress());
+        let Some(wait) = self.request(first, customer).await else {
+            return;
+        };
+        if rng.random_bool(self.behavior.retry_probability) {
+            let wait = wait.max(MIN_RETRY_WAIT);
+            tokio::time::sleep(wait.mul_f64(rng.random_range(1.0..1.5))).await;
+            let _ = self.request(retried, customer).await;
         }
     }
 
-    /// One request; where it is refused, when to come again.
-    async fn once(
-        &self,
-        ingress: usize,
-        customer: u64,
-        first: usize,
-        spread: usize,
-    ) -> Option<Duration> {
-        let request = self.ids.fetch_add(1, Ordering::Relaxed);
-        let patience = self.habits.patience;
-        let text = format!(
-            "GET /api HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {request:016x}\r\n\
-             X-Service-Class: limit-check\r\nX-Contract: shop\r\nX-Client-Id: {customer:016x}\r\n\
-             X-Time-Left-Ms: {}\r\nX-Metering: units=1,spread={spread},first={first}\r\n\r\n",
-            patience.as_millis()
-        );
-        let sent = Instant::now();
-        let mut asked = false;
-        let one = self.exchange(request, ingress, customer, &text, &mut asked);
-        let answer = tokio::time::timeout_at(sent + patience, one).await;
-        if !asked {
-            self.journal.note(What::Unreached { request, ingress });
+    /// One request; where it is refused, the time to wait before a retry.
+    async fn request(&self, ingress: usize, customer: Customer) -> Option<Duration> {
+        let request = self.next_request(ingress, customer);
+        let deadline = Instant::now() + self.behavior.timeout;
+        let mut sent = false;
+        let response = tokio::time::timeout_at(deadline, self.exchange(&request, &mut sent)).await;
+        if !sent {
+            self.journal.record(Event::ConnectFailed {
+                request: request.id,
+                ingress,
+            });
             return None;
         }
-        let answer = answer.ok().and_then(Result::ok);
-        let status = answer.as_ref().and_then(|a| a.first.0.parse().ok());
-        self.journal.note(What::Final { request, status });
-        let refused = matches!(status, Some(429 | 503));
-        let wait = answer
+        let response = response.ok().and_then(Result::ok);
+        let status = response
+            .as_ref()
+            .and_then(|response| response.first.0.parse().ok());
+        self.journal.record(Event::ResponseReceived {
+            request: request.id,
+            status,
+        });
+        let wait = response
             .as_ref()
-            .and_then(|a| a.header("retry-after")?.parse::<f64>().ok());
-        refused.then(|| Duration::from_secs_f64(wait.unwrap_or(0.05).clamp(0.0, 60.0)))
+            .and_then(|response| response.header("retry-after")?.parse::<f64>().ok())
+            .unwrap_or(DEFAULT_RETRY_SECONDS)
+            .clamp(0.0, MAX_RETRY_SECONDS);
+        matches!(status, Some(429 | 503)).then(|| Duration::from_secs_f64(wait))
     }
 
-    async fn exchange(
-        &self,
-        request: u64,
-        ingress: usize,
-        customer: u64,
-        text: &str,
-        asked: &mut bool,
-    ) -> io::Result<http::Message> {
-        let mut there = self.net.link(Part::Client, Part::Ingress(ingress));
-        let mut back = self.net.link(Part::Ingress(ingress), Part::Client);
-        there.until(|c| !c.silent).await;
-        tokio::time::sleep(there.now().delay).await;
-        if there.now().reset {
+    fn next_request(&self, ingress: usize, customer: Customer) -> Request {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let text = format!(
+            "GET /api HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id:016x}\r\n\
+             X-Service-Class: limit-check\r\nX-Contract: shop\r\nX-Client-Id: {:016x}\r\n\
+             X-Time-Left-Ms: {}\r\nX-Metering: units=1,spread={},first={}\r\n\r\n",
+            customer.id,
+            self.behavior.timeout.as_millis(),
+            customer.ingresses,
+            customer.first_ingress,
+        );
+        Request {
+            id,
+            customer: customer.id,
+            ingress,
+            text,
+        }
+    }
+
+    /// Sends a request through the link to its ingress and reads the response. `sent` is true once it is written on a
+    /// connection that the ingress had not closed.
+    async fn exchange(&self, request: &Request, sent: &mut bool) -> io::Result<Message> {
+        let ingress = request.ingress;
+        let mut to_ingress = self
+            .network
+            .link(Component::Client, Component::Ingress(ingress));
+        let mut to_client = self
+            .network
+            .link(Component::Ingress(ingress), Component::Client);
+        to_ingress.wait_until(|condition| !condition.silent).await;
+        tokio::time::sleep(to_ingress.condition().delay).await;
+        if to_ingress.condition().reset {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        let pool = || {
-            self.kept[ingress]
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner)
-        };
-        let mut kept = true;
-        loop {
-            let pooled = if kept { pool().pop() } else { None };
-            let old = pooled.is_some();
-            let mut stream = match pooled {
-                Some(stream) => stream,
-                None => TcpStream::connect(self.doors[ingress]).await?,
-            };
-            let _ = stream.set_nodelay(true);
-            let answer = match stream.write_all(text.as_bytes()).await {
-                Ok(()) => {
-                    if !std::mem::replace(asked, true) {
-                        self.journal.note(What::Asked {
-                            request,
-                            ingress,
-                            customer,
-                        });
-                    }
-                    http::read(&mut stream, &mut Vec::new(), Kind::Answer).await
-                }
-                Err(e) => Err(e),
-            };
-            match answer {
-                Ok(Some(answer)) => {
-                    back.until(|c| !c.silent).await;
-                    tokio::time::sleep(back.now().delay).await;
-                    if !answer.closes() {
-                        pool().push(stream);
-                    }
-                    return Ok(answer);
+        let idle = self.idle(ingress).pop();
+        let (stream, response) = match idle {
+            None => self.exchange_on_new_connection(request, sent).await?,
+            Some(mut stream) => match self.exchange_on(&mut stream, request, sent).await {
+                Ok(Some(response)) => (stream, response),
+                // An ingress may close an idle connection while a request is on its way: it is sent once more.
+                Ok(None) | Err(_) => {
+                    *sent = false;
+                    self.exchange_on_new_connection(request, sent).await?
                 }
-                // An ingress may close between requests; where that crosses one, it is sent once more.
-                Ok(None) | Err(_) if old => (kept, *asked) = (false, false),
-                Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Err(e) => return Err(e),
-            }
+            },
+        };
+        to_client.wait_until(|condition| !condition.silent).await;
+        tokio::time::sleep(to_client.condition().delay).await;
+        if !response.closes() {
+            self.idle(ingress).push(stream);
         }
+        Ok(response)
+    }
+
+    async fn exchange_on_new_connection(
+        &self,
+        request: &Request,
+        sent: &mut bool,
+    ) -> io::Result<(TcpStream, Message)> {
+        let mut stream = TcpStream::connect(self.addresses[request.ingress]).await?;
+        match self.exchange_on(&mut stream, request, sent).await? {
+            Some(response) => Ok((stream, response)),
+            None => Err(io::ErrorKind::UnexpectedEof.into()),
+        }
+    }
+
+    /// Writes a request and reads its response; `None` where the connection ends before its first byte.
+    async fn exchange_on(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        sent: &mut bool,
+    ) -> io::Result<Option<Message>> {
+        let _ = stream.set_nodelay(true);
+        stream.write_all(request.text.as_bytes()).await?;
+        if !std::mem::replace(sent, true) {
+            self.journal.record(Event::RequestSent {
+                request: request.id,
+                ingress: request.ingress,
+                customer: request.customer,
+            });
+        }
+        http::read(stream, &mut Vec::new(), Kind::Answer).await
+    }
+
+    fn idle(&self, ingress: usize) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.idle_connections[ingress]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -0,0 +1,268 @@
+//! Carries the faults of a trial out: waits for the trigger of each, begins it, and ends it.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use tokio::net::UdpSocket;
+
+use super::Environment;
+use crate::fault::{Fault, FaultKind, Restart, Trigger};
+use crate::journal::{Entry, Event};
+use crate::network::LinkRule;
+use crate::run::POLL_INTERVAL;
+
+/// What an address that is no peer's sends: messages of the startup scheduler as peers write them, of a service that is
+/// busy and of a process that has just started; a truncated one, a useless one, bytes that are no text, one that is too
+/// long.
+const FOREIGN_DATAGRAMS: [&[u8]; 6] = [
+    b"T1 6 0 99 500",
+    b"T1 1 0 - 0",
+    b"T1 6",
+    b"\0\0",
+    b"\xff\xfe\xfd",
+    &[b'x'; 300],
+];
+/// Interval of foreign datagrams to one ingress: half of what an ingress accepts a second.
+const FOREIGN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Ends a fault that has begun.
+type EndFault = Box<dyn FnOnce() + Send>;
+
+/// For faults that have no end.
+fn no_end() -> EndFault {
+    Box::new(|| {})
+}
+
+/// Number of ingresses that have got a list.
+fn listed(entries: &[Entry]) -> usize {
+    let listed = entries.iter().filter_map(|entry| match entry.event {
+        Event::ListResponse {
+            ingress,
+            status: 200,
+            ..
+        } => Some(ingress),
+        _ => None,
+    });
+    listed.collect::<BTreeSet<_>>().len()
+}
+
+/// Number of requests that were served.
+fn served(entries: &[Entry]) -> usize {
+    let served = |entry: &&Entry| {
+        let status = match entry.event {
+            Event::ResponseReceived { status, .. } => status,
+            _ => None,
+        };
+        status == Some(200)
+    };
+    entries.iter().filter(served).count()
+}
+
+impl Environment {
+    /// Carries out one fault of the trial.
+    pub(crate) async fn run_fault(self: Arc<Self>, name: String, seed: u64) {
+        let fault: Fault = self.trial.faults[&name].clone();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        self.wait_for(fault.trigger).await;
+        self.record_fault(&name, true);
+        let end = self.clone().begin_fault(&name, &fault.kind, &mut rng).await;
+        if let Some(duration) = fault.duration {
+            tokio::time::sleep(duration).await;
+            end();
+            self.record_fault(&name, false);
+        }
+    }
+
+    fn record_fault(&self, name: &str, active: bool) {
+        self.journal.record(Event::FaultChanged {
+            name: name.to_string(),
+            active,
+        });
+    }
+
+    async fn wait_for(&self, trigger: Trigger) {
+        match trigger {
+            Trigger::At(at) => {
+                let elapsed = Duration::from_secs_f64(self.journal.now());
+                tokio::time::sleep(at.saturating_sub(elapsed)).await;
+            }
+            Trigger::Listed(count) => self.wait_for_count(listed, count).await,
+            Trigger::Served(count) => self.wait_for_count(served, count).await,
+        }
+    }
+
+    async fn wait_for_count(&self, counted: fn(&[Entry]) -> usize, count: usize) {
+        while self.journal.inspect(counted) < count {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Begins a fault; what ends it is returned.
+    async fn begin_fault(
+        self: Arc<Self>,
+        name: &str,
+        kind: &FaultKind,
+        rng: &mut SmallRng,
+    ) -> EndFault {
+        let topology = self.topology;
+        match kind {
+            FaultKind::Link {
+                from,
+                to,
+                both,
+                condition,
+            } => self.set_link_rule(LinkRule {
+                name: name.to_string(),
+                from: from.resolve(topology, rng),
+                to: to.resolve(topology, rng),
+                both: *both,
+                condition: *condition,
+            }),
+            FaultKind::Kill { targets, restart } => {
+                self.kill(targets.ingresses(topology, rng), *restart).await;
+                no_end()
+            }
+            FaultKind::Suspend(targets) => self.suspend(targets.ingresses(topology, rng)),
+            FaultKind::ListService(fault) => {
+                let fault = *fault;
+                self.list_service.begin_fault(fault);
+                Box::new(move || self.list_service.end_fault(fault))
+            }
+            FaultKind::RestartInstances(targets) => {
+                self.restart_instances(&targets.instances(topology, rng))
+            }
+            FaultKind::ReplaceInstances(targets) => {
+                self.replace_instances(&targets.instances(topology, rng))
+                    .await
+            }
+            FaultKind::RemoveInstances(targets) => {
+                self.remove_instances(&targets.instances(topology, rng))
+            }
+            FaultKind::FailRequests(targets) => {
+                let numbers = targets.instances(topology, rng);
+                self.fail_requests(&numbers, true);
+                Box::new(move || self.fail_requests(&numbers, false))
+            }
+            FaultKind::ForeignDatagrams(targets) => {
+                self.send_foreign_datagrams(&targets.ingresses(topology, rng))
+            }
+            FaultKind::NeverAnswer(targets) => {
+                let numbers = targets.instances(topology, rng);
+                self.never_answer(&numbers, true);
+                Box::new(move || self.never_answer(&numbers, false))
+            }
+        }
+    }
+
+    fn set_link_rule(self: Arc<Self>, rule: LinkRule) -> EndFault {
+        let name = rule.name.clone();
+        self.network.add_rule(rule);
+        Box::new(move || self.network.remove_rules(&name))
+    }
+
+    async fn kill(self: Arc<Self>, numbers: Vec<usize>, restart: Option<Restart>) {
+        for number in &numbers {
+            let mut ingresses = self.ingresses();
+            let ingress = &mut ingresses[*number];
+            if ingress.exists() {
+                // Recorded first: other tasks observe at once that the pending requests end, and without the entry
+                // these would look like responses that a running process owed.
+                self.journal
+                    .record(Event::IngressKilled { ingress: *number });
+                ingress.kill();
+            }
+        }
+        let Some(Restart { after, list }) = restart else {
+            return;
+        };
+        tokio::time::sleep(after).await;
+        for ingress in numbers {
+            if let Err(error) = self.start_ingress(ingress, list) {
+                let status = error.to_string();
+                self.journal
+                    .record(Event::IngressExited { ingress, status });
+            }
+        }
+    }
+
+    fn suspend(self: Arc<Self>, numbers: Vec<usize>) -> EndFault {
+        for number in &numbers {
+            self.ingresses()[*number].signal(libc::SIGSTOP);
+            self.record_suspension(*number, true);
+        }
+        Box::new(move || {
+            for number in &numbers {
+                // Recorded first: what it accepts from then on has to be answered.
+                self.record_suspension(*number, false);
+                self.ingresses()[*number].signal(libc::SIGCONT);
+            }
+        })
+    }
+
+    fn record_suspension(&self, ingress: usize, suspended: bool) {
+        self.journal
+            .record(Event::IngressSuspended { ingress, suspended });
+    }
+
+    fn restart_instances(&self, numbers: &[usize]) -> EndFault {
+        for number in numbers {
+            let instance = self.instances()[*number].clone();
+            instance.restart();
+            self.list_service
+                .add(*number, number % self.topology.zones, true);
+        }
+        no_end()
+    }
+
+    async fn replace_instances(&self, numbers: &[usize]) -> EndFault {
+        for number in numbers {
+            self.remove_instance(*number);
+            let _ = self.add_instance(true).await;
+        }
+        no_end()
+    }
+
+    fn remove_instances(&self, numbers: &[usize]) -> EndFault {
+        for number in numbers {
+            self.remove_instance(*number);
+        }
+        no_end()
+    }
+
+    fn fail_requests(&self, numbers: &[usize], fails: bool) {
+        for number in numbers {
+            self.instances()[*number].set_fails_requests(fails);
+        }
+    }
+
+    fn never_answer(&self, numbers: &[usize], never: bool) {
+        for number in numbers {
+            self.instances()[*number].set_never_answers(never);
+        }
+    }
+
+    fn send_foreign_datagrams(&self, numbers: &[usize]) -> EndFault {
+        let ingresses = self.ingresses();
+        let receivers = numbers.iter();
+        let receivers = receivers.map(|number| ingresses[*number].config.peer_listen);
+        let sender = tokio::spawn(send_foreign_datagrams(receivers.collect()));
+        Box::new(move || sender.abort())
+    }
+}
+
+/// Sends foreign datagrams from an address that is no peer's, until it is aborted.
+async fn send_foreign_datagrams(receivers: Vec<SocketAddr>) {
+    let Ok(socket) = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await else {
+        return;
+    };
+    for datagram in FOREIGN_DATAGRAMS.iter().cycle() {
+        for receiver in &receivers {
+            let _ = socket.send_to(datagram, receiver).await;
+        }
+        tokio::time::sleep(FOREIGN_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -0,0 +1,225 @@
+//! Reads the line of a fault, token by token; an error names the first token that does not fit.
+
+use std::iter::Peekable;
+use std::str::{FromStr, SplitWhitespace};
+use std::time::Duration;
+
+use super::{FaultKind, FaultSpec, InitialList, ListServiceFault, Restart, Trigger};
+use crate::network::LinkCondition;
+use crate::topology::{ComponentSet, ComponentSetError};
+
+/// Why a line is no fault.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum FaultError {
+    /// The line has no trigger.
+    #[error("a fault is 'at TIME: ...' or 'when N listed: ...'")]
+    NoTrigger,
+    /// The line ends too early.
+    #[error("{0} is missing at the end")]
+    Missing(String),
+    /// A fixed token is not where it has to be.
+    #[error("'{found}' stands where '{expected}' should")]
+    Unexpected {
+        /// The token that was found.
+        found: String,
+        /// The token that has to be there.
+        expected: &'static str,
+    },
+    /// A token has none of the values that are possible there.
+    #[error("'{found}' is {expected}")]
+    Invalid {
+        /// The token that was found.
+        found: String,
+        /// What it is not.
+        expected: &'static str,
+    },
+    /// A fraction out of its range.
+    #[error("{0} is no share from 0 to 1")]
+    Fraction(f64),
+    /// A link fault without a condition.
+    #[error("it says nothing of what the link does")]
+    NoCondition,
+    /// A set of components that cannot be read.
+    #[error(transparent)]
+    Components(#[from] ComponentSetError),
+    /// A token behind the end of the fault.
+    #[error("'{0}' is too much")]
+    Trailing(String),
+}
+
+fn invalid(found: &str, expected: &'static str) -> FaultError {
+    FaultError::Invalid {
+        found: found.to_string(),
+        expected,
+    }
+}
+
+/// The tokens of a fault that are still to be read.
+struct Tokens<'a>(Peekable<SplitWhitespace<'a>>);
+
+impl<'a> Tokens<'a> {
+    fn of(text: &'a str) -> Self {
+        Tokens(text.split_whitespace().peekable())
+    }
+
+    /// The next token; `description` says in an error what is missing.
+    fn next(&mut self, description: &str) -> Result<&'a str, FaultError> {
+        self.0
+            .next()
+            .ok_or_else(|| FaultError::Missing(description.to_string()))
+    }
+
+    fn expect(&mut self, expected: &'static str) -> Result<(), FaultError> {
+        match self.next(&format!("'{expected}'"))? {
+            found if found == expected => Ok(()),
+            found => Err(FaultError::Unexpected {
+                found: found.to_string(),
+                expected,
+            }),
+        }
+    }
+
+    fn number<T: FromStr>(
+        &mut self,
+        description: &str,
+        expected: &'static str,
+    ) -> Result<T, FaultError> {
+        let token = self.next(description)?;
+        token.parse().map_err(|_| invalid(token, expected))
+    }
+
+    fn components(&mut self) -> Result<ComponentSet, FaultError> {
+        Ok(self.next("a set of parts")?.parse()?)
+    }
+
+    fn duration(&mut self) -> Result<Duration, FaultError> {
+        let token = self.next("a time")?;
+        humantime::parse_duration(token).map_err(|_| invalid(token, "no time such as 250ms or 2s"))
+    }
+
+    fn fraction(&mut self) -> Result<f64, FaultError> {
+        let fraction: f64 = self.number("share", "no share")?;
+        match (0.0..=1.0).contains(&fraction) {
+            true => Ok(fraction),
+            false => Err(FaultError::Fraction(fraction)),
+        }
+    }
+
+    fn condition(&mut self) -> Result<LinkCondition, FaultError> {
+        let mut condition = LinkCondition::default();
+        while let Some(token) = self.0.next_if(|token| *token != "for") {
+            match token {
+                "silent" => condition.silent = true,
+                "reset" => condition.reset = true,
+                "loss" => condition.loss = self.fraction()?,
+                "twice" => condition.duplication = self.fraction()?,
+                "torn" => condition.truncation = self.fraction()?,
+                "delay" => condition.delay = self.duration()?,
+                "spread" => condition.jitter = self.duration()?,
+                "rate" => {
+                    let rate =
+                        self.number("rate in bytes a second", "no rate in bytes a second")?;
+                    condition.bytes_per_second = Some(rate);
+                }
+                found => return Err(invalid(found, "nothing that a link does")),
+            }
+        }
+        match condition == LinkCondition::default() {
+            true => Err(FaultError::NoCondition),
+            false => Ok(condition),
+        }
+    }
+
+    fn link(&mut self) -> Result<FaultKind, FaultError> {
+        let from = self.components()?;
+        let both = match self.next("-> or <->")? {
+            "->" => false,
+            "<->" => true,
+            found => return Err(invalid(found, "neither -> nor <->")),
+        };
+        Ok(FaultKind::Link {
+            from,
+            to: self.components()?,
+            both,
+            condition: self.condition()?,
+        })
+    }
+
+    fn kill(&mut self) -> Result<FaultKind, FaultError> {
+        let targets = self.components()?;
+        if self.0.next_if_eq(&"and").is_none() {
+            let restart = None;
+            return Ok(FaultKind::Kill { targets, restart });
+        }
+        self.expect("start")?;
+        self.expect("after")?;
+        let after = self.duration()?;
+        let list: InitialList = self.next("what it knows")?.parse()?;
+        let restart = Some(Restart { after, list });
+        Ok(FaultKind::Kill { targets, restart })
+    }
+
+    fn list_service(&mut self) -> Result<ListServiceFault, FaultError> {
+        match self.next("what the list service does")? {
+            "silent" => Ok(ListServiceFault::Silent),
+            "breaks" => Ok(ListServiceFault::Truncates(self.fraction()?)),
+            "goes" => self.expect("back").map(|()| ListServiceFault::Restored),
+            "turns" => {
+                self.expect("away")?;
+                Ok(ListServiceFault::Rejects(self.fraction()?))
+            }
+            found => Err(invalid(found, "nothing that the list service does")),
+        }
+    }
+
+    fn kind(&mut self) -> Result<FaultKind, FaultError> {
+        match self.next("what it is")? {
+            "link" => self.link(),
+            "kill" => self.kill(),
+            "list" => self.list_service().map(FaultKind::ListService),
+            "stop" => self.components().map(FaultKind::Suspend),
+            "restart" => self.components().map(FaultKind::RestartInstances),
+            "replace" => self.components().map(FaultKind::ReplaceInstances),
+            "remove" => self.components().map(FaultKind::RemoveInstances),
+            "fails" => self.components().map(FaultKind::FailRequests),
+            "foreign" => self.components().map(FaultKind::ForeignDatagrams),
+            "mute" => self.components().map(FaultKind::NeverAnswer),
+            found => Err(invalid(found, "no fault")),
+        }
+    }
+
+    fn trigger(&mut self) -> Result<Trigger, FaultError> {
+        match self.next("when it comes")? {
+            "at" => self.duration().map(Trigger::At),
+            "when" => {
+                let count = self.number("number", "no number")?;
+                match self.next("listed or served")? {
+                    "listed" => Ok(Trigger::Listed(count)),
+                    "served" => Ok(Trigger::Served(count)),
+                    found => Err(invalid(found, "neither listed nor served")),
+                }
+            }
+            found => Err(invalid(found, "neither at nor when")),
+        }
+    }
+}
+
+/// Reads a line.
+pub(super) fn parse(text: &str) -> Result<FaultSpec, FaultError> {
+    let (trigger, effect) = text.split_once(": ").ok_or(FaultError::NoTrigger)?;
+    let trigger = Tokens::of(trigger).trigger()?;
+    let mut tokens = Tokens::of(effect);
+    let kind = tokens.kind()?;
+    let duration = match tokens.0.next_if_eq(&"for") {
+        Some(_) => Some(tokens.duration()?),
+        None => None,
+    };
+    match tokens.0.next() {
+        Some(token) => Err(FaultError::Trailing(token.to_string())),
+        None => Ok(FaultSpec {
+            trigger,
+            kind,
+            duration,
+        }),
+    }
+}
--- a/crates/fault-testbed/src/instance.rs
+++ b/crates/fault-testbed/src/instance.rs
@@ -1,222 +1,261 @@
-//! The limit servers of a trial: cores, a waiting room, connections that cost, a cold start that can push them over.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! The fake limit servers of a trial: cores, a queue, connections that cost work, a warm-up during which overload makes
+//! them fail.
+//!
+//! Input: requests of ingresses on proxied streams; faults. Output: responses, and journal entries on connections,
+//! attempts and incarnations. Invariant: an incarnation's connections end with it.
 
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use applewall_fakes::http::{self, Kind};
+use applewall_fakes::http::{self, Kind, Message};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::{watch, Semaphore};
 
-use crate::capacity::{Life, Model};
-use crate::journal::{Journal, What};
+use crate::capacity::{OverloadTracker, ServerModel};
+use crate::journal::{Event, Journal};
+
+/// Start time of an incarnation that is warm when the trial begins: longer ago than any warm-up takes.
+const LONG_AGO_SECONDS: f64 = -1e6;
 
-/// A life that began long before the trial.
-const LONG_AGO: f64 = -1e6;
+const NO_REQUEST_ID: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+const FAILED: &[u8] = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+const FULL: &[u8] = b"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 
-/// A limit server.
+/// A fake limit server.
 pub struct Instance {
     number: usize,
-    model: Model,
-    life: Mutex<Life>,
-    /// Counts its lives; connections of an earlier one are over. None while it is down.
-    lives: watch::Sender<Option<u64>>,
+    model: ServerModel,
+    load: Mutex<OverloadTracker>,
+    /// Number of the current incarnation; `None` while it is down. Connections of an earlier one end.
+    incarnation: watch::Sender<Option<u64>>,
     cores: Semaphore,
-    inside: AtomicUsize,
+    requests: AtomicUsize,
     connections: AtomicUsize,
-    mute: AtomicBool,
-    fails: AtomicBool,
+    never_answers: AtomicBool,
+    fails_requests: AtomicBool,
     journal: Journal,
 }
 
-/// Counts down when it goes.
+/// Increments a counter, and decrements it when dropped.
 struct Counted<'a>(&'a AtomicUsize);
 
+impl<'a> Counted<'a> {
+    fn new(counter: &'a AtomicUsize) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Counted(counter)
+    }
+}
+
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// Notes the end of an attempt, however it ends.
-struct Out<'a>(&'a Instance, u64, usize);
+/// An attempt in work; records its end when dropped, however it ends.
+struct Attempt<'a> {
+    instance: &'a Instance,
+    request: u64,
+    ingress: usize,
+}
 
-impl Drop for Out<'_> {
+impl<'a> Attempt<'a> {
+    fn begin(instance: &'a Instance, request: u64, ingress: usize) -> Self {
+        instance.journal.record(Event::AttemptArrived {
+            request,
+            instance: instance.number,
+            ingress,
+        });
+        Attempt {
+            instance,
+            request,
+            ingress,
+        }
+    }
+}
+
+impl Drop for Attempt<'_> {
     fn drop(&mut self) {
-        self.0.journal.note(What::Over {
-            request: self.1,
-            instance: self.0.number,
-            ingress: self.2,
+        self.instance.journal.record(Event::AttemptEnded {
+            request: self.request,
+            instance: self.instance.number,
+            ingress: self.ingress,
         });
     }
 }
 
+/// What becomes of a connection after a request.
+enum Next {
+    Request,
+    Close,
+}
+
 impl Instance {
-    /// One that has just started, or long ago.
-    pub fn start(number: usize, model: Model, cold: bool, journal: &Journal) -> Arc<Self> {
-        let started = if cold { journal.now() } else { LONG_AGO };
-        journal.note(What::Life {
+    /// A server that has just started (`cold`), or long ago.
+    pub fn start(number: usize, model: ServerModel, cold: bool, journal: &Journal) -> Arc<Self> {
+        let started_at = if cold {
+            journal.now()
+        } else {
+            LONG_AGO_SECONDS
+        };
+        journal.record(Event::InstanceStarted {
             instance: number,
             cold,
         });
         Arc::new(Instance {
             number,
             model,
-            life: Mutex::new(Life::new(model, started)),
-            lives: watch::channel(Some(0)).0,
+            load: Mutex::new(OverloadTracker::new(model, started_at)),
+            incarnation: watch::channel(Some(0)).0,
             cores: Semaphore::new(model.cores),
-            inside: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
-            mute: AtomicBool::new(false),
-            fails: AtomicBool::new(false),
+            never_answers: AtomicBool::new(false),
+            fails_requests: AtomicBool::new(false),
             journal: journal.clone(),
         })
     }
 
-    /// True while it takes connections.
-    pub fn up(&self) -> bool {
-        self.lives.borrow().is_some()
+    /// True while it accepts connections.
+    pub fn running(&self) -> bool {
+        self.incarnation.borrow().is_some()
     }
 
-    /// Begins a new life, cold.
+    /// Starts a new incarnation, which has to warm up.
     pub fn restart(&self) {
-        *self.life() = Life::new(self.model, self.journal.now());
-        self.journal.note(What::Life {
+        *self.load() = OverloadTracker::new(self.model, self.journal.now());
+        self.journal.record(Event::InstanceStarted {
             instance: self.number,
             cold: true,
         });
-        self.lives
-            .send_modify(|life| *life = Some(life.map_or(0, |l| l + 1)));
+        self.incarnation.send_modify(|incarnation| {
+            *incarnation = Some(incarnation.map_or(0, |number| number + 1));
+        });
     }
 
-    /// Ends.
-    pub fn end(&self) {
-        if self.lives.send_replace(None).is_some() {
-            self.journal.note(What::Died {
+    /// Stops it.
+    pub fn stop(&self) {
+        if self.incarnation.send_replace(None).is_some() {
+            self.journal.record(Event::InstanceStopped {
                 instance: self.number,
             });
         }
     }
 
-    /// Accepts and never answers, or answers again.
-    pub fn mute(&self, mute: bool) {
-        self.mute.store(mute, Ordering::Relaxed);
+    /// Whether it accepts requests and never answers them.
+    pub fn set_never_answers(&self, never_answers: bool) {
+        self.never_answers.store(never_answers, Ordering::Relaxed);
     }
 
-    /// Answers 500 at once, or serves again.
-    pub fn fails(&self, fails: bool) {
-        self.fails.store(fails, Ordering::Relaxed);
+    /// Whether it answers 500 at once.
+    pub fn set_fails_requests(&self, fails_requests: bool) {
+        self.fails_requests.store(fails_requests, Ordering::Relaxed);
     }
 
-    fn life(&self) -> std::sync::MutexGuard<'_, Life> {
-        self.life
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    fn load(&self) -> MutexGuard<'_, OverloadTracker> {
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Work arrives; false where the server is over.
-    fn arrives(&self, requests: f64) -> bool {
-        let stands = self.life().arrive(self.journal.now(), requests);
-        if !stands && self.up() {
-            self.journal.note(What::Fell {
+    /// Adds arriving work, in requests; false where the server has failed of it.
+    fn arrive(&self, requests: f64) -> bool {
+        let survives = self.load().arrive(self.journal.now(), requests);
+        if !survives && self.running() {
+            self.journal.record(Event::InstanceOverloaded {
                 instance: self.number,
             });
-            self.lives.send_replace(None);
+            self.incarnation.send_replace(None);
         }
-        stands
+        survives
     }
 
     /// Serves one connection of an ingress until either side ends it.
     pub async fn serve(self: Arc<Self>, mut stream: DuplexStream, ingress: usize) {
-        let mut lives = self.lives.subscribe();
-        let life = *lives.borrow_and_update();
-        self.journal.note(What::Opened {
+        let mut incarnation = self.incarnation.subscribe();
+        let current = *incarnation.borrow_and_update();
+        self.journal.record(Event::ConnectionOpened {
             instance: self.number,
             ingress,
         });
-        self.connections.fetch_add(1, Ordering::Relaxed);
-        let _counted = Counted(&self.connections);
-        if life.is_none() || !self.arrives(self.model.dial / self.model.work) {
+        let _counted = Counted::new(&self.connections);
+        if current.is_none() || !self.arrive(self.model.connection_cost()) {
             return;
         }
         tokio::select! {
-            _ = self.requests(&mut stream, ingress) => {}
-            _ = lives.wait_for(|now| *now != life) => {}
+            _ = self.serve_requests(&mut stream, ingress) => {}
+            _ = incarnation.wait_for(|incarnation| *incarnation != current) => {}
         }
     }
 
-    async fn requests(&self, stream: &mut DuplexStream, ingress: usize) -> io::Result<()> {
-        let mut rest = Vec::new();
-        let mut dial = self.model.dial;
-        while let Some(request) = http::read(stream, &mut rest, Kind::Request).await? {
-            let Some(id) = request
-                .header("x-correlation-id")
-                .and_then(|id| u64::from_str_radix(id, 16).ok())
-            else {
-                stream
-                    .write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-                    .await?;
+    async fn serve_requests(&self, stream: &mut DuplexStream, ingress: usize) -> io::Result<()> {
+        let mut unread = Vec::new();
+        // The first request bears the cost of the connection.
+        let mut extra_cost = self.model.connection_cost();
+        while let Some(request) = http::read(stream, &mut unread, Kind::Request).await? {
+            let Some(id) = request_id(&request) else {
+                stream.write_all(NO_REQUEST_ID).await?;
                 continue;
             };
-            self.journal.note(What::Attempt {
-                request: id,
-                instance: self.number,
-                ingress,
-            });
-            let _out = Out(self, id, ingress);
-            if !self.arrives(1.0) {
-                return Ok(());
-            }
-            if self.fails.load(Ordering::Relaxed) {
-                stream
-                    .write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
-                    .await?;
-                continue;
+            let _attempt = Attempt::begin(self, id, ingress);
+            match self.serve_request(stream, id, &mut extra_cost).await? {
+                Next::Request => {}
+                Next::Close => return Ok(()),
             }
-            let full = self.connections.load(Ordering::Relaxed) > self.model.connections;
-            if full || self.inside.load(Ordering::Relaxed) >= self.model.room {
-                let no = b"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
-                stream.write_all(no).await?;
-                continue;
-            }
-            self.inside.fetch_add(1, Ordering::Relaxed);
-            let _counted = Counted(&self.inside);
-            // Work of a request that is given up on stops.
-            let mut byte = [0];
-            tokio::select! {
-                () = self.work(dial) => {}
-                _ = stream.read(&mut byte) => return Ok(()),
-            }
-            dial = 0.0;
-            let busy = 1.0 - self.cores.available_permits() as f64 / self.model.cores as f64;
-            let body = format!("{id:016x} by {}", self.number);
-            let length = body.len();
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nX-Backend-Load: util={busy:.2}\r\nContent-Length: {length}\r\n\r\n"
-            );
-            stream.write_all((head + &body).as_bytes()).await?;
         }
         Ok(())
     }
 
-    async fn work(&self, dial: f64) {
+    async fn serve_request(
+        &self,
+        stream: &mut DuplexStream,
+        id: u64,
+        extra_cost: &mut f64,
+    ) -> io::Result<Next> {
+        if !self.arrive(1.0) {
+            return Ok(Next::Close);
+        }
+        if self.fails_requests.load(Ordering::Relaxed) {
+            stream.write_all(FAILED).await?;
+            return Ok(Next::Request);
+        }
+        let connections = self.connections.load(Ordering::Relaxed);
+        if connections > self.model.max_connections
+            || self.requests.load(Ordering::Relaxed) >= self.model.max_requests
+        {
+            stream.write_all(FULL).await?;
+            return Ok(Next::Request);
+        }
+        let _counted = Counted::new(&self.requests);
+        // Work on a request that the ingress gives up stops.
+        let mut byte = [0];
+        tokio::select! {
+            () = self.work(*extra_cost) => {}
+            _ = stream.read(&mut byte) => return Ok(Next::Close),
+        }
+        *extra_cost = 0.0;
+        let busy = 1.0 - self.cores.available_permits() as f64 / self.model.cores as f64;
+        let body = format!("{id:016x} by {}", self.number);
+        let length = body.len();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Backend-Load: util={busy:.2}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        stream.write_all((head + &body).as_bytes()).await?;
+        Ok(Next::Request)
+    }
+
+    async fn work(&self, extra_cost: f64) {
         let Ok(_core) = self.cores.acquire().await else {
             return;
         };
-        let takes = self.life().takes(self.journal.now()) * (1.0 + dial / self.model.work);
-        tokio::time::sleep(Duration::from_secs_f64(takes)).await;
-        if self.mute.load(Ordering::Relaxed) {
+        let seconds = self.load().request_seconds(self.journal.now()) * (1.0 + extra_cost);
+        tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        if self.never_answers.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
     }
 }
+
+fn request_id(request: &Message) -> Option<u64> {
+    u64::from_str_radix(request.header("x-correlation-id")?, 16).ok()
+}
--- a/crates/fault-testbed/src/journal.rs
+++ b/crates/fault-testbed/src/journal.rs
@@ -1,109 +1,235 @@
-//! What crossed in a trial, in order, with its time; written as JSON lines and read again.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    missing_docs,
-    reason = "fields are documented as the module is reworked"
-)]
+//! The journal of a trial: every observed event in order, with its time; stored as JSON lines.
+//!
+//! Input: events recorded by the proxies, fakes, clients and process supervision of a trial. Output: entries for the
+//! checkers, the report and the file. Invariant: entries are in the order of their times. The names in the JSON form
+//! are fixed (`serde(rename)`), so that journals of earlier versions can be read.
 
 use std::io::{self, BufRead, Write};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// One thing that happened.
+/// One observed event. `ingress` and `instance` are numbers from 0; `request` is the id that the client drew.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum What {
+pub enum Event {
     /// A client has written a request to an ingress.
-    Asked {
+    #[serde(rename = "Asked")]
+    RequestSent {
+        /// The request's id.
         request: u64,
+        /// The ingress that it was written to.
         ingress: usize,
+        /// The customer that it is made for.
         customer: u64,
     },
-    /// The client has the final answer, or none by its deadline.
-    Final { request: u64, status: Option<u16> },
-    /// The client could not reach the ingress at all: nothing was taken.
-    Unreached { request: u64, ingress: usize },
-    /// A request has arrived whole at a limit server.
-    Attempt {
+    /// The client has the final response, or none by its deadline.
+    #[serde(rename = "Final")]
+    ResponseReceived {
+        /// The request's id.
+        request: u64,
+        /// Status of the response; `None`: no response by the deadline.
+        status: Option<u16>,
+    },
+    /// The client could not reach the ingress: no request was accepted.
+    #[serde(rename = "Unreached")]
+    ConnectFailed {
+        /// The request's id.
+        request: u64,
+        /// The ingress that could not be reached.
+        ingress: usize,
+    },
+    /// A request has arrived completely at a limit server.
+    #[serde(rename = "Attempt")]
+    AttemptArrived {
+        /// The request's id.
         request: u64,
+        /// The limit server.
         instance: usize,
+        /// The ingress that sent it.
         ingress: usize,
     },
-    /// That attempt is over: its answer was written, or its connection ended.
-    Over {
+    /// That attempt has ended: its response was written, or its connection ended.
+    #[serde(rename = "Over")]
+    AttemptEnded {
+        /// The request's id.
         request: u64,
+        /// The limit server.
         instance: usize,
+        /// The ingress that sent it.
         ingress: usize,
     },
     /// An ingress opened a connection to a limit server.
-    Opened { instance: usize, ingress: usize },
-    /// A limit server starts, cold, or is there from long ago.
-    Life { instance: usize, cold: bool },
-    /// A limit server is gone.
-    Died { instance: usize },
-    /// A cold limit server fell over.
-    Fell { instance: usize },
-    /// The list service was called.
-    Call { ingress: usize, whole: bool },
-    /// The list service answered; a status other than 200 turns the caller away.
-    Listed {
+    #[serde(rename = "Opened")]
+    ConnectionOpened {
+        /// The limit server.
+        instance: usize,
+        /// The ingress.
         ingress: usize,
-        whole: bool,
+    },
+    /// A limit server has started.
+    #[serde(rename = "Life")]
+    InstanceStarted {
+        /// The limit server.
+        instance: usize,
+        /// True where it has to warm up; false where it counts as running since long ago.
+        cold: bool,
+    },
+    /// A limit server has stopped for good.
+    #[serde(rename = "Died")]
+    InstanceStopped {
+        /// The limit server.
+        instance: usize,
+    },
+    /// A limit server that was warming up got more than it can take and failed.
+    #[serde(rename = "Fell")]
+    InstanceOverloaded {
+        /// The limit server.
+        instance: usize,
+    },
+    /// The list service got a request.
+    #[serde(rename = "Call")]
+    ListRequested {
+        /// The ingress that sent it.
+        ingress: usize,
+        /// True for the full list, false for a watch of changes.
+        #[serde(rename = "whole")]
+        full: bool,
+    },
+    /// The list service responded; a status other than 200 rejects the request.
+    #[serde(rename = "Listed")]
+    ListResponse {
+        /// The ingress that asked.
+        ingress: usize,
+        /// True where the response is a full list.
+        #[serde(rename = "whole")]
+        full: bool,
+        /// Status of the response.
         status: u16,
+        /// Length of the body.
         bytes: usize,
-        rev: u64,
-    },
-    /// An ingress was told by a list that an instance drains or is gone.
-    Told { ingress: usize, instance: usize },
-    /// A process of an ingress was started, with a known list of this revision if it has one.
-    Started { ingress: usize, known: Option<u64> },
-    /// It answered `GET /healthz` with 200 for the first time.
-    Ready { ingress: usize },
-    /// A process was stopped, or goes on.
-    Stopped { ingress: usize, on: bool },
-    /// It was ended by the trial.
-    Killed { ingress: usize },
-    /// It ended by itself.
-    Crashed { ingress: usize, status: String },
-    /// A fault begins, or ends.
-    Fault { name: String, on: bool },
-    /// Datagrams that an ingress took in, and that came beyond what it takes in, in the last second.
-    Mail {
+        /// Revision of the list.
+        #[serde(rename = "rev")]
+        revision: u64,
+    },
+    /// A list response showed an ingress that an instance drains or is removed.
+    #[serde(rename = "Told")]
+    RemovalListed {
+        /// The ingress that got the response.
+        ingress: usize,
+        /// The limit server that drains or is removed.
+        instance: usize,
+    },
+    /// A process of an ingress was started.
+    #[serde(rename = "Started")]
+    IngressStarted {
+        /// The ingress.
         ingress: usize,
-        taken: u64,
+        /// Revision of the list that it starts with, if it has one.
+        known: Option<u64>,
+    },
+    /// An ingress answered `GET /healthz` with 200 for the first time.
+    #[serde(rename = "Ready")]
+    IngressReady {
+        /// The ingress.
+        ingress: usize,
+    },
+    /// A process was suspended (SIGSTOP) or continued.
+    #[serde(rename = "Stopped")]
+    IngressSuspended {
+        /// The ingress.
+        ingress: usize,
+        /// True: suspended; false: continued.
+        #[serde(rename = "on")]
+        suspended: bool,
+    },
+    /// A process was killed by the trial.
+    #[serde(rename = "Killed")]
+    IngressKilled {
+        /// The ingress.
+        ingress: usize,
+    },
+    /// A process exited by itself, or could not be started.
+    #[serde(rename = "Crashed")]
+    IngressExited {
+        /// The ingress.
+        ingress: usize,
+        /// Its exit status, or why it could not be started.
+        status: String,
+    },
+    /// A fault begins or ends.
+    #[serde(rename = "Fault")]
+    FaultChanged {
+        /// Name of the fault in the trial's file.
+        name: String,
+        /// True: begins; false: ends.
+        #[serde(rename = "on")]
+        active: bool,
+    },
+    /// Datagrams for an ingress in the last second.
+    #[serde(rename = "Mail")]
+    DatagramsReceived {
+        /// The ingress.
+        ingress: usize,
+        /// Datagrams within the platform's limit.
+        #[serde(rename = "taken")]
+        accepted: u64,
+        /// Datagrams beyond it, which were dropped.
         dropped: u64,
     },
-    /// The rig itself woke up late by so many milliseconds.
-    Late { ms: u64 },
+    /// The testbed itself was scheduled late.
+    #[serde(rename = "Late")]
+    SchedulingDelay {
+        /// By how many milliseconds.
+        ms: u64,
+    },
 }
 
-/// A line of the journal.
+/// An event with its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Line {
+pub struct Entry {
     /// Seconds since the trial began.
-    pub at: f64,
+    #[serde(rename = "at")]
+    pub at_seconds: f64,
     /// What happened.
-    pub what: What,
+    #[serde(rename = "what")]
+    pub event: Event,
+}
+
+/// Why a stored journal cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// The reader failed.
+    #[error("line {line}: {source}")]
+    Io {
+        /// Number of the line, from 1.
+        line: usize,
+        /// The reader's error.
+        source: io::Error,
+    },
+    /// The line is no journal entry.
+    #[error("line {line}: {source}")]
+    Entry {
+        /// Number of the line, from 1.
+        line: usize,
+        /// Where and why the parser stopped.
+        source: serde_json::Error,
+    },
 }
 
-/// The journal of a trial that is on.
+/// The journal of a running trial; clones write into the same one.
 #[derive(Clone)]
 pub struct Journal {
     began: Instant,
-    lines: Arc<Mutex<Vec<Line>>>,
+    entries: Arc<Mutex<Vec<Entry>>>,
 }
 
 impl Journal {
-    /// Begins now.
+    /// An empty journal whose time starts now.
     pub fn begin() -> Self {
         Journal {
             began: Instant::now(),
-            lines: Arc::default(),
+            entries: Arc::default(),
         }
     }
 
@@ -112,88 +238,54 @@
         self.began.elapsed().as_secs_f64()
     }
 
-    /// Writes one line, with the time of the call: lines are in the order of their times.
-    pub fn note(&self, what: What) {
-        let mut lines = self
-            .lines
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        let at = self.now();
-        lines.push(Line { at, what });
+    /// Appends an event with the current time. The time is taken under the lock, which keeps the entries in order.
+    pub fn record(&self, event: Event) {
+        let mut entries = self.lock();
+        let at_seconds = self.now();
+        entries.push(Entry { at_seconds, event });
     }
 
-    /// What a look at all lines so far gives.
-    pub fn look<T>(&self, look: impl FnOnce(&[Line]) -> T) -> T {
-        look(
-            &self
-                .lines
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner),
-        )
+    /// Evaluates a function over all entries so far, without copying them.
+    pub fn inspect<T>(&self, evaluate: impl FnOnce(&[Entry]) -> T) -> T {
+        evaluate(&self.lock())
     }
 
-    /// All lines so far.
-    pub fn lines(&self) -> Vec<Line> {
-        self.lines
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .clone()
+    /// All entries so far.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Writes a journal as JSON lines.
+/// Writes entries as JSON lines.
 ///
 /// # Errors
 ///
-/// What the writer says.
-pub fn write(lines: &[Line], mut to: impl Write) -> io::Result<()> {
-    for line in lines {
-        serde_json::to_writer(&mut to, line)?;
+/// Errors of the writer.
+pub fn write(entries: &[Entry], mut to: impl Write) -> io::Result<()> {
+    for entry in entries {
+        serde_json::to_writer(&mut to, entry)?;
         to.write_all(b"\n")?;
     }
     to.flush()
 }
 
-/// Reads one again.
+/// Reads entries from JSON lines.
 ///
 /// # Errors
 ///
-/// The first line that is none, by its number.
-pub fn read(from: impl BufRead) -> Result<Vec<Line>, String> {
-    let line = |(i, line): (usize, io::Result<String>)| {
-        let text = line.map_err(|e| format!("line {}: {e}", i + 1))?;
-        serde_json::from_str(&text).map_err(|e| format!("line {}: {e}", i + 1))
+/// The first line that cannot be read, by its number.
+pub fn read(from: impl BufRead) -> Result<Vec<Entry>, ReadError> {
+    let entry = |(index, text): (usize, io::Result<String>)| {
+        let line = index + 1;
+        let text = text.map_err(|source| ReadError::Io { line, source })?;
+        serde_json::from_str(&text).map_err(|source| ReadError::Entry { line, source })
     };
-    from.lines().enumerate().map(line).collect()
+    from.lines().enumerate().map(entry).collect()
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_written_is_read_again_and_a_torn_line_is_named() {
-        let lines = vec![
-            Line {
-                at: 0.5,
-                what: What::Asked {
-                    request: 7,
-                    ingress: 1,
-                    customer: 9,
-                },
-            },
-            Line {
-                at: 0.75,
-                what: What::Final {
-                    request: 7,
-                    status: Some(200),
-                },
-            },
-        ];
-        let mut text = Vec::new();
-        write(&lines, &mut text).expect("written");
-        assert_eq!(read(&text[..]).expect("read"), lines);
-        let torn = read(&text[..text.len() - 9]).expect_err("torn");
-        assert!(torn.starts_with("line 2: "), "{torn}");
-    }
-}
+mod tests;
--- a/crates/fault-testbed/src/lib.rs
+++ b/crates/fault-testbed/src/lib.rs
@@ -1,25 +1,25 @@
 //! Trials of many real processes of the daemon on loopback, with faults between them.
 //!
-//! A trial ([`trial`]) names sizes, traffic and faults; [`run`] plays it: it starts the daemon's processes ([`process`]),
-//! stand-ins for limit servers and the list service, and clients, and leads every way between two parts through links
-//! ([`net`], [`pipe`], [`faces`]) that lose, delay, silence or reset. What crosses is written down in a journal
-//! ([`journal`]); the verdict is the checkers' ([`check`]), which read nothing else. Nothing here links the daemon.
+//! A trial ([`trial`]) states sizes, traffic and faults ([`fault`]); [`mod@run`] runs it: it starts the daemon's processes
+//! ([`process`]), fakes of the limit servers ([`instance`]) and of the list service ([`list_service`]), and [`clients`].
+//! All traffic crosses links ([`network`]) by proxies ([`tcp_proxy`], [`udp_proxy`]) that lose, delay, silence or reset
+//! it. What crosses is recorded in a [`journal`]; the checkers ([`check`]) read nothing else. The daemon's code is not
+//! linked.
 
 pub mod capacity;
 pub mod check;
 pub mod clients;
-pub mod faces;
+mod environment;
 pub mod fault;
-mod inject;
 pub mod instance;
 pub mod journal;
-pub mod list;
+pub mod list_service;
 pub mod measure;
-pub mod net;
-pub mod parts;
-pub mod pipe;
+pub mod network;
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod tcp_proxy;
+pub mod topology;
 pub mod trial;
-mod world;
+pub mod udp_proxy;
--- /dev/null
+++ b/crates/fault-testbed/src/network/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+fn rule(name: &str, both: bool, condition: LinkCondition) -> LinkRule {
+    let (from, to) = (
+        [Component::Ingress(1)].into(),
+        [Component::ListService, Component::Ingress(2)].into(),
+    );
+    LinkRule {
+        name: name.to_string(),
+        from,
+        to,
+        both,
+        condition,
+    }
+}
+
+#[test]
+fn rules_apply_to_their_direction_only_and_combine_until_they_are_removed() {
+    let network = Network::default();
+    let (there, back) = (
+        network.link(Component::Ingress(1), Component::ListService),
+        network.link(Component::ListService, Component::Ingress(1)),
+    );
+    network.add_rule(rule(
+        "late",
+        false,
+        LinkCondition {
+            delay: RETRANSMIT_DELAY,
+            loss: 0.5,
+            ..LinkCondition::default()
+        },
+    ));
+    assert_eq!(
+        (there.condition().delay, back.condition().delay),
+        (RETRANSMIT_DELAY, Duration::ZERO)
+    );
+    network.add_rule(rule(
+        "cut",
+        true,
+        LinkCondition {
+            silent: true,
+            loss: 0.5,
+            ..LinkCondition::default()
+        },
+    ));
+    assert!(there.condition().silent && back.condition().silent && there.condition().loss == 0.75);
+    network.remove_rules("late");
+    assert_eq!(
+        (there.condition().delay, there.condition().silent),
+        (Duration::ZERO, true)
+    );
+    network.remove_rules("cut");
+    assert_eq!(back.condition(), LinkCondition::default());
+}
--- a/crates/fault-testbed/src/process.rs
+++ b/crates/fault-testbed/src/process.rs
@@ -1,9 +1,7 @@
-//! The daemon's processes: each with a name, addresses, a folder and a log of its own; started, stopped, killed by id.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The daemon's processes: each with addresses, a folder and a log of its own; started, signalled and killed by id.
+//!
+//! Input: the settings of an ingress and the list that it starts with. Output: a running process, its log and what it
+//! used. Invariant: a process ends with its [`IngressProcess`], and with the testbed.
 
 use std::fs::File;
 use std::io;
@@ -14,70 +12,96 @@
 
 use serde_json::{json, Value};
 
-/// Everything about an ingress that its lives share.
+use crate::check::Ceiling;
+use crate::list_service::Snapshot;
+
+/// What all processes of an ingress have in common.
 #[derive(Clone, Debug)]
-pub struct Seat {
+pub struct IngressConfig {
     /// Its number.
     pub number: usize,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where it takes datagrams in.
+    /// Where it receives datagrams.
     pub peer_listen: SocketAddr,
     /// Where it finds the list service.
     pub discovery: SocketAddr,
-    /// Its peers, its own face included.
+    /// Addresses of its peers, its own included.
     pub peers: Vec<SocketAddr>,
-    /// Its zone's name, and all zones'.
-    pub zones: (String, Vec<String>),
-    /// The text of its operator's file, if it gets one.
-    pub operator: Option<String>,
-    /// Quota of a customer: units a second and at once; and the ceiling's, 0 for none.
-    pub quota: (f64, f64),
-    /// See `quota`.
-    pub ceiling: (f64, f64, f64),
-    /// What the settings tell of cold limit servers: share, seconds.
-    pub cold: (f64, f64),
-    /// The same: multiple and seconds that push one over.
-    pub fall: (f64, f64),
+    /// Name of its zone.
+    pub zone: String,
+    /// Names of all zones.
+    pub zones: Vec<String>,
+    /// Text of its operator's file, if it gets one.
+    pub operator_file: Option<String>,
+    /// Quota of each customer, units per second; twice as much at once.
+    pub quota_per_second: f64,
+    /// Ceiling of each customer.
+    pub ceiling: Ceiling,
+    /// What the settings say of limit servers that warm up.
+    pub warmup: WarmupSettings,
+}
+
+/// What the platform's settings say of limit servers that warm up.
+#[derive(Clone, Copy, Debug)]
+pub struct WarmupSettings {
+    /// Fraction of its capacity at its start.
+    pub slow_start_fraction: f64,
+    /// Seconds until it is warm.
+    pub warmup_seconds: f64,
+    /// Multiple of its capacity that makes it fail,
+    pub overload_multiple: f64,
+    /// over so many seconds.
+    pub overload_window_seconds: f64,
+}
+
+/// What the running process of an ingress has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ResourceUsage {
+    /// Processor time in seconds.
+    pub cpu_seconds: f64,
+    /// Highest resident memory.
+    pub peak_memory_bytes: u64,
 }
 
-/// An ingress of a trial: its seat, and the process that runs there now. Killed when it is dropped.
-pub struct Ingress {
-    /// What its lives share.
-    pub seat: Seat,
+/// An ingress of a trial, and its current process. The process is killed when this is dropped.
+pub struct IngressProcess {
+    /// What all its processes have in common.
+    pub config: IngressConfig,
     program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
-    lives: u64,
-    stopped: bool,
+    /// Number of processes started so far.
+    incarnation: u64,
+    suspended: bool,
 }
 
-impl Ingress {
-    /// One that does not run yet; its files go into a folder of its own under `folder`.
-    pub fn new(seat: Seat, program: &Path, folder: &Path) -> Self {
-        let folder = folder.join(format!("n{}", seat.number));
-        Ingress {
-            seat,
+impl IngressProcess {
+    /// An ingress that does not run yet; its files go into a folder of its own under `folder`.
+    pub fn new(config: IngressConfig, program: &Path, folder: &Path) -> Self {
+        let folder = folder.join(format!("n{}", config.number));
+        IngressProcess {
+            config,
             program: program.into(),
             folder,
             child: None,
-            lives: 0,
-            stopped: false,
+            incarnation: 0,
+            suspended: false,
         }
     }
 
-    /// Starts a process with this known list.
+    /// Starts a process that knows this list; a running one is killed before.
     ///
     /// # Errors
     ///
-    /// What the system says.
-    pub fn start(&mut self, rev: u64, known: &[Value]) -> io::Result<()> {
+    /// Errors of the files and of the start.
+    pub fn start(&mut self, known: &Snapshot) -> io::Result<()> {
         self.kill();
-        let tmp = self.folder.join("tmp");
-        std::fs::create_dir_all(&tmp)?;
-        self.lives += 1;
+        let temporary = self.folder.join("tmp");
+        std::fs::create_dir_all(&temporary)?;
+        self.incarnation += 1;
         let config = self.folder.join("config.json");
-        std::fs::write(&config, self.configuration(rev, known).to_string())?;
+        std::fs::write(&config, self.platform_config(known).to_string())?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -87,115 +111,133 @@
             .arg("serve")
             .env_clear()
             .env("GW_CONFIG", &config)
-            .env("TMPDIR", &tmp);
-        if let Some(text) = &self.seat.operator {
-            let file = self.folder.join("operator.ini");
-            std::fs::write(&file, text)?;
-            command.arg("--operator").arg(&file);
-        }
-        command
+            .env("TMPDIR", &temporary)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
-        // SAFETY: prctl is async-signal-safe and takes plain numbers. Guards against processes that outlive a rig
-        // that was itself killed; those of one that ends by itself are ended by `drop`.
-        unsafe {
-            command.pre_exec(
-                || match libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) {
-                    0 => Ok(()),
-                    _ => Err(io::Error::last_os_error()),
-                },
-            );
+        if let Some(text) = &self.config.operator_file {
+            let file = self.folder.join("operator.ini");
+            std::fs::write(&file, text)?;
+            command.arg("--operator").arg(&file);
         }
+        kill_with_parent(&mut command);
         self.child = Some(command.spawn()?);
         Ok(())
     }
 
-    /// Sends it a signal; nothing where it does not run.
+    /// Sends the process a signal; nothing where none runs.
     pub fn signal(&mut self, signal: i32) {
         let Some(child) = &self.child else { return };
-        self.stopped = match signal {
+        self.suspended = match signal {
             libc::SIGSTOP => true,
             libc::SIGCONT => false,
-            _ => self.stopped,
+            _ => self.suspended,
         };
-        // SAFETY: a signal to a child of ours that was not waited for, so its number is still its own.
+        // SAFETY: a signal to a child of this process that was not waited for, so the id is still its own.
         unsafe { libc::kill(child.id() as libc::pid_t, signal) };
     }
 
-    /// Kills it, and waits for its end; nothing where it does not run.
+    /// Kills the process and waits for its end; nothing where none runs.
     pub fn kill(&mut self) {
         let Some(mut child) = self.child.take() else {
             return;
         };
         let _ = child.kill();
         let _ = child.wait();
-        self.stopped = false;
+        self.suspended = false;
     }
 
-    /// True while there is a process, stopped or not, that nobody saw end.
-    pub fn there(&self) -> bool {
+    /// True while there is a process, suspended or not, whose end was not observed.
+    pub fn exists(&self) -> bool {
         self.child.is_some()
     }
 
-    /// How it ended, where it did so by itself.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
+    /// The exit status of a process that has ended by itself since the last call.
+    pub fn take_exit(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok()??;
         self.child = None;
         Some(status)
     }
 
-    /// True while a process runs that is not stopped.
-    pub fn runs(&self) -> bool {
-        self.child.is_some() && !self.stopped
+    /// True while a process runs that is not suspended.
+    pub fn running(&self) -> bool {
+        self.child.is_some() && !self.suspended
     }
 
-    /// Its log so far, of all its lives.
+    /// The log of all its processes so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
 
-    /// Processor time and peak memory of the process that runs, in seconds and bytes.
-    pub fn cost(&self) -> Option<(f64, u64)> {
+    /// What the running process has used.
+    pub fn usage(&self) -> Option<ResourceUsage> {
         let id = self.child.as_ref()?.id();
-        let stat = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
-        let cpu = stat.split_whitespace().next()?.parse::<u64>().ok()? as f64 / 1e9;
+        let schedstat = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+        let cpu_ns: u64 = schedstat.split_whitespace().next()?.parse().ok()?;
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
-        Some((
-            cpu,
-            peak.split_whitespace().next()?.parse::<u64>().ok()? * 1024,
-        ))
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak_kib: u64 = peak.split_whitespace().next()?.parse().ok()?;
+        Some(ResourceUsage {
+            cpu_seconds: cpu_ns as f64 / 1e9,
+            peak_memory_bytes: peak_kib * 1024,
+        })
     }
 
-    fn configuration(&self, rev: u64, known: &[Value]) -> Value {
-        let seat = &self.seat;
-        let seed = (seat.number as u64) << 32 | self.lives;
-        json!({"name": format!("n{}", seat.number), "listen": seat.listen.to_string(),
-            "discovery": seat.discovery.to_string(), "seed": format!("{seed:x}"),
+    fn platform_config(&self, known: &Snapshot) -> Value {
+        let config = &self.config;
+        let seed = (config.number as u64) << 32 | self.incarnation;
+        json!({"name": format!("n{}", config.number), "listen": config.listen.to_string(),
+            "discovery": config.discovery.to_string(), "seed": format!("{seed:x}"),
             "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 384},
-            "peer_listen": seat.peer_listen.to_string(), "peers": seat.peers,
-            "known": {"rev": rev, "all": true, "targets": known},
-            "settings": {
-                "areas": seat.zones.1, "zone": seat.zones.0, "me": seat.number, "peers_total": seat.peers.len(),
-                "discovery": "automatic",
-                "classes": [{"name": "limit-check", "deadline_ns": 3_000_000_000u64, "objective_ns": 800_000_000,
-                    "worth": 1.0, "idempotency": "retryable", "key_scope": "all", "dedup_window_ns": 0,
-                    "stream": false}],
-                "tariffs": [{"name": "shop", "refill": seat.quota.0, "peak_units": seat.quota.1, "pays": 1.0,
-                    "cap_rate": seat.ceiling.0, "never_over_depth": seat.ceiling.1, "hard_slack": seat.ceiling.2}],
-                "load_info": {"names": ["utilization"], "via": "answers"},
-                "obligations": {"cold_ns": (seat.cold.1 * 1e9) as u64, "cold_share": seat.cold.0,
-                    "fall_ns": (seat.fall.1 * 1e9) as u64, "overload_factor": seat.fall.0,
-                    "stop_sending_within_ns": 500_000_000},
-                "permissions": {"max_attempts": 3, "max_retry_after_ns": 500_000_000, "may_cancel": true,
-                    "peer_messages": true, "retry_after": true, "second_copies": false,
-                    "conn_idle_ns": 15_000_000_000u64, "dial_timeout_ns": 250_000_000},
-                "specifics": {"mail_per_s": 40.0, "most_units": 1}}})
+            "peer_listen": config.peer_listen.to_string(), "peers": config.peers,
+            "known": {"rev": known.revision, "all": true, "targets": known.targets},
+            "settings": platform_settings(config)})
+    }
+}
+
+/// The `settings` of the platform's configuration, in its own words.
+fn platform_settings(config: &IngressConfig) -> Value {
+    let IngressConfig {
+        quota_per_second,
+        ceiling,
+        warmup,
+        ..
+    } = config;
+    json!({
+        "areas": config.zones, "zone": config.zone, "me": config.number, "peers_total": config.peers.len(),
+        "discovery": "automatic",
+        "classes": [{"name": "limit-check", "deadline_ns": 3_000_000_000u64, "objective_ns": 800_000_000,
+            "worth": 1.0, "idempotency": "retryable", "key_scope": "all", "dedup_window_ns": 0,
+            "stream": false}],
+        "tariffs": [{"name": "shop", "refill": quota_per_second, "peak_units": 2.0 * quota_per_second, "pays": 1.0,
+            "cap_rate": ceiling.units_per_second, "never_over_depth": ceiling.burst_units,
+            "hard_slack": ceiling.tolerated_units}],
+        "load_info": {"names": ["utilization"], "via": "answers"},
+        "obligations": {"cold_ns": (warmup.warmup_seconds * 1e9) as u64, "cold_share": warmup.slow_start_fraction,
+            "fall_ns": (warmup.overload_window_seconds * 1e9) as u64, "overload_factor": warmup.overload_multiple,
+            "stop_sending_within_ns": 500_000_000},
+        "permissions": {"max_attempts": 3, "max_retry_after_ns": 500_000_000, "may_cancel": true,
+            "peer_messages": true, "retry_after": true, "second_copies": false,
+            "conn_idle_ns": 15_000_000_000u64, "dial_timeout_ns": 250_000_000},
+        "specifics": {"mail_per_s": 40.0, "most_units": 1}})
+}
+
+/// Has the system kill the process when the testbed is killed itself; where the testbed ends normally, `drop` does.
+fn kill_with_parent(command: &mut Command) {
+    // SAFETY: prctl is async-signal-safe and takes plain numbers.
+    unsafe {
+        command.pre_exec(
+            || match libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            },
+        );
     }
 }
 
-impl Drop for Ingress {
+impl Drop for IngressProcess {
     fn drop(&mut self) {
         self.kill();
     }
--- a/crates/fault-testbed/src/report.rs
+++ b/crates/fault-testbed/src/report.rs
@@ -1,264 +1,278 @@
-//! A page for a trial: each ingress's life, calls at the list service, load of the limit servers; faults shaded.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! The page of a trial: lifetime of each ingress, requests at the list service, responses to clients, load of the limit
+//! servers; faults are shaded.
+//!
+//! Input: the outcome of a trial. Output: SVG text.
 
 use std::collections::BTreeMap;
 
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
 use plotters::prelude::*;
 
-use crate::journal::{Line, What};
-use crate::run::Played;
+use crate::journal::{Entry, Event};
+use crate::run::TrialOutcome;
 
+/// Size of the page in pixels.
 const SIZE: (u32, u32) = (1100, 1000);
-/// Seconds of a column.
-const COLUMN: f64 = 0.1;
+/// Seconds of a column of the counts.
+const COLUMN_SECONDS: f64 = 0.1;
+/// Highest value of an axis over the highest value drawn.
+const HEADROOM: f64 = 1.05;
+
+/// The drawing library failed.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct DrawError(String);
+
+impl<E: std::error::Error + Send + Sync> From<DrawingAreaErrorKind<E>> for DrawError {
+    fn from(error: DrawingAreaErrorKind<E>) -> Self {
+        DrawError(error.to_string())
+    }
+}
 
 /// The page as SVG.
 ///
 /// # Errors
 ///
-/// What the plot library says.
-pub fn svg(played: &Played, title: &str) -> Result<String, String> {
+/// Errors of the drawing library.
+pub fn svg(outcome: &TrialOutcome, title: &str) -> Result<String, DrawError> {
     let mut text = String::new();
-    draw(played, title, &mut text).map_err(|e| e.to_string())?;
+    draw(outcome, title, &mut text)?;
     Ok(text)
 }
 
-type Drawn = Result<(), Box<dyn std::error::Error>>;
-
-fn draw(played: &Played, title: &str, text: &mut String) -> Drawn {
+fn draw(outcome: &TrialOutcome, title: &str, text: &mut String) -> Result<(), DrawError> {
     let root = SVGBackend::with_string(text, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
-    let end = played.lines.last().map_or(1.0, |l| l.at).max(1.0);
-    let parts = root.titled(title, ("sans-serif", 18))?.split_evenly((4, 1));
-    let faults = faults(&played.lines, end);
-    lives(&parts[0], played, end, &faults)?;
-    let counted = |kind: fn(&What) -> bool| columns(&played.lines, end, kind);
-    bars(
-        &parts[1],
+    let areas = root.titled(title, ("sans-serif", 18))?.split_evenly((4, 1));
+    let page = Page::new(&outcome.entries);
+    page.draw_ingresses(&areas[0], outcome)?;
+    page.draw_counts(
+        &areas[1],
         "calls at the list service in 100 ms",
-        end,
-        &faults,
         &[
-            (BLUE, counted(|w| matches!(w, What::Call { .. }))),
-            (
-                RED,
-                counted(|w| matches!(w, What::Listed { status: 503, .. })),
-            ),
+            (BLUE, page.counts(is_list_request)),
+            (RED, page.counts(is_list_rejection)),
         ],
     )?;
-    bars(
-        &parts[2],
+    page.draw_counts(
+        &areas[2],
         "answers to clients in 100 ms: served, refused",
-        end,
-        &faults,
         &[
-            (
-                GREEN,
-                counted(|w| {
-                    matches!(
-                        w,
-                        What::Final {
-                            status: Some(200),
-                            ..
-                        }
-                    )
-                }),
-            ),
-            (
-                RED,
-                counted(|w| {
-                    matches!(
-                        w,
-                        What::Final {
-                            status: Some(429 | 503),
-                            ..
-                        }
-                    )
-                }),
-            ),
+            (GREEN, page.counts(is_served)),
+            (RED, page.counts(is_refused)),
         ],
     )?;
-    load(&parts[3], played, end, &faults)?;
+    page.draw_load(&areas[3], outcome)?;
     root.present()?;
     Ok(())
 }
 
-/// Spans of the faults.
-fn faults(lines: &[Line], end: f64) -> Vec<(f64, f64)> {
-    let mut open: BTreeMap<&str, f64> = BTreeMap::new();
-    let mut spans = Vec::new();
-    for line in lines {
-        if let What::Fault { name, on } = &line.what {
-            if *on {
-                open.insert(name, line.at);
-            } else if let Some(from) = open.remove(name.as_str()) {
-                spans.push((from, line.at));
-            }
-        }
-    }
-    spans.extend(open.values().map(|from| (*from, (from + COLUMN).min(end))));
-    spans
+fn is_list_request(event: &Event) -> bool {
+    matches!(event, Event::ListRequested { .. })
 }
 
-fn columns(lines: &[Line], end: f64, kind: fn(&What) -> bool) -> Vec<f64> {
-    let mut columns = vec![0.0; (end / COLUMN) as usize + 1];
-    lines
-        .iter()
-        .filter(|l| kind(&l.what))
-        .for_each(|l| columns[(l.at / COLUMN) as usize] += 1.0);
-    columns
+fn is_list_rejection(event: &Event) -> bool {
+    matches!(event, Event::ListResponse { status: 503, .. })
 }
 
-type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+fn is_served(event: &Event) -> bool {
+    let Event::ResponseReceived { status, .. } = event else {
+        return false;
+    };
+    *status == Some(200)
+}
 
-fn chart<'a, 'b>(
-    area: &'b Area<'a>,
-    caption: &str,
-    end: f64,
-    most: f64,
-    faults: &[(f64, f64)],
-) -> Result<
-    ChartContext<
-        'b,
-        SVGBackend<'a>,
-        Cartesian2d<plotters::coord::types::RangedCoordf64, plotters::coord::types::RangedCoordf64>,
-    >,
-    Box<dyn std::error::Error + 'a>,
-> {
-    let mut chart = ChartBuilder::on(area)
-        .caption(caption, ("sans-serif", 13))
-        .margin(6)
-        .x_label_area_size(22)
-        .y_label_area_size(40)
-        .build_cartesian_2d(0.0..end, 0.0..most)?;
-    chart
-        .configure_mesh()
-        .disable_x_mesh()
-        .light_line_style(WHITE)
-        .draw()?;
-    let shade = |(from, to): &(f64, f64)| {
-        Rectangle::new([(*from, 0.0), (*to, most)], BLACK.mix(0.08).filled())
+fn is_refused(event: &Event) -> bool {
+    let Event::ResponseReceived { status, .. } = event else {
+        return false;
     };
-    chart.draw_series(faults.iter().map(shade))?;
-    Ok(chart)
+    matches!(status, Some(429 | 503))
 }
 
-fn bars(
-    area: &Area<'_>,
-    caption: &str,
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'b, SVGBackend<'a>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// What all charts of a page have in common.
+struct Page<'e> {
+    entries: &'e [Entry],
+    /// End of the time axis in seconds.
     end: f64,
-    faults: &[(f64, f64)],
-    series: &[(RGBColor, Vec<f64>)],
-) -> Drawn {
-    let most = series
-        .iter()
-        .flat_map(|(_, c)| c)
-        .copied()
-        .fold(1.0, f64::max)
-        * 1.05;
-    let mut chart = chart(area, caption, end, most, faults).map_err(|e| e.to_string())?;
-    for (color, columns) in series {
-        let points = columns
-            .iter()
-            .enumerate()
-            .map(|(i, n)| (i as f64 * COLUMN, *n));
+    /// When each fault began and ended.
+    faults: Vec<(f64, f64)>,
+}
+
+impl<'e> Page<'e> {
+    fn new(entries: &'e [Entry]) -> Self {
+        let end = entries.last().map_or(1.0, |entry| entry.at_seconds);
+        let end = end.max(1.0);
+        Page {
+            entries,
+            end,
+            faults: fault_spans(entries, end),
+        }
+    }
+
+    /// Number of events of a kind in each column.
+    fn counts(&self, counted: fn(&Event) -> bool) -> Vec<f64> {
+        let mut columns = vec![0.0; (self.end / COLUMN_SECONDS) as usize + 1];
+        for entry in self.entries.iter().filter(|entry| counted(&entry.event)) {
+            columns[(entry.at_seconds / COLUMN_SECONDS) as usize] += 1.0;
+        }
+        columns
+    }
+
+    fn chart<'a, 'b>(
+        &self,
+        area: &'b Area<'a>,
+        caption: &str,
+        highest: f64,
+    ) -> Result<Chart<'a, 'b>, DrawError> {
+        let mut chart = ChartBuilder::on(area)
+            .caption(caption, ("sans-serif", 13))
+            .margin(6)
+            .x_label_area_size(22)
+            .y_label_area_size(40)
+            .build_cartesian_2d(0.0..self.end, 0.0..highest)?;
         chart
-            .draw_series(LineSeries::new(points, color))
-            .map_err(|e| e.to_string())?;
+            .configure_mesh()
+            .disable_x_mesh()
+            .light_line_style(WHITE)
+            .draw()?;
+        let shade = |(from, to): &(f64, f64)| {
+            Rectangle::new([(*from, 0.0), (*to, highest)], BLACK.mix(0.08).filled())
+        };
+        chart.draw_series(self.faults.iter().map(shade))?;
+        Ok(chart)
+    }
+
+    /// A line for each series of counts.
+    fn draw_counts(
+        &self,
+        area: &Area<'_>,
+        caption: &str,
+        series: &[(RGBColor, Vec<f64>)],
+    ) -> Result<(), DrawError> {
+        let counts = series.iter().flat_map(|(_, counts)| counts);
+        let highest = counts.copied().fold(1.0, f64::max) * HEADROOM;
+        let mut chart = self.chart(area, caption, highest)?;
+        for (color, counts) in series {
+            let point = |(column, count): (usize, &f64)| (column as f64 * COLUMN_SECONDS, *count);
+            let points = counts.iter().enumerate().map(point);
+            chart.draw_series(LineSeries::new(points, color))?;
+        }
+        Ok(())
+    }
+
+    /// A line for each ingress: grey while it runs, blue from its first list on, a red mark where it was killed.
+    fn draw_ingresses(&self, area: &Area<'_>, outcome: &TrialOutcome) -> Result<(), DrawError> {
+        let count = outcome.topology.ingresses as f64;
+        let mut chart = self.chart(area, "ingresses: running, listed, killed", count)?;
+        let (lifetimes, kills) = lifetimes(self.entries, self.end);
+        for lifetime in lifetimes {
+            let height = lifetime.ingress as f64 + 0.5;
+            let listed = lifetime.first_list.unwrap_or(lifetime.end);
+            let line = |from, to, style: ShapeStyle| {
+                PathElement::new([(from, height), (to, height)], style)
+            };
+            chart.draw_series([
+                line(lifetime.start, listed, BLACK.mix(0.3).into()),
+                line(listed, lifetime.end, BLUE.into()),
+            ])?;
+        }
+        let mark = |kill: &(f64, f64)| Circle::new(*kill, 2, RED.filled());
+        chart.draw_series(kills.iter().map(mark))?;
+        Ok(())
+    }
+
+    /// A line for each limit server: requests that arrived, over what it can process when warm.
+    fn draw_load(&self, area: &Area<'_>, outcome: &TrialOutcome) -> Result<(), DrawError> {
+        let mut loads: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+        let warm = outcome.settings.model.warm_requests_per_second();
+        for entry in self.entries {
+            if let Event::AttemptArrived { instance, .. } = entry.event {
+                let seconds = loads
+                    .entry(instance)
+                    .or_insert_with(|| vec![0.0; self.end as usize + 1]);
+                seconds[entry.at_seconds as usize] += 1.0 / warm;
+            }
+        }
+        let highest = loads.values().flatten().copied().fold(0.2, f64::max) * HEADROOM;
+        let caption = "each limit server: requests a second, over what it can do warm";
+        let mut chart = self.chart(area, caption, highest)?;
+        for (index, seconds) in loads.values().enumerate() {
+            let point = |(second, load): (usize, &f64)| (second as f64 + 0.5, *load);
+            let points = seconds.iter().enumerate().map(point);
+            let color = Palette99::pick(index).mix(0.7);
+            chart.draw_series(LineSeries::new(points, color))?;
+        }
+        Ok(())
     }
-    Ok(())
 }
 
-/// A line for each ingress: grey while it runs, from its first list on blue, red marks where it was killed.
-fn lives(area: &Area<'_>, played: &Played, end: f64, faults: &[(f64, f64)]) -> Drawn {
-    let many = played.layout.ingresses as f64;
-    let mut chart = chart(
-        area,
-        "ingresses: running, listed, killed",
-        end,
-        many,
-        faults,
-    )
-    .map_err(|e| e.to_string())?;
-    let mut since: BTreeMap<usize, (f64, Option<f64>)> = BTreeMap::new();
+/// When each fault began and ended; one without an end is a column wide.
+fn fault_spans(entries: &[Entry], end: f64) -> Vec<(f64, f64)> {
+    let mut active: BTreeMap<&str, f64> = BTreeMap::new();
     let mut spans = Vec::new();
-    let mut marks = Vec::new();
-    for line in &played.lines {
-        match line.what {
-            What::Started { ingress, .. } => drop(since.insert(ingress, (line.at, None))),
-            What::Listed {
+    for entry in entries {
+        let at = entry.at_seconds;
+        match &entry.event {
+            Event::FaultChanged { name, active: true } => drop(active.insert(name, at)),
+            Event::FaultChanged { name, .. } => {
+                spans.extend(active.remove(name.as_str()).map(|from| (from, at)));
+            }
+            _ => {}
+        }
+    }
+    let column = |from: &f64| (*from, (from + COLUMN_SECONDS).min(end));
+    spans.extend(active.values().map(column));
+    spans
+}
+
+/// One process of an ingress; times in seconds.
+struct Lifetime {
+    ingress: usize,
+    start: f64,
+    first_list: Option<f64>,
+    end: f64,
+}
+
+/// The processes of all ingresses, and the marks where they ended.
+fn lifetimes(entries: &[Entry], end: f64) -> (Vec<Lifetime>, Vec<(f64, f64)>) {
+    let mut running: BTreeMap<usize, Lifetime> = BTreeMap::new();
+    let (mut ended, mut kills) = (Vec::new(), Vec::new());
+    for entry in entries {
+        let at = entry.at_seconds;
+        match entry.event {
+            Event::IngressStarted { ingress, .. } => {
+                let lifetime = Lifetime {
+                    ingress,
+                    start: at,
+                    first_list: None,
+                    end,
+                };
+                running.insert(ingress, lifetime);
+            }
+            Event::ListResponse {
                 ingress,
                 status: 200,
                 ..
             } => {
-                if let Some((_, listed)) = since.get_mut(&ingress) {
-                    listed.get_or_insert(line.at);
+                if let Some(lifetime) = running.get_mut(&ingress) {
+                    lifetime.first_list.get_or_insert(at);
                 }
             }
-            What::Killed { ingress } | What::Crashed { ingress, .. } => {
-                marks.push((line.at, ingress as f64 + 0.5));
-                spans.extend(
-                    since
-                        .remove(&ingress)
-                        .map(|(from, listed)| (ingress, from, listed, line.at)),
-                );
+            Event::IngressKilled { ingress } | Event::IngressExited { ingress, .. } => {
+                kills.push((at, ingress as f64 + 0.5));
+                let lifetime = running.remove(&ingress);
+                ended.extend(lifetime.map(|lifetime| Lifetime {
+                    end: at,
+                    ..lifetime
+                }));
             }
             _ => {}
         }
     }
-    spans.extend(
-        since
-            .into_iter()
-            .map(|(ingress, (from, listed))| (ingress, from, listed, end)),
-    );
-    for (ingress, from, listed, to) in spans {
-        let y = ingress as f64 + 0.5;
-        let known = listed.unwrap_or(to);
-        let line = |a, b, style: ShapeStyle| PathElement::new([(a, y), (b, y)], style);
-        let both = [
-            line(from, known, BLACK.mix(0.3).into()),
-            line(known, to, BLUE.into()),
-        ];
-        chart.draw_series(both).map_err(|e| e.to_string())?;
-    }
-    chart
-        .draw_series(marks.iter().map(|at| Circle::new(*at, 2, RED.filled())))
-        .map_err(|e| e.to_string())?;
-    Ok(())
-}
-
-/// A line for each limit server: requests that arrived, over what it can do warm.
-fn load(area: &Area<'_>, played: &Played, end: f64, faults: &[(f64, f64)]) -> Drawn {
-    let mut loads: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
-    let warm = played.rules.model.cores as f64 / played.rules.model.work;
-    for line in &played.lines {
-        if let What::Attempt { instance, .. } = line.what {
-            let columns = loads
-                .entry(instance)
-                .or_insert_with(|| vec![0.0; end as usize + 1]);
-            columns[line.at as usize] += 1.0 / warm;
-        }
-    }
-    let most = loads.values().flatten().copied().fold(0.2, f64::max) * 1.05;
-    let caption = "each limit server: requests a second, over what it can do warm";
-    let mut chart = chart(area, caption, end, most, faults).map_err(|e| e.to_string())?;
-    for (i, columns) in loads.values().enumerate() {
-        let points = columns
-            .iter()
-            .enumerate()
-            .map(|(s, load)| (s as f64 + 0.5, *load));
-        let color = Palette99::pick(i).mix(0.7);
-        chart
-            .draw_series(LineSeries::new(points, color))
-            .map_err(|e| e.to_string())?;
-    }
-    Ok(())
+    ended.extend(running.into_values());
+    (ended, kills)
 }
--- a/crates/fault-testbed/src/run.rs
+++ b/crates/fault-testbed/src/run.rs
@@ -1,9 +1,6 @@
-//! Plays a trial: builds its world, starts the processes, lets the faults come, and gathers the journal.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Runs a trial: builds its environment, starts the processes and faults, sends traffic, and judges the journal.
+//!
+//! Input: a [`Trial`] and the daemon's program. Output: a [`TrialOutcome`]. Invariant: no process outlives the run.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,212 +10,228 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
-use crate::capacity::Model;
-use crate::check::{self, Figures, Rules};
-use crate::clients::{Clients, Habits};
-use crate::fault::Known;
-use crate::journal::{Journal, Line, What};
-use crate::parts::Layout;
-use crate::process::Ingress;
-use crate::trial::Trial;
-use crate::world::World;
+use crate::check::{self, CheckerSettings, Metrics};
+use crate::clients::{ClientBehavior, Clients};
+use crate::environment::{ceiling, server_model, Environment};
+use crate::fault::InitialList;
+use crate::journal::{Entry, Event, Journal};
+use crate::list_service::Snapshot;
+use crate::process::{IngressProcess, ResourceUsage};
+use crate::topology::Topology;
+use crate::trial::{Trial, TrialError};
 
-/// Between looks at processes, faults that wait for something, and the rig's own lateness.
-pub(crate) const LOOK: Duration = Duration::from_millis(20);
-/// By which the rig may wake up late before its trial says nothing.
-const LATE_MS: u64 = 150;
+/// Interval of looks at processes and triggers: short against the durations that trials state.
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Scheduling delay beyond which a trial gives no verdict: the time limits of the platform are of this order.
+const MAX_SCHEDULING_DELAY_MS: u64 = 150;
+/// Scheduling delay from which on it is recorded, each time that it grows.
+const RECORDED_SCHEDULING_DELAY_MS: u64 = 5;
+/// Longest wait for ingresses to get ready before clients start anyway.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit of one readiness probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// After how many seconds the platform lets no request go to an instance that drains.
+const DRAIN_SECONDS: f64 = 0.5;
+/// Distinguishes the random numbers of the clients from those of the environment.
+const CLIENT_SEED: u64 = 0xc11e;
 
-/// What became of a trial.
-pub struct Played {
+/// What came out of a trial.
+pub struct TrialOutcome {
     /// The journal.
-    pub lines: Vec<Line>,
-    /// What broke, by rule.
-    pub broken: Vec<String>,
-    /// Its figures.
-    pub figures: Figures,
-    /// By how many milliseconds the rig itself was late at the worst.
-    pub late_ms: u64,
+    pub entries: Vec<Entry>,
+    /// Violations of the rules, a line each.
+    pub violations: Vec<String>,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// The highest scheduling delay of the testbed itself, in milliseconds.
+    pub scheduling_delay_ms: u64,
     /// What the checkers went by.
-    pub rules: Rules,
-    /// Sizes.
-    pub layout: Layout,
-    /// Each ingress's log.
+    pub settings: CheckerSettings,
+    /// Sizes of the trial.
+    pub topology: Topology,
+    /// Log of each ingress.
     pub logs: Vec<String>,
-    /// Processor seconds of all ingresses that ran at the end, and the highest peak of memory in bytes.
-    pub cost: (f64, u64),
+    /// Of the ingresses that ran at the end: their processor time in all, and the highest peak memory of one.
+    pub usage: ResourceUsage,
 }
 
-impl Played {
-    /// True where the machine could play the trial: only then it says anything.
+impl TrialOutcome {
+    /// True where the machine was fast enough for the trial: only then its verdict counts.
     pub fn valid(&self) -> bool {
-        self.late_ms <= self.rules.late_ms
+        self.scheduling_delay_ms <= self.settings.max_scheduling_delay_ms
     }
 }
 
-/// What a trial's limit servers are like.
-pub fn model(trial: &Trial) -> Model {
-    let servers = &trial.instance;
-    Model {
-        cores: servers.cores,
-        room: servers.room,
-        work: servers.work.0.as_secs_f64(),
-        dial: servers.dial.0.as_secs_f64(),
-        connections: servers.connections,
-        cold_share: servers.cold_share,
-        cold_time: servers.cold_time.0.as_secs_f64(),
-        fall_multiple: 2.5,
-        fall_window: 3.0,
-    }
+/// Why a trial could not be run.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The trial's file is wrong.
+    #[error(transparent)]
+    Trial(#[from] TrialError),
+    /// A socket, a file, a process or the runtime failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The daemon's program is not where cargo puts it.
+    #[error("no program 'applewall' beside {}; build it first: make build", .0.display())]
+    NoProgram(PathBuf),
 }
 
-/// What the checkers go by.
-pub fn rules(trial: &Trial) -> Rules {
-    let ceiling = trial.traffic.ceiling;
-    Rules {
-        model: model(trial),
-        drain: 0.5 + check::GRACE,
-        ceiling: (ceiling, 2.0 * ceiling, (0.2 * ceiling).max(1.0)),
-        wanted: trial.traffic.wanted.0.as_secs_f64(),
-        late_ms: LATE_MS,
+/// What the checkers of a trial go by.
+pub fn checker_settings(trial: &Trial) -> CheckerSettings {
+    CheckerSettings {
+        model: server_model(trial),
+        drain_seconds: DRAIN_SECONDS + check::SOCKET_TOLERANCE_SECONDS,
+        ceiling: ceiling(trial),
+        wanted_seconds: trial.traffic.wanted.0.as_secs_f64(),
+        max_scheduling_delay_ms: MAX_SCHEDULING_DELAY_MS,
     }
 }
 
-/// Plays it with this program; files go into `folder`.
+/// Runs a trial with this program; files go into `folder`.
 ///
 /// # Errors
 ///
-/// What the system says: then nothing was played.
-pub async fn play(trial: Trial, program: &Path, folder: &Path) -> io::Result<Played> {
-    let world = World::build(trial, program, folder).await?;
-    world.clone().begin()?;
-    let asking = {
-        let (trial, ready) = (
-            &world.trial,
-            (world.trial.trial.ready * world.layout.ingresses as f64) as usize,
-        );
-        let wait = async {
-            while world.lock_ready().len() < ready {
-                tokio::time::sleep(LOOK).await;
-            }
-        };
-        let _ = tokio::time::timeout(Duration::from_secs(30), wait).await;
-        let habits = Habits {
-            rate: trial.traffic.rate,
-            customers: trial.traffic.customers,
-            spread: trial.traffic.spread,
-            again: trial.traffic.again,
-            patience: trial.traffic.patience.0,
-        };
-        let doors = world
-            .lock_ingresses()
-            .iter()
-            .map(|i| i.seat.listen)
-            .collect();
-        let clients = Clients::new(habits, doors, &world.net, &world.journal);
-        tokio::spawn(clients.play(trial.trial.time.0, trial.trial.seed ^ 0xc11e))
+/// Errors of sockets, files and processes: then the trial was not run.
+pub async fn run(trial: Trial, program: &Path, folder: &Path) -> io::Result<TrialOutcome> {
+    let environment = Environment::build(trial, program, folder).await?;
+    environment.clone().start()?;
+    let ready = environment.trial.trial.ready * environment.topology.ingresses as f64;
+    let wait = async {
+        while environment.ready_count() < ready as usize {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let _ = tokio::time::timeout(READY_TIMEOUT, wait).await;
+    let time = environment.trial.trial.time.0;
+    let seed = environment.trial.trial.seed ^ CLIENT_SEED;
+    let sending = tokio::spawn(clients(&environment).run(time, seed));
+    sending.await.map_err(io::Error::other)?;
+    Ok(environment.finish())
+}
+
+/// The clients of a trial.
+fn clients(environment: &Environment) -> Arc<Clients> {
+    let traffic = &environment.trial.traffic;
+    let behavior = ClientBehavior {
+        requests_per_second: traffic.rate,
+        customers: traffic.customers,
+        ingresses_per_customer: traffic.spread,
+        retry_probability: traffic.again,
+        timeout: traffic.patience.0,
     };
-    asking.await.map_err(io::Error::other)?;
-    Ok(world.end())
+    let ingresses = environment.ingresses();
+    let addresses = ingresses.iter().map(|ingress| ingress.config.listen);
+    Clients::new(
+        behavior,
+        addresses.collect(),
+        &environment.network,
+        &environment.journal,
+    )
 }
 
-/// Reads a trial and plays it on a runtime of its own, in a folder that goes with it.
+/// Reads a trial and runs it on a runtime of its own, in a temporary folder.
 ///
 /// # Errors
 ///
-/// What is wrong with the trial, or what the system says.
-pub fn play_text(text: &str, program: &Path) -> Result<Played, String> {
-    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+/// What is wrong with the trial, and errors of sockets, files and processes.
+pub fn run_text(text: &str, program: &Path) -> Result<TrialOutcome, RunError> {
+    let folder = tempfile::tempdir()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
-        .build()
-        .map_err(|e| e.to_string())?;
-    runtime
-        .block_on(play(Trial::read(text)?, program, folder.path()))
-        .map_err(|e| e.to_string())
+        .build()?;
+    let trial = Trial::read(text)?;
+    Ok(runtime.block_on(run(trial, program, folder.path()))?)
 }
 
-impl World {
-    /// Starts all processes and what watches them.
-    fn begin(self: Arc<Self>) -> io::Result<()> {
-        let known: Known = self.trial.ingress.known.parse().map_err(io::Error::other)?;
-        (0..self.layout.ingresses).try_for_each(|i| self.start_ingress(i, known))?;
-        let names: Vec<String> = self.trial.faults.keys().cloned().collect();
-        for (i, name) in names.into_iter().enumerate() {
-            let (this, seed) = (self.clone(), self.trial.trial.seed ^ (i as u64 + 1) << 8);
-            tokio::spawn(async move { this.fault(name, seed).await });
+impl Environment {
+    /// Starts all processes and faults, and what observes them.
+    fn start(self: Arc<Self>) -> io::Result<()> {
+        let list: InitialList = self.trial.ingress.known.parse().map_err(io::Error::other)?;
+        for number in 0..self.topology.ingresses {
+            self.start_ingress(number, list)?;
+        }
+        for (index, name) in self.trial.faults.keys().enumerate() {
+            let seed = self.trial.trial.seed ^ (index as u64 + 1) << 8;
+            tokio::spawn(self.clone().run_fault(name.clone(), seed));
         }
-        tokio::spawn(self.clone().watch());
-        // A thread of its own: what is late is the machine, not the runtime's other work.
-        tokio::spawn(lateness(self.journal.clone()));
+        tokio::spawn(self.clone().record_exits());
+        tokio::spawn(record_scheduling_delay(self.journal.clone()));
         Ok(())
     }
 
-    pub(crate) fn start_ingress(self: &Arc<Self>, i: usize, known: Known) -> io::Result<()> {
-        let (rev, targets) = match known {
-            Known::None => (0, Vec::new()),
-            Known::Old => self.old[i].clone(),
-            Known::Current => self.list.whole(&self.endpoints[i]),
+    /// Starts a process of an ingress and watches for its readiness.
+    pub(crate) fn start_ingress(
+        self: &Arc<Self>,
+        ingress: usize,
+        list: InitialList,
+    ) -> io::Result<()> {
+        let snapshot = match list {
+            InitialList::None => Snapshot::default(),
+            InitialList::Old => self.initial_lists[ingress].clone(),
+            InitialList::Current => self.list_service.snapshot(&self.endpoints[ingress]),
         };
-        let mut all = self.lock_ingresses();
-        all[i].start(rev, &targets)?;
-        let known = (known != Known::None).then_some(rev);
-        self.journal.note(What::Started { ingress: i, known });
-        let (this, door) = (self.clone(), all[i].seat.listen);
+        let mut ingresses = self.ingresses();
+        ingresses[ingress].start(&snapshot)?;
+        let known = (list != InitialList::None).then_some(snapshot.revision);
+        self.journal
+            .record(Event::IngressStarted { ingress, known });
+        let (environment, address) = (self.clone(), ingresses[ingress].config.listen);
         tokio::spawn(async move {
-            while !healthy(door).await {
-                tokio::time::sleep(LOOK).await;
+            while !ready(address).await {
+                tokio::time::sleep(POLL_INTERVAL).await;
             }
-            this.journal.note(What::Ready { ingress: i });
-            this.lock_ready().insert(i);
+            environment.set_ready(ingress);
         });
         Ok(())
     }
 
-    /// Tells of processes that end by themselves.
-    async fn watch(self: Arc<Self>) {
+    /// Records processes that exit by themselves.
+    async fn record_exits(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(LOOK).await;
-            let mut all = self.lock_ingresses();
-            for (ingress, status) in all
-                .iter_mut()
-                .filter_map(|i| Some((i.seat.number, i.ended()?)))
-            {
-                self.journal.note(What::Crashed {
-                    ingress,
-                    status: status.to_string(),
-                });
+            tokio::time::sleep(POLL_INTERVAL).await;
+            for process in self.ingresses().iter_mut() {
+                if let Some(status) = process.take_exit() {
+                    self.journal.record(Event::IngressExited {
+                        ingress: process.config.number,
+                        status: status.to_string(),
+                    });
+                }
             }
         }
     }
 
-    /// Ends the processes and judges the journal.
-    fn end(&self) -> Played {
-        let mut ingresses = self.lock_ingresses();
-        let cost = ingresses.iter().filter_map(Ingress::cost);
-        let cost = cost.fold((0.0, 0), |(cpu, peak), (c, p)| (cpu + c, u64::max(peak, p)));
-        let lines = self.journal.lines();
+    /// Kills the processes and judges the journal.
+    fn finish(&self) -> TrialOutcome {
+        let mut ingresses = self.ingresses();
+        let mut usage = ResourceUsage::default();
+        for used in ingresses.iter().filter_map(IngressProcess::usage) {
+            usage.cpu_seconds += used.cpu_seconds;
+            usage.peak_memory_bytes = usage.peak_memory_bytes.max(used.peak_memory_bytes);
+        }
+        let entries = self.journal.entries();
         for ingress in ingresses.iter_mut() {
             ingress.kill();
         }
-        let rules = rules(&self.trial);
-        Played {
-            broken: check::rules(&lines, &rules),
-            figures: check::figures(&lines, &rules),
-            late_ms: check::lateness(&lines),
-            rules,
-            layout: self.layout,
-            logs: ingresses.iter().map(Ingress::log).collect(),
-            cost,
-            lines,
+        let settings = checker_settings(&self.trial);
+        TrialOutcome {
+            violations: check::violations(&entries, &settings),
+            metrics: check::metrics(&entries, &settings),
+            scheduling_delay_ms: check::scheduling_delay_ms(&entries),
+            settings,
+            topology: self.topology,
+            logs: ingresses.iter().map(IngressProcess::log).collect(),
+            usage,
+            entries,
         }
     }
 }
 
-/// Asks an ingress whether it is ready.
-async fn healthy(door: SocketAddr) -> bool {
-    let ask = async {
-        let mut stream = TcpStream::connect(door).await?;
+/// Whether an ingress answers `GET /healthz` with 200.
+async fn ready(address: SocketAddr) -> bool {
+    let probe = async {
+        let mut stream = TcpStream::connect(address).await?;
         stream
             .write_all(b"GET /healthz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
             .await?;
@@ -226,41 +239,39 @@
         stream.read_exact(&mut head).await?;
         Ok::<_, io::Error>(&head == b"HTTP/1.1 200")
     };
-    matches!(
-        tokio::time::timeout(Duration::from_secs(1), ask).await,
-        Ok(Ok(true))
-    )
+    let result = tokio::time::timeout(PROBE_TIMEOUT, probe).await;
+    matches!(result, Ok(Ok(true)))
 }
 
-/// Writes down by how much a sleep of the rig ends late, where that is worth a line.
-async fn lateness(journal: Journal) {
-    let mut told = 5;
+/// Records by how much a sleep of the testbed ends late, each time that it is later than before.
+async fn record_scheduling_delay(journal: Journal) {
+    let mut recorded_ms = RECORDED_SCHEDULING_DELAY_MS;
     loop {
-        let before = tokio::time::Instant::now();
-        tokio::time::sleep(LOOK).await;
-        let ms = before.elapsed().saturating_sub(LOOK).as_millis() as u64;
-        if ms > told {
-            told = ms;
-            journal.note(What::Late { ms });
+        let before = Instant::now();
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let delay = before.elapsed().saturating_sub(POLL_INTERVAL);
+        let ms = delay.as_millis() as u64;
+        if ms > recorded_ms {
+            recorded_ms = ms;
+            journal.record(Event::SchedulingDelay { ms });
         }
     }
 }
 
-/// Where the daemon's program lies beside this one, as cargo lays them.
+/// The daemon's program, where cargo puts it: beside this one, or one folder up for tests.
 ///
 /// # Errors
 ///
-/// There is none.
-pub fn program() -> Result<PathBuf, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let folders = own.ancestors().skip(1).take(2);
-    let found = folders
-        .map(|folder| folder.join("applewall"))
-        .find(|path| path.is_file());
-    found.ok_or_else(|| {
-        format!(
-            "no program 'applewall' beside {}; build it first: make build",
-            own.display()
-        )
-    })
+/// It is not there.
+pub fn find_program() -> Result<PathBuf, RunError> {
+    let own = std::env::current_exe()?;
+    let mut candidates = own
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .map(|folder| folder.join("applewall"));
+    match candidates.find(|path| path.is_file()) {
+        Some(path) => Ok(path),
+        None => Err(RunError::NoProgram(own)),
+    }
 }
--- a/crates/fault-testbed/src/trial.rs
+++ b/crates/fault-testbed/src/trial.rs
@@ -1,9 +1,7 @@
-//! A trial's file: INI in the form of the operator's file, checked, with a schema.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! A trial's file: INI in the form of the operator's file, validated, with a schema.
+//!
+//! Input: the file's text. Output: a validated [`Trial`]. Field names are the keys of the file, and the doc comments of
+//! fields are the descriptions of the published schema: both are read by others and stay.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::fault::Fault;
+use crate::fault::{Fault, FaultError, InitialList};
 
 /// What a trial plays. All that is left out has a default.
 #[derive(Clone, Debug, Default, Deserialize, Validate, JsonSchema)]
@@ -230,23 +228,37 @@
     }
 }
 
+/// Why a trial's file is rejected.
+#[derive(Debug, thiserror::Error)]
+pub enum TrialError {
+    /// A section or key is wrong.
+    #[error(transparent)]
+    Settings(#[from] applewall_operator_config::Error),
+    /// `[ingress] known` is no list to start with.
+    #[error("[ingress] known: {0}")]
+    InitialList(#[source] FaultError),
+    /// A key of `[operator]` names no key of the operator's file.
+    #[error("[operator] {0}: is no section.key")]
+    OperatorKey(String),
+}
+
 impl Trial {
-    /// Reads a trial's text.
+    /// Reads and validates the text of a trial's file.
     ///
     /// # Errors
     ///
-    /// One line with section and key.
-    pub fn read(text: &str) -> Result<Self, String> {
-        let trial: Trial = applewall_operator_config::read(text).map_err(|e| e.to_string())?;
+    /// The section and key that are wrong, and why, in one line.
+    pub fn read(text: &str) -> Result<Self, TrialError> {
+        let trial: Trial = applewall_operator_config::read(text)?;
         trial
             .ingress
             .known
-            .parse::<crate::fault::Known>()
-            .map_err(|e| format!("[ingress] known: {e}"))?;
-        if let Some(key) = trial.operator.keys().find(|key| !key.contains('.')) {
-            return Err(format!("[operator] {key}: is no section.key"));
+            .parse::<InitialList>()
+            .map_err(TrialError::InitialList)?;
+        match trial.operator.keys().find(|key| !key.contains('.')) {
+            Some(key) => Err(TrialError::OperatorKey(key.clone())),
+            None => Ok(trial),
         }
-        Ok(trial)
     }
 
     /// The published schema of the file.
@@ -272,42 +284,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_trial_is_read_and_what_is_wrong_is_told_with_its_place() {
-        let text = "[trial]\ningresses = 24\n[ingress]\nknown = old\n[list]\ncalls_per_s = 20\n\
-                    [operator]\nlog.format = json\n[faults]\ncut = at 1s: link ingress:all -> list silent for 2s\n";
-        let trial = Trial::read(text).expect("a trial");
-        assert_eq!(
-            (
-                trial.trial.ingresses,
-                trial.trial.instances,
-                trial.faults.len()
-            ),
-            (24, 10, 1)
-        );
-        assert_eq!(
-            trial.operator_file().as_deref(),
-            Some("[log]\nformat = json\n")
-        );
-        for (wrong, why) in [
-            ("[trial]\ningresses = 0\n", "[trial] ingresses"),
-            ("[trial]\nsize = 3\n", "[trial] size"),
-            ("[ingress]\nknown = some\n", "[ingress] known: 'some'"),
-            (
-                "[faults]\ncut = at 1s: eat list\n",
-                "[faults] cut: 'eat' is no fault",
-            ),
-            (
-                "[operator]\nformat = json\n",
-                "[operator] format: is no section.key",
-            ),
-        ] {
-            let told = Trial::read(wrong).expect_err(wrong);
-            assert!(told.contains(why), "{told}");
-        }
-        assert!(Trial::schema().contains("calls_per_s"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/fault-testbed/src/udp_proxy/tests.rs
@@ -0,0 +1,44 @@
+use super::*;
+use crate::network::LinkRule;
+
+#[tokio::test]
+async fn a_datagram_arrives_from_the_proxy_address_of_its_sender_and_a_silent_link_drops_it() {
+    let network = Network::default();
+    let local = || std::net::IpAddr::from([127, 0, 0, 1]);
+    let udp_proxy = UdpProxy::bind((0..2).map(|_| local()))
+        .await
+        .expect("sockets");
+    let known = udp_proxy.addresses().expect("addresses");
+    let first = UdpSocket::bind((local(), 0)).await.expect("a");
+    let second = UdpSocket::bind((local(), 0)).await.expect("b");
+    let real = vec![
+        first.local_addr().expect("a"),
+        second.local_addr().expect("b"),
+    ];
+    udp_proxy.forward(real, &network, 40.0, 1, &Journal::begin());
+    let cut = LinkCondition {
+        silent: true,
+        ..LinkCondition::default()
+    };
+    let (from, to) = (
+        [Component::Ingress(1)].into(),
+        [Component::Ingress(0)].into(),
+    );
+    network.add_rule(LinkRule {
+        name: "cut".into(),
+        from,
+        to,
+        both: false,
+        condition: cut,
+    });
+    let mut buffer = [0; 16];
+    second.send_to(b"lost", known[0]).await.expect("sent");
+    first.send_to(b"hears", known[1]).await.expect("sent");
+    let (length, sender) = second.recv_from(&mut buffer).await.expect("comes");
+    assert_eq!((&buffer[..length], sender), (&b"hears"[..], known[0]));
+    network.remove_rules("cut");
+    // In order on one socket: had the first been passed on, it would come before this one.
+    second.send_to(b"again", known[0]).await.expect("sent");
+    let (length, sender) = first.recv_from(&mut buffer).await.expect("comes");
+    assert_eq!((&buffer[..length], sender), (&b"again"[..], known[1]));
+}
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -8,15 +8,15 @@
 
 mod play;
 
-use applewall_fault_testbed::journal::What;
-use applewall_fault_testbed::run::Played;
+use applewall_fault_testbed::journal::Event;
+use applewall_fault_testbed::run::TrialOutcome;
 
 /// Turns at 18 calls a second. The service itself turns nobody away: whether two calls come within its reach at once is
 /// the machine's doing, and `make measure-cold-start` counts that.
 const TURNS: &str = "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = 18\n";
 
 /// Plays 24 ingresses and 12 limit servers with these settings.
-fn play(more: &str) -> Played {
+fn play(more: &str) -> TrialOutcome {
     let text = if more.contains("[trial]") {
         more.to_string()
     } else {
@@ -24,21 +24,25 @@
     };
     let text = text.replace("[trial]\n", "[trial]\ningresses = 24\ninstances = 12\n");
     let played = play::play(&text);
-    assert_eq!(played.broken, Vec::<String>::new(), "every rule is kept");
+    assert_eq!(
+        played.violations,
+        Vec::<String>::new(),
+        "every rule is kept"
+    );
     played
 }
 
 /// Ingresses that were answered by the list service, each once.
-fn listed(played: &Played) -> usize {
-    played.figures.listed.len()
+fn listed(played: &TrialOutcome) -> usize {
+    played.metrics.first_list_seconds.len()
 }
 
 /// All calls of one ingress at the list service with the time of its last start, in order.
-fn calls(played: &Played, whole: bool) -> usize {
+fn calls(played: &TrialOutcome, whole: bool) -> usize {
     played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Call { whole: w, .. } if w == whole))
+        .filter(|l| matches!(l.event, Event::ListRequested { full: w, .. } if w == whole))
         .count()
 }
 
@@ -49,22 +53,22 @@
         (
             listed(&played),
             calls(&played, true),
-            played.figures.turned_away
+            played.metrics.list_rejections
         ),
         (24, 24, 0)
     );
     // Ready only with a list.
     for ingress in 0..24 {
-        let of = |kind: &dyn Fn(&What) -> bool| played.lines.iter().position(|l| kind(&l.what));
-        let told = of(&|w| matches!(w, What::Listed { ingress: i, .. } if *i == ingress));
-        let ready = of(&|w| matches!(w, What::Ready { ingress: i } if *i == ingress));
+        let of = |kind: &dyn Fn(&Event) -> bool| played.entries.iter().position(|l| kind(&l.event));
+        let told = of(&|w| matches!(w, Event::ListResponse { ingress: i, .. } if *i == ingress));
+        let ready = of(&|w| matches!(w, Event::IngressReady { ingress: i } if *i == ingress));
         assert!(
             told.is_some() && ready.is_none_or(|ready| Some(ready) > told),
             "ingress {ingress}"
         );
     }
     assert!(
-        played.figures.in_time > 0,
+        played.metrics.served_in_time > 0,
         "warm limit servers serve from the first list on"
     );
 }
@@ -76,9 +80,9 @@
     ));
     assert_eq!(calls(&played, true), 0);
     assert!(
-        played.figures.share() > 0.5,
+        played.metrics.served_in_time_fraction() > 0.5,
         "the others serve: {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
@@ -86,17 +90,17 @@
 fn limit_servers_cold_too_are_not_pushed_over_and_serve_from_the_first_second_on() {
     let played =
         play("[ingress]\nknown = old\n[instance]\ncold = on\n[traffic]\nrate = 20\nagain = 1\n");
-    let figures = &played.figures;
+    let metrics = &played.metrics;
     assert!(
-        figures.cold_worst < 1.0 && figures.cold_worst > 0.05,
+        metrics.peak_warmup_overload < 1.0 && metrics.peak_warmup_overload > 0.05,
         "{}",
-        figures.cold_worst
+        metrics.peak_warmup_overload
     );
     assert!(
-        figures.in_time > 20,
+        metrics.served_in_time > 20,
         "{} of {} in time",
-        figures.in_time,
-        figures.asked
+        metrics.served_in_time,
+        metrics.requests_sent
     );
 }
 
@@ -106,9 +110,9 @@
     let played = play(&format!("[trial]\ntime = 14s\n{TURNS}{away}"));
     assert_eq!(listed(&played), 24);
     let during = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| l.at < 4.0 && matches!(l.what, What::Call { .. }))
+        .filter(|l| l.at_seconds < 4.0 && matches!(l.event, Event::ListRequested { .. }))
         .count();
     // Half as much again as it bears.
     assert!(
@@ -123,9 +127,9 @@
     let played = play(&format!("[trial]\ntime = 18s\n{TURNS}{silent}"));
     assert!(listed(&played) > 12, "{} heard the news", listed(&played));
     assert!(
-        played.figures.share_between(1, 9) > 0.5,
+        played.metrics.served_in_time_fraction_between(1, 9) > 0.5,
         "served by the old list: {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
     assert_eq!(
         calls(&played, true),
@@ -151,7 +155,11 @@
 fn a_limit_server_that_accepts_and_never_answers_costs_no_request_its_answer() {
     let mute = "[ingress]\nknown = old\n[faults]\nmute = at 0s: mute instance:0-1\n";
     let played = play(&format!("[trial]\ntime = 6s\n{TURNS}{mute}"));
-    assert!(played.figures.share() > 0.6, "{:?}", played.figures.seconds);
+    assert!(
+        played.metrics.served_in_time_fraction() > 0.6,
+        "{:?}",
+        played.metrics.per_second
+    );
 }
 
 #[test]
@@ -176,9 +184,9 @@
     let played = play(&format!("[trial]\ntime = 11s\n{TURNS}{twice}"));
     assert_eq!(listed(&played), 24);
     let lives = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Started { .. }))
+        .filter(|l| matches!(l.event, Event::IngressStarted { .. }))
         .count();
     assert_eq!(lives, 24 + 17 + 17);
     // Whole lists: one for each life without any, and for those alone.
@@ -200,11 +208,11 @@
             "{told} of {all} that start know of all, {without} without a list"
         );
     }
-    let last = played.figures.share_between(9, 11);
+    let last = played.metrics.served_in_time_fraction_between(9, 11);
     assert!(
         last > 0.5,
         "back in service: {last}, {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
@@ -217,10 +225,12 @@
     let played = play(&format!("[trial]\ntime = 12s\n{half}"));
     // In the order of their first calls since that.
     let mut order: Vec<usize> = Vec::new();
-    for line in &played.lines {
-        match line.what {
-            What::Started { ingress, .. } => order.retain(|i| *i != ingress),
-            What::Call { ingress, .. } if line.at > 3.0 && !order.contains(&ingress) => {
+    for line in &played.entries {
+        match line.event {
+            Event::IngressStarted { ingress, .. } => order.retain(|i| *i != ingress),
+            Event::ListRequested { ingress, .. }
+                if line.at_seconds > 3.0 && !order.contains(&ingress) =>
+            {
                 order.push(ingress);
             }
             _ => {}
@@ -254,8 +264,8 @@
         "[trial]\ntime = 12s\n{TURNS}{}",
         replaced.replace("0.5s", "500ms")
     ));
-    let new = played.lines.iter().rev().find_map(|l| match l.what {
-        What::Attempt { instance, .. } if instance >= 12 => Some(instance),
+    let new = played.entries.iter().rev().find_map(|l| match l.event {
+        Event::AttemptArrived { instance, .. } if instance >= 12 => Some(instance),
         _ => None,
     });
     assert!(new.is_some(), "the new ones serve");
@@ -269,17 +279,17 @@
         "[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"
     ));
     assert_eq!(listed(&played), 24);
-    let old = played.lines.iter().rev().find_map(|l| match l.what {
-        What::Listed {
+    let old = played.entries.iter().rev().find_map(|l| match l.event {
+        Event::ListResponse {
             ingress: 0,
             status: 200,
-            rev,
+            revision,
             ..
-        } => Some(rev),
+        } => Some(revision),
         _ => None,
     });
     assert_eq!(old, Some(1), "it follows the service at its new revisions");
-    assert!(played.figures.in_time > 0);
+    assert!(played.metrics.served_in_time > 0);
 }
 
 #[test]
@@ -292,7 +302,7 @@
         (
             listed(&played),
             calls(&played, true),
-            played.figures.turned_away
+            played.metrics.list_rejections
         ),
         (24, 24 + 12, 0)
     );
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -4,14 +4,14 @@
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
 
-use applewall_fault_testbed::run::{self, Played};
+use applewall_fault_testbed::run::{self, TrialOutcome};
 use applewall_fault_testbed::trial::Trial;
 
 /// One trial at a time: each has the machine to itself, and its processes' time limits hold.
 static ALONE: Mutex<()> = Mutex::new(());
 
 /// Plays a trial's text with the program under test; where the machine was too slow, up to twice more.
-pub(crate) fn play(text: &str) -> Played {
+pub(crate) fn play(text: &str) -> TrialOutcome {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
@@ -24,7 +24,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
         let played = runtime
-            .block_on(run::play(trial, program, folder.path()))
+            .block_on(run::run(trial, program, folder.path()))
             .expect("played");
         let valid = played.valid();
         last = Some(played);
--- a/tests/rig.rs
+++ b/tests/rig.rs
@@ -7,7 +7,7 @@
 
 mod play;
 
-use applewall_fault_testbed::journal::What;
+use applewall_fault_testbed::journal::Event;
 use play::play;
 
 /// Requests that wait at a process end with it. Their ends may be written down by other threads before the kill's line
@@ -20,16 +20,16 @@
          two = at 2500ms: kill ingress:all\n",
     );
     let kills = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Killed { .. }))
+        .filter(|l| matches!(l.event, Event::IngressKilled { .. }))
         .count();
     assert_eq!(kills, 6);
     let open = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Final { status: None, .. }))
+        .filter(|l| matches!(l.event, Event::ResponseReceived { status: None, .. }))
         .count();
     assert!(open > 20, "{open} requests ended with their process");
-    assert_eq!(played.broken, Vec::<String>::new());
+    assert_eq!(played.violations, Vec::<String>::new());
 }
--- a/tests/zones_fleet.rs
+++ b/tests/zones_fleet.rs
@@ -8,14 +8,14 @@
 
 mod play;
 
-use applewall_fault_testbed::journal::What;
-use applewall_fault_testbed::run::Played;
+use applewall_fault_testbed::journal::Event;
+use applewall_fault_testbed::run::TrialOutcome;
 
 /// 21 warm limit servers in three zones, of which the numbers by three are zone 0; eight requests a second at each.
 const ON: &str = "[ingress]\nknown = old\n[traffic]\nrate = 8\n[operator]\nzones.enabled = on\n";
 
 /// Plays 24 ingresses with these settings.
-fn play(seconds: u32, more: &str) -> Played {
+fn play(seconds: u32, more: &str) -> TrialOutcome {
     let text = format!(
         "[trial]\ningresses = 24\ninstances = 21\ntime = {seconds}s\n{ON}[faults]\n{more}\n"
     );
@@ -24,13 +24,17 @@
     // judges them.
     let timed =
         |line: &&String| line.contains("by its deadline") || line.contains("is out at instances");
-    let broken: Vec<&String> = played.broken.iter().filter(|line| !timed(line)).collect();
+    let broken: Vec<&String> = played
+        .violations
+        .iter()
+        .filter(|line| !timed(line))
+        .collect();
     assert_eq!(broken, Vec::<&String>::new(), "every other rule is kept");
     played
 }
 
 /// Ingresses whose log has this of a zone.
-fn told(played: &Played, zone: &str, what: &str) -> usize {
+fn told(played: &TrialOutcome, zone: &str, what: &str) -> usize {
     let of = |log: &&String| {
         log.lines()
             .any(|l| l.contains(&format!("zones: {zone} ")) && l.contains(what))
@@ -39,17 +43,17 @@
 }
 
 /// Attempts into a zone between these moments, s.
-fn into(played: &Played, zone: usize, from: f64, to: f64) -> usize {
-    let of = |l: &&applewall_fault_testbed::journal::Line| {
-        l.at >= from
-            && l.at < to
-            && matches!(l.what, What::Attempt { instance, .. } if instance % 3 == zone)
+fn into(played: &TrialOutcome, zone: usize, from: f64, to: f64) -> usize {
+    let of = |l: &&applewall_fault_testbed::journal::Entry| {
+        l.at_seconds >= from
+            && l.at_seconds < to
+            && matches!(l.event, Event::AttemptArrived { instance, .. } if instance % 3 == zone)
     };
-    played.lines.iter().filter(of).count()
+    played.entries.iter().filter(of).count()
 }
 
 /// Attempts into all zones between these moments.
-fn all(played: &Played, from: f64, to: f64) -> usize {
+fn all(played: &TrialOutcome, from: f64, to: f64) -> usize {
     (0..3).map(|zone| into(played, zone, from, to)).sum()
 }
 
@@ -95,9 +99,9 @@
         "canaries alone"
     );
     assert!(
-        played.figures.share_between(8, 11) > 0.9,
+        played.metrics.served_in_time_fraction_between(8, 11) > 0.9,
         "{:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
@@ -192,9 +196,9 @@
         assert!(left <= 1, "one of three at the most: {log}");
     }
     assert!(
-        played.figures.share_between(8, 11) > 0.5,
+        played.metrics.served_in_time_fraction_between(8, 11) > 0.5,
         "{:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
@@ -221,6 +225,6 @@
          anew = at 10s: kill ingress:0-7 and start after 200ms old",
     );
     // That no cold server was pushed over is a rule that every play is judged by.
-    assert!(played.figures.cold_worst < 1.0);
+    assert!(played.metrics.peak_warmup_overload < 1.0);
     assert!(told(&played, "z0", "left") >= 20);
 }
