Documentation: docs/fault-testbed.md in the field's terms, in place of docs/rig.md

Cause: the page named the package, its program and their parts by words of their own, and two paths that no longer exist.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	cargo build --release --locked --workspace
 	target/release/measure-zones --seeds $(SEEDS) $(if $(BEFORE),--before $(BEFORE))
 
-# A small trial of three real processes with faults, and a page on it (docs/rig.md).
+# A small trial of three real processes with faults, and a page on it (docs/fault-testbed.md).
 demo:
 	cargo build --locked -p applewall
 	cargo build --locked -p applewall-fault-testbed
