--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -17,6 +17,7 @@
 
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
+use common::fleet::pool;
 use common::{member, settings, MS, S};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
@@ -571,6 +572,132 @@
     section(&mut play, "gap, forgetting, surge");
 }
 
+/// Many backends, a subset of them to each gateway, and the rarer conditions.
+fn play_wide(name: &str, seed: u64, fleet: u32, played: u32, lines: &mut String) {
+    let usual = Weather {
+        demand: 60,
+        lost: 5,
+        late_ms: 40,
+        ..Weather::default()
+    };
+    let mut play = Play::new(seed, fleet, played, 40.0);
+    let wide = |started: Option<u64>, ready: u32| -> Vec<Endpoint> {
+        let one = |i: u32| Endpoint {
+            machine_type: i % 2,
+            cell: i64::from(i % 7),
+            started_at_ns: started,
+            state: if i < ready {
+                EndpointState::Ready
+            } else {
+                EndpointState::Removed
+            },
+            ..member(&format!("w{i}"), i % 3)
+        };
+        (0..48).map(one).collect()
+    };
+    let mut section = |play: &mut Play, what: &str| play.section(&format!("{name} {what}"), lines);
+    let started = play.now;
+    play.all(|| {
+        Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(Some(started), 48).into())
+    });
+    play.pass(
+        5 * S,
+        Weather {
+            demand: 150,
+            slow_ms: 60,
+            ..usual
+        },
+    );
+    section(&mut play, "all backends start at once");
+    play.pass(
+        5 * S,
+        Weather {
+            reset: 70,
+            no_connection: 5,
+            demand: 20,
+            ..usual
+        },
+    );
+    section(&mut play, "connections break");
+    play.pass(
+        5 * S,
+        Weather {
+            error: 75,
+            demand: 60,
+            ..usual
+        },
+    );
+    section(&mut play, "retries run out");
+    play.pass(
+        5 * S,
+        Weather {
+            error: 40,
+            slow_ms: 900,
+            demand: 30,
+            ..usual
+        },
+    );
+    section(&mut play, "late failures of keyed requests");
+    play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(None, 10).into()));
+    play.pass(
+        4 * S,
+        Weather {
+            timed_out: 15,
+            ..usual
+        },
+    );
+    play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Delta, wide(None, 31).into()));
+    play.pass(3 * S, usual);
+    section(&mut play, "most backends go, some come back");
+    for _ in 0..6 {
+        play.now += 450 * MS;
+        play.pass(
+            500 * MS,
+            Weather {
+                demand: 80,
+                timed_out: 20,
+                ..usual
+            },
+        );
+    }
+    section(&mut play, "the clock jumps");
+    let wild = pool([900.0, 700.0, 0.0, 0.0, 0.0, 100.0, 400.0, 90.0, 700.0]);
+    for _ in 0..20 {
+        play.all(|| Event::PeerMessage {
+            from: fleet - 1,
+            text: wild.clone(),
+        });
+        play.pass(200 * MS, usual);
+    }
+    section(&mut play, "a peer's wild statistics");
+    play.pass(
+        12 * S,
+        Weather {
+            demand: 3,
+            full: 50,
+            slow_ms: 400,
+            ..usual
+        },
+    );
+    play.pass(8 * S, Weather { demand: 3, ..usual });
+    section(&mut play, "little traffic");
+    play.pass(
+        3 * S,
+        Weather {
+            demand: 300,
+            ..usual
+        },
+    );
+    play.pass(
+        6 * S,
+        Weather {
+            demand: 10,
+            ..usual
+        },
+    );
+    section(&mut play, "a surge after silence");
+}
+
 #[test]
 fn every_decision_of_a_seeded_play_is_as_recorded() {
     let mut lines = String::new();
@@ -578,5 +705,8 @@
     play("medium", 12, 10, 10, 40.0, &mut lines);
     play("large", 13, 160, 12, 40.0, &mut lines);
     play("no messages taken in", 14, 4, 4, 0.0, &mut lines);
+    play_wide("wide", 15, 160, 8, &mut lines);
+    play_wide("wide small", 16, 3, 3, &mut lines);
+    play_wide("wide sets", 17, 48, 12, &mut lines);
     assert_eq!(lines, GOLDEN, "decisions differ from the recorded ones");
 }
