--- a/crates/consul/tests/follow.rs
+++ b/crates/consul/tests/follow.rs
@@ -117,9 +117,9 @@
     world.agent.put("m/b", Some(&value("in_service")));
     world.until("b after a cut", |list| list.len() == 2).await;
     world.wire.set_silent(true);
-    let silent = world.wire.connections.0.load(Ordering::Relaxed);
+    let silent = world.wire.connections.accepted();
     world.agent.put("m/c", Some(&value("in_service")));
-    let left = || world.wire.connections.0.load(Ordering::Relaxed) > silent;
+    let left = || world.wire.connections.accepted() > silent;
     world.until("it was left", |_| left()).await;
     world.wire.set_silent(false);
     world.until("c after silence", |list| list.len() == 3).await;
--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/follow.rs
@@ -205,7 +205,7 @@
     world.until("a", |list| list.len() == 1).await;
     for round in 0..6 {
         // What was left in the round before is closed by now: only the one in use falls silent.
-        let up = |wire: &&TcpProxy| wire.connections.1.load(Ordering::Relaxed) > 0;
+        let up = |wire: &&TcpProxy| wire.connections.open() > 0;
         world
             .until("one is in use", |_| {
                 world.wires.iter().filter(up).count() == 1
@@ -326,7 +326,7 @@
         s.token_file = Some(file.to_str().unwrap().into());
     })
     .await;
-    let tried = || world.wires[0].connections.0.load(Ordering::Relaxed) > 2;
+    let tried = || world.wires[0].connections.accepted() > 2;
     world
         .until("three tries", |list| list.is_empty() && tried())
         .await;
--- a/crates/fakes/src/bin/applewall-fake.rs
+++ b/crates/fakes/src/bin/applewall-fake.rs
@@ -1,14 +1,6 @@
-//! One scripted peer, started by hand. Says where it listens, and ends by itself.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! Starts one fake by hand. Prints where it listens, and ends by itself.
 
+use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
@@ -19,24 +11,45 @@
 use applewall_fakes::consul::ConsulAgent;
 use applewall_fakes::discovery::{target, Discovery};
 use applewall_fakes::etcd::EtcdServer;
-use applewall_fakes::instance::{Instance, ResponseBehavior, Script};
+use applewall_fakes::instance::{Exception, Instance, ResponseBehavior, Script};
+use lexopt::{Arg, ValueExt as _};
 
 const USAGE: &str =
     "usage: applewall-fake instance [--body N] [--odd ONE_IN] [--manner NAME] | discovery ADDRESS... \
     | etcd KEY=VALUE... | consul KEY=VALUE... | slow-readers ADDRESS [--many N]   [--seconds N]
 manners: trickle, trickle-body, head-only, all-but-one, burst, chunks";
 
-struct Call {
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Arguments(#[from] lexopt::Error),
+    #[error("unknown manner '{0}'")]
+    UnknownBehavior(String),
+    #[error("'{0}' is no KEY=VALUE")]
+    Pair(String),
+    #[error("'{0}' is no address")]
+    Address(String),
+    #[error("slow readers go to loopback only")]
+    NotLoopback,
+    #[error("{USAGE}")]
+    Usage,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// The command line.
+struct Arguments {
+    /// Which fake is started.
     kind: String,
-    words: Vec<String>,
-    body: usize,
-    odd: Option<u32>,
-    manner: ResponseBehavior,
-    many: usize,
-    time: Duration,
+    positional: Vec<String>,
+    body_bytes: usize,
+    one_in: Option<u32>,
+    behavior: ResponseBehavior,
+    count: usize,
+    duration: Duration,
 }
 
-fn manner(name: &str) -> Result<ResponseBehavior, String> {
+fn behavior(name: &str) -> Result<ResponseBehavior, Error> {
     Ok(match name {
         "trickle" => ResponseBehavior::ByteByByte,
         "trickle-body" => ResponseBehavior::BodyByteByByte,
@@ -44,151 +57,143 @@
         "all-but-one" => ResponseBehavior::AllButLastByte,
         "burst" => ResponseBehavior::PauseInBody(Duration::from_millis(300)),
         "chunks" => ResponseBehavior::ChunkPerByte,
-        other => return Err(format!("unknown manner '{other}'")),
+        other => return Err(Error::UnknownBehavior(other.to_string())),
     })
 }
 
-fn call() -> Result<Call, String> {
-    use lexopt::prelude::*;
-    let mut call = Call {
+fn arguments() -> Result<Arguments, Error> {
+    let mut arguments = Arguments {
         kind: String::new(),
-        words: Vec::new(),
-        body: 64,
-        odd: None,
-        manner: ResponseBehavior::BodyByteByByte,
-        many: 100,
-        time: Duration::from_secs(600),
+        positional: Vec::new(),
+        body_bytes: 64,
+        one_in: None,
+        behavior: ResponseBehavior::BodyByteByByte,
+        count: 100,
+        duration: Duration::from_secs(600),
     };
     let mut parser = lexopt::Parser::from_env();
-    let text = |e: lexopt::Error| e.to_string();
-    while let Some(arg) = parser.next().map_err(text)? {
-        match arg {
-            Long("body") => call.body = parser.value().and_then(|v| v.parse()).map_err(text)?,
-            Long("odd") => call.odd = Some(parser.value().and_then(|v| v.parse()).map_err(text)?),
-            Long("manner") => {
-                call.manner = manner(
-                    &parser
-                        .value()
-                        .and_then(lexopt::ValueExt::string)
-                        .map_err(text)?,
-                )?;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("body") => arguments.body_bytes = parser.value()?.parse()?,
+            Arg::Long("odd") => arguments.one_in = Some(parser.value()?.parse()?),
+            Arg::Long("manner") => arguments.behavior = behavior(&parser.value()?.string()?)?,
+            Arg::Long("many") => arguments.count = parser.value()?.parse()?,
+            Arg::Long("seconds") => {
+                arguments.duration = Duration::from_secs(parser.value()?.parse()?);
             }
-            Long("many") => call.many = parser.value().and_then(|v| v.parse()).map_err(text)?,
-            Long("seconds") => {
-                call.time =
-                    Duration::from_secs(parser.value().and_then(|v| v.parse()).map_err(text)?);
-            }
-            Value(word) if call.kind.is_empty() => call.kind = word.string().map_err(text)?,
-            Value(word) => call.words.push(word.string().map_err(text)?),
-            other => return Err(other.unexpected().to_string()),
+            Arg::Value(kind) if arguments.kind.is_empty() => arguments.kind = kind.string()?,
+            Arg::Value(value) => arguments.positional.push(value.string()?),
+            other => return Err(other.unexpected().into()),
         }
     }
-    Ok(call)
+    Ok(arguments)
 }
 
-fn pairs(words: &[String]) -> Result<Vec<(&str, &str)>, String> {
-    words
-        .iter()
-        .map(|w| w.split_once('=').ok_or(format!("'{w}' is no KEY=VALUE")))
-        .collect()
-}
+impl Arguments {
+    /// The positional arguments as keys and values.
+    fn pairs(&self) -> Result<Vec<(&str, &str)>, Error> {
+        let no_pair = |text: &String| Error::Pair(text.clone());
+        self.positional
+            .iter()
+            .map(|text| text.split_once('=').ok_or_else(|| no_pair(text)))
+            .collect()
+    }
 
-async fn run(call: Call) -> Result<(), String> {
-    let text = |e: std::io::Error| e.to_string();
-    match call.kind.as_str() {
-        "instance" => {
-            let odd = call
-                .odd
-                .filter(|n| *n > 0)
-                .map(|one_in| (one_in, call.manner));
-            let instance = Instance::start(Script {
-                body_bytes: call.body,
-                odd,
-                ..Script::default()
-            })
-            .await
-            .map_err(text)?;
-            println!("instance on {}", instance.address);
-            tokio::time::sleep(call.time).await;
-            println!(
-                "requests {}",
-                instance.recorded.requests.load(Ordering::Relaxed)
-            );
-        }
-        "discovery" => {
-            let entry = |(i, word): (usize, &String)| {
-                let address: SocketAddr = word
-                    .parse()
-                    .map_err(|_| format!("'{word}' is no address"))?;
-                Ok::<_, String>(target(&format!("s-{i}"), address, "in_service"))
-            };
-            let list = call
-                .words
-                .iter()
-                .enumerate()
-                .map(entry)
-                .collect::<Result<_, _>>()?;
-            let discovery = Discovery::start(list).await.map_err(text)?;
-            println!("discovery on {}", discovery.address);
-            tokio::time::sleep(call.time).await;
+    async fn run_instance(&self) -> Result<(), Error> {
+        let one_in = self.one_in.filter(|one_in| *one_in > 0);
+        let behavior = self.behavior;
+        let instance = Instance::start(Script {
+            body_bytes: self.body_bytes,
+            exception: one_in.map(|one_in| Exception { one_in, behavior }),
+            ..Script::default()
+        })
+        .await?;
+        println!("instance on {}", instance.address);
+        tokio::time::sleep(self.duration).await;
+        let requests = instance.recorded.requests.load(Ordering::Relaxed);
+        println!("requests {requests}");
+        Ok(())
+    }
+
+    async fn run_discovery(&self) -> Result<(), Error> {
+        let entry = |(number, text): (usize, &String)| {
+            let address: Result<SocketAddr, _> = text.parse();
+            let address = address.map_err(|_| Error::Address(text.clone()))?;
+            Ok(target(&format!("s-{number}"), address, "in_service"))
+        };
+        let targets = self.positional.iter().enumerate().map(entry);
+        let targets = targets.collect::<Result<_, Error>>()?;
+        let discovery = Discovery::start(targets).await?;
+        println!("discovery on {}", discovery.address);
+        tokio::time::sleep(self.duration).await;
+        Ok(())
+    }
+
+    async fn run_etcd(&self) -> Result<(), Error> {
+        let server = EtcdServer::new(1, 0);
+        for (key, value) in self.pairs()? {
+            server.put(key, value);
         }
-        "etcd" => {
-            let registry = EtcdServer::new(1, 0);
-            for (key, value) in pairs(&call.words)? {
-                registry.put(key, value);
-            }
-            println!("etcd on {}", registry.listen().await.map_err(text)?);
-            tokio::time::sleep(call.time).await;
-            println!("reads {}", registry.calls.ranges.load(Ordering::Relaxed));
+        println!("etcd on {}", server.listen().await?);
+        tokio::time::sleep(self.duration).await;
+        println!("reads {}", server.calls.ranges.load(Ordering::Relaxed));
+        Ok(())
+    }
+
+    async fn run_consul(&self) -> Result<(), Error> {
+        let agent = ConsulAgent::start().await?;
+        for (key, value) in self.pairs()? {
+            agent.put(key, Some(value));
         }
-        "consul" => {
-            let agent = ConsulAgent::start().await.map_err(text)?;
-            for (key, value) in pairs(&call.words)? {
-                agent.put(key, Some(value));
-            }
-            println!("consul on {}", agent.address);
-            tokio::time::sleep(call.time).await;
+        println!("consul on {}", agent.address);
+        tokio::time::sleep(self.duration).await;
+        Ok(())
+    }
+
+    async fn run_slow_readers(&self) -> Result<(), Error> {
+        let address = self.positional.first().and_then(|text| text.parse().ok());
+        let address: SocketAddr = address.ok_or(Error::Usage)?;
+        if !address.ip().is_loopback() {
+            return Err(Error::NotLoopback);
         }
-        "slow-readers" => {
-            let to = call
-                .words
-                .first()
-                .and_then(|w| w.parse::<SocketAddr>().ok())
-                .ok_or(USAGE)?;
-            if !to.ip().is_loopback() {
-                return Err("slow readers go to loopback only".to_string());
-            }
-            let seen = Arc::new(SlowClientCounts::default());
-            let slow = SlowClients {
-                address: to,
-                count: call.many,
-                arrival_window: Duration::from_millis(50),
-                byte_interval: Some(Duration::from_millis(100)),
-                reconnect_delay: Duration::from_millis(500),
-                duration: call.time,
-                receive_buffer_bytes: 4_096,
-                upload_bytes: 0,
-            };
-            slow.run(seen.clone()).await;
-            println!(
-                "ended by the other side {}",
-                seen.closed_by_daemon.load(Ordering::Relaxed)
-            );
+        let counts = Arc::new(SlowClientCounts::default());
+        let clients = SlowClients {
+            address,
+            count: self.count,
+            arrival_window: Duration::from_millis(50),
+            byte_interval: Some(Duration::from_millis(100)),
+            reconnect_delay: Duration::from_millis(500),
+            duration: self.duration,
+            receive_buffer_bytes: 4_096,
+            upload_bytes: 0,
+        };
+        clients.run(counts.clone()).await;
+        let closed = counts.closed_by_daemon.load(Ordering::Relaxed);
+        println!("ended by the other side {closed}");
+        Ok(())
+    }
+
+    async fn run(&self) -> Result<(), Error> {
+        match self.kind.as_str() {
+            "instance" => self.run_instance().await,
+            "discovery" => self.run_discovery().await,
+            "etcd" => self.run_etcd().await,
+            "consul" => self.run_consul().await,
+            "slow-readers" => self.run_slow_readers().await,
+            _ => Err(Error::Usage),
         }
-        _ => return Err(USAGE.to_string()),
     }
-    Ok(())
 }
 
 fn main() -> ExitCode {
-    let result = call().and_then(|call| {
-        let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-        runtime.block_on(run(call))
+    let result = arguments().and_then(|arguments| {
+        let runtime = tokio::runtime::Runtime::new()?;
+        runtime.block_on(arguments.run())
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            eprintln!("applewall-fake: {reason}");
+        Err(error) => {
+            eprintln!("applewall-fake: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/fakes/src/bin/measure-registry.rs
+++ b/crates/fakes/src/bin/measure-registry.rs
@@ -1,87 +1,105 @@
-//! Measures how soon a drain that is written into a registry stops new work, through breaks, silence and compactions.
+//! Measures how soon a drain that is written into a registry stops new requests, through broken connections, silence and
+//! compactions.
 //!
-//! A real daemon follows the registry's stand-in through wires to its members; commands come all the time. In each
-//! round a trouble begins, a drain of one instance is written, and the last request that this instance got after the
-//! write is taken down. Last line: the verdict; status 0 only where no request came later than 500 ms in any round,
-//! and no command was lost.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
-use std::path::PathBuf;
+//! A real daemon follows a fake etcd cluster through proxies to its members, while clients send requests. In each round a
+//! disturbance begins, a drain of one instance is written, and the last request that this instance gets after the write is
+//! recorded. Status 0 only where no request came later than 500 ms in any round, and no request was lost.
+
+use std::io;
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_fakes::clients::HealthyClients;
 use applewall_fakes::daemon::{Daemon, DaemonSettings};
 use applewall_fakes::discovery::Discovery;
 use applewall_fakes::etcd::EtcdServer;
 use applewall_fakes::instance::{Instance, Script};
+use applewall_fakes::measurement::{
+    healthy_clients, print_head, print_row, run, CommonOptions, Options, Verdict,
+};
 use applewall_fakes::tcp_proxy::TcpProxy;
+use lexopt::{Parser, ValueExt as _};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// What the rule allows.
-const BUDGET: Duration = Duration::from_millis(500);
+/// What the platform's rule allows between a write and the last request.
+const DRAIN_LIMIT: Duration = Duration::from_millis(500);
+/// Time after a write in which requests are looked for.
+const OBSERVATION: Duration = Duration::from_millis(900);
+/// How long members refuse connections in [`Disturbance::Down`].
+const DOWN: Duration = Duration::from_millis(150);
+/// Time for which clients send for each round: pause, observation and reserve.
+const ROUND: Duration = Duration::from_millis(1_600);
+/// Time within which the daemon has to follow the cluster.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(20);
+const REQUESTS_PER_SECOND: f64 = 200.0;
 const INSTANCES: usize = 6;
 const MEMBERS: usize = 3;
 
+/// What happens right before the write.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Trouble {
+enum Disturbance {
     None,
-    /// All connections are cut right before the write.
+    /// All connections are closed.
     Cut,
-    /// The wire that is in use falls silent right before the write, and stays open.
+    /// The proxies in use fall silent; their connections stay open.
     Silent,
-    /// Cut, and the history is compacted up to the write.
+    /// All connections are closed, and the history is compacted up to the write.
     Compacted,
-    /// Members refuse for a while after a cut.
+    /// All connections are closed, and members refuse new ones for a while.
     Down,
 }
 
-const TROUBLES: [Trouble; 5] = [
-    Trouble::None,
-    Trouble::Cut,
-    Trouble::Silent,
-    Trouble::Compacted,
-    Trouble::Down,
+const DISTURBANCES: [Disturbance; 5] = [
+    Disturbance::None,
+    Disturbance::Cut,
+    Disturbance::Silent,
+    Disturbance::Compacted,
+    Disturbance::Down,
 ];
 
-struct Options {
-    program: PathBuf,
+struct RegistryOptions {
+    common: CommonOptions,
     rounds: usize,
-    seed: u64,
 }
 
-fn options() -> Result<Options, lexopt::Error> {
-    use lexopt::prelude::*;
-    let mut options = Options {
-        program: "target/release/applewall".into(),
-        rounds: 20,
-        seed: 7,
-    };
-    let mut parser = lexopt::Parser::from_env();
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("program") => options.program = parser.value()?.into(),
-            Long("rounds") => options.rounds = parser.value()?.parse()?,
-            Long("seed") => options.seed = parser.value()?.parse()?,
-            Long("help") => {
-                println!("measure-registry [--program FILE] [--rounds N] [--seed N]");
-                std::process::exit(0);
-            }
-            other => return Err(other.unexpected()),
+impl Default for RegistryOptions {
+    fn default() -> Self {
+        RegistryOptions {
+            common: CommonOptions::default(),
+            rounds: 20,
+        }
+    }
+}
+
+impl Options for RegistryOptions {
+    const USAGE: &'static str = "measure-registry [--program FILE] [--rounds N] [--seed N]";
+
+    fn common(&mut self) -> &mut CommonOptions {
+        &mut self.common
+    }
+
+    fn set(&mut self, name: &str, parser: &mut Parser) -> Result<bool, lexopt::Error> {
+        match name {
+            "rounds" => self.rounds = parser.value()?.parse()?,
+            _ => return Ok(false),
         }
+        Ok(true)
     }
-    Ok(options)
+}
+
+/// A daemon that follows a cluster, and what it follows.
+struct Environment {
+    registry: EtcdServer,
+    proxies: Vec<TcpProxy>,
+    instances: Vec<Instance>,
+    daemon: Daemon,
+    /// Knows no instance: the registry alone names them.
+    _discovery: Discovery,
+}
+
+fn key(number: usize) -> String {
+    format!("/applewall/members/s-{number}")
 }
 
 fn value(instance: &Instance, state: &str) -> String {
@@ -91,165 +109,198 @@
     )
 }
 
-async fn measure(options: &Options) -> std::io::Result<bool> {
-    let registry = EtcdServer::new(7, 4);
-    let mut instances = Vec::new();
-    for number in 0..INSTANCES {
-        let work = (Duration::from_millis(2), Duration::from_millis(6));
-        let script = Script {
-            seed: number as u64,
-            work,
-            ..Script::default()
+impl Environment {
+    async fn start(options: &RegistryOptions) -> io::Result<Self> {
+        let registry = EtcdServer::new(7, 4);
+        let mut instances = Vec::new();
+        for number in 0..INSTANCES {
+            let script = Script {
+                seed: number as u64,
+                work: Duration::from_millis(2)..=Duration::from_millis(6),
+                ..Script::default()
+            };
+            let instance = Instance::start(script).await?;
+            registry.put(&key(number), &value(&instance, "in_service"));
+            instances.push(instance);
+        }
+        let mut proxies = Vec::new();
+        for _ in 0..MEMBERS {
+            proxies.push(TcpProxy::start(registry.listen().await?).await?);
+        }
+        let discovery = Discovery::start(Vec::new()).await?;
+        let members: Vec<String> = proxies
+            .iter()
+            .map(|proxy| proxy.address.to_string())
+            .collect();
+        let settings = DaemonSettings {
+            max_descriptors: 256,
+            memory_mb: 32,
+            operator_file: Some(format!(
+                "[registry]\nenabled = on\nendpoints = {}\nallowed = 127.0.0.0/8\n",
+                members.join(", ")
+            )),
+            discovery: discovery.address,
+            known_targets: Vec::new(),
+            quota_per_second: 200.0,
+        };
+        let name = format!("measure-registry-{}", std::process::id());
+        let program = &options.common.program;
+        let daemon = Daemon::start(program, &std::env::temp_dir(), &name, &settings)?;
+        let environment = Environment {
+            registry,
+            proxies,
+            instances,
+            daemon,
+            _discovery: discovery,
         };
-        instances.push(Instance::start(script).await?);
+        environment.wait_until_followed().await?;
+        Ok(environment)
     }
-    for (i, instance) in instances.iter().enumerate() {
-        registry.put(
-            &format!("/applewall/members/s-{i}"),
-            &value(instance, "in_service"),
-        );
+
+    async fn wait_until_followed(&self) -> io::Result<()> {
+        let begun = Instant::now();
+        while self.registry.calls.watches.load(Ordering::Relaxed) == 0 {
+            if begun.elapsed() > FOLLOW_TIMEOUT {
+                return Err(io::Error::other("the daemon does not follow the registry"));
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // The first watch can end again at once: the daemon follows for sure a moment later.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        Ok(())
     }
-    let mut wires = Vec::new();
-    for _ in 0..MEMBERS {
-        wires.push(TcpProxy::start(registry.listen().await?).await?);
+
+    fn disturb(&self, disturbance: Disturbance) {
+        for proxy in &self.proxies {
+            match disturbance {
+                Disturbance::None => {}
+                Disturbance::Silent => {
+                    if proxy.connections.open() > 0 {
+                        proxy.set_silent(true);
+                    }
+                }
+                Disturbance::Cut | Disturbance::Compacted => proxy.disconnect(),
+                Disturbance::Down => {
+                    proxy.set_refusing(true);
+                    proxy.disconnect();
+                }
+            }
+        }
     }
-    // Discovery knows nobody: the registry alone tells.
-    let discovery = Discovery::start(Vec::new()).await?;
-    let endpoints: Vec<String> = wires.iter().map(|wire| wire.address.to_string()).collect();
-    let setting = DaemonSettings {
-        max_descriptors: 256,
-        memory_mb: 32,
-        operator_file: Some(format!(
-            "[registry]\nenabled = on\nendpoints = {}\nallowed = 127.0.0.0/8\n",
-            endpoints.join(", ")
-        )),
-        discovery: discovery.address,
-        known_targets: Vec::new(),
-        quota_per_second: 200.0,
-    };
-    let name = format!("measure-registry-{}", std::process::id());
-    let daemon = Daemon::start(&options.program, &std::env::temp_dir(), &name, &setting)?;
-    let begun = Instant::now();
-    while registry.calls.watches.load(Ordering::Relaxed) == 0 {
-        if begun.elapsed() > Duration::from_secs(20) {
-            return Err(std::io::Error::other(
-                "the daemon does not follow the registry",
-            ));
+
+    /// One round; returns the time from the write to the last request that the drained instance got.
+    async fn drain(&self, number: usize, disturbance: Disturbance) -> Duration {
+        self.disturb(disturbance);
+        let instance = &self.instances[number];
+        let revision = self
+            .registry
+            .put(&key(number), &value(instance, "terminating"));
+        let written = Instant::now();
+        if disturbance == Disturbance::Compacted {
+            self.registry.compact(revision);
         }
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        let down = match disturbance {
+            Disturbance::Down => DOWN,
+            _ => Duration::ZERO,
+        };
+        let requests = || instance.recorded.requests.load(Ordering::Relaxed);
+        let (mut last, mut count) = (Duration::ZERO, requests());
+        while written.elapsed() < OBSERVATION {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            if written.elapsed() >= down {
+                for proxy in &self.proxies {
+                    proxy.set_refusing(false);
+                }
+            }
+            if requests() > count {
+                (count, last) = (requests(), written.elapsed());
+            }
+        }
+        for proxy in &self.proxies {
+            proxy.set_silent(false);
+        }
+        self.registry
+            .put(&key(number), &value(instance, "in_service"));
+        last
     }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let rounds = options.rounds * TROUBLES.len();
-    let load = HealthyClients {
-        address: daemon.address,
-        source: [127, 0, 0, 1].into(),
-        requests_per_second: 200.0,
-        duration: Duration::from_millis(1_600) * rounds as u32,
-        new_connection_fraction: 0.0,
-        customers: 20,
-        wanted: Duration::from_millis(800),
-        timeout: Duration::from_secs(3),
-        seed: options.seed,
-    };
-    let load = tokio::spawn(load.run());
-    let mut rng = SmallRng::seed_from_u64(options.seed);
-    println!(
-        "| trouble | rounds | last request after the write, median ms | most ms | full reads | watches |"
-    );
-    println!("|---|---|---|---|---|---|");
-    let (mut worst, mut late) = (Duration::ZERO, 0);
-    for trouble in TROUBLES {
-        let (reads, watches) = (&registry.calls.ranges, &registry.calls.watches);
-        let before = (
-            reads.load(Ordering::Relaxed),
-            watches.load(Ordering::Relaxed),
-        );
+
+    /// All rounds of a disturbance, and their row of the table; returns the sorted times of [`Environment::drain`].
+    async fn rounds(
+        &self,
+        disturbance: Disturbance,
+        rounds: usize,
+        rng: &mut SmallRng,
+    ) -> Vec<Duration> {
+        let calls = &self.registry.calls;
+        let counts = || {
+            let ranges = calls.ranges.load(Ordering::Relaxed);
+            (ranges, calls.watches.load(Ordering::Relaxed))
+        };
+        let (ranges, watches) = counts();
         let mut times = Vec::new();
-        for _ in 0..options.rounds {
+        for _ in 0..rounds {
             let number = rng.random_range(0..INSTANCES);
             tokio::time::sleep(Duration::from_millis(rng.random_range(100..300))).await;
-            let up = |wire: &&TcpProxy| wire.connections.1.load(Ordering::Relaxed) > 0;
-            match trouble {
-                Trouble::None => {}
-                Trouble::Silent => wires
-                    .iter()
-                    .filter(up)
-                    .for_each(|wire| wire.set_silent(true)),
-                Trouble::Cut | Trouble::Compacted => wires.iter().for_each(TcpProxy::disconnect),
-                Trouble::Down => {
-                    wires.iter().for_each(|wire| wire.set_refusing(true));
-                    wires.iter().for_each(TcpProxy::disconnect);
-                }
-            }
-            let key = format!("/applewall/members/s-{number}");
-            let revision = registry.put(&key, &value(&instances[number], "terminating"));
-            let written = Instant::now();
-            if trouble == Trouble::Compacted {
-                registry.compact(revision);
-            }
-            let down = Duration::from_millis(if trouble == Trouble::Down { 150 } else { 0 });
-            let seen = || instances[number].recorded.requests.load(Ordering::Relaxed);
-            let (mut last, mut count) = (Duration::ZERO, seen());
-            while written.elapsed() < Duration::from_millis(900) {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-                if written.elapsed() >= down {
-                    wires.iter().for_each(|wire| wire.set_refusing(false));
-                }
-                if seen() > count {
-                    (count, last) = (seen(), written.elapsed());
-                }
-            }
-            wires.iter().for_each(|wire| wire.set_silent(false));
-            registry.put(&key, &value(&instances[number], "in_service"));
-            times.push(last);
+            times.push(self.drain(number, disturbance).await);
         }
         times.sort();
-        let most = times.last().copied().unwrap_or_default();
-        late += times.iter().filter(|time| **time > BUDGET).count();
-        worst = worst.max(most);
-        println!(
-            "| {trouble:?} | {} | {} | {} | {} | {} |",
-            times.len(),
-            times[times.len() / 2].as_millis(),
-            most.as_millis(),
-            reads.load(Ordering::Relaxed) - before.0,
-            watches.load(Ordering::Relaxed) - before.1,
+        let (ranges_now, watches_now) = counts();
+        print_row(&[
+            format!("{disturbance:?}"),
+            times.len().to_string(),
+            times[times.len() / 2].as_millis().to_string(),
+            times.last().map_or(0, Duration::as_millis).to_string(),
+            (ranges_now - ranges).to_string(),
+            (watches_now - watches).to_string(),
+        ]);
+        times
+    }
+}
+
+async fn measure(options: RegistryOptions) -> io::Result<Verdict> {
+    let environment = Environment::start(&options).await?;
+    let begun = Instant::now();
+    let rounds = options.rounds * DISTURBANCES.len();
+    let seed = options.common.seed;
+    let address = environment.daemon.address;
+    let clients = healthy_clients(address, REQUESTS_PER_SECOND, ROUND * rounds as u32, seed);
+    let clients = tokio::spawn(clients.run());
+    let mut rng = SmallRng::seed_from_u64(seed);
+    print_head(&[
+        "trouble",
+        "rounds",
+        "last request after the write, median ms",
+        "most ms",
+        "full reads",
+        "watches",
+    ]);
+    let mut times = Vec::new();
+    for disturbance in DISTURBANCES {
+        times.extend(
+            environment
+                .rounds(disturbance, options.rounds, &mut rng)
+                .await,
         );
     }
-    let probes =
-        registry.calls.progress.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
-    let outcomes = load.await.map_err(std::io::Error::other)?;
-    let good = late == 0 && outcomes.lost == 0 && outcomes.mismatched == 0;
+    let progress = environment.registry.calls.progress.load(Ordering::Relaxed) as f64;
+    let progress_per_second = progress / begun.elapsed().as_secs_f64();
+    let outcomes = clients.await.map_err(io::Error::other)?;
     println!(
-        "commands: {} asked, {} served, {} refused, {} failed, {} lost; {probes:.1} proofs a second from one ingress",
+        "commands: {} asked, {} served, {} refused, {} failed, {} lost; {progress_per_second:.1} proofs a second from one ingress",
         outcomes.sent, outcomes.served, outcomes.refused, outcomes.failed, outcomes.lost
     );
-    println!(
-        "{}: last request {} ms after a drain was written at most, in {rounds} rounds; {} ms allowed; {late} later",
-        if good { "kept" } else { "NOT KEPT" },
-        worst.as_millis(),
-        BUDGET.as_millis()
-    );
-    drop(Arc::new(daemon));
-    Ok(good)
+    let late = times.iter().filter(|time| **time > DRAIN_LIMIT).count();
+    let worst = times.iter().max().copied().unwrap_or_default();
+    Ok(Verdict {
+        met: late == 0 && outcomes.lost == 0 && outcomes.mismatched == 0,
+        figures: format!(
+            "last request {} ms after a drain was written at most, in {rounds} rounds; {} ms allowed; {late} later",
+            worst.as_millis(),
+            DRAIN_LIMIT.as_millis()
+        ),
+    })
 }
 
 fn main() -> ExitCode {
-    let options = match options() {
-        Ok(options) => options,
-        Err(e) => {
-            eprintln!("measure-registry: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    let result =
-        tokio::runtime::Runtime::new().and_then(|runtime| runtime.block_on(measure(&options)));
-    match result {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("measure-registry: {e}");
-            ExitCode::from(2)
-        }
-    }
+    run("measure-registry", measure)
 }
--- a/crates/fakes/src/bin/measure-slow-peers.rs
+++ b/crates/fakes/src/bin/measure-slow-peers.rs
@@ -1,292 +1,346 @@
 //! Measures what slow peers cost healthy clients, against the real daemon on loopback.
 //!
-//! Prints a table: healthy commands served within 800 ms while nothing, slow readers, trickling instances or both are
-//! there, at 1,024 and 256 descriptors. The last line is the verdict; status 0 only where each row is at most 2 points
-//! under calm of the same run, and the peak memory is under its limit.
+//! Prints a table: requests of healthy clients served within 800 ms beside nothing, slow readers, instances that send
+//! slowly, or both, at 1,024 and 256 descriptors. Status 0 only where each row is at most 2 points below the calm case of
+//! the same run, and the peak memory is under its limit.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
-use std::path::PathBuf;
+use std::io;
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_fakes::clients::{HealthyClients, Outcomes, SlowClientCounts, SlowClients};
+use applewall_fakes::clients::{Outcomes, SlowClientCounts, SlowClients};
 use applewall_fakes::daemon::{Daemon, DaemonSettings};
-use applewall_fakes::discovery::{target, Discovery};
-use applewall_fakes::instance::{Instance, ResponseBehavior, Script};
+use applewall_fakes::discovery::{in_service, Discovery};
+use applewall_fakes::instance::{Exception, Instance, ResponseBehavior, Script};
+use applewall_fakes::measurement::{
+    cores, cpu_ms_per_request, healthy_clients, megabytes, print_head, print_row, run, seconds,
+    CommonOptions, Options, Verdict,
+};
+use lexopt::{Parser, ValueExt as _};
 
-/// Points under calm that are allowed.
-const GOAL: f64 = 0.02;
+/// Goal: how far the fraction served in time may be below the calm case.
+const MAX_LOSS: f64 = 0.02;
+/// Goal: peak memory at [`FEW_DESCRIPTORS`].
+const MEMORY_LIMIT: u64 = 32 << 20;
+const MANY_DESCRIPTORS: usize = 1_024;
+const FEW_DESCRIPTORS: usize = 256;
 const INSTANCES: u64 = 9;
-const BODY: usize = 60_000;
+const BODY_BYTES: usize = 60_000;
 
-struct Options {
-    program: PathBuf,
-    time: Duration,
+struct SlowPeerOptions {
+    common: CommonOptions,
+    duration: Duration,
     runs: u64,
-    operator: Option<String>,
+    operator_file: Option<String>,
     case: String,
-    seed: u64,
 }
 
-fn options() -> Result<Options, lexopt::Error> {
-    use lexopt::prelude::*;
-    let mut options = Options {
-        program: "target/release/applewall".into(),
-        time: Duration::from_secs(10),
-        runs: 1,
-        operator: Some("[pace]\nenabled = on\n[bulkheads]\nenabled = on\n".into()),
-        case: String::new(),
-        seed: 7,
-    };
-    let mut parser = lexopt::Parser::from_env();
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("program") => options.program = parser.value()?.into(),
-            Long("seconds") => options.time = Duration::from_secs(parser.value()?.parse()?),
-            Long("runs") => options.runs = parser.value()?.parse()?,
-            Long("seed") => options.seed = parser.value()?.parse()?,
-            Long("case") => options.case = parser.value()?.string()?,
-            Long("operator") => {
+impl Default for SlowPeerOptions {
+    fn default() -> Self {
+        SlowPeerOptions {
+            common: CommonOptions::default(),
+            duration: Duration::from_secs(10),
+            runs: 1,
+            operator_file: Some("[pace]\nenabled = on\n[bulkheads]\nenabled = on\n".into()),
+            case: String::new(),
+        }
+    }
+}
+
+impl Options for SlowPeerOptions {
+    const USAGE: &'static str = "measure-slow-peers [--program FILE] [--seconds N] [--runs N] [--seed N] [--case PART] [--operator FILE] [--off]";
+
+    fn common(&mut self) -> &mut CommonOptions {
+        &mut self.common
+    }
+
+    fn set(&mut self, name: &str, parser: &mut Parser) -> Result<bool, lexopt::Error> {
+        match name {
+            "seconds" => self.duration = seconds(parser)?,
+            "runs" => self.runs = parser.value()?.parse()?,
+            "case" => self.case = parser.value()?.string()?,
+            "operator" => {
                 let file = parser.value()?.string()?;
-                options.operator = std::fs::read_to_string(&file).ok();
+                self.operator_file = std::fs::read_to_string(file).ok();
             }
-            // The daemon as it is without the subsystem, for comparison.
-            Long("off") => options.operator = None,
-            Long("help") => {
-                println!("measure-slow-peers [--program FILE] [--seconds N] [--runs N] [--seed N] [--case PART] [--operator FILE] [--off]");
-                std::process::exit(0);
-            }
-            other => return Err(other.unexpected()),
+            // The daemon without its protection, for comparison.
+            "off" => self.operator_file = None,
+            _ => return Ok(false),
         }
+        Ok(true)
     }
-    Ok(options)
 }
 
-/// One row: its name, slow readers, and which instances answer oddly.
+/// Instances that send slowly.
+struct SlowInstances {
+    /// One response in so many is sent slowly,
+    one_in: u32,
+    /// by so many instances.
+    count: u64,
+}
+
+/// One row of the table.
 struct Case {
     name: &'static str,
-    slow: usize,
-    odd: Option<(u32, usize)>,
+    slow_readers: usize,
+    slow_instances: Option<SlowInstances>,
 }
 
+const ONE_RESPONSE_IN_TEN: SlowInstances = SlowInstances {
+    one_in: 10,
+    count: INSTANCES,
+};
+
 const CASES: [Case; 6] = [
     Case {
         name: "calm",
-        slow: 0,
-        odd: None,
+        slow_readers: 0,
+        slow_instances: None,
     },
     Case {
         name: "100 slow readers",
-        slow: 100,
-        odd: None,
+        slow_readers: 100,
+        slow_instances: None,
     },
     Case {
         name: "300 slow readers",
-        slow: 300,
-        odd: None,
+        slow_readers: 300,
+        slow_instances: None,
     },
     Case {
         name: "one instance trickles",
-        slow: 0,
-        odd: Some((1, 1)),
+        slow_readers: 0,
+        slow_instances: Some(SlowInstances {
+            one_in: 1,
+            count: 1,
+        }),
     },
     Case {
         name: "one answer in ten trickles",
-        slow: 0,
-        odd: Some((10, INSTANCES as usize)),
+        slow_readers: 0,
+        slow_instances: Some(ONE_RESPONSE_IN_TEN),
     },
     Case {
         name: "both: 300, one in ten",
-        slow: 300,
-        odd: Some((10, INSTANCES as usize)),
+        slow_readers: 300,
+        slow_instances: Some(ONE_RESPONSE_IN_TEN),
     },
 ];
 
+impl Case {
+    fn is_calm(&self) -> bool {
+        self.slow_readers == 0 && self.slow_instances.is_none()
+    }
+
+    /// How instance `number` deviates from sending complete responses.
+    fn exception(&self, number: u64) -> Option<Exception> {
+        let slow = self.slow_instances.as_ref()?;
+        (number < slow.count).then_some(Exception {
+            one_in: slow.one_in,
+            behavior: ResponseBehavior::BodyByteByByte,
+        })
+    }
+
+    async fn start_instances(&self, seed: u64) -> io::Result<Vec<Instance>> {
+        let mut instances = Vec::new();
+        for number in 0..INSTANCES {
+            let script = Script {
+                seed: seed + number,
+                body_bytes: BODY_BYTES,
+                exception: self.exception(number),
+                ..Script::default()
+            };
+            instances.push(Instance::start(script).await?);
+        }
+        Ok(instances)
+    }
+
+    fn slow_clients(&self, daemon: &Daemon, duration: Duration) -> SlowClients {
+        SlowClients {
+            address: daemon.address,
+            count: self.slow_readers,
+            arrival_window: Duration::from_millis(50),
+            byte_interval: Some(Duration::from_millis(100)),
+            reconnect_delay: Duration::from_millis(500),
+            duration,
+            receive_buffer_bytes: 4_096,
+            upload_bytes: 0,
+        }
+    }
+}
+
+/// What was measured of a case.
 struct Row {
     outcomes: Outcomes,
-    memory: u64,
-    cpu: Duration,
+    peak_memory: u64,
+    cpu_time: Duration,
     descriptors: usize,
-    ended: u64,
+    slow_clients_closed: u64,
     log: Vec<String>,
 }
 
-async fn play(options: &Options, case: &Case, sockets: usize, seed: u64) -> std::io::Result<Row> {
-    let mut instances = Vec::new();
-    for number in 0..INSTANCES {
-        let odd = case.odd.filter(|(_, many)| (number as usize) < *many);
-        let odd = odd.map(|(one_in, _)| (one_in, ResponseBehavior::BodyByteByByte));
-        instances.push(
-            Instance::start(Script {
-                seed: seed + number,
-                body_bytes: BODY,
-                odd,
-                ..Script::default()
-            })
-            .await?,
-        );
-    }
-    let list: Vec<_> = instances
-        .iter()
-        .enumerate()
-        .map(|(i, instance)| target(&format!("s-{i}"), instance.address, "in_service"))
-        .collect();
-    let discovery = Discovery::start(list.clone()).await?;
-    let memory_mb = if sockets < 1_024 { 32 } else { 192 };
-    let operator = options.operator.clone();
-    let setting = DaemonSettings {
-        max_descriptors: sockets,
-        memory_mb,
-        operator_file: operator,
+async fn run_case(
+    options: &SlowPeerOptions,
+    case: &Case,
+    max_descriptors: usize,
+    seed: u64,
+) -> io::Result<Row> {
+    let instances = case.start_instances(seed).await?;
+    let known_targets = in_service(&instances);
+    let discovery = Discovery::start(known_targets.clone()).await?;
+    let settings = DaemonSettings {
+        max_descriptors,
+        memory_mb: if max_descriptors < MANY_DESCRIPTORS {
+            32
+        } else {
+            192
+        },
+        operator_file: options.operator_file.clone(),
         discovery: discovery.address,
-        known_targets: list,
+        known_targets,
         quota_per_second: 50.0,
     };
-    let name = format!("measure-{}-{sockets}-{seed}", std::process::id());
-    let daemon = Daemon::start(&options.program, &std::env::temp_dir(), &name, &setting)?;
-    let healthy = HealthyClients {
-        address: daemon.address,
-        source: [127, 0, 0, 1].into(),
-        requests_per_second: 100.0,
-        duration: options.time,
-        new_connection_fraction: 0.5,
-        customers: 20,
-        wanted: Duration::from_millis(800),
-        timeout: Duration::from_secs(3),
-        seed,
-    };
-    let seen = Arc::new(SlowClientCounts::default());
-    let slow = SlowClients {
-        address: daemon.address,
-        count: case.slow,
-        arrival_window: Duration::from_millis(50),
-        byte_interval: Some(Duration::from_millis(100)),
-        reconnect_delay: Duration::from_millis(500),
-        duration: options.time,
-        receive_buffer_bytes: 4_096,
-        upload_bytes: 0,
-    };
-    let watch = async {
-        tokio::time::sleep(options.time.mul_f64(0.9)).await;
+    let name = format!("measure-{}-{max_descriptors}-{seed}", std::process::id());
+    let program = &options.common.program;
+    let daemon = Daemon::start(program, &std::env::temp_dir(), &name, &settings)?;
+    let mut healthy = healthy_clients(daemon.address, 100.0, options.duration, seed);
+    healthy.new_connection_fraction = 0.5;
+    let slow = case.slow_clients(&daemon, options.duration);
+    let counts = Arc::new(SlowClientCounts::default());
+    let descriptors = async {
+        tokio::time::sleep(options.duration.mul_f64(0.9)).await;
         daemon.descriptors()
     };
-    let (outcomes, (), descriptors) = tokio::join!(healthy.run(), slow.run(seen.clone()), watch);
+    let (outcomes, (), descriptors) =
+        tokio::join!(healthy.run(), slow.run(counts.clone()), descriptors);
     Ok(Row {
         outcomes,
-        memory: daemon.peak_memory(),
-        cpu: daemon.cpu_time(),
+        peak_memory: daemon.peak_memory(),
+        cpu_time: daemon.cpu_time(),
         descriptors,
-        ended: seen.closed_by_daemon.load(Ordering::Relaxed),
+        slow_clients_closed: counts.closed_by_daemon.load(Ordering::Relaxed),
         log: daemon.log(),
     })
 }
 
-async fn measure(options: &Options) -> std::io::Result<bool> {
-    let cores = std::thread::available_parallelism().map_or(0, usize::from);
-    println!(
-        "healthy: 100 commands a second for {} s, half on new connections; answers of {BODY} bytes from \
-         {INSTANCES} instances; slow readers: a byte each 100 ms, back 500 ms after a cut; {cores} cores",
-        options.time.as_secs()
-    );
-    println!(
-        "| descriptors | case | in 800 ms | under calm | served | refused | failed | lost | p50 ms | p99 ms | slow \
-         ended | peak MB | CPU ms a command | held |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
-    let (mut worst, mut good, mut peak) = ((0.0f64, String::new()), true, 0u64);
-    for run in 0..options.runs {
-        for sockets in [1_024, 256] {
-            let mut calm = 0.0;
-            for case in CASES
-                .iter()
-                .filter(|case| case.name.contains(&options.case))
-            {
-                let row = play(options, case, sockets, options.seed + 100 * run).await?;
-                let Outcomes {
-                    latency,
-                    sent: asked,
-                    served,
-                    refused,
-                    failed,
-                    lost,
-                    mismatched: wrong,
-                    ..
-                } = &row.outcomes;
-                let share = row.outcomes.in_time_fraction();
-                if case.slow == 0 && case.odd.is_none() {
-                    calm = share;
-                }
-                let under = calm - share;
-                let mb = row.memory as f64 / (1 << 20) as f64;
-                println!(
-                    "| {sockets} | {} | {share:.3} | {under:+.3} | {served} | {refused} | {failed} | {lost} | {:.1} | \
-                     {:.1} | {} | {mb:.1} | {:.3} | {} |",
-                    case.name,
-                    latency.value_at_quantile(0.5) as f64 / 1e3,
-                    latency.value_at_quantile(0.99) as f64 / 1e3,
-                    row.ended,
-                    row.cpu.as_secs_f64() * 1e3 / (*asked).max(1) as f64,
-                    row.descriptors,
-                );
-                if std::env::var_os("LOGS").is_some() {
-                    row.log.iter().for_each(|line| println!("    {line}"));
-                }
-                if under > worst.0 {
-                    worst = (under, format!("{} at {sockets} descriptors", case.name));
-                }
-                if sockets == 256 {
-                    peak = peak.max(row.memory);
-                }
-                good &= under <= GOAL && *wrong == 0 && row.descriptors <= sockets;
-            }
+fn print_case(max_descriptors: usize, case: &Case, row: &Row, loss: f64) {
+    let outcomes = &row.outcomes;
+    let latency_ms = |quantile| outcomes.latency.value_at_quantile(quantile) as f64 / 1e3;
+    print_row(&[
+        max_descriptors.to_string(),
+        case.name.to_string(),
+        format!("{:.3}", outcomes.in_time_fraction()),
+        format!("{loss:+.3}"),
+        outcomes.served.to_string(),
+        outcomes.refused.to_string(),
+        outcomes.failed.to_string(),
+        outcomes.lost.to_string(),
+        format!("{:.1}", latency_ms(0.5)),
+        format!("{:.1}", latency_ms(0.99)),
+        row.slow_clients_closed.to_string(),
+        format!("{:.1}", megabytes(row.peak_memory)),
+        format!("{:.3}", cpu_ms_per_request(row.cpu_time, outcomes.sent)),
+        row.descriptors.to_string(),
+    ]);
+    if std::env::var_os("LOGS").is_some() {
+        for line in &row.log {
+            println!("    {line}");
         }
     }
-    good &= peak < 32 << 20;
-    println!(
-        "{}: most under calm {:.3} ({}), {GOAL} allowed; peak {:.1} of 32 MB at 256 descriptors",
-        if good { "kept" } else { "NOT KEPT" },
-        worst.0,
-        if worst.1.is_empty() {
-            "nowhere"
-        } else {
-            &worst.1
-        },
-        peak as f64 / (1 << 20) as f64
-    );
-    Ok(good)
 }
 
-fn main() -> ExitCode {
-    let options = match options() {
-        Ok(options) => options,
-        Err(e) => {
-            eprintln!("measure-slow-peers: {e}");
-            return ExitCode::from(2);
+/// What the verdict is about.
+struct Totals {
+    worst_loss: f64,
+    worst_case: String,
+    met: bool,
+    peak_memory: u64,
+}
+
+impl Totals {
+    fn add(&mut self, max_descriptors: usize, case: &Case, row: &Row, loss: f64) {
+        if loss > self.worst_loss {
+            self.worst_loss = loss;
+            self.worst_case = format!("{} at {max_descriptors} descriptors", case.name);
         }
-    };
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("measure-slow-peers: {e}");
-            return ExitCode::from(2);
+        if max_descriptors == FEW_DESCRIPTORS {
+            self.peak_memory = self.peak_memory.max(row.peak_memory);
+        }
+        self.met &=
+            loss <= MAX_LOSS && row.outcomes.mismatched == 0 && row.descriptors <= max_descriptors;
+    }
+}
+
+/// All cases at one number of descriptors.
+async fn run_cases(
+    options: &SlowPeerOptions,
+    max_descriptors: usize,
+    seed: u64,
+    totals: &mut Totals,
+) -> io::Result<()> {
+    let mut calm = 0.0;
+    let selected = |case: &&Case| case.name.contains(&options.case);
+    for case in CASES.iter().filter(selected) {
+        let row = run_case(options, case, max_descriptors, seed).await?;
+        let fraction = row.outcomes.in_time_fraction();
+        if case.is_calm() {
+            calm = fraction;
         }
+        let loss = calm - fraction;
+        print_case(max_descriptors, case, &row, loss);
+        totals.add(max_descriptors, case, &row, loss);
+    }
+    Ok(())
+}
+
+async fn measure(options: SlowPeerOptions) -> io::Result<Verdict> {
+    println!(
+        "healthy: 100 commands a second for {} s, half on new connections; answers of {BODY_BYTES} bytes from \
+         {INSTANCES} instances; slow readers: a byte each 100 ms, back 500 ms after a cut; {} cores",
+        options.duration.as_secs(),
+        cores()
+    );
+    print_head(&[
+        "descriptors",
+        "case",
+        "in 800 ms",
+        "under calm",
+        "served",
+        "refused",
+        "failed",
+        "lost",
+        "p50 ms",
+        "p99 ms",
+        "slow ended",
+        "peak MB",
+        "CPU ms a command",
+        "held",
+    ]);
+    let mut totals = Totals {
+        worst_loss: 0.0,
+        worst_case: "nowhere".to_string(),
+        met: true,
+        peak_memory: 0,
     };
-    match runtime.block_on(measure(&options)) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("measure-slow-peers: {e}");
-            ExitCode::from(2)
+    for run in 0..options.runs {
+        let seed = options.common.seed + 100 * run;
+        for max_descriptors in [MANY_DESCRIPTORS, FEW_DESCRIPTORS] {
+            run_cases(&options, max_descriptors, seed, &mut totals).await?;
         }
     }
+    Ok(Verdict {
+        met: totals.met && totals.peak_memory < MEMORY_LIMIT,
+        figures: format!(
+            "most under calm {:.3} ({}), {MAX_LOSS} allowed; peak {:.1} of 32 MB at 256 descriptors",
+            totals.worst_loss,
+            totals.worst_case,
+            megabytes(totals.peak_memory)
+        ),
+    })
+}
+
+fn main() -> ExitCode {
+    run("measure-slow-peers", measure)
 }
--- /dev/null
+++ b/crates/fakes/src/clients/healthy.rs
@@ -0,0 +1,206 @@
+//! Healthy clients.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use super::connect;
+use crate::http::{self, Kind, Message};
+
+/// Highest latency that is recorded: longer than any client waits.
+const MAX_LATENCY_MICROS: u64 = 60_000_000;
+
+/// Outcomes of the requests of healthy clients.
+#[derive(Debug)]
+pub struct Outcomes {
+    /// Of served requests, from the intended send time to the last byte of the response, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Requests that were to be sent.
+    pub sent: u64,
+    /// Served within the wanted time.
+    pub in_time: u64,
+    /// Served at all.
+    pub served: u64,
+    /// Refused: 429 or 503.
+    pub refused: u64,
+    /// Failed with a response.
+    pub failed: u64,
+    /// Without a complete response.
+    pub lost: u64,
+    /// Responses that were made for another request.
+    pub mismatched: u64,
+}
+
+impl Default for Outcomes {
+    fn default() -> Self {
+        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, 3).expect("valid bounds");
+        Outcomes {
+            latency,
+            sent: 0,
+            in_time: 0,
+            served: 0,
+            refused: 0,
+            failed: 0,
+            lost: 0,
+            mismatched: 0,
+        }
+    }
+}
+
+impl Outcomes {
+    /// Fraction served within the wanted time.
+    pub fn in_time_fraction(&self) -> f64 {
+        self.in_time as f64 / self.sent.max(1) as f64
+    }
+
+    fn add(&mut self, result: io::Result<Response>, wanted: Duration) {
+        self.sent += 1;
+        match result {
+            Ok(response) if response.status == "200" => {
+                let Response { matches, took, .. } = response;
+                self.mismatched += u64::from(!matches);
+                self.served += 1;
+                self.in_time += u64::from(matches && took <= wanted);
+                self.latency.saturating_record(took.as_micros() as u64);
+            }
+            Ok(response) if response.status == "429" || response.status == "503" => {
+                self.refused += 1;
+            }
+            Ok(_) => self.failed += 1,
+            Err(_) => self.lost += 1,
+        }
+    }
+}
+
+/// Healthy clients.
+#[derive(Clone, Debug)]
+pub struct HealthyClients {
+    /// The daemon.
+    pub address: SocketAddr,
+    /// Their own address.
+    pub source: IpAddr,
+    /// Mean requests per second, by a Poisson process.
+    pub requests_per_second: f64,
+    /// How long they send.
+    pub duration: Duration,
+    /// Fraction of requests on a new connection each; the others reuse connections.
+    pub new_connection_fraction: f64,
+    /// Number of customers; each request is of a random one.
+    pub customers: u64,
+    /// Time within which a response counts as in time.
+    pub wanted: Duration,
+    /// Time after which a client gives up on a response.
+    pub timeout: Duration,
+    /// Seed of all random numbers.
+    pub seed: u64,
+}
+
+/// One request, with the time at which it is to be sent.
+struct Request {
+    id: u64,
+    customer: u64,
+    intended: Instant,
+    new_connection: bool,
+}
+
+/// A response to a request.
+struct Response {
+    status: String,
+    /// It was made for this request.
+    matches: bool,
+    /// Since the intended send time.
+    took: Duration,
+}
+
+/// Connections that can be reused.
+type IdleConnections = Mutex<Vec<TcpStream>>;
+
+impl HealthyClients {
+    /// Sends the requests; returns when the last one has its response or is given up.
+    pub async fn run(self) -> Outcomes {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let outcomes = Arc::new(Mutex::new(Outcomes::default()));
+        let idle = Arc::new(IdleConnections::default());
+        let (start, mut at) = (Instant::now(), Duration::ZERO);
+        let mut tasks = Vec::new();
+        let clients = Arc::new(self);
+        for number in 0u64.. {
+            let gap = -rng.random::<f64>().max(1e-12).ln() / clients.requests_per_second;
+            at += Duration::from_secs_f64(gap);
+            if at > clients.duration {
+                break;
+            }
+            let request = Request {
+                new_connection: rng.random_bool(clients.new_connection_fraction),
+                customer: rng.random_range(1..=clients.customers),
+                id: clients.seed << 32 | number,
+                intended: start + at,
+            };
+            tokio::time::sleep_until(request.intended).await;
+            let (clients, outcomes, idle) = (clients.clone(), outcomes.clone(), idle.clone());
+            tasks.push(tokio::spawn(async move {
+                let deadline = request.intended + clients.timeout;
+                let response =
+                    tokio::time::timeout_at(deadline, clients.send(&request, &idle)).await;
+                let response = response.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
+                outcomes.lock().await.add(response, clients.wanted);
+            }));
+        }
+        for task in tasks {
+            let _ = task.await;
+        }
+        let mut outcomes = outcomes.lock().await;
+        std::mem::take(&mut *outcomes)
+    }
+
+    async fn send(&self, request: &Request, idle: &IdleConnections) -> io::Result<Response> {
+        let time_left = self.timeout.saturating_sub(request.intended.elapsed());
+        let text = super::request(request.id, request.customer, time_left, 0);
+        let reused = match request.new_connection {
+            true => None,
+            false => idle.lock().await.pop(),
+        };
+        let reused = match reused {
+            None => None,
+            // The daemon may close an idle connection while a request is on its way: it is sent once more.
+            Some(mut stream) => match exchange(&mut stream, &text).await {
+                Ok(Some(message)) => Some((stream, message)),
+                Ok(None) | Err(_) => None,
+            },
+        };
+        let (stream, message) = match reused {
+            Some(reused) => reused,
+            None => {
+                let mut stream = connect(self.address, self.source, None).await?;
+                let message = exchange(&mut stream, &text).await?;
+                (stream, message.ok_or(io::ErrorKind::UnexpectedEof)?)
+            }
+        };
+        let response = Response {
+            status: message.status().to_string(),
+            matches: message
+                .body
+                .starts_with(format!("{:016x}", request.id).as_bytes()),
+            took: request.intended.elapsed(),
+        };
+        if !request.new_connection && !message.closes() {
+            idle.lock().await.push(stream);
+        }
+        Ok(response)
+    }
+}
+
+/// Writes a request and reads its response; `None` where the connection ends before its first byte.
+async fn exchange(stream: &mut TcpStream, text: &str) -> io::Result<Option<Message>> {
+    stream.write_all(text.as_bytes()).await?;
+    http::read(stream, &mut Vec::new(), Kind::Response).await
+}
--- a/crates/fakes/src/consul.rs
+++ b/crates/fakes/src/consul.rs
@@ -1,13 +1,4 @@
-//! A Consul-style agent: recursive reads of a key-value store, blocking by index.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! A fake Consul agent: recursive reads of a key-value store, blocking by index.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -18,163 +9,191 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::http::{self, Kind};
+use crate::http::{self, Kind, Message};
+
+/// Wait of a blocking query that names none: Consul's default.
+const DEFAULT_WAIT_MS: u64 = 300_000;
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
+struct Pair {
+    value: String,
+    create_index: u64,
+    modify_index: u64,
+}
+
+#[derive(Clone)]
 struct Store {
     index: u64,
-    /// Value, create index, modify index.
-    pairs: BTreeMap<String, (String, u64, u64)>,
-    led: bool,
+    pairs: BTreeMap<String, Pair>,
+    leader_known: bool,
+}
+
+impl Store {
+    fn new() -> Self {
+        Store {
+            index: 1,
+            pairs: BTreeMap::new(),
+            leader_known: true,
+        }
+    }
+
+    fn put(&mut self, key: &str, value: Option<&str>) {
+        self.index += 1;
+        let Some(value) = value else {
+            self.pairs.remove(key);
+            return;
+        };
+        let old = self.pairs.get(key);
+        let pair = Pair {
+            value: value.to_string(),
+            create_index: old.map_or(self.index, |old| old.create_index),
+            modify_index: self.index,
+        };
+        self.pairs.insert(key.to_string(), pair);
+    }
+
+    /// The keys with a prefix, in Consul's JSON form.
+    fn entries(&self, prefix: &str) -> Vec<Value> {
+        let matching = self.pairs.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entry = |(key, pair): (&String, &Pair)| {
+            json!({"Key": key, "Value": STANDARD.encode(&pair.value), "CreateIndex": pair.create_index,
+                   "ModifyIndex": pair.modify_index, "LockIndex": 0, "Flags": 0})
+        };
+        matching.map(entry).collect()
+    }
 }
 
-/// The agent, for as long as the runtime lives.
+/// An agent that runs until the runtime ends.
 pub struct ConsulAgent {
     /// Where it listens.
     pub address: SocketAddr,
     store: watch::Sender<Store>,
-    /// What lagging reads are answered from, where it lags.
-    lagging: watch::Sender<Option<Store>>,
+    /// What stale reads are answered from while it lags.
+    stale: watch::Sender<Option<Store>>,
     /// Reads that it answered.
     pub reads: Arc<AtomicU64>,
 }
 
 impl ConsulAgent {
-    /// An empty one on a free port of loopback.
+    /// Starts one with an empty store on a free port of loopback.
     ///
     /// # Errors
     ///
-    /// What the system says.
+    /// Errors of the socket.
     pub async fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let store = watch::Sender::new(Store {
-            index: 1,
-            led: true,
-            ..Store::default()
-        });
-        let (lagging, reads) = (watch::Sender::new(None), Arc::new(AtomicU64::new(0)));
-        let (follower, lag, count) = (store.subscribe(), lagging.subscribe(), reads.clone());
+        let agent = ConsulAgent {
+            address: listener.local_addr()?,
+            store: watch::Sender::new(Store::new()),
+            stale: watch::Sender::new(None),
+            reads: Arc::new(AtomicU64::new(0)),
+        };
+        let server = Server {
+            store: agent.store.subscribe(),
+            stale: agent.stale.subscribe(),
+            reads: agent.reads.clone(),
+        };
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (follower, lag, count) = (follower.clone(), lag.clone(), count.clone());
-                tokio::spawn(async move {
-                    let _ = serve(stream, follower, lag, &count).await;
-                });
+                tokio::spawn(server.clone().serve(stream));
             }
         });
-        Ok(ConsulAgent {
-            address,
-            store,
-            lagging,
-            reads,
-        })
+        Ok(agent)
     }
 
     /// Writes a key, or removes it.
     pub fn put(&self, key: &str, value: Option<&str>) {
-        self.store.send_modify(|store| {
-            store.index += 1;
-            let index = store.index;
-            match value {
-                Some(value) => {
-                    let created = store
-                        .pairs
-                        .get(key)
-                        .map_or(index, |(_, created, _)| *created);
-                    store
-                        .pairs
-                        .insert(key.to_string(), (value.to_string(), created, index));
-                }
-                None => drop(store.pairs.remove(key)),
-            }
-        });
+        self.store.send_modify(|store| store.put(key, value));
     }
 
-    /// From now on, reads that may be stale are answered from what there is at this moment; or from the present again.
-    pub fn set_lagging(&self, lag: bool) {
-        self.lagging
-            .send_replace(lag.then(|| self.store.borrow().clone()));
+    /// Whether stale reads are answered from the store as it is at this moment.
+    pub fn set_lagging(&self, lagging: bool) {
+        self.stale
+            .send_replace(lagging.then(|| self.store.borrow().clone()));
     }
 
-    /// The store begins anew, empty, its index counted from the start.
+    /// Empties the store and starts its index again, as after a loss of the cluster.
     pub fn reset(&self) {
-        self.store.send_replace(Store {
-            index: 1,
-            led: true,
-            ..Store::default()
-        });
+        self.store.send_replace(Store::new());
     }
 
     /// Whether it knows a leader.
-    pub fn set_leader_known(&self, led: bool) {
-        self.store.send_modify(|store| store.led = led);
+    pub fn set_leader_known(&self, known: bool) {
+        self.store.send_modify(|store| store.leader_known = known);
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    mut store: watch::Receiver<Store>,
-    lagging: watch::Receiver<Option<Store>>,
-    reads: &AtomicU64,
-) -> io::Result<()> {
-    let mut rest = Vec::new();
-    while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        let (path, query) = request
-            .first
-            .1
-            .split_once('?')
-            .unwrap_or((&request.first.1, ""));
-        let prefix = path.strip_prefix("/v1/kv/").unwrap_or_default().to_string();
-        let value = |name: &str| {
-            query
-                .split('&')
-                .filter_map(|p| p.split_once('='))
-                .find(|(n, _)| *n == name)
-        };
-        let index = value("index")
-            .and_then(|(_, v)| v.parse::<u64>().ok())
-            .unwrap_or(0);
-        let wait = value("wait")
-            .and_then(|(_, v)| v.strip_suffix("ms")?.parse().ok())
-            .unwrap_or(300_000);
-        let stale = query.split('&').any(|part| part == "stale");
-        let lagged = lagging.borrow().clone().filter(|_| stale);
-        let list = match lagged {
-            Some(old) => old,
-            None => {
-                let newer = store.wait_for(|store| store.index != index);
-                let _ = tokio::time::timeout(Duration::from_millis(wait), newer).await;
-                store.borrow().clone()
-            }
-        };
-        reads.fetch_add(1, Ordering::Relaxed);
-        let pairs = list
-            .pairs
-            .iter()
-            .filter(|(key, _)| key.starts_with(&prefix));
-        let pairs: Vec<_> = pairs
-            .map(|(key, (value, created, modified))| {
-                json!({"Key": key, "Value": STANDARD.encode(value), "CreateIndex": created,
-                       "ModifyIndex": modified, "LockIndex": 0, "Flags": 0})
-            })
-            .collect();
-        let (status, body) = match pairs.is_empty() {
-            true => ("404 Not Found", String::new()),
-            false => ("200 OK", serde_json::Value::from(pairs).to_string()),
+/// A blocking query.
+struct Query {
+    prefix: String,
+    index: u64,
+    wait: Duration,
+    allows_stale: bool,
+}
+
+impl Query {
+    fn of(request: &Message) -> Self {
+        let target = request.target();
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let parameter = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|part| part.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
-        let answer = format!(
-            "HTTP/1.1 {status}\r\nX-Consul-Index: {}\r\nX-Consul-KnownLeader: {}\r\nContent-Length: {}\r\n\r\n{body}",
-            list.index,
-            list.led,
-            body.len()
-        );
-        stream.write_all(answer.as_bytes()).await?;
+        let index = parameter("index").and_then(|value| value.parse().ok());
+        let wait_ms = parameter("wait").and_then(|value| value.strip_suffix("ms")?.parse().ok());
+        Query {
+            prefix: path.strip_prefix("/v1/kv/").unwrap_or_default().to_string(),
+            index: index.unwrap_or(0),
+            wait: Duration::from_millis(wait_ms.unwrap_or(DEFAULT_WAIT_MS)),
+            allows_stale: query.split('&').any(|part| part == "stale"),
+        }
+    }
+}
+
+/// What the connections of an agent share.
+#[derive(Clone)]
+struct Server {
+    store: watch::Receiver<Store>,
+    stale: watch::Receiver<Option<Store>>,
+    reads: Arc<AtomicU64>,
+}
+
+impl Server {
+    async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
+        let mut unread = Vec::new();
+        while let Some(request) = http::read(&mut stream, &mut unread, Kind::Request).await? {
+            let query = Query::of(&request);
+            let store = self.await_store(&query).await;
+            self.reads.fetch_add(1, Ordering::Relaxed);
+            let entries = store.entries(&query.prefix);
+            let (status, body) = match entries.is_empty() {
+                true => ("404 Not Found", String::new()),
+                false => ("200 OK", Value::from(entries).to_string()),
+            };
+            let response = format!(
+                "HTTP/1.1 {status}\r\nX-Consul-Index: {}\r\nX-Consul-KnownLeader: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                store.index,
+                store.leader_known,
+                body.len()
+            );
+            stream.write_all(response.as_bytes()).await?;
+        }
+        Ok(())
+    }
+
+    /// The store that answers a query, once its index differs from the query's or the wait is over.
+    async fn await_store(&mut self, query: &Query) -> Store {
+        let stale = self.stale.borrow().clone().filter(|_| query.allows_stale);
+        if let Some(stale) = stale {
+            return stale;
+        }
+        let changed = self.store.wait_for(|store| store.index != query.index);
+        let _ = tokio::time::timeout(query.wait, changed).await;
+        self.store.borrow().clone()
     }
-    Ok(())
 }
--- a/crates/fakes/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery's agent: the whole list, and watches that answer when it changes.
+//! A fake of discovery's agent: the full list, and watches that are answered when it changes.
 
 use std::io;
 use std::net::SocketAddr;
@@ -10,67 +10,83 @@
 use tokio::sync::watch;
 
 use crate::http::{self, Kind};
+use crate::instance::Instance;
 
-/// The agent, for as long as the runtime lives.
+/// Longest time that a watch waits for a change, whatever the request says.
+const MAX_WATCH_MS: u64 = 60_000;
+
+#[derive(Clone)]
+struct List {
+    revision: u64,
+    targets: Vec<Value>,
+}
+
+/// An agent that runs until the runtime ends.
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
-    list: watch::Sender<(u64, Vec<Value>)>,
+    list: watch::Sender<List>,
 }
 
-/// An entry of the list.
-pub fn target(uid: &str, endpoint: SocketAddr, state: &str) -> Value {
-    json!({"uid": uid, "endpoint": endpoint.to_string(), "az": "a", "model": "m", "pod_group": 0, "state": state,
+/// An entry of the list, in the JSON form of the platform.
+pub fn target(id: &str, endpoint: SocketAddr, state: &str) -> Value {
+    json!({"uid": id, "endpoint": endpoint.to_string(), "az": "a", "model": "m", "pod_group": 0, "state": state,
            "capacity_hint": 1.0, "boot_ms": 0})
 }
 
+/// Entries of these instances, all in service: `s-0`, `s-1` and so on.
+pub fn in_service(instances: &[Instance]) -> Vec<Value> {
+    let entry = |(number, instance): (usize, &Instance)| {
+        target(&format!("s-{number}"), instance.address, "in_service")
+    };
+    instances.iter().enumerate().map(entry).collect()
+}
+
 impl Discovery {
-    /// Listens on a free port of loopback, with this list at revision 1.
+    /// Starts one on a free port of loopback, with this list at revision 1.
     ///
     /// # Errors
     ///
-    /// What the system says.
+    /// Errors of the socket.
     pub async fn start(targets: Vec<Value>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (list, follower) = watch::channel((1, targets));
+        let revision = 1;
+        let (list, follower) = watch::channel(List { revision, targets });
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let follower = follower.clone();
-                tokio::spawn(async move {
-                    let _ = serve(stream, follower).await;
-                });
+                tokio::spawn(serve(stream, follower.clone()));
             }
         });
         Ok(Discovery { address, list })
     }
 
-    /// The list is this from now on, at the next revision.
+    /// Replaces the list, at the next revision.
     pub fn publish(&self, targets: Vec<Value>) {
-        self.list.send_modify(|list| *list = (list.0 + 1, targets));
+        self.list.send_modify(|list| {
+            list.revision += 1;
+            list.targets = targets;
+        });
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    mut list: watch::Receiver<(u64, Vec<Value>)>,
-) -> io::Result<()> {
-    let mut rest = Vec::new();
-    while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        if let (Some(after), Some(wait)) = (request.query("after"), request.query("wait_ms")) {
-            let newer = list.wait_for(|(rev, _)| *rev > after);
-            let _ = tokio::time::timeout(Duration::from_millis(wait.min(60_000)), newer).await;
+async fn serve(mut stream: TcpStream, mut list: watch::Receiver<List>) -> io::Result<()> {
+    let mut unread = Vec::new();
+    while let Some(request) = http::read(&mut stream, &mut unread, Kind::Request).await? {
+        let after = request.query("after");
+        if let (Some(after), Some(wait_ms)) = (after, request.query("wait_ms")) {
+            let changed = list.wait_for(|list| list.revision > after);
+            let wait = Duration::from_millis(wait_ms.min(MAX_WATCH_MS));
+            let _ = tokio::time::timeout(wait, changed).await;
         }
-        let (rev, targets) = list.borrow_and_update().clone();
-        // A watch that ran out without news has nothing to tell.
-        let news = request.query("after").is_none_or(|after| rev > after);
-        let targets = if news { targets } else { Vec::new() };
-        let body = json!({"rev": rev, "all": news, "targets": targets}).to_string();
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        stream.write_all(answer.as_bytes()).await?;
+        let List { revision, targets } = list.borrow_and_update().clone();
+        // A watch that times out without a change shows no entries.
+        let changed = after.is_none_or(|after| revision > after);
+        let targets = if changed { targets } else { Vec::new() };
+        let body = json!({"rev": revision, "all": changed, "targets": targets}).to_string();
+        let length = body.len();
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(response.as_bytes()).await?;
     }
     Ok(())
 }
--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -1,9 +1,10 @@
-//! A limit server: slots, a time for its work, and answers that come as its script says.
+//! A fake limit server: slots, a random processing time, and responses as its script says.
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -14,165 +15,178 @@
 
 use crate::http::{self, Kind, Message};
 
-/// How the bytes of an answer come.
+/// How the bytes of a response are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseBehavior {
     /// All at once.
     Complete,
-    /// One byte at a time, from the first of the head on.
+    /// One byte at a time, from the first byte of the head on.
     ByteByByte,
-    /// The head at once, the body a byte at a time.
+    /// The head at once, the body one byte at a time.
     BodyByteByByte,
     /// The head, and then nothing.
     HeadOnly,
     /// All but the last byte, and then nothing.
     AllButLastByte,
-    /// A piece of the body, a pause, and the rest at once.
+    /// The head and the first byte of the body, a pause, and the rest at once.
     PauseInBody(Duration),
-    /// In chunks, a byte each.
+    /// Chunked, with a byte in each chunk.
     ChunkPerByte,
 }
 
+/// Responses that are sent differently from the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exception {
+    /// One response in so many, at random.
+    pub one_in: u32,
+    /// How these are sent.
+    pub behavior: ResponseBehavior,
+}
+
 /// What a limit server does.
 #[derive(Clone, Debug)]
 pub struct Script {
-    /// Seed of all that is drawn.
+    /// Seed of all random numbers.
     pub seed: u64,
-    /// Time for the work of a request: least and most.
-    pub work: (Duration, Duration),
-    /// Requests in work at once; others wait.
+    /// Processing time of a request.
+    pub work: RangeInclusive<Duration>,
+    /// Requests processed at once; others wait.
     pub slots: usize,
-    /// Bytes of an answer's body.
+    /// Bytes of a response's body.
     pub body_bytes: usize,
-    /// One answer in so many comes in this manner, all others whole.
-    pub odd: Option<(u32, ResponseBehavior)>,
-    /// Between the bytes of a trickle.
+    /// Responses that are not sent completely at once.
+    pub exception: Option<Exception>,
+    /// Interval of the bytes where they are sent one by one.
     pub byte_interval: Duration,
 }
 
 impl Default for Script {
     fn default() -> Self {
-        let work = (Duration::from_millis(20), Duration::from_millis(60));
         Script {
             seed: 1,
-            work,
+            work: Duration::from_millis(20)..=Duration::from_millis(60),
             slots: 16,
             body_bytes: 64,
-            odd: None,
+            exception: None,
             byte_interval: Duration::from_millis(50),
         }
     }
 }
 
-/// What crossed its sockets.
+/// Counts of requests, responses and connections.
 #[derive(Debug, Default)]
 pub struct RecordedRequests {
-    /// Requests that arrived whole.
+    /// Requests that arrived completely.
     pub requests: AtomicU64,
-    /// Answers written whole.
+    /// Responses that were sent completely.
     pub responses: AtomicU64,
-    /// Connections open now.
+    /// Connections that are open now.
     pub connections: AtomicUsize,
-    /// Answers whose connection was closed before they were whole.
+    /// Responses whose connection was closed before they were complete.
     pub aborted_responses: AtomicU64,
 }
 
-/// A limit server that runs for as long as the runtime does.
+/// A fake limit server that runs until the runtime ends.
 pub struct Instance {
     /// Where it listens.
     pub address: SocketAddr,
-    /// What crossed its sockets.
+    /// Counts of what crossed its sockets.
     pub recorded: Arc<RecordedRequests>,
     script: Arc<Mutex<Script>>,
 }
 
 impl Instance {
-    /// Listens on a free port of loopback.
+    /// Starts one on a free port of loopback.
     ///
     /// # Errors
     ///
-    /// What the system says.
+    /// Errors of the socket.
     pub async fn start(script: Script) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let (address, seen) = (
-            listener.local_addr()?,
-            Arc::new(RecordedRequests::default()),
-        );
+        let address = listener.local_addr()?;
         let (slots, seed) = (Arc::new(Semaphore::new(script.slots)), script.seed);
-        let script = Arc::new(Mutex::new(script));
-        let (shared, counts) = (script.clone(), seen.clone());
-        tokio::spawn(async move {
-            for number in 0u64.. {
-                let Ok((stream, _)) = listener.accept().await else {
-                    return;
-                };
-                let (script, seen, slots) = (shared.clone(), counts.clone(), slots.clone());
-                tokio::spawn(async move {
-                    let _ = stream.set_nodelay(true);
-                    seen.connections.fetch_add(1, Ordering::Relaxed);
-                    let rng =
-                        SmallRng::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(number));
-                    let _ = serve(stream, rng, &script, &seen, &slots).await;
-                    seen.connections.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
-        });
-        Ok(Instance {
+        let server = Server {
+            script: Arc::new(Mutex::new(script)),
+            recorded: Arc::default(),
+            slots,
+        };
+        let instance = Instance {
             address,
-            recorded: seen,
-            script,
-        })
+            recorded: server.recorded.clone(),
+            script: server.script.clone(),
+        };
+        tokio::spawn(server.accept(listener, seed));
+        Ok(instance)
     }
 
-    /// Changes the script for requests to come.
+    /// Changes the script for the requests to come.
     pub fn change_script(&self, change: impl FnOnce(&mut Script)) {
-        change(
-            &mut self
-                .script
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner),
-        );
+        change(&mut self.script.lock().unwrap_or_else(PoisonError::into_inner));
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    mut rng: SmallRng,
-    script: &Mutex<Script>,
-    seen: &RecordedRequests,
-    slots: &Semaphore,
-) -> io::Result<()> {
-    let mut rest = Vec::new();
-    while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        seen.requests.fetch_add(1, Ordering::Relaxed);
-        let script = script
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .clone();
-        let work = rng.random_range(script.work.0..=script.work.1);
-        let manner = match script.odd {
-            Some((one_in, manner)) if rng.random_range(0..one_in) == 0 => manner,
-            _ => ResponseBehavior::Complete,
-        };
-        {
-            let _slot = slots.acquire().await;
-            tokio::time::sleep(work).await;
+/// What the connections of an instance share.
+#[derive(Clone)]
+struct Server {
+    script: Arc<Mutex<Script>>,
+    recorded: Arc<RecordedRequests>,
+    slots: Arc<Semaphore>,
+}
+
+impl Server {
+    async fn accept(self, listener: TcpListener, seed: u64) {
+        for number in 0u64.. {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            let server = self.clone();
+            tokio::spawn(async move {
+                let _ = stream.set_nodelay(true);
+                let connections = &server.recorded.connections;
+                connections.fetch_add(1, Ordering::Relaxed);
+                let seed = seed.wrapping_mul(1_000_003).wrapping_add(number);
+                let _ = server.serve(stream, SmallRng::seed_from_u64(seed)).await;
+                connections.fetch_sub(1, Ordering::Relaxed);
+            });
         }
-        match answer(&mut stream, &request, &script, manner).await {
-            Ok(()) => seen.responses.fetch_add(1, Ordering::Relaxed),
-            Err(_) => {
-                seen.aborted_responses.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn script(&self) -> Script {
+        let script = self.script.lock();
+        script.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn serve(&self, mut stream: TcpStream, mut rng: SmallRng) -> io::Result<()> {
+        let recorded = &self.recorded;
+        let mut unread = Vec::new();
+        while let Some(request) = http::read(&mut stream, &mut unread, Kind::Request).await? {
+            recorded.requests.fetch_add(1, Ordering::Relaxed);
+            let script = self.script();
+            let work = rng.random_range(script.work.clone());
+            let behavior = match script.exception {
+                Some(exception) if rng.random_range(0..exception.one_in) == 0 => exception.behavior,
+                _ => ResponseBehavior::Complete,
+            };
+            {
+                let _slot = self.slots.acquire().await;
+                tokio::time::sleep(work).await;
+            }
+            match respond(&mut stream, &request, &script, behavior).await {
+                Ok(()) => recorded.responses.fetch_add(1, Ordering::Relaxed),
+                Err(_) => {
+                    recorded.aborted_responses.fetch_add(1, Ordering::Relaxed);
+                    return Ok(());
+                }
+            };
+            if request.closes() {
                 return Ok(());
             }
-        };
-        if request.closes() {
-            return Ok(());
         }
+        Ok(())
     }
-    Ok(())
 }
 
-/// The body names the request that it was made for, so that a client can tell whose answer it got.
+/// The body names the request that it answers, so that a client notices a response to another one.
 fn body(request: &Message, length: usize) -> Vec<u8> {
     let mut body = request
         .header("x-correlation-id")
@@ -183,35 +197,35 @@
     body
 }
 
-async fn answer(
+async fn respond(
     stream: &mut TcpStream,
     request: &Message,
     script: &Script,
-    manner: ResponseBehavior,
+    behavior: ResponseBehavior,
 ) -> io::Result<()> {
     let body = body(request, script.body_bytes);
-    let framing = match manner {
+    let framing = match behavior {
         ResponseBehavior::ChunkPerByte => "Transfer-Encoding: chunked".to_string(),
         _ => format!("Content-Length: {}", body.len()),
     };
     let head = format!("HTTP/1.1 200 OK\r\nX-Backend-Load: util=0.30\r\n{framing}\r\n\r\n");
     let (head, last) = (head.as_bytes(), body.len() - 1);
-    match manner {
+    match behavior {
         ResponseBehavior::Complete => stream.write_all(&[head, &body].concat()).await,
         ResponseBehavior::ByteByByte => {
-            trickle(stream, &[head, &body].concat(), script.byte_interval).await
+            send_byte_by_byte(stream, &[head, &body].concat(), script.byte_interval).await
         }
         ResponseBehavior::BodyByteByByte => {
             stream.write_all(head).await?;
-            trickle(stream, &body, script.byte_interval).await
+            send_byte_by_byte(stream, &body, script.byte_interval).await
         }
         ResponseBehavior::HeadOnly => {
             stream.write_all(head).await?;
-            silence(stream).await
+            wait_for_close(stream).await
         }
         ResponseBehavior::AllButLastByte => {
             stream.write_all(&[head, &body[..last]].concat()).await?;
-            silence(stream).await
+            wait_for_close(stream).await
         }
         ResponseBehavior::PauseInBody(pause) => {
             stream.write_all(&[head, &body[..1]].concat()).await?;
@@ -230,21 +244,23 @@
     }
 }
 
-async fn trickle(stream: &mut TcpStream, bytes: &[u8], step: Duration) -> io::Result<()> {
+async fn send_byte_by_byte(
+    stream: &mut TcpStream,
+    bytes: &[u8],
+    interval: Duration,
+) -> io::Result<()> {
     for byte in bytes {
         stream.write_all(std::slice::from_ref(byte)).await?;
-        tokio::time::sleep(step).await;
+        tokio::time::sleep(interval).await;
     }
     Ok(())
 }
 
-/// Nothing more, until the other side has enough of it.
-async fn silence(stream: &mut TcpStream) -> io::Result<()> {
+/// Sends nothing more until the other side closes the connection.
+async fn wait_for_close(stream: &mut TcpStream) -> io::Result<()> {
     let mut byte = [0];
     match stream.peek(&mut byte).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
-        _ => Err(io::Error::other(
-            "a request behind an answer that is not whole",
-        )),
+        _ => Err(io::Error::other("a request behind an incomplete response")),
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,7 +1,8 @@
-//! Scripted peers of the daemon, written from the protocol's description alone: nothing here knows the daemon's code.
+//! Fakes of the daemon's peers, written from the protocols' descriptions alone: nothing here links the daemon's code.
 //!
-//! Each speaks bytes on sockets by a script with a seed, keeps counts of what crossed them, and listens on loopback
-//! only. The program `applewall-fake` starts one, so that a person can try the daemon by hand.
+//! Each fake speaks bytes on sockets by a script with a seed, counts what crossed them, and listens on loopback only.
+//! The program `applewall-fake` starts one, so that a person can try the daemon by hand; the programs `measure-*` measure
+//! the daemon with them and share the harness of [`measurement`].
 
 pub mod clients;
 pub mod consul;
@@ -10,5 +11,6 @@
 pub mod etcd;
 pub mod http;
 pub mod instance;
+pub mod measurement;
 pub mod tcp_proxy;
 pub mod wait;
--- a/crates/fakes/src/tcp_proxy.rs
+++ b/crates/fakes/src/tcp_proxy.rs
@@ -1,10 +1,5 @@
-//! A wire that can be cut or fall silent: stands between a client and a server, passes bytes on, and does what a
-//! network does when it fails.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! A TCP proxy with faults: between a client and a server, it forwards bytes, breaks connections, falls silent or
+//! refuses new ones.
 
 use std::io;
 use std::net::SocketAddr;
@@ -12,58 +7,72 @@
 use std::sync::Arc;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Bytes forwarded at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct State {
-    /// Connections of an earlier round are cut.
-    round: u64,
-    /// Nothing is passed on, either way, and nobody is told.
+    /// Connections of an earlier generation are closed.
+    generation: u64,
+    /// Nothing is forwarded, either way; connections stay open.
     silent: bool,
-    /// New connections are refused at once.
-    refused: bool,
+    /// New connections are closed at once.
+    refusing: bool,
+}
+
+/// Counts of connections.
+#[derive(Debug, Default)]
+pub struct ConnectionCounts {
+    accepted: AtomicU64,
+    open: AtomicUsize,
+}
+
+impl ConnectionCounts {
+    /// Connections that were accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Connections that are open now.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
 }
 
-/// A wire, for as long as the runtime lives.
+/// A proxy that runs until the runtime ends.
 pub struct TcpProxy {
     /// Where clients connect.
     pub address: SocketAddr,
     state: watch::Sender<State>,
-    /// Connections that came up in all, and those that are up.
-    pub connections: Arc<(AtomicU64, AtomicUsize)>,
+    /// Counts of its connections.
+    pub connections: Arc<ConnectionCounts>,
 }
 
 impl TcpProxy {
-    /// A wire to a server, from a free port of loopback.
+    /// Starts a proxy of a server on a free port of loopback.
     ///
     /// # Errors
     ///
-    /// What the system says.
+    /// Errors of the socket.
     pub async fn start(server: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (state, follower) = watch::channel(State {
-            round: 0,
+        let state = watch::Sender::new(State {
+            generation: 0,
             silent: false,
-            refused: false,
-        });
-        let connections = Arc::new((AtomicU64::new(0), AtomicUsize::new(0)));
-        let counts = connections.clone();
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let (follower, counts) = (follower.clone(), counts.clone());
-                if follower.borrow().refused {
-                    continue;
-                }
-                counts.0.fetch_add(1, Ordering::Relaxed);
-                counts.1.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(async move {
-                    let _ = pass(client, server, follower).await;
-                    counts.1.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
+            refusing: false,
         });
+        let connections = Arc::new(ConnectionCounts::default());
+        tokio::spawn(accept(
+            listener,
+            server,
+            state.subscribe(),
+            connections.clone(),
+        ));
         Ok(TcpProxy {
             address,
             state,
@@ -71,55 +80,76 @@
         })
     }
 
-    /// Cuts all connections that are up.
+    /// Closes all open connections.
     pub fn disconnect(&self) {
-        self.state.send_modify(|state| state.round += 1);
+        self.state.send_modify(|state| state.generation += 1);
     }
 
-    /// From now on nothing is passed on, or all is again: open connections stay open.
+    /// Whether it stops forwarding, while open connections stay open.
     pub fn set_silent(&self, silent: bool) {
         self.state.send_modify(|state| state.silent = silent);
     }
 
-    /// From now on new connections end at once, or are taken again.
-    pub fn set_refusing(&self, refused: bool) {
-        self.state.send_modify(|state| state.refused = refused);
+    /// Whether it closes new connections at once.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.state.send_modify(|state| state.refusing = refusing);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    server: SocketAddr,
+    state: watch::Receiver<State>,
+    counts: Arc<ConnectionCounts>,
+) {
+    while let Ok((client, _)) = listener.accept().await {
+        let (state, counts) = (state.clone(), counts.clone());
+        if state.borrow().refusing {
+            continue;
+        }
+        counts.accepted.fetch_add(1, Ordering::Relaxed);
+        counts.open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            let _ = forward(client, server, state).await;
+            counts.open.fetch_sub(1, Ordering::Relaxed);
+        });
     }
 }
 
-async fn pass(
+/// Forwards one connection until either side ends it, or it is disconnected.
+async fn forward(
     client: TcpStream,
     server: SocketAddr,
     mut state: watch::Receiver<State>,
 ) -> io::Result<()> {
-    let round = state.borrow().round;
+    let generation = state.borrow().generation;
     let server = TcpStream::connect(server).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    let (client_in, client_out) = client.into_split();
-    let (server_in, server_out) = server.into_split();
-    let up = pump(client_in, server_out, state.clone());
-    let down = pump(server_in, client_out, state.clone());
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let upstream = copy(from_client, to_server, state.clone());
+    let downstream = copy(from_server, to_client, state.clone());
     tokio::select! {
-        result = up => result,
-        result = down => result,
-        _ = state.wait_for(|s| s.round != round) => Ok(()),
+        result = upstream => result,
+        result = downstream => result,
+        _ = state.wait_for(|state| state.generation != generation) => Ok(()),
     }
 }
 
-async fn pump(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
     mut state: watch::Receiver<State>,
 ) -> io::Result<()> {
-    let mut piece = vec![0; 64 * 1024];
+    let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = from.read(&mut piece).await?;
-        // What was read while it is silent waits here: nothing is lost, as in a network that comes back.
-        let _ = state.wait_for(|s| !s.silent).await;
-        if read == 0 {
+        let length = from.read(&mut chunk).await?;
+        // What was read while it is silent waits here: TCP retransmits it once the network works again.
+        let _ = state.wait_for(|state| !state.silent).await;
+        if length == 0 {
             return Ok(());
         }
-        to.write_all(&piece[..read]).await?;
+        to.write_all(&chunk[..length]).await?;
     }
 }
--- a/crates/fakes/src/wait.rs
+++ b/crates/fakes/src/wait.rs
@@ -1,23 +1,25 @@
-//! Waiting for what has to happen, and for no time.
+//! Waiting for an event, never for a duration.
 
 use std::time::Duration;
 
-/// Far longer than anything in a test takes.
+/// Far longer than any event in a test takes, so that reaching it means a failure.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval of looks at a condition: short against what tests measure.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Waits until it holds.
+/// Waits until a condition holds.
 ///
 /// # Panics
 ///
-/// Where it never does, with `what` in the message.
-pub async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+/// It does not hold within [`TEST_TIMEOUT`]; `event` is in the message.
+pub async fn wait_until(event: &str, mut holds: impl FnMut() -> bool) {
     let wait = async {
         while !holds() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     };
     assert!(
         tokio::time::timeout(TEST_TIMEOUT, wait).await.is_ok(),
-        "never: {what}"
+        "never: {event}"
     );
 }
--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -146,7 +146,7 @@
         let response = response.ok().and_then(Result::ok);
         let status = response
             .as_ref()
-            .and_then(|response| response.first.0.parse().ok());
+            .and_then(|response| response.status().parse().ok());
         self.journal.record(Event::ResponseReceived {
             request: request.id,
             status,
--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -10,7 +10,7 @@
 use tokio::net::UdpSocket;
 
 use super::Environment;
-use crate::fault::{Fault, FaultKind, Restart, Trigger};
+use crate::fault::{Fault, FaultKind, InstanceFault, Restart, Trigger};
 use crate::journal::{Entry, Event};
 use crate::network::LinkRule;
 use crate::run::POLL_INTERVAL;
@@ -132,26 +132,30 @@
                 self.list_service.begin_fault(fault);
                 Box::new(move || self.list_service.end_fault(fault))
             }
-            FaultKind::RestartInstances(targets) => {
-                self.restart_instances(&targets.instances(topology, rng))
-            }
-            FaultKind::ReplaceInstances(targets) => {
-                self.replace_instances(&targets.instances(topology, rng))
-                    .await
-            }
-            FaultKind::RemoveInstances(targets) => {
-                self.remove_instances(&targets.instances(topology, rng))
-            }
-            FaultKind::FailRequests(targets) => {
+            FaultKind::Instances { targets, fault } => {
                 let numbers = targets.instances(topology, rng);
-                self.fail_requests(&numbers, true);
-                Box::new(move || self.fail_requests(&numbers, false))
+                self.begin_instance_fault(numbers, *fault).await
             }
             FaultKind::ForeignDatagrams(targets) => {
                 self.send_foreign_datagrams(&targets.ingresses(topology, rng))
             }
-            FaultKind::NeverAnswer(targets) => {
-                let numbers = targets.instances(topology, rng);
+        }
+    }
+
+    async fn begin_instance_fault(
+        self: Arc<Self>,
+        numbers: Vec<usize>,
+        fault: InstanceFault,
+    ) -> EndFault {
+        match fault {
+            InstanceFault::Restart => self.restart_instances(&numbers),
+            InstanceFault::Replace => self.replace_instances(&numbers).await,
+            InstanceFault::Remove => self.remove_instances(&numbers),
+            InstanceFault::FailRequests => {
+                self.fail_requests(&numbers, true);
+                Box::new(move || self.fail_requests(&numbers, false))
+            }
+            InstanceFault::NeverAnswer => {
                 self.never_answer(&numbers, true);
                 Box::new(move || self.never_answer(&numbers, false))
             }
--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -70,6 +70,21 @@
     Restored,
 }
 
+/// A fault of limit servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstanceFault {
+    /// They start again and have to warm up.
+    Restart,
+    /// They are replaced by new ones under other ids, which have to warm up.
+    Replace,
+    /// They stop for good; the list shows it.
+    Remove,
+    /// They answer 500 at once.
+    FailRequests,
+    /// They accept requests and never answer.
+    NeverAnswer,
+}
+
 /// Restart of a killed process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Restart {
@@ -104,18 +119,15 @@
     Suspend(ComponentSet),
     /// A fault of the list service.
     ListService(ListServiceFault),
-    /// Limit servers start again and have to warm up.
-    RestartInstances(ComponentSet),
-    /// Limit servers are replaced by new ones under other ids, which have to warm up.
-    ReplaceInstances(ComponentSet),
-    /// Limit servers stop for good; the list shows it.
-    RemoveInstances(ComponentSet),
-    /// Limit servers answer 500 at once.
-    FailRequests(ComponentSet),
+    /// A fault of limit servers.
+    Instances {
+        /// The limit servers.
+        targets: ComponentSet,
+        /// What happens to them.
+        fault: InstanceFault,
+    },
     /// Ingresses get datagrams from an address that is no peer's.
     ForeignDatagrams(ComponentSet),
-    /// Limit servers accept requests and never answer.
-    NeverAnswer(ComponentSet),
 }
 
 /// One fault.
--- a/crates/fault-testbed/src/fault/parser.rs
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -4,7 +4,7 @@
 use std::str::{FromStr, SplitWhitespace};
 use std::time::Duration;
 
-use super::{FaultKind, FaultSpec, InitialList, ListServiceFault, Restart, Trigger};
+use super::{FaultKind, FaultSpec, InitialList, InstanceFault, ListServiceFault, Restart, Trigger};
 use crate::network::LinkCondition;
 use crate::topology::{ComponentSet, ComponentSetError};
 
@@ -159,6 +159,11 @@
         Ok(FaultKind::Kill { targets, restart })
     }
 
+    fn instances(&mut self, fault: InstanceFault) -> Result<FaultKind, FaultError> {
+        let targets = self.components()?;
+        Ok(FaultKind::Instances { targets, fault })
+    }
+
     fn list_service(&mut self) -> Result<ListServiceFault, FaultError> {
         match self.next("what the list service does")? {
             "silent" => Ok(ListServiceFault::Silent),
@@ -178,12 +183,12 @@
             "kill" => self.kill(),
             "list" => self.list_service().map(FaultKind::ListService),
             "stop" => self.components().map(FaultKind::Suspend),
-            "restart" => self.components().map(FaultKind::RestartInstances),
-            "replace" => self.components().map(FaultKind::ReplaceInstances),
-            "remove" => self.components().map(FaultKind::RemoveInstances),
-            "fails" => self.components().map(FaultKind::FailRequests),
+            "restart" => self.instances(InstanceFault::Restart),
+            "replace" => self.instances(InstanceFault::Replace),
+            "remove" => self.instances(InstanceFault::Remove),
+            "fails" => self.instances(InstanceFault::FailRequests),
             "foreign" => self.components().map(FaultKind::ForeignDatagrams),
-            "mute" => self.components().map(FaultKind::NeverAnswer),
+            "mute" => self.instances(InstanceFault::NeverAnswer),
             found => Err(invalid(found, "no fault")),
         }
     }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -20,7 +20,7 @@
 async fn instances(many: u64) -> Vec<Instance> {
     let mut instances = Vec::new();
     for seed in 0..many {
-        let work = (Duration::from_millis(1), Duration::from_millis(2));
+        let work = Duration::from_millis(1)..=Duration::from_millis(2);
         instances.push(
             Instance::start(Script {
                 seed,
@@ -87,7 +87,7 @@
         .await
         .unwrap()
         .unwrap();
-    answer.first.0
+    answer.status().to_string()
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -11,7 +11,7 @@
 use applewall_fakes::daemon::{Daemon, DaemonSettings};
 use applewall_fakes::discovery::{target, Discovery};
 use applewall_fakes::http::{self, Kind, Message};
-use applewall_fakes::instance::{Instance, ResponseBehavior, Script};
+use applewall_fakes::instance::{Exception, Instance, ResponseBehavior, Script};
 use applewall_fakes::wait::{wait_until, TEST_TIMEOUT};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -54,16 +54,22 @@
     }
 }
 
-fn script(body: usize, odd: Option<(u32, ResponseBehavior)>) -> Script {
-    let work = (Duration::from_millis(1), Duration::from_millis(2));
+fn script(body_bytes: usize) -> Script {
     Script {
-        work,
-        body_bytes: body,
-        odd,
+        work: Duration::from_millis(1)..=Duration::from_millis(2),
+        body_bytes,
         ..Script::default()
     }
 }
 
+/// One response in so many is sent differently.
+fn script_with_exception(body_bytes: usize, one_in: u32, behavior: ResponseBehavior) -> Script {
+    Script {
+        exception: Some(Exception { one_in, behavior }),
+        ..script(body_bytes)
+    }
+}
+
 impl World {
     async fn connect(&self) -> TcpStream {
         connect(self.daemon.address, [127, 0, 0, 1].into(), None)
@@ -84,7 +90,7 @@
                 else {
                     continue;
                 };
-                match answer.first.0.as_str() {
+                match answer.status() {
                     "200" => {
                         assert!(answer
                             .body
@@ -105,7 +111,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn three_hundred_readers_that_stop_keep_nobody_out_and_are_cut() {
-    let world = world("stops", 256, ON, vec![script(60_000, None)]).await;
+    let world = world("stops", 256, ON, vec![script(60_000)]).await;
     let seen = Arc::new(SlowClientCounts::default());
     let slow = SlowClients {
         address: world.daemon.address,
@@ -141,18 +147,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_cannot_be_whole_in_time_is_given_up_and_made_elsewhere() {
-    for (name, manner) in [
+    for (name, behavior) in [
         ("trickle", ResponseBehavior::ByteByByte),
         ("body", ResponseBehavior::BodyByteByByte),
         ("head", ResponseBehavior::HeadOnly),
         ("last", ResponseBehavior::AllButLastByte),
     ] {
-        let odd = Some((4, manner));
+        let script = || script_with_exception(30_000, 4, behavior);
         let scripts = vec![
-            script(30_000, odd),
+            script(),
             Script {
                 seed: 2,
-                ..script(30_000, odd)
+                ..script()
             },
         ];
         let quick = ON.replace("enabled = on\n[bulk", "enabled = on\npause = 80ms\n[bulk");
@@ -178,14 +184,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_burst_after_a_pause_and_chunks_are_waited_for() {
-    for (name, manner) in [
+    for (name, behavior) in [
         (
             "burst",
             ResponseBehavior::PauseInBody(Duration::from_millis(200)),
         ),
         ("chunks", ResponseBehavior::ChunkPerByte),
     ] {
-        let world = world(name, 256, ON, vec![script(8_000, Some((1, manner)))]).await;
+        let world = world(
+            name,
+            256,
+            ON,
+            vec![script_with_exception(8_000, 1, behavior)],
+        )
+        .await;
         for id in 1..=3 {
             assert_eq!(world.served(id).await.body.len(), 8_000, "{name}");
         }
@@ -203,7 +215,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_stalls_is_turned_away_and_a_large_one_that_comes_is_not() {
-    let world = world("upload", 256, ON, vec![script(64, None)]).await;
+    let world = world("upload", 256, ON, vec![script(64)]).await;
     let (mut stalls, mut comes) = (world.connect().await, world.connect().await);
     for (stream, id) in [(&mut stalls, 1), (&mut comes, 2)] {
         let head = request(id, id, Duration::from_secs(3), 65_536);
@@ -215,19 +227,19 @@
         .await
         .unwrap()
         .unwrap();
-    assert_eq!(served.first.0, "200");
+    assert_eq!(served.status(), "200");
     let answer = http::read(&mut stalls, &mut Vec::new(), Kind::Response)
         .await
         .unwrap()
         .unwrap();
-    assert_eq!((answer.first.0.as_str(), answer.closes()), ("408", true));
+    assert_eq!((answer.status(), answer.closes()), ("408", true));
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn told_to_stop_in_the_middle_of_it_all_it_answers_what_it_took_and_ends() {
     let scripts = vec![
-        script(60_000, Some((2, ResponseBehavior::BodyByteByByte))),
-        script(60_000, None),
+        script_with_exception(60_000, 2, ResponseBehavior::BodyByteByByte),
+        script(60_000),
     ];
     let mut world = world("term", 256, ON, scripts).await;
     let seen = Arc::new(SlowClientCounts::default());
@@ -265,9 +277,9 @@
         .unwrap()
         .unwrap();
     assert!(
-        ["200", "503"].contains(&answer.first.0.as_str()),
+        ["200", "503"].contains(&answer.status()),
         "{}",
-        answer.first.0
+        answer.status()
     );
     let status = world
         .daemon
@@ -279,8 +291,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_in_the_middle_of_slow_readers_and_trickles_is_kept() {
-    let trickles = script(20_000, Some((4, ResponseBehavior::BodyByteByByte)));
-    let world = world("drain", 256, ON, vec![trickles, script(20_000, None)]).await;
+    let trickles = script_with_exception(20_000, 4, ResponseBehavior::BodyByteByByte);
+    let world = world("drain", 256, ON, vec![trickles, script(20_000)]).await;
     let seen = Arc::new(SlowClientCounts::default());
     let slow = SlowClients {
         address: world.daemon.address,
@@ -315,13 +327,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_operators_file_is_followed_at_a_reload_and_a_wrong_one_changes_nothing() {
-    let world = world(
-        "reload",
-        256,
-        "[pace]\nenabled = off\n",
-        vec![script(64, None)],
-    )
-    .await;
+    let world = world("reload", 256, "[pace]\nenabled = off\n", vec![script(64)]).await;
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reload.ini");
     let told = |text: &str| world.daemon.log().iter().any(|line| line.contains(text));
     std::fs::write(
@@ -341,7 +347,7 @@
         .await
         .unwrap()
         .unwrap();
-    assert_eq!(answer.first.0, "200");
+    assert_eq!(answer.status(), "200");
     std::fs::write(&file, "[bulkheads]\nenabled = perhaps\n").unwrap();
     world.daemon.signal(1);
     wait_until("it is refused", || {
@@ -357,5 +363,5 @@
         .await
         .unwrap()
         .unwrap();
-    assert_eq!((answer.first.0.as_str(), answer.closes()), ("503", true));
+    assert_eq!((answer.status(), answer.closes()), ("503", true));
 }
