--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -3,14 +3,26 @@
 use std::path::Path;
 use std::process::Command;
 
-/// Knows the tests `a`, `b::c`, `b::cd` and `e`; `a` and `b::c` fail, and so does `e` where the folder says so.
+/// Knows the tests `a`, `b::c`, `b::cd` and `e`; `a` and `b::c` fail, and so does `e` where the folder says so. A run of
+/// more than one test has two test programs, `first` with `e` and `second`; as with the real cargo, a failure in `first`
+/// ends the run before `second` unless `--no-fail-fast` is given, and fails the run either way.
 const CARGO: &str = r#"#!/usr/bin/env bash
 echo "cargo $*"
+programs() {
+    echo "first runs"
+    status=0
+    [ ! -e e-fails ] || status=101
+    if [ $status = 0 ] || [[ " $* " == *" --no-fail-fast "* ]]; then
+        echo "second runs"
+    fi
+    exit $status
+}
 case "$*" in
 *--list*) printf 'a: test\nb::c: test\nb::cd: test\ne: test\n' ;;
-*"--skip a"*) [ ! -e e-fails ] ;;
+*"--skip a"*) programs "$@" ;;
 *"--exact a" | *"--exact b::c") exit 101 ;;
-*) [ ! -e e-fails ] ;;
+*"--exact "*) [ ! -e e-fails ] ;;
+*) programs "$@" ;;
 esac
 "#;
 
@@ -39,7 +51,7 @@
 fn without_a_list_all_tests_run_and_any_failure_fails() {
     for e_fails in [false, true] {
         let (passed, said) = run(None, e_fails);
-        assert_eq!(said, "cargo test --workspace --locked\n");
+        assert_eq!(said, "cargo test --workspace --locked --no-fail-fast\nfirst runs\nsecond runs\n");
         assert_eq!(passed, !e_fails);
     }
 }
@@ -50,12 +62,22 @@
     for e_fails in [false, true] {
         let (passed, said) = run(Some(list), e_fails);
         assert_eq!(passed, !e_fails, "{said}");
-        assert!(said.contains("cargo test --workspace --locked -- --exact --skip a --skip b::c\n"), "{said}");
+        let main = "cargo test --workspace --locked --no-fail-fast -- --exact --skip a --skip b::c\n";
+        assert!(said.contains(main), "{said}");
         assert!(said.contains("known red: a failed (the cause, issue 30)\n"), "{said}");
         assert!(said.contains("known red: b::c failed (another, issue 31)\n"), "{said}");
     }
 }
 
+#[test]
+fn the_main_run_goes_on_past_a_failing_program_and_still_fails() {
+    for list in [None, Some("a | the cause | 30\n")] {
+        let (passed, said) = run(list, true);
+        assert!(said.contains("first runs\nsecond runs\n"), "{list:?}: {said}");
+        assert!(!passed, "{list:?}: {said}");
+    }
+}
+
 #[test]
 fn one_that_passes_is_printed_as_passing() {
     let (passed, said) = run(Some("a|x|1\nb::cd|y|2\n"), false);
