--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,21 @@
-# Build, test, lint and run; `make check` is what CI calls.
+# Build, test, lint and run; `make check` is what CI calls, and installs what it needs.
 MODULE := src/brain.rs
 MOST := 990
 
-.PHONY: build test lint lines check run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
+.PHONY: build test lint lines check setup run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
 	measure-cold-start measure-quota measure-zones demo
 
 build:
 	cargo build --release --locked
 
-test:
+# What the checks need and the machine lacks: see .ci/prepare.
+setup:
+	.ci/prepare
+
+test: setup
 	.ci/test
 
-lint:
+lint: setup
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
@@ -20,7 +24,7 @@
 	if [ $$lines -gt $(MOST) ]; then echo "$(MODULE): $$lines non-blank lines, $(MOST) at most"; exit 1; fi
 	@if grep -nE '^.{111,}$$' $(MODULE); then echo "$(MODULE): lines over 110 columns"; exit 1; fi
 
-check: lines lint test
+check: setup lines lint test
 
 # Needs GW_CONFIG: the path of a configuration (see README.md).
 run: build
