--- a/src/decision/outlier.rs
+++ b/src/decision/outlier.rs
@@ -25,7 +25,8 @@
         if now < record.ejected_until {
             return true;
         }
-        // Many overdue at once tell as much as one for long. It could harm where a whole class slows down at once.
+        // Many overdue at once tell as much as one for long. It could harm where a whole class slows down at
+        // once.
         let overdue = |attempt: &InFlightAttempt| {
             let waited = now - attempt.sent_at.max(record.last_response_at);
             let usual = self.latency.usual(attempt.kind) * record.latency_factor;
@@ -42,11 +43,13 @@
         match outcome {
             // It has answered others since: the request was slow, not the endpoint.
             Outcome::TimedOut if self.last_response_at >= sent_at => {}
-            // A reset or two are the connections' own, or malformed responses: one that is down rejects the next connection.
+            // A reset or two are the connections' own, or malformed responses: one that is down rejects the
+            // next connection.
             Outcome::ConnectionReset if self.consecutive_failures < TOLERATED_RESETS => {
                 self.consecutive_failures += 1;
             }
-            // Silent, down or restarting: what comes back may be in slow start, and the list says so seconds later.
+            // Silent, down or restarting: what comes back may be in slow start, and the list says so seconds
+            // later.
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {
                 let doublings = self.consecutive_failures.min(MOST_DOUBLINGS);
                 let span = (FIRST_EJECTION * f64::from(1u32 << doublings)).min(LONGEST_EJECTION);
--- a/src/decision/routing.rs
+++ b/src/decision/routing.rs
@@ -199,8 +199,8 @@
             / (record.latency_factor * machine_factor * zone_factor * attempted_factor)
     }
 
-    /// Own work in flight tells endpoints apart only where there is some: so many are drawn by weight, and the best of these
-    /// taken. Otherwise all nodes would run to the same few.
+    /// Own work in flight tells endpoints apart only where there is some: so many are drawn by weight, and
+    /// the best of these taken. Otherwise all nodes would run to the same few.
     fn choose_among_best(
         &mut self,
         now: Seconds,
@@ -219,9 +219,10 @@
         Some(scored[self.rng.random_range(0..scored.len())].index)
     }
 
-    /// Deterministic subsetting: in a large fleet each node keeps to a part of the endpoints that it meets often enough to
-    /// know, and to its connections. Rounds of as many nodes as there are parts share all endpoints evenly, each in an order
-    /// of its own (rendezvous hashing), so that a change of the list moves few.
+    /// Deterministic subsetting: in a large fleet each node keeps to a part of the endpoints that it meets
+    /// often enough to know, and to its connections. Rounds of as many nodes as there are parts share all
+    /// endpoints evenly, each in an order of its own (rendezvous hashing), so that a change of the list moves
+    /// few.
     pub(crate) fn assign_subset(&mut self) {
         let records = &mut self.endpoints.records;
         let mut ready: Vec<usize> = (0..records.len()).filter(|i| records[*i].ready).collect();
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -1,5 +1,5 @@
-//! The slow-start budget: how much an endpoint that warms up may get from this node, so that all nodes together don't push
-//! it over.
+//! The slow-start budget: how much an endpoint that warms up may get from this node, so that all nodes
+//! together don't push it over.
 
 use crate::decision_state::{seconds, DecisionPolicy, Seconds, MONITOR_INTERVAL};
 use crate::gossip::codec::periodic_draw;
@@ -27,12 +27,13 @@
 }
 
 impl DecisionPolicy {
-    /// Requests of this cost that an endpoint in slow start can still take from this node; negative where none.
+    /// Requests of this cost that an endpoint in slow start can still take from this node; negative where
+    /// none.
     ///
-    /// The budget of the window, less what the endpoint got, by how late: capacity comes back evenly, and half of what is
-    /// sent in a window counts on the mean. Less a part of a request drawn once per window: drawn with each request, many
-    /// requests would all pass. A process that has just started knows nothing of an earlier one: most of its first window
-    /// fills with time.
+    /// The budget of the window, less what the endpoint got, by how late: capacity comes back evenly, and
+    /// half of what is sent in a window counts on the mean. Less a part of a request drawn once per window:
+    /// drawn with each request, many requests would all pass. A process that has just started knows nothing
+    /// of an earlier one: most of its first window fills with time.
     pub(super) fn slow_start_room(
         &self,
         index: usize,
--- a/src/decision_state/customer.rs
+++ b/src/decision_state/customer.rs
@@ -9,13 +9,16 @@
 
 /// Time constant of customers' rates: a few requests of a busy customer.
 pub(crate) const RATE_MEMORY: Seconds = 1.0;
-/// How long an aggregate is relied on: its sender repeats one that still holds after [`AGGREGATE_REPEAT`].
+/// How long an aggregate is relied on: its sender repeats one that still holds after
+/// [`AGGREGATE_REPEAT`].
 pub(crate) const AGGREGATE_LIFETIME: Seconds = 20.0;
 /// Interval at which an aggregate that still holds is sent again.
 pub(crate) const AGGREGATE_REPEAT: Seconds = 6.0;
-/// Time over which what is left in an empty quota, or owed to it, weighs in the rejection probability.
+/// Time over which what is left in an empty quota, or owed to it, weighs in the rejection
+/// probability.
 pub(crate) const DEBT_HORIZON: Seconds = 1.0;
-/// How far below zero the estimate of a quota may go, in seconds of its rate: bounds what a wrong report can cost.
+/// How far below zero the estimate of a quota may go, in seconds of its rate: bounds what a wrong
+/// report can cost.
 const DEBT_LIMIT: Seconds = 1.0;
 /// Seconds of a peer's demand that the ceiling reserve grants it in advance.
 const GRANT_HORIZON: Seconds = 1.0;
@@ -26,7 +29,8 @@
 /// Grants are made in quarters of a unit, as the message encodes them.
 const GRANTS_PER_UNIT: f64 = 4.0;
 
-/// What a peer last reported of a customer: totals (encoded, wrapping), and the demand that came in through it.
+/// What a peer last reported of a customer: totals (encoded, wrapping), and the demand that came in
+/// through it.
 ///
 /// The order of the fields of this and the following types is that of the hot-restart snapshot.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
@@ -53,7 +57,8 @@
 }
 
 impl QuotaAggregate {
-    /// What this demand leaves, after a span, of a quota that nothing refills: it drains it, and a debt fades.
+    /// What this demand leaves, after a span, of a quota that nothing refills: it drains it, and a
+    /// debt fades.
     pub(crate) fn drain(&self, quota_units: f64, span: Seconds, plan: &Plan) -> f64 {
         let rate = plan.quota_units_per_second;
         if quota_units > 0.0 {
@@ -83,11 +88,13 @@
     pub(crate) quota_units: f64,
     /// This node's part of the units under the ceiling.
     pub(crate) ceiling_units: f64,
-    /// Share of the ceiling that is allocated evenly; the rest is in the first aggregator's reserve.
+    /// Share of the ceiling that is allocated evenly; the rest is in the first aggregator's
+    /// reserve.
     pub(crate) base_allocation: f64,
     /// Units in the ceiling reserve, where this node holds it.
     pub(crate) ceiling_reserve: Option<f64>,
-    /// Least part of a request's units that lets it pass the ceiling, drawn again with each that passes.
+    /// Least part of a request's units that lets it pass the ceiling, drawn again with each that
+    /// passes.
     pub(crate) ceiling_dither: f64,
     /// Waits in the line of those whose use is still to be reported.
     pub(crate) unreported: bool,
@@ -134,7 +141,8 @@
         }
     }
 
-    /// True where a part of the ceiling is in a reserve: the customer's nodes are too many to report to each other.
+    /// True where a part of the ceiling is in a reserve: the customer's nodes are too many to
+    /// report to each other.
     pub(crate) fn has_reserve(&self) -> bool {
         self.base_allocation < 1.0
     }
@@ -147,7 +155,8 @@
 
     /// Brings quota and ceiling up to now.
     pub(crate) fn fill(&mut self, now: Seconds, plan: &Plan) {
-        // Peers' use, for as long as the aggregate is relied on, drains the quota before it is refilled.
+        // Peers' use, for as long as the aggregate is relied on, drains the quota before it is
+        // refilled.
         let relied_on_from = self.filled_at;
         let aggregate = self.aggregate.filter(|aggregate| {
             !self.is_aggregator && aggregate.at + AGGREGATE_LIFETIME > relied_on_from
@@ -172,8 +181,9 @@
     /// Fills this node's part of the ceiling, and the reserve where it is here.
     pub(crate) fn fill_ceiling(&mut self, now: Seconds, span: Seconds, plan: &Plan) {
         let part = self.base_allocation / f64::from(self.node_set_size);
-        // What was granted beyond the part stays, from a reserve only for as long as that counts it as granted: kept for
-        // ever, what a reserve grants one peer after another would come to far more than the ceiling.
+        // What was granted beyond the part stays, from a reserve only for as long as that counts it
+        // as granted: kept for ever, what a reserve grants one peer after another would come to far
+        // more than the ceiling.
         let kept = if self.has_reserve() {
             (-span / GRANT_MEMORY).exp()
         } else {
@@ -191,7 +201,8 @@
             return;
         };
         let nodes = f64::from(self.node_set_size);
-        // A part not used for as long as the ceiling takes to fill is full: the reserve has what would run over.
+        // A part not used for as long as the ceiling takes to fill is full: the reserve has what
+        // would run over.
         let time_to_fill = plan.ceiling_burst_units / plan.ceiling_units_per_second.max(1e-9);
         let recently_used = |peer: &&PeerUsage| now - peer.demand.updated_at < time_to_fill;
         let active = self.peers.values().filter(recently_used).count();
@@ -205,7 +216,8 @@
         *reserve = (*reserve + span * plan.ceiling_units_per_second * share).min(capacity);
     }
 
-    /// Takes from the reserve what a peer that used so many units may soon need. A grant that is lost only wastes units.
+    /// Takes from the reserve what a peer that used so many units may soon need. A grant that is
+    /// lost only wastes units.
     pub(crate) fn grant_from_reserve(
         &mut self,
         now: Seconds,
--- a/src/decision_state/endpoint.rs
+++ b/src/decision_state/endpoint.rs
@@ -187,8 +187,9 @@
         Some((index, &mut self.records[index]))
     }
 
-    /// Gives a new endpoint its index: that of a removed one which nothing refers to, else one more. Otherwise the table
-    /// would hold all endpoints that ever were, and every choice would go through them.
+    /// Gives a new endpoint its index: that of a removed one which nothing refers to, else one
+    /// more. Otherwise the table would hold all endpoints that ever were, and every choice would go
+    /// through them.
     pub(crate) fn insert(
         &mut self,
         new: EndpointRecord,
--- a/src/decision_state/endpoint_list.rs
+++ b/src/decision_state/endpoint_list.rs
@@ -23,7 +23,8 @@
         for entry in known.into_iter().chain(new) {
             self.update_endpoint(now, entry);
         }
-        // An empty list of an earlier process is none: what the first one names did not start with it.
+        // An empty list of an earlier process is none: what the first one names did not start with
+        // it.
         self.endpoints.list_received |= kind == EndpointUpdateKind::Snapshot || !entries.is_empty();
     }
 
--- a/src/decision_state/fleet_size.rs
+++ b/src/decision_state/fleet_size.rs
@@ -5,7 +5,8 @@
 
 /// Interval of reports; sets of nodes that cannot report to all others as often have aggregators.
 pub(crate) const REPORT_INTERVAL: Seconds = 0.2;
-/// Share of the receive limit that reports may use: the rest is for aggregates, grants and load statistics.
+/// Share of the receive limit that reports may use: the rest is for aggregates, grants and load
+/// statistics.
 pub(crate) const REPORT_SHARE: f64 = 0.5;
 
 /// True where the receive limit lets each of so many nodes report to all the others often enough.
--- a/src/decision_state/ladder.rs
+++ b/src/decision_state/ladder.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// The filter hierarchy, its history and its buckets. The terms are those of the QGuard paper: the filters F0 to Fn, the
-/// load index, the focal point, the sojourn and the lag.
+/// The filter hierarchy, its history and its buckets. The terms are those of the QGuard paper: the
+/// filters F0 to Fn, the load index, the focal point, the sojourn and the lag.
 ///
 /// The order of the fields is that of the hot-restart snapshot.
 #[derive(Clone, Default, Serialize, Deserialize)]
@@ -104,7 +104,8 @@
         }
     }
 
-    /// Learns how long an overload lasts once it is answered. `index`: the load index of the last interval.
+    /// Learns how long an overload lasts once it is answered. `index`: the load index of the last
+    /// interval.
     pub(crate) fn learn_lag(&mut self, now: Seconds, index: i32) {
         if index > 0 {
             self.overload_since.get_or_insert(now);
--- a/src/decision_state/latency.rs
+++ b/src/decision_state/latency.rs
@@ -4,9 +4,11 @@
 
 use super::Seconds;
 
-/// Size buckets, in units, that latencies are learned for separately: few, so that each is seen often.
+/// Size buckets, in units, that latencies are learned for separately: few, so that each is seen
+/// often.
 pub(crate) const SIZE_BUCKETS: usize = 4;
-/// Responses that the estimate of a broader group counts for beside a kind's own: the first few scatter widely.
+/// Responses that the estimate of a broader group counts for beside a kind's own: the first few
+/// scatter widely.
 const PRIOR_RESPONSES: f64 = 2.0;
 /// Weight of one response in a learned latency, once a hundred are known.
 const LATENCY_WEIGHT: f64 = 0.01;
@@ -74,7 +76,8 @@
         weighted_mean(&self.by_kind)
     }
 
-    /// Latency of a kind of request; while few of its responses are known, mostly that of its class or of all.
+    /// Latency of a kind of request; while few of its responses are known, mostly that of its class
+    /// or of all.
     pub(crate) fn usual(&self, kind: usize) -> Seconds {
         let class =
             weighted_mean(&self.by_kind[kind / SIZE_BUCKETS * SIZE_BUCKETS..][..SIZE_BUCKETS]);
--- a/src/decision_state/load.rs
+++ b/src/decision_state/load.rs
@@ -1,4 +1,5 @@
-//! The load as it is measured: this node's own statistics, and in a large fleet those pooled with its peers.
+//! The load as it is measured: this node's own statistics, and in a large fleet those pooled with
+//! its peers.
 
 use super::outcomes::OVERLOAD_LATENCY;
 use super::{
@@ -17,7 +18,8 @@
 const POOL_MEMORY: Seconds = 1.0;
 /// Intervals that one message may count for: more is no sane peer's.
 const MOST_INTERVALS: f64 = 30.0;
-/// Slow and fast responses over all outcomes beyond which a message is malformed; the encoding rounds.
+/// Slow and fast responses over all outcomes beyond which a message is malformed; the encoding
+/// rounds.
 const ROUNDING: f64 = 1.1;
 /// Most that a pool is scaled by to enough outcomes: what little traffic says is little.
 const MOST_SCALING: f64 = 4.0;
@@ -57,9 +59,9 @@
             (completed - load.capacity_per_endpoint) * (MONITOR_INTERVAL / memory);
     }
 
-    /// What the history says; what is missing to enough outcomes comes from the pool, which the bad luck of one node does not
-    /// move. The pool lags by its memory, hence the longer sojourn; and it could hold a ladder closed by ratios of before,
-    /// hence the bound on its scaling.
+    /// What the history says; what is missing to enough outcomes comes from the pool, which the bad
+    /// luck of one node does not move. The pool lags by its memory, hence the longer sojourn; and
+    /// it could hold a ladder closed by ratios of before, hence the bound on its scaling.
     pub(crate) fn load_seen(&self, now: Seconds) -> LoadStatistics {
         let own = self.ladder.history();
         if !self.is_large_fleet() {
@@ -72,8 +74,9 @@
         }
         let missing = (ENOUGH_OUTCOMES - own.outcomes).max(0.0);
         let seen = own.plus(received, (missing / received.outcomes).min(MOST_SCALING));
-        // Work in flight over capacity is the wait of what is sent now (Little's law). Where it is short, slow responses and
-        // time-outs tell of a backlog that has gone: the ladder must not tighten long after.
+        // Work in flight over capacity is the wait of what is sent now (Little's law). Where it is
+        // short, slow responses and time-outs tell of a backlog that has gone: the ladder must not
+        // tighten long after.
         if self.relative_queueing_time() < OVERLOAD_LATENCY {
             return LoadStatistics {
                 slow: 0.0,
@@ -85,7 +88,8 @@
         seen
     }
 
-    /// Takes in a peer's statistics. One message may not outweigh by much what is here: wild ones are cut.
+    /// Takes in a peer's statistics. One message may not outweigh by much what is here: wild ones
+    /// are cut.
     pub(crate) fn receive_load_statistics(&mut self, now: Seconds, statistics: &LoadStatistics) {
         let weight = (MOST_INTERVALS / statistics.intervals.max(1e-9)).min(1.0);
         let is_sane = statistics.slow + statistics.fast <= statistics.outcomes * ROUNDING
@@ -97,9 +101,10 @@
         }
     }
 
-    /// Work per second that this node sends a warm endpoint of its subset: what its subset completes now, over as many warm
-    /// ones as that amounts to. Where little was completed yet, a part of what any endpoint bears: otherwise a site in slow
-    /// start as a whole would reject all, since it has completed nothing and so admits nothing.
+    /// Work per second that this node sends a warm endpoint of its subset: what its subset
+    /// completes now, over as many warm ones as that amounts to. Where little was completed yet, a
+    /// part of what any endpoint bears: otherwise a site in slow start as a whole would reject all,
+    /// since it has completed nothing and so admits nothing.
     pub(crate) fn throughput_per_endpoint(&self, now: Seconds) -> f64 {
         let in_subset = |record: &&EndpointRecord| record.in_subset;
         let warm: f64 = self
--- a/src/decision_state/outcomes.rs
+++ b/src/decision_state/outcomes.rs
@@ -18,7 +18,8 @@
 const LATENCY_FACTOR_WEIGHT: f64 = 0.1;
 /// Bounds of what one response can teach about an endpoint's latency factor.
 const LATENCY_FACTOR_RANGE: (f64, f64) = (0.1, 5.0);
-/// Least part of the latency of an endpoint in slow start that counts as load: it is slow, not queued.
+/// Least part of the latency of an endpoint in slow start that counts as load: it is slow, not
+/// queued.
 const SLOW_START_STRAIN: f64 = 0.8;
 /// Latency, in objectives, above which a response is a sign of overload.
 pub(crate) const OVERLOAD_LATENCY: f64 = 0.45;
@@ -36,9 +37,10 @@
 }
 
 impl DecisionPolicy {
-    /// Share of traffic that an endpoint's health allows, by failures of the class and of the plan, squared. It covers
-    /// whatever fails one kind of request at some endpoints: silence, errors, false rejections. Chance failures of an endpoint
-    /// seldom seen could harm, hence the assumed successes and the least weight.
+    /// Share of traffic that an endpoint's health allows, by failures of the class and of the plan,
+    /// squared. It covers whatever fails one kind of request at some endpoints: silence, errors,
+    /// false rejections. Chance failures of an endpoint seldom seen could harm, hence the assumed
+    /// successes and the least weight.
     pub(crate) fn health_weight(
         &self,
         record: &EndpointRecord,
@@ -95,7 +97,8 @@
             self.ladder.completed.add(now, cost, self.ladder.memory);
             self.load.outgoing.completed += cost;
         } else if outcome == Outcome::TimedOut {
-            // Lost at an endpoint that fails, it is no lack of capacity; waiting at one that chokes, it is.
+            // Lost at an endpoint that fails, it is no lack of capacity; waiting at one that
+            // chokes, it is.
             self.load.outgoing.completed += cost * TIMED_OUT_COMPLETED;
         }
     }
@@ -156,7 +159,8 @@
     LoadStatistics {
         outcomes: 1.0,
         rejected: count(rejected),
-        // A time-out of this node's own making, within the objective, tells of one request's cost only.
+        // A time-out of this node's own making, within the objective, tells of one request's cost
+        // only.
         timed_out: count(outcome == Outcome::TimedOut && strain >= 1.0),
         slow: count(succeeded && strain > OVERLOAD_LATENCY),
         fast: count(succeeded && strain < UNDERLOAD_LATENCY),
--- a/src/decision_state/policy.rs
+++ b/src/decision_state/policy.rs
@@ -53,7 +53,8 @@
             .fold(f64::INFINITY, f64::min)
     }
 
-    /// Cost of the attempts that are not yet past their objective: beyond it they are lost, and must not fill the backlog.
+    /// Cost of the attempts that are not yet past their objective: beyond it they are lost, and
+    /// must not fill the backlog.
     pub(crate) fn work_in_flight(&self, now: Seconds) -> f64 {
         let objective = |class: usize| seconds(self.settings.classes[class].latency_objective_ns);
         self.pending
@@ -68,7 +69,8 @@
         self.load.queueing_time() / self.shortest_objective()
     }
 
-    /// Latency factor of an endpoint's machine type: in a large fleet too few responses come from each endpoint.
+    /// Latency factor of an endpoint's machine type: in a large fleet too few responses come from
+    /// each endpoint.
     pub(crate) fn machine_factor(&self, record: &EndpointRecord) -> f64 {
         if self.is_large_fleet() {
             self.latency.machine_factor(record.endpoint.machine_type)
--- a/src/gossip/dissemination.rs
+++ b/src/gossip/dissemination.rs
@@ -16,7 +16,8 @@
 const AGGREGATE_SHARE: f64 = 0.5;
 /// Seconds of that share that may be saved up: an aggregate goes to many nodes at once.
 const AGGREGATE_SAVINGS: Seconds = 10.0;
-/// Share of the burst by which a peer's quota estimate may be off before the aggregator corrects it.
+/// Share of the burst by which a peer's quota estimate may be off before the aggregator corrects
+/// it.
 const TOLERATED_ERROR: f64 = 0.3;
 /// Change of a sent demand that is sent at once, in square roots of counts: beyond chance.
 const SIGNIFICANT_CHANGE: f64 = 1.5;
@@ -36,8 +37,9 @@
     1.0 / (share * context.settings.gossip_messages_per_second).max(LEAST_MESSAGES_PER_SECOND)
 }
 
-/// Reports to the aggregators of each unreported customer what came in for it and was forwarded: in a small fleet to all
-/// together, in a large one to each at once, to the first aggregator before the others.
+/// Reports to the aggregators of each unreported customer what came in for it and was forwarded: in
+/// a small fleet to all together, in a large one to each at once, to the first aggregator before
+/// the others.
 pub(crate) fn report_usage(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
@@ -125,8 +127,8 @@
     }
 }
 
-/// True where what a customer's nodes were sent last no longer holds. `pace`: units per second that may pass where few
-/// requests may be in flight at once.
+/// True where what a customer's nodes were sent last no longer holds. `pace`: units per second that
+/// may pass where few requests may be in flight at once.
 fn aggregate_is_outdated(customer: &CustomerQuota, now: Seconds, plan: &Plan, pace: f64) -> bool {
     let demand = customer.total_demand.read(now, RATE_MEMORY);
     let rate = plan.quota_units_per_second;
@@ -149,8 +151,9 @@
     age > AGGREGATOR_DELAY && (is_off || changed || demand > rate && age > AGGREGATE_REPEAT)
 }
 
-/// As a customer's aggregator, sends its nodes that it is short and how far its demand goes, and when it no longer is. Each
-/// aggregator waits for those before it, so one that is down or was restarted is passed over.
+/// As a customer's aggregator, sends its nodes that it is short and how far its demand goes, and
+/// when it no longer is. Each aggregator waits for those before it, so one that is down or was
+/// restarted is passed over.
 pub(crate) fn send_aggregate(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
@@ -185,7 +188,8 @@
     if now - due_since < rank as f64 * AGGREGATOR_DELAY || *next_aggregate_at > now {
         return;
     }
-    // What all aggregators send, all nodes of a set receive: no more than their part of what all may receive.
+    // What all aggregators send, all nodes of a set receive: no more than their part of what all
+    // may receive.
     *next_aggregate_at = next_aggregate_at.max(now - AGGREGATE_SAVINGS)
         + f64::from(customer.node_set_size - 1) * spacing(context, AGGREGATE_SHARE);
     let aggregate = QuotaAggregate {
@@ -213,8 +217,8 @@
     }
 }
 
-/// In a small set, moves units under the ceiling to the peer that needs them most. They are deducted here at once, so a
-/// grant that is lost only wastes them.
+/// In a small set, moves units under the ceiling to the peer that needs them most. They are
+/// deducted here at once, so a grant that is lost only wastes them.
 pub(crate) fn grant_ceiling(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
@@ -279,8 +283,9 @@
     pub(crate) forwarded_units: f64,
 }
 
-/// As a customer's first aggregator in a large set, answers a peer's report: a peer that is wrong about the quota is
-/// corrected at once, as each sees the customer seldom; and the ceiling reserve grants what the peer may soon need.
+/// As a customer's first aggregator in a large set, answers a peer's report: a peer that is wrong
+/// about the quota is corrected at once, as each sees the customer seldom; and the ceiling reserve
+/// grants what the peer may soon need.
 pub(crate) fn answer_report(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
--- a/src/gossip/receive.rs
+++ b/src/gossip/receive.rs
@@ -1,4 +1,5 @@
-//! Receiving: what a peer reports of a customer's use, of its ceiling, or, as an aggregator, of its sum.
+//! Receiving: what a peer reports of a customer's use, of its ceiling, or, as an aggregator, of its
+//! sum.
 
 use rand::rngs::SmallRng;
 
@@ -12,7 +13,8 @@
     RATE_MEMORY,
 };
 
-/// Applies a peer's record of a customer; one that contradicts the settings or the customer's nodes changes nothing.
+/// Applies a peer's record of a customer; one that contradicts the settings or the customer's nodes
+/// changes nothing.
 pub(crate) fn receive_customer_record(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
@@ -63,8 +65,8 @@
     }
 }
 
-/// Enters a customer that only a peer has seen so far: only the quota's level is another's to tell. False where the report
-/// contradicts the settings.
+/// Enters a customer that only a peer has seen so far: only the quota's level is another's to tell.
+/// False where the report contradicts the settings.
 fn register_from_report(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
