--- a/crates/admin/src/call.rs
+++ b/crates/admin/src/call.rs
@@ -8,14 +8,14 @@
 use std::fmt;
 
 /// Bytes of a call's line at most.
-pub const LINE_MOST: usize = 512;
+pub const MAX_COMMAND_LINE_BYTES: usize = 512;
 
 /// What an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
+pub enum AdminCommand {
     /// Can this process serve?
     Ready,
-    /// Leave an instance out.
+    /// ShutdownMode an instance out.
     Disable(String),
     /// An instance may serve again.
     Enable(String),
@@ -25,13 +25,13 @@
     Undrain,
 }
 
-impl Call {
+impl AdminCommand {
     /// Reads a line, without its end.
     ///
     /// # Errors
     ///
     /// What is wrong with it, for the caller.
-    pub fn read(line: &str) -> Result<Self, String> {
+    pub fn parse(line: &str) -> Result<Self, String> {
         let mut words = line.split_ascii_whitespace();
         let Some(name) = words.next() else {
             return Err("no call: the line is empty".to_string());
@@ -43,11 +43,11 @@
                 .ok_or(format!("{name}: which instance? An id is missing"))
         };
         let call = match name {
-            "READY" => Call::Ready,
-            "DISABLE" => Call::Disable(id()?),
-            "ENABLE" => Call::Enable(id()?),
-            "DRAIN" => Call::Drain,
-            "UNDRAIN" => Call::Undrain,
+            "READY" => AdminCommand::Ready,
+            "DISABLE" => AdminCommand::Disable(id()?),
+            "ENABLE" => AdminCommand::Enable(id()?),
+            "DRAIN" => AdminCommand::Drain,
+            "UNDRAIN" => AdminCommand::Undrain,
             _ => {
                 let known = "READY, DISABLE ID, ENABLE ID, DRAIN, UNDRAIN";
                 return Err(format!(
@@ -76,19 +76,19 @@
 
 /// What a caller is told: one line.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
+pub enum AdminResponse {
     /// It is so, with a word on what that means here; may be empty.
     Done(String),
     /// Nothing was changed, and why.
     Error(String),
 }
 
-impl fmt::Display for Answer {
+impl fmt::Display for AdminResponse {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Answer::Done(what) if what.is_empty() => f.write_str("done"),
-            Answer::Done(what) => write!(f, "done {what}"),
-            Answer::Error(why) => write!(f, "error {why}"),
+            AdminResponse::Done(what) if what.is_empty() => f.write_str("done"),
+            AdminResponse::Done(what) => write!(f, "done {what}"),
+            AdminResponse::Error(why) => write!(f, "error {why}"),
         }
     }
 }
@@ -100,15 +100,18 @@
 
     #[test]
     fn calls_are_read_whole_or_not_at_all() {
-        assert_eq!(Call::read("READY"), Ok(Call::Ready));
+        assert_eq!(AdminCommand::parse("READY"), Ok(AdminCommand::Ready));
         assert_eq!(
-            Call::read(" DISABLE  s-1 "),
-            Ok(Call::Disable("s-1".into()))
+            AdminCommand::parse(" DISABLE  s-1 "),
+            Ok(AdminCommand::Disable("s-1".into()))
         );
-        assert_eq!(Call::read("ENABLE s-1"), Ok(Call::Enable("s-1".into())));
         assert_eq!(
-            (Call::read("DRAIN"), Call::read("UNDRAIN")),
-            (Ok(Call::Drain), Ok(Call::Undrain))
+            AdminCommand::parse("ENABLE s-1"),
+            Ok(AdminCommand::Enable("s-1".into()))
+        );
+        assert_eq!(
+            (AdminCommand::parse("DRAIN"), AdminCommand::parse("UNDRAIN")),
+            (Ok(AdminCommand::Drain), Ok(AdminCommand::Undrain))
         );
         for (line, why) in [
             ("", "line is empty"),
@@ -119,7 +122,7 @@
             ("ready", "unknown call 'ready'"),
             ("DRAIN\u{1b}[2J", "unknown call 'DRAIN?[2J'"),
         ] {
-            let error = Call::read(line).unwrap_err();
+            let error = AdminCommand::parse(line).unwrap_err();
             assert!(error.contains(why), "{line:?}: {error}");
         }
     }
@@ -127,8 +130,8 @@
     proptest! {
         #[test]
         fn whatever_is_sent_the_answer_is_one_line(line in "\\PC{0,600}|[A-Z ]{0,20}[\\x00-\\x1f]{0,4}") {
-            if let Err(why) = Call::read(&line) {
-                let answer = Answer::Error(why).to_string();
+            if let Err(why) = AdminCommand::parse(&line) {
+                let answer = AdminResponse::Error(why).to_string();
                 prop_assert!(answer.starts_with("error ") && !answer.contains(['\n', '\r']));
             }
         }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -6,6 +6,9 @@
 mod stages;
 pub mod state;
 
-pub use call::{Answer, Call, LINE_MOST};
-pub use ledger::{Ledger, Unknown, MOST as LEDGER_MOST};
-pub use stages::{Leave, Stage, Stages, Termination, DRAINING, LEAVING};
+pub use call::{AdminCommand, AdminResponse, MAX_COMMAND_LINE_BYTES};
+pub use ledger::{MaintenanceSet, UnknownEndpoint, MAX_IDS_IN_MAINTENANCE};
+pub use stages::{
+    Lifecycle, LifecyclePhase, ShutdownDeadlines, ShutdownMode, DRAIN_NOTICE_PERIOD,
+    TERMINATION_ACCEPT_PERIOD,
+};
--- a/crates/admin/src/stages.rs
+++ b/crates/admin/src/stages.rs
@@ -4,9 +4,9 @@
 
 /// After `DRAIN`, the front asks every 0.1 s and sends new connections for 0.2 s after the first no; they are served
 /// as usual for a little longer.
-pub const DRAINING: Duration = Duration::from_millis(500);
+pub const DRAIN_NOTICE_PERIOD: Duration = Duration::from_millis(500);
 /// New connections keep coming for 0.2 to 0.4 s after SIGTERM; they are served for a little longer.
-pub const LEAVING: Duration = Duration::from_millis(600);
+pub const TERMINATION_ACCEPT_PERIOD: Duration = Duration::from_millis(600);
 /// The kill comes this long after SIGTERM and the longest deadline, of which no more than [`LONGEST`] counts.
 const KILL: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
@@ -23,14 +23,14 @@
 /// settings give a class: a command that was taken just before SIGTERM has all of it, and is lost if the program ends
 /// before, while what the kill finds of it is not.
 #[derive(Clone, Copy, Debug)]
-pub struct Termination {
+pub struct ShutdownDeadlines {
     longest: Duration,
 }
 
-impl Termination {
+impl ShutdownDeadlines {
     /// Where no command waits for longer than this.
     pub fn new(longest: Duration) -> Self {
-        Termination { longest }
+        ShutdownDeadlines { longest }
     }
 
     /// The kill comes no sooner.
@@ -39,34 +39,36 @@
     }
 
     /// Connections are kept for so long.
-    pub fn keeps(self, how: Leave) -> Duration {
+    pub fn keep_alive_for(self, how: ShutdownMode) -> Duration {
         match how {
-            Leave::Alone => LEAVING,
-            Leave::Succeeded => self.kill().saturating_sub(STAYING_MARGIN),
+            ShutdownMode::Standalone => TERMINATION_ACCEPT_PERIOD,
+            ShutdownMode::Replaced => self.kill().saturating_sub(STAYING_MARGIN),
         }
     }
 
     /// What is taken from the first moment on has to be answered by the second one, however much time it has left: the
     /// kill takes it otherwise.
-    pub fn late(self, how: Leave) -> (Duration, Duration) {
+    pub fn late_requests(self, how: ShutdownMode) -> (Duration, Duration) {
         match how {
-            Leave::Alone => (LEAVING, self.kill() - ANSWER_MARGIN),
-            Leave::Succeeded => (Duration::ZERO, self.kill() - SUCCEEDED_MARGIN),
+            ShutdownMode::Standalone => (TERMINATION_ACCEPT_PERIOD, self.kill() - ANSWER_MARGIN),
+            ShutdownMode::Replaced => (Duration::ZERO, self.kill() - SUCCEEDED_MARGIN),
         }
     }
 
     /// The program ends, whatever is still open: by then all that was taken is answered.
-    pub fn ends(self, how: Leave) -> Duration {
+    pub fn exit_after(self, how: ShutdownMode) -> Duration {
         match how {
-            Leave::Alone => LEAVING + self.longest.max(LONGEST) + END_MARGIN,
-            Leave::Succeeded => self.kill() - SUCCEEDED_MARGIN / 2,
+            ShutdownMode::Standalone => {
+                TERMINATION_ACCEPT_PERIOD + self.longest.max(LONGEST) + END_MARGIN
+            }
+            ShutdownMode::Replaced => self.kill() - SUCCEEDED_MARGIN / 2,
         }
     }
 }
 
 /// How far it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
+pub enum LifecyclePhase {
     /// All as usual.
     Serving,
     /// Told to drain: `/healthz` says no, all else as usual while the front still sends.
@@ -74,76 +76,81 @@
     /// Each answer closes its connection, idle connections go; whoever comes is still served.
     Drained,
     /// Told to stop: takes and answers, and closes each connection with its next answer.
-    Leaving,
+    Terminating,
     /// The same, and another process takes what is new.
-    Staying,
+    TerminatingReplaced,
     /// Closes what is idle and ends with the last answer.
     Closing,
 }
 
-impl Stage {
+impl LifecyclePhase {
     /// True where each answer is the last of its connection.
-    pub fn last_answers(self) -> bool {
-        !matches!(self, Stage::Serving | Stage::Draining)
+    pub fn closes_after_response(self) -> bool {
+        !matches!(self, LifecyclePhase::Serving | LifecyclePhase::Draining)
     }
 
     /// True from SIGTERM on.
-    pub fn stops(self) -> bool {
-        matches!(self, Stage::Leaving | Stage::Staying | Stage::Closing)
+    pub fn is_stopping(self) -> bool {
+        matches!(
+            self,
+            LifecyclePhase::Terminating
+                | LifecyclePhase::TerminatingReplaced
+                | LifecyclePhase::Closing
+        )
     }
 
     /// What `/healthz` says.
-    pub fn healthy(self) -> bool {
+    pub fn reports_healthy(self) -> bool {
         // A stop is the platform's own doing, which knows of it.
-        !matches!(self, Stage::Draining | Stage::Drained)
+        !matches!(self, LifecyclePhase::Draining | LifecyclePhase::Drained)
     }
 
     /// One word for the log and for callers.
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
-            Stage::Serving => "serving",
-            Stage::Draining => "draining",
-            Stage::Drained => "drained",
-            Stage::Leaving | Stage::Staying => "leaving",
-            Stage::Closing => "closing",
+            LifecyclePhase::Serving => "serving",
+            LifecyclePhase::Draining => "draining",
+            LifecyclePhase::Drained => "drained",
+            LifecyclePhase::Terminating | LifecyclePhase::TerminatingReplaced => "leaving",
+            LifecyclePhase::Closing => "closing",
         }
     }
 }
 
 /// How the program leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Leave {
+pub enum ShutdownMode {
     /// Nobody takes its place yet.
-    Alone,
+    Standalone,
     /// Another process has taken over.
-    Succeeded,
+    Replaced,
 }
 
 /// The stages, and when the next one is due.
 #[derive(Clone, Copy, Debug)]
-pub struct Stages {
-    stage: Stage,
+pub struct Lifecycle {
+    stage: LifecyclePhase,
     due: Option<Duration>,
-    termination: Termination,
+    termination: ShutdownDeadlines,
 }
 
-impl Stages {
+impl Lifecycle {
     /// At work.
-    pub fn new(termination: Termination) -> Self {
-        Stages {
-            stage: Stage::Serving,
+    pub fn new(termination: ShutdownDeadlines) -> Self {
+        Lifecycle {
+            stage: LifecyclePhase::Serving,
             due: None,
             termination,
         }
     }
 
     /// The present one.
-    pub fn stage(&self) -> Stage {
+    pub fn phase(&self) -> LifecyclePhase {
         self.stage
     }
 
-    /// When [`Stages::step`] has to be called next.
-    pub fn due(&self) -> Option<Duration> {
+    /// When [`Lifecycle::advance`] has to be called next.
+    pub fn next_deadline(&self) -> Option<Duration> {
         self.due
     }
 
@@ -153,11 +160,11 @@
     ///
     /// It stops already: nothing is left to drain.
     pub fn drain(&mut self, now: Duration) -> Result<(), &'static str> {
-        if self.stage.stops() {
+        if self.stage.is_stopping() {
             return Err("this process was told to stop and ends by itself");
         }
-        if self.stage == Stage::Serving {
-            (self.stage, self.due) = (Stage::Draining, Some(now + DRAINING));
+        if self.stage == LifecyclePhase::Serving {
+            (self.stage, self.due) = (LifecyclePhase::Draining, Some(now + DRAIN_NOTICE_PERIOD));
         }
         Ok(())
     }
@@ -168,34 +175,36 @@
     ///
     /// It stops: there is no way back.
     pub fn undrain(&mut self) -> Result<(), &'static str> {
-        if self.stage.stops() {
+        if self.stage.is_stopping() {
             return Err("this process was told to stop; there is no way back");
         }
-        *self = Stages::new(self.termination);
+        *self = Lifecycle::new(self.termination);
         Ok(())
     }
 
     /// Told to stop, from whatever stage; a second call changes nothing.
-    pub fn stop(&mut self, now: Duration, how: Leave) {
-        if self.stage.stops() {
+    pub fn stop(&mut self, now: Duration, how: ShutdownMode) {
+        if self.stage.is_stopping() {
             return;
         }
         let stage = match how {
-            Leave::Alone => Stage::Leaving,
-            Leave::Succeeded => Stage::Staying,
+            ShutdownMode::Standalone => LifecyclePhase::Terminating,
+            ShutdownMode::Replaced => LifecyclePhase::TerminatingReplaced,
         };
-        (self.stage, self.due) = (stage, Some(now + self.termination.keeps(how)));
+        (self.stage, self.due) = (stage, Some(now + self.termination.keep_alive_for(how)));
     }
 
     /// Goes on where the time has come; true where that changed the stage.
-    pub fn step(&mut self, now: Duration) -> bool {
+    pub fn advance(&mut self, now: Duration) -> bool {
         if self.due.is_none_or(|due| now < due) {
             return false;
         }
         self.due = None;
         self.stage = match self.stage {
-            Stage::Draining => Stage::Drained,
-            Stage::Leaving | Stage::Staying => Stage::Closing,
+            LifecyclePhase::Draining => LifecyclePhase::Drained,
+            LifecyclePhase::Terminating | LifecyclePhase::TerminatingReplaced => {
+                LifecyclePhase::Closing
+            }
             stage => stage,
         };
         true
--- a/crates/admin/src/state.rs
+++ b/crates/admin/src/state.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Ledger;
+use crate::MaintenanceSet;
 
 /// The version that is written, and the newest that is read.
 const VERSION: u32 = 1;
@@ -15,11 +15,11 @@
 #[derive(Serialize, Deserialize)]
 struct File {
     applewall_state: u32,
-    withheld: Ledger,
+    withheld: MaintenanceSet,
 }
 
 /// The text of the file.
-pub fn write(ledger: &Ledger) -> String {
+pub fn write(ledger: &MaintenanceSet) -> String {
     let file = File {
         applewall_state: VERSION,
         withheld: ledger.clone(),
@@ -33,7 +33,7 @@
 /// # Errors
 ///
 /// It is torn, foreign or of a newer version; which of these.
-pub fn read(text: &str) -> Result<Ledger, String> {
+pub fn read(text: &str) -> Result<MaintenanceSet, String> {
     let value: serde_json::Value =
         serde_json::from_str(text).map_err(|e| format!("torn or foreign: {e}"))?;
     match value
@@ -58,11 +58,8 @@
 
     #[test]
     fn what_is_written_is_read_and_all_else_is_told_apart() {
-        let mut ledger = Ledger::default();
-        let _ = (
-            ledger.withhold("s-1", true),
-            ledger.withhold("s \"2\"", true),
-        );
+        let mut ledger = MaintenanceSet::default();
+        let _ = (ledger.disable("s-1", true), ledger.disable("s \"2\"", true));
         let text = write(&ledger);
         assert_eq!(read(&text), Ok(ledger));
         for cut in 0..text.len() {
--- a/crates/consul/src/follow.rs
+++ b/crates/consul/src/follow.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use applewall_membership::{Entry, Item};
+use applewall_membership::{MemberRecord, MemberUpdate};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use bytes::Bytes;
@@ -30,13 +30,13 @@
 
 /// A whole list at an index; who is missing from it has gone.
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
+pub struct ListUpdate {
     /// The index.
     pub index: u64,
     /// All that was written before it was asked for is in it.
     pub consistent: bool,
     /// All members.
-    pub items: Vec<Item>,
+    pub updates: Vec<MemberUpdate>,
 }
 
 /// First bound on the wait after a failure.
@@ -73,13 +73,13 @@
 /// # Cancel safety
 ///
 /// Dropping it drops the connection; lists are given in whole or not at all.
-pub async fn follow(settings: &Settings, seed: u64, mut take: impl FnMut(News)) {
+pub async fn follow(settings: &Settings, seed: u64, mut take: impl FnMut(ListUpdate)) {
     let Some(agent) = settings.agent else {
         return std::future::pending().await;
     };
     let mut course = Course::new(
-        settings.wait.nanos() / 1_000_000,
-        (BACKOFF, settings.backoff.nanos()),
+        settings.wait.as_nanos() / 1_000_000,
+        (BACKOFF, settings.backoff.as_nanos()),
         seed,
     );
     let (start, mut lost, mut bad) = (Instant::now(), false, BTreeSet::new());
@@ -121,10 +121,10 @@
                 .into_iter()
                 .filter_map(|pair| item(pair, settings, &mut bad))
                 .collect();
-            take(News {
+            take(ListUpdate {
                 index,
                 consistent,
-                items,
+                updates: items,
             });
         }
         tokio::time::sleep(Duration::from_nanos(wait)).await;
@@ -210,7 +210,7 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
-fn item(pair: Pair, settings: &Settings, bad: &mut BTreeSet<String>) -> Option<Item> {
+fn item(pair: Pair, settings: &Settings, bad: &mut BTreeSet<String>) -> Option<MemberUpdate> {
     let id = pair
         .key
         .strip_prefix(&settings.prefix)
@@ -218,7 +218,7 @@
         .to_string();
     let value = STANDARD.decode(pair.value.unwrap_or_default());
     let entry = match value {
-        Ok(value) => Entry::read(&value, &settings.allowed).map_err(|e| e.to_string()),
+        Ok(value) => MemberRecord::parse(&value, &settings.allowed).map_err(|e| e.to_string()),
         Err(e) => Err(e.to_string()),
     };
     match &entry {
@@ -229,10 +229,10 @@
         }
         Err(_) => {}
     }
-    Some(Item {
+    Some(MemberUpdate {
         id,
         revision: pair.modify_index,
-        created: pair.create_index,
-        entry: entry.ok(),
+        create_revision: pair.create_index,
+        record: entry.ok(),
     })
 }
--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -8,5 +8,5 @@
 mod settings;
 
 pub use course::{Answer, Ask, Course};
-pub use follow::{follow, News};
+pub use follow::{follow, ListUpdate};
 pub use settings::Settings;
--- a/crates/consul/src/settings.rs
+++ b/crates/consul/src/settings.rs
@@ -5,7 +5,7 @@
     reason = "short names are spelled out as the module is reworked"
 )]
 
-use applewall_operator_config::{Networks, Span, Switch};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -17,7 +17,7 @@
 pub struct Settings {
     /// Off: it is not asked.
     #[garde(custom(with_agent(&self.agent)))]
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// The agent on this machine, address and port.
     pub agent: Option<std::net::SocketAddr>,
     /// Keys that begin with this are members; the rest of the key is the member's id.
@@ -29,33 +29,33 @@
     pub allowed: Networks,
     /// How long a blocking read waits. A read that is stuck is noticed this and `patience` later.
     #[garde(dive)]
-    pub wait: Span,
+    pub wait: DurationSetting,
     /// How much later than its wait an answer may come.
     #[garde(dive)]
-    pub patience: Span,
+    pub patience: DurationSetting,
     /// The longest wait after a failure.
     #[garde(dive)]
-    pub backoff: Span,
+    pub backoff: DurationSetting,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            enabled: Switch(false),
+            enabled: EnabledFlag(false),
             agent: None,
             prefix: "applewall/members/".into(),
             token_file: None,
             allowed: Networks::default(),
-            wait: Span::millis(10_000),
-            patience: Span::millis(500),
-            backoff: Span::millis(1_000),
+            wait: DurationSetting::from_millis(10_000),
+            patience: DurationSetting::from_millis(500),
+            backoff: DurationSetting::from_millis(1_000),
         }
     }
 }
 
 fn with_agent(
     agent: &Option<std::net::SocketAddr>,
-) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
+) -> impl FnOnce(&EnabledFlag, &()) -> garde::Result + '_ {
     move |enabled, ()| match enabled.0 && agent.is_none() {
         true => Err(garde::Error::new("on, but no agent is named")),
         false => Ok(()),
--- a/crates/consul/tests/follow.rs
+++ b/crates/consul/tests/follow.rs
@@ -10,8 +10,8 @@
 use applewall_consul::{follow, Settings};
 use applewall_fakes::consul::Agent;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{Source, State};
-use applewall_operator_config::{Span, Switch};
+use applewall_membership::{MemberState, Source};
+use applewall_operator_config::{DurationSetting, EnabledFlag};
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -26,12 +26,12 @@
     let agent = Agent::start().await.unwrap();
     let wire = Wire::to(agent.address).await.unwrap();
     let settings = Settings {
-        enabled: Switch(true),
+        enabled: EnabledFlag(true),
         agent: Some(wire.address),
         prefix: "m/".into(),
-        wait: Span::millis(wait),
-        patience: Span::millis(150),
-        backoff: Span::millis(50),
+        wait: DurationSetting::from_millis(wait),
+        patience: DurationSetting::from_millis(150),
+        backoff: DurationSetting::from_millis(50),
         ..Settings::default()
     };
     let source = Arc::new(Mutex::new(Source::default()));
@@ -40,7 +40,7 @@
         follow(&settings, 1, |news| {
             held.lock()
                 .unwrap()
-                .full(0, 0, news.index, news.consistent, news.items);
+                .apply_full_list(0, 0, news.index, news.consistent, news.updates);
         })
         .await;
     });
@@ -53,16 +53,16 @@
 }
 
 impl World {
-    fn list(&self) -> BTreeMap<String, State> {
+    fn list(&self) -> BTreeMap<String, MemberState> {
         self.source
             .lock()
             .unwrap()
-            .entries()
+            .records()
             .map(|(id, entry)| (id.to_string(), entry.state))
             .collect()
     }
 
-    async fn until(&self, what: &str, holds: impl Fn(&BTreeMap<String, State>) -> bool) {
+    async fn until(&self, what: &str, holds: impl Fn(&BTreeMap<String, MemberState>) -> bool) {
         let wait = async {
             while !holds(&self.list()) {
                 tokio::time::sleep(Duration::from_millis(2)).await;
@@ -96,7 +96,7 @@
     world.agent.put("m/a", Some(&value("terminating")));
     world
         .until("it drains", |list| {
-            list.get("a") == Some(&State::Terminating)
+            list.get("a") == Some(&MemberState::Terminating)
         })
         .await;
     world.agent.put("m/a", None);
--- a/crates/etcd/src/follow.rs
+++ b/crates/etcd/src/follow.rs
@@ -13,7 +13,10 @@
 use std::time::{Duration, Instant};
 
 use applewall_etcd_proto as proto;
-use applewall_membership::{Act, Entry, Event, Follow, Item, Pace, Reason};
+use applewall_membership::{
+    DisconnectReason, MemberRecord, MemberUpdate, WatchEffect, WatchInput, WatchMachine,
+    WatchTiming,
+};
 use tonic::Status;
 
 use crate::calls::{Calls, Watch};
@@ -21,15 +24,15 @@
 
 /// What the registry told.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
+pub enum RegistryUpdate {
     /// The whole list, consistent with all that was written before.
-    Full {
+    FullList {
         /// The cluster.
         cluster: u64,
         /// The revision.
         revision: u64,
         /// All members.
-        items: Vec<Item>,
+        items: Vec<MemberUpdate>,
     },
     /// Changes up to a revision; none: nothing changed up to it.
     Changes {
@@ -38,7 +41,7 @@
         /// The revision.
         revision: u64,
         /// What changed.
-        items: Vec<Item>,
+        items: Vec<MemberUpdate>,
     },
 }
 
@@ -49,12 +52,12 @@
 
 struct Course<'a> {
     settings: &'a Settings,
-    follow: Follow,
+    follow: WatchMachine,
     clock: Instant,
     calls: Option<Calls>,
     watch: Option<Watch>,
     /// Changes of an answer that is split, until its last part.
-    parts: Vec<Item>,
+    parts: Vec<MemberUpdate>,
     /// Malformed entries that were told of.
     bad: BTreeSet<String>,
     lost: bool,
@@ -71,17 +74,17 @@
     settings: &Settings,
     seed: u64,
     position: Option<(u64, u64)>,
-    mut take: impl FnMut(News) -> bool,
+    mut take: impl FnMut(RegistryUpdate) -> bool,
 ) {
-    let pace = Pace {
-        probe: settings.probe.nanos(),
-        patience: settings.patience.nanos(),
-        backoff: (BACKOFF, settings.backoff.nanos()),
-        spread: settings.spread.nanos(),
+    let pace = WatchTiming {
+        progress_interval_ns: settings.probe.as_nanos(),
+        response_timeout_ns: settings.patience.as_nanos(),
+        backoff_ns: (BACKOFF, settings.backoff.as_nanos()),
+        full_read_jitter_ns: settings.spread.as_nanos(),
     };
     let mut course = Course {
         settings,
-        follow: Follow::new(pace, seed, position),
+        follow: WatchMachine::new(pace, seed, position),
         clock: Instant::now(),
         calls: None,
         watch: None,
@@ -89,19 +92,19 @@
         bad: BTreeSet::new(),
         lost: false,
     };
-    let mut acts = course.follow.on(0, Event::Tick);
+    let mut acts = course.follow.handle(0, WatchInput::Tick);
     loop {
         for act in std::mem::take(&mut acts) {
             if let Some(event) = course.carry_out(act, &mut take).await {
-                acts.extend(course.follow.on(course.now(), event));
+                acts.extend(course.follow.handle(course.now(), event));
             }
         }
         if acts.is_empty() {
             let event = course.next(&mut take).await;
             acts = match event {
-                Some(event) => course.follow.on(course.now(), event),
+                Some(event) => course.follow.handle(course.now(), event),
                 // What came does not follow on what is held.
-                None => course.follow.gap(course.now()),
+                None => course.follow.invalidate(course.now()),
             };
         }
     }
@@ -113,19 +116,23 @@
     }
 
     fn left(&self) -> Duration {
-        Duration::from_nanos(self.follow.due().saturating_sub(self.now()))
+        Duration::from_nanos(self.follow.next_deadline().saturating_sub(self.now()))
     }
 
     /// Does what is to be done; what came of it, where that is known at once.
-    async fn carry_out(&mut self, act: Act, take: &mut impl FnMut(News) -> bool) -> Option<Event> {
+    async fn carry_out(
+        &mut self,
+        act: WatchEffect,
+        take: &mut impl FnMut(RegistryUpdate) -> bool,
+    ) -> Option<WatchInput> {
         let left = self.left();
         let failed = |course: &mut Self, status: Result<Status, tokio::time::error::Elapsed>| {
             let reason = status.map_or("no answer in time".to_string(), |s| s.to_string());
             course.lose(&reason);
-            Some(Event::Broke)
+            Some(WatchInput::ConnectionLost)
         };
         match act {
-            Act::Connect { endpoint } => {
+            WatchEffect::Connect { endpoint } => {
                 let endpoints = &self.settings.endpoints.0;
                 let to = endpoints[endpoint % endpoints.len().max(1)];
                 let token = match &self.settings.token_file {
@@ -133,7 +140,7 @@
                         Ok(token) => Some(token),
                         Err(e) => {
                             self.lose(&format!("{file}: {e}"));
-                            return Some(Event::Broke);
+                            return Some(WatchInput::ConnectionLost);
                         }
                     },
                     None => None,
@@ -142,13 +149,13 @@
                 match tokio::time::timeout(left, connect).await {
                     Ok(Ok(calls)) => {
                         self.calls = Some(calls);
-                        Some(Event::Connected)
+                        Some(WatchInput::Connected)
                     }
                     Ok(Err(status)) => failed(self, Ok(status)),
                     Err(e) => failed(self, Err(e)),
                 }
             }
-            Act::Read => {
+            WatchEffect::ReadList => {
                 let calls = self.calls.clone()?;
                 match tokio::time::timeout(left, calls.read(self.settings.prefix.as_bytes())).await
                 {
@@ -161,18 +168,18 @@
                             .into_iter()
                             .filter_map(|kv| self.item(Some(kv), true))
                             .collect();
-                        take(News::Full {
+                        take(RegistryUpdate::FullList {
                             cluster,
                             revision,
                             items,
                         });
-                        Some(Event::Read { cluster, revision })
+                        Some(WatchInput::ListRead { cluster, revision })
                     }
                     Ok(Err(status)) => failed(self, Ok(status)),
                     Err(e) => failed(self, Err(e)),
                 }
             }
-            Act::Watch { from } => {
+            WatchEffect::Watch { from } => {
                 let calls = self.calls.clone()?;
                 self.parts.clear();
                 match tokio::time::timeout(left, calls.watch(self.settings.prefix.as_bytes(), from))
@@ -186,14 +193,14 @@
                     Err(e) => failed(self, Err(e)),
                 }
             }
-            Act::Probe => {
+            WatchEffect::RequestProgress => {
                 self.watch.iter().for_each(Watch::probe);
                 None
             }
-            Act::Drop { reason } => {
+            WatchEffect::Disconnect { reason } => {
                 (self.calls, self.watch) = (None, None);
                 self.parts.clear();
-                if reason == Reason::Silent {
+                if reason == DisconnectReason::TimedOut {
                     self.lose("it fell silent");
                 }
                 None
@@ -202,22 +209,22 @@
     }
 
     /// The next thing that happens; none where news did not follow on what is held.
-    async fn next(&mut self, take: &mut impl FnMut(News) -> bool) -> Option<Event> {
+    async fn next(&mut self, take: &mut impl FnMut(RegistryUpdate) -> bool) -> Option<WatchInput> {
         let left = self.left();
         let Some(watch) = &mut self.watch else {
             tokio::time::sleep(left).await;
-            return Some(Event::Tick);
+            return Some(WatchInput::Tick);
         };
         let message = match tokio::time::timeout(left, watch.down.message()).await {
-            Err(_) => return Some(Event::Tick),
+            Err(_) => return Some(WatchInput::Tick),
             Ok(Ok(Some(message))) => message,
             Ok(Ok(None)) => {
                 self.lose("the watch ended");
-                return Some(Event::Broke);
+                return Some(WatchInput::ConnectionLost);
             }
             Ok(Err(status)) => {
                 self.lose(&status.to_string());
-                return Some(Event::Broke);
+                return Some(WatchInput::ConnectionLost);
             }
         };
         if message.compact_revision > 0 {
@@ -226,14 +233,14 @@
                 message.compact_revision
             );
             self.watch = None;
-            return Some(Event::Compacted);
+            return Some(WatchInput::Compacted);
         }
         if message.canceled {
             self.lose(&format!(
                 "the watch was cancelled: {}",
                 message.cancel_reason
             ));
-            return Some(Event::Broke);
+            return Some(WatchInput::ConnectionLost);
         }
         let header = message.header.unwrap_or_default();
         let (cluster, revision) = (header.cluster_id, header.revision.max(0) as u64);
@@ -241,7 +248,7 @@
             if std::mem::take(&mut self.lost) {
                 tracing::info!("registry: it is back");
             }
-            return Some(Event::Watching);
+            return Some(WatchInput::WatchCreated);
         }
         for event in message.events {
             let put = event.r#type == proto::EventType::Put as i32;
@@ -250,7 +257,7 @@
             }
         }
         if message.fragment {
-            return Some(Event::Part);
+            return Some(WatchInput::Fragment);
         }
         let items = std::mem::take(&mut self.parts);
         // The header may be ahead of the events that come with it: what is proven is what they reach, and a notice
@@ -260,27 +267,27 @@
             .map(|item| item.revision)
             .max()
             .unwrap_or(revision);
-        if !take(News::Changes {
+        if !take(RegistryUpdate::Changes {
             cluster,
             revision: reached,
             items,
         }) {
             return None;
         }
-        Some(Event::Told {
+        Some(WatchInput::Progress {
             cluster,
             revision: reached,
         })
     }
 
-    fn item(&mut self, kv: Option<proto::KeyValue>, put: bool) -> Option<Item> {
+    fn item(&mut self, kv: Option<proto::KeyValue>, put: bool) -> Option<MemberUpdate> {
         let kv = kv?;
         let prefix = self.settings.prefix.as_bytes();
         // A key that is no text can't be a member's id, and one without the prefix was not asked for.
         let id = String::from_utf8(kv.key.strip_prefix(prefix)?.to_vec())
             .ok()
             .filter(|id| !id.is_empty())?;
-        let entry = match put.then(|| Entry::read(&kv.value, &self.settings.allowed)) {
+        let entry = match put.then(|| MemberRecord::parse(&kv.value, &self.settings.allowed)) {
             None => None,
             Some(Ok(entry)) => {
                 self.bad.remove(&id);
@@ -295,11 +302,11 @@
             }
         };
         let revision = kv.mod_revision.max(0) as u64;
-        Some(Item {
+        Some(MemberUpdate {
             id,
             revision,
-            created: kv.create_revision.max(0) as u64,
-            entry,
+            create_revision: kv.create_revision.max(0) as u64,
+            record: entry,
         })
     }
 
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -7,5 +7,5 @@
 mod follow;
 mod settings;
 
-pub use follow::{follow, News};
+pub use follow::{follow, RegistryUpdate};
 pub use settings::{Endpoints, Settings};
--- a/crates/etcd/src/settings.rs
+++ b/crates/etcd/src/settings.rs
@@ -1,6 +1,6 @@
 //! `[registry]` of the operator's file.
 
-use applewall_operator_config::{Networks, Span, Switch};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Deserializer};
@@ -34,7 +34,7 @@
 pub struct Settings {
     /// Off: discovery alone tells who is a member.
     #[garde(custom(with_endpoints(&self.endpoints)))]
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// Members of the registry; another one is tried after each loss.
     pub endpoints: Endpoints,
     /// Keys that begin with this are members; the rest of the key is the member's id.
@@ -46,46 +46,46 @@
     pub allowed: Networks,
     /// Between proofs that the watch lives.
     #[garde(dive)]
-    pub probe: Span,
+    pub probe: DurationSetting,
     /// How long any answer may take.
     #[garde(dive)]
-    pub patience: Span,
+    pub patience: DurationSetting,
     /// The longest wait before a reconnect.
     #[garde(dive)]
-    pub backoff: Span,
+    pub backoff: DurationSetting,
     /// A full read that a whole fleet needs at once is spread over this.
     #[garde(dive)]
-    pub spread: Span,
+    pub spread: DurationSetting,
     /// For how long a list is believed without proof that it is current, before another source's is preferred.
     #[garde(dive)]
-    pub believed: Span,
+    pub believed: DurationSetting,
     /// Where the last good list is kept for the next start; not set: nowhere.
     pub snapshot: Option<String>,
     /// A snapshot older than this is not used.
     #[garde(dive)]
-    pub snapshot_age: Span,
+    pub snapshot_age: DurationSetting,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            enabled: Switch(false),
+            enabled: EnabledFlag(false),
             endpoints: Endpoints::default(),
             prefix: "/applewall/members/".into(),
             token_file: None,
             allowed: Networks::default(),
-            probe: Span::millis(100),
-            patience: Span::millis(150),
-            backoff: Span::millis(1_000),
-            spread: Span::millis(200),
-            believed: Span::millis(10_000),
+            probe: DurationSetting::from_millis(100),
+            patience: DurationSetting::from_millis(150),
+            backoff: DurationSetting::from_millis(1_000),
+            spread: DurationSetting::from_millis(200),
+            believed: DurationSetting::from_millis(10_000),
             snapshot: None,
-            snapshot_age: Span::millis(3_600_000),
+            snapshot_age: DurationSetting::from_millis(3_600_000),
         }
     }
 }
 
-fn with_endpoints(endpoints: &Endpoints) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
+fn with_endpoints(endpoints: &Endpoints) -> impl FnOnce(&EnabledFlag, &()) -> garde::Result + '_ {
     move |enabled, ()| match enabled.0 && endpoints.0.is_empty() {
         true => Err(garde::Error::new("on, but no endpoints are named")),
         false => Ok(()),
--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/follow.rs
@@ -11,11 +11,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_etcd::{follow, Endpoints, News, Settings};
+use applewall_etcd::{follow, Endpoints, RegistryUpdate, Settings};
 use applewall_fakes::etcd::Registry;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{Roster, State, Took};
-use applewall_operator_config::{Networks, Span, Switch};
+use applewall_membership::{ApplyOutcome, MemberState, MergedMembership};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -23,21 +23,21 @@
 struct World {
     registry: Registry,
     wires: Vec<Wire>,
-    roster: Arc<Mutex<Roster>>,
+    roster: Arc<Mutex<MergedMembership>>,
     /// What somebody holds who hears of changes only, and how many births were told.
-    heard: Arc<Mutex<(BTreeMap<String, State>, usize)>>,
+    heard: Arc<Mutex<(BTreeMap<String, MemberState>, usize)>>,
     task: JoinHandle<()>,
 }
 
 fn settings(wires: &[Wire]) -> Settings {
     Settings {
-        enabled: Switch(true),
+        enabled: EnabledFlag(true),
         endpoints: Endpoints(wires.iter().map(|wire| wire.address).collect()),
         prefix: "/m/".into(),
-        backoff: Span::millis(50),
-        spread: Span::millis(20),
+        backoff: DurationSetting::from_millis(50),
+        spread: DurationSetting::from_millis(20),
         // Only silence is told by time: a machine that is busy must not look like it.
-        patience: Span::millis(5_000),
+        patience: DurationSetting::from_millis(5_000),
         ..Settings::default()
     }
 }
@@ -49,33 +49,37 @@
     }
     let mut settings = settings(&wires);
     change(&mut settings);
-    let roster = Arc::new(Mutex::new(Roster::new(1, u64::MAX)));
+    let roster = Arc::new(Mutex::new(MergedMembership::new(1, u64::MAX)));
     let heard = Arc::new(Mutex::new((BTreeMap::new(), 0)));
     let (held, told) = (roster.clone(), heard.clone());
     let task = tokio::spawn(async move {
-        let take = |news: News| {
+        let take = |news: RegistryUpdate| {
             let mut roster = held.lock().unwrap();
             let took = match news {
-                News::Full {
+                RegistryUpdate::FullList {
                     cluster,
                     revision,
                     items,
-                } => roster.source(0).full(0, cluster, revision, true, items),
-                News::Changes {
+                } => roster
+                    .source_mut(0)
+                    .apply_full_list(0, cluster, revision, true, items),
+                RegistryUpdate::Changes {
                     cluster,
                     revision,
                     items,
-                } => roster.source(0).changes(0, cluster, revision, items),
+                } => roster
+                    .source_mut(0)
+                    .apply_changes(0, cluster, revision, items),
             };
             let mut told = told.lock().unwrap();
-            for change in roster.changes(0) {
-                told.1 += usize::from(change.anew);
-                match change.entry {
+            for change in roster.take_changes(0) {
+                told.1 += usize::from(change.new_incarnation);
+                match change.record {
                     Some(entry) => drop(told.0.insert(change.id, entry.state)),
                     None => assert!(told.0.remove(&change.id).is_some(), "gone twice"),
                 }
             }
-            took != Took::Gap
+            took != ApplyOutcome::Gap
         };
         follow(&settings, 1, None, take).await;
     });
@@ -93,7 +97,11 @@
 }
 
 impl World {
-    async fn until(&self, what: &str, mut holds: impl FnMut(&BTreeMap<String, State>) -> bool) {
+    async fn until(
+        &self,
+        what: &str,
+        mut holds: impl FnMut(&BTreeMap<String, MemberState>) -> bool,
+    ) {
         let wait = async {
             while !holds(&self.heard.lock().unwrap().0) {
                 tokio::time::sleep(Duration::from_millis(2)).await;
@@ -138,7 +146,7 @@
     world.registry.put("/m/bad", &value(3, "in_service"));
     world
         .until("b and bad", |list| {
-            list.len() == 3 && list.get("b") == Some(&State::Terminating)
+            list.len() == 3 && list.get("b") == Some(&MemberState::Terminating)
         })
         .await;
     // One that is there and turns bad is left out, and comes back when it is mended.
@@ -197,7 +205,10 @@
 async fn a_watch_that_falls_silent_is_left_for_another_member() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
-    let world = world(registry, 3, |s| s.patience = Span::millis(150)).await;
+    let world = world(registry, 3, |s| {
+        s.patience = DurationSetting::from_millis(150);
+    })
+    .await;
     world.until("a", |list| list.len() == 1).await;
     for round in 0..6 {
         // What was left in the round before is closed by now: only the one in use falls silent.
@@ -219,9 +230,9 @@
         };
         world.registry.put("/m/a", &value(1, state));
         let wanted = if round % 2 == 0 {
-            State::Terminating
+            MemberState::Terminating
         } else {
-            State::InService
+            MemberState::InService
         };
         world
             .until(state, |list| list.get("a") == Some(&wanted))
@@ -259,7 +270,7 @@
             .roster
             .lock()
             .unwrap()
-            .source(0)
+            .source_mut(0)
             .position()
             .map(|p| p.0),
         Some(8)
@@ -305,7 +316,7 @@
         .until("all three", |list| {
             list.len() == 5_000
                 && list.contains_key("t")
-                && list.get("s-4999") == Some(&State::Terminating)
+                && list.get("s-4999") == Some(&MemberState::Terminating)
         })
         .await;
     assert_eq!(world.births(), 5_001);
--- a/crates/fault-testbed/src/trial.rs
+++ b/crates/fault-testbed/src/trial.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use applewall_operator_config::{number, Span, Switch};
+use applewall_operator_config::{number, DurationSetting, EnabledFlag};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -51,7 +51,7 @@
     pub seed: u64,
     /// How long clients ask.
     #[garde(dive)]
-    pub time: Span,
+    pub time: DurationSetting,
     /// Ingresses.
     #[garde(range(min = 1, max = 400))]
     #[serde(deserialize_with = "number")]
@@ -74,7 +74,7 @@
     fn default() -> Self {
         Sizes {
             seed: 1,
-            time: Span::millis(8_000),
+            time: DurationSetting::from_millis(8_000),
             ingresses: 3,
             instances: 10,
             zones: 3,
@@ -105,7 +105,7 @@
 #[garde(allow_unvalidated)]
 pub struct Servers {
     /// Cold when the trial begins.
-    pub cold: Switch,
+    pub cold: EnabledFlag,
     /// Requests in work at once.
     #[garde(range(min = 1, max = 64))]
     #[serde(deserialize_with = "number")]
@@ -116,10 +116,10 @@
     pub room: usize,
     /// Time of a core that a request takes, warm.
     #[garde(dive)]
-    pub work: Span,
+    pub work: DurationSetting,
     /// Time of a core that a new connection takes, warm.
     #[garde(dive)]
-    pub dial: Span,
+    pub dial: DurationSetting,
     /// Connections that it holds.
     #[garde(range(min = 1, max = 10_000))]
     #[serde(deserialize_with = "number")]
@@ -130,20 +130,20 @@
     pub cold_share: f64,
     /// Until it is warm.
     #[garde(dive)]
-    pub cold_time: Span,
+    pub cold_time: DurationSetting,
 }
 
 impl Default for Servers {
     fn default() -> Self {
         Servers {
-            cold: Switch(false),
+            cold: EnabledFlag(false),
             cores: 2,
             room: 40,
-            work: Span::millis(80),
-            dial: Span::millis(2),
+            work: DurationSetting::from_millis(80),
+            dial: DurationSetting::from_millis(2),
             connections: 400,
             cold_share: 0.19,
-            cold_time: Span::millis(15_000),
+            cold_time: DurationSetting::from_millis(15_000),
         }
     }
 }
@@ -158,9 +158,9 @@
     #[serde(deserialize_with = "number")]
     pub calls_per_s: f64,
     /// One that is turned away waits for that so long.
-    pub turned_after: Option<Span>,
+    pub turned_after: Option<DurationSetting>,
     /// What it tells those to wait.
-    pub retry_after: Option<Span>,
+    pub retry_after: Option<DurationSetting>,
     /// Entries of limit servers that nobody can reach, besides the real ones.
     #[garde(range(max = 10_000))]
     #[serde(deserialize_with = "number")]
@@ -209,10 +209,10 @@
     pub again: f64,
     /// Wanted within.
     #[garde(dive)]
-    pub wanted: Span,
+    pub wanted: DurationSetting,
     /// Given up after.
     #[garde(dive)]
-    pub patience: Span,
+    pub patience: DurationSetting,
 }
 
 impl Default for Traffic {
@@ -224,8 +224,8 @@
             quota: 50.0,
             ceiling: 0.0,
             again: 0.0,
-            wanted: Span::millis(800),
-            patience: Span::millis(3_000),
+            wanted: DurationSetting::from_millis(800),
+            patience: DurationSetting::from_millis(3_000),
         }
     }
 }
--- a/crates/fault-testbed/src/world.rs
+++ b/crates/fault-testbed/src/world.rs
@@ -99,8 +99,9 @@
             .collect();
         faces.lead(real.clone(), &net, 40.0, sizes.seed, &journal);
         let servers = &trial.list;
-        let span =
-            |span: &Option<applewall_operator_config::Span>| span.map_or(Duration::ZERO, |s| s.0);
+        let span = |span: &Option<applewall_operator_config::DurationSetting>| {
+            span.map_or(Duration::ZERO, |s| s.0)
+        };
         let bears = Bears {
             calls_per_s: servers.calls_per_s,
             turned_after: span(&servers.turned_after),
--- a/crates/membership/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -15,7 +15,8 @@
 /// What a registry says of a member.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq, Hash, JsonSchema)]
 #[serde(rename_all = "snake_case")]
-pub enum State {
+#[schemars(rename = "State")]
+pub enum MemberState {
     /// Takes work.
     #[default]
     InService,
@@ -26,7 +27,8 @@
 /// One member. Names are those of discovery's list, so that one tool can write both.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Validate, JsonSchema)]
 #[serde(deny_unknown_fields)]
-pub struct Entry {
+#[schemars(rename = "Entry")]
+pub struct MemberRecord {
     /// Where it listens: an IP address with a port. Names are not looked up.
     #[garde(skip)]
     #[schemars(
@@ -45,7 +47,7 @@
     /// Whether it takes work.
     #[serde(default)]
     #[garde(skip)]
-    pub state: State,
+    pub state: MemberState,
     /// A size to set against those of others; 0 where it is not told.
     #[serde(default)]
     #[garde(range(min = 0.0, max = 1e6))]
@@ -62,44 +64,45 @@
 
 /// Why an entry is left out, in one line.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Refused(pub String);
+pub struct RecordError(pub String);
 
-impl std::fmt::Display for Refused {
+impl std::fmt::Display for RecordError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(&self.0)
     }
 }
 
-impl std::error::Error for Refused {}
+impl std::error::Error for RecordError {}
 
-impl Entry {
+impl MemberRecord {
     /// Reads a value. `allowed` are the networks that members may listen in; with none named, any will do.
     ///
     /// # Errors
     ///
     /// Text that is no such value, a figure out of its range, an address outside the allowed networks or one that no
     /// member can listen at. The value itself is not told: it is a stranger's.
-    pub fn read(value: &[u8], allowed: &Networks) -> Result<Self, Refused> {
+    pub fn parse(value: &[u8], allowed: &Networks) -> Result<Self, RecordError> {
         // serde takes an array of all fields too; the schema does not.
         if value.trim_ascii_start().first().is_some_and(|b| *b != b'{') {
-            return Err(Refused("not a JSON object".to_string()));
+            return Err(RecordError("not a JSON object".to_string()));
         }
-        let entry: Entry = serde_json::from_slice(value).map_err(|e| Refused(e.to_string()))?;
+        let entry: MemberRecord =
+            serde_json::from_slice(value).map_err(|e| RecordError(e.to_string()))?;
         let first = |report: garde::Report| match report.iter().next() {
-            Some((path, error)) => Refused(format!("{path}: {error}")),
-            None => Refused("out of range".to_string()),
+            Some((path, error)) => RecordError(format!("{path}: {error}")),
+            None => RecordError("out of range".to_string()),
         };
         entry.validate().map_err(first)?;
         let address = entry.endpoint.ip().to_canonical();
         if address.is_unspecified() || address.is_multicast() || entry.endpoint.port() == 0 {
-            return Err(Refused(format!(
+            return Err(RecordError(format!(
                 "endpoint: nobody listens at {}",
                 entry.endpoint
             )));
         }
         // A mistaken entry must not send traffic elsewhere.
         if !allowed.0.is_empty() && !allowed.contains(address) {
-            return Err(Refused(format!(
+            return Err(RecordError(format!(
                 "endpoint: {address} is outside the allowed networks"
             )));
         }
@@ -109,7 +112,7 @@
 
 /// The published JSON Schema of a value.
 pub fn schema() -> String {
-    serde_json::to_string_pretty(&schemars::schema_for!(Entry)).unwrap_or_default()
+    serde_json::to_string_pretty(&schemars::schema_for!(MemberRecord)).unwrap_or_default()
 }
 
 #[cfg(test)]
@@ -139,7 +142,7 @@
             (r#"["10.1.0.18:8443"]"#, false),
         ];
         for (text, good) in cases {
-            let read = Entry::read(text.as_bytes(), &Networks::default());
+            let read = MemberRecord::parse(text.as_bytes(), &Networks::default());
             assert_eq!(read.is_ok(), good, "{text}: {read:?}");
             assert_eq!(
                 schema.is_valid(&serde_json::from_str(text).unwrap()),
@@ -147,7 +150,7 @@
                 "schema: {text}"
             );
         }
-        assert!(Entry::read(b"not JSON", &Networks::default()).is_err());
+        assert!(MemberRecord::parse(b"not JSON", &Networks::default()).is_err());
     }
 
     #[test]
@@ -155,7 +158,7 @@
         let allowed = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
         let read = |endpoint: &str| {
             let text = format!(r#"{{"endpoint":"{endpoint}"}}"#);
-            Entry::read(text.as_bytes(), &allowed)
+            MemberRecord::parse(text.as_bytes(), &allowed)
                 .map(|e| e.endpoint.port())
                 .map_err(|e| e.to_string())
         };
--- a/crates/membership/src/follow.rs
+++ b/crates/membership/src/follow.rs
@@ -19,80 +19,80 @@
 
 /// Times of the course, in nanoseconds.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
+pub struct WatchTiming {
     /// Between proofs that the watch lives.
-    pub probe: u64,
+    pub progress_interval_ns: u64,
     /// How long an answer may take.
-    pub patience: u64,
+    pub response_timeout_ns: u64,
     /// The first bound on the wait before a reconnect, and the last one.
-    pub backoff: (u64, u64),
+    pub backoff_ns: (u64, u64),
     /// The bound on the wait before a full read that many need at once.
-    pub spread: u64,
+    pub full_read_jitter_ns: u64,
 }
 
 /// Why a connection is given up, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
+pub enum DisconnectReason {
     /// It broke, or never came up.
-    Broke,
+    ConnectionLost,
     /// Nothing came back in time.
-    Silent,
+    TimedOut,
     /// The registry said something that does not follow.
-    Confused,
+    Inconsistent,
 }
 
 /// What happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
+pub enum WatchInput {
     /// The connection is up.
     Connected,
     /// The whole list was read, at this revision of this cluster.
-    Read {
+    ListRead {
         /// The cluster.
         cluster: u64,
         /// The revision.
         revision: u64,
     },
     /// The watch was accepted.
-    Watching,
+    WatchCreated,
     /// The watch told something up to a revision: news, or a proof that there are none.
-    Told {
+    Progress {
         /// The cluster.
         cluster: u64,
         /// Up to which all is told.
         revision: u64,
     },
     /// A part of an answer that is split came; the rest is on its way.
-    Part,
+    Fragment,
     /// The revision to resume from is compacted.
     Compacted,
     /// The connection broke.
-    Broke,
-    /// Time passed; comes when [`Follow::due`] says so, or at any time.
+    ConnectionLost,
+    /// Time passed; comes when [`WatchMachine::due`] says so, or at any time.
     Tick,
 }
 
 /// What to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Act {
+pub enum WatchEffect {
     /// Drop what there is and connect to the endpoint of this number, counted round.
     Connect {
         /// The endpoint.
         endpoint: usize,
     },
     /// Read the whole list.
-    Read,
+    ReadList,
     /// Watch from this revision on.
     Watch {
         /// The first revision that is wanted.
         from: u64,
     },
     /// Ask for a proof that the watch lives.
-    Probe,
+    RequestProgress,
     /// Drop the connection; another one follows.
-    Drop {
+    Disconnect {
         /// Why.
-        reason: Reason,
+        reason: DisconnectReason,
     },
 }
 
@@ -114,8 +114,8 @@
 
 /// One registry's watch.
 #[derive(Debug)]
-pub struct Follow {
-    pace: Pace,
+pub struct WatchMachine {
+    pace: WatchTiming,
     stage: Stage,
     endpoint: usize,
     /// Cluster and revision up to which all is known.
@@ -141,27 +141,27 @@
 /// Times the first bound on a wait, while there is hurry.
 const HURRIED: u64 = 2;
 
-impl Follow {
+impl WatchMachine {
     /// Begins at once, at the endpoint that its seed draws: a fleet starts evenly. `position` is where an earlier life
     /// got to, if a snapshot tells it.
-    pub fn new(pace: Pace, seed: u64, position: Option<(u64, u64)>) -> Self {
+    pub fn new(pace: WatchTiming, seed: u64, position: Option<(u64, u64)>) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let endpoint = rng.random_range(0..1 << 16);
-        Follow {
+        WatchMachine {
             pace,
             stage: Stage::Waiting(0),
             endpoint,
             position,
             spread: false,
-            bound: pace.backoff.0,
+            bound: pace.backoff_ns.0,
             lived: None,
             behind: 0,
             rng,
         }
     }
 
-    /// When a [`Event::Tick`] is due, if nothing happens before.
-    pub fn due(&self) -> u64 {
+    /// When a [`WatchInput::Tick`] is due, if nothing happens before.
+    pub fn next_deadline(&self) -> u64 {
         match self.stage {
             Stage::Waiting(at)
             | Stage::Connecting(at)
@@ -174,46 +174,46 @@
     }
 
     /// True while a watch lives, as far as is known.
-    pub fn live(&self) -> bool {
+    pub fn is_live(&self) -> bool {
         matches!(self.stage, Stage::Live(_) | Stage::Probed(_))
     }
 
     /// Something happened; what to do about it, in order.
-    pub fn on(&mut self, now: u64, event: Event) -> Vec<Act> {
-        let late = now.saturating_add(self.pace.patience);
+    pub fn handle(&mut self, now: u64, event: WatchInput) -> Vec<WatchEffect> {
+        let late = now.saturating_add(self.pace.response_timeout_ns);
         match (event, self.stage) {
-            (Event::Tick, Stage::Waiting(at)) if now >= at => {
+            (WatchInput::Tick, Stage::Waiting(at)) if now >= at => {
                 self.stage = Stage::Connecting(late);
-                vec![Act::Connect {
+                vec![WatchEffect::Connect {
                     endpoint: self.endpoint,
                 }]
             }
-            (Event::Tick, Stage::Turn(at)) if now >= at => self.reading(now),
-            (Event::Tick, Stage::Live(at)) if now >= at => {
+            (WatchInput::Tick, Stage::Turn(at)) if now >= at => self.reading(now),
+            (WatchInput::Tick, Stage::Live(at)) if now >= at => {
                 self.stage = Stage::Probed(late);
-                vec![Act::Probe]
+                vec![WatchEffect::RequestProgress]
             }
             (
-                Event::Tick,
+                WatchInput::Tick,
                 Stage::Connecting(at) | Stage::Reading(at) | Stage::Asking(at) | Stage::Probed(at),
-            ) if now >= at => self.drop(now, Reason::Silent),
-            (Event::Tick, _) => Vec::new(),
-            (Event::Connected, Stage::Connecting(_)) => match self.position {
+            ) if now >= at => self.drop(now, DisconnectReason::TimedOut),
+            (WatchInput::Tick, _) => Vec::new(),
+            (WatchInput::Connected, Stage::Connecting(_)) => match self.position {
                 Some((_, revision)) => self.watch(now, revision),
                 None => self.read(now),
             },
-            (Event::Read { cluster, revision }, Stage::Reading(_)) => {
+            (WatchInput::ListRead { cluster, revision }, Stage::Reading(_)) => {
                 self.position = Some((cluster, revision));
                 self.watch(now, revision)
             }
-            (Event::Watching, Stage::Asking(_)) => {
+            (WatchInput::WatchCreated, Stage::Asking(_)) => {
                 // Proven by the acceptance; the bound on waits falls back once a watch lives.
-                self.bound = self.pace.backoff.0;
+                self.bound = self.pace.backoff_ns.0;
                 self.lived = Some(now);
-                self.stage = Stage::Live(now.saturating_add(self.pace.probe));
+                self.stage = Stage::Live(now.saturating_add(self.pace.progress_interval_ns));
                 Vec::new()
             }
-            (Event::Told { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => {
+            (WatchInput::Progress { cluster, revision }, Stage::Live(_) | Stage::Probed(_)) => {
                 match self.position {
                     Some((held, before)) if held == cluster => {
                         self.behind = if revision < before {
@@ -226,86 +226,91 @@
                         }
                         self.lived = Some(now);
                         self.position = Some((cluster, revision.max(before)));
-                        self.stage = Stage::Live(now.saturating_add(self.pace.probe));
+                        self.stage =
+                            Stage::Live(now.saturating_add(self.pace.progress_interval_ns));
                         Vec::new()
                     }
                     // Behind one address stands another cluster now.
                     _ => self.anew(now),
                 }
             }
-            (Event::Part, Stage::Live(_) | Stage::Probed(_)) => {
+            (WatchInput::Fragment, Stage::Live(_) | Stage::Probed(_)) => {
                 self.stage = Stage::Probed(late);
                 Vec::new()
             }
-            (Event::Compacted, Stage::Asking(_) | Stage::Live(_) | Stage::Probed(_)) => {
+            (WatchInput::Compacted, Stage::Asking(_) | Stage::Live(_) | Stage::Probed(_)) => {
                 // Everybody's was, in the same moment.
                 (self.position, self.spread) = (None, true);
                 self.read(now)
             }
-            (Event::Broke, Stage::Waiting(_)) => Vec::new(),
-            (Event::Broke, _) => self.drop(now, Reason::Broke),
+            (WatchInput::ConnectionLost, Stage::Waiting(_)) => Vec::new(),
+            (WatchInput::ConnectionLost, _) => self.drop(now, DisconnectReason::ConnectionLost),
             // Late news of something that was given up, or of nothing that was asked for.
             (
-                Event::Told { .. } | Event::Part | Event::Compacted | Event::Watching,
+                WatchInput::Progress { .. }
+                | WatchInput::Fragment
+                | WatchInput::Compacted
+                | WatchInput::WatchCreated,
                 Stage::Waiting(_),
             ) => Vec::new(),
-            _ => self.drop(now, Reason::Confused),
+            _ => self.drop(now, DisconnectReason::Inconsistent),
         }
     }
 
     /// The list that is held turned out to be of no use: it is read anew.
-    pub fn gap(&mut self, now: u64) -> Vec<Act> {
+    pub fn invalidate(&mut self, now: u64) -> Vec<WatchEffect> {
         self.anew(now)
     }
 
-    fn anew(&mut self, now: u64) -> Vec<Act> {
+    fn anew(&mut self, now: u64) -> Vec<WatchEffect> {
         (self.position, self.behind) = (None, 0);
         self.spread = true;
-        self.drop(now, Reason::Confused)
+        self.drop(now, DisconnectReason::Inconsistent)
     }
 
-    fn read(&mut self, now: u64) -> Vec<Act> {
+    fn read(&mut self, now: u64) -> Vec<WatchEffect> {
         if std::mem::take(&mut self.spread) {
-            let wait = self.rng.random_range(0..=self.pace.spread);
+            let wait = self.rng.random_range(0..=self.pace.full_read_jitter_ns);
             self.stage = Stage::Turn(now.saturating_add(wait));
             return Vec::new();
         }
         self.reading(now)
     }
 
-    fn reading(&mut self, now: u64) -> Vec<Act> {
-        self.stage = Stage::Reading(now.saturating_add(self.pace.patience.saturating_mul(LIST)));
-        vec![Act::Read]
+    fn reading(&mut self, now: u64) -> Vec<WatchEffect> {
+        self.stage =
+            Stage::Reading(now.saturating_add(self.pace.response_timeout_ns.saturating_mul(LIST)));
+        vec![WatchEffect::ReadList]
     }
 
-    fn watch(&mut self, now: u64, revision: u64) -> Vec<Act> {
-        self.stage = Stage::Asking(now.saturating_add(self.pace.patience));
-        vec![Act::Watch {
+    fn watch(&mut self, now: u64, revision: u64) -> Vec<WatchEffect> {
+        self.stage = Stage::Asking(now.saturating_add(self.pace.response_timeout_ns));
+        vec![WatchEffect::Watch {
             from: revision.saturating_add(1),
         }]
     }
 
-    fn drop(&mut self, now: u64, reason: Reason) -> Vec<Act> {
+    fn drop(&mut self, now: u64, reason: DisconnectReason) -> Vec<WatchEffect> {
         // A watch that lived and went silent or broke is taken up elsewhere at once: the budget for a drain runs.
         let hurry = self
             .lived
             .is_some_and(|lived| now.saturating_sub(lived) < HURRY);
-        let wait = match (self.live(), hurry) {
+        let wait = match (self.is_live(), hurry) {
             (true, _) => 0,
-            (false, true) => self.rng.random_range(0..=self.pace.backoff.0 * HURRIED),
+            (false, true) => self.rng.random_range(0..=self.pace.backoff_ns.0 * HURRIED),
             (false, false) => self.rng.random_range(0..=self.bound),
         };
-        if !self.live() && !hurry {
-            self.bound = (self.bound * 2).min(self.pace.backoff.1);
+        if !self.is_live() && !hurry {
+            self.bound = (self.bound * 2).min(self.pace.backoff_ns.1);
         }
         self.endpoint = self.endpoint.wrapping_add(1);
         self.stage = Stage::Waiting(now.saturating_add(wait));
-        vec![Act::Drop { reason }]
+        vec![WatchEffect::Disconnect { reason }]
     }
 
     /// Calls a second that one ingress puts on the registry while nothing changes.
-    pub fn calls_a_second(pace: &Pace) -> f64 {
-        1e9 / pace.probe as f64
+    pub fn progress_requests_per_second(pace: &WatchTiming) -> f64 {
+        1e9 / pace.progress_interval_ns as f64
     }
 }
 
@@ -314,51 +319,54 @@
     use super::*;
 
     const MS: u64 = 1_000_000;
-    const PACE: Pace = Pace {
-        probe: 100 * MS,
-        patience: 150 * MS,
-        backoff: (20 * MS, 1_000 * MS),
-        spread: 300 * MS,
+    const PACE: WatchTiming = WatchTiming {
+        progress_interval_ns: 100 * MS,
+        response_timeout_ns: 150 * MS,
+        backoff_ns: (20 * MS, 1_000 * MS),
+        full_read_jitter_ns: 300 * MS,
     };
 
-    fn live() -> Follow {
-        let mut follow = Follow::new(PACE, 1, None);
+    fn live() -> WatchMachine {
+        let mut follow = WatchMachine::new(PACE, 1, None);
         assert!(matches!(
-            follow.on(0, Event::Tick)[..],
-            [Act::Connect { .. }]
+            follow.handle(0, WatchInput::Tick)[..],
+            [WatchEffect::Connect { .. }]
         ));
-        assert_eq!(follow.on(1, Event::Connected), [Act::Read]);
         assert_eq!(
-            follow.on(
+            follow.handle(1, WatchInput::Connected),
+            [WatchEffect::ReadList]
+        );
+        assert_eq!(
+            follow.handle(
                 2,
-                Event::Read {
+                WatchInput::ListRead {
                     cluster: 9,
                     revision: 41
                 }
             ),
-            [Act::Watch { from: 42 }]
+            [WatchEffect::Watch { from: 42 }]
         );
-        assert!(follow.on(3, Event::Watching).is_empty() && follow.live());
+        assert!(follow.handle(3, WatchInput::WatchCreated).is_empty() && follow.is_live());
         follow
     }
 
     #[test]
     fn a_silent_watch_is_found_and_resumed_well_inside_the_budget_without_a_read() {
         let mut follow = live();
-        follow.on(
+        follow.handle(
             50 * MS,
-            Event::Told {
+            WatchInput::Progress {
                 cluster: 9,
                 revision: 45,
             },
         );
         // The stall begins right after; a drain is written right after that.
         let dropped = loop {
-            let now = follow.due();
-            match follow.on(now, Event::Tick)[..] {
-                [Act::Probe] => {}
-                [Act::Drop {
-                    reason: Reason::Silent,
+            let now = follow.next_deadline();
+            match follow.handle(now, WatchInput::Tick)[..] {
+                [WatchEffect::RequestProgress] => {}
+                [WatchEffect::Disconnect {
+                    reason: DisconnectReason::TimedOut,
                 }] => break now,
                 ref other => panic!("{other:?}"),
             }
@@ -366,12 +374,12 @@
         assert!(dropped - 50 * MS <= 250 * MS);
         let before = follow.endpoint;
         assert_eq!(
-            follow.on(follow.due(), Event::Tick),
-            [Act::Connect { endpoint: before }]
+            follow.handle(follow.next_deadline(), WatchInput::Tick),
+            [WatchEffect::Connect { endpoint: before }]
         );
         assert_eq!(
-            follow.on(dropped, Event::Connected),
-            [Act::Watch { from: 46 }]
+            follow.handle(dropped, WatchInput::Connected),
+            [WatchEffect::Watch { from: 46 }]
         );
     }
 
@@ -381,10 +389,16 @@
             .map(|seed| {
                 let mut follow = live();
                 follow.rng = SmallRng::seed_from_u64(seed);
-                assert!(follow.on(0, Event::Compacted).is_empty());
-                assert!(follow.on(0, Event::Tick).is_empty() || follow.due() >= 150 * MS);
-                let due = follow.due();
-                assert_eq!(follow.on(due, Event::Tick), [Act::Read]);
+                assert!(follow.handle(0, WatchInput::Compacted).is_empty());
+                assert!(
+                    follow.handle(0, WatchInput::Tick).is_empty()
+                        || follow.next_deadline() >= 150 * MS
+                );
+                let due = follow.next_deadline();
+                assert_eq!(
+                    follow.handle(due, WatchInput::Tick),
+                    [WatchEffect::ReadList]
+                );
                 due
             })
             .collect();
@@ -398,14 +412,14 @@
     #[test]
     fn tries_stay_close_together_while_a_drain_has_its_budget_and_not_for_longer() {
         let mut follow = live();
-        follow.on(10 * MS, Event::Broke);
+        follow.handle(10 * MS, WatchInput::ConnectionLost);
         let (mut now, mut waits) = (10 * MS, Vec::new());
         while now < 3_000 * MS {
-            let due = follow.due().max(now + MS);
+            let due = follow.next_deadline().max(now + MS);
             waits.push((now, due - now));
             now = due;
-            follow.on(now, Event::Tick);
-            follow.on(now, Event::Broke);
+            follow.handle(now, WatchInput::Tick);
+            follow.handle(now, WatchInput::ConnectionLost);
         }
         assert!(
             waits
@@ -418,21 +432,22 @@
 
     #[test]
     fn waits_grow_to_their_bound_and_other_endpoints_are_tried() {
-        let mut follow = Follow::new(PACE, 3, None);
+        let mut follow = WatchMachine::new(PACE, 3, None);
         let (mut now, mut seen, mut longest) = (0, std::collections::BTreeSet::new(), 0);
         for _ in 0..40 {
-            now = now.max(follow.due());
-            let [Act::Connect { endpoint }] = follow.on(now, Event::Tick)[..] else {
+            now = now.max(follow.next_deadline());
+            let [WatchEffect::Connect { endpoint }] = follow.handle(now, WatchInput::Tick)[..]
+            else {
                 panic!()
             };
             seen.insert(endpoint % 3);
             assert!(matches!(
-                follow.on(now, Event::Broke)[..],
-                [Act::Drop {
-                    reason: Reason::Broke
+                follow.handle(now, WatchInput::ConnectionLost)[..],
+                [WatchEffect::Disconnect {
+                    reason: DisconnectReason::ConnectionLost
                 }]
             ));
-            longest = longest.max(follow.due() - now);
+            longest = longest.max(follow.next_deadline() - now);
         }
         assert_eq!(seen.len(), 3);
         assert!((500 * MS..=1_000 * MS).contains(&longest), "{longest}");
@@ -440,45 +455,53 @@
 
     #[test]
     fn a_registry_that_went_back_is_read_anew_and_a_member_that_lags_for_a_moment_is_not() {
-        let told = |revision| Event::Told {
+        let told = |revision| WatchInput::Progress {
             cluster: 9,
             revision,
         };
         let mut follow = live();
         for revision in [50, 49, 49, 50, 49, 49] {
-            assert!(follow.on(10, told(revision)).is_empty());
+            assert!(follow.handle(10, told(revision)).is_empty());
         }
         assert_eq!(
-            follow.on(11, told(7)),
-            [Act::Drop {
-                reason: Reason::Confused
+            follow.handle(11, told(7)),
+            [WatchEffect::Disconnect {
+                reason: DisconnectReason::Inconsistent
             }]
         );
-        follow.on(follow.due(), Event::Tick);
-        assert!(follow.on(20, Event::Connected).is_empty());
-        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
+        follow.handle(follow.next_deadline(), WatchInput::Tick);
+        assert!(follow.handle(20, WatchInput::Connected).is_empty());
+        assert_eq!(
+            follow.handle(follow.next_deadline(), WatchInput::Tick),
+            [WatchEffect::ReadList]
+        );
         // A whole list may take longer than a proof.
-        assert!(follow.on(follow.due() - 1, Event::Tick).is_empty());
+        assert!(follow
+            .handle(follow.next_deadline() - 1, WatchInput::Tick)
+            .is_empty());
     }
 
     #[test]
     fn another_cluster_behind_the_same_address_is_read_anew() {
         let mut follow = live();
-        let acts = follow.on(
+        let acts = follow.handle(
             10,
-            Event::Told {
+            WatchInput::Progress {
                 cluster: 8,
                 revision: 3,
             },
         );
         assert_eq!(
             acts,
-            [Act::Drop {
-                reason: Reason::Confused
+            [WatchEffect::Disconnect {
+                reason: DisconnectReason::Inconsistent
             }]
         );
-        follow.on(follow.due(), Event::Tick);
-        assert!(follow.on(20, Event::Connected).is_empty());
-        assert_eq!(follow.on(follow.due(), Event::Tick), [Act::Read]);
+        follow.handle(follow.next_deadline(), WatchInput::Tick);
+        assert!(follow.handle(20, WatchInput::Connected).is_empty());
+        assert_eq!(
+            follow.handle(follow.next_deadline(), WatchInput::Tick),
+            [WatchEffect::ReadList]
+        );
     }
 }
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -8,37 +8,37 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::entry::{Entry, State};
+use crate::entry::{MemberRecord, MemberState};
 use crate::source::Source;
 
 /// What changed for one member.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Change {
+pub struct MemberChange {
     /// The member.
     pub id: String,
     /// As it is now; none: gone.
-    pub entry: Option<Entry>,
+    pub record: Option<MemberRecord>,
     /// It is another life than the one told before: whoever held something against that one has to forget it.
-    pub anew: bool,
+    pub new_incarnation: bool,
     /// Which source says so; none: gone.
     pub source: Option<usize>,
 }
 
 /// Merged sources, and what was told of them.
 #[derive(Debug)]
-pub struct Roster {
+pub struct MergedMembership {
     sources: Vec<Source>,
     believed: u64,
     fresh: Vec<bool>,
     /// What was told: the entry, and whose life it was.
-    told: BTreeMap<String, (Entry, (usize, u64))>,
+    told: BTreeMap<String, (MemberRecord, (usize, u64))>,
 }
 
-impl Roster {
+impl MergedMembership {
     /// So many sources, the foremost first; a list is believed for so many nanoseconds without proof that it is
     /// current.
     pub fn new(sources: usize, believed: u64) -> Self {
-        Roster {
+        MergedMembership {
             sources: vec![Source::default(); sources],
             believed,
             fresh: vec![false; sources],
@@ -51,7 +51,7 @@
     /// # Panics
     ///
     /// Where there are not so many.
-    pub fn source(&mut self, number: usize) -> &mut Source {
+    pub fn source_mut(&mut self, number: usize) -> &mut Source {
         &mut self.sources[number]
     }
 
@@ -61,7 +61,7 @@
     }
 
     /// True where no source is fresh.
-    pub fn stale(&self, now: u64) -> bool {
+    pub fn all_stale(&self, now: u64) -> bool {
         !self.sources.iter().any(|source| self.is_fresh(source, now))
     }
 
@@ -70,7 +70,7 @@
     }
 
     /// What changed since the last call; ids in order, each once.
-    pub fn changes(&mut self, now: u64) -> Vec<Change> {
+    pub fn take_changes(&mut self, now: u64) -> Vec<MemberChange> {
         let fresh: Vec<bool> = self
             .sources
             .iter()
@@ -88,7 +88,7 @@
         ids.into_iter().filter_map(|id| self.change(id)).collect()
     }
 
-    fn change(&mut self, id: String) -> Option<Change> {
+    fn change(&mut self, id: String) -> Option<MemberChange> {
         let holds = |want: bool| {
             let of = self
                 .sources
@@ -121,26 +121,26 @@
             None => self.told.remove(&id),
         };
         let source = now.as_ref().map(|(_, (source, _))| *source);
-        changed.map(|anew| Change {
+        changed.map(|anew| MemberChange {
             id,
-            entry: now.map(|(entry, _)| entry),
-            anew,
+            record: now.map(|(entry, _)| entry),
+            new_incarnation: anew,
             source,
         })
     }
 
     /// All members as they were told.
-    pub fn members(&self) -> impl Iterator<Item = (&str, &Entry)> {
+    pub fn members(&self) -> impl Iterator<Item = (&str, &MemberRecord)> {
         self.told
             .iter()
             .map(|(id, (entry, _))| (id.as_str(), entry))
     }
 
     /// Members that take work.
-    pub fn in_service(&self) -> usize {
+    pub fn in_service_count(&self) -> usize {
         self.told
             .values()
-            .filter(|(entry, _)| entry.state == State::InService)
+            .filter(|(entry, _)| entry.state == MemberState::InService)
             .count()
     }
 }
@@ -148,10 +148,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::source::Item;
+    use crate::source::MemberUpdate;
 
-    fn item(id: &str, revision: u64, port: u16, state: State) -> Item {
-        let entry = Entry {
+    fn item(id: &str, revision: u64, port: u16, state: MemberState) -> MemberUpdate {
+        let entry = MemberRecord {
             endpoint: ([127, 0, 0, 1], port).into(),
             az: String::new(),
             pod_group: -1,
@@ -159,15 +159,15 @@
             capacity_hint: 0.0,
             boot_ms: 0,
         };
-        Item {
+        MemberUpdate {
             id: id.to_string(),
             revision,
-            created: 1,
-            entry: Some(entry),
+            create_revision: 1,
+            record: Some(entry),
         }
     }
 
-    fn ports(roster: &Roster) -> Vec<u16> {
+    fn ports(roster: &MergedMembership) -> Vec<u16> {
         roster
             .members()
             .map(|(_, entry)| entry.endpoint.port())
@@ -176,69 +176,90 @@
 
     #[test]
     fn the_foremost_fresh_source_decides_and_all_stale_changes_nothing() {
-        let mut roster = Roster::new(2, 100);
-        roster.source(1).full(
+        let mut roster = MergedMembership::new(2, 100);
+        roster.source_mut(1).apply_full_list(
             0,
             9,
             1,
             true,
             vec![
-                item("a", 1, 2, State::InService),
-                item("b", 1, 3, State::InService),
+                item("a", 1, 2, MemberState::InService),
+                item("b", 1, 3, MemberState::InService),
             ],
         );
-        assert_eq!((roster.changes(0).len(), ports(&roster)), (2, vec![2, 3]));
-        roster
-            .source(0)
-            .full(10, 8, 1, true, vec![item("a", 1, 1, State::Terminating)]);
-        let changes = roster.changes(10);
         assert_eq!(
-            (changes.len(), changes[0].anew, ports(&roster)),
+            (roster.take_changes(0).len(), ports(&roster)),
+            (2, vec![2, 3])
+        );
+        roster.source_mut(0).apply_full_list(
+            10,
+            8,
+            1,
+            true,
+            vec![item("a", 1, 1, MemberState::Terminating)],
+        );
+        let changes = roster.take_changes(10);
+        assert_eq!(
+            (changes.len(), changes[0].new_incarnation, ports(&roster)),
             (1, true, vec![1, 3])
         );
         // The first one is lost for long, the second one is current: it decides.
-        roster.source(1).progress(105, 9, 5);
-        roster.changes(120);
-        assert_eq!((ports(&roster), roster.stale(120)), (vec![2, 3], false));
+        roster.source_mut(1).apply_progress(105, 9, 5);
+        roster.take_changes(120);
+        assert_eq!((ports(&roster), roster.all_stale(120)), (vec![2, 3], false));
         // Both are lost: the foremost of the old lists, and nobody is dropped.
-        roster.changes(1_000);
-        assert_eq!((ports(&roster), roster.stale(1_000)), (vec![1, 3], true));
+        roster.take_changes(1_000);
+        assert_eq!(
+            (ports(&roster), roster.all_stale(1_000)),
+            (vec![1, 3], true)
+        );
         assert_eq!(roster.ages(1_000), [Some(990), Some(895)]);
     }
 
     #[test]
     fn a_drain_is_no_new_life_and_a_birth_at_the_same_place_is() {
-        let mut roster = Roster::new(1, 100);
-        roster
-            .source(0)
-            .full(0, 9, 1, true, vec![item("a", 1, 1, State::InService)]);
-        assert!(roster.changes(0)[0].anew);
-        roster
-            .source(0)
-            .changes(1, 9, 2, vec![item("a", 2, 1, State::Terminating)]);
-        let changes = roster.changes(1);
+        let mut roster = MergedMembership::new(1, 100);
+        roster.source_mut(0).apply_full_list(
+            0,
+            9,
+            1,
+            true,
+            vec![item("a", 1, 1, MemberState::InService)],
+        );
+        assert!(roster.take_changes(0)[0].new_incarnation);
+        roster.source_mut(0).apply_changes(
+            1,
+            9,
+            2,
+            vec![item("a", 2, 1, MemberState::Terminating)],
+        );
+        let changes = roster.take_changes(1);
         assert_eq!(
-            (changes.len(), changes[0].anew, roster.in_service()),
+            (
+                changes.len(),
+                changes[0].new_incarnation,
+                roster.in_service_count()
+            ),
             (1, false, 0)
         );
-        let again = Item {
-            created: 4,
-            ..item("a", 4, 1, State::Terminating)
+        let again = MemberUpdate {
+            create_revision: 4,
+            ..item("a", 4, 1, MemberState::Terminating)
         };
-        roster.source(0).changes(
+        roster.source_mut(0).apply_changes(
             2,
             9,
             4,
             vec![
-                Item {
-                    entry: None,
+                MemberUpdate {
+                    record: None,
                     revision: 3,
                     ..again.clone()
                 },
                 again,
             ],
         );
-        assert!(roster.changes(2)[0].anew);
-        assert!(roster.changes(3).is_empty());
+        assert!(roster.take_changes(2)[0].new_incarnation);
+        assert!(roster.take_changes(3).is_empty());
     }
 }
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -7,35 +7,35 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::entry::Entry;
+use crate::entry::MemberRecord;
 
 /// One key's news.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Item {
+pub struct MemberUpdate {
     /// The member.
     pub id: String,
     /// The revision of the last change of it, as the registry counts.
     pub revision: u64,
     /// The revision at which it came into being: another one is another life.
-    pub created: u64,
+    pub create_revision: u64,
     /// None: removed, or there but not to be read. Both are the same to those who would send to it.
-    pub entry: Option<Entry>,
+    pub record: Option<MemberRecord>,
 }
 
 /// What became of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Took {
+pub enum ApplyOutcome {
     /// Taken, though it may have changed nothing.
-    News,
+    Applied,
     /// Older than what is held, or seen already: dropped.
-    Old,
+    Outdated,
     /// Changes of a registry that began anew, or that do not follow on what is held: a full list is needed.
     Gap,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Held {
-    pub entry: Entry,
+    pub entry: MemberRecord,
     pub revision: u64,
     pub created: u64,
     /// Counts lives of this id in this source, across everything.
@@ -62,24 +62,24 @@
     /// A consistent one always holds. Where its revision lies before what is held, or its cluster is another one, the
     /// registry began anew, and all that is held is a former life's. A follower's list that is older than what is held
     /// is dropped.
-    pub fn full(
+    pub fn apply_full_list(
         &mut self,
         now: u64,
         cluster: u64,
         revision: u64,
         consistent: bool,
-        items: Vec<Item>,
-    ) -> Took {
+        items: Vec<MemberUpdate>,
+    ) -> ApplyOutcome {
         let same = self.cluster.is_none_or(|held| held == cluster);
         let older = self.cluster.is_some() && revision < self.revision;
         if !consistent && (!same || older) {
-            return Took::Old;
+            return ApplyOutcome::Outdated;
         }
         let anew = !same || older;
         (self.cluster, self.revision, self.current) = (Some(cluster), revision, Some(now));
         let mut gone: BTreeSet<String> = self.held.keys().cloned().collect();
         for item in items {
-            if item.entry.is_some() {
+            if item.record.is_some() {
                 gone.remove(&item.id);
             }
             self.put(item, anew);
@@ -89,23 +89,29 @@
             self.held.remove(&id);
             self.changed.insert(id);
         }
-        Took::News
+        ApplyOutcome::Applied
     }
 
     /// The list of an earlier life. It is held, and not known to be current: any source that is goes before it.
-    pub fn restored(&mut self, cluster: u64, revision: u64, items: Vec<Item>) {
-        self.full(0, cluster, revision, true, items);
+    pub fn restore(&mut self, cluster: u64, revision: u64, items: Vec<MemberUpdate>) {
+        self.apply_full_list(0, cluster, revision, true, items);
         self.current = None;
     }
 
     /// Changes up to a revision, after all those told before. Items at revisions that are held already are replays
     /// and dropped one by one.
-    pub fn changes(&mut self, now: u64, cluster: u64, revision: u64, items: Vec<Item>) -> Took {
+    pub fn apply_changes(
+        &mut self,
+        now: u64,
+        cluster: u64,
+        revision: u64,
+        items: Vec<MemberUpdate>,
+    ) -> ApplyOutcome {
         if self.cluster != Some(cluster) {
-            return Took::Gap;
+            return ApplyOutcome::Gap;
         }
         if revision < self.revision {
-            return Took::Old;
+            return ApplyOutcome::Outdated;
         }
         let before = self.revision;
         (self.revision, self.current) = (revision, Some(now));
@@ -113,27 +119,27 @@
             .into_iter()
             .filter(|item| item.revision > before)
             .for_each(|item| self.put(item, false));
-        Took::News
+        ApplyOutcome::Applied
     }
 
     /// Nothing has changed up to a revision. One that lies before what is held proves nothing.
-    pub fn progress(&mut self, now: u64, cluster: u64, revision: u64) -> Took {
+    pub fn apply_progress(&mut self, now: u64, cluster: u64, revision: u64) -> ApplyOutcome {
         match (self.cluster == Some(cluster), revision < self.revision) {
-            (false, _) => Took::Gap,
-            (true, true) => Took::Old,
+            (false, _) => ApplyOutcome::Gap,
+            (true, true) => ApplyOutcome::Outdated,
             (true, false) => {
                 (self.revision, self.current) = (revision, Some(now));
-                Took::News
+                ApplyOutcome::Applied
             }
         }
     }
 
-    fn put(&mut self, item: Item, anew: bool) {
-        let Item {
+    fn put(&mut self, item: MemberUpdate, anew: bool) {
+        let MemberUpdate {
             id,
             revision,
-            created,
-            entry,
+            create_revision: created,
+            record: entry,
         } = item;
         let held = self.held.get(&id);
         let Some(entry) = entry else {
@@ -178,7 +184,7 @@
     }
 
     /// What is held, by id.
-    pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
+    pub fn records(&self) -> impl Iterator<Item = (&str, &MemberRecord)> {
         self.held
             .iter()
             .map(|(id, held)| (id.as_str(), &held.entry))
@@ -201,8 +207,8 @@
 mod tests {
     use super::*;
 
-    fn item(id: &str, revision: u64, created: u64, port: Option<u16>) -> Item {
-        let entry = |port| Entry {
+    fn item(id: &str, revision: u64, created: u64, port: Option<u16>) -> MemberUpdate {
+        let entry = |port| MemberRecord {
             endpoint: ([127, 0, 0, 1], port).into(),
             az: String::new(),
             pod_group: -1,
@@ -210,11 +216,11 @@
             capacity_hint: 0.0,
             boot_ms: 0,
         };
-        Item {
+        MemberUpdate {
             id: id.to_string(),
             revision,
-            created,
-            entry: port.map(entry),
+            create_revision: created,
+            record: port.map(entry),
         }
     }
 
@@ -225,7 +231,7 @@
     #[test]
     fn who_is_missing_from_a_full_list_has_gone_and_replays_change_nothing() {
         let mut source = Source::default();
-        source.full(
+        source.apply_full_list(
             0,
             1,
             10,
@@ -233,16 +239,16 @@
             vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
         );
         assert_eq!(changed(&mut source), ["a", "b"]);
-        source.full(1, 1, 12, true, vec![item("a", 5, 5, Some(1))]);
+        source.apply_full_list(1, 1, 12, true, vec![item("a", 5, 5, Some(1))]);
         assert_eq!(changed(&mut source), ["b"]);
         // b's removal again, and news older than the list.
         assert_eq!(
-            source.changes(2, 1, 12, vec![item("b", 11, 0, None)]),
-            Took::News
+            source.apply_changes(2, 1, 12, vec![item("b", 11, 0, None)]),
+            ApplyOutcome::Applied
         );
         assert_eq!(
-            source.changes(2, 1, 11, vec![item("a", 11, 5, Some(9))]),
-            Took::Old
+            source.apply_changes(2, 1, 11, vec![item("a", 11, 5, Some(9))]),
+            ApplyOutcome::Outdated
         );
         assert!(changed(&mut source).is_empty());
         assert_eq!(source.position(), Some((1, 12)));
@@ -251,11 +257,11 @@
     #[test]
     fn removed_and_added_again_or_at_a_new_address_is_a_new_life() {
         let mut source = Source::default();
-        source.full(0, 1, 10, true, vec![item("a", 5, 5, Some(1))]);
+        source.apply_full_list(0, 1, 10, true, vec![item("a", 5, 5, Some(1))]);
         let life = |source: &Source| source.held("a").map(|h| h.life);
         let first = life(&source);
         // Both within one answer.
-        source.changes(
+        source.apply_changes(
             1,
             1,
             12,
@@ -263,18 +269,18 @@
         );
         let second = life(&source);
         assert!(second > first && changed(&mut source) == ["a"]);
-        source.changes(2, 1, 13, vec![item("a", 13, 12, Some(2))]);
+        source.apply_changes(2, 1, 13, vec![item("a", 13, 12, Some(2))]);
         assert!(life(&source) > second);
         // Seen only by its new birth, in a full list after a break.
         let third = life(&source);
-        source.full(3, 1, 20, true, vec![item("a", 20, 20, Some(2))]);
+        source.apply_full_list(3, 1, 20, true, vec![item("a", 20, 20, Some(2))]);
         assert!(life(&source) > third);
     }
 
     #[test]
     fn a_registry_that_began_anew_is_recognised_and_a_slow_follower_is_not_taken_for_one() {
         let mut source = Source::default();
-        source.full(
+        source.apply_full_list(
             0,
             1,
             100,
@@ -282,14 +288,20 @@
             vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
         );
         changed(&mut source);
-        assert_eq!(source.full(1, 1, 90, false, vec![]), Took::Old);
-        assert_eq!(source.full(1, 2, 200, false, vec![]), Took::Old);
-        assert_eq!(source.changes(1, 2, 200, vec![]), Took::Gap);
-        assert_eq!(source.progress(1, 1, 99), Took::Old);
+        assert_eq!(
+            source.apply_full_list(1, 1, 90, false, vec![]),
+            ApplyOutcome::Outdated
+        );
+        assert_eq!(
+            source.apply_full_list(1, 2, 200, false, vec![]),
+            ApplyOutcome::Outdated
+        );
+        assert_eq!(source.apply_changes(1, 2, 200, vec![]), ApplyOutcome::Gap);
+        assert_eq!(source.apply_progress(1, 1, 99), ApplyOutcome::Outdated);
         // Restored from a copy: revisions went back, a stayed where it was and b is gone.
         assert_eq!(
-            source.full(2, 1, 7, true, vec![item("a", 3, 3, Some(1))]),
-            Took::News
+            source.apply_full_list(2, 1, 7, true, vec![item("a", 3, 3, Some(1))]),
+            ApplyOutcome::Applied
         );
         assert_eq!(
             (changed(&mut source), source.position()),
@@ -297,8 +309,8 @@
         );
         // Another cluster altogether.
         assert_eq!(
-            source.full(3, 2, 1, true, vec![item("a", 1, 1, Some(1))]),
-            Took::News
+            source.apply_full_list(3, 2, 1, true, vec![item("a", 1, 1, Some(1))]),
+            ApplyOutcome::Applied
         );
         assert!(changed(&mut source).is_empty());
         assert_eq!(source.age(10), Some(7));
--- a/crates/membership/tests/exhaustive.rs
+++ b/crates/membership/tests/exhaustive.rs
@@ -13,7 +13,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use applewall_membership::{Act, Entry, Event, Follow, Item, Pace, Roster, State, Took};
+use applewall_membership::{
+    ApplyOutcome, MemberRecord, MemberState, MemberUpdate, MergedMembership, WatchEffect,
+    WatchInput, WatchMachine, WatchTiming,
+};
 
 const MS: u64 = 1_000_000;
 
@@ -38,12 +41,12 @@
     Connected,
     Read {
         revision: u64,
-        items: Vec<Item>,
+        items: Vec<MemberUpdate>,
     },
     Watching,
     Changes {
         revision: u64,
-        items: Vec<Item>,
+        items: Vec<MemberUpdate>,
     },
     /// Nothing else was sent up to this.
     Proof {
@@ -55,26 +58,26 @@
 struct World {
     revision: u64,
     compacted: u64,
-    live: BTreeMap<String, Item>,
-    history: Vec<Item>,
+    live: BTreeMap<String, MemberUpdate>,
+    history: Vec<MemberUpdate>,
     /// The next revision that the watch wants, while there is one.
     watch: Option<u64>,
     wire: VecDeque<Message>,
-    follow: Follow,
-    roster: Roster,
+    follow: WatchMachine,
+    roster: MergedMembership,
     now: u64,
     /// What one holds who hears of changes only, and how many births that heard.
-    heard: BTreeMap<String, Entry>,
+    heard: BTreeMap<String, MemberRecord>,
     births: usize,
 }
 
-fn entry(port: u16) -> Entry {
+fn entry(port: u16) -> MemberRecord {
     let endpoint = ([127, 0, 0, 1], port).into();
-    Entry {
+    MemberRecord {
         endpoint,
         az: String::new(),
         pod_group: -1,
-        state: State::InService,
+        state: MemberState::InService,
         capacity_hint: 0.0,
         boot_ms: 0,
     }
@@ -82,11 +85,11 @@
 
 impl World {
     fn new() -> Self {
-        let pace = Pace {
-            probe: 100 * MS,
-            patience: 150 * MS,
-            backoff: (MS, 10 * MS),
-            spread: 10 * MS,
+        let pace = WatchTiming {
+            progress_interval_ns: 100 * MS,
+            response_timeout_ns: 150 * MS,
+            backoff_ns: (MS, 10 * MS),
+            full_read_jitter_ns: 10 * MS,
         };
         let mut world = World {
             revision: 1,
@@ -95,8 +98,8 @@
             history: Vec::new(),
             watch: None,
             wire: VecDeque::new(),
-            follow: Follow::new(pace, 1, None),
-            roster: Roster::new(1, u64::MAX),
+            follow: WatchMachine::new(pace, 1, None),
+            roster: MergedMembership::new(1, u64::MAX),
             now: 0,
             heard: BTreeMap::new(),
             births: 0,
@@ -113,17 +116,20 @@
         };
         for put in steps {
             self.revision += 1;
-            let created = self.live.get("a").map_or(self.revision, |old| old.created);
+            let created = self
+                .live
+                .get("a")
+                .map_or(self.revision, |old| old.create_revision);
             // Another port each time would hide births: the address stays, only the capacity changes.
-            let entry = put.then(|| Entry {
+            let entry = put.then(|| MemberRecord {
                 capacity_hint: self.revision as f64,
                 ..entry(1)
             });
-            let item = Item {
+            let item = MemberUpdate {
                 id: "a".into(),
                 revision: self.revision,
-                created,
-                entry,
+                create_revision: created,
+                record: entry,
             };
             match put {
                 true => drop(self.live.insert("a".into(), item.clone())),
@@ -133,26 +139,26 @@
         }
     }
 
-    fn act(&mut self, acts: Vec<Act>) {
+    fn act(&mut self, acts: Vec<WatchEffect>) {
         for act in acts {
             match act {
-                Act::Connect { .. } => self.wire = [Message::Connected].into(),
-                Act::Read => {
+                WatchEffect::Connect { .. } => self.wire = [Message::Connected].into(),
+                WatchEffect::ReadList => {
                     let items = self.live.values().cloned().collect();
                     self.wire.push_back(Message::Read {
                         revision: self.revision,
                         items,
                     });
                 }
-                Act::Watch { from } => {
+                WatchEffect::Watch { from } => {
                     self.watch = Some(from);
                     self.wire.push_back(Message::Watching);
                 }
-                Act::Probe => {
+                WatchEffect::RequestProgress => {
                     let revision = self.watch.map_or(0, |next| next - 1);
                     self.wire.push_back(Message::Proof { revision });
                 }
-                Act::Drop { .. } => {
+                WatchEffect::Disconnect { .. } => {
                     self.watch = None;
                     self.wire.clear();
                 }
@@ -167,7 +173,7 @@
             self.watch = None;
             return self.wire.push_back(Message::Compacted);
         }
-        let items: Vec<Item> = self
+        let items: Vec<MemberUpdate> = self
             .history
             .iter()
             .filter(|item| item.revision >= from)
@@ -188,28 +194,30 @@
         self.now += 1;
         let acts = match self.wire.pop_front() {
             None => {
-                self.now = self.now.max(self.follow.due());
-                self.follow.on(self.now, Event::Tick)
+                self.now = self.now.max(self.follow.next_deadline());
+                self.follow.handle(self.now, WatchInput::Tick)
             }
-            Some(Message::Connected) => self.follow.on(self.now, Event::Connected),
+            Some(Message::Connected) => self.follow.handle(self.now, WatchInput::Connected),
             Some(Message::Read { revision, items }) => {
                 self.roster
-                    .source(0)
-                    .full(self.now, 7, revision, true, items);
-                self.follow.on(
+                    .source_mut(0)
+                    .apply_full_list(self.now, 7, revision, true, items);
+                self.follow.handle(
                     self.now,
-                    Event::Read {
+                    WatchInput::ListRead {
                         cluster: 7,
                         revision,
                     },
                 )
             }
-            Some(Message::Watching) => self.follow.on(self.now, Event::Watching),
+            Some(Message::Watching) => self.follow.handle(self.now, WatchInput::WatchCreated),
             Some(Message::Proof { revision }) => {
-                self.roster.source(0).progress(self.now, 7, revision);
-                self.follow.on(
+                self.roster
+                    .source_mut(0)
+                    .apply_progress(self.now, 7, revision);
+                self.follow.handle(
                     self.now,
-                    Event::Told {
+                    WatchInput::Progress {
                         cluster: 7,
                         revision,
                     },
@@ -217,23 +225,25 @@
             }
             Some(Message::Changes { revision, items }) => {
                 assert_eq!(
-                    self.roster.source(0).changes(self.now, 7, revision, items),
-                    Took::News
+                    self.roster
+                        .source_mut(0)
+                        .apply_changes(self.now, 7, revision, items),
+                    ApplyOutcome::Applied
                 );
-                self.follow.on(
+                self.follow.handle(
                     self.now,
-                    Event::Told {
+                    WatchInput::Progress {
                         cluster: 7,
                         revision,
                     },
                 )
             }
-            Some(Message::Compacted) => self.follow.on(self.now, Event::Compacted),
+            Some(Message::Compacted) => self.follow.handle(self.now, WatchInput::Compacted),
         };
         self.act(acts);
-        for change in self.roster.changes(self.now) {
-            self.births += usize::from(change.anew);
-            match change.entry {
+        for change in self.roster.take_changes(self.now) {
+            self.births += usize::from(change.new_incarnation);
+            match change.record {
                 Some(entry) => drop(self.heard.insert(change.id, entry)),
                 None => assert!(self.heard.remove(&change.id).is_some(), "gone twice"),
             }
@@ -242,7 +252,7 @@
 
     fn settled(&self) -> bool {
         self.wire.is_empty()
-            && self.follow.live()
+            && self.follow.is_live()
             && self.watch.is_some_and(|next| next > self.revision)
     }
 }
@@ -268,7 +278,7 @@
                 world.watch = None;
                 world.wire.clear();
                 world.now += 1;
-                let acts = world.follow.on(world.now, Event::Broke);
+                let acts = world.follow.handle(world.now, WatchInput::ConnectionLost);
                 world.act(acts);
             }
             Step::Deliver => world.deliver(),
@@ -284,7 +294,7 @@
     let live: BTreeMap<_, _> = world
         .live
         .iter()
-        .map(|(id, i)| (id.clone(), i.entry.clone().unwrap()))
+        .map(|(id, i)| (id.clone(), i.record.clone().unwrap()))
         .collect();
     assert_eq!(world.heard, live, "{steps:?}");
     // The first life, and one at most for each write.
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use applewall_membership::{Entry, Item, Roster, Source, State, Took};
+use applewall_membership::{
+    ApplyOutcome, MemberRecord, MemberState, MemberUpdate, MergedMembership, Source,
+};
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
@@ -51,36 +53,39 @@
 struct Registry {
     cluster: u64,
     revision: u64,
-    live: BTreeMap<String, Item>,
-    history: Vec<Item>,
+    live: BTreeMap<String, MemberUpdate>,
+    history: Vec<MemberUpdate>,
     /// The list at each revision, for followers that lag.
-    lists: BTreeMap<u64, Vec<Item>>,
+    lists: BTreeMap<u64, Vec<MemberUpdate>>,
 }
 
 impl Registry {
     fn change(&mut self, id: u8, put: Option<(u16, bool)>) {
         self.revision += 1;
         let id = format!("s-{id}");
-        let created = self.live.get(&id).map_or(self.revision, |old| old.created);
-        let entry = put.map(|(port, drains)| Entry {
+        let created = self
+            .live
+            .get(&id)
+            .map_or(self.revision, |old| old.create_revision);
+        let entry = put.map(|(port, drains)| MemberRecord {
             endpoint: ([127, 0, 0, 1], port).into(),
             az: String::new(),
             pod_group: -1,
             state: if drains {
-                State::Terminating
+                MemberState::Terminating
             } else {
-                State::InService
+                MemberState::InService
             },
             capacity_hint: 0.0,
             boot_ms: 0,
         });
-        let item = Item {
+        let item = MemberUpdate {
             id: id.clone(),
             revision: self.revision,
-            created,
-            entry,
+            create_revision: created,
+            record: entry,
         };
-        match item.entry.is_some() {
+        match item.record.is_some() {
             true => drop(self.live.insert(id, item.clone())),
             false => drop(self.live.remove(&id)),
         }
@@ -88,11 +93,11 @@
         self.lists.insert(self.revision, self.list());
     }
 
-    fn list(&self) -> Vec<Item> {
+    fn list(&self) -> Vec<MemberUpdate> {
         self.live.values().cloned().collect()
     }
 
-    fn since(&self, revision: u64) -> Vec<Item> {
+    fn since(&self, revision: u64) -> Vec<MemberUpdate> {
         self.history
             .iter()
             .filter(|item| item.revision > revision)
@@ -101,9 +106,9 @@
     }
 }
 
-fn held(source: &Source) -> BTreeMap<String, Entry> {
+fn held(source: &Source) -> BTreeMap<String, MemberRecord> {
     source
-        .entries()
+        .records()
         .map(|(id, entry)| (id.to_string(), entry.clone()))
         .collect()
 }
@@ -114,47 +119,47 @@
     #[test]
     fn what_is_held_is_what_the_registry_holds(steps in prop::collection::vec(step(), 1..120)) {
         let mut registry = Registry { cluster: 1, revision: 1, ..Registry::default() };
-        let mut roster = Roster::new(1, u64::MAX);
-        roster.source(0).full(0, 1, 1, true, Vec::new());
+        let mut roster = MergedMembership::new(1, u64::MAX);
+        roster.source_mut(0).apply_full_list(0, 1, 1, true, Vec::new());
         // What somebody holds who only hears of changes.
-        let mut heard = BTreeMap::<String, Entry>::new();
+        let mut heard = BTreeMap::<String, MemberRecord>::new();
         for (now, step) in steps.into_iter().enumerate() {
             let now = now as u64;
-            let known = roster.source(0).position().unwrap();
+            let known = roster.source_mut(0).position().unwrap();
             match step {
                 Step::Put { id, port, drains } => registry.change(id, Some((port, drains))),
                 Step::Delete { id } => registry.change(id, None),
                 Step::Tell | Step::Replay { .. } => {
                     let back = if let Step::Replay { back } = step { back } else { 0 };
                     let items = registry.since(known.1.saturating_sub(back));
-                    let took = roster.source(0).changes(now, registry.cluster, registry.revision, items);
+                    let took = roster.source_mut(0).apply_changes(now, registry.cluster, registry.revision, items);
                     // A watch of a registry that began anew behind the same cluster id resumes at a revision that it
                     // does not have yet: it can't be told from an old one, and a full read settles it.
                     let anew = known.0 != registry.cluster || known.1 > registry.revision;
-                    prop_assert_eq!(took != Took::News, anew);
-                    if took == Took::News {
+                    prop_assert_eq!(took != ApplyOutcome::Applied, anew);
+                    if took == ApplyOutcome::Applied {
                         let live: BTreeMap<_, _> = registry
                             .live
                             .iter()
-                            .map(|(id, item)| (id.clone(), item.entry.clone().unwrap()))
+                            .map(|(id, item)| (id.clone(), item.record.clone().unwrap()))
                             .collect();
-                        prop_assert_eq!(held(roster.source(0)), live);
+                        prop_assert_eq!(held(roster.source_mut(0)), live);
                     }
                 }
                 Step::Read => {
                     let (cluster, revision, list) = (registry.cluster, registry.revision, registry.list());
-                    prop_assert_eq!(roster.source(0).full(now, cluster, revision, true, list), Took::News);
-                    prop_assert_eq!(held(roster.source(0)).len(), registry.live.len());
+                    prop_assert_eq!(roster.source_mut(0).apply_full_list(now, cluster, revision, true, list), ApplyOutcome::Applied);
+                    prop_assert_eq!(held(roster.source_mut(0)).len(), registry.live.len());
                 }
                 Step::Stale { back } => {
                     let revision = registry.revision.saturating_sub(back);
                     let list = registry.lists.get(&revision).cloned().unwrap_or_default();
                     if registry.lists.contains_key(&revision) {
-                        let before = held(roster.source(0));
-                        let took = roster.source(0).full(now, registry.cluster, revision, false, list);
+                        let before = held(roster.source_mut(0));
+                        let took = roster.source_mut(0).apply_full_list(now, registry.cluster, revision, false, list);
                         let old = registry.cluster != known.0 || revision < known.1;
-                        prop_assert_eq!(took, if old { Took::Old } else { Took::News });
-                        prop_assert!(!old || before == held(roster.source(0)));
+                        prop_assert_eq!(took, if old { ApplyOutcome::Outdated } else { ApplyOutcome::Applied });
+                        prop_assert!(!old || before == held(roster.source_mut(0)));
                     }
                 }
                 Step::Anew { cluster } => {
@@ -163,19 +168,19 @@
                     (registry.history, registry.lists) = (Vec::new(), BTreeMap::new());
                     registry.revision = 1;
                     for item in registry.live.values_mut() {
-                        (item.revision, item.created) = (1, 1);
+                        (item.revision, item.create_revision) = (1, 1);
                     }
                     let (cluster, list) = (registry.cluster, registry.list());
-                    roster.source(0).full(now, cluster, 1, true, list);
+                    roster.source_mut(0).apply_full_list(now, cluster, 1, true, list);
                 }
             }
-            for change in roster.changes(now) {
-                match change.entry {
+            for change in roster.take_changes(now) {
+                match change.record {
                     Some(entry) => drop(heard.insert(change.id, entry)),
                     None => prop_assert!(heard.remove(&change.id).is_some(), "gone twice"),
                 }
             }
-            prop_assert_eq!(&heard, &held(roster.source(0)));
+            prop_assert_eq!(&heard, &held(roster.source_mut(0)));
         }
     }
 }
--- a/crates/operator-config/src/lib.rs
+++ b/crates/operator-config/src/lib.rs
@@ -31,7 +31,7 @@
 
 use value::Value;
 
-pub use units::{number, Networks, Size, Span, Switch};
+pub use units::{number, DurationSetting, EnabledFlag, Networks, Size};
 
 /// Why a file is refused: where, and what would do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -182,9 +182,9 @@
     #[serde(default, deny_unknown_fields)]
     struct Door {
         #[garde(skip)]
-        open: Switch,
+        open: EnabledFlag,
         #[garde(dive)]
-        wait: Span,
+        wait: DurationSetting,
         #[garde(skip)]
         room: Size,
         #[garde(range(min = 0.0, max = 1.0))]
@@ -205,9 +205,9 @@
 
     impl Default for Door {
         fn default() -> Self {
-            let (wait, known) = (Span::millis(250), Networks::default());
+            let (wait, known) = (DurationSetting::from_millis(250), Networks::default());
             Door {
-                open: Switch(false),
+                open: EnabledFlag(false),
                 wait,
                 room: Size(4096),
                 part: 0.5,
@@ -224,7 +224,7 @@
         let File { door } = read(text).unwrap();
         assert_eq!(
             (door.open.0, door.wait, door.room.0, door.part),
-            (true, Span::millis(1500), 65536, 0.5)
+            (true, DurationSetting::from_millis(1500), 65536, 0.5)
         );
         assert_eq!((door.most, door.keep), (Some(9), Some(Size(2048))));
         assert!(door.known.contains("10.1.2.3".parse().unwrap()));
--- a/crates/operator-config/src/units.rs
+++ b/crates/operator-config/src/units.rs
@@ -44,13 +44,14 @@
 
 /// `on` or `off`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, JsonSchema)]
-pub struct Switch(#[schemars(with = "String", regex(pattern = "^(on|off)$"))] pub bool);
+#[schemars(rename = "Switch")]
+pub struct EnabledFlag(#[schemars(with = "String", regex(pattern = "^(on|off)$"))] pub bool);
 
-impl<'de> Deserialize<'de> for Switch {
+impl<'de> Deserialize<'de> for EnabledFlag {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         match String::deserialize(from)?.as_str() {
-            "on" => Ok(Switch(true)),
-            "off" => Ok(Switch(false)),
+            "on" => Ok(EnabledFlag(true)),
+            "off" => Ok(EnabledFlag(false)),
             text => Err(D::Error::custom(format_args!(
                 "'{text}' is neither on nor off"
             ))),
@@ -60,7 +61,8 @@
 
 /// A time, such as `250ms` or `1m 30s`; a millisecond at least, a day at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, JsonSchema, Validate)]
-pub struct Span(
+#[schemars(rename = "Span")]
+pub struct DurationSetting(
     #[schemars(with = "String", regex(pattern = "^[0-9]+[a-z]+( [0-9]+[a-z]+)*$"))]
     #[garde(custom(within_a_day))]
     pub Duration,
@@ -73,24 +75,24 @@
     }
 }
 
-impl Span {
+impl DurationSetting {
     /// So many milliseconds.
-    pub const fn millis(ms: u64) -> Self {
-        Span(Duration::from_millis(ms))
+    pub const fn from_millis(ms: u64) -> Self {
+        DurationSetting(Duration::from_millis(ms))
     }
 
     /// In nanoseconds, as cores count.
-    pub fn nanos(self) -> u64 {
+    pub fn as_nanos(self) -> u64 {
         u64::try_from(self.0.as_nanos()).unwrap_or(u64::MAX)
     }
 }
 
-impl<'de> Deserialize<'de> for Span {
+impl<'de> Deserialize<'de> for DurationSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
         let span = humantime::parse_duration(&text);
         let why = |_| D::Error::custom(format_args!("'{text}' is no time such as 250ms or 2s"));
-        span.map(Span).map_err(why)
+        span.map(DurationSetting).map_err(why)
     }
 }
 
--- a/crates/slow-peer/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -77,7 +77,7 @@
         Bulkheads {
             held: Account::new(u64::MAX, per_customer, per_peer),
             per_peer,
-            distrust: settings.distrust.nanos(),
+            distrust: settings.distrust.as_nanos(),
             cuts: VecDeque::new(),
             cut: HashMap::new(),
         }
@@ -147,7 +147,7 @@
     fn settings() -> BulkheadSettings {
         let exempt = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
         BulkheadSettings {
-            enabled: applewall_operator_config::Switch(true),
+            enabled: applewall_operator_config::EnabledFlag(true),
             exempt,
             ..BulkheadSettings::default()
         }
--- a/crates/slow-peer/src/incoming.rs
+++ b/crates/slow-peer/src/incoming.rs
@@ -65,10 +65,10 @@
             arrivals: [(now, 0); ARRIVALS + 1],
             seen: 0,
             started: now,
-            pause: settings.pause.nanos(),
-            after: settings.forecast_after.nanos(),
+            pause: settings.pause.as_nanos(),
+            after: settings.forecast_after.as_nanos(),
             slack: settings.forecast_slack,
-            clock: FairClock::new(now.saturating_add(settings.pause.nanos()), SLACK),
+            clock: FairClock::new(now.saturating_add(settings.pause.as_nanos()), SLACK),
             behind: 0,
         }
     }
--- a/crates/slow-peer/src/outgoing.rs
+++ b/crates/slow-peer/src/outgoing.rs
@@ -133,9 +133,9 @@
             going: BTreeMap::new(),
             account: Account::new(limit, customer, peer),
             floor: Floor::new(least, full, settings.pressure_from),
-            window: settings.window.nanos(),
-            grace: settings.grace.nanos(),
-            room_grace: settings.room_grace.nanos(),
+            window: settings.window.as_nanos(),
+            grace: settings.grace.as_nanos(),
+            room_grace: settings.room_grace.as_nanos(),
         }
     }
 
@@ -350,14 +350,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use applewall_operator_config::{Size, Span, Switch};
+    use applewall_operator_config::{DurationSetting, EnabledFlag, Size};
 
     const MS: u64 = 1_000_000;
     const SECOND: u64 = 1_000 * MS;
 
     fn settings() -> Settings {
         Settings {
-            window: Span::millis(1_000),
+            window: DurationSetting::from_millis(1_000),
             waiting: Some(Size(1 << 20)),
             ..Settings::default()
         }
@@ -514,7 +514,7 @@
     #[test]
     fn one_customer_cannot_take_the_room_of_others() {
         let shares = BulkheadSettings {
-            enabled: Switch(true),
+            enabled: EnabledFlag(true),
             ..BulkheadSettings::default()
         };
         let mut out = Outgoing::new(&settings(), &shares, 0);
--- a/crates/slow-peer/src/settings.rs
+++ b/crates/slow-peer/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators may set: sections `[pace]` and `[bulkheads]` of their file.
 
-use applewall_operator_config::{number, Networks, Size, Span, Switch};
+use applewall_operator_config::{number, DurationSetting, EnabledFlag, Networks, Size};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -11,20 +11,20 @@
 #[garde(allow_unvalidated)]
 pub struct Settings {
     /// Off: nothing of this section holds.
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// How often transfers that go on are looked at.
     #[garde(dive, custom(between(10, 1_000)))]
-    pub tick: Span,
+    pub tick: DurationSetting,
     /// The rate of a transfer is what it moved within this.
     #[garde(dive, custom(between(100, 60_000)))]
-    pub window: Span,
+    pub window: DurationSetting,
     /// No transfer to a service client is judged before it is this old.
     #[garde(dive)]
-    pub grace: Span,
+    pub grace: DurationSetting,
     /// The same where room has to be made: somebody has to go, and the worst goes first. The rate is then taken over
     /// this time too, so it should be longer than the round trip to distant clients.
     #[garde(dive)]
-    pub room_grace: Span,
+    pub room_grace: DurationSetting,
     /// Least rate of an answer going out, while nothing is short.
     pub out_least: Size,
     /// The same where all places or all waiting bytes are taken; it rises in between.
@@ -45,20 +45,20 @@
     pub not_sent: Size,
     /// A body of a command has to be whole this long after its head.
     #[garde(dive, custom(between(100, 60_000)))]
-    pub upload_time: Span,
+    pub upload_time: DurationSetting,
     /// A silence inside an answer of an instance, or inside a body, from which it counts as stalled.
     #[garde(dive, custom(between(20, 60_000)))]
-    pub pause: Span,
+    pub pause: DurationSetting,
     /// An incoming transfer is not judged by its rate before it has been seen for this long.
     #[garde(dive)]
-    pub forecast_after: Span,
+    pub forecast_after: DurationSetting,
     /// An incoming transfer is given up only where so many times its rate would not do.
     #[garde(range(min = 1.0, max = 100.0))]
     #[serde(deserialize_with = "number")]
     pub forecast_slack: f64,
     /// An attempt is given up only while its command has this much time left: another has to fit.
     #[garde(dive)]
-    pub retry_room: Span,
+    pub retry_room: DurationSetting,
 }
 
 /// Where the operator does not say what may wait: the memory by this.
@@ -74,22 +74,22 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            enabled: Switch(false),
-            tick: Span::millis(50),
-            window: Span::millis(1_000),
-            grace: Span::millis(300),
-            room_grace: Span::millis(200),
+            enabled: EnabledFlag(false),
+            tick: DurationSetting::from_millis(50),
+            window: DurationSetting::from_millis(1_000),
+            grace: DurationSetting::from_millis(300),
+            room_grace: DurationSetting::from_millis(200),
             out_least: Size(1 << 10),
             out_least_full: Size(16 << 10),
             pressure_from: 0.5,
             waiting: None,
             send_buffer: Size(16 << 10),
             not_sent: Size(8 << 10),
-            upload_time: Span::millis(2_000),
-            pause: Span::millis(400),
-            forecast_after: Span::millis(150),
+            upload_time: DurationSetting::from_millis(2_000),
+            pause: DurationSetting::from_millis(400),
+            forecast_after: DurationSetting::from_millis(150),
             forecast_slack: 4.0,
-            retry_room: Span::millis(150),
+            retry_room: DurationSetting::from_millis(150),
         }
     }
 }
@@ -100,7 +100,7 @@
 #[garde(allow_unvalidated)]
 pub struct BulkheadSettings {
     /// Off: nothing of this section holds.
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// Share of the places for open commands that one customer may hold.
     #[garde(range(min = 0.01, max = 1.0))]
     #[serde(deserialize_with = "number")]
@@ -119,7 +119,7 @@
     pub peer_waiting: f64,
     /// For so long, each connection that was cut for its pace takes a place from its set of addresses, down to one.
     #[garde(dive)]
-    pub distrust: Span,
+    pub distrust: DurationSetting,
     /// IPv4 addresses that agree in so many bits are one set.
     #[garde(range(min = 8, max = 32))]
     #[serde(deserialize_with = "number")]
@@ -135,12 +135,12 @@
 impl Default for BulkheadSettings {
     fn default() -> Self {
         BulkheadSettings {
-            enabled: Switch(false),
+            enabled: EnabledFlag(false),
             customer_places: 0.25,
             customer_waiting: 0.25,
             peer_places: 0.5,
             peer_waiting: 0.5,
-            distrust: Span::millis(10_000),
+            distrust: DurationSetting::from_millis(10_000),
             ipv4_prefix: 24,
             ipv6_prefix: 56,
             exempt: Networks::default(),
@@ -148,8 +148,10 @@
     }
 }
 
-fn between(least: u64, most: u64) -> impl FnOnce(&Span, &()) -> garde::Result {
-    move |time, ()| match (Span::millis(least)..=Span::millis(most)).contains(time) {
+fn between(least: u64, most: u64) -> impl FnOnce(&DurationSetting, &()) -> garde::Result {
+    move |time, ()| match (DurationSetting::from_millis(least)..=DurationSetting::from_millis(most))
+        .contains(time)
+    {
         true => Ok(()),
         false => Err(garde::Error::new(format!(
             "not between {least}ms and {most}ms"
--- a/crates/slow-peer/src/socket/pacer.rs
+++ b/crates/slow-peer/src/socket/pacer.rs
@@ -104,7 +104,7 @@
         now: u64,
     ) -> Arc<Self> {
         let state = State {
-            clock: FairClock::new(now + settings.tick.nanos(), SLACK),
+            clock: FairClock::new(now + settings.tick.as_nanos(), SLACK),
             looked: 0,
             next: 0,
             outgoing: Outgoing::new(settings, bulkheads, memory),
@@ -267,7 +267,7 @@
     /// places that is taken. Comes as often as the settings say.
     pub fn tick(&self, now: u64, places: f64) {
         let mut state = self.state();
-        state.clock.tick(now, now + self.settings.tick.nanos());
+        state.clock.tick(now, now + self.settings.tick.as_nanos());
         state.look(now, 0);
         let fair = state.clock.now(now);
         let cuts = state.outgoing.judge(fair, places);
--- a/crates/slow-peer/tests/schedules.rs
+++ b/crates/slow-peer/tests/schedules.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use applewall_operator_config::{Size, Span, Switch};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Size};
 use applewall_slow_peer::{
     BulkheadSettings, Holder, Incoming, Moved, Need, Outgoing, Settings, Verdict, Why,
 };
@@ -42,7 +42,7 @@
 fn settings() -> Settings {
     Settings {
         waiting: Some(Size(LIMIT)),
-        window: Span::millis(800),
+        window: DurationSetting::from_millis(800),
         ..Settings::default()
     }
 }
@@ -63,7 +63,7 @@
     /// in the end all is given back.
     #[test]
     fn outgoing(steps in prop::collection::vec(step(), 1..200), shares in any::<bool>()) {
-        let shares = BulkheadSettings { enabled: Switch(shares), ..BulkheadSettings::default() };
+        let shares = BulkheadSettings { enabled: EnabledFlag(shares), ..BulkheadSettings::default() };
         let mut out = Outgoing::new(&settings(), &shares, 0);
         let (mut now, mut known, mut moved) = (0, BTreeMap::<u64, Known>::new(), BTreeMap::<u64, u64>::new());
         for (wait, step) in steps {
@@ -124,11 +124,11 @@
                     let recent = known.delivered.iter().filter(|(at, _)| *at + window > now).map(|(_, b)| b);
                     recent.sum::<u64>() as f64 * 1e9 / window as f64
                 };
-                let short = settings().room_grace.nanos();
+                let short = settings().room_grace.as_nanos();
                 let slow = match cut.why {
                     // Room: slow over the short window, or standing still.
                     Why::Room => rate(50 * MS) == 0.0 || age >= short && rate(short) < least,
-                    _ => rate(age.min(settings().window.nanos())) < least,
+                    _ => rate(age.min(settings().window.as_nanos())) < least,
                 };
                 prop_assert!(slow, "keeps {least}");
             }
@@ -178,7 +178,7 @@
     /// The account under any order of takes and gives by several holders.
     #[test]
     fn bulkheads(steps in prop::collection::vec((0u64..5, any::<bool>()), 1..200), places in 1usize..40) {
-        let settings = BulkheadSettings { enabled: Switch(true), ..BulkheadSettings::default() };
+        let settings = BulkheadSettings { enabled: EnabledFlag(true), ..BulkheadSettings::default() };
         let mut bulkheads = applewall_slow_peer::Bulkheads::new(&settings, places);
         let share = ((places as f64 * settings.customer_places) as u64).max(1);
         let mut held = BTreeMap::<u64, u64>::new();
--- a/crates/slow-peer/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-use applewall_operator_config::{Size, Span, Switch};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Size};
 use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
 use applewall_slow_peer::{BulkheadSettings, Full, Holder, Settings};
 use socket2::SockRef;
@@ -35,7 +35,7 @@
 fn door(settings: Settings, bulkheads: BulkheadSettings) -> Door {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let settings = Settings {
-        enabled: Switch(true),
+        enabled: EnabledFlag(true),
         ..settings
     };
     kernel::bound(
@@ -233,8 +233,8 @@
 #[test]
 fn one_set_of_addresses_holds_its_share_and_less_after_cuts() {
     let bulkheads = BulkheadSettings {
-        enabled: Switch(true),
-        distrust: Span::millis(5_000),
+        enabled: EnabledFlag(true),
+        distrust: DurationSetting::from_millis(5_000),
         ..Default::default()
     };
     let door = door(Settings::default(), bulkheads);
--- a/crates/startup-scheduler/src/settings.rs
+++ b/crates/startup-scheduler/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators may set: section `[cold_start]` of their file.
 
-use applewall_operator_config::{number, Switch};
+use applewall_operator_config::{number, EnabledFlag};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -11,7 +11,7 @@
 #[garde(allow_unvalidated)]
 pub struct Settings {
     /// Off: nothing of this section holds.
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// Calls a second that the list service bears of all ingresses together. Below a fifth of the fleet's size, news of
     /// the list may reach an ingress later than 6 s after it was there.
     #[garde(range(min = 0.1, max = 100_000.0))]
@@ -26,7 +26,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            enabled: Switch(false),
+            enabled: EnabledFlag(false),
             calls_per_s: 100.0,
             ask_peers: 4,
         }
--- a/crates/zone-failover/src/settings.rs
+++ b/crates/zone-failover/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators may set: section `[zones]` of their file.
 
-use applewall_operator_config::{number, Switch};
+use applewall_operator_config::{number, EnabledFlag};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -11,7 +11,7 @@
 #[garde(allow_unvalidated)]
 pub struct Settings {
     /// Off: nothing of this section holds.
-    pub enabled: Switch,
+    pub enabled: EnabledFlag,
     /// Share of a zone's outcomes, as the fleet sees them, that are dead or failing before it is left.
     #[garde(range(min = 0.2, max = 1.0))]
     #[serde(deserialize_with = "number")]
@@ -32,7 +32,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let enabled = Switch(false);
+        let enabled = EnabledFlag(false);
         Settings {
             enabled,
             leave_at: 0.5,
--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -14,7 +14,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_admin::{Answer, Call, Ledger, Stage, LINE_MOST};
+use applewall_admin::{
+    AdminCommand, AdminResponse, LifecyclePhase, MaintenanceSet, MAX_COMMAND_LINE_BYTES,
+};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -54,18 +56,18 @@
 /// What an operator wants of an instance.
 pub(crate) struct Instance {
     pub id: String,
-    /// Leave it out, or let it serve again.
+    /// ShutdownMode it out, or let it serve again.
     pub withhold: bool,
     /// The other process knows the id, whatever this one's list says.
     pub known: bool,
     /// The answer, and the ledger as it is then.
-    pub reply: oneshot::Sender<(Answer, Ledger)>,
+    pub reply: oneshot::Sender<(AdminResponse, MaintenanceSet)>,
 }
 
 /// What an operator wants of the drain, for the one who leads the stages.
 pub(crate) struct Drain {
     pub on: bool,
-    pub reply: oneshot::Sender<Answer>,
+    pub reply: oneshot::Sender<AdminResponse>,
 }
 
 /// Where calls go.
@@ -73,7 +75,7 @@
 pub(crate) struct Desk {
     pub orders: mpsc::Sender<Order>,
     pub drains: mpsc::Sender<Drain>,
-    pub stages: watch::Receiver<Stage>,
+    pub stages: watch::Receiver<LifecyclePhase>,
     /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
     /// There is a list to decide from.
@@ -183,9 +185,9 @@
         return;
     };
     caller.heard.store(true, Ordering::Relaxed);
-    let answer = match line.and_then(|line| Call::read(&line)) {
+    let answer = match line.and_then(|line| AdminCommand::parse(&line)) {
         Ok(call) => desk.carry_out(call).await,
-        Err(why) => Answer::Error(why),
+        Err(why) => AdminResponse::Error(why),
     };
     let take = async {
         stream.write_all(format!("{answer}\n").as_bytes()).await?;
@@ -201,8 +203,8 @@
 /// The one line of a caller; none where it left without one.
 async fn read(stream: &mut TcpStream) -> Option<Result<String, String>> {
     let (mut codec, mut bytes) = (
-        LinesCodec::new_with_max_length(LINE_MOST),
-        BytesMut::with_capacity(LINE_MOST),
+        LinesCodec::new_with_max_length(MAX_COMMAND_LINE_BYTES),
+        BytesMut::with_capacity(MAX_COMMAND_LINE_BYTES),
     );
     loop {
         let ended = stream.read_buf(&mut bytes).await.ok()? == 0;
@@ -216,7 +218,9 @@
             Ok(None) if ended => return None,
             Ok(None) => {}
             Err(LinesCodecError::MaxLineLengthExceeded) => {
-                return Some(Err(format!("the line is longer than {LINE_MOST} bytes")));
+                return Some(Err(format!(
+                    "the line is longer than {MAX_COMMAND_LINE_BYTES} bytes"
+                )));
             }
             Err(LinesCodecError::Io(_)) => return Some(Err("the line is not UTF-8".to_string())),
         }
@@ -225,17 +229,17 @@
 
 impl Desk {
     /// Carries a call out here, and then in the other process where there is one.
-    async fn carry_out(&self, call: Call) -> Answer {
+    async fn carry_out(&self, call: AdminCommand) -> AdminResponse {
         let line = match &call {
-            Call::Ready => None,
-            Call::Disable(id) => Some(format!("DISABLE {id}")),
-            Call::Enable(id) => Some(format!("ENABLE {id}")),
-            Call::Drain => Some("DRAIN".to_string()),
-            Call::Undrain => Some("UNDRAIN".to_string()),
+            AdminCommand::Ready => None,
+            AdminCommand::Disable(id) => Some(format!("DISABLE {id}")),
+            AdminCommand::Enable(id) => Some(format!("ENABLE {id}")),
+            AdminCommand::Drain => Some("DRAIN".to_string()),
+            AdminCommand::Undrain => Some("UNDRAIN".to_string()),
         };
         let carried = timeout(OWED, async {
             let answer = self.carry_out_here(call, false).await;
-            if let (Answer::Done(_), Some(line)) = (&answer, line) {
+            if let (AdminResponse::Done(_), Some(line)) = (&answer, line) {
                 relay(&self.other, line).await;
             }
             answer
@@ -243,32 +247,35 @@
         let late = "not decided in time; it may still come into force, so ask again";
         carried
             .await
-            .unwrap_or_else(|_| Answer::Error(late.to_string()))
+            .unwrap_or_else(|_| AdminResponse::Error(late.to_string()))
     }
 
     /// Carries a call out in this process alone; `known`: the id is known to the other one.
-    pub(crate) async fn carry_out_here(&self, call: Call, known: bool) -> Answer {
+    pub(crate) async fn carry_out_here(&self, call: AdminCommand, known: bool) -> AdminResponse {
         match call {
-            Call::Ready => self.ready(),
-            Call::Disable(id) => self.order(id, true, known).await,
-            Call::Enable(id) => self.order(id, false, known).await,
-            Call::Drain => self.drain(true).await,
-            Call::Undrain => self.drain(false).await,
+            AdminCommand::Ready => self.ready(),
+            AdminCommand::Disable(id) => self.order(id, true, known).await,
+            AdminCommand::Enable(id) => self.order(id, false, known).await,
+            AdminCommand::Drain => self.drain(true).await,
+            AdminCommand::Undrain => self.drain(false).await,
         }
     }
 
-    fn ready(&self) -> Answer {
+    fn ready(&self) -> AdminResponse {
         let stage = *self.stages.borrow();
-        match (*self.ready.borrow() && *self.listed.borrow(), stage.stops()) {
-            (_, true) => Answer::Error("this process was told to stop".to_string()),
-            (false, _) => Answer::Error(
+        match (
+            *self.ready.borrow() && *self.listed.borrow(),
+            stage.is_stopping(),
+        ) {
+            (_, true) => AdminResponse::Error("this process was told to stop".to_string()),
+            (false, _) => AdminResponse::Error(
                 "not yet: this process still takes over from the one before".to_string(),
             ),
-            (true, _) => Answer::Done(stage.word().to_string()),
+            (true, _) => AdminResponse::Done(stage.as_str().to_string()),
         }
     }
 
-    async fn order(&self, id: String, withhold: bool, known: bool) -> Answer {
+    async fn order(&self, id: String, withhold: bool, known: bool) -> AdminResponse {
         let _turn = self.turn.lock().await;
         let (reply, answer) = oneshot::channel();
         if self
@@ -288,19 +295,19 @@
             return stopped();
         };
         match (answer, &self.place) {
-            (Answer::Done(what), Some(place)) => match place.write(&ledger) {
-                Ok(()) => Answer::Done(what),
+            (AdminResponse::Done(what), Some(place)) => match place.write(&ledger) {
+                Ok(()) => AdminResponse::Done(what),
                 // In force, and handed over at an upgrade; only a process that finds nobody would not know.
                 Err(why) => {
                     tracing::warn!("state: {why}");
-                    Answer::Done(format!("{what}; not written down: {why}"))
+                    AdminResponse::Done(format!("{what}; not written down: {why}"))
                 }
             },
             (answer, _) => answer,
         }
     }
 
-    async fn drain(&self, on: bool) -> Answer {
+    async fn drain(&self, on: bool) -> AdminResponse {
         let (reply, answer) = oneshot::channel();
         if self.drains.send(Drain { on, reply }).await.is_err() {
             return stopped();
@@ -309,6 +316,6 @@
     }
 }
 
-fn stopped() -> Answer {
-    Answer::Error("this process is about to end".to_string())
+fn stopped() -> AdminResponse {
+    AdminResponse::Error("this process is about to end".to_string())
 }
--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -9,28 +9,28 @@
 use std::collections::HashMap;
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind};
-use applewall_admin::{Answer, Ledger, LEDGER_MOST};
+use applewall_admin::{AdminResponse, MaintenanceSet, MAX_IDS_IN_MAINTENANCE};
 
 use crate::engine::message::EndpointEntry;
 
 /// The list and the ledger. Kept only where there is a second address.
 #[derive(Default)]
 pub(crate) struct Withheld {
-    ledger: Ledger,
+    ledger: MaintenanceSet,
     /// Every id that the list names, as it does.
     listed: HashMap<EndpointId, EndpointEntry>,
 }
 
 /// What an order comes to.
 pub(crate) struct Ruling {
-    pub answer: Answer,
+    pub answer: AdminResponse,
     /// The entry that has to be taken in again, changed by it.
     pub changed: Option<EndpointEntry>,
 }
 
 impl Withheld {
     /// One that goes on with a ledger.
-    pub(crate) fn new(ledger: Ledger) -> Self {
+    pub(crate) fn new(ledger: MaintenanceSet) -> Self {
         Withheld {
             ledger,
             listed: HashMap::new(),
@@ -38,7 +38,7 @@
     }
 
     /// The ledger, and the list as discovery has it.
-    pub(crate) fn parts(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
+    pub(crate) fn parts(&self) -> (&MaintenanceSet, impl Iterator<Item = &EndpointEntry>) {
         (&self.ledger, self.listed.values())
     }
 
@@ -57,7 +57,7 @@
                 continue;
             }
             self.listed.insert(id.clone(), entry.clone());
-            if self.ledger.holds(id) {
+            if self.ledger.contains(id) {
                 entry.endpoint.state = EndpointState::Draining;
             }
         }
@@ -68,8 +68,8 @@
         let entry = self.listed.get(id).cloned();
         let listed = known || entry.is_some();
         let ruled = match withhold {
-            true => self.ledger.withhold(id, listed),
-            false => self.ledger.give_back(id, listed),
+            true => self.ledger.disable(id, listed),
+            false => self.ledger.enable(id, listed),
         };
         let answer = match ruled {
             Ok(_) => {
@@ -79,12 +79,12 @@
                     (_, true) => "withheld",
                     (_, false) => "given back",
                 };
-                Answer::Done(format!("{state}; {} withheld in all", self.ledger.len()))
+                AdminResponse::Done(format!("{state}; {} withheld in all", self.ledger.len()))
             }
-            Err(_) if listed => {
-                Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept"))
-            }
-            Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
+            Err(_) if listed => AdminResponse::Error(format!(
+                "{MAX_IDS_IN_MAINTENANCE} ids are withheld; no more are kept"
+            )),
+            Err(_) => AdminResponse::Error(format!("no instance has the id '{id}'")),
         };
         // One that does not serve by the list's own word changes nothing, in or out.
         let serves = |e: &EndpointEntry| e.endpoint.state == EndpointState::Ready;
@@ -106,7 +106,7 @@
             .values()
             .filter(|e| e.endpoint.state == EndpointState::Ready)
             .peekable();
-        serving.peek().is_some() && serving.all(|e| self.ledger.holds(&e.endpoint.id))
+        serving.peek().is_some() && serving.all(|e| self.ledger.contains(&e.endpoint.id))
     }
 }
 
--- a/src/admin/maintenance/tests.rs
+++ b/src/admin/maintenance/tests.rs
@@ -74,7 +74,7 @@
     );
     assert!(matches!(
         withheld.order("a", true, false).answer,
-        Answer::Done(_)
+        AdminResponse::Done(_)
     ));
     assert_eq!(
         states(
@@ -108,11 +108,11 @@
     for on in [true, false] {
         assert!(matches!(
             withheld.order("x", on, false).answer,
-            Answer::Error(_)
+            AdminResponse::Error(_)
         ));
     }
     let ruling = withheld.order("a", false, false);
-    assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
+    assert!(matches!(ruling.answer, AdminResponse::Done(_)) && ruling.changed.is_none());
     assert!(!withheld.none_left());
     withheld.order("a", true, false);
     assert!(withheld.none_left());
@@ -123,5 +123,5 @@
         vec![entry("a", 1, EndpointState::Removed)],
     );
     let ruling = withheld.order("a", false, false);
-    assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
+    assert!(matches!(ruling.answer, AdminResponse::Done(_)) && ruling.changed.is_none());
 }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -17,9 +17,11 @@
 
 use applewall::api::{Endpoint, EndpointState, EndpointUpdateKind};
 use applewall::platform_settings::PlatformSettings;
-use applewall_etcd::News;
-use applewall_membership::snapshot::{Limits, Snapshot};
-use applewall_membership::{Change, Item, Roster, State, Took};
+use applewall_etcd::RegistryUpdate;
+use applewall_membership::snapshot::{Snapshot, SnapshotLimits};
+use applewall_membership::{
+    ApplyOutcome, MemberChange, MemberState, MemberUpdate, MergedMembership,
+};
 use tokio::sync::{mpsc, watch, Notify};
 
 use crate::clock::Clock;
@@ -38,7 +40,7 @@
 const LOOK: Duration = Duration::from_millis(500);
 
 struct Held {
-    roster: Roster,
+    roster: MergedMembership,
     /// Entries of discovery as it told them, for what a roster's entry doesn't hold.
     told: BTreeMap<String, EndpointEntry>,
     /// What the engine was told.
@@ -62,7 +64,7 @@
 
 impl Held {
     /// A source told a whole list.
-    fn lists(&mut self, source: usize, items: &[Item]) {
+    fn lists(&mut self, source: usize, items: &[MemberUpdate]) {
         if !std::mem::replace(&mut self.listed[source], true) {
             self.first.extend(items.iter().map(|item| item.id.clone()));
         }
@@ -77,49 +79,49 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// News of the registry; false where they do not follow on what is held.
-    fn take(&self, news: News) -> bool {
+    /// RegistryUpdate of the registry; false where they do not follow on what is held.
+    fn take(&self, news: RegistryUpdate) -> bool {
         let now = self.clock.now();
         let mut held = self.held();
-        if let News::Full { items, .. } = &news {
+        if let RegistryUpdate::FullList { items, .. } = &news {
             held.lists(REGISTRY, items);
         }
-        let source = held.roster.source(REGISTRY);
+        let source = held.roster.source_mut(REGISTRY);
         let took = match news {
-            News::Full {
+            RegistryUpdate::FullList {
                 cluster,
                 revision,
                 items,
-            } => source.full(now, cluster, revision, true, items),
-            News::Changes {
+            } => source.apply_full_list(now, cluster, revision, true, items),
+            RegistryUpdate::Changes {
                 cluster,
                 revision,
                 items,
-            } => source.changes(now, cluster, revision, items),
+            } => source.apply_changes(now, cluster, revision, items),
         };
         drop(held);
         self.changed.notify_one();
-        took != Took::Gap
+        took != ApplyOutcome::Gap
     }
 
     /// A whole list of a Consul-style store. It has no cluster's id; an index that goes back shows one that began anew.
-    fn listed(&self, news: applewall_consul::News) {
+    fn listed(&self, news: applewall_consul::ListUpdate) {
         let now = self.clock.now();
-        let applewall_consul::News {
+        let applewall_consul::ListUpdate {
             index,
             consistent,
-            items,
+            updates: items,
         } = news;
         let mut held = self.held();
         held.lists(CONSUL, &items);
         held.roster
-            .source(CONSUL)
-            .full(now, 0, index, consistent, items);
+            .source_mut(CONSUL)
+            .apply_full_list(now, 0, index, consistent, items);
         drop(held);
         self.changed.notify_one();
     }
 
-    /// News of discovery.
+    /// RegistryUpdate of discovery.
     fn discovered(&self, kind: EndpointUpdateKind, entries: Vec<EndpointEntry>) {
         let now = self.clock.now();
         let mut held = self.held();
@@ -129,31 +131,31 @@
         for entry in entries {
             let id = entry.endpoint.id.to_string();
             let gone = entry.endpoint.state == EndpointState::Removed;
-            let read = (!gone).then(|| applewall_membership::Entry {
+            let read = (!gone).then(|| applewall_membership::MemberRecord {
                 endpoint: entry.address,
                 az: String::new(),
                 pod_group: entry.endpoint.cell,
                 state: match entry.endpoint.state {
-                    EndpointState::Ready => State::InService,
-                    _ => State::Terminating,
+                    EndpointState::Ready => MemberState::InService,
+                    _ => MemberState::Terminating,
                 },
                 capacity_hint: entry.endpoint.weight,
                 // A later start is another life.
                 boot_ms: entry.endpoint.started_at_ns.unwrap_or(0),
             });
             let created = entry.endpoint.started_at_ns.unwrap_or(0);
-            items.push(Item {
+            items.push(MemberUpdate {
                 id: id.clone(),
                 revision,
-                created,
-                entry: read,
+                create_revision: created,
+                record: read,
             });
             held.told.insert(id, entry);
         }
-        let source = held.roster.source(DISCOVERY);
+        let source = held.roster.source_mut(DISCOVERY);
         match kind {
-            EndpointUpdateKind::Delta => source.changes(now, 0, revision, items),
-            _ => source.full(now, 0, revision, true, items),
+            EndpointUpdateKind::Delta => source.apply_changes(now, 0, revision, items),
+            _ => source.apply_full_list(now, 0, revision, true, items),
         };
         drop(held);
         self.changed.notify_one();
@@ -163,8 +165,8 @@
     fn changes(&self) -> (Vec<EndpointEntry>, Vec<EndpointEntry>) {
         let now = self.clock.now();
         let mut held = self.held();
-        let changes = held.roster.changes(now);
-        let stale = held.roster.stale(now);
+        let changes = held.roster.take_changes(now);
+        let stale = held.roster.all_stale(now);
         if std::mem::replace(&mut held.stale, stale) != stale {
             let ages = held
                 .roster
@@ -182,10 +184,10 @@
             }
         }
         let (mut gone, mut put) = (Vec::new(), Vec::new());
-        for Change {
+        for MemberChange {
             id,
-            entry,
-            anew,
+            record: entry,
+            new_incarnation: anew,
             source,
         } in changes
         {
@@ -213,7 +215,7 @@
         (gone, put)
     }
 
-    fn entry(&self, id: &str, entry: &applewall_membership::Entry) -> EndpointEntry {
+    fn entry(&self, id: &str, entry: &applewall_membership::MemberRecord) -> EndpointEntry {
         let member = Endpoint {
             id: id.into(),
             weight: entry.capacity_hint,
@@ -223,8 +225,8 @@
             // Registries name no kind of machine: all count as one.
             machine_type: 0,
             state: match entry.state {
-                State::InService => EndpointState::Ready,
-                State::Terminating => EndpointState::Draining,
+                MemberState::InService => EndpointState::Ready,
+                MemberState::Terminating => EndpointState::Draining,
             },
         };
         EndpointEntry {
@@ -252,17 +254,20 @@
     let settings = &operator.registry;
     // A blocking read proves itself current only when it ends: it must not count as stale while it waits.
     let consul_wait = if operator.consul.enabled.0 {
-        operator.consul.wait.nanos()
+        operator.consul.wait.as_nanos()
     } else {
         0
     };
-    let believed = settings.believed.nanos().max(consul_wait.saturating_mul(2));
+    let believed = settings
+        .believed
+        .as_nanos()
+        .max(consul_wait.saturating_mul(2));
     let sent = known
         .iter()
         .map(|entry| (entry.endpoint.id.to_string(), entry.clone()))
         .collect();
     let held = Held {
-        roster: Roster::new(SOURCES, believed),
+        roster: MergedMembership::new(SOURCES, believed),
         told: BTreeMap::new(),
         sent,
         listed: [false; SOURCES],
@@ -278,7 +283,7 @@
     };
     // The engine decides from these already: discovery's list as it last was, until it tells another.
     merge.discovered(EndpointUpdateKind::Cached, known);
-    merge.held().roster.changes(clock.now());
+    merge.held().roster.take_changes(clock.now());
     let position = if settings.enabled.0 {
         restore(&merge, settings)
     } else {
@@ -322,7 +327,7 @@
             let Some(folder) = &settings.snapshot else {
                 continue;
             };
-            let reached = merge.held().roster.source(REGISTRY).position();
+            let reached = merge.held().roster.source_mut(REGISTRY).position();
             let since = kept.elapsed();
             if since >= KEEP.1 || since >= KEEP.0 && reached != position {
                 (kept, position) = (std::time::Instant::now(), reached);
@@ -359,12 +364,12 @@
             return None;
         }
     };
-    let limits = Limits {
+    let limits = SnapshotLimits {
         now_ms: unix_ms(),
-        age_ms: settings.snapshot_age.nanos() / 1_000_000,
+        age_ms: settings.snapshot_age.as_nanos() / 1_000_000,
         cluster: None,
     };
-    match Snapshot::read(&bytes, &limits) {
+    match Snapshot::decode(&bytes, &limits) {
         Ok(Snapshot {
             cluster,
             revision,
@@ -375,18 +380,18 @@
                 "registry: {} members of the snapshot, revision {revision}",
                 members.len()
             );
-            let item = |(id, entry)| Item {
+            let item = |(id, entry)| MemberUpdate {
                 id,
                 revision,
-                created: 0,
-                entry: Some(entry),
+                create_revision: 0,
+                record: Some(entry),
             };
             let items: Vec<_> = members.into_iter().map(item).collect();
             let mut held = merge.held();
             held.lists(REGISTRY, &items);
             held.roster
-                .source(REGISTRY)
-                .restored(cluster, revision, items);
+                .source_mut(REGISTRY)
+                .restore(cluster, revision, items);
             drop(held);
             merge.changed.notify_one();
             // Resumed from there. Who was born when is not kept, so that a birth meanwhile shows as one.
@@ -402,8 +407,8 @@
 /// Writes the last good list so that a crash at any moment leaves the old one or the new one. On a thread of its own:
 /// a slow disk must not hold up commands.
 async fn keep(merge: &Merge, folder: String) {
-    let snapshot = Snapshot::of(
-        merge.held().roster.source(REGISTRY),
+    let snapshot = Snapshot::from_source(
+        merge.held().roster.source_mut(REGISTRY),
         merge.clock.now(),
         unix_ms(),
     );
@@ -417,7 +422,7 @@
         move || {
             use std::io::Write;
             let mut file = std::fs::File::create(&next)?;
-            file.write_all(&snapshot.write())?;
+            file.write_all(&snapshot.encode())?;
             file.sync_all()?;
             std::fs::rename(&next, &path)
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -22,7 +22,7 @@
 };
 use applewall::decision::DecisionPolicy;
 use applewall::platform_settings::PlatformSettings;
-use applewall_admin::Ledger;
+use applewall_admin::MaintenanceSet;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
@@ -92,7 +92,7 @@
     /// Nothing that matters: there is no second address.
     Nothing,
     /// The ledger at most.
-    Ledger(Ledger),
+    Ledger(MaintenanceSet),
     /// All that another one handed over.
     Estate(Estate),
 }
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -149,7 +149,7 @@
         None,
         slow_peers::none(),
         queue.clone(),
-        (Before::Ledger(Ledger::default()), None),
+        (Before::Ledger(MaintenanceSet::default()), None),
     );
     let told = |i: usize| {
         let (id, state) = (
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_admin::{Answer, Call};
+use applewall_admin::{AdminCommand, AdminResponse};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -233,7 +233,7 @@
         let mut estate = estate
             .await
             .map_err(|_| "the engine has stopped".to_string())??;
-        estate.drained = !self.desk.stages.borrow().healthy();
+        estate.drained = !self.desk.stages.borrow().reports_healthy();
         let bytes = postcard::to_stdvec(&estate).map_err(|e| e.to_string())?;
         let mut head = [0; 8];
         head[..4].copy_from_slice(&MARK);
@@ -263,7 +263,7 @@
         if writing.write_all(b"yours\n").await.is_ok() {
             self.link(lines, writing).await;
         }
-        if self.desk.stages.borrow().stops() {
+        if self.desk.stages.borrow().is_stopping() {
             // As it should be: this one ends, and must not come back to life in between.
             std::future::pending::<()>().await;
         }
@@ -296,9 +296,9 @@
             let (what, number, rest) = (words.next(), words.next(), words.next());
             match (what, number.and_then(|n| n.parse::<u64>().ok()), rest) {
                 (Some("call"), Some(number), Some(call)) => {
-                    let answer = match Call::read(call) {
+                    let answer = match AdminCommand::parse(call) {
                         Ok(call) => self.desk.carry_out_here(call, true).await,
-                        Err(why) => Answer::Error(why),
+                        Err(why) => AdminResponse::Error(why),
                     };
                     if writing
                         .write_all(format!("answer {number} {answer}\n").as_bytes())
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use applewall::api::{Endpoint, EndpointState};
-use applewall_admin::{Ledger, Stage};
+use applewall_admin::{LifecyclePhase, MaintenanceSet};
 
 const ESTATE: &[u8] = include_bytes!("../../../tests/golden/estate.bin");
 const LINES: &str = include_str!("../../../tests/golden/succession.txt");
@@ -58,10 +58,10 @@
 ];
 
 fn estate() -> Estate {
-    let mut withheld = Ledger::default();
+    let mut withheld = MaintenanceSet::default();
     let _ = (
-        withheld.withhold("s-1", true),
-        withheld.withhold("s \"2\"", true),
+        withheld.disable("s-1", true),
+        withheld.disable("s \"2\"", true),
     );
     let listed = LISTED.map(|(backend, scale, started, zone, cell, kind, state, at)| {
         let backend = backend.into();
@@ -128,7 +128,7 @@
 ) {
     let (orders, inbox) = mpsc::channel(4);
     let (drains, drains_in) = mpsc::channel(4);
-    let (stage, stages) = watch::channel(Stage::Draining);
+    let (stage, stages) = watch::channel(LifecyclePhase::Draining);
     let (yes, ready) = watch::channel(true);
     let (role, roles) = watch::channel(Role::Sole);
     let (other, others) = watch::channel(None);
--- a/src/lifecycle/process_role.rs
+++ b/src/lifecycle/process_role.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use applewall::api::Endpoint;
-use applewall_admin::Ledger;
+use applewall_admin::MaintenanceSet;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -47,7 +47,7 @@
 pub(crate) struct Estate {
     /// The module's clock.
     pub now: u64,
-    pub withheld: Ledger,
+    pub withheld: MaintenanceSet,
     /// Draining or drained.
     pub drained: bool,
     /// The list, as discovery has it.
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -12,7 +12,7 @@
 use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
 use std::path::PathBuf;
 
-use applewall_admin::{state, Ledger};
+use applewall_admin::{state, MaintenanceSet};
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
@@ -90,10 +90,10 @@
     }
 
     /// The ledger as an earlier process left it; empty where there is none. What is no ledger is told, and passed over.
-    pub(crate) fn read(&self) -> Ledger {
+    pub(crate) fn read(&self) -> MaintenanceSet {
         let path = self.state();
         let read = match std::fs::read_to_string(&path) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ledger::default(),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return MaintenanceSet::default(),
             Err(e) => Err(e.to_string()),
             Ok(text) => state::read(&text),
         };
@@ -102,12 +102,12 @@
                 "state: {}: {why}; passed over, nothing is withheld",
                 path.display()
             );
-            Ledger::default()
+            MaintenanceSet::default()
         })
     }
 
     /// Writes the ledger: whole beside the old one, then in its place.
-    pub(crate) fn write(&self, ledger: &Ledger) -> Result<(), String> {
+    pub(crate) fn write(&self, ledger: &MaintenanceSet) -> Result<(), String> {
         let (path, new) = (
             self.state(),
             self.folder
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -1,4 +1,4 @@
-//! Signals and the operators' drain: the one who leads through the stages (`applewall_admin::Stages`). SIGTERM: keep
+//! Signals and the operators' drain: the one who leads through the stages (`applewall_admin::Lifecycle`). SIGTERM: keep
 //! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
 
 #![expect(
@@ -8,7 +8,7 @@
 
 use std::future::pending;
 
-use applewall_admin::{Answer, Leave, Stage, Stages, Termination};
+use applewall_admin::{AdminResponse, Lifecycle, LifecyclePhase, ShutdownDeadlines, ShutdownMode};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -38,20 +38,20 @@
     /// Reloads at each SIGHUP, and leads through the stages for as long as the program runs.
     pub(crate) async fn lead(
         mut self,
-        stage: watch::Sender<Stage>,
+        stage: watch::Sender<LifecyclePhase>,
         mut drains: mpsc::Receiver<Drain>,
-        (successor, termination): (Successor, Termination),
+        (successor, termination): (Successor, ShutdownDeadlines),
         drained: bool,
         mut source: Source,
     ) {
-        let (mut stages, origin) = (Stages::new(termination), Instant::now());
+        let (mut stages, origin) = (Lifecycle::new(termination), Instant::now());
         if drained {
             // As the process before was.
             let _ = stages.drain(origin.elapsed());
             tell(&stage, &stages);
         }
         loop {
-            let due = stages.due();
+            let due = stages.next_deadline();
             let next = async move {
                 match due {
                     Some(due) => sleep_until(origin + due).await,
@@ -66,28 +66,28 @@
                 Some(Drain { on, reply }) = drains.recv() => {
                     let now = origin.elapsed();
                     let done = if on { stages.drain(now) } else { stages.undrain() };
-                    let word = stages.stage().word();
+                    let word = stages.phase().as_str();
                     // Once it is in force: an answer that overtook it would be a promise only.
                     tell(&stage, &stages);
                     let _ = reply.send(match done {
-                        Ok(()) => Answer::Done(word.to_string()),
-                        Err(why) => Answer::Error(why.to_string()),
+                        Ok(()) => AdminResponse::Done(word.to_string()),
+                        Err(why) => AdminResponse::Error(why.to_string()),
                     });
                 }
-                () = next => { stages.step(origin.elapsed()); }
+                () = next => { stages.advance(origin.elapsed()); }
             }
-            if stop && !stages.stage().stops() {
+            if stop && !stages.phase().is_stopping() {
                 tracing::info!("told to stop; answering what was taken");
                 let succeeded = *successor.role.borrow() == Role::Succeeded;
                 let how = if succeeded {
-                    Leave::Succeeded
+                    ShutdownMode::Replaced
                 } else {
-                    Leave::Alone
+                    ShutdownMode::Standalone
                 };
-                let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
+                let (now, (from, by)) = (std::time::Instant::now(), termination.late_requests(how));
                 let times = Stopping {
                     late: (now + from, now + by),
-                    ends: now + termination.ends(how),
+                    ends: now + termination.exit_after(how),
                 };
                 // Before the stage is told: whoever sees it finds the times.
                 let _ = successor.stopping.set(times);
@@ -99,12 +99,12 @@
 }
 
 /// Puts the present stage in force where it is new.
-fn tell(stage: &watch::Sender<Stage>, stages: &Stages) {
-    let now = stages.stage();
+fn tell(stage: &watch::Sender<LifecyclePhase>, stages: &Lifecycle) {
+    let now = stages.phase();
     stage.send_if_modified(|before| {
         let changed = *before != now;
-        if changed && !now.stops() {
-            tracing::info!("operator: {}", now.word());
+        if changed && !now.is_stopping() {
+            tracing::info!("operator: {}", now.as_str());
         }
         *before = now;
         changed
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -58,7 +58,7 @@
         // Two processes may be there at once, within the limits of one.
         (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
     }
-    let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
+    let (stage, stages) = watch::channel(applewall_admin::LifecyclePhase::Serving);
     let (orders, drains, inboxes) = admin_listener::queues();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
@@ -170,7 +170,8 @@
         .map(|c| c.deadline_ns)
         .max()
         .unwrap_or(0);
-    let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
+    let termination =
+        applewall_admin::ShutdownDeadlines::new(std::time::Duration::from_nanos(longest));
     tokio::spawn(signals.lead(
         stage,
         inboxes.drains,
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -34,7 +34,7 @@
 use crate::server::framing::Guarded;
 use crate::server::request::{Commands, Gate};
 use crate::server::slow_peers::Pacers;
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
@@ -76,7 +76,7 @@
     role: watch::Receiver<Role>,
     stopping: Arc<OnceLock<Stopping>>,
     gate: Arc<Gate>,
-    stages: watch::Receiver<Stage>,
+    stages: watch::Receiver<LifecyclePhase>,
     places: Arc<Semaphore>,
     seats: Arc<Seats>,
     budget: Budget,
@@ -92,7 +92,7 @@
         places: Arc<Semaphore>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
-        (stages, listed): (watch::Receiver<Stage>, watch::Receiver<bool>),
+        (stages, listed): (watch::Receiver<LifecyclePhase>, watch::Receiver<bool>),
         successor: Successor,
     ) -> Self {
         let budget = Budget::new(config.sockets);
@@ -125,7 +125,7 @@
         let all = (self.budget.clients + self.budget.spare) as u32;
         tokio::select! {
             () = self.accept(&listener) => {}
-            _ = stages.wait_for(|s| *s == Stage::Closing) => {}
+            _ = stages.wait_for(|s| *s == LifecyclePhase::Closing) => {}
             () = self.emptied(all) => {}
         }
         let ends = self
@@ -145,7 +145,9 @@
     /// Ends once this process was told to stop, another took over, and no connection is left.
     async fn emptied(&self, all: u32) {
         let mut stages = self.stages.clone();
-        let _ = stages.wait_for(|s| *s == Stage::Staying).await;
+        let _ = stages
+            .wait_for(|s| *s == LifecyclePhase::TerminatingReplaced)
+            .await;
         let _ = self.places.acquire_many(all).await;
     }
 
@@ -354,18 +356,18 @@
 
 /// Waits until the connection has to go, where it is idle. Drained, one that has not asked yet stays for its one
 /// command, and for as long as a head may take; one whose head is half here goes with the answer to that.
-async fn going(stages: &mut watch::Receiver<Stage>, seat: &Seat) {
+async fn going(stages: &mut watch::Receiver<LifecyclePhase>, seat: &Seat) {
     loop {
         let stage = *stages.borrow_and_update();
         let idle = match stage {
-            Stage::Closing => !seat.halfway(),
-            Stage::Drained => seat.asked() && !seat.halfway(),
+            LifecyclePhase::Closing => !seat.halfway(),
+            LifecyclePhase::Drained => seat.asked() && !seat.halfway(),
             _ => false,
         };
         if idle {
             return;
         }
-        if matches!(stage, Stage::Closing | Stage::Drained) {
+        if matches!(stage, LifecyclePhase::Closing | LifecyclePhase::Drained) {
             // Its answer, or the time that a head has, ends it.
             let _ = stages.wait_for(|s| *s != stage).await;
         } else if stages.changed().await.is_err() {
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -4,7 +4,7 @@
     let mut config = Config::sample();
     config.sockets = 64;
     let (queue, _) = mpsc::channel(8);
-    let (stage, stages) = watch::channel(Stage::Serving);
+    let (stage, stages) = watch::channel(LifecyclePhase::Serving);
     // Whoever leads through the stages does so for as long as the program runs.
     std::mem::forget(stage);
     let places = Budget::new(config.sockets).places();
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tower::Service;
 
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 use applewall_slow_peer::socket::Pacer;
 use applewall_slow_peer::{Reason, Verdict};
 
@@ -54,7 +54,7 @@
 pub(crate) struct Gate {
     pub facts: Arc<PlatformSettings>,
     pub queue: mpsc::Sender<Message>,
-    pub stages: watch::Receiver<Stage>,
+    pub stages: watch::Receiver<LifecyclePhase>,
     /// There is a list to decide from.
     pub listed: watch::Receiver<bool>,
     pub serials: AtomicU64,
@@ -92,7 +92,7 @@
             // Listening, and decided from a name table that may be believed: ready.
             self.seat.wait();
             let mut reply = Reply::new(Either::Left(Full::default()));
-            if !(self.gate.stages.borrow().healthy() && *self.gate.listed.borrow()) {
+            if !(self.gate.stages.borrow().reports_healthy() && *self.gate.listed.borrow()) {
                 *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
             return Box::pin(ready(Ok(self.gate.finish(reply, false))));
@@ -207,7 +207,7 @@
 
     /// Closes the connection with its answer once the program is leaving.
     fn finish(&self, mut reply: Reply, close: bool) -> Reply {
-        if close || self.stages.borrow().last_answers() {
+        if close || self.stages.borrow().closes_after_response() {
             reply
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/tests/golden_files.rs
+++ b/tests/golden_files.rs
@@ -17,16 +17,16 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use applewall_admin::{state, Answer, Call, Ledger};
-use applewall_membership::snapshot::{Limits, Snapshot};
-use applewall_membership::{Entry, State};
+use applewall_admin::{state, AdminCommand, AdminResponse, MaintenanceSet};
+use applewall_membership::snapshot::{Snapshot, SnapshotLimits};
+use applewall_membership::{MemberRecord, MemberState};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
-fn ledger(ids: &[&str]) -> Ledger {
-    let mut ledger = Ledger::default();
+fn ledger(ids: &[&str]) -> MaintenanceSet {
+    let mut ledger = MaintenanceSet::default();
     ids.iter()
-        .for_each(|id| assert_eq!(ledger.withhold(id, true), Ok(true)));
+        .for_each(|id| assert_eq!(ledger.disable(id, true), Ok(true)));
     ledger
 }
 
@@ -79,11 +79,11 @@
     endpoint: &str,
     az: &str,
     pod_group: i64,
-    state: State,
+    state: MemberState,
     capacity_hint: f64,
     boot_ms: u64,
-) -> Entry {
-    Entry {
+) -> MemberRecord {
+    MemberRecord {
         endpoint: endpoint.parse().unwrap(),
         az: az.into(),
         pod_group,
@@ -93,7 +93,7 @@
     }
 }
 
-fn snapshot(members: &[(&str, Entry)]) -> Snapshot {
+fn snapshot(members: &[(&str, MemberRecord)]) -> Snapshot {
     let members = members
         .iter()
         .map(|(id, entry)| (id.to_string(), entry.clone()))
@@ -108,7 +108,7 @@
 
 #[test]
 fn the_snapshot_is_read_and_written_again_to_the_same_bytes() {
-    const LIMITS: Limits = Limits {
+    const LIMITS: SnapshotLimits = SnapshotLimits {
         now_ms: 1_700_000_060_000,
         age_ms: 3_600_000,
         cluster: None,
@@ -120,14 +120,14 @@
                 "10.1.0.18:8443",
                 "zone ü",
                 1_000_000,
-                State::InService,
+                MemberState::InService,
                 1.5,
                 1_699_999_999_999,
             ),
         ),
         (
             "s-2",
-            entry("[2001:db8::1]:80", "", -1, State::Terminating, 0.0, 0),
+            entry("[2001:db8::1]:80", "", -1, MemberState::Terminating, 0.0, 0),
         ),
         (
             "s-3",
@@ -135,7 +135,7 @@
                 "[::ffff:10.0.0.1]:1",
                 "b",
                 0,
-                State::InService,
+                MemberState::InService,
                 1e6,
                 u64::MAX,
             ),
@@ -143,25 +143,25 @@
     ];
     let plain = [(
         "s-1",
-        entry("10.0.0.1:80", "", -1, State::InService, 0.0, 0),
+        entry("10.0.0.1:80", "", -1, MemberState::InService, 0.0, 0),
     )];
     for (file, members) in [
         ("roster.snapshot", &full[..]),
         ("roster_empty.snapshot", &[]),
     ] {
-        golden::same(file, &snapshot(members).write());
+        golden::same(file, &snapshot(members).encode());
         assert_eq!(
-            Snapshot::read(&golden::bytes(file), &LIMITS),
+            Snapshot::decode(&golden::bytes(file), &LIMITS),
             Ok(snapshot(members))
         );
     }
     // Entries may leave out all but where they listen.
     assert_eq!(
-        Snapshot::read(&golden::bytes("roster_bare.snapshot"), &LIMITS),
+        Snapshot::decode(&golden::bytes("roster_bare.snapshot"), &LIMITS),
         Ok(snapshot(&plain))
     );
     let bytes = golden::bytes("roster.snapshot");
-    let refused = |bytes: &[u8], limits| Snapshot::read(bytes, &limits).unwrap_err().to_string();
+    let refused = |bytes: &[u8], limits| Snapshot::decode(bytes, &limits).unwrap_err().to_string();
     let head = |head: &str| [head.as_bytes(), &bytes[18..]].concat();
     let mut flipped = bytes.clone();
     flipped[100] ^= 1;
@@ -185,7 +185,7 @@
     let at = |now_ms, cluster| {
         refused(
             &bytes,
-            Limits {
+            SnapshotLimits {
                 now_ms,
                 cluster,
                 ..LIMITS
@@ -212,7 +212,7 @@
         .filter(|line| !line.starts_with("  "))
     {
         let allowed = serde_json::from_str(r#""10.0.0.0/8, 2001:db8::/32""#).unwrap();
-        now += &match Entry::read(value.as_bytes(), &allowed) {
+        now += &match MemberRecord::parse(value.as_bytes(), &allowed) {
             Ok(entry) => format!("{value}\n  {}\n", serde_json::to_string(&entry).unwrap()),
             Err(why) => format!("{value}\n  refused: {why}\n"),
         };
@@ -224,18 +224,18 @@
 fn calls_are_read_as_they_were() {
     let id = || "s-1".to_string();
     let good = [
-        ("READY", Call::Ready),
-        ("\tDISABLE  s-1 ", Call::Disable(id())),
-        ("ENABLE s-1", Call::Enable(id())),
-        ("DRAIN", Call::Drain),
-        ("UNDRAIN", Call::Undrain),
+        ("READY", AdminCommand::Ready),
+        ("\tDISABLE  s-1 ", AdminCommand::Disable(id())),
+        ("ENABLE s-1", AdminCommand::Enable(id())),
+        ("DRAIN", AdminCommand::Drain),
+        ("UNDRAIN", AdminCommand::Undrain),
     ];
     good.into_iter()
-        .for_each(|(line, call)| assert_eq!(Call::read(line), Ok(call)));
+        .for_each(|(line, call)| assert_eq!(AdminCommand::parse(line), Ok(call)));
     let answers = [
-        Answer::Done(String::new()),
-        Answer::Done("serving".into()),
-        Answer::Error("no".into()),
+        AdminResponse::Done(String::new()),
+        AdminResponse::Done("serving".into()),
+        AdminResponse::Error("no".into()),
     ];
     assert_eq!(
         answers.map(|a| a.to_string()),
