Admin: lifecycle state machine, maintenance set and command grammar as modules of their own

Cause: the package kept its errors as strings, gave tuples and bare constants for deadlines, and held its tests inside the modules.

Change: - one module each for the command grammar, the maintenance set, the state file, the lifecycle and the shutdown deadlines, with their tests beside them; no lint is expected any more; - the lifecycle takes every input by `handle(now, LifecycleInput)` and says which phase it entered; - CommandError, MaintenanceError, StateFileError and LifecycleError in place of strings and `&'static str`; their texts are as before. A full maintenance set is told apart from an unknown id; - LateRequestWindow in place of a pair of durations; constants say what they bound; - AdminCommand is read by FromStr and written by Display.

Tests, old name -> new name: calls_are_read_whole_or_not_at_all -> a_command_line_is_parsed_completely_or_rejected whatever_is_sent_the_answer_is_one_line -> the_response_to_any_rejected_line_is_a_single_line twice_out_is_once_back_and_what_nobody_has_is_unknown -> one_enable_undoes_two_disables_and_an_unlisted_id_is_rejected the_ledger_is_bounded_and_full_changes_nothing -> a_full_set_rejects_a_further_id_and_stays_unchanged the_last_call_holds -> the_last_command_about_a_known_id_is_in_force what_is_written_is_read_and_all_else_is_told_apart -> a_written_file_is_read_back_and_each_kind_of_damage_is_named a_drain_says_no_first_and_closes_later -> a_drain_fails_health_checks_first_and_closes_connections_later undrain_leads_back_from_each_stage_and_is_nothing_to_one_that_serves -> undrain_returns_to_serving_from_every_phase_of_a_drain a_stop_goes_before_a_drain_and_there_is_no_way_back -> a_stop_overrides_a_drain_and_cannot_be_undone what_was_taken_before_a_stop_has_its_whole_deadline_before_the_program_ends -> a_request_accepted_before_a_stop_has_its_whole_deadline_before_the_process_exits new: a_command_is_written_as_the_line_that_parses_to_it

Result: clippy with warnings denied is clean for the workspace.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,14 +1,19 @@
-//! The operators' calls, without I/O and without a clock: how a line is read, what is answered, which instances are
-//! withheld, and how far a drain has come. Bytes, events and moments come in; what is to be done goes out.
+//! Operator commands, without I/O and without a clock.
+//!
+//! - [`AdminCommand`], [`AdminResponse`]: the grammar of one command line and of its one-line response;
+//! - [`MaintenanceSet`]: the endpoints that operators have taken out of service, with [`state_file`] as its form on disk;
+//! - [`Lifecycle`]: the state machine of drain and shutdown, with [`ShutdownDeadlines`] for the timing of a shutdown.
+//!
+//! Callers pass in lines, inputs and the present time; what has to be done comes back as values. Sockets, files and
+//! timers belong to the program.
 
-mod call;
-mod ledger;
-mod stages;
-pub mod state;
+mod command;
+mod lifecycle;
+mod maintenance;
+mod shutdown_deadlines;
+pub mod state_file;
 
-pub use call::{AdminCommand, AdminResponse, MAX_COMMAND_LINE_BYTES};
-pub use ledger::{MaintenanceSet, UnknownEndpoint, MAX_IDS_IN_MAINTENANCE};
-pub use stages::{
-    Lifecycle, LifecyclePhase, ShutdownDeadlines, ShutdownMode, DRAIN_NOTICE_PERIOD,
-    TERMINATION_ACCEPT_PERIOD,
-};
+pub use command::{AdminCommand, AdminResponse, CommandError, MAX_COMMAND_LINE_BYTES};
+pub use lifecycle::{Lifecycle, LifecycleError, LifecycleInput, LifecyclePhase, PhaseChange};
+pub use maintenance::{MaintenanceError, MaintenanceSet, MAX_IDS_IN_MAINTENANCE};
+pub use shutdown_deadlines::{LateRequestWindow, ShutdownDeadlines, ShutdownMode};
--- /dev/null
+++ b/crates/admin/src/shutdown_deadlines/tests.rs
@@ -0,0 +1,45 @@
+//! The deadlines of a shutdown, for short, usual and very long request deadlines.
+
+use std::time::Duration;
+
+use super::{ShutdownDeadlines, ShutdownMode, TERMINATION_ACCEPT_PERIOD};
+
+const MILLIS: fn(u64) -> Duration = Duration::from_millis;
+
+#[test]
+fn a_request_accepted_before_a_stop_has_its_whole_deadline_before_the_process_exits() {
+    for longest in [200, 480, 1_000, 3_000, 4_110, 30_000] {
+        let deadlines = ShutdownDeadlines::new(MILLIS(longest));
+        // The last connection that is accepted as usual, with the longest deadline there is.
+        assert!(
+            deadlines.exit_after(ShutdownMode::Standalone)
+                > TERMINATION_ACCEPT_PERIOD + MILLIS(longest),
+            "{longest} ms"
+        );
+        let kill = MILLIS(longest.min(3_000) + 700);
+        for mode in [ShutdownMode::Standalone, ShutdownMode::Replaced] {
+            let late = deadlines.late_requests(mode);
+            assert!(
+                late.begins_after <= MILLIS(700)
+                    && late.begins_after < late.answer_within
+                    && late.answer_within < kill,
+                "{longest} ms, {mode:?}"
+            );
+            assert!(
+                late.answer_within < deadlines.exit_after(mode),
+                "{longest} ms, {mode:?}"
+            );
+        }
+        assert!(
+            deadlines.exit_after(ShutdownMode::Replaced) < kill,
+            "{longest} ms"
+        );
+        assert!(
+            deadlines.keep_alive_for(ShutdownMode::Replaced)
+                < deadlines
+                    .late_requests(ShutdownMode::Replaced)
+                    .answer_within,
+            "{longest} ms"
+        );
+    }
+}
--- /dev/null
+++ b/crates/admin/src/state_file/tests.rs
@@ -0,0 +1,29 @@
+//! Writing the state file, and reading intact and damaged ones.
+
+use super::{decode, encode};
+use crate::MaintenanceSet;
+
+#[test]
+fn a_written_file_is_read_back_and_each_kind_of_damage_is_named() {
+    let mut set = MaintenanceSet::default();
+    assert_eq!(set.disable("s-1", true), Ok(true));
+    assert_eq!(set.disable("s \"2\"", true), Ok(true));
+    let text = encode(&set);
+    assert_eq!(decode(&text).unwrap(), set);
+    let fails_with = |text: &str, reason: &str| {
+        decode(text).is_err_and(|error| error.to_string().contains(reason))
+    };
+    for length in 0..text.len() {
+        assert!(fails_with(&text[..length], "torn"), "{length} bytes");
+    }
+    let damaged = [
+        ("{}", "foreign"),
+        ("[1]", "foreign"),
+        (r#"{"applewall_state":2,"withheld":7}"#, "version 2"),
+        (r#"{"applewall_state":1}"#, "torn"),
+        (r#"{"applewall_state":1,"withheld":[7]}"#, "torn"),
+    ];
+    for (text, reason) in damaged {
+        assert!(fails_with(text, reason), "{text}");
+    }
+}
--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 use applewall_admin::{
-    AdminCommand, AdminResponse, LifecyclePhase, MaintenanceSet, MAX_COMMAND_LINE_BYTES,
+    AdminCommand, AdminResponse, CommandError, LifecyclePhase, MaintenanceSet,
+    MAX_COMMAND_LINE_BYTES,
 };
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -185,7 +186,7 @@
         return;
     };
     caller.heard.store(true, Ordering::Relaxed);
-    let answer = match line.and_then(|line| AdminCommand::parse(&line)) {
+    let answer = match line.and_then(|line| line.parse().map_err(|e: CommandError| e.to_string())) {
         Ok(call) => desk.carry_out(call).await,
         Err(why) => AdminResponse::Error(why),
     };
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -296,9 +296,9 @@
             let (what, number, rest) = (words.next(), words.next(), words.next());
             match (what, number.and_then(|n| n.parse::<u64>().ok()), rest) {
                 (Some("call"), Some(number), Some(call)) => {
-                    let answer = match AdminCommand::parse(call) {
+                    let answer = match call.parse::<AdminCommand>() {
                         Ok(call) => self.desk.carry_out_here(call, true).await,
-                        Err(why) => AdminResponse::Error(why),
+                        Err(why) => AdminResponse::Error(why.to_string()),
                     };
                     if writing
                         .write_all(format!("answer {number} {answer}\n").as_bytes())
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -12,7 +12,7 @@
 use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
 use std::path::PathBuf;
 
-use applewall_admin::{state, MaintenanceSet};
+use applewall_admin::{state_file, MaintenanceSet};
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
@@ -95,7 +95,7 @@
         let read = match std::fs::read_to_string(&path) {
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => return MaintenanceSet::default(),
             Err(e) => Err(e.to_string()),
-            Ok(text) => state::read(&text),
+            Ok(text) => state_file::decode(&text).map_err(|e| e.to_string()),
         };
         read.unwrap_or_else(|why| {
             tracing::warn!(
@@ -114,7 +114,7 @@
                 .join(format!("applewall-{}.{}", self.name, std::process::id())),
         );
         let written = std::fs::File::create(&new)
-            .and_then(|mut file| file.write_all(state::write(ledger).as_bytes()))
+            .and_then(|mut file| file.write_all(state_file::encode(ledger).as_bytes()))
             .and_then(|()| std::fs::rename(&new, &path));
         written.map_err(|e| {
             // Half a file must not stay: where there is no room, it takes some.
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -8,7 +8,9 @@
 
 use std::future::pending;
 
-use applewall_admin::{AdminResponse, Lifecycle, LifecyclePhase, ShutdownDeadlines, ShutdownMode};
+use applewall_admin::{
+    AdminResponse, Lifecycle, LifecycleInput, LifecyclePhase, ShutdownDeadlines, ShutdownMode,
+};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -47,7 +49,7 @@
         let (mut stages, origin) = (Lifecycle::new(termination), Instant::now());
         if drained {
             // As the process before was.
-            let _ = stages.drain(origin.elapsed());
+            let _ = stages.handle(origin.elapsed(), LifecycleInput::Drain);
             tell(&stage, &stages);
         }
         loop {
@@ -65,16 +67,16 @@
                 _ = self.hup.recv() => source.reload(),
                 Some(Drain { on, reply }) = drains.recv() => {
                     let now = origin.elapsed();
-                    let done = if on { stages.drain(now) } else { stages.undrain() };
+                    let done = stages.handle(now, drain_input(on));
                     let word = stages.phase().as_str();
                     // Once it is in force: an answer that overtook it would be a promise only.
                     tell(&stage, &stages);
                     let _ = reply.send(match done {
-                        Ok(()) => AdminResponse::Done(word.to_string()),
+                        Ok(_) => AdminResponse::Done(word.to_string()),
                         Err(why) => AdminResponse::Error(why.to_string()),
                     });
                 }
-                () = next => { stages.advance(origin.elapsed()); }
+                () = next => { let _ = stages.handle(origin.elapsed(), LifecycleInput::Tick); }
             }
             if stop && !stages.phase().is_stopping() {
                 tracing::info!("told to stop; answering what was taken");
@@ -84,20 +86,28 @@
                 } else {
                     ShutdownMode::Standalone
                 };
-                let (now, (from, by)) = (std::time::Instant::now(), termination.late_requests(how));
+                let (now, late) = (std::time::Instant::now(), termination.late_requests(how));
                 let times = Stopping {
-                    late: (now + from, now + by),
+                    late: (now + late.begins_after, now + late.answer_within),
                     ends: now + termination.exit_after(how),
                 };
                 // Before the stage is told: whoever sees it finds the times.
                 let _ = successor.stopping.set(times);
-                stages.stop(origin.elapsed(), how);
+                let _ = stages.handle(origin.elapsed(), LifecycleInput::Stop(how));
             }
             tell(&stage, &stages);
         }
     }
 }
 
+fn drain_input(on: bool) -> LifecycleInput {
+    if on {
+        LifecycleInput::Drain
+    } else {
+        LifecycleInput::Undrain
+    }
+}
+
 /// Puts the present stage in force where it is new.
 fn tell(stage: &watch::Sender<LifecyclePhase>, stages: &Lifecycle) {
     let now = stages.phase();
--- a/tests/golden_files.rs
+++ b/tests/golden_files.rs
@@ -17,7 +17,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use applewall_admin::{state, AdminCommand, AdminResponse, MaintenanceSet};
+use applewall_admin::{state_file, AdminCommand, AdminResponse, MaintenanceSet};
 use applewall_membership::snapshot::{Snapshot, SnapshotLimits};
 use applewall_membership::{MemberRecord, MemberState};
 
@@ -36,8 +36,11 @@
         ("state.json", &["s-2", "s \"ü\" 1"][..]),
         ("state_empty.json", &[]),
     ] {
-        golden::same(file, state::write(&ledger(ids)).as_bytes());
-        assert_eq!(state::read(&golden::text(file)), Ok(ledger(ids)));
+        golden::same(file, state_file::encode(&ledger(ids)).as_bytes());
+        assert_eq!(
+            state_file::decode(&golden::text(file)).unwrap(),
+            ledger(ids)
+        );
     }
     // Keys besides are passed over, an older version is read, a newer one is not.
     let also = [
@@ -45,7 +48,7 @@
         r#"{"withheld":["a"],"applewall_state":0}"#,
     ];
     also.iter()
-        .for_each(|text| assert_eq!(state::read(text), Ok(ledger(&["a"]))));
+        .for_each(|text| assert_eq!(state_file::decode(text).unwrap(), ledger(&["a"])));
     let whole = golden::text("state.json");
     let wrong = [
         (
@@ -70,9 +73,13 @@
             "torn or foreign: invalid type: integer `7`, expected a sequence",
         ),
     ];
-    wrong
-        .iter()
-        .for_each(|(text, why)| assert_eq!(state::read(text), Err(why.to_string()), "{text}"));
+    wrong.iter().for_each(|(text, why)| {
+        assert_eq!(
+            state_file::decode(text).unwrap_err().to_string(),
+            *why,
+            "{text}"
+        );
+    });
 }
 
 fn entry(
@@ -231,7 +238,7 @@
         ("UNDRAIN", AdminCommand::Undrain),
     ];
     good.into_iter()
-        .for_each(|(line, call)| assert_eq!(AdminCommand::parse(line), Ok(call)));
+        .for_each(|(line, call)| assert_eq!(line.parse(), Ok(call)));
     let answers = [
         AdminResponse::Done(String::new()),
         AdminResponse::Done("serving".into()),
