--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -1,12 +1,14 @@
-//! A roster's source in a Consul-style key-value store.
+//! Membership from a Consul-style key-value store.
 //!
-//! A blocking read names the index of the last answer and waits until something newer exists, or until its wait is
-//! over; each answer is the whole list under the prefix. [`Course`] is what to ask next, without I/O; [`follow()`] asks.
+//! A blocking query names the index of the last answer and waits until there is something newer, or until its wait is
+//! over; each answer is the whole list under the prefix. [`BlockingQueries`] decides what to ask next, without I/O;
+//! [`watch`] carries the queries out.
 
-mod course;
-mod follow;
+mod blocking_query;
+mod client;
 mod settings;
+mod watcher;
 
-pub use course::{Answer, Ask, Course};
-pub use follow::{follow, ListUpdate};
+pub use blocking_query::{BlockingQueries, BlockingQuery, QueryEffect, QueryOutcome};
 pub use settings::Settings;
+pub use watcher::{watch, ListUpdate};
--- a/crates/consul/tests/follow.rs
+++ b/crates/consul/tests/watch.rs
@@ -1,4 +1,4 @@
-//! The follower against the agent's stand-in. Each test waits for what has to happen.
+//! The watch of a Consul-style store, against a fake agent. Each test waits for what has to happen.
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
@@ -7,12 +7,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_consul::{follow, Settings};
+use applewall_consul::{watch, Settings};
 use applewall_fakes::consul::Agent;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{MemberState, Source};
+use applewall_membership::{MemberState, Position, Source};
 use applewall_operator_config::{DurationSetting, EnabledFlag};
 
+/// How long a test waits for what has to happen; a machine that is busy must not fail it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct World {
@@ -35,12 +36,15 @@
         ..Settings::default()
     };
     let source = Arc::new(Mutex::new(Source::default()));
-    let held = source.clone();
+    let applied = source.clone();
     let task = tokio::spawn(async move {
-        follow(&settings, 1, |news| {
-            held.lock()
-                .unwrap()
-                .apply_full_list(0, 0, news.index, news.consistent, news.updates);
+        watch(&settings, 1, |list| {
+            let position = Position {
+                cluster: 0,
+                revision: list.index,
+            };
+            let mut source = applied.lock().unwrap();
+            source.apply_full_list(0, position, list.consistency, list.updates);
         })
         .await;
     });
@@ -58,7 +62,7 @@
             .lock()
             .unwrap()
             .records()
-            .map(|(id, entry)| (id.to_string(), entry.state))
+            .map(|(id, record)| (id.to_string(), record.state))
             .collect()
     }
 
@@ -87,7 +91,7 @@
 }
 
 #[tokio::test]
-async fn a_blocking_read_tells_at_once_and_costs_nothing_in_between() {
+async fn a_blocking_query_reports_each_change_at_once_and_is_silent_in_between() {
     let world = world(60_000).await;
     world.agent.put("m/a", Some(&value("in_service")));
     world.agent.put("m/bad", Some("{"));
@@ -109,7 +113,7 @@
 }
 
 #[tokio::test]
-async fn breaks_silence_lagging_agents_and_a_store_that_began_anew() {
+async fn the_list_survives_breaks_silence_lagging_agents_and_a_store_that_began_anew() {
     let world = world(100).await;
     world.agent.put("m/a", Some(&value("in_service")));
     world.until("a", |list| list.len() == 1).await;
@@ -123,7 +127,7 @@
     world.until("it was left", |_| left()).await;
     world.wire.silence(false);
     world.until("c after silence", |list| list.len() == 3).await;
-    // An agent that lags has nothing to tell, and what it tells is settled by a consistent read.
+    // A lagging agent's answer is settled by a consistent query.
     world.agent.lag(true);
     world.agent.put("m/a", None);
     world.agent.lag(false);
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -1,11 +1,12 @@
-//! A roster's source in an etcd v3 registry.
+//! Membership from an etcd v3 registry.
 //!
-//! The course is [`applewall_membership::Follow`]'s, what the list means is [`applewall_membership::Source`]'s; here are the
-//! calls that carry it out. One connection, one watch, one call at a time; everything ends when [`follow()`] is dropped.
+//! [`applewall_membership::WatchMachine`] decides what to do next, and [`applewall_membership::Source`] what a list
+//! means; this crate carries out the calls. One connection, one watch, one call at a time; everything ends when
+//! [`watch`] is dropped.
 
-mod calls;
-mod follow;
+mod client;
 mod settings;
+mod watcher;
 
-pub use follow::{follow, RegistryUpdate};
 pub use settings::{Endpoints, Settings};
+pub use watcher::{watch, RegistryUpdate};
--- a/crates/etcd/tests/follow.rs
+++ b/crates/etcd/tests/watch.rs
@@ -1,9 +1,6 @@
-//! The follower against the registry's stand-in, through wires that break. Each test waits for what has to happen.
+//! The watch of a registry, against a fake one and through connections that break. Each test waits for what has to
+//! happen.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::collections::BTreeMap;
@@ -11,24 +8,53 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_etcd::{follow, Endpoints, RegistryUpdate, Settings};
+use applewall_etcd::{watch, Endpoints, RegistryUpdate, Settings};
 use applewall_fakes::etcd::Registry;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{ApplyOutcome, MemberState, MergedMembership};
+use applewall_membership::{
+    ApplyOutcome, MemberChange, MemberState, MergedMembership, ReadConsistency,
+};
 use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use tokio::task::JoinHandle;
 
+/// How long a test waits for what has to happen; a machine that is busy must not fail it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct World {
     registry: Registry,
     wires: Vec<Wire>,
-    roster: Arc<Mutex<MergedMembership>>,
-    /// What somebody holds who hears of changes only, and how many births were told.
-    heard: Arc<Mutex<(BTreeMap<String, MemberState>, usize)>>,
+    membership: Arc<Mutex<MergedMembership>>,
+    known: Arc<Mutex<Known>>,
     task: JoinHandle<()>,
 }
 
+/// What is known from changes alone.
+#[derive(Default)]
+struct Known {
+    states: BTreeMap<String, MemberState>,
+    new_incarnations: usize,
+}
+
+impl Known {
+    fn apply(&mut self, change: MemberChange) {
+        self.new_incarnations += usize::from(change.new_incarnation);
+        match change.record {
+            Some(record) => drop(self.states.insert(change.id, record.state)),
+            None => assert!(self.states.remove(&change.id).is_some(), "removed twice"),
+        }
+    }
+}
+
+fn apply(membership: &mut MergedMembership, update: RegistryUpdate) -> ApplyOutcome {
+    let source = membership.source_mut(0);
+    match update {
+        RegistryUpdate::FullList { position, updates } => {
+            source.apply_full_list(0, position, ReadConsistency::Consistent, updates)
+        }
+        RegistryUpdate::Changes { position, updates } => source.apply_changes(0, position, updates),
+    }
+}
+
 fn settings(wires: &[Wire]) -> Settings {
     Settings {
         enabled: EnabledFlag(true),
@@ -36,7 +62,7 @@
         prefix: "/m/".into(),
         backoff: DurationSetting::from_millis(50),
         spread: DurationSetting::from_millis(20),
-        // Only silence is told by time: a machine that is busy must not look like it.
+        // Only silence is recognised by time: a busy machine must not look silent.
         patience: DurationSetting::from_millis(5_000),
         ..Settings::default()
     }
@@ -49,45 +75,26 @@
     }
     let mut settings = settings(&wires);
     change(&mut settings);
-    let roster = Arc::new(Mutex::new(MergedMembership::new(1, u64::MAX)));
-    let heard = Arc::new(Mutex::new((BTreeMap::new(), 0)));
-    let (held, told) = (roster.clone(), heard.clone());
+    let membership = Arc::new(Mutex::new(MergedMembership::new(1, u64::MAX)));
+    let known = Arc::new(Mutex::new(Known::default()));
+    let (applied, changed) = (membership.clone(), known.clone());
     let task = tokio::spawn(async move {
-        let take = |news: RegistryUpdate| {
-            let mut roster = held.lock().unwrap();
-            let took = match news {
-                RegistryUpdate::FullList {
-                    cluster,
-                    revision,
-                    items,
-                } => roster
-                    .source_mut(0)
-                    .apply_full_list(0, cluster, revision, true, items),
-                RegistryUpdate::Changes {
-                    cluster,
-                    revision,
-                    items,
-                } => roster
-                    .source_mut(0)
-                    .apply_changes(0, cluster, revision, items),
-            };
-            let mut told = told.lock().unwrap();
-            for change in roster.take_changes(0) {
-                told.1 += usize::from(change.new_incarnation);
-                match change.record {
-                    Some(entry) => drop(told.0.insert(change.id, entry.state)),
-                    None => assert!(told.0.remove(&change.id).is_some(), "gone twice"),
-                }
+        let on_update = |update: RegistryUpdate| {
+            let mut membership = applied.lock().unwrap();
+            let outcome = apply(&mut membership, update);
+            let mut known = changed.lock().unwrap();
+            for change in membership.take_changes(0) {
+                known.apply(change);
             }
-            took != ApplyOutcome::Gap
+            outcome
         };
-        follow(&settings, 1, None, take).await;
+        watch(&settings, 1, None, on_update).await;
     });
     World {
         registry,
         wires,
-        roster,
-        heard,
+        membership,
+        known,
         task,
     }
 }
@@ -103,11 +110,11 @@
         mut holds: impl FnMut(&BTreeMap<String, MemberState>) -> bool,
     ) {
         let wait = async {
-            while !holds(&self.heard.lock().unwrap().0) {
+            while !holds(&self.known.lock().unwrap().states) {
                 tokio::time::sleep(Duration::from_millis(2)).await;
             }
         };
-        let state = || self.heard.lock().unwrap().0.clone();
+        let state = || self.known.lock().unwrap().states.clone();
         assert!(
             tokio::time::timeout(PATIENCE, wait).await.is_ok(),
             "never: {what}: {:?}",
@@ -115,8 +122,8 @@
         );
     }
 
-    fn births(&self) -> usize {
-        self.heard.lock().unwrap().1
+    fn new_incarnations(&self) -> usize {
+        self.known.lock().unwrap().new_incarnations
     }
 }
 
@@ -127,13 +134,13 @@
 }
 
 #[tokio::test]
-async fn it_reads_once_and_then_follows_with_bad_entries_left_out() {
+async fn the_list_is_read_once_and_malformed_members_are_left_out() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/bad", "{}");
     registry.put("/other/x", &value(9, "in_service"));
-    let world = world(registry, 1, |s| {
-        s.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()]);
+    let world = world(registry, 1, |settings| {
+        settings.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()]);
     })
     .await;
     world
@@ -149,21 +156,21 @@
             list.len() == 3 && list.get("b") == Some(&MemberState::Terminating)
         })
         .await;
-    // One that is there and turns bad is left out, and comes back when it is mended.
+    // A member whose value turns malformed is left out.
     world.registry.put("/m/a", "no JSON at all");
     world.until("without a", |list| list.len() == 2).await;
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 1);
 }
 
 #[tokio::test]
-async fn a_break_is_resumed_without_a_read_and_without_telling_anything_twice() {
+async fn a_broken_watch_resumes_without_a_full_read_and_repeats_no_change() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     let world = world(registry, 2, |_| ()).await;
     world.until("a", |list| list.len() == 1).await;
     for round in 0..20u16 {
         world.wires.iter().for_each(Wire::cut);
-        // Removed and added again while nobody looks: one more life, however the news comes.
+        // Removed and added again during the break: one new incarnation, however it is reported.
         world.registry.delete("/m/a");
         world.registry.put("/m/a", &value(1, "in_service"));
         world
@@ -173,13 +180,13 @@
             .until("the next", |list| list.len() == 2 + usize::from(round))
             .await;
     }
-    // 20 new ones, 20 lives more of a, and its first.
-    assert_eq!(world.births(), 41);
+    // 20 new members, 20 further incarnations of a, and its first.
+    assert_eq!(world.new_incarnations(), 41);
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 1);
 }
 
 #[tokio::test]
-async fn a_revision_that_is_compacted_meanwhile_leads_to_one_read() {
+async fn a_compacted_revision_leads_to_one_full_read() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/b", &value(2, "in_service"));
@@ -197,21 +204,21 @@
         })
         .await;
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 2);
-    // The registry may also have told the watch that was cut, which nobody heard.
+    // The registry may have reported the compaction to the watch that was cut as well.
     assert!(world.registry.calls.compacted.load(Ordering::Relaxed) >= 1);
 }
 
 #[tokio::test]
-async fn a_watch_that_falls_silent_is_left_for_another_member() {
+async fn a_silent_watch_resumes_at_another_endpoint_without_a_full_read() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
-    let world = world(registry, 3, |s| {
-        s.patience = DurationSetting::from_millis(150);
+    let world = world(registry, 3, |settings| {
+        settings.patience = DurationSetting::from_millis(150);
     })
     .await;
     world.until("a", |list| list.len() == 1).await;
     for round in 0..6 {
-        // What was left in the round before is closed by now: only the one in use falls silent.
+        // The connection of the round before is closed by now: only the one in use falls silent.
         let up = |wire: &&Wire| wire.connections.1.load(Ordering::Relaxed) > 0;
         world
             .until("one is in use", |_| {
@@ -241,7 +248,7 @@
     }
     assert_eq!(
         (
-            world.births(),
+            world.new_incarnations(),
             world.registry.calls.ranges.load(Ordering::Relaxed)
         ),
         (1, 1)
@@ -249,10 +256,10 @@
 }
 
 #[tokio::test]
-async fn a_registry_that_began_anew_is_read_anew_and_who_stayed_is_no_newcomer() {
+async fn a_registry_that_began_anew_is_read_again_and_members_that_stayed_keep_their_incarnation() {
     let registry = Registry::new(7, 0);
-    for i in 0..40 {
-        registry.put(&format!("/m/s-{i}"), &value(1 + i, "in_service"));
+    for index in 0..40 {
+        registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
     let world = world(registry, 1, |_| ()).await;
     world.until("40", |list| list.len() == 40).await;
@@ -262,33 +269,33 @@
     world.registry.put("/m/s-1", &value(2, "in_service"));
     world.wires[0].refuse(false);
     world.until("one", |list| list.len() == 1).await;
-    assert_eq!(world.births(), 40);
+    assert_eq!(world.new_incarnations(), 40);
     world.registry.put("/m/s-2", &value(3, "in_service"));
     world.until("two", |list| list.len() == 2).await;
     assert_eq!(
         world
-            .roster
+            .membership
             .lock()
             .unwrap()
             .source_mut(0)
             .position()
-            .map(|p| p.0),
+            .map(|position| position.cluster),
         Some(8)
     );
 }
 
 #[tokio::test]
-async fn thousands_of_keys_come_page_by_page_and_split_answers_as_one() {
+async fn thousands_of_keys_are_read_in_pages_and_fragmented_answers_are_applied_as_one() {
     let registry = Registry::new(7, 0);
-    for i in 0..5_000u16 {
-        registry.put(&format!("/m/s-{i}"), &value(1 + i, "in_service"));
+    for index in 0..5_000u16 {
+        registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
     let world = world(registry, 1, |_| ()).await;
     world.until("5,000", |list| list.len() == 5_000).await;
     assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 3);
     world.wires[0].silence(true);
-    for i in 0..1_000 {
-        world.registry.delete(&format!("/m/s-{i}"));
+    for index in 0..1_000 {
+        world.registry.delete(&format!("/m/s-{index}"));
     }
     world.wires[0].silence(false);
     world.until("4,000", |list| list.len() == 4_000).await;
@@ -296,14 +303,14 @@
 }
 
 #[tokio::test]
-async fn a_list_that_is_read_page_by_page_while_it_changes_is_of_one_revision() {
+async fn a_list_read_in_pages_while_it_changes_is_of_one_revision() {
     let registry = Registry::new(7, 0);
-    for i in 0..5_000u16 {
-        registry.put(&format!("/m/s-{i:04}"), &value(1 + i, "in_service"));
+    for index in 0..5_000u16 {
+        registry.put(&format!("/m/s-{index:04}"), &value(1 + index, "in_service"));
     }
     let writer = registry.clone();
     let world = world(registry, 1, |_| ()).await;
-    // After the first page: one of the first goes, one of the last comes to be drained, and one is new.
+    // After the first page: one of the first is removed, one of the last is drained, and one is new.
     world
         .until("reading", |_| {
             writer.calls.ranges.load(Ordering::Relaxed) >= 1
@@ -319,18 +326,18 @@
                 && list.get("s-4999") == Some(&MemberState::Terminating)
         })
         .await;
-    assert_eq!(world.births(), 5_001);
+    assert_eq!(world.new_incarnations(), 5_001);
 }
 
 #[tokio::test]
-async fn a_token_goes_with_each_call() {
+async fn the_token_is_sent_and_read_again_at_each_connection() {
     let registry = Registry::new(7, 0);
     registry.require("s3cret");
     registry.put("/m/a", &value(1, "in_service"));
     let file = std::env::temp_dir().join(format!("applewall-token-{}", std::process::id()));
     std::fs::write(&file, "wrong\n").unwrap();
-    let world = world(registry, 1, |s| {
-        s.token_file = Some(file.to_str().unwrap().into());
+    let world = world(registry, 1, |settings| {
+        settings.token_file = Some(file.to_str().unwrap().into());
     })
     .await;
     let tried = || world.wires[0].connections.0.load(Ordering::Relaxed) > 2;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,21 +1,24 @@
-//! What a source of members is, without I/O and without a clock.
+//! Cluster membership from registries, without I/O and without a clock.
 //!
-//! - [`MemberRecord`]: one member as a registry holds it, checked against a published schema;
-//! - [`Source`]: what one registry has told: revisions, full lists and changes, replays dropped, a registry that
-//!   began anew recognised;
+//! - [`MemberRecord`]: one member as a registry stores it, validated against a published schema;
+//! - [`Source`]: what one registry has reported: positions, full lists and changes. Replays are dropped, and a registry
+//!   that began anew is recognised;
 //! - [`MergedMembership`]: several sources merged by precedence and age;
-//! - [`WatchMachine`]: the course of a watch: read, watch, prove that it lives, resume, read anew after a compaction;
-//! - [`snapshot`]: the last good list as bytes, for a start while the registry is down.
+//! - [`WatchMachine`]: the state machine of a watch: read, watch, request progress, resume, read again after a compaction;
+//! - [`snapshot`]: the last good list as bytes, for a start while the registry is unavailable.
 //!
-//! Times are nanoseconds of one clock that only advances, unless a name says otherwise.
+//! Times are nanoseconds of one monotonic clock that the caller owns, unless a name says otherwise.
 
-mod entry;
-mod follow;
 mod merge;
+mod record;
 pub mod snapshot;
 mod source;
+mod watch;
 
-pub use entry::{schema, MemberRecord, MemberState, RecordError};
-pub use follow::{DisconnectReason, WatchEffect, WatchInput, WatchMachine, WatchTiming};
 pub use merge::{MemberChange, MergedMembership};
-pub use source::{ApplyOutcome, MemberUpdate, Source};
+pub use record::{schema, MemberRecord, MemberState, RecordError};
+pub use source::{ApplyOutcome, MemberUpdate, Position, ReadConsistency, Source};
+pub use watch::{DisconnectReason, WatchEffect, WatchInput, WatchMachine, WatchTiming};
+
+#[cfg(test)]
+mod test_support;
--- a/crates/membership/src/snapshot.rs
+++ b/crates/membership/src/snapshot.rs
@@ -1,97 +1,131 @@
 //! The last good list as bytes: versioned, checksummed, bounded in age.
 //!
-//! Form: one line of text, `applewall-membership 1 CRC32 LENGTH`, and then so many bytes of JSON. What is torn, foreign,
-//! too old or from another cluster is refused with its reason; nothing of it is used.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Form: one line of text, `applewall-roster 1 CRC32 LENGTH`, followed by that many bytes of JSON. The first word is on
+//! disk and stays, whatever the crate is called. A snapshot that is cut off, of another program, too old or of another
+//! cluster is rejected with its reason; nothing of it is used.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::entry::MemberRecord;
-use crate::source::Source;
+use crate::record::MemberRecord;
+use crate::source::{Position, Source};
 
+/// First word of the header line.
 const MAGIC: &str = "applewall-roster";
+
+/// The version that is written, and the only one that is read.
 const VERSION: u32 = 1;
-/// A list holds no more bytes than this.
-const MOST: usize = 64 << 20;
 
-/// What a snapshot holds.
+/// Longest header line that is looked for; its four words take at most some 60 bytes.
+const MAX_HEADER_BYTES: usize = 128;
+
+/// Most bytes of JSON that are read: room for some hundred thousand members, and a bound on memory where the file is
+/// not ours.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// How far the clock that wrote a snapshot may be ahead of the one that reads it.
+const MAX_CLOCK_SKEW_MS: u64 = 60_000;
+
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// The contents of a snapshot.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The cluster that told it.
+    /// The id of the cluster that reported it.
     pub cluster: u64,
     /// The revision up to which it holds.
     pub revision: u64,
-    /// When it was known to be current, as Unix time in milliseconds.
+    /// When it was last known to be current, as Unix time in milliseconds.
     pub at_ms: u64,
     /// The members.
     pub members: BTreeMap<String, MemberRecord>,
 }
 
 /// Why a snapshot is not used.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SnapshotError {
-    /// No snapshot of this program at all.
+    /// It is no snapshot of this program.
+    #[error("it is no snapshot of a roster")]
     Foreign,
-    /// One of another version.
+    /// It has another version.
+    #[error("it has version {0}, this program reads {VERSION}")]
     Version(u32),
-    /// Cut short, or changed after it was written.
+    /// It is cut off, or was changed after it was written.
+    #[error("it is torn: its length or checksum is wrong")]
     Torn,
-    /// Older than allowed, in milliseconds.
+    /// It is older than allowed; its age in milliseconds.
+    #[error("it is too old: {} s", .0 / 1_000)]
     Old(u64),
-    /// From the future by so many milliseconds: one of the clocks is wrong.
+    /// It is from the future by this many milliseconds: one of the clocks is wrong.
+    #[error("it is from the future: by {} s", .0 / 1_000)]
     Ahead(u64),
-    /// Told by another cluster than the one wanted.
+    /// It is of another cluster than the one wanted; the id of its cluster.
+    #[error("it is from another cluster: {0:x}")]
     Cluster(u64),
 }
 
-impl std::fmt::Display for SnapshotError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            SnapshotError::Foreign => f.write_str("it is no snapshot of a roster"),
-            SnapshotError::Version(version) => {
-                write!(f, "it has version {version}, this program reads {VERSION}")
-            }
-            SnapshotError::Torn => f.write_str("it is torn: its length or checksum is wrong"),
-            SnapshotError::Old(ms) => write!(f, "it is too old: {} s", ms / 1_000),
-            SnapshotError::Ahead(ms) => write!(f, "it is from the future: by {} s", ms / 1_000),
-            SnapshotError::Cluster(id) => write!(f, "it is from another cluster: {id:x}"),
-        }
-    }
-}
-
-impl std::error::Error for SnapshotError {}
-
-/// What may be used.
+/// Which snapshots may be used.
 #[derive(Clone, Copy, Debug)]
 pub struct SnapshotLimits {
-    /// The present moment, as Unix time in milliseconds.
+    /// The present time, as Unix time in milliseconds.
     pub now_ms: u64,
-    /// Oldest age, in milliseconds. As far ahead may clocks differ too, up to a minute.
-    pub age_ms: u64,
-    /// The cluster wanted, where one is named.
+    /// Greatest age, in milliseconds. A snapshot may be as far in the future too, up to a minute.
+    pub max_age_ms: u64,
+    /// The cluster wanted, if only one will do.
     pub cluster: Option<u64>,
 }
 
+/// The words of the header line behind the first two.
+struct Header {
+    checksum: u32,
+    body_bytes: usize,
+}
+
+impl Header {
+    /// Reads the line without its end. Words behind the known ones are ignored.
+    fn parse(line: &str) -> Result<Self, SnapshotError> {
+        let mut fields = line.split(' ');
+        if fields.next() != Some(MAGIC) {
+            return Err(SnapshotError::Foreign);
+        }
+        let version = fields.next().and_then(|field| field.parse().ok());
+        match version.ok_or(SnapshotError::Foreign)? {
+            VERSION => {}
+            version => return Err(SnapshotError::Version(version)),
+        }
+        let checksum = fields
+            .next()
+            .and_then(|field| u32::from_str_radix(field, 16).ok());
+        let body_bytes = fields.next().and_then(|field| field.parse().ok());
+        Ok(Header {
+            checksum: checksum.ok_or(SnapshotError::Torn)?,
+            body_bytes: body_bytes.ok_or(SnapshotError::Torn)?,
+        })
+    }
+
+    fn matches(&self, body: &[u8]) -> bool {
+        self.body_bytes <= MAX_BODY_BYTES
+            && self.body_bytes == body.len()
+            && self.checksum == crc32fast::hash(body)
+    }
+}
+
 impl Snapshot {
-    /// Of what a source holds; `now` on its clock is `now_ms` in Unix time. None before the registry told this life
-    /// anything: a list that was only restored would grow younger with each start.
-    pub fn from_source(source: &Source, now: u64, now_ms: u64) -> Option<Self> {
-        let (cluster, revision) = source.position()?;
-        let at_ms = now_ms.saturating_sub(source.age(now)? / 1_000_000);
+    /// A snapshot of what a source holds; `now_ns` on the source's clock is `now_ms` in Unix time. None before the
+    /// registry has reported anything to this process: a list that was only restored must not be written again with a
+    /// new time, or it would never grow old.
+    pub fn from_source(source: &Source, now_ns: u64, now_ms: u64) -> Option<Self> {
+        let Position { cluster, revision } = source.position()?;
+        let age_ms = source.age_ns(now_ns)? / NANOS_PER_MILLI;
         let members = source
             .records()
-            .map(|(id, entry)| (id.to_string(), entry.clone()))
+            .map(|(id, record)| (id.to_string(), record.clone()))
             .collect();
         Some(Snapshot {
             cluster,
             revision,
-            at_ms,
+            at_ms: now_ms.saturating_sub(age_ms),
             members,
         })
     }
@@ -99,12 +133,9 @@
     /// Its bytes.
     pub fn encode(&self) -> Vec<u8> {
         let body = serde_json::to_vec(self).unwrap_or_default();
-        let head = format!(
-            "{MAGIC} {VERSION} {:08x} {}\n",
-            crc32fast::hash(&body),
-            body.len()
-        );
-        [head.as_bytes(), &body].concat()
+        let checksum = crc32fast::hash(&body);
+        let header = format!("{MAGIC} {VERSION} {checksum:08x} {}\n", body.len());
+        [header.as_bytes(), &body].concat()
     }
 
     /// Reads bytes.
@@ -113,130 +144,37 @@
     ///
     /// Why they are not used.
     pub fn decode(bytes: &[u8], limits: &SnapshotLimits) -> Result<Self, SnapshotError> {
-        let end = bytes
+        let header_end = bytes
             .iter()
-            .take(128)
-            .position(|b| *b == b'\n')
+            .take(MAX_HEADER_BYTES)
+            .position(|byte| *byte == b'\n')
             .ok_or(SnapshotError::Foreign)?;
-        let head = std::str::from_utf8(&bytes[..end]).map_err(|_| SnapshotError::Foreign)?;
-        let mut words = head.split(' ');
-        if words.next() != Some(MAGIC) {
-            return Err(SnapshotError::Foreign);
-        }
-        let version: u32 = words
-            .next()
-            .and_then(|w| w.parse().ok())
-            .ok_or(SnapshotError::Foreign)?;
-        if version != VERSION {
-            return Err(SnapshotError::Version(version));
-        }
-        let sum = words
-            .next()
-            .and_then(|w| u32::from_str_radix(w, 16).ok())
-            .ok_or(SnapshotError::Torn)?;
-        let length: usize = words
-            .next()
-            .and_then(|w| w.parse().ok())
-            .ok_or(SnapshotError::Torn)?;
-        let body = &bytes[end + 1..];
-        if length > MOST || body.len() != length || crc32fast::hash(body) != sum {
+        let line = std::str::from_utf8(&bytes[..header_end]).map_err(|_| SnapshotError::Foreign)?;
+        let header = Header::parse(line)?;
+        let body = &bytes[header_end + 1..];
+        if !header.matches(body) {
             return Err(SnapshotError::Torn);
         }
         let snapshot: Snapshot = serde_json::from_slice(body).map_err(|_| SnapshotError::Torn)?;
-        let (now, at) = (limits.now_ms, snapshot.at_ms);
-        if now.saturating_sub(at) > limits.age_ms {
-            return Err(SnapshotError::Old(now - at));
-        }
-        if at.saturating_sub(now) > limits.age_ms.min(60_000) {
-            return Err(SnapshotError::Ahead(at - now));
-        }
-        match limits.cluster.filter(|wanted| *wanted != snapshot.cluster) {
-            Some(_) => Err(SnapshotError::Cluster(snapshot.cluster)),
-            None => Ok(snapshot),
-        }
+        snapshot.check(limits)?;
+        Ok(snapshot)
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn snapshot() -> Snapshot {
-        let entry =
-            MemberRecord::parse(br#"{"endpoint":"10.0.0.1:80"}"#, &Default::default()).unwrap();
-        Snapshot {
-            cluster: 7,
-            revision: 3,
-            at_ms: 1_000_000,
-            members: [("a".to_string(), entry)].into(),
+    fn check(&self, limits: &SnapshotLimits) -> Result<(), SnapshotError> {
+        let age_ms = limits.now_ms.saturating_sub(self.at_ms);
+        if age_ms > limits.max_age_ms {
+            return Err(SnapshotError::Old(age_ms));
         }
-    }
-
-    fn limits(now_ms: u64) -> SnapshotLimits {
-        SnapshotLimits {
-            now_ms,
-            age_ms: 60_000,
-            cluster: Some(7),
+        let ahead_ms = self.at_ms.saturating_sub(limits.now_ms);
+        if ahead_ms > limits.max_age_ms.min(MAX_CLOCK_SKEW_MS) {
+            return Err(SnapshotError::Ahead(ahead_ms));
         }
-    }
-
-    #[test]
-    fn what_was_written_is_read_and_every_cut_or_changed_byte_is_noticed() {
-        let (snapshot, limits) = (snapshot(), limits(1_010_000));
-        let bytes = snapshot.encode();
-        assert_eq!(Snapshot::decode(&bytes, &limits), Ok(snapshot));
-        for i in 0..bytes.len() {
-            assert!(
-                Snapshot::decode(&bytes[..i], &limits).is_err(),
-                "cut at {i}"
-            );
-            let mut changed = bytes.clone();
-            changed[i] ^= 1;
-            assert!(
-                Snapshot::decode(&changed, &limits).is_err(),
-                "changed at {i}"
-            );
+        match limits.cluster {
+            Some(wanted) if wanted != self.cluster => Err(SnapshotError::Cluster(self.cluster)),
+            _ => Ok(()),
         }
     }
-
-    #[test]
-    fn its_age_is_that_of_the_list_and_what_was_only_restored_is_not_written_again() {
-        const SECOND: u64 = 1_000_000_000;
-        let mut source = Source::default();
-        source.apply_full_list(10 * SECOND, 7, 3, true, Vec::new());
-        assert_eq!(
-            Snapshot::from_source(&source, 40 * SECOND, 1_000_000).map(|s| s.at_ms),
-            Some(970_000)
-        );
-        let mut source = Source::default();
-        source.restore(7, 3, Vec::new());
-        assert_eq!((source.position(), source.age(0)), (Some((7, 3)), None));
-        assert_eq!(Snapshot::from_source(&source, 40 * SECOND, 1_000_000), None);
-    }
-
-    #[test]
-    fn what_is_old_or_foreign_is_refused_by_name() {
-        let bytes = snapshot().encode();
-        let read = |bytes: &[u8], limits| Snapshot::decode(bytes, &limits).unwrap_err();
-        assert_eq!(
-            read(&bytes, limits(2_000_000)),
-            SnapshotError::Old(1_000_000)
-        );
-        assert_eq!(read(&bytes, limits(900_000)), SnapshotError::Ahead(100_000));
-        assert_eq!(
-            read(
-                &bytes,
-                SnapshotLimits {
-                    cluster: Some(8),
-                    ..limits(1_000_000)
-                }
-            ),
-            SnapshotError::Cluster(7)
-        );
-        assert_eq!(read(b"{}\n", limits(0)), SnapshotError::Foreign);
-        assert_eq!(
-            read(b"applewall-roster 2 0 0\n", limits(0)),
-            SnapshotError::Version(2)
-        );
-    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -1,196 +1,199 @@
-//! What one registry has told.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! What one registry has reported.
+//!
+//! A source takes full lists, changes and proofs of progress, each with the position in the registry's history that it
+//! reaches. What it holds survives the loss of the registry. Invariants: updates at or before the position that is held
+//! change nothing, in whatever order they are repeated; a consistent full list always applies.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::entry::MemberRecord;
+use crate::record::MemberRecord;
+
+/// A point in the history of one registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// The registry's cluster id. Revisions of different clusters cannot be compared.
+    pub cluster: u64,
+    /// The revision of the registry's store.
+    pub revision: u64,
+}
+
+/// How a full list was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadConsistency {
+    /// Nothing that was written before the read is missing.
+    Consistent,
+    /// As a follower of the registry had it, which may lag.
+    Stale,
+}
 
-/// One key's news.
+/// What a registry reports about one key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberUpdate {
     /// The member.
     pub id: String,
-    /// The revision of the last change of it, as the registry counts.
+    /// The revision of the key's last change.
     pub revision: u64,
-    /// The revision at which it came into being: another one is another life.
+    /// The revision at which the key was created. A member with another one is a new incarnation.
     pub create_revision: u64,
-    /// None: removed, or there but not to be read. Both are the same to those who would send to it.
+    /// None: removed, or present with a value that is rejected. Both are the same to those who would send to it.
     pub record: Option<MemberRecord>,
 }
 
-/// What became of news.
+/// What became of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ApplyOutcome {
-    /// Taken, though it may have changed nothing.
+    /// Applied, though it may have changed nothing.
     Applied,
-    /// Older than what is held, or seen already: dropped.
+    /// Dropped: older than what is held, or seen already.
     Outdated,
-    /// Changes of a registry that began anew, or that do not follow on what is held: a full list is needed.
+    /// Dropped: changes of a registry that began anew, or that do not follow on what is held. A full list is needed.
     Gap,
 }
 
+/// A member as a source holds it.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Held {
-    pub entry: MemberRecord,
-    pub revision: u64,
-    pub created: u64,
-    /// Counts lives of this id in this source, across everything.
-    pub life: u64,
+pub(crate) struct HeldMember {
+    pub(crate) record: MemberRecord,
+    pub(crate) create_revision: u64,
+    /// Unique among the incarnations that this source has seen, of all ids.
+    pub(crate) incarnation: u64,
 }
 
-/// The list of one registry as far as it was told. Survives its losses: the list as it was stays.
+/// The list of one registry as far as it was reported.
 #[derive(Clone, Debug, Default)]
 pub struct Source {
-    cluster: Option<u64>,
-    revision: u64,
-    held: BTreeMap<String, Held>,
-    lives: u64,
+    position: Option<Position>,
+    held: BTreeMap<String, HeldMember>,
+    /// Incarnations seen so far.
+    incarnations: u64,
     /// When the list was last known to be current.
-    current: Option<u64>,
+    current_at_ns: Option<u64>,
     /// Ids that changed since they were last taken.
     changed: BTreeSet<String>,
 }
 
 impl Source {
-    /// The whole list at a revision, read so that nothing that was written before is missing (`consistent`), or as a
-    /// follower of the registry had it.
+    /// Applies the whole list at a position.
     ///
-    /// A consistent one always holds. Where its revision lies before what is held, or its cluster is another one, the
-    /// registry began anew, and all that is held is a former life's. A follower's list that is older than what is held
-    /// is dropped.
+    /// A consistent list always applies. If its revision lies before the one that is held, or its cluster is another
+    /// one, then the registry began anew, and members at another address than before are new incarnations. A stale
+    /// list that is older than what is held, or of another cluster, is dropped.
     pub fn apply_full_list(
         &mut self,
-        now: u64,
-        cluster: u64,
-        revision: u64,
-        consistent: bool,
-        items: Vec<MemberUpdate>,
+        now_ns: u64,
+        position: Position,
+        consistency: ReadConsistency,
+        updates: Vec<MemberUpdate>,
     ) -> ApplyOutcome {
-        let same = self.cluster.is_none_or(|held| held == cluster);
-        let older = self.cluster.is_some() && revision < self.revision;
-        if !consistent && (!same || older) {
+        let follows = self.position.is_none_or(|held| {
+            held.cluster == position.cluster && held.revision <= position.revision
+        });
+        if !follows && consistency == ReadConsistency::Stale {
             return ApplyOutcome::Outdated;
         }
-        let anew = !same || older;
-        (self.cluster, self.revision, self.current) = (Some(cluster), revision, Some(now));
-        let mut gone: BTreeSet<String> = self.held.keys().cloned().collect();
-        for item in items {
-            if item.record.is_some() {
-                gone.remove(&item.id);
+        (self.position, self.current_at_ns) = (Some(position), Some(now_ns));
+        let mut missing: BTreeSet<String> = self.held.keys().cloned().collect();
+        for update in updates {
+            if update.record.is_some() {
+                missing.remove(&update.id);
             }
-            self.put(item, anew);
+            self.apply_update(update, !follows);
         }
-        // Who is missing has gone.
-        for id in gone {
+        for id in missing {
             self.held.remove(&id);
             self.changed.insert(id);
         }
         ApplyOutcome::Applied
     }
 
-    /// The list of an earlier life. It is held, and not known to be current: any source that is goes before it.
-    pub fn restore(&mut self, cluster: u64, revision: u64, items: Vec<MemberUpdate>) {
-        self.apply_full_list(0, cluster, revision, true, items);
-        self.current = None;
+    /// Applies the list of an earlier process. It is not known to be current: any source that is takes precedence.
+    pub fn restore(&mut self, position: Position, updates: Vec<MemberUpdate>) {
+        self.apply_full_list(0, position, ReadConsistency::Consistent, updates);
+        self.current_at_ns = None;
     }
 
-    /// Changes up to a revision, after all those told before. Items at revisions that are held already are replays
-    /// and dropped one by one.
+    /// Applies all changes up to a position that follow on those reported before. Updates at revisions that are held
+    /// already are replays and are dropped one by one.
     pub fn apply_changes(
         &mut self,
-        now: u64,
-        cluster: u64,
-        revision: u64,
-        items: Vec<MemberUpdate>,
+        now_ns: u64,
+        position: Position,
+        updates: Vec<MemberUpdate>,
     ) -> ApplyOutcome {
-        if self.cluster != Some(cluster) {
-            return ApplyOutcome::Gap;
-        }
-        if revision < self.revision {
-            return ApplyOutcome::Outdated;
+        let before = self.position;
+        let outcome = self.apply_progress(now_ns, position);
+        if let (ApplyOutcome::Applied, Some(before)) = (outcome, before) {
+            let new = |update: &MemberUpdate| update.revision > before.revision;
+            for update in updates.into_iter().filter(new) {
+                self.apply_update(update, false);
+            }
         }
-        let before = self.revision;
-        (self.revision, self.current) = (revision, Some(now));
-        items
-            .into_iter()
-            .filter(|item| item.revision > before)
-            .for_each(|item| self.put(item, false));
-        ApplyOutcome::Applied
+        outcome
     }
 
-    /// Nothing has changed up to a revision. One that lies before what is held proves nothing.
-    pub fn apply_progress(&mut self, now: u64, cluster: u64, revision: u64) -> ApplyOutcome {
-        match (self.cluster == Some(cluster), revision < self.revision) {
-            (false, _) => ApplyOutcome::Gap,
-            (true, true) => ApplyOutcome::Outdated,
-            (true, false) => {
-                (self.revision, self.current) = (revision, Some(now));
+    /// Nothing has changed up to a position. One that lies before what is held proves nothing.
+    pub fn apply_progress(&mut self, now_ns: u64, position: Position) -> ApplyOutcome {
+        match self.position {
+            Some(held) if held.cluster == position.cluster => {
+                if position.revision < held.revision {
+                    return ApplyOutcome::Outdated;
+                }
+                (self.position, self.current_at_ns) = (Some(position), Some(now_ns));
                 ApplyOutcome::Applied
             }
+            _ => ApplyOutcome::Gap,
         }
     }
 
-    fn put(&mut self, item: MemberUpdate, anew: bool) {
-        let MemberUpdate {
-            id,
-            revision,
-            create_revision: created,
-            record: entry,
-        } = item;
-        let held = self.held.get(&id);
-        let Some(entry) = entry else {
-            if self.held.remove(&id).is_some() {
-                self.changed.insert(id);
+    /// Applies one update; `began_anew`: the registry counts its revisions from the start again.
+    fn apply_update(&mut self, update: MemberUpdate, began_anew: bool) {
+        let Some(record) = update.record else {
+            if self.held.remove(&update.id).is_some() {
+                self.changed.insert(update.id);
             }
             return;
         };
-        // Another address, or removed and added again however quickly: another life.
-        let same_life =
-            held.filter(|h| !anew && h.created == created && h.entry.endpoint == entry.endpoint);
-        // A registry that began anew counts from the start, but a member that stayed where it was has not restarted.
-        let stayed = held.filter(|h| anew && h.entry.endpoint == entry.endpoint);
-        let life = same_life.or(stayed).map(|h| h.life).unwrap_or_else(|| {
-            self.lives += 1;
-            self.lives
+        let held = self.held.get(&update.id);
+        // Another address is a new incarnation, and so is a member that was removed and added again, however quickly.
+        // After the registry began anew only the address counts: a member that kept it has not restarted.
+        let same = held.filter(|held| {
+            held.record.endpoint == record.endpoint
+                && (began_anew || held.create_revision == update.create_revision)
         });
-        let put = Held {
-            entry,
-            revision,
-            created,
-            life,
-        };
-        if self
-            .held
-            .get(&id)
-            .is_none_or(|held| held.entry != put.entry || held.life != put.life)
-        {
-            self.changed.insert(id.clone());
+        let incarnation = same.map(|held| held.incarnation).unwrap_or_else(|| {
+            self.incarnations += 1;
+            self.incarnations
+        });
+        if held.is_none_or(|held| held.record != record || held.incarnation != incarnation) {
+            self.changed.insert(update.id.clone());
         }
-        self.held.insert(id, put);
+        let member = HeldMember {
+            record,
+            create_revision: update.create_revision,
+            incarnation,
+        };
+        self.held.insert(update.id, member);
     }
 
-    /// Where to resume: the cluster and the revision up to which all is known.
-    pub fn position(&self) -> Option<(u64, u64)> {
-        self.cluster.map(|cluster| (cluster, self.revision))
+    /// Where to resume: the position up to which everything is known.
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
-    /// For how long the list has not been known to be current; none: it never was.
-    pub fn age(&self, now: u64) -> Option<u64> {
-        self.current.map(|current| now.saturating_sub(current))
+    /// For how long the list has not been known to be current, in nanoseconds; none: it never was.
+    pub fn age_ns(&self, now_ns: u64) -> Option<u64> {
+        self.current_at_ns
+            .map(|current_at_ns| now_ns.saturating_sub(current_at_ns))
     }
 
-    /// What is held, by id.
+    /// The members that are held, by id.
     pub fn records(&self) -> impl Iterator<Item = (&str, &MemberRecord)> {
         self.held
             .iter()
-            .map(|(id, held)| (id.as_str(), &held.entry))
+            .map(|(id, held)| (id.as_str(), &held.record))
     }
 
-    pub(crate) fn held(&self, id: &str) -> Option<&Held> {
+    pub(crate) fn held(&self, id: &str) -> Option<&HeldMember> {
         self.held.get(id)
     }
 
@@ -204,115 +207,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn item(id: &str, revision: u64, created: u64, port: Option<u16>) -> MemberUpdate {
-        let entry = |port| MemberRecord {
-            endpoint: ([127, 0, 0, 1], port).into(),
-            az: String::new(),
-            pod_group: -1,
-            state: Default::default(),
-            capacity_hint: 0.0,
-            boot_ms: 0,
-        };
-        MemberUpdate {
-            id: id.to_string(),
-            revision,
-            create_revision: created,
-            record: port.map(entry),
-        }
-    }
-
-    fn changed(source: &mut Source) -> Vec<String> {
-        source.take_changed().into_iter().collect()
-    }
-
-    #[test]
-    fn who_is_missing_from_a_full_list_has_gone_and_replays_change_nothing() {
-        let mut source = Source::default();
-        source.apply_full_list(
-            0,
-            1,
-            10,
-            true,
-            vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
-        );
-        assert_eq!(changed(&mut source), ["a", "b"]);
-        source.apply_full_list(1, 1, 12, true, vec![item("a", 5, 5, Some(1))]);
-        assert_eq!(changed(&mut source), ["b"]);
-        // b's removal again, and news older than the list.
-        assert_eq!(
-            source.apply_changes(2, 1, 12, vec![item("b", 11, 0, None)]),
-            ApplyOutcome::Applied
-        );
-        assert_eq!(
-            source.apply_changes(2, 1, 11, vec![item("a", 11, 5, Some(9))]),
-            ApplyOutcome::Outdated
-        );
-        assert!(changed(&mut source).is_empty());
-        assert_eq!(source.position(), Some((1, 12)));
-    }
-
-    #[test]
-    fn removed_and_added_again_or_at_a_new_address_is_a_new_life() {
-        let mut source = Source::default();
-        source.apply_full_list(0, 1, 10, true, vec![item("a", 5, 5, Some(1))]);
-        let life = |source: &Source| source.held("a").map(|h| h.life);
-        let first = life(&source);
-        // Both within one answer.
-        source.apply_changes(
-            1,
-            1,
-            12,
-            vec![item("a", 11, 0, None), item("a", 12, 12, Some(1))],
-        );
-        let second = life(&source);
-        assert!(second > first && changed(&mut source) == ["a"]);
-        source.apply_changes(2, 1, 13, vec![item("a", 13, 12, Some(2))]);
-        assert!(life(&source) > second);
-        // Seen only by its new birth, in a full list after a break.
-        let third = life(&source);
-        source.apply_full_list(3, 1, 20, true, vec![item("a", 20, 20, Some(2))]);
-        assert!(life(&source) > third);
-    }
-
-    #[test]
-    fn a_registry_that_began_anew_is_recognised_and_a_slow_follower_is_not_taken_for_one() {
-        let mut source = Source::default();
-        source.apply_full_list(
-            0,
-            1,
-            100,
-            true,
-            vec![item("a", 5, 5, Some(1)), item("b", 6, 6, Some(2))],
-        );
-        changed(&mut source);
-        assert_eq!(
-            source.apply_full_list(1, 1, 90, false, vec![]),
-            ApplyOutcome::Outdated
-        );
-        assert_eq!(
-            source.apply_full_list(1, 2, 200, false, vec![]),
-            ApplyOutcome::Outdated
-        );
-        assert_eq!(source.apply_changes(1, 2, 200, vec![]), ApplyOutcome::Gap);
-        assert_eq!(source.apply_progress(1, 1, 99), ApplyOutcome::Outdated);
-        // Restored from a copy: revisions went back, a stayed where it was and b is gone.
-        assert_eq!(
-            source.apply_full_list(2, 1, 7, true, vec![item("a", 3, 3, Some(1))]),
-            ApplyOutcome::Applied
-        );
-        assert_eq!(
-            (changed(&mut source), source.position()),
-            (vec!["b".to_string()], Some((1, 7)))
-        );
-        // Another cluster altogether.
-        assert_eq!(
-            source.apply_full_list(3, 2, 1, true, vec![item("a", 1, 1, Some(1))]),
-            ApplyOutcome::Applied
-        );
-        assert!(changed(&mut source).is_empty());
-        assert_eq!(source.age(10), Some(7));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/membership/src/test_support.rs
@@ -0,0 +1,30 @@
+//! Records and updates for the tests of this crate.
+
+use crate::{MemberRecord, MemberState, MemberUpdate};
+
+/// A record at a port of the loopback address.
+pub(crate) fn record(port: u16, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        endpoint: ([127, 0, 0, 1], port).into(),
+        az: String::new(),
+        pod_group: -1,
+        state,
+        capacity_hint: 0.0,
+        boot_ms: 0,
+    }
+}
+
+/// A report about one key; `port`: where the member listens, none where the key is removed.
+pub(crate) fn update(
+    id: &str,
+    revision: u64,
+    create_revision: u64,
+    port: Option<u16>,
+) -> MemberUpdate {
+    MemberUpdate {
+        id: id.to_string(),
+        revision,
+        create_revision,
+        record: port.map(|port| record(port, MemberState::InService)),
+    }
+}
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -20,7 +20,8 @@
 use applewall_etcd::RegistryUpdate;
 use applewall_membership::snapshot::{Snapshot, SnapshotLimits};
 use applewall_membership::{
-    ApplyOutcome, MemberChange, MemberState, MemberUpdate, MergedMembership,
+    ApplyOutcome, MemberChange, MemberState, MemberUpdate, MergedMembership, Position,
+    ReadConsistency,
 };
 use tokio::sync::{mpsc, watch, Notify};
 
@@ -79,29 +80,25 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// RegistryUpdate of the registry; false where they do not follow on what is held.
-    fn take(&self, news: RegistryUpdate) -> bool {
+    /// What the registry reports, and what became of it.
+    fn take(&self, news: RegistryUpdate) -> ApplyOutcome {
         let now = self.clock.now();
         let mut held = self.held();
-        if let RegistryUpdate::FullList { items, .. } = &news {
-            held.lists(REGISTRY, items);
+        if let RegistryUpdate::FullList { updates, .. } = &news {
+            held.lists(REGISTRY, updates);
         }
         let source = held.roster.source_mut(REGISTRY);
         let took = match news {
-            RegistryUpdate::FullList {
-                cluster,
-                revision,
-                items,
-            } => source.apply_full_list(now, cluster, revision, true, items),
-            RegistryUpdate::Changes {
-                cluster,
-                revision,
-                items,
-            } => source.apply_changes(now, cluster, revision, items),
+            RegistryUpdate::FullList { position, updates } => {
+                source.apply_full_list(now, position, ReadConsistency::Consistent, updates)
+            }
+            RegistryUpdate::Changes { position, updates } => {
+                source.apply_changes(now, position, updates)
+            }
         };
         drop(held);
         self.changed.notify_one();
-        took != ApplyOutcome::Gap
+        took
     }
 
     /// A whole list of a Consul-style store. It has no cluster's id; an index that goes back shows one that began anew.
@@ -109,24 +106,33 @@
         let now = self.clock.now();
         let applewall_consul::ListUpdate {
             index,
-            consistent,
+            consistency,
             updates: items,
         } = news;
         let mut held = self.held();
         held.lists(CONSUL, &items);
-        held.roster
-            .source_mut(CONSUL)
-            .apply_full_list(now, 0, index, consistent, items);
+        held.roster.source_mut(CONSUL).apply_full_list(
+            now,
+            Position {
+                cluster: 0,
+                revision: index,
+            },
+            consistency,
+            items,
+        );
         drop(held);
         self.changed.notify_one();
     }
 
-    /// RegistryUpdate of discovery.
+    /// Reports of discovery.
     fn discovered(&self, kind: EndpointUpdateKind, entries: Vec<EndpointEntry>) {
         let now = self.clock.now();
         let mut held = self.held();
         held.news += 1;
-        let revision = held.news;
+        let position = Position {
+            cluster: 0,
+            revision: held.news,
+        };
         let mut items = Vec::new();
         for entry in entries {
             let id = entry.endpoint.id.to_string();
@@ -146,7 +152,7 @@
             let created = entry.endpoint.started_at_ns.unwrap_or(0);
             items.push(MemberUpdate {
                 id: id.clone(),
-                revision,
+                revision: position.revision,
                 create_revision: created,
                 record: read,
             });
@@ -154,8 +160,8 @@
         }
         let source = held.roster.source_mut(DISCOVERY);
         match kind {
-            EndpointUpdateKind::Delta => source.apply_changes(now, 0, revision, items),
-            _ => source.apply_full_list(now, 0, revision, true, items),
+            EndpointUpdateKind::Delta => source.apply_changes(now, position, items),
+            _ => source.apply_full_list(now, position, ReadConsistency::Consistent, items),
         };
         drop(held);
         self.changed.notify_one();
@@ -170,7 +176,7 @@
         if std::mem::replace(&mut held.stale, stale) != stale {
             let ages = held
                 .roster
-                .ages(now)
+                .ages_ns(now)
                 .into_iter()
                 .map(|age| age.map_or(-1, |age| (age / 1_000_000_000) as i64));
             let ages: Vec<i64> = ages.collect();
@@ -291,14 +297,14 @@
     };
     let follow = async {
         match settings.enabled.0 {
-            true => applewall_etcd::follow(settings, seed, position, |news| merge.take(news)).await,
+            true => applewall_etcd::watch(settings, seed, position, |news| merge.take(news)).await,
             false => std::future::pending().await,
         }
     };
     let consul = async {
         match operator.consul.enabled.0 {
             true => {
-                applewall_consul::follow(&operator.consul, seed, |news| merge.listed(news)).await;
+                applewall_consul::watch(&operator.consul, seed, |news| merge.listed(news)).await;
             }
             false => std::future::pending().await,
         }
@@ -353,7 +359,7 @@
 }
 
 /// Takes the last good list of an earlier life; where it got to. What is wrong with it is one line.
-fn restore(merge: &Merge, settings: &applewall_etcd::Settings) -> Option<(u64, u64)> {
+fn restore(merge: &Merge, settings: &applewall_etcd::Settings) -> Option<Position> {
     let path = path(settings.snapshot.as_deref()?);
     let bytes = match std::fs::read(&path) {
         Ok(bytes) => bytes,
@@ -366,7 +372,7 @@
     };
     let limits = SnapshotLimits {
         now_ms: unix_ms(),
-        age_ms: settings.snapshot_age.as_nanos() / 1_000_000,
+        max_age_ms: settings.snapshot_age.as_nanos() / 1_000_000,
         cluster: None,
     };
     match Snapshot::decode(&bytes, &limits) {
@@ -386,16 +392,15 @@
                 create_revision: 0,
                 record: Some(entry),
             };
+            let position = Position { cluster, revision };
             let items: Vec<_> = members.into_iter().map(item).collect();
             let mut held = merge.held();
             held.lists(REGISTRY, &items);
-            held.roster
-                .source_mut(REGISTRY)
-                .restore(cluster, revision, items);
+            held.roster.source_mut(REGISTRY).restore(position, items);
             drop(held);
             merge.changed.notify_one();
             // Resumed from there. Who was born when is not kept, so that a birth meanwhile shows as one.
-            Some((cluster, revision))
+            Some(position)
         }
         Err(reason) => {
             tracing::warn!("registry: snapshot {} not used: {reason}", path.display());
--- a/tests/golden_files.rs
+++ b/tests/golden_files.rs
@@ -117,7 +117,7 @@
 fn the_snapshot_is_read_and_written_again_to_the_same_bytes() {
     const LIMITS: SnapshotLimits = SnapshotLimits {
         now_ms: 1_700_000_060_000,
-        age_ms: 3_600_000,
+        max_age_ms: 3_600_000,
         cluster: None,
     };
     let full = [
