--- /dev/null
+++ b/src/api/ids.rs
@@ -0,0 +1,89 @@
+//! Ids of requests, endpoints and customers.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a request while the node has it in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// Declares an id that is a shared string.
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Deref for $name {
+            type Target = str;
+
+            fn deref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                $name(text.into())
+            }
+        }
+
+        impl From<Arc<str>> for $name {
+            fn from(text: Arc<str>) -> Self {
+                $name(text)
+            }
+        }
+
+        impl From<$name> for Arc<str> {
+            fn from(id: $name) -> Self {
+                id.0
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&*self.0, formatter)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+string_id! {
+    /// Identifies an upstream endpoint; says nothing of its zone, machine type or age.
+    EndpointId
+}
+
+string_id! {
+    /// Identifies a customer, whose quota holds over all nodes together.
+    CustomerId
+}
--- a/src/bin/applewall-simulator-host.rs
+++ b/src/bin/applewall-simulator-host.rs
@@ -1,10 +1,6 @@
-//! Hosts one decision module per instance on the bench's wire.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Hosts one decision policy per node for the simulator, over standard input and output.
 
+use std::any::Any;
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -14,106 +10,157 @@
 use applewall::api::Event;
 use applewall::decision::DecisionPolicy;
 use applewall::platform_settings::PlatformSettings;
-use applewall::simulator::protocol::{self, Line};
+use applewall::simulator::{
+    parse_event, parse_line, write_action, write_exception, write_ready, InputLine, ProtocolError,
+};
 use serde_json::Value;
+use thiserror::Error;
+
+/// Why the host ends.
+#[derive(Debug, Error)]
+enum HostError {
+    #[error("line {number}: {source}")]
+    Input {
+        number: u64,
+        #[source]
+        source: LineError,
+    },
+    #[error("standard output: {0}")]
+    Output(#[source] io::Error),
+}
+
+/// What is wrong with a line.
+#[derive(Debug, Error)]
+enum LineError {
+    #[error(transparent)]
+    Read(#[from] io::Error),
+    #[error("not UTF-8")]
+    NotUtf8(#[from] std::str::Utf8Error),
+    #[error(transparent)]
+    Protocol(#[from] ProtocolError),
+    #[error("outside a batch")]
+    OutsideBatch,
+    #[error("a batch inside a batch")]
+    NestedBatch,
+    #[error("no instance {0}")]
+    UnknownNode(u64),
+}
+
+struct Node {
+    policy: DecisionPolicy,
+    settings: Box<PlatformSettings>,
+}
 
-struct Instance {
-    brain: DecisionPolicy,
-    facts: Box<PlatformSettings>,
+/// Whether a reply is complete.
+#[derive(PartialEq)]
+enum Reply {
+    Partial,
+    Complete,
 }
 
 #[derive(Default)]
 struct Host {
-    instances: HashMap<u64, Instance>,
-    sheets: HashMap<u64, Arc<[Value]>>,
-    now: u64,
-    seq: Option<u64>,
+    nodes: HashMap<u64, Node>,
+    endpoint_lists: HashMap<u64, Arc<[Value]>>,
+    now_ns: u64,
+    batch: Option<u64>,
     reply: String,
 }
 
 impl Host {
-    fn deliver(&mut self, who: u64, event: Event) -> Result<(), String> {
-        let instance = self
-            .instances
-            .get_mut(&who)
-            .ok_or_else(|| format!("no instance {who}"))?;
-        let mut actions = Vec::new();
-        let brain = &mut instance.brain;
-        let now = self.now;
-        match catch_unwind(AssertUnwindSafe(|| brain.handle(now, event, &mut actions))) {
-            Ok(()) => actions
-                .iter()
-                .for_each(|a| protocol::write_action(&mut self.reply, who, a)),
-            Err(panic) => {
-                let words = panic.downcast_ref::<String>().map(String::as_str);
-                let words = words
-                    .or_else(|| panic.downcast_ref::<&str>().copied())
-                    .unwrap_or("panic");
-                protocol::write_exception(&mut self.reply, who, words);
-            }
-        }
-        Ok(())
-    }
-
-    /// Takes one line in; true when the reply is complete.
-    fn line(&mut self, text: &str) -> Result<bool, String> {
-        let line = protocol::parse_line(text)?;
-        if self.seq.is_none() && !matches!(line, Line::Sync { .. }) {
-            return Err("outside a batch".into());
+    /// Takes one line in.
+    fn handle_line(&mut self, text: &str) -> Result<Reply, LineError> {
+        let line = parse_line(text)?;
+        if self.batch.is_none() && !matches!(line, InputLine::BatchStart { .. }) {
+            return Err(LineError::OutsideBatch);
         }
         match line {
-            Line::Sync { .. } if self.seq.is_some() => return Err("a batch inside a batch".into()),
-            Line::Sync { now, seq } => (self.now, self.seq) = (now, Some(seq)),
-            Line::End => {
-                protocol::write_ready(&mut self.reply, self.seq.take().unwrap_or_default());
-                return Ok(true);
+            InputLine::BatchStart { .. } if self.batch.is_some() => {
+                return Err(LineError::NestedBatch)
+            }
+            InputLine::BatchStart { now_ns, batch } => {
+                self.now_ns = now_ns;
+                self.batch = Some(batch);
+            }
+            InputLine::BatchEnd => {
+                write_ready(&mut self.reply, self.batch.take().unwrap_or_default());
+                return Ok(Reply::Complete);
             }
-            Line::Boot { who, seed, facts } => {
-                let brain = DecisionPolicy::new(facts.policy.clone(), seed, self.now);
-                self.instances.insert(who, Instance { brain, facts });
+            InputLine::NodeStart {
+                node,
+                seed,
+                settings,
+            } => {
+                let policy = DecisionPolicy::new(settings.policy.clone(), seed, self.now_ns);
+                self.nodes.insert(node, Node { policy, settings });
             }
-            Line::Down { who } => {
-                self.instances.remove(&who);
+            InputLine::NodeStop { node } => {
+                self.nodes.remove(&node);
             }
-            Line::Inventory { sheet, entries } => {
-                self.sheets.insert(sheet, entries.into());
+            InputLine::EndpointList { list, entries } => {
+                self.endpoint_lists.insert(list, entries.into());
             }
-            Line::Event { who, fields } => {
-                let instance = self
-                    .instances
-                    .get(&who)
-                    .ok_or_else(|| format!("no instance {who}"))?;
-                let event =
-                    protocol::event(&instance.facts, &fields, |n| self.sheets.get(&n).cloned())?;
-                self.deliver(who, event)?;
+            InputLine::Event { node, fields } => self.handle_event(node, &fields)?,
+        }
+        Ok(Reply::Partial)
+    }
+
+    fn handle_event(&mut self, number: u64, fields: &[Value]) -> Result<(), LineError> {
+        let Some(node) = self.nodes.get_mut(&number) else {
+            return Err(LineError::UnknownNode(number));
+        };
+        let list = |list| self.endpoint_lists.get(&list).cloned();
+        let event = parse_event(&node.settings, fields, list)?;
+        match decide(&mut node.policy, self.now_ns, event) {
+            Ok(actions) => {
+                for action in &actions {
+                    write_action(&mut self.reply, number, action);
+                }
             }
+            Err(panic) => write_exception(&mut self.reply, number, panic_message(&*panic)),
         }
-        Ok(false)
+        Ok(())
     }
 }
 
-fn run() -> Result<(), String> {
+/// The actions that follow from an event, or the panic that it caused.
+fn decide(
+    policy: &mut DecisionPolicy,
+    now_ns: u64,
+    event: Event,
+) -> Result<Vec<applewall::api::Action>, Box<dyn Any + Send>> {
+    catch_unwind(AssertUnwindSafe(|| {
+        let mut actions = Vec::new();
+        policy.handle(now_ns, event, &mut actions);
+        actions
+    }))
+}
+
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let owned = panic.downcast_ref::<String>().map(String::as_str);
+    owned
+        .or_else(|| panic.downcast_ref::<&str>().copied())
+        .unwrap_or("panic")
+}
+
+fn run() -> Result<(), HostError> {
     let mut host = Host::default();
     let mut input = io::stdin().lock();
     let mut output = io::stdout().lock();
-    let mut text = Vec::new();
+    let mut line = Vec::new();
     for number in 1u64.. {
-        text.clear();
-        let read = input
-            .read_until(b'\n', &mut text)
-            .map_err(|e| format!("line {number}: {e}"))?;
-        if read == 0 {
+        let failed = |source: LineError| HostError::Input { number, source };
+        line.clear();
+        let read = input.read_until(b'\n', &mut line);
+        if read.map_err(|error| failed(error.into()))? == 0 {
             break;
         }
-        let line = std::str::from_utf8(&text).map_err(|_| format!("line {number}: not UTF-8"))?;
-        if host
-            .line(line.trim_end())
-            .map_err(|e| format!("line {number}: {e}"))?
-        {
-            let written = output
+        let text = std::str::from_utf8(&line).map_err(|error| failed(error.into()))?;
+        if host.handle_line(text.trim_end()).map_err(failed)? == Reply::Complete {
+            output
                 .write_all(host.reply.as_bytes())
-                .and_then(|()| output.flush());
-            written.map_err(|e| format!("standard output: {e}"))?;
+                .and_then(|()| output.flush())
+                .map_err(HostError::Output)?;
             host.reply.clear();
         }
     }
@@ -121,12 +168,12 @@
 }
 
 fn main() -> ExitCode {
-    // A panic of the module goes out on the wire; its trace would only clutter standard error.
+    // A panic of the policy is reported to the simulator; its trace would only clutter standard error.
     std::panic::set_hook(Box::new(|_| {}));
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            eprintln!("applewall-simulator-host: {reason}");
+        Err(error) => {
+            eprintln!("applewall-simulator-host: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use applewall::platform_settings::{self, PlatformSettings};
+use applewall::platform_settings::PlatformSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::watch;
@@ -18,7 +18,7 @@
 use crate::config::operator::Operator;
 use crate::discovery::endpoint_list::Answer;
 
-/// The configuration file; the settings are read by [`platform_settings::facts`].
+/// The configuration file; the settings are read by [`PlatformSettings::from_json`].
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -130,7 +130,8 @@
     type Error = String;
 
     fn try_from(file: File) -> Result<Self, String> {
-        let facts = platform_settings::facts(&file.settings)?;
+        let facts =
+            PlatformSettings::from_json(&file.settings).map_err(|error| error.to_string())?;
         if file.limits.sockets < 64 {
             return Err(format!(
                 "limits.sockets: {} descriptors are too few, 64 at least",
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -112,7 +112,7 @@
             f.idle_connection_timeout_ns,
             f.connect_timeout_ns,
             f.drain_notice_ns,
-            f.zones()
+            f.zone_names()
         ),
         (62, 63, 53, vec!["a".into(), "b".into()])
     );
@@ -186,7 +186,7 @@
             (41, 42, 4.0, 0.0, Idempotency::NonIdempotent, false),
         ]
     );
-    let names = ["safe", "all", "zone", "cell", "once", "none"].map(|name| f.class(name));
+    let names = ["safe", "all", "zone", "cell", "once", "none"].map(|name| f.class_index(name));
     assert_eq!(names, [Some(0), Some(1), Some(2), Some(3), Some(4), None]);
     let of = |p: &Plan| {
         let ceiling = [
@@ -212,7 +212,7 @@
         [full, (0, [0.0, 0.0, 1.0, 0.0, 0.0], [0.0; 3])]
     );
     assert_eq!(
-        ["full", "bare", "none"].map(|name| f.plan(name)),
+        ["full", "bare", "none"].map(|name| f.plan_index(name)),
         [Some(0), Some(1), None]
     );
 }
--- a/src/decision/ladder.rs
+++ b/src/decision/ladder.rs
@@ -108,8 +108,8 @@
         let unsatisfied: Vec<usize> = (0..shares.len()).filter(is_unsatisfied).collect();
         let weight_of = |i: usize| self.tiers[i].weight_per_cost * demand[i];
         let total_weight: f64 = unsatisfied.iter().map(|i| weight_of(*i)).sum();
-        let is_worth_splitting = left > LEAST_RATE && total_weight > 0.0;
-        if !is_worth_splitting {
+        let is_divisible = left > LEAST_RATE && total_weight > 0.0;
+        if !is_divisible {
             return;
         }
         for i in unsatisfied {
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -81,7 +81,7 @@
         let Some(recorded) = self.record_outcome(now, result) else {
             return;
         };
-        if recorded.says_something {
+        if recorded.is_informative {
             let record = &mut self.endpoints.records[recorded.execution.endpoint];
             record.eject_after(now, recorded.execution.sent_at, result.outcome);
         }
--- a/src/decision/routing.rs
+++ b/src/decision/routing.rs
@@ -172,7 +172,8 @@
             fraction: candidate.slow_start_fraction,
             throughput: context.throughput_per_endpoint,
         };
-        is_own && self.slow_start_room(candidate.index, now, budget, request.cost) >= 0.0
+        is_own
+            && self.remaining_slow_start_budget(candidate.index, now, budget, request.cost) >= 0.0
     }
 
     fn endpoint_weight(
@@ -227,18 +228,18 @@
         let records = &mut self.endpoints.records;
         let mut ready: Vec<usize> = (0..records.len()).filter(|i| records[*i].ready).collect();
         let nodes = self.settings.node_count;
-        let parts = if is_large_fleet(&self.settings) {
+        let subsets = if is_large_fleet(&self.settings) {
             (ready.len() as u32 / LEAST_SUBSET)
                 .min(nodes / NODES_PER_ENDPOINT)
                 .max(1)
         } else {
             1
         };
-        let round = self.settings.node / parts;
-        let own_part = (self.settings.node % parts) as usize;
+        let round = self.settings.node / subsets;
+        let own_subset = (self.settings.node % subsets) as usize;
         ready.sort_by_cached_key(|i| rendezvous_rank(fingerprint(&records[*i].endpoint.id), round));
         for (rank, index) in ready.iter().enumerate() {
-            records[*index].in_subset = rank * parts as usize / ready.len() == own_part;
+            records[*index].in_subset = rank * subsets as usize / ready.len() == own_subset;
         }
     }
 }
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -34,7 +34,7 @@
     /// half of what is sent in a window counts on the mean. Less a part of a request drawn once per window:
     /// drawn with each request, many requests would all pass. A process that has just started knows nothing
     /// of an earlier one: most of its first window fills with time.
-    pub(super) fn slow_start_room(
+    pub(super) fn remaining_slow_start_budget(
         &self,
         index: usize,
         now: Seconds,
--- a/src/decision_state/customer.rs
+++ b/src/decision_state/customer.rs
@@ -184,13 +184,13 @@
         // What was granted beyond the part stays, from a reserve only for as long as that counts it
         // as granted: kept for ever, what a reserve grants one peer after another would come to far
         // more than the ceiling.
-        let kept = if self.has_reserve() {
+        let decay = if self.has_reserve() {
             (-span / GRANT_MEMORY).exp()
         } else {
             1.0
         };
         let capacity = plan.ceiling_burst_units * part;
-        let excess = (self.ceiling_units - capacity).max(0.0) * kept;
+        let excess = (self.ceiling_units - capacity).max(0.0) * decay;
         let filled = self.ceiling_units + span * plan.ceiling_units_per_second * part;
         self.ceiling_units = filled.min(capacity + excess);
         self.fill_reserve(now, span, plan);
--- a/src/decision_state/hot_restart.rs
+++ b/src/decision_state/hot_restart.rs
@@ -14,7 +14,7 @@
 const HANDED_OVER: f64 = 0.5;
 /// Part of a ceiling's rate that this process keeps: practically none, but a plan without a rate
 /// has no ceiling at all.
-const KEPT_CEILING_RATE: f64 = 1e-3;
+const RETAINED_CEILING_RATE: f64 = 1e-3;
 
 impl DecisionPolicy {
     fn snapshot_shape(&self) -> SnapshotShape {
@@ -34,18 +34,18 @@
     pub fn export_snapshot(&mut self) -> Result<Vec<u8>, SnapshotError> {
         self.quotas
             .fill_all(self.last_event_at, &self.settings.plans);
-        let mut kept_units = Vec::with_capacity(self.quotas.customers.len());
+        let mut retained_units = Vec::with_capacity(self.quotas.customers.len());
         for customer in self.quotas.customers.values_mut() {
-            kept_units.push(customer.ceiling_units * (1.0 - HANDED_OVER));
+            retained_units.push(customer.ceiling_units * (1.0 - HANDED_OVER));
             customer.ceiling_units *= HANDED_OVER;
         }
         let bytes = self.snapshot().encode();
-        for (customer, units) in self.quotas.customers.values_mut().zip(kept_units) {
+        for (customer, units) in self.quotas.customers.values_mut().zip(retained_units) {
             customer.ceiling_units = units;
             customer.ceiling_reserve = customer.ceiling_reserve.map(|_| 0.0);
         }
         for plan in &mut self.settings.plans {
-            plan.ceiling_units_per_second *= KEPT_CEILING_RATE;
+            plan.ceiling_units_per_second *= RETAINED_CEILING_RATE;
         }
         bytes
     }
@@ -74,7 +74,7 @@
             },
             capacity: SnapshotCapacity {
                 per_endpoint: self.load.capacity_per_endpoint,
-                warm_endpoints: self.load.warm_endpoints,
+                effective_endpoints: self.load.effective_endpoints,
             },
         }
     }
@@ -88,7 +88,7 @@
             .fill_all(self.last_event_at, &self.settings.plans);
         self.started_at = self.last_event_at;
         for plan in &mut self.settings.plans {
-            plan.ceiling_units_per_second /= KEPT_CEILING_RATE;
+            plan.ceiling_units_per_second /= RETAINED_CEILING_RATE;
         }
     }
 
@@ -115,7 +115,7 @@
         self.load.outgoing = snapshot.statistics.outgoing;
         self.load.received = snapshot.statistics.received;
         self.load.capacity_per_endpoint = snapshot.capacity.per_endpoint;
-        self.load.warm_endpoints = snapshot.capacity.warm_endpoints;
+        self.load.effective_endpoints = snapshot.capacity.effective_endpoints;
         for customer in self.quotas.customers.values_mut() {
             // What is in flight is the other process's.
             customer.in_flight = 0;
--- a/src/decision_state/load.rs
+++ b/src/decision_state/load.rs
@@ -30,9 +30,9 @@
     /// Ends a monitor interval: ages the pool, follows the capacity and the memory of rates.
     pub(crate) fn measure_interval(&mut self, now: Seconds) {
         let in_flight = self.work_in_flight(now);
-        let kept = (-MONITOR_INTERVAL / POOL_MEMORY).exp();
-        self.load.outgoing = self.load.outgoing.scaled(kept);
-        self.load.received = self.load.received.scaled(kept);
+        let decay = (-MONITOR_INTERVAL / POOL_MEMORY).exp();
+        self.load.outgoing = self.load.outgoing.scaled(decay);
+        self.load.received = self.load.received.scaled(decay);
         self.load.outgoing.intervals += 1.0;
         self.load.outgoing.in_flight += in_flight;
         self.follow_capacity(now);
@@ -43,15 +43,15 @@
 
     /// What choked endpoints complete says too little of what they can: a fall is followed slowly.
     fn follow_capacity(&mut self, now: Seconds) {
-        let warm = self
+        let effective = self
             .endpoints
             .ready()
             .map(|record| record.slow_start_fraction(&self.settings, now))
             .sum();
         let load = &mut self.load;
-        load.warm_endpoints = warm;
+        load.effective_endpoints = effective;
         let per_interval = load.received.completed / load.received.intervals.max(1.0);
-        let completed = per_interval / MONITOR_INTERVAL / load.warm_endpoints.max(1.0);
+        let completed = per_interval / MONITOR_INTERVAL / load.effective_endpoints.max(1.0);
         let rise = RATE_MEMORY.min(now - self.started_at).max(MONITOR_INTERVAL);
         let is_rising = completed > load.capacity_per_endpoint;
         let memory = if is_rising { rise } else { CAPACITY_MEMORY };
@@ -107,7 +107,7 @@
     /// since it has completed nothing and so admits nothing.
     pub(crate) fn throughput_per_endpoint(&self, now: Seconds) -> f64 {
         let in_subset = |record: &&EndpointRecord| record.in_subset;
-        let warm: f64 = self
+        let effective: f64 = self
             .endpoints
             .ready()
             .filter(in_subset)
@@ -115,7 +115,7 @@
             .sum();
         let ready = self.endpoints.ready().count().max(1) as f64;
         let part = self.endpoints.ready().filter(in_subset).count() as f64 / ready;
-        let completed = self.ladder.completed.read(now, self.ladder.memory) / warm.max(1e-9);
+        let completed = self.ladder.completed.read(now, self.ladder.memory) / effective.max(1e-9);
         let nodes = (f64::from(self.settings.node_count) * part).max(1.0);
         completed.max(ASSUMED_THROUGHPUT / self.shortest_objective() / nodes)
     }
--- a/src/decision_state/load_statistics.rs
+++ b/src/decision_state/load_statistics.rs
@@ -96,7 +96,7 @@
     /// Work per second that this node's part of one warm endpoint is known to complete.
     pub(crate) capacity_per_endpoint: f64,
     /// How many warm endpoints those that are ready amount to, by their slow-start fractions.
-    pub(crate) warm_endpoints: f64,
+    pub(crate) effective_endpoints: f64,
     /// When the next part of the pool is sent to a peer.
     pub(crate) next_gossip_at: Seconds,
 }
@@ -105,7 +105,7 @@
     /// Work per second that a node's part of the fleet's endpoints completes, by how many of them
     /// are there and warm: what was completed before would show a loss of endpoints too late.
     pub(crate) fn capacity(&self) -> f64 {
-        self.capacity_per_endpoint * self.warm_endpoints
+        self.capacity_per_endpoint * self.effective_endpoints
     }
 
     /// Time that the work in flight in the fleet takes at the known capacity (Little's law).
--- a/src/decision_state/outcomes.rs
+++ b/src/decision_state/outcomes.rs
@@ -33,7 +33,7 @@
     /// Where and when the attempt was sent.
     pub(crate) execution: PossibleExecution,
     /// The outcome tells something of the endpoint.
-    pub(crate) says_something: bool,
+    pub(crate) is_informative: bool,
 }
 
 impl DecisionPolicy {
@@ -78,9 +78,9 @@
         let attempt = record.finish(result.request, result.attempt)?;
         self.record_completed_work(now, result.outcome, attempt.cost);
         // What is found after a gap in this node's own clock may have waited here: it says nothing.
-        let says_nothing = matches!(result.outcome, Outcome::NotSent | Outcome::Cancelled);
-        let says_something = self.resumed_at != now && !says_nothing;
-        if says_something {
+        let is_uninformative = matches!(result.outcome, Outcome::NotSent | Outcome::Cancelled);
+        let is_informative = self.resumed_at != now && !is_uninformative;
+        if is_informative {
             self.record_health(now, index, &attempt, result);
         }
         Some(RecordedOutcome {
@@ -88,7 +88,7 @@
                 endpoint: index,
                 sent_at: attempt.sent_at,
             },
-            says_something,
+            is_informative,
         })
     }
 
--- a/src/decision_state/snapshot.rs
+++ b/src/decision_state/snapshot.rs
@@ -67,7 +67,7 @@
     /// Work per second of a warm endpoint.
     pub(crate) per_endpoint: f64,
     /// Warm endpoints.
-    pub(crate) warm_endpoints: f64,
+    pub(crate) effective_endpoints: f64,
 }
 
 /// All that is transferred. Moments are those of the caller's clock, which has to go along.
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -119,9 +119,9 @@
         id: target.uid.into(),
         weight: target.capacity_hint,
         started_at_ns: clock.of_unix(target.boot_ms),
-        zone: facts.zone(&target.az),
+        zone: facts.zone_index(&target.az),
         cell: target.pod_group.unwrap_or(-1),
-        machine_type: facts.kind(&target.model),
+        machine_type: facts.machine_type(&target.model),
         state,
     };
     Ok(EndpointEntry {
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -226,7 +226,7 @@
             id: id.into(),
             weight: entry.capacity_hint,
             started_at_ns: self.clock.of_unix(entry.boot_ms),
-            zone: self.facts.zone(&entry.az),
+            zone: self.facts.zone_index(&entry.az),
             cell: entry.pod_group,
             // Registries name no kind of machine: all count as one.
             machine_type: 0,
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -56,7 +56,7 @@
         seed: u64,
         now: u64,
     ) -> Option<Self> {
-        let names = facts.zones();
+        let names = facts.zone_names();
         if !set.enabled.0 || names.len() < 2 {
             return None;
         }
--- a/src/gossip/dissemination.rs
+++ b/src/gossip/dissemination.rs
@@ -172,30 +172,17 @@
     let Some(plan) = customer.plan.map(|plan| &context.settings.plans[plan]) else {
         return;
     };
-    let all_aggregate = customer.aggregators.len() >= customer.node_set_size as usize;
-    if !customer.is_aggregator || all_aggregate || plan.quota_units_per_second <= 0.0 {
-        return;
-    }
-    let now = context.now;
-    customer.fill(now, plan);
-    if !aggregate_is_outdated(customer, now, plan, pace) {
-        customer.aggregate_due_since = None;
-        return;
-    }
-    let own = |aggregator: &u32| *aggregator == context.settings.node;
-    let rank = customer.aggregators.iter().position(own).unwrap_or(0);
-    let due_since = *customer.aggregate_due_since.get_or_insert(now);
-    if now - due_since < rank as f64 * AGGREGATOR_DELAY || *next_aggregate_at > now {
+    if !aggregate_is_due(context, customer, plan, pace) || *next_aggregate_at > context.now {
         return;
     }
     // What all aggregators send, all nodes of a set receive: no more than their part of what all
     // may receive.
-    *next_aggregate_at = next_aggregate_at.max(now - AGGREGATE_SAVINGS)
+    *next_aggregate_at = next_aggregate_at.max(context.now - AGGREGATE_SAVINGS)
         + f64::from(customer.node_set_size - 1) * spacing(context, AGGREGATE_SHARE);
     let aggregate = QuotaAggregate {
-        demand: customer.total_demand.read(now, RATE_MEMORY),
+        demand: customer.total_demand.read(context.now, RATE_MEMORY),
         quota_units: customer.quota_units,
-        at: now,
+        at: context.now,
     };
     customer.aggregate = Some(aggregate);
     customer.aggregate_due_since = None;
@@ -207,6 +194,29 @@
     }
 }
 
+/// True where this node is to send an aggregate, and those before it did not.
+fn aggregate_is_due(
+    context: GossipContext<'_>,
+    customer: &mut CustomerQuota,
+    plan: &Plan,
+    pace: f64,
+) -> bool {
+    let all_aggregate = customer.aggregators.len() >= customer.node_set_size as usize;
+    if !customer.is_aggregator || all_aggregate || plan.quota_units_per_second <= 0.0 {
+        return false;
+    }
+    let now = context.now;
+    customer.fill(now, plan);
+    if !aggregate_is_outdated(customer, now, plan, pace) {
+        customer.aggregate_due_since = None;
+        return false;
+    }
+    let is_own = |aggregator: &u32| *aggregator == context.settings.node;
+    let rank = customer.aggregators.iter().position(is_own).unwrap_or(0);
+    let due_since = *customer.aggregate_due_since.get_or_insert(now);
+    now - due_since >= rank as f64 * AGGREGATOR_DELAY
+}
+
 fn aggregate_record(customer: u32, aggregate: &QuotaAggregate, plan: &Plan) -> CustomerRecord {
     CustomerRecord {
         customer,
@@ -258,7 +268,7 @@
     let now = context.now;
     let nodes = f64::from(customer.node_set_size);
     let fair_rate = plan.ceiling_units_per_second / nodes;
-    let kept = customer.own_demand.read(now, RATE_MEMORY) + context.settings.max_request_units;
+    let reserved = customer.own_demand.read(now, RATE_MEMORY) + context.settings.max_request_units;
     let demand = |demand: &DecayingRate| demand.read(now, RATE_MEMORY);
     let (peer, _) = customer
         .peers
@@ -266,8 +276,8 @@
         .map(|(peer, usage)| (*peer, demand(&usage.demand)))
         .filter(|(_, rate)| *rate > NEEDY_SHARE * fair_rate)
         .max_by(|left, right| left.1.total_cmp(&right.1))?;
-    let amount =
-        (GRANT_SLACK_SHARE * plan.ceiling_slack_units / nodes).min(customer.ceiling_units - kept);
+    let amount = (GRANT_SLACK_SHARE * plan.ceiling_slack_units / nodes)
+        .min(customer.ceiling_units - reserved);
     let amount = (amount * GRANTS_PER_UNIT).floor() / GRANTS_PER_UNIT;
     (amount > 0.0).then_some((peer, amount))
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! [`codec`] is the form of the messages. Where every node can report to all others often enough,
 //! it does. In a larger fleet a customer has a few aggregators, found by rendezvous hashing, which
-//! sum its use ([`aggregation`]): each request is reported to the first aggregator at once, since a
+//! sum its use (`aggregation`): each request is reported to the first aggregator at once, since a
 //! report that waits is learnt too late; the aggregator sends the sum to the customer's nodes when
-//! the quota runs short, and to a single peer that is wrong about it ([`dissemination`]). Which
+//! the quota runs short, and to a single peer that is wrong about it (`dissemination`). Which
 //! request is rejected or sent where is decided elsewhere.
 
 pub(crate) mod aggregation;
--- /dev/null
+++ b/src/platform_settings/mod.rs
@@ -0,0 +1,207 @@
+//! The settings object of the platform, as both the daemon's configuration file and the simulator
+//! carry it.
+
+mod schema;
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::api::{Class, Idempotency, KeyScope, LoadField, Plan, PolicySettings};
+use schema::{ClassObject, PlanObject, SettingsObject};
+
+/// Zone of an endpoint whose zone the settings do not name: no node's own.
+const UNKNOWN_ENDPOINT_ZONE: u32 = u32::MAX - 1;
+/// Zone of a node whose zone is not among the settings' zones: no endpoint's.
+const UNKNOWN_NODE_ZONE: u32 = u32::MAX;
+
+/// Why a settings object cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// A key is missing, or its value is of another type.
+    #[error("facts: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A class names a scope of its idempotency keys that is not known.
+    #[error("facts: unknown key_scope '{0}'")]
+    UnknownKeyScope(String),
+    /// A class names an idempotency that is not known.
+    #[error("facts: unknown idempotency '{0}'")]
+    UnknownIdempotency(String),
+}
+
+/// The platform's settings of one node, with the names that requests and endpoint lists use.
+#[derive(Debug)]
+pub struct PlatformSettings {
+    /// What the decision policy is told.
+    pub policy: PolicySettings,
+    /// Time after which an idle connection to an endpoint is closed.
+    pub idle_connection_timeout_ns: u64,
+    /// Time in which a connection has to be established.
+    pub connect_timeout_ns: u64,
+    /// Time after the notice of a drain within which attempts to the endpoint have to stop.
+    pub drain_notice_ns: u64,
+    classes: HashMap<String, usize>,
+    plans: HashMap<String, usize>,
+    zone_names: HashMap<String, u32>,
+    machine_types: HashMap<String, u32>,
+}
+
+impl PlatformSettings {
+    /// Reads a settings object.
+    ///
+    /// # Errors
+    ///
+    /// A key is missing or has a value that is not known.
+    pub fn from_json(value: &Value) -> Result<Self, SettingsError> {
+        let object = SettingsObject::deserialize(value)?;
+        Ok(PlatformSettings {
+            policy: policy_settings(&object)?,
+            idle_connection_timeout_ns: object.permissions.conn_idle_ns,
+            connect_timeout_ns: object.permissions.dial_timeout_ns,
+            drain_notice_ns: object.obligations.stop_sending_within_ns,
+            classes: numbered(object.classes.into_iter().map(|class| class.name)),
+            plans: numbered(object.tariffs.into_iter().map(|plan| plan.name)),
+            zone_names: numbered(object.areas),
+            machine_types: numbered(object.host_types),
+        })
+    }
+
+    /// Index of a class.
+    pub fn class_index(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+
+    /// Index of a plan.
+    pub fn plan_index(&self, name: &str) -> Option<usize> {
+        self.plans.get(name).copied()
+    }
+
+    /// Number of a machine type; those that the settings do not name count as the first.
+    pub fn machine_type(&self, name: &str) -> u32 {
+        self.machine_types.get(name).copied().unwrap_or(0)
+    }
+
+    /// Names of all zones, by their numbers.
+    pub fn zone_names(&self) -> Vec<String> {
+        let mut names: Vec<_> = self.zone_names.iter().collect();
+        names.sort_by_key(|(_, number)| **number);
+        names.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Number of an endpoint's zone; one that the settings do not name is no node's own.
+    pub fn zone_index(&self, name: &str) -> u32 {
+        self.zone_names
+            .get(name)
+            .copied()
+            .unwrap_or(UNKNOWN_ENDPOINT_ZONE)
+    }
+}
+
+/// Names with their places; of one that comes twice, the last.
+fn numbered<Number>(names: impl IntoIterator<Item = String>) -> HashMap<String, Number>
+where
+    std::ops::RangeFrom<Number>: Iterator<Item = Number>,
+    Number: Default,
+{
+    names.into_iter().zip(Number::default()..).collect()
+}
+
+fn policy_settings(object: &SettingsObject) -> Result<PolicySettings, SettingsError> {
+    let zones: HashMap<&str, u32> = object.areas.iter().map(String::as_str).zip(0..).collect();
+    let machine_types: HashMap<&str, u32> = object
+        .host_types
+        .iter()
+        .map(String::as_str)
+        .zip(0..)
+        .collect();
+    let permissions = &object.permissions;
+    let max_retry_after_ns = if permissions.retry_after {
+        permissions.max_retry_after_ns
+    } else {
+        0
+    };
+    Ok(PolicySettings {
+        node: object.node,
+        node_count: object.node_count,
+        zone: zones
+            .get(object.zone.as_str())
+            .copied()
+            .unwrap_or(UNKNOWN_NODE_ZONE),
+        machine_type_count: machine_types.len() as u32,
+        classes: object.classes.iter().map(class).collect::<Result<_, _>>()?,
+        plans: object.tariffs.iter().map(plan).collect(),
+        watch_endpoints: object.discovery == "subscribe",
+        weighted_endpoints: object.weights == "nominal" || object.weights == "rough",
+        load_report_fields: load_report_fields(object),
+        slow_start_fraction: object.obligations.slow_start_fraction,
+        slow_start_ns: object.obligations.slow_start_ns,
+        overload_multiple: object.obligations.overload_factor,
+        overload_window_ns: object.obligations.overload_window_ns,
+        max_attempts: permissions.max_attempts,
+        max_retry_after_ns,
+        gossip_enabled: permissions.gossip_enabled,
+        hedging_allowed: permissions.hedging_allowed,
+        cancellation_allowed: permissions.cancellation_allowed,
+        gossip_messages_per_second: object.specifics.gossip_messages_per_second,
+        cost_settled_after_response: object.specifics.cost_after,
+        max_request_units: object.specifics.max_request_units,
+    })
+}
+
+fn class(object: &ClassObject) -> Result<Class, SettingsError> {
+    Ok(Class {
+        latency_objective_ns: object.objective_ns,
+        deadline_ns: object.deadline_ns,
+        priority_weight: object.priority_weight,
+        late_weight_fraction: object.late_weight_fraction,
+        idempotency: idempotency(object)?,
+        streaming: object.streaming,
+    })
+}
+
+fn idempotency(object: &ClassObject) -> Result<Idempotency, SettingsError> {
+    match object.idempotency.as_str() {
+        "retryable" => Ok(Idempotency::Idempotent),
+        "dedup" => Ok(Idempotency::IdempotencyKey {
+            scope: key_scope(&object.key_scope)?,
+            deduplication_window_ns: object.dedup_window_ns,
+        }),
+        "fragile" => Ok(Idempotency::NonIdempotent),
+        other => Err(SettingsError::UnknownIdempotency(other.to_string())),
+    }
+}
+
+fn key_scope(name: &str) -> Result<KeyScope, SettingsError> {
+    match name {
+        "all" => Ok(KeyScope::All),
+        "zone" => Ok(KeyScope::Zone),
+        "cell" => Ok(KeyScope::Cell),
+        other => Err(SettingsError::UnknownKeyScope(other.to_string())),
+    }
+}
+
+fn plan(object: &PlanObject) -> Plan {
+    Plan {
+        quota_units_per_second: object.quota_units_per_second,
+        quota_burst_units: object.quota_burst_units,
+        max_concurrency: object.max_concurrency,
+        weight_multiplier: object.weight_multiplier,
+        over_quota_weight_fraction: object.over_quota_weight_fraction,
+        over_quota_penalty_fraction: object.over_quota_penalty_fraction,
+        ceiling_units_per_second: object.ceiling_units_per_second,
+        ceiling_burst_units: object.ceiling_burst_units,
+        ceiling_slack_units: object.ceiling_slack_units,
+    }
+}
+
+fn load_report_fields(object: &SettingsObject) -> Vec<LoadField> {
+    let field = |name: &str| match name {
+        "utilization" => LoadField::Utilization,
+        "outstanding" => LoadField::InFlight,
+        _ => LoadField::Other,
+    };
+    let names = &object.load_info.names;
+    names.iter().map(|name| field(name)).collect()
+}
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -451,7 +451,7 @@
     let id = one(headers, ID)
         .and_then(hex)
         .ok_or("X-Correlation-Id is not 16 hex digits")?;
-    let class = one(headers, "x-service-class").and_then(|c| facts.class(c));
+    let class = one(headers, "x-service-class").and_then(|c| facts.class_index(c));
     let class = class.ok_or("unknown X-Service-Class")?;
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
     match (
@@ -466,7 +466,7 @@
         _ => return Err("Idempotency-Key comes twice"),
     }
     let plan = one(headers, "x-contract")
-        .and_then(|p| facts.plan(p))
+        .and_then(|p| facts.plan_index(p))
         .ok_or("unknown X-Contract")?;
     let customer = one(headers, "x-client-id")
         .and_then(hex)
--- /dev/null
+++ b/src/simulator/input.rs
@@ -0,0 +1,279 @@
+//! Lines from the simulator: each an array of JSON whose first value names its kind.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use super::fields::{Fields, ProtocolError};
+use crate::api::{
+    AttemptResult, Endpoint, EndpointId, EndpointState, EndpointUpdateKind, Event, Outcome, Request,
+};
+use crate::platform_settings::PlatformSettings;
+
+/// Bit of a request's state that marks a retry by the client.
+const RETRY_BIT: u64 = 2;
+/// Cell of an endpoint whose entry names none.
+const NO_CELL: i64 = -1;
+
+/// One line of input.
+#[derive(Debug)]
+pub enum InputLine {
+    /// A batch begins.
+    BatchStart {
+        /// Its moment, in nanoseconds.
+        now_ns: u64,
+        /// Its number.
+        batch: u64,
+    },
+    /// A batch ends.
+    BatchEnd,
+    /// A node starts.
+    NodeStart {
+        /// Its number.
+        node: u64,
+        /// Its seed.
+        seed: u64,
+        /// Its settings, with the names that its lines use.
+        settings: Box<PlatformSettings>,
+    },
+    /// A node was stopped.
+    NodeStop {
+        /// Its number.
+        node: u64,
+    },
+    /// A numbered endpoint list, which events refer to.
+    EndpointList {
+        /// Its number.
+        list: u64,
+        /// The entries, as they came.
+        entries: Vec<Value>,
+    },
+    /// Anything else, for one node.
+    Event {
+        /// Its number.
+        node: u64,
+        /// The whole line.
+        fields: Vec<Value>,
+    },
+}
+
+/// Reads one line.
+///
+/// # Errors
+///
+/// The line is no array of JSON, or a value is missing or of another type.
+pub fn parse_line(line: &str) -> Result<InputLine, ProtocolError> {
+    let Value::Array(values) = serde_json::from_str(line)? else {
+        return Err(ProtocolError::NotAnArray);
+    };
+    let fields = Fields(&values);
+    match fields.text(0, "event name")? {
+        "Sync" => Ok(InputLine::BatchStart {
+            now_ns: fields.integer(1, "time_ns")?,
+            batch: fields.integer(2, "round")?,
+        }),
+        "End" => Ok(InputLine::BatchEnd),
+        "Boot" => Ok(InputLine::NodeStart {
+            node: fields.integer(1, "who")?,
+            seed: seed(fields.at(2))?,
+            settings: Box::new(PlatformSettings::from_json(fields.at(3))?),
+        }),
+        "Down" => Ok(InputLine::NodeStop {
+            node: fields.integer(1, "who")?,
+        }),
+        "Inventory" => endpoint_list(&fields),
+        _ => Ok(InputLine::Event {
+            node: fields.integer(1, "who")?,
+            fields: values,
+        }),
+    }
+}
+
+/// A seed; a negative one stands for its bits.
+fn seed(value: &Value) -> Result<u64, ProtocolError> {
+    let bits = value
+        .as_u64()
+        .or_else(|| value.as_i64().map(|seed| seed as u64));
+    bits.ok_or(ProtocolError::field("salt", "is not a whole number"))
+}
+
+fn endpoint_list(fields: &Fields<'_>) -> Result<InputLine, ProtocolError> {
+    let Value::Array(entries) = fields.at(2) else {
+        return Err(ProtocolError::field("entries", "is not an array"));
+    };
+    Ok(InputLine::EndpointList {
+        list: fields.integer(1, "sheet")?,
+        entries: entries.clone(),
+    })
+}
+
+/// Reads the entries of an endpoint list with the names of a node's settings.
+///
+/// # Errors
+///
+/// An entry is no array, or a value is missing or of another type.
+pub fn parse_endpoints(
+    settings: &PlatformSettings,
+    entries: &[Value],
+) -> Result<Arc<[Endpoint]>, ProtocolError> {
+    entries
+        .iter()
+        .map(|entry| parse_endpoint(settings, entry))
+        .collect()
+}
+
+fn parse_endpoint(settings: &PlatformSettings, entry: &Value) -> Result<Endpoint, ProtocolError> {
+    let Value::Array(values) = entry else {
+        return Err(ProtocolError::EntryNotAnArray);
+    };
+    let fields = Fields(values);
+    let state = match fields.text(5, "state")? {
+        "Ready" => EndpointState::Ready,
+        "Terminating" => EndpointState::Draining,
+        "Gone" => EndpointState::Removed,
+        other => return Err(ProtocolError::unknown("state", other)),
+    };
+    let started_at_ns = fields.integer_or_zero(3, "last_start_ns")?;
+    let cell = match fields.at(6) {
+        Value::Null => NO_CELL,
+        value => value
+            .as_i64()
+            .ok_or(ProtocolError::field("pod", "is not a whole number"))?,
+    };
+    let machine_type = fields.at(0).as_str();
+    Ok(Endpoint {
+        id: EndpointId::from(fields.text(2, "backend")?),
+        weight: fields.number_or_zero(1, "scale")?,
+        started_at_ns: (started_at_ns > 0).then_some(started_at_ns),
+        zone: settings.zone_index(fields.text(4, "region_part")?),
+        cell,
+        machine_type: machine_type.map_or(0, |name| settings.machine_type(name)),
+        state,
+    })
+}
+
+/// Reads a node's event; `list` looks up the numbered endpoint lists.
+///
+/// # Errors
+///
+/// The event is not known, or a value is missing, of another type or not known.
+pub fn parse_event(
+    settings: &PlatformSettings,
+    fields: &[Value],
+    list: impl Fn(u64) -> Option<Arc<[Value]>>,
+) -> Result<Event, ProtocolError> {
+    let fields = Fields(fields);
+    match fields.text(0, "event name")? {
+        "Discovery" => endpoint_update(settings, &fields, list),
+        "Demand" => request(settings, &fields),
+        "Streaming" => Ok(Event::ResponseStarted {
+            request: fields.request_id(2)?,
+            attempt: fields.integer(3, "round_no")? as u32,
+        }),
+        "Finished" => attempt_result(&fields),
+        "ClientLeft" => Ok(Event::ClientDisconnected(fields.request_id(2)?)),
+        "Alarm" => timer(&fields),
+        "ProbeDone" => Ok(Event::HealthChecked {
+            endpoint: fields.text(2, "backend")?.into(),
+            healthy: fields.text(3, "status")? == "OK",
+            load_report: fields.load_report(5)?,
+        }),
+        "Datagram" => Ok(Event::PeerMessage {
+            from: fields.integer(2, "by")? as u32,
+            text: fields.text(3, "octets")?.to_string(),
+        }),
+        "Counted" => counter(&fields),
+        other => Err(ProtocolError::unknown("event", other)),
+    }
+}
+
+fn endpoint_update(
+    settings: &PlatformSettings,
+    fields: &Fields<'_>,
+    list: impl Fn(u64) -> Option<Arc<[Value]>>,
+) -> Result<Event, ProtocolError> {
+    let kind = match fields.text(2, "scope")? {
+        "diff" => EndpointUpdateKind::Delta,
+        "snapshot" => EndpointUpdateKind::Snapshot,
+        "disk" => EndpointUpdateKind::Cached,
+        "error" => {
+            let failed = EndpointUpdateKind::Failed;
+            return Ok(Event::EndpointUpdate(failed, Arc::new([])));
+        }
+        other => return Err(ProtocolError::unknown("scope", other)),
+    };
+    let number = fields.integer(4, "sheet")?;
+    let entries = list(number).ok_or(ProtocolError::UnknownList(number))?;
+    let endpoints = parse_endpoints(settings, &entries)?;
+    Ok(Event::EndpointUpdate(kind, endpoints))
+}
+
+fn request(settings: &PlatformSettings, fields: &Fields<'_>) -> Result<Event, ProtocolError> {
+    let class = fields.text(9, "service")?;
+    let plan = fields.text(4, "tariff")?;
+    let time_left_ns = fields.at(5).as_i64().ok_or(ProtocolError::field(
+        "time_left_ns",
+        "is not a whole number",
+    ))?;
+    Ok(Event::Request(Request {
+        id: fields.request_id(2)?,
+        class: settings
+            .class_index(class)
+            .ok_or_else(|| ProtocolError::unknown("class", class))?,
+        plan: settings
+            .plan_index(plan)
+            .ok_or_else(|| ProtocolError::unknown("plan", plan))?,
+        customer: fields.text(10, "holder")?.into(),
+        units: fields.number_or_zero(3, "price_units")?,
+        time_left_ns: time_left_ns.max(0) as u64,
+        is_retry: fields.integer_or_zero(6, "state_bits")? & RETRY_BIT != 0,
+        node_set_size: fields.count_or_zero(7, "n_entries")?,
+        first_node: fields.count_or_zero(8, "first_door")?,
+    }))
+}
+
+fn attempt_result(fields: &Fields<'_>) -> Result<Event, ProtocolError> {
+    Ok(Event::AttemptFinished(AttemptResult {
+        request: fields.request_id(2)?,
+        attempt: fields.integer(3, "round_no")? as u32,
+        endpoint: fields.text(4, "backend")?.into(),
+        outcome: outcome(fields.text(5, "status")?)?,
+        latency_ns: fields.integer_or_zero(6, "latency_ns")?,
+        request_complete: fields.flag(7, "closed")?,
+        settled_units: fields.number_or_zero(9, "cost")?,
+        load_report: fields.load_report(10)?,
+    }))
+}
+
+fn outcome(status: &str) -> Result<Outcome, ProtocolError> {
+    match status {
+        "OK" => Ok(Outcome::Success),
+        "INTERNAL" => Ok(Outcome::Failure),
+        "RESOURCE_EXHAUSTED" => Ok(Outcome::Overloaded),
+        "DEADLINE_EXCEEDED" => Ok(Outcome::TimedOut),
+        "UNAVAILABLE" => Ok(Outcome::ConnectFailed),
+        "ABORTED" => Ok(Outcome::ConnectionReset),
+        "CANCELLED" => Ok(Outcome::Cancelled),
+        "TOO_LATE" => Ok(Outcome::NotSent),
+        other => Err(ProtocolError::unknown("status", other)),
+    }
+}
+
+fn timer(fields: &Fields<'_>) -> Result<Event, ProtocolError> {
+    let token = fields.text(2, "cookie")?;
+    let number = token
+        .parse()
+        .map_err(|_| ProtocolError::ForeignToken(token.to_string()))?;
+    Ok(Event::TimerExpired(number))
+}
+
+fn counter(fields: &Fields<'_>) -> Result<Event, ProtocolError> {
+    let name = fields.text(2, "slot_name")?.to_string();
+    let succeeded = fields.text(3, "status")? == "OK";
+    let total = if succeeded {
+        Some(fields.number_or_zero(4, "sum")?)
+    } else {
+        None
+    };
+    Ok(Event::CounterRead { name, total })
+}
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -1,3 +1,10 @@
-//! The protocol of the simulator that plays decision policies in virtual time.
+//! The protocol of the simulator, which plays the policies of many nodes in virtual time: lines of JSON in batches over
+//! standard input and output. Only translates; nothing is decided here.
 
-pub mod protocol;
+mod fields;
+mod input;
+mod output;
+
+pub use fields::ProtocolError;
+pub use input::{parse_endpoints, parse_event, parse_line, InputLine};
+pub use output::{write_action, write_exception, write_ready};
--- /dev/null
+++ b/src/simulator/output.rs
@@ -0,0 +1,94 @@
+//! Lines to the simulator: one for each action, and the end of each reply.
+
+use std::fmt::Write as _;
+
+use serde_json::{json, Value};
+
+use crate::api::{Action, EndpointId, RequestId};
+
+/// Appends one action of a node as a line.
+pub fn write_action(reply: &mut String, node: u64, action: &Action) {
+    if let Action::StartAttempt {
+        request,
+        endpoint,
+        timeout_ns,
+    } = action
+    {
+        return write_attempt(reply, node, *request, endpoint, *timeout_ns);
+    }
+    write_line(reply, &action_line(node, action));
+}
+
+fn write_line(reply: &mut String, line: &Value) {
+    // Writing into a string does not fail.
+    let _ = writeln!(reply, "{line}");
+}
+
+/// The commonest line, written without building a value; ids need no escapes.
+fn write_attempt(
+    reply: &mut String,
+    node: u64,
+    request: RequestId,
+    endpoint: &EndpointId,
+    timeout_ns: u64,
+) {
+    let request = request_id(request);
+    let endpoint = Value::from(endpoint.as_str());
+    let _ = writeln!(
+        reply,
+        "[\"Try\",{node},\"{request}\",{timeout_ns},{endpoint}]"
+    );
+}
+
+fn request_id(request: RequestId) -> String {
+    format!("{:016x}", request.0)
+}
+
+fn action_line(node: u64, action: &Action) -> Value {
+    match action {
+        Action::StartAttempt {
+            request,
+            endpoint,
+            timeout_ns,
+        } => {
+            let request = request_id(*request);
+            json!(["Try", node, request, timeout_ns, endpoint.as_str()])
+        }
+        Action::CancelAttempt { request, attempt } => {
+            json!(["Revoke", node, request_id(*request), attempt])
+        }
+        Action::Reject {
+            request,
+            retry_after_ns,
+        } => json!(["SayNo", node, request_id(*request), retry_after_ns]),
+        Action::Fail(request) => json!(["EndFailed", node, request_id(*request)]),
+        Action::SetTimer { after_ns, token } => {
+            json!(["Defer", node, after_ns, token.to_string()])
+        }
+        Action::HealthCheck(endpoint) => json!(["AskLoad", node, endpoint.as_str()]),
+        Action::CloseIdleConnections(endpoint) => json!(["Release", node, endpoint.as_str()]),
+        Action::SendGossip {
+            peer: Some(peer),
+            text,
+        } => json!(["MemoTo", node, peer, text]),
+        Action::SendGossip { peer: None, text } => json!(["MemoTo", node, "all", text]),
+        Action::Log(text) => json!(["JournalLine", node, text]),
+        Action::WatchEndpoints(on) => json!(["StreamChanges", node, on]),
+        Action::FetchEndpoints => json!(["ListAll", node]),
+        Action::AddToCounter {
+            name,
+            amount,
+            ttl_ns,
+        } => json!(["PostAmount", node, name, amount, ttl_ns]),
+    }
+}
+
+/// Appends a report that a node's policy panicked.
+pub fn write_exception(reply: &mut String, node: u64, message: &str) {
+    write_line(reply, &json!(["Exception", node, message]));
+}
+
+/// Appends the end of a reply.
+pub fn write_ready(reply: &mut String, batch: u64) {
+    write_line(reply, &json!(["Ready", batch]));
+}
--- a/tests/golden_bench.rs
+++ b/tests/golden_bench.rs
@@ -18,7 +18,7 @@
 
 use applewall::api::*;
 use applewall::platform_settings::PlatformSettings;
-use applewall::simulator::protocol::{self, Line};
+use applewall::simulator::{self, InputLine, ProtocolError};
 use serde_json::{json, Value};
 
 /// The settings of the platform's committed file with times and rates that let a play go on, in one line.
@@ -58,39 +58,51 @@
 fn stage() -> Stage {
     let mut all = lines()
         .into_iter()
-        .map(|line| protocol::parse_line(&line).unwrap());
+        .map(|line| simulator::parse_line(&line).unwrap());
     let boots = all.by_ref().filter_map(|line| match line {
-        Line::Boot { facts, .. } => Some(facts),
+        InputLine::NodeStart {
+            settings: facts, ..
+        } => Some(facts),
         _ => None,
     });
     let facts = boots.take(2).last().unwrap();
     let sheets = all.filter_map(|line| match line {
-        Line::Inventory { entries, .. } => Some(entries.into()),
+        InputLine::EndpointList { entries, .. } => Some(entries.into()),
         _ => None,
     });
     (facts, sheets.collect::<Vec<_>>().try_into().unwrap())
 }
 
 /// A line read by position: its event's fields as JSON.
-fn read((facts, sheets): &Stage, line: &str) -> Result<Value, String> {
-    Ok(match protocol::parse_line(line)? {
-        Line::Sync { now, seq } => json!(["now", now, "seq", seq]),
-        Line::End => json!(["end"]),
-        Line::Boot { who, seed, facts } => {
+fn read((facts, sheets): &Stage, line: &str) -> Result<Value, ProtocolError> {
+    Ok(match simulator::parse_line(line)? {
+        InputLine::BatchStart {
+            now_ns: now,
+            batch: seq,
+        } => json!(["now", now, "seq", seq]),
+        InputLine::BatchEnd => json!(["end"]),
+        InputLine::NodeStart {
+            node: who,
+            seed,
+            settings: facts,
+        } => {
             json!(["who", who, "seed", seed, "me", facts.policy.node])
         }
-        Line::Down { who } => json!(["who", who]),
-        Line::Inventory { sheet, entries } => {
+        InputLine::NodeStop { node: who } => json!(["who", who]),
+        InputLine::EndpointList {
+            list: sheet,
+            entries,
+        } => {
             json!([
                 "sheet",
                 sheet,
                 "members",
-                list(&protocol::members(facts, &entries)?)
+                list(&simulator::parse_endpoints(facts, &entries)?)
             ])
         }
-        Line::Event { who, fields } => {
+        InputLine::Event { node: who, fields } => {
             let sheet = |n: u64| sheets.get(n as usize).cloned();
-            json!([who, event(protocol::event(facts, &fields, sheet)?)])
+            json!([who, event(simulator::parse_event(facts, &fields, sheet)?)])
         }
     })
 }
@@ -202,7 +214,7 @@
                 let mut row = row.clone();
                 row[place] = other.clone();
                 let said = read(&stage, &Value::from(row).to_string())
-                    .map_or_else(|e| e, |read| read.to_string());
+                    .map_or_else(|e| e.to_string(), |read| read.to_string());
                 now += &format!("  [{place}] {other}: {said}\n");
             }
         }
@@ -269,9 +281,9 @@
     let mut now = String::new();
     actions
         .iter()
-        .for_each(|action| protocol::write_action(&mut now, 3, action));
-    protocol::write_exception(&mut now, 3, &text());
-    protocol::write_ready(&mut now, u64::MAX);
+        .for_each(|action| simulator::write_action(&mut now, 3, action));
+    simulator::write_exception(&mut now, 3, &text());
+    simulator::write_ready(&mut now, u64::MAX);
     golden::same("bench_actions.jsonl", now.as_bytes());
 }
 
--- a/tests/golden_handover.rs
+++ b/tests/golden_handover.rs
@@ -17,7 +17,7 @@
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
 use applewall::gossip::codec::{self, fingerprint, CustomerRecord, Record, Usage};
-use applewall::simulator::protocol;
+use applewall::simulator::write_action;
 use applewall::LoadStatistics;
 use common::{Stage, KEYED, MS, S, SAFE, UNSAFE};
 use crc::{Crc, CRC_32_ISCSI};
@@ -391,7 +391,7 @@
         let (id, actions) = stage.ask_of([20, 3, 1][i % 3], i % 3, i / 6 % 3, customer, 1.0);
         actions
             .iter()
-            .for_each(|a| protocol::write_action(&mut now, i as u64, a));
+            .for_each(|a| write_action(&mut now, i as u64, a));
         if let Some(to) = common::target(&actions) {
             stage.end(id, 0, &to, Outcome::Success, 30);
         }
