--- a/crates/operator-config/src/units.rs
+++ b/crates/operator-config/src/units.rs
@@ -1,9 +1,6 @@
-//! Values as operators write them: switches, times, sizes, numbers and IP networks.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Values as operators write them: flags, durations, sizes, numbers and IP networks.
+//!
+//! Each type accepts one spelling of its value, publishes that in the schema, and quotes the text that it rejects.
 
 use std::fmt::Display;
 use std::net::IpAddr;
@@ -17,29 +14,28 @@
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 
-/// The longest time that a setting can have: a day. Longer ones are slips of a unit.
-const LONGEST: Duration = Duration::from_secs(24 * 3600);
+/// The shortest duration that a setting can have: what runs more often than that is a slip of a unit.
+const SHORTEST_DURATION: Duration = Duration::from_millis(1);
+
+/// The longest duration that a setting can have, a day: a longer one is a slip of a unit.
+const LONGEST_DURATION: Duration = Duration::from_secs(24 * 3600);
 
 /// A number in text, for `#[serde(deserialize_with)]`.
 ///
 /// # Errors
 ///
-/// Where the text is no such number.
+/// If the text is no such number, or is not finite.
 pub fn number<'de, D: Deserializer<'de>, T: FromStr<Err: Display>>(from: D) -> Result<T, D::Error> {
     let text = String::deserialize(from)?;
-    // A range check lets NaN through: it is neither below nor above.
-    if text
-        .trim()
-        .parse()
-        .is_ok_and(|number: f64| !number.is_finite())
-    {
-        return Err(D::Error::custom(format_args!(
-            "'{text}' is no finite number"
-        )));
+    let number = text.trim();
+    // A range check accepts NaN, which is neither below nor above.
+    if number.parse().is_ok_and(|value: f64| !value.is_finite()) {
+        let reason = format_args!("'{text}' is no finite number");
+        return Err(D::Error::custom(reason));
     }
-    text.trim()
+    number
         .parse()
-        .map_err(|e| D::Error::custom(format_args!("'{text}' is no number: {e}")))
+        .map_err(|error| D::Error::custom(format_args!("'{text}' is no number: {error}")))
 }
 
 /// `on` or `off`.
@@ -59,7 +55,7 @@
     }
 }
 
-/// A time, such as `250ms` or `1m 30s`; a millisecond at least, a day at most.
+/// A duration, such as `250ms` or `1m 30s`; at least a millisecond, at most a day.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, JsonSchema, Validate)]
 #[schemars(rename = "Span")]
 pub struct DurationSetting(
@@ -68,20 +64,20 @@
     pub Duration,
 );
 
-fn within_a_day(time: &Duration, (): &()) -> garde::Result {
-    match (Duration::from_millis(1)..=LONGEST).contains(time) {
+fn within_a_day(duration: &Duration, (): &()) -> garde::Result {
+    match (SHORTEST_DURATION..=LONGEST_DURATION).contains(duration) {
         true => Ok(()),
         false => Err(garde::Error::new("not between 1ms and 24h")),
     }
 }
 
 impl DurationSetting {
-    /// So many milliseconds.
-    pub const fn from_millis(ms: u64) -> Self {
-        DurationSetting(Duration::from_millis(ms))
+    /// A duration of so many milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        DurationSetting(Duration::from_millis(millis))
     }
 
-    /// In nanoseconds, as cores count.
+    /// In nanoseconds, the unit of the clocks in sans-I/O crates.
     pub fn as_nanos(self) -> u64 {
         u64::try_from(self.0.as_nanos()).unwrap_or(u64::MAX)
     }
@@ -90,9 +86,12 @@
 impl<'de> Deserialize<'de> for DurationSetting {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let span = humantime::parse_duration(&text);
-        let why = |_| D::Error::custom(format_args!("'{text}' is no time such as 250ms or 2s"));
-        span.map(DurationSetting).map_err(why)
+        match humantime::parse_duration(&text) {
+            Ok(duration) => Ok(DurationSetting(duration)),
+            Err(_) => Err(D::Error::custom(format_args!(
+                "'{text}' is no time such as 250ms or 2s"
+            ))),
+        }
     }
 }
 
@@ -103,18 +102,21 @@
 impl<'de> Deserialize<'de> for Size {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let size = text.parse::<ByteSize>();
-        let why = |_| D::Error::custom(format_args!("'{text}' is no size such as 64KiB"));
-        size.map(|size| Size(size.as_u64())).map_err(why)
+        match text.parse::<ByteSize>() {
+            Ok(size) => Ok(Size(size.as_u64())),
+            Err(_) => Err(D::Error::custom(format_args!(
+                "'{text}' is no size such as 64KiB"
+            ))),
+        }
     }
 }
 
-/// IP networks, separated by commas; an address alone stands for itself.
+/// IP networks, separated by commas; an address alone is the network of that one address.
 #[derive(Clone, Debug, Default, PartialEq, Eq, JsonSchema)]
 pub struct Networks(#[schemars(with = "String")] pub Vec<IpNet>);
 
 impl Networks {
-    /// True where one of them holds the address; an IPv4 address in IPv6 clothes is that IPv4 address.
+    /// True where one of the networks contains the address. An IPv4-mapped IPv6 address counts as its IPv4 address.
     pub fn contains(&self, address: IpAddr) -> bool {
         let address = address.to_canonical();
         self.0.iter().any(|network| network.contains(&address))
@@ -124,16 +126,17 @@
 impl<'de> Deserialize<'de> for Networks {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let parts = text
-            .split(',')
-            .map(str::trim)
-            .filter(|part| !part.is_empty());
-        let network = |part: &str| {
-            let address = part.parse::<IpAddr>().map(IpNet::from);
-            address.or_else(|_| part.parse()).map_err(|_| {
-                D::Error::custom(format_args!("'{part}' is no IP network such as 10.0.0.0/8"))
+        let items = text.split(',').map(str::trim);
+        let network = |item: &str| {
+            let single = item.parse::<IpAddr>().map(IpNet::from);
+            single.or_else(|_| item.parse()).map_err(|_| {
+                D::Error::custom(format_args!("'{item}' is no IP network such as 10.0.0.0/8"))
             })
         };
-        parts.map(network).collect::<Result<_, _>>().map(Networks)
+        items
+            .filter(|item| !item.is_empty())
+            .map(network)
+            .collect::<Result<_, _>>()
+            .map(Networks)
     }
 }
