--- a/crates/consul/src/settings.rs
+++ b/crates/consul/src/settings.rs
@@ -1,33 +1,28 @@
-//! `[consul]` of the operator's file.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! `[consul]` of the operator's file. The names of the fields are the file's keys.
 
 use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-/// `[consul]`: a roster in a Consul-style store, behind a registry and before discovery.
+/// `[consul]`: membership in a Consul-style store, with precedence after a registry and before discovery.
 #[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 #[garde(allow_unvalidated)]
 pub struct Settings {
-    /// Off: it is not asked.
+    /// Off: the store is not asked.
     #[garde(custom(with_agent(&self.agent)))]
     pub enabled: EnabledFlag,
     /// The agent on this machine, address and port.
     pub agent: Option<std::net::SocketAddr>,
-    /// Keys that begin with this are members; the rest of the key is the member's id.
-    #[garde(length(min = 1, max = 512), custom(plain))]
+    /// Keys with this prefix are members; the rest of the key is the member's id.
+    #[garde(length(min = 1, max = 512), custom(plain_path))]
     pub prefix: String,
-    /// A file that holds the token that goes with each call. Read again at each connection.
+    /// A file with the token that is sent with each query. Read again at each connection.
     pub token_file: Option<String>,
-    /// Networks that members may listen in; none: any.
+    /// Networks that members may listen in; none: any network.
     pub allowed: Networks,
-    /// How long a blocking read waits. A read that is stuck is noticed this and `patience` later.
+    /// Wait of a blocking query. A query that is stuck is noticed after this and `patience`.
     #[garde(dive)]
     pub wait: DurationSetting,
     /// How much later than its wait an answer may come.
@@ -53,6 +48,7 @@
     }
 }
 
+/// A store that is on needs an agent.
 fn with_agent(
     agent: &Option<std::net::SocketAddr>,
 ) -> impl FnOnce(&EnabledFlag, &()) -> garde::Result + '_ {
@@ -62,11 +58,11 @@
     }
 }
 
-/// It goes into a path as it is.
-fn plain(prefix: &str, (): &()) -> garde::Result {
+/// The prefix goes into a path as it is, so that it must not need escaping.
+fn plain_path(prefix: &str, (): &()) -> garde::Result {
     match prefix
         .bytes()
-        .all(|b| b.is_ascii_alphanumeric() || b"._/-".contains(&b))
+        .all(|byte| byte.is_ascii_alphanumeric() || b"._/-".contains(&byte))
     {
         true => Ok(()),
         false => Err(garde::Error::new(
--- a/crates/consul/tests/watch.rs
+++ b/crates/consul/tests/watch.rs
@@ -16,14 +16,14 @@
 /// How long a test waits for what has to happen; a machine that is busy must not fail it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-struct World {
+struct Fixture {
     agent: Agent,
     wire: Wire,
     source: Arc<Mutex<Source>>,
     task: tokio::task::JoinHandle<()>,
 }
 
-async fn world(wait: u64) -> World {
+async fn start(wait: u64) -> Fixture {
     let agent = Agent::start().await.unwrap();
     let wire = Wire::to(agent.address).await.unwrap();
     let settings = Settings {
@@ -48,7 +48,7 @@
         })
         .await;
     });
-    World {
+    Fixture {
         agent,
         wire,
         source,
@@ -56,7 +56,7 @@
     }
 }
 
-impl World {
+impl Fixture {
     fn list(&self) -> BTreeMap<String, MemberState> {
         self.source
             .lock()
@@ -80,7 +80,7 @@
     }
 }
 
-impl Drop for World {
+impl Drop for Fixture {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -92,55 +92,57 @@
 
 #[tokio::test]
 async fn a_blocking_query_reports_each_change_at_once_and_is_silent_in_between() {
-    let world = world(60_000).await;
-    world.agent.put("m/a", Some(&value("in_service")));
-    world.agent.put("m/bad", Some("{"));
-    world.agent.put("x/other", Some(&value("in_service")));
-    world.until("a", |list| list.len() == 1).await;
-    world.agent.put("m/a", Some(&value("terminating")));
-    world
+    let fixture = start(60_000).await;
+    fixture.agent.put("m/a", Some(&value("in_service")));
+    fixture.agent.put("m/bad", Some("{"));
+    fixture.agent.put("x/other", Some(&value("in_service")));
+    fixture.until("a", |list| list.len() == 1).await;
+    fixture.agent.put("m/a", Some(&value("terminating")));
+    fixture
         .until("it drains", |list| {
             list.get("a") == Some(&MemberState::Terminating)
         })
         .await;
-    world.agent.put("m/a", None);
-    world.agent.put("m/bad", None);
-    world.until("nobody", BTreeMap::is_empty).await;
+    fixture.agent.put("m/a", None);
+    fixture.agent.put("m/bad", None);
+    fixture.until("nobody", BTreeMap::is_empty).await;
     assert!(
-        world.agent.reads.load(Ordering::Relaxed) <= 8,
+        fixture.agent.reads.load(Ordering::Relaxed) <= 8,
         "one read for each change, no more"
     );
 }
 
 #[tokio::test]
 async fn the_list_survives_breaks_silence_lagging_agents_and_a_store_that_began_anew() {
-    let world = world(100).await;
-    world.agent.put("m/a", Some(&value("in_service")));
-    world.until("a", |list| list.len() == 1).await;
-    world.wire.cut();
-    world.agent.put("m/b", Some(&value("in_service")));
-    world.until("b after a cut", |list| list.len() == 2).await;
-    world.wire.silence(true);
-    let silent = world.wire.connections.0.load(Ordering::Relaxed);
-    world.agent.put("m/c", Some(&value("in_service")));
-    let left = || world.wire.connections.0.load(Ordering::Relaxed) > silent;
-    world.until("it was left", |_| left()).await;
-    world.wire.silence(false);
-    world.until("c after silence", |list| list.len() == 3).await;
+    let fixture = start(100).await;
+    fixture.agent.put("m/a", Some(&value("in_service")));
+    fixture.until("a", |list| list.len() == 1).await;
+    fixture.wire.cut();
+    fixture.agent.put("m/b", Some(&value("in_service")));
+    fixture.until("b after a cut", |list| list.len() == 2).await;
+    fixture.wire.silence(true);
+    let silent = fixture.wire.connections.0.load(Ordering::Relaxed);
+    fixture.agent.put("m/c", Some(&value("in_service")));
+    let left = || fixture.wire.connections.0.load(Ordering::Relaxed) > silent;
+    fixture.until("it was left", |_| left()).await;
+    fixture.wire.silence(false);
+    fixture
+        .until("c after silence", |list| list.len() == 3)
+        .await;
     // A lagging agent's answer is settled by a consistent query.
-    world.agent.lag(true);
-    world.agent.put("m/a", None);
-    world.agent.lag(false);
-    world.until("without a", |list| list.len() == 2).await;
-    world.agent.led(false);
-    world.agent.put("m/d", Some(&value("in_service")));
-    world.agent.led(true);
-    world
+    fixture.agent.lag(true);
+    fixture.agent.put("m/a", None);
+    fixture.agent.lag(false);
+    fixture.until("without a", |list| list.len() == 2).await;
+    fixture.agent.led(false);
+    fixture.agent.put("m/d", Some(&value("in_service")));
+    fixture.agent.led(true);
+    fixture
         .until("d once there is a leader", |list| list.len() == 3)
         .await;
-    world.agent.begin_anew();
-    world.agent.put("m/z", Some(&value("in_service")));
-    world
+    fixture.agent.begin_anew();
+    fixture.agent.put("m/z", Some(&value("in_service")));
+    fixture
         .until("only what there is now", |list| {
             list.len() == 1 && list.contains_key("z")
         })
--- a/crates/etcd/src/settings.rs
+++ b/crates/etcd/src/settings.rs
@@ -1,4 +1,4 @@
-//! `[registry]` of the operator's file.
+//! `[registry]` of the operator's file. The names of the fields are the file's keys.
 
 use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use garde::Validate;
@@ -12,56 +12,57 @@
 impl<'de> Deserialize<'de> for Endpoints {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let parts = text
-            .split(',')
-            .map(str::trim)
-            .filter(|part| !part.is_empty());
-        let address = |part: &str| {
-            part.parse().map_err(|_| {
+        let items = text.split(',').map(str::trim);
+        let address = |item: &str| {
+            item.parse().map_err(|_| {
                 serde::de::Error::custom(format_args!(
-                    "'{part}' is no address with a port, such as 10.0.0.5:2379"
+                    "'{item}' is no address with a port, such as 10.0.0.5:2379"
                 ))
             })
         };
-        parts.map(address).collect::<Result<_, _>>().map(Endpoints)
+        items
+            .filter(|item| !item.is_empty())
+            .map(address)
+            .collect::<Result<_, _>>()
+            .map(Endpoints)
     }
 }
 
-/// `[registry]`: a roster in an etcd v3 registry, beside discovery and before it.
+/// `[registry]`: membership in an etcd v3 registry, which takes precedence over discovery.
 #[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 #[garde(allow_unvalidated)]
 pub struct Settings {
-    /// Off: discovery alone tells who is a member.
+    /// Off: the registry is not asked, and discovery alone decides who is a member.
     #[garde(custom(with_endpoints(&self.endpoints)))]
     pub enabled: EnabledFlag,
-    /// Members of the registry; another one is tried after each loss.
+    /// Members of the registry's cluster; another one is tried after each loss.
     pub endpoints: Endpoints,
-    /// Keys that begin with this are members; the rest of the key is the member's id.
+    /// Keys with this prefix are members; the rest of the key is the member's id.
     #[garde(length(min = 1, max = 1_024))]
     pub prefix: String,
-    /// A file that holds the token that goes with each call. Read again at each connection.
+    /// A file with the token that is sent with each call. Read again at each connection.
     pub token_file: Option<String>,
-    /// Networks that members may listen in; none: any.
+    /// Networks that members may listen in; none: any network.
     pub allowed: Networks,
-    /// Between proofs that the watch lives.
+    /// Interval between two progress requests, which prove that the watch is alive.
     #[garde(dive)]
     pub probe: DurationSetting,
-    /// How long any answer may take.
+    /// Timeout of any answer; a full list may take ten times as long.
     #[garde(dive)]
     pub patience: DurationSetting,
     /// The longest wait before a reconnect.
     #[garde(dive)]
     pub backoff: DurationSetting,
-    /// A full read that a whole fleet needs at once is spread over this.
+    /// Bound on the random delay of a full read that a whole fleet needs at once.
     #[garde(dive)]
     pub spread: DurationSetting,
-    /// For how long a list is believed without proof that it is current, before another source's is preferred.
+    /// Maximum age of the list: without a proof for so long that it is current, another source is preferred.
     #[garde(dive)]
     pub believed: DurationSetting,
-    /// Where the last good list is kept for the next start; not set: nowhere.
+    /// Directory of the snapshot of the last good list, for the next start; not set: no snapshot.
     pub snapshot: Option<String>,
-    /// A snapshot older than this is not used.
+    /// Maximum age of a snapshot that is used.
     #[garde(dive)]
     pub snapshot_age: DurationSetting,
 }
@@ -85,6 +86,7 @@
     }
 }
 
+/// A registry that is on needs an endpoint.
 fn with_endpoints(endpoints: &Endpoints) -> impl FnOnce(&EnabledFlag, &()) -> garde::Result + '_ {
     move |enabled, ()| match enabled.0 && endpoints.0.is_empty() {
         true => Err(garde::Error::new("on, but no endpoints are named")),
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -299,8 +299,8 @@
             }
             Err(error) => {
                 // Logged once and left out; the other members stay.
-                let room = self.rejected.len() < MAX_LOGGED_REJECTIONS;
-                if room && self.rejected.insert(id.to_string()) {
+                let below_limit = self.rejected.len() < MAX_LOGGED_REJECTIONS;
+                if below_limit && self.rejected.insert(id.to_string()) {
                     tracing::warn!("registry: {id} left out: {error}");
                 }
                 None
--- a/crates/etcd/tests/watch.rs
+++ b/crates/etcd/tests/watch.rs
@@ -20,7 +20,7 @@
 /// How long a test waits for what has to happen; a machine that is busy must not fail it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-struct World {
+struct Fixture {
     registry: Registry,
     wires: Vec<Wire>,
     membership: Arc<Mutex<MergedMembership>>,
@@ -68,7 +68,7 @@
     }
 }
 
-async fn world(registry: Registry, members: usize, change: impl FnOnce(&mut Settings)) -> World {
+async fn start(registry: Registry, members: usize, change: impl FnOnce(&mut Settings)) -> Fixture {
     let mut wires = Vec::new();
     for _ in 0..members {
         wires.push(Wire::to(registry.listen().await.unwrap()).await.unwrap());
@@ -90,7 +90,7 @@
         };
         watch(&settings, 1, None, on_update).await;
     });
-    World {
+    Fixture {
         registry,
         wires,
         membership,
@@ -103,7 +103,7 @@
     format!(r#"{{"endpoint":"127.0.0.1:{port}","state":"{state}"}}"#)
 }
 
-impl World {
+impl Fixture {
     async fn until(
         &self,
         what: &str,
@@ -127,7 +127,7 @@
     }
 }
 
-impl Drop for World {
+impl Drop for Fixture {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -139,50 +139,50 @@
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/bad", "{}");
     registry.put("/other/x", &value(9, "in_service"));
-    let world = world(registry, 1, |settings| {
+    let fixture = start(registry, 1, |settings| {
         settings.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()]);
     })
     .await;
-    world
+    fixture
         .until("a", |list| list.len() == 1 && list.contains_key("a"))
         .await;
-    world.registry.put("/m/b", &value(2, "terminating"));
-    world
+    fixture.registry.put("/m/b", &value(2, "terminating"));
+    fixture
         .registry
         .put("/m/elsewhere", r#"{"endpoint":"192.0.2.1:80"}"#);
-    world.registry.put("/m/bad", &value(3, "in_service"));
-    world
+    fixture.registry.put("/m/bad", &value(3, "in_service"));
+    fixture
         .until("b and bad", |list| {
             list.len() == 3 && list.get("b") == Some(&MemberState::Terminating)
         })
         .await;
     // A member whose value turns malformed is left out.
-    world.registry.put("/m/a", "no JSON at all");
-    world.until("without a", |list| list.len() == 2).await;
-    assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 1);
+    fixture.registry.put("/m/a", "no JSON at all");
+    fixture.until("without a", |list| list.len() == 2).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 1);
 }
 
 #[tokio::test]
 async fn a_broken_watch_resumes_without_a_full_read_and_repeats_no_change() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
-    let world = world(registry, 2, |_| ()).await;
-    world.until("a", |list| list.len() == 1).await;
+    let fixture = start(registry, 2, |_| ()).await;
+    fixture.until("a", |list| list.len() == 1).await;
     for round in 0..20u16 {
-        world.wires.iter().for_each(Wire::cut);
+        fixture.wires.iter().for_each(Wire::cut);
         // Removed and added again during the break: one new incarnation, however it is reported.
-        world.registry.delete("/m/a");
-        world.registry.put("/m/a", &value(1, "in_service"));
-        world
+        fixture.registry.delete("/m/a");
+        fixture.registry.put("/m/a", &value(1, "in_service"));
+        fixture
             .registry
             .put(&format!("/m/n{round}"), &value(100 + round, "in_service"));
-        world
+        fixture
             .until("the next", |list| list.len() == 2 + usize::from(round))
             .await;
     }
     // 20 new members, 20 further incarnations of a, and its first.
-    assert_eq!(world.new_incarnations(), 41);
-    assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 1);
+    assert_eq!(fixture.new_incarnations(), 41);
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 1);
 }
 
 #[tokio::test]
@@ -190,42 +190,42 @@
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/b", &value(2, "in_service"));
-    let world = world(registry, 1, |_| ()).await;
-    world.until("both", |list| list.len() == 2).await;
-    world.wires[0].refuse(true);
-    world.wires[0].cut();
-    world.registry.delete("/m/a");
-    let last = world.registry.put("/m/c", &value(3, "in_service"));
-    world.registry.compact(last);
-    world.wires[0].refuse(false);
-    world
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("both", |list| list.len() == 2).await;
+    fixture.wires[0].refuse(true);
+    fixture.wires[0].cut();
+    fixture.registry.delete("/m/a");
+    let last = fixture.registry.put("/m/c", &value(3, "in_service"));
+    fixture.registry.compact(last);
+    fixture.wires[0].refuse(false);
+    fixture
         .until("c in place of a", |list| {
             list.len() == 2 && list.contains_key("c")
         })
         .await;
-    assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 2);
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 2);
     // The registry may have reported the compaction to the watch that was cut as well.
-    assert!(world.registry.calls.compacted.load(Ordering::Relaxed) >= 1);
+    assert!(fixture.registry.calls.compacted.load(Ordering::Relaxed) >= 1);
 }
 
 #[tokio::test]
 async fn a_silent_watch_resumes_at_another_endpoint_without_a_full_read() {
     let registry = Registry::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
-    let world = world(registry, 3, |settings| {
+    let fixture = start(registry, 3, |settings| {
         settings.patience = DurationSetting::from_millis(150);
     })
     .await;
-    world.until("a", |list| list.len() == 1).await;
+    fixture.until("a", |list| list.len() == 1).await;
     for round in 0..6 {
         // The connection of the round before is closed by now: only the one in use falls silent.
         let up = |wire: &&Wire| wire.connections.1.load(Ordering::Relaxed) > 0;
-        world
+        fixture
             .until("one is in use", |_| {
-                world.wires.iter().filter(up).count() == 1
+                fixture.wires.iter().filter(up).count() == 1
             })
             .await;
-        world
+        fixture
             .wires
             .iter()
             .filter(up)
@@ -235,21 +235,21 @@
         } else {
             "in_service"
         };
-        world.registry.put("/m/a", &value(1, state));
+        fixture.registry.put("/m/a", &value(1, state));
         let wanted = if round % 2 == 0 {
             MemberState::Terminating
         } else {
             MemberState::InService
         };
-        world
+        fixture
             .until(state, |list| list.get("a") == Some(&wanted))
             .await;
-        world.wires.iter().for_each(|wire| wire.silence(false));
+        fixture.wires.iter().for_each(|wire| wire.silence(false));
     }
     assert_eq!(
         (
-            world.new_incarnations(),
-            world.registry.calls.ranges.load(Ordering::Relaxed)
+            fixture.new_incarnations(),
+            fixture.registry.calls.ranges.load(Ordering::Relaxed)
         ),
         (1, 1)
     );
@@ -261,19 +261,19 @@
     for index in 0..40 {
         registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
-    let world = world(registry, 1, |_| ()).await;
-    world.until("40", |list| list.len() == 40).await;
-    world.wires[0].refuse(true);
-    world.wires[0].cut();
-    world.registry.begin_anew(8);
-    world.registry.put("/m/s-1", &value(2, "in_service"));
-    world.wires[0].refuse(false);
-    world.until("one", |list| list.len() == 1).await;
-    assert_eq!(world.new_incarnations(), 40);
-    world.registry.put("/m/s-2", &value(3, "in_service"));
-    world.until("two", |list| list.len() == 2).await;
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("40", |list| list.len() == 40).await;
+    fixture.wires[0].refuse(true);
+    fixture.wires[0].cut();
+    fixture.registry.begin_anew(8);
+    fixture.registry.put("/m/s-1", &value(2, "in_service"));
+    fixture.wires[0].refuse(false);
+    fixture.until("one", |list| list.len() == 1).await;
+    assert_eq!(fixture.new_incarnations(), 40);
+    fixture.registry.put("/m/s-2", &value(3, "in_service"));
+    fixture.until("two", |list| list.len() == 2).await;
     assert_eq!(
-        world
+        fixture
             .membership
             .lock()
             .unwrap()
@@ -290,16 +290,16 @@
     for index in 0..5_000u16 {
         registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
-    let world = world(registry, 1, |_| ()).await;
-    world.until("5,000", |list| list.len() == 5_000).await;
-    assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 3);
-    world.wires[0].silence(true);
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("5,000", |list| list.len() == 5_000).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
+    fixture.wires[0].silence(true);
     for index in 0..1_000 {
-        world.registry.delete(&format!("/m/s-{index}"));
+        fixture.registry.delete(&format!("/m/s-{index}"));
     }
-    world.wires[0].silence(false);
-    world.until("4,000", |list| list.len() == 4_000).await;
-    assert_eq!(world.registry.calls.ranges.load(Ordering::Relaxed), 3);
+    fixture.wires[0].silence(false);
+    fixture.until("4,000", |list| list.len() == 4_000).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
 }
 
 #[tokio::test]
@@ -309,9 +309,9 @@
         registry.put(&format!("/m/s-{index:04}"), &value(1 + index, "in_service"));
     }
     let writer = registry.clone();
-    let world = world(registry, 1, |_| ()).await;
+    let fixture = start(registry, 1, |_| ()).await;
     // After the first page: one of the first is removed, one of the last is drained, and one is new.
-    world
+    fixture
         .until("reading", |_| {
             writer.calls.ranges.load(Ordering::Relaxed) >= 1
         })
@@ -319,14 +319,14 @@
     writer.delete("/m/s-0000");
     writer.put("/m/s-4999", &value(5_000, "terminating"));
     writer.put("/m/t", &value(6_000, "in_service"));
-    world
+    fixture
         .until("all three", |list| {
             list.len() == 5_000
                 && list.contains_key("t")
                 && list.get("s-4999") == Some(&MemberState::Terminating)
         })
         .await;
-    assert_eq!(world.new_incarnations(), 5_001);
+    assert_eq!(fixture.new_incarnations(), 5_001);
 }
 
 #[tokio::test]
@@ -336,16 +336,16 @@
     registry.put("/m/a", &value(1, "in_service"));
     let file = std::env::temp_dir().join(format!("applewall-token-{}", std::process::id()));
     std::fs::write(&file, "wrong\n").unwrap();
-    let world = world(registry, 1, |settings| {
+    let fixture = start(registry, 1, |settings| {
         settings.token_file = Some(file.to_str().unwrap().into());
     })
     .await;
-    let tried = || world.wires[0].connections.0.load(Ordering::Relaxed) > 2;
-    world
+    let tried = || fixture.wires[0].connections.0.load(Ordering::Relaxed) > 2;
+    fixture
         .until("three tries", |list| list.is_empty() && tried())
         .await;
     // The file is read again at each connection.
     std::fs::write(&file, "s3cret\n").unwrap();
-    world.until("a", |list| list.len() == 1).await;
+    fixture.until("a", |list| list.len() == 1).await;
     std::fs::remove_file(&file).unwrap();
 }
--- a/crates/membership/src/merge.rs
+++ b/crates/membership/src/merge.rs
@@ -114,13 +114,13 @@
             let numbered = self.sources.iter().enumerate();
             numbered
                 .filter(|(number, _)| self.fresh[*number] == fresh)
-                .find_map(|(number, source)| source.held(id).map(|held| (number, held)))
+                .find_map(|(number, source)| source.member(id).map(|member| (number, member)))
         };
-        let (source, held) = first_that_holds(true).or_else(|| first_that_holds(false))?;
+        let (source, member) = first_that_holds(true).or_else(|| first_that_holds(false))?;
         Some(ReportedMember {
-            record: held.record.clone(),
+            record: member.record.clone(),
             source,
-            incarnation: held.incarnation,
+            incarnation: member.incarnation,
         })
     }
 
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -46,13 +46,13 @@
     Applied,
     /// Dropped: older than what is held, or seen already.
     Outdated,
-    /// Dropped: changes of a registry that began anew, or that do not follow on what is held. A full list is needed.
+    /// Dropped: changes of a registry that began anew, or that do not follow on what is known. A full list is needed.
     Gap,
 }
 
 /// A member as a source holds it.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct HeldMember {
+pub(crate) struct KnownMember {
     pub(crate) record: MemberRecord,
     pub(crate) create_revision: u64,
     /// Unique among the incarnations that this source has seen, of all ids.
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Source {
     position: Option<Position>,
-    held: BTreeMap<String, HeldMember>,
+    members: BTreeMap<String, KnownMember>,
     /// Incarnations seen so far.
     incarnations: u64,
     /// When the list was last known to be current.
@@ -85,14 +85,14 @@
         consistency: ReadConsistency,
         updates: Vec<MemberUpdate>,
     ) -> ApplyOutcome {
-        let follows = self.position.is_none_or(|held| {
-            held.cluster == position.cluster && held.revision <= position.revision
+        let follows = self.position.is_none_or(|known| {
+            known.cluster == position.cluster && known.revision <= position.revision
         });
         if !follows && consistency == ReadConsistency::Stale {
             return ApplyOutcome::Outdated;
         }
         (self.position, self.current_at_ns) = (Some(position), Some(now_ns));
-        let mut missing: BTreeSet<String> = self.held.keys().cloned().collect();
+        let mut missing: BTreeSet<String> = self.members.keys().cloned().collect();
         for update in updates {
             if update.record.is_some() {
                 missing.remove(&update.id);
@@ -100,7 +100,7 @@
             self.apply_update(update, !follows);
         }
         for id in missing {
-            self.held.remove(&id);
+            self.members.remove(&id);
             self.changed.insert(id);
         }
         ApplyOutcome::Applied
@@ -134,8 +134,8 @@
     /// Nothing has changed up to a position. One that lies before what is held proves nothing.
     pub fn apply_progress(&mut self, now_ns: u64, position: Position) -> ApplyOutcome {
         match self.position {
-            Some(held) if held.cluster == position.cluster => {
-                if position.revision < held.revision {
+            Some(known) if known.cluster == position.cluster => {
+                if position.revision < known.revision {
                     return ApplyOutcome::Outdated;
                 }
                 (self.position, self.current_at_ns) = (Some(position), Some(now_ns));
@@ -148,31 +148,31 @@
     /// Applies one update; `began_anew`: the registry counts its revisions from the start again.
     fn apply_update(&mut self, update: MemberUpdate, began_anew: bool) {
         let Some(record) = update.record else {
-            if self.held.remove(&update.id).is_some() {
+            if self.members.remove(&update.id).is_some() {
                 self.changed.insert(update.id);
             }
             return;
         };
-        let held = self.held.get(&update.id);
+        let known = self.members.get(&update.id);
         // Another address is a new incarnation, and so is a member that was removed and added again, however quickly.
         // After the registry began anew only the address counts: a member that kept it has not restarted.
-        let same = held.filter(|held| {
-            held.record.endpoint == record.endpoint
-                && (began_anew || held.create_revision == update.create_revision)
+        let same = known.filter(|known| {
+            known.record.endpoint == record.endpoint
+                && (began_anew || known.create_revision == update.create_revision)
         });
-        let incarnation = same.map(|held| held.incarnation).unwrap_or_else(|| {
+        let incarnation = same.map(|known| known.incarnation).unwrap_or_else(|| {
             self.incarnations += 1;
             self.incarnations
         });
-        if held.is_none_or(|held| held.record != record || held.incarnation != incarnation) {
+        if known.is_none_or(|known| known.record != record || known.incarnation != incarnation) {
             self.changed.insert(update.id.clone());
         }
-        let member = HeldMember {
+        let member = KnownMember {
             record,
             create_revision: update.create_revision,
             incarnation,
         };
-        self.held.insert(update.id, member);
+        self.members.insert(update.id, member);
     }
 
     /// Where to resume: the position up to which everything is known.
@@ -188,13 +188,13 @@
 
     /// The members that are held, by id.
     pub fn records(&self) -> impl Iterator<Item = (&str, &MemberRecord)> {
-        self.held
+        self.members
             .iter()
-            .map(|(id, held)| (id.as_str(), &held.record))
+            .map(|(id, known)| (id.as_str(), &known.record))
     }
 
-    pub(crate) fn held(&self, id: &str) -> Option<&HeldMember> {
-        self.held.get(id)
+    pub(crate) fn member(&self, id: &str) -> Option<&KnownMember> {
+        self.members.get(id)
     }
 
     pub(crate) fn take_changed(&mut self) -> BTreeSet<String> {
@@ -202,7 +202,7 @@
     }
 
     pub(crate) fn ids(&self) -> impl Iterator<Item = &String> {
-        self.held.keys()
+        self.members.keys()
     }
 }
 
--- a/crates/membership/src/source/tests.rs
+++ b/crates/membership/src/source/tests.rs
@@ -57,7 +57,7 @@
     let mut source = Source::default();
     let created = vec![update("a", 5, 5, Some(1))];
     apply_consistent_list(&mut source, 0, at(10), created);
-    let incarnation = |source: &Source| source.held("a").map(|held| held.incarnation);
+    let incarnation = |source: &Source| source.member("a").map(|member| member.incarnation);
     let first = incarnation(&source);
     // Removed and added again within one answer.
     let recreated = vec![update("a", 11, 0, None), update("a", 12, 12, Some(1))];
--- a/crates/membership/tests/source_histories.rs
+++ b/crates/membership/tests/source_histories.rs
@@ -138,7 +138,7 @@
     }
 }
 
-fn held(source: &Source) -> BTreeMap<String, MemberRecord> {
+fn records(source: &Source) -> BTreeMap<String, MemberRecord> {
     source
         .records()
         .map(|(id, record)| (id.to_string(), record.clone()))
@@ -155,7 +155,7 @@
         known.cluster != registry.position.cluster || known.revision > registry.position.revision;
     prop_assert_eq!(outcome != ApplyOutcome::Applied, began_anew);
     if outcome == ApplyOutcome::Applied {
-        prop_assert_eq!(held(source), registry.records());
+        prop_assert_eq!(records(source), registry.records());
     }
     Ok(())
 }
@@ -165,7 +165,7 @@
     let Some(list) = registry.lists.get(&revision).cloned() else {
         return Ok(());
     };
-    let (known, before) = (source.position().unwrap(), held(source));
+    let (known, before) = (source.position().unwrap(), records(source));
     let position = Position {
         revision,
         ..registry.position
@@ -177,7 +177,7 @@
         false => ApplyOutcome::Applied,
     };
     prop_assert_eq!(outcome, expected);
-    prop_assert!(!outdated || before == held(source));
+    prop_assert!(!outdated || before == records(source));
     Ok(())
 }
 
@@ -190,7 +190,7 @@
             let (position, list) = (registry.position, registry.list());
             let outcome = source.apply_full_list(now, position, ReadConsistency::Consistent, list);
             prop_assert_eq!(outcome, ApplyOutcome::Applied);
-            prop_assert_eq!(held(source).len(), registry.live.len());
+            prop_assert_eq!(records(source).len(), registry.live.len());
         }
         Step::StaleRead { lag } => stale_read(registry, source, now, lag)?,
         Step::BeginAnew { other_cluster } => {
@@ -224,7 +224,7 @@
                     None => prop_assert!(known.remove(&change.id).is_some(), "removed twice"),
                 }
             }
-            prop_assert_eq!(&known, &held(membership.source_mut(0)));
+            prop_assert_eq!(&known, &records(membership.source_mut(0)));
         }
     }
 }
--- a/crates/membership/tests/watch_schedules.rs
+++ b/crates/membership/tests/watch_schedules.rs
@@ -103,7 +103,7 @@
     }
 }
 
-struct World {
+struct Simulation {
     registry: Registry,
     /// The next revision that the watch wants, while there is a watch.
     watch_from: Option<u64>,
@@ -134,7 +134,7 @@
     }
 }
 
-impl World {
+impl Simulation {
     /// With one member, and a watch that follows.
     fn following() -> Self {
         let timing = WatchTiming {
@@ -150,7 +150,7 @@
             live: BTreeMap::new(),
             history: Vec::new(),
         };
-        let mut world = World {
+        let mut simulation = Simulation {
             registry,
             watch_from: None,
             wire: VecDeque::new(),
@@ -160,11 +160,11 @@
             known: BTreeMap::new(),
             incarnations: 0,
         };
-        world.registry.write(Write::Put);
-        while !world.settled() {
-            world.deliver();
+        simulation.registry.write(Write::Put);
+        while !simulation.settled() {
+            simulation.deliver();
         }
-        world
+        simulation
     }
 
     fn step(&mut self, step: Step, writes: &mut std::slice::Iter<'_, Write>) {
@@ -278,28 +278,28 @@
 }
 
 fn play(steps: &[Step], writes: &[Write]) {
-    let mut world = World::following();
+    let mut simulation = Simulation::following();
     let mut writes = writes.iter();
     for step in steps {
-        world.step(*step, &mut writes);
+        simulation.step(*step, &mut writes);
     }
     for _ in 0..MAX_DELIVERIES {
-        if world.settled() {
+        if simulation.settled() {
             break;
         }
-        world.deliver();
+        simulation.deliver();
     }
-    assert!(world.settled(), "it never follows again: {steps:?}");
-    let live: BTreeMap<_, _> = world
+    assert!(simulation.settled(), "it never follows again: {steps:?}");
+    let live: BTreeMap<_, _> = simulation
         .registry
         .live
         .iter()
         .map(|(id, update)| (id.clone(), update.record.clone().unwrap()))
         .collect();
-    assert_eq!(world.known, live, "{steps:?}");
+    assert_eq!(simulation.known, live, "{steps:?}");
     // The first incarnation, and at most one for each write.
     let writes = steps.iter().filter(|step| **step == Step::Write).count();
-    assert!(world.incarnations <= 1 + writes, "{steps:?}");
+    assert!(simulation.incarnations <= 1 + writes, "{steps:?}");
 }
 
 /// Calls `visit` with every order of the steps that are left.
