--- a/crates/consul/src/watcher.rs
+++ b/crates/consul/src/watcher.rs
@@ -96,7 +96,7 @@
             Err(reason) => {
                 // One line for each loss, however many attempts it takes to reconnect.
                 if !std::mem::replace(&mut self.lost, true) {
-                    tracing::warn!("consul: lost: {reason}; the list stays as it was");
+                    tracing::warn!("consul: connection lost, keeping the last list: {reason}");
                 }
                 None
             }
@@ -116,7 +116,7 @@
 
     fn list(&mut self, consistency: ReadConsistency, answer: ListAnswer) -> ListUpdate {
         if std::mem::take(&mut self.lost) {
-            tracing::info!("consul: it is back");
+            tracing::info!("consul: connected again");
         }
         let entries = answer.entries.into_iter();
         ListUpdate {
@@ -142,7 +142,7 @@
                 // Logged once and left out; the other members stay.
                 let below_limit = self.rejected.len() < MAX_LOGGED_REJECTIONS;
                 if below_limit && self.rejected.insert(id.to_string()) {
-                    tracing::warn!("consul: {id} left out: {error}");
+                    tracing::warn!("consul: member {id} rejected: {error}");
                 }
                 None
             }
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -54,7 +54,7 @@
     WatchEnded,
     #[error("the watch was cancelled: {0}")]
     WatchCancelled(String),
-    #[error("it fell silent")]
+    #[error("no sign that the watch is alive")]
     Silent,
 }
 
@@ -220,9 +220,10 @@
 
     fn respond_to(&mut self, response: proto::WatchResponse) -> Vec<WatchEffect> {
         if response.compact_revision > 0 {
+            let revision = response.compact_revision;
             tracing::info!(
-                "registry: revision {} is compacted; reading the whole list",
-                response.compact_revision
+                revision,
+                "registry: revision compacted, reading the full list"
             );
             self.watch = None;
             return self.handle(WatchInput::Compacted);
@@ -232,7 +233,7 @@
         }
         if response.created {
             if std::mem::take(&mut self.lost) {
-                tracing::info!("registry: it is back");
+                tracing::info!("registry: connected again");
             }
             return self.handle(WatchInput::WatchCreated);
         }
@@ -301,7 +302,7 @@
                 // Logged once and left out; the other members stay.
                 let below_limit = self.rejected.len() < MAX_LOGGED_REJECTIONS;
                 if below_limit && self.rejected.insert(id.to_string()) {
-                    tracing::warn!("registry: {id} left out: {error}");
+                    tracing::warn!("registry: member {id} rejected: {error}");
                 }
                 None
             }
@@ -316,7 +317,7 @@
     /// One line for each loss, however many attempts it takes to reconnect.
     fn log_loss(&mut self, reason: &LossReason) {
         if !std::mem::replace(&mut self.lost, true) {
-            tracing::warn!("registry: lost: {reason}; the list stays as it was");
+            tracing::warn!("registry: connection lost, keeping the last list: {reason}");
         }
     }
 }
