Membership: sources take typed reports through handle(now, SourceInput)

Cause: etcd and consul each had a type of their own for what a registry reports, and the program and the tests translated both into calls on a source.

Change: SourceInput is what both watches pass on and what Source::handle takes; RegistryUpdate and ListUpdate go. The cluster id 0 of a Consul-style store is named where its positions are made.

Result: clippy with warnings denied is clean for the workspace.

--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use blocking_query::{BlockingQueries, BlockingQuery, QueryEffect, QueryOutcome};
 pub use settings::Settings;
-pub use watcher::{watch, ListUpdate};
+pub use watcher::watch;
--- a/crates/consul/src/watcher.rs
+++ b/crates/consul/src/watcher.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use applewall_membership::{MemberRecord, MemberUpdate, ReadConsistency, RecordError};
+use applewall_membership::{
+    MemberRecord, MemberUpdate, Position, ReadConsistency, RecordError, SourceInput,
+};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 
@@ -12,16 +14,8 @@
 use crate::client::{AgentConnection, KeyValue, ListAnswer, QueryError};
 use crate::settings::Settings;
 
-/// A whole list at an index; a member that is missing from it is gone.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListUpdate {
-    /// The index.
-    pub index: u64,
-    /// How the list was read.
-    pub consistency: ReadConsistency,
-    /// All members.
-    pub updates: Vec<MemberUpdate>,
-}
+/// The cluster id of a store's positions: a store has none. An index that goes back shows one that began anew.
+const CLUSTER: u64 = 0;
 
 /// The first bound on the wait after a failure: a few round trips to an agent on the same machine.
 const INITIAL_BACKOFF_NS: u64 = 20_000_000;
@@ -31,12 +25,12 @@
 
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
-/// Watches the store for as long as it is polled; each list that is newer goes to `on_update`. `seed` draws the waits.
+/// Watches the store for as long as it is polled; each list that is newer goes to `on_report`. `seed` draws the waits.
 ///
 /// # Cancel safety
 ///
 /// Dropping it drops the connection; a list is passed on whole or not at all.
-pub async fn watch(settings: &Settings, seed: u64, mut on_update: impl FnMut(ListUpdate)) {
+pub async fn watch(settings: &Settings, seed: u64, mut on_report: impl FnMut(SourceInput)) {
     let Some(agent) = settings.agent else {
         return std::future::pending().await;
     };
@@ -58,7 +52,7 @@
         let answer = watcher.query(&query).await;
         let effect = queries.handle(outcome(answer.as_ref()));
         if let (Some(consistency), Some(answer)) = (effect.apply_list, answer) {
-            on_update(watcher.list(consistency, answer));
+            on_report(watcher.report(consistency, answer));
         }
         tokio::time::sleep(Duration::from_nanos(effect.next_query_after_ns)).await;
     }
@@ -114,13 +108,16 @@
         Ok(answer)
     }
 
-    fn list(&mut self, consistency: ReadConsistency, answer: ListAnswer) -> ListUpdate {
+    fn report(&mut self, consistency: ReadConsistency, answer: ListAnswer) -> SourceInput {
         if std::mem::take(&mut self.lost) {
             tracing::info!("consul: connected again");
         }
         let entries = answer.entries.into_iter();
-        ListUpdate {
-            index: answer.index,
+        SourceInput::FullList {
+            position: Position {
+                cluster: CLUSTER,
+                revision: answer.index,
+            },
             consistency,
             updates: entries.filter_map(|entry| self.update(entry)).collect(),
         }
--- a/crates/consul/tests/watch.rs
+++ b/crates/consul/tests/watch.rs
@@ -10,7 +10,7 @@
 use applewall_consul::{watch, Settings};
 use applewall_fakes::consul::Agent;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{MemberState, Position, Source};
+use applewall_membership::{MemberState, Source};
 use applewall_operator_config::{DurationSetting, EnabledFlag};
 
 /// How long a test waits for what has to happen; a machine that is busy must not fail it.
@@ -38,13 +38,8 @@
     let source = Arc::new(Mutex::new(Source::default()));
     let applied = source.clone();
     let task = tokio::spawn(async move {
-        watch(&settings, 1, |list| {
-            let position = Position {
-                cluster: 0,
-                revision: list.index,
-            };
-            let mut source = applied.lock().unwrap();
-            source.apply_full_list(0, position, list.consistency, list.updates);
+        watch(&settings, 1, |report| {
+            applied.lock().unwrap().handle(0, report);
         })
         .await;
     });
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -9,4 +9,4 @@
 mod watcher;
 
 pub use settings::{Endpoints, Settings};
-pub use watcher::{watch, RegistryUpdate};
+pub use watcher::watch;
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -5,33 +5,14 @@
 
 use applewall_etcd_proto as proto;
 use applewall_membership::{
-    ApplyOutcome, DisconnectReason, MemberRecord, MemberUpdate, Position, WatchEffect, WatchInput,
-    WatchMachine, WatchTiming,
+    ApplyOutcome, DisconnectReason, MemberRecord, MemberUpdate, Position, ReadConsistency,
+    SourceInput, WatchEffect, WatchInput, WatchMachine, WatchTiming,
 };
 use tonic::Status;
 
 use crate::client::{RegistryClient, Watch};
 use crate::settings::Settings;
 
-/// What the registry reports.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RegistryUpdate {
-    /// The whole list; nothing that was written before it was read is missing.
-    FullList {
-        /// Where the list was read.
-        position: Position,
-        /// All members.
-        updates: Vec<MemberUpdate>,
-    },
-    /// Everything that changed up to a position; possibly nothing.
-    Changes {
-        /// Up to where the changes reach.
-        position: Position,
-        /// What changed, in order.
-        updates: Vec<MemberUpdate>,
-    },
-}
-
 /// The first bound on the wait before a reconnect: a few round trips to a registry nearby.
 const INITIAL_BACKOFF_NS: u64 = 20_000_000;
 
@@ -58,18 +39,18 @@
     Silent,
 }
 
-/// Watches the registry for as long as it is polled. Each update goes to `on_update` once and in order; where that
+/// Watches the registry for as long as it is polled. Each report goes to `on_report` once and in order; where that
 /// reports a gap, the list is read again. `position` is where an earlier process got to, `seed` draws the waits and the
 /// first endpoint.
 ///
 /// # Cancel safety
 ///
-/// Dropping it drops the connection; an update is passed on whole or not at all.
+/// Dropping it drops the connection; a report is passed on whole or not at all.
 pub async fn watch(
     settings: &Settings,
     seed: u64,
     position: Option<Position>,
-    on_update: impl FnMut(RegistryUpdate) -> ApplyOutcome,
+    on_report: impl FnMut(SourceInput) -> ApplyOutcome,
 ) {
     let timing = WatchTiming {
         progress_interval_ns: settings.probe.as_nanos(),
@@ -80,7 +61,7 @@
     };
     let mut watcher = Watcher {
         settings,
-        on_update,
+        on_report,
         machine: WatchMachine::new(timing, seed, position),
         started: Instant::now(),
         client: None,
@@ -104,7 +85,7 @@
 
 struct Watcher<'settings, F> {
     settings: &'settings Settings,
-    on_update: F,
+    on_report: F,
     machine: WatchMachine,
     started: Instant,
     client: Option<RegistryClient>,
@@ -117,7 +98,7 @@
     lost: bool,
 }
 
-impl<F: FnMut(RegistryUpdate) -> ApplyOutcome> Watcher<'_, F> {
+impl<F: FnMut(SourceInput) -> ApplyOutcome> Watcher<'_, F> {
     fn now_ns(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_nanos()).unwrap_or(u64::MAX)
     }
@@ -187,7 +168,11 @@
             .filter_map(|kv| self.update(kv, proto::EventType::Put))
             .collect();
         // A consistent list always applies.
-        (self.on_update)(RegistryUpdate::FullList { position, updates });
+        (self.on_report)(SourceInput::FullList {
+            position,
+            consistency: ReadConsistency::Consistent,
+            updates,
+        });
         Ok(Some(WatchInput::ListRead(position)))
     }
 
@@ -261,7 +246,7 @@
             revision: reached.unwrap_or(header.revision),
             ..header
         };
-        match (self.on_update)(RegistryUpdate::Changes { position, updates }) {
+        match (self.on_report)(SourceInput::Changes { position, updates }) {
             ApplyOutcome::Gap => {
                 let now_ns = self.now_ns();
                 self.machine.invalidate(now_ns)
--- a/crates/etcd/tests/watch.rs
+++ b/crates/etcd/tests/watch.rs
@@ -8,12 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_etcd::{watch, Endpoints, RegistryUpdate, Settings};
+use applewall_etcd::{watch, Endpoints, Settings};
 use applewall_fakes::etcd::Registry;
 use applewall_fakes::wire::Wire;
-use applewall_membership::{
-    ApplyOutcome, MemberChange, MemberState, MergedMembership, ReadConsistency,
-};
+use applewall_membership::{MemberChange, MemberState, MergedMembership, SourceInput};
 use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use tokio::task::JoinHandle;
 
@@ -45,16 +43,6 @@
     }
 }
 
-fn apply(membership: &mut MergedMembership, update: RegistryUpdate) -> ApplyOutcome {
-    let source = membership.source_mut(0);
-    match update {
-        RegistryUpdate::FullList { position, updates } => {
-            source.apply_full_list(0, position, ReadConsistency::Consistent, updates)
-        }
-        RegistryUpdate::Changes { position, updates } => source.apply_changes(0, position, updates),
-    }
-}
-
 fn settings(wires: &[Wire]) -> Settings {
     Settings {
         enabled: EnabledFlag(true),
@@ -79,16 +67,16 @@
     let known = Arc::new(Mutex::new(Known::default()));
     let (applied, changed) = (membership.clone(), known.clone());
     let task = tokio::spawn(async move {
-        let on_update = |update: RegistryUpdate| {
+        let on_report = |report: SourceInput| {
             let mut membership = applied.lock().unwrap();
-            let outcome = apply(&mut membership, update);
+            let outcome = membership.source_mut(0).handle(0, report);
             let mut known = changed.lock().unwrap();
             for change in membership.take_changes(0) {
                 known.apply(change);
             }
             outcome
         };
-        watch(&settings, 1, None, on_update).await;
+        watch(&settings, 1, None, on_report).await;
     });
     Fixture {
         registry,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use merge::{MemberChange, MergedMembership};
 pub use record::{schema, MemberRecord, MemberState, RecordError};
-pub use source::{ApplyOutcome, MemberUpdate, Position, ReadConsistency, Source};
+pub use source::{ApplyOutcome, MemberUpdate, Position, ReadConsistency, Source, SourceInput};
 pub use watch::{DisconnectReason, WatchEffect, WatchInput, WatchMachine, WatchTiming};
 
 #[cfg(test)]
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -39,6 +39,29 @@
     pub record: Option<MemberRecord>,
 }
 
+/// What a registry reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SourceInput {
+    /// The whole list.
+    FullList {
+        /// Where the list was read.
+        position: Position,
+        /// How the list was read.
+        consistency: ReadConsistency,
+        /// All members.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Everything that changed up to a position since the last report; possibly nothing.
+    Changes {
+        /// Up to where the changes reach.
+        position: Position,
+        /// What changed, in order.
+        updates: Vec<MemberUpdate>,
+    },
+    /// Nothing has changed up to a position.
+    Progress(Position),
+}
+
 /// What became of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ApplyOutcome {
@@ -73,12 +96,27 @@
 }
 
 impl Source {
+    /// Applies a report.
+    pub fn handle(&mut self, now_ns: u64, input: SourceInput) -> ApplyOutcome {
+        match input {
+            SourceInput::FullList {
+                position,
+                consistency,
+                updates,
+            } => self.apply_full_list(now_ns, position, consistency, updates),
+            SourceInput::Changes { position, updates } => {
+                self.apply_changes(now_ns, position, updates)
+            }
+            SourceInput::Progress(position) => self.apply_progress(now_ns, position),
+        }
+    }
+
     /// Applies the whole list at a position.
     ///
     /// A consistent list always applies. If its revision lies before the one that is held, or its cluster is another
     /// one, then the registry began anew, and members at another address than before are new incarnations. A stale
     /// list that is older than what is held, or of another cluster, is dropped.
-    pub fn apply_full_list(
+    pub(crate) fn apply_full_list(
         &mut self,
         now_ns: u64,
         position: Position,
@@ -114,7 +152,7 @@
 
     /// Applies all changes up to a position that follow on those reported before. Updates at revisions that are held
     /// already are replays and are dropped one by one.
-    pub fn apply_changes(
+    pub(crate) fn apply_changes(
         &mut self,
         now_ns: u64,
         position: Position,
@@ -132,7 +170,7 @@
     }
 
     /// Nothing has changed up to a position. One that lies before what is held proves nothing.
-    pub fn apply_progress(&mut self, now_ns: u64, position: Position) -> ApplyOutcome {
+    pub(crate) fn apply_progress(&mut self, now_ns: u64, position: Position) -> ApplyOutcome {
         match self.position {
             Some(known) if known.cluster == position.cluster => {
                 if position.revision < known.revision {
--- a/crates/membership/tests/source_histories.rs
+++ b/crates/membership/tests/source_histories.rs
@@ -7,7 +7,7 @@
 
 use applewall_membership::{
     ApplyOutcome, MemberRecord, MemberState, MemberUpdate, MergedMembership, Position,
-    ReadConsistency, Source,
+    ReadConsistency, Source, SourceInput,
 };
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseResult;
@@ -145,10 +145,27 @@
         .collect()
 }
 
+/// A full list at a position.
+fn full_list(
+    position: Position,
+    consistency: ReadConsistency,
+    updates: Vec<MemberUpdate>,
+) -> SourceInput {
+    SourceInput::FullList {
+        position,
+        consistency,
+        updates,
+    }
+}
+
 fn changes(registry: &Registry, source: &mut Source, now: u64, replayed: u64) -> TestCaseResult {
     let known = source.position().unwrap();
     let updates = registry.since(known.revision.saturating_sub(replayed));
-    let outcome = source.apply_changes(now, registry.position, updates);
+    let report = SourceInput::Changes {
+        position: registry.position,
+        updates,
+    };
+    let outcome = source.handle(now, report);
     // A watch of a registry that began anew with the same cluster id resumes at a revision that the registry does not
     // have yet: it cannot be told from an old one, and a full read settles it.
     let began_anew =
@@ -170,7 +187,7 @@
         revision,
         ..registry.position
     };
-    let outcome = source.apply_full_list(now, position, ReadConsistency::Stale, list);
+    let outcome = source.handle(now, full_list(position, ReadConsistency::Stale, list));
     let outdated = position.cluster != known.cluster || revision < known.revision;
     let expected = match outdated {
         true => ApplyOutcome::Outdated,
@@ -188,7 +205,8 @@
         Step::Changes { replayed } => changes(registry, source, now, replayed)?,
         Step::Read => {
             let (position, list) = (registry.position, registry.list());
-            let outcome = source.apply_full_list(now, position, ReadConsistency::Consistent, list);
+            let outcome =
+                source.handle(now, full_list(position, ReadConsistency::Consistent, list));
             prop_assert_eq!(outcome, ApplyOutcome::Applied);
             prop_assert_eq!(records(source).len(), registry.live.len());
         }
@@ -197,7 +215,7 @@
             // A restart of a registry is a break, and what comes after it a full read.
             registry.begin_anew(other_cluster);
             let (position, list) = (registry.position, registry.list());
-            source.apply_full_list(now, position, ReadConsistency::Consistent, list);
+            source.handle(now, full_list(position, ReadConsistency::Consistent, list));
         }
     }
     Ok(())
@@ -212,8 +230,8 @@
     ) {
         let mut registry = Registry::new();
         let mut membership = MergedMembership::new(1, u64::MAX);
-        let consistent = ReadConsistency::Consistent;
-        membership.source_mut(0).apply_full_list(0, registry.position, consistent, Vec::new());
+        let empty = full_list(registry.position, ReadConsistency::Consistent, Vec::new());
+        membership.source_mut(0).handle(0, empty);
         // What is known from changes alone.
         let mut known = BTreeMap::<String, MemberRecord>::new();
         for (now, step) in (0u64..).zip(steps) {
--- a/crates/membership/tests/watch_schedules.rs
+++ b/crates/membership/tests/watch_schedules.rs
@@ -7,7 +7,7 @@
 
 use applewall_membership::{
     ApplyOutcome, MemberRecord, MemberState, MemberUpdate, MergedMembership, Position,
-    ReadConsistency, WatchEffect, WatchInput, WatchMachine, WatchTiming,
+    ReadConsistency, SourceInput, WatchEffect, WatchInput, WatchMachine, WatchTiming,
 };
 
 const MS: u64 = 1_000_000;
@@ -239,16 +239,23 @@
             }
             Some(Message::Connected) => WatchInput::Connected,
             Some(Message::List { position, updates }) => {
-                source.apply_full_list(self.now, position, ReadConsistency::Consistent, updates);
+                source.handle(
+                    self.now,
+                    SourceInput::FullList {
+                        position,
+                        consistency: ReadConsistency::Consistent,
+                        updates,
+                    },
+                );
                 WatchInput::ListRead(position)
             }
             Some(Message::WatchCreated) => WatchInput::WatchCreated,
             Some(Message::Progress(position)) => {
-                source.apply_progress(self.now, position);
+                source.handle(self.now, SourceInput::Progress(position));
                 WatchInput::Progress(position)
             }
             Some(Message::Changes { position, updates }) => {
-                let outcome = source.apply_changes(self.now, position, updates);
+                let outcome = source.handle(self.now, SourceInput::Changes { position, updates });
                 assert_eq!(outcome, ApplyOutcome::Applied);
                 WatchInput::Progress(position)
             }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -17,11 +17,10 @@
 
 use applewall::api::{Endpoint, EndpointState, EndpointUpdateKind};
 use applewall::platform_settings::PlatformSettings;
-use applewall_etcd::RegistryUpdate;
 use applewall_membership::snapshot::{Snapshot, SnapshotLimits};
 use applewall_membership::{
     ApplyOutcome, MemberChange, MemberState, MemberUpdate, MergedMembership, Position,
-    ReadConsistency,
+    ReadConsistency, SourceInput,
 };
 use tokio::sync::{mpsc, watch, Notify};
 
@@ -80,48 +79,17 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// What the registry reports, and what became of it.
-    fn take(&self, news: RegistryUpdate) -> ApplyOutcome {
+    /// What a registry reports, and what became of it.
+    fn take(&self, source: usize, report: SourceInput) -> ApplyOutcome {
         let now = self.clock.now();
         let mut held = self.held();
-        if let RegistryUpdate::FullList { updates, .. } = &news {
-            held.lists(REGISTRY, updates);
+        if let SourceInput::FullList { updates, .. } = &report {
+            held.lists(source, updates);
         }
-        let source = held.roster.source_mut(REGISTRY);
-        let took = match news {
-            RegistryUpdate::FullList { position, updates } => {
-                source.apply_full_list(now, position, ReadConsistency::Consistent, updates)
-            }
-            RegistryUpdate::Changes { position, updates } => {
-                source.apply_changes(now, position, updates)
-            }
-        };
-        drop(held);
-        self.changed.notify_one();
-        took
-    }
-
-    /// A whole list of a Consul-style store. It has no cluster's id; an index that goes back shows one that began anew.
-    fn listed(&self, news: applewall_consul::ListUpdate) {
-        let now = self.clock.now();
-        let applewall_consul::ListUpdate {
-            index,
-            consistency,
-            updates: items,
-        } = news;
-        let mut held = self.held();
-        held.lists(CONSUL, &items);
-        held.roster.source_mut(CONSUL).apply_full_list(
-            now,
-            Position {
-                cluster: 0,
-                revision: index,
-            },
-            consistency,
-            items,
-        );
+        let outcome = held.roster.source_mut(source).handle(now, report);
         drop(held);
         self.changed.notify_one();
+        outcome
     }
 
     /// Reports of discovery.
@@ -158,11 +126,18 @@
             });
             held.told.insert(id, entry);
         }
-        let source = held.roster.source_mut(DISCOVERY);
-        match kind {
-            EndpointUpdateKind::Delta => source.apply_changes(now, position, items),
-            _ => source.apply_full_list(now, position, ReadConsistency::Consistent, items),
+        let report = match kind {
+            EndpointUpdateKind::Delta => SourceInput::Changes {
+                position,
+                updates: items,
+            },
+            _ => SourceInput::FullList {
+                position,
+                consistency: ReadConsistency::Consistent,
+                updates: items,
+            },
         };
+        held.roster.source_mut(DISCOVERY).handle(now, report);
         drop(held);
         self.changed.notify_one();
     }
@@ -297,14 +272,22 @@
     };
     let follow = async {
         match settings.enabled.0 {
-            true => applewall_etcd::watch(settings, seed, position, |news| merge.take(news)).await,
+            true => {
+                applewall_etcd::watch(settings, seed, position, |report| {
+                    merge.take(REGISTRY, report)
+                })
+                .await;
+            }
             false => std::future::pending().await,
         }
     };
     let consul = async {
         match operator.consul.enabled.0 {
             true => {
-                applewall_consul::watch(&operator.consul, seed, |news| merge.listed(news)).await;
+                applewall_consul::watch(&operator.consul, seed, |report| {
+                    merge.take(CONSUL, report);
+                })
+                .await;
             }
             false => std::future::pending().await,
         }
