--- a/crates/slow-peer/src/account.rs
+++ b/crates/slow-peer/src/account.rs
@@ -11,7 +11,7 @@
 
 /// On whose behalf something is held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Holder {
+pub struct ResourceOwner {
     /// The customer; none where it is not known yet.
     pub customer: Option<u64>,
     /// The set of addresses it came from; none where it is not bounded.
@@ -20,18 +20,18 @@
 
 /// Why something may not be held: which limit it would pass.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Full {
+pub enum LimitExceeded {
     /// The one on all together.
     Total,
     /// The customer's.
     Customer,
     /// The one of its set of addresses.
-    Peer,
+    PeerNetwork,
 }
 
 /// What is held, with its limits. What is given back more than once, or was never taken, is not given back.
 #[derive(Debug)]
-pub struct Account {
+pub struct ResourceAccount {
     limit: u64,
     per_customer: u64,
     per_peer: u64,
@@ -41,11 +41,11 @@
     peers: HashMap<IpNet, u64>,
 }
 
-impl Account {
+impl ResourceAccount {
     /// Empty, with these limits.
     pub fn new(limit: u64, per_customer: u64, per_peer: u64) -> Self {
         let (customers, peers) = (HashMap::new(), HashMap::new());
-        Account {
+        ResourceAccount {
             limit,
             per_customer,
             per_peer,
@@ -61,22 +61,22 @@
     /// # Errors
     ///
     /// The limit that it would pass; the narrowest first, since who passes it is the one to blame.
-    pub fn take(&mut self, holder: Holder, amount: u64) -> Result<(), Full> {
+    pub fn take(&mut self, holder: ResourceOwner, amount: u64) -> Result<(), LimitExceeded> {
         let held = |held: Option<&u64>| held.copied().unwrap_or(0).saturating_add(amount);
         if holder
             .customer
             .is_some_and(|c| held(self.customers.get(&c)) > self.per_customer)
         {
-            return Err(Full::Customer);
+            return Err(LimitExceeded::Customer);
         }
         if holder
             .peer
             .is_some_and(|p| held(self.peers.get(&p)) > self.per_peer)
         {
-            return Err(Full::Peer);
+            return Err(LimitExceeded::PeerNetwork);
         }
         if self.total.saturating_add(amount) > self.limit {
-            return Err(Full::Total);
+            return Err(LimitExceeded::Total);
         }
         self.total += amount;
         self.most = self.most.max(self.total);
@@ -94,7 +94,7 @@
     }
 
     /// Gives so much back. Who holds nothing any more is forgotten.
-    pub fn give(&mut self, holder: Holder, amount: u64) {
+    pub fn give(&mut self, holder: ResourceOwner, amount: u64) {
         self.total = self.total.saturating_sub(amount);
         if let Some(customer) = holder.customer {
             give(&mut self.customers, customer, amount);
@@ -105,14 +105,14 @@
     }
 
     /// How much fits under one limit.
-    pub fn room(&self, holder: Holder, limit: Full) -> u64 {
+    pub fn room(&self, holder: ResourceOwner, limit: LimitExceeded) -> u64 {
         let held = |held: Option<&u64>| held.copied().unwrap_or(0);
         match limit {
-            Full::Total => self.limit.saturating_sub(self.total),
-            Full::Customer => self
+            LimitExceeded::Total => self.limit.saturating_sub(self.total),
+            LimitExceeded::Customer => self
                 .per_customer
                 .saturating_sub(held(holder.customer.and_then(|c| self.customers.get(&c)))),
-            Full::Peer => self
+            LimitExceeded::PeerNetwork => self
                 .per_peer
                 .saturating_sub(held(holder.peer.and_then(|p| self.peers.get(&p)))),
         }
--- a/crates/slow-peer/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -18,23 +18,23 @@
 use applewall_operator_config::Networks;
 use ipnet::IpNet;
 
-use crate::account::{Account, Full, Holder};
+use crate::account::{LimitExceeded, ResourceAccount, ResourceOwner};
 use crate::settings::BulkheadSettings;
 
 /// Which set of addresses an address belongs to.
 #[derive(Clone, Debug)]
-pub struct Networked {
+pub struct NetworkClassifier {
     v4: u8,
     v6: u8,
     exempt: Networks,
     enabled: bool,
 }
 
-impl Networked {
+impl NetworkClassifier {
     /// By the operator's prefixes and exemptions.
     pub fn new(settings: &BulkheadSettings) -> Self {
         let (v4, v6) = (settings.ipv4_prefix, settings.ipv6_prefix);
-        Networked {
+        NetworkClassifier {
             v4,
             v6,
             exempt: settings.exempt.clone(),
@@ -57,7 +57,7 @@
 /// Places that are held, each by a customer or a set of addresses.
 #[derive(Debug)]
 pub struct Bulkheads {
-    held: Account,
+    held: ResourceAccount,
     per_peer: u64,
     distrust: u64,
     /// Until when each cut counts, oldest first, and how many count for each set of addresses.
@@ -75,7 +75,7 @@
         let (per_customer, per_peer) =
             (share(settings.customer_places), share(settings.peer_places));
         Bulkheads {
-            held: Account::new(u64::MAX, per_customer, per_peer),
+            held: ResourceAccount::new(u64::MAX, per_customer, per_peer),
             per_peer,
             distrust: settings.distrust.nanos(),
             cuts: VecDeque::new(),
@@ -84,7 +84,7 @@
     }
 
     /// A connection of this holder's set of addresses was cut for its pace.
-    pub fn distrust(&mut self, now: u64, holder: Holder) {
+    pub fn distrust(&mut self, now: u64, holder: ResourceOwner) {
         let Some(peer) = holder.peer else { return };
         self.forget(now);
         // More than these take no further place: what is kept stays bounded.
@@ -118,19 +118,19 @@
     /// # Errors
     ///
     /// Whose share is taken.
-    pub fn enter(&mut self, now: u64, holder: Holder) -> Result<(), Full> {
+    pub fn enter(&mut self, now: u64, holder: ResourceOwner) -> Result<(), LimitExceeded> {
         self.forget(now);
         let cut = holder
             .peer
             .and_then(|peer| Some((peer, *self.cut.get(&peer)?)));
         if cut.is_some_and(|(peer, cut)| self.held.of_peer(peer) + cut >= self.per_peer) {
-            return Err(Full::Peer);
+            return Err(LimitExceeded::PeerNetwork);
         }
         self.held.take(holder, 1)
     }
 
     /// Gives the place back.
-    pub fn leave(&mut self, holder: Holder) {
+    pub fn leave(&mut self, holder: ResourceOwner) {
         self.held.give(holder, 1);
     }
 
@@ -155,7 +155,7 @@
 
     #[test]
     fn addresses_of_a_set_count_together_and_exempt_ones_not_at_all() {
-        let networked = Networked::new(&settings());
+        let networked = NetworkClassifier::new(&settings());
         let of = |text: &str| {
             networked
                 .of(text.parse().unwrap())
@@ -169,7 +169,7 @@
         );
         assert_eq!(of("10.1.2.3"), None);
         assert_eq!(
-            Networked::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()),
+            NetworkClassifier::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()),
             None
         );
     }
@@ -177,7 +177,7 @@
     #[test]
     fn those_that_were_cut_get_fewer_places_for_a_while_and_one_in_any_case() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let peer = |text: &str| Holder {
+        let peer = |text: &str| ResourceOwner {
             customer: None,
             peer: Some(text.parse().unwrap()),
         };
@@ -208,13 +208,13 @@
     #[test]
     fn a_share_is_held_and_given_back() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let customer = |c| Holder {
+        let customer = |c| ResourceOwner {
             customer: Some(c),
             peer: None,
         };
         assert_eq!(
             [1, 1, 1].map(|c| bulkheads.enter(0, customer(c))),
-            [Ok(()), Ok(()), Err(Full::Customer)]
+            [Ok(()), Ok(()), Err(LimitExceeded::Customer)]
         );
         assert_eq!(bulkheads.enter(0, customer(2)), Ok(()));
         [1, 1, 2]
--- a/crates/slow-peer/src/fair.rs
+++ b/crates/slow-peer/src/fair.rs
@@ -6,16 +6,16 @@
 /// running, bytes lay in the kernel unseen, and that time is left out. Between ticks the clock runs no further than
 /// to the next tick and its slack, so a stall is left out from the first event after it, not from the next tick on.
 #[derive(Clone, Debug)]
-pub struct FairClock {
+pub struct StallCompensatedClock {
     skipped: u64,
     due: u64,
     slack: u64,
 }
 
-impl FairClock {
+impl StallCompensatedClock {
     /// Starts at `now`, with the first tick due at `due`; ticks may be late by `slack` (all in nanoseconds).
     pub fn new(due: u64, slack: u64) -> Self {
-        FairClock {
+        StallCompensatedClock {
             skipped: 0,
             due,
             slack,
@@ -43,7 +43,7 @@
 
     #[test]
     fn a_stall_is_left_out_from_the_first_event_after_it() {
-        let mut clock = FairClock::new(50, 30);
+        let mut clock = StallCompensatedClock::new(50, 30);
         assert_eq!(clock.now(40), 40);
         assert_eq!(clock.tick(60, 110), 0);
         // Nothing ran from 60 to 2,000: an event before the tick sees no more than the tick's slack of it.
--- a/crates/slow-peer/src/floor.rs
+++ b/crates/slow-peer/src/floor.rs
@@ -2,18 +2,18 @@
 
 /// A least rate between two settings, in bytes a second.
 #[derive(Clone, Debug)]
-pub struct Floor {
+pub struct MinimumDataRate {
     least: f64,
     full: f64,
     from: f64,
     pressure: f64,
 }
 
-impl Floor {
+impl MinimumDataRate {
     /// `least` up to a pressure of `from`, then rising evenly to `full` at a pressure of 1. A `full` below `least`
     /// is taken as `least`: the floor never falls with pressure.
     pub fn new(least: f64, full: f64, from: f64) -> Self {
-        Floor {
+        MinimumDataRate {
             least,
             full: full.max(least),
             from: from.clamp(0.0, 0.99),
--- a/crates/slow-peer/src/incoming.rs
+++ b/crates/slow-peer/src/incoming.rs
@@ -14,7 +14,7 @@
     )
 )]
 
-use crate::fair::FairClock;
+use crate::fair::StallCompensatedClock;
 use crate::settings::Settings;
 
 /// Arrivals over which the rate is taken.
@@ -28,18 +28,18 @@
 
 /// What is to be done with a transfer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum IncomingStatus {
     /// Go on; look again at this time unless something comes before.
-    Wait(u64),
+    CheckAgainAt(u64),
     /// Nothing came for longer than the pause that is allowed.
     Stalled,
     /// It cannot be whole in the time left.
-    Hopeless,
+    TooSlow,
 }
 
 /// One transfer. All times are nanoseconds of one clock.
 #[derive(Clone, Debug)]
-pub struct Incoming {
+pub struct IncomingTransfer {
     total: Option<u64>,
     until: u64,
     done: u64,
@@ -50,15 +50,15 @@
     pause: u64,
     after: u64,
     slack: f64,
-    clock: FairClock,
+    clock: StallCompensatedClock,
     /// What the fair clock is behind the real one.
     behind: u64,
 }
 
-impl Incoming {
+impl IncomingTransfer {
     /// Begins now and has to be whole by `until`; `total` is its length in bytes where that is known.
     pub fn new(settings: &Settings, now: u64, until: u64, total: Option<u64>) -> Self {
-        Incoming {
+        IncomingTransfer {
             total,
             until,
             done: 0,
@@ -68,7 +68,7 @@
             pause: settings.pause.nanos(),
             after: settings.forecast_after.nanos(),
             slack: settings.forecast_slack,
-            clock: FairClock::new(now.saturating_add(settings.pause.nanos()), SLACK),
+            clock: StallCompensatedClock::new(now.saturating_add(settings.pause.nanos()), SLACK),
             behind: 0,
         }
     }
@@ -92,32 +92,32 @@
 
     /// What is to be done at `now`. Where this look comes long after the one that was agreed on, the program stood
     /// still, and nobody is judged by that time.
-    pub fn verdict(&mut self, now: u64) -> Verdict {
+    pub fn verdict(&mut self, now: u64) -> IncomingStatus {
         let fair = self.clock.now(now);
         let verdict = self.judge(fair, self.until.saturating_sub(now));
         let next = match verdict {
-            Verdict::Wait(next) => next.saturating_add(self.behind).max(now + 1),
+            IncomingStatus::CheckAgainAt(next) => next.saturating_add(self.behind).max(now + 1),
             _ => now.saturating_add(AGAIN),
         };
         let late = self.clock.tick(now, next);
         self.behind += late;
         match verdict {
-            Verdict::Wait(_) => Verdict::Wait(next),
-            _ if late > 0 => Verdict::Wait(next),
+            IncomingStatus::CheckAgainAt(_) => IncomingStatus::CheckAgainAt(next),
+            _ if late > 0 => IncomingStatus::CheckAgainAt(next),
             verdict => verdict,
         }
     }
 
-    fn judge(&self, now: u64, left: u64) -> Verdict {
+    fn judge(&self, now: u64, left: u64) -> IncomingStatus {
         let (last, _) = self.arrivals[self.seen % (ARRIVALS + 1)];
         let whole = self.total.is_some_and(|total| self.done >= total);
         if !whole && now.saturating_sub(last) >= self.pause {
-            return Verdict::Stalled;
+            return IncomingStatus::Stalled;
         }
         if !whole && self.hopeless(now, left) {
-            return Verdict::Hopeless;
+            return IncomingStatus::TooSlow;
         }
-        Verdict::Wait(last.saturating_add(self.pause))
+        IncomingStatus::CheckAgainAt(last.saturating_add(self.pause))
     }
 
     fn hopeless(&self, now: u64, left: u64) -> bool {
@@ -145,8 +145,12 @@
     const MS: u64 = 1_000_000;
 
     /// Plays arrivals of (ms, bytes) with the time left to it; when it was given up, and how.
-    fn play(total: Option<u64>, until: u64, arrivals: &[(u64, u64)]) -> Option<(u64, Verdict)> {
-        let mut incoming = Incoming::new(&Settings::default(), 0, until * MS, total);
+    fn play(
+        total: Option<u64>,
+        until: u64,
+        arrivals: &[(u64, u64)],
+    ) -> Option<(u64, IncomingStatus)> {
+        let mut incoming = IncomingTransfer::new(&Settings::default(), 0, until * MS, total);
         let mut next = arrivals.iter().peekable();
         for ms in 0..until {
             while let Some((_, bytes)) = next.next_if(|(at, _)| *at == ms) {
@@ -158,7 +162,7 @@
                 return None;
             }
             match incoming.verdict(ms * MS) {
-                Verdict::Wait(next) => assert!(next > ms * MS),
+                IncomingStatus::CheckAgainAt(next) => assert!(next > ms * MS),
                 verdict => return Some((ms, verdict)),
             }
         }
@@ -173,13 +177,13 @@
     fn a_trickle_is_given_up_within_a_few_arrivals() {
         let (ms, verdict) = play(Some(60_000), 1_500, &every(50, 1)).unwrap();
         assert!(
-            verdict == Verdict::Hopeless && ms <= 200,
+            verdict == IncomingStatus::TooSlow && ms <= 200,
             "{ms} {verdict:?}"
         );
         // Also a very slow one, whose silences are shorter than the pause that is allowed.
         let (ms, verdict) = play(Some(60_000), 3_000, &every(390, 1)).unwrap();
         assert!(
-            verdict == Verdict::Hopeless && ms <= 1_600,
+            verdict == IncomingStatus::TooSlow && ms <= 1_600,
             "{ms} {verdict:?}"
         );
         // And one that begins with a good part of it.
@@ -187,7 +191,7 @@
         late[0].1 = 40_000;
         assert_eq!(
             play(Some(60_000), 1_500, &late).map(|(_, v)| v),
-            Some(Verdict::Hopeless)
+            Some(IncomingStatus::TooSlow)
         );
     }
 
@@ -195,30 +199,39 @@
     fn a_head_and_then_nothing_and_a_stall_at_the_last_byte_end_with_the_pause() {
         assert_eq!(
             play(Some(60_000), 1_500, &[]),
-            Some((400, Verdict::Stalled))
+            Some((400, IncomingStatus::Stalled))
         );
         assert_eq!(
             play(Some(60_000), 1_500, &[(20, 59_999)]),
-            Some((420, Verdict::Stalled))
+            Some((420, IncomingStatus::Stalled))
         );
         assert_eq!(
             play(None, 1_500, &[(20, 59_999), (1_499, 1)]),
-            Some((420, Verdict::Stalled))
+            Some((420, IncomingStatus::Stalled))
         );
     }
 
     #[test]
     fn a_program_that_stood_still_does_not_take_anybody_for_slow() {
-        let mut incoming = Incoming::new(&Settings::default(), 0, 5_000 * MS, Some(60_000));
+        let mut incoming = IncomingTransfer::new(&Settings::default(), 0, 5_000 * MS, Some(60_000));
         incoming.arrive(10 * MS, 100);
-        assert_eq!(incoming.verdict(10 * MS), Verdict::Wait(410 * MS));
+        assert_eq!(
+            incoming.verdict(10 * MS),
+            IncomingStatus::CheckAgainAt(410 * MS)
+        );
         // Two seconds in which nothing ran: what came meanwhile gets its time to be read.
-        assert_eq!(incoming.verdict(2_000 * MS), Verdict::Wait(2_050 * MS));
+        assert_eq!(
+            incoming.verdict(2_000 * MS),
+            IncomingStatus::CheckAgainAt(2_050 * MS)
+        );
         let mut read = incoming.clone();
         read.arrive(2_020 * MS, 30_000);
-        assert!(matches!(read.verdict(2_050 * MS), Verdict::Wait(_)));
+        assert!(matches!(
+            read.verdict(2_050 * MS),
+            IncomingStatus::CheckAgainAt(_)
+        ));
         // Nothing came: it does stall.
-        assert_eq!(incoming.verdict(2_050 * MS), Verdict::Stalled);
+        assert_eq!(incoming.verdict(2_050 * MS), IncomingStatus::Stalled);
     }
 
     #[test]
--- a/crates/slow-peer/src/lib.rs
+++ b/crates/slow-peer/src/lib.rs
@@ -1,13 +1,13 @@
 //! Slow peers: what may wait for them, and from when they are given up.
 //!
 //! The core does no I/O and reads no clock: counts of bytes and `now` come in, verdicts go out. `now` is nanoseconds
-//! of one clock that only advances, brought through a [`FairClock`] so that time in which the program itself stood
+//! of one clock that only advances, brought through a [`StallCompensatedClock`] so that time in which the program itself stood
 //! still is not held against anybody.
 //!
-//! - [`Outgoing`]: answers on their way to service clients, and the account of bytes that wait there;
-//! - [`Incoming`]: one answer of an instance, or one body of a command, on its way in;
+//! - [`OutgoingTransfers`]: answers on their way to service clients, and the account of bytes that wait there;
+//! - [`IncomingTransfer`]: one answer of an instance, or one body of a command, on its way in;
 //! - [`Bulkheads`]: places held by one customer or one set of addresses;
-//! - [`Tally`]: what came of it all, and who was behind it.
+//! - [`SlowPeerStatistics`]: what came of it all, and who was behind it.
 //!
 //! [`socket`] is the thin side that looks at sockets; nothing else here knows of them.
 
@@ -22,12 +22,14 @@
 pub mod socket;
 mod tally;
 
-pub use account::{Account, Full, Holder};
-pub use bulkhead::{Bulkheads, Networked};
-pub use fair::FairClock;
-pub use floor::Floor;
-pub use incoming::{Incoming, Verdict};
-pub use outgoing::{Cut, Id, Moved, Need, Outgoing, Why};
-pub use rate::Window;
+pub use account::{LimitExceeded, ResourceAccount, ResourceOwner};
+pub use bulkhead::{Bulkheads, NetworkClassifier};
+pub use fair::StallCompensatedClock;
+pub use floor::MinimumDataRate;
+pub use incoming::{IncomingStatus, IncomingTransfer};
+pub use outgoing::{
+    Abort, AbortReason, ConnectionId, OutgoingTransfers, ResourceNeed, TransferProgress,
+};
+pub use rate::RateWindow;
 pub use settings::{BulkheadSettings, Settings};
-pub use tally::{Counts, Reason, Row, Tally};
+pub use tally::{EventCounts, OwnerStatistics, SlowPeerEvent, SlowPeerStatistics};
--- a/crates/slow-peer/src/outgoing.rs
+++ b/crates/slow-peer/src/outgoing.rs
@@ -17,37 +17,37 @@
 
 use std::collections::BTreeMap;
 
-use crate::account::{Account, Full, Holder};
-use crate::floor::Floor;
-use crate::rate::Window;
+use crate::account::{LimitExceeded, ResourceAccount, ResourceOwner};
+use crate::floor::MinimumDataRate;
+use crate::rate::RateWindow;
 use crate::settings::{BulkheadSettings, Settings};
 
 /// A transfer of which nothing moved for this long, in nanoseconds, and for two round trips, stands still.
 const STILL: u64 = 50_000_000;
 
 /// Names a connection for as long as it lives.
-pub type Id = u64;
+pub type ConnectionId = u64;
 
 /// Why a connection is cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Why {
+pub enum AbortReason {
     /// Its answer moved more slowly than the least rate in force.
-    Slow,
+    BelowMinimumRate,
     /// Nothing of its answer moved within the window.
-    Stopped,
+    Stalled,
     /// Room was needed, and it held the most bytes for the longest.
-    Room,
+    ResourcesNeeded,
 }
 
 /// A connection that has to go; it is forgotten here already.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Cut {
+pub struct Abort {
     /// The connection.
-    pub id: Id,
+    pub id: ConnectionId,
     /// On whose behalf it held what it held.
-    pub holder: Holder,
+    pub holder: ResourceOwner,
     /// Why.
-    pub why: Why,
+    pub why: AbortReason,
     /// Bytes that were still waiting.
     pub waiting: u64,
     /// For how long its answer had been on its way, in nanoseconds.
@@ -56,16 +56,16 @@
 
 /// What room is needed for.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Need {
+pub enum ResourceNeed {
     /// One place for a connection.
-    Place,
+    ConnectionSlot,
     /// So many bytes, on this holder's behalf, under the limit that would be passed.
-    Bytes(Holder, Full, u64),
+    Bytes(ResourceOwner, LimitExceeded, u64),
 }
 
 /// What is known of a connection's bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Moved {
+pub struct TransferProgress {
     /// Written so far.
     pub written: u64,
     /// Acknowledged by the other end so far.
@@ -74,8 +74,8 @@
     pub round_trip: u64,
 }
 
-struct Going {
-    holder: Holder,
+struct OutgoingTransfer {
+    holder: ResourceOwner,
     /// Bytes that wait, as the account has them.
     waiting: u64,
     /// Of the connection's bytes, how many were delivered by the last look.
@@ -89,28 +89,28 @@
     /// A newer command was read: there is one that has no answer.
     owed: bool,
     started: u64,
-    window: Window,
+    window: RateWindow,
     /// The same over the shorter time that counts where room has to be made.
-    short: Window,
+    short: RateWindow,
 }
 
-impl Going {
+impl OutgoingTransfer {
     fn may_cut(&self) -> bool {
         self.begun && !self.owed
     }
 }
 
 /// All answers that go out, and the account of what waits.
-pub struct Outgoing {
-    going: BTreeMap<Id, Going>,
-    account: Account,
-    floor: Floor,
+pub struct OutgoingTransfers {
+    going: BTreeMap<ConnectionId, OutgoingTransfer>,
+    account: ResourceAccount,
+    floor: MinimumDataRate,
     window: u64,
     grace: u64,
     room_grace: u64,
 }
 
-impl Outgoing {
+impl OutgoingTransfers {
     /// None yet, in a program that has so many bytes of memory.
     pub fn new(settings: &Settings, bulkheads: &BulkheadSettings, memory: u64) -> Self {
         let limit = settings.waiting(memory);
@@ -129,10 +129,10 @@
             settings.out_least.0 as f64,
             settings.out_least_full.0 as f64,
         );
-        Outgoing {
+        OutgoingTransfers {
             going: BTreeMap::new(),
-            account: Account::new(limit, customer, peer),
-            floor: Floor::new(least, full, settings.pressure_from),
+            account: ResourceAccount::new(limit, customer, peer),
+            floor: MinimumDataRate::new(least, full, settings.pressure_from),
             window: settings.window.nanos(),
             grace: settings.grace.nanos(),
             room_grace: settings.room_grace.nanos(),
@@ -148,11 +148,11 @@
     pub fn begin(
         &mut self,
         now: u64,
-        id: Id,
-        holder: Holder,
+        id: ConnectionId,
+        holder: ResourceOwner,
         bytes: u64,
-        moved: Moved,
-    ) -> Result<(), Full> {
+        moved: TransferProgress,
+    ) -> Result<(), LimitExceeded> {
         // Its command has no answer until this one has begun: it must not be cut to make room for itself.
         self.command(id);
         self.account.take(holder, bytes)?;
@@ -171,18 +171,25 @@
         Ok(())
     }
 
-    fn insert(&mut self, now: u64, id: Id, holder: Holder, waiting: u64, moved: Moved) {
-        let Moved {
+    fn insert(
+        &mut self,
+        now: u64,
+        id: ConnectionId,
+        holder: ResourceOwner,
+        waiting: u64,
+        moved: TransferProgress,
+    ) {
+        let TransferProgress {
             written,
             delivered,
             round_trip,
         } = moved;
         let (window, short) = (
-            Window::new(now, self.window),
-            Window::new(now, self.room_grace),
+            RateWindow::new(now, self.window),
+            RateWindow::new(now, self.room_grace),
         );
         let (begun, owed, started, last) = (false, false, now, now);
-        let going = Going {
+        let going = OutgoingTransfer {
             holder,
             waiting,
             delivered,
@@ -199,12 +206,12 @@
     }
 
     /// A command was read on a connection: what goes out on it may not be cut until that one has its answer.
-    pub fn command(&mut self, id: Id) {
+    pub fn command(&mut self, id: ConnectionId) {
         self.going.entry(id).and_modify(|g| g.owed = true);
     }
 
     /// That command has its answer, one too short to be held.
-    pub fn answered(&mut self, id: Id) {
+    pub fn answered(&mut self, id: ConnectionId) {
         self.going.entry(id).and_modify(|g| g.owed = false);
     }
 
@@ -213,12 +220,12 @@
     pub fn progress(
         &mut self,
         now: u64,
-        id: Id,
-        Moved {
+        id: ConnectionId,
+        TransferProgress {
             written,
             delivered,
             round_trip,
-        }: Moved,
+        }: TransferProgress,
     ) {
         let Some(going) = self.going.get_mut(&id) else {
             return;
@@ -240,20 +247,24 @@
     }
 
     /// The connection is closed, or its answer needs no further look.
-    pub fn end(&mut self, id: Id) {
+    pub fn end(&mut self, id: ConnectionId) {
         if let Some(going) = self.going.remove(&id) {
             self.account.give(going.holder, going.waiting);
         }
     }
 
     /// Finds those that do not keep the least rate. `places` is the share of places for connections that is taken.
-    pub fn judge(&mut self, now: u64, places: f64) -> Vec<Cut> {
+    pub fn judge(&mut self, now: u64, places: f64) -> Vec<Abort> {
         self.floor.press(places.max(self.account.share()));
         let (least, grace) = (self.floor.rate(), self.grace);
-        let slow = |(id, going): (&Id, &mut Going)| {
+        let slow = |(id, going): (&ConnectionId, &mut OutgoingTransfer)| {
             let age = now.saturating_sub(going.started);
             let rate = going.window.rate(now, age);
-            let why = if rate > 0.0 { Why::Slow } else { Why::Stopped };
+            let why = if rate > 0.0 {
+                AbortReason::BelowMinimumRate
+            } else {
+                AbortReason::Stalled
+            };
             (age >= grace && going.may_cut() && rate < least).then_some((*id, why))
         };
         let slow: Vec<_> = self.going.iter_mut().filter_map(slow).collect();
@@ -265,14 +276,14 @@
     /// Makes room by cutting whoever holds the most bytes for the longest, one after another, until there is enough;
     /// never one that keeps the least rate that holds where nothing is left, over as long as that takes to tell. None where that would not be enough:
     /// nobody goes in vain.
-    pub fn make_room(&mut self, now: u64, need: Need) -> Vec<Cut> {
+    pub fn make_room(&mut self, now: u64, need: ResourceNeed) -> Vec<Abort> {
         let (full, grace) = (self.floor.full(), self.room_grace);
-        let concerns = |holder: Holder| match need {
-            Need::Place | Need::Bytes(_, Full::Total, _) => true,
-            Need::Bytes(of, Full::Customer, _) => holder.customer == of.customer,
-            Need::Bytes(of, Full::Peer, _) => holder.peer == of.peer,
+        let concerns = |holder: ResourceOwner| match need {
+            ResourceNeed::ConnectionSlot | ResourceNeed::Bytes(_, LimitExceeded::Total, _) => true,
+            ResourceNeed::Bytes(of, LimitExceeded::Customer, _) => holder.customer == of.customer,
+            ResourceNeed::Bytes(of, LimitExceeded::PeerNetwork, _) => holder.peer == of.peer,
         };
-        let offence = |(id, going): (&Id, &mut Going)| {
+        let offence = |(id, going): (&ConnectionId, &mut OutgoingTransfer)| {
             let age = now.saturating_sub(going.started);
             // Slow over the shorter window; or wholly still, for longer than its distance can account for.
             let still = now.saturating_sub(going.last) >= STILL.max(2 * going.round_trip);
@@ -290,14 +301,20 @@
         worst.sort_unstable_by(|a, b| b.cmp(a));
         let (mut chosen, mut room) = (Vec::new(), 0);
         let enough = match need {
-            Need::Place => 1,
-            Need::Bytes(of, full, bytes) => bytes.saturating_sub(self.account.room(of, full)),
+            ResourceNeed::ConnectionSlot => 1,
+            ResourceNeed::Bytes(of, full, bytes) => {
+                bytes.saturating_sub(self.account.room(of, full))
+            }
         };
         for (_, id, waiting) in worst {
             if room >= enough {
                 break;
             }
-            room += if need == Need::Place { 1 } else { waiting };
+            room += if need == ResourceNeed::ConnectionSlot {
+                1
+            } else {
+                waiting
+            };
             chosen.push(id);
         }
         if room < enough {
@@ -305,19 +322,19 @@
         }
         chosen
             .into_iter()
-            .filter_map(|id| self.cut(now, id, Why::Room))
+            .filter_map(|id| self.cut(now, id, AbortReason::ResourcesNeeded))
             .collect()
     }
 
-    fn cut(&mut self, now: u64, id: Id, why: Why) -> Option<Cut> {
-        let Going {
+    fn cut(&mut self, now: u64, id: ConnectionId, why: AbortReason) -> Option<Abort> {
+        let OutgoingTransfer {
             holder,
             waiting,
             started,
             ..
         } = self.going.remove(&id)?;
         self.account.give(holder, waiting);
-        Some(Cut {
+        Some(Abort {
             id,
             holder,
             why,
@@ -327,17 +344,17 @@
     }
 
     /// True while an answer waits on the connection.
-    pub fn is_going(&self, id: Id) -> bool {
+    pub fn is_going(&self, id: ConnectionId) -> bool {
         self.going.contains_key(&id)
     }
 
     /// The connections on which answers wait.
-    pub fn ids(&self) -> Vec<Id> {
+    pub fn ids(&self) -> Vec<ConnectionId> {
         self.going.keys().copied().collect()
     }
 
     /// The account of what waits.
-    pub fn account(&mut self) -> &mut Account {
+    pub fn account(&mut self) -> &mut ResourceAccount {
         &mut self.account
     }
 
@@ -363,20 +380,20 @@
         }
     }
 
-    fn outgoing() -> Outgoing {
-        Outgoing::new(&settings(), &BulkheadSettings::default(), 0)
+    fn outgoing() -> OutgoingTransfers {
+        OutgoingTransfers::new(&settings(), &BulkheadSettings::default(), 0)
     }
 
-    fn moved(written: u64, delivered: u64) -> Moved {
-        Moved {
+    fn moved(written: u64, delivered: u64) -> TransferProgress {
+        TransferProgress {
             written,
             delivered,
             round_trip: 0,
         }
     }
 
-    fn holder(customer: u64) -> Holder {
-        Holder {
+    fn holder(customer: u64) -> ResourceOwner {
+        ResourceOwner {
             customer: Some(customer),
             peer: None,
         }
@@ -389,15 +406,15 @@
                 waiting: Some(Size(16 << 20)),
                 ..settings()
             };
-            let mut out = Outgoing::new(&settings, &BulkheadSettings::default(), 0);
-            out.begin(0, 1, holder(1), 4 << 20, Moved::default())
+            let mut out = OutgoingTransfers::new(&settings, &BulkheadSettings::default(), 0);
+            out.begin(0, 1, holder(1), 4 << 20, TransferProgress::default())
                 .unwrap();
             // A step each 100 ms: 1,040 or 980 bytes a second, where the least is 1,024.
             let cut = (1..=36_000).find(|i| {
                 out.progress(i * 100 * MS, 1, moved(4 << 20, i * step));
                 out.judge(i * 100 * MS, 0.0)
                     .first()
-                    .is_some_and(|cut| cut.why == Why::Slow)
+                    .is_some_and(|cut| cut.why == AbortReason::BelowMinimumRate)
             });
             assert_eq!((cut.is_none(), out.is_going(1)), (kept, kept), "{step}");
         }
@@ -407,7 +424,7 @@
     fn one_that_stops_is_cut_and_one_whose_answer_was_not_begun_or_that_sent_ahead_is_not() {
         let mut out = outgoing();
         for id in 1..=3 {
-            out.begin(0, id, holder(id), 50_000, Moved::default())
+            out.begin(0, id, holder(id), 50_000, TransferProgress::default())
                 .unwrap();
         }
         for id in 2..=3 {
@@ -419,7 +436,7 @@
             cut.iter()
                 .map(|c| (c.id, c.why, c.waiting))
                 .collect::<Vec<_>>(),
-            [(2, Why::Stopped, 46_000)]
+            [(2, AbortReason::Stalled, 46_000)]
         );
         assert_eq!(out.ids(), [1, 3]);
         // Its next answer begun, the one that sent ahead is like any other, and pays for both.
@@ -440,7 +457,7 @@
     fn one_that_stops_reading_does_not_keep_its_place_by_sending_ahead() {
         for served in [true, false] {
             let mut out = outgoing();
-            out.begin(0, 1, holder(1), 50_000, Moved::default())
+            out.begin(0, 1, holder(1), 50_000, TransferProgress::default())
                 .unwrap();
             out.progress(MS, 1, moved(20_000, 4_000));
             out.command(1);
@@ -466,48 +483,53 @@
             (SECOND / 2, 2, 300_000),
             (SECOND / 2, 1, 400_000),
         ] {
-            out.begin(at, id, holder(id), bytes, Moved::default())
+            out.begin(at, id, holder(id), bytes, TransferProgress::default())
                 .unwrap();
             out.progress(at, id, moved(1, 1));
         }
         out.progress(SECOND, 1, moved(100_000, 100_000));
         let full = out
-            .begin(SECOND, 4, holder(4), 200_000, Moved::default())
+            .begin(SECOND, 4, holder(4), 200_000, TransferProgress::default())
             .unwrap_err();
-        let cut = out.make_room(SECOND, Need::Bytes(holder(4), full, 200_000));
+        let cut = out.make_room(SECOND, ResourceNeed::Bytes(holder(4), full, 200_000));
         assert_eq!(
             cut.iter().map(|c| (c.id, c.why)).collect::<Vec<_>>(),
-            [(3, Why::Room)]
+            [(3, AbortReason::ResourcesNeeded)]
         );
-        out.begin(SECOND, 4, holder(4), 200_000, Moved::default())
+        out.begin(SECOND, 4, holder(4), 200_000, TransferProgress::default())
             .unwrap();
         assert_eq!(
-            out.make_room(SECOND, Need::Place)
+            out.make_room(SECOND, ResourceNeed::ConnectionSlot)
                 .iter()
                 .map(|c| c.id)
                 .collect::<Vec<_>>(),
             [2]
         );
         // Nobody goes in vain: what is left keeps its rate, or is too young to be judged.
-        assert!(out.make_room(SECOND, Need::Place).is_empty());
+        assert!(out
+            .make_room(SECOND, ResourceNeed::ConnectionSlot)
+            .is_empty());
     }
 
     #[test]
     fn one_that_is_far_away_is_not_taken_for_one_that_stands_still() {
         for (round_trip, cut) in [(1, 1), (90 * MS, 0)] {
             let mut out = outgoing();
-            out.begin(0, 1, holder(1), 60_000, Moved::default())
+            out.begin(0, 1, holder(1), 60_000, TransferProgress::default())
                 .unwrap();
             out.progress(
                 1,
                 1,
-                Moved {
+                TransferProgress {
                     written: 60_000,
                     delivered: 4_000,
                     round_trip,
                 },
             );
-            assert_eq!(out.make_room(100 * MS, Need::Place).len(), cut);
+            assert_eq!(
+                out.make_room(100 * MS, ResourceNeed::ConnectionSlot).len(),
+                cut
+            );
         }
     }
 
@@ -517,16 +539,19 @@
             enabled: Switch(true),
             ..BulkheadSettings::default()
         };
-        let mut out = Outgoing::new(&settings(), &shares, 0);
+        let mut out = OutgoingTransfers::new(&settings(), &shares, 0);
         for id in 1..=4 {
-            out.begin(0, id, holder(7), 65_536, Moved::default())
+            out.begin(0, id, holder(7), 65_536, TransferProgress::default())
                 .unwrap();
         }
         assert_eq!(
-            out.begin(0, 5, holder(7), 65_536, Moved::default()),
-            Err(Full::Customer)
+            out.begin(0, 5, holder(7), 65_536, TransferProgress::default()),
+            Err(LimitExceeded::Customer)
+        );
+        assert_eq!(
+            out.begin(0, 5, holder(8), 65_536, TransferProgress::default()),
+            Ok(())
         );
-        assert_eq!(out.begin(0, 5, holder(8), 65_536, Moved::default()), Ok(()));
         (1..=5).for_each(|id| out.end(id));
         assert!(out.account().is_empty());
     }
@@ -534,7 +559,7 @@
     #[test]
     fn the_least_rate_rises_with_pressure() {
         let mut out = outgoing();
-        out.begin(0, 1, holder(1), 100_000, Moved::default())
+        out.begin(0, 1, holder(1), 100_000, TransferProgress::default())
             .unwrap();
         out.progress(MS, 1, moved(50_000, 2_000));
         // 4,000 bytes a second by then: fine while there is room, not where places are all taken.
--- a/crates/slow-peer/src/rate.rs
+++ b/crates/slow-peer/src/rate.rs
@@ -8,17 +8,17 @@
 /// What is counted spans the whole window and up to an eighth more, and is held against the window alone: the rate is
 /// never told too low, so nobody who keeps a rate is ever found below it.
 #[derive(Clone, Debug)]
-pub struct Window {
+pub struct RateWindow {
     slot: u64,
     newest: u64,
     bytes: [u64; SLOTS + 1],
 }
 
-impl Window {
+impl RateWindow {
     /// An empty window of so many nanoseconds; the first bytes come no earlier than `now`.
     pub fn new(now: u64, window: u64) -> Self {
         let slot = (window / SLOTS as u64).max(1);
-        Window {
+        RateWindow {
             slot,
             newest: now / slot,
             bytes: [0; SLOTS + 1],
--- a/crates/slow-peer/src/socket/mod.rs
+++ b/crates/slow-peer/src/socket/mod.rs
@@ -3,4 +3,4 @@
 pub mod kernel;
 mod pacer;
 
-pub use pacer::{lend, Pacer, Ticket};
+pub use pacer::{borrow_descriptor, MonitoredConnection, TransferMonitor};
--- a/crates/slow-peer/src/socket/pacer.rs
+++ b/crates/slow-peer/src/socket/pacer.rs
@@ -10,8 +10,9 @@
 
 use super::kernel;
 use crate::{
-    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Moved, Need, Networked,
-    Outgoing, Reason, Row, Settings, Tally,
+    Abort, BulkheadSettings, Bulkheads, ConnectionId, EventCounts, LimitExceeded,
+    NetworkClassifier, OutgoingTransfers, OwnerStatistics, ResourceNeed, ResourceOwner, Settings,
+    SlowPeerEvent, SlowPeerStatistics, StallCompensatedClock, TransferProgress,
 };
 
 /// A tick may be this late, in nanoseconds, before the time beyond counts as one in which the program stood still.
@@ -21,18 +22,18 @@
 
 /// A connection whose answers are looked at. Gone from the list when it is dropped, which has to be no later than
 /// its socket is closed: the number of the descriptor is somebody else's after that.
-pub struct Ticket {
-    pacer: Arc<Pacer>,
-    id: Id,
+pub struct MonitoredConnection {
+    pacer: Arc<TransferMonitor>,
+    id: ConnectionId,
     peer: Option<IpNet>,
     written: Arc<AtomicU64>,
     /// A place is held on behalf of the set of addresses.
     placed: bool,
 }
 
-impl Ticket {
+impl MonitoredConnection {
     /// Names the connection to its pacer.
-    pub fn id(&self) -> Id {
+    pub fn id(&self) -> ConnectionId {
         self.id
     }
 
@@ -52,13 +53,13 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for MonitoredConnection {
     fn drop(&mut self) {
         let mut state = self.pacer.state();
         state.outgoing.end(self.id);
         state.connections.remove(&self.id);
         if self.placed {
-            state.peers.leave(Holder {
+            state.peers.leave(ResourceOwner {
                 customer: None,
                 peer: self.peer,
             });
@@ -77,24 +78,24 @@
 }
 
 struct State {
-    clock: FairClock,
+    clock: StallCompensatedClock,
     looked: u64,
-    next: Id,
-    outgoing: Outgoing,
-    connections: HashMap<Id, Connection>,
+    next: ConnectionId,
+    outgoing: OutgoingTransfers,
+    connections: HashMap<ConnectionId, Connection>,
     customers: Bulkheads,
     peers: Bulkheads,
-    tally: Tally,
+    tally: SlowPeerStatistics,
 }
 
 /// All of them. Shared by the door, the commands and one ticking task; every call is short and awaits nothing.
-pub struct Pacer {
+pub struct TransferMonitor {
     settings: Settings,
-    networked: Networked,
+    networked: NetworkClassifier,
     state: Mutex<State>,
 }
 
-impl Pacer {
+impl TransferMonitor {
     /// None yet, with room for so many connections in a program that has so many bytes of memory; `now` is
     /// nanoseconds of a clock that only advances.
     pub fn new(
@@ -104,17 +105,17 @@
         now: u64,
     ) -> Arc<Self> {
         let state = State {
-            clock: FairClock::new(now + settings.tick.nanos(), SLACK),
+            clock: StallCompensatedClock::new(now + settings.tick.nanos(), SLACK),
             looked: 0,
             next: 0,
-            outgoing: Outgoing::new(settings, bulkheads, memory),
+            outgoing: OutgoingTransfers::new(settings, bulkheads, memory),
             connections: HashMap::new(),
             customers: Bulkheads::new(bulkheads, places),
             peers: Bulkheads::new(bulkheads, places),
-            tally: Tally::default(),
+            tally: SlowPeerStatistics::default(),
         };
-        let networked = Networked::new(bulkheads);
-        Arc::new(Pacer {
+        let networked = NetworkClassifier::new(bulkheads);
+        Arc::new(TransferMonitor {
             settings: settings.clone(),
             networked,
             state: Mutex::new(state),
@@ -141,9 +142,9 @@
         address: IpAddr,
         socket: impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static,
         cut: impl Fn() + Send + 'static,
-    ) -> Ticket {
+    ) -> MonitoredConnection {
         let peer = self.networked.of(address);
-        let holder = Holder {
+        let holder = ResourceOwner {
             customer: None,
             peer,
         };
@@ -153,7 +154,9 @@
         let fair = state.clock.now(now);
         let placed = state.peers.enter(fair, holder).is_ok();
         if !placed {
-            state.tally.note(holder, Reason::PeerPlaces, 0, 0);
+            state
+                .tally
+                .note(holder, SlowPeerEvent::PeerNetworkSlotsExhausted, 0, 0);
         }
         let connection = Connection {
             socket: Box::new(socket),
@@ -161,7 +164,7 @@
             cut: Box::new(cut),
         };
         state.connections.insert(id, connection);
-        Ticket {
+        MonitoredConnection {
             pacer: self.clone(),
             id,
             peer,
@@ -171,12 +174,12 @@
     }
 
     /// A command was read on a connection.
-    pub fn command(&self, id: Id) {
+    pub fn command(&self, id: ConnectionId) {
         self.state().outgoing.command(id);
     }
 
     /// That command has its answer, one too short to be held.
-    pub fn answered(&self, id: Id) {
+    pub fn answered(&self, id: ConnectionId) {
         self.state().outgoing.answered(id);
     }
 
@@ -185,8 +188,8 @@
     /// # Errors
     ///
     /// Where it holds its share of places already.
-    pub fn enter(&self, now: u64, customer: u64) -> Result<(), Full> {
-        let holder = Holder {
+    pub fn enter(&self, now: u64, customer: u64) -> Result<(), LimitExceeded> {
+        let holder = ResourceOwner {
             customer: Some(customer),
             peer: None,
         };
@@ -194,14 +197,16 @@
         let fair = state.clock.now(now);
         let entered = state.customers.enter(fair, holder);
         if entered.is_err() {
-            state.tally.note(holder, Reason::CustomerPlaces, 0, 0);
+            state
+                .tally
+                .note(holder, SlowPeerEvent::CustomerSlotsExhausted, 0, 0);
         }
         entered
     }
 
     /// That command is over.
     pub fn leave(&self, customer: u64) {
-        self.state().customers.leave(Holder {
+        self.state().customers.leave(ResourceOwner {
             customer: Some(customer),
             peer: None,
         });
@@ -212,7 +217,13 @@
     /// # Errors
     ///
     /// No room, and nobody to blame for it: a short answer has to go in its place.
-    pub fn begin(&self, now: u64, id: Id, holder: Holder, bytes: u64) -> Result<(), Full> {
+    pub fn begin(
+        &self,
+        now: u64,
+        id: ConnectionId,
+        holder: ResourceOwner,
+        bytes: u64,
+    ) -> Result<(), LimitExceeded> {
         let mut state = self.state();
         let State {
             clock,
@@ -237,14 +248,18 @@
         };
         let cuts = state
             .outgoing
-            .make_room(fair, Need::Bytes(holder, full, bytes));
+            .make_room(fair, ResourceNeed::Bytes(holder, full, bytes));
         state.carry_out(fair, cuts);
         let begun = state.outgoing.begin(fair, id, holder, bytes, moved);
-        begun.inspect_err(|full| state.tally.note(holder, Reason::NoRoom(*full), bytes, 0))
+        begun.inspect_err(|full| {
+            state
+                .tally
+                .note(holder, SlowPeerEvent::ResponseReplaced(*full), bytes, 0)
+        })
     }
 
     /// True while an answer waits on a connection: it is not idle.
-    pub fn is_going(&self, now: u64, id: Id) -> bool {
+    pub fn is_going(&self, now: u64, id: ConnectionId) -> bool {
         let mut state = self.state();
         if state.outgoing.is_going(id) {
             state.look(now, APART);
@@ -257,7 +272,7 @@
         let mut state = self.state();
         state.look(now, APART);
         let fair = state.clock.now(now);
-        let cuts = state.outgoing.make_room(fair, Need::Place);
+        let cuts = state.outgoing.make_room(fair, ResourceNeed::ConnectionSlot);
         let found = !cuts.is_empty();
         state.carry_out(fair, cuts);
         found
@@ -275,12 +290,12 @@
     }
 
     /// Something happened that is to be counted.
-    pub fn note(&self, holder: Holder, reason: Reason) {
+    pub fn note(&self, holder: ResourceOwner, reason: SlowPeerEvent) {
         self.state().tally.note(holder, reason, 0, 0);
     }
 
     /// Counts and the worst rows since the last call, what waits now and the most that did.
-    pub fn report(&self, rows: usize) -> (Counts, Vec<Row>, u64, u64) {
+    pub fn report(&self, rows: usize) -> (EventCounts, Vec<OwnerStatistics>, u64, u64) {
         let mut state = self.state();
         let (counts, rows) = state.tally.take(rows);
         let waiting = state.outgoing.account().total();
@@ -291,7 +306,7 @@
 impl Connection {
     /// What is known of its bytes. Where the kernel does not tell, what is written is taken for delivered: nobody is
     /// cut for what is not known. The round trip is asked for only where it is `wanted`: it costs as much again.
-    fn moved(&self, wanted: bool) -> Moved {
+    fn moved(&self, wanted: bool) -> TransferProgress {
         let written = self.written.load(Ordering::Relaxed);
         let (mut waiting, mut round_trip) = (0, 0);
         (self.socket)(&mut |socket| {
@@ -302,7 +317,7 @@
                 0
             };
         });
-        Moved {
+        TransferProgress {
             written,
             delivered: written.saturating_sub(waiting),
             round_trip,
@@ -324,18 +339,22 @@
         }
     }
 
-    fn carry_out(&mut self, fair: u64, cuts: Vec<Cut>) {
+    fn carry_out(&mut self, fair: u64, cuts: Vec<Abort>) {
         for cut in cuts {
             // Who is cut comes back at once, more often than not.
             self.peers.distrust(
                 fair,
-                Holder {
+                ResourceOwner {
                     customer: None,
                     peer: cut.holder.peer,
                 },
             );
-            self.tally
-                .note(cut.holder, Reason::Cut(cut.why), cut.waiting, cut.age);
+            self.tally.note(
+                cut.holder,
+                SlowPeerEvent::ResponseAborted(cut.why),
+                cut.waiting,
+                cut.age,
+            );
             if let Some(connection) = self.connections.get(&cut.id) {
                 (connection.socket)(&mut |socket| kernel::reset_at_close(socket));
                 (connection.cut)();
@@ -348,8 +367,10 @@
 ///
 /// # Safety
 ///
-/// The descriptor has to stay open, and the same socket, until the [`Ticket`] that comes of it is dropped.
-pub unsafe fn lend(socket: &impl AsFd) -> impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static {
+/// The descriptor has to stay open, and the same socket, until the [`MonitoredConnection`] that comes of it is dropped.
+pub unsafe fn borrow_descriptor(
+    socket: &impl AsFd,
+) -> impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static {
     use std::os::fd::AsRawFd;
     let number = socket.as_fd().as_raw_fd();
     move |look| {
--- a/crates/slow-peer/src/tally.rs
+++ b/crates/slow-peer/src/tally.rs
@@ -10,34 +10,34 @@
 
 use std::collections::HashMap;
 
-use crate::account::{Full, Holder};
-use crate::outgoing::Why;
+use crate::account::{LimitExceeded, ResourceOwner};
+use crate::outgoing::AbortReason;
 
 /// Rows that are kept; beyond that, the row with the least events makes way for a newcomer.
 const ROWS: usize = 64;
 
 /// One kind of event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Reason {
+pub enum SlowPeerEvent {
     /// An answer going out was cut.
-    Cut(Why),
+    ResponseAborted(AbortReason),
     /// An answer was replaced by a short one: there was no room for it.
-    NoRoom(Full),
+    ResponseReplaced(LimitExceeded),
     /// An answer of an instance was given up: it stalled.
-    InStalled,
+    UpstreamResponseStalled,
     /// An answer of an instance was given up: it trickled.
-    InHopeless,
+    UpstreamResponseTooSlow,
     /// A body of a command was given up.
-    Upload,
+    RequestBodyTooSlow,
     /// A command was refused: its customer held its share of places.
-    CustomerPlaces,
+    CustomerSlotsExhausted,
     /// A connection was refused: its set of addresses held its share of places.
-    PeerPlaces,
+    PeerNetworkSlotsExhausted,
 }
 
 /// Counts since they were last taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct EventCounts {
     /// Answers going out that were cut for their rate.
     pub cut_slow: u64,
     /// The same, where nothing moved.
@@ -60,13 +60,13 @@
 
 /// Who was behind events.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Row {
+pub struct OwnerStatistics {
     /// The customer or set of addresses; for answers coming in, neither: what an instance does is not told here.
-    pub holder: Holder,
+    pub holder: ResourceOwner,
     /// How many events.
     pub events: u64,
     /// The reason of the last one.
-    pub last: Reason,
+    pub last: SlowPeerEvent,
     /// The most bytes that waited on one connection when it was cut.
     pub waiting: u64,
     /// The longest that one had waited, in nanoseconds.
@@ -75,28 +75,28 @@
 
 /// Counts and table. Bounded: a stranger with ever new names makes it no larger.
 #[derive(Debug, Default)]
-pub struct Tally {
-    counts: Counts,
-    rows: HashMap<Holder, Row>,
+pub struct SlowPeerStatistics {
+    counts: EventCounts,
+    rows: HashMap<ResourceOwner, OwnerStatistics>,
 }
 
-impl Tally {
+impl SlowPeerStatistics {
     /// Something happened, on somebody's behalf; bytes and nanoseconds where they say something.
-    pub fn note(&mut self, holder: Holder, reason: Reason, waiting: u64, age: u64) {
+    pub fn note(&mut self, holder: ResourceOwner, reason: SlowPeerEvent, waiting: u64, age: u64) {
         let counts = &mut self.counts;
         *match reason {
-            Reason::Cut(Why::Slow) => &mut counts.cut_slow,
-            Reason::Cut(Why::Stopped) => &mut counts.cut_stopped,
-            Reason::Cut(Why::Room) => &mut counts.cut_room,
-            Reason::NoRoom(_) => &mut counts.no_room,
-            Reason::InStalled => &mut counts.in_stalled,
-            Reason::InHopeless => &mut counts.in_hopeless,
-            Reason::Upload => &mut counts.uploads,
-            Reason::CustomerPlaces => &mut counts.customer_places,
-            Reason::PeerPlaces => &mut counts.peer_places,
+            SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate) => &mut counts.cut_slow,
+            SlowPeerEvent::ResponseAborted(AbortReason::Stalled) => &mut counts.cut_stopped,
+            SlowPeerEvent::ResponseAborted(AbortReason::ResourcesNeeded) => &mut counts.cut_room,
+            SlowPeerEvent::ResponseReplaced(_) => &mut counts.no_room,
+            SlowPeerEvent::UpstreamResponseStalled => &mut counts.in_stalled,
+            SlowPeerEvent::UpstreamResponseTooSlow => &mut counts.in_hopeless,
+            SlowPeerEvent::RequestBodyTooSlow => &mut counts.uploads,
+            SlowPeerEvent::CustomerSlotsExhausted => &mut counts.customer_places,
+            SlowPeerEvent::PeerNetworkSlotsExhausted => &mut counts.peer_places,
         } += 1;
         if holder
-            == (Holder {
+            == (ResourceOwner {
                 customer: None,
                 peer: None,
             })
@@ -114,7 +114,7 @@
             }
         }
         let row = self.rows.entry(holder);
-        let row = row.or_insert(Row {
+        let row = row.or_insert(OwnerStatistics {
             holder,
             events: 0,
             last: reason,
@@ -126,8 +126,8 @@
     }
 
     /// The counts since the last call, and the rows with the most events, at most so many.
-    pub fn take(&mut self, most: usize) -> (Counts, Vec<Row>) {
-        let mut rows: Vec<Row> = self.rows.drain().map(|(_, row)| row).collect();
+    pub fn take(&mut self, most: usize) -> (EventCounts, Vec<OwnerStatistics>) {
+        let mut rows: Vec<OwnerStatistics> = self.rows.drain().map(|(_, row)| row).collect();
         rows.sort_by_key(|row| std::cmp::Reverse((row.events, row.waiting)));
         rows.truncate(most);
         (std::mem::take(&mut self.counts), rows)
@@ -140,13 +140,27 @@
 
     #[test]
     fn the_table_names_the_worst_and_stays_small() {
-        let mut tally = Tally::default();
-        let holder = |c| Holder {
+        let mut tally = SlowPeerStatistics::default();
+        let holder = |c| ResourceOwner {
             customer: Some(c),
             peer: None,
         };
-        (0..3).for_each(|i| tally.note(holder(7), Reason::Cut(Why::Slow), 100 * i, 5));
-        (0..1_000).for_each(|c| tally.note(holder(1_000 + c), Reason::CustomerPlaces, 0, 0));
+        (0..3).for_each(|i| {
+            tally.note(
+                holder(7),
+                SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate),
+                100 * i,
+                5,
+            )
+        });
+        (0..1_000).for_each(|c| {
+            tally.note(
+                holder(1_000 + c),
+                SlowPeerEvent::CustomerSlotsExhausted,
+                0,
+                0,
+            )
+        });
         assert!(tally.rows.len() <= ROWS);
         let (counts, rows) = tally.take(2);
         assert_eq!(
@@ -157,6 +171,6 @@
             (rows[0].holder, rows[0].events, rows[0].waiting),
             (holder(7), 3, 200)
         );
-        assert_eq!(tally.take(2), (Counts::default(), Vec::new()));
+        assert_eq!(tally.take(2), (EventCounts::default(), Vec::new()));
     }
 }
--- a/crates/slow-peer/tests/schedules.rs
+++ b/crates/slow-peer/tests/schedules.rs
@@ -9,7 +9,8 @@
 
 use applewall_operator_config::{Size, Span, Switch};
 use applewall_slow_peer::{
-    BulkheadSettings, Holder, Incoming, Moved, Need, Outgoing, Settings, Verdict, Why,
+    AbortReason, BulkheadSettings, IncomingStatus, IncomingTransfer, OutgoingTransfers,
+    ResourceNeed, ResourceOwner, Settings, TransferProgress,
 };
 use proptest::prelude::*;
 
@@ -64,7 +65,7 @@
     #[test]
     fn outgoing(steps in prop::collection::vec(step(), 1..200), shares in any::<bool>()) {
         let shares = BulkheadSettings { enabled: Switch(shares), ..BulkheadSettings::default() };
-        let mut out = Outgoing::new(&settings(), &shares, 0);
+        let mut out = OutgoingTransfers::new(&settings(), &shares, 0);
         let (mut now, mut known, mut moved) = (0, BTreeMap::<u64, Known>::new(), BTreeMap::<u64, u64>::new());
         for (wait, step) in steps {
             now += wait * MS;
@@ -73,13 +74,13 @@
             let mut least = settings().out_least_full.0 as f64;
             match step {
                 Step::Begin { id, customer, bytes } => {
-                    let holder = Holder { customer: Some(customer), peer: None };
+                    let holder = ResourceOwner { customer: Some(customer), peer: None };
                     let at = moved.get(&id).copied().unwrap_or(0);
-                    let at = Moved { written: at, delivered: at, round_trip: 0 };
+                    let at = TransferProgress { written: at, delivered: at, round_trip: 0 };
                     let going = out.is_going(id);
                     let mut begun = out.begin(now, id, holder, bytes, at);
                     if let Err(full) = begun {
-                        cuts = out.make_room(now, Need::Bytes(holder, full, bytes));
+                        cuts = out.make_room(now, ResourceNeed::Bytes(holder, full, bytes));
                         // Where somebody had to go, it was not in vain; another limit may still be passed.
                         begun = out.begin(now, id, holder, bytes, at);
                         prop_assert!(cuts.is_empty() || begun.is_ok() || begun != Err(full));
@@ -94,7 +95,7 @@
                 Step::Progress { id, bytes } => {
                     let at = moved.entry(id).or_default();
                     *at += bytes;
-                    out.progress(now, id, Moved { written: *at, delivered: *at, round_trip: 0 });
+                    out.progress(now, id, TransferProgress { written: *at, delivered: *at, round_trip: 0 });
                     if let Some(known) = known.get_mut(&id) {
                         known.delivered.push((now, bytes));
                         known.written |= bytes > 0;
@@ -112,7 +113,7 @@
                     cuts = out.judge(now, places);
                     least = out.least();
                 }
-                Step::Place => cuts = out.make_room(now, Need::Place),
+                Step::Place => cuts = out.make_room(now, ResourceNeed::ConnectionSlot),
             }
             for cut in cuts {
                 let known = known.remove(&cut.id).expect("only what is going is cut");
@@ -127,7 +128,7 @@
                 let short = settings().room_grace.nanos();
                 let slow = match cut.why {
                     // Room: slow over the short window, or standing still.
-                    Why::Room => rate(50 * MS) == 0.0 || age >= short && rate(short) < least,
+                    AbortReason::ResourcesNeeded => rate(50 * MS) == 0.0 || age >= short && rate(short) < least,
                     _ => rate(age.min(settings().window.nanos())) < least,
                 };
                 prop_assert!(slow, "keeps {least}");
@@ -149,13 +150,13 @@
         let factor = if hopeless { 12.0 } else { part };
         let gap = (until as f64 * factor / pieces as f64) as u64;
         prop_assume!(gap < 350 * MS);
-        let mut transfer = Incoming::new(&settings(), 0, until, Some(total));
+        let mut transfer = IncomingTransfer::new(&settings(), 0, until, Some(total));
         let (mut given_up, mut look) = (None, u64::MAX);
         'all: for i in 1..=pieces {
             let at = i * gap;
             while look < at {
                 match transfer.verdict(look) {
-                    Verdict::Wait(next) => { prop_assert!(next > look); look = next }
+                    IncomingStatus::CheckAgainAt(next) => { prop_assert!(next > look); look = next }
                     _ => { given_up = Some(look); break 'all }
                 }
             }
@@ -164,7 +165,7 @@
             }
             transfer.arrive(at, total * i / pieces - total * (i - 1) / pieces);
             match transfer.verdict(at) {
-                Verdict::Wait(next) => look = next,
+                IncomingStatus::CheckAgainAt(next) => look = next,
                 _ => { given_up = Some(at); break }
             }
         }
@@ -183,7 +184,7 @@
         let share = ((places as f64 * settings.customer_places) as u64).max(1);
         let mut held = BTreeMap::<u64, u64>::new();
         for (customer, enter) in steps {
-            let holder = Holder { customer: Some(customer), peer: None };
+            let holder = ResourceOwner { customer: Some(customer), peer: None };
             let have = held.entry(customer).or_default();
             if enter {
                 let entered = bulkheads.enter(0, holder).is_ok();
--- a/crates/slow-peer/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -12,8 +12,10 @@
 use std::sync::Arc;
 
 use applewall_operator_config::{Size, Span, Switch};
-use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
-use applewall_slow_peer::{BulkheadSettings, Full, Holder, Settings};
+use applewall_slow_peer::socket::{
+    borrow_descriptor, kernel, MonitoredConnection, TransferMonitor,
+};
+use applewall_slow_peer::{BulkheadSettings, LimitExceeded, ResourceOwner, Settings};
 use socket2::SockRef;
 
 const MS: u64 = 1_000_000;
@@ -21,12 +23,12 @@
 
 struct Door {
     listener: TcpListener,
-    pacer: Arc<Pacer>,
+    pacer: Arc<TransferMonitor>,
 }
 
 /// A connection with both its ends.
 struct Both {
-    ticket: Ticket,
+    ticket: MonitoredConnection,
     ours: TcpStream,
     theirs: TcpStream,
     cuts: Arc<AtomicUsize>,
@@ -46,7 +48,7 @@
     .unwrap();
     Door {
         listener,
-        pacer: Pacer::new(&settings, &bulkheads, (8, 6 << 20), START),
+        pacer: TransferMonitor::new(&settings, &bulkheads, (8, 6 << 20), START),
     }
 }
 
@@ -64,7 +66,7 @@
         let count = told.clone();
         drop(cuts);
         // SAFETY: the ticket is dropped before the stream, as the fields of `Both` are declared.
-        let socket_of = unsafe { lend(&ours) };
+        let socket_of = unsafe { borrow_descriptor(&ours) };
         let ticket = self.pacer.join(now, address.ip(), socket_of, move || {
             let _ = count.fetch_add(1, Ordering::Relaxed);
         });
@@ -92,8 +94,14 @@
         written
     }
 
-    fn begin(&mut self, door: &Door, now: u64, customer: u64, bytes: usize) -> Result<usize, Full> {
-        let holder = Holder {
+    fn begin(
+        &mut self,
+        door: &Door,
+        now: u64,
+        customer: u64,
+        bytes: usize,
+    ) -> Result<usize, LimitExceeded> {
+        let holder = ResourceOwner {
             customer: Some(customer),
             peer: self.ticket.peer(),
         };
@@ -188,7 +196,7 @@
 fn an_answer_that_was_not_begun_and_a_command_that_is_owed_are_never_cut() {
     let door = door(Settings::default(), BulkheadSettings::default());
     let (mut fresh, mut ahead) = (door.connect(START), door.connect(START));
-    let holder = Holder {
+    let holder = ResourceOwner {
         customer: Some(1),
         peer: None,
     };
@@ -220,7 +228,10 @@
     a.begin(&door, START, 1, 60_000).unwrap();
     b.begin(&door, START + 10 * MS, 2, 60_000).unwrap();
     // Nobody is to blame yet.
-    assert_eq!(c.begin(&door, START + 20 * MS, 3, 60_000), Err(Full::Total));
+    assert_eq!(
+        c.begin(&door, START + 20 * MS, 3, 60_000),
+        Err(LimitExceeded::Total)
+    );
     door.pacer.tick(START + 50 * MS, 0.0);
     door.pacer.tick(START + 100 * MS, 0.0);
     c.begin(&door, START + 110 * MS, 3, 60_000).unwrap();
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::{kernel, lend, Pacer};
+use applewall_slow_peer::socket::{borrow_descriptor, kernel, TransferMonitor};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -223,7 +223,7 @@
     }
 
     /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
-    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
+    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<TransferMonitor>>) {
         let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else {
             return;
         };
@@ -258,7 +258,7 @@
             let told = cut.clone();
             // SAFETY: the ticket goes into `Guarded`, which drops it before the stream and never moves the stream
             // out without dropping it.
-            let socket = unsafe { lend(&stream) };
+            let socket = unsafe { borrow_descriptor(&stream) };
             (
                 pacer.clone(),
                 pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -11,22 +11,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Holder, Id};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{ConnectionId, ResourceOwner};
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
 /// Where the answers on a connection are looked at: by whom, and as what.
 pub struct Paced {
-    pub pacer: Arc<Pacer>,
-    pub id: Id,
+    pub pacer: Arc<TransferMonitor>,
+    pub id: ConnectionId,
     pub peer: Option<IpNet>,
 }
 
 impl Paced {
     /// On whose behalf an answer to a customer is held here.
-    pub fn holder(&self, customer: Option<u64>) -> Holder {
-        Holder {
+    pub fn holder(&self, customer: Option<u64>) -> ResourceOwner {
+        ResourceOwner {
             customer,
             peer: self.peer,
         }
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use applewall_slow_peer::socket::Ticket;
+use applewall_slow_peer::socket::MonitoredConnection;
 
 use crate::server::connection_table::Seat;
 
@@ -97,7 +97,7 @@
 /// A service client's stream, with the guard on what is read.
 pub(crate) struct Guarded {
     /// Before the stream, so that it goes first: it looks at the stream's descriptor.
-    ticket: Option<Ticket>,
+    ticket: Option<MonitoredConnection>,
     pub stream: TcpStream,
     heads: Heads,
     seat: Arc<Seat>,
@@ -108,7 +108,11 @@
 
 impl Guarded {
     /// A stream of which nothing has been read.
-    pub(crate) fn new(stream: TcpStream, seat: Arc<Seat>, ticket: Option<Ticket>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        seat: Arc<Seat>,
+        ticket: Option<MonitoredConnection>,
+    ) -> Self {
         Guarded {
             ticket,
             stream,
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -29,8 +29,8 @@
 use tower::Service;
 
 use applewall_admin::Stage;
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Reason, Verdict};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{IncomingStatus, SlowPeerEvent};
 
 use crate::clock::Clock;
 use crate::engine::message::{Command, Message, Passed};
@@ -170,7 +170,7 @@
 }
 
 /// A customer's place among open commands, given back when it is dropped.
-struct Entered<'a>(&'a Pacer, u64);
+struct Entered<'a>(&'a TransferMonitor, u64);
 
 impl Drop for Entered<'_> {
     fn drop(&mut self) {
@@ -282,7 +282,10 @@
                         if let (Answer::Failed(StatusCode::REQUEST_TIMEOUT, _), Some(paced)) =
                             (&answer, &seat.paced)
                         {
-                            paced.pacer.note(paced.holder(Some(number)), Reason::Upload);
+                            paced.pacer.note(
+                                paced.holder(Some(number)),
+                                SlowPeerEvent::RequestBodyTooSlow,
+                            );
                         }
                         return answer;
                     }
@@ -343,16 +346,20 @@
     async fn collect_paced(
         &self,
         body: Incoming,
-        pacer: &Pacer,
+        pacer: &TransferMonitor,
         until: Instant,
         length: Option<u64>,
     ) -> Result<Bytes, Answer> {
         let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::new());
         let now = self.clock.now();
-        let mut transfer =
-            applewall_slow_peer::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
+        let mut transfer = applewall_slow_peer::IncomingTransfer::new(
+            pacer.settings(),
+            now,
+            self.clock.at(until),
+            length,
+        );
         loop {
-            let Verdict::Wait(next) = transfer.verdict(self.clock.now()) else {
+            let IncomingStatus::CheckAgainAt(next) = transfer.verdict(self.clock.now()) else {
                 return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
             };
             let next = self.clock.instant(next).into();
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -7,8 +7,8 @@
 
 use std::sync::Arc;
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::Row;
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::OwnerStatistics;
 use tokio::sync::{watch, Semaphore};
 
 use crate::clock::Clock;
@@ -18,7 +18,7 @@
 const ROWS: usize = 5;
 
 /// The pacer in force; none where all of it is off.
-pub(crate) type Pacers = watch::Receiver<Option<Arc<Pacer>>>;
+pub(crate) type Pacers = watch::Receiver<Option<Arc<TransferMonitor>>>;
 
 /// Follows the operator's settings. A new pacer holds for connections that come after it; those of the one before stay
 /// with that until they close. `size` is how many connections are served at most, and the bytes of memory.
@@ -56,18 +56,18 @@
     clock: Clock,
     places: &(Arc<Semaphore>, usize),
     size: (usize, u64),
-) -> Option<Arc<Pacer>> {
+) -> Option<Arc<TransferMonitor>> {
     if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
         return None;
     }
-    let pacer = Pacer::new(&settings.pace, &settings.bulkheads, size, clock.now());
+    let pacer = TransferMonitor::new(&settings.pace, &settings.bulkheads, size, clock.now());
     tokio::spawn(tick(Arc::downgrade(&pacer), clock, places.clone(), size.0));
     Some(pacer)
 }
 
 /// Ticks for as long as anybody needs the pacer.
 async fn tick(
-    pacer: std::sync::Weak<Pacer>,
+    pacer: std::sync::Weak<TransferMonitor>,
     clock: Clock,
     (places, all): (Arc<Semaphore>, usize),
     clients: usize,
@@ -87,10 +87,10 @@
         return;
     };
     let (counts, rows, waiting, waiting_most) = pacer.report(ROWS);
-    if waiting_most == 0 && counts == applewall_slow_peer::Counts::default() {
+    if waiting_most == 0 && counts == applewall_slow_peer::EventCounts::default() {
         return;
     }
-    let applewall_slow_peer::Counts {
+    let applewall_slow_peer::EventCounts {
         cut_slow,
         cut_stopped,
         cut_room,
@@ -115,7 +115,7 @@
         peer_places,
         "pace"
     );
-    for Row {
+    for OwnerStatistics {
         holder,
         events,
         last,
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Holder, Incoming, Reason, Verdict};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{IncomingStatus, IncomingTransfer, ResourceOwner, SlowPeerEvent};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -34,7 +34,7 @@
 
 /// What answers of instances are held to, where the operator's settings ask for that.
 pub(crate) struct Pacing {
-    pub pacer: Arc<Pacer>,
+    pub pacer: Arc<TransferMonitor>,
     pub clock: Clock,
 }
 
@@ -46,9 +46,9 @@
             .is_some_and(|again| again.saturating_duration_since(Instant::now()) >= room)
     }
 
-    fn note(&self, reason: Reason) {
+    fn note(&self, reason: SlowPeerEvent) {
         self.pacer.note(
-            Holder {
+            ResourceOwner {
                 customer: None,
                 peer: None,
             },
@@ -67,26 +67,26 @@
         if !self.may_give_up(due) {
             std::future::pending::<()>().await;
         }
-        self.note(Reason::InStalled);
+        self.note(SlowPeerEvent::UpstreamResponseStalled);
     }
 
     /// Reads a body ahead; none where it is spoilt, stalls or can't be whole in time.
     pub(crate) async fn collect(&self, body: &mut Answered, due: Due) -> Option<(Bytes, bool)> {
         let length = body.size_hint().exact();
         let (now, until) = (self.clock.now(), self.clock.at(due.until));
-        let mut transfer = Incoming::new(self.pacer.settings(), now, until, length);
+        let mut transfer = IncomingTransfer::new(self.pacer.settings(), now, until, length);
         let mut whole = BytesMut::with_capacity(length.unwrap_or(0) as usize);
         loop {
             let next = match transfer.verdict(self.clock.now()) {
-                Verdict::Wait(next) => next,
+                IncomingStatus::CheckAgainAt(next) => next,
                 // Nothing is gained by giving up: it may yet come, until the attempt's own time is up.
                 _ if !self.may_give_up(due) => u64::MAX,
                 verdict => {
-                    let stalled = verdict == Verdict::Stalled;
+                    let stalled = verdict == IncomingStatus::Stalled;
                     self.note(if stalled {
-                        Reason::InStalled
+                        SlowPeerEvent::UpstreamResponseStalled
                     } else {
-                        Reason::InHopeless
+                        SlowPeerEvent::UpstreamResponseTooSlow
                     });
                     return None;
                 }
