--- a/crates/slow-peer/src/account.rs
+++ b/crates/slow-peer/src/account.rs
@@ -15,7 +15,7 @@
     /// The customer; none where it is not known yet.
     pub customer: Option<u64>,
     /// The set of addresses it came from; none where it is not bounded.
-    pub peer: Option<IpNet>,
+    pub peer_network: Option<IpNet>,
 }
 
 /// Why something may not be held: which limit it would pass.
@@ -36,7 +36,7 @@
     per_customer: u64,
     per_peer: u64,
     total: u64,
-    most: u64,
+    peak: u64,
     customers: HashMap<u64, u64>,
     peers: HashMap<IpNet, u64>,
 }
@@ -50,7 +50,7 @@
             per_customer,
             per_peer,
             total: 0,
-            most: 0,
+            peak: 0,
             customers,
             peers,
         }
@@ -61,7 +61,7 @@
     /// # Errors
     ///
     /// The limit that it would pass; the narrowest first, since who passes it is the one to blame.
-    pub fn take(&mut self, holder: ResourceOwner, amount: u64) -> Result<(), LimitExceeded> {
+    pub fn acquire(&mut self, holder: ResourceOwner, amount: u64) -> Result<(), LimitExceeded> {
         let held = |held: Option<&u64>| held.copied().unwrap_or(0).saturating_add(amount);
         if holder
             .customer
@@ -70,7 +70,7 @@
             return Err(LimitExceeded::Customer);
         }
         if holder
-            .peer
+            .peer_network
             .is_some_and(|p| held(self.peers.get(&p)) > self.per_peer)
         {
             return Err(LimitExceeded::PeerNetwork);
@@ -79,14 +79,14 @@
             return Err(LimitExceeded::Total);
         }
         self.total += amount;
-        self.most = self.most.max(self.total);
+        self.peak = self.peak.max(self.total);
         if amount > 0 {
             holder
                 .customer
                 .into_iter()
                 .for_each(|c| *self.customers.entry(c).or_default() += amount);
             holder
-                .peer
+                .peer_network
                 .into_iter()
                 .for_each(|p| *self.peers.entry(p).or_default() += amount);
         }
@@ -94,18 +94,18 @@
     }
 
     /// Gives so much back. Who holds nothing any more is forgotten.
-    pub fn give(&mut self, holder: ResourceOwner, amount: u64) {
+    pub fn release(&mut self, holder: ResourceOwner, amount: u64) {
         self.total = self.total.saturating_sub(amount);
         if let Some(customer) = holder.customer {
             give(&mut self.customers, customer, amount);
         }
-        if let Some(peer) = holder.peer {
+        if let Some(peer) = holder.peer_network {
             give(&mut self.peers, peer, amount);
         }
     }
 
     /// How much fits under one limit.
-    pub fn room(&self, holder: ResourceOwner, limit: LimitExceeded) -> u64 {
+    pub fn available(&self, holder: ResourceOwner, limit: LimitExceeded) -> u64 {
         let held = |held: Option<&u64>| held.copied().unwrap_or(0);
         match limit {
             LimitExceeded::Total => self.limit.saturating_sub(self.total),
@@ -114,12 +114,12 @@
                 .saturating_sub(held(holder.customer.and_then(|c| self.customers.get(&c)))),
             LimitExceeded::PeerNetwork => self
                 .per_peer
-                .saturating_sub(held(holder.peer.and_then(|p| self.peers.get(&p)))),
+                .saturating_sub(held(holder.peer_network.and_then(|p| self.peers.get(&p)))),
         }
     }
 
     /// What is held on behalf of a set of addresses.
-    pub fn of_peer(&self, peer: IpNet) -> u64 {
+    pub fn used_by_network(&self, peer: IpNet) -> u64 {
         self.peers.get(&peer).copied().unwrap_or(0)
     }
 
@@ -129,12 +129,12 @@
     }
 
     /// The most that was ever held since the last call.
-    pub fn take_most(&mut self) -> u64 {
-        std::mem::replace(&mut self.most, self.total)
+    pub fn take_peak(&mut self) -> u64 {
+        std::mem::replace(&mut self.peak, self.total)
     }
 
     /// The share of the limit that is held.
-    pub fn share(&self) -> f64 {
+    pub fn used_fraction(&self) -> f64 {
         self.total as f64 / self.limit.max(1) as f64
     }
 
--- a/crates/slow-peer/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -44,7 +44,7 @@
 
     /// The set of an address; none where it is not bounded. An IPv4 address in IPv6 clothes is that IPv4 address:
     /// it must not count as another set.
-    pub fn of(&self, address: IpAddr) -> Option<IpNet> {
+    pub fn network_of(&self, address: IpAddr) -> Option<IpNet> {
         let address = address.to_canonical();
         if !self.enabled || self.exempt.contains(address) {
             return None;
@@ -57,12 +57,12 @@
 /// Places that are held, each by a customer or a set of addresses.
 #[derive(Debug)]
 pub struct Bulkheads {
-    held: ResourceAccount,
+    slots: ResourceAccount,
     per_peer: u64,
-    distrust: u64,
+    penalize: u64,
     /// Until when each cut counts, oldest first, and how many count for each set of addresses.
-    cuts: VecDeque<(u64, IpNet)>,
-    cut: HashMap<IpNet, u64>,
+    penalties: VecDeque<(u64, IpNet)>,
+    penalty_counts: HashMap<IpNet, u64>,
 }
 
 impl Bulkheads {
@@ -75,39 +75,41 @@
         let (per_customer, per_peer) =
             (share(settings.customer_places), share(settings.peer_places));
         Bulkheads {
-            held: ResourceAccount::new(u64::MAX, per_customer, per_peer),
+            slots: ResourceAccount::new(u64::MAX, per_customer, per_peer),
             per_peer,
-            distrust: settings.distrust.nanos(),
-            cuts: VecDeque::new(),
-            cut: HashMap::new(),
+            penalize: settings.distrust.nanos(),
+            penalties: VecDeque::new(),
+            penalty_counts: HashMap::new(),
         }
     }
 
     /// A connection of this holder's set of addresses was cut for its pace.
-    pub fn distrust(&mut self, now: u64, holder: ResourceOwner) {
-        let Some(peer) = holder.peer else { return };
-        self.forget(now);
+    pub fn penalize(&mut self, now: u64, holder: ResourceOwner) {
+        let Some(peer) = holder.peer_network else {
+            return;
+        };
+        self.expire_penalties(now);
         // More than these take no further place: what is kept stays bounded.
-        let cut = self.cut.entry(peer).or_default();
+        let cut = self.penalty_counts.entry(peer).or_default();
         if *cut < self.per_peer.saturating_sub(1) {
             *cut += 1;
-            self.cuts
-                .push_back((now.saturating_add(self.distrust), peer));
+            self.penalties
+                .push_back((now.saturating_add(self.penalize), peer));
         }
     }
 
-    fn forget(&mut self, now: u64) {
+    fn expire_penalties(&mut self, now: u64) {
         while let Some((_, peer)) = self
-            .cuts
+            .penalties
             .front()
             .copied()
             .filter(|(until, _)| *until <= now)
         {
-            self.cuts.pop_front();
-            if let Some(left) = self.cut.get_mut(&peer) {
+            self.penalties.pop_front();
+            if let Some(left) = self.penalty_counts.get_mut(&peer) {
                 *left = left.saturating_sub(1);
                 if *left == 0 {
-                    self.cut.remove(&peer);
+                    self.penalty_counts.remove(&peer);
                 }
             }
         }
@@ -118,25 +120,25 @@
     /// # Errors
     ///
     /// Whose share is taken.
-    pub fn enter(&mut self, now: u64, holder: ResourceOwner) -> Result<(), LimitExceeded> {
-        self.forget(now);
+    pub fn acquire(&mut self, now: u64, holder: ResourceOwner) -> Result<(), LimitExceeded> {
+        self.expire_penalties(now);
         let cut = holder
-            .peer
-            .and_then(|peer| Some((peer, *self.cut.get(&peer)?)));
-        if cut.is_some_and(|(peer, cut)| self.held.of_peer(peer) + cut >= self.per_peer) {
+            .peer_network
+            .and_then(|peer| Some((peer, *self.penalty_counts.get(&peer)?)));
+        if cut.is_some_and(|(peer, cut)| self.slots.used_by_network(peer) + cut >= self.per_peer) {
             return Err(LimitExceeded::PeerNetwork);
         }
-        self.held.take(holder, 1)
+        self.slots.acquire(holder, 1)
     }
 
     /// Gives the place back.
-    pub fn leave(&mut self, holder: ResourceOwner) {
-        self.held.give(holder, 1);
+    pub fn release(&mut self, holder: ResourceOwner) {
+        self.slots.release(holder, 1);
     }
 
     /// True where nobody holds a place.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.slots.is_empty()
     }
 }
 
@@ -158,7 +160,7 @@
         let networked = NetworkClassifier::new(&settings());
         let of = |text: &str| {
             networked
-                .of(text.parse().unwrap())
+                .network_of(text.parse().unwrap())
                 .map(|net| net.to_string())
         };
         assert_eq!(of("192.0.2.7").as_deref(), Some("192.0.2.0/24"));
@@ -169,7 +171,8 @@
         );
         assert_eq!(of("10.1.2.3"), None);
         assert_eq!(
-            NetworkClassifier::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()),
+            NetworkClassifier::new(&BulkheadSettings::default())
+                .network_of("192.0.2.7".parse().unwrap()),
             None
         );
     }
@@ -179,15 +182,15 @@
         let mut bulkheads = Bulkheads::new(&settings(), 8);
         let peer = |text: &str| ResourceOwner {
             customer: None,
-            peer: Some(text.parse().unwrap()),
+            peer_network: Some(text.parse().unwrap()),
         };
         let (cut, other) = (peer("192.0.2.0/24"), peer("198.51.100.0/24"));
         let enter = |bulkheads: &mut Bulkheads, now, holder| {
             (0..8)
-                .take_while(|_| bulkheads.enter(now, holder).is_ok())
+                .take_while(|_| bulkheads.acquire(now, holder).is_ok())
                 .count()
         };
-        (0..2).for_each(|_| bulkheads.distrust(0, cut));
+        (0..2).for_each(|_| bulkheads.penalize(0, cut));
         assert_eq!(
             (
                 enter(&mut bulkheads, 1, cut),
@@ -195,14 +198,14 @@
             ),
             (2, 4)
         );
-        (0..2).for_each(|_| bulkheads.leave(cut));
+        (0..2).for_each(|_| bulkheads.release(cut));
         // However many were cut: one place stays, and all come back when the time is over.
-        (0..100).for_each(|_| bulkheads.distrust(1, cut));
-        assert!(bulkheads.cuts.len() < 4);
+        (0..100).for_each(|_| bulkheads.penalize(1, cut));
+        assert!(bulkheads.penalties.len() < 4);
         assert_eq!(enter(&mut bulkheads, 2, cut), 1);
-        bulkheads.leave(cut);
+        bulkheads.release(cut);
         assert_eq!(enter(&mut bulkheads, 20_000_000_000, cut), 4);
-        assert!(bulkheads.cuts.is_empty() && bulkheads.cut.is_empty());
+        assert!(bulkheads.penalties.is_empty() && bulkheads.penalty_counts.is_empty());
     }
 
     #[test]
@@ -210,16 +213,16 @@
         let mut bulkheads = Bulkheads::new(&settings(), 8);
         let customer = |c| ResourceOwner {
             customer: Some(c),
-            peer: None,
+            peer_network: None,
         };
         assert_eq!(
-            [1, 1, 1].map(|c| bulkheads.enter(0, customer(c))),
+            [1, 1, 1].map(|c| bulkheads.acquire(0, customer(c))),
             [Ok(()), Ok(()), Err(LimitExceeded::Customer)]
         );
-        assert_eq!(bulkheads.enter(0, customer(2)), Ok(()));
+        assert_eq!(bulkheads.acquire(0, customer(2)), Ok(()));
         [1, 1, 2]
             .into_iter()
-            .for_each(|c| bulkheads.leave(customer(c)));
+            .for_each(|c| bulkheads.release(customer(c)));
         assert!(bulkheads.is_empty());
     }
 }
--- a/crates/slow-peer/src/floor.rs
+++ b/crates/slow-peer/src/floor.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Debug)]
 pub struct MinimumDataRate {
     least: f64,
-    full: f64,
+    at_full_pressure: f64,
     from: f64,
     pressure: f64,
 }
@@ -15,14 +15,14 @@
     pub fn new(least: f64, full: f64, from: f64) -> Self {
         MinimumDataRate {
             least,
-            full: full.max(least),
+            at_full_pressure: full.max(least),
             from: from.clamp(0.0, 0.99),
             pressure: 0.0,
         }
     }
 
     /// The pressure is this now: the greater share taken of what can run short.
-    pub fn press(&mut self, pressure: f64) {
+    pub fn set_pressure(&mut self, pressure: f64) {
         self.pressure = if pressure.is_finite() {
             pressure.clamp(0.0, 1.0)
         } else {
@@ -31,13 +31,13 @@
     }
 
     /// The least rate in force.
-    pub fn rate(&self) -> f64 {
+    pub fn current(&self) -> f64 {
         let over = ((self.pressure - self.from) / (1.0 - self.from)).max(0.0);
-        self.least + (self.full - self.least) * over
+        self.least + (self.at_full_pressure - self.least) * over
     }
 
     /// The least rate where nothing is left: the one to be held to when room has to be made.
-    pub fn full(&self) -> f64 {
-        self.full
+    pub fn at_full_pressure(&self) -> f64 {
+        self.at_full_pressure
     }
 }
--- a/crates/slow-peer/src/incoming.rs
+++ b/crates/slow-peer/src/incoming.rs
@@ -42,7 +42,7 @@
 pub struct IncomingTransfer {
     total: Option<u64>,
     until: u64,
-    done: u64,
+    bytes_so_far: u64,
     /// When the last arrivals ended, and the bytes there were by then; a ring.
     arrivals: [(u64, u64); ARRIVALS + 1],
     seen: usize,
@@ -61,7 +61,7 @@
         IncomingTransfer {
             total,
             until,
-            done: 0,
+            bytes_so_far: 0,
             arrivals: [(now, 0); ARRIVALS + 1],
             seen: 0,
             started: now,
@@ -74,25 +74,25 @@
     }
 
     /// So many bytes came.
-    pub fn arrive(&mut self, now: u64, bytes: u64) {
+    pub fn bytes_received(&mut self, now: u64, bytes: u64) {
         if bytes == 0 {
             return;
         }
         let now = self.clock.now(now);
-        self.done = self.done.saturating_add(bytes);
+        self.bytes_so_far = self.bytes_so_far.saturating_add(bytes);
         let last = &mut self.arrivals[self.seen % (ARRIVALS + 1)];
         // The beginning, with no bytes, is no arrival that later ones could belong to.
         if self.seen > 0 && now.saturating_sub(last.0) < SAME {
-            last.1 = self.done;
+            last.1 = self.bytes_so_far;
             return;
         }
         self.seen += 1;
-        self.arrivals[self.seen % (ARRIVALS + 1)] = (now, self.done);
+        self.arrivals[self.seen % (ARRIVALS + 1)] = (now, self.bytes_so_far);
     }
 
     /// What is to be done at `now`. Where this look comes long after the one that was agreed on, the program stood
     /// still, and nobody is judged by that time.
-    pub fn verdict(&mut self, now: u64) -> IncomingStatus {
+    pub fn evaluate(&mut self, now: u64) -> IncomingStatus {
         let fair = self.clock.now(now);
         let verdict = self.judge(fair, self.until.saturating_sub(now));
         let next = match verdict {
@@ -110,7 +110,7 @@
 
     fn judge(&self, now: u64, left: u64) -> IncomingStatus {
         let (last, _) = self.arrivals[self.seen % (ARRIVALS + 1)];
-        let whole = self.total.is_some_and(|total| self.done >= total);
+        let whole = self.total.is_some_and(|total| self.bytes_so_far >= total);
         if !whole && now.saturating_sub(last) >= self.pause {
             return IncomingStatus::Stalled;
         }
@@ -128,13 +128,13 @@
             return false;
         }
         let (since, before) = self.arrivals[(self.seen + 1) % (ARRIVALS + 1)];
-        let rate = (self.done - before) as f64 / now.saturating_sub(since).max(1) as f64;
-        (total - self.done) as f64 > rate * left as f64 * self.slack
+        let rate = (self.bytes_so_far - before) as f64 / now.saturating_sub(since).max(1) as f64;
+        (total - self.bytes_so_far) as f64 > rate * left as f64 * self.slack
     }
 
     /// Bytes so far.
-    pub fn done(&self) -> u64 {
-        self.done
+    pub fn bytes_so_far(&self) -> u64 {
+        self.bytes_so_far
     }
 }
 
@@ -154,14 +154,14 @@
         let mut next = arrivals.iter().peekable();
         for ms in 0..until {
             while let Some((_, bytes)) = next.next_if(|(at, _)| *at == ms) {
-                incoming.arrive(ms * MS, *bytes);
+                incoming.bytes_received(ms * MS, *bytes);
             }
-            if total.is_some_and(|t| incoming.done() >= t)
+            if total.is_some_and(|t| incoming.bytes_so_far() >= t)
                 || total.is_none() && next.peek().is_none()
             {
                 return None;
             }
-            match incoming.verdict(ms * MS) {
+            match incoming.evaluate(ms * MS) {
                 IncomingStatus::CheckAgainAt(next) => assert!(next > ms * MS),
                 verdict => return Some((ms, verdict)),
             }
@@ -214,24 +214,24 @@
     #[test]
     fn a_program_that_stood_still_does_not_take_anybody_for_slow() {
         let mut incoming = IncomingTransfer::new(&Settings::default(), 0, 5_000 * MS, Some(60_000));
-        incoming.arrive(10 * MS, 100);
+        incoming.bytes_received(10 * MS, 100);
         assert_eq!(
-            incoming.verdict(10 * MS),
+            incoming.evaluate(10 * MS),
             IncomingStatus::CheckAgainAt(410 * MS)
         );
         // Two seconds in which nothing ran: what came meanwhile gets its time to be read.
         assert_eq!(
-            incoming.verdict(2_000 * MS),
+            incoming.evaluate(2_000 * MS),
             IncomingStatus::CheckAgainAt(2_050 * MS)
         );
         let mut read = incoming.clone();
-        read.arrive(2_020 * MS, 30_000);
+        read.bytes_received(2_020 * MS, 30_000);
         assert!(matches!(
-            read.verdict(2_050 * MS),
+            read.evaluate(2_050 * MS),
             IncomingStatus::CheckAgainAt(_)
         ));
         // Nothing came: it does stall.
-        assert_eq!(incoming.verdict(2_050 * MS), IncomingStatus::Stalled);
+        assert_eq!(incoming.evaluate(2_050 * MS), IncomingStatus::Stalled);
     }
 
     #[test]
--- a/crates/slow-peer/src/socket/pacer.rs
+++ b/crates/slow-peer/src/socket/pacer.rs
@@ -23,12 +23,12 @@
 /// A connection whose answers are looked at. Gone from the list when it is dropped, which has to be no later than
 /// its socket is closed: the number of the descriptor is somebody else's after that.
 pub struct MonitoredConnection {
-    pacer: Arc<TransferMonitor>,
+    monitor: Arc<TransferMonitor>,
     id: ConnectionId,
-    peer: Option<IpNet>,
+    peer_network: Option<IpNet>,
     written: Arc<AtomicU64>,
     /// A place is held on behalf of the set of addresses.
-    placed: bool,
+    has_slot: bool,
 }
 
 impl MonitoredConnection {
@@ -38,30 +38,30 @@
     }
 
     /// Its set of addresses, where that is bounded.
-    pub fn peer(&self) -> Option<IpNet> {
-        self.peer
+    pub fn peer_network(&self) -> Option<IpNet> {
+        self.peer_network
     }
 
     /// False where its set of addresses holds its share of places already: it is to be told no.
-    pub fn placed(&self) -> bool {
-        self.placed
+    pub fn has_slot(&self) -> bool {
+        self.has_slot
     }
 
     /// So many bytes were written on it.
-    pub fn wrote(&self, bytes: usize) {
+    pub fn record_written(&self, bytes: usize) {
         self.written.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
 
 impl Drop for MonitoredConnection {
     fn drop(&mut self) {
-        let mut state = self.pacer.state();
-        state.outgoing.end(self.id);
+        let mut state = self.monitor.state();
+        state.outgoing.connection_closed(self.id);
         state.connections.remove(&self.id);
-        if self.placed {
-            state.peers.leave(ResourceOwner {
+        if self.has_slot {
+            state.peer_network_slots.release(ResourceOwner {
                 customer: None,
-                peer: self.peer,
+                peer_network: self.peer_network,
             });
         }
     }
@@ -74,24 +74,24 @@
     /// The socket's own; borrowed for a look only, under the lock, while the ticket lives.
     socket: Lend,
     written: Arc<AtomicU64>,
-    cut: Box<dyn Fn() + Send>,
+    abort: Box<dyn Fn() + Send>,
 }
 
 struct State {
     clock: StallCompensatedClock,
-    looked: u64,
+    polled_at_ns: u64,
     next: ConnectionId,
     outgoing: OutgoingTransfers,
     connections: HashMap<ConnectionId, Connection>,
-    customers: Bulkheads,
-    peers: Bulkheads,
-    tally: SlowPeerStatistics,
+    customer_slots: Bulkheads,
+    peer_network_slots: Bulkheads,
+    statistics: SlowPeerStatistics,
 }
 
 /// All of them. Shared by the door, the commands and one ticking task; every call is short and awaits nothing.
 pub struct TransferMonitor {
     settings: Settings,
-    networked: NetworkClassifier,
+    network_classifier: NetworkClassifier,
     state: Mutex<State>,
 }
 
@@ -106,18 +106,18 @@
     ) -> Arc<Self> {
         let state = State {
             clock: StallCompensatedClock::new(now + settings.tick.nanos(), SLACK),
-            looked: 0,
+            polled_at_ns: 0,
             next: 0,
             outgoing: OutgoingTransfers::new(settings, bulkheads, memory),
             connections: HashMap::new(),
-            customers: Bulkheads::new(bulkheads, places),
-            peers: Bulkheads::new(bulkheads, places),
-            tally: SlowPeerStatistics::default(),
+            customer_slots: Bulkheads::new(bulkheads, places),
+            peer_network_slots: Bulkheads::new(bulkheads, places),
+            statistics: SlowPeerStatistics::default(),
         };
         let networked = NetworkClassifier::new(bulkheads);
         Arc::new(TransferMonitor {
             settings: settings.clone(),
-            networked,
+            network_classifier: networked,
             state: Mutex::new(state),
         })
     }
@@ -136,51 +136,51 @@
 
     /// A connection came in from an address; `socket` lends its descriptor, and `cut` is called once if it has to
     /// go: it only tells, the connection's owner closes it.
-    pub fn join(
+    pub fn register(
         self: &Arc<Self>,
         now: u64,
         address: IpAddr,
         socket: impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static,
         cut: impl Fn() + Send + 'static,
     ) -> MonitoredConnection {
-        let peer = self.networked.of(address);
+        let peer = self.network_classifier.network_of(address);
         let holder = ResourceOwner {
             customer: None,
-            peer,
+            peer_network: peer,
         };
         let mut state = self.state();
         state.next += 1;
         let (id, written) = (state.next, Arc::new(AtomicU64::new(0)));
         let fair = state.clock.now(now);
-        let placed = state.peers.enter(fair, holder).is_ok();
+        let placed = state.peer_network_slots.acquire(fair, holder).is_ok();
         if !placed {
             state
-                .tally
-                .note(holder, SlowPeerEvent::PeerNetworkSlotsExhausted, 0, 0);
+                .statistics
+                .record(holder, SlowPeerEvent::PeerNetworkSlotsExhausted, 0, 0);
         }
         let connection = Connection {
             socket: Box::new(socket),
             written: written.clone(),
-            cut: Box::new(cut),
+            abort: Box::new(cut),
         };
         state.connections.insert(id, connection);
         MonitoredConnection {
-            pacer: self.clone(),
+            monitor: self.clone(),
             id,
-            peer,
+            peer_network: peer,
             written,
-            placed,
+            has_slot: placed,
         }
     }
 
     /// A command was read on a connection.
-    pub fn command(&self, id: ConnectionId) {
-        self.state().outgoing.command(id);
+    pub fn request_started(&self, id: ConnectionId) {
+        self.state().outgoing.request_started(id);
     }
 
     /// That command has its answer, one too short to be held.
-    pub fn answered(&self, id: ConnectionId) {
-        self.state().outgoing.answered(id);
+    pub fn response_needs_no_monitoring(&self, id: ConnectionId) {
+        self.state().outgoing.response_needs_no_monitoring(id);
     }
 
     /// A customer opens a command.
@@ -188,27 +188,27 @@
     /// # Errors
     ///
     /// Where it holds its share of places already.
-    pub fn enter(&self, now: u64, customer: u64) -> Result<(), LimitExceeded> {
+    pub fn acquire_request_slot(&self, now: u64, customer: u64) -> Result<(), LimitExceeded> {
         let holder = ResourceOwner {
             customer: Some(customer),
-            peer: None,
+            peer_network: None,
         };
         let mut state = self.state();
         let fair = state.clock.now(now);
-        let entered = state.customers.enter(fair, holder);
+        let entered = state.customer_slots.acquire(fair, holder);
         if entered.is_err() {
             state
-                .tally
-                .note(holder, SlowPeerEvent::CustomerSlotsExhausted, 0, 0);
+                .statistics
+                .record(holder, SlowPeerEvent::CustomerSlotsExhausted, 0, 0);
         }
         entered
     }
 
     /// That command is over.
-    pub fn leave(&self, customer: u64) {
-        self.state().customers.leave(ResourceOwner {
+    pub fn release_request_slot(&self, customer: u64) {
+        self.state().customer_slots.release(ResourceOwner {
             customer: Some(customer),
-            peer: None,
+            peer_network: None,
         });
     }
 
@@ -217,7 +217,7 @@
     /// # Errors
     ///
     /// No room, and nobody to blame for it: a short answer has to go in its place.
-    pub fn begin(
+    pub fn begin_response(
         &self,
         now: u64,
         id: ConnectionId,
@@ -234,47 +234,53 @@
         let Some(connection) = connections.get(&id) else {
             return Ok(());
         };
-        let (fair, moved) = (clock.now(now), connection.moved(false));
+        let (fair, moved) = (clock.now(now), connection.progress(false));
         // What was delivered since the last look belongs to the answer before this one.
-        outgoing.progress(fair, id, moved);
-        let Err(full) = outgoing.begin(fair, id, holder, bytes, moved) else {
+        outgoing.record_progress(fair, id, moved);
+        let Err(full) = outgoing.begin_response(fair, id, holder, bytes, moved) else {
             return Ok(());
         };
-        state.look(now, APART);
+        state.poll_progress(now, APART);
         // The look alone may have found room.
-        let again = state.outgoing.begin(fair, id, holder, bytes, moved);
+        let again = state
+            .outgoing
+            .begin_response(fair, id, holder, bytes, moved);
         let Err(full) = again.map_err(|_| full) else {
             return Ok(());
         };
         let cuts = state
             .outgoing
-            .make_room(fair, ResourceNeed::Bytes(holder, full, bytes));
-        state.carry_out(fair, cuts);
-        let begun = state.outgoing.begin(fair, id, holder, bytes, moved);
+            .abort_for_resources(fair, ResourceNeed::Bytes(holder, full, bytes));
+        state.abort(fair, cuts);
+        let begun = state
+            .outgoing
+            .begin_response(fair, id, holder, bytes, moved);
         begun.inspect_err(|full| {
             state
-                .tally
-                .note(holder, SlowPeerEvent::ResponseReplaced(*full), bytes, 0)
+                .statistics
+                .record(holder, SlowPeerEvent::ResponseReplaced(*full), bytes, 0);
         })
     }
 
     /// True while an answer waits on a connection: it is not idle.
-    pub fn is_going(&self, now: u64, id: ConnectionId) -> bool {
+    pub fn has_unsent_response(&self, now: u64, id: ConnectionId) -> bool {
         let mut state = self.state();
-        if state.outgoing.is_going(id) {
-            state.look(now, APART);
+        if state.outgoing.is_sending(id) {
+            state.poll_progress(now, APART);
         }
-        state.outgoing.is_going(id)
+        state.outgoing.is_sending(id)
     }
 
     /// Cuts the worst offender for a place; false where there is none.
-    pub fn make_place(&self, now: u64) -> bool {
+    pub fn abort_one_for_connection_slot(&self, now: u64) -> bool {
         let mut state = self.state();
-        state.look(now, APART);
+        state.poll_progress(now, APART);
         let fair = state.clock.now(now);
-        let cuts = state.outgoing.make_room(fair, ResourceNeed::ConnectionSlot);
+        let cuts = state
+            .outgoing
+            .abort_for_resources(fair, ResourceNeed::ConnectionSlot);
         let found = !cuts.is_empty();
-        state.carry_out(fair, cuts);
+        state.abort(fair, cuts);
         found
     }
 
@@ -283,30 +289,35 @@
     pub fn tick(&self, now: u64, places: f64) {
         let mut state = self.state();
         state.clock.tick(now, now + self.settings.tick.nanos());
-        state.look(now, 0);
+        state.poll_progress(now, 0);
         let fair = state.clock.now(now);
-        let cuts = state.outgoing.judge(fair, places);
-        state.carry_out(fair, cuts);
+        let cuts = state.outgoing.abort_below_minimum_rate(fair, places);
+        state.abort(fair, cuts);
     }
 
     /// Something happened that is to be counted.
-    pub fn note(&self, holder: ResourceOwner, reason: SlowPeerEvent) {
-        self.state().tally.note(holder, reason, 0, 0);
+    pub fn record(&self, holder: ResourceOwner, reason: SlowPeerEvent) {
+        self.state().statistics.record(holder, reason, 0, 0);
     }
 
     /// Counts and the worst rows since the last call, what waits now and the most that did.
-    pub fn report(&self, rows: usize) -> (EventCounts, Vec<OwnerStatistics>, u64, u64) {
+    pub fn take_report(&self, rows: usize) -> (EventCounts, Vec<OwnerStatistics>, u64, u64) {
         let mut state = self.state();
-        let (counts, rows) = state.tally.take(rows);
-        let waiting = state.outgoing.account().total();
-        (counts, rows, waiting, state.outgoing.account().take_most())
+        let (counts, rows) = state.statistics.take(rows);
+        let waiting = state.outgoing.unsent_bytes().total();
+        (
+            counts,
+            rows,
+            waiting,
+            state.outgoing.unsent_bytes().take_peak(),
+        )
     }
 }
 
 impl Connection {
     /// What is known of its bytes. Where the kernel does not tell, what is written is taken for delivered: nobody is
     /// cut for what is not known. The round trip is asked for only where it is `wanted`: it costs as much again.
-    fn moved(&self, wanted: bool) -> TransferProgress {
+    fn progress(&self, wanted: bool) -> TransferProgress {
         let written = self.written.load(Ordering::Relaxed);
         let (mut waiting, mut round_trip) = (0, 0);
         (self.socket)(&mut |socket| {
@@ -318,46 +329,47 @@
             };
         });
         TransferProgress {
-            written,
-            delivered: written.saturating_sub(waiting),
-            round_trip,
+            written_bytes: written,
+            acknowledged_bytes: written.saturating_sub(waiting),
+            round_trip_ns: round_trip,
         }
     }
 }
 
 impl State {
-    fn look(&mut self, now: u64, apart: u64) {
-        if now.saturating_sub(self.looked) < apart {
+    fn poll_progress(&mut self, now: u64, apart: u64) {
+        if now.saturating_sub(self.polled_at_ns) < apart {
             return;
         }
-        self.looked = now;
+        self.polled_at_ns = now;
         let fair = self.clock.now(now);
-        for id in self.outgoing.ids() {
+        for id in self.outgoing.connection_ids() {
             if let Some(connection) = self.connections.get(&id) {
-                self.outgoing.progress(fair, id, connection.moved(true));
+                self.outgoing
+                    .record_progress(fair, id, connection.progress(true));
             }
         }
     }
 
-    fn carry_out(&mut self, fair: u64, cuts: Vec<Abort>) {
+    fn abort(&mut self, fair: u64, cuts: Vec<Abort>) {
         for cut in cuts {
             // Who is cut comes back at once, more often than not.
-            self.peers.distrust(
+            self.peer_network_slots.penalize(
                 fair,
                 ResourceOwner {
                     customer: None,
-                    peer: cut.holder.peer,
+                    peer_network: cut.owner.peer_network,
                 },
             );
-            self.tally.note(
-                cut.holder,
-                SlowPeerEvent::ResponseAborted(cut.why),
-                cut.waiting,
-                cut.age,
+            self.statistics.record(
+                cut.owner,
+                SlowPeerEvent::ResponseAborted(cut.reason),
+                cut.unsent_bytes,
+                cut.age_ns,
             );
             if let Some(connection) = self.connections.get(&cut.id) {
                 (connection.socket)(&mut |socket| kernel::reset_at_close(socket));
-                (connection.cut)();
+                (connection.abort)();
             }
         }
     }
--- a/crates/slow-peer/src/tally.rs
+++ b/crates/slow-peer/src/tally.rs
@@ -39,96 +39,101 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EventCounts {
     /// Answers going out that were cut for their rate.
-    pub cut_slow: u64,
+    pub aborted_below_minimum_rate: u64,
     /// The same, where nothing moved.
-    pub cut_stopped: u64,
+    pub aborted_stalled: u64,
     /// The same, to make room.
-    pub cut_room: u64,
+    pub aborted_for_resources: u64,
     /// Answers replaced by a short one.
-    pub no_room: u64,
+    pub responses_replaced: u64,
     /// Answers of instances given up for a stall.
-    pub in_stalled: u64,
+    pub upstream_responses_stalled: u64,
     /// The same, for a trickle.
-    pub in_hopeless: u64,
+    pub upstream_responses_too_slow: u64,
     /// Bodies given up.
-    pub uploads: u64,
+    pub request_bodies_too_slow: u64,
     /// Refused for a customer's share of places.
-    pub customer_places: u64,
+    pub customer_slots_exhausted: u64,
     /// Refused for a set of addresses' share of places.
-    pub peer_places: u64,
+    pub peer_network_slots_exhausted: u64,
 }
 
 /// Who was behind events.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnerStatistics {
     /// The customer or set of addresses; for answers coming in, neither: what an instance does is not told here.
-    pub holder: ResourceOwner,
+    pub owner: ResourceOwner,
     /// How many events.
     pub events: u64,
     /// The reason of the last one.
-    pub last: SlowPeerEvent,
+    pub last_event: SlowPeerEvent,
     /// The most bytes that waited on one connection when it was cut.
-    pub waiting: u64,
+    pub max_unsent_bytes: u64,
     /// The longest that one had waited, in nanoseconds.
-    pub age: u64,
+    pub max_age_ns: u64,
 }
 
 /// Counts and table. Bounded: a stranger with ever new names makes it no larger.
 #[derive(Debug, Default)]
 pub struct SlowPeerStatistics {
     counts: EventCounts,
-    rows: HashMap<ResourceOwner, OwnerStatistics>,
+    by_owner: HashMap<ResourceOwner, OwnerStatistics>,
 }
 
 impl SlowPeerStatistics {
     /// Something happened, on somebody's behalf; bytes and nanoseconds where they say something.
-    pub fn note(&mut self, holder: ResourceOwner, reason: SlowPeerEvent, waiting: u64, age: u64) {
+    pub fn record(&mut self, holder: ResourceOwner, reason: SlowPeerEvent, waiting: u64, age: u64) {
         let counts = &mut self.counts;
         *match reason {
-            SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate) => &mut counts.cut_slow,
-            SlowPeerEvent::ResponseAborted(AbortReason::Stalled) => &mut counts.cut_stopped,
-            SlowPeerEvent::ResponseAborted(AbortReason::ResourcesNeeded) => &mut counts.cut_room,
-            SlowPeerEvent::ResponseReplaced(_) => &mut counts.no_room,
-            SlowPeerEvent::UpstreamResponseStalled => &mut counts.in_stalled,
-            SlowPeerEvent::UpstreamResponseTooSlow => &mut counts.in_hopeless,
-            SlowPeerEvent::RequestBodyTooSlow => &mut counts.uploads,
-            SlowPeerEvent::CustomerSlotsExhausted => &mut counts.customer_places,
-            SlowPeerEvent::PeerNetworkSlotsExhausted => &mut counts.peer_places,
+            SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate) => {
+                &mut counts.aborted_below_minimum_rate
+            }
+            SlowPeerEvent::ResponseAborted(AbortReason::Stalled) => &mut counts.aborted_stalled,
+            SlowPeerEvent::ResponseAborted(AbortReason::ResourcesNeeded) => {
+                &mut counts.aborted_for_resources
+            }
+            SlowPeerEvent::ResponseReplaced(_) => &mut counts.responses_replaced,
+            SlowPeerEvent::UpstreamResponseStalled => &mut counts.upstream_responses_stalled,
+            SlowPeerEvent::UpstreamResponseTooSlow => &mut counts.upstream_responses_too_slow,
+            SlowPeerEvent::RequestBodyTooSlow => &mut counts.request_bodies_too_slow,
+            SlowPeerEvent::CustomerSlotsExhausted => &mut counts.customer_slots_exhausted,
+            SlowPeerEvent::PeerNetworkSlotsExhausted => &mut counts.peer_network_slots_exhausted,
         } += 1;
         if holder
             == (ResourceOwner {
                 customer: None,
-                peer: None,
+                peer_network: None,
             })
         {
             return;
         }
-        if !self.rows.contains_key(&holder) && self.rows.len() >= ROWS {
+        if !self.by_owner.contains_key(&holder) && self.by_owner.len() >= ROWS {
             let least = self
-                .rows
+                .by_owner
                 .values()
                 .min_by_key(|row| row.events)
-                .map(|row| row.holder);
+                .map(|row| row.owner);
             if let Some(least) = least {
-                self.rows.remove(&least);
+                self.by_owner.remove(&least);
             }
         }
-        let row = self.rows.entry(holder);
+        let row = self.by_owner.entry(holder);
         let row = row.or_insert(OwnerStatistics {
-            holder,
+            owner: holder,
             events: 0,
-            last: reason,
-            waiting: 0,
-            age: 0,
+            last_event: reason,
+            max_unsent_bytes: 0,
+            max_age_ns: 0,
         });
-        (row.events, row.last) = (row.events + 1, reason);
-        (row.waiting, row.age) = (row.waiting.max(waiting), row.age.max(age));
+        (row.events, row.last_event) = (row.events + 1, reason);
+        (row.max_unsent_bytes, row.max_age_ns) =
+            (row.max_unsent_bytes.max(waiting), row.max_age_ns.max(age));
     }
 
     /// The counts since the last call, and the rows with the most events, at most so many.
     pub fn take(&mut self, most: usize) -> (EventCounts, Vec<OwnerStatistics>) {
-        let mut rows: Vec<OwnerStatistics> = self.rows.drain().map(|(_, row)| row).collect();
-        rows.sort_by_key(|row| std::cmp::Reverse((row.events, row.waiting)));
+        let mut rows: Vec<OwnerStatistics> = self.by_owner.drain().map(|(_, row)| row).collect();
+        rows.sort_by_key(|row| std::cmp::Reverse((row.events, row.max_unsent_bytes)));
         rows.truncate(most);
         (std::mem::take(&mut self.counts), rows)
     }
@@ -143,32 +148,36 @@
         let mut tally = SlowPeerStatistics::default();
         let holder = |c| ResourceOwner {
             customer: Some(c),
-            peer: None,
+            peer_network: None,
         };
         (0..3).for_each(|i| {
-            tally.note(
+            tally.record(
                 holder(7),
                 SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate),
                 100 * i,
                 5,
-            )
+            );
         });
         (0..1_000).for_each(|c| {
-            tally.note(
+            tally.record(
                 holder(1_000 + c),
                 SlowPeerEvent::CustomerSlotsExhausted,
                 0,
                 0,
-            )
+            );
         });
-        assert!(tally.rows.len() <= ROWS);
+        assert!(tally.by_owner.len() <= ROWS);
         let (counts, rows) = tally.take(2);
         assert_eq!(
-            (counts.cut_slow, counts.customer_places, rows.len()),
+            (
+                counts.aborted_below_minimum_rate,
+                counts.customer_slots_exhausted,
+                rows.len()
+            ),
             (3, 1_000, 2)
         );
         assert_eq!(
-            (rows[0].holder, rows[0].events, rows[0].waiting),
+            (rows[0].owner, rows[0].events, rows[0].max_unsent_bytes),
             (holder(7), 3, 200)
         );
         assert_eq!(tally.take(2), (EventCounts::default(), Vec::new()));
--- a/crates/slow-peer/tests/schedules.rs
+++ b/crates/slow-peer/tests/schedules.rs
@@ -74,15 +74,15 @@
             let mut least = settings().out_least_full.0 as f64;
             match step {
                 Step::Begin { id, customer, bytes } => {
-                    let holder = ResourceOwner { customer: Some(customer), peer: None };
+                    let holder = ResourceOwner { customer: Some(customer), peer_network: None };
                     let at = moved.get(&id).copied().unwrap_or(0);
-                    let at = TransferProgress { written: at, delivered: at, round_trip: 0 };
-                    let going = out.is_going(id);
-                    let mut begun = out.begin(now, id, holder, bytes, at);
+                    let at = TransferProgress { written_bytes: at, acknowledged_bytes: at, round_trip_ns: 0 };
+                    let going = out.is_sending(id);
+                    let mut begun = out.begin_response(now, id, holder, bytes, at);
                     if let Err(full) = begun {
-                        cuts = out.make_room(now, ResourceNeed::Bytes(holder, full, bytes));
+                        cuts = out.abort_for_resources(now, ResourceNeed::Bytes(holder, full, bytes));
                         // Where somebody had to go, it was not in vain; another limit may still be passed.
-                        begun = out.begin(now, id, holder, bytes, at);
+                        begun = out.begin_response(now, id, holder, bytes, at);
                         prop_assert!(cuts.is_empty() || begun.is_ok() || begun != Err(full));
                     }
                     if begun.is_ok() {
@@ -95,25 +95,25 @@
                 Step::Progress { id, bytes } => {
                     let at = moved.entry(id).or_default();
                     *at += bytes;
-                    out.progress(now, id, TransferProgress { written: *at, delivered: *at, round_trip: 0 });
+                    out.record_progress(now, id, TransferProgress { written_bytes: *at, acknowledged_bytes: *at, round_trip_ns: 0 });
                     if let Some(known) = known.get_mut(&id) {
                         known.delivered.push((now, bytes));
                         known.written |= bytes > 0;
                     }
                 }
                 Step::Command { id } => {
-                    out.command(id);
+                    out.request_started(id);
                     known.entry(id).and_modify(|k| k.owed = true);
                 }
                 Step::End { id } => {
-                    out.end(id);
+                    out.connection_closed(id);
                     known.remove(&id);
                 }
                 Step::Judge { places } => {
-                    cuts = out.judge(now, places);
-                    least = out.least();
+                    cuts = out.abort_below_minimum_rate(now, places);
+                    least = out.minimum_rate();
                 }
-                Step::Place => cuts = out.make_room(now, ResourceNeed::ConnectionSlot),
+                Step::Place => cuts = out.abort_for_resources(now, ResourceNeed::ConnectionSlot),
             }
             for cut in cuts {
                 let known = known.remove(&cut.id).expect("only what is going is cut");
@@ -126,19 +126,19 @@
                     recent.sum::<u64>() as f64 * 1e9 / window as f64
                 };
                 let short = settings().room_grace.nanos();
-                let slow = match cut.why {
+                let slow = match cut.reason {
                     // Room: slow over the short window, or standing still.
                     AbortReason::ResourcesNeeded => rate(50 * MS) == 0.0 || age >= short && rate(short) < least,
                     _ => rate(age.min(settings().window.nanos())) < least,
                 };
                 prop_assert!(slow, "keeps {least}");
             }
-            prop_assert!(out.account().total() <= LIMIT);
+            prop_assert!(out.unsent_bytes().total() <= LIMIT);
         }
-        for id in out.ids() {
-            out.end(id);
+        for id in out.connection_ids() {
+            out.connection_closed(id);
         }
-        prop_assert!(out.account().is_empty());
+        prop_assert!(out.unsent_bytes().is_empty());
     }
 
     /// A transfer that comes evenly and will be whole in time is never given up, whatever its pieces; one that
@@ -155,7 +155,7 @@
         'all: for i in 1..=pieces {
             let at = i * gap;
             while look < at {
-                match transfer.verdict(look) {
+                match transfer.evaluate(look) {
                     IncomingStatus::CheckAgainAt(next) => { prop_assert!(next > look); look = next }
                     _ => { given_up = Some(look); break 'all }
                 }
@@ -163,8 +163,8 @@
             if at >= until {
                 break;
             }
-            transfer.arrive(at, total * i / pieces - total * (i - 1) / pieces);
-            match transfer.verdict(at) {
+            transfer.bytes_received(at, total * i / pieces - total * (i - 1) / pieces);
+            match transfer.evaluate(at) {
                 IncomingStatus::CheckAgainAt(next) => look = next,
                 _ => { given_up = Some(at); break }
             }
@@ -184,14 +184,14 @@
         let share = ((places as f64 * settings.customer_places) as u64).max(1);
         let mut held = BTreeMap::<u64, u64>::new();
         for (customer, enter) in steps {
-            let holder = ResourceOwner { customer: Some(customer), peer: None };
+            let holder = ResourceOwner { customer: Some(customer), peer_network: None };
             let have = held.entry(customer).or_default();
             if enter {
-                let entered = bulkheads.enter(0, holder).is_ok();
+                let entered = bulkheads.acquire(0, holder).is_ok();
                 prop_assert_eq!(entered, *have < share);
                 *have += u64::from(entered);
             } else if *have > 0 {
-                bulkheads.leave(holder);
+                bulkheads.release(holder);
                 *have -= 1;
             }
         }
--- a/crates/slow-peer/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -67,7 +67,7 @@
         drop(cuts);
         // SAFETY: the ticket is dropped before the stream, as the fields of `Both` are declared.
         let socket_of = unsafe { borrow_descriptor(&ours) };
-        let ticket = self.pacer.join(now, address.ip(), socket_of, move || {
+        let ticket = self.pacer.register(now, address.ip(), socket_of, move || {
             let _ = count.fetch_add(1, Ordering::Relaxed);
         });
         Both {
@@ -90,7 +90,7 @@
                 Err(e) => panic!("{e}"),
             }
         }
-        self.ticket.wrote(written);
+        self.ticket.record_written(written);
         written
     }
 
@@ -103,10 +103,10 @@
     ) -> Result<usize, LimitExceeded> {
         let holder = ResourceOwner {
             customer: Some(customer),
-            peer: self.ticket.peer(),
+            peer_network: self.ticket.peer_network(),
         };
         door.pacer
-            .begin(now, self.ticket.id(), holder, bytes as u64)?;
+            .begin_response(now, self.ticket.id(), holder, bytes as u64)?;
         Ok(self.write(bytes))
     }
 
@@ -166,9 +166,9 @@
         theirs.read_to_end(&mut rest).unwrap_err().kind(),
         ErrorKind::ConnectionReset
     );
-    let (counts, rows, waiting, most) = door.pacer.report(5);
+    let (counts, rows, waiting, most) = door.pacer.take_report(5);
     assert_eq!(
-        (counts.cut_stopped, rows.len(), rows[0].holder.customer),
+        (counts.aborted_stalled, rows.len(), rows[0].owner.customer),
         (1, 1, Some(1))
     );
     assert!(waiting < 60_000 && most <= 120_000, "{waiting} {most}");
@@ -198,15 +198,17 @@
     let (mut fresh, mut ahead) = (door.connect(START), door.connect(START));
     let holder = ResourceOwner {
         customer: Some(1),
-        peer: None,
+        peer_network: None,
     };
     door.pacer
-        .begin(START, fresh.ticket.id(), holder, 60_000)
+        .begin_response(START, fresh.ticket.id(), holder, 60_000)
         .unwrap();
     ahead.begin(&door, START, 2, 60_000).unwrap();
-    door.pacer.command(ahead.ticket.id());
+    door.pacer.request_started(ahead.ticket.id());
     (1..200).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
-    assert!(!door.pacer.make_place(START + 10_000 * MS));
+    assert!(!door
+        .pacer
+        .abort_one_for_connection_slot(START + 10_000 * MS));
     assert_eq!((fresh.cut(), ahead.cut()), (0, 0));
     fresh.write(1);
     (200..220).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
@@ -236,8 +238,11 @@
     door.pacer.tick(START + 100 * MS, 0.0);
     c.begin(&door, START + 110 * MS, 3, 60_000).unwrap();
     assert_eq!((a.cut(), b.cut(), c.cut()), (1, 0, 0));
-    let (counts, _, waiting, most) = door.pacer.report(5);
-    assert_eq!((counts.cut_room, counts.no_room), (1, 1));
+    let (counts, _, waiting, most) = door.pacer.take_report(5);
+    assert_eq!(
+        (counts.aborted_for_resources, counts.responses_replaced),
+        (1, 1)
+    );
     assert!(waiting <= 128 << 10 && most <= 128 << 10);
 }
 
@@ -250,7 +255,7 @@
     };
     let door = door(Settings::default(), bulkheads);
     let mut all: Vec<Both> = (0..5).map(|_| door.connect(START)).collect();
-    let placed: Vec<bool> = all.iter().map(|both| both.ticket.placed()).collect();
+    let placed: Vec<bool> = all.iter().map(|both| both.ticket.has_slot()).collect();
     assert_eq!(placed, [true, true, true, true, false]);
     // Two stop reading and are cut; the places that they leave are not given to the same set again at once.
     for both in &mut all[..2] {
@@ -259,7 +264,7 @@
     (1..60).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 0.0));
     assert_eq!(all.iter().map(Both::cut).sum::<usize>(), 2);
     all.drain(..2);
-    assert!(!door.connect(START + 3_000 * MS).ticket.placed());
+    assert!(!door.connect(START + 3_000 * MS).ticket.has_slot());
     (60..180).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 0.0));
-    assert!(door.connect(START + 9_000 * MS).ticket.placed());
+    assert!(door.connect(START + 9_000 * MS).ticket.has_slot());
 }
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -229,7 +229,7 @@
         };
         let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
         if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
-            tracing::warn!("pace: cannot bound what the kernel holds of answers: {e}");
+            tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {e}");
         }
     }
 
@@ -239,7 +239,9 @@
         let pacer = self.pacers.borrow().clone();
         // Before a newcomer whose first command is on its way.
         if let Some(pacer) = pacer {
-            if self.seats.make_room_of(GRACE, now, false) || pacer.make_place(now) {
+            if self.seats.make_room_of(GRACE, now, false)
+                || pacer.abort_one_for_connection_slot(now)
+            {
                 return true;
             }
         }
@@ -261,7 +263,7 @@
             let socket = unsafe { borrow_descriptor(&stream) };
             (
                 pacer.clone(),
-                pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
+                pacer.register(self.gate.clock.now(), address.ip(), socket, move || {
                     told.notify_one();
                 }),
             )
@@ -273,7 +275,7 @@
         let room = taken > self.budget.clients * 3 / 4 && self.make_room(GRACE);
         let crowded = taken > self.budget.clients;
         // One whose set of addresses holds its share already gets one of the places for saying no.
-        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.placed());
+        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.has_slot());
         let shed = crowded && !room || !placed;
         // Once a spell: it ends when there is room again.
         if shed && placed && !self.shedding.swap(true, Ordering::Relaxed) {
@@ -289,7 +291,7 @@
                 Some(Paced {
                     pacer,
                     id: ticket.id(),
-                    peer: ticket.peer(),
+                    peer: ticket.peer_network(),
                 }),
                 Some(ticket),
             ),
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -28,7 +28,7 @@
     pub fn holder(&self, customer: Option<u64>) -> ResourceOwner {
         ResourceOwner {
             customer,
-            peer: self.peer,
+            peer_network: self.peer,
         }
     }
 }
@@ -243,7 +243,7 @@
             let going = seat
                 .paced
                 .as_ref()
-                .is_some_and(|p| p.pacer.is_going(now, p.id));
+                .is_some_and(|p| p.pacer.has_unsent_response(now, p.id));
             (!going).then_some(seat)
         };
         let mut waiting = self.lock();
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -148,7 +148,7 @@
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.seat.writing(poll.is_pending());
         if let (Some(ticket), Poll::Ready(Ok(bytes))) = (&self.ticket, &poll) {
-            ticket.wrote(*bytes);
+            ticket.record_written(*bytes);
         }
         poll
     }
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -86,7 +86,7 @@
         let arrived = Instant::now();
         self.seat.begin();
         if let Some(paced) = &self.seat.paced {
-            paced.pacer.command(paced.id);
+            paced.pacer.request_started(paced.id);
         }
         if request.uri().path() == "/healthz" {
             // Listening, and decided from a name table that may be believed: ready.
@@ -174,7 +174,7 @@
 
 impl Drop for Entered<'_> {
     fn drop(&mut self) {
-        self.0.leave(self.1);
+        self.0.release_request_slot(self.1);
     }
 }
 
@@ -187,10 +187,10 @@
         };
         // One that is passed on holds next to nothing here, however slowly it is read.
         let Answer::Served(Content::Whole(body), _) = &answer else {
-            paced.pacer.answered(paced.id);
+            paced.pacer.response_needs_no_monitoring(paced.id);
             return answer;
         };
-        let begun = paced.pacer.begin(
+        let begun = paced.pacer.begin_response(
             self.clock.now(),
             paced.id,
             paced.holder(customer),
@@ -199,7 +199,7 @@
         match begun {
             Ok(()) => answer,
             Err(_) => {
-                paced.pacer.answered(paced.id);
+                paced.pacer.response_needs_no_monitoring(paced.id);
                 Answer::Failed(StatusCode::INSUFFICIENT_STORAGE, "no room for the answer")
             }
         }
@@ -231,7 +231,14 @@
         *customer = Some(number);
         // Before its body is read: what is refused need not be held.
         let _entered = match &seat.paced {
-            Some(paced) if paced.pacer.enter(self.clock.now(), number).is_err() => return nack(),
+            Some(paced)
+                if paced
+                    .pacer
+                    .acquire_request_slot(self.clock.now(), number)
+                    .is_err() =>
+            {
+                return nack()
+            }
             Some(paced) => Some(Entered(&paced.pacer, number)),
             None => None,
         };
@@ -282,7 +289,7 @@
                         if let (Answer::Failed(StatusCode::REQUEST_TIMEOUT, _), Some(paced)) =
                             (&answer, &seat.paced)
                         {
-                            paced.pacer.note(
+                            paced.pacer.record(
                                 paced.holder(Some(number)),
                                 SlowPeerEvent::RequestBodyTooSlow,
                             );
@@ -359,7 +366,7 @@
             length,
         );
         loop {
-            let IncomingStatus::CheckAgainAt(next) = transfer.verdict(self.clock.now()) else {
+            let IncomingStatus::CheckAgainAt(next) = transfer.evaluate(self.clock.now()) else {
                 return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
             };
             let next = self.clock.instant(next).into();
@@ -367,7 +374,7 @@
                 Ok(None) => return Ok(whole.freeze()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        transfer.arrive(self.clock.now(), data.len() as u64);
+                        transfer.bytes_received(self.clock.now(), data.len() as u64);
                         whole.extend_from_slice(&data);
                     }
                 }
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -1,10 +1,5 @@
 //! Slow peers: the pacer that the operator's settings ask for, its ticks, and its figures.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 use std::sync::Arc;
 
 use applewall_slow_peer::socket::TransferMonitor;
@@ -86,48 +81,55 @@
     let Some(pacer) = pacers.borrow().clone() else {
         return;
     };
-    let (counts, rows, waiting, waiting_most) = pacer.report(ROWS);
-    if waiting_most == 0 && counts == applewall_slow_peer::EventCounts::default() {
+    let (counts, rows, unsent_bytes, max_unsent_bytes) = pacer.take_report(ROWS);
+    if max_unsent_bytes == 0 && counts == applewall_slow_peer::EventCounts::default() {
         return;
     }
     let applewall_slow_peer::EventCounts {
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
     } = counts;
     tracing::info!(
-        waiting,
-        waiting_most,
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
-        "pace"
+        unsent_bytes,
+        max_unsent_bytes,
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
+        "slow peers"
+    );
+    rows.into_iter().for_each(log_owner);
+}
+
+/// Logs one row of the table.
+fn log_owner(row: OwnerStatistics) {
+    let customer = row
+        .owner
+        .customer
+        .map_or("-".to_string(), |id| format!("{id:016x}"));
+    let network = row
+        .owner
+        .peer_network
+        .map_or("-".to_string(), |network| network.to_string());
+    tracing::info!(
+        %customer,
+        %network,
+        events = row.events,
+        last_event = %format!("{:?}", row.last_event),
+        max_unsent_bytes = row.max_unsent_bytes,
+        max_age_ms = row.max_age_ns / 1_000_000,
+        "slow peers: worst resource owner"
     );
-    for OwnerStatistics {
-        holder,
-        events,
-        last,
-        waiting,
-        age,
-    } in rows
-    {
-        let customer = holder
-            .customer
-            .map_or("-".to_string(), |c| format!("{c:016x}"));
-        let peer = holder.peer.map_or("-".to_string(), |p| p.to_string());
-        let (last, ms) = (format!("{last:?}"), age / 1_000_000);
-        tracing::info!(%customer, %peer, events, %last, waiting, ms, "pace: slow peer");
-    }
 }
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -47,10 +47,10 @@
     }
 
     fn note(&self, reason: SlowPeerEvent) {
-        self.pacer.note(
+        self.pacer.record(
             ResourceOwner {
                 customer: None,
-                peer: None,
+                peer_network: None,
             },
             reason,
         );
@@ -77,7 +77,7 @@
         let mut transfer = IncomingTransfer::new(self.pacer.settings(), now, until, length);
         let mut whole = BytesMut::with_capacity(length.unwrap_or(0) as usize);
         loop {
-            let next = match transfer.verdict(self.clock.now()) {
+            let next = match transfer.evaluate(self.clock.now()) {
                 IncomingStatus::CheckAgainAt(next) => next,
                 // Nothing is gained by giving up: it may yet come, until the attempt's own time is up.
                 _ if !self.may_give_up(due) => u64::MAX,
@@ -103,7 +103,7 @@
                 Ok(None) => return Some((whole.freeze(), true)),
                 Ok(Some(frame)) => {
                     if let Ok(data) = frame.ok()?.into_data() {
-                        transfer.arrive(self.clock.now(), data.len() as u64);
+                        transfer.bytes_received(self.clock.now(), data.len() as u64);
                         whole.extend_from_slice(&data);
                         if whole.len() > BODY_MOST {
                             return Some((whole.freeze(), false));
