--- a/crates/slow-peer/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -77,7 +77,7 @@
         Bulkheads {
             slots: ResourceAccount::new(u64::MAX, per_customer, per_peer),
             per_peer,
-            penalize: settings.distrust.nanos(),
+            penalize: settings.distrust.as_nanos(),
             penalties: VecDeque::new(),
             penalty_counts: HashMap::new(),
         }
@@ -149,7 +149,7 @@
     fn settings() -> BulkheadSettings {
         let exempt = Networks(vec!["10.0.0.0/8".parse().unwrap()]);
         BulkheadSettings {
-            enabled: applewall_operator_config::Switch(true),
+            enabled: applewall_operator_config::EnabledFlag(true),
             exempt,
             ..BulkheadSettings::default()
         }
--- a/crates/slow-peer/src/socket/pacer.rs
+++ b/crates/slow-peer/src/socket/pacer.rs
@@ -105,7 +105,7 @@
         now: u64,
     ) -> Arc<Self> {
         let state = State {
-            clock: StallCompensatedClock::new(now + settings.tick.nanos(), SLACK),
+            clock: StallCompensatedClock::new(now + settings.tick.as_nanos(), SLACK),
             polled_at_ns: 0,
             next: 0,
             outgoing: OutgoingTransfers::new(settings, bulkheads, memory),
@@ -288,7 +288,7 @@
     /// places that is taken. Comes as often as the settings say.
     pub fn tick(&self, now: u64, places: f64) {
         let mut state = self.state();
-        state.clock.tick(now, now + self.settings.tick.nanos());
+        state.clock.tick(now, now + self.settings.tick.as_nanos());
         state.poll_progress(now, 0);
         let fair = state.clock.now(now);
         let cuts = state.outgoing.abort_below_minimum_rate(fair, places);
