--- a/crates/slow-peer/src/tally.rs
+++ b/crates/slow-peer/src/tally.rs
@@ -10,125 +10,130 @@
 
 use std::collections::HashMap;
 
-use crate::account::{Full, Holder};
-use crate::outgoing::Why;
+use crate::account::{LimitExceeded, ResourceOwner};
+use crate::outgoing::AbortReason;
 
 /// Rows that are kept; beyond that, the row with the least events makes way for a newcomer.
 const ROWS: usize = 64;
 
 /// One kind of event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Reason {
+pub enum SlowPeerEvent {
     /// An answer going out was cut.
-    Cut(Why),
+    ResponseAborted(AbortReason),
     /// An answer was replaced by a short one: there was no room for it.
-    NoRoom(Full),
+    ResponseReplaced(LimitExceeded),
     /// An answer of an instance was given up: it stalled.
-    InStalled,
+    UpstreamResponseStalled,
     /// An answer of an instance was given up: it trickled.
-    InHopeless,
+    UpstreamResponseTooSlow,
     /// A body of a command was given up.
-    Upload,
+    RequestBodyTooSlow,
     /// A command was refused: its customer held its share of places.
-    CustomerPlaces,
+    CustomerSlotsExhausted,
     /// A connection was refused: its set of addresses held its share of places.
-    PeerPlaces,
+    PeerNetworkSlotsExhausted,
 }
 
 /// Counts since they were last taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct EventCounts {
     /// Answers going out that were cut for their rate.
-    pub cut_slow: u64,
+    pub aborted_below_minimum_rate: u64,
     /// The same, where nothing moved.
-    pub cut_stopped: u64,
+    pub aborted_stalled: u64,
     /// The same, to make room.
-    pub cut_room: u64,
+    pub aborted_for_resources: u64,
     /// Answers replaced by a short one.
-    pub no_room: u64,
+    pub responses_replaced: u64,
     /// Answers of instances given up for a stall.
-    pub in_stalled: u64,
+    pub upstream_responses_stalled: u64,
     /// The same, for a trickle.
-    pub in_hopeless: u64,
+    pub upstream_responses_too_slow: u64,
     /// Bodies given up.
-    pub uploads: u64,
+    pub request_bodies_too_slow: u64,
     /// Refused for a customer's share of places.
-    pub customer_places: u64,
+    pub customer_slots_exhausted: u64,
     /// Refused for a set of addresses' share of places.
-    pub peer_places: u64,
+    pub peer_network_slots_exhausted: u64,
 }
 
 /// Who was behind events.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Row {
+pub struct OwnerStatistics {
     /// The customer or set of addresses; for answers coming in, neither: what an instance does is not told here.
-    pub holder: Holder,
+    pub owner: ResourceOwner,
     /// How many events.
     pub events: u64,
     /// The reason of the last one.
-    pub last: Reason,
+    pub last_event: SlowPeerEvent,
     /// The most bytes that waited on one connection when it was cut.
-    pub waiting: u64,
+    pub max_unsent_bytes: u64,
     /// The longest that one had waited, in nanoseconds.
-    pub age: u64,
+    pub max_age_ns: u64,
 }
 
 /// Counts and table. Bounded: a stranger with ever new names makes it no larger.
 #[derive(Debug, Default)]
-pub struct Tally {
-    counts: Counts,
-    rows: HashMap<Holder, Row>,
+pub struct SlowPeerStatistics {
+    counts: EventCounts,
+    by_owner: HashMap<ResourceOwner, OwnerStatistics>,
 }
 
-impl Tally {
+impl SlowPeerStatistics {
     /// Something happened, on somebody's behalf; bytes and nanoseconds where they say something.
-    pub fn note(&mut self, holder: Holder, reason: Reason, waiting: u64, age: u64) {
+    pub fn record(&mut self, holder: ResourceOwner, reason: SlowPeerEvent, waiting: u64, age: u64) {
         let counts = &mut self.counts;
         *match reason {
-            Reason::Cut(Why::Slow) => &mut counts.cut_slow,
-            Reason::Cut(Why::Stopped) => &mut counts.cut_stopped,
-            Reason::Cut(Why::Room) => &mut counts.cut_room,
-            Reason::NoRoom(_) => &mut counts.no_room,
-            Reason::InStalled => &mut counts.in_stalled,
-            Reason::InHopeless => &mut counts.in_hopeless,
-            Reason::Upload => &mut counts.uploads,
-            Reason::CustomerPlaces => &mut counts.customer_places,
-            Reason::PeerPlaces => &mut counts.peer_places,
+            SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate) => {
+                &mut counts.aborted_below_minimum_rate
+            }
+            SlowPeerEvent::ResponseAborted(AbortReason::Stalled) => &mut counts.aborted_stalled,
+            SlowPeerEvent::ResponseAborted(AbortReason::ResourcesNeeded) => {
+                &mut counts.aborted_for_resources
+            }
+            SlowPeerEvent::ResponseReplaced(_) => &mut counts.responses_replaced,
+            SlowPeerEvent::UpstreamResponseStalled => &mut counts.upstream_responses_stalled,
+            SlowPeerEvent::UpstreamResponseTooSlow => &mut counts.upstream_responses_too_slow,
+            SlowPeerEvent::RequestBodyTooSlow => &mut counts.request_bodies_too_slow,
+            SlowPeerEvent::CustomerSlotsExhausted => &mut counts.customer_slots_exhausted,
+            SlowPeerEvent::PeerNetworkSlotsExhausted => &mut counts.peer_network_slots_exhausted,
         } += 1;
         if holder
-            == (Holder {
+            == (ResourceOwner {
                 customer: None,
-                peer: None,
+                peer_network: None,
             })
         {
             return;
         }
-        if !self.rows.contains_key(&holder) && self.rows.len() >= ROWS {
+        if !self.by_owner.contains_key(&holder) && self.by_owner.len() >= ROWS {
             let least = self
-                .rows
+                .by_owner
                 .values()
                 .min_by_key(|row| row.events)
-                .map(|row| row.holder);
+                .map(|row| row.owner);
             if let Some(least) = least {
-                self.rows.remove(&least);
+                self.by_owner.remove(&least);
             }
         }
-        let row = self.rows.entry(holder);
-        let row = row.or_insert(Row {
-            holder,
+        let row = self.by_owner.entry(holder);
+        let row = row.or_insert(OwnerStatistics {
+            owner: holder,
             events: 0,
-            last: reason,
-            waiting: 0,
-            age: 0,
+            last_event: reason,
+            max_unsent_bytes: 0,
+            max_age_ns: 0,
         });
-        (row.events, row.last) = (row.events + 1, reason);
-        (row.waiting, row.age) = (row.waiting.max(waiting), row.age.max(age));
+        (row.events, row.last_event) = (row.events + 1, reason);
+        (row.max_unsent_bytes, row.max_age_ns) =
+            (row.max_unsent_bytes.max(waiting), row.max_age_ns.max(age));
     }
 
     /// The counts since the last call, and the rows with the most events, at most so many.
-    pub fn take(&mut self, most: usize) -> (Counts, Vec<Row>) {
-        let mut rows: Vec<Row> = self.rows.drain().map(|(_, row)| row).collect();
-        rows.sort_by_key(|row| std::cmp::Reverse((row.events, row.waiting)));
+    pub fn take(&mut self, most: usize) -> (EventCounts, Vec<OwnerStatistics>) {
+        let mut rows: Vec<OwnerStatistics> = self.by_owner.drain().map(|(_, row)| row).collect();
+        rows.sort_by_key(|row| std::cmp::Reverse((row.events, row.max_unsent_bytes)));
         rows.truncate(most);
         (std::mem::take(&mut self.counts), rows)
     }
@@ -140,23 +145,41 @@
 
     #[test]
     fn the_table_names_the_worst_and_stays_small() {
-        let mut tally = Tally::default();
-        let holder = |c| Holder {
+        let mut tally = SlowPeerStatistics::default();
+        let holder = |c| ResourceOwner {
             customer: Some(c),
-            peer: None,
+            peer_network: None,
         };
-        (0..3).for_each(|i| tally.note(holder(7), Reason::Cut(Why::Slow), 100 * i, 5));
-        (0..1_000).for_each(|c| tally.note(holder(1_000 + c), Reason::CustomerPlaces, 0, 0));
-        assert!(tally.rows.len() <= ROWS);
+        (0..3).for_each(|i| {
+            tally.record(
+                holder(7),
+                SlowPeerEvent::ResponseAborted(AbortReason::BelowMinimumRate),
+                100 * i,
+                5,
+            );
+        });
+        (0..1_000).for_each(|c| {
+            tally.record(
+                holder(1_000 + c),
+                SlowPeerEvent::CustomerSlotsExhausted,
+                0,
+                0,
+            );
+        });
+        assert!(tally.by_owner.len() <= ROWS);
         let (counts, rows) = tally.take(2);
         assert_eq!(
-            (counts.cut_slow, counts.customer_places, rows.len()),
+            (
+                counts.aborted_below_minimum_rate,
+                counts.customer_slots_exhausted,
+                rows.len()
+            ),
             (3, 1_000, 2)
         );
         assert_eq!(
-            (rows[0].holder, rows[0].events, rows[0].waiting),
+            (rows[0].owner, rows[0].events, rows[0].max_unsent_bytes),
             (holder(7), 3, 200)
         );
-        assert_eq!(tally.take(2), (Counts::default(), Vec::new()));
+        assert_eq!(tally.take(2), (EventCounts::default(), Vec::new()));
     }
 }
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::{kernel, lend, Pacer};
+use applewall_slow_peer::socket::{borrow_descriptor, kernel, TransferMonitor};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -225,13 +225,13 @@
     }
 
     /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
-    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
+    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<TransferMonitor>>) {
         let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else {
             return;
         };
         let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
         if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
-            tracing::warn!("pace: cannot bound what the kernel holds of answers: {e}");
+            tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {e}");
         }
     }
 
@@ -241,7 +241,9 @@
         let pacer = self.pacers.borrow().clone();
         // Before a newcomer whose first command is on its way.
         if let Some(pacer) = pacer {
-            if self.seats.make_room_of(GRACE, now, false) || pacer.make_place(now) {
+            if self.seats.make_room_of(GRACE, now, false)
+                || pacer.abort_one_for_connection_slot(now)
+            {
                 return true;
             }
         }
@@ -260,10 +262,10 @@
             let told = cut.clone();
             // SAFETY: the ticket goes into `Guarded`, which drops it before the stream and never moves the stream
             // out without dropping it.
-            let socket = unsafe { lend(&stream) };
+            let socket = unsafe { borrow_descriptor(&stream) };
             (
                 pacer.clone(),
-                pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
+                pacer.register(self.gate.clock.now(), address.ip(), socket, move || {
                     told.notify_one();
                 }),
             )
@@ -275,7 +277,7 @@
         let room = taken > self.budget.clients * 3 / 4 && self.make_room(GRACE);
         let crowded = taken > self.budget.clients;
         // One whose set of addresses holds its share already gets one of the places for saying no.
-        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.placed());
+        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.has_slot());
         let shed = crowded && !room || !placed;
         // Once a spell: it ends when there is room again.
         if shed && placed && !self.shedding.swap(true, Ordering::Relaxed) {
@@ -291,7 +293,7 @@
                 Some(Paced {
                     pacer,
                     id: ticket.id(),
-                    peer: ticket.peer(),
+                    peer: ticket.peer_network(),
                 }),
                 Some(ticket),
             ),
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -1,14 +1,9 @@
 //! Slow peers: the pacer that the operator's settings ask for, its ticks, and its figures.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 use std::sync::Arc;
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::Row;
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::OwnerStatistics;
 use tokio::sync::{watch, Semaphore};
 
 use crate::clock::Clock;
@@ -18,7 +13,7 @@
 const ROWS: usize = 5;
 
 /// The pacer in force; none where all of it is off.
-pub(crate) type Pacers = watch::Receiver<Option<Arc<Pacer>>>;
+pub(crate) type Pacers = watch::Receiver<Option<Arc<TransferMonitor>>>;
 
 /// Follows the operator's settings. A new pacer holds for connections that come after it; those of the one before stay
 /// with that until they close. `size` is how many connections are served at most, and the bytes of memory.
@@ -56,18 +51,18 @@
     clock: Clock,
     places: &(Arc<Semaphore>, usize),
     size: (usize, u64),
-) -> Option<Arc<Pacer>> {
+) -> Option<Arc<TransferMonitor>> {
     if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
         return None;
     }
-    let pacer = Pacer::new(&settings.pace, &settings.bulkheads, size, clock.now());
+    let pacer = TransferMonitor::new(&settings.pace, &settings.bulkheads, size, clock.now());
     tokio::spawn(tick(Arc::downgrade(&pacer), clock, places.clone(), size.0));
     Some(pacer)
 }
 
 /// Ticks for as long as anybody needs the pacer.
 async fn tick(
-    pacer: std::sync::Weak<Pacer>,
+    pacer: std::sync::Weak<TransferMonitor>,
     clock: Clock,
     (places, all): (Arc<Semaphore>, usize),
     clients: usize,
@@ -86,48 +81,55 @@
     let Some(pacer) = pacers.borrow().clone() else {
         return;
     };
-    let (counts, rows, waiting, waiting_most) = pacer.report(ROWS);
-    if waiting_most == 0 && counts == applewall_slow_peer::Counts::default() {
+    let (counts, rows, unsent_bytes, max_unsent_bytes) = pacer.take_report(ROWS);
+    if max_unsent_bytes == 0 && counts == applewall_slow_peer::EventCounts::default() {
         return;
     }
-    let applewall_slow_peer::Counts {
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
+    let applewall_slow_peer::EventCounts {
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
     } = counts;
     tracing::info!(
-        waiting,
-        waiting_most,
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
-        "pace"
+        unsent_bytes,
+        max_unsent_bytes,
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
+        "slow peers"
+    );
+    rows.into_iter().for_each(log_owner);
+}
+
+/// Logs one row of the table.
+fn log_owner(row: OwnerStatistics) {
+    let customer = row
+        .owner
+        .customer
+        .map_or("-".to_string(), |id| format!("{id:016x}"));
+    let network = row
+        .owner
+        .peer_network
+        .map_or("-".to_string(), |network| network.to_string());
+    tracing::info!(
+        %customer,
+        %network,
+        events = row.events,
+        last_event = %format!("{:?}", row.last_event),
+        max_unsent_bytes = row.max_unsent_bytes,
+        max_age_ms = row.max_age_ns / 1_000_000,
+        "slow peers: worst resource owner"
     );
-    for Row {
-        holder,
-        events,
-        last,
-        waiting,
-        age,
-    } in rows
-    {
-        let customer = holder
-            .customer
-            .map_or("-".to_string(), |c| format!("{c:016x}"));
-        let peer = holder.peer.map_or("-".to_string(), |p| p.to_string());
-        let (last, ms) = (format!("{last:?}"), age / 1_000_000);
-        tracing::info!(%customer, %peer, events, %last, waiting, ms, "pace: slow peer");
-    }
 }
