--- /dev/null
+++ b/crates/consul/tests/watch.rs
@@ -0,0 +1,145 @@
+//! The watch of a Consul-style store, against a fake agent. Each test waits for what has to happen.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use applewall_consul::{watch, Settings};
+use applewall_fakes::consul::ConsulAgent;
+use applewall_fakes::tcp_proxy::TcpProxy;
+use applewall_membership::{MemberState, Source};
+use applewall_operator_config::{DurationSetting, EnabledFlag};
+
+/// How long a test waits for what has to happen; a machine that is busy must not fail it.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+
+struct Fixture {
+    agent: ConsulAgent,
+    wire: TcpProxy,
+    source: Arc<Mutex<Source>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+async fn start(wait: u64) -> Fixture {
+    let agent = ConsulAgent::start().await.unwrap();
+    let wire = TcpProxy::start(agent.address).await.unwrap();
+    let settings = Settings {
+        enabled: EnabledFlag(true),
+        agent: Some(wire.address),
+        prefix: "m/".into(),
+        wait: DurationSetting::from_millis(wait),
+        patience: DurationSetting::from_millis(150),
+        backoff: DurationSetting::from_millis(50),
+        ..Settings::default()
+    };
+    let source = Arc::new(Mutex::new(Source::default()));
+    let applied = source.clone();
+    let task = tokio::spawn(async move {
+        watch(&settings, 1, |report| {
+            applied.lock().unwrap().handle(0, report);
+        })
+        .await;
+    });
+    Fixture {
+        agent,
+        wire,
+        source,
+        task,
+    }
+}
+
+impl Fixture {
+    fn list(&self) -> BTreeMap<String, MemberState> {
+        self.source
+            .lock()
+            .unwrap()
+            .records()
+            .map(|(id, record)| (id.to_string(), record.state))
+            .collect()
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&BTreeMap<String, MemberState>) -> bool) {
+        let wait = async {
+            while !holds(&self.list()) {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        assert!(
+            tokio::time::timeout(TEST_TIMEOUT, wait).await.is_ok(),
+            "never: {what}: {:?}",
+            self.list()
+        );
+    }
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn value(state: &str) -> String {
+    format!(r#"{{"endpoint":"127.0.0.1:1","state":"{state}"}}"#)
+}
+
+#[tokio::test]
+async fn a_blocking_query_reports_each_change_at_once_and_is_silent_in_between() {
+    let fixture = start(60_000).await;
+    fixture.agent.put("m/a", Some(&value("in_service")));
+    fixture.agent.put("m/bad", Some("{"));
+    fixture.agent.put("x/other", Some(&value("in_service")));
+    fixture.until("a", |list| list.len() == 1).await;
+    fixture.agent.put("m/a", Some(&value("terminating")));
+    fixture
+        .until("it drains", |list| {
+            list.get("a") == Some(&MemberState::Terminating)
+        })
+        .await;
+    fixture.agent.put("m/a", None);
+    fixture.agent.put("m/bad", None);
+    fixture.until("nobody", BTreeMap::is_empty).await;
+    assert!(
+        fixture.agent.reads.load(Ordering::Relaxed) <= 8,
+        "one read for each change, no more"
+    );
+}
+
+#[tokio::test]
+async fn the_list_survives_breaks_silence_lagging_agents_and_a_store_that_began_anew() {
+    let fixture = start(100).await;
+    fixture.agent.put("m/a", Some(&value("in_service")));
+    fixture.until("a", |list| list.len() == 1).await;
+    fixture.wire.disconnect();
+    fixture.agent.put("m/b", Some(&value("in_service")));
+    fixture.until("b after a cut", |list| list.len() == 2).await;
+    fixture.wire.set_silent(true);
+    let silent = fixture.wire.connections.accepted();
+    fixture.agent.put("m/c", Some(&value("in_service")));
+    let left = || fixture.wire.connections.accepted() > silent;
+    fixture.until("it was left", |_| left()).await;
+    fixture.wire.set_silent(false);
+    fixture
+        .until("c after silence", |list| list.len() == 3)
+        .await;
+    // A lagging agent's answer is settled by a consistent query.
+    fixture.agent.set_lagging(true);
+    fixture.agent.put("m/a", None);
+    fixture.agent.set_lagging(false);
+    fixture.until("without a", |list| list.len() == 2).await;
+    fixture.agent.set_leader_known(false);
+    fixture.agent.put("m/d", Some(&value("in_service")));
+    fixture.agent.set_leader_known(true);
+    fixture
+        .until("d once there is a leader", |list| list.len() == 3)
+        .await;
+    fixture.agent.reset();
+    fixture.agent.put("m/z", Some(&value("in_service")));
+    fixture
+        .until("only what there is now", |list| {
+            list.len() == 1 && list.contains_key("z")
+        })
+        .await;
+}
--- a/crates/etcd/src/settings.rs
+++ b/crates/etcd/src/settings.rs
@@ -1,6 +1,6 @@
-//! `[registry]` of the operator's file.
+//! `[registry]` of the operator's file. The names of the fields are the file's keys.
 
-use applewall_operator_config::{Networks, Span, Switch};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Deserializer};
@@ -12,80 +12,82 @@
 impl<'de> Deserialize<'de> for Endpoints {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let text = String::deserialize(from)?;
-        let parts = text
-            .split(',')
-            .map(str::trim)
-            .filter(|part| !part.is_empty());
-        let address = |part: &str| {
-            part.parse().map_err(|_| {
+        let items = text.split(',').map(str::trim);
+        let address = |item: &str| {
+            item.parse().map_err(|_| {
                 serde::de::Error::custom(format_args!(
-                    "'{part}' is no address with a port, such as 10.0.0.5:2379"
+                    "'{item}' is no address with a port, such as 10.0.0.5:2379"
                 ))
             })
         };
-        parts.map(address).collect::<Result<_, _>>().map(Endpoints)
+        items
+            .filter(|item| !item.is_empty())
+            .map(address)
+            .collect::<Result<_, _>>()
+            .map(Endpoints)
     }
 }
 
-/// `[registry]`: a roster in an etcd v3 registry, beside discovery and before it.
+/// `[registry]`: membership in an etcd v3 registry, which takes precedence over discovery.
 #[derive(Clone, Debug, Deserialize, Validate, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 #[garde(allow_unvalidated)]
 pub struct Settings {
-    /// Off: discovery alone tells who is a member.
+    /// Off: the registry is not asked, and discovery alone decides who is a member.
     #[garde(custom(with_endpoints(&self.endpoints)))]
-    pub enabled: Switch,
-    /// Members of the registry; another one is tried after each loss.
+    pub enabled: EnabledFlag,
+    /// Members of the registry's cluster; another one is tried after each loss.
     pub endpoints: Endpoints,
-    /// Keys that begin with this are members; the rest of the key is the member's id.
+    /// Keys with this prefix are members; the rest of the key is the member's id.
     #[garde(length(min = 1, max = 1_024))]
     pub prefix: String,
-    /// A file that holds the token that goes with each call. Read again at each connection.
+    /// A file with the token that is sent with each call. Read again at each connection.
     pub token_file: Option<String>,
-    /// Networks that members may listen in; none: any.
+    /// Networks that members may listen in; none: any network.
     pub allowed: Networks,
-    /// Between proofs that the watch lives.
+    /// Interval between two progress requests, which prove that the watch is alive.
     #[garde(dive)]
-    pub probe: Span,
-    /// How long any answer may take.
+    pub probe: DurationSetting,
+    /// Timeout of any answer; a full list may take ten times as long.
     #[garde(dive)]
-    pub patience: Span,
+    pub patience: DurationSetting,
     /// The longest wait before a reconnect.
     #[garde(dive)]
-    pub backoff: Span,
-    /// A full read that a whole fleet needs at once is spread over this.
+    pub backoff: DurationSetting,
+    /// Bound on the random delay of a full read that a whole fleet needs at once.
     #[garde(dive)]
-    pub spread: Span,
-    /// For how long a list is believed without proof that it is current, before another source's is preferred.
+    pub spread: DurationSetting,
+    /// Maximum age of the list: without a proof for so long that it is current, another source is preferred.
     #[garde(dive)]
-    pub believed: Span,
-    /// Where the last good list is kept for the next start; not set: nowhere.
+    pub believed: DurationSetting,
+    /// Directory of the snapshot of the last good list, for the next start; not set: no snapshot.
     pub snapshot: Option<String>,
-    /// A snapshot older than this is not used.
+    /// Maximum age of a snapshot that is used.
     #[garde(dive)]
-    pub snapshot_age: Span,
+    pub snapshot_age: DurationSetting,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            enabled: Switch(false),
+            enabled: EnabledFlag(false),
             endpoints: Endpoints::default(),
             prefix: "/applewall/members/".into(),
             token_file: None,
             allowed: Networks::default(),
-            probe: Span::millis(100),
-            patience: Span::millis(150),
-            backoff: Span::millis(1_000),
-            spread: Span::millis(200),
-            believed: Span::millis(10_000),
+            probe: DurationSetting::from_millis(100),
+            patience: DurationSetting::from_millis(150),
+            backoff: DurationSetting::from_millis(1_000),
+            spread: DurationSetting::from_millis(200),
+            believed: DurationSetting::from_millis(10_000),
             snapshot: None,
-            snapshot_age: Span::millis(3_600_000),
+            snapshot_age: DurationSetting::from_millis(3_600_000),
         }
     }
 }
 
-fn with_endpoints(endpoints: &Endpoints) -> impl FnOnce(&Switch, &()) -> garde::Result + '_ {
+/// A registry that is on needs an endpoint.
+fn with_endpoints(endpoints: &Endpoints) -> impl FnOnce(&EnabledFlag, &()) -> garde::Result + '_ {
     move |enabled, ()| match enabled.0 && endpoints.0.is_empty() {
         true => Err(garde::Error::new("on, but no endpoints are named")),
         false => Ok(()),
--- /dev/null
+++ b/crates/etcd/tests/watch.rs
@@ -0,0 +1,347 @@
+//! The watch of a registry, against a fake one and through connections that break. Each test waits for what has to
+//! happen.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use applewall_etcd::{watch, Endpoints, Settings};
+use applewall_fakes::etcd::EtcdServer;
+use applewall_fakes::tcp_proxy::TcpProxy;
+use applewall_membership::{MemberChange, MemberState, MergedMembership, SourceInput};
+use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
+use tokio::task::JoinHandle;
+
+/// How long a test waits for what has to happen; a machine that is busy must not fail it.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+
+struct Fixture {
+    registry: EtcdServer,
+    wires: Vec<TcpProxy>,
+    membership: Arc<Mutex<MergedMembership>>,
+    known: Arc<Mutex<Known>>,
+    task: JoinHandle<()>,
+}
+
+/// What is known from changes alone.
+#[derive(Default)]
+struct Known {
+    states: BTreeMap<String, MemberState>,
+    new_incarnations: usize,
+}
+
+impl Known {
+    fn apply(&mut self, change: MemberChange) {
+        self.new_incarnations += usize::from(change.new_incarnation);
+        match change.record {
+            Some(record) => drop(self.states.insert(change.id, record.state)),
+            None => assert!(self.states.remove(&change.id).is_some(), "removed twice"),
+        }
+    }
+}
+
+fn settings(wires: &[TcpProxy]) -> Settings {
+    Settings {
+        enabled: EnabledFlag(true),
+        endpoints: Endpoints(wires.iter().map(|wire| wire.address).collect()),
+        prefix: "/m/".into(),
+        backoff: DurationSetting::from_millis(50),
+        spread: DurationSetting::from_millis(20),
+        // Only silence is recognised by time: a busy machine must not look silent.
+        patience: DurationSetting::from_millis(5_000),
+        ..Settings::default()
+    }
+}
+
+async fn start(
+    registry: EtcdServer,
+    members: usize,
+    change: impl FnOnce(&mut Settings),
+) -> Fixture {
+    let mut wires = Vec::new();
+    for _ in 0..members {
+        wires.push(
+            TcpProxy::start(registry.listen().await.unwrap())
+                .await
+                .unwrap(),
+        );
+    }
+    let mut settings = settings(&wires);
+    change(&mut settings);
+    let membership = Arc::new(Mutex::new(MergedMembership::new(1, u64::MAX)));
+    let known = Arc::new(Mutex::new(Known::default()));
+    let (applied, changed) = (membership.clone(), known.clone());
+    let task = tokio::spawn(async move {
+        let on_report = |report: SourceInput| {
+            let mut membership = applied.lock().unwrap();
+            let outcome = membership.source_mut(0).handle(0, report);
+            let mut known = changed.lock().unwrap();
+            for change in membership.take_changes(0) {
+                known.apply(change);
+            }
+            outcome
+        };
+        watch(&settings, 1, None, on_report).await;
+    });
+    Fixture {
+        registry,
+        wires,
+        membership,
+        known,
+        task,
+    }
+}
+
+fn value(port: u16, state: &str) -> String {
+    format!(r#"{{"endpoint":"127.0.0.1:{port}","state":"{state}"}}"#)
+}
+
+impl Fixture {
+    async fn until(
+        &self,
+        what: &str,
+        mut holds: impl FnMut(&BTreeMap<String, MemberState>) -> bool,
+    ) {
+        let wait = async {
+            while !holds(&self.known.lock().unwrap().states) {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let state = || self.known.lock().unwrap().states.clone();
+        assert!(
+            tokio::time::timeout(TEST_TIMEOUT, wait).await.is_ok(),
+            "never: {what}: {:?}",
+            state()
+        );
+    }
+
+    fn new_incarnations(&self) -> usize {
+        self.known.lock().unwrap().new_incarnations
+    }
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[tokio::test]
+async fn the_list_is_read_once_and_malformed_members_are_left_out() {
+    let registry = EtcdServer::new(7, 0);
+    registry.put("/m/a", &value(1, "in_service"));
+    registry.put("/m/bad", "{}");
+    registry.put("/other/x", &value(9, "in_service"));
+    let fixture = start(registry, 1, |settings| {
+        settings.allowed = Networks(vec!["127.0.0.0/8".parse().unwrap()]);
+    })
+    .await;
+    fixture
+        .until("a", |list| list.len() == 1 && list.contains_key("a"))
+        .await;
+    fixture.registry.put("/m/b", &value(2, "terminating"));
+    fixture
+        .registry
+        .put("/m/elsewhere", r#"{"endpoint":"192.0.2.1:80"}"#);
+    fixture.registry.put("/m/bad", &value(3, "in_service"));
+    fixture
+        .until("b and bad", |list| {
+            list.len() == 3 && list.get("b") == Some(&MemberState::Terminating)
+        })
+        .await;
+    // A member whose value turns malformed is left out.
+    fixture.registry.put("/m/a", "no JSON at all");
+    fixture.until("without a", |list| list.len() == 2).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_broken_watch_resumes_without_a_full_read_and_repeats_no_change() {
+    let registry = EtcdServer::new(7, 0);
+    registry.put("/m/a", &value(1, "in_service"));
+    let fixture = start(registry, 2, |_| ()).await;
+    fixture.until("a", |list| list.len() == 1).await;
+    for round in 0..20u16 {
+        fixture.wires.iter().for_each(TcpProxy::disconnect);
+        // Removed and added again during the break: one new incarnation, however it is reported.
+        fixture.registry.delete("/m/a");
+        fixture.registry.put("/m/a", &value(1, "in_service"));
+        fixture
+            .registry
+            .put(&format!("/m/n{round}"), &value(100 + round, "in_service"));
+        fixture
+            .until("the next", |list| list.len() == 2 + usize::from(round))
+            .await;
+    }
+    // 20 new members, 20 further incarnations of a, and its first.
+    assert_eq!(fixture.new_incarnations(), 41);
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_compacted_revision_leads_to_one_full_read() {
+    let registry = EtcdServer::new(7, 0);
+    registry.put("/m/a", &value(1, "in_service"));
+    registry.put("/m/b", &value(2, "in_service"));
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("both", |list| list.len() == 2).await;
+    fixture.wires[0].set_refusing(true);
+    fixture.wires[0].disconnect();
+    fixture.registry.delete("/m/a");
+    let last = fixture.registry.put("/m/c", &value(3, "in_service"));
+    fixture.registry.compact(last);
+    fixture.wires[0].set_refusing(false);
+    fixture
+        .until("c in place of a", |list| {
+            list.len() == 2 && list.contains_key("c")
+        })
+        .await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 2);
+    // The registry may have reported the compaction to the watch that was cut as well.
+    assert!(fixture.registry.calls.compacted.load(Ordering::Relaxed) >= 1);
+}
+
+#[tokio::test]
+async fn a_silent_watch_resumes_at_another_endpoint_without_a_full_read() {
+    let registry = EtcdServer::new(7, 0);
+    registry.put("/m/a", &value(1, "in_service"));
+    let fixture = start(registry, 3, |settings| {
+        settings.patience = DurationSetting::from_millis(150);
+    })
+    .await;
+    fixture.until("a", |list| list.len() == 1).await;
+    for round in 0..6 {
+        // The connection of the round before is closed by now: only the one in use falls silent.
+        let up = |wire: &&TcpProxy| wire.connections.open() > 0;
+        fixture
+            .until("one is in use", |_| {
+                fixture.wires.iter().filter(up).count() == 1
+            })
+            .await;
+        fixture
+            .wires
+            .iter()
+            .filter(up)
+            .for_each(|wire| wire.set_silent(true));
+        let state = if round % 2 == 0 {
+            "terminating"
+        } else {
+            "in_service"
+        };
+        fixture.registry.put("/m/a", &value(1, state));
+        let wanted = if round % 2 == 0 {
+            MemberState::Terminating
+        } else {
+            MemberState::InService
+        };
+        fixture
+            .until(state, |list| list.get("a") == Some(&wanted))
+            .await;
+        fixture.wires.iter().for_each(|wire| wire.set_silent(false));
+    }
+    assert_eq!(
+        (
+            fixture.new_incarnations(),
+            fixture.registry.calls.ranges.load(Ordering::Relaxed)
+        ),
+        (1, 1)
+    );
+}
+
+#[tokio::test]
+async fn a_registry_that_began_anew_is_read_again_and_members_that_stayed_keep_their_incarnation() {
+    let registry = EtcdServer::new(7, 0);
+    for index in 0..40 {
+        registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
+    }
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("40", |list| list.len() == 40).await;
+    fixture.wires[0].set_refusing(true);
+    fixture.wires[0].disconnect();
+    fixture.registry.reset(8);
+    fixture.registry.put("/m/s-1", &value(2, "in_service"));
+    fixture.wires[0].set_refusing(false);
+    fixture.until("one", |list| list.len() == 1).await;
+    assert_eq!(fixture.new_incarnations(), 40);
+    fixture.registry.put("/m/s-2", &value(3, "in_service"));
+    fixture.until("two", |list| list.len() == 2).await;
+    assert_eq!(
+        fixture
+            .membership
+            .lock()
+            .unwrap()
+            .source_mut(0)
+            .position()
+            .map(|position| position.cluster),
+        Some(8)
+    );
+}
+
+#[tokio::test]
+async fn thousands_of_keys_are_read_in_pages_and_fragmented_answers_are_applied_as_one() {
+    let registry = EtcdServer::new(7, 0);
+    for index in 0..5_000u16 {
+        registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
+    }
+    let fixture = start(registry, 1, |_| ()).await;
+    fixture.until("5,000", |list| list.len() == 5_000).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
+    fixture.wires[0].set_silent(true);
+    for index in 0..1_000 {
+        fixture.registry.delete(&format!("/m/s-{index}"));
+    }
+    fixture.wires[0].set_silent(false);
+    fixture.until("4,000", |list| list.len() == 4_000).await;
+    assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
+}
+
+#[tokio::test]
+async fn a_list_read_in_pages_while_it_changes_is_of_one_revision() {
+    let registry = EtcdServer::new(7, 0);
+    for index in 0..5_000u16 {
+        registry.put(&format!("/m/s-{index:04}"), &value(1 + index, "in_service"));
+    }
+    let writer = registry.clone();
+    let fixture = start(registry, 1, |_| ()).await;
+    // After the first page: one of the first is removed, one of the last is drained, and one is new.
+    fixture
+        .until("reading", |_| {
+            writer.calls.ranges.load(Ordering::Relaxed) >= 1
+        })
+        .await;
+    writer.delete("/m/s-0000");
+    writer.put("/m/s-4999", &value(5_000, "terminating"));
+    writer.put("/m/t", &value(6_000, "in_service"));
+    fixture
+        .until("all three", |list| {
+            list.len() == 5_000
+                && list.contains_key("t")
+                && list.get("s-4999") == Some(&MemberState::Terminating)
+        })
+        .await;
+    assert_eq!(fixture.new_incarnations(), 5_001);
+}
+
+#[tokio::test]
+async fn the_token_is_sent_and_read_again_at_each_connection() {
+    let registry = EtcdServer::new(7, 0);
+    registry.require_token("s3cret");
+    registry.put("/m/a", &value(1, "in_service"));
+    let file = std::env::temp_dir().join(format!("applewall-token-{}", std::process::id()));
+    std::fs::write(&file, "wrong\n").unwrap();
+    let fixture = start(registry, 1, |settings| {
+        settings.token_file = Some(file.to_str().unwrap().into());
+    })
+    .await;
+    let tried = || fixture.wires[0].connections.accepted() > 2;
+    fixture
+        .until("three tries", |list| list.is_empty() && tried())
+        .await;
+    // The file is read again at each connection.
+    std::fs::write(&file, "s3cret\n").unwrap();
+    fixture.until("a", |list| list.len() == 1).await;
+    std::fs::remove_file(&file).unwrap();
+}
--- a/crates/fault-testbed/src/environment.rs
+++ b/crates/fault-testbed/src/environment.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use applewall_operator_config::Span;
+use applewall_operator_config::DurationSetting;
 use tokio::net::TcpListener;
 
 use crate::capacity::ServerModel;
@@ -333,7 +333,8 @@
 
 /// Limits of a trial's list service.
 fn limits(trial: &Trial) -> ListServiceLimits {
-    let duration = |span: Option<Span>| span.map_or(Duration::ZERO, |span| span.0);
+    let duration =
+        |setting: Option<DurationSetting>| setting.map_or(Duration::ZERO, |setting| setting.0);
     ListServiceLimits {
         requests_per_second: trial.list.calls_per_s,
         rejection_delay: duration(trial.list.turned_after),
--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -12,13 +12,15 @@
 use crate::gossip::codec::fingerprint;
 use crate::gossip::GossipContext;
 
-/// Queueing time, in shortest objectives, below which the fleet has capacity for what earns a part of its weight.
+/// Queueing time, in shortest objectives, below which the fleet has capacity for what earns a part of its
+/// weight.
 const IDLE_QUEUEING: f64 = 0.2;
 /// Requested over forwarded units beyond which others' demand is clients that retry.
 const RETRYING_CLIENTS: f64 = 3.0;
 /// Square roots of the concurrency limit that are kept free: requests come by chance.
 const FREE_CONCURRENCY: f64 = 1.1;
-/// Wait that a rejection advises, as a part of the latency objective, where the quota or a failed attempt is the reason.
+/// Wait that a rejection advises, as a part of the latency objective, where the quota or a failed attempt is
+/// the reason.
 const QUOTA_RETRY_AFTER: f64 = 0.125;
 /// Wait that a rejection advises, as a part of the latency objective, where load is the reason.
 const LOAD_RETRY_AFTER: f64 = 0.25;
@@ -79,7 +81,8 @@
                 let max_units = self.settings.max_request_units;
                 let record = self.quotas.entry(now, customer);
                 record.charge(now, plan, request.units, pending.within_quota, max_units);
-                // Small parts admit their share of requests: whole ones held back in each node of a large set would be many.
+                // Small parts admit their share of requests: whole ones held back in each node of a large set
+                // would be many.
                 record.ceiling_dither = if record.has_reserve() {
                     self.rng.random()
                 } else {
@@ -136,7 +139,8 @@
         })
     }
 
-    /// A rejection, with the wait that it advises: a part of the objective, while a response can still be worth something.
+    /// A rejection, with the wait that it advises: a part of the objective, while a response can still be
+    /// worth something.
     pub(super) fn reject(&self, request: RequestId, class: usize, reason: Rejection) -> Action {
         let objective = seconds(self.settings.classes[class].latency_objective_ns);
         let wait = objective.min(seconds(self.settings.max_retry_after_ns));
@@ -150,8 +154,8 @@
         }
     }
 
-    /// The rule of the design: reject only while the estimated quota is empty, with probability 1 - quota / demand.
-    /// Extended: what is left or owed counts over a horizon, so that a wrong estimate is made good.
+    /// The rule of the design: reject only while the estimated quota is empty, with probability 1 - quota /
+    /// demand. Extended: what is left or owed counts over a horizon, so that a wrong estimate is made good.
     fn is_within_quota(&mut self, now: Seconds, fingerprint: u32, request: &Request) -> bool {
         let plan = &self.settings.plans[request.plan];
         let customer = &self.quotas.customers[&fingerprint];
@@ -181,15 +185,16 @@
         if plan.max_concurrency == 0 {
             return true;
         }
-        // Where an aggregate is in force, all admit no more than the quota and what is left in it. Else what others say they
-        // forward bounds it: a rejected client retries at once, and elsewhere.
+        // Where an aggregate is in force, all admit no more than the quota and what is left in it. Else what
+        // others say they forward bounds it: a rejected client retries at once, and elsewhere.
         let limit = if aggregate.is_some() {
             (rate + customer.quota_units.max(0.0) / DEBT_HORIZON).min(pace)
         } else {
             customer.peers_forwarded.read(now, RATE_MEMORY) * RETRYING_CLIENTS
         };
-        // Requests that other nodes have in flight: their demand, for as long as a request of this kind takes. Rounded at
-        // random: a share of less than one each would reject those that have nothing in flight.
+        // Requests that other nodes have in flight: their demand, for as long as a request of this kind
+        // takes. Rounded at random: a share of less than one each would reject those that have nothing in
+        // flight.
         let requested = (demand - customer.own_demand.read(now, RATE_MEMORY)).max(0.0);
         let kind = LatencyEstimator::kind(request.class, request.units);
         let others = requested.min(limit) * self.latency.usual(kind);
@@ -197,8 +202,9 @@
         in_flight < f64::from(plan.max_concurrency)
     }
 
-    /// Pace, in units per second, at which a customer with a concurrency limit gains most: beyond it, more is lost by
-    /// requests that come while all are in flight than others earn. For a set of nodes that can't see what is in flight now.
+    /// Pace, in units per second, at which a customer with a concurrency limit gains most: beyond it, more is
+    /// lost by requests that come while all are in flight than others earn. For a set of nodes that can't see
+    /// what is in flight now.
     pub(crate) fn concurrency_pace(&self, plan: &Plan) -> f64 {
         let limit = f64::from(plan.max_concurrency);
         let queueing_time = self.relative_queueing_time() * self.shortest_objective();
@@ -216,9 +222,9 @@
         plan.ceiling_units_per_second <= 0.0 || available >= request.units * customer.ceiling_dither
     }
 
-    /// A limit on the backlog, for when it grows faster than the ladder moves (a surge, endpoints lost at once): work in
-    /// flight beyond what is completed in a part of the objective would be late. While throughput is unknown it could
-    /// reject too much, hence the least limit and the first moments left free.
+    /// A limit on the backlog, for when it grows faster than the ladder moves (a surge, endpoints lost at
+    /// once): work in flight beyond what is completed in a part of the objective would be late. While
+    /// throughput is unknown it could reject too much, hence the least limit and the first moments left free.
     fn exceeds_backlog(&mut self, now: Seconds, class: usize, weight_per_cost: f64) -> bool {
         let objective = seconds(self.settings.classes[class].latency_objective_ns);
         let span = (objective * self.shortest_objective()).sqrt();
@@ -240,8 +246,8 @@
         self.pooled_backlog(now) > limit
     }
 
-    /// The fleet's backlog for each node, drawn: a limit of few requests is passed by chance alone, so the pool decides with
-    /// it, and by a share.
+    /// The fleet's backlog for each node, drawn: a limit of few requests is passed by chance alone, so the
+    /// pool decides with it, and by a share.
     fn pooled_backlog(&mut self, now: Seconds) -> f64 {
         let received = &self.load.received;
         let messages = self.load.messages.read(now, RATE_MEMORY);
@@ -253,11 +259,12 @@
                 own
             }
         };
-        // A share of what is requested alone would hold the backlog at the limit times requested over completed: where
-        // clients retry, a flood that chokes endpoints. This guards against any demand beyond what is completed, and its
-        // retries; the more there is, the less backlog is needed to keep endpoints busy. It could harm where endpoints have
-        // just gained capacity, until the pool shows it, or lose much work of a class. A process that has just started
-        // knows too little of what is completed to call anything excess.
+        // A share of what is requested alone would hold the backlog at the limit times requested over
+        // completed: where clients retry, a flood that chokes endpoints. This guards against any demand
+        // beyond what is completed, and its retries; the more there is, the less backlog is needed to keep
+        // endpoints busy. It could harm where endpoints have just gained capacity, until the pool shows it,
+        // or lose much work of a class. A process that has just started knows too little of what is completed
+        // to call anything excess.
         let is_young = now - self.started_at < seconds(self.settings.overload_window_ns);
         let requested = if is_young {
             0.0
--- a/src/decision/ladder.rs
+++ b/src/decision/ladder.rs
@@ -1,7 +1,8 @@
 //! The ladder of filters: admission under load, after the QGuard paper (see `docs/design.md`).
 //!
-//! Filter F0 admits all, the last one rejects all; those between admit a rate of cost that is split over the tiers. The
-//! filter in force changes by one step at most each sojourn, by the load index of the last intervals.
+//! Filter F0 admits all, the last one rejects all; those between admit a rate of cost that is split over the
+//! tiers. The filter in force changes by one step at most each sojourn, by the load index of the last
+//! intervals.
 
 use crate::decision_state::{
     FilterChange, Ladder, LoadStatistics, Seconds, LAST_FILTER, MONITOR_INTERVAL,
@@ -31,7 +32,8 @@
 const FAILURE_SHARE: f64 = 0.05;
 /// Weight of one request in the mean priority weight of its tier.
 const WEIGHT_SMOOTHING: f64 = 0.05;
-/// Part of a tier's demand from which on it counts as satisfied in the split: rounding leaves it a little short.
+/// Part of a tier's demand from which on it counts as satisfied in the split: rounding leaves it a little
+/// short.
 const SATISFIED: f64 = 0.999;
 /// Least rate worth splitting.
 const LEAST_RATE: f64 = 1e-6;
@@ -42,7 +44,8 @@
     pub(super) tier: usize,
     pub(super) cost: f64,
     pub(super) weight: f64,
-    /// A draw from 0 to 1, which rounds the bucket: in buckets smaller than a request, a share of requests pass.
+    /// A draw from 0 to 1, which rounds the bucket: in buckets smaller than a request, a share of requests
+    /// pass.
     pub(super) draw: f64,
 }
 
@@ -76,8 +79,8 @@
         true
     }
 
-    /// Splits the filter's rate over the tiers, max-min: the minimums, then by priority weight; what one doesn't need goes to
-    /// the others.
+    /// Splits the filter's rate over the tiers, max-min: the minimums, then by priority weight; what one
+    /// doesn't need goes to the others.
     fn split_rate(&mut self, now: Seconds) {
         let rate = self.filter_rates[self.filter];
         let demand: Vec<f64> = self
@@ -105,8 +108,8 @@
         let unsatisfied: Vec<usize> = (0..shares.len()).filter(is_unsatisfied).collect();
         let weight_of = |i: usize| self.tiers[i].weight_per_cost * demand[i];
         let total_weight: f64 = unsatisfied.iter().map(|i| weight_of(*i)).sum();
-        let is_worth_splitting = left > LEAST_RATE && total_weight > 0.0;
-        if !is_worth_splitting {
+        let is_divisible = left > LEAST_RATE && total_weight > 0.0;
+        if !is_divisible {
             return;
         }
         for i in unsatisfied {
@@ -115,7 +118,8 @@
         }
     }
 
-    /// Ends a monitor interval, judged by the statistics seen. `pool_lag`: the time after which a change shows in them.
+    /// Ends a monitor interval, judged by the statistics seen. `pool_lag`: the time after which a change
+    /// shows in them.
     pub(crate) fn end_interval(
         &mut self,
         now: Seconds,
@@ -161,8 +165,8 @@
         let half = recent.len() / 2;
         let older: i32 = recent.iter().take(half).sum();
         let newer: i32 = recent.iter().skip(half).sum();
-        // The lag stretches only what tightens, as in the paper: going too far is what it guards against. And what few
-        // outcomes say comes from the pool, late: the effect of a change has to show first.
+        // The lag stretches only what tightens, as in the paper: going too far is what it guards against. And
+        // what few outcomes say comes from the pool, late: the effect of a change has to show first.
         let stretched = if 2.0 * self.lag > least {
             least.max(self.lag / 2.0)
         } else {
@@ -197,7 +201,8 @@
     }
 }
 
-/// The load index of an interval: +1 for each overloaded signal (slow, rejected, timed out), -1 for each underloaded one.
+/// The load index of an interval: +1 for each overloaded signal (slow, rejected, timed out), -1 for each
+/// underloaded one.
 fn load_index(seen: &LoadStatistics) -> i32 {
     // Of the responses proper: what some endpoints reject or lose says nothing of the others.
     let responses = seen.outcomes - seen.rejected - seen.timed_out;
--- a/src/decision_state/hot_restart.rs
+++ b/src/decision_state/hot_restart.rs
@@ -1,4 +1,5 @@
-//! Hot restart: handing the state over to a new process, taking it over, and going on where the new process failed.
+//! Hot restart: handing the state over to a new process, taking it over, and going on where the new
+//! process failed.
 
 use std::borrow::Cow;
 
@@ -8,10 +9,12 @@
 };
 use super::{DecisionPolicy, SnapshotError};
 
-/// Part of the units under a ceiling that goes to the new process; this one has the rest for what it still answers.
+/// Part of the units under a ceiling that goes to the new process; this one has the rest for what
+/// it still answers.
 const HANDED_OVER: f64 = 0.5;
-/// Part of a ceiling's rate that this process keeps: practically none, but a plan without a rate has no ceiling at all.
-const KEPT_CEILING_RATE: f64 = 1e-3;
+/// Part of a ceiling's rate that this process keeps: practically none, but a plan without a rate
+/// has no ceiling at all.
+const RETAINED_CEILING_RATE: f64 = 1e-3;
 
 impl DecisionPolicy {
     fn snapshot_shape(&self) -> SnapshotShape {
@@ -22,7 +25,8 @@
         }
     }
 
-    /// Hands the state over. From here on this process has only its part of each ceiling's units, and no rate.
+    /// Hands the state over. From here on this process has only its part of each ceiling's units,
+    /// and no rate.
     ///
     /// # Errors
     ///
@@ -30,18 +34,18 @@
     pub fn export_snapshot(&mut self) -> Result<Vec<u8>, SnapshotError> {
         self.quotas
             .fill_all(self.last_event_at, &self.settings.plans);
-        let mut kept_units = Vec::with_capacity(self.quotas.customers.len());
+        let mut retained_units = Vec::with_capacity(self.quotas.customers.len());
         for customer in self.quotas.customers.values_mut() {
-            kept_units.push(customer.ceiling_units * (1.0 - HANDED_OVER));
+            retained_units.push(customer.ceiling_units * (1.0 - HANDED_OVER));
             customer.ceiling_units *= HANDED_OVER;
         }
         let bytes = self.snapshot().encode();
-        for (customer, units) in self.quotas.customers.values_mut().zip(kept_units) {
+        for (customer, units) in self.quotas.customers.values_mut().zip(retained_units) {
             customer.ceiling_units = units;
             customer.ceiling_reserve = customer.ceiling_reserve.map(|_| 0.0);
         }
         for plan in &mut self.settings.plans {
-            plan.ceiling_units_per_second *= KEPT_CEILING_RATE;
+            plan.ceiling_units_per_second *= RETAINED_CEILING_RATE;
         }
         bytes
     }
@@ -70,19 +74,21 @@
             },
             capacity: SnapshotCapacity {
                 per_endpoint: self.load.capacity_per_endpoint,
-                warm_endpoints: self.load.warm_endpoints,
+                effective_endpoints: self.load.effective_endpoints,
             },
         }
     }
 
-    /// The process that was to take over has failed: this one goes on by itself, with what it has left.
+    /// The process that was to take over has failed: this one goes on by itself, with what it has
+    /// left.
     pub fn resume(&mut self) {
-        // What came in the meantime went to the other one; and a customer not known here may have spent all there.
+        // What came in the meantime went to the other one; and a customer not known here may have
+        // spent all there.
         self.quotas
             .fill_all(self.last_event_at, &self.settings.plans);
         self.started_at = self.last_event_at;
         for plan in &mut self.settings.plans {
-            plan.ceiling_units_per_second /= KEPT_CEILING_RATE;
+            plan.ceiling_units_per_second /= RETAINED_CEILING_RATE;
         }
     }
 
@@ -109,11 +115,12 @@
         self.load.outgoing = snapshot.statistics.outgoing;
         self.load.received = snapshot.statistics.received;
         self.load.capacity_per_endpoint = snapshot.capacity.per_endpoint;
-        self.load.warm_endpoints = snapshot.capacity.warm_endpoints;
+        self.load.effective_endpoints = snapshot.capacity.effective_endpoints;
         for customer in self.quotas.customers.values_mut() {
             // What is in flight is the other process's.
             customer.in_flight = 0;
-            // The line of those unreported did not come along: each gets into it again with its next request.
+            // The line of those unreported did not come along: each gets into it again with its
+            // next request.
             customer.unreported = false;
         }
         Ok(())
--- a/src/decision_state/load_statistics.rs
+++ b/src/decision_state/load_statistics.rs
@@ -4,7 +4,8 @@
 
 use super::{DecayingRate, Seconds};
 
-/// Counts of outcomes and of work, for the load index and the backlog limit: of one interval, or summed and aged.
+/// Counts of outcomes and of work, for the load index and the backlog limit: of one interval, or
+/// summed and aged.
 ///
 /// The order of the fields is that of the gossip message and of the hot-restart snapshot.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -82,7 +83,8 @@
     }
 }
 
-/// Load statistics exchanged between the nodes of a large fleet, each of which sees too little by itself.
+/// Load statistics exchanged between the nodes of a large fleet, each of which sees too little by
+/// itself.
 #[derive(Default)]
 pub(crate) struct PooledLoad {
     /// What this node passes on with its next gossip message: its own and what it was sent.
@@ -94,16 +96,16 @@
     /// Work per second that this node's part of one warm endpoint is known to complete.
     pub(crate) capacity_per_endpoint: f64,
     /// How many warm endpoints those that are ready amount to, by their slow-start fractions.
-    pub(crate) warm_endpoints: f64,
+    pub(crate) effective_endpoints: f64,
     /// When the next part of the pool is sent to a peer.
     pub(crate) next_gossip_at: Seconds,
 }
 
 impl PooledLoad {
-    /// Work per second that a node's part of the fleet's endpoints completes, by how many of them are there and warm: what
-    /// was completed before would show a loss of endpoints too late.
+    /// Work per second that a node's part of the fleet's endpoints completes, by how many of them
+    /// are there and warm: what was completed before would show a loss of endpoints too late.
     pub(crate) fn capacity(&self) -> f64 {
-        self.capacity_per_endpoint * self.warm_endpoints
+        self.capacity_per_endpoint * self.effective_endpoints
     }
 
     /// Time that the work in flight in the fleet takes at the known capacity (Little's law).
--- a/src/decision_state/mod.rs
+++ b/src/decision_state/mod.rs
@@ -1,8 +1,8 @@
-//! What the decision policy reads: estimators, token stores, per-endpoint and per-customer records, and the snapshot that
-//! a hot restart transfers.
+//! What the decision policy reads: estimators, token stores, per-endpoint and per-customer records,
+//! and the snapshot that a hot restart transfers.
 //!
-//! Nothing here chooses: no code in this module picks an endpoint, admits, rejects, times a retry or gives up. Those
-//! choices, and the values that tune them, are in [`crate::decision`].
+//! Nothing here chooses: no code in this module picks an endpoint, admits, rejects, times a retry
+//! or gives up. Those choices, and the values that tune them, are in [`crate::decision`].
 
 mod customer;
 mod decaying_rate;
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,4 +1,5 @@
-//! The events of one node, each led to the decisions and the records that it concerns. Chooses nothing by itself.
+//! The events of one node, each led to the decisions and the records that it concerns. Chooses
+//! nothing by itself.
 
 use std::collections::BTreeMap;
 
@@ -139,8 +140,8 @@
         }
     }
 
-    /// An endpoint that was in maintenance: it was restarted, so it is in slow start; and it is due an attempt if it ever had
-    /// one.
+    /// An endpoint that was in maintenance: it was restarted, so it is in slow start; and it is due
+    /// an attempt if it ever had one.
     fn returned_to_service(&mut self, now: Seconds, endpoint: Endpoint) {
         let endpoint = Endpoint {
             started_at_ns: Some(nanoseconds(now)),
@@ -234,7 +235,8 @@
         }
     }
 
-    /// As a customer's aggregator, sends its nodes the sum where what they were sent no longer holds.
+    /// As a customer's aggregator, sends its nodes the sum where what they were sent no longer
+    /// holds.
     pub(crate) fn send_aggregate_if_due(
         &mut self,
         now: Seconds,
--- a/src/gossip/aggregation.rs
+++ b/src/gossip/aggregation.rs
@@ -11,12 +11,14 @@
 
 /// Aggregators of a large set of nodes: one may be down or cut off.
 const AGGREGATORS: usize = 2;
-/// Share of a ceiling that is allocated evenly in a large set; the first aggregator grants the rest.
+/// Share of a ceiling that is allocated evenly in a large set; the first aggregator grants the
+/// rest.
 const BASE_ALLOCATION: f64 = 0.5;
 /// Part of what a quota that was kept leaves of a ceiling which a new process starts with.
 const INITIAL_CEILING: f64 = 0.75;
 
-/// Level of the quota, as a share of the burst, below which a customer is busy: its use is reported.
+/// Level of the quota, as a share of the burst, below which a customer is busy: its use is
+/// reported.
 const BUSY_LEVEL: f64 = 0.8;
 /// Demand, as a share of the quota's rate, above which a customer is busy.
 const BUSY_DEMAND: f64 = 0.4;
@@ -32,8 +34,9 @@
     pub(crate) node_set_size: u32,
 }
 
-/// Enters a customer with its plan, its nodes and the aggregators among them: all of a set in which each can report to all
-/// others within the receive limit, else a few. `started_at`: when this process started.
+/// Enters a customer with its plan, its nodes and the aggregators among them: all of a set in which
+/// each can report to all others within the receive limit, else a few. `started_at`: when this
+/// process started.
 pub(crate) fn register(
     context: GossipContext<'_>,
     quotas: &mut QuotaTable,
@@ -99,7 +102,8 @@
     }
 }
 
-/// Ranks the customer's nodes by rendezvous hashing, so that each of them finds the same aggregators by itself.
+/// Ranks the customer's nodes by rendezvous hashing, so that each of them finds the same
+/// aggregators by itself.
 fn assign_aggregators(context: GossipContext<'_>, customer: &mut CustomerQuota, fingerprint: u32) {
     let node = context.settings.node;
     let nodes = customer.node_set_size;
@@ -115,14 +119,15 @@
     customer.aggregators = ranked;
 }
 
-/// Sets what is there at first: the quota as a peer reported it, and the ceiling as filled since this process started,
-/// since an earlier process may have spent what was there.
+/// Sets what is there at first: the quota as a peer reported it, and the ceiling as filled since
+/// this process started, since an earlier process may have spent what was there.
 fn initialize(now: Seconds, started_at: Seconds, customer: &mut CustomerQuota, plan: &Plan) {
     customer.filled_at = now;
     customer.quota_units = plan.quota_burst_units * customer.initial_level;
     let burst = plan.ceiling_burst_units;
     let filled = ((now - started_at) * plan.ceiling_units_per_second).min(burst);
-    // An earlier process that kept the quota, where that fills no faster, left what its burst does not take.
+    // An earlier process that kept the quota, where that fills no faster, left what its burst does
+    // not take.
     let quota_bounds_use = plan.quota_units_per_second > 0.0
         && plan.quota_units_per_second <= plan.ceiling_units_per_second;
     let left = if quota_bounds_use && customer.has_reserve() {
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::{kernel, lend, Pacer};
+use applewall_slow_peer::socket::{borrow_descriptor, kernel, TransferMonitor};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -34,7 +34,7 @@
 use crate::server::framing::Guarded;
 use crate::server::request::{Commands, Gate};
 use crate::server::slow_peers::Pacers;
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 
 /// Connections that the kernel holds for us at most.
 const BACKLOG: u32 = 1024;
@@ -76,7 +76,7 @@
     role: watch::Receiver<Role>,
     stopping: Arc<OnceLock<Stopping>>,
     gate: Arc<Gate>,
-    stages: watch::Receiver<Stage>,
+    stages: watch::Receiver<LifecyclePhase>,
     places: Arc<Semaphore>,
     seats: Arc<Seats>,
     budget: Budget,
@@ -92,7 +92,7 @@
         places: Arc<Semaphore>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
-        (stages, listed): (watch::Receiver<Stage>, watch::Receiver<bool>),
+        (stages, listed): (watch::Receiver<LifecyclePhase>, watch::Receiver<bool>),
         successor: Successor,
     ) -> Self {
         let budget = Budget::new(config.sockets);
@@ -125,7 +125,7 @@
         let all = (self.budget.clients + self.budget.spare) as u32;
         tokio::select! {
             () = self.accept(&listener) => {}
-            _ = stages.wait_for(|s| *s == Stage::Closing) => {}
+            _ = stages.wait_for(|s| *s == LifecyclePhase::Closing) => {}
             () = self.emptied(all) => {}
         }
         let ends = self
@@ -145,7 +145,9 @@
     /// Ends once this process was told to stop, another took over, and no connection is left.
     async fn emptied(&self, all: u32) {
         let mut stages = self.stages.clone();
-        let _ = stages.wait_for(|s| *s == Stage::Staying).await;
+        let _ = stages
+            .wait_for(|s| *s == LifecyclePhase::TerminatingReplaced)
+            .await;
         let _ = self.places.acquire_many(all).await;
     }
 
@@ -223,13 +225,13 @@
     }
 
     /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
-    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
+    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<TransferMonitor>>) {
         let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else {
             return;
         };
         let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
         if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
-            tracing::warn!("pace: cannot bound what the kernel holds of answers: {e}");
+            tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {e}");
         }
     }
 
@@ -239,7 +241,9 @@
         let pacer = self.pacers.borrow().clone();
         // Before a newcomer whose first command is on its way.
         if let Some(pacer) = pacer {
-            if self.seats.make_room_of(GRACE, now, false) || pacer.make_place(now) {
+            if self.seats.make_room_of(GRACE, now, false)
+                || pacer.abort_one_for_connection_slot(now)
+            {
                 return true;
             }
         }
@@ -258,10 +262,10 @@
             let told = cut.clone();
             // SAFETY: the ticket goes into `Guarded`, which drops it before the stream and never moves the stream
             // out without dropping it.
-            let socket = unsafe { lend(&stream) };
+            let socket = unsafe { borrow_descriptor(&stream) };
             (
                 pacer.clone(),
-                pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
+                pacer.register(self.gate.clock.now(), address.ip(), socket, move || {
                     told.notify_one();
                 }),
             )
@@ -273,7 +277,7 @@
         let room = taken > self.budget.clients * 3 / 4 && self.make_room(GRACE);
         let crowded = taken > self.budget.clients;
         // One whose set of addresses holds its share already gets one of the places for saying no.
-        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.placed());
+        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.has_slot());
         let shed = crowded && !room || !placed;
         // Once a spell: it ends when there is room again.
         if shed && placed && !self.shedding.swap(true, Ordering::Relaxed) {
@@ -289,7 +293,7 @@
                 Some(Paced {
                     pacer,
                     id: ticket.id(),
-                    peer: ticket.peer(),
+                    peer: ticket.peer_network(),
                 }),
                 Some(ticket),
             ),
@@ -354,18 +358,18 @@
 
 /// Waits until the connection has to go, where it is idle. Drained, one that has not asked yet stays for its one
 /// command, and for as long as a head may take; one whose head is half here goes with the answer to that.
-async fn going(stages: &mut watch::Receiver<Stage>, seat: &Seat) {
+async fn going(stages: &mut watch::Receiver<LifecyclePhase>, seat: &Seat) {
     loop {
         let stage = *stages.borrow_and_update();
         let idle = match stage {
-            Stage::Closing => !seat.halfway(),
-            Stage::Drained => seat.asked() && !seat.halfway(),
+            LifecyclePhase::Closing => !seat.halfway(),
+            LifecyclePhase::Drained => seat.asked() && !seat.halfway(),
             _ => false,
         };
         if idle {
             return;
         }
-        if matches!(stage, Stage::Closing | Stage::Drained) {
+        if matches!(stage, LifecyclePhase::Closing | LifecyclePhase::Drained) {
             // Its answer, or the time that a head has, ends it.
             let _ = stages.wait_for(|s| *s != stage).await;
         } else if stages.changed().await.is_err() {
