--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn answers_a_batch_and_restarts_within_it() {
+fn a_batch_is_answered_also_across_a_restart_within_it() {
     let out = play(&lines(&[
         r#"["Sync",5,1]"#,
         r#"["Boot",3,7,FACTS]"#,
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn malformed_lines_stop_it_with_a_plain_message() {
+fn malformed_lines_end_the_process_with_one_message() {
     let cases = [
         (r#"["Sync",5"#, "not JSON"),
         (r#"{"a":1}"#, "not an array"),
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -5,15 +5,15 @@
     reason = "short names are spelled out as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 use applewall::api::*;
-use common::fleet::{Fleet, STEP};
-use common::*;
 use rand::Rng;
+use support::fleet::{PolicyFleet, STEP_NS};
+use support::policy::*;
 
 /// Requests a second that a warm backend carries.
 const CARRIES: f64 = 24.0;
@@ -25,12 +25,12 @@
 fn cold_settings() -> PolicySettings {
     let mut set = settings();
     for class in &mut set.classes {
-        (class.latency_objective_ns, class.deadline_ns) = (800 * MS, 3 * S);
+        (class.latency_objective_ns, class.deadline_ns) = (800 * MILLISECOND, 3 * SECOND);
     }
     PolicySettings {
         slow_start_fraction: COLD_SHARE,
         overload_multiple: FALL.0,
-        overload_window_ns: 3 * S,
+        overload_window_ns: 3 * SECOND,
         ..set
     }
 }
@@ -51,12 +51,12 @@
 
 impl World {
     fn share(&self, now: f64) -> f64 {
-        let age = now - self.started.get() as f64 / S as f64;
+        let age = now - self.started.get() as f64 / SECOND as f64;
         (COLD_SHARE + (1.0 - COLD_SHARE) * age / WARM_AFTER).min(1.0)
     }
 
     fn end(&self, to: &EndpointId) -> (Outcome, u64) {
-        let now = self.now.get() as f64 / S as f64;
+        let now = self.now.get() as f64 / SECOND as f64;
         self.sent
             .borrow_mut()
             .entry(to.clone())
@@ -87,36 +87,37 @@
 
 /// What a fleet before cold backends sends on in each of so many seconds; and the worst any backend was pushed.
 fn cold(gateways: u32, backends: usize, each: f64, seed: u64, seconds: u64) -> (Vec<u32>, f64) {
-    let mut fleet = Fleet::of(gateways, seed, cold_settings(), 0);
+    let mut fleet = PolicyFleet::with_nodes(gateways, seed, cold_settings(), 0);
     let world = World::default();
     world.started.set(fleet.now());
-    fleet.list = (0..backends)
-        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+    fleet.endpoints = (0..backends)
+        .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     fleet
-        .list
+        .endpoints
         .iter_mut()
         .for_each(|m| m.started_at_ns = Some(world.started.get()));
-    let list: std::sync::Arc<[Endpoint]> = fleet.list.clone().into();
-    for door in &mut fleet.doors {
-        door.give(Event::EndpointUpdate(
+    let list: std::sync::Arc<[Endpoint]> = fleet.endpoints.clone().into();
+    for door in &mut fleet.nodes {
+        door.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Snapshot,
             list.clone(),
         ));
     }
     let mut served = vec![0; seconds as usize];
     let mut due = 0.0;
-    for step in 0..seconds * S / STEP {
+    for step in 0..seconds * SECOND / STEP_NS {
         world.now.set(fleet.now());
         let end = |to: &EndpointId, _: RequestId| world.end(to);
-        due += each * f64::from(gateways) * STEP as f64 / S as f64;
+        due += each * f64::from(gateways) * STEP_NS as f64 / SECOND as f64;
         while due >= 1.0 {
             due -= 1.0;
             let me = fleet.rng.random_range(0..gateways as usize);
             let name = format!("c{}", fleet.rng.random_range(0..2000u32));
-            let (_, actions) = fleet.doors[me].ask_of(gateways, SAFE, 1, &name, 1.0);
-            served[(step * STEP / S) as usize] += u32::from(target(&actions).is_some());
-            fleet.act(me, &actions, &end);
+            let (_, actions) = fleet.nodes[me].request_with_node_set(gateways, SAFE, 1, &name, 1.0);
+            served[(step * STEP_NS / SECOND) as usize] +=
+                u32::from(attempted_endpoint(&actions).is_some());
+            fleet.start_attempts(me, &actions, &end);
         }
         fleet.step(&end);
     }
@@ -124,39 +125,39 @@
 }
 
 #[test]
-fn what_the_first_list_names_after_none_did_not_start_with_it() {
-    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let mut stage = Stage::new(cold_settings(), 1, &[]);
-    let (_, actions) = stage.ask(SAFE, 1, "early", 1.0);
-    assert!(refused(&actions), "nobody is known");
-    stage.give(Event::EndpointUpdate(
+fn endpoints_of_the_first_list_after_an_empty_start_count_as_started_earlier() {
+    let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+    let mut driver = PolicyDriver::new(cold_settings(), 1, &[]);
+    let (_, actions) = driver.request(SAFE, 1, "early", 1.0);
+    assert!(is_rejected(&actions), "nobody is known");
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Snapshot,
         list.into(),
     ));
-    let (sent, refused) = stage.run(SAFE, 1, 25 * MS, S, Outcome::Success, 60);
+    let (sent, refused) = driver.run_load(SAFE, 1, 25 * MILLISECOND, SECOND, Outcome::Success, 60);
     assert_eq!(
         (sent, refused),
         (40, 0),
         "backends that started long ago are warm"
     );
     // One more turns up later, and no word of when it started: taken for a newcomer.
-    stage.give(Event::EndpointUpdate(
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
-        [member("b9", 0)].into(),
+        [endpoint("b9", 0)].into(),
     ));
     let (mut new, mut all) = (0, 0);
     for _ in 0..120 {
-        let (id, actions) = stage.ask(SAFE, 1, "later", 1.0);
-        let to = target(&actions).expect("six warm backends");
+        let (id, actions) = driver.request(SAFE, 1, "later", 1.0);
+        let to = attempted_endpoint(&actions).expect("six warm backends");
         (new, all) = (new + u32::from(&*to == "b9"), all + 1);
-        stage.end(id, 0, &to, Outcome::Success, 60);
-        stage.pass(10 * MS);
+        driver.finish_attempt(id, 0, &to, Outcome::Success, 60);
+        driver.advance(10 * MILLISECOND);
     }
     assert!(new * 7 < all, "{new} of {all} to a newcomer of seven");
 }
 
 #[test]
-fn a_fleet_that_is_cold_as_a_whole_serves_what_its_backends_bear_from_the_first_second_on() {
+fn a_cold_fleet_serves_the_capacity_of_its_warming_endpoints_from_the_first_second() {
     for (gateways, backends, seed) in [(3, 10, 1), (24, 20, 2), (24, 20, 3), (100, 30, 4)] {
         // Twice what they carry when warm is asked for.
         let each = 2.0 * CARRIES * backends as f64 / f64::from(gateways);
@@ -180,7 +181,7 @@
 }
 
 #[test]
-fn few_requests_at_each_of_many_gateways_use_what_cold_backends_bear() {
+fn many_nodes_with_few_requests_each_use_the_capacity_of_warming_endpoints() {
     // Slow answers of cold backends are no queue; and a part of a request is a chance of one, not of half of one.
     for (gateways, each, seed, most) in
         [(24, 2.0, 1, 0.85), (100, 2.0, 2, 0.5), (300, 0.6, 3, 0.35)]
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn all_at_once_without_a_list_each_asks_for_one_whole_list_and_none_is_turned_away() {
+fn a_simultaneous_start_without_lists_requests_one_full_list_per_ingress_without_rejections() {
     let played = play(TURNS);
     assert_eq!(
         (
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn with_an_old_list_in_which_a_third_is_gone_nobody_asks_for_a_whole_one() {
+fn an_old_list_with_removed_instances_is_updated_without_full_lists() {
     let played = play(&format!(
         "{TURNS}[ingress]\nknown = old\n[faults]\ngone = at 0s: remove instance:0-3\n"
     ));
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn limit_servers_cold_too_are_not_pushed_over_and_serve_from_the_first_second_on() {
+fn warming_instances_are_not_overloaded_and_serve_from_the_first_second() {
     let played =
         play("[ingress]\nknown = old\n[instance]\ncold = on\n[traffic]\nrate = 20\nagain = 1\n");
     let metrics = &played.metrics;
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn a_list_service_that_turns_nine_in_ten_away_is_called_less_and_less_and_gets_through() {
+fn a_list_service_that_rejects_nine_in_ten_is_called_less_often_until_all_are_listed() {
     let away = "[faults]\naway = at 0s: list turns away 0.9 for 4s\n";
     let played = play(&format!("[trial]\ntime = 14s\n{TURNS}{away}"));
     assert_eq!(listed(&played), 24);
@@ -122,7 +122,7 @@
 }
 
 #[test]
-fn a_list_service_silent_for_ten_seconds_holds_nobody_back_who_has_an_old_list() {
+fn ingresses_with_an_old_list_serve_while_the_list_service_is_silent() {
     let silent = "[ingress]\nknown = old\n[faults]\nsilent = at 0s: list silent for 10s\nnews = at 12s: restart instance:0\n";
     let played = play(&format!("[trial]\ntime = 18s\n{TURNS}{silent}"));
     assert!(listed(&played) > 12, "{} heard the news", listed(&played));
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn an_answer_that_breaks_off_halfway_is_no_list() {
+fn a_truncated_list_response_is_not_used() {
     let breaks = "[faults]\nbreaks = at 0s: list breaks 0.5 for 3s\n";
     let played = play(&format!("[trial]\ntime = 8s\n{TURNS}{breaks}"));
     assert_eq!(listed(&played), 24);
@@ -152,7 +152,7 @@
 }
 
 #[test]
-fn a_limit_server_that_accepts_and_never_answers_costs_no_request_its_answer() {
+fn an_instance_that_never_answers_costs_no_request_its_response() {
     let mute = "[ingress]\nknown = old\n[faults]\nmute = at 0s: mute instance:0-1\n";
     let played = play(&format!("[trial]\ntime = 6s\n{TURNS}{mute}"));
     assert!(
@@ -163,7 +163,7 @@
 }
 
 #[test]
-fn datagrams_lost_and_a_second_late_leave_the_budget_kept() {
+fn the_call_budget_holds_with_lost_and_late_datagrams() {
     let lossy =
         "[faults]\nlossy = at 0s: link ingress:all -> ingress:all loss 0.3 delay 1s spread 200ms twice 0.1\n";
     let played = play(&format!("{TURNS}{lossy}"));
@@ -171,14 +171,14 @@
 }
 
 #[test]
-fn split_in_two_halves_during_the_start_each_half_keeps_to_the_budget() {
+fn each_half_of_a_partitioned_fleet_keeps_the_call_budget_during_the_start() {
     let split = "[faults]\nsplit = at 0s: link ingress:0-11 <-> ingress:12-23 silent for 3s\n";
     let played = play(&format!("{TURNS}{split}"));
     assert_eq!((listed(&played), calls(&played, true)), (24, 24));
 }
 
 #[test]
-fn seven_in_ten_killed_twice_are_shielded_by_those_that_lived() {
+fn restarted_ingresses_are_throttled_by_those_that_kept_running() {
     let twice = "[faults]\none = at 3s: kill ingress:0.7 and start after 200ms none\n\
                  two = at 7s: kill ingress:0.7 and start after 200ms old\n";
     let played = play(&format!("[trial]\ntime = 11s\n{TURNS}{twice}"));
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn where_half_have_an_old_list_the_others_go_first_and_all_know_how_many_they_are() {
+fn ingresses_without_a_list_call_before_those_with_an_old_one_and_all_count_the_cohort() {
     // Five calls a second: the window is long enough to wait for the roll.
     let half = "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = 5\n[faults]\n\
                 none = at 3s: kill ingress:0-11 and start after 500ms none\n\
@@ -248,7 +248,7 @@
 }
 
 #[test]
-fn one_stopped_in_the_middle_of_its_start_asks_when_it_goes_on() {
+fn an_ingress_suspended_during_its_start_requests_its_list_when_it_continues() {
     // The list service is silent until after the stop: whoever is stopped has no list yet.
     let stop =
         "[faults]\nsilent = at 0s: list silent for 2s\nstop = at 1s: stop ingress:3 for 3s\n";
@@ -257,7 +257,7 @@
 }
 
 #[test]
-fn six_in_ten_replaced_while_the_list_service_is_silent_are_found_once_it_is_back() {
+fn instances_replaced_while_the_list_service_is_silent_are_found_afterwards() {
     let replaced = "[ingress]\nknown = old\n[faults]\nreplaced = at 1s: replace instance:0.6\n\
                     silent = at 0.5s: list silent for 4s\n";
     let played = play(&format!(
@@ -273,7 +273,7 @@
 }
 
 #[test]
-fn a_service_whose_revisions_go_back_is_read_anew_and_a_list_of_thousands_is_taken() {
+fn a_full_list_is_read_after_revisions_go_back_and_a_list_of_thousands_is_accepted() {
     let back = "[faults]\nback = at 3s: list goes back\n";
     let played = play(&format!(
         "[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"
@@ -293,7 +293,7 @@
 }
 
 #[test]
-fn strangers_datagrams_and_torn_words_are_told_of_once_and_change_no_turn() {
+fn foreign_and_truncated_datagrams_are_logged_once_and_do_not_change_the_schedule() {
     // Words are told at a start: those of the second one are torn.
     let bad = "[faults]\nforeign = at 0s: foreign ingress:all\ntorn = at 0s: link ingress:all -> ingress:all torn 0.5\n\
                again = at 2s: kill ingress:0-11 and start after 200ms none\n";
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn says_its_version_and_checks_a_configuration() {
+fn version_and_check_print_their_results() {
     let version = run(&["version"], None);
     assert_eq!(
         version.stdout,
@@ -51,7 +51,7 @@
 }
 
 #[test]
-fn wrong_words_end_with_one_plain_line() {
+fn unknown_arguments_end_with_one_line() {
     let cases: [(&[&str], &str); 5] = [
         (&[], "usage: "),
         (&["dance"], "unknown sub-command 'dance'"),
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn a_descriptor_that_does_not_listen_ends_with_one_plain_line() {
+fn an_inherited_descriptor_that_is_no_listener_ends_with_one_line() {
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("inherits.json");
     std::fs::write(&path, config("", "")).unwrap();
     let program = env!("CARGO_BIN_EXE_applewall");
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn a_wrong_configuration_ends_with_one_plain_line() {
+fn an_invalid_configuration_ends_with_one_line() {
     let cases = [
         ("\"settings\"", "\"other\"", "missing field `settings`"),
         ("\"name\": \"n0\"", "\"name\": 0", "expected a string"),
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn an_address_that_cannot_be_had_ends_with_one_plain_line() {
+fn an_address_that_cannot_be_bound_ends_with_one_line() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap().to_string();
     let text = config(
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn the_shipped_operator_files_will_do() {
+fn the_shipped_operator_files_are_valid() {
     for (file, on) in [
         ("applewall.ini", "nothing on"),
         ("applewall.recommended.ini", "pace, bulkheads on"),
@@ -156,7 +156,7 @@
 }
 
 #[test]
-fn a_wrong_operator_file_ends_with_one_line_that_says_where() {
+fn an_invalid_operator_file_ends_with_one_line_that_names_the_place() {
     let cases = [
         (
             "[pacing]",
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -297,7 +297,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn told_by_a_watch_also_over_many_lines() {
+async fn a_drain_is_kept_when_a_watch_response_shows_it_also_over_many_lines() {
     let scene = Scene::run().await;
     scene.agent.change(|s| s.indented = true);
     let (told, list) = (Instant::now(), scene.list("terminating"));
@@ -306,7 +306,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn told_by_a_whole_list_that_leaves_it_out() {
+async fn a_drain_is_kept_when_a_full_list_omits_the_instance() {
     let scene = Scene::run().await;
     let told = Instant::now();
     scene.agent.change(|s| {
@@ -317,7 +317,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn while_its_watch_is_reset() {
+async fn a_drain_is_kept_when_the_watch_is_reset() {
     let scene = Scene::run().await;
     // What the agent has counts as told, whether a watch is open or not.
     let (told, list) = (Instant::now(), scene.list("terminating"));
@@ -328,7 +328,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn while_its_watch_is_silent_for_ever() {
+async fn a_drain_is_kept_when_the_watch_stays_silent() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
@@ -342,7 +342,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_half_an_answer_comes_and_then_nothing() {
+async fn a_drain_is_kept_when_a_watch_response_stops_halfway() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
@@ -358,7 +358,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_agent_is_gone_for_eight_seconds() {
+async fn a_drain_is_kept_when_the_agent_is_gone_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -371,7 +371,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_agent_says_nothing_for_eight_seconds() {
+async fn a_drain_is_kept_when_the_agent_is_silent_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -385,7 +385,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_no_connection_to_the_agent_comes_up_for_eight_seconds() {
+async fn a_drain_is_kept_when_no_connection_to_the_agent_is_established_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -408,7 +408,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn after_a_reload_to_an_agent_that_is_silent_at_first() {
+async fn a_drain_is_kept_after_a_reload_to_an_agent_that_is_silent_at_first() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     let next = Agent::start(State {
@@ -430,7 +430,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn in_a_new_life_whose_known_list_is_old() {
+async fn a_drain_is_kept_by_a_restarted_process_with_an_old_known_list() {
     let mut scene = Scene::set().await;
     let list = scene.list("terminating");
     scene.agent.change(|s| (s.rev, s.targets) = (6, list));
@@ -444,7 +444,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_revision_goes_back() {
+async fn a_drain_is_kept_when_the_revision_goes_back() {
     let scene = Scene::run().await;
     let (told, list) = (Instant::now(), scene.list("terminating"));
     scene
--- a/tests/rig.rs
+++ b/tests/fault_testbed.rs
@@ -13,7 +13,7 @@
 /// Requests that wait at a process end with it. Their ends may be written down by other threads before the kill's line
 /// unless that comes first, and would then look like answers that a living process owed.
 #[test]
-fn a_kill_is_written_down_before_what_ends_by_it() {
+fn a_kill_is_recorded_before_the_requests_that_end_with_the_process() {
     let played = play(
         "[trial]\ningresses = 3\ninstances = 4\ntime = 4s\n[ingress]\nknown = old\n[traffic]\nrate = 150\n\
          [faults]\nmute = at 0s: mute instance:all\none = at 1s: kill ingress:all and start after 300ms old\n\
--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -10,15 +10,15 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
 use applewall::api::*;
-use common::fleet::{Fleet, STEP};
-use common::*;
 use rand::Rng;
+use support::fleet::{PolicyFleet, STEP_NS};
+use support::policy::*;
 
 const SECONDS: u64 = 20;
 /// Requests a second at each gateway.
@@ -44,15 +44,15 @@
         over_quota_penalty_fraction: 0.5,
         ..Plan::default()
     };
-    let mut fleet = Fleet::of(gateways, seed, set, backends);
+    let mut fleet = PolicyFleet::with_nodes(gateways, seed, set, backends);
     let mut met = vec![BTreeSet::new(); gateways as usize];
     let (mut asked, mut bytes, mut spent) = (0u32, 0, 0.0);
     // One in nine asks for three times its quota, the others for half of it.
     let customers = (f64::from(gateways) * EACH / (1.0 + 6.0 / 8.0)) as u32;
     let end = |_: &EndpointId, id: RequestId| (Outcome::Success, 60 + id.0 % 97);
     let mut attempts: HashMap<(usize, RequestId), u32> = HashMap::new();
-    for _ in 0..SECONDS * S / STEP {
-        let due = f64::from(gateways) * EACH * STEP as f64 / S as f64;
+    for _ in 0..SECONDS * SECOND / STEP_NS {
+        let due = f64::from(gateways) * EACH * STEP_NS as f64 / SECOND as f64;
         let times = due as u32 + u32::from(fleet.rng.random::<f64>() < due.fract());
         for _ in 0..times {
             let heavy = fleet.rng.random::<f64>() < 3.0 / 7.0;
@@ -60,32 +60,37 @@
             let name = format!("c{}", if heavy { number / 9 } else { number });
             let me = fleet.rng.random_range(0..gateways as usize);
             let began = Instant::now();
-            let (id, actions) = fleet.doors[me].ask_of(gateways, SAFE, 0, &name, 1.0);
+            let (id, actions) =
+                fleet.nodes[me].request_with_node_set(gateways, SAFE, 0, &name, 1.0);
             spent += began.elapsed().as_secs_f64();
             asked += 1;
-            if let Some(to) = target(&actions) {
+            if let Some(to) = attempted_endpoint(&actions) {
                 met[me].insert(to);
                 *attempts.entry((me, id)).or_default() += 1;
             }
-            fleet.act(me, &actions, &end);
+            fleet.start_attempts(me, &actions, &end);
         }
         let began = Instant::now();
         fleet.step(&end);
         spent += began.elapsed().as_secs_f64();
-        for door in &mut fleet.doors {
-            bytes += door.told.drain(..).map(|text| text.len()).sum::<usize>();
+        for door in &mut fleet.nodes {
+            bytes += door
+                .gossip_texts
+                .drain(..)
+                .map(|text| text.len())
+                .sum::<usize>();
         }
     }
     let each = f64::from(gateways) * SECONDS as f64;
     Cost {
-        messages: f64::from(fleet.delivered) / each,
+        messages: f64::from(fleet.gossip_delivered) / each,
         bytes: bytes as f64 / each,
         met: met.iter().map(|m| m.len() as f64).sum::<f64>() / f64::from(gateways),
         micros: spent * 1e6 / f64::from(asked),
         kept: fleet
-            .doors
+            .nodes
             .iter()
-            .map(|d| d.brain.entry_count())
+            .map(|d| d.policy.entry_count())
             .max()
             .unwrap_or(0),
     }
@@ -93,7 +98,7 @@
 
 #[test]
 #[ignore = "a measurement: make measure-large-fleet"]
-fn what_the_size_of_a_fleet_costs_each_of_it() {
+fn cost_per_node_by_fleet_size() {
     let mut most = 0.0f64;
     println!("fleet  instances  messages in/s (least to most of 3 runs)  bytes out/s  instances met  us/request  kept");
     for gateways in [3, 30, 100] {
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -153,21 +153,21 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn of_silent_connections() {
+async fn healthy_clients_are_served_beside_silent_connections() {
     flood(Kind::Silent).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn of_half_heads() {
+async fn healthy_clients_are_served_beside_incomplete_heads() {
     flood(Kind::HalfHead).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn of_much_sent_at_once_and_gone() {
+async fn healthy_clients_are_served_beside_clients_that_pipeline_and_disconnect() {
     flood(Kind::MuchAndGone).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn of_bodies_that_never_come_whole() {
+async fn healthy_clients_are_served_beside_incomplete_bodies() {
     flood(Kind::HalfBody).await;
 }
--- a/tests/golden_datagrams.rs
+++ b/tests/golden_datagrams.rs
@@ -9,8 +9,8 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-mod common;
 mod golden;
+mod support;
 
 use applewall::api::{Endpoint, Event};
 use applewall::decision::DecisionPolicy;
@@ -367,7 +367,7 @@
 #[test]
 fn a_datagram_of_another_version_among_good_ones_changes_nothing() {
     let members: Vec<Endpoint> = (0..3)
-        .map(|i| common::member(&format!("b{i}"), 0))
+        .map(|i| support::policy::endpoint(&format!("b{i}"), 0))
         .collect();
     let used = Record::Usage(Usage {
         plan: 0,
@@ -381,8 +381,9 @@
         .try_into()
         .unwrap();
     let play = |foreign: bool, good: Option<&String>| {
-        let mut stage = common::Stage::new(common::settings(), 1, &members);
-        stage.ask(common::SAFE, 0, "customer 1", 1.0);
+        let mut driver =
+            support::policy::PolicyDriver::new(support::policy::settings(), 1, &members);
+        driver.request(support::policy::SAFE, 0, "customer 1", 1.0);
         for (kind, _, text) in committed() {
             let other = KINDS.iter().find(|k| k.0 == kind).unwrap().3;
             let bad = format!("{other}{}", &text[other.len()..]);
@@ -393,22 +394,22 @@
                 String::new(),
             ] {
                 let actions = if foreign {
-                    stage.give(Event::PeerMessage { from: 1, text: bad })
+                    driver.handle(Event::PeerMessage { from: 1, text: bad })
                 } else {
                     vec![]
                 };
                 assert_eq!(actions, []);
             }
-            stage.give(Event::PeerMessage { from: 1, text });
+            driver.handle(Event::PeerMessage { from: 1, text });
             good.into_iter().for_each(|good| {
-                drop(stage.give(Event::PeerMessage {
+                drop(driver.handle(Event::PeerMessage {
                     from: 1,
                     text: good.clone(),
                 }));
             });
         }
-        let brain: &mut DecisionPolicy = &mut stage.brain;
-        (stage.told, brain.export_snapshot().unwrap())
+        let brain: &mut DecisionPolicy = &mut driver.policy;
+        (driver.gossip_texts, brain.export_snapshot().unwrap())
     };
     assert!(
         play(true, Some(&good)) == play(false, Some(&good)),
--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -11,15 +11,15 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use std::fmt::Write as _;
 
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
-use common::fleet::pool;
-use common::{member, settings, MS, S};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use support::fleet::encode_pool as pool;
+use support::policy::{endpoint as member, settings, MILLISECOND as MS, SECOND as S};
 
 const GOLDEN: &str = include_str!("golden/decisions.txt");
 const BACKENDS: u32 = 9;
--- a/tests/golden_handover.rs
+++ b/tests/golden_handover.rs
@@ -9,8 +9,8 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-mod common;
 mod golden;
+mod support;
 
 use std::collections::BTreeMap;
 
@@ -19,9 +19,9 @@
 use applewall::gossip::codec::{self, fingerprint, CustomerRecord, Record, Usage};
 use applewall::simulator::write_action;
 use applewall::LoadStatistics;
-use common::{Stage, KEYED, MS, S, SAFE, UNSAFE};
 use crc::{Crc, CRC_32_ISCSI};
 use serde::{Deserialize, Serialize};
+use support::policy::{PolicyDriver, KEYED, MILLISECOND, SAFE, SECOND, UNSAFE};
 
 const CHECK: Crc<u32> = Crc::<u32>::new(&CRC_32_ISCSI);
 
@@ -113,7 +113,7 @@
         node_count: 20,
         machine_type_count: 2,
         watch_endpoints: true,
-        ..common::settings()
+        ..support::policy::settings()
     };
     let plan = Plan {
         quota_units_per_second: 1e6,
@@ -139,12 +139,12 @@
         EndpointState::Draining,
     ];
     let of = |(i, state): (u32, EndpointState)| Endpoint {
-        started_at_ns: [None, Some(999 * S), Some(5), None][i as usize],
+        started_at_ns: [None, Some(999 * SECOND), Some(5), None][i as usize],
         machine_type: i % 2,
         weight: 0.5 + f64::from(i),
         cell: i64::from(i) - 1,
         state,
-        ..common::member(&format!("b{i}"), i % 2)
+        ..support::policy::endpoint(&format!("b{i}"), i % 2)
     };
     (0..).zip(states).map(of).collect()
 }
@@ -154,8 +154,8 @@
 }
 
 /// The play: all kinds of requests, of answers and of datagrams, and a backend that goes.
-fn play() -> Stage {
-    let mut stage = Stage::new(settings(), 7, &members());
+fn play() -> PolicyDriver {
+    let mut driver = PolicyDriver::new(settings(), 7, &members());
     let level = 0.25;
     let (use_of, word) = (
         |plan, spread, sent| {
@@ -196,16 +196,16 @@
             [20, 3, 1][i / 9 % 3],
         );
         let customer = ["wide 47", "near", "own"][i / 9 % 3];
-        let (id, actions) = stage.ask_of(
+        let (id, actions) = driver.request_with_node_set(
             spread,
             class,
             plan.max(i / 9 % 3),
             customer,
             f64::from(round % 4),
         );
-        stage.pass(u64::from(round % 5) * 20 * MS);
-        if let Some(to) = common::target(&actions) {
-            stage.end(
+        driver.advance(u64::from(round % 5) * 20 * MILLISECOND);
+        if let Some(to) = support::policy::attempted_endpoint(&actions) {
+            driver.finish_attempt(
                 id,
                 0,
                 &to,
@@ -215,7 +215,7 @@
         }
         let (from, name, record) = told[i % 4];
         for text in codec::encode(40 + from, &[of(name, record)]) {
-            stage.give(Event::PeerMessage { from, text });
+            driver.handle(Event::PeerMessage { from, text });
         }
     }
     let pool = LoadStatistics {
@@ -226,7 +226,7 @@
         ..LoadStatistics::default()
     };
     for from in [4, 5] {
-        stage.give(Event::PeerMessage {
+        driver.handle(Event::PeerMessage {
             from,
             text: codec::encode(44, &[of(0, Record::Statistics(pool))]).remove(0),
         });
@@ -235,38 +235,38 @@
         state: EndpointState::Removed,
         ..members()[1].clone()
     };
-    stage.give(Event::EndpointUpdate(
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         [gone].into(),
     ));
-    (0..8).for_each(|i| drop(stage.ask_of(1, SAFE, 1, &format!("late {i}"), 1.0)));
-    stage.give(Event::ReturnedToService(members()[2].clone()));
-    stage.pass(380 * MS);
-    stage
+    (0..8).for_each(|i| drop(driver.request_with_node_set(1, SAFE, 1, &format!("late {i}"), 1.0)));
+    driver.handle(Event::ReturnedToService(members()[2].clone()));
+    driver.advance(380 * MILLISECOND);
+    driver
 }
 
 /// One that takes over at `now` as a new process does: the state first, then the list as it was handed.
-fn take_over(now: u64, bytes: &[u8]) -> Result<Stage, String> {
-    let mut stage = Stage::at(now, settings(), 99, &[]);
+fn take_over(now: u64, bytes: &[u8]) -> Result<PolicyDriver, String> {
+    let mut driver = PolicyDriver::at(now, settings(), 99, &[]);
     let mut brain = DecisionPolicy::new(settings(), 99, now);
     brain.import_snapshot(bytes).map_err(|e| e.to_string())?;
-    stage.brain = brain;
-    stage.give(Event::EndpointUpdate(
+    driver.policy = brain;
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Cached,
         members().into(),
     ));
-    Ok(stage)
+    Ok(driver)
 }
 
-const NOW: u64 = 1_002_000 * MS;
+const NOW: u64 = 1_002_000 * MILLISECOND;
 
 #[test]
 fn a_play_is_handed_over_in_the_same_bytes() {
-    let mut stage = play();
-    assert_eq!(stage.now, NOW);
+    let mut driver = play();
+    assert_eq!(driver.now, NOW);
     golden::same(
         "handover.bin",
-        &stage.brain.export_snapshot().expect("written"),
+        &driver.policy.export_snapshot().expect("written"),
     );
 }
 
@@ -275,7 +275,7 @@
     let bytes = golden::bytes("handover.bin");
     let again = take_over(NOW, &bytes)
         .expect("read")
-        .brain
+        .policy
         .export_snapshot()
         .expect("written");
     golden::same("handover_again.bin", &again);
@@ -341,7 +341,10 @@
     );
     let member = |i: usize| kept.backends[i].member.clone();
     assert_eq!(member(0), ("b0".into(), 0.5, None, 0, -1, 0, 0));
-    assert_eq!(member(1), ("b1".into(), 1.5, Some(999 * S), 1, 0, 1, 2));
+    assert_eq!(
+        member(1),
+        ("b1".into(), 1.5, Some(999 * SECOND), 1, 0, 1, 2)
+    );
     let states: Vec<_> = kept
         .backends
         .iter()
@@ -384,21 +387,22 @@
 
 #[test]
 fn it_goes_on_from_them_as_it_did() {
-    let mut stage = take_over(NOW, &golden::bytes("handover.bin")).expect("read");
-    let mut now = format!("{} kept\n", stage.brain.entry_count());
+    let mut driver = take_over(NOW, &golden::bytes("handover.bin")).expect("read");
+    let mut now = format!("{} kept\n", driver.policy.entry_count());
     for i in 0..30usize {
         let customer = ["wide 47", "near", "own", "told", "far", "new"][i % 6];
-        let (id, actions) = stage.ask_of([20, 3, 1][i % 3], i % 3, i / 6 % 3, customer, 1.0);
+        let (id, actions) =
+            driver.request_with_node_set([20, 3, 1][i % 3], i % 3, i / 6 % 3, customer, 1.0);
         actions
             .iter()
             .for_each(|a| write_action(&mut now, i as u64, a));
-        if let Some(to) = common::target(&actions) {
-            stage.end(id, 0, &to, Outcome::Success, 30);
+        if let Some(to) = support::policy::attempted_endpoint(&actions) {
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 30);
         }
-        stage.pass(50 * MS);
+        driver.advance(50 * MILLISECOND);
     }
-    stage
-        .letters
+    driver
+        .gossip
         .iter()
         .for_each(|(to, text)| now += &format!("{to:?} {text}\n"));
     golden::same("handover_goes_on.txt", now.as_bytes());
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -5,72 +5,78 @@
     reason = "short names are spelled out as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use applewall::api::*;
-use common::fleet::{pool, well, Fleet, STEP};
-use common::*;
 use rand::Rng;
+use support::fleet::{always_succeeds, encode_pool, PolicyFleet, STEP_NS};
+use support::policy::*;
 
-const GATEWAYS: u32 = 100;
+const NODES: u32 = 100;
 const BACKENDS: usize = 60;
 /// Steps of virtual time in a second.
-const SECOND: u64 = S / STEP;
+const STEPS_PER_SECOND: u64 = SECOND / STEP_NS;
 
 /// How an attempt ends, and after how many milliseconds.
 type End<'a> = &'a dyn Fn(&EndpointId, RequestId) -> (Outcome, u64);
 
 fn large(set: PolicySettings) -> PolicySettings {
     PolicySettings {
-        node_count: GATEWAYS,
+        node_count: NODES,
         ..set
     }
 }
 
 /// Requests of many calm customers, 8 a second at each gateway.
-fn background(fleet: &mut Fleet, end: End<'_>) {
+fn background(fleet: &mut PolicyFleet, end: End<'_>) {
     for _ in 0..16 {
-        let me = fleet.rng.random_range(0..GATEWAYS as usize);
+        let me = fleet.rng.random_range(0..NODES as usize);
         let name = format!("calm{}", fleet.rng.random_range(0..400u32));
-        let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 0, &name, 1.0);
-        fleet.act(me, &actions, end);
+        let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 0, &name, 1.0);
+        fleet.start_attempts(me, &actions, end);
     }
 }
 
 /// How many of so many requests a second for one customer of the first plan are sent on in a step. The first gateways
 /// of its set get most of them.
-fn one(fleet: &mut Fleet, end: End<'_>, name: &str, a_second: f64, spread: u32) -> (u32, u32) {
+fn one(
+    fleet: &mut PolicyFleet,
+    end: End<'_>,
+    name: &str,
+    a_second: f64,
+    spread: u32,
+) -> (u32, u32) {
     let (mut asked, mut sent) = (0, 0);
-    let mut due = a_second / SECOND as f64;
+    let mut due = a_second / STEPS_PER_SECOND as f64;
     while fleet.rng.random::<f64>() < due {
         due -= 1.0;
         let at = fleet.rng.random::<f64>();
         let me = (at * at * f64::from(spread)) as usize;
-        let (_, actions) = fleet.doors[me].ask_of(spread, SAFE, 0, name, 1.0);
+        let (_, actions) = fleet.nodes[me].request_with_node_set(spread, SAFE, 0, name, 1.0);
         asked += 1;
-        sent += u32::from(target(&actions).is_some());
-        fleet.act(me, &actions, end);
+        sent += u32::from(attempted_endpoint(&actions).is_some());
+        fleet.start_attempts(me, &actions, end);
     }
     (asked, sent)
 }
 
 #[test]
-fn a_surge_of_one_customer_is_learnt_among_hundreds_of_calm_ones_within_the_receive_limit() {
+fn a_surge_of_one_customer_spreads_among_hundreds_of_calm_ones_within_the_receive_limit() {
     let mut sent = 0;
-    let mut fleet = Fleet::of(GATEWAYS, 3, large(settings()), BACKENDS);
-    for step in 0..6 * SECOND {
-        background(&mut fleet, &well);
-        if step >= 3 * SECOND {
-            sent += one(&mut fleet, &well, "hot", 60.0, 75).1;
+    let mut fleet = PolicyFleet::with_nodes(NODES, 3, large(settings()), BACKENDS);
+    for step in 0..6 * STEPS_PER_SECOND {
+        background(&mut fleet, &always_succeeds);
+        if step >= 3 * STEPS_PER_SECOND {
+            sent += one(&mut fleet, &always_succeeds, "hot", 60.0, 75).1;
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
     // The store of 20, three seconds of 10 each, and what is under way while the keeper learns and speaks.
     assert!(
         (35..=75).contains(&sent),
         "{sent} sent on for a quota of 50"
     );
-    let each = f64::from(fleet.delivered) / f64::from(GATEWAYS) / 6.0;
+    let each = f64::from(fleet.gossip_delivered) / f64::from(NODES) / 6.0;
     assert!(each < 40.0, "{each} messages a second taken in by each");
 }
 
@@ -89,16 +95,16 @@
 }
 
 #[test]
-fn a_ceiling_over_many_gateways_lets_the_busiest_of_them_have_what_the_others_leave() {
+fn a_ceiling_over_many_nodes_gives_the_busiest_what_the_others_leave() {
     let (mut asked, mut sent) = (0, 0);
-    let mut fleet = Fleet::of(GATEWAYS, 5, ceiling(), BACKENDS);
-    for step in 0..10 * SECOND {
-        background(&mut fleet, &well);
-        let (a, s) = one(&mut fleet, &well, "busy", 8.0, 22);
-        if step >= 2 * SECOND {
+    let mut fleet = PolicyFleet::with_nodes(NODES, 5, ceiling(), BACKENDS);
+    for step in 0..10 * STEPS_PER_SECOND {
+        background(&mut fleet, &always_succeeds);
+        let (a, s) = one(&mut fleet, &always_succeeds, "busy", 8.0, 22);
+        if step >= 2 * STEPS_PER_SECOND {
             (asked, sent) = (asked + a, sent + s);
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
     assert!(
         sent * 10 >= asked * 9,
@@ -107,7 +113,7 @@
 }
 
 #[test]
-fn a_ceiling_over_many_gateways_holds_through_a_flood_and_through_most_of_them_restarting() {
+fn a_ceiling_over_many_nodes_holds_through_a_flood_and_most_of_them_restarting() {
     for seed in 0..3 {
         // No quota in the way: the ceiling alone.
         let mut set = ceiling();
@@ -115,17 +121,17 @@
             set.plans[0].quota_units_per_second,
             set.plans[0].quota_burst_units,
         ) = (1000.0, 1000.0);
-        let mut fleet = Fleet::of(GATEWAYS, seed, set, BACKENDS);
+        let mut fleet = PolicyFleet::with_nodes(NODES, seed, set, BACKENDS);
         let (mut store, mut sent, mut least) = (44.0f64, 0, f64::INFINITY);
-        for step in 0..12 * SECOND {
-            if step == 5 * SECOND {
+        for step in 0..12 * STEPS_PER_SECOND {
+            if step == 5 * STEPS_PER_SECOND {
                 (0..70).for_each(|me| fleet.restart(me));
             }
-            store = (store + 20.0 / SECOND as f64).min(44.0);
-            let passed = one(&mut fleet, &well, "flood", 90.0, 22).1;
+            store = (store + 20.0 / STEPS_PER_SECOND as f64).min(44.0);
+            let passed = one(&mut fleet, &always_succeeds, "flood", 90.0, 22).1;
             (store, sent) = (store - f64::from(passed), sent + passed);
             least = least.min(store);
-            fleet.step(&well);
+            fleet.step(&always_succeeds);
         }
         assert!(least >= -4.0, "seed {seed}: the store fell to {least}");
         assert!(
@@ -136,12 +142,12 @@
 }
 
 #[test]
-fn a_backlog_that_has_gone_tightens_no_ladder() {
+fn a_drained_backlog_does_not_tighten_the_ladder() {
     let list: Vec<Endpoint> = (0..BACKENDS)
-        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     let lines = |out: f64| {
-        let mut stage = Stage::new(
+        let mut driver = PolicyDriver::new(
             PolicySettings {
                 gossip_messages_per_second: 40.0,
                 ..large(settings())
@@ -151,15 +157,15 @@
         );
         for i in 0..40u32 {
             // All answers slow, a fifth timed out, five done an interval of ten; and this much out.
-            stage.give(Event::PeerMessage {
+            driver.handle(Event::PeerMessage {
                 from: 1 + i % 90,
-                text: pool([25.0, 20.0, 0.0, 0.0, 5.0, 10.0, out * 10.0, 5.0, 9.0]),
+                text: encode_pool([25.0, 20.0, 0.0, 0.0, 5.0, 10.0, out * 10.0, 5.0, 9.0]),
             });
-            stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            stage.pass(100 * MS);
+            driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            driver.advance(100 * MILLISECOND);
         }
-        stage
-            .other
+        driver
+            .logs
             .iter()
             .filter(|a| format!("{a:?}").contains("ladder F"))
             .count()
@@ -173,9 +179,9 @@
 }
 
 #[test]
-fn what_pays_beyond_its_quota_waits_while_the_fleet_is_busy() {
+fn over_quota_requests_wait_while_the_fleet_is_busy() {
     let list: Vec<Endpoint> = (0..BACKENDS)
-        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     let sent = |out: f64| {
         let mut set = PolicySettings {
@@ -186,21 +192,21 @@
             set.plans[0].over_quota_weight_fraction,
             set.plans[0].over_quota_penalty_fraction,
         ) = (0.3, 0.0);
-        let mut stage = Stage::new(set, 3, &list);
+        let mut driver = PolicyDriver::new(set, 3, &list);
         let mut sent = 0;
         for i in 0..40u32 {
-            stage.give(Event::PeerMessage {
+            driver.handle(Event::PeerMessage {
                 from: 1 + i % 90,
-                text: pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, out * 10.0, 5.0, 5.0]),
+                text: encode_pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, out * 10.0, 5.0, 5.0]),
             });
             for _ in 0..3 {
-                let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 0, "beyond", 1.0);
-                if let Some(to) = target(&actions) {
+                let (id, actions) = driver.request_with_node_set(NODES, SAFE, 0, "beyond", 1.0);
+                if let Some(to) = attempted_endpoint(&actions) {
                     sent += u32::from(i >= 20);
-                    stage.end(id, 0, &to, Outcome::Success, 60);
+                    driver.finish_attempt(id, 0, &to, Outcome::Success, 60);
                 }
             }
-            stage.pass(100 * MS);
+            driver.advance(100 * MILLISECOND);
         }
         sent
     };
@@ -221,18 +227,18 @@
         set.plans[0].quota_burst_units,
         set.plans[0].max_concurrency,
     ) = (12.0, 14.0, 2);
-    let mut fleet = Fleet::of(GATEWAYS, seed, set, BACKENDS);
+    let mut fleet = PolicyFleet::with_nodes(NODES, seed, set, BACKENDS);
     let (mut ends, mut sent, mut beyond) = (Vec::new(), 0, 0);
-    for step in 0..24 * SECOND {
+    for step in 0..24 * STEPS_PER_SECOND {
         background(&mut fleet, &slow);
         ends.retain(|end| *end > fleet.now());
         // Inside the quota's rate; at 200 ms each, more than two are out on the average.
         let passed = one(&mut fleet, &slow, "slow", 11.0, 75).1;
         for _ in 0..passed {
-            if step >= 4 * SECOND {
+            if step >= 4 * STEPS_PER_SECOND {
                 (sent, beyond) = (sent + 1, beyond + u32::from(ends.len() >= 2));
             }
-            ends.push(fleet.now() + 200 * MS);
+            ends.push(fleet.now() + 200 * MILLISECOND);
         }
         fleet.step(&slow);
     }
@@ -240,7 +246,7 @@
 }
 
 #[test]
-fn a_plan_of_two_attempts_at_once_is_not_sent_more_than_gains_where_answers_are_slow() {
+fn a_plan_with_two_concurrent_requests_is_not_sent_more_than_helps_where_responses_are_slow() {
     let (sent, beyond) = two_at_once(7);
     assert!(
         sent >= 60 && beyond * 5 <= sent * 2,
@@ -249,7 +255,7 @@
 }
 
 #[test]
-fn what_is_sent_while_all_of_a_plans_attempts_are_out_stays_a_tenth_of_what_is_asked() {
+fn requests_beyond_a_plans_concurrency_stay_a_tenth_of_the_demand() {
     // Asked for: 11 a second, for 20 s, on each of six seeds.
     let asked = 6 * 20 * 11;
     let (sent, beyond) = (20..26)
@@ -262,24 +268,24 @@
 }
 
 #[test]
-fn a_customer_that_calms_down_is_not_refused_by_an_old_word() {
+fn a_customer_that_calms_down_is_not_rejected_by_a_stale_message() {
     let (mut asked, mut sent) = (0, 0);
-    let mut fleet = Fleet::of(GATEWAYS, 9, large(settings()), BACKENDS);
-    for step in 0..14 * SECOND {
-        background(&mut fleet, &well);
-        let surging = (3 * SECOND..5 * SECOND).contains(&step);
+    let mut fleet = PolicyFleet::with_nodes(NODES, 9, large(settings()), BACKENDS);
+    for step in 0..14 * STEPS_PER_SECOND {
+        background(&mut fleet, &always_succeeds);
+        let surging = (3 * STEPS_PER_SECOND..5 * STEPS_PER_SECOND).contains(&step);
         let (a, s) = one(
             &mut fleet,
-            &well,
+            &always_succeeds,
             "calmer",
             if surging { 60.0 } else { 7.0 },
             75,
         );
         // Words to a set of 75 are few: within four seconds there is one, where the store has a half again.
-        if step >= 9 * SECOND {
+        if step >= 9 * STEPS_PER_SECOND {
             (asked, sent) = (asked + a, sent + s);
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
     assert!(
         sent * 10 >= asked * 9,
@@ -288,16 +294,16 @@
 }
 
 /// A hundred stages that know so many backends; each backend's name ends in its number.
-fn stages(backends: usize) -> (Vec<Stage>, Vec<Endpoint>) {
+fn stages(backends: usize) -> (Vec<PolicyDriver>, Vec<Endpoint>) {
     let list: Vec<Endpoint> = (0..backends)
-        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     let set = PolicySettings {
         gossip_messages_per_second: 40.0,
         ..large(settings())
     };
-    let stage = |me| {
-        Stage::new(
+    let driver = |me| {
+        PolicyDriver::new(
             PolicySettings {
                 node: me,
                 ..set.clone()
@@ -306,18 +312,18 @@
             &list,
         )
     };
-    ((0..GATEWAYS).map(stage).collect(), list)
+    ((0..NODES).map(driver).collect(), list)
 }
 
 /// Where so many requests of each go, one after the other.
-fn reached(stages: &mut [Stage], each: u32) -> Vec<std::collections::BTreeSet<EndpointId>> {
+fn reached(stages: &mut [PolicyDriver], each: u32) -> Vec<std::collections::BTreeSet<EndpointId>> {
     let mut reached = vec![std::collections::BTreeSet::new(); stages.len()];
-    for (stage, reached) in stages.iter_mut().zip(&mut reached) {
+    for (driver, reached) in stages.iter_mut().zip(&mut reached) {
         for _ in 0..each {
-            let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            let to = target(&actions).expect("a calm fleet");
-            stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Success, 60);
+            let (id, actions) = driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            let to = attempted_endpoint(&actions).expect("a calm fleet");
+            driver.advance(20 * MILLISECOND);
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 60);
             reached.insert(to);
         }
     }
@@ -325,13 +331,13 @@
 }
 
 #[test]
-fn each_gateway_keeps_to_a_part_of_the_backends_and_all_backends_have_as_many_gateways() {
+fn each_node_uses_a_subset_and_each_endpoint_is_used_by_as_many_nodes() {
     let (mut stages, mut list) = stages(BACKENDS);
     let before = reached(&mut stages, 150);
     // 60 backends in parts of 12; hardly any other is met.
     let met: usize = before.iter().map(std::collections::BTreeSet::len).sum();
     assert!(
-        met <= 14 * GATEWAYS as usize,
+        met <= 14 * NODES as usize,
         "{met} pairs of a gateway and a backend, 6,000 where all meet all"
     );
     for backend in &list {
@@ -340,9 +346,9 @@
     }
     // One is gone and one is new: each gateway's part changes by a few.
     list[7].state = EndpointState::Removed;
-    let news: std::sync::Arc<[Endpoint]> = [list[7].clone(), member("b60", 0)].into();
-    for stage in &mut stages {
-        stage.give(Event::EndpointUpdate(
+    let news: std::sync::Arc<[Endpoint]> = [list[7].clone(), endpoint("b60", 0)].into();
+    for driver in &mut stages {
+        driver.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Delta,
             news.clone(),
         ));
@@ -354,21 +360,21 @@
         .map(|(b, a)| a.difference(b).count())
         .sum();
     assert!(
-        new <= 3 * GATEWAYS as usize,
+        new <= 3 * NODES as usize,
         "{new} new pairs for one backend changed"
     );
 }
 
 #[test]
-fn a_part_that_is_sick_as_a_whole_is_left_for_the_others() {
+fn a_wholly_degraded_subset_is_left_for_other_endpoints() {
     let (mut stages, _) = stages(BACKENDS);
-    let stage = &mut stages[0];
-    let own = reached(std::slice::from_mut(stage), 150).remove(0);
+    let driver = &mut stages[0];
+    let own = reached(std::slice::from_mut(driver), 150).remove(0);
     let (mut served, mut asked) = (0, 0);
     for i in 0..200 {
-        let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-        let (mut to, mut attempt) = (target(&actions), 0);
-        stage.pass(20 * MS);
+        let (id, actions) = driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+        let (mut to, mut attempt) = (attempted_endpoint(&actions), 0);
+        driver.advance(20 * MILLISECOND);
         while let Some(backend) = to {
             let well = !own.contains(&backend);
             let outcome = if well {
@@ -377,7 +383,7 @@
                 Outcome::ConnectFailed
             };
             served += u32::from(well && i >= 50);
-            to = target(&stage.end(id, attempt, &backend, outcome, 5));
+            to = attempted_endpoint(&driver.finish_attempt(id, attempt, &backend, outcome, 5));
             attempt += 1;
         }
         asked += u32::from(i >= 50);
@@ -389,40 +395,42 @@
 }
 
 #[test]
-fn a_new_backend_is_known_by_its_kind_of_machine() {
-    let mut list: Vec<Endpoint> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
+fn a_new_endpoint_is_estimated_by_its_machine_type() {
+    let mut list: Vec<Endpoint> = (0..12).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
     list.iter_mut().skip(6).for_each(|m| m.machine_type = 1);
     let set = PolicySettings {
         machine_type_count: 2,
         gossip_messages_per_second: 40.0,
         ..large(settings())
     };
-    let mut stage = Stage::new(set, 5, &list);
+    let mut driver = PolicyDriver::new(set, 5, &list);
     let took = |to: &str, fast: &[&str]| if fast.contains(&to) { 60 } else { 180 };
     let fast: Vec<String> = (0..6).chain([12]).map(|i| format!("b{i}")).collect();
     let fast: Vec<&str> = fast.iter().map(String::as_str).collect();
-    let play = |stage: &mut Stage, times: u32| {
+    let play = |driver: &mut PolicyDriver, times: u32| {
         let mut to_new = [0u32; 2];
         for _ in 0..times {
-            let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            let Some(to) = target(&actions) else { continue };
-            stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Success, took(&to, &fast));
+            let (id, actions) = driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            let Some(to) = attempted_endpoint(&actions) else {
+                continue;
+            };
+            driver.advance(20 * MILLISECOND);
+            driver.finish_attempt(id, 0, &to, Outcome::Success, took(&to, &fast));
             to_new[0] += u32::from(&*to == "b12");
             to_new[1] += u32::from(&*to == "b13");
         }
         to_new
     };
-    play(&mut stage, 400);
+    play(&mut driver, 400);
     // Both are warm and were never met; what they are made of is all that tells them apart.
-    let mut news = [member("b12", 0), member("b13", 1)];
+    let mut news = [endpoint("b12", 0), endpoint("b13", 1)];
     (news[0].started_at_ns, news[1].started_at_ns) = (Some(1), Some(1));
     news[1].machine_type = 1;
-    stage.give(Event::EndpointUpdate(
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         news.to_vec().into(),
     ));
-    let [new_fast, new_slow] = play(&mut stage, 120);
+    let [new_fast, new_slow] = play(&mut driver, 120);
     assert!(
         new_fast >= 2 * new_slow,
         "{new_fast} to the new fast one, {new_slow} to the new slow one"
@@ -430,12 +438,12 @@
 }
 
 #[test]
-fn a_loss_that_the_list_tells_counts_at_once_in_what_the_fleet_carries() {
+fn removed_endpoints_reduce_the_fleets_capacity_at_once() {
     let list: Vec<Endpoint> = (0..BACKENDS)
-        .map(|i| member(&format!("b{i}"), i as u32 % 3))
+        .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     let refusals = |gone: usize| {
-        let mut stage = Stage::new(
+        let mut driver = PolicyDriver::new(
             PolicySettings {
                 gossip_messages_per_second: 40.0,
                 ..large(settings())
@@ -446,8 +454,8 @@
         let mut refusals = 0;
         for i in 0..60u32 {
             // 9 a second carried by each gateway's part, and work for a fifth of the aim out.
-            let part = pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, 15.0, 9.0, 9.0]);
-            stage.give(Event::PeerMessage {
+            let part = encode_pool([25.0, 0.0, 25.0, 0.0, 0.0, 10.0, 15.0, 9.0, 9.0]);
+            driver.handle(Event::PeerMessage {
                 from: 1 + i % 90,
                 text: part,
             });
@@ -455,19 +463,19 @@
                 let mut news = list[..gone].to_vec();
                 news.iter_mut()
                     .for_each(|m| m.state = EndpointState::Removed);
-                stage.give(Event::EndpointUpdate(
+                driver.handle(Event::EndpointUpdate(
                     EndpointUpdateKind::Delta,
                     news.into(),
                 ));
             }
             for _ in 0..1 + i % 2 {
-                let (id, actions) = stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-                refusals += u32::from((42..52).contains(&i) && refused(&actions));
-                if let Some(to) = target(&actions) {
-                    stage.end(id, 0, &to, Outcome::Success, 60);
+                let (id, actions) = driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+                refusals += u32::from((42..52).contains(&i) && is_rejected(&actions));
+                if let Some(to) = attempted_endpoint(&actions) {
+                    driver.finish_attempt(id, 0, &to, Outcome::Success, 60);
                 }
             }
-            stage.pass(100 * MS);
+            driver.advance(100 * MILLISECOND);
         }
         refusals
     };
@@ -480,17 +488,19 @@
 
 /// How many of eight requests a second at each gateway go to instance `b0`, and to all, from a second to another.
 fn sent_to_the_first(seed: u64, end: End<'_>, from: u64, to: u64) -> (u32, u32) {
-    let mut fleet = Fleet::of(GATEWAYS, seed, large(settings()), BACKENDS);
+    let mut fleet = PolicyFleet::with_nodes(NODES, seed, large(settings()), BACKENDS);
     let (mut first, mut all) = (0, 0);
-    for step in 0..to * SECOND {
+    for step in 0..to * STEPS_PER_SECOND {
         for _ in 0..16 {
-            let me = fleet.rng.random_range(0..GATEWAYS as usize);
-            let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            if let Some(to) = target(&actions).filter(|_| step >= from * SECOND) {
+            let me = fleet.rng.random_range(0..NODES as usize);
+            let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            if let Some(to) =
+                attempted_endpoint(&actions).filter(|_| step >= from * STEPS_PER_SECOND)
+            {
                 all += 1;
                 first += u32::from(&*to == "b0");
             }
-            fleet.act(me, &actions, end);
+            fleet.start_attempts(me, &actions, end);
         }
         fleet.step(end);
     }
@@ -498,7 +508,7 @@
 }
 
 #[test]
-fn an_instance_that_refuses_a_connect_in_four_at_a_full_table_is_no_dead_one() {
+fn an_endpoint_that_rejects_a_connection_in_four_is_not_ejected() {
     let end = |to: &EndpointId, id: RequestId| match &**to {
         "b0" if id.0.is_multiple_of(4) => (Outcome::ConnectFailed, 1),
         _ => (Outcome::Success, 60),
@@ -516,7 +526,7 @@
 }
 
 #[test]
-fn an_instance_that_fails_whatever_it_gets_is_found_though_each_meets_it_a_few_times_a_minute() {
+fn a_failing_endpoint_is_detected_though_each_node_uses_it_rarely() {
     let end = |to: &EndpointId, _: RequestId| match &**to {
         "b0" => (Outcome::Failure, 5),
         _ => (Outcome::Success, 60),
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -1,58 +1,58 @@
 //! Instances that the operators withhold and give back, in the module.
 
-mod common;
+mod support;
 
 use std::collections::BTreeMap;
 
 use applewall::api::*;
-use common::*;
+use support::policy::*;
 
 /// Draws on all of so many backends; then one of them is withheld for 3 s and given back.
-fn given_back(stage: &mut Stage) {
+fn given_back(driver: &mut PolicyDriver) {
     for _ in 0..200 {
-        let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
-        let to = target(&actions).expect("sent");
-        stage.pass(20 * MS);
-        stage.end(id, 0, &to, Outcome::Success, 20);
+        let (id, actions) = driver.request(SAFE, 1, "c", 1.0);
+        let to = attempted_endpoint(&actions).expect("sent");
+        driver.advance(20 * MILLISECOND);
+        driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
     }
     let out = Endpoint {
         state: EndpointState::Draining,
-        ..member("b0", 0)
+        ..endpoint("b0", 0)
     };
-    stage.give(Event::EndpointUpdate(
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         [out].into(),
     ));
     for _ in 0..30 {
-        let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
-        let to = target(&actions).expect("sent");
+        let (id, actions) = driver.request(SAFE, 1, "c", 1.0);
+        let to = attempted_endpoint(&actions).expect("sent");
         assert_ne!(&*to, "b0", "withheld");
-        stage.pass(100 * MS);
-        stage.end(id, 0, &to, Outcome::Success, 20);
+        driver.advance(100 * MILLISECOND);
+        driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
     }
-    stage.give(Event::ReturnedToService(member("b0", 0)));
+    driver.handle(Event::ReturnedToService(endpoint("b0", 0)));
 }
 
 fn backends(many: usize) -> Vec<Endpoint> {
-    (0..many).map(|i| member(&format!("b{i}"), 0)).collect()
+    (0..many).map(|i| endpoint(&format!("b{i}"), 0)).collect()
 }
 
 #[test]
-fn one_that_is_given_back_gets_work_at_once_and_then_no_more_than_a_cold_one_bears() {
+fn an_endpoint_returned_to_service_gets_work_at_once_and_warms_up() {
     for seed in 0..20 {
-        let mut stage = Stage::new(settings(), seed, &backends(8));
-        given_back(&mut stage);
+        let mut driver = PolicyDriver::new(settings(), seed, &backends(8));
+        given_back(&mut driver);
         let mut sent: BTreeMap<EndpointId, u32> = BTreeMap::new();
         let mut first = None;
         for i in 0..150 {
-            let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
-            let to = target(&actions).expect("sent");
+            let (id, actions) = driver.request(SAFE, 1, "c", 1.0);
+            let to = attempted_endpoint(&actions).expect("sent");
             if &*to == "b0" {
                 first.get_or_insert(i);
             }
             *sent.entry(to.clone()).or_default() += 1;
-            stage.pass(20 * MS);
-            stage.end(id, 0, &to, Outcome::Success, 20);
+            driver.advance(20 * MILLISECOND);
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
         }
         // The room of a cold one is drawn: 50 a second meet it within some requests.
         assert!(
@@ -69,55 +69,55 @@
 }
 
 #[test]
-fn in_a_large_fleet_too_where_it_is_not_of_the_own_part() {
+fn maintenance_holds_in_a_large_fleet_for_an_endpoint_outside_the_subset() {
     // The site's own window: what a cold one bears is drawn from it.
     let many = PolicySettings {
         node_count: 300,
         node: 7,
         gossip_messages_per_second: 40.0,
-        overload_window_ns: 3 * S,
+        overload_window_ns: 3 * SECOND,
         ..settings()
     };
     for seed in 0..20 {
-        let mut stage = Stage::new(many.clone(), seed, &backends(48));
+        let mut driver = PolicyDriver::new(many.clone(), seed, &backends(48));
         // Whichever it meets: used once, so it was in use.
-        let (id, actions) = stage.ask_of(300, SAFE, 1, "c", 1.0);
-        let used = target(&actions).expect("sent");
-        stage.end(id, 0, &used, Outcome::Success, 20);
+        let (id, actions) = driver.request_with_node_set(300, SAFE, 1, "c", 1.0);
+        let used = attempted_endpoint(&actions).expect("sent");
+        driver.finish_attempt(id, 0, &used, Outcome::Success, 20);
         let out = Endpoint {
             state: EndpointState::Draining,
-            ..member(&used, 0)
+            ..endpoint(&used, 0)
         };
-        stage.give(Event::EndpointUpdate(
+        driver.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Delta,
             [out].into(),
         ));
-        stage.pass(3 * S);
-        stage.give(Event::ReturnedToService(member(&used, 0)));
+        driver.advance(3 * SECOND);
+        driver.handle(Event::ReturnedToService(endpoint(&used, 0)));
         let mut met = false;
         // Three requests a second for 5 s.
         for _ in 0..15 {
-            let (id, actions) = stage.ask_of(300, SAFE, 1, "c", 1.0);
-            if let Some(to) = target(&actions) {
+            let (id, actions) = driver.request_with_node_set(300, SAFE, 1, "c", 1.0);
+            if let Some(to) = attempted_endpoint(&actions) {
                 met |= to == used;
-                stage.end(id, 0, &to, Outcome::Success, 20);
+                driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
             }
-            stage.pass(333 * MS);
+            driver.advance(333 * MILLISECOND);
         }
         assert!(met, "seed {seed}: unused for 5 s");
     }
 }
 
 #[test]
-fn with_all_withheld_a_request_is_refused_at_once() {
-    let mut stage = Stage::new(settings(), 1, &backends(1));
+fn a_request_is_rejected_at_once_while_all_endpoints_are_in_maintenance() {
+    let mut driver = PolicyDriver::new(settings(), 1, &backends(1));
     let out = Endpoint {
         state: EndpointState::Draining,
-        ..member("b0", 0)
+        ..endpoint("b0", 0)
     };
-    stage.give(Event::EndpointUpdate(
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         [out].into(),
     ));
-    assert!(refused(&stage.ask(SAFE, 1, "c", 1.0).1));
+    assert!(is_rejected(&driver.request(SAFE, 1, "c", 1.0).1));
 }
--- a/tests/quota_at_scale.rs
+++ b/tests/quota_at_scale.rs
@@ -14,15 +14,15 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use std::collections::HashMap;
 
 use applewall::api::*;
-use common::fleet::{Fleet, STEP};
-use common::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use support::fleet::{PolicyFleet, STEP_NS};
+use support::policy::*;
 
 /// Messages a second that each takes in; what comes beyond is lost, as on the platform.
 const INTAKE: f64 = 40.0;
@@ -138,8 +138,9 @@
     (
         set.classes[0].latency_objective_ns,
         set.classes[0].deadline_ns,
-    ) = (800 * MS, 3 * S);
-    let mut fleet = Fleet::of(gateways, seed, set, (gateways as usize * 2 / 3).max(9));
+    ) = (800 * MILLISECOND, 3 * SECOND);
+    let mut fleet =
+        PolicyFleet::with_nodes(gateways, seed, set, (gateways as usize * 2 / 3).max(9));
     let mut customers = customers(gateways, each, &mut rng);
     let plans = plans();
     let mut rooms = vec![INTAKE; gateways as usize];
@@ -156,8 +157,8 @@
     let (begin, mut next) = (fleet.now(), 0u64);
     let mut ends: Vec<(u64, usize)> = Vec::new();
     let mut whose: HashMap<RequestId, usize> = HashMap::new();
-    for step in 0..TIME.0 * S / STEP {
-        let now = (fleet.now() - begin) as f64 / S as f64;
+    for step in 0..TIME.0 * SECOND / STEP_NS {
+        let now = (fleet.now() - begin) as f64 / SECOND as f64;
         let counts = now >= TIME.1 as f64;
         ends.retain(|(at, customer)| {
             let over = *at <= fleet.now();
@@ -172,7 +173,7 @@
             }
             let rate =
                 p.quota_units_per_second * c.calm * if now < c.until { c.surge } else { 1.0 };
-            c.due += rate * STEP as f64 / S as f64;
+            c.due += rate * STEP_NS as f64 / SECOND as f64;
             while c.due >= 1.0 {
                 c.due -= rng.random_range(0.5..1.5);
                 let at = rng.random::<f64>();
@@ -185,20 +186,20 @@
                     plan: c.plan,
                     customer: c.name.as_str().into(),
                     units: 1.0,
-                    time_left_ns: 3 * S,
+                    time_left_ns: 3 * SECOND,
                     is_retry: false,
                     node_set_size: c.spread,
                     first_node: c.first,
                 };
-                let actions = fleet.doors[me as usize].give(Event::Request(request));
-                let sent = target(&actions).is_some();
+                let actions = fleet.nodes[me as usize].handle(Event::Request(request));
+                let sent = attempted_endpoint(&actions).is_some();
                 c.store =
                     (c.store + (now - c.at) * p.quota_units_per_second).min(p.quota_burst_units);
                 c.at = now;
                 let within = c.store >= 1.0;
                 if sent {
                     whose.insert(id, i);
-                    ends.push((fleet.now() + 60 * MS, i));
+                    ends.push((fleet.now() + 60 * MILLISECOND, i));
                     c.out += 1;
                     c.store -= f64::from(u8::from(within));
                 }
@@ -218,23 +219,27 @@
                             f64::from(u8::from(!sent && c.store > p.quota_burst_units / 2.0));
                     }
                 }
-                fleet.act(me as usize, &actions, &common::fleet::well);
+                fleet.start_attempts(me as usize, &actions, &support::fleet::always_succeeds);
             }
         }
-        fleet.step(&common::fleet::well);
-        for text in fleet.doors.iter_mut().flat_map(|d| d.told.drain(..)) {
+        fleet.step(&support::fleet::always_succeeds);
+        for text in fleet
+            .nodes
+            .iter_mut()
+            .flat_map(|d| d.gossip_texts.drain(..))
+        {
             let kind = "uwgp".find(&text[..1]).expect("a known kind");
             seen.kinds[kind] += f64::from(u8::from(counts));
         }
         // What is now under way to a gateway that has no room for it is lost.
         for room in &mut rooms {
-            *room = (*room + INTAKE * STEP as f64 / S as f64).min(INTAKE);
+            *room = (*room + INTAKE * STEP_NS as f64 / SECOND as f64).min(INTAKE);
         }
-        let limit = fleet.now() + 20 * MS;
+        let limit = fleet.now() + 20 * MILLISECOND;
         let mut lost = 0;
-        fleet.mail.retain(|(at, _, to, _)| {
+        fleet.gossip_in_flight.retain(|(at, _, to, _)| {
             // Sent in this step: each is looked at once.
-            if *at < limit - STEP + 1 {
+            if *at < limit - STEP_NS + 1 {
                 return true;
             }
             let to = *to as usize;
@@ -247,7 +252,7 @@
         if counts {
             seen.lost += f64::from(lost);
         }
-        if step % (S / STEP) == 0 {
+        if step % (SECOND / STEP_NS) == 0 {
             if counts {
                 seen.taken += taken.iter().map(|t| f64::from(*t)).sum::<f64>();
             }
@@ -267,7 +272,7 @@
 
 #[test]
 #[ignore = "a measurement: make measure-quota"]
-fn what_quotas_come_to_over_hundreds_of_gateways() {
+fn quota_outcomes_over_hundreds_of_nodes() {
     let (mut beyond, mut with_room, mut told) = (0.0f64, 0.0f64, 0.0f64);
     for (gateways, each) in [(30, 6.0), (306, 6.0), (306, 16.0)] {
         for seed in 0..2 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -14,13 +14,13 @@
 )]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
-mod common;
+mod support;
 
 use std::collections::BTreeMap;
 
 use applewall::api::*;
-use common::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use support::policy::*;
 
 struct Open {
     class: usize,
@@ -45,11 +45,11 @@
     set.hedging_allowed = copies;
     set.classes[KEYED].idempotency = Idempotency::IdempotencyKey {
         scope,
-        deduplication_window_ns: 3 * S,
+        deduplication_window_ns: 3 * SECOND,
     };
-    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
     let mut state: Vec<bool> = vec![true; 6];
-    let mut stage = Stage::new(set, seed, &list);
+    let mut driver = PolicyDriver::new(set, seed, &list);
     let mut open: BTreeMap<RequestId, Open> = BTreeMap::new();
     let zone = |b: &EndpointId| list.iter().find(|m| m.id == *b).map(|m| m.zone).unwrap();
     for _ in 0..3000 {
@@ -57,7 +57,7 @@
         match rng.random_range(0..10) {
             0..=3 => {
                 let class = rng.random_range(0..3);
-                let (id, a) = stage.ask(
+                let (id, a) = driver.request(
                     class,
                     rng.random_range(0..2),
                     &format!("c{}", rng.random_range(0..9)),
@@ -68,7 +68,7 @@
                     Open {
                         class,
                         sends: vec![],
-                        deadline: stage.now + 2 * S,
+                        deadline: driver.now + 2 * SECOND,
                     },
                 );
                 actions = a;
@@ -84,7 +84,7 @@
                         if how == Outcome::Success {
                             open.remove(id);
                         }
-                        actions = stage.end(*id, i as u32, &to, how, 50);
+                        actions = driver.finish_attempt(*id, i as u32, &to, how, 50);
                     }
                 }
             }
@@ -97,18 +97,19 @@
                 } else {
                     EndpointState::Draining
                 };
-                actions = stage.give(Event::EndpointUpdate(EndpointUpdateKind::Delta, [m].into()));
+                actions =
+                    driver.handle(Event::EndpointUpdate(EndpointUpdateKind::Delta, [m].into()));
             }
-            _ => actions = stage.pass(rng.random_range(1..80) * MS),
+            _ => actions = driver.advance(rng.random_range(1..80) * MILLISECOND),
         }
         // What the deadline does: every attempt still out ends as timed out.
         let late: Vec<RequestId> = open
             .iter()
-            .filter(|o| o.1.deadline <= stage.now)
+            .filter(|o| o.1.deadline <= driver.now)
             .map(|o| *o.0)
             .collect();
         check(
-            &mut open, actions, &state, &list, scope, copies, stage.now, &zone,
+            &mut open, actions, &state, &list, scope, copies, driver.now, &zone,
         );
         for id in late {
             let Some(o) = open.get_mut(&id) else { continue };
@@ -119,9 +120,9 @@
                 .expect("held with nothing out");
             o.sends[i].2 = Some(Outcome::TimedOut);
             let to = o.sends[i].0.clone();
-            let actions = stage.end(id, i as u32, &to, Outcome::TimedOut, 2000);
+            let actions = driver.finish_attempt(id, i as u32, &to, Outcome::TimedOut, 2000);
             check(
-                &mut open, actions, &state, &list, scope, copies, stage.now, &zone,
+                &mut open, actions, &state, &list, scope, copies, driver.now, &zone,
             );
             assert!(!open.contains_key(&id), "no final answer at the deadline");
         }
@@ -166,7 +167,7 @@
                                 scope == KeyScope::All || zone(&first.0) == zone(&backend),
                                 "left its group"
                             );
-                            assert!(now - first.1 < 3 * S, "sent again past the window");
+                            assert!(now - first.1 < 3 * SECOND, "sent again past the window");
                         }
                     }
                     _ => {}
@@ -192,7 +193,7 @@
 }
 
 #[test]
-fn answers_once_repeats_only_what_may_be_and_keeps_drains() {
+fn each_request_is_answered_once_retried_only_if_allowed_and_kept_off_drained_endpoints() {
     for seed in 0..40 {
         play(
             seed,
@@ -203,7 +204,7 @@
 }
 
 #[test]
-fn all_gateways_together_keep_the_ceiling_over_restarts_and_lost_messages() {
+fn all_nodes_together_keep_a_ceiling_over_restarts_and_lost_messages() {
     for seed in 0..12u64 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut set = settings();
@@ -215,9 +216,9 @@
             plan.ceiling_burst_units,
             plan.ceiling_slack_units,
         ) = (rate, burst, slack);
-        let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
+        let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
         let start = |me: u32, now, seed| {
-            Stage::at(
+            PolicyDriver::at(
                 now,
                 PolicySettings {
                     node: me,
@@ -227,8 +228,8 @@
                 &list,
             )
         };
-        let mut doors: Vec<Stage> = (0..3)
-            .map(|me| start(me, 1000 * S, seed * 10 + u64::from(me)))
+        let mut doors: Vec<PolicyDriver> = (0..3)
+            .map(|me| start(me, 1000 * SECOND, seed * 10 + u64::from(me)))
             .collect();
         let mut store = burst;
         let mut passed = 0;
@@ -236,14 +237,14 @@
             store = f64::min(store + rate * 0.01, burst);
             let busiest = step / 500 % 3;
             for me in 0..3usize {
-                doors[me].pass(10 * MS);
+                doors[me].advance(10 * MILLISECOND);
                 // Messages go to all here: a grant meant for another would break the rule at once if kept.
-                for text in std::mem::take(&mut doors[me].told) {
+                for text in std::mem::take(&mut doors[me].gossip_texts) {
                     let to = (me + 1 + usize::from(rng.random::<bool>())) % 3;
                     if rng.random::<f64>() < 0.9 && text.starts_with('q')
                         || text.starts_with('g') && to == busiest
                     {
-                        doors[to].give(Event::PeerMessage {
+                        doors[to].handle(Event::PeerMessage {
                             from: me as u32,
                             text,
                         });
@@ -251,11 +252,11 @@
                 }
                 if rng.random::<f64>() < if me == busiest { 0.6 } else { 0.05 } {
                     let units = f64::from(rng.random_range(1..5u32));
-                    let (id, actions) = doors[me].ask(SAFE, 0, "hot", units);
-                    if let Some(to) = target(&actions) {
+                    let (id, actions) = doors[me].request(SAFE, 0, "hot", units);
+                    if let Some(to) = attempted_endpoint(&actions) {
                         store -= units;
                         passed += 1;
-                        doors[me].end(id, 0, &to, Outcome::Success, 20);
+                        doors[me].finish_attempt(id, 0, &to, Outcome::Success, 20);
                     }
                 }
                 if rng.random::<f64>() < 0.001 {
@@ -273,30 +274,30 @@
 }
 
 #[test]
-fn a_cold_backend_gets_no_more_than_its_budget() {
-    let mut list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let mut stage = Stage::new(settings(), 3, &list);
-    stage.run(SAFE, 1, 10 * MS, 4 * S, Outcome::Success, 60);
-    list[0].started_at_ns = Some(stage.now);
-    stage.give(Event::EndpointUpdate(
+fn a_warming_endpoint_gets_no_more_than_its_budget() {
+    let mut list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+    let mut driver = PolicyDriver::new(settings(), 3, &list);
+    driver.run_load(SAFE, 1, 10 * MILLISECOND, 4 * SECOND, Outcome::Success, 60);
+    list[0].started_at_ns = Some(driver.now);
+    driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         list[..1].into(),
     ));
     let (mut cold, mut all) = (0, 0);
     let mut out = std::collections::VecDeque::new();
-    let end = stage.now + S;
-    while stage.now < end {
-        let (id, actions) = stage.ask(SAFE, 1, "c", 1.0);
-        if let Some(to) = target(&actions) {
+    let end = driver.now + SECOND;
+    while driver.now < end {
+        let (id, actions) = driver.request(SAFE, 1, "c", 1.0);
+        if let Some(to) = attempted_endpoint(&actions) {
             all += 1;
             cold += u32::from(&*to == "b0");
             out.push_back((id, to));
         }
         if out.len() > 12 {
             let (id, to) = out.pop_front().unwrap();
-            stage.end(id, 0, &to, Outcome::Success, 120);
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 120);
         }
-        stage.pass(10 * MS);
+        driver.advance(10 * MILLISECOND);
     }
     // A warm one carries a sixth; three times a share of 0.2 (and its ramp) of that is the bound.
     let bound = 3.0 * 0.27 * f64::from(all) / 5.0;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -5,40 +5,40 @@
     reason = "short names are spelled out as the module is reworked"
 )]
 
-mod common;
+mod support;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 
 use applewall::api::*;
-use common::fleet::{pool, well, Fleet, GATEWAYS};
-use common::*;
 use rand::Rng;
+use support::fleet::{always_succeeds, encode_pool, PolicyFleet, NODES};
+use support::policy::*;
 
 /// Units sent on for one customer over 100 gateways in 10 s, at so many units asked for in a second against a
 /// quota of 10 (and a store of 20), after 6 s; gateways restart now and then where `rolling`.
 fn sent_on(seed: u64, asked: f64, rolling: bool) -> f64 {
-    let mut fleet = Fleet::new(seed, settings(), 30);
+    let mut fleet = PolicyFleet::new(seed, settings(), 30);
     let mut sent = 0.0;
     for step in 0..800 {
         if fleet.rng.random::<f64>() < asked * 0.02 {
             let me = fleet.rng.random_range(0..100usize);
-            let (_, actions) = fleet.doors[me].ask_of(100, SAFE, 0, "hot", 1.0);
-            let passed = target(&actions).is_some() && step >= 300;
+            let (_, actions) = fleet.nodes[me].request_with_node_set(100, SAFE, 0, "hot", 1.0);
+            let passed = attempted_endpoint(&actions).is_some() && step >= 300;
             sent += f64::from(u8::from(passed));
-            fleet.act(me, &actions, &well);
+            fleet.start_attempts(me, &actions, &always_succeeds);
         }
         if rolling && step % 10 == 0 {
             let me = fleet.rng.random_range(0..100usize);
             fleet.restart(me);
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
     sent
 }
 
 #[test]
-fn a_quota_holds_over_a_hundred_gateways_that_each_see_a_request_in_seconds() {
+fn a_quota_holds_over_a_hundred_nodes_with_rare_requests_each() {
     for seed in 0..3 {
         let sent = sent_on(seed, 45.0, false);
         assert!(
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn a_quota_holds_while_gateways_restart_one_after_the_other() {
+fn a_quota_holds_while_nodes_restart_one_after_the_other() {
     for seed in 3..5 {
         let sent = sent_on(seed, 45.0, true);
         assert!(
@@ -60,36 +60,36 @@
 }
 
 #[test]
-fn a_customer_inside_its_quota_is_not_refused() {
+fn a_customer_within_its_quota_is_not_rejected() {
     let sent = sent_on(7, 8.0, false);
     assert!((65.0..=95.0).contains(&sent), "{sent} of about 80 sent on");
 }
 
 #[test]
-fn hundreds_of_gateways_together_keep_the_budget_of_a_cold_backend() {
-    let mut fleet = Fleet::new(11, settings(), 12);
+fn hundreds_of_nodes_together_keep_the_budget_of_a_warming_endpoint() {
+    let mut fleet = PolicyFleet::new(11, settings(), 12);
     let (mut cold, mut all) = (0u32, 0u32);
     for step in 0..500u64 {
         if step == 300 {
-            fleet.list[0].started_at_ns = Some(fleet.now());
-            let news: std::sync::Arc<[Endpoint]> = fleet.list[..1].into();
-            for door in &mut fleet.doors {
-                door.give(Event::EndpointUpdate(
+            fleet.endpoints[0].started_at_ns = Some(fleet.now());
+            let news: std::sync::Arc<[Endpoint]> = fleet.endpoints[..1].into();
+            for door in &mut fleet.nodes {
+                door.handle(Event::EndpointUpdate(
                     EndpointUpdateKind::Delta,
                     news.clone(),
                 ));
             }
         }
         for _ in 0..8 {
-            let me = fleet.rng.random_range(0..GATEWAYS as usize);
-            let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            if let Some(to) = target(&actions).filter(|_| (300..350).contains(&step)) {
+            let me = fleet.rng.random_range(0..NODES as usize);
+            let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            if let Some(to) = attempted_endpoint(&actions).filter(|_| (300..350).contains(&step)) {
                 all += 1;
                 cold += u32::from(&*to == "b0");
             }
-            fleet.act(me, &actions, &well);
+            fleet.start_attempts(me, &actions, &always_succeeds);
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
     // In its first second three times a share of 0.2 and its ramp of what a warm one carries, and chance.
     let bound = 3.0 * 0.27 * f64::from(all) / 11.0;
@@ -100,9 +100,9 @@
 }
 
 #[test]
-fn one_gateways_bad_luck_is_no_overload_and_the_overload_of_all_is_seen_by_all() {
+fn one_nodes_failures_are_no_overload_and_a_fleet_wide_overload_is_seen_by_all() {
     let refusals = |slow: bool| {
-        let mut fleet = Fleet::new(13, settings(), 30);
+        let mut fleet = PolicyFleet::new(13, settings(), 30);
         let end = move |_: &EndpointId, id: RequestId| {
             (
                 Outcome::Success,
@@ -116,11 +116,12 @@
         let (mut refused_late, mut asked_late) = (0u32, 0u32);
         for step in 0..500u32 {
             for _ in 0..6 {
-                let me = fleet.rng.random_range(0..GATEWAYS as usize);
-                let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-                refused_late += u32::from(step >= 300 && refused(&actions));
+                let me = fleet.rng.random_range(0..NODES as usize);
+                let (_, actions) =
+                    fleet.nodes[me].request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+                refused_late += u32::from(step >= 300 && is_rejected(&actions));
                 asked_late += u32::from(step >= 300);
-                fleet.act(me, &actions, &end);
+                fleet.start_attempts(me, &actions, &end);
             }
             fleet.step(&end);
         }
@@ -138,18 +139,18 @@
 }
 
 #[test]
-fn messages_stay_inside_the_receive_limit() {
-    let mut fleet = Fleet::new(17, settings(), 30);
+fn gossip_stays_within_the_receive_limit() {
+    let mut fleet = PolicyFleet::new(17, settings(), 30);
     for _ in 0..500 {
         for i in 0..6u32 {
-            let me = fleet.rng.random_range(0..GATEWAYS as usize);
+            let me = fleet.rng.random_range(0..NODES as usize);
             let name = format!("c{}", fleet.rng.random_range(0..300u32) * 7 + i);
-            let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 0, &name, 1.0);
-            fleet.act(me, &actions, &well);
+            let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 0, &name, 1.0);
+            fleet.start_attempts(me, &actions, &always_succeeds);
         }
-        fleet.step(&well);
+        fleet.step(&always_succeeds);
     }
-    let each = f64::from(fleet.delivered) / f64::from(GATEWAYS) / 10.0;
+    let each = f64::from(fleet.gossip_delivered) / f64::from(NODES) / 10.0;
     assert!(
         each > 1.0 && each < 40.0,
         "{each} messages a second taken in by each"
@@ -157,20 +158,20 @@
 }
 
 #[test]
-fn fast_errors_of_one_class_do_not_attract_its_work() {
+fn fast_errors_of_one_class_do_not_attract_its_requests() {
     // Errors once counted as good health: a backend that fails one class at once looked the fastest of all.
-    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let mut stage = Stage::new(settings(), 19, &list);
+    let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+    let mut driver = PolicyDriver::new(settings(), 19, &list);
     let (mut late, mut other) = (0, 0);
     for i in 0..1200u32 {
         let class = if i % 2 == 0 { UNSAFE } else { SAFE };
-        let (id, actions) = stage.ask(class, 1, "c", 1.0);
-        if let Some(to) = target(&actions) {
+        let (id, actions) = driver.request(class, 1, "c", 1.0);
+        if let Some(to) = attempted_endpoint(&actions) {
             let sick = &*to == "b0" && class == UNSAFE;
             late += u32::from(sick && i >= 300);
             other += u32::from(&*to == "b0" && class == SAFE && i >= 300);
-            stage.pass(10 * MS);
-            stage.end(
+            driver.advance(10 * MILLISECOND);
+            driver.finish_attempt(
                 id,
                 0,
                 &to,
@@ -182,7 +183,7 @@
                 if sick { 2 } else { 50 },
             );
         }
-        stage.pass(5 * MS);
+        driver.advance(5 * MILLISECOND);
     }
     assert!(late < 25, "{late} of 450 sent to fail");
     assert!(
@@ -192,46 +193,47 @@
 }
 
 #[test]
-fn what_is_found_after_an_own_stall_says_nothing_of_backends() {
-    let list: Vec<Endpoint> = (0..6).map(|i| member(&format!("b{i}"), i % 3)).collect();
-    let mut stage = Stage::new(settings(), 23, &list);
-    stage.run(SAFE, 1, 10 * MS, 3 * S, Outcome::Success, 60);
+fn outcomes_observed_after_an_own_stall_do_not_count_against_endpoints() {
+    let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+    let mut driver = PolicyDriver::new(settings(), 23, &list);
+    driver.run_load(SAFE, 1, 10 * MILLISECOND, 3 * SECOND, Outcome::Success, 60);
     let mut out = Vec::new();
     for _ in 0..12 {
-        let (id, actions) = stage.ask(UNSAFE, 1, "c", 1.0);
-        out.extend(target(&actions).map(|to| (id, to)));
+        let (id, actions) = driver.request(UNSAFE, 1, "c", 1.0);
+        out.extend(attempted_endpoint(&actions).map(|to| (id, to)));
     }
     // The gateway stands still, then finds its answers, all of them old.
-    stage.now += 1500 * MS;
-    stage
+    driver.now += 1500 * MILLISECOND;
+    driver
         .timers
         .iter_mut()
-        .for_each(|t| t.0 = t.0.max(stage.now + MS));
+        .for_each(|t| t.0 = t.0.max(driver.now + MILLISECOND));
     for (id, to) in out {
-        stage.end(id, 0, &to, Outcome::Success, 1490);
+        driver.finish_attempt(id, 0, &to, Outcome::Success, 1490);
     }
-    let (sent, refused) = stage.run(SAFE, 1, 10 * MS, 2 * S, Outcome::Success, 60);
+    let (sent, refused) =
+        driver.run_load(SAFE, 1, 10 * MILLISECOND, 2 * SECOND, Outcome::Success, 60);
     assert!(sent > 190 && refused == 0, "{sent} sent, {refused} refused");
 }
 
 #[test]
-fn wild_and_impossible_words_change_nothing_or_are_cut() {
+fn impossible_gossip_is_ignored_or_clamped() {
     let run = |noise: &[(u32, &str)]| {
-        let mut fleet = Fleet::new(29, settings(), 6);
+        let mut fleet = PolicyFleet::new(29, settings(), 6);
         for (from, text) in noise {
-            fleet.doors[0].give(Event::PeerMessage {
+            fleet.nodes[0].handle(Event::PeerMessage {
                 from: *from,
                 text: (*text).into(),
             });
         }
         let mut sent = 0;
         for _ in 0..200 {
-            let (id, actions) = fleet.doors[0].ask_of(GATEWAYS, SAFE, 1, "c", 1.0);
-            if let Some(to) = target(&actions) {
+            let (id, actions) = fleet.nodes[0].request_with_node_set(NODES, SAFE, 1, "c", 1.0);
+            if let Some(to) = attempted_endpoint(&actions) {
                 sent += 1;
-                fleet.doors[0].end(id, 0, &to, Outcome::Success, 60);
+                fleet.nodes[0].finish_attempt(id, 0, &to, Outcome::Success, 60);
             }
-            fleet.doors[0].pass(20 * MS);
+            fleet.nodes[0].advance(20 * MILLISECOND);
         }
         sent
     };
@@ -249,18 +251,18 @@
 }
 
 #[test]
-fn about_ten_gateways_each_hold_a_backlog_limit_of_their_own() {
+fn about_ten_nodes_each_have_a_backlog_limit_of_their_own() {
     // Incident i15c3ad: with nine gateways a share of a surge was refused where a bound was needed.
-    let list: Vec<Endpoint> = (0..12).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..12).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
     let set = PolicySettings {
         node_count: 9,
         gossip_messages_per_second: 40.0,
         ..settings()
     };
-    let mut stage = Stage::new(set, 31, &list);
-    stage.run(SAFE, 1, 100 * MS, 4 * S, Outcome::Success, 60);
+    let mut driver = PolicyDriver::new(set, 31, &list);
+    driver.run_load(SAFE, 1, 100 * MILLISECOND, 4 * SECOND, Outcome::Success, 60);
     let sent = (0..60)
-        .filter(|_| target(&stage.ask(SAFE, 1, "c", 1.0).1).is_some())
+        .filter(|_| attempted_endpoint(&driver.request(SAFE, 1, "c", 1.0).1).is_some())
         .count();
     assert!((4..=10).contains(&sent), "{sent} of a surge of 60 sent");
 }
@@ -276,31 +278,31 @@
     fn serve(&self, backend: &EndpointId) -> (Outcome, u64) {
         let mut free = self.free.borrow_mut();
         let free = free.entry(backend.clone()).or_default();
-        let done = (*free).max(self.now.get()) + 60 * MS;
-        if done - self.now.get() > S {
+        let done = (*free).max(self.now.get()) + 60 * MILLISECOND;
+        if done - self.now.get() > SECOND {
             return (Outcome::TimedOut, 1000);
         }
         *free = done;
-        (Outcome::Success, (done - self.now.get()) / MS)
+        (Outcome::Success, (done - self.now.get()) / MILLISECOND)
     }
 }
 
 #[test]
-fn demand_far_beyond_capacity_does_not_flood_the_backends() {
+fn demand_far_beyond_capacity_does_not_flood_the_endpoints() {
     // Issue 11: a share of the tries was refused, so the backlog grew with the demand.
     let queues = Queues::default();
-    let mut fleet = Fleet::new(37, settings(), 30);
+    let mut fleet = PolicyFleet::new(37, settings(), 30);
     let end = |to: &EndpointId, _: RequestId| queues.serve(to);
     let (mut timely, mut sent) = (0u32, 0u32);
     for step in 0..400u32 {
         queues.now.set(fleet.now());
         // 2000 a second; the backends carry 500.
         for _ in 0..40 {
-            let me = fleet.rng.random_range(0..GATEWAYS as usize);
-            let (_, actions) = fleet.doors[me].ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            fleet.act(me, &actions, &end);
-            if target(&actions).is_some() && step >= 150 {
-                let (.., how, ms) = fleet.out.last().expect("just sent");
+            let me = fleet.rng.random_range(0..NODES as usize);
+            let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            fleet.start_attempts(me, &actions, &end);
+            if attempted_endpoint(&actions).is_some() && step >= 150 {
+                let (.., how, ms) = fleet.attempts.last().expect("just sent");
                 sent += 1;
                 timely += u32::from(*how == Outcome::Success && *ms <= 500);
             }
@@ -318,29 +320,29 @@
 }
 
 #[test]
-fn a_ladder_is_not_held_shut_by_what_a_pool_remembers_of_a_flood() {
+fn pooled_statistics_of_a_past_flood_do_not_keep_the_ladder_tight() {
     // Issue 11: with next to nothing passing, the time-outs of the flood before were scaled up to enough.
-    let list: Vec<Endpoint> = (0..30).map(|i| member(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..30).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
     let set = PolicySettings {
-        node_count: GATEWAYS,
+        node_count: NODES,
         gossip_messages_per_second: 40.0,
         ..settings()
     };
-    let mut stage = Stage::new(set, 43, &list);
+    let mut driver = PolicyDriver::new(set, 43, &list);
     let mut hear = |parts: [f64; 9], times: u32| {
         for i in 0..times {
-            stage.give(Event::PeerMessage {
+            driver.handle(Event::PeerMessage {
                 from: 1 + i % 100,
-                text: pool(parts),
+                text: encode_pool(parts),
             });
-            stage.ask_of(GATEWAYS, SAFE, 1, "wide", 1.0);
-            stage.pass(200 * MS);
+            driver.request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
+            driver.advance(200 * MILLISECOND);
         }
-        stage.other.len()
+        driver.logs.len()
     };
     let flood = hear([5.0, 0.9, 0.0, 0.0, 3.0, 5.0, 20.0, 2.0, 20.0], 3);
     let after = hear([0.0, 0.0, 0.0, 0.0, 0.0, 5.0, 0.0, 0.0, 20.0], 65);
-    let lines: Vec<_> = stage.other.iter().map(|a| format!("{a:?}")).collect();
+    let lines: Vec<_> = driver.logs.iter().map(|a| format!("{a:?}")).collect();
     assert!(flood <= 2 && after > 0, "{lines:?}");
     assert!(!lines.iter().any(|l| l.contains("ladder F7")), "{lines:?}");
 }
--- /dev/null
+++ b/tests/support/daemon.rs
@@ -0,0 +1,120 @@
+//! The real program among fakes: limit servers, discovery, and a connection of a client.
+
+use std::path::Path;
+use std::time::Duration;
+
+use applewall_fakes::clients::{connect, request};
+use applewall_fakes::daemon::{Daemon, DaemonSettings};
+use applewall_fakes::discovery::{in_service, Discovery};
+use applewall_fakes::http::{self, Kind, Message};
+use applewall_fakes::instance::{Instance, Script};
+use serde_json::Value;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Time left that clients state.
+pub(crate) const TIME_LEFT: Duration = Duration::from_secs(3);
+
+/// Describes a daemon and its surroundings; [`Scenario::start`] starts them.
+pub(crate) struct Scenario {
+    name: &'static str,
+    operator_file: Option<String>,
+    scripts: Vec<Script>,
+}
+
+impl Scenario {
+    /// A daemon without limit servers, with 256 descriptors and 32 MB; its files have names that begin with `name`.
+    pub(crate) fn new(name: &'static str) -> Self {
+        Scenario {
+            name,
+            operator_file: None,
+            scripts: Vec::new(),
+        }
+    }
+
+    /// With the text of an operator's file.
+    pub(crate) fn operator_file(mut self, text: &str) -> Self {
+        self.operator_file = Some(text.to_string());
+        self
+    }
+
+    /// With a limit server of this script, which discovery lists.
+    pub(crate) fn instance(mut self, script: Script) -> Self {
+        self.scripts.push(script);
+        self
+    }
+
+    /// Starts the limit servers, discovery and the daemon.
+    pub(crate) async fn start(self) -> Environment {
+        let mut instances = Vec::new();
+        for script in self.scripts {
+            instances.push(Instance::start(script).await.expect("a limit server"));
+        }
+        let known = in_service(&instances);
+        let discovery = Discovery::start(known.clone()).await.expect("discovery");
+        let daemon = start_daemon(self.name, self.operator_file, &discovery, known);
+        Environment {
+            daemon,
+            instances,
+            discovery,
+        }
+    }
+}
+
+/// Starts the program under test with this operator's file and known list.
+pub(crate) fn start_daemon(
+    name: &str,
+    operator_file: Option<String>,
+    discovery: &Discovery,
+    known_targets: Vec<Value>,
+) -> Daemon {
+    let settings = DaemonSettings {
+        max_descriptors: 256,
+        memory_mb: 32,
+        operator_file,
+        discovery: discovery.address,
+        known_targets,
+        quota_per_second: 1_000.0,
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    Daemon::start(program, folder, name, &settings).expect("the daemon starts")
+}
+
+/// A running daemon and its surroundings.
+pub(crate) struct Environment {
+    /// The daemon.
+    pub(crate) daemon: Daemon,
+    /// The limit servers, in the order of the scenario.
+    pub(crate) instances: Vec<Instance>,
+    /// Lists them.
+    pub(crate) discovery: Discovery,
+}
+
+/// Connects a client to a daemon.
+pub(crate) async fn connect_to(daemon: &Daemon) -> TcpStream {
+    let stream = connect(daemon.address, [127, 0, 0, 1].into(), None).await;
+    stream.expect("a connection")
+}
+
+/// Writes the head of a request; a body of so many bytes has to follow.
+pub(crate) async fn send_request(
+    stream: &mut TcpStream,
+    id: u64,
+    customer: u64,
+    body_bytes: usize,
+) {
+    let head = request(id, customer, TIME_LEFT, body_bytes);
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("a request is written");
+}
+
+/// Reads a response.
+pub(crate) async fn read_response(stream: &mut TcpStream) -> Message {
+    let response = http::read(stream, &mut Vec::new(), Kind::Response).await;
+    response
+        .expect("a response is read")
+        .expect("a response comes before the end")
+}
--- a/tests/common/fleet.rs
+++ b/tests/support/fleet.rs
@@ -10,31 +10,36 @@
 use applewall::api::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
-use super::{member, Stage, MS};
+use super::policy::{endpoint, PolicyDriver, MILLISECOND};
 
-pub(crate) const GATEWAYS: u32 = 160;
-pub(crate) const STEP: u64 = 20 * MS;
+pub(crate) const NODES: u32 = 160;
+pub(crate) const STEP_NS: u64 = 20 * MILLISECOND;
 
 /// Gateways with a lossy, late network between them and backends that answer after a while.
-pub(crate) struct Fleet {
+pub(crate) struct PolicyFleet {
     pub rng: SmallRng,
-    pub set: PolicySettings,
-    pub list: Vec<Endpoint>,
-    pub doors: Vec<Stage>,
-    pub mail: VecDeque<(u64, u32, u32, String)>,
-    pub out: Vec<(u64, usize, RequestId, u32, EndpointId, Outcome, u64)>,
-    pub delivered: u32,
+    pub settings: PolicySettings,
+    pub endpoints: Vec<Endpoint>,
+    pub nodes: Vec<PolicyDriver>,
+    pub gossip_in_flight: VecDeque<(u64, u32, u32, String)>,
+    pub attempts: Vec<(u64, usize, RequestId, u32, EndpointId, Outcome, u64)>,
+    pub gossip_delivered: u32,
 }
 
-impl Fleet {
+impl PolicyFleet {
     pub(crate) fn new(seed: u64, set: PolicySettings, backends: usize) -> Self {
-        Fleet::of(GATEWAYS, seed, set, backends)
+        PolicyFleet::with_nodes(NODES, seed, set, backends)
     }
 
     /// A fleet of so many gateways.
-    pub(crate) fn of(gateways: u32, seed: u64, set: PolicySettings, backends: usize) -> Self {
+    pub(crate) fn with_nodes(
+        gateways: u32,
+        seed: u64,
+        set: PolicySettings,
+        backends: usize,
+    ) -> Self {
         let list: Vec<Endpoint> = (0..backends)
-            .map(|i| member(&format!("b{i}"), i as u32 % 3))
+            .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
             .collect();
         let set = PolicySettings {
             node_count: gateways,
@@ -42,7 +47,7 @@
             ..set
         };
         let door = |me| {
-            Stage::new(
+            PolicyDriver::new(
                 PolicySettings {
                     node: me,
                     ..set.clone()
@@ -53,32 +58,32 @@
         };
         let doors = (0..gateways).map(door).collect();
         let rng = SmallRng::seed_from_u64(seed);
-        Fleet {
+        PolicyFleet {
             rng,
-            set,
-            list,
-            doors,
-            mail: VecDeque::new(),
-            out: vec![],
-            delivered: 0,
+            settings: set,
+            endpoints: list,
+            nodes: doors,
+            gossip_in_flight: VecDeque::new(),
+            attempts: vec![],
+            gossip_delivered: 0,
         }
     }
 
     pub(crate) fn now(&self) -> u64 {
-        self.doors[0].now
+        self.nodes[0].now
     }
 
     pub(crate) fn restart(&mut self, me: usize) {
         let set = PolicySettings {
             node: me as u32,
-            ..self.set.clone()
+            ..self.settings.clone()
         };
-        self.doors[me] = Stage::at(self.now(), set, self.rng.random(), &self.list);
-        self.out.retain(|o| o.1 != me);
+        self.nodes[me] = PolicyDriver::at(self.now(), set, self.rng.random(), &self.endpoints);
+        self.attempts.retain(|o| o.1 != me);
     }
 
     /// Carries out what a gateway does: how an attempt ends, and after how many milliseconds, is `end`'s.
-    pub(crate) fn act(
+    pub(crate) fn start_attempts(
         &mut self,
         me: usize,
         actions: &[Action],
@@ -92,13 +97,13 @@
             } = action
             {
                 let attempt = self
-                    .out
+                    .attempts
                     .iter()
                     .filter(|o| o.1 == me && o.2 == *request)
                     .count() as u32;
                 let (how, ms) = end(backend, *request);
-                self.out.push((
-                    self.now() + ms * MS,
+                self.attempts.push((
+                    self.now() + ms * MILLISECOND,
                     me,
                     *request,
                     attempt,
@@ -112,41 +117,47 @@
 
     /// Moves the clock by a step: answers, messages (one in twenty lost), timers.
     pub(crate) fn step(&mut self, end: &dyn Fn(&EndpointId, RequestId) -> (Outcome, u64)) {
-        for me in 0..self.doors.len() {
-            let actions = self.doors[me].pass(STEP);
-            self.act(me, &actions, end);
+        for me in 0..self.nodes.len() {
+            let actions = self.nodes[me].advance(STEP_NS);
+            self.start_attempts(me, &actions, end);
         }
         let now = self.now();
-        let due: Vec<_> = self.out.iter().filter(|o| o.0 <= now).cloned().collect();
-        self.out.retain(|o| o.0 > now);
+        let due: Vec<_> = self
+            .attempts
+            .iter()
+            .filter(|o| o.0 <= now)
+            .cloned()
+            .collect();
+        self.attempts.retain(|o| o.0 > now);
         for (_, me, id, attempt, to, how, ms) in due {
-            let actions = self.doors[me].end(id, attempt, &to, how, ms);
-            self.act(me, &actions, end);
+            let actions = self.nodes[me].finish_attempt(id, attempt, &to, how, ms);
+            self.start_attempts(me, &actions, end);
         }
-        for me in 0..self.doors.len() {
-            for (peer, text) in std::mem::take(&mut self.doors[me].letters) {
+        for me in 0..self.nodes.len() {
+            for (peer, text) in std::mem::take(&mut self.nodes[me].gossip) {
                 let to = peer.expect("nothing is told to all of a large fleet");
-                self.mail.push_back((now + 20 * MS, me as u32, to, text));
+                self.gossip_in_flight
+                    .push_back((now + 20 * MILLISECOND, me as u32, to, text));
             }
         }
-        while self.mail.front().is_some_and(|m| m.0 <= now) {
-            let Some((_, from, to, text)) = self.mail.pop_front() else {
+        while self.gossip_in_flight.front().is_some_and(|m| m.0 <= now) {
+            let Some((_, from, to, text)) = self.gossip_in_flight.pop_front() else {
                 break;
             };
             if self.rng.random::<f64>() > 0.05 {
-                self.delivered += 1;
-                self.doors[to as usize].give(Event::PeerMessage { from, text });
+                self.gossip_delivered += 1;
+                self.nodes[to as usize].handle(Event::PeerMessage { from, text });
             }
         }
     }
 }
 
-pub(crate) fn well(_: &EndpointId, _: RequestId) -> (Outcome, u64) {
+pub(crate) fn always_succeeds(_: &EndpointId, _: RequestId) -> (Outcome, u64) {
     (Outcome::Success, 60)
 }
 
 /// A part of a pool on the wire, from its nine numbers.
-pub(crate) fn pool(parts: [f64; 9]) -> String {
+pub(crate) fn encode_pool(parts: [f64; 9]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
     let code = |v: f64| {
         if v < 0.001 {
--- a/tests/common/mod.rs
+++ b/tests/support/policy.rs
@@ -1,17 +1,15 @@
-//! A small stage for the module alone: settings, a clock and shorthand for events.
-#![allow(dead_code)]
+//! One node of the decision policy without the daemon: settings, a virtual clock, and shorthand for events.
+
 #![expect(
     clippy::min_ident_chars,
     reason = "short names are spelled out as the module is reworked"
 )]
 
-pub(crate) mod fleet;
-
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
 
-pub(crate) const MS: u64 = 1_000_000;
-pub(crate) const S: u64 = 1_000_000_000;
+pub(crate) const MILLISECOND: u64 = 1_000_000;
+pub(crate) const SECOND: u64 = 1_000_000_000;
 
 pub(crate) const SAFE: usize = 0;
 pub(crate) const KEYED: usize = 1;
@@ -19,8 +17,8 @@
 
 pub(crate) fn settings() -> PolicySettings {
     let class = |repeats| Class {
-        latency_objective_ns: 500 * MS,
-        deadline_ns: 2 * S,
+        latency_objective_ns: 500 * MILLISECOND,
+        deadline_ns: 2 * SECOND,
         priority_weight: 1.0,
         late_weight_fraction: 0.0,
         idempotency: repeats,
@@ -28,7 +26,7 @@
     };
     let keyed = Idempotency::IdempotencyKey {
         scope: KeyScope::Zone,
-        deduplication_window_ns: 3 * S,
+        deduplication_window_ns: 3 * SECOND,
     };
     PolicySettings {
         node: 0,
@@ -56,11 +54,11 @@
             },
         ],
         slow_start_fraction: 0.2,
-        slow_start_ns: 15 * S,
+        slow_start_ns: 15 * SECOND,
         overload_multiple: 3.0,
-        overload_window_ns: S,
+        overload_window_ns: SECOND,
         max_attempts: 3,
-        max_retry_after_ns: 2 * S,
+        max_retry_after_ns: 2 * SECOND,
         gossip_enabled: true,
         cancellation_allowed: true,
         gossip_messages_per_second: 100.0,
@@ -69,7 +67,7 @@
     }
 }
 
-pub(crate) fn member(name: &str, zone: u32) -> Endpoint {
+pub(crate) fn endpoint(name: &str, zone: u32) -> Endpoint {
     Endpoint {
         id: name.into(),
         weight: 1.0,
@@ -82,44 +80,44 @@
 }
 
 /// One gateway with a clock; timers are kept and fall due as the clock moves.
-pub(crate) struct Stage {
-    pub brain: DecisionPolicy,
+pub(crate) struct PolicyDriver {
+    pub policy: DecisionPolicy,
     pub now: u64,
     pub timers: Vec<(u64, u64)>,
-    pub told: Vec<String>,
+    pub gossip_texts: Vec<String>,
     /// Messages with their addressees, as `told`.
-    pub letters: Vec<(Option<u32>, String)>,
-    pub other: Vec<Action>,
+    pub gossip: Vec<(Option<u32>, String)>,
+    pub logs: Vec<Action>,
     next: u64,
 }
 
-impl Stage {
+impl PolicyDriver {
     pub(crate) fn new(settings: PolicySettings, seed: u64, backends: &[Endpoint]) -> Self {
-        Stage::at(1000 * S, settings, seed, backends)
+        PolicyDriver::at(1000 * SECOND, settings, seed, backends)
     }
 
     pub(crate) fn at(now: u64, settings: PolicySettings, seed: u64, backends: &[Endpoint]) -> Self {
         let brain = DecisionPolicy::new(settings, seed, now);
-        let mut stage = Stage {
-            brain,
+        let mut driver = PolicyDriver {
+            policy: brain,
             now,
             timers: vec![],
-            told: vec![],
-            letters: vec![],
-            other: vec![],
+            gossip_texts: vec![],
+            gossip: vec![],
+            logs: vec![],
             next: 0,
         };
-        stage.give(Event::EndpointUpdate(
+        driver.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Cached,
             backends.into(),
         ));
-        stage
+        driver
     }
 
     /// Gives an event; timers and messages are put aside, the rest is returned.
-    pub(crate) fn give(&mut self, event: Event) -> Vec<Action> {
+    pub(crate) fn handle(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.brain.handle(self.now, event, &mut actions);
+        self.policy.handle(self.now, event, &mut actions);
         let mut rest = Vec::new();
         for action in actions {
             match action {
@@ -128,10 +126,10 @@
                     token,
                 } => self.timers.push((self.now + after, token)),
                 Action::SendGossip { peer, text } => {
-                    self.told.push(text.clone());
-                    self.letters.push((peer, text));
+                    self.gossip_texts.push(text.clone());
+                    self.gossip.push((peer, text));
                 }
-                Action::Log(_) => self.other.push(action),
+                Action::Log(_) => self.logs.push(action),
                 action => rest.push(action),
             }
         }
@@ -139,7 +137,7 @@
     }
 
     /// Moves the clock, letting timers fall due on the way.
-    pub(crate) fn pass(&mut self, time: u64) -> Vec<Action> {
+    pub(crate) fn advance(&mut self, time: u64) -> Vec<Action> {
         let end = self.now + time;
         let mut all = Vec::new();
         while let Some(i) = (0..self.timers.len()).min_by_key(|i| self.timers[*i]) {
@@ -148,24 +146,24 @@
             }
             let (at, token) = self.timers.swap_remove(i);
             self.now = self.now.max(at);
-            all.extend(self.give(Event::TimerExpired(token)));
+            all.extend(self.handle(Event::TimerExpired(token)));
         }
         self.now = end;
         all
     }
 
-    pub(crate) fn ask(
+    pub(crate) fn request(
         &mut self,
         class: usize,
         plan: usize,
         customer: &str,
         units: f64,
     ) -> (RequestId, Vec<Action>) {
-        self.ask_of(3, class, plan, customer, units)
+        self.request_with_node_set(3, class, plan, customer, units)
     }
 
     /// The same for a customer whose set is the first `spread` gateways.
-    pub(crate) fn ask_of(
+    pub(crate) fn request_with_node_set(
         &mut self,
         spread: u32,
         class: usize,
@@ -181,15 +179,15 @@
             plan,
             customer: customer.into(),
             units,
-            time_left_ns: 2 * S,
+            time_left_ns: 2 * SECOND,
             is_retry: false,
             node_set_size: spread,
             first_node: 0,
         };
-        (id, self.give(Event::Request(request)))
+        (id, self.handle(Event::Request(request)))
     }
 
-    pub(crate) fn end(
+    pub(crate) fn finish_attempt(
         &mut self,
         request: RequestId,
         attempt: u32,
@@ -198,12 +196,12 @@
         ms: u64,
     ) -> Vec<Action> {
         let ok = how == Outcome::Success;
-        self.give(Event::AttemptFinished(AttemptResult {
+        self.handle(Event::AttemptFinished(AttemptResult {
             request,
             attempt,
             endpoint: to.clone(),
             outcome: how,
-            latency_ns: ms * MS,
+            latency_ns: ms * MILLISECOND,
             request_complete: ok,
             settled_units: 0.0,
             load_report: vec![],
@@ -211,7 +209,7 @@
     }
 
     /// Asks once every `gap` for `time`, each sent attempt ending `ms` later as `how`. Returns sent and refused.
-    pub(crate) fn run(
+    pub(crate) fn run_load(
         &mut self,
         class: usize,
         plan: usize,
@@ -226,12 +224,12 @@
         let mut number = 0;
         while self.now < end {
             number += 1;
-            let (id, actions) = self.ask(class, plan, &format!("c{}", number % 7), 1.0);
+            let (id, actions) = self.request(class, plan, &format!("c{}", number % 7), 1.0);
             let mut todo = actions;
             let due: Vec<_> = out.iter().filter(|o| o.0 <= self.now).cloned().collect();
             out.retain(|o| o.0 > self.now);
             for (_, id, attempt, to) in due {
-                todo.extend(self.end(id, attempt, &to, how, ms));
+                todo.extend(self.finish_attempt(id, attempt, &to, how, ms));
             }
             for action in todo {
                 match action {
@@ -242,22 +240,22 @@
                     } => {
                         sent += u32::from(request == id);
                         let attempt = u32::from(request != id);
-                        out.push((self.now + ms * MS, request, attempt, backend));
+                        out.push((self.now + ms * MILLISECOND, request, attempt, backend));
                     }
                     Action::Reject { request, .. } => refused += u32::from(request == id),
                     _ => {}
                 }
             }
-            self.pass(gap);
+            self.advance(gap);
         }
         for (_, id, attempt, to) in out {
-            self.end(id, attempt, &to, how, ms);
+            self.finish_attempt(id, attempt, &to, how, ms);
         }
         (sent, refused)
     }
 }
 
-pub(crate) fn target(actions: &[Action]) -> Option<EndpointId> {
+pub(crate) fn attempted_endpoint(actions: &[Action]) -> Option<EndpointId> {
     actions.iter().find_map(|a| match a {
         Action::StartAttempt {
             endpoint: backend, ..
@@ -266,6 +264,6 @@
     })
 }
 
-pub(crate) fn refused(actions: &[Action]) -> bool {
+pub(crate) fn is_rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
