--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -22,8 +22,8 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
 
-use crate::lifecycle::process_role::{relay, Estate, Other};
-use crate::lifecycle::shared_directory::Place;
+use crate::lifecycle::process_role::{relay, OtherProcess, TransferredState};
+use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::server::acceptor;
 
 /// Callers held at once; their descriptors are in what the budget keeps back.
@@ -42,66 +42,70 @@
 const QUEUE: usize = 16;
 
 /// What the engine is to do before all else.
-pub(crate) enum Order {
+pub(crate) enum ControlMessage {
     /// What an operator wants of an instance.
-    Instance(Instance),
+    SetMaintenance(MaintenanceRequest),
     /// Hand all over that is the engine's.
-    HandOver(oneshot::Sender<Result<Estate, String>>),
+    ExportState(oneshot::Sender<Result<TransferredState, String>>),
     /// The one that it was handed to has failed.
-    TakeBack,
+    ResumeOwnership,
 }
 
 /// What an operator wants of an instance.
-pub(crate) struct Instance {
+pub(crate) struct MaintenanceRequest {
     pub id: String,
     /// Leave it out, or let it serve again.
-    pub withhold: bool,
+    pub enter: bool,
     /// The other process knows the id, whatever this one's list says.
-    pub known: bool,
+    pub known_to_other_process: bool,
     /// The answer, and the ledger as it is then.
     pub reply: oneshot::Sender<(Answer, Ledger)>,
 }
 
 /// What an operator wants of the drain, for the one who leads the stages.
-pub(crate) struct Drain {
-    pub on: bool,
+pub(crate) struct DrainRequest {
+    pub drain: bool,
     pub reply: oneshot::Sender<Answer>,
 }
 
 /// Where calls go.
 #[derive(Clone)]
-pub(crate) struct Desk {
-    pub orders: mpsc::Sender<Order>,
-    pub drains: mpsc::Sender<Drain>,
-    pub stages: watch::Receiver<Stage>,
+pub(crate) struct AdminHandle {
+    pub control: mpsc::Sender<ControlMessage>,
+    pub drain_requests: mpsc::Sender<DrainRequest>,
+    pub phase: watch::Receiver<Stage>,
     /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
     /// There is a list to decide from.
-    pub listed: watch::Receiver<bool>,
+    pub has_endpoints: watch::Receiver<bool>,
     /// Where the ledger is kept, if it is.
-    pub place: Option<Place>,
+    pub shared_directory: Option<SharedDirectory>,
     /// The way to the process before or after this one.
-    pub other: Other,
+    pub other_process: OtherProcess,
     /// One call about instances at a time: what is written last is what was decided last.
-    pub turn: Arc<tokio::sync::Mutex<()>>,
+    pub maintenance_lock: Arc<tokio::sync::Mutex<()>>,
 }
 
 /// The other ends of a desk's queues.
-pub(crate) struct Inboxes {
-    pub orders: mpsc::Receiver<Order>,
-    pub drains: mpsc::Receiver<Drain>,
+pub(crate) struct AdminReceivers {
+    pub control: mpsc::Receiver<ControlMessage>,
+    pub drain_requests: mpsc::Receiver<DrainRequest>,
 }
 
 /// The queues between the second address and those who carry out its calls.
-pub(crate) fn queues() -> (mpsc::Sender<Order>, mpsc::Sender<Drain>, Inboxes) {
+pub(crate) fn channels() -> (
+    mpsc::Sender<ControlMessage>,
+    mpsc::Sender<DrainRequest>,
+    AdminReceivers,
+) {
     let (orders, orders_in) = mpsc::channel(QUEUE);
     let (drains, drains_in) = mpsc::channel(QUEUE);
     (
         orders,
         drains,
-        Inboxes {
-            orders: orders_in,
-            drains: drains_in,
+        AdminReceivers {
+            control: orders_in,
+            drain_requests: drains_in,
         },
     )
 }
@@ -119,7 +123,7 @@
 }
 
 /// Serves callers for as long as the program runs.
-pub(crate) async fn serve(listener: TcpListener, desk: Desk) {
+pub(crate) async fn serve(listener: TcpListener, desk: AdminHandle) {
     let callers: Arc<Mutex<VecDeque<Arc<Caller>>>> = Arc::default();
     let mut failing = false;
     loop {
@@ -176,7 +180,7 @@
 }
 
 /// One call, from its first byte to its answer.
-async fn attend(mut stream: TcpStream, caller: &Caller, desk: &Desk) {
+async fn attend(mut stream: TcpStream, caller: &Caller, desk: &AdminHandle) {
     let _ = stream.set_nodelay(true);
     // Otherwise it left, or never said what it wants.
     let Ok(Some(line)) = timeout(PATIENCE, read(&mut stream)).await else {
@@ -223,7 +227,7 @@
     }
 }
 
-impl Desk {
+impl AdminHandle {
     /// Carries a call out here, and then in the other process where there is one.
     async fn carry_out(&self, call: Call) -> Answer {
         let line = match &call {
@@ -236,7 +240,7 @@
         let carried = timeout(OWED, async {
             let answer = self.carry_out_here(call, false).await;
             if let (Answer::Done(_), Some(line)) = (&answer, line) {
-                relay(&self.other, line).await;
+                relay(&self.other_process, line).await;
             }
             answer
         });
@@ -258,8 +262,11 @@
     }
 
     fn ready(&self) -> Answer {
-        let stage = *self.stages.borrow();
-        match (*self.ready.borrow() && *self.listed.borrow(), stage.stops()) {
+        let stage = *self.phase.borrow();
+        match (
+            *self.ready.borrow() && *self.has_endpoints.borrow(),
+            stage.stops(),
+        ) {
             (_, true) => Answer::Error("this process was told to stop".to_string()),
             (false, _) => Answer::Error(
                 "not yet: this process still takes over from the one before".to_string(),
@@ -269,14 +276,14 @@
     }
 
     async fn order(&self, id: String, withhold: bool, known: bool) -> Answer {
-        let _turn = self.turn.lock().await;
+        let _turn = self.maintenance_lock.lock().await;
         let (reply, answer) = oneshot::channel();
         if self
-            .orders
-            .send(Order::Instance(Instance {
+            .control
+            .send(ControlMessage::SetMaintenance(MaintenanceRequest {
                 id,
-                withhold,
-                known,
+                enter: withhold,
+                known_to_other_process: known,
                 reply,
             }))
             .await
@@ -287,8 +294,8 @@
         let Ok((answer, ledger)) = answer.await else {
             return stopped();
         };
-        match (answer, &self.place) {
-            (Answer::Done(what), Some(place)) => match place.write(&ledger) {
+        match (answer, &self.shared_directory) {
+            (Answer::Done(what), Some(place)) => match place.write_maintenance_set(&ledger) {
                 Ok(()) => Answer::Done(what),
                 // In force, and handed over at an upgrade; only a process that finds nobody would not know.
                 Err(why) => {
@@ -302,7 +309,12 @@
 
     async fn drain(&self, on: bool) -> Answer {
         let (reply, answer) = oneshot::channel();
-        if self.drains.send(Drain { on, reply }).await.is_err() {
+        if self
+            .drain_requests
+            .send(DrainRequest { drain: on, reply })
+            .await
+            .is_err()
+        {
             return stopped();
         }
         answer.await.unwrap_or_else(|_| stopped())
--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -15,35 +15,35 @@
 
 /// The list and the ledger. Kept only where there is a second address.
 #[derive(Default)]
-pub(crate) struct Withheld {
+pub(crate) struct MaintenanceFilter {
     ledger: Ledger,
     /// Every id that the list names, as it does.
     listed: HashMap<EndpointId, EndpointEntry>,
 }
 
 /// What an order comes to.
-pub(crate) struct Ruling {
+pub(crate) struct MaintenanceOutcome {
     pub answer: Answer,
     /// The entry that has to be taken in again, changed by it.
     pub changed: Option<EndpointEntry>,
 }
 
-impl Withheld {
+impl MaintenanceFilter {
     /// One that goes on with a ledger.
     pub(crate) fn new(ledger: Ledger) -> Self {
-        Withheld {
+        MaintenanceFilter {
             ledger,
             listed: HashMap::new(),
         }
     }
 
     /// The ledger, and the list as discovery has it.
-    pub(crate) fn parts(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
+    pub(crate) fn state(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
         (&self.ledger, self.listed.values())
     }
 
     /// Takes in news of the list; an instance that is withheld goes on as one that terminates.
-    pub(crate) fn mask(&mut self, kind: EndpointUpdateKind, entries: &mut [EndpointEntry]) {
+    pub(crate) fn apply(&mut self, kind: EndpointUpdateKind, entries: &mut [EndpointEntry]) {
         if matches!(
             kind,
             EndpointUpdateKind::Cached | EndpointUpdateKind::Snapshot
@@ -64,7 +64,7 @@
     }
 
     /// Carries out an order as far as the ledger goes; `known`: the id is somebody's, whatever is listed here.
-    pub(crate) fn order(&mut self, id: &str, withhold: bool, known: bool) -> Ruling {
+    pub(crate) fn change(&mut self, id: &str, withhold: bool, known: bool) -> MaintenanceOutcome {
         let entry = self.listed.get(id).cloned();
         let listed = known || entry.is_some();
         let ruled = match withhold {
@@ -96,11 +96,11 @@
                 }
                 entry
             });
-        Ruling { answer, changed }
+        MaintenanceOutcome { answer, changed }
     }
 
     /// True where instances are listed and all that would serve are withheld.
-    pub(crate) fn none_left(&self) -> bool {
+    pub(crate) fn all_in_maintenance(&self) -> bool {
         let mut serving = self
             .listed
             .values()
--- a/src/admin/maintenance/tests.rs
+++ b/src/admin/maintenance/tests.rs
@@ -23,24 +23,24 @@
 }
 
 fn states(
-    withheld: &mut Withheld,
+    withheld: &mut MaintenanceFilter,
     kind: EndpointUpdateKind,
     mut entries: Vec<EndpointEntry>,
 ) -> Vec<EndpointState> {
-    withheld.mask(kind, &mut entries);
+    withheld.apply(kind, &mut entries);
     entries.iter().map(|e| e.endpoint.state).collect()
 }
 
 #[test]
 fn a_withheld_id_stays_out_whatever_the_list_says_of_it() {
     use EndpointState::{Draining, Ready, Removed};
-    let mut withheld = Withheld::default();
+    let mut withheld = MaintenanceFilter::default();
     states(
         &mut withheld,
         EndpointUpdateKind::Snapshot,
         vec![entry("a", 1, Ready), entry("b", 2, Ready)],
     );
-    let ruling = withheld.order("a", true, false);
+    let ruling = withheld.change("a", true, false);
     assert_eq!(ruling.changed.unwrap().endpoint.state, Draining);
     // Named again; gone and back at a new address; a whole list after discovery was lost, without it and with it.
     assert_eq!(
@@ -73,7 +73,7 @@
         vec![entry("b", 2, Ready)],
     );
     assert!(matches!(
-        withheld.order("a", true, false).answer,
+        withheld.change("a", true, false).answer,
         Answer::Done(_)
     ));
     assert_eq!(
@@ -85,7 +85,7 @@
         [Draining]
     );
     // Out twice, back once, at the address that the list has now.
-    let back = withheld.order("a", false, false).changed.unwrap();
+    let back = withheld.change("a", false, false).changed.unwrap();
     assert_eq!((back.endpoint.state, back.address.port()), (Ready, 9));
     assert_eq!(
         states(
@@ -99,7 +99,7 @@
 
 #[test]
 fn ids_that_nobody_has_are_errors_and_what_was_not_out_is_done_without_a_change() {
-    let mut withheld = Withheld::default();
+    let mut withheld = MaintenanceFilter::default();
     states(
         &mut withheld,
         EndpointUpdateKind::Snapshot,
@@ -107,21 +107,21 @@
     );
     for on in [true, false] {
         assert!(matches!(
-            withheld.order("x", on, false).answer,
+            withheld.change("x", on, false).answer,
             Answer::Error(_)
         ));
     }
-    let ruling = withheld.order("a", false, false);
+    let ruling = withheld.change("a", false, false);
     assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
-    assert!(!withheld.none_left());
-    withheld.order("a", true, false);
-    assert!(withheld.none_left());
+    assert!(!withheld.all_in_maintenance());
+    withheld.change("a", true, false);
+    assert!(withheld.all_in_maintenance());
     // Left the list while out: still known, and back without a word to the module.
     states(
         &mut withheld,
         EndpointUpdateKind::Delta,
         vec![entry("a", 1, EndpointState::Removed)],
     );
-    let ruling = withheld.order("a", false, false);
+    let ruling = withheld.change("a", false, false);
     assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
 }
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -19,11 +19,11 @@
 
 /// All sections.
 #[derive(Clone, Debug, Default, Deserialize, Validate, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub(crate) struct Operator {
+#[serde(default, deny_unknown_fields, rename = "Operator")]
+pub(crate) struct OperatorConfig {
     /// The log.
     #[garde(skip)]
-    pub log: Log,
+    pub log: LogConfig,
     /// Slow peers: least rates, and limits on what may wait.
     #[garde(dive)]
     pub pace: pace::Settings,
@@ -46,13 +46,13 @@
 
 /// `[log]`
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub(crate) struct Log {
+#[serde(default, deny_unknown_fields, rename = "Log")]
+pub(crate) struct LogConfig {
     /// `text` or `json`.
     pub format: logging::Form,
 }
 
-impl Operator {
+impl OperatorConfig {
     /// Reads the file; without one, all is off.
     ///
     /// # Errors
@@ -60,7 +60,7 @@
     /// One line with file, section and key.
     pub(crate) fn read(path: Option<&str>) -> Result<Self, String> {
         let Some(path) = path else {
-            return Ok(Operator::default());
+            return Ok(OperatorConfig::default());
         };
         let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
         ini::read(&text).map_err(|e| format!("{path}: {e}"))
@@ -68,7 +68,7 @@
 
     /// The published schema of the file.
     pub(crate) fn schema() -> String {
-        ini::schema::<Operator>()
+        ini::schema::<OperatorConfig>()
     }
 
     /// What is on, in a few words for `check`.
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -15,8 +15,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
-use crate::config::operator::Operator;
-use crate::discovery::endpoint_list::Answer;
+use crate::config::operator::OperatorConfig;
+use crate::discovery::endpoint_list::EndpointList;
 
 /// The configuration file; the settings are read by [`platform_settings::facts`].
 #[derive(Deserialize)]
@@ -34,7 +34,7 @@
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
     #[serde(default)]
-    known: Answer,
+    known: EndpointList,
     settings: Value,
 }
 
@@ -55,29 +55,29 @@
 }
 
 /// All that the ingress is told.
-pub(crate) struct Config {
+pub(crate) struct PlatformConfig {
     path: String,
     /// What the file says of discovery, where a variable may say otherwise.
-    told: SocketAddr,
+    discovery_in_file: SocketAddr,
     pub name: String,
     pub listen: SocketAddr,
     /// The operators' second address, where there is one.
-    pub operator: Option<SocketAddr>,
+    pub admin_listen: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     /// Descriptors that the process may hold.
-    pub sockets: usize,
+    pub max_descriptors: usize,
     /// Bytes of memory that it may hold.
-    pub memory: usize,
+    pub max_memory_bytes: usize,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
-    pub peers_all: Option<SocketAddr>,
+    pub peer_broadcast: Option<SocketAddr>,
     /// The name table as an earlier life last had it.
-    pub known: Answer,
-    pub facts: Arc<PlatformSettings>,
+    pub known_endpoints: EndpointList,
+    pub settings: Arc<PlatformSettings>,
 }
 
-impl Config {
+impl PlatformConfig {
     /// Reads the file that GW_CONFIG names; the other variables go before what it says.
     pub(crate) fn from_env() -> Result<Self, String> {
         let path = env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set")?;
@@ -96,12 +96,12 @@
             (Err(_), told) => told,
         };
         file.name = env::var("GW_NAME").unwrap_or(file.name);
-        let config: Config = file
+        let config: PlatformConfig = file
             .try_into()
             .map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
-        Ok(Config {
+        Ok(PlatformConfig {
             path,
-            told,
+            discovery_in_file: told,
             ..config
         })
     }
@@ -112,21 +112,21 @@
             .peer_listen
             .map_or(String::new(), |at| format!(", datagrams on {at}"));
         let operator = self
-            .operator
+            .admin_listen
             .map_or(String::new(), |at| format!(", operators on {at}"));
         format!(
             "{} on {}{datagrams}{operator}, discovery {}, {} known instances, {} peers, {} descriptors",
             self.name,
             self.listen,
             self.discovery,
-            self.known.targets.len(),
+            self.known_endpoints.targets.len(),
             self.peers.len(),
-            self.sockets
+            self.max_descriptors
         )
     }
 }
 
-impl TryFrom<File> for Config {
+impl TryFrom<File> for PlatformConfig {
     type Error = String;
 
     fn try_from(file: File) -> Result<Self, String> {
@@ -142,21 +142,21 @@
             hex => u64::from_str_radix(hex, 16)
                 .map_err(|_| format!("seed: '{hex}' is not hex digits"))?,
         };
-        Ok(Config {
+        Ok(PlatformConfig {
             path: String::new(),
-            told: file.discovery,
+            discovery_in_file: file.discovery,
             name: file.name,
             listen: file.listen,
-            operator: file.operator,
+            admin_listen: file.operator,
             discovery: file.discovery,
             seed,
-            sockets: file.limits.sockets,
-            memory: file.limits.memory_mb.saturating_mul(1 << 20),
+            max_descriptors: file.limits.sockets,
+            max_memory_bytes: file.limits.memory_mb.saturating_mul(1 << 20),
             peer_listen: file.peer_listen,
             peers: file.peers,
-            peers_all: file.peers_all,
-            known: file.known,
-            facts: Arc::new(facts),
+            peer_broadcast: file.peers_all,
+            known_endpoints: file.known,
+            settings: Arc::new(facts),
         })
     }
 }
@@ -168,34 +168,34 @@
 
 /// The file, to be read again while the program runs: its `discovery` is followed, all else holds until the next
 /// start.
-pub(crate) struct Source {
+pub(crate) struct ConfigReloader {
     path: String,
-    told: SocketAddr,
+    discovery_in_file: SocketAddr,
     discovery: watch::Sender<SocketAddr>,
     /// The operator's own file, if there is one, and what it said when it was last good.
-    operator: (Option<String>, watch::Sender<Arc<Operator>>),
+    operator_file: (Option<String>, watch::Sender<Arc<OperatorConfig>>),
 }
 
-impl Source {
+impl ConfigReloader {
     /// The files that a configuration came from, the address of discovery and the operator's settings in force.
     pub(crate) fn new(
-        config: &Config,
-        operator: Operator,
+        config: &PlatformConfig,
+        operator: OperatorConfig,
         file: Option<String>,
     ) -> (
         Self,
         watch::Receiver<SocketAddr>,
-        watch::Receiver<Arc<Operator>>,
+        watch::Receiver<Arc<OperatorConfig>>,
     ) {
         let (discovery, follower) = watch::channel(config.discovery);
         let (settings, settings_follower) = watch::channel(Arc::new(operator));
-        let (path, told) = (config.path.clone(), config.told);
+        let (path, told) = (config.path.clone(), config.discovery_in_file);
         (
-            Source {
+            ConfigReloader {
                 path,
-                told,
+                discovery_in_file: told,
                 discovery,
-                operator: (file, settings),
+                operator_file: (file, settings),
             },
             follower,
             settings_follower,
@@ -210,10 +210,10 @@
     }
 
     fn reload_operator(&self) {
-        let (Some(file), settings) = &self.operator else {
+        let (Some(file), settings) = &self.operator_file else {
             return;
         };
-        match Operator::read(Some(file)) {
+        match OperatorConfig::read(Some(file)) {
             Ok(read) => {
                 tracing::info!("reload: {file}: {} on", read.summary());
                 settings.send_replace(Arc::new(read));
@@ -223,14 +223,14 @@
     }
 
     fn reload_discovery(&mut self) {
-        let discovery = match read(&self.path).and_then(Config::try_from) {
+        let discovery = match read(&self.path).and_then(PlatformConfig::try_from) {
             Ok(config) => config.discovery,
             Err(reason) => {
                 return tracing::warn!("reload: {reason}; all stays as it was");
             }
         };
         // GW_DISCOVERY goes before what the file said at the start, not before what it was changed to.
-        if std::mem::replace(&mut self.told, discovery) == discovery {
+        if std::mem::replace(&mut self.discovery_in_file, discovery) == discovery {
             return tracing::info!("reload: discovery is as it was");
         }
         tracing::info!("reload: discovery is now {discovery}");
@@ -239,7 +239,7 @@
 }
 
 #[cfg(test)]
-impl Config {
+impl PlatformConfig {
     /// The configuration of the recorded exchanges, where nothing listens.
     pub(crate) fn sample() -> Self {
         let text =
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -14,10 +14,10 @@
 const PLATFORM: &str = include_str!("../../../tests/golden/platform.json");
 const OPERATOR: &str = include_str!("../../../tests/golden/operator.ini");
 
-fn config(value: Value) -> Result<Config, String> {
+fn config(value: Value) -> Result<PlatformConfig, String> {
     serde_json::from_value::<File>(value)
         .map_err(|e| e.to_string())
-        .and_then(Config::try_from)
+        .and_then(PlatformConfig::try_from)
 }
 
 fn platform() -> Value {
@@ -32,15 +32,15 @@
 fn the_platforms_file_says_what_it_said() {
     let c = config(platform()).unwrap();
     assert_eq!(
-        (&*c.name, c.seed, c.sockets, c.memory),
+        (&*c.name, c.seed, c.max_descriptors, c.max_memory_bytes),
         ("n ü/0", 0x8c1f_30d2_7a5b_e964, 256, 32 << 20)
     );
     let at = [
         Some(c.listen),
         Some(c.discovery),
-        c.operator,
+        c.admin_listen,
         c.peer_listen,
-        c.peers_all,
+        c.peer_broadcast,
     ]
     .map(Option::unwrap);
     let ports = [8080, 8500, 9090, 7000, 7100].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
@@ -49,12 +49,16 @@
         (ports, addresses(&["127.0.0.1:7000", "[::1]:7001"]))
     );
     assert_eq!(
-        (c.known.rev, c.known.all, c.known.targets.len()),
+        (
+            c.known_endpoints.revision,
+            c.known_endpoints.complete,
+            c.known_endpoints.targets.len()
+        ),
         (417, true, 5)
     );
     let known: Vec<_> = c
-        .known
-        .entries(&c.facts, &Clock::start())
+        .known_endpoints
+        .entries(&c.settings, &Clock::start())
         .into_iter()
         .map(|e| {
             let m = e.endpoint;
@@ -106,7 +110,7 @@
             ),
         ]
     );
-    let (f, s) = (&c.facts, &c.facts.policy);
+    let (f, s) = (&c.settings, &c.settings.policy);
     assert_eq!(
         (
             f.idle_connection_timeout_ns,
@@ -239,10 +243,10 @@
 #[test]
 fn the_platforms_file_is_refused_in_the_same_words() {
     let (mut all, mut now, clock) = (Vec::new(), String::new(), Clock::start());
-    let read = |c: Config| {
+    let read = |c: PlatformConfig| {
         format!(
             "will do, {} instances read",
-            c.known.entries(&c.facts, &clock).len()
+            c.known_endpoints.entries(&c.settings, &clock).len()
         )
     };
     pointers(&platform(), "", &mut all);
@@ -281,12 +285,22 @@
     }
     let c = config(least).unwrap();
     assert_eq!(
-        (c.seed, c.sockets, c.memory, c.known.rev),
+        (
+            c.seed,
+            c.max_descriptors,
+            c.max_memory_bytes,
+            c.known_endpoints.revision
+        ),
         (0, 1024, 192 << 20, 0)
     );
-    assert!(c.peers.is_empty() && c.known.targets.is_empty() && !c.known.all);
-    assert_eq!((c.operator, c.peer_listen, c.peers_all), (None, None, None));
-    let (f, s) = (&c.facts, &c.facts.policy);
+    assert!(
+        c.peers.is_empty() && c.known_endpoints.targets.is_empty() && !c.known_endpoints.complete
+    );
+    assert_eq!(
+        (c.admin_listen, c.peer_listen, c.peer_broadcast),
+        (None, None, None)
+    );
+    let (f, s) = (&c.settings, &c.settings.policy);
     assert_eq!(
         (
             f.idle_connection_timeout_ns,
@@ -337,7 +351,7 @@
 }
 
 /// Every key of the operator's file, and what it is read as.
-fn keys(o: &Operator) -> Vec<(&'static str, String)> {
+fn keys(o: &OperatorConfig) -> Vec<(&'static str, String)> {
     fn text(value: impl std::fmt::Debug) -> String {
         format!("{value:?}")
     }
@@ -420,9 +434,13 @@
         "deploy/applewall.recommended.ini",
         "tests/golden/operator.ini",
     ];
-    let read = files.map(|file| keys(&Operator::read(Some(&format!("{folder}{file}"))).unwrap()));
+    let read =
+        files.map(|file| keys(&OperatorConfig::read(Some(&format!("{folder}{file}"))).unwrap()));
     let mut now = String::new();
-    for (i, (key, value)) in keys(&Operator::read(None).unwrap()).into_iter().enumerate() {
+    for (i, (key, value)) in keys(&OperatorConfig::read(None).unwrap())
+        .into_iter()
+        .enumerate()
+    {
         let [off, recommended, full] = read.each_ref().map(|keys| &keys[i].1);
         assert_ne!(
             &value, full,
@@ -441,8 +459,8 @@
 fn the_operators_file_is_refused_in_the_same_words() {
     let (mut now, mut section) = (String::new(), "");
     let mut said = |text: &str| {
-        let read =
-            ini::read::<Operator>(text).map_or_else(|e| e.to_string(), |_| "will do".to_string());
+        let read = ini::read::<OperatorConfig>(text)
+            .map_or_else(|e| e.to_string(), |_| "will do".to_string());
         writeln!(now, "{} => {read}", text.replace('\n', " ")).unwrap();
     };
     let torn = [
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -26,10 +26,12 @@
 
 /// One answer of discovery, also the form of `known` in the configuration.
 #[derive(Clone, Debug, Default, Deserialize)]
-pub(crate) struct Answer {
-    pub rev: u64,
-    #[serde(default)]
-    pub all: bool,
+#[serde(expecting = "struct Answer")]
+pub(crate) struct EndpointList {
+    #[serde(rename = "rev")]
+    pub revision: u64,
+    #[serde(default, rename = "all")]
+    pub complete: bool,
     /// Read one by one: a malformed entry must not take the others with it.
     #[serde(default)]
     pub targets: Vec<Value>,
@@ -52,14 +54,14 @@
     boot_ms: u64,
 }
 
-impl Answer {
+impl EndpointList {
     /// The entries in the module's terms; what is malformed is left out and said so.
     pub(crate) fn entries(&self, facts: &PlatformSettings, clock: &Clock) -> Vec<EndpointEntry> {
-        self.entries_but(&mut HashSet::new(), facts, clock)
+        self.entries_with_new_warnings(&mut HashSet::new(), facts, clock)
     }
 
     /// The same; what was said of the answers before is not said again for as long as it stays as it was.
-    pub(crate) fn entries_but(
+    pub(crate) fn entries_with_new_warnings(
         &self,
         said: &mut HashSet<String>,
         facts: &PlatformSettings,
@@ -82,7 +84,7 @@
                         if new <= TOLD {
                             tracing::warn!(
                                 "name table: revision {}: targets[{place}] ({uid}) left out: {reason}",
-                                self.rev
+                                self.revision
                             );
                         }
                     }
@@ -93,11 +95,11 @@
         if new > TOLD {
             tracing::warn!(
                 "name table: revision {}: {} more entries left out",
-                self.rev,
+                self.revision,
                 new - TOLD
             );
         }
-        match self.all {
+        match self.complete {
             true => *said = wrong,
             // Changes say nothing of what they leave out. Bounds what is kept of an agent gone wild.
             false if said.len() + wrong.len() <= KEPT => said.extend(wrong),
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -23,8 +23,8 @@
 use tokio::sync::{mpsc, watch, Notify};
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
-use crate::config::platform::Config;
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
 use crate::engine::message::{EndpointEntry, Message};
 
 /// Sources of the roster.
@@ -241,7 +241,7 @@
 
 /// Stands between discovery's follower and the engine's queue, and follows the registry beside it.
 pub(crate) async fn merge(
-    operator: Arc<Operator>,
+    operator: Arc<OperatorConfig>,
     seed: u64,
     known: Vec<EndpointEntry>,
     facts: Arc<PlatformSettings>,
@@ -430,9 +430,9 @@
 
 /// Where news of discovery go: to the engine, or through the merge where a registry is on. What is on is decided at
 /// the start.
-pub(crate) fn begin(
-    operator: &watch::Receiver<Arc<Operator>>,
-    config: &Config,
+pub(crate) fn start(
+    operator: &watch::Receiver<Arc<OperatorConfig>>,
+    config: &PlatformConfig,
     clock: Clock,
     queue: mpsc::Sender<Message>,
 ) -> mpsc::Sender<Message> {
@@ -442,8 +442,8 @@
     }
     let (discovery, discovered) = mpsc::channel(16);
     let (facts, known) = (
-        config.facts.clone(),
-        config.known.entries(&config.facts, &clock),
+        config.settings.clone(),
+        config.known_endpoints.entries(&config.settings, &clock),
     );
     tokio::spawn(merge(
         operator,
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
-use crate::config::platform::Config;
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
 use crate::peer_socket::Peers;
 
 /// Nanoseconds of a second.
@@ -21,7 +21,7 @@
 const SPREAD_LOOK: Duration = Duration::from_millis(30);
 
 /// This ingress's turns.
-pub(crate) struct Turn {
+pub(crate) struct StartupSchedule {
     core: Mutex<Turns>,
     clock: Clock,
     peers: Option<Arc<Peers>>,
@@ -33,11 +33,11 @@
     told: Mutex<bool>,
 }
 
-impl Turn {
+impl StartupSchedule {
     /// None where they are switched off: then calls are made as ever, and any list counts.
     pub(crate) fn new(
-        operator: &Operator,
-        config: &Config,
+        operator: &OperatorConfig,
+        config: &PlatformConfig,
         rev: Option<u64>,
         clock: Clock,
         peers: Option<Arc<Peers>>,
@@ -46,7 +46,7 @@
         if !set.enabled.0 {
             return None;
         }
-        let settings = &config.facts.policy;
+        let settings = &config.settings.policy;
         let list = rev.map_or(List::None, List::Old);
         let now = clock.now() as f64 / SECOND;
         let core = Turns::new(
@@ -69,7 +69,7 @@
             List::Told(_) => {}
         }
         let listed = watch::channel(rev.is_some()).0;
-        Some(Arc::new(Turn {
+        Some(Arc::new(StartupSchedule {
             core: Mutex::new(core),
             clock,
             peers,
@@ -80,7 +80,7 @@
     }
 
     /// Tells those who say whether this process is ready, once there is a list.
-    pub(crate) async fn tell(self: Arc<Self>, listed: watch::Sender<bool>) {
+    pub(crate) async fn publish_readiness(self: Arc<Self>, listed: watch::Sender<bool>) {
         let mut own = self.listed.subscribe();
         if own.wait_for(|there| *there).await.is_ok() {
             listed.send_replace(true);
@@ -188,7 +188,7 @@
     }
 
     /// A datagram of a peer; true where it was a word on turns, and so no message for the module.
-    pub(crate) fn hear(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
+    pub(crate) fn receive(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
         if !Word::is(text) && !Muster::is(text) {
             return false;
         }
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -28,8 +28,8 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::clock::Clock;
-use crate::discovery::endpoint_list::Answer;
-use crate::discovery::startup::Turn;
+use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::startup::StartupSchedule;
 use crate::engine::message::Message;
 use crate::upstream::connection::drive;
 
@@ -70,30 +70,30 @@
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
 /// What following begins with.
-pub(crate) struct Start {
+pub(crate) struct WatchStart {
     /// Revision of the whole list that an earlier life left, if there is one: what changed since is told in less than
     /// the list, and every restart of a fleet would else fetch it as many times.
-    pub rev: Option<u64>,
+    pub revision: Option<u64>,
     /// For random waits.
     pub seed: u64,
     /// The fleet's turns, where the operators switched them on: they go before all waits of this module.
-    pub turn: Option<Arc<Turn>>,
+    pub schedule: Option<Arc<StartupSchedule>>,
 }
 
 /// Follows the name table for as long as the engine lives, at the address that is in force. `proofs`: answers without
 /// news go on too, as who merges sources has to know that this one is current.
 pub(crate) async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
-    start: Start,
+    start: WatchStart,
     facts: Arc<PlatformSettings>,
     clock: Clock,
     queue: mpsc::Sender<Message>,
     proofs: bool,
 ) {
-    let Start {
-        mut rev,
+    let WatchStart {
+        revision: mut rev,
         seed,
-        turn,
+        schedule: turn,
     } = start;
     let mut rng = SmallRng::seed_from_u64(seed);
     let pace = Pace::of(facts.policy.watch_endpoints);
@@ -216,7 +216,7 @@
     clock: Clock,
     queue: mpsc::Sender<Message>,
     proofs: bool,
-    turn: Option<Arc<Turn>>,
+    turn: Option<Arc<StartupSchedule>>,
     pace: Pace,
 }
 
@@ -341,29 +341,32 @@
             if status != StatusCode::OK {
                 return Err(Loss::TurnedAway(format!("status {status}"), told));
             }
-            let answer: Answer = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-            if rev.is_none() && !answer.all {
+            let answer: EndpointList = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+            if rev.is_none() && !answer.complete {
                 return Err(Loss::Broken(
                     "asked for the whole list, got changes".to_string(),
                 ));
             }
             // Discovery began anew: changes since a revision that it does not know are no changes to our list.
-            if !answer.all && rev.is_some_and(|rev| answer.rev < rev) {
+            if !answer.complete && rev.is_some_and(|rev| answer.revision < rev) {
                 *rev = None;
                 continue;
             }
             if lost.take().is_some() {
-                tracing::info!("name table: discovery is back, revision {}", answer.rev);
+                tracing::info!(
+                    "name table: discovery is back, revision {}",
+                    answer.revision
+                );
             }
-            *rev = Some(answer.rev);
-            let kind = if answer.all {
+            *rev = Some(answer.revision);
+            let kind = if answer.complete {
                 EndpointUpdateKind::Snapshot
             } else {
                 EndpointUpdateKind::Delta
             };
-            let news = answer.all || !answer.targets.is_empty();
+            let news = answer.complete || !answer.targets.is_empty();
             if news || self.proofs {
-                let entries = answer.entries_but(said, &self.facts, &self.clock);
+                let entries = answer.entries_with_new_warnings(said, &self.facts, &self.clock);
                 if self
                     .queue
                     .send(Message::Table(kind, entries))
@@ -374,7 +377,7 @@
                 }
             }
             if let Some(turn) = &self.turn {
-                turn.answered(answer.rev, news).await;
+                turn.answered(answer.revision, news).await;
             }
         }
     }
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -16,7 +16,7 @@
 use crate::peer_socket::Peers;
 
 /// Between judgements, ns.
-pub(crate) const EVERY: u64 = 100_000_000;
+pub(crate) const EVALUATION_INTERVAL_NS: u64 = 100_000_000;
 /// Nanoseconds of a second.
 const SECOND: f64 = 1e9;
 /// Part of the aim after which an attempt that says nothing counts against its zone.
@@ -32,7 +32,7 @@
 }
 
 /// This ingress's part of the fleet's verdicts on zones.
-pub(crate) struct Zoning {
+pub(crate) struct ZoneFailover {
     core: Zones,
     /// By the module's number of a zone, the core's.
     numbers: Vec<usize>,
@@ -48,7 +48,7 @@
     told: bool,
 }
 
-impl Zoning {
+impl ZoneFailover {
     /// None where it is switched off, or there is nothing to leave.
     pub(crate) fn new(
         set: &Settings,
@@ -71,7 +71,7 @@
         );
         let numbers = names.iter().filter_map(|name| core.number(name)).collect();
         tracing::info!("zones: {} of them are judged by the fleet", names.len());
-        Some(Zoning {
+        Some(ZoneFailover {
             core,
             numbers,
             places: HashMap::new(),
@@ -89,7 +89,11 @@
     }
 
     /// News of the name table.
-    pub(crate) fn listed(&mut self, kind: EndpointUpdateKind, entries: &[EndpointEntry]) {
+    pub(crate) fn endpoints_updated(
+        &mut self,
+        kind: EndpointUpdateKind,
+        entries: &[EndpointEntry],
+    ) {
         if kind != EndpointUpdateKind::Delta {
             self.places.clear();
             self.ready.clear();
@@ -129,7 +133,7 @@
     }
 
     /// An attempt is sent.
-    pub(crate) fn sent(
+    pub(crate) fn attempt_started(
         &mut self,
         now: u64,
         request: RequestId,
@@ -152,7 +156,7 @@
     }
 
     /// It ended.
-    pub(crate) fn ended(&mut self, now: u64, request: RequestId, outcome: Outcome) {
+    pub(crate) fn attempt_ended(&mut self, now: u64, request: RequestId, outcome: Outcome) {
         let Some(out) = self.out.remove(&request) else {
             return;
         };
@@ -171,7 +175,7 @@
     }
 
     /// A datagram of a peer; true where it was a word on zones, and so no message for the module.
-    pub(crate) fn hear(&mut self, now: u64, from: u32, text: &str) -> bool {
+    pub(crate) fn receive(&mut self, now: u64, from: u32, text: &str) -> bool {
         if !Word::is(text) {
             return false;
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -26,13 +26,13 @@
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::admin::listener::Order;
-use crate::admin::maintenance::Withheld;
+use crate::admin::listener::ControlMessage;
+use crate::admin::maintenance::MaintenanceFilter;
 use crate::clock::Clock;
-use crate::config::platform::Config;
-use crate::discovery::zone_failover::{self, Zoning};
+use crate::config::platform::PlatformConfig;
+use crate::discovery::zone_failover::{self, ZoneFailover};
 use crate::engine::message::{Command, Ended, EndpointEntry, Message, Passed};
-use crate::lifecycle::process_role::Estate;
+use crate::lifecycle::process_role::TransferredState;
 use crate::peer_socket::Peers;
 use crate::resource_budget::Budget;
 use crate::server::response::Answer;
@@ -94,7 +94,7 @@
     /// The ledger at most.
     Ledger(Ledger),
     /// All that another one handed over.
-    Estate(Estate),
+    Estate(TransferredState),
 }
 
 /// See the module's page.
@@ -118,9 +118,9 @@
     figures: Figures,
     pacers: Pacers,
     /// Where there is a second address.
-    withheld: Option<Withheld>,
+    withheld: Option<MaintenanceFilter>,
     /// Where the operators switched it on.
-    zones: Option<Zoning>,
+    zones: Option<ZoneFailover>,
     /// Another process speaks to the peers.
     handed: bool,
 }
@@ -128,19 +128,19 @@
 impl Engine {
     /// One that has decided from the known name table alone; attempts report to the queue.
     pub(crate) fn new(
-        config: &Config,
+        config: &PlatformConfig,
         clock: Clock,
         peers: Option<Arc<Peers>>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
-        (before, zones): (Before, Option<Zoning>),
+        (before, zones): (Before, Option<ZoneFailover>),
     ) -> Self {
         let now = clock.now();
         let sizes = (
-            Budget::new(config.sockets).instances,
-            config.memory / AHEAD_PART,
+            Budget::new(config.max_descriptors).instances,
+            config.max_memory_bytes / AHEAD_PART,
         );
-        let facts = config.facts.clone();
+        let facts = config.settings.clone();
         let mut engine = Engine {
             brain: DecisionPolicy::new(facts.policy.clone(), config.seed, now),
             fleet: Fleet::new(&facts, sizes, clock, pacers.clone(), queue),
@@ -165,23 +165,24 @@
             handed: false,
         };
         if engine.zones.is_some() {
-            engine
-                .timers
-                .push(Reverse((now + zone_failover::EVERY, Due::Zones)));
+            engine.timers.push(Reverse((
+                now + zone_failover::EVALUATION_INTERVAL_NS,
+                Due::Zones,
+            )));
         }
         let known = match before {
-            Before::Nothing => config.known.entries(&engine.facts, &clock),
+            Before::Nothing => config.known_endpoints.entries(&engine.facts, &clock),
             Before::Ledger(ledger) => {
-                engine.withheld = Some(Withheld::new(ledger));
-                config.known.entries(&engine.facts, &clock)
+                engine.withheld = Some(MaintenanceFilter::new(ledger));
+                config.known_endpoints.entries(&engine.facts, &clock)
             }
             Before::Estate(estate) => {
-                engine.withheld = Some(Withheld::new(estate.withheld));
-                if let Err(why) = engine.brain.import_snapshot(&estate.module) {
+                engine.withheld = Some(MaintenanceFilter::new(estate.maintenance));
+                if let Err(why) = engine.brain.import_snapshot(&estate.policy_state) {
                     tracing::warn!("succession: the module begins anew: {why}");
                 }
                 estate
-                    .listed
+                    .endpoints
                     .into_iter()
                     .map(|(member, endpoint)| EndpointEntry {
                         endpoint: member,
@@ -198,7 +199,7 @@
     pub(crate) async fn run(
         mut self,
         mut inbox: mpsc::Receiver<Message>,
-        mut orders: mpsc::Receiver<Order>,
+        mut orders: mpsc::Receiver<ControlMessage>,
     ) {
         let mut batch = Vec::with_capacity(GO);
         let sleep = tokio::time::sleep(Duration::ZERO);
@@ -260,11 +261,11 @@
             Message::Ended(ended) => self.ended(ended),
             Message::Table(kind, mut entries) => {
                 if let Some(withheld) = &mut self.withheld {
-                    withheld.mask(kind, &mut entries);
+                    withheld.apply(kind, &mut entries);
                 }
                 self.fleet.update(kind, &entries);
                 if let Some(zones) = &mut self.zones {
-                    zones.listed(kind, &entries);
+                    zones.endpoints_updated(kind, &entries);
                 }
                 self.event(Event::EndpointUpdate(
                     kind,
@@ -275,7 +276,7 @@
                 if self
                     .zones
                     .as_mut()
-                    .is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
+                    .is_some_and(|zones| zones.receive(self.now, from, &text)) => {}
             Message::Peer { from, text } => self.event(Event::PeerMessage { from, text }),
         }
     }
@@ -315,8 +316,10 @@
                     {
                         self.event(Event::ZoneTrafficShares(shares));
                     }
-                    self.timers
-                        .push(Reverse((self.now + zone_failover::EVERY, due)));
+                    self.timers.push(Reverse((
+                        self.now + zone_failover::EVALUATION_INTERVAL_NS,
+                        due,
+                    )));
                 }
                 Due::Sweep => {
                     self.fleet.sweep();
@@ -415,7 +418,7 @@
             open.tainted.get_or_insert(open.sent);
         }
         if let Some(zones) = &mut self.zones {
-            zones.ended(self.now, id, outcome);
+            zones.attempt_ended(self.now, id, outcome);
         }
         if let Some((body, kind)) = served {
             self.answer(id, Answer::Served(body, kind));
@@ -609,7 +612,7 @@
         match started {
             Ok(cancel) => {
                 if let (Some(zones), Some(backend)) = (&mut self.zones, zoned) {
-                    zones.sent(self.now, request, open.class, &backend);
+                    zones.attempt_started(self.now, request, open.class, &backend);
                 }
                 self.figures.attempts += 1;
                 open.out = Some((number, Some(cancel)));
--- a/src/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -8,19 +8,19 @@
 use applewall::api::{EndpointUpdateKind, Event};
 
 use super::Engine;
-use crate::admin::listener::{self, Order};
+use crate::admin::listener::{self, ControlMessage};
 use crate::engine::message::EndpointEntry;
-use crate::lifecycle::process_role::Estate;
+use crate::lifecycle::process_role::TransferredState;
 
 impl Engine {
-    pub(super) fn order(&mut self, order: Order) {
+    pub(super) fn order(&mut self, order: ControlMessage) {
         match order {
-            Order::Instance(order) => self.instance(order),
-            Order::HandOver(reply) => {
+            ControlMessage::SetMaintenance(order) => self.instance(order),
+            ControlMessage::ExportState(reply) => {
                 self.handed = true;
                 let _ = reply.send(self.hand_over());
             }
-            Order::TakeBack => {
+            ControlMessage::ResumeOwnership => {
                 self.handed = false;
                 self.brain.resume();
             }
@@ -28,11 +28,11 @@
     }
 
     /// All that another process needs to go on from here.
-    fn hand_over(&mut self) -> Result<Estate, String> {
+    fn hand_over(&mut self) -> Result<TransferredState, String> {
         let module = self.brain.export_snapshot()?;
         let (ledger, listed) = match &self.withheld {
             Some(withheld) => {
-                let (ledger, listed) = withheld.parts();
+                let (ledger, listed) = withheld.state();
                 (
                     ledger.clone(),
                     listed.map(|e| (e.endpoint.clone(), e.address)).collect(),
@@ -40,29 +40,29 @@
             }
             None => Default::default(),
         };
-        Ok(Estate {
-            now: self.now,
-            withheld: ledger,
-            drained: false,
-            listed,
-            module,
+        Ok(TransferredState {
+            now_ns: self.now,
+            maintenance: ledger,
+            draining: false,
+            endpoints: listed,
+            policy_state: module,
         })
     }
 
     /// Withholds an instance, or gives one back; answered once the module and the connections know.
-    fn instance(&mut self, order: listener::Instance) {
-        let listener::Instance {
+    fn instance(&mut self, order: listener::MaintenanceRequest) {
+        let listener::MaintenanceRequest {
             id,
-            withhold,
-            known,
+            enter: withhold,
+            known_to_other_process: known,
             reply,
         } = order;
         let Some(withheld) = &mut self.withheld else {
             return;
         };
-        let ruling = withheld.order(&id, withhold, known);
-        let none_left = withheld.none_left();
-        let ledger = withheld.parts().0.clone();
+        let ruling = withheld.change(&id, withhold, known);
+        let none_left = withheld.all_in_maintenance();
+        let ledger = withheld.state().0.clone();
         if let Some(entry) = ruling.changed {
             tracing::info!(
                 "operator: {id} {}",
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -11,7 +11,7 @@
     let (queue, inbox) = mpsc::channel(8);
     (
         Engine::new(
-            &Config::sample(),
+            &PlatformConfig::sample(),
             Clock::start(),
             None,
             slow_peers::none(),
@@ -142,7 +142,7 @@
 #[tokio::test]
 async fn an_order_goes_before_a_full_queue() {
     let (queue, inbox) = mpsc::channel(crate::limits::QUEUE);
-    let config = Config::sample();
+    let config = PlatformConfig::sample();
     let engine = Engine::new(
         &config,
         Clock::start(),
@@ -174,13 +174,15 @@
     // Listed by the last message only: unknown while that still waits.
     let (reply, answer) = oneshot::channel();
     let id = format!("s-{}", crate::limits::QUEUE + 1);
-    let order = listener::Instance {
+    let order = listener::MaintenanceRequest {
         id,
-        withhold: true,
-        known: false,
+        enter: true,
+        known_to_other_process: false,
         reply,
     };
-    assert!(orders.try_send(Order::Instance(order)).is_ok());
+    assert!(orders
+        .try_send(ControlMessage::SetMaintenance(order))
+        .is_ok());
     tokio::select! {
         biased;
         () = engine.run(inbox, orders_in) => panic!("the queue has senders"),
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -26,9 +26,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-use crate::admin::listener::{Desk, Order};
-use crate::lifecycle::process_role::{Estate, Relayed, Role};
-use crate::lifecycle::shared_directory::Place;
+use crate::admin::listener::{AdminHandle, ControlMessage};
+use crate::lifecycle::process_role::{ProcessRole, RelayedCommand, TransferredState};
+use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::peer_socket::Peers;
 
 /// What a successor says first: the form of all that follows, and its version.
@@ -43,15 +43,15 @@
 const TAKING: Duration = Duration::from_secs(10);
 
 /// What a new process was handed, and its connection to the one before.
-pub(crate) struct Heritage {
-    estate: Estate,
-    datagrams: Option<OwnedFd>,
+pub(crate) struct ReceivedTransfer {
+    state: TransferredState,
+    datagram_socket: Option<OwnedFd>,
     link: UnixStream,
 }
 
 /// Takes over from the process that serves here, where there is one.
-pub(crate) async fn join(place: &Place) -> Option<Heritage> {
-    let path = place.socket();
+pub(crate) async fn take_over(place: &SharedDirectory) -> Option<ReceivedTransfer> {
+    let path = place.hot_restart_socket();
     let stream = match UnixStream::connect(&path).await {
         Ok(stream) => stream,
         Err(e) => {
@@ -74,7 +74,7 @@
     }
 }
 
-async fn receive(mut stream: UnixStream) -> Result<Heritage, String> {
+async fn receive(mut stream: UnixStream) -> Result<ReceivedTransfer, String> {
     let told = |e: io::Error| e.to_string();
     stream
         .write_all(format!("{HELLO}\n").as_bytes())
@@ -101,9 +101,9 @@
     stream.read_exact(&mut bytes).await.map_err(told)?;
     let estate =
         postcard::from_bytes(&bytes).map_err(|e| format!("the estate is not of this form: {e}"))?;
-    Ok(Heritage {
-        estate,
-        datagrams,
+    Ok(ReceivedTransfer {
+        state: estate,
+        datagram_socket: datagrams,
         link: stream,
     })
 }
@@ -143,18 +143,18 @@
 }
 
 /// This process's part in a succession, on either side of it.
-pub(crate) struct Succession {
-    pub place: Place,
-    pub role: watch::Sender<Role>,
-    pub other: watch::Sender<Option<mpsc::Sender<Relayed>>>,
-    pub desk: Desk,
-    pub orders: mpsc::Sender<Order>,
+pub(crate) struct HotRestart {
+    pub shared_directory: SharedDirectory,
+    pub role: watch::Sender<ProcessRole>,
+    pub other_process: watch::Sender<Option<mpsc::Sender<RelayedCommand>>>,
+    pub admin: AdminHandle,
+    pub control: mpsc::Sender<ControlMessage>,
     pub peers: Option<Arc<Peers>>,
 }
 
-impl Succession {
+impl HotRestart {
     /// Tells the one before that all is taken over, and goes on as the one that serves.
-    pub(crate) async fn lead(self, heritage: Option<UnixStream>, taken: oneshot::Sender<()>) {
+    pub(crate) async fn run(self, heritage: Option<UnixStream>, taken: oneshot::Sender<()>) {
         let listener = self.listen();
         let mut before = None;
         if let Some(mut stream) = heritage {
@@ -187,9 +187,9 @@
             if let Err(why) = self.hand_over(stream).await {
                 tracing::warn!("succession: the new process failed: {why}; this one serves on");
             }
-            if *self.role.borrow() != Role::Sole {
-                self.role.send_replace(Role::Sole);
-                let _ = self.orders.send(Order::TakeBack).await;
+            if *self.role.borrow() != ProcessRole::Active {
+                self.role.send_replace(ProcessRole::Active);
+                let _ = self.control.send(ControlMessage::ResumeOwnership).await;
                 // The other one's socket is in its place.
                 if let Some(again) = self.listen() {
                     listener = again;
@@ -200,7 +200,10 @@
 
     /// Listens for a successor: under a name of its own first, then in the place of whatever is there.
     fn listen(&self) -> Option<UnixListener> {
-        let (own, path) = (self.place.own_socket(), self.place.socket());
+        let (own, path) = (
+            self.shared_directory.new_hot_restart_socket(),
+            self.shared_directory.hot_restart_socket(),
+        );
         let _ = std::fs::remove_file(&own);
         let made = UnixListener::bind(&own).and_then(|listener| {
             std::fs::rename(&own, &path)?;
@@ -227,13 +230,13 @@
             return Err("it speaks another version".to_string());
         }
         // From here on the datagrams are the other's.
-        self.role.send_replace(Role::HandedOut);
+        self.role.send_replace(ProcessRole::TransferPending);
         let (reply, estate) = oneshot::channel();
-        let _ = self.orders.send(Order::HandOver(reply)).await;
+        let _ = self.control.send(ControlMessage::ExportState(reply)).await;
         let mut estate = estate
             .await
             .map_err(|_| "the engine has stopped".to_string())??;
-        estate.drained = !self.desk.stages.borrow().healthy();
+        estate.draining = !self.admin.phase.borrow().healthy();
         let bytes = postcard::to_stdvec(&estate).map_err(|e| e.to_string())?;
         let mut head = [0; 8];
         head[..4].copy_from_slice(&MARK);
@@ -257,13 +260,13 @@
             Ok(_) => return Err("it ended before it had taken over".to_string()),
             Err(_) => return Err("it did not take over in time".to_string()),
         }
-        self.role.send_replace(Role::Succeeded);
+        self.role.send_replace(ProcessRole::Superseded);
         tracing::info!("succession: a new process has taken over");
         // One that is gone by now ended as any other that had taken over.
         if writing.write_all(b"yours\n").await.is_ok() {
             self.link(lines, writing).await;
         }
-        if self.desk.stages.borrow().stops() {
+        if self.admin.phase.borrow().stops() {
             // As it should be: this one ends, and must not come back to life in between.
             std::future::pending::<()>().await;
         }
@@ -272,8 +275,8 @@
 
     /// Carries calls both ways until the other process is gone.
     async fn link(&self, mut lines: Lines<BufReader<OwnedReadHalf>>, mut writing: OwnedWriteHalf) {
-        let (sender, mut calls) = mpsc::channel::<Relayed>(16);
-        self.other.send_replace(Some(sender));
+        let (sender, mut calls) = mpsc::channel::<RelayedCommand>(16);
+        self.other_process.send_replace(Some(sender));
         let (mut waiting, mut serial) = (HashMap::new(), 0u64);
         loop {
             let line = tokio::select! {
@@ -281,7 +284,7 @@
                     Ok(Some(line)) => line,
                     _ => break,
                 },
-                Some(Relayed { call, reply }) = calls.recv() => {
+                Some(RelayedCommand { command: call, done: reply }) = calls.recv() => {
                     serial += 1;
                     waiting.insert(serial, reply);
                     // Callers that gave up leave nothing behind.
@@ -297,7 +300,7 @@
             match (what, number.and_then(|n| n.parse::<u64>().ok()), rest) {
                 (Some("call"), Some(number), Some(call)) => {
                     let answer = match Call::read(call) {
-                        Ok(call) => self.desk.carry_out_here(call, true).await,
+                        Ok(call) => self.admin.carry_out_here(call, true).await,
                         Err(why) => Answer::Error(why),
                     };
                     if writing
@@ -316,14 +319,20 @@
                 _ => break,
             }
         }
-        self.other.send_replace(None);
+        self.other_process.send_replace(None);
     }
 }
 
-impl Heritage {
+impl ReceivedTransfer {
     /// The estate, the connection to the process before, and the socket for datagrams.
-    pub(crate) fn parts(self) -> (Option<Estate>, Option<UnixStream>, Option<OwnedFd>) {
-        (Some(self.estate), Some(self.link), self.datagrams)
+    pub(crate) fn into_parts(
+        self,
+    ) -> (
+        Option<TransferredState>,
+        Option<UnixStream>,
+        Option<OwnedFd>,
+    ) {
+        (Some(self.state), Some(self.link), self.datagram_socket)
     }
 }
 
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -57,7 +57,7 @@
     ),
 ];
 
-fn estate() -> Estate {
+fn estate() -> TransferredState {
     let mut withheld = Ledger::default();
     let _ = (
         withheld.withhold("s-1", true),
@@ -79,26 +79,26 @@
         )
     });
     let now = 1_000_000_123_456_789;
-    Estate {
-        now,
-        withheld,
-        drained: true,
-        listed: listed.into(),
-        module: MODULE.into(),
+    TransferredState {
+        now_ns: now,
+        maintenance: withheld,
+        draining: true,
+        endpoints: listed.into(),
+        policy_state: MODULE.into(),
     }
 }
 
-fn is_whole(estate: &Estate) {
+fn is_whole(estate: &TransferredState) {
     assert_eq!(
-        (estate.now, estate.drained, &estate.module[..]),
+        (estate.now_ns, estate.draining, &estate.policy_state[..]),
         (1_000_000_123_456_789, true, MODULE)
     );
     assert_eq!(
-        estate.withheld.ids().map(|id| &**id).collect::<Vec<_>>(),
+        estate.maintenance.ids().map(|id| &**id).collect::<Vec<_>>(),
         ["s \"2\"", "s-1"]
     );
-    assert_eq!(estate.listed.len(), LISTED.len());
-    for ((m, at), meant) in estate.listed.iter().zip(LISTED) {
+    assert_eq!(estate.endpoints.len(), LISTED.len());
+    for ((m, at), meant) in estate.endpoints.iter().zip(LISTED) {
         let at = at.to_string();
         assert_eq!(
             (
@@ -122,35 +122,35 @@
 }
 
 fn succession() -> (
-    Succession,
-    mpsc::Receiver<Order>,
+    HotRestart,
+    mpsc::Receiver<ControlMessage>,
     Vec<Box<dyn std::any::Any>>,
 ) {
     let (orders, inbox) = mpsc::channel(4);
     let (drains, drains_in) = mpsc::channel(4);
     let (stage, stages) = watch::channel(Stage::Draining);
     let (yes, ready) = watch::channel(true);
-    let (role, roles) = watch::channel(Role::Sole);
+    let (role, roles) = watch::channel(ProcessRole::Active);
     let (other, others) = watch::channel(None);
-    let desk = Desk {
-        orders: orders.clone(),
-        drains,
-        stages,
+    let desk = AdminHandle {
+        control: orders.clone(),
+        drain_requests: drains,
+        phase: stages,
         ready: ready.clone(),
-        listed: ready,
-        place: None,
-        other: others,
-        turn: Arc::default(),
+        has_endpoints: ready,
+        shared_directory: None,
+        other_process: others,
+        maintenance_lock: Arc::default(),
     };
-    let place = Place::new(&format!("golden-{}", std::process::id()));
+    let place = SharedDirectory::new(&format!("golden-{}", std::process::id()));
     let held: Vec<Box<dyn std::any::Any>> = vec![Box::new((drains_in, stage, yes, roles))];
     (
-        Succession {
-            place,
+        HotRestart {
+            shared_directory: place,
             role,
-            other,
-            desk,
-            orders,
+            other_process: other,
+            admin: desk,
+            control: orders,
             peers: None,
         },
         inbox,
@@ -169,13 +169,13 @@
 async fn a_new_process_is_handed_the_estate_in_the_same_lines() {
     let (near, far) = UnixStream::pair().unwrap();
     let (succession, mut orders, _held) = succession();
-    let other = succession.desk.other.clone();
+    let other = succession.admin.other_process.clone();
     let handing = async {
-        let Some(Order::HandOver(reply)) = orders.recv().await else {
+        let Some(ControlMessage::ExportState(reply)) = orders.recv().await else {
             panic!("not asked")
         };
-        let _ = reply.send(Ok(Estate {
-            drained: false,
+        let _ = reply.send(Ok(TransferredState {
+            draining: false,
             ..estate()
         }));
         std::future::pending::<()>().await;
@@ -202,9 +202,9 @@
             if line.starts_with("call") {
                 let link = other.borrow().clone().unwrap();
                 let call = line.splitn(3, ' ').last().unwrap().to_string();
-                link.send(Relayed {
-                    call,
-                    reply: oneshot::channel().0,
+                link.send(RelayedCommand {
+                    command: call,
+                    done: oneshot::channel().0,
                 })
                 .await
                 .unwrap();
@@ -222,7 +222,7 @@
         }
     });
     whole.await.expect("in time");
-    assert_eq!(*succession.role.borrow(), Role::Succeeded);
+    assert_eq!(*succession.role.borrow(), ProcessRole::Superseded);
 }
 
 /// The new process's side: what it says first, and what it makes of the answer.
@@ -261,7 +261,7 @@
         match tokio::join!(receive(near), speaking).0 {
             Ok(heritage) => is_whole(
                 &heritage
-                    .parts()
+                    .into_parts()
                     .0
                     .filter(|_| why.is_empty())
                     .expect("refused"),
@@ -294,14 +294,14 @@
             },
             "{hello:?}"
         );
-        assert!(orders.try_recv().is_err() && *succession.role.borrow() == Role::Sole);
+        assert!(orders.try_recv().is_err() && *succession.role.borrow() == ProcessRole::Active);
     }
 }
 
 #[tokio::test]
 async fn one_that_finds_another_version_starts_with_nothing() {
-    let place = succession().0.place;
-    let listener = UnixListener::bind(place.socket()).unwrap();
+    let place = succession().0.shared_directory;
+    let listener = UnixListener::bind(place.hot_restart_socket()).unwrap();
     let answer = async {
         let (mut stream, _) = listener.accept().await.unwrap();
         stream
@@ -310,7 +310,7 @@
             .unwrap();
         let _ = stream.read_to_end(&mut Vec::new()).await;
     };
-    let (joined, ()) = tokio::join!(join(&place), answer);
-    std::fs::remove_file(place.socket()).unwrap();
+    let (joined, ()) = tokio::join!(take_over(&place), answer);
+    std::fs::remove_file(place.hot_restart_socket()).unwrap();
     assert!(joined.is_none());
 }
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -20,7 +20,7 @@
 const VARIABLE: &str = "GW_FD";
 
 /// The descriptor that GW_FD names, where it does.
-pub(crate) fn named() -> Result<Option<OwnedFd>, String> {
+pub(crate) fn inherited_descriptor() -> Result<Option<OwnedFd>, String> {
     let Some(text) = env::var_os(VARIABLE) else {
         return Ok(None);
     };
@@ -41,7 +41,10 @@
 }
 
 /// The listener on an inherited descriptor; its address is put right.
-pub(crate) fn listener(socket: OwnedFd, address: &mut SocketAddr) -> Result<TcpListener, String> {
+pub(crate) fn inherited_listener(
+    socket: OwnedFd,
+    address: &mut SocketAddr,
+) -> Result<TcpListener, String> {
     let listener = std::net::TcpListener::from(socket);
     let made = listener.set_nonblocking(true).and_then(|()| {
         *address = listener.local_addr()?;
@@ -52,12 +55,12 @@
 
 /// The files that processes of one ingress share.
 #[derive(Clone)]
-pub(crate) struct Place {
+pub(crate) struct SharedDirectory {
     folder: PathBuf,
     name: String,
 }
 
-impl Place {
+impl SharedDirectory {
     /// In `$TMPDIR`, named after the ingress.
     pub(crate) fn new(name: &str) -> Self {
         // The name is the platform's; as part of a file's name it may say nothing of folders.
@@ -65,19 +68,19 @@
             .chars()
             .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
             .collect();
-        Place {
+        SharedDirectory {
             folder: env::temp_dir(),
             name,
         }
     }
 
     /// Where the process that serves listens for its successor.
-    pub(crate) fn socket(&self) -> PathBuf {
+    pub(crate) fn hot_restart_socket(&self) -> PathBuf {
         self.folder.join(format!("applewall-{}.sock", self.name))
     }
 
     /// A name beside it that is this process's own.
-    pub(crate) fn own_socket(&self) -> PathBuf {
+    pub(crate) fn new_hot_restart_socket(&self) -> PathBuf {
         self.folder.join(format!(
             "applewall-{}.{}.sock",
             self.name,
@@ -90,7 +93,7 @@
     }
 
     /// The ledger as an earlier process left it; empty where there is none. What is no ledger is told, and passed over.
-    pub(crate) fn read(&self) -> Ledger {
+    pub(crate) fn read_maintenance_set(&self) -> Ledger {
         let path = self.state();
         let read = match std::fs::read_to_string(&path) {
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ledger::default(),
@@ -107,7 +110,7 @@
     }
 
     /// Writes the ledger: whole beside the old one, then in its place.
-    pub(crate) fn write(&self, ledger: &Ledger) -> Result<(), String> {
+    pub(crate) fn write_maintenance_set(&self, ledger: &Ledger) -> Result<(), String> {
         let (path, new) = (
             self.state(),
             self.folder
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -13,9 +13,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
-use crate::admin::listener::Drain;
-use crate::config::platform::Source;
-use crate::lifecycle::process_role::{Role, Stopping, Successor};
+use crate::admin::listener::DrainRequest;
+use crate::config::platform::ConfigReloader;
+use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 
 /// The signals that have a meaning here.
 pub(crate) struct Signals {
@@ -36,13 +36,13 @@
     }
 
     /// Reloads at each SIGHUP, and leads through the stages for as long as the program runs.
-    pub(crate) async fn lead(
+    pub(crate) async fn run(
         mut self,
         stage: watch::Sender<Stage>,
-        mut drains: mpsc::Receiver<Drain>,
-        (successor, termination): (Successor, Termination),
+        mut drains: mpsc::Receiver<DrainRequest>,
+        (successor, termination): (ProcessStatus, Termination),
         drained: bool,
-        mut source: Source,
+        mut source: ConfigReloader,
     ) {
         let (mut stages, origin) = (Stages::new(termination), Instant::now());
         if drained {
@@ -63,7 +63,7 @@
                 _ = self.term.recv() => stop = true,
                 _ = self.int.recv() => stop = true,
                 _ = self.hup.recv() => source.reload(),
-                Some(Drain { on, reply }) = drains.recv() => {
+                Some(DrainRequest { drain: on, reply }) = drains.recv() => {
                     let now = origin.elapsed();
                     let done = if on { stages.drain(now) } else { stages.undrain() };
                     let word = stages.stage().word();
@@ -78,19 +78,16 @@
             }
             if stop && !stages.stage().stops() {
                 tracing::info!("told to stop; answering what was taken");
-                let succeeded = *successor.role.borrow() == Role::Succeeded;
+                let succeeded = *successor.role.borrow() == ProcessRole::Superseded;
                 let how = if succeeded {
                     Leave::Succeeded
                 } else {
                     Leave::Alone
                 };
-                let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
-                let times = Stopping {
-                    late: (now + from, now + by),
-                    ends: now + termination.ends(how),
-                };
                 // Before the stage is told: whoever sees it finds the times.
-                let _ = successor.stopping.set(times);
+                let _ = successor
+                    .shutdown_times
+                    .set(shutdown_times(termination, how));
                 stages.stop(origin.elapsed(), how);
             }
             tell(&stage, &stages);
@@ -98,6 +95,16 @@
     }
 }
 
+/// The instants of a shutdown that begins now.
+fn shutdown_times(termination: Termination, how: Leave) -> ShutdownTimes {
+    let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
+    ShutdownTimes {
+        late_from: now + from,
+        late_answered_by: now + by,
+        exit_at: now + termination.ends(how),
+    }
+}
+
 /// Puts the present stage in force where it is new.
 fn tell(stage: &watch::Sender<Stage>, stages: &Stages) {
     let now = stages.stage();
--- a/src/main.rs
+++ b/src/main.rs
@@ -78,20 +78,23 @@
 
 fn run() -> Result<(), String> {
     let (call, file) = call()?;
-    let operator = || config::operator::Operator::read(file.as_deref());
+    let operator = || config::operator::OperatorConfig::read(file.as_deref());
     match call {
         Call::Serve => {
             let operator = operator()?;
             logging::start(operator.log.format);
             serve::serve(
-                config::platform::Config::from_env()?,
+                config::platform::PlatformConfig::from_env()?,
                 operator,
                 file.clone(),
             )
         }
         Call::Check => {
             let operator = operator()?;
-            println!("{}", config::platform::Config::from_env()?.summary());
+            println!(
+                "{}",
+                config::platform::PlatformConfig::from_env()?.summary()
+            );
             if let Some(file) = &file {
                 println!("{file}: {} on", operator.summary());
             }
@@ -101,7 +104,7 @@
             let schema = if registry {
                 applewall_membership::schema()
             } else {
-                config::operator::Operator::schema()
+                config::operator::OperatorConfig::schema()
             };
             println!("{schema}");
             Ok(())
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -13,10 +13,10 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
-use crate::config::platform::Config;
-use crate::discovery::startup::Turn;
+use crate::config::platform::PlatformConfig;
+use crate::discovery::startup::StartupSchedule;
 use crate::engine::message::Message;
-use crate::lifecycle::process_role::Role;
+use crate::lifecycle::process_role::ProcessRole;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
 const MOST: usize = 256;
@@ -45,10 +45,10 @@
     ///
     /// `handed`: a socket that listens there already.
     pub(crate) async fn bind(
-        config: &mut Config,
+        config: &mut PlatformConfig,
         handed: Option<OwnedFd>,
     ) -> Result<Option<Self>, String> {
-        let settings = config.facts.clone();
+        let settings = config.settings.clone();
         let settings = &settings.policy;
         let Some(address) = config.peer_listen.filter(|_| settings.gossip_enabled) else {
             return Ok(None);
@@ -69,7 +69,7 @@
         Ok(Some(Peers {
             socket,
             peers,
-            all: config.peers_all,
+            all: config.peer_broadcast,
             me,
         }))
     }
@@ -103,13 +103,16 @@
     pub(crate) async fn listen(
         self: Arc<Self>,
         queue: mpsc::Sender<Message>,
-        mut role: watch::Receiver<Role>,
-        turn: Option<Arc<Turn>>,
+        mut role: watch::Receiver<ProcessRole>,
+        turn: Option<Arc<StartupSchedule>>,
     ) {
         let mut buffer = [0; MOST + 1];
         let mut stranger: Option<tokio::time::Instant> = None;
         loop {
-            let ours = role.wait_for(|r| *r == Role::Sole).await.map(|_| ());
+            let ours = role
+                .wait_for(|r| *r == ProcessRole::Active)
+                .await
+                .map(|_| ());
             if ours.is_err() {
                 return;
             }
@@ -140,7 +143,7 @@
             if let (Some(from), Some(text)) = (from, text) {
                 if turn
                     .as_ref()
-                    .is_some_and(|turn| turn.hear(&self, from as u32, text, sender))
+                    .is_some_and(|turn| turn.receive(&self, from as u32, text, sender))
                 {
                     continue;
                 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::admin::listener as admin_listener;
-use crate::config::operator::Operator;
+use crate::config::operator::OperatorConfig;
 use crate::config::platform;
 use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
 use crate::lifecycle::{hot_restart, process_role, shared_directory, shutdown};
@@ -31,8 +31,8 @@
 
 /// Runs the ingress until it is told to stop and all that it took is answered.
 pub(crate) fn serve(
-    config: platform::Config,
-    operator: Operator,
+    config: platform::PlatformConfig,
+    operator: OperatorConfig,
     file: Option<String>,
 ) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -44,39 +44,40 @@
 }
 
 async fn run(
-    mut config: platform::Config,
-    operator: Operator,
+    mut config: platform::PlatformConfig,
+    operator: OperatorConfig,
     file: Option<String>,
 ) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
     let signals = shutdown::Signals::new()?;
-    let inherited = shared_directory::named()?;
+    let inherited = shared_directory::inherited_descriptor()?;
     let place = inherited
         .is_some()
-        .then(|| shared_directory::Place::new(&config.name));
+        .then(|| shared_directory::SharedDirectory::new(&config.name));
     if place.is_some() {
         // Two processes may be there at once, within the limits of one.
-        (config.sockets, config.memory) = (config.sockets / 2, config.memory / 2);
+        (config.max_descriptors, config.max_memory_bytes) =
+            (config.max_descriptors / 2, config.max_memory_bytes / 2);
     }
     let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
-    let (orders, drains, inboxes) = admin_listener::queues();
+    let (orders, drains, inboxes) = admin_listener::channels();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
     let (listed, is_listed) = watch::channel(false);
     let (other, others) = watch::channel(None);
-    let desk = admin_listener::Desk {
-        orders: orders.clone(),
-        drains,
-        stages: stages.clone(),
+    let desk = admin_listener::AdminHandle {
+        control: orders.clone(),
+        drain_requests: drains,
+        phase: stages.clone(),
         ready: is_ready,
-        listed: is_listed.clone(),
-        place: place.clone(),
-        other: others,
-        turn: Arc::default(),
+        has_endpoints: is_listed.clone(),
+        shared_directory: place.clone(),
+        other_process: others,
+        maintenance_lock: Arc::default(),
     };
     // Before all that takes its time: until then READY is answered with a no.
     if let Some(listener) = config
-        .operator
+        .admin_listen
         .as_mut()
         .map(admin_listener::bind)
         .transpose()?
@@ -84,19 +85,21 @@
         tokio::spawn(admin_listener::serve(listener, desk.clone()));
     }
     let heritage = match &place {
-        Some(place) => hot_restart::join(place).await,
+        Some(place) => hot_restart::take_over(place).await,
         None => None,
     };
-    let (estate, link, datagrams) =
-        heritage.map_or((None, None, None), hot_restart::Heritage::parts);
+    let (estate, link, datagrams) = heritage.map_or(
+        (None, None, None),
+        hot_restart::ReceivedTransfer::into_parts,
+    );
     let clock = estate
         .as_ref()
-        .map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
-    let drained = estate.as_ref().is_some_and(|e| e.drained);
+        .map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now_ns));
+    let drained = estate.as_ref().is_some_and(|e| e.draining);
     let before = match (estate, &place) {
         (Some(estate), _) => engine::Before::Estate(estate),
-        (None, Some(place)) => engine::Before::Ledger(place.read()),
-        (None, None) if config.operator.is_some() => engine::Before::Ledger(Default::default()),
+        (None, Some(place)) => engine::Before::Ledger(place.read_maintenance_set()),
+        (None, None) if config.admin_listen.is_some() => engine::Before::Ledger(Default::default()),
         (None, None) => engine::Before::Nothing,
     };
     let (queue, inbox) = mpsc::channel(QUEUE);
@@ -104,28 +107,32 @@
         .await?
         .map(Arc::new);
     let listener = match inherited {
-        Some(socket) => shared_directory::listener(socket, &mut config.listen)?,
+        Some(socket) => shared_directory::inherited_listener(socket, &mut config.listen)?,
         None => acceptor::bind(&mut config.listen)?,
     };
-    let known = &config.known;
-    let rev = (known.all && !known.targets.is_empty()).then_some(known.rev);
-    let zones =
-        zone_failover::Zoning::new(&operator.zones, &config.facts, config.seed, clock.now());
-    let turn = startup::Turn::new(&operator, &config, rev, clock, peers.clone());
+    let known = &config.known_endpoints;
+    let rev = (known.complete && !known.targets.is_empty()).then_some(known.revision);
+    let zones = zone_failover::ZoneFailover::new(
+        &operator.zones,
+        &config.settings,
+        config.seed,
+        clock.now(),
+    );
+    let turn = startup::StartupSchedule::new(&operator, &config, rev, clock, peers.clone());
     listed.send_replace(turn.is_none() || rev.is_some());
     if let Some(turn) = &turn {
-        tokio::spawn(turn.clone().tell(listed));
+        tokio::spawn(turn.clone().publish_readiness(listed));
     }
-    let (source, discovery, operator) = platform::Source::new(&config, operator, file);
-    let budget = resource_budget::Budget::new(config.sockets);
+    let (source, discovery, operator) = platform::ConfigReloader::new(&config, operator, file);
+    let budget = resource_budget::Budget::new(config.max_descriptors);
     let places = budget.places();
-    let table = registry::begin(&operator, &config, clock, queue.clone());
+    let table = registry::start(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
     let pacers = slow_peers::lead(
         operator,
         clock,
         places.clone(),
-        (budget.clients, config.memory as u64),
+        (budget.clients, config.max_memory_bytes as u64),
     );
     let engine = engine::Engine::new(
         &config,
@@ -136,8 +143,8 @@
         (before, zones),
     );
     tracing::info!("serving {}", config.summary());
-    let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
-    let (role, roles) = watch::channel(process_role::Role::Sole);
+    let mut engine = tokio::spawn(engine.run(inbox, inboxes.control));
+    let (role, roles) = watch::channel(process_role::ProcessRole::Active);
     if let Some(peers) = &peers {
         tokio::spawn(
             peers
@@ -145,25 +152,25 @@
                 .listen(queue.clone(), roles.clone(), turn.clone()),
         );
     }
-    let start = endpoint_watch::Start {
-        rev: rev.filter(|_| !merged),
+    let start = endpoint_watch::WatchStart {
+        revision: rev.filter(|_| !merged),
         seed: config.seed,
-        turn,
+        schedule: turn,
     };
     tokio::spawn(endpoint_watch::follow(
         discovery,
         start,
-        config.facts.clone(),
+        config.settings.clone(),
         clock,
         table,
         merged,
     ));
-    let successor = process_role::Successor {
+    let successor = process_role::ProcessStatus {
         role: roles,
-        stopping: Arc::default(),
+        shutdown_times: Arc::default(),
     };
     let longest = config
-        .facts
+        .settings
         .policy
         .classes
         .iter()
@@ -171,9 +178,9 @@
         .max()
         .unwrap_or(0);
     let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
-    tokio::spawn(signals.lead(
+    tokio::spawn(signals.run(
         stage,
-        inboxes.drains,
+        inboxes.drain_requests,
         (successor.clone(), termination),
         drained,
         source,
@@ -190,16 +197,16 @@
     match place {
         Some(place) => {
             let (taken, all_taken) = oneshot::channel();
-            let succession = hot_restart::Succession {
-                place,
+            let succession = hot_restart::HotRestart {
+                shared_directory: place,
                 role,
-                other,
-                desk,
-                orders,
+                other_process: other,
+                admin: desk,
+                control: orders,
                 peers,
             };
             let took_over = link.is_some();
-            tokio::spawn(succession.lead(link, taken));
+            tokio::spawn(succession.run(link, taken));
             let _ = all_taken.await;
             ready.send_replace(true);
             if took_over {
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -26,9 +26,9 @@
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
-use crate::config::platform::Config;
+use crate::config::platform::PlatformConfig;
 use crate::engine::message::Message;
-use crate::lifecycle::process_role::{Role, Stopping, Successor};
+use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::resource_budget::Budget;
 use crate::server::connection_table::{Paced, Seat, Seats};
 use crate::server::framing::Guarded;
@@ -73,8 +73,8 @@
 
 /// The door and its budget of connections.
 pub(crate) struct Door {
-    role: watch::Receiver<Role>,
-    stopping: Arc<OnceLock<Stopping>>,
+    role: watch::Receiver<ProcessRole>,
+    stopping: Arc<OnceLock<ShutdownTimes>>,
     gate: Arc<Gate>,
     stages: watch::Receiver<Stage>,
     places: Arc<Semaphore>,
@@ -87,28 +87,28 @@
 impl Door {
     /// A door that has let nobody in.
     pub(crate) fn new(
-        config: &Config,
+        config: &PlatformConfig,
         clock: Clock,
         places: Arc<Semaphore>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
         (stages, listed): (watch::Receiver<Stage>, watch::Receiver<bool>),
-        successor: Successor,
+        successor: ProcessStatus,
     ) -> Self {
-        let budget = Budget::new(config.sockets);
+        let budget = Budget::new(config.max_descriptors);
         let gate = Gate {
-            facts: config.facts.clone(),
+            facts: config.settings.clone(),
             queue,
             stages: stages.clone(),
             listed,
             serials: AtomicU64::new(0),
-            bodies: Arc::new(Semaphore::new(config.memory / BODIES_PART)),
+            bodies: Arc::new(Semaphore::new(config.max_memory_bytes / BODIES_PART)),
             clock,
             successor: successor.clone(),
         };
         Door {
             role: successor.role,
-            stopping: successor.stopping,
+            stopping: successor.shutdown_times,
             gate: Arc::new(gate),
             stages,
             places,
@@ -131,9 +131,9 @@
         let ends = self
             .stopping
             .get()
-            .map_or_else(Instant::now, |stopping| stopping.ends);
+            .map_or_else(Instant::now, |stopping| stopping.exit_at);
         match *self.role.borrow() {
-            Role::Succeeded => drop(listener),
+            ProcessRole::Superseded => drop(listener),
             _ => self.accept_waiting(listener, ends).await,
         }
         let all = self.places.acquire_many(all);
@@ -155,7 +155,11 @@
         pacers.mark_changed();
         loop {
             // Whoever comes is the other process's, for as long as that lives.
-            if role.wait_for(|r| *r != Role::Succeeded).await.is_err() {
+            if role
+                .wait_for(|r| *r != ProcessRole::Superseded)
+                .await
+                .is_err()
+            {
                 return;
             }
             if pacers.has_changed().unwrap_or(false) {
@@ -170,7 +174,7 @@
             };
             let accepted = tokio::select! {
                 biased;
-                Ok(_) = role.wait_for(|r| *r == Role::Succeeded) => continue,
+                Ok(_) = role.wait_for(|r| *r == ProcessRole::Superseded) => continue,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -1,18 +1,18 @@
 use super::*;
 
 fn door() -> Door {
-    let mut config = Config::sample();
-    config.sockets = 64;
+    let mut config = PlatformConfig::sample();
+    config.max_descriptors = 64;
     let (queue, _) = mpsc::channel(8);
     let (stage, stages) = watch::channel(Stage::Serving);
     // Whoever leads through the stages does so for as long as the program runs.
     std::mem::forget(stage);
-    let places = Budget::new(config.sockets).places();
-    let (role, follower) = watch::channel(Role::Sole);
+    let places = Budget::new(config.max_descriptors).places();
+    let (role, follower) = watch::channel(ProcessRole::Active);
     std::mem::forget(role);
-    let successor = Successor {
+    let successor = ProcessStatus {
         role: follower,
-        stopping: Arc::default(),
+        shutdown_times: Arc::default(),
     };
     Door::new(
         &config,
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -34,7 +34,7 @@
 
 use crate::clock::Clock;
 use crate::engine::message::{Command, Message, Passed};
-use crate::lifecycle::process_role::Successor;
+use crate::lifecycle::process_role::ProcessStatus;
 use crate::limits::BODY_MOST;
 use crate::server::connection_table::Seat;
 use crate::server::response::{Answer, Content, Reply};
@@ -61,7 +61,7 @@
     /// Bytes that all waiting bodies may hold together.
     pub bodies: Arc<Semaphore>,
     pub clock: Clock,
-    pub successor: Successor,
+    pub successor: ProcessStatus,
 }
 
 /// The service on one connection.
@@ -236,14 +236,13 @@
             None => None,
         };
         let mut deadline = arrived + Duration::from_nanos(read.time_left_ns);
-        if let Some((_, by)) = self
+        if let Some(limit) = self
             .successor
-            .stopping
+            .shutdown_times
             .get()
-            .map(|s| s.late)
-            .filter(|(from, _)| arrived >= *from)
+            .and_then(|times| times.answer_limit(arrived))
         {
-            deadline = deadline.min(by);
+            deadline = deadline.min(limit);
         }
         let (body, held) = match body.is_end_stream() {
             true => (Bytes::new(), None),
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{watch, Semaphore};
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
+use crate::config::operator::OperatorConfig;
 
 /// Rows of the table in the log, each time that figures are told.
 const ROWS: usize = 5;
@@ -23,7 +23,7 @@
 /// Follows the operator's settings. A new pacer holds for connections that come after it; those of the one before stay
 /// with that until they close. `size` is how many connections are served at most, and the bytes of memory.
 pub(crate) fn lead(
-    mut operator: watch::Receiver<Arc<Operator>>,
+    mut operator: watch::Receiver<Arc<OperatorConfig>>,
     clock: Clock,
     places: Arc<Semaphore>,
     size: (usize, u64),
@@ -52,7 +52,7 @@
 }
 
 fn pacer(
-    settings: &Operator,
+    settings: &OperatorConfig,
     clock: Clock,
     places: &(Arc<Semaphore>, usize),
     size: (usize, u64),
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -239,7 +239,7 @@
 async fn an_answer_that_begins_and_ends_at_one_go_is_passed_on_whole() {
     let (listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let facts = crate::config::platform::Config::sample().facts;
+    let facts = crate::config::platform::PlatformConfig::sample().settings;
     // No room to read ahead: passed on from its first piece.
     let mut fleet = Fleet::new(
         &facts,
@@ -293,7 +293,7 @@
 async fn without_a_place_an_attempt_is_not_sent_and_places_come_back() {
     let (_listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let facts = crate::config::platform::Config::sample().facts;
+    let facts = crate::config::platform::PlatformConfig::sample().settings;
     let mut fleet = Fleet::new(
         &facts,
         (1, 0),
