--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -1,10 +1,9 @@
-//! What discovery lists, as seen through the ledger of withheld instances: the list goes through here on its way to
-//! the module and to the connections, so that both see one truth.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Endpoints in maintenance: discovery's list passes through here on its way to the decision policy and to the connection
+//! pools, so that both see an endpoint in maintenance as one that drains.
+//!
+//! Owner: the engine, where there is an admin address. Input: updates of the list, maintenance requests. Output: the list
+//! with those endpoints changed, and the entry that a request changes. Invariant: an id stays in maintenance until it is
+//! returned to service, whatever the list holds of it.
 
 use std::collections::HashMap;
 
@@ -13,36 +12,37 @@
 
 use crate::engine::message::EndpointEntry;
 
-/// The list and the ledger. Kept only where there is a second address.
+/// The endpoint list and the maintenance set.
 #[derive(Default)]
 pub(crate) struct MaintenanceFilter {
-    ledger: Ledger,
+    set: Ledger,
     /// Every id that the list names, as it does.
     listed: HashMap<EndpointId, EndpointEntry>,
 }
 
-/// What an order comes to.
+/// What a maintenance request comes to.
 pub(crate) struct MaintenanceOutcome {
+    /// For the caller.
     pub answer: Answer,
-    /// The entry that has to be taken in again, changed by it.
+    /// The entry that has to be applied again, changed by it.
     pub changed: Option<EndpointEntry>,
 }
 
 impl MaintenanceFilter {
-    /// One that goes on with a ledger.
-    pub(crate) fn new(ledger: Ledger) -> Self {
+    /// One that starts with a maintenance set.
+    pub(crate) fn new(set: Ledger) -> Self {
         MaintenanceFilter {
-            ledger,
+            set,
             listed: HashMap::new(),
         }
     }
 
-    /// The ledger, and the list as discovery has it.
+    /// The maintenance set, and the list as discovery has it.
     pub(crate) fn state(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
-        (&self.ledger, self.listed.values())
+        (&self.set, self.listed.values())
     }
 
-    /// Takes in news of the list; an instance that is withheld goes on as one that terminates.
+    /// Takes in an update of the list; in `entries`, an endpoint in maintenance becomes one that drains.
     pub(crate) fn apply(&mut self, kind: EndpointUpdateKind, entries: &mut [EndpointEntry]) {
         if matches!(
             kind,
@@ -57,41 +57,47 @@
                 continue;
             }
             self.listed.insert(id.clone(), entry.clone());
-            if self.ledger.holds(id) {
+            if self.set.holds(id) {
                 entry.endpoint.state = EndpointState::Draining;
             }
         }
     }
 
-    /// Carries out an order as far as the ledger goes; `known`: the id is somebody's, whatever is listed here.
-    pub(crate) fn change(&mut self, id: &str, withhold: bool, known: bool) -> MaintenanceOutcome {
+    /// Puts an endpoint into maintenance (`enter`) or returns it to service; `known_to_other_process`: the id exists there,
+    /// whatever is listed here.
+    pub(crate) fn change(
+        &mut self,
+        id: &str,
+        enter: bool,
+        known_to_other_process: bool,
+    ) -> MaintenanceOutcome {
         let entry = self.listed.get(id).cloned();
-        let listed = known || entry.is_some();
-        let ruled = match withhold {
-            true => self.ledger.withhold(id, listed),
-            false => self.ledger.give_back(id, listed),
+        let known = known_to_other_process || entry.is_some();
+        let result = if enter {
+            self.set.withhold(id, known)
+        } else {
+            self.set.give_back(id, known)
         };
-        let answer = match ruled {
+        let answer = match result {
             Ok(_) => {
-                let state = match (&entry, withhold) {
+                let state = match (&entry, enter) {
                     (None, true) => "withheld, and not listed now",
                     (None, false) => "given back, and not listed now",
-                    (_, true) => "withheld",
-                    (_, false) => "given back",
+                    (Some(_), true) => "withheld",
+                    (Some(_), false) => "given back",
                 };
-                Answer::Done(format!("{state}; {} withheld in all", self.ledger.len()))
+                Answer::Done(format!("{state}; {} withheld in all", self.set.len()))
             }
-            Err(_) if listed => {
+            Err(_) if known => {
                 Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept"))
             }
             Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
         };
-        // One that does not serve by the list's own word changes nothing, in or out.
-        let serves = |e: &EndpointEntry| e.endpoint.state == EndpointState::Ready;
+        // One that the list itself does not have in service changes nothing, in or out.
         let changed = entry
-            .filter(|e| ruled == Ok(true) && serves(e))
+            .filter(|entry| result == Ok(true) && in_service(entry))
             .map(|mut entry| {
-                if withhold {
+                if enter {
                     entry.endpoint.state = EndpointState::Draining;
                 }
                 entry
@@ -99,16 +105,20 @@
         MaintenanceOutcome { answer, changed }
     }
 
-    /// True where instances are listed and all that would serve are withheld.
+    /// True where endpoints are listed in service, and all of these are in maintenance.
     pub(crate) fn all_in_maintenance(&self) -> bool {
         let mut serving = self
             .listed
             .values()
-            .filter(|e| e.endpoint.state == EndpointState::Ready)
+            .filter(|entry| in_service(entry))
             .peekable();
-        serving.peek().is_some() && serving.all(|e| self.ledger.holds(&e.endpoint.id))
+        serving.peek().is_some() && serving.all(|entry| self.set.holds(&entry.endpoint.id))
     }
 }
 
+fn in_service(entry: &EndpointEntry) -> bool {
+    entry.endpoint.state == EndpointState::Ready
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/admin/maintenance/tests.rs
+++ b/src/admin/maintenance/tests.rs
@@ -1,127 +1,90 @@
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
 use super::*;
 use applewall::api::Endpoint;
 
 fn entry(id: &str, port: u16, state: EndpointState) -> EndpointEntry {
-    let member = Endpoint {
+    let endpoint = Endpoint {
         id: id.into(),
         state,
         ..Endpoint::default()
     };
     EndpointEntry {
-        endpoint: member,
+        endpoint,
         address: ([127, 0, 0, 1], port).into(),
     }
 }
 
 fn states(
-    withheld: &mut MaintenanceFilter,
+    filter: &mut MaintenanceFilter,
     kind: EndpointUpdateKind,
     mut entries: Vec<EndpointEntry>,
 ) -> Vec<EndpointState> {
-    withheld.apply(kind, &mut entries);
-    entries.iter().map(|e| e.endpoint.state).collect()
+    filter.apply(kind, &mut entries);
+    entries.iter().map(|entry| entry.endpoint.state).collect()
+}
+
+/// The states that `filter` makes of one update with one entry.
+fn updated(
+    filter: &mut MaintenanceFilter,
+    kind: EndpointUpdateKind,
+    entry: EndpointEntry,
+) -> EndpointState {
+    states(filter, kind, vec![entry])[0]
 }
 
 #[test]
-fn a_withheld_id_stays_out_whatever_the_list_says_of_it() {
+fn endpoint_stays_in_maintenance_whatever_the_list_says_of_it() {
     use EndpointState::{Draining, Ready, Removed};
-    let mut withheld = MaintenanceFilter::default();
+    use EndpointUpdateKind::{Delta, Snapshot};
+    let mut filter = MaintenanceFilter::default();
     states(
-        &mut withheld,
-        EndpointUpdateKind::Snapshot,
+        &mut filter,
+        Snapshot,
         vec![entry("a", 1, Ready), entry("b", 2, Ready)],
     );
-    let ruling = withheld.change("a", true, false);
-    assert_eq!(ruling.changed.unwrap().endpoint.state, Draining);
+    let outcome = filter.change("a", true, false);
+    assert_eq!(outcome.changed.unwrap().endpoint.state, Draining);
     // Named again; gone and back at a new address; a whole list after discovery was lost, without it and with it.
-    assert_eq!(
-        states(
-            &mut withheld,
-            EndpointUpdateKind::Delta,
-            vec![entry("a", 1, Ready)]
-        ),
-        [Draining]
-    );
-    assert_eq!(
-        states(
-            &mut withheld,
-            EndpointUpdateKind::Delta,
-            vec![entry("a", 1, Removed)]
-        ),
-        [Removed]
-    );
-    assert_eq!(
-        states(
-            &mut withheld,
-            EndpointUpdateKind::Delta,
-            vec![entry("a", 9, Ready)]
-        ),
-        [Draining]
-    );
-    states(
-        &mut withheld,
-        EndpointUpdateKind::Snapshot,
-        vec![entry("b", 2, Ready)],
-    );
-    assert!(matches!(
-        withheld.change("a", true, false).answer,
-        Answer::Done(_)
-    ));
-    assert_eq!(
-        states(
-            &mut withheld,
-            EndpointUpdateKind::Snapshot,
-            vec![entry("a", 9, Ready)]
-        ),
-        [Draining]
-    );
+    let named_again = updated(&mut filter, Delta, entry("a", 1, Ready));
+    assert_eq!(named_again, Draining);
+    let gone = updated(&mut filter, Delta, entry("a", 1, Removed));
+    assert_eq!(gone, Removed);
+    let back = updated(&mut filter, Delta, entry("a", 9, Ready));
+    assert_eq!(back, Draining);
+    states(&mut filter, Snapshot, vec![entry("b", 2, Ready)]);
+    let twice = filter.change("a", true, false);
+    assert!(matches!(twice.answer, Answer::Done(_)));
+    let listed_again = states(&mut filter, Snapshot, vec![entry("a", 9, Ready)]);
+    assert_eq!(listed_again, [Draining]);
     // Out twice, back once, at the address that the list has now.
-    let back = withheld.change("a", false, false).changed.unwrap();
+    let back = filter.change("a", false, false).changed.unwrap();
     assert_eq!((back.endpoint.state, back.address.port()), (Ready, 9));
-    assert_eq!(
-        states(
-            &mut withheld,
-            EndpointUpdateKind::Delta,
-            vec![entry("a", 9, Ready)]
-        ),
-        [Ready]
-    );
+    let in_service = updated(&mut filter, Delta, entry("a", 9, Ready));
+    assert_eq!(in_service, Ready);
 }
 
 #[test]
-fn ids_that_nobody_has_are_errors_and_what_was_not_out_is_done_without_a_change() {
-    let mut withheld = MaintenanceFilter::default();
+fn unknown_ids_are_errors_and_a_return_without_maintenance_changes_nothing() {
+    let mut filter = MaintenanceFilter::default();
     states(
-        &mut withheld,
+        &mut filter,
         EndpointUpdateKind::Snapshot,
         vec![entry("a", 1, EndpointState::Ready)],
     );
-    for on in [true, false] {
-        assert!(matches!(
-            withheld.change("x", on, false).answer,
-            Answer::Error(_)
-        ));
+    for enter in [true, false] {
+        let outcome = filter.change("x", enter, false);
+        assert!(matches!(outcome.answer, Answer::Error(_)));
     }
-    let ruling = withheld.change("a", false, false);
-    assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
-    assert!(!withheld.all_in_maintenance());
-    withheld.change("a", true, false);
-    assert!(withheld.all_in_maintenance());
-    // Left the list while out: still known, and back without a word to the module.
+    let outcome = filter.change("a", false, false);
+    assert!(matches!(outcome.answer, Answer::Done(_)) && outcome.changed.is_none());
+    assert!(!filter.all_in_maintenance());
+    filter.change("a", true, false);
+    assert!(filter.all_in_maintenance());
+    // Left the list while in maintenance: still known, and returned without an event for the decision policy.
     states(
-        &mut withheld,
+        &mut filter,
         EndpointUpdateKind::Delta,
         vec![entry("a", 1, EndpointState::Removed)],
     );
-    let ruling = withheld.change("a", false, false);
-    assert!(matches!(ruling.answer, Answer::Done(_)) && ruling.changed.is_none());
+    let outcome = filter.change("a", false, false);
+    assert!(matches!(outcome.answer, Answer::Done(_)) && outcome.changed.is_none());
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -26,7 +26,7 @@
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::admin::listener::ControlMessage;
+use crate::admin::handle::ControlMessage;
 use crate::admin::maintenance::MaintenanceFilter;
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
@@ -179,7 +179,7 @@
             Before::Estate(estate) => {
                 engine.withheld = Some(MaintenanceFilter::new(estate.maintenance));
                 if let Err(why) = engine.brain.import_snapshot(&estate.policy_state) {
-                    tracing::warn!("succession: the module begins anew: {why}");
+                    tracing::warn!("hot restart: the decision policy starts anew: {why}");
                 }
                 estate
                     .endpoints
--- a/src/engine/orders.rs
+++ b/src/engine/orders.rs
@@ -8,7 +8,7 @@
 use applewall::api::{EndpointUpdateKind, Event};
 
 use super::Engine;
-use crate::admin::listener::{self, ControlMessage};
+use crate::admin::handle::{ControlMessage, ExportError, MaintenanceRequest};
 use crate::engine::message::EndpointEntry;
 use crate::lifecycle::process_role::TransferredState;
 
@@ -28,7 +28,7 @@
     }
 
     /// All that another process needs to go on from here.
-    fn hand_over(&mut self) -> Result<TransferredState, String> {
+    fn hand_over(&mut self) -> Result<TransferredState, ExportError> {
         let module = self.brain.export_snapshot()?;
         let (ledger, listed) = match &self.withheld {
             Some(withheld) => {
@@ -50,8 +50,8 @@
     }
 
     /// Withholds an instance, or gives one back; answered once the module and the connections know.
-    fn instance(&mut self, order: listener::MaintenanceRequest) {
-        let listener::MaintenanceRequest {
+    fn instance(&mut self, order: MaintenanceRequest) {
+        let MaintenanceRequest {
             id,
             enter: withhold,
             known_to_other_process: known,
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::admin::listener;
+use crate::admin::handle;
 use crate::server::response::Content;
 use applewall::api::Request;
 use hyper::{Method, Uri};
@@ -174,7 +174,7 @@
     // Listed by the last message only: unknown while that still waits.
     let (reply, answer) = oneshot::channel();
     let id = format!("s-{}", crate::limits::QUEUE + 1);
-    let order = listener::MaintenanceRequest {
+    let order = handle::MaintenanceRequest {
         id,
         enter: true,
         known_to_other_process: false,
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -1,194 +1,196 @@
-//! Upgrade in place: one process takes over from another while both serve (docs/service-days-design.md).
+//! Hot restart: one process takes over from another while both serve (docs/service-days-design.md).
 //!
-//! The one that serves listens on a Unix socket; the new one connects, is handed the estate and says when it has taken
-//! over. The connection then carries the operators' calls both ways, and its end tells that the other is gone.
+//! Owner: the task that [`HotRestart::run`] becomes, and `serve` while it starts. Input: the other process on a Unix socket
+//! in the shared directory. Output: the transferred state, the role of this process, and admin commands that are relayed.
+//! The active process listens; the new one connects, is sent the state and reports when it has taken over. The connection
+//! then carries admin commands both ways, and its end shows that the other process is gone. Invariant: at each moment one
+//! of the two accepts clients and one reads datagrams.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
-use std::collections::HashMap;
-use std::io::{self, IoSlice, IoSliceMut};
-use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::convert::Infallible;
+use std::io;
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_admin::{Answer, Call};
-use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags,
-};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest, Lines};
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-use crate::admin::listener::{AdminHandle, ControlMessage};
-use crate::lifecycle::process_role::{ProcessRole, RelayedCommand, TransferredState};
+use crate::admin::handle::{AdminHandle, ControlMessage};
+use crate::lifecycle::process_role::{RelayedCommand, RoleOwner, TransferredState};
 use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::peer_socket::Peers;
 
-/// What a successor says first: the form of all that follows, and its version.
-const HELLO: &str = "applewall succession 1";
-/// Before the estate: what it is, and its version; then its length.
-const MARK: [u8; 4] = *b"AWE1";
-/// An estate holds this at most.
-const MOST: usize = 64 * 1024 * 1024;
-/// Each step of the other side has so long.
-const STEP: Duration = Duration::from_secs(2);
-/// A successor that was handed the estate has so long to take over; then it has failed.
-const TAKING: Duration = Duration::from_secs(10);
+mod command_link;
+mod transfer;
+
+use command_link::CommandLink;
+
+/// Bounds each exchange with the other process that needs no work there: both run on one machine, so one that takes
+/// longer hangs.
+const STEP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bounds the time from the end of the transfer until the new process reports that it has taken over, in which it reads
+/// the state and opens its sockets; after that it has failed.
+const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Sent by the new process once it has taken over, and the older one's consent.
+const TAKEN_OVER: &str = "taken over";
+const CONSENT: &[u8; 6] = b"yours\n";
+
+/// Why a transfer to or from another process failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum HotRestartError {
+    /// The connection to the other process failed.
+    #[error(transparent)]
+    Connection(#[from] io::Error),
+    /// The older process did not answer within [`STEP_TIMEOUT`].
+    #[error("no answer in time")]
+    NoAnswer,
+    /// The older process closed the connection before it sent anything whole.
+    #[error("the other process hung up")]
+    HungUp,
+    /// The older process sent another mark, or more than a state may hold.
+    #[error("the other process speaks another version")]
+    PredecessorVersion,
+    /// The bytes of the state can't be read.
+    #[error("the transferred state is not of this form: {0}")]
+    Undecodable(#[source] postcard::Error),
+    /// The state can't be written as bytes.
+    #[error(transparent)]
+    Unencodable(postcard::Error),
+    /// The new process sent nothing within [`STEP_TIMEOUT`].
+    #[error("it said nothing")]
+    NoHello,
+    /// The new process greeted with another line.
+    #[error("it speaks another version")]
+    SuccessorVersion,
+    /// The engine ended before it exported the state.
+    #[error("the engine has stopped")]
+    EngineStopped,
+    /// The engine could not export the state.
+    #[error(transparent)]
+    Export(Box<dyn std::error::Error + Send + Sync>),
+    /// The new process did not read the state within [`STEP_TIMEOUT`].
+    #[error("it takes nothing")]
+    NotReading,
+    /// The new process closed the connection, or sent another line.
+    #[error("it ended before it had taken over")]
+    EndedEarly,
+    /// The new process did not report within [`TAKE_OVER_TIMEOUT`].
+    #[error("it did not take over in time")]
+    TakeOverTimeout,
+    /// The new process had taken over and ended, while this one was to go on.
+    #[error("it ended before this one was told to stop")]
+    SuccessorEnded,
+}
 
-/// What a new process was handed, and its connection to the one before.
+/// What a new process was sent, and its connection to the one before.
 pub(crate) struct ReceivedTransfer {
     state: TransferredState,
     datagram_socket: Option<OwnedFd>,
     link: UnixStream,
 }
 
-/// Takes over from the process that serves here, where there is one.
-pub(crate) async fn take_over(place: &SharedDirectory) -> Option<ReceivedTransfer> {
-    let path = place.hot_restart_socket();
+impl ReceivedTransfer {
+    /// The state, the connection to the process before, and the socket for datagrams.
+    pub(crate) fn into_parts(
+        self,
+    ) -> (
+        Option<TransferredState>,
+        Option<UnixStream>,
+        Option<OwnedFd>,
+    ) {
+        (Some(self.state), Some(self.link), self.datagram_socket)
+    }
+}
+
+/// Takes over from the process that is active, where there is one.
+pub(crate) async fn take_over(directory: &SharedDirectory) -> Option<ReceivedTransfer> {
+    let path = directory.hot_restart_socket();
     let stream = match UnixStream::connect(&path).await {
         Ok(stream) => stream,
-        Err(e) => {
+        Err(error) => {
             // A stale one is left by a process that was killed; ours takes its place.
-            if e.kind() != io::ErrorKind::NotFound {
-                tracing::info!("succession: nobody at {}: {e}", path.display());
+            if error.kind() != io::ErrorKind::NotFound {
+                tracing::info!(
+                    "hot restart: no process listens at {}: {error}",
+                    path.display()
+                );
             }
             return None;
         }
     };
-    match timeout(STEP, receive(stream))
-        .await
-        .unwrap_or_else(|_| Err("no answer in time".to_string()))
-    {
-        Ok(heritage) => Some(heritage),
-        Err(why) => {
-            tracing::warn!("succession: nothing taken over: {why}");
-            None
-        }
-    }
-}
-
-async fn receive(mut stream: UnixStream) -> Result<ReceivedTransfer, String> {
-    let told = |e: io::Error| e.to_string();
-    stream
-        .write_all(format!("{HELLO}\n").as_bytes())
+    let received = timeout(STEP_TIMEOUT, transfer::receive(stream))
         .await
-        .map_err(told)?;
-    let mut head = [0; 8];
-    let (mut read, mut datagrams) = (0, None);
-    while read < head.len() {
-        let (n, socket) = stream
-            .async_io(Interest::READABLE, || take(&stream, &mut head[read..]))
-            .await
-            .map_err(told)?;
-        if n == 0 {
-            return Err("the other process hung up".to_string());
-        }
-        read += n;
-        datagrams = datagrams.or(socket);
-    }
-    let length = u32::from_be_bytes([head[4], head[5], head[6], head[7]]) as usize;
-    if head[..4] != MARK || length > MOST {
-        return Err("the other process speaks another version".to_string());
-    }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await.map_err(told)?;
-    let estate =
-        postcard::from_bytes(&bytes).map_err(|e| format!("the estate is not of this form: {e}"))?;
-    Ok(ReceivedTransfer {
-        state: estate,
-        datagram_socket: datagrams,
-        link: stream,
-    })
-}
-
-/// Reads bytes, and a descriptor that comes with them.
-fn take(stream: &UnixStream, into: &mut [u8]) -> io::Result<(usize, Option<OwnedFd>)> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-    let mut ancillary = RecvAncillaryBuffer::new(&mut space);
-    let got = recvmsg(
-        stream,
-        &mut [IoSliceMut::new(into)],
-        &mut ancillary,
-        RecvFlags::CMSG_CLOEXEC,
-    )?;
-    let sockets = ancillary.drain().filter_map(|message| match message {
-        RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
-        _ => None,
-    });
-    let first = sockets.flatten().next();
-    Ok((got.bytes, first))
-}
-
-/// Writes bytes, and a descriptor with them.
-fn give(stream: &UnixStream, bytes: &[u8], socket: Option<BorrowedFd<'_>>) -> io::Result<usize> {
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-    let mut ancillary = SendAncillaryBuffer::new(&mut space);
-    let sockets: Vec<BorrowedFd<'_>> = socket.into_iter().collect();
-    if !sockets.is_empty() {
-        ancillary.push(SendAncillaryMessage::ScmRights(&sockets));
-    }
-    Ok(sendmsg(
-        stream,
-        &[IoSlice::new(bytes)],
-        &mut ancillary,
-        SendFlags::NOSIGNAL,
-    )?)
+        .unwrap_or(Err(HotRestartError::NoAnswer));
+    received
+        .inspect_err(|error| tracing::warn!("hot restart: nothing taken over: {error}"))
+        .ok()
 }
 
-/// This process's part in a succession, on either side of it.
+/// This process's part in a hot restart, on either side of it.
 pub(crate) struct HotRestart {
+    /// Where the two processes meet.
     pub shared_directory: SharedDirectory,
-    pub role: watch::Sender<ProcessRole>,
+    /// The role of this process.
+    pub role: RoleOwner,
+    /// Where the connection to the other process is published.
     pub other_process: watch::Sender<Option<mpsc::Sender<RelayedCommand>>>,
+    /// Carries out the other process's admin commands.
     pub admin: AdminHandle,
+    /// The engine, which exports the state.
     pub control: mpsc::Sender<ControlMessage>,
+    /// The socket for datagrams, which the new process uses too.
     pub peers: Option<Arc<Peers>>,
 }
 
 impl HotRestart {
-    /// Tells the one before that all is taken over, and goes on as the one that serves.
-    pub(crate) async fn run(self, heritage: Option<UnixStream>, taken: oneshot::Sender<()>) {
+    /// Reports to the process before that all is taken over, and goes on as the active one.
+    pub(crate) async fn run(self, predecessor: Option<UnixStream>, taken: oneshot::Sender<()>) {
         let listener = self.listen();
-        let mut before = None;
-        if let Some(mut stream) = heritage {
-            let taken_over = async {
-                stream.write_all(b"taken over\n").await.ok()?;
-                let mut word = [0; 6];
-                stream.read_exact(&mut word).await.ok()
-            };
-            match timeout(STEP, taken_over).await {
-                Ok(Some(_)) => before = Some(stream),
-                _ => tracing::warn!("succession: the process before is gone"),
-            }
-        }
+        let predecessor = match predecessor {
+            Some(stream) => self.report_taken_over(stream).await,
+            None => None,
+        };
         // Nobody waits for this where there was nobody to take over from.
         let _ = taken.send(());
-        if let Some(stream) = before {
-            let (reading, writing) = stream.into_split();
-            self.link(BufReader::new(reading).lines(), writing).await;
-            tracing::info!("succession: the process before has ended");
+        if let Some(stream) = predecessor {
+            self.relay_commands(stream).await;
+            tracing::info!("hot restart: the process before has ended");
         }
-        let Some(mut listener) = listener else {
-            // Nobody can take over; the role stays what it is, and its followers must not find it without an owner.
-            return self.role.closed().await;
+        match listener {
+            Some(listener) => self.serve_successors(listener).await,
+            // Nobody can take over; the role stays what it is, and its readers must not find it without an owner.
+            None => self.role.closed().await,
+        }
+    }
+
+    /// The connection to the process before, where that consents in time.
+    async fn report_taken_over(&self, mut stream: UnixStream) -> Option<UnixStream> {
+        let exchange = async {
+            stream
+                .write_all(format!("{TAKEN_OVER}\n").as_bytes())
+                .await?;
+            let mut consent = [0; CONSENT.len()];
+            stream.read_exact(&mut consent).await
         };
+        if let Ok(Ok(_)) = timeout(STEP_TIMEOUT, exchange).await {
+            return Some(stream);
+        }
+        tracing::warn!("hot restart: the process before is gone");
+        None
+    }
+
+    /// Transfers to one new process after the other, each of which may fail.
+    async fn serve_successors(&self, mut listener: UnixListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(STEP).await;
+                tokio::time::sleep(STEP_TIMEOUT).await;
                 continue;
             };
-            if let Err(why) = self.hand_over(stream).await {
-                tracing::warn!("succession: the new process failed: {why}; this one serves on");
-            }
-            if *self.role.borrow() != ProcessRole::Active {
-                self.role.send_replace(ProcessRole::Active);
+            let Err(error) = self.hand_over(stream).await;
+            tracing::warn!("hot restart: the new process failed: {error}; this one serves on");
+            if self.role.resume() {
                 let _ = self.control.send(ControlMessage::ResumeOwnership).await;
                 // The other one's socket is in its place.
                 if let Some(again) = self.listen() {
@@ -198,141 +200,77 @@
         }
     }
 
-    /// Listens for a successor: under a name of its own first, then in the place of whatever is there.
+    /// Listens for a new process: at a path of its own first, then in the place of whatever is there.
     fn listen(&self) -> Option<UnixListener> {
-        let (own, path) = (
-            self.shared_directory.new_hot_restart_socket(),
-            self.shared_directory.hot_restart_socket(),
-        );
+        let own = self.shared_directory.new_hot_restart_socket();
+        let path = self.shared_directory.hot_restart_socket();
         let _ = std::fs::remove_file(&own);
-        let made = UnixListener::bind(&own).and_then(|listener| {
+        let bound = UnixListener::bind(&own).and_then(|listener| {
             std::fs::rename(&own, &path)?;
             Ok(listener)
         });
-        made.inspect_err(|e| {
-            let _ = std::fs::remove_file(&own);
-            tracing::warn!(
-                "succession: {}: {e}; a new process cannot take over from this one",
-                path.display()
-            );
-        })
-        .ok()
+        bound
+            .inspect_err(|error| {
+                let _ = std::fs::remove_file(&own);
+                tracing::warn!(
+                    "hot restart: {}: {error}; a new process cannot take over from this one",
+                    path.display()
+                );
+            })
+            .ok()
     }
 
-    /// Hands all over to a new process, and stays in touch with it while it lives.
-    async fn hand_over(&self, mut stream: UnixStream) -> Result<(), String> {
-        let told = |e: io::Error| e.to_string();
-        let mut hello = vec![0; HELLO.len() + 1];
-        let said = timeout(STEP, stream.read_exact(&mut hello)).await;
-        said.map_err(|_| "it said nothing".to_string())?
-            .map_err(told)?;
-        if hello != format!("{HELLO}\n").as_bytes() {
-            return Err("it speaks another version".to_string());
-        }
+    /// Transfers all to a new process and relays commands while that lives; ends with why it is no longer there.
+    async fn hand_over(&self, mut stream: UnixStream) -> Result<Infallible, HotRestartError> {
+        transfer::read_hello(&mut stream).await?;
         // From here on the datagrams are the other's.
-        self.role.send_replace(ProcessRole::TransferPending);
-        let (reply, estate) = oneshot::channel();
-        let _ = self.control.send(ControlMessage::ExportState(reply)).await;
-        let mut estate = estate
-            .await
-            .map_err(|_| "the engine has stopped".to_string())??;
-        estate.draining = !self.admin.phase.borrow().healthy();
-        let bytes = postcard::to_stdvec(&estate).map_err(|e| e.to_string())?;
-        let mut head = [0; 8];
-        head[..4].copy_from_slice(&MARK);
-        head[4..].copy_from_slice(&(bytes.len() as u32).to_be_bytes());
-        let socket = self.peers.as_ref().map(|p| p.as_fd());
-        let send = async {
-            // So few bytes go in one piece, and the socket with them.
-            stream
-                .async_io(Interest::WRITABLE, || give(&stream, &head, socket))
-                .await
-                .map_err(told)?;
-            stream.write_all(&bytes).await.map_err(told)
-        };
-        timeout(STEP, send)
-            .await
-            .map_err(|_| "it takes nothing".to_string())??;
+        self.role.begin_transfer();
+        let state = self.export_state().await?;
+        timeout(
+            STEP_TIMEOUT,
+            transfer::send(&mut stream, &state, self.peers.as_deref()),
+        )
+        .await
+        .map_err(|_| HotRestartError::NotReading)??;
         let (reading, mut writing) = stream.into_split();
         let mut lines = BufReader::new(reading).lines();
-        match timeout(TAKING, lines.next_line()).await {
-            Ok(Ok(Some(line))) if line == "taken over" => {}
-            Ok(_) => return Err("it ended before it had taken over".to_string()),
-            Err(_) => return Err("it did not take over in time".to_string()),
+        match timeout(TAKE_OVER_TIMEOUT, lines.next_line()).await {
+            Ok(Ok(Some(line))) if line == TAKEN_OVER => {}
+            Ok(_) => return Err(HotRestartError::EndedEarly),
+            Err(_) => return Err(HotRestartError::TakeOverTimeout),
         }
-        self.role.send_replace(ProcessRole::Superseded);
-        tracing::info!("succession: a new process has taken over");
+        self.role.complete_transfer();
+        tracing::info!("hot restart: a new process has taken over");
         // One that is gone by now ended as any other that had taken over.
-        if writing.write_all(b"yours\n").await.is_ok() {
-            self.link(lines, writing).await;
+        if writing.write_all(CONSENT).await.is_ok() {
+            CommandLink::new(&self.admin, &self.other_process, lines, writing)
+                .run()
+                .await;
         }
         if self.admin.phase.borrow().stops() {
-            // As it should be: this one ends, and must not come back to life in between.
+            // As it should be: this one ends, and must not become active again in between.
             std::future::pending::<()>().await;
         }
-        Err("it ended before this one was told to stop".to_string())
+        Err(HotRestartError::SuccessorEnded)
     }
 
-    /// Carries calls both ways until the other process is gone.
-    async fn link(&self, mut lines: Lines<BufReader<OwnedReadHalf>>, mut writing: OwnedWriteHalf) {
-        let (sender, mut calls) = mpsc::channel::<RelayedCommand>(16);
-        self.other_process.send_replace(Some(sender));
-        let (mut waiting, mut serial) = (HashMap::new(), 0u64);
-        loop {
-            let line = tokio::select! {
-                line = lines.next_line() => match line {
-                    Ok(Some(line)) => line,
-                    _ => break,
-                },
-                Some(RelayedCommand { command: call, done: reply }) = calls.recv() => {
-                    serial += 1;
-                    waiting.insert(serial, reply);
-                    // Callers that gave up leave nothing behind.
-                    waiting.retain(|_, reply: &mut oneshot::Sender<()>| !reply.is_closed());
-                    if writing.write_all(format!("call {serial} {call}\n").as_bytes()).await.is_err() {
-                        break;
-                    }
-                    continue;
-                }
-            };
-            let mut words = line.splitn(3, ' ');
-            let (what, number, rest) = (words.next(), words.next(), words.next());
-            match (what, number.and_then(|n| n.parse::<u64>().ok()), rest) {
-                (Some("call"), Some(number), Some(call)) => {
-                    let answer = match Call::read(call) {
-                        Ok(call) => self.admin.carry_out_here(call, true).await,
-                        Err(why) => Answer::Error(why),
-                    };
-                    if writing
-                        .write_all(format!("answer {number} {answer}\n").as_bytes())
-                        .await
-                        .is_err()
-                    {
-                        break;
-                    }
-                }
-                (Some("answer"), Some(number), _) => {
-                    if let Some(reply) = waiting.remove(&number) {
-                        let _ = reply.send(());
-                    }
-                }
-                _ => break,
-            }
-        }
-        self.other_process.send_replace(None);
+    async fn export_state(&self) -> Result<Vec<u8>, HotRestartError> {
+        let (reply, exported) = oneshot::channel();
+        let _ = self.control.send(ControlMessage::ExportState(reply)).await;
+        let mut state = exported
+            .await
+            .map_err(|_| HotRestartError::EngineStopped)?
+            .map_err(HotRestartError::Export)?;
+        state.draining = !self.admin.phase.borrow().healthy();
+        postcard::to_stdvec(&state).map_err(HotRestartError::Unencodable)
     }
-}
 
-impl ReceivedTransfer {
-    /// The estate, the connection to the process before, and the socket for datagrams.
-    pub(crate) fn into_parts(
-        self,
-    ) -> (
-        Option<TransferredState>,
-        Option<UnixStream>,
-        Option<OwnedFd>,
-    ) {
-        (Some(self.state), Some(self.link), self.datagram_socket)
+    async fn relay_commands(&self, stream: UnixStream) {
+        let (reading, writing) = stream.into_split();
+        let lines = BufReader::new(reading).lines();
+        CommandLink::new(&self.admin, &self.other_process, lines, writing)
+            .run()
+            .await;
     }
 }
 
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -1,17 +1,15 @@
 //! What passes between two processes, byte for byte (`tests/golden`).
 
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
 use super::*;
+use crate::lifecycle::process_role::{OtherProcess, ProcessRole};
 use applewall::api::{Endpoint, EndpointState};
 use applewall_admin::{Ledger, Stage};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use transfer::receive;
 
-const ESTATE: &[u8] = include_bytes!("../../../tests/golden/estate.bin");
+const STATE: &[u8] = include_bytes!("../../../tests/golden/estate.bin");
 const LINES: &str = include_str!("../../../tests/golden/succession.txt");
-const MODULE: &[u8] = b"\x00what the module keeps\xff";
+const POLICY_STATE: &[u8] = b"\x00what the module keeps\xff";
 
 type Fields<'a> = (
     &'a str,
@@ -24,7 +22,7 @@
     &'a str,
 );
 
-const LISTED: [Fields<'_>; 3] = [
+const ENDPOINTS: [Fields<'_>; 3] = [
     (
         "s-1",
         1.5,
@@ -57,61 +55,60 @@
     ),
 ];
 
-fn estate() -> TransferredState {
-    let mut withheld = Ledger::default();
+fn transferred_state() -> TransferredState {
+    let mut maintenance = Ledger::default();
     let _ = (
-        withheld.withhold("s-1", true),
-        withheld.withhold("s \"2\"", true),
+        maintenance.withhold("s-1", true),
+        maintenance.withhold("s \"2\"", true),
     );
-    let listed = LISTED.map(|(backend, scale, started, zone, cell, kind, state, at)| {
-        let backend = backend.into();
-        (
-            Endpoint {
-                id: backend,
-                weight: scale,
-                started_at_ns: started,
+    let endpoints = ENDPOINTS.map(
+        |(id, weight, started_at_ns, zone, cell, machine_type, state, address)| {
+            let endpoint = Endpoint {
+                id: id.into(),
+                weight,
+                started_at_ns,
                 zone,
                 cell,
-                machine_type: kind,
+                machine_type,
                 state,
-            },
-            at.parse().unwrap(),
-        )
-    });
+            };
+            (endpoint, address.parse().unwrap())
+        },
+    );
     let now = 1_000_000_123_456_789;
     TransferredState {
         now_ns: now,
-        maintenance: withheld,
+        maintenance,
         draining: true,
-        endpoints: listed.into(),
-        policy_state: MODULE.into(),
+        endpoints: endpoints.into(),
+        policy_state: POLICY_STATE.into(),
     }
 }
 
-fn is_whole(estate: &TransferredState) {
+fn assert_complete(state: &TransferredState) {
     assert_eq!(
-        (estate.now_ns, estate.draining, &estate.policy_state[..]),
-        (1_000_000_123_456_789, true, MODULE)
+        (state.now_ns, state.draining, &state.policy_state[..]),
+        (1_000_000_123_456_789, true, POLICY_STATE)
     );
     assert_eq!(
-        estate.maintenance.ids().map(|id| &**id).collect::<Vec<_>>(),
+        state.maintenance.ids().map(|id| &**id).collect::<Vec<_>>(),
         ["s \"2\"", "s-1"]
     );
-    assert_eq!(estate.endpoints.len(), LISTED.len());
-    for ((m, at), meant) in estate.endpoints.iter().zip(LISTED) {
-        let at = at.to_string();
+    assert_eq!(state.endpoints.len(), ENDPOINTS.len());
+    for ((endpoint, address), expected) in state.endpoints.iter().zip(ENDPOINTS) {
+        let address = address.to_string();
         assert_eq!(
             (
-                &*m.id,
-                m.weight,
-                m.started_at_ns,
-                m.zone,
-                m.cell,
-                m.machine_type,
-                m.state,
-                &*at
+                &*endpoint.id,
+                endpoint.weight,
+                endpoint.started_at_ns,
+                endpoint.zone,
+                endpoint.cell,
+                endpoint.machine_type,
+                endpoint.state,
+                &*address
             ),
-            meant
+            expected
         );
     }
 }
@@ -121,158 +118,178 @@
     [mark, &(length as u32).to_be_bytes(), bytes].concat()
 }
 
-fn succession() -> (
-    HotRestart,
-    mpsc::Receiver<ControlMessage>,
-    Vec<Box<dyn std::any::Any>>,
-) {
-    let (orders, inbox) = mpsc::channel(4);
-    let (drains, drains_in) = mpsc::channel(4);
-    let (stage, stages) = watch::channel(Stage::Draining);
+/// What a hot restart sends to, kept open for the length of a test.
+struct Receivers {
+    control: mpsc::Receiver<ControlMessage>,
+    _others: Box<dyn std::any::Any>,
+}
+
+fn hot_restart() -> (HotRestart, Receivers) {
+    let (control, control_receiver) = mpsc::channel(4);
+    let (drain_requests, drain_receiver) = mpsc::channel(4);
+    let (phase, phase_receiver) = watch::channel(Stage::Draining);
     let (yes, ready) = watch::channel(true);
-    let (role, roles) = watch::channel(ProcessRole::Active);
-    let (other, others) = watch::channel(None);
-    let desk = AdminHandle {
-        control: orders.clone(),
-        drain_requests: drains,
-        phase: stages,
+    let (role, role_receiver) = RoleOwner::new();
+    let (other_process, other_process_receiver) = watch::channel(None);
+    let admin = AdminHandle {
+        control: control.clone(),
+        drain_requests,
+        phase: phase_receiver,
         ready: ready.clone(),
         has_endpoints: ready,
         shared_directory: None,
-        other_process: others,
+        other_process: other_process_receiver,
         maintenance_lock: Arc::default(),
     };
-    let place = SharedDirectory::new(&format!("golden-{}", std::process::id()));
-    let held: Vec<Box<dyn std::any::Any>> = vec![Box::new((drains_in, stage, yes, roles))];
-    (
-        HotRestart {
-            shared_directory: place,
-            role,
-            other_process: other,
-            admin: desk,
-            control: orders,
-            peers: None,
-        },
-        inbox,
-        held,
-    )
+    let name = format!("golden-{}", std::process::id());
+    let hot_restart = HotRestart {
+        shared_directory: SharedDirectory::new(&name),
+        role,
+        other_process,
+        admin,
+        control,
+        peers: None,
+    };
+    let receivers = Receivers {
+        control: control_receiver,
+        _others: Box::new((drain_receiver, phase, yes, role_receiver)),
+    };
+    (hot_restart, receivers)
 }
 
 #[test]
-fn the_estate_is_read_and_written_again_to_the_same_bytes() {
-    assert_eq!(postcard::to_stdvec(&estate()).unwrap(), ESTATE);
-    is_whole(&postcard::from_bytes(ESTATE).unwrap());
+fn transferred_state_is_read_and_written_again_to_the_same_bytes() {
+    assert_eq!(postcard::to_stdvec(&transferred_state()).unwrap(), STATE);
+    assert_complete(&postcard::from_bytes(STATE).unwrap());
+}
+
+/// The new process's side of the recorded lines, against the older process.
+struct NewProcess {
+    reading: BufReader<OwnedReadHalf>,
+    writing: OwnedWriteHalf,
+}
+
+impl NewProcess {
+    /// One recorded line, sent or expected.
+    async fn replay(&mut self, recorded: &str, other_process: &OtherProcess) {
+        let (sender, line) = recorded.split_once(": ").unwrap();
+        if sender == "new" {
+            return self.send(line).await;
+        }
+        if line.starts_with("AWE1") {
+            return self.expect_state(line).await;
+        }
+        if line.starts_with("call") {
+            relay(other_process, line).await;
+        }
+        self.expect_line(line).await;
+    }
+
+    async fn send(&mut self, line: &str) {
+        let bytes = format!("{line}\n");
+        self.writing.write_all(bytes.as_bytes()).await.unwrap();
+    }
+
+    async fn expect_line(&mut self, line: &str) {
+        let mut received = String::new();
+        self.reading.read_line(&mut received).await.unwrap();
+        assert_eq!(received, format!("{line}\n"));
+    }
+
+    async fn expect_state(&mut self, line: &str) {
+        let mut bytes = vec![0; 8 + STATE.len()];
+        self.reading.read_exact(&mut bytes).await.unwrap();
+        assert_eq!(bytes, framed(b"AWE1", STATE.len(), STATE));
+        assert_eq!(line, format!("AWE1 {:08x} estate.bin", STATE.len()));
+    }
 }
 
-/// The older process's side: each line as it was, the estate in its frame.
+/// Lets the older process relay the command of a recorded line.
+async fn relay(other_process: &OtherProcess, line: &str) {
+    let link = other_process.borrow().clone().unwrap();
+    let command = line.splitn(3, ' ').last().unwrap().to_string();
+    let done = oneshot::channel().0;
+    link.send(RelayedCommand { command, done }).await.unwrap();
+}
+
+/// The older process's side: each line as it was, the state in its frame.
 #[tokio::test]
-async fn a_new_process_is_handed_the_estate_in_the_same_lines() {
+async fn new_process_is_sent_the_state_in_the_same_lines() {
     let (near, far) = UnixStream::pair().unwrap();
-    let (succession, mut orders, _held) = succession();
-    let other = succession.admin.other_process.clone();
-    let handing = async {
-        let Some(ControlMessage::ExportState(reply)) = orders.recv().await else {
+    let (hot_restart, mut receivers) = hot_restart();
+    let other_process = hot_restart.admin.other_process.clone();
+    let engine = async {
+        let Some(ControlMessage::ExportState(reply)) = receivers.control.recv().await else {
             panic!("not asked")
         };
         let _ = reply.send(Ok(TransferredState {
             draining: false,
-            ..estate()
+            ..transferred_state()
         }));
         std::future::pending::<()>().await;
     };
-    let (reading, mut writing) = far.into_split();
-    let mut reading = BufReader::new(reading);
-    let speaking = async {
+    let (reading, writing) = far.into_split();
+    let mut new_process = NewProcess {
+        reading: BufReader::new(reading),
+        writing,
+    };
+    let recorded = async {
         for line in LINES.lines() {
-            let (who, line) = line.split_once(": ").unwrap();
-            if who == "new" {
-                writing
-                    .write_all(format!("{line}\n").as_bytes())
-                    .await
-                    .unwrap();
-                continue;
-            }
-            if line.starts_with("AWE1") {
-                let mut bytes = vec![0; 8 + ESTATE.len()];
-                reading.read_exact(&mut bytes).await.unwrap();
-                assert_eq!(bytes, framed(b"AWE1", ESTATE.len(), ESTATE));
-                assert_eq!(line, format!("AWE1 {:08x} estate.bin", ESTATE.len()));
-                continue;
-            }
-            if line.starts_with("call") {
-                let link = other.borrow().clone().unwrap();
-                let call = line.splitn(3, ' ').last().unwrap().to_string();
-                link.send(RelayedCommand {
-                    command: call,
-                    done: oneshot::channel().0,
-                })
-                .await
-                .unwrap();
-            }
-            let mut got = String::new();
-            reading.read_line(&mut got).await.unwrap();
-            assert_eq!(got, format!("{line}\n"));
+            new_process.replay(line, &other_process).await;
         }
     };
     let whole = timeout(Duration::from_secs(30), async {
         tokio::select! {
-            ended = succession.hand_over(near) => panic!("{ended:?}"),
-            () = handing => {}
-            () = speaking => {}
+            ended = hot_restart.hand_over(near) => panic!("{ended:?}"),
+            () = engine => {}
+            () = recorded => {}
         }
     });
     whole.await.expect("in time");
-    assert_eq!(*succession.role.borrow(), ProcessRole::Superseded);
+    assert_eq!(hot_restart.role.current(), ProcessRole::Superseded);
 }
 
-/// The new process's side: what it says first, and what it makes of the answer.
+/// The new process's side: what it sends first, and what it makes of the answer.
 #[tokio::test]
-async fn an_estate_in_its_frame_is_taken_and_any_other_refused_in_one_line() {
-    let length = ESTATE.len();
-    let other = "the other process speaks another version";
+async fn framed_state_is_received_and_any_other_refused_with_its_reason() {
+    let length = STATE.len();
+    let other_version = "the other process speaks another version";
+    let cut =
+        "the transferred state is not of this form: Hit the end of buffer, expected more data";
     let cases = [
-        (framed(b"AWE1", length, ESTATE), ""),
-        (framed(b"AWE0", length, ESTATE), other),
-        (framed(b"AWE2", length, ESTATE), other),
-        (framed(b"AWE1", (64 << 20) + 1, ESTATE), other),
+        (framed(b"AWE1", length, STATE), ""),
+        (framed(b"AWE0", length, STATE), other_version),
+        (framed(b"AWE2", length, STATE), other_version),
+        (framed(b"AWE1", (64 << 20) + 1, STATE), other_version),
         (
-            framed(b"AWE1", length, ESTATE)[..7].into(),
+            framed(b"AWE1", length, STATE)[..7].into(),
             "the other process hung up",
         ),
-        (framed(b"AWE1", length, &ESTATE[1..]), "early eof"),
-        (
-            framed(b"AWE1", length - 1, ESTATE),
-            "the estate is not of this form: Hit the end of buffer, expected more data",
-        ),
-        (
-            framed(b"AWE1", 0, b""),
-            "the estate is not of this form: Hit the end of buffer, expected more data",
-        ),
+        (framed(b"AWE1", length, &STATE[1..]), "early eof"),
+        (framed(b"AWE1", length - 1, STATE), cut),
+        (framed(b"AWE1", 0, b""), cut),
     ];
-    for (bytes, why) in cases {
+    for (bytes, reason) in cases {
         let (near, mut far) = UnixStream::pair().unwrap();
-        let speaking = async {
+        let older_process = async {
             let mut hello = [0; 23];
             far.read_exact(&mut hello).await.unwrap();
             assert_eq!(&hello, b"applewall succession 1\n");
             far.write_all(&bytes).await.unwrap();
             drop(far);
         };
-        match tokio::join!(receive(near), speaking).0 {
-            Ok(heritage) => is_whole(
-                &heritage
-                    .into_parts()
-                    .0
-                    .filter(|_| why.is_empty())
-                    .expect("refused"),
-            ),
-            Err(told) => assert_eq!(told, why),
+        match tokio::join!(receive(near), older_process).0 {
+            Ok(received) => {
+                let state = received.into_parts().0;
+                assert_complete(&state.filter(|_| reason.is_empty()).expect("refused"));
+            }
+            Err(error) => assert_eq!(error.to_string(), reason),
         }
     }
 }
 
 #[tokio::test]
-async fn a_process_of_another_version_is_handed_nothing() {
+async fn process_of_another_version_is_sent_nothing() {
     for hello in [
         "applewall succession 2\n",
         "applewall succession 0\n",
@@ -280,13 +297,13 @@
         "READY\n",
     ] {
         let (near, mut far) = UnixStream::pair().unwrap();
-        let (succession, mut orders, _held) = succession();
+        let (hot_restart, mut receivers) = hot_restart();
         far.write_all(hello.as_bytes()).await.unwrap();
         far.shutdown().await.unwrap();
-        let told = succession.hand_over(near).await.unwrap_err();
+        let error = hot_restart.hand_over(near).await.unwrap_err();
         let short = hello.len() < 23;
         assert_eq!(
-            told,
+            error.to_string(),
             if short {
                 "early eof"
             } else {
@@ -294,23 +311,24 @@
             },
             "{hello:?}"
         );
-        assert!(orders.try_recv().is_err() && *succession.role.borrow() == ProcessRole::Active);
+        assert!(receivers.control.try_recv().is_err());
+        assert_eq!(hot_restart.role.current(), ProcessRole::Active);
     }
 }
 
 #[tokio::test]
-async fn one_that_finds_another_version_starts_with_nothing() {
-    let place = succession().0.shared_directory;
-    let listener = UnixListener::bind(place.hot_restart_socket()).unwrap();
+async fn process_that_finds_another_version_starts_with_nothing() {
+    let directory = hot_restart().0.shared_directory;
+    let listener = UnixListener::bind(directory.hot_restart_socket()).unwrap();
     let answer = async {
         let (mut stream, _) = listener.accept().await.unwrap();
         stream
-            .write_all(&framed(b"AWE0", ESTATE.len(), ESTATE))
+            .write_all(&framed(b"AWE0", STATE.len(), STATE))
             .await
             .unwrap();
         let _ = stream.read_to_end(&mut Vec::new()).await;
     };
-    let (joined, ()) = tokio::join!(take_over(&place), answer);
-    std::fs::remove_file(place.hot_restart_socket()).unwrap();
-    assert!(joined.is_none());
+    let (received, ()) = tokio::join!(take_over(&directory), answer);
+    std::fs::remove_file(directory.hot_restart_socket()).unwrap();
+    assert!(received.is_none());
 }
--- a/src/lifecycle/process_role.rs
+++ b/src/lifecycle/process_role.rs
@@ -1,5 +1,8 @@
-//! What the rest of the program has to know of another process of this ingress: who is in charge, what one hands the
-//! other, and how a call gets there. Knows neither of the two that use it.
+//! What the rest of the program knows of another process of the same node.
+//!
+//! Owner: hot restart, through [`RoleOwner`]. Output: [`ProcessRole`] and [`ShutdownTimes`] for readers, and
+//! [`relay_command`], which carries an admin command to the other process. Invariants: the role changes by the transitions
+//! of [`RoleOwner`] alone; the fields of [`TransferredState`] keep their order and types, since another version reads them.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
@@ -11,29 +14,80 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-/// The other process has so long to carry out a call; then the caller's answer does not wait for it any more.
-const CALL: Duration = Duration::from_millis(400);
+/// Bounds the wait for the other process to carry out an admin command. It is half of what the caller's own answer may take
+/// (`admin::handle`), so that a process which hangs does not make the answer late.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Who this process is to the other one, if there is another.
+/// What this process is to the other one of its node, if there is another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ProcessRole {
-    /// All is this process's.
+    /// This process owns the state, the clients and the datagrams.
     Active,
-    /// The estate is handed out, and not taken over yet: clients are still this process's.
+    /// The state is exported and not taken over yet: clients are still this process's, datagrams are the other one's.
     TransferPending,
-    /// The other one has taken over: this one answers what it has.
+    /// The other process has taken over: this one answers what it has.
     Superseded,
 }
 
-/// What the rest of the program has to know of a process that takes over from this one.
+/// The only writer of the role. Its transitions are `Active -> TransferPending -> Superseded`, and back to `Active` from
+/// either where the other process failed.
+pub(crate) struct RoleOwner {
+    role: watch::Sender<ProcessRole>,
+}
+
+impl RoleOwner {
+    /// A process that is active, and what readers follow it by.
+    pub(crate) fn new() -> (Self, watch::Receiver<ProcessRole>) {
+        let (role, readers) = watch::channel(ProcessRole::Active);
+        (RoleOwner { role }, readers)
+    }
+
+    /// The state is about to be exported.
+    pub(super) fn begin_transfer(&self) {
+        self.advance(ProcessRole::Active, ProcessRole::TransferPending);
+    }
+
+    /// The other process has taken over.
+    pub(super) fn complete_transfer(&self) {
+        self.advance(ProcessRole::TransferPending, ProcessRole::Superseded);
+    }
+
+    fn advance(&self, from: ProcessRole, to: ProcessRole) {
+        debug_assert_eq!(*self.role.borrow(), from);
+        self.role.send_replace(to);
+    }
+
+    /// The other process failed. True where this one was not active before, so that something has to be taken back.
+    pub(super) fn resume(&self) -> bool {
+        self.role.send_if_modified(|role| {
+            let changed = *role != ProcessRole::Active;
+            *role = ProcessRole::Active;
+            changed
+        })
+    }
+
+    /// Keeps the role readable for as long as there are readers: without an owner they would end.
+    pub(crate) async fn closed(&self) {
+        self.role.closed().await;
+    }
+
+    /// The role at this moment.
+    #[cfg(test)]
+    pub(super) fn current(&self) -> ProcessRole {
+        *self.role.borrow()
+    }
+}
+
+/// What request and connection handling read of the process's lifecycle.
 #[derive(Clone)]
 pub(crate) struct ProcessStatus {
+    /// The role of this process.
     pub role: watch::Receiver<ProcessRole>,
-    /// Set once this process was told to stop.
+    /// Set once, when the shutdown begins.
     pub shutdown_times: Arc<OnceLock<ShutdownTimes>>,
 }
 
-/// The times of a stop, which are fixed the moment it is told.
+/// The instants of a shutdown, fixed when it begins.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ShutdownTimes {
     /// Requests that arrive from here on count as late.
@@ -51,43 +105,39 @@
     }
 }
 
-/// What one process hands another.
+/// What one process transfers to another, in this order (postcard).
 #[derive(Serialize, Deserialize)]
 pub(crate) struct TransferredState {
-    /// The module's clock.
+    /// The decision policy's clock.
     pub now_ns: u64,
+    /// Endpoints in maintenance.
     pub maintenance: Ledger,
     /// Draining or drained.
     pub draining: bool,
-    /// The list, as discovery has it.
+    /// The endpoint list as discovery has it.
     pub endpoints: Vec<(Endpoint, SocketAddr)>,
-    /// What the module keeps.
+    /// The decision policy's snapshot.
     pub policy_state: Vec<u8>,
 }
 
-/// A call for the other process, and where its answer goes.
+/// An admin command for the other process.
 pub(crate) struct RelayedCommand {
+    /// The command's line, without its end.
     pub command: String,
+    /// Completed once the other process has carried it out.
     pub done: oneshot::Sender<()>,
 }
 
-/// The way to the other process, while there is one.
+/// The connection to the other process, while there is one.
 pub(crate) type OtherProcess = watch::Receiver<Option<mpsc::Sender<RelayedCommand>>>;
 
 /// Lets the other process, if there is one, carry out what this one has; returns once it has, or is gone.
-pub(crate) async fn relay(other: &OtherProcess, call: String) {
+pub(crate) async fn relay_command(other: &OtherProcess, command: String) {
     let Some(link) = other.borrow().clone() else {
         return;
     };
-    let (reply, answer) = oneshot::channel();
-    if link
-        .send(RelayedCommand {
-            command: call,
-            done: reply,
-        })
-        .await
-        .is_ok()
-    {
-        let _ = timeout(CALL, answer).await;
+    let (done, answered) = oneshot::channel();
+    if link.send(RelayedCommand { command, done }).await.is_ok() {
+        let _ = timeout(RELAY_TIMEOUT, answered).await;
     }
 }
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -1,59 +1,23 @@
-//! What a process inherits from the platform: the clients' listening socket, and the folder that it shares with the
-//! process before it and after it.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The files that the processes of one node share: the hot restart socket and the maintenance set.
+//!
+//! Owner: hot restart and the admin handle, each with a clone. Input: the node's name. Output: paths, and the maintenance
+//! set as read or written. Invariant: a file is replaced whole by a rename, so that a reader never sees half of one.
 
 use std::env;
-use std::io::Write as _;
-use std::net::SocketAddr;
-use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
+use std::io::{self, Write as _};
 use std::path::PathBuf;
 
 use applewall_admin::{state, Ledger};
-use socket2::SockRef;
-use tokio::net::TcpListener;
-
-/// Names the descriptor of the listening socket.
-const VARIABLE: &str = "GW_FD";
-
-/// The descriptor that GW_FD names, where it does.
-pub(crate) fn inherited_descriptor() -> Result<Option<OwnedFd>, String> {
-    let Some(text) = env::var_os(VARIABLE) else {
-        return Ok(None);
-    };
-    let text = text.to_string_lossy();
-    let number: Option<RawFd> = text.parse().ok().filter(|n| *n > 2);
-    let number = number
-        .ok_or_else(|| format!("{VARIABLE}: '{text}' is no number of an inherited descriptor"))?;
-    // SAFETY: only looked at, by calls that fail for a number that is no open descriptor.
-    let looked = unsafe { BorrowedFd::borrow_raw(number) };
-    match SockRef::from(&looked).is_listener() {
-        // SAFETY: it is open, as was just seen, and nothing else in this program has it: it came with the start.
-        Ok(true) => Ok(Some(unsafe { OwnedFd::from_raw_fd(number) })),
-        Ok(false) => Err(format!("{VARIABLE}: descriptor {number} does not listen")),
-        Err(e) => Err(format!(
-            "{VARIABLE}: descriptor {number} is no listening socket: {e}"
-        )),
-    }
-}
 
-/// The listener on an inherited descriptor; its address is put right.
-pub(crate) fn inherited_listener(
-    socket: OwnedFd,
-    address: &mut SocketAddr,
-) -> Result<TcpListener, String> {
-    let listener = std::net::TcpListener::from(socket);
-    let made = listener.set_nonblocking(true).and_then(|()| {
-        *address = listener.local_addr()?;
-        TcpListener::from_std(listener)
-    });
-    made.map_err(|e| format!("{VARIABLE}: {e}"))
+/// The maintenance set could not be written.
+#[derive(Debug, thiserror::Error)]
+#[error("{}: {source}", .path.display())]
+pub(crate) struct StateFileError {
+    path: PathBuf,
+    source: io::Error,
 }
 
-/// The files that processes of one ingress share.
+/// The files that processes of one node share.
 #[derive(Clone)]
 pub(crate) struct SharedDirectory {
     folder: PathBuf,
@@ -61,12 +25,18 @@
 }
 
 impl SharedDirectory {
-    /// In `$TMPDIR`, named after the ingress.
+    /// In `$TMPDIR`, named after the node.
     pub(crate) fn new(name: &str) -> Self {
-        // The name is the platform's; as part of a file's name it may say nothing of folders.
+        // The name is the platform's; as part of a file's name it may hold no separator of folders.
         let name = name
             .chars()
-            .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
+            .map(|char| {
+                if char.is_ascii_alphanumeric() {
+                    char
+                } else {
+                    '_'
+                }
+            })
             .collect();
         SharedDirectory {
             folder: env::temp_dir(),
@@ -74,12 +44,12 @@
         }
     }
 
-    /// Where the process that serves listens for its successor.
+    /// Where the active process listens for the one that takes over.
     pub(crate) fn hot_restart_socket(&self) -> PathBuf {
         self.folder.join(format!("applewall-{}.sock", self.name))
     }
 
-    /// A name beside it that is this process's own.
+    /// A path beside it that is this process's own, to be renamed into its place.
     pub(crate) fn new_hot_restart_socket(&self) -> PathBuf {
         self.folder.join(format!(
             "applewall-{}.{}.sock",
@@ -88,41 +58,41 @@
         ))
     }
 
-    fn state(&self) -> PathBuf {
+    fn state_file(&self) -> PathBuf {
         self.folder.join(format!("applewall-{}.state", self.name))
     }
 
-    /// The ledger as an earlier process left it; empty where there is none. What is no ledger is told, and passed over.
+    /// The maintenance set as an earlier process left it; empty where there is none. A file that can't be used is logged
+    /// and passed over.
     pub(crate) fn read_maintenance_set(&self) -> Ledger {
-        let path = self.state();
+        let path = self.state_file();
         let read = match std::fs::read_to_string(&path) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ledger::default(),
-            Err(e) => Err(e.to_string()),
-            Ok(text) => state::read(&text),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ledger::default(),
+            Err(error) => Err(error.to_string()),
+            Ok(text) => state::read(&text).map_err(|error| error.to_string()),
         };
-        read.unwrap_or_else(|why| {
+        read.unwrap_or_else(|reason| {
             tracing::warn!(
-                "state: {}: {why}; passed over, nothing is withheld",
+                "state: {}: {reason}; passed over, nothing is in maintenance",
                 path.display()
             );
             Ledger::default()
         })
     }
 
-    /// Writes the ledger: whole beside the old one, then in its place.
-    pub(crate) fn write_maintenance_set(&self, ledger: &Ledger) -> Result<(), String> {
-        let (path, new) = (
-            self.state(),
-            self.folder
-                .join(format!("applewall-{}.{}", self.name, std::process::id())),
-        );
-        let written = std::fs::File::create(&new)
-            .and_then(|mut file| file.write_all(state::write(ledger).as_bytes()))
-            .and_then(|()| std::fs::rename(&new, &path));
-        written.map_err(|e| {
-            // Half a file must not stay: where there is no room, it takes some.
-            let _ = std::fs::remove_file(&new);
-            format!("{}: {e}", path.display())
+    /// Writes the maintenance set: whole beside the old one, then in its place.
+    pub(crate) fn write_maintenance_set(&self, maintenance: &Ledger) -> Result<(), StateFileError> {
+        let path = self.state_file();
+        let next = self
+            .folder
+            .join(format!("applewall-{}.{}", self.name, std::process::id()));
+        let written = std::fs::File::create(&next)
+            .and_then(|mut file| file.write_all(state::write(maintenance).as_bytes()))
+            .and_then(|()| std::fs::rename(&next, &path));
+        written.map_err(|source| {
+            // Half a file must not stay: where the disk is full, it takes space.
+            let _ = std::fs::remove_file(&next);
+            StateFileError { path, source }
         })
     }
 }
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -1,54 +1,87 @@
-//! Signals and the operators' drain: the one who leads through the stages (`applewall_admin::Stages`). SIGTERM: keep
-//! taking for a moment, say `Connection: close`, answer all taken, end. SIGHUP: read the configuration again.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Signals and drain requests: drives the phases of drain and shutdown.
+//!
+//! Owner: the task that [`LifecycleDriver::run`] becomes; it alone holds the state machine (`applewall_admin::Stages`).
+//! Input: SIGTERM, SIGINT, SIGHUP, drain requests of the admin address, the role of this process, time. Output: the phase
+//! in a watch channel, and the instants of the shutdown. Invariants: the instants are set before the phase that begins the
+//! shutdown is seen; a drain request is answered once its phase is in force. SIGTERM: accept for a moment, send
+//! `Connection: close`, answer all that was accepted, exit. SIGHUP: read the configuration again.
 
 use std::future::pending;
+use std::io;
 
 use applewall_admin::{Answer, Leave, Stage, Stages, Termination};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
-use crate::admin::listener::DrainRequest;
+use crate::admin::handle::DrainRequest;
 use crate::config::platform::ConfigReloader;
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 
+/// The signals could not be taken.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot handle signals: {0}")]
+pub(crate) struct SignalError(#[source] io::Error);
+
 /// The signals that have a meaning here.
 pub(crate) struct Signals {
-    term: Signal,
-    int: Signal,
-    hup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+/// One signal that came.
+enum SignalReceived {
+    Stop,
+    Reload,
 }
 
 impl Signals {
     /// From here on the signals no longer kill.
-    pub(crate) fn new() -> Result<Self, String> {
-        let handler = |kind| signal(kind).map_err(|e| format!("cannot handle signals: {e}"));
+    pub(crate) fn new() -> Result<Self, SignalError> {
+        let handler = |kind| signal(kind).map_err(SignalError);
         Ok(Signals {
-            term: handler(SignalKind::terminate())?,
-            int: handler(SignalKind::interrupt())?,
-            hup: handler(SignalKind::hangup())?,
+            terminate: handler(SignalKind::terminate())?,
+            interrupt: handler(SignalKind::interrupt())?,
+            hangup: handler(SignalKind::hangup())?,
         })
     }
 
-    /// Reloads at each SIGHUP, and leads through the stages for as long as the program runs.
-    pub(crate) async fn run(
-        mut self,
-        stage: watch::Sender<Stage>,
-        mut drains: mpsc::Receiver<DrainRequest>,
-        (successor, termination): (ProcessStatus, Termination),
-        drained: bool,
-        mut source: ConfigReloader,
-    ) {
-        let (mut stages, origin) = (Stages::new(termination), Instant::now());
-        if drained {
+    async fn next(&mut self) -> SignalReceived {
+        tokio::select! {
+            _ = self.terminate.recv() => SignalReceived::Stop,
+            _ = self.interrupt.recv() => SignalReceived::Stop,
+            _ = self.hangup.recv() => SignalReceived::Reload,
+        }
+    }
+}
+
+/// What drives the phases, and what they are told to.
+pub(crate) struct LifecycleDriver {
+    /// Signals of the process.
+    pub signals: Signals,
+    /// The phase, for all who follow it.
+    pub phase: watch::Sender<Stage>,
+    /// Drain requests of the admin address.
+    pub drain_requests: mpsc::Receiver<DrainRequest>,
+    /// The role, and the cell for the instants of the shutdown.
+    pub status: ProcessStatus,
+    /// How long each phase of the shutdown may take.
+    pub termination: Termination,
+    /// The process before was draining or drained.
+    pub draining: bool,
+    /// Reads the configuration again at SIGHUP.
+    pub reloader: ConfigReloader,
+}
+
+impl LifecycleDriver {
+    /// Reloads at each SIGHUP, and drives the phases for as long as the program runs.
+    pub(crate) async fn run(mut self) {
+        let (mut stages, origin) = (Stages::new(self.termination), Instant::now());
+        if self.draining {
             // As the process before was.
             let _ = stages.drain(origin.elapsed());
-            tell(&stage, &stages);
+            self.publish(&stages);
         }
         loop {
             let due = stages.due();
@@ -58,41 +91,62 @@
                     None => pending().await,
                 }
             };
-            let mut stop = false;
             tokio::select! {
-                _ = self.term.recv() => stop = true,
-                _ = self.int.recv() => stop = true,
-                _ = self.hup.recv() => source.reload(),
-                Some(DrainRequest { drain: on, reply }) = drains.recv() => {
-                    let now = origin.elapsed();
-                    let done = if on { stages.drain(now) } else { stages.undrain() };
-                    let word = stages.stage().word();
-                    // Once it is in force: an answer that overtook it would be a promise only.
-                    tell(&stage, &stages);
-                    let _ = reply.send(match done {
-                        Ok(()) => Answer::Done(word.to_string()),
-                        Err(why) => Answer::Error(why.to_string()),
-                    });
-                }
+                signal = self.signals.next() => match signal {
+                    SignalReceived::Stop => self.stop(&mut stages, origin),
+                    SignalReceived::Reload => self.reloader.reload(),
+                },
+                Some(request) = self.drain_requests.recv() => self.drain(&mut stages, origin, request),
                 () = next => { stages.step(origin.elapsed()); }
             }
-            if stop && !stages.stage().stops() {
-                tracing::info!("told to stop; answering what was taken");
-                let succeeded = *successor.role.borrow() == ProcessRole::Superseded;
-                let how = if succeeded {
-                    Leave::Succeeded
-                } else {
-                    Leave::Alone
-                };
-                // Before the stage is told: whoever sees it finds the times.
-                let _ = successor
-                    .shutdown_times
-                    .set(shutdown_times(termination, how));
-                stages.stop(origin.elapsed(), how);
-            }
-            tell(&stage, &stages);
+            self.publish(&stages);
         }
     }
+
+    fn drain(&self, stages: &mut Stages, origin: Instant, request: DrainRequest) {
+        let changed = if request.drain {
+            stages.drain(origin.elapsed())
+        } else {
+            stages.undrain()
+        };
+        let phase = stages.stage().word();
+        // Once it is in force: an answer that overtook it would be a promise only.
+        self.publish(stages);
+        let _ = request.reply.send(match changed {
+            Ok(()) => Answer::Done(phase.to_string()),
+            Err(reason) => Answer::Error(reason.to_string()),
+        });
+    }
+
+    fn stop(&self, stages: &mut Stages, origin: Instant) {
+        if stages.stage().stops() {
+            return;
+        }
+        tracing::info!("shutting down; answering what was accepted");
+        let superseded = *self.status.role.borrow() == ProcessRole::Superseded;
+        let how = if superseded {
+            Leave::Succeeded
+        } else {
+            Leave::Alone
+        };
+        // Before the phase is published: whoever sees it finds the instants.
+        let times = shutdown_times(self.termination, how);
+        let _ = self.status.shutdown_times.set(times);
+        stages.stop(origin.elapsed(), how);
+    }
+
+    /// Puts the present phase in force where it is new.
+    fn publish(&self, stages: &Stages) {
+        let now = stages.stage();
+        self.phase.send_if_modified(|before| {
+            let changed = *before != now;
+            if changed && !now.stops() {
+                tracing::info!("operator: {}", now.word());
+            }
+            *before = now;
+            changed
+        });
+    }
 }
 
 /// The instants of a shutdown that begins now.
@@ -104,16 +158,3 @@
         exit_at: now + termination.ends(how),
     }
 }
-
-/// Puts the present stage in force where it is new.
-fn tell(stage: &watch::Sender<Stage>, stages: &Stages) {
-    let now = stages.stage();
-    stage.send_if_modified(|before| {
-        let changed = *before != now;
-        if changed && !now.stops() {
-            tracing::info!("operator: {}", now.word());
-        }
-        *before = now;
-        changed
-    });
-}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -20,11 +20,11 @@
 
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::admin::listener as admin_listener;
+use crate::admin::{handle as admin_handle, listener as admin_listener};
 use crate::config::operator::OperatorConfig;
 use crate::config::platform;
 use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
-use crate::lifecycle::{hot_restart, process_role, shared_directory, shutdown};
+use crate::lifecycle::{hot_restart, inherited_socket, process_role, shared_directory, shutdown};
 use crate::limits::QUEUE;
 use crate::server::{acceptor, slow_peers};
 use crate::{clock, engine, peer_socket, resource_budget};
@@ -49,8 +49,8 @@
     file: Option<String>,
 ) -> Result<(), String> {
     // First of all: a SIGTERM that comes early must not kill.
-    let signals = shutdown::Signals::new()?;
-    let inherited = shared_directory::inherited_descriptor()?;
+    let signals = shutdown::Signals::new().map_err(|e| e.to_string())?;
+    let inherited = inherited_socket::descriptor().map_err(|e| e.to_string())?;
     let place = inherited
         .is_some()
         .then(|| shared_directory::SharedDirectory::new(&config.name));
@@ -60,12 +60,12 @@
             (config.max_descriptors / 2, config.max_memory_bytes / 2);
     }
     let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
-    let (orders, drains, inboxes) = admin_listener::channels();
+    let (orders, drains, inboxes) = admin_handle::channels();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
     let (listed, is_listed) = watch::channel(false);
     let (other, others) = watch::channel(None);
-    let desk = admin_listener::AdminHandle {
+    let desk = admin_handle::AdminHandle {
         control: orders.clone(),
         drain_requests: drains,
         phase: stages.clone(),
@@ -80,7 +80,8 @@
         .admin_listen
         .as_mut()
         .map(admin_listener::bind)
-        .transpose()?
+        .transpose()
+        .map_err(|e| e.to_string())?
     {
         tokio::spawn(admin_listener::serve(listener, desk.clone()));
     }
@@ -107,7 +108,9 @@
         .await?
         .map(Arc::new);
     let listener = match inherited {
-        Some(socket) => shared_directory::inherited_listener(socket, &mut config.listen)?,
+        Some(socket) => {
+            inherited_socket::listener(socket, &mut config.listen).map_err(|e| e.to_string())?
+        }
         None => acceptor::bind(&mut config.listen)?,
     };
     let known = &config.known_endpoints;
@@ -144,7 +147,7 @@
     );
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.control));
-    let (role, roles) = watch::channel(process_role::ProcessRole::Active);
+    let (role, roles) = process_role::RoleOwner::new();
     if let Some(peers) = &peers {
         tokio::spawn(
             peers
@@ -178,13 +181,18 @@
         .max()
         .unwrap_or(0);
     let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
-    tokio::spawn(signals.run(
-        stage,
-        inboxes.drain_requests,
-        (successor.clone(), termination),
-        drained,
-        source,
-    ));
+    tokio::spawn(
+        shutdown::LifecycleDriver {
+            signals,
+            phase: stage,
+            drain_requests: inboxes.drain_requests,
+            status: successor.clone(),
+            termination,
+            draining: drained,
+            reloader: source,
+        }
+        .run(),
+    );
     let door = acceptor::Door::new(
         &config,
         clock,
@@ -210,7 +218,7 @@
             let _ = all_taken.await;
             ready.send_replace(true);
             if took_over {
-                tracing::info!("succession: taken over from the process before; ready");
+                tracing::info!("hot restart: taken over from the process before; ready");
             }
         }
         // Nobody else comes: the role stays what it is for as long as the program runs.
