Configuration and endpoint list: typed errors, reload apart, golden tests by subject

ConfigError and PlatformFileError take the place of strings and keep their sources; their texts stay. Reading the files again at SIGHUP is a module of its own, beside the platform's file and the operator's. What an endpoint list leaves out is collected first and logged by one type that knows what was logged before. Constants have names and say what they bound.

Tests renamed; the long ones are split by subject, with every assertion kept: the_platforms_file_says_what_it_said -> platform_file_names_are_read_as_recorded, platform_file_known_endpoints_are_read_as_recorded, platform_file_settings_are_read_as_recorded, platform_file_limits_and_permissions_are_read_as_recorded, platform_file_classes_are_read_as_recorded, platform_file_plans_are_read_as_recorded the_platforms_file_is_refused_in_the_same_words -> platform_file_is_refused_in_the_recorded_words the_least_file_of_the_platform_has_the_same_defaults -> least_platform_file_has_the_recorded_defaults, least_platform_settings_have_the_recorded_defaults the_operators_file_says_what_it_said -> operator_file_is_read_as_recorded (config::operator::golden) the_operators_file_is_refused_in_the_same_words -> operator_file_is_refused_in_the_recorded_words (config::operator::golden)

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,9 +1,9 @@
 //! The operator's own file, as this program takes it: a section for each subsystem, all off by default.
+//!
+//! Owner: `main`, and the reloader. Input: the file. Output: an [`OperatorConfig`]. Invariant: its published schema is made
+//! from the same types.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+use std::error::Error;
 
 use applewall_consul as consul;
 use applewall_etcd as etcd;
@@ -15,6 +15,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use crate::config::ConfigError;
 use crate::logging;
 
 /// All sections.
@@ -58,12 +59,16 @@
     /// # Errors
     ///
     /// One line with file, section and key.
-    pub(crate) fn read(path: Option<&str>) -> Result<Self, String> {
+    pub(crate) fn read(path: Option<&str>) -> Result<Self, ConfigError> {
         let Some(path) = path else {
             return Ok(OperatorConfig::default());
         };
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-        ini::read(&text).map_err(|e| format!("{path}: {e}"))
+        let wrong = |source: Box<dyn Error + Send + Sync>| ConfigError::OperatorFile {
+            path: path.to_string(),
+            source,
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| wrong(error.into()))?;
+        ini::read(&text).map_err(|error| wrong(error.into()))
     }
 
     /// The published schema of the file.
@@ -71,9 +76,9 @@
         ini::schema::<OperatorConfig>()
     }
 
-    /// What is on, in a few words for `check`.
+    /// The subsystems that are on, by their sections' names, for `check`.
     pub(crate) fn summary(&self) -> String {
-        let on = [
+        let sections = [
             ("pace", self.pace.enabled.0),
             ("bulkheads", self.bulkheads.enabled.0),
             ("registry", self.registry.enabled.0),
@@ -81,15 +86,18 @@
             ("cold_start", self.cold_start.enabled.0),
             ("zones", self.zones.enabled.0),
         ];
-        let on: Vec<&str> = on
+        let enabled: Vec<&str> = sections
             .iter()
-            .filter(|(_, on)| *on)
+            .filter(|(_, enabled)| *enabled)
             .map(|(name, _)| *name)
             .collect();
-        if on.is_empty() {
+        if enabled.is_empty() {
             "nothing".to_string()
         } else {
-            on.join(", ")
+            enabled.join(", ")
         }
     }
 }
+
+#[cfg(test)]
+mod golden;
--- /dev/null
+++ b/src/config/operator/golden.rs
@@ -0,0 +1,188 @@
+//! Every key of the operator's file, as it was read and refused (`tests/golden`).
+
+use super::*;
+use std::fmt::Write as _;
+
+const OPERATOR: &str = include_str!("../../../tests/golden/operator.ini");
+
+/// A key of the file, and what it is read as.
+type Key = (&'static str, String);
+
+fn text(value: impl std::fmt::Debug) -> String {
+    format!("{value:?}")
+}
+
+fn networks(networks: &ini::Networks) -> String {
+    text(
+        networks
+            .0
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>(),
+    )
+}
+
+fn pace_keys(section: &pace::Settings) -> Vec<Key> {
+    vec![
+        ("pace.enabled", text(section.enabled.0)),
+        ("pace.tick", text(section.tick.0)),
+        ("pace.window", text(section.window.0)),
+        ("pace.grace", text(section.grace.0)),
+        ("pace.room_grace", text(section.room_grace.0)),
+        ("pace.out_least", text(section.out_least.0)),
+        ("pace.out_least_full", text(section.out_least_full.0)),
+        ("pace.pressure_from", text(section.pressure_from)),
+        ("pace.waiting", text(section.waiting.map(|size| size.0))),
+        ("pace.send_buffer", text(section.send_buffer.0)),
+        ("pace.not_sent", text(section.not_sent.0)),
+        ("pace.upload_time", text(section.upload_time.0)),
+        ("pace.pause", text(section.pause.0)),
+        ("pace.forecast_after", text(section.forecast_after.0)),
+        ("pace.forecast_slack", text(section.forecast_slack)),
+        ("pace.retry_room", text(section.retry_room.0)),
+    ]
+}
+
+fn bulkheads_keys(section: &pace::BulkheadSettings) -> Vec<Key> {
+    vec![
+        ("bulkheads.enabled", text(section.enabled.0)),
+        ("bulkheads.customer_places", text(section.customer_places)),
+        ("bulkheads.customer_waiting", text(section.customer_waiting)),
+        ("bulkheads.peer_places", text(section.peer_places)),
+        ("bulkheads.peer_waiting", text(section.peer_waiting)),
+        ("bulkheads.distrust", text(section.distrust.0)),
+        ("bulkheads.ipv4_prefix", text(section.ipv4_prefix)),
+        ("bulkheads.ipv6_prefix", text(section.ipv6_prefix)),
+        ("bulkheads.exempt", networks(&section.exempt)),
+    ]
+}
+
+fn registry_keys(section: &etcd::Settings) -> Vec<Key> {
+    vec![
+        ("registry.enabled", text(section.enabled.0)),
+        ("registry.endpoints", text(&section.endpoints.0)),
+        ("registry.prefix", text(&section.prefix)),
+        ("registry.token_file", text(&section.token_file)),
+        ("registry.allowed", networks(&section.allowed)),
+        ("registry.probe", text(section.probe.0)),
+        ("registry.patience", text(section.patience.0)),
+        ("registry.backoff", text(section.backoff.0)),
+        ("registry.spread", text(section.spread.0)),
+        ("registry.believed", text(section.believed.0)),
+        ("registry.snapshot", text(&section.snapshot)),
+        ("registry.snapshot_age", text(section.snapshot_age.0)),
+    ]
+}
+
+fn consul_keys(section: &consul::Settings) -> Vec<Key> {
+    vec![
+        ("consul.enabled", text(section.enabled.0)),
+        ("consul.agent", text(section.agent)),
+        ("consul.prefix", text(&section.prefix)),
+        ("consul.token_file", text(&section.token_file)),
+        ("consul.allowed", networks(&section.allowed)),
+        ("consul.wait", text(section.wait.0)),
+        ("consul.patience", text(section.patience.0)),
+        ("consul.backoff", text(section.backoff.0)),
+    ]
+}
+
+fn cold_start_keys(section: &turns::Settings) -> Vec<Key> {
+    vec![
+        ("cold_start.enabled", text(section.enabled.0)),
+        ("cold_start.calls_per_s", text(section.calls_per_s)),
+        ("cold_start.ask_peers", text(section.ask_peers)),
+    ]
+}
+
+fn zones_keys(section: &zones::Settings) -> Vec<Key> {
+    vec![
+        ("zones.enabled", text(section.enabled.0)),
+        ("zones.leave_at", text(section.leave_at)),
+        ("zones.most_out", text(section.most_out)),
+        ("zones.canaries_per_s", text(section.canaries_per_s)),
+        ("zones.return_per_s", text(section.return_per_s)),
+    ]
+}
+
+/// Every key of the operator's file, and what it is read as.
+fn keys(config: &OperatorConfig) -> Vec<Key> {
+    let json = config.log.format == crate::logging::Form::Json;
+    [
+        vec![("log.format", text(json))],
+        pace_keys(&config.pace),
+        bulkheads_keys(&config.bulkheads),
+        registry_keys(&config.registry),
+        consul_keys(&config.consul),
+        cold_start_keys(&config.cold_start),
+        zones_keys(&config.zones),
+    ]
+    .concat()
+}
+
+/// Each key as it is without a file, in the two that are shipped, and in the one that sets them all.
+#[test]
+fn operator_file_is_read_as_recorded() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/");
+    let files = [
+        "deploy/applewall.ini",
+        "deploy/applewall.recommended.ini",
+        "tests/golden/operator.ini",
+    ];
+    let read =
+        files.map(|file| keys(&OperatorConfig::read(Some(&format!("{folder}{file}"))).unwrap()));
+    let mut now = String::new();
+    for (i, (key, value)) in keys(&OperatorConfig::read(None).unwrap())
+        .into_iter()
+        .enumerate()
+    {
+        let [off, recommended, full] = read.each_ref().map(|keys| &keys[i].1);
+        assert_ne!(
+            &value, full,
+            "{key} has its default in the file that is to set it"
+        );
+        writeln!(now, "{key}: {value} | {off} | {recommended} | {full}").unwrap();
+    }
+    crate::config::golden::compare(
+        &now,
+        include_str!("../../../tests/golden/operator_read.txt"),
+    );
+}
+
+/// Each key with values of all kinds: what is said then, or that it will do. And what is wrong with the file itself.
+#[test]
+fn operator_file_is_refused_in_the_recorded_words() {
+    let (mut now, mut section) = (String::new(), "");
+    let mut said = |text: &str| {
+        let read = ini::read::<OperatorConfig>(text)
+            .map_or_else(|error| error.to_string(), |_| "will do".to_string());
+        writeln!(now, "{} => {read}", text.replace('\n', " ")).unwrap();
+    };
+    let torn = [
+        "x = 1",
+        "[pace\nenabled = on",
+        "[pace]\nenabled",
+        "[nosuch]",
+        "[nosuch]\nx = 1",
+        "[log]\n[log]",
+        "[Pace]",
+        "[pace]\ntick = 20ms\ntick = 20ms",
+    ];
+    torn.into_iter().for_each(&mut said);
+    for line in OPERATOR.lines() {
+        if line.starts_with('[') {
+            section = line;
+            said(&format!("{section}\nnosuch = 1"));
+        }
+        let Some((key, _)) = line.split_once(" = ") else {
+            continue;
+        };
+        for value in ["?", "0", "-1", "1e9", "25h", "1GiB", "10.0.0.1"] {
+            said(&format!("{section}\n{key} = {value}"));
+        }
+    }
+    crate::config::golden::compare(
+        &now,
+        include_str!("../../../tests/golden/operator_refused.txt"),
+    );
+}
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -1,13 +1,7 @@
-//! The form of discovery's list, in its answers and in the configuration's `known`.
-
-#![expect(
-    clippy::excessive_nesting,
-    reason = "deep nesting is flattened as the module is reworked"
-)]
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The form of discovery's endpoint list, in its answers and in the configuration's `known`.
+//!
+//! Owner: whoever reads a list. Input: JSON. Output: entries in the decision policy's terms. Invariant: a malformed entry
+//! is left out, and takes none of the others with it.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -20,16 +14,24 @@
 use crate::clock::Clock;
 use crate::engine::message::EndpointEntry;
 
-/// Malformed entries of an answer that are told of one by one, and of which it is kept that they were.
-const TOLD: usize = 3;
-const KEPT: usize = 1024;
+/// Bounds the log lines of one list: malformed entries that are logged one by one; of the others their number is.
+const MAX_LOGGED_ENTRIES: usize = 3;
+/// Bounds the memory for entries that were logged, against a discovery that sends ever new ones.
+const MAX_REPORTED_ENTRIES: usize = 1024;
+/// Bounds the part of a log line that discovery chooses: characters of an id.
+const MAX_LOGGED_ID_CHARS: usize = 40;
+/// The cell of an endpoint that names none.
+const NO_CELL: i64 = -1;
 
 /// One answer of discovery, also the form of `known` in the configuration.
 #[derive(Clone, Debug, Default, Deserialize)]
+// The text of an error that operators of earlier versions know.
 #[serde(expecting = "struct Answer")]
 pub(crate) struct EndpointList {
+    /// Counts the changes of the list.
     #[serde(rename = "rev")]
     pub revision: u64,
+    /// The whole list, and not changes to it.
     #[serde(default, rename = "all")]
     pub complete: bool,
     /// Read one by one: a malformed entry must not take the others with it.
@@ -54,80 +56,128 @@
     boot_ms: u64,
 }
 
+/// Why an entry is left out.
+#[derive(Debug, thiserror::Error)]
+enum EntryError {
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    #[error("unknown state '{0}'")]
+    UnknownState(String),
+}
+
+/// Malformed entries that were logged, so that each is once for as long as it stays as it is.
+#[derive(Default)]
+pub(crate) struct ReportedEntries {
+    entries: HashSet<String>,
+}
+
+impl ReportedEntries {
+    /// Logs what is new among the entries that a list leaves out.
+    fn report(&mut self, list: &EndpointList, left_out: Vec<LeftOut>) {
+        let mut new = 0;
+        for entry in &left_out {
+            if self.entries.contains(&entry.key()) {
+                continue;
+            }
+            new += 1;
+            if new <= MAX_LOGGED_ENTRIES {
+                tracing::warn!(
+                    "endpoint list: revision {}: targets[{}] ({}) left out: {}",
+                    list.revision,
+                    entry.index,
+                    entry.id,
+                    entry.reason
+                );
+            }
+        }
+        if new > MAX_LOGGED_ENTRIES {
+            tracing::warn!(
+                "endpoint list: revision {}: {} more entries left out",
+                list.revision,
+                new - MAX_LOGGED_ENTRIES
+            );
+        }
+        let reported: HashSet<String> = left_out.iter().map(LeftOut::key).collect();
+        if list.complete {
+            self.entries = reported;
+        } else if self.entries.len() + reported.len() <= MAX_REPORTED_ENTRIES {
+            // Changes do not name again what an earlier list left out.
+            self.entries.extend(reported);
+        }
+    }
+}
+
+/// An entry that a list leaves out.
+struct LeftOut {
+    index: usize,
+    id: String,
+    reason: EntryError,
+}
+
+impl LeftOut {
+    fn new(index: usize, value: &Value, reason: EntryError) -> Self {
+        let id = value
+            .get("uid")
+            .and_then(Value::as_str)
+            .unwrap_or("without a uid");
+        // Discovery's text, and so a line of the log, may be of any length.
+        let id = id.escape_debug().take(MAX_LOGGED_ID_CHARS).collect();
+        LeftOut { index, id, reason }
+    }
+
+    fn key(&self) -> String {
+        format!("{}: {}", self.id, self.reason)
+    }
+}
+
 impl EndpointList {
-    /// The entries in the module's terms; what is malformed is left out and said so.
-    pub(crate) fn entries(&self, facts: &PlatformSettings, clock: &Clock) -> Vec<EndpointEntry> {
-        self.entries_with_new_warnings(&mut HashSet::new(), facts, clock)
+    /// The entries in the decision policy's terms; each malformed one is logged.
+    pub(crate) fn entries(&self, settings: &PlatformSettings, clock: &Clock) -> Vec<EndpointEntry> {
+        self.entries_with_new_warnings(&mut ReportedEntries::default(), settings, clock)
     }
 
-    /// The same; what was said of the answers before is not said again for as long as it stays as it was.
+    /// The same; what was logged of the answers before is not logged again for as long as it stays as it was.
     pub(crate) fn entries_with_new_warnings(
         &self,
-        said: &mut HashSet<String>,
-        facts: &PlatformSettings,
+        reported: &mut ReportedEntries,
+        settings: &PlatformSettings,
         clock: &Clock,
     ) -> Vec<EndpointEntry> {
-        let (mut entries, mut wrong) = (Vec::with_capacity(self.targets.len()), HashSet::new());
-        let mut new = 0;
-        for (place, value) in self.targets.iter().enumerate() {
-            match entry(value, facts, clock) {
+        let (mut entries, mut left_out) = (Vec::with_capacity(self.targets.len()), Vec::new());
+        for (index, value) in self.targets.iter().enumerate() {
+            match entry(value, settings, clock) {
                 Ok(entry) => entries.push(entry),
-                Err(reason) => {
-                    let uid = value
-                        .get("uid")
-                        .and_then(Value::as_str)
-                        .unwrap_or("without a uid");
-                    // An agent's text, and so a line of the log, is as long as it likes.
-                    let uid: String = uid.escape_debug().take(40).collect();
-                    if !said.contains(&format!("{uid}: {reason}")) {
-                        new += 1;
-                        if new <= TOLD {
-                            tracing::warn!(
-                                "name table: revision {}: targets[{place}] ({uid}) left out: {reason}",
-                                self.revision
-                            );
-                        }
-                    }
-                    wrong.insert(format!("{uid}: {reason}"));
-                }
+                Err(reason) => left_out.push(LeftOut::new(index, value, reason)),
             }
         }
-        if new > TOLD {
-            tracing::warn!(
-                "name table: revision {}: {} more entries left out",
-                self.revision,
-                new - TOLD
-            );
-        }
-        match self.complete {
-            true => *said = wrong,
-            // Changes say nothing of what they leave out. Bounds what is kept of an agent gone wild.
-            false if said.len() + wrong.len() <= KEPT => said.extend(wrong),
-            false => {}
-        }
+        reported.report(self, left_out);
         entries
     }
 }
 
-fn entry(value: &Value, facts: &PlatformSettings, clock: &Clock) -> Result<EndpointEntry, String> {
-    let target = Target::deserialize(value).map_err(|e| e.to_string())?;
+fn entry(
+    value: &Value,
+    settings: &PlatformSettings,
+    clock: &Clock,
+) -> Result<EndpointEntry, EntryError> {
+    let target = Target::deserialize(value)?;
     let state = match target.state.as_str() {
         "in_service" => EndpointState::Ready,
         "terminating" => EndpointState::Draining,
         "terminated" => EndpointState::Removed,
-        other => return Err(format!("unknown state '{other}'")),
+        other => return Err(EntryError::UnknownState(other.to_string())),
     };
-    let member = Endpoint {
+    let endpoint = Endpoint {
         id: target.uid.into(),
         weight: target.capacity_hint,
         started_at_ns: clock.of_unix(target.boot_ms),
-        zone: facts.zone(&target.az),
-        cell: target.pod_group.unwrap_or(-1),
-        machine_type: facts.kind(&target.model),
+        zone: settings.zone(&target.az),
+        cell: target.pod_group.unwrap_or(NO_CELL),
+        machine_type: settings.kind(&target.model),
         state,
     };
     Ok(EndpointEntry {
-        endpoint: member,
+        endpoint,
         address: target.endpoint,
     })
 }
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -9,7 +9,6 @@
     reason = "long functions are split as the module is reworked"
 )]
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +27,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::clock::Clock;
-use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::endpoint_list::{EndpointList, ReportedEntries};
 use crate::discovery::startup::StartupSchedule;
 use crate::engine::message::Message;
 use crate::upstream::connection::drive;
@@ -223,7 +222,7 @@
 impl Follower {
     /// Follows the name table at one address.
     async fn follow_one(&self, discovery: SocketAddr, rev: &mut Option<u64>, rng: &mut SmallRng) {
-        let (mut lost, mut tries, mut said) = (None, 0, HashSet::new());
+        let (mut lost, mut tries, mut said) = (None, 0, ReportedEntries::default());
         loop {
             let Err(loss) = self
                 .follow_connection(discovery, rev, &mut lost, &mut said)
@@ -246,7 +245,7 @@
             // Once a loss, however many tries it takes to get back.
             if lost.is_none() {
                 lost = Some(Instant::now());
-                tracing::warn!("name table: lost discovery {discovery}: {reason}");
+                tracing::warn!("endpoint list: lost discovery {discovery}: {reason}");
             }
             if let Some(turn) = &self.turn {
                 turn.failed(turned_away, retry_after).await;
@@ -264,7 +263,7 @@
         discovery: SocketAddr,
         rev: &mut Option<u64>,
         lost: &mut Option<Instant>,
-        said: &mut HashSet<String>,
+        said: &mut ReportedEntries,
     ) -> Result<(), Loss> {
         // The fleet's turns have a pace of their own.
         let mut proof = self
@@ -354,7 +353,7 @@
             }
             if lost.take().is_some() {
                 tracing::info!(
-                    "name table: discovery is back, revision {}",
+                    "endpoint list: discovery is back, revision {}",
                     answer.revision
                 );
             }
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::admin::handle::DrainRequest;
-use crate::config::platform::ConfigReloader;
+use crate::config::reload::ConfigReloader;
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 
 /// The signals could not be taken.
--- a/src/main.rs
+++ b/src/main.rs
@@ -78,13 +78,15 @@
 
 fn run() -> Result<(), String> {
     let (call, file) = call()?;
-    let operator = || config::operator::OperatorConfig::read(file.as_deref());
+    let operator = || {
+        config::operator::OperatorConfig::read(file.as_deref()).map_err(|error| error.to_string())
+    };
     match call {
         Call::Serve => {
             let operator = operator()?;
             logging::start(operator.log.format);
             serve::serve(
-                config::platform::PlatformConfig::from_env()?,
+                config::platform::PlatformConfig::from_env().map_err(|error| error.to_string())?,
                 operator,
                 file.clone(),
             )
@@ -93,7 +95,9 @@
             let operator = operator()?;
             println!(
                 "{}",
-                config::platform::PlatformConfig::from_env()?.summary()
+                config::platform::PlatformConfig::from_env()
+                    .map_err(|error| error.to_string())?
+                    .summary()
             );
             if let Some(file) = &file {
                 println!("{file}: {} on", operator.summary());
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -22,7 +22,7 @@
 
 use crate::admin::{handle as admin_handle, listener as admin_listener};
 use crate::config::operator::OperatorConfig;
-use crate::config::platform;
+use crate::config::{platform, reload};
 use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
 use crate::lifecycle::{hot_restart, inherited_socket, process_role, shared_directory, shutdown};
 use crate::limits::QUEUE;
@@ -126,7 +126,8 @@
     if let Some(turn) = &turn {
         tokio::spawn(turn.clone().publish_readiness(listed));
     }
-    let (source, discovery, operator) = platform::ConfigReloader::new(&config, operator, file);
+    let (source, reloaded) = reload::ConfigReloader::new(&config, operator, file);
+    let (discovery, operator) = (reloaded.discovery, reloaded.operator);
     let budget = resource_budget::Budget::new(config.max_descriptors);
     let places = budget.places();
     let table = registry::start(&operator, &config, clock, queue.clone());
