Discovery: the watch reads typed events, startup scheduling and zone failover in the field's words

Its errors are an enum with sources. peer_socket and discovery::startup imported each other: the socket now takes a DatagramHandler, which the schedule implements, so imports run from startup to the socket alone; datagrams come to the same two places in the same order.

Tests renamed: however_large_the_fleet_the_first_call_leaves_time_to_keep_a_drain -> first_call_leaves_time_to_keep_a_drain_however_large_the_fleet a_silent_watch_is_opened_anew_before_what_it_missed_has_to_be_kept -> silent_watch_is_replaced_before_a_missed_drain_has_to_be_kept an_agent_that_is_back_is_asked_while_a_drain_can_be_kept -> agent_that_is_back_is_called_while_a_drain_can_be_kept one_that_is_slow_rather_than_silent_is_heard_in_the_end -> slow_agent_is_given_time_to_answer_in_the_end a_silent_service_is_asked_again_within_two_seconds_however_large_the_fleet -> silent_service_is_called_again_within_two_seconds_however_large_the_fleet a_fleet_that_is_turned_away_asks_no_more_often_the_larger_it_is -> rejected_fleet_calls_no_more_often_the_larger_it_is

--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -1,8 +1,13 @@
-//! The fleet's turns at the list service, where the operators switched them on: the reckoning (`applewall_startup_scheduler`) with the
-//! program's clock, its datagrams, and whether there is a list to decide from.
+//! When this node may call the list service, where the operators enabled a schedule for the fleet's start: the scheduling
+//! core (`applewall_startup_scheduler`) with the program's clock, its datagrams, and whether there is a list to decide from.
+//!
+//! Owner: shared by the watch, which makes the calls, and the peer socket, which brings messages. Input: messages of peers,
+//! how calls ended. Output: the time of the next call, messages for peers, and whether there is an endpoint list. Invariant:
+//! no call begins before its time has come.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use applewall_startup_scheduler::{List, Muster, Turns, Word};
@@ -11,47 +16,54 @@
 use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 use crate::config::platform::PlatformConfig;
-use crate::peer_socket::Peers;
+use crate::peer_socket::{DatagramHandler, Peers};
 
 /// Nanoseconds of a second.
-const SECOND: f64 = 1e9;
-/// Between looks at what peers' words make of the first turn: while they come in, and afterwards.
-const LOOK: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(250));
-/// Between looks at whether a word of the roll is due.
-const SPREAD_LOOK: Duration = Duration::from_millis(30);
-
-/// This ingress's turns.
+const NANOS_PER_SECOND: f64 = 1e9;
+/// Between checks of when the first call may begin, while messages of peers come in: short, as each may move it.
+const LISTENING_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The same afterwards, when little can still move it.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Between checks of whether a message on the start cohort is due.
+const COHORT_POLL_INTERVAL: Duration = Duration::from_millis(30);
+
+/// This node's place in the schedule of the fleet's calls.
 pub(crate) struct StartupSchedule {
     core: Mutex<Turns>,
     clock: Clock,
     peers: Option<Arc<Peers>>,
-    /// True once there is a list that it may believe.
-    listed: watch::Sender<bool>,
-    /// When its present call began, s.
-    called: Mutex<f64>,
-    /// Words that could not be read were told of.
-    told: Mutex<bool>,
+    /// True once there is an endpoint list that may be used.
+    has_endpoints: watch::Sender<bool>,
+    /// When the present call began, s.
+    call_began_at: Mutex<f64>,
+    /// A message that can't be read was logged.
+    unreadable_logged: AtomicBool,
+}
+
+/// Nothing panics while it holds one of the locks here; if it did, the state would still be consistent.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl StartupSchedule {
-    /// None where they are switched off: then calls are made as ever, and any list counts.
+    /// None where it is not enabled: then calls are made at once, and any list counts.
     pub(crate) fn new(
         operator: &OperatorConfig,
         config: &PlatformConfig,
-        rev: Option<u64>,
+        revision: Option<u64>,
         clock: Clock,
         peers: Option<Arc<Peers>>,
     ) -> Option<Arc<Self>> {
-        let set = &operator.cold_start;
-        if !set.enabled.0 {
+        let cold_start = &operator.cold_start;
+        if !cold_start.enabled.0 {
             return None;
         }
-        let settings = &config.settings.policy;
-        let list = rev.map_or(List::None, List::Old);
-        let now = clock.now() as f64 / SECOND;
+        let policy = &config.settings.policy;
+        let list = revision.map_or(List::None, List::Old);
+        let now = clock.now() as f64 / NANOS_PER_SECOND;
         let core = Turns::new(
-            set,
-            (settings.node_count, settings.node),
+            cold_start,
+            (policy.node_count, policy.node),
             list,
             config.seed,
             now,
@@ -61,158 +73,158 @@
             List::None => {
                 tracing::info!("cold start: no list is known; not ready before there is one");
             }
-            List::Old(rev) => {
+            List::Old(revision) => {
                 tracing::info!(
-                    "cold start: ready with the known list, revision {rev}, not yet confirmed"
+                    "cold start: ready with the known list, revision {revision}, not yet confirmed"
                 );
             }
             List::Told(_) => {}
         }
-        let listed = watch::channel(rev.is_some()).0;
+        let has_endpoints = watch::channel(revision.is_some()).0;
         Some(Arc::new(StartupSchedule {
             core: Mutex::new(core),
             clock,
             peers,
-            listed,
-            called: Mutex::new(now),
-            told: Mutex::new(false),
+            has_endpoints,
+            call_began_at: Mutex::new(now),
+            unreadable_logged: AtomicBool::new(false),
         }))
     }
 
-    /// Tells those who say whether this process is ready, once there is a list.
-    pub(crate) async fn publish_readiness(self: Arc<Self>, listed: watch::Sender<bool>) {
-        let mut own = self.listed.subscribe();
+    /// Publishes that there is an endpoint list, once there is, to those who report whether this process is ready.
+    pub(crate) async fn publish_readiness(self: Arc<Self>, published: watch::Sender<bool>) {
+        let mut own = self.has_endpoints.subscribe();
         if own.wait_for(|there| *there).await.is_ok() {
-            listed.send_replace(true);
+            published.send_replace(true);
         }
-        // Held for as long as anybody asks: its receivers see the last word in any case.
-        listed.closed().await;
+        // Kept for as long as anybody asks: its receivers see the last value in any case.
+        published.closed().await;
     }
 
     fn core(&self) -> MutexGuard<'_, Turns> {
-        self.core
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.core)
     }
 
     fn now(&self) -> f64 {
-        self.clock.now() as f64 / SECOND
+        self.clock.now() as f64 / NANOS_PER_SECOND
     }
 
-    /// Its turn has come: a call begins.
-    fn calls(&self) {
-        *self
-            .called
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner) = self.now();
+    /// The time has come: a call begins.
+    fn begin_call(&self) {
+        *lock(&self.call_began_at) = self.now();
     }
 
-    /// Asks peers who else starts, and waits for the first turn.
-    pub(crate) async fn first(self: &Arc<Self>) {
+    /// Asks peers who else starts, and waits for the time of the first call.
+    pub(super) async fn wait_for_first_call(self: &Arc<Self>) {
         if let Some(peers) = &self.peers {
             peers.writable().await;
-            let (word, whom) = self.core().hello(self.now());
-            whom.into_iter()
-                .for_each(|peer| peers.tell(Some(peer), &word.write()));
-            tokio::spawn(self.clone().spread(peers.clone()));
+            let (message, recipients) = self.core().hello(self.now());
+            for peer in recipients {
+                peers.tell(Some(peer), &message.write());
+            }
+            tokio::spawn(self.clone().disseminate_cohort(peers.clone()));
         }
         loop {
-            // Words come in meanwhile and change it.
+            // Messages come in meanwhile and move it.
             let now = self.now();
-            let (at, listens) = {
+            let (at, listening) = {
                 let core = self.core();
                 (core.first(now), core.listens(now))
             };
             if at <= now {
-                return self.calls();
+                return self.begin_call();
             }
-            let look = if listens { LOOK.0 } else { LOOK.1 };
-            tokio::time::sleep(look.min(Duration::from_secs_f64(at - now))).await;
+            let interval = if listening {
+                LISTENING_POLL_INTERVAL
+            } else {
+                POLL_INTERVAL
+            };
+            tokio::time::sleep(interval.min(Duration::from_secs_f64(at - now))).await;
         }
     }
 
-    /// Passes on who starts together with this one, for as long as its start goes on: past its first call too, as others
-    /// know by it whose turn is next.
-    async fn spread(self: Arc<Self>, peers: Arc<Peers>) {
+    /// Passes on who starts together with this node, for as long as the start goes on: past its first call too, as others
+    /// know by it who calls next.
+    async fn disseminate_cohort(self: Arc<Self>, peers: Arc<Peers>) {
         loop {
             let now = self.now();
-            let word = self.core().spread(now);
-            if let Some((to, word)) = word {
-                peers.tell(Some(to), &word.write());
+            let message = self.core().spread(now);
+            if let Some((to, message)) = message {
+                peers.tell(Some(to), &message.write());
             }
             if !self.core().spreads(now) {
-                let (all, without, whole) = self.core().start();
-                let known = if whole { "" } else { ", as far as is known" };
+                let (all, without, complete) = self.core().start();
+                let known = if complete { "" } else { ", as far as is known" };
                 tracing::info!(
                     "cold start: {all} have started together, {without} without a list{known}"
                 );
                 return;
             }
-            tokio::time::sleep(SPREAD_LOOK).await;
+            tokio::time::sleep(COHORT_POLL_INTERVAL).await;
         }
     }
 
-    /// Another list service is named: whoever was told that was told together.
-    pub(crate) async fn moved(self: &Arc<Self>) {
+    /// The configuration names another list service: the whole fleet learns that at once, as at a start.
+    pub(super) async fn service_changed(self: &Arc<Self>) {
         self.core().again(self.now());
-        self.first().await;
+        self.wait_for_first_call().await;
     }
 
-    /// The service answered. Waits for the next turn.
-    pub(crate) async fn answered(&self, rev: u64, news: bool) {
+    /// The service answered; `changed`: with a list, or changes to it. Waits for the time of the next call.
+    pub(super) async fn call_answered(&self, revision: u64, changed: bool) {
         let now = self.now();
-        let at = self.core().answered(now, rev, news);
-        if !self.listed.send_replace(true) {
-            tracing::info!("cold start: ready with the list at revision {rev}");
+        let at = self.core().answered(now, revision, changed);
+        if !self.has_endpoints.send_replace(true) {
+            tracing::info!("cold start: ready with the list at revision {revision}");
         }
-        tokio::time::sleep(Duration::from_secs_f64((at - now).max(0.0))).await;
-        self.calls();
+        self.wait_until(at, now).await;
     }
 
-    /// The service turned the call away, broke off or said nothing. Waits for the next turn.
-    pub(crate) async fn failed(&self, turned_away: bool, retry_after: Option<f64>) {
+    /// The service rejected the call, broke off or sent nothing. Waits for the time of the next call.
+    pub(super) async fn call_failed(&self, rejected: bool, retry_after_seconds: Option<f64>) {
         let now = self.now();
-        let waited = now
-            - *self
-                .called
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
-        let at = self.core().failed(now, waited, turned_away, retry_after);
+        let waited = now - *lock(&self.call_began_at);
+        let at = self
+            .core()
+            .failed(now, waited, rejected, retry_after_seconds);
+        self.wait_until(at, now).await;
+    }
+
+    async fn wait_until(&self, at: f64, now: f64) {
         tokio::time::sleep(Duration::from_secs_f64((at - now).max(0.0))).await;
-        self.calls();
+        self.begin_call();
     }
 
-    /// How long a watch asks to wait.
-    pub(crate) fn watch(&self) -> Duration {
+    /// How long a watch asks the service to wait for changes.
+    pub(super) fn watch_wait(&self) -> Duration {
         Duration::from_secs_f64(self.core().watch())
     }
 
-    /// A datagram of a peer; true where it was a word on turns, and so no message for the module.
-    pub(crate) fn receive(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
+    fn message_received(&self, peers: &Peers, from: u32, message: Word) {
+        let now = self.now();
+        let answer = self.core().hear(now, from, message);
+        if let Some(answer) = answer {
+            let cohort = self.core().muster(now);
+            peers.tell(Some(from), &answer.write());
+            peers.tell(Some(from), &cohort.write());
+        }
+    }
+}
+
+impl DatagramHandler for StartupSchedule {
+    /// True where it was a message on the schedule.
+    fn handle(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
         if !Word::is(text) && !Muster::is(text) {
             return false;
         }
-        let now = self.now();
-        match (Word::read(text), Muster::read(text)) {
-            (Some(word), _) => {
-                let answer = self.core().hear(now, from, word);
-                if let Some(answer) = answer {
-                    let roll = self.core().muster(now);
-                    peers.tell(Some(from), &answer.write());
-                    peers.tell(Some(from), &roll.write());
-                }
-            }
-            (None, Some(roll)) => self.core().hear_roll(now, from, &roll),
-            (None, None) => {
-                let mut told = self
-                    .told
-                    .lock()
-                    .unwrap_or_else(std::sync::PoisonError::into_inner);
-                // Once a life: whoever sends one such word may send any number.
-                if !std::mem::replace(&mut *told, true) {
-                    tracing::warn!("cold start: words of {sender} that cannot be read are dropped");
-                }
-            }
+        if let Some(message) = Word::read(text) {
+            self.message_received(peers, from, message);
+        } else if let Some(cohort) = Muster::read(text) {
+            let now = self.now();
+            self.core().hear_roll(now, from, &cohort);
+        } else if !self.unreadable_logged.swap(true, Ordering::Relaxed) {
+            // Once a process: whoever sends one such message may send any number.
+            tracing::warn!("cold start: messages of {sender} that cannot be read are dropped");
         }
         true
     }
--- a/src/discovery/watch/tests.rs
+++ b/src/discovery/watch/tests.rs
@@ -1,13 +1,15 @@
+use super::timing::AGENT;
 use super::*;
+use hyper::StatusCode;
 
 #[test]
-fn however_large_the_fleet_the_first_call_leaves_time_to_keep_a_drain() {
+fn first_call_leaves_time_to_keep_a_drain_however_large_the_fleet() {
     for (fleet, most) in [(2, 20), (3, 25), (300, 25), (10_000, 25)] {
         // A twentieth of the rule's time; a slow start, the answer and what is just being dialled have the rest.
         assert_eq!(
-            spread(fleet, 500_000_000),
+            first_call_spread(fleet, 500_000_000),
             Duration::from_millis(most),
-            "{fleet} ingresses"
+            "{fleet} nodes"
         );
     }
 }
@@ -17,41 +19,43 @@
 /// A drain has so long from there, of which attempts that are being written need next to nothing.
 const DRAIN: Duration = Duration::from_millis(500);
 
-fn broken() -> Loss {
-    Loss::Broken("reset".to_string())
+fn broken() -> WatchError {
+    WatchError::Closed
 }
 
-fn busy() -> Loss {
-    Loss::TurnedAway("status 503".to_string(), None)
+fn busy() -> WatchError {
+    WatchError::Rejected {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        retry_after_seconds: None,
+    }
 }
 
 #[test]
-fn a_silent_watch_is_opened_anew_before_what_it_missed_has_to_be_kept() {
-    let Pace {
-        watch, patience, ..
+fn silent_watch_is_replaced_before_a_missed_drain_has_to_be_kept() {
+    let WatchTiming {
+        watch_wait,
+        answer_margin,
+        ..
     } = AGENT;
-    let call = AGENT.proof(Duration::ZERO).unwrap();
+    let call = AGENT.first_call_timeout(Duration::ZERO).unwrap();
     // Silent from the moment of the call, or from just before its answer: noticed either way by then.
-    let noticed = watch + patience;
-    let told = SILENCE.0.max(watch + SILENCE.1);
+    let noticed = watch_wait + answer_margin;
+    let reported = SILENCE.0.max(watch_wait + SILENCE.1);
     // The wait after it, and two further calls that stay silent, and then one that is answered at the last moment.
-    let heard = noticed + AGENT.wait(300, &Loss::Late, 0).mul_f64(1.5) + 3 * call;
-    assert!(heard < told, "{heard:?} of {told:?}");
+    let answered = noticed + AGENT.wait(300, &WatchError::Timeout, 0).mul_f64(1.5) + 3 * call;
+    assert!(answered < reported, "{answered:?} of {reported:?}");
     // Where it fell silent right before the end of its wait, and counts from the call's own limit.
-    assert!(patience + 3 * call < SILENCE.1);
+    assert!(answer_margin + 3 * call < SILENCE.1);
 }
 
 #[test]
-fn an_agent_that_is_back_is_asked_while_a_drain_can_be_kept() {
+fn agent_that_is_back_is_called_while_a_drain_can_be_kept() {
     for fleet in [3, 300, 10_000] {
         for tries in 0..20 {
             // Silent for 8 s: it came back just after a call began.
-            let call = AGENT.proof(Duration::from_secs(8)).unwrap();
-            let wait = AGENT.wait(fleet, &Loss::Late, tries).mul_f64(1.5);
-            assert!(
-                wait + call <= DRAIN * 3 / 5,
-                "{fleet} ingresses, {tries} tries"
-            );
+            let call = AGENT.first_call_timeout(Duration::from_secs(8)).unwrap();
+            let wait = AGENT.wait(fleet, &WatchError::Timeout, tries).mul_f64(1.5);
+            assert!(wait + call <= DRAIN * 3 / 5, "{fleet} nodes, {tries} tries");
             // Refused, and back just after that.
             assert!(AGENT.wait(fleet, &broken(), tries).mul_f64(1.5) <= DRAIN / 2);
         }
@@ -66,25 +70,25 @@
 }
 
 #[test]
-fn one_that_is_slow_rather_than_silent_is_heard_in_the_end() {
+fn slow_agent_is_given_time_to_answer_in_the_end() {
     assert_eq!(
-        AGENT.proof(Duration::from_secs(60)),
+        AGENT.first_call_timeout(Duration::from_secs(60)),
         Some(Duration::from_millis(1500))
     );
     assert_eq!(
-        AGENT.proof(Duration::from_secs(600)),
+        AGENT.first_call_timeout(Duration::from_secs(600)),
         Some(Duration::from_secs(2))
     );
 }
 
 #[test]
-fn a_silent_service_is_asked_again_within_two_seconds_however_large_the_fleet() {
+fn silent_service_is_called_again_within_two_seconds_however_large_the_fleet() {
     for fleet in [3, 30, 300, 10_000] {
         for tries in 0..20 {
-            let wait = SERVICE.wait(fleet, &Loss::Late, tries);
+            let wait = SERVICE.wait(fleet, &WatchError::Timeout, tries);
             assert!(
                 wait.mul_f64(1.5) <= Duration::from_millis(1500),
-                "{fleet} ingresses"
+                "{fleet} nodes"
             );
             assert!(
                 SERVICE.wait(fleet, &broken(), tries) >= wait,
@@ -95,8 +99,9 @@
 }
 
 #[test]
-fn a_fleet_that_is_turned_away_asks_no_more_often_the_larger_it_is() {
-    let waits = |pace: Pace, fleet| (pace.wait(fleet, &busy(), 0), pace.wait(fleet, &busy(), 9));
+fn rejected_fleet_calls_no_more_often_the_larger_it_is() {
+    let waits =
+        |pace: WatchTiming, fleet| (pace.wait(fleet, &busy(), 0), pace.wait(fleet, &busy(), 9));
     for pace in [SERVICE, AGENT] {
         assert_eq!(
             waits(pace, 3),
@@ -108,7 +113,7 @@
             let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
             assert!(
                 calls(first) <= 50.1 && calls(longest) <= 12.6,
-                "{fleet} ingresses"
+                "{fleet} nodes"
             );
         }
     }
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -1,10 +1,8 @@
-//! What share of its traffic each zone gets, where the operators switched that on: the reckoning (`applewall_zone_failover`) with
-//! the engine's attempts, clock and datagrams.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! What share of its traffic each zone gets, where the operators enabled that: the zone failover core
+//! (`applewall_zone_failover`) with the engine's attempts, clock and datagrams.
+//!
+//! Owner: the engine. Input: updates of the endpoint list, attempts and how they end, datagrams of peers, time. Output: the
+//! zones' shares where they change, datagrams for peers. Invariant: an attempt is one observation at most.
 
 use std::collections::HashMap;
 
@@ -15,205 +13,235 @@
 use crate::engine::message::EndpointEntry;
 use crate::peer_socket::Peers;
 
-/// Between judgements, ns.
+/// Time between evaluations of the zones, and so the resolution of what the core decides.
 pub(crate) const EVALUATION_INTERVAL_NS: u64 = 100_000_000;
 /// Nanoseconds of a second.
-const SECOND: f64 = 1e9;
-/// Part of the aim after which an attempt that says nothing counts against its zone.
-const OVERDUE: f64 = 0.75;
+const NANOS_PER_SECOND: f64 = 1e9;
+/// Part of the latency objective after which an attempt without a response counts against its zone. Less than the whole, so
+/// that a silent zone is noticed before its requests are late.
+const OVERDUE_FRACTION: f64 = 0.75;
+/// With fewer zones than this there is none to move traffic to.
+const MIN_ZONES: usize = 2;
+
+/// An attempt in flight.
+struct InFlightAttempt {
+    zone: usize,
+    endpoint: u32,
+    started_at_ns: u64,
+    latency_objective_ns: u64,
+    /// It was observed as overdue.
+    overdue: bool,
+}
 
-/// An attempt that is out.
-struct Out {
+/// Where an endpoint is.
+#[derive(Clone, Copy)]
+struct Placement {
     zone: usize,
-    instance: u32,
-    since: u64,
-    aim: u64,
-    told: bool,
+    /// The endpoint's number here.
+    endpoint: u32,
 }
 
-/// This ingress's part of the fleet's verdicts on zones.
+/// This node's part of the fleet's verdicts on zones.
 pub(crate) struct ZoneFailover {
     core: Zones,
-    /// By the module's number of a zone, the core's.
-    numbers: Vec<usize>,
-    /// Where each instance is, and its number here.
-    places: HashMap<EndpointId, (usize, u32)>,
-    ready: HashMap<EndpointId, usize>,
-    next: u32,
-    out: HashMap<RequestId, Out>,
-    aims: Vec<u64>,
-    /// As the module knows them.
+    /// The core's number of a zone, by the decision policy's.
+    core_zones: Vec<usize>,
+    placements: HashMap<EndpointId, Placement>,
+    /// The zones of endpoints in service.
+    in_service: HashMap<EndpointId, usize>,
+    next_endpoint: u32,
+    in_flight: HashMap<RequestId, InFlightAttempt>,
+    /// By class.
+    latency_objectives_ns: Vec<u64>,
+    /// As the decision policy knows them.
     shares: Vec<f64>,
-    /// Words that could not be read were told of.
-    told: bool,
+    /// A message that can't be read was logged.
+    unreadable_logged: bool,
 }
 
 impl ZoneFailover {
-    /// None where it is switched off, or there is nothing to leave.
+    /// None where it is not enabled, or there is no other zone.
     pub(crate) fn new(
-        set: &Settings,
-        facts: &PlatformSettings,
+        failover: &Settings,
+        settings: &PlatformSettings,
         seed: u64,
-        now: u64,
+        now_ns: u64,
     ) -> Option<Self> {
-        let names = facts.zones();
-        if !set.enabled.0 || names.len() < 2 {
+        let names = settings.zones();
+        if !failover.enabled.0 || names.len() < MIN_ZONES {
             return None;
         }
-        let settings = &facts.policy;
+        let policy = &settings.policy;
         let core = Zones::new(
-            set,
+            failover,
             &names,
-            settings.node_count,
-            settings.node,
+            policy.node_count,
+            policy.node,
             seed,
-            now as f64 / SECOND,
+            seconds(now_ns),
         );
-        let numbers = names.iter().filter_map(|name| core.number(name)).collect();
+        let core_zones = names.iter().filter_map(|name| core.number(name)).collect();
+        let objectives = policy
+            .classes
+            .iter()
+            .map(|class| class.latency_objective_ns);
         tracing::info!("zones: {} of them are judged by the fleet", names.len());
         Some(ZoneFailover {
             core,
-            numbers,
-            places: HashMap::new(),
-            ready: HashMap::new(),
-            next: 0,
-            out: HashMap::new(),
-            aims: settings
-                .classes
-                .iter()
-                .map(|c| c.latency_objective_ns)
-                .collect(),
+            core_zones,
+            placements: HashMap::new(),
+            in_service: HashMap::new(),
+            next_endpoint: 0,
+            in_flight: HashMap::new(),
+            latency_objectives_ns: objectives.collect(),
             shares: vec![1.0; names.len()],
-            told: false,
+            unreadable_logged: false,
         })
     }
 
-    /// News of the name table.
+    /// Takes in an update of the endpoint list.
     pub(crate) fn endpoints_updated(
         &mut self,
         kind: EndpointUpdateKind,
         entries: &[EndpointEntry],
     ) {
         if kind != EndpointUpdateKind::Delta {
-            self.places.clear();
-            self.ready.clear();
+            self.placements.clear();
+            self.in_service.clear();
         }
-        for EndpointEntry {
-            endpoint: member, ..
-        } in entries
-        {
-            // A zone that the settings do not name is judged by nobody.
-            let Some(zone) = self.numbers.get(member.zone as usize).copied() else {
-                continue;
-            };
-            match member.state {
-                EndpointState::Removed => {
-                    self.places.remove(&member.id);
-                    self.ready.remove(&member.id);
-                }
-                state => {
-                    let number = self.next;
-                    let place = self
-                        .places
-                        .entry(member.id.clone())
-                        .or_insert((zone, number));
-                    place.0 = zone;
-                    self.next = self.next.wrapping_add(1);
-                    match state {
-                        EndpointState::Ready => drop(self.ready.insert(member.id.clone(), zone)),
-                        _ => drop(self.ready.remove(&member.id)),
-                    }
-                }
-            }
+        for entry in entries {
+            self.endpoint_updated(entry);
+        }
+        let mut counts = vec![0u32; self.core_zones.len()];
+        for zone in self.in_service.values() {
+            counts[*zone] += 1;
         }
-        let mut count = vec![0u32; self.numbers.len()];
-        self.ready.values().for_each(|zone| count[*zone] += 1);
         let names: Vec<String> = self.core.names().to_vec();
-        self.core.list(names.iter().map(String::as_str).zip(count));
+        self.core.list(names.iter().map(String::as_str).zip(counts));
     }
 
-    /// An attempt is sent.
+    fn endpoint_updated(&mut self, entry: &EndpointEntry) {
+        let endpoint = &entry.endpoint;
+        // A zone that the settings do not name is judged by nobody.
+        let Some(zone) = self.core_zones.get(endpoint.zone as usize).copied() else {
+            return;
+        };
+        if endpoint.state == EndpointState::Removed {
+            self.placements.remove(&endpoint.id);
+            self.in_service.remove(&endpoint.id);
+            return;
+        }
+        let placement = Placement {
+            zone,
+            endpoint: self.next_endpoint,
+        };
+        self.placements
+            .entry(endpoint.id.clone())
+            .or_insert(placement)
+            .zone = zone;
+        self.next_endpoint = self.next_endpoint.wrapping_add(1);
+        if endpoint.state == EndpointState::Ready {
+            self.in_service.insert(endpoint.id.clone(), zone);
+        } else {
+            self.in_service.remove(&endpoint.id);
+        }
+    }
+
+    /// An attempt starts.
     pub(crate) fn attempt_started(
         &mut self,
-        now: u64,
+        now_ns: u64,
         request: RequestId,
         class: usize,
-        backend: &EndpointId,
+        endpoint: &EndpointId,
     ) {
-        if let Some((zone, instance)) = self.places.get(backend).copied() {
-            let aim = self.aims.get(class).copied().unwrap_or(u64::MAX);
-            self.out.insert(
-                request,
-                Out {
-                    zone,
-                    instance,
-                    since: now,
-                    aim,
-                    told: false,
-                },
-            );
-        }
+        let Some(placement) = self.placements.get(endpoint).copied() else {
+            return;
+        };
+        let objective = self.latency_objectives_ns.get(class).copied();
+        self.in_flight.insert(
+            request,
+            InFlightAttempt {
+                zone: placement.zone,
+                endpoint: placement.endpoint,
+                started_at_ns: now_ns,
+                latency_objective_ns: objective.unwrap_or(u64::MAX),
+                overdue: false,
+            },
+        );
     }
 
-    /// It ended.
-    pub(crate) fn attempt_ended(&mut self, now: u64, request: RequestId, outcome: Outcome) {
-        let Some(out) = self.out.remove(&request) else {
+    /// An attempt ended.
+    pub(crate) fn attempt_ended(&mut self, now_ns: u64, request: RequestId, outcome: Outcome) {
+        let Some(attempt) = self.in_flight.remove(&request) else {
             return;
         };
-        let late = now.saturating_sub(out.since) > out.aim;
-        let saw = match outcome {
+        let late = now_ns.saturating_sub(attempt.started_at_ns) > attempt.latency_objective_ns;
+        let observation = match outcome {
             Outcome::Success if !late => Saw::Good,
             // An overdue one counted already.
-            Outcome::Success if !out.told => Saw::Failing,
+            Outcome::Success if !attempt.overdue => Saw::Failing,
             Outcome::Failure => Saw::Failing,
             Outcome::ConnectFailed | Outcome::ConnectionReset => Saw::Dead,
-            Outcome::TimedOut if !out.told => Saw::Failing,
-            // Full: it lives, and its load is the ladder's matter. The rest is this ingress's own doing.
+            Outcome::TimedOut if !attempt.overdue => Saw::Failing,
+            // Overloaded: it lives, and its load is the load ladder's matter. The rest is this node's own doing.
             _ => return,
         };
-        self.core.saw(out.zone, out.instance, saw);
+        self.core.saw(attempt.zone, attempt.endpoint, observation);
     }
 
-    /// A datagram of a peer; true where it was a word on zones, and so no message for the module.
-    pub(crate) fn receive(&mut self, now: u64, from: u32, text: &str) -> bool {
+    /// A datagram of a peer; true where it was a message on zones, and so none for the decision policy.
+    pub(crate) fn receive(&mut self, now_ns: u64, from: u32, text: &str) -> bool {
         if !Word::is(text) {
             return false;
         }
         match Word::read(text) {
-            Some(word) => self.core.hear(now as f64 / SECOND, from, &word),
+            Some(message) => self.core.hear(seconds(now_ns), from, &message),
             None => {
-                // Once a life: whoever sends one such word may send any number.
-                if !std::mem::replace(&mut self.told, true) {
-                    tracing::warn!("zones: words of peer {from} that cannot be read are dropped");
+                // Once a process: whoever sends one such message may send any number.
+                if !std::mem::replace(&mut self.unreadable_logged, true) {
+                    tracing::warn!(
+                        "zones: messages of peer {from} that cannot be read are dropped"
+                    );
                 }
             }
         }
         true
     }
 
-    /// An interval has passed: the shares by the module's numbers, where they changed.
-    pub(crate) fn tick(&mut self, now: u64, peers: Option<&Peers>) -> Option<Vec<f64>> {
-        for out in self.out.values_mut().filter(|out| !out.told) {
-            if now.saturating_sub(out.since) as f64 > out.aim as f64 * OVERDUE {
-                out.told = true;
-                self.core.saw(out.zone, out.instance, Saw::Failing);
-            }
-        }
-        let step = self.core.tick(now as f64 / SECOND);
+    /// An interval has passed: the shares by the decision policy's numbers, where they changed.
+    pub(crate) fn tick(&mut self, now_ns: u64, peers: Option<&Peers>) -> Option<Vec<f64>> {
+        self.observe_overdue(now_ns);
+        let step = self.core.tick(seconds(now_ns));
         for (zone, line) in step.lines {
             tracing::warn!("zones: {zone} {line}");
         }
-        if let (Some(peers), Some((to, word))) = (peers, step.word) {
-            peers.tell(Some(to), &word.write());
+        if let (Some(peers), Some((to, message))) = (peers, step.word) {
+            peers.tell(Some(to), &message.write());
         }
         let shares: Vec<f64> = self
-            .numbers
+            .core_zones
             .iter()
             .map(|zone| self.core.share(*zone))
             .collect();
         (shares != self.shares).then(|| {
-            self.shares = shares.clone();
+            self.shares.clone_from(&shares);
             shares
         })
     }
+
+    fn observe_overdue(&mut self, now_ns: u64) {
+        for attempt in self.in_flight.values_mut() {
+            let waited_ns = now_ns.saturating_sub(attempt.started_at_ns) as f64;
+            let limit_ns = attempt.latency_objective_ns as f64 * OVERDUE_FRACTION;
+            if !attempt.overdue && waited_ns > limit_ns {
+                attempt.overdue = true;
+                self.core.saw(attempt.zone, attempt.endpoint, Saw::Failing);
+            }
+        }
+    }
+}
+
+fn seconds(nanos: u64) -> f64 {
+    nanos as f64 / NANOS_PER_SECOND
 }
--- a/src/lifecycle/hot_restart/transfer.rs
+++ b/src/lifecycle/hot_restart/transfer.rs
@@ -25,7 +25,7 @@
 const MARK: [u8; 4] = *b"AWE1";
 /// The mark, and the state's length as a big-endian number of four bytes.
 const HEAD_BYTES: usize = 8;
-/// Bounds the memory that a length of another process can claim; a fleet's list of ten thousand takes a few MB.
+/// Bounds the memory that a length sent by another process can claim: far more than any list and snapshot take.
 const MAX_STATE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Asks the older process for the state.
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -14,7 +14,6 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::platform::PlatformConfig;
-use crate::discovery::startup::StartupSchedule;
 use crate::engine::message::Message;
 use crate::lifecycle::process_role::ProcessRole;
 
@@ -33,6 +32,12 @@
     me: usize,
 }
 
+/// Takes datagrams before the engine does. What implements it knows the socket; the socket knows this trait alone.
+pub(crate) trait DatagramHandler: Send + Sync {
+    /// A datagram of a peer; true where it is handled, and so no message for the engine.
+    fn handle(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool;
+}
+
 impl AsFd for Peers {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.socket.as_fd()
@@ -104,7 +109,7 @@
         self: Arc<Self>,
         queue: mpsc::Sender<Message>,
         mut role: watch::Receiver<ProcessRole>,
-        turn: Option<Arc<StartupSchedule>>,
+        handler: Option<Arc<dyn DatagramHandler>>,
     ) {
         let mut buffer = [0; MOST + 1];
         let mut stranger: Option<tokio::time::Instant> = None;
@@ -141,9 +146,9 @@
                 .ok()
                 .filter(|_| length <= MOST);
             if let (Some(from), Some(text)) = (from, text) {
-                if turn
+                if handler
                     .as_ref()
-                    .is_some_and(|turn| turn.receive(&self, from as u32, text, sender))
+                    .is_some_and(|handler| handler.handle(&self, from as u32, text, sender))
                 {
                     continue;
                 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -150,16 +150,17 @@
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.control));
     let (role, roles) = process_role::RoleOwner::new();
     if let Some(peers) = &peers {
-        tokio::spawn(
-            peers
-                .clone()
-                .listen(queue.clone(), roles.clone(), turn.clone()),
-        );
+        tokio::spawn(peers.clone().listen(
+            queue.clone(),
+            roles.clone(),
+            turn.clone().map(|it| it as _),
+        ));
     }
     let start = endpoint_watch::WatchStart {
         revision: rev.filter(|_| !merged),
         seed: config.seed,
         schedule: turn,
+        pass_on_unchanged: merged,
     };
     tokio::spawn(endpoint_watch::follow(
         discovery,
@@ -167,7 +168,6 @@
         config.settings.clone(),
         clock,
         table,
-        merged,
     ));
     let successor = process_role::ProcessStatus {
         role: roles,
