--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,22 @@
-# Build, test, lint and run; `make check` is what CI calls.
+# Build, test, lint and run; `make check` is what CI calls, and installs what it needs.
 # The files under `policy` in deploy/balancer.toml: all that chooses.
 POLICY := $(wildcard src/decision/*.rs)
 MAX_POLICY_LINES := 990
 
-.PHONY: build test lint lines check run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
+.PHONY: build test lint lines check setup run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
 	measure-cold-start measure-quota measure-zones demo
 
 build:
 	cargo build --release --locked
 
-test:
+# What the checks need and the machine lacks: see .ci/prepare.
+setup:
+	.ci/prepare
+
+test: setup
 	.ci/test
 
-lint:
+lint: setup
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --document-private-items --locked
@@ -21,8 +25,9 @@
 	@lines=$$(cat $(POLICY) | grep -cv '^[[:space:]]*$$'); \
 	if [ $$lines -gt $(MAX_POLICY_LINES) ]; then \
 		echo "src/decision: $$lines non-blank lines, $(MAX_POLICY_LINES) at most"; exit 1; fi
+	@if grep -nE '^.{111,}$$' $(POLICY); then echo "src/decision: lines over 110 columns"; exit 1; fi
 
-check: lines lint test
+check: setup lines lint test
 
 # Needs GW_CONFIG: the path of a configuration (see README.md).
 run: build
--- a/src/admin/handle.rs
+++ b/src/admin/handle.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_admin::{Answer, Call, Ledger, Stage};
+use applewall_admin::{AdminCommand, AdminResponse, LifecyclePhase, MaintenanceSet};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
@@ -44,7 +44,7 @@
     /// The other process knows the id, whatever this one's list holds.
     pub known_to_other_process: bool,
     /// The answer, and the maintenance set as it is then.
-    pub reply: oneshot::Sender<(Answer, Ledger)>,
+    pub reply: oneshot::Sender<(AdminResponse, MaintenanceSet)>,
 }
 
 /// What an operator wants of the drain.
@@ -52,7 +52,7 @@
     /// Drain, or return to service.
     pub drain: bool,
     /// The answer, once the phase is in force.
-    pub reply: oneshot::Sender<Answer>,
+    pub reply: oneshot::Sender<AdminResponse>,
 }
 
 /// The receiving ends of the queues.
@@ -86,7 +86,7 @@
     /// The driver of the phases.
     pub drain_requests: mpsc::Sender<DrainRequest>,
     /// The phase of drain and shutdown.
-    pub phase: watch::Receiver<Stage>,
+    pub phase: watch::Receiver<LifecyclePhase>,
     /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
     /// True once there is an endpoint list to decide from.
@@ -101,11 +101,11 @@
 
 impl AdminHandle {
     /// Carries a command out here, and then in the other process where there is one.
-    pub(super) async fn carry_out(&self, command: Call) -> Answer {
+    pub(super) async fn carry_out(&self, command: AdminCommand) -> AdminResponse {
         let relayed = relayed_line(&command);
         let carried_out = timeout(ANSWER_TIMEOUT, async {
             let answer = self.carry_out_here(command, false).await;
-            if let (Answer::Done(_), Some(line)) = (&answer, relayed) {
+            if let (AdminResponse::Done(_), Some(line)) = (&answer, relayed) {
                 relay_command(&self.other_process, line).await;
             }
             answer
@@ -113,36 +113,40 @@
         let late = "not decided in time; it may still come into force, so ask again";
         carried_out
             .await
-            .unwrap_or_else(|_| Answer::Error(late.to_string()))
+            .unwrap_or_else(|_| AdminResponse::Error(late.to_string()))
     }
 
     /// Carries a command out in this process alone; `known_to_other_process`: the id is known there.
     pub(crate) async fn carry_out_here(
         &self,
-        command: Call,
+        command: AdminCommand,
         known_to_other_process: bool,
-    ) -> Answer {
+    ) -> AdminResponse {
         match command {
-            Call::Ready => self.ready(),
-            Call::Disable(id) => self.set_maintenance(id, true, known_to_other_process).await,
-            Call::Enable(id) => {
+            AdminCommand::Ready => self.ready(),
+            AdminCommand::Disable(id) => {
+                self.set_maintenance(id, true, known_to_other_process).await
+            }
+            AdminCommand::Enable(id) => {
                 self.set_maintenance(id, false, known_to_other_process)
                     .await
             }
-            Call::Drain => self.drain(true).await,
-            Call::Undrain => self.drain(false).await,
+            AdminCommand::Drain => self.drain(true).await,
+            AdminCommand::Undrain => self.drain(false).await,
         }
     }
 
-    fn ready(&self) -> Answer {
+    fn ready(&self) -> AdminResponse {
         let phase = *self.phase.borrow();
         let ready = *self.ready.borrow() && *self.has_endpoints.borrow();
-        if phase.stops() {
-            Answer::Error("this process was told to stop".to_string())
+        if phase.is_stopping() {
+            AdminResponse::Error("this process was told to stop".to_string())
         } else if ready {
-            Answer::Done(phase.word().to_string())
+            AdminResponse::Done(phase.as_str().to_string())
         } else {
-            Answer::Error("not yet: this process still takes over from the one before".to_string())
+            AdminResponse::Error(
+                "not yet: this process still takes over from the one before".to_string(),
+            )
         }
     }
 
@@ -151,7 +155,7 @@
         id: String,
         enter: bool,
         known_to_other_process: bool,
-    ) -> Answer {
+    ) -> AdminResponse {
         let _one_at_a_time = self.maintenance_lock.lock().await;
         let (reply, decided) = oneshot::channel();
         let request = ControlMessage::SetMaintenance(MaintenanceRequest {
@@ -167,14 +171,14 @@
             return about_to_end();
         };
         match (answer, &self.shared_directory) {
-            (Answer::Done(text), Some(directory)) => {
-                Answer::Done(persist(directory, &maintenance, text))
+            (AdminResponse::Done(text), Some(directory)) => {
+                AdminResponse::Done(persist(directory, &maintenance, text))
             }
             (answer, _) => answer,
         }
     }
 
-    async fn drain(&self, drain: bool) -> Answer {
+    async fn drain(&self, drain: bool) -> AdminResponse {
         let (reply, answer) = oneshot::channel();
         let request = DrainRequest { drain, reply };
         if self.drain_requests.send(request).await.is_err() {
@@ -185,7 +189,7 @@
 }
 
 /// Writes the maintenance set; the answer's text, which says so where that fails.
-fn persist(directory: &SharedDirectory, maintenance: &Ledger, text: String) -> String {
+fn persist(directory: &SharedDirectory, maintenance: &MaintenanceSet, text: String) -> String {
     match directory.write_maintenance_set(maintenance) {
         Ok(()) => text,
         // In force, and transferred at a hot restart; only a process that finds nobody would not know.
@@ -197,16 +201,16 @@
 }
 
 /// The line by which the other process carries out the same command; none where it has nothing to do.
-fn relayed_line(command: &Call) -> Option<String> {
+fn relayed_line(command: &AdminCommand) -> Option<String> {
     match command {
-        Call::Ready => None,
-        Call::Disable(id) => Some(format!("DISABLE {id}")),
-        Call::Enable(id) => Some(format!("ENABLE {id}")),
-        Call::Drain => Some("DRAIN".to_string()),
-        Call::Undrain => Some("UNDRAIN".to_string()),
+        AdminCommand::Ready => None,
+        AdminCommand::Disable(id) => Some(format!("DISABLE {id}")),
+        AdminCommand::Enable(id) => Some(format!("ENABLE {id}")),
+        AdminCommand::Drain => Some("DRAIN".to_string()),
+        AdminCommand::Undrain => Some("UNDRAIN".to_string()),
     }
 }
 
-fn about_to_end() -> Answer {
-    Answer::Error("this process is about to end".to_string())
+fn about_to_end() -> AdminResponse {
+    AdminResponse::Error("this process is about to end".to_string())
 }
--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use applewall_admin::{Answer, Call, LINE_MOST};
+use applewall_admin::{AdminCommand, AdminResponse, MAX_COMMAND_LINE_BYTES};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -47,7 +47,7 @@
         source: io::Error,
     },
     /// The caller's line is longer than any command.
-    #[error("the line is longer than {LINE_MOST} bytes")]
+    #[error("the line is longer than {MAX_COMMAND_LINE_BYTES} bytes")]
     LineTooLong,
     /// The caller's line is no text.
     #[error("the line is not UTF-8")]
@@ -152,17 +152,18 @@
         return;
     };
     connection.command_received.store(true, Ordering::Relaxed);
-    let command = line
-        .map_err(|error| error.to_string())
-        .and_then(|line| Call::read(&line).map_err(|error| error.to_string()));
+    let command = line.map_err(|error| error.to_string()).and_then(|line| {
+        line.parse::<AdminCommand>()
+            .map_err(|error| error.to_string())
+    });
     let answer = match command {
         Ok(command) => admin.carry_out(command).await,
-        Err(reason) => Answer::Error(reason),
+        Err(reason) => AdminResponse::Error(reason),
     };
     let _ = timeout(WRITE_TIMEOUT, write_answer(&mut stream, &answer)).await;
 }
 
-async fn write_answer(stream: &mut TcpStream, answer: &Answer) -> io::Result<()> {
+async fn write_answer(stream: &mut TcpStream, answer: &AdminResponse) -> io::Result<()> {
     stream.write_all(format!("{answer}\n").as_bytes()).await?;
     stream.shutdown().await?;
     // What came after the line is discarded: closing with it unread would take the answer along.
@@ -173,8 +174,8 @@
 
 /// The one line of a caller; none where it left without one.
 async fn read_line(stream: &mut TcpStream) -> Option<Result<String, AdminError>> {
-    let mut codec = LinesCodec::new_with_max_length(LINE_MOST);
-    let mut bytes = BytesMut::with_capacity(LINE_MOST);
+    let mut codec = LinesCodec::new_with_max_length(MAX_COMMAND_LINE_BYTES);
+    let mut bytes = BytesMut::with_capacity(MAX_COMMAND_LINE_BYTES);
     loop {
         let ended = stream.read_buf(&mut bytes).await.ok()? == 0;
         let line = if ended {
--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -8,14 +8,14 @@
 use std::collections::HashMap;
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind};
-use applewall_admin::{Answer, Ledger, LEDGER_MOST};
+use applewall_admin::{AdminResponse, MaintenanceSet, MAX_IDS_IN_MAINTENANCE};
 
 use crate::engine::message::EndpointEntry;
 
 /// The endpoint list and the maintenance set.
 #[derive(Default)]
 pub(crate) struct MaintenanceFilter {
-    set: Ledger,
+    set: MaintenanceSet,
     /// Every id that the list names, as it does.
     listed: HashMap<EndpointId, EndpointEntry>,
 }
@@ -23,14 +23,14 @@
 /// What a maintenance request comes to.
 pub(crate) struct MaintenanceOutcome {
     /// For the caller.
-    pub answer: Answer,
+    pub answer: AdminResponse,
     /// The entry that has to be applied again, changed by it.
     pub changed: Option<EndpointEntry>,
 }
 
 impl MaintenanceFilter {
     /// One that starts with a maintenance set.
-    pub(crate) fn new(set: Ledger) -> Self {
+    pub(crate) fn new(set: MaintenanceSet) -> Self {
         MaintenanceFilter {
             set,
             listed: HashMap::new(),
@@ -38,7 +38,7 @@
     }
 
     /// The maintenance set, and the list as discovery has it.
-    pub(crate) fn state(&self) -> (&Ledger, impl Iterator<Item = &EndpointEntry>) {
+    pub(crate) fn state(&self) -> (&MaintenanceSet, impl Iterator<Item = &EndpointEntry>) {
         (&self.set, self.listed.values())
     }
 
@@ -57,7 +57,7 @@
                 continue;
             }
             self.listed.insert(id.clone(), entry.clone());
-            if self.set.holds(id) {
+            if self.set.contains(id) {
                 entry.endpoint.state = EndpointState::Draining;
             }
         }
@@ -74,9 +74,9 @@
         let entry = self.listed.get(id).cloned();
         let known = known_to_other_process || entry.is_some();
         let result = if enter {
-            self.set.withhold(id, known)
+            self.set.disable(id, known)
         } else {
-            self.set.give_back(id, known)
+            self.set.enable(id, known)
         };
         let answer = match result {
             Ok(_) => {
@@ -86,12 +86,12 @@
                     (Some(_), true) => "withheld",
                     (Some(_), false) => "given back",
                 };
-                Answer::Done(format!("{state}; {} withheld in all", self.set.len()))
+                AdminResponse::Done(format!("{state}; {} withheld in all", self.set.len()))
             }
-            Err(_) if known => {
-                Answer::Error(format!("{LEDGER_MOST} ids are withheld; no more are kept"))
-            }
-            Err(_) => Answer::Error(format!("no instance has the id '{id}'")),
+            Err(_) if known => AdminResponse::Error(format!(
+                "{MAX_IDS_IN_MAINTENANCE} ids are withheld; no more are kept"
+            )),
+            Err(_) => AdminResponse::Error(format!("no instance has the id '{id}'")),
         };
         // One that the list itself does not have in service changes nothing, in or out.
         let changed = entry
@@ -112,7 +112,7 @@
             .values()
             .filter(|entry| in_service(entry))
             .peekable();
-        serving.peek().is_some() && serving.all(|entry| self.set.holds(&entry.endpoint.id))
+        serving.peek().is_some() && serving.all(|entry| self.set.contains(&entry.endpoint.id))
     }
 }
 
--- a/src/admin/maintenance/tests.rs
+++ b/src/admin/maintenance/tests.rs
@@ -52,7 +52,7 @@
     assert_eq!(back, Draining);
     states(&mut filter, Snapshot, vec![entry("b", 2, Ready)]);
     let twice = filter.change("a", true, false);
-    assert!(matches!(twice.answer, Answer::Done(_)));
+    assert!(matches!(twice.answer, AdminResponse::Done(_)));
     let listed_again = states(&mut filter, Snapshot, vec![entry("a", 9, Ready)]);
     assert_eq!(listed_again, [Draining]);
     // Out twice, back once, at the address that the list has now.
@@ -72,10 +72,10 @@
     );
     for enter in [true, false] {
         let outcome = filter.change("x", enter, false);
-        assert!(matches!(outcome.answer, Answer::Error(_)));
+        assert!(matches!(outcome.answer, AdminResponse::Error(_)));
     }
     let outcome = filter.change("a", false, false);
-    assert!(matches!(outcome.answer, Answer::Done(_)) && outcome.changed.is_none());
+    assert!(matches!(outcome.answer, AdminResponse::Done(_)) && outcome.changed.is_none());
     assert!(!filter.all_in_maintenance());
     filter.change("a", true, false);
     assert!(filter.all_in_maintenance());
@@ -86,5 +86,5 @@
         vec![entry("a", 1, EndpointState::Removed)],
     );
     let outcome = filter.change("a", false, false);
-    assert!(matches!(outcome.answer, Answer::Done(_)) && outcome.changed.is_none());
+    assert!(matches!(outcome.answer, AdminResponse::Done(_)) && outcome.changed.is_none());
 }
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -2,9 +2,7 @@
 
 use super::admission::Rejection;
 use crate::api::{Action, AttemptResult, Idempotency, Outcome, RequestId};
-use crate::decision_state::{
-    seconds, DecisionPolicy, PendingRequest, PossibleExecution, RetryBudget, Seconds,
-};
+use crate::decision_state::{seconds, DecisionPolicy, PendingRequest, RetryBudget, Seconds};
 
 /// Retry tokens earned by each request.
 const TOKENS_PER_REQUEST: f64 = 0.2;
@@ -16,7 +14,8 @@
 const MOST_SAVED_TOKENS: f64 = 20.0;
 /// Part of the deduplication window that is used: an attempt takes time to arrive.
 const WINDOW_SHARE: f64 = 0.9;
-/// Part of the latency objective after which an attempt is given up for another: its response would then earn little.
+/// Part of the latency objective after which an attempt is given up for another: its response would then earn
+/// little.
 const RETRY_TIMEOUT: f64 = 1.2;
 /// Usual latencies after which an attempt is given up at the earliest.
 const RETRY_TIMEOUT_LATENCIES: f64 = 4.0;
@@ -41,30 +40,15 @@
 }
 
 impl Idempotency {
-    /// True where another attempt now does no harm, after a first one that may have executed.
-    fn allows_retry(self, now: Seconds, first: Option<PossibleExecution>) -> bool {
-        match (self, first) {
-            (_, None) | (Idempotency::Idempotent, _) => true,
-            (
-                Idempotency::IdempotencyKey {
-                    deduplication_window_ns,
-                    ..
-                },
-                Some(first),
-            ) => now - first.sent_at < seconds(deduplication_window_ns) * WINDOW_SHARE,
-            (Idempotency::NonIdempotent, Some(_)) => false,
-        }
-    }
-
-    /// True where an attempt may be given up for another after a latency objective.
-    fn allows_early_timeout(self, latency_objective: Seconds) -> bool {
+    /// Time after a first attempt that may have executed in which another one does no harm.
+    fn retry_window(self) -> Seconds {
         match self {
-            Idempotency::Idempotent => true,
+            Idempotency::Idempotent => f64::INFINITY,
             Idempotency::IdempotencyKey {
                 deduplication_window_ns,
                 ..
-            } => latency_objective < seconds(deduplication_window_ns) * WINDOW_SHARE,
-            Idempotency::NonIdempotent => false,
+            } => seconds(deduplication_window_ns) * WINDOW_SHARE,
+            Idempotency::NonIdempotent => f64::NEG_INFINITY,
         }
     }
 }
@@ -81,7 +65,7 @@
         let left = request.deadline - now;
         let usual = self.latency.usual(request.kind);
         let timeout = (RETRY_TIMEOUT * objective).max(RETRY_TIMEOUT_LATENCIES * usual);
-        let is_early = class.idempotency.allows_early_timeout(objective)
+        let is_early = objective < class.idempotency.retry_window()
             && request.attempts + 1 < self.settings.max_attempts
             && timeout * RETRY_TIME_LEFT <= left;
         is_early.then_some(timeout)
@@ -125,9 +109,13 @@
     }
 
     fn may_retry(&self, now: Seconds, request: &PendingRequest) -> bool {
-        let idempotency = self.settings.classes[request.class].idempotency;
+        let window = self.settings.classes[request.class]
+            .idempotency
+            .retry_window();
         let left = request.deadline - now;
-        idempotency.allows_retry(now, request.possible_execution)
+        request
+            .possible_execution
+            .is_none_or(|first| now - first.sent_at < window)
             && request.attempts < self.settings.max_attempts
             && left > self.latency.usual(request.kind) * LEAST_LATENCY_LEFT
             && self.retry_budget.tokens >= 1.0
--- a/src/decision_state/decaying_rate.rs
+++ b/src/decision_state/decaying_rate.rs
@@ -6,7 +6,8 @@
 
 /// An exponentially decaying average of a rate.
 ///
-/// The memory (time constant) is the caller's, so that one estimate can be read with the memory in force at that moment.
+/// The memory (time constant) is the caller's, so that one estimate can be read with the memory in
+/// force at that moment.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct DecayingRate {
     /// Amount per second, as of [`Self::updated_at`].
--- a/src/decision_state/hot_restart.rs
+++ b/src/decision_state/hot_restart.rs
@@ -1,4 +1,5 @@
-//! Hot restart: handing the state over to a new process, taking it over, and going on where the new process failed.
+//! Hot restart: handing the state over to a new process, taking it over, and going on where the new
+//! process failed.
 
 use std::borrow::Cow;
 
@@ -8,9 +9,11 @@
 };
 use super::{DecisionPolicy, SnapshotError};
 
-/// Part of the units under a ceiling that goes to the new process; this one has the rest for what it still answers.
+/// Part of the units under a ceiling that goes to the new process; this one has the rest for what
+/// it still answers.
 const HANDED_OVER: f64 = 0.5;
-/// Part of a ceiling's rate that this process keeps: practically none, but a plan without a rate has no ceiling at all.
+/// Part of a ceiling's rate that this process keeps: practically none, but a plan without a rate
+/// has no ceiling at all.
 const KEPT_CEILING_RATE: f64 = 1e-3;
 
 impl DecisionPolicy {
@@ -22,7 +25,8 @@
         }
     }
 
-    /// Hands the state over. From here on this process has only its part of each ceiling's units, and no rate.
+    /// Hands the state over. From here on this process has only its part of each ceiling's units,
+    /// and no rate.
     ///
     /// # Errors
     ///
@@ -75,9 +79,11 @@
         }
     }
 
-    /// The process that was to take over has failed: this one goes on by itself, with what it has left.
+    /// The process that was to take over has failed: this one goes on by itself, with what it has
+    /// left.
     pub fn resume(&mut self) {
-        // What came in the meantime went to the other one; and a customer not known here may have spent all there.
+        // What came in the meantime went to the other one; and a customer not known here may have
+        // spent all there.
         self.quotas
             .fill_all(self.last_event_at, &self.settings.plans);
         self.started_at = self.last_event_at;
@@ -113,7 +119,8 @@
         for customer in self.quotas.customers.values_mut() {
             // What is in flight is the other process's.
             customer.in_flight = 0;
-            // The line of those unreported did not come along: each gets into it again with its next request.
+            // The line of those unreported did not come along: each gets into it again with its
+            // next request.
             customer.unreported = false;
         }
         Ok(())
--- a/src/decision_state/snapshot.rs
+++ b/src/decision_state/snapshot.rs
@@ -1,7 +1,7 @@
 //! The state that a hot restart transfers: all that the policy keeps but the requests in flight.
 //!
-//! The encoding is positional (postcard with a checksum): the order and the types of the fields are those that earlier
-//! versions read and wrote.
+//! The encoding is positional (postcard with a checksum): the order and the types of the fields are
+//! those that earlier versions read and wrote.
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
@@ -95,7 +95,8 @@
         Ok(postcard::to_stdvec_crc32(self, CHECKSUM.digest())?)
     }
 
-    /// Reads a snapshot and checks that every index in it refers to something: the bytes may be anything.
+    /// Reads a snapshot and checks that every index in it refers to something: the bytes may be
+    /// anything.
     pub(crate) fn decode(
         bytes: &[u8],
         shape: SnapshotShape,
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -1,7 +1,8 @@
 //! Form of the gossip messages: how records are encoded and decoded.
 //!
-//! A message is one character of kind, four digits of the sender's incarnation and records of fixed width, all in base 64.
-//! The kind also names the version of the form: a node of another version ignores a kind that it does not know.
+//! A message is one character of kind, four digits of the sender's incarnation and records of fixed
+//! width, all in base 64. The kind also names the version of the form: a node of another version
+//! ignores a kind that it does not know.
 
 use crate::decision_state::LoadStatistics;
 
@@ -141,8 +142,8 @@
     mixed ^ mixed >> 32
 }
 
-/// A number from 0 to 1 that a peer draws once per period for an item; periods begin at another moment for each.
-/// `periods`: the present moment, in periods.
+/// A number from 0 to 1 that a peer draws once per period for an item; periods begin at another
+/// moment for each. `periods`: the present moment, in periods.
 pub fn periodic_draw(item: u32, peer: u32, periods: f64) -> f64 {
     let draw = |name, peer| rendezvous_rank(name, peer) as f64 / u64::MAX as f64;
     let period = (periods + draw(item, peer)) as u32;
@@ -247,7 +248,8 @@
     }
 }
 
-/// Encodes records, all of one kind, into as many messages as they need; no record makes one empty message.
+/// Encodes records, all of one kind, into as many messages as they need; no record makes one empty
+/// message.
 pub fn encode(incarnation: u32, records: &[CustomerRecord]) -> Vec<String> {
     let kind = records
         .first()
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -247,7 +247,7 @@
                 .run()
                 .await;
         }
-        if self.admin.phase.borrow().stops() {
+        if self.admin.phase.borrow().is_stopping() {
             // As it should be: this one ends, and must not become active again in between.
             std::future::pending::<()>().await;
         }
@@ -261,7 +261,7 @@
             .await
             .map_err(|_| HotRestartError::EngineStopped)?
             .map_err(HotRestartError::Export)?;
-        state.draining = !self.admin.phase.borrow().healthy();
+        state.draining = !self.admin.phase.borrow().reports_healthy();
         postcard::to_stdvec(&state).map_err(HotRestartError::Unencodable)
     }
 
--- a/src/lifecycle/hot_restart/command_link.rs
+++ b/src/lifecycle/hot_restart/command_link.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use applewall_admin::{Answer, Call};
+use applewall_admin::{AdminCommand, AdminResponse};
 use tokio::io::{AsyncWriteExt, BufReader, Lines};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -87,9 +87,9 @@
         };
         match Line::parse(&line)? {
             Line::Command { number, command } => {
-                let answer = match Call::read(command) {
+                let answer = match command.parse::<AdminCommand>() {
                     Ok(command) => self.admin.carry_out_here(command, true).await,
-                    Err(reason) => Answer::Error(reason.to_string()),
+                    Err(reason) => AdminResponse::Error(reason.to_string()),
                 };
                 self.write(format!("answer {number} {answer}\n")).await
             }
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::lifecycle::process_role::{OtherProcess, ProcessRole};
 use applewall::api::{Endpoint, EndpointState};
-use applewall_admin::{Ledger, Stage};
+use applewall_admin::{LifecyclePhase, MaintenanceSet};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use transfer::receive;
 
@@ -56,10 +56,10 @@
 ];
 
 fn transferred_state() -> TransferredState {
-    let mut maintenance = Ledger::default();
+    let mut maintenance = MaintenanceSet::default();
     let _ = (
-        maintenance.withhold("s-1", true),
-        maintenance.withhold("s \"2\"", true),
+        maintenance.disable("s-1", true),
+        maintenance.disable("s \"2\"", true),
     );
     let endpoints = ENDPOINTS.map(
         |(id, weight, started_at_ns, zone, cell, machine_type, state, address)| {
@@ -127,7 +127,7 @@
 fn hot_restart() -> (HotRestart, Receivers) {
     let (control, control_receiver) = mpsc::channel(4);
     let (drain_requests, drain_receiver) = mpsc::channel(4);
-    let (phase, phase_receiver) = watch::channel(Stage::Draining);
+    let (phase, phase_receiver) = watch::channel(LifecyclePhase::Draining);
     let (yes, ready) = watch::channel(true);
     let (role, role_receiver) = RoleOwner::new();
     let (other_process, other_process_receiver) = watch::channel(None);
--- a/src/lifecycle/process_role.rs
+++ b/src/lifecycle/process_role.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use applewall::api::Endpoint;
-use applewall_admin::Ledger;
+use applewall_admin::MaintenanceSet;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -111,7 +111,7 @@
     /// The decision policy's clock.
     pub now_ns: u64,
     /// Endpoints in maintenance.
-    pub maintenance: Ledger,
+    pub maintenance: MaintenanceSet,
     /// Draining or drained.
     pub draining: bool,
     /// The endpoint list as discovery has it.
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Write as _};
 use std::path::PathBuf;
 
-use applewall_admin::{state, Ledger};
+use applewall_admin::{state_file, MaintenanceSet};
 
 /// The maintenance set could not be written.
 #[derive(Debug, thiserror::Error)]
@@ -64,30 +64,35 @@
 
     /// The maintenance set as an earlier process left it; empty where there is none. A file that can't be used is logged
     /// and passed over.
-    pub(crate) fn read_maintenance_set(&self) -> Ledger {
+    pub(crate) fn read_maintenance_set(&self) -> MaintenanceSet {
         let path = self.state_file();
         let read = match std::fs::read_to_string(&path) {
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ledger::default(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {
+                return MaintenanceSet::default()
+            }
             Err(error) => Err(error.to_string()),
-            Ok(text) => state::read(&text).map_err(|error| error.to_string()),
+            Ok(text) => state_file::decode(&text).map_err(|error| error.to_string()),
         };
         read.unwrap_or_else(|reason| {
             tracing::warn!(
                 "state: {}: {reason}; passed over, nothing is in maintenance",
                 path.display()
             );
-            Ledger::default()
+            MaintenanceSet::default()
         })
     }
 
     /// Writes the maintenance set: whole beside the old one, then in its place.
-    pub(crate) fn write_maintenance_set(&self, maintenance: &Ledger) -> Result<(), StateFileError> {
+    pub(crate) fn write_maintenance_set(
+        &self,
+        maintenance: &MaintenanceSet,
+    ) -> Result<(), StateFileError> {
         let path = self.state_file();
         let next = self
             .folder
             .join(format!("applewall-{}.{}", self.name, std::process::id()));
         let written = std::fs::File::create(&next)
-            .and_then(|mut file| file.write_all(state::write(maintenance).as_bytes()))
+            .and_then(|mut file| file.write_all(state_file::encode(maintenance).as_bytes()))
             .and_then(|()| std::fs::rename(&next, &path));
         written.map_err(|source| {
             // Half a file must not stay: where the disk is full, it takes space.
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -1,6 +1,6 @@
 //! Signals and drain requests: drives the phases of drain and shutdown.
 //!
-//! Owner: the task that [`LifecycleDriver::run`] becomes; it alone holds the state machine (`applewall_admin::Stages`).
+//! Owner: the task that [`LifecycleDriver::run`] becomes; it alone holds the state machine (`applewall_admin::Lifecycle`).
 //! Input: SIGTERM, SIGINT, SIGHUP, drain requests of the admin address, the role of this process, time. Output: the phase
 //! in a watch channel, and the instants of the shutdown. Invariants: the instants are set before the phase that begins the
 //! shutdown is seen; a drain request is answered once its phase is in force. SIGTERM: accept for a moment, send
@@ -9,7 +9,9 @@
 use std::future::pending;
 use std::io;
 
-use applewall_admin::{Answer, Leave, Stage, Stages, Termination};
+use applewall_admin::{
+    AdminResponse, Lifecycle, LifecycleInput, LifecyclePhase, ShutdownDeadlines, ShutdownMode,
+};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -61,13 +63,13 @@
     /// Signals of the process.
     pub signals: Signals,
     /// The phase, for all who follow it.
-    pub phase: watch::Sender<Stage>,
+    pub phase: watch::Sender<LifecyclePhase>,
     /// Drain requests of the admin address.
     pub drain_requests: mpsc::Receiver<DrainRequest>,
     /// The role, and the cell for the instants of the shutdown.
     pub status: ProcessStatus,
     /// How long each phase of the shutdown may take.
-    pub termination: Termination,
+    pub deadlines: ShutdownDeadlines,
     /// The process before was draining or drained.
     pub draining: bool,
     /// Reads the configuration again at SIGHUP.
@@ -77,14 +79,14 @@
 impl LifecycleDriver {
     /// Reloads at each SIGHUP, and drives the phases for as long as the program runs.
     pub(crate) async fn run(mut self) {
-        let (mut stages, origin) = (Stages::new(self.termination), Instant::now());
+        let (mut lifecycle, origin) = (Lifecycle::new(self.deadlines), Instant::now());
         if self.draining {
             // As the process before was.
-            let _ = stages.drain(origin.elapsed());
-            self.publish(&stages);
+            let _ = lifecycle.handle(origin.elapsed(), LifecycleInput::Drain);
+            self.publish(&lifecycle);
         }
         loop {
-            let due = stages.due();
+            let due = lifecycle.next_deadline();
             let next = async move {
                 match due {
                     Some(due) => sleep_until(origin + due).await,
@@ -93,55 +95,56 @@
             };
             tokio::select! {
                 signal = self.signals.next() => match signal {
-                    SignalReceived::Stop => self.stop(&mut stages, origin),
+                    SignalReceived::Stop => self.stop(&mut lifecycle, origin),
                     SignalReceived::Reload => self.reloader.reload(),
                 },
-                Some(request) = self.drain_requests.recv() => self.drain(&mut stages, origin, request),
-                () = next => { stages.step(origin.elapsed()); }
+                Some(request) = self.drain_requests.recv() => self.drain(&mut lifecycle, origin, request),
+                () = next => { let _ = lifecycle.handle(origin.elapsed(), LifecycleInput::Tick); }
             }
-            self.publish(&stages);
+            self.publish(&lifecycle);
         }
     }
 
-    fn drain(&self, stages: &mut Stages, origin: Instant, request: DrainRequest) {
-        let changed = if request.drain {
-            stages.drain(origin.elapsed())
+    fn drain(&self, lifecycle: &mut Lifecycle, origin: Instant, request: DrainRequest) {
+        let input = if request.drain {
+            LifecycleInput::Drain
         } else {
-            stages.undrain()
+            LifecycleInput::Undrain
         };
-        let phase = stages.stage().word();
+        let changed = lifecycle.handle(origin.elapsed(), input);
+        let phase = lifecycle.phase().as_str();
         // Once it is in force: an answer that overtook it would be a promise only.
-        self.publish(stages);
+        self.publish(lifecycle);
         let _ = request.reply.send(match changed {
-            Ok(()) => Answer::Done(phase.to_string()),
-            Err(reason) => Answer::Error(reason.to_string()),
+            Ok(_) => AdminResponse::Done(phase.to_string()),
+            Err(reason) => AdminResponse::Error(reason.to_string()),
         });
     }
 
-    fn stop(&self, stages: &mut Stages, origin: Instant) {
-        if stages.stage().stops() {
+    fn stop(&self, lifecycle: &mut Lifecycle, origin: Instant) {
+        if lifecycle.phase().is_stopping() {
             return;
         }
         tracing::info!("shutting down; answering what was accepted");
         let superseded = *self.status.role.borrow() == ProcessRole::Superseded;
-        let how = if superseded {
-            Leave::Succeeded
+        let mode = if superseded {
+            ShutdownMode::Replaced
         } else {
-            Leave::Alone
+            ShutdownMode::Standalone
         };
         // Before the phase is published: whoever sees it finds the instants.
-        let times = shutdown_times(self.termination, how);
+        let times = shutdown_times(self.deadlines, mode);
         let _ = self.status.shutdown_times.set(times);
-        stages.stop(origin.elapsed(), how);
+        let _ = lifecycle.handle(origin.elapsed(), LifecycleInput::Stop(mode));
     }
 
     /// Puts the present phase in force where it is new.
-    fn publish(&self, stages: &Stages) {
-        let now = stages.stage();
+    fn publish(&self, lifecycle: &Lifecycle) {
+        let now = lifecycle.phase();
         self.phase.send_if_modified(|before| {
             let changed = *before != now;
-            if changed && !now.stops() {
-                tracing::info!("operator: {}", now.word());
+            if changed && !now.is_stopping() {
+                tracing::info!("operator: {}", now.as_str());
             }
             *before = now;
             changed
@@ -150,11 +153,11 @@
 }
 
 /// The instants of a shutdown that begins now.
-fn shutdown_times(termination: Termination, how: Leave) -> ShutdownTimes {
-    let (now, (from, by)) = (std::time::Instant::now(), termination.late(how));
+fn shutdown_times(deadlines: ShutdownDeadlines, mode: ShutdownMode) -> ShutdownTimes {
+    let (now, late) = (std::time::Instant::now(), deadlines.late_requests(mode));
     ShutdownTimes {
-        late_from: now + from,
-        late_answered_by: now + by,
-        exit_at: now + termination.ends(how),
+        late_from: now + late.begins_after,
+        late_answered_by: now + late.answer_within,
+        exit_at: now + deadlines.exit_after(mode),
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -59,7 +59,7 @@
         (config.max_descriptors, config.max_memory_bytes) =
             (config.max_descriptors / 2, config.max_memory_bytes / 2);
     }
-    let (stage, stages) = watch::channel(applewall_admin::Stage::Serving);
+    let (stage, stages) = watch::channel(applewall_admin::LifecyclePhase::Serving);
     let (orders, drains, inboxes) = admin_handle::channels();
     let (ready, is_ready) = watch::channel(place.is_none());
     // Until it is known whether there has to be a list first.
@@ -181,14 +181,15 @@
         .map(|c| c.deadline_ns)
         .max()
         .unwrap_or(0);
-    let termination = applewall_admin::Termination::new(std::time::Duration::from_nanos(longest));
+    let termination =
+        applewall_admin::ShutdownDeadlines::new(std::time::Duration::from_nanos(longest));
     tokio::spawn(
         shutdown::LifecycleDriver {
             signals,
             phase: stage,
             drain_requests: inboxes.drain_requests,
             status: successor.clone(),
-            termination,
+            deadlines: termination,
             draining: drained,
             reloader: source,
         }
