--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind};
-use applewall_admin::{AdminResponse, MaintenanceSet, MAX_IDS_IN_MAINTENANCE};
+use applewall_admin::{AdminResponse, MaintenanceError, MaintenanceSet, MAX_IDS_IN_MAINTENANCE};
 
 use crate::engine::message::EndpointEntry;
 
@@ -88,10 +88,12 @@
                 };
                 AdminResponse::Done(format!("{state}; {} withheld in all", self.set.len()))
             }
-            Err(_) if known => AdminResponse::Error(format!(
+            Err(MaintenanceError::Full) => AdminResponse::Error(format!(
                 "{MAX_IDS_IN_MAINTENANCE} ids are withheld; no more are kept"
             )),
-            Err(_) => AdminResponse::Error(format!("no instance has the id '{id}'")),
+            Err(MaintenanceError::UnknownEndpoint) => {
+                AdminResponse::Error(format!("no instance has the id '{id}'"))
+            }
         };
         // One that the list itself does not have in service changes nothing, in or out.
         let changed = entry
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -7,10 +7,10 @@
 
 use applewall_consul as consul;
 use applewall_etcd as etcd;
-use applewall_operator_config as ini;
-use applewall_slow_peer as pace;
-use applewall_startup_scheduler as turns;
-use applewall_zone_failover as zones;
+use applewall_operator_config as operator_config;
+use applewall_slow_peer as slow_peer;
+use applewall_startup_scheduler as startup_scheduler;
+use applewall_zone_failover as zone_failover;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -27,10 +27,10 @@
     pub log: LogConfig,
     /// Slow peers: least rates, and limits on what may wait.
     #[garde(dive)]
-    pub pace: pace::Settings,
+    pub pace: slow_peer::Settings,
     /// What one customer or one set of addresses may hold at most.
     #[garde(dive)]
-    pub bulkheads: pace::BulkheadSettings,
+    pub bulkheads: slow_peer::BulkheadSettings,
     /// A roster in an etcd v3 registry.
     #[garde(dive)]
     pub registry: etcd::Settings,
@@ -39,10 +39,10 @@
     pub consul: consul::Settings,
     /// The fleet's turns at the list service, and readiness that waits for a list.
     #[garde(dive)]
-    pub cold_start: turns::Settings,
+    pub cold_start: startup_scheduler::Settings,
     /// Leaving a zone that fails as a fleet, and coming back at a pace.
     #[garde(dive)]
-    pub zones: zones::Settings,
+    pub zones: zone_failover::Settings,
 }
 
 /// `[log]`
@@ -68,12 +68,12 @@
             source,
         };
         let text = std::fs::read_to_string(path).map_err(|error| wrong(error.into()))?;
-        ini::read(&text).map_err(|error| wrong(error.into()))
+        operator_config::read(&text).map_err(|error| wrong(error.into()))
     }
 
     /// The published schema of the file.
     pub(crate) fn schema() -> String {
-        ini::schema::<OperatorConfig>()
+        operator_config::schema::<OperatorConfig>()
     }
 
     /// The subsystems that are on, by their sections' names, for `check`.
--- a/src/config/operator/golden.rs
+++ b/src/config/operator/golden.rs
@@ -12,7 +12,7 @@
     format!("{value:?}")
 }
 
-fn networks(networks: &ini::Networks) -> String {
+fn networks(networks: &operator_config::Networks) -> String {
     text(
         networks
             .0
@@ -22,7 +22,7 @@
     )
 }
 
-fn pace_keys(section: &pace::Settings) -> Vec<Key> {
+fn pace_keys(section: &slow_peer::Settings) -> Vec<Key> {
     vec![
         ("pace.enabled", text(section.enabled.0)),
         ("pace.tick", text(section.tick.0)),
@@ -43,7 +43,7 @@
     ]
 }
 
-fn bulkheads_keys(section: &pace::BulkheadSettings) -> Vec<Key> {
+fn bulkheads_keys(section: &slow_peer::BulkheadSettings) -> Vec<Key> {
     vec![
         ("bulkheads.enabled", text(section.enabled.0)),
         ("bulkheads.customer_places", text(section.customer_places)),
@@ -87,7 +87,7 @@
     ]
 }
 
-fn cold_start_keys(section: &turns::Settings) -> Vec<Key> {
+fn cold_start_keys(section: &startup_scheduler::Settings) -> Vec<Key> {
     vec![
         ("cold_start.enabled", text(section.enabled.0)),
         ("cold_start.calls_per_s", text(section.calls_per_s)),
@@ -95,7 +95,7 @@
     ]
 }
 
-fn zones_keys(section: &zones::Settings) -> Vec<Key> {
+fn zones_keys(section: &zone_failover::Settings) -> Vec<Key> {
     vec![
         ("zones.enabled", text(section.enabled.0)),
         ("zones.leave_at", text(section.leave_at)),
@@ -153,8 +153,8 @@
 #[test]
 fn operator_file_is_refused_in_the_recorded_words() {
     let (mut now, mut section) = (String::new(), "");
-    let mut said = |text: &str| {
-        let read = ini::read::<OperatorConfig>(text)
+    let mut record = |text: &str| {
+        let read = operator_config::read::<OperatorConfig>(text)
             .map_or_else(|error| error.to_string(), |_| "will do".to_string());
         writeln!(now, "{} => {read}", text.replace('\n', " ")).unwrap();
     };
@@ -168,17 +168,17 @@
         "[Pace]",
         "[pace]\ntick = 20ms\ntick = 20ms",
     ];
-    torn.into_iter().for_each(&mut said);
+    torn.into_iter().for_each(&mut record);
     for line in OPERATOR.lines() {
         if line.starts_with('[') {
             section = line;
-            said(&format!("{section}\nnosuch = 1"));
+            record(&format!("{section}\nnosuch = 1"));
         }
         let Some((key, _)) = line.split_once(" = ") else {
             continue;
         };
         for value in ["?", "0", "-1", "1e9", "25h", "1GiB", "10.0.0.1"] {
-            said(&format!("{section}\n{key} = {value}"));
+            record(&format!("{section}\n{key} = {value}"));
         }
     }
     crate::config::golden::compare(
--- a/src/discovery/registry/golden.rs
+++ b/src/discovery/registry/golden.rs
@@ -1,7 +1,8 @@
-use super::*;
+use super::snapshot_file::path;
+use std::path::Path;
 
 #[test]
-fn the_snapshot_is_where_it_was() {
+fn snapshot_is_at_the_recorded_path() {
     assert_eq!(
         path("/var/lib/applewall"),
         Path::new("/var/lib/applewall/roster.snapshot")
