Discovery: figures of log lines are fields

Revisions, counts and ages are tracing fields in place of numbers in the text, so that JSON logs carry them by name. Which events are logged and how often stays.

--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -82,9 +82,9 @@
             new += 1;
             if new <= MAX_LOGGED_ENTRIES {
                 tracing::warn!(
-                    "endpoint list: revision {}: targets[{}] ({}) left out: {}",
-                    list.revision,
-                    entry.index,
+                    revision = list.revision,
+                    target_index = entry.index,
+                    "endpoint list: {} left out: {}",
                     entry.id,
                     entry.reason
                 );
@@ -92,9 +92,9 @@
         }
         if new > MAX_LOGGED_ENTRIES {
             tracing::warn!(
-                "endpoint list: revision {}: {} more entries left out",
-                list.revision,
-                new - MAX_LOGGED_ENTRIES
+                revision = list.revision,
+                entries = new - MAX_LOGGED_ENTRIES,
+                "endpoint list: more entries left out"
             );
         }
         let reported: HashSet<String> = left_out.iter().map(LeftOut::key).collect();
@@ -119,7 +119,7 @@
         let id = value
             .get("uid")
             .and_then(Value::as_str)
-            .unwrap_or("without a uid");
+            .unwrap_or("an entry without a uid");
         // Discovery's text, and so a line of the log, may be of any length.
         let id = id.escape_debug().take(MAX_LOGGED_ID_CHARS).collect();
         LeftOut { index, id, reason }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -200,9 +200,9 @@
             }
         };
         tracing::info!(
-            "registry: {} members of the snapshot, revision {}",
-            snapshot.members.len(),
-            snapshot.revision
+            members = snapshot.members.len(),
+            revision = snapshot.revision,
+            "registry: list restored from the snapshot"
         );
         // Resumed from there. When members started is not kept, so that a start meanwhile shows as one.
         Some(self.apply(|list| list.restore(snapshot)))
--- a/src/discovery/registry/merged_list.rs
+++ b/src/discovery/registry/merged_list.rs
@@ -252,7 +252,10 @@
             .into_iter()
             .map(seconds)
             .collect();
-        tracing::warn!("registry: no source is current, seconds ago {ages:?}; the list stays");
+        tracing::warn!(
+            age_seconds = ?ages,
+            "registry: no source is current, keeping the last list"
+        );
     }
 
     fn entry(&self, id: &str, record: &MemberRecord) -> EndpointEntry {
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -75,7 +75,8 @@
             }
             List::Old(revision) => {
                 tracing::info!(
-                    "cold start: ready with the known list, revision {revision}, not yet confirmed"
+                    revision,
+                    "cold start: ready with the known list, not yet confirmed"
                 );
             }
             List::Told(_) => {}
@@ -175,7 +176,7 @@
         let now = self.now();
         let at = self.core().answered(now, revision, changed);
         if !self.has_endpoints.send_replace(true) {
-            tracing::info!("cold start: ready with the list at revision {revision}");
+            tracing::info!(revision, "cold start: ready with the list of the service");
         }
         self.wait_until(at, now).await;
     }
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -234,10 +234,7 @@
             }
         };
         if state.lost_since.take().is_some() {
-            tracing::info!(
-                "endpoint list: discovery is back, revision {}",
-                list.revision
-            );
+            tracing::info!(revision = list.revision, "endpoint list: discovery is back");
         }
         state.revision = Some(list.revision);
         let changed = list.complete || !list.targets.is_empty();
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -85,7 +85,7 @@
             .classes
             .iter()
             .map(|class| class.latency_objective_ns);
-        tracing::info!("zones: {} of them are judged by the fleet", names.len());
+        tracing::info!(zones = names.len(), "zones: failover is enabled");
         Some(ZoneFailover {
             core,
             core_zones,
