--- a/crates/slow-peer/src/bulkhead.rs
+++ b/crates/slow-peer/src/bulkhead.rs
@@ -18,23 +18,23 @@
 use applewall_operator_config::Networks;
 use ipnet::IpNet;
 
-use crate::account::{Account, Full, Holder};
+use crate::account::{LimitExceeded, ResourceAccount, ResourceOwner};
 use crate::settings::BulkheadSettings;
 
 /// Which set of addresses an address belongs to.
 #[derive(Clone, Debug)]
-pub struct Networked {
+pub struct NetworkClassifier {
     v4: u8,
     v6: u8,
     exempt: Networks,
     enabled: bool,
 }
 
-impl Networked {
+impl NetworkClassifier {
     /// By the operator's prefixes and exemptions.
     pub fn new(settings: &BulkheadSettings) -> Self {
         let (v4, v6) = (settings.ipv4_prefix, settings.ipv6_prefix);
-        Networked {
+        NetworkClassifier {
             v4,
             v6,
             exempt: settings.exempt.clone(),
@@ -44,7 +44,7 @@
 
     /// The set of an address; none where it is not bounded. An IPv4 address in IPv6 clothes is that IPv4 address:
     /// it must not count as another set.
-    pub fn of(&self, address: IpAddr) -> Option<IpNet> {
+    pub fn network_of(&self, address: IpAddr) -> Option<IpNet> {
         let address = address.to_canonical();
         if !self.enabled || self.exempt.contains(address) {
             return None;
@@ -57,12 +57,12 @@
 /// Places that are held, each by a customer or a set of addresses.
 #[derive(Debug)]
 pub struct Bulkheads {
-    held: Account,
+    slots: ResourceAccount,
     per_peer: u64,
-    distrust: u64,
+    penalize: u64,
     /// Until when each cut counts, oldest first, and how many count for each set of addresses.
-    cuts: VecDeque<(u64, IpNet)>,
-    cut: HashMap<IpNet, u64>,
+    penalties: VecDeque<(u64, IpNet)>,
+    penalty_counts: HashMap<IpNet, u64>,
 }
 
 impl Bulkheads {
@@ -75,39 +75,41 @@
         let (per_customer, per_peer) =
             (share(settings.customer_places), share(settings.peer_places));
         Bulkheads {
-            held: Account::new(u64::MAX, per_customer, per_peer),
+            slots: ResourceAccount::new(u64::MAX, per_customer, per_peer),
             per_peer,
-            distrust: settings.distrust.as_nanos(),
-            cuts: VecDeque::new(),
-            cut: HashMap::new(),
+            penalize: settings.distrust.as_nanos(),
+            penalties: VecDeque::new(),
+            penalty_counts: HashMap::new(),
         }
     }
 
     /// A connection of this holder's set of addresses was cut for its pace.
-    pub fn distrust(&mut self, now: u64, holder: Holder) {
-        let Some(peer) = holder.peer else { return };
-        self.forget(now);
+    pub fn penalize(&mut self, now: u64, holder: ResourceOwner) {
+        let Some(peer) = holder.peer_network else {
+            return;
+        };
+        self.expire_penalties(now);
         // More than these take no further place: what is kept stays bounded.
-        let cut = self.cut.entry(peer).or_default();
+        let cut = self.penalty_counts.entry(peer).or_default();
         if *cut < self.per_peer.saturating_sub(1) {
             *cut += 1;
-            self.cuts
-                .push_back((now.saturating_add(self.distrust), peer));
+            self.penalties
+                .push_back((now.saturating_add(self.penalize), peer));
         }
     }
 
-    fn forget(&mut self, now: u64) {
+    fn expire_penalties(&mut self, now: u64) {
         while let Some((_, peer)) = self
-            .cuts
+            .penalties
             .front()
             .copied()
             .filter(|(until, _)| *until <= now)
         {
-            self.cuts.pop_front();
-            if let Some(left) = self.cut.get_mut(&peer) {
+            self.penalties.pop_front();
+            if let Some(left) = self.penalty_counts.get_mut(&peer) {
                 *left = left.saturating_sub(1);
                 if *left == 0 {
-                    self.cut.remove(&peer);
+                    self.penalty_counts.remove(&peer);
                 }
             }
         }
@@ -118,25 +120,25 @@
     /// # Errors
     ///
     /// Whose share is taken.
-    pub fn enter(&mut self, now: u64, holder: Holder) -> Result<(), Full> {
-        self.forget(now);
+    pub fn acquire(&mut self, now: u64, holder: ResourceOwner) -> Result<(), LimitExceeded> {
+        self.expire_penalties(now);
         let cut = holder
-            .peer
-            .and_then(|peer| Some((peer, *self.cut.get(&peer)?)));
-        if cut.is_some_and(|(peer, cut)| self.held.of_peer(peer) + cut >= self.per_peer) {
-            return Err(Full::Peer);
+            .peer_network
+            .and_then(|peer| Some((peer, *self.penalty_counts.get(&peer)?)));
+        if cut.is_some_and(|(peer, cut)| self.slots.used_by_network(peer) + cut >= self.per_peer) {
+            return Err(LimitExceeded::PeerNetwork);
         }
-        self.held.take(holder, 1)
+        self.slots.acquire(holder, 1)
     }
 
     /// Gives the place back.
-    pub fn leave(&mut self, holder: Holder) {
-        self.held.give(holder, 1);
+    pub fn release(&mut self, holder: ResourceOwner) {
+        self.slots.release(holder, 1);
     }
 
     /// True where nobody holds a place.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.slots.is_empty()
     }
 }
 
@@ -155,10 +157,10 @@
 
     #[test]
     fn addresses_of_a_set_count_together_and_exempt_ones_not_at_all() {
-        let networked = Networked::new(&settings());
+        let networked = NetworkClassifier::new(&settings());
         let of = |text: &str| {
             networked
-                .of(text.parse().unwrap())
+                .network_of(text.parse().unwrap())
                 .map(|net| net.to_string())
         };
         assert_eq!(of("192.0.2.7").as_deref(), Some("192.0.2.0/24"));
@@ -169,7 +171,8 @@
         );
         assert_eq!(of("10.1.2.3"), None);
         assert_eq!(
-            Networked::new(&BulkheadSettings::default()).of("192.0.2.7".parse().unwrap()),
+            NetworkClassifier::new(&BulkheadSettings::default())
+                .network_of("192.0.2.7".parse().unwrap()),
             None
         );
     }
@@ -177,17 +180,17 @@
     #[test]
     fn those_that_were_cut_get_fewer_places_for_a_while_and_one_in_any_case() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let peer = |text: &str| Holder {
+        let peer = |text: &str| ResourceOwner {
             customer: None,
-            peer: Some(text.parse().unwrap()),
+            peer_network: Some(text.parse().unwrap()),
         };
         let (cut, other) = (peer("192.0.2.0/24"), peer("198.51.100.0/24"));
         let enter = |bulkheads: &mut Bulkheads, now, holder| {
             (0..8)
-                .take_while(|_| bulkheads.enter(now, holder).is_ok())
+                .take_while(|_| bulkheads.acquire(now, holder).is_ok())
                 .count()
         };
-        (0..2).for_each(|_| bulkheads.distrust(0, cut));
+        (0..2).for_each(|_| bulkheads.penalize(0, cut));
         assert_eq!(
             (
                 enter(&mut bulkheads, 1, cut),
@@ -195,31 +198,31 @@
             ),
             (2, 4)
         );
-        (0..2).for_each(|_| bulkheads.leave(cut));
+        (0..2).for_each(|_| bulkheads.release(cut));
         // However many were cut: one place stays, and all come back when the time is over.
-        (0..100).for_each(|_| bulkheads.distrust(1, cut));
-        assert!(bulkheads.cuts.len() < 4);
+        (0..100).for_each(|_| bulkheads.penalize(1, cut));
+        assert!(bulkheads.penalties.len() < 4);
         assert_eq!(enter(&mut bulkheads, 2, cut), 1);
-        bulkheads.leave(cut);
+        bulkheads.release(cut);
         assert_eq!(enter(&mut bulkheads, 20_000_000_000, cut), 4);
-        assert!(bulkheads.cuts.is_empty() && bulkheads.cut.is_empty());
+        assert!(bulkheads.penalties.is_empty() && bulkheads.penalty_counts.is_empty());
     }
 
     #[test]
     fn a_share_is_held_and_given_back() {
         let mut bulkheads = Bulkheads::new(&settings(), 8);
-        let customer = |c| Holder {
+        let customer = |c| ResourceOwner {
             customer: Some(c),
-            peer: None,
+            peer_network: None,
         };
         assert_eq!(
-            [1, 1, 1].map(|c| bulkheads.enter(0, customer(c))),
-            [Ok(()), Ok(()), Err(Full::Customer)]
+            [1, 1, 1].map(|c| bulkheads.acquire(0, customer(c))),
+            [Ok(()), Ok(()), Err(LimitExceeded::Customer)]
         );
-        assert_eq!(bulkheads.enter(0, customer(2)), Ok(()));
+        assert_eq!(bulkheads.acquire(0, customer(2)), Ok(()));
         [1, 1, 2]
             .into_iter()
-            .for_each(|c| bulkheads.leave(customer(c)));
+            .for_each(|c| bulkheads.release(customer(c)));
         assert!(bulkheads.is_empty());
     }
 }
--- a/crates/slow-peer/src/socket/pacer.rs
+++ b/crates/slow-peer/src/socket/pacer.rs
@@ -10,8 +10,9 @@
 
 use super::kernel;
 use crate::{
-    BulkheadSettings, Bulkheads, Counts, Cut, FairClock, Full, Holder, Id, Moved, Need, Networked,
-    Outgoing, Reason, Row, Settings, Tally,
+    Abort, BulkheadSettings, Bulkheads, ConnectionId, EventCounts, LimitExceeded,
+    NetworkClassifier, OutgoingTransfers, OwnerStatistics, ResourceNeed, ResourceOwner, Settings,
+    SlowPeerEvent, SlowPeerStatistics, StallCompensatedClock, TransferProgress,
 };
 
 /// A tick may be this late, in nanoseconds, before the time beyond counts as one in which the program stood still.
@@ -21,46 +22,46 @@
 
 /// A connection whose answers are looked at. Gone from the list when it is dropped, which has to be no later than
 /// its socket is closed: the number of the descriptor is somebody else's after that.
-pub struct Ticket {
-    pacer: Arc<Pacer>,
-    id: Id,
-    peer: Option<IpNet>,
+pub struct MonitoredConnection {
+    monitor: Arc<TransferMonitor>,
+    id: ConnectionId,
+    peer_network: Option<IpNet>,
     written: Arc<AtomicU64>,
     /// A place is held on behalf of the set of addresses.
-    placed: bool,
+    has_slot: bool,
 }
 
-impl Ticket {
+impl MonitoredConnection {
     /// Names the connection to its pacer.
-    pub fn id(&self) -> Id {
+    pub fn id(&self) -> ConnectionId {
         self.id
     }
 
     /// Its set of addresses, where that is bounded.
-    pub fn peer(&self) -> Option<IpNet> {
-        self.peer
+    pub fn peer_network(&self) -> Option<IpNet> {
+        self.peer_network
     }
 
     /// False where its set of addresses holds its share of places already: it is to be told no.
-    pub fn placed(&self) -> bool {
-        self.placed
+    pub fn has_slot(&self) -> bool {
+        self.has_slot
     }
 
     /// So many bytes were written on it.
-    pub fn wrote(&self, bytes: usize) {
+    pub fn record_written(&self, bytes: usize) {
         self.written.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
 
-impl Drop for Ticket {
+impl Drop for MonitoredConnection {
     fn drop(&mut self) {
-        let mut state = self.pacer.state();
-        state.outgoing.end(self.id);
+        let mut state = self.monitor.state();
+        state.outgoing.connection_closed(self.id);
         state.connections.remove(&self.id);
-        if self.placed {
-            state.peers.leave(Holder {
+        if self.has_slot {
+            state.peer_network_slots.release(ResourceOwner {
                 customer: None,
-                peer: self.peer,
+                peer_network: self.peer_network,
             });
         }
     }
@@ -73,28 +74,28 @@
     /// The socket's own; borrowed for a look only, under the lock, while the ticket lives.
     socket: Lend,
     written: Arc<AtomicU64>,
-    cut: Box<dyn Fn() + Send>,
+    abort: Box<dyn Fn() + Send>,
 }
 
 struct State {
-    clock: FairClock,
-    looked: u64,
-    next: Id,
-    outgoing: Outgoing,
-    connections: HashMap<Id, Connection>,
-    customers: Bulkheads,
-    peers: Bulkheads,
-    tally: Tally,
+    clock: StallCompensatedClock,
+    polled_at_ns: u64,
+    next: ConnectionId,
+    outgoing: OutgoingTransfers,
+    connections: HashMap<ConnectionId, Connection>,
+    customer_slots: Bulkheads,
+    peer_network_slots: Bulkheads,
+    statistics: SlowPeerStatistics,
 }
 
 /// All of them. Shared by the door, the commands and one ticking task; every call is short and awaits nothing.
-pub struct Pacer {
+pub struct TransferMonitor {
     settings: Settings,
-    networked: Networked,
+    network_classifier: NetworkClassifier,
     state: Mutex<State>,
 }
 
-impl Pacer {
+impl TransferMonitor {
     /// None yet, with room for so many connections in a program that has so many bytes of memory; `now` is
     /// nanoseconds of a clock that only advances.
     pub fn new(
@@ -104,19 +105,19 @@
         now: u64,
     ) -> Arc<Self> {
         let state = State {
-            clock: FairClock::new(now + settings.tick.as_nanos(), SLACK),
-            looked: 0,
+            clock: StallCompensatedClock::new(now + settings.tick.as_nanos(), SLACK),
+            polled_at_ns: 0,
             next: 0,
-            outgoing: Outgoing::new(settings, bulkheads, memory),
+            outgoing: OutgoingTransfers::new(settings, bulkheads, memory),
             connections: HashMap::new(),
-            customers: Bulkheads::new(bulkheads, places),
-            peers: Bulkheads::new(bulkheads, places),
-            tally: Tally::default(),
+            customer_slots: Bulkheads::new(bulkheads, places),
+            peer_network_slots: Bulkheads::new(bulkheads, places),
+            statistics: SlowPeerStatistics::default(),
         };
-        let networked = Networked::new(bulkheads);
-        Arc::new(Pacer {
+        let networked = NetworkClassifier::new(bulkheads);
+        Arc::new(TransferMonitor {
             settings: settings.clone(),
-            networked,
+            network_classifier: networked,
             state: Mutex::new(state),
         })
     }
@@ -135,49 +136,51 @@
 
     /// A connection came in from an address; `socket` lends its descriptor, and `cut` is called once if it has to
     /// go: it only tells, the connection's owner closes it.
-    pub fn join(
+    pub fn register(
         self: &Arc<Self>,
         now: u64,
         address: IpAddr,
         socket: impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static,
         cut: impl Fn() + Send + 'static,
-    ) -> Ticket {
-        let peer = self.networked.of(address);
-        let holder = Holder {
+    ) -> MonitoredConnection {
+        let peer = self.network_classifier.network_of(address);
+        let holder = ResourceOwner {
             customer: None,
-            peer,
+            peer_network: peer,
         };
         let mut state = self.state();
         state.next += 1;
         let (id, written) = (state.next, Arc::new(AtomicU64::new(0)));
         let fair = state.clock.now(now);
-        let placed = state.peers.enter(fair, holder).is_ok();
+        let placed = state.peer_network_slots.acquire(fair, holder).is_ok();
         if !placed {
-            state.tally.note(holder, Reason::PeerPlaces, 0, 0);
+            state
+                .statistics
+                .record(holder, SlowPeerEvent::PeerNetworkSlotsExhausted, 0, 0);
         }
         let connection = Connection {
             socket: Box::new(socket),
             written: written.clone(),
-            cut: Box::new(cut),
+            abort: Box::new(cut),
         };
         state.connections.insert(id, connection);
-        Ticket {
-            pacer: self.clone(),
+        MonitoredConnection {
+            monitor: self.clone(),
             id,
-            peer,
+            peer_network: peer,
             written,
-            placed,
+            has_slot: placed,
         }
     }
 
     /// A command was read on a connection.
-    pub fn command(&self, id: Id) {
-        self.state().outgoing.command(id);
+    pub fn request_started(&self, id: ConnectionId) {
+        self.state().outgoing.request_started(id);
     }
 
     /// That command has its answer, one too short to be held.
-    pub fn answered(&self, id: Id) {
-        self.state().outgoing.answered(id);
+    pub fn response_needs_no_monitoring(&self, id: ConnectionId) {
+        self.state().outgoing.response_needs_no_monitoring(id);
     }
 
     /// A customer opens a command.
@@ -185,25 +188,27 @@
     /// # Errors
     ///
     /// Where it holds its share of places already.
-    pub fn enter(&self, now: u64, customer: u64) -> Result<(), Full> {
-        let holder = Holder {
+    pub fn acquire_request_slot(&self, now: u64, customer: u64) -> Result<(), LimitExceeded> {
+        let holder = ResourceOwner {
             customer: Some(customer),
-            peer: None,
+            peer_network: None,
         };
         let mut state = self.state();
         let fair = state.clock.now(now);
-        let entered = state.customers.enter(fair, holder);
+        let entered = state.customer_slots.acquire(fair, holder);
         if entered.is_err() {
-            state.tally.note(holder, Reason::CustomerPlaces, 0, 0);
+            state
+                .statistics
+                .record(holder, SlowPeerEvent::CustomerSlotsExhausted, 0, 0);
         }
         entered
     }
 
     /// That command is over.
-    pub fn leave(&self, customer: u64) {
-        self.state().customers.leave(Holder {
+    pub fn release_request_slot(&self, customer: u64) {
+        self.state().customer_slots.release(ResourceOwner {
             customer: Some(customer),
-            peer: None,
+            peer_network: None,
         });
     }
 
@@ -212,7 +217,13 @@
     /// # Errors
     ///
     /// No room, and nobody to blame for it: a short answer has to go in its place.
-    pub fn begin(&self, now: u64, id: Id, holder: Holder, bytes: u64) -> Result<(), Full> {
+    pub fn begin_response(
+        &self,
+        now: u64,
+        id: ConnectionId,
+        holder: ResourceOwner,
+        bytes: u64,
+    ) -> Result<(), LimitExceeded> {
         let mut state = self.state();
         let State {
             clock,
@@ -223,43 +234,53 @@
         let Some(connection) = connections.get(&id) else {
             return Ok(());
         };
-        let (fair, moved) = (clock.now(now), connection.moved(false));
+        let (fair, moved) = (clock.now(now), connection.progress(false));
         // What was delivered since the last look belongs to the answer before this one.
-        outgoing.progress(fair, id, moved);
-        let Err(full) = outgoing.begin(fair, id, holder, bytes, moved) else {
+        outgoing.record_progress(fair, id, moved);
+        let Err(full) = outgoing.begin_response(fair, id, holder, bytes, moved) else {
             return Ok(());
         };
-        state.look(now, APART);
+        state.poll_progress(now, APART);
         // The look alone may have found room.
-        let again = state.outgoing.begin(fair, id, holder, bytes, moved);
+        let again = state
+            .outgoing
+            .begin_response(fair, id, holder, bytes, moved);
         let Err(full) = again.map_err(|_| full) else {
             return Ok(());
         };
         let cuts = state
             .outgoing
-            .make_room(fair, Need::Bytes(holder, full, bytes));
-        state.carry_out(fair, cuts);
-        let begun = state.outgoing.begin(fair, id, holder, bytes, moved);
-        begun.inspect_err(|full| state.tally.note(holder, Reason::NoRoom(*full), bytes, 0))
+            .abort_for_resources(fair, ResourceNeed::Bytes(holder, full, bytes));
+        state.abort(fair, cuts);
+        let begun = state
+            .outgoing
+            .begin_response(fair, id, holder, bytes, moved);
+        begun.inspect_err(|full| {
+            state
+                .statistics
+                .record(holder, SlowPeerEvent::ResponseReplaced(*full), bytes, 0);
+        })
     }
 
     /// True while an answer waits on a connection: it is not idle.
-    pub fn is_going(&self, now: u64, id: Id) -> bool {
+    pub fn has_unsent_response(&self, now: u64, id: ConnectionId) -> bool {
         let mut state = self.state();
-        if state.outgoing.is_going(id) {
-            state.look(now, APART);
+        if state.outgoing.is_sending(id) {
+            state.poll_progress(now, APART);
         }
-        state.outgoing.is_going(id)
+        state.outgoing.is_sending(id)
     }
 
     /// Cuts the worst offender for a place; false where there is none.
-    pub fn make_place(&self, now: u64) -> bool {
+    pub fn abort_one_for_connection_slot(&self, now: u64) -> bool {
         let mut state = self.state();
-        state.look(now, APART);
+        state.poll_progress(now, APART);
         let fair = state.clock.now(now);
-        let cuts = state.outgoing.make_room(fair, Need::Place);
+        let cuts = state
+            .outgoing
+            .abort_for_resources(fair, ResourceNeed::ConnectionSlot);
         let found = !cuts.is_empty();
-        state.carry_out(fair, cuts);
+        state.abort(fair, cuts);
         found
     }
 
@@ -268,30 +289,35 @@
     pub fn tick(&self, now: u64, places: f64) {
         let mut state = self.state();
         state.clock.tick(now, now + self.settings.tick.as_nanos());
-        state.look(now, 0);
+        state.poll_progress(now, 0);
         let fair = state.clock.now(now);
-        let cuts = state.outgoing.judge(fair, places);
-        state.carry_out(fair, cuts);
+        let cuts = state.outgoing.abort_below_minimum_rate(fair, places);
+        state.abort(fair, cuts);
     }
 
     /// Something happened that is to be counted.
-    pub fn note(&self, holder: Holder, reason: Reason) {
-        self.state().tally.note(holder, reason, 0, 0);
+    pub fn record(&self, holder: ResourceOwner, reason: SlowPeerEvent) {
+        self.state().statistics.record(holder, reason, 0, 0);
     }
 
     /// Counts and the worst rows since the last call, what waits now and the most that did.
-    pub fn report(&self, rows: usize) -> (Counts, Vec<Row>, u64, u64) {
+    pub fn take_report(&self, rows: usize) -> (EventCounts, Vec<OwnerStatistics>, u64, u64) {
         let mut state = self.state();
-        let (counts, rows) = state.tally.take(rows);
-        let waiting = state.outgoing.account().total();
-        (counts, rows, waiting, state.outgoing.account().take_most())
+        let (counts, rows) = state.statistics.take(rows);
+        let waiting = state.outgoing.unsent_bytes().total();
+        (
+            counts,
+            rows,
+            waiting,
+            state.outgoing.unsent_bytes().take_peak(),
+        )
     }
 }
 
 impl Connection {
     /// What is known of its bytes. Where the kernel does not tell, what is written is taken for delivered: nobody is
     /// cut for what is not known. The round trip is asked for only where it is `wanted`: it costs as much again.
-    fn moved(&self, wanted: bool) -> Moved {
+    fn progress(&self, wanted: bool) -> TransferProgress {
         let written = self.written.load(Ordering::Relaxed);
         let (mut waiting, mut round_trip) = (0, 0);
         (self.socket)(&mut |socket| {
@@ -302,43 +328,48 @@
                 0
             };
         });
-        Moved {
-            written,
-            delivered: written.saturating_sub(waiting),
-            round_trip,
+        TransferProgress {
+            written_bytes: written,
+            acknowledged_bytes: written.saturating_sub(waiting),
+            round_trip_ns: round_trip,
         }
     }
 }
 
 impl State {
-    fn look(&mut self, now: u64, apart: u64) {
-        if now.saturating_sub(self.looked) < apart {
+    fn poll_progress(&mut self, now: u64, apart: u64) {
+        if now.saturating_sub(self.polled_at_ns) < apart {
             return;
         }
-        self.looked = now;
+        self.polled_at_ns = now;
         let fair = self.clock.now(now);
-        for id in self.outgoing.ids() {
+        for id in self.outgoing.connection_ids() {
             if let Some(connection) = self.connections.get(&id) {
-                self.outgoing.progress(fair, id, connection.moved(true));
+                self.outgoing
+                    .record_progress(fair, id, connection.progress(true));
             }
         }
     }
 
-    fn carry_out(&mut self, fair: u64, cuts: Vec<Cut>) {
+    fn abort(&mut self, fair: u64, cuts: Vec<Abort>) {
         for cut in cuts {
             // Who is cut comes back at once, more often than not.
-            self.peers.distrust(
+            self.peer_network_slots.penalize(
                 fair,
-                Holder {
+                ResourceOwner {
                     customer: None,
-                    peer: cut.holder.peer,
+                    peer_network: cut.owner.peer_network,
                 },
             );
-            self.tally
-                .note(cut.holder, Reason::Cut(cut.why), cut.waiting, cut.age);
+            self.statistics.record(
+                cut.owner,
+                SlowPeerEvent::ResponseAborted(cut.reason),
+                cut.unsent_bytes,
+                cut.age_ns,
+            );
             if let Some(connection) = self.connections.get(&cut.id) {
                 (connection.socket)(&mut |socket| kernel::reset_at_close(socket));
-                (connection.cut)();
+                (connection.abort)();
             }
         }
     }
@@ -348,8 +379,10 @@
 ///
 /// # Safety
 ///
-/// The descriptor has to stay open, and the same socket, until the [`Ticket`] that comes of it is dropped.
-pub unsafe fn lend(socket: &impl AsFd) -> impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static {
+/// The descriptor has to stay open, and the same socket, until the [`MonitoredConnection`] that comes of it is dropped.
+pub unsafe fn borrow_descriptor(
+    socket: &impl AsFd,
+) -> impl Fn(&mut dyn FnMut(BorrowedFd<'_>)) + Send + 'static {
     use std::os::fd::AsRawFd;
     let number = socket.as_fd().as_raw_fd();
     move |look| {
--- a/src/config/file_error.rs
+++ b/src/config/file_error.rs
@@ -1,6 +1,6 @@
 //! What can be wrong with a value of the platform's file that is well-formed JSON.
 
-use std::error::Error;
+use applewall::platform_settings::SettingsError;
 
 use super::platform::MIN_DESCRIPTORS;
 
@@ -9,7 +9,7 @@
 pub(crate) enum PlatformFileError {
     /// The settings of the decision policy.
     #[error(transparent)]
-    Settings(Box<dyn Error + Send + Sync>),
+    Settings(#[from] SettingsError),
     /// Too few descriptors to serve with.
     #[error("limits.sockets: {0} descriptors are too few, {MIN_DESCRIPTORS} at least")]
     TooFewDescriptors(usize),
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use applewall::platform_settings::{self, PlatformSettings};
+use applewall::platform_settings::PlatformSettings;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -23,7 +23,7 @@
 /// Bytes of the file's unit of memory.
 const BYTES_PER_MIB: usize = 1 << 20;
 
-/// The configuration file; the settings are read by [`platform_settings::facts`].
+/// The configuration file; the settings are read by [`PlatformSettings::from_json`].
 #[derive(Deserialize)]
 pub(super) struct PlatformFile {
     name: String,
@@ -168,8 +168,7 @@
     type Error = PlatformFileError;
 
     fn try_from(file: PlatformFile) -> Result<Self, PlatformFileError> {
-        let settings = platform_settings::facts(&file.settings)
-            .map_err(|error| PlatformFileError::Settings(error.into()))?;
+        let settings = PlatformSettings::from_json(&file.settings)?;
         if file.limits.sockets < MIN_DESCRIPTORS {
             return Err(PlatformFileError::TooFewDescriptors(file.limits.sockets));
         }
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -116,7 +116,7 @@
             settings.idle_connection_timeout_ns,
             settings.connect_timeout_ns,
             settings.drain_notice_ns,
-            settings.zones()
+            settings.zone_names()
         ),
         (62, 63, 53, vec!["a".into(), "b".into()])
     );
@@ -199,8 +199,8 @@
             (41, 42, 4.0, 0.0, Idempotency::NonIdempotent, false),
         ]
     );
-    let numbers =
-        ["safe", "all", "zone", "cell", "once", "none"].map(|name| config.settings.class(name));
+    let numbers = ["safe", "all", "zone", "cell", "once", "none"]
+        .map(|name| config.settings.class_index(name));
     assert_eq!(numbers, [Some(0), Some(1), Some(2), Some(3), Some(4), None]);
 }
 
@@ -229,7 +229,7 @@
         [full, (0, [0.0, 0.0, 1.0, 0.0, 0.0], [0.0; 3])]
     );
     assert_eq!(
-        ["full", "bare", "none"].map(|name| config.settings.plan(name)),
+        ["full", "bare", "none"].map(|name| config.settings.plan_index(name)),
         [Some(0), Some(1), None]
     );
 }
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -171,9 +171,9 @@
         id: target.uid.into(),
         weight: target.capacity_hint,
         started_at_ns: clock.of_unix(target.boot_ms),
-        zone: settings.zone(&target.az),
+        zone: settings.zone_index(&target.az),
         cell: target.pod_group.unwrap_or(NO_CELL),
-        machine_type: settings.kind(&target.model),
+        machine_type: settings.machine_type(&target.model),
         state,
     };
     Ok(EndpointEntry {
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -20,7 +20,7 @@
 mod merged_list;
 mod snapshot_file;
 
-use merged_list::MergedList;
+use merged_list::{MergedList, CONSUL, REGISTRY};
 use snapshot_file::SnapshotFile;
 
 /// Least time between snapshots: bounds the writes while the list changes all the time.
@@ -136,8 +136,8 @@
         if !settings.enabled.0 {
             return std::future::pending().await;
         }
-        applewall_etcd::watch(settings, self.seed, position, |update| {
-            self.apply(|list| list.apply_registry(update))
+        applewall_etcd::watch(settings, self.seed, position, |report| {
+            self.apply(|list| list.apply(REGISTRY, report))
         })
         .await;
     }
@@ -147,8 +147,8 @@
         if !settings.enabled.0 {
             return std::future::pending().await;
         }
-        applewall_consul::watch(settings, self.seed, |update| {
-            self.apply(|list| list.apply_consul(update));
+        applewall_consul::watch(settings, self.seed, |report| {
+            self.apply(|list| list.apply(CONSUL, report));
         })
         .await;
     }
--- a/src/discovery/registry/merged_list.rs
+++ b/src/discovery/registry/merged_list.rs
@@ -9,23 +9,21 @@
 
 use applewall::api::{Endpoint, EndpointState, EndpointUpdateKind};
 use applewall::platform_settings::PlatformSettings;
-use applewall_consul::ListUpdate;
-use applewall_etcd::RegistryUpdate;
 use applewall_membership::snapshot::Snapshot;
 use applewall_membership::{
     ApplyOutcome, MemberChange, MemberRecord, MemberState, MemberUpdate, MergedMembership,
-    Position, ReadConsistency, Source,
+    Position, ReadConsistency, Source, SourceInput,
 };
 
 use crate::clock::Clock;
 use crate::engine::message::EndpointEntry;
 
 /// The sources by their numbers in the membership, which are their ranks.
-const REGISTRY: usize = 0;
-const CONSUL: usize = 1;
+pub(super) const REGISTRY: usize = 0;
+pub(super) const CONSUL: usize = 1;
 const DISCOVERY: usize = 2;
 const SOURCES: usize = 3;
-/// Sources without cluster ids have this one.
+/// Discovery has no cluster ids.
 const NO_CLUSTER: u64 = 0;
 /// On the decision policy's clock: started long ago. None would be unknown.
 const LONG_PAST_NS: u64 = 1;
@@ -99,35 +97,13 @@
         }
     }
 
-    /// What the registry reports, and what became of it.
-    pub(super) fn apply_registry(&mut self, update: RegistryUpdate) -> ApplyOutcome {
+    /// What a registry reports, and what became of it.
+    pub(super) fn apply(&mut self, source: usize, report: SourceInput) -> ApplyOutcome {
         let now_ns = self.clock.now();
-        match update {
-            RegistryUpdate::FullList { position, updates } => {
-                self.whole_list_reported(REGISTRY, &updates);
-                self.source(REGISTRY).apply_full_list(
-                    now_ns,
-                    position,
-                    ReadConsistency::Consistent,
-                    updates,
-                )
-            }
-            RegistryUpdate::Changes { position, updates } => self
-                .source(REGISTRY)
-                .apply_changes(now_ns, position, updates),
+        if let SourceInput::FullList { updates, .. } = &report {
+            self.whole_list_reported(source, updates);
         }
-    }
-
-    /// A whole list of a Consul-style store. It has no cluster id; an index that goes back shows one that began anew.
-    pub(super) fn apply_consul(&mut self, update: ListUpdate) {
-        let now_ns = self.clock.now();
-        let position = Position {
-            cluster: NO_CLUSTER,
-            revision: update.index,
-        };
-        self.whole_list_reported(CONSUL, &update.updates);
-        self.source(CONSUL)
-            .apply_full_list(now_ns, position, update.consistency, update.updates);
+        self.source(source).handle(now_ns, report)
     }
 
     /// What discovery reports.
@@ -148,11 +124,15 @@
             self.discovered.insert(update.id.clone(), entry);
             updates.push(update);
         }
-        let source = self.source(DISCOVERY);
-        match kind {
-            EndpointUpdateKind::Delta => source.apply_changes(now_ns, position, updates),
-            _ => source.apply_full_list(now_ns, position, ReadConsistency::Consistent, updates),
+        let report = match kind {
+            EndpointUpdateKind::Delta => SourceInput::Changes { position, updates },
+            _ => SourceInput::FullList {
+                position,
+                consistency: ReadConsistency::Consistent,
+                updates,
+            },
         };
+        self.source(DISCOVERY).handle(now_ns, report);
     }
 
     /// Takes in the registry's list of a snapshot; the position that it has.
@@ -263,7 +243,7 @@
             id: id.into(),
             weight: record.capacity_hint,
             started_at_ns: self.clock.of_unix(record.boot_ms),
-            zone: self.settings.zone(&record.az),
+            zone: self.settings.zone_index(&record.az),
             cell: record.pod_group,
             machine_type: NO_MACHINE_TYPE,
             state: match record.state {
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -67,7 +67,7 @@
         seed: u64,
         now_ns: u64,
     ) -> Option<Self> {
-        let names = settings.zones();
+        let names = settings.zone_names();
         if !failover.enabled.0 || names.len() < MIN_ZONES {
             return None;
         }
@@ -201,7 +201,7 @@
                 // Once a process: whoever sends one such message may send any number.
                 if !std::mem::replace(&mut self.unreadable_logged, true) {
                     tracing::warn!(
-                        "zones: messages of peer {from} that cannot be read are dropped"
+                        "zones: messages of peer {from} that cannot be decoded are dropped"
                     );
                 }
             }
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -29,8 +29,8 @@
 use tower::Service;
 
 use applewall_admin::LifecyclePhase;
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Reason, Verdict};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{IncomingStatus, SlowPeerEvent};
 
 use crate::clock::Clock;
 use crate::engine::message::{Command, Message, Passed};
@@ -86,7 +86,7 @@
         let arrived = Instant::now();
         self.seat.begin();
         if let Some(paced) = &self.seat.paced {
-            paced.pacer.command(paced.id);
+            paced.pacer.request_started(paced.id);
         }
         if request.uri().path() == "/healthz" {
             // Listening, and decided from a name table that may be believed: ready.
@@ -170,11 +170,11 @@
 }
 
 /// A customer's place among open commands, given back when it is dropped.
-struct Entered<'a>(&'a Pacer, u64);
+struct Entered<'a>(&'a TransferMonitor, u64);
 
 impl Drop for Entered<'_> {
     fn drop(&mut self) {
-        self.0.leave(self.1);
+        self.0.release_request_slot(self.1);
     }
 }
 
@@ -187,10 +187,10 @@
         };
         // One that is passed on holds next to nothing here, however slowly it is read.
         let Answer::Served(Content::Whole(body), _) = &answer else {
-            paced.pacer.answered(paced.id);
+            paced.pacer.response_needs_no_monitoring(paced.id);
             return answer;
         };
-        let begun = paced.pacer.begin(
+        let begun = paced.pacer.begin_response(
             self.clock.now(),
             paced.id,
             paced.holder(customer),
@@ -199,7 +199,7 @@
         match begun {
             Ok(()) => answer,
             Err(_) => {
-                paced.pacer.answered(paced.id);
+                paced.pacer.response_needs_no_monitoring(paced.id);
                 Answer::Failed(StatusCode::INSUFFICIENT_STORAGE, "no room for the answer")
             }
         }
@@ -231,7 +231,14 @@
         *customer = Some(number);
         // Before its body is read: what is refused need not be held.
         let _entered = match &seat.paced {
-            Some(paced) if paced.pacer.enter(self.clock.now(), number).is_err() => return nack(),
+            Some(paced)
+                if paced
+                    .pacer
+                    .acquire_request_slot(self.clock.now(), number)
+                    .is_err() =>
+            {
+                return nack()
+            }
             Some(paced) => Some(Entered(&paced.pacer, number)),
             None => None,
         };
@@ -281,7 +288,10 @@
                         if let (Answer::Failed(StatusCode::REQUEST_TIMEOUT, _), Some(paced)) =
                             (&answer, &seat.paced)
                         {
-                            paced.pacer.note(paced.holder(Some(number)), Reason::Upload);
+                            paced.pacer.record(
+                                paced.holder(Some(number)),
+                                SlowPeerEvent::RequestBodyTooSlow,
+                            );
                         }
                         return answer;
                     }
@@ -342,16 +352,20 @@
     async fn collect_paced(
         &self,
         body: Incoming,
-        pacer: &Pacer,
+        pacer: &TransferMonitor,
         until: Instant,
         length: Option<u64>,
     ) -> Result<Bytes, Answer> {
         let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::new());
         let now = self.clock.now();
-        let mut transfer =
-            applewall_slow_peer::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
+        let mut transfer = applewall_slow_peer::IncomingTransfer::new(
+            pacer.settings(),
+            now,
+            self.clock.at(until),
+            length,
+        );
         loop {
-            let Verdict::Wait(next) = transfer.verdict(self.clock.now()) else {
+            let IncomingStatus::CheckAgainAt(next) = transfer.evaluate(self.clock.now()) else {
                 return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
             };
             let next = self.clock.instant(next).into();
@@ -359,7 +373,7 @@
                 Ok(None) => return Ok(whole.freeze()),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        transfer.arrive(self.clock.now(), data.len() as u64);
+                        transfer.bytes_received(self.clock.now(), data.len() as u64);
                         whole.extend_from_slice(&data);
                     }
                 }
@@ -450,7 +464,7 @@
     let id = one(headers, ID)
         .and_then(hex)
         .ok_or("X-Correlation-Id is not 16 hex digits")?;
-    let class = one(headers, "x-service-class").and_then(|c| facts.class(c));
+    let class = one(headers, "x-service-class").and_then(|c| facts.class_index(c));
     let class = class.ok_or("unknown X-Service-Class")?;
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
     match (
@@ -465,7 +479,7 @@
         _ => return Err("Idempotency-Key comes twice"),
     }
     let plan = one(headers, "x-contract")
-        .and_then(|p| facts.plan(p))
+        .and_then(|p| facts.plan_index(p))
         .ok_or("unknown X-Contract")?;
     let customer = one(headers, "x-client-id")
         .and_then(hex)
