--- /dev/null
+++ b/tests/module_dependencies.rs
@@ -0,0 +1,207 @@
+//! Imports run one way: no circle among the modules of the library or of the daemon, and the library's in the order that
+//! docs/architecture.md gives.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// The library's modules, each of which may use those before it.
+const LIBRARY_ORDER: [&str; 7] = [
+    "api",
+    "decision_state",
+    "gossip",
+    "decision",
+    "events",
+    "platform_settings",
+    "simulator",
+];
+
+type Graph = BTreeMap<String, BTreeSet<String>>;
+
+fn source_files(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            files.extend(source_files(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            files.push(path);
+        }
+    }
+    files
+}
+
+/// The path of a file's module, as its names from the crate's root on.
+fn module_path(source: &Path, file: &Path) -> Vec<String> {
+    let relative = file.strip_prefix(source).expect("below the source");
+    let mut names: Vec<String> = relative
+        .with_extension("")
+        .iter()
+        .map(|name| name.to_string_lossy().into_owned())
+        .collect();
+    names.retain(|name| name != "mod");
+    names
+}
+
+fn is_test(path: &[String]) -> bool {
+    path.iter().any(|name| name == "tests" || name == "golden")
+}
+
+/// Modules that a file's text names by `crate::` or `super::`, as far as they are files.
+fn imports(text: &str, own: &[String], modules: &BTreeSet<Vec<String>>) -> BTreeSet<Vec<String>> {
+    let mut found = BTreeSet::new();
+    let code = text
+        .lines()
+        .filter(|line| !line.trim_start().starts_with("//"))
+        .collect::<Vec<_>>()
+        .join("\n");
+    for (at, _) in code.match_indices("crate::") {
+        let preceded =
+            code[..at].ends_with(|before: char| before.is_alphanumeric() || before == ':');
+        if !preceded {
+            found.extend(resolve(&code[at + "crate::".len()..], &[], modules));
+        }
+    }
+    for (at, _) in code.match_indices("super::") {
+        if !code[..at].ends_with("::") && !own.is_empty() {
+            let parent = &own[..own.len() - 1];
+            found.extend(resolve(&code[at + "super::".len()..], parent, modules));
+        }
+    }
+    found
+}
+
+/// Modules that a path names after its beginning; one level of braces is followed.
+fn resolve(rest: &str, base: &[String], modules: &BTreeSet<Vec<String>>) -> Vec<Vec<String>> {
+    if let Some(group) = rest.strip_prefix('{') {
+        let end = group.find('}').unwrap_or(group.len());
+        return group[..end]
+            .split(',')
+            .flat_map(|item| resolve(item.trim(), base, modules))
+            .collect();
+    }
+    let name: String = rest
+        .chars()
+        .take_while(|letter| letter.is_alphanumeric() || *letter == '_')
+        .collect();
+    let mut path = base.to_vec();
+    path.push(name.clone());
+    if !modules.contains(&path) {
+        return if base.is_empty() {
+            vec![]
+        } else {
+            vec![base.to_vec()]
+        };
+    }
+    match rest[name.len()..].strip_prefix("::") {
+        Some(further) => resolve(further, &path, modules),
+        None => vec![path],
+    }
+}
+
+/// The imports among the modules below these names.
+fn graph(is_included: impl Fn(&str) -> bool) -> Graph {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let files = source_files(&source);
+    let included: Vec<(Vec<String>, &PathBuf)> = files
+        .iter()
+        .map(|file| (module_path(&source, file), file))
+        .filter(|(path, _)| !is_test(path) && path.first().is_some_and(|name| is_included(name)))
+        .collect();
+    let modules: BTreeSet<Vec<String>> = included.iter().map(|(path, _)| path.clone()).collect();
+    let mut graph = Graph::new();
+    for (path, file) in &included {
+        let text = fs::read_to_string(file).expect("a source file");
+        let own = path.join("::");
+        let used = imports(&text, path, &modules)
+            .into_iter()
+            .map(|other| other.join("::"))
+            // A module and those below it are one part.
+            .filter(|other| {
+                !own.starts_with(&format!("{other}::")) && !other.starts_with(&format!("{own}::"))
+            });
+        let used: BTreeSet<String> = used.filter(|other| *other != own).collect();
+        graph.insert(own, used);
+    }
+    graph
+}
+
+fn is_library(name: &str) -> bool {
+    LIBRARY_ORDER.contains(&name)
+}
+
+fn is_daemon(name: &str) -> bool {
+    !is_library(name) && !["bin", "lib", "main"].contains(&name)
+}
+
+/// A circle of imports, if there is one.
+fn circle(graph: &Graph) -> Option<Vec<String>> {
+    fn visit<'a>(
+        module: &'a str,
+        graph: &'a Graph,
+        path: &mut Vec<&'a str>,
+        done: &mut BTreeSet<&'a str>,
+    ) -> Option<Vec<String>> {
+        if let Some(start) = path.iter().position(|other| *other == module) {
+            return Some(path[start..].iter().map(ToString::to_string).collect());
+        }
+        if !done.insert(module) {
+            return None;
+        }
+        path.push(module);
+        for used in graph.get(module).into_iter().flatten() {
+            let found = visit(used, graph, path, done);
+            if found.is_some() {
+                return found;
+            }
+        }
+        path.pop();
+        None
+    }
+    let mut done = BTreeSet::new();
+    graph
+        .keys()
+        .find_map(|module| visit(module, graph, &mut Vec::new(), &mut done))
+}
+
+#[test]
+fn the_library_imports_in_the_order_of_the_architecture_page() {
+    let place = |module: &str| {
+        let first = module.split("::").next().expect("a name");
+        LIBRARY_ORDER.iter().position(|name| *name == first)
+    };
+    let graph = graph(is_library);
+    assert!(graph.len() > LIBRARY_ORDER.len(), "{graph:?}");
+    let mut across = 0;
+    for (module, used) in &graph {
+        for other in used {
+            assert!(place(other) <= place(module), "{module} uses {other}");
+            across += usize::from(place(other) != place(module));
+        }
+    }
+    assert!(across > 10, "only {across} imports between folders found");
+}
+
+#[test]
+fn no_modules_of_the_library_import_each_other_in_a_circle() {
+    assert_eq!(circle(&graph(is_library)), None);
+}
+
+#[test]
+fn no_modules_of_the_daemon_import_each_other_in_a_circle() {
+    let graph = graph(is_daemon);
+    assert!(graph.len() > 20, "{graph:?}");
+    assert_eq!(circle(&graph), None);
+}
+
+#[test]
+fn a_circle_is_found_where_there_is_one() {
+    let edge = |from: &str, to: &str| (from.to_string(), BTreeSet::from([to.to_string()]));
+    let graph = Graph::from([
+        edge("a", "b"),
+        edge("b", "c"),
+        edge("c", "b"),
+        edge("d", "a"),
+    ]);
+    assert_eq!(circle(&graph), Some(vec!["b".to_string(), "c".to_string()]));
+}
