Operator config: the error derives std's trait like the others

Change: thiserror's derive in place of an empty impl; the text is written by hand as before, since its parts are optional.

--- a/crates/operator-config/src/error.rs
+++ b/crates/operator-config/src/error.rs
@@ -8,7 +8,7 @@
 use serde::de::value::Error as ValueError;
 
 /// Why a file is rejected.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub struct Error {
     /// The section, where it is known.
     pub section: Option<String>,
@@ -30,8 +30,6 @@
     }
 }
 
-impl std::error::Error for Error {}
-
 impl Error {
     /// At a path as serde and garde write it, `section.key`.
     pub(crate) fn at(path: &str, reason: impl fmt::Display) -> Self {
