--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -1,14 +1,10 @@
-//! A seeded play of several gateways over the decision library. Everything that goes in and everything that comes out is
+//! A seeded play of several nodes over the decision library. Everything that goes in and everything that comes out is
 //! hashed by section, and the hashes are compared with `tests/golden/decisions.txt`: a change of names or shape may not
 //! change one digit of what is decided, nor the order in which random numbers are drawn.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 #![expect(
     clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
+    reason = "the script of a play reads best in one piece"
 )]
 
 mod common;
@@ -22,7 +18,7 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 const GOLDEN: &str = include_str!("golden/decisions.txt");
-const BACKENDS: u32 = 9;
+const ENDPOINTS: u32 = 9;
 const TICK: u64 = 10 * MS;
 
 /// 64 bits of FNV-1a over everything written to it.
@@ -88,7 +84,7 @@
                 self.text(text);
             }
             Action::WatchEndpoints(on) => self.number(if *on { 7 } else { 8 }),
-            // The wording of a log line may change; that there is one, and what is hashed of it, its figures, may not.
+            // The wording of a log line may change; that there is one, and its figures, may not.
             Action::Log(line) => {
                 self.number(9);
                 let figures: String = line.chars().filter(char::is_ascii_digit).collect();
@@ -103,9 +99,9 @@
 }
 
 /// An attempt on its way, and how it will end.
-struct Flight {
+struct InFlightAttempt {
     due: u64,
-    gateway: usize,
+    node: usize,
     request: RequestId,
     attempt: u32,
     backend: EndpointId,
@@ -120,9 +116,9 @@
     text: String,
 }
 
-/// What the backends and the network do in one section.
+/// What the endpoints and the network do in one section.
 #[derive(Clone, Copy, Default)]
-struct Weather {
+struct Conditions {
     /// Percent of attempts that end in each way other than well.
     full: u32,
     error: u32,
@@ -134,10 +130,10 @@
     /// Percent of datagrams lost, and the most that one is late, ms.
     lost: u32,
     late_ms: u64,
-    /// Requests a gateway gets each tick, in percent.
+    /// Requests a node gets each tick, in percent.
     demand: u32,
-    /// A backend that fails whatever it gets.
-    sick: Option<u32>,
+    /// An endpoint that fails whatever it gets.
+    failing_endpoint: Option<u32>,
     /// Percent of clients that leave early.
     leave: u32,
 }
@@ -145,12 +141,12 @@
 struct Play {
     rng: SmallRng,
     set: PolicySettings,
-    brains: Vec<DecisionPolicy>,
+    policies: Vec<DecisionPolicy>,
     now: u64,
     next: u64,
     timers: Vec<(u64, usize, u64)>,
-    flights: Vec<Flight>,
-    mail: Vec<Datagram>,
+    in_flight: Vec<InFlightAttempt>,
+    datagrams: Vec<Datagram>,
     digest: Digest,
     counts: [u32; 4],
 }
@@ -193,19 +189,19 @@
         },
         ..member(&format!("b{i}"), i % 3)
     };
-    (0..BACKENDS).map(one).collect()
+    (0..ENDPOINTS).map(one).collect()
 }
 
 impl Play {
-    /// A fleet of so many gateways, of which the first `played` take part; the others are silent.
-    fn new(seed: u64, fleet: u32, played: u32, mail_per_s: f64) -> Self {
+    /// A fleet of so many nodes, of which the first `played` take part; the others are silent.
+    fn new(seed: u64, fleet: u32, played: u32, messages_per_second: f64) -> Self {
         let set = PolicySettings {
             node_count: fleet,
             plans: plans(),
             machine_type_count: 2,
             weighted_endpoints: true,
             watch_endpoints: true,
-            gossip_messages_per_second: mail_per_s,
+            gossip_messages_per_second: messages_per_second,
             cost_settled_after_response: true,
             max_retry_after_ns: S,
             ..settings()
@@ -216,18 +212,18 @@
             zone: me % 3,
             ..set.clone()
         };
-        let brains = (0..played)
+        let policies = (0..played)
             .map(|me| DecisionPolicy::new(own(me), seed + u64::from(me), now))
             .collect();
         let mut play = Play {
             rng: SmallRng::seed_from_u64(seed),
             set,
-            brains,
+            policies,
             now,
             next: 0,
             timers: vec![],
-            flights: vec![],
-            mail: vec![],
+            in_flight: vec![],
+            datagrams: vec![],
             digest: Digest::new(),
             counts: [0; 4],
         };
@@ -237,38 +233,38 @@
     }
 
     fn all(&mut self, event: impl Fn() -> Event) {
-        (0..self.brains.len()).for_each(|i| self.give(i, event(), Weather::default()));
+        (0..self.policies.len()).for_each(|i| self.give(i, event(), Conditions::default()));
     }
 
-    fn give(&mut self, gateway: usize, event: Event, weather: Weather) {
+    fn give(&mut self, node: usize, event: Event, conditions: Conditions) {
         let mut actions = Vec::new();
-        self.brains[gateway].handle(self.now, event, &mut actions);
+        self.policies[node].handle(self.now, event, &mut actions);
         for action in actions {
-            self.digest.number(gateway as u64);
+            self.digest.number(node as u64);
             self.digest.action(&action);
             match action {
                 Action::SetTimer {
                     after_ns: after,
                     token,
-                } => self.timers.push((self.now + after, gateway, token)),
+                } => self.timers.push((self.now + after, node, token)),
                 Action::StartAttempt {
                     request,
                     endpoint: backend,
                     timeout_ns: timeout,
                 } => {
                     self.counts[0] += 1;
-                    self.fly(gateway, request, backend, timeout, weather);
+                    self.start_attempt(node, request, backend, timeout, conditions);
                 }
                 Action::Reject { .. } => self.counts[1] += 1,
                 Action::Fail(_) => self.counts[2] += 1,
                 Action::SendGossip { peer, text } => {
                     self.counts[3] += 1;
-                    let lost = self.rng.random_range(0..100) < weather.lost;
-                    let late = self.rng.random_range(0..=weather.late_ms) * MS;
-                    let played = peer.filter(|to| *to < self.brains.len() as u32 && !lost);
+                    let lost = self.rng.random_range(0..100) < conditions.lost;
+                    let late = self.rng.random_range(0..=conditions.late_ms) * MS;
+                    let played = peer.filter(|to| *to < self.policies.len() as u32 && !lost);
                     let due = self.now + 5 * MS + late;
-                    let from = gateway as u32;
-                    self.mail.extend(played.map(|to| Datagram {
+                    let from = node as u32;
+                    self.datagrams.extend(played.map(|to| Datagram {
                         due,
                         from,
                         to,
@@ -280,43 +276,45 @@
         }
     }
 
-    fn fly(
+    fn start_attempt(
         &mut self,
-        gateway: usize,
+        node: usize,
         request: RequestId,
         backend: EndpointId,
         timeout: u64,
-        weather: Weather,
+        conditions: Conditions,
     ) {
-        let of = |f: &&Flight| f.gateway == gateway && f.request == request;
+        let of = |other: &&InFlightAttempt| other.node == node && other.request == request;
         let attempt = self
-            .flights
+            .in_flight
             .iter()
             .filter(of)
-            .map(|f| f.attempt + 1)
+            .map(|other| other.attempt + 1)
             .max()
             .unwrap_or(0);
         let draw = self.rng.random_range(0..100);
-        let sick = weather.sick.is_some_and(|i| *backend == *format!("b{i}"));
+        let failing_endpoint = conditions
+            .failing_endpoint
+            .is_some_and(|i| *backend == *format!("b{i}"));
         let mut bound = 0;
         let mut within = |percent: u32| {
             bound += percent;
             draw < bound
         };
-        let outcome = if sick || within(weather.error) {
+        let outcome = if failing_endpoint || within(conditions.error) {
             Outcome::Failure
-        } else if within(weather.full) {
+        } else if within(conditions.full) {
             Outcome::Overloaded
-        } else if within(weather.timed_out) {
+        } else if within(conditions.timed_out) {
             Outcome::TimedOut
-        } else if within(weather.reset) {
+        } else if within(conditions.reset) {
             Outcome::ConnectionReset
-        } else if within(weather.no_connection) {
+        } else if within(conditions.no_connection) {
             Outcome::ConnectFailed
         } else {
             Outcome::Success
         };
-        let usual = (20 + self.rng.random_range(0..60) + weather.slow_ms) * MS;
+        let usual = (20 + self.rng.random_range(0..60) + conditions.slow_ms) * MS;
         let latency = match outcome {
             Outcome::TimedOut => {
                 if timeout > 0 {
@@ -329,9 +327,9 @@
             _ => usual,
         };
         let due = self.now + latency;
-        self.flights.push(Flight {
+        self.in_flight.push(InFlightAttempt {
             due,
-            gateway,
+            node,
             request,
             attempt,
             backend,
@@ -340,15 +338,15 @@
         });
     }
 
-    fn ask(&mut self, gateway: usize, weather: Weather) {
+    fn ask(&mut self, node: usize, conditions: Conditions) {
         self.next += 1;
         let id = RequestId(self.next);
         let plan = self.rng.random_range(0..4usize);
-        // One plan's customers come in through one gateway, one's through the played ones, the others through all.
+        // One plan's customers come in through one node, one's through the played ones, the others through all.
         let spread = [
             self.set.node_count,
             1,
-            self.brains.len() as u32,
+            self.policies.len() as u32,
             self.set.node_count,
         ][plan];
         let request = Request {
@@ -360,22 +358,22 @@
             time_left_ns: (500 + self.rng.random_range(0..1500)) * MS,
             is_retry: self.rng.random_range(0..10) == 0,
             node_set_size: spread,
-            first_node: if plan == 1 { gateway as u32 } else { 0 },
+            first_node: if plan == 1 { node as u32 } else { 0 },
         };
-        self.give(gateway, Event::Request(request), weather);
-        if self.rng.random_range(0..100) < weather.leave {
-            self.give(gateway, Event::ClientDisconnected(id), weather);
+        self.give(node, Event::Request(request), conditions);
+        if self.rng.random_range(0..100) < conditions.leave {
+            self.give(node, Event::ClientDisconnected(id), conditions);
         }
     }
 
-    fn end(&mut self, flight: Flight, weather: Weather) {
+    fn end(&mut self, attempt_in_flight: InFlightAttempt, conditions: Conditions) {
         let finished = AttemptResult {
-            request: flight.request,
-            attempt: flight.attempt,
-            endpoint: flight.backend,
-            outcome: flight.outcome,
-            latency_ns: flight.latency,
-            request_complete: flight.outcome == Outcome::Success,
+            request: attempt_in_flight.request,
+            attempt: attempt_in_flight.attempt,
+            endpoint: attempt_in_flight.backend,
+            outcome: attempt_in_flight.outcome,
+            latency_ns: attempt_in_flight.latency,
+            request_complete: attempt_in_flight.outcome == Outcome::Success,
             settled_units: if self.rng.random_range(0..4) == 0 {
                 2.5
             } else {
@@ -383,56 +381,68 @@
             },
             load_report: vec![],
         };
-        self.give(flight.gateway, Event::AttemptFinished(finished), weather);
+        self.give(
+            attempt_in_flight.node,
+            Event::AttemptFinished(finished),
+            conditions,
+        );
     }
 
-    fn pass(&mut self, time: u64, weather: Weather) {
+    fn pass(&mut self, time: u64, conditions: Conditions) {
         for _ in 0..time / TICK {
             self.now += TICK;
             while let Some(i) = (0..self.timers.len()).min_by_key(|i| self.timers[*i]) {
                 if self.timers[i].0 > self.now {
                     break;
                 }
-                let (_, gateway, token) = self.timers.swap_remove(i);
-                self.give(gateway, Event::TimerExpired(token), weather);
+                let (_, node, token) = self.timers.swap_remove(i);
+                self.give(node, Event::TimerExpired(token), conditions);
             }
-            while let Some(i) = self.mail.iter().position(|m| m.due <= self.now) {
-                let Datagram { from, to, text, .. } = self.mail.remove(i);
-                self.give(to as usize, Event::PeerMessage { from, text }, weather);
+            while let Some(i) = self
+                .datagrams
+                .iter()
+                .position(|datagram| datagram.due <= self.now)
+            {
+                let Datagram { from, to, text, .. } = self.datagrams.remove(i);
+                self.give(to as usize, Event::PeerMessage { from, text }, conditions);
             }
-            while let Some(i) = self.flights.iter().position(|f| f.due <= self.now) {
-                let flight = self.flights.remove(i);
-                self.end(flight, weather);
+            while let Some(i) = self
+                .in_flight
+                .iter()
+                .position(|attempt| attempt.due <= self.now)
+            {
+                let attempt_in_flight = self.in_flight.remove(i);
+                self.end(attempt_in_flight, conditions);
             }
-            for gateway in 0..self.brains.len() {
-                let more = u32::from(self.rng.random_range(0..100) < weather.demand % 100);
-                (0..weather.demand / 100 + more).for_each(|_| self.ask(gateway, weather));
+            for node in 0..self.policies.len() {
+                let more = u32::from(self.rng.random_range(0..100) < conditions.demand % 100);
+                (0..conditions.demand / 100 + more).for_each(|_| self.ask(node, conditions));
             }
         }
     }
 
-    /// One gateway hands over to a new process, which fails, hands over again, and is replaced.
-    fn hand_over(&mut self, gateway: usize) {
-        let _ = self.brains[gateway].export_snapshot().expect("written");
+    /// One node hands over to a new process, which fails, hands over again, and is replaced.
+    fn hot_restart(&mut self, node: usize) {
+        let _ = self.policies[node].export_snapshot().expect("written");
         self.pass(
             300 * MS,
-            Weather {
+            Conditions {
                 demand: 30,
-                ..Weather::default()
+                ..Conditions::default()
             },
         );
-        self.brains[gateway].resume();
+        self.policies[node].resume();
         self.pass(
             300 * MS,
-            Weather {
+            Conditions {
                 demand: 30,
-                ..Weather::default()
+                ..Conditions::default()
             },
         );
-        let bytes = self.brains[gateway].export_snapshot().expect("written");
+        let bytes = self.policies[node].export_snapshot().expect("written");
         self.digest.number(bytes.len() as u64);
         self.digest.bytes(&bytes);
-        let me = gateway as u32;
+        let me = node as u32;
         let set = PolicySettings {
             node: me,
             zone: me % 3,
@@ -440,20 +450,20 @@
         };
         let mut next = DecisionPolicy::new(set, 77, self.now);
         next.import_snapshot(&bytes).expect("read");
-        self.brains[gateway] = next;
-        self.timers.retain(|t| t.1 != gateway);
-        self.flights.retain(|f| f.gateway != gateway);
+        self.policies[node] = next;
+        self.timers.retain(|timer| timer.1 != node);
+        self.in_flight.retain(|attempt| attempt.node != node);
         self.give(
-            gateway,
+            node,
             Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[]).into()),
-            Weather::default(),
+            Conditions::default(),
         );
     }
 
     /// Closes a section: its line is its hash and what was counted in it.
-    fn section(&mut self, name: &str, lines: &mut String) {
+    fn section(&mut self, lines: &mut String, name: &str) {
         let [sent, refused, failed, told] = std::mem::take(&mut self.counts);
-        let kept: usize = self.brains.iter().map(DecisionPolicy::entry_count).sum();
+        let kept: usize = self.policies.iter().map(DecisionPolicy::entry_count).sum();
         self.digest.number(kept as u64);
         let hash = std::mem::replace(&mut self.digest, Digest::new()).0;
         let _ = writeln!(
@@ -464,20 +474,26 @@
 }
 
 /// All sections, for one size of fleet.
-fn play(name: &str, seed: u64, fleet: u32, played: u32, mail_per_s: f64, lines: &mut String) {
-    let usual = Weather {
+fn play(
+    name: &str,
+    seed: u64,
+    fleet: u32,
+    played: u32,
+    messages_per_second: f64,
+    lines: &mut String,
+) {
+    let usual = Conditions {
         demand: 40,
         lost: 5,
         late_ms: 40,
-        ..Weather::default()
+        ..Conditions::default()
     };
-    let mut play = Play::new(seed, fleet, played, mail_per_s);
-    let mut section = |play: &mut Play, what: &str| play.section(&format!("{name} {what}"), lines);
+    let mut play = Play::new(seed, fleet, played, messages_per_second);
     play.pass(4 * S, usual);
-    section(&mut play, "calm");
+    play.section(lines, &format!("{name} calm"));
     play.pass(
         4 * S,
-        Weather {
+        Conditions {
             error: 8,
             full: 5,
             timed_out: 5,
@@ -487,19 +503,19 @@
             ..usual
         },
     );
-    section(&mut play, "faults");
+    play.section(lines, &format!("{name} faults"));
     play.pass(
         3 * S,
-        Weather {
-            sick: Some(4),
+        Conditions {
+            failing_endpoint: Some(4),
             slow_ms: 30,
             ..usual
         },
     );
-    section(&mut play, "one backend fails");
+    play.section(lines, &format!("{name} one backend fails"));
     play.pass(
         5 * S,
-        Weather {
+        Conditions {
             demand: 250,
             slow_ms: 500,
             full: 10,
@@ -507,9 +523,9 @@
             ..usual
         },
     );
-    section(&mut play, "overload");
+    play.section(lines, &format!("{name} overload"));
     play.pass(4 * S, usual);
-    section(&mut play, "recovery");
+    play.section(lines, &format!("{name} recovery"));
     let started = play.now;
     play.all(|| {
         Event::EndpointUpdate(
@@ -519,66 +535,69 @@
     });
     play.pass(
         3 * S,
-        Weather {
+        Conditions {
             demand: 80,
             ..usual
         },
     );
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Failed, [].into()));
     play.pass(S, usual);
-    section(&mut play, "drain and slow start");
+    play.section(lines, &format!("{name} drain and slow start"));
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[])[3..].into()));
     let back = list(None, &[])[7].clone();
     play.give(1, Event::ReturnedToService(back), usual);
     play.give(2, Event::ZoneTrafficShares(vec![0.25, 1.0]), usual);
     play.pass(
         3 * S,
-        Weather {
+        Conditions {
             demand: 60,
             ..usual
         },
     );
-    section(&mut play, "full list, maintenance, zone shares");
+    play.section(
+        lines,
+        &format!("{name} full list, maintenance, zone shares"),
+    );
     play.pass(
         3 * S,
-        Weather {
+        Conditions {
             lost: 60,
             late_ms: 900,
             demand: 90,
             ..usual
         },
     );
-    section(&mut play, "lost and late datagrams");
-    play.hand_over(1);
+    play.section(lines, &format!("{name} lost and late datagrams"));
+    play.hot_restart(1);
     play.pass(
         3 * S,
-        Weather {
+        Conditions {
             demand: 70,
             ..usual
         },
     );
-    section(&mut play, "hand-over");
+    play.section(lines, &format!("{name} hand-over"));
     // A gap in the clock, then customers never seen again until they are forgotten.
     play.now += 2 * S;
-    play.pass(12 * S, Weather { demand: 2, ..usual });
+    play.pass(12 * S, Conditions { demand: 2, ..usual });
     play.pass(
         2 * S,
-        Weather {
+        Conditions {
             demand: 120,
             slow_ms: 200,
             ..usual
         },
     );
-    section(&mut play, "gap, forgetting, surge");
+    play.section(lines, &format!("{name} gap, forgetting, surge"));
 }
 
-/// Many backends, a subset of them to each gateway, and the rarer conditions.
+/// Many endpoints, a subset of them to each node, and the rarer conditions.
 fn play_wide(name: &str, seed: u64, fleet: u32, played: u32, lines: &mut String) {
-    let usual = Weather {
+    let usual = Conditions {
         demand: 60,
         lost: 5,
         late_ms: 40,
-        ..Weather::default()
+        ..Conditions::default()
     };
     let mut play = Play::new(seed, fleet, played, 40.0);
     let wide = |started: Option<u64>, ready: u32| -> Vec<Endpoint> {
@@ -595,72 +614,71 @@
         };
         (0..48).map(one).collect()
     };
-    let mut section = |play: &mut Play, what: &str| play.section(&format!("{name} {what}"), lines);
     let started = play.now;
     play.all(|| {
         Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(Some(started), 48).into())
     });
     play.pass(
         5 * S,
-        Weather {
+        Conditions {
             demand: 150,
             slow_ms: 60,
             ..usual
         },
     );
-    section(&mut play, "all backends start at once");
+    play.section(lines, &format!("{name} all backends start at once"));
     play.pass(
         5 * S,
-        Weather {
+        Conditions {
             reset: 70,
             no_connection: 5,
             demand: 20,
             ..usual
         },
     );
-    section(&mut play, "connections break");
+    play.section(lines, &format!("{name} connections break"));
     play.pass(
         5 * S,
-        Weather {
+        Conditions {
             error: 75,
             demand: 60,
             ..usual
         },
     );
-    section(&mut play, "retries run out");
+    play.section(lines, &format!("{name} retries run out"));
     play.pass(
         5 * S,
-        Weather {
+        Conditions {
             error: 40,
             slow_ms: 900,
             demand: 30,
             ..usual
         },
     );
-    section(&mut play, "late failures of keyed requests");
+    play.section(lines, &format!("{name} late failures of keyed requests"));
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(None, 10).into()));
     play.pass(
         4 * S,
-        Weather {
+        Conditions {
             timed_out: 15,
             ..usual
         },
     );
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Delta, wide(None, 31).into()));
     play.pass(3 * S, usual);
-    section(&mut play, "most backends go, some come back");
+    play.section(lines, &format!("{name} most backends go, some come back"));
     for _ in 0..6 {
         play.now += 450 * MS;
         play.pass(
             500 * MS,
-            Weather {
+            Conditions {
                 demand: 80,
                 timed_out: 20,
                 ..usual
             },
         );
     }
-    section(&mut play, "the clock jumps");
+    play.section(lines, &format!("{name} the clock jumps"));
     let wild = pool([900.0, 700.0, 0.0, 0.0, 0.0, 100.0, 400.0, 90.0, 700.0]);
     for _ in 0..20 {
         play.all(|| Event::PeerMessage {
@@ -669,33 +687,33 @@
         });
         play.pass(200 * MS, usual);
     }
-    section(&mut play, "a peer's wild statistics");
+    play.section(lines, &format!("{name} a peer's wild statistics"));
     play.pass(
         12 * S,
-        Weather {
+        Conditions {
             demand: 3,
             full: 50,
             slow_ms: 400,
             ..usual
         },
     );
-    play.pass(8 * S, Weather { demand: 3, ..usual });
-    section(&mut play, "little traffic");
+    play.pass(8 * S, Conditions { demand: 3, ..usual });
+    play.section(lines, &format!("{name} little traffic"));
     play.pass(
         3 * S,
-        Weather {
+        Conditions {
             demand: 300,
             ..usual
         },
     );
     play.pass(
         6 * S,
-        Weather {
+        Conditions {
             demand: 10,
             ..usual
         },
     );
-    section(&mut play, "a surge after silence");
+    play.section(lines, &format!("{name} a surge after silence"));
 }
 
 #[test]
