Lifecycle, admin and discovery: tests of the parts that the rework made separate

A completed transfer can only follow one that has begun: the types say it, in place of a debug assertion. New tests hold the role's transitions, late requests, relaying, the lines between two processes, who is evicted from the admin address, which malformed entries are known, the watch's events, and what the merge of registries makes of reports.

--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -194,3 +194,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -181,3 +181,6 @@
         address: target.endpoint,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/discovery/registry/merged_list.rs
+++ b/src/discovery/registry/merged_list.rs
@@ -286,3 +286,6 @@
     entry.endpoint.state = EndpointState::Removed;
     entry
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/discovery/watch/connection.rs
+++ b/src/discovery/watch/connection.rs
@@ -26,6 +26,7 @@
 const LIST_PATH: &str = "/v1/servers";
 
 /// An answer of discovery.
+#[derive(Debug)]
 pub(super) enum WatchEvent {
     /// The whole list.
     Snapshot(EndpointList),
@@ -195,3 +196,6 @@
         Some(_) => Ok(WatchEvent::Delta(list)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/discovery/watch/connection/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+fn list(revision: u64, complete: bool) -> EndpointList {
+    EndpointList {
+        revision,
+        complete,
+        ..EndpointList::default()
+    }
+}
+
+#[test]
+fn whole_list_is_a_snapshot_whatever_revision_is_known() {
+    for known in [None, Some(1), Some(9)] {
+        let event = event(known, list(5, true));
+        assert!(matches!(event, Ok(WatchEvent::Snapshot(list)) if list.revision == 5));
+    }
+}
+
+#[test]
+fn changes_that_follow_on_the_known_revision_are_a_delta() {
+    for known in [4, 5] {
+        let event = event(Some(known), list(5, false));
+        assert!(matches!(event, Ok(WatchEvent::Delta(list)) if list.revision == 5));
+    }
+}
+
+#[test]
+fn lower_revision_shows_a_discovery_that_counts_anew() {
+    let event = event(Some(6), list(5, false));
+    assert!(matches!(event, Ok(WatchEvent::RevisionsRestarted)));
+}
+
+#[test]
+fn changes_to_an_unknown_list_break_the_connection() {
+    let error = event(None, list(5, false)).unwrap_err();
+    assert!(matches!(error, WatchError::NotSnapshot) && error.is_broken());
+}
+
+#[test]
+fn rejection_names_its_status_and_the_time_to_call_again() {
+    let error = WatchError::Rejected {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        retry_after_seconds: Some(1.5),
+    };
+    assert_eq!(error.to_string(), "status 503 Service Unavailable");
+    assert!(error.is_rejected() && !error.is_broken());
+    assert_eq!(error.retry_after_seconds(), Some(1.5));
+}
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -224,7 +224,7 @@
     async fn hand_over(&self, mut stream: UnixStream) -> Result<Infallible, HotRestartError> {
         transfer::read_hello(&mut stream).await?;
         // From here on the datagrams are the other's.
-        self.role.begin_transfer();
+        let pending = self.role.begin_transfer();
         let state = self.export_state().await?;
         timeout(
             STEP_TIMEOUT,
@@ -239,7 +239,7 @@
             Ok(_) => return Err(HotRestartError::EndedEarly),
             Err(_) => return Err(HotRestartError::TakeOverTimeout),
         }
-        self.role.complete_transfer();
+        pending.complete();
         tracing::info!("hot restart: a new process has taken over");
         // One that is gone by now ended as any other that had taken over.
         if writing.write_all(CONSENT).await.is_ok() {
--- a/src/lifecycle/hot_restart/command_link.rs
+++ b/src/lifecycle/hot_restart/command_link.rs
@@ -23,6 +23,7 @@
 type OtherProcessSender = watch::Sender<Option<mpsc::Sender<RelayedCommand>>>;
 
 /// One line of the other process.
+#[derive(Debug, PartialEq, Eq)]
 enum Line<'a> {
     /// It wants a command carried out.
     Command { number: u64, command: &'a str },
@@ -116,3 +117,6 @@
         self.writing.write_all(line.as_bytes()).await.ok()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/lifecycle/hot_restart/command_link/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+#[test]
+fn lines_of_the_other_process_are_read_or_end_the_link() {
+    let command = "DISABLE s-1";
+    assert_eq!(
+        Line::parse("call 7 DISABLE s-1"),
+        Some(Line::Command { number: 7, command })
+    );
+    // What the answer says is the other process's caller's: here it is enough that it came.
+    for line in ["answer 7 done withheld", "answer 7 error no", "answer 7"] {
+        assert_eq!(
+            Line::parse(line),
+            Some(Line::Answer { number: 7 }),
+            "{line}"
+        );
+    }
+    for line in [
+        "",
+        "call",
+        "call 7",
+        "call x DRAIN",
+        "answer",
+        "answer -1",
+        "DRAIN 1 2",
+    ] {
+        assert_eq!(Line::parse(line), None, "{line:?}");
+    }
+}
--- a/src/lifecycle/process_role.rs
+++ b/src/lifecycle/process_role.rs
@@ -43,18 +43,9 @@
     }
 
     /// The state is about to be exported.
-    pub(super) fn begin_transfer(&self) {
-        self.advance(ProcessRole::Active, ProcessRole::TransferPending);
-    }
-
-    /// The other process has taken over.
-    pub(super) fn complete_transfer(&self) {
-        self.advance(ProcessRole::TransferPending, ProcessRole::Superseded);
-    }
-
-    fn advance(&self, from: ProcessRole, to: ProcessRole) {
-        debug_assert_eq!(*self.role.borrow(), from);
-        self.role.send_replace(to);
+    pub(super) fn begin_transfer(&self) -> PendingTransfer<'_> {
+        self.role.send_replace(ProcessRole::TransferPending);
+        PendingTransfer { role: &self.role }
     }
 
     /// The other process failed. True where this one was not active before, so that something has to be taken back.
@@ -78,6 +69,18 @@
     }
 }
 
+/// A transfer that has begun: only such a one can be completed.
+pub(super) struct PendingTransfer<'a> {
+    role: &'a watch::Sender<ProcessRole>,
+}
+
+impl PendingTransfer<'_> {
+    /// The other process has taken over.
+    pub(super) fn complete(self) {
+        self.role.send_replace(ProcessRole::Superseded);
+    }
+}
+
 /// What request and connection handling read of the process's lifecycle.
 #[derive(Clone)]
 pub(crate) struct ProcessStatus {
@@ -141,3 +144,6 @@
         let _ = timeout(RELAY_TIMEOUT, answered).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/lifecycle/process_role/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+#[test]
+fn role_is_superseded_by_a_completed_transfer_and_active_again_after_a_failure() {
+    let (owner, role) = RoleOwner::new();
+    assert_eq!(*role.borrow(), ProcessRole::Active);
+    assert!(!owner.resume(), "nothing to take back");
+    let pending = owner.begin_transfer();
+    assert_eq!(*role.borrow(), ProcessRole::TransferPending);
+    pending.complete();
+    assert_eq!(*role.borrow(), ProcessRole::Superseded);
+    assert!(owner.resume());
+    assert_eq!(*role.borrow(), ProcessRole::Active);
+    // The new process failed before it had taken over.
+    let _failed = owner.begin_transfer();
+    assert!(owner.resume() && *role.borrow() == ProcessRole::Active);
+}
+
+#[test]
+fn shutdown_limits_the_answers_to_late_requests_alone() {
+    let begin = Instant::now();
+    let after = |millis| begin + Duration::from_millis(millis);
+    let times = ShutdownTimes {
+        late_from: after(600),
+        late_answered_by: after(3600),
+        exit_at: after(3900),
+    };
+    assert_eq!(times.answer_limit(begin), None);
+    assert_eq!(times.answer_limit(after(599)), None);
+    assert_eq!(times.answer_limit(after(600)), Some(after(3600)));
+}
+
+#[tokio::test]
+async fn command_is_relayed_to_the_other_process_and_waits_for_its_answer() {
+    let (sender, mut commands) = mpsc::channel(1);
+    let (_link, other) = watch::channel(Some(sender));
+    let other_process = async {
+        let relayed: RelayedCommand = commands.recv().await.unwrap();
+        assert_eq!(relayed.command, "DRAIN");
+        relayed.done.send(()).unwrap();
+    };
+    tokio::join!(relay_command(&other, "DRAIN".to_string()), other_process);
+}
+
+#[tokio::test]
+async fn command_without_another_process_is_relayed_to_nobody() {
+    let (_link, other) = watch::channel(None);
+    relay_command(&other, "DRAIN".to_string()).await;
+}
