zone-failover: one handle(now, Input) -> Output, the field's terms, typed decode errors

Wire bytes, settings, random draws and the log lines of a zone's changes stay.

Types: Zones -> ZoneFailover, Saw -> Observation, Sums -> OutcomeSums, Word -> ZoneMessage, Part -> ZoneReport, Standing -> ZoneState, Phase::{In, Out, Back} -> ZonePhase::{InUse, Ejected, Returning}, Step -> Output. Methods: saw, hear, list, tick -> handle with an Input; share -> traffic_share.

--- a/crates/zone-failover/src/lib.rs
+++ b/crates/zone-failover/src/lib.rs
@@ -1,17 +1,19 @@
-//! What share of its traffic each zone gets, where one may fail: judged by what the fleet has seen together.
+//! Zone failover: what share of its usual traffic each zone gets while zones may fail, decided from what the whole fleet
+//! observes.
 //!
-//! A [`Zones`] is one ingress's part of it. Outcomes of attempts and peers' words come in; shares, words for peers and lines
-//! for the log go out. It knows no socket and no clock: moments are seconds of the caller's, from any beginning.
-//! docs/zones-design.md tells the rules, their bounds and what was rejected.
+//! A [`ZoneFailover`] is the sans-I/O core of one node. Its owner passes the time and an [`Input`] to
+//! [`ZoneFailover::handle`], sends the message of the returned [`Output`] to a peer, logs its transitions and routes by
+//! [`ZoneFailover::traffic_share`]. The core opens no socket and reads no clock: times are [`Seconds`] since an origin of
+//! the caller's choice. `docs/zones-design.md` lists the rules, their bounds and the alternatives that were rejected.
 
-mod evidence;
+mod failover;
+mod message;
+mod observation;
+mod policy;
 mod settings;
-mod verdict;
-mod word;
-mod zones;
 
-pub use evidence::Saw;
+pub use failover::{Input, OutgoingMessage, Output, Seconds, Start, ZoneEndpoints, ZoneFailover};
+pub use message::{DecodeError, ZoneMessage, ZoneReport};
+pub use observation::{Observation, OutcomeSums};
+pub use policy::{Transition, ZonePhase, ZoneTransition};
 pub use settings::Settings;
-pub use verdict::Phase;
-pub use word::Word;
-pub use zones::{Step, Zones};
--- /dev/null
+++ b/crates/zone-failover/src/policy.rs
@@ -0,0 +1,360 @@
+//! The rules by which zones are left and used again: from one node's view of all zones to the state of each.
+//!
+//! Pure: reads views and settings, changes the states, and returns what changed. Invariants: the last zone that does well
+//! is never left, and the endpoints of zones that are not in use never exceed the configured share of all.
+
+use std::fmt;
+
+use crate::failover::Seconds;
+use crate::observation::OutcomeSums;
+use crate::settings::Settings;
+
+/// Outcomes of a zone that this node and the peers that reported must have observed recently before it is judged.
+const MIN_FLEET_OUTCOMES: f64 = 2.5;
+/// Outcomes of this node's own that suffice to see a zone work: it is then not left because of what peers report.
+const MIN_OWN_OUTCOMES: f64 = 1.5;
+/// The same for the last second alone.
+const MIN_RECENT_OUTCOMES: f64 = 1.0;
+/// Fraction of `leave_at` up to which another zone does well: where all zones fail at once, none is far behind the others.
+const HEALTHY_FRACTION: f64 = 0.25;
+/// Consecutive evaluations that must find a zone failing: a sample of a few nodes depends much on the last message.
+const FAILING_EVALUATIONS: u32 = 3;
+/// Time after a zone was left in which other zones may fail, without being dead, because of the load that moved to them.
+const SHIFTED_LOAD_PERIOD: Seconds = 10.0;
+/// Least time for which a zone stays left; it doubles with each return that fails,
+const MIN_HOLD: Seconds = 1.0;
+/// up to this,
+const MAX_HOLD: Seconds = 60.0;
+/// and is reset after this time in full use.
+const HOLD_RESET_PERIOD: Seconds = 60.0;
+/// Outcomes of canary requests, times the seconds for which they counted, before a zone gets more than canaries.
+const MIN_CANARY_OUTCOME_SECONDS: f64 = 2.0;
+/// Factor by which earlier canary outcomes fade where they were not good enough: the zone may have recovered since.
+const CANARY_FADE: f64 = 0.5;
+/// Share of its usual traffic with which a return begins.
+const FIRST_RETURN_SHARE: f64 = 0.02;
+/// How far this node's share may be ahead of the fleet's mean while a zone returns.
+const MAX_LEAD_OVER_MEAN: f64 = 0.05;
+/// Mean share of the fleet below which a node that uses the zone in full follows the others.
+const FOLLOW_EJECTION_BELOW: f64 = 0.3;
+/// Mean share of the fleet above which a node that left the zone follows the others back.
+const FOLLOW_RETURN_ABOVE: f64 = 0.7;
+
+/// How one node uses a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZonePhase {
+    /// In full use.
+    InUse,
+    /// Left: it gets canary requests only.
+    Ejected,
+    /// Coming back, with a growing share of its usual traffic.
+    Returning,
+}
+
+/// A change of one zone's phase; its text is the log line's.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Transition {
+    /// Left because the fleet observes that it fails.
+    Ejected(OutcomeSums),
+    /// Left because most of the fleet has left it.
+    FollowedEjection(OutcomeSums),
+    /// A return begins.
+    Returning(OutcomeSums),
+    /// A return failed.
+    EjectedAgain {
+        /// Least time until the next return.
+        hold: Seconds,
+        /// What the fleet observes.
+        observed: OutcomeSums,
+    },
+    /// In full use again.
+    Restored,
+}
+
+/// A zone and how its phase changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneTransition {
+    /// The zone's name.
+    pub zone: String,
+    /// What changed.
+    pub transition: Transition,
+}
+
+impl fmt::Display for Transition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Transition::Ejected(observed) => {
+                write!(formatter, "left, the fleet sees {}", Percentages(observed))
+            }
+            Transition::FollowedEjection(observed) => {
+                let observed = Percentages(observed);
+                write!(formatter, "left, as the fleet has; it sees {observed}")
+            }
+            Transition::Returning(observed) => {
+                write!(formatter, "comes back, {}", Percentages(observed))
+            }
+            Transition::EjectedAgain { hold, observed } => {
+                let observed = Percentages(observed);
+                write!(
+                    formatter,
+                    "fails again, left for {hold:.0} s at the least: {observed}"
+                )
+            }
+            Transition::Restored => formatter.write_str("in full use again"),
+        }
+    }
+}
+
+/// Sums as percentages of all outcomes.
+struct Percentages<'a>(&'a OutcomeSums);
+
+impl fmt::Display for Percentages<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sums = self.0;
+        let total = sums.total().max(1e-9);
+        let (dead, failing) = (sums.dead / total * 100.0, sums.failing / total * 100.0);
+        write!(
+            formatter,
+            "{dead:.0} of 100 dead, {failing:.0} failing, of {total:.0} lately"
+        )
+    }
+}
+
+/// What one node knows of a zone at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ZoneView {
+    /// Endpoints that the list names in it.
+    pub(crate) endpoints: u32,
+    /// What this node and the peers that reported recently observed: a sample of the fleet.
+    pub(crate) fleet: OutcomeSums,
+    /// How many of these nodes found it of no use.
+    pub(crate) votes: u32,
+    /// What this node observed in about the last second.
+    pub(crate) recent: OutcomeSums,
+    /// What this node observed in about the last two seconds.
+    pub(crate) own: OutcomeSums,
+    /// Mean share of its usual traffic that peers send to it; none where too few reported.
+    pub(crate) mean_share: Option<f64>,
+}
+
+/// The state of one zone at this node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ZoneState {
+    /// How it is used.
+    pub(crate) phase: ZonePhase,
+    /// Share of its usual traffic that it gets, without canaries.
+    pub(crate) share: f64,
+    /// When the phase began.
+    since: Seconds,
+    /// Least time for which it stays left.
+    hold: Seconds,
+    /// Consecutive evaluations that found it failing.
+    failing_evaluations: u32,
+    /// Outcomes since the phase began, weighted by time.
+    canary_outcomes: OutcomeSums,
+}
+
+impl ZoneState {
+    /// In full use.
+    pub(crate) fn new(now: Seconds) -> Self {
+        ZoneState {
+            phase: ZonePhase::InUse,
+            share: 1.0,
+            since: now,
+            hold: MIN_HOLD,
+            failing_evaluations: 0,
+            canary_outcomes: OutcomeSums::default(),
+        }
+    }
+
+    /// Begins a phase.
+    pub(crate) fn enter(&mut self, now: Seconds, phase: ZonePhase, share: f64) {
+        self.phase = phase;
+        self.share = share;
+        self.since = now;
+        self.canary_outcomes = OutcomeSums::default();
+    }
+}
+
+/// What the rules need to know of one zone besides its state.
+struct Assessment {
+    /// Enough nodes observe that it fails.
+    is_failing: bool,
+    /// This node's own attempts succeed there.
+    works_here: bool,
+    /// Another zone is in use and does well. Without one, everything is overloaded, or this node is cut off.
+    has_healthy_alternative: bool,
+    /// The share of endpoints that may be out of use allows one more zone.
+    may_eject: bool,
+    /// Mean share that the fleet gives it, where enough peers reported.
+    mean_share: Option<f64>,
+}
+
+/// One evaluation of all zones.
+pub(crate) struct Evaluation<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) now: Seconds,
+    /// Time since the last evaluation.
+    pub(crate) elapsed: Seconds,
+    /// Enough peers reported recently.
+    pub(crate) has_quorum: bool,
+    /// Nodes that must find a zone of no use before it is left.
+    pub(crate) required_votes: u32,
+    /// By zone.
+    pub(crate) views: &'a [ZoneView],
+}
+
+impl Evaluation<'_> {
+    /// Evaluates all zones, the worst first, and returns what changed.
+    pub(crate) fn run(&self, states: &mut [ZoneState]) -> Vec<(usize, Transition)> {
+        let bad_fraction = |zone: &usize| self.views[*zone].fleet.bad_fraction();
+        let mut order: Vec<usize> = (0..self.views.len())
+            .filter(|zone| self.views[*zone].endpoints > 0)
+            .collect();
+        order.sort_by(|one, other| bad_fraction(other).total_cmp(&bad_fraction(one)));
+        let mut transitions = Vec::new();
+        for &zone in &order {
+            let assessment = self.assess(zone, &order, states);
+            let state = &mut states[zone];
+            state.failing_evaluations = if assessment.is_failing {
+                state.failing_evaluations + 1
+            } else {
+                0
+            };
+            let view = &self.views[zone];
+            let transition = match state.phase {
+                ZonePhase::InUse => self.evaluate_in_use(state, view, &assessment),
+                ZonePhase::Ejected => self.evaluate_ejected(state, view, &assessment),
+                ZonePhase::Returning => self.evaluate_returning(state, view, &assessment),
+            };
+            transitions.extend(transition.map(|transition| (zone, transition)));
+        }
+        transitions
+    }
+
+    fn assess(&self, zone: usize, order: &[usize], states: &[ZoneState]) -> Assessment {
+        let view = &self.views[zone];
+        let is_healthy_alternative = |other: &usize| {
+            let fleet = &self.views[*other].fleet;
+            *other != zone
+                && states[*other].phase == ZonePhase::InUse
+                && fleet.total() > 0.0
+                && fleet.bad_fraction() <= self.settings.leave_at * HEALTHY_FRACTION
+        };
+        let works_here = self.shows_success(&view.own, MIN_OWN_OUTCOMES)
+            && (view.recent.total() < MIN_RECENT_OUTCOMES
+                || self.shows_success(&view.recent, MIN_RECENT_OUTCOMES));
+        let load_has_shifted = states.iter().any(|state| {
+            state.phase != ZonePhase::InUse && self.now - state.since < SHIFTED_LOAD_PERIOD
+        });
+        // A zone that fails without being dead soon after another was left may suffer from the load that moved: admission
+        // control handles that.
+        let counted_fraction = if load_has_shifted && states[zone].phase == ZonePhase::InUse {
+            view.fleet.dead_fraction()
+        } else {
+            view.fleet.bad_fraction()
+        };
+        let is_failing = self.has_quorum
+            && view.votes >= self.required_votes
+            && view.fleet.total() >= MIN_FLEET_OUTCOMES
+            && counted_fraction >= self.settings.leave_at
+            && !works_here;
+        let all: u32 = self.views.iter().map(|view| view.endpoints).sum();
+        let out_of_use: u32 = (self.views.iter().zip(states))
+            .filter(|(_, state)| state.phase != ZonePhase::InUse)
+            .map(|(view, _)| view.endpoints)
+            .sum();
+        let out_with_this = f64::from(out_of_use + view.endpoints);
+        Assessment {
+            is_failing,
+            works_here,
+            has_healthy_alternative: order.iter().any(is_healthy_alternative),
+            may_eject: out_with_this <= self.settings.most_out * f64::from(all),
+            mean_share: view.mean_share.filter(|_| self.has_quorum),
+        }
+    }
+
+    /// True if at least so many outcomes were observed, and few of them were bad.
+    fn shows_success(&self, sums: &OutcomeSums, min_outcomes: f64) -> bool {
+        sums.total() >= min_outcomes && sums.bad_fraction() < self.settings.leave_at / 2.0
+    }
+
+    fn evaluate_in_use(
+        &self,
+        state: &mut ZoneState,
+        view: &ZoneView,
+        assessment: &Assessment,
+    ) -> Option<Transition> {
+        let fails = state.failing_evaluations >= FAILING_EVALUATIONS;
+        let fleet_has_left = |mean| mean < FOLLOW_EJECTION_BELOW;
+        let follows = assessment.mean_share.is_some_and(fleet_has_left) && !assessment.works_here;
+        let may_leave =
+            self.has_quorum && assessment.has_healthy_alternative && assessment.may_eject;
+        if may_leave && (fails || follows) {
+            state.enter(self.now, ZonePhase::Ejected, 0.0);
+            return Some(if fails {
+                Transition::Ejected(view.fleet)
+            } else {
+                Transition::FollowedEjection(view.fleet)
+            });
+        }
+        if self.now - state.since > HOLD_RESET_PERIOD {
+            state.hold = MIN_HOLD;
+        }
+        None
+    }
+
+    fn evaluate_ejected(
+        &self,
+        state: &mut ZoneState,
+        view: &ZoneView,
+        assessment: &Assessment,
+    ) -> Option<Transition> {
+        let outcomes = view.fleet.scaled(self.elapsed);
+        state.canary_outcomes = state.canary_outcomes.plus(outcomes);
+        let out_for = self.now - state.since;
+        let canaries_succeed =
+            self.shows_success(&state.canary_outcomes, MIN_CANARY_OUTCOME_SECONDS);
+        // A node that was stopped, or started late, adopts the fleet's share.
+        let followed_share = assessment.mean_share.filter(|mean| {
+            *mean > FOLLOW_RETURN_ABOVE
+                && view.own.bad_fraction() < self.settings.leave_at
+                && out_for > state.hold
+        });
+        if canaries_succeed && out_for >= state.hold || followed_share.is_some() {
+            let share = followed_share.unwrap_or(FIRST_RETURN_SHARE);
+            state.enter(self.now, ZonePhase::Returning, share);
+            return Some(Transition::Returning(view.fleet));
+        }
+        if state.canary_outcomes.total() >= MIN_CANARY_OUTCOME_SECONDS {
+            state.canary_outcomes = state.canary_outcomes.scaled(CANARY_FADE);
+        }
+        None
+    }
+
+    fn evaluate_returning(
+        &self,
+        state: &mut ZoneState,
+        view: &ZoneView,
+        assessment: &Assessment,
+    ) -> Option<Transition> {
+        if state.failing_evaluations >= FAILING_EVALUATIONS {
+            state.hold = (state.hold * 2.0).min(MAX_HOLD);
+            state.enter(self.now, ZonePhase::Ejected, 0.0);
+            return Some(Transition::EjectedAgain {
+                hold: state.hold,
+                observed: view.fleet,
+            });
+        }
+        let max_share = assessment
+            .mean_share
+            .map_or(1.0, |mean| mean + MAX_LEAD_OVER_MEAN);
+        let grown = state.share + self.settings.return_per_s * self.elapsed;
+        state.share = grown.min(max_share.max(state.share)).min(1.0);
+        if state.share < 1.0 {
+            return None;
+        }
+        state.enter(self.now, ZonePhase::InUse, 1.0);
+        Some(Transition::Restored)
+    }
+}
--- /dev/null
+++ b/crates/zone-failover/tests/support/mod.rs
@@ -0,0 +1,283 @@
+//! A simulated fleet in virtual time: nodes send requests to three zones and lossy, delayed messages to each other.
+
+use std::collections::BTreeMap;
+
+use applewall_zone_failover::{
+    Input, Observation, Settings, Start, ZoneEndpoints, ZoneFailover, ZoneMessage, ZonePhase,
+    ZoneTransition,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Virtual time between two steps, s.
+const STEP: f64 = 0.01;
+/// Steps in an interval of the core.
+const STEPS_PER_INTERVAL: u64 = 10;
+/// Zones of the simulated fleet.
+pub(crate) const ZONES: usize = 3;
+/// Endpoints in each zone.
+const ENDPOINTS: u32 = 7;
+/// Least delay of a message, s.
+const MIN_DELAY: f64 = 0.002;
+
+/// How an endpoint responds to a node at a moment.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Behavior {
+    Serves,
+    /// No response: overdue after half a second.
+    Silent,
+    /// Responds after two seconds; known to be late after 0.8 s.
+    Slow,
+    /// Responds with a failure at once.
+    Fails,
+}
+
+impl Behavior {
+    /// When the outcome is known after a request was sent, s, and what it is.
+    fn outcome(self) -> (f64, Observation) {
+        match self {
+            Behavior::Serves => (0.08, Observation::Good),
+            Behavior::Silent => (0.5, Observation::Dead),
+            Behavior::Slow => (0.8, Observation::Failing),
+            Behavior::Fails => (0.05, Observation::Failing),
+        }
+    }
+}
+
+/// The outcome of a request that is not known yet.
+struct PendingOutcome {
+    node: usize,
+    zone: usize,
+    endpoint: u32,
+    observation: Observation,
+}
+
+/// A message under way.
+struct Datagram {
+    from: usize,
+    to: usize,
+    text: String,
+}
+
+/// A change that a node made.
+#[derive(Debug)]
+pub(crate) struct LoggedTransition {
+    pub(crate) node: usize,
+    pub(crate) change: ZoneTransition,
+    #[expect(
+        dead_code,
+        reason = "printed by failed assertions, by way of Debug alone"
+    )]
+    at: f64,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) now: f64,
+    pub(crate) nodes: Vec<ZoneFailover>,
+    /// Until when each node is stopped.
+    pub(crate) stopped_until: Vec<f64>,
+    rng: SmallRng,
+    /// Requests per second of one node.
+    request_rate: f64,
+    /// Fraction of messages that are lost.
+    pub(crate) loss: f64,
+    /// Longest extra delay of a message, s.
+    pub(crate) max_delay: f64,
+    /// By the time in microseconds, and a random number.
+    outcomes: BTreeMap<(u64, u64), PendingOutcome>,
+    datagrams: BTreeMap<(u64, u64), Datagram>,
+    /// Requests into each zone by second.
+    pub(crate) requests: Vec<[u32; ZONES]>,
+    /// Messages that were sent.
+    pub(crate) messages: u64,
+    pub(crate) transitions: Vec<LoggedTransition>,
+}
+
+impl Fleet {
+    pub(crate) fn new(size: usize, request_rate: f64, seed: u64) -> Self {
+        let node_seed = |node: usize| seed ^ (node as u64) << 8;
+        Fleet {
+            now: 0.0,
+            nodes: (0..size)
+                .map(|node| new_node(size, node, node_seed(node), 0.0))
+                .collect(),
+            stopped_until: vec![0.0; size],
+            rng: SmallRng::seed_from_u64(seed),
+            request_rate,
+            loss: 0.05,
+            max_delay: 0.035,
+            outcomes: BTreeMap::new(),
+            datagrams: BTreeMap::new(),
+            requests: Vec::new(),
+            messages: 0,
+            transitions: Vec::new(),
+        }
+    }
+
+    /// Replaces a node by one that starts now.
+    pub(crate) fn restart(&mut self, node: usize) {
+        let seed: u64 = self.rng.random();
+        let node_seed = seed ^ (node as u64) << 8;
+        self.nodes[node] = new_node(self.nodes.len(), node, node_seed, self.now);
+    }
+
+    /// Simulates so many seconds with endpoints that respond as `behavior` says for a node, a zone and an endpoint.
+    pub(crate) fn run(&mut self, seconds: f64, behavior: &dyn Fn(usize, usize, u32) -> Behavior) {
+        let end = self.now + seconds;
+        while self.now < end {
+            self.now += STEP;
+            let second = self.now as usize;
+            let seconds = (second + 1).max(self.requests.len());
+            self.requests.resize(seconds, [0; ZONES]);
+            for node in 0..self.nodes.len() {
+                let is_stopped = self.stopped_until[node] > self.now;
+                if !is_stopped && self.rng.random_bool(self.request_rate * STEP) {
+                    self.send_request(node, behavior);
+                }
+            }
+            self.observe_outcomes();
+            self.deliver_messages();
+            if ((self.now / STEP).round() as u64).is_multiple_of(STEPS_PER_INTERVAL) {
+                self.end_interval();
+            }
+        }
+    }
+
+    /// The key of an event at a time.
+    fn key(&mut self, at: f64) -> (u64, u64) {
+        ((at * 1e6) as u64, self.rng.random())
+    }
+
+    fn send_request(&mut self, node: usize, behavior: &dyn Fn(usize, usize, u32) -> Behavior) {
+        let shares: Vec<f64> = (0..ZONES)
+            .map(|zone| self.nodes[node].traffic_share(zone))
+            .collect();
+        let mut draw = self.rng.random::<f64>() * shares.iter().sum::<f64>();
+        let is_drawn = |zone: &usize| {
+            draw -= shares[*zone];
+            draw < 0.0
+        };
+        let zone = (0..ZONES).find(is_drawn).unwrap_or(0);
+        let endpoint = self.rng.random_range(0..ENDPOINTS);
+        self.requests[self.now as usize][zone] += 1;
+        let (after, observation) = behavior(node, zone, endpoint).outcome();
+        let key = self.key(self.now + after);
+        let outcome = PendingOutcome {
+            node,
+            zone,
+            endpoint,
+            observation,
+        };
+        self.outcomes.insert(key, outcome);
+    }
+
+    fn observe_outcomes(&mut self) {
+        let now = self.now;
+        let is_due = |key: &(u64, u64)| key.0 as f64 <= now * 1e6;
+        while let Some(first) = self
+            .outcomes
+            .first_entry()
+            .filter(|entry| is_due(entry.key()))
+        {
+            let outcome = first.remove();
+            if self.stopped_until[outcome.node] <= now {
+                let input = Input::AttemptObserved {
+                    zone: outcome.zone,
+                    endpoint: outcome.endpoint,
+                    observation: outcome.observation,
+                };
+                self.nodes[outcome.node].handle(now, input);
+            }
+        }
+    }
+
+    fn deliver_messages(&mut self) {
+        let now = self.now;
+        let is_due = |key: &(u64, u64)| key.0 as f64 <= now * 1e6;
+        while let Some(first) = self
+            .datagrams
+            .first_entry()
+            .filter(|entry| is_due(entry.key()))
+        {
+            let Datagram { from, to, text } = first.remove();
+            if self.stopped_until[to] <= now {
+                let message = ZoneMessage::decode(&text).expect("well-formed");
+                self.receive(to, from as u32, message);
+            }
+        }
+    }
+
+    /// Gives a message to a node.
+    pub(crate) fn receive(&mut self, node: usize, from: u32, message: ZoneMessage) {
+        self.nodes[node].handle(self.now, Input::MessageReceived { from, message });
+    }
+
+    fn end_interval(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.stopped_until[node] > self.now {
+                continue;
+            }
+            let output = self.nodes[node].handle(self.now, Input::IntervalElapsed);
+            let logged = output
+                .transitions
+                .into_iter()
+                .map(|change| LoggedTransition {
+                    node,
+                    change,
+                    at: self.now,
+                });
+            self.transitions.extend(logged);
+            if let Some(outgoing) = output.message {
+                self.send(node, outgoing.to as usize, &outgoing.message);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: &ZoneMessage) {
+        self.messages += 1;
+        let text = message.encode();
+        assert!(text.len() <= 256);
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = self.rng.random::<f64>() * self.max_delay;
+        let key = self.key(self.now + MIN_DELAY + delay);
+        self.datagrams.insert(key, Datagram { from, to, text });
+    }
+
+    /// How many nodes have left a zone.
+    pub(crate) fn ejected(&self, zone: usize) -> usize {
+        self.nodes
+            .iter()
+            .filter(|node| node.phase(zone) == ZonePhase::Ejected)
+            .count()
+    }
+
+    /// Transitions of all nodes but one.
+    pub(crate) fn transitions_without(&self, node: usize) -> usize {
+        let of_others = |logged: &&LoggedTransition| logged.node != node;
+        self.transitions.iter().filter(of_others).count()
+    }
+}
+
+fn new_node(fleet_size: usize, node: usize, seed: u64, now: f64) -> ZoneFailover {
+    let names: Vec<String> = (0..ZONES).map(|zone| format!("z{zone}")).collect();
+    let settings = Settings {
+        most_out: 0.4,
+        ..Settings::default()
+    };
+    let start = Start {
+        zone_names: &names,
+        fleet_size: fleet_size as u32,
+        node: node as u32,
+        seed,
+        now,
+    };
+    let mut failover = ZoneFailover::new(&settings, start);
+    let endpoints = names.into_iter().map(|zone| ZoneEndpoints {
+        zone,
+        endpoints: ENDPOINTS,
+    });
+    failover.handle(now, Input::EndpointsListed(endpoints.collect()));
+    failover
+}
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -10,7 +10,7 @@
 use applewall_operator_config as ini;
 use applewall_slow_peer as pace;
 use applewall_startup_scheduler as startup_scheduler;
-use applewall_zone_failover as zones;
+use applewall_zone_failover as zone_failover;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -41,7 +41,7 @@
     pub cold_start: startup_scheduler::Settings,
     /// Leaving a zone that fails as a fleet, and coming back at a pace.
     #[garde(dive)]
-    pub zones: zones::Settings,
+    pub zones: zone_failover::Settings,
 }
 
 /// `[log]`
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -10,7 +10,9 @@
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind, Outcome, RequestId};
 use applewall::platform_settings::PlatformSettings;
-use applewall_zone_failover::{Saw, Settings, Word, Zones};
+use applewall_zone_failover::{
+    Input, Observation, Settings, Start, ZoneEndpoints, ZoneFailover, ZoneMessage,
+};
 
 use crate::engine::message::EndpointEntry;
 use crate::peer_socket::Peers;
@@ -33,7 +35,7 @@
 
 /// This ingress's part of the fleet's verdicts on zones.
 pub(crate) struct Zoning {
-    core: Zones,
+    core: ZoneFailover,
     /// By the module's number of a zone, the core's.
     numbers: Vec<usize>,
     /// Where each instance is, and its number here.
@@ -61,15 +63,20 @@
             return None;
         }
         let settings = &facts.policy;
-        let core = Zones::new(
+        let core = ZoneFailover::new(
             set,
-            &names,
-            settings.node_count,
-            settings.node,
-            seed,
-            now as f64 / SECOND,
+            Start {
+                zone_names: &names,
+                fleet_size: settings.node_count,
+                node: settings.node,
+                seed,
+                now: now as f64 / SECOND,
+            },
         );
-        let numbers = names.iter().filter_map(|name| core.number(name)).collect();
+        let numbers = names
+            .iter()
+            .filter_map(|name| core.zone_number(name))
+            .collect();
         tracing::info!("zones: {} of them are judged by the fleet", names.len());
         Some(Zoning {
             core,
@@ -89,7 +96,7 @@
     }
 
     /// News of the name table.
-    pub(crate) fn listed(&mut self, kind: EndpointUpdateKind, entries: &[EndpointEntry]) {
+    pub(crate) fn listed(&mut self, now: u64, kind: EndpointUpdateKind, entries: &[EndpointEntry]) {
         if kind != EndpointUpdateKind::Delta {
             self.places.clear();
             self.ready.clear();
@@ -124,8 +131,15 @@
         }
         let mut count = vec![0u32; self.numbers.len()];
         self.ready.values().for_each(|zone| count[*zone] += 1);
-        let names: Vec<String> = self.core.names().to_vec();
-        self.core.list(names.iter().map(String::as_str).zip(count));
+        let listed = self.core.zone_names().iter().zip(count);
+        let listed = listed
+            .map(|(zone, endpoints)| ZoneEndpoints {
+                zone: zone.clone(),
+                endpoints,
+            })
+            .collect();
+        self.core
+            .handle(now as f64 / SECOND, Input::EndpointsListed(listed));
     }
 
     /// An attempt is sent.
@@ -157,30 +171,42 @@
             return;
         };
         let late = now.saturating_sub(out.since) > out.aim;
-        let saw = match outcome {
-            Outcome::Success if !late => Saw::Good,
+        let observation = match outcome {
+            Outcome::Success if !late => Observation::Good,
             // An overdue one counted already.
-            Outcome::Success if !out.told => Saw::Failing,
-            Outcome::Failure => Saw::Failing,
-            Outcome::ConnectFailed | Outcome::ConnectionReset => Saw::Dead,
-            Outcome::TimedOut if !out.told => Saw::Failing,
+            Outcome::Success if !out.told => Observation::Failing,
+            Outcome::Failure => Observation::Failing,
+            Outcome::ConnectFailed | Outcome::ConnectionReset => Observation::Dead,
+            Outcome::TimedOut if !out.told => Observation::Failing,
             // Full: it lives, and its load is the ladder's matter. The rest is this ingress's own doing.
             _ => return,
         };
-        self.core.saw(out.zone, out.instance, saw);
+        let observed = Input::AttemptObserved {
+            zone: out.zone,
+            endpoint: out.instance,
+            observation,
+        };
+        self.core.handle(now as f64 / SECOND, observed);
     }
 
     /// A datagram of a peer; true where it was a word on zones, and so no message for the module.
     pub(crate) fn hear(&mut self, now: u64, from: u32, text: &str) -> bool {
-        if !Word::is(text) {
+        if !ZoneMessage::matches(text) {
             return false;
         }
-        match Word::read(text) {
-            Some(word) => self.core.hear(now as f64 / SECOND, from, &word),
-            None => {
+        match ZoneMessage::decode(text) {
+            Ok(message) => {
+                self.core.handle(
+                    now as f64 / SECOND,
+                    Input::MessageReceived { from, message },
+                );
+            }
+            Err(_) => {
                 // Once a life: whoever sends one such word may send any number.
                 if !std::mem::replace(&mut self.told, true) {
-                    tracing::warn!("zones: words of peer {from} that cannot be read are dropped");
+                    tracing::warn!(
+                        "zones: messages of peer {from} that cannot be decoded are dropped"
+                    );
                 }
             }
         }
@@ -192,20 +218,27 @@
         for out in self.out.values_mut().filter(|out| !out.told) {
             if now.saturating_sub(out.since) as f64 > out.aim as f64 * OVERDUE {
                 out.told = true;
-                self.core.saw(out.zone, out.instance, Saw::Failing);
+                let overdue = Input::AttemptObserved {
+                    zone: out.zone,
+                    endpoint: out.instance,
+                    observation: Observation::Failing,
+                };
+                self.core.handle(now as f64 / SECOND, overdue);
             }
         }
-        let step = self.core.tick(now as f64 / SECOND);
-        for (zone, line) in step.lines {
-            tracing::warn!("zones: {zone} {line}");
+        let output = self
+            .core
+            .handle(now as f64 / SECOND, Input::IntervalElapsed);
+        for change in output.transitions {
+            tracing::warn!("zones: {} {}", change.zone, change.transition);
         }
-        if let (Some(peers), Some((to, word))) = (peers, step.word) {
-            peers.tell(Some(to), &word.write());
+        if let (Some(peers), Some(outgoing)) = (peers, output.message) {
+            peers.tell(Some(outgoing.to), &outgoing.message.encode());
         }
         let shares: Vec<f64> = self
             .numbers
             .iter()
-            .map(|zone| self.core.share(*zone))
+            .map(|zone| self.core.traffic_share(*zone))
             .collect();
         (shares != self.shares).then(|| {
             self.shares = shares.clone();
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -264,7 +264,7 @@
                 }
                 self.fleet.update(kind, &entries);
                 if let Some(zones) = &mut self.zones {
-                    zones.listed(kind, &entries);
+                    zones.listed(self.now, kind, &entries);
                 }
                 self.event(Event::EndpointUpdate(
                     kind,
--- a/tests/golden_datagrams.rs
+++ b/tests/golden_datagrams.rs
@@ -17,7 +17,7 @@
 use applewall::gossip::codec::{self, CustomerRecord, Record, Usage};
 use applewall::LoadStatistics;
 use applewall_startup_scheduler as startup;
-use applewall_zone_failover as zones;
+use applewall_zone_failover::ZoneMessage;
 
 type Is = fn(&str) -> bool;
 /// The sender's incarnation, and its records by their names.
@@ -60,8 +60,8 @@
     ),
     (
         "zones",
-        zones::Word::is,
-        |t| zones::Word::read(t).map(|w| w.write()),
+        ZoneMessage::matches,
+        |t| ZoneMessage::decode(t).ok().map(|m| m.encode()),
         "Z2",
     ),
 ];
@@ -309,11 +309,12 @@
     }
     let read = of_kind("zones")
         .iter()
-        .map(|t| zones::Word::read(t).unwrap())
+        .map(|t| ZoneMessage::decode(t).unwrap())
         .collect::<Vec<_>>();
-    let parts = |word: &zones::Word| {
-        let part = |p: usize| &word.parts[p];
-        let all = (0..word.parts.len()).map(|p| (part(p).zone, part(p).sums, part(p).share));
+    let parts = |word: &ZoneMessage| {
+        let part = |p: usize| &word.reports[p];
+        let all =
+            (0..word.reports.len()).map(|p| (part(p).zone, part(p).sums, part(p).traffic_share));
         all.map(|(zone, s, share)| (zone, [s.good, s.failing, s.dead, share]))
             .collect::<Vec<_>>()
     };
@@ -335,7 +336,7 @@
     );
     for (word, (life, number, all)) in read.iter().zip(meant) {
         assert_eq!(
-            (word.life, word.number, &parts(word)[..]),
+            (word.incarnation, word.sequence, &parts(word)[..]),
             (life, number, all)
         );
     }
