--- a/crates/zone-failover/src/failover.rs
+++ b/crates/zone-failover/src/failover.rs
@@ -3,12 +3,14 @@
 //! Owned by the engine's task. Invariants: a message is counted once, and a peer weighs no more than any other node,
 //! whatever it reports.
 
+mod gossip;
+
 use std::collections::BTreeMap;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::message::{ZoneMessage, ZoneReport};
+use crate::message::ZoneMessage;
 use crate::observation::{Observation, OutcomeSums, Retention, ZoneObservations};
 use crate::policy::{Evaluation, ZonePhase, ZoneState, ZoneTransition, ZoneView};
 use crate::settings::Settings;
@@ -20,20 +22,12 @@
 const RECENT_MEMORY: Seconds = 1.0;
 /// Time constant with which the outcomes fade that this node relies on itself.
 const OWN_MEMORY: Seconds = 2.0;
-/// Intervals between two messages while a zone fails and is not left yet.
-const INTERVALS_PER_MESSAGE_PENDING: u32 = 1;
-/// Intervals between two messages otherwise: while a zone is left or returning.
-const INTERVALS_PER_MESSAGE: u32 = 2;
-/// Time after the last sign of a failure for which a node sends messages; in calm times it sends none.
-const IDLE_TIMEOUT: Seconds = 2.0;
 /// Fraction of bad outcomes that is a sign of a failure,
-const TROUBLE_FRACTION: f64 = 0.1;
+const FAILURE_SIGN_FRACTION: f64 = 0.1;
 /// where at least so many outcomes were observed.
-const MIN_TROUBLE_OUTCOMES: f64 = 1.0;
+const MIN_FAILURE_SIGN_OUTCOMES: f64 = 1.0;
 /// Peers that must have reported before a zone is judged; all of them in a smaller fleet.
 const QUORUM: u32 = 3;
-/// Time for which a peer's message counts.
-const MESSAGE_LIFETIME: Seconds = 1.5;
 /// Time for which a peer's sequence number is kept: longer than its message counts, or a late one would count again.
 const SEQUENCE_LIFETIME: Seconds = 60.0;
 /// Outcomes of a zone that one node counts for, at most: each node has about the same weight, and a wrong one no more.
@@ -141,12 +135,12 @@
     last_interval_at: Seconds,
     intervals: u32,
     /// When a sign of a failure was last observed here or reported.
-    trouble_at: Seconds,
+    last_failure_sign_at: Seconds,
 }
 
 /// True if the outcomes are a sign of a failure.
-fn shows_trouble(sums: &OutcomeSums) -> bool {
-    sums.bad_fraction() > TROUBLE_FRACTION && sums.total() >= MIN_TROUBLE_OUTCOMES
+fn shows_failures(sums: &OutcomeSums) -> bool {
+    sums.bad_fraction() > FAILURE_SIGN_FRACTION && sums.total() >= MIN_FAILURE_SIGN_OUTCOMES
 }
 
 /// 1 if the outcomes are a vote that the zone is of no use.
@@ -176,7 +170,7 @@
             started_at: start.now,
             last_interval_at: start.now,
             intervals: 0,
-            trouble_at: f64::NEG_INFINITY,
+            last_failure_sign_at: f64::NEG_INFINITY,
         }
     }
 
@@ -245,27 +239,6 @@
         }
     }
 
-    /// Stores a peer's message; one that is old, repeated or foreign changes nothing.
-    fn receive(&mut self, now: Seconds, from: u32, message: ZoneMessage) {
-        if from >= self.fleet_size || from == self.node {
-            return;
-        }
-        // A peer that restarted counts anew; within an incarnation only what is newer counts.
-        let is_old = self.received.get(&from).is_some_and(|last| {
-            last.message.incarnation == message.incarnation
-                && message.sequence <= last.message.sequence
-        });
-        if is_old {
-            return;
-        }
-        let reports_trouble =
-            |report: &ZoneReport| shows_trouble(&report.sums) || report.traffic_share < 1.0;
-        if message.reports.iter().any(reports_trouble) {
-            self.trouble_at = now;
-        }
-        self.received.insert(from, Received { at: now, message });
-    }
-
     fn end_interval(&mut self, now: Seconds) -> Output {
         let elapsed = (now - self.last_interval_at).max(0.0);
         self.last_interval_at = now;
@@ -309,22 +282,14 @@
         self.received
             .retain(|_, received| now - received.at < SEQUENCE_LIFETIME);
         let zones = self.observations.iter().zip(&self.states);
-        let has_trouble = zones.into_iter().any(|(observations, state)| {
-            shows_trouble(&observations.own) || state.phase != ZonePhase::InUse
+        let has_failures = zones.into_iter().any(|(observations, state)| {
+            shows_failures(&observations.own) || state.phase != ZonePhase::InUse
         });
-        if has_trouble {
-            self.trouble_at = now;
+        if has_failures {
+            self.last_failure_sign_at = now;
         }
     }
 
-    /// Messages that count now, in the order of their senders.
-    fn current_messages(&self, now: Seconds) -> impl Iterator<Item = &ZoneMessage> {
-        self.received
-            .values()
-            .filter(move |received| now - received.at < MESSAGE_LIFETIME)
-            .map(|received| &received.message)
-    }
-
     /// True if enough peers reported to judge zones. In a small fleet messages come often enough to outweigh losses; in a
     /// large one they are a sample.
     fn has_quorum(&self, now: Seconds) -> bool {
@@ -339,7 +304,7 @@
         let observed = || {
             views
                 .iter()
-                .filter(|view| view.own.total() >= MIN_TROUBLE_OUTCOMES)
+                .filter(|view| view.own.total() >= MIN_FAILURE_SIGN_OUTCOMES)
         };
         observed().count() > 1
             && observed().all(|view| view.own.bad_fraction() >= self.settings.leave_at)
@@ -378,48 +343,6 @@
         }
     }
 
-    fn is_message_due(&self, now: Seconds, views: &[ZoneView]) -> bool {
-        let is_pending = views.iter().zip(&self.states).any(|(view, state)| {
-            state.phase == ZonePhase::InUse && view.fleet.bad_fraction() > TROUBLE_FRACTION
-        });
-        let intervals = if is_pending {
-            INTERVALS_PER_MESSAGE_PENDING
-        } else {
-            INTERVALS_PER_MESSAGE
-        };
-        self.fleet_size > 1
-            && now - self.trouble_at < IDLE_TIMEOUT
-            && self.intervals.is_multiple_of(intervals)
-    }
-
-    /// What this node observed itself, for a peer drawn anew.
-    fn message(&mut self) -> OutgoingMessage {
-        let distance = 1 + self.rng.random_range(0..self.fleet_size - 1);
-        let to = (self.node + distance) % self.fleet_size;
-        self.sequence += 1;
-        let mut reports: Vec<ZoneReport> = (0..self.names.len())
-            .filter(|zone| self.endpoints[*zone] > 0)
-            .map(|zone| ZoneReport {
-                zone: zone as u16,
-                sums: self.observations[zone].recent,
-                traffic_share: self.states[zone].share,
-            })
-            .collect();
-        // The worst zones first: a message has room for about ten.
-        reports.sort_by(|one, other| {
-            let bad_fraction = |report: &ZoneReport| report.sums.bad_fraction();
-            bad_fraction(other).total_cmp(&bad_fraction(one))
-        });
-        OutgoingMessage {
-            to,
-            message: ZoneMessage {
-                incarnation: self.incarnation,
-                sequence: self.sequence,
-                reports,
-            },
-        }
-    }
-
     /// The process, or its machine, was stopped: its observations are outdated, and so are its decisions, which it takes
     /// over from the fleet again.
     fn resume_after_stop(&mut self, now: Seconds) {
@@ -430,6 +353,6 @@
                 state.enter(now, ZonePhase::Ejected, 0.0);
             }
         }
-        self.trouble_at = now;
+        self.last_failure_sign_at = now;
     }
 }
--- a/crates/zone-failover/src/message.rs
+++ b/crates/zone-failover/src/message.rs
@@ -92,17 +92,17 @@
     ///
     /// What is wrong with the text: truncated, of another format or version, out of range or contradictory.
     pub fn decode(text: &str) -> Result<Self, DecodeError> {
-        let mut words = text
+        let mut fields = text
             .strip_prefix(TAG)
             .and_then(|rest| rest.strip_prefix(' '))
             .ok_or(DecodeError::UnknownFormat)?
             .split(' ');
         let max = u64::from(u32::MAX);
-        let incarnation = decimal(words.next(), "incarnation", max)? as u32;
-        let sequence = decimal(words.next(), "sequence", max)? as u32;
+        let incarnation = decimal(fields.next(), "incarnation", max)? as u32;
+        let sequence = decimal(fields.next(), "sequence", max)? as u32;
         let mut reports: Vec<ZoneReport> = Vec::new();
-        for word in words {
-            let report = ZoneReport::decode(word)?;
+        for field in fields {
+            let report = ZoneReport::decode(field)?;
             if reports.iter().any(|known| known.zone == report.zone) {
                 return Err(DecodeError::DuplicateZone(report.zone));
             }
