--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -1,8 +1,13 @@
-//! The fleet's turns at the list service, where the operators switched them on: the reckoning (`applewall_startup_scheduler`) with the
-//! program's clock, its datagrams, and whether there is a list to decide from.
+//! When this node may call the list service, where the operators enabled a schedule for the fleet's start: the scheduling
+//! core (`applewall_startup_scheduler`) with the program's clock, its datagrams, and whether there is a list to decide from.
+//!
+//! Owner: shared by the watch, which makes the calls, and the peer socket, which brings messages. Input: messages of peers,
+//! how calls ended. Output: the time of the next call, messages for peers, and whether there is an endpoint list. Invariant:
+//! no call begins before its time has come.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use applewall_startup_scheduler::{
@@ -11,133 +16,138 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
-use crate::config::platform::Config;
-use crate::peer_socket::Peers;
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
+use crate::peer_socket::{DatagramHandler, Peers};
 
 /// Nanoseconds of a second.
-const SECOND: f64 = 1e9;
-/// Between looks at what peers' words make of the first turn: while they come in, and afterwards.
-const LOOK: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(250));
-/// Between looks at whether a word of the roll is due.
-const SPREAD_LOOK: Duration = Duration::from_millis(30);
-
-/// This ingress's turns.
-pub(crate) struct Turn {
+const NANOS_PER_SECOND: f64 = 1e9;
+/// Between checks of when the first call may begin, while messages of peers come in: short, as each may move it.
+const LISTENING_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The same afterwards, when little can still move it.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Between checks of whether a message on the start cohort is due.
+const COHORT_POLL_INTERVAL: Duration = Duration::from_millis(30);
+
+/// This node's place in the schedule of the fleet's calls.
+pub(crate) struct StartupSchedule {
     core: Mutex<StartupScheduler>,
     clock: Clock,
     peers: Option<Arc<Peers>>,
-    /// True once there is a list that it may believe.
-    listed: watch::Sender<bool>,
-    /// When its present call began, s.
-    called: Mutex<f64>,
-    /// Words that could not be read were told of.
-    told: Mutex<bool>,
+    /// True once there is an endpoint list that may be used.
+    has_endpoints: watch::Sender<bool>,
+    /// When the present call began, s.
+    call_began_at: Mutex<f64>,
+    /// A message that can't be read was logged.
+    unreadable_logged: AtomicBool,
 }
 
-impl Turn {
-    /// None where they are switched off: then calls are made as ever, and any list counts.
+/// Nothing panics while it holds one of the locks here; if it did, the state would still be consistent.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl StartupSchedule {
+    /// None where it is not enabled: then calls are made at once, and any list counts.
     pub(crate) fn new(
-        operator: &Operator,
-        config: &Config,
-        rev: Option<u64>,
+        operator: &OperatorConfig,
+        config: &PlatformConfig,
+        revision: Option<u64>,
         clock: Clock,
         peers: Option<Arc<Peers>>,
     ) -> Option<Arc<Self>> {
-        let set = &operator.cold_start;
-        if !set.enabled.0 {
+        let cold_start = &operator.cold_start;
+        if !cold_start.enabled.0 {
             return None;
         }
-        let settings = &config.facts.policy;
-        let list = rev.map_or(ListState::Missing, ListState::Restored);
-        let now = clock.now() as f64 / SECOND;
-        let core = StartupScheduler::new(
-            set,
-            Start {
-                node: settings.node,
-                fleet_size: settings.node_count,
-                list,
-                seed: config.seed,
-                now,
-                unix_time_of_zero: clock.unix(),
-            },
-        );
+        let policy = &config.settings.policy;
+        let list = revision.map_or(ListState::Missing, ListState::Restored);
+        let now = clock.now() as f64 / NANOS_PER_SECOND;
+        let start = Start {
+            node: policy.node,
+            fleet_size: policy.node_count,
+            list,
+            seed: config.seed,
+            now,
+            unix_time_of_zero: clock.unix(),
+        };
+        let core = StartupScheduler::new(cold_start, start);
         match list {
             ListState::Missing => {
                 tracing::info!("cold start: no list is known; not ready before there is one");
             }
-            ListState::Restored(rev) => {
+            ListState::Restored(revision) => {
                 tracing::info!(
-                    "cold start: ready with the known list, revision {rev}, not yet confirmed"
+                    revision,
+                    "cold start: ready with the known list, not yet confirmed"
                 );
             }
             ListState::Confirmed(_) => {}
         }
-        let listed = watch::channel(rev.is_some()).0;
-        Some(Arc::new(Turn {
+        let has_endpoints = watch::channel(revision.is_some()).0;
+        Some(Arc::new(StartupSchedule {
             core: Mutex::new(core),
             clock,
             peers,
-            listed,
-            called: Mutex::new(now),
-            told: Mutex::new(false),
+            has_endpoints,
+            call_began_at: Mutex::new(now),
+            unreadable_logged: AtomicBool::new(false),
         }))
     }
 
-    /// Tells those who say whether this process is ready, once there is a list.
-    pub(crate) async fn tell(self: Arc<Self>, listed: watch::Sender<bool>) {
-        let mut own = self.listed.subscribe();
+    /// Publishes that there is an endpoint list, once there is, to those who report whether this process is ready.
+    pub(crate) async fn publish_readiness(self: Arc<Self>, published: watch::Sender<bool>) {
+        let mut own = self.has_endpoints.subscribe();
         if own.wait_for(|there| *there).await.is_ok() {
-            listed.send_replace(true);
+            published.send_replace(true);
         }
-        // Held for as long as anybody asks: its receivers see the last word in any case.
-        listed.closed().await;
+        // Kept for as long as anybody asks: its receivers see the last value in any case.
+        published.closed().await;
     }
 
     fn core(&self) -> MutexGuard<'_, StartupScheduler> {
-        self.core
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.core)
     }
 
     fn now(&self) -> f64 {
-        self.clock.now() as f64 / SECOND
+        self.clock.now() as f64 / NANOS_PER_SECOND
     }
 
-    /// Its turn has come: a call begins.
-    fn calls(&self) {
-        *self
-            .called
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner) = self.now();
+    /// The time has come: a call begins.
+    fn begin_call(&self) {
+        *lock(&self.call_began_at) = self.now();
     }
 
-    /// Asks peers who else starts, and waits for the first turn.
-    pub(crate) async fn first(self: &Arc<Self>) {
+    /// Asks peers who else starts, and waits for the time of the first call.
+    pub(super) async fn wait_for_first_call(self: &Arc<Self>) {
         if let Some(peers) = &self.peers {
             peers.writable().await;
             let output = self.core().handle(self.now(), Input::Started);
             send(peers, output);
-            tokio::spawn(self.clone().spread(peers.clone()));
+            tokio::spawn(self.clone().disseminate_cohort(peers.clone()));
         }
         loop {
-            // Words come in meanwhile and change it.
+            // Messages come in meanwhile and move it.
             let now = self.now();
-            let (at, listens) = {
+            let (at, listening) = {
                 let core = self.core();
                 (core.first_call_at(now), core.is_collecting_replies(now))
             };
             if at <= now {
-                return self.calls();
+                return self.begin_call();
             }
-            let look = if listens { LOOK.0 } else { LOOK.1 };
-            tokio::time::sleep(look.min(Duration::from_secs_f64(at - now))).await;
+            let interval = if listening {
+                LISTENING_POLL_INTERVAL
+            } else {
+                POLL_INTERVAL
+            };
+            tokio::time::sleep(interval.min(Duration::from_secs_f64(at - now))).await;
         }
     }
 
-    /// Passes on who starts together with this one, for as long as its start goes on: past its first call too, as others
-    /// know by it whose turn is next.
-    async fn spread(self: Arc<Self>, peers: Arc<Peers>) {
+    /// Passes on who starts together with this node, for as long as the start goes on: past its first call too, as others
+    /// know by it who calls next.
+    async fn disseminate_cohort(self: Arc<Self>, peers: Arc<Peers>) {
         loop {
             let now = self.now();
             let output = self.core().handle(now, Input::GossipTimer);
@@ -155,87 +165,72 @@
                 );
                 return;
             }
-            tokio::time::sleep(SPREAD_LOOK).await;
+            tokio::time::sleep(COHORT_POLL_INTERVAL).await;
         }
     }
 
-    /// Another list service is named: whoever was told that was told together.
-    pub(crate) async fn moved(self: &Arc<Self>) {
+    /// The configuration names another list service: the whole fleet learns that at once, as at a start.
+    pub(super) async fn service_changed(self: &Arc<Self>) {
         self.core().handle(self.now(), Input::ServiceChanged);
-        self.first().await;
-    }
-
-    /// Waits for the next turn.
-    async fn wait(&self, now: Seconds, output: &Output) {
-        let wait = output.next_call_at.map_or(0.0, |at| at - now);
-        tokio::time::sleep(Duration::from_secs_f64(wait.max(0.0))).await;
-        self.calls();
+        self.wait_for_first_call().await;
     }
 
-    /// The service answered. Waits for the next turn.
-    pub(crate) async fn answered(&self, rev: u64, news: bool) {
+    /// The service answered; `changed`: with a list, or changes to it. Waits for the time of the next call.
+    pub(super) async fn call_answered(&self, revision: u64, changed: bool) {
         let now = self.now();
-        let answered = Input::CallAnswered {
-            revision: rev,
-            changed: news,
-        };
+        let answered = Input::CallAnswered { revision, changed };
         let output = self.core().handle(now, answered);
-        if !self.listed.send_replace(true) {
-            tracing::info!("cold start: ready with the list at revision {rev}");
+        if !self.has_endpoints.send_replace(true) {
+            tracing::info!(revision, "cold start: ready with the list of the service");
         }
-        self.wait(now, &output).await;
+        self.wait_for_next_call(now, &output).await;
     }
 
-    /// The service turned the call away, broke off or said nothing. Waits for the next turn.
-    pub(crate) async fn failed(&self, turned_away: bool, retry_after: Option<f64>) {
+    /// The service rejected the call, broke off or sent nothing. Waits for the time of the next call.
+    pub(super) async fn call_failed(&self, rejected: bool, retry_after_seconds: Option<f64>) {
         let now = self.now();
-        let waited = now
-            - *self
-                .called
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let waited = now - *lock(&self.call_began_at);
         let failure = CallFailure {
             duration: waited,
-            rejected: turned_away,
-            retry_after,
+            rejected,
+            retry_after: retry_after_seconds,
         };
         let output = self.core().handle(now, Input::CallFailed(failure));
-        self.wait(now, &output).await;
+        self.wait_for_next_call(now, &output).await;
+    }
+
+    async fn wait_for_next_call(&self, now: Seconds, output: &Output) {
+        let wait = output.next_call_at.map_or(0.0, |at| at - now);
+        tokio::time::sleep(Duration::from_secs_f64(wait.max(0.0))).await;
+        self.begin_call();
     }
 
-    /// How long a watch asks to wait.
-    pub(crate) fn watch(&self) -> Duration {
+    /// How long a watch asks the service to wait for changes.
+    pub(super) fn watch_wait(&self) -> Duration {
         Duration::from_secs_f64(self.core().watch_duration())
     }
+}
 
-    /// A datagram of a peer; true where it was a word on turns, and so no message for the module.
-    pub(crate) fn hear(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
+impl DatagramHandler for StartupSchedule {
+    /// True where it was a message on the schedule.
+    fn handle(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
         if !Message::is_startup_message(text) {
             return false;
         }
         let now = self.now();
         if let Ok(message) = Message::decode(text) {
-            let output = self
-                .core()
-                .handle(now, Input::MessageReceived { from, message });
+            let received = Input::MessageReceived { from, message };
+            let output = self.core().handle(now, received);
             send(peers, output);
-        } else {
-            let mut told = self
-                .told
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
-            // Once a life: whoever sends one such message may send any number.
-            if !std::mem::replace(&mut *told, true) {
-                tracing::warn!(
-                    "cold start: messages of {sender} that cannot be decoded are dropped"
-                );
-            }
+        } else if !self.unreadable_logged.swap(true, Ordering::Relaxed) {
+            // Once a process: whoever sends one such message may send any number.
+            tracing::warn!("cold start: messages of {sender} that cannot be decoded are dropped");
         }
         true
     }
 }
 
-/// Sends what the scheduler has to tell peers.
+/// Sends the scheduler's messages to peers.
 fn send(peers: &Peers, output: Output) {
     for outgoing in output.messages {
         peers.tell(Some(outgoing.to), &outgoing.message.encode());
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -34,7 +34,7 @@
 
 use crate::clock::Clock;
 use crate::engine::message::{Command, Message, Passed};
-use crate::lifecycle::process_role::Successor;
+use crate::lifecycle::process_role::ProcessStatus;
 use crate::limits::BODY_MOST;
 use crate::server::connection_table::Seat;
 use crate::server::response::{Answer, Content, Reply};
@@ -61,7 +61,7 @@
     /// Bytes that all waiting bodies may hold together.
     pub bodies: Arc<Semaphore>,
     pub clock: Clock,
-    pub successor: Successor,
+    pub successor: ProcessStatus,
 }
 
 /// The service on one connection.
@@ -243,14 +243,13 @@
             None => None,
         };
         let mut deadline = arrived + Duration::from_nanos(read.time_left_ns);
-        if let Some((_, by)) = self
+        if let Some(limit) = self
             .successor
-            .stopping
+            .shutdown_times
             .get()
-            .map(|s| s.late)
-            .filter(|(from, _)| arrived >= *from)
+            .and_then(|times| times.answer_limit(arrived))
         {
-            deadline = deadline.min(by);
+            deadline = deadline.min(limit);
         }
         let (body, held) = match body.is_end_stream() {
             true => (Bytes::new(), None),
@@ -465,7 +464,7 @@
     let id = one(headers, ID)
         .and_then(hex)
         .ok_or("X-Correlation-Id is not 16 hex digits")?;
-    let class = one(headers, "x-service-class").and_then(|c| facts.class(c));
+    let class = one(headers, "x-service-class").and_then(|c| facts.class_index(c));
     let class = class.ok_or("unknown X-Service-Class")?;
     // A repeat goes out under the same key, or it runs twice: without one, or with two, none could be sent.
     match (
@@ -480,7 +479,7 @@
         _ => return Err("Idempotency-Key comes twice"),
     }
     let plan = one(headers, "x-contract")
-        .and_then(|p| facts.plan(p))
+        .and_then(|p| facts.plan_index(p))
         .ok_or("unknown X-Contract")?;
     let customer = one(headers, "x-client-id")
         .and_then(hex)
