--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -8,7 +8,9 @@
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind, Outcome, RequestId};
 use applewall::platform_settings::PlatformSettings;
-use applewall_zone_failover::{Saw, Settings, Word, Zones};
+use applewall_zone_failover::{
+    self as zone_failover, Input, Observation, Settings, Start, ZoneEndpoints, ZoneMessage,
+};
 
 use crate::engine::message::EndpointEntry;
 use crate::peer_socket::Peers;
@@ -43,7 +45,7 @@
 
 /// This node's part of the fleet's verdicts on zones.
 pub(crate) struct ZoneFailover {
-    core: Zones,
+    core: zone_failover::ZoneFailover,
     /// The core's number of a zone, by the decision policy's.
     core_zones: Vec<usize>,
     placements: HashMap<EndpointId, Placement>,
@@ -72,15 +74,20 @@
             return None;
         }
         let policy = &settings.policy;
-        let core = Zones::new(
+        let core = zone_failover::ZoneFailover::new(
             failover,
-            &names,
-            policy.node_count,
-            policy.node,
-            seed,
-            seconds(now_ns),
+            Start {
+                zone_names: &names,
+                fleet_size: policy.node_count,
+                node: policy.node,
+                seed,
+                now: seconds(now_ns),
+            },
         );
-        let core_zones = names.iter().filter_map(|name| core.number(name)).collect();
+        let core_zones = names
+            .iter()
+            .filter_map(|name| core.zone_number(name))
+            .collect();
         let objectives = policy
             .classes
             .iter()
@@ -102,6 +109,7 @@
     /// Takes in an update of the endpoint list.
     pub(crate) fn endpoints_updated(
         &mut self,
+        now_ns: u64,
         kind: EndpointUpdateKind,
         entries: &[EndpointEntry],
     ) {
@@ -116,8 +124,15 @@
         for zone in self.in_service.values() {
             counts[*zone] += 1;
         }
-        let names: Vec<String> = self.core.names().to_vec();
-        self.core.list(names.iter().map(String::as_str).zip(counts));
+        let listed = self.core.zone_names().iter().zip(counts);
+        let listed = listed
+            .map(|(zone, endpoints)| ZoneEndpoints {
+                zone: zone.clone(),
+                endpoints,
+            })
+            .collect();
+        self.core
+            .handle(seconds(now_ns), Input::EndpointsListed(listed));
     }
 
     fn endpoint_updated(&mut self, entry: &EndpointEntry) {
@@ -178,26 +193,34 @@
         };
         let late = now_ns.saturating_sub(attempt.started_at_ns) > attempt.latency_objective_ns;
         let observation = match outcome {
-            Outcome::Success if !late => Saw::Good,
+            Outcome::Success if !late => Observation::Good,
             // An overdue one counted already.
-            Outcome::Success if !attempt.overdue => Saw::Failing,
-            Outcome::Failure => Saw::Failing,
-            Outcome::ConnectFailed | Outcome::ConnectionReset => Saw::Dead,
-            Outcome::TimedOut if !attempt.overdue => Saw::Failing,
+            Outcome::Success if !attempt.overdue => Observation::Failing,
+            Outcome::Failure => Observation::Failing,
+            Outcome::ConnectFailed | Outcome::ConnectionReset => Observation::Dead,
+            Outcome::TimedOut if !attempt.overdue => Observation::Failing,
             // Overloaded: it lives, and its load is the load ladder's matter. The rest is this node's own doing.
             _ => return,
         };
-        self.core.saw(attempt.zone, attempt.endpoint, observation);
+        let observed = Input::AttemptObserved {
+            zone: attempt.zone,
+            endpoint: attempt.endpoint,
+            observation,
+        };
+        self.core.handle(seconds(now_ns), observed);
     }
 
     /// A datagram of a peer; true where it was a message on zones, and so none for the decision policy.
     pub(crate) fn receive(&mut self, now_ns: u64, from: u32, text: &str) -> bool {
-        if !Word::is(text) {
+        if !ZoneMessage::matches(text) {
             return false;
         }
-        match Word::read(text) {
-            Some(message) => self.core.hear(seconds(now_ns), from, &message),
-            None => {
+        match ZoneMessage::decode(text) {
+            Ok(message) => {
+                let received = Input::MessageReceived { from, message };
+                self.core.handle(seconds(now_ns), received);
+            }
+            Err(_) => {
                 // Once a process: whoever sends one such message may send any number.
                 if !std::mem::replace(&mut self.unreadable_logged, true) {
                     tracing::warn!(
@@ -212,17 +235,17 @@
     /// An interval has passed: the shares by the decision policy's numbers, where they changed.
     pub(crate) fn tick(&mut self, now_ns: u64, peers: Option<&Peers>) -> Option<Vec<f64>> {
         self.observe_overdue(now_ns);
-        let step = self.core.tick(seconds(now_ns));
-        for (zone, line) in step.lines {
-            tracing::warn!("zones: {zone} {line}");
+        let output = self.core.handle(seconds(now_ns), Input::IntervalElapsed);
+        for change in output.transitions {
+            tracing::warn!("zones: {} {}", change.zone, change.transition);
         }
-        if let (Some(peers), Some((to, message))) = (peers, step.word) {
-            peers.tell(Some(to), &message.write());
+        if let (Some(peers), Some(outgoing)) = (peers, output.message) {
+            peers.tell(Some(outgoing.to), &outgoing.message.encode());
         }
         let shares: Vec<f64> = self
             .core_zones
             .iter()
-            .map(|zone| self.core.share(*zone))
+            .map(|zone| self.core.traffic_share(*zone))
             .collect();
         (shares != self.shares).then(|| {
             self.shares.clone_from(&shares);
@@ -236,7 +259,12 @@
             let limit_ns = attempt.latency_objective_ns as f64 * OVERDUE_FRACTION;
             if !attempt.overdue && waited_ns > limit_ns {
                 attempt.overdue = true;
-                self.core.saw(attempt.zone, attempt.endpoint, Saw::Failing);
+                let overdue = Input::AttemptObserved {
+                    zone: attempt.zone,
+                    endpoint: attempt.endpoint,
+                    observation: Observation::Failing,
+                };
+                self.core.handle(seconds(now_ns), overdue);
             }
         }
     }
