--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,35 +1,36 @@
 //! The operator's own file, as this program takes it: a section for each subsystem, all off by default.
+//!
+//! Owner: `main`, and the reloader. Input: the file. Output: an [`OperatorConfig`]. Invariant: its published schema is made
+//! from the same types.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+use std::error::Error;
 
 use applewall_consul as consul;
 use applewall_etcd as etcd;
-use applewall_operator_config as ini;
-use applewall_slow_peer as pace;
+use applewall_operator_config as operator_config;
+use applewall_slow_peer as slow_peer;
 use applewall_startup_scheduler as startup_scheduler;
-use applewall_zone_failover as zones;
+use applewall_zone_failover as zone_failover;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use crate::config::ConfigError;
 use crate::logging;
 
 /// All sections.
 #[derive(Clone, Debug, Default, Deserialize, Validate, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub(crate) struct Operator {
+#[serde(default, deny_unknown_fields, rename = "Operator")]
+pub(crate) struct OperatorConfig {
     /// The log.
     #[garde(skip)]
-    pub log: Log,
+    pub log: LogConfig,
     /// Slow peers: least rates, and limits on what may wait.
     #[garde(dive)]
-    pub pace: pace::Settings,
+    pub pace: slow_peer::Settings,
     /// What one customer or one set of addresses may hold at most.
     #[garde(dive)]
-    pub bulkheads: pace::BulkheadSettings,
+    pub bulkheads: slow_peer::BulkheadSettings,
     /// A roster in an etcd v3 registry.
     #[garde(dive)]
     pub registry: etcd::Settings,
@@ -41,39 +42,43 @@
     pub cold_start: startup_scheduler::Settings,
     /// Leaving a zone that fails as a fleet, and coming back at a pace.
     #[garde(dive)]
-    pub zones: zones::Settings,
+    pub zones: zone_failover::Settings,
 }
 
 /// `[log]`
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub(crate) struct Log {
+#[serde(default, deny_unknown_fields, rename = "Log")]
+pub(crate) struct LogConfig {
     /// `text` or `json`.
     pub format: logging::Form,
 }
 
-impl Operator {
+impl OperatorConfig {
     /// Reads the file; without one, all is off.
     ///
     /// # Errors
     ///
     /// One line with file, section and key.
-    pub(crate) fn read(path: Option<&str>) -> Result<Self, String> {
+    pub(crate) fn read(path: Option<&str>) -> Result<Self, ConfigError> {
         let Some(path) = path else {
-            return Ok(Operator::default());
+            return Ok(OperatorConfig::default());
         };
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-        ini::read(&text).map_err(|e| format!("{path}: {e}"))
+        let wrong = |source: Box<dyn Error + Send + Sync>| ConfigError::OperatorFile {
+            path: path.to_string(),
+            source,
+        };
+        let text = std::fs::read_to_string(path).map_err(|error| wrong(error.into()))?;
+        operator_config::read(&text).map_err(|error| wrong(error.into()))
     }
 
     /// The published schema of the file.
     pub(crate) fn schema() -> String {
-        ini::schema::<Operator>()
+        operator_config::schema::<OperatorConfig>()
     }
 
-    /// What is on, in a few words for `check`.
+    /// The subsystems that are on, by their sections' names, for `check`.
     pub(crate) fn summary(&self) -> String {
-        let on = [
+        let sections = [
             ("pace", self.pace.enabled.0),
             ("bulkheads", self.bulkheads.enabled.0),
             ("registry", self.registry.enabled.0),
@@ -81,15 +86,18 @@
             ("cold_start", self.cold_start.enabled.0),
             ("zones", self.zones.enabled.0),
         ];
-        let on: Vec<&str> = on
+        let enabled: Vec<&str> = sections
             .iter()
-            .filter(|(_, on)| *on)
+            .filter(|(_, enabled)| *enabled)
             .map(|(name, _)| *name)
             .collect();
-        if on.is_empty() {
+        if enabled.is_empty() {
             "nothing".to_string()
         } else {
-            on.join(", ")
+            enabled.join(", ")
         }
     }
 }
+
+#[cfg(test)]
+mod golden;
