--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -12,6 +12,8 @@
 )]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod support;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -21,136 +23,21 @@
 use applewall_fakes::discovery::target;
 use applewall_fakes::http::{self, Kind};
 use applewall_fakes::wait::wait_until;
-use serde_json::{json, Value};
+use serde_json::Value;
+use support::discovery_agent::{AgentState, DiscoveryAgent};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// What is new may go to a leaving server for so long after it counts as told.
 const GRACE: Duration = Duration::from_millis(500);
+
 /// What a silent watch misses counts as told so long after it fell silent.
 const SILENCE: Duration = Duration::from_secs(6);
+
 /// After SIGHUP, what the new agent has counts as told so much later.
 const RELOAD: Duration = Duration::from_secs(4);
 
-/// What an agent has, and how it behaves.
-#[derive(Clone, Default)]
-struct State {
-    rev: u64,
-    targets: Vec<Value>,
-    /// Connections of an earlier round never hear anything again, or are cut.
-    round: u64,
-    cut: u64,
-    /// No call is answered; connections are closed at once; none is taken, and the next one's does not come up.
-    silent: bool,
-    refuses: bool,
-    hangs: bool,
-    /// The list comes over many lines; half of it comes, and then nothing.
-    indented: bool,
-    half: bool,
-}
-
-struct Agent {
-    address: SocketAddr,
-    state: watch::Sender<State>,
-    /// Watches that came, and answers of which half was written.
-    seen: Arc<Mutex<(u64, u64)>>,
-}
-
-impl Agent {
-    async fn start(state: State) -> Self {
-        let socket = TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let listener = socket.listen(4).unwrap();
-        let address = listener.local_addr().unwrap();
-        let (state, follower) = watch::channel(state);
-        let seen = Arc::new(Mutex::new((0, 0)));
-        let counts = seen.clone();
-        tokio::spawn(async move {
-            let mut hanging = follower.clone();
-            loop {
-                let _ = hanging.wait_for(|s| !s.hangs).await;
-                let taken = tokio::select! {
-                    biased;
-                    _ = hanging.wait_for(|s| s.hangs) => continue,
-                    taken = listener.accept() => taken,
-                };
-                let Ok((stream, _)) = taken else { return };
-                let (follower, counts) = (follower.clone(), counts.clone());
-                if follower.borrow().refuses {
-                    continue;
-                }
-                tokio::spawn(async move {
-                    let (round, mut ended) = (follower.borrow().round, follower.clone());
-                    tokio::select! {
-                        _ = serve(stream, follower, round, &counts) => {}
-                        _ = ended.wait_for(|s| s.cut > round) => {}
-                    }
-                });
-            }
-        });
-        Agent {
-            address,
-            state,
-            seen,
-        }
-    }
-
-    fn change(&self, change: impl FnOnce(&mut State)) {
-        self.state.send_modify(change);
-    }
-}
-
-async fn serve(
-    mut stream: TcpStream,
-    mut state: watch::Receiver<State>,
-    round: u64,
-    seen: &Mutex<(u64, u64)>,
-) -> std::io::Result<()> {
-    let mut rest = Vec::new();
-    while let Some(request) = http::read(&mut stream, &mut rest, Kind::Request).await? {
-        let after = request.query("after");
-        let wait = Duration::from_millis(request.query("wait_ms").unwrap_or(0));
-        if !wait.is_zero() {
-            seen.lock().unwrap().0 += 1;
-        }
-        let news = |s: &State| after.is_none_or(|after| s.rev > after);
-        let _ = timeout(
-            wait,
-            state.wait_for(|s| s.round == round && !s.silent && news(s)),
-        )
-        .await;
-        // A connection of an earlier round, and a silent agent, say nothing more.
-        let _ = state.wait_for(|s| s.round == round && !s.silent).await;
-        let now = state.borrow_and_update().clone();
-        let targets = if news(&now) {
-            now.targets.clone()
-        } else {
-            Vec::new()
-        };
-        let list = json!({"rev": now.rev, "all": news(&now), "targets": targets});
-        let body = if now.indented {
-            serde_json::to_string_pretty(&list).unwrap()
-        } else {
-            list.to_string()
-        };
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        if now.half && news(&now) {
-            stream
-                .write_all(&answer.as_bytes()[..answer.len() / 2])
-                .await?;
-            seen.lock().unwrap().1 += 1;
-            std::future::pending::<()>().await;
-        }
-        stream.write_all(answer.as_bytes()).await?;
-    }
-    Ok(())
-}
-
 /// A limit server that answers at once, and when each request had wholly come.
 struct Server {
     address: SocketAddr,
@@ -218,7 +105,7 @@
 
 /// Both servers in service, and one of them leaving.
 struct Scene {
-    agent: Agent,
+    agent: DiscoveryAgent,
     leaving: Server,
     staying: Server,
     folder: tempfile::TempDir,
@@ -229,9 +116,9 @@
     /// Servers and an agent; nothing runs yet.
     async fn set() -> Self {
         let (leaving, staying) = (Server::start().await, Server::start().await);
-        let agent = Agent::start(State {
-            rev: 5,
-            ..State::default()
+        let agent = DiscoveryAgent::start(AgentState {
+            revision: 5,
+            ..AgentState::default()
         })
         .await;
         let scene = Scene {
@@ -276,7 +163,7 @@
         wait_until("both serve and a watch waits", || {
             scene.leaving.many() > 50
                 && scene.staying.many() > 50
-                && scene.agent.seen.lock().unwrap().0 > 0
+                && scene.agent.counts().watches > 0
         })
         .await;
         scene
@@ -301,7 +188,7 @@
     let scene = Scene::run().await;
     scene.agent.change(|s| s.indented = true);
     let (told, list) = (Instant::now(), scene.list("terminating"));
-    scene.agent.change(|s| (s.rev, s.targets) = (6, list));
+    scene.agent.change(|s| (s.revision, s.targets) = (6, list));
     scene.kept(told).await;
 }
 
@@ -310,7 +197,7 @@
     let scene = Scene::run().await;
     let told = Instant::now();
     scene.agent.change(|s| {
-        s.rev = 6;
+        s.revision = 6;
         s.targets.remove(0);
     });
     scene.kept(told).await;
@@ -323,7 +210,7 @@
     let (told, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
-        .change(|s| (s.rev, s.targets, s.round, s.cut) = (6, list, 1, 1));
+        .change(|s| (s.revision, s.targets, s.generation, s.closed_before) = (6, list, 1, 1));
     scene.kept(told).await;
 }
 
@@ -333,7 +220,7 @@
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
-        .change(|s| (s.rev, s.targets, s.round) = (6, list, 1));
+        .change(|s| (s.revision, s.targets, s.generation) = (6, list, 1));
     scene.kept(fell_silent + SILENCE).await;
     assert!(
         scene.leaving.last().unwrap() > fell_silent,
@@ -347,13 +234,15 @@
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
-        .change(|s| (s.rev, s.targets, s.half) = (6, list, true));
+        .change(|s| (s.revision, s.targets, s.truncates) = (6, list, true));
     wait_until("the watch has half an answer", || {
-        scene.agent.seen.lock().unwrap().1 > 0
+        scene.agent.counts().truncated > 0
     })
     .await;
     // Connections from now on hear all of it.
-    scene.agent.change(|s| (s.round, s.half) = (1, false));
+    scene
+        .agent
+        .change(|s| (s.generation, s.truncates) = (1, false));
     scene.kept(fell_silent + SILENCE).await;
 }
 
@@ -361,9 +250,15 @@
 async fn a_drain_is_kept_when_the_agent_is_gone_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    scene
-        .agent
-        .change(|s| (s.rev, s.targets, s.round, s.cut, s.refuses) = (6, list, 1, 1, true));
+    scene.agent.change(|s| {
+        (
+            s.revision,
+            s.targets,
+            s.generation,
+            s.closed_before,
+            s.refuses,
+        ) = (6, list, 1, 1, true);
+    });
     sleep(Duration::from_secs(8)).await;
     let told = Instant::now();
     scene.agent.change(|s| s.refuses = false);
@@ -376,11 +271,13 @@
     let list = scene.list("terminating");
     scene
         .agent
-        .change(|s| (s.rev, s.targets, s.silent) = (6, list, true));
+        .change(|s| (s.revision, s.targets, s.silent) = (6, list, true));
     sleep(Duration::from_secs(8)).await;
     // What was called before stays without an answer.
     let told = Instant::now();
-    scene.agent.change(|s| (s.silent, s.round) = (false, 1));
+    scene
+        .agent
+        .change(|s| (s.silent, s.generation) = (false, 1));
     scene.kept(told).await;
 }
 
@@ -388,9 +285,15 @@
 async fn a_drain_is_kept_when_no_connection_to_the_agent_is_established_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    scene
-        .agent
-        .change(|s| (s.rev, s.targets, s.round, s.cut, s.hangs) = (6, list, 1, 1, true));
+    scene.agent.change(|s| {
+        (
+            s.revision,
+            s.targets,
+            s.generation,
+            s.closed_before,
+            s.accepts_none,
+        ) = (6, list, 1, 1, true);
+    });
     let mut fillers = Vec::new();
     while let Ok(filler) = timeout(
         Duration::from_millis(200),
@@ -403,7 +306,7 @@
     sleep(Duration::from_secs(8)).await;
     drop(fillers);
     let told = Instant::now();
-    scene.agent.change(|s| s.hangs = false);
+    scene.agent.change(|s| s.accepts_none = false);
     scene.kept(told).await;
 }
 
@@ -411,11 +314,11 @@
 async fn a_drain_is_kept_after_a_reload_to_an_agent_that_is_silent_at_first() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
-    let next = Agent::start(State {
-        rev: 9,
+    let next = DiscoveryAgent::start(AgentState {
+        revision: 9,
         targets: list,
         silent: true,
-        ..State::default()
+        ..AgentState::default()
     })
     .await;
     let file = scene.folder.path().join("n0.json");
@@ -433,7 +336,7 @@
 async fn a_drain_is_kept_by_a_restarted_process_with_an_old_known_list() {
     let mut scene = Scene::set().await;
     let list = scene.list("terminating");
-    scene.agent.change(|s| (s.rev, s.targets) = (6, list));
+    scene.agent.change(|s| (s.revision, s.targets) = (6, list));
     scene.start();
     let told = Instant::now();
     sleep_until(told + Duration::from_secs(2)).await;
@@ -449,6 +352,6 @@
     let (told, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
-        .change(|s| (s.rev, s.targets, s.round, s.cut) = (2, list, 1, 1));
+        .change(|s| (s.revision, s.targets, s.generation, s.closed_before) = (2, list, 1, 1));
     scene.kept(told).await;
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,5 +7,7 @@
 )]
 
 pub(crate) mod daemon;
+pub(crate) mod discovery_agent;
 pub(crate) mod fleet;
+pub(crate) mod large_fleet;
 pub(crate) mod policy;
