--- a/crates/etcd/tests/watch.rs
+++ b/crates/etcd/tests/watch.rs
@@ -9,18 +9,18 @@
 use std::time::Duration;
 
 use applewall_etcd::{watch, Endpoints, Settings};
-use applewall_fakes::etcd::Registry;
-use applewall_fakes::wire::Wire;
+use applewall_fakes::etcd::EtcdServer;
+use applewall_fakes::tcp_proxy::TcpProxy;
 use applewall_membership::{MemberChange, MemberState, MergedMembership, SourceInput};
 use applewall_operator_config::{DurationSetting, EnabledFlag, Networks};
 use tokio::task::JoinHandle;
 
 /// How long a test waits for what has to happen; a machine that is busy must not fail it.
-const PATIENCE: Duration = Duration::from_secs(60);
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
 struct Fixture {
-    registry: Registry,
-    wires: Vec<Wire>,
+    registry: EtcdServer,
+    wires: Vec<TcpProxy>,
     membership: Arc<Mutex<MergedMembership>>,
     known: Arc<Mutex<Known>>,
     task: JoinHandle<()>,
@@ -43,7 +43,7 @@
     }
 }
 
-fn settings(wires: &[Wire]) -> Settings {
+fn settings(wires: &[TcpProxy]) -> Settings {
     Settings {
         enabled: EnabledFlag(true),
         endpoints: Endpoints(wires.iter().map(|wire| wire.address).collect()),
@@ -56,10 +56,18 @@
     }
 }
 
-async fn start(registry: Registry, members: usize, change: impl FnOnce(&mut Settings)) -> Fixture {
+async fn start(
+    registry: EtcdServer,
+    members: usize,
+    change: impl FnOnce(&mut Settings),
+) -> Fixture {
     let mut wires = Vec::new();
     for _ in 0..members {
-        wires.push(Wire::to(registry.listen().await.unwrap()).await.unwrap());
+        wires.push(
+            TcpProxy::start(registry.listen().await.unwrap())
+                .await
+                .unwrap(),
+        );
     }
     let mut settings = settings(&wires);
     change(&mut settings);
@@ -104,7 +112,7 @@
         };
         let state = || self.known.lock().unwrap().states.clone();
         assert!(
-            tokio::time::timeout(PATIENCE, wait).await.is_ok(),
+            tokio::time::timeout(TEST_TIMEOUT, wait).await.is_ok(),
             "never: {what}: {:?}",
             state()
         );
@@ -123,7 +131,7 @@
 
 #[tokio::test]
 async fn the_list_is_read_once_and_malformed_members_are_left_out() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/bad", "{}");
     registry.put("/other/x", &value(9, "in_service"));
@@ -152,12 +160,12 @@
 
 #[tokio::test]
 async fn a_broken_watch_resumes_without_a_full_read_and_repeats_no_change() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     let fixture = start(registry, 2, |_| ()).await;
     fixture.until("a", |list| list.len() == 1).await;
     for round in 0..20u16 {
-        fixture.wires.iter().for_each(Wire::cut);
+        fixture.wires.iter().for_each(TcpProxy::disconnect);
         // Removed and added again during the break: one new incarnation, however it is reported.
         fixture.registry.delete("/m/a");
         fixture.registry.put("/m/a", &value(1, "in_service"));
@@ -175,17 +183,17 @@
 
 #[tokio::test]
 async fn a_compacted_revision_leads_to_one_full_read() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     registry.put("/m/b", &value(2, "in_service"));
     let fixture = start(registry, 1, |_| ()).await;
     fixture.until("both", |list| list.len() == 2).await;
-    fixture.wires[0].refuse(true);
-    fixture.wires[0].cut();
+    fixture.wires[0].set_refusing(true);
+    fixture.wires[0].disconnect();
     fixture.registry.delete("/m/a");
     let last = fixture.registry.put("/m/c", &value(3, "in_service"));
     fixture.registry.compact(last);
-    fixture.wires[0].refuse(false);
+    fixture.wires[0].set_refusing(false);
     fixture
         .until("c in place of a", |list| {
             list.len() == 2 && list.contains_key("c")
@@ -198,7 +206,7 @@
 
 #[tokio::test]
 async fn a_silent_watch_resumes_at_another_endpoint_without_a_full_read() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     registry.put("/m/a", &value(1, "in_service"));
     let fixture = start(registry, 3, |settings| {
         settings.patience = DurationSetting::from_millis(150);
@@ -207,7 +215,7 @@
     fixture.until("a", |list| list.len() == 1).await;
     for round in 0..6 {
         // The connection of the round before is closed by now: only the one in use falls silent.
-        let up = |wire: &&Wire| wire.connections.1.load(Ordering::Relaxed) > 0;
+        let up = |wire: &&TcpProxy| wire.connections.open() > 0;
         fixture
             .until("one is in use", |_| {
                 fixture.wires.iter().filter(up).count() == 1
@@ -217,7 +225,7 @@
             .wires
             .iter()
             .filter(up)
-            .for_each(|wire| wire.silence(true));
+            .for_each(|wire| wire.set_silent(true));
         let state = if round % 2 == 0 {
             "terminating"
         } else {
@@ -232,7 +240,7 @@
         fixture
             .until(state, |list| list.get("a") == Some(&wanted))
             .await;
-        fixture.wires.iter().for_each(|wire| wire.silence(false));
+        fixture.wires.iter().for_each(|wire| wire.set_silent(false));
     }
     assert_eq!(
         (
@@ -245,17 +253,17 @@
 
 #[tokio::test]
 async fn a_registry_that_began_anew_is_read_again_and_members_that_stayed_keep_their_incarnation() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     for index in 0..40 {
         registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
     let fixture = start(registry, 1, |_| ()).await;
     fixture.until("40", |list| list.len() == 40).await;
-    fixture.wires[0].refuse(true);
-    fixture.wires[0].cut();
-    fixture.registry.begin_anew(8);
+    fixture.wires[0].set_refusing(true);
+    fixture.wires[0].disconnect();
+    fixture.registry.reset(8);
     fixture.registry.put("/m/s-1", &value(2, "in_service"));
-    fixture.wires[0].refuse(false);
+    fixture.wires[0].set_refusing(false);
     fixture.until("one", |list| list.len() == 1).await;
     assert_eq!(fixture.new_incarnations(), 40);
     fixture.registry.put("/m/s-2", &value(3, "in_service"));
@@ -274,25 +282,25 @@
 
 #[tokio::test]
 async fn thousands_of_keys_are_read_in_pages_and_fragmented_answers_are_applied_as_one() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     for index in 0..5_000u16 {
         registry.put(&format!("/m/s-{index}"), &value(1 + index, "in_service"));
     }
     let fixture = start(registry, 1, |_| ()).await;
     fixture.until("5,000", |list| list.len() == 5_000).await;
     assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
-    fixture.wires[0].silence(true);
+    fixture.wires[0].set_silent(true);
     for index in 0..1_000 {
         fixture.registry.delete(&format!("/m/s-{index}"));
     }
-    fixture.wires[0].silence(false);
+    fixture.wires[0].set_silent(false);
     fixture.until("4,000", |list| list.len() == 4_000).await;
     assert_eq!(fixture.registry.calls.ranges.load(Ordering::Relaxed), 3);
 }
 
 #[tokio::test]
 async fn a_list_read_in_pages_while_it_changes_is_of_one_revision() {
-    let registry = Registry::new(7, 0);
+    let registry = EtcdServer::new(7, 0);
     for index in 0..5_000u16 {
         registry.put(&format!("/m/s-{index:04}"), &value(1 + index, "in_service"));
     }
@@ -319,8 +327,8 @@
 
 #[tokio::test]
 async fn the_token_is_sent_and_read_again_at_each_connection() {
-    let registry = Registry::new(7, 0);
-    registry.require("s3cret");
+    let registry = EtcdServer::new(7, 0);
+    registry.require_token("s3cret");
     registry.put("/m/a", &value(1, "in_service"));
     let file = std::env::temp_dir().join(format!("applewall-token-{}", std::process::id()));
     std::fs::write(&file, "wrong\n").unwrap();
@@ -328,7 +336,7 @@
         settings.token_file = Some(file.to_str().unwrap().into());
     })
     .await;
-    let tried = || fixture.wires[0].connections.0.load(Ordering::Relaxed) > 2;
+    let tried = || fixture.wires[0].connections.accepted() > 2;
     fixture
         .until("three tries", |list| list.is_empty() && tried())
         .await;
