Hot restart: reasons of a failed transfer in the field's terms; comments in plain words

The reasons inside two hot restart log lines say what happened on the connection (no greeting in time, state not read in time, connection closed, another protocol version); the golden tests of the transfer take the new texts.

--- a/src/admin/handle.rs
+++ b/src/admin/handle.rs
@@ -188,7 +188,7 @@
     }
 }
 
-/// Writes the maintenance set; the answer's text, which says so where that fails.
+/// Writes the maintenance set; the answer's text, which names the error where that fails.
 fn persist(directory: &SharedDirectory, maintenance: &MaintenanceSet, text: String) -> String {
     match directory.write_maintenance_set(maintenance) {
         Ok(()) => text,
--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -43,7 +43,7 @@
     Listen {
         /// The address.
         address: SocketAddr,
-        /// What the system says of it.
+        /// The operating system's error.
         source: io::Error,
     },
     /// The caller's line is longer than any command.
@@ -118,7 +118,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                // Once a spell: a lasting error must not flood the log.
+                // Logged once until a connection is accepted: a lasting error must not flood the log.
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!("operator: accept: {error}");
                 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -26,7 +26,7 @@
     Unreadable {
         /// The file.
         path: String,
-        /// What the system says of it.
+        /// The operating system's error.
         source: io::Error,
     },
     /// The platform's file is no JSON of its form.
--- a/src/config/operator/golden.rs
+++ b/src/config/operator/golden.rs
@@ -149,7 +149,7 @@
     );
 }
 
-/// Each key with values of all kinds: what is said then, or that it will do. And what is wrong with the file itself.
+/// Each key with values of all kinds: the error then, or that it is accepted. And errors of the file itself.
 #[test]
 fn operator_file_is_refused_in_the_recorded_words() {
     let (mut now, mut section) = (String::new(), "");
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -255,7 +255,7 @@
     }
 }
 
-/// Each key left out, and each value replaced by one of another kind: what is said then, or that it will do.
+/// Each key left out, and each value replaced by one of another kind: the error then, or that it is accepted.
 #[test]
 fn platform_file_is_refused_in_the_recorded_words() {
     let (mut all, mut now, clock) = (Vec::new(), String::new(), Clock::start());
--- a/src/discovery/registry/snapshot_file.rs
+++ b/src/discovery/registry/snapshot_file.rs
@@ -16,7 +16,7 @@
     Io {
         /// The file.
         path: PathBuf,
-        /// What the system says of it.
+        /// The operating system's error.
         source: io::Error,
     },
     /// It is torn, foreign or too old.
--- a/src/discovery/watch/tests.rs
+++ b/src/discovery/watch/tests.rs
@@ -14,7 +14,7 @@
     }
 }
 
-/// What a watch misses counts as told so long after it fell silent, or so long after the end of its wait.
+/// What a watch misses counts as reported so long after it fell silent, or so long after the end of its wait.
 const SILENCE: (Duration, Duration) = (Duration::from_secs(6), Duration::from_secs(2));
 /// A drain has so long from there, of which attempts that are being written need next to nothing.
 const DRAIN: Duration = Duration::from_millis(500);
@@ -109,7 +109,7 @@
         );
         for fleet in [13, 30, 100, 1000] {
             let (first, longest) = waits(pace, fleet);
-            // Calls a second of all ingresses together: at once after a loss, and while it lasts.
+            // Calls a second of all nodes together: at once after a loss, and while it lasts.
             let calls = |wait: Duration| f64::from(fleet) / wait.as_secs_f64();
             assert!(
                 calls(first) <= 50.1 && calls(longest) <= 12.6,
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -184,7 +184,7 @@
             Outcome::Failure => Saw::Failing,
             Outcome::ConnectFailed | Outcome::ConnectionReset => Saw::Dead,
             Outcome::TimedOut if !attempt.overdue => Saw::Failing,
-            // Overloaded: it lives, and its load is the load ladder's matter. The rest is this node's own doing.
+            // Overloaded: it is alive, and its load is what the load ladder reacts to. The rest is caused by this node itself.
             _ => return,
         };
         self.core.saw(attempt.zone, attempt.endpoint, observation);
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -47,10 +47,10 @@
     #[error("no answer in time")]
     NoAnswer,
     /// The older process closed the connection before it sent anything whole.
-    #[error("the other process hung up")]
+    #[error("the other process closed the connection")]
     HungUp,
     /// The older process sent another mark, or more than a state may hold.
-    #[error("the other process speaks another version")]
+    #[error("the other process speaks another protocol version")]
     PredecessorVersion,
     /// The bytes of the state can't be read.
     #[error("the transferred state is not of this form: {0}")]
@@ -59,10 +59,10 @@
     #[error(transparent)]
     Unencodable(postcard::Error),
     /// The new process sent nothing within [`STEP_TIMEOUT`].
-    #[error("it said nothing")]
+    #[error("it sent no greeting in time")]
     NoHello,
     /// The new process greeted with another line.
-    #[error("it speaks another version")]
+    #[error("it speaks another protocol version")]
     SuccessorVersion,
     /// The engine ended before it exported the state.
     #[error("the engine has stopped")]
@@ -71,7 +71,7 @@
     #[error(transparent)]
     Export(Box<dyn std::error::Error + Send + Sync>),
     /// The new process did not read the state within [`STEP_TIMEOUT`].
-    #[error("it takes nothing")]
+    #[error("it did not read the state in time")]
     NotReading,
     /// The new process closed the connection, or sent another line.
     #[error("it ended before it had taken over")]
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -253,7 +253,7 @@
 #[tokio::test]
 async fn framed_state_is_received_and_any_other_refused_with_its_reason() {
     let length = STATE.len();
-    let other_version = "the other process speaks another version";
+    let other_version = "the other process speaks another protocol version";
     let cut =
         "the transferred state is not of this form: Hit the end of buffer, expected more data";
     let cases = [
@@ -263,7 +263,7 @@
         (framed(b"AWE1", (64 << 20) + 1, STATE), other_version),
         (
             framed(b"AWE1", length, STATE)[..7].into(),
-            "the other process hung up",
+            "the other process closed the connection",
         ),
         (framed(b"AWE1", length, &STATE[1..]), "early eof"),
         (framed(b"AWE1", length - 1, STATE), cut),
@@ -307,7 +307,7 @@
             if short {
                 "early eof"
             } else {
-                "it speaks another version"
+                "it speaks another protocol version"
             },
             "{hello:?}"
         );
--- a/src/lifecycle/inherited_socket.rs
+++ b/src/lifecycle/inherited_socket.rs
@@ -30,7 +30,7 @@
     NoSocket {
         /// Its number.
         descriptor: RawFd,
-        /// What the system says of it.
+        /// The operating system's error.
         source: io::Error,
     },
     /// The runtime can't take it.
--- a/src/lifecycle/shutdown.rs
+++ b/src/lifecycle/shutdown.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// What drives the phases, and what they are told to.
+/// Drives the phases of drain and shutdown.
 pub(crate) struct LifecycleDriver {
     /// Signals of the process.
     pub signals: Signals,
