--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -265,7 +265,7 @@
                 }
                 self.fleet.update(kind, &entries);
                 if let Some(zones) = &mut self.zones {
-                    zones.endpoints_updated(kind, &entries);
+                    zones.endpoints_updated(self.now, kind, &entries);
                 }
                 self.event(Event::EndpointUpdate(
                     kind,
