--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -3,7 +3,7 @@
 //! `at 2s: link ingress:zone=0 <-> list silent for 3s`, `when 12 listed: kill ingress:0.7 and start after 200ms old`,
 //! `at 1s: stop ingress:3 for 5s`, `at 0s: list turns away 0.9 for 4s`, `at 3s: restart instance:all`.
 //!
-//! This module holds the types, `parser` reads the line; [`crate::environment`] carries faults out.
+//! This module holds the types, `parser` reads the line; `environment` carries faults out.
 
 mod parser;
 
