Tests: the fleet's attempts and messages are structs; no short names in tests/support

Cause: tuples of seven and four with meanings, a step of 40 lines. Change: PendingAttempt and GossipMessage; the step in three functions. The order of random draws stays.

--- a/tests/quota_at_scale.rs
+++ b/tests/quota_at_scale.rs
@@ -237,7 +237,8 @@
         }
         let limit = fleet.now() + 20 * MILLISECOND;
         let mut lost = 0;
-        fleet.gossip_in_flight.retain(|(at, _, to, _)| {
+        fleet.gossip_in_flight.retain(|message| {
+            let (at, to) = (&message.arrives_at_ns, &message.to);
             // Sent in this step: each is looked at once.
             if *at < limit - STEP_NS + 1 {
                 return true;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -12,7 +12,7 @@
 
 use applewall::api::*;
 use rand::Rng;
-use support::fleet::{always_succeeds, encode_pool, PolicyFleet, NODES};
+use support::fleet::{always_succeeds, encode_pool, PendingAttempt, PolicyFleet, NODES};
 use support::policy::*;
 
 /// Units sent on for one customer over 100 gateways in 10 s, at so many units asked for in a second against a
@@ -302,7 +302,11 @@
             let (_, actions) = fleet.nodes[me].request_with_node_set(NODES, SAFE, 1, "wide", 1.0);
             fleet.start_attempts(me, &actions, &end);
             if attempted_endpoint(&actions).is_some() && step >= 150 {
-                let (.., how, ms) = fleet.attempts.last().expect("just sent");
+                let PendingAttempt {
+                    outcome: how,
+                    latency_ms: ms,
+                    ..
+                } = fleet.attempts.last().expect("just sent");
                 sent += 1;
                 timely += u32::from(*how == Outcome::Success && *ms <= 500);
             }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,9 +1,4 @@
-//! Many gateways with their network and backends, the modules alone, in virtual time.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Many nodes of the decision policy with their network and endpoints, without the daemon, in virtual time.
 
 use std::collections::VecDeque;
 
@@ -15,15 +10,45 @@
 pub(crate) const NODES: u32 = 160;
 pub(crate) const STEP_NS: u64 = 20 * MILLISECOND;
 
-/// Gateways with a lossy, late network between them and backends that answer after a while.
+/// Delay of a gossip message.
+const GOSSIP_DELAY_NS: u64 = 20 * MILLISECOND;
+/// Fraction of gossip messages that are lost.
+const GOSSIP_LOSS: f64 = 0.05;
+
+/// An attempt that ends at a time known already.
+#[derive(Clone)]
+pub(crate) struct PendingAttempt {
+    /// When it ends.
+    pub(crate) ends_at_ns: u64,
+    /// The node that sent it.
+    pub(crate) node: usize,
+    pub(crate) request: RequestId,
+    pub(crate) attempt: u32,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) outcome: Outcome,
+    pub(crate) latency_ms: u64,
+}
+
+/// A gossip message on its way.
+pub(crate) struct GossipMessage {
+    pub(crate) arrives_at_ns: u64,
+    pub(crate) from: u32,
+    pub(crate) to: u32,
+    pub(crate) text: String,
+}
+
+/// How the attempt of a request at an endpoint ends, and after how many milliseconds.
+pub(crate) type AttemptEnd<'a> = dyn Fn(&EndpointId, RequestId) -> (Outcome, u64) + 'a;
+
+/// Nodes with a slow and lossy network between them, and endpoints that answer after a while.
 pub(crate) struct PolicyFleet {
-    pub rng: SmallRng,
-    pub settings: PolicySettings,
-    pub endpoints: Vec<Endpoint>,
-    pub nodes: Vec<PolicyDriver>,
-    pub gossip_in_flight: VecDeque<(u64, u32, u32, String)>,
-    pub attempts: Vec<(u64, usize, RequestId, u32, EndpointId, Outcome, u64)>,
-    pub gossip_delivered: u32,
+    pub(crate) rng: SmallRng,
+    pub(crate) settings: PolicySettings,
+    pub(crate) endpoints: Vec<Endpoint>,
+    pub(crate) nodes: Vec<PolicyDriver>,
+    pub(crate) gossip_in_flight: VecDeque<GossipMessage>,
+    pub(crate) attempts: Vec<PendingAttempt>,
+    pub(crate) gossip_delivered: u32,
 }
 
 impl PolicyFleet {
@@ -39,7 +64,7 @@
         backends: usize,
     ) -> Self {
         let list: Vec<Endpoint> = (0..backends)
-            .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
+            .map(|number| endpoint(&format!("b{number}"), number as u32 % 3))
             .collect();
         let set = PolicySettings {
             node_count: gateways,
@@ -73,79 +98,88 @@
         self.nodes[0].now
     }
 
-    pub(crate) fn restart(&mut self, me: usize) {
-        let set = PolicySettings {
-            node: me as u32,
+    /// Restarts a node: it knows nothing of before.
+    pub(crate) fn restart(&mut self, node: usize) {
+        let settings = PolicySettings {
+            node: node as u32,
             ..self.settings.clone()
         };
-        self.nodes[me] = PolicyDriver::at(self.now(), set, self.rng.random(), &self.endpoints);
-        self.attempts.retain(|o| o.1 != me);
+        self.nodes[node] =
+            PolicyDriver::at(self.now(), settings, self.rng.random(), &self.endpoints);
+        self.attempts.retain(|attempt| attempt.node != node);
     }
 
-    /// Carries out what a gateway does: how an attempt ends, and after how many milliseconds, is `end`'s.
-    pub(crate) fn start_attempts(
-        &mut self,
-        me: usize,
-        actions: &[Action],
-        end: &dyn Fn(&EndpointId, RequestId) -> (Outcome, u64),
-    ) {
+    /// Starts the attempts among the actions of a node; `end` says how they end.
+    pub(crate) fn start_attempts(&mut self, node: usize, actions: &[Action], end: &AttemptEnd<'_>) {
         for action in actions {
-            if let Action::StartAttempt {
-                request,
-                endpoint: backend,
-                ..
+            let Action::StartAttempt {
+                request, endpoint, ..
             } = action
-            {
-                let attempt = self
-                    .attempts
-                    .iter()
-                    .filter(|o| o.1 == me && o.2 == *request)
-                    .count() as u32;
-                let (how, ms) = end(backend, *request);
-                self.attempts.push((
-                    self.now() + ms * MILLISECOND,
-                    me,
-                    *request,
-                    attempt,
-                    backend.clone(),
-                    how,
-                    ms,
-                ));
-            }
+            else {
+                continue;
+            };
+            let same =
+                |attempt: &&PendingAttempt| attempt.node == node && attempt.request == *request;
+            let attempt = self.attempts.iter().filter(same).count() as u32;
+            let (outcome, latency_ms) = end(endpoint, *request);
+            self.attempts.push(PendingAttempt {
+                ends_at_ns: self.now() + latency_ms * MILLISECOND,
+                node,
+                request: *request,
+                attempt,
+                endpoint: endpoint.clone(),
+                outcome,
+                latency_ms,
+            });
         }
     }
 
-    /// Moves the clock by a step: answers, messages (one in twenty lost), timers.
-    pub(crate) fn step(&mut self, end: &dyn Fn(&EndpointId, RequestId) -> (Outcome, u64)) {
-        for me in 0..self.nodes.len() {
-            let actions = self.nodes[me].advance(STEP_NS);
-            self.start_attempts(me, &actions, end);
+    /// Moves the clock by a step: timers, ends of attempts, gossip.
+    pub(crate) fn step(&mut self, end: &AttemptEnd<'_>) {
+        for node in 0..self.nodes.len() {
+            let actions = self.nodes[node].advance(STEP_NS);
+            self.start_attempts(node, &actions, end);
         }
         let now = self.now();
-        let due: Vec<_> = self
-            .attempts
-            .iter()
-            .filter(|o| o.0 <= now)
-            .cloned()
-            .collect();
-        self.attempts.retain(|o| o.0 > now);
-        for (_, me, id, attempt, to, how, ms) in due {
-            let actions = self.nodes[me].finish_attempt(id, attempt, &to, how, ms);
-            self.start_attempts(me, &actions, end);
+        let due = |attempt: &&PendingAttempt| attempt.ends_at_ns <= now;
+        let due: Vec<_> = self.attempts.iter().filter(due).cloned().collect();
+        self.attempts.retain(|attempt| attempt.ends_at_ns > now);
+        for ended in due {
+            let actions = self.nodes[ended.node].finish_attempt(
+                ended.request,
+                ended.attempt,
+                &ended.endpoint,
+                ended.outcome,
+                ended.latency_ms,
+            );
+            self.start_attempts(ended.node, &actions, end);
         }
-        for me in 0..self.nodes.len() {
-            for (peer, text) in std::mem::take(&mut self.nodes[me].gossip) {
-                let to = peer.expect("nothing is told to all of a large fleet");
-                self.gossip_in_flight
-                    .push_back((now + 20 * MILLISECOND, me as u32, to, text));
+        self.send_gossip(now);
+        self.deliver_gossip(now);
+    }
+
+    fn send_gossip(&mut self, now: u64) {
+        for from in 0..self.nodes.len() {
+            for (peer, text) in std::mem::take(&mut self.nodes[from].gossip) {
+                self.gossip_in_flight.push_back(GossipMessage {
+                    arrives_at_ns: now + GOSSIP_DELAY_NS,
+                    from: from as u32,
+                    to: peer.expect("no message goes to all of a large fleet"),
+                    text,
+                });
             }
         }
-        while self.gossip_in_flight.front().is_some_and(|m| m.0 <= now) {
-            let Some((_, from, to, text)) = self.gossip_in_flight.pop_front() else {
+    }
+
+    fn deliver_gossip(&mut self, now: u64) {
+        let arrived = |message: &GossipMessage| message.arrives_at_ns <= now;
+        while self.gossip_in_flight.front().is_some_and(arrived) {
+            let Some(message) = self.gossip_in_flight.pop_front() else {
                 break;
             };
-            if self.rng.random::<f64>() > 0.05 {
+            if self.rng.random::<f64>() > GOSSIP_LOSS {
                 self.gossip_delivered += 1;
+                let GossipMessage { from, to, text, .. } = message;
                 self.nodes[to as usize].handle(Event::PeerMessage { from, text });
             }
         }
@@ -156,17 +190,18 @@
     (Outcome::Success, 60)
 }
 
-/// A part of a pool on the wire, from its nine numbers.
+/// Pooled statistics as a gossip message has them, from their nine numbers.
 pub(crate) fn encode_pool(parts: [f64; 9]) -> String {
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
-    let code = |v: f64| {
-        if v < 0.001 {
+    let code = |value: f64| {
+        if value < 0.001 {
             0
         } else {
-            ((v / 0.001).ln() / 1.005f64.ln()).round() as usize + 1
+            ((value / 0.001).ln() / 1.005f64.ln()).round() as usize + 1
         }
     };
-    let digits = |v: &f64| [code(*v) >> 6, code(*v) & 63].map(|d| char::from(DIGITS[d]));
+    let digits =
+        |value: &f64| [code(*value) >> 6, code(*value) & 63].map(|digit| char::from(DIGITS[digit]));
     "pAAAAAAAAA"
         .chars()
         .chain(parts.iter().flat_map(digits))
--- a/tests/support/policy.rs
+++ b/tests/support/policy.rs
@@ -1,10 +1,5 @@
 //! One node of the decision policy without the daemon: settings, a virtual clock, and shorthand for events.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
 
@@ -140,11 +135,11 @@
     pub(crate) fn advance(&mut self, time: u64) -> Vec<Action> {
         let end = self.now + time;
         let mut all = Vec::new();
-        while let Some(i) = (0..self.timers.len()).min_by_key(|i| self.timers[*i]) {
-            if self.timers[i].0 > end {
+        while let Some(first) = (0..self.timers.len()).min_by_key(|index| self.timers[*index]) {
+            if self.timers[first].0 > end {
                 break;
             }
-            let (at, token) = self.timers.swap_remove(i);
+            let (at, token) = self.timers.swap_remove(first);
             self.now = self.now.max(at);
             all.extend(self.handle(Event::TimerExpired(token)));
         }
@@ -226,8 +221,12 @@
             number += 1;
             let (id, actions) = self.request(class, plan, &format!("c{}", number % 7), 1.0);
             let mut todo = actions;
-            let due: Vec<_> = out.iter().filter(|o| o.0 <= self.now).cloned().collect();
-            out.retain(|o| o.0 > self.now);
+            let due: Vec<_> = out
+                .iter()
+                .filter(|attempt| attempt.0 <= self.now)
+                .cloned()
+                .collect();
+            out.retain(|attempt| attempt.0 > self.now);
             for (_, id, attempt, to) in due {
                 todo.extend(self.finish_attempt(id, attempt, &to, how, ms));
             }
@@ -256,7 +255,7 @@
 }
 
 pub(crate) fn attempted_endpoint(actions: &[Action]) -> Option<EndpointId> {
-    actions.iter().find_map(|a| match a {
+    actions.iter().find_map(|action| match action {
         Action::StartAttempt {
             endpoint: backend, ..
         } => Some(backend.clone()),
@@ -265,5 +264,7 @@
 }
 
 pub(crate) fn is_rejected(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::Reject { .. }))
 }
