Tests: whole names in seven files, their lint expectations gone

Change: cold_start_fleet, fault_testbed, adapter, command_line, overload, requests and quota spell their names out; the expectation of min_ident_chars goes from each.

--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,9 +1,5 @@
 //! The adapter as a process: replies on the wire, plain messages on what is malformed.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::io::Write;
@@ -33,7 +29,7 @@
 
 fn lines(text: &[&str]) -> Vec<String> {
     text.iter()
-        .map(|l| l.replace("FACTS", &FACTS.replace('\n', "")))
+        .map(|line| line.replace("FACTS", &FACTS.replace('\n', "")))
         .collect()
 }
 
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -1,11 +1,6 @@
 //! Cold starts of 24 real processes with faults between them. Verdicts are on rules and on order; what depends on the
 //! machine's speed is measured by `make measure-cold-start`.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 mod play;
 
 use applewall_fault_testbed::journal::Event;
@@ -42,7 +37,7 @@
     played
         .entries
         .iter()
-        .filter(|l| matches!(l.event, Event::ListRequested { full: w, .. } if w == whole))
+        .filter(|entry| matches!(entry.event, Event::ListRequested { full, .. } if full == whole))
         .count()
 }
 
@@ -59,9 +54,15 @@
     );
     // Ready only with a list.
     for ingress in 0..24 {
-        let of = |kind: &dyn Fn(&Event) -> bool| played.entries.iter().position(|l| kind(&l.event));
-        let told = of(&|w| matches!(w, Event::ListResponse { ingress: i, .. } if *i == ingress));
-        let ready = of(&|w| matches!(w, Event::IngressReady { ingress: i } if *i == ingress));
+        let of = |kind: &dyn Fn(&Event) -> bool| {
+            played.entries.iter().position(|entry| kind(&entry.event))
+        };
+        let told = of(
+            &|event| matches!(event, Event::ListResponse { ingress: number, .. } if *number == ingress),
+        );
+        let ready = of(
+            &|event| matches!(event, Event::IngressReady { ingress: number } if *number == ingress),
+        );
         assert!(
             told.is_some() && ready.is_none_or(|ready| Some(ready) > told),
             "ingress {ingress}"
@@ -112,7 +113,9 @@
     let during = played
         .entries
         .iter()
-        .filter(|l| l.at_seconds < 4.0 && matches!(l.event, Event::ListRequested { .. }))
+        .filter(|entry| {
+            entry.at_seconds < 4.0 && matches!(entry.event, Event::ListRequested { .. })
+        })
         .count();
     // Half as much again as it bears.
     assert!(
@@ -186,7 +189,7 @@
     let lives = played
         .entries
         .iter()
-        .filter(|l| matches!(l.event, Event::IngressStarted { .. }))
+        .filter(|entry| matches!(entry.event, Event::IngressStarted { .. }))
         .count();
     assert_eq!(lives, 24 + 17 + 17);
     // Whole lists: one for each life without any, and for those alone.
@@ -227,7 +230,7 @@
     let mut order: Vec<usize> = Vec::new();
     for line in &played.entries {
         match line.event {
-            Event::IngressStarted { ingress, .. } => order.retain(|i| *i != ingress),
+            Event::IngressStarted { ingress, .. } => order.retain(|number| *number != ingress),
             Event::ListRequested { ingress, .. }
                 if line.at_seconds > 3.0 && !order.contains(&ingress) =>
             {
@@ -237,7 +240,7 @@
         }
     }
     assert_eq!(order.len(), 24, "all call again: {order:?}");
-    let bare = order[..12].iter().filter(|i| **i < 12).count();
+    let bare = order[..12].iter().filter(|number| **number < 12).count();
     assert!(
         bare >= 11,
         "{bare} of the first twelve have no list: {order:?}"
@@ -264,10 +267,14 @@
         "[trial]\ntime = 12s\n{TURNS}{}",
         replaced.replace("0.5s", "500ms")
     ));
-    let new = played.entries.iter().rev().find_map(|l| match l.event {
-        Event::AttemptArrived { instance, .. } if instance >= 12 => Some(instance),
-        _ => None,
-    });
+    let new = played
+        .entries
+        .iter()
+        .rev()
+        .find_map(|entry| match entry.event {
+            Event::AttemptArrived { instance, .. } if instance >= 12 => Some(instance),
+            _ => None,
+        });
     assert!(new.is_some(), "the new ones serve");
     assert_eq!(calls(&played, true), 0);
 }
@@ -279,15 +286,19 @@
         "[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"
     ));
     assert_eq!(listed(&played), 24);
-    let old = played.entries.iter().rev().find_map(|l| match l.event {
-        Event::ListResponse {
-            ingress: 0,
-            status: 200,
-            revision,
-            ..
-        } => Some(revision),
-        _ => None,
-    });
+    let old = played
+        .entries
+        .iter()
+        .rev()
+        .find_map(|entry| match entry.event {
+            Event::ListResponse {
+                ingress: 0,
+                status: 200,
+                revision,
+                ..
+            } => Some(revision),
+            _ => None,
+        });
     assert_eq!(old, Some(1), "it follows the service at its new revisions");
     assert!(played.metrics.served_in_time > 0);
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,9 +1,5 @@
 //! The command line and the configuration: what is wrong ends the program with one plain line.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::process::{Command, Output};
@@ -32,7 +28,7 @@
     let text = include_str!("exchanges/config.json").replace(from, to);
     ["@discovery", "@peer0", "@peer1", "@s1"]
         .iter()
-        .fold(text, |t, name| t.replace(name, "127.0.0.1:9"))
+        .fold(text, |text, name| text.replace(name, "127.0.0.1:9"))
 }
 
 #[test]
@@ -104,9 +100,12 @@
         ("retryable", "sometimes", "unknown idempotency 'sometimes'"),
         ("\"name\": \"n0\"", "", "GW_CONFIG: "),
     ];
-    for (i, (from, to, reason)) in cases.into_iter().enumerate() {
+    for (number, (from, to, reason)) in cases.into_iter().enumerate() {
         fails(
-            run(&["serve"], Some((&format!("bad{i}"), &config(from, to)))),
+            run(
+                &["serve"],
+                Some((&format!("bad{number}"), &config(from, to))),
+            ),
             reason,
         );
     }
@@ -171,14 +170,15 @@
         ("[consul]\nenabled = on", "[consul] enabled: on, but no agent is named"),
         ("[log]\nformat = xml", "[log] format: unknown variant `xml`"),
     ];
-    for (i, (text, reason)) in cases.into_iter().enumerate() {
-        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("bad{i}.ini"));
+    for (number, (text, reason)) in cases.into_iter().enumerate() {
+        let path =
+            std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("bad{number}.ini"));
         std::fs::write(&path, text).unwrap();
         let path = path.to_str().unwrap();
         for word in ["serve", "check"] {
             let out = run(
                 &[word, "--operator", path],
-                Some((&format!("good{i}"), &config("", ""))),
+                Some((&format!("good{number}"), &config("", ""))),
             );
             fails(out, &format!("{path}: {reason}"));
         }
--- a/tests/fault_testbed.rs
+++ b/tests/fault_testbed.rs
@@ -1,10 +1,5 @@
 //! The rig itself, on real processes: what it writes down of its own faults, and in which order.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 mod play;
 
 use applewall_fault_testbed::journal::Event;
@@ -22,13 +17,13 @@
     let kills = played
         .entries
         .iter()
-        .filter(|l| matches!(l.event, Event::IngressKilled { .. }))
+        .filter(|entry| matches!(entry.event, Event::IngressKilled { .. }))
         .count();
     assert_eq!(kills, 6);
     let open = played
         .entries
         .iter()
-        .filter(|l| matches!(l.event, Event::ResponseReceived { status: None, .. }))
+        .filter(|entry| matches!(entry.event, Event::ResponseReceived { status: None, .. }))
         .count();
     assert!(open > 20, "{open} requests ended with their process");
     assert_eq!(played.violations, Vec::<String>::new());
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -1,17 +1,14 @@
 //! Overload: the ladder, priorities, the backlog and outlier ejection, by the decision policy alone in virtual time.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 mod support;
 
 use applewall::api::*;
 use support::policy::*;
 
 fn fleet() -> Vec<Endpoint> {
-    (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect()
+    (0..6)
+        .map(|number| endpoint(&format!("b{number}"), number % 3))
+        .collect()
 }
 
 #[test]
@@ -29,7 +26,7 @@
     assert!(driver
         .logs
         .iter()
-        .any(|a| matches!(a, Action::Log(l) if l.starts_with("ladder F"))));
+        .any(|action| matches!(action, Action::Log(line) if line.starts_with("ladder F"))));
     driver.run_load(SAFE, 1, 5 * MILLISECOND, 10 * SECOND, Outcome::Success, 60);
     let (_, refused) = driver.run_load(SAFE, 1, 5 * MILLISECOND, 4 * SECOND, Outcome::Success, 60);
     assert_eq!(refused, 0, "back at F0");
@@ -63,15 +60,15 @@
     let mut driver = PolicyDriver::new(set, 1, &fleet());
     let mut lost = [0, 0];
     let mut out = std::collections::VecDeque::new();
-    for i in 0..2000u32 {
-        let plan = (i % 2) as usize;
+    for number in 0..2000u32 {
+        let plan = (number % 2) as usize;
         let (id, actions) = driver.request(SAFE, plan, "c", 1.0);
         if let Some(to) = attempted_endpoint(&actions) {
             out.push_back((driver.now, id, to));
         }
         lost[plan] += u32::from(is_rejected(&actions));
         // Half of what is asked can be served, in turn.
-        if i % 2 == 0 {
+        if number % 2 == 0 {
             if let Some((sent, id, to)) = out.pop_front() {
                 driver.finish_attempt(
                     id,
@@ -106,7 +103,7 @@
         let now = driver.now;
         for (_, id, to, ms) in out
             .iter()
-            .filter(|o| o.0 <= now)
+            .filter(|sent_attempt| sent_attempt.0 <= now)
             .cloned()
             .collect::<Vec<_>>()
         {
@@ -122,12 +119,15 @@
                 ms,
             );
         }
-        out.retain(|o| o.0 > now);
+        out.retain(|sent_attempt| sent_attempt.0 > now);
         driver.advance(10 * MILLISECOND);
     }
     assert_eq!(refusals, 0);
     assert!(
-        out.iter().filter(|o| &*o.2 == "b0").count() <= 2,
+        out.iter()
+            .filter(|sent_attempt| &*sent_attempt.2 == "b0")
+            .count()
+            <= 2,
         "the silent one gets single trials at most"
     );
 }
@@ -139,17 +139,17 @@
     driver.run_load(SAFE, 1, 5 * MILLISECOND, 3 * SECOND, Outcome::Success, 60);
     let mut out = Vec::new();
     let mut refusals = 0;
-    for i in 0..800u64 {
+    for number in 0..800u64 {
         let (id, actions) = driver.request(UNSAFE, 1, "c", 1.0);
         refusals += u32::from(is_rejected(&actions));
         if let Some(to) = attempted_endpoint(&actions) {
-            let ms = if i % 10 == 0 { 1900 } else { 60 };
+            let ms = if number % 10 == 0 { 1900 } else { 60 };
             out.push((driver.now + ms * MILLISECOND, id, to, ms));
         }
         let now = driver.now;
         for (_, id, to, ms) in out
             .iter()
-            .filter(|o| o.0 <= now)
+            .filter(|sent_attempt| sent_attempt.0 <= now)
             .cloned()
             .collect::<Vec<_>>()
         {
@@ -165,7 +165,7 @@
                 ms,
             );
         }
-        out.retain(|o| o.0 > now);
+        out.retain(|sent_attempt| sent_attempt.0 > now);
         driver.advance(5 * MILLISECOND);
     }
     assert!(refusals < 20, "{refusals} of 800 refused");
@@ -175,10 +175,12 @@
 fn the_backlog_counts_requests_by_their_units() {
     // Issue 11: requests of four units took seven times the work of one, and were costed and shed alike.
     let burst = |units: f64| {
-        let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+        let list: Vec<Endpoint> = (0..6)
+            .map(|number| endpoint(&format!("b{number}"), number % 3))
+            .collect();
         let mut driver = PolicyDriver::new(settings(), 41, &list);
-        for i in 0..800 {
-            let units = if i % 2 == 0 { 1.0 } else { 4.0 };
+        for number in 0..800 {
+            let units = if number % 2 == 0 { 1.0 } else { 4.0 };
             let (id, actions) = driver.request(SAFE, 1, "c", units);
             let to = attempted_endpoint(&actions).expect("no reason to refuse");
             let ms = if units > 1.0 { 175 } else { 25 };
@@ -198,13 +200,15 @@
 
 #[test]
 fn a_rejection_under_load_has_a_retry_after() {
-    let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+    let list: Vec<Endpoint> = (0..6)
+        .map(|number| endpoint(&format!("b{number}"), number % 3))
+        .collect();
     let mut driver = PolicyDriver::new(settings(), 53, &list);
     driver.run_load(SAFE, 1, 20 * MILLISECOND, 2 * SECOND, Outcome::Success, 60);
     let refusals: Vec<Action> = (0..200)
         .flat_map(|_| driver.request(SAFE, 1, "c", 1.0).1)
         .collect();
-    let waits = refusals.iter().filter_map(|a| match a {
+    let waits = refusals.iter().filter_map(|action| match action {
         Action::Reject {
             retry_after_ns: retry_after,
             ..
@@ -216,7 +220,7 @@
         !waits.is_empty()
             && waits
                 .iter()
-                .all(|w| (50 * MILLISECOND..=2 * SECOND).contains(w)),
+                .all(|wait_ns| (50 * MILLISECOND..=2 * SECOND).contains(wait_ns)),
         "{waits:?}"
     );
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,10 +1,5 @@
 //! Quotas and concurrency limits, by the decision policy alone in virtual time.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 mod support;
 
 use applewall::api::*;
@@ -12,7 +7,9 @@
 use support::policy::*;
 
 fn fleet() -> Vec<Endpoint> {
-    (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect()
+    (0..6)
+        .map(|number| endpoint(&format!("b{number}"), number % 3))
+        .collect()
 }
 
 /// Share of 200 tries of one customer that pass, at 40 units a second against a quota of 10.
@@ -91,8 +88,8 @@
 #[test]
 fn a_flood_of_customers_seen_once_stays_bounded() {
     let mut driver = PolicyDriver::new(settings(), 10, &fleet());
-    for i in 0..20_000 {
-        let (id, actions) = driver.request(SAFE, 0, &format!("once-{i}"), 1.0);
+    for number in 0..20_000 {
+        let (id, actions) = driver.request(SAFE, 0, &format!("once-{number}"), 1.0);
         if let Some(to) = attempted_endpoint(&actions) {
             driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
         }
@@ -100,7 +97,7 @@
     }
     let (_, actions) = driver.request(SAFE, 0, "known", 1.0);
     assert!(attempted_endpoint(&actions).is_some());
-    assert!(driver.gossip_texts.iter().all(|t| t.len() <= 256));
+    assert!(driver.gossip_texts.iter().all(|text| text.len() <= 256));
     assert!(
         driver.gossip_texts.len() < 300,
         "{} messages in 40 s",
@@ -117,7 +114,7 @@
     let sent: Vec<_> = (0..5).map(|_| driver.request(SAFE, 1, "c", 1.0)).collect();
     assert_eq!(
         sent.iter()
-            .filter(|s| attempted_endpoint(&s.1).is_some())
+            .filter(|sent_request| attempted_endpoint(&sent_request.1).is_some())
             .count(),
         3
     );
@@ -162,7 +159,7 @@
         }
         doors
             .iter_mut()
-            .for_each(|d| drop(d.advance(150 * MILLISECOND)));
+            .for_each(|node| drop(node.advance(150 * MILLISECOND)));
         for text in std::mem::take(&mut doors[me].gossip_texts) {
             for to in (0..3).filter(|to| *to != me) {
                 doors[to].handle(Event::PeerMessage {
@@ -268,16 +265,20 @@
     set.plans[0].quota_units_per_second = 1e3;
     let mut driver = PolicyDriver::new(set, 5, &fleet());
     let mut newcomers = |many: u32| {
-        for i in 0..many {
+        for number in 0..many {
             // Each backend is replaced in turn by one under a new id.
             let mut list = fleet();
-            list[(i % 6) as usize].id = format!("new{}-{i}", driver.now).as_str().into();
+            list[(number % 6) as usize].id = format!("new{}-{number}", driver.now).as_str().into();
             driver.handle(Event::EndpointUpdate(
                 EndpointUpdateKind::Snapshot,
                 list.into(),
             ));
-            let (id, actions) =
-                driver.request(SAFE, (i % 2) as usize, &format!("c{}-{i}", driver.now), 1.0);
+            let (id, actions) = driver.request(
+                SAFE,
+                (number % 2) as usize,
+                &format!("c{}-{number}", driver.now),
+                1.0,
+            );
             if let Some(to) = attempted_endpoint(&actions) {
                 driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
             }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -4,10 +4,6 @@
     clippy::excessive_nesting,
     reason = "deep nesting is flattened as the module is reworked"
 )]
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 
 mod support;
 
@@ -15,7 +11,9 @@
 use support::policy::*;
 
 fn fleet() -> Vec<Endpoint> {
-    (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect()
+    (0..6)
+        .map(|number| endpoint(&format!("b{number}"), number % 3))
+        .collect()
 }
 
 /// Share of 200 tries of one customer that pass, at 40 units a second against a quota of 10.
@@ -143,7 +141,7 @@
 fn an_abandoned_request_is_answered_at_once() {
     // Binding: no answer is held back so that the client comes less often.
     let answered = |actions: &[Action], id: RequestId| {
-        actions.iter().any(|a| match a {
+        actions.iter().any(|action| match action {
             Action::Reject { request, .. } | Action::Fail(request) => *request == id,
             _ => false,
         })
@@ -156,7 +154,9 @@
         Outcome::ConnectionReset,
     ] {
         for class in [SAFE, KEYED, UNSAFE] {
-            let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
+            let list: Vec<Endpoint> = (0..6)
+                .map(|number| endpoint(&format!("b{number}"), number % 3))
+                .collect();
             let mut driver = PolicyDriver::new(settings(), 47, &list);
             for _ in 0..60 {
                 let (id, mut actions) = driver.request(class, 1, "c", 1.0);
@@ -171,9 +171,9 @@
                     answered(&actions, id),
                     "{how:?}, class {class}: {actions:?}"
                 );
-                let told = |a: &Action| {
+                let told = |action: &Action| {
                     !matches!(
-                        a,
+                        action,
                         Action::Reject {
                             retry_after_ns: 0,
                             ..
