--- a/src/clock.rs
+++ b/src/clock.rs
@@ -25,7 +25,7 @@
     }
 
     /// One that goes on with another process's, which stood at `now` a moment ago.
-    pub(crate) fn go_on(now: u64) -> Self {
+    pub(crate) fn resume_at(now: u64) -> Self {
         let since = Duration::from_nanos(now.saturating_sub(START));
         let start = Clock::start();
         // A machine that has run for less than the other process can't be.
@@ -38,11 +38,11 @@
 
     /// The present moment.
     pub(crate) fn now(&self) -> u64 {
-        self.at(Instant::now())
+        self.nanos_at(Instant::now())
     }
 
     /// A moment of the system's monotonic clock.
-    pub(crate) fn at(&self, instant: Instant) -> u64 {
+    pub(crate) fn nanos_at(&self, instant: Instant) -> u64 {
         START + instant.saturating_duration_since(self.origin).as_nanos() as u64
     }
 
@@ -52,13 +52,13 @@
     }
 
     /// The Unix time of this clock's moment 0, s: what is added to a moment in seconds.
-    pub(crate) fn unix(&self) -> f64 {
+    pub(crate) fn unix_offset_seconds(&self) -> f64 {
         self.unix_ms as f64 / 1e3 - START as f64 / 1e9
     }
 
     /// Brings a Unix time in milliseconds onto this clock; 0 means long ago. What lies before the clock's
     /// beginning is its beginning: known, and long past.
-    pub(crate) fn of_unix(&self, unix_ms: u64) -> Option<u64> {
+    pub(crate) fn nanos_of_unix_ms(&self, unix_ms: u64) -> Option<u64> {
         let since = i128::from(unix_ms) - i128::from(self.unix_ms);
         let at = i128::from(START) + since * 1_000_000;
         (unix_ms > 0).then(|| u64::try_from(at.max(1)).unwrap_or(u64::MAX))
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -49,7 +49,7 @@
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct Log {
     /// `text` or `json`.
-    pub format: logging::Form,
+    pub format: logging::LogFormat,
 }
 
 impl Operator {
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -353,7 +353,7 @@
     vec![
         (
             "log.format",
-            text(o.log.format == crate::logging::Form::Json),
+            text(o.log.format == crate::logging::LogFormat::Json),
         ),
         ("pace.enabled", text(p.enabled.0)),
         ("pace.tick", text(p.tick.0)),
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -118,7 +118,7 @@
     let member = Endpoint {
         id: target.uid.into(),
         weight: target.capacity_hint,
-        started_at_ns: clock.of_unix(target.boot_ms),
+        started_at_ns: clock.nanos_of_unix_ms(target.boot_ms),
         zone: facts.zone(&target.az),
         cell: target.pod_group.unwrap_or(-1),
         machine_type: facts.kind(&target.model),
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -25,7 +25,7 @@
 use crate::clock::Clock;
 use crate::config::operator::Operator;
 use crate::config::platform::Config;
-use crate::engine::message::{EndpointEntry, Message};
+use crate::engine::message::{EndpointEntry, EndpointUpdate, Message};
 
 /// Sources of the roster.
 const REGISTRY: usize = 0;
@@ -217,7 +217,7 @@
         let member = Endpoint {
             id: id.into(),
             weight: entry.capacity_hint,
-            started_at_ns: self.clock.of_unix(entry.boot_ms),
+            started_at_ns: self.clock.nanos_of_unix_ms(entry.boot_ms),
             zone: self.facts.zone(&entry.az),
             cell: entry.pod_group,
             // Registries name no kind of machine: all count as one.
@@ -299,7 +299,9 @@
         }
     };
     let discover = async {
-        while let Some(Message::Table(kind, entries)) = discovered.recv().await {
+        while let Some(Message::EndpointUpdate(EndpointUpdate { kind, entries })) =
+            discovered.recv().await
+        {
             merge.discovered(kind, entries);
         }
         std::future::pending::<()>().await;
@@ -312,7 +314,10 @@
             for entries in [gone, put] {
                 if !entries.is_empty()
                     && queue
-                        .send(Message::Table(EndpointUpdateKind::Delta, entries))
+                        .send(Message::EndpointUpdate(EndpointUpdate {
+                            kind: EndpointUpdateKind::Delta,
+                            entries,
+                        }))
                         .await
                         .is_err()
                 {
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::config::operator::Operator;
 use crate::config::platform::Config;
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 /// Nanoseconds of a second.
 const SECOND: f64 = 1e9;
@@ -24,7 +24,7 @@
 pub(crate) struct Turn {
     core: Mutex<Turns>,
     clock: Clock,
-    peers: Option<Arc<Peers>>,
+    peers: Option<Arc<PeerSocket>>,
     /// True once there is a list that it may believe.
     listed: watch::Sender<bool>,
     /// When its present call began, s.
@@ -40,7 +40,7 @@
         config: &Config,
         rev: Option<u64>,
         clock: Clock,
-        peers: Option<Arc<Peers>>,
+        peers: Option<Arc<PeerSocket>>,
     ) -> Option<Arc<Self>> {
         let set = &operator.cold_start;
         if !set.enabled.0 {
@@ -55,7 +55,7 @@
             list,
             config.seed,
             now,
-            clock.unix(),
+            clock.unix_offset_seconds(),
         );
         match list {
             List::None => {
@@ -113,7 +113,7 @@
             peers.writable().await;
             let (word, whom) = self.core().hello(self.now());
             whom.into_iter()
-                .for_each(|peer| peers.tell(Some(peer), &word.write()));
+                .for_each(|peer| peers.send(Some(peer), &word.write()));
             tokio::spawn(self.clone().spread(peers.clone()));
         }
         loop {
@@ -133,12 +133,12 @@
 
     /// Passes on who starts together with this one, for as long as its start goes on: past its first call too, as others
     /// know by it whose turn is next.
-    async fn spread(self: Arc<Self>, peers: Arc<Peers>) {
+    async fn spread(self: Arc<Self>, peers: Arc<PeerSocket>) {
         loop {
             let now = self.now();
             let word = self.core().spread(now);
             if let Some((to, word)) = word {
-                peers.tell(Some(to), &word.write());
+                peers.send(Some(to), &word.write());
             }
             if !self.core().spreads(now) {
                 let (all, without, whole) = self.core().start();
@@ -188,7 +188,13 @@
     }
 
     /// A datagram of a peer; true where it was a word on turns, and so no message for the module.
-    pub(crate) fn hear(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
+    pub(crate) fn hear(
+        &self,
+        peers: &PeerSocket,
+        from: u32,
+        text: &str,
+        sender: SocketAddr,
+    ) -> bool {
         if !Word::is(text) && !Muster::is(text) {
             return false;
         }
@@ -198,8 +204,8 @@
                 let answer = self.core().hear(now, from, word);
                 if let Some(answer) = answer {
                     let roll = self.core().muster(now);
-                    peers.tell(Some(from), &answer.write());
-                    peers.tell(Some(from), &roll.write());
+                    peers.send(Some(from), &answer.write());
+                    peers.send(Some(from), &roll.write());
                 }
             }
             (None, Some(roll)) => self.core().hear_roll(now, from, &roll),
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -30,7 +30,7 @@
 use crate::clock::Clock;
 use crate::discovery::endpoint_list::Answer;
 use crate::discovery::startup::Turn;
-use crate::engine::message::Message;
+use crate::engine::message::{EndpointUpdate, Message};
 use crate::upstream::connection::drive;
 
 /// Where lists are pushed, an agent on this very machine has them: a call costs nobody anything, and what the agent holds
@@ -366,7 +366,7 @@
                 let entries = answer.entries_but(said, &self.facts, &self.clock);
                 if self
                     .queue
-                    .send(Message::Table(kind, entries))
+                    .send(Message::EndpointUpdate(EndpointUpdate { kind, entries }))
                     .await
                     .is_err()
                 {
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -13,7 +13,7 @@
 use applewall_zone_failover::{Saw, Settings, Word, Zones};
 
 use crate::engine::message::EndpointEntry;
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 /// Between judgements, ns.
 pub(crate) const EVERY: u64 = 100_000_000;
@@ -188,7 +188,7 @@
     }
 
     /// An interval has passed: the shares by the module's numbers, where they changed.
-    pub(crate) fn tick(&mut self, now: u64, peers: Option<&Peers>) -> Option<Vec<f64>> {
+    pub(crate) fn tick(&mut self, now: u64, peers: Option<&PeerSocket>) -> Option<Vec<f64>> {
         for out in self.out.values_mut().filter(|out| !out.told) {
             if now.saturating_sub(out.since) as f64 > out.aim as f64 * OVERDUE {
                 out.told = true;
@@ -200,7 +200,7 @@
             tracing::warn!("zones: {zone} {line}");
         }
         if let (Some(peers), Some((to, word))) = (peers, step.word) {
-            peers.tell(Some(to), &word.write());
+            peers.send(Some(to), &word.write());
         }
         let shares: Vec<f64> = self
             .numbers
--- a/src/engine/message.rs
+++ b/src/engine/message.rs
@@ -1,4 +1,8 @@
-//! What crosses the engine's queue. Knows none of those that send or take it, so imports run one way.
+//! The messages that reach the engine through its queue.
+//!
+//! Owner: whoever sends a message gives it up; the engine owns it from then on. Input: what the server, the upstream
+//! pool, discovery and the peer socket observed. Output: none. Invariant: this module knows neither the senders nor the
+//! engine, so that imports run one way.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
@@ -10,73 +14,115 @@
 use hyper::{Method, Uri};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
-use crate::server::response::{Answer, Content};
+use crate::server::response::{ClientResponse, ServedResponse};
 
-/// What reaches the engine.
+/// What the engine takes from its queue.
 pub(crate) enum Message {
-    /// A command was taken.
-    Command(Command),
-    /// The service client of the command with this serial left.
-    Left(RequestId, u64),
-    /// An attempt ended.
-    Ended(Ended),
-    /// News of the name table.
-    Table(EndpointUpdateKind, Vec<EndpointEntry>),
-    /// A peer's datagram.
-    Peer { from: u32, text: String },
+    /// A client's request was read whole.
+    Request(ClientRequest),
+    /// A client no longer waits for its response.
+    ClientDisconnected(ClientDisconnected),
+    /// An attempt at an endpoint ended.
+    AttemptEnded(AttemptEnded),
+    /// Discovery changed the endpoint list.
+    EndpointUpdate(EndpointUpdate),
+    /// A datagram of a peer arrived.
+    PeerDatagram(PeerDatagram),
 }
 
-/// What passes on to an instance unchanged.
-pub(crate) struct Passed {
+/// A client's request on its way to the engine.
+pub(crate) struct ClientRequest {
+    /// The request in the decision policy's terms.
+    pub request: api::Request,
+    /// Distinguishes this request from another one that a client gave the same id.
+    pub serial: u64,
+    /// When the client gives up.
+    pub deadline: Instant,
+    /// What is forwarded to an endpoint.
+    pub forwarded: Arc<ForwardedRequest>,
+    /// Takes the one final response.
+    pub responder: oneshot::Sender<ClientResponse>,
+}
+
+/// The parts of a request that are forwarded to an endpoint unchanged.
+pub(crate) struct ForwardedRequest {
+    /// The request's method.
     pub method: Method,
+    /// Path and query.
     pub target: Uri,
+    /// The Host header, where there is one.
     pub host: Option<HeaderValue>,
-    pub id: HeaderValue,
+    /// The X-Correlation-Id header.
+    pub correlation_id: HeaderValue,
+    /// The Content-Type header, where there is one.
     pub content_type: Option<HeaderValue>,
-    /// The Idempotency-Key, where there is one.
-    pub key: Option<HeaderValue>,
+    /// The Idempotency-Key header, where there is one.
+    pub idempotency_key: Option<HeaderValue>,
+    /// The whole body.
     pub body: Bytes,
-    /// The body's share of what all may hold; none where it is empty.
-    pub _held: Option<OwnedSemaphorePermit>,
-    /// Held by whoever waits for the answer, for as long as that is awaited.
-    pub asker: Weak<()>,
+    /// The body's share of the bytes that all waiting bodies may take; `None` for an empty body.
+    pub _body_permit: Option<OwnedSemaphorePermit>,
+    /// Alive for as long as the client waits for the response.
+    pub client: Weak<()>,
 }
 
-impl Passed {
-    /// True once the service client has gone, or has its answer. State and no message, so that it can't be late or lost:
-    /// whoever is about to send the command on looks here.
-    pub(crate) fn gone(&self) -> bool {
-        self.asker.strong_count() == 0
+impl ForwardedRequest {
+    /// True once the client has disconnected, or has its response. This is state and no message, so it can be neither
+    /// late nor lost: it is checked right before anything is forwarded.
+    pub(crate) fn client_disconnected(&self) -> bool {
+        self.client.strong_count() == 0
     }
 }
 
-/// A command on its way to the engine.
-pub(crate) struct Command {
-    pub request: api::Request,
-    /// Tells this command from another that a service client gave the same id.
+/// A client no longer waits for its response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClientDisconnected {
+    /// The id that the client gave its request.
+    pub request: RequestId,
+    /// The serial of [`ClientRequest`].
     pub serial: u64,
-    /// When the service client gives it up.
-    pub deadline: Instant,
-    pub passed: Arc<Passed>,
-    pub reply: oneshot::Sender<Answer>,
 }
 
 /// How an attempt ended; its connection is idle or closed by now.
 #[derive(Debug)]
-pub(crate) struct Ended {
+pub(crate) struct AttemptEnded {
+    /// The request that the attempt was made for.
     pub request: RequestId,
-    pub number: u32,
-    pub backend: EndpointId,
+    /// The attempt's number within its request, from 0.
+    pub attempt: u32,
+    /// The endpoint that it was made at.
+    pub endpoint: EndpointId,
+    /// What the attempt proves about the request's execution.
     pub outcome: Outcome,
+    /// Time from the attempt's start to its outcome.
     pub latency: Duration,
-    pub load: Vec<f64>,
-    /// The answer, where it was served.
-    pub served: Option<(Content, Option<HeaderValue>)>,
+    /// The endpoint's load report in the order of the settings; empty where there is none.
+    pub load_report: Vec<f64>,
+    /// The response, where the request was served.
+    pub response: Option<ServedResponse>,
+}
+
+/// A change of the endpoint list.
+pub(crate) struct EndpointUpdate {
+    /// Whether the entries are a whole list or changes to it.
+    pub kind: EndpointUpdateKind,
+    /// The endpoints that are listed or changed.
+    pub entries: Vec<EndpointEntry>,
 }
 
-/// One instance as the name table has it.
+/// One endpoint as discovery lists it.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointEntry {
+    /// The endpoint in the decision policy's terms.
     pub endpoint: Endpoint,
+    /// Where it accepts connections.
     pub address: SocketAddr,
 }
+
+/// A datagram of a peer that the configuration names.
+pub(crate) struct PeerDatagram {
+    /// The peer's index in the configuration.
+    pub from: u32,
+    /// The datagram's text.
+    pub text: String,
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -31,11 +31,14 @@
 use crate::clock::Clock;
 use crate::config::platform::Config;
 use crate::discovery::zone_failover::{self, Zoning};
-use crate::engine::message::{Command, Ended, EndpointEntry, Message, Passed};
+use crate::engine::message::{
+    AttemptEnded, ClientDisconnected, ClientRequest, EndpointEntry, EndpointUpdate,
+    ForwardedRequest, Message, PeerDatagram,
+};
 use crate::lifecycle::process_role::Estate;
-use crate::peer_socket::Peers;
-use crate::resource_budget::Budget;
-use crate::server::response::Answer;
+use crate::peer_socket::PeerSocket;
+use crate::resource_budget::ConnectionBudget;
+use crate::server::response::ClientResponse;
 use crate::server::slow_peers::{self, Pacers};
 use crate::upstream::pool::{Attempt, Fleet};
 
@@ -66,8 +69,8 @@
 struct Open {
     serial: u64,
     /// Gone once the command is answered or its service client left.
-    reply: Option<oneshot::Sender<Answer>>,
-    passed: Arc<Passed>,
+    reply: Option<oneshot::Sender<ClientResponse>>,
+    passed: Arc<ForwardedRequest>,
     /// When the service client gives up, on the module's clock.
     deadline: u64,
     class: usize,
@@ -103,7 +106,7 @@
     facts: Arc<PlatformSettings>,
     clock: Clock,
     fleet: Fleet,
-    peers: Option<Arc<Peers>>,
+    peers: Option<Arc<PeerSocket>>,
     open: HashMap<RequestId, Open>,
     /// Commands without an answer, by the time of the last-resort answer.
     last_resorts: BTreeSet<(u64, RequestId)>,
@@ -130,14 +133,14 @@
     pub(crate) fn new(
         config: &Config,
         clock: Clock,
-        peers: Option<Arc<Peers>>,
+        peers: Option<Arc<PeerSocket>>,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
         (before, zones): (Before, Option<Zoning>),
     ) -> Self {
         let now = clock.now();
         let sizes = (
-            Budget::new(config.sockets).instances,
+            ConnectionBudget::new(config.sockets).instances,
             config.memory / AHEAD_PART,
         );
         let facts = config.facts.clone();
@@ -190,7 +193,10 @@
                     .collect()
             }
         };
-        engine.take(Message::Table(EndpointUpdateKind::Cached, known));
+        engine.take(Message::EndpointUpdate(EndpointUpdate {
+            kind: EndpointUpdateKind::Cached,
+            entries: known,
+        }));
         engine
     }
 
@@ -246,8 +252,11 @@
 
     fn take(&mut self, message: Message) {
         match message {
-            Message::Command(command) => self.command(command),
-            Message::Left(id, serial) => {
+            Message::Request(command) => self.command(command),
+            Message::ClientDisconnected(ClientDisconnected {
+                request: id,
+                serial,
+            }) => {
                 if self
                     .open
                     .get(&id)
@@ -257,8 +266,8 @@
                     self.leave(id);
                 }
             }
-            Message::Ended(ended) => self.ended(ended),
-            Message::Table(kind, mut entries) => {
+            Message::AttemptEnded(ended) => self.ended(ended),
+            Message::EndpointUpdate(EndpointUpdate { kind, mut entries }) => {
                 if let Some(withheld) = &mut self.withheld {
                     withheld.mask(kind, &mut entries);
                 }
@@ -271,12 +280,14 @@
                     entries.into_iter().map(|e| e.endpoint).collect(),
                 ));
             }
-            Message::Peer { from, text }
+            Message::PeerDatagram(PeerDatagram { from, text })
                 if self
                     .zones
                     .as_mut()
                     .is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
-            Message::Peer { from, text } => self.event(Event::PeerMessage { from, text }),
+            Message::PeerDatagram(PeerDatagram { from, text }) => {
+                self.event(Event::PeerMessage { from, text });
+            }
         }
     }
 
@@ -292,7 +303,10 @@
             tracing::error!("last-resort answer to {:016x}", id.0);
             self.answer(
                 id,
-                Answer::Failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+                ClientResponse::Failed {
+                    status: StatusCode::GATEWAY_TIMEOUT,
+                    reason: "no answer in time",
+                },
             );
             self.leave(id);
         }
@@ -331,28 +345,28 @@
         }
     }
 
-    fn command(&mut self, command: Command) {
+    fn command(&mut self, command: ClientRequest) {
         self.figures.commands += 1;
-        let Command {
+        let ClientRequest {
             mut request,
             serial,
             deadline,
-            passed,
-            reply,
+            forwarded: passed,
+            responder: reply,
         } = command;
         let id = request.id;
         // Whoever left while the command waited in the queue needs nothing of it.
-        if passed.gone() {
+        if passed.client_disconnected() {
             self.figures.left += 1;
             return;
         }
         if self.open.contains_key(&id) {
             // Two with one id would be two attempts of one request to an instance.
             self.figures.failed += 1;
-            let _ = reply.send(Answer::Failed(
-                StatusCode::CONFLICT,
-                "a command with this id is open",
-            ));
+            let _ = reply.send(ClientResponse::Failed {
+                status: StatusCode::CONFLICT,
+                reason: "a command with this id is open",
+            });
             return;
         }
         let waited = if self.now <= self.stall.1 {
@@ -360,7 +374,7 @@
         } else {
             0
         };
-        let deadline = self.clock.at(deadline).saturating_sub(waited);
+        let deadline = self.clock.nanos_at(deadline).saturating_sub(waited);
         request.time_left_ns = request.time_left_ns.saturating_sub(waited);
         let reply = Some(reply);
         self.open.insert(
@@ -393,15 +407,15 @@
         self.forget(id);
     }
 
-    fn ended(&mut self, ended: Ended) {
-        let Ended {
+    fn ended(&mut self, ended: AttemptEnded) {
+        let AttemptEnded {
             request: id,
-            number,
-            backend,
+            attempt: number,
+            endpoint: backend,
             outcome,
             latency,
-            load,
-            served,
+            load_report: load,
+            response: served,
         } = ended;
         let Some(open) = self.open.get_mut(&id) else {
             return;
@@ -417,12 +431,12 @@
         if let Some(zones) = &mut self.zones {
             zones.ended(self.now, id, outcome);
         }
-        if let Some((body, kind)) = served {
-            self.answer(id, Answer::Served(body, kind));
+        if let Some(served) = served {
+            self.answer(id, ClientResponse::Served(served));
         } else if self
             .open
             .get(&id)
-            .is_some_and(|o| o.reply.is_some() && o.passed.gone())
+            .is_some_and(|o| o.reply.is_some() && o.passed.client_disconnected())
         {
             // The word of it may still be on its way, or lost: no further attempt is made for nobody.
             self.figures.left += 1;
@@ -460,7 +474,7 @@
     }
 
     /// Gives the one answer to a command, if it is still owed.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    fn answer(&mut self, id: RequestId, answer: ClientResponse) {
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
@@ -470,9 +484,9 @@
         self.last_resorts
             .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
         match answer {
-            Answer::Served(..) => self.figures.served += 1,
-            Answer::Nack { .. } => self.figures.nacks += 1,
-            Answer::Failed(..) => self.figures.failed += 1,
+            ClientResponse::Served(..) => self.figures.served += 1,
+            ClientResponse::Rejected { .. } => self.figures.nacks += 1,
+            ClientResponse::Failed { .. } => self.figures.failed += 1,
         }
         // A service client that left meanwhile is told of by its own message.
         let _ = reply.send(answer);
@@ -526,16 +540,19 @@
                 };
                 self.answer(
                     request,
-                    Answer::Nack {
+                    ClientResponse::Rejected {
                         status,
-                        retry_after,
+                        retry_after_ns: retry_after,
                     },
                 );
             }
             Action::Fail(request) => {
                 self.answer(
                     request,
-                    Answer::Failed(StatusCode::BAD_GATEWAY, "no answer from an instance"),
+                    ClientResponse::Failed {
+                        status: StatusCode::BAD_GATEWAY,
+                        reason: "no answer from an instance",
+                    },
                 );
             }
             Action::SetTimer {
@@ -550,7 +567,7 @@
                 self.peers
                     .iter()
                     .filter(|_| !self.handed)
-                    .for_each(|peers| peers.tell(peer, &text));
+                    .for_each(|peers| peers.send(peer, &text));
             }
             Action::Log(line) => tracing::info!("module: {line}"),
             // The name table is always followed; probes and counts are not asked for by this module.
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::admin::listener;
-use crate::server::response::Content;
+use crate::server::response::{ResponseBody, ServedResponse};
 use applewall::api::Request;
 use hyper::{Method, Uri};
 use tokio::sync::oneshot::Receiver;
@@ -23,7 +23,7 @@
 }
 
 /// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
-fn command(engine: &mut Engine) -> Receiver<Answer> {
+fn command(engine: &mut Engine) -> Receiver<ClientResponse> {
     let answer = command_of(engine, Arc::downgrade(&ASKER));
     assert!(engine.open[&ID].out.is_some());
     answer
@@ -32,7 +32,7 @@
 /// One that stays.
 static ASKER: std::sync::LazyLock<Arc<()>> = std::sync::LazyLock::new(Arc::default);
 
-fn command_of(engine: &mut Engine, asker: std::sync::Weak<()>) -> Receiver<Answer> {
+fn command_of(engine: &mut Engine, client: std::sync::Weak<()>) -> Receiver<ClientResponse> {
     let request = Request {
         id: ID,
         class: 0,
@@ -44,40 +44,43 @@
         node_set_size: 1,
         first_node: 0,
     };
-    let passed = Arc::new(Passed {
+    let passed = Arc::new(ForwardedRequest {
         method: Method::GET,
         target: Uri::from_static("/api"),
         host: None,
-        id: "0000000000000007".parse().expect("a value"),
+        correlation_id: "0000000000000007".parse().expect("a value"),
         content_type: None,
-        key: None,
+        idempotency_key: None,
         body: Default::default(),
-        _held: None,
-        asker,
+        _body_permit: None,
+        client,
     });
     let (reply, answer) = oneshot::channel();
     let deadline = engine.clock.instant(engine.now + request.time_left_ns);
-    engine.take(Message::Command(Command {
+    engine.take(Message::Request(ClientRequest {
         request,
         serial: 1,
         deadline,
-        passed,
-        reply,
+        forwarded: passed,
+        responder: reply,
     }));
     answer
 }
 
 fn ended(number: u32, outcome: Outcome) -> Message {
-    let served = (outcome == Outcome::Success).then(|| (Content::Whole("body".into()), None));
-    let (backend, latency) = ("s-1".into(), Duration::from_millis(3));
-    Message::Ended(Ended {
+    let response = (outcome == Outcome::Success).then(|| ServedResponse {
+        body: ResponseBody::Buffered("body".into()),
+        content_type: None,
+    });
+    let (endpoint, latency) = ("s-1".into(), Duration::from_millis(3));
+    Message::AttemptEnded(AttemptEnded {
         request: ID,
-        number,
-        backend,
+        attempt: number,
+        endpoint,
         outcome,
         latency,
-        load: Vec::new(),
-        served,
+        load_report: Vec::new(),
+        response,
     })
 }
 
@@ -89,7 +92,10 @@
     engine.fall_due();
     assert!(matches!(
         answer.try_recv(),
-        Ok(Answer::Failed(StatusCode::GATEWAY_TIMEOUT, _))
+        Ok(ClientResponse::Failed {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            reason: _
+        })
     ));
     assert_eq!(engine.figures.last_resort, 1);
     // Its attempt is called off, and once that is told nothing is left of it.
@@ -121,7 +127,7 @@
     engine.take(ended(0, Outcome::Success));
     assert!(answer.try_recv().is_err());
     engine.take(ended(1, Outcome::Success));
-    assert!(matches!(answer.try_recv(), Ok(Answer::Served(..))));
+    assert!(matches!(answer.try_recv(), Ok(ClientResponse::Served(..))));
     assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
 }
 
@@ -141,7 +147,7 @@
 /// Every place of the ordinary queue is taken before the engine runs at all; an order still comes first.
 #[tokio::test]
 async fn an_order_goes_before_a_full_queue() {
-    let (queue, inbox) = mpsc::channel(crate::limits::QUEUE);
+    let (queue, inbox) = mpsc::channel(crate::limits::ENGINE_QUEUE_CAPACITY);
     let config = Config::sample();
     let engine = Engine::new(
         &config,
@@ -161,19 +167,20 @@
             state,
             ..Default::default()
         };
-        Message::Table(
-            EndpointUpdateKind::Delta,
-            vec![EndpointEntry {
+        Message::EndpointUpdate(EndpointUpdate {
+            kind: EndpointUpdateKind::Delta,
+            entries: vec![EndpointEntry {
                 endpoint: member,
                 address: config.listen,
             }],
-        )
+        })
     };
-    (0..crate::limits::QUEUE).for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
+    (0..crate::limits::ENGINE_QUEUE_CAPACITY)
+        .for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
     let (orders, orders_in) = mpsc::channel(1);
     // Listed by the last message only: unknown while that still waits.
     let (reply, answer) = oneshot::channel();
-    let id = format!("s-{}", crate::limits::QUEUE + 1);
+    let id = format!("s-{}", crate::limits::ENGINE_QUEUE_CAPACITY + 1);
     let order = listener::Instance {
         id,
         withhold: true,
@@ -195,9 +202,15 @@
 async fn only_the_service_client_of_that_command_can_leave_it() {
     let (mut engine, _inbox) = engine();
     let _answer = command(&mut engine);
-    engine.take(Message::Left(ID, 2));
+    engine.take(Message::ClientDisconnected(ClientDisconnected {
+        request: ID,
+        serial: 2,
+    }));
     assert!(engine.open[&ID].reply.is_some());
-    engine.take(Message::Left(ID, 1));
+    engine.take(Message::ClientDisconnected(ClientDisconnected {
+        request: ID,
+        serial: 1,
+    }));
     assert!(engine.open[&ID].reply.is_none());
     assert_eq!(engine.figures.left, 1);
 }
@@ -229,7 +242,10 @@
     assert_eq!((engine.figures.attempts, engine.figures.left), (1, 1));
     assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
     // Its word, late: nothing is left to take back.
-    engine.take(Message::Left(ID, 1));
+    engine.take(Message::ClientDisconnected(ClientDisconnected {
+        request: ID,
+        serial: 1,
+    }));
     assert_eq!(engine.figures.left, 1);
 }
 
@@ -238,12 +254,18 @@
 async fn an_id_is_free_again_only_once_nothing_of_its_former_command_can_come() {
     let (mut engine, _inbox) = engine();
     let _answer = command(&mut engine);
-    engine.take(Message::Left(ID, 1));
+    engine.take(Message::ClientDisconnected(ClientDisconnected {
+        request: ID,
+        serial: 1,
+    }));
     // Its attempt is called off and has not ended.
     let mut again = command_of(&mut engine, Arc::downgrade(&ASKER));
     assert!(matches!(
         again.try_recv(),
-        Ok(Answer::Failed(StatusCode::CONFLICT, _))
+        Ok(ClientResponse::Failed {
+            status: StatusCode::CONFLICT,
+            reason: _
+        })
     ));
     engine.take(ended(0, Outcome::Success));
     assert!(engine.open.is_empty());
@@ -253,5 +275,5 @@
         "the former one's answer is nobody's"
     );
     engine.take(ended(0, Outcome::Success));
-    assert!(matches!(again.try_recv(), Ok(Answer::Served(..))));
+    assert!(matches!(again.try_recv(), Ok(ClientResponse::Served(..))));
 }
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -29,7 +29,7 @@
 use crate::admin::listener::{Desk, Order};
 use crate::lifecycle::process_role::{Estate, Relayed, Role};
 use crate::lifecycle::shared_directory::Place;
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 /// What a successor says first: the form of all that follows, and its version.
 const HELLO: &str = "applewall succession 1";
@@ -149,7 +149,7 @@
     pub other: watch::Sender<Option<mpsc::Sender<Relayed>>>,
     pub desk: Desk,
     pub orders: mpsc::Sender<Order>,
-    pub peers: Option<Arc<Peers>>,
+    pub peers: Option<Arc<PeerSocket>>,
 }
 
 impl Succession {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -15,7 +15,8 @@
 /// The form of a line.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, JsonSchema)]
 #[serde(rename_all = "lowercase")]
-pub(crate) enum Form {
+#[schemars(rename = "Form")]
+pub(crate) enum LogFormat {
     /// `applewall: MESSAGE: KEY=VALUE ...`
     #[default]
     Text,
@@ -24,14 +25,14 @@
 }
 
 /// Starts the log; the first call holds for the life of the program.
-pub(crate) fn start(form: Form) {
+pub(crate) fn init(form: LogFormat) {
     // A closed standard error must not end the program, and the library would print its own trouble there.
     let builder = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .log_internal_errors(false);
     let _ = match form {
-        Form::Text => builder.event_format(Text).try_init(),
-        Form::Json => builder
+        LogFormat::Text => builder.event_format(Text).try_init(),
+        LogFormat::Json => builder
             .json()
             .flatten_event(true)
             .with_target(false)
--- a/src/main.rs
+++ b/src/main.rs
@@ -82,7 +82,7 @@
     match call {
         Call::Serve => {
             let operator = operator()?;
-            logging::start(operator.log.format);
+            logging::init(operator.log.format);
             serve::serve(
                 config::platform::Config::from_env()?,
                 operator,
@@ -124,7 +124,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             // Before the operator's file is read, text is the form of the log.
-            logging::start(logging::Form::Text);
+            logging::init(logging::LogFormat::Text);
             tracing::error!("{reason}");
             ExitCode::FAILURE
         }
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -15,7 +15,7 @@
 
 use crate::config::platform::Config;
 use crate::discovery::startup::Turn;
-use crate::engine::message::Message;
+use crate::engine::message::{Message, PeerDatagram};
 use crate::lifecycle::process_role::Role;
 
 /// Bytes of a datagram at most; a longer one breaks the protocol.
@@ -26,20 +26,20 @@
 const SPELL: Duration = Duration::from_secs(60);
 
 /// The socket for datagrams and the addresses at its other end.
-pub(crate) struct Peers {
+pub(crate) struct PeerSocket {
     socket: UdpSocket,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     me: usize,
 }
 
-impl AsFd for Peers {
+impl AsFd for PeerSocket {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.socket.as_fd()
     }
 }
 
-impl Peers {
+impl PeerSocket {
     /// Binds the socket, where the configuration names one and the settings allow messages; where the port was
     /// left open, the address is put right.
     ///
@@ -66,7 +66,7 @@
         };
         config.peer_listen = socket.local_addr().ok();
         let (peers, me) = (config.peers.clone(), settings.node as usize);
-        Ok(Some(Peers {
+        Ok(Some(PeerSocket {
             socket,
             peers,
             all: config.peers_all,
@@ -81,7 +81,7 @@
     }
 
     /// Sends text to one peer, or to all; what the socket has no room for is lost, as datagrams may be.
-    pub(crate) fn tell(&self, peer: Option<u32>, text: &str) {
+    pub(crate) fn send(&self, peer: Option<u32>, text: &str) {
         if text.len() > MOST {
             return;
         }
@@ -144,10 +144,10 @@
                 {
                     continue;
                 }
-                let _ = queue.try_send(Message::Peer {
+                let _ = queue.try_send(Message::PeerDatagram(PeerDatagram {
                     from: from as u32,
                     text: text.to_string(),
-                });
+                }));
             }
         }
     }
--- a/src/resource_budget.rs
+++ b/src/resource_budget.rs
@@ -8,7 +8,7 @@
 const RESERVE: usize = 32;
 
 /// Descriptors that connections may hold, of all that the process may.
-pub(crate) struct Budget {
+pub(crate) struct ConnectionBudget {
     /// Service clients that are served: a third of all is what they hold at most for their requests.
     pub clients: usize,
     /// Further ones: for saying no, while the silent ones go.
@@ -16,11 +16,11 @@
     pub instances: usize,
 }
 
-impl Budget {
+impl ConnectionBudget {
     /// Each open command has one attempt out at most, so instances get no less than service clients.
     pub(crate) fn new(sockets: usize) -> Self {
         let (clients, spare) = (sockets.div_ceil(3), sockets / 16);
-        Budget {
+        ConnectionBudget {
             clients,
             spare,
             instances: sockets.saturating_sub(RESERVE + clients + spare).max(1),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -25,7 +25,7 @@
 use crate::config::platform;
 use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
 use crate::lifecycle::{hot_restart, process_role, shared_directory, shutdown};
-use crate::limits::QUEUE;
+use crate::limits::ENGINE_QUEUE_CAPACITY;
 use crate::server::{acceptor, slow_peers};
 use crate::{clock, engine, peer_socket, resource_budget};
 
@@ -91,7 +91,7 @@
         heritage.map_or((None, None, None), hot_restart::Heritage::parts);
     let clock = estate
         .as_ref()
-        .map_or_else(clock::Clock::start, |e| clock::Clock::go_on(e.now));
+        .map_or_else(clock::Clock::start, |e| clock::Clock::resume_at(e.now));
     let drained = estate.as_ref().is_some_and(|e| e.drained);
     let before = match (estate, &place) {
         (Some(estate), _) => engine::Before::Estate(estate),
@@ -99,8 +99,8 @@
         (None, None) if config.operator.is_some() => engine::Before::Ledger(Default::default()),
         (None, None) => engine::Before::Nothing,
     };
-    let (queue, inbox) = mpsc::channel(QUEUE);
-    let peers = peer_socket::Peers::bind(&mut config, datagrams)
+    let (queue, inbox) = mpsc::channel(ENGINE_QUEUE_CAPACITY);
+    let peers = peer_socket::PeerSocket::bind(&mut config, datagrams)
         .await?
         .map(Arc::new);
     let listener = match inherited {
@@ -117,7 +117,7 @@
         tokio::spawn(turn.clone().tell(listed));
     }
     let (source, discovery, operator) = platform::Source::new(&config, operator, file);
-    let budget = resource_budget::Budget::new(config.sockets);
+    let budget = resource_budget::ConnectionBudget::new(config.sockets);
     let places = budget.places();
     let table = registry::begin(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -29,7 +29,7 @@
 use crate::config::platform::Config;
 use crate::engine::message::Message;
 use crate::lifecycle::process_role::{Role, Stopping, Successor};
-use crate::resource_budget::Budget;
+use crate::resource_budget::ConnectionBudget;
 use crate::server::connection_table::{Paced, Seat, Seats};
 use crate::server::framing::Guarded;
 use crate::server::request::{Commands, Gate};
@@ -79,7 +79,7 @@
     stages: watch::Receiver<Stage>,
     places: Arc<Semaphore>,
     seats: Arc<Seats>,
-    budget: Budget,
+    budget: ConnectionBudget,
     shedding: AtomicBool,
     pacers: Pacers,
 }
@@ -95,7 +95,7 @@
         (stages, listed): (watch::Receiver<Stage>, watch::Receiver<bool>),
         successor: Successor,
     ) -> Self {
-        let budget = Budget::new(config.sockets);
+        let budget = ConnectionBudget::new(config.sockets);
         let gate = Gate {
             facts: config.facts.clone(),
             queue,
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -7,7 +7,7 @@
     let (stage, stages) = watch::channel(Stage::Serving);
     // Whoever leads through the stages does so for as long as the program runs.
     std::mem::forget(stage);
-    let places = Budget::new(config.sockets).places();
+    let places = ConnectionBudget::new(config.sockets).places();
     let (role, follower) = watch::channel(Role::Sole);
     std::mem::forget(role);
     let successor = Successor {
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -33,11 +33,11 @@
 use applewall_slow_peer::{Reason, Verdict};
 
 use crate::clock::Clock;
-use crate::engine::message::{Command, Message, Passed};
+use crate::engine::message::{ClientDisconnected, ClientRequest, ForwardedRequest, Message};
 use crate::lifecycle::process_role::Successor;
-use crate::limits::BODY_MOST;
+use crate::limits::MAX_BODY_BYTES;
 use crate::server::connection_table::Seat;
-use crate::server::response::{Answer, Content, Reply};
+use crate::server::response::{ClientResponse, HttpResponse, ResponseBody, ServedResponse};
 
 /// What is told with a nack that the module had no part in: about as long as its own.
 const COME_BACK: Duration = Duration::from_millis(200);
@@ -74,9 +74,9 @@
 }
 
 impl Service<Request<Incoming>> for Commands {
-    type Response = Reply;
+    type Response = HttpResponse;
     type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>> + Send>>;
+    type Future = Pin<Box<dyn Future<Output = Result<HttpResponse, Infallible>> + Send>>;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
         Poll::Ready(Ok(()))
@@ -91,7 +91,7 @@
         if request.uri().path() == "/healthz" {
             // Listening, and decided from a name table that may be believed: ready.
             self.seat.wait();
-            let mut reply = Reply::new(Either::Left(Full::default()));
+            let mut reply = HttpResponse::new(Either::Left(Full::default()));
             if !(self.gate.stages.borrow().healthy() && *self.gate.listed.borrow()) {
                 *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
@@ -106,10 +106,10 @@
             };
             let mut customer = None;
             let answer = match seat.distrusted() {
-                true => Answer::Failed(
-                    StatusCode::BAD_REQUEST,
-                    "both Content-Length and Transfer-Encoding",
-                ),
+                true => ClientResponse::Failed {
+                    status: StatusCode::BAD_REQUEST,
+                    reason: "both Content-Length and Transfer-Encoding",
+                },
                 false if shed => nack(),
                 false => {
                     gate.answer(request, arrived, &seat, &mut customer, &mut body)
@@ -124,7 +124,10 @@
             }
             match &mut answer {
                 // Not silent until it is through.
-                Answer::Served(Content::Flow(flow), _) => flow.keep(seat),
+                ClientResponse::Served(ServedResponse {
+                    body: ResponseBody::Streaming(flow),
+                    ..
+                }) => flow.keep(seat),
                 _ => seat.wait(),
             }
             Ok(gate.finish(answer.into(), close))
@@ -142,11 +145,11 @@
 }
 
 /// Without the module: there is no room to ask it.
-fn nack() -> Answer {
+fn nack() -> ClientResponse {
     let retry_after = COME_BACK.as_nanos() as u64;
-    Answer::Nack {
+    ClientResponse::Rejected {
         status: StatusCode::SERVICE_UNAVAILABLE,
-        retry_after,
+        retry_after_ns: retry_after,
     }
 }
 
@@ -156,7 +159,7 @@
     serial: u64,
     queue: &'a mpsc::Sender<Message>,
     answered: bool,
-    /// See [`Passed::gone`].
+    /// See [`ForwardedRequest::client_disconnected`].
     _asker: Arc<()>,
 }
 
@@ -164,7 +167,12 @@
     fn drop(&mut self) {
         if !self.answered {
             // A full queue loses this; the engine then finds out by itself, before it sends the command on.
-            let _ = self.queue.try_send(Message::Left(self.id, self.serial));
+            let _ = self
+                .queue
+                .try_send(Message::ClientDisconnected(ClientDisconnected {
+                    request: self.id,
+                    serial: self.serial,
+                }));
         }
     }
 }
@@ -181,12 +189,16 @@
 impl Gate {
     /// Takes an answer into account for as long as it waits to be read. Without room for it, and with nobody to blame
     /// for that, the command still gets its one final answer at once: a short one.
-    fn hold(&self, seat: &Seat, customer: Option<u64>, answer: Answer) -> Answer {
+    fn hold(&self, seat: &Seat, customer: Option<u64>, answer: ClientResponse) -> ClientResponse {
         let Some(paced) = &seat.paced else {
             return answer;
         };
         // One that is passed on holds next to nothing here, however slowly it is read.
-        let Answer::Served(Content::Whole(body), _) = &answer else {
+        let ClientResponse::Served(ServedResponse {
+            body: ResponseBody::Buffered(body),
+            ..
+        }) = &answer
+        else {
             paced.pacer.answered(paced.id);
             return answer;
         };
@@ -200,13 +212,16 @@
             Ok(()) => answer,
             Err(_) => {
                 paced.pacer.answered(paced.id);
-                Answer::Failed(StatusCode::INSUFFICIENT_STORAGE, "no room for the answer")
+                ClientResponse::Failed {
+                    status: StatusCode::INSUFFICIENT_STORAGE,
+                    reason: "no room for the answer",
+                }
             }
         }
     }
 
     /// Closes the connection with its answer once the program is leaving.
-    fn finish(&self, mut reply: Reply, close: bool) -> Reply {
+    fn finish(&self, mut reply: HttpResponse, close: bool) -> HttpResponse {
         if close || self.stages.borrow().last_answers() {
             reply
                 .headers_mut()
@@ -222,11 +237,16 @@
         seat: &Seat,
         customer: &mut Option<u64>,
         taken: &mut Taken,
-    ) -> Answer {
+    ) -> ClientResponse {
         let (parts, body) = request.into_parts();
         let (mut read, number) = match read(&self.facts, &parts.method, &parts.headers) {
             Ok(read) => read,
-            Err(reason) => return Answer::Failed(StatusCode::BAD_REQUEST, reason),
+            Err(reason) => {
+                return ClientResponse::Failed {
+                    status: StatusCode::BAD_REQUEST,
+                    reason,
+                }
+            }
         };
         *customer = Some(number);
         // Before its body is read: what is refused need not be held.
@@ -249,9 +269,12 @@
             true => (Bytes::new(), None),
             false => {
                 let length = body.size_hint().exact();
-                let room = length.unwrap_or(BODY_MOST as u64);
-                if room > BODY_MOST as u64 {
-                    return Answer::Failed(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+                let room = length.unwrap_or(MAX_BODY_BYTES as u64);
+                if room > MAX_BODY_BYTES as u64 {
+                    return ClientResponse::Failed {
+                        status: StatusCode::PAYLOAD_TOO_LARGE,
+                        reason: "the body is too large",
+                    };
                 }
                 let Ok(held) = self.bodies.clone().try_acquire_many_owned(room as u32) else {
                     return nack();
@@ -279,14 +302,24 @@
                         (body, Some(held))
                     }
                     Ok(Err(answer)) => {
-                        if let (Answer::Failed(StatusCode::REQUEST_TIMEOUT, _), Some(paced)) =
-                            (&answer, &seat.paced)
+                        if let (
+                            ClientResponse::Failed {
+                                status: StatusCode::REQUEST_TIMEOUT,
+                                ..
+                            },
+                            Some(paced),
+                        ) = (&answer, &seat.paced)
                         {
                             paced.pacer.note(paced.holder(Some(number)), Reason::Upload);
                         }
                         return answer;
                     }
-                    Err(_) => return Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW),
+                    Err(_) => {
+                        return ClientResponse::Failed {
+                            status: StatusCode::REQUEST_TIMEOUT,
+                            reason: TOO_SLOW,
+                        }
+                    }
                 }
             }
         };
@@ -298,28 +331,28 @@
             seat.answering();
         }
         let asker = Arc::new(());
-        let passed = Passed {
+        let passed = ForwardedRequest {
             method: parts.method,
             target: origin(parts.uri),
             host: parts.headers.get(HOST).cloned(),
-            id: parts.headers[ID].clone(),
+            correlation_id: parts.headers[ID].clone(),
             content_type: parts.headers.get(CONTENT_TYPE).cloned(),
-            key: parts.headers.get(KEY).cloned(),
+            idempotency_key: parts.headers.get(KEY).cloned(),
             body,
-            _held: held,
-            asker: Arc::downgrade(&asker),
+            _body_permit: held,
+            client: Arc::downgrade(&asker),
         };
         let (reply, answer) = oneshot::channel();
         let serial = self.serials.fetch_add(1, Ordering::Relaxed);
         let id = read.id;
-        let command = Command {
+        let command = ClientRequest {
             request: read,
             serial,
             deadline,
-            passed: Arc::new(passed),
-            reply,
+            forwarded: Arc::new(passed),
+            responder: reply,
         };
-        if self.queue.try_send(Message::Command(command)).is_err() {
+        if self.queue.try_send(Message::Request(command)).is_err() {
             return nack();
         }
         let mut waiting = Waiting {
@@ -331,10 +364,10 @@
         };
         let answer = answer.await;
         waiting.answered = true;
-        answer.unwrap_or(Answer::Failed(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "the engine has stopped",
-        ))
+        answer.unwrap_or(ClientResponse::Failed {
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            reason: "the engine has stopped",
+        })
     }
 }
 
@@ -346,14 +379,21 @@
         pacer: &Pacer,
         until: Instant,
         length: Option<u64>,
-    ) -> Result<Bytes, Answer> {
-        let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::new());
+    ) -> Result<Bytes, ClientResponse> {
+        let (mut body, mut whole) = (Limited::new(body, MAX_BODY_BYTES), BytesMut::new());
         let now = self.clock.now();
-        let mut transfer =
-            applewall_slow_peer::Incoming::new(pacer.settings(), now, self.clock.at(until), length);
+        let mut transfer = applewall_slow_peer::Incoming::new(
+            pacer.settings(),
+            now,
+            self.clock.nanos_at(until),
+            length,
+        );
         loop {
             let Verdict::Wait(next) = transfer.verdict(self.clock.now()) else {
-                return Err(Answer::Failed(StatusCode::REQUEST_TIMEOUT, TOO_SLOW));
+                return Err(ClientResponse::Failed {
+                    status: StatusCode::REQUEST_TIMEOUT,
+                    reason: TOO_SLOW,
+                });
             };
             let next = self.clock.instant(next).into();
             match tokio::time::timeout_at(next, body.frame()).await {
@@ -373,15 +413,21 @@
 }
 
 /// What is told of a body that could not be read.
-fn unread(error: &(dyn std::error::Error + 'static)) -> Answer {
+fn unread(error: &(dyn std::error::Error + 'static)) -> ClientResponse {
     match error.is::<http_body_util::LengthLimitError>() {
-        true => Answer::Failed(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
-        false => Answer::Failed(StatusCode::BAD_REQUEST, "the body is not whole"),
+        true => ClientResponse::Failed {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+            reason: "the body is too large",
+        },
+        false => ClientResponse::Failed {
+            status: StatusCode::BAD_REQUEST,
+            reason: "the body is not whole",
+        },
     }
 }
 
-async fn collect(body: Incoming) -> Result<Bytes, Answer> {
-    match Limited::new(body, BODY_MOST).collect().await {
+async fn collect(body: Incoming) -> Result<Bytes, ClientResponse> {
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) => Err(unread(&*e)),
     }
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -1,75 +1,95 @@
-//! What a service client gets: the served body unchanged, a nack, or a failure.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The final response to a client: an endpoint's served body unchanged, a rejection, or a failure.
+//!
+//! Owner: the engine decides on a [`ClientResponse`], the connection's request service writes it. Input: what the
+//! decision policy or the server chose. Output: a hyper response. Invariant: a request gets one of these, once.
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use crate::server::streaming_body::Flow;
+use crate::server::streaming_body::StreamingBody;
 
-/// The body of a served answer.
+/// The body of a served response.
 #[derive(Debug)]
-pub enum Content {
-    /// All of it is here.
-    Whole(Bytes),
-    /// It is passed on while it still comes.
-    Flow(Flow),
+pub(crate) enum ResponseBody {
+    /// All of it is in memory.
+    Buffered(Bytes),
+    /// It is forwarded while the endpoint still sends it.
+    Streaming(StreamingBody),
 }
 
-/// What goes out to a service client.
-pub(crate) type Reply = Response<Either<Full<Bytes>, Flow>>;
+/// What is written to a client.
+pub(crate) type HttpResponse = Response<Either<Full<Bytes>, StreamingBody>>;
+
+/// An endpoint's response with status 200.
+#[derive(Debug)]
+pub(crate) struct ServedResponse {
+    /// The body, unchanged.
+    pub body: ResponseBody,
+    /// Its Content-Type header, where there is one.
+    pub content_type: Option<HeaderValue>,
+}
 
-/// The single final answer to a command.
+/// The one final response to a request.
 #[derive(Debug)]
-pub enum Answer {
-    /// The body of an instance's 200, and its type.
-    Served(Content, Option<HeaderValue>),
-    /// Refused: trying again is harmless, after so many nanoseconds.
-    Nack {
-        /// 429 where nothing was sent on, else 503.
+pub(crate) enum ClientResponse {
+    /// An endpoint served the request.
+    Served(ServedResponse),
+    /// The request was refused and never executed, so trying again is harmless.
+    Rejected {
+        /// 429 where nothing was sent to an endpoint, else 503.
+        status: StatusCode,
+        /// When the client may try again; 0 gives no advice.
+        retry_after_ns: u64,
+    },
+    /// The request failed; whether it was executed is not known.
+    Failed {
+        /// What the client is answered with.
         status: StatusCode,
-        /// 0: no advice.
-        retry_after: u64,
+        /// The body: one line of plain text.
+        reason: &'static str,
     },
-    /// Failed, no promise.
-    Failed(StatusCode, &'static str),
 }
 
-impl From<Answer> for Reply {
-    fn from(answer: Answer) -> Self {
-        let (status, body, header) = match answer {
-            Answer::Served(body, kind) => (StatusCode::OK, body, kind.map(|k| (CONTENT_TYPE, k))),
-            Answer::Nack {
+/// The Retry-After header in seconds; `None` where there is no advice.
+fn retry_after_header(retry_after_ns: u64) -> Option<HeaderValue> {
+    // Rounded up: a client must not come back before the policy asked it to.
+    let milliseconds = retry_after_ns.div_ceil(1_000_000);
+    let text = format!("{}.{:03}", milliseconds / 1000, milliseconds % 1000);
+    HeaderValue::try_from(text)
+        .ok()
+        .filter(|_| milliseconds > 0)
+}
+
+impl From<ClientResponse> for HttpResponse {
+    fn from(response: ClientResponse) -> Self {
+        let (status, body, header) = match response {
+            ClientResponse::Served(ServedResponse { body, content_type }) => (
+                StatusCode::OK,
+                body,
+                content_type.map(|value| (CONTENT_TYPE, value)),
+            ),
+            ClientResponse::Rejected {
                 status,
-                retry_after,
-            } => {
-                // Rounded up: a client must not come back before the module asked it to.
-                let ms = retry_after.div_ceil(1_000_000);
-                let text = format!("{}.{:03}", ms / 1000, ms % 1000);
-                let advice = HeaderValue::try_from(text).ok().filter(|_| ms > 0);
-                (
-                    status,
-                    Content::Whole(Bytes::new()),
-                    advice.map(|a| (RETRY_AFTER, a)),
-                )
-            }
-            Answer::Failed(status, reason) => (
+                retry_after_ns,
+            } => (
+                status,
+                ResponseBody::Buffered(Bytes::new()),
+                retry_after_header(retry_after_ns).map(|value| (RETRY_AFTER, value)),
+            ),
+            ClientResponse::Failed { status, reason } => (
                 status,
-                Content::Whole(Bytes::from_static(reason.as_bytes())),
+                ResponseBody::Buffered(Bytes::from_static(reason.as_bytes())),
                 None,
             ),
         };
-        let mut response = Response::new(match body {
-            Content::Whole(body) => Either::Left(Full::new(body)),
-            Content::Flow(flow) => Either::Right(flow),
+        let mut http = Response::new(match body {
+            ResponseBody::Buffered(body) => Either::Left(Full::new(body)),
+            ResponseBody::Streaming(body) => Either::Right(body),
         });
-        *response.status_mut() = status;
-        response.headers_mut().extend(header);
-        response
+        *http.status_mut() = status;
+        http.headers_mut().extend(header);
+        http
     }
 }
--- a/src/server/streaming_body.rs
+++ b/src/server/streaming_body.rs
@@ -35,7 +35,7 @@
 }
 
 /// The body of an answer that still comes.
-pub struct Flow {
+pub struct StreamingBody {
     pieces: mpsc::Receiver<Option<Bytes>>,
     /// What is still to come, where that is known.
     left: Option<u64>,
@@ -48,11 +48,14 @@
 }
 
 /// Both ends of an answer, and its length where it is known.
-pub(crate) fn flow(length: Option<u64>, held: Option<OwnedSemaphorePermit>) -> (Source, Flow) {
+pub(crate) fn flow(
+    length: Option<u64>,
+    held: Option<OwnedSemaphorePermit>,
+) -> (Source, StreamingBody) {
     let (source, pieces) = mpsc::channel(PIECES);
     (
         Source(source),
-        Flow {
+        StreamingBody {
             pieces,
             left: length,
             broken: false,
@@ -62,28 +65,28 @@
     )
 }
 
-impl Flow {
+impl StreamingBody {
     /// Keeps a connection's seat until it is through.
     pub fn keep(&mut self, seat: Arc<Seat>) {
         self.seat = Some(seat);
     }
 }
 
-impl fmt::Debug for Flow {
+impl fmt::Debug for StreamingBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Flow")
+        f.debug_struct("StreamingBody")
             .field("left", &self.left)
             .finish_non_exhaustive()
     }
 }
 
-impl Drop for Flow {
+impl Drop for StreamingBody {
     fn drop(&mut self) {
         self.seat.iter().for_each(Seat::wait);
     }
 }
 
-impl Body for Flow {
+impl Body for StreamingBody {
     type Data = Bytes;
     type Error = io::Error;
 
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -16,7 +16,7 @@
 use hyper::body::Body;
 
 use crate::clock::Clock;
-use crate::limits::BODY_MOST;
+use crate::limits::MAX_BODY_BYTES;
 use crate::server::streaming_body::Source;
 use crate::upstream::connection::Watch;
 
@@ -73,7 +73,7 @@
     /// Reads a body ahead; none where it is spoilt, stalls or can't be whole in time.
     pub(crate) async fn collect(&self, body: &mut Answered, due: Due) -> Option<(Bytes, bool)> {
         let length = body.size_hint().exact();
-        let (now, until) = (self.clock.now(), self.clock.at(due.until));
+        let (now, until) = (self.clock.now(), self.clock.nanos_at(due.until));
         let mut transfer = Incoming::new(self.pacer.settings(), now, until, length);
         let mut whole = BytesMut::with_capacity(length.unwrap_or(0) as usize);
         loop {
@@ -105,7 +105,7 @@
                     if let Ok(data) = frame.ok()?.into_data() {
                         transfer.arrive(self.clock.now(), data.len() as u64);
                         whole.extend_from_slice(&data);
-                        if whole.len() > BODY_MOST {
+                        if whole.len() > MAX_BODY_BYTES {
                             return Some((whole.freeze(), false));
                         }
                     }
@@ -144,7 +144,7 @@
                 return Some((data, true));
             }
             whole.extend_from_slice(&data);
-            if whole.len() > BODY_MOST {
+            if whole.len() > MAX_BODY_BYTES {
                 return Some((whole.freeze(), false));
             }
         }
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -33,10 +33,10 @@
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
-use crate::engine::message::{Ended, EndpointEntry, Message, Passed};
-use crate::limits::BODY_MOST;
+use crate::engine::message::{AttemptEnded, EndpointEntry, ForwardedRequest, Message};
+use crate::limits::MAX_BODY_BYTES;
 use crate::server::request::KEY;
-use crate::server::response::Content;
+use crate::server::response::{ResponseBody, ServedResponse};
 use crate::server::slow_peers::Pacers;
 use crate::server::streaming_body::flow;
 use crate::upstream::body::{first_piece, pass_on, read_ahead, Due, Pacing};
@@ -109,7 +109,7 @@
     pub request: RequestId,
     pub number: u32,
     pub backend: EndpointId,
-    pub passed: Arc<Passed>,
+    pub passed: Arc<ForwardedRequest>,
     /// When it is given up.
     pub until: Instant,
     /// From when on it may not be written any more.
@@ -277,25 +277,29 @@
             };
             // One that began and was through at one go: what it brought waits in its flow.
             let result = result.map(|whole| begun.try_recv().unwrap_or(whole));
-            let mut ended = Ended {
+            let mut ended = AttemptEnded {
                 request,
-                number,
-                backend,
+                attempt: number,
+                endpoint: backend,
                 outcome: Outcome::TimedOut,
                 latency: started.elapsed(),
-                load: Vec::new(),
-                served: None,
+                load_report: Vec::new(),
+                response: None,
             };
             match result {
                 Ok((status, headers, body)) => {
                     ended.outcome = outcome(status, &headers);
-                    ended.load = load(&headers, &fields);
+                    ended.load_report = load(&headers, &fields);
                     let kind = headers.get(CONTENT_TYPE).cloned();
-                    ended.served = (ended.outcome == Outcome::Success).then_some((body, kind));
+                    ended.response =
+                        (ended.outcome == Outcome::Success).then_some(ServedResponse {
+                            body,
+                            content_type: kind,
+                        });
                 }
                 Err(outcome) => ended.outcome = outcome,
             }
-            let report = queue.send(Message::Ended(ended));
+            let report = queue.send(Message::AttemptEnded(ended));
             if goes_on {
                 // Both at once: the answer goes on while the engine's queue is full.
                 let _ = tokio::join!(report, made);
@@ -308,7 +312,7 @@
 }
 
 /// What an attempt comes to, where it comes to an answer.
-type Made = (StatusCode, HeaderMap, Content);
+type Made = (StatusCode, HeaderMap, ResponseBody);
 
 /// How an answer is carried.
 struct Carried<'a> {
@@ -324,7 +328,7 @@
     limits: &Limits,
     carried: Carried<'_>,
     pooled: Pooled,
-    passed: &Passed,
+    passed: &ForwardedRequest,
     due: Due,
 ) -> Result<Made, Outcome> {
     let Carried {
@@ -347,7 +351,7 @@
     }
     // So may the service client have gone, and an attempt may not be called off where the settings don't allow it.
     // And the time of its key may be over, if it is a repeat.
-    if passed.gone() || due.write_by.is_some_and(|by| Instant::now() >= by) {
+    if passed.client_disconnected() || due.write_by.is_some_and(|by| Instant::now() >= by) {
         return Err(Outcome::NotSent);
     }
     let request = request(passed, connection.endpoint, due.until).ok_or(Outcome::NotSent)?;
@@ -371,8 +375,8 @@
         let good = outcome(parts.status, &parts.headers) == Outcome::Success;
         // One that says that it is larger than what is read ahead is passed on as it comes; so is one that would have
         // to wait for room, which its service client's own reading gives it.
-        let room = length.unwrap_or(BODY_MOST as u64);
-        let room = (room <= BODY_MOST as u64)
+        let room = length.unwrap_or(MAX_BODY_BYTES as u64);
+        let room = (room <= MAX_BODY_BYTES as u64)
             .then(|| ahead.clone().try_acquire_many_owned(room as u32).ok());
         let held = room.flatten();
         let (first, all) = match (pacing, &held) {
@@ -381,16 +385,26 @@
             (Some(pacing), _) => pacing.collect(&mut body, due).await?,
         };
         if all || !good {
-            return Some((parts.status, parts.headers, Content::Whole(first)));
+            return Some((parts.status, parts.headers, ResponseBody::Buffered(first)));
         }
         let (source, flow) = flow(length, held);
         watch.passing.store(true, Ordering::Relaxed);
         // Nobody waits for it where it was given up just now.
         begin
-            .send((parts.status, parts.headers.clone(), Content::Flow(flow)))
+            .send((
+                parts.status,
+                parts.headers.clone(),
+                ResponseBody::Streaming(flow),
+            ))
             .ok()?;
         let whole = pass_on(source, first, &mut body).await;
-        whole.then(|| (parts.status, parts.headers, Content::Whole(Bytes::new())))
+        whole.then(|| {
+            (
+                parts.status,
+                parts.headers,
+                ResponseBody::Buffered(Bytes::new()),
+            )
+        })
     };
     let passing = connection.watch.clone();
     let passing = || passing.passing.load(Ordering::Relaxed);
@@ -455,7 +469,11 @@
 }
 
 /// The request as it goes to an instance.
-fn request(passed: &Passed, endpoint: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
+fn request(
+    passed: &ForwardedRequest,
+    endpoint: SocketAddr,
+    until: Instant,
+) -> Option<Request<Full<Bytes>>> {
     let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
     let host = passed
         .host
@@ -465,12 +483,12 @@
         .method(passed.method.clone())
         .uri(passed.target.clone())
         .header(HOST, host)
-        .header("x-correlation-id", &passed.id)
+        .header("x-correlation-id", &passed.correlation_id)
         .header("x-time-left-ms", left);
     if let Some(kind) = &passed.content_type {
         request = request.header(CONTENT_TYPE, kind);
     }
-    if let Some(key) = &passed.key {
+    if let Some(key) = &passed.idempotency_key {
         request = request.header(KEY, key);
     }
     request.body(Full::new(passed.body.clone())).ok()
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -2,17 +2,17 @@
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-fn passed() -> Passed {
-    Passed {
+fn passed() -> ForwardedRequest {
+    ForwardedRequest {
         method: hyper::Method::GET,
         target: "/api".parse().unwrap(),
         host: None,
-        id: HeaderValue::from_static("0000000000000007"),
+        correlation_id: HeaderValue::from_static("0000000000000007"),
         content_type: None,
-        key: None,
+        idempotency_key: None,
         body: Bytes::new(),
-        _held: None,
-        asker: Arc::downgrade(&ASKER),
+        _body_permit: None,
+        client: Arc::downgrade(&ASKER),
     }
 }
 
@@ -33,7 +33,11 @@
     attempt_of(passed(), endpoint, draining).await
 }
 
-async fn attempt_of(passed: Passed, endpoint: SocketAddr, draining: bool) -> Option<Outcome> {
+async fn attempt_of(
+    passed: ForwardedRequest,
+    endpoint: SocketAddr,
+    draining: bool,
+) -> Option<Outcome> {
     let limits = limits();
     let place = Pooled::Place(Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap());
     let instance = Instance::new(endpoint);
@@ -180,7 +184,7 @@
     let second = tokio::time::timeout(Duration::from_secs(20), served)
         .await
         .expect("a new connection");
-    assert!(matches!(second.ok().unwrap().2, Content::Whole(body) if body == "second"));
+    assert!(matches!(second.ok().unwrap().2, ResponseBody::Buffered(body) if body == "second"));
     // The one place went from the old connection to the new one.
     assert_eq!(pool.available_permits(), 0);
     instance.state().idle.clear();
@@ -207,8 +211,8 @@
 #[tokio::test]
 async fn an_attempt_whose_service_client_left_while_it_dialled_is_not_written() {
     let (listener, endpoint) = listen().await;
-    let gone = Passed {
-        asker: std::sync::Weak::new(),
+    let gone = ForwardedRequest {
+        client: std::sync::Weak::new(),
         ..passed()
     };
     assert_eq!(
@@ -279,12 +283,12 @@
         .write_all(format!("{head}4\r\nfine\r\n0\r\n\r\n").as_bytes())
         .await
         .unwrap();
-    let Some(Message::Ended(ended)) = inbox.recv().await else {
+    let Some(Message::AttemptEnded(ended)) = inbox.recv().await else {
         panic!("no report")
     };
-    let body = match ended.served.expect("served").0 {
-        Content::Whole(body) => body,
-        Content::Flow(flow) => flow.collect().await.unwrap().to_bytes(),
+    let body = match ended.response.expect("served").body {
+        ResponseBody::Buffered(body) => body,
+        ResponseBody::Streaming(flow) => flow.collect().await.unwrap().to_bytes(),
     };
     assert_eq!(body, "fine");
 }
@@ -325,9 +329,9 @@
     let cancel = fleet.start(attempt(0)).ok().unwrap();
     assert!(fleet.start(attempt(1)).is_err());
     drop(cancel);
-    let Some(Message::Ended(ended)) = inbox.recv().await else {
+    let Some(Message::AttemptEnded(ended)) = inbox.recv().await else {
         panic!("no report")
     };
-    assert_eq!((ended.number, ended.outcome), (0, Outcome::Cancelled));
+    assert_eq!((ended.attempt, ended.outcome), (0, Outcome::Cancelled));
     assert!(fleet.start(attempt(1)).is_ok());
 }
