--- /dev/null
+++ b/src/engine/effects.rs
@@ -0,0 +1,178 @@
+//! Carries out what the decision policy decides.
+//!
+//! Owner: the engine. Input: events for the policy. Output: the actions that it answers them with, carried out.
+//! Invariants: whatever the policy asks for, a request has one attempt in flight at most, no more attempts than the
+//! settings allow, and none after its time.
+
+use applewall::api::{Action, EndpointId, Event, Idempotency, Outcome, RequestId};
+use hyper::StatusCode;
+
+use super::pending_request::{InFlightAttempt, PendingRequest};
+use super::timers::Timer;
+use super::Engine;
+use crate::server::response::ClientResponse;
+use crate::upstream::pool::Attempt;
+
+/// Time before the client's deadline by which an attempt ends: its response still has to reach the client.
+const ATTEMPT_MARGIN_NS: u64 = 20_000_000;
+/// An attempt that repeats a possibly executed one is begun to be written within this fraction of the endpoints'
+/// deduplication window, as numerator and denominator: the rest is its way to the endpoint.
+const USABLE_WINDOW_NUMERATOR: u64 = 19;
+/// See [`USABLE_WINDOW_NUMERATOR`].
+const USABLE_WINDOW_DENOMINATOR: u64 = 20;
+
+impl Engine {
+    /// Gives an event to the policy and carries out what follows from it.
+    pub(super) fn handle_event(&mut self, event: Event) {
+        self.follow_up_events.push_back(event);
+        let mut actions = std::mem::take(&mut self.actions);
+        while let Some(event) = self.follow_up_events.pop_front() {
+            self.policy.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.perform(action));
+        }
+        self.actions = actions;
+    }
+
+    pub(super) fn perform(&mut self, action: Action) {
+        match action {
+            Action::StartAttempt {
+                request,
+                endpoint,
+                timeout_ns,
+            } => self.start_attempt(request, endpoint, timeout_ns),
+            Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
+            Action::Reject {
+                request,
+                retry_after_ns,
+            } => self.reject(request, retry_after_ns),
+            Action::Fail(request) => self.respond(
+                request,
+                ClientResponse::Failed {
+                    status: StatusCode::BAD_GATEWAY,
+                    reason: "no answer from an instance",
+                },
+            ),
+            Action::SetTimer { after_ns, token } => self
+                .timers
+                .schedule(self.now + after_ns, Timer::Policy(token)),
+            Action::CloseIdleConnections(endpoint) => self.pool.close_idle(&endpoint),
+            Action::SendGossip { peer, text } => {
+                if let Some(peers) = self.peers.as_deref().filter(|_| !self.gossip_handed_over) {
+                    peers.send(peer, &text);
+                }
+            }
+            Action::Log(line) => tracing::info!("module: {line}"),
+            // The endpoint list is always watched; this policy asks for no health checks and no counters.
+            Action::WatchEndpoints(_)
+            | Action::FetchEndpoints
+            | Action::HealthCheck(_)
+            | Action::AddToCounter { .. } => {}
+        }
+    }
+
+    fn reject(&mut self, request: RequestId, retry_after_ns: u64) {
+        let attempted = self
+            .pending
+            .get(&request)
+            .is_some_and(|pending| pending.attempts > 0);
+        let status = if attempted {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::TOO_MANY_REQUESTS
+        };
+        self.respond(
+            request,
+            ClientResponse::Rejected {
+                status,
+                retry_after_ns,
+            },
+        );
+    }
+
+    fn cancel_attempt(&mut self, request: RequestId, attempt: u32) {
+        let in_flight = self
+            .pending
+            .get_mut(&request)
+            .and_then(|pending| pending.in_flight.as_mut())
+            .filter(|in_flight| in_flight.number == attempt);
+        if let Some(in_flight) = in_flight {
+            in_flight.cancel = None;
+        }
+    }
+
+    fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ns: u64) {
+        let max_attempts = self.settings.policy.max_attempts;
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let number = pending.attempts;
+        pending.attempts += 1;
+        let latest = pending.deadline_ns.saturating_sub(ATTEMPT_MARGIN_NS);
+        let until = attempt_end_ns(self.now, timeout_ns, latest);
+        let allowed = pending.awaits_response()
+            && pending.in_flight.is_none()
+            && number < max_attempts
+            && until > self.now;
+        let idempotency = self.settings.policy.classes[pending.class].idempotency;
+        let write_by = write_by_ns(pending, idempotency);
+        pending.attempt_started_at_ns = self.now;
+        let endpoint_for_zones = self.zones.is_some().then(|| endpoint.clone());
+        let attempt = Attempt {
+            request,
+            number,
+            endpoint,
+            forwarded: pending.forwarded.clone(),
+            until: self.clock.instant(until),
+            write_by: write_by.map(|by| self.clock.instant(by)),
+            retry_until: (number + 1 < max_attempts).then(|| self.clock.instant(latest)),
+        };
+        let started = if allowed {
+            self.pool.start(attempt)
+        } else {
+            Err(attempt)
+        };
+        match started {
+            Ok(cancel) => {
+                if let (Some(zones), Some(endpoint)) = (&mut self.zones, endpoint_for_zones) {
+                    zones.sent(self.now, request, pending.class, &endpoint);
+                }
+                self.statistics.attempts += 1;
+                pending.in_flight = Some(InFlightAttempt {
+                    number,
+                    cancel: Some(cancel),
+                });
+            }
+            Err(Attempt { endpoint, .. }) => {
+                self.report_not_sent(request, number, endpoint);
+            }
+        }
+    }
+
+    /// Reports an attempt that was not started, once everything that the policy has just decided is carried out.
+    fn report_not_sent(&mut self, request: RequestId, attempt: u32, endpoint: EndpointId) {
+        let result = self.attempt_result(request, attempt, endpoint, Outcome::NotSent);
+        self.follow_up_events
+            .push_back(Event::AttemptFinished(result));
+    }
+}
+
+/// When an attempt that starts now is given up. A timeout of 0 leaves it until `latest`.
+fn attempt_end_ns(now: u64, timeout_ns: u64, latest: u64) -> u64 {
+    match timeout_ns {
+        0 => latest,
+        _ => latest.min(now + timeout_ns),
+    }
+}
+
+/// By when the next attempt has to be begun to be written. A request that may have been executed is sent again only while
+/// endpoints remember its key: the connection of the attempt may come up late.
+fn write_by_ns(pending: &PendingRequest, idempotency: Idempotency) -> Option<u64> {
+    let first = pending.first_possibly_executed_at_ns?;
+    match idempotency {
+        Idempotency::IdempotencyKey {
+            deduplication_window_ns: window,
+            ..
+        } => Some(first + window / USABLE_WINDOW_DENOMINATOR * USABLE_WINDOW_NUMERATOR),
+        _ => None,
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1,643 +1,294 @@
-//! The engine: the one task that owns the module, its timers and all commands that are open.
+//! The event loop that owns the decision policy, its timers and all pending requests.
 //!
-//! It takes what its queue holds, lets the module decide, carries that out, and sleeps till the next timer. It
-//! never waits for anything else, so whoever waits for room in the queue gets it.
+//! Owner: one task, started by `serve`. Input: [`Message`]s and admin commands, each through a queue, and the engine's
+//! own timers. Output: attempts at upstream endpoints, responses to clients, datagrams to peers. Invariants: the engine
+//! waits for nothing but its queues and timers, so whoever waits for capacity in the queue gets it; a request has one
+//! attempt in flight at most and gets one response.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
-use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall::api::{
-    Action, AttemptResult, EndpointId, EndpointUpdateKind, Event, Idempotency, Outcome, RequestId,
-};
+use applewall::api::{Action, EndpointUpdateKind, Event, RequestId};
 use applewall::decision::DecisionPolicy;
 use applewall::platform_settings::PlatformSettings;
 use applewall_admin::Ledger;
-use hyper::StatusCode;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::admin::listener::Order;
 use crate::admin::maintenance::Withheld;
 use crate::clock::Clock;
 use crate::config::platform::Config;
 use crate::discovery::zone_failover::{self, Zoning};
-use crate::engine::message::{
-    AttemptEnded, ClientDisconnected, ClientRequest, EndpointEntry, EndpointUpdate,
-    ForwardedRequest, Message, PeerDatagram,
-};
+use crate::engine::message::{EndpointEntry, EndpointUpdate, Message, PeerDatagram};
 use crate::lifecycle::process_role::Estate;
 use crate::peer_socket::PeerSocket;
 use crate::resource_budget::ConnectionBudget;
-use crate::server::response::ClientResponse;
 use crate::server::slow_peers::{self, Pacers};
-use crate::upstream::pool::{Attempt, Fleet};
+use crate::upstream::pool::{ConnectionPool, PoolLimits};
 
-mod figures;
+mod admin_commands;
+mod effects;
 pub(crate) mod message;
-mod orders;
+mod pending_request;
+mod requests;
+mod statistics;
+mod timers;
 
-use figures::Figures;
+use pending_request::PendingRequest;
+use statistics::Statistics;
+use timers::{Timer, Timers};
 
-/// Messages taken from the queue at one go.
-const GO: usize = 128;
-/// By which an attempt ends before its service client gives up: the answer has to get there in time.
-const ATTEMPT_MARGIN: u64 = 20_000_000;
-/// By which the last-resort answer comes before that.
-const LAST_MARGIN: u64 = 8_000_000;
-/// Part of a key's time in which a repeat is begun to be written: the rest is its way to the instance.
-const KNOWN: (u64, u64) = (19, 20);
-/// By which the engine may wake late before that counts as a gap in the program's own clock.
-const STALL: u64 = 30_000_000;
-/// Part of the memory that answers read ahead may hold together.
-const AHEAD_PART: usize = 8;
-/// Between closings of connections that have been idle for long.
-const SWEEP: u64 = 500_000_000;
-/// Between lines of figures.
-const FIGURES: u64 = 10_000_000_000;
+/// Most messages that are taken from the queue before timers are looked at again: bounds how late a timer is.
+const MAX_BATCH: usize = 128;
+/// How late the engine may wake up before that counts as a stall of the whole process.
+const STALL_THRESHOLD_NS: u64 = 30_000_000;
+/// The prefetched part of all response bodies may take the configured memory divided by this.
+const PREFETCH_MEMORY_DIVISOR: usize = 8;
 
-/// A command that is open: unanswered, or with an attempt still out.
-struct Open {
-    serial: u64,
-    /// Gone once the command is answered or its service client left.
-    reply: Option<oneshot::Sender<ClientResponse>>,
-    passed: Arc<ForwardedRequest>,
-    /// When the service client gives up, on the module's clock.
-    deadline: u64,
-    class: usize,
-    attempts: u32,
-    /// The attempt that is out; dropping the sender cancels it.
-    out: Option<(u32, Option<oneshot::Sender<()>>)>,
-    /// When that one, or the last, was started; and the same of the first one that may have run.
-    sent: u64,
-    tainted: Option<u64>,
+/// What a new engine starts from.
+pub(crate) enum InitialState {
+    /// There is no admin address, so no maintenance set either.
+    WithoutAdmin,
+    /// The maintenance set as it was last known.
+    Maintenance(Ledger),
+    /// Everything that the previous process handed over.
+    HotRestart(Estate),
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Module(u64),
-    Zones,
-    Sweep,
-    Figures,
+/// The parts of the program that the engine works with.
+pub(crate) struct Dependencies {
+    /// The clock of all moments that the engine and the policy see.
+    pub clock: Clock,
+    /// Where datagrams to peers are sent, if there are peers.
+    pub peers: Option<Arc<PeerSocket>>,
+    /// Slow-peer protection, for upstream responses.
+    pub pacers: Pacers,
+    /// The engine's own queue: attempts report to it.
+    pub queue: mpsc::Sender<Message>,
+    /// What the engine starts from.
+    pub initial_state: InitialState,
+    /// Zone failover, where the operator enabled it.
+    pub zones: Option<Zoning>,
 }
 
-/// What was before this process.
-pub(crate) enum Before {
-    /// Nothing that matters: there is no second address.
-    Nothing,
-    /// The ledger at most.
-    Ledger(Ledger),
-    /// All that another one handed over.
-    Estate(Estate),
+/// A period in which the process did not run. Requests that are read right after it may have waited unseen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ClockStall {
+    /// How long nothing was done; a client has counted that time.
+    lost_ns: u64,
+    /// Requests that are taken until then may have waited for that long.
+    applies_until_ns: u64,
 }
 
 /// See the module's page.
 pub(crate) struct Engine {
-    brain: DecisionPolicy,
-    facts: Arc<PlatformSettings>,
+    policy: DecisionPolicy,
+    settings: Arc<PlatformSettings>,
     clock: Clock,
-    fleet: Fleet,
+    pool: ConnectionPool,
     peers: Option<Arc<PeerSocket>>,
-    open: HashMap<RequestId, Open>,
-    /// Commands without an answer, by the time of the last-resort answer.
-    last_resorts: BTreeSet<(u64, RequestId)>,
-    timers: BinaryHeap<Reverse<(u64, Due)>>,
-    /// Events that follow from carrying out actions.
-    events: VecDeque<Event>,
-    /// Kept for its room.
+    pending: HashMap<RequestId, PendingRequest>,
+    timers: Timers,
+    /// Events that follow from carrying out actions; handled before the next message.
+    follow_up_events: VecDeque<Event>,
+    /// Empty between events; kept for its capacity.
     actions: Vec<Action>,
     now: u64,
-    /// How long commands that are taken before the second moment may have waited unseen.
-    stall: (u64, u64),
-    figures: Figures,
+    stall: ClockStall,
+    statistics: Statistics,
     pacers: Pacers,
-    /// Where there is a second address.
-    withheld: Option<Withheld>,
-    /// Where the operators switched it on.
+    /// `None` where there is no admin address.
+    maintenance: Option<Withheld>,
+    /// `None` where the operator did not enable zone failover.
     zones: Option<Zoning>,
-    /// Another process speaks to the peers.
-    handed: bool,
+    /// True once another process sends datagrams to the peers in this one's place.
+    gossip_handed_over: bool,
 }
 
 impl Engine {
-    /// One that has decided from the known name table alone; attempts report to the queue.
-    pub(crate) fn new(
-        config: &Config,
-        clock: Clock,
-        peers: Option<Arc<PeerSocket>>,
-        pacers: Pacers,
-        queue: mpsc::Sender<Message>,
-        (before, zones): (Before, Option<Zoning>),
-    ) -> Self {
+    /// An engine that has decided from the known endpoint list alone.
+    pub(crate) fn new(config: &Config, dependencies: Dependencies) -> Self {
+        let Dependencies {
+            clock,
+            peers,
+            pacers,
+            queue,
+            initial_state,
+            zones,
+        } = dependencies;
         let now = clock.now();
-        let sizes = (
-            ConnectionBudget::new(config.sockets).instances,
-            config.memory / AHEAD_PART,
-        );
-        let facts = config.facts.clone();
+        let settings = config.facts.clone();
+        let limits = PoolLimits {
+            connections: ConnectionBudget::new(config.sockets).upstream,
+            prefetch_bytes: config.memory / PREFETCH_MEMORY_DIVISOR,
+        };
         let mut engine = Engine {
-            brain: DecisionPolicy::new(facts.policy.clone(), config.seed, now),
-            fleet: Fleet::new(&facts, sizes, clock, pacers.clone(), queue),
-            facts,
+            policy: DecisionPolicy::new(settings.policy.clone(), config.seed, now),
+            pool: ConnectionPool::new(&settings, limits, clock, pacers.clone(), queue),
+            settings,
             clock,
             peers,
-            open: HashMap::new(),
-            last_resorts: BTreeSet::new(),
-            timers: [
-                Reverse((now, Due::Sweep)),
-                Reverse((now + FIGURES, Due::Figures)),
-            ]
-            .into(),
-            events: VecDeque::new(),
+            pending: HashMap::new(),
+            timers: Timers::starting_at(now),
+            follow_up_events: VecDeque::new(),
             actions: Vec::new(),
             now,
-            stall: (0, 0),
-            figures: Figures::default(),
+            stall: ClockStall::default(),
+            statistics: Statistics::default(),
             pacers,
-            withheld: None,
+            maintenance: None,
             zones,
-            handed: false,
+            gossip_handed_over: false,
         };
         if engine.zones.is_some() {
-            engine
-                .timers
-                .push(Reverse((now + zone_failover::EVERY, Due::Zones)));
+            engine.schedule_zone_failover();
         }
-        let known = match before {
-            Before::Nothing => config.known.entries(&engine.facts, &clock),
-            Before::Ledger(ledger) => {
-                engine.withheld = Some(Withheld::new(ledger));
-                config.known.entries(&engine.facts, &clock)
-            }
-            Before::Estate(estate) => {
-                engine.withheld = Some(Withheld::new(estate.withheld));
-                if let Err(why) = engine.brain.import_snapshot(&estate.module) {
-                    tracing::warn!("succession: the module begins anew: {why}");
-                }
-                estate
-                    .listed
-                    .into_iter()
-                    .map(|(member, endpoint)| EndpointEntry {
-                        endpoint: member,
-                        address: endpoint,
-                    })
-                    .collect()
-            }
-        };
+        let entries = engine.restore(config, initial_state);
         engine.take(Message::EndpointUpdate(EndpointUpdate {
             kind: EndpointUpdateKind::Cached,
-            entries: known,
+            entries,
         }));
         engine
     }
 
-    /// Runs for as long as anything can reach it.
+    /// Takes over the initial state; returns the endpoint list to start with.
+    fn restore(&mut self, config: &Config, initial_state: InitialState) -> Vec<EndpointEntry> {
+        match initial_state {
+            InitialState::WithoutAdmin => config.known.entries(&self.settings, &self.clock),
+            InitialState::Maintenance(maintenance) => {
+                self.maintenance = Some(Withheld::new(maintenance));
+                config.known.entries(&self.settings, &self.clock)
+            }
+            InitialState::HotRestart(estate) => {
+                self.maintenance = Some(Withheld::new(estate.withheld));
+                if let Err(error) = self.policy.import_snapshot(&estate.module) {
+                    tracing::warn!("succession: the module begins anew: {error}");
+                }
+                let entry = |(endpoint, address)| EndpointEntry { endpoint, address };
+                estate.listed.into_iter().map(entry).collect()
+            }
+        }
+    }
+
+    /// Runs for as long as anything can reach the engine.
     pub(crate) async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<Message>,
-        mut orders: mpsc::Receiver<Order>,
+        mut messages: mpsc::Receiver<Message>,
+        mut admin_commands: mpsc::Receiver<Order>,
     ) {
-        let mut batch = Vec::with_capacity(GO);
+        let mut batch = Vec::with_capacity(MAX_BATCH);
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
         loop {
-            let due = self.next();
-            let next = self.clock.instant(due).into();
-            if sleep.deadline() != next {
-                sleep.as_mut().reset(next);
+            let due = self.timers.next_due();
+            let wake_at = self.clock.instant(due).into();
+            if sleep.deadline() != wake_at {
+                sleep.as_mut().reset(wake_at);
             }
             tokio::select! {
                 biased;
-                // Before all else: an operator's answer is owed within a second, whatever waits here.
-                Some(order) = orders.recv() => {
+                // First: an admin command has to be answered within a second, however full the queue is.
+                Some(command) = admin_commands.recv() => {
                     self.wake(self.clock.now(), due);
-                    self.order(order);
+                    self.handle_admin_command(command);
                 }
-                taken = inbox.recv_many(&mut batch, GO) => if taken == 0 { return },
+                taken = messages.recv_many(&mut batch, MAX_BATCH) => if taken == 0 { return },
                 () = &mut sleep => {}
             }
-            // One moment for all that is taken at one go: what waited here together came together.
+            // One moment for the whole batch: what waited in the queue together arrived together.
             self.wake(self.clock.now(), due);
             batch.drain(..).for_each(|message| self.take(message));
-            self.fall_due();
+            self.expire_timers();
         }
     }
 
-    /// Goes on at `now`, where something was due. If that is long past, the program stood still: what is taken
-    /// right after may have waited in the kernel for as long as nothing was done here, and its service client
-    /// has counted that time.
+    /// Advances to `now`, where something was due at `due`. If that is long past, the process did not run: requests
+    /// that are taken right after may have waited in the kernel for as long, and their clients counted that time.
     fn wake(&mut self, now: u64, due: u64) {
-        if now.saturating_sub(due) > STALL {
-            self.stall = (now - self.now, now + STALL);
+        if now.saturating_sub(due) > STALL_THRESHOLD_NS {
+            self.stall = ClockStall {
+                lost_ns: now - self.now,
+                applies_until_ns: now + STALL_THRESHOLD_NS,
+            };
         }
         self.now = now;
     }
 
-    /// When something falls due next.
-    fn next(&self) -> u64 {
-        let timer = self.timers.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
-        self.last_resorts
-            .first()
-            .map_or(timer, |(at, _)| timer.min(*at))
-    }
-
     fn take(&mut self, message: Message) {
         match message {
-            Message::Request(command) => self.command(command),
-            Message::ClientDisconnected(ClientDisconnected {
-                request: id,
-                serial,
-            }) => {
-                if self
-                    .open
-                    .get(&id)
-                    .is_some_and(|o| o.serial == serial && o.reply.is_some())
-                {
-                    self.figures.left += 1;
-                    self.leave(id);
-                }
-            }
-            Message::AttemptEnded(ended) => self.ended(ended),
-            Message::EndpointUpdate(EndpointUpdate { kind, mut entries }) => {
-                if let Some(withheld) = &mut self.withheld {
-                    withheld.mask(kind, &mut entries);
-                }
-                self.fleet.update(kind, &entries);
-                if let Some(zones) = &mut self.zones {
-                    zones.listed(kind, &entries);
-                }
-                self.event(Event::EndpointUpdate(
-                    kind,
-                    entries.into_iter().map(|e| e.endpoint).collect(),
-                ));
-            }
-            Message::PeerDatagram(PeerDatagram { from, text })
-                if self
-                    .zones
-                    .as_mut()
-                    .is_some_and(|zones| zones.hear(self.now, from, &text)) => {}
-            Message::PeerDatagram(PeerDatagram { from, text }) => {
-                self.event(Event::PeerMessage { from, text });
-            }
-        }
-    }
-
-    fn fall_due(&mut self) {
-        while let Some((_, id)) = self
-            .last_resorts
-            .first()
-            .copied()
-            .filter(|(at, _)| *at <= self.now)
-        {
-            // The module owes an answer and has not given it: should never happen, and is counted.
-            self.figures.last_resort += 1;
-            tracing::error!("last-resort answer to {:016x}", id.0);
-            self.answer(
-                id,
-                ClientResponse::Failed {
-                    status: StatusCode::GATEWAY_TIMEOUT,
-                    reason: "no answer in time",
-                },
-            );
-            self.leave(id);
-        }
-        while self
-            .timers
-            .peek()
-            .is_some_and(|Reverse((at, _))| *at <= self.now)
-        {
-            let Some(Reverse((_, due))) = self.timers.pop() else {
-                return;
-            };
-            match due {
-                Due::Module(token) => self.event(Event::TimerExpired(token)),
-                Due::Zones => {
-                    let peers = self.peers.as_deref().filter(|_| !self.handed);
-                    if let Some(shares) = self
-                        .zones
-                        .as_mut()
-                        .and_then(|zones| zones.tick(self.now, peers))
-                    {
-                        self.event(Event::ZoneTrafficShares(shares));
-                    }
-                    self.timers
-                        .push(Reverse((self.now + zone_failover::EVERY, due)));
-                }
-                Due::Sweep => {
-                    self.fleet.sweep();
-                    self.timers.push(Reverse((self.now + SWEEP, due)));
-                }
-                Due::Figures => {
-                    self.tell_figures();
-                    slow_peers::tell(&self.pacers);
-                    self.timers.push(Reverse((self.now + FIGURES, due)));
-                }
-            }
-        }
-    }
-
-    fn command(&mut self, command: ClientRequest) {
-        self.figures.commands += 1;
-        let ClientRequest {
-            mut request,
-            serial,
-            deadline,
-            forwarded: passed,
-            responder: reply,
-        } = command;
-        let id = request.id;
-        // Whoever left while the command waited in the queue needs nothing of it.
-        if passed.client_disconnected() {
-            self.figures.left += 1;
-            return;
-        }
-        if self.open.contains_key(&id) {
-            // Two with one id would be two attempts of one request to an instance.
-            self.figures.failed += 1;
-            let _ = reply.send(ClientResponse::Failed {
-                status: StatusCode::CONFLICT,
-                reason: "a command with this id is open",
-            });
-            return;
+            Message::Request(request) => self.handle_request(request),
+            Message::ClientDisconnected(disconnected) => self.handle_disconnect(disconnected),
+            Message::AttemptEnded(ended) => self.handle_attempt_ended(ended),
+            Message::EndpointUpdate(update) => self.handle_endpoint_update(update),
+            Message::PeerDatagram(datagram) => self.handle_peer_datagram(datagram),
         }
-        let waited = if self.now <= self.stall.1 {
-            self.stall.0
-        } else {
-            0
-        };
-        let deadline = self.clock.nanos_at(deadline).saturating_sub(waited);
-        request.time_left_ns = request.time_left_ns.saturating_sub(waited);
-        let reply = Some(reply);
-        self.open.insert(
-            id,
-            Open {
-                serial,
-                reply,
-                passed,
-                deadline,
-                class: request.class,
-                attempts: 0,
-                out: None,
-                sent: 0,
-                tainted: None,
-            },
-        );
-        self.last_resorts
-            .insert((deadline.saturating_sub(LAST_MARGIN), id));
-        self.event(Event::Request(request));
     }
 
-    /// The service client needs no answer any more.
-    fn leave(&mut self, id: RequestId) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.reply = None;
-            self.last_resorts
-                .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
-        }
-        self.event(Event::ClientDisconnected(id));
-        self.forget(id);
-    }
-
-    fn ended(&mut self, ended: AttemptEnded) {
-        let AttemptEnded {
-            request: id,
-            attempt: number,
-            endpoint: backend,
-            outcome,
-            latency,
-            load_report: load,
-            response: served,
-        } = ended;
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
-        // A late result of an attempt that is over already.
-        if open.out.as_ref().is_none_or(|(out, _)| *out != number) {
-            return;
-        }
-        open.out = None;
-        if !outcome.never_executed() {
-            open.tainted.get_or_insert(open.sent);
+    fn handle_endpoint_update(&mut self, update: EndpointUpdate) {
+        let EndpointUpdate { kind, mut entries } = update;
+        if let Some(maintenance) = &mut self.maintenance {
+            maintenance.mask(kind, &mut entries);
         }
+        self.pool.update(kind, &entries);
         if let Some(zones) = &mut self.zones {
-            zones.ended(self.now, id, outcome);
-        }
-        if let Some(served) = served {
-            self.answer(id, ClientResponse::Served(served));
-        } else if self
-            .open
-            .get(&id)
-            .is_some_and(|o| o.reply.is_some() && o.passed.client_disconnected())
-        {
-            // The word of it may still be on its way, or lost: no further attempt is made for nobody.
-            self.figures.left += 1;
-            self.leave(id);
-        }
-        let latency = latency.as_nanos() as u64;
-        let finished = self.finished(id, number, backend, outcome);
-        self.event(Event::AttemptFinished(AttemptResult {
-            latency_ns: latency,
-            load_report: load,
-            ..finished
-        }));
-        self.forget(id);
-    }
-
-    /// The module's news of an attempt.
-    fn finished(
-        &self,
-        request: RequestId,
-        attempt: u32,
-        backend: EndpointId,
-        outcome: Outcome,
-    ) -> AttemptResult {
-        let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
-        AttemptResult {
-            request,
-            attempt,
-            endpoint: backend,
-            outcome,
-            latency_ns: 0,
-            request_complete: closed,
-            settled_units: 0.0,
-            load_report: Vec::new(),
-        }
-    }
-
-    /// Gives the one answer to a command, if it is still owed.
-    fn answer(&mut self, id: RequestId, answer: ClientResponse) {
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
-        let Some(reply) = open.reply.take() else {
-            return;
-        };
-        self.last_resorts
-            .remove(&(open.deadline.saturating_sub(LAST_MARGIN), id));
-        match answer {
-            ClientResponse::Served(..) => self.figures.served += 1,
-            ClientResponse::Rejected { .. } => self.figures.nacks += 1,
-            ClientResponse::Failed { .. } => self.figures.failed += 1,
+            zones.listed(kind, &entries);
         }
-        // A service client that left meanwhile is told of by its own message.
-        let _ = reply.send(answer);
-        self.forget(id);
+        let endpoints = entries.into_iter().map(|entry| entry.endpoint).collect();
+        self.handle_event(Event::EndpointUpdate(kind, endpoints));
     }
 
-    /// Drops a command that is answered and has nothing out.
-    fn forget(&mut self, id: RequestId) {
-        if self
-            .open
-            .get(&id)
-            .is_some_and(|o| o.reply.is_none() && o.out.is_none())
-        {
-            self.open.remove(&id);
+    /// Zone failover's datagrams end there; all others are the policy's.
+    fn handle_peer_datagram(&mut self, datagram: PeerDatagram) {
+        let PeerDatagram { from, text } = datagram;
+        let now = self.now;
+        let for_zones = self
+            .zones
+            .as_mut()
+            .is_some_and(|zones| zones.hear(now, from, &text));
+        if !for_zones {
+            self.handle_event(Event::PeerMessage { from, text });
         }
     }
 
-    /// Lets the module see an event, and what follows from it.
-    fn event(&mut self, event: Event) {
-        self.events.push_back(event);
-        let mut actions = std::mem::take(&mut self.actions);
-        while let Some(event) = self.events.pop_front() {
-            self.brain.handle(self.now, event, &mut actions);
-            actions.drain(..).for_each(|action| self.act(action));
+    /// Does everything that is due by now.
+    fn expire_timers(&mut self) {
+        while let Some(request) = self.timers.due_last_resort(self.now) {
+            self.send_last_resort(request);
         }
-        self.actions = actions;
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::StartAttempt {
-                request,
-                endpoint: backend,
-                timeout_ns: timeout,
-            } => self.send(request, backend, timeout),
-            Action::CancelAttempt { request, attempt } => {
-                let out = self.open.get_mut(&request).and_then(|o| o.out.as_mut());
-                if let Some((_, cancel)) = out.filter(|(number, _)| *number == attempt) {
-                    *cancel = None;
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                Timer::Policy(token) => self.handle_event(Event::TimerExpired(token)),
+                Timer::ZoneFailover => {
+                    self.step_zone_failover();
+                    self.schedule_zone_failover();
+                }
+                Timer::IdleSweep => {
+                    self.pool.sweep();
+                    self.timers.schedule_idle_sweep(self.now);
+                }
+                Timer::Statistics => {
+                    self.log_statistics();
+                    slow_peers::log_statistics(&self.pacers);
+                    self.timers.schedule_statistics(self.now);
                 }
             }
-            Action::Reject {
-                request,
-                retry_after_ns: retry_after,
-            } => {
-                let tried = self.open.get(&request).is_some_and(|o| o.attempts > 0);
-                let status = if tried {
-                    StatusCode::SERVICE_UNAVAILABLE
-                } else {
-                    StatusCode::TOO_MANY_REQUESTS
-                };
-                self.answer(
-                    request,
-                    ClientResponse::Rejected {
-                        status,
-                        retry_after_ns: retry_after,
-                    },
-                );
-            }
-            Action::Fail(request) => {
-                self.answer(
-                    request,
-                    ClientResponse::Failed {
-                        status: StatusCode::BAD_GATEWAY,
-                        reason: "no answer from an instance",
-                    },
-                );
-            }
-            Action::SetTimer {
-                after_ns: after,
-                token,
-            } => {
-                self.timers
-                    .push(Reverse((self.now + after, Due::Module(token))));
-            }
-            Action::CloseIdleConnections(backend) => self.fleet.close(&backend),
-            Action::SendGossip { peer, text } => {
-                self.peers
-                    .iter()
-                    .filter(|_| !self.handed)
-                    .for_each(|peers| peers.send(peer, &text));
-            }
-            Action::Log(line) => tracing::info!("module: {line}"),
-            // The name table is always followed; probes and counts are not asked for by this module.
-            Action::WatchEndpoints(_)
-            | Action::FetchEndpoints
-            | Action::HealthCheck(_)
-            | Action::AddToCounter { .. } => {}
         }
     }
 
-    fn send(&mut self, request: RequestId, backend: EndpointId, timeout: u64) {
-        let Some(open) = self.open.get_mut(&request) else {
-            return;
-        };
-        let number = open.attempts;
-        open.attempts += 1;
-        let most = self.facts.policy.max_attempts;
-        let last = open.deadline.saturating_sub(ATTEMPT_MARGIN);
-        let until = if timeout == 0 {
-            last
-        } else {
-            last.min(self.now + timeout)
-        };
-        // Whatever the module asks for: one attempt at a time, no more than allowed, none after its time.
-        let may = open.reply.is_some() && open.out.is_none() && number < most && until > self.now;
-        // What may have run goes out again only while instances know its key: a connection may come up late.
-        let write_by = match (
-            self.facts.policy.classes[open.class].idempotency,
-            open.tainted,
-        ) {
-            (
-                Idempotency::IdempotencyKey {
-                    deduplication_window_ns: window,
-                    ..
-                },
-                Some(first),
-            ) => Some(first + window / KNOWN.1 * KNOWN.0),
-            _ => None,
-        };
-        open.sent = self.now;
-        let zoned = self.zones.is_some().then(|| backend.clone());
-        let attempt = Attempt {
-            request,
-            number,
-            backend,
-            passed: open.passed.clone(),
-            until: self.clock.instant(until),
-            write_by: write_by.map(|by| self.clock.instant(by)),
-            again: (number + 1 < most).then(|| self.clock.instant(last)),
-        };
-        let started = if may {
-            self.fleet.start(attempt)
-        } else {
-            Err(attempt)
-        };
-        match started {
-            Ok(cancel) => {
-                if let (Some(zones), Some(backend)) = (&mut self.zones, zoned) {
-                    zones.sent(self.now, request, open.class, &backend);
-                }
-                self.figures.attempts += 1;
-                open.out = Some((number, Some(cancel)));
-            }
-            Err(Attempt { backend, .. }) => {
-                // Told once all that the module has just decided is carried out.
-                let finished = self.finished(request, number, backend, Outcome::NotSent);
-                self.events.push_back(Event::AttemptFinished(finished));
-            }
+    fn step_zone_failover(&mut self) {
+        let peers = self.peers.as_deref().filter(|_| !self.gossip_handed_over);
+        let now = self.now;
+        let shares = self.zones.as_mut().and_then(|zones| zones.tick(now, peers));
+        if let Some(shares) = shares {
+            self.handle_event(Event::ZoneTrafficShares(shares));
         }
     }
+
+    fn schedule_zone_failover(&mut self) {
+        self.timers
+            .schedule(self.now + zone_failover::EVERY, Timer::ZoneFailover);
+    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/engine/statistics.rs
@@ -0,0 +1,55 @@
+//! What the engine counts, and the log's line of it.
+//!
+//! Owner: the engine. Input: the engine's steps. Output: one log line an interval in which anything happened.
+
+use super::Engine;
+
+/// Counts since the last line of statistics.
+#[derive(Default)]
+pub(super) struct Statistics {
+    /// Requests taken.
+    pub requests: u64,
+    /// Requests that an endpoint served.
+    pub served: u64,
+    /// Requests refused.
+    pub rejected: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Requests whose client disconnected before its response.
+    pub disconnected: u64,
+    /// Attempts started.
+    pub attempts: u64,
+    /// Requests that got the last-resort response.
+    pub last_resort: u64,
+}
+
+impl Engine {
+    /// Logs the counts and begins anew; nothing where there were no requests.
+    pub(super) fn log_statistics(&mut self) {
+        let Statistics {
+            requests,
+            served,
+            rejected,
+            failed,
+            disconnected,
+            attempts,
+            last_resort,
+        } = std::mem::take(&mut self.statistics);
+        if requests + last_resort == 0 {
+            return;
+        }
+        let (open, idle) = (self.pending.len(), self.pool.idle_connections());
+        tracing::info!(
+            commands = requests,
+            served,
+            nacks = rejected,
+            failed,
+            left = disconnected,
+            attempts,
+            last_resort,
+            open,
+            idle,
+            "figures"
+        );
+    }
+}
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -1,38 +1,47 @@
+use super::pending_request::{InFlightAttempt, LAST_RESORT_MARGIN_NS};
 use super::*;
 use crate::admin::listener;
-use crate::server::response::{ResponseBody, ServedResponse};
-use applewall::api::Request;
-use hyper::{Method, Uri};
-use tokio::sync::oneshot::Receiver;
+use crate::engine::message::{AttemptEnded, ClientDisconnected, ClientRequest, ForwardedRequest};
+use crate::server::response::{ClientResponse, ResponseBody, ServedResponse};
+use applewall::api::{Outcome, Request};
+use hyper::{Method, StatusCode, Uri};
+use tokio::sync::oneshot::{self, Receiver};
 
 const ID: RequestId = RequestId(7);
 
+fn dependencies(queue: mpsc::Sender<Message>, initial_state: InitialState) -> Dependencies {
+    Dependencies {
+        clock: Clock::start(),
+        peers: None,
+        pacers: slow_peers::none(),
+        queue,
+        initial_state,
+        zones: None,
+    }
+}
+
 fn engine() -> (Engine, mpsc::Receiver<Message>) {
     let (queue, inbox) = mpsc::channel(8);
     (
         Engine::new(
             &Config::sample(),
-            Clock::start(),
-            None,
-            slow_peers::none(),
-            queue,
-            (Before::Nothing, None),
+            dependencies(queue, InitialState::WithoutAdmin),
         ),
         inbox,
     )
 }
 
-/// Takes a command in; its attempt is started, but its task never runs: nothing is awaited here.
-fn command(engine: &mut Engine) -> Receiver<ClientResponse> {
-    let answer = command_of(engine, Arc::downgrade(&ASKER));
-    assert!(engine.open[&ID].out.is_some());
-    answer
+/// Takes a request; its attempt is started, but its task never runs: nothing is awaited here.
+fn take_request(engine: &mut Engine) -> Receiver<ClientResponse> {
+    let response = take_request_of(engine, Arc::downgrade(&CLIENT));
+    assert!(engine.pending[&ID].in_flight.is_some());
+    response
 }
 
-/// One that stays.
-static ASKER: std::sync::LazyLock<Arc<()>> = std::sync::LazyLock::new(Arc::default);
+/// A client that stays connected.
+static CLIENT: std::sync::LazyLock<Arc<()>> = std::sync::LazyLock::new(Arc::default);
 
-fn command_of(engine: &mut Engine, client: std::sync::Weak<()>) -> Receiver<ClientResponse> {
+fn take_request_of(engine: &mut Engine, client: std::sync::Weak<()>) -> Receiver<ClientResponse> {
     let request = Request {
         id: ID,
         class: 0,
@@ -44,7 +53,7 @@
         node_set_size: 1,
         first_node: 0,
     };
-    let passed = Arc::new(ForwardedRequest {
+    let forwarded = Arc::new(ForwardedRequest {
         method: Method::GET,
         target: Uri::from_static("/api"),
         host: None,
@@ -55,16 +64,16 @@
         _body_permit: None,
         client,
     });
-    let (reply, answer) = oneshot::channel();
+    let (responder, response) = oneshot::channel();
     let deadline = engine.clock.instant(engine.now + request.time_left_ns);
     engine.take(Message::Request(ClientRequest {
         request,
         serial: 1,
         deadline,
-        forwarded: passed,
-        responder: reply,
+        forwarded,
+        responder,
     }));
-    answer
+    response
 }
 
 fn ended(number: u32, outcome: Outcome) -> Message {
@@ -85,79 +94,96 @@
 }
 
 #[tokio::test]
-async fn a_command_that_the_module_leaves_open_gets_the_last_resort_answer() {
+async fn request_that_the_policy_leaves_pending_gets_the_last_resort_response() {
     let (mut engine, _inbox) = engine();
-    let mut answer = command(&mut engine);
-    engine.now += 1_000_000_000 - LAST_MARGIN;
-    engine.fall_due();
+    let mut response = take_request(&mut engine);
+    engine.now += 1_000_000_000 - LAST_RESORT_MARGIN_NS;
+    engine.expire_timers();
     assert!(matches!(
-        answer.try_recv(),
+        response.try_recv(),
         Ok(ClientResponse::Failed {
             status: StatusCode::GATEWAY_TIMEOUT,
             reason: _
         })
     ));
-    assert_eq!(engine.figures.last_resort, 1);
-    // Its attempt is called off, and once that is told nothing is left of it.
-    assert!(matches!(engine.open[&ID].out, Some((0, None))));
+    assert_eq!(engine.statistics.last_resort, 1);
+    // Its attempt is cancelled, and once that is reported nothing is left of it.
+    assert!(matches!(
+        engine.pending[&ID].in_flight,
+        Some(InFlightAttempt {
+            number: 0,
+            cancel: None
+        })
+    ));
     engine.take(ended(0, Outcome::Cancelled));
-    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    assert!(engine.pending.is_empty() && engine.timers.no_last_resorts());
 }
 
 #[tokio::test]
-async fn time_that_the_program_stood_still_comes_off_a_command_taken_after_it() {
+async fn time_of_a_stall_is_taken_off_the_deadline_of_a_request_read_after_it() {
     let (mut engine, _inbox) = engine();
     let (before, due) = (engine.now, engine.now + 60_000_000);
-    engine.wake(due + STALL, due);
-    assert_eq!(engine.stall, (0, 0));
+    engine.wake(due + STALL_THRESHOLD_NS, due);
+    assert_eq!(engine.stall, ClockStall::default());
     engine.wake(before + 500_000_000, due);
-    let _answer = command(&mut engine);
+    let _response = take_request(&mut engine);
     assert_eq!(
-        engine.open[&ID].deadline,
-        engine.now + 1_000_000_000 - (440_000_000 - STALL)
+        engine.pending[&ID].deadline_ns,
+        engine.now + 1_000_000_000 - (440_000_000 - STALL_THRESHOLD_NS)
     );
 }
 
 #[tokio::test]
-async fn a_late_result_of_an_ended_attempt_is_dropped() {
+async fn late_result_of_an_ended_attempt_is_dropped() {
     let (mut engine, _inbox) = engine();
-    let mut answer = command(&mut engine);
+    let mut response = take_request(&mut engine);
     engine.take(ended(0, Outcome::TimedOut));
-    assert!(matches!(engine.open[&ID].out, Some((1, Some(_)))));
+    assert!(matches!(
+        engine.pending[&ID].in_flight,
+        Some(InFlightAttempt {
+            number: 1,
+            cancel: Some(_)
+        })
+    ));
     engine.take(ended(0, Outcome::Success));
-    assert!(answer.try_recv().is_err());
+    assert!(response.try_recv().is_err());
     engine.take(ended(1, Outcome::Success));
-    assert!(matches!(answer.try_recv(), Ok(ClientResponse::Served(..))));
-    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
+    assert!(matches!(
+        response.try_recv(),
+        Ok(ClientResponse::Served(..))
+    ));
+    assert!(engine.pending.is_empty() && engine.timers.no_last_resorts());
 }
 
 #[tokio::test]
-async fn a_command_never_has_two_attempts_out() {
+async fn request_never_has_two_attempts_in_flight() {
     let (mut engine, _inbox) = engine();
-    let _answer = command(&mut engine);
-    engine.act(Action::StartAttempt {
+    let _response = take_request(&mut engine);
+    engine.perform(Action::StartAttempt {
         request: ID,
         endpoint: "s-1".into(),
         timeout_ns: 0,
     });
-    assert!(matches!(engine.open[&ID].out, Some((0, Some(_)))));
-    assert_eq!(engine.figures.attempts, 1);
+    assert!(matches!(
+        engine.pending[&ID].in_flight,
+        Some(InFlightAttempt {
+            number: 0,
+            cancel: Some(_)
+        })
+    ));
+    assert_eq!(engine.statistics.attempts, 1);
 }
 
-/// Every place of the ordinary queue is taken before the engine runs at all; an order still comes first.
+/// The message queue is full before the engine runs at all; an admin command is still handled first.
 #[tokio::test]
-async fn an_order_goes_before_a_full_queue() {
+async fn admin_command_is_handled_before_a_full_message_queue() {
     let (queue, inbox) = mpsc::channel(crate::limits::ENGINE_QUEUE_CAPACITY);
     let config = Config::sample();
     let engine = Engine::new(
         &config,
-        Clock::start(),
-        None,
-        slow_peers::none(),
-        queue.clone(),
-        (Before::Ledger(Ledger::default()), None),
+        dependencies(queue.clone(), InitialState::Maintenance(Ledger::default())),
     );
-    let told = |i: usize| {
+    let update = |i: usize| {
         let (id, state) = (
             format!("s-{}", i + 2).into(),
             applewall::api::EndpointState::Ready,
@@ -176,90 +202,96 @@
         })
     };
     (0..crate::limits::ENGINE_QUEUE_CAPACITY)
-        .for_each(|i| assert!(queue.try_send(told(i)).is_ok()));
-    let (orders, orders_in) = mpsc::channel(1);
+        .for_each(|i| assert!(queue.try_send(update(i)).is_ok()));
+    let (commands, commands_in) = mpsc::channel(1);
     // Listed by the last message only: unknown while that still waits.
-    let (reply, answer) = oneshot::channel();
+    let (reply, response) = oneshot::channel();
     let id = format!("s-{}", crate::limits::ENGINE_QUEUE_CAPACITY + 1);
-    let order = listener::Instance {
+    let command = listener::Instance {
         id,
         withhold: true,
         known: false,
         reply,
     };
-    assert!(orders.try_send(Order::Instance(order)).is_ok());
+    assert!(commands.try_send(Order::Instance(command)).is_ok());
     tokio::select! {
         biased;
-        () = engine.run(inbox, orders_in) => panic!("the queue has senders"),
-        answer = answer => {
-            let answer = answer.expect("an answer").0.to_string();
-            assert!(answer.starts_with("error no instance"), "{answer}");
+        () = engine.run(inbox, commands_in) => panic!("the queue has senders"),
+        response = response => {
+            let response = response.expect("an answer").0.to_string();
+            assert!(response.starts_with("error no instance"), "{response}");
         }
     }
 }
 
 #[tokio::test]
-async fn only_the_service_client_of_that_command_can_leave_it() {
+async fn disconnect_of_another_request_with_the_same_id_is_ignored() {
     let (mut engine, _inbox) = engine();
-    let _answer = command(&mut engine);
+    let _response = take_request(&mut engine);
     engine.take(Message::ClientDisconnected(ClientDisconnected {
         request: ID,
         serial: 2,
     }));
-    assert!(engine.open[&ID].reply.is_some());
+    assert!(engine.pending[&ID].responder.is_some());
     engine.take(Message::ClientDisconnected(ClientDisconnected {
         request: ID,
         serial: 1,
     }));
-    assert!(engine.open[&ID].reply.is_none());
-    assert_eq!(engine.figures.left, 1);
+    assert!(engine.pending[&ID].responder.is_none());
+    assert_eq!(engine.statistics.disconnected, 1);
 }
 
-/// The word of it was lost, as where the queue was full: nothing but the state itself tells.
+/// The message of the disconnect was lost, as where the queue was full: only the shared state shows it.
 #[tokio::test]
-async fn a_command_whose_service_client_left_in_the_queue_is_not_sent_on() {
+async fn request_is_not_forwarded_if_its_client_disconnected_in_the_queue() {
     let (mut engine, _inbox) = engine();
-    let asker = Arc::new(());
-    let told = Arc::downgrade(&asker);
-    drop(asker);
-    let _answer = command_of(&mut engine, told);
-    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
-    assert_eq!((engine.figures.attempts, engine.figures.left), (0, 1));
+    let client = Arc::new(());
+    let disconnected = Arc::downgrade(&client);
+    drop(client);
+    let _response = take_request_of(&mut engine, disconnected);
+    assert!(engine.pending.is_empty() && engine.timers.no_last_resorts());
+    assert_eq!(
+        (engine.statistics.attempts, engine.statistics.disconnected),
+        (0, 1)
+    );
     // Neither its quota nor its id is held.
-    let _answer = command(&mut engine);
-    assert_eq!(engine.figures.attempts, 1);
+    let _response = take_request(&mut engine);
+    assert_eq!(engine.statistics.attempts, 1);
 }
 
 #[tokio::test]
-async fn no_further_attempt_is_made_for_a_service_client_that_left_unheard() {
+async fn no_retry_is_made_if_the_disconnect_message_was_lost() {
     let (mut engine, _inbox) = engine();
-    let asker = Arc::new(());
-    let _answer = command_of(&mut engine, Arc::downgrade(&asker));
-    assert_eq!(engine.figures.attempts, 1);
-    drop(asker);
-    // It never ran, so another attempt would be made for one who waits.
+    let client = Arc::new(());
+    let _response = take_request_of(&mut engine, Arc::downgrade(&client));
+    assert_eq!(engine.statistics.attempts, 1);
+    drop(client);
+    // It was never executed, so another attempt would be made for a client that waits.
     engine.take(ended(0, Outcome::ConnectFailed));
-    assert_eq!((engine.figures.attempts, engine.figures.left), (1, 1));
-    assert!(engine.open.is_empty() && engine.last_resorts.is_empty());
-    // Its word, late: nothing is left to take back.
+    assert_eq!(
+        (engine.statistics.attempts, engine.statistics.disconnected),
+        (1, 1)
+    );
+    assert!(engine.pending.is_empty() && engine.timers.no_last_resorts());
+    // Its message, late: nothing is left to undo.
     engine.take(Message::ClientDisconnected(ClientDisconnected {
         request: ID,
         serial: 1,
     }));
-    assert_eq!(engine.figures.left, 1);
+    assert_eq!(engine.statistics.disconnected, 1);
 }
 
-/// Attempts are numbered from 0 for each command: a result of the one that had the id before must not be taken for its own.
+/// Attempts are numbered from 0 for each command: a result of the request that had the id before must not be taken for its own.
 #[tokio::test]
-async fn an_id_is_free_again_only_once_nothing_of_its_former_command_can_come() {
+async fn request_id_is_reusable_only_after_its_former_attempt_ended() {
     let (mut engine, _inbox) = engine();
-    let _answer = command(&mut engine);
+    let _response = take_request(&mut engine);
     engine.take(Message::ClientDisconnected(ClientDisconnected {
         request: ID,
         serial: 1,
     }));
-    // Its attempt is called off and has not ended.
-    let mut again = command_of(&mut engine, Arc::downgrade(&ASKER));
+    // Its attempt is cancelled and has not ended.
+    let mut again = take_request_of(&mut engine, Arc::downgrade(&CLIENT));
     assert!(matches!(
         again.try_recv(),
         Ok(ClientResponse::Failed {
@@ -268,11 +300,11 @@
         })
     ));
     engine.take(ended(0, Outcome::Success));
-    assert!(engine.open.is_empty());
-    let mut again = command(&mut engine);
+    assert!(engine.pending.is_empty());
+    let mut again = take_request(&mut engine);
     assert!(
         again.try_recv().is_err(),
-        "the former one's answer is nobody's"
+        "the former request's response is dropped"
     );
     engine.take(ended(0, Outcome::Success));
     assert!(matches!(again.try_recv(), Ok(ClientResponse::Served(..))));
--- /dev/null
+++ b/src/engine/timers.rs
@@ -0,0 +1,119 @@
+//! All timers of the engine: the policy's, the periodic ones, and the last-resort response of each pending request.
+//!
+//! Owner: the engine. Input: moments on the engine's clock. Output: what is due. Invariants: timers that are due at the
+//! same moment come out in the order of [`Timer`]'s variants; a request has at most one last-resort entry.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
+
+use applewall::api::RequestId;
+
+/// Interval between closings of upstream connections that have been idle for long: a fraction of any endpoint's idle
+/// limit, so that none is reused past it.
+const IDLE_SWEEP_INTERVAL_NS: u64 = 500_000_000;
+/// Interval between the log's lines of statistics.
+const STATISTICS_INTERVAL_NS: u64 = 10_000_000_000;
+
+/// What a timer is for. The order of the variants is the order in which timers of one moment expire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    /// Set by the decision policy, with the token that it gave.
+    Policy(u64),
+    /// Zone failover's next step.
+    ZoneFailover,
+    /// Idle upstream connections are closed.
+    IdleSweep,
+    /// Statistics are logged.
+    Statistics,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ScheduledTimer {
+    at: u64,
+    timer: Timer,
+}
+
+/// When a pending request gets its last-resort response.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct LastResort {
+    at: u64,
+    request: RequestId,
+}
+
+/// See the module's page.
+pub(super) struct Timers {
+    scheduled: BinaryHeap<Reverse<ScheduledTimer>>,
+    last_resorts: BTreeSet<LastResort>,
+}
+
+impl Timers {
+    /// The periodic timers of an engine that starts at `now`: the first sweep is due at once.
+    pub(super) fn starting_at(now: u64) -> Self {
+        let mut timers = Timers {
+            scheduled: BinaryHeap::new(),
+            last_resorts: BTreeSet::new(),
+        };
+        timers.schedule(now, Timer::IdleSweep);
+        timers.schedule_statistics(now);
+        timers
+    }
+
+    /// Adds a timer.
+    pub(super) fn schedule(&mut self, at: u64, timer: Timer) {
+        self.scheduled.push(Reverse(ScheduledTimer { at, timer }));
+    }
+
+    /// Schedules the next sweep of idle connections.
+    pub(super) fn schedule_idle_sweep(&mut self, now: u64) {
+        self.schedule(now + IDLE_SWEEP_INTERVAL_NS, Timer::IdleSweep);
+    }
+
+    /// Schedules the next line of statistics.
+    pub(super) fn schedule_statistics(&mut self, now: u64) {
+        self.schedule(now + STATISTICS_INTERVAL_NS, Timer::Statistics);
+    }
+
+    /// Adds a request's last-resort response.
+    pub(super) fn schedule_last_resort(&mut self, at: u64, request: RequestId) {
+        self.last_resorts.insert(LastResort { at, request });
+    }
+
+    /// Removes a request's last-resort response, where it is still scheduled.
+    pub(super) fn cancel_last_resort(&mut self, at: u64, request: RequestId) {
+        self.last_resorts.remove(&LastResort { at, request });
+    }
+
+    /// The moment at which something is due next; the largest moment where nothing ever is.
+    pub(super) fn next_due(&self) -> u64 {
+        let timer = self
+            .scheduled
+            .peek()
+            .map_or(u64::MAX, |Reverse(scheduled)| scheduled.at);
+        self.last_resorts
+            .first()
+            .map_or(timer, |last_resort| timer.min(last_resort.at))
+    }
+
+    /// The request whose last-resort response is due first, if one is due. It stays scheduled until it is cancelled.
+    pub(super) fn due_last_resort(&self, now: u64) -> Option<RequestId> {
+        let first = self.last_resorts.first()?;
+        (first.at <= now).then_some(first.request)
+    }
+
+    /// Takes out the timer that is due first, if one is due.
+    pub(super) fn pop_due(&mut self, now: u64) -> Option<Timer> {
+        let Reverse(first) = self.scheduled.peek()?;
+        if first.at > now {
+            return None;
+        }
+        self.scheduled
+            .pop()
+            .map(|Reverse(scheduled)| scheduled.timer)
+    }
+
+    /// True where no request has a last-resort response scheduled.
+    #[cfg(test)]
+    pub(super) fn no_last_resorts(&self) -> bool {
+        self.last_resorts.is_empty()
+    }
+}
--- a/src/resource_budget.rs
+++ b/src/resource_budget.rs
@@ -13,7 +13,7 @@
     pub clients: usize,
     /// Further ones: for saying no, while the silent ones go.
     pub spare: usize,
-    pub instances: usize,
+    pub upstream: usize,
 }
 
 impl ConnectionBudget {
@@ -23,7 +23,7 @@
         ConnectionBudget {
             clients,
             spare,
-            instances: sockets.saturating_sub(RESERVE + clients + spare).max(1),
+            upstream: sockets.saturating_sub(RESERVE + clients + spare).max(1),
         }
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -94,10 +94,12 @@
         .map_or_else(clock::Clock::start, |e| clock::Clock::resume_at(e.now));
     let drained = estate.as_ref().is_some_and(|e| e.drained);
     let before = match (estate, &place) {
-        (Some(estate), _) => engine::Before::Estate(estate),
-        (None, Some(place)) => engine::Before::Ledger(place.read()),
-        (None, None) if config.operator.is_some() => engine::Before::Ledger(Default::default()),
-        (None, None) => engine::Before::Nothing,
+        (Some(estate), _) => engine::InitialState::HotRestart(estate),
+        (None, Some(place)) => engine::InitialState::Maintenance(place.read()),
+        (None, None) if config.operator.is_some() => {
+            engine::InitialState::Maintenance(Default::default())
+        }
+        (None, None) => engine::InitialState::WithoutAdmin,
     };
     let (queue, inbox) = mpsc::channel(ENGINE_QUEUE_CAPACITY);
     let peers = peer_socket::PeerSocket::bind(&mut config, datagrams)
@@ -129,11 +131,14 @@
     );
     let engine = engine::Engine::new(
         &config,
-        clock,
-        peers.clone(),
-        pacers.clone(),
-        queue.clone(),
-        (before, zones),
+        engine::Dependencies {
+            clock,
+            peers: peers.clone(),
+            pacers: pacers.clone(),
+            queue: queue.clone(),
+            initial_state: before,
+            zones,
+        },
     );
     tracing::info!("serving {}", config.summary());
     let mut engine = tokio::spawn(engine.run(inbox, inboxes.orders));
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -82,7 +82,7 @@
 }
 
 /// Tells the figures and the table of who was behind them; nothing where nothing happened.
-pub(crate) fn tell(pacers: &Pacers) {
+pub(crate) fn log_statistics(pacers: &Pacers) {
     let Some(pacer) = pacers.borrow().clone() else {
         return;
     };
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -92,7 +92,7 @@
 }
 
 /// All instances that the name table has named.
-pub(crate) struct Fleet {
+pub(crate) struct ConnectionPool {
     instances: HashMap<EndpointId, Arc<Instance>>,
     places: Arc<Semaphore>,
     limits: Arc<Limits>,
@@ -104,39 +104,47 @@
     queue: mpsc::Sender<Message>,
 }
 
+/// Bounds on what the pool holds.
+pub(crate) struct PoolLimits {
+    /// Connections, idle ones among them.
+    pub connections: usize,
+    /// Bytes of responses that are read ahead.
+    pub prefetch_bytes: usize,
+}
+
 /// An attempt that is to be made.
 pub(crate) struct Attempt {
     pub request: RequestId,
     pub number: u32,
-    pub backend: EndpointId,
-    pub passed: Arc<ForwardedRequest>,
+    pub endpoint: EndpointId,
+    pub forwarded: Arc<ForwardedRequest>,
     /// When it is given up.
     pub until: Instant,
     /// From when on it may not be written any more.
     pub write_by: Option<Instant>,
     /// Where another one may follow: by when that would have to end.
-    pub again: Option<Instant>,
+    pub retry_until: Option<Instant>,
 }
 
-impl Fleet {
+impl ConnectionPool {
     /// None yet, and room for so many connections; attempts report to the queue.
     pub(crate) fn new(
         facts: &PlatformSettings,
-        (places, ahead): (usize, usize),
+        limits: PoolLimits,
         clock: Clock,
         pacers: Pacers,
         queue: mpsc::Sender<Message>,
     ) -> Self {
-        let limits = Limits {
+        let timeouts = Limits {
             dial: Duration::from_nanos(facts.connect_timeout_ns),
             idle: Duration::from_nanos(facts.idle_connection_timeout_ns).mul_f64(IDLE_PART),
         };
-        Fleet {
+        ConnectionPool {
             instances: HashMap::new(),
-            places: Arc::new(Semaphore::new(places)),
-            limits: Arc::new(limits),
+            places: Arc::new(Semaphore::new(limits.connections)),
+            limits: Arc::new(timeouts),
             load_fields: facts.policy.load_report_fields.as_slice().into(),
-            ahead: Arc::new(Semaphore::new(ahead)),
+            ahead: Arc::new(Semaphore::new(limits.prefetch_bytes)),
             clock,
             pacers,
             queue,
@@ -172,7 +180,7 @@
     }
 
     /// Closes idle connections to one instance.
-    pub(crate) fn close(&self, backend: &EndpointId) {
+    pub(crate) fn close_idle(&self, backend: &EndpointId) {
         self.instances
             .get(backend)
             .into_iter()
@@ -191,7 +199,7 @@
     }
 
     /// Idle connections.
-    pub(crate) fn idle(&self) -> usize {
+    pub(crate) fn idle_connections(&self) -> usize {
         self.instances.values().map(|i| i.state().idle.len()).sum()
     }
 
@@ -212,7 +220,7 @@
 
     /// Starts an attempt in a task of its own, which reports once. Dropping what comes back cancels it.
     pub(crate) fn start(&self, attempt: Attempt) -> Result<oneshot::Sender<()>, Attempt> {
-        let Some(instance) = self.instances.get(&attempt.backend) else {
+        let Some(instance) = self.instances.get(&attempt.endpoint) else {
             return Err(attempt);
         };
         // One that has been idle for long may be crossed by its end from over there, even before a sweep.
@@ -246,11 +254,11 @@
             let Attempt {
                 request,
                 number,
-                backend,
-                passed,
+                endpoint,
+                forwarded: passed,
                 until,
                 write_by,
-                again,
+                retry_until: again,
             } = attempt;
             let due = Due {
                 until,
@@ -280,7 +288,7 @@
             let mut ended = AttemptEnded {
                 request,
                 attempt: number,
-                endpoint: backend,
+                endpoint,
                 outcome: Outcome::TimedOut,
                 latency: started.elapsed(),
                 load_report: Vec::new(),
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -245,9 +245,12 @@
     let (queue, mut inbox) = mpsc::channel(8);
     let facts = crate::config::platform::Config::sample().facts;
     // No room to read ahead: passed on from its first piece.
-    let mut fleet = Fleet::new(
+    let mut pool = ConnectionPool::new(
         &facts,
-        (1, 0),
+        PoolLimits {
+            connections: 1,
+            prefetch_bytes: 0,
+        },
         Clock::start(),
         crate::server::slow_peers::none(),
         queue,
@@ -257,7 +260,7 @@
         state: EndpointState::Ready,
         ..Default::default()
     };
-    fleet.update(
+    pool.update(
         EndpointUpdateKind::Snapshot,
         &[EndpointEntry {
             endpoint: member,
@@ -269,13 +272,13 @@
     let attempt = Attempt {
         request,
         number: 0,
-        backend: "s-1".into(),
-        passed,
+        endpoint: "s-1".into(),
+        forwarded: passed,
         until,
         write_by: None,
-        again: None,
+        retry_until: None,
     };
-    let _cancel = fleet.start(attempt).ok().unwrap();
+    let _cancel = pool.start(attempt).ok().unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
     assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -298,9 +301,12 @@
     let (_listener, endpoint) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
     let facts = crate::config::platform::Config::sample().facts;
-    let mut fleet = Fleet::new(
+    let mut pool = ConnectionPool::new(
         &facts,
-        (1, 0),
+        PoolLimits {
+            connections: 1,
+            prefetch_bytes: 0,
+        },
         Clock::start(),
         crate::server::slow_peers::none(),
         queue,
@@ -310,7 +316,7 @@
         state: EndpointState::Ready,
         ..Default::default()
     };
-    fleet.update(
+    pool.update(
         EndpointUpdateKind::Snapshot,
         &[EndpointEntry {
             endpoint: member,
@@ -320,18 +326,18 @@
     let attempt = |number| Attempt {
         request: RequestId(7),
         number,
-        backend: "s-1".into(),
-        passed: Arc::new(passed()),
+        endpoint: "s-1".into(),
+        forwarded: Arc::new(passed()),
         until: Instant::now() + Duration::from_secs(30),
         write_by: None,
-        again: None,
+        retry_until: None,
     };
-    let cancel = fleet.start(attempt(0)).ok().unwrap();
-    assert!(fleet.start(attempt(1)).is_err());
+    let cancel = pool.start(attempt(0)).ok().unwrap();
+    assert!(pool.start(attempt(1)).is_err());
     drop(cancel);
     let Some(Message::AttemptEnded(ended)) = inbox.recv().await else {
         panic!("no report")
     };
     assert_eq!((ended.attempt, ended.outcome), (0, Outcome::Cancelled));
-    assert!(fleet.start(attempt(1)).is_ok());
+    assert!(pool.start(attempt(1)).is_ok());
 }
