--- /dev/null
+++ b/src/counting_io.rs
@@ -0,0 +1,95 @@
+//! A TCP stream with an observer of what is read from it and written to it.
+//!
+//! Owner: the hyper connection over the stream. Input and output: the stream's bytes, unchanged unless the observer's
+//! read says otherwise. Invariant: the observer is dropped before the stream, so it may refer to the stream's descriptor.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Sees each read and write of a [`CountingIo`].
+pub(crate) trait IoObserver: Unpin {
+    /// Reads from the stream, with whatever the observer does before and after that.
+    fn poll_read(
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>>;
+
+    /// Sees the result of a write: how many bytes the kernel took, or that it takes none now.
+    fn observe_write(&self, result: &Poll<io::Result<usize>>);
+}
+
+/// See the module's page.
+pub(crate) struct CountingIo<O> {
+    // Declared before the stream, so that it is dropped first.
+    observer: O,
+    stream: TcpStream,
+}
+
+impl<O: IoObserver> CountingIo<O> {
+    /// A stream of which nothing has been read.
+    pub(crate) fn new(stream: TcpStream, observer: O) -> Self {
+        CountingIo { observer, stream }
+    }
+
+    /// Drops the observer, then returns the stream.
+    pub(crate) fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// The observer.
+    #[cfg(test)]
+    pub(crate) fn observer(&self) -> &O {
+        &self.observer
+    }
+}
+
+impl<O: IoObserver> AsyncRead for CountingIo<O> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        this.observer.poll_read(&mut this.stream, context, buffer)
+    }
+}
+
+impl<O: IoObserver> AsyncWrite for CountingIo<O> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.observer.observe_write(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.observer.observe_write(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -11,7 +11,7 @@
 use super::timers::Timer;
 use super::Engine;
 use crate::server::response::ClientResponse;
-use crate::upstream::pool::Attempt;
+use crate::upstream::pool::{Attempt, AttemptDeadlines};
 
 /// Time before the client's deadline by which an attempt ends: its response still has to reach the client.
 const ATTEMPT_MARGIN_NS: u64 = 20_000_000;
@@ -122,9 +122,11 @@
             number,
             endpoint,
             forwarded: pending.forwarded.clone(),
-            until: self.clock.instant(until),
-            write_by: write_by.map(|by| self.clock.instant(by)),
-            retry_until: (number + 1 < max_attempts).then(|| self.clock.instant(latest)),
+            deadlines: AttemptDeadlines {
+                until: self.clock.instant(until),
+                write_by: write_by.map(|by| self.clock.instant(by)),
+                retry_until: (number + 1 < max_attempts).then(|| self.clock.instant(latest)),
+            },
         };
         let started = if allowed {
             self.pool.start(attempt)
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -264,7 +264,7 @@
                     self.schedule_zone_failover();
                 }
                 Timer::IdleSweep => {
-                    self.pool.sweep();
+                    self.pool.close_expired();
                     self.timers.schedule_idle_sweep(self.now);
                 }
                 Timer::Statistics => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,8 +8,10 @@
 mod admin;
 mod clock;
 mod config;
+mod counting_io;
 mod discovery;
 mod engine;
+mod headers;
 mod lifecycle;
 mod limits;
 mod logging;
--- a/src/resource_budget.rs
+++ b/src/resource_budget.rs
@@ -28,7 +28,7 @@
     }
 
     /// The places of service clients, those for saying no among them.
-    pub(crate) fn places(&self) -> Arc<Semaphore> {
+    pub(crate) fn permits(&self) -> Arc<Semaphore> {
         Arc::new(Semaphore::new(self.clients + self.spare))
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -107,7 +107,7 @@
         .map(Arc::new);
     let listener = match inherited {
         Some(socket) => shared_directory::listener(socket, &mut config.listen)?,
-        None => acceptor::bind(&mut config.listen)?,
+        None => acceptor::bind(&mut config.listen).map_err(|e| e.to_string())?,
     };
     let known = &config.known;
     let rev = (known.all && !known.targets.is_empty()).then_some(known.rev);
@@ -120,14 +120,17 @@
     }
     let (source, discovery, operator) = platform::Source::new(&config, operator, file);
     let budget = resource_budget::ConnectionBudget::new(config.sockets);
-    let places = budget.places();
+    let places = budget.permits();
     let table = registry::begin(&operator, &config, clock, queue.clone());
     let merged = !table.same_channel(&queue);
-    let pacers = slow_peers::lead(
+    let pacers = slow_peers::follow_settings(
         operator,
         clock,
         places.clone(),
-        (budget.clients, config.memory as u64),
+        slow_peers::Capacity {
+            connections: budget.clients,
+            memory_bytes: config.memory as u64,
+        },
     );
     let engine = engine::Engine::new(
         &config,
@@ -183,14 +186,17 @@
         drained,
         source,
     ));
-    let door = acceptor::Door::new(
+    let door = acceptor::Acceptor::new(
         &config,
-        clock,
-        places,
-        pacers,
-        queue,
-        (stages, is_listed),
-        successor,
+        acceptor::Dependencies {
+            clock,
+            permits: places,
+            pacers,
+            queue,
+            stages,
+            has_endpoint_list: is_listed,
+            successor,
+        },
     );
     match place {
         Some(place) => {
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -1,27 +1,17 @@
-//! The door: accepts service clients' connections and serves commands on them, within a budget.
+//! Accepts clients' connections within a budget, and starts a task for each.
+//!
+//! Owner: `serve`. Input: the listener, the stage of the shutdown, the role of this process. Output: connection tasks.
+//! Invariants: what the kernel accepted for this process is served before the listener closes, unless another process
+//! has taken over; the listener is used for one thing at a time; a connection's permit is given back once, with it.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
-
-use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::{kernel, lend, Pacer};
-use hyper::server::conn::http1;
-use hyper_util::rt::TokioIo;
-use hyper_util::service::TowerToHyperService;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use applewall_admin::Stage;
+use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
@@ -30,167 +20,214 @@
 use crate::engine::message::Message;
 use crate::lifecycle::process_role::{Role, Stopping, Successor};
 use crate::resource_budget::ConnectionBudget;
-use crate::server::connection_table::{Paced, Seat, Seats};
-use crate::server::framing::Guarded;
-use crate::server::request::{Commands, Gate};
+use crate::server::connection_table::{ConnectionTable, MonitoredTransfer, NewConnections};
+use crate::server::connection_task;
+use crate::server::framing::{GuardedStream, RequestGuard};
+use crate::server::service::{RequestService, ServerContext};
 use crate::server::slow_peers::Pacers;
-use applewall_admin::Stage;
 
-/// Connections that the kernel holds for us at most.
+/// Most connections that the kernel holds for this process: a burst of all clients at a restart fits.
 const BACKLOG: u32 = 1024;
-/// A head has to begin this long after the connection came up or the last answer went out, and to be whole this long
-/// after its first byte: those that are silent, or slower, hold no place for ever.
-const HEAD: Duration = Duration::from_millis(2_500);
-/// A new connection is not taken for a silent one before this: its first command is on its way.
-const GRACE: Duration = Duration::from_millis(250);
-/// A head, and what is read ahead of a body, hold this at most.
-const HEAD_MOST: usize = 16 * 1024;
-/// How long, and for how many bytes, a connection stays open for the service client to read why it is closed.
-const LINGER: (Duration, usize) = (Duration::from_millis(500), 512 * 1024);
-/// Wait after an error of `accept`, so that a lasting one does not spin.
-const PAUSE: Duration = Duration::from_millis(20);
-/// Part of the memory that the bodies of waiting commands may hold together.
-const BODIES_PART: usize = 8;
+/// A new connection is not evicted as idle before this: its first request is on its way.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
+/// Wait after an error of `accept`, so that a lasting one does not use up the CPU.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// The bodies of all waiting requests may take the configured memory divided by this.
+const BODY_MEMORY_DIVISOR: usize = 8;
+
+/// The clients' address could not be bound.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot listen on {address}: {source}")]
+pub(crate) struct BindError {
+    address: SocketAddr,
+    source: io::Error,
+}
 
-/// Listens; where the port was left open, the address is put right.
-pub(crate) fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
-    listen(address, BACKLOG).map_err(|e| format!("cannot listen on {address}: {e}"))
+/// Listens for clients; a port that was left open is filled in.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub(crate) fn bind(address: &mut SocketAddr) -> Result<TcpListener, BindError> {
+    listen(address, BACKLOG).map_err(|source| BindError {
+        address: *address,
+        source,
+    })
 }
 
-/// The same, with room for so many connections that are not accepted yet.
+/// Listens with room for so many connections that are not accepted yet; a port that was left open is filled in.
+///
+/// # Errors
+///
+/// The address can't be bound.
 pub(crate) fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
         TcpSocket::new_v6()?
     };
-    // The address is ours again right after a restart.
+    // The address can be bound again right after a restart.
     socket.set_reuseaddr(true)?;
     socket.bind(*address)?;
     *address = socket.local_addr()?;
     socket.listen(backlog)
 }
 
-/// The door and its budget of connections.
-pub(crate) struct Door {
+/// The parts of the program that the acceptor works with.
+pub(crate) struct Dependencies {
+    /// The engine's clock.
+    pub clock: Clock,
+    /// One permit for each connection of a client, those that only reject among them.
+    pub permits: Arc<Semaphore>,
+    /// Slow-peer protection.
+    pub pacers: Pacers,
+    /// The engine's queue.
+    pub queue: mpsc::Sender<Message>,
+    /// The stage of the shutdown.
+    pub stages: watch::Receiver<Stage>,
+    /// True once there is an endpoint list to decide from.
+    pub has_endpoint_list: watch::Receiver<bool>,
+    /// The process that takes over from this one.
+    pub successor: Successor,
+}
+
+/// See the module's page.
+pub(crate) struct Acceptor {
     role: watch::Receiver<Role>,
     stopping: Arc<OnceLock<Stopping>>,
-    gate: Arc<Gate>,
+    context: Arc<ServerContext>,
     stages: watch::Receiver<Stage>,
-    places: Arc<Semaphore>,
-    seats: Arc<Seats>,
+    permits: Arc<Semaphore>,
+    table: Arc<ConnectionTable>,
     budget: ConnectionBudget,
+    /// New connections are being rejected, and that was logged.
     shedding: AtomicBool,
     pacers: Pacers,
 }
 
-impl Door {
-    /// A door that has let nobody in.
-    pub(crate) fn new(
-        config: &Config,
-        clock: Clock,
-        places: Arc<Semaphore>,
-        pacers: Pacers,
-        queue: mpsc::Sender<Message>,
-        (stages, listed): (watch::Receiver<Stage>, watch::Receiver<bool>),
-        successor: Successor,
-    ) -> Self {
-        let budget = ConnectionBudget::new(config.sockets);
-        let gate = Gate {
-            facts: config.facts.clone(),
+/// A new connection as slow-peer protection knows it.
+struct MonitorEntry {
+    pacer: Arc<Pacer>,
+    ticket: Ticket,
+}
+
+impl Acceptor {
+    /// An acceptor without connections.
+    pub(crate) fn new(config: &Config, dependencies: Dependencies) -> Self {
+        let Dependencies {
+            clock,
+            permits,
+            pacers,
+            queue,
+            stages,
+            has_endpoint_list,
+            successor,
+        } = dependencies;
+        let context = ServerContext {
+            settings: config.facts.clone(),
             queue,
             stages: stages.clone(),
-            listed,
+            has_endpoint_list,
             serials: AtomicU64::new(0),
-            bodies: Arc::new(Semaphore::new(config.memory / BODIES_PART)),
+            body_permits: Arc::new(Semaphore::new(config.memory / BODY_MEMORY_DIVISOR)),
             clock,
             successor: successor.clone(),
         };
-        Door {
+        Acceptor {
             role: successor.role,
             stopping: successor.stopping,
-            gate: Arc::new(gate),
+            context: Arc::new(context),
             stages,
-            places,
-            seats: Arc::default(),
-            budget,
+            permits,
+            table: Arc::default(),
+            budget: ConnectionBudget::new(config.sockets),
             shedding: AtomicBool::new(false),
             pacers,
         }
     }
 
-    /// Serves until the program is to end and all that was taken is answered.
+    /// Serves until the process is to end and everything that was accepted has its response.
     pub(crate) async fn serve(self, listener: TcpListener) {
         let mut stages = self.stages.clone();
         let all = (self.budget.clients + self.budget.spare) as u32;
         tokio::select! {
             () = self.accept(&listener) => {}
-            _ = stages.wait_for(|s| *s == Stage::Closing) => {}
-            () = self.emptied(all) => {}
+            _ = stages.wait_for(|stage| *stage == Stage::Closing) => {}
+            () = self.emptied_while_staying(all) => {}
         }
         let ends = self
             .stopping
             .get()
             .map_or_else(Instant::now, |stopping| stopping.ends);
         match *self.role.borrow() {
+            // The kernel's queue belongs to the other process.
             Role::Succeeded => drop(listener),
             _ => self.accept_waiting(listener, ends).await,
         }
-        let all = self.places.acquire_many(all);
+        let all = self.permits.acquire_many(all);
         if tokio::time::timeout_at(ends.into(), all).await.is_err() {
             tracing::warn!("ended with connections still open");
         }
     }
 
-    /// Ends once this process was told to stop, another took over, and no connection is left.
-    async fn emptied(&self, all: u32) {
+    /// Ends once this process was told to stop, another one took over, and no connection is left.
+    async fn emptied_while_staying(&self, all: u32) {
         let mut stages = self.stages.clone();
-        let _ = stages.wait_for(|s| *s == Stage::Staying).await;
-        let _ = self.places.acquire_many(all).await;
+        // Neither the stages nor the permits are ever closed; if they were, nothing would be left to wait for.
+        let _ = stages.wait_for(|stage| *stage == Stage::Staying).await;
+        let _ = self.permits.acquire_many(all).await;
     }
 
     async fn accept(&self, listener: &TcpListener) {
-        let (mut failing, mut pacers) = (false, self.pacers.clone());
+        let (mut is_failing, mut pacers) = (false, self.pacers.clone());
         let mut role = self.role.clone();
         pacers.mark_changed();
         loop {
-            // Whoever comes is the other process's, for as long as that lives.
-            if role.wait_for(|r| *r != Role::Succeeded).await.is_err() {
+            // New connections belong to the other process, for as long as that runs.
+            if role
+                .wait_for(|role| *role != Role::Succeeded)
+                .await
+                .is_err()
+            {
                 return;
             }
             if pacers.has_changed().unwrap_or(false) {
-                self.bound(listener, pacers.borrow_and_update().as_ref());
+                bound_kernel_buffers(listener, pacers.borrow_and_update().as_ref());
             }
-            // No place at all: the longest silent goes, for whoever waits in the backlog.
-            if self.places.available_permits() == 0 {
-                self.make_room(Duration::ZERO);
-            }
-            let Ok(place) = self.places.clone().acquire_owned().await else {
+            let Some(permit) = self.acquire_permit().await else {
                 return;
             };
             let accepted = tokio::select! {
                 biased;
-                Ok(_) = role.wait_for(|r| *r == Role::Succeeded) => continue,
+                Ok(_) = role.wait_for(|role| *role == Role::Succeeded) => continue,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
                 Ok((stream, address)) => {
-                    failing = false;
-                    self.serve_connection(stream, address, place);
+                    is_failing = false;
+                    self.serve_connection(stream, address, permit);
                 }
-                Err(e) => {
+                Err(error) => {
                     // Once a spell: a lasting error must not flood the log.
-                    if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!("accept: {e}");
+                    if !std::mem::replace(&mut is_failing, true) {
+                        tracing::warn!("accept: {error}");
                     }
-                    tokio::time::sleep(PAUSE).await;
+                    tokio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             }
         }
     }
 
-    /// What the kernel has accepted counts as taken: none of it may be left behind with the listener. The kernel itself
-    /// is asked, as the reactor may not have told yet of the last ones; and whoever finds no place waits for one.
+    /// A permit for the next connection; where all are taken, the connection that is idle longest is evicted for it.
+    async fn acquire_permit(&self) -> Option<OwnedSemaphorePermit> {
+        if self.permits.available_permits() == 0 {
+            self.evict_one(Duration::ZERO);
+        }
+        self.permits.clone().acquire_owned().await.ok()
+    }
+
+    /// Serves what the kernel has accepted: none of it may be lost with the listener. The kernel itself is asked, as the
+    /// reactor may not know yet of the last ones; a connection without a permit waits for one.
     async fn accept_waiting(&self, listener: TcpListener, ends: Instant) {
         let Ok(listener) = listener.into_std() else {
             return;
@@ -198,199 +235,132 @@
         loop {
             let (stream, address) = match listener.accept() {
                 Ok(accepted) => accepted,
-                Err(e)
-                    if matches!(
-                        e.kind(),
-                        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
-                    ) =>
-                {
-                    continue;
-                }
+                Err(error) if is_about_one_connection(&error) => continue,
                 Err(_) => return,
             };
-            if self.places.available_permits() == 0 {
-                self.make_room(Duration::ZERO);
-            }
-            let place = tokio::time::timeout_at(ends.into(), self.places.clone().acquire_owned());
-            let Ok(Ok(place)) = place.await else { return };
-            if let Ok(stream) = stream
+            let permit = tokio::time::timeout_at(ends.into(), self.acquire_permit());
+            let Ok(Some(permit)) = permit.await else {
+                return;
+            };
+            let stream = stream
                 .set_nonblocking(true)
-                .and_then(|()| TcpStream::from_std(stream))
-            {
-                self.serve_connection(stream, address, place);
+                .and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = stream {
+                self.serve_connection(stream, address, permit);
             }
         }
     }
 
-    /// What the kernel takes of answers is bounded by the listener, for all connections that come from now on.
-    fn bound(&self, listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
-        let Some(settings) = pacer.map(|p| p.settings()).filter(|s| s.enabled.0) else {
-            return;
-        };
-        let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
-        if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
-            tracing::warn!("pace: cannot bound what the kernel holds of answers: {e}");
-        }
-    }
-
-    /// The longest silent goes; where nobody is silent, the worst of those that do not read what they asked for.
-    fn make_room(&self, grace: Duration) -> bool {
-        let now = self.gate.clock.now();
+    /// Evicts the connection that is idle longest; where none is idle, slow-peer protection aborts the worst of those
+    /// that do not read what they asked for.
+    fn evict_one(&self, grace: Duration) -> bool {
+        let now = self.context.clock.now();
         let pacer = self.pacers.borrow().clone();
-        // Before a newcomer whose first command is on its way.
+        // Before a new connection whose first request is on its way.
         if let Some(pacer) = pacer {
-            if self.seats.make_room_of(GRACE, now, false) || pacer.make_place(now) {
+            let stay = NewConnections::Stay;
+            if self.table.evict_idle(FIRST_REQUEST_GRACE, now, stay) || pacer.make_place(now) {
                 return true;
             }
         }
-        self.seats.make_room(grace, now)
+        self.table
+            .evict_idle(grace, now, NewConnections::MayBeEvicted)
     }
 
     fn serve_connection(
         &self,
         stream: TcpStream,
         address: SocketAddr,
-        place: OwnedSemaphorePermit,
+        permit: OwnedSemaphorePermit,
     ) {
+        // Without it responses are only slower.
         let _ = stream.set_nodelay(true);
-        let cut = Arc::new(Notify::new());
-        let ticket = self.pacers.borrow().as_ref().map(|pacer| {
-            let told = cut.clone();
-            // SAFETY: the ticket goes into `Guarded`, which drops it before the stream and never moves the stream
-            // out without dropping it.
-            let socket = unsafe { lend(&stream) };
-            (
-                pacer.clone(),
-                pacer.join(self.gate.clock.now(), address.ip(), socket, move || {
-                    told.notify_one();
-                }),
-            )
-        });
-        let taken = self.budget.clients + self.budget.spare - self.places.available_permits();
-        // Service clients that hold all that they may open no more, and would have to turn requests away: the
-        // silent go before that. Nobody silent left, the spare places are for saying no: a connection that is
-        // not accepted would only hang.
-        let room = taken > self.budget.clients * 3 / 4 && self.make_room(GRACE);
-        let crowded = taken > self.budget.clients;
-        // One whose set of addresses holds its share already gets one of the places for saying no.
-        let placed = ticket.as_ref().is_none_or(|(_, ticket)| ticket.placed());
-        let shed = crowded && !room || !placed;
-        // Once a spell: it ends when there is room again.
-        if shed && placed && !self.shedding.swap(true, Ordering::Relaxed) {
-            let most = self.budget.clients;
-            tracing::warn!(
-                "crowded: {most} connections with a command open; turning newcomers away"
-            );
-        } else if !crowded {
-            self.shedding.store(false, Ordering::Relaxed);
-        }
-        let (paced, ticket) = match ticket {
-            Some((pacer, ticket)) => (
-                Some(Paced {
+        let aborted = Arc::new(Notify::new());
+        let monitor = self.join_monitor(&stream, address, &aborted);
+        let shed = self.decide_shedding(monitor.as_ref());
+        let (monitored, ticket) = match monitor {
+            Some(MonitorEntry { pacer, ticket }) => {
+                let monitored = MonitoredTransfer {
                     pacer,
                     id: ticket.id(),
                     peer: ticket.peer(),
-                }),
-                Some(ticket),
-            ),
+                };
+                (Some(monitored), Some(ticket))
+            }
             None => (None, None),
         };
-        let seat = self.seats.sit(place, cut, paced);
-        let commands = Commands {
-            gate: self.gate.clone(),
+        let connection = self.table.insert(permit, aborted, monitored);
+        let stream = GuardedStream::new(stream, RequestGuard::new(connection.clone(), ticket));
+        let service = RequestService {
+            context: self.context.clone(),
             shed,
-            seat: seat.clone(),
-        };
-        let mut connection = http1::Builder::new()
-            .header_read_timeout(None)
-            .max_buf_size(HEAD_MOST)
-            .serve_connection(
-                TokioIo::new(Guarded::new(stream, seat.clone(), ticket)),
-                TowerToHyperService::new(commands),
-            );
-        let mut stages = self.stages.clone();
-        let cut = seat.cut.clone();
-        let serve = async move {
-            let ended = tokio::select! {
-                biased;
-                ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
-                () = seat.go.notified() => None,
-                () = seat.silent(HEAD) => {
-                    if seat.halfway() {
-                        return;
-                    }
-                    None
-                }
-                () = going(&mut stages, &seat) => None,
-            };
-            let ended = match ended {
-                Some(ended) => ended,
-                // hyper would wait for the first command of a connection that has had none.
-                None if !seat.asked() => return,
-                None => {
-                    Pin::new(&mut connection).graceful_shutdown();
-                    poll_fn(|cx| connection.poll_without_shutdown(cx)).await
-                }
-            };
-            // Closing with something unread resets the connection, and could take the answer with it.
-            if seat.unread() || ended.is_err_and(|e| e.is_parse() || e.is_parse_too_large()) {
-                seat.wait();
-                tokio::select! {
-                    () = linger(connection.into_parts().io.into_inner().stream) => {}
-                    () = seat.go.notified() => {}
-                }
-            }
+            connection,
         };
-        tokio::spawn(async move {
-            // Cut: whatever is still to be written goes with the connection.
-            tokio::select! {
-                biased;
-                () = cut.notified() => {}
-                () = serve => {}
-            }
-        });
+        // Owned by the permit: `serve` ends once all permits are back, or the time of the shutdown is over.
+        tokio::spawn(connection_task::serve(stream, service, self.stages.clone()));
     }
-}
 
-/// Waits until the connection has to go, where it is idle. Drained, one that has not asked yet stays for its one
-/// command, and for as long as a head may take; one whose head is half here goes with the answer to that.
-async fn going(stages: &mut watch::Receiver<Stage>, seat: &Seat) {
-    loop {
-        let stage = *stages.borrow_and_update();
-        let idle = match stage {
-            Stage::Closing => !seat.halfway(),
-            Stage::Drained => seat.asked() && !seat.halfway(),
-            _ => false,
-        };
-        if idle {
-            return;
-        }
-        if matches!(stage, Stage::Closing | Stage::Drained) {
-            // Its answer, or the time that a head has, ends it.
-            let _ = stages.wait_for(|s| *s != stage).await;
-        } else if stages.changed().await.is_err() {
-            std::future::pending::<()>().await;
+    /// Registers a new connection with slow-peer protection, where that is on.
+    fn join_monitor(
+        &self,
+        stream: &TcpStream,
+        address: SocketAddr,
+        aborted: &Arc<Notify>,
+    ) -> Option<MonitorEntry> {
+        let pacer = self.pacers.borrow().as_ref()?.clone();
+        let aborted = aborted.clone();
+        // SAFETY: the ticket goes into `RequestGuard`, which `CountingIo` drops before the stream, and before it returns
+        // the stream.
+        let socket = unsafe { lend(stream) };
+        let now = self.context.clock.now();
+        let ticket = pacer.join(now, address.ip(), socket, move || aborted.notify_one());
+        Some(MonitorEntry { pacer, ticket })
+    }
+
+    /// Whether a new connection gets nothing but rejections.
+    fn decide_shedding(&self, monitor: Option<&MonitorEntry>) -> bool {
+        let max = self.budget.clients;
+        let taken = max + self.budget.spare - self.permits.available_permits();
+        // Clients that hold all connections that they may open no more, and would have to turn requests away: idle ones
+        // are evicted before that. Without any, the spare permits are for rejecting: a connection that is not accepted
+        // would only hang.
+        let evicted = taken > max * 3 / 4 && self.evict_one(FIRST_REQUEST_GRACE);
+        let is_crowded = taken > max;
+        // A connection whose network has its share already gets one of the permits for rejecting.
+        let has_place = monitor.is_none_or(|monitor| monitor.ticket.placed());
+        let shed = is_crowded && !evicted || !has_place;
+        // Once a spell, which ends when there is capacity again.
+        if shed && has_place && !self.shedding.swap(true, Ordering::Relaxed) {
+            tracing::warn!(
+                "crowded: {max} connections with a command open; turning newcomers away"
+            );
+        } else if !is_crowded {
+            self.shedding.store(false, Ordering::Relaxed);
         }
+        shed
     }
 }
 
-/// Says that nothing more comes, and passes over what still does: for a while, and not much of it.
-async fn linger(mut stream: TcpStream) {
-    let (time, most) = LINGER;
-    let pass_over = async {
-        stream.shutdown().await?;
-        let mut left = most;
-        let mut buffer = vec![0; HEAD_MOST];
-        loop {
-            match stream.read(&mut buffer).await? {
-                0 => return Ok::<_, io::Error>(()),
-                n if n < left => left -= n,
-                // Enough read; what the service client is told still needs its time to get there.
-                _ => std::future::pending().await,
-            }
-        }
+/// True for an error of `accept` that is about one connection and not about the listener.
+fn is_about_one_connection(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
+    )
+}
+
+/// Bounds what the kernel buffers of responses, by the listener, for all connections that are accepted from now on.
+fn bound_kernel_buffers(listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
+    let settings = pacer
+        .map(|pacer| pacer.settings())
+        .filter(|settings| settings.enabled.0);
+    let Some(settings) = settings else {
+        return;
     };
-    let _ = tokio::time::timeout(time, pass_over).await;
+    let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
+    if let Err(error) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
+        tracing::warn!("pace: cannot bound what the kernel holds of answers: {error}");
+    }
 }
 
 #[cfg(test)]
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -1,35 +1,38 @@
 use super::*;
+use crate::server::connection_table::ClientConnection;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-fn door() -> Door {
+fn acceptor() -> Acceptor {
     let mut config = Config::sample();
     config.sockets = 64;
     let (queue, _) = mpsc::channel(8);
     let (stage, stages) = watch::channel(Stage::Serving);
-    // Whoever leads through the stages does so for as long as the program runs.
+    // Whatever drives the stages does so for as long as the program runs.
     std::mem::forget(stage);
-    let places = ConnectionBudget::new(config.sockets).places();
+    let permits = ConnectionBudget::new(config.sockets).permits();
     let (role, follower) = watch::channel(Role::Sole);
     std::mem::forget(role);
     let successor = Successor {
         role: follower,
         stopping: Arc::default(),
     };
-    Door::new(
-        &config,
-        Clock::start(),
-        places,
-        crate::server::slow_peers::none(),
+    let dependencies = Dependencies {
+        clock: Clock::start(),
+        permits,
+        pacers: crate::server::slow_peers::none(),
         queue,
-        (stages, watch::channel(true).1),
+        stages,
+        has_endpoint_list: watch::channel(true).1,
         successor,
-    )
+    };
+    Acceptor::new(&config, dependencies)
 }
 
-impl Door {
-    fn sit(&self, many: usize) -> Vec<Arc<Seat>> {
-        let place = || self.places.clone().try_acquire_owned().expect("a place");
+impl Acceptor {
+    fn insert(&self, many: usize) -> Vec<Arc<ClientConnection>> {
+        let permit = || self.permits.clone().try_acquire_owned().expect("a permit");
         (0..many)
-            .map(|_| self.seats.sit(place(), Arc::default(), None))
+            .map(|_| self.table.insert(permit(), Arc::default(), None))
             .collect()
     }
 
@@ -38,49 +41,50 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let client = TcpStream::connect(listener.local_addr().expect("an address"));
         let (client, accepted) = tokio::join!(client, listener.accept());
-        let place = self.places.clone().try_acquire_owned().expect("a place");
+        let permit = self.permits.clone().try_acquire_owned().expect("a permit");
         let (stream, address) = accepted.expect("a connection");
-        self.serve_connection(stream, address, place);
+        self.serve_connection(stream, address, permit);
         client.expect("a connection")
     }
 }
 
 #[tokio::test]
-async fn the_silent_go_before_service_clients_hold_all_that_they_may() {
-    let door = door();
-    let mut silent = door.sit(door.budget.clients * 3 / 4);
-    silent[1].begin();
-    silent[1].wait();
-    let _client = door.connection().await;
-    // The first ones are as new as that one: who has asked, and is silent, goes before them.
-    let gone = silent.remove(1);
-    let gone = tokio::time::timeout(Duration::from_secs(30), gone.go.notified()).await;
+async fn idle_connections_are_evicted_before_all_permits_are_taken() {
+    let acceptor = acceptor();
+    let mut idle = acceptor.insert(acceptor.budget.clients * 3 / 4);
+    idle[1].begin_request();
+    idle[1].await_request();
+    let _client = acceptor.connection().await;
+    // The others are as new as that one: an idle one that had a request is evicted before them.
+    let evicted = idle.remove(1);
+    let evicted = tokio::time::timeout(Duration::from_secs(30), evicted.evicted.notified()).await;
     assert!(
-        gone.is_ok(),
-        "all that sit may stay until there is no place left"
+        evicted.is_ok(),
+        "all idle connections stay until there is no permit left"
     );
 }
 
 #[tokio::test]
-async fn where_all_that_have_a_place_ask_the_next_one_is_told_no_at_once() {
-    let door = door();
-    let busy = door.sit(door.budget.clients);
-    busy.iter().for_each(|seat| seat.begin());
-    let (mut client, mut answer) = (door.connection().await, String::new());
+async fn new_connection_is_rejected_at_once_if_all_others_are_busy() {
+    let acceptor = acceptor();
+    let busy = acceptor.insert(acceptor.budget.clients);
+    busy.iter()
+        .for_each(|connection| connection.begin_request());
+    let (mut client, mut response) = (acceptor.connection().await, String::new());
     client
         .write_all(b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n")
         .await
         .expect("written");
     client
-        .read_to_string(&mut answer)
+        .read_to_string(&mut response)
         .await
         .expect("an answer and the end");
     assert!(
-        answer.starts_with("HTTP/1.1 503 ") && answer.contains("retry-after: 0.200\r\n"),
-        "{answer}"
+        response.starts_with("HTTP/1.1 503 ") && response.contains("retry-after: 0.200\r\n"),
+        "{response}"
     );
-    // Its place comes back.
-    let spare = door.places.acquire_many(door.budget.spare as u32);
+    // Its permit is given back.
+    let spare = acceptor.permits.acquire_many(acceptor.budget.spare as u32);
     drop(
         tokio::time::timeout(Duration::from_secs(30), spare)
             .await
@@ -91,17 +95,19 @@
 
 /// Three that the kernel accepted, of which the reactor knows nothing: nothing is awaited in between.
 #[tokio::test]
-async fn whoever_came_before_the_listener_went_is_served_also_where_no_place_is_free_at_first() {
+async fn connection_accepted_by_the_kernel_is_served_after_the_listener_closes_even_without_a_free_permit(
+) {
     for crowded in [false, true] {
-        let door = door();
+        let acceptor = acceptor();
         let mut address = "127.0.0.1:0".parse().expect("an address");
         let listener = listen(&mut address, 16).expect("a listener");
         let mut clients: Vec<_> = (0..3)
             .map(|_| std::net::TcpStream::connect(address).expect("accepted by the kernel"))
             .collect();
-        let all = (door.budget.clients + door.budget.spare) as u32;
+        let all = (acceptor.budget.clients + acceptor.budget.spare) as u32;
         let held = crowded.then(|| {
-            door.places
+            acceptor
+                .permits
                 .clone()
                 .try_acquire_many_owned(all)
                 .expect("free")
@@ -111,7 +117,7 @@
             tokio::task::yield_now().await;
             drop(held);
         };
-        tokio::join!(door.accept_waiting(listener, ends), frees);
+        tokio::join!(acceptor.accept_waiting(listener, ends), frees);
         assert!(
             std::net::TcpStream::connect(address).is_err(),
             "the listener has gone"
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -1,10 +1,10 @@
-//! Who sits where: the connections of service clients that wait for a command, in the order in which they have to
-//! go when places are short.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! The clients' connections, and those among them that await a request, in the order in which they are evicted when
+//! permits are short.
+//!
+//! Owner: the acceptor owns the table; a connection's task and its request service share a [`ClientConnection`]. Input:
+//! what the connection reads and writes. Output: notifications to close. Invariants: a connection is in the table
+//! exactly while it awaits a request; its permit is given back once, when it is dropped. The flags of a connection are
+//! independent of each other and only read on its own path, so relaxed ordering is enough.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -16,16 +16,19 @@
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
-/// Where the answers on a connection are looked at: by whom, and as what.
-pub struct Paced {
+/// A connection as slow-peer protection knows it.
+pub(crate) struct MonitoredTransfer {
+    /// Where its responses are monitored.
     pub pacer: Arc<Pacer>,
+    /// Its id there.
     pub id: Id,
+    /// The network that it comes from, where that counts.
     pub peer: Option<IpNet>,
 }
 
-impl Paced {
-    /// On whose behalf an answer to a customer is held here.
-    pub fn holder(&self, customer: Option<u64>) -> Holder {
+impl MonitoredTransfer {
+    /// On whose behalf a response to a customer takes memory here.
+    pub(crate) fn holder(&self, customer: Option<u64>) -> Holder {
         Holder {
             customer,
             peer: self.peer,
@@ -33,239 +36,297 @@
     }
 }
 
-/// One connection of a service client. Its place in the budget comes back when it is dropped.
-pub struct Seat {
-    seats: Arc<Seats>,
-    /// The time of its last turn to wait, in turns of all; 0 while a command is open on it.
-    turn: AtomicU64,
-    asked: AtomicBool,
-    unread: AtomicBool,
-    halfway: AtomicBool,
-    /// Something waits for room to be written.
-    blocked: AtomicBool,
-    /// When it was last heard, or answered, in nanoseconds since the seats were set up.
-    since: AtomicU64,
-    distrusted: AtomicBool,
-    /// A command of it has been read whole and has no answer yet.
-    answering: AtomicBool,
-    /// Told when the connection has to go.
-    pub go: Notify,
-    /// Told when it has to go at once, with whatever still waits on it.
-    pub cut: Arc<Notify>,
-    pub paced: Option<Paced>,
-    _place: OwnedSemaphorePermit,
+/// One connection of a client. Its permit is given back when it is dropped.
+pub(crate) struct ClientConnection {
+    table: Arc<ConnectionTable>,
+    /// Its position in the table; 0 while it does not await a request.
+    position: AtomicU64,
+    has_begun_request: AtomicBool,
+    has_unread_input: AtomicBool,
+    reading_head: AtomicBool,
+    /// Output waits for the kernel to take it.
+    write_blocked: AtomicBool,
+    /// When its idle time began, in nanoseconds since the table was set up.
+    idle_since_ns: AtomicU64,
+    quarantined: AtomicBool,
+    /// A request was read whole and has no response yet.
+    awaiting_response: AtomicBool,
+    /// Notified to close the connection, after output that is under way.
+    pub evicted: Notify,
+    /// Notified to close the connection immediately, discarding unwritten output.
+    pub aborted: Arc<Notify>,
+    /// `None` where slow-peer protection is off.
+    pub monitored: Option<MonitoredTransfer>,
+    _permit: OwnedSemaphorePermit,
 }
 
-impl Seat {
-    /// A command has begun.
-    pub fn begin(&self) {
-        self.asked.store(true, Ordering::Relaxed);
-        self.stand_up();
+impl ClientConnection {
+    /// A request begins: the connection no longer awaits one.
+    pub(crate) fn begin_request(&self) {
+        self.has_begun_request.store(true, Ordering::Relaxed);
+        self.leave_table();
     }
 
-    /// The command is whole: until its answer is known, what comes is not to be read as part of it.
-    pub fn answering(&self) {
-        self.answering.store(true, Ordering::Relaxed);
+    /// The request was read whole: until its response is known, what is received is not read as part of it.
+    pub(crate) fn await_response(&self) {
+        self.awaiting_response.store(true, Ordering::Relaxed);
     }
 
-    /// True between [`Seat::answering`] and [`Seat::wait`].
-    pub fn is_answering(&self) -> bool {
-        self.answering.load(Ordering::Relaxed)
+    /// True between [`ClientConnection::await_response`] and [`ClientConnection::await_request`].
+    pub(crate) fn is_awaiting_response(&self) -> bool {
+        self.awaiting_response.load(Ordering::Relaxed)
     }
 
-    /// The answer is known: from now on the connection may have to go.
-    pub fn wait(self: &Arc<Self>) {
-        self.answering.store(false, Ordering::Relaxed);
-        let mut waiting = self.seats.lock();
-        waiting.turn += 1;
-        let turn = waiting.turn;
-        self.turn.store(turn, Ordering::Relaxed);
-        self.touch();
-        waiting
-            .seats
-            .insert((self.asked(), turn), (Arc::downgrade(self), Instant::now()));
+    /// The response is known: the connection awaits its next request, and may be evicted.
+    pub(crate) fn await_request(self: &Arc<Self>) {
+        self.awaiting_response.store(false, Ordering::Relaxed);
+        let mut awaiting = self.table.lock();
+        awaiting.last_position += 1;
+        let position = awaiting.last_position;
+        self.position.store(position, Ordering::Relaxed);
+        self.restart_idle_time();
+        let key = EvictionKey {
+            has_begun_request: self.has_begun_request(),
+            position,
+        };
+        let entry = AwaitingConnection {
+            connection: Arc::downgrade(self),
+            since: Instant::now(),
+        };
+        awaiting.connections.insert(key, entry);
     }
 
-    /// It waits no more.
-    fn stand_up(&self) {
-        let turn = self.turn.swap(0, Ordering::Relaxed);
-        if turn > 0 {
-            let mut waiting = self.seats.lock();
-            // Not under the other key that it may have had meanwhile: turns are given once.
-            waiting.seats.remove(&(false, turn));
-            waiting.seats.remove(&(true, turn));
+    fn leave_table(&self) {
+        let position = self.position.swap(0, Ordering::Relaxed);
+        if position == 0 {
+            return;
+        }
+        let mut awaiting = self.table.lock();
+        // Under both keys: the flag may have been set since it was inserted. Positions are given once, so nothing else
+        // is removed.
+        for has_begun_request in [false, true] {
+            awaiting.connections.remove(&EvictionKey {
+                has_begun_request,
+                position,
+            });
         }
     }
 
-    /// True once a command has begun on it.
-    pub fn asked(&self) -> bool {
-        self.asked.load(Ordering::Relaxed)
+    /// True once a request has begun on it.
+    pub(crate) fn has_begun_request(&self) -> bool {
+        self.has_begun_request.load(Ordering::Relaxed)
     }
 
-    /// Notes whether part of a head has been read, and not its end.
-    pub fn reading(&self, halfway: bool) {
-        if self.halfway.swap(halfway, Ordering::Relaxed) != halfway {
-            self.touch();
+    /// Notes whether part of a head was read, and not its end.
+    pub(crate) fn set_reading_head(&self, reading_head: bool) {
+        if self.reading_head.swap(reading_head, Ordering::Relaxed) != reading_head {
+            self.restart_idle_time();
         }
     }
 
-    /// Notes whether something waits for room to be written.
-    pub fn writing(&self, blocked: bool) {
-        self.blocked.store(blocked, Ordering::Relaxed);
+    /// Notes whether output waits for the kernel to take it.
+    pub(crate) fn set_write_blocked(&self, write_blocked: bool) {
+        self.write_blocked.store(write_blocked, Ordering::Relaxed);
     }
 
-    /// From here on its silence counts.
-    fn touch(&self) {
-        let since = self.seats.origin.elapsed().as_nanos() as u64;
-        self.since.store(since, Ordering::Relaxed);
+    fn restart_idle_time(&self) {
+        let now = self.table.origin.elapsed().as_nanos() as u64;
+        self.idle_since_ns.store(now, Ordering::Relaxed);
     }
 
-    /// Ends once the connection has been silent for so long, or half way through a head. The two are told apart: the
-    /// time of a head counts from its first byte.
-    pub async fn silent(&self, most: Duration) {
+    /// Ends once the connection has awaited a request for so long, or the rest of a head. The two are separate: the time
+    /// of a head counts from its first byte.
+    pub(crate) async fn idle_for(&self, limit: Duration) {
         loop {
-            let since = self.since.load(Ordering::Relaxed);
-            tokio::time::sleep_until(
-                (self.seats.origin + Duration::from_nanos(since) + most).into(),
-            )
-            .await;
-            if self.since.load(Ordering::Relaxed) != since {
+            let since = self.idle_since_ns.load(Ordering::Relaxed);
+            let ends = self.table.origin + Duration::from_nanos(since) + limit;
+            tokio::time::sleep_until(ends.into()).await;
+            if self.idle_since_ns.load(Ordering::Relaxed) != since {
                 continue;
             }
-            let waits = self.turn.load(Ordering::Relaxed) > 0;
-            if waits && !self.blocked.load(Ordering::Relaxed) {
+            let awaits_request = self.position.load(Ordering::Relaxed) > 0;
+            if awaits_request && !self.write_blocked.load(Ordering::Relaxed) {
                 return;
             }
-            self.touch();
+            self.restart_idle_time();
         }
     }
 
-    /// True where a head is half here: its command is about to be taken.
-    pub fn halfway(&self) -> bool {
-        self.halfway.load(Ordering::Relaxed)
+    /// True where part of a head was read: its request is about to be taken.
+    pub(crate) fn is_reading_head(&self) -> bool {
+        self.reading_head.load(Ordering::Relaxed)
     }
 
-    /// The last answer left a body unread.
-    pub fn leave_unread(&self) {
-        self.unread.store(true, Ordering::Relaxed);
+    /// Some input is left unread, so the connection has to close with its response.
+    pub(crate) fn set_unread_input(&self) {
+        self.has_unread_input.store(true, Ordering::Relaxed);
     }
 
-    /// True where a body was left unread.
-    pub fn unread(&self) -> bool {
-        self.unread.load(Ordering::Relaxed)
+    /// True after [`ClientConnection::set_unread_input`].
+    pub(crate) fn has_unread_input(&self) -> bool {
+        self.has_unread_input.load(Ordering::Relaxed)
     }
 
-    /// A head on it can be read in two ways: nothing that comes on it is served.
-    pub fn distrust(&self) {
-        self.distrusted.store(true, Ordering::Relaxed);
+    /// A head on it can be read in two ways: nothing that is received on it is served.
+    pub(crate) fn quarantine(&self) {
+        self.quarantined.store(true, Ordering::Relaxed);
     }
 
-    /// True after [`Seat::distrust`].
-    pub fn distrusted(&self) -> bool {
-        self.distrusted.load(Ordering::Relaxed)
+    /// True after [`ClientConnection::quarantine`].
+    pub(crate) fn is_quarantined(&self) -> bool {
+        self.quarantined.load(Ordering::Relaxed)
+    }
+
+    /// True while slow-peer protection sees a response on its way at this moment of its clock.
+    fn is_writing_response(&self, now: u64) -> bool {
+        self.monitored
+            .as_ref()
+            .is_some_and(|monitored| monitored.pacer.is_going(now, monitored.id))
     }
 }
 
-impl Drop for Seat {
+impl Drop for ClientConnection {
     fn drop(&mut self) {
-        self.stand_up();
+        self.leave_table();
     }
 }
 
+/// The order of eviction: connections without any request first, then by the time from which they await one.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionKey {
+    has_begun_request: bool,
+    position: u64,
+}
+
+impl EvictionKey {
+    /// Before all connections that did, or did not, begin a request.
+    fn first(has_begun_request: bool) -> Self {
+        EvictionKey {
+            has_begun_request,
+            position: 0,
+        }
+    }
+}
+
+struct AwaitingConnection {
+    connection: Weak<ClientConnection>,
+    since: Instant,
+}
+
 #[derive(Default)]
-struct Waiting {
-    turn: u64,
-    /// By whether a command ever came, then by when the wait began; and that moment.
-    seats: BTreeMap<(bool, u64), (Weak<Seat>, Instant)>,
+struct Awaiting {
+    last_position: u64,
+    connections: BTreeMap<EvictionKey, AwaitingConnection>,
+}
+
+impl Awaiting {
+    /// The first connection from a key on that may be evicted. One whose response is still on its way at this moment of
+    /// its pacer's clock is not idle: told to close, it would first go on writing, for as long as its reader likes.
+    fn first_idle(&self, from: EvictionKey, now: u64) -> Option<Candidate> {
+        self.connections.range(from..).find_map(|(key, entry)| {
+            let connection = entry.connection.upgrade()?;
+            (!connection.is_writing_response(now)).then_some(Candidate {
+                key: *key,
+                connection,
+                since: entry.since,
+            })
+        })
+    }
 }
 
-/// All connections that wait for a command.
-pub(crate) struct Seats {
-    waiting: Mutex<Waiting>,
+struct Candidate {
+    key: EvictionKey,
+    connection: Arc<ClientConnection>,
+    since: Instant,
+}
+
+/// Whether a connection that began no request may be evicted within its grace period.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NewConnections {
+    /// It may, where no other can be.
+    MayBeEvicted,
+    /// It stays.
+    Stay,
+}
+
+/// All connections that await a request.
+pub(crate) struct ConnectionTable {
+    awaiting: Mutex<Awaiting>,
     origin: Instant,
 }
 
-impl Default for Seats {
+impl Default for ConnectionTable {
     fn default() -> Self {
-        Seats {
-            waiting: Mutex::default(),
+        ConnectionTable {
+            awaiting: Mutex::default(),
             origin: Instant::now(),
         }
     }
 }
 
-impl Seats {
-    fn lock(&self) -> MutexGuard<'_, Waiting> {
-        // Nothing panics while it holds the lock; if it did, the state would still be whole.
-        self.waiting
+impl ConnectionTable {
+    fn lock(&self) -> MutexGuard<'_, Awaiting> {
+        // Nothing panics while it holds the lock; if it did, the state would still be consistent.
+        self.awaiting
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// A new connection, which has not asked yet.
-    pub(crate) fn sit(
+    /// A new connection, which awaits its first request.
+    pub(crate) fn insert(
         self: &Arc<Self>,
-        place: OwnedSemaphorePermit,
-        cut: Arc<Notify>,
-        paced: Option<Paced>,
-    ) -> Arc<Seat> {
-        let seat = Arc::new(Seat {
-            seats: self.clone(),
-            turn: AtomicU64::new(0),
-            asked: AtomicBool::new(false),
-            unread: AtomicBool::new(false),
-            halfway: AtomicBool::new(false),
-            blocked: AtomicBool::new(false),
-            since: AtomicU64::new(0),
-            distrusted: AtomicBool::new(false),
-            answering: AtomicBool::new(false),
-            go: Notify::new(),
-            cut,
-            paced,
-            _place: place,
+        permit: OwnedSemaphorePermit,
+        aborted: Arc<Notify>,
+        monitored: Option<MonitoredTransfer>,
+    ) -> Arc<ClientConnection> {
+        let connection = Arc::new(ClientConnection {
+            table: self.clone(),
+            position: AtomicU64::new(0),
+            has_begun_request: AtomicBool::new(false),
+            has_unread_input: AtomicBool::new(false),
+            reading_head: AtomicBool::new(false),
+            write_blocked: AtomicBool::new(false),
+            idle_since_ns: AtomicU64::new(0),
+            quarantined: AtomicBool::new(false),
+            awaiting_response: AtomicBool::new(false),
+            evicted: Notify::new(),
+            aborted,
+            monitored,
+            _permit: permit,
         });
-        seat.wait();
-        seat
-    }
-
-    /// Tells the connection to go that has been silent for longest: one that never asked, else one whose last
-    /// command is longest ago. The first command of a new one may be on its way: for a while those that asked go
-    /// before it. One whose answer is still on its way, at this moment of its pacer's clock, is not silent: told to
-    /// go, it would first write on, for as long as its reader likes. False where none waits.
-    pub(crate) fn make_room(&self, grace: Duration, now: u64) -> bool {
-        self.make_room_of(grace, now, true)
+        connection.await_request();
+        connection
     }
 
-    /// The same; new ones only where they may go too.
-    pub(crate) fn make_room_of(&self, grace: Duration, now: u64, new_ones: bool) -> bool {
-        let idle = |seat: &Weak<Seat>| {
-            let seat = seat.upgrade()?;
-            let going = seat
-                .paced
-                .as_ref()
-                .is_some_and(|p| p.pacer.is_going(now, p.id));
-            (!going).then_some(seat)
-        };
-        let mut waiting = self.lock();
-        let silent = |from: (bool, u64)| {
-            let found = |(key, (seat, since)): (&(bool, u64), &(Weak<Seat>, Instant))| {
-                idle(seat).map(|seat| (*key, seat, *since))
-            };
-            waiting.seats.range(from..).find_map(found)
-        };
-        let Some(first) = silent((false, 0)) else {
+    /// Notifies the connection to close that has awaited a request for longest: one that never began any, else one whose
+    /// last request is longest ago. The first request of a new connection may be on its way, so within `grace` others
+    /// are evicted before it. False where no connection may be evicted.
+    pub(crate) fn evict_idle(
+        &self,
+        grace: Duration,
+        now: u64,
+        new_connections: NewConnections,
+    ) -> bool {
+        let mut awaiting = self.lock();
+        let Some(first) = awaiting.first_idle(EvictionKey::first(false), now) else {
             return false;
         };
-        let new = !first.0 .0 && first.2.elapsed() < grace;
-        let asked = if new { silent((true, 0)) } else { None };
-        if new && asked.is_none() && !new_ones {
+        let is_new = !first.key.has_begun_request && first.since.elapsed() < grace;
+        let instead = if is_new {
+            awaiting.first_idle(EvictionKey::first(true), now)
+        } else {
+            None
+        };
+        if is_new && instead.is_none() && new_connections == NewConnections::Stay {
             return false;
         }
-        let (key, seat, _) = asked.unwrap_or(first);
-        waiting.seats.remove(&key);
-        drop(waiting);
-        seat.turn.store(0, Ordering::Relaxed);
-        seat.go.notify_one();
+        let Candidate {
+            key, connection, ..
+        } = instead.unwrap_or(first);
+        awaiting.connections.remove(&key);
+        drop(awaiting);
+        connection.position.store(0, Ordering::Relaxed);
+        connection.evicted.notify_one();
         true
     }
 }
--- a/src/server/connection_table/tests.rs
+++ b/src/server/connection_table/tests.rs
@@ -2,34 +2,38 @@
 use tokio::sync::Semaphore;
 
 #[tokio::test]
-async fn the_longest_silent_go_first_and_those_that_ask_stay() {
-    let (seats, places) = (Arc::new(Seats::default()), Arc::new(Semaphore::new(5)));
-    let sit = || {
-        seats.sit(
-            places.clone().try_acquire_owned().unwrap(),
+async fn longest_idle_connection_is_evicted_first_and_one_with_a_request_stays() {
+    let (table, permits) = (
+        Arc::new(ConnectionTable::default()),
+        Arc::new(Semaphore::new(5)),
+    );
+    let insert = || {
+        table.insert(
+            permits.clone().try_acquire_owned().unwrap(),
             Arc::default(),
             None,
         )
     };
-    let [asked_early, silent_early, asks, asked_late, silent_late] = [(); 5].map(|()| sit());
-    for seat in [&asked_early, &asked_late, &asks] {
-        seat.begin();
+    let [used_early, unused_early, busy, used_late, unused_late] = [(); 5].map(|()| insert());
+    for connection in [&used_early, &used_late, &busy] {
+        connection.begin_request();
     }
-    asked_early.wait();
-    asked_late.wait();
+    used_early.await_request();
+    used_late.await_request();
     let (none, long) = (Duration::ZERO, Duration::from_secs(3600));
-    // In the end, a new one that has not asked stays for longer than one that has.
-    for (seat, grace) in [
-        (silent_early, none),
-        (asked_early, long),
-        (silent_late, none),
-        (asked_late, long),
+    let evict = |grace| table.evict_idle(grace, 0, NewConnections::MayBeEvicted);
+    // In the end, a new one without any request stays for longer than one that had some.
+    for (connection, grace) in [
+        (unused_early, none),
+        (used_early, long),
+        (unused_late, none),
+        (used_late, long),
     ] {
-        assert!(seats.make_room(grace, 0));
-        seat.go.notified().await;
+        assert!(evict(grace));
+        connection.evicted.notified().await;
     }
-    assert!(!seats.make_room(long, 0));
-    assert_eq!(places.available_permits(), 4);
-    drop(asks);
-    assert_eq!(places.available_permits(), 5);
+    assert!(!evict(long));
+    assert_eq!(permits.available_permits(), 4);
+    drop(busy);
+    assert_eq!(permits.available_permits(), 5);
 }
--- /dev/null
+++ b/src/server/connection_task.rs
@@ -0,0 +1,138 @@
+//! Serves one client connection until it ends, is evicted, aborted or idle for too long, or the process shuts down.
+//!
+//! Owner: the connection's own task. Input: the connection's stream. Output: responses, by the request service.
+//! Invariants: a response that is under way is written before the connection closes, unless the connection is aborted;
+//! a connection that closes with something unread lingers, so that its client can read the response.
+
+use std::future::{poll_fn, Future};
+use std::io;
+use std::pin::Pin;
+use std::time::Duration;
+
+use applewall_admin::Stage;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::server::connection_table::ClientConnection;
+use crate::server::framing::GuardedStream;
+use crate::server::service::RequestService;
+
+/// A head has to begin this long after the connection came up or the last response was sent, and to be whole this long
+/// after its first byte: bounds how long a silent or slow client can hold a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Most bytes of a head, and of what hyper reads ahead of a body: bounds the buffer of one connection.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// How long a connection stays open for its client to read why it is closed.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most bytes that are read meanwhile.
+const MAX_LINGER_BYTES: usize = 512 * 1024;
+
+type HttpConnection =
+    http1::Connection<TokioIo<GuardedStream>, TowerToHyperService<RequestService>>;
+
+/// Serves a connection until it ends. No `async fn`: its future would hold hyper's connection twice.
+pub(super) fn serve(
+    stream: GuardedStream,
+    service: RequestService,
+    mut stages: watch::Receiver<Stage>,
+) -> impl Future<Output = ()> {
+    let connection = service.connection.clone();
+    let aborted = connection.aborted.clone();
+    let mut http = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    let served = async move {
+        let ended = tokio::select! {
+            biased;
+            ended = poll_fn(|context| http.poll_without_shutdown(context)) => Some(ended),
+            () = connection.evicted.notified() => None,
+            () = connection.idle_for(HEAD_TIMEOUT) => {
+                // The rest of a head that takes too long is not waited for.
+                if connection.is_reading_head() {
+                    return;
+                }
+                None
+            }
+            () = shutdown_while_idle(&mut stages, &connection) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            // hyper would wait for the first request of a connection that has had none.
+            None if !connection.has_begun_request() => return,
+            None => finish(&mut http).await,
+        };
+        // Closing with something unread resets the connection, and the client might lose the response with it.
+        if connection.has_unread_input() || ended.is_err_and(|error| is_parse_error(&error)) {
+            connection.await_request();
+            tokio::select! {
+                () = linger(http.into_parts().io.into_inner().into_stream()) => {}
+                () = connection.evicted.notified() => {}
+            }
+        }
+    };
+    async move {
+        // Aborted: whatever is still to be written is discarded with the connection.
+        tokio::select! {
+            biased;
+            () = aborted.notified() => {}
+            () = served => {}
+        }
+    }
+}
+
+/// Ends a connection after the response that is under way.
+async fn finish(http: &mut HttpConnection) -> hyper::Result<()> {
+    Pin::new(&mut *http).graceful_shutdown();
+    poll_fn(|context| http.poll_without_shutdown(context)).await
+}
+
+fn is_parse_error(error: &hyper::Error) -> bool {
+    error.is_parse() || error.is_parse_too_large()
+}
+
+/// Ends once the process's shutdown closes the connection, which it does where the connection is idle. While the process
+/// drains, a connection without any request stays for its one request, for as long as a head may take; one whose head is
+/// partly read closes with the response to that.
+async fn shutdown_while_idle(stages: &mut watch::Receiver<Stage>, connection: &ClientConnection) {
+    loop {
+        let stage = *stages.borrow_and_update();
+        let closes = match stage {
+            Stage::Closing => !connection.is_reading_head(),
+            Stage::Drained => connection.has_begun_request() && !connection.is_reading_head(),
+            _ => false,
+        };
+        if closes {
+            return;
+        }
+        if matches!(stage, Stage::Closing | Stage::Drained) {
+            // The response, or the time that a head has, ends the connection. If the sender is gone, nothing follows.
+            let _ = stages.wait_for(|next| *next != stage).await;
+        } else if stages.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Ends the output, and discards input for a while, up to a bound.
+async fn linger(mut stream: TcpStream) {
+    let discard_input = async {
+        stream.shutdown().await?;
+        let mut left = MAX_LINGER_BYTES;
+        let mut buffer = vec![0; MAX_HEAD_BYTES];
+        loop {
+            match stream.read(&mut buffer).await? {
+                0 => return Ok::<_, io::Error>(()),
+                read if read < left => left -= read,
+                // Enough was read; the response still needs its time to reach the client.
+                _ => std::future::pending().await,
+            }
+        }
+    };
+    // However it ends, the connection is closed now.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, discard_input).await;
+}
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -1,209 +1,185 @@
-//! A guard on the framing of what service clients send: a head with both a length and a transfer coding.
+//! A check on the framing of clients' requests: a head with both a length and a transfer coding is not served.
 //!
-//! hyper drops the length of such a head before the service sees it. What is the body for one reader is a second
-//! request for another, so the raw lines are looked at as they are read.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Owner: a client connection's stream. Input: the raw bytes as they are read. Output: the connection is quarantined.
+//! hyper drops the length of such a head before the request service sees it. What is the body for one reader is a second
+//! request for another, so the raw lines are checked here.
 
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::{io, str};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-
 use applewall_slow_peer::socket::Ticket;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpStream;
 
-use crate::server::connection_table::Seat;
-
-/// Bytes of a line that are kept: enough for either name and any length.
-const KEPT: usize = 48;
+use crate::counting_io::{CountingIo, IoObserver};
+use crate::server::connection_table::ClientConnection;
 
-/// Of what comes behind a command that has no answer yet, so much is kept for later, and so much is read at all. Read it
-/// has to be: the end of a connection lies behind it.
-const AHEAD: (usize, usize) = (16 * 1024, 512 * 1024);
+/// Bytes of a head's line that are kept: enough for either header's name and any length.
+const MAX_LINE_BYTES: usize = 48;
+/// Most bytes behind a request without a response that are kept and read as the next request afterwards.
+const MAX_KEPT_BYTES: usize = 16 * 1024;
+/// Most bytes behind a request without a response that are read and dropped. They have to be read, since the end of the
+/// connection lies behind them; the bound keeps a flood from being read without end.
+const MAX_DROPPED_BYTES: usize = 512 * 1024;
 
-/// Follows the lines of heads, and passes over bodies of a given length.
+/// Follows the lines of heads, and skips bodies of a given length.
 #[derive(Default)]
-pub(crate) struct Heads {
+struct HeadScanner {
     line: Vec<u8>,
-    /// Bytes of a body yet to come.
-    body: u64,
-    length: Option<u64>,
-    coding: bool,
-    /// A chunked body has begun: the connection closes with its answer, so no head is served after it.
-    over: bool,
-    /// Some of a head has been read, and not its end.
-    inside: bool,
+    /// Bytes of a body yet to be received.
+    body_bytes_left: u64,
+    content_length: Option<u64>,
+    has_transfer_coding: bool,
+    /// A chunked body has begun: the connection closes with its response, so no head is served after it.
+    is_over: bool,
+    /// Some of a head was read, and not its end.
+    inside_head: bool,
 }
 
-impl Heads {
-    /// True where part of a head has been read, and not its end.
-    pub(crate) fn halfway(&self) -> bool {
-        self.inside
-    }
-
-    /// Takes in what was read; true where a head in it has both a length and a transfer coding.
-    pub(crate) fn ambiguous(&mut self, mut bytes: &[u8]) -> bool {
-        while !bytes.is_empty() && !self.over {
-            if self.body > 0 {
-                let passed = bytes
-                    .len()
-                    .min(usize::try_from(self.body).unwrap_or(usize::MAX));
-                self.body -= passed as u64;
-                bytes = &bytes[passed..];
+impl HeadScanner {
+    /// Takes what was read; true where a head in it has both a length and a transfer coding.
+    fn finds_ambiguous_head(&mut self, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() && !self.is_over {
+            if self.body_bytes_left > 0 {
+                let left = usize::try_from(self.body_bytes_left).unwrap_or(usize::MAX);
+                let skipped = bytes.len().min(left);
+                self.body_bytes_left -= skipped as u64;
+                bytes = &bytes[skipped..];
                 continue;
             }
-            let end = bytes.iter().position(|b| *b == b'\n');
+            let end = bytes.iter().position(|byte| *byte == b'\n');
             let part = &bytes[..end.unwrap_or(bytes.len())];
-            self.inside = true;
-            self.line
-                .extend_from_slice(&part[..part.len().min(KEPT - self.line.len())]);
+            self.inside_head = true;
+            let kept = part.len().min(MAX_LINE_BYTES - self.line.len());
+            self.line.extend_from_slice(&part[..kept]);
             bytes = &bytes[part.len() + usize::from(end.is_some())..];
-            if end.is_some() && self.line_ends() {
+            if end.is_some() && self.end_line() {
                 return true;
             }
         }
         false
     }
 
-    fn line_ends(&mut self) -> bool {
+    /// Evaluates a whole line; true where it makes the head ambiguous.
+    fn end_line(&mut self) -> bool {
         let line = self.line.trim_ascii();
         if line.is_empty() {
             self.line.clear();
-            self.inside = false;
-            self.over = self.coding;
-            self.body = self.length.take().unwrap_or(0);
+            self.inside_head = false;
+            self.is_over = self.has_transfer_coding;
+            self.body_bytes_left = self.content_length.take().unwrap_or(0);
             return false;
         }
-        let colon = line.iter().position(|b| *b == b':').unwrap_or(line.len());
+        let colon = line
+            .iter()
+            .position(|byte| *byte == b':')
+            .unwrap_or(line.len());
         let (name, value) = line.split_at(colon);
         if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            self.coding = true;
+            self.has_transfer_coding = true;
         } else if name.eq_ignore_ascii_case(b"content-length") {
-            // What is no number is hyper's to turn away.
+            // hyper refuses what is no number.
             let value = str::from_utf8(&value[1..]).unwrap_or_default();
-            self.length = Some(value.trim().parse().unwrap_or(0));
+            self.content_length = Some(value.trim().parse().unwrap_or(0));
         }
         self.line.clear();
-        self.coding && self.length.is_some()
+        self.has_transfer_coding && self.content_length.is_some()
     }
 }
 
-/// A service client's stream, with the guard on what is read.
-pub(crate) struct Guarded {
-    /// Before the stream, so that it goes first: it looks at the stream's descriptor.
+/// A client's stream with the check on what is read.
+pub(crate) type GuardedStream = CountingIo<RequestGuard>;
+
+/// See the module's page.
+pub(crate) struct RequestGuard {
+    /// Where slow-peer protection counts what is written; it refers to the stream's descriptor.
     ticket: Option<Ticket>,
-    pub stream: TcpStream,
-    heads: Heads,
-    seat: Arc<Seat>,
-    /// Read behind a command that had no answer yet, and how much of that was not kept.
-    ahead: Vec<u8>,
+    scanner: HeadScanner,
+    connection: Arc<ClientConnection>,
+    /// Read behind a request that had no response yet.
+    kept: Vec<u8>,
+    /// How much of that was not kept.
     dropped: usize,
 }
 
-impl Guarded {
-    /// A stream of which nothing has been read.
-    pub(crate) fn new(stream: TcpStream, seat: Arc<Seat>, ticket: Option<Ticket>) -> Self {
-        Guarded {
+impl RequestGuard {
+    /// The guard of a stream of which nothing was read.
+    pub(crate) fn new(connection: Arc<ClientConnection>, ticket: Option<Ticket>) -> Self {
+        RequestGuard {
             ticket,
-            stream,
-            heads: Heads::default(),
-            seat,
-            ahead: Vec::new(),
+            scanner: HeadScanner::default(),
+            connection,
+            kept: Vec::new(),
             dropped: 0,
         }
     }
 
-    /// Reads on behind a command that has no answer yet; ready at the end of the connection only. hyper stops looking
-    /// for that end once it holds a byte of a next command, and a service client that went would be served on.
-    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Reads on behind a request that has no response yet; ready at the end of the connection only. hyper stops looking
+    /// for that end once it holds a byte of a next request, and a client that disconnected would still be served.
+    fn poll_end(
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
         let mut piece = [0; 2048];
-        while self.dropped < AHEAD.1 {
-            let mut buf = ReadBuf::new(&mut piece);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
-            match buf.filled() {
+        while self.dropped < MAX_DROPPED_BYTES {
+            let mut buffer = ReadBuf::new(&mut piece);
+            ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer))?;
+            match buffer.filled() {
                 [] => return Poll::Ready(Ok(())),
-                more if self.dropped == 0 && self.ahead.len() + more.len() <= AHEAD.0 => {
-                    self.ahead.extend_from_slice(more);
+                more if self.dropped == 0 && self.kept.len() + more.len() <= MAX_KEPT_BYTES => {
+                    self.kept.extend_from_slice(more);
                 }
                 more => {
-                    // Not to be read as commands: the connection closes with its answer.
+                    // Not to be read as requests: the connection closes with its response.
                     self.dropped += more.len();
-                    self.seat.leave_unread();
+                    self.connection.set_unread_input();
                 }
             }
         }
         Poll::Pending
     }
-
-    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.seat.writing(poll.is_pending());
-        if let (Some(ticket), Poll::Ready(Ok(bytes))) = (&self.ticket, &poll) {
-            ticket.wrote(*bytes);
-        }
-        poll
-    }
 }
 
-impl AsyncRead for Guarded {
+impl IoObserver for RequestGuard {
     fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.seat.is_answering() {
-            return self.poll_end(cx);
+        if self.connection.is_awaiting_response() {
+            return self.poll_end(stream, context);
         }
-        let before = buf.filled().len();
+        let before = buffer.filled().len();
         if self.dropped > 0 {
-            // What was kept ends in the middle of something: for whoever reads, the connection ends before it.
+            // What was kept ends in the middle of something: for the reader, the connection ends before it.
             return Poll::Ready(Ok(()));
         }
-        if self.ahead.is_empty() {
-            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if self.kept.is_empty() {
+            ready!(Pin::new(stream).poll_read(context, buffer))?;
         } else {
-            let taken = self.ahead.len().min(buf.remaining());
-            buf.put_slice(&self.ahead[..taken]);
-            self.ahead.drain(..taken);
+            let taken = self.kept.len().min(buffer.remaining());
+            buffer.put_slice(&self.kept[..taken]);
+            self.kept.drain(..taken);
         }
-        if self.heads.ambiguous(&buf.filled()[before..]) {
-            self.seat.distrust();
+        if self
+            .scanner
+            .finds_ambiguous_head(&buffer.filled()[before..])
+        {
+            self.connection.quarantine();
         }
-        self.seat.reading(self.heads.halfway());
+        self.connection.set_reading_head(self.scanner.inside_head);
         Poll::Ready(Ok(()))
     }
-}
 
-impl AsyncWrite for Guarded {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(poll)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(poll)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn observe_write(&self, result: &Poll<io::Result<usize>>) {
+        self.connection.set_write_blocked(result.is_pending());
+        if let (Some(ticket), Poll::Ready(Ok(bytes))) = (&self.ticket, result) {
+            ticket.wrote(*bytes);
+        }
     }
 }
 
--- a/src/server/framing/tests.rs
+++ b/src/server/framing/tests.rs
@@ -1,18 +1,20 @@
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-
 use super::*;
+use crate::server::connection_table::ConnectionTable;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 #[test]
-fn a_head_with_a_length_and_a_coding_is_found_however_it_comes() {
+fn head_with_length_and_transfer_coding_is_found_however_it_is_split() {
     let found = |text: &str| {
         let bytes: Vec<&[u8]> = text.as_bytes().chunks(1).collect();
-        let (mut whole, mut single) = (Heads::default(), Heads::default());
-        let piecewise = bytes.into_iter().any(|b| single.ambiguous(b));
-        assert_eq!(whole.ambiguous(text.as_bytes()), piecewise, "{text}");
+        let (mut whole, mut single) = (HeadScanner::default(), HeadScanner::default());
+        let piecewise = bytes
+            .into_iter()
+            .any(|byte| single.finds_ambiguous_head(byte));
+        assert_eq!(
+            whole.finds_ambiguous_head(text.as_bytes()),
+            piecewise,
+            "{text}"
+        );
         piecewise
     };
     let both = "POST / HTTP/1.1\r\ncontent-LENGTH: 4\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -38,55 +40,59 @@
     )));
 }
 
-/// A stream with its other end, and a command on it that has no answer yet.
-async fn answering() -> (Guarded, Arc<Seat>, TcpStream) {
+/// A stream with its other end, and a request on it that has no response yet.
+async fn awaiting_response() -> (GuardedStream, Arc<ClientConnection>, TcpStream) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (near, far) = tokio::join!(
         TcpStream::connect(listener.local_addr().unwrap()),
         listener.accept()
     );
-    let place = Arc::new(tokio::sync::Semaphore::new(1))
+    let permit = Arc::new(tokio::sync::Semaphore::new(1))
         .try_acquire_owned()
         .unwrap();
-    let seat =
-        Arc::<crate::server::connection_table::Seats>::default().sit(place, Arc::default(), None);
-    seat.begin();
-    seat.answering();
+    let connection = Arc::<ConnectionTable>::default().insert(permit, Arc::default(), None);
+    connection.begin_request();
+    connection.await_response();
     (
-        Guarded::new(near.unwrap(), seat.clone(), None),
-        seat,
+        GuardedStream::new(near.unwrap(), RequestGuard::new(connection.clone(), None)),
+        connection,
         far.unwrap().0,
     )
 }
 
 #[tokio::test]
-async fn behind_a_command_without_its_answer_the_end_is_found_and_what_is_kept_comes_after_it() {
-    for many in [0, 1, AHEAD.0] {
-        let (mut guarded, seat, mut far) = answering().await;
+async fn end_is_found_behind_a_request_without_response_and_kept_bytes_are_read_after_it() {
+    for many in [0, 1, MAX_KEPT_BYTES] {
+        let (mut guarded, connection, mut far) = awaiting_response().await;
         far.write_all(&vec![b'x'; many]).await.unwrap();
         far.flush().await.unwrap();
-        // Not read as anything while the answer is owed; the end behind it is.
-        let (mut piece, mut read) = (vec![0; AHEAD.0], 0);
+        // Not read as anything while the response is owed; the end behind it is.
+        let (mut piece, mut read) = (vec![0; MAX_KEPT_BYTES], 0);
         drop(far);
         assert_eq!(guarded.read(&mut piece).await.unwrap(), 0, "{many} bytes");
-        seat.wait();
+        connection.await_request();
         while read < many {
             let more = guarded.read(&mut piece[read..]).await.unwrap();
             assert!(more > 0, "{many} bytes");
             read += more;
         }
-        assert!(!seat.unread() && guarded.read(&mut [0; 1]).await.unwrap() == 0);
+        assert!(!connection.has_unread_input() && guarded.read(&mut [0; 1]).await.unwrap() == 0);
     }
 }
 
 #[tokio::test]
-async fn more_than_is_kept_is_read_as_no_command() {
-    let (mut guarded, seat, mut far) = answering().await;
-    far.write_all(&vec![b'x'; AHEAD.0 + 1]).await.unwrap();
+async fn more_bytes_than_are_kept_are_not_read_as_a_request() {
+    let (mut guarded, connection, mut far) = awaiting_response().await;
+    far.write_all(&vec![b'x'; MAX_KEPT_BYTES + 1])
+        .await
+        .unwrap();
     drop(far);
     assert_eq!(guarded.read(&mut [0; 64]).await.unwrap(), 0);
-    assert!(seat.unread(), "the connection has to close with its answer");
-    seat.wait();
+    assert!(
+        connection.has_unread_input(),
+        "the connection has to close with its response"
+    );
+    connection.await_request();
     assert_eq!(
         guarded.read(&mut [0; 64]).await.unwrap(),
         0,
@@ -95,8 +101,8 @@
 }
 
 #[tokio::test]
-async fn a_flood_behind_a_command_is_not_read_without_end() {
-    let (mut guarded, _seat, mut far) = answering().await;
+async fn flood_behind_a_request_is_read_up_to_a_bound() {
+    let (mut guarded, _connection, mut far) = awaiting_response().await;
     let flood = tokio::spawn(async move {
         let piece = vec![b'x'; 64 * 1024];
         let mut sent = 0;
@@ -106,20 +112,27 @@
         sent
     });
     // It never ends: what is not read holds the sender back, and no memory goes with it.
-    while guarded.dropped < AHEAD.1 {
+    while guarded.observer().dropped < MAX_DROPPED_BYTES {
         let mut one = [0; 1];
         let read =
             tokio::time::timeout(std::time::Duration::from_millis(10), guarded.read(&mut one));
         assert!(read.await.is_err(), "no end, and no byte of it");
     }
-    let (read, kept) = (guarded.dropped, guarded.ahead.capacity());
+    let (read, kept) = (
+        guarded.observer().dropped,
+        guarded.observer().kept.capacity(),
+    );
     assert!(tokio::time::timeout(
         std::time::Duration::from_millis(10),
         guarded.read(&mut [0; 1])
     )
     .await
     .is_err());
-    assert!(guarded.dropped == read && read <= AHEAD.1 + 2048 && kept <= 2 * AHEAD.0);
+    assert!(
+        guarded.observer().dropped == read
+            && read <= MAX_DROPPED_BYTES + 2048
+            && kept <= 2 * MAX_KEPT_BYTES
+    );
     drop(guarded);
-    assert!(flood.await.unwrap() > AHEAD.1);
+    assert!(flood.await.unwrap() > MAX_DROPPED_BYTES);
 }
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -2,8 +2,11 @@
 
 pub(crate) mod acceptor;
 pub(crate) mod connection_table;
-pub(crate) mod framing;
-pub(crate) mod request;
+mod connection_task;
+mod framing;
+mod request;
+mod request_body;
 pub(crate) mod response;
+mod service;
 pub(crate) mod slow_peers;
 pub(crate) mod streaming_body;
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -10,6 +10,9 @@
 
 use crate::server::streaming_body::StreamingBody;
 
+/// Advice to a client that is rejected without asking the policy: about as long as the policy's own.
+const OVERLOADED_RETRY_AFTER_NS: u64 = 200_000_000;
+
 /// The body of a served response.
 #[derive(Debug)]
 pub(crate) enum ResponseBody {
@@ -52,6 +55,16 @@
     },
 }
 
+impl ClientResponse {
+    /// Rejects a request without asking the policy: there is no capacity to ask it.
+    pub(crate) fn overloaded() -> Self {
+        ClientResponse::Rejected {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after_ns: OVERLOADED_RETRY_AFTER_NS,
+        }
+    }
+}
+
 /// The Retry-After header in seconds; `None` where there is no advice.
 fn retry_after_header(retry_after_ns: u64) -> Option<HeaderValue> {
     // Rounded up: a client must not come back before the policy asked it to.
--- a/src/server/streaming_body.rs
+++ b/src/server/streaming_body.rs
@@ -1,4 +1,8 @@
-//! An answer that is passed on while it still comes: the slower side holds the other back.
+//! A response body that is forwarded while it is still received: the slower side holds the other one back.
+//!
+//! Owner: the attempt holds the sender, the client's response the body. Input: pieces of an endpoint's body. Output:
+//! frames of the client's response. Invariant: a body whose sender is dropped before [`BodySender::finish`] ends in an
+//! error, so that the client sees that it is not whole.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,80 +13,92 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{mpsc, OwnedSemaphorePermit};
 
-use crate::server::connection_table::Seat;
+use crate::server::connection_table::ClientConnection;
 
-/// Pieces between the two sides at most.
-const PIECES: usize = 4;
+/// Most pieces that wait between the two sides: bounds the memory of one body to a few reads.
+const MAX_WAITING_PIECES: usize = 4;
 
-/// What an attempt passes on: pieces, then the end. Gone without its end, the answer is not whole.
-pub(crate) struct Source(mpsc::Sender<Option<Bytes>>);
+enum Piece {
+    Data(Bytes),
+    End,
+}
+
+/// The client's side of a body no longer takes anything.
+#[derive(Debug, thiserror::Error)]
+#[error("the client's response no longer takes its body")]
+pub(crate) struct BodyAbandoned;
+
+/// The attempt's side of a body.
+pub(crate) struct BodySender(mpsc::Sender<Piece>);
 
-impl Source {
-    /// Passes a piece on, once there is room for it.
+impl BodySender {
+    /// Sends a piece, once there is room for it.
     ///
     /// # Errors
     ///
     /// Nobody takes it any more.
-    pub(crate) async fn pass(&self, piece: Bytes) -> Result<(), ()> {
-        self.0.send(Some(piece)).await.map_err(|_| ())
+    pub(crate) async fn send(&self, data: Bytes) -> Result<(), BodyAbandoned> {
+        let sent = self.0.send(Piece::Data(data)).await;
+        sent.map_err(|_| BodyAbandoned)
     }
 
-    /// All of it has been passed on.
-    pub(crate) async fn end(self) {
-        // Whoever no longer takes it needs no end.
-        let _ = self.0.send(None).await;
+    /// All of the body was sent.
+    pub(crate) async fn finish(self) {
+        // Whoever no longer takes the body needs no end.
+        let _ = self.0.send(Piece::End).await;
     }
 }
 
-/// The body of an answer that still comes.
-pub struct StreamingBody {
-    pieces: mpsc::Receiver<Option<Bytes>>,
+/// The client's side of a body.
+pub(crate) struct StreamingBody {
+    pieces: mpsc::Receiver<Piece>,
     /// What is still to come, where that is known.
-    left: Option<u64>,
-    /// It ended without its end.
-    broken: bool,
-    /// The connection that it goes out on: it waits for its next command once this is through.
-    seat: Option<Arc<Seat>>,
-    /// Its share of what all bodies may hold.
-    _held: Option<OwnedSemaphorePermit>,
+    bytes_left: Option<u64>,
+    /// The sender was dropped without an end.
+    is_broken: bool,
+    /// The connection that the body is written to: it awaits its next request once the body is through.
+    connection: Option<Arc<ClientConnection>>,
+    /// Its share of the bytes that may be read ahead.
+    _prefetch_permit: Option<OwnedSemaphorePermit>,
 }
 
-/// Both ends of an answer, and its length where it is known.
-pub(crate) fn flow(
+/// Both sides of a body, with its length where that is known.
+pub(crate) fn channel(
     length: Option<u64>,
-    held: Option<OwnedSemaphorePermit>,
-) -> (Source, StreamingBody) {
-    let (source, pieces) = mpsc::channel(PIECES);
-    (
-        Source(source),
-        StreamingBody {
-            pieces,
-            left: length,
-            broken: false,
-            seat: None,
-            _held: held,
-        },
-    )
+    prefetch_permit: Option<OwnedSemaphorePermit>,
+) -> (BodySender, StreamingBody) {
+    let (sender, pieces) = mpsc::channel(MAX_WAITING_PIECES);
+    let body = StreamingBody {
+        pieces,
+        bytes_left: length,
+        is_broken: false,
+        connection: None,
+        _prefetch_permit: prefetch_permit,
+    };
+    (BodySender(sender), body)
 }
 
 impl StreamingBody {
-    /// Keeps a connection's seat until it is through.
-    pub fn keep(&mut self, seat: Arc<Seat>) {
-        self.seat = Some(seat);
+    /// Keeps a connection from awaiting a request until the body is through.
+    pub(crate) fn occupy(&mut self, connection: Arc<ClientConnection>) {
+        self.connection = Some(connection);
     }
 }
 
 impl fmt::Debug for StreamingBody {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("StreamingBody")
-            .field("left", &self.left)
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StreamingBody")
+            .field("bytes_left", &self.bytes_left)
             .finish_non_exhaustive()
     }
 }
 
 impl Drop for StreamingBody {
     fn drop(&mut self) {
-        self.seat.iter().for_each(Seat::wait);
+        if let Some(connection) = &self.connection {
+            connection.await_request();
+        }
     }
 }
 
@@ -92,28 +108,28 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Poll::Ready(match ready!(self.pieces.poll_recv(cx)) {
-            Some(Some(piece)) => {
-                self.left = self
-                    .left
-                    .map(|left| left.saturating_sub(piece.len() as u64));
-                Some(Ok(Frame::data(piece)))
+        Poll::Ready(match ready!(self.pieces.poll_recv(context)) {
+            Some(Piece::Data(data)) => {
+                let sent = data.len() as u64;
+                self.bytes_left = self.bytes_left.map(|left| left.saturating_sub(sent));
+                Some(Ok(Frame::data(data)))
             }
-            Some(None) => None,
-            // What came before goes out first: a connection that ended without a byte of it would be a command lost.
-            None if !std::mem::replace(&mut self.broken, true) => {
-                cx.waker().wake_by_ref();
+            Some(Piece::End) => None,
+            // What was received before is written first: a connection that closes without a byte of it would be a
+            // request without any response.
+            None if !std::mem::replace(&mut self.is_broken, true) => {
+                context.waker().wake_by_ref();
                 return Poll::Pending;
             }
-            // The service client has to see that it is not whole.
+            // The client has to see that the body is not whole.
             None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
         })
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.left
+        self.bytes_left
             .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -1,9 +1,8 @@
-//! How the body of an instance's answer is read: ahead, a piece at a time, or at a pace that the operators ask for.
-
-#![expect(
-    clippy::excessive_nesting,
-    reason = "deep nesting is flattened as the module is reworked"
-)]
+//! How the body of an endpoint's response is read: ahead, one piece at a time, or at the pace that the operator asks
+//! for.
+//!
+//! Owner: the attempt. Input: hyper's body. Output: what was read, and whether that is all of it. Invariant: no more
+//! than the bytes of one whole body, as bounded, is held in memory.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -13,179 +12,216 @@
 use applewall_slow_peer::{Holder, Incoming, Reason, Verdict};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Frame};
 
+use super::attempt::AttemptDeadlines;
+use super::connection::ConnectionWatch;
 use crate::clock::Clock;
 use crate::limits::MAX_BODY_BYTES;
-use crate::server::streaming_body::Source;
-use crate::upstream::connection::Watch;
-
-/// An answer of unknown length is read ahead for so long: most are whole by then.
-const AHEAD: Duration = Duration::from_millis(100);
-/// An answer that is passed on may stand still for so long, on either side.
-const STALLED: Duration = Duration::from_secs(20);
-/// When an attempt is given up, and by when another one would have to end.
-#[derive(Clone, Copy)]
-pub(crate) struct Due {
-    pub until: Instant,
-    pub write_by: Option<Instant>,
-    pub again: Option<Instant>,
+use crate::server::streaming_body::BodySender;
+
+/// A response of unknown length is read ahead for so long: most are complete by then.
+const PREFETCH_TIME: Duration = Duration::from_millis(100);
+/// A response that is forwarded while it is received may stand still for so long, on either side: bounds how long a
+/// silent endpoint or a client that stopped reading can hold two connections.
+const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The body of an endpoint's response.
+pub(crate) type UpstreamBody = hyper::body::Incoming;
+
+/// What was read ahead of a body.
+pub(super) struct Prefetched {
+    /// The bytes that were read.
+    pub bytes: Bytes,
+    /// True where they are the whole body.
+    pub is_complete: bool,
+}
+
+impl Prefetched {
+    fn whole(bytes: Bytes) -> Self {
+        Prefetched {
+            bytes,
+            is_complete: true,
+        }
+    }
+
+    fn beginning(bytes: Bytes) -> Self {
+        Prefetched {
+            bytes,
+            is_complete: false,
+        }
+    }
 }
 
-/// What answers of instances are held to, where the operator's settings ask for that.
-pub(crate) struct Pacing {
+/// Slow-peer protection of endpoints' responses.
+pub(super) struct ResponsePacing {
+    /// The settings in force, and where events are counted.
     pub pacer: Arc<Pacer>,
+    /// The clock of its moments.
     pub clock: Clock,
 }
 
-impl Pacing {
-    /// True while giving up is of use: another attempt fits, if the module wants one.
-    fn may_give_up(&self, due: Due) -> bool {
-        let room = self.pacer.settings().retry_room.0;
-        due.again
-            .is_some_and(|again| again.saturating_duration_since(Instant::now()) >= room)
+impl ResponsePacing {
+    /// True while giving up is of use: another attempt fits, if the policy wants one.
+    fn may_give_up(&self, deadlines: AttemptDeadlines) -> bool {
+        let min_time_left = self.pacer.settings().retry_room.0;
+        deadlines.retry_until.is_some_and(|retry_until| {
+            retry_until.saturating_duration_since(Instant::now()) >= min_time_left
+        })
     }
 
     fn note(&self, reason: Reason) {
-        self.pacer.note(
-            Holder {
-                customer: None,
-                peer: None,
-            },
-            reason,
-        );
+        let unknown = Holder {
+            customer: None,
+            peer: None,
+        };
+        self.pacer.note(unknown, reason);
     }
 
-    /// Ends once a head that has begun to come takes longer than the pause that is allowed inside an answer.
-    pub(crate) async fn head_stalls(&self, watch: &Watch, due: Due) {
-        watch.armed.store(true, Ordering::Relaxed);
-        watch.began.notified().await;
-        // In two halves: time in which the program stood still passes in one of them only.
+    /// Ends once a head of which something was received takes longer than the pause that is allowed in a response.
+    pub(super) async fn head_stalls(&self, watch: &ConnectionWatch, deadlines: AttemptDeadlines) {
+        watch.notify_on_read.store(true, Ordering::Relaxed);
+        watch.response_began.notified().await;
+        // In two halves: time in which the process did not run counts in one of them only.
         let half = self.pacer.settings().pause.0 / 2;
         tokio::time::sleep(half).await;
         tokio::time::sleep(half).await;
-        if !self.may_give_up(due) {
+        if !self.may_give_up(deadlines) {
             std::future::pending::<()>().await;
         }
         self.note(Reason::InStalled);
     }
 
-    /// Reads a body ahead; none where it is spoilt, stalls or can't be whole in time.
-    pub(crate) async fn collect(&self, body: &mut Answered, due: Due) -> Option<(Bytes, bool)> {
+    /// Reads a body ahead; `None` where it is spoilt, stalls or can't be complete in time.
+    pub(super) async fn prefetch(
+        &self,
+        body: &mut UpstreamBody,
+        deadlines: AttemptDeadlines,
+    ) -> Option<Prefetched> {
         let length = body.size_hint().exact();
-        let (now, until) = (self.clock.now(), self.clock.nanos_at(due.until));
+        let (now, until) = (self.clock.now(), self.clock.nanos_at(deadlines.until));
         let mut transfer = Incoming::new(self.pacer.settings(), now, until, length);
-        let mut whole = BytesMut::with_capacity(length.unwrap_or(0) as usize);
+        let mut received = BytesMut::with_capacity(length.unwrap_or(0) as usize);
         loop {
-            let next = match transfer.verdict(self.clock.now()) {
-                Verdict::Wait(next) => next,
-                // Nothing is gained by giving up: it may yet come, until the attempt's own time is up.
-                _ if !self.may_give_up(due) => u64::MAX,
-                verdict => {
-                    let stalled = verdict == Verdict::Stalled;
-                    self.note(if stalled {
-                        Reason::InStalled
-                    } else {
-                        Reason::InHopeless
-                    });
+            let check_at = match transfer.verdict(self.clock.now()) {
+                Verdict::Wait(next) => (next != u64::MAX).then_some(next),
+                // Nothing is gained by giving up: the rest may yet arrive, until the attempt's own time is up.
+                _ if !self.may_give_up(deadlines) => None,
+                Verdict::Stalled => {
+                    self.note(Reason::InStalled);
                     return None;
                 }
-            };
-            let frame = async {
-                match next {
-                    u64::MAX => Ok(body.frame().await),
-                    next => {
-                        tokio::time::timeout_at(self.clock.instant(next).into(), body.frame()).await
-                    }
+                _ => {
+                    self.note(Reason::InHopeless);
+                    return None;
                 }
             };
-            match frame.await {
-                Ok(None) => return Some((whole.freeze(), true)),
-                Ok(Some(frame)) => {
-                    if let Ok(data) = frame.ok()?.into_data() {
-                        transfer.arrive(self.clock.now(), data.len() as u64);
-                        whole.extend_from_slice(&data);
-                        if whole.len() > MAX_BODY_BYTES {
-                            return Some((whole.freeze(), false));
-                        }
+            match self.next_frame(body, check_at).await {
+                NextFrame::End => return Some(Prefetched::whole(received.freeze())),
+                NextFrame::Frame(frame) => {
+                    let Ok(data) = frame.ok()?.into_data() else {
+                        continue;
+                    };
+                    transfer.arrive(self.clock.now(), data.len() as u64);
+                    received.extend_from_slice(&data);
+                    if received.len() > MAX_BODY_BYTES {
+                        return Some(Prefetched::beginning(received.freeze()));
                     }
                 }
-                // Time for another look.
-                Err(_) => {}
+                NextFrame::CheckDue => {}
             }
         }
     }
+
+    /// The next frame of a body, where it comes before the transfer has to be checked.
+    async fn next_frame(&self, body: &mut UpstreamBody, check_at: Option<u64>) -> NextFrame {
+        let frame = match check_at {
+            None => Ok(body.frame().await),
+            Some(at) => tokio::time::timeout_at(self.clock.instant(at).into(), body.frame()).await,
+        };
+        match frame {
+            Ok(None) => NextFrame::End,
+            Ok(Some(frame)) => NextFrame::Frame(frame),
+            Err(_) => NextFrame::CheckDue,
+        }
+    }
 }
 
-/// The body of an instance's answer.
-pub(crate) type Answered = hyper::body::Incoming;
-/// Reads a body ahead: what came, and whether that is all. One that does not say how long it is may be one whose first
-/// bytes count, so it is read ahead for a moment only.
-pub(crate) async fn read_ahead(body: &mut Answered) -> Option<(Bytes, bool)> {
-    let mut whole = BytesMut::new();
-    let moment = match body.size_hint().exact() {
+enum NextFrame {
+    End,
+    Frame(hyper::Result<Frame<Bytes>>),
+    /// The transfer has to be checked before more is awaited.
+    CheckDue,
+}
+
+/// Reads a body ahead. One that does not say how long it is may be one whose first bytes are needed at once, so it is
+/// read ahead for a short time only.
+pub(super) async fn prefetch(body: &mut UpstreamBody) -> Option<Prefetched> {
+    let mut received = BytesMut::new();
+    let time = match body.size_hint().exact() {
         Some(_) => Duration::MAX,
-        None => AHEAD,
+        None => PREFETCH_TIME,
     };
-    let moment = tokio::time::sleep(moment);
-    tokio::pin!(moment);
+    let time_is_up = tokio::time::sleep(time);
+    tokio::pin!(time_is_up);
     loop {
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = &mut moment, if !whole.is_empty() => return Some((whole.freeze(), false)),
+            () = &mut time_is_up, if !received.is_empty() => {
+                return Some(Prefetched::beginning(received.freeze()));
+            }
         };
         let Some(frame) = frame else {
-            return Some((whole.freeze(), true));
+            return Some(Prefetched::whole(received.freeze()));
         };
-        if let Ok(data) = frame.ok()?.into_data() {
-            // Most answers are one piece, and that is passed on as it is.
-            if whole.is_empty() && body.is_end_stream() {
-                return Some((data, true));
-            }
-            whole.extend_from_slice(&data);
-            if whole.len() > MAX_BODY_BYTES {
-                return Some((whole.freeze(), false));
-            }
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        // Most responses are one piece, which is used as it is.
+        if received.is_empty() && body.is_end_stream() {
+            return Some(Prefetched::whole(data));
+        }
+        received.extend_from_slice(&data);
+        if received.len() > MAX_BODY_BYTES {
+            return Some(Prefetched::beginning(received.freeze()));
         }
     }
 }
 
-/// One piece, where the body can't be read ahead.
-pub(crate) async fn first_piece(body: &mut Answered) -> Option<(Bytes, bool)> {
+/// Reads one piece, where the body can't be read ahead.
+pub(super) async fn first_piece(body: &mut UpstreamBody) -> Option<Prefetched> {
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            return Some((data, body.is_end_stream()));
+        if let Ok(bytes) = frame.ok()?.into_data() {
+            let is_complete = body.is_end_stream();
+            return Some(Prefetched { bytes, is_complete });
         }
     }
-    Some((Bytes::new(), true))
+    Some(Prefetched::whole(Bytes::new()))
 }
 
-/// Passes the rest of a body on; false where one of the two sides gave up.
-pub(crate) async fn pass_on(source: Source, first: Bytes, body: &mut Answered) -> bool {
-    if source.pass(first).await.is_err() {
+/// Forwards the rest of a body; false where one of the two sides gave up.
+pub(super) async fn forward(sender: BodySender, first: Bytes, body: &mut UpstreamBody) -> bool {
+    if sender.send(first).await.is_err() {
         return false;
     }
     loop {
-        // Guards against an instance that goes silent in the middle, and a service client that no longer reads: each
-        // would hold both connections for ever.
-        let Ok(frame) = tokio::time::timeout(STALLED, body.frame()).await else {
+        let Ok(frame) = tokio::time::timeout(STREAM_IDLE_TIMEOUT, body.frame()).await else {
             return false;
         };
-        match frame {
+        let frame = match frame {
             None => break,
             Some(Err(_)) => return false,
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                match tokio::time::timeout(STALLED, source.pass(data)).await {
-                    Ok(Ok(())) => {}
-                    _ => return false,
-                }
-            }
+            Some(Ok(frame)) => frame,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        match tokio::time::timeout(STREAM_IDLE_TIMEOUT, sender.send(data)).await {
+            Ok(Ok(())) => {}
+            _ => return false,
         }
     }
-    source.end().await;
+    sender.finish().await;
     true
 }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,10 +1,8 @@
-//! One connection to an instance, or to discovery, driven by hand; what is written on it is counted, and before it
-//! is used again its socket is looked at.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! One connection to an endpoint, or to discovery, whose hyper connection is polled by the task that uses it.
+//!
+//! Owner: the pool while the connection is idle, an attempt while it is in use. Input: a connected stream. Output: bytes
+//! written are counted, and the socket itself is checked before the connection is used again. Invariant: no task of its
+//! own, so dropping a connection closes it at once.
 
 use std::future::{poll_fn, Future};
 use std::io;
@@ -14,24 +12,31 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use applewall::api::Outcome;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::client::conn::http1;
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
-/// Drives a connection while some work goes on over it; `None` if it ended with the work undone, and `on` does not say
-/// that what it brought until then is still being passed on.
+use crate::counting_io::{CountingIo, IoObserver};
+
+/// Most bytes of a response head, and of what hyper reads ahead of a body: bounds the buffer of one connection.
+pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Drives a connection while some work goes on over it; `None` if the connection ended with the work undone, and
+/// `is_streaming` does not say that what was received until then is still being forwarded.
 pub(crate) async fn drive<I, B, F>(
     connection: &mut http1::Connection<I, B>,
     work: F,
-    on: impl Fn() -> bool,
+    is_streaming: impl Fn() -> bool,
 ) -> Option<F::Output>
 where
     I: Read + Write + Unpin,
@@ -42,14 +47,14 @@
 {
     let mut work = pin!(work);
     let mut ended = false;
-    poll_fn(|cx| {
-        if let Poll::Ready(done) = work.as_mut().poll(cx) {
-            return Poll::Ready(Some(done));
+    poll_fn(|context| {
+        if let Poll::Ready(output) = work.as_mut().poll(context) {
+            return Poll::Ready(Some(output));
         }
-        ended = ended || Pin::new(&mut *connection).poll(cx).is_ready();
-        match work.as_mut().poll(cx) {
-            Poll::Ready(done) => Poll::Ready(Some(done)),
-            Poll::Pending if ended && !on() => Poll::Ready(None),
+        ended = ended || Pin::new(&mut *connection).poll(context).is_ready();
+        match work.as_mut().poll(context) {
+            Poll::Ready(output) => Poll::Ready(Some(output)),
+            Poll::Pending if ended && !is_streaming() => Poll::Ready(None),
             Poll::Pending => Poll::Pending,
         }
     })
@@ -58,111 +63,121 @@
 
 /// What an attempt shares with the stream under its connection.
 #[derive(Default)]
-pub(crate) struct Watch {
-    /// Bytes written: the evidence on whether a request can have arrived.
+pub(crate) struct ConnectionWatch {
+    /// Bytes written: the evidence on whether a request can have reached the endpoint.
     pub written: AtomicU64,
-    /// Tell of the next read, and the one told: whether an answer has begun.
-    pub armed: AtomicBool,
-    pub began: Notify,
-    /// Look at the socket itself with the next read.
-    pub look: AtomicBool,
-    /// An answer is passed on while it still comes: it may end after its connection.
-    pub passing: AtomicBool,
+    /// The next read notifies `response_began`.
+    pub notify_on_read: AtomicBool,
+    /// Notified once the first byte of a response was read.
+    pub response_began: Notify,
+    /// The next read checks the socket itself first.
+    pub check_socket: AtomicBool,
+    /// A response is forwarded while it is still received: it may end after its connection.
+    pub streaming: AtomicBool,
 }
 
-/// A stream that is watched.
-pub(crate) struct Watched {
-    pub stream: TokioIo<TcpStream>,
-    pub watch: Arc<Watch>,
-}
+/// The observer of a connection's stream.
+pub(crate) struct WatchedStream(Arc<ConnectionWatch>);
 
-impl Watched {
-    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = poll {
-            self.watch.written.fetch_add(n as u64, Ordering::Relaxed);
-        }
-        poll
-    }
-}
-
-impl Read for Watched {
+impl IoObserver for WatchedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        &mut self,
+        stream: &mut TcpStream,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.watch.look.swap(false, Ordering::Relaxed) {
-            // The reactor may not have told yet of what the kernel holds. On an idle connection, that is the
-            // connection's end or nobody's answer, which would be taken for the next request's.
-            match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
+        let watch = &*self.0;
+        if watch.check_socket.swap(false, Ordering::Relaxed) {
+            // The reactor may not know yet what the kernel holds. On an idle connection that is the connection's end,
+            // or bytes that belong to no request and would be taken for the next request's response.
+            match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
                 Ok(_) => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
             }
         }
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let armed = self.watch.armed.load(Ordering::Relaxed);
-        if armed && read.is_ready() && self.watch.armed.swap(false, Ordering::Relaxed) {
-            self.watch.began.notify_one();
+        let read = Pin::new(stream).poll_read(context, buffer);
+        let notify = watch.notify_on_read.load(Ordering::Relaxed);
+        if notify && read.is_ready() && watch.notify_on_read.swap(false, Ordering::Relaxed) {
+            watch.response_began.notify_one();
         }
         read
     }
-}
 
-impl Write for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(poll)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(poll)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn observe_write(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.0.written.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
     }
 }
 
-/// A connection to an instance; its place in the budget comes back when it is dropped.
-pub(crate) struct Connection {
+type Driver = http1::Connection<TokioIo<CountingIo<WatchedStream>>, Full<Bytes>>;
+
+/// A connection to an endpoint. Its permit is given back when it is dropped.
+pub(crate) struct UpstreamConnection {
+    /// Sends requests over the connection.
     pub sender: http1::SendRequest<Full<Bytes>>,
-    /// On the heap: it is large, and moves between the pool and its attempts.
-    pub driver: Box<http1::Connection<Watched, Full<Bytes>>>,
-    pub watch: Arc<Watch>,
-    pub endpoint: SocketAddr,
-    pub since: Instant,
-    pub place: OwnedSemaphorePermit,
+    /// Boxed: it is large, and moves between the pool and attempts.
+    pub driver: Box<Driver>,
+    /// What the stream counts.
+    pub watch: Arc<ConnectionWatch>,
+    /// The address that it is connected to.
+    pub address: SocketAddr,
+    /// Since when it has been idle.
+    pub idle_since: Instant,
+    /// Its share of the connections that the pool may hold.
+    pub permit: OwnedSemaphorePermit,
 }
 
-impl Connection {
-    /// Lets the connection notice what has happened to it, by the socket itself; false if it can't take a request.
-    pub(crate) async fn usable(&mut self) -> bool {
-        self.watch.look.store(true, Ordering::Relaxed);
+impl UpstreamConnection {
+    /// Opens a connection, within `timeout`.
+    pub(super) async fn dial(
+        address: SocketAddr,
+        timeout: Duration,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<Self, Outcome> {
+        let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(Outcome::ConnectFailed);
+        };
+        // Without it requests are only slower.
+        let _ = stream.set_nodelay(true);
+        let watch = Arc::new(ConnectionWatch::default());
+        let stream = CountingIo::new(stream, WatchedStream(watch.clone()));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
+        let (sender, driver) = handshake.map_err(|_| Outcome::ConnectFailed)?;
+        let mut connection = UpstreamConnection {
+            sender,
+            driver: Box::new(driver),
+            watch,
+            address,
+            idle_since: Instant::now(),
+            permit,
+        };
+        match connection.is_usable().await {
+            true => Ok(connection),
+            false => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Lets the connection notice what happened to it, by the socket itself; false if it can't take a request.
+    pub(crate) async fn is_usable(&mut self) -> bool {
+        self.watch.check_socket.store(true, Ordering::Relaxed);
         let (sender, driver, watch) = (&mut self.sender, &mut self.driver, &self.watch);
-        poll_fn(|cx| {
-            let ended = Pin::new(&mut **driver).poll(cx).is_ready();
-            let looked = !watch.look.load(Ordering::Relaxed);
-            Poll::Ready(looked && !ended && matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
+        poll_fn(|context| {
+            let ended = Pin::new(&mut **driver).poll(context).is_ready();
+            let checked = !watch.check_socket.load(Ordering::Relaxed);
+            let open = checked && !ended;
+            Poll::Ready(open && matches!(sender.poll_ready(context), Poll::Ready(Ok(()))))
         })
         .await
     }
 
-    /// Closes it and gives its place on.
+    /// Closes the connection and returns its permit.
     pub(crate) fn close(self) -> OwnedSemaphorePermit {
-        self.place
+        self.permit
     }
 }
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -1,9 +1,8 @@
-//! How an instance's answer is read: what it proves, whether it is whole, and its load report.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! What an endpoint's response says: whether the request was executed, whether the response is whole, and its load
+//! report.
+//!
+//! Input: status and headers, or how much of a request was written. Output: the decision policy's [`Outcome`].
+//! Invariant: only the endpoint's own mark, or that nothing was written, proves that a request was never executed.
 
 use std::ops::RangeInclusive;
 
@@ -11,18 +10,50 @@
 use hyper::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{StatusCode, Version};
 
-/// What a figure in a load report can be; all else is no figure.
-const SANE: RangeInclusive<f64> = 0.0..=1e6;
+/// The mark of a response to a request that was never executed.
+const UNPROCESSED: &str = "x-unprocessed";
+/// The load report's header.
+const LOAD_REPORT: &str = "x-backend-load";
+/// What a value in a load report can be; a report with any other is ignored.
+const PLAUSIBLE_LOAD: RangeInclusive<f64> = 0.0..=1e6;
+/// Longest body that a response may announce, 1 GiB; a larger number is a spoilt length.
+const MAX_ANNOUNCED_BYTES: u64 = 1 << 30;
+
+/// What an exchange without a whole response proves about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ExchangeFailure {
+    /// Not a byte was written.
+    NeverExecuted,
+    /// Some bytes were written, and they may have been the whole request.
+    PossiblyExecuted,
+}
+
+impl ExchangeFailure {
+    /// The failure of an exchange that wrote so many bytes.
+    pub(super) fn of_bytes_written(bytes: u64) -> Self {
+        match bytes {
+            0 => ExchangeFailure::NeverExecuted,
+            _ => ExchangeFailure::PossiblyExecuted,
+        }
+    }
+}
 
-/// An answer says of itself that it holds this at most; more is a spoilt length.
-const LENGTH_MOST: u64 = 1 << 30;
+impl From<ExchangeFailure> for Outcome {
+    /// A spoilt response, and one that was given up for its pace, is seen by the policy as a connection that broke.
+    fn from(failure: ExchangeFailure) -> Self {
+        match failure {
+            ExchangeFailure::NeverExecuted => Outcome::ConnectFailed,
+            ExchangeFailure::PossiblyExecuted => Outcome::ConnectionReset,
+        }
+    }
+}
 
-/// What an answer says: only its mark proves that the request never ran.
-pub(crate) fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+/// What a whole response proves about its request.
+pub(super) fn classify(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let unprocessed = || {
         headers
-            .get("x-unprocessed")
-            .is_some_and(|v| v.as_bytes() == b"1")
+            .get(UNPROCESSED)
+            .is_some_and(|value| value.as_bytes() == b"1")
     };
     match status.as_u16() {
         200 => Outcome::Success,
@@ -31,14 +62,14 @@
     }
 }
 
-/// True where an answer says itself where it ends, or that it ends with its connection. One that says neither may have
-/// been cut off, and one that says it in two ways hides something.
-pub(crate) fn framed(version: Version, status: StatusCode, headers: &HeaderMap) -> bool {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).into_iter();
-    let mut codings = headers.get_all(TRANSFER_ENCODING).into_iter();
+/// True where a response says in one way where it ends, or that it ends with its connection. One that says neither may
+/// have been cut off, and one that says it in two ways hides something.
+pub(super) fn is_delimited(version: Version, status: StatusCode, headers: &HeaderMap) -> bool {
     if status == StatusCode::SWITCHING_PROTOCOLS {
         return false;
     }
+    let mut lengths = headers.get_all(CONTENT_LENGTH).into_iter();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).into_iter();
     match (
         lengths.next(),
         lengths.next(),
@@ -48,46 +79,48 @@
         (Some(length), None, None, None) => length
             .to_str()
             .ok()
-            .and_then(|l| l.parse().ok())
-            .is_some_and(|l: u64| l <= LENGTH_MOST),
+            .and_then(|length| length.parse().ok())
+            .is_some_and(|length: u64| length <= MAX_ANNOUNCED_BYTES),
         (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
         // These have no body; HTTP/1.0 has no other way for one whose length is not known.
         (None, None, None, None) => {
             [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status)
                 || version == Version::HTTP_10
-                || closes(headers)
+                || closes_connection(headers)
         }
         _ => false,
     }
 }
 
-/// True where it says that its connection ends with it.
-fn closes(headers: &HeaderMap) -> bool {
-    let words = headers
+/// True where a response says that its connection ends with it.
+fn closes_connection(headers: &HeaderMap) -> bool {
+    headers
         .get_all(CONNECTION)
         .into_iter()
-        .filter_map(|v| v.to_str().ok());
-    words
-        .flat_map(|v| v.split(','))
-        .any(|word| word.trim().eq_ignore_ascii_case("close"))
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
-/// The load report in the order of the settings; empty where there is none or it is garbage.
-pub(crate) fn load(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
-    let Some(text) = headers.get("x-backend-load").and_then(|v| v.to_str().ok()) else {
+/// The load report in the order of the settings; empty where there is none or one of its values is not plausible.
+pub(super) fn load_report(headers: &HeaderMap, fields: &[LoadField]) -> Vec<f64> {
+    let Some(text) = headers
+        .get(LOAD_REPORT)
+        .and_then(|value| value.to_str().ok())
+    else {
         return Vec::new();
     };
     let value = |field: &LoadField| {
-        let name = match field {
+        let wanted = match field {
             LoadField::Utilization => "util",
             LoadField::InFlight => "inflight",
             LoadField::Other => return Some(0.0),
         };
-        let parts = text.split(',').filter_map(|p| p.trim().split_once('='));
-        parts
-            .filter(|(n, _)| *n == name)
-            .find_map(|(_, v)| v.parse().ok())
-            .filter(|v| SANE.contains(v))
+        text.split(',')
+            .filter_map(|part| part.trim().split_once('='))
+            .filter(|(name, _)| *name == wanted)
+            .find_map(|(_, value)| value.parse().ok())
+            .filter(|value| PLAUSIBLE_LOAD.contains(value))
     };
     fields
         .iter()
--- a/src/upstream/response/tests.rs
+++ b/src/upstream/response/tests.rs
@@ -2,7 +2,7 @@
 use hyper::header::HeaderValue;
 
 #[test]
-fn only_the_mark_proves_that_a_request_never_ran() {
+fn only_the_unprocessed_mark_proves_that_a_request_was_never_executed() {
     let mark = |value: &'static str| {
         HeaderMap::from_iter([(
             "x-unprocessed".parse().unwrap(),
@@ -10,32 +10,35 @@
         )])
     };
     assert_eq!(
-        outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("1")),
+        classify(StatusCode::SERVICE_UNAVAILABLE, &mark("1")),
         Outcome::Overloaded
     );
     assert_eq!(
-        outcome(StatusCode::GATEWAY_TIMEOUT, &mark("1")),
+        classify(StatusCode::GATEWAY_TIMEOUT, &mark("1")),
         Outcome::Overloaded
     );
     assert_eq!(
-        outcome(StatusCode::SERVICE_UNAVAILABLE, &mark("0")),
+        classify(StatusCode::SERVICE_UNAVAILABLE, &mark("0")),
         Outcome::Failure
     );
     assert_eq!(
-        outcome(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")),
+        classify(StatusCode::INTERNAL_SERVER_ERROR, &mark("1")),
         Outcome::Failure
     );
-    assert_eq!(outcome(StatusCode::OK, &HeaderMap::new()), Outcome::Success);
+    assert_eq!(
+        classify(StatusCode::OK, &HeaderMap::new()),
+        Outcome::Success
+    );
 }
 
 #[test]
-fn load_reports_are_read_by_name_and_garbage_is_none() {
+fn load_report_is_read_by_field_name_and_ignored_if_implausible() {
     let read = |text: &'static str| {
         let headers = HeaderMap::from_iter([(
             "x-backend-load".parse().unwrap(),
             HeaderValue::from_static(text),
         )]);
-        load(&headers, &[LoadField::Utilization, LoadField::InFlight])
+        load_report(&headers, &[LoadField::Utilization, LoadField::InFlight])
     };
     assert_eq!(read("inflight=7,queue=2, util=0.61"), [0.61, 7.0]);
     let garbage = [
