--- a/src/api.rs
+++ b/src/api.rs
@@ -118,7 +118,8 @@
 }
 
 impl Idempotency {
-    /// True where a repeat of what may have run at `first` does no harm at `next`, as long as keys are kept.
+    /// True where a repeat of what may have run at `first` does no harm at `next`, as long as keys
+    /// are kept.
     pub fn deduplicates_between(self, first: &Endpoint, next: &Endpoint) -> bool {
         match self {
             Idempotency::IdempotencyKey {
--- a/src/engine/admin_commands.rs
+++ b/src/engine/admin_commands.rs
@@ -29,7 +29,8 @@
 
     /// Everything that another process needs to go on from here.
     fn export_state(&mut self) -> Result<Estate, String> {
-        let module = self.policy.export_snapshot()?;
+        let snapshot = self.policy.export_snapshot();
+        let module = snapshot.map_err(|error| error.to_string())?;
         let (withheld, listed) = match &self.maintenance {
             Some(maintenance) => {
                 let (ledger, listed) = maintenance.parts();
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,7 +12,7 @@
 use applewall::api::{Action, EndpointUpdateKind, Event, RequestId};
 use applewall::decision::DecisionPolicy;
 use applewall::platform_settings::PlatformSettings;
-use applewall_admin::Ledger;
+use applewall_admin::MaintenanceSet;
 use tokio::sync::mpsc;
 
 use crate::admin::listener::Order;
@@ -51,7 +51,7 @@
     /// There is no admin address, so no maintenance set either.
     WithoutAdmin,
     /// The maintenance set as it was last known.
-    Maintenance(Ledger),
+    Maintenance(MaintenanceSet),
     /// Everything that the previous process handed over.
     HotRestart(Estate),
 }
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -181,7 +181,10 @@
     let config = Config::sample();
     let engine = Engine::new(
         &config,
-        dependencies(queue.clone(), InitialState::Maintenance(Ledger::default())),
+        dependencies(
+            queue.clone(),
+            InitialState::Maintenance(MaintenanceSet::default()),
+        ),
     );
     let update = |i: usize| {
         let (id, state) = (
--- a/src/platform_settings.rs
+++ b/src/platform_settings.rs
@@ -1,4 +1,5 @@
-//! The settings object of the platform, as both the daemon's configuration file and the simulator carry it.
+//! The settings object of the platform, as both the daemon's configuration file and the simulator
+//! carry it.
 
 #![expect(
     clippy::min_ident_chars,
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -1,6 +1,6 @@
 //! Accepts clients' connections within a budget, and starts a task for each.
 //!
-//! Owner: `serve`. Input: the listener, the stage of the shutdown, the role of this process. Output: connection tasks.
+//! Owner: `serve`. Input: the listener, the phase of the shutdown, the role of this process. Output: connection tasks.
 //! Invariants: what the kernel accepted for this process is served before the listener closes, unless another process
 //! has taken over; the listener is used for one thing at a time; a connection's permit is given back once, with it.
 
@@ -10,7 +10,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
@@ -83,8 +83,8 @@
     pub pacers: Pacers,
     /// The engine's queue.
     pub queue: mpsc::Sender<Message>,
-    /// The stage of the shutdown.
-    pub stages: watch::Receiver<Stage>,
+    /// The phase of the shutdown.
+    pub phases: watch::Receiver<LifecyclePhase>,
     /// True once there is an endpoint list to decide from.
     pub has_endpoint_list: watch::Receiver<bool>,
     /// The process that takes over from this one.
@@ -96,7 +96,7 @@
     role: watch::Receiver<Role>,
     stopping: Arc<OnceLock<Stopping>>,
     context: Arc<ServerContext>,
-    stages: watch::Receiver<Stage>,
+    phases: watch::Receiver<LifecyclePhase>,
     permits: Arc<Semaphore>,
     table: Arc<ConnectionTable>,
     budget: ConnectionBudget,
@@ -119,14 +119,14 @@
             permits,
             pacers,
             queue,
-            stages,
+            phases,
             has_endpoint_list,
             successor,
         } = dependencies;
         let context = ServerContext {
             settings: config.facts.clone(),
             queue,
-            stages: stages.clone(),
+            phases: phases.clone(),
             has_endpoint_list,
             serials: AtomicU64::new(0),
             body_permits: Arc::new(Semaphore::new(config.memory / BODY_MEMORY_DIVISOR)),
@@ -137,7 +137,7 @@
             role: successor.role,
             stopping: successor.stopping,
             context: Arc::new(context),
-            stages,
+            phases,
             permits,
             table: Arc::default(),
             budget: ConnectionBudget::new(config.sockets),
@@ -148,11 +148,11 @@
 
     /// Serves until the process is to end and everything that was accepted has its response.
     pub(crate) async fn serve(self, listener: TcpListener) {
-        let mut stages = self.stages.clone();
+        let mut phases = self.phases.clone();
         let all = (self.budget.clients + self.budget.spare) as u32;
         tokio::select! {
             () = self.accept(&listener) => {}
-            _ = stages.wait_for(|stage| *stage == Stage::Closing) => {}
+            _ = phases.wait_for(|phase| *phase == LifecyclePhase::Closing) => {}
             () = self.emptied_while_staying(all) => {}
         }
         let ends = self
@@ -172,9 +172,11 @@
 
     /// Ends once this process was told to stop, another one took over, and no connection is left.
     async fn emptied_while_staying(&self, all: u32) {
-        let mut stages = self.stages.clone();
-        // Neither the stages nor the permits are ever closed; if they were, nothing would be left to wait for.
-        let _ = stages.wait_for(|stage| *stage == Stage::Staying).await;
+        let mut phases = self.phases.clone();
+        // Neither the phases nor the permits are ever closed; if they were, nothing would be left to wait for.
+        let _ = phases
+            .wait_for(|phase| *phase == LifecyclePhase::TerminatingReplaced)
+            .await;
         let _ = self.permits.acquire_many(all).await;
     }
 
@@ -297,7 +299,7 @@
             connection,
         };
         // Owned by the permit: `serve` ends once all permits are back, or the time of the shutdown is over.
-        tokio::spawn(connection_task::serve(stream, service, self.stages.clone()));
+        tokio::spawn(connection_task::serve(stream, service, self.phases.clone()));
     }
 
     /// Registers a new connection with slow-peer protection, where that is on.
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -6,9 +6,9 @@
     let mut config = Config::sample();
     config.sockets = 64;
     let (queue, _) = mpsc::channel(8);
-    let (stage, stages) = watch::channel(Stage::Serving);
-    // Whatever drives the stages does so for as long as the program runs.
-    std::mem::forget(stage);
+    let (phase, phases) = watch::channel(LifecyclePhase::Serving);
+    // Whatever drives the phases does so for as long as the program runs.
+    std::mem::forget(phase);
     let permits = ConnectionBudget::new(config.sockets).permits();
     let (role, follower) = watch::channel(Role::Sole);
     std::mem::forget(role);
@@ -21,7 +21,7 @@
         permits,
         pacers: crate::server::slow_peers::none(),
         queue,
-        stages,
+        phases,
         has_endpoint_list: watch::channel(true).1,
         successor,
     };
--- a/src/server/connection_task.rs
+++ b/src/server/connection_task.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -38,7 +38,7 @@
 pub(super) fn serve(
     stream: GuardedStream,
     service: RequestService,
-    mut stages: watch::Receiver<Stage>,
+    mut phases: watch::Receiver<LifecyclePhase>,
 ) -> impl Future<Output = ()> {
     let connection = service.connection.clone();
     let aborted = connection.aborted.clone();
@@ -58,7 +58,7 @@
                 }
                 None
             }
-            () = shutdown_while_idle(&mut stages, &connection) => None,
+            () = shutdown_while_idle(&mut phases, &connection) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
@@ -98,21 +98,26 @@
 /// Ends once the process's shutdown closes the connection, which it does where the connection is idle. While the process
 /// drains, a connection without any request stays for its one request, for as long as a head may take; one whose head is
 /// partly read closes with the response to that.
-async fn shutdown_while_idle(stages: &mut watch::Receiver<Stage>, connection: &ClientConnection) {
+async fn shutdown_while_idle(
+    phases: &mut watch::Receiver<LifecyclePhase>,
+    connection: &ClientConnection,
+) {
     loop {
-        let stage = *stages.borrow_and_update();
-        let closes = match stage {
-            Stage::Closing => !connection.is_reading_head(),
-            Stage::Drained => connection.has_begun_request() && !connection.is_reading_head(),
+        let phase = *phases.borrow_and_update();
+        let closes = match phase {
+            LifecyclePhase::Closing => !connection.is_reading_head(),
+            LifecyclePhase::Drained => {
+                connection.has_begun_request() && !connection.is_reading_head()
+            }
             _ => false,
         };
         if closes {
             return;
         }
-        if matches!(stage, Stage::Closing | Stage::Drained) {
+        if matches!(phase, LifecyclePhase::Closing | LifecyclePhase::Drained) {
             // The response, or the time that a head has, ends the connection. If the sender is gone, nothing follows.
-            let _ = stages.wait_for(|next| *next != stage).await;
-        } else if stages.changed().await.is_err() {
+            let _ = phases.wait_for(|next| *next != phase).await;
+        } else if phases.changed().await.is_err() {
             std::future::pending::<()>().await;
         }
     }
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -14,7 +14,7 @@
 
 use applewall::api::{self, RequestId};
 use applewall::platform_settings::PlatformSettings;
-use applewall_admin::Stage;
+use applewall_admin::LifecyclePhase;
 use applewall_slow_peer::socket::Pacer;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -42,8 +42,8 @@
     pub settings: Arc<PlatformSettings>,
     /// The engine's queue.
     pub queue: mpsc::Sender<Message>,
-    /// The stage of the shutdown.
-    pub stages: watch::Receiver<Stage>,
+    /// The phase of the shutdown.
+    pub phases: watch::Receiver<LifecyclePhase>,
     /// True once there is an endpoint list to decide from.
     pub has_endpoint_list: watch::Receiver<bool>,
     /// The next request's serial.
@@ -102,7 +102,7 @@
         self.connection.await_request();
         let mut response = HttpResponse::new(Either::Left(Full::default()));
         let context = &self.context;
-        if !(context.stages.borrow().healthy() && *context.has_endpoint_list.borrow()) {
+        if !(context.phases.borrow().reports_healthy() && *context.has_endpoint_list.borrow()) {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         context.finish(response, false)
@@ -238,7 +238,7 @@
 
     /// Closes the connection with its response once the process is shutting down.
     fn finish(&self, mut response: HttpResponse, close: bool) -> HttpResponse {
-        if close || self.stages.borrow().last_answers() {
+        if close || self.phases.borrow().closes_after_response() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
