--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -26,8 +26,8 @@
 use tokio::sync::{mpsc, watch, Notify};
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
-use crate::config::platform::Config;
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
 use crate::engine::message::{EndpointEntry, EndpointUpdate, Message};
 
 /// Sources of the roster.
@@ -249,7 +249,7 @@
 
 /// Stands between discovery's follower and the engine's queue, and follows the registry beside it.
 pub(crate) async fn merge(
-    operator: Arc<Operator>,
+    operator: Arc<OperatorConfig>,
     seed: u64,
     known: Vec<EndpointEntry>,
     facts: Arc<PlatformSettings>,
@@ -445,9 +445,9 @@
 
 /// Where news of discovery go: to the engine, or through the merge where a registry is on. What is on is decided at
 /// the start.
-pub(crate) fn begin(
-    operator: &watch::Receiver<Arc<Operator>>,
-    config: &Config,
+pub(crate) fn start(
+    operator: &watch::Receiver<Arc<OperatorConfig>>,
+    config: &PlatformConfig,
     clock: Clock,
     queue: mpsc::Sender<Message>,
 ) -> mpsc::Sender<Message> {
@@ -457,8 +457,8 @@
     }
     let (discovery, discovered) = mpsc::channel(16);
     let (facts, known) = (
-        config.facts.clone(),
-        config.known.entries(&config.facts, &clock),
+        config.settings.clone(),
+        config.known_endpoints.entries(&config.settings, &clock),
     );
     tokio::spawn(merge(
         operator,
--- a/src/engine/admin_commands.rs
+++ b/src/engine/admin_commands.rs
@@ -7,20 +7,20 @@
 use applewall::api::{EndpointUpdateKind, Event};
 
 use super::Engine;
-use crate::admin::listener::{self, Order};
+use crate::admin::handle::{ControlMessage, ExportError, MaintenanceRequest};
 use crate::engine::message::EndpointEntry;
-use crate::lifecycle::process_role::Estate;
+use crate::lifecycle::process_role::TransferredState;
 
 impl Engine {
-    pub(super) fn handle_admin_command(&mut self, command: Order) {
+    pub(super) fn handle_admin_command(&mut self, command: ControlMessage) {
         match command {
-            Order::Instance(command) => self.change_maintenance(command),
-            Order::HandOver(reply) => {
+            ControlMessage::SetMaintenance(command) => self.change_maintenance(command),
+            ControlMessage::ExportState(reply) => {
                 self.gossip_handed_over = true;
                 // A process that gave up the hand-over meanwhile takes everything back by a command of its own.
                 let _ = reply.send(self.export_state());
             }
-            Order::TakeBack => {
+            ControlMessage::ResumeOwnership => {
                 self.gossip_handed_over = false;
                 self.policy.resume();
             }
@@ -28,52 +28,51 @@
     }
 
     /// Everything that another process needs to go on from here.
-    fn export_state(&mut self) -> Result<Estate, String> {
-        let snapshot = self.policy.export_snapshot();
-        let module = snapshot.map_err(|error| error.to_string())?;
-        let (withheld, listed) = match &self.maintenance {
-            Some(maintenance) => {
-                let (ledger, listed) = maintenance.parts();
+    fn export_state(&mut self) -> Result<TransferredState, ExportError> {
+        let policy_state = self.policy.export_snapshot()?;
+        let (maintenance, endpoints) = match &self.maintenance {
+            Some(filter) => {
+                let (maintenance, listed) = filter.state();
                 let listed = listed.map(|entry| (entry.endpoint.clone(), entry.address));
-                (ledger.clone(), listed.collect())
+                (maintenance.clone(), listed.collect())
             }
             None => Default::default(),
         };
-        Ok(Estate {
-            now: self.now,
-            withheld,
-            drained: false,
-            listed,
-            module,
+        Ok(TransferredState {
+            now_ns: self.now,
+            maintenance,
+            draining: false,
+            endpoints,
+            policy_state,
         })
     }
 
     /// Puts an endpoint into maintenance, or returns it to service.
-    fn change_maintenance(&mut self, command: listener::Instance) {
-        let listener::Instance {
+    fn change_maintenance(&mut self, command: MaintenanceRequest) {
+        let MaintenanceRequest {
             id,
-            withhold,
-            known,
+            enter,
+            known_to_other_process,
             reply,
         } = command;
         let Some(maintenance) = &mut self.maintenance else {
             return;
         };
-        let ruling = maintenance.order(&id, withhold, known);
-        let none_left = maintenance.none_left();
-        let ledger = maintenance.parts().0.clone();
-        if let Some(entry) = ruling.changed {
+        let change = maintenance.change(&id, enter, known_to_other_process);
+        let none_left = maintenance.all_in_maintenance();
+        let ids = maintenance.state().0.clone();
+        if let Some(entry) = change.changed {
             tracing::info!(
                 "operator: {id} {}",
-                if withhold { "withheld" } else { "given back" }
+                if enter { "withheld" } else { "given back" }
             );
-            self.apply_maintenance(entry, withhold);
-            if withhold && none_left {
+            self.apply_maintenance(entry, enter);
+            if enter && none_left {
                 tracing::warn!("operator: all instances are withheld; every command is nacked");
             }
         }
         // The command is carried out also where its caller has disconnected.
-        let _ = reply.send((ruling.answer, ledger));
+        let _ = reply.send((change.answer, ids));
     }
 
     fn apply_maintenance(&mut self, entry: EndpointEntry, in_maintenance: bool) {
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -136,7 +136,7 @@
         match started {
             Ok(cancel) => {
                 if let (Some(zones), Some(endpoint)) = (&mut self.zones, endpoint_for_zones) {
-                    zones.sent(self.now, request, pending.class, &endpoint);
+                    zones.attempt_started(self.now, request, pending.class, &endpoint);
                 }
                 self.statistics.attempts += 1;
                 pending.in_flight = Some(InFlightAttempt {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -15,13 +15,13 @@
 use applewall_admin::MaintenanceSet;
 use tokio::sync::mpsc;
 
-use crate::admin::listener::Order;
-use crate::admin::maintenance::Withheld;
+use crate::admin::handle::ControlMessage;
+use crate::admin::maintenance::MaintenanceFilter;
 use crate::clock::Clock;
-use crate::config::platform::Config;
-use crate::discovery::zone_failover::{self, Zoning};
+use crate::config::platform::PlatformConfig;
+use crate::discovery::zone_failover::{self, ZoneFailover};
 use crate::engine::message::{EndpointEntry, EndpointUpdate, Message, PeerDatagram};
-use crate::lifecycle::process_role::Estate;
+use crate::lifecycle::process_role::TransferredState;
 use crate::peer_socket::PeerSocket;
 use crate::resource_budget::ConnectionBudget;
 use crate::server::slow_peers::{self, Pacers};
@@ -53,7 +53,7 @@
     /// The maintenance set as it was last known.
     Maintenance(MaintenanceSet),
     /// Everything that the previous process handed over.
-    HotRestart(Estate),
+    HotRestart(TransferredState),
 }
 
 /// The parts of the program that the engine works with.
@@ -69,7 +69,7 @@
     /// What the engine starts from.
     pub initial_state: InitialState,
     /// Zone failover, where the operator enabled it.
-    pub zones: Option<Zoning>,
+    pub zones: Option<ZoneFailover>,
 }
 
 /// A period in which the process did not run. Requests that are read right after it may have waited unseen.
@@ -99,16 +99,16 @@
     statistics: Statistics,
     pacers: Pacers,
     /// `None` where there is no admin address.
-    maintenance: Option<Withheld>,
+    maintenance: Option<MaintenanceFilter>,
     /// `None` where the operator did not enable zone failover.
-    zones: Option<Zoning>,
+    zones: Option<ZoneFailover>,
     /// True once another process sends datagrams to the peers in this one's place.
     gossip_handed_over: bool,
 }
 
 impl Engine {
     /// An engine that has decided from the known endpoint list alone.
-    pub(crate) fn new(config: &Config, dependencies: Dependencies) -> Self {
+    pub(crate) fn new(config: &PlatformConfig, dependencies: Dependencies) -> Self {
         let Dependencies {
             clock,
             peers,
@@ -118,10 +118,10 @@
             zones,
         } = dependencies;
         let now = clock.now();
-        let settings = config.facts.clone();
+        let settings = config.settings.clone();
         let limits = PoolLimits {
-            connections: ConnectionBudget::new(config.sockets).upstream,
-            prefetch_bytes: config.memory / PREFETCH_MEMORY_DIVISOR,
+            connections: ConnectionBudget::new(config.max_descriptors).upstream,
+            prefetch_bytes: config.max_memory_bytes / PREFETCH_MEMORY_DIVISOR,
         };
         let mut engine = Engine {
             policy: DecisionPolicy::new(settings.policy.clone(), config.seed, now),
@@ -153,20 +153,26 @@
     }
 
     /// Takes over the initial state; returns the endpoint list to start with.
-    fn restore(&mut self, config: &Config, initial_state: InitialState) -> Vec<EndpointEntry> {
+    fn restore(
+        &mut self,
+        config: &PlatformConfig,
+        initial_state: InitialState,
+    ) -> Vec<EndpointEntry> {
         match initial_state {
-            InitialState::WithoutAdmin => config.known.entries(&self.settings, &self.clock),
+            InitialState::WithoutAdmin => {
+                config.known_endpoints.entries(&self.settings, &self.clock)
+            }
             InitialState::Maintenance(maintenance) => {
-                self.maintenance = Some(Withheld::new(maintenance));
-                config.known.entries(&self.settings, &self.clock)
+                self.maintenance = Some(MaintenanceFilter::new(maintenance));
+                config.known_endpoints.entries(&self.settings, &self.clock)
             }
-            InitialState::HotRestart(estate) => {
-                self.maintenance = Some(Withheld::new(estate.withheld));
-                if let Err(error) = self.policy.import_snapshot(&estate.module) {
-                    tracing::warn!("succession: the module begins anew: {error}");
+            InitialState::HotRestart(state) => {
+                self.maintenance = Some(MaintenanceFilter::new(state.maintenance));
+                if let Err(error) = self.policy.import_snapshot(&state.policy_state) {
+                    tracing::warn!("hot restart: the decision policy starts anew: {error}");
                 }
                 let entry = |(endpoint, address)| EndpointEntry { endpoint, address };
-                estate.listed.into_iter().map(entry).collect()
+                state.endpoints.into_iter().map(entry).collect()
             }
         }
     }
@@ -175,7 +181,7 @@
     pub(crate) async fn run(
         mut self,
         mut messages: mpsc::Receiver<Message>,
-        mut admin_commands: mpsc::Receiver<Order>,
+        mut admin_commands: mpsc::Receiver<ControlMessage>,
     ) {
         let mut batch = Vec::with_capacity(MAX_BATCH);
         let sleep = tokio::time::sleep(Duration::ZERO);
@@ -228,11 +234,11 @@
     fn handle_endpoint_update(&mut self, update: EndpointUpdate) {
         let EndpointUpdate { kind, mut entries } = update;
         if let Some(maintenance) = &mut self.maintenance {
-            maintenance.mask(kind, &mut entries);
+            maintenance.apply(kind, &mut entries);
         }
         self.pool.update(kind, &entries);
         if let Some(zones) = &mut self.zones {
-            zones.listed(kind, &entries);
+            zones.endpoints_updated(kind, &entries);
         }
         let endpoints = entries.into_iter().map(|entry| entry.endpoint).collect();
         self.handle_event(Event::EndpointUpdate(kind, endpoints));
@@ -245,7 +251,7 @@
         let for_zones = self
             .zones
             .as_mut()
-            .is_some_and(|zones| zones.hear(now, from, &text));
+            .is_some_and(|zones| zones.receive(now, from, &text));
         if !for_zones {
             self.handle_event(Event::PeerMessage { from, text });
         }
@@ -286,8 +292,10 @@
     }
 
     fn schedule_zone_failover(&mut self) {
-        self.timers
-            .schedule(self.now + zone_failover::EVERY, Timer::ZoneFailover);
+        self.timers.schedule(
+            self.now + zone_failover::EVALUATION_INTERVAL_NS,
+            Timer::ZoneFailover,
+        );
     }
 }
 
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -127,7 +127,7 @@
                 .get_or_insert(pending.attempt_started_at_ns);
         }
         if let Some(zones) = &mut self.zones {
-            zones.ended(self.now, request, outcome);
+            zones.attempt_ended(self.now, request, outcome);
         }
         if let Some(response) = response {
             self.respond(request, ClientResponse::Served(response));
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -1,6 +1,6 @@
 use super::pending_request::{InFlightAttempt, LAST_RESORT_MARGIN_NS};
 use super::*;
-use crate::admin::listener;
+use crate::admin::handle::MaintenanceRequest;
 use crate::engine::message::{AttemptEnded, ClientDisconnected, ClientRequest, ForwardedRequest};
 use crate::server::response::{ClientResponse, ResponseBody, ServedResponse};
 use applewall::api::{Outcome, Request};
@@ -24,7 +24,7 @@
     let (queue, inbox) = mpsc::channel(8);
     (
         Engine::new(
-            &Config::sample(),
+            &PlatformConfig::sample(),
             dependencies(queue, InitialState::WithoutAdmin),
         ),
         inbox,
@@ -178,7 +178,7 @@
 #[tokio::test]
 async fn admin_command_is_handled_before_a_full_message_queue() {
     let (queue, inbox) = mpsc::channel(crate::limits::ENGINE_QUEUE_CAPACITY);
-    let config = Config::sample();
+    let config = PlatformConfig::sample();
     let engine = Engine::new(
         &config,
         dependencies(
@@ -210,13 +210,15 @@
     // Listed by the last message only: unknown while that still waits.
     let (reply, response) = oneshot::channel();
     let id = format!("s-{}", crate::limits::ENGINE_QUEUE_CAPACITY + 1);
-    let command = listener::Instance {
+    let command = MaintenanceRequest {
         id,
-        withhold: true,
-        known: false,
+        enter: true,
+        known_to_other_process: false,
         reply,
     };
-    assert!(commands.try_send(Order::Instance(command)).is_ok());
+    assert!(commands
+        .try_send(ControlMessage::SetMaintenance(command))
+        .is_ok());
     tokio::select! {
         biased;
         () = engine.run(inbox, commands_in) => panic!("the queue has senders"),
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -16,9 +16,9 @@
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
-use crate::config::platform::Config;
+use crate::config::platform::PlatformConfig;
 use crate::engine::message::Message;
-use crate::lifecycle::process_role::{Role, Stopping, Successor};
+use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::resource_budget::ConnectionBudget;
 use crate::server::connection_table::{ConnectionTable, MonitoredTransfer, NewConnections};
 use crate::server::connection_task;
@@ -87,14 +87,14 @@
     pub phases: watch::Receiver<LifecyclePhase>,
     /// True once there is an endpoint list to decide from.
     pub has_endpoint_list: watch::Receiver<bool>,
-    /// The process that takes over from this one.
-    pub successor: Successor,
+    /// The role of this process, and the times of its shutdown.
+    pub status: ProcessStatus,
 }
 
 /// See the module's page.
 pub(crate) struct Acceptor {
-    role: watch::Receiver<Role>,
-    stopping: Arc<OnceLock<Stopping>>,
+    role: watch::Receiver<ProcessRole>,
+    shutdown_times: Arc<OnceLock<ShutdownTimes>>,
     context: Arc<ServerContext>,
     phases: watch::Receiver<LifecyclePhase>,
     permits: Arc<Semaphore>,
@@ -113,7 +113,7 @@
 
 impl Acceptor {
     /// An acceptor without connections.
-    pub(crate) fn new(config: &Config, dependencies: Dependencies) -> Self {
+    pub(crate) fn new(config: &PlatformConfig, dependencies: Dependencies) -> Self {
         let Dependencies {
             clock,
             permits,
@@ -121,26 +121,28 @@
             queue,
             phases,
             has_endpoint_list,
-            successor,
+            status,
         } = dependencies;
         let context = ServerContext {
-            settings: config.facts.clone(),
+            settings: config.settings.clone(),
             queue,
             phases: phases.clone(),
             has_endpoint_list,
             serials: AtomicU64::new(0),
-            body_permits: Arc::new(Semaphore::new(config.memory / BODY_MEMORY_DIVISOR)),
+            body_permits: Arc::new(Semaphore::new(
+                config.max_memory_bytes / BODY_MEMORY_DIVISOR,
+            )),
             clock,
-            successor: successor.clone(),
+            status: status.clone(),
         };
         Acceptor {
-            role: successor.role,
-            stopping: successor.stopping,
+            role: status.role,
+            shutdown_times: status.shutdown_times,
             context: Arc::new(context),
             phases,
             permits,
             table: Arc::default(),
-            budget: ConnectionBudget::new(config.sockets),
+            budget: ConnectionBudget::new(config.max_descriptors),
             shedding: AtomicBool::new(false),
             pacers,
         }
@@ -156,12 +158,12 @@
             () = self.emptied_while_staying(all) => {}
         }
         let ends = self
-            .stopping
+            .shutdown_times
             .get()
-            .map_or_else(Instant::now, |stopping| stopping.ends);
+            .map_or_else(Instant::now, |times| times.exit_at);
         match *self.role.borrow() {
             // The kernel's queue belongs to the other process.
-            Role::Succeeded => drop(listener),
+            ProcessRole::Superseded => drop(listener),
             _ => self.accept_waiting(listener, ends).await,
         }
         let all = self.permits.acquire_many(all);
@@ -187,7 +189,7 @@
         loop {
             // New connections belong to the other process, for as long as that runs.
             if role
-                .wait_for(|role| *role != Role::Succeeded)
+                .wait_for(|role| *role != ProcessRole::Superseded)
                 .await
                 .is_err()
             {
@@ -201,7 +203,7 @@
             };
             let accepted = tokio::select! {
                 biased;
-                Ok(_) = role.wait_for(|role| *role == Role::Succeeded) => continue,
+                Ok(_) = role.wait_for(|role| *role == ProcessRole::Superseded) => continue,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -3,18 +3,18 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn acceptor() -> Acceptor {
-    let mut config = Config::sample();
-    config.sockets = 64;
+    let mut config = PlatformConfig::sample();
+    config.max_descriptors = 64;
     let (queue, _) = mpsc::channel(8);
     let (phase, phases) = watch::channel(LifecyclePhase::Serving);
     // Whatever drives the phases does so for as long as the program runs.
     std::mem::forget(phase);
-    let permits = ConnectionBudget::new(config.sockets).permits();
-    let (role, follower) = watch::channel(Role::Sole);
+    let permits = ConnectionBudget::new(config.max_descriptors).permits();
+    let (role, follower) = watch::channel(ProcessRole::Active);
     std::mem::forget(role);
-    let successor = Successor {
+    let status = ProcessStatus {
         role: follower,
-        stopping: Arc::default(),
+        shutdown_times: Arc::default(),
     };
     let dependencies = Dependencies {
         clock: Clock::start(),
@@ -23,7 +23,7 @@
         queue,
         phases,
         has_endpoint_list: watch::channel(true).1,
-        successor,
+        status,
     };
     Acceptor::new(&config, dependencies)
 }
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -27,7 +27,7 @@
 use crate::clock::Clock;
 use crate::engine::message::{ClientDisconnected, ClientRequest, ForwardedRequest, Message};
 use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY};
-use crate::lifecycle::process_role::Successor;
+use crate::lifecycle::process_role::ProcessStatus;
 use crate::server::connection_table::ClientConnection;
 use crate::server::request::{self, ParsedRequest};
 use crate::server::request_body::{BodyState, ReceivedBody, Upload};
@@ -52,8 +52,8 @@
     pub body_permits: Arc<Semaphore>,
     /// The engine's clock.
     pub clock: Clock,
-    /// The process that takes over from this one, and the times of a stop.
-    pub successor: Successor,
+    /// The role of this process, and the times of its shutdown.
+    pub status: ProcessStatus,
 }
 
 /// See the module's page.
@@ -305,10 +305,10 @@
     /// When the client gives up, or the process does.
     fn deadline(&self, arrived: Instant, time_left_ns: u64) -> Instant {
         let deadline = arrived + Duration::from_nanos(time_left_ns);
-        let stopping = self.successor.stopping.get();
-        match stopping.map(|stopping| stopping.late) {
-            Some((from, by)) if arrived >= from => deadline.min(by),
-            _ => deadline,
+        let times = self.status.shutdown_times.get();
+        match times.and_then(|times| times.answer_limit(arrived)) {
+            Some(limit) => deadline.min(limit),
+            None => deadline,
         }
     }
 
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{watch, Semaphore};
 
 use crate::clock::Clock;
-use crate::config::operator::Operator;
+use crate::config::operator::OperatorConfig;
 
 /// Most rows of the table of slow peers in the log, each time that statistics are logged.
 const MAX_LOGGED_PEERS: usize = 5;
@@ -39,7 +39,7 @@
 
 /// Follows the operator's settings. `permits` are those of the clients' connections, none of them taken yet.
 pub(crate) fn follow_settings(
-    mut operator: watch::Receiver<Arc<Operator>>,
+    mut operator: watch::Receiver<Arc<OperatorConfig>>,
     clock: Clock,
     permits: Arc<Semaphore>,
     capacity: Capacity,
@@ -74,7 +74,7 @@
 
 impl Environment {
     /// A new instance, where the settings ask for one.
-    fn start(&self, settings: &Operator) -> Option<Arc<Pacer>> {
+    fn start(&self, settings: &OperatorConfig) -> Option<Arc<Pacer>> {
         if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
             return None;
         }
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -18,7 +18,7 @@
 async fn response_that_begins_and_ends_in_one_poll_is_forwarded_whole() {
     let (listener, address) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let settings = crate::config::platform::Config::sample().facts;
+    let settings = crate::config::platform::PlatformConfig::sample().settings;
     // No room to read ahead: passed on from its first piece.
     let mut pool = ConnectionPool::new(
         &settings,
@@ -72,7 +72,7 @@
 async fn attempt_without_a_connection_permit_is_not_sent_and_permits_are_given_back_once() {
     let (_listener, address) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let settings = crate::config::platform::Config::sample().facts;
+    let settings = crate::config::platform::PlatformConfig::sample().settings;
     let mut pool = ConnectionPool::new(
         &settings,
         PoolLimits {
