Program: the start as a node with steps, cli.rs, typed errors to the end

Cause: `run` had 180 lines, `main` read the command line, errors were strings, tasks were spawned without an owner. Change: serve.rs reads in the order of the start; serve/foundation.rs (inherited socket, admin listener, state of the process before, sockets) and serve/node.rs (one method a part, all tasks in one JoinSet). Order of the start, order of spawned tasks and what is kept alive are as before. No CancellationToken: the phases of the shutdown carry more than "cancelled", so a token would not do what the watch channel does. Held: signals first and the admin listener before the rest by handover and exchanges (upgrade_*), order at stop by drains, exit codes and texts by command_line and golden_config.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,157 @@
+//! The command line: sub-commands, and what each of them prints or runs.
+//!
+//! Input: the process's arguments. Output: a sub-command, run. Invariant: nothing is started before the arguments and the
+//! configuration are read.
+
+use std::ffi::OsString;
+
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
+use crate::config::ConfigError;
+use crate::logging;
+use crate::serve::{self, ServeError};
+
+const USAGE: &str =
+    "usage: applewall serve | check [--operator FILE] | schema [operator | registry] | version | help";
+
+/// Why a command line is not understood.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum UsageError {
+    /// There is no sub-command.
+    #[error("{USAGE}")]
+    NoCommand,
+    /// The first argument is no sub-command.
+    #[error("unknown sub-command '{}'; {USAGE}", .0.to_string_lossy())]
+    UnknownCommand(OsString),
+    /// An argument has no place here.
+    #[error("{0}; {USAGE}")]
+    UnexpectedArgument(#[source] lexopt::Error),
+    /// An argument or its value is malformed.
+    #[error(transparent)]
+    Malformed(#[from] lexopt::Error),
+}
+
+/// Why a sub-command failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CommandError {
+    /// The command line is not understood.
+    #[error(transparent)]
+    Usage(#[from] UsageError),
+    /// The configuration is not valid.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The node could not start, or ended before it was told to.
+    #[error(transparent)]
+    Serve(#[from] ServeError),
+}
+
+/// Which file's JSON Schema is printed.
+enum SchemaOf {
+    OperatorFile,
+    RegistryValue,
+}
+
+enum Command {
+    Serve,
+    Check,
+    Schema(SchemaOf),
+    Version,
+    Help,
+}
+
+/// The whole command line.
+struct Arguments {
+    command: Command,
+    /// The path of the operator's own file, if it is given.
+    operator_path: Option<String>,
+}
+
+impl Arguments {
+    fn parse() -> Result<Self, UsageError> {
+        use lexopt::prelude::{Long, Short, Value};
+        let mut parser = lexopt::Parser::from_env();
+        let (mut command, mut operator_path) = (None, None);
+        while let Some(argument) = parser.next()? {
+            let next = match argument {
+                Long("help") | Short('h') => Command::Help,
+                Long("version") | Short('V') => Command::Version,
+                Long("operator") if operator_path.is_none() => {
+                    let path = parser.value().and_then(lexopt::ValueExt::string)?;
+                    operator_path = Some(path);
+                    continue;
+                }
+                Value(name) if command.is_none() => parse_command(name)?,
+                Value(name)
+                    if matches!(command, Some(Command::Schema(_))) && name == "operator" =>
+                {
+                    Command::Schema(SchemaOf::OperatorFile)
+                }
+                Value(name)
+                    if matches!(command, Some(Command::Schema(_))) && name == "registry" =>
+                {
+                    Command::Schema(SchemaOf::RegistryValue)
+                }
+                other => return Err(UsageError::UnexpectedArgument(other.unexpected())),
+            };
+            command = Some(next);
+        }
+        let command = command.ok_or(UsageError::NoCommand)?;
+        Ok(Arguments {
+            command,
+            operator_path,
+        })
+    }
+}
+
+fn parse_command(name: OsString) -> Result<Command, UsageError> {
+    match name.to_str() {
+        Some("serve") => Ok(Command::Serve),
+        Some("check") => Ok(Command::Check),
+        Some("schema") => Ok(Command::Schema(SchemaOf::OperatorFile)),
+        Some("version") => Ok(Command::Version),
+        Some("help") => Ok(Command::Help),
+        _ => Err(UsageError::UnknownCommand(name)),
+    }
+}
+
+/// Reads the command line and runs its sub-command.
+///
+/// # Errors
+///
+/// The command line or the configuration is not valid, or the node failed.
+pub(crate) fn run() -> Result<(), CommandError> {
+    let Arguments {
+        command,
+        operator_path,
+    } = Arguments::parse()?;
+    match command {
+        Command::Serve => {
+            let operator = OperatorConfig::read(operator_path.as_deref())?;
+            logging::init(operator.log.format);
+            serve::serve(PlatformConfig::from_env()?, operator, operator_path)?;
+        }
+        Command::Check => check(operator_path.as_deref())?,
+        Command::Schema(SchemaOf::OperatorFile) => println!("{}", OperatorConfig::schema()),
+        Command::Schema(SchemaOf::RegistryValue) => println!("{}", applewall_membership::schema()),
+        Command::Version => println!("applewall {}", env!("CARGO_PKG_VERSION")),
+        Command::Help => print_help(),
+    }
+    Ok(())
+}
+
+/// Reads the configuration and prints what it describes.
+fn check(operator_path: Option<&str>) -> Result<(), CommandError> {
+    let operator = OperatorConfig::read(operator_path)?;
+    println!("{}", PlatformConfig::from_env()?.summary());
+    if let Some(path) = operator_path {
+        println!("{path}: {} on", operator.summary());
+    }
+    Ok(())
+}
+
+fn print_help() {
+    println!("{USAGE}\n\nserve    run the ingress that GW_CONFIG describes, until SIGTERM");
+    println!("check    read GW_CONFIG and say what it describes");
+    println!("schema   print the JSON Schema of the operator's file, or of a registry's values");
+    println!("version  print the version");
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,11 +1,17 @@
-//! The module's clock: nanoseconds that only advance, and Unix time brought onto them.
+//! The engine's clock: nanoseconds that only advance, and Unix time converted to them.
+//!
+//! Owner: each part has a copy. Input: the system's monotonic clock, and Unix time once at the start. Output: moments in
+//! nanoseconds. Invariant: all copies agree, also across a hot restart.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Where the module's clock stands at the start: far from 0, so that earlier moments can be told.
-const START: u64 = 1_000_000_000_000_000;
+/// Where the clock stands at the start, in nanoseconds: far from 0, so that moments before the start can be expressed.
+const START_NS: u64 = 1_000_000_000_000_000;
+const NANOS_PER_MILLISECOND: i128 = 1_000_000;
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+const NANOS_PER_SECOND: f64 = 1e9;
 
-/// The module's clock.
+/// See the module's page.
 #[derive(Clone, Copy)]
 pub(crate) struct Clock {
     origin: Instant,
@@ -24,15 +30,18 @@
         }
     }
 
-    /// One that goes on with another process's, which stood at `now` a moment ago.
+    /// A clock that continues another process's, which stood at `now` a moment ago.
     pub(crate) fn resume_at(now: u64) -> Self {
-        let since = Duration::from_nanos(now.saturating_sub(START));
-        let start = Clock::start();
-        // A machine that has run for less than the other process can't be.
-        let origin = start.origin.checked_sub(since).unwrap_or(start.origin);
+        let elapsed = Duration::from_nanos(now.saturating_sub(START_NS));
+        let started = Clock::start();
+        // The machine can't have run for less than the other process.
+        let origin = started
+            .origin
+            .checked_sub(elapsed)
+            .unwrap_or(started.origin);
         Clock {
             origin,
-            unix_ms: start.unix_ms.saturating_sub(since.as_millis() as u64),
+            unix_ms: started.unix_ms.saturating_sub(elapsed.as_millis() as u64),
         }
     }
 
@@ -41,27 +50,27 @@
         self.nanos_at(Instant::now())
     }
 
-    /// A moment of the system's monotonic clock.
+    /// A moment of the system's monotonic clock on this clock.
     pub(crate) fn nanos_at(&self, instant: Instant) -> u64 {
-        START + instant.saturating_duration_since(self.origin).as_nanos() as u64
+        START_NS + instant.saturating_duration_since(self.origin).as_nanos() as u64
     }
 
-    /// The system's moment for one of ours.
-    pub(crate) fn instant(&self, at: u64) -> Instant {
-        self.origin + Duration::from_nanos(at.saturating_sub(START))
+    /// A moment of this clock on the system's monotonic clock.
+    pub(crate) fn instant(&self, nanos: u64) -> Instant {
+        self.origin + Duration::from_nanos(nanos.saturating_sub(START_NS))
     }
 
-    /// The Unix time of this clock's moment 0, s: what is added to a moment in seconds.
+    /// The Unix time of this clock's moment 0, in seconds: the offset from its seconds to Unix time.
     pub(crate) fn unix_offset_seconds(&self) -> f64 {
-        self.unix_ms as f64 / 1e3 - START as f64 / 1e9
+        self.unix_ms as f64 / MILLISECONDS_PER_SECOND - START_NS as f64 / NANOS_PER_SECOND
     }
 
-    /// Brings a Unix time in milliseconds onto this clock; 0 means long ago. What lies before the clock's
-    /// beginning is its beginning: known, and long past.
+    /// A Unix time in milliseconds on this clock; 0 stands for a moment long past, which is not known. A moment before
+    /// the clock's beginning becomes that beginning: known, and long past.
     pub(crate) fn nanos_of_unix_ms(&self, unix_ms: u64) -> Option<u64> {
-        let since = i128::from(unix_ms) - i128::from(self.unix_ms);
-        let at = i128::from(START) + since * 1_000_000;
-        (unix_ms > 0).then(|| u64::try_from(at.max(1)).unwrap_or(u64::MAX))
+        let since_start_ms = i128::from(unix_ms) - i128::from(self.unix_ms);
+        let nanos = i128::from(START_NS) + since_start_ms * NANOS_PER_MILLISECOND;
+        (unix_ms > 0).then(|| u64::try_from(nanos.max(1)).unwrap_or(u64::MAX))
     }
 }
 
--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -20,7 +20,9 @@
 }
 
 fn addresses(text: &[&str]) -> Vec<SocketAddr> {
-    text.iter().map(|a| a.parse().unwrap()).collect()
+    text.iter()
+        .map(|address| address.parse().unwrap())
+        .collect()
 }
 
 fn complete_config() -> PlatformConfig {
@@ -236,11 +238,14 @@
 /// All values in it by their JSON pointers.
 fn pointers(value: &Value, at: &str, all: &mut Vec<String>) {
     let inner: Vec<(String, &Value)> = match value {
-        Value::Object(map) => map.iter().map(|(key, v)| (key.clone(), v)).collect(),
+        Value::Object(map) => map
+            .iter()
+            .map(|(key, value)| (key.clone(), value))
+            .collect(),
         Value::Array(row) => row
             .iter()
             .enumerate()
-            .map(|(i, v)| (i.to_string(), v))
+            .map(|(index, value)| (index.to_string(), value))
             .collect(),
         _ => vec![],
     };
@@ -273,7 +278,7 @@
         }
         let mut other = platform();
         *other.pointer_mut(&at).unwrap() = Value::String("?".into());
-        let said = [without, other].map(|value| config(value).map_or_else(|e| e, read));
+        let said = [without, other].map(|value| config(value).map_or_else(|error| error, read));
         writeln!(now, "{at}\n  without: {}\n  other: {}", said[0], said[1]).unwrap();
     }
     compare(
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,7 @@
-//! The log: standard error, a line an event. Text as the on-call page has it, or JSON for collectors.
+//! The log on standard error, one line an event: text as the on-call page lists it, or JSON for collectors.
 //!
-//! Nothing is told per request, so what an event costs does not count.
+//! Input: `tracing` events. Output: lines. Invariant: nothing is logged per request, so the cost of an event does not
+//! matter.
 
 use std::fmt;
 
@@ -24,14 +25,15 @@
     Json,
 }
 
-/// Starts the log; the first call holds for the life of the program.
+/// Initializes the log; the first call holds for as long as the process runs.
 pub(crate) fn init(form: LogFormat) {
-    // A closed standard error must not end the program, and the library would print its own trouble there.
+    // A closed standard error must not end the process, and the library would print its own errors there.
     let builder = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .log_internal_errors(false);
+    // Fails where the log is initialized already.
     let _ = match form {
-        LogFormat::Text => builder.event_format(Text).try_init(),
+        LogFormat::Text => builder.event_format(TextFormat).try_init(),
         LogFormat::Json => builder
             .json()
             .flatten_event(true)
@@ -40,9 +42,10 @@
     };
 }
 
-struct Text;
+/// The text form: message, then fields.
+struct TextFormat;
 
-impl<S, N> FormatEvent<S, N> for Text
+impl<S, N> FormatEvent<S, N> for TextFormat
 where
     S: Subscriber + for<'a> LookupSpan<'a>,
     N: for<'a> FormatFields<'a> + 'static,
@@ -55,18 +58,16 @@
     ) -> fmt::Result {
         let mut line = Line::default();
         event.record(&mut line);
-        match line.fields.is_empty() {
-            true => writeln!(out, "applewall: {}", line.message),
-            false => writeln!(
-                out,
-                "applewall: {}: {}",
-                line.message,
-                line.fields.trim_end()
-            ),
+        let Line { message, fields } = line;
+        if fields.is_empty() {
+            writeln!(out, "applewall: {message}")
+        } else {
+            writeln!(out, "applewall: {message}: {}", fields.trim_end())
         }
     }
 }
 
+/// The message and the other fields of an event.
 #[derive(Default)]
 struct Line {
     message: String,
--- a/src/resource_budget.rs
+++ b/src/resource_budget.rs
@@ -1,34 +1,45 @@
-//! How the descriptors of the process are dealt out.
+//! How the process's file descriptors are divided among clients' and upstream connections.
+//!
+//! Input: how many descriptors the process may open. Output: how many connections of each kind. Invariant: upstream
+//! connections get no less than clients, since each pending request has at most one attempt in flight.
 
 use std::sync::Arc;
 
 use tokio::sync::Semaphore;
 
-/// Descriptors for all that is not a connection of a service client or to an instance.
-const RESERVE: usize = 32;
+/// Descriptors for everything that is not a connection of a client or to an endpoint: listeners, discovery, peers, the
+/// admin address, registries, standard streams, the runtime's own.
+const RESERVED_DESCRIPTORS: usize = 32;
+/// Clients may hold the descriptors divided by this.
+const CLIENT_DIVISOR: usize = 3;
+/// The further connections that are only rejected may hold the descriptors divided by this.
+const SPARE_DIVISOR: usize = 16;
 
-/// Descriptors that connections may hold, of all that the process may.
+/// Connections that the process may have.
 pub(crate) struct ConnectionBudget {
-    /// Service clients that are served: a third of all is what they hold at most for their requests.
+    /// Connections of clients that are served.
     pub clients: usize,
-    /// Further ones: for saying no, while the silent ones go.
+    /// Further connections of clients, whose requests are rejected while idle ones are evicted.
     pub spare: usize,
+    /// Connections to endpoints.
     pub upstream: usize,
 }
 
 impl ConnectionBudget {
-    /// Each open command has one attempt out at most, so instances get no less than service clients.
-    pub(crate) fn new(sockets: usize) -> Self {
-        let (clients, spare) = (sockets.div_ceil(3), sockets / 16);
+    /// Divides so many descriptors.
+    pub(crate) fn new(max_descriptors: usize) -> Self {
+        let clients = max_descriptors.div_ceil(CLIENT_DIVISOR);
+        let spare = max_descriptors / SPARE_DIVISOR;
+        let taken = RESERVED_DESCRIPTORS + clients + spare;
         ConnectionBudget {
             clients,
             spare,
-            upstream: sockets.saturating_sub(RESERVE + clients + spare).max(1),
+            upstream: max_descriptors.saturating_sub(taken).max(1),
         }
     }
 
-    /// The places of service clients, those for saying no among them.
-    pub(crate) fn permits(&self) -> Arc<Semaphore> {
+    /// One permit for each connection of a client, spare ones among them.
+    pub(crate) fn client_permits(&self) -> Arc<Semaphore> {
         Arc::new(Semaphore::new(self.clients + self.spare))
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,248 +1,128 @@
-//! The real ingress: sockets round the decision module, by stage of a request.
+//! Starts the node and runs it until it is told to stop and everything that it accepted has its response.
 //!
-//! `accept` takes connections of service clients (`seats` knows which are silent, `framing` guards what they send),
-//! `command` reads a request into the module's terms, `engine`
-//! owns the module and all that is open, `instance` carries out attempts, `answer` writes what comes of it.
-//! `name_table` follows discovery, `peers` carries datagrams, `shutdown` leads the way out, `control` hears the operators,
-//! `succession` hands over to another process. All of them reach
-//! the engine by its queue only.
+//! Owner: `main`. Input: the configuration. Output: exit, or why the node could not start. The start, in order: signals,
+//! the admin listener, the state of the process before, sockets, the startup schedule, discovery, the engine, the
+//! lifecycle, hot restart, and last the acceptor. Invariants: a signal that arrives early must not kill the process, so
+//! handlers come first; the admin listener answers "not ready" while the rest starts; all parts reach the engine by its
+//! queue only; all tasks are owned by the node.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+use tokio::net::TcpListener;
+use tokio::task::{JoinError, JoinHandle};
 
-use std::sync::Arc;
+use crate::admin::listener::AdminError;
+use crate::config::operator::OperatorConfig;
+use crate::config::platform::PlatformConfig;
+use crate::config::reload::ConfigReloader;
+use crate::lifecycle::inherited_socket::InheritedSocketError;
+use crate::lifecycle::shutdown::{LifecycleDriver, SignalError, Signals};
+use crate::peer_socket::PeerSocketError;
+use crate::server::acceptor::{Acceptor, BindError};
 
-use tokio::sync::{mpsc, oneshot, watch};
+mod foundation;
+mod node;
 
-use crate::admin::{handle as admin_handle, listener as admin_listener};
-use crate::config::operator::OperatorConfig;
-use crate::config::{platform, reload};
-use crate::discovery::{registry, startup, watch as endpoint_watch, zone_failover};
-use crate::lifecycle::{hot_restart, inherited_socket, process_role, shared_directory, shutdown};
-use crate::limits::ENGINE_QUEUE_CAPACITY;
-use crate::server::{acceptor, slow_peers};
-use crate::{clock, engine, peer_socket, resource_budget};
+use foundation::Prepared;
+use node::Node;
 
-/// Runs the ingress until it is told to stop and all that it took is answered.
+/// Why the node could not start, or ended before it was told to.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ServeError {
+    /// The runtime did not start.
+    #[error("cannot start the runtime: {0}")]
+    Runtime(#[source] std::io::Error),
+    /// Signals can't be handled.
+    #[error(transparent)]
+    Signals(#[from] SignalError),
+    /// The platform's listening socket can't be used.
+    #[error(transparent)]
+    InheritedSocket(#[from] InheritedSocketError),
+    /// The admin address can't be bound.
+    #[error(transparent)]
+    Admin(#[from] AdminError),
+    /// The socket for datagrams can't be bound.
+    #[error(transparent)]
+    PeerSocket(#[from] PeerSocketError),
+    /// The clients' address can't be bound.
+    #[error(transparent)]
+    Bind(#[from] BindError),
+    /// The engine ended, which it only does by a panic: no request could get a response without it.
+    #[error("the engine stopped: {0:?}")]
+    EngineStopped(Result<(), JoinError>),
+}
+
+/// Runs the node until it is told to stop and everything that it accepted has its response.
+///
+/// # Errors
+///
+/// The node could not start, or the engine stopped.
 pub(crate) fn serve(
-    config: platform::PlatformConfig,
+    config: PlatformConfig,
     operator: OperatorConfig,
-    file: Option<String>,
-) -> Result<(), String> {
+    operator_path: Option<String>,
+) -> Result<(), ServeError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build();
-    runtime
-        .map_err(|e| format!("cannot start the runtime: {e}"))?
-        .block_on(run(config, operator, file))
+        .build()
+        .map_err(ServeError::Runtime)?;
+    runtime.block_on(run(config, operator, operator_path))
 }
 
 async fn run(
-    mut config: platform::PlatformConfig,
+    config: PlatformConfig,
     operator: OperatorConfig,
-    file: Option<String>,
-) -> Result<(), String> {
-    // First of all: a SIGTERM that comes early must not kill.
-    let signals = shutdown::Signals::new().map_err(|e| e.to_string())?;
-    let inherited = inherited_socket::descriptor().map_err(|e| e.to_string())?;
-    let place = inherited
-        .is_some()
-        .then(|| shared_directory::SharedDirectory::new(&config.name));
-    if place.is_some() {
-        // Two processes may be there at once, within the limits of one.
-        (config.max_descriptors, config.max_memory_bytes) =
-            (config.max_descriptors / 2, config.max_memory_bytes / 2);
-    }
-    let (stage, stages) = watch::channel(applewall_admin::LifecyclePhase::Serving);
-    let (orders, drains, inboxes) = admin_handle::channels();
-    let (ready, is_ready) = watch::channel(place.is_none());
-    // Until it is known whether there has to be a list first.
-    let (listed, is_listed) = watch::channel(false);
-    let (other, others) = watch::channel(None);
-    let desk = admin_handle::AdminHandle {
-        control: orders.clone(),
-        drain_requests: drains,
-        phase: stages.clone(),
-        ready: is_ready,
-        has_endpoints: is_listed.clone(),
-        shared_directory: place.clone(),
-        other_process: others,
-        maintenance_lock: Arc::default(),
-    };
-    // Before all that takes its time: until then READY is answered with a no.
-    if let Some(listener) = config
-        .admin_listen
-        .as_mut()
-        .map(admin_listener::bind)
-        .transpose()
-        .map_err(|e| e.to_string())?
-    {
-        tokio::spawn(admin_listener::serve(listener, desk.clone()));
-    }
-    let heritage = match &place {
-        Some(place) => hot_restart::take_over(place).await,
-        None => None,
-    };
-    let (estate, link, datagrams) = heritage.map_or(
-        (None, None, None),
-        hot_restart::ReceivedTransfer::into_parts,
-    );
-    let clock = estate
-        .as_ref()
-        .map_or_else(clock::Clock::start, |e| clock::Clock::resume_at(e.now_ns));
-    let drained = estate.as_ref().is_some_and(|e| e.draining);
-    let before = match (estate, &place) {
-        (Some(estate), _) => engine::InitialState::HotRestart(estate),
-        (None, Some(place)) => engine::InitialState::Maintenance(place.read_maintenance_set()),
-        (None, None) if config.admin_listen.is_some() => {
-            engine::InitialState::Maintenance(Default::default())
-        }
-        (None, None) => engine::InitialState::WithoutAdmin,
-    };
-    let (queue, inbox) = mpsc::channel(ENGINE_QUEUE_CAPACITY);
-    let peers = peer_socket::PeerSocket::bind(&mut config, datagrams)
-        .await?
-        .map(Arc::new);
-    let listener = match inherited {
-        Some(socket) => {
-            inherited_socket::listener(socket, &mut config.listen).map_err(|e| e.to_string())?
-        }
-        None => acceptor::bind(&mut config.listen).map_err(|e| e.to_string())?,
-    };
-    let known = &config.known_endpoints;
-    let rev = (known.complete && !known.targets.is_empty()).then_some(known.revision);
-    let zones = zone_failover::ZoneFailover::new(
-        &operator.zones,
-        &config.settings,
-        config.seed,
-        clock.now(),
-    );
-    let turn = startup::StartupSchedule::new(&operator, &config, rev, clock, peers.clone());
-    listed.send_replace(turn.is_none() || rev.is_some());
-    if let Some(turn) = &turn {
-        tokio::spawn(turn.clone().publish_readiness(listed));
-    }
-    let (source, reloaded) = reload::ConfigReloader::new(&config, operator, file);
-    let (discovery, operator) = (reloaded.discovery, reloaded.operator);
-    let budget = resource_budget::ConnectionBudget::new(config.max_descriptors);
-    let places = budget.permits();
-    let table = registry::start(&operator, &config, clock, queue.clone());
-    let merged = !table.same_channel(&queue);
-    let pacers = slow_peers::follow_settings(
-        operator,
-        clock,
-        places.clone(),
-        slow_peers::Capacity {
-            connections: budget.clients,
-            memory_bytes: config.max_memory_bytes as u64,
-        },
-    );
-    let engine = engine::Engine::new(
-        &config,
-        engine::Dependencies {
-            clock,
-            peers: peers.clone(),
-            pacers: pacers.clone(),
-            queue: queue.clone(),
-            initial_state: before,
-            zones,
-        },
-    );
-    tracing::info!("serving {}", config.summary());
-    let mut engine = tokio::spawn(engine.run(inbox, inboxes.control));
-    let (role, roles) = process_role::RoleOwner::new();
-    if let Some(peers) = &peers {
-        tokio::spawn(peers.clone().listen(
-            queue.clone(),
-            roles.clone(),
-            turn.clone().map(|it| it as _),
-        ));
-    }
-    let start = endpoint_watch::WatchStart {
-        revision: rev.filter(|_| !merged),
-        seed: config.seed,
-        schedule: turn,
-        pass_on_unchanged: merged,
-    };
-    tokio::spawn(endpoint_watch::follow(
-        discovery,
+    operator_path: Option<String>,
+) -> Result<(), ServeError> {
+    // First of all: a SIGTERM that arrives early must not kill the process.
+    let signals = Signals::new()?;
+    let Prepared {
+        foundation,
         start,
-        config.settings.clone(),
-        clock,
-        table,
-    ));
-    let successor = process_role::ProcessStatus {
-        role: roles,
-        shutdown_times: Arc::default(),
-    };
-    let longest = config
-        .settings
-        .policy
-        .classes
-        .iter()
-        .map(|c| c.deadline_ns)
-        .max()
-        .unwrap_or(0);
-    let termination =
-        applewall_admin::ShutdownDeadlines::new(std::time::Duration::from_nanos(longest));
-    tokio::spawn(
-        shutdown::LifecycleDriver {
-            signals,
-            phase: stage,
-            drain_requests: inboxes.drain_requests,
-            status: successor.clone(),
-            deadlines: termination,
-            draining: drained,
-            reloader: source,
-        }
-        .run(),
+        sockets,
+    } = foundation::prepare(config).await?;
+    let (publishers, admin) = (foundation.publishers, foundation.admin);
+    let (mut node, role, messages) = Node::new(
+        foundation.config,
+        start.clock,
+        sockets.peers,
+        foundation.tasks,
     );
-    let door = acceptor::Acceptor::new(
-        &config,
-        acceptor::Dependencies {
-            clock,
-            permits: places,
-            pacers,
-            queue,
-            phases: stages,
-            has_endpoint_list: is_listed,
-            status: successor,
-        },
-    );
-    match place {
-        Some(place) => {
-            let (taken, all_taken) = oneshot::channel();
-            let succession = hot_restart::HotRestart {
-                shared_directory: place,
-                role,
-                other_process: other,
-                admin: desk,
-                control: orders,
-                peers,
-            };
-            let took_over = link.is_some();
-            tokio::spawn(succession.run(link, taken));
-            let _ = all_taken.await;
-            ready.send_replace(true);
-            if took_over {
-                tracing::info!("hot restart: taken over from the process before; ready");
-            }
-        }
-        // Nobody else comes: the role stays what it is for as long as the program runs.
-        None => drop(tokio::spawn(async move { role.closed().await })),
-    }
+    let zones = node.zone_failover(&operator);
+    node.schedule_startup(&operator, publishers.has_endpoints);
+    let (reloader, reloaded) = ConfigReloader::new(&node.config, operator, operator_path);
+    let endpoint_updates = node.start_sources(&reloaded);
+    let pacers = node.start_slow_peer_protection(&reloaded);
+    let engine = node.engine(start.initial_state, zones, pacers.clone());
+    let engine = tokio::spawn(engine.run(messages, foundation.receivers.control));
+    node.start_gossip();
+    node.start_endpoint_watch(reloaded.discovery, endpoint_updates);
+    node.start_lifecycle(LifecycleDriver {
+        signals,
+        phase: publishers.phase,
+        drain_requests: foundation.receivers.drain_requests,
+        status: node.status.clone(),
+        deadlines: node.shutdown_deadlines(),
+        draining: start.draining,
+        reloader,
+    });
+    let acceptor = node.acceptor(&admin, pacers);
+    // `admin` itself stays here until the end: without a sender the queues of admin commands would be closed.
+    node.start_hot_restart(foundation.transfer, role, admin.clone(), start.link)
+        .await;
+    serve_until_stopped(acceptor, sockets.listener, engine).await
+}
+
+/// Accepts clients until the shutdown is complete.
+async fn serve_until_stopped(
+    acceptor: Acceptor,
+    listener: TcpListener,
+    engine: JoinHandle<()>,
+) -> Result<(), ServeError> {
     tokio::select! {
-        () = door.serve(listener) => {
+        () = acceptor.serve(listener) => {
             tracing::info!("stopped");
             Ok(())
         }
-        // A panic of the module ends the program: nothing could be answered without it.
-        ended = &mut engine => Err(format!("the engine stopped: {ended:?}")),
+        // A panic of the policy ends the process: no request could get a response without it.
+        ended = engine => Err(ServeError::EngineStopped(ended)),
     }
 }
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -9,7 +9,7 @@
     let (phase, phases) = watch::channel(LifecyclePhase::Serving);
     // Whatever drives the phases does so for as long as the program runs.
     std::mem::forget(phase);
-    let permits = ConnectionBudget::new(config.max_descriptors).permits();
+    let permits = ConnectionBudget::new(config.max_descriptors).client_permits();
     let (role, follower) = watch::channel(ProcessRole::Active);
     std::mem::forget(role);
     let status = ProcessStatus {
