--- a/src/config/platform/golden.rs
+++ b/src/config/platform/golden.rs
@@ -9,10 +9,9 @@
 
 const PLATFORM: &str = include_str!("../../../tests/golden/platform.json");
 
-fn config(value: Value) -> Result<PlatformConfig, String> {
-    serde_json::from_value::<PlatformFile>(value)
-        .map_err(|error| error.to_string())
-        .and_then(|file| PlatformConfig::try_from(file).map_err(|error| error.to_string()))
+fn config(value: Value) -> Result<PlatformConfig, Box<dyn std::error::Error>> {
+    let file: PlatformFile = serde_json::from_value(value)?;
+    Ok(PlatformConfig::try_from(file)?)
 }
 
 fn platform() -> Value {
@@ -117,7 +116,7 @@
             settings.idle_connection_timeout_ns,
             settings.connect_timeout_ns,
             settings.drain_notice_ns,
-            settings.zones()
+            settings.zone_names()
         ),
         (62, 63, 53, vec!["a".into(), "b".into()])
     );
@@ -200,8 +199,8 @@
             (41, 42, 4.0, 0.0, Idempotency::NonIdempotent, false),
         ]
     );
-    let numbers =
-        ["safe", "all", "zone", "cell", "once", "none"].map(|name| config.settings.class(name));
+    let numbers = ["safe", "all", "zone", "cell", "once", "none"]
+        .map(|name| config.settings.class_index(name));
     assert_eq!(numbers, [Some(0), Some(1), Some(2), Some(3), Some(4), None]);
 }
 
@@ -230,7 +229,7 @@
         [full, (0, [0.0, 0.0, 1.0, 0.0, 0.0], [0.0; 3])]
     );
     assert_eq!(
-        ["full", "bare", "none"].map(|name| config.settings.plan(name)),
+        ["full", "bare", "none"].map(|name| config.settings.plan_index(name)),
         [Some(0), Some(1), None]
     );
 }
@@ -278,8 +277,9 @@
         }
         let mut other = platform();
         *other.pointer_mut(&at).unwrap() = Value::String("?".into());
-        let said = [without, other].map(|value| config(value).map_or_else(|error| error, read));
-        writeln!(now, "{at}\n  without: {}\n  other: {}", said[0], said[1]).unwrap();
+        let texts = [without, other]
+            .map(|value| config(value).map_or_else(|error| error.to_string(), read));
+        writeln!(now, "{at}\n  without: {}\n  other: {}", texts[0], texts[1]).unwrap();
     }
     compare(
         &now,
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -10,7 +10,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use applewall_startup_scheduler::{List, Muster, Turns, Word};
+use applewall_startup_scheduler::{
+    CallFailure, Input, ListState, Message, Output, Seconds, Start, StartupScheduler,
+};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -29,7 +31,7 @@
 
 /// This node's place in the schedule of the fleet's calls.
 pub(crate) struct StartupSchedule {
-    core: Mutex<Turns>,
+    core: Mutex<StartupScheduler>,
     clock: Clock,
     peers: Option<Arc<PeerSocket>>,
     /// True once there is an endpoint list that may be used.
@@ -59,26 +61,28 @@
             return None;
         }
         let policy = &config.settings.policy;
-        let list = revision.map_or(List::None, List::Old);
+        let list = revision.map_or(ListState::Missing, ListState::Restored);
         let now = clock.now() as f64 / NANOS_PER_SECOND;
-        let core = Turns::new(
-            cold_start,
-            (policy.node_count, policy.node),
+        let start = Start {
+            node: policy.node,
+            fleet_size: policy.node_count,
             list,
-            config.seed,
+            seed: config.seed,
             now,
-            clock.unix_offset_seconds(),
-        );
+            unix_time_of_zero: clock.unix_offset_seconds(),
+        };
+        let core = StartupScheduler::new(cold_start, start);
         match list {
-            List::None => {
+            ListState::Missing => {
                 tracing::info!("cold start: no list is known; not ready before there is one");
             }
-            List::Old(revision) => {
+            ListState::Restored(revision) => {
                 tracing::info!(
-                    "cold start: ready with the known list, revision {revision}, not yet confirmed"
+                    revision,
+                    "cold start: ready with the known list, not yet confirmed"
                 );
             }
-            List::Told(_) => {}
+            ListState::Confirmed(_) => {}
         }
         let has_endpoints = watch::channel(revision.is_some()).0;
         Some(Arc::new(StartupSchedule {
@@ -101,7 +105,7 @@
         published.closed().await;
     }
 
-    fn core(&self) -> MutexGuard<'_, Turns> {
+    fn core(&self) -> MutexGuard<'_, StartupScheduler> {
         lock(&self.core)
     }
 
@@ -118,10 +122,8 @@
     pub(super) async fn wait_for_first_call(self: &Arc<Self>) {
         if let Some(peers) = &self.peers {
             peers.writable().await;
-            let (message, recipients) = self.core().hello(self.now());
-            for peer in recipients {
-                peers.send(Some(peer), &message.write());
-            }
+            let output = self.core().handle(self.now(), Input::Started);
+            send(peers, output);
             tokio::spawn(self.clone().disseminate_cohort(peers.clone()));
         }
         loop {
@@ -129,7 +131,7 @@
             let now = self.now();
             let (at, listening) = {
                 let core = self.core();
-                (core.first(now), core.listens(now))
+                (core.first_call_at(now), core.is_collecting_replies(now))
             };
             if at <= now {
                 return self.begin_call();
@@ -148,13 +150,16 @@
     async fn disseminate_cohort(self: Arc<Self>, peers: Arc<PeerSocket>) {
         loop {
             let now = self.now();
-            let message = self.core().spread(now);
-            if let Some((to, message)) = message {
-                peers.send(Some(to), &message.write());
-            }
-            if !self.core().spreads(now) {
-                let (all, without, complete) = self.core().start();
-                let known = if complete { "" } else { ", as far as is known" };
+            let output = self.core().handle(now, Input::GossipTimer);
+            send(&peers, output);
+            if !self.core().is_gossiping(now) {
+                let cohort = self.core().cohort_summary();
+                let (all, without) = (cohort.started, cohort.without_list);
+                let known = if cohort.is_complete {
+                    ""
+                } else {
+                    ", as far as is known"
+                };
                 tracing::info!(
                     "cold start: {all} have started together, {without} without a list{known}"
                 );
@@ -166,66 +171,68 @@
 
     /// The configuration names another list service: the whole fleet learns that at once, as at a start.
     pub(super) async fn service_changed(self: &Arc<Self>) {
-        self.core().again(self.now());
+        self.core().handle(self.now(), Input::ServiceChanged);
         self.wait_for_first_call().await;
     }
 
     /// The service answered; `changed`: with a list, or changes to it. Waits for the time of the next call.
     pub(super) async fn call_answered(&self, revision: u64, changed: bool) {
         let now = self.now();
-        let at = self.core().answered(now, revision, changed);
+        let answered = Input::CallAnswered { revision, changed };
+        let output = self.core().handle(now, answered);
         if !self.has_endpoints.send_replace(true) {
-            tracing::info!("cold start: ready with the list at revision {revision}");
+            tracing::info!(revision, "cold start: ready with the list of the service");
         }
-        self.wait_until(at, now).await;
+        self.wait_for_next_call(now, &output).await;
     }
 
     /// The service rejected the call, broke off or sent nothing. Waits for the time of the next call.
     pub(super) async fn call_failed(&self, rejected: bool, retry_after_seconds: Option<f64>) {
         let now = self.now();
         let waited = now - *lock(&self.call_began_at);
-        let at = self
-            .core()
-            .failed(now, waited, rejected, retry_after_seconds);
-        self.wait_until(at, now).await;
+        let failure = CallFailure {
+            duration: waited,
+            rejected,
+            retry_after: retry_after_seconds,
+        };
+        let output = self.core().handle(now, Input::CallFailed(failure));
+        self.wait_for_next_call(now, &output).await;
     }
 
-    async fn wait_until(&self, at: f64, now: f64) {
-        tokio::time::sleep(Duration::from_secs_f64((at - now).max(0.0))).await;
+    async fn wait_for_next_call(&self, now: Seconds, output: &Output) {
+        let wait = output.next_call_at.map_or(0.0, |at| at - now);
+        tokio::time::sleep(Duration::from_secs_f64(wait.max(0.0))).await;
         self.begin_call();
     }
 
     /// How long a watch asks the service to wait for changes.
     pub(super) fn watch_wait(&self) -> Duration {
-        Duration::from_secs_f64(self.core().watch())
-    }
-
-    fn message_received(&self, peers: &PeerSocket, from: u32, message: Word) {
-        let now = self.now();
-        let answer = self.core().hear(now, from, message);
-        if let Some(answer) = answer {
-            let cohort = self.core().muster(now);
-            peers.send(Some(from), &answer.write());
-            peers.send(Some(from), &cohort.write());
-        }
+        Duration::from_secs_f64(self.core().watch_duration())
     }
 }
 
 impl DatagramHandler for StartupSchedule {
     /// True where it was a message on the schedule.
     fn handle(&self, peers: &PeerSocket, from: u32, text: &str, sender: SocketAddr) -> bool {
-        if !Word::is(text) && !Muster::is(text) {
+        if !Message::is_startup_message(text) {
             return false;
         }
-        if let Some(message) = Word::read(text) {
-            self.message_received(peers, from, message);
-        } else if let Some(cohort) = Muster::read(text) {
-            let now = self.now();
-            self.core().hear_roll(now, from, &cohort);
+        let now = self.now();
+        if let Ok(message) = Message::decode(text) {
+            let received = Input::MessageReceived { from, message };
+            let output = self.core().handle(now, received);
+            send(peers, output);
         } else if !self.unreadable_logged.swap(true, Ordering::Relaxed) {
             // Once a process: whoever sends one such message may send any number.
-            tracing::warn!("cold start: messages of {sender} that cannot be read are dropped");
+            tracing::warn!("cold start: messages of {sender} that cannot be decoded are dropped");
         }
         true
     }
 }
+
+/// Sends the scheduler's messages to peers.
+fn send(peers: &PeerSocket, output: Output) {
+    for outgoing in output.messages {
+        peers.send(Some(outgoing.to), &outgoing.message.encode());
+    }
+}
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -11,7 +11,8 @@
 use super::timers::Timer;
 use super::Engine;
 use crate::server::response::ClientResponse;
-use crate::upstream::pool::{Attempt, AttemptDeadlines};
+use crate::upstream::attempt::Attempt;
+use crate::upstream::deadlines::AttemptDeadlines;
 
 /// Time before the client's deadline by which an attempt ends: its response still has to reach the client.
 const ATTEMPT_MARGIN_NS: u64 = 20_000_000;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -24,7 +24,7 @@
 use crate::lifecycle::process_role::TransferredState;
 use crate::peer_socket::PeerSocket;
 use crate::resource_budget::ConnectionBudget;
-use crate::server::slow_peers::{self, Pacers};
+use crate::server::slow_peers::{self, TransferMonitors};
 use crate::upstream::pool::{ConnectionPool, PoolLimits};
 
 mod admin_commands;
@@ -63,7 +63,7 @@
     /// Where datagrams to peers are sent, if there are peers.
     pub peers: Option<Arc<PeerSocket>>,
     /// Slow-peer protection, for upstream responses.
-    pub pacers: Pacers,
+    pub monitors: TransferMonitors,
     /// The engine's own queue: attempts report to it.
     pub queue: mpsc::Sender<Message>,
     /// What the engine starts from.
@@ -97,7 +97,7 @@
     now: u64,
     stall: ClockStall,
     statistics: Statistics,
-    pacers: Pacers,
+    monitors: TransferMonitors,
     /// `None` where there is no admin address.
     maintenance: Option<MaintenanceFilter>,
     /// `None` where the operator did not enable zone failover.
@@ -112,7 +112,7 @@
         let Dependencies {
             clock,
             peers,
-            pacers,
+            monitors,
             queue,
             initial_state,
             zones,
@@ -125,7 +125,7 @@
         };
         let mut engine = Engine {
             policy: DecisionPolicy::new(settings.policy.clone(), config.seed, now),
-            pool: ConnectionPool::new(&settings, limits, clock, pacers.clone(), queue),
+            pool: ConnectionPool::new(&settings, limits, clock, monitors.clone(), queue),
             settings,
             clock,
             peers,
@@ -136,7 +136,7 @@
             now,
             stall: ClockStall::default(),
             statistics: Statistics::default(),
-            pacers,
+            monitors,
             maintenance: None,
             zones,
             gossip_handed_over: false,
@@ -238,7 +238,7 @@
         }
         self.pool.update(kind, &entries);
         if let Some(zones) = &mut self.zones {
-            zones.endpoints_updated(kind, &entries);
+            zones.endpoints_updated(self.now, kind, &entries);
         }
         let endpoints = entries.into_iter().map(|entry| entry.endpoint).collect();
         self.handle_event(Event::EndpointUpdate(kind, endpoints));
@@ -275,7 +275,7 @@
                 }
                 Timer::Statistics => {
                     self.log_statistics();
-                    slow_peers::log_statistics(&self.pacers);
+                    slow_peers::log_statistics(&self.monitors);
                     self.timers.schedule_statistics(self.now);
                 }
             }
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -13,7 +13,7 @@
     Dependencies {
         clock: Clock::start(),
         peers: None,
-        pacers: slow_peers::none(),
+        monitors: slow_peers::none(),
         queue,
         initial_state,
         zones: None,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -90,8 +90,8 @@
     node.schedule_startup(&operator, publishers.has_endpoints);
     let (reloader, reloaded) = ConfigReloader::new(&node.config, operator, operator_path);
     let endpoint_updates = node.start_sources(&reloaded);
-    let pacers = node.start_slow_peer_protection(&reloaded);
-    let engine = node.engine(start.initial_state, zones, pacers.clone());
+    let monitors = node.start_slow_peer_protection(&reloaded);
+    let engine = node.engine(start.initial_state, zones, monitors.clone());
     let engine = tokio::spawn(engine.run(messages, foundation.receivers.control));
     node.start_gossip();
     node.start_endpoint_watch(reloaded.discovery, endpoint_updates);
@@ -104,7 +104,7 @@
         draining: start.draining,
         reloader,
     });
-    let acceptor = node.acceptor(&admin, pacers);
+    let acceptor = node.acceptor(&admin, monitors);
     // `admin` itself stays here until the end: without a sender the queues of admin commands would be closed.
     node.start_hot_restart(foundation.transfer, role, admin.clone(), start.link)
         .await;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -31,7 +31,7 @@
 use crate::peer_socket::{DatagramHandler, PeerSocket};
 use crate::resource_budget::ConnectionBudget;
 use crate::server::acceptor::{self, Acceptor};
-use crate::server::slow_peers::{self, Capacity, Pacers};
+use crate::server::slow_peers::{self, Capacity, TransferMonitors};
 
 /// The parts of the node that its other parts are made from, and its tasks.
 pub(super) struct Node {
@@ -120,7 +120,7 @@
     }
 
     /// Starts slow-peer protection as the operator's settings ask for it.
-    pub(super) fn start_slow_peer_protection(&self, reloaded: &ReloadedConfig) -> Pacers {
+    pub(super) fn start_slow_peer_protection(&self, reloaded: &ReloadedConfig) -> TransferMonitors {
         let capacity = Capacity {
             connections: self.budget.clients,
             memory_bytes: self.config.max_memory_bytes as u64,
@@ -134,12 +134,12 @@
         &self,
         initial_state: InitialState,
         zones: Option<ZoneFailover>,
-        pacers: Pacers,
+        monitors: TransferMonitors,
     ) -> Engine {
         let dependencies = engine::Dependencies {
             clock: self.clock,
             peers: self.peers.clone(),
-            pacers,
+            monitors,
             queue: self.queue.clone(),
             initial_state,
             zones,
@@ -193,11 +193,11 @@
     }
 
     /// The acceptor of clients.
-    pub(super) fn acceptor(&self, admin: &AdminHandle, pacers: Pacers) -> Acceptor {
+    pub(super) fn acceptor(&self, admin: &AdminHandle, monitors: TransferMonitors) -> Acceptor {
         let dependencies = acceptor::Dependencies {
             clock: self.clock,
             permits: self.client_permits.clone(),
-            pacers,
+            monitors,
             queue: self.queue.clone(),
             phases: admin.phase.clone(),
             has_endpoint_list: admin.has_endpoints.clone(),
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use applewall_admin::LifecyclePhase;
-use applewall_slow_peer::socket::{kernel, lend, Pacer, Ticket};
+use applewall_slow_peer::socket::{
+    borrow_descriptor, kernel, MonitoredConnection, TransferMonitor,
+};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
@@ -24,7 +26,7 @@
 use crate::server::connection_task;
 use crate::server::framing::{GuardedStream, RequestGuard};
 use crate::server::service::{RequestService, ServerContext};
-use crate::server::slow_peers::Pacers;
+use crate::server::slow_peers::TransferMonitors;
 
 /// Most connections that the kernel holds for this process: a burst of all clients at a restart fits.
 const BACKLOG: u32 = 1024;
@@ -80,7 +82,7 @@
     /// One permit for each connection of a client, those that only reject among them.
     pub permits: Arc<Semaphore>,
     /// Slow-peer protection.
-    pub pacers: Pacers,
+    pub monitors: TransferMonitors,
     /// The engine's queue.
     pub queue: mpsc::Sender<Message>,
     /// The phase of the shutdown.
@@ -102,13 +104,13 @@
     budget: ConnectionBudget,
     /// New connections are being rejected, and that was logged.
     shedding: AtomicBool,
-    pacers: Pacers,
+    monitors: TransferMonitors,
 }
 
 /// A new connection as slow-peer protection knows it.
 struct MonitorEntry {
-    pacer: Arc<Pacer>,
-    ticket: Ticket,
+    monitor: Arc<TransferMonitor>,
+    ticket: MonitoredConnection,
 }
 
 impl Acceptor {
@@ -117,7 +119,7 @@
         let Dependencies {
             clock,
             permits,
-            pacers,
+            monitors,
             queue,
             phases,
             has_endpoint_list,
@@ -144,7 +146,7 @@
             table: Arc::default(),
             budget: ConnectionBudget::new(config.max_descriptors),
             shedding: AtomicBool::new(false),
-            pacers,
+            monitors,
         }
     }
 
@@ -183,9 +185,9 @@
     }
 
     async fn accept(&self, listener: &TcpListener) {
-        let (mut is_failing, mut pacers) = (false, self.pacers.clone());
+        let (mut is_failing, mut monitors) = (false, self.monitors.clone());
         let mut role = self.role.clone();
-        pacers.mark_changed();
+        monitors.mark_changed();
         loop {
             // New connections belong to the other process, for as long as that runs.
             if role
@@ -195,8 +197,8 @@
             {
                 return;
             }
-            if pacers.has_changed().unwrap_or(false) {
-                bound_kernel_buffers(listener, pacers.borrow_and_update().as_ref());
+            if monitors.has_changed().unwrap_or(false) {
+                bound_kernel_buffers(listener, monitors.borrow_and_update().as_ref());
             }
             let Some(permit) = self.acquire_permit().await else {
                 return;
@@ -259,11 +261,13 @@
     /// that do not read what they asked for.
     fn evict_one(&self, grace: Duration) -> bool {
         let now = self.context.clock.now();
-        let pacer = self.pacers.borrow().clone();
+        let monitor = self.monitors.borrow().clone();
         // Before a new connection whose first request is on its way.
-        if let Some(pacer) = pacer {
+        if let Some(monitor) = monitor {
             let stay = NewConnections::Stay;
-            if self.table.evict_idle(FIRST_REQUEST_GRACE, now, stay) || pacer.make_place(now) {
+            if self.table.evict_idle(FIRST_REQUEST_GRACE, now, stay)
+                || monitor.abort_one_for_connection_slot(now)
+            {
                 return true;
             }
         }
@@ -283,11 +287,11 @@
         let monitor = self.join_monitor(&stream, address, &aborted);
         let shed = self.decide_shedding(monitor.as_ref());
         let (monitored, ticket) = match monitor {
-            Some(MonitorEntry { pacer, ticket }) => {
+            Some(MonitorEntry { monitor, ticket }) => {
                 let monitored = MonitoredTransfer {
-                    pacer,
+                    monitor,
                     id: ticket.id(),
-                    peer: ticket.peer(),
+                    peer_network: ticket.peer_network(),
                 };
                 (Some(monitored), Some(ticket))
             }
@@ -311,14 +315,14 @@
         address: SocketAddr,
         aborted: &Arc<Notify>,
     ) -> Option<MonitorEntry> {
-        let pacer = self.pacers.borrow().as_ref()?.clone();
+        let monitor = self.monitors.borrow().as_ref()?.clone();
         let aborted = aborted.clone();
         // SAFETY: the ticket goes into `RequestGuard`, which `CountingIo` drops before the stream, and before it returns
         // the stream.
-        let socket = unsafe { lend(stream) };
+        let socket = unsafe { borrow_descriptor(stream) };
         let now = self.context.clock.now();
-        let ticket = pacer.join(now, address.ip(), socket, move || aborted.notify_one());
-        Some(MonitorEntry { pacer, ticket })
+        let ticket = monitor.register(now, address.ip(), socket, move || aborted.notify_one());
+        Some(MonitorEntry { monitor, ticket })
     }
 
     /// Whether a new connection gets nothing but rejections.
@@ -331,7 +335,7 @@
         let evicted = taken > max * 3 / 4 && self.evict_one(FIRST_REQUEST_GRACE);
         let is_crowded = taken > max;
         // A connection whose network has its share already gets one of the permits for rejecting.
-        let has_place = monitor.is_none_or(|monitor| monitor.ticket.placed());
+        let has_place = monitor.is_none_or(|monitor| monitor.ticket.has_slot());
         let shed = is_crowded && !evicted || !has_place;
         // Once a spell, which ends when there is capacity again.
         if shed && has_place && !self.shedding.swap(true, Ordering::Relaxed) {
@@ -354,16 +358,16 @@
 }
 
 /// Bounds what the kernel buffers of responses, by the listener, for all connections that are accepted from now on.
-fn bound_kernel_buffers(listener: &TcpListener, pacer: Option<&Arc<Pacer>>) {
-    let settings = pacer
-        .map(|pacer| pacer.settings())
+fn bound_kernel_buffers(listener: &TcpListener, monitor: Option<&Arc<TransferMonitor>>) {
+    let settings = monitor
+        .map(|monitor| monitor.settings())
         .filter(|settings| settings.enabled.0);
     let Some(settings) = settings else {
         return;
     };
     let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
     if let Err(error) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
-        tracing::warn!("pace: cannot bound what the kernel holds of answers: {error}");
+        tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {error}");
     }
 }
 
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -19,7 +19,7 @@
     let dependencies = Dependencies {
         clock: Clock::start(),
         permits,
-        pacers: crate::server::slow_peers::none(),
+        monitors: crate::server::slow_peers::none(),
         queue,
         phases,
         has_endpoint_list: watch::channel(true).1,
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -11,27 +11,27 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Holder, Id};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{ConnectionId, ResourceOwner};
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
 /// A connection as slow-peer protection knows it.
 pub(crate) struct MonitoredTransfer {
     /// Where its responses are monitored.
-    pub pacer: Arc<Pacer>,
+    pub monitor: Arc<TransferMonitor>,
     /// Its id there.
-    pub id: Id,
+    pub id: ConnectionId,
     /// The network that it comes from, where that counts.
-    pub peer: Option<IpNet>,
+    pub peer_network: Option<IpNet>,
 }
 
 impl MonitoredTransfer {
     /// On whose behalf a response to a customer takes memory here.
-    pub(crate) fn holder(&self, customer: Option<u64>) -> Holder {
-        Holder {
+    pub(crate) fn owner(&self, customer: Option<u64>) -> ResourceOwner {
+        ResourceOwner {
             customer,
-            peer: self.peer,
+            peer_network: self.peer_network,
         }
     }
 }
@@ -181,7 +181,7 @@
     fn is_writing_response(&self, now: u64) -> bool {
         self.monitored
             .as_ref()
-            .is_some_and(|monitored| monitored.pacer.is_going(now, monitored.id))
+            .is_some_and(|monitored| monitored.monitor.has_unsent_response(now, monitored.id))
     }
 }
 
@@ -221,7 +221,7 @@
 
 impl Awaiting {
     /// The first connection from a key on that may be evicted. One whose response is still on its way at this moment of
-    /// its pacer's clock is not idle: told to close, it would first go on writing, for as long as its reader likes.
+    /// its monitor's clock is not idle: told to close, it would first go on writing, for as long as its reader likes.
     fn first_idle(&self, from: EvictionKey, now: u64) -> Option<Candidate> {
         self.connections.range(from..).find_map(|(key, entry)| {
             let connection = entry.connection.upgrade()?;
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -9,7 +9,7 @@
 use std::task::{ready, Context, Poll};
 use std::{io, str};
 
-use applewall_slow_peer::socket::Ticket;
+use applewall_slow_peer::socket::MonitoredConnection;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -95,7 +95,7 @@
 /// See the module's page.
 pub(crate) struct RequestGuard {
     /// Where slow-peer protection counts what is written; it refers to the stream's descriptor.
-    ticket: Option<Ticket>,
+    ticket: Option<MonitoredConnection>,
     scanner: HeadScanner,
     connection: Arc<ClientConnection>,
     /// Read behind a request that had no response yet.
@@ -106,7 +106,10 @@
 
 impl RequestGuard {
     /// The guard of a stream of which nothing was read.
-    pub(crate) fn new(connection: Arc<ClientConnection>, ticket: Option<Ticket>) -> Self {
+    pub(crate) fn new(
+        connection: Arc<ClientConnection>,
+        ticket: Option<MonitoredConnection>,
+    ) -> Self {
         RequestGuard {
             ticket,
             scanner: HeadScanner::default(),
@@ -178,7 +181,7 @@
     fn observe_write(&self, result: &Poll<io::Result<usize>>) {
         self.connection.set_write_blocked(result.is_pending());
         if let (Some(ticket), Poll::Ready(Ok(bytes))) = (&self.ticket, result) {
-            ticket.wrote(*bytes);
+            ticket.record_written(*bytes);
         }
     }
 }
--- a/src/server/request.rs
+++ b/src/server/request.rs
@@ -91,11 +91,11 @@
         .and_then(parse_hex)
         .ok_or(InvalidRequest::CorrelationId)?;
     let class = single_value(headers, "x-service-class")
-        .and_then(|class| settings.class(class))
+        .and_then(|class| settings.class_index(class))
         .ok_or(InvalidRequest::ServiceClass)?;
     check_idempotency_key(headers, settings.policy.classes[class].idempotency)?;
     let plan = single_value(headers, "x-contract")
-        .and_then(|plan| settings.plan(plan))
+        .and_then(|plan| settings.plan_index(plan))
         .ok_or(InvalidRequest::Contract)?;
     let customer = single_value(headers, "x-client-id")
         .and_then(parse_hex)
--- a/src/server/request_body.rs
+++ b/src/server/request_body.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Reason, Verdict};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{IncomingStatus, SlowPeerEvent};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -125,15 +125,15 @@
         let Ok(permit) = permits.try_acquire_many_owned(reserved as u32) else {
             return Err(ClientResponse::overloaded());
         };
-        let pacer = self
+        let monitor = self
             .monitored
-            .map(|monitored| &monitored.pacer)
-            .filter(|pacer| pacer.settings().enabled.0);
-        let timeout = pacer.map_or(BODY_TIMEOUT, |pacer| pacer.settings().upload_time.0);
+            .map(|monitored| &monitored.monitor)
+            .filter(|monitor| monitor.settings().enabled.0);
+        let timeout = monitor.map_or(BODY_TIMEOUT, |monitor| monitor.settings().upload_time.0);
         let until = self.deadline.min(self.arrived + timeout);
         let collected = async {
-            match pacer {
-                Some(pacer) => self.collect_paced(body, pacer, until, length).await,
+            match monitor {
+                Some(monitor) => self.collect_paced(body, monitor, until, length).await,
                 None => collect(body).await,
             }
         };
@@ -157,8 +157,10 @@
     /// Counts a body that slow-peer protection gave up.
     fn note(&self, error: BodyError) {
         if let (BodyError::TooSlow, Some(monitored)) = (error, self.monitored) {
-            let holder = monitored.holder(Some(self.customer));
-            monitored.pacer.note(holder, Reason::Upload);
+            let owner = monitored.owner(Some(self.customer));
+            monitored
+                .monitor
+                .record(owner, SlowPeerEvent::RequestBodyTooSlow);
         }
     }
 
@@ -166,15 +168,16 @@
     async fn collect_paced(
         &self,
         body: Incoming,
-        pacer: &Pacer,
+        monitor: &TransferMonitor,
         until: Instant,
         length: Option<u64>,
     ) -> Result<Bytes, BodyError> {
         let (mut body, mut received) = (Limited::new(body, MAX_BODY_BYTES), BytesMut::new());
         let (now, until) = (self.clock.now(), self.clock.nanos_at(until));
-        let mut transfer = applewall_slow_peer::Incoming::new(pacer.settings(), now, until, length);
+        let mut transfer =
+            applewall_slow_peer::IncomingTransfer::new(monitor.settings(), now, until, length);
         loop {
-            let Verdict::Wait(check_at) = transfer.verdict(self.clock.now()) else {
+            let IncomingStatus::CheckAgainAt(check_at) = transfer.evaluate(self.clock.now()) else {
                 return Err(BodyError::TooSlow);
             };
             let check_at = self.clock.instant(check_at).into();
@@ -187,7 +190,7 @@
                 Some(Err(error)) => return Err(BodyError::of_hyper(&*error)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        transfer.arrive(self.clock.now(), data.len() as u64);
+                        transfer.bytes_received(self.clock.now(), data.len() as u64);
                         received.extend_from_slice(&data);
                     }
                 }
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -15,7 +15,7 @@
 use applewall::api::{self, RequestId};
 use applewall::platform_settings::PlatformSettings;
 use applewall_admin::LifecyclePhase;
-use applewall_slow_peer::socket::Pacer;
+use applewall_slow_peer::socket::TransferMonitor;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST};
@@ -80,7 +80,7 @@
         let arrived = Instant::now();
         self.connection.begin_request();
         if let Some(monitored) = &self.connection.monitored {
-            monitored.pacer.command(monitored.id);
+            monitored.monitor.request_started(monitored.id);
         }
         if request.uri().path() == HEALTH_PATH {
             return Box::pin(ready(Ok(self.health_response())));
@@ -183,13 +183,13 @@
 
 /// A customer's share of the requests that are pending, given back when it is dropped.
 struct CustomerShare<'a> {
-    pacer: &'a Pacer,
+    monitor: &'a TransferMonitor,
     customer: u64,
 }
 
 impl Drop for CustomerShare<'_> {
     fn drop(&mut self) {
-        self.pacer.leave(self.customer);
+        self.monitor.release_request_slot(self.customer);
     }
 }
 
@@ -217,19 +217,19 @@
             ..
         }) = &response
         else {
-            monitored.pacer.answered(monitored.id);
+            monitored.monitor.response_needs_no_monitoring(monitored.id);
             return response;
         };
-        let begun = monitored.pacer.begin(
+        let begun = monitored.monitor.begin_response(
             self.clock.now(),
             monitored.id,
-            monitored.holder(customer),
+            monitored.owner(customer),
             body.len() as u64,
         );
         if begun.is_ok() {
             return response;
         }
-        monitored.pacer.answered(monitored.id);
+        monitored.monitor.response_needs_no_monitoring(monitored.id);
         ClientResponse::Failed {
             status: StatusCode::INSUFFICIENT_STORAGE,
             reason: "no room for the answer",
@@ -295,9 +295,9 @@
         let Some(monitored) = &connection.monitored else {
             return Ok(None);
         };
-        let pacer = &*monitored.pacer;
-        match pacer.enter(self.clock.now(), customer) {
-            Ok(_) => Ok(Some(CustomerShare { pacer, customer })),
+        let monitor = &*monitored.monitor;
+        match monitor.acquire_request_slot(self.clock.now(), customer) {
+            Ok(_) => Ok(Some(CustomerShare { monitor, customer })),
             Err(_) => Err(ClientResponse::overloaded()),
         }
     }
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -6,18 +6,18 @@
 
 use std::sync::{Arc, Weak};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::Row;
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{EventCounts, OwnerStatistics};
 use tokio::sync::{watch, Semaphore};
 
 use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 
 /// Most rows of the table of slow peers in the log, each time that statistics are logged.
-const MAX_LOGGED_PEERS: usize = 5;
+const MAX_LOGGED_OWNERS: usize = 5;
 
 /// The instance in force; `None` where all of it is off.
-pub(crate) type Pacers = watch::Receiver<Option<Arc<Pacer>>>;
+pub(crate) type TransferMonitors = watch::Receiver<Option<Arc<TransferMonitor>>>;
 
 /// What slow-peer protection divides among clients.
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +43,7 @@
     clock: Clock,
     permits: Arc<Semaphore>,
     capacity: Capacity,
-) -> Pacers {
+) -> TransferMonitors {
     let environment = Environment {
         clock,
         all_permits: permits.available_permits(),
@@ -51,22 +51,22 @@
         capacity,
     };
     let first = operator.borrow_and_update().clone();
-    let (pacers, follower) = watch::channel(environment.start(&first));
+    let (monitors, follower) = watch::channel(environment.start(&first));
     // Owned by the channels: ends once nobody follows the instance in force.
     tokio::spawn(async move {
         while operator.changed().await.is_ok() {
             let settings = operator.borrow_and_update().clone();
-            pacers.send_replace(environment.start(&settings));
+            monitors.send_replace(environment.start(&settings));
         }
         // The last instance stays in force for as long as the process runs.
-        pacers.closed().await;
+        monitors.closed().await;
     });
     follower
 }
 
 /// Slow-peer protection that is off.
 #[cfg(test)]
-pub(crate) fn none() -> Pacers {
+pub(crate) fn none() -> TransferMonitors {
     let (sender, follower) = watch::channel(None);
     std::mem::forget(sender);
     follower
@@ -74,7 +74,7 @@
 
 impl Environment {
     /// A new instance, where the settings ask for one.
-    fn start(&self, settings: &OperatorConfig) -> Option<Arc<Pacer>> {
+    fn start(&self, settings: &OperatorConfig) -> Option<Arc<TransferMonitor>> {
         if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
             return None;
         }
@@ -84,9 +84,9 @@
         } = self.capacity;
         let size = (connections, memory_bytes);
         let now = self.clock.now();
-        let pacer = Pacer::new(&settings.pace, &settings.bulkheads, size, now);
+        let monitor = TransferMonitor::new(&settings.pace, &settings.bulkheads, size, now);
         let ticker = Ticker {
-            pacer: Arc::downgrade(&pacer),
+            monitor: Arc::downgrade(&monitor),
             clock: self.clock,
             permits: self.permits.clone(),
             all_permits: self.all_permits,
@@ -94,13 +94,13 @@
         };
         // Owned by the instance: ends with it.
         tokio::spawn(ticker.run());
-        Some(pacer)
+        Some(monitor)
     }
 }
 
 /// Drives the ticks of one instance.
 struct Ticker {
-    pacer: Weak<Pacer>,
+    monitor: Weak<TransferMonitor>,
     clock: Clock,
     permits: Arc<Semaphore>,
     all_permits: usize,
@@ -110,68 +110,73 @@
 impl Ticker {
     /// Ticks for as long as anybody uses the instance.
     async fn run(self) {
-        while let Some(pacer) = self.pacer.upgrade() {
-            let interval = pacer.settings().tick.0;
+        while let Some(monitor) = self.monitor.upgrade() {
+            let interval = monitor.settings().tick.0;
             let taken = self
                 .all_permits
                 .saturating_sub(self.permits.available_permits());
             let utilization = taken as f64 / self.connections.max(1) as f64;
-            pacer.tick(self.clock.now(), utilization);
-            drop(pacer);
+            monitor.tick(self.clock.now(), utilization);
+            drop(monitor);
             tokio::time::sleep(interval).await;
         }
     }
 }
 
 /// Logs the statistics and the table of slow peers; nothing where nothing happened.
-pub(crate) fn log_statistics(pacers: &Pacers) {
-    let Some(pacer) = pacers.borrow().clone() else {
+pub(crate) fn log_statistics(monitors: &TransferMonitors) {
+    let Some(monitor) = monitors.borrow().clone() else {
         return;
     };
-    let (counts, rows, waiting, waiting_most) = pacer.report(MAX_LOGGED_PEERS);
-    if waiting_most == 0 && counts == applewall_slow_peer::Counts::default() {
+    let (counts, rows, unsent_bytes, max_unsent_bytes) = monitor.take_report(MAX_LOGGED_OWNERS);
+    if max_unsent_bytes == 0 && counts == EventCounts::default() {
         return;
     }
-    let applewall_slow_peer::Counts {
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
+    let EventCounts {
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
     } = counts;
     tracing::info!(
-        waiting,
-        waiting_most,
-        cut_slow,
-        cut_stopped,
-        cut_room,
-        no_room,
-        in_stalled,
-        in_hopeless,
-        uploads,
-        customer_places,
-        peer_places,
-        "pace"
+        unsent_bytes,
+        max_unsent_bytes,
+        aborted_below_minimum_rate,
+        aborted_stalled,
+        aborted_for_resources,
+        responses_replaced,
+        upstream_responses_stalled,
+        upstream_responses_too_slow,
+        request_bodies_too_slow,
+        customer_slots_exhausted,
+        peer_network_slots_exhausted,
+        "slow peers"
     );
-    rows.into_iter().for_each(log_slow_peer);
+    rows.into_iter().for_each(log_owner);
 }
 
-fn log_slow_peer(row: Row) {
-    let Row {
-        holder,
-        events,
-        last,
-        waiting,
-        age,
-    } = row;
-    let customer = holder
+/// Logs one row of the table.
+fn log_owner(row: OwnerStatistics) {
+    let customer = row
+        .owner
         .customer
-        .map_or("-".to_string(), |customer| format!("{customer:016x}"));
-    let peer = holder.peer.map_or("-".to_string(), |peer| peer.to_string());
-    let (last, ms) = (format!("{last:?}"), age / 1_000_000);
-    tracing::info!(%customer, %peer, events, %last, waiting, ms, "pace: slow peer");
+        .map_or("-".to_string(), |id| format!("{id:016x}"));
+    let network = row
+        .owner
+        .peer_network
+        .map_or("-".to_string(), |network| network.to_string());
+    tracing::info!(
+        %customer,
+        %network,
+        events = row.events,
+        last_event = %format!("{:?}", row.last_event),
+        max_unsent_bytes = row.max_unsent_bytes,
+        max_age_ms = row.max_age_ns / 1_000_000,
+        "slow peers: worst resource owner"
+    );
 }
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -23,7 +23,8 @@
 
 use super::body::{self, Prefetched, ResponsePacing, UpstreamBody};
 use super::connection::{drive, ConnectionWatch, UpstreamConnection};
-use super::pool::{ConnectionLease, Timeouts, UpstreamEndpoint};
+use super::deadlines::AttemptDeadlines;
+use super::endpoint::{ConnectionLease, Timeouts, UpstreamEndpoint};
 use super::response::{classify, is_delimited, load_report, ExchangeFailure};
 use crate::engine::message::{AttemptEnded, ForwardedRequest, Message};
 use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT_MS};
@@ -31,17 +32,6 @@
 use crate::server::response::{ResponseBody, ServedResponse};
 use crate::server::streaming_body;
 
-/// The moments that bound an attempt.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptDeadlines {
-    /// When the attempt is given up.
-    pub until: Instant,
-    /// From when on the request may not be written any more.
-    pub write_by: Option<Instant>,
-    /// Where another attempt may follow: by when that one would have to end.
-    pub retry_until: Option<Instant>,
-}
-
 /// An attempt that is to be made.
 pub(crate) struct Attempt {
     /// The request that it is made for.
--- a/src/upstream/attempt/tests.rs
+++ b/src/upstream/attempt/tests.rs
@@ -1,6 +1,5 @@
 use super::*;
 use crate::upstream::connection::MAX_HEAD_BYTES;
-use crate::upstream::pool::{ConnectionLease, Timeouts, UpstreamEndpoint};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Semaphore;
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -8,14 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use applewall_slow_peer::socket::Pacer;
-use applewall_slow_peer::{Holder, Incoming, Reason, Verdict};
+use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::{IncomingStatus, IncomingTransfer, ResourceOwner, SlowPeerEvent};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
 
-use super::attempt::AttemptDeadlines;
 use super::connection::ConnectionWatch;
+use super::deadlines::AttemptDeadlines;
 use crate::clock::Clock;
 use crate::limits::MAX_BODY_BYTES;
 use crate::server::streaming_body::BodySender;
@@ -56,7 +56,7 @@
 /// Slow-peer protection of endpoints' responses.
 pub(super) struct ResponsePacing {
     /// The settings in force, and where events are counted.
-    pub pacer: Arc<Pacer>,
+    pub monitor: Arc<TransferMonitor>,
     /// The clock of its moments.
     pub clock: Clock,
 }
@@ -64,18 +64,18 @@
 impl ResponsePacing {
     /// True while giving up is of use: another attempt fits, if the policy wants one.
     fn may_give_up(&self, deadlines: AttemptDeadlines) -> bool {
-        let min_time_left = self.pacer.settings().retry_room.0;
+        let min_time_left = self.monitor.settings().retry_room.0;
         deadlines.retry_until.is_some_and(|retry_until| {
             retry_until.saturating_duration_since(Instant::now()) >= min_time_left
         })
     }
 
-    fn note(&self, reason: Reason) {
-        let unknown = Holder {
+    fn note(&self, event: SlowPeerEvent) {
+        let unknown = ResourceOwner {
             customer: None,
-            peer: None,
+            peer_network: None,
         };
-        self.pacer.note(unknown, reason);
+        self.monitor.record(unknown, event);
     }
 
     /// Ends once a head of which something was received takes longer than the pause that is allowed in a response.
@@ -83,13 +83,13 @@
         watch.notify_on_read.store(true, Ordering::Relaxed);
         watch.response_began.notified().await;
         // In two halves: time in which the process did not run counts in one of them only.
-        let half = self.pacer.settings().pause.0 / 2;
+        let half = self.monitor.settings().pause.0 / 2;
         tokio::time::sleep(half).await;
         tokio::time::sleep(half).await;
         if !self.may_give_up(deadlines) {
             std::future::pending::<()>().await;
         }
-        self.note(Reason::InStalled);
+        self.note(SlowPeerEvent::UpstreamResponseStalled);
     }
 
     /// Reads a body ahead; `None` where it is spoilt, stalls or can't be complete in time.
@@ -100,19 +100,19 @@
     ) -> Option<Prefetched> {
         let length = body.size_hint().exact();
         let (now, until) = (self.clock.now(), self.clock.nanos_at(deadlines.until));
-        let mut transfer = Incoming::new(self.pacer.settings(), now, until, length);
+        let mut transfer = IncomingTransfer::new(self.monitor.settings(), now, until, length);
         let mut received = BytesMut::with_capacity(length.unwrap_or(0) as usize);
         loop {
-            let check_at = match transfer.verdict(self.clock.now()) {
-                Verdict::Wait(next) => (next != u64::MAX).then_some(next),
+            let check_at = match transfer.evaluate(self.clock.now()) {
+                IncomingStatus::CheckAgainAt(next) => (next != u64::MAX).then_some(next),
                 // Nothing is gained by giving up: the rest may yet arrive, until the attempt's own time is up.
                 _ if !self.may_give_up(deadlines) => None,
-                Verdict::Stalled => {
-                    self.note(Reason::InStalled);
+                IncomingStatus::Stalled => {
+                    self.note(SlowPeerEvent::UpstreamResponseStalled);
                     return None;
                 }
                 _ => {
-                    self.note(Reason::InHopeless);
+                    self.note(SlowPeerEvent::UpstreamResponseTooSlow);
                     return None;
                 }
             };
@@ -122,7 +122,7 @@
                     let Ok(data) = frame.ok()?.into_data() else {
                         continue;
                     };
-                    transfer.arrive(self.clock.now(), data.len() as u64);
+                    transfer.bytes_received(self.clock.now(), data.len() as u64);
                     received.extend_from_slice(&data);
                     if received.len() > MAX_BODY_BYTES {
                         return Some(Prefetched::beginning(received.freeze()));
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -5,8 +5,7 @@
 //! and its idle connections are closed.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 use applewall::api::{EndpointId, EndpointState, EndpointUpdateKind, LoadField};
@@ -15,69 +14,16 @@
 
 use crate::clock::Clock;
 use crate::engine::message::{EndpointEntry, Message};
-use crate::server::slow_peers::Pacers;
-use crate::upstream::attempt::{self, AttemptContext};
+use crate::server::slow_peers::TransferMonitors;
+use crate::upstream::attempt::{self, Attempt, AttemptContext};
 use crate::upstream::body::ResponsePacing;
 use crate::upstream::connection::UpstreamConnection;
-
-pub(crate) use crate::upstream::attempt::{Attempt, AttemptDeadlines};
+use crate::upstream::endpoint::{ConnectionLease, Timeouts, UpstreamEndpoint};
 
 /// Fraction of the endpoint's idle limit after which an idle connection is closed here: a request that crosses the
 /// endpoint's own close is reset.
 const IDLE_LIMIT_FRACTION: f64 = 0.6;
 
-/// What an attempt starts with.
-pub(super) enum ConnectionLease {
-    /// An idle connection.
-    Idle(UpstreamConnection),
-    /// A permit to open a new one.
-    Permit(OwnedSemaphorePermit),
-}
-
-/// Where an endpoint accepts connections, and which of them are idle.
-pub(super) struct EndpointConnections {
-    /// Where it accepts connections.
-    pub address: SocketAddr,
-    /// It is to get nothing new.
-    pub draining: bool,
-    /// The connection that became idle last is at the end.
-    pub idle: Vec<UpstreamConnection>,
-}
-
-/// One endpoint. Shared by the pool and the attempts at the endpoint.
-pub(super) struct UpstreamEndpoint {
-    connections: Mutex<EndpointConnections>,
-}
-
-impl UpstreamEndpoint {
-    /// An endpoint without connections.
-    pub(super) fn new(address: SocketAddr) -> Self {
-        UpstreamEndpoint {
-            connections: Mutex::new(EndpointConnections {
-                address,
-                draining: false,
-                idle: Vec::new(),
-            }),
-        }
-    }
-
-    /// The endpoint's connections. The lock is never held across a wait.
-    pub(super) fn lock(&self) -> MutexGuard<'_, EndpointConnections> {
-        // Nothing panics while it holds the lock; if it did, the state would still be consistent.
-        self.connections
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
-
-/// Times that bound connections to endpoints.
-pub(super) struct Timeouts {
-    /// A connection has to be open by then.
-    pub connect: Duration,
-    /// A connection that has been idle for that long is not used again.
-    pub idle: Duration,
-}
-
 /// Bounds on what the pool holds.
 pub(crate) struct PoolLimits {
     /// Connections, idle ones among them.
@@ -95,7 +41,7 @@
     /// One permit for each byte that may be read ahead.
     prefetch: Arc<Semaphore>,
     clock: Clock,
-    pacers: Pacers,
+    monitors: TransferMonitors,
     queue: mpsc::Sender<Message>,
 }
 
@@ -105,7 +51,7 @@
         settings: &PlatformSettings,
         limits: PoolLimits,
         clock: Clock,
-        pacers: Pacers,
+        monitors: TransferMonitors,
         queue: mpsc::Sender<Message>,
     ) -> Self {
         let idle_limit = Duration::from_nanos(settings.idle_connection_timeout_ns);
@@ -120,7 +66,7 @@
             load_report_fields: settings.policy.load_report_fields.as_slice().into(),
             prefetch: Arc::new(Semaphore::new(limits.prefetch_bytes)),
             clock,
-            pacers,
+            monitors,
             queue,
         }
     }
@@ -212,10 +158,12 @@
 
     /// Slow-peer protection for responses, where the operator enabled it.
     fn response_pacing(&self) -> Option<ResponsePacing> {
-        let pacer = self.pacers.borrow();
-        let pacer = pacer.as_ref().filter(|pacer| pacer.settings().enabled.0);
-        pacer.cloned().map(|pacer| ResponsePacing {
-            pacer,
+        let monitor = self.monitors.borrow();
+        let monitor = monitor
+            .as_ref()
+            .filter(|monitor| monitor.settings().enabled.0);
+        monitor.cloned().map(|monitor| ResponsePacing {
+            monitor,
             clock: self.clock,
         })
     }
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::server::response::ResponseBody;
 use crate::upstream::attempt::tests::{forwarded, listen};
+use crate::upstream::deadlines::AttemptDeadlines;
 use applewall::api::{Endpoint, Outcome, RequestId};
 use http_body_util::BodyExt;
 use std::time::Instant;
