--- a/src/engine/admin_commands.rs
+++ b/src/engine/admin_commands.rs
@@ -62,13 +62,17 @@
         let none_left = maintenance.all_in_maintenance();
         let ids = maintenance.state().0.clone();
         if let Some(entry) = change.changed {
-            tracing::info!(
-                "operator: {id} {}",
-                if enter { "withheld" } else { "given back" }
-            );
+            let now = if enter {
+                "in maintenance"
+            } else {
+                "returned to service"
+            };
+            tracing::info!("operator: {id} {now}");
             self.apply_maintenance(entry, enter);
             if enter && none_left {
-                tracing::warn!("operator: all instances are withheld; every command is nacked");
+                tracing::warn!(
+                    "operator: all endpoints are in maintenance; every request is rejected"
+                );
             }
         }
         // The command is carried out also where its caller has disconnected.
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -62,7 +62,7 @@
                     peers.send(peer, &text);
                 }
             }
-            Action::Log(line) => tracing::info!("module: {line}"),
+            Action::Log(line) => tracing::info!("policy: {line}"),
             // The endpoint list is always watched; this policy asks for no health checks and no counters.
             Action::WatchEndpoints(_)
             | Action::FetchEndpoints
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -92,7 +92,7 @@
     /// never happen, and is counted.
     pub(super) fn send_last_resort(&mut self, request: RequestId) {
         self.statistics.last_resort += 1;
-        tracing::error!("last-resort answer to {:016x}", request.0);
+        tracing::error!("last-resort response to {:016x}", request.0);
         self.respond(
             request,
             ClientResponse::Failed {
--- a/src/engine/statistics.rs
+++ b/src/engine/statistics.rs
@@ -38,18 +38,17 @@
         if requests + last_resort == 0 {
             return;
         }
-        let (open, idle) = (self.pending.len(), self.pool.idle_connections());
         tracing::info!(
-            commands = requests,
+            requests,
             served,
-            nacks = rejected,
+            rejected,
             failed,
-            left = disconnected,
+            disconnected,
             attempts,
             last_resort,
-            open,
-            idle,
-            "figures"
+            pending = self.pending.len(),
+            idle_connections = self.pool.idle_connections(),
+            "statistics"
         );
     }
 }
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -340,7 +340,7 @@
         // Once a spell, which ends when there is capacity again.
         if shed && has_place && !self.shedding.swap(true, Ordering::Relaxed) {
             tracing::warn!(
-                "crowded: {max} connections with a command open; turning newcomers away"
+                "crowded: {max} connections with a pending request; rejecting new connections"
             );
         } else if !is_crowded {
             self.shedding.store(false, Ordering::Relaxed);
