--- a/crates/consul/tests/watch.rs
+++ b/crates/consul/tests/watch.rs
@@ -8,24 +8,24 @@
 use std::time::Duration;
 
 use applewall_consul::{watch, Settings};
-use applewall_fakes::consul::Agent;
-use applewall_fakes::wire::Wire;
+use applewall_fakes::consul::ConsulAgent;
+use applewall_fakes::tcp_proxy::TcpProxy;
 use applewall_membership::{MemberState, Source};
 use applewall_operator_config::{DurationSetting, EnabledFlag};
 
 /// How long a test waits for what has to happen; a machine that is busy must not fail it.
-const PATIENCE: Duration = Duration::from_secs(60);
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
 struct Fixture {
-    agent: Agent,
-    wire: Wire,
+    agent: ConsulAgent,
+    wire: TcpProxy,
     source: Arc<Mutex<Source>>,
     task: tokio::task::JoinHandle<()>,
 }
 
 async fn start(wait: u64) -> Fixture {
-    let agent = Agent::start().await.unwrap();
-    let wire = Wire::to(agent.address).await.unwrap();
+    let agent = ConsulAgent::start().await.unwrap();
+    let wire = TcpProxy::start(agent.address).await.unwrap();
     let settings = Settings {
         enabled: EnabledFlag(true),
         agent: Some(wire.address),
@@ -68,7 +68,7 @@
             }
         };
         assert!(
-            tokio::time::timeout(PATIENCE, wait).await.is_ok(),
+            tokio::time::timeout(TEST_TIMEOUT, wait).await.is_ok(),
             "never: {what}: {:?}",
             self.list()
         );
@@ -112,30 +112,30 @@
     let fixture = start(100).await;
     fixture.agent.put("m/a", Some(&value("in_service")));
     fixture.until("a", |list| list.len() == 1).await;
-    fixture.wire.cut();
+    fixture.wire.disconnect();
     fixture.agent.put("m/b", Some(&value("in_service")));
     fixture.until("b after a cut", |list| list.len() == 2).await;
-    fixture.wire.silence(true);
-    let silent = fixture.wire.connections.0.load(Ordering::Relaxed);
+    fixture.wire.set_silent(true);
+    let silent = fixture.wire.connections.accepted();
     fixture.agent.put("m/c", Some(&value("in_service")));
-    let left = || fixture.wire.connections.0.load(Ordering::Relaxed) > silent;
+    let left = || fixture.wire.connections.accepted() > silent;
     fixture.until("it was left", |_| left()).await;
-    fixture.wire.silence(false);
+    fixture.wire.set_silent(false);
     fixture
         .until("c after silence", |list| list.len() == 3)
         .await;
     // A lagging agent's answer is settled by a consistent query.
-    fixture.agent.lag(true);
+    fixture.agent.set_lagging(true);
     fixture.agent.put("m/a", None);
-    fixture.agent.lag(false);
+    fixture.agent.set_lagging(false);
     fixture.until("without a", |list| list.len() == 2).await;
-    fixture.agent.led(false);
+    fixture.agent.set_leader_known(false);
     fixture.agent.put("m/d", Some(&value("in_service")));
-    fixture.agent.led(true);
+    fixture.agent.set_leader_known(true);
     fixture
         .until("d once there is a leader", |list| list.len() == 3)
         .await;
-    fixture.agent.begin_anew();
+    fixture.agent.reset();
     fixture.agent.put("m/z", Some(&value("in_service")));
     fixture
         .until("only what there is now", |list| {
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -8,15 +8,15 @@
 
 mod play;
 
-use applewall_fault_testbed::journal::What;
-use applewall_fault_testbed::run::Played;
+use applewall_fault_testbed::journal::Event;
+use applewall_fault_testbed::run::TrialOutcome;
 
 /// Turns at 18 calls a second. The service itself turns nobody away: whether two calls come within its reach at once is
 /// the machine's doing, and `make measure-cold-start` counts that.
 const TURNS: &str = "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = 18\n";
 
 /// Plays 24 ingresses and 12 limit servers with these settings.
-fn play(more: &str) -> Played {
+fn play(more: &str) -> TrialOutcome {
     let text = if more.contains("[trial]") {
         more.to_string()
     } else {
@@ -24,91 +24,95 @@
     };
     let text = text.replace("[trial]\n", "[trial]\ningresses = 24\ninstances = 12\n");
     let played = play::play(&text);
-    assert_eq!(played.broken, Vec::<String>::new(), "every rule is kept");
+    assert_eq!(
+        played.violations,
+        Vec::<String>::new(),
+        "every rule is kept"
+    );
     played
 }
 
 /// Ingresses that were answered by the list service, each once.
-fn listed(played: &Played) -> usize {
-    played.figures.listed.len()
+fn listed(played: &TrialOutcome) -> usize {
+    played.metrics.first_list_seconds.len()
 }
 
 /// All calls of one ingress at the list service with the time of its last start, in order.
-fn calls(played: &Played, whole: bool) -> usize {
+fn calls(played: &TrialOutcome, whole: bool) -> usize {
     played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Call { whole: w, .. } if w == whole))
+        .filter(|l| matches!(l.event, Event::ListRequested { full: w, .. } if w == whole))
         .count()
 }
 
 #[test]
-fn all_at_once_without_a_list_each_asks_for_one_whole_list_and_none_is_turned_away() {
+fn a_simultaneous_start_without_lists_requests_one_full_list_per_ingress_without_rejections() {
     let played = play(TURNS);
     assert_eq!(
         (
             listed(&played),
             calls(&played, true),
-            played.figures.turned_away
+            played.metrics.list_rejections
         ),
         (24, 24, 0)
     );
     // Ready only with a list.
     for ingress in 0..24 {
-        let of = |kind: &dyn Fn(&What) -> bool| played.lines.iter().position(|l| kind(&l.what));
-        let told = of(&|w| matches!(w, What::Listed { ingress: i, .. } if *i == ingress));
-        let ready = of(&|w| matches!(w, What::Ready { ingress: i } if *i == ingress));
+        let of = |kind: &dyn Fn(&Event) -> bool| played.entries.iter().position(|l| kind(&l.event));
+        let told = of(&|w| matches!(w, Event::ListResponse { ingress: i, .. } if *i == ingress));
+        let ready = of(&|w| matches!(w, Event::IngressReady { ingress: i } if *i == ingress));
         assert!(
             told.is_some() && ready.is_none_or(|ready| Some(ready) > told),
             "ingress {ingress}"
         );
     }
     assert!(
-        played.figures.in_time > 0,
+        played.metrics.served_in_time > 0,
         "warm limit servers serve from the first list on"
     );
 }
 
 #[test]
-fn with_an_old_list_in_which_a_third_is_gone_nobody_asks_for_a_whole_one() {
+fn an_old_list_with_removed_instances_is_updated_without_full_lists() {
     let played = play(&format!(
         "{TURNS}[ingress]\nknown = old\n[faults]\ngone = at 0s: remove instance:0-3\n"
     ));
     assert_eq!(calls(&played, true), 0);
     assert!(
-        played.figures.share() > 0.5,
+        played.metrics.served_in_time_fraction() > 0.5,
         "the others serve: {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
 #[test]
-fn limit_servers_cold_too_are_not_pushed_over_and_serve_from_the_first_second_on() {
+fn warming_instances_are_not_overloaded_and_serve_from_the_first_second() {
     let played =
         play("[ingress]\nknown = old\n[instance]\ncold = on\n[traffic]\nrate = 20\nagain = 1\n");
-    let figures = &played.figures;
+    let metrics = &played.metrics;
     assert!(
-        figures.cold_worst < 1.0 && figures.cold_worst > 0.05,
+        metrics.peak_warmup_overload < 1.0 && metrics.peak_warmup_overload > 0.05,
         "{}",
-        figures.cold_worst
+        metrics.peak_warmup_overload
     );
     assert!(
-        figures.in_time > 20,
+        metrics.served_in_time > 20,
         "{} of {} in time",
-        figures.in_time,
-        figures.asked
+        metrics.served_in_time,
+        metrics.requests_sent
     );
 }
 
 #[test]
-fn a_list_service_that_turns_nine_in_ten_away_is_called_less_and_less_and_gets_through() {
+fn a_list_service_that_rejects_nine_in_ten_is_called_less_often_until_all_are_listed() {
     let away = "[faults]\naway = at 0s: list turns away 0.9 for 4s\n";
     let played = play(&format!("[trial]\ntime = 14s\n{TURNS}{away}"));
     assert_eq!(listed(&played), 24);
     let during = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| l.at < 4.0 && matches!(l.what, What::Call { .. }))
+        .filter(|l| l.at_seconds < 4.0 && matches!(l.event, Event::ListRequested { .. }))
         .count();
     // Half as much again as it bears.
     assert!(
@@ -118,14 +122,14 @@
 }
 
 #[test]
-fn a_list_service_silent_for_ten_seconds_holds_nobody_back_who_has_an_old_list() {
+fn ingresses_with_an_old_list_serve_while_the_list_service_is_silent() {
     let silent = "[ingress]\nknown = old\n[faults]\nsilent = at 0s: list silent for 10s\nnews = at 12s: restart instance:0\n";
     let played = play(&format!("[trial]\ntime = 18s\n{TURNS}{silent}"));
     assert!(listed(&played) > 12, "{} heard the news", listed(&played));
     assert!(
-        played.figures.share_between(1, 9) > 0.5,
+        played.metrics.served_in_time_fraction_between(1, 9) > 0.5,
         "served by the old list: {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
     assert_eq!(
         calls(&played, true),
@@ -135,7 +139,7 @@
 }
 
 #[test]
-fn an_answer_that_breaks_off_halfway_is_no_list() {
+fn a_truncated_list_response_is_not_used() {
     let breaks = "[faults]\nbreaks = at 0s: list breaks 0.5 for 3s\n";
     let played = play(&format!("[trial]\ntime = 8s\n{TURNS}{breaks}"));
     assert_eq!(listed(&played), 24);
@@ -148,14 +152,18 @@
 }
 
 #[test]
-fn a_limit_server_that_accepts_and_never_answers_costs_no_request_its_answer() {
+fn an_instance_that_never_answers_costs_no_request_its_response() {
     let mute = "[ingress]\nknown = old\n[faults]\nmute = at 0s: mute instance:0-1\n";
     let played = play(&format!("[trial]\ntime = 6s\n{TURNS}{mute}"));
-    assert!(played.figures.share() > 0.6, "{:?}", played.figures.seconds);
+    assert!(
+        played.metrics.served_in_time_fraction() > 0.6,
+        "{:?}",
+        played.metrics.per_second
+    );
 }
 
 #[test]
-fn datagrams_lost_and_a_second_late_leave_the_budget_kept() {
+fn the_call_budget_holds_with_lost_and_late_datagrams() {
     let lossy =
         "[faults]\nlossy = at 0s: link ingress:all -> ingress:all loss 0.3 delay 1s spread 200ms twice 0.1\n";
     let played = play(&format!("{TURNS}{lossy}"));
@@ -163,22 +171,22 @@
 }
 
 #[test]
-fn split_in_two_halves_during_the_start_each_half_keeps_to_the_budget() {
+fn each_half_of_a_partitioned_fleet_keeps_the_call_budget_during_the_start() {
     let split = "[faults]\nsplit = at 0s: link ingress:0-11 <-> ingress:12-23 silent for 3s\n";
     let played = play(&format!("{TURNS}{split}"));
     assert_eq!((listed(&played), calls(&played, true)), (24, 24));
 }
 
 #[test]
-fn seven_in_ten_killed_twice_are_shielded_by_those_that_lived() {
+fn restarted_ingresses_are_throttled_by_those_that_kept_running() {
     let twice = "[faults]\none = at 3s: kill ingress:0.7 and start after 200ms none\n\
                  two = at 7s: kill ingress:0.7 and start after 200ms old\n";
     let played = play(&format!("[trial]\ntime = 11s\n{TURNS}{twice}"));
     assert_eq!(listed(&played), 24);
     let lives = played
-        .lines
+        .entries
         .iter()
-        .filter(|l| matches!(l.what, What::Started { .. }))
+        .filter(|l| matches!(l.event, Event::IngressStarted { .. }))
         .count();
     assert_eq!(lives, 24 + 17 + 17);
     // Whole lists: one for each life without any, and for those alone.
@@ -200,16 +208,16 @@
             "{told} of {all} that start know of all, {without} without a list"
         );
     }
-    let last = played.figures.share_between(9, 11);
+    let last = played.metrics.served_in_time_fraction_between(9, 11);
     assert!(
         last > 0.5,
         "back in service: {last}, {:?}",
-        played.figures.seconds
+        played.metrics.per_second
     );
 }
 
 #[test]
-fn where_half_have_an_old_list_the_others_go_first_and_all_know_how_many_they_are() {
+fn ingresses_without_a_list_call_before_those_with_an_old_one_and_all_count_the_cohort() {
     // Five calls a second: the window is long enough to wait for the roll.
     let half = "[operator]\ncold_start.enabled = on\ncold_start.calls_per_s = 5\n[faults]\n\
                 none = at 3s: kill ingress:0-11 and start after 500ms none\n\
@@ -217,10 +225,12 @@
     let played = play(&format!("[trial]\ntime = 12s\n{half}"));
     // In the order of their first calls since that.
     let mut order: Vec<usize> = Vec::new();
-    for line in &played.lines {
-        match line.what {
-            What::Started { ingress, .. } => order.retain(|i| *i != ingress),
-            What::Call { ingress, .. } if line.at > 3.0 && !order.contains(&ingress) => {
+    for line in &played.entries {
+        match line.event {
+            Event::IngressStarted { ingress, .. } => order.retain(|i| *i != ingress),
+            Event::ListRequested { ingress, .. }
+                if line.at_seconds > 3.0 && !order.contains(&ingress) =>
+            {
                 order.push(ingress);
             }
             _ => {}
@@ -238,7 +248,7 @@
 }
 
 #[test]
-fn one_stopped_in_the_middle_of_its_start_asks_when_it_goes_on() {
+fn an_ingress_suspended_during_its_start_requests_its_list_when_it_continues() {
     // The list service is silent until after the stop: whoever is stopped has no list yet.
     let stop =
         "[faults]\nsilent = at 0s: list silent for 2s\nstop = at 1s: stop ingress:3 for 3s\n";
@@ -247,15 +257,15 @@
 }
 
 #[test]
-fn six_in_ten_replaced_while_the_list_service_is_silent_are_found_once_it_is_back() {
+fn instances_replaced_while_the_list_service_is_silent_are_found_afterwards() {
     let replaced = "[ingress]\nknown = old\n[faults]\nreplaced = at 1s: replace instance:0.6\n\
                     silent = at 0.5s: list silent for 4s\n";
     let played = play(&format!(
         "[trial]\ntime = 12s\n{TURNS}{}",
         replaced.replace("0.5s", "500ms")
     ));
-    let new = played.lines.iter().rev().find_map(|l| match l.what {
-        What::Attempt { instance, .. } if instance >= 12 => Some(instance),
+    let new = played.entries.iter().rev().find_map(|l| match l.event {
+        Event::AttemptArrived { instance, .. } if instance >= 12 => Some(instance),
         _ => None,
     });
     assert!(new.is_some(), "the new ones serve");
@@ -263,27 +273,27 @@
 }
 
 #[test]
-fn a_service_whose_revisions_go_back_is_read_anew_and_a_list_of_thousands_is_taken() {
+fn a_full_list_is_read_after_revisions_go_back_and_a_list_of_thousands_is_accepted() {
     let back = "[faults]\nback = at 3s: list goes back\n";
     let played = play(&format!(
         "[trial]\ntime = 8s\n[list]\nballast = 2000\n{TURNS}{back}"
     ));
     assert_eq!(listed(&played), 24);
-    let old = played.lines.iter().rev().find_map(|l| match l.what {
-        What::Listed {
+    let old = played.entries.iter().rev().find_map(|l| match l.event {
+        Event::ListResponse {
             ingress: 0,
             status: 200,
-            rev,
+            revision,
             ..
-        } => Some(rev),
+        } => Some(revision),
         _ => None,
     });
     assert_eq!(old, Some(1), "it follows the service at its new revisions");
-    assert!(played.figures.in_time > 0);
+    assert!(played.metrics.served_in_time > 0);
 }
 
 #[test]
-fn strangers_datagrams_and_torn_words_are_told_of_once_and_change_no_turn() {
+fn foreign_and_truncated_datagrams_are_logged_once_and_do_not_change_the_schedule() {
     // Words are told at a start: those of the second one are torn.
     let bad = "[faults]\nforeign = at 0s: foreign ingress:all\ntorn = at 0s: link ingress:all -> ingress:all torn 0.5\n\
                again = at 2s: kill ingress:0-11 and start after 200ms none\n";
@@ -292,7 +302,7 @@
         (
             listed(&played),
             calls(&played, true),
-            played.figures.turned_away
+            played.metrics.list_rejections
         ),
         (24, 24 + 12, 0)
     );
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -17,10 +17,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use applewall_fakes::daemon::{Daemon, Setting};
+use applewall_fakes::daemon::{Daemon, DaemonSettings};
 use applewall_fakes::discovery::target;
 use applewall_fakes::http::{self, Kind};
-use applewall_fakes::wait::until;
+use applewall_fakes::wait::wait_until;
 use serde_json::{json, Value};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -208,7 +208,7 @@
             if stream.write_all(head.as_bytes()).await.is_err() {
                 break;
             }
-            match http::read(&mut stream, &mut rest, Kind::Answer).await {
+            match http::read(&mut stream, &mut rest, Kind::Response).await {
                 Ok(Some(_)) => sleep(Duration::from_millis(5)).await,
                 _ => break,
             }
@@ -255,13 +255,13 @@
 
     /// Starts the program with a known list in which both are in service, and its service clients.
     fn start(&mut self) {
-        let setting = Setting {
-            sockets: 256,
+        let setting = DaemonSettings {
+            max_descriptors: 256,
             memory_mb: 64,
-            operator: None,
+            operator_file: None,
             discovery: self.agent.address,
-            known: self.list("in_service"),
-            rate: 100_000.0,
+            known_targets: self.list("in_service"),
+            quota_per_second: 100_000.0,
         };
         let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
         let daemon = Daemon::start(program, self.folder.path(), "n0", &setting).unwrap();
@@ -273,7 +273,7 @@
     async fn run() -> Self {
         let mut scene = Scene::set().await;
         scene.start();
-        until("both serve and a watch waits", || {
+        wait_until("both serve and a watch waits", || {
             scene.leaving.many() > 50
                 && scene.staying.many() > 50
                 && scene.agent.seen.lock().unwrap().0 > 0
@@ -297,7 +297,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn told_by_a_watch_also_over_many_lines() {
+async fn a_drain_is_kept_when_a_watch_response_shows_it_also_over_many_lines() {
     let scene = Scene::run().await;
     scene.agent.change(|s| s.indented = true);
     let (told, list) = (Instant::now(), scene.list("terminating"));
@@ -306,7 +306,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn told_by_a_whole_list_that_leaves_it_out() {
+async fn a_drain_is_kept_when_a_full_list_omits_the_instance() {
     let scene = Scene::run().await;
     let told = Instant::now();
     scene.agent.change(|s| {
@@ -317,7 +317,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn while_its_watch_is_reset() {
+async fn a_drain_is_kept_when_the_watch_is_reset() {
     let scene = Scene::run().await;
     // What the agent has counts as told, whether a watch is open or not.
     let (told, list) = (Instant::now(), scene.list("terminating"));
@@ -328,7 +328,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn while_its_watch_is_silent_for_ever() {
+async fn a_drain_is_kept_when_the_watch_stays_silent() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
@@ -342,13 +342,13 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_half_an_answer_comes_and_then_nothing() {
+async fn a_drain_is_kept_when_a_watch_response_stops_halfway() {
     let scene = Scene::run().await;
     let (fell_silent, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
         .change(|s| (s.rev, s.targets, s.half) = (6, list, true));
-    until("the watch has half an answer", || {
+    wait_until("the watch has half an answer", || {
         scene.agent.seen.lock().unwrap().1 > 0
     })
     .await;
@@ -358,7 +358,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_agent_is_gone_for_eight_seconds() {
+async fn a_drain_is_kept_when_the_agent_is_gone_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -371,7 +371,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_agent_says_nothing_for_eight_seconds() {
+async fn a_drain_is_kept_when_the_agent_is_silent_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -385,7 +385,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_no_connection_to_the_agent_comes_up_for_eight_seconds() {
+async fn a_drain_is_kept_when_no_connection_to_the_agent_is_established_for_eight_seconds() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     scene
@@ -408,7 +408,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn after_a_reload_to_an_agent_that_is_silent_at_first() {
+async fn a_drain_is_kept_after_a_reload_to_an_agent_that_is_silent_at_first() {
     let scene = Scene::run().await;
     let list = scene.list("terminating");
     let next = Agent::start(State {
@@ -430,7 +430,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn in_a_new_life_whose_known_list_is_old() {
+async fn a_drain_is_kept_by_a_restarted_process_with_an_old_known_list() {
     let mut scene = Scene::set().await;
     let list = scene.list("terminating");
     scene.agent.change(|s| (s.rev, s.targets) = (6, list));
@@ -444,7 +444,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn where_the_revision_goes_back() {
+async fn a_drain_is_kept_when_the_revision_goes_back() {
     let scene = Scene::run().await;
     let (told, list) = (Instant::now(), scene.list("terminating"));
     scene
--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -7,19 +7,19 @@
     reason = "the script of a play reads best in one piece"
 )]
 
-mod common;
+mod support;
 
 use std::fmt::Write as _;
 
 use applewall::api::*;
 use applewall::decision::DecisionPolicy;
-use common::fleet::pool;
-use common::{member, settings, MS, S};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use support::fleet::encode_pool;
+use support::policy::{endpoint, settings, MILLISECOND, SECOND};
 
 const GOLDEN: &str = include_str!("golden/decisions.txt");
 const ENDPOINTS: u32 = 9;
-const TICK: u64 = 10 * MS;
+const TICK: u64 = 10 * MILLISECOND;
 
 /// 64 bits of FNV-1a over everything written to it.
 struct Digest(u64);
@@ -187,7 +187,7 @@
         } else {
             EndpointState::Ready
         },
-        ..member(&format!("b{i}"), i % 3)
+        ..endpoint(&format!("b{i}"), i % 3)
     };
     (0..ENDPOINTS).map(one).collect()
 }
@@ -203,10 +203,10 @@
             watch_endpoints: true,
             gossip_messages_per_second: messages_per_second,
             cost_settled_after_response: true,
-            max_retry_after_ns: S,
+            max_retry_after_ns: SECOND,
             ..settings()
         };
-        let now = 1000 * S;
+        let now = 1000 * SECOND;
         let own = |me: u32| PolicySettings {
             node: me,
             zone: me % 3,
@@ -260,9 +260,9 @@
                 Action::SendGossip { peer, text } => {
                     self.counts[3] += 1;
                     let lost = self.rng.random_range(0..100) < conditions.lost;
-                    let late = self.rng.random_range(0..=conditions.late_ms) * MS;
+                    let late = self.rng.random_range(0..=conditions.late_ms) * MILLISECOND;
                     let played = peer.filter(|to| *to < self.policies.len() as u32 && !lost);
-                    let due = self.now + 5 * MS + late;
+                    let due = self.now + 5 * MILLISECOND + late;
                     let from = node as u32;
                     self.datagrams.extend(played.map(|to| Datagram {
                         due,
@@ -314,13 +314,13 @@
         } else {
             Outcome::Success
         };
-        let usual = (20 + self.rng.random_range(0..60) + conditions.slow_ms) * MS;
+        let usual = (20 + self.rng.random_range(0..60) + conditions.slow_ms) * MILLISECOND;
         let latency = match outcome {
             Outcome::TimedOut => {
                 if timeout > 0 {
                     timeout
                 } else {
-                    1900 * MS
+                    1900 * MILLISECOND
                 }
             }
             _ if timeout > 0 => usual.min(timeout),
@@ -355,7 +355,7 @@
             plan,
             customer: format!("c{}-{plan}", self.rng.random_range(0..5)).into(),
             units: f64::from(self.rng.random_range(1..9u32)) / 2.0,
-            time_left_ns: (500 + self.rng.random_range(0..1500)) * MS,
+            time_left_ns: (500 + self.rng.random_range(0..1500)) * MILLISECOND,
             is_retry: self.rng.random_range(0..10) == 0,
             node_set_size: spread,
             first_node: if plan == 1 { node as u32 } else { 0 },
@@ -425,7 +425,7 @@
     fn hot_restart(&mut self, node: usize) {
         let _ = self.policies[node].export_snapshot().expect("written");
         self.pass(
-            300 * MS,
+            300 * MILLISECOND,
             Conditions {
                 demand: 30,
                 ..Conditions::default()
@@ -433,7 +433,7 @@
         );
         self.policies[node].resume();
         self.pass(
-            300 * MS,
+            300 * MILLISECOND,
             Conditions {
                 demand: 30,
                 ..Conditions::default()
@@ -489,10 +489,10 @@
         ..Conditions::default()
     };
     let mut play = Play::new(seed, fleet, played, messages_per_second);
-    play.pass(4 * S, usual);
+    play.pass(4 * SECOND, usual);
     play.section(lines, &format!("{name} calm"));
     play.pass(
-        4 * S,
+        4 * SECOND,
         Conditions {
             error: 8,
             full: 5,
@@ -505,7 +505,7 @@
     );
     play.section(lines, &format!("{name} faults"));
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             failing_endpoint: Some(4),
             slow_ms: 30,
@@ -514,7 +514,7 @@
     );
     play.section(lines, &format!("{name} one backend fails"));
     play.pass(
-        5 * S,
+        5 * SECOND,
         Conditions {
             demand: 250,
             slow_ms: 500,
@@ -524,7 +524,7 @@
         },
     );
     play.section(lines, &format!("{name} overload"));
-    play.pass(4 * S, usual);
+    play.pass(4 * SECOND, usual);
     play.section(lines, &format!("{name} recovery"));
     let started = play.now;
     play.all(|| {
@@ -534,21 +534,21 @@
         )
     });
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             demand: 80,
             ..usual
         },
     );
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Failed, [].into()));
-    play.pass(S, usual);
+    play.pass(SECOND, usual);
     play.section(lines, &format!("{name} drain and slow start"));
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, list(None, &[])[3..].into()));
     let back = list(None, &[])[7].clone();
     play.give(1, Event::ReturnedToService(back), usual);
     play.give(2, Event::ZoneTrafficShares(vec![0.25, 1.0]), usual);
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             demand: 60,
             ..usual
@@ -559,7 +559,7 @@
         &format!("{name} full list, maintenance, zone shares"),
     );
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             lost: 60,
             late_ms: 900,
@@ -570,7 +570,7 @@
     play.section(lines, &format!("{name} lost and late datagrams"));
     play.hot_restart(1);
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             demand: 70,
             ..usual
@@ -578,10 +578,10 @@
     );
     play.section(lines, &format!("{name} hand-over"));
     // A gap in the clock, then customers never seen again until they are forgotten.
-    play.now += 2 * S;
-    play.pass(12 * S, Conditions { demand: 2, ..usual });
+    play.now += 2 * SECOND;
+    play.pass(12 * SECOND, Conditions { demand: 2, ..usual });
     play.pass(
-        2 * S,
+        2 * SECOND,
         Conditions {
             demand: 120,
             slow_ms: 200,
@@ -610,7 +610,7 @@
             } else {
                 EndpointState::Removed
             },
-            ..member(&format!("w{i}"), i % 3)
+            ..endpoint(&format!("w{i}"), i % 3)
         };
         (0..48).map(one).collect()
     };
@@ -619,7 +619,7 @@
         Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(Some(started), 48).into())
     });
     play.pass(
-        5 * S,
+        5 * SECOND,
         Conditions {
             demand: 150,
             slow_ms: 60,
@@ -628,7 +628,7 @@
     );
     play.section(lines, &format!("{name} all backends start at once"));
     play.pass(
-        5 * S,
+        5 * SECOND,
         Conditions {
             reset: 70,
             no_connection: 5,
@@ -638,7 +638,7 @@
     );
     play.section(lines, &format!("{name} connections break"));
     play.pass(
-        5 * S,
+        5 * SECOND,
         Conditions {
             error: 75,
             demand: 60,
@@ -647,7 +647,7 @@
     );
     play.section(lines, &format!("{name} retries run out"));
     play.pass(
-        5 * S,
+        5 * SECOND,
         Conditions {
             error: 40,
             slow_ms: 900,
@@ -658,19 +658,19 @@
     play.section(lines, &format!("{name} late failures of keyed requests"));
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Snapshot, wide(None, 10).into()));
     play.pass(
-        4 * S,
+        4 * SECOND,
         Conditions {
             timed_out: 15,
             ..usual
         },
     );
     play.all(|| Event::EndpointUpdate(EndpointUpdateKind::Delta, wide(None, 31).into()));
-    play.pass(3 * S, usual);
+    play.pass(3 * SECOND, usual);
     play.section(lines, &format!("{name} most backends go, some come back"));
     for _ in 0..6 {
-        play.now += 450 * MS;
+        play.now += 450 * MILLISECOND;
         play.pass(
-            500 * MS,
+            500 * MILLISECOND,
             Conditions {
                 demand: 80,
                 timed_out: 20,
@@ -679,17 +679,17 @@
         );
     }
     play.section(lines, &format!("{name} the clock jumps"));
-    let wild = pool([900.0, 700.0, 0.0, 0.0, 0.0, 100.0, 400.0, 90.0, 700.0]);
+    let wild = encode_pool([900.0, 700.0, 0.0, 0.0, 0.0, 100.0, 400.0, 90.0, 700.0]);
     for _ in 0..20 {
         play.all(|| Event::PeerMessage {
             from: fleet - 1,
             text: wild.clone(),
         });
-        play.pass(200 * MS, usual);
+        play.pass(200 * MILLISECOND, usual);
     }
     play.section(lines, &format!("{name} a peer's wild statistics"));
     play.pass(
-        12 * S,
+        12 * SECOND,
         Conditions {
             demand: 3,
             full: 50,
@@ -697,17 +697,17 @@
             ..usual
         },
     );
-    play.pass(8 * S, Conditions { demand: 3, ..usual });
+    play.pass(8 * SECOND, Conditions { demand: 3, ..usual });
     play.section(lines, &format!("{name} little traffic"));
     play.pass(
-        3 * S,
+        3 * SECOND,
         Conditions {
             demand: 300,
             ..usual
         },
     );
     play.pass(
-        6 * S,
+        6 * SECOND,
         Conditions {
             demand: 10,
             ..usual
