--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -50,7 +50,7 @@
 #[serde(default, deny_unknown_fields, rename = "Log")]
 pub(crate) struct LogConfig {
     /// `text` or `json`.
-    pub format: logging::Form,
+    pub format: logging::LogFormat,
 }
 
 impl OperatorConfig {
--- a/src/config/operator/golden.rs
+++ b/src/config/operator/golden.rs
@@ -107,7 +107,7 @@
 
 /// Every key of the operator's file, and what it is read as.
 fn keys(config: &OperatorConfig) -> Vec<Key> {
-    let json = config.log.format == crate::logging::Form::Json;
+    let json = config.log.format == crate::logging::LogFormat::Json;
     [
         vec![("log.format", text(json))],
         pace_keys(&config.pace),
--- a/src/discovery/endpoint_list.rs
+++ b/src/discovery/endpoint_list.rs
@@ -170,7 +170,7 @@
     let endpoint = Endpoint {
         id: target.uid.into(),
         weight: target.capacity_hint,
-        started_at_ns: clock.of_unix(target.boot_ms),
+        started_at_ns: clock.nanos_of_unix_ms(target.boot_ms),
         zone: settings.zone_index(&target.az),
         cell: target.pod_group.unwrap_or(NO_CELL),
         machine_type: settings.machine_type(&target.model),
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -15,7 +15,7 @@
 use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 use crate::config::platform::PlatformConfig;
-use crate::engine::message::{EndpointEntry, Message};
+use crate::engine::message::{EndpointEntry, EndpointUpdate, Message};
 
 mod merged_list;
 mod snapshot_file;
@@ -154,7 +154,9 @@
     }
 
     async fn follow_discovery(&self, mut discovered: mpsc::Receiver<Message>) {
-        while let Some(Message::Table(kind, entries)) = discovered.recv().await {
+        while let Some(Message::EndpointUpdate(EndpointUpdate { kind, entries })) =
+            discovered.recv().await
+        {
             self.apply(|list| list.apply_discovery(kind, entries));
         }
         std::future::pending::<()>().await;
@@ -181,7 +183,10 @@
         if entries.is_empty() {
             return true;
         }
-        let update = Message::Table(EndpointUpdateKind::Delta, entries);
+        let update = Message::EndpointUpdate(EndpointUpdate {
+            kind: EndpointUpdateKind::Delta,
+            entries,
+        });
         self.queue.send(update).await.is_ok()
     }
 
--- a/src/discovery/registry/merged_list.rs
+++ b/src/discovery/registry/merged_list.rs
@@ -242,7 +242,7 @@
         let endpoint = Endpoint {
             id: id.into(),
             weight: record.capacity_hint,
-            started_at_ns: self.clock.of_unix(record.boot_ms),
+            started_at_ns: self.clock.nanos_of_unix_ms(record.boot_ms),
             zone: self.settings.zone_index(&record.az),
             cell: record.pod_group,
             machine_type: NO_MACHINE_TYPE,
--- a/src/discovery/startup.rs
+++ b/src/discovery/startup.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 use crate::config::platform::PlatformConfig;
-use crate::peer_socket::{DatagramHandler, Peers};
+use crate::peer_socket::{DatagramHandler, PeerSocket};
 
 /// Nanoseconds of a second.
 const NANOS_PER_SECOND: f64 = 1e9;
@@ -33,7 +33,7 @@
 pub(crate) struct StartupSchedule {
     core: Mutex<StartupScheduler>,
     clock: Clock,
-    peers: Option<Arc<Peers>>,
+    peers: Option<Arc<PeerSocket>>,
     /// True once there is an endpoint list that may be used.
     has_endpoints: watch::Sender<bool>,
     /// When the present call began, s.
@@ -54,7 +54,7 @@
         config: &PlatformConfig,
         revision: Option<u64>,
         clock: Clock,
-        peers: Option<Arc<Peers>>,
+        peers: Option<Arc<PeerSocket>>,
     ) -> Option<Arc<Self>> {
         let cold_start = &operator.cold_start;
         if !cold_start.enabled.0 {
@@ -69,7 +69,7 @@
             list,
             seed: config.seed,
             now,
-            unix_time_of_zero: clock.unix(),
+            unix_time_of_zero: clock.unix_offset_seconds(),
         };
         let core = StartupScheduler::new(cold_start, start);
         match list {
@@ -147,7 +147,7 @@
 
     /// Passes on who starts together with this node, for as long as the start goes on: past its first call too, as others
     /// know by it who calls next.
-    async fn disseminate_cohort(self: Arc<Self>, peers: Arc<Peers>) {
+    async fn disseminate_cohort(self: Arc<Self>, peers: Arc<PeerSocket>) {
         loop {
             let now = self.now();
             let output = self.core().handle(now, Input::GossipTimer);
@@ -213,7 +213,7 @@
 
 impl DatagramHandler for StartupSchedule {
     /// True where it was a message on the schedule.
-    fn handle(&self, peers: &Peers, from: u32, text: &str, sender: SocketAddr) -> bool {
+    fn handle(&self, peers: &PeerSocket, from: u32, text: &str, sender: SocketAddr) -> bool {
         if !Message::is_startup_message(text) {
             return false;
         }
@@ -231,8 +231,8 @@
 }
 
 /// Sends the scheduler's messages to peers.
-fn send(peers: &Peers, output: Output) {
+fn send(peers: &PeerSocket, output: Output) {
     for outgoing in output.messages {
-        peers.tell(Some(outgoing.to), &outgoing.message.encode());
+        peers.send(Some(outgoing.to), &outgoing.message.encode());
     }
 }
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -17,7 +17,7 @@
 use crate::clock::Clock;
 use crate::discovery::endpoint_list::{EndpointList, ReportedEntries};
 use crate::discovery::startup::StartupSchedule;
-use crate::engine::message::Message;
+use crate::engine::message::{EndpointUpdate, Message};
 
 mod connection;
 mod timing;
@@ -256,7 +256,11 @@
         reported: &mut ReportedEntries,
     ) -> Receiver {
         let entries = list.entries_with_new_warnings(reported, &self.settings, &self.clock);
-        match self.queue.send(Message::Table(kind, entries)).await {
+        match self
+            .queue
+            .send(Message::EndpointUpdate(EndpointUpdate { kind, entries }))
+            .await
+        {
             Ok(()) => Receiver::Listening,
             Err(_) => Receiver::Gone,
         }
--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::engine::message::EndpointEntry;
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 /// Time between evaluations of the zones, and so the resolution of what the core decides.
 pub(crate) const EVALUATION_INTERVAL_NS: u64 = 100_000_000;
@@ -234,14 +234,14 @@
     }
 
     /// An interval has passed: the shares by the decision policy's numbers, where they changed.
-    pub(crate) fn tick(&mut self, now_ns: u64, peers: Option<&Peers>) -> Option<Vec<f64>> {
+    pub(crate) fn tick(&mut self, now_ns: u64, peers: Option<&PeerSocket>) -> Option<Vec<f64>> {
         self.observe_overdue(now_ns);
         let output = self.core.handle(seconds(now_ns), Input::IntervalElapsed);
         for change in output.transitions {
             tracing::warn!("zones: {} {}", change.zone, change.transition);
         }
         if let (Some(peers), Some(outgoing)) = (peers, output.message) {
-            peers.tell(Some(outgoing.to), &outgoing.message.encode());
+            peers.send(Some(outgoing.to), &outgoing.message.encode());
         }
         let shares: Vec<f64> = self
             .core_zones
--- /dev/null
+++ b/src/engine/admin_commands.rs
@@ -0,0 +1,91 @@
+//! Admin commands that the engine carries out: endpoints put into maintenance and returned to service, and the state
+//! that a hot restart transfers.
+//!
+//! Owner: the engine. Input: commands of the admin listener. Output: one reply a command. Invariant: a reply is sent
+//! once the policy and the connection pool both know of the change.
+
+use applewall::api::{EndpointUpdateKind, Event};
+
+use super::Engine;
+use crate::admin::handle::{ControlMessage, ExportError, MaintenanceRequest};
+use crate::engine::message::EndpointEntry;
+use crate::lifecycle::process_role::TransferredState;
+
+impl Engine {
+    pub(super) fn handle_admin_command(&mut self, command: ControlMessage) {
+        match command {
+            ControlMessage::SetMaintenance(command) => self.change_maintenance(command),
+            ControlMessage::ExportState(reply) => {
+                self.gossip_handed_over = true;
+                // A process that gave up the hand-over meanwhile takes everything back by a command of its own.
+                let _ = reply.send(self.export_state());
+            }
+            ControlMessage::ResumeOwnership => {
+                self.gossip_handed_over = false;
+                self.policy.resume();
+            }
+        }
+    }
+
+    /// Everything that another process needs to go on from here.
+    fn export_state(&mut self) -> Result<TransferredState, ExportError> {
+        let policy_state = self.policy.export_snapshot()?;
+        let (maintenance, endpoints) = match &self.maintenance {
+            Some(filter) => {
+                let (maintenance, listed) = filter.state();
+                let listed = listed.map(|entry| (entry.endpoint.clone(), entry.address));
+                (maintenance.clone(), listed.collect())
+            }
+            None => Default::default(),
+        };
+        Ok(TransferredState {
+            now_ns: self.now,
+            maintenance,
+            draining: false,
+            endpoints,
+            policy_state,
+        })
+    }
+
+    /// Puts an endpoint into maintenance, or returns it to service.
+    fn change_maintenance(&mut self, command: MaintenanceRequest) {
+        let MaintenanceRequest {
+            id,
+            enter,
+            known_to_other_process,
+            reply,
+        } = command;
+        let Some(maintenance) = &mut self.maintenance else {
+            return;
+        };
+        let change = maintenance.change(&id, enter, known_to_other_process);
+        let none_left = maintenance.all_in_maintenance();
+        let ids = maintenance.state().0.clone();
+        if let Some(entry) = change.changed {
+            let now = if enter {
+                "in maintenance"
+            } else {
+                "returned to service"
+            };
+            tracing::info!("operator: {id} {now}");
+            self.apply_maintenance(entry, enter);
+            if enter && none_left {
+                tracing::warn!(
+                    "operator: all endpoints are in maintenance; every request is rejected"
+                );
+            }
+        }
+        // The command is carried out also where its caller has disconnected.
+        let _ = reply.send((change.answer, ids));
+    }
+
+    fn apply_maintenance(&mut self, entry: EndpointEntry, in_maintenance: bool) {
+        let endpoint = entry.endpoint.clone();
+        self.pool.update(EndpointUpdateKind::Delta, &[entry]);
+        self.handle_event(if in_maintenance {
+            Event::EndpointUpdate(EndpointUpdateKind::Delta, [endpoint].into())
+        } else {
+            Event::ReturnedToService(endpoint)
+        });
+    }
+}
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -20,7 +20,7 @@
 use crate::admin::handle::{AdminHandle, ControlMessage};
 use crate::lifecycle::process_role::{RelayedCommand, RoleOwner, TransferredState};
 use crate::lifecycle::shared_directory::SharedDirectory;
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 mod command_link;
 mod transfer;
@@ -141,7 +141,7 @@
     /// The engine, which exports the state.
     pub control: mpsc::Sender<ControlMessage>,
     /// The socket for datagrams, which the new process uses too.
-    pub peers: Option<Arc<Peers>>,
+    pub peers: Option<Arc<PeerSocket>>,
 }
 
 impl HotRestart {
--- a/src/lifecycle/hot_restart/transfer.rs
+++ b/src/lifecycle/hot_restart/transfer.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::{HotRestartError, ReceivedTransfer, STEP_TIMEOUT};
-use crate::peer_socket::Peers;
+use crate::peer_socket::PeerSocket;
 
 /// What a new process sends first: the form of all that follows, and its version.
 const HELLO: &str = "applewall succession 1\n";
@@ -75,7 +75,7 @@
 pub(super) async fn send(
     stream: &mut UnixStream,
     state: &[u8],
-    peers: Option<&Peers>,
+    peers: Option<&PeerSocket>,
 ) -> Result<(), HotRestartError> {
     let mut head = [0; HEAD_BYTES];
     head[..4].copy_from_slice(&MARK);
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,6 +1,9 @@
 //! Carries out attempts: connections to the endpoints, and what their responses say.
 
-pub(crate) mod body;
+pub(crate) mod attempt;
+mod body;
 pub(crate) mod connection;
+pub(crate) mod deadlines;
+mod endpoint;
 pub(crate) mod pool;
-pub(crate) mod response;
+mod response;
