slow-peer: files, fields and tests by the field's terms; units in names

Each module is named for what it does (clock, minimum_rate, rate_window, resource_account, bulkheads, statistics, outgoing, incoming, socket/monitor); tuples became structs (Capacity, Report, ResourceLimits, Arrival, Penalty); times and sizes carry their unit in the name; long methods are split; the inline test modules are files. What a method decides stays: the limit of the first attempt is still the one that resources are freed for.

The three cores take one shape as far as it is a rename: this crate's events have results of different kinds (a limit, a status, connections to abort), so they stay methods with typed results; lib.rs says so.

Tests, old name -> new name: fair a_stall_is_left_out_from_the_first_event_after_it -> clock stall_is_left_out_from_the_first_event_after_it tally the_table_names_the_worst_and_stays_small -> statistics table_names_the_worst_owners_and_stays_bounded bulkhead addresses_of_a_set_count_together_and_exempt_ones_not_at_all -> bulkheads addresses_of_a_network_count_together_and_exempt_ones_not_at_all bulkhead those_that_were_cut_get_fewer_places_for_a_while_and_one_in_any_case -> bulkheads penalized_network_gets_fewer_slots_for_a_while_and_always_one bulkhead a_share_is_held_and_given_back -> bulkheads slots_of_a_share_are_acquired_and_released incoming a_trickle_is_given_up_within_a_few_arrivals -> trickling_transfer_is_given_up_within_a_few_arrivals incoming a_head_and_then_nothing_and_a_stall_at_the_last_byte_end_with_the_pause -> transfer_that_stalls_at_its_first_or_last_byte_is_given_up_after_the_allowed_pause incoming a_program_that_stood_still_does_not_take_anybody_for_slow -> stall_of_the_program_is_not_held_against_a_transfer incoming bursts_after_pauses_and_unknown_lengths_are_not_cut -> bursty_transfers_and_those_of_unknown_length_are_not_given_up outgoing just_above_the_least_rate_is_never_cut_in_an_hour_and_just_below_is -> transfer_just_above_the_minimum_rate_is_never_aborted_in_an_hour_and_one_just_below_is outgoing one_that_stops_is_cut_and_one_whose_answer_was_not_begun_or_that_sent_ahead_is_not -> stopped_transfer_is_aborted_unless_its_response_is_not_begun_or_a_pipelined_request_is_pending outgoing one_that_stops_reading_does_not_keep_its_place_by_sending_ahead -> client_that_stops_reading_does_not_keep_its_slot_by_pipelining outgoing room_is_made_by_the_worst_offender_and_never_by_a_healthy_one -> worst_offenders_are_aborted_for_resources_and_never_a_healthy_transfer outgoing one_that_is_far_away_is_not_taken_for_one_that_stands_still -> distant_client_is_not_taken_for_one_that_stands_still outgoing one_customer_cannot_take_the_room_of_others -> customer_cannot_use_the_share_of_others outgoing the_least_rate_rises_with_pressure -> minimum_rate_rises_with_pressure schedules outgoing -> outgoing_transfers_keep_the_limit_and_abort_only_slow_ones schedules incoming -> incoming_transfers_are_given_up_only_if_they_cannot_complete schedules bulkheads -> bulkheads_grant_exactly_the_configured_share sockets what_the_kernel_holds_is_bounded_for_all_that_the_listener_accepts -> accepted_connections_inherit_the_limits_on_the_send_buffer sockets a_reader_that_stops_is_cut_with_a_reset_and_one_that_reads_is_not -> client_that_stops_reading_is_reset_and_one_that_reads_is_not sockets a_program_that_stood_still_for_two_seconds_cuts_nobody -> stall_of_the_program_for_two_seconds_aborts_no_connection sockets an_answer_that_was_not_begun_and_a_command_that_is_owed_are_never_cut -> response_not_begun_and_pending_request_are_never_aborted sockets an_answer_without_room_takes_the_place_of_the_worst_or_is_told_no -> response_beyond_the_limit_replaces_the_worst_offender_or_is_refused sockets one_set_of_addresses_holds_its_share_and_less_after_cuts -> network_uses_its_share_of_slots_and_fewer_after_aborts

--- a/crates/slow-peer/src/lib.rs
+++ b/crates/slow-peer/src/lib.rs
@@ -1,35 +1,36 @@
-//! Slow peers: what may wait for them, and from when they are given up.
+//! Slow-peer protection: how many bytes may wait for slow peers, and when a slow transfer is aborted.
 //!
-//! The core does no I/O and reads no clock: counts of bytes and `now` come in, verdicts go out. `now` is nanoseconds
-//! of one clock that only advances, brought through a [`StallCompensatedClock`] so that time in which the program itself stood
-//! still is not held against anybody.
+//! The core does no I/O and reads no clock: byte counts and the time come in, decisions go out. Times are nanoseconds of
+//! one monotonic clock, passed through a [`StallCompensatedClock`] so that nobody is judged by time in which the program
+//! itself did not run.
 //!
-//! - [`OutgoingTransfers`]: answers on their way to service clients, and the account of bytes that wait there;
-//! - [`IncomingTransfer`]: one answer of an instance, or one body of a command, on its way in;
-//! - [`Bulkheads`]: places held by one customer or one set of addresses;
-//! - [`SlowPeerStatistics`]: what came of it all, and who was behind it.
+//! - [`OutgoingTransfers`]: responses on their way to clients, and the account of bytes that wait for them;
+//! - [`IncomingTransfer`]: one upstream response, or one request body, on its way in;
+//! - [`Bulkheads`]: slots used by one customer or one network;
+//! - [`SlowPeerStatistics`]: counts of what happened, and on whose account.
 //!
-//! [`socket`] is the thin side that looks at sockets; nothing else here knows of them.
+//! Each of these is a state machine of its own with typed events as methods, since their results differ: a limit that would
+//! be exceeded, a status, or the connections to abort. [`socket`] connects them to sockets; nothing else here knows of any.
 
-mod account;
-mod bulkhead;
-mod fair;
-mod floor;
+mod bulkheads;
+mod clock;
 mod incoming;
+mod minimum_rate;
 mod outgoing;
-mod rate;
+mod rate_window;
+mod resource_account;
 mod settings;
 pub mod socket;
-mod tally;
+mod statistics;
 
-pub use account::{LimitExceeded, ResourceAccount, ResourceOwner};
-pub use bulkhead::{Bulkheads, NetworkClassifier};
-pub use fair::StallCompensatedClock;
-pub use floor::MinimumDataRate;
+pub use bulkheads::{Bulkheads, NetworkClassifier};
+pub use clock::StallCompensatedClock;
 pub use incoming::{IncomingStatus, IncomingTransfer};
+pub use minimum_rate::MinimumDataRate;
 pub use outgoing::{
     Abort, AbortReason, ConnectionId, OutgoingTransfers, ResourceNeed, TransferProgress,
 };
-pub use rate::RateWindow;
+pub use rate_window::RateWindow;
+pub use resource_account::{LimitExceeded, ResourceAccount, ResourceLimits, ResourceOwner};
 pub use settings::{BulkheadSettings, Settings};
-pub use tally::{EventCounts, OwnerStatistics, SlowPeerEvent, SlowPeerStatistics};
+pub use statistics::{EventCounts, OwnerStatistics, SlowPeerEvent, SlowPeerStatistics};
--- a/crates/slow-peer/src/socket/mod.rs
+++ b/crates/slow-peer/src/socket/mod.rs
@@ -1,6 +1,6 @@
-//! The thin side: what the kernel holds, and the connections whose answers are looked at.
+//! Sockets: what the kernel holds of them, and the connections whose responses are monitored.
 
 pub mod kernel;
-mod pacer;
+mod monitor;
 
-pub use pacer::{borrow_descriptor, MonitoredConnection, TransferMonitor};
+pub use monitor::{borrow_descriptor, Capacity, MonitoredConnection, Report, TransferMonitor};
--- a/crates/slow-peer/tests/schedules.rs
+++ b/crates/slow-peer/tests/schedules.rs
@@ -1,9 +1,4 @@
-//! Random schedules: what must hold whatever comes in which order.
-
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
+//! Random schedules: properties that hold whatever happens in which order.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,10 +16,10 @@
 enum Step {
     Begin { id: u64, customer: u64, bytes: u64 },
     Progress { id: u64, bytes: u64 },
-    Command { id: u64 },
+    RequestStarted { id: u64 },
     End { id: u64 },
-    Judge { places: f64 },
-    Place,
+    Tick { slots: f64 },
+    AbortForSlot,
 }
 
 fn step() -> impl Strategy<Value = (u64, Step)> {
@@ -32,10 +27,10 @@
     let step = prop_oneof![
         3 => (id(), 0u64..4, 0u64..90_000).prop_map(|(id, customer, bytes)| Step::Begin { id, customer, bytes }),
         6 => (id(), 0u64..40_000).prop_map(|(id, bytes)| Step::Progress { id, bytes }),
-        1 => id().prop_map(|id| Step::Command { id }),
+        1 => id().prop_map(|id| Step::RequestStarted { id }),
         1 => id().prop_map(|id| Step::End { id }),
-        4 => (0.0f64..1.2).prop_map(|places| Step::Judge { places }),
-        1 => Just(Step::Place),
+        4 => (0.0f64..1.2).prop_map(|slots| Step::Tick { slots }),
+        1 => Just(Step::AbortForSlot),
     ];
     (0u64..400, step)
 }
@@ -48,103 +43,103 @@
     }
 }
 
-/// What a plain reader of the rules knows of one connection.
+/// What the rules say of one connection, kept without the code under test.
 #[derive(Default)]
 struct Known {
     began: u64,
     delivered: Vec<(u64, u64)>,
     written: bool,
-    owed: bool,
+    request_pending: bool,
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
 
-    /// Never above the limit, nobody who keeps the least rate is cut, nobody whose command would be lost is cut, and
-    /// in the end all is given back.
+    /// The limit is never exceeded, no transfer that keeps the minimum rate is aborted, no request is lost by an abort,
+    /// and in the end all bytes are released.
     #[test]
-    fn outgoing(steps in prop::collection::vec(step(), 1..200), shares in any::<bool>()) {
+    fn outgoing_transfers_keep_the_limit_and_abort_only_slow_ones(steps in prop::collection::vec(step(), 1..200), shares in any::<bool>()) {
         let shares = BulkheadSettings { enabled: EnabledFlag(shares), ..BulkheadSettings::default() };
-        let mut out = OutgoingTransfers::new(&settings(), &shares, 0);
+        let mut transfers = OutgoingTransfers::new(&settings(), &shares, 0);
         let (mut now, mut known, mut moved) = (0, BTreeMap::<u64, Known>::new(), BTreeMap::<u64, u64>::new());
         for (wait, step) in steps {
             now += wait * MS;
-            let mut cuts = Vec::new();
-            // The least rate that a cut is held to: the one in force, or the highest where room is made.
-            let mut least = settings().out_least_full.0 as f64;
+            let mut aborts = Vec::new();
+            // The minimum rate that an abort is held to: the one in force, or the highest where resources are freed.
+            let mut minimum = settings().out_least_full.0 as f64;
             match step {
                 Step::Begin { id, customer, bytes } => {
-                    let holder = ResourceOwner { customer: Some(customer), peer_network: None };
+                    let owner = ResourceOwner { customer: Some(customer), peer_network: None };
                     let at = moved.get(&id).copied().unwrap_or(0);
                     let at = TransferProgress { written_bytes: at, acknowledged_bytes: at, round_trip_ns: 0 };
-                    let going = out.is_sending(id);
-                    let mut begun = out.begin_response(now, id, holder, bytes, at);
-                    if let Err(full) = begun {
-                        cuts = out.abort_for_resources(now, ResourceNeed::Bytes(holder, full, bytes));
-                        // Where somebody had to go, it was not in vain; another limit may still be passed.
-                        begun = out.begin_response(now, id, holder, bytes, at);
-                        prop_assert!(cuts.is_empty() || begun.is_ok() || begun != Err(full));
+                    let going = transfers.is_sending(id);
+                    let mut begun = transfers.begin_response(now, id, owner, bytes, at);
+                    if let Err(limit) = begun {
+                        aborts = transfers.abort_for_resources(now, ResourceNeed::Bytes(owner, limit, bytes));
+                        // No abort was in vain; another limit may still be exceeded.
+                        begun = transfers.begin_response(now, id, owner, bytes, at);
+                        prop_assert!(aborts.is_empty() || begun.is_ok() || begun != Err(limit));
                     }
                     if begun.is_ok() {
                         // With an earlier one that still waits it is one transfer.
                         let earlier = known.remove(&id).filter(|_| going);
                         let new = || Known { began: now, ..Known::default() };
-                        known.insert(id, Known { owed: false, ..earlier.unwrap_or_else(new) });
+                        known.insert(id, Known { request_pending: false, ..earlier.unwrap_or_else(new) });
                     }
                 }
                 Step::Progress { id, bytes } => {
                     let at = moved.entry(id).or_default();
                     *at += bytes;
-                    out.record_progress(now, id, TransferProgress { written_bytes: *at, acknowledged_bytes: *at, round_trip_ns: 0 });
+                    transfers.record_progress(now, id, TransferProgress { written_bytes: *at, acknowledged_bytes: *at, round_trip_ns: 0 });
                     if let Some(known) = known.get_mut(&id) {
                         known.delivered.push((now, bytes));
                         known.written |= bytes > 0;
                     }
                 }
-                Step::Command { id } => {
-                    out.request_started(id);
-                    known.entry(id).and_modify(|k| k.owed = true);
+                Step::RequestStarted { id } => {
+                    transfers.request_started(id);
+                    known.entry(id).and_modify(|known| known.request_pending = true);
                 }
                 Step::End { id } => {
-                    out.connection_closed(id);
+                    transfers.connection_closed(id);
                     known.remove(&id);
                 }
-                Step::Judge { places } => {
-                    cuts = out.abort_below_minimum_rate(now, places);
-                    least = out.minimum_rate();
+                Step::Tick { slots } => {
+                    aborts = transfers.abort_below_minimum_rate(now, slots);
+                    minimum = transfers.minimum_rate();
                 }
-                Step::Place => cuts = out.abort_for_resources(now, ResourceNeed::ConnectionSlot),
+                Step::AbortForSlot => aborts = transfers.abort_for_resources(now, ResourceNeed::ConnectionSlot),
             }
-            for cut in cuts {
-                let known = known.remove(&cut.id).expect("only what is going is cut");
-                prop_assert!(known.written && !known.owed, "a command would be lost");
+            for abort in aborts {
+                let known = known.remove(&abort.id).expect("only monitored connections are aborted");
+                prop_assert!(known.written && !known.request_pending, "a request would be lost");
                 let age = now - known.began;
                 prop_assert!(age >= 50 * MS);
                 // By the bytes of exactly the last window, which is the strictest reading of the rate.
                 let rate = |window: u64| {
-                    let recent = known.delivered.iter().filter(|(at, _)| *at + window > now).map(|(_, b)| b);
+                    let recent = known.delivered.iter().filter(|(at, _)| *at + window > now).map(|(_, bytes)| bytes);
                     recent.sum::<u64>() as f64 * 1e9 / window as f64
                 };
                 let short = settings().room_grace.as_nanos();
-                let slow = match cut.reason {
-                    // Room: slow over the short window, or standing still.
-                    AbortReason::ResourcesNeeded => rate(50 * MS) == 0.0 || age >= short && rate(short) < least,
-                    _ => rate(age.min(settings().window.as_nanos())) < least,
+                let slow = match abort.reason {
+                    // For resources: slow over the short window, or standing still.
+                    AbortReason::ResourcesNeeded => rate(50 * MS) == 0.0 || age >= short && rate(short) < minimum,
+                    _ => rate(age.min(settings().window.as_nanos())) < minimum,
                 };
-                prop_assert!(slow, "keeps {least}");
+                prop_assert!(slow, "keeps {minimum}");
             }
-            prop_assert!(out.unsent_bytes().total() <= LIMIT);
+            prop_assert!(transfers.unsent_bytes().total() <= LIMIT);
         }
-        for id in out.connection_ids() {
-            out.connection_closed(id);
+        for id in transfers.connection_ids() {
+            transfers.connection_closed(id);
         }
-        prop_assert!(out.unsent_bytes().is_empty());
+        prop_assert!(transfers.unsent_bytes().is_empty());
     }
 
     /// A transfer that comes evenly and will be whole in time is never given up, whatever its pieces; one that
     /// cannot be whole by far is given up before half of its time.
     #[test]
-    fn incoming(total in 1_000u64..65_536, pieces in 5u64..200, part in 0.3f64..0.9, hopeless in any::<bool>()) {
+    fn incoming_transfers_are_given_up_only_if_they_cannot_complete(total in 1_000u64..65_536, pieces in 5u64..200, part in 0.3f64..0.9, hopeless in any::<bool>()) {
         let until = 1_500 * MS;
         // So many times slower than it would have to be.
         let factor = if hopeless { 12.0 } else { part };
@@ -152,8 +147,8 @@
         prop_assume!(gap < 350 * MS);
         let mut transfer = IncomingTransfer::new(&settings(), 0, until, Some(total));
         let (mut given_up, mut look) = (None, u64::MAX);
-        'all: for i in 1..=pieces {
-            let at = i * gap;
+        'all: for index in 1..=pieces {
+            let at = index * gap;
             while look < at {
                 match transfer.evaluate(look) {
                     IncomingStatus::CheckAgainAt(next) => { prop_assert!(next > look); look = next }
@@ -163,7 +158,7 @@
             if at >= until {
                 break;
             }
-            transfer.bytes_received(at, total * i / pieces - total * (i - 1) / pieces);
+            transfer.bytes_received(at, total * index / pieces - total * (index - 1) / pieces);
             match transfer.evaluate(at) {
                 IncomingStatus::CheckAgainAt(next) => look = next,
                 _ => { given_up = Some(at); break }
@@ -176,22 +171,22 @@
         }
     }
 
-    /// The account under any order of takes and gives by several holders.
+    /// The slots under any order of acquisitions and releases by several owners.
     #[test]
-    fn bulkheads(steps in prop::collection::vec((0u64..5, any::<bool>()), 1..200), places in 1usize..40) {
+    fn bulkheads_grant_exactly_the_configured_share(steps in prop::collection::vec((0u64..5, any::<bool>()), 1..200), slots in 1usize..40) {
         let settings = BulkheadSettings { enabled: EnabledFlag(true), ..BulkheadSettings::default() };
-        let mut bulkheads = applewall_slow_peer::Bulkheads::new(&settings, places);
-        let share = ((places as f64 * settings.customer_places) as u64).max(1);
+        let mut bulkheads = applewall_slow_peer::Bulkheads::new(&settings, slots);
+        let share = ((slots as f64 * settings.customer_places) as u64).max(1);
         let mut held = BTreeMap::<u64, u64>::new();
         for (customer, enter) in steps {
-            let holder = ResourceOwner { customer: Some(customer), peer_network: None };
+            let owner = ResourceOwner { customer: Some(customer), peer_network: None };
             let have = held.entry(customer).or_default();
             if enter {
-                let entered = bulkheads.acquire(0, holder).is_ok();
+                let entered = bulkheads.acquire(0, owner).is_ok();
                 prop_assert_eq!(entered, *have < share);
                 *have += u64::from(entered);
             } else if *have > 0 {
-                bulkheads.release(holder);
+                bulkheads.release(owner);
                 *have -= 1;
             }
         }
--- a/crates/slow-peer/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -1,9 +1,5 @@
-//! The thin side on real sockets, in virtual time: the kernel holds the bytes, the test says what time it is.
+//! The transfer monitor on real sockets, in virtual time: the kernel holds the bytes, the test sets the time.
 
-#![expect(
-    clippy::min_ident_chars,
-    reason = "short names are spelled out as the module is reworked"
-)]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::io::{ErrorKind, Read, Write};
@@ -13,47 +9,52 @@
 
 use applewall_operator_config::{DurationSetting, EnabledFlag, Size};
 use applewall_slow_peer::socket::{
-    borrow_descriptor, kernel, MonitoredConnection, TransferMonitor,
+    borrow_descriptor, kernel, Capacity, MonitoredConnection, TransferMonitor,
 };
 use applewall_slow_peer::{BulkheadSettings, LimitExceeded, ResourceOwner, Settings};
 use socket2::SockRef;
 
 const MS: u64 = 1_000_000;
 const START: u64 = 1_000_000 * MS;
+const CAPACITY: Capacity = Capacity {
+    connections: 8,
+    memory_bytes: 6 << 20,
+};
 
-struct Door {
+/// A listener and the monitor of what it accepts.
+struct Server {
     listener: TcpListener,
-    pacer: Arc<TransferMonitor>,
+    monitor: Arc<TransferMonitor>,
 }
 
-/// A connection with both its ends.
-struct Both {
-    ticket: MonitoredConnection,
+/// A connection with pair its ends.
+struct ConnectionPair {
+    monitored: MonitoredConnection,
     ours: TcpStream,
     theirs: TcpStream,
-    cuts: Arc<AtomicUsize>,
+    abort_count: Arc<AtomicUsize>,
 }
 
-fn door(settings: Settings, bulkheads: BulkheadSettings) -> Door {
+fn server(settings: Settings, bulkheads: BulkheadSettings) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let settings = Settings {
         enabled: EnabledFlag(true),
         ..settings
     };
-    kernel::bound(
+    kernel::limit_send_buffer(
         &listener,
         settings.send_buffer.0 as usize,
         settings.not_sent.0 as u32,
     )
     .unwrap();
-    Door {
+    Server {
         listener,
-        pacer: TransferMonitor::new(&settings, &bulkheads, (8, 6 << 20), START),
+        monitor: TransferMonitor::new(&settings, &bulkheads, CAPACITY, START),
     }
 }
 
-impl Door {
-    fn connect(&self, now: u64) -> Both {
+impl Server {
+    fn connect(&self, now: u64) -> ConnectionPair {
         let socket =
             socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         socket.set_recv_buffer_size(4_096).unwrap();
@@ -62,84 +63,86 @@
             .unwrap();
         let (ours, address) = self.listener.accept().unwrap();
         ours.set_nonblocking(true).unwrap();
-        let (cuts, told) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-        let count = told.clone();
-        drop(cuts);
-        // SAFETY: the ticket is dropped before the stream, as the fields of `Both` are declared.
+        let abort_count = Arc::new(AtomicUsize::new(0));
+        let count = abort_count.clone();
+        // SAFETY: the monitored connection is dropped before the stream, as the fields of `ConnectionPair` are declared.
         let socket_of = unsafe { borrow_descriptor(&ours) };
-        let ticket = self.pacer.register(now, address.ip(), socket_of, move || {
-            let _ = count.fetch_add(1, Ordering::Relaxed);
-        });
-        Both {
-            ticket,
+        let monitored = self
+            .monitor
+            .register(now, address.ip(), socket_of, move || {
+                let _ = count.fetch_add(1, Ordering::Relaxed);
+            });
+        ConnectionPair {
+            monitored,
             ours,
             theirs: socket.into(),
-            cuts: told,
+            abort_count,
         }
     }
 }
 
-impl Both {
+impl ConnectionPair {
     /// Writes what the kernel takes.
     fn write(&mut self, bytes: usize) -> usize {
         let (all, mut written) = (vec![b'.'; bytes], 0);
         while written < bytes {
             match self.ours.write(&all[written..]) {
-                Ok(n) => written += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) => panic!("{e}"),
+                Ok(taken) => written += taken,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => panic!("{error}"),
             }
         }
-        self.ticket.record_written(written);
+        self.monitored.record_written(written);
         written
     }
 
     fn begin(
         &mut self,
-        door: &Door,
+        server: &Server,
         now: u64,
         customer: u64,
         bytes: usize,
     ) -> Result<usize, LimitExceeded> {
-        let holder = ResourceOwner {
+        let owner = ResourceOwner {
             customer: Some(customer),
-            peer_network: self.ticket.peer_network(),
+            peer_network: self.monitored.peer_network(),
         };
-        door.pacer
-            .begin_response(now, self.ticket.id(), holder, bytes as u64)?;
+        server
+            .monitor
+            .begin_response(now, self.monitored.id(), owner, bytes as u64)?;
         Ok(self.write(bytes))
     }
 
-    fn cut(&self) -> usize {
-        self.cuts.load(Ordering::Relaxed)
+    fn aborts(&self) -> usize {
+        self.abort_count.load(Ordering::Relaxed)
     }
 }
 
 #[test]
-fn what_the_kernel_holds_is_bounded_for_all_that_the_listener_accepts() {
-    let door = door(Settings::default(), BulkheadSettings::default());
-    let mut both = door.connect(START);
+fn accepted_connections_inherit_the_limits_on_the_send_buffer() {
+    let server = server(Settings::default(), BulkheadSettings::default());
+    let mut pair = server.connect(START);
     assert_eq!(
-        SockRef::from(&both.ours).tcp_notsent_lowat().unwrap(),
+        SockRef::from(&pair.ours).tcp_notsent_lowat().unwrap(),
         8 << 10
     );
     // The kernel doubles what it is asked for.
     assert_eq!(
-        SockRef::from(&both.ours).send_buffer_size().unwrap(),
+        SockRef::from(&pair.ours).send_buffer_size().unwrap(),
         32 << 10
     );
-    let taken = both.write(1 << 20);
+    let taken = pair.write(1 << 20);
     assert!(taken < 64 << 10, "{taken} bytes in the kernel");
     use std::os::fd::AsFd;
-    assert!(kernel::unacknowledged(both.ours.as_fd()).unwrap() > 0);
+    assert!(kernel::unacknowledged(pair.ours.as_fd()).unwrap() > 0);
 }
 
 #[test]
-fn a_reader_that_stops_is_cut_with_a_reset_and_one_that_reads_is_not() {
-    let door = door(Settings::default(), BulkheadSettings::default());
-    let (mut stops, mut reads) = (door.connect(START), door.connect(START));
-    stops.begin(&door, START, 1, 60_000).unwrap();
-    let mut left = 60_000 - reads.begin(&door, START, 2, 60_000).unwrap();
+fn client_that_stops_reading_is_reset_and_one_that_reads_is_not() {
+    let server = server(Settings::default(), BulkheadSettings::default());
+    let (mut stops, mut reads) = (server.connect(START), server.connect(START));
+    stops.begin(&server, START, 1, 60_000).unwrap();
+    let mut left = 60_000 - reads.begin(&server, START, 2, 60_000).unwrap();
     let mut got = 0;
     for tick in 1..=100 {
         let now = START + tick * 50 * MS;
@@ -149,122 +152,133 @@
             got += reads.theirs.read(&mut piece).unwrap();
         }
         left -= reads.write(left);
-        door.pacer.tick(now, 0.0);
+        server.monitor.tick(now, 0.0);
     }
-    assert_eq!((stops.cut(), reads.cut()), (1, 0));
+    assert_eq!((stops.aborts(), reads.aborts()), (1, 0));
     // Its owner closes it, and the other side sees that the answer is not whole: a reset, not an end.
-    let Both {
-        ticket,
+    let ConnectionPair {
+        monitored,
         ours,
         mut theirs,
         ..
     } = stops;
-    drop(ticket);
+    drop(monitored);
     drop(ours);
     let mut rest = Vec::new();
     assert_eq!(
         theirs.read_to_end(&mut rest).unwrap_err().kind(),
         ErrorKind::ConnectionReset
     );
-    let (counts, rows, waiting, most) = door.pacer.take_report(5);
+    let report = server.monitor.take_report(5);
     assert_eq!(
-        (counts.aborted_stalled, rows.len(), rows[0].owner.customer),
+        (
+            report.counts.aborted_stalled,
+            report.owners.len(),
+            report.owners[0].owner.customer
+        ),
         (1, 1, Some(1))
     );
-    assert!(waiting < 60_000 && most <= 120_000, "{waiting} {most}");
+    assert!(
+        report.unsent_bytes < 60_000 && report.max_unsent_bytes <= 120_000,
+        "{report:?}"
+    );
 }
 
 #[test]
-fn a_program_that_stood_still_for_two_seconds_cuts_nobody() {
-    let door = door(Settings::default(), BulkheadSettings::default());
-    let mut both = door.connect(START);
-    both.begin(&door, START, 1, 60_000).unwrap();
-    door.pacer.tick(START + 50 * MS, 1.0);
-    door.pacer.tick(START + 2_050 * MS, 1.0);
-    door.pacer.tick(START + 2_100 * MS, 1.0);
+fn stall_of_the_program_for_two_seconds_aborts_no_connection() {
+    let server = server(Settings::default(), BulkheadSettings::default());
+    let mut pair = server.connect(START);
+    pair.begin(&server, START, 1, 60_000).unwrap();
+    server.monitor.tick(START + 50 * MS, 1.0);
+    server.monitor.tick(START + 2_050 * MS, 1.0);
+    server.monitor.tick(START + 2_100 * MS, 1.0);
     assert_eq!(
-        both.cut(),
+        pair.aborts(),
         0,
         "the time in which nothing ran was held against it"
     );
     // It does stand still: found in the time that did run.
-    (43..80).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
-    assert_eq!(both.cut(), 1);
+    (43..80).for_each(|tick| server.monitor.tick(START + tick * 50 * MS, 1.0));
+    assert_eq!(pair.aborts(), 1);
 }
 
 #[test]
-fn an_answer_that_was_not_begun_and_a_command_that_is_owed_are_never_cut() {
-    let door = door(Settings::default(), BulkheadSettings::default());
-    let (mut fresh, mut ahead) = (door.connect(START), door.connect(START));
-    let holder = ResourceOwner {
+fn response_not_begun_and_pending_request_are_never_aborted() {
+    let server = server(Settings::default(), BulkheadSettings::default());
+    let (mut fresh, mut ahead) = (server.connect(START), server.connect(START));
+    let owner = ResourceOwner {
         customer: Some(1),
         peer_network: None,
     };
-    door.pacer
-        .begin_response(START, fresh.ticket.id(), holder, 60_000)
+    server
+        .monitor
+        .begin_response(START, fresh.monitored.id(), owner, 60_000)
         .unwrap();
-    ahead.begin(&door, START, 2, 60_000).unwrap();
-    door.pacer.request_started(ahead.ticket.id());
-    (1..200).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
-    assert!(!door
-        .pacer
+    ahead.begin(&server, START, 2, 60_000).unwrap();
+    server.monitor.request_started(ahead.monitored.id());
+    (1..200).for_each(|tick| server.monitor.tick(START + tick * 50 * MS, 1.0));
+    assert!(!server
+        .monitor
         .abort_one_for_connection_slot(START + 10_000 * MS));
-    assert_eq!((fresh.cut(), ahead.cut()), (0, 0));
+    assert_eq!((fresh.aborts(), ahead.aborts()), (0, 0));
     fresh.write(1);
-    (200..220).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 1.0));
-    assert_eq!((fresh.cut(), ahead.cut()), (1, 0));
+    (200..220).for_each(|tick| server.monitor.tick(START + tick * 50 * MS, 1.0));
+    assert_eq!((fresh.aborts(), ahead.aborts()), (1, 0));
 }
 
 #[test]
-fn an_answer_without_room_takes_the_place_of_the_worst_or_is_told_no() {
+fn response_beyond_the_limit_replaces_the_worst_offender_or_is_refused() {
     let settings = Settings {
         waiting: Some(Size(128 << 10)),
         ..Settings::default()
     };
-    let door = door(settings, BulkheadSettings::default());
-    let (mut a, mut b, mut c) = (
-        door.connect(START),
-        door.connect(START),
-        door.connect(START),
+    let server = server(settings, BulkheadSettings::default());
+    let (mut first, mut second, mut third) = (
+        server.connect(START),
+        server.connect(START),
+        server.connect(START),
     );
-    a.begin(&door, START, 1, 60_000).unwrap();
-    b.begin(&door, START + 10 * MS, 2, 60_000).unwrap();
+    first.begin(&server, START, 1, 60_000).unwrap();
+    second.begin(&server, START + 10 * MS, 2, 60_000).unwrap();
     // Nobody is to blame yet.
     assert_eq!(
-        c.begin(&door, START + 20 * MS, 3, 60_000),
+        third.begin(&server, START + 20 * MS, 3, 60_000),
         Err(LimitExceeded::Total)
     );
-    door.pacer.tick(START + 50 * MS, 0.0);
-    door.pacer.tick(START + 100 * MS, 0.0);
-    c.begin(&door, START + 110 * MS, 3, 60_000).unwrap();
-    assert_eq!((a.cut(), b.cut(), c.cut()), (1, 0, 0));
-    let (counts, _, waiting, most) = door.pacer.take_report(5);
+    server.monitor.tick(START + 50 * MS, 0.0);
+    server.monitor.tick(START + 100 * MS, 0.0);
+    third.begin(&server, START + 110 * MS, 3, 60_000).unwrap();
+    assert_eq!((first.aborts(), second.aborts(), third.aborts()), (1, 0, 0));
+    let report = server.monitor.take_report(5);
     assert_eq!(
-        (counts.aborted_for_resources, counts.responses_replaced),
+        (
+            report.counts.aborted_for_resources,
+            report.counts.responses_replaced
+        ),
         (1, 1)
     );
-    assert!(waiting <= 128 << 10 && most <= 128 << 10);
+    assert!(report.unsent_bytes <= 128 << 10 && report.max_unsent_bytes <= 128 << 10);
 }
 
 #[test]
-fn one_set_of_addresses_holds_its_share_and_less_after_cuts() {
+fn network_uses_its_share_of_slots_and_fewer_after_aborts() {
     let bulkheads = BulkheadSettings {
         enabled: EnabledFlag(true),
         distrust: DurationSetting::from_millis(5_000),
         ..Default::default()
     };
-    let door = door(Settings::default(), bulkheads);
-    let mut all: Vec<Both> = (0..5).map(|_| door.connect(START)).collect();
-    let placed: Vec<bool> = all.iter().map(|both| both.ticket.has_slot()).collect();
+    let server = server(Settings::default(), bulkheads);
+    let mut all: Vec<ConnectionPair> = (0..5).map(|_| server.connect(START)).collect();
+    let placed: Vec<bool> = all.iter().map(|pair| pair.monitored.has_slot()).collect();
     assert_eq!(placed, [true, true, true, true, false]);
     // Two stop reading and are cut; the places that they leave are not given to the same set again at once.
-    for both in &mut all[..2] {
-        both.begin(&door, START, 1, 40_000).unwrap();
+    for pair in &mut all[..2] {
+        pair.begin(&server, START, 1, 40_000).unwrap();
     }
-    (1..60).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 0.0));
-    assert_eq!(all.iter().map(Both::cut).sum::<usize>(), 2);
+    (1..60).for_each(|tick| server.monitor.tick(START + tick * 50 * MS, 0.0));
+    assert_eq!(all.iter().map(ConnectionPair::aborts).sum::<usize>(), 2);
     all.drain(..2);
-    assert!(!door.connect(START + 3_000 * MS).ticket.has_slot());
-    (60..180).for_each(|tick| door.pacer.tick(START + tick * 50 * MS, 0.0));
-    assert!(door.connect(START + 9_000 * MS).ticket.has_slot());
+    assert!(!server.connect(START + 3_000 * MS).monitored.has_slot());
+    (60..180).for_each(|tick| server.monitor.tick(START + tick * 50 * MS, 0.0));
+    assert!(server.connect(START + 9_000 * MS).monitored.has_slot());
 }
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -234,7 +234,9 @@
             return;
         };
         let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
-        if let Err(e) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
+        if let Err(e) =
+            kernel::limit_send_buffer(listener, settings.send_buffer.0 as usize, not_sent)
+        {
             tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {e}");
         }
     }
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::socket::{Capacity, TransferMonitor};
 use applewall_slow_peer::OwnerStatistics;
 use tokio::sync::{watch, Semaphore};
 
@@ -55,7 +55,11 @@
     if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
         return None;
     }
-    let pacer = TransferMonitor::new(&settings.pace, &settings.bulkheads, size, clock.now());
+    let capacity = Capacity {
+        connections: size.0,
+        memory_bytes: size.1,
+    };
+    let pacer = TransferMonitor::new(&settings.pace, &settings.bulkheads, capacity, clock.now());
     tokio::spawn(tick(Arc::downgrade(&pacer), clock, places.clone(), size.0));
     Some(pacer)
 }
@@ -81,8 +85,9 @@
     let Some(pacer) = pacers.borrow().clone() else {
         return;
     };
-    let (counts, rows, unsent_bytes, max_unsent_bytes) = pacer.take_report(ROWS);
-    if max_unsent_bytes == 0 && counts == applewall_slow_peer::EventCounts::default() {
+    let report = pacer.take_report(ROWS);
+    if report.max_unsent_bytes == 0 && report.counts == applewall_slow_peer::EventCounts::default()
+    {
         return;
     }
     let applewall_slow_peer::EventCounts {
@@ -95,10 +100,10 @@
         request_bodies_too_slow,
         customer_slots_exhausted,
         peer_network_slots_exhausted,
-    } = counts;
+    } = report.counts;
     tracing::info!(
-        unsent_bytes,
-        max_unsent_bytes,
+        unsent_bytes = report.unsent_bytes,
+        max_unsent_bytes = report.max_unsent_bytes,
         aborted_below_minimum_rate,
         aborted_stalled,
         aborted_for_resources,
@@ -110,7 +115,7 @@
         peer_network_slots_exhausted,
         "slow peers"
     );
-    rows.into_iter().for_each(log_owner);
+    report.owners.into_iter().for_each(log_owner);
 }
 
 /// Logs one row of the table.
