--- a/src/discovery/zone_failover.rs
+++ b/src/discovery/zone_failover.rs
@@ -199,7 +199,8 @@
             Outcome::Failure => Observation::Failing,
             Outcome::ConnectFailed | Outcome::ConnectionReset => Observation::Dead,
             Outcome::TimedOut if !attempt.overdue => Observation::Failing,
-            // Overloaded: it lives, and its load is the load ladder's matter. The rest is this node's own doing.
+            // Overloaded: it is alive, and its load is what the load ladder reacts to. The rest is caused by this node
+            // itself.
             _ => return,
         };
         let observed = Input::AttemptObserved {
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -47,10 +47,10 @@
     #[error("no answer in time")]
     NoAnswer,
     /// The older process closed the connection before it sent anything whole.
-    #[error("the other process hung up")]
+    #[error("the other process closed the connection")]
     HungUp,
     /// The older process sent another mark, or more than a state may hold.
-    #[error("the other process speaks another version")]
+    #[error("the other process speaks another protocol version")]
     PredecessorVersion,
     /// The bytes of the state can't be read.
     #[error("the transferred state is not of this form: {0}")]
@@ -59,10 +59,10 @@
     #[error(transparent)]
     Unencodable(postcard::Error),
     /// The new process sent nothing within [`STEP_TIMEOUT`].
-    #[error("it said nothing")]
+    #[error("it sent no greeting in time")]
     NoHello,
     /// The new process greeted with another line.
-    #[error("it speaks another version")]
+    #[error("it speaks another protocol version")]
     SuccessorVersion,
     /// The engine ended before it exported the state.
     #[error("the engine has stopped")]
@@ -71,7 +71,7 @@
     #[error(transparent)]
     Export(Box<dyn std::error::Error + Send + Sync>),
     /// The new process did not read the state within [`STEP_TIMEOUT`].
-    #[error("it takes nothing")]
+    #[error("it did not read the state in time")]
     NotReading,
     /// The new process closed the connection, or sent another line.
     #[error("it ended before it had taken over")]
@@ -224,7 +224,7 @@
     async fn hand_over(&self, mut stream: UnixStream) -> Result<Infallible, HotRestartError> {
         transfer::read_hello(&mut stream).await?;
         // From here on the datagrams are the other's.
-        self.role.begin_transfer();
+        let pending = self.role.begin_transfer();
         let state = self.export_state().await?;
         timeout(
             STEP_TIMEOUT,
@@ -239,7 +239,7 @@
             Ok(_) => return Err(HotRestartError::EndedEarly),
             Err(_) => return Err(HotRestartError::TakeOverTimeout),
         }
-        self.role.complete_transfer();
+        pending.complete();
         tracing::info!("hot restart: a new process has taken over");
         // One that is gone by now ended as any other that had taken over.
         if writing.write_all(CONSENT).await.is_ok() {
