--- a/crates/slow-peer/src/outgoing.rs
+++ b/crates/slow-peer/src/outgoing.rs
@@ -94,7 +94,7 @@
     owner: ResourceOwner,
     /// Bytes on the owner's account.
     unsent_bytes: u64,
-    /// Of all bytes of the connection, how many were acknowledged at the last look.
+    /// Of all bytes of the connection, how many were acknowledged when the progress was last recorded.
     acknowledged_bytes: u64,
     /// Bytes of the connection that were written before the response began.
     written_before: u64,
--- a/crates/slow-peer/src/resource_account.rs
+++ b/crates/slow-peer/src/resource_account.rs
@@ -33,13 +33,16 @@
 }
 
 /// The limit that would be exceeded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, thiserror::Error)]
 pub enum LimitExceeded {
     /// The limit of all owners together.
+    #[error("the limit of all owners together would be exceeded")]
     Total,
     /// The customer's.
+    #[error("the customer's limit would be exceeded")]
     Customer,
     /// The network's.
+    #[error("the limit of the peer's network would be exceeded")]
     PeerNetwork,
 }
 
