--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use applewall_admin::ShutdownDeadlines;
+use applewall_slow_peer::socket::Capacity;
 use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::JoinSet;
@@ -31,7 +32,7 @@
 use crate::peer_socket::{DatagramHandler, PeerSocket};
 use crate::resource_budget::ConnectionBudget;
 use crate::server::acceptor::{self, Acceptor};
-use crate::server::slow_peers::{self, Capacity, TransferMonitors};
+use crate::server::slow_peers::{self, TransferMonitors};
 
 /// The parts of the node that its other parts are made from, and its tasks.
 pub(super) struct Node {
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -366,7 +366,9 @@
         return;
     };
     let not_sent = u32::try_from(settings.not_sent.0).unwrap_or(u32::MAX);
-    if let Err(error) = kernel::bound(listener, settings.send_buffer.0 as usize, not_sent) {
+    if let Err(error) =
+        kernel::limit_send_buffer(listener, settings.send_buffer.0 as usize, not_sent)
+    {
         tracing::warn!("slow peers: cannot limit the send buffer of accepted connections: {error}");
     }
 }
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -6,7 +6,7 @@
 
 use std::sync::{Arc, Weak};
 
-use applewall_slow_peer::socket::TransferMonitor;
+use applewall_slow_peer::socket::{Capacity, Report, TransferMonitor};
 use applewall_slow_peer::{EventCounts, OwnerStatistics};
 use tokio::sync::{watch, Semaphore};
 
@@ -19,15 +19,6 @@
 /// The instance in force; `None` where all of it is off.
 pub(crate) type TransferMonitors = watch::Receiver<Option<Arc<TransferMonitor>>>;
 
-/// What slow-peer protection divides among clients.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Capacity {
-    /// Connections that are served at most.
-    pub connections: usize,
-    /// The memory of the process.
-    pub memory_bytes: u64,
-}
-
 /// What an instance is made from, besides its settings.
 struct Environment {
     clock: Clock,
@@ -78,19 +69,14 @@
         if !settings.pace.enabled.0 && !settings.bulkheads.enabled.0 {
             return None;
         }
-        let Capacity {
-            connections,
-            memory_bytes,
-        } = self.capacity;
-        let size = (connections, memory_bytes);
         let now = self.clock.now();
-        let monitor = TransferMonitor::new(&settings.pace, &settings.bulkheads, size, now);
+        let monitor = TransferMonitor::new(&settings.pace, &settings.bulkheads, self.capacity, now);
         let ticker = Ticker {
             monitor: Arc::downgrade(&monitor),
             clock: self.clock,
             permits: self.permits.clone(),
             all_permits: self.all_permits,
-            connections,
+            connections: self.capacity.connections,
         };
         // Owned by the instance: ends with it.
         tokio::spawn(ticker.run());
@@ -128,7 +114,12 @@
     let Some(monitor) = monitors.borrow().clone() else {
         return;
     };
-    let (counts, rows, unsent_bytes, max_unsent_bytes) = monitor.take_report(MAX_LOGGED_OWNERS);
+    let Report {
+        counts,
+        owners,
+        unsent_bytes,
+        max_unsent_bytes,
+    } = monitor.take_report(MAX_LOGGED_OWNERS);
     if max_unsent_bytes == 0 && counts == EventCounts::default() {
         return;
     }
@@ -157,7 +148,7 @@
         peer_network_slots_exhausted,
         "slow peers"
     );
-    rows.into_iter().for_each(log_owner);
+    owners.into_iter().for_each(log_owner);
 }
 
 /// Logs one row of the table.
