--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -1,9 +1,4 @@
-//! The smallest front door: one gateway, one backend, one request.
-
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
+//! The smallest ingress: one node, one endpoint, one request.
 
 use applewall::api::{
     Class, Endpoint, EndpointState, EndpointUpdateKind, Event, Idempotency, Plan, PolicySettings,
@@ -11,13 +6,14 @@
 };
 use applewall::decision::DecisionPolicy;
 
-fn main() {
-    let second = 1_000_000_000;
-    let settings = PolicySettings {
+const SECOND_NS: u64 = 1_000_000_000;
+
+fn settings() -> PolicySettings {
+    PolicySettings {
         node_count: 1,
         classes: vec![Class {
-            latency_objective_ns: second / 2,
-            deadline_ns: 2 * second,
+            latency_objective_ns: SECOND_NS / 2,
+            deadline_ns: 2 * SECOND_NS,
             priority_weight: 1.0,
             late_weight_fraction: 0.0,
             idempotency: Idempotency::Idempotent,
@@ -31,38 +27,41 @@
         }],
         max_attempts: 3,
         overload_multiple: 3.0,
-        overload_window_ns: second,
+        overload_window_ns: SECOND_NS,
         ..PolicySettings::default()
-    };
-    let mut brain = DecisionPolicy::new(settings, 42, 0);
-    let mut actions = Vec::new();
-    let backend = Endpoint {
-        id: "backend-1".into(),
+    }
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        id: "endpoint-1".into(),
         weight: 1.0,
-        started_at_ns: None,
-        zone: 0,
-        cell: 0,
-        machine_type: 0,
         state: EndpointState::Ready,
-    };
-    brain.handle(
-        0,
-        Event::EndpointUpdate(EndpointUpdateKind::Snapshot, [backend].into()),
-        &mut actions,
-    );
-    let request = Request {
+        ..Endpoint::default()
+    }
+}
+
+fn request() -> Request {
+    Request {
         id: RequestId(1),
         class: 0,
         plan: 0,
         customer: "customer-1".into(),
         units: 1.0,
-        time_left_ns: 2 * second,
+        time_left_ns: 2 * SECOND_NS,
         is_retry: false,
         node_set_size: 1,
         first_node: 0,
-    };
-    brain.handle(1_000_000, Event::Request(request), &mut actions);
-    // A front door carries out each action: sends, answers, sets timers, and reports back as events.
+    }
+}
+
+fn main() {
+    let mut policy = DecisionPolicy::new(settings(), 42, 0);
+    let mut actions = Vec::new();
+    let update = Event::EndpointUpdate(EndpointUpdateKind::Snapshot, [endpoint()].into());
+    policy.handle(0, update, &mut actions);
+    policy.handle(1_000_000, Event::Request(request()), &mut actions);
+    // A node carries out each action (sends attempts, answers, sets timers) and reports back by events.
     for action in &actions {
         println!("{action:?}");
     }
