--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -22,7 +22,7 @@
 /// More than this multiple of what a cold backend can do, for so many seconds, pushes it over.
 const FALL: (f64, f64) = (2.5, 3.0);
 
-fn cold_settings() -> PolicySettings {
+fn slow_start_settings() -> PolicySettings {
     let mut set = settings();
     for class in &mut set.classes {
         (class.latency_objective_ns, class.deadline_ns) = (800 * MILLISECOND, 3 * SECOND);
@@ -40,7 +40,7 @@
 
 /// Backends that serve as fast as they are warm.
 #[derive(Default)]
-struct World {
+struct Simulation {
     now: Cell<u64>,
     started: Cell<u64>,
     /// When each core of a backend is through with what it has.
@@ -49,7 +49,7 @@
     sent: RefCell<BTreeMap<EndpointId, Vec<f64>>>,
 }
 
-impl World {
+impl Simulation {
     fn share(&self, now: f64) -> f64 {
         let age = now - self.started.get() as f64 / SECOND as f64;
         (COLD_SHARE + (1.0 - COLD_SHARE) * age / WARM_AFTER).min(1.0)
@@ -86,20 +86,20 @@
 }
 
 /// What a fleet before cold backends sends on in each of so many seconds; and the worst any backend was pushed.
-fn cold(gateways: u32, backends: usize, each: f64, seed: u64, seconds: u64) -> (Vec<u32>, f64) {
-    let mut fleet = PolicyFleet::with_nodes(gateways, seed, cold_settings(), 0);
-    let world = World::default();
-    world.started.set(fleet.now());
+fn cold(node_count: u32, backends: usize, each: f64, seed: u64, seconds: u64) -> (Vec<u32>, f64) {
+    let mut fleet = PolicyFleet::with_nodes(node_count, seed, slow_start_settings(), 0);
+    let simulation = Simulation::default();
+    simulation.started.set(fleet.now());
     fleet.endpoints = (0..backends)
         .map(|i| endpoint(&format!("b{i}"), i as u32 % 3))
         .collect();
     fleet
         .endpoints
         .iter_mut()
-        .for_each(|m| m.started_at_ns = Some(world.started.get()));
+        .for_each(|m| m.started_at_ns = Some(simulation.started.get()));
     let list: std::sync::Arc<[Endpoint]> = fleet.endpoints.clone().into();
-    for door in &mut fleet.nodes {
-        door.handle(Event::EndpointUpdate(
+    for node in &mut fleet.nodes {
+        node.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Snapshot,
             list.clone(),
         ));
@@ -107,27 +107,28 @@
     let mut served = vec![0; seconds as usize];
     let mut due = 0.0;
     for step in 0..seconds * SECOND / STEP_NS {
-        world.now.set(fleet.now());
-        let end = |to: &EndpointId, _: RequestId| world.end(to);
-        due += each * f64::from(gateways) * STEP_NS as f64 / SECOND as f64;
+        simulation.now.set(fleet.now());
+        let end = |to: &EndpointId, _: RequestId| simulation.end(to);
+        due += each * f64::from(node_count) * STEP_NS as f64 / SECOND as f64;
         while due >= 1.0 {
             due -= 1.0;
-            let me = fleet.rng.random_range(0..gateways as usize);
+            let me = fleet.rng.random_range(0..node_count as usize);
             let name = format!("c{}", fleet.rng.random_range(0..2000u32));
-            let (_, actions) = fleet.nodes[me].request_with_node_set(gateways, SAFE, 1, &name, 1.0);
+            let (_, actions) =
+                fleet.nodes[me].request_with_node_set(node_count, SAFE, 1, &name, 1.0);
             served[(step * STEP_NS / SECOND) as usize] +=
                 u32::from(attempted_endpoint(&actions).is_some());
             fleet.start_attempts(me, &actions, &end);
         }
         fleet.step(&end);
     }
-    (served, world.worst())
+    (served, simulation.worst())
 }
 
 #[test]
 fn endpoints_of_the_first_list_after_an_empty_start_count_as_started_earlier() {
     let list: Vec<Endpoint> = (0..6).map(|i| endpoint(&format!("b{i}"), i % 3)).collect();
-    let mut driver = PolicyDriver::new(cold_settings(), 1, &[]);
+    let mut driver = PolicyDriver::new(slow_start_settings(), 1, &[]);
     let (_, actions) = driver.request(SAFE, 1, "early", 1.0);
     assert!(is_rejected(&actions), "nobody is known");
     driver.handle(Event::EndpointUpdate(
@@ -158,24 +159,24 @@
 
 #[test]
 fn a_cold_fleet_serves_the_capacity_of_its_warming_endpoints_from_the_first_second() {
-    for (gateways, backends, seed) in [(3, 10, 1), (24, 20, 2), (24, 20, 3), (100, 30, 4)] {
+    for (node_count, backends, seed) in [(3, 10, 1), (24, 20, 2), (24, 20, 3), (100, 30, 4)] {
         // Twice what they carry when warm is asked for.
-        let each = 2.0 * CARRIES * backends as f64 / f64::from(gateways);
-        let (sent, worst) = cold(gateways, backends, each, seed, 20);
-        let bears = CARRIES * backends as f64;
+        let each = 2.0 * CARRIES * backends as f64 / f64::from(node_count);
+        let (sent, worst) = cold(node_count, backends, each, seed, 20);
+        let endpoint_capacity = CARRIES * backends as f64;
         assert!(
-            f64::from(sent[0]) > 0.1 * bears,
-            "{gateways}: {} in the first second",
+            f64::from(sent[0]) > 0.1 * endpoint_capacity,
+            "{node_count}: {} in the first second",
             sent[0]
         );
         let tenth: u32 = sent[8..12].iter().sum();
         assert!(
-            f64::from(tenth) > 4.0 * 0.4 * bears,
-            "{gateways}: {sent:?} sent on"
+            f64::from(tenth) > 4.0 * 0.4 * endpoint_capacity,
+            "{node_count}: {sent:?} sent on"
         );
         assert!(
             worst < 0.9,
-            "{gateways}: {worst} of what pushes a cold backend over"
+            "{node_count}: {worst} of what pushes a cold backend over"
         );
     }
 }
@@ -183,16 +184,19 @@
 #[test]
 fn many_nodes_with_few_requests_each_use_the_capacity_of_warming_endpoints() {
     // Slow answers of cold backends are no queue; and a part of a request is a chance of one, not of half of one.
-    for (gateways, each, seed, most) in
+    for (node_count, each, seed, most) in
         [(24, 2.0, 1, 0.85), (100, 2.0, 2, 0.5), (300, 0.6, 3, 0.35)]
     {
-        let (sent, worst) = cold(gateways, 20, each, seed, 12);
-        let asked = f64::from(gateways) * each * 12.0;
+        let (sent, worst) = cold(node_count, 20, each, seed, 12);
+        let asked = f64::from(node_count) * each * 12.0;
         let sent = f64::from(sent.iter().sum::<u32>());
-        assert!(sent > most * asked, "{gateways}: {sent} of {asked} sent on");
+        assert!(
+            sent > most * asked,
+            "{node_count}: {sent} of {asked} sent on"
+        );
         assert!(
             worst < 0.8,
-            "{gateways}: {worst} of what pushes a cold backend over"
+            "{node_count}: {worst} of what pushes a cold backend over"
         );
     }
 }
--- a/tests/cold_start_fleet.rs
+++ b/tests/cold_start_fleet.rs
@@ -57,14 +57,14 @@
         let of = |kind: &dyn Fn(&Event) -> bool| {
             played.entries.iter().position(|entry| kind(&entry.event))
         };
-        let told = of(
+        let reported = of(
             &|event| matches!(event, Event::ListResponse { ingress: number, .. } if *number == ingress),
         );
         let ready = of(
             &|event| matches!(event, Event::IngressReady { ingress: number } if *number == ingress),
         );
         assert!(
-            told.is_some() && ready.is_none_or(|ready| Some(ready) > told),
+            reported.is_some() && ready.is_none_or(|ready| Some(ready) > reported),
             "ingress {ingress}"
         );
     }
@@ -146,12 +146,12 @@
     let breaks = "[faults]\nbreaks = at 0s: list breaks 0.5 for 3s\n";
     let played = play(&format!("[trial]\ntime = 8s\n{TURNS}{breaks}"));
     assert_eq!(listed(&played), 24);
-    let told = played
+    let reported = played
         .logs
         .iter()
         .filter(|log| log.matches("lost discovery").count() > 4)
         .count();
-    assert_eq!(told, 0, "a loss is told once, not for each try");
+    assert_eq!(reported, 0, "a loss is told once, not for each try");
 }
 
 #[test]
@@ -186,12 +186,12 @@
                  two = at 7s: kill ingress:0.7 and start after 200ms old\n";
     let played = play(&format!("[trial]\ntime = 11s\n{TURNS}{twice}"));
     assert_eq!(listed(&played), 24);
-    let lives = played
+    let processes = played
         .entries
         .iter()
         .filter(|entry| matches!(entry.event, Event::IngressStarted { .. }))
         .count();
-    assert_eq!(lives, 24 + 17 + 17);
+    assert_eq!(processes, 24 + 17 + 17);
     // Whole lists: one for each life without any, and for those alone.
     assert!(
         calls(&played, true) <= 24 + 17,
@@ -201,14 +201,14 @@
     // Each of them has heard of all others that start with it, and how many of these have no list.
     for (all, without) in [(24, 24), (17, 17), (17, 0)] {
         let line = format!("cold start: {all} have started together, {without} without a list\n");
-        let told = played
+        let reported = played
             .logs
             .iter()
             .map(|log| log.matches(&line).count())
             .sum::<usize>();
         assert!(
-            told * 10 >= all * 9,
-            "{told} of {all} that start know of all, {without} without a list"
+            reported * 10 >= all * 9,
+            "{reported} of {all} that start know of all, {without} without a list"
         );
     }
     let last = played.metrics.served_in_time_fraction_between(9, 11);
@@ -246,8 +246,8 @@
         "{bare} of the first twelve have no list: {order:?}"
     );
     let line = "cold start: 24 have started together, 12 without a list\n";
-    let told = played.logs.iter().filter(|log| log.contains(line)).count();
-    assert!(told >= 22, "{told} know how many they are");
+    let reported = played.logs.iter().filter(|log| log.contains(line)).count();
+    assert!(reported >= 22, "{reported} know how many they are");
 }
 
 #[test]
@@ -317,14 +317,14 @@
         ),
         (24, 24 + 12, 0)
     );
-    let told = |log: &String, of: &str| log.matches(of).count();
+    let reported = |log: &String, of: &str| log.matches(of).count();
     for log in &played.logs {
         assert!(
-            (1..=2).contains(&told(log, "which is no peer")),
+            (1..=2).contains(&reported(log, "which is no peer")),
             "a stranger is told of once a life: {log}"
         );
         assert!(
-            told(log, "that cannot be decoded") <= 2,
+            reported(log, "that cannot be decoded") <= 2,
             "torn words are told of once a life: {log}"
         );
     }
@@ -332,7 +332,7 @@
         played
             .logs
             .iter()
-            .any(|log| told(log, "that cannot be decoded") > 0),
+            .any(|log| reported(log, "that cannot be decoded") > 0),
         "some were torn"
     );
 }
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -170,16 +170,16 @@
     }
 
     /// Looks on for a while after a drain counted as told.
-    async fn kept(&self, told: Instant) {
-        sleep_until(told + Duration::from_secs(2)).await;
+    async fn retained(&self, reported: Instant) {
+        sleep_until(reported + Duration::from_secs(2)).await;
         let last = self.leaving.last().expect("it was in use");
-        let late = last.saturating_duration_since(told);
+        let late = last.saturating_duration_since(reported);
         assert!(
             late <= GRACE,
             "the leaving server got a request {late:?} after it counted as told"
         );
         let last = self.staying.last().expect("it was in use");
-        assert!(last > told + GRACE, "no request came at all any more");
+        assert!(last > reported + GRACE, "no request came at all any more");
     }
 }
 
@@ -187,31 +187,31 @@
 async fn a_drain_is_kept_when_a_watch_response_shows_it_also_over_many_lines() {
     let scene = Scene::run().await;
     scene.agent.change(|s| s.indented = true);
-    let (told, list) = (Instant::now(), scene.list("terminating"));
+    let (reported, list) = (Instant::now(), scene.list("terminating"));
     scene.agent.change(|s| (s.revision, s.targets) = (6, list));
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drain_is_kept_when_a_full_list_omits_the_instance() {
     let scene = Scene::run().await;
-    let told = Instant::now();
+    let reported = Instant::now();
     scene.agent.change(|s| {
         s.revision = 6;
         s.targets.remove(0);
     });
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drain_is_kept_when_the_watch_is_reset() {
     let scene = Scene::run().await;
     // What the agent has counts as told, whether a watch is open or not.
-    let (told, list) = (Instant::now(), scene.list("terminating"));
+    let (reported, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
         .change(|s| (s.revision, s.targets, s.generation, s.closed_before) = (6, list, 1, 1));
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -221,7 +221,7 @@
     scene
         .agent
         .change(|s| (s.revision, s.targets, s.generation) = (6, list, 1));
-    scene.kept(fell_silent + SILENCE).await;
+    scene.retained(fell_silent + SILENCE).await;
     assert!(
         scene.leaving.last().unwrap() > fell_silent,
         "it was told before its watch fell silent"
@@ -243,7 +243,7 @@
     scene
         .agent
         .change(|s| (s.generation, s.truncates) = (1, false));
-    scene.kept(fell_silent + SILENCE).await;
+    scene.retained(fell_silent + SILENCE).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -260,9 +260,9 @@
         ) = (6, list, 1, 1, true);
     });
     sleep(Duration::from_secs(8)).await;
-    let told = Instant::now();
+    let reported = Instant::now();
     scene.agent.change(|s| s.refuses = false);
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -274,11 +274,11 @@
         .change(|s| (s.revision, s.targets, s.silent) = (6, list, true));
     sleep(Duration::from_secs(8)).await;
     // What was called before stays without an answer.
-    let told = Instant::now();
+    let reported = Instant::now();
     scene
         .agent
         .change(|s| (s.silent, s.generation) = (false, 1));
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -305,9 +305,9 @@
     }
     sleep(Duration::from_secs(8)).await;
     drop(fillers);
-    let told = Instant::now();
+    let reported = Instant::now();
     scene.agent.change(|s| s.accepts_none = false);
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -325,11 +325,11 @@
     let mut config: Value = serde_json::from_str(&std::fs::read_to_string(&file).unwrap()).unwrap();
     config["discovery"] = next.address.to_string().into();
     std::fs::write(&file, config.to_string()).unwrap();
-    let told = Instant::now() + RELOAD;
+    let reported = Instant::now() + RELOAD;
     scene.daemon.as_ref().unwrap().signal(1);
     sleep(Duration::from_secs(3)).await;
     next.change(|s| s.silent = false);
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -338,20 +338,24 @@
     let list = scene.list("terminating");
     scene.agent.change(|s| (s.revision, s.targets) = (6, list));
     scene.start();
-    let told = Instant::now();
-    sleep_until(told + Duration::from_secs(2)).await;
+    let reported = Instant::now();
+    sleep_until(reported + Duration::from_secs(2)).await;
     if let Some(last) = scene.leaving.last() {
-        assert!(last <= told + GRACE, "{:?} after the start", last - told);
+        assert!(
+            last <= reported + GRACE,
+            "{:?} after the start",
+            last - reported
+        );
     }
-    assert!(scene.staying.last().unwrap() > told + GRACE);
+    assert!(scene.staying.last().unwrap() > reported + GRACE);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drain_is_kept_when_the_revision_goes_back() {
     let scene = Scene::run().await;
-    let (told, list) = (Instant::now(), scene.list("terminating"));
+    let (reported, list) = (Instant::now(), scene.list("terminating"));
     scene
         .agent
         .change(|s| (s.revision, s.targets, s.generation, s.closed_before) = (2, list, 1, 1));
-    scene.kept(told).await;
+    scene.retained(reported).await;
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -295,7 +295,7 @@
                 let value = self.with_addresses(&words[2..].join(" "));
                 let value = serde_json::from_str(&value).unwrap();
                 match self.config.pointer_mut(pointer) {
-                    Some(told) => *told = value,
+                    Some(reported) => *reported = value,
                     // At the top only.
                     None => self.config[pointer.trim_start_matches('/')] = value,
                 }
@@ -370,10 +370,12 @@
                 let changed = words[3..].join(" ");
                 let mut head = USUAL.replace("@id", id);
                 if let Some((header, _)) = changed.split_once(": ") {
-                    let kept = head
+                    let retained = head
                         .lines()
                         .filter(|l| !l.starts_with(&format!("{header}: ")));
-                    head = kept.map(|l| format!("{l}\r\n")).collect::<String>() + &changed + "\r\n";
+                    head = retained.map(|l| format!("{l}\r\n")).collect::<String>()
+                        + &changed
+                        + "\r\n";
                 }
                 self.send(name, &(head + "\r\n"));
             }
@@ -588,7 +590,7 @@
 exchanges! {
     served, malformed, turned_away, broken, unreachable, silent, client_left, idle, name_table, discovery_lost,
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
-    upgrade, upgrade_fails, heritage, nowhere, stopping_long, keyed,
+    upgrade, upgrade_fails, hot_restart_exchange, nowhere, stopping_long, keyed,
     client_left_behind_bytes, late_connection, late_repeat, fragile, own_settings,
     stopping_body, stopping_behind, upgrade_drain,
 }
--- a/tests/fleet_cost.rs
+++ b/tests/fleet_cost.rs
@@ -31,11 +31,11 @@
     bytes: f64,
     met: f64,
     micros: f64,
-    kept: usize,
+    retained: usize,
 }
 
-fn cost(gateways: u32, seed: u64) -> Cost {
-    let backends = (gateways as usize * 3 / 5).max(9);
+fn cost(node_count: u32, seed: u64) -> Cost {
+    let backends = (node_count as usize * 3 / 5).max(9);
     let mut set = settings();
     set.plans[0] = Plan {
         quota_units_per_second: 2.0,
@@ -44,24 +44,24 @@
         over_quota_penalty_fraction: 0.5,
         ..Plan::default()
     };
-    let mut fleet = PolicyFleet::with_nodes(gateways, seed, set, backends);
-    let mut met = vec![BTreeSet::new(); gateways as usize];
+    let mut fleet = PolicyFleet::with_nodes(node_count, seed, set, backends);
+    let mut met = vec![BTreeSet::new(); node_count as usize];
     let (mut asked, mut bytes, mut spent) = (0u32, 0, 0.0);
     // One in nine asks for three times its quota, the others for half of it.
-    let customers = (f64::from(gateways) * EACH / (1.0 + 6.0 / 8.0)) as u32;
+    let customers = (f64::from(node_count) * EACH / (1.0 + 6.0 / 8.0)) as u32;
     let end = |_: &EndpointId, id: RequestId| (Outcome::Success, 60 + id.0 % 97);
     let mut attempts: HashMap<(usize, RequestId), u32> = HashMap::new();
     for _ in 0..SECONDS * SECOND / STEP_NS {
-        let due = f64::from(gateways) * EACH * STEP_NS as f64 / SECOND as f64;
+        let due = f64::from(node_count) * EACH * STEP_NS as f64 / SECOND as f64;
         let times = due as u32 + u32::from(fleet.rng.random::<f64>() < due.fract());
         for _ in 0..times {
             let heavy = fleet.rng.random::<f64>() < 3.0 / 7.0;
             let number = fleet.rng.random_range(0..customers.max(9));
             let name = format!("c{}", if heavy { number / 9 } else { number });
-            let me = fleet.rng.random_range(0..gateways as usize);
+            let me = fleet.rng.random_range(0..node_count as usize);
             let began = Instant::now();
             let (id, actions) =
-                fleet.nodes[me].request_with_node_set(gateways, SAFE, 0, &name, 1.0);
+                fleet.nodes[me].request_with_node_set(node_count, SAFE, 0, &name, 1.0);
             spent += began.elapsed().as_secs_f64();
             asked += 1;
             if let Some(to) = attempted_endpoint(&actions) {
@@ -73,21 +73,21 @@
         let began = Instant::now();
         fleet.step(&end);
         spent += began.elapsed().as_secs_f64();
-        for door in &mut fleet.nodes {
-            bytes += door
+        for node in &mut fleet.nodes {
+            bytes += node
                 .gossip_texts
                 .drain(..)
                 .map(|text| text.len())
                 .sum::<usize>();
         }
     }
-    let each = f64::from(gateways) * SECONDS as f64;
+    let each = f64::from(node_count) * SECONDS as f64;
     Cost {
         messages: f64::from(fleet.gossip_delivered) / each,
         bytes: bytes as f64 / each,
-        met: met.iter().map(|m| m.len() as f64).sum::<f64>() / f64::from(gateways),
+        met: met.iter().map(|m| m.len() as f64).sum::<f64>() / f64::from(node_count),
         micros: spent * 1e6 / f64::from(asked),
-        kept: fleet
+        retained: fleet
             .nodes
             .iter()
             .map(|d| d.policy.entry_count())
@@ -101,22 +101,22 @@
 fn cost_per_node_by_fleet_size() {
     let mut most = 0.0f64;
     println!("fleet  instances  messages in/s (least to most of 3 runs)  bytes out/s  instances met  us/request  kept");
-    for gateways in [3, 30, 100] {
-        let costs: Vec<Cost> = (0..3).map(|seed| cost(gateways, seed)).collect();
-        let spread = |of: &dyn Fn(&Cost) -> f64| {
+    for node_count in [3, 30, 100] {
+        let costs: Vec<Cost> = (0..3).map(|seed| cost(node_count, seed)).collect();
+        let node_set_size = |of: &dyn Fn(&Cost) -> f64| {
             let all = costs.iter().map(of);
             let (low, high) = all.fold((f64::MAX, 0.0f64), |(l, h), v| (l.min(v), h.max(v)));
             format!("{low:.1} to {high:.1}")
         };
         most = costs.iter().fold(most, |m, c| m.max(c.messages));
         println!(
-            "{gateways:5}  {:9}  {}  {}  {}  {}  {}",
-            (gateways as usize * 3 / 5).max(9),
-            spread(&|c| c.messages),
-            spread(&|c| c.bytes),
-            spread(&|c| c.met),
-            spread(&|c| c.micros),
-            costs.iter().map(|c| c.kept).max().unwrap_or(0),
+            "{node_count:5}  {:9}  {}  {}  {}  {}  {}",
+            (node_count as usize * 3 / 5).max(9),
+            node_set_size(&|c| c.messages),
+            node_set_size(&|c| c.bytes),
+            node_set_size(&|c| c.met),
+            node_set_size(&|c| c.micros),
+            costs.iter().map(|c| c.retained).max().unwrap_or(0),
         );
     }
     let held = most <= INTAKE.0 * INTAKE.1;
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -35,7 +35,7 @@
     /// Half a head.
     HalfHead,
     /// A command, more than is kept behind it, and gone.
-    MuchAndGone,
+    PipelineAndDisconnect,
     /// A body that never comes whole.
     HalfBody,
 }
@@ -54,7 +54,7 @@
             let _ = match kind {
                 Kind::Silent => Ok(()),
                 Kind::HalfHead => stream.write_all(&head.as_bytes()[..40]).await,
-                Kind::MuchAndGone => {
+                Kind::PipelineAndDisconnect => {
                     stream
                         .write_all((head + &"x".repeat(30_000)).as_bytes())
                         .await
@@ -66,7 +66,7 @@
                         .await
                 }
             };
-            if !matches!(kind, Kind::MuchAndGone) {
+            if !matches!(kind, Kind::PipelineAndDisconnect) {
                 hold(stream).await;
             }
             // Come back, but not without end: 400 commands a second are less than the limit servers bear.
@@ -130,7 +130,7 @@
     for task in bad {
         task.await.unwrap();
     }
-    let told = format!(
+    let reported = format!(
         "{kind:?}: {good:?}, {} bytes at the most",
         daemon.peak_memory()
     );
@@ -138,17 +138,17 @@
     // of those that go at once are load too, until they have gone.
     assert!(
         good.lost == 0 && good.mismatched == 0 && good.failed == 0 && good.sent > 100,
-        "{told}"
+        "{reported}"
     );
-    assert!(good.served * 2 >= good.sent, "{told}");
-    assert!(daemon.peak_memory() < MEMORY, "{told}");
+    assert!(good.served * 2 >= good.sent, "{reported}");
+    assert!(daemon.peak_memory() < MEMORY, "{reported}");
     wait_until("what bad clients held comes back", || {
         daemon.descriptors() <= at_rest + 16
     })
     .await;
     assert!(
         !daemon.log().iter().any(|line| line.contains("last-resort")),
-        "{told}"
+        "{reported}"
     );
 }
 
@@ -164,7 +164,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn healthy_clients_are_served_beside_clients_that_pipeline_and_disconnect() {
-    flood(Kind::MuchAndGone).await;
+    flood(Kind::PipelineAndDisconnect).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/golden_datagrams.rs
+++ b/tests/golden_datagrams.rs
@@ -115,7 +115,7 @@
             0.001 * 1.005f64.powi(code as i32 - 1)
         }
     };
-    let pool = |shift: usize| mail_evidence(|i| mass(i * 455 + shift));
+    let pool = |shift: usize| statistics_record(|i| mass(i * 455 + shift));
     vec![
         (0, vec![]),
         (1, vec![of(0x3fff_ffff, used(63))]),
@@ -148,7 +148,7 @@
     ]
 }
 
-fn mail_evidence(part: impl Fn(usize) -> f64) -> Record {
+fn statistics_record(part: impl Fn(usize) -> f64) -> Record {
     Record::Statistics(LoadStatistics::from_fn(part))
 }
 
@@ -161,7 +161,7 @@
         Record::Usage(Usage {
             plan,
             first_node: first,
-            node_set_size: spread,
+            node_set_size,
             forwarded: sent,
             requested: asked,
             quota_level: level,
@@ -169,7 +169,7 @@
             vec![
                 plan as f64,
                 first.into(),
-                spread.into(),
+                node_set_size.into(),
                 sent.into(),
                 asked.into(),
                 level,
@@ -409,8 +409,8 @@
                 }));
             });
         }
-        let brain: &mut DecisionPolicy = &mut driver.policy;
-        (driver.gossip_texts, brain.export_snapshot().unwrap())
+        let policy: &mut DecisionPolicy = &mut driver.policy;
+        (driver.gossip_texts, policy.export_snapshot().unwrap())
     };
     assert!(
         play(true, Some(&good)) == play(false, Some(&good)),
--- a/tests/golden_decisions.rs
+++ b/tests/golden_decisions.rs
@@ -343,7 +343,7 @@
         let id = RequestId(self.next);
         let plan = self.rng.random_range(0..4usize);
         // One plan's customers come in through one node, one's through the played ones, the others through all.
-        let spread = [
+        let node_set_size = [
             self.set.node_count,
             1,
             self.policies.len() as u32,
@@ -357,7 +357,7 @@
             units: f64::from(self.rng.random_range(1..9u32)) / 2.0,
             time_left_ns: (500 + self.rng.random_range(0..1500)) * MILLISECOND,
             is_retry: self.rng.random_range(0..10) == 0,
-            node_set_size: spread,
+            node_set_size,
             first_node: if plan == 1 { node as u32 } else { 0 },
         };
         self.give(node, Event::Request(request), conditions);
@@ -462,13 +462,13 @@
 
     /// Closes a section: its line is its hash and what was counted in it.
     fn section(&mut self, lines: &mut String, name: &str) {
-        let [sent, refused, failed, told] = std::mem::take(&mut self.counts);
-        let kept: usize = self.policies.iter().map(DecisionPolicy::entry_count).sum();
-        self.digest.number(kept as u64);
+        let [sent, refused, failed, reported] = std::mem::take(&mut self.counts);
+        let retained: usize = self.policies.iter().map(DecisionPolicy::entry_count).sum();
+        self.digest.number(retained as u64);
         let hash = std::mem::replace(&mut self.digest, Digest::new()).0;
         let _ = writeln!(
             lines,
-            "{name} {hash:016x} sent {sent} refused {refused} failed {failed} told {told}"
+            "{name} {hash:016x} sent {sent} refused {refused} failed {failed} told {reported}"
         );
     }
 }
--- a/tests/golden_files.rs
+++ b/tests/golden_files.rs
@@ -23,11 +23,11 @@
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
-fn ledger(ids: &[&str]) -> MaintenanceSet {
-    let mut ledger = MaintenanceSet::default();
+fn maintenance_set(ids: &[&str]) -> MaintenanceSet {
+    let mut maintenance_set = MaintenanceSet::default();
     ids.iter()
-        .for_each(|id| assert_eq!(ledger.disable(id, true), Ok(true)));
-    ledger
+        .for_each(|id| assert_eq!(maintenance_set.disable(id, true), Ok(true)));
+    maintenance_set
 }
 
 #[test]
@@ -36,10 +36,10 @@
         ("state.json", &["s-2", "s \"ü\" 1"][..]),
         ("state_empty.json", &[]),
     ] {
-        golden::same(file, state_file::encode(&ledger(ids)).as_bytes());
+        golden::same(file, state_file::encode(&maintenance_set(ids)).as_bytes());
         assert_eq!(
             state_file::decode(&golden::text(file)).unwrap(),
-            ledger(ids)
+            maintenance_set(ids)
         );
     }
     // Keys besides are passed over, an older version is read, a newer one is not.
@@ -48,7 +48,7 @@
         r#"{"withheld":["a"],"applewall_state":0}"#,
     ];
     also.iter()
-        .for_each(|text| assert_eq!(state_file::decode(text).unwrap(), ledger(&["a"])));
+        .for_each(|text| assert_eq!(state_file::decode(text).unwrap(), maintenance_set(&["a"])));
     let whole = golden::text("state.json");
     let wrong = [
         (
@@ -286,11 +286,11 @@
         .stderr(Stdio::piped());
     let mut program = Program(shell.spawn().unwrap());
     let log = BufReader::new(program.0.stderr.take().unwrap());
-    let (told, address) = std::sync::mpsc::channel();
+    let (reported, address) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         for line in log.lines().map_while(Result::ok) {
             if let Some((_, rest)) = line.split_once("operators on ") {
-                let _ = told.send(rest.split(',').next().unwrap().to_string());
+                let _ = reported.send(rest.split(',').next().unwrap().to_string());
             }
         }
     });
--- a/tests/golden_handover.rs
+++ b/tests/golden_handover.rs
@@ -30,9 +30,9 @@
 
 /// The form, independent of the module's own types: order and width of all that is in it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Kept {
+struct DecodedSnapshot {
     shape: (u32, u32, u32),
-    born: f64,
+    started_at: f64,
     listed: bool,
     incarnation: u32,
     ladder: Ladder,
@@ -41,7 +41,7 @@
     numbers: BTreeMap<String, u32>,
     latency: Vec<(f64, f64)>,
     speeds: Vec<(f64, f64)>,
-    heard: BTreeMap<u32, u32>,
+    received: BTreeMap<u32, u32>,
     rates: (f64, Meter, Meter),
     evidence: [Sums; 2],
     carried: (f64, f64),
@@ -65,15 +65,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Customer {
     plan: Option<u32>,
-    spread_first: (u32, u32),
-    keepers: Vec<u32>,
-    keeps: bool,
+    node_set: (u32, u32),
+    aggregators: Vec<u32>,
+    is_aggregator: bool,
     store: f64,
     ceiling: f64,
-    dealt: f64,
-    bank: Option<f64>,
-    luck: f64,
-    untold: bool,
+    base_allocation: f64,
+    ceiling_reserve: Option<f64>,
+    draw: f64,
+    unreported: bool,
     at_seen_since: [f64; 3],
     own_demand_theirs: [Meter; 3],
     sent: f64,
@@ -88,9 +88,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Backend {
     member: (String, f64, Option<u64>, u32, i64, u32, u32),
-    ready_gone_mine: [bool; 3],
-    cold_from: f64,
-    owed: bool,
+    ready_removed_in_subset: [bool; 3],
+    slow_start_from: f64,
+    awaits_first_attempt: bool,
     slowness: f64,
     last_ok: f64,
     strikes: u32,
@@ -99,12 +99,12 @@
     health: Vec<[Meter; 2]>,
 }
 
-fn decode(bytes: &[u8]) -> Kept {
+fn decode(bytes: &[u8]) -> DecodedSnapshot {
     postcard::from_bytes_crc32(bytes, CHECK.digest()).expect("of this form")
 }
 
-fn encode(kept: &Kept) -> Vec<u8> {
-    postcard::to_stdvec_crc32(kept, CHECK.digest()).expect("written")
+fn encode(retained: &DecodedSnapshot) -> Vec<u8> {
+    postcard::to_stdvec_crc32(retained, CHECK.digest()).expect("written")
 }
 
 /// Twenty gateways, a plan with a ceiling, and two kinds of machine.
@@ -158,11 +158,11 @@
     let mut driver = PolicyDriver::new(settings(), 7, &members());
     let level = 0.25;
     let (use_of, word) = (
-        |plan, spread, sent| {
+        |plan, node_set_size, sent| {
             Record::Usage(Usage {
                 plan,
                 first_node: 0,
-                node_set_size: spread,
+                node_set_size,
                 forwarded: sent,
                 requested: sent + 4,
                 quota_level: level,
@@ -173,7 +173,7 @@
             quota_level: level,
         },
     );
-    let told = [
+    let reported = [
         (1, fingerprint("wide 47"), use_of(2, 20, 12)),
         (2, fingerprint("far"), use_of(0, 3, 40)),
         (1, fingerprint("told"), word),
@@ -190,14 +190,14 @@
     ];
     for round in 0..42u32 {
         let i = round as usize;
-        let (class, plan, spread) = (
+        let (class, plan, node_set_size) = (
             [SAFE, KEYED, UNSAFE][i % 3],
             i / 3 % 3,
             [20, 3, 1][i / 9 % 3],
         );
         let customer = ["wide 47", "near", "own"][i / 9 % 3];
         let (id, actions) = driver.request_with_node_set(
-            spread,
+            node_set_size,
             class,
             plan.max(i / 9 % 3),
             customer,
@@ -213,7 +213,7 @@
                 15 + u64::from(round * 7 % 40),
             );
         }
-        let (from, name, record) = told[i % 4];
+        let (from, name, record) = reported[i % 4];
         for text in codec::encode(40 + from, &[of(name, record)]) {
             driver.handle(Event::PeerMessage { from, text });
         }
@@ -248,9 +248,9 @@
 /// One that takes over at `now` as a new process does: the state first, then the list as it was handed.
 fn take_over(now: u64, bytes: &[u8]) -> Result<PolicyDriver, String> {
     let mut driver = PolicyDriver::at(now, settings(), 99, &[]);
-    let mut brain = DecisionPolicy::new(settings(), 99, now);
-    brain.import_snapshot(bytes).map_err(|e| e.to_string())?;
-    driver.policy = brain;
+    let mut policy = DecisionPolicy::new(settings(), 99, now);
+    policy.import_snapshot(bytes).map_err(|e| e.to_string())?;
+    driver.policy = policy;
     driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Cached,
         members().into(),
@@ -281,13 +281,13 @@
     golden::same("handover_again.bin", &again);
     let (mut first, again) = (decode(&bytes), decode(&again));
     for c in first.customers.values_mut() {
-        (c.ceiling, c.untold, c.out) = (c.ceiling * 0.5, false, 0);
+        (c.ceiling, c.unreported, c.out) = (c.ceiling * 0.5, false, 0);
     }
     for (b, m) in first.backends.iter_mut().zip(members()) {
         let ready = m.state == EndpointState::Ready;
         // The list is of an earlier moment than the state.
         (b.member.2, b.member.6) = (m.started_at_ns, u32::from(!ready));
-        (b.ready_gone_mine[0], b.ready_gone_mine[1]) = (ready, false);
+        (b.ready_removed_in_subset[0], b.ready_removed_in_subset[1]) = (ready, false);
     }
     assert_eq!(first, again);
 }
@@ -295,31 +295,34 @@
 #[test]
 fn the_form_is_what_it_was() {
     let bytes = golden::bytes("handover.bin");
-    let kept = decode(&bytes);
+    let retained = decode(&bytes);
     assert!(
-        encode(&kept) == bytes,
+        encode(&retained) == bytes,
         "no field is longer, shorter or elsewhere"
     );
     assert_eq!(
-        (kept.shape, kept.born, kept.listed, kept.incarnation),
+        (
+            retained.shape,
+            retained.started_at,
+            retained.listed,
+            retained.incarnation
+        ),
         ((3, 3, 2), 1000.0, true, 928_794)
     );
     let names = ["wide 47", "near", "own", "told", "far"].map(fingerprint);
-    let known = |name| kept.customers.contains_key(name);
-    assert!(names.iter().all(known) && kept.customers.len() == names.len() + 8);
-    let [wide, near, _, told, far] = names.map(|name| &kept.customers[&name]);
+    let known = |name| retained.customers.contains_key(name);
+    assert!(names.iter().all(known) && retained.customers.len() == names.len() + 8);
+    let [wide, near, _, reported, far] = names.map(|name| &retained.customers[&name]);
     assert_eq!(
-        (
-            wide.plan,
-            wide.spread_first,
-            wide.sent,
-            wide.asked,
-            wide.out
-        ),
+        (wide.plan, wide.node_set, wide.sent, wide.asked, wide.out),
         (Some(0), (20, 0), 14.0, 27.0, 3)
     );
     assert_eq!(
-        (wide.dealt, wide.bank.is_some(), wide.at_seen_since),
+        (
+            wide.base_allocation,
+            wide.ceiling_reserve.is_some(),
+            wide.at_seen_since
+        ),
         (0.5, true, [1002.0, 1001.6, 1000.0])
     );
     assert_eq!(
@@ -332,23 +335,28 @@
         (12, 16, 40, 44)
     );
     assert_eq!(
-        (near.keeps, &near.keepers[..], near.store, near.luck),
+        (
+            near.is_aggregator,
+            &near.aggregators[..],
+            near.store,
+            near.draw
+        ),
         (true, &[0, 2, 1][..], 1e6, 1.0)
     );
     assert_eq!(
-        (told.plan, told.word.map(|w| w[2]), told.level),
+        (reported.plan, reported.word.map(|w| w[2]), reported.level),
         (None, Some(1001.52), 0.238_095_238_095_238_14)
     );
-    let member = |i: usize| kept.backends[i].member.clone();
+    let member = |i: usize| retained.backends[i].member.clone();
     assert_eq!(member(0), ("b0".into(), 0.5, None, 0, -1, 0, 0));
     assert_eq!(
         member(1),
         ("b1".into(), 1.5, Some(999 * SECOND), 1, 0, 1, 2)
     );
-    let states: Vec<_> = kept
+    let states: Vec<_> = retained
         .backends
         .iter()
-        .map(|b| (b.ready_gone_mine, b.owed))
+        .map(|b| (b.ready_removed_in_subset, b.awaits_first_attempt))
         .collect();
     let (ready, gone, drains) = (
         [true, false, true],
@@ -365,24 +373,30 @@
         ]
     );
     assert_eq!(
-        (kept.backends[0].last_ok, kept.backends[2].cold_from),
+        (
+            retained.backends[0].last_ok,
+            retained.backends[2].slow_start_from
+        ),
         (1001.62, 1001.62)
     );
-    assert!(kept.numbers.iter().map(|(name, n)| (&**name, *n)).eq([
+    assert!(retained.numbers.iter().map(|(name, n)| (&**name, *n)).eq([
         ("b0", 0),
         ("b1", 1),
         ("b2", 2),
         ("b3", 3)
     ]));
-    assert!(kept
-        .heard
+    assert!(retained
+        .received
         .into_iter()
         .eq([(1, 41), (2, 42), (3, 43), (4, 44), (5, 44)]));
     assert_eq!(
-        (kept.latency[0], kept.latency[5], kept.speeds[1]),
+        (retained.latency[0], retained.latency[5], retained.speeds[1]),
         ((0.015, 1.0), (0.049, 1.0), (1.0, 10.0))
     );
-    assert_eq!(kept.ladder.index, [-3, -3, -3, -3, -3, -3, 0, 0, -3, -3]);
+    assert_eq!(
+        retained.ladder.index,
+        [-3, -3, -3, -3, -3, -3, 0, 0, -3, -3]
+    );
 }
 
 #[test]
@@ -411,17 +425,17 @@
 #[test]
 fn bytes_that_are_torn_or_of_another_version_are_refused_whole() {
     let bytes = golden::bytes("handover.bin");
-    let kept = decode(&bytes);
+    let retained = decode(&bytes);
     let refused = |bytes: &[u8]| take_over(NOW, bytes).err().expect("refused");
-    let mut wide = kept.clone();
+    let mut wide = retained.clone();
     wide.shape.0 += 1;
-    let mut lost = kept.clone();
+    let mut lost = retained.clone();
     lost.numbers.insert("b0".into(), 99);
-    let mut keyless = kept.clone();
+    let mut keyless = retained.clone();
     keyless
         .customers
         .values_mut()
-        .for_each(|c| c.spread_first.0 = 0);
+        .for_each(|c| c.node_set.0 = 0);
     for other in [wide, lost, keyless] {
         assert_eq!(
             refused(&encode(&other)),
@@ -429,8 +443,11 @@
         );
     }
     // A form with one field less, as an older process may have, and bytes that are none at all.
-    let shorter =
-        postcard::to_stdvec_crc32(&(kept.shape, kept.born, kept.listed), CHECK.digest()).unwrap();
+    let shorter = postcard::to_stdvec_crc32(
+        &(retained.shape, retained.started_at, retained.listed),
+        CHECK.digest(),
+    )
+    .unwrap();
     let mut flipped = bytes.clone();
     flipped[bytes.len() / 2] ^= 1;
     let end = "Hit the end of buffer, expected more data";
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -33,10 +33,10 @@
 /// A process that goes on where another stands, and what it was handed.
 fn successor(driver: &mut PolicyDriver, settings: PolicySettings) -> (PolicyDriver, Vec<u8>) {
     let bytes = driver.policy.export_snapshot().expect("written");
-    let mut brain = DecisionPolicy::new(settings.clone(), 99, driver.now);
-    brain.import_snapshot(&bytes).expect("read");
+    let mut policy = DecisionPolicy::new(settings.clone(), 99, driver.now);
+    policy.import_snapshot(&bytes).expect("read");
     let mut next = PolicyDriver::at(driver.now, settings, 99, &[]);
-    next.policy = brain;
+    next.policy = policy;
     next.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Cached,
         backends().into(),
@@ -93,7 +93,7 @@
     let (mut new, _) = successor(&mut old, settings());
     // Quota: 10 a second, asked 200 at once; one that begins anew lets 20 pass at once.
     assert!(passed(&mut new, 20, 0) < 8);
-    let (mut to_cold, asked) = (0, 400);
+    let (mut to_slow_start, asked) = (0, 400);
     new.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
         [cold].into(),
@@ -103,12 +103,15 @@
         let Some(to) = attempted_endpoint(&actions) else {
             continue;
         };
-        to_cold += u32::from(&*to == "b9");
+        to_slow_start += u32::from(&*to == "b9");
         new.advance(5 * MILLISECOND);
         new.finish_attempt(id, 0, &to, Outcome::Success, 5);
     }
     // A fifth of the capacity at first: far less than its even share of 80.
-    assert!(to_cold < 50, "{to_cold} of {asked} to a cold one");
+    assert!(
+        to_slow_start < 50,
+        "{to_slow_start} of {asked} to a cold one"
+    );
 }
 
 #[test]
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -103,11 +103,11 @@
     }
     // One is gone and one is new: each gateway's part changes by a few.
     list[7].state = EndpointState::Removed;
-    let news: std::sync::Arc<[Endpoint]> = [list[7].clone(), endpoint("b60", 0)].into();
+    let update: std::sync::Arc<[Endpoint]> = [list[7].clone(), endpoint("b60", 0)].into();
     for driver in &mut stages {
         driver.handle(Event::EndpointUpdate(
             EndpointUpdateKind::Delta,
-            news.clone(),
+            update.clone(),
         ));
     }
     let after = reached(&mut stages, 150);
@@ -180,12 +180,12 @@
     };
     play(&mut driver, 400);
     // Both are warm and were never met; what they are made of is all that tells them apart.
-    let mut news = [endpoint("b12", 0), endpoint("b13", 1)];
-    (news[0].started_at_ns, news[1].started_at_ns) = (Some(1), Some(1));
-    news[1].machine_type = 1;
+    let mut update = [endpoint("b12", 0), endpoint("b13", 1)];
+    (update[0].started_at_ns, update[1].started_at_ns) = (Some(1), Some(1));
+    update[1].machine_type = 1;
     driver.handle(Event::EndpointUpdate(
         EndpointUpdateKind::Delta,
-        news.to_vec().into(),
+        update.to_vec().into(),
     ));
     let [new_fast, new_slow] = play(&mut driver, 120);
     assert!(
@@ -217,12 +217,13 @@
                 text: part,
             });
             if i == 40 {
-                let mut news = list[..gone].to_vec();
-                news.iter_mut()
+                let mut update = list[..gone].to_vec();
+                update
+                    .iter_mut()
                     .for_each(|m| m.state = EndpointState::Removed);
                 driver.handle(Event::EndpointUpdate(
                     EndpointUpdateKind::Delta,
-                    news.into(),
+                    update.into(),
                 ));
             }
             for _ in 0..1 + i % 2 {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -150,8 +150,8 @@
     };
     let mut doors: Vec<PolicyDriver> = (0..3).map(door).collect();
     let mut refusals = 0;
-    for turn in 0..90 {
-        let me = turn % 3;
+    for round in 0..90 {
+        let me = round % 3;
         let (id, actions) = doors[me].request(SAFE, 0, "c", 1.0);
         refusals += u32::from(is_rejected(&actions));
         if let Some(to) = attempted_endpoint(&actions) {
@@ -185,12 +185,12 @@
     driver.run_load(SAFE, 1, 10 * MILLISECOND, 3 * SECOND, Outcome::Success, 100);
     let mut refusals = |sent_too: bool| {
         let mut refusals = 0;
-        for turn in 0..100u32 {
+        for round in 0..100u32 {
             // Another gateway is asked for 40 units a second.
-            let asked = codec::encode_units(f64::from(turn) * 2.0);
+            let asked = codec::encode_units(f64::from(round) * 2.0);
             let sent = if sent_too { asked } else { 0 };
             let name = codec::fingerprint(if sent_too { "sent" } else { "refused" });
-            let told = codec::Record::Usage(codec::Usage {
+            let reported = codec::Record::Usage(codec::Usage {
                 plan: 0,
                 first_node: 0,
                 node_set_size: 3,
@@ -202,7 +202,7 @@
                 7,
                 &[codec::CustomerRecord {
                     customer: name,
-                    record: told,
+                    record: reported,
                 }],
             ) {
                 driver.handle(Event::PeerMessage { from: 1, text });
--- a/tests/quota_at_scale.rs
+++ b/tests/quota_at_scale.rs
@@ -34,7 +34,7 @@
     name: String,
     plan: usize,
     first: u32,
-    spread: u32,
+    node_set_size: u32,
     /// Use, part of the quota; and the times that it is while it surges.
     calm: f64,
     surge: f64,
@@ -53,14 +53,14 @@
     sent: f64,
     beyond: f64,
     /// Refused though the true store held half of the burst and more.
-    with_room: f64,
+    with_capacity: f64,
 }
 
 struct Seen {
     plans: [Sum; 4],
     /// The same of the trader plan by kind: full, heavy, surging now and then, calm.
     traders: [Sum; 4],
-    told: f64,
+    reported: f64,
     taken: f64,
     lost: f64,
     /// Told a second by each: use, words, loans, parts of the pool.
@@ -94,10 +94,10 @@
 /// Each plan's share of the use inside quotas.
 const SHARES: [f64; 4] = [0.21, 0.18, 0.38, 0.23];
 
-fn customers(gateways: u32, each: f64, rng: &mut SmallRng) -> Vec<Customer> {
+fn customers(node_count: u32, each: f64, rng: &mut SmallRng) -> Vec<Customer> {
     let mut all = Vec::new();
     for (plan, p) in plans().iter().enumerate() {
-        let many = (SHARES[plan] * each * f64::from(gateways) / (p.quota_units_per_second * 0.45))
+        let many = (SHARES[plan] * each * f64::from(node_count) / (p.quota_units_per_second * 0.45))
             .round() as usize;
         for i in 0..many.max(1) {
             let kind = rng.random::<f64>();
@@ -110,11 +110,11 @@
             all.push(Customer {
                 name: format!("p{plan}c{i}"),
                 plan,
-                first: rng.random_range(0..gateways),
+                first: rng.random_range(0..node_count),
                 // Half of the fleet and more; under a ceiling, so few that each can hold two requests of it.
-                spread: rng
-                    .random_range(gateways / 2..=gateways)
-                    .min(if plan == 3 { 27 } else { gateways })
+                node_set_size: rng
+                    .random_range(node_count / 2..=node_count)
+                    .min(if plan == 3 { 27 } else { node_count })
                     .max(2),
                 calm,
                 surge,
@@ -130,7 +130,7 @@
     all
 }
 
-fn play(gateways: u32, each: f64, seed: u64) -> Seen {
+fn play(node_count: u32, each: f64, seed: u64) -> Seen {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut set = settings();
     (set.plans, set.max_request_units) = (plans(), 1.0);
@@ -140,20 +140,20 @@
         set.classes[0].deadline_ns,
     ) = (800 * MILLISECOND, 3 * SECOND);
     let mut fleet =
-        PolicyFleet::with_nodes(gateways, seed, set, (gateways as usize * 2 / 3).max(9));
-    let mut customers = customers(gateways, each, &mut rng);
+        PolicyFleet::with_nodes(node_count, seed, set, (node_count as usize * 2 / 3).max(9));
+    let mut customers = customers(node_count, each, &mut rng);
     let plans = plans();
-    let mut rooms = vec![INTAKE; gateways as usize];
+    let mut rooms = vec![INTAKE; node_count as usize];
     let mut seen = Seen {
         plans: [Sum::default(); 4],
         traders: [Sum::default(); 4],
-        told: 0.0,
+        reported: 0.0,
         taken: 0.0,
         lost: 0.0,
 
         kinds: [0.0; 4],
     };
-    let mut taken = vec![0u32; gateways as usize];
+    let mut taken = vec![0u32; node_count as usize];
     let (begin, mut next) = (fleet.now(), 0u64);
     let mut ends: Vec<(u64, usize)> = Vec::new();
     let mut whose: HashMap<RequestId, usize> = HashMap::new();
@@ -177,7 +177,7 @@
             while c.due >= 1.0 {
                 c.due -= rng.random_range(0.5..1.5);
                 let at = rng.random::<f64>();
-                let me = (c.first + (at * at * f64::from(c.spread)) as u32) % gateways;
+                let me = (c.first + (at * at * f64::from(c.node_set_size)) as u32) % node_count;
                 next += 1;
                 let id = RequestId(next);
                 let request = Request {
@@ -188,7 +188,7 @@
                     units: 1.0,
                     time_left_ns: 3 * SECOND,
                     is_retry: false,
-                    node_set_size: c.spread,
+                    node_set_size: c.node_set_size,
                     first_node: c.first,
                 };
                 let actions = fleet.nodes[me as usize].handle(Event::Request(request));
@@ -215,7 +215,7 @@
                         sum.asked += 1.0;
                         sum.sent += f64::from(u8::from(sent));
                         sum.beyond += f64::from(u8::from(sent && !within));
-                        sum.with_room +=
+                        sum.with_capacity +=
                             f64::from(u8::from(!sent && c.store > p.quota_burst_units / 2.0));
                     }
                 }
@@ -260,10 +260,10 @@
             taken.iter_mut().for_each(|t| *t = 0);
         }
     }
-    let span = f64::from(gateways) * (TIME.0 - TIME.1) as f64;
+    let span = f64::from(node_count) * (TIME.0 - TIME.1) as f64;
     (seen.taken, seen.lost) = (seen.taken / span, seen.lost / span);
     seen.kinds.iter_mut().for_each(|n| *n /= span);
-    seen.told = seen.taken + seen.lost;
+    seen.reported = seen.taken + seen.lost;
     seen
 }
 
@@ -274,16 +274,16 @@
 #[test]
 #[ignore = "a measurement: make measure-quota"]
 fn quota_outcomes_over_hundreds_of_nodes() {
-    let (mut beyond, mut with_room, mut told) = (0.0f64, 0.0f64, 0.0f64);
-    for (gateways, each) in [(30, 6.0), (306, 6.0), (306, 16.0)] {
+    let (mut beyond, mut with_capacity, mut reported) = (0.0f64, 0.0f64, 0.0f64);
+    for (node_count, each) in [(30, 6.0), (306, 6.0), (306, 16.0)] {
         for seed in 0..2 {
-            let seen = play(gateways, each, seed);
+            let seen = play(node_count, each, seed);
             println!(
-                "{gateways} gateways, {each} a second at each, seed {seed}: told {:.1}/s, taken in {:.1}/s, lost {:.2}; \
+                "{node_count} gateways, {each} a second at each, seed {seed}: told {:.1}/s, taken in {:.1}/s, lost {:.2}; \
                  use, words, loans, pool {:.1?}",
-                seen.told,
+                seen.reported,
                 seen.taken,
-                seen.lost / seen.told.max(1e-9),
+                seen.lost / seen.reported.max(1e-9),
                 seen.kinds
             );
             let names = [
@@ -302,20 +302,21 @@
                     s.asked,
                     s.sent / s.asked.max(1.0),
                     s.beyond / s.sent.max(1.0),
-                    s.with_room / s.asked.max(1.0)
+                    s.with_capacity / s.asked.max(1.0)
                 );
             }
             for s in [&seen.plans[0], &seen.plans[2], &seen.plans[3]] {
                 beyond = beyond.max(s.beyond / s.sent.max(1.0));
             }
-            with_room = with_room.max(seen.plans[3].with_room / seen.plans[3].asked.max(1.0));
-            told = told.max(seen.told);
+            with_capacity =
+                with_capacity.max(seen.plans[3].with_capacity / seen.plans[3].asked.max(1.0));
+            reported = reported.max(seen.reported);
         }
     }
-    let held = beyond <= WANTED.0 && with_room <= WANTED.1 && told <= INTAKE;
+    let held = beyond <= WANTED.0 && with_capacity <= WANTED.1 && reported <= INTAKE;
     println!(
-        "verdict: at worst {beyond:.3} beyond of what is sent on, {with_room:.3} of enterprise refused with room, \
-         {told:.1} messages a second told: {held}"
+        "verdict: at worst {beyond:.3} beyond of what is sent on, {with_capacity:.3} of enterprise refused with room, \
+         {reported:.1} messages a second told: {held}"
     );
     assert!(held, "quotas do not hold at this size as they should");
 }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -150,13 +150,13 @@
     let whole = std::fs::read(&file).unwrap();
     std::fs::write(&file, &whole[..whole.len() - 1]).unwrap();
     let third = daemon("torn", &operator, &discovery, Vec::new());
-    let told = || {
+    let reported = || {
         third
             .log()
             .iter()
             .any(|line| line.contains("not used: it is torn"))
     };
-    wait_until("it is told", told).await;
+    wait_until("it is told", reported).await;
     assert_ne!(send(&third, &mut id).await, "200");
     // Back: followed again, and served.
     proxy.set_refusing(false);
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -171,7 +171,7 @@
                     answered(&actions, id),
                     "{how:?}, class {class}: {actions:?}"
                 );
-                let told = |action: &Action| {
+                let reported = |action: &Action| {
                     !matches!(
                         action,
                         Action::Reject {
@@ -180,7 +180,7 @@
                         }
                     )
                 };
-                assert!(actions.iter().all(told), "{actions:?}");
+                assert!(actions.iter().all(reported), "{actions:?}");
             }
         }
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -72,11 +72,11 @@
     for step in 0..500u64 {
         if step == 300 {
             fleet.endpoints[0].started_at_ns = Some(fleet.now());
-            let news: std::sync::Arc<[Endpoint]> = fleet.endpoints[..1].into();
-            for door in &mut fleet.nodes {
-                door.handle(Event::EndpointUpdate(
+            let update: std::sync::Arc<[Endpoint]> = fleet.endpoints[..1].into();
+            for node in &mut fleet.nodes {
+                node.handle(Event::EndpointUpdate(
                     EndpointUpdateKind::Delta,
-                    news.clone(),
+                    update.clone(),
                 ));
             }
         }
@@ -127,10 +127,10 @@
         }
         f64::from(refused_late) / f64::from(asked_late)
     };
-    let (luck, overload) = (refusals(false), refusals(true));
+    let (draw, overload) = (refusals(false), refusals(true));
     assert!(
-        luck < 0.05,
-        "{luck} refused though one answer in five is slow"
+        draw < 0.05,
+        "{draw} refused though one answer in five is slow"
     );
     assert!(
         overload > 0.1,
@@ -167,20 +167,20 @@
         let class = if i % 2 == 0 { UNSAFE } else { SAFE };
         let (id, actions) = driver.request(class, 1, "c", 1.0);
         if let Some(to) = attempted_endpoint(&actions) {
-            let sick = &*to == "b0" && class == UNSAFE;
-            late += u32::from(sick && i >= 300);
+            let failing = &*to == "b0" && class == UNSAFE;
+            late += u32::from(failing && i >= 300);
             other += u32::from(&*to == "b0" && class == SAFE && i >= 300);
             driver.advance(10 * MILLISECOND);
             driver.finish_attempt(
                 id,
                 0,
                 &to,
-                if sick {
+                if failing {
                     Outcome::Failure
                 } else {
                     Outcome::Success
                 },
-                if sick { 2 } else { 50 },
+                if failing { 2 } else { 50 },
             );
         }
         driver.advance(5 * MILLISECOND);
@@ -333,7 +333,7 @@
         ..settings()
     };
     let mut driver = PolicyDriver::new(set, 43, &list);
-    let mut hear = |parts: [f64; 9], times: u32| {
+    let mut receive = |parts: [f64; 9], times: u32| {
         for i in 0..times {
             driver.handle(Event::PeerMessage {
                 from: 1 + i % 100,
@@ -344,8 +344,8 @@
         }
         driver.logs.len()
     };
-    let flood = hear([5.0, 0.9, 0.0, 0.0, 3.0, 5.0, 20.0, 2.0, 20.0], 3);
-    let after = hear([0.0, 0.0, 0.0, 0.0, 0.0, 5.0, 0.0, 0.0, 20.0], 65);
+    let flood = receive([5.0, 0.9, 0.0, 0.0, 3.0, 5.0, 20.0, 2.0, 20.0], 3);
+    let after = receive([0.0, 0.0, 0.0, 0.0, 0.0, 5.0, 0.0, 0.0, 20.0], 65);
     let lines: Vec<_> = driver.logs.iter().map(|a| format!("{a:?}")).collect();
     assert!(flood <= 2 && after > 0, "{lines:?}");
     assert!(!lines.iter().any(|l| l.contains("ladder F7")), "{lines:?}");
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -58,7 +58,7 @@
 
     /// A fleet of so many gateways.
     pub(crate) fn with_nodes(
-        gateways: u32,
+        node_count: u32,
         seed: u64,
         set: PolicySettings,
         backends: usize,
@@ -67,7 +67,7 @@
             .map(|number| endpoint(&format!("b{number}"), number as u32 % 3))
             .collect();
         let set = PolicySettings {
-            node_count: gateways,
+            node_count,
             gossip_messages_per_second: 40.0,
             ..set
         };
@@ -81,7 +81,7 @@
                 &list,
             )
         };
-        let doors = (0..gateways).map(door).collect();
+        let doors = (0..node_count).map(door).collect();
         let rng = SmallRng::seed_from_u64(seed);
         PolicyFleet {
             rng,
--- a/tests/support/large_fleet.rs
+++ b/tests/support/large_fleet.rs
@@ -40,15 +40,15 @@
     end: End<'_>,
     name: &str,
     a_second: f64,
-    spread: u32,
+    node_set_size: u32,
 ) -> (u32, u32) {
     let (mut asked, mut sent) = (0, 0);
     let mut due = a_second / STEPS_PER_SECOND as f64;
     while fleet.rng.random::<f64>() < due {
         due -= 1.0;
         let at = fleet.rng.random::<f64>();
-        let me = (at * at * f64::from(spread)) as usize;
-        let (_, actions) = fleet.nodes[me].request_with_node_set(spread, SAFE, 0, name, 1.0);
+        let me = (at * at * f64::from(node_set_size)) as usize;
+        let (_, actions) = fleet.nodes[me].request_with_node_set(node_set_size, SAFE, 0, name, 1.0);
         asked += 1;
         sent += u32::from(attempted_endpoint(&actions).is_some());
         fleet.start_attempts(me, &actions, end);
--- a/tests/support/policy.rs
+++ b/tests/support/policy.rs
@@ -92,9 +92,9 @@
     }
 
     pub(crate) fn at(now: u64, settings: PolicySettings, seed: u64, backends: &[Endpoint]) -> Self {
-        let brain = DecisionPolicy::new(settings, seed, now);
+        let policy = DecisionPolicy::new(settings, seed, now);
         let mut driver = PolicyDriver {
-            policy: brain,
+            policy,
             now,
             timers: vec![],
             gossip_texts: vec![],
@@ -160,7 +160,7 @@
     /// The same for a customer whose set is the first `spread` gateways.
     pub(crate) fn request_with_node_set(
         &mut self,
-        spread: u32,
+        node_set_size: u32,
         class: usize,
         plan: usize,
         customer: &str,
@@ -176,7 +176,7 @@
             units,
             time_left_ns: 2 * SECOND,
             is_retry: false,
-            node_set_size: spread,
+            node_set_size,
             first_node: 0,
         };
         (id, self.handle(Event::Request(request)))
--- a/tests/zones_fleet.rs
+++ b/tests/zones_fleet.rs
@@ -34,7 +34,7 @@
 }
 
 /// Ingresses whose log has this of a zone.
-fn told(played: &TrialOutcome, zone: &str, what: &str) -> usize {
+fn reported(played: &TrialOutcome, zone: &str, what: &str) -> usize {
     let of = |log: &&String| {
         log.lines()
             .any(|l| l.contains(&format!("zones: {zone} ")) && l.contains(what))
@@ -62,12 +62,15 @@
     // Accepts and never answers: what is sent there is seen there.
     let played = play(26, "dead = at 4s: mute instance:zone=0 for 6s");
     assert!(
-        told(&played, "z0", "left") >= 23,
+        reported(&played, "z0", "left") >= 23,
         "{} left it",
-        told(&played, "z0", "left")
+        reported(&played, "z0", "left")
     );
     assert_eq!(
-        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (
+            reported(&played, "z1", "left"),
+            reported(&played, "z2", "left")
+        ),
         (0, 0)
     );
     // A third is its usual part; from its third second on hardly any.
@@ -76,9 +79,9 @@
         "canaries alone"
     );
     assert!(
-        told(&played, "z0", "comes back") >= 20,
+        reported(&played, "z0", "comes back") >= 20,
         "{}",
-        told(&played, "z0", "comes back")
+        reported(&played, "z0", "comes back")
     );
     assert!(
         into(&played, 0, 22.0, 26.0) > 4 * into(&played, 0, 7.0, 10.0),
@@ -90,9 +93,9 @@
 fn a_zone_that_answers_500_at_once_is_left_and_the_others_serve() {
     let played = play(12, "fails = at 4s: fails instance:zone=0");
     assert!(
-        told(&played, "z0", "left") >= 23,
+        reported(&played, "z0", "left") >= 23,
         "{} left it",
-        told(&played, "z0", "left")
+        reported(&played, "z0", "left")
     );
     assert!(
         into(&played, 0, 8.0, 11.0) * 10 < all(&played, 8.0, 11.0),
@@ -113,12 +116,15 @@
     ] {
         let played = play(10, fault);
         assert!(
-            told(&played, "z0", "left") >= 23,
+            reported(&played, "z0", "left") >= 23,
             "{fault}: {} left it",
-            told(&played, "z0", "left")
+            reported(&played, "z0", "left")
         );
         assert_eq!(
-            (told(&played, "z1", "left"), told(&played, "z2", "left")),
+            (
+                reported(&played, "z1", "left"),
+                reported(&played, "z2", "left")
+            ),
             (0, 0),
             "{fault}"
         );
@@ -153,7 +159,10 @@
         .count();
     assert!(left >= 20, "{left} of 21 that live have left it");
     assert_eq!(
-        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (
+            reported(&played, "z1", "left"),
+            reported(&played, "z2", "left")
+        ),
         (0, 0)
     );
 }
@@ -175,7 +184,10 @@
     );
     assert!(into(&played, 0, 26.0, 30.0) > 0);
     assert_eq!(
-        (told(&played, "z1", "left"), told(&played, "z2", "left")),
+        (
+            reported(&played, "z1", "left"),
+            reported(&played, "z2", "left")
+        ),
         (0, 0)
     );
 }
@@ -205,7 +217,7 @@
 /// Plays 10 s with this fault; no ingress leaves any zone.
 fn nobody_leaves_any_zone(fault: &str) {
     let played = play(10, fault);
-    let left = ["z0", "z1", "z2"].map(|zone| told(&played, zone, "left"));
+    let left = ["z0", "z1", "z2"].map(|zone| reported(&played, zone, "left"));
     assert_eq!(left, [0, 0, 0], "{fault}");
 }
 
@@ -239,5 +251,5 @@
     );
     // That no cold server was pushed over is a rule that every play is judged by.
     assert!(played.metrics.peak_warmup_overload < 1.0);
-    assert!(told(&played, "z0", "left") >= 20);
+    assert!(reported(&played, "z0", "left") >= 20);
 }
