Decisions: bounds are named one by one, grants have one unit, full capacity in plain words

Cause: four pairs of bounds were tuples whose halves only their place told apart; the quarter of a grant stood in two files; warm endpoint needed a page to be understood. Change: a constant for each bound, GRANTS_PER_UNIT once, fully started for warm. Values as they were, each compared with.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -38,8 +38,10 @@
 const CHANCE_EXCESS: f64 = 1.3;
 /// Power of what is beyond: 1 would just hold the backlog at the limit.
 const EXCESS_POWER: f64 = 1.5;
-/// Least and most that priority weight moves the backlog limit by: every class keeps a part.
-const WEIGHT_RANGE: (f64, f64) = (0.4, 2.5);
+/// Least factor by which priority weight moves the backlog limit: every class keeps a part.
+const LEAST_WEIGHT_FACTOR: f64 = 0.4;
+/// Largest factor by which priority weight moves the backlog limit.
+const LARGEST_WEIGHT_FACTOR: f64 = 2.5;
 /// Least part of a memory that a young process's throughput is scaled by.
 const LEAST_MEMORY_SHARE: f64 = 0.1;
 
@@ -229,7 +231,8 @@
         let objective = seconds(self.settings.classes[class].latency_objective_ns);
         let span = (objective * self.shortest_objective()).sqrt();
         let mean_weight = self.ladder.mean_weight(now);
-        let weight = (weight_per_cost / mean_weight).clamp(WEIGHT_RANGE.0, WEIGHT_RANGE.1);
+        let weight =
+            (weight_per_cost / mean_weight).clamp(LEAST_WEIGHT_FACTOR, LARGEST_WEIGHT_FACTOR);
         let ready = self.endpoints.ready().count() as f64;
         let endpoints = ready / f64::from(self.settings.node_count.max(1));
         let age = now - self.started_at;
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -22,7 +22,7 @@
 pub(super) struct SlowStartBudget {
     /// Share of its capacity that the endpoint has now.
     pub(super) fraction: f64,
-    /// Work per second that this node sends a warm endpoint.
+    /// Work per second that this node sends a fully started endpoint.
     pub(super) throughput: f64,
 }
 
--- a/src/decision_state/customer.rs
+++ b/src/decision_state/customer.rs
@@ -27,7 +27,7 @@
 /// Customers kept at most: bounds memory under floods of customers that are seen once.
 pub(crate) const MAX_CUSTOMERS: usize = 8192;
 /// Grants are made in quarters of a unit, as the message encodes them.
-const GRANTS_PER_UNIT: f64 = 4.0;
+pub(crate) const GRANTS_PER_UNIT: f64 = 4.0;
 
 /// What a peer last reported of a customer: totals (encoded, wrapping), and the demand that came in
 /// through it.
--- a/src/decision_state/latency.rs
+++ b/src/decision_state/latency.rs
@@ -20,10 +20,14 @@
 const MACHINE_TYPE_MEMORY: f64 = 200.0;
 /// Least usual latency that others are compared with, so that none divides by nothing.
 const LEAST_LATENCY: Seconds = 1e-4;
-/// Bounds of the cost of a request, in requests of the mean.
-const COST_RANGE: (f64, f64) = (0.1, 10.0);
-/// Bounds of the deviation that one response can teach about a machine type.
-const MACHINE_DEVIATION_RANGE: (f64, f64) = (-0.9, 4.0);
+/// Least cost of a request, in requests of the mean.
+const LEAST_COST: f64 = 0.1;
+/// Largest cost of a request, in requests of the mean.
+const LARGEST_COST: f64 = 10.0;
+/// Lowest deviation from the usual latency that one response can teach about a machine type.
+const LOWEST_MACHINE_DEVIATION: f64 = -0.9;
+/// Highest deviation from the usual latency that one response can teach about a machine type.
+const HIGHEST_MACHINE_DEVIATION: f64 = 4.0;
 
 /// An estimate, and how many responses it rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -90,7 +94,7 @@
     pub(crate) fn cost(&self, kind: usize) -> f64 {
         let mean = self.mean();
         if mean > 0.0 {
-            (self.usual(kind) / mean).clamp(COST_RANGE.0, COST_RANGE.1)
+            (self.usual(kind) / mean).clamp(LEAST_COST, LARGEST_COST)
         } else {
             1.0
         }
@@ -123,7 +127,7 @@
         let machine = &mut self.by_machine_type[index];
         machine.responses += 1.0;
         let deviation = latency / usual.max(LEAST_LATENCY) - 1.0;
-        let deviation = deviation.clamp(MACHINE_DEVIATION_RANGE.0, MACHINE_DEVIATION_RANGE.1);
+        let deviation = deviation.clamp(LOWEST_MACHINE_DEVIATION, HIGHEST_MACHINE_DEVIATION);
         machine.value += deviation * machine.value / machine.responses.min(MACHINE_TYPE_MEMORY);
     }
 }
--- a/src/decision_state/load.rs
+++ b/src/decision_state/load.rs
@@ -8,7 +8,7 @@
 
 /// Messages taken in lately from which on the pool speaks for more than one peer.
 pub(crate) const LEAST_POOLED_MESSAGES: f64 = 1.0;
-/// Requests per objective that a warm endpoint completes at the least, where nothing is known.
+/// Requests per objective that a fully started endpoint completes at the least, where nothing is known.
 const ASSUMED_THROUGHPUT: f64 = 6.0;
 /// Outcomes that a history must hold to be judged without the pool.
 const ENOUGH_OUTCOMES: f64 = 20.0;
@@ -101,8 +101,8 @@
         }
     }
 
-    /// Work per second that this node sends a warm endpoint of its subset: what its subset
-    /// completes now, over as many warm ones as that amounts to. Where little was completed yet, a
+    /// Work per second that this node sends a fully started endpoint of its subset: what its subset
+    /// completes now, over as many as its subset amounts to. Where little was completed yet, a
     /// part of what any endpoint bears: otherwise a site in slow start as a whole would reject all,
     /// since it has completed nothing and so admits nothing.
     pub(crate) fn throughput_per_endpoint(&self, now: Seconds) -> f64 {
--- a/src/decision_state/load_statistics.rs
+++ b/src/decision_state/load_statistics.rs
@@ -93,9 +93,9 @@
     pub(crate) received: LoadStatistics,
     /// Rate of messages taken in lately.
     pub(crate) messages: DecayingRate,
-    /// Work per second that this node's part of one warm endpoint is known to complete.
+    /// Work per second that this node's part of one fully started endpoint is known to complete.
     pub(crate) capacity_per_endpoint: f64,
-    /// How many warm endpoints those that are ready amount to, by their slow-start fractions.
+    /// How many fully started endpoints those that are ready amount to, by their slow-start fractions.
     pub(crate) effective_endpoints: f64,
     /// When the next part of the pool is sent to a peer.
     pub(crate) next_gossip_at: Seconds,
@@ -103,7 +103,7 @@
 
 impl PooledLoad {
     /// Work per second that a node's part of the fleet's endpoints completes, by how many of them
-    /// are there and warm: what was completed before would show a loss of endpoints too late.
+    /// are there and fully started: what was completed before would show a loss of endpoints too late.
     pub(crate) fn capacity(&self) -> f64 {
         self.capacity_per_endpoint * self.effective_endpoints
     }
--- a/src/decision_state/mod.rs
+++ b/src/decision_state/mod.rs
@@ -24,7 +24,7 @@
 
 pub(crate) use customer::{
     CustomerQuota, QuotaAggregate, QuotaTable, AGGREGATE_LIFETIME, AGGREGATE_REPEAT, DEBT_HORIZON,
-    MAX_CUSTOMERS, RATE_MEMORY,
+    GRANTS_PER_UNIT, MAX_CUSTOMERS, RATE_MEMORY,
 };
 pub(crate) use decaying_rate::DecayingRate;
 pub(crate) use endpoint::{EndpointRecord, EndpointTable, InFlightAttempt};
--- a/src/decision_state/outcomes.rs
+++ b/src/decision_state/outcomes.rs
@@ -16,8 +16,10 @@
 pub(crate) const LEAST_HEALTH_WEIGHT: f64 = 0.02;
 /// Weight of one response in an endpoint's latency factor: a memory of about ten responses.
 const LATENCY_FACTOR_WEIGHT: f64 = 0.1;
-/// Bounds of what one response can teach about an endpoint's latency factor.
-const LATENCY_FACTOR_RANGE: (f64, f64) = (0.1, 5.0);
+/// Least latency factor that one response can teach about an endpoint.
+const LEAST_LATENCY_FACTOR: f64 = 0.1;
+/// Largest latency factor that one response can teach about an endpoint.
+const LARGEST_LATENCY_FACTOR: f64 = 5.0;
 /// Least part of the latency of an endpoint in slow start that counts as load: it is slow, not
 /// queued.
 const SLOW_START_STRAIN: f64 = 0.8;
@@ -144,8 +146,8 @@
         let record = &mut self.endpoints.records[index];
         self.latency
             .record(kind, record.endpoint.machine_type, latency, usual);
-        let (least, most) = LATENCY_FACTOR_RANGE;
-        let factor = (latency / usual.max(1e-4)).clamp(least, most);
+        let factor =
+            (latency / usual.max(1e-4)).clamp(LEAST_LATENCY_FACTOR, LARGEST_LATENCY_FACTOR);
         let weight = self.ladder.memory.sqrt();
         record.latency_factor += (factor - record.latency_factor) * LATENCY_FACTOR_WEIGHT * weight;
     }
--- a/src/decision_state/snapshot.rs
+++ b/src/decision_state/snapshot.rs
@@ -64,9 +64,9 @@
 /// Known capacity.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct SnapshotCapacity {
-    /// Work per second of a warm endpoint.
+    /// Work per second of a fully started endpoint.
     pub(crate) per_endpoint: f64,
-    /// Warm endpoints.
+    /// Fully started endpoints that those in slow start amount to as well.
     pub(crate) effective_endpoints: f64,
 }
 
--- a/src/gossip/dissemination.rs
+++ b/src/gossip/dissemination.rs
@@ -7,7 +7,7 @@
 use crate::api::{Action, Plan};
 use crate::decision_state::{
     CustomerQuota, DecayingRate, QuotaAggregate, QuotaTable, Seconds, AGGREGATE_LIFETIME,
-    AGGREGATE_REPEAT, RATE_MEMORY, REPORT_INTERVAL, REPORT_SHARE,
+    AGGREGATE_REPEAT, GRANTS_PER_UNIT, RATE_MEMORY, REPORT_INTERVAL, REPORT_SHARE,
 };
 
 /// Time by which each further aggregator waits for those before it to send.
@@ -27,8 +27,6 @@
 const GRANT_SLACK_SHARE: f64 = 0.5;
 /// Share of a node's fair part of the ceiling above which its demand is in need of a grant.
 const NEEDY_SHARE: f64 = 0.7;
-/// Grants are made in quarters of a unit, as the message encodes them.
-const GRANTS_PER_UNIT: f64 = 4.0;
 /// Least receive limit that spacings are computed with.
 const LEAST_MESSAGES_PER_SECOND: f64 = 0.1;
 
