Logic that stood twice is merged; comments say what the wire, scripts and files hold

Change: membership::Rejections; the relayed line is the command's own Display; pool_of_one, six_endpoints and passed_share for tests; comments at the hot restart's bytes and the admin answers; the operator file's descriptions in the terms of the code (its keys as before).

--- a/crates/consul/src/watcher.rs
+++ b/crates/consul/src/watcher.rs
@@ -1,11 +1,10 @@
 //! Carries out the blocking queries, and passes on the lists that they are answered with.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use applewall_membership::{
-    MemberRecord, MemberUpdate, Position, ReadConsistency, RecordError, SourceInput,
+    MemberRecord, MemberUpdate, Position, ReadConsistency, RecordError, Rejections, SourceInput,
 };
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
@@ -20,9 +19,6 @@
 /// The first bound on the wait after a failure: a few round trips to an agent on the same machine.
 const INITIAL_BACKOFF_NS: u64 = 20_000_000;
 
-/// Most malformed members that are logged, once each: a store full of them must not fill the log.
-const MAX_LOGGED_REJECTIONS: usize = 100;
-
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
 /// Watches the store for as long as it is polled; each list that is newer goes to `on_report`. `seed` draws the waits.
@@ -44,7 +40,7 @@
         settings,
         agent,
         connection: None,
-        rejected: BTreeSet::new(),
+        rejections: Rejections::default(),
         lost: false,
     };
     loop {
@@ -71,7 +67,7 @@
     /// The connection of the last query, if its answer was read completely.
     connection: Option<AgentConnection>,
     /// Malformed members that were logged.
-    rejected: BTreeSet<String>,
+    rejections: Rejections,
     /// The loss was logged, and the store is not back yet.
     lost: bool,
 }
@@ -130,25 +126,16 @@
             return None;
         }
         let value = entry.value.unwrap_or_default();
-        let record = match self.record(&value) {
-            Ok(record) => {
-                self.rejected.remove(id);
-                Some(record)
-            }
-            Err(error) => {
-                // Logged once and left out; the other members stay.
-                let below_limit = self.rejected.len() < MAX_LOGGED_REJECTIONS;
-                if below_limit && self.rejected.insert(id.to_string()) {
-                    tracing::warn!("consul: member {id} rejected: {error}");
-                }
-                None
-            }
-        };
+        let parsed = self.record(&value);
+        let record = self.rejections.check(id, parsed);
+        if let Err(Some(error)) = &record {
+            tracing::warn!("consul: member {id} rejected: {error}");
+        }
         Some(MemberUpdate {
             id: id.to_string(),
             revision: entry.modify_index,
             create_revision: entry.create_index,
-            record,
+            record: record.ok(),
         })
     }
 
--- a/crates/etcd/src/watcher.rs
+++ b/crates/etcd/src/watcher.rs
@@ -1,12 +1,11 @@
 //! Carries out what the watch's state machine decides, and passes on what the registry reports.
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use applewall_etcd_proto as proto;
 use applewall_membership::{
     ApplyOutcome, DisconnectReason, MemberRecord, MemberUpdate, Position, ReadConsistency,
-    SourceInput, WatchEffect, WatchInput, WatchMachine, WatchTiming,
+    Rejections, SourceInput, WatchEffect, WatchInput, WatchMachine, WatchTiming,
 };
 use tonic::Status;
 
@@ -16,9 +15,6 @@
 /// The first bound on the wait before a reconnect: a few round trips to a registry nearby.
 const INITIAL_BACKOFF_NS: u64 = 20_000_000;
 
-/// Most malformed members that are logged, once each: a registry full of them must not fill the log.
-const MAX_LOGGED_REJECTIONS: usize = 100;
-
 /// Why the registry counts as lost, for the log.
 #[derive(Debug, thiserror::Error)]
 enum LossReason {
@@ -67,7 +63,7 @@
         client: None,
         watch: None,
         fragments: Vec::new(),
-        rejected: BTreeSet::new(),
+        rejections: Rejections::default(),
         lost: false,
     };
     let mut effects = watcher.machine.handle(0, WatchInput::Tick);
@@ -93,7 +89,7 @@
     /// Changes of a fragmented answer, until its last fragment.
     fragments: Vec<MemberUpdate>,
     /// Malformed members that were logged.
-    rejected: BTreeSet<String>,
+    rejections: Rejections,
     /// The loss was logged, and the registry is not back yet.
     lost: bool,
 }
@@ -278,20 +274,12 @@
     }
 
     fn record(&mut self, id: &str, value: &[u8]) -> Option<MemberRecord> {
-        match MemberRecord::parse(value, &self.settings.allowed) {
-            Ok(record) => {
-                self.rejected.remove(id);
-                Some(record)
-            }
-            Err(error) => {
-                // Logged once and left out; the other members stay.
-                let below_limit = self.rejected.len() < MAX_LOGGED_REJECTIONS;
-                if below_limit && self.rejected.insert(id.to_string()) {
-                    tracing::warn!("registry: member {id} rejected: {error}");
-                }
-                None
-            }
+        let parsed = MemberRecord::parse(value, &self.settings.allowed);
+        let record = self.rejections.check(id, parsed);
+        if let Err(Some(error)) = &record {
+            tracing::warn!("registry: member {id} rejected: {error}");
         }
+        record.ok()
     }
 
     fn lose(&mut self, reason: &LossReason) -> Vec<WatchEffect> {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,12 +11,14 @@
 
 mod merge;
 mod record;
+mod rejections;
 pub mod snapshot;
 mod source;
 mod watch;
 
 pub use merge::{MemberChange, MergedMembership};
 pub use record::{schema, MemberRecord, MemberState, RecordError};
+pub use rejections::Rejections;
 pub use source::{ApplyOutcome, MemberUpdate, Position, ReadConsistency, Source, SourceInput};
 pub use watch::{DisconnectReason, WatchEffect, WatchInput, WatchMachine, WatchTiming};
 
--- a/src/admin/handle.rs
+++ b/src/admin/handle.rs
@@ -192,7 +192,8 @@
 fn persist(directory: &SharedDirectory, maintenance: &MaintenanceSet, text: String) -> String {
     match directory.write_maintenance_set(maintenance) {
         Ok(()) => text,
-        // In force, and transferred at a hot restart; only a process that finds nobody would not know.
+        // In force, and transferred at a hot restart; only a process that starts without a predecessor reads the file,
+        // and would miss this change.
         Err(error) => {
             tracing::warn!("state: {error}");
             format!("{text}; not written down: {error}")
@@ -202,13 +203,7 @@
 
 /// The line by which the other process carries out the same command; none where it has nothing to do.
 fn relayed_line(command: &AdminCommand) -> Option<String> {
-    match command {
-        AdminCommand::Ready => None,
-        AdminCommand::Disable(id) => Some(format!("DISABLE {id}")),
-        AdminCommand::Enable(id) => Some(format!("ENABLE {id}")),
-        AdminCommand::Drain => Some("DRAIN".to_string()),
-        AdminCommand::Undrain => Some("UNDRAIN".to_string()),
-    }
+    (*command != AdminCommand::Ready).then(|| command.to_string())
 }
 
 fn about_to_end() -> AdminResponse {
--- a/src/admin/maintenance.rs
+++ b/src/admin/maintenance.rs
@@ -80,6 +80,7 @@
         };
         let answer = match result {
             Ok(_) => {
+                // The words of the answers stay: operators' scripts read them.
                 let state = match (&entry, enter) {
                     (None, true) => "withheld, and not listed now",
                     (None, false) => "given back, and not listed now",
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -25,22 +25,22 @@
     /// The log.
     #[garde(skip)]
     pub log: LogConfig,
-    /// Slow peers: least rates, and limits on what may wait.
+    /// Slow-peer protection: minimum data rates, and limits on what may wait.
     #[garde(dive)]
     pub pace: slow_peer::Settings,
     /// What one customer or one set of addresses may hold at most.
     #[garde(dive)]
     pub bulkheads: slow_peer::BulkheadSettings,
-    /// A roster in an etcd v3 registry.
+    /// Membership from an etcd v3 registry.
     #[garde(dive)]
     pub registry: etcd::Settings,
-    /// A roster in a Consul-style store.
+    /// Membership from a Consul-style store.
     #[garde(dive)]
     pub consul: consul::Settings,
-    /// The fleet's turns at the list service, and readiness that waits for a list.
+    /// Startup scheduling of calls to discovery over the fleet, and readiness that waits for a list.
     #[garde(dive)]
     pub cold_start: startup_scheduler::Settings,
-    /// Leaving a zone that fails as a fleet, and coming back at a pace.
+    /// Zone failover by the whole fleet, and a gradual return.
     #[garde(dive)]
     pub zones: zone_failover::Settings,
 }
--- a/src/discovery/watch.rs
+++ b/src/discovery/watch.rs
@@ -91,7 +91,7 @@
 
 /// Whether there is anybody left to follow the list for.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Receiver {
+enum ListConsumer {
     Listening,
     Gone,
 }
@@ -172,7 +172,7 @@
         let mut connection = self.connect(address, state.lost_since).await?;
         loop {
             let event = self.next_event(&mut connection, state.revision).await?;
-            if self.apply(event, state).await == Receiver::Gone {
+            if self.apply(event, state).await == ListConsumer::Gone {
                 return Ok(());
             }
         }
@@ -224,13 +224,13 @@
         }
     }
 
-    async fn apply(&self, event: WatchEvent, state: &mut WatchState) -> Receiver {
+    async fn apply(&self, event: WatchEvent, state: &mut WatchState) -> ListConsumer {
         let (kind, list) = match event {
             WatchEvent::Snapshot(list) => (EndpointUpdateKind::Snapshot, list),
             WatchEvent::Delta(list) => (EndpointUpdateKind::Delta, list),
             WatchEvent::RevisionsRestarted => {
                 state.revision = None;
-                return Receiver::Listening;
+                return ListConsumer::Listening;
             }
         };
         if state.lost_since.take().is_some() {
@@ -239,14 +239,14 @@
         state.revision = Some(list.revision);
         let changed = list.complete || !list.targets.is_empty();
         if (changed || self.pass_on_unchanged)
-            && self.pass_on(kind, &list, &mut state.reported).await == Receiver::Gone
+            && self.pass_on(kind, &list, &mut state.reported).await == ListConsumer::Gone
         {
-            return Receiver::Gone;
+            return ListConsumer::Gone;
         }
         if let Some(schedule) = &self.schedule {
             schedule.call_answered(list.revision, changed).await;
         }
-        Receiver::Listening
+        ListConsumer::Listening
     }
 
     async fn pass_on(
@@ -254,15 +254,15 @@
         kind: EndpointUpdateKind,
         list: &EndpointList,
         reported: &mut ReportedEntries,
-    ) -> Receiver {
+    ) -> ListConsumer {
         let entries = list.entries_with_new_warnings(reported, &self.settings, &self.clock);
         match self
             .queue
             .send(Message::EndpointUpdate(EndpointUpdate { kind, entries }))
             .await
         {
-            Ok(()) => Receiver::Listening,
-            Err(_) => Receiver::Gone,
+            Ok(()) => ListConsumer::Listening,
+            Err(_) => ListConsumer::Gone,
         }
     }
 }
--- a/src/engine/admin_commands.rs
+++ b/src/engine/admin_commands.rs
@@ -17,7 +17,7 @@
             ControlMessage::SetMaintenance(command) => self.change_maintenance(command),
             ControlMessage::ExportState(reply) => {
                 self.gossip_handed_over = true;
-                // A process that gave up the hand-over meanwhile takes everything back by a command of its own.
+                // Where this process's hot restart gave up waiting for the state, it sends `ResumeOwnership`.
                 let _ = reply.send(self.export_state());
             }
             ControlMessage::ResumeOwnership => {
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -33,7 +33,7 @@
 /// Bounds the time from the end of the transfer until the new process reports that it has taken over, in which it reads
 /// the state and opens its sockets; after that it has failed.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Sent by the new process once it has taken over, and the older one's consent.
+/// Sent by the new process once it has taken over, and the older one's consent; both stay as earlier versions send them.
 const TAKEN_OVER: &str = "taken over";
 const CONSENT: &[u8; 6] = b"yours\n";
 
--- a/src/lifecycle/hot_restart/transfer.rs
+++ b/src/lifecycle/hot_restart/transfer.rs
@@ -19,7 +19,8 @@
 use super::{HotRestartError, ReceivedTransfer, STEP_TIMEOUT};
 use crate::peer_socket::PeerSocket;
 
-/// What a new process sends first: the form of all that follows, and its version.
+/// What a new process sends first: the form of all that follows, and its version. Its words, and the letters of [`MARK`], are
+/// those of an earlier version (succession, estate); they stay, since two versions meet here.
 const HELLO: &str = "applewall succession 1\n";
 /// First four bytes of the head: the form of the state, and its version.
 const MARK: [u8; 4] = *b"AWE1";
--- a/src/upstream/pool/tests.rs
+++ b/src/upstream/pool/tests.rs
@@ -15,34 +15,31 @@
     }
 }
 
-#[tokio::test]
-async fn response_that_begins_and_ends_in_one_poll_is_forwarded_whole() {
-    let (listener, address) = listen().await;
-    let (queue, mut inbox) = mpsc::channel(8);
+/// A pool of one endpoint, with one connection permit and no memory to prefetch: responses are forwarded from their first
+/// piece.
+fn pool_of_one(address: std::net::SocketAddr, queue: mpsc::Sender<Message>) -> ConnectionPool {
     let settings = crate::config::platform::PlatformConfig::sample().settings;
-    // No room to read ahead: passed on from its first piece.
-    let mut pool = ConnectionPool::new(
-        &settings,
-        PoolLimits {
-            connections: 1,
-            prefetch_bytes: 0,
-        },
-        Clock::start(),
-        crate::server::slow_peers::none(),
-        queue,
-    );
-    let listed = Endpoint {
+    let limits = PoolLimits {
+        connections: 1,
+        prefetch_bytes: 0,
+    };
+    let monitors = crate::server::slow_peers::none();
+    let mut pool = ConnectionPool::new(&settings, limits, Clock::start(), monitors, queue);
+    let endpoint = Endpoint {
         id: "s-1".into(),
         state: EndpointState::Ready,
         ..Default::default()
     };
-    pool.update(
-        EndpointUpdateKind::Snapshot,
-        &[EndpointEntry {
-            endpoint: listed,
-            address,
-        }],
-    );
+    let entry = EndpointEntry { endpoint, address };
+    pool.update(EndpointUpdateKind::Snapshot, &[entry]);
+    pool
+}
+
+#[tokio::test]
+async fn response_that_begins_and_ends_in_one_poll_is_forwarded_whole() {
+    let (listener, address) = listen().await;
+    let (queue, mut inbox) = mpsc::channel(8);
+    let pool = pool_of_one(address, queue);
     let (request, forwarded) = (RequestId(7), Arc::new(forwarded()));
     let attempt = Attempt {
         request,
@@ -73,29 +70,7 @@
 async fn attempt_without_a_connection_permit_is_not_sent_and_permits_are_given_back_once() {
     let (_listener, address) = listen().await;
     let (queue, mut inbox) = mpsc::channel(8);
-    let settings = crate::config::platform::PlatformConfig::sample().settings;
-    let mut pool = ConnectionPool::new(
-        &settings,
-        PoolLimits {
-            connections: 1,
-            prefetch_bytes: 0,
-        },
-        Clock::start(),
-        crate::server::slow_peers::none(),
-        queue,
-    );
-    let listed = Endpoint {
-        id: "s-1".into(),
-        state: EndpointState::Ready,
-        ..Default::default()
-    };
-    pool.update(
-        EndpointUpdateKind::Snapshot,
-        &[EndpointEntry {
-            endpoint: listed,
-            address,
-        }],
-    );
+    let pool = pool_of_one(address, queue);
     let attempt = |number| Attempt {
         request: RequestId(7),
         number,
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -5,15 +5,9 @@
 use applewall::api::*;
 use support::policy::*;
 
-fn fleet() -> Vec<Endpoint> {
-    (0..6)
-        .map(|number| endpoint(&format!("b{number}"), number % 3))
-        .collect()
-}
-
 #[test]
 fn the_ladder_tightens_under_overload_and_recovers() {
-    let mut driver = PolicyDriver::new(settings(), 1, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 1, &six_endpoints());
     let (_, refused) = driver.run_load(SAFE, 1, 5 * MILLISECOND, 4 * SECOND, Outcome::Success, 60);
     assert_eq!(refused, 0, "F0 admits all");
     // Answers far too late: overload.
@@ -35,7 +29,7 @@
 #[test]
 fn a_ladder_that_admits_nothing_opens_again() {
     // Found on the first incidents: the last latencies stood for ever once the last filter let nothing through.
-    let mut driver = PolicyDriver::new(settings(), 2, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 2, &six_endpoints());
     driver.run_load(
         SAFE,
         1,
@@ -57,7 +51,7 @@
         set.plans[0].quota_units_per_second,
         set.plans[0].quota_burst_units,
     ) = (1e6, 1e6);
-    let mut driver = PolicyDriver::new(set, 1, &fleet());
+    let mut driver = PolicyDriver::new(set, 1, &six_endpoints());
     let mut lost = [0, 0];
     let mut out = std::collections::VecDeque::new();
     for number in 0..2000u32 {
@@ -89,7 +83,7 @@
 
 #[test]
 fn one_degraded_endpoint_is_not_overload() {
-    let mut driver = PolicyDriver::new(settings(), 4, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 4, &six_endpoints());
     driver.run_load(SAFE, 1, 10 * MILLISECOND, 3 * SECOND, Outcome::Success, 60);
     let mut refusals = 0;
     let mut out = std::collections::VecDeque::new();
@@ -135,7 +129,7 @@
 #[test]
 fn requests_lost_by_healthy_endpoints_do_not_fill_the_backlog() {
     // Incident i68cf60: backends answered most requests at once and never answered some.
-    let mut driver = PolicyDriver::new(settings(), 15, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 15, &six_endpoints());
     driver.run_load(SAFE, 1, 5 * MILLISECOND, 3 * SECOND, Outcome::Success, 60);
     let mut out = Vec::new();
     let mut refusals = 0;
@@ -227,7 +221,7 @@
 
 #[test]
 fn connection_failures_eject_an_endpoint_only_if_nothing_succeeds() {
-    let mut driver = PolicyDriver::new(settings(), 3, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 3, &six_endpoints());
     driver.run_load(SAFE, 1, 10 * MILLISECOND, 3 * SECOND, Outcome::Success, 60);
     // Share of what goes to b0, where so many connections in a row break before each answer.
     let mut share = |broken: u32| {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -6,26 +6,6 @@
 use applewall::gossip::codec;
 use support::policy::*;
 
-fn fleet() -> Vec<Endpoint> {
-    (0..6)
-        .map(|number| endpoint(&format!("b{number}"), number % 3))
-        .collect()
-}
-
-/// Share of 200 tries of one customer that pass, at 40 units a second against a quota of 10.
-fn passed(driver: &mut PolicyDriver, customer: &str) -> f64 {
-    let mut sent = 0;
-    for _ in 0..200 {
-        let (id, actions) = driver.request(SAFE, 0, customer, 1.0);
-        if let Some(to) = attempted_endpoint(&actions) {
-            sent += 1;
-            driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
-        }
-        driver.advance(25 * MILLISECOND);
-    }
-    f64::from(sent) / 200.0
-}
-
 #[test]
 fn a_single_customer_is_limited_to_its_quota() {
     let mut driver = PolicyDriver::new(
@@ -34,11 +14,11 @@
             ..settings()
         },
         5,
-        &fleet(),
+        &six_endpoints(),
     );
-    let first = passed(&mut driver, "hot");
+    let first = passed_share(&mut driver, "hot");
     assert!(first > 0.3, "the store opens full: {first}");
-    let steady = passed(&mut driver, "hot");
+    let steady = passed_share(&mut driver, "hot");
     assert!(
         (0.15..0.35).contains(&steady),
         "a quarter passes in the long run: {steady}"
@@ -55,7 +35,7 @@
                     ..settings()
                 },
                 6 + u64::from(me),
-                &fleet(),
+                &six_endpoints(),
             )
         })
         .collect();
@@ -87,7 +67,7 @@
 
 #[test]
 fn a_flood_of_customers_seen_once_stays_bounded() {
-    let mut driver = PolicyDriver::new(settings(), 10, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 10, &six_endpoints());
     for number in 0..20_000 {
         let (id, actions) = driver.request(SAFE, 0, &format!("once-{number}"), 1.0);
         if let Some(to) = attempted_endpoint(&actions) {
@@ -110,7 +90,7 @@
     let mut set = settings();
     set.plans[1].max_concurrency = 3;
     set.node_count = 1;
-    let mut driver = PolicyDriver::new(set, 11, &fleet());
+    let mut driver = PolicyDriver::new(set, 11, &six_endpoints());
     let sent: Vec<_> = (0..5).map(|_| driver.request(SAFE, 1, "c", 1.0)).collect();
     assert_eq!(
         sent.iter()
@@ -145,7 +125,7 @@
                 ..set.clone()
             },
             21 + u64::from(me),
-            &fleet(),
+            &six_endpoints(),
         )
     };
     let mut doors: Vec<PolicyDriver> = (0..3).map(door).collect();
@@ -180,7 +160,7 @@
         set.plans[0].max_concurrency,
         set.plans[0].quota_units_per_second,
     ) = (2, 60.0);
-    let mut driver = PolicyDriver::new(set, 31, &fleet());
+    let mut driver = PolicyDriver::new(set, 31, &six_endpoints());
     // Answers take 100 ms.
     driver.run_load(SAFE, 1, 10 * MILLISECOND, 3 * SECOND, Outcome::Success, 100);
     let mut refusals = |sent_too: bool| {
@@ -230,7 +210,7 @@
     let passes = |cost: f64| {
         let mut set = settings();
         (set.cost_settled_after_response, set.node_count) = (true, 1);
-        let mut driver = PolicyDriver::new(set, 12, &fleet());
+        let mut driver = PolicyDriver::new(set, 12, &six_endpoints());
         let mut sent = 0;
         for _ in 0..200 {
             let (id, actions) = driver.request(SAFE, 0, "c", 1.0);
@@ -263,11 +243,11 @@
 fn stored_state_returns_to_its_size_after_thousands_of_new_customers() {
     let mut set = settings();
     set.plans[0].quota_units_per_second = 1e3;
-    let mut driver = PolicyDriver::new(set, 5, &fleet());
+    let mut driver = PolicyDriver::new(set, 5, &six_endpoints());
     let mut newcomers = |many: u32| {
         for number in 0..many {
             // Each backend is replaced in turn by one under a new id.
-            let mut list = fleet();
+            let mut list = six_endpoints();
             list[(number % 6) as usize].id = format!("new{}-{number}", driver.now).as_str().into();
             driver.handle(Event::EndpointUpdate(
                 EndpointUpdateKind::Snapshot,
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -10,30 +10,10 @@
 use applewall::api::*;
 use support::policy::*;
 
-fn fleet() -> Vec<Endpoint> {
-    (0..6)
-        .map(|number| endpoint(&format!("b{number}"), number % 3))
-        .collect()
-}
-
-/// Share of 200 tries of one customer that pass, at 40 units a second against a quota of 10.
-fn passed(driver: &mut PolicyDriver, customer: &str) -> f64 {
-    let mut sent = 0;
-    for _ in 0..200 {
-        let (id, actions) = driver.request(SAFE, 0, customer, 1.0);
-        if let Some(to) = attempted_endpoint(&actions) {
-            sent += 1;
-            driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
-        }
-        driver.advance(25 * MILLISECOND);
-    }
-    f64::from(sent) / 200.0
-}
-
 #[test]
 fn malformed_peer_messages_change_nothing() {
     let run = |noise: &[&str]| {
-        let mut driver = PolicyDriver::new(settings(), 8, &fleet());
+        let mut driver = PolicyDriver::new(settings(), 8, &six_endpoints());
         for text in noise {
             assert!(driver
                 .handle(Event::PeerMessage {
@@ -46,7 +26,10 @@
             from: 9,
             text: "wAAAAAAAAAzz".into(),
         });
-        (passed(&mut driver, "hot"), driver.gossip_texts.clone())
+        (
+            passed_share(&mut driver, "hot"),
+            driver.gossip_texts.clone(),
+        )
     };
     let noise = [
         "",
@@ -66,7 +49,7 @@
 #[test]
 fn the_same_events_give_the_same_actions() {
     let run = |seed| {
-        let mut driver = PolicyDriver::new(settings(), seed, &fleet());
+        let mut driver = PolicyDriver::new(settings(), seed, &six_endpoints());
         let counts = driver.run_load(KEYED, 0, 7 * MILLISECOND, 5 * SECOND, Outcome::Success, 90);
         (counts, driver.gossip_texts, driver.timers)
     };
@@ -76,7 +59,7 @@
 
 #[test]
 fn an_unexecuted_attempt_is_retried_elsewhere_at_once_and_then_rejected() {
-    let mut driver = PolicyDriver::new(settings(), 9, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 9, &six_endpoints());
     let (id, actions) = driver.request(UNSAFE, 1, "c", 1.0);
     let first = attempted_endpoint(&actions).unwrap();
     let again = driver.finish_attempt(id, 0, &first, Outcome::Overloaded, 1);
@@ -111,7 +94,7 @@
 
 #[test]
 fn events_of_finished_requests_are_ignored() {
-    let mut driver = PolicyDriver::new(settings(), 14, &fleet());
+    let mut driver = PolicyDriver::new(settings(), 14, &six_endpoints());
     let (id, actions) = driver.request(SAFE, 1, "c", 1.0);
     let to = attempted_endpoint(&actions).unwrap();
     assert_eq!(
--- a/tests/support/policy.rs
+++ b/tests/support/policy.rs
@@ -268,3 +268,24 @@
         .iter()
         .any(|action| matches!(action, Action::Reject { .. }))
 }
+
+/// Six endpoints in three zones.
+pub(crate) fn six_endpoints() -> Vec<Endpoint> {
+    (0..6)
+        .map(|number| endpoint(&format!("b{number}"), number % 3))
+        .collect()
+}
+
+/// Share of 200 requests of one customer that pass, at 40 units a second against a quota of 10.
+pub(crate) fn passed_share(driver: &mut PolicyDriver, customer: &str) -> f64 {
+    let mut sent = 0;
+    for _ in 0..200 {
+        let (id, actions) = driver.request(SAFE, 0, customer, 1.0);
+        if let Some(to) = attempted_endpoint(&actions) {
+            sent += 1;
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
+        }
+        driver.advance(25 * MILLISECOND);
+    }
+    f64::from(sent) / 200.0
+}
