Comments: invariants that hold, rare moments that had lost their reason, half sentences made whole

Cause: a last reading beside found module pages that claim more than the code holds (tasks owned, table entries, descriptors), two comments on rare moments that were lost (an agent without a leader, the backoff that falls back once a watch is accepted), a search and replace within prose, a field name with two meanings, and words of the house. Change: comments, one private field (left_out_ns), two pages. A known fault older than this work is listed: an entry of the connection table that stays after a connection lingers.

--- a/crates/consul/src/blocking_query.rs
+++ b/crates/consul/src/blocking_query.rs
@@ -97,6 +97,7 @@
             return self.failed();
         };
         let consistency = self.consistency;
+        // An agent that knows no leader may have a list of any age: the answer is dropped, and asked for again after a backoff.
         if !leader_known && consistency == ReadConsistency::Stale {
             return self.failed();
         }
--- a/crates/membership/src/watch.rs
+++ b/crates/membership/src/watch.rs
@@ -183,6 +183,7 @@
                 self.create_watch(now_ns, position)
             }
             (WatchInput::WatchCreated, Stage::CreatingWatch) => {
+                // Here and no earlier: a connection that is established proves nothing, an accepted watch does.
                 self.backoff_ns = self.timing.initial_backoff_ns;
                 self.proven_alive(now_ns)
             }
--- a/crates/slow-peer/src/incoming.rs
+++ b/crates/slow-peer/src/incoming.rs
@@ -39,7 +39,7 @@
 struct Arrival {
     /// When the first of them arrived, by the compensated clock.
     at_ns: u64,
-    /// Bytes of the transfer that were there by then.
+    /// Bytes of the transfer once the last of them had arrived; arrivals close together are merged.
     bytes_so_far: u64,
 }
 
@@ -58,7 +58,7 @@
     rate_slack: f64,
     clock: StallCompensatedClock,
     /// How far the compensated clock is behind the real one.
-    compensated_ns: u64,
+    left_out_ns: u64,
 }
 
 impl IncomingTransfer {
@@ -86,7 +86,7 @@
             judged_after_ns: settings.forecast_after.as_nanos(),
             rate_slack: settings.forecast_slack,
             clock: StallCompensatedClock::new(first_evaluation_ns, EVALUATION_SLACK_NS),
-            compensated_ns: 0,
+            left_out_ns: 0,
         }
     }
 
@@ -118,12 +118,12 @@
         let status = self.judge(compensated_now_ns, left_ns);
         let next_ns = match status {
             IncomingStatus::CheckAgainAt(next_ns) => {
-                next_ns.saturating_add(self.compensated_ns).max(now_ns + 1)
+                next_ns.saturating_add(self.left_out_ns).max(now_ns + 1)
             }
             _ => now_ns.saturating_add(REEVALUATION_DELAY_NS),
         };
         let late_ns = self.clock.tick(now_ns, next_ns);
-        self.compensated_ns += late_ns;
+        self.left_out_ns += late_ns;
         match status {
             IncomingStatus::CheckAgainAt(_) => IncomingStatus::CheckAgainAt(next_ns),
             _ if late_ns > 0 => IncomingStatus::CheckAgainAt(next_ns),
--- a/crates/slow-peer/tests/sockets.rs
+++ b/crates/slow-peer/tests/sockets.rs
@@ -27,7 +27,7 @@
     monitor: Arc<TransferMonitor>,
 }
 
-/// A connection with pair its ends.
+/// A connection with both its ends.
 struct ConnectionPair {
     monitored: MonitoredConnection,
     ours: TcpStream,
@@ -271,7 +271,7 @@
     let mut all: Vec<ConnectionPair> = (0..5).map(|_| server.connect(START)).collect();
     let placed: Vec<bool> = all.iter().map(|pair| pair.monitored.has_slot()).collect();
     assert_eq!(placed, [true, true, true, true, false]);
-    // Two stop reading and are cut; the places that they leave are not given to the same set again at once.
+    // Two stop reading and are aborted; the slots that they leave are not given to the same network again at once.
     for pair in &mut all[..2] {
         pair.begin(&server, START, 1, 40_000).unwrap();
     }
--- a/crates/startup-scheduler/tests/support/mod.rs
+++ b/crates/startup-scheduler/tests/support/mod.rs
@@ -285,7 +285,7 @@
             changed: true,
         };
         let watch_at = self.handle(node, answered).next_call_at;
-        // After the list, one watch; its answer brings no change.
+        // After the list, one watch, whose answer counts as one with changes.
         let is_first = !self.observed.listed_at.contains_key(&node);
         let next = if is_first {
             watch_at
--- a/crates/zone-failover/src/failover.rs
+++ b/crates/zone-failover/src/failover.rs
@@ -22,9 +22,9 @@
 const RECENT_MEMORY: Seconds = 1.0;
 /// Time constant with which the outcomes fade that this node relies on itself.
 const OWN_MEMORY: Seconds = 2.0;
-/// Fraction of bad outcomes that is a sign of a failure,
+/// Fraction of bad outcomes that is a sign of a failure, given [`MIN_FAILURE_SIGN_OUTCOMES`].
 const FAILURE_SIGN_FRACTION: f64 = 0.1;
-/// where at least so many outcomes were observed.
+/// Outcomes that must have been observed before their bad fraction is a sign of a failure.
 const MIN_FAILURE_SIGN_OUTCOMES: f64 = 1.0;
 /// Peers that must have reported before a zone is judged; all of them in a smaller fleet.
 const QUORUM: u32 = 3;
--- a/crates/zone-failover/src/policy.rs
+++ b/crates/zone-failover/src/policy.rs
@@ -21,11 +21,11 @@
 const FAILING_EVALUATIONS: u32 = 3;
 /// Time after a zone was left in which other zones may fail, without being dead, because of the load that moved to them.
 const SHIFTED_LOAD_PERIOD: Seconds = 10.0;
-/// Least time for which a zone stays left; it doubles with each return that fails,
+/// Least time for which a zone stays left; it doubles with each return that fails, up to [`MAX_HOLD`].
 const MIN_HOLD: Seconds = 1.0;
-/// up to this,
+/// Longest time for which a zone stays left.
 const MAX_HOLD: Seconds = 60.0;
-/// and is reset after this time in full use.
+/// Time in full use after which the hold time is [`MIN_HOLD`] again.
 const HOLD_RESET_PERIOD: Seconds = 60.0;
 /// Outcomes of canary requests, times the seconds for which they counted, before a zone gets more than canaries.
 const MIN_CANARY_OUTCOME_SECONDS: f64 = 2.0;
--- a/src/counting_io.rs
+++ b/src/counting_io.rs
@@ -1,4 +1,4 @@
-//! A TCP stream with an observer of what is read from it and written to it.
+//! A TCP stream whose reads go through, and whose writes are reported to, an observer, which counts them.
 //!
 //! Owner: the hyper connection over the stream. Input and output: the stream's bytes, unchanged unless the observer's
 //! read says otherwise. Invariant: the observer is dropped before the stream, so it may refer to the stream's descriptor.
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -176,7 +176,7 @@
         .filter(|text| text.len() <= MAX_DATAGRAM_BYTES)
 }
 
-/// Logs datagrams of unknown senders, once a spell: anybody may send any number.
+/// Logs datagrams of unknown senders, once until none came for a while: anybody may send any number.
 #[derive(Default)]
 struct UnknownSenders {
     last: Option<Instant>,
--- a/src/resource_budget.rs
+++ b/src/resource_budget.rs
@@ -1,7 +1,8 @@
 //! How the process's file descriptors are divided among clients' and upstream connections.
 //!
-//! Input: how many descriptors the process may open. Output: how many connections of each kind. Invariant: upstream
-//! connections get no less than clients, since each pending request has at most one attempt in flight.
+//! Input: how many descriptors the process may open. Output: how many connections of each kind. From about
+//! 120 descriptors on, upstream connections get no less than clients: each pending request has at most one attempt in
+//! flight.
 
 use std::sync::Arc;
 
@@ -10,7 +11,7 @@
 /// Descriptors for everything that is not a connection of a client or to an endpoint: listeners, discovery, peers, the
 /// admin address, registries, standard streams, the runtime's own.
 const RESERVED_DESCRIPTORS: usize = 32;
-/// Clients may hold the descriptors divided by this.
+/// Clients may hold the descriptors divided by this: a third, as each of their requests may need one upstream, too.
 const CLIENT_DIVISOR: usize = 3;
 /// The further connections that are only rejected may hold the descriptors divided by this.
 const SPARE_DIVISOR: usize = 16;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,10 +1,11 @@
 //! Starts the node and runs it until it is told to stop and everything that it accepted has its response.
 //!
 //! Owner: `main`. Input: the configuration. Output: exit, or why the node could not start. The start, in order: signals,
-//! the admin listener, the state of the process before, sockets, the startup schedule, discovery, the engine, the
+//! the admin listener, the state of the predecessor process, sockets, the startup schedule, discovery, the engine, the
 //! lifecycle, hot restart, and last the acceptor. Invariants: a signal that arrives early must not kill the process, so
 //! handlers come first; the admin listener answers "not ready" while the rest starts; all parts reach the engine by its
-//! queue only; all tasks are owned by the node.
+//! queue only. Tasks that the node starts itself are in its `JoinSet`; parts spawn some of their own, which end with the
+//! runtime.
 
 use tokio::net::TcpListener;
 use tokio::task::{JoinError, JoinHandle};
--- a/src/serve/foundation.rs
+++ b/src/serve/foundation.rs
@@ -1,7 +1,7 @@
 //! The start up to the sockets: what has to be there before the parts of the node are made.
 //!
 //! Owner: `serve`. Input: the configuration. Output: a [`Prepared`]. Invariants: the admin listener comes first; the
-//! state of the process before comes before the sockets, which may be its.
+//! state of the predecessor process comes before the sockets, which may be inherited from it.
 
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
@@ -62,7 +62,7 @@
 pub(super) struct TransferParts {
     /// Where two processes of this node meet; only where the listening socket is inherited.
     pub shared_directory: Option<SharedDirectory>,
-    /// The connection to the process before or after this one.
+    /// The connection to the predecessor or successor process.
     pub other_process: watch::Sender<Option<mpsc::Sender<RelayedCommand>>>,
     /// This process can serve.
     pub ready: watch::Sender<bool>,
@@ -92,11 +92,11 @@
     pub clock: Clock,
     /// What the engine starts from.
     pub initial_state: InitialState,
-    /// The process before was draining.
+    /// The predecessor process was draining.
     pub draining: bool,
-    /// The connection to the process before.
+    /// The connection to the predecessor process.
     pub link: Option<UnixStream>,
-    /// The process before's socket for datagrams.
+    /// The predecessor process's socket for datagrams.
     datagram_socket: Option<OwnedFd>,
 }
 
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,4 +1,4 @@
-//! The node: starts its parts, one method each, and owns their tasks.
+//! The node: starts its parts, one method each, and owns the tasks that it starts.
 //!
 //! Owner: `serve`. Input: what was prepared. Output: running tasks, and the parts that `serve` awaits. Invariant: all
 //! parts share one clock, one queue of the engine and one status.
@@ -207,7 +207,7 @@
         Acceptor::new(&self.config, dependencies)
     }
 
-    /// Completes the transfer from the process before, and prepares for the one after; returns once this one is ready.
+    /// Completes the transfer from the predecessor process, and prepares for the one after; returns once this one is ready.
     pub(super) async fn start_hot_restart(
         &mut self,
         transfer: TransferParts,
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -2,7 +2,7 @@
 //!
 //! Owner: `serve`. Input: the listener, the phase of the shutdown, the role of this process. Output: connection tasks.
 //! Invariants: what the kernel accepted for this process is served before the listener closes, unless another process
-//! has taken over; the listener is used for one thing at a time; a connection's permit is given back once, with it.
+//! has taken over; one loop at a time accepts from the listener; a connection's permit is given back once, with it.
 
 use std::io;
 use std::net::SocketAddr;
@@ -214,7 +214,7 @@
                     self.serve_connection(stream, address, permit);
                 }
                 Err(error) => {
-                    // Once a spell: a lasting error must not flood the log.
+                    // Once until a connection is accepted again: a lasting error must not flood the log.
                     if !std::mem::replace(&mut is_failing, true) {
                         tracing::warn!("accept: {error}");
                     }
@@ -337,7 +337,7 @@
         // A connection whose network has its share already gets one of the permits for rejecting.
         let has_place = monitor.is_none_or(|monitor| monitor.ticket.has_slot());
         let shed = is_crowded && !evicted || !has_place;
-        // Once a spell, which ends when there is capacity again.
+        // Once until there is capacity again.
         if shed && has_place && !self.shedding.swap(true, Ordering::Relaxed) {
             tracing::warn!(
                 "crowded: {max} connections with a pending request; rejecting new connections"
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -2,8 +2,10 @@
 //! permits are short.
 //!
 //! Owner: the acceptor owns the table; a connection's task and its request service share a [`ClientConnection`]. Input:
-//! what the connection reads and writes. Output: notifications to close. Invariants: a connection is in the table
-//! exactly while it awaits a request; its permit is given back once, when it is dropped. The flags of a connection are
+//! what the connection reads and writes. Output: notifications to close. Invariants: a connection
+//! that awaits a request is in the table; its permit is given back once, when it is dropped. Known fault (docs/ROADMAP.md):
+//! one that lingers after an error enters twice, and its first entry stays, with a dead reference, for the life of the
+//! process. The flags of a connection are
 //! independent of each other and only read on its own path, so relaxed ordering is enough.
 
 use std::collections::BTreeMap;
--- a/src/server/slow_peers.rs
+++ b/src/server/slow_peers.rs
@@ -1,7 +1,8 @@
-//! Slow-peer protection as the operator's settings ask for it: the instance in force, its ticks and its statistics.
+//! Slow-peer protection as the operator's settings ask for it: the [`TransferMonitor`] in force, its ticks and its
+//! statistics.
 //!
-//! Owner: one task follows the settings, one task an instance drives its ticks. Input: the operator's settings. Output:
-//! the instance in force. Invariant: a new instance applies to connections that are accepted after it; older connections
+//! Owner: one task follows the settings, one task drives the ticks of each monitor. Input: the operator's settings. Output:
+//! the monitor in force. Invariant: a new monitor applies to connections that are accepted after it; older connections
 //! stay with theirs until they close.
 
 use std::sync::{Arc, Weak};
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -127,7 +127,7 @@
 
 /// Waits for the first of what can decide an attempt. After that nothing polls an exchange that did not end, and it is
 /// dropped in the poll in which the report is queued: its connection is closed before the engine sees the report, so
-/// nothing else of the request is sent.
+/// nothing else of the request is sent. This relies on the runtime's single thread (`serve`).
 async fn decide(
     exchange: Pin<&mut impl Future<Output = Result<UpstreamResponse, Outcome>>>,
     begun: &mut oneshot::Receiver<UpstreamResponse>,
@@ -274,7 +274,7 @@
         request.body(Full::new(forwarded.body.clone())).ok()
     }
 
-    /// Sends the request and reads its response; `None` where that is spoilt, breaks off or is given up.
+    /// Sends the request and reads its response; `None` where that is malformed, breaks off or is given up.
     async fn exchange(
         &self,
         sender: &mut SendRequest<Full<Bytes>>,
--- a/src/upstream/body.rs
+++ b/src/upstream/body.rs
@@ -92,7 +92,7 @@
         self.note(SlowPeerEvent::UpstreamResponseStalled);
     }
 
-    /// Reads a body ahead; `None` where it is spoilt, stalls or can't be complete in time.
+    /// Reads a body ahead; `None` where it is malformed, stalls or can't be complete in time.
     pub(super) async fn prefetch(
         &self,
         body: &mut UpstreamBody,
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -16,7 +16,7 @@
 const LOAD_REPORT: &str = "x-backend-load";
 /// What a value in a load report can be; a report with any other is ignored.
 const PLAUSIBLE_LOAD: RangeInclusive<f64> = 0.0..=1e6;
-/// Longest body that a response may announce, 1 GiB; a larger number is a spoilt length.
+/// Longest body that a response may announce, 1 GiB; a larger number is a malformed length.
 const MAX_ANNOUNCED_BYTES: u64 = 1 << 30;
 
 /// What an exchange without a whole response proves about its request.
@@ -39,7 +39,7 @@
 }
 
 impl From<ExchangeFailure> for Outcome {
-    /// A spoilt response, and one that was given up for its pace, is seen by the policy as a connection that broke.
+    /// A malformed response, and one that was given up for its data rate, is seen by the policy as a connection that broke.
     fn from(failure: ExchangeFailure) -> Self {
         match failure {
             ExchangeFailure::NeverExecuted => Outcome::ConnectFailed,
