--- a/src/decision/ladder.rs
+++ b/src/decision/ladder.rs
@@ -18,6 +18,8 @@
 pub(super) const LEAST_SOJOURN: Seconds = 0.3;
 /// The longest memory of rates that stretches the least sojourn.
 const LONGEST_SOJOURN_MEMORY: Seconds = 5.0;
+/// Time after which a change of the filter shows in the pool: by its memory and what is in flight.
+const POOL_LAG: Seconds = 2.0;
 /// Rate of the first filter, in focal points.
 const HIGHEST_RATE: f64 = 1.15;
 /// Rate of the last filter that admits anything, in focal points.
@@ -118,13 +120,12 @@
         }
     }
 
-    /// Ends a monitor interval, judged by the statistics seen. `pool_lag`: the time after which a change
-    /// shows in them.
+    /// Ends a monitor interval, judged by the statistics seen. `is_pooled`: peers' are among them, which lag.
     pub(crate) fn end_interval(
         &mut self,
         now: Seconds,
         seen: &LoadStatistics,
-        pool_lag: Seconds,
+        is_pooled: bool,
     ) -> Option<FilterChange> {
         for tier in &mut self.tiers {
             let capacity = (tier.tokens_per_second * BUCKET_DEPTH).max(1.0);
@@ -140,7 +141,7 @@
         }
         self.learn_lag(now, index);
         let before = self.filter;
-        self.change_filter(now, index, pool_lag);
+        self.change_filter(now, index, is_pooled);
         self.split_rate(now);
         if self.filter == before {
             return None;
@@ -153,7 +154,7 @@
         })
     }
 
-    fn change_filter(&mut self, now: Seconds, index: i32, pool_lag: Seconds) {
+    fn change_filter(&mut self, now: Seconds, index: i32, is_pooled: bool) {
         let least = LEAST_SOJOURN * self.memory.min(LONGEST_SOJOURN_MEMORY);
         let since_switch = now - self.switched_at;
         if since_switch < least {
@@ -172,6 +173,7 @@
         } else {
             least
         };
+        let pool_lag = if is_pooled { POOL_LAG } else { 0.0 };
         let settled = since_switch >= stretched.max(pool_lag);
         let is_overloaded = index > 0
             && overloaded >= LEAST_OVERLOADED_INTERVALS
--- a/src/decision/outlier.rs
+++ b/src/decision/outlier.rs
@@ -4,6 +4,8 @@
 use crate::decision_state::DecisionPolicy;
 use crate::decision_state::{EndpointRecord, InFlightAttempt, Seconds};
 
+/// Weight that the least healthy endpoint keeps: trials by chance, of all nodes together.
+pub(super) const LEAST_HEALTH_WEIGHT: f64 = 0.02;
 /// Overdue responses that make an endpoint suspect.
 const OVERDUE_RESPONSES: f64 = 6.0;
 /// Silence that makes an endpoint with overdue responses suspect.
--- a/src/decision/routing.rs
+++ b/src/decision/routing.rs
@@ -2,11 +2,12 @@
 
 use rand::Rng;
 
+use super::outlier::LEAST_HEALTH_WEIGHT;
 use super::slow_start::SlowStartBudget;
 use crate::api::{Action, RequestId};
 use crate::decision_state::{
     is_large_fleet, nanoseconds, seconds, DecisionPolicy, EndpointRecord, InFlightAttempt,
-    PendingRequest, Seconds, LEAST_HEALTH_WEIGHT,
+    PendingRequest, Seconds,
 };
 use crate::gossip::codec::{fingerprint, rendezvous_rank};
 
@@ -125,6 +126,7 @@
                     LEAST_HEALTH_WEIGHT
                 } else {
                     self.health_weight(record, now, request.class, request.plan)
+                        .max(LEAST_HEALTH_WEIGHT)
                 },
                 slow_start_fraction: record.slow_start_fraction(&self.settings, now),
             })
@@ -141,13 +143,11 @@
                 subset += 1.0;
             }
         }
-        let any_in_slow_start = candidates
-            .iter()
-            .any(|candidate| candidate.slow_start_fraction < 1.0);
+        let in_slow_start = |candidate: &Candidate| candidate.slow_start_fraction < 1.0;
         ScoreContext {
             out_of_subset_weight: OUT_OF_SUBSET_WEIGHT
                 .max(USABLE_SUBSET - usable / f64::max(subset, 1.0)),
-            throughput_per_endpoint: if any_in_slow_start {
+            throughput_per_endpoint: if candidates.iter().any(in_slow_start) {
                 self.throughput_per_endpoint(now)
             } else {
                 0.0
--- a/src/decision_state/mod.rs
+++ b/src/decision_state/mod.rs
@@ -34,7 +34,6 @@
 pub(crate) use load::LEAST_POOLED_MESSAGES;
 pub use load_statistics::LoadStatistics;
 pub(crate) use load_statistics::PooledLoad;
-pub(crate) use outcomes::LEAST_HEALTH_WEIGHT;
 pub(crate) use peer_state::PeerState;
 pub(crate) use pending_request::{PendingRequest, PossibleExecution};
 pub use policy::DecisionPolicy;
--- a/src/decision_state/outcomes.rs
+++ b/src/decision_state/outcomes.rs
@@ -12,8 +12,6 @@
 const ASSUMED_SUCCESSES: f64 = 3.0;
 /// Health weight below which an endpoint's failures are its own and no overload.
 const HEALTHY_WEIGHT: f64 = 0.7;
-/// Weight that the least healthy endpoint keeps: trials by chance, of all nodes together.
-pub(crate) const LEAST_HEALTH_WEIGHT: f64 = 0.02;
 /// Weight of one response in an endpoint's latency factor: a memory of about ten responses.
 const LATENCY_FACTOR_WEIGHT: f64 = 0.1;
 /// Least latency factor that one response can teach about an endpoint.
@@ -58,7 +56,7 @@
             let assumed = ASSUMED_SUCCESSES * OUTCOME_MEMORY / memory;
             1.0 - failed / (succeeded + failed + assumed)
         });
-        by_class.min(by_plan).powi(2).max(LEAST_HEALTH_WEIGHT)
+        by_class.min(by_plan).powi(2)
     }
 
     fn outcome_memory(&self) -> Seconds {
--- a/src/events.rs
+++ b/src/events.rs
@@ -23,8 +23,6 @@
 const LONGEST_WATCH_BACKOFF: Seconds = 8.0;
 /// Interval of pool messages to one peer: mixed among hundreds of nodes in 2 s.
 const POOL_INTERVAL: Seconds = 0.2;
-/// Time after which a change of the filter shows in the pool: by its memory and what is in flight.
-const POOL_LAG: Seconds = 2.0;
 /// Customers not seen for longer may be forgotten once their quotas are full.
 const CUSTOMER_IDLE_TIME: Seconds = 10.0;
 /// A longer gap in this node's own clock is a stall: timers come every monitor interval.
@@ -164,8 +162,8 @@
         });
         self.measure_interval(now);
         let seen = self.load_seen(now);
-        let pool_lag = if self.is_large_fleet() { POOL_LAG } else { 0.0 };
-        if let Some(change) = self.ladder.end_interval(now, &seen, pool_lag) {
+        let is_pooled = self.is_large_fleet();
+        if let Some(change) = self.ladder.end_interval(now, &seen, is_pooled) {
             self.log(change.to_string(), actions);
         }
         let window = seconds(self.settings.overload_window_ns);
--- a/tests/golden/mod.rs
+++ b/tests/golden/mod.rs
@@ -1,5 +1,5 @@
 //! Bytes as version 0.2.0 wrote them before its names were changed, and the comparison with what is written now.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "no test program uses all of it")]
 #![expect(
     clippy::min_ident_chars,
     reason = "short names are spelled out as the module is reworked"
--- a/tests/play/mod.rs
+++ b/tests/play/mod.rs
@@ -1,5 +1,5 @@
 //! Plays of the rig for tests: the machine to itself, and once more where it could not play one.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "no test program uses all of it")]
 
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
