Zones: an alternative is healthy by what was observed since the failure began

Cause: a zone counted as a healthy alternative by good outcomes from before all zones began to fail (memory 1 s, messages up to 1.5 s old), so that a node that had heard of 3 to 5 peers at times left the first zone whose bad outcomes it saw. Change: the alternative has to stay healthy while the other zone fails: for 3 evaluations where this node itself saw it serve since, for 5 where the fleet sees it serve as much as the failing zone gets, else for 9; own bad outcomes speak against it. Fading messages by their age was tried as well and made it worse (flapping and 100 nodes fail).

--- a/crates/zone-failover/src/failover.rs
+++ b/crates/zone-failover/src/failover.rs
@@ -318,7 +318,12 @@
     }
 
     fn view(&self, zone: usize, messages: &[&ZoneMessage]) -> ZoneView {
-        let ZoneObservations { recent, own, .. } = &self.observations[zone];
+        let ZoneObservations {
+            recent,
+            own,
+            last_interval,
+            ..
+        } = &self.observations[zone];
         let mut fleet = recent.capped(MAX_OUTCOMES_PER_NODE);
         let mut votes = vote(recent);
         let (mut share_sum, mut peers) = (0.0, 0.0);
@@ -339,6 +344,7 @@
             votes,
             recent: *recent,
             own: *own,
+            interval: *last_interval,
             mean_share: has_mean.then(|| share_sum / peers),
         }
     }
--- a/crates/zone-failover/src/observation.rs
+++ b/crates/zone-failover/src/observation.rs
@@ -103,6 +103,8 @@
     pub(crate) recent: OutcomeSums,
     /// Of about the last two seconds: what speaks for itself.
     pub(crate) own: OutcomeSums,
+    /// Of the interval that ended last.
+    pub(crate) last_interval: OutcomeSums,
 }
 
 impl ZoneObservations {
@@ -118,11 +120,14 @@
 
     /// Ends an interval: earlier sums fade, and the outcomes of the interval are added.
     pub(crate) fn end_interval(&mut self, retention: Retention) {
-        self.recent = self.recent.scaled(retention.recent);
-        self.own = self.own.scaled(retention.own);
+        self.last_interval = OutcomeSums::default();
         for (_, observation) in std::mem::take(&mut self.interval) {
-            self.recent.count(observation);
-            self.own.count(observation);
+            self.last_interval.count(observation);
         }
+        self.recent = self
+            .recent
+            .scaled(retention.recent)
+            .plus(self.last_interval);
+        self.own = self.own.scaled(retention.own).plus(self.last_interval);
     }
 }
--- a/crates/zone-failover/src/policy.rs
+++ b/crates/zone-failover/src/policy.rs
@@ -19,6 +19,20 @@
 const HEALTHY_FRACTION: f64 = 0.25;
 /// Consecutive evaluations that must find a zone failing: a sample of a few nodes depends much on the last message.
 const FAILING_EVALUATIONS: u32 = 3;
+/// Consecutive evaluations, with another zone failing, that must find an alternative healthy: about the time in which
+/// good outcomes from before a failure of all zones fade, and in which messages show it in all zones.
+const HEALTHY_EVALUATIONS: u32 = 9;
+/// The same where this node itself observed the alternative serve since the other zone began to fail.
+const HEALTHY_EVALUATIONS_WITH_PROOF: u32 = 3;
+/// The same where the fleet observes it serve at least as many requests as the failing zone got: more than what is left of
+/// the outcomes before a failure of all zones.
+const HEALTHY_EVALUATIONS_WITH_TRAFFIC: u32 = 5;
+/// Good outcomes that must have been observed to compare the traffic of two zones: fewer differ by chance.
+const MIN_FLEET_OUTCOMES_TO_COMPARE: f64 = 8.0;
+/// Evaluations at the beginning of a failure whose good outcomes prove nothing: their requests were sent before it.
+const STALE_EVALUATIONS: u32 = 2;
+/// Good outcomes of this node's own that prove an alternative healthy.
+const MIN_PROVING_OUTCOMES: f64 = 1.0;
 /// Time after a zone was left in which other zones may fail, without being dead, because of the load that moved to them.
 const SHIFTED_LOAD_PERIOD: Seconds = 10.0;
 /// Least time for which a zone stays left; it doubles with each return that fails, up to [`MAX_HOLD`].
@@ -133,6 +147,8 @@
     pub(crate) recent: OutcomeSums,
     /// What this node observed in about the last two seconds.
     pub(crate) own: OutcomeSums,
+    /// What this node observed in the interval that has just ended.
+    pub(crate) interval: OutcomeSums,
     /// Mean share of its usual traffic that peers send to it; none where too few reported.
     pub(crate) mean_share: Option<f64>,
 }
@@ -150,6 +166,10 @@
     hold: Seconds,
     /// Consecutive evaluations that found it failing.
     failing_evaluations: u32,
+    /// Consecutive evaluations that found it healthy while another zone failed.
+    healthy_evaluations: u32,
+    /// What this node observed itself during these, without the stale ones.
+    proving_outcomes: OutcomeSums,
     /// Outcomes since the phase began, weighted by time.
     canary_outcomes: OutcomeSums,
 }
@@ -163,6 +183,8 @@
             since: now,
             hold: MIN_HOLD,
             failing_evaluations: 0,
+            healthy_evaluations: 0,
+            proving_outcomes: OutcomeSums::default(),
             canary_outcomes: OutcomeSums::default(),
         }
     }
@@ -212,6 +234,7 @@
             .filter(|zone| self.views[*zone].endpoints > 0)
             .collect();
         order.sort_by(|one, other| bad_fraction(other).total_cmp(&bad_fraction(one)));
+        self.count_healthy_evaluations(&order, states);
         let mut transitions = Vec::new();
         for &zone in &order {
             let assessment = self.assess(zone, &order, states);
@@ -232,14 +255,71 @@
         transitions
     }
 
+    /// Counts for how long each zone has been healthy beside one that fails. A zone that was healthy before the failure
+    /// began proves nothing: its good outcomes may be older than the failure of all zones.
+    fn count_healthy_evaluations(&self, order: &[usize], states: &mut [ZoneState]) {
+        let shows_failure =
+            |zone: &usize| self.views[*zone].fleet.bad_fraction() >= self.settings.leave_at;
+        let any_fails = order.iter().any(shows_failure);
+        for &zone in order {
+            let state = &mut states[zone];
+            let healthy_evaluations = match (self.is_healthy(zone), any_fails) {
+                (true, true) => state.healthy_evaluations + 1,
+                // The failing zone may look better for a moment, by the messages that count just then.
+                (true, false) => state.healthy_evaluations.saturating_sub(1),
+                (false, _) => 0,
+            };
+            state.healthy_evaluations = healthy_evaluations;
+            if healthy_evaluations == 0 {
+                state.proving_outcomes = OutcomeSums::default();
+            }
+            if state.healthy_evaluations > STALE_EVALUATIONS {
+                let interval = self.views[zone].interval;
+                state.proving_outcomes = state.proving_outcomes.plus(interval);
+            }
+        }
+    }
+
+    /// True where neither this node nor the fleet observes more than a few bad outcomes.
+    fn is_healthy(&self, zone: usize) -> bool {
+        let max_bad_fraction = self.settings.leave_at * HEALTHY_FRACTION;
+        let view = &self.views[zone];
+        view.fleet.total() > 0.0
+            && view.fleet.bad_fraction() <= max_bad_fraction
+            && view.recent.bad_fraction() <= max_bad_fraction
+    }
+
+    /// True where a zone has been healthy since another one began to fail: this node itself observes that, or the fleet
+    /// does by its traffic, or it lasts for long enough.
+    fn is_proven_healthy(&self, zone: usize, failing: usize, state: &ZoneState) -> bool {
+        let proof = &state.proving_outcomes;
+        let is_proven_here = proof.good >= MIN_PROVING_OUTCOMES
+            && proof.bad_fraction() <= self.settings.leave_at * HEALTHY_FRACTION;
+        let required = if is_proven_here {
+            HEALTHY_EVALUATIONS_WITH_PROOF
+        } else if self.serves_as_much_as_is_lost(zone, failing) {
+            HEALTHY_EVALUATIONS_WITH_TRAFFIC
+        } else {
+            HEALTHY_EVALUATIONS
+        };
+        state.healthy_evaluations >= required
+    }
+
+    /// True where each endpoint of a zone serves as much as each one of the failing zone gets.
+    fn serves_as_much_as_is_lost(&self, zone: usize, failing: usize) -> bool {
+        let (view, failing) = (&self.views[zone], &self.views[failing]);
+        view.fleet.good >= MIN_FLEET_OUTCOMES_TO_COMPARE
+            && view.fleet.good * f64::from(failing.endpoints)
+                >= failing.fleet.total() * f64::from(view.endpoints)
+    }
+
     fn assess(&self, zone: usize, order: &[usize], states: &[ZoneState]) -> Assessment {
         let view = &self.views[zone];
         let is_healthy_alternative = |other: &usize| {
-            let fleet = &self.views[*other].fleet;
+            let state = &states[*other];
             *other != zone
-                && states[*other].phase == ZonePhase::InUse
-                && fleet.total() > 0.0
-                && fleet.bad_fraction() <= self.settings.leave_at * HEALTHY_FRACTION
+                && state.phase == ZonePhase::InUse
+                && self.is_proven_healthy(*other, zone, state)
         };
         let works_here = self.shows_success(&view.own, MIN_OWN_OUTCOMES)
             && (view.recent.total() < MIN_RECENT_OUTCOMES
--- a/crates/zone-failover/tests/fleets.rs
+++ b/crates/zone-failover/tests/fleets.rs
@@ -314,3 +314,27 @@
         );
     }
 }
+
+/// Plays of a fleet in which all zones begin to behave like this at once, by seed, and how many transitions each had.
+fn plays_with_transitions(behavior: Behavior, seeds: u64) -> Vec<(u64, usize)> {
+    let transitions = |seed| {
+        let mut fleet = Fleet::new(24, 8.0, seed);
+        fleet.run(4.0, &|_, _, _| Behavior::Serves);
+        fleet.run(4.0, &|_, _, _| behavior);
+        (seed, fleet.transitions.len())
+    };
+    let plays = (0..seeds).map(transitions);
+    plays.filter(|(_, transitions)| *transitions > 0).collect()
+}
+
+#[test]
+fn no_zone_is_left_when_all_zones_begin_to_be_late_at_once() {
+    assert_eq!(plays_with_transitions(Behavior::Slow, 300), []);
+}
+
+#[test]
+fn no_zone_is_left_when_all_zones_begin_to_fail_or_fall_silent_at_once() {
+    let silent = plays_with_transitions(Behavior::Silent, 300);
+    let failing = plays_with_transitions(Behavior::Fails, 300);
+    assert_eq!((silent, failing), (vec![], vec![]));
+}
--- a/crates/zone-failover/tests/support/mod.rs
+++ b/crates/zone-failover/tests/support/mod.rs
@@ -21,7 +21,7 @@
 const MIN_DELAY: f64 = 0.002;
 
 /// How an endpoint responds to a node at a moment.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Behavior {
     Serves,
     /// No response: overdue after half a second.
