Client connections: none that is new, or holds a request, is closed without an answer

Change: a new connection stays for its grace of 250 ms, and whoever waits for a permit looks again every 50 ms; a connection that is closed here (evicted, idle, head too slow, shut down) while any part of a request has arrived is answered with 503 and lingers (server/unanswered_input.rs decides that alone). Closes are counted by reason and logged every 10 s. Also: errors of accept(2) about the system no longer end the shutdown's accepting of what the kernel holds, errors about one connection no longer wait 20 ms, an accepted connection that can't be served is logged, and a lingering connection is in the table once (ROADMAP's known fault, found by reading). Two unit tests fail where the rejection is taken out.

--- a/crates/fakes/src/daemon.rs
+++ b/crates/fakes/src/daemon.rs
@@ -180,6 +180,16 @@
         unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
     }
 
+    /// Holds the process up, as a machine that is too busy does, until [`Daemon::resume`].
+    pub fn hold(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Ends [`Daemon::hold`].
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
     /// Waits for its end for at most so long; its exit status, or `None` where it still runs.
     pub fn wait_for_exit(&mut self, timeout: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + timeout;
--- a/src/counting_io.rs
+++ b/src/counting_io.rs
@@ -43,7 +43,6 @@
     }
 
     /// The observer.
-    #[cfg(test)]
     pub(crate) fn observer(&self) -> &O {
         &self.observer
     }
--- a/src/engine/statistics.rs
+++ b/src/engine/statistics.rs
@@ -3,6 +3,7 @@
 //! Owner: the engine. Input: the engine's steps. Output: one log line an interval in which anything happened.
 
 use super::Engine;
+use crate::event_counts;
 
 /// Counts since the last line of statistics.
 #[derive(Default)]
@@ -26,6 +27,10 @@
 impl Engine {
     /// Logs the counts and begins anew; nothing where there were no requests.
     pub(super) fn log_statistics(&mut self) {
+        let reasons = event_counts::take_summary();
+        if !reasons.is_empty() {
+            tracing::info!("reasons: {reasons}");
+        }
         let Statistics {
             requests,
             served,
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 mod counting_io;
 mod discovery;
 mod engine;
+mod event_counts;
 mod headers;
 mod lifecycle;
 mod limits;
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -20,9 +20,10 @@
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
 use crate::engine::message::Message;
+use crate::event_counts::{self, CountedEvent};
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::resource_budget::ConnectionBudget;
-use crate::server::connection_table::{ConnectionTable, MonitoredTransfer, NewConnections};
+use crate::server::connection_table::{ConnectionTable, MonitoredTransfer};
 use crate::server::connection_task;
 use crate::server::framing::{GuardedStream, RequestGuard};
 use crate::server::service::{RequestService, ServerContext};
@@ -32,6 +33,8 @@
 const BACKLOG: u32 = 1024;
 /// A new connection is not evicted as idle before this: its first request is on its way.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
+/// Wait for a permit before the next connection is evicted: by then one more may have been new for its whole grace.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(50);
 /// Wait after an error of `accept`, so that a lasting one does not use up the CPU.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The bodies of all waiting requests may take the configured memory divided by this.
@@ -218,7 +221,9 @@
                     if !std::mem::replace(&mut is_failing, true) {
                         tracing::warn!("accept: {error}");
                     }
-                    tokio::time::sleep(ACCEPT_BACKOFF).await;
+                    if accept_failure(&error) != AcceptFailure::OneConnection {
+                        tokio::time::sleep(ACCEPT_BACKOFF).await;
+                    }
                 }
             }
         }
@@ -226,10 +231,15 @@
 
     /// A permit for the next connection; where all are taken, the connection that is idle longest is evicted for it.
     async fn acquire_permit(&self) -> Option<OwnedSemaphorePermit> {
-        if self.permits.available_permits() == 0 {
-            self.evict_one(Duration::ZERO);
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.evict_one(FIRST_REQUEST_GRACE);
+            }
+            let permit = self.permits.clone().acquire_owned();
+            if let Ok(permit) = tokio::time::timeout(EVICTION_INTERVAL, permit).await {
+                return permit.ok();
+            }
         }
-        self.permits.clone().acquire_owned().await.ok()
     }
 
     /// Serves what the kernel has accepted: none of it may be lost with the listener. The kernel itself is asked, as the
@@ -241,8 +251,15 @@
         loop {
             let (stream, address) = match listener.accept() {
                 Ok(accepted) => accepted,
-                Err(error) if is_about_one_connection(&error) => continue,
-                Err(_) => return,
+                Err(error) => match accept_failure(&error) {
+                    AcceptFailure::NoneWaiting => return,
+                    AcceptFailure::OneConnection => continue,
+                    AcceptFailure::System if Instant::now() >= ends => return,
+                    AcceptFailure::System => {
+                        tokio::time::sleep(ACCEPT_BACKOFF).await;
+                        continue;
+                    }
+                },
             };
             let permit = tokio::time::timeout_at(ends.into(), self.acquire_permit());
             let Ok(Some(permit)) = permit.await else {
@@ -251,8 +268,12 @@
             let stream = stream
                 .set_nonblocking(true)
                 .and_then(|()| TcpStream::from_std(stream));
-            if let Ok(stream) = stream {
-                self.serve_connection(stream, address, permit);
+            match stream {
+                Ok(stream) => self.serve_connection(stream, address, permit),
+                Err(error) => {
+                    event_counts::count(CountedEvent::AcceptedConnectionFailed);
+                    tracing::warn!("accept: a connection could not be served: {error}");
+                }
             }
         }
     }
@@ -262,17 +283,8 @@
     fn evict_one(&self, grace: Duration) -> bool {
         let now = self.context.clock.now();
         let monitor = self.monitors.borrow().clone();
-        // Before a new connection whose first request is on its way.
-        if let Some(monitor) = monitor {
-            let stay = NewConnections::Stay;
-            if self.table.evict_idle(FIRST_REQUEST_GRACE, now, stay)
-                || monitor.abort_one_for_connection_slot(now)
-            {
-                return true;
-            }
-        }
-        self.table
-            .evict_idle(grace, now, NewConnections::MayBeEvicted)
+        self.table.evict_idle(grace, now)
+            || monitor.is_some_and(|monitor| monitor.abort_one_for_connection_slot(now))
     }
 
     fn serve_connection(
@@ -349,12 +361,29 @@
     }
 }
 
-/// True for an error of `accept` that is about one connection and not about the listener.
-fn is_about_one_connection(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted
-    )
+/// What an error of `accept` is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// The kernel holds no connection that was not accepted.
+    NoneWaiting,
+    /// The first connection failed, or the call was interrupted: the next one may be accepted at once.
+    OneConnection,
+    /// The system lacks something, for a moment or for good: connections still wait.
+    System,
+}
+
+fn accept_failure(error: &io::Error) -> AcceptFailure {
+    use io::ErrorKind::{
+        ConnectionAborted, ConnectionReset, HostUnreachable, Interrupted, NetworkDown,
+        NetworkUnreachable, PermissionDenied, TimedOut, WouldBlock,
+    };
+    match error.kind() {
+        WouldBlock => AcceptFailure::NoneWaiting,
+        // accept(2): errors of the network that are pending on the new socket are passed on.
+        ConnectionAborted | ConnectionReset | HostUnreachable | Interrupted | NetworkDown
+        | NetworkUnreachable | PermissionDenied | TimedOut => AcceptFailure::OneConnection,
+        _ => AcceptFailure::System,
+    }
 }
 
 /// Bounds what the kernel buffers of responses, by the listener, for all connections that are accepted from now on.
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -136,3 +136,64 @@
         }
     }
 }
+
+/// Reads until the connection ends.
+async fn read_to_end(client: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    let read = client.read_to_end(&mut response);
+    let read = tokio::time::timeout(Duration::from_secs(30), read).await;
+    read.expect("in time").expect("no reset");
+    String::from_utf8(response).expect("text")
+}
+
+/// The request is in the kernel before the eviction, and the connection's task has not run yet: the reactor knows nothing.
+#[tokio::test]
+async fn evicted_new_connection_whose_request_has_arrived_is_rejected_and_not_closed_without_an_answer(
+) {
+    let acceptor = acceptor();
+    let mut address = "127.0.0.1:0".parse().expect("an address");
+    let listener = listen(&mut address, 16).expect("a listener");
+    let mut client = std::net::TcpStream::connect(address).expect("accepted by the kernel");
+    std::io::Write::write_all(&mut client, b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n").expect("open");
+    let listener = listener.into_std().expect("a listener");
+    listener.set_nonblocking(false).expect("set");
+    let (stream, peer) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("set");
+    let stream = TcpStream::from_std(stream).expect("a stream");
+    let permit = acceptor
+        .permits
+        .clone()
+        .try_acquire_owned()
+        .expect("a permit");
+    acceptor.serve_connection(stream, peer, permit);
+    assert!(acceptor.evict_one(Duration::ZERO), "the only connection");
+    client.set_nonblocking(true).expect("set");
+    let mut client = TcpStream::from_std(client).expect("a stream");
+    let response = read_to_end(&mut client).await;
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+    assert!(response.contains("retry-after: 0.200\r\n"), "{response:?}");
+}
+
+#[tokio::test]
+async fn evicted_connection_whose_head_has_arrived_in_part_is_rejected() {
+    let acceptor = acceptor();
+    let mut client = acceptor.connection().await;
+    client
+        .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\nGET /ap")
+        .await
+        .expect("written");
+    let mut first = [0; 12];
+    client.read_exact(&mut first).await.expect("an answer");
+    assert_eq!(&first, b"HTTP/1.1 200");
+    assert!(acceptor.evict_one(Duration::ZERO), "the only connection");
+    let rest = read_to_end(&mut client).await;
+    assert!(rest.contains("HTTP/1.1 503 "), "{rest:?}");
+}
+
+#[tokio::test]
+async fn evicted_idle_connection_is_closed_without_a_byte() {
+    let acceptor = acceptor();
+    let mut client = acceptor.connection().await;
+    assert!(acceptor.evict_one(Duration::ZERO), "the only connection");
+    assert_eq!(read_to_end(&mut client).await, "");
+}
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -3,10 +3,8 @@
 //!
 //! Owner: the acceptor owns the table; a connection's task and its request service share a [`ClientConnection`]. Input:
 //! what the connection reads and writes. Output: notifications to close. Invariants: a connection
-//! that awaits a request is in the table; its permit is given back once, when it is dropped. Known fault (docs/ROADMAP.md):
-//! one that lingers after an error enters twice, and its first entry stays, with a dead reference, for the life of the
-//! process. The flags of a connection are
-//! independent of each other and only read on its own path, so relaxed ordering is enough.
+//! that awaits a request is in the table, once; its permit is given back once, when it is dropped.
+//! The flags of a connection are independent of each other and only read on its own path, so relaxed ordering is enough.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -82,6 +80,8 @@
     /// The response is known: the connection awaits its next request, and may be evicted.
     pub(crate) fn await_request(self: &Arc<Self>) {
         self.awaiting_response.store(false, Ordering::Relaxed);
+        // It may be in the table already: one that lingers after an error is.
+        self.leave_table();
         let mut awaiting = self.table.lock();
         awaiting.last_position += 1;
         let position = awaiting.last_position;
@@ -98,6 +98,11 @@
         awaiting.connections.insert(key, entry);
     }
 
+    /// The connection only waits for its client to read the end: it may be evicted.
+    pub(crate) fn await_end(self: &Arc<Self>) {
+        self.await_request();
+    }
+
     fn leave_table(&self) {
         let position = self.position.swap(0, Ordering::Relaxed);
         if position == 0 {
@@ -242,15 +247,6 @@
     since: Instant,
 }
 
-/// Whether a connection that began no request may be evicted within its grace period.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NewConnections {
-    /// It may, where no other can be.
-    MayBeEvicted,
-    /// It stays.
-    Stay,
-}
-
 /// All connections that await a request.
 pub(crate) struct ConnectionTable {
     awaiting: Mutex<Awaiting>,
@@ -301,30 +297,23 @@
     }
 
     /// Notifies the connection to close that has awaited a request for longest: one that never began any, else one whose
-    /// last request is longest ago. The first request of a new connection may be on its way, so within `grace` others
-    /// are evicted before it. False where no connection may be evicted.
-    pub(crate) fn evict_idle(
-        &self,
-        grace: Duration,
-        now: u64,
-        new_connections: NewConnections,
-    ) -> bool {
+    /// last request is longest ago. A new connection stays for `grace`: its first request may be on its way, and would get
+    /// no response. False where no connection may be evicted.
+    pub(crate) fn evict_idle(&self, grace: Duration, now: u64) -> bool {
         let mut awaiting = self.lock();
-        let Some(first) = awaiting.first_idle(EvictionKey::first(false), now) else {
+        let is_new =
+            |first: &Candidate| !first.key.has_begun_request && first.since.elapsed() < grace;
+        // Within their kind the first one is the oldest: where that is too new, all are.
+        let evicted = awaiting
+            .first_idle(EvictionKey::first(false), now)
+            .filter(|first| !is_new(first))
+            .or_else(|| awaiting.first_idle(EvictionKey::first(true), now));
+        let Some(evicted) = evicted else {
             return false;
         };
-        let is_new = !first.key.has_begun_request && first.since.elapsed() < grace;
-        let instead = if is_new {
-            awaiting.first_idle(EvictionKey::first(true), now)
-        } else {
-            None
-        };
-        if is_new && instead.is_none() && new_connections == NewConnections::Stay {
-            return false;
-        }
         let Candidate {
             key, connection, ..
-        } = instead.unwrap_or(first);
+        } = evicted;
         awaiting.connections.remove(&key);
         drop(awaiting);
         connection.position.store(0, Ordering::Relaxed);
--- a/src/server/connection_table/tests.rs
+++ b/src/server/connection_table/tests.rs
@@ -21,7 +21,7 @@
     used_early.await_request();
     used_late.await_request();
     let (none, long) = (Duration::ZERO, Duration::from_secs(3600));
-    let evict = |grace| table.evict_idle(grace, 0, NewConnections::MayBeEvicted);
+    let evict = |grace| table.evict_idle(grace, 0);
     // In the end, a new one without any request stays for longer than one that had some.
     for (connection, grace) in [
         (unused_early, none),
@@ -37,3 +37,31 @@
     drop(busy);
     assert_eq!(permits.available_permits(), 5);
 }
+
+#[tokio::test]
+async fn new_connections_stay_for_their_grace_even_where_no_other_can_be_evicted() {
+    let (table, permits) = (
+        Arc::new(ConnectionTable::default()),
+        Arc::new(Semaphore::new(1)),
+    );
+    let permit = permits.clone().try_acquire_owned().unwrap();
+    let _connection = table.insert(permit, Arc::default(), None);
+    assert!(!table.evict_idle(Duration::from_secs(3600), 0));
+    assert!(table.evict_idle(Duration::ZERO, 0));
+}
+
+#[tokio::test]
+async fn connection_that_lingers_after_an_error_is_in_the_table_once() {
+    let (table, permits) = (
+        Arc::new(ConnectionTable::default()),
+        Arc::new(Semaphore::new(1)),
+    );
+    let permit = permits.clone().try_acquire_owned().unwrap();
+    let connection = table.insert(permit, Arc::default(), None);
+    connection.begin_request();
+    connection.await_request();
+    connection.await_end();
+    assert_eq!(table.lock().connections.len(), 1);
+    drop(connection);
+    assert!(table.lock().connections.is_empty());
+}
--- a/src/server/connection_task.rs
+++ b/src/server/connection_task.rs
@@ -7,6 +7,7 @@
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use applewall_admin::LifecyclePhase;
@@ -17,9 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::event_counts::{self, CountedEvent};
 use crate::server::connection_table::ClientConnection;
 use crate::server::framing::GuardedStream;
 use crate::server::service::RequestService;
+use crate::server::unanswered_input;
 
 /// A head has to begin this long after the connection came up or the last response was sent, and to be whole this long
 /// after its first byte: bounds how long a silent or slow client can hold a connection.
@@ -47,50 +50,87 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     let served = async move {
-        let ended = tokio::select! {
+        let (reason, ended) = tokio::select! {
             biased;
-            ended = poll_fn(|context| http.poll_without_shutdown(context)) => Some(ended),
-            () = connection.evicted.notified() => None,
-            () = connection.idle_for(HEAD_TIMEOUT) => {
-                // The rest of a head that takes too long is not waited for.
-                if connection.is_reading_head() {
-                    return;
-                }
-                None
+            ended = poll_fn(|context| http.poll_without_shutdown(context)) => {
+                (CountedEvent::ConnectionEnded, Some(ended))
             }
-            () = shutdown_while_idle(&mut phases, &connection) => None,
-        };
-        let ended = match ended {
-            Some(ended) => ended,
-            // hyper would wait for the first request of a connection that has had none.
-            None if !connection.has_begun_request() => return,
-            None => finish(&mut http).await,
-        };
-        // Closing with something unread resets the connection, and the client might lose the response with it.
-        if connection.has_unread_input() || ended.is_err_and(|error| is_parse_error(&error)) {
-            connection.await_request();
-            tokio::select! {
-                () = linger(http.into_parts().io.into_inner().into_stream()) => {}
-                () = connection.evicted.notified() => {}
+            () = connection.evicted.notified() => (CountedEvent::ConnectionEvicted, None),
+            () = connection.idle_for(HEAD_TIMEOUT) => (idle_reason(&connection), None),
+            () = shutdown_while_idle(&mut phases, &connection) => {
+                (CountedEvent::ConnectionShutDown, None)
             }
-        }
+        };
+        event_counts::count(reason);
+        close(http, &connection, reason, ended).await;
     };
     async move {
         // Aborted: whatever is still to be written is discarded with the connection.
         tokio::select! {
             biased;
-            () = aborted.notified() => {}
+            () = aborted.notified() => event_counts::count(CountedEvent::ConnectionAborted),
             () = served => {}
         }
     }
 }
 
+/// Closes a connection: after the response that is under way, and with a response to whatever has arrived of a request.
+/// `ended`: how hyper ended it; `None` where it is closed from here.
+async fn close(
+    mut http: HttpConnection,
+    connection: &Arc<ClientConnection>,
+    reason: CountedEvent,
+    ended: Option<hyper::Result<()>>,
+) {
+    let is_closed_here = ended.is_none();
+    let ended = match ended {
+        Some(ended) => ended,
+        // hyper would wait for the first request of a connection that has had none, and for the rest of a head.
+        None if !connection.has_begun_request() || reason == CountedEvent::HeadTooSlow => Ok(()),
+        None => finish(&mut http).await,
+    };
+    // Closing with something unread resets the connection, and the client might lose the response with it.
+    let has_unread_input =
+        connection.has_unread_input() || ended.is_err_and(|error| is_parse_error(&error));
+    let parts = http.into_parts();
+    let io = parts.io.into_inner();
+    let buffered = !parts.read_buf.is_empty() || io.observer().holds_input();
+    let mut stream = io.into_stream();
+    let is_unanswered =
+        is_closed_here && !has_unread_input && unanswered_input::has_arrived(&stream, buffered);
+    if !(has_unread_input || is_unanswered) {
+        return;
+    }
+    connection.await_end();
+    let lingers = async move {
+        if is_unanswered {
+            event_counts::count(CountedEvent::RejectedAtClose);
+            // A client that does not take it needs no end of its request any more.
+            let _ = unanswered_input::reject(&mut stream).await;
+        }
+        linger(stream).await;
+    };
+    tokio::select! {
+        () = lingers => {}
+        () = connection.evicted.notified() => {}
+    }
+}
+
 /// Ends a connection after the response that is under way.
 async fn finish(http: &mut HttpConnection) -> hyper::Result<()> {
     Pin::new(&mut *http).graceful_shutdown();
     poll_fn(|context| http.poll_without_shutdown(context)).await
 }
 
+/// Why a connection that awaited something for too long is closed.
+fn idle_reason(connection: &ClientConnection) -> CountedEvent {
+    if connection.is_reading_head() {
+        CountedEvent::HeadTooSlow
+    } else {
+        CountedEvent::ConnectionIdle
+    }
+}
+
 fn is_parse_error(error: &hyper::Error) -> bool {
     error.is_parse() || error.is_parse_too_large()
 }
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// True where something was read behind the last request and is not served.
+    pub(crate) fn holds_input(&self) -> bool {
+        !self.kept.is_empty()
+    }
+
     /// Reads on behind a request that has no response yet; ready at the end of the connection only. hyper stops looking
     /// for that end once it holds a byte of a next request, and a client that disconnected would still be served.
     fn poll_end(
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -10,3 +10,4 @@
 mod service;
 pub(crate) mod slow_peers;
 pub(crate) mod streaming_body;
+mod unanswered_input;
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -1,10 +1,6 @@
 //! Floods of bad clients, each kind more than there are places: good clients beside them are served, memory stays flat,
 //! and all that was held comes back.
 
-#![expect(
-    clippy::too_many_lines,
-    reason = "long functions are split as the module is reworked"
-)]
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 use std::net::SocketAddr;
@@ -78,7 +74,15 @@
     }
 }
 
-async fn flood(kind: Kind) {
+/// Three endpoints, discovery, and a daemon with few descriptors.
+struct Deployment {
+    daemon: Daemon,
+    _instances: Vec<Instance>,
+    _discovery: Discovery,
+    _folder: tempfile::TempDir,
+}
+
+async fn deployment() -> Deployment {
     let mut instances = Vec::new();
     for seed in 0..3 {
         instances.push(
@@ -110,6 +114,17 @@
         &setting,
     )
     .unwrap();
+    Deployment {
+        daemon,
+        _instances: instances,
+        _discovery: discovery,
+        _folder: folder,
+    }
+}
+
+async fn flood(kind: Kind) {
+    let deployment = deployment().await;
+    let daemon = &deployment.daemon;
     let at_rest = daemon.descriptors();
     let healthy = HealthyClients {
         address: daemon.address,
@@ -171,3 +186,35 @@
 async fn healthy_clients_are_served_beside_incomplete_bodies() {
     flood(Kind::HalfBody).await;
 }
+
+/// All connect and send while the process is held up: more than there are places, and all requests are in the kernel when
+/// the first connection is accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_request_in_the_kernel_is_answered_when_more_connect_than_there_are_places() {
+    let deployment = deployment().await;
+    let daemon = &deployment.daemon;
+    for round in 0..3u64 {
+        daemon.hold();
+        let mut clients = Vec::new();
+        for number in 0..2 * EACH {
+            let mut client = TcpStream::connect(daemon.address).await.unwrap();
+            let id = 0xf00d_0000_0000_0000 | round << 32 | number;
+            let head = request(id, 1_000_000 + number, Duration::from_secs(3), 0);
+            client.write_all(head.as_bytes()).await.unwrap();
+            clients.push(client);
+        }
+        daemon.resume();
+        let mut unanswered = 0;
+        for client in &mut clients {
+            let mut first = [0; 12];
+            let read = timeout_at(
+                Instant::now() + Duration::from_secs(10),
+                client.read_exact(&mut first),
+            );
+            if !matches!(read.await, Ok(Ok(_))) {
+                unanswered += 1;
+            }
+        }
+        assert_eq!(unanswered, 0, "of {} in round {round}", clients.len());
+    }
+}
