--- a/crates/fakes/src/daemon.rs
+++ b/crates/fakes/src/daemon.rs
@@ -89,6 +89,22 @@
         name: &str,
         settings: &DaemonSettings,
         inherited: Option<&InheritedResources>,
+    ) -> io::Result<Self> {
+        Daemon::start_in_environment(program, folder, name, settings, inherited, &[])
+    }
+
+    /// The same, with further variables in its environment.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Daemon::start`].
+    pub fn start_in_environment(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        settings: &DaemonSettings,
+        inherited: Option<&InheritedResources>,
+        environment: &[(&str, PathBuf)],
     ) -> io::Result<Self> {
         let config = folder.join(format!("{name}.json"));
         std::fs::write(&config, configuration(settings).to_string())?;
@@ -100,6 +116,7 @@
             .arg("serve")
             .env_clear()
             .env("GW_CONFIG", &config)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped());
         if let Some(inherited) = inherited {
             command
--- /dev/null
+++ b/tests/system_faults.rs
@@ -0,0 +1,202 @@
+//! The real program while the system does what Linux documents that it may: a wall clock that is stepped, a folder that
+//! can't be written for a while. The faults come from a preloaded library (`applewall-fault-shim`).
+
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use applewall_fakes::clients::{connect, request};
+use applewall_fakes::daemon::{Daemon, DaemonSettings, InheritedResources};
+use applewall_fakes::discovery::{in_service, Discovery};
+use applewall_fakes::http::{self, Kind};
+use applewall_fakes::instance::{Instance, Script};
+use applewall_fakes::wait::wait_until;
+use applewall_fault_shim::{ControlFile, Fault, CONTROL_VARIABLE, LIBRARY_NAME};
+use serde_json::{json, Value};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const TIME_LEFT: Duration = Duration::from_secs(3);
+const NANOS_PER_SECOND: i64 = 1_000_000_000;
+
+/// Endpoints, discovery, and what the consecutive processes of one node share.
+struct Surroundings {
+    folder: TempDir,
+    control: ControlFile,
+    inherited: InheritedResources,
+    instances: Vec<Instance>,
+    discovery: Discovery,
+}
+
+impl Surroundings {
+    async fn new(instance_count: u64) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let control = ControlFile::create(&folder.path().join("faults")).expect("a file");
+        let mut instances = Vec::new();
+        for seed in 0..instance_count {
+            let script = Script {
+                seed,
+                work: Duration::from_millis(2)..=Duration::from_millis(4),
+                ..Script::default()
+            };
+            instances.push(Instance::start(script).await.expect("an endpoint"));
+        }
+        let discovery = Discovery::start(in_service(&instances))
+            .await
+            .expect("discovery");
+        let inherited = InheritedResources {
+            listener: TcpListener::bind("127.0.0.1:0").expect("a listener"),
+            folder: folder.path().to_path_buf(),
+        };
+        Surroundings {
+            folder,
+            control,
+            inherited,
+            instances,
+            discovery,
+        }
+    }
+
+    fn start_daemon(&self, known_targets: Vec<Value>) -> Daemon {
+        let settings = DaemonSettings {
+            max_descriptors: 512,
+            memory_mb: 64,
+            operator_file: None,
+            discovery: self.discovery.address,
+            known_targets,
+            quota_per_second: 1e6,
+        };
+        let environment = [
+            ("LD_PRELOAD", library()),
+            (CONTROL_VARIABLE, self.folder.path().join("faults")),
+        ];
+        Daemon::start_in_environment(
+            Path::new(env!("CARGO_BIN_EXE_applewall")),
+            self.folder.path(),
+            "node",
+            &settings,
+            Some(&self.inherited),
+            &environment,
+        )
+        .expect("started")
+    }
+
+    fn requests_at(&self, instance: usize) -> u64 {
+        let recorded = &self.instances[instance].recorded;
+        recorded.requests.load(Ordering::Relaxed)
+    }
+}
+
+/// The preloaded library, which cargo builds beside the tests.
+fn library() -> PathBuf {
+    let test = std::env::current_exe().expect("this test's path");
+    let library = test.with_file_name(LIBRARY_NAME);
+    assert!(library.exists(), "{}", library.display());
+    library
+}
+
+/// Sends requests one after the other.
+async fn send_requests(daemon: &Daemon, first_id: u64, count: u64) {
+    let mut client = connect(daemon.address, [127, 0, 0, 1].into(), None)
+        .await
+        .expect("a connection");
+    for number in 0..count {
+        let text = request(first_id + number, 1 + number % 20, TIME_LEFT, 0);
+        client.write_all(text.as_bytes()).await.expect("written");
+        let response = http::read(&mut client, &mut Vec::new(), Kind::Response).await;
+        let response = response.expect("no reset").expect("a response");
+        if response.closes() {
+            client = connect(daemon.address, [127, 0, 0, 1].into(), None)
+                .await
+                .expect("a connection");
+        }
+    }
+}
+
+async fn admin_command(daemon: &Daemon, line: &str) -> String {
+    let address = daemon.admin_address.expect("an admin address");
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(line.as_bytes()).await.expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("read");
+    answer
+}
+
+fn unix_ms() -> i64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.expect("after 1970").as_millis() as i64
+}
+
+/// How many of 400 requests an endpoint gets that joins right after the wall clock was stepped by so many seconds. It
+/// tells its start by the stepped clock, as every machine reads the same one.
+async fn requests_at_joining_endpoint(step_seconds: i64) -> u64 {
+    let surroundings = Surroundings::new(3).await;
+    let mut list = in_service(&surroundings.instances);
+    let joining = list.pop().expect("three");
+    let daemon = surroundings.start_daemon(list.clone());
+    send_requests(&daemon, 0x1000, 100).await;
+    surroundings
+        .control
+        .set(Fault::WallClockOffsetNs, step_seconds * NANOS_PER_SECOND);
+    let mut joining = joining;
+    joining["boot_ms"] = json!(unix_ms() + step_seconds * 1000);
+    list.push(joining);
+    surroundings.discovery.publish(list);
+    // An endpoint that is not listed is unknown to the admin command.
+    while !admin_command(&daemon, "ENABLE s-2\n")
+        .await
+        .starts_with("done")
+    {
+        tokio::task::yield_now().await;
+    }
+    send_requests(&daemon, 0x2000, 400).await;
+    surroundings.requests_at(2)
+}
+
+/// A budget of what the endpoint got with no step, doubled for chance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn joining_endpoint_warms_up_in_the_same_way_after_the_wall_clock_was_stepped() {
+    let unstepped = requests_at_joining_endpoint(0).await;
+    let mut stepped = Vec::new();
+    for step_seconds in [-3600, -5, 5, 3600] {
+        stepped.push((
+            step_seconds,
+            requests_at_joining_endpoint(step_seconds).await,
+        ));
+    }
+    let allowed = 1..=2 * unstepped + 5;
+    assert!(
+        stepped
+            .iter()
+            .all(|(_, requests)| allowed.contains(requests)),
+        "{unstepped} with no step; {stepped:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn disabled_endpoint_stays_disabled_after_a_restart_though_the_folder_was_full_for_a_while() {
+    let surroundings = Surroundings::new(2).await;
+    let known = in_service(&surroundings.instances);
+    let daemon = surroundings.start_daemon(known.clone());
+    send_requests(&daemon, 0x1000, 20).await;
+    let error = i64::from(28); // ENOSPC
+    surroundings.control.set(Fault::FileError, error);
+    let answer = admin_command(&daemon, "DISABLE s-0\n").await;
+    assert!(answer.starts_with("done"), "{answer}");
+    surroundings.control.set(Fault::FileError, 0);
+    wait_until("the state is written", || {
+        std::fs::read_dir(surroundings.folder.path())
+            .expect("a folder")
+            .filter_map(Result::ok)
+            .any(|entry| entry.file_name().to_string_lossy().ends_with(".state"))
+    })
+    .await;
+    // Killed, as by the kernel: nothing is written at the end.
+    drop(daemon);
+    let before = surroundings.requests_at(0);
+    let daemon = surroundings.start_daemon(known);
+    send_requests(&daemon, 0x2000, 60).await;
+    assert_eq!(surroundings.requests_at(0) - before, 0);
+}
