Clock: a wall clock that is stepped moves no start, and stands for no other moment

Cause: clock.rs paired Unix time with the monotonic clock once, at the start, and mapped every boot_ms by that for the life of the process. After a step the start of an endpoint counted as long past (its slow-start budget was overrun) or as to come (it got nothing, for as long as the step was wide). Change: both clocks are read together every 0.5 s and with each conversion; wall_clock.rs keeps the offsets with the time in which each was in force, takes a told start by the offset that was in force then, the later moment where two would do, and never a future one. A Unix time that was converted once keeps its moment. Registries' entries go the same way.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -270,6 +270,7 @@
                     self.schedule_zone_failover();
                 }
                 Timer::IdleSweep => {
+                    self.clock.observe_wall_clock();
                     self.pool.close_expired();
                     self.timers.schedule_idle_sweep(self.now);
                 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod server;
 mod upstream;
+mod wall_clock;
 
 use std::process::ExitCode;
 
