State file: written until it is written, synced, and read again where the disk fails

Cause: admin/handle.rs tried once to write the maintenance set, on the runtime's thread, and the file was not synced before its rename; a folder that was full for a moment during DISABLE meant that the endpoint got traffic after the next start. The file and its folder are synced; a read that fails is tried again for 2 s at the start.

--- a/src/admin/handle.rs
+++ b/src/admin/handle.rs
@@ -2,8 +2,8 @@
 //! the driver of the phases. Nothing here decides.
 //!
 //! Owner: each connection of the admin address and the link to the other process have a clone. Input: commands. Output:
-//! their answers. Invariants: a command is answered in [`ANSWER_TIMEOUT`]; the state file holds the maintenance set as it
-//! was decided last.
+//! their answers. Invariants: a command is answered in [`ANSWER_TIMEOUT`]; the maintenance set as it was decided last is
+//! sent to be written.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,8 +12,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+use crate::admin::state_writer::{self, StateQueue};
 use crate::lifecycle::process_role::{relay_command, OtherProcess, TransferredState};
-use crate::lifecycle::shared_directory::SharedDirectory;
 
 /// Bounds the time to an answer, which is due within 1 s: the rest is for the way to the caller. What is not decided by
 /// then is answered as that.
@@ -91,8 +91,8 @@
     pub ready: watch::Receiver<bool>,
     /// True once there is an endpoint list to decide from.
     pub has_endpoints: watch::Receiver<bool>,
-    /// Where the maintenance set is kept, if it is.
-    pub shared_directory: Option<SharedDirectory>,
+    /// Where the maintenance set is sent to be kept, if it is kept.
+    pub state_queue: Option<StateQueue>,
     /// The connection to the process before or after this one.
     pub other_process: OtherProcess,
     /// One command about endpoints at a time: what is written last is what was decided last.
@@ -170,9 +170,9 @@
         let Ok((answer, maintenance)) = decided.await else {
             return about_to_end();
         };
-        match (answer, &self.shared_directory) {
-            (AdminResponse::Done(text), Some(directory)) => {
-                AdminResponse::Done(persist(directory, &maintenance, text))
+        match (answer, &self.state_queue) {
+            (AdminResponse::Done(text), Some(queue)) => {
+                AdminResponse::Done(persist(queue, maintenance, text).await)
             }
             (answer, _) => answer,
         }
@@ -188,16 +188,12 @@
     }
 }
 
-/// Writes the maintenance set; the answer's text, which names the error where that fails.
-fn persist(directory: &SharedDirectory, maintenance: &MaintenanceSet, text: String) -> String {
-    match directory.write_maintenance_set(maintenance) {
+/// Has the maintenance set written; the answer's text, which names the error where that does not succeed at once. The set
+/// is in force then, and is written as soon as it can be.
+async fn persist(queue: &StateQueue, maintenance: MaintenanceSet, text: String) -> String {
+    match state_writer::write(queue, maintenance).await {
         Ok(()) => text,
-        // In force, and transferred at a hot restart; only a process that starts without a predecessor reads the file,
-        // and would miss this change.
-        Err(error) => {
-            tracing::warn!("state: {error}");
-            format!("{text}; not written down: {error}")
-        }
+        Err(error) => format!("{text}; not written down: {error}"),
     }
 }
 
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod handle;
 pub(crate) mod listener;
 pub(crate) mod maintenance;
+pub(crate) mod state_writer;
--- a/src/lifecycle/hot_restart/golden.rs
+++ b/src/lifecycle/hot_restart/golden.rs
@@ -137,7 +137,7 @@
         phase: phase_receiver,
         ready: ready.clone(),
         has_endpoints: ready,
-        shared_directory: None,
+        state_queue: None,
         other_process: other_process_receiver,
         maintenance_lock: Arc::default(),
     };
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -5,10 +5,16 @@
 
 use std::env;
 use std::io::{self, Write as _};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use applewall_admin::{state_file, MaintenanceSet};
 
+/// How often a state file that can't be read is tried again, and the time between: bounds the start to 2 s more.
+const READ_RETRIES: u32 = 20;
+/// See [`READ_RETRIES`].
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The maintenance set could not be written.
 #[derive(Debug, thiserror::Error)]
 #[error("{}: {source}", .path.display())]
@@ -66,7 +72,7 @@
     /// and passed over.
     pub(crate) fn read_maintenance_set(&self) -> MaintenanceSet {
         let path = self.state_file();
-        let read = match std::fs::read_to_string(&path) {
+        let read = match read_with_retries(&path) {
             Err(error) if error.kind() == io::ErrorKind::NotFound => {
                 return MaintenanceSet::default()
             }
@@ -91,9 +97,9 @@
         let next = self
             .folder
             .join(format!("applewall-{}.{}", self.name, std::process::id()));
-        let written = std::fs::File::create(&next)
-            .and_then(|mut file| file.write_all(state_file::encode(maintenance).as_bytes()))
-            .and_then(|()| std::fs::rename(&next, &path));
+        let written = write_durably(&next, state_file::encode(maintenance).as_bytes())
+            .and_then(|()| std::fs::rename(&next, &path))
+            .and_then(|()| std::fs::File::open(&self.folder)?.sync_all());
         written.map_err(|source| {
             // Half a file must not stay: where the disk is full, it takes space.
             let _ = std::fs::remove_file(&next);
@@ -101,3 +107,23 @@
         })
     }
 }
+
+/// Writes a file that is whole on the disk once this returns: otherwise its rename might outlive its bytes.
+fn write_durably(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = std::fs::File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
+/// Reads a file, again where the disk fails for a moment: without it, endpoints in maintenance would get requests.
+fn read_with_retries(path: &Path) -> io::Result<String> {
+    for _ in 0..READ_RETRIES {
+        match std::fs::read_to_string(path) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                std::thread::sleep(READ_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+    std::fs::read_to_string(path)
+}
--- a/src/serve/foundation.rs
+++ b/src/serve/foundation.rs
@@ -14,6 +14,7 @@
 use super::ServeError;
 use crate::admin::handle::{self, AdminHandle, AdminReceivers};
 use crate::admin::listener as admin_listener;
+use crate::admin::state_writer::{self, WriteRequest};
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
 use crate::engine::InitialState;
@@ -62,6 +63,10 @@
 pub(super) struct TransferParts {
     /// Where two processes of this node meet; only where the listening socket is inherited.
     pub shared_directory: Option<SharedDirectory>,
+    /// Maintenance sets that are to be kept there.
+    pub state_requests: mpsc::Receiver<WriteRequest>,
+    /// The predecessor process's set, which it may have been unable to keep.
+    pub inherited_maintenance: Option<MaintenanceSet>,
     /// The connection to the predecessor or successor process.
     pub other_process: watch::Sender<Option<mpsc::Sender<RelayedCommand>>>,
     /// This process can serve.
@@ -125,13 +130,14 @@
         // Until it is known whether a list is needed first.
         let (has_endpoints, has_endpoints_reader) = watch::channel(false);
         let (other_process, other_process_reader) = watch::channel(None);
+        let (state_queue, state_requests) = state_writer::queue();
         let admin = AdminHandle {
             control,
             drain_requests,
             phase: phase_reader,
             ready: ready_reader,
             has_endpoints: has_endpoints_reader,
-            shared_directory: shared_directory.clone(),
+            state_queue: shared_directory.is_some().then_some(state_queue),
             other_process: other_process_reader,
             maintenance_lock: Arc::default(),
         };
@@ -140,6 +146,8 @@
             inherited_socket,
             transfer: TransferParts {
                 shared_directory,
+                state_requests,
+                inherited_maintenance: None,
                 other_process,
                 ready,
             },
@@ -163,7 +171,7 @@
     }
 
     /// Takes over from the process before, where there is one.
-    async fn take_over(&self) -> StartingPoint {
+    async fn take_over(&mut self) -> StartingPoint {
         let received = match &self.transfer.shared_directory {
             Some(shared_directory) => hot_restart::take_over(shared_directory).await,
             None => None,
@@ -173,6 +181,7 @@
         let clock = state
             .as_ref()
             .map_or_else(Clock::start, |state| Clock::resume_at(state.now_ns));
+        self.transfer.inherited_maintenance = state.as_ref().map(|state| state.maintenance.clone());
         let draining = state.as_ref().is_some_and(|state| state.draining);
         let initial_state = match (state, &self.transfer.shared_directory) {
             (Some(state), _) => InitialState::HotRestart(state),
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -15,6 +15,7 @@
 
 use super::foundation::TransferParts;
 use crate::admin::handle::AdminHandle;
+use crate::admin::state_writer::StateWriter;
 use crate::clock::Clock;
 use crate::config::operator::OperatorConfig;
 use crate::config::platform::PlatformConfig;
@@ -220,6 +221,12 @@
             self.tasks.spawn(async move { role.closed().await });
             return;
         };
+        let writer = StateWriter::new(
+            shared_directory.clone(),
+            self.status.role.clone(),
+            transfer.state_requests,
+            transfer.inherited_maintenance,
+        );
         let hot_restart = HotRestart {
             shared_directory,
             role,
@@ -233,6 +240,7 @@
         self.tasks.spawn(hot_restart.run(link, taken));
         // Goes on also where the task ended: then there is nothing to take.
         let _ = all_taken.await;
+        self.tasks.spawn(writer.run());
         transfer.ready.send_replace(true);
         if took_over {
             tracing::info!("hot restart: taken over from the process before; ready");
