Fault soak: random schedules of overlapping faults on real processes

Cause: the testbed played hand-written trials only, without graceful stops, reloads, stepped clocks, failing system calls or clients that leave, and no checker saw an attempt after its client's end or a deadline beyond the client's.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MAX_POLICY_LINES := 990
 
 .PHONY: build test lint lines check setup run clean measure-slow-peers measure-registry measure-large-fleet measure-service \
-	measure-cold-start measure-quota measure-zones demo
+	measure-cold-start measure-quota measure-zones demo soak
 
 build:
 	cargo build --release --locked
@@ -64,6 +64,13 @@
 	cargo build --locked -p applewall-fault-testbed
 	target/debug/applewall-fault-testbed play crates/fault-testbed/trials/demo.ini
 
+# Random schedules of overlapping faults on real processes (docs/fault-testbed.md). FROM: the first of SOAK_SEEDS seeds.
+FROM := 1
+SOAK_SEEDS := 10
+soak:
+	cargo build --locked --workspace
+	target/debug/fault-soak --from $(FROM) --seeds $(SOAK_SEEDS)
+
 measure-large-fleet:
 	@out=$$(cargo test --release --locked --test fleet_cost -- --ignored --nocapture 2>&1); status=$$?; \
 	printf '%s\n' "$$out" | sed -n '/^fleet/,/^verdict/p;/panicked/p;/^error/p'; exit $$status
--- a/crates/fault-testbed/src/check.rs
+++ b/crates/fault-testbed/src/check.rs
@@ -8,8 +8,9 @@
 
 pub use metrics::{metrics, DatagramCounts, Metrics, SecondCounts};
 pub use rules::{
-    final_responses, overlapping_attempts, peak_warmup_overload, process_exits,
-    requests_after_removal, requests_over_ceiling, scheduling_delay_ms, warmup_overloads,
+    attempts_after_client_left, deadlines_beyond_clients, final_responses, overlapping_attempts,
+    peak_warmup_overload, process_exits, requests_after_removal, requests_over_ceiling,
+    scheduling_delay_ms, warmup_overloads,
 };
 
 use crate::capacity::ServerModel;
@@ -38,6 +39,8 @@
     pub drain_seconds: f64,
     /// The ceiling of each customer.
     pub ceiling: Ceiling,
+    /// Seconds after which clients give up on a response.
+    pub timeout_seconds: f64,
     /// Seconds within which a response counts as served in time.
     pub wanted_seconds: f64,
     /// Scheduling delay of the testbed up to which a trial gives a verdict, in milliseconds.
@@ -52,6 +55,8 @@
     violations.extend(warmup_overloads(entries, &settings.model));
     violations.extend(requests_over_ceiling(entries, settings.ceiling));
     violations.extend(process_exits(entries));
+    violations.extend(attempts_after_client_left(entries));
+    violations.extend(deadlines_beyond_clients(entries, settings.timeout_seconds));
     violations
 }
 
--- a/crates/fault-testbed/src/check/rules.rs
+++ b/crates/fault-testbed/src/check/rules.rs
@@ -10,6 +10,13 @@
 /// since attempts are recorded at the limit server, later than the ingress admitted them.
 const CEILING_SKEW_SECONDS: f64 = 0.15;
 
+/// Seconds after the end of a client in which an attempt may still begin.
+const CLIENT_LEFT_SECONDS: f64 = 0.1;
+/// Seconds by which the time that a limit server is told may exceed what the client has left.
+const DEADLINE_SLACK_SECONDS: f64 = 0.15;
+/// The exit status of a process that ended as it was told to.
+const SUCCESSFUL_EXIT: &str = "exit status: 0";
+
 /// Requests that a running ingress has accepted and whose client has no response yet.
 #[derive(Default)]
 struct PendingRequests {
@@ -45,6 +52,9 @@
             } => pending.add(request, ingress),
             // Written on a connection that had ended, and no ingress accepted it on another one.
             Event::ConnectFailed { request, .. } => drop(pending.ingress_of.remove(&request)),
+            // What it had accepted is still owed; nothing new is accepted.
+            Event::IngressExited { ingress, .. } => drop(pending.not_running.insert(ingress)),
+            Event::ClientLeft { request } => drop(pending.ingress_of.remove(&request)),
             Event::IngressStarted { ingress, .. }
             | Event::IngressSuspended {
                 ingress,
@@ -234,7 +244,17 @@
 
 /// No ingress exits by itself, and no limit server fails while it warms up.
 pub fn process_exits(entries: &[Entry]) -> Vec<String> {
-    let exit = |entry: &Entry| match &entry.event {
+    let mut terminating = BTreeSet::new();
+    let mut exit = |entry: &Entry| match &entry.event {
+        Event::IngressTerminating { ingress } => {
+            terminating.insert(*ingress);
+            None
+        }
+        Event::IngressExited { ingress, status }
+            if terminating.remove(ingress) && status == SUCCESSFUL_EXIT =>
+        {
+            None
+        }
         Event::IngressExited { ingress, status } => {
             Some(format!("ingress {ingress} ended by itself: {status}"))
         }
@@ -243,7 +263,56 @@
         }
         _ => None,
     };
-    entries.iter().filter_map(exit).collect()
+    entries.iter().filter_map(&mut exit).collect()
+}
+
+/// No attempt begins so much later than its client closed its connection.
+pub fn attempts_after_client_left(entries: &[Entry]) -> Vec<String> {
+    let mut left_at: BTreeMap<u64, f64> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in entries {
+        match entry.event {
+            Event::ClientLeft { request } => drop(left_at.insert(request, entry.at_seconds)),
+            Event::AttemptArrived { request, .. } => {
+                let late = left_at.get(&request).map(|at| entry.at_seconds - at);
+                let late =
+                    late.filter(|late| *late > CLIENT_LEFT_SECONDS + SOCKET_TOLERANCE_SECONDS);
+                violations.extend(late.map(|late| {
+                    format!("request {request:x} was sent {late:.2} s after its client left")
+                }));
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// No limit server is told of more time than the client has left, by the platform's slack.
+pub fn deadlines_beyond_clients(entries: &[Entry], timeout_seconds: f64) -> Vec<String> {
+    let mut sent_at: BTreeMap<u64, f64> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in entries {
+        match entry.event {
+            Event::RequestSent { request, .. } => drop(sent_at.insert(request, entry.at_seconds)),
+            Event::DeadlineTold {
+                request,
+                time_left_ms,
+            } => {
+                let Some(sent_at) = sent_at.get(&request) else {
+                    continue;
+                };
+                let told = entry.at_seconds + time_left_ms as f64 / 1e3;
+                let excess = told - (sent_at + timeout_seconds);
+                if excess > DEADLINE_SLACK_SECONDS + SOCKET_TOLERANCE_SECONDS {
+                    violations.push(format!(
+                        "request {request:x} told a limit server of {excess:.2} s beyond its client's time"
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
 }
 
 /// The highest scheduling delay of the testbed itself, in milliseconds. Beyond a limit a trial gives no verdict.
--- a/crates/fault-testbed/src/check/tests.rs
+++ b/crates/fault-testbed/src/check/tests.rs
@@ -13,6 +13,7 @@
         burst_units: 3.0,
         tolerated_units: 0.5,
     },
+    timeout_seconds: 3.0,
     wanted_seconds: 0.8,
     max_scheduling_delay_ms: 100,
 };
@@ -280,3 +281,69 @@
     ]);
     assert_eq!(scheduling_delay_ms(&late), 30);
 }
+
+#[test]
+fn attempt_after_its_client_left_is_a_violation_from_the_platforms_tolerance_on() {
+    let late_by = |seconds: f64| {
+        let left = Event::ClientLeft { request: 7 };
+        attempts_after_client_left(&journal(&[
+            (1.0, request_sent(7)),
+            (1.1, left),
+            (1.1 + seconds, attempt(7)),
+        ]))
+    };
+    assert_eq!(late_by(0.14), Vec::<String>::new());
+    assert_eq!(late_by(0.16).len(), 1);
+}
+
+#[test]
+fn deadline_beyond_the_clients_time_and_slack_is_a_violation() {
+    let told = |time_left_ms| {
+        let told = Event::DeadlineTold {
+            request: 7,
+            time_left_ms,
+        };
+        deadlines_beyond_clients(&journal(&[(1.0, request_sent(7)), (2.0, told)]), 3.0)
+    };
+    assert_eq!(told(2_190), Vec::<String>::new());
+    assert_eq!(told(2_210).len(), 1);
+}
+
+#[test]
+fn process_that_was_told_to_stop_may_end_with_success_only() {
+    let exit = |status: &str| {
+        let exited = Event::IngressExited {
+            ingress: 0,
+            status: status.to_string(),
+        };
+        let terminating = Event::IngressTerminating { ingress: 0 };
+        process_exits(&journal(&[(1.0, terminating), (2.0, exited)]))
+    };
+    assert_eq!(exit("exit status: 0"), Vec::<String>::new());
+    assert_eq!(exit("exit status: 1").len(), 1);
+    assert_eq!(exit("did not end in time").len(), 1);
+}
+
+#[test]
+fn request_that_a_process_had_accepted_is_owed_after_its_graceful_end() {
+    let exited = Event::IngressExited {
+        ingress: 0,
+        status: "exit status: 0".to_string(),
+    };
+    let unanswered = Event::ResponseReceived {
+        request: 7,
+        status: None,
+    };
+    let lost = final_responses(&journal(&[
+        (1.0, request_sent(7)),
+        (1.1, exited.clone()),
+        (4.0, unanswered.clone()),
+    ]));
+    assert_eq!(lost.len(), 1);
+    let too_late = final_responses(&journal(&[
+        (1.0, exited),
+        (1.1, request_sent(7)),
+        (4.0, unanswered),
+    ]));
+    assert_eq!(too_late, Vec::<String>::new());
+}
--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -26,6 +26,8 @@
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(20);
 /// Wait before a retry where the response names none, in seconds.
 const DEFAULT_RETRY_SECONDS: f64 = 0.05;
+/// How long after its request a client leaves that does.
+const TIME_TO_LEAVE: Duration = Duration::from_millis(30);
 /// Longest wait before a retry, in seconds, whatever the response names.
 const MAX_RETRY_SECONDS: f64 = 60.0;
 
@@ -40,6 +42,8 @@
     pub ingresses_per_customer: usize,
     /// Probability that a refused request is retried, once.
     pub retry_probability: f64,
+    /// Probability that a client closes its connection before its response.
+    pub leave_probability: f64,
     /// Time after which a client gives up on a response.
     pub timeout: Duration,
 }
@@ -120,6 +124,9 @@
         let mut ingress =
             || (customer.first_ingress + rng.random_range(0..customer.ingresses)) % count;
         let (first, retried) = (ingress(), ingress());
+        if rng.random_bool(self.behavior.leave_probability) {
+            return self.request_and_leave(first, customer).await;
+        }
         let Some(wait) = self.request(first, customer).await else {
             return;
         };
@@ -130,6 +137,28 @@
         }
     }
 
+    /// One request whose client closes its connection soon after it.
+    async fn request_and_leave(&self, ingress: usize, customer: Customer) {
+        let request = self.next_request(ingress, customer);
+        let Ok(mut stream) = TcpStream::connect(self.addresses[ingress]).await else {
+            return;
+        };
+        let mut sent = false;
+        let exchange = self.exchange_on(&mut stream, &request, &mut sent);
+        let response = tokio::time::timeout(TIME_TO_LEAVE, exchange).await;
+        if let Ok(Ok(Some(message))) = &response {
+            self.journal.record(Event::ResponseReceived {
+                request: request.id,
+                status: message.status().parse().ok(),
+            });
+        } else if sent {
+            drop(stream);
+            self.journal.record(Event::ClientLeft {
+                request: request.id,
+            });
+        }
+    }
+
     /// One request; where it is refused, the time to wait before a retry.
     async fn request(&self, ingress: usize, customer: Customer) -> Option<Duration> {
         let request = self.next_request(ingress, customer);
--- a/crates/fault-testbed/src/environment.rs
+++ b/crates/fault-testbed/src/environment.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use applewall_fault_shim::ControlFile;
 use applewall_operator_config::DurationSetting;
 use tokio::net::TcpListener;
 
@@ -22,7 +23,7 @@
 use crate::journal::{Event, Journal};
 use crate::list_service::{Endpoints, ListService, ListServiceLimits, Snapshot};
 use crate::network::Network;
-use crate::process::{IngressConfig, IngressProcess, WarmupSettings};
+use crate::process::{IngressConfig, IngressProcess, WarmupSettings, CONTROL_FILE};
 use crate::tcp_proxy::{self, LinkPair};
 use crate::topology::{Component, Topology};
 use crate::trial::Trial;
@@ -51,6 +52,8 @@
     /// The list at the trial's start, by ingress.
     pub(crate) initial_lists: Vec<Snapshot>,
     addresses: AddressPlan,
+    /// Faults of the library that is preloaded into the ingresses.
+    pub(crate) system_faults: ControlFile,
     /// Ingresses that have been ready.
     ready: Mutex<BTreeSet<usize>>,
 }
@@ -84,6 +87,7 @@
             endpoints: listeners.iter().map(|_| Endpoints::default()).collect(),
             initial_lists: Vec::new(),
             addresses,
+            system_faults: ControlFile::create(&folder.join(CONTROL_FILE))?,
             ready: Mutex::default(),
             trial,
         };
--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use applewall_fault_shim::Fault as SystemFault;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use tokio::net::UdpSocket;
 
 use super::Environment;
-use crate::fault::{Fault, FaultKind, InstanceFault, Restart, Trigger};
+use crate::fault::{Fault, FaultKind, InstanceFault, Restart, SystemCall, Trigger};
 use crate::journal::{Entry, Event};
 use crate::network::LinkRule;
 use crate::run::POLL_INTERVAL;
@@ -29,6 +30,10 @@
 /// Interval of foreign datagrams to one ingress: half of what an ingress accepts a second.
 const FOREIGN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest time from SIGTERM to the end: the longest deadline, and what the platform adds.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(6);
+const NANOS_PER_MILLISECOND: i64 = 1_000_000;
+
 /// Ends a fault that has begun.
 type EndFault = Box<dyn FnOnce() + Send>;
 
@@ -122,11 +127,6 @@
                 both: *both,
                 condition: *condition,
             }),
-            FaultKind::Kill { targets, restart } => {
-                self.kill(targets.ingresses(topology, rng), *restart).await;
-                no_end()
-            }
-            FaultKind::Suspend(targets) => self.suspend(targets.ingresses(topology, rng)),
             FaultKind::ListService(fault) => {
                 let fault = *fault;
                 self.list_service.begin_fault(fault);
@@ -139,6 +139,55 @@
             FaultKind::ForeignDatagrams(targets) => {
                 self.send_foreign_datagrams(&targets.ingresses(topology, rng))
             }
+            FaultKind::StepWallClock(step_ms) => {
+                self.list_service.step_clock(*step_ms);
+                let offset_ns = step_ms * NANOS_PER_MILLISECOND;
+                self.set_system_fault(SystemFault::WallClockOffsetNs, offset_ns)
+            }
+            FaultKind::FailSystemCall { call, one_in } => {
+                let fault = match call {
+                    SystemCall::Accept => SystemFault::AcceptFailsOneIn,
+                    SystemCall::Connect => SystemFault::ConnectFailsOneIn,
+                    SystemCall::Socket => SystemFault::SocketFailsOneIn,
+                };
+                self.set_system_fault(fault, i64::from(*one_in))
+            }
+            FaultKind::Kill { targets, .. }
+            | FaultKind::Terminate { targets, .. }
+            | FaultKind::Reload(targets)
+            | FaultKind::Suspend(targets)
+            | FaultKind::Hold(targets) => {
+                let numbers = targets.ingresses(topology, rng);
+                self.begin_process_fault(kind, numbers).await
+            }
+        }
+    }
+
+    /// Begins a fault of processes.
+    async fn begin_process_fault(
+        self: Arc<Self>,
+        kind: &FaultKind,
+        numbers: Vec<usize>,
+    ) -> EndFault {
+        match kind {
+            FaultKind::Kill { restart, .. } => {
+                self.kill(numbers, *restart).await;
+                no_end()
+            }
+            FaultKind::Terminate { restart, .. } => {
+                self.terminate(numbers, *restart).await;
+                no_end()
+            }
+            FaultKind::Reload(_) => {
+                self.signal(&numbers, libc::SIGHUP);
+                no_end()
+            }
+            FaultKind::Hold(_) => {
+                self.signal(&numbers, libc::SIGSTOP);
+                Box::new(move || self.signal(&numbers, libc::SIGCONT))
+            }
+            FaultKind::Suspend(_) => self.suspend(numbers),
+            _ => no_end(),
         }
     }
 
@@ -151,6 +200,12 @@
             InstanceFault::Restart => self.restart_instances(&numbers),
             InstanceFault::Replace => self.replace_instances(&numbers).await,
             InstanceFault::Remove => self.remove_instances(&numbers),
+            InstanceFault::Drain => {
+                for number in numbers {
+                    self.list_service.mark(number, true);
+                }
+                no_end()
+            }
             InstanceFault::FailRequests => {
                 self.fail_requests(&numbers, true);
                 Box::new(move || self.fail_requests(&numbers, false))
@@ -193,6 +248,55 @@
         }
     }
 
+    /// Puts a fault of the preloaded library in force; it stays where the wall clock was stepped.
+    fn set_system_fault(self: Arc<Self>, fault: SystemFault, value: i64) -> EndFault {
+        self.system_faults.set(fault, value);
+        if fault == SystemFault::WallClockOffsetNs {
+            return no_end();
+        }
+        Box::new(move || self.system_faults.set(fault, 0))
+    }
+
+    fn signal(&self, numbers: &[usize], signal: i32) {
+        for number in numbers {
+            self.ingresses()[*number].signal(signal);
+        }
+    }
+
+    /// Tells processes to stop, waits for the end of each, and starts them again.
+    async fn terminate(self: Arc<Self>, numbers: Vec<usize>, restart: Option<Restart>) {
+        for ingress in &numbers {
+            let mut ingresses = self.ingresses();
+            if ingresses[*ingress].exists() {
+                self.journal
+                    .record(Event::IngressTerminating { ingress: *ingress });
+                ingresses[*ingress].signal(libc::SIGTERM);
+            }
+        }
+        for ingress in numbers {
+            let ended = async {
+                while self.ingresses()[ingress].exists() {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+            };
+            if tokio::time::timeout(EXIT_TIMEOUT, ended).await.is_err() {
+                let status = "did not end in time".to_string();
+                self.journal
+                    .record(Event::IngressExited { ingress, status });
+                self.ingresses()[ingress].kill();
+            }
+            let Some(Restart { after, list }) = restart else {
+                continue;
+            };
+            tokio::time::sleep(after).await;
+            if let Err(error) = self.start_ingress(ingress, list) {
+                let status = error.to_string();
+                self.journal
+                    .record(Event::IngressExited { ingress, status });
+            }
+        }
+    }
+
     fn suspend(self: Arc<Self>, numbers: Vec<usize>) -> EndFault {
         for number in &numbers {
             self.ingresses()[*number].signal(libc::SIGSTOP);
--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -83,6 +83,19 @@
     FailRequests,
     /// They accept requests and never answer.
     NeverAnswer,
+    /// The list shows that they drain; they stay up.
+    Drain,
+}
+
+/// A system call that may fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SystemCall {
+    /// `accept`
+    Accept,
+    /// `connect`
+    Connect,
+    /// `socket`
+    Socket,
 }
 
 /// Restart of a killed process.
@@ -115,8 +128,28 @@
         /// When and how they are started again.
         restart: Option<Restart>,
     },
+    /// Tells processes to stop (SIGTERM); they are started again once they have ended, or not at all.
+    Terminate {
+        /// The ingresses.
+        targets: ComponentSet,
+        /// When and how they are started again.
+        restart: Option<Restart>,
+    },
+    /// Has processes read their configuration again (SIGHUP).
+    Reload(ComponentSet),
     /// Suspends processes until the fault's end.
     Suspend(ComponentSet),
+    /// The same for a moment in which every rule holds.
+    Hold(ComponentSet),
+    /// Steps the wall clock of all ingresses and of the list service by so many milliseconds.
+    StepWallClock(i64),
+    /// A system call of all ingresses fails once in so many times.
+    FailSystemCall {
+        /// The call.
+        call: SystemCall,
+        /// One call in so many.
+        one_in: u32,
+    },
     /// A fault of the list service.
     ListService(ListServiceFault),
     /// A fault of limit servers.
--- a/crates/fault-testbed/src/fault/parser.rs
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -4,7 +4,10 @@
 use std::str::{FromStr, SplitWhitespace};
 use std::time::Duration;
 
-use super::{FaultKind, FaultSpec, InitialList, InstanceFault, ListServiceFault, Restart, Trigger};
+use super::{
+    FaultKind, FaultSpec, InitialList, InstanceFault, ListServiceFault, Restart, SystemCall,
+    Trigger,
+};
 use crate::network::LinkCondition;
 use crate::topology::{ComponentSet, ComponentSetError};
 
@@ -147,16 +150,46 @@
 
     fn kill(&mut self) -> Result<FaultKind, FaultError> {
         let targets = self.components()?;
+        let restart = self.restart()?;
+        Ok(FaultKind::Kill { targets, restart })
+    }
+
+    fn terminate(&mut self) -> Result<FaultKind, FaultError> {
+        let targets = self.components()?;
+        let restart = self.restart()?;
+        Ok(FaultKind::Terminate { targets, restart })
+    }
+
+    fn restart(&mut self) -> Result<Option<Restart>, FaultError> {
         if self.0.next_if_eq(&"and").is_none() {
-            let restart = None;
-            return Ok(FaultKind::Kill { targets, restart });
+            return Ok(None);
         }
         self.expect("start")?;
         self.expect("after")?;
         let after = self.duration()?;
         let list: InitialList = self.next("what it knows")?.parse()?;
-        let restart = Some(Restart { after, list });
-        Ok(FaultKind::Kill { targets, restart })
+        Ok(Some(Restart { after, list }))
+    }
+
+    fn clock_step(&mut self) -> Result<FaultKind, FaultError> {
+        let direction = match self.next("ahead or back")? {
+            "ahead" => 1,
+            "back" => -1,
+            found => return Err(invalid(found, "neither ahead nor back")),
+        };
+        let step_ms = self.duration()?.as_millis() as i64;
+        Ok(FaultKind::StepWallClock(direction * step_ms))
+    }
+
+    fn failing_call(&mut self) -> Result<FaultKind, FaultError> {
+        let call = match self.next("a system call")? {
+            "accept" => SystemCall::Accept,
+            "connect" => SystemCall::Connect,
+            "socket" => SystemCall::Socket,
+            found => return Err(invalid(found, "none of accept, connect, socket")),
+        };
+        let one_in = self.number("one in so many", "no number")?;
+        Ok(FaultKind::FailSystemCall { call, one_in })
     }
 
     fn instances(&mut self, fault: InstanceFault) -> Result<FaultKind, FaultError> {
@@ -181,6 +214,12 @@
         match self.next("what it is")? {
             "link" => self.link(),
             "kill" => self.kill(),
+            "term" => self.terminate(),
+            "reload" => self.components().map(FaultKind::Reload),
+            "hold" => self.components().map(FaultKind::Hold),
+            "clock" => self.clock_step(),
+            "calls" => self.failing_call(),
+            "drain" => self.instances(InstanceFault::Drain),
             "list" => self.list_service().map(FaultKind::ListService),
             "stop" => self.components().map(FaultKind::Suspend),
             "restart" => self.instances(InstanceFault::Restart),
--- a/crates/fault-testbed/src/instance.rs
+++ b/crates/fault-testbed/src/instance.rs
@@ -198,6 +198,12 @@
                 continue;
             };
             let _attempt = Attempt::begin(self, id, ingress);
+            if let Some(time_left_ms) = time_left_ms(&request) {
+                self.journal.record(Event::DeadlineTold {
+                    request: id,
+                    time_left_ms,
+                });
+            }
             match self.serve_request(stream, id, &mut extra_cost).await? {
                 Next::Request => {}
                 Next::Close => return Ok(()),
@@ -256,6 +262,10 @@
     }
 }
 
+fn time_left_ms(request: &Message) -> Option<u64> {
+    request.header("x-time-left-ms")?.parse().ok()
+}
+
 fn request_id(request: &Message) -> Option<u64> {
     u64::from_str_radix(request.header("x-correlation-id")?, 16).ok()
 }
--- a/crates/fault-testbed/src/journal.rs
+++ b/crates/fault-testbed/src/journal.rs
@@ -49,6 +49,20 @@
         /// The ingress that sent it.
         ingress: usize,
     },
+    /// How much time the request of an attempt that has just arrived told the limit server.
+    #[serde(rename = "DeadlineTold")]
+    DeadlineTold {
+        /// The request's id.
+        request: u64,
+        /// Milliseconds that the ingress goes on waiting.
+        time_left_ms: u64,
+    },
+    /// A client has closed its connection before its response.
+    #[serde(rename = "Left")]
+    ClientLeft {
+        /// The request's id.
+        request: u64,
+    },
     /// That attempt has ended: its response was written, or its connection ended.
     #[serde(rename = "Over")]
     AttemptEnded {
@@ -143,6 +157,12 @@
         #[serde(rename = "on")]
         suspended: bool,
     },
+    /// A process was told to stop by the trial.
+    #[serde(rename = "Leaving")]
+    IngressTerminating {
+        /// The ingress.
+        ingress: usize,
+    },
     /// A process was killed by the trial.
     #[serde(rename = "Killed")]
     IngressKilled {
--- a/crates/fault-testbed/src/lib.rs
+++ b/crates/fault-testbed/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod soak;
 pub mod tcp_proxy;
 pub mod topology;
 pub mod trial;
--- a/crates/fault-testbed/src/list_service.rs
+++ b/crates/fault-testbed/src/list_service.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -93,6 +94,8 @@
     budget: Mutex<RequestBudget>,
     journal: Journal,
     seed: u64,
+    /// How far the clock that starts are told by was stepped.
+    clock_offset_ms: AtomicI64,
 }
 
 /// Addresses of the limit servers as one ingress reaches them, by instance.
@@ -162,6 +165,7 @@
             }),
             limits,
             journal: journal.clone(),
+            clock_offset_ms: AtomicI64::new(0),
             seed,
         })
     }
@@ -174,7 +178,7 @@
                 instance,
                 id: instance_id(instance),
                 zone,
-                boot_ms: if cold { unix_ms() } else { 0 },
+                boot_ms: if cold { self.stepped_unix_ms() } else { 0 },
                 state: Some("in_service"),
                 revision: state.revision,
             };
@@ -183,6 +187,16 @@
         });
     }
 
+    /// Steps the clock by which starts are told.
+    pub fn step_clock(&self, offset_ms: i64) {
+        self.clock_offset_ms.store(offset_ms, Ordering::Relaxed);
+    }
+
+    fn stepped_unix_ms(&self) -> u64 {
+        let offset_ms = self.clock_offset_ms.load(Ordering::Relaxed);
+        unix_ms().saturating_add_signed(offset_ms)
+    }
+
     /// Shows an instance as draining, or as removed.
     pub fn mark(&self, instance: usize, draining: bool) {
         self.state.send_modify(|state| {
--- a/crates/fault-testbed/src/process.rs
+++ b/crates/fault-testbed/src/process.rs
@@ -10,11 +10,15 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
+use applewall_fault_shim::{CONTROL_VARIABLE, LIBRARY_NAME};
 use serde_json::{json, Value};
 
 use crate::check::Ceiling;
 use crate::list_service::Snapshot;
 
+/// The control file of the preloaded library, in the folder of the trial.
+pub const CONTROL_FILE: &str = "system-faults";
+
 /// What all processes of an ingress have in common.
 #[derive(Clone, Debug)]
 pub struct IngressConfig {
@@ -70,6 +74,8 @@
     pub config: IngressConfig,
     program: PathBuf,
     folder: PathBuf,
+    /// The preloaded library and its control file, where cargo has built it beside the program.
+    shim: Option<(PathBuf, PathBuf)>,
     child: Option<Child>,
     /// Number of processes started so far.
     incarnation: u64,
@@ -79,11 +85,14 @@
 impl IngressProcess {
     /// An ingress that does not run yet; its files go into a folder of its own under `folder`.
     pub fn new(config: IngressConfig, program: &Path, folder: &Path) -> Self {
+        let control = folder.join(CONTROL_FILE);
+        let shim = find_shim(program).map(|library| (library, control));
         let folder = folder.join(format!("n{}", config.number));
         IngressProcess {
             config,
             program: program.into(),
             folder,
+            shim,
             child: None,
             incarnation: 0,
             suspended: false,
@@ -120,6 +129,11 @@
             std::fs::write(&file, text)?;
             command.arg("--operator").arg(&file);
         }
+        if let Some((library, control)) = &self.shim {
+            command
+                .env("LD_PRELOAD", library)
+                .env(CONTROL_VARIABLE, control);
+        }
         kill_with_parent(&mut command);
         self.child = Some(command.spawn()?);
         Ok(())
@@ -197,6 +211,16 @@
     }
 }
 
+/// The preloaded library beside a program of cargo's, or beside the tests of the same build.
+fn find_shim(program: &Path) -> Option<PathBuf> {
+    let folder = program.parent()?;
+    let candidates = [
+        folder.join(LIBRARY_NAME),
+        folder.join("deps").join(LIBRARY_NAME),
+    ];
+    candidates.into_iter().find(|path| path.exists())
+}
+
 /// The `settings` of the platform's configuration, in its own words.
 fn platform_settings(config: &IngressConfig) -> Value {
     let IngressConfig {
--- /dev/null
+++ b/crates/fault-testbed/src/soak.rs
@@ -0,0 +1,143 @@
+//! Random schedules of faults that overlap, drawn from a seed, and the faults of a failed one that matter.
+//!
+//! Input: a seed. Output: the text of a trial's file, which `play` repeats. Invariant: the same seed draws the same
+//! schedule. Links between ingresses and limit servers are reset and never delayed: an attempt that a proxy holds back
+//! would arrive after its client's end through no fault of the program.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+
+/// Moments round which faults are drawn, in milliseconds, and how many at each: those of one moment overlap.
+const CLUSTERS_MS: [u64; 2] = [1_500, 6_000];
+const FAULTS_PER_CLUSTER: usize = 3;
+/// Longest distance of a fault's begin from its cluster's.
+const CLUSTER_SPREAD_MS: u64 = 1_500;
+/// Shortest and longest duration of a fault that ends.
+const DURATION_MS: std::ops::Range<u64> = 300..3_000;
+
+/// Kinds of faults that are drawn, by the name under which the coverage is counted.
+const KINDS: [&str; 16] = [
+    "term",
+    "kill",
+    "reload",
+    "hold",
+    "clock",
+    "accept",
+    "connect",
+    "socket",
+    "list",
+    "list-link",
+    "gossip",
+    "instance-link",
+    "restart",
+    "replace",
+    "drain",
+    "mute",
+];
+
+/// The faults of a schedule: name and line of each, in the form of a trial's file.
+pub type Schedule = BTreeMap<String, String>;
+
+/// Sizes that the schedule is drawn for.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakSizes {
+    /// Real processes.
+    pub ingresses: usize,
+    /// Fake limit servers.
+    pub instances: usize,
+}
+
+/// Draws the faults of a seed.
+pub fn draw(seed: u64, sizes: SoakSizes) -> Schedule {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut schedule = Schedule::new();
+    for begin_ms in CLUSTERS_MS {
+        let mut kinds = KINDS;
+        let (drawn, _) = kinds.partial_shuffle(&mut rng, FAULTS_PER_CLUSTER);
+        for kind in drawn {
+            let at_ms = begin_ms + rng.random_range(0..CLUSTER_SPREAD_MS);
+            let duration_ms = rng.random_range(DURATION_MS);
+            let effect = effect(kind, sizes, duration_ms, &mut rng);
+            let name = format!("{}-{kind}", schedule.len());
+            schedule.insert(name, format!("at {at_ms}ms: {effect}"));
+        }
+    }
+    schedule
+}
+
+/// One fault of a kind, with its end.
+fn effect(kind: &str, sizes: SoakSizes, duration_ms: u64, rng: &mut SmallRng) -> String {
+    let ingress = format!("ingress:{}", rng.random_range(0..sizes.ingresses));
+    let instance = format!("instance:{}", rng.random_range(0..sizes.instances));
+    let some = ["ingress:0.3", "ingress:0.6", "ingress:all"];
+    let some = some.choose(rng).copied().unwrap_or("ingress:all");
+    let known = ["none", "old", "current"]
+        .choose(rng)
+        .copied()
+        .unwrap_or("current");
+    let one_in = rng.random_range(5..40);
+    match kind {
+        "term" => format!("term ingress:0.3 and start after 100ms {known}"),
+        "kill" => format!("kill ingress:0.3 and start after 200ms {known}"),
+        "reload" => format!("reload {some}"),
+        "hold" => format!("hold {some} for 150ms"),
+        "clock" => {
+            let direction = ["ahead", "back"].choose(rng).copied().unwrap_or("back");
+            let step = ["5s", "1h"].choose(rng).copied().unwrap_or("5s");
+            format!("clock {direction} {step}")
+        }
+        "accept" | "connect" | "socket" => format!("calls {kind} {one_in} for {duration_ms}ms"),
+        "list" => {
+            let effects = ["silent", "turns away 0.8", "breaks 0.5"];
+            let effect = effects.choose(rng).copied().unwrap_or("silent");
+            format!("list {effect} for {duration_ms}ms")
+        }
+        "list-link" => format!("link {some} <-> list silent for {duration_ms}ms"),
+        "gossip" => {
+            format!("link {ingress} <-> ingress:all loss 0.5 twice 0.2 for {duration_ms}ms")
+        }
+        "instance-link" => format!("link {some} <-> {instance} reset for {duration_ms}ms"),
+        "mute" => format!("mute {instance} for {duration_ms}ms"),
+        _ => format!("{kind} {instance}"),
+    }
+}
+
+/// The text of the trial that plays a schedule.
+pub fn trial_text(seed: u64, sizes: SoakSizes, schedule: &Schedule) -> String {
+    let mut text = format!(
+        "[trial]\nseed = {seed}\ntime = 11s\ningresses = {}\ninstances = {}\nzones = 2\nready = 1.0\n\n\
+         [ingress]\nknown = current\n\n[instance]\nwork = 30ms\ncold_time = 6s\n\n\
+         [traffic]\nrate = 8\ncustomers = 200\nspread = 4\nquota = 100\nagain = 0.5\nleave = 0.1\n\n[faults]\n",
+        sizes.ingresses, sizes.instances,
+    );
+    for (name, line) in schedule {
+        // Writing into a string does not fail.
+        let _ = writeln!(text, "{name} = {line}");
+    }
+    text
+}
+
+/// Leaves out one fault after the other, and keeps it out where the rest still fails.
+pub fn shrink(schedule: &Schedule, mut fails: impl FnMut(&Schedule) -> bool) -> Schedule {
+    let mut smallest = schedule.clone();
+    for name in schedule.keys() {
+        let mut without = smallest.clone();
+        without.remove(name);
+        if fails(&without) {
+            smallest = without;
+        }
+    }
+    smallest
+}
+
+/// The kind of a fault by its name.
+pub fn kind_of(name: &str) -> &str {
+    name.split_once('-').map_or(name, |(_, kind)| kind)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fault-testbed/src/soak/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+use crate::trial::Trial;
+
+const SIZES: SoakSizes = SoakSizes {
+    ingresses: 12,
+    instances: 10,
+};
+
+#[test]
+fn each_seed_draws_the_same_readable_schedule_and_all_kinds_come() {
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..100 {
+        let schedule = draw(seed, SIZES);
+        assert_eq!(schedule, draw(seed, SIZES));
+        let trial = Trial::read(&trial_text(seed, SIZES, &schedule)).expect("readable");
+        assert_eq!(trial.faults.len(), CLUSTERS_MS.len() * FAULTS_PER_CLUSTER);
+        kinds.extend(schedule.keys().map(|name| kind_of(name).to_string()));
+    }
+    assert_eq!(kinds.len(), KINDS.len());
+}
+
+#[test]
+fn shrinking_leaves_the_faults_that_fail_together() {
+    let schedule = draw(7, SIZES);
+    let needed: Vec<_> = schedule.keys().take(2).cloned().collect();
+    let fails = |kept: &Schedule| needed.iter().all(|name| kept.contains_key(name));
+    let smallest = shrink(&schedule, fails);
+    assert_eq!(smallest.keys().cloned().collect::<Vec<_>>(), needed);
+}
--- a/crates/fault-testbed/src/trial.rs
+++ b/crates/fault-testbed/src/trial.rs
@@ -205,6 +205,10 @@
     #[garde(range(min = 0.0, max = 1.0))]
     #[serde(deserialize_with = "number")]
     pub again: f64,
+    /// Chance that a client closes its connection 30 ms after its request.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub leave: f64,
     /// Wanted within.
     #[garde(dive)]
     pub wanted: DurationSetting,
@@ -222,6 +226,7 @@
             quota: 50.0,
             ceiling: 0.0,
             again: 0.0,
+            leave: 0.0,
             wanted: DurationSetting::from_millis(800),
             patience: DurationSetting::from_millis(3_000),
         }
