Attempts: one rule decides what may be sent, and asks the client's socket itself

Change: send_rule.rs decides, at the start and right before the first byte; a refusal is counted by its reason and logged with the request's id at debug level (APPLEWALL_LOG_LEVEL=debug). client_socket.rs peeks at the client's socket, so an end that the kernel holds counts. An attempt that is refused no longer moves the start of the window of the one in flight. CPU of it not measured yet.

--- a/crates/fault-testbed/src/soak.rs
+++ b/crates/fault-testbed/src/soak.rs
@@ -96,7 +96,8 @@
             let effect = effects.choose(rng).copied().unwrap_or("silent");
             format!("list {effect} for {duration_ms}ms")
         }
-        "list-link" => format!("link {some} <-> list silent for {duration_ms}ms"),
+        // One that is silent would hold back what the list service has counted as told.
+        "list-link" => format!("link list -> {some} delay 200ms for {duration_ms}ms"),
         "gossip" => {
             format!("link {ingress} <-> ingress:all loss 0.5 twice 0.2 for {duration_ms}ms")
         }
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -10,6 +10,8 @@
 use super::pending_request::{InFlightAttempt, PendingRequest};
 use super::timers::Timer;
 use super::Engine;
+use crate::event_counts;
+use crate::send_rule::{self, StartFacts};
 use crate::server::response::ClientResponse;
 use crate::upstream::attempt::Attempt;
 use crate::upstream::deadlines::AttemptDeadlines;
@@ -102,7 +104,6 @@
     }
 
     fn start_attempt(&mut self, request: RequestId, endpoint: EndpointId, timeout_ns: u64) {
-        let max_attempts = self.settings.policy.max_attempts;
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
@@ -110,13 +111,17 @@
         pending.attempts += 1;
         let latest = pending.deadline_ns.saturating_sub(ATTEMPT_MARGIN_NS);
         let until = attempt_end_ns(self.now, timeout_ns, latest);
-        let allowed = pending.awaits_response()
-            && pending.in_flight.is_none()
-            && number < max_attempts
-            && until > self.now;
         let idempotency = self.settings.policy.classes[pending.class].idempotency;
+        let facts = StartFacts {
+            awaits_response: pending.awaits_response(),
+            has_attempt_in_flight: pending.in_flight.is_some(),
+            may_have_executed: pending.first_possibly_executed_at_ns.is_some(),
+            idempotency,
+            number,
+            max_attempts: self.settings.policy.max_attempts,
+            has_time_left: until > self.now,
+        };
         let write_by = write_by_ns(pending, idempotency);
-        pending.attempt_started_at_ns = self.now;
         let endpoint_for_zones = self.zones.is_some().then(|| endpoint.clone());
         let attempt = Attempt {
             request,
@@ -126,13 +131,12 @@
             deadlines: AttemptDeadlines {
                 until: self.clock.instant(until),
                 write_by: write_by.map(|by| self.clock.instant(by)),
-                retry_until: (number + 1 < max_attempts).then(|| self.clock.instant(latest)),
+                retry_until: facts.leaves_another().then(|| self.clock.instant(latest)),
             },
         };
-        let started = if allowed {
-            self.pool.start(attempt)
-        } else {
-            Err(attempt)
+        let started = match may_start(request, &facts) {
+            true => self.pool.start(attempt),
+            false => Err(attempt),
         };
         match started {
             Ok(cancel) => {
@@ -140,6 +144,7 @@
                     zones.attempt_started(self.now, request, pending.class, &endpoint);
                 }
                 self.statistics.attempts += 1;
+                pending.attempt_started_at_ns = self.now;
                 pending.in_flight = Some(InFlightAttempt {
                     number,
                     cancel: Some(cancel),
@@ -159,6 +164,16 @@
     }
 }
 
+/// Whether an attempt may start; a refusal is counted.
+fn may_start(request: RequestId, facts: &StartFacts) -> bool {
+    let allowed = send_rule::check_start(facts);
+    if let Err(refusal) = allowed {
+        event_counts::count(refusal.counted_as());
+        tracing::debug!("attempt of {:016x} not started: {refusal:?}", request.0);
+    }
+    allowed.is_ok()
+}
+
 /// When an attempt that starts now is given up. A timeout of 0 leaves it until `latest`.
 fn attempt_end_ns(now: u64, timeout_ns: u64, latest: u64) -> u64 {
     match timeout_ns {
--- a/src/engine/message.rs
+++ b/src/engine/message.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Uri};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
+use crate::server::client_socket::ClientSocket;
 use crate::server::response::{ClientResponse, ServedResponse};
 
 /// What the engine takes from its queue.
@@ -62,15 +63,38 @@
     pub body: Bytes,
     /// The body's share of the bytes that all waiting bodies may take; `None` for an empty body.
     pub _body_permit: Option<OwnedSemaphorePermit>,
-    /// Alive for as long as the client waits for the response.
-    pub client: Weak<()>,
+    /// Whether the client still waits for the response.
+    pub client: ClientPresence,
 }
 
 impl ForwardedRequest {
     /// True once the client has disconnected, or has its response. This is state and no message, so it can be neither
     /// late nor lost: it is checked right before anything is forwarded.
     pub(crate) fn client_disconnected(&self) -> bool {
-        self.client.strong_count() == 0
+        !self.client.is_waiting()
+    }
+}
+
+/// Whether a client still waits for its response.
+pub(crate) struct ClientPresence {
+    /// Alive for as long as the request service awaits the response.
+    pub waiting: Weak<()>,
+    /// The client's socket, which may have ended without the service's knowing yet.
+    pub socket: Arc<ClientSocket>,
+}
+
+impl ClientPresence {
+    /// A client that is known by its request service alone.
+    #[cfg(test)]
+    pub(crate) fn of_service(waiting: Weak<()>) -> Self {
+        ClientPresence {
+            waiting,
+            socket: Arc::default(),
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.waiting.strong_count() > 0 && !self.socket.has_ended()
     }
 }
 
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -72,6 +72,7 @@
             .get(&request)
             .is_some_and(|pending| pending.serial == serial && pending.awaits_response());
         if awaited {
+            tracing::debug!("request {:016x}: its client left", request.0);
             self.statistics.disconnected += 1;
             self.abandon(request);
         }
@@ -121,6 +122,10 @@
             return;
         }
         pending.in_flight = None;
+        tracing::debug!(
+            "request {:016x}: attempt {attempt} at {endpoint} ended: {outcome:?} after {latency:?}",
+            request.0
+        );
         if !outcome.never_executed() {
             pending
                 .first_possibly_executed_at_ns
@@ -186,6 +191,7 @@
         };
         self.timers
             .cancel_last_resort(pending.last_resort_at_ns(), request);
+        tracing::debug!("request {:016x}: {}", request.0, response.summary());
         match response {
             ClientResponse::Served(..) => self.statistics.served += 1,
             ClientResponse::Rejected { .. } => self.statistics.rejected += 1,
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -62,7 +62,7 @@
         idempotency_key: None,
         body: Default::default(),
         _body_permit: None,
-        client,
+        client: crate::engine::message::ClientPresence::of_service(client),
     });
     let (responder, response) = oneshot::channel();
     let deadline = engine.clock.instant(engine.now + request.time_left_ns);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,7 +1,7 @@
 //! The log on standard error, one line an event: text as the on-call page lists it, or JSON for collectors.
 //!
-//! Input: `tracing` events. Output: lines. Invariant: nothing is logged per request, so the cost of an event does not
-//! matter.
+//! Input: `tracing` events. Output: lines. Invariant: nothing is logged per request unless the level asks for it, so the
+//! cost of an event does not matter.
 
 use std::fmt;
 
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Subscriber};
+use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt::format::Writer;
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
 use tracing_subscriber::registry::LookupSpan;
@@ -25,11 +26,23 @@
     Json,
 }
 
+/// The environment variable that sets the least level; `debug` has a line for each step of each request.
+const LEVEL_VARIABLE: &str = "APPLEWALL_LOG_LEVEL";
+
+/// The least level that is logged.
+fn level() -> LevelFilter {
+    let level = std::env::var(LEVEL_VARIABLE).ok();
+    level
+        .and_then(|level| level.parse().ok())
+        .unwrap_or(LevelFilter::INFO)
+}
+
 /// Initializes the log; the first call holds for as long as the process runs.
 pub(crate) fn init(form: LogFormat) {
     // A closed standard error must not end the process, and the library would print its own errors there.
     let builder = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
+        .with_max_level(level())
         .log_internal_errors(false);
     // Fails where the log is initialized already.
     let _ = match form {
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod peer_socket;
 mod resource_budget;
+mod send_rule;
 mod serve;
 mod server;
 mod upstream;
--- /dev/null
+++ b/src/send_rule/tests.rs
@@ -0,0 +1,81 @@
+use std::time::Duration;
+
+use super::*;
+
+fn start() -> StartFacts {
+    StartFacts {
+        awaits_response: true,
+        has_attempt_in_flight: false,
+        may_have_executed: false,
+        idempotency: Idempotency::NonIdempotent,
+        number: 1,
+        max_attempts: 3,
+        has_time_left: true,
+    }
+}
+
+fn write() -> WriteFacts {
+    let now = Instant::now();
+    WriteFacts {
+        now,
+        until: now + Duration::from_millis(1),
+        write_by: Some(now + Duration::from_millis(1)),
+        is_draining: false,
+        client_left: false,
+    }
+}
+
+#[test]
+fn each_fact_alone_forbids_the_start() {
+    assert_eq!(check_start(&start()), Ok(()));
+    let refused = |change: fn(&mut StartFacts)| {
+        let mut facts = start();
+        change(&mut facts);
+        check_start(&facts)
+    };
+    type Case = (fn(&mut StartFacts), SendRefusal);
+    let cases: [Case; 5] = [
+        (|facts| facts.awaits_response = false, SendRefusal::Answered),
+        (
+            |facts| facts.has_attempt_in_flight = true,
+            SendRefusal::AnotherInFlight,
+        ),
+        (|facts| facts.number = 3, SendRefusal::TooManyAttempts),
+        (
+            |facts| facts.may_have_executed = true,
+            SendRefusal::MayHaveExecuted,
+        ),
+        (|facts| facts.has_time_left = false, SendRefusal::Expired),
+    ];
+    for (change, refusal) in cases {
+        assert_eq!(refused(change), Err(refusal));
+    }
+    let harmless = refused(|facts| {
+        facts.may_have_executed = true;
+        facts.idempotency = Idempotency::Idempotent;
+    });
+    assert_eq!(harmless, Ok(()));
+}
+
+#[test]
+fn each_fact_alone_forbids_the_first_byte() {
+    assert_eq!(check_write(&write()), Ok(()));
+    let refused = |change: fn(&mut WriteFacts)| {
+        let mut facts = write();
+        change(&mut facts);
+        check_write(&facts)
+    };
+    type Case = (fn(&mut WriteFacts), SendRefusal);
+    let cases: [Case; 4] = [
+        (|facts| facts.is_draining = true, SendRefusal::Draining),
+        (|facts| facts.client_left = true, SendRefusal::ClientLeft),
+        (
+            |facts| facts.write_by = Some(facts.now),
+            SendRefusal::WindowOver,
+        ),
+        (|facts| facts.until = facts.now, SendRefusal::Expired),
+    ];
+    for (change, refusal) in cases {
+        assert_eq!(refused(change), Err(refusal));
+    }
+}
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -310,6 +310,7 @@
             None => (None, None),
         };
         let connection = self.table.insert(permit, aborted, monitored);
+        connection.socket.attach(&stream);
         let stream = GuardedStream::new(stream, RequestGuard::new(connection.clone(), ticket));
         let service = RequestService {
             context: self.context.clone(),
--- /dev/null
+++ b/src/server/client_socket/tests.rs
@@ -0,0 +1,36 @@
+use std::io::Write;
+
+use super::*;
+use tokio::net::TcpListener;
+
+/// A client's end, and the daemon's.
+async fn connection() -> (std::net::TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let client = std::net::TcpStream::connect(address).expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    (client, stream)
+}
+
+#[tokio::test]
+async fn end_of_a_client_is_known_before_the_reactor_runs() {
+    let (client, stream) = connection().await;
+    let socket = ClientSocket::default();
+    assert!(!socket.has_ended(), "no stream yet");
+    socket.attach(&stream);
+    assert!(!socket.has_ended(), "open");
+    drop(client);
+    assert!(socket.has_ended(), "closed");
+    socket.detach();
+    drop(stream);
+    assert!(!socket.has_ended(), "no stream any more");
+}
+
+#[tokio::test]
+async fn bytes_of_a_client_are_not_its_end() {
+    let (mut client, stream) = connection().await;
+    let socket = ClientSocket::default();
+    socket.attach(&stream);
+    client.write_all(b"GET").expect("open");
+    assert!(!socket.has_ended());
+}
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -16,6 +16,8 @@
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
+use crate::server::client_socket::ClientSocket;
+
 /// A connection as slow-peer protection knows it.
 pub(crate) struct MonitoredTransfer {
     /// Where its responses are monitored.
@@ -51,6 +53,8 @@
     quarantined: AtomicBool,
     /// A request was read whole and has no response yet.
     awaiting_response: AtomicBool,
+    /// Tells whether the client has left, without the reactor.
+    pub socket: Arc<ClientSocket>,
     /// Notified to close the connection, after output that is under way.
     pub evicted: Notify,
     /// Notified to close the connection immediately, discarding unwritten output.
@@ -287,6 +291,7 @@
             idle_since_ns: AtomicU64::new(0),
             quarantined: AtomicBool::new(false),
             awaiting_response: AtomicBool::new(false),
+            socket: Arc::default(),
             evicted: Notify::new(),
             aborted,
             monitored,
--- a/src/server/connection_task.rs
+++ b/src/server/connection_task.rs
@@ -62,6 +62,7 @@
             }
         };
         event_counts::count(reason);
+        tracing::debug!("client connection: {reason:?}");
         close(http, &connection, reason, ended).await;
     };
     async move {
--- a/src/server/framing.rs
+++ b/src/server/framing.rs
@@ -151,6 +151,12 @@
     }
 }
 
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.connection.socket.detach();
+    }
+}
+
 impl IoObserver for RequestGuard {
     fn poll_read(
         &mut self,
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Serves the clients: connections that come in, the requests read from them and the responses written to them.
 
 pub(crate) mod acceptor;
+pub(crate) mod client_socket;
 pub(crate) mod connection_table;
 mod connection_task;
 mod framing;
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -65,6 +65,17 @@
     }
 }
 
+impl ClientResponse {
+    /// What it is, for the log.
+    pub(crate) fn summary(&self) -> String {
+        match self {
+            ClientResponse::Served(_) => "served".to_string(),
+            ClientResponse::Rejected { status, .. } => format!("rejected with {status}"),
+            ClientResponse::Failed { status, reason } => format!("failed with {status}: {reason}"),
+        }
+    }
+}
+
 /// The Retry-After header in seconds; `None` where there is no advice.
 fn retry_after_header(retry_after_ns: u64) -> Option<HeaderValue> {
     // Rounded up: a client must not come back before the policy asked it to.
--- a/src/server/service.rs
+++ b/src/server/service.rs
@@ -25,7 +25,9 @@
 use tower::Service;
 
 use crate::clock::Clock;
-use crate::engine::message::{ClientDisconnected, ClientRequest, ForwardedRequest, Message};
+use crate::engine::message::{
+    ClientDisconnected, ClientPresence, ClientRequest, ForwardedRequest, Message,
+};
 use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY};
 use crate::lifecycle::process_role::ProcessStatus;
 use crate::server::connection_table::ClientConnection;
@@ -163,7 +165,7 @@
     serial: u64,
     queue: &'a mpsc::Sender<Message>,
     responded: bool,
-    /// See [`ForwardedRequest::client_disconnected`].
+    /// See [`ClientPresence::waiting`].
     _client: Arc<()>,
 }
 
@@ -193,6 +195,14 @@
     }
 }
 
+/// A request that was read whole.
+struct Submission {
+    request: api::Request,
+    head: Parts,
+    body: ReceivedBody,
+    deadline: Instant,
+}
+
 /// A request that the engine has, with the channel of its response.
 struct Submitted<'a> {
     response: oneshot::Receiver<ClientResponse>,
@@ -277,7 +287,13 @@
         request.time_left_ns = time_left.as_nanos() as u64;
         // From here on nothing of the request is read: what is received now is the next request, or the client's end.
         connection.await_response();
-        let mut submitted = self.submit(request, head, body, deadline)?;
+        let submission = Submission {
+            request,
+            head,
+            body,
+            deadline,
+        };
+        let mut submitted = self.submit(submission, connection)?;
         let response = submitted.response.await;
         submitted.disconnect.responded = true;
         Ok(response.unwrap_or(ClientResponse::Failed {
@@ -315,11 +331,15 @@
     /// Sends a request to the engine; an error is the response where the engine's queue is full.
     fn submit(
         &self,
-        request: api::Request,
-        head: Parts,
-        body: ReceivedBody,
-        deadline: Instant,
+        submission: Submission,
+        connection: &ClientConnection,
     ) -> Result<Submitted<'_>, ClientResponse> {
+        let Submission {
+            request,
+            head,
+            body,
+            deadline,
+        } = submission;
         let client = Arc::new(());
         let forwarded = ForwardedRequest {
             method: head.method,
@@ -330,7 +350,10 @@
             idempotency_key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
             body: body.bytes,
             _body_permit: body.permit,
-            client: Arc::downgrade(&client),
+            client: ClientPresence {
+                waiting: Arc::downgrade(&client),
+                socket: connection.socket.clone(),
+            },
         };
         let (responder, response) = oneshot::channel();
         let serial = self.serials.fetch_add(1, Ordering::Relaxed);
--- a/src/upstream/attempt.rs
+++ b/src/upstream/attempt.rs
@@ -27,8 +27,10 @@
 use super::endpoint::{ConnectionLease, Timeouts, UpstreamEndpoint};
 use super::response::{classify, is_delimited, load_report, ExchangeFailure};
 use crate::engine::message::{AttemptEnded, ForwardedRequest, Message};
+use crate::event_counts;
 use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT_MS};
 use crate::limits::MAX_BODY_BYTES;
+use crate::send_rule::{self, WriteFacts};
 use crate::server::response::{ResponseBody, ServedResponse};
 use crate::server::streaming_body;
 
@@ -231,21 +233,19 @@
 
     /// What may have happened while the attempt dialled, and forbids to send the request.
     fn check_may_send(&self) -> Result<(), Outcome> {
-        // The endpoint may have begun to drain. It may get requests for a short time after that, which is used up on
-        // the way from discovery to here.
-        if self.context.endpoint.lock().draining {
-            return Err(Outcome::Overloaded);
-        }
-        // The client may have disconnected, and the settings may not allow attempts to be cancelled. The time in which
-        // endpoints recognize a repeat may be over.
-        let expired = || {
-            let write_by = self.deadlines.write_by;
-            write_by.is_some_and(|write_by| Instant::now() >= write_by)
+        let facts = WriteFacts {
+            now: Instant::now(),
+            until: self.deadlines.until,
+            write_by: self.deadlines.write_by,
+            is_draining: self.context.endpoint.lock().draining,
+            client_left: self.forwarded.client_disconnected(),
         };
-        if self.forwarded.client_disconnected() || expired() {
-            return Err(Outcome::NotSent);
-        }
-        Ok(())
+        send_rule::check_write(&facts).map_err(|refusal| {
+            event_counts::count(refusal.counted_as());
+            let id = self.forwarded.correlation_id.to_str().unwrap_or_default();
+            tracing::debug!("attempt of {id} not sent: {refusal:?}");
+            refusal.outcome()
+        })
     }
 
     /// The request as it is sent to the endpoint; `None` where it can't be expressed.
--- a/src/upstream/attempt/tests.rs
+++ b/src/upstream/attempt/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::engine::message::ClientPresence;
 use crate::upstream::connection::MAX_HEAD_BYTES;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,7 +16,7 @@
         idempotency_key: None,
         body: Bytes::new(),
         _body_permit: None,
-        client: Arc::downgrade(&CLIENT),
+        client: ClientPresence::of_service(Arc::downgrade(&CLIENT)),
     }
 }
 
@@ -204,7 +205,7 @@
 async fn request_is_not_written_if_its_client_disconnected_during_the_dial() {
     let (listener, address) = listen().await;
     let disconnected = ForwardedRequest {
-        client: std::sync::Weak::new(),
+        client: ClientPresence::of_service(std::sync::Weak::new()),
         ..forwarded()
     };
     assert_eq!(
@@ -217,6 +218,29 @@
     assert!(bytes.is_empty());
 }
 
+#[tokio::test]
+async fn request_is_not_written_if_the_kernel_has_its_clients_end_and_nobody_was_told() {
+    let (clients, clients_address) = listen().await;
+    let client = std::net::TcpStream::connect(clients_address).unwrap();
+    let (stream, _) = clients.accept().await.unwrap();
+    let socket = Arc::new(crate::server::client_socket::ClientSocket::default());
+    socket.attach(&stream);
+    let (listener, address) = listen().await;
+    let leaving = ForwardedRequest {
+        client: ClientPresence {
+            waiting: Arc::downgrade(&CLIENT),
+            socket,
+        },
+        ..forwarded()
+    };
+    drop(client);
+    assert_eq!(
+        attempt_of(leaving, address, false).await,
+        Some(Outcome::NotSent)
+    );
+    drop(listener);
+}
+
 #[tokio::test]
 async fn written_request_is_possibly_executed_and_one_without_connection_never() {
     let (listener, address) = listen().await;
