--- a/crates/fault-testbed/src/check/rules.rs
+++ b/crates/fault-testbed/src/check/rules.rs
@@ -136,6 +136,10 @@
             Event::IngressStarted { ingress, .. } => {
                 shown_at.retain(|(shown, _), _| *shown != ingress);
             }
+            // One that starts again is on the list again.
+            Event::InstanceStarted { instance, .. } => {
+                shown_at.retain(|(_, shown), _| *shown != instance);
+            }
             Event::AttemptArrived {
                 ingress, instance, ..
             } => {
--- a/crates/fault-testbed/src/check/tests.rs
+++ b/crates/fault-testbed/src/check/tests.rs
@@ -347,3 +347,19 @@
     ]));
     assert_eq!(too_late, Vec::<String>::new());
 }
+
+#[test]
+fn instance_that_starts_again_after_its_removal_may_get_requests() {
+    let removal = Event::RemovalListed {
+        ingress: 0,
+        instance: 2,
+    };
+    let started = Event::InstanceStarted {
+        instance: 2,
+        cold: true,
+    };
+    let again = journal(&[(1.0, removal.clone()), (2.0, started), (3.0, attempt(7))]);
+    assert_eq!(requests_after_removal(&again, 0.55), Vec::<String>::new());
+    let removed = journal(&[(1.0, removal), (3.0, attempt(7))]);
+    assert_eq!(requests_after_removal(&removed, 0.55).len(), 1);
+}
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -227,7 +227,10 @@
         };
         let snapshot = self.list().registry_snapshot(snapshot_file::unix_ms());
         if let Some(snapshot) = snapshot {
-            file.write(snapshot).await;
+            if !file.write(snapshot).await {
+                // Still to be written: it is due again as any change is.
+                last.position = None;
+            }
         }
     }
 }
--- a/src/discovery/registry/snapshot_file.rs
+++ b/src/discovery/registry/snapshot_file.rs
@@ -2,12 +2,14 @@
 //!
 //! Owner: the merge. Input and output: [`Snapshot`]s. Invariant: a crash at any moment leaves the old file or the new one.
 
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use applewall_membership::snapshot::{Snapshot, SnapshotError, SnapshotLimits};
 
+use crate::durable_file;
+
 /// Why a snapshot can't be read or written.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum SnapshotFileError {
@@ -69,26 +71,26 @@
         }
     }
 
-    /// Writes a snapshot, on a thread of its own: a slow disk must not hold up requests. Returns once that is done.
-    pub(super) async fn write(&self, snapshot: Snapshot) {
+    /// Writes a snapshot, on a thread of its own: a slow disk must not hold up requests. True once it is on the disk; a
+    /// failure is logged.
+    pub(super) async fn write(&self, snapshot: Snapshot) -> bool {
         let (path, next) = (self.path.clone(), self.next.clone());
         let written = tokio::task::spawn_blocking(move || {
-            if let Err(source) = replace(&next, &path, &snapshot) {
-                let error = SnapshotFileError::Io { path, source };
+            let written = durable_file::replace(&next, &path, &snapshot.encode());
+            written.map_err(|source| SnapshotFileError::Io { path, source })
+        });
+        match written.await {
+            Ok(Ok(())) => true,
+            Ok(Err(error)) => {
                 tracing::warn!("registry: {error}");
+                false
             }
-        });
-        let _ = written.await;
+            // The runtime ends.
+            Err(_) => false,
+        }
     }
 }
 
-fn replace(next: &Path, path: &Path, snapshot: &Snapshot) -> io::Result<()> {
-    let mut file = std::fs::File::create(next)?;
-    file.write_all(&snapshot.encode())?;
-    file.sync_all()?;
-    std::fs::rename(next, path)
-}
-
 /// The path of the snapshot in `folder`.
 pub(super) fn path(folder: &str) -> PathBuf {
     Path::new(folder).join("roster.snapshot")
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -4,12 +4,14 @@
 //! set as read or written. Invariant: a file is replaced whole by a rename, so that a reader never sees half of one.
 
 use std::env;
-use std::io::{self, Write as _};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use applewall_admin::{state_file, MaintenanceSet};
 
+use crate::durable_file;
+
 /// How often a state file that can't be read is tried again, and the time between: bounds the start to 2 s more.
 const READ_RETRIES: u32 = 20;
 /// See [`READ_RETRIES`].
@@ -97,24 +99,11 @@
         let next = self
             .folder
             .join(format!("applewall-{}.{}", self.name, std::process::id()));
-        let written = write_durably(&next, state_file::encode(maintenance).as_bytes())
-            .and_then(|()| std::fs::rename(&next, &path))
-            .and_then(|()| std::fs::File::open(&self.folder)?.sync_all());
-        written.map_err(|source| {
-            // Half a file must not stay: where the disk is full, it takes space.
-            let _ = std::fs::remove_file(&next);
-            StateFileError { path, source }
-        })
+        durable_file::replace(&next, &path, state_file::encode(maintenance).as_bytes())
+            .map_err(|source| StateFileError { path, source })
     }
 }
 
-/// Writes a file that is whole on the disk once this returns: otherwise its rename might outlive its bytes.
-fn write_durably(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let mut file = std::fs::File::create(path)?;
-    file.write_all(bytes)?;
-    file.sync_all()
-}
-
 /// Reads a file, again where the disk fails for a moment: without it, endpoints in maintenance would get requests.
 fn read_with_retries(path: &Path) -> io::Result<String> {
     for _ in 0..READ_RETRIES {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod counting_io;
 mod discovery;
+mod durable_file;
 mod engine;
 mod event_counts;
 mod headers;
