Test that fails: a node that starts while the system has no socket for a moment

Found by reading the start for calls that are made once. socket(2) fails with ENFILE, ENOBUFS or EMFILE for 0.3 s; the program ends with 'operator: cannot listen on ...: No buffer space available' and status 1, which the platform counts as a crash. Measured: the test fails on the code as it is. No program code changed.

--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -83,6 +83,15 @@
         .expect("started")
     }
 
+    /// Ends a fault a moment from now, while something blocks this thread.
+    fn end_soon(&self, fault: Fault) -> std::thread::JoinHandle<()> {
+        let control = ControlFile::create(&self.folder.path().join("faults")).expect("a file");
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(300));
+            control.set(fault, 0);
+        })
+    }
+
     fn requests_at(&self, instance: usize) -> u64 {
         let recorded = &self.instances[instance].recorded;
         recorded.requests.load(Ordering::Relaxed)
@@ -200,3 +209,13 @@
     send_requests(&daemon, 0x2000, 60).await;
     assert_eq!(surroundings.requests_at(0) - before, 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_starts_though_the_system_has_no_socket_for_a_moment() {
+    let surroundings = Surroundings::new(1).await;
+    surroundings.control.set(Fault::SocketFailsOneIn, 1);
+    let ends = surroundings.end_soon(Fault::SocketFailsOneIn);
+    let daemon = surroundings.start_daemon(in_service(&surroundings.instances));
+    ends.join().expect("set");
+    send_requests(&daemon, 0x1000, 5).await;
+}
