Start: sockets are opened again where the system lacks something for a moment

Cause: the admin, datagram and client sockets and the connection to the process before were opened once at the start; ENFILE, EMFILE, ENOBUFS, ENOMEM, EAGAIN or EINTR ended the process with status 1, or let it start beside the active process instead of taking over from it (that last one by reading, no test).

--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -55,11 +55,13 @@
 }
 
 /// Listens at the admin address; where its port was left open, `address` becomes the one that it listens on.
-pub(crate) fn bind(address: &mut SocketAddr) -> Result<TcpListener, AdminError> {
-    acceptor::listen(address, BACKLOG).map_err(|source| AdminError::Listen {
-        address: *address,
-        source,
-    })
+pub(crate) async fn bind(address: &mut SocketAddr) -> Result<TcpListener, AdminError> {
+    acceptor::listen(address, BACKLOG)
+        .await
+        .map_err(|source| AdminError::Listen {
+            address: *address,
+            source,
+        })
 }
 
 /// One connection, as the table of open ones sees it.
--- a/src/lifecycle/hot_restart.rs
+++ b/src/lifecycle/hot_restart.rs
@@ -21,6 +21,7 @@
 use crate::lifecycle::process_role::{RelayedCommand, RoleOwner, TransferredState};
 use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::peer_socket::PeerSocket;
+use crate::socket_retry::open_with_retries;
 
 mod command_link;
 mod transfer;
@@ -107,7 +108,8 @@
 /// Takes over from the process that is active, where there is one.
 pub(crate) async fn take_over(directory: &SharedDirectory) -> Option<ReceivedTransfer> {
     let path = directory.hot_restart_socket();
-    let stream = match UnixStream::connect(&path).await {
+    // A failure for a moment must not make two processes of one node active.
+    let stream = match open_with_retries(|| UnixStream::connect(&path)).await {
         Ok(stream) => stream,
         Err(error) => {
             // A stale one is left by a process that was killed; ours takes its place.
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 mod send_rule;
 mod serve;
 mod server;
+mod socket_retry;
 mod upstream;
 mod wall_clock;
 
--- a/src/peer_socket.rs
+++ b/src/peer_socket.rs
@@ -17,6 +17,7 @@
 use crate::config::platform::PlatformConfig;
 use crate::engine::message::{Message, PeerDatagram};
 use crate::lifecycle::process_role::ProcessRole;
+use crate::socket_retry::open_with_retries;
 
 /// Most bytes of a datagram; the platform's protocol allows no longer one.
 const MAX_DATAGRAM_BYTES: usize = 256;
@@ -72,7 +73,7 @@
         };
         let own_index = policy.node as usize;
         let socket = match inherited {
-            None => UdpSocket::bind(address).await,
+            None => open_with_retries(|| UdpSocket::bind(address)).await,
             Some(socket) => {
                 let socket = std::net::UdpSocket::from(socket);
                 socket
--- a/src/serve/foundation.rs
+++ b/src/serve/foundation.rs
@@ -39,7 +39,7 @@
 pub(super) async fn prepare(config: PlatformConfig) -> Result<Prepared, ServeError> {
     let mut foundation = Foundation::new(config)?;
     // Before everything that takes its time: until the node is ready, the admin listener says so.
-    foundation.start_admin_listener()?;
+    foundation.start_admin_listener().await?;
     let mut start = foundation.take_over().await;
     let sockets = foundation
         .open_sockets(start.datagram_socket.take())
@@ -161,9 +161,9 @@
         })
     }
 
-    fn start_admin_listener(&mut self) -> Result<(), ServeError> {
+    async fn start_admin_listener(&mut self) -> Result<(), ServeError> {
         if let Some(address) = &mut self.config.admin_listen {
-            let listener = admin_listener::bind(address)?;
+            let listener = admin_listener::bind(address).await?;
             self.tasks
                 .spawn(admin_listener::serve(listener, self.admin.clone()));
         }
@@ -207,7 +207,7 @@
         let peers = PeerSocket::bind(&mut self.config, datagram_socket).await?;
         let listener = match self.inherited_socket.take() {
             Some(socket) => inherited_socket::listener(socket, &mut self.config.listen)?,
-            None => acceptor::bind(&mut self.config.listen)?,
+            None => acceptor::bind(&mut self.config.listen).await?,
         };
         Ok(Sockets {
             peers: peers.map(Arc::new),
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -28,6 +28,7 @@
 use crate::server::framing::{GuardedStream, RequestGuard};
 use crate::server::service::{RequestService, ServerContext};
 use crate::server::slow_peers::TransferMonitors;
+use crate::socket_retry::open_with_retries;
 
 /// Most connections that the kernel holds for this process: a burst of all clients at a restart fits.
 const BACKLOG: u32 = 1024;
@@ -53,8 +54,8 @@
 /// # Errors
 ///
 /// The address can't be bound.
-pub(crate) fn bind(address: &mut SocketAddr) -> Result<TcpListener, BindError> {
-    listen(address, BACKLOG).map_err(|source| BindError {
+pub(crate) async fn bind(address: &mut SocketAddr) -> Result<TcpListener, BindError> {
+    listen(address, BACKLOG).await.map_err(|source| BindError {
         address: *address,
         source,
     })
@@ -65,7 +66,14 @@
 /// # Errors
 ///
 /// The address can't be bound.
-pub(crate) fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+pub(crate) async fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let wanted = *address;
+    let listener = open_with_retries(|| std::future::ready(listen_once(wanted, backlog))).await?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
+fn listen_once(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -73,8 +81,7 @@
     };
     // The address can be bound again right after a restart.
     socket.set_reuseaddr(true)?;
-    socket.bind(*address)?;
-    *address = socket.local_addr()?;
+    socket.bind(address)?;
     socket.listen(backlog)
 }
 
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -100,7 +100,7 @@
     for crowded in [false, true] {
         let acceptor = acceptor();
         let mut address = "127.0.0.1:0".parse().expect("an address");
-        let listener = listen(&mut address, 16).expect("a listener");
+        let listener = listen(&mut address, 16).await.expect("a listener");
         let mut clients: Vec<_> = (0..3)
             .map(|_| std::net::TcpStream::connect(address).expect("accepted by the kernel"))
             .collect();
@@ -152,7 +152,7 @@
 ) {
     let acceptor = acceptor();
     let mut address = "127.0.0.1:0".parse().expect("an address");
-    let listener = listen(&mut address, 16).expect("a listener");
+    let listener = listen(&mut address, 16).await.expect("a listener");
     let mut client = std::net::TcpStream::connect(address).expect("accepted by the kernel");
     std::io::Write::write_all(&mut client, b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n").expect("open");
     let listener = listener.into_std().expect("a listener");
