--- a/crates/fault-testbed/src/bin/fault-soak.rs
+++ b/crates/fault-testbed/src/bin/fault-soak.rs
@@ -49,6 +49,7 @@
     attempts: usize,
     deadlines: usize,
     clients_left: usize,
+    half_requests: usize,
     exits: usize,
     removals: usize,
     cold_starts: usize,
@@ -64,6 +65,7 @@
                 Event::AttemptArrived { .. } => self.attempts += 1,
                 Event::DeadlineTold { .. } => self.deadlines += 1,
                 Event::ClientLeft { .. } => self.clients_left += 1,
+                Event::HalfRequestEnded { .. } => self.half_requests += 1,
                 Event::IngressExited { .. } => self.exits += 1,
                 Event::RemovalListed { .. } => self.removals += 1,
                 Event::InstanceStarted { cold: true, .. } => self.cold_starts += 1,
@@ -90,11 +92,12 @@
         );
         println!(
             "held against: {} requests (one final answer), {} attempts (never two in flight), {} deadlines told, \
-             {} clients that left, {} graceful exits, {} removals listed, {} cold starts; {} pairs of kinds of faults",
+             {} clients that left, {} half requests, {} graceful exits, {} removals listed, {} cold starts; {} pairs of kinds of faults",
             self.requests,
             self.attempts,
             self.deadlines,
             self.clients_left,
+            self.half_requests,
             self.exits,
             self.removals,
             self.cold_starts,
--- a/crates/fault-testbed/src/check.rs
+++ b/crates/fault-testbed/src/check.rs
@@ -8,9 +8,9 @@
 
 pub use metrics::{metrics, DatagramCounts, Metrics, SecondCounts};
 pub use rules::{
-    attempts_after_client_left, deadlines_beyond_clients, final_responses, overlapping_attempts,
-    peak_warmup_overload, process_exits, requests_after_removal, requests_over_ceiling,
-    scheduling_delay_ms, warmup_overloads,
+    attempts_after_client_left, deadlines_beyond_clients, final_responses, half_requests_held,
+    overlapping_attempts, peak_warmup_overload, process_exits, requests_after_removal,
+    requests_over_ceiling, scheduling_delay_ms, warmup_overloads,
 };
 
 use crate::capacity::ServerModel;
@@ -55,6 +55,7 @@
     violations.extend(warmup_overloads(entries, &settings.model));
     violations.extend(requests_over_ceiling(entries, settings.ceiling));
     violations.extend(process_exits(entries));
+    violations.extend(half_requests_held(entries));
     violations.extend(attempts_after_client_left(entries));
     violations.extend(deadlines_beyond_clients(entries, settings.timeout_seconds));
     violations
--- a/crates/fault-testbed/src/check/rules.rs
+++ b/crates/fault-testbed/src/check/rules.rs
@@ -10,6 +10,8 @@
 /// since attempts are recorded at the limit server, later than the ingress admitted them.
 const CEILING_SKEW_SECONDS: f64 = 0.15;
 
+/// Seconds after which half a request has ended: 3, what a process may be held up for, and the tolerance on sockets.
+const MAX_HALF_REQUEST_SECONDS: f64 = 3.0 + 0.15 + SOCKET_TOLERANCE_SECONDS;
 /// Seconds after the end of a client in which an attempt may still begin.
 const CLIENT_LEFT_SECONDS: f64 = 0.1;
 /// Seconds by which the time that a limit server is told may exceed what the client has left.
@@ -270,6 +272,18 @@
     entries.iter().filter_map(&mut exit).collect()
 }
 
+/// A client that stops in the middle of a request has its answer or its connection's end in time. Judged at the end of its
+/// connection, which lingers for half a second after an answer.
+pub fn half_requests_held(entries: &[Entry]) -> Vec<String> {
+    let held = |entry: &Entry| match entry.event {
+        Event::HalfRequestEnded { ingress, seconds } if seconds > MAX_HALF_REQUEST_SECONDS => Some(
+            format!("ingress {ingress} held half a request for {seconds:.2} s"),
+        ),
+        _ => None,
+    };
+    entries.iter().filter_map(held).collect()
+}
+
 /// No attempt begins so much later than its client closed its connection.
 pub fn attempts_after_client_left(entries: &[Entry]) -> Vec<String> {
     let mut left_at: BTreeMap<u64, f64> = BTreeMap::new();
--- a/crates/fault-testbed/src/check/tests.rs
+++ b/crates/fault-testbed/src/check/tests.rs
@@ -296,6 +296,19 @@
     assert_eq!(late_by(0.16).len(), 1);
 }
 
+#[test]
+fn half_request_that_is_held_beyond_its_time_is_a_violation() {
+    let held = |seconds| {
+        let ended = Event::HalfRequestEnded {
+            ingress: 0,
+            seconds,
+        };
+        half_requests_held(&journal(&[(4.0, ended)]))
+    };
+    assert_eq!(held(3.1), Vec::<String>::new());
+    assert_eq!(held(3.3).len(), 1);
+}
+
 #[test]
 fn deadline_beyond_the_clients_time_and_slack_is_a_violation() {
     let told = |time_left_ms| {
--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -12,7 +12,7 @@
 use applewall_fakes::http::{self, Kind, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -26,6 +26,8 @@
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(20);
 /// Wait before a retry where the response names none, in seconds.
 const DEFAULT_RETRY_SECONDS: f64 = 0.05;
+/// How long a client that sent half a request stays at most: longer than it is owed its end.
+const HALF_REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 /// How long after its request a client leaves that does.
 const TIME_TO_LEAVE: Duration = Duration::from_millis(30);
 /// Longest wait before a retry, in seconds, whatever the response names.
@@ -44,6 +46,8 @@
     pub retry_probability: f64,
     /// Probability that a client closes its connection before its response.
     pub leave_probability: f64,
+    /// Probability that a client sends half a request and stays.
+    pub half_probability: f64,
     /// Time after which a client gives up on a response.
     pub timeout: Duration,
 }
@@ -124,6 +128,9 @@
         let mut ingress =
             || (customer.first_ingress + rng.random_range(0..customer.ingresses)) % count;
         let (first, retried) = (ingress(), ingress());
+        if rng.random_bool(self.behavior.half_probability) {
+            return self.half_request(first, customer).await;
+        }
         if rng.random_bool(self.behavior.leave_probability) {
             return self.request_and_leave(first, customer).await;
         }
@@ -137,6 +144,26 @@
         }
     }
 
+    /// Half a request, whose client stays until its connection ends.
+    async fn half_request(&self, ingress: usize, customer: Customer) {
+        let request = self.next_request(ingress, customer);
+        let Ok(mut stream) = TcpStream::connect(self.addresses[ingress]).await else {
+            return;
+        };
+        let half = &request.text.as_bytes()[..request.text.len() / 2];
+        let begin = Instant::now();
+        if stream.write_all(half).await.is_err() {
+            return;
+        }
+        let mut answer = Vec::new();
+        let ended = stream.read_to_end(&mut answer);
+        let _ = tokio::time::timeout(HALF_REQUEST_TIMEOUT, ended).await;
+        self.journal.record(Event::HalfRequestEnded {
+            ingress,
+            seconds: begin.elapsed().as_secs_f64(),
+        });
+    }
+
     /// One request whose client closes its connection soon after it.
     async fn request_and_leave(&self, ingress: usize, customer: Customer) {
         let request = self.next_request(ingress, customer);
--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -200,6 +200,10 @@
             InstanceFault::Restart => self.restart_instances(&numbers),
             InstanceFault::Replace => self.replace_instances(&numbers).await,
             InstanceFault::Remove => self.remove_instances(&numbers),
+            InstanceFault::BreakResponses => {
+                self.break_responses(&numbers, true);
+                Box::new(move || self.break_responses(&numbers, false))
+            }
             InstanceFault::Drain => {
                 for number in numbers {
                     self.list_service.mark(number, true);
@@ -347,6 +351,12 @@
         }
     }
 
+    fn break_responses(&self, numbers: &[usize], breaks: bool) {
+        for number in numbers {
+            self.instances()[*number].set_breaks_responses(breaks);
+        }
+    }
+
     fn never_answer(&self, numbers: &[usize], never: bool) {
         for number in numbers {
             self.instances()[*number].set_never_answers(never);
--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -85,6 +85,8 @@
     NeverAnswer,
     /// The list shows that they drain; they stay up.
     Drain,
+    /// They break off each answer in the middle of its body.
+    BreakResponses,
 }
 
 /// A system call that may fail.
--- a/crates/fault-testbed/src/fault/parser.rs
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -219,6 +219,7 @@
             "hold" => self.components().map(FaultKind::Hold),
             "clock" => self.clock_step(),
             "calls" => self.failing_call(),
+            "spoil" => self.instances(InstanceFault::BreakResponses),
             "drain" => self.instances(InstanceFault::Drain),
             "list" => self.list_service().map(FaultKind::ListService),
             "stop" => self.components().map(FaultKind::Suspend),
--- a/crates/fault-testbed/src/instance.rs
+++ b/crates/fault-testbed/src/instance.rs
@@ -35,6 +35,7 @@
     connections: AtomicUsize,
     never_answers: AtomicBool,
     fails_requests: AtomicBool,
+    breaks_responses: AtomicBool,
     journal: Journal,
 }
 
@@ -114,6 +115,7 @@
             connections: AtomicUsize::new(0),
             never_answers: AtomicBool::new(false),
             fails_requests: AtomicBool::new(false),
+            breaks_responses: AtomicBool::new(false),
             journal: journal.clone(),
         })
     }
@@ -149,6 +151,12 @@
         self.never_answers.store(never_answers, Ordering::Relaxed);
     }
 
+    /// Whether it breaks off its answers in the middle of the body.
+    pub fn set_breaks_responses(&self, breaks_responses: bool) {
+        self.breaks_responses
+            .store(breaks_responses, Ordering::Relaxed);
+    }
+
     /// Whether it answers 500 at once.
     pub fn set_fails_requests(&self, fails_requests: bool) {
         self.fails_requests.store(fails_requests, Ordering::Relaxed);
@@ -246,7 +254,13 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Backend-Load: util={busy:.2}\r\nContent-Length: {length}\r\n\r\n"
         );
-        stream.write_all((head + &body).as_bytes()).await?;
+        let response = head + &body;
+        if self.breaks_responses.load(Ordering::Relaxed) {
+            let sent = response.len() - length / 2;
+            stream.write_all(&response.as_bytes()[..sent]).await?;
+            return Ok(Next::Close);
+        }
+        stream.write_all(response.as_bytes()).await?;
         Ok(Next::Request)
     }
 
--- a/crates/fault-testbed/src/journal.rs
+++ b/crates/fault-testbed/src/journal.rs
@@ -63,6 +63,14 @@
         /// The request's id.
         request: u64,
     },
+    /// A client that sent half a request and stayed has its response, or the end of its connection.
+    #[serde(rename = "HalfEnded")]
+    HalfRequestEnded {
+        /// The ingress.
+        ingress: usize,
+        /// Seconds since the half request was sent.
+        seconds: f64,
+    },
     /// That attempt has ended: its response was written, or its connection ended.
     #[serde(rename = "Over")]
     AttemptEnded {
--- a/crates/fault-testbed/src/run.rs
+++ b/crates/fault-testbed/src/run.rs
@@ -121,6 +121,7 @@
         ingresses_per_customer: traffic.spread,
         retry_probability: traffic.again,
         leave_probability: traffic.leave,
+        half_probability: traffic.half,
         timeout: traffic.patience.0,
     };
     let ingresses = environment.ingresses();
--- a/crates/fault-testbed/src/soak.rs
+++ b/crates/fault-testbed/src/soak.rs
@@ -20,7 +20,7 @@
 const DURATION_MS: std::ops::Range<u64> = 300..3_000;
 
 /// Kinds of faults that are drawn, by the name under which the coverage is counted.
-const KINDS: [&str; 16] = [
+const KINDS: [&str; 17] = [
     "term",
     "kill",
     "reload",
@@ -37,6 +37,7 @@
     "replace",
     "drain",
     "mute",
+    "spoil",
 ];
 
 /// The faults of a schedule: name and line of each, in the form of a trial's file.
@@ -102,7 +103,7 @@
             format!("link {ingress} <-> ingress:all loss 0.5 twice 0.2 for {duration_ms}ms")
         }
         "instance-link" => format!("link {some} <-> {instance} reset for {duration_ms}ms"),
-        "mute" => format!("mute {instance} for {duration_ms}ms"),
+        "mute" | "spoil" => format!("{kind} {instance} for {duration_ms}ms"),
         _ => format!("{kind} {instance}"),
     }
 }
@@ -112,7 +113,7 @@
     let mut text = format!(
         "[trial]\nseed = {seed}\ntime = 11s\ningresses = {}\ninstances = {}\nzones = 2\nready = 1.0\n\n\
          [ingress]\nknown = current\n\n[instance]\nwork = 120ms\ncold_time = 40s\ncold_share = 0.03\n\n\
-         [traffic]\nrate = 8\ncustomers = 200\nspread = 4\nquota = 100\nagain = 0.5\nleave = 0.1\n\n[faults]\n",
+         [traffic]\nrate = 8\ncustomers = 200\nspread = 4\nquota = 100\nagain = 0.5\nleave = 0.1\nhalf = 0.02\n\n[faults]\n",
         sizes.ingresses, sizes.instances,
     );
     for (name, line) in schedule {
--- a/crates/fault-testbed/src/trial.rs
+++ b/crates/fault-testbed/src/trial.rs
@@ -209,6 +209,10 @@
     #[garde(range(min = 0.0, max = 1.0))]
     #[serde(deserialize_with = "number")]
     pub leave: f64,
+    /// Chance that a client sends half a request and stays.
+    #[garde(range(min = 0.0, max = 1.0))]
+    #[serde(deserialize_with = "number")]
+    pub half: f64,
     /// Wanted within.
     #[garde(dive)]
     pub wanted: DurationSetting,
@@ -227,6 +231,7 @@
             ceiling: 0.0,
             again: 0.0,
             leave: 0.0,
+            half: 0.0,
             wanted: DurationSetting::from_millis(800),
             patience: DurationSetting::from_millis(3_000),
         }
