Test: what the kernel accepted is answered though accept fails during the shutdown

The mend of accept_waiting had no test. Five clients connect while accept fails, from before SIGTERM to 0.6 s after idle connections are closed: all are answered; with the old return on any error the first read is a reset.

--- a/crates/fakes/src/daemon.rs
+++ b/crates/fakes/src/daemon.rs
@@ -197,6 +197,11 @@
         unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
     }
 
+    /// Tells the process to stop (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
     /// Holds the process up, as a machine that is too busy does, until [`Daemon::resume`].
     pub fn hold(&self) {
         self.signal(libc::SIGSTOP);
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -59,7 +59,12 @@
         }
     }
 
+    /// A daemon with an admin address, on the listener that the consecutive processes share.
     fn start_daemon(&self, known_targets: Vec<Value>) -> Daemon {
+        self.start(known_targets, Some(&self.inherited))
+    }
+
+    fn start(&self, known_targets: Vec<Value>, inherited: Option<&InheritedResources>) -> Daemon {
         let settings = DaemonSettings {
             max_descriptors: 512,
             memory_mb: 64,
@@ -77,17 +82,17 @@
             self.folder.path(),
             "node",
             &settings,
-            Some(&self.inherited),
+            inherited,
             &environment,
         )
         .expect("started")
     }
 
-    /// Ends a fault a moment from now, while something blocks this thread.
-    fn end_soon(&self, fault: Fault) -> std::thread::JoinHandle<()> {
+    /// Ends a fault after a time, while something else goes on.
+    fn end_after(&self, time: Duration, fault: Fault) -> std::thread::JoinHandle<()> {
         let control = ControlFile::create(&self.folder.path().join("faults")).expect("a file");
         std::thread::spawn(move || {
-            std::thread::sleep(Duration::from_millis(300));
+            std::thread::sleep(time);
             control.set(fault, 0);
         })
     }
@@ -214,8 +219,34 @@
 async fn node_starts_though_the_system_has_no_socket_for_a_moment() {
     let surroundings = Surroundings::new(1).await;
     surroundings.control.set(Fault::SocketFailsOneIn, 1);
-    let ends = surroundings.end_soon(Fault::SocketFailsOneIn);
+    let ends = surroundings.end_after(Duration::from_millis(300), Fault::SocketFailsOneIn);
     let daemon = surroundings.start_daemon(in_service(&surroundings.instances));
     ends.join().expect("set");
     send_requests(&daemon, 0x1000, 5).await;
 }
+
+/// The kernel has accepted the clients; the process can't, from before its SIGTERM until after it has closed idle
+/// connections (0.6 s later).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn clients_in_the_kernels_queue_are_answered_though_accept_fails_during_the_shutdown() {
+    let surroundings = Surroundings::new(1).await;
+    let daemon = surroundings.start(in_service(&surroundings.instances), None);
+    send_requests(&daemon, 0x1000, 5).await;
+    surroundings.control.set(Fault::AcceptFailsOneIn, 1);
+    let mut clients = Vec::new();
+    for number in 0..5 {
+        let mut client = connect(daemon.address, [127, 0, 0, 1].into(), None)
+            .await
+            .expect("accepted by the kernel");
+        let text = request(0x2000 + number, 1 + number, TIME_LEFT, 0);
+        client.write_all(text.as_bytes()).await.expect("written");
+        clients.push(client);
+    }
+    daemon.terminate();
+    let ends = surroundings.end_after(Duration::from_millis(1200), Fault::AcceptFailsOneIn);
+    for client in &mut clients {
+        let response = http::read(client, &mut Vec::new(), Kind::Response).await;
+        response.expect("no reset").expect("a response");
+    }
+    ends.join().expect("set");
+}
