--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -42,6 +42,15 @@
     Box::new(|| {})
 }
 
+/// The setting of the preloaded library for a system call.
+fn failing_call(call: SystemCall) -> SystemFault {
+    match call {
+        SystemCall::Accept => SystemFault::AcceptFailsOneIn,
+        SystemCall::Connect => SystemFault::ConnectFailsOneIn,
+        SystemCall::Socket => SystemFault::SocketFailsOneIn,
+    }
+}
+
 /// Number of ingresses that have got a list.
 fn listed(entries: &[Entry]) -> usize {
     let listed = entries.iter().filter_map(|entry| match entry.event {
@@ -145,12 +154,7 @@
                 self.set_system_fault(SystemFault::WallClockOffsetNs, offset_ns)
             }
             FaultKind::FailSystemCall { call, one_in } => {
-                let fault = match call {
-                    SystemCall::Accept => SystemFault::AcceptFailsOneIn,
-                    SystemCall::Connect => SystemFault::ConnectFailsOneIn,
-                    SystemCall::Socket => SystemFault::SocketFailsOneIn,
-                };
-                self.set_system_fault(fault, i64::from(*one_in))
+                self.set_system_fault(failing_call(*call), i64::from(*one_in))
             }
             FaultKind::Kill { targets, .. }
             | FaultKind::Terminate { targets, .. }
--- a/crates/zone-failover/src/failover.rs
+++ b/crates/zone-failover/src/failover.rs
@@ -12,8 +12,9 @@
 
 use crate::message::ZoneMessage;
 use crate::observation::{Observation, OutcomeSums, Retention, ZoneObservations};
-use crate::policy::{Evaluation, ZonePhase, ZoneState, ZoneTransition, ZoneView};
+use crate::policy::{Evaluation, ZonePhase, ZoneState, ZoneView};
 use crate::settings::Settings;
+use crate::transition::ZoneTransition;
 
 /// Time since an origin of the caller's choice, or a span of time, in seconds.
 pub type Seconds = f64;
--- a/crates/zone-failover/src/lib.rs
+++ b/crates/zone-failover/src/lib.rs
@@ -11,9 +11,11 @@
 mod observation;
 mod policy;
 mod settings;
+mod transition;
 
 pub use failover::{Input, OutgoingMessage, Output, Seconds, Start, ZoneEndpoints, ZoneFailover};
 pub use message::{DecodeError, ZoneMessage, ZoneReport};
 pub use observation::{Observation, OutcomeSums};
-pub use policy::{Transition, ZonePhase, ZoneTransition};
+pub use policy::ZonePhase;
 pub use settings::Settings;
+pub use transition::{Transition, ZoneTransition};
--- a/crates/zone-failover/src/policy.rs
+++ b/crates/zone-failover/src/policy.rs
@@ -3,11 +3,10 @@
 //! Pure: reads views and settings, changes the states, and returns what changed. Invariants: the last zone that does well
 //! is never left, and the endpoints of zones that are not in use never exceed the configured share of all.
 
-use std::fmt;
-
 use crate::failover::Seconds;
 use crate::observation::OutcomeSums;
 use crate::settings::Settings;
+use crate::transition::Transition;
 
 /// Outcomes of a zone that this node and the peers that reported must have observed recently before it is judged.
 const MIN_FLEET_OUTCOMES: f64 = 2.5;
@@ -65,75 +64,6 @@
     Returning,
 }
 
-/// A change of one zone's phase; its text is the log line's.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Transition {
-    /// Left because the fleet observes that it fails.
-    Ejected(OutcomeSums),
-    /// Left because most of the fleet has left it.
-    FollowedEjection(OutcomeSums),
-    /// A return begins.
-    Returning(OutcomeSums),
-    /// A return failed.
-    EjectedAgain {
-        /// Least time until the next return.
-        hold: Seconds,
-        /// What the fleet observes.
-        observed: OutcomeSums,
-    },
-    /// In full use again.
-    Restored,
-}
-
-/// A zone and how its phase changed.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ZoneTransition {
-    /// The zone's name.
-    pub zone: String,
-    /// What changed.
-    pub transition: Transition,
-}
-
-impl fmt::Display for Transition {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Transition::Ejected(observed) => {
-                write!(formatter, "left, the fleet sees {}", Percentages(observed))
-            }
-            Transition::FollowedEjection(observed) => {
-                let observed = Percentages(observed);
-                write!(formatter, "left, as the fleet has; it sees {observed}")
-            }
-            Transition::Returning(observed) => {
-                write!(formatter, "comes back, {}", Percentages(observed))
-            }
-            Transition::EjectedAgain { hold, observed } => {
-                let observed = Percentages(observed);
-                write!(
-                    formatter,
-                    "fails again, left for {hold:.0} s at the least: {observed}"
-                )
-            }
-            Transition::Restored => formatter.write_str("in full use again"),
-        }
-    }
-}
-
-/// Sums as percentages of all outcomes.
-struct Percentages<'a>(&'a OutcomeSums);
-
-impl fmt::Display for Percentages<'_> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let sums = self.0;
-        let total = sums.total().max(1e-9);
-        let (dead, failing) = (sums.dead / total * 100.0, sums.failing / total * 100.0);
-        write!(
-            formatter,
-            "{dead:.0} of 100 dead, {failing:.0} failing, of {total:.0} lately"
-        )
-    }
-}
-
 /// What one node knows of a zone at a moment.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ZoneView {
--- a/src/admin/listener.rs
+++ b/src/admin/listener.rs
@@ -20,7 +20,7 @@
 use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
 
 use super::handle::AdminHandle;
-use crate::server::acceptor;
+use crate::server::listener;
 
 /// Connections open at once; their descriptors are in what the budget reserves.
 const MAX_CONNECTIONS: usize = 12;
@@ -56,7 +56,7 @@
 
 /// Listens at the admin address; where its port was left open, `address` becomes the one that it listens on.
 pub(crate) async fn bind(address: &mut SocketAddr) -> Result<TcpListener, AdminError> {
-    acceptor::listen(address, BACKLOG)
+    listener::listen(address, BACKLOG)
         .await
         .map_err(|source| AdminError::Listen {
             address: *address,
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -138,22 +138,21 @@
             true => self.pool.start(attempt),
             false => Err(attempt),
         };
-        match started {
-            Ok(cancel) => {
-                if let (Some(zones), Some(endpoint)) = (&mut self.zones, endpoint_for_zones) {
-                    zones.attempt_started(self.now, request, pending.class, &endpoint);
-                }
-                self.statistics.attempts += 1;
-                pending.attempt_started_at_ns = self.now;
-                pending.in_flight = Some(InFlightAttempt {
-                    number,
-                    cancel: Some(cancel),
-                });
-            }
+        let cancel = match started {
+            Ok(cancel) => cancel,
             Err(Attempt { endpoint, .. }) => {
-                self.report_not_sent(request, number, endpoint);
+                return self.report_not_sent(request, number, endpoint);
             }
+        };
+        if let (Some(zones), Some(endpoint)) = (&mut self.zones, endpoint_for_zones) {
+            zones.attempt_started(self.now, request, pending.class, &endpoint);
         }
+        self.statistics.attempts += 1;
+        pending.attempt_started_at_ns = self.now;
+        pending.in_flight = Some(InFlightAttempt {
+            number,
+            cancel: Some(cancel),
+        });
     }
 
     /// Reports an attempt that was not started, once everything that the policy has just decided is carried out.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,7 +17,8 @@
 use crate::lifecycle::inherited_socket::InheritedSocketError;
 use crate::lifecycle::shutdown::{LifecycleDriver, SignalError, Signals};
 use crate::peer_socket::PeerSocketError;
-use crate::server::acceptor::{Acceptor, BindError};
+use crate::server::acceptor::Acceptor;
+use crate::server::listener::BindError;
 
 mod foundation;
 mod node;
--- a/src/serve/foundation.rs
+++ b/src/serve/foundation.rs
@@ -23,7 +23,7 @@
 use crate::lifecycle::process_role::RelayedCommand;
 use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::peer_socket::PeerSocket;
-use crate::server::acceptor;
+use crate::server::listener as client_listener;
 
 /// Everything that the parts of the node are made from.
 pub(super) struct Prepared {
@@ -207,7 +207,7 @@
         let peers = PeerSocket::bind(&mut self.config, datagram_socket).await?;
         let listener = match self.inherited_socket.take() {
             Some(socket) => inherited_socket::listener(socket, &mut self.config.listen)?,
-            None => acceptor::bind(&mut self.config.listen).await?,
+            None => client_listener::bind(&mut self.config.listen).await?,
         };
         Ok(Sockets {
             peers: peers.map(Arc::new),
--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -4,7 +4,6 @@
 //! Invariants: what the kernel accepted for this process is served before the listener closes, unless another process
 //! has taken over; one loop at a time accepts from the listener; a connection's permit is given back once, with it.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -14,7 +13,7 @@
 use applewall_slow_peer::socket::{
     borrow_descriptor, kernel, MonitoredConnection, TransferMonitor,
 };
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
@@ -26,12 +25,10 @@
 use crate::server::connection_table::{ConnectionTable, MonitoredTransfer};
 use crate::server::connection_task;
 use crate::server::framing::{GuardedStream, RequestGuard};
+use crate::server::listener::{accept_failure, AcceptFailure};
 use crate::server::service::{RequestService, ServerContext};
 use crate::server::slow_peers::TransferMonitors;
-use crate::socket_retry::open_with_retries;
 
-/// Most connections that the kernel holds for this process: a burst of all clients at a restart fits.
-const BACKLOG: u32 = 1024;
 /// A new connection is not evicted as idle before this: its first request is on its way.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Wait for a permit before the next connection is evicted: by then one more may have been new for its whole grace.
@@ -41,50 +38,6 @@
 /// The bodies of all waiting requests may take the configured memory divided by this.
 const BODY_MEMORY_DIVISOR: usize = 8;
 
-/// The clients' address could not be bound.
-#[derive(Debug, thiserror::Error)]
-#[error("cannot listen on {address}: {source}")]
-pub(crate) struct BindError {
-    address: SocketAddr,
-    source: io::Error,
-}
-
-/// Listens for clients; a port that was left open is filled in.
-///
-/// # Errors
-///
-/// The address can't be bound.
-pub(crate) async fn bind(address: &mut SocketAddr) -> Result<TcpListener, BindError> {
-    listen(address, BACKLOG).await.map_err(|source| BindError {
-        address: *address,
-        source,
-    })
-}
-
-/// Listens with room for so many connections that are not accepted yet; a port that was left open is filled in.
-///
-/// # Errors
-///
-/// The address can't be bound.
-pub(crate) async fn listen(address: &mut SocketAddr, backlog: u32) -> io::Result<TcpListener> {
-    let wanted = *address;
-    let listener = open_with_retries(|| std::future::ready(listen_once(wanted, backlog))).await?;
-    *address = listener.local_addr()?;
-    Ok(listener)
-}
-
-fn listen_once(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    // The address can be bound again right after a restart.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(backlog)
-}
-
 /// The parts of the program that the acceptor works with.
 pub(crate) struct Dependencies {
     /// The engine's clock.
@@ -369,31 +322,6 @@
     }
 }
 
-/// What an error of `accept` is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AcceptFailure {
-    /// The kernel holds no connection that was not accepted.
-    NoneWaiting,
-    /// The first connection failed, or the call was interrupted: the next one may be accepted at once.
-    OneConnection,
-    /// The system lacks something, for a moment or for good: connections still wait.
-    System,
-}
-
-fn accept_failure(error: &io::Error) -> AcceptFailure {
-    use io::ErrorKind::{
-        ConnectionAborted, ConnectionReset, HostUnreachable, Interrupted, NetworkDown,
-        NetworkUnreachable, PermissionDenied, TimedOut, WouldBlock,
-    };
-    match error.kind() {
-        WouldBlock => AcceptFailure::NoneWaiting,
-        // accept(2): errors of the network that are pending on the new socket are passed on.
-        ConnectionAborted | ConnectionReset | HostUnreachable | Interrupted | NetworkDown
-        | NetworkUnreachable | PermissionDenied | TimedOut => AcceptFailure::OneConnection,
-        _ => AcceptFailure::System,
-    }
-}
-
 /// Bounds what the kernel buffers of responses, by the listener, for all connections that are accepted from now on.
 fn bound_kernel_buffers(listener: &TcpListener, monitor: Option<&Arc<TransferMonitor>>) {
     let settings = monitor
--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::server::connection_table::ClientConnection;
+use crate::server::listener::listen;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn acceptor() -> Acceptor {
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod connection_table;
 mod connection_task;
 mod framing;
+pub(crate) mod listener;
 mod request;
 mod request_body;
 pub(crate) mod response;
