--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::Environment;
-use crate::fault::{Fault, FaultKind, InstanceFault, Restart, SystemCall, Trigger};
+use crate::fault::{Fault, FaultKind, InitialList, InstanceFault, Restart, SystemCall, Trigger};
 use crate::journal::{Entry, Event};
 use crate::network::LinkRule;
 use crate::run::POLL_INTERVAL;
@@ -248,11 +248,7 @@
         };
         tokio::time::sleep(after).await;
         for ingress in numbers {
-            if let Err(error) = self.start_ingress(ingress, list) {
-                let status = error.to_string();
-                self.journal
-                    .record(Event::IngressExited { ingress, status });
-            }
+            self.start_again(ingress, list);
         }
     }
 
@@ -297,11 +293,19 @@
                 continue;
             };
             tokio::time::sleep(after).await;
-            if let Err(error) = self.start_ingress(ingress, list) {
-                let status = error.to_string();
-                self.journal
-                    .record(Event::IngressExited { ingress, status });
-            }
+            self.start_again(ingress, list);
+        }
+    }
+
+    /// Starts an ingress that does not run; another fault may have started it meanwhile.
+    fn start_again(self: &Arc<Self>, ingress: usize, list: InitialList) {
+        if self.ingresses()[ingress].exists() {
+            return;
+        }
+        if let Err(error) = self.start_ingress(ingress, list) {
+            let status = error.to_string();
+            self.journal
+                .record(Event::IngressExited { ingress, status });
         }
     }
 
