--- a/src/server/acceptor/tests.rs
+++ b/src/server/acceptor/tests.rs
@@ -4,12 +4,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn acceptor() -> Acceptor {
-    let mut config = PlatformConfig::sample();
-    config.max_descriptors = 64;
-    let (queue, _) = mpsc::channel(8);
     let (phase, phases) = watch::channel(LifecyclePhase::Serving);
     // Whatever drives the phases does so for as long as the program runs.
     std::mem::forget(phase);
+    acceptor_following(phases)
+}
+
+fn acceptor_following(phases: watch::Receiver<LifecyclePhase>) -> Acceptor {
+    let mut config = PlatformConfig::sample();
+    config.max_descriptors = 64;
+    let (queue, _) = mpsc::channel(8);
     let permits = ConnectionBudget::new(config.max_descriptors).client_permits();
     let (role, follower) = watch::channel(ProcessRole::Active);
     std::mem::forget(role);
@@ -198,3 +202,22 @@
     assert!(acceptor.evict_one(Duration::ZERO), "the only connection");
     assert_eq!(read_to_end(&mut client).await, "");
 }
+
+/// Its client connected just before the process began to close idle connections, and has not written yet.
+#[tokio::test]
+async fn new_connection_gets_its_answer_although_the_process_begins_to_close_idle_ones() {
+    let (phase, phases) = watch::channel(LifecyclePhase::Terminating);
+    let acceptor = acceptor_following(phases);
+    let mut client = acceptor.connection().await;
+    phase.send_replace(LifecyclePhase::Closing);
+    // The connection's task sees the phase before the client goes on.
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    client
+        .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        .await
+        .expect("written");
+    let response = read_to_end(&mut client).await;
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response:?}");
+}
