Shutdown: a new connection keeps its grace when idle ones are closed

Cause: connection_task.rs::shutdown_while_idle closed a connection without any request at once, also one that had come up in that moment; what accept_waiting took in at the end was closed the same way unless its bytes were in the kernel already. Change: such a connection stays for the 0.25 s that it has against eviction; the exit waits for it within its own time.

--- a/src/server/acceptor.rs
+++ b/src/server/acceptor.rs
@@ -22,15 +22,13 @@
 use crate::event_counts::{self, CountedEvent};
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::resource_budget::ConnectionBudget;
-use crate::server::connection_table::{ConnectionTable, MonitoredTransfer};
+use crate::server::connection_table::{ConnectionTable, MonitoredTransfer, FIRST_REQUEST_GRACE};
 use crate::server::connection_task;
 use crate::server::framing::{GuardedStream, RequestGuard};
 use crate::server::listener::{accept_failure, AcceptFailure};
 use crate::server::service::{RequestService, ServerContext};
 use crate::server::slow_peers::TransferMonitors;
 
-/// A new connection is not evicted as idle before this: its first request is on its way.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Wait for a permit before the next connection is evicted: by then one more may have been new for its whole grace.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(50);
 /// Wait after an error of `accept`, so that a lasting one does not use up the CPU.
--- a/src/server/connection_table.rs
+++ b/src/server/connection_table.rs
@@ -18,6 +18,9 @@
 
 use crate::server::client_socket::ClientSocket;
 
+/// A new connection is neither evicted nor closed as idle before this: its first request is on its way.
+pub(crate) const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
+
 /// A connection as slow-peer protection knows it.
 pub(crate) struct MonitoredTransfer {
     /// Where its responses are monitored.
--- a/src/server/connection_task.rs
+++ b/src/server/connection_task.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::event_counts::{self, CountedEvent};
-use crate::server::connection_table::ClientConnection;
+use crate::server::connection_table::{ClientConnection, FIRST_REQUEST_GRACE};
 use crate::server::framing::GuardedStream;
 use crate::server::service::RequestService;
 use crate::server::unanswered_input;
@@ -152,6 +152,10 @@
             }
             _ => false,
         };
+        if closes && !connection.has_begun_request() {
+            // Its first request may be on its way, and would get no response.
+            connection.idle_for(FIRST_REQUEST_GRACE).await;
+        }
         if closes {
             return;
         }
