State file: a set that was not written is kept while another process is active

Cause: the writer dropped an unwritten set when another process had taken over; where that one failed and this one became active again, the command was forgotten. Change: it is kept and tried again. Measured: two unit tests of the writer; the second fails without the line.

--- a/src/admin/state_writer.rs
+++ b/src/admin/state_writer.rs
@@ -104,8 +104,10 @@
         let Some((maintenance, _)) = self.unwritten.take() else {
             return;
         };
-        // The other process has the set, and what is decided there must not be overwritten.
+        // The other process has the set, and what is decided there must not be overwritten. That one may fail yet, and this
+        // one become active again.
         if *self.role.borrow() == ProcessRole::Superseded {
+            self.unwritten = Some((maintenance, Instant::now() + RETRY_INTERVAL));
             return;
         }
         // Logged where it fails; nobody waits for it.
@@ -131,3 +133,6 @@
         written
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/lifecycle/shared_directory.rs
+++ b/src/lifecycle/shared_directory.rs
@@ -35,6 +35,11 @@
 impl SharedDirectory {
     /// In `$TMPDIR`, named after the node.
     pub(crate) fn new(name: &str) -> Self {
+        SharedDirectory::in_folder(&env::temp_dir(), name)
+    }
+
+    /// In a folder, named after the node.
+    pub(crate) fn in_folder(folder: &Path, name: &str) -> Self {
         // The name is the platform's; as part of a file's name it may hold no separator of folders.
         let name = name
             .chars()
@@ -47,7 +52,7 @@
             })
             .collect();
         SharedDirectory {
-            folder: env::temp_dir(),
+            folder: folder.to_path_buf(),
             name,
         }
     }
