Zones: a returning zone is not left again because all zones fail

Callers saw: with [zones] on, a zone that was coming back was left again, for twice the hold time, when all zones began to fail at once. Change: the same proof as for a first ejection; where all zones fail the share stays as it is.

--- a/crates/zone-failover/src/evaluation/phases.rs
+++ b/crates/zone-failover/src/evaluation/phases.rs
@@ -76,7 +76,8 @@
         None
     }
 
-    /// Raises the zone's share at the configured rate, or ejects the zone again where it fails.
+    /// Raises the zone's share at the configured rate, or ejects the zone again where it fails and another does not. Where
+    /// all fail, the share stays as it is.
     pub(super) fn evaluate_returning(
         &self,
         state: &mut ZoneState,
@@ -84,6 +85,9 @@
         assessment: &Assessment,
     ) -> Option<Transition> {
         if state.failing_evaluations >= FAILING_EVALUATIONS {
+            if !assessment.has_healthy_alternative {
+                return None;
+            }
             state.eject_again(self.now);
             return Some(Transition::EjectedAgain {
                 hold: state.hold(),
--- a/crates/zone-failover/tests/fleets.rs
+++ b/crates/zone-failover/tests/fleets.rs
@@ -383,3 +383,31 @@
         assert_eq!(left, [], "{behavior:?}");
     }
 }
+
+/// Guards against a returning zone that is left again because all zones fail.
+#[test]
+fn returning_zone_is_not_left_again_when_all_zones_begin_to_fail_at_once() {
+    for size in [3, SIZE, 100] {
+        for behavior in [Behavior::Slow, Behavior::Silent, Behavior::Fails] {
+            for seed in 0..SEEDS {
+                let mut fleet = Fleet::serving(size, seed);
+                fleet.run(6.0, &zone_0(Behavior::Silent));
+                fleet.run(14.0, &|_| Behavior::Serves);
+                let transitions = fleet.transitions.len();
+                fleet.run(4.0, &|_| behavior);
+                let later = &fleet.transitions[transitions..];
+                let left_again = later.iter().filter(|logged| {
+                    !matches!(
+                        logged.change.transition,
+                        Transition::Returning(_) | Transition::Restored
+                    )
+                });
+                assert_eq!(
+                    left_again.count(),
+                    0,
+                    "{size} nodes, {behavior:?}, seed {seed}: {later:?}"
+                );
+            }
+        }
+    }
+}
