Hot restart: a stopping process accepts clients again where the new one dies

Callers saw: after a hot restart and SIGTERM to the old process, a new process that died left nobody: connections hung in the accept queue until the platform started another process, for up to 3.5 s beside an old process that still ran. Cause: HotRestart::hand_over waited for ever once the new process was gone and this one was stopping, since the new one may have handed over to a third process before it exited. Change: it is active again unless a process other than itself listens at the shared path, which tells the two cases apart.

--- a/src/daemon/lifecycle/hot_restart.rs
+++ b/src/daemon/lifecycle/hot_restart.rs
@@ -3,9 +3,10 @@
 //! Owner: the task that [`HotRestart::run`] becomes, and `serve` during startup. Input: the other process, on a Unix socket
 //! in the shared directory. Output: the transferred state, the role of this process, and relayed admin commands. The active
 //! process listens; the new process connects, receives the state and reports that it has taken over. From then on the
-//! connection carries admin commands in both directions; when it closes, the other process has exited. Invariant: the
-//! old process accepts clients until the new one has reported, and the new one only after that report was confirmed. While
-//! the state is transferred, for a moment no process reads datagrams: they wait in the socket, which both have.
+//! connection carries admin commands in both directions; when it closes, the other process has exited, and the old one is
+//! active again, also while it stops, unless another process is. Invariant: the old process accepts clients until the new
+//! one has reported, and the new one only after that report was confirmed. While the state is transferred, for a moment no
+//! process reads datagrams: they wait in the socket, which both have.
 
 use std::convert::Infallible;
 use std::io;
@@ -91,6 +92,9 @@
     /// The new process did not report within [`TAKE_OVER_TIMEOUT`].
     #[error("the new process did not report in time")]
     TakeOverTimeout,
+    /// The new process had taken over and ended while this process was stopping, and no other process is active.
+    #[error("the new process ended while this process was stopping, which accepts clients until it exits")]
+    EndedWhileStopping,
     /// The new process had taken over and ended, and this process was not stopping.
     #[error("the new process ended before this process was told to stop")]
     EndedAfterTakeOver,
@@ -252,11 +256,27 @@
         if writing.write_all(CONFIRMATION).await.is_ok() {
             self.relay_commands(lines, writing).await;
         }
-        if self.admin.phase.borrow().is_stopping() {
-            // This process is about to exit and must not become active again before that.
+        if !self.admin.phase.borrow().is_stopping() {
+            return Err(HandOverError::EndedAfterTakeOver);
+        }
+        if self.another_process_listens().await {
+            // The new process has handed over in its turn: this one exits, and must not become active before that.
             std::future::pending::<()>().await;
         }
-        Err(HandOverError::EndedAfterTakeOver)
+        Err(HandOverError::EndedWhileStopping)
+    }
+
+    /// True if a process other than this one listens at the shared path, and so is the node's active process. A process
+    /// that was killed leaves its socket behind, where nobody listens.
+    async fn another_process_listens(&self) -> bool {
+        let path = self.shared_directory.hot_restart_socket();
+        let Ok(Ok(stream)) = timeout(STEP_TIMEOUT, UnixStream::connect(path)).await else {
+            return false;
+        };
+        let own_id = i32::try_from(std::process::id()).ok();
+        stream
+            .peer_cred()
+            .is_ok_and(|credentials| credentials.pid() != own_id)
     }
 
     /// The encoded state of the engine, with whether this process drains.
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -100,10 +100,13 @@
     /// Serves until the process is to end and everything that was accepted has its response.
     pub(crate) async fn serve(self, listener: TcpListener) {
         let mut phases = self.phases.clone();
+        // In this order: where this process is active again, `emptied_after_replacement` returns the permits that it took
+        // before `accept` needs one, and would evict an idle client for it.
         tokio::select! {
-            () = self.accept(&listener) => {}
+            biased;
             _ = phases.wait_for(|phase| *phase == LifecyclePhase::Closing) => {}
             () = self.emptied_after_replacement() => {}
+            () = self.accept(&listener) => {}
         }
         let exit_at = self
             .shutdown_times
@@ -126,14 +129,22 @@
         }
     }
 
-    /// Ends once this process has to stop, another one took over, and no connection is left.
+    /// Ends once this process has to stop, another one took over and still runs, and no connection is left.
     async fn emptied_after_replacement(&self) {
-        let mut phases = self.phases.clone();
-        // Fails only without a sender of phases, which the process has until it exits.
+        let (mut phases, mut role) = (self.phases.clone(), self.role.clone());
+        // Fails only without a sender of phases, which the process has until it exits. The same holds for the role.
         let _ = phases
             .wait_for(|phase| *phase == LifecyclePhase::TerminatingReplaced)
             .await;
-        self.admission.wait_until_empty().await;
+        loop {
+            let _ = role.wait_for(|role| *role == ProcessRole::Superseded).await;
+            // Not beyond that: it takes the permits that new connections need.
+            tokio::select! {
+                biased;
+                _ = role.wait_for(|role| *role != ProcessRole::Superseded) => {}
+                () = self.admission.wait_until_empty() => return,
+            }
+        }
     }
 
     async fn accept(&self, listener: &TcpListener) {
