Endpoints: an attempt that was not sent is no evidence and ends no ejection

Callers saw: an ejected endpoint got its traffic back though nobody had heard from it, where an attempt at it was not sent because the endpoint drains; drains under load counted as rejections by the endpoint, which the load ladder takes for overload. Cause: SendRefusal::outcome reported a drain as Outcome::Overloaded, a response, so that the policy retries (src/daemon/send_rule.rs, taken up by EndpointRecord::apply_outcome). Change: Outcome::NotSentRetryable, never executed, no evidence and retried; Outcome::is_evidence says for all learning which outcomes are evidence.

--- a/src/api/request.rs
+++ b/src/api/request.rs
@@ -42,6 +42,8 @@
     Cancelled,
     /// Never sent; never executed.
     NotSent,
+    /// Never sent, for a reason that a further attempt may not meet, as the endpoint began to drain; never executed.
+    NotSentRetryable,
 }
 
 impl Outcome {
@@ -49,7 +51,18 @@
     pub fn never_executed(self) -> bool {
         matches!(
             self,
-            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotSent
+            Outcome::Overloaded
+                | Outcome::ConnectFailed
+                | Outcome::NotSent
+                | Outcome::NotSentRetryable
+        )
+    }
+
+    /// True where the outcome is evidence about the endpoint. An attempt that was never sent, or was cancelled, is none.
+    pub fn is_evidence(self) -> bool {
+        !matches!(
+            self,
+            Outcome::NotSent | Outcome::NotSentRetryable | Outcome::Cancelled
         )
     }
 }
--- a/src/daemon/send_rule.rs
+++ b/src/daemon/send_rule.rs
@@ -46,10 +46,10 @@
         }
     }
 
-    /// What the policy learns: a draining endpoint counts as overloaded, so that the policy retries at another one.
+    /// What the policy learns: nothing about the endpoint, and whether to try another one.
     pub(crate) fn outcome(self) -> Outcome {
         match self {
-            SendRefusal::Draining => Outcome::Overloaded,
+            SendRefusal::Draining => Outcome::NotSentRetryable,
             _ => Outcome::NotSent,
         }
     }
--- a/src/daemon/send_rule/tests.rs
+++ b/src/daemon/send_rule/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use applewall::api::Idempotency;
+use applewall::api::{Idempotency, Outcome};
 
 use super::{check_start, check_write, SendRefusal, StartFacts, WriteFacts};
 
@@ -84,3 +84,25 @@
         assert_eq!(refused(change), Err(refusal));
     }
 }
+
+/// Guards against a refusal that passes for an endpoint's response.
+#[test]
+fn no_refusal_is_evidence_about_an_endpoint_and_only_a_drain_is_retried() {
+    let refusals = [
+        SendRefusal::Answered,
+        SendRefusal::AnotherInFlight,
+        SendRefusal::TooManyAttempts,
+        SendRefusal::MayHaveExecuted,
+        SendRefusal::Expired,
+        SendRefusal::Draining,
+        SendRefusal::ClientDisconnected,
+        SendRefusal::DeduplicationWindowOver,
+    ];
+    for refusal in refusals {
+        let outcome = refusal.outcome();
+        assert!(outcome.never_executed(), "{refusal:?}");
+        assert!(!outcome.is_evidence(), "{refusal:?}: {outcome:?}");
+        let is_retried = outcome == Outcome::NotSentRetryable;
+        assert_eq!(is_retried, refusal == SendRefusal::Draining);
+    }
+}
--- a/src/decision/endpoints/outlier.rs
+++ b/src/decision/endpoints/outlier.rs
@@ -38,7 +38,7 @@
                 self.consecutive_failures = 0;
                 self.ejected_until = None;
             }
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Cancelled | Outcome::NotSent | Outcome::NotSentRetryable => {}
         }
     }
 
--- a/src/decision/policy/mod.rs
+++ b/src/decision/policy/mod.rs
@@ -251,8 +251,7 @@
         let outcome = result.outcome;
         self.overload
             .record_completed(context.now(), outcome, finished.attempt.cost());
-        let is_no_evidence = matches!(outcome, Outcome::NotSent | Outcome::Cancelled);
-        if has_just_resumed || is_no_evidence {
+        if has_just_resumed || !outcome.is_evidence() {
             return;
         }
         let rate_memory = self.overload.rate_memory();
--- a/tests/golden_bench.rs
+++ b/tests/golden_bench.rs
@@ -145,6 +145,7 @@
         Outcome::ConnectionReset => "reset",
         Outcome::Cancelled => "cancelled",
         Outcome::NotSent => "not sent",
+        Outcome::NotSentRetryable => "not sent, retryable",
     };
     let event = match event {
         NodeEvent::Policy(event) => event,
