Upstream: a shortage of this node's own is no failure of an endpoint

Callers saw: where the machine was short of sockets, ports or memory for a moment, healthy endpoints were ejected for 0.5 to 4 s and the load ladder, which takes failed connects for overload, shed requests. Cause: UpstreamConnection::dial mapped every error of connect to Outcome::ConnectFailed. Evidence: by reading; shortage_of_this_node_is_no_evidence_about_an_endpoint fails with the old mapping (MFILE: ConnectFailed). No run with real processes shows the ejection.

--- a/src/daemon/engine/statistics.rs
+++ b/src/daemon/engine/statistics.rs
@@ -74,6 +74,7 @@
         not_sent_client_left = counts.of(CountedEvent::NotSentClientLeft),
         not_sent_window_over = counts.of(CountedEvent::NotSentWindowOver),
         not_sent_expired = counts.of(CountedEvent::NotSentExpired),
+        not_sent_local_shortage = counts.of(CountedEvent::NotSentLocalShortage),
         action_refused = counts.of(CountedEvent::ActionRefused),
         "counts by reason"
     );
--- a/src/daemon/observability/event_counts.rs
+++ b/src/daemon/observability/event_counts.rs
@@ -33,12 +33,14 @@
     NotSentWindowOver,
     /// An attempt was not sent because its deadline had expired.
     NotSentExpired,
+    /// An attempt was not sent because this node could not open a connection: it was short of sockets, ports or memory.
+    NotSentLocalShortage,
     /// The engine refused an action of the policy that would have broken an invariant of the protocol.
     ActionRefused,
 }
 
 /// All events, in the order of their discriminants.
-const EVENTS: [CountedEvent; 13] = [
+const EVENTS: [CountedEvent; 14] = [
     CountedEvent::ConnectionEnded,
     CountedEvent::ConnectionEvicted,
     CountedEvent::ConnectionIdle,
@@ -51,6 +53,7 @@
     CountedEvent::NotSentClientLeft,
     CountedEvent::NotSentWindowOver,
     CountedEvent::NotSentExpired,
+    CountedEvent::NotSentLocalShortage,
     CountedEvent::ActionRefused,
 ];
 
--- a/src/daemon/system/socket_retry.rs
+++ b/src/daemon/system/socket_retry.rs
@@ -34,7 +34,7 @@
 }
 
 /// True for errors of a system that is short of resources, and of an interrupted call.
-fn is_transient(error: &io::Error) -> bool {
+pub(crate) fn is_transient(error: &io::Error) -> bool {
     Errno::from_io_error(error).is_some_and(|errno| {
         [
             Errno::MFILE,
--- a/src/daemon/upstream/connection.rs
+++ b/src/daemon/upstream/connection.rs
@@ -26,7 +26,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
+use crate::observability::event_counts::{self, CountedEvent};
 use crate::system::counting_io::{CountingIo, IoObserver};
+use crate::system::socket_retry::is_transient;
 
 /// Bounds a response head, and what hyper reads ahead of a body: the buffer of one connection.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -129,6 +131,16 @@
     pub permit: OwnedSemaphorePermit,
 }
 
+/// What a failed connect proves. Where this node is short of sockets, ports or memory it is no evidence about the endpoint.
+pub(super) fn connect_failure(error: &io::Error) -> Outcome {
+    let is_local = is_transient(error) || error.kind() == io::ErrorKind::AddrNotAvailable;
+    if !is_local {
+        return Outcome::ConnectFailed;
+    }
+    event_counts::count(CountedEvent::NotSentLocalShortage);
+    Outcome::NotSentRetryable
+}
+
 impl UpstreamConnection {
     /// Opens a connection, within `timeout`.
     pub(super) async fn dial(
@@ -137,8 +149,11 @@
         permit: OwnedSemaphorePermit,
     ) -> Result<Self, Outcome> {
         let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else {
-            return Err(Outcome::ConnectFailed);
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(connect_failure(&error)),
+            // The time is over.
+            Err(_) => return Err(Outcome::ConnectFailed),
         };
         // Without it requests are only slower.
         let _ = stream.set_nodelay(true);
@@ -182,3 +197,6 @@
         self.permit
     }
 }
+
+#[cfg(test)]
+mod tests;
