Engine: what is due first is handled first, also after a stall

Callers saw: 504 in place of 502 or a rejection with Retry-After, where the process did not run for 12 ms or more around the end of a request's time; a response that had already arrived in the kernel could be lost to the 504 as well. Cause: an attempt ends 20 ms before its client's deadline, in a task of its own; the last resort is due 8 ms before it, in the engine. After a stall both are past, and the engine sent the last resort before the attempt's task ran, or before its report left the queue. Within the engine, last resorts also went before policy timers that were due earlier (Engine::expire_timers). Evidence: attempt_that_times_out_during_a_stall_ends_before_the_last_resort, which wakes the engine first after a stall of 50 ms, failed before with 504 each time. Change: where a last resort is due, the engine lets the runtime poll I/O, timers and the tasks they wake, and handles what these reported, before it sends one; timers and last resorts come out in the order of their times.

--- a/src/daemon/engine/mod.rs
+++ b/src/daemon/engine/mod.rs
@@ -38,7 +38,7 @@
 
 use pending_request::PendingRequest;
 use statistics::Statistics;
-use timers::{Timer, Timers};
+use timers::{Due, Timer, Timers};
 
 /// Bounds the messages that are handled before timers are checked again, and with them how late a timer is.
 const MAX_BATCH: usize = 128;
@@ -208,10 +208,24 @@
             batch
                 .drain(..)
                 .for_each(|message| self.handle_message(message));
+            if self.timers.is_last_resort_due(self.now) {
+                self.await_due_reports(&mut messages).await;
+            }
             self.expire_timers();
         }
     }
 
+    /// Handles what is reported of attempts before any last resort. An attempt ends before its request's last resort is due;
+    /// after a stall of the process both are past, and its task may not have run yet, or its report may be in the queue.
+    async fn await_due_reports(&mut self, messages: &mut mpsc::Receiver<Message>) {
+        // Returns after the runtime has polled I/O and timers, and the tasks that these woke.
+        tokio::task::yield_now().await;
+        self.now = self.clock.now();
+        while let Ok(message) = messages.try_recv() {
+            self.handle_message(message);
+        }
+    }
+
     /// Advances to `now`, where the next timer was due at `due`. If that is long past, the process was stalled: requests that
     /// are accepted right after may have waited in the kernel for as long, and that time is taken off their deadlines.
     fn advance_to(&mut self, now: u64, due: u64) {
@@ -262,26 +276,30 @@
 
     /// Handles all timers that are due by now.
     fn expire_timers(&mut self) {
-        while let Some(request) = self.timers.due_last_resort(self.now) {
-            self.send_last_resort(request);
+        while let Some(due) = self.timers.next_expired(self.now) {
+            match due {
+                Due::LastResort(request) => self.send_last_resort(request),
+                Due::Timer(timer) => self.handle_timer(timer),
+            }
         }
-        while let Some(timer) = self.timers.pop_due(self.now) {
-            match timer {
-                Timer::Policy(token) => self.handle_event(Event::TimerExpired(token)),
-                Timer::ZoneFailover => {
-                    self.step_zone_failover();
-                    self.schedule_zone_failover();
-                }
-                Timer::IdleSweep => {
-                    self.clock.observe_wall_clock();
-                    self.pool.close_expired();
-                    self.timers.schedule_idle_sweep(self.now);
-                }
-                Timer::Statistics => {
-                    self.log_statistics();
-                    slow_peers::log_statistics(&self.monitors);
-                    self.timers.schedule_statistics(self.now);
-                }
+    }
+
+    fn handle_timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::Policy(token) => self.handle_event(Event::TimerExpired(token)),
+            Timer::ZoneFailover => {
+                self.step_zone_failover();
+                self.schedule_zone_failover();
+            }
+            Timer::IdleSweep => {
+                self.clock.observe_wall_clock();
+                self.pool.close_expired();
+                self.timers.schedule_idle_sweep(self.now);
+            }
+            Timer::Statistics => {
+                self.log_statistics();
+                slow_peers::log_statistics(&self.monitors);
+                self.timers.schedule_statistics(self.now);
             }
         }
     }
--- a/src/daemon/engine/tests.rs
+++ b/src/daemon/engine/tests.rs
@@ -337,3 +337,50 @@
     engine.handle_message(attempt_ended(0, Outcome::Success));
     assert!(matches!(again.try_recv(), Ok(ClientResponse::Served(..))));
 }
+
+/// Stalls the process beyond a request's deadline, so that the end of its attempt and, later, its last resort are due.
+async fn stall_beyond(deadline: std::time::Instant) {
+    let stall = Duration::from_millis(50);
+    tokio::time::sleep_until((deadline - stall).into()).await;
+    std::thread::sleep(deadline.saturating_duration_since(std::time::Instant::now()));
+}
+
+/// Guards against a last resort that overtakes the end of an attempt, which was due before it, after a stall.
+#[tokio::test]
+async fn attempt_that_times_out_during_a_stall_ends_before_the_last_resort() {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let (queue, inbox) = mpsc::channel(8);
+    let mut engine = Engine::new(
+        &PlatformConfig::sample(),
+        dependencies(queue.clone(), InitialState::WithoutAdmin),
+    );
+    let update = || {
+        Message::EndpointUpdate(EndpointUpdate {
+            kind: EndpointUpdateKind::Delta,
+            entries: vec![EndpointEntry {
+                endpoint: Endpoint {
+                    id: "s-1".into(),
+                    state: EndpointState::Ready,
+                    ..Default::default()
+                },
+                address: silent.local_addr().expect("its address"),
+            }],
+        })
+    };
+    engine.handle_message(update());
+    let response = submit_request(&mut engine);
+    let deadline = engine.clock.instant(engine.now + TIME_LEFT_NS);
+    let (_commands, commands_in) = mpsc::channel(1);
+    let engine = tokio::spawn(engine.run(inbox, commands_in));
+    stall_beyond(deadline).await;
+    // Wakes the engine before the timer of the attempt.
+    assert!(queue.try_send(update()).is_ok());
+    let response = response.await.expect("a response");
+    engine.abort();
+    // The policy's own: a rejection after which the client may try again, and not 504.
+    assert!(
+        matches!(response, ClientResponse::Rejected { .. }),
+        "{}",
+        response.summary()
+    );
+}
--- a/src/daemon/engine/timers.rs
+++ b/src/daemon/engine/timers.rs
@@ -1,7 +1,8 @@
 //! All timers of the engine: the policy's, the periodic ones, and the last-resort response of each pending request.
 //!
 //! Owner: the engine. Input: instants on the engine's clock. Output: the timers that are due. Invariants: timers that are due at the
-//! same moment come out in the order of [`Timer`]'s variants; a request has at most one last-resort entry.
+//! same moment come out in the order of [`Timer`]'s variants, after last resorts; whatever is due earlier comes out earlier, however
+//! late the timers are looked at; a request has at most one last-resort entry.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
@@ -27,6 +28,15 @@
     Statistics,
 }
 
+/// What is due first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Due {
+    /// A request gets its last-resort response. It stays scheduled until it is cancelled.
+    LastResort(RequestId),
+    /// A timer, which is taken out.
+    Timer(Timer),
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ScheduledTimer {
     at: u64,
@@ -94,21 +104,27 @@
             .map_or(timer, |last_resort| timer.min(last_resort.at))
     }
 
-    /// The request whose last-resort response is due first, if one is due. It stays scheduled until it is cancelled.
-    pub(super) fn due_last_resort(&self, now: u64) -> Option<RequestId> {
-        let first = self.last_resorts.first()?;
-        (first.at <= now).then_some(first.request)
+    /// True where a request's last-resort response is due.
+    pub(super) fn is_last_resort_due(&self, now: u64) -> bool {
+        self.last_resorts
+            .first()
+            .is_some_and(|first| first.at <= now)
     }
 
-    /// Takes out the timer that is due first, if one is due.
-    pub(super) fn pop_due(&mut self, now: u64) -> Option<Timer> {
-        let Reverse(first) = self.scheduled.peek()?;
-        if first.at > now {
-            return None;
+    /// What is due first, if anything is due.
+    pub(super) fn next_expired(&mut self, now: u64) -> Option<Due> {
+        let timer_at = self.scheduled.peek().map(|Reverse(first)| first.at);
+        let last_resort = self.last_resorts.first().copied();
+        match last_resort {
+            Some(first) if first.at <= now && timer_at.is_none_or(|at| first.at <= at) => {
+                Some(Due::LastResort(first.request))
+            }
+            _ if timer_at.is_some_and(|at| at <= now) => self
+                .scheduled
+                .pop()
+                .map(|Reverse(scheduled)| Due::Timer(scheduled.timer)),
+            _ => None,
         }
-        self.scheduled
-            .pop()
-            .map(|Reverse(scheduled)| scheduled.timer)
     }
 
     /// True where no request has a last-resort response scheduled.
