Clock: Unix times that are converted one after the other keep their distance

A stop of the process between the readings of its two clocks, of 0.1 s or more, passed for a step of the wall clock. Cause: each conversion read both clocks anew, in whole milliseconds, and took over the offset that came out (Clock::observed_history, WallClockHistory::observe).

--- a/src/daemon/clock/mod.rs
+++ b/src/daemon/clock/mod.rs
@@ -8,12 +8,16 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use self::wall_clock::WallClockHistory;
+use self::wall_clock::{ClockReading, WallClockHistory};
 
 /// The clock's moment at the start, in nanoseconds: far above 0, so that moments before the start can be expressed.
 const START_NS: u64 = 1_000_000_000_000_000;
-const NANOS_PER_MILLISECOND: u64 = 1_000_000;
-const MILLISECONDS_PER_SECOND: f64 = 1e3;
+const NANOS_PER_SECOND: f64 = 1e9;
+/// Time between two readings of the monotonic clock, with one of the wall clock between them, above which all three are
+/// read again: the process was stopped meanwhile.
+const MAX_READING_SPAN_NS: i64 = 1_000_000;
+/// How often both clocks are read for one reading, at most.
+const MAX_READINGS: usize = 5;
 
 /// A copy of the engine's clock.
 #[derive(Clone, Copy)]
@@ -69,7 +73,7 @@
 
     /// The Unix time of this clock's moment 0, in seconds.
     pub(crate) fn unix_offset_seconds(&self) -> f64 {
-        self.observed_history().offset_ms() as f64 / MILLISECONDS_PER_SECOND
+        self.observed_history().offset_ns() as f64 / NANOS_PER_SECOND
     }
 
     /// Converts a Unix time in milliseconds that another host measured. `None` for 0, which the platform uses for an unknown
@@ -78,25 +82,41 @@
         if unix_ms == 0 {
             return None;
         }
-        let now_ms = self.now_ms();
-        let moment_ms = self.observed_history().moment_of(now_ms, unix_ms);
-        let moment_ms = u64::try_from(moment_ms).unwrap_or(0);
-        Some(moment_ms.saturating_mul(NANOS_PER_MILLISECOND).max(1))
-    }
-
-    fn now_ms(&self) -> i64 {
-        (self.now() / NANOS_PER_MILLISECOND) as i64
+        let mut history = self.observed_history();
+        let moment_ns = history.moment_of(self.now() as i64, unix_ms);
+        Some(u64::try_from(moment_ns).unwrap_or(0).max(1))
     }
 
     /// The history, after the present offset of the wall clock was recorded.
     fn observed_history(&self) -> MutexGuard<'static, WallClockHistory> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
-        let unix_now_ms = unix.unwrap_or_default().as_millis() as u64;
+        let reading = self.read_clocks();
         // No code panics while it holds the lock, and the history would be consistent if it did.
         let mut history = self.wall.lock().unwrap_or_else(PoisonError::into_inner);
-        history.observe(self.now_ms(), unix_now_ms);
+        history.observe(reading);
         history
     }
+
+    /// Reads both clocks as nearly at the same time as the scheduler lets it.
+    fn read_clocks(&self) -> ClockReading {
+        let mut reading = self.read_clocks_once();
+        for _ in 1..MAX_READINGS {
+            if reading.span_ns() <= MAX_READING_SPAN_NS {
+                break;
+            }
+            reading = self.read_clocks_once();
+        }
+        reading
+    }
+
+    fn read_clocks_once(&self) -> ClockReading {
+        let before_ns = self.now() as i64;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        ClockReading {
+            before_ns,
+            unix_ns: unix.unwrap_or_default().as_nanos() as i64,
+            after_ns: self.now() as i64,
+        }
+    }
 }
 
 #[cfg(test)]
