Endpoints: a start that is told again a little later is no restart

Callers saw: after a hot restart the new process converts the Unix times of the endpoints' starts again; one that came out 1 ms later passed for a restart, so failures, latency and outcomes were forgotten and an outlier got its traffic back, with a new slow start. Cause: EndpointRecord::update compared starts exactly. Found by looking for places that set two conversions of one clock against each other; the others convert once. Evidence: the new unit test failed at 1 ms before. Not seen between two processes. Change: a start less than 0.1 s after the known one is the same; a step of the wall clock is at least that.

--- a/src/decision/endpoints/record.rs
+++ b/src/decision/endpoints/record.rs
@@ -9,6 +9,10 @@
 use crate::decision::latency::RequestKind;
 use crate::decision::pending::PendingRequest;
 
+/// Shortest time between two starts of an endpoint. A start that is told less later is the same one, whose Unix time was
+/// converted again: after a hot restart, or with a clock that drifts.
+const MIN_RESTART_DISTANCE: TimeSpan = TimeSpan::from_seconds(0.1);
+
 /// An attempt in flight.
 #[derive(Clone)]
 pub(crate) struct InFlightAttempt {
@@ -134,7 +138,7 @@
     pub(super) fn update(&mut self, endpoint: &Endpoint, started_at: Timestamp) {
         self.is_ready = endpoint.state == EndpointState::Ready;
         self.is_removed = endpoint.state == EndpointState::Removed;
-        if started_at > self.slow_start_from {
+        if started_at - self.slow_start_from >= MIN_RESTART_DISTANCE {
             self.slow_start_from = started_at;
             self.latency_factor = 1.0;
             self.consecutive_failures = 0;
@@ -184,3 +188,6 @@
         Some(self.in_flight.remove(position))
     }
 }
+
+#[cfg(test)]
+mod tests;
