Discovery: an address that changes before the first poll is asked for the full list

Callers saw: a node that got a SIGHUP while it waited before its first poll asked the new discovery for the changes since the old one's revision, and could go on with a list in which endpoints are missing or drained ones stay. Cause: watch::follow read the address after the wait and so consumed the change that would have dropped the revision. Evidence: the new test failed before: GET /v1/servers?after=7 went to the new address. Change: the address that the revision belongs to is read before the wait; a change during the wait is seen by the first select. Measured: the test and the other discovery tests of the program passed.

--- a/src/daemon/discovery/watch.rs
+++ b/src/daemon/discovery/watch.rs
@@ -52,7 +52,8 @@
     clock: Clock,
     queue: mpsc::Sender<Message>,
 ) {
-    let mut revision = start.revision;
+    // Before the delay: the known revision is of this address.
+    let (mut address, mut revision) = (*discovery.borrow_and_update(), start.revision);
     let mut rng = SmallRng::seed_from_u64(start.seed);
     let watcher = Watcher {
         timing: WatchTiming::for_subscription(settings.policy.watch_endpoints),
@@ -66,8 +67,8 @@
         .wait_before_first_call(revision.is_some(), &mut rng)
         .await;
     loop {
-        let address = *discovery.borrow_and_update();
-        // A new address drops the old one's connection and revision, also in the middle of a call or a delay.
+        // A new address drops the old one's connection and revision, also in the middle of a call or a delay, the first one
+        // among them.
         tokio::select! {
             biased;
             Ok(()) = discovery.changed() => {}
@@ -77,6 +78,7 @@
         if let Some(schedule) = &watcher.schedule {
             schedule.service_changed().await;
         }
+        address = *discovery.borrow_and_update();
     }
 }
 
--- a/src/daemon/discovery/watch/tests.rs
+++ b/src/daemon/discovery/watch/tests.rs
@@ -1,5 +1,7 @@
 //! Timeouts and retry delays of the watch against the deadlines of a drain, and against the load of a fleet.
 
+use tokio::io::AsyncReadExt;
+
 use super::timing::AGENT;
 use super::*;
 
@@ -140,3 +142,45 @@
         }
     }
 }
+
+/// The head of the first request on the next connection.
+async fn first_request(listener: &tokio::net::TcpListener) -> String {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let byte = stream.read_u8().await.expect("a byte");
+        head.push(byte);
+    }
+    String::from_utf8(head).expect("text")
+}
+
+/// Guards against a call that asks one discovery for the changes since a revision of another: it would answer with changes
+/// to a list that this node does not have.
+#[tokio::test]
+async fn address_that_changes_before_the_first_call_is_asked_for_the_full_list() {
+    for changes in [false, true] {
+        let old = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let new = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (address, followed) = watch::channel(old.local_addr().unwrap());
+        let (queue, _updates) = mpsc::channel(8);
+        let start = WatchStart {
+            revision: Some(7),
+            seed: 1,
+            schedule: None,
+            pass_on_unchanged: false,
+        };
+        let settings = crate::config::platform::PlatformConfig::sample().settings;
+        let watching = tokio::spawn(follow(followed, start, settings, Clock::start(), queue));
+        // It waits before its first call now.
+        tokio::task::yield_now().await;
+        let asked = if changes {
+            address.send_replace(new.local_addr().unwrap());
+            first_request(&new).await
+        } else {
+            first_request(&old).await
+        };
+        watching.abort();
+        let asks_for_changes = asked.lines().next().unwrap_or_default().contains('7');
+        assert_eq!(asks_for_changes, !changes, "{asked}");
+    }
+}
