Discovery: recovered is logged also where a SIGHUP came between

Operators saw: after endpoint list watch lost and a SIGHUP to another discovery no recovered, so that the log did not say whether the list is current. Cause: the state of the loss belonged to the watch of one address (WatchMachine) and went with it. Change: the watcher keeps a logged loss until any address answers with a list or changes to it.

--- a/src/daemon/discovery/watch.rs
+++ b/src/daemon/discovery/watch.rs
@@ -22,6 +22,7 @@
 use crate::discovery::endpoint_list::{EndpointList, ReportedEntries};
 use crate::discovery::startup::{CallRejection, StartupSchedule};
 use crate::engine::message::{EndpointEntry, EndpointUpdate, Message};
+use crate::observability::condition_log::ConditionLog;
 
 mod connection;
 mod machine;
@@ -62,6 +63,7 @@
         queue,
         pass_on_unchanged: start.pass_on_unchanged,
         schedule: start.schedule,
+        loss: ConditionLog::default(),
     };
     watcher
         .wait_before_first_call(revision.is_some(), &mut rng)
@@ -98,6 +100,8 @@
     pass_on_unchanged: bool,
     schedule: Option<Arc<StartupSchedule>>,
     timing: WatchTiming,
+    /// A loss that was logged and not ended by an answer, whichever address that came from.
+    loss: ConditionLog,
 }
 
 /// The watch at one address of discovery.
@@ -245,25 +249,26 @@
         }
     }
 
-    /// Logs a loss once, however many connection attempts it takes until discovery answers again.
+    /// Logs a loss once at each address, however many connection attempts it takes until discovery answers again.
     fn failed(&mut self, error: &WatchError) {
         self.connection = None;
         let input = WatchInput::Failed(error.failure());
         let change = self.machine.handle(Instant::now(), input);
         if change == Some(AvailabilityChange::Lost) {
+            self.watcher.loss.begins();
             tracing::warn!(address = %self.address, %error, "endpoint list watch lost");
         }
     }
 
     async fn event_received(&mut self, event: WatchEvent) -> ListConsumer {
         let input = WatchInput::EventReceived(&event);
-        let change = self.machine.handle(Instant::now(), input);
+        self.machine.handle(Instant::now(), input);
         let (kind, list) = match event {
             WatchEvent::Snapshot(list) => (EndpointUpdateKind::Snapshot, list),
             WatchEvent::Delta(list) => (EndpointUpdateKind::Delta, list),
             WatchEvent::RevisionsRestarted => return ListConsumer::Listening,
         };
-        if change == Some(AvailabilityChange::Recovered) {
+        if self.watcher.loss.ends() {
             let revision = list.revision;
             tracing::info!(address = %self.address, revision, "endpoint list watch recovered");
         }
