Quotas: a total that falls by settled costs is no wrap

Seen: where costs are settled after the response below their estimates, a customer within its quota was rejected at other nodes. Cause: PeerUsage::replace_totals took the distance from one total to the next forwards only, so one that fell by a unit added 1,023. Change: a forwarded total that is below the last one, by less than half of the range and within 2 s, has fallen; the difference is given back to the quota.

--- a/src/decision/quota/messages.rs
+++ b/src/decision/quota/messages.rs
@@ -8,6 +8,9 @@
 /// A running total is sent modulo 4096: two base-64 digits of a message.
 const CODE_MASK: u32 = 0xfff;
 
+/// Codes from one total to another above which the other is the earlier one: half of what a code can express.
+const MAX_CODES_AHEAD: u32 = CODE_MASK / 2;
+
 /// A running total of units in quarters of a unit, modulo 4096. A receiver computes the difference to the total before, so
 /// that a lost report is made up for by the next.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -31,7 +34,16 @@
 
     /// Units from an earlier total to this one.
     pub fn units_since(self, earlier: WrappingTotal) -> f64 {
-        f64::from(self.0.wrapping_sub(earlier.0) & CODE_MASK) / CODES_PER_UNIT
+        f64::from(self.codes_since(earlier)) / CODES_PER_UNIT
+    }
+
+    /// True where this total is the lower one of the two, as far as half of what a code can express tells.
+    pub fn is_below(self, other: WrappingTotal) -> bool {
+        self.codes_since(other) > MAX_CODES_AHEAD
+    }
+
+    fn codes_since(self, earlier: WrappingTotal) -> u32 {
+        self.0.wrapping_sub(earlier.0) & CODE_MASK
     }
 }
 
--- a/src/decision/quota/peer_usage.rs
+++ b/src/decision/quota/peer_usage.rs
@@ -10,12 +10,15 @@
 /// Seconds of a peer's demand that the ceiling reserve grants it in advance.
 const GRANT_HORIZON: TimeSpan = TimeSpan::from_seconds(1.0);
 
+/// Longest time after a report in which a lower total is one that fell. Longer after it, the total has gone round.
+const MAX_TIME_OF_LOWER_TOTAL: TimeSpan = TimeSpan::from_seconds(2.0);
+
 /// Units that a report adds to a peer's totals.
 #[derive(Clone, Copy)]
 pub(super) struct ReportedUnits {
     /// Units requested since the report before.
     pub(super) requested: f64,
-    /// Units forwarded since the report before.
+    /// Units forwarded since the report before; negative where costs were settled below their estimates.
     pub(super) forwarded: f64,
 }
 
@@ -53,13 +56,20 @@
     /// Replaces the totals by those of a report and returns what they add, each up to a limit.
     pub(super) fn replace_totals(
         &mut self,
+        now: Timestamp,
         forwarded: WrappingTotal,
         requested: WrappingTotal,
         limit: f64,
     ) -> ReportedUnits {
+        let is_recent = now - self.last_reported_at() < MAX_TIME_OF_LOWER_TOTAL;
+        let forwarded_units = if is_recent && forwarded.is_below(self.forwarded) {
+            -self.forwarded.units_since(forwarded)
+        } else {
+            forwarded.units_since(self.forwarded)
+        };
         let added = ReportedUnits {
             requested: requested.units_since(self.requested).min(limit),
-            forwarded: forwarded.units_since(self.forwarded).min(limit),
+            forwarded: forwarded_units.min(limit),
         };
         self.forwarded = forwarded;
         self.requested = requested;
--- a/src/decision/quota/reports.rs
+++ b/src/decision/quota/reports.rs
@@ -222,7 +222,8 @@
 }
 
 impl super::customer::CustomerQuota {
-    /// Adds a peer's use since its last report to the demand, and drains the quota by it. Returns the units forwarded.
+    /// Adds a peer's use since its last report to the demand, and drains the quota by it, or gives back what was settled
+    /// below its estimate. Returns the units forwarded.
     fn add_peer_usage(
         &mut self,
         now: Timestamp,
@@ -240,20 +241,20 @@
             f64::INFINITY
         };
         let usage = self.peers.entry(peer).or_default();
-        let added = usage.replace_totals(report.forwarded, report.requested, limit);
+        let added = usage.replace_totals(now, report.forwarded, report.requested, limit);
         usage.add_demand(now, added.requested);
         self.demand
             .total
             .add(now, added.requested, super::RATE_MEMORY);
         self.demand
             .peers_forwarded
-            .add(now, added.forwarded, super::RATE_MEMORY);
+            .add(now, added.forwarded.max(0.0), super::RATE_MEMORY);
         if is_first_report && self.aggregators.includes_all_of(self.nodes) {
             let reported_units = report.quota_level * plan.quota_burst_units;
             self.quota_units = self.quota_units.min(reported_units);
         } else {
             self.drain(plan, added.forwarded, max_request_units);
         }
-        added.forwarded
+        added.forwarded.max(0.0)
     }
 }
