Quotas: a usage report that arrives late adds nothing

Callers saw: with several nodes, a customer near its quota was rejected at a node that got two reports of a peer in the wrong order. Evidence: the new test in tests/quota.rs, each two reports swapped. Change: the total of requested units never falls, so a lower one (by less than half of the range, within 2 s) is of an earlier report and adds nothing.

--- a/src/decision/quota/peer_usage.rs
+++ b/src/decision/quota/peer_usage.rs
@@ -10,11 +10,12 @@
 /// Seconds of a peer's demand that the ceiling reserve grants it in advance.
 const GRANT_HORIZON: TimeSpan = TimeSpan::from_seconds(1.0);
 
-/// Longest time after a report in which a lower total is one that fell. Longer after it, the total has gone round.
+/// Longest time after a report in which a lower total is one that fell, or of an earlier report that arrives late. Longer after
+/// it, the total has gone round.
 const MAX_TIME_OF_LOWER_TOTAL: TimeSpan = TimeSpan::from_seconds(2.0);
 
 /// Units that a report adds to a peer's totals.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub(super) struct ReportedUnits {
     /// Units requested since the report before.
     pub(super) requested: f64,
@@ -53,7 +54,8 @@
         (self.forwarded, self.requested, self.demand, self.granted)
     }
 
-    /// Replaces the totals by those of a report and returns what they add, each up to a limit.
+    /// Replaces the totals by those of a report and returns what they add, each up to a limit. The total of requested units never
+    /// falls: a lower one is of an earlier report, whose units the last one had.
     pub(super) fn replace_totals(
         &mut self,
         now: Timestamp,
@@ -62,6 +64,9 @@
         limit: f64,
     ) -> ReportedUnits {
         let is_recent = now - self.last_reported_at() < MAX_TIME_OF_LOWER_TOTAL;
+        if is_recent && requested.is_below(self.requested) {
+            return ReportedUnits::default();
+        }
         let forwarded_units = if is_recent && forwarded.is_below(self.forwarded) {
             -self.forwarded.units_since(forwarded)
         } else {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -382,3 +382,39 @@
         assert!(passed >= 190, "{passed} of 200 settled at {settled_units}");
     }
 }
+
+/// How many of 200 requests of one customer pass at a node that gets each two reports of its peer in the wrong order, or not.
+fn passed_with_reports(swapped: bool, interval_ms: u64) -> u32 {
+    let mut pair = ReportingPair::new(false);
+    let mut in_flight = Vec::new();
+    for _ in 0..200 {
+        pair.request(1, None);
+        pair.advance((interval_ms - 100) * MILLISECOND);
+        in_flight.extend(pair.take_messages());
+        if in_flight.len() >= 2 {
+            if swapped {
+                in_flight.chunks_mut(2).for_each(<[String]>::reverse);
+            }
+            pair.deliver(std::mem::take(&mut in_flight));
+        }
+    }
+    pair.passed
+}
+
+/// Guards against reports that arrive out of order and count as all that totals can express: a customer within its quota would
+/// be rejected, and one over it would get less than otherwise.
+#[test]
+fn customer_gets_its_quota_though_its_reports_arrive_out_of_order() {
+    // Of a quota of 10 units a second both nodes together send 9: all of it passes.
+    let within = passed_with_reports(true, 220);
+    assert!(within >= 190, "{within} of 200 within the quota");
+    // They send 20.
+    let (swapped, in_order) = (
+        passed_with_reports(true, 100),
+        passed_with_reports(false, 100),
+    );
+    assert!(
+        swapped * 10 >= in_order * 9,
+        "{swapped} of 200 over the quota, {in_order} with reports in order"
+    );
+}
