Retries: a token is taken once an attempt was sent

Callers saw: after a moment without any endpoint, failed attempts were rejected where the budget would have had a retry for them. Cause: the retry took its token of the budget before an endpoint was found for it (policy/mod.rs, retry). Evidence: the new test in tests/retries.rs failed before: four failures beside an empty list left no token for a retry after it. Change: the token is taken once the attempt was sent.

--- a/src/decision/policy/mod.rs
+++ b/src/decision/policy/mod.rs
@@ -290,10 +290,14 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let usual_latency = self.latency.usual(request.kind());
-        result.outcome != Outcome::NotSent
+        let is_retried = result.outcome != Outcome::NotSent
             && may_retry(context, request, usual_latency)
-            && self.retry_budget.take()
-            && self.send_attempt(context, result.request, request, actions)
+            && self.retry_budget.has_token()
+            && self.send_attempt(context, result.request, request, actions);
+        if is_retried {
+            self.retry_budget.take();
+        }
+        is_retried
     }
 
     /// Cancels what is in flight for a client that has disconnected.
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -57,13 +57,14 @@
         self.tokens = (self.tokens + TOKENS_PER_REQUEST).min(capacity);
     }
 
-    /// Takes the token of a retry, where there is one.
-    pub(super) fn take(&mut self) -> bool {
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
+    /// True where there is a token for a retry.
+    pub(super) fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Takes the token of a retry that was sent.
+    pub(super) fn take(&mut self) {
+        self.tokens -= 1.0;
     }
 }
 
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -3,13 +3,14 @@
 mod support;
 
 use applewall::api::{
-    Action, ClassId, EndpointId, Event, NodeSet, Outcome, PlanId, Request, RequestId,
+    Action, ClassId, Endpoint, EndpointId, EndpointUpdateKind, Event, NodeSet, Outcome, PlanId,
+    Request, RequestId,
 };
 use support::policy::{
     attempted_endpoint, settings, six_endpoints, PolicyDriver, KEYED, MILLISECOND, SAFE, SECOND,
 };
 
-const ID: RequestId = RequestId(1);
+const ID: RequestId = RequestId(1_000);
 
 /// Sends a request of a class, whose client waits for so long; returns the endpoint of its first attempt.
 fn send(driver: &mut PolicyDriver, class: ClassId, time_left_ns: u64) -> EndpointId {
@@ -61,3 +62,32 @@
         assert_eq!(retried, expected, "streams: {streams}, {actions:?}");
     }
 }
+
+/// Guards against a retry budget that is spent on retries for which there is no endpoint.
+#[test]
+fn retry_without_an_endpoint_takes_no_token_of_the_budget() {
+    let endpoints = six_endpoints();
+    let mut driver = PolicyDriver::new(settings(), 3, &endpoints);
+    let list = |driver: &mut PolicyDriver, endpoints: &[Endpoint]| {
+        driver.handle(Event::EndpointUpdate(
+            EndpointUpdateKind::Snapshot,
+            endpoints.into(),
+        ));
+    };
+    // More failures without an endpoint than a new process has tokens, which are 3.
+    let in_flight: Vec<(RequestId, EndpointId)> = (0..4)
+        .map(|_| {
+            let (id, actions) = driver.request(SAFE, PlanId(1), "c", 1.0);
+            (id, attempted_endpoint(&actions).expect("a first attempt"))
+        })
+        .collect();
+    list(&mut driver, &[]);
+    for (id, endpoint) in in_flight {
+        let actions = driver.finish_attempt(id, 0, &endpoint, Outcome::ConnectFailed, 1);
+        assert!(!is_retried(&actions), "{actions:?}");
+    }
+    list(&mut driver, &endpoints);
+    let endpoint = send(&mut driver, SAFE, 2 * SECOND);
+    let actions = driver.finish_attempt(ID, 0, &endpoint, Outcome::ConnectFailed, 1);
+    assert!(is_retried(&actions), "{actions:?}");
+}
