Admin: READY names a missing endpoint list and no takeover

Operators saw: with [cold_start] and no list READY answered that the process still takes over from the one before, which there was not. Cause: one text for both reasons (AdminHandle::ready). Change: error not yet: no endpoint list known, where that is the reason; the text of a takeover stays as scripts know it.

--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -26,7 +26,10 @@
 // Texts of error answers. Operators' scripts read them, so they stay as they are.
 const TIMED_OUT: &str = "not decided in time; it may still come into force, so ask again";
 const STOPPING: &str = "this process was told to stop";
-const NOT_READY: &str = "not yet: this process still takes over from the one before";
+/// Answer to `READY` while the state of another process is taken over.
+const TAKING_OVER: &str = "not yet: this process still takes over from the one before";
+/// Answer to `READY` while there is no endpoint list to decide from.
+const NO_ENDPOINT_LIST: &str = "not yet: no endpoint list known";
 const ABOUT_TO_END: &str = "this process is about to end";
 
 /// Why the engine could not export its state.
@@ -158,13 +161,14 @@
     /// Whether this process can serve.
     fn ready(&self) -> AdminResponse {
         let phase = *self.phase.borrow();
-        let is_ready = *self.ready.borrow() && *self.has_endpoints.borrow();
         if phase.is_stopping() {
             AdminResponse::Error(STOPPING.to_string())
-        } else if is_ready {
-            AdminResponse::Done(phase.as_str().to_string())
+        } else if !*self.ready.borrow() {
+            AdminResponse::Error(TAKING_OVER.to_string())
+        } else if !*self.has_endpoints.borrow() {
+            AdminResponse::Error(NO_ENDPOINT_LIST.to_string())
         } else {
-            AdminResponse::Error(NOT_READY.to_string())
+            AdminResponse::Done(phase.as_str().to_string())
         }
     }
 
@@ -226,3 +230,6 @@
 fn about_to_end() -> AdminResponse {
     AdminResponse::Error(ABOUT_TO_END.to_string())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/daemon/admin/handle/tests.rs
@@ -0,0 +1,31 @@
+//! What `READY` answers while the process can't serve yet.
+
+use super::*;
+
+/// A handle of a process that is ready, and has an endpoint list, or not.
+fn handle(ready: bool, has_endpoints: bool) -> AdminHandle {
+    AdminHandle {
+        control: mpsc::channel(1).0,
+        drain_requests: mpsc::channel(1).0,
+        phase: watch::channel(LifecyclePhase::Serving).1,
+        ready: watch::channel(ready).1,
+        has_endpoints: watch::channel(has_endpoints).1,
+        state_queue: None,
+        other_process: watch::channel(None).1,
+        maintenance_lock: Arc::default(),
+    }
+}
+
+/// Guards against an answer that names a takeover where there is no other process.
+#[test]
+fn ready_names_what_the_process_waits_for() {
+    let answer = |ready, has_endpoints| handle(ready, has_endpoints).ready().to_string();
+    assert!(answer(false, true).contains("takes over"));
+    assert!(answer(false, false).contains("takes over"));
+    let without_list = answer(true, false);
+    assert!(
+        without_list.starts_with("error not yet") && without_list.contains("no endpoint list"),
+        "{without_list}"
+    );
+    assert!(answer(true, true).starts_with("done"));
+}
