On call: rejections and lost gossip are counted by their reason

Operators saw: a full engine queue, no memory for bodies, the backlog limit and lost gossip left no line and no counter, and could not be told apart from a customer's limit or the ladder. Cause: the places that reject or drop counted nothing, and the policy had one reason for backlog, ladder and no endpoint. Evidence: by reading; the new test of tests/overload.rs needs the counts. No decision changes. The daemon's own rejections and losses have no test that provokes them.

--- a/src/daemon/engine/statistics.rs
+++ b/src/daemon/engine/statistics.rs
@@ -2,6 +2,8 @@
 //!
 //! Owner: the engine. Input: the engine's steps. Output: two log events an interval, each only where it has a count.
 
+use applewall::decision::RejectionCounts;
+
 use super::Engine;
 use crate::observability::event_counts::{CountedEvent, EventCounts};
 
@@ -28,8 +30,9 @@
     /// Logs the counts of the last interval, and starts the next one.
     pub(super) fn log_statistics(&mut self) {
         let counts = EventCounts::take();
-        if !counts.is_empty() {
-            log_event_counts(&counts);
+        let rejections = self.policy.take_rejection_counts();
+        if !counts.is_empty() || rejections != RejectionCounts::default() {
+            log_counts_by_reason(&counts, &rejections);
         }
         let Statistics {
             requests,
@@ -60,7 +63,8 @@
 
 /// Logs why connections closed, attempts were not sent and requests were rejected. An event that was not counted has no
 /// field.
-fn log_event_counts(counts: &EventCounts) {
+fn log_counts_by_reason(counts: &EventCounts, rejections: &RejectionCounts) {
+    let counted = |count: u64| Some(count).filter(|count| *count > 0);
     tracing::info!(
         connection_ended = counts.of(CountedEvent::ConnectionEnded),
         connection_evicted = counts.of(CountedEvent::ConnectionEvicted),
@@ -75,6 +79,14 @@
         not_sent_window_over = counts.of(CountedEvent::NotSentWindowOver),
         not_sent_expired = counts.of(CountedEvent::NotSentExpired),
         not_sent_local_shortage = counts.of(CountedEvent::NotSentLocalShortage),
+        rejected_queue_full = counts.of(CountedEvent::RejectedQueueFull),
+        rejected_body_memory = counts.of(CountedEvent::RejectedBodyMemory),
+        rejected_customer_limit = counted(rejections.customer_limit),
+        rejected_backlog = counted(rejections.backlog),
+        rejected_ladder = counted(rejections.ladder),
+        rejected_no_endpoint = counted(rejections.no_endpoint),
+        gossip_not_sent = counts.of(CountedEvent::GossipNotSent),
+        gossip_dropped = counts.of(CountedEvent::GossipDropped),
         action_refused = counts.of(CountedEvent::ActionRefused),
         "counts by reason"
     );
--- a/src/daemon/observability/event_counts.rs
+++ b/src/daemon/observability/event_counts.rs
@@ -35,12 +35,20 @@
     NotSentExpired,
     /// An attempt was not sent because this node could not open a connection: it was short of sockets, ports or memory.
     NotSentLocalShortage,
+    /// A request was rejected because the engine's queue was full.
+    RejectedQueueFull,
+    /// A request was rejected because there was no memory for its body.
+    RejectedBodyMemory,
+    /// A datagram to a peer was dropped because the system did not take it.
+    GossipNotSent,
+    /// A datagram of a peer was dropped because the engine's queue was full.
+    GossipDropped,
     /// The engine refused an action of the policy that would have broken an invariant of the protocol.
     ActionRefused,
 }
 
 /// All events, in the order of their discriminants.
-const EVENTS: [CountedEvent; 14] = [
+const EVENTS: [CountedEvent; 18] = [
     CountedEvent::ConnectionEnded,
     CountedEvent::ConnectionEvicted,
     CountedEvent::ConnectionIdle,
@@ -54,6 +62,10 @@
     CountedEvent::NotSentWindowOver,
     CountedEvent::NotSentExpired,
     CountedEvent::NotSentLocalShortage,
+    CountedEvent::RejectedQueueFull,
+    CountedEvent::RejectedBodyMemory,
+    CountedEvent::GossipNotSent,
+    CountedEvent::GossipDropped,
     CountedEvent::ActionRefused,
 ];
 
--- a/src/daemon/server/request_body.rs
+++ b/src/daemon/server/request_body.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::clock::Clock;
+use crate::observability::event_counts::{self, CountedEvent};
 use crate::resources::limits::MAX_BODY_BYTES;
 use crate::server::connection_table::MonitoredTransfer;
 use crate::server::response::ClientResponse;
@@ -152,9 +153,10 @@
             return Err(BodyError::TooLarge.into());
         }
         let permits = self.permits.clone();
-        permits
-            .try_acquire_many_owned(bytes as u32)
-            .map_err(|_| ClientResponse::overloaded())
+        permits.try_acquire_many_owned(bytes as u32).map_err(|_| {
+            event_counts::count(CountedEvent::RejectedBodyMemory);
+            ClientResponse::overloaded()
+        })
     }
 
     /// Slow-peer protection, where it watches the data rate of request bodies.
--- a/src/daemon/server/submission.rs
+++ b/src/daemon/server/submission.rs
@@ -16,6 +16,7 @@
     ClientDisconnected, ClientPresence, ClientRequest, ForwardedRequest, Message,
 };
 use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY};
+use crate::observability::event_counts::{self, CountedEvent};
 use crate::server::connection_table::ClientConnection;
 use crate::server::context::ServerContext;
 use crate::server::request;
@@ -64,7 +65,10 @@
             forwarded: Arc::new(forwarded_request(self.head, self.body, presence)),
             responder,
         });
-        context.queue.try_send(message).map_err(|_| QueueFull)?;
+        context.queue.try_send(message).map_err(|_| {
+            event_counts::count(CountedEvent::RejectedQueueFull);
+            QueueFull
+        })?;
         Ok(PendingResponse {
             response,
             disconnect: DisconnectGuard {
--- a/src/daemon/system/peer_socket.rs
+++ b/src/daemon/system/peer_socket.rs
@@ -17,6 +17,7 @@
 use crate::config::platform::PlatformConfig;
 use crate::engine::message::{Message, PeerDatagram};
 use crate::lifecycle::process_role::ProcessRole;
+use crate::observability::event_counts::{self, CountedEvent};
 use crate::system::socket_retry::open_with_retries;
 
 /// Maximum length of a datagram, as the platform's protocol has it.
@@ -105,7 +106,9 @@
         }
         let send_to = |address: &SocketAddr| {
             // The protocols tolerate loss.
-            let _ = self.socket.try_send_to(text.as_bytes(), *address);
+            if self.socket.try_send_to(text.as_bytes(), *address).is_err() {
+                event_counts::count(CountedEvent::GossipNotSent);
+            }
         };
         match (peer, &self.broadcast) {
             (Some(node), _) => self
@@ -157,11 +160,14 @@
                 .as_ref()
                 .is_some_and(|handler| handler.handle(&self, from, text, sender));
             if !handled {
-                // Dropped if the queue is full: the protocols tolerate loss.
-                let _ = queue.try_send(Message::PeerDatagram(PeerDatagram {
+                let message = Message::PeerDatagram(PeerDatagram {
                     from,
                     text: text.to_string(),
-                }));
+                });
+                // The protocols tolerate loss.
+                if queue.try_send(message).is_err() {
+                    event_counts::count(CountedEvent::GossipDropped);
+                }
             }
         }
     }
--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -117,8 +117,11 @@
         let is_shed = overload.decide_backlog_shedding(context, request.class, weighted, &backlog);
         // The ladder counts every request within quotas, those that the backlog limit sheds too.
         let passes_ladder = overload.take_tier_tokens(context, weighted);
-        if is_shed || !passes_ladder {
-            return Err(Rejection::Load);
+        if is_shed {
+            return Err(Rejection::Backlog);
+        }
+        if !passes_ladder {
+            return Err(Rejection::Ladder);
         }
         Ok(())
     }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -39,4 +39,5 @@
 pub use overload::LoadStatistics;
 pub(crate) use overload::OverloadControl;
 pub use policy::DecisionPolicy;
+pub use rejection::RejectionCounts;
 pub use snapshot::SnapshotError;
--- a/src/decision/policy/mod.rs
+++ b/src/decision/policy/mod.rs
@@ -19,7 +19,7 @@
 use super::overload::{OverloadControl, MONITOR_INTERVAL};
 use super::pending::{PendingRequest, PendingRequests};
 use super::quota::QuotaLedger;
-use super::rejection::Rejection;
+use super::rejection::{Rejection, RejectionCounts};
 use super::retry::{attempt_timeout, final_failure, may_retry, RetryBudget};
 use super::timers::{set_timer, MONITOR_TIMER, WATCH_TIMER};
 use crate::api::{
@@ -51,6 +51,7 @@
     gossip: Gossip,
     watch: EndpointWatch,
     log_events: u32,
+    rejections: RejectionCounts,
 }
 
 impl DecisionPolicy {
@@ -72,6 +73,7 @@
                 gossip,
                 watch: EndpointWatch::new(),
                 log_events: 0,
+                rejections: RejectionCounts::default(),
             },
             settings,
             rng,
@@ -118,6 +120,11 @@
             .send_due_reports(context, &mut components.quotas, actions);
     }
 
+    /// Takes the counts of requests rejected since the last call.
+    pub fn take_rejection_counts(&mut self) -> RejectionCounts {
+        std::mem::take(&mut self.components.rejections)
+    }
+
     /// Number of entries of all kinds in the policy: it is bounded, however many customers and endpoints come and
     /// go.
     pub fn entry_count(&self) -> usize {
@@ -149,7 +156,10 @@
         self.retry_budget.earn(requests_per_second);
         self.quotas.record_request(context, customer, request);
         match self.admit_and_send(context, customer, request, actions) {
-            Err(rejection) => actions.push(rejection.to_action(context, request.id, request.class)),
+            Err(rejection) => {
+                self.rejections.count(rejection);
+                actions.push(rejection.to_action(context, request.id, request.class));
+            }
             Ok(pending) => {
                 let within_quota = pending.is_within_quota();
                 self.quotas.charge(context, customer, request, within_quota);
@@ -177,7 +187,7 @@
         if self.send_attempt(context, request.id, &mut pending, actions) {
             Ok(pending)
         } else {
-            Err(Rejection::Load)
+            Err(Rejection::NoEndpoint)
         }
     }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -329,3 +329,24 @@
         "{often} of 600 for one that hardly answers, {once} before"
     );
 }
+
+/// Guards against rejections that an operator cannot tell apart.
+#[test]
+fn rejections_are_counted_by_their_reason() {
+    let mut driver = PolicyDriver::new(settings(), 1, &six_endpoints());
+    for _ in 0..200 {
+        driver.request(SAFE, PlanId(0), "over its quota", 1.0);
+    }
+    let over_quota = driver.policy.take_rejection_counts();
+    assert!(over_quota.customer_limit > 100, "{over_quota:?}");
+    assert_eq!(over_quota.no_endpoint, 0);
+    assert_eq!(
+        driver.policy.take_rejection_counts(),
+        Default::default(),
+        "counts are taken once"
+    );
+    let mut driver = PolicyDriver::new(settings(), 1, &[]);
+    driver.request(SAFE, PlanId(1), "c", 1.0);
+    let without_endpoints = driver.policy.take_rejection_counts();
+    assert_eq!(without_endpoints.no_endpoint, 1, "{without_endpoints:?}");
+}
