Soak: each seed ends processes as the platform does, with signals in series

Cause: the schedules hardly drew the moments in which the promises of a shutdown are broken: clients used few of the connections that stayed open, the kill came at 6 s and excused what was unanswered, and signals came one at a time. Two rules: nothing unanswered at that kill, and no forwarded request whose connection is closed without an answer. Not drawn yet: crowds, late connects, hot restarts.

--- a/crates/fault-testbed/src/check.rs
+++ b/crates/fault-testbed/src/check.rs
@@ -14,8 +14,8 @@
 pub use metrics::{metrics, DatagramCounts, Metrics, SecondCounts};
 pub use processes::{process_exits, scheduling_delay_ms};
 pub use requests::{
-    attempts_after_client_left, deadlines_beyond_clients, final_responses, overdue_half_requests,
-    overlapping_attempts,
+    attempts_after_client_left, deadlines_beyond_clients, final_responses,
+    forwarded_without_response, overdue_half_requests, overlapping_attempts,
 };
 
 use crate::capacity::ServerModel;
@@ -58,6 +58,7 @@
 /// Violations of all rules, a line each.
 pub fn violations(entries: &[Entry], settings: &CheckerSettings) -> Vec<String> {
     let mut violations = final_responses(entries);
+    violations.extend(forwarded_without_response(entries));
     violations.extend(overlapping_attempts(entries));
     violations.extend(requests_after_removal(entries, settings.drain_seconds));
     violations.extend(warmup_overloads(entries, &settings.model));
--- a/crates/fault-testbed/src/check/requests.rs
+++ b/crates/fault-testbed/src/check/requests.rs
@@ -18,17 +18,28 @@
 #[derive(Default)]
 struct PendingRequests {
     ingress_of: BTreeMap<u64, usize>,
+    sent_at: BTreeMap<u64, f64>,
     not_running: BTreeSet<usize>,
 }
 
 impl PendingRequests {
     /// A request written on a connection of a process that does not run is accepted by nobody.
-    fn add(&mut self, request: u64, ingress: usize) {
+    fn add(&mut self, request: u64, ingress: usize, at_seconds: f64) {
         if !self.not_running.contains(&ingress) {
             self.ingress_of.insert(request, ingress);
+            self.sent_at.insert(request, at_seconds);
         }
     }
 
+    /// Requests at an ingress that were sent before a time.
+    fn sent_before(&self, ingress: usize, at_seconds: f64) -> Vec<u64> {
+        let at_ingress = self.ingress_of.iter().filter(|(_, at)| **at == ingress);
+        at_ingress
+            .map(|(request, _)| *request)
+            .filter(|request| self.sent_at[request] < at_seconds)
+            .collect()
+    }
+
     /// What a process had accepted is lost when it is killed, and a suspended one answers nothing: neither breaks a
     /// rule of the program.
     fn stop(&mut self, ingress: usize) {
@@ -46,7 +57,7 @@
         match entry.event {
             Event::RequestSent {
                 request, ingress, ..
-            } => pending.add(request, ingress),
+            } => pending.add(request, ingress, entry.at_seconds),
             // Written on a connection that had ended, and no ingress accepted it on another one.
             Event::ConnectFailed { request, .. } => drop(pending.ingress_of.remove(&request)),
             // It still has to answer what it had accepted; it accepts nothing new.
@@ -57,6 +68,14 @@
                 ingress,
                 suspended: false,
             } => drop(pending.not_running.remove(&ingress)),
+            Event::ShutdownExpired { ingress } => {
+                let unanswered =
+                    pending.sent_before(ingress, entry.at_seconds - SOCKET_TOLERANCE_SECONDS);
+                violations.extend(unanswered.into_iter().map(|request| {
+                    format!("request {request:x} was unanswered when ingress {ingress} had to end")
+                }));
+                pending.stop(ingress);
+            }
             Event::IngressKilled { ingress }
             | Event::IngressSuspended {
                 ingress,
@@ -78,6 +97,34 @@
     violations
 }
 
+/// A request that was forwarded to a limit server gets its final response: its connection does not end without one while
+/// its ingress runs.
+pub fn forwarded_without_response(entries: &[Entry]) -> Vec<String> {
+    let mut forwarded: BTreeSet<u64> = BTreeSet::new();
+    let mut killed: BTreeSet<usize> = BTreeSet::new();
+    let mut violations = Vec::new();
+    for entry in entries {
+        match entry.event {
+            Event::AttemptArrived { request, .. } => drop(forwarded.insert(request)),
+            Event::IngressKilled { ingress }
+            | Event::IngressSuspended {
+                ingress,
+                suspended: true,
+            } => drop(killed.insert(ingress)),
+            Event::IngressStarted { ingress, .. } => drop(killed.remove(&ingress)),
+            Event::ConnectFailed { request, ingress }
+                if forwarded.contains(&request) && !killed.contains(&ingress) =>
+            {
+                violations.push(format!(
+                    "request {request:x} was forwarded, and ingress {ingress} closed its connection without an answer"
+                ));
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
 /// A request never has two attempts in flight. The end of an attempt is observed on another connection than the
 /// beginning of the next one, so it may be observed later by the platform's tolerance on time limits.
 pub fn overlapping_attempts(entries: &[Entry]) -> Vec<String> {
--- a/crates/fault-testbed/src/check/tests/requests.rs
+++ b/crates/fault-testbed/src/check/tests/requests.rs
@@ -115,3 +115,49 @@
     assert_eq!(forwarded(2_190), NONE);
     assert_eq!(forwarded(2_210).len(), 1);
 }
+
+#[test]
+fn request_unanswered_at_the_earliest_kill_is_a_violation_and_one_that_was_just_sent_is_not() {
+    let expired = Event::ShutdownExpired { ingress: 0 };
+    let lost = Scenario::default()
+        .at(1.0, request_sent(7))
+        .at(2.0, expired.clone());
+    let lost = final_responses(&lost.0);
+    assert!(
+        lost.len() == 1 && lost[0].contains("had to end"),
+        "{lost:?}"
+    );
+    let just_sent = Scenario::default()
+        .at(1.97, request_sent(7))
+        .at(2.0, expired.clone());
+    assert_eq!(final_responses(&just_sent.0), NONE);
+    let answered = Scenario::default()
+        .at(1.0, request_sent(7))
+        .at(1.5, response(7, Some(200)))
+        .at(2.0, expired);
+    assert_eq!(final_responses(&answered.0), NONE);
+}
+
+#[test]
+fn forwarded_request_whose_connection_is_closed_without_an_answer_is_a_violation() {
+    let closed = Event::ConnectFailed {
+        request: 7,
+        ingress: 0,
+    };
+    let lost = Scenario::default()
+        .at(1.0, request_sent(7))
+        .at(1.1, attempt(7))
+        .at(1.2, closed.clone());
+    let lost = forwarded_without_response(&lost.0);
+    assert!(lost.len() == 1 && lost[0].contains("forwarded"), "{lost:?}");
+    let not_forwarded = Scenario::default()
+        .at(1.0, request_sent(7))
+        .at(1.2, closed.clone());
+    assert_eq!(forwarded_without_response(&not_forwarded.0), NONE);
+    let killed = Scenario::default()
+        .at(1.0, request_sent(7))
+        .at(1.1, attempt(7))
+        .at(1.15, Event::IngressKilled { ingress: 0 })
+        .at(1.2, closed);
+    assert_eq!(forwarded_without_response(&killed.0), NONE);
+}
--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -4,6 +4,7 @@
 //! Invariant: requests are sent at times drawn ahead and never wait for responses.
 
 mod exchange;
+mod shutdown;
 
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
--- a/crates/fault-testbed/src/environment.rs
+++ b/crates/fault-testbed/src/environment.rs
@@ -13,11 +13,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use applewall_fault_shim::ControlFile;
 use tokio::task::JoinSet;
 
+use crate::clients::Clients;
 use crate::instance::{Instance, StartTime};
 use crate::journal::{Event, Journal};
 use crate::list_service::{Endpoints, EntryState, ListService, Snapshot};
@@ -53,6 +54,8 @@
     /// Ingresses that have been ready.
     ready: Mutex<BTreeSet<usize>>,
     pub(crate) tasks: Tasks,
+    /// The clients, once they have started.
+    pub(crate) clients: OnceLock<Arc<Clients>>,
 }
 
 impl Environment {
@@ -89,6 +92,7 @@
             system_faults: ControlFile::create(&folder.join(CONTROL_FILE))?,
             ready: Mutex::default(),
             tasks: tasks.into(),
+            clients: OnceLock::new(),
             trial,
         };
         environment.fill_list().await?;
--- a/crates/fault-testbed/src/environment/faults/ingresses.rs
+++ b/crates/fault-testbed/src/environment/faults/ingresses.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
 use super::{no_end, EndFault};
 use crate::environment::Environment;
 use crate::fault::{IngressFault, InitialList, Restart};
@@ -12,6 +15,19 @@
 /// Longest time from SIGTERM to the end of a process: the longest deadline of a request, and what the platform adds.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time from SIGTERM to the earliest SIGKILL of the platform: the longest deadline, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// Time before SIGTERM at which the clients of a shutdown open their connections.
+const CONNECTIONS_LEAD_TIME: Duration = Duration::from_millis(300);
+/// The signals of a shutdown, by the time from its beginning.
+const SHUTDOWN_SIGNALS: [(Duration, i32); 5] = [
+    (Duration::ZERO, libc::SIGTERM),
+    (Duration::from_millis(50), libc::SIGHUP),
+    (Duration::from_millis(120), libc::SIGTERM),
+    (Duration::from_millis(300), libc::SIGHUP),
+    (Duration::from_millis(900), libc::SIGTERM),
+];
+
 impl Environment {
     /// Begins a fault of these ingresses; what ends it is returned.
     pub(super) async fn begin_ingress_fault(
@@ -28,6 +44,14 @@
                 self.terminate(numbers, restart).await;
                 no_end()
             }
+            IngressFault::ShutDown(restart) => {
+                let mut shutdowns = JoinSet::new();
+                for number in numbers {
+                    shutdowns.spawn(self.clone().shut_down(number, restart));
+                }
+                while shutdowns.join_next().await.is_some() {}
+                no_end()
+            }
             IngressFault::Reload => {
                 self.signal(&numbers, libc::SIGHUP);
                 no_end()
@@ -97,6 +121,47 @@
         }
     }
 
+    /// Ends a process as the platform does: its clients use what stays open, signals come in series, and it is killed at the
+    /// earliest that is allowed.
+    async fn shut_down(self: Arc<Self>, ingress: usize, restart: Option<Restart>) {
+        let Some(clients) = self.clients.get() else {
+            return;
+        };
+        let seed = self.trial.trial.seed ^ (ingress as u64) << 24;
+        let mut connections = clients.use_until_closed(ingress, seed);
+        tokio::time::sleep(CONNECTIONS_LEAD_TIME).await;
+        // Another fault may end the process too, and start the next one meanwhile.
+        let Some(incarnation) = self.ingresses()[ingress].incarnation() else {
+            return;
+        };
+        let still_runs = |this: &Self| this.ingresses()[ingress].incarnation() == Some(incarnation);
+        self.journal.record(Event::IngressTerminating { ingress });
+        let terminated = Instant::now();
+        connections.spawn(clients.clone().come_during_shutdown(ingress, seed ^ 1));
+        for (after, signal) in SHUTDOWN_SIGNALS {
+            tokio::time::sleep_until(terminated + after).await;
+            if still_runs(&self) {
+                self.ingresses()[ingress].signal(signal);
+            }
+        }
+        let ended = async {
+            while still_runs(&self) {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let kill_at = terminated + EARLIEST_KILL;
+        if tokio::time::timeout_at(kill_at, ended).await.is_err() {
+            // Recorded before the kill, as with every other.
+            self.journal.record(Event::ShutdownExpired { ingress });
+            self.ingresses()[ingress].kill();
+        }
+        while connections.join_next().await.is_some() {}
+        if let Some(Restart { after, list }) = restart {
+            tokio::time::sleep(after).await;
+            self.start_again(ingress, list);
+        }
+    }
+
     /// Starts an ingress that does not run; another fault may have started it meanwhile.
     fn start_again(self: &Arc<Self>, ingress: usize, list: InitialList) {
         if self.ingresses()[ingress].exists() {
--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -96,6 +96,9 @@
     Kill(Option<Restart>),
     /// SIGTERM; they are started again once they have ended, or not at all.
     Terminate(Option<Restart>),
+    /// As the platform ends processes: SIGTERM among further signals, clients that use what stays open, and SIGKILL at the
+    /// earliest that is allowed; they are started again, or not at all.
+    ShutDown(Option<Restart>),
     /// SIGHUP: they read their configuration again.
     Reload,
     /// SIGSTOP until the fault's end. No rule requires responses of suspended processes.
--- a/crates/fault-testbed/src/fault/parser.rs
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -219,6 +219,7 @@
             "link" => self.link(),
             "kill" => self.ingresses_with_restart(IngressFault::Kill),
             "term" => self.ingresses_with_restart(IngressFault::Terminate),
+            "shutdown" => self.ingresses_with_restart(IngressFault::ShutDown),
             "reload" => self.ingresses(IngressFault::Reload),
             "hold" => self.ingresses(IngressFault::Hold),
             "clock" => self.clock_step(),
--- a/crates/fault-testbed/src/journal/event.rs
+++ b/crates/fault-testbed/src/journal/event.rs
@@ -165,6 +165,12 @@
         /// The ingress.
         ingress: usize,
     },
+    /// The trial is about to kill a process that was told to end, at the earliest time that the platform does.
+    #[serde(rename = "Overdue")]
+    ShutdownExpired {
+        /// The ingress.
+        ingress: usize,
+    },
     /// A process was killed by the trial.
     #[serde(rename = "Killed")]
     IngressKilled {
--- a/crates/fault-testbed/src/process.rs
+++ b/crates/fault-testbed/src/process.rs
@@ -173,6 +173,11 @@
         self.child.is_some()
     }
 
+    /// The number of the process that exists, counted from 1 by starts.
+    pub fn incarnation(&self) -> Option<u64> {
+        self.child.as_ref().map(|_| self.incarnation)
+    }
+
     /// The exit status of a process that has ended by itself since the last call.
     pub fn take_exit(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok()??;
--- a/crates/fault-testbed/src/report.rs
+++ b/crates/fault-testbed/src/report.rs
@@ -256,7 +256,9 @@
                     lifetime.first_list.get_or_insert(at);
                 }
             }
-            Event::IngressKilled { ingress } | Event::IngressExited { ingress, .. } => {
+            Event::ShutdownExpired { ingress }
+            | Event::IngressKilled { ingress }
+            | Event::IngressExited { ingress, .. } => {
                 kills.push((at, ingress as f64 + 0.5));
                 let lifetime = running.remove(&ingress);
                 ended.extend(lifetime.map(|lifetime| Lifetime {
--- a/crates/fault-testbed/src/run.rs
+++ b/crates/fault-testbed/src/run.rs
@@ -85,7 +85,8 @@
     let _ = tokio::time::timeout(READY_TIMEOUT, wait).await;
     let time = environment.trial.trial.time.0;
     let seed = environment.trial.trial.seed ^ CLIENT_SEED;
-    let sending = tokio::spawn(clients(&environment).run(time, seed));
+    let clients = environment.clients.get_or_init(|| clients(&environment));
+    let sending = tokio::spawn(clients.clone().run(time, seed));
     sending.await.map_err(io::Error::other)?;
     Ok(environment.finish())
 }
--- a/crates/fault-testbed/src/soak.rs
+++ b/crates/fault-testbed/src/soak.rs
@@ -19,6 +19,13 @@
 /// Range of the duration of a fault that ends, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..3_000;
 
+/// Range of the time at which a shutdown begins, and the first of several reloads, in milliseconds.
+const SHUTDOWN_MS: std::ops::Range<u64> = 1_500..6_500;
+/// Reloads in quick succession.
+const RELOADS: usize = 3;
+/// They come within this time.
+const RELOADS_WIDTH_MS: u64 = 150;
+
 /// Kinds of faults that are drawn, by the name under which the coverage is counted.
 const KINDS: [&str; 17] = [
     "term",
@@ -67,9 +74,35 @@
             schedule.insert(name, format!("at {at_ms}ms: {effect}"));
         }
     }
+    add_shutdown(&mut schedule, sizes, &mut rng);
+    add_reloads(&mut schedule, &mut rng);
     schedule
 }
 
+/// Adds the shutdown of some ingresses, as the platform ends processes: no schedule is without one.
+fn add_shutdown(schedule: &mut Schedule, sizes: SoakSizes, rng: &mut SmallRng) {
+    let at_ms = rng.random_range(SHUTDOWN_MS);
+    let first = rng.random_range(0..sizes.ingresses);
+    let second = (first + 1) % sizes.ingresses;
+    let effect = format!("shutdown ingress:{first}+ingress:{second} and start after 100ms current");
+    schedule.insert(
+        format!("{}-shutdown", schedule.len()),
+        format!("at {at_ms}ms: {effect}"),
+    );
+}
+
+/// Adds reloads of all ingresses in quick succession.
+fn add_reloads(schedule: &mut Schedule, rng: &mut SmallRng) {
+    let first_ms = rng.random_range(SHUTDOWN_MS);
+    for _ in 0..RELOADS {
+        let at_ms = first_ms + rng.random_range(0..RELOADS_WIDTH_MS);
+        schedule.insert(
+            format!("{}-reload", schedule.len()),
+            format!("at {at_ms}ms: reload ingress:all"),
+        );
+    }
+}
+
 /// One fault of a kind, with its end.
 fn effect(kind: &str, sizes: SoakSizes, duration_ms: u64, rng: &mut SmallRng) -> String {
     let ingress = format!("ingress:{}", rng.random_range(0..sizes.ingresses));
--- a/crates/fault-testbed/src/soak/tests.rs
+++ b/crates/fault-testbed/src/soak/tests.rs
@@ -13,10 +13,13 @@
         let schedule = draw(seed, SIZES);
         assert_eq!(schedule, draw(seed, SIZES));
         let trial = Trial::read(&trial_text(seed, SIZES, &schedule)).expect("readable");
-        assert_eq!(trial.faults.len(), CLUSTERS_MS.len() * FAULTS_PER_CLUSTER);
+        let drawn = CLUSTERS_MS.len() * FAULTS_PER_CLUSTER;
+        assert_eq!(trial.faults.len(), drawn + 1 + RELOADS);
+        let shutdowns = schedule.keys().filter(|name| kind_of(name) == "shutdown");
+        assert_eq!(shutdowns.count(), 1, "each schedule ends processes");
         kinds.extend(schedule.keys().map(|name| kind_of(name).to_string()));
     }
-    assert_eq!(kinds.len(), KINDS.len());
+    assert_eq!(kinds.len(), KINDS.len() + 1, "with the shutdowns");
 }
 
 #[test]
