Exchanges: a connection that does not come tells what the others received

Cause: fragile failed once since no connection came for its ninth request within 30 s, and nothing said what had become of the request. Change: the failure names what is unread on the other connections.

--- a/tests/exchange/connections.rs
+++ b/tests/exchange/connections.rs
@@ -1,7 +1,7 @@
 //! The parties of an exchange other than the program: endpoints and discovery that listen, clients, peers.
 
-use std::collections::HashMap;
-use std::io::{BufReader, Write};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::mpsc::channel;
 use std::time::Duration;
@@ -60,10 +60,24 @@
         // By a thread, since accepting has no time-out.
         std::thread::spawn(move || sender.send(listener.accept().expect("accepted").0));
         let stream = accepted.recv_timeout(STEP_TIMEOUT);
-        let stream = stream.unwrap_or_else(|_| panic!("expected a connection {name} at {from}"));
+        let stream = stream.unwrap_or_else(|_| {
+            let received = self.unread();
+            panic!("expected a connection {name} at {from}; unread on the others: {received:?}")
+        });
         self.insert(name, stream);
     }
 
+    /// What has arrived on each connection and was not read by a step.
+    fn unread(&mut self) -> BTreeMap<String, String> {
+        let unread = |(name, stream): (&String, &mut BufReader<TcpStream>)| {
+            let _ = stream.get_ref().set_nonblocking(true);
+            let bytes = stream.fill_buf().unwrap_or_default();
+            (name.clone(), String::from_utf8_lossy(bytes).into_owned())
+        };
+        let unread = self.streams.iter_mut().map(unread);
+        unread.filter(|(_, text)| !text.is_empty()).collect()
+    }
+
     pub(crate) fn connect(&mut self, name: &str, address: SocketAddr) {
         let stream = TcpStream::connect(address).expect("a connection to the program");
         self.insert(name, stream);
