Hot restart: a new process that waits while another one fails is served

Callers saw: a new process that connected in the moment in which another one's hand-over failed got no state and started beside the old one, both active, with quotas and slow starts begun anew. Cause: HotRestart::serve_new_processes replaced its listener after a failed hand-over and dropped the former one with its backlog. Change: the former listener is kept and accepted from beside the present one.

--- a/src/daemon/lifecycle/hot_restart.rs
+++ b/src/daemon/lifecycle/hot_restart.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::unix::OwnedWriteHalf;
+use tokio::net::unix::{OwnedWriteHalf, SocketAddr};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
@@ -192,8 +192,14 @@
 
     /// Hands over to a new process; where that fails, this process becomes active again and waits for the next.
     async fn serve_new_processes(&self, mut listener: UnixListener) {
+        // The listener before, to which a new process may have connected while another one's hand-over failed.
+        let mut former: Option<UnixListener> = None;
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = accept_from(former.as_ref()) => accepted,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(STEP_TIMEOUT).await;
                 continue;
             };
@@ -203,7 +209,7 @@
                 let _ = self.control.send(ControlMessage::ResumeOwnership).await;
                 // The new process has renamed its own socket over this process's.
                 if let Some(replacement) = self.listen() {
-                    listener = replacement;
+                    former = Some(std::mem::replace(&mut listener, replacement));
                 }
             }
         }
@@ -299,5 +305,13 @@
     }
 }
 
+/// Accepts from a listener; waits for ever where there is none.
+async fn accept_from(listener: Option<&UnixListener>) -> io::Result<(UnixStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
 #[cfg(test)]
 mod golden;
--- a/tests/exchange/runner.rs
+++ b/tests/exchange/runner.rs
@@ -147,6 +147,7 @@
                 self.send(name, &text.join(" "));
             }
             ["leaves", bytes @ ..] => self.abandon_admin_connection(&unescape(&bytes.join(" "))),
+            ["greets"] => self.greet(name),
             ["takes"] => self.take_snapshot(name),
             ["says", line @ ..] => self.send_line(name, &line.join(" ")),
             _ => panic!("unknown step '{}'", step.line),
@@ -270,9 +271,17 @@
         drop(UnixListener::bind(self.file(HOT_RESTART_SOCKET)).expect("a socket"));
     }
 
-    fn take_snapshot(&mut self, name: &str) {
+    fn greet(&mut self, name: &str) {
         let mut stream = UnixStream::connect(self.file(HOT_RESTART_SOCKET)).expect("a connection");
         stream.write_all(HOT_RESTART_GREETING).expect("written");
+        self.hot_restart_connections.insert(name.into(), stream);
+    }
+
+    fn take_snapshot(&mut self, name: &str) {
+        if !self.hot_restart_connections.contains_key(name) {
+            self.greet(name);
+        }
+        let stream = self.hot_restart_connections.get_mut(name).expect("greeted");
         let mut magic = [0; 4];
         stream.read_exact(&mut magic).expect("the head");
         assert_eq!(magic, SNAPSHOT_MAGIC, "the first bytes of a snapshot");
@@ -281,7 +290,6 @@
         let length = u32::from_be_bytes(length) as usize;
         let snapshot = stream.read_exact(&mut vec![0; length]);
         snapshot.expect("the snapshot");
-        self.hot_restart_connections.insert(name.into(), stream);
     }
 
     fn send_line(&mut self, name: &str, line: &str) {
--- a/tests/exchange/script.rs
+++ b/tests/exchange/script.rs
@@ -24,7 +24,8 @@
 //! - `nowhere`: that folder is removed;
 //! - `upgrade`: starts one more program beside the one that runs, which is `old` from now on: `old term`, `old log TEXT`,
 //!   `old exit`, `old operator LINE`; `kill`: SIGKILL;
-//! - `NAME takes`: a connection to the hot-restart socket that sends what a new process sends, and reads the snapshot;
+//! - `NAME greets`: a connection to the hot-restart socket that sends what a new process sends;
+//! - `NAME takes`: the same, unless it did, and reads the snapshot;
 //!   `NAME says TEXT`: a line on such a connection;
 //! - `state TEXT`: writes the file of maintenance states; `ledger`: notes what is in it; `stale`: a hot-restart socket
 //!   that nobody listens at;
