--- a/crates/fault-testbed/src/environment/faults/ingresses.rs
+++ b/crates/fault-testbed/src/environment/faults/ingresses.rs
@@ -93,17 +93,24 @@
 
     /// Sends processes SIGTERM, waits for the end of each, and starts them again.
     async fn terminate(self: Arc<Self>, numbers: Vec<usize>, restart: Option<Restart>) {
-        for ingress in &numbers {
+        let mut incarnations = Vec::new();
+        for ingress in numbers {
             let mut ingresses = self.ingresses();
-            if ingresses[*ingress].exists() {
-                self.journal
-                    .record(Event::IngressTerminating { ingress: *ingress });
-                ingresses[*ingress].signal(libc::SIGTERM);
+            let incarnation = ingresses[ingress].incarnation();
+            if incarnation.is_some() {
+                self.journal.record(Event::IngressTerminating { ingress });
+                ingresses[ingress].signal(libc::SIGTERM);
             }
+            incarnations.push((ingress, incarnation));
         }
-        for ingress in numbers {
+        for (ingress, incarnation) in incarnations {
+            // Another fault may end the process too, and start the next one meanwhile.
+            let still_runs = || {
+                let present = self.ingresses()[ingress].incarnation();
+                incarnation.is_some() && present == incarnation
+            };
             let ended = async {
-                while self.ingresses()[ingress].exists() {
+                while still_runs() {
                     tokio::time::sleep(POLL_INTERVAL).await;
                 }
             };
