--- a/crates/fault-testbed/src/check.rs
+++ b/crates/fault-testbed/src/check.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod processes;
 mod requests;
+mod start_notices;
 
 pub use limit_servers::{
     peak_warmup_overload, requests_after_removal, requests_over_ceiling, warmup_overloads,
--- a/crates/fault-testbed/src/check/processes.rs
+++ b/crates/fault-testbed/src/check/processes.rs
@@ -2,31 +2,39 @@
 
 use std::collections::BTreeSet;
 
+use super::start_notices::StartNotices;
 use crate::journal::{Entry, Event};
 
 /// Exit status of a process that ended regularly after SIGTERM.
 const SUCCESSFUL_EXIT: &str = "exit status: 0";
 
-/// No ingress exits without SIGTERM or with a failure after it, and no limit server fails while it warms up.
+/// No ingress exits without SIGTERM or with a failure after it, and no limit server fails while it warms up by the
+/// load of ingresses that had been told of its start.
 pub fn process_exits(entries: &[Entry]) -> Vec<String> {
     let mut terminating = BTreeSet::new();
-    let mut exit = |entry: &Entry| match &entry.event {
-        Event::IngressTerminating { ingress } => {
-            terminating.insert(*ingress);
-            None
+    let mut notices = StartNotices::default();
+    let mut exit = |entry: &Entry| {
+        notices.observe(entry);
+        match &entry.event {
+            Event::IngressTerminating { ingress } => {
+                terminating.insert(*ingress);
+                None
+            }
+            Event::IngressExited { ingress, status }
+                if terminating.remove(ingress) && status == SUCCESSFUL_EXIT =>
+            {
+                None
+            }
+            Event::IngressExited { ingress, status } => {
+                Some(format!("ingress {ingress} ended by itself: {status}"))
+            }
+            Event::InstanceOverloaded { instance }
+                if notices.holds_against_ingresses(*instance) =>
+            {
+                Some(format!("cold instance {instance} fell over"))
+            }
+            _ => None,
         }
-        Event::IngressExited { ingress, status }
-            if terminating.remove(ingress) && status == SUCCESSFUL_EXIT =>
-        {
-            None
-        }
-        Event::IngressExited { ingress, status } => {
-            Some(format!("ingress {ingress} ended by itself: {status}"))
-        }
-        Event::InstanceOverloaded { instance } => {
-            Some(format!("cold instance {instance} fell over"))
-        }
-        _ => None,
     };
     entries.iter().filter_map(&mut exit).collect()
 }
--- a/crates/fault-testbed/src/check/tests/limit_servers.rs
+++ b/crates/fault-testbed/src/check/tests/limit_servers.rs
@@ -62,3 +62,38 @@
         "{found:?}"
     );
 }
+
+#[test]
+fn fall_of_an_instance_of_whose_start_nobody_was_told_is_no_violation() {
+    let listed = |at: f64| {
+        Scenario::default().at(
+            at,
+            Event::ListResponse {
+                ingress: 0,
+                full: false,
+                status: 200,
+                bytes: 1,
+                revision: 2,
+            },
+        )
+    };
+    let fell = Event::InstanceOverloaded { instance: 2 };
+    // It follows the list, and hears nothing after the start.
+    let untold = listed(0.0)
+        .at(1.0, instance_started(true))
+        .at(1.5, attempt(2))
+        .at(2.0, fell.clone());
+    assert_eq!(process_exits(&untold.0), NONE);
+    // It has heard of the start, or does not follow the list as far as the journal shows.
+    let told = listed(0.0)
+        .at(1.0, instance_started(true))
+        .at(1.2, listed(0.0).0[0].event.clone())
+        .at(1.5, attempt(2))
+        .at(2.0, fell.clone());
+    assert_eq!(process_exits(&told.0).len(), 1);
+    let unknown = Scenario::default()
+        .at(1.0, instance_started(true))
+        .at(1.5, attempt(2))
+        .at(2.0, fell);
+    assert_eq!(process_exits(&unknown.0).len(), 1);
+}
