--- a/crates/fault-testbed/src/check/limit_servers.rs
+++ b/crates/fault-testbed/src/check/limit_servers.rs
@@ -96,7 +96,7 @@
     warmup_load(entries, model).peak
 }
 
-/// No limit server gets more than it can take while it warms up, from ingresses that had been told of its start.
+/// No limit server gets more than it can take while it warms up, from ingresses that had been notified of its start.
 pub fn warmup_overloads(entries: &[Entry], model: &ServerModel) -> Vec<String> {
     let describe = |(instance, at)| {
         format!("cold instance {instance} got more than pushes it over, at {at:.1} s")
--- a/crates/fault-testbed/src/check/processes.rs
+++ b/crates/fault-testbed/src/check/processes.rs
@@ -9,7 +9,7 @@
 const SUCCESSFUL_EXIT: &str = "exit status: 0";
 
 /// No ingress exits without SIGTERM or with a failure after it, and no limit server fails while it warms up by the
-/// load of ingresses that had been told of its start.
+/// load of ingresses that had been notified of its start.
 pub fn process_exits(entries: &[Entry]) -> Vec<String> {
     let mut terminating = BTreeSet::new();
     let mut notices = StartNotices::default();
--- a/crates/fault-testbed/src/check/start_notices.rs
+++ b/crates/fault-testbed/src/check/start_notices.rs
@@ -1,7 +1,7 @@
-//! Which ingresses have been told of an instance's start, and how much of its load came from these.
+//! Which ingresses have been notified of an instance's start, and how much of its load came from these.
 //!
 //! The platform holds a fall of a cold limit server against the ingresses only where over two thirds of its requests came from
-//! ingresses that had been told of the start. An ingress counts as not told only where the journal shows that: it had list
+//! ingresses that had been notified of the start. An ingress counts as not notified only where the journal shows that: it had list
 //! responses before the start, and none since.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,15 +9,15 @@
 use crate::journal::{Entry, Event};
 
 /// The share of an instance's requests, as numerator and denominator, above which its fall is the ingresses' doing.
-const TOLD_SHARE: (usize, usize) = (2, 3);
+const NOTIFIED_SHARE: (usize, usize) = (2, 3);
 
 /// Requests to an instance since its start.
 #[derive(Default)]
 struct InstanceNotices {
     /// Ingresses that follow the list and have not heard from it since the start.
-    not_told: BTreeSet<usize>,
+    not_notified: BTreeSet<usize>,
     requests: usize,
-    requests_of_told: usize,
+    requests_of_notified: usize,
 }
 
 /// See the [module documentation](self).
@@ -34,7 +34,7 @@
         match entry.event {
             Event::InstanceStarted { instance, .. } => {
                 let started = InstanceNotices {
-                    not_told: self.following.clone(),
+                    not_notified: self.following.clone(),
                     ..InstanceNotices::default()
                 };
                 self.instances.insert(instance, started);
@@ -45,36 +45,37 @@
                 ..
             } => {
                 self.following.insert(ingress);
-                self.tell(ingress);
+                self.notify(ingress);
             }
             // It starts with a list of its own.
             Event::IngressStarted { ingress, .. } => {
                 self.following.remove(&ingress);
-                self.tell(ingress);
+                self.notify(ingress);
             }
             Event::AttemptArrived {
                 instance, ingress, ..
             } => {
                 let notices = self.instances.entry(instance).or_default();
                 notices.requests += 1;
-                notices.requests_of_told += usize::from(!notices.not_told.contains(&ingress));
+                notices.requests_of_notified +=
+                    usize::from(!notices.not_notified.contains(&ingress));
             }
             _ => {}
         }
     }
 
-    fn tell(&mut self, ingress: usize) {
+    fn notify(&mut self, ingress: usize) {
         for notices in self.instances.values_mut() {
-            notices.not_told.remove(&ingress);
+            notices.not_notified.remove(&ingress);
         }
     }
 
-    /// True where a fall of the instance now is the doing of ingresses that had been told of its start.
+    /// True where a fall of the instance now is the doing of ingresses that had been notified of its start.
     pub(super) fn holds_against_ingresses(&self, instance: usize) -> bool {
-        let (numerator, denominator) = TOLD_SHARE;
+        let (numerator, denominator) = NOTIFIED_SHARE;
         self.instances.get(&instance).is_none_or(|notices| {
             notices.requests == 0
-                || notices.requests_of_told * denominator > notices.requests * numerator
+                || notices.requests_of_notified * denominator > notices.requests * numerator
         })
     }
 }
--- a/crates/fault-testbed/src/check/tests/limit_servers.rs
+++ b/crates/fault-testbed/src/check/tests/limit_servers.rs
@@ -64,7 +64,7 @@
 }
 
 #[test]
-fn fall_of_an_instance_of_whose_start_nobody_was_told_is_no_violation() {
+fn fall_of_an_instance_of_whose_start_nobody_was_notified_is_no_violation() {
     let listed = |at: f64| {
         Scenario::default().at(
             at,
--- a/src/decision/endpoints/record.rs
+++ b/src/decision/endpoints/record.rs
@@ -9,7 +9,7 @@
 use crate::decision::latency::RequestKind;
 use crate::decision::pending::PendingRequest;
 
-/// Shortest time between two starts of an endpoint. A start that is told less later is the same one, whose Unix time was
+/// Shortest time between two starts of an endpoint. A start that the list names less later is the same one, whose Unix time was
 /// converted again: after a hot restart, or with a clock that drifts.
 const MIN_RESTART_DISTANCE: TimeSpan = TimeSpan::from_seconds(0.1);
 
