--- a/crates/fault-testbed/src/check/processes.rs
+++ b/crates/fault-testbed/src/check/processes.rs
@@ -20,6 +20,11 @@
                 terminating.insert(*ingress);
                 None
             }
+            // The process that was told to end is gone; an exit of the next one is its own.
+            Event::ShutdownExpired { ingress } | Event::IngressKilled { ingress } => {
+                terminating.remove(ingress);
+                None
+            }
             Event::IngressExited { ingress, status }
                 if terminating.remove(ingress) && status == SUCCESSFUL_EXIT =>
             {
--- a/crates/fault-testbed/src/check/requests.rs
+++ b/crates/fault-testbed/src/check/requests.rs
@@ -111,7 +111,11 @@
                 ingress,
                 suspended: true,
             } => drop(killed.insert(ingress)),
-            Event::IngressStarted { ingress, .. } => drop(killed.remove(&ingress)),
+            Event::IngressStarted { ingress, .. }
+            | Event::IngressSuspended {
+                ingress,
+                suspended: false,
+            } => drop(killed.remove(&ingress)),
             Event::ConnectFailed { request, ingress }
                 if forwarded.contains(&request) && !killed.contains(&ingress) =>
             {
--- a/crates/fault-testbed/src/check/start_notices.rs
+++ b/crates/fault-testbed/src/check/start_notices.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform holds a fall of a cold limit server against the ingresses only where over two thirds of its requests came from
 //! ingresses that had been notified of the start. An ingress counts as not notified only where the journal shows that: it had list
-//! responses before the start, and none since.
+//! responses before the start, and none since, for at most the time after which the platform counts a change as notified
+//! whether or not it arrived.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -11,9 +12,13 @@
 /// The share of an instance's requests, as numerator and denominator, above which its fall is the ingresses' doing.
 const NOTIFIED_SHARE: (usize, usize) = (2, 3);
 
+/// Seconds after a change from which on it counts as notified.
+const MAX_NOTICE_SECONDS: f64 = 6.0;
+
 /// Requests to an instance since its start.
 #[derive(Default)]
 struct InstanceNotices {
+    started_at_seconds: f64,
     /// Ingresses that follow the list and have not heard from it since the start.
     not_notified: BTreeSet<usize>,
     requests: usize,
@@ -34,6 +39,7 @@
         match entry.event {
             Event::InstanceStarted { instance, .. } => {
                 let started = InstanceNotices {
+                    started_at_seconds: entry.at_seconds,
                     not_notified: self.following.clone(),
                     ..InstanceNotices::default()
                 };
@@ -56,9 +62,10 @@
                 instance, ingress, ..
             } => {
                 let notices = self.instances.entry(instance).or_default();
+                let is_overdue = entry.at_seconds - notices.started_at_seconds > MAX_NOTICE_SECONDS;
+                let is_notified = is_overdue || !notices.not_notified.contains(&ingress);
                 notices.requests += 1;
-                notices.requests_of_notified +=
-                    usize::from(!notices.not_notified.contains(&ingress));
+                notices.requests_of_notified += usize::from(is_notified);
             }
             _ => {}
         }
--- a/crates/fault-testbed/src/check/tests/limit_servers.rs
+++ b/crates/fault-testbed/src/check/tests/limit_servers.rs
@@ -79,18 +79,24 @@
     };
     let fell = Event::InstanceOverloaded { instance: 2 };
     // It follows the list, and hears nothing after the start.
-    let untold = listed(0.0)
+    let unnotified = listed(0.0)
         .at(1.0, instance_started(true))
         .at(1.5, attempt(2))
         .at(2.0, fell.clone());
-    assert_eq!(process_exits(&untold.0), NONE);
+    assert_eq!(process_exits(&unnotified.0), NONE);
+    // A change counts as notified after 6 s, whether or not it arrived.
+    let overdue = listed(0.0)
+        .at(1.0, instance_started(true))
+        .at(7.5, attempt(2))
+        .at(8.0, fell.clone());
+    assert_eq!(process_exits(&overdue.0).len(), 1);
     // It has heard of the start, or does not follow the list as far as the journal shows.
-    let told = listed(0.0)
+    let notified = listed(0.0)
         .at(1.0, instance_started(true))
         .at(1.2, listed(0.0).0[0].event.clone())
         .at(1.5, attempt(2))
         .at(2.0, fell.clone());
-    assert_eq!(process_exits(&told.0).len(), 1);
+    assert_eq!(process_exits(&notified.0).len(), 1);
     let unknown = Scenario::default()
         .at(1.0, instance_started(true))
         .at(1.5, attempt(2))
--- a/crates/fault-testbed/src/check/tests/processes.rs
+++ b/crates/fault-testbed/src/check/tests/processes.rs
@@ -22,3 +22,18 @@
     assert_eq!(exit("exit status: 1").len(), 1);
     assert_eq!(exit("did not end in time").len(), 1);
 }
+
+#[test]
+fn exit_of_the_process_after_a_killed_one_is_not_excused_by_its_sigterm() {
+    for killed in [
+        Event::ShutdownExpired { ingress: 0 },
+        Event::IngressKilled { ingress: 0 },
+    ] {
+        let journal = Scenario::default()
+            .at(1.0, Event::IngressTerminating { ingress: 0 })
+            .at(2.0, killed)
+            .at(2.1, ingress_started())
+            .at(3.0, ingress_exited("exit status: 0"));
+        assert_eq!(process_exits(&journal.0).len(), 1);
+    }
+}
