Client connections: one that never had a request is closed with a 503, which a crossing request gets

Seen by callers: beside a flood of incomplete bodies, a request begun 0.23 to 0.3 s after its client had connected found its connection closed and got no answer. Cause: connection_task.rs::close asks the kernel for input and then drops the socket. A first request that arrives between the two is reset, one that arrives after the close has its end. No grace and no second look ends that: whichever moment the close comes at, a request can cross it. On a used connection its client sends it again, on a new one it does not. Change: a connection without any request that is closed from here (evicted, idle for 2.5 s, shutdown) is closed as one with a request that arrived in part is closed already: 503, end of output, up to half a second in which input is discarded. Such a close can cost no request its answer, since the answer is written before the close. The decision stands in unanswered_input.rs; an eviction that comes meanwhile no longer can precede the writing (biased select). Tests: three in acceptor/tests.rs send the first request after the close by an eviction, an idle time-out and a shutdown; requests_that_cross_the_eviction_of_their_new_connection_are_answered (floods.rs) sends 300 beside the flood. Replaced, as strict: evicted_idle_connection_is_closed_without_a_byte asked for the close that loses the request; it now holds for a connection that had one, and the closes of new ones are checked byte by byte for one rejection.

--- a/src/daemon/observability/event_counts.rs
+++ b/src/daemon/observability/event_counts.rs
@@ -20,7 +20,8 @@
     ConnectionShutDown,
     /// A client connection was aborted by slow-peer protection.
     ConnectionAborted,
-    /// A request was rejected because all or part of it arrived on a connection that was about to be closed.
+    /// A rejection was written on a connection that was about to be closed: for a request that had arrived at least in
+    /// part, or, on a new connection, for a first request that might still arrive.
     RejectedAtClose,
     /// An accepted connection could not be served because a system call failed.
     AcceptedConnectionFailed,
--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -234,10 +234,20 @@
     assert!(rest.contains("HTTP/1.1 503 "), "{rest:?}");
 }
 
+/// A client that finds its used connection closed sends its request once more, so nothing has to be written.
 #[tokio::test]
-async fn evicted_idle_connection_is_closed_without_a_byte() {
+async fn evicted_idle_connection_that_had_a_request_is_closed_without_another_byte() {
     let acceptor = acceptor();
     let mut client = acceptor.connection().await;
+    client
+        .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        .await
+        .expect("request sent");
+    let mut response = Vec::new();
+    while !response.ends_with(b"\r\n\r\n") {
+        response.push(client.read_u8().await.expect("a response"));
+    }
+    assert!(response.starts_with(b"HTTP/1.1 200 "), "{response:?}");
     assert!(
         acceptor.admission.evict_one(Duration::ZERO),
         "the only connection is evicted"
@@ -245,6 +255,52 @@
     assert_eq!(read_to_end(&mut client).await, "");
 }
 
+/// Sends the first request of a connection once the server has closed it, without reading anything before, as a client
+/// does whose request crosses the close. Expects a single rejection and the end of the connection.
+async fn expect_rejection_across_close(mut client: TcpStream) {
+    let closed = tokio::time::timeout(Duration::from_secs(30), client.readable());
+    closed
+        .await
+        .expect("the server closes the connection in time")
+        .expect("no reset");
+    client
+        .write_all(b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n")
+        .await
+        .expect("request sent");
+    let response = read_to_end(&mut client).await;
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+    assert!(response.contains("retry-after: 0.200\r\n"), "{response:?}");
+    assert!(response.ends_with("\r\n\r\n"), "{response:?}");
+    assert_eq!(response.matches("HTTP/1.1").count(), 1, "{response:?}");
+}
+
+#[tokio::test]
+async fn first_request_that_crosses_an_eviction_is_rejected_and_not_lost() {
+    let acceptor = acceptor();
+    let client = acceptor.connection().await;
+    assert!(
+        acceptor.admission.evict_one(Duration::ZERO),
+        "the only connection is evicted"
+    );
+    expect_rejection_across_close(client).await;
+}
+
+#[tokio::test]
+async fn first_request_that_crosses_an_idle_close_is_rejected_and_not_lost() {
+    let acceptor = acceptor();
+    let client = acceptor.connection().await;
+    expect_rejection_across_close(client).await;
+}
+
+#[tokio::test]
+async fn first_request_that_crosses_the_close_of_a_shutdown_is_rejected_and_not_lost() {
+    let (phase, phases) = watch::channel(LifecyclePhase::Terminating);
+    let acceptor = acceptor_with_phases(phases);
+    let client = acceptor.connection().await;
+    phase.send_replace(LifecyclePhase::Closing);
+    expect_rejection_across_close(client).await;
+}
+
 /// Guards against closing a connection whose client connected right before the process began to close idle connections,
 /// and has not sent its request yet.
 #[tokio::test]
--- a/src/daemon/server/connection_task.rs
+++ b/src/daemon/server/connection_task.rs
@@ -21,7 +21,7 @@
 use crate::server::connection_table::{ClientConnection, FIRST_REQUEST_GRACE};
 use crate::server::framing::GuardedStream;
 use crate::server::service::RequestService;
-use crate::server::unanswered_input;
+use crate::server::unanswered_input::{self, ClosingConnection};
 
 /// A request head has to begin within this time after the connection was established or the last response was sent, and
 /// be complete within this time after its first byte. Bounds how long an idle or slow client can occupy a
@@ -77,7 +77,8 @@
 }
 
 /// Closes a connection after the response that is being written. A request that has arrived at least in part is
-/// rejected. `ended` is the result with which hyper ended the connection; `None` if hyper still serves it.
+/// rejected, and so is the first request of a new connection, which may still arrive. `ended` is the result with which
+/// hyper ended the connection; `None` if hyper still serves it.
 async fn close(
     mut http: HttpConnection,
     connection: &Arc<ClientConnection>,
@@ -96,24 +97,29 @@
         connection.has_unread_input() || ended.is_err_and(|error| is_parse_error(&error));
     let parts = http.into_parts();
     let io = parts.io.into_inner();
-    let buffered = !parts.read_buf.is_empty() || io.observer().has_pipelined_input();
+    let has_buffered_input = !parts.read_buf.is_empty() || io.observer().has_pipelined_input();
     let mut stream = io.into_stream();
-    let is_unanswered = is_closed_by_server
-        && !has_unread_input
-        && unanswered_input::has_arrived(&stream, buffered);
-    if !(has_unread_input || is_unanswered) {
+    let closing = ClosingConnection {
+        stream: &stream,
+        has_begun_request: connection.has_begun_request(),
+        has_buffered_input,
+    };
+    let needs_rejection = is_closed_by_server && !has_unread_input && closing.needs_rejection();
+    if !(has_unread_input || needs_rejection) {
         return;
     }
     connection.await_client_close();
     let reject_and_linger = async move {
-        if is_unanswered {
+        if needs_rejection {
             event_counts::count(CountedEvent::RejectedAtClose);
             // Fails if the client has disconnected; the connection is closed in either case.
             let _ = unanswered_input::reject(&mut stream).await;
         }
         linger(stream).await;
     };
+    // The rejection is written even if the connection has already been evicted.
     tokio::select! {
+        biased;
         () = reject_and_linger => {}
         () = connection.evicted.notified() => {}
     }
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -3,16 +3,19 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use applewall_fakes::clients::{request, HealthyClients};
+use applewall_fakes::http::{self, Kind};
 use applewall_fakes::instance::Script;
 use applewall_fakes::wait::wait_until;
 use support::daemon::{connect_to, send_request, Environment, Scenario, TIME_LEFT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::{timeout, timeout_at, Instant};
 
 const FLOOD_DURATION: Duration = Duration::from_secs(5);
@@ -26,6 +29,16 @@
 const BODY_BYTES: usize = 30_000;
 /// Time in which a request in the kernel's queue has to be answered.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Requests that begin some time after their connection was established.
+const DELAYED_REQUESTS: u32 = 300;
+/// The shortest of their delays, shortly before a new connection may be evicted.
+const MIN_DELAY: Duration = Duration::from_millis(230);
+/// Difference between their shortest and their longest delay.
+const DELAY_SPREAD: Duration = Duration::from_millis(70);
+/// Number of different delays.
+const DELAY_STEPS: u32 = 70;
+/// The customer of these requests.
+const DELAYED_CUSTOMER: u64 = 500_000;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Misbehavior {
@@ -158,6 +171,59 @@
     flood("floods-bodies", Misbehavior::IncompleteBody).await;
 }
 
+/// Sends the first request of a connection `delay` after connecting, without looking at the connection before. Returns the
+/// status code, or `None` if the request has no response.
+async fn status_of_delayed_request(to: SocketAddr, id: u64, delay: Duration) -> Option<String> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    tokio::time::sleep(delay).await;
+    // The daemon may have closed the connection; its response can still be read.
+    let text = request(id, DELAYED_CUSTOMER, TIME_LEFT, 0);
+    let _ = stream.write_all(text.as_bytes()).await;
+    let mut unread = Vec::new();
+    let response = http::read(&mut stream, &mut unread, Kind::Response);
+    let response = timeout(RESPONSE_TIMEOUT, response).await.ok()?.ok()??;
+    Some(response.status().to_string())
+}
+
+/// The clients begin their requests in the moments in which the daemon evicts new connections, so that some requests
+/// arrive right before the close and others right after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_cross_the_eviction_of_their_new_connection_are_answered() {
+    let fleet = start_fleet("floods-crossing").await;
+    let address = fleet.daemon.address;
+    let until = Instant::now() + FLOOD_DURATION;
+    let bad_clients: Vec<_> = (0..BAD_CLIENTS)
+        .map(|client| {
+            tokio::spawn(misbehave(
+                address,
+                Misbehavior::IncompleteBody,
+                client,
+                until,
+            ))
+        })
+        .collect();
+    let mut responses = JoinSet::new();
+    for number in 0..DELAYED_REQUESTS {
+        let spread = DELAY_SPREAD * (number % DELAY_STEPS) / DELAY_STEPS;
+        let id = 0xde1a_0000_0000_0000 | u64::from(number);
+        responses.spawn(status_of_delayed_request(address, id, MIN_DELAY + spread));
+        tokio::time::sleep(FLOOD_DURATION / DELAYED_REQUESTS).await;
+    }
+    let mut counts = BTreeMap::new();
+    while let Some(status) = responses.join_next().await {
+        *counts
+            .entry(status.expect("a client does not panic"))
+            .or_insert(0) += 1;
+    }
+    for client in bad_clients {
+        client.await.expect("a bad client does not panic");
+    }
+    assert!(
+        !counts.contains_key(&None),
+        "expected each of {DELAYED_REQUESTS} requests to get a response, statuses: {counts:?}"
+    );
+}
+
 /// All clients connect and send while the process is suspended: more than the daemon has descriptors for, and all requests
 /// are in the kernel's accept queue when the first connection is accepted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
