Eviction: a new connection that already has its rejection goes before all others

Seen: since a connection without a request is closed with a 503, it holds its permit until its client closes it. Cause: connection_table.rs put such a connection at the end of those without a request, with a new grace of 0.25 s. Each new connection evicted one more, while those that were about to go still counted as open, until none was old enough. Change: the order of eviction is a class, then the age: rejected (at any time), unused (after the grace), used. The search is one loop over the classes. Test: connection_that_has_its_rejection_is_evicted_at_any_time_and_before_all_others. The set-up of acceptor/tests.rs that stood several times is in two functions; the same assertions.

--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -4,7 +4,7 @@
 use applewall_admin::LifecyclePhase;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit};
 
 use super::{Acceptor, Dependencies};
 use crate::clock::Clock;
@@ -45,33 +45,34 @@
 }
 
 impl Acceptor {
+    fn free_permit(&self) -> OwnedSemaphorePermit {
+        let permits = self.admission.permits.clone();
+        permits.try_acquire_owned().expect("a permit")
+    }
+
     /// Adds connections without a socket that await their first request.
     fn insert(&self, count: usize) -> Vec<Arc<ClientConnection>> {
-        let permit = || {
-            self.admission
-                .permits
-                .clone()
-                .try_acquire_owned()
-                .expect("a permit")
-        };
+        let table = &self.admission.table;
         (0..count)
-            .map(|_| self.admission.table.insert(permit(), Arc::default(), None))
+            .map(|_| table.insert(self.free_permit(), Arc::default(), None))
             .collect()
     }
 
+    /// Evicts the only connection that awaits a request.
+    fn evict(&self) {
+        assert!(
+            self.admission.evict_one(Duration::ZERO),
+            "the only connection is evicted"
+        );
+    }
+
     /// Serves a new connection and returns the client's end.
     async fn connection(&self) -> TcpStream {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let client = TcpStream::connect(listener.local_addr().expect("an address"));
         let (client, accepted) = tokio::join!(client, listener.accept());
-        let permit = self
-            .admission
-            .permits
-            .clone()
-            .try_acquire_owned()
-            .expect("a permit");
         let (stream, address) = accepted.expect("a connection");
-        self.serve_connection(stream, address, permit);
+        self.serve_connection(stream, address, self.free_permit());
         client.expect("a connection")
     }
 }
@@ -197,17 +198,8 @@
     let (stream, peer) = listener.accept().expect("a connection");
     stream.set_nonblocking(true).expect("set blocking mode");
     let stream = TcpStream::from_std(stream).expect("a stream");
-    let permit = acceptor
-        .admission
-        .permits
-        .clone()
-        .try_acquire_owned()
-        .expect("a permit");
-    acceptor.serve_connection(stream, peer, permit);
-    assert!(
-        acceptor.admission.evict_one(Duration::ZERO),
-        "the only connection is evicted"
-    );
+    acceptor.serve_connection(stream, peer, acceptor.free_permit());
+    acceptor.evict();
     client.set_nonblocking(true).expect("set blocking mode");
     let mut client = TcpStream::from_std(client).expect("a stream");
     let response = read_to_end(&mut client).await;
@@ -226,10 +218,7 @@
     let mut first = [0; 12];
     client.read_exact(&mut first).await.expect("a response");
     assert_eq!(&first, b"HTTP/1.1 200");
-    assert!(
-        acceptor.admission.evict_one(Duration::ZERO),
-        "the only connection is evicted"
-    );
+    acceptor.evict();
     let rest = read_to_end(&mut client).await;
     assert!(rest.contains("HTTP/1.1 503 "), "{rest:?}");
 }
@@ -248,10 +237,7 @@
         response.push(client.read_u8().await.expect("a response"));
     }
     assert!(response.starts_with(b"HTTP/1.1 200 "), "{response:?}");
-    assert!(
-        acceptor.admission.evict_one(Duration::ZERO),
-        "the only connection is evicted"
-    );
+    acceptor.evict();
     assert_eq!(read_to_end(&mut client).await, "");
 }
 
@@ -278,10 +264,7 @@
 async fn first_request_that_crosses_an_eviction_is_rejected_and_not_lost() {
     let acceptor = acceptor();
     let client = acceptor.connection().await;
-    assert!(
-        acceptor.admission.evict_one(Duration::ZERO),
-        "the only connection is evicted"
-    );
+    acceptor.evict();
     expect_rejection_across_close(client).await;
 }
 
--- a/src/daemon/server/connection_table.rs
+++ b/src/daemon/server/connection_table.rs
@@ -4,6 +4,7 @@
 //! request is in the table exactly once.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
@@ -14,23 +15,37 @@
 pub(crate) use client_connection::{ClientConnection, MonitoredTransfer};
 
 /// A new connection is neither evicted nor closed by a shutdown for this long: its first request may already be in
-/// transit and would get no response.
+/// transit and would only be rejected.
 pub(crate) const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 
-/// The order of eviction: connections without any request first, then in the order in which they began to await one.
+/// What a connection in the table awaits, in the order of eviction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    /// Its client's close: it never had a request, and a rejection of the first one has been written. May be evicted at any
+    /// time, since nothing else will be written.
+    Rejected,
+    /// Its first request, which may be in transit.
+    Unused,
+    /// Its next request, or its client's close after the last response.
+    Used,
+}
+
+impl EvictionClass {
+    const ALL: [EvictionClass; 3] = [Self::Rejected, Self::Unused, Self::Used];
+}
+
+/// The order of eviction: by class, then in the order in which the connections were added.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EvictionKey {
-    has_begun_request: bool,
+    class: EvictionClass,
     position: u64,
 }
 
 impl EvictionKey {
-    /// The lower bound of the keys of all connections with this value of `has_begun_request`.
-    fn first(has_begun_request: bool) -> Self {
-        EvictionKey {
-            has_begun_request,
-            position: 0,
-        }
+    /// The keys of all connections of a class.
+    fn all_of(class: EvictionClass) -> RangeInclusive<Self> {
+        let key = |position| EvictionKey { class, position };
+        key(0)..=key(u64::MAX)
     }
 }
 
@@ -48,10 +63,11 @@
 }
 
 impl EvictionQueue {
-    /// Returns the first connection at or after `from` that may be evicted. A connection whose response is still being
-    /// written at `now`, on the monitor's clock, is not idle: it would close only after its client has read the rest.
-    fn first_idle(&self, from: EvictionKey, now: u64) -> Option<EvictionCandidate> {
-        self.connections.range(from..).find_map(|(key, entry)| {
+    /// Returns the first connection of a class that may be evicted. A connection whose response is still being written at
+    /// `now`, on the monitor's clock, is not idle: it would close only after its client has read the rest.
+    fn first_idle(&self, class: EvictionClass, now: u64) -> Option<EvictionCandidate> {
+        let mut connections = self.connections.range(EvictionKey::all_of(class));
+        connections.find_map(|(key, entry)| {
             let connection = entry.connection.upgrade()?;
             (!connection.is_writing_response(now)).then_some(EvictionCandidate {
                 key: *key,
@@ -93,7 +109,7 @@
         let position = queue.last_position;
         connection.set_position(position);
         let key = EvictionKey {
-            has_begun_request: connection.has_begun_request(),
+            class: connection.eviction_class(),
             position,
         };
         let entry = TableEntry {
@@ -106,13 +122,10 @@
     /// Removes the connection at this position, if it is in the table.
     fn remove(&self, position: u64) {
         let mut queue = self.lock();
-        // A request may have begun since the insertion, so both keys are tried. Positions are unique, so no other
+        // The class may have changed since the insertion, so all keys are tried. Positions are unique, so no other
         // connection is removed.
-        for has_begun_request in [false, true] {
-            queue.connections.remove(&EvictionKey {
-                has_begun_request,
-                position,
-            });
+        for class in EvictionClass::ALL {
+            queue.connections.remove(&EvictionKey { class, position });
         }
     }
 
@@ -136,19 +149,20 @@
         connection
     }
 
-    /// Evicts the connection that has awaited a request for longest. Connections that have not begun any request come
-    /// first, but not before `grace` has passed: their first request may be in transit and would get no response.
-    /// Returns false if no connection may be evicted.
+    /// Evicts the connection that has waited for longest, of the first class that has one which may be evicted. A new
+    /// connection stays until `grace` has passed: its first request may be in transit and would only be rejected. Returns
+    /// false if no connection may be evicted.
     pub(crate) fn evict_idle(&self, grace: Duration, now: u64) -> bool {
         let mut queue = self.lock();
-        let is_new = |first: &EvictionCandidate| {
-            !first.key.has_begun_request && first.since.elapsed() < grace
-        };
-        // The first connection without a request is the oldest: if it is too new, so are all others.
-        let evicted = queue
-            .first_idle(EvictionKey::first(false), now)
-            .filter(|first| !is_new(first))
-            .or_else(|| queue.first_idle(EvictionKey::first(true), now));
+        // The first connection of a class is its oldest: if it is too new, so are all others.
+        let evicted = EvictionClass::ALL.into_iter().find_map(|class| {
+            let stays_for = match class {
+                EvictionClass::Unused => grace,
+                EvictionClass::Rejected | EvictionClass::Used => Duration::ZERO,
+            };
+            let first = queue.first_idle(class, now)?;
+            (first.since.elapsed() >= stays_for).then_some(first)
+        });
         let Some(evicted) = evicted else {
             return false;
         };
--- a/src/daemon/server/connection_table/client_connection.rs
+++ b/src/daemon/server/connection_table/client_connection.rs
@@ -13,7 +13,7 @@
 use ipnet::IpNet;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
-use super::ConnectionTable;
+use super::{ConnectionTable, EvictionClass};
 use crate::server::client_socket::ClientSocket;
 
 /// A connection's registration with slow-peer protection.
@@ -54,6 +54,8 @@
     ambiguous_framing: AtomicBool,
     /// A request has been read completely and has no response yet.
     awaiting_response: AtomicBool,
+    /// The connection only waits for its client to read the last response and to close it.
+    awaiting_client_close: AtomicBool,
     /// Shows whether the client has disconnected, independently of the reactor.
     pub socket: Arc<ClientSocket>,
     /// Notified to close the connection once the response being written is complete.
@@ -83,6 +85,7 @@
             idle_since_ns: AtomicU64::new(0),
             ambiguous_framing: AtomicBool::new(false),
             awaiting_response: AtomicBool::new(false),
+            awaiting_client_close: AtomicBool::new(false),
             socket: Arc::default(),
             evicted: Notify::new(),
             aborted,
@@ -119,9 +122,20 @@
 
     /// Records that the connection only waits for its client to read the last response: it may be evicted.
     pub(crate) fn await_client_close(self: &Arc<Self>) {
+        self.awaiting_client_close.store(true, Ordering::Relaxed);
         self.await_request();
     }
 
+    pub(super) fn eviction_class(&self) -> EvictionClass {
+        if self.has_begun_request() {
+            EvictionClass::Used
+        } else if self.awaiting_client_close.load(Ordering::Relaxed) {
+            EvictionClass::Rejected
+        } else {
+            EvictionClass::Unused
+        }
+    }
+
     fn leave_table(&self) {
         let position = self.position.swap(NOT_IN_TABLE, Ordering::Relaxed);
         if position != NOT_IN_TABLE {
--- a/src/daemon/server/connection_table/tests.rs
+++ b/src/daemon/server/connection_table/tests.rs
@@ -54,6 +54,29 @@
     assert!(table.evict_idle(Duration::ZERO, 0));
 }
 
+#[tokio::test]
+async fn connection_that_has_its_rejection_is_evicted_at_any_time_and_before_all_others() {
+    let (table, permits) = (
+        Arc::new(ConnectionTable::default()),
+        Arc::new(Semaphore::new(3)),
+    );
+    let insert = || {
+        let permit = permits.clone().try_acquire_owned().unwrap();
+        table.insert(permit, Arc::default(), None)
+    };
+    let [used, _unused, rejected] = [(); 3].map(|()| insert());
+    used.begin_request();
+    used.await_request();
+    rejected.await_client_close();
+    let long = Duration::from_secs(3600);
+    for connection in [rejected, used] {
+        assert!(table.evict_idle(long, 0));
+        connection.evicted.notified().await;
+    }
+    // The third has just been accepted.
+    assert!(!table.evict_idle(long, 0));
+}
+
 #[tokio::test]
 async fn connection_that_lingers_after_an_error_is_in_the_table_once() {
     let (table, permits) = (
