--- a/src/daemon/server/connection_table.rs
+++ b/src/daemon/server/connection_table.rs
@@ -21,8 +21,8 @@
 /// What a connection in the table awaits, in the order of eviction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionClass {
-    /// Its client's close: it never had a request, and a rejection of the first one has been written. May be evicted at any
-    /// time, since nothing else will be written.
+    /// Its client's close: it never had a request, and a rejection or the error of a malformed one has been written. May
+    /// be evicted at any time, since nothing else will be written.
     Rejected,
     /// Its first request, which may be in transit.
     Unused,
--- a/src/daemon/server/connection_task.rs
+++ b/src/daemon/server/connection_task.rs
@@ -29,8 +29,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Size limit of a connection's read buffer, which bounds a request head and the part of a body that hyper buffers.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// How long a connection with unread input stays open so that its client can read the response. Closing it immediately
-/// would reset it.
+/// How long a connection on which input is unread, or may still arrive, stays open so that its client can read the
+/// response. Closing it immediately would reset it.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are read and discarded while lingering.
 const MAX_LINGER_BYTES: usize = 512 * 1024;
@@ -161,7 +161,7 @@
             _ => false,
         };
         if closes && !connection.has_begun_request() {
-            // The first request may be in transit and would get no response.
+            // The first request may be in transit and would only be rejected.
             connection.idle_for(FIRST_REQUEST_GRACE).await;
         }
         if closes {
