Review case 3: a ban said yes to during an upgrade is not in force afterwards

Cause: the old process of an upgrade answers maintenance calls after it has copied its state and before calls are relayed to the new process. Change: this case takes the place of the one on clients that went, which is graver to nobody but the limit servers and stays in the history.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Status 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-program=$root/review/kit/target/release/gone_client
+program=$root/review/kit/target/release/ban_upgrade
 if [ ! -x "$program" ]; then
     echo "not built: review/build.sh"
     exit 2
