Review case 3: more calls in the moment of the handover, files in memory

Cause: with one operator and a slow disk a run could pass by chance, as few calls fell into the moment in which bans are lost. Change: three operators take out 140 of 200 limit servers; the temporary folder is in memory where there is one, as on the platform.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,8 @@
     echo "not built: review/build.sh"
     exit 2
 fi
-temporary=$(mktemp -d) || exit 2
+# The platform's $TMPDIR is in memory.
+temporary=$(mktemp -d -p /dev/shm 2>/dev/null) || temporary=$(mktemp -d) || exit 2
 clean_up() {
     [ -f "$temporary/processes" ] && while read -r id; do kill -KILL "$id" 2>/dev/null; done <"$temporary/processes"
     rm -rf "$temporary"
--- a/review/kit/src/bin/ban_upgrade.rs
+++ b/review/kit/src/bin/ban_upgrade.rs
@@ -1,4 +1,4 @@
-//! An operator takes limit servers out, one call after the other, while an upgrade in place goes on. Does every ban that
+//! Operators take limit servers out, one call after the other, while an upgrade in place goes on. Does every ban that
 //! the ingress has said yes to hold in the process that serves afterwards?
 
 use std::net::{SocketAddr, TcpListener};
@@ -12,9 +12,13 @@
     wait_ready, write_config, Agent, Case, Client, LimitServer, Program,
 };
 
-/// Limit servers; a third stays, the others are taken out.
-const SERVERS: usize = 90;
-const KEPT: usize = 30;
+/// Limit servers; the first ones stay, the others are taken out.
+const SERVERS: usize = 200;
+const KEPT: usize = 60;
+/// An operator's pause between two calls.
+const PAUSE: Duration = Duration::from_millis(2);
+/// Operators, each with a call at a time: one for each hall.
+const OPERATORS: usize = 3;
 /// The upgrade begins after so many calls.
 const CALLS_BEFORE: usize = 5;
 /// Customers that come once before the upgrade, 500 a second.
@@ -33,11 +37,16 @@
     said_yes: Instant,
 }
 
-/// Takes the limit servers out, one after the other: at the first address, and at the second one as soon as the first
+/// One operator takes every third of the limit servers out, one after the other: at the first address, and at the second one as soon as the first
 /// no longer answers.
-fn take_out(case: &Case, addresses: [SocketAddr; 2], calls: &AtomicUsize) -> Vec<Ban> {
+fn take_out(
+    case: &Case,
+    number: usize,
+    addresses: [SocketAddr; 2],
+    calls: &AtomicUsize,
+) -> Vec<Ban> {
     let mut bans = Vec::new();
-    for server in KEPT..SERVERS {
+    for server in (KEPT + number..SERVERS).step_by(OPERATORS) {
         let command = format!("DISABLE s-{server}");
         let mut answers = addresses
             .iter()
@@ -47,6 +56,7 @@
             bans.push(Ban { server, said_yes });
         }
         calls.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(PAUSE);
     }
     bans
 }
@@ -153,7 +163,12 @@
     send_requests(&case, listen, 0x10_0000..0x10_0000 + CUSTOMERS, PACE);
     let calls = AtomicUsize::new(0);
     let (new, bans) = thread::scope(|scope| {
-        let taking_out = scope.spawn(|| take_out(&case, [old_operator, new_operator], &calls));
+        let taking_out: Vec<_> = (0..OPERATORS)
+            .map(|number| {
+                let (case, calls) = (&case, &calls);
+                scope.spawn(move || take_out(case, number, [old_operator, new_operator], calls))
+            })
+            .collect();
         while calls.load(Ordering::Relaxed) < CALLS_BEFORE {
             thread::sleep(Duration::from_millis(1));
         }
@@ -161,11 +176,11 @@
         if new.is_some() {
             finish_upgrade(&case, new_operator, &mut old);
         }
-        let bans = taking_out.join();
-        (
-            new,
-            bans.unwrap_or_else(|_| not_run(record, "the operator failed")),
-        )
+        let bans = taking_out.into_iter().flat_map(|operator| {
+            let bans = operator.join();
+            bans.unwrap_or_else(|_| not_run(record, "an operator failed"))
+        });
+        (new, bans.collect::<Vec<_>>())
     });
     thread::sleep(GRACE);
     let last = 0x20_0000..0x20_0000 + LAST_REQUESTS;
