Review cases 1 and 3: stay inside the limits more strictly

The second copy of case 1 could be sent while a next request was on the link; case 3 had 200 limit servers and judged from the grace on, 1.5 s before discovery's news binds after an upgrade. Change: nothing may be under way on the link either; 14 limit servers, judged from 2.05 s after the yes.

--- a/review/kit/src/bin/ban_upgrade.rs
+++ b/review/kit/src/bin/ban_upgrade.rs
@@ -2,7 +2,6 @@
 //! the ingress has said yes to hold in the process that serves afterwards?
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,22 +11,25 @@
     wait_ready, write_config, Agent, Case, Client, LimitServer, Program,
 };
 
-/// Limit servers; the first ones stay, the others are taken out.
-const SERVERS: usize = 200;
-const KEPT: usize = 60;
-/// An operator's pause between two calls.
-const PAUSE: Duration = Duration::from_millis(2);
+/// Limit servers, as on the busiest days of the site; the first ones stay, the others are taken out.
+const SERVERS: usize = 14;
+const KEPT: usize = 4;
 /// Operators, each with a call at a time: one for each hall.
 const OPERATORS: usize = 3;
-/// The upgrade begins after so many calls.
-const CALLS_BEFORE: usize = 5;
-/// Customers that come once before the upgrade, 500 a second.
+/// An operator's pause between two calls.
+const PAUSE: Duration = Duration::from_millis(8);
+/// Upgrades, one after the other, until one breaks the rule. After each all limit servers are given back.
+const ROUNDS: usize = 6;
+/// Customers that come once before the first upgrade, 500 a second.
 const CUSTOMERS: u64 = 3_000;
 const PACE: Duration = Duration::from_millis(2);
 /// After the yes: the grace of the drain rule, and 50 ms as for every time limit on sockets.
 const GRACE: Duration = Duration::from_millis(550);
-/// Requests at the end, which show where the ingress sends work.
-const LAST_REQUESTS: u64 = 150;
+/// After the new process's yes: what discovery has to tell binds from then on. The case judges nothing that comes earlier.
+const SETTLED: Duration = Duration::from_millis(2_050);
+/// Requests after each upgrade, which show where the ingress sends work.
+const LAST_REQUESTS: u64 = 100;
+const LAST_PACE: Duration = Duration::from_millis(15);
 /// SIGKILL after SIGTERM: the longest deadline and 0.7 s.
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
 
@@ -37,14 +39,9 @@
     said_yes: Instant,
 }
 
-/// One operator takes every third of the limit servers out, one after the other: at the first address, and at the second one as soon as the first
-/// no longer answers.
-fn take_out(
-    case: &Case,
-    number: usize,
-    addresses: [SocketAddr; 2],
-    calls: &AtomicUsize,
-) -> Vec<Ban> {
+/// One operator takes every third of the limit servers out, one after the other: at the first address, and at the second
+/// one as soon as the first no longer answers.
+fn take_out(case: &Case, number: usize, addresses: &[SocketAddr]) -> Vec<Ban> {
     let mut bans = Vec::new();
     for server in (KEPT + number..SERVERS).step_by(OPERATORS) {
         let command = format!("DISABLE s-{server}");
@@ -55,7 +52,6 @@
             let said_yes = Instant::now();
             bans.push(Ban { server, said_yes });
         }
-        calls.fetch_add(1, Ordering::Relaxed);
         thread::sleep(PAUSE);
     }
     bans
@@ -102,14 +98,13 @@
     served
 }
 
-/// Counts the limit servers that got a request after the grace, although they are in maintenance.
-fn count_broken(case: &Case, servers: &[LimitServer], bans: &[Ban]) -> usize {
+/// Counts the limit servers that got a request after the grace and after `from`, although they are in maintenance.
+fn count_broken(case: &Case, servers: &[LimitServer], bans: &[Ban], from: Instant) -> usize {
     let mut broken = 0;
     for Ban { server, said_yes } in bans {
+        let judged_from = from.max(*said_yes + GRACE);
         let arrivals = servers[*server].arrived();
-        let mut late = arrivals
-            .iter()
-            .filter(|arrival| arrival.at > *said_yes + GRACE);
+        let mut late = arrivals.iter().filter(|arrival| arrival.at > judged_from);
         if let Some(first) = late.next() {
             broken += 1;
             let after = (first.at - *said_yes).as_secs_f64() * 1e3;
@@ -157,47 +152,69 @@
         let variables = [("GW_OPERATOR", operator.to_string())];
         Program::start(&case, name, &config, Some(&listener), &variables)
     };
-    let (old_operator, new_operator) = (free_address(record), free_address(record));
-    let mut old = start("old", old_operator);
+    let mut address = free_address(record);
+    let mut active = start("process-0", address);
     wait_ready(&case, listen);
     send_requests(&case, listen, 0x10_0000..0x10_0000 + CUSTOMERS, PACE);
-    let calls = AtomicUsize::new(0);
-    let (new, bans) = thread::scope(|scope| {
-        let taking_out: Vec<_> = (0..OPERATORS)
-            .map(|number| {
-                let (case, calls) = (&case, &calls);
-                scope.spawn(move || take_out(case, number, [old_operator, new_operator], calls))
-            })
-            .collect();
-        while calls.load(Ordering::Relaxed) < CALLS_BEFORE {
-            thread::sleep(Duration::from_millis(1));
+    let (mut broken, mut count, mut rounds) = (0, 0, 0);
+    while rounds < ROUNDS && broken == 0 {
+        rounds += 1;
+        record.line(format!("round {rounds}"));
+        let new_address = free_address(record);
+        let (new, bans) = thread::scope(|scope| {
+            let new = case
+                .trouble
+                .then(|| start(&format!("process-{rounds}"), new_address));
+            let addresses = if case.trouble {
+                vec![address, new_address]
+            } else {
+                vec![address]
+            };
+            let taking_out: Vec<_> = (0..OPERATORS)
+                .map(|number| {
+                    let (case, addresses) = (&case, addresses.clone());
+                    scope.spawn(move || take_out(case, number, &addresses))
+                })
+                .collect();
+            if new.is_some() {
+                finish_upgrade(&case, new_address, &mut active);
+            }
+            let bans = taking_out.into_iter().flat_map(|operator| {
+                let bans = operator.join();
+                bans.unwrap_or_else(|_| not_run(record, "an operator failed"))
+            });
+            (new, bans.collect::<Vec<_>>())
+        });
+        if let Some(new) = new {
+            (active, address) = (new, new_address);
         }
-        let new = case.trouble.then(|| start("new", new_operator));
-        if new.is_some() {
-            finish_upgrade(&case, new_operator, &mut old);
+        if bans.len() < SERVERS - KEPT {
+            not_run(
+                record,
+                format!("the ingress said yes to {} bans only", bans.len()),
+            );
         }
-        let bans = taking_out.into_iter().flat_map(|operator| {
-            let bans = operator.join();
-            bans.unwrap_or_else(|_| not_run(record, "an operator failed"))
-        });
-        (new, bans.collect::<Vec<_>>())
-    });
-    thread::sleep(GRACE);
-    let last = 0x20_0000..0x20_0000 + LAST_REQUESTS;
-    let served = send_requests(&case, listen, last, Duration::from_millis(20));
-    let broken = count_broken(&case, &servers, &bans);
-    record_log(&case, "old", 60);
-    record_log(&case, "new", 60);
-    drop((old, new));
-    let count = bans.len();
-    if count < SERVERS - KEPT || served < LAST_REQUESTS / 2 {
-        let words = format!("{count} bans and {served} served requests are too few to judge");
-        not_run(record, words);
+        thread::sleep(SETTLED);
+        let (from, first_id) = (Instant::now(), 0x20_0000 + 0x1000 * rounds as u64);
+        let served = send_requests(&case, listen, first_id..first_id + LAST_REQUESTS, LAST_PACE);
+        if served < LAST_REQUESTS / 2 {
+            not_run(
+                record,
+                format!("{served} served requests are too few to judge"),
+            );
+        }
+        count = bans.len();
+        broken = count_broken(&case, &servers, &bans, from);
+        for server in KEPT..SERVERS {
+            operator(record, address, &format!("ENABLE s-{server}"));
+        }
+    }
+    for number in 0..=rounds {
+        record_log(&case, &format!("process-{number}"), 60);
     }
+    drop(active);
     case.end(
         broken > 0,
-        format!(
-            "{broken} of {count} limit servers in maintenance got new requests after the grace"
-        ),
+        format!("{broken} of {count} limit servers in maintenance got new requests after the grace, in round {rounds} of {ROUNDS} at most"),
     );
 }
--- a/review/kit/src/bin/late_copy.rs
+++ b/review/kit/src/bin/late_copy.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use review_kit::{
-    answer_ok, free_address, link, list, not_run, record_log, request, settings, target,
-    wait_ready, write_config, Agent, Case, Client, LimitServer, Program, Record,
+    answer_ok, free_address, has_read_ahead, list, not_run, record_log, request, settings, target,
+    wait_ready, write_config, Agent, Case, Client, LimitServer, Links, Program, Record,
 };
 
 const SERVERS: usize = 4;
@@ -33,16 +33,21 @@
     foreign: AtomicU64,
 }
 
-/// Sends a second copy of an answer 1 to 4 ms after the first, when nothing else waits on the connection.
+/// Sends a second copy of an answer 1 to 4 ms after the first, when nothing else waits on the connection: neither at the
+/// limit server nor on the way to it.
 fn send_copy(
     record: &Record,
     counts: &Counts,
+    links: &Links,
     server: &str,
     id: &str,
     number: u64,
     out: &mut TcpStream,
 ) -> io::Result<()> {
     thread::sleep(Duration::from_millis(1 + number / SHARE % 4));
+    if has_read_ahead() || links.has_under_way(out) {
+        return Ok(());
+    }
     out.set_nonblocking(true)?;
     let waiting = out.peek(&mut [0]);
     out.set_nonblocking(false)?;
@@ -105,10 +110,11 @@
     let case = Case::from_arguments();
     let record = &case.record;
     let counts = Arc::new(Counts::default());
+    let links = Links::default();
     let trouble = case.trouble;
     let servers: Vec<LimitServer> = (0..SERVERS)
         .map(|index| {
-            let (counts, written) = (counts.clone(), record.clone());
+            let (counts, links, written) = (counts.clone(), links.clone(), record.clone());
             LimitServer::start(
                 record,
                 &format!("s-{index}"),
@@ -118,7 +124,7 @@
                     thread::sleep(WORK);
                     answer_ok(id, out)?;
                     if trouble && number % SHARE == 3 {
-                        send_copy(&written, &counts, server, id, number, out)?;
+                        send_copy(&written, &counts, &links, server, id, number, out)?;
                     }
                     Ok(true)
                 }),
@@ -128,7 +134,7 @@
     let entry = |server: &LimitServer| {
         target(
             &server.name,
-            link(record, server.address, ONE_WAY),
+            links.open(record, server.address, ONE_WAY),
             0,
             "in_service",
         )
--- a/review/kit/src/lib.rs
+++ b/review/kit/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the cases of the review share: the record, the program under test, stand-ins for limit servers and for
 //! discovery, and a client. The standard library only; every address is a loopback address.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::fs::File;
@@ -9,6 +10,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -401,6 +403,16 @@
     pub at: Instant,
 }
 
+thread_local! {
+    /// Whether bytes behind the request in work have been read on this limit server's connection already.
+    static READ_AHEAD: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Whether a limit server has read bytes behind the request that its behaviour is working on.
+pub fn has_read_ahead() -> bool {
+    READ_AHEAD.get()
+}
+
 /// What a limit server does with a request: writes its answer, and says whether the connection goes on.
 pub type Behaviour = dyn Fn(&str, &Message, &mut TcpStream) -> io::Result<bool> + Send + Sync;
 
@@ -453,6 +465,7 @@
                 self.name,
                 request.header("x-time-left-ms")
             ));
+            READ_AHEAD.set(!reader.buffer.is_empty());
             match behaviour(&self.name, &request, &mut out) {
                 Ok(true) => record.line(format!("{}: request {id} answered", self.name)),
                 Ok(false) => {
@@ -583,47 +596,83 @@
     }
 }
 
-/// A link to `to` that takes `delay` one way, as a network between halls does. Returns its near end.
-pub fn link(record: &Record, to: SocketAddr, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| not_run(record, error));
-    let address = listener
-        .local_addr()
-        .unwrap_or_else(|error| not_run(record, error));
-    thread::spawn(move || {
-        for near in listener.incoming().flatten() {
-            let Ok(far) = TcpStream::connect(to) else {
-                continue;
-            };
-            let _ = (near.set_nodelay(true), far.set_nodelay(true));
-            let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
-                continue;
-            };
-            thread::spawn(move || carry(near, far, delay));
-            thread::spawn(move || carry(far_copy, near_copy, delay));
-        }
-    });
-    address
+/// Links that take `delay` one way, as a network between halls does. They know what is under way towards a limit server.
+#[derive(Clone, Default)]
+pub struct Links {
+    /// Bytes that came from the ingress and bytes that were handed on, by the address of the link's far end.
+    under_way: Arc<Mutex<BTreeMap<SocketAddr, Arc<UnderWay>>>>,
+}
+
+/// Bytes of one connection towards a limit server.
+#[derive(Default)]
+struct UnderWay {
+    came: AtomicU64,
+    handed_on: AtomicU64,
+}
+
+impl Links {
+    /// A link to `to`. Returns its near end.
+    pub fn open(&self, record: &Record, to: SocketAddr, delay: Duration) -> SocketAddr {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| not_run(record, error));
+        let address = listener
+            .local_addr()
+            .unwrap_or_else(|error| not_run(record, error));
+        let links = self.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let _ = links.carry_both(near, to, delay);
+            }
+        });
+        address
+    }
+
+    fn carry_both(&self, near: TcpStream, to: SocketAddr, delay: Duration) -> io::Result<()> {
+        let far = TcpStream::connect(to)?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        let forth = Arc::new(UnderWay::default());
+        lock(&self.under_way).insert(far.local_addr()?, forth.clone());
+        let (near_copy, far_copy) = (near.try_clone()?, far.try_clone()?);
+        thread::spawn(move || carry(near, far, delay, &forth));
+        thread::spawn(move || carry(far_copy, near_copy, delay, &Arc::default()));
+        Ok(())
+    }
+
+    /// Whether the ingress has sent anything that has not been handed on to the limit server's connection `stream` yet.
+    pub fn has_under_way(&self, stream: &TcpStream) -> bool {
+        let links = lock(&self.under_way);
+        let under_way = stream
+            .peer_addr()
+            .ok()
+            .and_then(|far_end| links.get(&far_end));
+        under_way.is_none_or(|bytes| {
+            bytes.came.load(Ordering::SeqCst) != bytes.handed_on.load(Ordering::SeqCst)
+        })
+    }
 }
 
 /// Carries the bytes of one direction, each `delay` after it came, and then the end.
-fn carry(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+fn carry(mut from: TcpStream, mut to: TcpStream, delay: Duration, under_way: &Arc<UnderWay>) {
     let (sender, receiver) = mpsc::channel::<(Instant, Vec<u8>)>();
+    let handing_on = under_way.clone();
     thread::spawn(move || {
         for (due, bytes) in receiver {
             thread::sleep(due.saturating_duration_since(Instant::now()));
             if to.write_all(&bytes).is_err() {
                 break;
             }
+            handing_on
+                .handed_on
+                .fetch_add(bytes.len() as u64, Ordering::SeqCst);
         }
         let _ = to.shutdown(Shutdown::Write);
     });
     let mut chunk = [0; 65536];
     while let Ok(read) = from.read(&mut chunk) {
-        if read == 0
-            || sender
-                .send((Instant::now() + delay, chunk[..read].to_vec()))
-                .is_err()
-        {
+        under_way.came.fetch_add(read as u64, Ordering::SeqCst);
+        let due = Instant::now() + delay;
+        if read == 0 || sender.send((due, chunk[..read].to_vec())).is_err() {
             break;
         }
     }
