Shutdown: the process ends with its last connection, not at a fixed time

Seen by callers: the old process of an upgrade closed the connections of requests that it had taken before SIGTERM, of a class with a deadline of 4 s, 3.5 s after SIGTERM; a response that takes longer than the longest deadline and 0.9 s was cut off in the middle. Cause: ShutdownDeadlines::exit_after, by which Acceptor::serve ended the program whatever was open. For the old process of an upgrade it counted the longest deadline as 3 s at most, which is when the platform may kill, not when the work is done. Ruled out: the requests' own deadlines (answer_limit leaves requests from before SIGTERM alone), the engine. Change: no fixed time. A client that reads nothing had no end: during a shutdown its connection is closed after 20 s without progress. Connections in the accept queue wait for permits and descriptors as long as an open connection can release one. Why it works: an exit can only follow the end of every connection, and a connection with a request ends after its response. Replaced: the unit test asserted that the old process ends before the kill, which was the fault. What it protected, a response before the end, is asserted on real processes with and without an upgrade.

--- a/crates/admin/src/shutdown_deadlines.rs
+++ b/crates/admin/src/shutdown_deadlines.rs
@@ -2,8 +2,10 @@
 //!
 //! The platform sends new connections for 0.2 to 0.4 s after SIGTERM, and kills the process at SIGTERM plus the longest
 //! request deadline plus [`KILL_MARGIN`]. All deadlines are derived from these two facts and from the longest request
-//! deadline in the settings. A request that is accepted just before SIGTERM has its full deadline, and is lost if the
-//! process exits earlier; a request without a response at the time of the kill is lost as well.
+//! deadline in the settings.
+//!
+//! None of them ends the process: a request that is accepted just before SIGTERM has its full deadline, which may be
+//! later than the kill, and its response may take longer still to write. The process exits with its last connection.
 
 use std::time::Duration;
 
@@ -15,8 +17,7 @@
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
 /// Upper bound of the longest request deadline that the platform takes into account when it schedules the kill, which
-/// is therefore no later than this plus [`KILL_MARGIN`]. If no other process has taken over, this process waits at
-/// least this long for its last responses.
+/// is therefore no later than this plus [`KILL_MARGIN`].
 const PLATFORM_DEADLINE_BOUND: Duration = Duration::from_secs(3);
 
 /// If another process has taken over: time between the closing of idle connections and the kill, so that a client can
@@ -30,8 +31,7 @@
 /// connections, so that there is no benefit in using all the time up to the kill.
 const REPLACED_RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 
-/// If no process has taken over: time to write the response to a request that was accepted at the end of
-/// [`TERMINATION_ACCEPT_PERIOD`], after the request's own deadline.
+/// Time to write the response to a request after the request's own deadline.
 const RESPONSE_WRITE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Whether another process has taken over when the shutdown begins.
@@ -94,16 +94,10 @@
         }
     }
 
-    /// The time after SIGTERM at which the process exits even if connections are still open. Every accepted request has
-    /// its response by then.
-    pub fn exit_after(self, mode: ShutdownMode) -> Duration {
-        match mode {
-            ShutdownMode::Standalone => {
-                let longest = self.longest_request_deadline.max(PLATFORM_DEADLINE_BOUND);
-                TERMINATION_ACCEPT_PERIOD + longest + RESPONSE_WRITE_MARGIN
-            }
-            ShutdownMode::Replaced => self.kill_after() - REPLACED_RESPONSE_MARGIN / 2,
-        }
+    /// The time after SIGTERM at which every accepted request has reached its own deadline. A connection that is still
+    /// open then is writing a long response.
+    pub fn responses_due_after(self) -> Duration {
+        TERMINATION_ACCEPT_PERIOD + self.longest_request_deadline + RESPONSE_WRITE_MARGIN
     }
 }
 
--- a/crates/admin/src/shutdown_deadlines/tests.rs
+++ b/crates/admin/src/shutdown_deadlines/tests.rs
@@ -7,13 +7,12 @@
 const MILLIS: fn(u64) -> Duration = Duration::from_millis;
 
 #[test]
-fn a_request_accepted_before_a_stop_has_its_whole_deadline_before_the_process_exits() {
+fn late_requests_are_answered_before_the_kill_and_others_have_their_whole_deadline() {
     for longest in [200, 480, 1_000, 3_000, 4_110, 30_000] {
         let deadlines = ShutdownDeadlines::new(MILLIS(longest));
         // A request that is accepted at the end of the accept period, with the longest deadline.
         assert!(
-            deadlines.exit_after(ShutdownMode::Standalone)
-                > TERMINATION_ACCEPT_PERIOD + MILLIS(longest),
+            deadlines.responses_due_after() > TERMINATION_ACCEPT_PERIOD + MILLIS(longest),
             "{longest} ms"
         );
         let kill = MILLIS(longest.min(3_000) + 700);
@@ -25,15 +24,7 @@
                     && late.respond_within < kill,
                 "{longest} ms, {mode:?}"
             );
-            assert!(
-                late.respond_within < deadlines.exit_after(mode),
-                "{longest} ms, {mode:?}"
-            );
         }
-        assert!(
-            deadlines.exit_after(ShutdownMode::Replaced) < kill,
-            "{longest} ms"
-        );
         assert!(
             deadlines.keep_alive_for(ShutdownMode::Replaced)
                 < deadlines
--- a/crates/fakes/src/daemon.rs
+++ b/crates/fakes/src/daemon.rs
@@ -14,7 +14,7 @@
 
 use crate::process_usage::peak_memory_bytes;
 
-pub use launcher::{DaemonLauncher, DaemonSettings, InheritedResources};
+pub use launcher::{DaemonLauncher, DaemonSettings, InheritedResources, ServiceClass};
 
 /// Interval at which the exit of the process is polled.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
--- a/src/daemon/lifecycle/process_role.rs
+++ b/src/daemon/lifecycle/process_role.rs
@@ -99,8 +99,8 @@
     pub late_from: Instant,
     /// Late requests are answered by this instant, even if their own deadline is later.
     pub late_answered_by: Instant,
-    /// The process exits at this instant, even if connections are still open.
-    pub exit_at: Instant,
+    /// Every accepted request has reached its own deadline by this instant.
+    pub responses_due_at: Instant,
 }
 
 impl ShutdownTimes {
--- a/src/daemon/lifecycle/process_role/tests.rs
+++ b/src/daemon/lifecycle/process_role/tests.rs
@@ -23,7 +23,7 @@
     let times = ShutdownTimes {
         late_from: after(600),
         late_answered_by: after(3600),
-        exit_at: after(3900),
+        responses_due_at: after(3900),
     };
     assert_eq!(times.answer_limit(begin), None);
     assert_eq!(times.answer_limit(after(599)), None);
--- a/src/daemon/lifecycle/shutdown.rs
+++ b/src/daemon/lifecycle/shutdown.rs
@@ -164,6 +164,6 @@
     ShutdownTimes {
         late_from: now + late.begins_after,
         late_answered_by: now + late.respond_within,
-        exit_at: now + deadlines.exit_after(mode),
+        responses_due_at: now + deadlines.responses_due_after(),
     }
 }
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -2,6 +2,10 @@
 //!
 //! Only one loop at a time accepts from the listener. Connections that the kernel has accepted for this process are
 //! served before the listener closes, unless another process has taken over. Dropping a connection releases its permit.
+//!
+//! The process exits once its last connection has ended, since an earlier exit would lose the responses that are still
+//! due. Each connection ends by itself: a request by its deadline, an idle connection by the shutdown, and one whose
+//! client has stopped reading by the timeout in `connection_task`.
 
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
@@ -95,8 +99,7 @@
         }
     }
 
-    /// Serves until the process has to exit and all accepted requests have been answered, or until the shutdown
-    /// deadline.
+    /// Serves until the process has to exit and all accepted requests have been answered.
     pub(crate) async fn serve(self, listener: TcpListener) {
         let mut phases = self.phases.clone();
         // The order matters: when this process becomes active again, `wait_until_replaced_and_empty` has to release its
@@ -107,25 +110,32 @@
             () = self.wait_until_replaced_and_empty() => {}
             () = self.accept(&listener) => {}
         }
-        let exit_at = self
-            .shutdown_times
-            .get()
-            .map_or_else(Instant::now, |times| times.exit_at);
         match *self.role.borrow() {
             // The other process accepts the connections in the kernel's queue.
             ProcessRole::Superseded => drop(listener),
-            _ => self.drain_accept_queue(listener, exit_at).await,
+            _ => self.drain_accept_queue(listener).await,
         }
+        self.wait_for_last_connection().await;
+    }
+
+    /// Waits until no connection is left. Logs once if a response takes longer than the request's deadline.
+    async fn wait_for_last_connection(&self) {
+        let responses_due_at = self
+            .shutdown_times
+            .get()
+            .map_or_else(Instant::now, |times| times.responses_due_at);
         let emptied = self.admission.wait_until_empty();
-        if tokio::time::timeout_at(exit_at.into(), emptied)
+        if tokio::time::timeout_at(responses_due_at.into(), emptied)
             .await
-            .is_err()
+            .is_ok()
         {
-            tracing::warn!(
-                open_connections = self.admission.open_connections(),
-                "client connections still open at the shutdown deadline"
-            );
+            return;
         }
+        tracing::warn!(
+            open_connections = self.admission.open_connections(),
+            "shutdown waits for responses that are still being written"
+        );
+        self.admission.wait_until_empty().await;
     }
 
     /// Completes once this process has to stop, another one has taken over and still runs, and no connection is left.
@@ -189,8 +199,8 @@
 
     /// Serves the connections in the kernel's accept queue, which would be lost when the listener closes. Queries the
     /// kernel directly, since the reactor may not have noticed the latest connections yet. Waits for permits if none is
-    /// available.
-    async fn drain_accept_queue(&self, listener: TcpListener, exit_at: Instant) {
+    /// available, and for open connections to release the descriptors that the system lacks.
+    async fn drain_accept_queue(&self, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else {
             return;
         };
@@ -200,15 +210,14 @@
                 Err(error) => match classify_accept_error(&error) {
                     AcceptErrorKind::QueueEmpty => return,
                     AcceptErrorKind::Connection => continue,
-                    AcceptErrorKind::System if Instant::now() >= exit_at => return,
+                    AcceptErrorKind::System if self.admission.open_connections() == 0 => return,
                     AcceptErrorKind::System => {
                         tokio::time::sleep(ACCEPT_BACKOFF).await;
                         continue;
                     }
                 },
             };
-            let permit = tokio::time::timeout_at(exit_at.into(), self.admission.acquire_permit());
-            let Ok(Some(permit)) = permit.await else {
+            let Some(permit) = self.admission.acquire_permit().await else {
                 return;
             };
             let stream = stream
@@ -224,8 +233,7 @@
         }
     }
 
-    /// Starts the task of a connection. The task is not joined: `serve` ends once all permits have been released or the
-    /// shutdown deadline has passed, and remaining tasks end with the runtime.
+    /// Starts the task of a connection. The task is not joined: `serve` ends once all permits have been released.
     fn serve_connection(
         &self,
         stream: TcpStream,
--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use applewall_admin::LifecyclePhase;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -147,12 +147,11 @@
                 .try_acquire_many_owned(all)
                 .expect("all permits are free")
         });
-        let exit_at = Instant::now() + Duration::from_secs(30);
         let release = async {
             tokio::task::yield_now().await;
             drop(held);
         };
-        tokio::join!(acceptor.drain_accept_queue(listener, exit_at), release);
+        tokio::join!(acceptor.drain_accept_queue(listener), release);
         assert!(
             std::net::TcpStream::connect(address).is_err(),
             "the listener is closed"
--- a/src/daemon/server/connection_table/client_connection.rs
+++ b/src/daemon/server/connection_table/client_connection.rs
@@ -39,6 +39,11 @@
 /// The position of a connection that is not in the table, where positions start at 1.
 const NOT_IN_TABLE: u64 = 0;
 
+/// The value of [`ClientConnection::write_blocked_since_ns`] while the kernel accepts output.
+const NOT_BLOCKED: u64 = u64::MAX;
+/// Interval at which [`ClientConnection::write_blocked_for`] checks the connection.
+const WRITE_BLOCKED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// See the [module documentation](self).
 pub(crate) struct ClientConnection {
     table: Arc<ConnectionTable>,
@@ -47,8 +52,9 @@
     has_begun_request: AtomicBool,
     has_unread_input: AtomicBool,
     reading_head: AtomicBool,
-    /// Output is waiting for space in the kernel's send buffer.
-    write_blocked: AtomicBool,
+    /// Since when output is waiting for space in the kernel's send buffer, in nanoseconds since the table's reference
+    /// time, or [`NOT_BLOCKED`].
+    write_blocked_since_ns: AtomicU64,
     /// Start of the current idle period, in nanoseconds since the table's reference time.
     idle_since_ns: AtomicU64,
     ambiguous_framing: AtomicBool,
@@ -81,7 +87,7 @@
             has_begun_request: AtomicBool::new(false),
             has_unread_input: AtomicBool::new(false),
             reading_head: AtomicBool::new(false),
-            write_blocked: AtomicBool::new(false),
+            write_blocked_since_ns: AtomicU64::new(NOT_BLOCKED),
             idle_since_ns: AtomicU64::new(0),
             ambiguous_framing: AtomicBool::new(false),
             awaiting_response: AtomicBool::new(false),
@@ -166,13 +172,40 @@
         }
     }
 
-    /// Records whether output is waiting for space in the kernel's send buffer.
+    /// Records whether output is waiting for space in the kernel's send buffer, after an attempt to write.
     pub(crate) fn set_write_blocked(&self, write_blocked: bool) {
-        self.write_blocked.store(write_blocked, Ordering::Relaxed);
+        let since_ns = match write_blocked {
+            false => NOT_BLOCKED,
+            // A second attempt without progress does not restart the time.
+            true if self.is_write_blocked() => return,
+            true => self.nanos_since_epoch(),
+        };
+        self.write_blocked_since_ns
+            .store(since_ns, Ordering::Relaxed);
+    }
+
+    fn is_write_blocked(&self) -> bool {
+        self.write_blocked_since_ns.load(Ordering::Relaxed) != NOT_BLOCKED
+    }
+
+    /// Completes once the client has read nothing for `limit` although output is waiting for it.
+    pub(crate) async fn write_blocked_for(&self, limit: Duration) {
+        loop {
+            let since_ns = self.write_blocked_since_ns.load(Ordering::Relaxed);
+            let blocked_ns = self.nanos_since_epoch().saturating_sub(since_ns);
+            if since_ns != NOT_BLOCKED && Duration::from_nanos(blocked_ns) >= limit {
+                return;
+            }
+            tokio::time::sleep(WRITE_BLOCKED_CHECK_INTERVAL.min(limit)).await;
+        }
+    }
+
+    fn nanos_since_epoch(&self) -> u64 {
+        self.table.epoch.elapsed().as_nanos() as u64
     }
 
     fn restart_idle_time(&self) {
-        let now = self.table.epoch.elapsed().as_nanos() as u64;
+        let now = self.nanos_since_epoch();
         self.idle_since_ns.store(now, Ordering::Relaxed);
     }
 
@@ -187,7 +220,7 @@
                 continue;
             }
             let awaits_request = self.position.load(Ordering::Relaxed) != NOT_IN_TABLE;
-            if awaits_request && !self.write_blocked.load(Ordering::Relaxed) {
+            if awaits_request && !self.is_write_blocked() {
                 return;
             }
             self.restart_idle_time();
--- a/src/daemon/server/connection_table/tests.rs
+++ b/src/daemon/server/connection_table/tests.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Semaphore;
 
@@ -92,3 +92,29 @@
     drop(connection);
     assert!(table.lock().connections.is_empty());
 }
+
+#[tokio::test]
+async fn connection_is_write_blocked_for_a_time_only_without_progress() {
+    let (table, permits) = (
+        Arc::new(ConnectionTable::default()),
+        Arc::new(Semaphore::new(1)),
+    );
+    let permit = permits.try_acquire_owned().unwrap();
+    let connection = table.insert(permit, Arc::default(), None);
+    let limit = Duration::from_millis(80);
+    let blocked = connection.write_blocked_for(limit);
+    tokio::pin!(blocked);
+    let wait = 3 * limit;
+    let never_blocked = tokio::time::timeout(wait, &mut blocked).await;
+    assert!(never_blocked.is_err(), "no output is waiting");
+    connection.set_write_blocked(true);
+    // Progress ends the time, a further attempt without progress does not restart it.
+    connection.set_write_blocked(false);
+    let with_progress = tokio::time::timeout(wait, &mut blocked).await;
+    assert!(with_progress.is_err(), "the client reads");
+    let begin = Instant::now();
+    connection.set_write_blocked(true);
+    connection.set_write_blocked(true);
+    blocked.await;
+    assert!(begin.elapsed() >= limit, "after {:?}", begin.elapsed());
+}
--- a/src/daemon/server/connection_task.rs
+++ b/src/daemon/server/connection_task.rs
@@ -32,6 +32,9 @@
 /// How long a connection on which input is unread, or may still arrive, stays open so that its client can read the
 /// response. Closing it immediately would reset it.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// A response may make no progress for this long during a shutdown because its client does not read. Bounds how long such
+/// a client can delay the exit.
+const SHUTDOWN_WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum number of bytes that are read and discarded while lingering.
 const MAX_LINGER_BYTES: usize = 512 * 1024;
 
@@ -46,6 +49,7 @@
 ) -> impl Future<Output = ()> {
     let connection = service.connection.clone();
     let aborted = connection.aborted.clone();
+    let stalled = stalled_in_shutdown(phases.clone(), connection.clone());
     let mut http = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
@@ -72,6 +76,9 @@
             biased;
             () = aborted.notified() => event_counts::count(CountedEvent::ConnectionAborted),
             () = served => {}
+            () = stalled => {
+                tracing::warn!("client does not read its response, connection closed for the shutdown");
+            }
         }
     }
 }
@@ -176,6 +183,19 @@
     }
 }
 
+/// Completes once the shutdown waits for a response that the client does not read.
+async fn stalled_in_shutdown(
+    mut phases: watch::Receiver<LifecyclePhase>,
+    connection: Arc<ClientConnection>,
+) {
+    let closing = phases.wait_for(|phase| *phase == LifecyclePhase::Closing);
+    if closing.await.is_err() {
+        // No phase will follow.
+        std::future::pending::<()>().await;
+    }
+    connection.write_blocked_for(SHUTDOWN_WRITE_TIMEOUT).await;
+}
+
 /// Shuts down the output, and discards input up to a time limit and a size limit.
 async fn linger(mut stream: TcpStream) {
     let discard_input = async {
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,279 @@
+//! SIGTERM to the real program: it exits only after each request that it has accepted has its whole response, with and
+//! without a process that has taken over.
+
+mod support;
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use applewall_fakes::clients::{connect, request};
+use applewall_fakes::daemon::{Daemon, DaemonLauncher, InheritedResources, ServiceClass};
+use applewall_fakes::discovery::{in_service, Discovery};
+use applewall_fakes::http::{self, Kind, Message};
+use applewall_fakes::instance::{Exception, Instance, ResponseBehavior, Script};
+use applewall_fakes::wait::wait_until;
+use support::daemon::small_daemon;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Class deadline beyond the 3 s that the platform takes into account for the kill, which comes 3.7 s after SIGTERM.
+const LONG_DEADLINE: Duration = Duration::from_secs(6);
+const USUAL_DEADLINE: Duration = Duration::from_secs(3);
+/// A class whose requests are not repeated, so that one attempt has all of the request's time.
+const LONG_CLASS: ServiceClass = ServiceClass {
+    deadline: LONG_DEADLINE,
+    idempotency: "fragile",
+};
+const USUAL_CLASS: ServiceClass = ServiceClass {
+    deadline: USUAL_DEADLINE,
+    idempotency: "retryable",
+};
+/// A response this long after a request's deadline still counts.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+/// Processing time of an endpoint that hangs for longer than any request waits.
+const HANG: Duration = Duration::from_secs(120);
+/// Pause of an endpoint inside a response: beyond the longest deadline and all margins of a shutdown.
+const PAUSE_IN_BODY: Duration = Duration::from_secs(6);
+/// Long enough to be forwarded while it is being received.
+const LONG_BODY_BYTES: usize = 400_000;
+/// More than all buffers between an endpoint and a client hold.
+const UNREAD_BODY_BYTES: usize = 32_000_000;
+/// How long a shutdown waits for a client that reads nothing.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The kill is due 3.7 s after SIGTERM at the earliest. A request that is answered well before shows nothing.
+const EARLIEST_TELLING_RESPONSE: Duration = Duration::from_millis(3_500);
+const EXIT_TIMEOUT: Duration = Duration::from_secs(60);
+const CLIENTS: u64 = 4;
+
+/// Endpoints, discovery, and what the consecutive processes of one node inherit.
+struct Node {
+    folder: TempDir,
+    inherited: InheritedResources,
+    service_class: ServiceClass,
+    instances: Vec<Instance>,
+    discovery: Discovery,
+}
+
+impl Node {
+    /// Two endpoints with the same script.
+    async fn new(service_class: ServiceClass, script: Script) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let inherited = InheritedResources {
+            listener: TcpListener::bind("127.0.0.1:0").expect("a listener"),
+            folder: folder.path().to_path_buf(),
+        };
+        let mut instances = Vec::new();
+        for seed in 0..2 {
+            let script = Script {
+                seed,
+                ..script.clone()
+            };
+            instances.push(Instance::start(script).await.expect("an endpoint"));
+        }
+        let discovery = Discovery::start(in_service(&instances)).await;
+        Node {
+            folder,
+            inherited,
+            service_class,
+            instances,
+            discovery: discovery.expect("discovery"),
+        }
+    }
+
+    fn start(&self) -> Daemon {
+        let settings = small_daemon(self.discovery.address, in_service(&self.instances));
+        let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
+        DaemonLauncher::new(program, self.folder.path(), "node", &settings)
+            .inheriting(&self.inherited)
+            .service_class(self.service_class)
+            .start()
+            .expect("started")
+    }
+
+    /// Starts a process that takes over from `old`.
+    async fn upgrade(&self, old: &Daemon) -> Daemon {
+        let new = self.start();
+        wait_until("the new process has taken over", || {
+            has_logged(old, "new process has taken over")
+        })
+        .await;
+        new
+    }
+
+    /// Number of requests that have arrived at the endpoints.
+    fn arrived(&self) -> u64 {
+        let requests = |instance: &Instance| instance.recorded.requests.load(Ordering::Relaxed);
+        self.instances.iter().map(requests).sum()
+    }
+
+    /// Sends a request on a new connection and waits until it has reached an endpoint.
+    async fn request(&self, daemon: &Daemon, id: u64) -> TcpStream {
+        let before = self.arrived();
+        let mut client = connect(daemon.address, [127, 0, 0, 1].into(), None)
+            .await
+            .expect("a connection");
+        let text = request(id, id, self.service_class.deadline, 0);
+        client.write_all(text.as_bytes()).await.expect("written");
+        wait_until("the request has reached an endpoint", || {
+            self.arrived() > before
+        })
+        .await;
+        client
+    }
+}
+
+fn has_logged(daemon: &Daemon, text: &str) -> bool {
+    daemon.log().iter().any(|line| line.contains(text))
+}
+
+/// Reads the response; `None` if the connection ends before it is complete.
+async fn read_response(client: &mut TcpStream) -> Option<Message> {
+    let response = http::read(client, &mut Vec::new(), Kind::Response).await;
+    response.ok().flatten()
+}
+
+/// Waits for the exit in another thread, so that the endpoints continue. Returns the daemon for its log.
+async fn await_exit(mut daemon: Daemon) -> Daemon {
+    let exit = tokio::task::spawn_blocking(move || (daemon.wait_for_exit(EXIT_TIMEOUT), daemon));
+    let (status, daemon) = exit.await.expect("waited");
+    let status = status.expect("exited in time");
+    assert!(status.success(), "{status}");
+    daemon
+}
+
+fn hanging() -> Script {
+    Script {
+        processing_time: HANG..=HANG,
+        ..Script::default()
+    }
+}
+
+fn pausing() -> Script {
+    Script {
+        body_bytes: LONG_BODY_BYTES,
+        exception: Some(Exception {
+            one_in: 1,
+            behavior: ResponseBehavior::PauseInBody(PAUSE_IN_BODY),
+        }),
+        ..Script::default()
+    }
+}
+
+/// Whether another process takes over before SIGTERM.
+#[derive(Clone, Copy, PartialEq)]
+enum Stop {
+    Standalone,
+    AfterUpgrade,
+}
+
+impl Stop {
+    /// Sends SIGTERM; returns the new process, which has to be kept until the end of the test.
+    async fn stop(self, node: &Node, daemon: &Daemon) -> Option<Daemon> {
+        let new = match self {
+            Stop::Standalone => None,
+            Stop::AfterUpgrade => Some(node.upgrade(daemon).await),
+        };
+        daemon.terminate();
+        new
+    }
+}
+
+/// All endpoints hang. Each request that was accepted before SIGTERM gets its response by its own deadline.
+async fn assert_hanging_requests_are_answered(stop: Stop) {
+    let node = Node::new(LONG_CLASS, hanging()).await;
+    let daemon = node.start();
+    let mut clients = Vec::new();
+    for id in 1..=CLIENTS {
+        let sent = Instant::now();
+        clients.push((id, sent, node.request(&daemon, id).await));
+    }
+    let _new = stop.stop(&node, &daemon).await;
+    for (id, sent, mut client) in clients {
+        let response = read_response(&mut client).await;
+        assert!(
+            response.is_some(),
+            "request {id} has no response, its connection ended after {:?}",
+            sent.elapsed()
+        );
+        let waited = sent.elapsed();
+        assert!(
+            waited < LONG_DEADLINE + RESPONSE_SLACK,
+            "request {id} was answered after {waited:?}"
+        );
+        assert!(
+            waited > EARLIEST_TELLING_RESPONSE,
+            "request {id} was answered after {waited:?}, too early to show anything"
+        );
+    }
+    await_exit(daemon).await;
+}
+
+/// A response that takes longer than every deadline is written to its end.
+async fn assert_long_response_is_completed(stop: Stop) {
+    let node = Node::new(USUAL_CLASS, pausing()).await;
+    let daemon = node.start();
+    let mut client = node.request(&daemon, 1).await;
+    // The response has begun.
+    client.readable().await.expect("a response");
+    let _new = stop.stop(&node, &daemon).await;
+    let response = read_response(&mut client).await;
+    let length = response.map(|response| response.body.len());
+    assert_eq!(length, Some(LONG_BODY_BYTES), "length of the response");
+    await_exit(daemon).await;
+}
+
+/// Guards against an exit of the old process of an upgrade at a fixed time, before a long deadline.
+#[tokio::test]
+async fn replaced_process_answers_each_request_by_its_own_long_deadline_before_it_exits() {
+    assert_hanging_requests_are_answered(Stop::AfterUpgrade).await;
+}
+
+/// The same without an upgrade.
+#[tokio::test]
+async fn stopped_process_answers_each_request_by_its_own_long_deadline_before_it_exits() {
+    assert_hanging_requests_are_answered(Stop::Standalone).await;
+}
+
+/// Guards against an exit of the old process of an upgrade in the middle of a response.
+#[tokio::test]
+async fn replaced_process_completes_a_response_that_outlasts_all_deadlines() {
+    assert_long_response_is_completed(Stop::AfterUpgrade).await;
+}
+
+/// Guards against an exit in the middle of a response.
+#[tokio::test]
+async fn stopped_process_completes_a_response_that_outlasts_all_deadlines() {
+    assert_long_response_is_completed(Stop::Standalone).await;
+}
+
+/// Guards against a shutdown without an end: a client that reads nothing does not keep the process alive.
+#[tokio::test]
+async fn stopped_process_exits_although_a_client_reads_nothing_of_its_response() {
+    let script = Script {
+        body_bytes: UNREAD_BODY_BYTES,
+        ..Script::default()
+    };
+    let node = Node::new(USUAL_CLASS, script).await;
+    let daemon = node.start();
+    let mut client = node.request(&daemon, 1).await;
+    client.readable().await.expect("a response");
+    daemon.terminate();
+    let stopped = Instant::now();
+    let daemon = await_exit(daemon).await;
+    let waited = stopped.elapsed();
+    assert!(
+        waited >= WRITE_TIMEOUT && waited < 2 * WRITE_TIMEOUT,
+        "exited after {waited:?}"
+    );
+    wait_until("the log names the reason", || {
+        has_logged(&daemon, "client does not read its response")
+    })
+    .await;
+    // The client can tell that its response is not complete.
+    let mut received = Vec::new();
+    let ended = client.read_to_end(&mut received).await;
+    assert!(ended.is_err() || received.len() < UNREAD_BODY_BYTES);
+}
