--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -14,7 +14,8 @@
 
 use crate::admin::maintenance::{CommandOrigin, MaintenanceChange};
 use crate::admin::state_writer::{self, StateQueue};
-use crate::lifecycle::process_role::{relay_command, OtherProcess, TransferredState};
+use crate::lifecycle::command_relay::{relay_command, OtherProcess};
+use crate::lifecycle::process_role::TransferredState;
 
 /// Maximum time from a command to its answer. Callers expect the answer within 1 s; the rest is left for the network. A
 /// command that takes longer is answered with an error.
--- a/src/daemon/lifecycle/hot_restart/command_link.rs
+++ b/src/daemon/lifecycle/hot_restart/command_link.rs
@@ -12,7 +12,7 @@
 
 use crate::admin::handle::AdminHandle;
 use crate::admin::maintenance::CommandOrigin;
-use crate::lifecycle::process_role::{OtherProcessSender, RelayedCommand};
+use crate::lifecycle::command_relay::{OtherProcessSender, RelayedCommand};
 
 /// Capacity of the queue of commands to be relayed. Larger than the number of admin connections, so that no command waits
 /// for capacity.
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -1,7 +1,8 @@
 //! Compares the bytes that two processes exchange in a hot restart with recorded ones (`tests/golden`).
 
 use super::*;
-use crate::lifecycle::process_role::{OtherProcess, ProcessRole, RelayedCommand};
+use crate::lifecycle::command_relay::{OtherProcess, RelayedCommand};
+use crate::lifecycle::process_role::ProcessRole;
 use applewall::api::{CellId, Endpoint, EndpointState, MachineTypeId, ZoneId};
 use applewall_admin::{LifecyclePhase, MaintenanceSet};
 use tokio::net::unix::OwnedReadHalf;
--- a/src/daemon/lifecycle/mod.rs
+++ b/src/daemon/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 //! address and to the other process of the node, which is connected by a Unix socket. They publish the lifecycle phase and
 //! the role of this process in watch channels, and the times of its shutdown in a cell that is set once.
 
+pub(crate) mod command_relay;
 pub(crate) mod hot_restart;
 pub(crate) mod inherited_socket;
 pub(crate) mod process_role;
--- a/src/daemon/lifecycle/process_role.rs
+++ b/src/daemon/lifecycle/process_role.rs
@@ -1,22 +1,16 @@
-//! The role of this process during a hot restart, and what it exchanges with the other process of the node: the transferred
-//! state and relayed admin commands.
+//! The role of this process during a hot restart, and the state that the other process of the node receives.
 //!
 //! Hot restart changes the role through [`RoleOwner`]; other parts of the program only read it. The fields of
 //! [`TransferredState`] keep their order and types, because a process of another version may decode them.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use applewall::api::Endpoint;
 use applewall_admin::MaintenanceSet;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::timeout;
-
-/// Maximum wait for the other process to execute an admin command. Half of `admin::handle::ANSWER_TIMEOUT`, so that a
-/// hanging process does not delay the answer beyond its deadline.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(400);
+use tokio::sync::watch;
 
 /// Responsibility of this process while two processes of its node run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -126,30 +120,5 @@
     pub policy_state: Vec<u8>,
 }
 
-/// An admin command that is relayed to the other process.
-pub(crate) struct RelayedCommand {
-    /// The command line, without its line ending.
-    pub command: String,
-    /// Completed once the other process has executed it.
-    pub done: oneshot::Sender<()>,
-}
-
-/// The queue of commands to the other process, while it is connected.
-pub(crate) type OtherProcess = watch::Receiver<Option<mpsc::Sender<RelayedCommand>>>;
-/// Publishes [`OtherProcess`].
-pub(crate) type OtherProcessSender = watch::Sender<Option<mpsc::Sender<RelayedCommand>>>;
-
-/// Has the other process, if one is connected, execute a command. Returns once that process has executed it or exited, or
-/// after [`RELAY_TIMEOUT`].
-pub(crate) async fn relay_command(other_process: &OtherProcess, command: String) {
-    let Some(queue) = other_process.borrow().clone() else {
-        return;
-    };
-    let (done, answered) = oneshot::channel();
-    if queue.send(RelayedCommand { command, done }).await.is_ok() {
-        let _ = timeout(RELAY_TIMEOUT, answered).await;
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/daemon/lifecycle/process_role/tests.rs
+++ b/src/daemon/lifecycle/process_role/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::*;
 
 #[test]
@@ -29,21 +31,3 @@
     assert_eq!(times.answer_limit(after(599)), None);
     assert_eq!(times.answer_limit(after(600)), Some(after(3600)));
 }
-
-#[tokio::test]
-async fn command_is_relayed_to_the_other_process_and_waits_for_its_answer() {
-    let (sender, mut commands) = mpsc::channel(1);
-    let (_link, other) = watch::channel(Some(sender));
-    let other_process = async {
-        let relayed: RelayedCommand = commands.recv().await.unwrap();
-        assert_eq!(relayed.command, "DRAIN");
-        relayed.done.send(()).unwrap();
-    };
-    tokio::join!(relay_command(&other, "DRAIN".to_string()), other_process);
-}
-
-#[tokio::test]
-async fn command_without_another_process_is_not_relayed() {
-    let (_link, other) = watch::channel(None);
-    relay_command(&other, "DRAIN".to_string()).await;
-}
