Upgrade: operators' commands during the transfer hold in the new process too

Seen by callers: DISABLE answered done during an upgrade in place, and the limit server got requests again afterwards, until the command was repeated. Cause: HotRestart::hand_over copies the state and publishes the link to the new process only after that has reported. A command in between is executed by the old process alone: relay_command finds no other process and returns. DRAIN, UNDRAIN and ENABLE likewise. Ruled out, by reading: the relay itself, and the state file, which the new process overwrites with the set that it was handed. Change: the old process remembers what it exported. Once the new one has reported, the link is published, then what differs from the export is sent as commands in one write with the confirmation; the new process executes that before it is ready. A command at the new process waits until then. Commands are relayed before the state file is written, in the order in which they took effect, and run to their end if their caller no longer waits. The link's output is buffered, so that neither process stops the other's reading. Why it works: the link is published before the difference is taken, so every command is in the difference or in the queue; the difference does not depend on how many commands there were or when.

--- a/crates/admin/src/maintenance.rs
+++ b/crates/admin/src/maintenance.rs
@@ -9,6 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::AdminCommand;
+
 /// Maximum number of ids in maintenance, well above the number of endpoints in the largest planned fleet. Limits the
 /// memory for ids that are removed from the endpoint list and never enabled again.
 pub const MAX_IDS_IN_MAINTENANCE: usize = 4096;
@@ -65,6 +67,15 @@
         Ok(was_in_maintenance)
     }
 
+    /// The commands that turn the set `earlier` into this one.
+    pub fn changes_since(&self, earlier: &MaintenanceSet) -> Vec<AdminCommand> {
+        let entered = self.ids.difference(&earlier.ids);
+        let left = earlier.ids.difference(&self.ids);
+        let disable = entered.map(|id| AdminCommand::Disable(id.to_string()));
+        let enable = left.map(|id| AdminCommand::Enable(id.to_string()));
+        disable.chain(enable).collect()
+    }
+
     /// True if the endpoint is in maintenance.
     pub fn contains(&self, id: &str) -> bool {
         self.ids.contains(id)
--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -4,6 +4,10 @@
 //! Each connection to the admin address and the link to the other process have a clone of the handle. Commands from the
 //! admin address are answered within [`ANSWER_TIMEOUT`]. After each change the newest maintenance set is sent to the state
 //! writer.
+//!
+//! While two processes of a node run, a change that is confirmed holds in both. It is executed here, relayed to the other
+//! process and written to disk, in the same order for all commands, even if its caller no longer waits. A process that is
+//! still taking over executes no changes of its own: it does not know yet what the old process changes meanwhile.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +17,8 @@
 use tokio::time::timeout;
 
 use crate::admin::maintenance::{CommandOrigin, MaintenanceChange};
-use crate::admin::state_writer::{self, StateQueue};
-use crate::lifecycle::command_relay::{relay_command, OtherProcess};
+use crate::admin::state_writer::{self, PendingWrite, StateQueue};
+use crate::lifecycle::command_relay::{relay_command, OtherProcess, PendingRelay};
 use crate::lifecycle::process_role::TransferredState;
 
 /// Maximum time from a command to its answer. Callers expect the answer within 1 s; the rest is left for the network. A
@@ -42,6 +46,8 @@
     SetMaintenance(MaintenanceRequest),
     /// Export the engine's state for the transfer to a new process.
     ExportState(oneshot::Sender<Result<TransferredState, ExportError>>),
+    /// Export the maintenance set, for what has changed since the state was exported.
+    ExportMaintenance(oneshot::Sender<MaintenanceSet>),
     /// Resume gossip, with the ceilings' full rates, because the new process has failed.
     ResumeOwnership,
 }
@@ -115,37 +121,94 @@
     pub state_queue: Option<StateQueue>,
     /// The queue to the other process of this node, while one is connected.
     pub other_process: OtherProcess,
-    /// Keeps maintenance changes in order. Held from the request to the engine until the state writer has attempted to write
-    /// the set, so that the set written last is also the newest.
-    pub maintenance_lock: Arc<tokio::sync::Mutex<()>>,
+    /// Keeps changes in order. Held from the request to the engine or the lifecycle driver until the change is in the queues
+    /// to the other process and to the state writer, so that both see changes in the order in which they took effect.
+    pub change_lock: Arc<tokio::sync::Mutex<()>>,
+}
+
+/// A change that is in effect in this process.
+struct Change {
+    /// The answer to the command.
+    answer: AdminResponse,
+    /// The change in the queue to the other process, if it is relayed.
+    relayed: Option<PendingRelay>,
+    /// The new maintenance set in the queue to the state writer, if it is written.
+    write: Option<PendingWrite>,
 }
 
 impl AdminHandle {
-    /// Executes a command in this process and then in the other one, if there is one.
+    /// Executes a command from the admin address: in this process, and in the other one if there is one.
     pub(super) async fn execute(&self, command: AdminCommand) -> AdminResponse {
-        let relayed = relayed_line(&command);
-        let executed = timeout(ANSWER_TIMEOUT, async {
-            let answer = self
-                .execute_locally(command, CommandOrigin::AdminAddress)
-                .await;
-            if let (AdminResponse::Done(_), Some(line)) = (&answer, relayed) {
-                relay_command(&self.other_process, line).await;
+        if command == AdminCommand::Ready {
+            return self.ready();
+        }
+        let handle = self.clone();
+        // In a task of its own, because a caller that no longer waits must not end a command halfway.
+        let executed = tokio::spawn(async move { handle.execute_in_both(command).await });
+        match timeout(ANSWER_TIMEOUT, executed).await {
+            Ok(answer) => answer.unwrap_or_else(|_| about_to_end()),
+            Err(_) => AdminResponse::Error(TIMED_OUT.to_string()),
+        }
+    }
+
+    /// Executes a change in this process and in the other one, and waits until it is written to disk.
+    async fn execute_in_both(&self, command: AdminCommand) -> AdminResponse {
+        // Fails only when the process ends.
+        let _ = self.ready.clone().wait_for(|ready| *ready).await;
+        let change = self.change(command, CommandOrigin::AdminAddress).await;
+        let answer = match (change.answer, change.write) {
+            (AdminResponse::Done(text), Some(write)) => {
+                AdminResponse::Done(confirmation(text, write).await)
             }
-            answer
-        });
-        executed
-            .await
-            .unwrap_or_else(|_| AdminResponse::Error(TIMED_OUT.to_string()))
+            (answer, _) => answer,
+        };
+        if let Some(relayed) = change.relayed {
+            relayed.executed().await;
+        }
+        answer
     }
 
-    /// Executes a command in this process only.
-    pub(crate) async fn execute_locally(
+    /// Executes a command that the other process has relayed. Does not wait until it is written to disk, for which the
+    /// caller waits at the other process.
+    pub(crate) async fn execute_relayed(&self, command: AdminCommand) -> AdminResponse {
+        match command {
+            AdminCommand::Ready => self.ready(),
+            command => {
+                let change = self.change(command, CommandOrigin::OtherProcess);
+                change.await.answer
+            }
+        }
+    }
+
+    /// Executes a change in this process, and puts it into the queues to the other process and to the state writer.
+    async fn change(&self, command: AdminCommand, origin: CommandOrigin) -> Change {
+        let _order = self.change_lock.lock().await;
+        let (answer, maintenance) = self.change_here(command.clone(), origin).await;
+        let mut change = Change {
+            answer,
+            relayed: None,
+            write: None,
+        };
+        if !matches!(change.answer, AdminResponse::Done(_)) {
+            return change;
+        }
+        if origin == CommandOrigin::AdminAddress {
+            change.relayed = relay_command(&self.other_process, command);
+        }
+        if let (Some(maintenance), Some(queue)) = (maintenance, &self.state_queue) {
+            change.write = Some(state_writer::write(queue, maintenance).await);
+        }
+        change
+    }
+
+    /// Executes a change in this process only; returns the answer and, if it concerns an endpoint, the new maintenance set.
+    async fn change_here(
         &self,
         command: AdminCommand,
         origin: CommandOrigin,
-    ) -> AdminResponse {
+    ) -> (AdminResponse, Option<MaintenanceSet>) {
         match command {
-            AdminCommand::Ready => self.ready(),
+            AdminCommand::Ready => (self.ready(), None),
             AdminCommand::Disable(id) => {
                 self.change_maintenance(id, MaintenanceChange::Enter, origin)
                     .await
@@ -154,8 +217,8 @@
                 self.change_maintenance(id, MaintenanceChange::Leave, origin)
                     .await
             }
-            AdminCommand::Drain => self.change_drain(DrainChange::Begin).await,
-            AdminCommand::Undrain => self.change_drain(DrainChange::End).await,
+            AdminCommand::Drain => (self.change_drain(DrainChange::Begin).await, None),
+            AdminCommand::Undrain => (self.change_drain(DrainChange::End).await, None),
         }
     }
 
@@ -173,14 +236,13 @@
         }
     }
 
-    /// Changes an endpoint's maintenance in the engine, and has the state writer write the new set.
+    /// Changes an endpoint's maintenance in the engine; returns the answer and the new maintenance set.
     async fn change_maintenance(
         &self,
         id: String,
         change: MaintenanceChange,
         origin: CommandOrigin,
-    ) -> AdminResponse {
-        let _order = self.maintenance_lock.lock().await;
+    ) -> (AdminResponse, Option<MaintenanceSet>) {
         let (reply, result) = oneshot::channel();
         let request = ControlMessage::SetMaintenance(MaintenanceRequest {
             id,
@@ -189,16 +251,11 @@
             reply,
         });
         if self.control.send(request).await.is_err() {
-            return about_to_end();
+            return (about_to_end(), None);
         }
-        let Ok((answer, maintenance)) = result.await else {
-            return about_to_end();
-        };
-        match (answer, &self.state_queue) {
-            (AdminResponse::Done(text), Some(queue)) => {
-                AdminResponse::Done(persist(queue, maintenance, text).await)
-            }
-            (answer, _) => answer,
+        match result.await {
+            Ok((answer, maintenance)) => (answer, Some(maintenance)),
+            Err(_) => (about_to_end(), None),
         }
     }
 
@@ -213,20 +270,15 @@
     }
 }
 
-/// Has the maintenance set written to disk; returns the text of the answer, which includes the error if the first attempt
-/// failed. The set is in effect even then, and the state writer retries.
-async fn persist(queue: &StateQueue, maintenance: MaintenanceSet, text: String) -> String {
-    match state_writer::write(queue, maintenance).await {
+/// The text of a confirmation once the new maintenance set has been written. It includes the error if the first attempt
+/// failed; the set is in effect even then, and the state writer retries.
+async fn confirmation(text: String, write: PendingWrite) -> String {
+    match write.first_attempt().await {
         Ok(()) => text,
         Err(error) => format!("{text}; not written down: {error}"),
     }
 }
 
-/// The line that relays a command to the other process; `None` for a command that applies to this process only.
-fn relayed_line(command: &AdminCommand) -> Option<String> {
-    (*command != AdminCommand::Ready).then(|| command.to_string())
-}
-
 /// The answer to a command after the engine or the lifecycle driver has ended.
 fn about_to_end() -> AdminResponse {
     AdminResponse::Error(ABOUT_TO_END.to_string())
--- a/src/daemon/admin/handle/tests.rs
+++ b/src/daemon/admin/handle/tests.rs
@@ -12,7 +12,7 @@
         has_endpoints: watch::channel(has_endpoints).1,
         state_queue: None,
         other_process: watch::channel(None).1,
-        maintenance_lock: Arc::default(),
+        change_lock: Arc::default(),
     }
 }
 
--- a/src/daemon/admin/state_writer.rs
+++ b/src/daemon/admin/state_writer.rs
@@ -18,8 +18,8 @@
 /// Interval between attempts while the directory cannot be written. Well below the time that a person needs to restart a
 /// process.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-/// Capacity of the queue. Admin commands about endpoints are executed one at a time, so few sets ever wait.
-const QUEUE_CAPACITY: usize = 4;
+/// Capacity of the queue, which bounds the memory of the sets in it while the disk is slow. Admin commands wait for capacity.
+const QUEUE_CAPACITY: usize = 64;
 
 /// A maintenance set to be written.
 pub(crate) struct WriteRequest {
@@ -29,7 +29,7 @@
     pub reply: oneshot::Sender<Result<(), StateFileError>>,
 }
 
-/// The queue to the [`StateWriter`]; [`write`] sends a set and waits for the result.
+/// The queue to the [`StateWriter`].
 pub(crate) type StateQueue = mpsc::Sender<WriteRequest>;
 
 /// Creates the queue to a writer, and its receiver.
@@ -37,20 +37,28 @@
     mpsc::channel(QUEUE_CAPACITY)
 }
 
-/// Has a set written, and waits for the result of the first attempt.
-///
-/// # Errors
-///
-/// The first attempt failed; the writer retries.
-pub(crate) async fn write(
-    queue: &StateQueue,
-    maintenance: MaintenanceSet,
-) -> Result<(), StateFileError> {
+/// A set in the queue to the writer.
+pub(crate) struct PendingWrite(oneshot::Receiver<Result<(), StateFileError>>);
+
+impl PendingWrite {
+    /// Waits for the result of the first attempt.
+    ///
+    /// # Errors
+    ///
+    /// The first attempt failed; the writer retries.
+    pub(crate) async fn first_attempt(self) -> Result<(), StateFileError> {
+        // The writer ends only with the process, when nobody reads the result any more.
+        self.0.await.unwrap_or(Ok(()))
+    }
+}
+
+/// Puts a set into the queue to the writer. Sets are written in the order of the queue.
+pub(crate) async fn write(queue: &StateQueue, maintenance: MaintenanceSet) -> PendingWrite {
     let (reply, result) = oneshot::channel();
     let request = WriteRequest { maintenance, reply };
-    // The writer ends only with the process, when nobody reads the result any more.
+    // Fails only when the process ends.
     let _ = queue.send(request).await;
-    result.await.unwrap_or(Ok(()))
+    PendingWrite(result)
 }
 
 /// Writes maintenance sets to the state file.
--- a/src/daemon/admin/state_writer/tests.rs
+++ b/src/daemon/admin/state_writer/tests.rs
@@ -44,7 +44,8 @@
 #[tokio::test]
 async fn failed_write_is_retried_until_it_succeeds() {
     let writer = writer();
-    assert!(write(&writer.queue, one_in_maintenance()).await.is_err());
+    let write = write(&writer.queue, one_in_maintenance()).await;
+    assert!(write.first_attempt().await.is_err());
     std::fs::create_dir(&writer.missing).expect("created");
     wait_until_written(&writer).await;
 }
@@ -52,7 +53,8 @@
 #[tokio::test]
 async fn retry_waits_while_another_process_is_active_and_resumes_after_that_one_failed() {
     let writer = writer();
-    assert!(write(&writer.queue, one_in_maintenance()).await.is_err());
+    let write = write(&writer.queue, one_in_maintenance()).await;
+    assert!(write.first_attempt().await.is_err());
     writer.role.send_replace(ProcessRole::Superseded);
     std::fs::create_dir(&writer.missing).expect("created");
     // Long enough for a retry to happen.
--- a/src/daemon/engine/admin_commands.rs
+++ b/src/daemon/engine/admin_commands.rs
@@ -20,6 +20,12 @@
                 // Fails if hot restart no longer waits for the state; it then sends `ResumeOwnership`.
                 let _ = reply.send(self.export_state());
             }
+            ControlMessage::ExportMaintenance(reply) => {
+                let maintenance = self.maintenance.as_ref();
+                let maintenance = maintenance.map(|filter| filter.state().0.clone());
+                // Fails if hot restart no longer waits for it.
+                let _ = reply.send(maintenance.unwrap_or_default());
+            }
             ControlMessage::ResumeOwnership => {
                 self.gossip_handed_over = false;
                 self.policy.resume();
--- a/src/daemon/lifecycle/command_relay.rs
+++ b/src/daemon/lifecycle/command_relay.rs
@@ -1,7 +1,11 @@
 //! Relays admin commands to the other process of the node, while two of them run.
+//!
+//! A command is put into the queue to the other process in the order in which it took effect here; its caller then waits
+//! until the other process has executed it.
 
 use std::time::Duration;
 
+use applewall_admin::AdminCommand;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
@@ -11,28 +15,40 @@
 
 /// An admin command that is relayed to the other process.
 pub(crate) struct RelayedCommand {
-    /// The command line, without its line ending.
-    pub command: String,
+    /// The command.
+    pub command: AdminCommand,
     /// Completed once the other process has executed it.
     pub done: oneshot::Sender<()>,
 }
 
-/// The queue of commands to the other process, while it is connected.
-pub(crate) type OtherProcess = watch::Receiver<Option<mpsc::Sender<RelayedCommand>>>;
+/// The queue of commands to the other process. Unbounded, so that a process that hangs neither delays the commands here nor
+/// misses one: callers that wait for [`RELAY_TIMEOUT`] on a few connections cannot fill it.
+pub(crate) type CommandQueue = mpsc::UnboundedSender<RelayedCommand>;
+/// The queue to the other process, while it is connected.
+pub(crate) type OtherProcess = watch::Receiver<Option<CommandQueue>>;
 /// Publishes [`OtherProcess`].
-pub(crate) type OtherProcessSender = watch::Sender<Option<mpsc::Sender<RelayedCommand>>>;
-
-/// Has the other process, if one is connected, execute a command. Returns once that process has executed it or exited, or
-/// after [`RELAY_TIMEOUT`].
-pub(crate) async fn relay_command(other_process: &OtherProcess, command: String) {
-    let Some(queue) = other_process.borrow().clone() else {
-        return;
-    };
-    let (done, answered) = oneshot::channel();
-    if queue.send(RelayedCommand { command, done }).await.is_ok() {
-        let _ = timeout(RELAY_TIMEOUT, answered).await;
+pub(crate) type OtherProcessSender = watch::Sender<Option<CommandQueue>>;
+
+/// A command in the queue to the other process.
+pub(crate) struct PendingRelay(oneshot::Receiver<()>);
+
+impl PendingRelay {
+    /// Waits until the other process has executed the command or exited, at most for [`RELAY_TIMEOUT`].
+    pub(crate) async fn executed(self) {
+        let _ = timeout(RELAY_TIMEOUT, self.0).await;
     }
 }
 
+/// Puts a command into the queue to the other process; `None` if no other process is connected.
+pub(crate) fn relay_command(
+    other_process: &OtherProcess,
+    command: AdminCommand,
+) -> Option<PendingRelay> {
+    let queue = other_process.borrow().clone()?;
+    let (done, executed) = oneshot::channel();
+    queue.send(RelayedCommand { command, done }).ok()?;
+    Some(PendingRelay(executed))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/daemon/lifecycle/hot_restart.rs
+++ b/src/daemon/lifecycle/hot_restart.rs
@@ -5,6 +5,10 @@
 //! the other process has exited; if that was the new process, the old one becomes active again, even while it is stopping,
 //! unless another process is active.
 //!
+//! No admin command is missed in between: the old process sends what was changed since it exported its state together with
+//! its confirmation, and the new one executes that before it is ready. Commands at the new process's own admin address wait
+//! until it is ready.
+//!
 //! The old process accepts clients until the new one has reported, and the new one only after that report was confirmed.
 //! During the transfer neither process reads datagrams for a moment; they wait in the receive buffer of the UDP socket,
 //! which both processes share.
@@ -15,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use applewall_admin::AdminCommand;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedWriteHalf, SocketAddr};
 use tokio::net::{UnixListener, UnixStream};
@@ -28,11 +33,13 @@
 use crate::system::peer_socket::PeerSocket;
 use crate::system::socket_retry::open_with_retries;
 
+mod admin_changes;
 mod command_link;
 mod error;
 mod transfer;
 
-use command_link::{CommandLink, IncomingLines};
+use admin_changes::AdminState;
+use command_link::{CommandLink, Incoming};
 pub(crate) use error::{HandOverError, ReceiveError};
 
 /// Timeout of each exchange for which the other process does no work. Both run on one host, so a process that takes longer
@@ -86,7 +93,7 @@
     pub shared_directory: SharedDirectory,
     /// The only writer of this process's role.
     pub role: RoleOwner,
-    /// Publishes the queue to the other process while it is connected, so that admin commands can be relayed.
+    /// Publishes the queue to the other process while it is connected, so that admin commands are relayed.
     pub other_process: OtherProcessSender,
     /// Executes the admin commands that the other process relays.
     pub admin: AdminHandle,
@@ -96,47 +103,82 @@
     pub peers: Option<Arc<PeerSocket>>,
 }
 
-impl HotRestart {
-    /// Completes the transfer from the old process, if there is one (`old_process` is the connection to it), then hands over
-    /// to new processes for as long as the program runs. `active` is completed once this process is the active one.
-    pub(crate) async fn run(self, old_process: Option<UnixStream>, active: oneshot::Sender<()>) {
-        let listener = self.listen();
-        let confirmed = match old_process {
-            Some(stream) => self.report_taken_over(stream).await,
-            None => None,
+/// This process's part in a hot restart after it has become the active one.
+pub(crate) struct ActiveProcess {
+    hot_restart: HotRestart,
+    /// The socket for new processes; `None` if it could not be created.
+    listener: Option<UnixListener>,
+    /// The link to the old process, until that has exited.
+    old_process: Option<CommandLink>,
+}
+
+impl ActiveProcess {
+    /// Executes the admin commands that the old process sent with its confirmation.
+    pub(crate) async fn execute_missed_commands(&mut self) {
+        let Some(link) = &mut self.old_process else {
+            return;
         };
-        // The receiver may have been dropped together with its task.
-        let _ = active.send(());
-        if let Some(stream) = confirmed {
-            let (reading, writing) = stream.into_split();
-            let lines = BufReader::new(reading).lines();
-            self.relay_commands(lines, writing).await;
+        if link.execute_received().await.is_none() {
+            self.old_process = None;
+        }
+    }
+
+    /// Relays admin commands until the old process has exited, then hands over to new processes for as long as the program
+    /// runs.
+    pub(crate) async fn run(self) {
+        let hot_restart = self.hot_restart;
+        if let Some(link) = self.old_process {
+            link.run().await;
             tracing::info!("hot restart: old process has exited");
         }
-        match listener {
-            Some(listener) => self.serve_new_processes(listener).await,
+        match self.listener {
+            Some(listener) => hot_restart.serve_new_processes(listener).await,
             // No new process can connect. Keep the sender of the role alive: readers treat a closed channel as the end of
             // the program.
-            None => self.role.closed().await,
+            None => hot_restart.role.closed().await,
+        }
+    }
+}
+
+impl HotRestart {
+    /// Completes the transfer from the old process, if there is one; `old_process` is the connection to it. Once this
+    /// returns, this process is the active one, and its admin commands are relayed.
+    pub(crate) async fn take_over(self, old_process: Option<UnixStream>) -> ActiveProcess {
+        let listener = self.listen();
+        let old_process = match old_process {
+            Some(stream) => self.report_taken_over(stream).await,
+            None => None,
+        };
+        ActiveProcess {
+            hot_restart: self,
+            listener,
+            old_process,
         }
     }
 
-    /// Reports to the old process that this one has taken over; returns the connection once the old process has confirmed.
-    async fn report_taken_over(&self, mut stream: UnixStream) -> Option<UnixStream> {
+    /// Reports to the old process that this one has taken over; returns the link to it once it has confirmed.
+    async fn report_taken_over(&self, stream: UnixStream) -> Option<CommandLink> {
+        let (reading, mut writing) = stream.into_split();
+        let mut reading = BufReader::new(reading);
         let exchange = async {
-            stream
+            writing
                 .write_all(format!("{TAKEN_OVER}\n").as_bytes())
                 .await?;
             let mut confirmation = [0; CONFIRMATION.len()];
-            stream.read_exact(&mut confirmation).await
+            reading.read_exact(&mut confirmation).await
         };
         if let Ok(Ok(_)) = timeout(EXCHANGE_TIMEOUT, exchange).await {
-            return Some(stream);
+            return Some(self.command_link(reading, writing));
         }
         tracing::warn!("hot restart: old process did not confirm the takeover");
         None
     }
 
+    fn command_link(&self, reading: Incoming, writing: OwnedWriteHalf) -> CommandLink {
+        let (admin, other_process) = (self.admin.clone(), self.other_process.clone());
+        CommandLink::new(admin, other_process, reading, writing)
+    }
+
     /// Hands over to a new process. If that fails, this process becomes active again and waits for the next one.
     async fn serve_new_processes(&self, mut listener: UnixListener) {
         // The previous listener: a new process may have connected to it while the hand-over to another one failed.
@@ -189,26 +231,30 @@
         transfer::read_greeting(&mut stream).await?;
         // From here on this process does not read datagrams; the new one starts reading once it has the state.
         let pending = self.role.begin_transfer();
-        let state = self.export_state().await?;
+        let exported = self.export_state().await?;
         timeout(
             EXCHANGE_TIMEOUT,
-            transfer::send(&mut stream, &state, self.peers.as_deref()),
+            transfer::send(&mut stream, &exported.encoded, self.peers.as_deref()),
         )
         .await
         .map_err(|_| HandOverError::SendTimeout)??;
-        let (reading, mut writing) = stream.into_split();
-        let mut lines = BufReader::new(reading).lines();
-        match timeout(TAKE_OVER_TIMEOUT, lines.next_line()).await {
-            Ok(Ok(Some(line))) if line == TAKEN_OVER => {}
+        let (reading, writing) = stream.into_split();
+        let mut reading = BufReader::new(reading);
+        let mut line = String::new();
+        match timeout(TAKE_OVER_TIMEOUT, reading.read_line(&mut line)).await {
+            Ok(Ok(_)) if line.strip_suffix('\n') == Some(TAKEN_OVER) => {}
             Ok(_) => return Err(HandOverError::EndedEarly),
             Err(_) => return Err(HandOverError::TakeOverTimeout),
         }
         pending.complete();
         tracing::info!("hot restart: new process has taken over");
-        // A write error means that the new process exited after it had taken over, just like the end of the relay.
-        if writing.write_all(CONFIRMATION).await.is_ok() {
-            self.relay_commands(lines, writing).await;
-        }
+        // Commands are relayed from here on, so that each is either among the missed ones or relayed.
+        let mut link = self.command_link(reading, writing);
+        link.begin(
+            CONFIRMATION,
+            self.commands_since(&exported.admin_state).await?,
+        );
+        link.run().await;
         if !self.admin.phase.borrow().is_stopping() {
             return Err(HandOverError::EndedAfterTakeOver);
         }
@@ -233,24 +279,62 @@
             .is_ok_and(|credentials| credentials.pid() != own_id)
     }
 
-    /// Returns the encoded state of the engine, including whether this process is draining.
-    async fn export_state(&self) -> Result<Vec<u8>, HandOverError> {
+    /// Exports the state of the engine, including whether this process is draining.
+    async fn export_state(&self) -> Result<ExportedState, HandOverError> {
         let (reply, exported) = oneshot::channel();
         let _ = self.control.send(ControlMessage::ExportState(reply)).await;
         let mut state = exported
             .await
             .map_err(|_| HandOverError::EngineStopped)?
             .map_err(HandOverError::Export)?;
-        state.draining = !self.admin.phase.borrow().reports_healthy();
-        postcard::to_stdvec(&state).map_err(HandOverError::Unencodable)
+        state.draining = self.is_draining();
+        Ok(ExportedState {
+            encoded: postcard::to_stdvec(&state).map_err(HandOverError::Unencodable)?,
+            admin_state: AdminState {
+                maintenance: state.maintenance,
+                draining: state.draining,
+            },
+        })
     }
 
-    /// Relays admin commands in both directions until the other process exits.
-    async fn relay_commands(&self, lines: IncomingLines, writing: OwnedWriteHalf) {
-        CommandLink::new(&self.admin, &self.other_process, lines, writing)
-            .run()
+    /// The admin commands executed since the export, by their effect.
+    async fn commands_since(
+        &self,
+        exported: &AdminState,
+    ) -> Result<Vec<AdminCommand>, HandOverError> {
+        let (reply, maintenance) = oneshot::channel();
+        let _ = self
+            .control
+            .send(ControlMessage::ExportMaintenance(reply))
             .await;
+        let current = AdminState {
+            maintenance: maintenance
+                .await
+                .map_err(|_| HandOverError::EngineStopped)?,
+            draining: self.is_draining(),
+        };
+        let missed = current.changes_since(exported, *self.admin.phase.borrow());
+        if !missed.is_empty() {
+            let commands = missed.len();
+            tracing::info!(
+                commands,
+                "hot restart: changes by operators during the transfer sent to the new process"
+            );
+        }
+        Ok(missed)
     }
+
+    fn is_draining(&self) -> bool {
+        !self.admin.phase.borrow().reports_healthy()
+    }
+}
+
+/// The state that a new process receives.
+struct ExportedState {
+    /// The whole state, encoded.
+    encoded: Vec<u8>,
+    /// The part of it that admin commands change.
+    admin_state: AdminState,
 }
 
 /// Accepts a connection from a listener; without a listener, never completes.
--- a/src/daemon/lifecycle/hot_restart/command_link.rs
+++ b/src/daemon/lifecycle/hot_restart/command_link.rs
@@ -1,25 +1,23 @@
 //! Relays admin commands between the two processes of a node, as lines `call NUMBER COMMAND` and `answer NUMBER ANSWER`.
 //!
 //! Used by hot restart while both processes run. A command received from the other process is executed here and never
-//! relayed back.
+//! relayed back. Output is buffered, so that a process that does not read cannot stop the other one from reading.
 
 use std::collections::HashMap;
+use std::future::ready;
 
 use applewall_admin::{AdminCommand, AdminResponse};
-use tokio::io::{AsyncWriteExt, BufReader, Lines};
+use bytes::BytesMut;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::admin::handle::AdminHandle;
-use crate::admin::maintenance::CommandOrigin;
 use crate::lifecycle::command_relay::{OtherProcessSender, RelayedCommand};
 
-/// Capacity of the queue of commands to be relayed. Larger than the number of admin connections, so that no command waits
-/// for capacity.
-const QUEUE_CAPACITY: usize = 16;
+/// The input from the other process.
+pub(super) type Incoming = BufReader<OwnedReadHalf>;
 
-/// The lines that the other process sends.
-pub(super) type IncomingLines = Lines<BufReader<OwnedReadHalf>>;
 /// One line of the other process.
 #[derive(Debug, PartialEq, Eq)]
 enum Line<'a> {
@@ -44,81 +42,126 @@
 }
 
 /// The connection to the other process, and the relayed commands that are not answered yet.
-pub(super) struct CommandLink<'a> {
-    admin: &'a AdminHandle,
-    other_process: &'a OtherProcessSender,
-    lines: IncomingLines,
+///
+/// From its creation on, commands that are executed here are relayed. Dropping it ends that.
+pub(super) struct CommandLink {
+    admin: AdminHandle,
+    other_process: OtherProcessSender,
+    lines: Lines<Incoming>,
     writing: OwnedWriteHalf,
+    /// Lines that have not been written yet.
+    unwritten: BytesMut,
+    commands: mpsc::UnboundedReceiver<RelayedCommand>,
     /// Relayed commands by number; each sender is completed when the command is answered.
     unanswered: HashMap<u64, oneshot::Sender<()>>,
     last_number: u64,
 }
 
-impl<'a> CommandLink<'a> {
-    /// Creates a link from both halves of a connection.
+impl CommandLink {
+    /// Creates a link from both halves of a connection, and publishes the queue to the other process.
     pub(super) fn new(
-        admin: &'a AdminHandle,
-        other_process: &'a OtherProcessSender,
-        lines: IncomingLines,
+        admin: AdminHandle,
+        other_process: OtherProcessSender,
+        reading: Incoming,
         writing: OwnedWriteHalf,
     ) -> Self {
+        let (queue, commands) = mpsc::unbounded_channel();
+        other_process.send_replace(Some(queue));
         CommandLink {
             admin,
             other_process,
-            lines,
+            lines: reading.lines(),
             writing,
+            unwritten: BytesMut::new(),
+            commands,
             unanswered: HashMap::new(),
             last_number: 0,
         }
     }
 
+    /// Writes bytes of the takeover and the commands that the other process has not heard of, all in one write: the other
+    /// process may have this one stopped as soon as it has read the first of them.
+    pub(super) fn begin(&mut self, takeover: &[u8], missed: Vec<AdminCommand>) {
+        self.unwritten.extend_from_slice(takeover);
+        for command in missed {
+            // Nobody waits for the answer.
+            let done = oneshot::channel().0;
+            self.send_command(RelayedCommand { command, done });
+        }
+    }
+
+    /// Executes the commands that have arrived by now; `None` if the link has ended.
+    pub(super) async fn execute_received(&mut self) -> Option<()> {
+        loop {
+            let line = tokio::select! {
+                biased;
+                line = self.lines.next_line() => line.ok()??,
+                // No complete line is left.
+                () = ready(()) => return Some(()),
+            };
+            self.handle_line(&line).await?;
+        }
+    }
+
     /// Relays commands in both directions until the connection closes.
     pub(super) async fn run(mut self) {
-        let (sender, mut commands) = mpsc::channel(QUEUE_CAPACITY);
-        self.other_process.send_replace(Some(sender));
         // Ends when the connection closes or a line cannot be parsed.
-        while self.handle_next(&mut commands).await.is_some() {}
-        self.other_process.send_replace(None);
+        while self.handle_next().await.is_some() {}
     }
 
-    /// Handles one line or one command to be relayed; `None` ends the link.
-    async fn handle_next(&mut self, commands: &mut mpsc::Receiver<RelayedCommand>) -> Option<()> {
-        let line = tokio::select! {
-            line = self.lines.next_line() => line.ok()??,
-            Some(relayed) = commands.recv() => return self.send_command(relayed).await,
-        };
-        match Line::parse(&line)? {
+    /// Handles one line or one command to be relayed, or writes; `None` ends the link.
+    async fn handle_next(&mut self) -> Option<()> {
+        tokio::select! {
+            line = self.lines.next_line() => {
+                let line = line.ok()??;
+                self.handle_line(&line).await
+            }
+            Some(relayed) = self.commands.recv() => {
+                self.send_command(relayed);
+                Some(())
+            }
+            written = self.writing.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => {
+                written.ok().map(drop)
+            }
+        }
+    }
+
+    async fn handle_line(&mut self, line: &str) -> Option<()> {
+        match Line::parse(line)? {
             Line::Command { number, command } => {
                 let answer = match command.parse::<AdminCommand>() {
-                    Ok(command) => {
-                        let origin = CommandOrigin::OtherProcess;
-                        self.admin.execute_locally(command, origin).await
-                    }
+                    Ok(command) => self.admin.execute_relayed(command).await,
                     Err(reason) => AdminResponse::Error(reason.to_string()),
                 };
-                self.write(format!("answer {number} {answer}\n")).await
+                self.send_line(&format!("answer {number} {answer}"));
             }
             Line::Answer { number } => {
                 if let Some(done) = self.unanswered.remove(&number) {
                     let _ = done.send(());
                 }
-                Some(())
             }
         }
+        Some(())
     }
 
-    async fn send_command(&mut self, relayed: RelayedCommand) -> Option<()> {
+    fn send_command(&mut self, relayed: RelayedCommand) {
         self.last_number += 1;
         let number = self.last_number;
-        self.unanswered.insert(number, relayed.done);
+        self.send_line(&format!("call {number} {}", relayed.command));
         // Removes the entries of callers that no longer wait.
         self.unanswered.retain(|_, done| !done.is_closed());
-        self.write(format!("call {number} {}\n", relayed.command))
-            .await
+        self.unanswered.insert(number, relayed.done);
     }
 
-    async fn write(&mut self, line: String) -> Option<()> {
-        self.writing.write_all(line.as_bytes()).await.ok()
+    fn send_line(&mut self, line: &str) {
+        self.unwritten.extend_from_slice(line.as_bytes());
+        self.unwritten.extend_from_slice(b"\n");
+    }
+}
+
+impl Drop for CommandLink {
+    fn drop(&mut self) {
+        self.other_process.send_replace(None);
     }
 }
 
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -141,7 +141,7 @@
         has_endpoints: ready,
         state_queue: None,
         other_process: other_process_receiver,
-        maintenance_lock: Arc::default(),
+        change_lock: Arc::default(),
     };
     let name = format!("golden-{}", std::process::id());
     let hot_restart = HotRestart {
@@ -215,9 +215,9 @@
 /// Has the old process relay the command of a recorded line.
 async fn relay(other_process: &OtherProcess, line: &str) {
     let link = other_process.borrow().clone().unwrap();
-    let command = line.splitn(3, ' ').last().unwrap().to_string();
+    let command = line.splitn(3, ' ').last().unwrap().parse().unwrap();
     let done = oneshot::channel().0;
-    link.send(RelayedCommand { command, done }).await.unwrap();
+    link.send(RelayedCommand { command, done }).unwrap();
 }
 
 /// The old process sends each recorded line unchanged, and the state with its header.
@@ -234,6 +234,10 @@
             draining: false,
             ..transferred_state()
         }));
+        let Some(ControlMessage::ExportMaintenance(reply)) = receivers.control.recv().await else {
+            panic!("expected a request to export the maintenance set")
+        };
+        let _ = reply.send(transferred_state().maintenance);
         std::future::pending::<()>().await;
     };
     let (reading, writing) = far.into_split();
--- a/src/daemon/serve/bootstrap.rs
+++ b/src/daemon/serve/bootstrap.rs
@@ -140,7 +140,7 @@
             has_endpoints: has_endpoints_reader,
             state_queue: shared_directory.is_some().then_some(state_queue),
             other_process: other_process_reader,
-            maintenance_lock: Arc::default(),
+            change_lock: Arc::default(),
         };
         Ok(Bootstrap {
             config,
--- a/src/daemon/serve/node.rs
+++ b/src/daemon/serve/node.rs
@@ -10,7 +10,7 @@
 use applewall_admin::ShutdownDeadlines;
 use applewall_slow_peer::socket::Capacity;
 use tokio::net::UnixStream;
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::JoinSet;
 
 use super::bootstrap::TransferContext;
@@ -217,7 +217,7 @@
     }
 
     /// Starts hot restart and the state writer. Returns once this process is ready: immediately, or when the old
-    /// process has confirmed that this process has taken over.
+    /// process has confirmed that this process has taken over and the admin commands that came with that are executed.
     pub(super) async fn start_hot_restart(
         &mut self,
         transfer: TransferContext,
@@ -244,13 +244,12 @@
             admin,
             peers: self.peers.clone(),
         };
-        let (active, became_active) = oneshot::channel();
         let takes_over = old_process.is_some();
-        self.tasks.spawn(hot_restart.run(old_process, active));
-        // An error means that the task has ended; the node serves without it.
-        let _ = became_active.await;
+        let mut active = hot_restart.take_over(old_process).await;
         self.tasks.spawn(writer.run());
+        active.execute_missed_commands().await;
         transfer.ready.send_replace(true);
+        self.tasks.spawn(active.run());
         if takes_over {
             tracing::info!("hot restart: this process has taken over");
         }
--- a/tests/exchange/runner.rs
+++ b/tests/exchange/runner.rs
@@ -149,6 +149,7 @@
             ["greets"] => self.greet(name),
             ["takes"] => self.take_snapshot(name),
             ["says", line @ ..] => self.send_line(name, &line.join(" ")),
+            ["hears", count] => self.receive_lines(name, count.parse().expect("a count")),
             _ => panic!("unknown step '{}'", step.line),
         }
     }
@@ -301,6 +302,26 @@
             .write_all(format!("{line}\n").as_bytes());
         written.expect("written");
     }
+
+    fn receive_lines(&mut self, name: &str, count: usize) {
+        let stream = self.hot_restart_connections.get(name);
+        let stream = stream.expect("a connection");
+        let timeout = stream.set_read_timeout(Some(STEP_TIMEOUT));
+        timeout.expect("a read timeout");
+        let lines: Vec<String> = (0..count).map(|_| receive_line(stream)).collect();
+        self.record_step(&format!("{name} hears"), lines.join("\n  "));
+    }
+}
+
+/// Reads one line and nothing after it.
+fn receive_line(mut stream: &UnixStream) -> String {
+    let mut line = Vec::new();
+    let mut byte = [0];
+    while byte != *b"\n" {
+        stream.read_exact(&mut byte).expect("a line is received");
+        line.extend(byte);
+    }
+    String::from_utf8_lossy(&line).trim_end().to_string()
 }
 
 /// Steps on connections.
--- a/tests/exchange/script.rs
+++ b/tests/exchange/script.rs
@@ -28,7 +28,7 @@
 //!   `old operator LINE`; `kill`: sends SIGKILL;
 //! - `NAME greets`: connects to the hot-restart socket and sends the first line of a new process;
 //! - `NAME takes`: does the same unless NAME is connected, and reads the snapshot; `NAME says TEXT`: sends a line on such a
-//!   connection;
+//!   connection; `NAME hears N`: reads and records N lines there;
 //! - `state TEXT`: writes the state file; `ledger`: records its content; `stale`: leaves a hot-restart socket without a
 //!   listener;
 //! - `term`: sends SIGTERM; `hup`: writes the configuration file as set by now and sends SIGHUP; `hup TEXT`: the same, but
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -20,5 +20,5 @@
     discovery_busy, peers, stopping, crowded, large, reload, framing, slow_clients, maintenance, calls, drain,
     upgrade, upgrade_fails, upgrade_fails_stopping, upgrade_waits, heritage, nowhere, stopping_long, keyed,
     client_left_behind_bytes, late_connection, late_repeat, fragile, own_settings, reload_lost,
-    stopping_body, stopping_behind, upgrade_drain,
+    stopping_body, stopping_behind, upgrade_drain, upgrade_changes,
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,20 +3,13 @@
 
 mod support;
 
-use std::net::TcpListener;
-use std::path::Path;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use applewall_fakes::clients::{connect, request};
-use applewall_fakes::daemon::{Daemon, DaemonLauncher, InheritedResources, ServiceClass};
-use applewall_fakes::discovery::{in_service, Discovery};
+use applewall_fakes::daemon::{Daemon, ServiceClass};
 use applewall_fakes::http::{self, Kind, Message};
-use applewall_fakes::instance::{Exception, Instance, ResponseBehavior, Script};
-use applewall_fakes::wait::wait_until;
-use support::daemon::small_daemon;
-use tempfile::TempDir;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use applewall_fakes::instance::{Exception, ResponseBehavior, Script};
+use support::node::{wait_for_log, Node};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Class deadline beyond the 3 s that the platform takes into account for the kill, which comes 3.7 s after SIGTERM.
@@ -47,87 +40,7 @@
 const EARLIEST_TELLING_RESPONSE: Duration = Duration::from_millis(3_500);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(60);
 const CLIENTS: u64 = 4;
-
-/// Endpoints, discovery, and what the consecutive processes of one node inherit.
-struct Node {
-    folder: TempDir,
-    inherited: InheritedResources,
-    service_class: ServiceClass,
-    instances: Vec<Instance>,
-    discovery: Discovery,
-}
-
-impl Node {
-    /// Two endpoints with the same script.
-    async fn new(service_class: ServiceClass, script: Script) -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let inherited = InheritedResources {
-            listener: TcpListener::bind("127.0.0.1:0").expect("a listener"),
-            folder: folder.path().to_path_buf(),
-        };
-        let mut instances = Vec::new();
-        for seed in 0..2 {
-            let script = Script {
-                seed,
-                ..script.clone()
-            };
-            instances.push(Instance::start(script).await.expect("an endpoint"));
-        }
-        let discovery = Discovery::start(in_service(&instances)).await;
-        Node {
-            folder,
-            inherited,
-            service_class,
-            instances,
-            discovery: discovery.expect("discovery"),
-        }
-    }
-
-    fn start(&self) -> Daemon {
-        let settings = small_daemon(self.discovery.address, in_service(&self.instances));
-        let program = Path::new(env!("CARGO_BIN_EXE_applewall"));
-        DaemonLauncher::new(program, self.folder.path(), "node", &settings)
-            .inheriting(&self.inherited)
-            .service_class(self.service_class)
-            .start()
-            .expect("started")
-    }
-
-    /// Starts a process that takes over from `old`.
-    async fn upgrade(&self, old: &Daemon) -> Daemon {
-        let new = self.start();
-        wait_until("the new process has taken over", || {
-            has_logged(old, "new process has taken over")
-        })
-        .await;
-        new
-    }
-
-    /// Number of requests that have arrived at the endpoints.
-    fn arrived(&self) -> u64 {
-        let requests = |instance: &Instance| instance.recorded.requests.load(Ordering::Relaxed);
-        self.instances.iter().map(requests).sum()
-    }
-
-    /// Sends a request on a new connection and waits until it has reached an endpoint.
-    async fn request(&self, daemon: &Daemon, id: u64) -> TcpStream {
-        let before = self.arrived();
-        let mut client = connect(daemon.address, [127, 0, 0, 1].into(), None)
-            .await
-            .expect("a connection");
-        let text = request(id, id, self.service_class.deadline, 0);
-        client.write_all(text.as_bytes()).await.expect("written");
-        wait_until("the request has reached an endpoint", || {
-            self.arrived() > before
-        })
-        .await;
-        client
-    }
-}
-
-fn has_logged(daemon: &Daemon, text: &str) -> bool {
-    daemon.log().iter().any(|line| line.contains(text))
-}
+const ENDPOINTS: u64 = 2;
 
 /// Reads the response; `None` if the connection ends before it is complete.
 async fn read_response(client: &mut TcpStream) -> Option<Message> {
@@ -183,7 +96,7 @@
 
 /// All endpoints hang. Each request that was accepted before SIGTERM gets its response by its own deadline.
 async fn assert_hanging_requests_are_answered(stop: Stop) {
-    let node = Node::new(LONG_CLASS, hanging()).await;
+    let node = Node::new(LONG_CLASS, hanging(), ENDPOINTS).await;
     let daemon = node.start();
     let mut clients = Vec::new();
     for id in 1..=CLIENTS {
@@ -213,7 +126,7 @@
 
 /// A response that takes longer than every deadline is written to its end.
 async fn assert_long_response_is_completed(stop: Stop) {
-    let node = Node::new(USUAL_CLASS, pausing()).await;
+    let node = Node::new(USUAL_CLASS, pausing(), ENDPOINTS).await;
     let daemon = node.start();
     let mut client = node.request(&daemon, 1).await;
     // The response has begun.
@@ -256,7 +169,7 @@
         body_bytes: UNREAD_BODY_BYTES,
         ..Script::default()
     };
-    let node = Node::new(USUAL_CLASS, script).await;
+    let node = Node::new(USUAL_CLASS, script, ENDPOINTS).await;
     let daemon = node.start();
     let mut client = node.request(&daemon, 1).await;
     client.readable().await.expect("a response");
@@ -268,10 +181,7 @@
         waited >= WRITE_TIMEOUT && waited < 2 * WRITE_TIMEOUT,
         "exited after {waited:?}"
     );
-    wait_until("the log names the reason", || {
-        has_logged(&daemon, "client does not read its response")
-    })
-    .await;
+    wait_for_log(&daemon, "client does not read its response").await;
     // The client can tell that its response is not complete.
     let mut received = Vec::new();
     let ended = client.read_to_end(&mut received).await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod discovery_agent;
 pub(crate) mod fleet;
 pub(crate) mod large_fleet;
+pub(crate) mod node;
 pub(crate) mod policy;
