Upgrade: the new process adopts what the old one wrote to the state file during the transfer

An old process that dies after its answer and before the new one has reported says nothing either. Change: the new process reads the state file before it asks for the state and once more after its report, before it writes itself, and executes the changes between the two. A file that cannot be read, or that an old process could not write, changes nothing. Why it works: done is answered after the file is written or the command is relayed, so a change is in the file or comes by the link. What was exported as well is in force already, and repeating it has no effect. A drain is not in the file: a DRAIN during the transfer from an earlier version stays lost.

--- a/src/daemon/lifecycle/hot_restart.rs
+++ b/src/daemon/lifecycle/hot_restart.rs
@@ -7,7 +7,8 @@
 //!
 //! No admin command is missed in between: the old process sends what was changed since it exported its state together with
 //! its confirmation, and the new one executes that before it is ready. Commands at the new process's own admin address wait
-//! until it is ready.
+//! until it is ready. The new process also adopts what the old one wrote to the state file meanwhile, in case that one exits
+//! before it confirms, or is of a version that sends no such commands.
 //!
 //! The old process accepts clients until the new one has reported, and the new one only after that report was confirmed.
 //! During the transfer neither process reads datagrams for a moment; they wait in the receive buffer of the UDP socket,
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use applewall_admin::AdminCommand;
+use applewall_admin::{AdminCommand, MaintenanceSet};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedWriteHalf, SocketAddr};
 use tokio::net::{UnixListener, UnixStream};
@@ -59,13 +60,22 @@
     pub state: TransferredState,
     /// The old process's UDP socket, if it has peers.
     pub datagram_socket: Option<OwnedFd>,
-    /// The connection to the old process, on which the new one reports that it has taken over.
-    pub connection: UnixStream,
+    /// The old process, which waits for the report that the new one has taken over.
+    pub old_process: OldProcess,
+}
+
+/// The old process, seen by the new one.
+pub(crate) struct OldProcess {
+    connection: UnixStream,
+    /// The maintenance set in the state file before the state was exported; `None` if it could not be read.
+    written_before: Option<MaintenanceSet>,
 }
 
 /// Receives the state of the active process; `None` if no process is active, or if its state could not be received.
 pub(crate) async fn receive_transfer(directory: &SharedDirectory) -> Option<ReceivedTransfer> {
     let path = directory.hot_restart_socket();
+    // Read before the old process exports its state, so that no later change is overlooked.
+    let written_before = directory.try_read_maintenance_set();
     // Retries, because giving up after a transient failure would leave the node with two active processes.
     let stream = match open_with_retries(|| UnixStream::connect(&path)).await {
         Ok(stream) => stream,
@@ -77,7 +87,7 @@
             return None;
         }
     };
-    let received = timeout(EXCHANGE_TIMEOUT, transfer::receive(stream))
+    let received = timeout(EXCHANGE_TIMEOUT, transfer::receive(stream, written_before))
         .await
         .unwrap_or(Err(ReceiveError::Timeout));
     received
@@ -110,11 +120,17 @@
     listener: Option<UnixListener>,
     /// The link to the old process, until that has exited.
     old_process: Option<CommandLink>,
+    /// Changes that the old process wrote to the state file during the transfer.
+    written_changes: Vec<AdminCommand>,
 }
 
 impl ActiveProcess {
-    /// Executes the admin commands that the old process sent with its confirmation.
+    /// Executes the admin commands that the old process executed after it had exported its state: those whose effect it wrote
+    /// to the state file, then those that it sent with its confirmation.
     pub(crate) async fn execute_missed_commands(&mut self) {
+        for command in std::mem::take(&mut self.written_changes) {
+            self.hot_restart.admin.execute_relayed(command).await;
+        }
         let Some(link) = &mut self.old_process else {
             return;
         };
@@ -143,16 +159,27 @@
 impl HotRestart {
     /// Completes the transfer from the old process, if there is one; `old_process` is the connection to it. Once this
     /// returns, this process is the active one, and its admin commands are relayed.
-    pub(crate) async fn take_over(self, old_process: Option<UnixStream>) -> ActiveProcess {
+    pub(crate) async fn take_over(self, old_process: Option<OldProcess>) -> ActiveProcess {
         let listener = self.listen();
-        let old_process = match old_process {
-            Some(stream) => self.report_taken_over(stream).await,
-            None => None,
-        };
+        let (mut link, mut written_changes) = (None, Vec::new());
+        if let Some(old_process) = old_process {
+            link = self.report_taken_over(old_process.connection).await;
+            written_changes = self.written_since(old_process.written_before);
+        }
         ActiveProcess {
             hot_restart: self,
             listener,
-            old_process,
+            old_process: link,
+            written_changes,
+        }
+    }
+
+    /// What has changed in the state file; nothing if it cannot be read.
+    fn written_since(&self, before: Option<MaintenanceSet>) -> Vec<AdminCommand> {
+        let written = self.shared_directory.try_read_maintenance_set();
+        match (before, written) {
+            (Some(before), Some(written)) => written.changes_since(&before),
+            _ => Vec::new(),
         }
     }
 
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -296,7 +296,7 @@
             far.write_all(&bytes).await.unwrap();
             drop(far);
         };
-        match tokio::join!(receive(near), old_process).0 {
+        match tokio::join!(receive(near, None), old_process).0 {
             Ok(received) => {
                 assert_eq!(reason, "", "received a state that should be rejected");
                 assert_complete(&received.state);
--- a/src/daemon/lifecycle/hot_restart/transfer.rs
+++ b/src/daemon/lifecycle/hot_restart/transfer.rs
@@ -7,6 +7,7 @@
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 
+use applewall_admin::MaintenanceSet;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -15,7 +16,7 @@
 use tokio::net::UnixStream;
 use tokio::time::timeout;
 
-use super::{HandOverError, ReceiveError, ReceivedTransfer, EXCHANGE_TIMEOUT};
+use super::{HandOverError, OldProcess, ReceiveError, ReceivedTransfer, EXCHANGE_TIMEOUT};
 use crate::system::peer_socket::PeerSocket;
 
 /// First line sent by the new process: name and version of the protocol. Its wording and that of [`FORMAT_MARK`] are part of
@@ -29,8 +30,11 @@
 /// snapshot.
 const MAX_STATE_BYTES: usize = 64 * 1024 * 1024;
 
-/// Requests and reads the state of the old process.
-pub(super) async fn receive(mut stream: UnixStream) -> Result<ReceivedTransfer, ReceiveError> {
+/// Requests and reads the state of the old process. `written_before` is the maintenance set in the state file before that.
+pub(super) async fn receive(
+    mut stream: UnixStream,
+    written_before: Option<MaintenanceSet>,
+) -> Result<ReceivedTransfer, ReceiveError> {
     stream.write_all(GREETING.as_bytes()).await?;
     let mut header = [0; HEADER_BYTES];
     let (mut read, mut datagram_socket) = (0, None);
@@ -56,7 +60,10 @@
     Ok(ReceivedTransfer {
         state,
         datagram_socket,
-        connection: stream,
+        old_process: OldProcess {
+            connection: stream,
+            written_before,
+        },
     })
 }
 
--- a/src/daemon/lifecycle/shared_directory.rs
+++ b/src/daemon/lifecycle/shared_directory.rs
@@ -85,6 +85,17 @@
         })
     }
 
+    /// Reads the maintenance set from the state file once; empty if there is no file, `None` if it is unreadable.
+    pub(crate) fn try_read_maintenance_set(&self) -> Option<MaintenanceSet> {
+        match std::fs::read_to_string(self.state_file()) {
+            Ok(text) => state_file::decode(&text).ok(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {
+                Some(MaintenanceSet::default())
+            }
+            Err(_) => None,
+        }
+    }
+
     /// Replaces the state file with one that has this maintenance set.
     ///
     /// # Errors
--- a/src/daemon/serve/bootstrap.rs
+++ b/src/daemon/serve/bootstrap.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use applewall_admin::{LifecyclePhase, MaintenanceSet};
-use tokio::net::{TcpListener, UnixStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
@@ -19,7 +19,7 @@
 use crate::config::platform::PlatformConfig;
 use crate::engine::InitialState;
 use crate::lifecycle::command_relay::OtherProcessSender;
-use crate::lifecycle::hot_restart::{self, ReceivedTransfer};
+use crate::lifecycle::hot_restart::{self, OldProcess, ReceivedTransfer};
 use crate::lifecycle::inherited_socket;
 use crate::lifecycle::shared_directory::SharedDirectory;
 use crate::server::listener as client_listener;
@@ -100,8 +100,8 @@
     pub initial_state: InitialState,
     /// Whether the old process was draining or drained.
     pub is_draining: bool,
-    /// The connection to the old process, which waits for the report that this process has taken over.
-    pub old_process: Option<UnixStream>,
+    /// The old process, which waits for the report that this process has taken over.
+    pub old_process: Option<OldProcess>,
     /// The old process's UDP socket.
     datagram_socket: Option<OwnedFd>,
 }
@@ -191,7 +191,7 @@
             clock: Clock::resume_at(state.now_ns),
             is_draining: state.draining,
             initial_state: InitialState::HotRestart(state),
-            old_process: Some(transfer.connection),
+            old_process: Some(transfer.old_process),
             datagram_socket: transfer.datagram_socket,
         }
     }
--- a/src/daemon/serve/node.rs
+++ b/src/daemon/serve/node.rs
@@ -9,7 +9,6 @@
 
 use applewall_admin::ShutdownDeadlines;
 use applewall_slow_peer::socket::Capacity;
-use tokio::net::UnixStream;
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::JoinSet;
 
@@ -26,7 +25,7 @@
 use crate::discovery::zone_failover::ZoneFailover;
 use crate::engine::message::Message;
 use crate::engine::{self, Engine, InitialState};
-use crate::lifecycle::hot_restart::HotRestart;
+use crate::lifecycle::hot_restart::{HotRestart, OldProcess};
 use crate::lifecycle::process_role::{ProcessStatus, RoleOwner};
 use crate::lifecycle::shutdown::LifecycleDriver;
 use crate::resources::connection_budget::ConnectionBudget;
@@ -217,13 +216,13 @@
     }
 
     /// Starts hot restart and the state writer. Returns once this process is ready: immediately, or when the old
-    /// process has confirmed that this process has taken over and the admin commands that came with that are executed.
+    /// process has confirmed that this process has taken over and the admin commands that this one has missed are executed.
     pub(super) async fn start_hot_restart(
         &mut self,
         transfer: TransferContext,
         role: RoleOwner,
         admin: AdminHandle,
-        old_process: Option<UnixStream>,
+        old_process: Option<OldProcess>,
     ) {
         let Some(shared_directory) = transfer.shared_directory else {
             // Without another process the role never changes. Its owner must not be dropped (see `RoleOwner::closed`).
--- a/tests/upgrade_commands.rs
+++ b/tests/upgrade_commands.rs
@@ -28,6 +28,17 @@
 /// command is answered.
 const COMMAND_HEAD_START: Duration = Duration::from_millis(300);
 
+/// Line of the old process that confirms the takeover.
+const CONFIRMATION: &[u8] = b"yours\n";
+
+/// What of the old process's lines reaches the new one.
+#[derive(Clone, Copy, PartialEq)]
+enum Forwarding {
+    All,
+    /// Nothing after the confirmation of the takeover, as from a version that sends no commands with it.
+    UpToConfirmation,
+}
+
 /// Stands between the two processes and holds back the new one's report that it has taken over: the old process has
 /// exported its state, and the new one does not serve yet.
 struct TransferGate {
@@ -37,14 +48,14 @@
 
 impl TransferGate {
     /// Takes the place of the running process's socket, for the next new process.
-    fn place(node: &Node) -> Self {
+    fn place(node: &Node, forwarding: Forwarding) -> Self {
         let path = node.folder.path().join(SOCKET);
         let old_process = node.folder.path().join("old.sock");
         std::fs::rename(&path, &old_process).expect("renamed");
         let listener = UnixListener::bind(&path).expect("a listener");
         let (report, reported) = oneshot::channel();
         let (open, opened) = oneshot::channel();
-        tokio::spawn(forward(listener, old_process, report, opened));
+        tokio::spawn(forward(listener, old_process, forwarding, report, opened));
         TransferGate { reported, open }
     }
 
@@ -62,6 +73,7 @@
 async fn forward(
     listener: UnixListener,
     old_process: PathBuf,
+    forwarding: Forwarding,
     report: oneshot::Sender<()>,
     opened: oneshot::Receiver<()>,
 ) {
@@ -91,9 +103,19 @@
         _ = from_new.read(&mut end) => return,
     }
     to_old.write_all(&line).await.expect("written");
+    let mut confirmation = [0; CONFIRMATION.len()];
+    let confirmed = from_old.read_exact(&mut confirmation).await;
+    confirmed.expect("a confirmation");
+    to_new.write_all(&confirmation).await.expect("written");
+    let back = async {
+        match forwarding {
+            Forwarding::All => copy(&mut from_old, &mut to_new).await,
+            Forwarding::UpToConfirmation => copy(&mut from_old, &mut tokio::io::sink()).await,
+        }
+    };
     tokio::select! {
         _ = copy(&mut from_new, &mut to_old) => {}
-        _ = copy(&mut from_old, &mut to_new) => {}
+        _ = back => {}
     }
 }
 
@@ -107,7 +129,7 @@
 
 impl Upgrade {
     /// Starts an upgrade of a node whose endpoints `in_maintenance` are in maintenance before it.
-    async fn begin(in_maintenance: &[&str]) -> Self {
+    async fn begin(in_maintenance: &[&str], forwarding: Forwarding) -> Self {
         let script = Script {
             processing_time: Duration::from_millis(2)..=Duration::from_millis(4),
             ..Script::default()
@@ -119,7 +141,7 @@
         for id in in_maintenance {
             expect_done(&old, &format!("DISABLE {id}")).await;
         }
-        let mut gate = TransferGate::place(&node);
+        let mut gate = TransferGate::place(&node, forwarding);
         let starting = node.clone();
         let new = tokio::task::spawn_blocking(move || starting.start()).await;
         gate.reported().await;
@@ -177,7 +199,7 @@
 /// before its link to the new process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changes_at_the_old_process_during_the_transfer_hold_in_the_new_one() {
-    let upgrade = Upgrade::begin(&["s-0"]).await;
+    let upgrade = Upgrade::begin(&["s-0"], Forwarding::All).await;
     let Upgrade {
         node,
         old,
@@ -207,7 +229,7 @@
 /// Guards against a new process that executes a command before it has heard of earlier ones at the old process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn change_at_the_new_process_during_the_transfer_comes_after_those_at_the_old_one() {
-    let upgrade = Upgrade::begin(&[]).await;
+    let upgrade = Upgrade::begin(&[], Forwarding::All).await;
     let Upgrade { old, new, gate, .. } = upgrade;
     expect_done(&old, "DISABLE s-0").await;
     let later = tokio::spawn(async move {
@@ -226,7 +248,7 @@
 /// Guards against a command that ends with the wait for its answer: it says that it may still come into force.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn change_whose_answer_came_too_late_holds_in_both_processes() {
-    let upgrade = Upgrade::begin(&[]).await;
+    let upgrade = Upgrade::begin(&[], Forwarding::All).await;
     let Upgrade { old, new, gate, .. } = upgrade;
     let answer = admin_command(&new, "DISABLE s-0").await;
     assert!(answer.starts_with("error not decided in time"), "{answer}");
@@ -238,7 +260,7 @@
 /// Guards against a failed upgrade that costs commands: those during the transfer stay in force and reach the next process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changes_stay_in_force_if_the_new_process_dies_during_the_transfer() {
-    let upgrade = Upgrade::begin(&["s-0"]).await;
+    let upgrade = Upgrade::begin(&["s-0"], Forwarding::All).await;
     let Upgrade { node, old, new, .. } = upgrade;
     expect_done(&old, "DISABLE s-1").await;
     drop(new);
@@ -254,3 +276,37 @@
         "done given back; 2 withheld in all"
     );
 }
+
+/// Guards against commands that are lost because the old process says nothing of them: a version before this one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_that_an_earlier_version_executed_during_the_transfer_hold_in_the_new_process() {
+    let upgrade = Upgrade::begin(&["s-0"], Forwarding::UpToConfirmation).await;
+    let Upgrade { old, new, gate, .. } = upgrade;
+    for command in ["DISABLE s-1", "ENABLE s-0"] {
+        expect_done(&old, command).await;
+    }
+    gate.open();
+    wait_until_ready(&new).await;
+    assert_eq!(
+        count_in_maintenance(&new, "s-2").await,
+        "done given back; 1 withheld in all"
+    );
+    assert_eq!(
+        count_in_maintenance(&new, "s-0").await,
+        "done given back; 1 withheld in all"
+    );
+}
+
+/// Guards against commands that are lost with the old process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_hold_in_the_new_process_if_the_old_one_dies_during_the_transfer() {
+    let upgrade = Upgrade::begin(&["s-0"], Forwarding::All).await;
+    let Upgrade { old, new, .. } = upgrade;
+    expect_done(&old, "DISABLE s-1").await;
+    drop(old);
+    wait_until_ready(&new).await;
+    assert_eq!(
+        count_in_maintenance(&new, "s-2").await,
+        "done given back; 2 withheld in all"
+    );
+}
