Shutdown: a failing accept is retried until responses are due, also without open connections

The system may be short for other processes, and the shortage pass. Change: errors are retried until the longest deadline has passed, as before, and beyond that while a connection is open.

--- a/crates/admin/src/shutdown_deadlines.rs
+++ b/crates/admin/src/shutdown_deadlines.rs
@@ -94,10 +94,11 @@
         }
     }
 
-    /// The time after SIGTERM at which every accepted request has reached its own deadline. A connection that is still
-    /// open then is writing a long response.
+    /// The time after SIGTERM at which every accepted request has reached its own deadline and the platform may have killed
+    /// the process. A connection that is still open then is writing a long response.
     pub fn responses_due_after(self) -> Duration {
-        TERMINATION_ACCEPT_PERIOD + self.longest_request_deadline + RESPONSE_WRITE_MARGIN
+        let longest = self.longest_request_deadline.max(PLATFORM_DEADLINE_BOUND);
+        TERMINATION_ACCEPT_PERIOD + longest + RESPONSE_WRITE_MARGIN
     }
 }
 
--- a/crates/admin/src/shutdown_deadlines/tests.rs
+++ b/crates/admin/src/shutdown_deadlines/tests.rs
@@ -16,6 +16,7 @@
             "{longest} ms"
         );
         let kill = MILLIS(longest.min(3_000) + 700);
+        assert!(deadlines.responses_due_after() > kill, "{longest} ms");
         for mode in [ShutdownMode::Standalone, ShutdownMode::Replaced] {
             let late = deadlines.late_requests(mode);
             assert!(
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -120,12 +120,8 @@
 
     /// Waits until no connection is left. Logs once if a response takes longer than the request's deadline.
     async fn wait_for_last_connection(&self) {
-        let responses_due_at = self
-            .shutdown_times
-            .get()
-            .map_or_else(Instant::now, |times| times.responses_due_at);
         let emptied = self.admission.wait_until_empty();
-        if tokio::time::timeout_at(responses_due_at.into(), emptied)
+        if tokio::time::timeout_at(self.responses_due_at().into(), emptied)
             .await
             .is_ok()
         {
@@ -197,9 +193,16 @@
         }
     }
 
+    /// When each response is due, during a shutdown.
+    fn responses_due_at(&self) -> Instant {
+        let times = self.shutdown_times.get();
+        times.map_or_else(Instant::now, |times| times.responses_due_at)
+    }
+
     /// Serves the connections in the kernel's accept queue, which would be lost when the listener closes. Queries the
     /// kernel directly, since the reactor may not have noticed the latest connections yet. Waits for permits if none is
-    /// available, and for open connections to release the descriptors that the system lacks.
+    /// available, and retries errors of the system at least as long as responses may be due or an open connection may release
+    /// a descriptor.
     async fn drain_accept_queue(&self, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else {
             return;
@@ -210,7 +213,12 @@
                 Err(error) => match classify_accept_error(&error) {
                     AcceptErrorKind::QueueEmpty => return,
                     AcceptErrorKind::Connection => continue,
-                    AcceptErrorKind::System if self.admission.open_connections() == 0 => return,
+                    AcceptErrorKind::System
+                        if Instant::now() >= self.responses_due_at()
+                            && self.admission.open_connections() == 0 =>
+                    {
+                        return;
+                    }
                     AcceptErrorKind::System => {
                         tokio::time::sleep(ACCEPT_BACKOFF).await;
                         continue;
