State file: a process that is active again after a failed upgrade writes its set once more

Found by reading, on the way of the commands lost in an upgrade: a new process first writes the maintenance set that it was handed. If it dies before it has executed what was changed since, the old process serves on with the newer set, and the older one stays on disk: a later start without a hand-over has lost commands that were answered done. Change: the writer keeps the set that it wrote last and writes it again when its process becomes active. Test: set_is_written_again_after_a_new_process_failed_that_may_have_overwritten_it; without the change it fails (30 s without the set).

--- a/src/daemon/admin/state_writer.rs
+++ b/src/daemon/admin/state_writer.rs
@@ -2,7 +2,8 @@
 //! the directory could not be written for a while.
 //!
 //! One task receives maintenance sets, each newer than the one before, and reports the result of each set's first write. The
-//! set written last is always the newest one. Files are written on a thread for blocking calls, so that a slow disk does not
+//! set written last is always the newest one. A process that becomes active again after a new one has failed writes its set
+//! once more, since that one may have written an older set. Files are written on a thread for blocking calls, so that a slow disk does not
 //! delay requests.
 
 use std::time::Duration;
@@ -66,8 +67,10 @@
     directory: SharedDirectory,
     role: watch::Receiver<ProcessRole>,
     requests: mpsc::Receiver<WriteRequest>,
-    /// The newest set, if its last write failed.
+    /// The newest set, if its last write failed or another process may have overwritten it.
     unwritten: Option<UnwrittenSet>,
+    /// The newest set that was written.
+    written: Option<MaintenanceSet>,
     /// Whether a failure to write the state file was logged.
     write_failure: ConditionLog,
 }
@@ -95,12 +98,14 @@
                 maintenance,
                 retry_at: Instant::now(),
             }),
+            written: None,
             write_failure: ConditionLog::default(),
         }
     }
 
     /// Writes sets until the last sender is dropped.
     pub(crate) async fn run(mut self) {
+        let mut role = self.role.clone();
         loop {
             let retry_at = self.unwritten.as_ref().map(|unwritten| unwritten.retry_at);
             let request = tokio::select! {
@@ -112,6 +117,12 @@
                     self.retry().await;
                     continue;
                 }
+                Ok(()) = role.changed() => {
+                    if *role.borrow_and_update() == ProcessRole::Active {
+                        self.write_again();
+                    }
+                    continue;
+                }
             };
             let WriteRequest { maintenance, reply } = request;
             let written = self.write(maintenance).await;
@@ -135,6 +146,16 @@
         let _ = self.write(unwritten.maintenance).await;
     }
 
+    /// Schedules a write of the newest set, which another process may have overwritten.
+    fn write_again(&mut self) {
+        if let Some(maintenance) = self.written.take() {
+            self.unwritten = Some(UnwrittenSet {
+                maintenance,
+                retry_at: Instant::now(),
+            });
+        }
+    }
+
     fn retry_later(&mut self, maintenance: MaintenanceSet) {
         self.unwritten = Some(UnwrittenSet {
             maintenance,
@@ -145,6 +166,7 @@
     /// Writes a set, and schedules a retry if that fails.
     async fn write(&mut self, maintenance: MaintenanceSet) -> Result<(), StateFileError> {
         self.unwritten = None;
+        self.written = None;
         let (directory, set) = (self.directory.clone(), maintenance.clone());
         let written = tokio::task::spawn_blocking(move || directory.write_maintenance_set(&set));
         let written = written.await.unwrap_or(Ok(()));
@@ -156,6 +178,7 @@
                 }
             }
             Ok(()) => {
+                self.written = Some(maintenance);
                 if self.write_failure.ends() {
                     tracing::info!("maintenance set written after a failure");
                 }
--- a/src/daemon/admin/state_writer/tests.rs
+++ b/src/daemon/admin/state_writer/tests.rs
@@ -63,3 +63,20 @@
     writer.role.send_replace(ProcessRole::Active);
     wait_until_written(&writer).await;
 }
+
+/// Guards against a state file with the older set of a new process that took over and died.
+#[tokio::test]
+async fn set_is_written_again_after_a_new_process_failed_that_may_have_overwritten_it() {
+    let writer = writer();
+    std::fs::create_dir(&writer.missing).expect("created");
+    let write = write(&writer.queue, one_in_maintenance()).await;
+    write.first_attempt().await.expect("written");
+    writer.role.send_replace(ProcessRole::Superseded);
+    let older = MaintenanceSet::default();
+    writer
+        .directory
+        .write_maintenance_set(&older)
+        .expect("written");
+    writer.role.send_replace(ProcessRole::Active);
+    wait_until_written(&writer).await;
+}
