Hot restart: the old and the new process's side in modules of their own, and a test of the link

No change of behaviour. link_reads_on_while_the_other_process_does_not_read guards the buffered output of the link: with answers written before the next line is read, it fails after 30 s.

--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -285,4 +285,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/daemon/admin/handle/tests.rs
+++ b/src/daemon/admin/handle/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A handle of a process with the given readiness and knowledge of an endpoint list.
-fn handle(ready: bool, has_endpoints: bool) -> AdminHandle {
+pub(crate) fn handle(ready: bool, has_endpoints: bool) -> AdminHandle {
     AdminHandle {
         control: mpsc::channel(1).0,
         drain_requests: mpsc::channel(1).0,
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -3,10 +3,14 @@
 use super::*;
 use crate::lifecycle::command_relay::{OtherProcess, RelayedCommand};
 use crate::lifecycle::process_role::ProcessRole;
+use crate::lifecycle::process_role::TransferredState;
 use applewall::api::{CellId, Endpoint, EndpointState, MachineTypeId, ZoneId};
 use applewall_admin::{LifecyclePhase, MaintenanceSet};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::OwnedReadHalf;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use transfer::receive;
 
 const RECORDED_STATE: &[u8] = include_bytes!("../../../../tests/golden/estate.bin");
