Test: long deadlines are kept by a stopping process whose new process dies

The same fault looked for where the review's case does not look: SIGTERM after an upgrade, then the new process is killed, all endpoints hang and each request has 6 s. It passes; the fix needs no change.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -80,6 +80,8 @@
 enum Stop {
     Standalone,
     AfterUpgrade,
+    /// The new process dies after SIGTERM, and this one is active again.
+    AfterUpgradeThatFails,
 }
 
 impl Stop {
@@ -87,10 +89,16 @@
     async fn stop(self, node: &Node, daemon: &Daemon) -> Option<Daemon> {
         let new = match self {
             Stop::Standalone => None,
-            Stop::AfterUpgrade => Some(node.upgrade(daemon).await),
+            Stop::AfterUpgrade | Stop::AfterUpgradeThatFails => Some(node.upgrade(daemon).await),
         };
         daemon.terminate();
-        new
+        if self != Stop::AfterUpgradeThatFails {
+            return new;
+        }
+        wait_for_log(daemon, "shutdown started").await;
+        drop(new);
+        wait_for_log(daemon, "new process failed").await;
+        None
     }
 }
 
@@ -144,6 +152,12 @@
     assert_hanging_requests_are_answered(Stop::AfterUpgrade).await;
 }
 
+/// The same if the new process dies while the old one stops.
+#[tokio::test]
+async fn stopping_process_answers_each_request_by_its_own_long_deadline_if_the_new_one_dies() {
+    assert_hanging_requests_are_answered(Stop::AfterUpgradeThatFails).await;
+}
+
 /// The same without an upgrade.
 #[tokio::test]
 async fn stopped_process_answers_each_request_by_its_own_long_deadline_before_it_exits() {
