Fakes: the gate between two processes and the admin command of a daemon stand once

The gate of tests/upgrade_commands.rs is a stand-in and moves to crates/fakes; sending an admin command stood in measure-service, in system_faults.rs and in the tests' support. No assertion changes; upgrade_commands.rs and system_faults.rs pass.

--- a/crates/fakes/src/bin/measure-service/environment.rs
+++ b/crates/fakes/src/bin/measure-service/environment.rs
@@ -80,17 +80,6 @@
     }
 }
 
-/// Sends an admin command and reads its response.
-pub(crate) async fn send_command(daemon: &Daemon, command: &str) -> io::Result<String> {
-    let address = daemon.admin_address;
-    let address = address.ok_or_else(|| io::Error::other("the daemon has no admin address"))?;
-    let mut stream = TcpStream::connect(address).await?;
-    stream.write_all(format!("{command}\n").as_bytes()).await?;
-    let mut response = String::new();
-    stream.read_to_string(&mut response).await?;
-    Ok(response)
-}
-
 /// Results of the admin commands that are sent while clients send requests.
 #[derive(Default)]
 pub(crate) struct AdminCommands {
@@ -103,7 +92,7 @@
 impl AdminCommands {
     pub(crate) async fn send(&mut self, daemon: &Daemon, command: &str) {
         let started = Instant::now();
-        let response = send_command(daemon, command).await;
+        let response = daemon.admin_command(command).await;
         if response.is_ok() {
             self.slowest = self.slowest.max(started.elapsed());
         }
--- a/crates/fakes/src/bin/measure-service/main.rs
+++ b/crates/fakes/src/bin/measure-service/main.rs
@@ -20,7 +20,7 @@
 use lexopt::Parser;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use environment::{health_status, send_command, terminate, AdminCommands, Environment};
+use environment::{health_status, terminate, AdminCommands, Environment};
 
 const PROGRAM: Program = Program::with_fakes(
     "measure-service",
@@ -137,7 +137,7 @@
     commands.send(&old, "DISABLE s-0").await;
     let started = Instant::now();
     let new = environment.start_daemon("new")?;
-    while !send_command(&new, "READY").await?.starts_with("done") {
+    while !new.admin_command("READY").await?.starts_with("done") {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     let ready_after = started.elapsed();
--- a/crates/fakes/src/daemon.rs
+++ b/crates/fakes/src/daemon.rs
@@ -12,6 +12,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
 use crate::process_usage::peak_memory_bytes;
 
 pub use launcher::{DaemonLauncher, DaemonSettings, InheritedResources, ServiceClass};
@@ -51,6 +54,21 @@
         lock(&self.log).clone()
     }
 
+    /// Sends a command to the admin address, and returns the response without its line ending.
+    ///
+    /// # Errors
+    ///
+    /// The daemon has no admin address, or the connection failed.
+    pub async fn admin_command(&self, command: &str) -> io::Result<String> {
+        let address = self.admin_address;
+        let address = address.ok_or_else(|| io::Error::other("the daemon has no admin address"))?;
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(format!("{command}\n").as_bytes()).await?;
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await?;
+        Ok(response.trim_end().to_string())
+    }
+
     /// Peak resident memory in bytes; 0 if unknown.
     pub fn peak_memory(&self) -> u64 {
         peak_memory_bytes(self.child.id()).unwrap_or(0)
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod discovery;
 pub mod etcd;
+pub mod hot_restart_gate;
 pub mod http;
 pub mod instance;
 pub mod measurement;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -11,7 +11,7 @@
 use applewall_fakes::instance::{Instance, Script};
 use applewall_fakes::wait::wait_until;
 use tempfile::TempDir;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use super::daemon::small_daemon;
@@ -110,11 +110,5 @@
 
 /// Sends an admin command and reads its response.
 pub(crate) async fn admin_command(daemon: &Daemon, command: &str) -> String {
-    let address = daemon.admin_address.expect("an admin address");
-    let mut stream = TcpStream::connect(address).await.expect("a connection");
-    let line = format!("{command}\n");
-    stream.write_all(line.as_bytes()).await.expect("written");
-    let mut response = String::new();
-    stream.read_to_string(&mut response).await.expect("read");
-    response.trim_end().to_string()
+    daemon.admin_command(command).await.expect("answered")
 }
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -15,8 +15,7 @@
 use applewall_fault_shim::{ControlFile, Fault, CONTROL_VARIABLE, LIBRARY_NAME};
 use serde_json::{json, Value};
 use tempfile::TempDir;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::AsyncWriteExt;
 
 const TIME_LEFT: Duration = Duration::from_secs(3);
 const NANOS_PER_SECOND: i64 = 1_000_000_000;
@@ -124,15 +123,6 @@
     }
 }
 
-async fn admin_command(daemon: &Daemon, line: &str) -> String {
-    let address = daemon.admin_address.expect("an admin address");
-    let mut stream = TcpStream::connect(address).await.expect("a connection");
-    stream.write_all(line.as_bytes()).await.expect("written");
-    let mut response = String::new();
-    stream.read_to_string(&mut response).await.expect("read");
-    response
-}
-
 fn unix_ms() -> i64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.expect("after 1970").as_millis() as i64
@@ -153,8 +143,10 @@
     list.push(joining);
     environment.discovery.publish(list);
     // The command is refused until the daemon knows the endpoint.
-    while !admin_command(&daemon, "ENABLE s-2\n")
+    while !daemon
+        .admin_command("ENABLE s-2")
         .await
+        .expect("answered")
         .starts_with("done")
     {
         tokio::task::yield_now().await;
@@ -191,7 +183,7 @@
     send_requests(&daemon, 0x1000, 20).await;
     let error = i64::from(28); // ENOSPC
     environment.control.set(Fault::FileError, error);
-    let response = admin_command(&daemon, "DISABLE s-0\n").await;
+    let response = daemon.admin_command("DISABLE s-0").await.expect("answered");
     assert!(response.starts_with("done"), "{response}");
     environment.control.set(Fault::FileError, 0);
     wait_until("the state is written", || {
--- a/tests/upgrade_commands.rs
+++ b/tests/upgrade_commands.rs
@@ -3,128 +3,30 @@
 
 mod support;
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use applewall_fakes::clients::{connect, request};
 use applewall_fakes::daemon::{Daemon, ServiceClass};
+use applewall_fakes::hot_restart_gate::{Forwarding, HotRestartGate};
 use applewall_fakes::http::{self, Kind};
 use applewall_fakes::instance::Script;
 use applewall_fakes::wait::TEST_TIMEOUT;
 use support::node::{admin_command, wait_for_log, Node};
-use tokio::io::{copy, AsyncReadExt, AsyncWriteExt};
-use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::oneshot;
+use tokio::io::AsyncWriteExt;
 
-/// First line of a new process, which asks for the state.
-const GREETING: &[u8] = b"applewall succession 1\n";
-/// Line of a new process that has the state and its sockets.
-const TAKEN_OVER: &[u8] = b"taken over\n";
-const SOCKET: &str = "applewall-n0.sock";
 const ENDPOINTS: u64 = 3;
 const REQUESTS: u64 = 60;
 /// Long enough for a command to be executed by a process that does not wait with it, and shorter than the time in which a
 /// command is answered.
 const COMMAND_HEAD_START: Duration = Duration::from_millis(300);
 
-/// Line of the old process that confirms the takeover.
-const CONFIRMATION: &[u8] = b"yours\n";
-
-/// What of the old process's lines reaches the new one.
-#[derive(Clone, Copy, PartialEq)]
-enum Forwarding {
-    All,
-    /// Nothing after the confirmation of the takeover, as from a version that sends no commands with it.
-    UpToConfirmation,
-}
-
-/// Stands between the two processes and holds back the new one's report that it has taken over: the old process has
-/// exported its state, and the new one does not serve yet.
-struct TransferGate {
-    reported: oneshot::Receiver<()>,
-    open: oneshot::Sender<()>,
-}
-
-impl TransferGate {
-    /// Takes the place of the running process's socket, for the next new process.
-    fn place(node: &Node, forwarding: Forwarding) -> Self {
-        let path = node.folder.path().join(SOCKET);
-        let old_process = node.folder.path().join("old.sock");
-        std::fs::rename(&path, &old_process).expect("renamed");
-        let listener = UnixListener::bind(&path).expect("a listener");
-        let (report, reported) = oneshot::channel();
-        let (open, opened) = oneshot::channel();
-        tokio::spawn(forward(listener, old_process, forwarding, report, opened));
-        TransferGate { reported, open }
-    }
-
-    /// Waits until the new process has reported that it has taken over.
-    async fn reported(&mut self) {
-        (&mut self.reported).await.expect("reported");
-    }
-
-    /// Passes the report on to the old process.
-    fn open(self) {
-        self.open.send(()).expect("the gate is waiting");
-    }
-}
-
-async fn forward(
-    listener: UnixListener,
-    old_process: PathBuf,
-    forwarding: Forwarding,
-    report: oneshot::Sender<()>,
-    opened: oneshot::Receiver<()>,
-) {
-    let (new, _) = listener.accept().await.expect("a new process");
-    let old = UnixStream::connect(old_process).await.expect("connected");
-    let (mut from_new, mut to_new) = new.into_split();
-    let (mut from_old, mut to_old) = old.into_split();
-    let mut greeting = [0; GREETING.len()];
-    from_new.read_exact(&mut greeting).await.expect("greeting");
-    to_old.write_all(&greeting).await.expect("written");
-    // The state: its length is in the last four of eight bytes.
-    let mut head = [0; 8];
-    from_old.read_exact(&mut head).await.expect("a head");
-    let length = u32::from_be_bytes([head[4], head[5], head[6], head[7]]);
-    let mut state = vec![0; length as usize];
-    from_old.read_exact(&mut state).await.expect("the state");
-    to_new.write_all(&head).await.expect("written");
-    to_new.write_all(&state).await.expect("written");
-    let mut line = [0; TAKEN_OVER.len()];
-    from_new.read_exact(&mut line).await.expect("a report");
-    assert_eq!(line, TAKEN_OVER);
-    let _ = report.send(());
-    let mut end = [0; 1];
-    tokio::select! {
-        _ = opened => {}
-        // The new process has died; both connections close.
-        _ = from_new.read(&mut end) => return,
-    }
-    to_old.write_all(&line).await.expect("written");
-    let mut confirmation = [0; CONFIRMATION.len()];
-    let confirmed = from_old.read_exact(&mut confirmation).await;
-    confirmed.expect("a confirmation");
-    to_new.write_all(&confirmation).await.expect("written");
-    let back = async {
-        match forwarding {
-            Forwarding::All => copy(&mut from_old, &mut to_new).await,
-            Forwarding::UpToConfirmation => copy(&mut from_old, &mut tokio::io::sink()).await,
-        }
-    };
-    tokio::select! {
-        _ = copy(&mut from_new, &mut to_old) => {}
-        _ = back => {}
-    }
-}
-
 /// An upgrade in the moment in which the new process has the state and waits for the confirmation.
 struct Upgrade {
     node: Arc<Node>,
     old: Daemon,
     new: Daemon,
-    gate: TransferGate,
+    gate: HotRestartGate,
 }
 
 impl Upgrade {
@@ -141,10 +43,11 @@
         for id in in_maintenance {
             expect_done(&old, &format!("DISABLE {id}")).await;
         }
-        let mut gate = TransferGate::place(&node, forwarding);
+        let gate = HotRestartGate::place(node.folder.path(), forwarding);
+        let mut gate = gate.expect("the gate is in place");
         let starting = node.clone();
         let new = tokio::task::spawn_blocking(move || starting.start()).await;
-        gate.reported().await;
+        gate.reported().await.expect("reported");
         Upgrade {
             node,
             old,
@@ -209,7 +112,7 @@
     for command in ["DISABLE s-1", "ENABLE s-0", "DRAIN"] {
         expect_done(&old, command).await;
     }
-    gate.open();
+    gate.open().expect("the new process waits");
     wait_until_ready(&new).await;
     let phase = admin_command(&new, "READY").await;
     assert!(phase.starts_with("done drain"), "{phase}");
@@ -238,7 +141,7 @@
         new
     });
     tokio::time::sleep(COMMAND_HEAD_START).await;
-    gate.open();
+    gate.open().expect("the new process waits");
     let new = later.await.expect("answered");
     wait_until_ready(&new).await;
     wait_until_count(&new, "s-2", 0).await;
@@ -252,7 +155,7 @@
     let Upgrade { old, new, gate, .. } = upgrade;
     let answer = admin_command(&new, "DISABLE s-0").await;
     assert!(answer.starts_with("error not decided in time"), "{answer}");
-    gate.open();
+    gate.open().expect("the new process waits");
     wait_until_count(&new, "s-2", 1).await;
     wait_until_count(&old, "s-2", 1).await;
 }
@@ -285,7 +188,7 @@
     for command in ["DISABLE s-1", "ENABLE s-0"] {
         expect_done(&old, command).await;
     }
-    gate.open();
+    gate.open().expect("the new process waits");
     wait_until_ready(&new).await;
     assert_eq!(
         count_in_maintenance(&new, "s-2").await,
