Fakes: the gate passes on at once what the old process writes at once

The confirmation and the commands that come with it went on in two writes, so that a slow machine could have the new process answer READY in between, and changes_at_the_old_process_during_the_transfer_... fail for the gate's sake.

--- a/crates/fakes/src/hot_restart_gate.rs
+++ b/crates/fakes/src/hot_restart_gate.rs
@@ -121,11 +121,14 @@
         _ = new.from.read(&mut further) => return Ok(()),
     }
     old.to.write_all(&line).await?;
-    forward_bytes(&mut old.from, &mut new.to, CONFIRMATION_BYTES).await?;
     let back = async {
         match forwarding {
+            // What the old process writes at once also arrives at once.
             Forwarding::All => copy(&mut old.from, &mut new.to).await,
-            Forwarding::UpToConfirmation => copy(&mut old.from, &mut sink()).await,
+            Forwarding::UpToConfirmation => {
+                forward_bytes(&mut old.from, &mut new.to, CONFIRMATION_BYTES).await?;
+                copy(&mut old.from, &mut sink()).await
+            }
         }
     };
     tokio::select! {
