Shutdown: the process exits after the admin commands that it has received are answered

Looked for on the way of the commands lost in an upgrade: the old process of an upgrade without clients exits at once after SIGTERM, also between the execution of a command and its answer; whether the new process had been told was a matter of chance, and the caller had none. Test: command_is_answered_before_the_old_process_exits_and_holds_in_the_new_one; without the wait it fails (the connection ends).

--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use applewall_admin::{AdminCommand, AdminResponse, LifecyclePhase, MaintenanceSet};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, OwnedRwLockReadGuard, RwLock};
 use tokio::time::timeout;
 
 use crate::admin::maintenance::{CommandOrigin, MaintenanceChange};
@@ -124,6 +124,8 @@
     /// Keeps changes in order. Held from the request to the engine or the lifecycle driver until the change is in the queues
     /// to the other process and to the state writer, so that both see changes in the order in which they took effect.
     pub change_lock: Arc<tokio::sync::Mutex<()>>,
+    /// Read-locked by each command from its receipt until its answer has been written.
+    pub open_commands: Arc<RwLock<()>>,
 }
 
 /// A change that is in effect in this process.
@@ -136,7 +138,27 @@
     write: Option<PendingWrite>,
 }
 
+/// Keeps the process from exiting until a command has its answer.
+pub(super) struct OpenCommand {
+    _guard: OwnedRwLockReadGuard<()>,
+}
+
 impl AdminHandle {
+    /// Begins a command; the process waits for it before it exits.
+    pub(super) async fn begin_command(&self) -> OpenCommand {
+        OpenCommand {
+            _guard: self.open_commands.clone().read_owned().await,
+        }
+    }
+
+    /// Waits until the commands that have been received are answered, which takes at most [`ANSWER_TIMEOUT`]. Later ones are
+    /// not answered any more.
+    pub(crate) async fn finish_commands(&self) {
+        let answered = self.open_commands.write();
+        // The process exits in either case.
+        let _ = timeout(ANSWER_TIMEOUT, answered).await;
+    }
+
     /// Executes a command from the admin address: in this process, and in the other one if there is one.
     pub(super) async fn execute(&self, command: AdminCommand) -> AdminResponse {
         if command == AdminCommand::Ready {
--- a/src/daemon/admin/handle/tests.rs
+++ b/src/daemon/admin/handle/tests.rs
@@ -13,6 +13,7 @@
         state_queue: None,
         other_process: watch::channel(None).1,
         change_lock: Arc::default(),
+        open_commands: Arc::default(),
     }
 }
 
--- a/src/daemon/admin/listener.rs
+++ b/src/daemon/admin/listener.rs
@@ -164,6 +164,7 @@
         return;
     };
     connection.command_received.store(true, Ordering::Relaxed);
+    let open_command = admin.begin_command().await;
     let command = line.map_err(|error| error.to_string()).and_then(|line| {
         line.parse::<AdminCommand>()
             .map_err(|error| error.to_string())
@@ -172,13 +173,22 @@
         Ok(command) => admin.execute(command).await,
         Err(reason) => AdminResponse::Error(reason),
     };
-    let _ = timeout(WRITE_TIMEOUT, write_answer(&mut stream, &answer)).await;
+    let written = async {
+        write_answer(&mut stream, &answer).await?;
+        drop(open_command);
+        wait_for_close(&mut stream).await
+    };
+    let _ = timeout(WRITE_TIMEOUT, written).await;
 }
 
-/// Writes the answer line and waits until the caller has closed the connection.
+/// Writes the answer line, and ends the output.
 async fn write_answer(stream: &mut TcpStream, answer: &AdminResponse) -> io::Result<()> {
     stream.write_all(format!("{answer}\n").as_bytes()).await?;
-    stream.shutdown().await?;
+    stream.shutdown().await
+}
+
+/// Waits until the caller has closed the connection.
+async fn wait_for_close(stream: &mut TcpStream) -> io::Result<()> {
     // Closing a socket with unread input sends a reset, which can make the caller lose the answer.
     let mut rest = [0; DISCARD_BYTES];
     while stream.read(&mut rest).await? > 0 {}
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -146,6 +146,7 @@
         state_queue: None,
         other_process: other_process_receiver,
         change_lock: Arc::default(),
+        open_commands: Arc::default(),
     };
     let name = format!("golden-{}", std::process::id());
     let hot_restart = HotRestart {
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::task::{JoinError, JoinSet};
 
+use crate::admin::handle::AdminHandle;
 use crate::admin::listener::AdminError;
 use crate::config::operator::OperatorConfig;
 use crate::config::platform::PlatformConfig;
@@ -116,18 +117,23 @@
     // dropped.
     node.start_hot_restart(bootstrap.transfer, role, admin.clone(), start.old_process)
         .await;
-    serve_until_stopped(acceptor, sockets.listener, engine_task).await
+    serve_until_stopped(acceptor, sockets.listener, admin, engine_task).await
 }
 
-/// Serves clients until the shutdown is complete. `engine_task` holds the engine's task, which is aborted when this
+/// Serves clients until the shutdown is complete and admin commands are answered. `engine_task` holds the engine's task, which is aborted when this
 /// function returns.
 async fn serve_until_stopped(
     acceptor: Acceptor,
     listener: TcpListener,
+    admin: AdminHandle,
     mut engine_task: JoinSet<()>,
 ) -> Result<(), ServeError> {
+    let served = async {
+        acceptor.serve(listener).await;
+        admin.finish_commands().await;
+    };
     tokio::select! {
-        () = acceptor.serve(listener) => {
+        () = served => {
             tracing::info!("shutdown complete");
             Ok(())
         }
--- a/src/daemon/serve/bootstrap.rs
+++ b/src/daemon/serve/bootstrap.rs
@@ -141,6 +141,7 @@
             state_queue: shared_directory.is_some().then_some(state_queue),
             other_process: other_process_reader,
             change_lock: Arc::default(),
+            open_commands: Arc::default(),
         };
         Ok(Bootstrap {
             config,
--- a/tests/upgrade_commands.rs
+++ b/tests/upgrade_commands.rs
@@ -213,3 +213,23 @@
         "done given back; 2 withheld in all"
     );
 }
+
+/// Guards against a process that exits while it executes a command, which the other process may not hear of then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn command_is_answered_before_the_old_process_exits_and_holds_in_the_new_one() {
+    let upgrade = Upgrade::begin(&[], Forwarding::All).await;
+    let Upgrade { old, new, gate, .. } = upgrade;
+    gate.open().expect("the new process waits");
+    wait_until_ready(&new).await;
+    // The old process waits for the new one's answer to the command, and has no client.
+    new.pause();
+    let stopped = async {
+        wait_for_log(&old, "endpoint in maintenance").await;
+        old.terminate();
+    };
+    let (answer, ()) = tokio::join!(old.admin_command("DISABLE s-0"), stopped);
+    let answer = answer.expect("answered");
+    assert!(answer.starts_with("done"), "{answer}");
+    new.resume();
+    wait_until_count(&new, "s-2", 1).await;
+}
