--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -1,10 +1,11 @@
 //! A fake endpoint with limited concurrency, random processing times, and responses that follow a script.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -16,6 +17,17 @@
 
 use crate::http::{self, Kind, Message};
 
+mod body_pieces;
+
+pub use body_pieces::{BodyFraming, BodyPieces};
+
+/// Maximum number of requests that an endpoint remembers with their ids.
+const MAX_ARRIVALS: usize = 4_096;
+
+/// The response of [`ResponseBehavior::Unprocessed`].
+const UNPROCESSED_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// How the bytes of a response are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseBehavior {
@@ -33,6 +45,10 @@
     PauseInBody(Duration),
     /// In chunks of one byte.
     ChunkPerByte,
+    /// The head at once, the body in pieces.
+    Pieces(BodyPieces),
+    /// A 503 that says that the request was never executed.
+    Unprocessed,
 }
 
 /// Responses that are sent differently from the others.
@@ -85,26 +101,49 @@
     pub connections: AtomicUsize,
     /// Responses whose connection was closed before they were complete.
     pub aborted_responses: AtomicU64,
-    last_request_at: Mutex<Option<Instant>>,
+    /// The latest requests, up to [`MAX_ARRIVALS`].
+    arrivals: Mutex<VecDeque<Arrival>>,
+}
+
+/// A request that arrived completely.
+#[derive(Clone, Debug)]
+struct Arrival {
+    correlation_id: String,
+    at: Instant,
 }
 
 impl RecordedRequests {
     /// Time at which the last request arrived completely.
     pub fn last_request_at(&self) -> Option<Instant> {
-        *self
-            .last_request_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.lock_arrivals().back().map(|arrival| arrival.at)
+    }
+
+    /// Times at which the requests with this correlation id arrived completely.
+    pub fn arrivals_of(&self, id: u64) -> Vec<Instant> {
+        let correlation_id = format!("{id:016x}");
+        let arrivals = self.lock_arrivals();
+        let of_id = arrivals
+            .iter()
+            .filter(|arrival| arrival.correlation_id == correlation_id);
+        of_id.map(|arrival| arrival.at).collect()
     }
 
-    fn record_request(&self) {
-        let mut last_request_at = self
-            .last_request_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *last_request_at = Some(Instant::now());
+    fn record_request(&self, request: &Message) {
+        let correlation_id = request.header("x-correlation-id").unwrap_or_default();
+        let mut arrivals = self.lock_arrivals();
+        if arrivals.len() == MAX_ARRIVALS {
+            arrivals.pop_front();
+        }
+        arrivals.push_back(Arrival {
+            correlation_id: correlation_id.to_string(),
+            at: Instant::now(),
+        });
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
+
+    fn lock_arrivals(&self) -> MutexGuard<'_, VecDeque<Arrival>> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A fake endpoint that runs until the runtime shuts down.
@@ -181,7 +220,7 @@
         let recorded = &self.recorded;
         let mut unread = Vec::new();
         while let Some(request) = http::read(&mut stream, &mut unread, Kind::Request).await? {
-            recorded.record_request();
+            recorded.record_request(&request);
             let script = self.script();
             let processing_time = rng.random_range(script.processing_time.clone());
             let behavior = match script.exception {
@@ -227,12 +266,14 @@
     let body = body(request, script.body_bytes);
     let framing = match behavior {
         ResponseBehavior::ChunkPerByte => "Transfer-Encoding: chunked".to_string(),
+        ResponseBehavior::Pieces(pieces) => pieces.framing_header(),
         _ => format!("Content-Length: {}", body.len()),
     };
     let head = format!("HTTP/1.1 200 OK\r\nX-Backend-Load: util=0.30\r\n{framing}\r\n\r\n");
     let (head, last) = (head.as_bytes(), body.len() - 1);
     match behavior {
         ResponseBehavior::Complete => stream.write_all(&[head, &body].concat()).await,
+        ResponseBehavior::Unprocessed => stream.write_all(UNPROCESSED_RESPONSE).await,
         ResponseBehavior::ByteByByte => {
             send_byte_by_byte(stream, &[head, &body].concat(), script.byte_interval).await
         }
@@ -255,14 +296,22 @@
         }
         ResponseBehavior::ChunkPerByte => {
             stream.write_all(head).await?;
-            for byte in &body {
-                stream
-                    .write_all(&[b"1\r\n", std::slice::from_ref(byte), b"\r\n"].concat())
-                    .await?;
-            }
-            stream.write_all(b"0\r\n\r\n").await
+            send_chunk_per_byte(stream, &body).await
         }
+        ResponseBehavior::Pieces(pieces) => {
+            stream.write_all(head).await?;
+            pieces.write(stream).await
+        }
+    }
+}
+
+async fn send_chunk_per_byte(stream: &mut TcpStream, body: &[u8]) -> io::Result<()> {
+    for byte in body {
+        stream
+            .write_all(&[b"1\r\n", std::slice::from_ref(byte), b"\r\n"].concat())
+            .await?;
     }
+    stream.write_all(b"0\r\n\r\n").await
 }
 
 async fn send_byte_by_byte(
--- /dev/null
+++ b/tests/late_responses.rs
@@ -0,0 +1,148 @@
+//! Responses whose parts arrive late: an endpoint that has begun a long response is not cut off, and a request that its
+//! endpoint reads slowly still gets its final response in time.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use applewall_fakes::clients::request;
+use applewall_fakes::daemon::Daemon;
+use applewall_fakes::discovery::{target, Discovery};
+use applewall_fakes::instance::{
+    BodyFraming, BodyPieces, Exception, Instance, ResponseBehavior, Script,
+};
+use applewall_fakes::wait::wait_until;
+use support::daemon::{connect_to, small_daemon, start_daemon, Environment, Scenario, TIME_LEFT};
+use support::slow_endpoint::SlowEndpoint;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Later than the timeout of an attempt that can be retried: 1.2 times the latency objective of 0.8 s.
+const BODY_DELAY: Duration = Duration::from_millis(1_500);
+const PIECE_BYTES: usize = 1_000;
+const PIECES: usize = 100;
+/// Just below the daemon's limit for a body.
+const LARGE_BODY_BYTES: usize = 60_000;
+const SHORT_TIME_LEFT: Duration = Duration::from_millis(1_000);
+/// A response this long after its deadline still counts.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+
+fn late_body(framing: BodyFraming) -> Script {
+    Script {
+        processing_time: Duration::from_millis(40)..=Duration::from_millis(41),
+        exception: Some(Exception {
+            one_in: 1,
+            behavior: ResponseBehavior::Pieces(BodyPieces {
+                framing,
+                first_after: BODY_DELAY,
+                piece_bytes: PIECE_BYTES,
+                interval: Duration::from_millis(10),
+                pieces: PIECES,
+            }),
+        }),
+        ..Script::default()
+    }
+}
+
+fn requests(environment: &Environment) -> u64 {
+    let count = |instance: &Instance| instance.recorded.requests.load(Ordering::Relaxed);
+    environment.instances.iter().map(count).sum()
+}
+
+/// Guards against the attempt's timeout cutting off a response whose head has arrived and whose body is late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_response_with_a_late_body_is_not_cut_off_at_the_timeout_of_its_attempt() {
+    for (name, framing) in [
+        ("late-length", BodyFraming::Length),
+        ("late-chunked", BodyFraming::Chunked),
+        ("late-close", BodyFraming::Close),
+    ] {
+        let environment = Scenario::new(name)
+            .instance(late_body(framing))
+            .instance(late_body(framing))
+            .start()
+            .await;
+        let mut client = connect_to(&environment.daemon).await;
+        let text = request(1, 1, TIME_LEFT, 0).replace("Host:", "Connection: close\r\nHost:");
+        client.write_all(text.as_bytes()).await.expect("written");
+        let mut response = Vec::new();
+        client.read_to_end(&mut response).await.expect("read");
+        let body_bytes = response.iter().filter(|byte| **byte == b'.').count();
+        assert!(response.starts_with(b"HTTP/1.1 200"), "{name}");
+        // The head may hold dots too.
+        assert!(
+            body_bytes >= PIECE_BYTES * PIECES,
+            "{name}: {body_bytes} bytes of the body"
+        );
+        assert_eq!(requests(&environment), 1, "{name}");
+    }
+}
+
+/// Three endpoints that read slowly, and a daemon that knows them.
+async fn start_with_slow_endpoints(name: &str) -> (Daemon, Vec<SlowEndpoint>, Discovery) {
+    let endpoints: Vec<_> = (0..3).map(|_| SlowEndpoint::start()).collect();
+    let entry = |(number, endpoint): (usize, &SlowEndpoint)| {
+        target(&format!("s-{number}"), endpoint.address, "in_service")
+    };
+    let known: Vec<_> = endpoints.iter().enumerate().map(entry).collect();
+    let discovery = Discovery::start(known.clone()).await.expect("discovery");
+    let daemon = start_daemon(name, &small_daemon(discovery.address, known));
+    (daemon, endpoints, discovery)
+}
+
+fn large_request(id: u64, time_left: Duration) -> String {
+    request(id, 1, time_left, LARGE_BODY_BYTES) + &"x".repeat(LARGE_BODY_BYTES)
+}
+
+/// Guards against a final response after its time where an endpoint reads a large request slowly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_its_endpoint_reads_slowly_is_answered_in_time() {
+    let (daemon, _endpoints, _discovery) = start_with_slow_endpoints("late-reader").await;
+    for time_left in [SHORT_TIME_LEFT, TIME_LEFT] {
+        let mut client = connect_to(&daemon).await;
+        let text = large_request(time_left.as_millis() as u64, time_left);
+        client.write_all(text.as_bytes()).await.expect("written");
+        let sent_at = Instant::now();
+        let read = client.read(&mut [0; 12]).await.expect("a response");
+        let waited = sent_at.elapsed();
+        assert!(read > 0, "closed without a response");
+        assert!(
+            waited < time_left + RESPONSE_SLACK,
+            "answered after {waited:?} of {time_left:?}"
+        );
+    }
+}
+
+/// Guards against a request that reaches its endpoint whole, out of the kernel's buffers, after it was given up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_was_given_up_does_not_reach_its_endpoint_any_more() {
+    let (daemon, endpoints, _discovery) = start_with_slow_endpoints("given-up").await;
+    for (id, leaves) in [(1, false), (2, true)] {
+        let mut client = connect_to(&daemon).await;
+        let text = large_request(id, SHORT_TIME_LEFT);
+        client.write_all(text.as_bytes()).await.expect("written");
+        let open = || {
+            let open = endpoints
+                .iter()
+                .map(|endpoint| endpoint.open.load(Ordering::Relaxed));
+            open.sum::<u64>()
+        };
+        wait_until("an attempt has begun", || open() > 0).await;
+        if !leaves {
+            let read = client.read(&mut [0; 12]).await.expect("a response");
+            assert!(read > 0, "closed without a response");
+        }
+        drop(client);
+        wait_until("the endpoints have seen the end of all attempts", || {
+            open() == 0
+        })
+        .await;
+        for endpoint in &endpoints {
+            let most_read = endpoint.most_read.load(Ordering::Relaxed);
+            assert!(
+                most_read < LARGE_BODY_BYTES as u64,
+                "client leaves: {leaves}; {most_read} bytes read"
+            );
+        }
+    }
+}
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -295,3 +295,38 @@
         "{many} entries after 3,000 customers, {few} after 20"
     );
 }
+
+/// Guards against an entry for every name where a client sends requests under ever new customer names.
+#[test]
+fn stored_state_is_bounded_during_a_flood_of_new_customers_and_known_ones_are_served() {
+    const MAX_ENTRIES: usize = 10_000;
+    let mut driver = PolicyDriver::new(settings(), 5, &six_endpoints());
+    let (mut known_requests, mut known_forwarded) = (0, 0);
+    for number in 0..60_000u32 {
+        let (id, actions) = driver.request(SAFE, PlanId(0), &format!("new{number}"), 1.0);
+        if let Some(to) = attempted_endpoint(&actions) {
+            driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
+        }
+        if number % 1_000 == 0 {
+            let (id, actions) = driver.request(SAFE, PlanId(0), "known", 1.0);
+            known_requests += 1;
+            if let Some(to) = attempted_endpoint(&actions) {
+                known_forwarded += 1;
+                driver.finish_attempt(id, 0, &to, Outcome::Success, 20);
+            }
+        }
+        driver.advance(MILLISECOND / 5);
+        let entries = driver.policy.entry_count();
+        assert!(
+            entries <= MAX_ENTRIES,
+            "{entries} entries after {number} customers"
+        );
+    }
+    assert!(
+        known_forwarded * 2 >= known_requests,
+        "{known_forwarded} of {known_requests} requests of a known customer forwarded"
+    );
+    driver.advance(30 * SECOND);
+    let (_, actions) = driver.request(SAFE, PlanId(0), "after", 1.0);
+    assert!(attempted_endpoint(&actions).is_some());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod large_fleet;
 pub(crate) mod node;
 pub(crate) mod policy;
+pub(crate) mod slow_endpoint;
