Disconnect: a client's socket is read ahead before each send, not only peeked at

Seen: requests were forwarded up to 0.6 s after their client had closed its connection: the second request of two in one write, and retries of the first. Cause: ClientSocket::is_closed peeked at the socket and took unread bytes for a client that waits. The bytes are read ahead by RequestGuard::poll_disconnect, which hyper polls only while its own buffer is empty; after one write of several requests it is not. Behind more than 512 KiB nothing was read at all. Change: the state of what was read ahead moved into ClientSocket; each check reads what is there, and finds the end behind it. A client that has sent more than the limit counts as gone, since its end can no longer be found.

--- a/src/daemon/server/client_socket/tests.rs
+++ b/src/daemon/server/client_socket/tests.rs
@@ -1,8 +1,9 @@
 use std::io::Write;
 
+use tokio::io::ReadBuf;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::ClientSocket;
+use super::{ClientSocket, MAX_DISCARDED_BYTES, MAX_PIPELINED_BYTES};
 
 /// The client's end and the daemon's end of a connection.
 async fn connection() -> (std::net::TcpStream, TcpStream) {
@@ -34,4 +35,41 @@
     socket.attach(&stream);
     client.write_all(b"GET").expect("request sent");
     assert!(!socket.is_closed());
+    let mut taken = [0; 8];
+    let mut buffer = ReadBuf::new(&mut taken);
+    socket.take_pipelined(&mut buffer);
+    assert_eq!(buffer.filled(), b"GET");
+    assert!(!socket.has_pipelined_input());
+}
+
+/// Guards against a disconnect that is hidden by the bytes before it.
+#[tokio::test]
+async fn disconnect_behind_unread_bytes_is_detected() {
+    for unread_bytes in [1, MAX_PIPELINED_BYTES, MAX_PIPELINED_BYTES + 1] {
+        let (mut client, stream) = connection().await;
+        let socket = ClientSocket::default();
+        socket.attach(&stream);
+        client.write_all(&vec![b'x'; unread_bytes]).expect("sent");
+        drop(client);
+        assert!(socket.is_closed(), "{unread_bytes} bytes");
+    }
+}
+
+/// Guards against attempts for a client whose disconnect lies behind more bytes than are read ahead.
+#[tokio::test]
+async fn client_whose_disconnect_can_no_longer_be_detected_counts_as_closed() {
+    let (mut client, stream) = connection().await;
+    let socket = ClientSocket::default();
+    socket.attach(&stream);
+    let flood = std::thread::spawn(move || {
+        // Fails once the daemon's end is closed.
+        let _ = client.write_all(&vec![b'x'; 4 * MAX_DISCARDED_BYTES]);
+        client
+    });
+    while !socket.is_closed() {
+        tokio::task::yield_now().await;
+    }
+    assert!(socket.discarded_bytes() >= MAX_DISCARDED_BYTES);
+    drop(stream);
+    drop(flood.join().expect("the client does not panic"));
 }
--- a/src/daemon/server/framing.rs
+++ b/src/daemon/server/framing.rs
@@ -11,21 +11,14 @@
 use std::task::{ready, Context, Poll};
 
 use applewall_slow_peer::socket::MonitoredConnection;
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::server::client_socket::ReadAheadEnd;
 use crate::server::connection_table::ClientConnection;
 use crate::server::head_scanner::HeadScanner;
 use crate::system::observed_stream::{IoObserver, ObservedStream};
 
-/// Maximum number of bytes received while a response is pending that are stored and later read as the next request.
-const MAX_PIPELINED_BYTES: usize = 16 * 1024;
-/// Maximum number of bytes received while a response is pending that are read and discarded. They have to be read to
-/// detect the end of the connection after them; the limit stops reading from a client that floods the connection.
-const MAX_DISCARDED_BYTES: usize = 512 * 1024;
-/// Size of one read while a response is pending.
-const READ_AHEAD_BYTES: usize = 2048;
-
 /// A client's stream whose input is checked by a [`RequestGuard`].
 pub(crate) type GuardedStream = ObservedStream<RequestGuard>;
 
@@ -36,10 +29,6 @@
     registration: Option<MonitoredConnection>,
     scanner: HeadScanner,
     connection: Arc<ClientConnection>,
-    /// Input received while a response is pending: the beginning of the next request.
-    pipelined: Vec<u8>,
-    /// Number of bytes that were read after the stored ones and discarded.
-    discarded_bytes: usize,
 }
 
 impl RequestGuard {
@@ -52,14 +41,12 @@
             registration,
             scanner: HeadScanner::default(),
             connection,
-            pipelined: Vec::new(),
-            discarded_bytes: 0,
         }
     }
 
     /// True if input after the last request has been read and not served.
     pub(crate) fn has_pipelined_input(&self) -> bool {
-        !self.pipelined.is_empty()
+        self.connection.socket.has_pipelined_input()
     }
 
     /// Reads input that arrives while a response is pending; ready only at the end of the connection. Once hyper holds
@@ -67,31 +54,24 @@
     /// served.
     fn poll_disconnect(
         &mut self,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; READ_AHEAD_BYTES];
-        while self.discarded_bytes < MAX_DISCARDED_BYTES {
-            let mut buffer = ReadBuf::new(&mut chunk);
-            ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer))?;
-            match buffer.filled() {
-                [] => return Poll::Ready(Ok(())),
-                bytes => self.store_or_discard(bytes),
+        loop {
+            ready!(stream.poll_read_ready(context))?;
+            let read = stream.try_io(Interest::READABLE, || self.connection.socket.read_ahead());
+            if self.connection.socket.has_discarded_input() {
+                // Bytes are missing from here on, so no later input can be read as a request, and the connection closes
+                // after its response.
+                self.connection.set_unread_input();
+            }
+            match read {
+                Ok(ReadAheadEnd::Closed) => return Poll::Ready(Ok(())),
+                Ok(ReadAheadEnd::LimitReached) => return Poll::Pending,
+                // The readiness was outdated, and has been cleared.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
             }
-        }
-        Poll::Pending
-    }
-
-    /// Stores bytes received while a response is pending, or discards them if they exceed the limit.
-    fn store_or_discard(&mut self, bytes: &[u8]) {
-        let fits = self.pipelined.len() + bytes.len() <= MAX_PIPELINED_BYTES;
-        if fits && self.discarded_bytes == 0 {
-            self.pipelined.extend_from_slice(bytes);
-        } else {
-            // Bytes are missing from here on, so no later input can be read as a request, and the connection closes
-            // after its response.
-            self.discarded_bytes += bytes.len();
-            self.connection.set_unread_input();
         }
     }
 }
@@ -113,17 +93,17 @@
             return self.poll_disconnect(stream, context);
         }
         let before = buffer.filled().len();
-        if self.discarded_bytes > 0 {
+        let socket = &self.connection.socket;
+        if socket.has_discarded_input() {
             // The stored bytes may end in the middle of a request, so they are not passed to hyper: it sees the end of
             // the connection instead.
+            self.connection.set_unread_input();
             return Poll::Ready(Ok(()));
         }
-        if self.pipelined.is_empty() {
-            ready!(Pin::new(stream).poll_read(context, buffer))?;
+        if socket.has_pipelined_input() {
+            socket.take_pipelined(buffer);
         } else {
-            let taken = self.pipelined.len().min(buffer.remaining());
-            buffer.put_slice(&self.pipelined[..taken]);
-            self.pipelined.drain(..taken);
+            ready!(Pin::new(stream).poll_read(context, buffer))?;
         }
         if self
             .scanner
--- a/src/daemon/server/framing/tests.rs
+++ b/src/daemon/server/framing/tests.rs
@@ -3,9 +3,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::{
-    GuardedStream, RequestGuard, MAX_DISCARDED_BYTES, MAX_PIPELINED_BYTES, READ_AHEAD_BYTES,
-};
+use super::{GuardedStream, RequestGuard};
+use crate::server::client_socket::{MAX_DISCARDED_BYTES, MAX_PIPELINED_BYTES, READ_AHEAD_BYTES};
 use crate::server::connection_table::{ClientConnection, ConnectionTable};
 
 /// A guarded stream with a request whose response is pending, the state of its connection, and the client's end.
@@ -21,8 +20,10 @@
     let connection = Arc::<ConnectionTable>::default().insert(permit, Arc::default(), None);
     connection.begin_request();
     connection.await_response();
+    let server = server.unwrap();
+    connection.socket.attach(&server);
     (
-        GuardedStream::new(server.unwrap(), RequestGuard::new(connection.clone(), None)),
+        GuardedStream::new(server, RequestGuard::new(connection.clone(), None)),
         connection,
         client.unwrap().0,
     )
@@ -80,7 +81,7 @@
 
 #[tokio::test]
 async fn flood_behind_a_request_is_read_up_to_a_bound() {
-    let (mut guarded, _connection, mut client) = awaiting_response().await;
+    let (mut guarded, connection, mut client) = awaiting_response().await;
     let flood = tokio::spawn(async move {
         let chunk = vec![b'x'; 64 * 1024];
         let mut sent = 0;
@@ -90,7 +91,7 @@
         sent
     });
     // The client never stops sending: unread input blocks it and takes no memory of this process.
-    while guarded.observer().discarded_bytes < MAX_DISCARDED_BYTES {
+    while connection.socket.discarded_bytes() < MAX_DISCARDED_BYTES {
         let mut one = [0; 1];
         let read =
             tokio::time::timeout(std::time::Duration::from_millis(10), guarded.read(&mut one));
@@ -99,10 +100,8 @@
             "neither the end nor a byte is returned"
         );
     }
-    let (read, stored) = (
-        guarded.observer().discarded_bytes,
-        guarded.observer().pipelined.capacity(),
-    );
+    let socket = &connection.socket;
+    let (read, stored) = (socket.discarded_bytes(), socket.stored_capacity());
     assert!(tokio::time::timeout(
         std::time::Duration::from_millis(10),
         guarded.read(&mut [0; 1])
@@ -110,7 +109,7 @@
     .await
     .is_err());
     assert!(
-        guarded.observer().discarded_bytes == read
+        socket.discarded_bytes() == read
             && read <= MAX_DISCARDED_BYTES + READ_AHEAD_BYTES
             && stored <= 2 * MAX_PIPELINED_BYTES
     );
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -76,18 +76,34 @@
     arrivals
 }
 
-/// Writes `text` on a new connection, and leaves once the request with [`ID`] has reached an endpoint. Returns when it left.
-async fn send_and_leave(node: &Node, daemon: &Daemon, text: &[u8]) -> Instant {
+/// Writes `text` on a new connection, and waits until the request with [`ID`] has reached an endpoint.
+async fn send_until_forwarded(node: &Node, daemon: &Daemon, text: &[u8]) -> TcpStream {
     let mut client = connect_to(daemon).await;
     client.write_all(text).await.expect("written");
     wait_until("the request has reached an endpoint", || {
         !arrivals(node, ID).is_empty()
     })
     .await;
-    drop(client);
+    client
+}
+
+/// Like [`send_until_forwarded`], and leaves then. Returns when it left.
+async fn send_and_leave(node: &Node, daemon: &Daemon, text: &[u8]) -> Instant {
+    drop(send_until_forwarded(node, daemon, text).await);
     Instant::now()
 }
 
+/// Writes bytes until all are written or the kernel takes no more.
+async fn write_without_waiting(client: &TcpStream, mut bytes: &[u8]) {
+    client.writable().await.expect("writable");
+    while let Ok(written) = client.try_write(bytes) {
+        bytes = &bytes[written..];
+        if bytes.is_empty() {
+            return;
+        }
+    }
+}
+
 /// Asserts that no request of the client has reached an endpoint since it left.
 fn assert_nothing_forwarded_since(left_at: Instant, node: &Node, context: &str) {
     let late = (0..PIPELINED_REQUESTS)
@@ -130,8 +146,10 @@
     ] {
         let node = node(NON_IDEMPOTENT_CLASS, ResponseBehavior::Unprocessed).await;
         let daemon = node.start();
-        let text = text + &"z".repeat(UNREAD_BYTES);
-        let left_at = send_and_leave(&node, &daemon, text.as_bytes()).await;
+        let client = send_until_forwarded(&node, &daemon, text.as_bytes()).await;
+        write_without_waiting(&client, &[b'z'; UNREAD_BYTES]).await;
+        drop(client);
+        let left_at = Instant::now();
         wait_for_other_client(&daemon).await;
         assert_nothing_forwarded_since(left_at, &node, framing);
     }
