Attempts: a request that is given up is discarded, not delivered out of the kernel's buffer

Seen (related find): an endpoint that reads slowly received the whole of a request of 60 kB after its client had its final response, or had left. To the platform that is an attempt that begins after the client has gone, and beside the next attempt a second copy. Cause: the connection of an attempt that ends without a response was closed in the usual way; the kernel then still delivers what it has buffered. Change: ConnectionObserver sets SO_LINGER to 0 before the stream closes if the exchange is incomplete, so that the kernel discards the rest and resets the connection.

--- a/src/daemon/upstream/connection.rs
+++ b/src/daemon/upstream/connection.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd, RawFd};
 use std::pin::{pin, Pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -76,10 +77,30 @@
     pub check_socket: AtomicBool,
     /// Set while a response is streamed to the client, which may take longer than the connection lasts.
     pub streaming: AtomicBool,
+    /// Set while an exchange is incomplete. If the connection is closed then, it is reset.
+    pub exchange_open: AtomicBool,
 }
 
 /// Updates the [`ConnectionWatch`] on reads and writes of a connection's stream.
-pub(crate) struct ConnectionObserver(Arc<ConnectionWatch>);
+pub(crate) struct ConnectionObserver {
+    watch: Arc<ConnectionWatch>,
+    /// The descriptor of the stream, which is dropped after the observer.
+    descriptor: RawFd,
+}
+
+impl Drop for ConnectionObserver {
+    /// Resets the connection if its exchange is incomplete: closed in the usual way, the kernel would still deliver a
+    /// request that was given up.
+    fn drop(&mut self) {
+        if !self.watch.exchange_open.load(Ordering::Relaxed) {
+            return;
+        }
+        // SAFETY: the stream is open, since `ObservedStream` drops the observer first.
+        let descriptor = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
+        // Ignored: without the option the endpoint may receive the request, but its connection ends all the same.
+        let _ = SockRef::from(&descriptor).set_linger(Some(Duration::ZERO));
+    }
+}
 
 impl IoObserver for ConnectionObserver {
     fn poll_read(
@@ -88,7 +109,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let watch = &*self.0;
+        let watch = &*self.watch;
         if watch.check_socket.swap(false, Ordering::Relaxed) {
             // The kernel may have received data that the reactor has not noticed yet. On an idle connection that is
             // either the end of the connection, or bytes that belong to no request and would be read as the response to
@@ -109,7 +130,9 @@
 
     fn observe_write(&self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = result {
-            self.0.written.fetch_add(*bytes as u64, Ordering::Relaxed);
+            self.watch
+                .written
+                .fetch_add(*bytes as u64, Ordering::Relaxed);
         }
     }
 }
@@ -159,7 +182,11 @@
         // Ignored: without TCP_NODELAY requests are slower, but not wrong.
         let _ = stream.set_nodelay(true);
         let watch = Arc::new(ConnectionWatch::default());
-        let stream = ObservedStream::new(stream, ConnectionObserver(watch.clone()));
+        let observer = ConnectionObserver {
+            watch: watch.clone(),
+            descriptor: stream.as_raw_fd(),
+        };
+        let stream = ObservedStream::new(stream, observer);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/src/daemon/upstream/exchange.rs
+++ b/src/daemon/upstream/exchange.rs
@@ -69,6 +69,7 @@
             ..
         } = &mut connection;
         let written_before = watch.written.load(Ordering::Relaxed);
+        watch.exchange_open.store(true, Ordering::Relaxed);
         let response = self.request_response(sender, watch, request, stream_start);
         let is_streaming = || watch.streaming.load(Ordering::Relaxed);
         let response = drive(driver, response, is_streaming).await.flatten();
@@ -77,6 +78,7 @@
             let written = watch.written.load(Ordering::Relaxed) - written_before;
             return Err(ExchangeFailure::from_bytes_written(written).into());
         };
+        watch.exchange_open.store(false, Ordering::Relaxed);
         self.return_to_pool(connection).await;
         Ok(response)
     }
