Attempts: an endpoint that has begun a long response is not cut off at the attempt's timeout

Seen: requests were refused after three attempts at sound endpoints; each had sent its response head and was closed by the node before the body came. Cause: the attempt's timeout ran until the response was complete or its first body bytes had arrived (attempt.rs, await_deciding_event; body.rs, prefetch and first_chunk wait for a byte). Then the head is forwarded, also without a byte of the body; if none follows within 0.5 s the response ends as incomplete. Price: a head of unknown length whose body never comes was retried before; it is an incomplete response now.

--- a/src/daemon/engine/attempts.rs
+++ b/src/daemon/engine/attempts.rs
@@ -105,15 +105,13 @@
         }
     }
 
-    /// Converts the deadlines to the system's clock. If a retry is allowed, its deadline is that of the request's last
-    /// attempt.
+    /// Converts the deadlines to the system's clock.
     fn deadlines(&self, clock: &Clock, facts: &StartFacts) -> AttemptDeadlines {
         AttemptDeadlines {
             response_by: clock.instant(self.response_by_ns),
             first_byte_by: self.first_byte_by_ns.map(|at| clock.instant(at)),
-            retry_response_by: facts
-                .allows_retry()
-                .then(|| clock.instant(self.last_response_by_ns)),
+            last_response_by: clock.instant(self.last_response_by_ns),
+            allows_retry: facts.allows_retry(),
         }
     }
 }
--- a/src/daemon/upstream/attempt.rs
+++ b/src/daemon/upstream/attempt.rs
@@ -5,8 +5,9 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use applewall::api::{EndpointId, LoadField, Outcome, RequestId};
 use hyper::header::CONTENT_TYPE;
@@ -20,6 +21,10 @@
 use crate::engine::message::{AttemptEnded, ForwardedRequest, Message};
 use crate::server::response::ServedResponse;
 
+/// An exchange has this long to begin forwarding a long response at the request's last deadline, before the attempt times
+/// out.
+const LONG_RESPONSE_MARGIN: Duration = Duration::from_millis(5);
+
 /// An attempt that the send rule has allowed to start.
 pub(crate) struct Attempt {
     /// The request that it belongs to.
@@ -51,16 +56,18 @@
     async move {
         let started = Instant::now();
         let (stream_start, mut stream_started) = oneshot::channel();
+        let long_response_begun = AtomicBool::new(false);
         let exchange = Exchange {
             context: &context,
             forwarded: &forwarded,
             deadlines,
+            long_response_begun: &long_response_begun,
         };
         let exchange = exchange.run(lease, stream_start);
         tokio::pin!(exchange);
-        let deadline = deadlines.response_by;
+        let timeout = time_out(deadlines, &long_response_begun);
         let event =
-            await_deciding_event(exchange.as_mut(), &mut stream_started, cancelled, deadline).await;
+            await_deciding_event(exchange.as_mut(), &mut stream_started, cancelled, timeout).await;
         let latency = started.elapsed();
         let (result, is_streaming) = match event {
             DecidingEvent::Ended(result) => (result, false),
@@ -86,6 +93,16 @@
     }
 }
 
+/// Completes when the attempt times out. An endpoint that has begun a long response is not cut off: the exchange begins to
+/// forward the response by the request's last deadline.
+async fn time_out(deadlines: AttemptDeadlines, long_response_begun: &AtomicBool) {
+    tokio::time::sleep_until(deadlines.response_by.into()).await;
+    if long_response_begun.load(Ordering::Relaxed) {
+        let at_the_latest = deadlines.last_response_by + LONG_RESPONSE_MARGIN;
+        tokio::time::sleep_until(at_the_latest.into()).await;
+    }
+}
+
 /// The event that determines the result of an attempt.
 enum DecidingEvent {
     /// The exchange has ended or is abandoned.
@@ -102,7 +119,7 @@
     exchange: Pin<&mut impl Future<Output = Result<UpstreamResponse, Outcome>>>,
     stream_started: &mut oneshot::Receiver<UpstreamResponse>,
     cancelled: oneshot::Receiver<()>,
-    deadline: Instant,
+    timeout: impl Future<Output = ()>,
 ) -> DecidingEvent {
     let result = tokio::select! {
         biased;
@@ -110,7 +127,7 @@
         // From here on the client's reading rate determines the duration, so the attempt's deadline no longer applies.
         Ok(response) = &mut *stream_started => return DecidingEvent::Streaming(response),
         _ = cancelled => Err(Outcome::Cancelled),
-        () = tokio::time::sleep_until(deadline.into()) => Err(Outcome::TimedOut),
+        () = timeout => Err(Outcome::TimedOut),
     };
     // If a response began and ended in one poll, the received data is in the streaming body of the response that began.
     DecidingEvent::Ended(result.map(|response| stream_started.try_recv().unwrap_or(response)))
--- a/src/daemon/upstream/body.rs
+++ b/src/daemon/upstream/body.rs
@@ -2,7 +2,7 @@
 //!
 //! At most the maximum prefetch length is held in memory.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -16,6 +16,9 @@
 /// A streamed response may make no progress for this long, on either side. Bounds how long an endpoint that stopped
 /// sending or a client that stopped reading can occupy two connections.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for the first byte of a body after its head alone was forwarded at the request's deadline. A response counts up to
+/// half a second after the deadline.
+const FIRST_BYTE_GRACE: Duration = Duration::from_millis(500);
 
 /// The body of an endpoint's response.
 pub(crate) type UpstreamBody = hyper::body::Incoming;
@@ -47,22 +50,24 @@
 }
 
 /// Prefetches a body; `None` if it is malformed. A body of unknown length may be a stream whose first bytes the client
-/// needs immediately, so it is prefetched for a short time only.
-pub(super) async fn prefetch(body: &mut UpstreamBody) -> Option<Prefetched> {
+/// needs immediately, so it is prefetched for a short time only. If none has arrived by `forward_by`, there is nothing to
+/// prefetch.
+pub(super) async fn prefetch(body: &mut UpstreamBody, forward_by: Instant) -> Option<Prefetched> {
     let mut received = BytesMut::new();
-    let timeout = match body.size_hint().exact() {
-        Some(_) => Duration::MAX,
-        None => PREFETCH_TIMEOUT,
-    };
-    let prefetch_timeout = tokio::time::sleep(timeout);
-    tokio::pin!(prefetch_timeout);
+    let has_unknown_length = body.size_hint().exact().is_none();
+    let prefetch_timeout = tokio::time::sleep(PREFETCH_TIMEOUT);
+    let nothing_received = tokio::time::sleep_until(forward_by.into());
+    tokio::pin!(prefetch_timeout, nothing_received);
     loop {
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = &mut prefetch_timeout, if !received.is_empty() => {
+            () = &mut prefetch_timeout, if has_unknown_length && !received.is_empty() => {
                 return Some(Prefetched::partial(received.freeze()));
             }
+            () = &mut nothing_received, if has_unknown_length && received.is_empty() => {
+                return Some(Prefetched::partial(Bytes::new()));
+            }
         };
         let Some(frame) = frame else {
             return Some(Prefetched::complete(received.freeze()));
@@ -81,26 +86,40 @@
     }
 }
 
-/// Reads the first chunk of a body that cannot be prefetched; `None` if the body is malformed.
-pub(super) async fn first_chunk(body: &mut UpstreamBody) -> Option<Prefetched> {
-    while let Some(frame) = body.frame().await {
+/// Reads the first chunk of a body that cannot be prefetched; `None` if the body is malformed. The chunk is empty if none
+/// has arrived by `forward_by`.
+pub(super) async fn first_chunk(
+    body: &mut UpstreamBody,
+    forward_by: Instant,
+) -> Option<Prefetched> {
+    loop {
+        let frame = match tokio::time::timeout_at(forward_by.into(), body.frame()).await {
+            Err(_) => return Some(Prefetched::partial(Bytes::new())),
+            Ok(None) => return Some(Prefetched::complete(Bytes::new())),
+            Ok(Some(frame)) => frame,
+        };
         if let Ok(bytes) = frame.ok()?.into_data() {
             let is_complete = body.is_end_stream();
             return Some(Prefetched { bytes, is_complete });
         }
     }
-    Some(Prefetched::complete(Bytes::new()))
 }
 
 /// Streams the rest of a body; false if the body is malformed, or if either side stalled or closed its connection.
 pub(super) async fn forward(sender: BodySender, first: Bytes, body: &mut UpstreamBody) -> bool {
-    if sender.send(first).await.is_err() {
+    let mut idle_timeout = if first.is_empty() {
+        FIRST_BYTE_GRACE
+    } else {
+        STREAM_IDLE_TIMEOUT
+    };
+    if !first.is_empty() && sender.send(first).await.is_err() {
         return false;
     }
     loop {
-        let Ok(frame) = tokio::time::timeout(STREAM_IDLE_TIMEOUT, body.frame()).await else {
+        let Ok(frame) = tokio::time::timeout(idle_timeout, body.frame()).await else {
             return false;
         };
+        idle_timeout = STREAM_IDLE_TIMEOUT;
         let frame = match frame {
             None => break,
             Some(Err(_)) => return false,
--- a/src/daemon/upstream/exchange.rs
+++ b/src/daemon/upstream/exchange.rs
@@ -5,7 +5,7 @@
 //! failure, the number of bytes written determines whether the request may have been executed.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use applewall::api::Outcome;
@@ -46,6 +46,8 @@
     pub forwarded: &'a ForwardedRequest,
     /// Checked before the first byte; the time left is sent to the endpoint.
     pub deadlines: AttemptDeadlines,
+    /// Set once the head of a successful response has arrived that is longer than is prefetched, or may be.
+    pub long_response_begun: &'a AtomicBool,
 }
 
 impl Exchange<'_> {
@@ -177,10 +179,13 @@
         let length = body.size_hint().exact();
         let success = classify(parts.status, &parts.headers) == Outcome::Success;
         let permit = self.acquire_prefetch(length);
+        let is_long = success && (length.is_none() || permit.is_none());
+        self.long_response_begun.store(is_long, Ordering::Relaxed);
+        let forward_by = self.deadlines.last_response_by;
         let prefetched = match (&self.context.response_monitor, &permit) {
-            (_, None) if success => body::first_chunk(&mut body).await?,
-            (None, _) => body::prefetch(&mut body).await?,
-            (Some(monitor), _) => monitor.prefetch(&mut body, self.deadlines).await?,
+            (_, None) if success => body::first_chunk(&mut body, forward_by).await?,
+            (Some(monitor), _) if !is_long => monitor.prefetch(&mut body, self.deadlines).await?,
+            _ => body::prefetch(&mut body, forward_by).await?,
         };
         let response = |headers, body| UpstreamResponse {
             status: parts.status,
--- a/src/daemon/upstream/exchange/tests.rs
+++ b/src/daemon/upstream/exchange/tests.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, LazyLock, Weak};
 use std::time::{Duration, Instant};
 
@@ -53,10 +54,12 @@
 }
 
 fn deadlines() -> AttemptDeadlines {
+    let response_by = Instant::now() + Duration::from_secs(20);
     AttemptDeadlines {
-        response_by: Instant::now() + Duration::from_secs(20),
+        response_by,
+        last_response_by: response_by,
         first_byte_by: None,
-        retry_response_by: None,
+        allows_retry: false,
     }
 }
 
@@ -78,6 +81,7 @@
         context: &context(endpoint),
         forwarded: &forwarded,
         deadlines: deadlines(),
+        long_response_begun: &AtomicBool::new(false),
     };
     let exchange = exchange.run(ConnectionLease::Permit(permit), oneshot::channel().0);
     tokio::time::timeout(Duration::from_secs(20), exchange)
@@ -165,6 +169,7 @@
         context: &context,
         forwarded: &forwarded,
         deadlines: deadlines(),
+        long_response_begun: &AtomicBool::new(false),
     };
     let permits = Arc::new(Semaphore::new(1));
     let response = |body: &str| {
--- a/src/daemon/upstream/pool/tests.rs
+++ b/src/daemon/upstream/pool/tests.rs
@@ -18,10 +18,12 @@
 use crate::upstream::exchange::tests::{forwarded, listen};
 
 fn deadlines() -> AttemptDeadlines {
+    let response_by = Instant::now() + Duration::from_secs(30);
     AttemptDeadlines {
-        response_by: Instant::now() + Duration::from_secs(30),
+        response_by,
+        last_response_by: response_by,
         first_byte_by: None,
-        retry_response_by: None,
+        allows_retry: false,
     }
 }
 
--- a/src/daemon/upstream/response_monitor.rs
+++ b/src/daemon/upstream/response_monitor.rs
@@ -30,11 +30,10 @@
     /// the response.
     fn leaves_time_to_retry(&self, deadlines: AttemptDeadlines) -> bool {
         let min_time_left = self.monitor.settings().retry_room.0;
-        deadlines
-            .retry_response_by
-            .is_some_and(|retry_response_by| {
-                retry_response_by.saturating_duration_since(Instant::now()) >= min_time_left
-            })
+        let time_left = deadlines
+            .last_response_by
+            .saturating_duration_since(Instant::now());
+        deadlines.allows_retry && time_left >= min_time_left
     }
 
     fn record(&self, event: SlowPeerEvent) {
--- a/tests/late_responses.rs
+++ b/tests/late_responses.rs
@@ -19,6 +19,8 @@
 
 /// Later than the timeout of an attempt that can be retried: 1.2 times the latency objective of 0.8 s.
 const BODY_DELAY: Duration = Duration::from_millis(1_500);
+/// Longer than any response is waited for.
+const NEVER: Duration = Duration::from_secs(120);
 const PIECE_BYTES: usize = 1_000;
 const PIECES: usize = 100;
 /// Just below the daemon's limit for a body.
@@ -28,13 +30,17 @@
 const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 
 fn late_body(framing: BodyFraming) -> Script {
+    late_body_after(BODY_DELAY, framing)
+}
+
+fn late_body_after(first_after: Duration, framing: BodyFraming) -> Script {
     Script {
         processing_time: Duration::from_millis(40)..=Duration::from_millis(41),
         exception: Some(Exception {
             one_in: 1,
             behavior: ResponseBehavior::Pieces(BodyPieces {
                 framing,
-                first_after: BODY_DELAY,
+                first_after,
                 piece_bytes: PIECE_BYTES,
                 interval: Duration::from_millis(10),
                 pieces: PIECES,
@@ -62,22 +68,65 @@
             .instance(late_body(framing))
             .start()
             .await;
-        let mut client = connect_to(&environment.daemon).await;
-        let text = request(1, 1, TIME_LEFT, 0).replace("Host:", "Connection: close\r\nHost:");
-        client.write_all(text.as_bytes()).await.expect("written");
-        let mut response = Vec::new();
-        client.read_to_end(&mut response).await.expect("read");
-        let body_bytes = response.iter().filter(|byte| **byte == b'.').count();
-        assert!(response.starts_with(b"HTTP/1.1 200"), "{name}");
-        // The head may hold dots too.
-        assert!(
-            body_bytes >= PIECE_BYTES * PIECES,
-            "{name}: {body_bytes} bytes of the body"
-        );
+        assert_complete(&response_until_end(&environment, TIME_LEFT).await, name);
         assert_eq!(requests(&environment), 1, "{name}");
     }
 }
 
+/// Sends a request and reads until the end of the connection.
+async fn response_until_end(environment: &Environment, time_left: Duration) -> Vec<u8> {
+    let mut client = connect_to(&environment.daemon).await;
+    let text = request(1, 1, time_left, 0).replace("Host:", "Connection: close\r\nHost:");
+    client.write_all(text.as_bytes()).await.expect("written");
+    let mut response = Vec::new();
+    // A response that is cut off may end with a reset.
+    let _ = client.read_to_end(&mut response).await;
+    response
+}
+
+fn assert_complete(response: &[u8], context: &str) {
+    let body_bytes = response.iter().filter(|byte| **byte == b'.').count();
+    assert!(response.starts_with(b"HTTP/1.1 200"), "{context}");
+    // The head may hold dots too.
+    assert!(
+        body_bytes >= PIECE_BYTES * PIECES,
+        "{context}: {body_bytes} bytes of the body"
+    );
+}
+
+/// A head that has arrived is forwarded at the request's deadline, so that a body shortly after it is not lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_response_whose_body_begins_shortly_after_the_deadline_is_forwarded() {
+    let delay = SHORT_TIME_LEFT + Duration::from_millis(200);
+    let environment = Scenario::new("late-deadline")
+        .instance(late_body_after(delay, BodyFraming::Chunked))
+        .start()
+        .await;
+    let response = response_until_end(&environment, SHORT_TIME_LEFT).await;
+    assert_complete(&response, "body after the deadline");
+}
+
+/// Guards against a client that waits for a body that never comes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_response_whose_body_never_comes_ends_soon_after_the_deadline() {
+    let environment = Scenario::new("late-never")
+        .instance(late_body_after(NEVER, BodyFraming::Chunked))
+        .start()
+        .await;
+    let sent_at = Instant::now();
+    let response = response_until_end(&environment, SHORT_TIME_LEFT).await;
+    let ended_after = sent_at.elapsed();
+    assert!(response.starts_with(b"HTTP/1.1 200"));
+    assert!(
+        !response.ends_with(b"0\r\n\r\n"),
+        "the client cannot tell that the response is incomplete"
+    );
+    assert!(
+        ended_after < SHORT_TIME_LEFT + 2 * RESPONSE_SLACK,
+        "ended after {ended_after:?}"
+    );
+}
+
 /// Three endpoints that read slowly, and a daemon that knows them.
 async fn start_with_slow_endpoints(name: &str) -> (Daemon, Vec<SlowEndpoint>, Discovery) {
     let endpoints: Vec<_> = (0..3).map(|_| SlowEndpoint::start()).collect();
