Requests: an id that may have run is not forwarded again, here or by the other process

Seen: an id of a class that must not be repeated ran twice when it came again after its client had left, after its response, or at the other process of an upgrade. Cause: the engine forgot a request once it had no attempt in flight (requests.rs, remove_if_finished), and neither process of an upgrade knew of the other's requests. While two processes run, each tells the other the ids before their first byte, and the old one all that it remembers with its confirmation, as a command EXECUTED on the existing link. An older version answers that with an error and goes on; nothing else that crosses processes changes. Not covered: the id's first process dies before it has told the other one.

--- a/src/daemon/admin/handle.rs
+++ b/src/daemon/admin/handle.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use applewall::api::RequestId;
 use applewall_admin::{AdminCommand, AdminResponse, LifecyclePhase, MaintenanceSet};
 use tokio::sync::{mpsc, oneshot, watch, OwnedRwLockReadGuard, RwLock};
 use tokio::time::timeout;
@@ -48,6 +49,10 @@
     ExportState(oneshot::Sender<Result<TransferredState, ExportError>>),
     /// Export the maintenance set, for what has changed since the state was exported.
     ExportMaintenance(oneshot::Sender<MaintenanceSet>),
+    /// Export the requests that may have been executed and must not be executed again.
+    ExportExecutedRequests(oneshot::Sender<Vec<RequestId>>),
+    /// Record requests that the other process may have executed.
+    RecordExecutedRequests(Vec<RequestId>),
     /// Resume gossip, with the ceilings' full rates, because the new process has failed.
     ResumeOwnership,
 }
--- a/src/daemon/engine/admin_commands.rs
+++ b/src/daemon/engine/admin_commands.rs
@@ -26,6 +26,16 @@
                 // Fails if hot restart no longer waits for it.
                 let _ = reply.send(maintenance.unwrap_or_default());
             }
+            ControlMessage::ExportExecutedRequests(reply) => {
+                // Fails if hot restart no longer waits for them.
+                let _ = reply.send(self.executed_requests());
+            }
+            ControlMessage::RecordExecutedRequests(requests) => {
+                let now = self.now;
+                requests
+                    .into_iter()
+                    .for_each(|request| self.executed.record(now, request));
+            }
             ControlMessage::ResumeOwnership => {
                 self.gossip_handed_over = false;
                 self.policy.resume();
--- a/src/daemon/engine/attempts.rs
+++ b/src/daemon/engine/attempts.rs
@@ -10,6 +10,7 @@
 use super::requests::CorrelationId;
 use super::Engine;
 use crate::clock::Clock;
+use crate::lifecycle::command_relay::relay_executed_requests;
 use crate::observability::event_counts;
 use crate::send_rule::{self, StartFacts};
 use crate::upstream::attempt::Attempt;
@@ -57,6 +58,10 @@
         }
         self.statistics.attempts += 1;
         pending.attempt_started(number, self.now, cancel);
+        let class = pending.class;
+        if self.must_not_repeat(class) {
+            relay_executed_requests(&self.other_process, vec![request]);
+        }
     }
 
     /// Reports an attempt that was not started. The policy receives the event after the remaining actions of the
--- a/src/daemon/engine/mod.rs
+++ b/src/daemon/engine/mod.rs
@@ -21,6 +21,7 @@
 use crate::config::platform::PlatformConfig;
 use crate::discovery::zone_failover::{self, ZoneFailover};
 use crate::engine::message::{EndpointEntry, EndpointUpdate, Message, PeerDatagram};
+use crate::lifecycle::command_relay::OtherProcess;
 use crate::lifecycle::process_role::TransferredState;
 use crate::resources::connection_budget::ConnectionBudget;
 use crate::server::slow_peers::{self, TransferMonitors};
@@ -30,12 +31,14 @@
 mod admin_commands;
 mod attempts;
 mod effects;
+mod executed_requests;
 pub(crate) mod message;
 mod pending_request;
 mod requests;
 mod statistics;
 mod timers;
 
+use executed_requests::ExecutedRequests;
 use pending_request::PendingRequest;
 use statistics::Statistics;
 use timers::{Due, Timer, Timers};
@@ -71,6 +74,8 @@
     pub initial_state: InitialState,
     /// Zone failover, if the operator enabled it.
     pub zones: Option<ZoneFailover>,
+    /// The queue to the other process of this node, while one is connected.
+    pub other_process: OtherProcess,
 }
 
 /// A period in which the process did not run. Requests read right after it may have waited in the kernel meanwhile.
@@ -90,6 +95,8 @@
     pool: ConnectionPool,
     peers: Option<Arc<PeerSocket>>,
     pending: HashMap<RequestId, PendingRequest>,
+    executed: ExecutedRequests,
+    other_process: OtherProcess,
     timers: Timers,
     /// Events caused by performing actions, handled before the next message.
     follow_up_events: VecDeque<Event>,
@@ -117,6 +124,7 @@
             queue,
             initial_state,
             zones,
+            other_process,
         } = dependencies;
         let now = clock.now();
         let settings = config.settings.clone();
@@ -131,6 +139,8 @@
             clock,
             peers,
             pending: HashMap::new(),
+            executed: ExecutedRequests::default(),
+            other_process,
             timers: Timers::starting_at(now),
             follow_up_events: VecDeque::new(),
             actions: Vec::new(),
--- a/src/daemon/engine/requests.rs
+++ b/src/daemon/engine/requests.rs
@@ -4,12 +4,14 @@
 
 use std::fmt;
 
-use applewall::api::{AttemptResult, EndpointId, Event, Outcome, RequestId};
+use applewall::api::{AttemptResult, ClassId, EndpointId, Event, Outcome, Request, RequestId};
 use hyper::StatusCode;
 
+use super::executed_requests::ExecutedRequests;
 use super::pending_request::PendingRequest;
 use super::Engine;
 use crate::engine::message::{AttemptEnded, ClientDisconnected, ClientRequest};
+use crate::observability::event_counts::{self, CountedEvent};
 use crate::server::response::ClientResponse;
 
 /// Displays a request id as the client sent it: 16 hexadecimal digits.
@@ -37,13 +39,12 @@
             self.statistics.disconnected += 1;
             return;
         }
-        if self.pending.contains_key(&id) {
-            // Endpoints could not distinguish the attempts of two requests with the same id.
+        if let Some(reason) = self.conflict_of(&request) {
             self.statistics.failed += 1;
             // Fails if the client has disconnected meanwhile.
             let _ = responder.send(ClientResponse::Failed {
                 status: StatusCode::CONFLICT,
-                reason: "a command with this id is open",
+                reason,
             });
             return;
         }
@@ -65,6 +66,34 @@
         self.handle_event(Event::Request(request));
     }
 
+    /// Why a request must not be forwarded under its id, if so.
+    fn conflict_of(&self, request: &Request) -> Option<&'static str> {
+        // Endpoints could not distinguish the attempts of two requests with the same id.
+        if self.pending.contains_key(&request.id) {
+            return Some("a command with this id is open");
+        }
+        let idempotency = self.settings.policy.class(request.class).idempotency;
+        if ExecutedRequests::applies_to(idempotency) && self.executed.contains(request.id) {
+            event_counts::count(CountedEvent::RejectedAlreadyExecuted);
+            return Some("a command with this id may have been executed");
+        }
+        None
+    }
+
+    /// The requests that may have been executed and must not be executed again, including those in flight.
+    pub(super) fn executed_requests(&self) -> Vec<RequestId> {
+        let in_flight = self.pending.iter().filter(|(_, pending)| {
+            pending.in_flight.is_some() && self.must_not_repeat(pending.class)
+        });
+        let in_flight = in_flight.map(|(request, _)| *request);
+        self.executed.all().chain(in_flight).collect()
+    }
+
+    /// True if the requests of a class must not be executed twice.
+    pub(super) fn must_not_repeat(&self, class: ClassId) -> bool {
+        ExecutedRequests::applies_to(self.settings.policy.class(class).idempotency)
+    }
+
     /// How long a request accepted now may have waited in the kernel while the process was stalled.
     fn possible_kernel_wait_ns(&self) -> u64 {
         if self.now <= self.stall.applies_until_ns {
@@ -142,6 +171,10 @@
             pending
                 .first_possibly_executed_at_ns
                 .get_or_insert(in_flight.started_at_ns);
+            let class = pending.class;
+            if self.must_not_repeat(class) {
+                self.executed.record(self.now, request);
+            }
         }
         if let Some(zones) = &mut self.zones {
             zones.attempt_ended(self.now, request, outcome);
--- a/src/daemon/engine/statistics.rs
+++ b/src/daemon/engine/statistics.rs
@@ -80,6 +80,7 @@
         not_sent_local_shortage = counts.of(CountedEvent::NotSentLocalShortage),
         rejected_queue_full = counts.of(CountedEvent::RejectedQueueFull),
         rejected_body_memory = counts.of(CountedEvent::RejectedBodyMemory),
+        rejected_already_executed = counts.of(CountedEvent::RejectedAlreadyExecuted),
         rejected_customer_limit = counted(rejections.customer_limit),
         rejected_backlog = counted(rejections.backlog),
         rejected_ladder = counted(rejections.ladder),
--- a/src/daemon/engine/tests.rs
+++ b/src/daemon/engine/tests.rs
@@ -8,8 +8,8 @@
 use applewall_admin::MaintenanceSet;
 use bytes::Bytes;
 use hyper::{Method, StatusCode, Uri};
-use tokio::sync::mpsc;
 use tokio::sync::oneshot::{self, Receiver};
+use tokio::sync::{mpsc, watch};
 
 use super::pending_request::{InFlightAttempt, LAST_RESORT_MARGIN_NS};
 use super::{ClockStall, Dependencies, Engine, InitialState, STALL_THRESHOLD_NS};
@@ -38,6 +38,7 @@
         queue,
         initial_state,
         zones: None,
+        other_process: watch::channel(None).1,
     }
 }
 
--- a/src/daemon/lifecycle/command_relay.rs
+++ b/src/daemon/lifecycle/command_relay.rs
@@ -1,10 +1,12 @@
-//! Relays admin commands to the other process of the node, while two of them run.
+//! Relays admin commands, and which requests may have been executed, to the other process of the node, while two of them
+//! run.
 //!
 //! A command is put into the queue to the other process in the order in which it took effect here; its caller then waits
 //! until the other process has executed it.
 
 use std::time::Duration;
 
+use applewall::api::RequestId;
 use applewall_admin::AdminCommand;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -21,9 +23,17 @@
     pub done: oneshot::Sender<()>,
 }
 
-/// The queue of commands to the other process. Unbounded, so that a process that hangs neither delays the commands here nor
+/// A message to the other process.
+pub(crate) enum RelayedMessage {
+    /// An admin command, which the other process executes too.
+    Command(RelayedCommand),
+    /// Requests that may have been executed, which the other process must not forward.
+    ExecutedRequests(Vec<RequestId>),
+}
+
+/// The queue of messages to the other process. Unbounded, so that a process that hangs neither delays the commands here nor
 /// misses one: callers that wait for [`RELAY_TIMEOUT`] on a few connections cannot fill it.
-pub(crate) type CommandQueue = mpsc::UnboundedSender<RelayedCommand>;
+pub(crate) type CommandQueue = mpsc::UnboundedSender<RelayedMessage>;
 /// The queue to the other process, while it is connected.
 pub(crate) type OtherProcess = watch::Receiver<Option<CommandQueue>>;
 /// Publishes [`OtherProcess`].
@@ -46,9 +56,18 @@
 ) -> Option<PendingRelay> {
     let queue = other_process.borrow().clone()?;
     let (done, executed) = oneshot::channel();
-    queue.send(RelayedCommand { command, done }).ok()?;
+    let command = RelayedCommand { command, done };
+    queue.send(RelayedMessage::Command(command)).ok()?;
     Some(PendingRelay(executed))
 }
 
+/// Puts requests that may have been executed into the queue to the other process, if one is connected.
+pub(crate) fn relay_executed_requests(other_process: &OtherProcess, requests: Vec<RequestId>) {
+    if let Some(queue) = &*other_process.borrow() {
+        // Fails if the link has ended: the other process has exited.
+        let _ = queue.send(RelayedMessage::ExecutedRequests(requests));
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/daemon/lifecycle/command_relay/tests.rs
+++ b/src/daemon/lifecycle/command_relay/tests.rs
@@ -6,7 +6,9 @@
     let (_link, other) = watch::channel(Some(sender));
     let pending = relay_command(&other, AdminCommand::Drain).unwrap();
     let other_process = async {
-        let relayed: RelayedCommand = commands.recv().await.unwrap();
+        let Some(RelayedMessage::Command(relayed)) = commands.recv().await else {
+            panic!("no command was relayed")
+        };
         assert_eq!(relayed.command, AdminCommand::Drain);
         relayed.done.send(()).unwrap();
     };
--- a/src/daemon/lifecycle/hot_restart.rs
+++ b/src/daemon/lifecycle/hot_restart.rs
@@ -31,6 +31,7 @@
 mod admin_changes;
 mod command_link;
 mod error;
+mod executed_command;
 mod hand_over;
 mod take_over;
 mod transfer;
--- a/src/daemon/lifecycle/hot_restart/command_link.rs
+++ b/src/daemon/lifecycle/hot_restart/command_link.rs
@@ -1,19 +1,24 @@
 //! Relays admin commands between the two processes of a node, as lines `call NUMBER COMMAND` and `answer NUMBER ANSWER`.
 //!
+//! Requests that may have been executed are relayed as a command of their own, `EXECUTED ID ...`. An older version answers
+//! it with an error and goes on.
+//!
 //! Used by hot restart while both processes run. A command received from the other process is executed here and never
 //! relayed back. Output is buffered, so that a process that does not read cannot stop the other one from reading.
 
 use std::collections::HashMap;
 use std::future::ready;
 
+use applewall::api::RequestId;
 use applewall_admin::{AdminCommand, AdminResponse};
 use bytes::BytesMut;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::admin::handle::AdminHandle;
-use crate::lifecycle::command_relay::{OtherProcessSender, RelayedCommand};
+use super::executed_command;
+use crate::admin::handle::{AdminHandle, ControlMessage};
+use crate::lifecycle::command_relay::{OtherProcessSender, RelayedCommand, RelayedMessage};
 
 /// The input from the other process.
 pub(super) type Incoming = BufReader<OwnedReadHalf>;
@@ -51,7 +56,7 @@
     writing: OwnedWriteHalf,
     /// Lines that have not been written yet.
     unwritten: BytesMut,
-    commands: mpsc::UnboundedReceiver<RelayedCommand>,
+    messages: mpsc::UnboundedReceiver<RelayedMessage>,
     /// Relayed commands by number; each sender is completed when the command is answered.
     unanswered: HashMap<u64, oneshot::Sender<()>>,
     last_number: u64,
@@ -65,7 +70,7 @@
         reading: Incoming,
         writing: OwnedWriteHalf,
     ) -> Self {
-        let (queue, commands) = mpsc::unbounded_channel();
+        let (queue, messages) = mpsc::unbounded_channel();
         other_process.send_replace(Some(queue));
         CommandLink {
             admin,
@@ -73,21 +78,27 @@
             lines: reading.lines(),
             writing,
             unwritten: BytesMut::new(),
-            commands,
+            messages,
             unanswered: HashMap::new(),
             last_number: 0,
         }
     }
 
-    /// Writes bytes of the takeover and the commands that the other process has not heard of, all in one write: the other
-    /// process may have this one stopped as soon as it has read the first of them.
-    pub(super) fn begin(&mut self, takeover: &[u8], missed: Vec<AdminCommand>) {
+    /// Writes bytes of the takeover, and the commands and requests that the other process has not heard of, all in one write:
+    /// the other process may have this one stopped as soon as it has read the first of them.
+    pub(super) fn begin(
+        &mut self,
+        takeover: &[u8],
+        missed: Vec<AdminCommand>,
+        executed: &[RequestId],
+    ) {
         self.unwritten.extend_from_slice(takeover);
         for command in missed {
             // Nobody waits for the answer.
             let done = oneshot::channel().0;
             self.send_command(RelayedCommand { command, done });
         }
+        self.send_executed_requests(executed);
     }
 
     /// Executes the commands that have arrived by now; `None` if the link has ended.
@@ -116,8 +127,8 @@
                 let line = line.ok()??;
                 self.handle_line(&line).await
             }
-            Some(relayed) = self.commands.recv() => {
-                self.send_command(relayed);
+            Some(message) = self.messages.recv() => {
+                self.send(message);
                 Some(())
             }
             written = self.writing.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => {
@@ -129,10 +140,7 @@
     async fn handle_line(&mut self, line: &str) -> Option<()> {
         match Line::parse(line)? {
             Line::Command { number, command } => {
-                let answer = match command.parse::<AdminCommand>() {
-                    Ok(command) => self.admin.execute_relayed(command).await,
-                    Err(reason) => AdminResponse::Error(reason.to_string()),
-                };
+                let answer = self.execute(command).await;
                 self.send_line(&format!("answer {number} {answer}"));
             }
             Line::Answer { number } => {
@@ -144,6 +152,36 @@
         Some(())
     }
 
+    /// Executes a command of the other process.
+    async fn execute(&self, command: &str) -> AdminResponse {
+        if let Some(requests) = executed_command::parse(command) {
+            // Fails only if the engine has stopped, which ends the process.
+            let recorded = ControlMessage::RecordExecutedRequests(requests);
+            let _ = self.admin.control.send(recorded).await;
+            return AdminResponse::Done("recorded".to_string());
+        }
+        match command.parse::<AdminCommand>() {
+            Ok(command) => self.admin.execute_relayed(command).await,
+            Err(reason) => AdminResponse::Error(reason.to_string()),
+        }
+    }
+
+    fn send(&mut self, message: RelayedMessage) {
+        match message {
+            RelayedMessage::Command(command) => self.send_command(command),
+            RelayedMessage::ExecutedRequests(requests) => self.send_executed_requests(&requests),
+        }
+    }
+
+    fn send_executed_requests(&mut self, requests: &[RequestId]) {
+        for command in executed_command::commands(requests) {
+            self.last_number += 1;
+            let number = self.last_number;
+            // Nobody waits for the answer.
+            self.send_line(&format!("call {number} {command}"));
+        }
+    }
+
     fn send_command(&mut self, relayed: RelayedCommand) {
         self.last_number += 1;
         let number = self.last_number;
--- a/src/daemon/lifecycle/hot_restart/golden.rs
+++ b/src/daemon/lifecycle/hot_restart/golden.rs
@@ -1,7 +1,7 @@
 //! Compares the bytes that two processes exchange in a hot restart with recorded ones (`tests/golden`).
 
 use super::*;
-use crate::lifecycle::command_relay::{OtherProcess, RelayedCommand};
+use crate::lifecycle::command_relay::{OtherProcess, RelayedCommand, RelayedMessage};
 use crate::lifecycle::process_role::ProcessRole;
 use crate::lifecycle::process_role::TransferredState;
 use applewall::api::{CellId, Endpoint, EndpointState, MachineTypeId, ZoneId};
@@ -222,7 +222,8 @@
     let link = other_process.borrow().clone().unwrap();
     let command = line.splitn(3, ' ').last().unwrap().parse().unwrap();
     let done = oneshot::channel().0;
-    link.send(RelayedCommand { command, done }).unwrap();
+    link.send(RelayedMessage::Command(RelayedCommand { command, done }))
+        .unwrap();
 }
 
 /// The old process sends each recorded line unchanged, and the state with its header.
@@ -243,6 +244,11 @@
             panic!("expected a request to export the maintenance set")
         };
         let _ = reply.send(transferred_state().maintenance);
+        let exported = receivers.control.recv().await;
+        let Some(ControlMessage::ExportExecutedRequests(reply)) = exported else {
+            panic!("expected a request to export the executed requests")
+        };
+        let _ = reply.send(Vec::new());
         std::future::pending::<()>().await;
     };
     let (reading, writing) = far.into_split();
--- a/src/daemon/lifecycle/hot_restart/hand_over.rs
+++ b/src/daemon/lifecycle/hot_restart/hand_over.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 
+use applewall::api::RequestId;
 use applewall_admin::AdminCommand;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::UnixStream;
@@ -56,10 +57,8 @@
         tracing::info!("hot restart: new process has taken over");
         // Commands are relayed from here on, so that each is either among the missed ones or relayed.
         let mut link = self.command_link(reading, writing);
-        link.begin(
-            CONFIRMATION,
-            self.commands_since(&exported.admin_state).await?,
-        );
+        let missed = self.commands_since(&exported.admin_state).await?;
+        link.begin(CONFIRMATION, missed, &self.executed_requests().await?);
         link.run().await;
         if !self.admin.phase.borrow().is_stopping() {
             return Err(HandOverError::EndedAfterTakeOver);
@@ -130,6 +129,14 @@
         Ok(missed)
     }
 
+    /// The requests that may have been executed, or may still be.
+    async fn executed_requests(&self) -> Result<Vec<RequestId>, HandOverError> {
+        let (reply, executed) = oneshot::channel();
+        let export = ControlMessage::ExportExecutedRequests(reply);
+        let _ = self.control.send(export).await;
+        executed.await.map_err(|_| HandOverError::EngineStopped)
+    }
+
     fn is_draining(&self) -> bool {
         !self.admin.phase.borrow().reports_healthy()
     }
--- a/src/daemon/observability/event_counts.rs
+++ b/src/daemon/observability/event_counts.rs
@@ -39,6 +39,8 @@
     RejectedQueueFull,
     /// A request was rejected because there was no memory for its body.
     RejectedBodyMemory,
+    /// A request failed because one with its id may have been executed, and must not be executed twice.
+    RejectedAlreadyExecuted,
     /// A datagram to a peer was dropped because the operating system did not accept it.
     GossipNotSent,
     /// A datagram from a peer was dropped because the engine's queue was full.
@@ -48,7 +50,7 @@
 }
 
 /// All events, in the order of their discriminants.
-const EVENTS: [CountedEvent; 18] = [
+const EVENTS: [CountedEvent; 19] = [
     CountedEvent::ConnectionEnded,
     CountedEvent::ConnectionEvicted,
     CountedEvent::ConnectionIdle,
@@ -64,6 +66,7 @@
     CountedEvent::NotSentLocalShortage,
     CountedEvent::RejectedQueueFull,
     CountedEvent::RejectedBodyMemory,
+    CountedEvent::RejectedAlreadyExecuted,
     CountedEvent::GossipNotSent,
     CountedEvent::GossipDropped,
     CountedEvent::ActionRefused,
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -98,7 +98,12 @@
     let (reloader, reloaded) = ConfigReloader::new(&node.config, operator_config, operator_path);
     let endpoint_updates = node.start_sources(&reloaded);
     let monitors = node.start_slow_peer_protection(&reloaded);
-    let engine = node.engine(start.initial_state, zones, monitors.clone());
+    let engine = node.engine(
+        start.initial_state,
+        zones,
+        monitors.clone(),
+        admin.other_process.clone(),
+    );
     let mut engine_task = JoinSet::new();
     engine_task.spawn(engine.run(messages, bootstrap.receivers.control));
     node.start_gossip();
--- a/src/daemon/serve/node.rs
+++ b/src/daemon/serve/node.rs
@@ -25,6 +25,7 @@
 use crate::discovery::zone_failover::ZoneFailover;
 use crate::engine::message::Message;
 use crate::engine::{self, Engine, InitialState};
+use crate::lifecycle::command_relay::OtherProcess;
 use crate::lifecycle::hot_restart::{HotRestart, OldProcess};
 use crate::lifecycle::process_role::{ProcessStatus, RoleOwner};
 use crate::lifecycle::shutdown::LifecycleDriver;
@@ -144,6 +145,7 @@
         initial_state: InitialState,
         zones: Option<ZoneFailover>,
         monitors: TransferMonitors,
+        other_process: OtherProcess,
     ) -> Engine {
         let dependencies = engine::Dependencies {
             clock: self.clock,
@@ -152,6 +154,7 @@
             queue: self.queue.clone(),
             initial_state,
             zones,
+            other_process,
         };
         let engine = Engine::new(&self.config, dependencies);
         // The format of this line must not change: test drivers read the port numbers from it.
