Head scanner: a line without a colon, and a length far from its name

Seen by the review: a header line Content-Length without a colon panics the connection's task, and its client gets no response; 40 spaces before a length put the scanner out of step, so that the next head on the connection is not checked for two lengths. Cause: head_scanner.rs took the byte after the name for a colon, and kept 48 bytes of a line with the white space in it. Change: the value is what follows a colon; white space and zeros after the colon are not stored.

--- a/src/daemon/server/head_scanner.rs
+++ b/src/daemon/server/head_scanner.rs
@@ -1,7 +1,7 @@
 //! Detects request heads with ambiguous framing: those with both a Content-Length and a Transfer-Encoding.
 //!
-//! Scans the raw bytes as they are read. Only a prefix of the current line is held in memory, and bodies with a
-//! Content-Length are skipped.
+//! Scans the raw bytes as they are read. Only the beginning of the current line is held in memory, without the white space
+//! and zeros after the colon, of which there may be any number. Bodies with a Content-Length are skipped.
 
 use std::str;
 
@@ -41,8 +41,7 @@
             let end = bytes.iter().position(|byte| *byte == b'\n');
             let segment = &bytes[..end.unwrap_or(bytes.len())];
             self.inside_head = true;
-            let stored_bytes = segment.len().min(MAX_LINE_PREFIX_BYTES - self.line.len());
-            self.line.extend_from_slice(&segment[..stored_bytes]);
+            self.store(segment);
             bytes = &bytes[segment.len() + usize::from(end.is_some())..];
             if end.is_some() && self.finish_line() {
                 return true;
@@ -51,6 +50,21 @@
         false
     }
 
+    /// Stores the next part of the current line, as far as it is needed.
+    fn store(&mut self, mut segment: &[u8]) {
+        while let [first, rest @ ..] = segment {
+            let is_padding =
+                self.line.last() == Some(&b':') && matches!(first, b' ' | b'\t' | b'0');
+            if self.line.len() == MAX_LINE_PREFIX_BYTES {
+                return;
+            }
+            if !is_padding {
+                self.line.push(*first);
+            }
+            segment = rest;
+        }
+    }
+
     /// Evaluates a complete line. Returns true if it makes the head ambiguous.
     fn finish_line(&mut self) -> bool {
         let line = self.line.trim_ascii();
@@ -61,16 +75,13 @@
             self.body_bytes_left = self.content_length.take().unwrap_or(0);
             return false;
         }
-        let colon = line
-            .iter()
-            .position(|byte| *byte == b':')
-            .unwrap_or(line.len());
-        let (name, value) = line.split_at(colon);
+        let mut parts = line.splitn(2, |byte| *byte == b':');
+        let (name, value) = (parts.next().unwrap_or_default(), parts.next());
         if name.eq_ignore_ascii_case(b"transfer-encoding") {
             self.has_transfer_coding = true;
-        } else if name.eq_ignore_ascii_case(b"content-length") {
-            // hyper rejects a head whose Content-Length is not a number.
-            let value = str::from_utf8(&value[1..]).unwrap_or_default();
+        } else if let Some(value) = value.filter(|_| name.eq_ignore_ascii_case(b"content-length")) {
+            // hyper rejects a head whose Content-Length is not a number. That of 0 is stored without digits.
+            let value = str::from_utf8(value).unwrap_or_default();
             self.content_length = Some(value.trim().parse().unwrap_or(0));
         }
         self.line.clear();
--- a/src/daemon/server/head_scanner/tests.rs
+++ b/src/daemon/server/head_scanner/tests.rs
@@ -49,12 +49,14 @@
 /// Guards against a scanner that skips the next head because it misses a length that is far from its name.
 #[test]
 fn length_behind_much_white_space_counts() {
-    let spaces = " ".repeat(200);
     let hidden = "X: 1\r\nContent-Length: 9999\r\n\r\n";
     let length = hidden.len();
-    let first = format!("POST / HTTP/1.1\r\nContent-Length:{spaces}{length}\r\n\r\n{hidden}");
     let both = "POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let mut scanner = HeadScanner::default();
-    assert!(!scanner.finds_ambiguous_head(first.as_bytes()));
-    assert!(scanner.finds_ambiguous_head(both.as_bytes()));
+    for padding in [" ", "\t", "0"] {
+        let padding = padding.repeat(200);
+        let head = format!("POST / HTTP/1.1\r\nContent-Length:{padding}{length}\r\n\r\n");
+        let mut scanner = HeadScanner::default();
+        assert!(!scanner.finds_ambiguous_head(format!("{head}{hidden}").as_bytes()));
+        assert!(scanner.finds_ambiguous_head(both.as_bytes()));
+    }
 }
