Budgets: the memory limit bounds the connections too, not the descriptors alone

Seen: with 1,024 descriptors and 32 MB in its settings a process with hundreds of clients passed the memory limit. Cause: connection_budget.rs derived all numbers from the descriptors. 406 connections, each with a head, pipelined input and a discard buffer of 16 KiB, need more than 32 MB. Change: MemoryBudget divides the memory in one place: half of what is left beside 8 MB for the program, at 48 KiB a connection; bodies as before. At 32 MB and 1,024 descriptors that is 256 connections (224 and 32 spare) in place of 406; at 512 descriptors, or with 48 MB, nothing changes. The buffer of a lingering connection is 4 KiB.

--- a/src/daemon/config/platform.rs
+++ b/src/daemon/config/platform.rs
@@ -13,6 +13,8 @@
 
 use crate::config::{ConfigError, PlatformFileError};
 use crate::discovery::endpoint_list::EndpointList;
+use crate::resources::connection_budget::ConnectionBudget;
+use crate::resources::memory_budget::MemoryBudget;
 
 /// Minimum of `limits.sockets`. With fewer descriptors, none would be left for clients besides the program's own sockets.
 pub(super) const MIN_DESCRIPTORS: usize = 64;
@@ -157,6 +159,16 @@
         }
     }
 
+    /// The division of the memory.
+    pub(crate) fn memory_budget(&self) -> MemoryBudget {
+        MemoryBudget::new(self.max_memory_bytes)
+    }
+
+    /// The division of the descriptors.
+    pub(crate) fn connection_budget(&self) -> ConnectionBudget {
+        ConnectionBudget::new(self.max_descriptors, self.memory_budget())
+    }
+
     /// A one-line description of the node, for `check` and for the log.
     pub(crate) fn summary(&self) -> String {
         let datagrams = self
--- a/src/daemon/engine/mod.rs
+++ b/src/daemon/engine/mod.rs
@@ -24,7 +24,6 @@
 use crate::engine::message::{EndpointEntry, EndpointUpdate, Message, PeerDatagram};
 use crate::lifecycle::command_relay::OtherProcess;
 use crate::lifecycle::process_role::TransferredState;
-use crate::resources::connection_budget::ConnectionBudget;
 use crate::server::slow_peers::{self, TransferMonitors};
 use crate::system::peer_socket::PeerSocket;
 use crate::upstream::pool::{ConnectionPool, PoolLimits};
@@ -48,8 +47,6 @@
 const MAX_BATCH: usize = 128;
 /// A wake-up later than this counts as a stall of the process.
 const STALL_THRESHOLD_NS: u64 = 30_000_000;
-/// Fraction of the configured memory available to prefetched response bodies, as a divisor.
-const PREFETCH_MEMORY_DIVISOR: usize = 8;
 
 /// The state that a new engine starts with.
 pub(crate) enum InitialState {
@@ -131,8 +128,8 @@
         let now = clock.now();
         let settings = config.settings.clone();
         let limits = PoolLimits {
-            connections: ConnectionBudget::new(config.max_descriptors).upstream,
-            prefetch_bytes: config.max_memory_bytes / PREFETCH_MEMORY_DIVISOR,
+            connections: config.connection_budget().upstream,
+            prefetch_bytes: config.memory_budget().response_body_bytes,
         };
         let mut engine = Engine {
             policy: DecisionPolicy::new(settings.policy.clone(), config.seed, now),
--- a/src/daemon/resources/connection_budget.rs
+++ b/src/daemon/resources/connection_budget.rs
@@ -1,4 +1,5 @@
-//! Divides the process's file descriptors among client connections and upstream connections.
+//! Divides the process's file descriptors among client connections and upstream connections, as far as there is memory for
+//! them.
 //!
 //! From about 120 descriptors on there are at least as many upstream connections as client connections, since each
 //! pending request has at most one attempt in flight.
@@ -7,6 +8,8 @@
 
 use tokio::sync::Semaphore;
 
+use super::memory_budget::MemoryBudget;
+
 /// Descriptors reserved for everything except client and upstream connections: listeners, discovery, peers, the admin
 /// address, registries, standard streams and the runtime.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -15,6 +18,8 @@
 const CLIENT_DIVISOR: usize = 3;
 /// Fraction of the descriptors for spare client connections, whose requests are only rejected, as a divisor.
 const SPARE_DIVISOR: usize = 16;
+/// Maximum fraction of the client connections that memory allows for spare ones, as a divisor.
+const SPARE_MEMORY_DIVISOR: usize = 8;
 
 /// Maximum numbers of connections.
 pub(crate) struct ConnectionBudget {
@@ -27,14 +32,18 @@
 }
 
 impl ConnectionBudget {
-    pub(crate) fn new(max_descriptors: usize) -> Self {
-        let clients = max_descriptors.div_ceil(CLIENT_DIVISOR);
-        let spare = max_descriptors / SPARE_DIVISOR;
+    pub(crate) fn new(max_descriptors: usize, memory: MemoryBudget) -> Self {
+        let max_connections = memory.client_connections;
+        let spare = (max_descriptors / SPARE_DIVISOR).min(max_connections / SPARE_MEMORY_DIVISOR);
+        let clients = max_descriptors
+            .div_ceil(CLIENT_DIVISOR)
+            .min(max_connections - spare);
         let taken = RESERVED_DESCRIPTORS + clients + spare;
+        let left = max_descriptors.saturating_sub(taken);
         ConnectionBudget {
             clients,
             spare,
-            upstream: max_descriptors.saturating_sub(taken).max(1),
+            upstream: left.clamp(1, max_connections),
         }
     }
 
@@ -44,3 +53,6 @@
         Arc::new(Semaphore::new(self.clients + self.spare))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/resources/mod.rs
+++ b/src/daemon/resources/mod.rs
@@ -1,4 +1,5 @@
-//! Limits of resources: queue capacities, body lengths, and file descriptors for connections.
+//! Limits of resources: queue capacities, body lengths, memory, and file descriptors for connections.
 
 pub(crate) mod connection_budget;
 pub(crate) mod limits;
+pub(crate) mod memory_budget;
--- a/src/daemon/serve/node.rs
+++ b/src/daemon/serve/node.rs
@@ -70,7 +70,7 @@
     ) -> (Self, RoleOwner, mpsc::Receiver<Message>) {
         let (queue, messages) = mpsc::channel(ENGINE_QUEUE_CAPACITY);
         let (role_owner, role) = RoleOwner::new();
-        let budget = ConnectionBudget::new(config.max_descriptors);
+        let budget = config.connection_budget();
         let known = &config.known_endpoints;
         let is_complete = known.complete && !known.targets.is_empty();
         let node = Node {
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -23,7 +23,6 @@
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::observability::condition_log::ConditionLog;
 use crate::observability::event_counts::{self, CountedEvent};
-use crate::resources::connection_budget::ConnectionBudget;
 use crate::server::admission::{AdmittedConnection, ConnectionAdmission};
 use crate::server::connection_task;
 use crate::server::context::ServerContext;
@@ -34,8 +33,6 @@
 
 /// Delay after an error of `accept`, so that a persistent error does not cause a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Fraction of the configured memory available to the bodies of pending requests, as a divisor.
-const BODY_MEMORY_DIVISOR: usize = 8;
 
 /// Dependencies of the acceptor.
 pub(crate) struct Dependencies {
@@ -77,18 +74,17 @@
             has_endpoint_list,
             status,
         } = dependencies;
-        let body_memory_bytes = config.max_memory_bytes / BODY_MEMORY_DIVISOR;
         let context = ServerContext {
             settings: config.settings.clone(),
             queue,
             phases: phases.clone(),
             has_endpoint_list,
             serials: AtomicU64::new(0),
-            body_permits: Arc::new(Semaphore::new(body_memory_bytes)),
+            body_permits: Arc::new(Semaphore::new(config.memory_budget().request_body_bytes)),
             clock,
             status: status.clone(),
         };
-        let budget = ConnectionBudget::new(config.max_descriptors);
+        let budget = config.connection_budget();
         Acceptor {
             role: status.role,
             shutdown_times: status.shutdown_times,
--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -10,7 +10,6 @@
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus};
-use crate::resources::connection_budget::ConnectionBudget;
 use crate::server::connection_table::ClientConnection;
 use crate::server::listener::listen;
 
@@ -25,7 +24,7 @@
     let mut config = PlatformConfig::sample();
     config.max_descriptors = 64;
     let (queue, _) = mpsc::channel(8);
-    let permits = ConnectionBudget::new(config.max_descriptors).client_permits();
+    let permits = config.connection_budget().client_permits();
     let (role, role_receiver) = watch::channel(ProcessRole::Active);
     std::mem::forget(role);
     let status = ProcessStatus {
--- a/src/daemon/server/connection_task.rs
+++ b/src/daemon/server/connection_task.rs
@@ -35,6 +35,8 @@
 /// A response may make no progress for this long during a shutdown because its client does not read. Bounds how long such
 /// a client can delay the exit.
 const SHUTDOWN_WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Size of one read while lingering.
+const LINGER_READ_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes that are read and discarded while lingering.
 const MAX_LINGER_BYTES: usize = 512 * 1024;
 
@@ -201,7 +203,7 @@
     let discard_input = async {
         stream.shutdown().await?;
         let mut left = MAX_LINGER_BYTES;
-        let mut buffer = vec![0; MAX_HEAD_BYTES];
+        let mut buffer = vec![0; LINGER_READ_BYTES];
         loop {
             match stream.read(&mut buffer).await? {
                 0 => return Ok::<_, io::Error>(()),
