Streamed responses: a fraction of the memory for each, whatever their clients read

Seen: hundreds of clients that read long responses slowly took a process of 32 MB to 75 MB. Cause: a streamed response held four chunks of up to 16 KiB in its channel besides those in hyper's buffers, and a short chunk kept the whole buffer that it was read into (streaming_body.rs, body.rs forward). Change: one chunk in the channel, received only when the client's side has room; short chunks are copied; buffers of connections to endpoints, and with them response heads, are limited to 8 KiB in place of 16. MemoryBudget counts 64 KiB a connection, by measurement: 192 connections at 32 MB and 1,024 descriptors; descriptors alone decide from 40 MB at 512 and from 80 MB at 1,024.

--- a/src/daemon/resources/connection_budget/tests.rs
+++ b/src/daemon/resources/connection_budget/tests.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn descriptors_bound_the_connections_where_there_is_memory_for_them() {
-    for (max_descriptors, max_memory_mib) in [(256, 32), (512, 32), (1_024, 64)] {
+    for (max_descriptors, max_memory_mib) in [(256, 32), (512, 40), (1_024, 80)] {
         let budget = budget(max_descriptors, max_memory_mib);
         assert_eq!(budget.clients, max_descriptors.div_ceil(3));
         assert_eq!(budget.spare, max_descriptors / 16);
--- a/src/daemon/resources/memory_budget.rs
+++ b/src/daemon/resources/memory_budget.rs
@@ -8,7 +8,7 @@
 const CONNECTIONS_DIVISOR: usize = 2;
 /// Most memory that one client connection takes: a large head, pipelined input, and a response that is streamed as slowly as
 /// its client reads.
-const CONNECTION_BYTES: usize = 48 * 1024;
+const CONNECTION_BYTES: usize = 64 * 1024;
 /// Minimum number of client connections, however little memory there is.
 const MIN_CONNECTIONS: usize = 16;
 
--- a/src/daemon/server/request_body.rs
+++ b/src/daemon/server/request_body.rs
@@ -213,7 +213,7 @@
 /// Reads a body into one buffer. hyper's frames are copied, since each refers to a whole read buffer, however short it is.
 async fn collect(body: Incoming, length: Option<u64>) -> Result<Bytes, BodyError> {
     let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut received = BytesMut::with_capacity(length.unwrap_or(0) as usize);
+    let mut received = BytesMut::with_capacity(length.unwrap_or(MAX_BODY_BYTES as u64) as usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::from_hyper(&*error))?;
         if let Ok(data) = frame.into_data() {
--- a/src/daemon/server/streaming_body.rs
+++ b/src/daemon/server/streaming_body.rs
@@ -15,7 +15,9 @@
 use crate::server::connection_table::ClientConnection;
 
 /// Capacity of the channel between the two sides, which bounds the memory of one body to a few reads.
-const CHANNEL_CAPACITY: usize = 4;
+const CHANNEL_CAPACITY: usize = 1;
+/// A chunk shorter than this is copied: it refers to a whole read buffer of 8 KiB.
+const MIN_SHARED_BYTES: usize = 4 * 1024;
 
 /// A message from the sender to the body.
 enum BodyMessage {
@@ -32,13 +34,22 @@
 pub(crate) struct BodySender(mpsc::Sender<BodyMessage>);
 
 impl BodySender {
+    /// Waits until the next chunk can be sent without waiting, so that no more than the channel holds is received.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body has been dropped: the client no longer reads it.
+    pub(crate) async fn ready(&self) -> Result<(), BodyDropped> {
+        self.0.reserve().await.map(drop).map_err(|_| BodyDropped)
+    }
+
     /// Sends a chunk, waiting for capacity in the channel.
     ///
     /// # Errors
     ///
     /// Fails if the body has been dropped: the client no longer reads it.
     pub(crate) async fn send(&self, data: Bytes) -> Result<(), BodyDropped> {
-        let sent = self.0.send(BodyMessage::Data(data)).await;
+        let sent = self.0.send(BodyMessage::Data(without_spare(data))).await;
         sent.map_err(|_| BodyDropped)
     }
 
@@ -49,6 +60,15 @@
     }
 }
 
+/// The same bytes, without the rest of the buffer that they were read into.
+fn without_spare(data: Bytes) -> Bytes {
+    if data.len() < MIN_SHARED_BYTES {
+        Bytes::copy_from_slice(&data)
+    } else {
+        data
+    }
+}
+
 /// The client's side of a body.
 pub(crate) struct StreamingBody {
     chunks: mpsc::Receiver<BodyMessage>,
--- a/src/daemon/upstream/body.rs
+++ b/src/daemon/upstream/body.rs
@@ -115,7 +115,12 @@
     if !first.is_empty() && sender.send(first).await.is_err() {
         return false;
     }
-    loop {
+    // The client's side may be dropped after the last byte of a body of known length.
+    while !body.is_end_stream() {
+        let ready = tokio::time::timeout(STREAM_IDLE_TIMEOUT, sender.ready()).await;
+        if !matches!(ready, Ok(Ok(()))) {
+            return false;
+        }
         let Ok(frame) = tokio::time::timeout(idle_timeout, body.frame()).await else {
             return false;
         };
@@ -128,9 +133,8 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        match tokio::time::timeout(STREAM_IDLE_TIMEOUT, sender.send(data)).await {
-            Ok(Ok(())) => {}
-            _ => return false,
+        if sender.send(data).await.is_err() {
+            return false;
         }
     }
     sender.finish().await;
--- a/src/daemon/upstream/connection.rs
+++ b/src/daemon/upstream/connection.rs
@@ -31,8 +31,9 @@
 use crate::system::observed_stream::{IoObserver, ObservedStream};
 use crate::system::socket_retry::is_transient;
 
-/// Size limit of a connection's read buffer, which bounds a response head and the part of a body that hyper buffers.
-pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Size limit of a connection's read buffer, which bounds a response head and the part of a body that hyper buffers. A
+/// response that is streamed takes several of these buffers for as long as its client reads slowly.
+pub(super) const MAX_HEAD_BYTES: usize = 8 * 1024;
 
 /// Polls a connection together with the work that uses it. Returns `None` if the connection ends before the work,
 /// unless `is_streaming` returns true: the received part of the response is then still being forwarded.
