Responses in memory count against the limit until they are written

Cause: exchange.rs, receive_body: the permit for the prefetched bytes was dropped when the response was complete, before its client had read any of it. Change: the bytes carry their permit until the last reference to them is dropped, which is when they are written; permits beyond the bytes that came are returned at once. On loopback the kernel takes 64 KiB at once, so no run of real processes shows the difference here.

--- a/src/daemon/server/streaming_body.rs
+++ b/src/daemon/server/streaming_body.rs
@@ -61,7 +61,7 @@
 }
 
 /// The same bytes, without the rest of the buffer that they were read into.
-fn without_spare(data: Bytes) -> Bytes {
+pub(crate) fn without_spare(data: Bytes) -> Bytes {
     if data.len() < MIN_SHARED_BYTES {
         Bytes::copy_from_slice(&data)
     } else {
--- a/src/daemon/upstream/body.rs
+++ b/src/daemon/upstream/body.rs
@@ -7,9 +7,10 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::resources::limits::MAX_BODY_BYTES;
-use crate::server::streaming_body::BodySender;
+use crate::server::streaming_body::{without_spare, BodySender};
 
 /// A response of unknown length is prefetched for this long before it is streamed. Most are complete by then.
 const PREFETCH_TIMEOUT: Duration = Duration::from_millis(100);
@@ -23,6 +24,31 @@
 /// The body of an endpoint's response.
 pub(crate) type UpstreamBody = hyper::body::Incoming;
 
+/// Bytes that count against a memory limit until they have been written or discarded.
+struct CountedBytes {
+    bytes: Bytes,
+    /// One permit per byte.
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Keeps as many permits as there are bytes, until the last reference to the bytes is dropped, and returns the others.
+pub(super) fn count(bytes: Bytes, permit: Option<OwnedSemaphorePermit>) -> Bytes {
+    let kept = permit.and_then(|mut permit| permit.split(bytes.len()));
+    match kept {
+        Some(kept) if !bytes.is_empty() => Bytes::from_owner(CountedBytes {
+            bytes: without_spare(bytes),
+            _permit: kept,
+        }),
+        _ => bytes,
+    }
+}
+
 /// The prefetched part of a body.
 pub(super) struct Prefetched {
     /// The contents of the frames received so far.
@@ -140,3 +166,6 @@
     sender.finish().await;
     true
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/upstream/exchange.rs
+++ b/src/daemon/upstream/exchange.rs
@@ -194,6 +194,7 @@
         };
         let Prefetched { bytes, is_complete } = prefetched;
         if is_complete || !success {
+            let bytes = body::count(bytes, permit);
             return Some(response(parts.headers, ResponseBody::Buffered(bytes)));
         }
         let (sender, streaming) = streaming_body::channel(length, permit);
