Requests: a pending request keeps neither its other headers nor its read buffer

Cause: request_handler.rs kept the whole head while the body was read, and the forwarded values refer to the buffer of 8 to 16 KiB that the head was read into. Change: forwarded_head copies the six parts that are forwarded; the rest is dropped before the body is read.

--- a/src/daemon/engine/message.rs
+++ b/src/daemon/engine/message.rs
@@ -44,8 +44,9 @@
     pub responder: oneshot::Sender<ClientResponse>,
 }
 
-/// The parts of a request that are forwarded to an endpoint unchanged.
-pub(crate) struct ForwardedRequest {
+/// The parts of a request's head that are forwarded to an endpoint unchanged. None of them refers to the buffer that the
+/// head was read into.
+pub(crate) struct ForwardedHead {
     pub method: Method,
     /// Path and query.
     pub target: Uri,
@@ -57,6 +58,11 @@
     pub content_type: Option<HeaderValue>,
     /// The Idempotency-Key header, if any.
     pub idempotency_key: Option<HeaderValue>,
+}
+
+/// The parts of a request that are forwarded to an endpoint unchanged.
+pub(crate) struct ForwardedRequest {
+    pub head: ForwardedHead,
     /// The complete body; empty if the request has none.
     pub body: Bytes,
     /// Semaphore permits for the body's memory, released when the request is dropped; `None` for an empty body.
--- a/src/daemon/engine/tests.rs
+++ b/src/daemon/engine/tests.rs
@@ -19,7 +19,7 @@
 use crate::config::platform::PlatformConfig;
 use crate::engine::message::{
     AttemptEnded, ClientDisconnected, ClientPresence, ClientRequest, EndpointEntry, EndpointUpdate,
-    ForwardedRequest, Message,
+    ForwardedHead, ForwardedRequest, Message,
 };
 use crate::resources::limits::ENGINE_QUEUE_CAPACITY;
 use crate::server::response::{ClientResponse, ResponseBody, ServedResponse};
@@ -78,12 +78,14 @@
         nodes: NodeSet::first_nodes(1),
     };
     let forwarded = Arc::new(ForwardedRequest {
-        method: Method::GET,
-        target: Uri::from_static("/api"),
-        host: None,
-        correlation_id: "0000000000000007".parse().expect("a value"),
-        content_type: None,
-        idempotency_key: None,
+        head: ForwardedHead {
+            method: Method::GET,
+            target: Uri::from_static("/api"),
+            host: None,
+            correlation_id: "0000000000000007".parse().expect("a value"),
+            content_type: None,
+            idempotency_key: None,
+        },
         body: Bytes::new(),
         _body_permit: None,
         client: ClientPresence::from_service(client),
--- a/src/daemon/server/mod.rs
+++ b/src/daemon/server/mod.rs
@@ -7,6 +7,7 @@
 mod connection_task;
 mod context;
 mod customer_slot;
+mod forwarded_head;
 mod framing;
 mod head_scanner;
 pub(crate) mod listener;
--- a/src/daemon/server/request.rs
+++ b/src/daemon/server/request.rs
@@ -29,6 +29,8 @@
 pub(super) enum InvalidRequest {
     /// The method is neither GET nor POST.
     Method,
+    /// The target cannot be forwarded.
+    Target,
     /// The correlation id is missing or malformed.
     CorrelationId,
     /// The service class is not in the settings.
@@ -52,6 +54,7 @@
     fn reason(self) -> &'static str {
         match self {
             InvalidRequest::Method => "the method is neither GET nor POST",
+            InvalidRequest::Target => "the target is no path",
             InvalidRequest::CorrelationId => "X-Correlation-Id is not 16 hex digits",
             InvalidRequest::ServiceClass => "unknown X-Service-Class",
             InvalidRequest::MissingIdempotencyKey => {
--- a/src/daemon/server/request_handler.rs
+++ b/src/daemon/server/request_handler.rs
@@ -10,7 +10,8 @@
 use crate::server::connection_table::ClientConnection;
 use crate::server::context::ServerContext;
 use crate::server::customer_slot::{CustomerSlot, NoSlotLeft};
-use crate::server::request::{self, ParsedRequest};
+use crate::server::forwarded_head;
+use crate::server::request::{self, InvalidRequest, ParsedRequest};
 use crate::server::request_body::{BodyReader, BodyState};
 use crate::server::response::ClientResponse;
 use crate::server::submission::{QueueFull, Submission};
@@ -47,6 +48,7 @@
             customer,
         } = request::parse(&context.settings, &head.method, &head.headers)?;
         progress.customer = Some(customer);
+        let head = forwarded_head::copy(head).ok_or(InvalidRequest::Target)?;
         // Acquired before the body is read, so that the body of a rejected request takes no memory.
         let _slot = CustomerSlot::acquire(self.connection, context.clock, customer)?;
         let deadline = context.response_deadline(self.arrived, request.time_left_ns);
--- a/src/daemon/server/submission.rs
+++ b/src/daemon/server/submission.rs
@@ -6,19 +6,15 @@
 use std::time::Instant;
 
 use applewall::api::{self, RequestId};
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::http::request::Parts;
 use hyper::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::engine::message::{
-    ClientDisconnected, ClientPresence, ClientRequest, ForwardedRequest, Message,
+    ClientDisconnected, ClientPresence, ClientRequest, ForwardedHead, ForwardedRequest, Message,
 };
-use crate::headers::{CORRELATION_ID, IDEMPOTENCY_KEY};
 use crate::observability::event_counts::{self, CountedEvent};
 use crate::server::connection_table::ClientConnection;
 use crate::server::context::ServerContext;
-use crate::server::request;
 use crate::server::request_body::ReceivedBody;
 use crate::server::response::ClientResponse;
 
@@ -31,8 +27,8 @@
 pub(super) struct Submission {
     /// The request as passed to the decision policy.
     pub request: api::Request,
-    /// The head as received, of which only the parts in [`ForwardedRequest`] are forwarded.
-    pub head: Parts,
+    /// The part of the head that is forwarded.
+    pub head: ForwardedHead,
     pub body: ReceivedBody,
     /// Deadline for the response.
     pub deadline: Instant,
@@ -60,7 +56,12 @@
             request: self.request,
             serial,
             deadline: self.deadline,
-            forwarded: Arc::new(forwarded_request(self.head, self.body, presence)),
+            forwarded: Arc::new(ForwardedRequest {
+                head: self.head,
+                body: self.body.bytes,
+                _body_permit: self.body.permit,
+                client: presence,
+            }),
             responder,
         });
         context.queue.try_send(message).map_err(|_| {
@@ -80,21 +81,6 @@
     }
 }
 
-/// Builds the part of a request that is forwarded to endpoints.
-fn forwarded_request(head: Parts, body: ReceivedBody, client: ClientPresence) -> ForwardedRequest {
-    ForwardedRequest {
-        method: head.method,
-        target: request::origin_form(head.uri),
-        host: head.headers.get(HOST).cloned(),
-        correlation_id: head.headers[CORRELATION_ID].clone(),
-        content_type: head.headers.get(CONTENT_TYPE).cloned(),
-        idempotency_key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
-        body: body.bytes,
-        _body_permit: body.permit,
-        client,
-    }
-}
-
 /// The pending response to a submitted request.
 pub(super) struct PendingResponse<'a> {
     response: oneshot::Receiver<ClientResponse>,
--- a/src/daemon/upstream/exchange.rs
+++ b/src/daemon/upstream/exchange.rs
@@ -113,7 +113,12 @@
         };
         send_rule::check_write(&facts).map_err(|refusal| {
             event_counts::count(refusal.counted_as());
-            let correlation_id = self.forwarded.correlation_id.to_str().unwrap_or_default();
+            let correlation_id = self
+                .forwarded
+                .head
+                .correlation_id
+                .to_str()
+                .unwrap_or_default();
             tracing::debug!(correlation_id, ?refusal, "attempt not sent");
             refusal.outcome()
         })
@@ -121,28 +126,28 @@
 
     /// Builds the request to the endpoint; `None` if a part of it is not valid HTTP.
     fn build_request(&self, address: SocketAddr) -> Option<Request<Full<Bytes>>> {
-        let forwarded = self.forwarded;
+        let head = &self.forwarded.head;
         let time_left = self
             .deadlines
             .response_by
             .saturating_duration_since(Instant::now());
-        let host = forwarded
+        let host = head
             .host
             .clone()
             .or_else(|| HeaderValue::try_from(address.to_string()).ok())?;
         let mut request = Request::builder()
-            .method(forwarded.method.clone())
-            .uri(forwarded.target.clone())
+            .method(head.method.clone())
+            .uri(head.target.clone())
             .header(HOST, host)
-            .header(CORRELATION_ID, &forwarded.correlation_id)
+            .header(CORRELATION_ID, &head.correlation_id)
             .header(TIME_LEFT_MS, time_left.as_millis() as u64);
-        if let Some(content_type) = &forwarded.content_type {
+        if let Some(content_type) = &head.content_type {
             request = request.header(CONTENT_TYPE, content_type);
         }
-        if let Some(key) = &forwarded.idempotency_key {
+        if let Some(key) = &head.idempotency_key {
             request = request.header(IDEMPOTENCY_KEY, key);
         }
-        request.body(Full::new(forwarded.body.clone())).ok()
+        request.body(Full::new(self.forwarded.body.clone())).ok()
     }
 
     /// Sends the request and reads its response; `None` if the response is malformed, truncated or abandoned.
--- a/src/daemon/upstream/exchange/tests.rs
+++ b/src/daemon/upstream/exchange/tests.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot, Semaphore};
 
 use super::Exchange;
-use crate::engine::message::{ClientPresence, ForwardedRequest};
+use crate::engine::message::{ClientPresence, ForwardedHead, ForwardedRequest};
 use crate::server::client_socket::ClientSocket;
 use crate::server::response::ResponseBody;
 use crate::upstream::connection::MAX_HEAD_BYTES;
@@ -22,12 +22,14 @@
 /// A request whose client stays connected.
 pub(in crate::upstream) fn forwarded() -> ForwardedRequest {
     ForwardedRequest {
-        method: hyper::Method::GET,
-        target: "/api".parse().unwrap(),
-        host: None,
-        correlation_id: HeaderValue::from_static("0000000000000007"),
-        content_type: None,
-        idempotency_key: None,
+        head: ForwardedHead {
+            method: hyper::Method::GET,
+            target: "/api".parse().unwrap(),
+            host: None,
+            correlation_id: HeaderValue::from_static("0000000000000007"),
+            content_type: None,
+            idempotency_key: None,
+        },
         body: Bytes::new(),
         _body_permit: None,
         client: ClientPresence::from_service(Arc::downgrade(&CLIENT)),
