Server: one client's requests without an endpoint do not keep the others waiting

Cause: a response that needs no other task is ready at once; hyper serves 16 such requests a poll, and the runtime looks for input of others after 61 polls. Change: before a response that no endpoint has made the service yields, so that the runtime serves whoever is ready first.

--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -301,3 +301,41 @@
     let response = read_to_end(&mut client).await;
     assert!(response.starts_with("HTTP/1.1 200 "), "{response:?}");
 }
+
+/// Requests that one client writes at once.
+const FLOOD_REQUESTS: usize = 4_000;
+/// Exchanges of another client meanwhile.
+const OTHER_EXCHANGES: usize = 20;
+/// Most requests of the flood that are answered for each exchange of the other client.
+const MAX_FLOOD_RESPONSES_PER_EXCHANGE: usize = 20;
+
+/// Guards against one client that keeps all others waiting by requests that are answered without an endpoint. Counts
+/// responses in place of time.
+#[tokio::test]
+async fn other_clients_are_answered_between_the_requests_of_a_flood_on_one_connection() {
+    for request in ["GET /healthz HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\n\r\n"] {
+        let acceptor = acceptor();
+        let mut flood = acceptor.connection().await;
+        let mut other = acceptor.connection().await;
+        let requests = request.repeat(FLOOD_REQUESTS);
+        flood.write_all(requests.as_bytes()).await.expect("sent");
+        for _ in 0..OTHER_EXCHANGES {
+            other.write_all(request.as_bytes()).await.expect("sent");
+            let mut byte = [0];
+            other.read_exact(&mut byte).await.expect("a response");
+            other.readable().await.expect("the rest of the response");
+            while matches!(other.try_read(&mut [0; 512]), Ok(read) if read > 0) {}
+        }
+        let mut responses = vec![0; 4 * requests.len()];
+        let mut read = 0;
+        while let Ok(more) = flood.try_read(&mut responses[read..]) {
+            read += more;
+        }
+        let text = String::from_utf8_lossy(&responses[..read]);
+        let answered = text.matches("HTTP/1.1").count();
+        assert!(
+            (1..=OTHER_EXCHANGES * MAX_FLOOD_RESPONSES_PER_EXCHANGE).contains(&answered),
+            "{request:?}: {answered} requests of the flood answered during {OTHER_EXCHANGES} exchanges"
+        );
+    }
+}
--- a/src/daemon/server/service.rs
+++ b/src/daemon/server/service.rs
@@ -5,7 +5,7 @@
 //! connection with unread input closes after its response.
 
 use std::convert::Infallible;
-use std::future::{ready, Future};
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -54,9 +54,6 @@
         if let Some(monitored) = &self.connection.monitored {
             monitored.monitor.request_started(monitored.id);
         }
-        if request.uri().path() == HEALTH_PATH {
-            return Box::pin(ready(Ok(self.health_response())));
-        }
         Box::pin(self.clone().serve(request, arrived))
     }
 }
@@ -83,24 +80,41 @@
         arrived: Instant,
     ) -> impl Future<Output = Result<HttpResponse, Infallible>> {
         async move {
+            if request.uri().path() == HEALTH_PATH {
+                yield_to_others().await;
+                return Ok(self.health_response());
+            }
             let mut progress = RequestProgress {
                 body: BodyState::before_reading(request.body()),
                 customer: None,
             };
-            if let Some(rejection) = self.rejection() {
-                return Ok(self.into_http(rejection, &progress));
-            }
-            let handler = RequestHandler {
-                context: &self.context,
-                connection: &self.connection,
-                arrived,
+            let response = match self.rejection() {
+                Some(rejection) => Err(rejection),
+                None => self.handle(request, arrived, &mut progress).await,
             };
-            let response = handler.handle(request, &mut progress).await;
             let response = response.unwrap_or_else(|response| response);
+            if !matches!(response, ClientResponse::Served(_)) {
+                yield_to_others().await;
+            }
             Ok(self.into_http(response, &progress))
         }
     }
 
+    /// Handles a request. An error is a response produced without the engine.
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+        progress: &mut RequestProgress,
+    ) -> Result<ClientResponse, ClientResponse> {
+        let handler = RequestHandler {
+            context: &self.context,
+            connection: &self.connection,
+            arrived,
+        };
+        handler.handle(request, progress).await
+    }
+
     /// The response to all requests on a connection that is over the limit or has ambiguous framing, otherwise `None`.
     fn rejection(&self) -> Option<ClientResponse> {
         if self.connection.has_ambiguous_framing() {
@@ -143,6 +157,12 @@
     }
 }
 
+/// Lets the runtime serve other connections before a response that no endpoint has made. Otherwise one client that sends
+/// requests for which there are such responses, without a pause, would keep the others waiting.
+async fn yield_to_others() {
+    tokio::task::yield_now().await;
+}
+
 /// Adds `Connection: close` if the connection closes after this response.
 fn set_connection_close(response: &mut HttpResponse, closes: bool) {
     if closes {
