Shutdown: a request is late by its last byte, not by its head

Seen (related find): a request of a class with a deadline of 6 s whose head came before SIGTERM and whose body was complete 1.2 s after it was answered 6.0 s after SIGTERM. The platform may kill the process at 3.7 s, and loses what came over 0.7 s after SIGTERM. Cause: context.rs, response_deadline asked for the shutdown's limit with the arrival of the head only. Change: the limit is asked for once more when the request is complete. Evidence: stopped_process_answers_a_request_with_a_late_body_before_the_kill failed before (5.98 s) and passes; shutdown 7 of 7, exchanges 39 of 39.

--- a/src/daemon/server/context.rs
+++ b/src/daemon/server/context.rs
@@ -50,10 +50,16 @@
     /// during a shutdown.
     pub(super) fn response_deadline(&self, arrived: Instant, time_left_ns: u64) -> Instant {
         let client_gives_up_at = arrived + Duration::from_nanos(time_left_ns);
+        self.limited_by_shutdown(client_gives_up_at, arrived)
+    }
+
+    /// The deadline, or an earlier one if a shutdown limits requests that are complete at `complete_at`: the platform may kill
+    /// the process before the deadline.
+    pub(super) fn limited_by_shutdown(&self, deadline: Instant, complete_at: Instant) -> Instant {
         let shutdown_times = self.status.shutdown_times.get();
-        match shutdown_times.and_then(|times| times.answer_limit(arrived)) {
-            Some(shutdown_limit) => client_gives_up_at.min(shutdown_limit),
-            None => client_gives_up_at,
+        match shutdown_times.and_then(|times| times.answer_limit(complete_at)) {
+            Some(shutdown_limit) => deadline.min(shutdown_limit),
+            None => deadline,
         }
     }
 }
--- a/src/daemon/server/request_handler.rs
+++ b/src/daemon/server/request_handler.rs
@@ -54,7 +54,9 @@
         let deadline = context.response_deadline(self.arrived, request.time_left_ns);
         let body = self.body_reader(customer, deadline).read(body).await?;
         progress.body = body.state;
-        let time_left = deadline.saturating_duration_since(Instant::now());
+        let complete_at = Instant::now();
+        let deadline = context.limited_by_shutdown(deadline, complete_at);
+        let time_left = deadline.saturating_duration_since(complete_at);
         request.time_left_ns = time_left.as_nanos() as u64;
         // The request has been read completely: from here on the input is the next request or the client's disconnect.
         self.connection.await_response();
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -5,11 +5,12 @@
 
 use std::time::{Duration, Instant};
 
+use applewall_fakes::clients::{connect, request};
 use applewall_fakes::daemon::{Daemon, ServiceClass};
 use applewall_fakes::http::{self, Kind, Message};
 use applewall_fakes::instance::{Exception, ResponseBehavior, Script};
 use support::node::{wait_for_log, Node};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Class deadline beyond the 3 s that the platform takes into account for the kill, which comes 3.7 s after SIGTERM.
@@ -40,6 +41,11 @@
 const EARLIEST_TELLING_RESPONSE: Duration = Duration::from_millis(3_500);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(60);
 const CLIENTS: u64 = 4;
+/// When the kill is due after SIGTERM at the earliest, with the longest deadline counted as 3 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// When a late body is complete after SIGTERM: later than 0.7 s, so that the kill would lose the request.
+const LATE_BODY: Duration = Duration::from_millis(1_200);
+const BODY_BYTES: usize = 1_000;
 const ENDPOINTS: u64 = 2;
 
 /// Reads the response; `None` if the connection ends before it is complete.
@@ -176,6 +182,28 @@
     assert_long_response_is_completed(Stop::Standalone).await;
 }
 
+/// Guards against a response after the kill, for a request that is complete only some time after SIGTERM.
+#[tokio::test]
+async fn stopped_process_answers_a_request_with_a_late_body_before_the_kill() {
+    let node = Node::new(LONG_CLASS, hanging(), ENDPOINTS).await;
+    let daemon = node.start();
+    let mut client = connect(daemon.address, [127, 0, 0, 1].into(), None)
+        .await
+        .expect("a connection");
+    let text = request(1, 1, LONG_DEADLINE, BODY_BYTES);
+    client.write_all(text.as_bytes()).await.expect("written");
+    let terminated = Instant::now();
+    daemon.terminate();
+    tokio::time::sleep_until((terminated + LATE_BODY).into()).await;
+    let body = vec![b'x'; BODY_BYTES];
+    client.write_all(&body).await.expect("written");
+    let response = read_response(&mut client).await;
+    let answered = terminated.elapsed();
+    assert!(response.is_some(), "no response after {answered:?}");
+    assert!(answered < EARLIEST_KILL, "answered after {answered:?}");
+    await_exit(daemon).await;
+}
+
 /// Guards against a shutdown without an end: a client that reads nothing does not keep the process alive.
 #[tokio::test]
 async fn stopped_process_exits_although_a_client_reads_nothing_of_its_response() {
