Shutdown: late responses are due 0.2 s before the kill, to cover a stall of 0.15 s

Found by reading: without an upgrade the responses to late requests were due 0.1 s before the earliest SIGKILL, and the platform may hold the process up for 0.15 s between reading its clock and writing. Cause: shutdown_deadlines.rs, RESPONSE_MARGIN. Change: 0.2 s; the unit test asks for the stall (200 ms, Standalone, failed before). Evidence: the unit test, at deadlines of 0.2 to 30 s in both modes. No run of real processes showed a loss.

--- a/crates/admin/src/shutdown_deadlines.rs
+++ b/crates/admin/src/shutdown_deadlines.rs
@@ -24,8 +24,9 @@
 /// still send a last request and receive the response.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
-/// If no process has taken over: time between the last response to a late request and the kill.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+/// If no process has taken over: time between the last response to a late request and the kill. The process may be held up for
+/// 0.15 s between reading its clock and writing.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
 /// If another process has taken over: like [`RESPONSE_MARGIN`], but larger. The other process serves all new
 /// connections, so that there is no benefit in using all the time up to the kill.
--- a/crates/admin/src/shutdown_deadlines/tests.rs
+++ b/crates/admin/src/shutdown_deadlines/tests.rs
@@ -5,6 +5,8 @@
 use super::{ShutdownDeadlines, ShutdownMode, TERMINATION_ACCEPT_PERIOD};
 
 const MILLIS: fn(u64) -> Duration = Duration::from_millis;
+/// A process may be held up for this long between reading its clock and writing a response.
+const MAX_STALL: Duration = Duration::from_millis(150);
 
 #[test]
 fn late_requests_are_answered_before_the_kill_and_others_have_their_whole_deadline() {
@@ -22,7 +24,7 @@
             assert!(
                 late.begins_after <= MILLIS(700)
                     && late.begins_after < late.respond_within
-                    && late.respond_within < kill,
+                    && late.respond_within + MAX_STALL < kill,
                 "{longest} ms, {mode:?}"
             );
         }
