--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 client for an agent.
 
+use std::error::Error;
 use std::net::SocketAddr;
 
 use applewall_membership::ReadConsistency;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HOST};
 use hyper::{Request, StatusCode};
@@ -126,11 +128,9 @@
         self.sender.ready().await?;
         let response = self.sender.send_request(request).await?;
         let (status, headers) = (response.status(), response.headers().clone());
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
+        let body = read_body(response.into_body())
             .await
-            .map_err(QueryError::Body)?
-            .to_bytes();
+            .map_err(QueryError::Body)?;
         let index = index(&headers);
         let entries = match status {
             StatusCode::OK => serde_json::from_slice(&body)?,
@@ -146,6 +146,18 @@
     }
 }
 
+/// Reads a body into one buffer. Frames are copied, since each refers to a whole read buffer, however short it is.
+async fn read_body(body: Incoming) -> Result<BytesMut, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
+    Ok(received)
+}
+
 fn read_token(path: &str) -> Result<String, QueryError> {
     let token = std::fs::read_to_string(path).map_err(|source| QueryError::TokenFile {
         path: path.to_string(),
--- a/src/daemon/discovery/watch/connection.rs
+++ b/src/daemon/discovery/watch/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
@@ -16,6 +16,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::discovery::endpoint_list::EndpointList;
+use crate::system::http_body;
 use crate::upstream::connection::drive;
 
 /// Maximum size of an answer's body. Bounds memory use if discovery sends an endless body.
@@ -181,11 +182,10 @@
         .body(Full::default())?;
     let response = sender.send_request(request).await?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_LIST_BYTES)
-        .collect()
+    let body = http_body::read(body, MAX_LIST_BYTES, 0)
         .await
         .map_err(WatchError::Body)?;
-    Ok(Response::from_parts(head, body.to_bytes()))
+    Ok(Response::from_parts(head, body))
 }
 
 /// The response's `Retry-After` in seconds; `None` if it is missing or a date.
--- a/src/daemon/server/request_body.rs
+++ b/src/daemon/server/request_body.rs
@@ -19,6 +19,7 @@
 use crate::resources::limits::MAX_BODY_BYTES;
 use crate::server::connection_table::MonitoredTransfer;
 use crate::server::response::ClientResponse;
+use crate::system::http_body;
 
 /// A body has to be complete within this time after its head, unless slow-peer protection sets another limit. Bounds
 /// how long a slow client can hold memory permits.
@@ -125,7 +126,12 @@
         let collected = async {
             match monitor {
                 Some(monitor) => self.collect_monitored(body, monitor, read_by, length).await,
-                None => collect(body, length).await,
+                None => {
+                    // The permits are for this many bytes.
+                    let capacity = length.map_or(MAX_BODY_BYTES, |length| length as usize);
+                    let read = http_body::read(body, MAX_BODY_BYTES, capacity).await;
+                    read.map_err(|error| BodyError::from_hyper(&*error))
+                }
             }
         };
         match tokio::time::timeout_at(read_by.into(), collected).await {
@@ -209,16 +215,3 @@
         }
     }
 }
-
-/// Reads a body into one buffer. hyper's frames are copied, since each refers to a whole read buffer, however short it is.
-async fn collect(body: Incoming, length: Option<u64>) -> Result<Bytes, BodyError> {
-    let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut received = BytesMut::with_capacity(length.unwrap_or(MAX_BODY_BYTES as u64) as usize);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| BodyError::from_hyper(&*error))?;
-        if let Ok(data) = frame.into_data() {
-            received.extend_from_slice(&data);
-        }
-    }
-    Ok(received.freeze())
-}
--- a/src/daemon/system/mod.rs
+++ b/src/daemon/system/mod.rs
@@ -2,6 +2,7 @@
 //! of files.
 
 pub(crate) mod durable_file;
+pub(crate) mod http_body;
 pub(crate) mod observed_stream;
 pub(crate) mod peer_socket;
 pub(crate) mod socket_retry;
