Fault testbed: the kill at the platform's earliest time, short deadlines, and crowds

Need: the soak killed stopping processes 3.7 s after SIGTERM whatever their deadline, and had no crowd. Change: SIGKILL comes at the deadline (3 s at most) and 0.7 s after SIGTERM; deadlines are 3 s, 1.2 s and 0.6 s in turn by seed; two seeds in five have a crowd of 200 bad clients and a flood at two ingresses; a process over its memory limit breaks a rule.

--- a/crates/fault-testbed/src/environment.rs
+++ b/crates/fault-testbed/src/environment.rs
@@ -220,6 +220,7 @@
         zone: zones[number % zones.len()].clone(),
         zones,
         operator_file: trial.operator_file(),
+        deadline: trial.traffic.patience.0,
         quota_per_second: trial.traffic.quota,
         ceiling: trial.ceiling(),
         warmup: WarmupSettings {
--- a/crates/fault-testbed/src/environment/faults.rs
+++ b/crates/fault-testbed/src/environment/faults.rs
@@ -3,6 +3,7 @@
 //! Input: the faults of the trial. Output: journal entries at the beginning and end of each, and its effects on links, fakes
 //! and processes. Faults of ingresses and of limit servers are in submodules.
 
+mod crowd;
 mod foreign_datagrams;
 mod ingresses;
 mod instances;
@@ -135,6 +136,7 @@
             FaultKind::ForeignDatagrams(targets) => {
                 self.send_foreign_datagrams(&targets.ingresses(topology, rng))
             }
+            FaultKind::Crowd(targets) => self.send_crowd(&targets.ingresses(topology, rng)),
             FaultKind::StepWallClock(step_ms) => {
                 self.list_service.step_clock(*step_ms);
                 let offset_ns = step_ms * NANOS_PER_MILLISECOND;
@@ -161,6 +163,14 @@
         Box::new(move || self.system_faults.set(fault, 0))
     }
 
+    fn send_crowd(&self, numbers: &[usize]) -> EndFault {
+        let ingresses = self.ingresses();
+        let addresses = numbers.iter();
+        let addresses = addresses.map(|number| ingresses[*number].config.listen);
+        let crowd = self.tasks.spawn(crowd::run(addresses.collect()));
+        Box::new(move || crowd.abort())
+    }
+
     fn send_foreign_datagrams(&self, numbers: &[usize]) -> EndFault {
         let ingresses = self.ingresses();
         let receivers = numbers.iter();
--- a/crates/fault-testbed/src/environment/faults/ingresses.rs
+++ b/crates/fault-testbed/src/environment/faults/ingresses.rs
@@ -15,8 +15,10 @@
 /// Maximum time from SIGTERM to the exit of a process: the longest deadline of a request and the platform's allowance.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Time from SIGTERM to the earliest SIGKILL of the platform: the longest deadline of a request, and 0.7 s.
-const KILL_DELAY: Duration = Duration::from_millis(3_700);
+/// Time that the platform adds to the longest deadline of a request before SIGKILL.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The longest deadline that the platform takes into account for that.
+const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
 /// Time before SIGTERM at which the clients that use the ingress during its shutdown open their connections.
 const CONNECTIONS_LEAD_TIME: Duration = Duration::from_millis(300);
 /// The signals of a shutdown, with their times after the first one.
@@ -53,7 +55,9 @@
                 no_end()
             }
             IngressFault::Reload => {
-                self.signal(&numbers, libc::SIGHUP);
+                for number in &numbers {
+                    self.ingresses()[*number].reload();
+                }
                 no_end()
             }
             IngressFault::SuspendBriefly => {
@@ -151,8 +155,12 @@
         );
         for (after, signal) in SHUTDOWN_SIGNALS {
             tokio::time::sleep_until(terminated + after).await;
-            if still_runs(&self) {
-                self.ingresses()[ingress].signal(signal);
+            if !still_runs(&self) {
+                continue;
+            }
+            match signal {
+                libc::SIGHUP => self.ingresses()[ingress].reload(),
+                signal => self.ingresses()[ingress].signal(signal),
             }
         }
         let ended = async {
@@ -160,7 +168,8 @@
                 tokio::time::sleep(POLL_INTERVAL).await;
             }
         };
-        let kill_at = terminated + KILL_DELAY;
+        let deadline = self.trial.traffic.patience.0.min(MAX_KILL_DEADLINE);
+        let kill_at = terminated + deadline + KILL_MARGIN;
         if tokio::time::timeout_at(kill_at, ended).await.is_err() {
             // Recorded before the kill, for the same reason as in `kill`.
             self.journal.record(Event::ShutdownExpired { ingress });
--- a/crates/fault-testbed/src/fault.rs
+++ b/crates/fault-testbed/src/fault.rs
@@ -167,6 +167,8 @@
         /// The fault.
         fault: InstanceFault,
     },
+    /// More bad clients than the ingresses have descriptors for.
+    Crowd(ComponentSet),
     /// Sends ingresses datagrams from an address that belongs to no peer.
     ForeignDatagrams(ComponentSet),
 }
--- a/crates/fault-testbed/src/fault/parser.rs
+++ b/crates/fault-testbed/src/fault/parser.rs
@@ -235,6 +235,7 @@
             "replace" => self.instances(InstanceFault::Replace),
             "remove" => self.instances(InstanceFault::Remove),
             "fails" => self.instances(InstanceFault::FailRequests),
+            "crowd" => self.components().map(FaultKind::Crowd),
             "foreign" => self.components().map(FaultKind::ForeignDatagrams),
             "mute" => self.instances(InstanceFault::NeverRespond),
             found => Err(invalid(found, "a known fault")),
--- a/crates/fault-testbed/src/process.rs
+++ b/crates/fault-testbed/src/process.rs
@@ -9,6 +9,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
 
 use applewall_fakes::process_usage::peak_memory_bytes;
 use applewall_fault_shim::{CONTROL_VARIABLE, LIBRARY_NAME};
@@ -17,6 +18,12 @@
 use crate::check::Ceiling;
 use crate::list_service::Snapshot;
 
+/// Memory limit of each process.
+pub const MEMORY_LIMIT_MB: u64 = 48;
+/// Latency objective of the service class, unless its deadline is too short for that.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(800);
+/// Minimum age of a process that is reloaded.
+const MIN_RELOAD_AGE: Duration = Duration::from_secs(1);
 /// Name of the preloaded library's control file in the folder of the trial.
 pub const CONTROL_FILE: &str = "system-faults";
 
@@ -39,6 +46,8 @@
     pub zones: Vec<String>,
     /// Text of its operator's file, if it has one.
     pub operator_file: Option<String>,
+    /// Deadline of the only service class.
+    pub deadline: Duration,
     /// Quota of each customer in units per second, with a burst of two seconds' units.
     pub quota_per_second: f64,
     /// Ceiling of each customer.
@@ -86,6 +95,8 @@
     child: Option<Child>,
     /// Number of processes started so far.
     incarnation: u64,
+    /// Start of the last process.
+    started_at: Instant,
     suspended: bool,
 }
 
@@ -102,6 +113,7 @@
             shim,
             child: None,
             incarnation: 0,
+            started_at: Instant::now(),
             suspended: false,
         }
     }
@@ -116,6 +128,7 @@
         let temporary = self.folder.join("tmp");
         std::fs::create_dir_all(&temporary)?;
         self.incarnation += 1;
+        self.started_at = Instant::now();
         let config = self.folder.join("config.json");
         std::fs::write(&config, self.platform_config(known).to_string())?;
         let log = File::options()
@@ -158,6 +171,13 @@
         unsafe { libc::kill(child.id() as libc::pid_t, signal) };
     }
 
+    /// Sends SIGHUP, unless the process is in its first second: the platform reloads no such process.
+    pub fn reload(&mut self) {
+        if self.started_at.elapsed() >= MIN_RELOAD_AGE {
+            self.signal(libc::SIGHUP);
+        }
+    }
+
     /// Kills the process and waits for its exit; does nothing if there is no process.
     pub fn kill(&mut self) {
         let Some(mut child) = self.child.take() else {
@@ -211,7 +231,7 @@
         let seed = (config.number as u64) << 32 | self.incarnation;
         json!({"name": format!("n{}", config.number), "listen": config.listen.to_string(),
             "discovery": config.discovery.to_string(), "seed": format!("{seed:x}"),
-            "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 384},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 384},
             "peer_listen": config.peer_listen.to_string(), "peers": config.peers,
             "known": {"rev": known.revision, "all": true, "targets": known.targets},
             "settings": platform_settings(config)})
@@ -239,7 +259,8 @@
     json!({
         "areas": config.zones, "zone": config.zone, "me": config.number, "peers_total": config.peers.len(),
         "discovery": "automatic",
-        "classes": [{"name": "limit-check", "deadline_ns": 3_000_000_000u64, "objective_ns": 800_000_000,
+        "classes": [{"name": "limit-check", "deadline_ns": config.deadline.as_nanos() as u64,
+            "objective_ns": LATENCY_OBJECTIVE.min(config.deadline / 2).as_nanos() as u64,
             "worth": 1.0, "idempotency": "retryable", "key_scope": "all", "dedup_window_ns": 0,
             "stream": false}],
         "tariffs": [{"name": "shop", "refill": quota_per_second, "peak_units": 2.0 * quota_per_second, "pays": 1.0,
--- a/crates/fault-testbed/src/run.rs
+++ b/crates/fault-testbed/src/run.rs
@@ -14,7 +14,7 @@
 use crate::environment::Environment;
 use crate::fault::InitialList;
 use crate::journal::{Entry, Event, Journal};
-use crate::process::{IngressProcess, ResourceUsage};
+use crate::process::{IngressProcess, ResourceUsage, MEMORY_LIMIT_MB};
 use crate::topology::Topology;
 use crate::trial::{Trial, TrialError};
 
@@ -148,8 +148,15 @@
             ingress.kill();
         }
         let settings = self.trial.checker_settings();
+        let mut violations = check::violations(&entries, &settings);
+        if usage.peak_memory_bytes > MEMORY_LIMIT_MB << 20 {
+            let peak_memory = usage.peak_memory_bytes;
+            violations.push(format!(
+                "a process used {peak_memory} bytes of {MEMORY_LIMIT_MB} MB"
+            ));
+        }
         TrialOutcome {
-            violations: check::violations(&entries, &settings),
+            violations,
             metrics: check::metrics(&entries, &settings),
             scheduling_delay_ms: check::scheduling_delay_ms(&entries),
             settings,
--- a/crates/fault-testbed/src/soak.rs
+++ b/crates/fault-testbed/src/soak.rs
@@ -28,6 +28,12 @@
 /// Time within which these reloads happen.
 const RELOADS_WIDTH_MS: u64 = 150;
 
+/// Probability of a crowd in a schedule.
+const CROWD_PROBABILITY: f64 = 0.4;
+/// Deadlines of the requests, in milliseconds, in turn by seed: the platform's usual one, and shorter ones, with which the
+/// kill of a shutdown comes sooner.
+const DEADLINES_MS: [u64; 3] = [3_000, 1_200, 600];
+
 /// Kinds of the faults in a cluster, by the names under which their coverage is counted.
 const KINDS: [&str; 17] = [
     "term",
@@ -78,9 +84,23 @@
     }
     add_shutdown(&mut schedule, sizes, &mut rng);
     add_reloads(&mut schedule, &mut rng);
+    add_crowd(&mut schedule, sizes, &mut rng);
     schedule
 }
 
+/// Adds a crowd of bad clients at an ingress and the next one to some schedules: the shutdown may hit them too.
+fn add_crowd(schedule: &mut Schedule, sizes: SoakSizes, rng: &mut SmallRng) {
+    if !rng.random_bool(CROWD_PROBABILITY) {
+        return;
+    }
+    let first = rng.random_range(0..sizes.ingresses);
+    let second = (first + 1) % sizes.ingresses;
+    schedule.insert(
+        format!("{}-crowd", schedule.len()),
+        format!("at 1s: crowd ingress:{first}+ingress:{second} for 8s"),
+    );
+}
+
 /// Adds a shutdown of two ingresses, as the platform performs it, to every schedule.
 fn add_shutdown(schedule: &mut Schedule, sizes: SoakSizes, rng: &mut SmallRng) {
     let at_ms = rng.random_range(SHUTDOWN_MS);
@@ -149,8 +169,10 @@
     let mut text = format!(
         "[trial]\nseed = {seed}\ntime = 11s\ningresses = {}\ninstances = {}\nzones = 2\nready = 1.0\narrivals = on\n\n\
          [ingress]\nknown = current\n\n[instance]\nwork = 120ms\ncold_time = 40s\ncold_share = 0.03\n\n\
-         [traffic]\nrate = 8\ncustomers = 200\nspread = 4\nquota = 100\nagain = 0.5\nleave = 0.1\nhalf = 0.02\n\n[faults]\n",
-        sizes.ingresses, sizes.instances,
+         [traffic]\nrate = 8\ncustomers = 200\nspread = 4\nquota = 100\nagain = 0.5\nleave = 0.1\nhalf = 0.02\npatience = {}ms\n\n[faults]\n",
+        sizes.ingresses,
+        sizes.instances,
+        DEADLINES_MS[seed as usize % DEADLINES_MS.len()],
     );
     for (name, line) in schedule {
         // Writing into a string does not fail.
