Accept queue: the time that a connection waits for a permit counts from its request's deadline

Change: AcceptQueue tells how long a connection may have waited (since the queue was last empty); if a request is there at the accept, that time is taken from its deadline. Ruled out: a busy event loop.

--- /dev/null
+++ b/src/daemon/server/accept_queue/tests.rs
@@ -0,0 +1,23 @@
+use super::*;
+
+const WAIT: Duration = Duration::from_millis(100);
+
+/// Guards against deadlines that leave out the time that a connection waits until there is a permit for it.
+#[tokio::test]
+async fn connection_that_was_not_accepted_at_once_has_waited() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut queue = AcceptQueue::new(&listener);
+    let connect = || TcpStream::connect(address);
+    let (at_once, _first) = tokio::join!(queue.accept(), connect());
+    let at_once = at_once.expect("a connection");
+    let _clients = (connect().await, connect().await);
+    tokio::time::sleep(WAIT).await;
+    for _ in 0..2 {
+        let waited = queue.accept().await.expect("a connection").waited;
+        assert!(waited >= WAIT, "waited {waited:?}");
+        assert!(waited > at_once.waited);
+    }
+    let (at_once, _last) = tokio::join!(queue.accept(), connect());
+    assert!(at_once.expect("a connection").waited < WAIT);
+}
--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -6,7 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit};
 
-use super::{Acceptor, Dependencies};
+use super::{AcceptedConnection, Acceptor, Dependencies};
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus};
@@ -71,7 +71,12 @@
         let client = TcpStream::connect(listener.local_addr().expect("an address"));
         let (client, accepted) = tokio::join!(client, listener.accept());
         let (stream, address) = accepted.expect("a connection");
-        self.serve_connection(stream, address, self.free_permit());
+        let accepted = AcceptedConnection {
+            stream,
+            address,
+            waited: Duration::ZERO,
+        };
+        self.serve_connection(accepted, self.free_permit());
         client.expect("a connection")
     }
 }
@@ -193,10 +198,14 @@
         .expect("request sent");
     let listener = listener.into_std().expect("a listener");
     listener.set_nonblocking(false).expect("set blocking mode");
-    let (stream, peer) = listener.accept().expect("a connection");
+    let (stream, address) = listener.accept().expect("a connection");
     stream.set_nonblocking(true).expect("set blocking mode");
-    let stream = TcpStream::from_std(stream).expect("a stream");
-    acceptor.serve_connection(stream, peer, acceptor.free_permit());
+    let accepted = AcceptedConnection {
+        stream: TcpStream::from_std(stream).expect("a stream"),
+        address,
+        waited: Duration::ZERO,
+    };
+    acceptor.serve_connection(accepted, acceptor.free_permit());
     acceptor.evict();
     client.set_nonblocking(true).expect("set blocking mode");
     let mut client = TcpStream::from_std(client).expect("a stream");
--- a/src/daemon/server/connection_table/client_connection.rs
+++ b/src/daemon/server/connection_table/client_connection.rs
@@ -58,6 +58,8 @@
     /// Start of the current idle period, in nanoseconds since the table's reference time.
     idle_since_ns: AtomicU64,
     ambiguous_framing: AtomicBool,
+    /// How long the first request may have waited in the accept queue, in nanoseconds; 0 for later ones.
+    accept_wait_ns: AtomicU64,
     /// A request has been read completely and has no response yet.
     awaiting_response: AtomicBool,
     /// The connection only waits for its client to read the last response and to close it.
@@ -90,6 +92,7 @@
             write_blocked_since_ns: AtomicU64::new(NOT_BLOCKED),
             idle_since_ns: AtomicU64::new(0),
             ambiguous_framing: AtomicBool::new(false),
+            accept_wait_ns: AtomicU64::new(0),
             awaiting_response: AtomicBool::new(false),
             awaiting_client_close: AtomicBool::new(false),
             socket: Arc::default(),
@@ -100,6 +103,17 @@
         }
     }
 
+    /// Records how long the first request may have waited in the accept queue.
+    pub(crate) fn set_accept_wait(&self, waited: Duration) {
+        let waited_ns = waited.as_nanos() as u64;
+        self.accept_wait_ns.store(waited_ns, Ordering::Relaxed);
+    }
+
+    /// How long the request that has been read may have waited in the accept queue. Later requests have not.
+    pub(crate) fn take_accept_wait(&self) -> Duration {
+        Duration::from_nanos(self.accept_wait_ns.swap(0, Ordering::Relaxed))
+    }
+
     /// Records that a request has begun: the connection no longer awaits one.
     pub(crate) fn begin_request(&self) {
         self.has_begun_request.store(true, Ordering::Relaxed);
--- a/src/daemon/server/context.rs
+++ b/src/daemon/server/context.rs
@@ -46,10 +46,15 @@
         self.serials.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Deadline for the response to a request that arrived at `arrived`: the client's deadline, or an earlier one
-    /// during a shutdown.
-    pub(super) fn response_deadline(&self, arrived: Instant, time_left_ns: u64) -> Instant {
-        let client_gives_up_at = arrived + Duration::from_nanos(time_left_ns);
+    /// Deadline for the response to a request whose head was read at `arrived`: the client's deadline, or an earlier one
+    /// during a shutdown. The request may have waited in the accept queue for `accept_wait`.
+    pub(super) fn response_deadline(
+        &self,
+        arrived: Instant,
+        accept_wait: Duration,
+        time_left_ns: u64,
+    ) -> Instant {
+        let client_gives_up_at = arrived + Duration::from_nanos(time_left_ns) - accept_wait;
         self.limited_by_shutdown(client_gives_up_at, arrived)
     }
 
--- a/src/daemon/server/request_handler.rs
+++ b/src/daemon/server/request_handler.rs
@@ -51,7 +51,8 @@
         let head = forwarded_head::copy(head).ok_or(InvalidRequest::Target)?;
         // Acquired before the body is read, so that the body of a rejected request takes no memory.
         let _slot = CustomerSlot::acquire(self.connection, context.clock, customer)?;
-        let deadline = context.response_deadline(self.arrived, request.time_left_ns);
+        let accept_wait = self.connection.take_accept_wait();
+        let deadline = context.response_deadline(self.arrived, accept_wait, request.time_left_ns);
         let body = self.body_reader(customer, deadline).read(body).await?;
         progress.body = body.state;
         let complete_at = Instant::now();
--- a/src/daemon/server/unanswered_input.rs
+++ b/src/daemon/server/unanswered_input.rs
@@ -40,7 +40,7 @@
 }
 
 /// Peeks at the socket directly, since the reactor notices new input only when it runs next.
-fn kernel_has_input(stream: &TcpStream) -> bool {
+pub(super) fn kernel_has_input(stream: &TcpStream) -> bool {
     let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
     peeked.is_ok_and(|bytes| bytes > 0)
 }
