Fault testbed: clients wait for half a second beyond their deadline

Cause: a client of the testbed gave up at the very deadline, and the checker took that for a request without a response. Change: clients wait for 0.5 s longer; a response after that, or none, is still a violation.

--- a/crates/fault-testbed/src/clients.rs
+++ b/crates/fault-testbed/src/clients.rs
@@ -26,6 +26,9 @@
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(20);
 /// Wait before a retry if the response has no `Retry-After`, in seconds.
 const DEFAULT_RETRY_SECONDS: f64 = 0.05;
+/// A response that comes this long after its deadline earns nothing, but is not lost; a process that is held up for a moment
+/// cannot be in time.
+const LATE_RESPONSE: Duration = Duration::from_millis(500);
 /// Time after which a client that sent half a request gives up: longer than the rules allow the ingress to wait for the rest.
 const HALF_REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time after which a client that leaves early closes its connection.
@@ -181,7 +184,7 @@
     /// Sends a request and waits for its response; if that is a rejection, returns the time to wait before a retry.
     async fn request(&self, ingress: usize, customer: Customer) -> Option<Duration> {
         let request = self.next_request(ingress, customer);
-        let deadline = Instant::now() + self.behavior.timeout;
+        let deadline = Instant::now() + self.behavior.timeout + LATE_RESPONSE;
         let mut sent = false;
         let response = tokio::time::timeout_at(deadline, self.exchange(&request, &mut sent)).await;
         if !sent {
--- a/crates/fault-testbed/src/clients/shutdown.rs
+++ b/crates/fault-testbed/src/clients/shutdown.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::{Clients, Customer};
+use super::{Clients, Customer, LATE_RESPONSE};
 use crate::journal::Event;
 
 /// Connections that send one request after another.
@@ -112,7 +112,7 @@
         let request = self.next_request(ingress, customer);
         let mut sent = false;
         let exchange = self.exchange_on(stream, &request, &mut sent);
-        let response = tokio::time::timeout(self.behavior.timeout, exchange).await;
+        let response = tokio::time::timeout(self.behavior.timeout + LATE_RESPONSE, exchange).await;
         let Ok(response) = response else {
             self.journal.record(Event::ResponseReceived {
                 request: request.id,
