--- a/tests/connection_floods.rs
+++ b/tests/connection_floods.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use applewall_fakes::clients::{request, HealthyClients, Outcomes};
-use applewall_fakes::instance::Script;
 use support::daemon::{Environment, Scenario, TIME_LEFT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -89,17 +88,6 @@
     }
 }
 
-async fn start(name: &'static str) -> Environment {
-    let mut scenario = Scenario::new(name);
-    for seed in 0..3 {
-        scenario = scenario.instance(Script {
-            seed,
-            ..Script::default()
-        });
-    }
-    scenario.start().await
-}
-
 /// Outcomes of other clients beside a flood.
 async fn outcomes_beside(environment: &Environment, flood: Flood) -> Outcomes {
     let address = environment.daemon.address;
@@ -125,7 +113,7 @@
 }
 
 async fn assert_others_are_served(name: &'static str, flood: Flood) {
-    let environment = start(name).await;
+    let environment = Scenario::new(name).instances(3).start().await;
     let outcomes = outcomes_beside(&environment, flood).await;
     let peak_memory = environment.daemon.peak_memory();
     let seen = format!(
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -10,7 +10,6 @@
 
 use applewall_fakes::clients::{request, HealthyClients};
 use applewall_fakes::http::{self, Kind};
-use applewall_fakes::instance::Script;
 use applewall_fakes::wait::wait_until;
 use support::daemon::{connect_to, send_request, Environment, Scenario, TIME_LEFT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -89,14 +88,7 @@
 
 /// Three endpoints, discovery, and a daemon with few descriptors.
 async fn start_fleet(name: &'static str) -> Environment {
-    let mut scenario = Scenario::new(name);
-    for seed in 0..3 {
-        scenario = scenario.instance(Script {
-            seed,
-            ..Script::default()
-        });
-    }
-    scenario.start().await
+    Scenario::new(name).instances(3).start().await
 }
 
 async fn flood(name: &'static str, behavior: Misbehavior) {
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -45,6 +45,16 @@
         self
     }
 
+    /// Adds so many limit servers with the default script, each with a seed of its own.
+    pub(crate) fn instances(self, count: u64) -> Self {
+        (0..count).fold(self, |scenario, seed| {
+            scenario.instance(Script {
+                seed,
+                ..Script::default()
+            })
+        })
+    }
+
     /// Starts the limit servers, discovery and the daemon.
     pub(crate) async fn start(self) -> Environment {
         let mut instances = Vec::new();
