Disconnect: a client that has pipelined is noticed while its attempt is in flight

Seen: a client that wrote three requests at once and left kept its attempt in flight until the attempt's timeout (0.96 s); one that wrote a single request had it cancelled at once. Under the same id at the other process of an upgrade that would be two attempts at one time. Cause: hyper does not look for the end of a connection while it holds a part of the next request; the checks before a send do not end what is in flight. Change: while a response is pending and such a part has been read, the connection's task looks at the socket every 50 ms and ends the connection if the client has gone. Evidence: attempt_is_cancelled_when_a_client_leaves_that_has_pipelined_requests: 956 ms before, under 500 ms after. departed_clients 7, exchanges 39, floods 6 passed.

--- a/src/daemon/server/client_socket.rs
+++ b/src/daemon/server/client_socket.rs
@@ -113,6 +113,15 @@
         }
     }
 
+    /// True if the client has certainly closed or reset the connection. For the same connections as
+    /// [`ClientSocket::is_closed`].
+    pub(super) fn is_certainly_closed(&self) -> bool {
+        match self.read_ahead() {
+            Ok(end) => end == ReadAheadEnd::Closed,
+            Err(_) => self.is_closed(),
+        }
+    }
+
     /// True if input was read ahead and not taken yet.
     pub(super) fn has_pipelined_input(&self) -> bool {
         !self.lock().pipelined.is_empty()
--- a/src/daemon/server/connection_table/client_connection.rs
+++ b/src/daemon/server/connection_table/client_connection.rs
@@ -41,6 +41,8 @@
 
 /// The value of [`ClientConnection::write_blocked_since_ns`] while the kernel accepts output.
 const NOT_BLOCKED: u64 = u64::MAX;
+/// Interval at which [`ClientConnection::disconnected_behind_input`] checks the socket.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which [`ClientConnection::write_blocked_for`] checks the connection.
 const WRITE_BLOCKED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -52,6 +54,12 @@
     has_begun_request: AtomicBool,
     has_unread_input: AtomicBool,
     reading_head: AtomicBool,
+    /// Number of request heads that have been read completely.
+    heads_read: AtomicU64,
+    /// Number of requests that have begun.
+    requests_begun: AtomicU64,
+    /// Notified when a response is awaited although a part of the next request has been read.
+    awaiting_behind_input: Notify,
     /// Since when output is waiting for space in the kernel's send buffer, in nanoseconds since the table's reference
     /// time, or [`NOT_BLOCKED`].
     write_blocked_since_ns: AtomicU64,
@@ -89,6 +97,9 @@
             has_begun_request: AtomicBool::new(false),
             has_unread_input: AtomicBool::new(false),
             reading_head: AtomicBool::new(false),
+            heads_read: AtomicU64::new(0),
+            requests_begun: AtomicU64::new(0),
+            awaiting_behind_input: Notify::new(),
             write_blocked_since_ns: AtomicU64::new(NOT_BLOCKED),
             idle_since_ns: AtomicU64::new(0),
             ambiguous_framing: AtomicBool::new(false),
@@ -117,6 +128,7 @@
     /// Records that a request has begun: the connection no longer awaits one.
     pub(crate) fn begin_request(&self) {
         self.has_begun_request.store(true, Ordering::Relaxed);
+        self.requests_begun.fetch_add(1, Ordering::Relaxed);
         self.leave_table();
     }
 
@@ -124,6 +136,9 @@
     /// next request.
     pub(crate) fn await_response(&self) {
         self.awaiting_response.store(true, Ordering::Relaxed);
+        if self.holds_next_request() {
+            self.awaiting_behind_input.notify_one();
+        }
     }
 
     /// True between [`ClientConnection::await_response`] and [`ClientConnection::await_request`].
@@ -179,6 +194,31 @@
         self.has_begun_request.load(Ordering::Relaxed)
     }
 
+    /// Records the number of request heads that have been read completely.
+    pub(crate) fn set_heads_read(&self, heads: u64) {
+        self.heads_read.store(heads, Ordering::Relaxed);
+    }
+
+    /// True if a part of a request has been read that has not begun.
+    fn holds_next_request(&self) -> bool {
+        let begun = self.requests_begun.load(Ordering::Relaxed);
+        self.heads_read.load(Ordering::Relaxed) > begun || self.is_reading_head()
+    }
+
+    /// Completes once the client has disconnected, while a response is pending and a part of the next request has been read:
+    /// hyper does not look for the end of the connection then.
+    pub(crate) async fn disconnected_behind_input(&self) {
+        loop {
+            self.awaiting_behind_input.notified().await;
+            while self.is_awaiting_response() && self.holds_next_request() {
+                if self.socket.is_certainly_closed() {
+                    return;
+                }
+                tokio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
+            }
+        }
+    }
+
     /// Records whether a request head has been read in part.
     pub(crate) fn set_reading_head(&self, reading_head: bool) {
         if self.reading_head.swap(reading_head, Ordering::Relaxed) != reading_head {
--- a/src/daemon/server/connection_task.rs
+++ b/src/daemon/server/connection_task.rs
@@ -52,6 +52,7 @@
     let connection = service.connection.clone();
     let aborted = connection.aborted.clone();
     let stalled = stalled_in_shutdown(phases.clone(), connection.clone());
+    let departed = connection.clone();
     let mut http = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
@@ -78,6 +79,7 @@
             biased;
             () = aborted.notified() => event_counts::count(CountedEvent::ConnectionAborted),
             () = served => {}
+            () = departed.disconnected_behind_input() => event_counts::count(CountedEvent::ConnectionEnded),
             () = stalled => {
                 tracing::warn!("client does not read its response, connection closed for the shutdown");
             }
--- a/src/daemon/server/framing.rs
+++ b/src/daemon/server/framing.rs
@@ -111,6 +111,8 @@
         {
             self.connection.set_ambiguous_framing();
         }
+        self.connection
+            .set_heads_read(self.scanner.complete_heads());
         self.connection
             .set_reading_head(self.scanner.is_inside_head());
         Poll::Ready(Ok(()))
--- a/src/daemon/server/head_scanner.rs
+++ b/src/daemon/server/head_scanner.rs
@@ -20,6 +20,8 @@
     /// A chunked body has begun. The connection closes after the response to it, so no later head is served.
     has_begun_chunked_body: bool,
     inside_head: bool,
+    /// Number of heads that have been read completely.
+    complete_heads: u64,
 }
 
 impl HeadScanner {
@@ -28,6 +30,11 @@
         self.inside_head
     }
 
+    /// Number of heads that have been read completely.
+    pub(super) fn complete_heads(&self) -> u64 {
+        self.complete_heads
+    }
+
     /// Scans the bytes read next. Returns true if they complete a head line that makes its head ambiguous.
     pub(super) fn finds_ambiguous_head(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() && !self.has_begun_chunked_body {
@@ -71,6 +78,7 @@
         if line.is_empty() {
             self.line.clear();
             self.inside_head = false;
+            self.complete_heads += 1;
             self.has_begun_chunked_body = self.has_transfer_coding;
             self.body_bytes_left = self.content_length.take().unwrap_or(0);
             return false;
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -3,14 +3,18 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use applewall_fakes::clients::{connect, request};
 use applewall_fakes::daemon::{Daemon, ServiceClass};
+use applewall_fakes::discovery::{target, Discovery};
 use applewall_fakes::http::{self, Kind};
 use applewall_fakes::instance::{Exception, ResponseBehavior, Script};
 use applewall_fakes::wait::wait_until;
+use support::daemon::{small_daemon, start_daemon};
 use support::node::Node;
+use support::slow_endpoint::SlowEndpoint;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -29,6 +33,8 @@
 const PROCESSING_TIME: Duration = Duration::from_millis(400);
 /// An attempt may begin this long after its client has left.
 const DEPARTURE_SLACK: Duration = Duration::from_millis(100);
+/// An attempt of a client that has left ends within this time; its timeout is 0.96 s.
+const MAX_CANCELLATION_TIME: Duration = Duration::from_millis(500);
 /// Requests that a client writes at once: more than hyper reads at once.
 const PIPELINED_REQUESTS: u64 = 60;
 /// Bytes behind a request: more than the daemon reads ahead, and more than a socket buffer holds.
@@ -134,6 +140,35 @@
     }
 }
 
+/// Guards against an attempt that stays in flight for a client that has left, because its close lies behind further requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn attempt_is_cancelled_when_a_client_leaves_that_has_pipelined_requests() {
+    let endpoint = SlowEndpoint::start();
+    let known = vec![target("s-0", endpoint.address, "in_service")];
+    let discovery = Discovery::start(known.clone()).await.expect("discovery");
+    let daemon = start_daemon("departed", &small_daemon(discovery.address, known));
+    let open = || endpoint.open.load(Ordering::Relaxed);
+    for pipelined in [1, 3] {
+        let requests = (0..pipelined)
+            .map(|number| request(ID + 100 * pipelined + number, CUSTOMER, DEADLINE, 0))
+            .collect::<String>();
+        let mut client = connect_to(&daemon).await;
+        client
+            .write_all(requests.as_bytes())
+            .await
+            .expect("written");
+        wait_until("an attempt is in flight", || open() == 1).await;
+        drop(client);
+        let left_at = Instant::now();
+        wait_until("the attempt has ended", || open() == 0).await;
+        let ended_after = left_at.elapsed();
+        assert!(
+            ended_after < MAX_CANCELLATION_TIME,
+            "{pipelined} requests: the attempt ended after {ended_after:?}"
+        );
+    }
+}
+
 /// Guards against retries for a client whose close lies behind more bytes than are read ahead.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_is_not_retried_after_its_client_has_left_with_much_unread() {
