Memory budget: 6 MB beside the connections, by measurement

Need: in an upgrade each process has half of the memory; with 8 MB for the program, 16 MB left 64 connections, where 256 descriptors had 102. Cause: the base was set too high: an idle process has 5.1 MB resident, of which 4.6 MB are the program's file (release build, arm64). Change: 6 MB: 80 connections at 16 MB, 208 at 32 MB.

--- a/src/daemon/resources/memory_budget.rs
+++ b/src/daemon/resources/memory_budget.rs
@@ -1,7 +1,7 @@
 //! Divides the process's memory among client connections and the bodies of requests and responses.
 
 /// Memory of everything that does not depend on clients' connections: the program, endpoint lists, quotas.
-const BASE_BYTES: usize = 8 * 1024 * 1024;
+const BASE_BYTES: usize = 6 * 1024 * 1024;
 /// Fraction of the memory for the bodies of pending requests, and of that for prefetched response bodies, as a divisor.
 const BODIES_DIVISOR: usize = 8;
 /// Fraction of the memory above [`BASE_BYTES`] for client connections, as a divisor.
