Accept queue: a wait of 0.3 s at most is assumed

While clients come without a pause the accept queue is never empty, and the wait that was assumed for each connection grew without bound; a request that had just come counted as expired. Trace: 503 with Retry-After 0.063 (attempts that were not sent), 14 and 36 descriptors open. Change: 0.3 s at most is assumed, the grace of a new connection and a margin.

--- a/src/daemon/server/accept_queue.rs
+++ b/src/daemon/server/accept_queue.rs
@@ -10,12 +10,16 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
+/// Longest wait that is assumed: that until a new connection may be evicted for the next one, and a margin. While the queue is
+/// never empty, how long a connection has waited is not known, and requests that have just come must not count as expired.
+const MAX_ASSUMED_WAIT: Duration = Duration::from_millis(300);
+
 /// A connection that was accepted.
 pub(super) struct AcceptedConnection {
     pub stream: TcpStream,
     /// The client's address.
     pub address: SocketAddr,
-    /// The longest time that the connection may have waited in the queue.
+    /// How long the connection may have waited in the queue, [`MAX_ASSUMED_WAIT`] at most.
     pub waited: Duration,
 }
 
@@ -54,10 +58,15 @@
         Ok(AcceptedConnection {
             stream,
             address,
-            waited: now.saturating_duration_since(self.empty_at),
+            waited: assumed_wait(now.saturating_duration_since(self.empty_at)),
         })
     }
 }
 
+/// The wait that is assumed for a connection that has arrived within this time.
+pub(super) fn assumed_wait(since_empty: Duration) -> Duration {
+    since_empty.min(MAX_ASSUMED_WAIT)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/daemon/server/accept_queue/tests.rs
+++ b/src/daemon/server/accept_queue/tests.rs
@@ -18,6 +18,13 @@
         assert!(waited >= WAIT, "waited {waited:?}");
         assert!(waited > at_once.waited);
     }
+    // Guards against requests that count as expired while connections come without a pause.
+    let _clients = (connect().await, connect().await);
+    tokio::time::sleep(2 * MAX_ASSUMED_WAIT).await;
+    for _ in 0..2 {
+        let waited = queue.accept().await.expect("a connection").waited;
+        assert_eq!(waited, MAX_ASSUMED_WAIT);
+    }
     let (at_once, _last) = tokio::join!(queue.accept(), connect());
     assert!(at_once.expect("a connection").waited < WAIT);
 }
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -22,7 +22,7 @@
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::observability::condition_log::ConditionLog;
 use crate::observability::event_counts::{self, CountedEvent};
-use crate::server::accept_queue::{AcceptQueue, AcceptedConnection};
+use crate::server::accept_queue::{assumed_wait, AcceptQueue, AcceptedConnection};
 use crate::server::admission::{AdmittedConnection, ConnectionAdmission};
 use crate::server::connection_task;
 use crate::server::context::ServerContext;
@@ -238,7 +238,7 @@
                     let accepted = AcceptedConnection {
                         stream,
                         address,
-                        waited: started.elapsed(),
+                        waited: assumed_wait(started.elapsed()),
                     };
                     self.serve_connection(accepted, permit);
                 }
