Fakes: chunked responses are read

Cause: a fake client did not read chunked bodies. Change: the fakes' reader decodes chunked bodies; the test is as it was.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -9,6 +9,8 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of headers.
 const MAX_HEADERS: usize = 64;
+/// End of a line.
+const LINE_END: &[u8] = b"\r\n";
 /// Maximum number of bytes per read.
 const CHUNK_BYTES: usize = 8192;
 
@@ -36,7 +38,7 @@
     pub start_line: StartLine,
     /// Headers, with names in lower case.
     pub headers: Vec<(String, String)>,
-    /// Body of the length in `Content-Length`; chunked bodies are not read.
+    /// Body of the length in `Content-Length`, or the contents of a chunked body without its trailers.
     pub body: Vec<u8>,
 }
 
@@ -117,14 +119,62 @@
     let length = message.header("content-length");
     let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
     unread.drain(..head_length);
+    let is_chunked = message.header("transfer-encoding") == Some("chunked");
+    message.body = if is_chunked {
+        read_chunks(stream, unread).await?
+    } else {
+        read_exact(stream, unread, length).await?
+    };
+    Ok(Some(message))
+}
+
+/// Reads so many bytes.
+async fn read_exact(
+    stream: &mut (impl AsyncRead + Unpin),
+    unread: &mut Vec<u8>,
+    length: usize,
+) -> io::Result<Vec<u8>> {
     while unread.len() < length {
-        match stream.read(&mut chunk).await? {
-            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            length => unread.extend_from_slice(&chunk[..length]),
+        read_more(stream, unread).await?;
+    }
+    Ok(unread.drain(..length).collect())
+}
+
+async fn read_more(stream: &mut (impl AsyncRead + Unpin), unread: &mut Vec<u8>) -> io::Result<()> {
+    let mut chunk = [0; CHUNK_BYTES];
+    match stream.read(&mut chunk).await? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        length => {
+            unread.extend_from_slice(&chunk[..length]);
+            Ok(())
+        }
+    }
+}
+
+/// Reads the contents of a chunked body without trailers.
+async fn read_chunks(
+    stream: &mut (impl AsyncRead + Unpin),
+    unread: &mut Vec<u8>,
+) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let parsed = httparse::parse_chunk_size(unread)
+            .map_err(|_| io::Error::other("invalid size of a chunk"))?;
+        let httparse::Status::Complete((line_bytes, chunk_bytes)) = parsed else {
+            read_more(stream, unread).await?;
+            continue;
+        };
+        unread.drain(..line_bytes);
+        let chunk_bytes = chunk_bytes as usize;
+        let chunk = read_exact(stream, unread, chunk_bytes + LINE_END.len()).await?;
+        if !chunk.ends_with(LINE_END) {
+            return Err(io::Error::other("a chunk does not end with its line"));
+        }
+        body.extend_from_slice(&chunk[..chunk_bytes]);
+        if chunk_bytes == 0 {
+            return Ok(body);
         }
     }
-    message.body = unread.drain(..length).collect();
-    Ok(Some(message))
 }
 
 /// Parses a head. Returns the message without its body, and the length of the head; `None` if the head is incomplete.
