Disconnect: failing test of a client that has pipelined behind a chunked body

The connection of a client is looked at every 50 ms while a part of its next request has been read, because hyper does not notice the end of the connection then. The scanner does not find the end of a chunked body, so what is behind it is not counted.

--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -148,10 +148,19 @@
     let discovery = Discovery::start(known.clone()).await.expect("discovery");
     let daemon = start_daemon("departed", &small_daemon(discovery.address, known));
     let open = || endpoint.open.load(Ordering::Relaxed);
-    for pipelined in [1, 3] {
-        let requests = (0..pipelined)
-            .map(|number| request(ID + 100 * pipelined + number, CUSTOMER, DEADLINE, 0))
-            .collect::<String>();
+    let single = request(ID, CUSTOMER, DEADLINE, 0);
+    let chunked = request(ID + 2, CUSTOMER, DEADLINE, 5)
+        .replace("Content-Length: 5", "Transfer-Encoding: chunked")
+        + "5\r\nhello\r\n0\r\n\r\n";
+    for (name, requests) in [
+        ("one", single.clone()),
+        ("two", request(ID + 1, CUSTOMER, DEADLINE, 0) + &single),
+        (
+            "two, after an empty line",
+            "\r\n".to_string() + &request(ID + 3, CUSTOMER, DEADLINE, 0) + &single,
+        ),
+        ("chunked and one", chunked + &single),
+    ] {
         let mut client = connect_to(&daemon).await;
         client
             .write_all(requests.as_bytes())
@@ -164,7 +173,7 @@
         let ended_after = left_at.elapsed();
         assert!(
             ended_after < MAX_CANCELLATION_TIME,
-            "{pipelined} requests: the attempt ended after {ended_after:?}"
+            "{name}: the attempt ended after {ended_after:?}"
         );
     }
 }
