Disconnect: a client that has pipelined behind a chunked body is noticed too

Cause: the scanner of heads does not find the end of a chunked body, so that a request behind it was not counted and the connection was not looked at while a response was pending. From the beginning of a chunked body on the end of the request counts as unknown, and the connection is looked at. Empty lines before a request line no longer count as a head.

--- a/src/daemon/server/connection_table/client_connection.rs
+++ b/src/daemon/server/connection_table/client_connection.rs
@@ -58,7 +58,9 @@
     heads_read: AtomicU64,
     /// Number of requests that have begun.
     requests_begun: AtomicU64,
-    /// Notified when a response is awaited although a part of the next request has been read.
+    /// A chunked body has begun, so that input behind it is not told from it.
+    end_of_request_unknown: AtomicBool,
+    /// Notified when a response is awaited although a part of the next request may have been read.
     awaiting_behind_input: Notify,
     /// Since when output is waiting for space in the kernel's send buffer, in nanoseconds since the table's reference
     /// time, or [`NOT_BLOCKED`].
@@ -99,6 +101,7 @@
             reading_head: AtomicBool::new(false),
             heads_read: AtomicU64::new(0),
             requests_begun: AtomicU64::new(0),
+            end_of_request_unknown: AtomicBool::new(false),
             awaiting_behind_input: Notify::new(),
             write_blocked_since_ns: AtomicU64::new(NOT_BLOCKED),
             idle_since_ns: AtomicU64::new(0),
@@ -136,7 +139,7 @@
     /// next request.
     pub(crate) fn await_response(&self) {
         self.awaiting_response.store(true, Ordering::Relaxed);
-        if self.holds_next_request() {
+        if self.may_hold_next_request() {
             self.awaiting_behind_input.notify_one();
         }
     }
@@ -199,18 +202,25 @@
         self.heads_read.store(heads, Ordering::Relaxed);
     }
 
-    /// True if a part of a request has been read that has not begun.
-    fn holds_next_request(&self) -> bool {
+    /// Records that input behind the request is not told from its body.
+    pub(crate) fn set_end_of_request_unknown(&self) {
+        self.end_of_request_unknown.store(true, Ordering::Relaxed);
+    }
+
+    /// True if a part of a request may have been read that has not begun.
+    fn may_hold_next_request(&self) -> bool {
         let begun = self.requests_begun.load(Ordering::Relaxed);
-        self.heads_read.load(Ordering::Relaxed) > begun || self.is_reading_head()
+        self.heads_read.load(Ordering::Relaxed) > begun
+            || self.is_reading_head()
+            || self.end_of_request_unknown.load(Ordering::Relaxed)
     }
 
-    /// Completes once the client has disconnected, while a response is pending and a part of the next request has been read:
-    /// hyper does not look for the end of the connection then.
+    /// Completes once the client has disconnected, while a response is pending and a part of the next request may have been
+    /// read: hyper does not look for the end of the connection then.
     pub(crate) async fn disconnected_behind_input(&self) {
         loop {
             self.awaiting_behind_input.notified().await;
-            while self.is_awaiting_response() && self.holds_next_request() {
+            while self.is_awaiting_response() && self.may_hold_next_request() {
                 if self.socket.is_certainly_closed() {
                     return;
                 }
--- a/src/daemon/server/framing.rs
+++ b/src/daemon/server/framing.rs
@@ -113,6 +113,9 @@
         }
         self.connection
             .set_heads_read(self.scanner.complete_heads());
+        if self.scanner.has_begun_chunked_body() {
+            self.connection.set_end_of_request_unknown();
+        }
         self.connection
             .set_reading_head(self.scanner.is_inside_head());
         Poll::Ready(Ok(()))
--- a/src/daemon/server/head_scanner.rs
+++ b/src/daemon/server/head_scanner.rs
@@ -20,6 +20,8 @@
     /// A chunked body has begun. The connection closes after the response to it, so no later head is served.
     has_begun_chunked_body: bool,
     inside_head: bool,
+    /// The current head has a line that is not empty.
+    head_has_line: bool,
     /// Number of heads that have been read completely.
     complete_heads: u64,
 }
@@ -35,6 +37,11 @@
         self.complete_heads
     }
 
+    /// True if a chunked body has begun, in which the scanner does not find the end of the request.
+    pub(super) fn has_begun_chunked_body(&self) -> bool {
+        self.has_begun_chunked_body
+    }
+
     /// Scans the bytes read next. Returns true if they complete a head line that makes its head ambiguous.
     pub(super) fn finds_ambiguous_head(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() && !self.has_begun_chunked_body {
@@ -78,11 +85,13 @@
         if line.is_empty() {
             self.line.clear();
             self.inside_head = false;
-            self.complete_heads += 1;
+            // Empty lines before a request line belong to no head.
+            self.complete_heads += u64::from(std::mem::take(&mut self.head_has_line));
             self.has_begun_chunked_body = self.has_transfer_coding;
             self.body_bytes_left = self.content_length.take().unwrap_or(0);
             return false;
         }
+        self.head_has_line = true;
         let mut parts = line.splitn(2, |byte| *byte == b':');
         let (name, value) = (parts.next().unwrap_or_default(), parts.next());
         if name.eq_ignore_ascii_case(b"transfer-encoding") {
