--- a/src/daemon/engine/requests.rs
+++ b/src/daemon/engine/requests.rs
@@ -168,13 +168,7 @@
             "attempt ended"
         );
         if !outcome.never_executed() {
-            pending
-                .first_possibly_executed_at_ns
-                .get_or_insert(in_flight.started_at_ns);
-            let class = pending.class;
-            if self.must_not_repeat(class) {
-                self.executed.record(self.now, request);
-            }
+            self.record_possible_execution(request, in_flight.started_at_ns);
         }
         if let Some(zones) = &mut self.zones {
             zones.attempt_ended(self.now, request, outcome);
@@ -194,6 +188,20 @@
         self.remove_if_finished(request);
     }
 
+    /// Records that an attempt may have executed its request.
+    fn record_possible_execution(&mut self, request: RequestId, started_at_ns: u64) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        pending
+            .first_possibly_executed_at_ns
+            .get_or_insert(started_at_ns);
+        let class = pending.class;
+        if self.must_not_repeat(class) {
+            self.executed.record(self.now, request);
+        }
+    }
+
     /// True if the client has disconnected but the message about it is still queued or was lost. No further attempt is
     /// made for such a client.
     fn client_disconnected_unnoticed(&self, request: RequestId) -> bool {
--- a/src/daemon/server/client_socket.rs
+++ b/src/daemon/server/client_socket.rs
@@ -50,7 +50,10 @@
         let socket = SockRef::from(&descriptor);
         while self.discarded_bytes < MAX_DISCARDED_BYTES {
             let mut chunk = [MaybeUninit::uninit(); READ_AHEAD_BYTES];
-            let read = socket.recv(&mut chunk)?;
+            let read = match socket.recv(&mut chunk) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                read => read?,
+            };
             if read == 0 {
                 return Ok(ReadAheadEnd::Closed);
             }
@@ -106,10 +109,7 @@
     pub(crate) fn is_closed(&self) -> bool {
         match self.read_ahead() {
             Ok(ReadAheadEnd::Closed | ReadAheadEnd::LimitReached) => true,
-            Err(error) => !matches!(
-                error.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-            ),
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
@@ -118,7 +118,7 @@
     pub(super) fn is_certainly_closed(&self) -> bool {
         match self.read_ahead() {
             Ok(end) => end == ReadAheadEnd::Closed,
-            Err(_) => self.is_closed(),
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
--- a/src/daemon/server/submission.rs
+++ b/src/daemon/server/submission.rs
@@ -94,7 +94,7 @@
         self.disconnect.has_response = true;
         response.unwrap_or(ClientResponse::Failed {
             status: StatusCode::INTERNAL_SERVER_ERROR,
-            reason: "the engine has stopped",
+            reason: "the request was abandoned",
         })
     }
 }
--- a/src/daemon/upstream/attempt.rs
+++ b/src/daemon/upstream/attempt.rs
@@ -69,10 +69,8 @@
         let event =
             await_deciding_event(exchange.as_mut(), &mut stream_started, cancelled, timeout).await;
         let latency = started.elapsed();
-        let (result, is_streaming) = match event {
-            DecidingEvent::Ended(result) => (result, false),
-            DecidingEvent::Streaming(response) => (Ok(response), true),
-        };
+        let is_streaming = matches!(event, DecidingEvent::Streaming(_));
+        let result = event.into_result();
         let evaluation = Evaluation::new(result, &context.load_report_fields);
         let report = context.queue.send(Message::AttemptEnded(AttemptEnded {
             request,
@@ -111,6 +109,15 @@
     Streaming(UpstreamResponse),
 }
 
+impl DecidingEvent {
+    fn into_result(self) -> Result<UpstreamResponse, Outcome> {
+        match self {
+            DecidingEvent::Ended(result) => result,
+            DecidingEvent::Streaming(response) => Ok(response),
+        }
+    }
+}
+
 /// Waits for the first event that determines the result of an attempt. Unless that is a streaming response, the
 /// exchange is not polled afterwards and is dropped in the same poll in which the report is queued. Its connection is
 /// therefore closed before the engine sees the report, and no more of the request is sent. This relies on the
