--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -315,7 +315,8 @@
 const FLOOD_REQUESTS: usize = 4_000;
 /// Exchanges of another client meanwhile.
 const OTHER_EXCHANGES: usize = 20;
-/// Most requests of the flood that are answered for each exchange of the other client.
+/// Most requests of the flood that are answered for each exchange of the other client: hyper handles up to 16 before it
+/// yields.
 const MAX_FLOOD_RESPONSES_PER_EXCHANGE: usize = 20;
 
 /// Guards against one client that keeps all others waiting by requests that are answered without an endpoint. Counts
--- a/src/daemon/server/forwarded_head.rs
+++ b/src/daemon/server/forwarded_head.rs
@@ -35,3 +35,6 @@
 fn copy_value(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
     HeaderValue::from_bytes(headers.get(name)?.as_bytes()).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/upstream/exchange/tests.rs
+++ b/src/daemon/upstream/exchange/tests.rs
@@ -204,6 +204,35 @@
     assert_eq!(permits.available_permits(), 1);
 }
 
+/// Guards against the body of a buffered response that counts against no limit while its client reads it slowly.
+#[tokio::test]
+async fn buffered_response_keeps_its_memory_permits_until_it_is_dropped() {
+    let (listener, address) = listen().await;
+    let context = context(UpstreamEndpoint::new(address));
+    let available = context.prefetch.available_permits();
+    let forwarded = forwarded();
+    let exchange = Exchange {
+        context: &context,
+        forwarded: &forwarded,
+        deadlines: deadlines(),
+        long_response_begun: &AtomicBool::new(false),
+    };
+    let permit = Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap();
+    let run = exchange.run(ConnectionLease::Permit(permit), oneshot::channel().0);
+    let serve = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine";
+        stream.write_all(response).await.unwrap();
+        stream
+    };
+    let (response, _stream) = tokio::join!(run, serve);
+    let response = response.expect("a response");
+    assert_eq!(context.prefetch.available_permits(), available - 4);
+    drop(response);
+    assert_eq!(context.prefetch.available_permits(), available);
+}
+
 /// A listener on a free port of the loopback interface.
 pub(in crate::upstream) async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -33,7 +33,8 @@
 const PROCESSING_TIME: Duration = Duration::from_millis(400);
 /// An attempt may begin this long after its client has left.
 const DEPARTURE_SLACK: Duration = Duration::from_millis(100);
-/// An attempt of a client that has left ends within this time; its timeout is 0.96 s.
+/// An attempt of a client that has left ends within this time: about half of its timeout of 0.96 s, so that the timeout is
+/// not taken for a cancellation.
 const MAX_CANCELLATION_TIME: Duration = Duration::from_millis(500);
 /// Requests that a client writes at once: more than hyper reads at once.
 const PIPELINED_REQUESTS: u64 = 60;
--- a/tests/late_responses.rs
+++ b/tests/late_responses.rs
@@ -16,6 +16,7 @@
 use support::daemon::{connect_to, small_daemon, start_daemon, Environment, Scenario, TIME_LEFT};
 use support::slow_endpoint::SlowEndpoint;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Later than the timeout of an attempt that can be retried: 1.2 times the latency objective of 0.8 s.
 const BODY_DELAY: Duration = Duration::from_millis(1_500);
@@ -143,23 +144,38 @@
     request(id, 1, time_left, LARGE_BODY_BYTES) + &"x".repeat(LARGE_BODY_BYTES)
 }
 
+/// Large requests that are sent at once.
+const SLOWLY_READ_REQUESTS: u64 = 20;
+
 /// Guards against a final response after its time where an endpoint reads a large request slowly.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_its_endpoint_reads_slowly_is_answered_in_time() {
-    let (daemon, _endpoints, _discovery) = start_with_slow_endpoints("late-reader").await;
+    let (daemon, endpoints, _discovery) = start_with_slow_endpoints("late-reader").await;
     for time_left in [SHORT_TIME_LEFT, TIME_LEFT] {
-        let mut client = connect_to(&daemon).await;
-        let text = large_request(time_left.as_millis() as u64, time_left);
-        client.write_all(text.as_bytes()).await.expect("written");
-        let sent_at = Instant::now();
-        let read = client.read(&mut [0; 12]).await.expect("a response");
-        let waited = sent_at.elapsed();
-        assert!(read > 0, "closed without a response");
-        assert!(
-            waited < time_left + RESPONSE_SLACK,
-            "answered after {waited:?} of {time_left:?}"
-        );
+        let mut clients = tokio::task::JoinSet::new();
+        for number in 0..SLOWLY_READ_REQUESTS {
+            let client = connect_to(&daemon).await;
+            let text = large_request(time_left.as_millis() as u64 + number, time_left);
+            clients.spawn(time_to_response(client, text));
+        }
+        for waited in clients.join_all().await {
+            assert!(
+                waited < time_left + RESPONSE_SLACK,
+                "answered after {waited:?} of {time_left:?}"
+            );
+        }
     }
+    let begun = |endpoint: &SlowEndpoint| endpoint.most_read.load(Ordering::Relaxed) > 0;
+    assert!(endpoints.iter().any(begun), "no request was forwarded");
+}
+
+/// Sends a request; the time until its response begins.
+async fn time_to_response(mut client: TcpStream, text: String) -> Duration {
+    client.write_all(text.as_bytes()).await.expect("written");
+    let sent_at = Instant::now();
+    let read = client.read(&mut [0; 12]).await.expect("a response");
+    assert!(read > 0, "closed without a response");
+    sent_at.elapsed()
 }
 
 /// Guards against a request that reaches its endpoint whole, out of the kernel's buffers, after it was given up.
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -299,6 +299,7 @@
 /// Guards against an entry for every name where a client sends requests under ever new customer names.
 #[test]
 fn stored_state_is_bounded_during_a_flood_of_new_customers_and_known_ones_are_served() {
+    /// The ledger holds 8,192 customers at most; the rest are endpoints, requests and windows.
     const MAX_ENTRIES: usize = 10_000;
     let mut driver = PolicyDriver::new(settings(), 5, &six_endpoints());
     let (mut known_requests, mut known_forwarded) = (0, 0);
