Accept queue: a request's wait is dated by the kernel, not by the queue

Cause: how long a connection had waited was told by the time since the queue was last empty, 0.3 s at most, so that a request that had just come lost the time of those before it, and one that had waited longer too little. Change: TCP_INFO tells when the last input of a connection came (last_data_recv, and one kernel tick); a connection without input has no wait. AcceptQueue and its assumed wait are gone; tcp_info is read in one place.

--- a/crates/slow-peer/src/socket/kernel.rs
+++ b/crates/slow-peer/src/socket/kernel.rs
@@ -9,6 +9,9 @@
 /// Nanoseconds in the unit of `tcpi_rtt`, the microsecond.
 const NANOS_PER_MICRO: u64 = 1_000;
 
+/// The longest period of the clock by which the kernel dates received data.
+pub const KERNEL_TICK: Duration = Duration::from_millis(10);
+
 /// Limits the response bytes that the kernel buffers: `send_buffer_bytes` in all (the kernel doubles this for its own
 /// bookkeeping), of which `max_unsent_bytes` may be not yet sent. If this is set on a listener, accepted connections inherit
 /// both limits, without a system call for each.
@@ -43,6 +46,17 @@
 
 /// Returns the kernel's estimate of the round-trip time to the peer, in nanoseconds, or `None` if it cannot be read.
 pub fn round_trip_ns(socket: BorrowedFd<'_>) -> Option<u64> {
+    Some(u64::from(tcp_info(socket)?.tcpi_rtt) * NANOS_PER_MICRO)
+}
+
+/// Returns the time since the kernel last received data on a connection, or since it was established if it has received
+/// none; `None` if it cannot be read. A [`KERNEL_TICK`] is added, so that it is not too short.
+pub fn since_last_data(socket: BorrowedFd<'_>) -> Option<Duration> {
+    let since = Duration::from_millis(tcp_info(socket)?.tcpi_last_data_recv.into());
+    Some(since + KERNEL_TICK)
+}
+
+fn tcp_info(socket: BorrowedFd<'_>) -> Option<libc::tcp_info> {
     // SAFETY: all fields are integers, for which zero is a valid value.
     let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
     let mut length = std::mem::size_of::<libc::tcp_info>() as libc::socklen_t;
@@ -56,7 +70,7 @@
             &raw mut length,
         )
     };
-    (result >= 0).then(|| u64::from(info.tcpi_rtt) * NANOS_PER_MICRO)
+    (result >= 0).then_some(info)
 }
 
 /// Makes the close of a connection send a reset and discard the bytes that the kernel still holds. With a client that does
--- a/src/daemon/server/acceptor.rs
+++ b/src/daemon/server/acceptor.rs
@@ -7,6 +7,7 @@
 //! due. Each connection ends by itself: a request by its deadline, an idle connection by the shutdown, and one whose
 //! client has stopped reading by the timeout in `connection_task`.
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -22,7 +23,7 @@
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus, ShutdownTimes};
 use crate::observability::condition_log::ConditionLog;
 use crate::observability::event_counts::{self, CountedEvent};
-use crate::server::accept_queue::{assumed_wait, AcceptQueue, AcceptedConnection};
+use crate::server::accept_wait::wait_of_input;
 use crate::server::admission::{AdmittedConnection, ConnectionAdmission};
 use crate::server::connection_task;
 use crate::server::context::ServerContext;
@@ -30,14 +31,10 @@
 use crate::server::listener::{classify_accept_error, AcceptErrorKind};
 use crate::server::service::RequestService;
 use crate::server::slow_peers::TransferMonitors;
-use crate::server::unanswered_input::kernel_has_input;
 
 /// Delay after an error of `accept`, so that a persistent error does not cause a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// A connection that has waited in the accept queue for less is not checked for a request that has waited with it.
-const MIN_ACCEPT_WAIT: Duration = Duration::from_millis(20);
-
 /// Dependencies of the acceptor.
 pub(crate) struct Dependencies {
     /// The engine's clock.
@@ -155,7 +152,6 @@
     async fn accept(&self, listener: &TcpListener) {
         let (mut role, mut monitors) = (self.role.clone(), self.monitors.clone());
         let accept_failures = ConditionLog::default();
-        let mut queue = AcceptQueue::new(listener);
         monitors.mark_changed();
         loop {
             // New connections are accepted by the other process while that runs.
@@ -175,12 +171,12 @@
             let accepted = tokio::select! {
                 biased;
                 Ok(_) = role.wait_for(|role| *role == ProcessRole::Superseded) => continue,
-                accepted = queue.accept() => accepted,
+                accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok(accepted) => {
+                Ok((stream, address)) => {
                     accept_failures.ends();
-                    self.serve_connection(accepted, permit);
+                    self.serve_connection(stream, address, permit);
                 }
                 Err(error) => {
                     if accept_failures.begins() {
@@ -208,7 +204,6 @@
         let Ok(listener) = listener.into_std() else {
             return;
         };
-        let started = Instant::now();
         loop {
             let (stream, address) = match listener.accept() {
                 Ok(accepted) => accepted,
@@ -234,14 +229,7 @@
                 .set_nonblocking(true)
                 .and_then(|()| TcpStream::from_std(stream));
             match stream {
-                Ok(stream) => {
-                    let accepted = AcceptedConnection {
-                        stream,
-                        address,
-                        waited: assumed_wait(started.elapsed()),
-                    };
-                    self.serve_connection(accepted, permit);
-                }
+                Ok(stream) => self.serve_connection(stream, address, permit),
                 Err(error) => {
                     event_counts::count(CountedEvent::AcceptedConnectionFailed);
                     tracing::warn!(%error, "cannot serve an accepted client connection");
@@ -251,12 +239,12 @@
     }
 
     /// Starts the task of a connection. The task is not joined: `serve` ends once all permits have been released.
-    fn serve_connection(&self, accepted: AcceptedConnection, permit: OwnedSemaphorePermit) {
-        let AcceptedConnection {
-            stream,
-            address,
-            waited,
-        } = accepted;
+    fn serve_connection(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+        permit: OwnedSemaphorePermit,
+    ) {
         // Ignored: without TCP_NODELAY responses are slower, but not wrong.
         let _ = stream.set_nodelay(true);
         let AdmittedConnection {
@@ -264,7 +252,7 @@
             registration,
             sheds_load,
         } = self.admission.admit(&stream, address, permit);
-        if waited >= MIN_ACCEPT_WAIT && kernel_has_input(&stream) {
+        if let Some(waited) = wait_of_input(&stream) {
             connection.set_accept_wait(waited);
         }
         let stream =
--- a/src/daemon/server/acceptor/tests.rs
+++ b/src/daemon/server/acceptor/tests.rs
@@ -6,7 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit};
 
-use super::{AcceptedConnection, Acceptor, Dependencies};
+use super::{Acceptor, Dependencies};
 use crate::clock::Clock;
 use crate::config::platform::PlatformConfig;
 use crate::lifecycle::process_role::{ProcessRole, ProcessStatus};
@@ -71,12 +71,7 @@
         let client = TcpStream::connect(listener.local_addr().expect("an address"));
         let (client, accepted) = tokio::join!(client, listener.accept());
         let (stream, address) = accepted.expect("a connection");
-        let accepted = AcceptedConnection {
-            stream,
-            address,
-            waited: Duration::ZERO,
-        };
-        self.serve_connection(accepted, self.free_permit());
+        self.serve_connection(stream, address, self.free_permit());
         client.expect("a connection")
     }
 }
@@ -200,12 +195,8 @@
     listener.set_nonblocking(false).expect("set blocking mode");
     let (stream, address) = listener.accept().expect("a connection");
     stream.set_nonblocking(true).expect("set blocking mode");
-    let accepted = AcceptedConnection {
-        stream: TcpStream::from_std(stream).expect("a stream"),
-        address,
-        waited: Duration::ZERO,
-    };
-    acceptor.serve_connection(accepted, acceptor.free_permit());
+    let stream = TcpStream::from_std(stream).expect("a stream");
+    acceptor.serve_connection(stream, address, acceptor.free_permit());
     acceptor.evict();
     client.set_nonblocking(true).expect("set blocking mode");
     let mut client = TcpStream::from_std(client).expect("a stream");
--- a/src/daemon/server/mod.rs
+++ b/src/daemon/server/mod.rs
@@ -1,6 +1,6 @@
 //! Serves clients: accepts connections, reads requests and writes responses.
 
-mod accept_queue;
+mod accept_wait;
 pub(crate) mod acceptor;
 mod admission;
 pub(crate) mod client_socket;
