--- a/review/kit-2/src/agent.rs
+++ b/review/kit-2/src/agent.rs
@@ -1,7 +1,8 @@
 //! A stand-in for discovery's agent: the whole list, and watches that are answered when the list changes.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,9 @@
 struct Shared {
     list: Mutex<(u64, Vec<Target>)>,
     changed: Condvar,
+    /// Set once the agent takes no new connection.
+    closed: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// The agent, which serves until the program ends.
@@ -55,18 +59,50 @@
         let shared = Arc::new(Shared {
             list: Mutex::new((1, targets.collect())),
             changed: Condvar::new(),
+            closed: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let agent = Agent { address, shared };
         let serving = agent.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let shared = serving.shared.clone();
+                if shared.closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                shared.open.lock().unwrap().extend(stream.try_clone());
                 std::thread::spawn(move || serve(stream, &shared));
             }
         });
         Ok(agent)
     }
 
+    /// Changes the state of a limit server.
+    pub fn change(&self, uid: &str, state: &'static str) {
+        let mut list = self.shared.list.lock().unwrap();
+        list.0 += 1;
+        let revision = list.0;
+        for target in list.1.iter_mut().filter(|target| target.uid == uid) {
+            target.state = state;
+            target.revision = revision;
+        }
+        self.shared.changed.notify_all();
+    }
+
+    /// Takes no new connection from now on; closes the open ones after `after`.
+    pub fn close(&self, after: Duration) {
+        self.shared.closed.store(true, Ordering::SeqCst);
+        // The accepting thread looks at the flag and drops the listener.
+        let _ = TcpStream::connect(self.address);
+        let shared = self.shared.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(after);
+            for stream in shared.open.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
+    }
+
     /// The list in the form of the configuration's `known`.
     pub fn known(&self) -> String {
         let list = self.shared.list.lock().unwrap();
--- a/review/kit-2/src/daemon.rs
+++ b/review/kit-2/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 
--- a/review/kit-2/src/http.rs
+++ b/review/kit-2/src/http.rs
@@ -44,11 +44,6 @@
         }
     }
 
-    /// Number of bytes that were read and belong to no message yet.
-    pub fn buffered(&self) -> usize {
-        self.buffer.len()
-    }
-
     fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0; 16 * 1024];
         let read = self.stream.read(&mut chunk)?;
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -5,10 +5,8 @@
 mod agent;
 mod daemon;
 mod http;
-mod link;
 mod pipeline;
 mod record;
-mod second;
 mod site;
 mod upgrade;
 
@@ -81,7 +79,6 @@
             };
             pipeline::play(root, &plan)
         }
-        "second-answer" => second::play(root, trouble, Duration::from_secs(45)),
         "upgrade-twice" => upgrade::play(root, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     }
--- a/review/kit-2/src/pipeline.rs
+++ b/review/kit-2/src/pipeline.rs
@@ -39,7 +39,7 @@
         let server = Server {
             uid: uid.clone(),
             work: plan.work,
-            second: None,
+            heard: site::Heard::default(),
         };
         servers.push((uid, server.start()?));
     }
--- a/review/kit-2/src/site.rs
+++ b/review/kit-2/src/site.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::agent::Agent;
@@ -70,14 +71,8 @@
     std::fs::write(path, text)
 }
 
-/// What a limit server sends behind a good answer.
-#[derive(Clone, Copy)]
-pub struct SecondAnswers {
-    /// One answer in this many is followed by a second copy.
-    pub one_in: u64,
-    /// It comes this long after the first, in milliseconds.
-    pub after_ms: (u64, u64),
-}
+/// When requests arrived at a limit server.
+pub type Heard = Arc<Mutex<Vec<Instant>>>;
 
 /// A limit server.
 #[derive(Clone)]
@@ -85,7 +80,8 @@
     pub uid: String,
     /// How long it works on a request.
     pub work: Duration,
-    pub second: Option<SecondAnswers>,
+    /// When requests arrived.
+    pub heard: Heard,
 }
 
 impl Server {
@@ -114,57 +110,10 @@
                 continue;
             };
             record::line(&format!("server {} runs {id}", self.uid));
+            self.heard.lock().unwrap().push(Instant::now());
             std::thread::sleep(self.work);
             let answer = answer_of(&id);
             writer.write_all(&answer)?;
-            if let Some(second) = self.second {
-                self.send_second(second, &id, &answer, &mut writer, &mut reader)?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Sends a second copy some milliseconds after the answer, if no byte of another request has come by then.
-    fn send_second(
-        &self,
-        second: SecondAnswers,
-        id: &str,
-        answer: &[u8],
-        writer: &mut TcpStream,
-        reader: &mut Reader,
-    ) -> std::io::Result<()> {
-        let number = random();
-        if number % second.one_in != 0 || reader.buffered() > 0 {
-            return Ok(());
-        }
-        let (least, most) = second.after_ms;
-        let after = Duration::from_micros(least * 1000 + random() % ((most - least) * 1000 + 1));
-        let until = Instant::now() + after;
-        // Waits on the socket, so that a request that comes first is seen.
-        let mut byte = [0];
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            reader.stream.set_read_timeout(Some(left))?;
-            let peeked = reader.stream.peek(&mut byte);
-            reader.stream.set_read_timeout(None)?;
-            match peeked {
-                Ok(_) => return Ok(()),
-                Err(error) if is_timeout(&error) => {}
-                Err(error) => return Err(error),
-            }
-        }
-        reader.stream.set_nonblocking(true)?;
-        let waiting = reader.stream.peek(&mut byte).is_ok();
-        reader.stream.set_nonblocking(false)?;
-        if !waiting {
-            writer.write_all(answer)?;
-            record::line(&format!(
-                "server {} sends a second copy for {id}, nothing else waits",
-                self.uid
-            ));
         }
         Ok(())
     }
--- a/review/kit-2/src/upgrade.rs
+++ b/review/kit-2/src/upgrade.rs
@@ -19,7 +19,7 @@
 const RESTING_CLIENTS: u64 = 4;
 
 /// Asks `READY` until the answer is yes; returns whether it was, before the process ended or the time was over.
-fn wait_yes(name: &str, process: &mut Daemon, operator: SocketAddr) -> bool {
+pub fn wait_yes(name: &str, process: &mut Daemon, operator: SocketAddr) -> bool {
     let until = Instant::now() + YES_WITHIN;
     let mut last = String::new();
     while Instant::now() < until {
@@ -71,7 +71,7 @@
         let server = Server {
             uid: uid.clone(),
             work: Duration::from_millis(60),
-            second: None,
+            heard: site::Heard::default(),
         };
         servers.push((uid, server.start()?));
     }
