Review: after discovery has moved, an upgrade goes back to its old address

Cause: a new process puts GW_DISCOVERY before the file that was replaced since, and the address that the old process follows is not handed over. The new process asks an address that refuses it, and learns of no change any more.

--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod daemon;
 mod http;
+mod moved;
 mod pipeline;
 mod record;
 mod site;
@@ -79,6 +80,7 @@
             };
             pipeline::play(root, &plan)
         }
+        "discovery-moved" => moved::play(root, trouble),
         "upgrade-twice" => upgrade::play(root, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     }
