--- a/review/kit-2/src/agent.rs
+++ b/review/kit-2/src/agent.rs
@@ -1,8 +1,7 @@
 //! A stand-in for discovery's agent: the whole list, and watches that are answered when the list changes.
 
 use std::io::Write;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,11 +31,6 @@
 struct Shared {
     list: Mutex<(u64, Vec<Target>)>,
     changed: Condvar,
-    /// Set once the agent takes no new connection.
-    closed: AtomicBool,
-    /// Set while discovery is down and the agent says nothing.
-    silent: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
 }
 
 /// The agent, which serves until the program ends.
@@ -61,59 +55,18 @@
         let shared = Arc::new(Shared {
             list: Mutex::new((1, targets.collect())),
             changed: Condvar::new(),
-            closed: AtomicBool::new(false),
-            silent: AtomicBool::new(false),
-            open: Mutex::default(),
         });
         let agent = Agent { address, shared };
         let serving = agent.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let shared = serving.shared.clone();
-                if shared.closed.load(Ordering::SeqCst) {
-                    return;
-                }
-                shared.open.lock().unwrap().extend(stream.try_clone());
                 std::thread::spawn(move || serve(stream, &shared));
             }
         });
         Ok(agent)
     }
 
-    /// Changes the state of a limit server.
-    pub fn change(&self, uid: &str, state: &'static str) {
-        let mut list = self.shared.list.lock().unwrap();
-        list.0 += 1;
-        let revision = list.0;
-        for target in list.1.iter_mut().filter(|target| target.uid == uid) {
-            target.state = state;
-            target.revision = revision;
-        }
-        self.shared.changed.notify_all();
-    }
-
-    /// Discovery goes down or comes back. While it is down, the agent says nothing; calls that wait then or come then stay
-    /// without an answer, as they have fallen silent and have to be made anew.
-    pub fn set_silent(&self, silent: bool) {
-        let _list = self.shared.list.lock().unwrap();
-        self.shared.silent.store(silent, Ordering::SeqCst);
-        self.shared.changed.notify_all();
-    }
-
-    /// Takes no new connection from now on; closes the open ones after `after`.
-    pub fn close(&self, after: Duration) {
-        self.shared.closed.store(true, Ordering::SeqCst);
-        // The accepting thread looks at the flag and drops the listener.
-        let _ = TcpStream::connect(self.address);
-        let shared = self.shared.clone();
-        std::thread::spawn(move || {
-            std::thread::sleep(after);
-            for stream in shared.open.lock().unwrap().drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        });
-    }
-
     /// The list in the form of the configuration's `known`.
     pub fn known(&self) -> String {
         let list = self.shared.list.lock().unwrap();
@@ -146,17 +99,10 @@
         let wait = Duration::from_millis(parameter(&target, "wait_ms").unwrap_or(0).min(60_000));
         let until = Instant::now() + wait;
         let mut list = shared.list.lock().unwrap();
-        let silent = || shared.silent.load(Ordering::SeqCst);
-        while after.is_some_and(|after| list.0 <= after) && Instant::now() < until && !silent() {
+        while after.is_some_and(|after| list.0 <= after) && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             list = shared.changed.wait_timeout(list, left).unwrap().0;
         }
-        if silent() {
-            drop(list);
-            // Until the caller closes its connection.
-            let _ = reader.message();
-            return;
-        }
         let text = match after {
             None => body(list.0, true, list.1.iter()),
             Some(after) => body(
--- a/review/kit-2/src/daemon.rs
+++ b/review/kit-2/src/daemon.rs
@@ -2,20 +2,20 @@
 
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::os::fd::{AsRawFd, RawFd};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
+/// Linux: the signal that a process gets when its parent has ended.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn dup2(old: i32, new: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// The processes that were started and not waited for.
@@ -62,16 +62,12 @@
     pub config: &'a Path,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
-    pub operator: Option<SocketAddr>,
-    /// The clients' listening socket that the platform holds; inherited as descriptor 7.
-    pub socket: Option<RawFd>,
     pub log: PathBuf,
 }
 
 /// A process of the ingress, which is killed when this is dropped.
 pub struct Daemon {
     child: Child,
-    pub log: PathBuf,
 }
 
 impl Launch<'_> {
@@ -91,25 +87,17 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
-        if let Some(operator) = self.operator {
-            command.env("GW_OPERATOR", operator.to_string());
-        }
-        if let Some(socket) = self.socket {
-            command.env("GW_FD", "7");
-            // SAFETY: dup2 may be called between fork and exec. The copy has no close-on-exec flag.
-            unsafe {
-                command.pre_exec(move || match dup2(socket, 7) {
-                    7 => Ok(()),
-                    _ => Err(std::io::Error::last_os_error()),
-                });
-            }
+        // The ingress ends with this program, however that ends.
+        // SAFETY: prctl may be called between fork and exec, and touches no memory.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL as u64) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
         }
         let child = command.spawn()?;
         STARTED.lock().unwrap().push(child.id());
-        Ok(Daemon {
-            child,
-            log: self.log.clone(),
-        })
+        Ok(Daemon { child })
     }
 }
 
@@ -134,13 +122,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// The last lines of its log.
-    pub fn last_lines(&self, count: usize) -> Vec<String> {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
-        let lines: Vec<String> = text.lines().map(str::to_string).collect();
-        lines[lines.len().saturating_sub(count)..].to_vec()
-    }
 }
 
 impl Drop for Daemon {
@@ -170,19 +151,3 @@
     }
     false
 }
-
-/// One call of the second address: a line each way.
-pub fn call(operator: SocketAddr, line: &str, limit: Duration) -> std::io::Result<String> {
-    use std::io::{Read, Write};
-    let mut stream = std::net::TcpStream::connect_timeout(&operator, limit)?;
-    stream.set_read_timeout(Some(limit))?;
-    stream.write_all(format!("{line}\n").as_bytes())?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer)?;
-    Ok(answer.trim_end().to_string())
-}
-
-/// The descriptor of a listener.
-pub fn descriptor(listener: &TcpListener) -> RawFd {
-    listener.as_raw_fd()
-}
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -5,12 +5,9 @@
 mod agent;
 mod daemon;
 mod http;
-mod moved;
-mod outage;
 mod pipeline;
 mod record;
 mod site;
-mod upgrade;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -59,20 +56,24 @@
     match name {
         "many-at-once" => pipeline::play(root, &pipeline),
         "stop-pipelined" => {
-            let commands = vec![Framing::None; 4];
             let plan = Plan {
-                commands,
+                commands: vec![Framing::Length(200); 4],
                 work: Duration::from_millis(300),
                 terminate_after: trouble.then_some(Duration::from_millis(100)),
                 at_once: true,
-                idempotency: "retryable",
                 ..pipeline
             };
             pipeline::play(root, &plan)
         }
-        "long-outage" => outage::play(root, trouble),
-        "discovery-moved" => moved::play(root, trouble),
-        "upgrade-twice" => upgrade::play(root, trouble),
+        "behind-chunked" => {
+            let mut commands = vec![Framing::Length(200); 4];
+            commands[0] = Framing::Chunked(200);
+            let plan = Plan {
+                commands,
+                ..pipeline
+            };
+            pipeline::play(root, &plan)
+        }
         _ => Err(std::io::Error::other("unknown case")),
     }
 }
--- a/review/kit-2/src/site.rs
+++ b/review/kit-2/src/site.rs
@@ -3,8 +3,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::agent::Agent;
 use crate::daemon;
@@ -71,17 +70,12 @@
     std::fs::write(path, text)
 }
 
-/// When requests arrived at a limit server.
-pub type Heard = Arc<Mutex<Vec<Instant>>>;
-
 /// A limit server.
 #[derive(Clone)]
 pub struct Server {
     pub uid: String,
     /// How long it works on a request.
     pub work: Duration,
-    /// When requests arrived.
-    pub heard: Heard,
 }
 
 impl Server {
@@ -110,7 +104,6 @@
                 continue;
             };
             record::line(&format!("server {} runs {id}", self.uid));
-            self.heard.lock().unwrap().push(Instant::now());
             std::thread::sleep(self.work);
             let answer = answer_of(&id);
             writer.write_all(&answer)?;
@@ -145,6 +138,8 @@
     None,
     /// POST with a Content-Length.
     Length(usize),
+    /// POST with a chunked body.
+    Chunked(usize),
 }
 
 /// A client's request.
@@ -172,6 +167,12 @@
             bytes.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
             bytes.resize(bytes.len() + length, b'p');
         }
+        Framing::Chunked(length) => {
+            let head = format!("Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n");
+            bytes.extend_from_slice(head.as_bytes());
+            bytes.resize(bytes.len() + length, b'p');
+            bytes.extend_from_slice(b"\r\n0\r\n\r\n");
+        }
     }
     bytes
 }
